--- /dev/null
+++ b/common/log.c
@@ -0,0 +1,210 @@
+#include <inttypes.h>
+#include <log4c.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+
+#define LG_LINE_BYTES 2048
+#define LG_NAME_BYTES 64
+#define LG_CATEGORY "curranttack"
+
+static char lg_vm[LG_NAME_BYTES] = "-";
+static char lg_domain[LG_NAME_BYTES] = "-";
+static log4c_category_t *lg_root;
+static log4c_appender_t *lg_appender;
+
+static const struct {
+	const char *name;
+	int priority;
+} lg_levels[] = {
+	[LG_ERROR] = {"error", LOG4C_PRIORITY_ERROR},
+	[LG_WARN] = {"warn", LOG4C_PRIORITY_WARN},
+	[LG_INFO] = {"info", LOG4C_PRIORITY_INFO},
+	[LG_DEBUG] = {"debug", LOG4C_PRIORITY_DEBUG},
+};
+
+/* The message is already one line of pairs; the layout passes it on. */
+static const char *
+lg_layout_format(
+    const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+	(void)layout;
+	return event->evt_msg;
+}
+
+static int
+lg_appender_append(log4c_appender_t *app, const log4c_logging_event_t *event)
+{
+	(void)app;
+	return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+}
+
+static const log4c_layout_type_t lg_layout_type = {"kv", lg_layout_format};
+static const log4c_appender_type_t lg_appender_type = {
+    "kv_stderr", NULL, lg_appender_append, NULL};
+
+static int
+lg_find_priority(const char *level)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(lg_levels) / sizeof(lg_levels[0]); i++) {
+		if (strcmp(lg_levels[i].name, level) == 0)
+			return lg_levels[i].priority;
+	}
+	return -1;
+}
+
+int
+lg_init(const char *vm, const char *domain, const char *level)
+{
+	log4c_layout_t *layout;
+	int priority;
+
+	snprintf(lg_vm, sizeof(lg_vm), "%s", vm);
+	snprintf(lg_domain, sizeof(lg_domain), "%s", domain);
+	priority = lg_find_priority(level);
+	if (priority == -1)
+		return -1;
+
+	/* Keeps log4c from searching for configuration files. */
+	log4c_rc->config.nocleanup = 1;
+	log4c_layout_type_set(&lg_layout_type);
+	log4c_appender_type_set(&lg_appender_type);
+	layout = log4c_layout_get("kv");
+	log4c_layout_set_type(layout, &lg_layout_type);
+	lg_appender = log4c_appender_get("kv_stderr");
+	log4c_appender_set_type(lg_appender, &lg_appender_type);
+	log4c_appender_set_layout(lg_appender, layout);
+	lg_root = log4c_category_get(LG_CATEGORY);
+	if (lg_root == NULL)
+		return -1;
+	log4c_category_set_appender(lg_root, lg_appender);
+	log4c_category_set_additivity(lg_root, 0);
+	log4c_category_set_priority(lg_root, priority);
+	return 0;
+}
+
+static log4c_category_t *
+lg_get_category(const char *module)
+{
+	char name[LG_NAME_BYTES];
+
+	snprintf(name, sizeof(name), LG_CATEGORY ".%s", module);
+	return log4c_category_get(name);
+}
+
+int
+lg_set_module_level(const char *module, const char *level)
+{
+	int priority = lg_find_priority(level);
+
+	if (priority == -1)
+		return -1;
+	log4c_category_set_priority(lg_get_category(module), priority);
+	return 0;
+}
+
+static size_t
+lg_append_escaped(char *line, size_t at, const char *value)
+{
+	const char *p;
+	bool quote = *value == '\0' || strpbrk(value, " \"=\\\n\r\t") != NULL;
+
+	if (quote && at < LG_LINE_BYTES - 1)
+		line[at++] = '"';
+	for (p = value; *p != '\0' && at < LG_LINE_BYTES - 4; p++) {
+		if (*p == '"' || *p == '\\') {
+			line[at++] = '\\';
+			line[at++] = *p;
+		} else if (*p == '\n') {
+			line[at++] = '\\';
+			line[at++] = 'n';
+		} else if ((unsigned char)*p < ' ') {
+			line[at++] = '?';
+		} else {
+			line[at++] = *p;
+		}
+	}
+	if (quote && at < LG_LINE_BYTES - 1)
+		line[at++] = '"';
+	line[at] = '\0';
+	return at;
+}
+
+static size_t
+lg_append_pair(char *line, size_t at, const char *key, const char *value)
+{
+	int n;
+
+	if (at >= LG_LINE_BYTES - 8)
+		return at;
+	n = snprintf(line + at, LG_LINE_BYTES - at, "%s%s=",
+	    at == 0 ? "" : " ", key);
+	if (n < 0 || at + (size_t)n >= LG_LINE_BYTES - 8)
+		return at;
+	return lg_append_escaped(line, at + (size_t)n, value);
+}
+
+static void
+lg_format_ts(char *ts, size_t len)
+{
+	int64_t now_us = clk_wall_us();
+	time_t secs = now_us / CLK_US_PER_S;
+	struct tm tm;
+	size_t n;
+
+	gmtime_r(&secs, &tm);
+	n = strftime(ts, len, "%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(ts + n, len - n, ".%06" PRId64 "Z", now_us % CLK_US_PER_S);
+}
+
+void
+lg_event(enum lg_level level, const char *module, const char *event, ...)
+{
+	char line[LG_LINE_BYTES];
+	char ts[LG_NAME_BYTES];
+	const char *key;
+	const char *value;
+	log4c_category_t *cat;
+	size_t at = 0;
+	va_list ap;
+
+	if (lg_root == NULL)
+		return;
+	cat = lg_get_category(module);
+	if (!log4c_category_is_priority_enabled(
+		cat, lg_levels[level].priority))
+		return;
+	lg_format_ts(ts, sizeof(ts));
+	at = lg_append_pair(line, at, "ts", ts);
+	at = lg_append_pair(line, at, "level", lg_levels[level].name);
+	at = lg_append_pair(line, at, "module", module);
+	at = lg_append_pair(line, at, "event", event);
+	at = lg_append_pair(line, at, "vm", lg_vm);
+	at = lg_append_pair(line, at, "domain", lg_domain);
+	va_start(ap, event);
+	while ((key = va_arg(ap, const char *)) != NULL) {
+		value = va_arg(ap, const char *);
+		if (value != NULL)
+			at = lg_append_pair(line, at, key, value);
+	}
+	va_end(ap);
+	log4c_category_log(cat, lg_levels[level].priority, "%s", line);
+}
+
+const char *
+lg_i64(int64_t v)
+{
+	static __thread char ring[8][24];
+	static __thread unsigned int next;
+	char *buf = ring[next++ % 8];
+
+	snprintf(buf, sizeof(ring[0]), "%" PRId64, v);
+	return buf;
+}
--- /dev/null
+++ b/include/common/clock.h
@@ -0,0 +1,23 @@
+#ifndef COMMON_CLOCK_H
+#define COMMON_CLOCK_H
+
+#include <stdint.h>
+
+#define CLK_US_PER_MS INT64_C(1000)
+#define CLK_US_PER_S INT64_C(1000000)
+
+/**
+ * clk_now_us() - read the monotonic clock
+ *
+ * Return: microseconds since an arbitrary start; never goes back.
+ */
+int64_t clk_now_us(void);
+
+/**
+ * clk_wall_us() - read the wall clock, for logs and stored deadlines
+ *
+ * Return: microseconds since the Unix epoch.
+ */
+int64_t clk_wall_us(void);
+
+#endif
--- /dev/null
+++ b/include/common/counters.h
@@ -0,0 +1,91 @@
+#ifndef COMMON_COUNTERS_H
+#define COMMON_COUNTERS_H
+
+#include <stdint.h>
+
+/**
+ * DOC: Counters and mergeable latency histograms.
+ *
+ * Buckets are log-linear: CT_SUB_BUCKETS per power of two, so a quantile is
+ * off by at most 1/CT_SUB_BUCKETS. Merging adds counts and is exact.
+ */
+#define CT_SUB_BUCKETS 16
+#define CT_POWERS 40
+#define CT_BUCKETS (CT_SUB_BUCKETS * CT_POWERS)
+
+enum ct_counter {
+	CT_REQ_DONE,
+	CT_REQ_NOT_RUN,
+	CT_REQ_UNKNOWN,
+	CT_REQ_ATTEMPTS,
+	CT_REQ_RETRIES,
+	CT_REQ_FORWARDED,
+	CT_REQ_EJECTIONS,
+	CT_JOBS_ACCEPTED,
+	CT_JOBS_REFUSED,
+	CT_TASKS_STARTED,
+	CT_TASKS_ENDED,
+	CT_TASKS_PREEMPTED,
+	CT_STORE_READS,
+	CT_STORE_WRITES,
+	CT_STORE_ERRORS,
+	CT_PEER_MSGS_OUT,
+	CT_PEER_BYTES_OUT,
+	CT_PEER_MSGS_IN,
+	CT_PEER_BYTES_IN,
+	CT_WORKER_MSGS,
+	CT_WORKER_BYTES,
+	CT_TAKEOVERS,
+	CT_FENCED,
+	CT_COUNT,
+};
+
+struct ct_histogram {
+	uint64_t bucket[CT_BUCKETS];
+	uint64_t count;
+	uint64_t sum_us;
+};
+
+/**
+ * ct_add() - add to a process-wide counter; safe from any thread
+ * @which: counter
+ * @n: amount
+ */
+void ct_add(enum ct_counter which, uint64_t n);
+
+/**
+ * ct_get() - read a counter
+ * @which: counter
+ */
+uint64_t ct_get(enum ct_counter which);
+
+/**
+ * ct_name() - metric name of a counter, without the product prefix
+ * @which: counter
+ */
+const char *ct_name(enum ct_counter which);
+
+/**
+ * ct_hist_record() - record one latency
+ * @h: histogram, under its owner's lock
+ * @us: latency in microseconds; negative counts as 0
+ */
+void ct_hist_record(struct ct_histogram *h, int64_t us);
+
+/**
+ * ct_hist_merge() - add one histogram to another
+ * @to: target
+ * @from: source
+ */
+void ct_hist_merge(struct ct_histogram *to, const struct ct_histogram *from);
+
+/**
+ * ct_hist_quantile() - upper edge of the bucket that holds a quantile
+ * @h: histogram
+ * @q: quantile in [0, 1]
+ *
+ * Return: microseconds; 0 for an empty histogram.
+ */
+int64_t ct_hist_quantile(const struct ct_histogram *h, double q);
+
+#endif
--- /dev/null
+++ b/include/transport/loop.h
@@ -0,0 +1,80 @@
+#ifndef TRANSPORT_LOOP_H
+#define TRANSPORT_LOOP_H
+
+#include <stdint.h>
+#include <talloc.h>
+#include <tevent.h>
+
+struct loop;
+
+/**
+ * loop_create() - make an event loop; its thread starts with loop_start()
+ * @ctx: talloc parent
+ *
+ * Return: the loop, or NULL without memory.
+ */
+struct loop *loop_create(TALLOC_CTX *ctx);
+
+/**
+ * loop_ev() - the tevent context; only for the loop's own thread
+ * @l: loop
+ */
+struct tevent_context *loop_ev(struct loop *l);
+
+/**
+ * loop_start() - run the loop in a thread of its own
+ * @l: loop
+ *
+ * Return: 0 or -1.
+ */
+int loop_start(struct loop *l);
+
+/**
+ * loop_run() - run the loop in the calling thread until loop_stop()
+ * @l: loop
+ */
+void loop_run(struct loop *l);
+
+/**
+ * loop_stop() - ask the loop to end; safe from any thread
+ * @l: loop
+ */
+void loop_stop(struct loop *l);
+
+/**
+ * loop_join() - wait for the thread that loop_start() made
+ * @l: loop
+ */
+void loop_join(struct loop *l);
+
+/**
+ * loop_post() - run a function on the loop's thread; safe from any thread
+ * @l: loop
+ * @fn: function
+ * @arg: its argument; ownership passes to @fn
+ */
+void loop_post(struct loop *l, void (*fn)(void *arg), void *arg);
+
+/**
+ * loop_every() - call a function at an interval, first after one interval
+ * @l: loop
+ * @interval_us: interval
+ * @fn: function
+ * @arg: its argument
+ *
+ * Return: 0 or -1 without memory.
+ */
+int loop_every(
+    struct loop *l, int64_t interval_us, void (*fn)(void *arg), void *arg);
+
+/**
+ * loop_after() - call a function once
+ * @l: loop
+ * @delay_us: how long from now
+ * @fn: function
+ * @arg: its argument
+ */
+void loop_after(
+    struct loop *l, int64_t delay_us, void (*fn)(void *arg), void *arg);
+
+#endif
--- /dev/null
+++ b/transport/loop.c
@@ -0,0 +1,177 @@
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdlib.h>
+
+#include "common/clock.h"
+#include "transport/loop.h"
+
+struct loop {
+	struct tevent_context *ev;
+	struct tevent_threaded_context *tctx;
+	pthread_t thread;
+	bool stop;
+};
+
+struct loop_call {
+	void (*fn)(void *arg);
+	void *arg;
+	int64_t interval_us;
+	struct loop *loop;
+};
+
+struct loop *
+loop_create(TALLOC_CTX *ctx)
+{
+	struct loop *l;
+
+	l = talloc_zero(ctx, struct loop);
+	if (l == NULL)
+		return NULL;
+	l->ev = tevent_context_init(l);
+	if (l->ev == NULL)
+		goto fail;
+	l->tctx = tevent_threaded_context_create(l, l->ev);
+	if (l->tctx == NULL)
+		goto fail;
+	return l;
+fail:
+	talloc_free(l);
+	return NULL;
+}
+
+struct tevent_context *
+loop_ev(struct loop *l)
+{
+	return l->ev;
+}
+
+void
+loop_run(struct loop *l)
+{
+	while (!l->stop) {
+		if (tevent_loop_once(l->ev) == -1)
+			return;
+	}
+}
+
+static void *
+loop_thread(void *arg)
+{
+	loop_run(arg);
+	return NULL;
+}
+
+int
+loop_start(struct loop *l)
+{
+	return pthread_create(&l->thread, NULL, loop_thread, l) == 0 ? 0 : -1;
+}
+
+static void
+loop_set_stop(void *arg)
+{
+	struct loop *l = arg;
+
+	l->stop = true;
+}
+
+void
+loop_stop(struct loop *l)
+{
+	loop_post(l, loop_set_stop, l);
+}
+
+void
+loop_join(struct loop *l)
+{
+	pthread_join(l->thread, NULL);
+}
+
+static void
+loop_run_posted(
+    struct tevent_context *ev, struct tevent_immediate *im, void *arg)
+{
+	struct loop_call *call = arg;
+
+	(void)ev;
+	call->fn(call->arg);
+	talloc_free(call);
+	talloc_free(im);
+}
+
+void
+loop_post(struct loop *l, void (*fn)(void *arg), void *arg)
+{
+	struct tevent_immediate *im;
+	struct loop_call *call;
+
+	/* No parent: talloc trees must not be shared between threads. */
+	im = tevent_create_immediate(NULL);
+	call = talloc_zero(NULL, struct loop_call);
+	if (im == NULL || call == NULL)
+		abort();
+	call->fn = fn;
+	call->arg = arg;
+	tevent_threaded_schedule_immediate(
+	    l->tctx, im, loop_run_posted, call);
+}
+
+static struct timeval
+loop_deadline(int64_t delay_us)
+{
+	return tevent_timeval_current_ofs(
+	    (uint32_t)(delay_us / CLK_US_PER_S),
+	    (uint32_t)(delay_us % CLK_US_PER_S));
+}
+
+static void
+loop_run_timer(struct tevent_context *ev, struct tevent_timer *te,
+    struct timeval now, void *arg)
+{
+	struct loop_call *call = arg;
+
+	(void)te;
+	(void)now;
+	if (call->interval_us > 0)
+		tevent_add_timer(ev, call, loop_deadline(call->interval_us),
+		    loop_run_timer, call);
+	call->fn(call->arg);
+	if (call->interval_us == 0)
+		talloc_free(call);
+}
+
+int
+loop_every(
+    struct loop *l, int64_t interval_us, void (*fn)(void *arg), void *arg)
+{
+	struct loop_call *call;
+
+	call = talloc_zero(l, struct loop_call);
+	if (call == NULL)
+		return -1;
+	call->fn = fn;
+	call->arg = arg;
+	call->interval_us = interval_us;
+	if (tevent_add_timer(l->ev, call, loop_deadline(interval_us),
+		loop_run_timer, call) == NULL) {
+		talloc_free(call);
+		return -1;
+	}
+	return 0;
+}
+
+void
+loop_after(
+    struct loop *l, int64_t delay_us, void (*fn)(void *arg), void *arg)
+{
+	struct loop_call *call;
+
+	call = talloc_zero(l, struct loop_call);
+	if (call == NULL)
+		abort();
+	call->fn = fn;
+	call->arg = arg;
+	if (tevent_add_timer(l->ev, call, loop_deadline(delay_us),
+		loop_run_timer, call) == NULL)
+		abort();
+}
