--- /dev/null
+++ b/coordination/membership.c
@@ -0,0 +1,293 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "coordination/membership.h"
+
+static struct mb_member *
+mb_add(struct mb_view *v, const char *vm)
+{
+	struct mb_member *grown;
+	struct mb_member *m;
+
+	grown = talloc_realloc(v, v->member, struct mb_member, v->count + 1);
+	if (grown == NULL)
+		return NULL;
+	v->member = grown;
+	m = &v->member[v->count++];
+	memset(m, 0, sizeof(*m));
+	snprintf(m->report.vm, sizeof(m->report.vm), "%s", vm);
+	return m;
+}
+
+struct mb_view *
+mb_create(TALLOC_CTX *ctx, const struct mb_report *self, int64_t timeout_us)
+{
+	struct mb_view *v;
+	struct mb_member *m;
+
+	v = talloc_zero(ctx, struct mb_view);
+	if (v == NULL)
+		return NULL;
+	v->timeout_us = timeout_us;
+	snprintf(v->self, sizeof(v->self), "%s", self->vm);
+	snprintf(v->domain, sizeof(v->domain), "%s", self->domain);
+	m = mb_add(v, self->vm);
+	if (m == NULL) {
+		talloc_free(v);
+		return NULL;
+	}
+	m->report = *self;
+	m->dead_at_us = INT64_MAX;
+	return v;
+}
+
+struct mb_member *
+mb_find(struct mb_view *v, const char *vm)
+{
+	uint32_t i;
+
+	for (i = 0; i < v->count; i++) {
+		if (strcmp(v->member[i].report.vm, vm) == 0)
+			return &v->member[i];
+	}
+	return NULL;
+}
+
+enum mb_error
+mb_on_report(struct mb_view *v, const struct mb_report *r, int64_t now_us)
+{
+	struct mb_member *m = mb_find(v, r->vm);
+	int64_t dead_at_us = now_us - r->age_us + v->timeout_us;
+
+	if (strcmp(r->vm, v->self) == 0) {
+		/* Only this daemon itself knows its newest state. */
+		if (m->report.incarnation != r->incarnation)
+			return MB_STALE;
+		m->report = *r;
+		return MB_OK;
+	}
+	if (m == NULL)
+		m = mb_add(v, r->vm);
+	if (m == NULL)
+		return MB_STALE;
+	if (r->incarnation < m->report.incarnation)
+		return MB_STALE;
+	if (m->report.domain[0] != '\0' &&
+	    strcmp(m->report.domain, r->domain) != 0)
+		return MB_WRONG_DOMAIN;
+	/* A summary may be older than what was heard directly. */
+	if (r->incarnation == m->report.incarnation &&
+	    dead_at_us < m->dead_at_us)
+		return MB_OK;
+	m->report = *r;
+	m->dead_at_us = dead_at_us;
+	m->gone_at_us = 0;
+	return MB_OK;
+}
+
+static void
+mb_take_entry(struct mb_view *v, const struct mb_list_entry *e)
+{
+	struct mb_member *m = mb_find(v, e->vm);
+
+	if (m == NULL)
+		m = mb_add(v, e->vm);
+	if (m == NULL)
+		return;
+	m->listed = e->leaving ? MB_LEAVING : MB_LIVE;
+	m->gone_at_us = 0;
+	if (m->report.domain[0] == '\0')
+		snprintf(m->report.domain, sizeof(m->report.domain), "%s",
+		    e->domain);
+	/* A restarted daemon has another address before it is heard. */
+	if (e->address != NULL && strcmp(e->vm, v->self) != 0)
+		snprintf(m->report.address, sizeof(m->report.address), "%s",
+		    e->address);
+}
+
+void
+mb_on_list(struct mb_view *v, const struct mb_list_entry *entry,
+    uint32_t count, int64_t now_us)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < count; i++)
+		mb_take_entry(v, &entry[i]);
+	for (i = 0; i < v->count; i++) {
+		struct mb_member *m = &v->member[i];
+
+		if (m->listed == MB_UNLISTED)
+			continue;
+		for (k = 0; k < count; k++) {
+			if (strcmp(entry[k].vm, m->report.vm) == 0)
+				break;
+		}
+		if (k < count)
+			continue;
+		m->listed = MB_UNLISTED;
+		if (strcmp(m->report.vm, v->self) != 0)
+			m->gone_at_us = now_us;
+	}
+}
+
+bool
+mb_alive(const struct mb_member *m, int64_t now_us)
+{
+	return now_us < m->dead_at_us && m->gone_at_us == 0;
+}
+
+bool
+mb_takes_work(const struct mb_member *m, int64_t now_us)
+{
+	return mb_alive(m, now_us) && !m->report.leaving &&
+	    m->listed != MB_LEAVING;
+}
+
+uint32_t
+mb_rank(const struct mb_view *v, int64_t now_us, uint32_t *count)
+{
+	uint32_t rank = 0;
+	uint32_t others = 0;
+	uint32_t i;
+
+	for (i = 0; i < v->count; i++) {
+		const struct mb_member *m = &v->member[i];
+
+		if (strcmp(m->report.domain, v->domain) != 0 ||
+		    strcmp(m->report.vm, v->self) == 0 ||
+		    !mb_takes_work(m, now_us))
+			continue;
+		others++;
+		if (strcmp(m->report.vm, v->self) < 0)
+			rank++;
+	}
+	*count = others + 1;
+	return rank;
+}
+
+struct mb_member *
+mb_speaker(struct mb_view *v, const char *domain, int64_t now_us)
+{
+	struct mb_member *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < v->count; i++) {
+		struct mb_member *m = &v->member[i];
+
+		if (strcmp(m->report.domain, domain) != 0 ||
+		    !mb_alive(m, now_us))
+			continue;
+		if (best == NULL ||
+		    strcmp(m->report.vm, best->report.vm) < 0)
+			best = m;
+	}
+	return best;
+}
+
+bool
+mb_is_speaker(const struct mb_view *v, int64_t now_us)
+{
+	struct mb_member *m;
+
+	m = mb_speaker((struct mb_view *)v, v->domain, now_us);
+	return m != NULL && strcmp(m->report.vm, v->self) == 0;
+}
+
+struct mb_member *
+mb_owner(
+    struct mb_view *v, const char *shard, int64_t now_us, uint64_t *epoch)
+{
+	struct mb_member *best = NULL;
+	uint64_t best_epoch = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < v->count; i++) {
+		struct mb_member *m = &v->member[i];
+
+		if (!mb_alive(m, now_us))
+			continue;
+		for (k = 0; k < m->report.owned_count; k++) {
+			const struct mb_owned *o = &m->report.owned[k];
+
+			if (strcmp(o->shard, shard) != 0 ||
+			    o->epoch <= best_epoch)
+				continue;
+			best = m;
+			best_epoch = o->epoch;
+		}
+	}
+	if (epoch != NULL)
+		*epoch = best_epoch;
+	return best;
+}
+
+bool
+mb_domain_has_live(
+    const struct mb_view *v, const char *domain, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < v->count; i++) {
+		const struct mb_member *m = &v->member[i];
+
+		if (strcmp(m->report.domain, domain) != 0)
+			continue;
+		/* Listed but not heard: perhaps cut off, and serving. */
+		if (m->listed != MB_UNLISTED || mb_alive(m, now_us))
+			return true;
+	}
+	return false;
+}
+
+static int32_t
+mb_room_of(const struct mb_member *m, const char *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->report.room_count; i++) {
+		if (strcmp(m->report.room[i].service, service) == 0)
+			return m->report.room[i].free_slots;
+	}
+	return 0;
+}
+
+struct mb_member *
+mb_most_room(struct mb_view *v, const char *service, int64_t now_us)
+{
+	struct mb_member *best = NULL;
+	int64_t best_score = 0;
+	uint32_t i;
+
+	for (i = 0; i < v->count; i++) {
+		struct mb_member *m = &v->member[i];
+		int64_t score;
+
+		if (strcmp(m->report.vm, v->self) == 0 ||
+		    !mb_takes_work(m, now_us))
+			continue;
+		score = mb_room_of(m, service);
+		if (score <= 0)
+			continue;
+		if (strcmp(m->report.domain, v->domain) == 0)
+			score += INT32_MAX;
+		if (score > best_score) {
+			best = m;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+int64_t
+mb_process_gone_at(struct mb_view *v, const char *vm, uint64_t incarnation)
+{
+	struct mb_member *m = mb_find(v, vm);
+
+	if (m == NULL)
+		return 0;
+	if (m->report.incarnation > incarnation)
+		return 1;
+	return m->gone_at_us;
+}
--- /dev/null
+++ b/coordination/ownership.c
@@ -0,0 +1,647 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "coordination/ownership.h"
+
+#define OW_POLL_US (500 * CLK_US_PER_MS)
+#define OW_RETRY_MIN_US (50 * CLK_US_PER_MS)
+#define OW_RETRY_MAX_US (CLK_US_PER_S)
+/* An append that took longer is confirmed against the head's epoch. */
+#define OW_VERIFY_AFTER_US (10 * CLK_US_PER_S)
+/* Longer than any request of an earlier owner can be under way. */
+#define OW_SEAL_KEEP_US (120 * CLK_US_PER_S)
+
+void
+ow_init(struct ow_machine *m, const char *vm, uint64_t writer)
+{
+	memset(m, 0, sizeof(*m));
+	snprintf(m->vm, sizeof(m->vm), "%s", vm);
+	m->writer = writer;
+	m->next_nonce = 1;
+}
+
+bool
+ow_active(const struct ow_machine *m)
+{
+	return m->state >= OW_READY;
+}
+
+static enum ow_event
+ow_give_up(struct ow_machine *m, int64_t now_us)
+{
+	bool active = ow_active(m);
+
+	m->state = OW_IDLE;
+	m->lease_taken = false;
+	m->lease_lost = false;
+	m->verify_wanted = false;
+	m->poll_at_us = now_us + OW_POLL_US;
+	return active ? OW_EV_FENCED : OW_EV_RESET;
+}
+
+static void
+ow_op_log(const struct ow_machine *m, struct ow_op *op, enum ow_op_kind kind)
+{
+	op->kind = kind;
+	op->key = OW_KEY_LOG;
+	op->seq = m->next_seq;
+	op->nonce = m->nonce;
+}
+
+static void
+ow_op_head(struct ow_machine *m, struct ow_op *op)
+{
+	op->kind = m->head_exists ? OW_CAS : OW_CREATE;
+	op->key = OW_KEY_HEAD;
+	op->if_revision = m->head_revision;
+	op->head = m->head;
+	op->head.epoch = m->epoch;
+	op->head.writer = m->writer;
+	op->head.nonce = m->nonce;
+	memcpy(op->head.owner, m->vm, sizeof(op->head.owner));
+}
+
+static bool
+ow_trim_allowed(const struct ow_machine *m, int64_t now_us)
+{
+	if (m->trim_seq > m->head.snapshot_seq || m->head.snapshot_seq == 0)
+		return false;
+	return m->trim_seq < m->seal_seq ||
+	    now_us >= m->sealed_at_us + OW_SEAL_KEEP_US;
+}
+
+static void
+ow_choose_idle_work(struct ow_machine *m, int64_t now_us, bool trim)
+{
+	if (m->verify_wanted)
+		m->state = OW_VERIFY;
+	else if (m->release_wanted)
+		m->state = OW_RELEASE;
+	else if (m->lease_lost && now_us >= m->poll_at_us)
+		m->state = OW_RENEW_LEASE_KEY;
+	else if (trim && m->old_snap_parts > 0)
+		m->state = OW_TRIM_SNAPSHOT;
+	else if (trim && ow_trim_allowed(m, now_us))
+		m->state = OW_TRIM_LOG;
+}
+
+static void
+ow_op_snapshot(struct ow_op *op, enum ow_op_kind kind, uint64_t seq,
+    uint64_t epoch, uint32_t part)
+{
+	op->kind = kind;
+	op->key = OW_KEY_SNAPSHOT;
+	op->seq = seq;
+	op->epoch = epoch;
+	op->part = part;
+}
+
+static void
+ow_op_lease(const struct ow_machine *m, struct ow_op *op, enum ow_op_kind kind)
+{
+	op->kind = kind;
+	op->key = OW_KEY_LEASE;
+	op->if_revision = m->lease_revision;
+}
+
+static void
+ow_fill(struct ow_machine *m, struct ow_op *op)
+{
+	switch (m->state) {
+	case OW_READ_LEASE:
+		ow_op_lease(m, op, OW_GET);
+		break;
+	case OW_READ_HEAD:
+	case OW_CHECK_HEAD:
+	case OW_VERIFY_APPEND:
+	case OW_VERIFY:
+	case OW_CHECK_SNAP_HEAD:
+		op->kind = OW_GET;
+		op->key = OW_KEY_HEAD;
+		break;
+	case OW_TAKE_LEASE:
+	case OW_RENEW_LEASE_KEY:
+		ow_op_lease(m, op, OW_CREATE);
+		break;
+	case OW_TAKE_HEAD:
+	case OW_SNAP_HEAD:
+		ow_op_head(m, op);
+		if (m->state == OW_SNAP_HEAD) {
+			op->head.snapshot_seq = m->next_seq - 1;
+			op->head.snapshot_epoch = m->epoch;
+			op->head.snapshot_parts = m->snap_parts;
+			op->head.trimmed_seq = m->trim_seq - 1;
+		}
+		break;
+	case OW_READ_SNAPSHOT:
+		ow_op_snapshot(op, OW_GET, m->head.snapshot_seq,
+		    m->head.snapshot_epoch, m->part);
+		break;
+	case OW_READ_LOG:
+	case OW_CHECK_SEAL:
+	case OW_CHECK_APPEND:
+		ow_op_log(m, op, OW_GET);
+		break;
+	case OW_SEAL:
+		ow_op_log(m, op, OW_CREATE);
+		op->seal = true;
+		break;
+	case OW_APPEND:
+		ow_op_log(m, op, OW_CREATE);
+		break;
+	case OW_SNAP_PARTS:
+		ow_op_snapshot(
+		    op, OW_CREATE, m->next_seq - 1, m->epoch, m->part);
+		break;
+	case OW_TRIM_LOG:
+		op->kind = OW_DELETE;
+		op->key = OW_KEY_LOG;
+		op->seq = m->trim_seq;
+		break;
+	case OW_TRIM_SNAPSHOT:
+		ow_op_snapshot(op, OW_DELETE, m->old_snap_seq,
+		    m->old_snap_epoch, m->old_snap_parts - 1);
+		break;
+	case OW_RELEASE:
+		ow_op_lease(m, op, OW_DELETE);
+		break;
+	case OW_IDLE:
+	case OW_READY:
+		break;
+	}
+}
+
+bool
+ow_next(struct ow_machine *m, int64_t now_us, bool eligible, bool trim,
+    struct ow_op *op)
+{
+	if (m->in_flight || now_us < m->retry_at_us)
+		return false;
+	if (m->state == OW_IDLE) {
+		if (!eligible || m->release_wanted || now_us < m->poll_at_us)
+			return false;
+		m->state = OW_READ_LEASE;
+	}
+	if (m->state == OW_READY)
+		ow_choose_idle_work(m, now_us, trim);
+	if (m->state == OW_READY)
+		return false;
+	memset(op, 0, sizeof(*op));
+	ow_fill(m, op);
+	m->in_flight = true;
+	return true;
+}
+
+static void
+ow_backoff(struct ow_machine *m, int64_t now_us)
+{
+	int64_t delay_us = OW_RETRY_MIN_US;
+	uint32_t i;
+
+	for (i = 0; i < m->failures && delay_us < OW_RETRY_MAX_US; i++)
+		delay_us *= 2;
+	m->failures++;
+	m->retry_at_us = now_us + delay_us;
+}
+
+/* Reading again tells whether a write without an answer took effect. */
+static enum ow_event
+ow_on_unavailable(struct ow_machine *m, int64_t now_us)
+{
+	ow_backoff(m, now_us);
+	switch (m->state) {
+	case OW_READ_LEASE:
+	case OW_READ_HEAD:
+	case OW_TAKE_LEASE:
+		m->state = OW_IDLE;
+		break;
+	case OW_TAKE_HEAD:
+		m->state = OW_CHECK_HEAD;
+		break;
+	case OW_SEAL:
+		m->state = OW_CHECK_SEAL;
+		break;
+	case OW_APPEND:
+		m->state = OW_CHECK_APPEND;
+		break;
+	case OW_SNAP_HEAD:
+		m->state = OW_CHECK_SNAP_HEAD;
+		break;
+	case OW_TRIM_LOG:
+	case OW_TRIM_SNAPSHOT:
+	case OW_RENEW_LEASE_KEY:
+		/* Nothing depends on these; let appends go first. */
+		m->state = OW_READY;
+		break;
+	default:
+		break;
+	}
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_on_lease_read(
+    struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	if (a->result == OW_OK && a->writer != m->writer) {
+		m->state = OW_IDLE;
+		m->poll_at_us = now_us + OW_POLL_US;
+		return OW_EV_NONE;
+	}
+	m->lease_taken = a->result == OW_OK;
+	m->lease_revision = a->revision;
+	m->state = OW_READ_HEAD;
+	return OW_EV_NONE;
+}
+
+static void
+ow_store_head(struct ow_machine *m, const struct ow_answer *a)
+{
+	m->head_exists = a->result == OW_OK;
+	m->head_revision = a->revision;
+	if (m->head_exists)
+		m->head = a->head;
+	else
+		memset(&m->head, 0, sizeof(m->head));
+}
+
+static void
+ow_begin_take_head(struct ow_machine *m)
+{
+	m->epoch = m->head.epoch + 1;
+	m->nonce = m->next_nonce++;
+	m->state = OW_TAKE_HEAD;
+}
+
+static enum ow_event
+ow_on_head_read(struct ow_machine *m, const struct ow_answer *a)
+{
+	ow_store_head(m, a);
+	if (m->lease_taken)
+		ow_begin_take_head(m);
+	else
+		m->state = OW_TAKE_LEASE;
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_on_lease_taken(
+    struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	if (a->result != OW_OK) {
+		m->state = OW_IDLE;
+		m->poll_at_us = now_us + OW_POLL_US;
+		return OW_EV_NONE;
+	}
+	m->lease_taken = true;
+	m->lease_revision = a->revision;
+	ow_begin_take_head(m);
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_begin_recovery(struct ow_machine *m)
+{
+	m->part = 0;
+	m->next_seq = m->head.snapshot_seq + 1;
+	m->trim_seq = m->head.trimmed_seq + 1;
+	m->old_snap_parts = 0;
+	m->state =
+	    m->head.snapshot_parts > 0 ? OW_READ_SNAPSHOT : OW_READ_LOG;
+	return OW_EV_RESET;
+}
+
+static bool
+ow_head_is_mine(const struct ow_machine *m, const struct ow_answer *a)
+{
+	return a->result == OW_OK && a->head.writer == m->writer &&
+	    a->head.epoch == m->epoch;
+}
+
+static enum ow_event
+ow_on_head_taken(
+    struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	(void)now_us;
+	if (a->result != OW_OK) {
+		m->state = OW_CHECK_HEAD;
+		return OW_EV_NONE;
+	}
+	m->head_exists = true;
+	m->head_revision = a->revision;
+	return ow_begin_recovery(m);
+}
+
+static enum ow_event
+ow_on_head_checked(
+    struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	if (ow_head_is_mine(m, a) && a->head.nonce == m->nonce) {
+		ow_store_head(m, a);
+		return ow_begin_recovery(m);
+	}
+	if (a->result == OW_ABSENT && !m->head_exists) {
+		m->state = OW_TAKE_HEAD;
+		return OW_EV_NONE;
+	}
+	if (a->result == OW_OK && m->head_exists &&
+	    a->revision == m->head_revision) {
+		m->state = OW_TAKE_HEAD;
+		return OW_EV_NONE;
+	}
+	return ow_give_up(m, now_us);
+}
+
+static enum ow_event
+ow_on_snapshot_read(
+    struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	/* Replaced meanwhile, so the head has a new owner. */
+	if (a->result != OW_OK)
+		return ow_give_up(m, now_us);
+	m->part++;
+	if (m->part == m->head.snapshot_parts)
+		m->state = OW_READ_LOG;
+	return OW_EV_REPLAY;
+}
+
+static enum ow_event
+ow_on_log_read(struct ow_machine *m, const struct ow_answer *a)
+{
+	if (a->result == OW_OK) {
+		m->next_seq++;
+		return OW_EV_REPLAY;
+	}
+	m->nonce = m->next_nonce++;
+	m->state = OW_SEAL;
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_become_active(struct ow_machine *m, int64_t now_us)
+{
+	m->seal_seq = m->next_seq++;
+	m->sealed_at_us = now_us;
+	m->state = OW_READY;
+	return OW_EV_ACTIVE;
+}
+
+static bool
+ow_entry_is_mine(const struct ow_machine *m, const struct ow_answer *a)
+{
+	return a->writer == m->writer && a->nonce == m->nonce;
+}
+
+static enum ow_event
+ow_on_sealed(struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	if (a->result == OW_OK)
+		return ow_become_active(m, now_us);
+	m->state = OW_CHECK_SEAL;
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_on_seal_checked(
+    struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	if (a->result == OW_ABSENT) {
+		m->state = OW_SEAL;
+		return OW_EV_NONE;
+	}
+	if (ow_entry_is_mine(m, a))
+		return ow_become_active(m, now_us);
+	/* The earlier owner was faster; its entry counts. */
+	m->next_seq++;
+	m->state = OW_READ_LOG;
+	return OW_EV_REPLAY;
+}
+
+static enum ow_event
+ow_commit(struct ow_machine *m)
+{
+	m->next_seq++;
+	m->state = OW_READY;
+	return OW_EV_COMMITTED;
+}
+
+static enum ow_event
+ow_commit_or_verify(struct ow_machine *m, int64_t now_us)
+{
+	if (now_us - m->append_sent_us < OW_VERIFY_AFTER_US)
+		return ow_commit(m);
+	m->state = OW_VERIFY_APPEND;
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_on_appended(struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	if (a->result == OW_OK)
+		return ow_commit_or_verify(m, now_us);
+	m->state = OW_CHECK_APPEND;
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_on_append_checked(
+    struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	if (a->result == OW_ABSENT) {
+		m->state = OW_APPEND;
+		return OW_EV_NONE;
+	}
+	if (ow_entry_is_mine(m, a))
+		return ow_commit_or_verify(m, now_us);
+	return ow_give_up(m, now_us);
+}
+
+static enum ow_event
+ow_on_verified(struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	bool append = m->state == OW_VERIFY_APPEND;
+
+	m->verify_wanted = false;
+	if (!ow_head_is_mine(m, a))
+		return ow_give_up(m, now_us);
+	if (append)
+		return ow_commit(m);
+	m->state = OW_READY;
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_on_lease_renewed(
+    struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	m->state = OW_READY;
+	m->poll_at_us = now_us + OW_POLL_US;
+	if (a->result == OW_OK) {
+		m->lease_lost = false;
+		m->lease_revision = a->revision;
+		return OW_EV_NONE;
+	}
+	/* The key exists: ours after a lost answer, or a successor's. */
+	m->verify_wanted = true;
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_on_part_written(struct ow_machine *m, const struct ow_answer *a)
+{
+	(void)a;
+	/* A conflict is our own write after a lost answer: keys are ours. */
+	m->part++;
+	if (m->part == m->snap_parts) {
+		m->nonce = m->next_nonce++;
+		m->state = OW_SNAP_HEAD;
+	}
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_snapshot_in_force(struct ow_machine *m, uint64_t revision)
+{
+	m->old_snap_seq = m->head.snapshot_seq;
+	m->old_snap_epoch = m->head.snapshot_epoch;
+	m->old_snap_parts = m->head.snapshot_parts;
+	m->head_revision = revision;
+	m->head.snapshot_seq = m->next_seq - 1;
+	m->head.snapshot_epoch = m->epoch;
+	m->head.snapshot_parts = m->snap_parts;
+	m->state = OW_READY;
+	return OW_EV_SNAPSHOT;
+}
+
+static enum ow_event
+ow_on_snap_head(struct ow_machine *m, const struct ow_answer *a)
+{
+	if (a->result == OW_OK)
+		return ow_snapshot_in_force(m, a->revision);
+	m->state = OW_CHECK_SNAP_HEAD;
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_on_snap_head_checked(
+    struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	if (!ow_head_is_mine(m, a))
+		return ow_give_up(m, now_us);
+	if (a->head.nonce == m->nonce)
+		return ow_snapshot_in_force(m, a->revision);
+	m->head_revision = a->revision;
+	m->state = OW_SNAP_HEAD;
+	return OW_EV_NONE;
+}
+
+static enum ow_event
+ow_on_released(struct ow_machine *m)
+{
+	m->state = OW_IDLE;
+	m->lease_taken = false;
+	return OW_EV_RELEASED;
+}
+
+enum ow_event
+ow_answer(struct ow_machine *m, const struct ow_answer *a, int64_t now_us)
+{
+	m->in_flight = false;
+	if (a->result == OW_UNAVAILABLE)
+		return ow_on_unavailable(m, now_us);
+	m->failures = 0;
+	switch (m->state) {
+	case OW_READ_LEASE:
+		return ow_on_lease_read(m, a, now_us);
+	case OW_READ_HEAD:
+		return ow_on_head_read(m, a);
+	case OW_TAKE_LEASE:
+		return ow_on_lease_taken(m, a, now_us);
+	case OW_TAKE_HEAD:
+		return ow_on_head_taken(m, a, now_us);
+	case OW_CHECK_HEAD:
+		return ow_on_head_checked(m, a, now_us);
+	case OW_READ_SNAPSHOT:
+		return ow_on_snapshot_read(m, a, now_us);
+	case OW_READ_LOG:
+		return ow_on_log_read(m, a);
+	case OW_SEAL:
+		return ow_on_sealed(m, a, now_us);
+	case OW_CHECK_SEAL:
+		return ow_on_seal_checked(m, a, now_us);
+	case OW_APPEND:
+		return ow_on_appended(m, a, now_us);
+	case OW_CHECK_APPEND:
+		return ow_on_append_checked(m, a, now_us);
+	case OW_VERIFY_APPEND:
+	case OW_VERIFY:
+		return ow_on_verified(m, a, now_us);
+	case OW_RENEW_LEASE_KEY:
+		return ow_on_lease_renewed(m, a, now_us);
+	case OW_SNAP_PARTS:
+		return ow_on_part_written(m, a);
+	case OW_SNAP_HEAD:
+		return ow_on_snap_head(m, a);
+	case OW_CHECK_SNAP_HEAD:
+		return ow_on_snap_head_checked(m, a, now_us);
+	case OW_TRIM_LOG:
+		m->trim_seq++;
+		m->state = OW_READY;
+		return OW_EV_NONE;
+	case OW_TRIM_SNAPSHOT:
+		m->old_snap_parts--;
+		m->state = OW_READY;
+		return OW_EV_NONE;
+	case OW_RELEASE:
+		return ow_on_released(m);
+	case OW_IDLE:
+	case OW_READY:
+		break;
+	}
+	return OW_EV_NONE;
+}
+
+uint64_t
+ow_append(struct ow_machine *m, int64_t now_us)
+{
+	if (m->state != OW_READY || m->in_flight || m->verify_wanted)
+		return 0;
+	m->nonce = m->next_nonce++;
+	m->append_sent_us = now_us;
+	m->state = OW_APPEND;
+	return m->nonce;
+}
+
+bool
+ow_snapshot(struct ow_machine *m, uint32_t parts)
+{
+	if (m->state != OW_READY || m->in_flight || parts == 0 ||
+	    m->verify_wanted || m->old_snap_parts > 0)
+		return false;
+	m->snap_parts = parts;
+	m->part = 0;
+	m->state = OW_SNAP_PARTS;
+	return true;
+}
+
+void
+ow_lease_lost(struct ow_machine *m)
+{
+	if (ow_active(m))
+		m->lease_lost = true;
+	else if (m->state != OW_IDLE && m->lease_taken)
+		m->lease_lost = true;
+}
+
+void
+ow_verify(struct ow_machine *m)
+{
+	m->verify_wanted = true;
+}
+
+void
+ow_release(struct ow_machine *m)
+{
+	m->release_wanted = true;
+}
--- /dev/null
+++ b/include/protocol/vm_json.h
@@ -0,0 +1,47 @@
+#ifndef PROTOCOL_VM_JSON_H
+#define PROTOCOL_VM_JSON_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <talloc.h>
+
+enum vj_role {
+	VJ_DAEMON,
+	VJ_WORKER,
+	VJ_ENDPOINT,
+};
+
+/**
+ * struct vj_vm - a line of the platform's VM list
+ * @id: VM id
+ * @domain: failure domain
+ * @address: "IP:PORT" of a daemon, else NULL
+ * @role: what runs there
+ * @leaving: it is going away
+ */
+struct vj_vm {
+	char *id;
+	char *domain;
+	char *address;
+	enum vj_role role;
+	bool leaving;
+};
+
+struct vj_list {
+	struct vj_vm *vm;
+	uint32_t count;
+};
+
+/**
+ * vj_parse() - read the platform's VM list
+ * @ctx: talloc parent of the result
+ * @body: JSON text
+ * @body_bytes: its size
+ * @error: reason; JF_ERROR_BYTES long
+ *
+ * Return: list or NULL.
+ */
+struct vj_list *vj_parse(
+    TALLOC_CTX *ctx, const char *body, size_t body_bytes, char *error);
+
+#endif
--- /dev/null
+++ b/include/protocol/worker_json.h
@@ -0,0 +1,33 @@
+#ifndef PROTOCOL_WORKER_JSON_H
+#define PROTOCOL_WORKER_JSON_H
+
+#include <jansson.h>
+
+#include "state/shard.h"
+
+/**
+ * wj_build_sync() - encode a message to a worker
+ * @shard: shard id
+ * @sync: message
+ *
+ * Return: JSON text to be released with free().
+ */
+char *wj_build_sync(const char *shard, const struct sh_sync *sync);
+
+/**
+ * wj_parse_reply() - decode a worker's answer
+ * @ctx: talloc parent of the arrays and strings
+ * @body: JSON text
+ * @body_bytes: its size
+ * @reply: result
+ * @error: reason; JF_ERROR_BYTES long
+ *
+ * Return: false when the answer cannot be used.
+ */
+bool wj_parse_reply(TALLOC_CTX *ctx, const char *body, size_t body_bytes,
+    struct sh_sync_reply *reply, char *error);
+
+/** wj_show_ref() - names one start of a task */
+json_t *wj_show_ref(const struct sh_ref *ref);
+
+#endif
--- /dev/null
+++ b/include/state/policy.h
@@ -0,0 +1,71 @@
+#ifndef STATE_POLICY_H
+#define STATE_POLICY_H
+
+#include "state/types.h"
+
+enum po_preset {
+	PO_ORDINARY,
+	PO_PEAKS,
+	PO_MAINTENANCE,
+	PO_PRESET_COUNT,
+};
+
+enum po_goal {
+	PO_PACKING,
+	PO_WAITING,
+	PO_GOAL_COUNT,
+};
+
+/**
+ * struct po_policy - everything a preset changes
+ * @name: preset name
+ * @packing_weight: preference for fuller workers; negative prefers emptier
+ * @spread_weight: cost per task of the same service in a rack
+ * @accel_guard_weight: cost of taking an accelerator worker without need
+ * @aging_us: waiting time after which a job counts one class more urgent
+ * @preempt_heavy: urgent tasks may displace heavy ones that are idempotent
+ * @start_heavy: heavy work is started at all
+ * @queue_per_slot: requests that may wait per endpoint slot, by class
+ * @retry_percent: retries as a share of first attempts
+ */
+struct po_policy {
+	const char *name;
+	float packing_weight;
+	float spread_weight;
+	float accel_guard_weight;
+	int64_t aging_us[ST_CLASS_COUNT];
+	bool preempt_heavy;
+	bool start_heavy;
+	uint32_t queue_per_slot[ST_CLASS_COUNT];
+	uint32_t retry_percent;
+};
+
+/**
+ * po_get() - the policy of a preset for a deployment's goal
+ * @preset: preset in force
+ * @goal: what the deployment weighs most
+ */
+const struct po_policy *po_get(enum po_preset preset, enum po_goal goal);
+
+/** po_preset_name() - "ordinary", "peaks" or "maintenance" */
+const char *po_preset_name(enum po_preset p);
+
+/**
+ * po_preset_parse() - read a preset name
+ * @name: name
+ * @p: result
+ *
+ * Return: false when the name is unknown.
+ */
+bool po_preset_parse(const char *name, enum po_preset *p);
+
+/**
+ * po_goal_parse() - read a goal: "packing" or "waiting"
+ * @name: name
+ * @g: result
+ *
+ * Return: false when the name is unknown.
+ */
+bool po_goal_parse(const char *name, enum po_goal *g);
+
+#endif
--- /dev/null
+++ b/include/state/types.h
@@ -0,0 +1,132 @@
+#ifndef STATE_TYPES_H
+#define STATE_TYPES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * enum st_outcome - what a caller is told
+ * @ST_DONE: ran, and the whole result is attached
+ * @ST_NOT_RUN: certainly did not run
+ * @ST_UNKNOWN: may have run
+ * @ST_PENDING: accepted, and not ended yet
+ */
+enum st_outcome {
+	ST_DONE,
+	ST_NOT_RUN,
+	ST_UNKNOWN,
+	ST_PENDING,
+};
+
+enum st_class {
+	ST_URGENT,
+	ST_NORMAL,
+	ST_HEAVY,
+	ST_CLASS_COUNT,
+};
+
+enum st_kind {
+	ST_SERVICE,
+	ST_BATCH,
+	ST_GANG,
+	ST_KIND_COUNT,
+};
+
+enum st_result {
+	ST_RESULT_NONE,
+	ST_RESULT_DONE,
+	ST_RESULT_FAILED,
+	ST_RESULT_CANCELLED,
+	ST_RESULT_UNKNOWN,
+};
+
+/**
+ * struct st_res - amounts of the three resources
+ * @cpu_mcpu: thousandths of a core
+ * @mem_bytes: memory
+ * @accel: whole accelerators
+ */
+struct st_res {
+	int64_t cpu_mcpu;
+	int64_t mem_bytes;
+	int32_t accel;
+};
+
+/**
+ * struct st_job_spec - a described piece of work
+ * @id: "SHARD.HASH"; fixed by team and key
+ * @key: idempotency key of the submission
+ * @team: who is charged
+ * @name: job kind, for learned estimates
+ * @kind: service, batch or all-at-once
+ * @job_class: urgency
+ * @count: number of tasks
+ * @each: resources of one task
+ * @run_us: declared run time; 0 for services
+ * @idempotent: a task may run again after a loss
+ */
+struct st_job_spec {
+	char *id;
+	char *key;
+	char *team;
+	char *name;
+	enum st_kind kind;
+	enum st_class job_class;
+	uint32_t count;
+	struct st_res each;
+	int64_t run_us;
+	bool idempotent;
+};
+
+/** st_outcome_name() - "done", "not_run", "unknown" or "pending" */
+const char *st_outcome_name(enum st_outcome o);
+/** st_class_name() - "urgent", "normal" or "heavy" */
+const char *st_class_name(enum st_class c);
+/** st_kind_name() - "service", "batch" or "gang" */
+const char *st_kind_name(enum st_kind k);
+/** st_result_name() - "none", "done", "failed", "cancelled", "unknown" */
+const char *st_result_name(enum st_result r);
+
+/**
+ * st_class_parse() - read a class name
+ * @name: name; NULL means normal
+ * @c: result
+ *
+ * Return: false when the name is unknown.
+ */
+bool st_class_parse(const char *name, enum st_class *c);
+
+/**
+ * st_kind_parse() - read a job kind
+ * @name: name
+ * @k: result
+ *
+ * Return: false when the name is unknown.
+ */
+bool st_kind_parse(const char *name, enum st_kind *k);
+
+/** st_res_fits() - whether @need is within @room in each resource */
+bool st_res_fits(const struct st_res *need, const struct st_res *room);
+/** st_res_add() - add @b to @a */
+void st_res_add(struct st_res *a, const struct st_res *b);
+/** st_res_sub() - take @b from @a */
+void st_res_sub(struct st_res *a, const struct st_res *b);
+
+/**
+ * st_res_count() - how many times @need fits into @room
+ * @room: available
+ * @need: wanted; an all-zero need fits UINT32_MAX times
+ */
+uint64_t st_res_count(const struct st_res *room, const struct st_res *need);
+
+/**
+ * st_res_short() - name the resource that does not fit
+ * @need: wanted
+ * @room: available
+ *
+ * Return: "cpu", "memory", "accelerators" or NULL when all fit.
+ */
+const char *st_res_short(const struct st_res *need, const struct st_res *room);
+
+#endif
--- /dev/null
+++ b/include/transport/http_client.h
@@ -0,0 +1,99 @@
+#ifndef TRANSPORT_HTTP_CLIENT_H
+#define TRANSPORT_HTTP_CLIENT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "transport/loop.h"
+
+struct http_client;
+
+enum hc_error {
+	HC_OK,		  /* a whole response arrived */
+	HC_NOT_CONNECTED, /* nothing was sent */
+	HC_CUT_OFF,	  /* sent, but no whole response */
+	HC_TIMEOUT,	  /* sent, and the deadline passed */
+};
+
+struct hc_header {
+	const char *name;
+	const char *value;
+};
+
+/**
+ * struct hc_request - one request; all strings are copied
+ * @method: GET, PUT, POST or DELETE
+ * @url: absolute URL by IP number
+ * @headers: extra headers, @header_count of them
+ * @body: body, @body_bytes long; may be NULL
+ * @deadline_us: when to give up, on clk_now_us()'s clock
+ */
+struct hc_request {
+	const char *method;
+	const char *url;
+	const struct hc_header *headers;
+	size_t header_count;
+	const void *body;
+	size_t body_bytes;
+	int64_t deadline_us;
+};
+
+/**
+ * struct hc_response - what came back
+ * @error: HC_OK or why there is no whole response
+ * @status: HTTP status; 0 unless HC_OK
+ * @body: body, @body_bytes long, with a NUL behind it
+ * @sent_bytes: size of the request on the wire
+ * @received_bytes: size of the response on the wire
+ */
+struct hc_response {
+	enum hc_error error;
+	int status;
+	const char *body;
+	size_t body_bytes;
+	size_t sent_bytes;
+	size_t received_bytes;
+	const char *headers;
+};
+
+/**
+ * typedef hc_done_fn - called on the client's loop when a request ends
+ * @resp: response, valid during the call
+ * @arg: the argument given to hc_send()
+ */
+typedef void (*hc_done_fn)(const struct hc_response *resp, void *arg);
+
+/**
+ * hc_create() - make a client on a loop
+ * @ctx: talloc parent
+ * @l: loop; all calls must come from its thread
+ * @max_connections_per_host: cap on connections to one address; 0 for none
+ *
+ * Return: the client or NULL.
+ */
+struct http_client *hc_create(
+    TALLOC_CTX *ctx, struct loop *l, long max_connections_per_host);
+
+/**
+ * hc_send() - start a request
+ * @hc: client
+ * @req: request
+ * @done: called exactly once
+ * @arg: its argument
+ */
+void hc_send(struct http_client *hc, const struct hc_request *req,
+    hc_done_fn done, void *arg);
+
+/**
+ * hc_header_value() - find a response header
+ * @resp: response
+ * @name: name without colon, any case
+ * @value: result buffer
+ * @value_bytes: its size
+ *
+ * Return: @value, or NULL when absent.
+ */
+const char *hc_header_value(const struct hc_response *resp, const char *name,
+    char *value, size_t value_bytes);
+
+#endif
--- /dev/null
+++ b/include/transport/http_server.h
@@ -0,0 +1,121 @@
+#ifndef TRANSPORT_HTTP_SERVER_H
+#define TRANSPORT_HTTP_SERVER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "transport/loop.h"
+
+struct http_server;
+
+#define HS_MAX_EXTRA_HEADERS 6
+
+/**
+ * struct hs_limits - bounds on what one caller may cost
+ * @max_body_bytes: larger bodies get 413
+ * @max_connections: further connections are refused
+ * @idle_s: idle connections are closed after this many seconds
+ */
+struct hs_limits {
+	size_t max_body_bytes;
+	unsigned int max_connections;
+	unsigned int idle_s;
+};
+
+/**
+ * struct hs_request - one request, valid until hs_respond()
+ * @method: HTTP method
+ * @path: path without the query
+ * @body: whole body, @body_bytes long, with a NUL behind it
+ */
+struct hs_request {
+	const char *method;
+	const char *path;
+	const char *body;
+	size_t body_bytes;
+};
+
+struct hs_header {
+	const char *name;
+	const char *value;
+};
+
+/**
+ * typedef hs_handler_fn - handles a request whose body has arrived
+ * @req: request
+ * @arg: the server's argument
+ *
+ * Must lead to exactly one hs_respond(), now or later, on the same thread.
+ */
+typedef void (*hs_handler_fn)(struct hs_request *req, void *arg);
+
+/**
+ * hs_listen() - open a listening TCP socket
+ * @address: "IP:PORT"; port 0 picks a free one
+ * @bound: "IP:PORT" that was bound
+ * @bound_bytes: size of @bound
+ *
+ * Return: descriptor, or -1 with errno set.
+ */
+int hs_listen(const char *address, char *bound, size_t bound_bytes);
+
+/**
+ * hs_create() - serve HTTP on a loop
+ * @ctx: talloc parent
+ * @l: loop
+ * @listen_fd: from hs_listen(); several servers may share one
+ * @limits: bounds
+ * @handler: called for each request
+ * @arg: its argument
+ *
+ * Return: the server or NULL.
+ */
+struct http_server *hs_create(TALLOC_CTX *ctx, struct loop *l, int listen_fd,
+    const struct hs_limits *limits, hs_handler_fn handler, void *arg);
+
+/**
+ * hs_header() - look up a request header
+ * @req: request
+ * @name: name, any case
+ *
+ * Return: value or NULL.
+ */
+const char *hs_header(struct hs_request *req, const char *name);
+
+/**
+ * hs_query() - look up a query argument
+ * @req: request
+ * @name: name
+ *
+ * Return: value or NULL.
+ */
+const char *hs_query(struct hs_request *req, const char *name);
+
+/**
+ * hs_respond() - answer a request; it is not valid afterwards
+ * @req: request
+ * @status: HTTP status
+ * @content_type: media type
+ * @body: body, copied
+ * @body_bytes: its size
+ * @headers: extra headers, copied
+ * @header_count: at most HS_MAX_EXTRA_HEADERS
+ */
+void hs_respond(struct hs_request *req, int status, const char *content_type,
+    const void *body, size_t body_bytes, const struct hs_header *headers,
+    size_t header_count);
+
+/**
+ * hs_abort() - close the caller's connection in mid-answer
+ * @req: request
+ * @body: beginning of the answer
+ * @body_bytes: its size
+ * @announced_bytes: length that the answer claims to have
+ *
+ * For stand-ins that have to fail.
+ */
+void hs_abort(struct hs_request *req, const void *body, size_t body_bytes,
+    size_t announced_bytes);
+
+#endif
--- /dev/null
+++ b/state/claims.c
@@ -0,0 +1,116 @@
+#include <string.h>
+
+#include "state/claims.h"
+
+#define CL_FIXED_BYTES (sizeof(struct cl_claim) + 128)
+
+struct cl_table *
+cl_create(TALLOC_CTX *ctx, size_t max_bytes)
+{
+	struct cl_table *t;
+
+	t = talloc_zero(ctx, struct cl_table);
+	if (t != NULL)
+		t->max_bytes = max_bytes;
+	return t;
+}
+
+struct cl_claim *
+cl_find(struct cl_table *t, const char *key)
+{
+	struct cl_claim *c;
+
+	HASH_FIND_STR(t->by_key, key, c);
+	return c;
+}
+
+static size_t
+cl_bytes(const struct cl_claim *c)
+{
+	return CL_FIXED_BYTES + strlen(c->key) + c->answer_bytes;
+}
+
+static enum cl_verdict
+cl_judge(const struct cl_claim *c, uint64_t body_hash, int64_t now_wall_us)
+{
+	if (c->body_hash != body_hash)
+		return CL_OTHER_BODY;
+	if (c->state == CL_ENDED)
+		return c->result == ST_RESULT_DONE ? CL_ANSWERED :
+						     CL_OUTCOME_UNKNOWN;
+	return now_wall_us >= c->unknown_wall_us ? CL_OUTCOME_UNKNOWN :
+						   CL_IN_PROGRESS;
+}
+
+enum cl_verdict
+cl_take(struct cl_table *t, const char *key, uint64_t body_hash,
+    int64_t unknown_wall_us, int64_t expires_wall_us, int64_t now_wall_us,
+    struct cl_claim **claim)
+{
+	struct cl_claim *c;
+
+	*claim = NULL;
+	c = cl_find(t, key);
+	if (c != NULL && now_wall_us >= c->expires_wall_us) {
+		cl_drop(t, c);
+		c = NULL;
+	}
+	if (c != NULL) {
+		*claim = c;
+		return cl_judge(c, body_hash, now_wall_us);
+	}
+	if (t->bytes + CL_FIXED_BYTES + strlen(key) > t->max_bytes)
+		return CL_FULL;
+	c = talloc_zero(t, struct cl_claim);
+	if (c == NULL)
+		return CL_FULL;
+	c->key = talloc_strdup(c, key);
+	c->body_hash = body_hash;
+	c->unknown_wall_us = unknown_wall_us;
+	c->expires_wall_us = expires_wall_us;
+	t->bytes += cl_bytes(c);
+	HASH_ADD_KEYPTR(hh, t->by_key, c->key, strlen(c->key), c);
+	*claim = c;
+	return CL_GRANTED;
+}
+
+void
+cl_end(struct cl_table *t, struct cl_claim *c, enum st_result result,
+    uint32_t status, const uint8_t *answer, size_t answer_bytes)
+{
+	t->bytes -= cl_bytes(c);
+	TALLOC_FREE(c->answer);
+	c->answer_bytes = 0;
+	c->state = CL_ENDED;
+	c->result = result;
+	c->status = status;
+	c->answer_kept = answer_bytes <= CL_MAX_ANSWER_BYTES;
+	if (c->answer_kept && answer_bytes > 0) {
+		c->answer = talloc_memdup(c, answer, answer_bytes);
+		c->answer_bytes = answer_bytes;
+	}
+	t->bytes += cl_bytes(c);
+}
+
+void
+cl_drop(struct cl_table *t, struct cl_claim *c)
+{
+	t->bytes -= cl_bytes(c);
+	HASH_DEL(t->by_key, c);
+	talloc_free(c);
+}
+
+void
+cl_expire(struct cl_table *t, int64_t now_wall_us, uint32_t budget)
+{
+	struct cl_claim *c;
+	struct cl_claim *next;
+	uint32_t seen = 0;
+
+	/* Insertion order is close to expiry order. */
+	HASH_ITER(hh, t->by_key, c, next) {
+		if (seen++ >= budget || now_wall_us < c->expires_wall_us)
+			return;
+		cl_drop(t, c);
+	}
+}
--- /dev/null
+++ b/state/shard.c
@@ -0,0 +1,555 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "state/shard_internal.h"
+
+#define SH_CANCEL_BUDGET 512U
+#define SH_CLAIM_BUDGET 256U
+#define SH_MAX_TASKS_PER_JOB 20000U
+
+struct sh_shard *
+sh_create(TALLOC_CTX *ctx, const char *id, const struct sh_settings *settings,
+    const struct po_policy *policy, uint64_t seed)
+{
+	struct sh_shard *sh;
+
+	sh = talloc_zero(ctx, struct sh_shard);
+	if (sh == NULL)
+		return NULL;
+	sh->id = talloc_strdup(sh, id);
+	sh->settings = *settings;
+	sh->policy = policy;
+	sh->rng.state = seed;
+	sh->store_ok = true;
+	sh->claims = cl_create(sh, settings->max_claim_bytes);
+	sh->table = pl_create(sh, 0);
+	if (sh->id == NULL || sh->claims == NULL || sh->table == NULL) {
+		talloc_free(sh);
+		return NULL;
+	}
+	return sh;
+}
+
+static uint32_t
+sh_rack_index(struct sh_shard *sh, const char *rack)
+{
+	uint32_t i;
+	uint32_t n = (uint32_t)talloc_array_length(sh->rack_name);
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(sh->rack_name[i], rack) == 0)
+			return i;
+	}
+	sh->rack_name = talloc_realloc(sh, sh->rack_name, char *, n + 1);
+	sh->rack_name[n] = talloc_strdup(sh->rack_name, rack);
+	return n;
+}
+
+int
+sh_set_workers(
+    struct sh_shard *sh, const struct sh_worker_spec *spec, uint32_t count)
+{
+	uint32_t w;
+
+	sh->table = pl_create(sh, count);
+	sh->worker = talloc_zero_array(sh, struct sh_worker, count);
+	if (sh->table == NULL || (sh->worker == NULL && count > 0))
+		return -1;
+	sh->worker_count = count;
+	for (w = 0; w < count; w++) {
+		sh->worker[w].id = talloc_strdup(sh->worker, spec[w].id);
+		sh->worker[w].address =
+		    talloc_strdup(sh->worker, spec[w].address);
+		pl_set(sh->table, w, &spec[w].capacity,
+		    sh_rack_index(sh, spec[w].rack));
+		sh->table->worker[w].usable = false;
+		st_res_add(&sh->capacity, &spec[w].capacity);
+	}
+	return 0;
+}
+
+struct sh_team *
+sh_team_get(struct sh_shard *sh, const char *name)
+{
+	struct sh_team *team;
+
+	HASH_FIND_STR(sh->teams, name, team);
+	if (team != NULL)
+		return team;
+	team = talloc_zero(sh, struct sh_team);
+	team->name = talloc_strdup(team, name);
+	team->quota.cpu_mcpu = INT64_MAX;
+	team->quota.mem_bytes = INT64_MAX;
+	team->quota.accel = INT32_MAX;
+	HASH_ADD_KEYPTR(hh, sh->teams, team->name, strlen(team->name), team);
+	return team;
+}
+
+void
+sh_set_quota(struct sh_shard *sh, const char *team, const struct st_res *quota)
+{
+	sh_team_get(sh, team)->quota = *quota;
+	sh->dirty = true;
+}
+
+void
+sh_set_policy(struct sh_shard *sh, const struct po_policy *policy)
+{
+	sh->policy = policy;
+	sh->dirty = true;
+}
+
+void
+sh_set_store_ok(struct sh_shard *sh, bool ok)
+{
+	if (ok && !sh->store_ok)
+		sh->dirty = true;
+	sh->store_ok = ok;
+}
+
+uint64_t
+sh_emit(struct sh_shard *sh, struct rc_record *r)
+{
+	struct sh_pending *p;
+
+	p = talloc_zero(sh, struct sh_pending);
+	if (p == NULL)
+		abort();
+	r->epoch = sh->epoch;
+	p->record = talloc_steal(p, r);
+	p->number = ++sh->last_number;
+	DL_APPEND(sh->pending, p);
+	sh->pending_count++;
+	return p->number;
+}
+
+const struct sh_pending *
+sh_records(const struct sh_shard *sh)
+{
+	return sh->pending;
+}
+
+void
+sh_committed(struct sh_shard *sh, uint64_t number)
+{
+	struct sh_pending *p;
+
+	while ((p = sh->pending) != NULL && p->number <= number) {
+		DL_DELETE(sh->pending, p);
+		sh->pending_count--;
+		talloc_free(p);
+	}
+	if (number > sh->committed)
+		sh->committed = number;
+}
+
+struct sh_job *
+sh_find_job(struct sh_shard *sh, const char *id)
+{
+	struct sh_job *job;
+
+	HASH_FIND_STR(sh->jobs, id, job);
+	return job;
+}
+
+struct sh_job *
+sh_job_create(
+    struct sh_shard *sh, const struct st_job_spec *spec, int64_t now_us)
+{
+	struct sh_job *job;
+	uint32_t i;
+
+	job = talloc_zero(sh, struct sh_job);
+	if (job == NULL)
+		abort();
+	job->spec = rc_dup_spec(job, spec);
+	job->task = talloc_zero_array(job, struct sh_task, spec->count);
+	if (job->spec == NULL || job->task == NULL)
+		abort();
+	for (i = 0; i < spec->count; i++) {
+		job->task[i].job = job;
+		job->task[i].index = i;
+		job->task[i].worker = PL_NONE;
+	}
+	if (spec->kind == ST_SERVICE)
+		job->rack_use = talloc_zero_array(
+		    job, uint16_t, sh->table->rack_count + 1);
+	job->waiting = spec->count;
+	job->open = spec->count;
+	job->accepted_us = now_us;
+	job->team = sh_team_get(sh, spec->team);
+	HASH_ADD_KEYPTR(hh, sh->jobs, job->spec->id, strlen(spec->id), job);
+	return job;
+}
+
+const char *
+sh_check_fit(const struct sh_shard *sh, const struct st_job_spec *spec)
+{
+	struct st_res largest = {0};
+	struct st_res total;
+	uint64_t room;
+	uint32_t w;
+
+	room = pl_empty_room(sh->table, &spec->each);
+	if (room >= (spec->kind == ST_GANG ? spec->count : 1))
+		return NULL;
+	for (w = 0; w < sh->table->count; w++) {
+		const struct st_res *cap = &sh->table->worker[w].capacity;
+
+		if (cap->cpu_mcpu > largest.cpu_mcpu)
+			largest.cpu_mcpu = cap->cpu_mcpu;
+		if (cap->mem_bytes > largest.mem_bytes)
+			largest.mem_bytes = cap->mem_bytes;
+		if (cap->accel > largest.accel)
+			largest.accel = cap->accel;
+	}
+	if (room == 0 && st_res_short(&spec->each, &largest) != NULL)
+		return st_res_short(&spec->each, &largest);
+	total.cpu_mcpu = spec->each.cpu_mcpu * spec->count;
+	total.mem_bytes = spec->each.mem_bytes * spec->count;
+	total.accel = spec->each.accel * (int32_t)spec->count;
+	if (st_res_short(&total, &sh->capacity) != NULL)
+		return st_res_short(&total, &sh->capacity);
+	/* Each resource suffices alone, but not together on the workers. */
+	return spec->each.accel > 0 ? "accelerators" : "memory";
+}
+
+static bool
+sh_same_work(const struct st_job_spec *a, const struct st_job_spec *b)
+{
+	return a->kind == b->kind && a->job_class == b->job_class &&
+	    a->count == b->count && a->each.cpu_mcpu == b->each.cpu_mcpu &&
+	    a->each.mem_bytes == b->each.mem_bytes &&
+	    a->each.accel == b->each.accel && a->run_us == b->run_us &&
+	    a->idempotent == b->idempotent && strcmp(a->name, b->name) == 0 &&
+	    strcmp(a->team, b->team) == 0;
+}
+
+enum sh_submit_verdict
+sh_submit(struct sh_shard *sh, const struct st_job_spec *spec, int64_t now_us,
+    struct sh_job **job, const char **why)
+{
+	struct rc_record *r;
+
+	*why = NULL;
+	*job = sh_find_job(sh, spec->id);
+	if (*job != NULL) {
+		if (sh_same_work((*job)->spec, spec))
+			return SH_DUPLICATE;
+		*why = "the key was used for other work";
+		return SH_KEY_REUSED;
+	}
+	*why = sh_check_fit(sh, spec);
+	if (*why != NULL)
+		return SH_IMPOSSIBLE;
+	if (spec->count > SH_MAX_TASKS_PER_JOB) {
+		*why = "count";
+		return SH_IMPOSSIBLE;
+	}
+	if (!sh->store_ok) {
+		*why = "the store takes no writes";
+		return SH_NO_STORE;
+	}
+	*job = sh_job_create(sh, spec, now_us);
+	r = talloc_zero(sh, struct rc_record);
+	r->kind = RC_JOB_ACCEPTED;
+	r->spec = rc_dup_spec(r, spec);
+	(*job)->durable_at = sh_emit(sh, r);
+	sh_queue_update(*job);
+	sh->dirty = true;
+	return SH_ACCEPTED;
+}
+
+bool
+sh_job_ended(const struct sh_shard *sh, const struct sh_job *job)
+{
+	return job->open == 0 && job->ended_at <= sh->committed;
+}
+
+static void
+sh_cancel_enqueue(struct sh_shard *sh, struct sh_job *job)
+{
+	if (job->cancel_queued)
+		return;
+	job->cancel_queued = true;
+	job->cancel_next = NULL;
+	if (sh->cancel_tail != NULL)
+		sh->cancel_tail->cancel_next = job;
+	else
+		sh->cancel_head = job;
+	sh->cancel_tail = job;
+}
+
+void
+sh_cancel(struct sh_shard *sh, struct sh_job *job)
+{
+	struct rc_record *r;
+
+	if (job->cancelled || job->open == 0)
+		return;
+	job->cancelled = true;
+	r = talloc_zero(sh, struct rc_record);
+	r->kind = RC_JOB_CANCELLED;
+	r->job = talloc_strdup(r, job->spec->id);
+	job->ended_at = sh_emit(sh, r);
+	if (sh->hold.job == job)
+		sh_hold_drop(sh);
+	sh_queue_update(job);
+	sh_cancel_enqueue(sh, job);
+}
+
+static void
+sh_cancel_task(struct sh_shard *sh, struct sh_task *task, int64_t now_us)
+{
+	switch (task->state) {
+	case SH_WAITING:
+		/* Implied by the job's cancellation; needs no record. */
+		sh_task_set_state(task, SH_ENDED);
+		task->result = ST_RESULT_CANCELLED;
+		task->job->results[ST_RESULT_CANCELLED]++;
+		if (task->job->open == 0)
+			task->job->ended_us = now_us;
+		break;
+	case SH_LOGGING:
+		sh_task_unassign(sh, task);
+		sh_task_end(sh, task, ST_RESULT_CANCELLED, now_us);
+		break;
+	case SH_STARTING:
+	case SH_RUNNING:
+		task->stop = true;
+		task->requeue = false;
+		sh->worker[task->worker].dirty = true;
+		break;
+	case SH_HELD:
+	case SH_ENDED:
+		break;
+	}
+}
+
+static void
+sh_cancel_tick(struct sh_shard *sh, int64_t now_us)
+{
+	uint32_t budget = SH_CANCEL_BUDGET;
+	struct sh_job *job;
+
+	while ((job = sh->cancel_head) != NULL && budget > 0) {
+		while (sh->cancel_scan < job->spec->count && budget > 0) {
+			sh_cancel_task(
+			    sh, &job->task[sh->cancel_scan++], now_us);
+			budget--;
+		}
+		if (sh->cancel_scan < job->spec->count)
+			return;
+		sh->cancel_scan = 0;
+		sh->cancel_head = job->cancel_next;
+		if (sh->cancel_head == NULL)
+			sh->cancel_tail = NULL;
+		job->cancel_queued = false;
+		sh->dirty = true;
+	}
+}
+
+void
+sh_tick(struct sh_shard *sh, int64_t now_us)
+{
+	if (!sh->active)
+		return;
+	sh->now_us = now_us;
+	sh_workers_tick(sh, now_us);
+	sh_cancel_tick(sh, now_us);
+	sh_gang_tick(sh, now_us);
+	if (sh->dirty || now_us >= sh->next_pass_us)
+		sh_schedule(sh, now_us);
+}
+
+enum cl_verdict
+sh_claim_take(struct sh_shard *sh, const char *key, uint64_t body_hash,
+    int64_t unknown_wall_us, int64_t expires_wall_us, int64_t now_wall_us,
+    struct cl_claim **claim)
+{
+	enum cl_verdict verdict;
+	struct rc_record *r;
+
+	cl_expire(sh->claims, now_wall_us, SH_CLAIM_BUDGET);
+	if (!sh->store_ok && cl_find(sh->claims, key) == NULL) {
+		*claim = NULL;
+		return CL_FULL;
+	}
+	verdict = cl_take(sh->claims, key, body_hash, unknown_wall_us,
+	    expires_wall_us, now_wall_us, claim);
+	if (verdict != CL_GRANTED)
+		return verdict;
+	r = talloc_zero(sh, struct rc_record);
+	r->kind = RC_CLAIM_TAKEN;
+	r->key = talloc_strdup(r, key);
+	r->body_hash = body_hash;
+	r->attempt = (uint64_t)unknown_wall_us;
+	r->deadline_wall_us = expires_wall_us;
+	(*claim)->durable_at = sh_emit(sh, r);
+	return verdict;
+}
+
+void
+sh_claim_end(struct sh_shard *sh, const char *key, enum st_result result,
+    uint32_t status, const uint8_t *answer, size_t answer_bytes)
+{
+	struct cl_claim *c = cl_find(sh->claims, key);
+	struct rc_record *r;
+
+	if (c == NULL || c->state == CL_ENDED)
+		return;
+	r = talloc_zero(sh, struct rc_record);
+	r->kind = RC_CLAIM_ENDED;
+	r->key = talloc_strdup(r, key);
+	r->result = result;
+	r->status = status;
+	if (result == ST_RESULT_NONE) {
+		cl_drop(sh->claims, c);
+		sh_emit(sh, r);
+		return;
+	}
+	cl_end(sh->claims, c, result, status, answer, answer_bytes);
+	r->index = c->answer_kept ? 1 : 0;
+	if (c->answer_bytes > 0) {
+		r->answer = talloc_memdup(r, c->answer, c->answer_bytes);
+		r->answer_bytes = c->answer_bytes;
+	}
+	c->durable_at = sh_emit(sh, r);
+}
+
+static const char *
+sh_check_worker(const struct sh_shard *sh, uint32_t w)
+{
+	const struct pl_worker *row = &sh->table->worker[w];
+	struct st_res sum = row->free;
+	const struct sh_task *task;
+
+	if (row->free.cpu_mcpu < 0 || row->free.mem_bytes < 0 ||
+	    row->free.accel < 0)
+		return "a worker is overcommitted";
+	DL_FOREACH(sh->worker[w].tasks, task) {
+		st_res_add(&sum, &task->reserved);
+		if (task->worker != w)
+			return "a task is listed on another worker";
+	}
+	if (sum.cpu_mcpu != row->capacity.cpu_mcpu ||
+	    sum.mem_bytes != row->capacity.mem_bytes ||
+	    sum.accel != row->capacity.accel)
+		return "reservations do not add up to what is taken";
+	return NULL;
+}
+
+static const char *
+sh_check_job(const struct sh_job *job)
+{
+	uint32_t waiting = 0;
+	uint32_t open = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->spec->count; i++) {
+		const struct sh_task *task = &job->task[i];
+		bool placed = task->state == SH_LOGGING ||
+		    task->state == SH_STARTING || task->state == SH_RUNNING;
+
+		waiting += task->state == SH_WAITING;
+		open += task->state != SH_ENDED;
+		if (placed != (task->worker != PL_NONE))
+			return "a task's state and worker disagree";
+		if ((task->state == SH_ENDED) !=
+		    (task->result != ST_RESULT_NONE))
+			return "a task's state and result disagree";
+	}
+	if (waiting != job->waiting || open != job->open)
+		return "a job's counts are wrong";
+	if (job->queued != (job->waiting > 0 && !job->cancelled))
+		return "a job is wrongly queued";
+	return NULL;
+}
+
+const char *
+sh_check(const struct sh_shard *sh)
+{
+	const struct sh_job *job;
+	const char *wrong;
+	uint32_t w;
+
+	for (w = 0; w < sh->worker_count; w++) {
+		wrong = sh_check_worker(sh, w);
+		if (wrong != NULL)
+			return wrong;
+	}
+	for (job = sh->jobs; job != NULL; job = job->hh.next) {
+		wrong = sh_check_job(job);
+		if (wrong != NULL)
+			return wrong;
+	}
+	return NULL;
+}
+
+void
+sh_why(const struct sh_shard *sh, const struct sh_job *job, char *buf)
+{
+	const char *name = job->spec->id;
+
+	if (job->open == 0) {
+		snprintf(buf, SH_TEXT_BYTES, "%s has ended.", name);
+		return;
+	}
+	if (job->cancelled) {
+		snprintf(buf, SH_TEXT_BYTES,
+		    "%s is cancelled; %u tasks are being stopped.", name,
+		    job->open);
+		return;
+	}
+	if (job->waiting == 0) {
+		snprintf(buf, SH_TEXT_BYTES,
+		    "%s waits for nothing: all its open tasks have workers "
+		    "or are being located.",
+		    name);
+		return;
+	}
+	switch (job->reason) {
+	case SH_WAIT_ROOM:
+		snprintf(buf, SH_TEXT_BYTES,
+		    "%s waits for %s: no usable worker has enough free.",
+		    name, job->short_resource);
+		break;
+	case SH_WAIT_QUOTA:
+		snprintf(buf, SH_TEXT_BYTES,
+		    "%s waits for team %s to use less: its quota of %s in "
+		    "shard %s is used up.",
+		    name, job->spec->team, job->short_resource, sh->id);
+		break;
+	case SH_WAIT_PRESET:
+		snprintf(buf, SH_TEXT_BYTES,
+		    "%s waits for another preset: %s starts no heavy work.",
+		    name, sh->policy->name);
+		break;
+	case SH_WAIT_GANG:
+		snprintf(buf, SH_TEXT_BYTES,
+		    "%s waits until %s for all its %u tasks are free at once; "
+		    "room %s reserved.",
+		    name, job->short_resource, job->spec->count,
+		    sh->hold.job == job ? "is" : "is not yet");
+		break;
+	case SH_WAIT_STORE:
+		snprintf(buf, SH_TEXT_BYTES,
+		    "%s waits for the platform's store: its start must be "
+		    "logged first.",
+		    name);
+		break;
+	case SH_WAIT_RECOVERY:
+		snprintf(buf, SH_TEXT_BYTES,
+		    "%s waits until the workers of shard %s have answered "
+		    "their new owner.",
+		    name, sh->id);
+		break;
+	case SH_WAIT_TURN:
+		snprintf(buf, SH_TEXT_BYTES,
+		    "%s waits for its turn behind more urgent or older work.",
+		    name);
+		break;
+	}
+}
--- /dev/null
+++ b/state/shard_gang.c
@@ -0,0 +1,263 @@
+#include <stdlib.h>
+#include <utlist.h>
+
+#include "common/clock.h"
+#include "state/shard_internal.h"
+
+#define SH_HOLD_SLACK_US (60 * CLK_US_PER_S)
+#define SH_HOLD_BACKOFF_US (30 * CLK_US_PER_S)
+#define SH_OVERRUN_US (10 * CLK_US_PER_S)
+#define SH_PREEMPT_PAUSE_US (2 * CLK_US_PER_S)
+
+/** struct sh_offer - room for a gang's tasks that a worker will have */
+struct sh_offer {
+	uint32_t worker;
+	uint64_t tasks;
+	int64_t free_at_us;
+};
+
+void
+sh_hold_drop(struct sh_shard *sh)
+{
+	uint32_t w;
+
+	if (sh->hold.job == NULL)
+		return;
+	for (w = 0; w < sh->table->count; w++)
+		sh->table->worker[w].held_from_us = 0;
+	sh->hold.job = NULL;
+	sh->dirty = true;
+}
+
+/* What the worker will have once its batch tasks have ended. */
+static void
+sh_offer_compute(const struct sh_shard *sh, uint32_t w,
+    const struct st_res *need, int64_t now_us, struct sh_offer *offer)
+{
+	struct st_res room = sh->table->worker[w].free;
+	const struct sh_task *task;
+	int64_t run_us;
+	int64_t end_us;
+
+	offer->worker = w;
+	offer->free_at_us = now_us;
+	DL_FOREACH(sh->worker[w].tasks, task) {
+		run_us = sh_task_run_us(sh, task->job);
+		if (run_us == INT64_MAX)
+			continue;
+		end_us = task->started_us + run_us;
+		if (end_us <= now_us)
+			end_us = now_us + SH_OVERRUN_US;
+		if (end_us > offer->free_at_us)
+			offer->free_at_us = end_us;
+		st_res_add(&room, &task->reserved);
+	}
+	offer->tasks = st_res_count(&room, need);
+}
+
+static int
+sh_offer_compare(const void *a, const void *b)
+{
+	const struct sh_offer *x = a;
+	const struct sh_offer *y = b;
+
+	if (x->free_at_us != y->free_at_us)
+		return x->free_at_us < y->free_at_us ? -1 : 1;
+	return x->worker < y->worker ? -1 : x->worker > y->worker;
+}
+
+static void
+sh_hold_make(struct sh_shard *sh, struct sh_job *job, int64_t now_us)
+{
+	struct st_res need = sh_task_need(sh, job);
+	struct sh_offer *offers;
+	uint64_t total = 0;
+	uint32_t used = 0;
+	uint32_t n = 0;
+	uint32_t w;
+
+	offers = talloc_array(sh, struct sh_offer, sh->table->count);
+	if (offers == NULL)
+		return;
+	for (w = 0; w < sh->table->count; w++) {
+		if (!sh->table->worker[w].usable)
+			continue;
+		sh_offer_compute(sh, w, &need, now_us, &offers[n]);
+		if (offers[n].tasks > 0)
+			n++;
+	}
+	qsort(offers, n, sizeof(*offers), sh_offer_compare);
+	while (used < n && total < job->spec->count)
+		total += offers[used++].tasks;
+	if (total < job->spec->count)
+		goto out;
+	sh->hold.job = job;
+	sh->hold.from_us = offers[used - 1].free_at_us;
+	sh->hold.deadline_us = sh->hold.from_us + SH_HOLD_SLACK_US;
+	while (used > 0)
+		sh->table->worker[offers[--used].worker].held_from_us =
+		    sh->hold.from_us;
+out:
+	talloc_free(offers);
+}
+
+static void
+sh_displace(struct sh_shard *sh, struct sh_task *task)
+{
+	task->stop = true;
+	task->requeue = true;
+	sh->worker[task->worker].dirty = true;
+}
+
+static bool
+sh_may_displace(const struct sh_task *task)
+{
+	return task->job->spec->idempotent && !task->stop &&
+	    task->job->spec->kind == ST_BATCH &&
+	    (task->state == SH_RUNNING || task->state == SH_STARTING);
+}
+
+/* A gang that has lost a member starts again as a whole. */
+static void
+sh_gang_restart(struct sh_shard *sh, struct sh_job *job)
+{
+	uint32_t i;
+
+	job->reason = SH_WAIT_RECOVERY;
+	for (i = 0; i < job->spec->count; i++) {
+		struct sh_task *task = &job->task[i];
+
+		if (task->worker != PL_NONE && !task->stop)
+			sh_displace(sh, task);
+	}
+}
+
+bool
+sh_gang_start(struct sh_shard *sh, struct sh_job *job, int64_t now_us)
+{
+	struct pl_request req = {
+	    .need = sh_task_need(sh, job), .ends_us = INT64_MAX};
+	uint32_t count = job->spec->count;
+	uint32_t *rows;
+	bool own_hold = sh->hold.job == job;
+	bool ok = false;
+	uint32_t i;
+
+	job->reason = SH_WAIT_GANG;
+	job->short_resource = req.need.accel > 0 ? "accelerators" : "cpu";
+	if (job->open > job->waiting) {
+		sh_gang_restart(sh, job);
+		return false;
+	}
+	count = job->waiting;
+	rows = talloc_array(sh, uint32_t, count);
+	if (rows == NULL)
+		return false;
+	if (own_hold)
+		req.ends_us = INT64_MIN;
+	if (pl_reserve_gang(
+		sh->table, &req, count, sh->policy, &sh->rng, rows)) {
+		uint32_t at = 0;
+
+		/* The rows were tried as one step; now give them to tasks. */
+		for (i = 0; i < count; i++)
+			pl_release(sh->table, rows[i], &req.need);
+		if (own_hold)
+			sh_hold_drop(sh);
+		for (i = 0; i < job->spec->count; i++) {
+			if (job->task[i].state != SH_WAITING)
+				continue;
+			sh_task_assign(sh, &job->task[i], rows[at++], now_us);
+		}
+		ok = true;
+	} else if (sh->hold.job == NULL && now_us >= job->hold_again_us) {
+		sh_hold_make(sh, job, now_us);
+	}
+	talloc_free(rows);
+	return ok;
+}
+
+void
+sh_gang_tick(struct sh_shard *sh, int64_t now_us)
+{
+	struct sh_task *task;
+	uint32_t w;
+
+	if (sh->hold.job == NULL)
+		return;
+	if (now_us >= sh->hold.deadline_us) {
+		sh->hold.job->hold_again_us = now_us + SH_HOLD_BACKOFF_US;
+		sh_hold_drop(sh);
+		return;
+	}
+	if (now_us < sh->hold.from_us)
+		return;
+	/* What was let in on reserved room must not delay the gang. */
+	for (w = 0; w < sh->table->count; w++) {
+		if (sh->table->worker[w].held_from_us == 0)
+			continue;
+		DL_FOREACH(sh->worker[w].tasks, task) {
+			if (task->backfill && sh_may_displace(task))
+				sh_displace(sh, task);
+		}
+	}
+}
+
+/* Fewest heavy tasks whose end makes room; 0 when that cannot be. */
+static uint32_t
+sh_victims_needed(
+    const struct sh_shard *sh, uint32_t w, const struct st_res *need)
+{
+	struct st_res room = sh->table->worker[w].free;
+	const struct sh_task *task;
+	uint32_t n = 0;
+
+	DL_FOREACH(sh->worker[w].tasks, task) {
+		if (st_res_fits(need, &room))
+			return n;
+		if (task->job->spec->job_class != ST_HEAVY ||
+		    !sh_may_displace(task))
+			continue;
+		st_res_add(&room, &task->reserved);
+		n++;
+	}
+	return st_res_fits(need, &room) ? n : 0;
+}
+
+static void
+sh_preempt_on(struct sh_shard *sh, uint32_t w, uint32_t victims)
+{
+	struct sh_task *task;
+
+	DL_FOREACH(sh->worker[w].tasks, task) {
+		if (victims == 0)
+			return;
+		if (task->job->spec->job_class != ST_HEAVY ||
+		    !sh_may_displace(task))
+			continue;
+		sh_displace(sh, task);
+		victims--;
+	}
+}
+
+void
+sh_preempt(struct sh_shard *sh, struct sh_job *job, int64_t now_us)
+{
+	struct st_res need = sh_task_need(sh, job);
+	uint32_t wanted = job->waiting;
+	uint32_t victims;
+	uint32_t w;
+
+	if (!sh->policy->preempt_heavy || now_us < job->preempt_again_us)
+		return;
+	for (w = 0; w < sh->table->count && wanted > 0; w++) {
+		if (!sh->table->worker[w].usable)
+			continue;
+		victims = sh_victims_needed(sh, w, &need);
+		if (victims == 0)
+			continue;
+		sh_preempt_on(sh, w, victims);
+		wanted--;
+	}
+	job->preempt_again_us = now_us + SH_PREEMPT_PAUSE_US;
+}
--- /dev/null
+++ b/transport/http_client.c
@@ -0,0 +1,321 @@
+#include <curl/curl.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "common/clock.h"
+#include "transport/http_client.h"
+
+#define HC_MAX_BODY_BYTES ((size_t)8 << 20)
+
+struct http_client {
+	struct loop *loop;
+	CURLM *multi;
+	struct tevent_timer *timer;
+};
+
+struct hc_socket {
+	struct http_client *hc;
+	struct tevent_fd *fde;
+	curl_socket_t fd;
+};
+
+struct hc_transfer {
+	struct http_client *hc;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *response_body;
+	size_t response_bytes;
+	char *response_headers;
+	hc_done_fn done;
+	void *arg;
+	char error[CURL_ERROR_SIZE];
+};
+
+static enum hc_error
+hc_map_error(CURL *easy, CURLcode code)
+{
+	long request_bytes = 0;
+
+	if (code == CURLE_OK)
+		return HC_OK;
+	/* Nothing was sent unless request bytes left this side. */
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+	if (code == CURLE_COULDNT_CONNECT || request_bytes == 0)
+		return HC_NOT_CONNECTED;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return HC_TIMEOUT;
+	return HC_CUT_OFF;
+}
+
+static void
+hc_finish(struct http_client *hc, CURL *easy, CURLcode code)
+{
+	struct hc_transfer *t;
+	struct hc_response resp = {0};
+	long status = 0;
+	long request_bytes = 0;
+	long header_bytes = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &t);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+	curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &header_bytes);
+	resp.error = hc_map_error(easy, code);
+	resp.status = resp.error == HC_OK ? (int)status : 0;
+	resp.body = t->response_body != NULL ? t->response_body : "";
+	resp.body_bytes = t->response_bytes;
+	resp.headers = t->response_headers != NULL ? t->response_headers : "";
+	resp.sent_bytes = (size_t)request_bytes;
+	resp.received_bytes = (size_t)header_bytes + t->response_bytes;
+	curl_multi_remove_handle(hc->multi, easy);
+	t->done(&resp, t->arg);
+	curl_easy_cleanup(easy);
+	curl_slist_free_all(t->headers);
+	talloc_free(t);
+}
+
+static void
+hc_collect(struct http_client *hc)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(hc->multi, &left)) != NULL) {
+		if (msg->msg == CURLMSG_DONE)
+			hc_finish(hc, msg->easy_handle, msg->data.result);
+	}
+}
+
+static void
+hc_on_socket(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+    void *arg)
+{
+	struct hc_socket *sock = arg;
+	struct http_client *hc = sock->hc;
+	int mask = 0;
+	int running;
+
+	(void)ev;
+	(void)fde;
+	if (flags & TEVENT_FD_READ)
+		mask |= CURL_CSELECT_IN;
+	if (flags & TEVENT_FD_WRITE)
+		mask |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(hc->multi, sock->fd, mask, &running);
+	hc_collect(hc);
+}
+
+static void
+hc_on_timer(struct tevent_context *ev, struct tevent_timer *te,
+    struct timeval now, void *arg)
+{
+	struct http_client *hc = arg;
+	int running;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	hc->timer = NULL;
+	curl_multi_socket_action(
+	    hc->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	hc_collect(hc);
+}
+
+static int
+hc_set_timer(CURLM *multi, long timeout_ms, void *arg)
+{
+	struct http_client *hc = arg;
+	struct timeval at;
+
+	(void)multi;
+	TALLOC_FREE(hc->timer);
+	if (timeout_ms < 0)
+		return 0;
+	at = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
+	    (uint32_t)(timeout_ms % 1000) * 1000U);
+	hc->timer = tevent_add_timer(
+	    loop_ev(hc->loop), hc, at, hc_on_timer, hc);
+	return 0;
+}
+
+static int
+hc_set_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *sockp)
+{
+	struct http_client *hc = arg;
+	struct hc_socket *sock = sockp;
+	uint16_t flags = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		curl_multi_assign(hc->multi, fd, NULL);
+		talloc_free(sock);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		flags |= TEVENT_FD_READ;
+	if (what & CURL_POLL_OUT)
+		flags |= TEVENT_FD_WRITE;
+	if (sock != NULL) {
+		tevent_fd_set_flags(sock->fde, flags);
+		return 0;
+	}
+	sock = talloc_zero(hc, struct hc_socket);
+	if (sock == NULL)
+		return -1;
+	sock->hc = hc;
+	sock->fd = fd;
+	sock->fde = tevent_add_fd(
+	    loop_ev(hc->loop), sock, fd, flags, hc_on_socket, sock);
+	curl_multi_assign(hc->multi, fd, sock);
+	return 0;
+}
+
+struct http_client *
+hc_create(TALLOC_CTX *ctx, struct loop *l, long max_connections_per_host)
+{
+	struct http_client *hc;
+
+	hc = talloc_zero(ctx, struct http_client);
+	if (hc == NULL)
+		return NULL;
+	hc->loop = l;
+	hc->multi = curl_multi_init();
+	if (hc->multi == NULL) {
+		talloc_free(hc);
+		return NULL;
+	}
+	curl_multi_setopt(hc->multi, CURLMOPT_SOCKETFUNCTION, hc_set_socket);
+	curl_multi_setopt(hc->multi, CURLMOPT_SOCKETDATA, hc);
+	curl_multi_setopt(hc->multi, CURLMOPT_TIMERFUNCTION, hc_set_timer);
+	curl_multi_setopt(hc->multi, CURLMOPT_TIMERDATA, hc);
+	if (max_connections_per_host > 0)
+		curl_multi_setopt(hc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+		    max_connections_per_host);
+	return hc;
+}
+
+static size_t
+hc_append(char **buf, size_t have, const char *data, size_t n, void *ctx)
+{
+	char *grown;
+
+	if (have + n > HC_MAX_BODY_BYTES)
+		return 0;
+	if (*buf == NULL || have + n + 1 > talloc_get_size(*buf)) {
+		grown = talloc_realloc(
+		    ctx, *buf, char, (have + n + 1) * 3 / 2 + 256);
+		if (grown == NULL)
+			return 0;
+		*buf = grown;
+	}
+	memcpy(*buf + have, data, n);
+	(*buf)[have + n] = '\0';
+	return n;
+}
+
+static size_t
+hc_on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct hc_transfer *t = arg;
+	size_t got;
+
+	got = hc_append(
+	    &t->response_body, t->response_bytes, data, size * n, t);
+	t->response_bytes += got;
+	return got;
+}
+
+static size_t
+hc_on_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct hc_transfer *t = arg;
+	size_t have;
+
+	have = t->response_headers != NULL ? strlen(t->response_headers) : 0;
+	return hc_append(&t->response_headers, have, data, size * n, t);
+}
+
+static void
+hc_set_options(struct hc_transfer *t, const struct hc_request *req)
+{
+	int64_t left_ms = (req->deadline_us - clk_now_us()) / CLK_US_PER_MS;
+
+	curl_easy_setopt(t->easy, CURLOPT_URL, req->url);
+	curl_easy_setopt(t->easy, CURLOPT_CUSTOMREQUEST, req->method);
+	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
+	curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, hc_on_body);
+	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t);
+	curl_easy_setopt(t->easy, CURLOPT_HEADERFUNCTION, hc_on_header);
+	curl_easy_setopt(t->easy, CURLOPT_HEADERDATA, t);
+	curl_easy_setopt(t->easy, CURLOPT_ERRORBUFFER, t->error);
+	curl_easy_setopt(t->easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS,
+	    (long)(left_ms > 0 ? left_ms : 1));
+	if (req->body != NULL || strcmp(req->method, "GET") != 0) {
+		curl_easy_setopt(t->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)req->body_bytes);
+		curl_easy_setopt(t->easy, CURLOPT_COPYPOSTFIELDS,
+		    req->body != NULL ? req->body : "");
+	}
+	curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->headers);
+}
+
+void
+hc_send(struct http_client *hc, const struct hc_request *req, hc_done_fn done,
+    void *arg)
+{
+	struct hc_transfer *t;
+	char line[1024];
+	size_t i;
+
+	t = talloc_zero(hc, struct hc_transfer);
+	if (t == NULL)
+		abort();
+	t->hc = hc;
+	t->done = done;
+	t->arg = arg;
+	t->easy = curl_easy_init();
+	if (t->easy == NULL)
+		abort();
+	t->headers = curl_slist_append(NULL, "Expect:");
+	t->headers = curl_slist_append(
+	    t->headers, "Content-Type: application/octet-stream");
+	for (i = 0; i < req->header_count; i++) {
+		snprintf(line, sizeof(line), "%s: %s", req->headers[i].name,
+		    req->headers[i].value);
+		t->headers = curl_slist_append(t->headers, line);
+	}
+	hc_set_options(t, req);
+	curl_multi_add_handle(hc->multi, t->easy);
+}
+
+const char *
+hc_header_value(const struct hc_response *resp, const char *name, char *value,
+    size_t value_bytes)
+{
+	const char *line;
+	const char *end;
+	size_t len = strlen(name);
+
+	for (line = resp->headers; line != NULL && *line != '\0';) {
+		end = strstr(line, "\r\n");
+		if (end == NULL)
+			return NULL;
+		if (strncasecmp(line, name, len) == 0 && line[len] == ':') {
+			line += len + 1;
+			while (*line == ' ')
+				line++;
+			snprintf(value, value_bytes, "%.*s",
+			    (int)(end - line), line);
+			return value;
+		}
+		line = end + 2;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/transport/http_server.c
@@ -0,0 +1,338 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "transport/http_server.h"
+
+#define HS_BACKLOG 512
+
+struct http_server {
+	struct loop *loop;
+	struct MHD_Daemon *mhd;
+	struct tevent_timer *timer;
+	hs_handler_fn handler;
+	void *arg;
+	size_t max_body_bytes;
+};
+
+struct hs_exchange {
+	struct hs_request req;
+	struct http_server *hs;
+	struct MHD_Connection *conn;
+	char *body;
+	struct MHD_Response *response;
+	int status;
+	bool too_large;
+	bool handled;
+	bool suspended;
+};
+
+static void hs_schedule(struct http_server *hs);
+
+int
+hs_listen(const char *address, char *bound, size_t bound_bytes)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sin);
+	char host[64];
+	const char *colon = strrchr(address, ':');
+	int one = 1;
+	int fd;
+
+	errno = EINVAL;
+	if (colon == NULL || (size_t)(colon - address) >= sizeof(host))
+		return -1;
+	snprintf(host, sizeof(host), "%.*s", (int)(colon - address), address);
+	if (inet_pton(AF_INET, host, &sin.sin_addr) != 1)
+		return -1;
+	sin.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	if (fd == -1)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1 ||
+	    listen(fd, HS_BACKLOG) == -1 ||
+	    getsockname(fd, (struct sockaddr *)&sin, &len) == -1) {
+		close(fd);
+		return -1;
+	}
+	snprintf(bound, bound_bytes, "%s:%u", host, ntohs(sin.sin_port));
+	return fd;
+}
+
+static struct hs_exchange *
+hs_exchange_create(struct http_server *hs, struct MHD_Connection *conn,
+    const char *url, const char *method)
+{
+	struct hs_exchange *ex;
+
+	ex = talloc_zero(hs, struct hs_exchange);
+	if (ex == NULL)
+		return NULL;
+	ex->hs = hs;
+	ex->conn = conn;
+	ex->req.path = talloc_strdup(ex, url);
+	ex->req.method = talloc_strdup(ex, method);
+	ex->req.body = "";
+	return ex;
+}
+
+static void
+hs_collect_body(struct hs_exchange *ex, const char *data, size_t n)
+{
+	size_t have = ex->req.body_bytes;
+	char *grown;
+
+	if (have + n > ex->hs->max_body_bytes) {
+		ex->too_large = true;
+		return;
+	}
+	if (ex->body == NULL || have + n + 1 > talloc_get_size(ex->body)) {
+		grown = talloc_realloc(
+		    ex, ex->body, char, (have + n) * 3 / 2 + 256);
+		if (grown == NULL) {
+			ex->too_large = true;
+			return;
+		}
+		ex->body = grown;
+	}
+	memcpy(ex->body + have, data, n);
+	ex->body[have + n] = '\0';
+	ex->req.body = ex->body;
+	ex->req.body_bytes = have + n;
+}
+
+static enum MHD_Result
+hs_queue(struct hs_exchange *ex)
+{
+	enum MHD_Result rc;
+
+	rc = MHD_queue_response(
+	    ex->conn, (unsigned int)ex->status, ex->response);
+	MHD_destroy_response(ex->response);
+	ex->response = NULL;
+	return rc;
+}
+
+static enum MHD_Result
+hs_on_request(void *arg, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *data, size_t *data_len,
+    void **state)
+{
+	struct http_server *hs = arg;
+	struct hs_exchange *ex = *state;
+
+	(void)version;
+	if (ex == NULL) {
+		*state = hs_exchange_create(hs, conn, url, method);
+		return *state != NULL ? MHD_YES : MHD_NO;
+	}
+	if (*data_len > 0) {
+		hs_collect_body(ex, data, *data_len);
+		*data_len = 0;
+		return MHD_YES;
+	}
+	if (ex->response != NULL)
+		return hs_queue(ex);
+	if (ex->handled)
+		return MHD_YES;
+	ex->handled = true;
+	if (ex->too_large) {
+		hs_respond(&ex->req, 413, "application/json",
+		    "{\"outcome\":\"not_run\",\"reason\":\"body too large\"}",
+		    48, NULL, 0);
+		return hs_queue(ex);
+	}
+	hs->handler(&ex->req, hs->arg);
+	if (ex->response != NULL)
+		return hs_queue(ex);
+	ex->suspended = true;
+	MHD_suspend_connection(conn);
+	return MHD_YES;
+}
+
+static void
+hs_on_completed(void *arg, struct MHD_Connection *conn, void **state,
+    enum MHD_RequestTerminationCode code)
+{
+	struct hs_exchange *ex = *state;
+
+	(void)arg;
+	(void)conn;
+	(void)code;
+	if (ex == NULL)
+		return;
+	if (ex->response != NULL)
+		MHD_destroy_response(ex->response);
+	talloc_free(ex);
+	*state = NULL;
+}
+
+static void
+hs_on_readable(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+    void *arg)
+{
+	struct http_server *hs = arg;
+
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	MHD_run(hs->mhd);
+	hs_schedule(hs);
+}
+
+static void
+hs_on_timer(struct tevent_context *ev, struct tevent_timer *te,
+    struct timeval now, void *arg)
+{
+	struct http_server *hs = arg;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	hs->timer = NULL;
+	MHD_run(hs->mhd);
+	hs_schedule(hs);
+}
+
+static void
+hs_schedule(struct http_server *hs)
+{
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+	struct timeval at;
+
+	TALLOC_FREE(hs->timer);
+	if (MHD_get_timeout(hs->mhd, &timeout_ms) != MHD_YES)
+		return;
+	at = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
+	    (uint32_t)(timeout_ms % 1000) * 1000U);
+	hs->timer = tevent_add_timer(
+	    loop_ev(hs->loop), hs, at, hs_on_timer, hs);
+}
+
+struct http_server *
+hs_create(TALLOC_CTX *ctx, struct loop *l, int listen_fd,
+    const struct hs_limits *limits, hs_handler_fn handler, void *arg)
+{
+	const union MHD_DaemonInfo *info;
+	struct http_server *hs;
+
+	hs = talloc_zero(ctx, struct http_server);
+	if (hs == NULL)
+		return NULL;
+	hs->loop = l;
+	hs->handler = handler;
+	hs->arg = arg;
+	hs->max_body_bytes = limits->max_body_bytes;
+	hs->mhd = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0,
+	    NULL, NULL, hs_on_request, hs, MHD_OPTION_LISTEN_SOCKET, listen_fd,
+	    MHD_OPTION_CONNECTION_LIMIT, limits->max_connections,
+	    MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_s,
+	    MHD_OPTION_NOTIFY_COMPLETED, hs_on_completed, hs, MHD_OPTION_END);
+	if (hs->mhd == NULL)
+		goto fail;
+	info = MHD_get_daemon_info(hs->mhd, MHD_DAEMON_INFO_EPOLL_FD);
+	if (info == NULL ||
+	    tevent_add_fd(loop_ev(l), hs, info->epoll_fd, TEVENT_FD_READ,
+		hs_on_readable, hs) == NULL)
+		goto fail;
+	hs_schedule(hs);
+	return hs;
+fail:
+	talloc_free(hs);
+	return NULL;
+}
+
+static struct hs_exchange *
+hs_exchange_of(struct hs_request *req)
+{
+	return (struct hs_exchange *)req;
+}
+
+const char *
+hs_header(struct hs_request *req, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    hs_exchange_of(req)->conn, MHD_HEADER_KIND, name);
+}
+
+const char *
+hs_query(struct hs_request *req, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    hs_exchange_of(req)->conn, MHD_GET_ARGUMENT_KIND, name);
+}
+
+static void
+hs_resume(struct hs_exchange *ex)
+{
+	if (!ex->suspended)
+		return;
+	ex->suspended = false;
+	MHD_resume_connection(ex->conn);
+}
+
+void
+hs_respond(struct hs_request *req, int status, const char *content_type,
+    const void *body, size_t body_bytes, const struct hs_header *headers,
+    size_t header_count)
+{
+	struct hs_exchange *ex = hs_exchange_of(req);
+	size_t i;
+
+	ex->status = status;
+	ex->response = MHD_create_response_from_buffer(
+	    body_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(ex->response, "Content-Type", content_type);
+	for (i = 0; i < header_count; i++) {
+		if (headers[i].value != NULL)
+			MHD_add_response_header(ex->response, headers[i].name,
+			    headers[i].value);
+	}
+	hs_resume(ex);
+}
+
+struct hs_partial {
+	size_t n;
+	char data[];
+};
+
+static ssize_t
+hs_read_partial(void *arg, uint64_t pos, char *buf, size_t max)
+{
+	struct hs_partial *part = arg;
+	size_t n;
+
+	if (pos >= part->n)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	n = part->n - (size_t)pos;
+	if (n > max)
+		n = max;
+	memcpy(buf, part->data + pos, n);
+	return (ssize_t)n;
+}
+
+void
+hs_abort(struct hs_request *req, const void *body, size_t body_bytes,
+    size_t announced_bytes)
+{
+	struct hs_exchange *ex = hs_exchange_of(req);
+	struct hs_partial *part;
+
+	part = malloc(sizeof(*part) + body_bytes);
+	if (part == NULL)
+		abort();
+	part->n = body_bytes;
+	memcpy(part->data, body, body_bytes);
+	ex->status = 200;
+	ex->response = MHD_create_response_from_callback(
+	    announced_bytes, 4096, hs_read_partial, part, free);
+	hs_resume(ex);
+}
