--- a/coordination/membership.c
+++ b/coordination/membership.c
@@ -20,7 +20,8 @@
 }
 
 struct mb_view *
-mb_create(TALLOC_CTX *ctx, const struct mb_report *self, int64_t timeout_us)
+mb_create(TALLOC_CTX *ctx, const struct mb_report *self, int64_t timeout_us,
+    int64_t remote_timeout_us)
 {
 	struct mb_view *v;
 	struct mb_member *m;
@@ -29,6 +30,7 @@
 	if (v == NULL)
 		return NULL;
 	v->timeout_us = timeout_us;
+	v->remote_timeout_us = remote_timeout_us;
 	snprintf(v->self, sizeof(v->self), "%s", self->vm);
 	snprintf(v->domain, sizeof(v->domain), "%s", self->domain);
 	m = mb_add(v, self->vm);
@@ -57,7 +59,8 @@
 mb_on_report(struct mb_view *v, const struct mb_report *r, int64_t now_us)
 {
 	struct mb_member *m = mb_find(v, r->vm);
-	int64_t dead_at_us = now_us - r->age_us + v->timeout_us;
+	bool near = strcmp(r->domain, v->domain) == 0;
+	int64_t heard_us = now_us - r->age_us;
 
 	if (strcmp(r->vm, v->self) == 0) {
 		/* Only this daemon itself knows its newest state. */
@@ -77,10 +80,12 @@
 		return MB_WRONG_DOMAIN;
 	/* A summary may be older than what was heard directly. */
 	if (r->incarnation == m->report.incarnation &&
-	    dead_at_us < m->dead_at_us)
+	    heard_us < m->heard_us)
 		return MB_OK;
 	m->report = *r;
-	m->dead_at_us = dead_at_us;
+	m->heard_us = heard_us;
+	m->dead_at_us =
+	    heard_us + (near ? v->timeout_us : v->remote_timeout_us);
 	m->gone_at_us = 0;
 	return MB_OK;
 }
--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -270,6 +270,8 @@
 ow_begin_take_head(struct ow_machine *m)
 {
 	m->epoch = m->head.epoch + 1;
+	memcpy(m->previous_owner, m->head.owner, sizeof(m->previous_owner));
+	m->previous_writer = m->head.writer;
 	m->nonce = m->next_nonce++;
 	m->state = OW_TAKE_HEAD;
 }
--- /dev/null
+++ b/currantctl/table.c
@@ -0,0 +1,83 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "currantctl/ctl.h"
+
+#define TABLE_CELL_BYTES 96
+#define TABLE_MAX_COLUMNS 16
+
+static json_t *
+table_find(json_t *row, const char *field)
+{
+	char part[64];
+	const char *dot;
+
+	while ((dot = strchr(field, '.')) != NULL) {
+		snprintf(part, sizeof(part), "%.*s", (int)(dot - field),
+		    field);
+		row = json_object_get(row, part);
+		field = dot + 1;
+	}
+	return json_object_get(row, field);
+}
+
+static void
+table_cell(json_t *row, const char *field, char *cell)
+{
+	json_t *value = table_find(row, field);
+
+	cell[0] = '\0';
+	if (json_is_string(value))
+		snprintf(cell, TABLE_CELL_BYTES, "%s",
+		    json_string_value(value));
+	else if (json_is_integer(value))
+		snprintf(cell, TABLE_CELL_BYTES, "%" JSON_INTEGER_FORMAT,
+		    json_integer_value(value));
+	else if (json_is_real(value))
+		snprintf(
+		    cell, TABLE_CELL_BYTES, "%.2f", json_real_value(value));
+	else if (json_is_boolean(value))
+		snprintf(cell, TABLE_CELL_BYTES, "%s",
+		    json_is_true(value) ? "yes" : "no");
+}
+
+void
+ctl_print_table(json_t *rows, const struct ctl_column *columns, size_t count)
+{
+	int width[TABLE_MAX_COLUMNS];
+	char cell[TABLE_CELL_BYTES];
+	json_t *row;
+	size_t i;
+	size_t c;
+
+	for (c = 0; c < count; c++)
+		width[c] = (int)strlen(columns[c].title);
+	json_array_foreach(rows, i, row) {
+		for (c = 0; c < count; c++) {
+			table_cell(row, columns[c].field, cell);
+			if ((int)strlen(cell) > width[c])
+				width[c] = (int)strlen(cell);
+		}
+	}
+	for (c = 0; c < count; c++)
+		printf("%-*s%s", c + 1 < count ? width[c] : 0,
+		    columns[c].title, c + 1 < count ? "  " : "\n");
+	json_array_foreach(rows, i, row) {
+		for (c = 0; c < count; c++) {
+			table_cell(row, columns[c].field, cell);
+			printf("%-*s%s", c + 1 < count ? width[c] : 0, cell,
+			    c + 1 < count ? "  " : "\n");
+		}
+	}
+}
+
+void
+ctl_print_json(json_t *value)
+{
+	char *text = json_dumps(value, JSON_INDENT(2) | JSON_ENCODE_ANY);
+
+	puts(text);
+	free(text);
+}
--- /dev/null
+++ b/curranttackd/api_jobs.c
@@ -0,0 +1,248 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/rng.h"
+#include "curranttackd/front.h"
+#include "protocol/job_json.h"
+#include "protocol/json_fields.h"
+#include "protocol/record_codec.h"
+
+#define AJ_DEADLINE_US (10 * CLK_US_PER_S)
+#define AJ_MAX_WAIT_MS (10 * 60 * 1000)
+#define AJ_KEY_BYTES 40
+
+/* Relays the owner's answer. */
+static void
+aj_on_reply(const Currant__Reply *reply, void *arg)
+{
+	struct hs_request *req = arg;
+	enum st_outcome outcome = (enum st_outcome)reply->outcome;
+	struct hs_header h = {"X-Outcome", st_outcome_name(outcome)};
+
+	if (reply->has_body)
+		hs_respond(req, outcome == ST_PENDING ? 202 : 200,
+		    "application/json", reply->body.data, reply->body.len, &h,
+		    1);
+	else
+		fr_outcome(req, (int)reply->status, outcome, reply->reason,
+		    reply->retry_after_ms);
+}
+
+static bool
+aj_shard_fits(const struct cf_shard *s, const void *arg)
+{
+	const struct st_job_spec *spec = arg;
+	uint64_t room = cf_shard_room(s, &spec->each);
+
+	return room >= (spec->kind == ST_GANG ? spec->count : 1);
+}
+
+static const char *
+aj_short_resource(const struct cf_shards *shards,
+    const struct st_job_spec *spec)
+{
+	struct st_res largest = {0};
+	const char *lacking;
+	uint32_t i;
+	uint32_t w;
+
+	for (i = 0; i < shards->count; i++) {
+		for (w = 0; w < shards->shard[i].worker_count; w++) {
+			const struct st_res *cap =
+			    &shards->shard[i].worker[w].capacity;
+
+			if (cap->cpu_mcpu > largest.cpu_mcpu)
+				largest.cpu_mcpu = cap->cpu_mcpu;
+			if (cap->mem_bytes > largest.mem_bytes)
+				largest.mem_bytes = cap->mem_bytes;
+			if (cap->accel > largest.accel)
+				largest.accel = cap->accel;
+		}
+	}
+	lacking = st_res_short(&spec->each, &largest);
+	if (lacking != NULL)
+		return lacking;
+	return spec->each.accel > 0 ? "accelerators" : "room in one shard";
+}
+
+/* Sets spec->id; false when the job can run nowhere. */
+static bool
+aj_choose_shard(struct daemon *d, struct st_job_spec *spec, char *shard,
+    char *reason, size_t reason_bytes, int *status)
+{
+	const struct cf_shard *home;
+	char *scoped;
+
+	scoped = talloc_asprintf(spec, "%s/%s", spec->team, spec->key);
+	pthread_mutex_lock(&d->config_lock);
+	home = cf_home_shard(d->config->shards, scoped, aj_shard_fits, spec);
+	*status = 503;
+	if (home != NULL) {
+		snprintf(shard, MB_NAME_BYTES, "%s", home->id);
+	} else if (d->config->shards->count == 0) {
+		snprintf(reason, reason_bytes,
+		    "no shards are configured or known yet");
+	} else {
+		*status = 422;
+		snprintf(reason, reason_bytes,
+		    "it can never run: not enough %s even on empty workers",
+		    aj_short_resource(d->config->shards, spec));
+	}
+	pthread_mutex_unlock(&d->config_lock);
+	if (home == NULL)
+		return false;
+	spec->id = jj_job_id(spec, shard, spec->team, spec->key);
+	return true;
+}
+
+static void
+aj_make_key(struct st_job_spec *spec)
+{
+	spec->key = talloc_asprintf(spec, "auto-%016" PRIx64 "%016" PRIx64,
+	    rng_seed_os(), rng_seed_os());
+}
+
+static int64_t
+aj_deadline_us(struct hs_request *req)
+{
+	const char *text = hs_header(req, "X-Deadline-Ms");
+	int64_t ms = text != NULL ? strtoll(text, NULL, 10) : 0;
+
+	if (ms <= 0 || ms > AJ_MAX_WAIT_MS)
+		return clk_now_us() + AJ_DEADLINE_US;
+	return clk_now_us() + ms * CLK_US_PER_MS;
+}
+
+void
+api_job_submit(struct front *f, struct hs_request *req, const char *rest)
+{
+	Currant__Call call = CURRANT__CALL__INIT;
+	Currant__SubmitJob submit = CURRANT__SUBMIT_JOB__INIT;
+	Currant__JobSpec msg;
+	struct st_job_spec *spec;
+	struct call_target target = {0};
+	char error[JF_ERROR_BYTES];
+	char shard[MB_NAME_BYTES];
+	int status;
+
+	(void)rest;
+	spec = jj_parse_job(NULL, req->body, req->body_bytes,
+	    hs_header(req, "Idempotency-Key"), error);
+	if (spec == NULL) {
+		fr_error(req, 400, error);
+		return;
+	}
+	if (spec->key == NULL)
+		aj_make_key(spec);
+	if (!aj_choose_shard(
+		f->d, spec, shard, error, sizeof(error), &status)) {
+		fr_outcome(req, status, ST_NOT_RUN, error,
+		    status == 503 ? 1000 : 0);
+		goto out;
+	}
+	rk_spec_to_message(spec, &msg);
+	submit.spec = &msg;
+	call.submit = &submit;
+	target.shard = shard;
+	ca_post(f, &call, &target, aj_deadline_us(req), aj_on_reply, req);
+out:
+	talloc_free(spec);
+}
+
+/* The shard is the part of the id before its last dot. */
+static bool
+aj_shard_of(const char *id, char *shard)
+{
+	const char *dot = strrchr(id, '.');
+
+	if (dot == NULL || dot == id || dot - id >= MB_NAME_BYTES)
+		return false;
+	snprintf(shard, MB_NAME_BYTES, "%.*s", (int)(dot - id), id);
+	return true;
+}
+
+static void
+aj_query(struct front *f, struct hs_request *req, const char *id,
+    int64_t wait_ms, call_done_fn done)
+{
+	Currant__Call call = CURRANT__CALL__INIT;
+	Currant__JobQuery query = CURRANT__JOB_QUERY__INIT;
+	struct call_target target = {0};
+	char shard[MB_NAME_BYTES];
+
+	if (!aj_shard_of(id, shard)) {
+		fr_error(req, 404, "no such job");
+		return;
+	}
+	query.id = (char *)id;
+	query.wait_ms = (uint32_t)wait_ms;
+	call.query = &query;
+	target.shard = shard;
+	ca_post(f, &call, &target,
+	    clk_now_us() + wait_ms * CLK_US_PER_MS + AJ_DEADLINE_US, done,
+	    req);
+}
+
+void
+api_job_show(struct front *f, struct hs_request *req, const char *rest)
+{
+	const char *text = hs_query(req, "wait_ms");
+	int64_t wait_ms = text != NULL ? strtoll(text, NULL, 10) : 0;
+
+	if (wait_ms < 0 || wait_ms > AJ_MAX_WAIT_MS) {
+		fr_error(req, 400, "wait_ms: must be from 0 to 600000");
+		return;
+	}
+	aj_query(f, req, rest, wait_ms, aj_on_reply);
+}
+
+static void
+aj_on_why(const Currant__Reply *reply, void *arg)
+{
+	struct hs_request *req = arg;
+	char error[JF_ERROR_BYTES];
+	json_t *body;
+
+	if (!reply->has_body) {
+		aj_on_reply(reply, arg);
+		return;
+	}
+	body = jf_parse(reply->body.data, reply->body.len, error);
+	fr_json(req, 200,
+	    json_pack("{s:O}", "why", json_object_get(body, "why")));
+	json_decref(body);
+}
+
+void
+api_job_why(struct front *f, struct hs_request *req, const char *rest)
+{
+	aj_query(f, req, rest, 0, aj_on_why);
+}
+
+void
+api_job_cancel(struct front *f, struct hs_request *req, const char *rest)
+{
+	Currant__Call call = CURRANT__CALL__INIT;
+	Currant__JobCancel cancel = CURRANT__JOB_CANCEL__INIT;
+	struct call_target target = {0};
+	char shard[MB_NAME_BYTES];
+
+	if (!aj_shard_of(rest, shard)) {
+		fr_error(req, 404, "no such job");
+		return;
+	}
+	cancel.id = (char *)rest;
+	call.cancel = &cancel;
+	target.shard = shard;
+	ca_post(f, &call, &target, aj_deadline_us(req), aj_on_reply, req);
+}
+
+void
+api_job_list(struct front *f, struct hs_request *req, const char *rest)
+{
+	(void)rest;
+	gather_lists(f, req, "jobs");
+}
--- /dev/null
+++ b/curranttackd/configuration.c
@@ -0,0 +1,352 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "curranttackd/burn.h"
+#include "curranttackd/front.h"
+#include "curranttackd/members.h"
+#include "curranttackd/shard_host.h"
+#include "protocol/config_json.h"
+#include "protocol/json_fields.h"
+
+#define CW_PREFIX "config/"
+#define CW_WAIT_US (20 * CLK_US_PER_S)
+#define CW_RETRY_US (200 * CLK_US_PER_MS)
+
+const struct po_policy *
+dm_policy(const struct daemon *d)
+{
+	return po_get(d->config->preset, d->config->shards->goal);
+}
+
+struct dm_service *
+dm_find_service(struct daemon *d, const char *name)
+{
+	struct dm_service *found = NULL;
+	uint32_t i;
+
+	pthread_mutex_lock(&d->config_lock);
+	for (i = 0; i < d->service_count; i++) {
+		if (strcmp(d->service[i]->name, name) == 0)
+			found = d->service[i];
+	}
+	pthread_mutex_unlock(&d->config_lock);
+	return found;
+}
+
+static struct dm_service *
+cw_service_create(struct daemon *d, const char *name)
+{
+	struct dm_service *s;
+
+	/* Its own talloc tree: front threads allocate under its lock. */
+	s = talloc_zero(NULL, struct dm_service);
+	if (s == NULL)
+		return NULL;
+	snprintf(s->name, sizeof(s->name), "%s", name);
+	pthread_mutex_init(&s->lock, NULL);
+	s->rt = rt_create(s, name, dm_policy(d), d->incarnation);
+	s->burn = bu_create(s);
+	return s;
+}
+
+/* Services that are no longer configured stay, without endpoints. */
+static void
+cw_create_services(struct daemon *d)
+{
+	const struct cf_services *all = d->config->services;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < all->count; i++) {
+		for (k = 0; k < d->service_count; k++) {
+			if (strcmp(d->service[k]->name,
+				all->service[i].name) == 0)
+				break;
+		}
+		if (k < d->service_count || k == DM_MAX_SERVICES)
+			continue;
+		d->service[d->service_count] =
+		    cw_service_create(d, all->service[i].name);
+		if (d->service[d->service_count] != NULL)
+			d->service_count++;
+	}
+}
+
+static const struct cf_service *
+cw_find_config(const struct daemon *d, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->config->services->count; i++) {
+		if (strcmp(d->config->services->service[i].name, name) == 0)
+			return &d->config->services->service[i];
+	}
+	return NULL;
+}
+
+static void
+cw_update_service(struct daemon *d, struct dm_service *s,
+    const struct cf_service *conf, uint32_t rank, uint32_t daemons,
+    uint32_t peer_room, int64_t now_us)
+{
+	uint32_t i;
+
+	pthread_mutex_lock(&s->lock);
+	rt_set_policy(s->rt, dm_policy(d));
+	rt_begin_update(s->rt);
+	for (i = 0; conf != NULL && i < conf->endpoint_count; i++) {
+		const struct cf_endpoint *e = &conf->endpoint[i];
+
+		if (strcmp(e->domain, d->settings->domain) == 0)
+			rt_update(s->rt, e->id, e->address, e->slots,
+			    me_is_leaving(d, e->id));
+	}
+	rt_set_peer_room(s->rt, peer_room);
+	rt_set_share(s->rt, rank, daemons, now_us);
+	rt_end_update(s->rt, now_us);
+	rt_tick(s->rt, now_us);
+	bu_set_objectives(s->burn, d->config->objectives, s->name);
+	bu_tick(s->burn, now_us);
+	pthread_mutex_unlock(&s->lock);
+	rq_drive(d, s);
+}
+
+static uint32_t
+cw_peer_room(struct daemon *d, const char *service, int64_t now_us)
+{
+	struct mb_member *m;
+	uint32_t room = 0;
+	uint32_t i;
+
+	pthread_mutex_lock(&d->members_lock);
+	m = mb_most_room(d->view, service, now_us);
+	for (i = 0; m != NULL && i < m->report.room_count; i++) {
+		if (strcmp(m->report.room[i].service, service) == 0)
+			room = (uint32_t)m->report.room[i].free_slots;
+	}
+	pthread_mutex_unlock(&d->members_lock);
+	return room;
+}
+
+void
+cw_update_services(struct daemon *d, int64_t now_us)
+{
+	uint32_t rank;
+	uint32_t daemons;
+	uint32_t i;
+
+	pthread_mutex_lock(&d->members_lock);
+	rank = mb_rank(d->view, now_us, &daemons);
+	pthread_mutex_unlock(&d->members_lock);
+	/* Only this loop changes the configuration, so it may read it. */
+	for (i = 0; i < d->service_count; i++) {
+		struct dm_service *s = d->service[i];
+
+		cw_update_service(d, s, cw_find_config(d, s->name), rank,
+		    daemons, cw_peer_room(d, s->name, now_us), now_us);
+	}
+}
+
+static void
+cw_create_hosts(struct daemon *d)
+{
+	const struct cf_shards *shards = d->config->shards;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < shards->count; i++) {
+		for (k = 0; k < d->host_count; k++) {
+			if (strcmp(ho_shard_id(d->host[k]),
+				shards->shard[i].id) == 0)
+				break;
+		}
+		if (k == d->host_count && k < DM_MAX_SHARDS)
+			d->host[d->host_count++] =
+			    ho_create(d, shards->shard[i].id);
+	}
+}
+
+static void
+cw_changed(struct daemon *d, enum cf_area area)
+{
+	uint32_t i;
+
+	if (area == CF_SHARDS)
+		cw_create_hosts(d);
+	for (i = 0; i < d->host_count; i++)
+		ho_config_changed(d->host[i], area == CF_SHARDS);
+	cw_update_services(d, clk_now_us());
+}
+
+enum cf_error
+cw_apply(struct daemon *d, enum cf_area area, uint64_t revision,
+    const uint8_t *body, size_t body_bytes)
+{
+	char error[CF_ERROR_BYTES] = "";
+	enum cf_error result;
+	struct mb_member *self;
+
+	pthread_mutex_lock(&d->config_lock);
+	result = cf_apply(
+	    d->config, cj_parse, area, revision, body, body_bytes, error);
+	if (result == CF_OK)
+		cw_create_services(d);
+	pthread_mutex_unlock(&d->config_lock);
+	if (result == CF_INVALID)
+		lg_event(LG_ERROR, "config", "document_refused", "area",
+		    cf_area_name(area), "revision", lg_i64((int64_t)revision),
+		    "reason", error, NULL);
+	if (result != CF_OK)
+		return result;
+	lg_event(LG_INFO, "config", "in_force", "area", cf_area_name(area),
+	    "revision", lg_i64((int64_t)revision), "preset",
+	    po_preset_name(d->config->preset), NULL);
+	pthread_mutex_lock(&d->members_lock);
+	self = mb_find(d->view, d->settings->vm);
+	self->report.config_revision = d->config->revision;
+	snprintf(self->report.preset, sizeof(self->report.preset), "%s",
+	    po_preset_name(d->config->preset));
+	pthread_mutex_unlock(&d->members_lock);
+	cw_changed(d, area);
+	me_send_now(d->members);
+	return CF_OK;
+}
+
+static void
+cw_take_change(struct daemon *d, json_t *change)
+{
+	const char *key = json_string_value(json_object_get(change, "key"));
+	json_t *value = json_object_get(change, "value");
+	uint64_t revision =
+	    (uint64_t)json_integer_value(json_object_get(change, "revision"));
+	enum cf_area area;
+
+	if (key == NULL || strncmp(key, CW_PREFIX, strlen(CW_PREFIX)) != 0 ||
+	    !json_is_string(value) ||
+	    !cf_area_parse(key + strlen(CW_PREFIX), &area))
+		return;
+	cw_apply(d, area, revision, (const uint8_t *)json_string_value(value),
+	    json_string_length(value));
+}
+
+static void
+cw_on_watch(const struct kv_answer *a, void *arg)
+{
+	struct daemon *d = arg;
+	char error[JF_ERROR_BYTES];
+	json_t *body;
+	json_t *change;
+	size_t i;
+
+	d->watching = false;
+	if (a->result != KV_OK) {
+		d->watch_retry_us = clk_now_us() + CW_RETRY_US;
+		return;
+	}
+	body = jf_parse(a->value, a->value_bytes, error);
+	if (body == NULL) {
+		d->watch_retry_us = clk_now_us() + CW_RETRY_US;
+		return;
+	}
+	json_array_foreach(json_object_get(body, "changes"), i, change)
+		cw_take_change(d, change);
+	if (a->revision > d->watch_revision)
+		d->watch_revision = a->revision;
+	json_decref(body);
+}
+
+/* A peer that is ahead sends what we lack. */
+static void
+cw_fetch_if_behind(struct daemon *d, int64_t now_us)
+{
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+	Currant__ConfigFetch fetch = CURRANT__CONFIG_FETCH__INIT;
+	char ahead[MB_NAME_BYTES] = "";
+	uint64_t best = d->config->revision;
+	struct peer_link *link;
+	uint32_t i;
+
+	pthread_mutex_lock(&d->members_lock);
+	for (i = 0; i < d->view->count; i++) {
+		const struct mb_member *m = &d->view->member[i];
+
+		if (!mb_alive(m, now_us) ||
+		    m->report.config_revision <= best)
+			continue;
+		best = m->report.config_revision;
+		memcpy(ahead, m->report.vm, sizeof(ahead));
+	}
+	pthread_mutex_unlock(&d->members_lock);
+	if (ahead[0] == '\0')
+		return;
+	link = me_link(d->members, ahead);
+	if (link == NULL)
+		return;
+	fetch.have_revision = d->config->revision;
+	frame.config_fetch = &fetch;
+	peer_send(link, &frame);
+}
+
+void
+cw_tick(struct daemon *d, int64_t now_us)
+{
+	bool speaker;
+
+	pthread_mutex_lock(&d->members_lock);
+	speaker = mb_is_speaker(d->view, now_us);
+	pthread_mutex_unlock(&d->members_lock);
+	/* A waiting watch counts as a call, so one daemon a domain waits. */
+	if (!d->watching && now_us >= d->watch_retry_us &&
+	    (speaker || d->watch_revision == 0)) {
+		d->watching = true;
+		d->kv_ops->watch(d->kv, CW_PREFIX, d->watch_revision,
+		    CW_WAIT_US, cw_on_watch, d);
+	}
+	cw_fetch_if_behind(d, now_us);
+}
+
+void
+cw_on_fetch(struct daemon *d, struct peer_link *link,
+    const Currant__ConfigFetch *fetch)
+{
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+	Currant__ConfigDocs docs = CURRANT__CONFIG_DOCS__INIT;
+	Currant__ConfigDoc doc[CF_AREA_COUNT];
+	Currant__ConfigDoc *list[CF_AREA_COUNT];
+	unsigned int i;
+
+	docs.docs = list;
+	docs.revision = d->config->revision;
+	for (i = 0; i < CF_AREA_COUNT; i++) {
+		const struct cf_doc *from = &d->config->doc[i];
+
+		if (from->revision <= fetch->have_revision)
+			continue;
+		currant__config_doc__init(&doc[i]);
+		doc[i].area = (char *)cf_area_name((enum cf_area)i);
+		doc[i].revision = from->revision;
+		doc[i].body.data = from->body;
+		doc[i].body.len = from->body_bytes;
+		list[docs.n_docs++] = &doc[i];
+	}
+	frame.config_docs = &docs;
+	peer_send(link, &frame);
+}
+
+void
+cw_on_docs(struct daemon *d, const Currant__ConfigDocs *docs)
+{
+	enum cf_area area;
+	size_t i;
+
+	for (i = 0; i < docs->n_docs; i++) {
+		const Currant__ConfigDoc *doc = docs->docs[i];
+
+		if (cf_area_parse(doc->area, &area))
+			cw_apply(d, area, doc->revision, doc->body.data,
+			    doc->body.len);
+	}
+}
--- /dev/null
+++ b/curranttackd/front.c
@@ -0,0 +1,207 @@
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "curranttackd/front.h"
+
+#define FR_RETRY_TEXT_BYTES 16
+
+static const struct fr_route fr_caller_routes[] = {
+    {"POST", "/v1/jobs", api_job_submit},
+    {"GET", "/v1/jobs", api_job_list},
+    {"GET", "/v1/jobs/", api_job_show},
+    {"DELETE", "/v1/jobs/", api_job_cancel},
+    {"POST", "/v1/services/", api_request},
+    {"GET", "/ready", api_ready},
+    {NULL, NULL, NULL},
+};
+
+static const struct fr_route fr_operator_routes[] = {
+    {"POST", "/v1/jobs", api_job_submit},
+    {"GET", "/v1/jobs", api_job_list},
+    {"GET", "/v1/jobs/", api_job_show},
+    {"DELETE", "/v1/jobs/", api_job_cancel},
+    {"GET", "/v1/why/", api_job_why},
+    {"GET", "/v1/status", api_status},
+    {"GET", "/v1/members", api_members},
+    {"GET", "/v1/workers", api_workers},
+    {"GET", "/v1/placements", api_placements},
+    {"GET", "/v1/config/", api_config_get},
+    {"PUT", "/v1/config/", api_config_put},
+    {"GET", "/v1/history/", api_config_history},
+    {"GET", "/v1/burn", api_burn},
+    {"GET", "/metrics", api_metrics},
+    {"GET", "/ready", api_ready},
+    {NULL, NULL, NULL},
+};
+
+void
+fr_json(struct hs_request *req, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	hs_respond(
+	    req, status, "application/json", text, strlen(text), NULL, 0);
+	free(text);
+	json_decref(body);
+}
+
+void
+fr_outcome(struct hs_request *req, int status, enum st_outcome outcome,
+    const char *reason, uint32_t retry_after_ms)
+{
+	char seconds[FR_RETRY_TEXT_BYTES];
+	struct hs_header headers[2] = {
+	    {"X-Outcome", st_outcome_name(outcome)}, {"Retry-After", NULL}};
+	json_t *body;
+	char *text;
+
+	body = json_pack("{s:s, s:s}", "outcome", st_outcome_name(outcome),
+	    "reason", reason != NULL ? reason : "");
+	if (retry_after_ms > 0) {
+		json_object_set_new(
+		    body, "retry_after_ms", json_integer(retry_after_ms));
+		snprintf(seconds, sizeof(seconds), "%u",
+		    (retry_after_ms + 999) / 1000);
+		headers[1].value = seconds;
+	}
+	text = json_dumps(body, JSON_COMPACT);
+	hs_respond(req, status, "application/json", text, strlen(text),
+	    headers, 2);
+	free(text);
+	json_decref(body);
+}
+
+void
+fr_error(struct hs_request *req, int status, const char *reason)
+{
+	fr_outcome(req, status, ST_NOT_RUN, reason, 0);
+}
+
+/* Takes the same time wherever the first difference is. */
+static bool
+fr_tokens_equal(const char *a, const char *b)
+{
+	size_t a_len = strlen(a);
+	size_t b_len = strlen(b);
+	unsigned char diff = a_len != b_len;
+	size_t i;
+
+	for (i = 0; i < a_len; i++)
+		diff |= (unsigned char)(a[i] ^ b[b_len > 0 ? i % b_len : 0]);
+	return diff == 0;
+}
+
+static bool
+fr_authorized(struct hs_request *req, const char *token)
+{
+	const char *given;
+
+	if (token == NULL || strcmp(req->path, "/ready") == 0)
+		return true;
+	given = hs_header(req, "Authorization");
+	if (given == NULL || strncmp(given, "Bearer ", 7) != 0)
+		return false;
+	return fr_tokens_equal(token, given + 7);
+}
+
+static void
+fr_dispatch(struct front *f, struct hs_request *req,
+    const struct fr_route *routes, const char *token)
+{
+	const struct fr_route *r;
+	bool path_known = false;
+	size_t len;
+
+	if (!fr_authorized(req, token)) {
+		fr_error(req, 401, "the bearer token is missing or wrong");
+		return;
+	}
+	for (r = routes; r->method != NULL; r++) {
+		len = strlen(r->prefix);
+		if (r->prefix[len - 1] == '/' ?
+			strncmp(req->path, r->prefix, len) != 0 :
+			strcmp(req->path, r->prefix) != 0)
+			continue;
+		path_known = true;
+		if (strcmp(req->method, r->method) != 0)
+			continue;
+		r->handle(f, req, req->path + len);
+		return;
+	}
+	if (path_known)
+		fr_error(req, 405, "this method is not allowed here");
+	else
+		fr_error(req, 404, "no such path");
+}
+
+static void
+fr_on_caller(struct hs_request *req, void *arg)
+{
+	struct front *f = arg;
+
+	fr_dispatch(f, req, fr_caller_routes, f->d->settings->caller_token);
+}
+
+static void
+fr_on_operator(struct hs_request *req, void *arg)
+{
+	struct front *f = arg;
+
+	fr_dispatch(
+	    f, req, fr_operator_routes, f->d->settings->operator_token);
+}
+
+static int
+fr_init(struct front *f, int callers_fd, int operators_fd)
+{
+	const struct settings *s = f->d->settings;
+	struct hs_limits limits = {
+	    s->max_body_bytes, s->max_connections, s->idle_s};
+
+	f->loop = loop_create(NULL);
+	if (f->loop == NULL)
+		return -1;
+	f->http = hc_create(f->loop, f->loop, 0);
+	f->callers = hs_create(
+	    f->loop, f->loop, callers_fd, &limits, fr_on_caller, f);
+	f->operators = hs_create(
+	    f->loop, f->loop, operators_fd, &limits, fr_on_operator, f);
+	if (f->http == NULL || f->callers == NULL || f->operators == NULL)
+		return -1;
+	return 0;
+}
+
+int
+fr_create(struct daemon *d, int callers_fd, int operators_fd)
+{
+	uint32_t i;
+
+	d->front_count = d->settings->front_threads;
+	d->front = talloc_zero_array(d, struct front, d->front_count);
+	if (d->front == NULL)
+		return -1;
+	for (i = 0; i < d->front_count; i++) {
+		d->front[i].d = d;
+		d->front[i].index = i;
+		/* MHD closes the socket it was given. */
+		if (fr_init(&d->front[i], dup(callers_fd),
+			dup(operators_fd)) == -1)
+			return -1;
+	}
+	return 0;
+}
+
+int
+fr_start(struct daemon *d)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->front_count; i++) {
+		if (loop_start(d->front[i].loop) == -1)
+			return -1;
+	}
+	return 0;
+}
--- /dev/null
+++ b/curranttackd/gather.c
@@ -0,0 +1,138 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "curranttackd/front.h"
+#include "protocol/json_fields.h"
+
+#define GA_DEADLINE_US (3 * CLK_US_PER_S)
+#define GA_MAX_PARTS 256
+
+/**
+ * struct gather - answers of several daemons on their way into one
+ * @items: joined lists
+ * @missing: names of those that did not answer
+ * @left: answers still to come
+ */
+struct gather {
+	struct hs_request *req;
+	json_t *items;
+	json_t *missing;
+	char list[MB_NAME_BYTES];
+	uint32_t left;
+};
+
+/** struct gather_part - one daemon's or shard's answer */
+struct gather_part {
+	struct gather *g;
+	char name[MB_NAME_BYTES];
+};
+
+static void
+gather_part_done(struct gather *g)
+{
+	json_t *body;
+
+	if (--g->left > 0)
+		return;
+	body = json_pack("{s:o, s:o}", g->list, g->items, "unreachable",
+	    g->missing);
+	fr_json(g->req, 200, body);
+	talloc_free(g);
+}
+
+static void
+gather_on_reply(const Currant__Reply *reply, void *arg)
+{
+	struct gather_part *part = arg;
+	struct gather *g = part->g;
+	char error[JF_ERROR_BYTES];
+	json_t *list = NULL;
+
+	if (reply->outcome == ST_DONE && reply->has_body)
+		list = jf_parse(reply->body.data, reply->body.len, error);
+	if (json_is_array(list))
+		json_array_extend(g->items, list);
+	else
+		json_array_append_new(g->missing, json_string(part->name));
+	json_decref(list);
+	talloc_free(part);
+	gather_part_done(g);
+}
+
+static struct gather *
+gather_create(struct hs_request *req, const char *list)
+{
+	struct gather *g;
+
+	g = talloc_zero(NULL, struct gather);
+	if (g == NULL)
+		abort();
+	g->req = req;
+	g->items = json_array();
+	g->missing = json_array();
+	/* Held by the caller until all parts are started. */
+	g->left = 1;
+	strncpy(g->list, list, sizeof(g->list) - 1);
+	return g;
+}
+
+static void
+gather_ask(struct front *f, struct gather *g, const char *vm,
+    const char *shard)
+{
+	Currant__Call call = CURRANT__CALL__INIT;
+	struct call_target target = {vm, shard};
+	struct gather_part *part;
+
+	part = talloc_zero(NULL, struct gather_part);
+	if (part == NULL)
+		abort();
+	part->g = g;
+	strncpy(part->name, vm != NULL ? vm : shard, sizeof(part->name) - 1);
+	g->left++;
+	call.list = g->list;
+	ca_post(f, &call, &target, clk_now_us() + GA_DEADLINE_US,
+	    gather_on_reply, part);
+}
+
+void
+gather_lists(struct front *f, struct hs_request *req, const char *list)
+{
+	struct gather *g = gather_create(req, list);
+	char name[GA_MAX_PARTS][MB_NAME_BYTES];
+	uint32_t n = 0;
+	uint32_t i;
+
+	pthread_mutex_lock(&f->d->config_lock);
+	for (i = 0; i < f->d->config->shards->count && n < GA_MAX_PARTS; i++)
+		strncpy(name[n++], f->d->config->shards->shard[i].id,
+		    MB_NAME_BYTES);
+	pthread_mutex_unlock(&f->d->config_lock);
+	for (i = 0; i < n; i++)
+		gather_ask(f, g, NULL, name[i]);
+	gather_part_done(g);
+}
+
+void
+gather_members(struct front *f, struct hs_request *req, const char *list)
+{
+	struct gather *g = gather_create(req, list);
+	char name[GA_MAX_PARTS][MB_NAME_BYTES];
+	uint32_t n = 0;
+	uint32_t i;
+
+	pthread_mutex_lock(&f->d->members_lock);
+	for (i = 0; i < f->d->view->count && n < GA_MAX_PARTS; i++) {
+		const struct mb_member *m = &f->d->view->member[i];
+
+		/* Whoever is gone from the list and silent is history. */
+		if (m->listed == MB_UNLISTED && !mb_alive(m, clk_now_us()))
+			continue;
+		memcpy(name[n++], m->report.vm, MB_NAME_BYTES);
+	}
+	pthread_mutex_unlock(&f->d->members_lock);
+	for (i = 0; i < n; i++)
+		gather_ask(f, g, name[i], NULL);
+	gather_part_done(g);
+}
--- /dev/null
+++ b/curranttackd/members.c
@@ -0,0 +1,456 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "curranttackd/front.h"
+#include "curranttackd/members.h"
+#include "curranttackd/shard_host.h"
+#include "protocol/json_fields.h"
+#include "protocol/vm_json.h"
+
+#define ME_MAX_LINKS 256
+#define ME_RECONNECT_US (300 * CLK_US_PER_MS)
+
+struct me_link_slot {
+	char vm[MB_NAME_BYTES];
+	char address[MB_NAME_BYTES];
+	struct peer_link *link;
+	int64_t retry_at_us;
+};
+
+struct members {
+	struct daemon *d;
+	struct me_link_slot slot[ME_MAX_LINKS];
+	uint32_t slot_count;
+	bool vms_busy;
+};
+
+struct members *
+me_create(struct daemon *d)
+{
+	struct members *me;
+
+	me = talloc_zero(d, struct members);
+	if (me != NULL)
+		me->d = d;
+	return me;
+}
+
+static struct me_link_slot *
+me_slot(struct members *me, const char *vm)
+{
+	uint32_t i;
+
+	for (i = 0; i < me->slot_count; i++) {
+		if (strcmp(me->slot[i].vm, vm) == 0)
+			return &me->slot[i];
+	}
+	if (me->slot_count == ME_MAX_LINKS)
+		return NULL;
+	snprintf(me->slot[me->slot_count].vm, MB_NAME_BYTES, "%s", vm);
+	return &me->slot[me->slot_count++];
+}
+
+struct peer_link *
+me_link(struct members *me, const char *vm)
+{
+	struct me_link_slot *slot = me_slot(me, vm);
+	char address[MB_NAME_BYTES] = "";
+	struct mb_member *m;
+
+	if (slot == NULL)
+		return NULL;
+	pthread_mutex_lock(&me->d->members_lock);
+	m = mb_find(me->d->view, vm);
+	if (m != NULL)
+		memcpy(address, m->report.address, sizeof(address));
+	pthread_mutex_unlock(&me->d->members_lock);
+	if (slot->link != NULL && strcmp(slot->address, address) != 0)
+		peer_close(slot->link);
+	if (slot->link != NULL)
+		return slot->link;
+	if (address[0] == '\0' || clk_now_us() < slot->retry_at_us)
+		return NULL;
+	slot->retry_at_us = clk_now_us() + ME_RECONNECT_US;
+	memcpy(slot->address, address, sizeof(address));
+	slot->link = peer_connect(me->d->peers, address);
+	return slot->link;
+}
+
+void
+me_on_closed(struct members *me, struct peer_link *link)
+{
+	uint32_t i;
+
+	for (i = 0; i < me->slot_count; i++) {
+		if (me->slot[i].link == link)
+			me->slot[i].link = NULL;
+	}
+}
+
+/** struct me_message - a heartbeat with the arrays it points to */
+struct me_message {
+	Currant__Heartbeat beat;
+	Currant__OwnedShard owned[MB_MAX_OWNED];
+	Currant__OwnedShard *owned_list[MB_MAX_OWNED];
+	Currant__ServiceRoom room[MB_MAX_ROOM];
+	Currant__ServiceRoom *room_list[MB_MAX_ROOM];
+};
+
+static void
+me_fill(struct me_message *msg, const struct mb_member *m, int64_t age_us)
+{
+	const struct mb_report *r = &m->report;
+	uint32_t i;
+
+	currant__heartbeat__init(&msg->beat);
+	msg->beat.vm = (char *)r->vm;
+	msg->beat.domain = (char *)r->domain;
+	msg->beat.address = (char *)r->address;
+	msg->beat.incarnation = r->incarnation;
+	msg->beat.config_revision = r->config_revision;
+	msg->beat.preset = (char *)r->preset;
+	msg->beat.has_leaving = r->leaving;
+	msg->beat.leaving = r->leaving;
+	msg->beat.has_age_ms = age_us > 0;
+	msg->beat.age_ms = (uint32_t)(age_us / CLK_US_PER_MS);
+	msg->beat.owned = msg->owned_list;
+	msg->beat.n_owned = r->owned_count;
+	for (i = 0; i < r->owned_count; i++) {
+		currant__owned_shard__init(&msg->owned[i]);
+		msg->owned[i].shard = (char *)r->owned[i].shard;
+		msg->owned[i].epoch = r->owned[i].epoch;
+		msg->owned_list[i] = &msg->owned[i];
+	}
+	msg->beat.room = msg->room_list;
+	msg->beat.n_room = r->room_count;
+	for (i = 0; i < r->room_count; i++) {
+		currant__service_room__init(&msg->room[i]);
+		msg->room[i].service = (char *)r->room[i].service;
+		msg->room[i].free_slots = r->room[i].free_slots;
+		msg->room_list[i] = &msg->room[i];
+	}
+}
+
+/* Brings our own line in the view up to date. */
+static void
+me_refresh_self(struct members *me, int64_t now_us)
+{
+	struct daemon *d = me->d;
+	struct mb_report r;
+	uint64_t epoch;
+	uint32_t i;
+
+	pthread_mutex_lock(&d->members_lock);
+	r = mb_find(d->view, d->settings->vm)->report;
+	pthread_mutex_unlock(&d->members_lock);
+	r.leaving = atomic_load(&d->leaving);
+	r.owned_count = 0;
+	for (i = 0; i < d->host_count && r.owned_count < MB_MAX_OWNED; i++) {
+		if (!ho_owns(d->host[i], &epoch))
+			continue;
+		snprintf(r.owned[r.owned_count].shard, MB_NAME_BYTES, "%s",
+		    ho_shard_id(d->host[i]));
+		r.owned[r.owned_count++].epoch = epoch;
+	}
+	r.room_count = 0;
+	for (i = 0; i < d->service_count && r.room_count < MB_MAX_ROOM; i++) {
+		struct dm_service *s = d->service[i];
+		struct mb_room *room = &r.room[r.room_count++];
+
+		memcpy(room->service, s->name, sizeof(room->service));
+		pthread_mutex_lock(&s->lock);
+		room->free_slots = rt_free_slots(s->rt, now_us);
+		pthread_mutex_unlock(&s->lock);
+	}
+	pthread_mutex_lock(&d->members_lock);
+	mb_on_report(d->view, &r, now_us);
+	pthread_mutex_unlock(&d->members_lock);
+}
+
+/** struct me_summary - a summary with all that it points to */
+struct me_summary {
+	Currant__Summary summary;
+	struct me_message *message;
+	Currant__Heartbeat **list;
+	uint32_t count;
+};
+
+enum me_scope {
+	ME_SELF,   /* only this daemon */
+	ME_DOMAIN, /* the living of this domain */
+	ME_ALL,	   /* every living member */
+};
+
+static bool
+me_in_scope(struct daemon *d, const struct mb_member *m, enum me_scope scope,
+    int64_t now_us)
+{
+	if (strcmp(m->report.vm, d->settings->vm) == 0)
+		return true;
+	if (scope == ME_SELF || !mb_alive(m, now_us) ||
+	    m->report.incarnation == 0)
+		return false;
+	return scope == ME_ALL ||
+	    strcmp(m->report.domain, d->settings->domain) == 0;
+}
+
+static struct me_summary *
+me_build(struct members *me, enum me_scope scope, int64_t now_us)
+{
+	struct daemon *d = me->d;
+	struct me_summary *s = talloc_zero(me, struct me_summary);
+	uint32_t i;
+
+	pthread_mutex_lock(&d->members_lock);
+	s->message = talloc_zero_array(s, struct me_message, d->view->count);
+	s->list =
+	    talloc_zero_array(s, Currant__Heartbeat *, d->view->count);
+	currant__summary__init(&s->summary);
+	for (i = 0; i < d->view->count; i++) {
+		const struct mb_member *m = &d->view->member[i];
+
+		if (!me_in_scope(d, m, scope, now_us))
+			continue;
+		me_fill(&s->message[s->count], m,
+		    m->heard_us == 0 ? 0 : now_us - m->heard_us);
+		s->list[s->count] = &s->message[s->count].beat;
+		s->count++;
+	}
+	s->summary.members = s->list;
+	s->summary.n_members = s->count;
+	return s;
+}
+
+static void
+me_send(struct members *me, const char *vm, struct me_summary *s)
+{
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+	struct peer_link *link = me_link(me, vm);
+
+	if (link == NULL)
+		return;
+	frame.summary = &s->summary;
+	peer_send(link, &frame);
+}
+
+typedef bool (*me_pick_fn)(struct daemon *d, const struct mb_member *m,
+    int64_t now_us);
+
+static bool
+me_pick_same_domain(
+    struct daemon *d, const struct mb_member *m, int64_t now_us)
+{
+	(void)now_us;
+	return strcmp(m->report.domain, d->settings->domain) == 0;
+}
+
+/* The speaker of another domain, or while none is heard, anyone listed. */
+static bool
+me_pick_other_speaker(
+    struct daemon *d, const struct mb_member *m, int64_t now_us)
+{
+	struct mb_member *speaker;
+
+	if (strcmp(m->report.domain, d->settings->domain) == 0)
+		return false;
+	speaker = mb_speaker(d->view, m->report.domain, now_us);
+	return speaker == NULL ? m->listed != MB_UNLISTED : speaker == m;
+}
+
+static void
+me_send_to(struct members *me, enum me_scope scope, me_pick_fn pick)
+{
+	struct daemon *d = me->d;
+	int64_t now_us = clk_now_us();
+	struct me_summary *s;
+	char (*vm)[MB_NAME_BYTES];
+	uint32_t n = 0;
+	uint32_t i;
+
+	s = me_build(me, scope, now_us);
+	vm = talloc_array_size(s, MB_NAME_BYTES, d->view->count);
+	for (i = 0; i < d->view->count; i++) {
+		const struct mb_member *m = &d->view->member[i];
+
+		if (m->gone_at_us != 0 ||
+		    strcmp(m->report.vm, d->settings->vm) == 0 ||
+		    !pick(d, m, now_us))
+			continue;
+		memcpy(vm[n++], m->report.vm, MB_NAME_BYTES);
+	}
+	/* The messages point into the view, so it must stay as it is. */
+	pthread_mutex_unlock(&d->members_lock);
+	for (i = 0; i < n; i++)
+		me_send(me, vm[i], s);
+	talloc_free(s);
+}
+
+static void
+me_on_heartbeat(void *arg)
+{
+	struct members *me = arg;
+
+	me_refresh_self(me, clk_now_us());
+	me_send_to(me, ME_SELF, me_pick_same_domain);
+}
+
+static void
+me_on_summary_due(void *arg)
+{
+	struct members *me = arg;
+	struct daemon *d = me->d;
+	bool speaker;
+
+	pthread_mutex_lock(&d->members_lock);
+	speaker = mb_is_speaker(d->view, clk_now_us());
+	pthread_mutex_unlock(&d->members_lock);
+	if (!speaker)
+		return;
+	me_send_to(me, ME_DOMAIN, me_pick_other_speaker);
+	me_send_to(me, ME_ALL, me_pick_same_domain);
+}
+
+void
+me_send_now(struct members *me)
+{
+	me_on_heartbeat(me);
+}
+
+static void
+me_take(struct daemon *d, const Currant__Heartbeat *beat, int64_t now_us)
+{
+	struct mb_report r = {0};
+	enum mb_error error;
+	size_t i;
+
+	snprintf(r.vm, sizeof(r.vm), "%s", beat->vm);
+	snprintf(r.domain, sizeof(r.domain), "%s", beat->domain);
+	snprintf(r.address, sizeof(r.address), "%s", beat->address);
+	snprintf(r.preset, sizeof(r.preset), "%s",
+	    beat->preset != NULL ? beat->preset : "");
+	r.incarnation = beat->incarnation;
+	r.config_revision = beat->config_revision;
+	r.leaving = beat->leaving;
+	r.age_us = (int64_t)beat->age_ms * CLK_US_PER_MS;
+	for (i = 0; i < beat->n_owned && i < MB_MAX_OWNED; i++) {
+		snprintf(r.owned[i].shard, MB_NAME_BYTES, "%s",
+		    beat->owned[i]->shard);
+		r.owned[i].epoch = beat->owned[i]->epoch;
+		r.owned_count++;
+	}
+	for (i = 0; i < beat->n_room && i < MB_MAX_ROOM; i++) {
+		snprintf(r.room[i].service, MB_NAME_BYTES, "%s",
+		    beat->room[i]->service);
+		r.room[i].free_slots = beat->room[i]->free_slots;
+		r.room_count++;
+	}
+	if (strcmp(r.vm, d->settings->vm) == 0)
+		return;
+	pthread_mutex_lock(&d->members_lock);
+	error = mb_on_report(d->view, &r, now_us);
+	pthread_mutex_unlock(&d->members_lock);
+	if (error == MB_WRONG_DOMAIN)
+		lg_event(LG_WARN, "members", "wrong_domain", "member", r.vm,
+		    "claimed", r.domain, NULL);
+}
+
+void
+me_on_summary(struct members *me, const Currant__Summary *summary)
+{
+	int64_t now_us = clk_now_us();
+	size_t i;
+
+	for (i = 0; i < summary->n_members; i++)
+		me_take(me->d, summary->members[i], now_us);
+}
+
+bool
+me_is_leaving(struct daemon *d, const char *vm)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->leaving_vm_count; i++) {
+		if (strcmp(d->leaving_vm[i], vm) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+me_take_list(struct members *me, const struct vj_list *list)
+{
+	struct daemon *d = me->d;
+	struct mb_list_entry *entry;
+	uint32_t n = 0;
+	uint32_t i;
+
+	entry = talloc_array(list, struct mb_list_entry, list->count + 1);
+	d->leaving_vm_count = 0;
+	for (i = 0; i < list->count; i++) {
+		const struct vj_vm *vm = &list->vm[i];
+
+		if (vm->leaving && d->leaving_vm_count < DM_MAX_LEAVING)
+			snprintf(d->leaving_vm[d->leaving_vm_count++],
+			    MB_NAME_BYTES, "%s", vm->id);
+		if (vm->role != VJ_DAEMON)
+			continue;
+		entry[n].vm = vm->id;
+		entry[n].domain = vm->domain;
+		entry[n].address = vm->address;
+		entry[n++].leaving = vm->leaving;
+	}
+	pthread_mutex_lock(&d->members_lock);
+	mb_on_list(d->view, entry, n, clk_now_us());
+	pthread_mutex_unlock(&d->members_lock);
+}
+
+static void
+me_on_vms(const struct hc_response *resp, void *arg)
+{
+	struct members *me = arg;
+	char error[JF_ERROR_BYTES];
+	struct vj_list *list;
+
+	me->vms_busy = false;
+	if (resp->error != HC_OK || resp->status != 200)
+		return;
+	list = vj_parse(me, resp->body, resp->body_bytes, error);
+	if (list == NULL) {
+		lg_event(LG_WARN, "members", "bad_vm_list", "reason", error,
+		    NULL);
+		return;
+	}
+	me_take_list(me, list);
+	talloc_free(list);
+}
+
+static void
+me_on_vms_due(void *arg)
+{
+	struct members *me = arg;
+	struct hc_request req = {0};
+	char url[128];
+
+	if (me->vms_busy)
+		return;
+	snprintf(url, sizeof(url), "http://%s/v1/vms",
+	    me->d->settings->vms_address);
+	req.method = "GET";
+	req.url = url;
+	req.deadline_us = clk_now_us() + me->d->settings->store_timeout_us;
+	me->vms_busy = true;
+	hc_send(me->d->control_http, &req, me_on_vms, me);
+}
+
+void
+me_start(struct members *me)
+{
+	struct settings *s = me->d->settings;
+
+	me_on_vms_due(me);
+	loop_every(me->d->control, s->vms_poll_us, me_on_vms_due, me);
+	loop_every(me->d->control, s->heartbeat_us, me_on_heartbeat, me);
+	loop_every(me->d->control, s->summary_us, me_on_summary_due, me);
+}
--- a/include/coordination/membership.h
+++ b/include/coordination/membership.h
@@ -63,12 +63,14 @@
 /**
  * struct mb_member - one daemon
  * @report: newest report; vm, domain and address also from the VM list
+ * @heard_us: when its newest report was made
  * @dead_at_us: dead from here on unless heard again
  * @listed: what the platform's list says
  * @gone_at_us: since when its VM is surely gone; 0 while it may live
  */
 struct mb_member {
 	struct mb_report report;
+	int64_t heard_us;
 	int64_t dead_at_us;
 	enum mb_listed listed;
 	int64_t gone_at_us;
@@ -78,6 +80,7 @@
 	struct mb_member *member;
 	uint32_t count;
 	int64_t timeout_us;
+	int64_t remote_timeout_us;
 	char self[MB_NAME_BYTES];
 	char domain[MB_NAME_BYTES];
 };
@@ -92,10 +95,11 @@
  * mb_create() - a view that knows only this daemon
  * @ctx: talloc parent
  * @self: this daemon's report
- * @timeout_us: silence after which a member counts as dead
+ * @timeout_us: silence after which a member of our domain counts as dead
+ * @remote_timeout_us: likewise for other domains, heard through summaries
  */
-struct mb_view *mb_create(
-    TALLOC_CTX *ctx, const struct mb_report *self, int64_t timeout_us);
+struct mb_view *mb_create(TALLOC_CTX *ctx, const struct mb_report *self,
+    int64_t timeout_us, int64_t remote_timeout_us);
 
 /** mb_find() - a member by VM id, or NULL */
 struct mb_member *mb_find(struct mb_view *v, const char *vm);
--- a/include/coordination/ownership.h
+++ b/include/coordination/ownership.h
@@ -144,6 +144,8 @@
 	struct ow_head head;
 	uint64_t head_revision;
 	bool head_exists;
+	char previous_owner[OW_NAME_BYTES];
+	uint64_t previous_writer;
 	bool lease_taken;
 	uint64_t lease_revision;
 	uint64_t epoch;
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -352,10 +352,11 @@
   uint32_t request_class;
   protobuf_c_boolean idempotent;
   ProtobufCBinaryData body;
+  char *key;
 };
 #define CURRANT__FORWARD_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__forward_request__descriptor) \
-    , NULL, NULL, 0, 0, {0,NULL} }
+    , NULL, NULL, 0, 0, {0,NULL}, NULL }
 
 
 struct  Currant__Call
@@ -392,10 +393,11 @@
   uint32_t retry_after_ms;
   protobuf_c_boolean has_body;
   ProtobufCBinaryData body;
+  char *content_type;
 };
 #define CURRANT__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__reply__descriptor) \
-    , 0, 0, 0, 0, NULL, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, NULL, 0, 0, 0, {0,NULL}, NULL }
 
 
 struct  Currant__Frame
--- a/include/transport/peer.h
+++ b/include/transport/peer.h
@@ -68,6 +68,10 @@
 const char *peer_vm(const struct peer_link *link);
 /** peer_address() - address it was opened with; empty if accepted */
 const char *peer_address(const struct peer_link *link);
+/** peer_serial() - number that names the link in its net for ever */
+uint64_t peer_serial(const struct peer_link *link);
+/** peer_find() - an open link by its serial, or NULL */
+struct peer_link *peer_find(struct peer_net *net, uint64_t serial);
 /** peer_close() - close a link; on_closed is called */
 void peer_close(struct peer_link *link);
 
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -2573,7 +2573,7 @@
   (ProtobufCMessageInit) currant__claim_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__forward_request__field_descriptors[5] =
+static const ProtobufCFieldDescriptor currant__forward_request__field_descriptors[6] =
 {
   {
     "service",
@@ -2635,10 +2635,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ForwardRequest, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__forward_request__field_indices_by_name[] = {
   4,   /* field[4] = body */
   3,   /* field[3] = idempotent */
+  5,   /* field[5] = key */
   2,   /* field[2] = request_class */
   1,   /* field[1] = request_id */
   0,   /* field[0] = service */
@@ -2646,7 +2659,7 @@
 static const ProtobufCIntRange currant__forward_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor currant__forward_request__descriptor =
 {
@@ -2656,7 +2669,7 @@
   "Currant__ForwardRequest",
   "currant",
   sizeof(Currant__ForwardRequest),
-  5,
+  6,
   currant__forward_request__field_descriptors,
   currant__forward_request__field_indices_by_name,
   1,  currant__forward_request__number_ranges,
@@ -2819,7 +2832,7 @@
   (ProtobufCMessageInit) currant__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__reply__field_descriptors[6] =
+static const ProtobufCFieldDescriptor currant__reply__field_descriptors[7] =
 {
   {
     "id",
@@ -2893,9 +2906,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "content_type",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Reply, content_type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__reply__field_indices_by_name[] = {
   5,   /* field[5] = body */
+  6,   /* field[6] = content_type */
   0,   /* field[0] = id */
   1,   /* field[1] = outcome */
   3,   /* field[3] = reason */
@@ -2905,7 +2931,7 @@
 static const ProtobufCIntRange currant__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor currant__reply__descriptor =
 {
@@ -2915,7 +2941,7 @@
   "Currant__Reply",
   "currant",
   sizeof(Currant__Reply),
-  6,
+  7,
   currant__reply__field_descriptors,
   currant__reply__field_indices_by_name,
   1,  currant__reply__number_ranges,
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -145,9 +145,11 @@
 		return MHD_YES;
 	ex->handled = true;
 	if (ex->too_large) {
-		hs_respond(&ex->req, 413, "application/json",
-		    "{\"outcome\":\"not_run\",\"reason\":\"body too large\"}",
-		    48, NULL, 0);
+		static const char text[] =
+		    "{\"outcome\":\"not_run\",\"reason\":\"body too large\"}";
+
+		hs_respond(&ex->req, 413, "application/json", text,
+		    sizeof(text) - 1, NULL, 0);
 		return hs_queue(ex);
 	}
 	hs->handler(&ex->req, hs->arg);
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utlist.h>
 
 #include "common/clock.h"
 #include "common/counters.h"
@@ -24,6 +25,8 @@
 	Currant__Hello hello;
 	struct peer_hooks hooks;
 	void *arg;
+	uint64_t next_serial;
+	struct peer_link *links;
 };
 
 struct peer_buffer {
@@ -34,6 +37,9 @@
 
 struct peer_link {
 	struct peer_net *net;
+	uint64_t serial;
+	struct peer_link *prev;
+	struct peer_link *next;
 	int fd;
 	struct tevent_fd *fde;
 	struct tevent_timer *hello_timer;
@@ -105,6 +111,7 @@
 	if (link->closing)
 		return;
 	link->closing = true;
+	DL_DELETE(link->net->links, link);
 	TALLOC_FREE(link->fde);
 	close(link->fd);
 	link->net->hooks.on_closed(link, link->net->arg);
@@ -311,6 +318,8 @@
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	link->net = net;
+	link->serial = ++net->next_serial;
+	DL_APPEND(net->links, link);
 	link->fd = fd;
 	link->fde = tevent_add_fd(loop_ev(net->loop), link, fd,
 	    TEVENT_FD_READ, peer_on_event, link);
@@ -415,3 +424,21 @@
 {
 	return link->address;
 }
+
+uint64_t
+peer_serial(const struct peer_link *link)
+{
+	return link->serial;
+}
+
+struct peer_link *
+peer_find(struct peer_net *net, uint64_t serial)
+{
+	struct peer_link *link;
+
+	DL_FOREACH(net->links, link) {
+		if (link->serial == serial)
+			return link;
+	}
+	return NULL;
+}
