--- a/common/counters.c
+++ b/common/counters.c
@@ -34,8 +34,7 @@
 void
 ct_add(enum ct_counter which, uint64_t n)
 {
-	atomic_fetch_add_explicit(
-	    &ct_values[which], n, memory_order_relaxed);
+	atomic_fetch_add_explicit(&ct_values[which], n, memory_order_relaxed);
 }
 
 uint64_t
@@ -74,8 +73,8 @@
 		return (int64_t)index;
 	power = (unsigned int)(index / CT_SUB_BUCKETS) + 3U;
 	sub = index % CT_SUB_BUCKETS;
-	return (int64_t)((((uint64_t)CT_SUB_BUCKETS + sub + 1)
-			     << (power - 4U)) -
+	return (
+	    int64_t)((((uint64_t)CT_SUB_BUCKETS + sub + 1) << (power - 4U)) -
 	    1);
 }
 
--- a/common/log.c
+++ b/common/log.c
@@ -22,10 +22,10 @@
 	const char *name;
 	int priority;
 } lg_levels[] = {
-	[LG_ERROR] = {"error", LOG4C_PRIORITY_ERROR},
-	[LG_WARN] = {"warn", LOG4C_PRIORITY_WARN},
-	[LG_INFO] = {"info", LOG4C_PRIORITY_INFO},
-	[LG_DEBUG] = {"debug", LOG4C_PRIORITY_DEBUG},
+    [LG_ERROR] = {"error", LOG4C_PRIORITY_ERROR},
+    [LG_WARN] = {"warn", LOG4C_PRIORITY_WARN},
+    [LG_INFO] = {"info", LOG4C_PRIORITY_INFO},
+    [LG_DEBUG] = {"debug", LOG4C_PRIORITY_DEBUG},
 };
 
 /* The message is already one line of pairs; the layout passes it on. */
@@ -144,8 +144,8 @@
 
 	if (at >= LG_LINE_BYTES - 8)
 		return at;
-	n = snprintf(line + at, LG_LINE_BYTES - at, "%s%s=",
-	    at == 0 ? "" : " ", key);
+	n = snprintf(
+	    line + at, LG_LINE_BYTES - at, "%s%s=", at == 0 ? "" : " ", key);
 	if (n < 0 || at + (size_t)n >= LG_LINE_BYTES - 8)
 		return at;
 	return lg_append_escaped(line, at + (size_t)n, value);
@@ -178,8 +178,7 @@
 	if (lg_root == NULL)
 		return;
 	cat = lg_get_category(module);
-	if (!log4c_category_is_priority_enabled(
-		cat, lg_levels[level].priority))
+	if (!log4c_category_is_priority_enabled(cat, lg_levels[level].priority))
 		return;
 	lg_format_ts(ts, sizeof(ts));
 	at = lg_append_pair(line, at, "ts", ts);
--- a/common/toml_read.cc
+++ b/common/toml_read.cc
@@ -11,8 +11,7 @@
 json_t *convert(const toml::node &node, const std::string &path, json_t *lines);
 
 json_t *
-convert_table(
-    const toml::table &table, const std::string &path, json_t *lines)
+convert_table(const toml::table &table, const std::string &path, json_t *lines)
 {
 	json_t *object = json_object();
 
@@ -26,8 +25,7 @@
 }
 
 json_t *
-convert_array(
-    const toml::array &array, const std::string &path, json_t *lines)
+convert_array(const toml::array &array, const std::string &path, json_t *lines)
 {
 	json_t *list = json_array();
 	size_t index = 0;
@@ -42,8 +40,8 @@
 json_t *
 convert(const toml::node &node, const std::string &path, json_t *lines)
 {
-	json_object_set_new(lines, path.c_str(),
-	    json_integer(node.source().begin.line));
+	json_object_set_new(
+	    lines, path.c_str(), json_integer(node.source().begin.line));
 	if (const auto *table = node.as_table())
 		return convert_table(*table, path, lines);
 	if (const auto *array = node.as_array())
--- /dev/null
+++ b/contrib/demo.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Builds everything, runs both sample deployments on loopback with stand-ins
+# for the platform, and exits 0 only if every outcome is right.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+bash contrib/deps.sh
+[ -d build ] || meson setup build >/dev/null
+ninja -C build >/dev/null
+if [ $# -eq 0 ]; then
+  set -- kilimanjaro county-works
+fi
+for deployment in "$@"; do
+  python3 contrib/demo_run.py build "$deployment"
+done
--- a/coordination/membership.c
+++ b/coordination/membership.c
@@ -79,8 +79,7 @@
 	    strcmp(m->report.domain, r->domain) != 0)
 		return MB_WRONG_DOMAIN;
 	/* A summary may be older than what was heard directly. */
-	if (r->incarnation == m->report.incarnation &&
-	    heard_us < m->heard_us)
+	if (r->incarnation == m->report.incarnation && heard_us < m->heard_us)
 		return MB_OK;
 	m->report = *r;
 	m->heard_us = heard_us;
@@ -111,8 +110,8 @@
 }
 
 void
-mb_on_list(struct mb_view *v, const struct mb_list_entry *entry,
-    uint32_t count, int64_t now_us)
+mb_on_list(struct mb_view *v, const struct mb_list_entry *entry, uint32_t count,
+    int64_t now_us)
 {
 	uint32_t i;
 	uint32_t k;
@@ -183,8 +182,7 @@
 		if (strcmp(m->report.domain, domain) != 0 ||
 		    !mb_alive(m, now_us))
 			continue;
-		if (best == NULL ||
-		    strcmp(m->report.vm, best->report.vm) < 0)
+		if (best == NULL || strcmp(m->report.vm, best->report.vm) < 0)
 			best = m;
 	}
 	return best;
@@ -200,8 +198,7 @@
 }
 
 struct mb_member *
-mb_owner(
-    struct mb_view *v, const char *shard, int64_t now_us, uint64_t *epoch)
+mb_owner(struct mb_view *v, const char *shard, int64_t now_us, uint64_t *epoch)
 {
 	struct mb_member *best = NULL;
 	uint64_t best_epoch = 0;
@@ -229,8 +226,7 @@
 }
 
 bool
-mb_domain_has_live(
-    const struct mb_view *v, const char *domain, int64_t now_us)
+mb_domain_has_live(const struct mb_view *v, const char *domain, int64_t now_us)
 {
 	uint32_t i;
 
--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -309,8 +309,7 @@
 	m->next_seq = m->head.snapshot_seq + 1;
 	m->trim_seq = m->head.trimmed_seq + 1;
 	m->old_snap_parts = 0;
-	m->state =
-	    m->head.snapshot_parts > 0 ? OW_READ_SNAPSHOT : OW_READ_LOG;
+	m->state = m->head.snapshot_parts > 0 ? OW_READ_SNAPSHOT : OW_READ_LOG;
 	return OW_EV_RESET;
 }
 
--- a/currantctl/cmd_config.c
+++ b/currantctl/cmd_config.c
@@ -19,8 +19,7 @@
 }
 
 static int
-config_fetch(
-    struct ctl *ctl, const char *area, struct ctl_response *resp)
+config_fetch(struct ctl *ctl, const char *area, struct ctl_response *resp)
 {
 	char path[CONFIG_PATH_BYTES];
 
@@ -92,7 +91,8 @@
 	json_t *m;
 	size_t i;
 
-	json_array_foreach(members, i, m) {
+	json_array_foreach(members, i, m)
+	{
 		const char *state =
 		    json_string_value(json_object_get(m, "state"));
 
@@ -135,15 +135,15 @@
 	} while (spent_ms < timeout_ms);
 	fprintf(stderr, "currantctl: not yet in force on:");
 	json_array_foreach(lagging, i, vm)
-		fprintf(stderr, " %s", json_string_value(vm));
+	    fprintf(stderr, " %s", json_string_value(vm));
 	fprintf(stderr, "\n");
 	json_decref(lagging);
 	return CTL_LAGGING;
 }
 
 static int
-config_put(struct ctl *ctl, const char *area, json_t *document,
-    json_int_t if_revision)
+config_put(
+    struct ctl *ctl, const char *area, json_t *document, json_int_t if_revision)
 {
 	struct ctl_call call = {.method = "PUT"};
 	char path[CONFIG_PATH_BYTES];
@@ -195,8 +195,7 @@
 	int code;
 
 	if (argc != 2)
-		return config_usage(
-		    "preset set ordinary|peaks|maintenance");
+		return config_usage("preset set ordinary|peaks|maintenance");
 	document = json_pack("{s:s}", "preset", argv[1]);
 	code = config_put_current(ctl, "preset", document);
 	json_decref(document);
--- a/currantctl/cmd_job.c
+++ b/currantctl/cmd_job.c
@@ -79,8 +79,8 @@
 		job_set(job, "memory", json_string(arg));
 		break;
 	case 'a':
-		job_set(job, "accelerators",
-		    json_integer(strtoll(arg, NULL, 10)));
+		job_set(
+		    job, "accelerators", json_integer(strtoll(arg, NULL, 10)));
 		break;
 	case 'r':
 		job_set(job, "run", json_string(arg));
@@ -165,8 +165,7 @@
 	struct ctl_response resp;
 	int code;
 
-	snprintf(
-	    path, sizeof(path), "/v1/jobs/%s", job_argument(argc, argv));
+	snprintf(path, sizeof(path), "/v1/jobs/%s", job_argument(argc, argv));
 	ctl_get(ctl, path, &resp);
 	code = ctl_exit_code(ctl, &resp);
 	if (code == CTL_OK)
@@ -215,8 +214,8 @@
 
 	if (state != NULL && strcmp(state, "done") == 0)
 		return CTL_OK;
-	return state != NULL && strcmp(state, "unknown") == 0 ? CTL_UNKNOWN :
-								CTL_NOT_RUN;
+	return state != NULL && strcmp(state, "unknown") == 0 ? CTL_UNKNOWN
+							      : CTL_NOT_RUN;
 }
 
 int
@@ -227,8 +226,8 @@
 	struct ctl_response resp;
 	int code;
 
-	snprintf(path, sizeof(path), "/v1/jobs/%s?wait_ms=%d", id,
-	    JOB_WAIT_STEP_MS);
+	snprintf(
+	    path, sizeof(path), "/v1/jobs/%s?wait_ms=%d", id, JOB_WAIT_STEP_MS);
 	for (;;) {
 		ctl_get(ctl, path, &resp);
 		if (resp.status == 503 || resp.status == 504) {
@@ -265,8 +264,7 @@
 	struct ctl_response resp;
 	int code;
 
-	snprintf(
-	    path, sizeof(path), "/v1/jobs/%s", job_argument(argc, argv));
+	snprintf(path, sizeof(path), "/v1/jobs/%s", job_argument(argc, argv));
 	call.address = ctl->operators;
 	call.path = path;
 	ctl_call(ctl, &call, &resp);
--- a/currantctl/cmd_report.c
+++ b/currantctl/cmd_report.c
@@ -44,7 +44,8 @@
 	json_t *row;
 	size_t i;
 
-	json_array_foreach(merged, i, row) {
+	json_array_foreach(merged, i, row)
+	{
 		if (strcmp(json_string_value(json_object_get(row, "objective")),
 			objective) == 0 &&
 		    json_integer_value(json_object_get(row, "minutes")) ==
@@ -73,7 +74,8 @@
 	size_t i;
 	size_t k;
 
-	json_array_foreach(parts, i, part) {
+	json_array_foreach(parts, i, part)
+	{
 		const char *name =
 		    json_string_value(json_object_get(part, "objective"));
 
@@ -107,7 +109,8 @@
 	json_t *row;
 	size_t i;
 
-	json_array_foreach(merged, i, row) {
+	json_array_foreach(merged, i, row)
+	{
 		double good =
 		    (double)json_integer_value(json_object_get(row, "good"));
 		double bad =
@@ -150,8 +153,8 @@
 	fprintf(f,
 	    " %" JSON_INTEGER_FORMAT " min</text>"
 	    "<rect x=\"260\" y=\"%d\" width=\"%.1f\" height=\"16\" "
-	    "fill=\"%s\"/><text x=\"680\" y=\"%d\">%.2f (%"
-	    JSON_INTEGER_FORMAT " bad of %" JSON_INTEGER_FORMAT ")</text>\n",
+	    "fill=\"%s\"/><text x=\"680\" y=\"%d\">%.2f (%" JSON_INTEGER_FORMAT
+	    " bad of %" JSON_INTEGER_FORMAT ")</text>\n",
 	    json_integer_value(json_object_get(row, "minutes")), y + 3,
 	    shown / REPORT_MAX_BURN * REPORT_BAR_PX,
 	    burn > 1.0 ? "#b3261e" : "#2e7d32", y + 16, burn,
@@ -182,13 +185,13 @@
 	    "of the line the budget will not last.</p>"
 	    "<svg width=\"960\" height=\"%zu\">\n",
 	    n * REPORT_ROW_PX + 10);
-	json_array_foreach(merged, i, row)
-		report_html_row(f, row, i);
+	json_array_foreach(merged, i, row) report_html_row(f, row, i);
 	fprintf(f,
 	    "<line x1=\"%.1f\" x2=\"%.1f\" y1=\"0\" y2=\"%zu\" "
 	    "stroke=\"#444\"/></svg>\n",
 	    one, one, n * REPORT_ROW_PX);
-	json_array_foreach(missing, i, name) {
+	json_array_foreach(missing, i, name)
+	{
 		fputs("<p>No answer from ", f);
 		report_html_text(f, json_string_value(name));
 		fputs(": its requests are not counted.</p>\n", f);
@@ -214,8 +217,8 @@
 
 	ctl_print_table(merged, columns, 7);
 	json_array_foreach(missing, i, name)
-		printf("no answer from %s: its requests are not counted\n",
-		    json_string_value(name));
+	    printf("no answer from %s: its requests are not counted\n",
+		json_string_value(name));
 }
 
 int
--- a/currantctl/cmd_service.c
+++ b/currantctl/cmd_service.c
@@ -101,8 +101,8 @@
 }
 
 static const struct argp request_argp = {request_options, request_parse,
-    "SERVICE", "Send a request to a service and print its answer.", NULL,
-    NULL, NULL};
+    "SERVICE", "Send a request to a service and print its answer.", NULL, NULL,
+    NULL};
 
 int
 cmd_service_request(struct ctl *ctl, int argc, char **argv)
@@ -115,8 +115,9 @@
 
 	argp_parse(&request_argp, argc, argv, 0, NULL, &a);
 	if (ctl->callers == NULL) {
-		fprintf(stderr, "currantctl: give --callers IP:PORT or set "
-				"CURRANT_CALLERS\n");
+		fprintf(stderr,
+		    "currantctl: give --callers IP:PORT or set "
+		    "CURRANT_CALLERS\n");
 		return CTL_USAGE;
 	}
 	snprintf(path, sizeof(path), "/v1/services/%s/requests", a.service);
--- a/currantctl/cmd_show.c
+++ b/currantctl/cmd_show.c
@@ -24,9 +24,8 @@
 		ctl_print_table(
 		    json_object_get(resp.body, field), columns, count);
 	missing = json_object_get(resp.body, "unreachable");
-	json_array_foreach(missing, i, name)
-		fprintf(stderr, "currantctl: no answer from %s\n",
-		    json_string_value(name));
+	json_array_foreach(missing, i, name) fprintf(
+	    stderr, "currantctl: no answer from %s\n", json_string_value(name));
 	ctl_free(&resp);
 	return code;
 }
@@ -105,8 +104,7 @@
 		    json_string_value(json_object_get(resp.body, "vm")),
 		    json_string_value(json_object_get(resp.body, "domain")),
 		    json_string_value(json_object_get(resp.body, "preset")),
-		    json_integer_value(
-			json_object_get(resp.body, "revision")));
+		    json_integer_value(json_object_get(resp.body, "revision")));
 		ctl_print_table(
 		    json_object_get(resp.body, "shards"), columns, 3);
 	}
--- a/currantctl/http.c
+++ b/currantctl/http.c
@@ -87,8 +87,7 @@
 	}
 	code = curl_easy_perform(easy);
 	if (code == CURLE_OK)
-		curl_easy_getinfo(
-		    easy, CURLINFO_RESPONSE_CODE, &resp->status);
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &resp->status);
 	else
 		fprintf(stderr, "currantctl: %s: %s\n", call->address,
 		    curl_easy_strerror(code));
@@ -107,8 +106,9 @@
 	    .address = ctl->operators, .method = "GET", .path = path};
 
 	if (ctl->operators == NULL) {
-		fprintf(stderr, "currantctl: give --server IP:PORT or set "
-				"CURRANT_SERVER\n");
+		fprintf(stderr,
+		    "currantctl: give --server IP:PORT or set "
+		    "CURRANT_SERVER\n");
 		exit(CTL_USAGE);
 	}
 	ctl_call(ctl, &call, resp);
@@ -136,6 +136,6 @@
 	fprintf(stderr, "currantctl: %s: %s\n",
 	    resp->outcome[0] != '\0' ? resp->outcome : "error",
 	    reason != NULL ? reason : "no reason given");
-	return strcmp(resp->outcome, "unknown") == 0 ? CTL_UNKNOWN :
-						       CTL_NOT_RUN;
+	return strcmp(resp->outcome, "unknown") == 0 ? CTL_UNKNOWN
+						     : CTL_NOT_RUN;
 }
--- a/currantctl/table.c
+++ b/currantctl/table.c
@@ -15,8 +15,7 @@
 	const char *dot;
 
 	while ((dot = strchr(field, '.')) != NULL) {
-		snprintf(part, sizeof(part), "%.*s", (int)(dot - field),
-		    field);
+		snprintf(part, sizeof(part), "%.*s", (int)(dot - field), field);
 		row = json_object_get(row, part);
 		field = dot + 1;
 	}
@@ -30,8 +29,8 @@
 
 	cell[0] = '\0';
 	if (json_is_string(value))
-		snprintf(cell, TABLE_CELL_BYTES, "%s",
-		    json_string_value(value));
+		snprintf(
+		    cell, TABLE_CELL_BYTES, "%s", json_string_value(value));
 	else if (json_is_integer(value))
 		snprintf(cell, TABLE_CELL_BYTES, "%" JSON_INTEGER_FORMAT,
 		    json_integer_value(value));
@@ -54,7 +53,8 @@
 
 	for (c = 0; c < count; c++)
 		width[c] = (int)strlen(columns[c].title);
-	json_array_foreach(rows, i, row) {
+	json_array_foreach(rows, i, row)
+	{
 		for (c = 0; c < count; c++) {
 			table_cell(row, columns[c].field, cell);
 			if ((int)strlen(cell) > width[c])
@@ -62,9 +62,10 @@
 		}
 	}
 	for (c = 0; c < count; c++)
-		printf("%-*s%s", c + 1 < count ? width[c] : 0,
-		    columns[c].title, c + 1 < count ? "  " : "\n");
-	json_array_foreach(rows, i, row) {
+		printf("%-*s%s", c + 1 < count ? width[c] : 0, columns[c].title,
+		    c + 1 < count ? "  " : "\n");
+	json_array_foreach(rows, i, row)
+	{
 		for (c = 0; c < count; c++) {
 			table_cell(row, columns[c].field, cell);
 			printf("%-*s%s", c + 1 < count ? width[c] : 0, cell,
--- a/curranttackd/api_config.c
+++ b/curranttackd/api_config.c
@@ -70,8 +70,7 @@
 			(json_int_t)p->revision));
 	else if (p->status == 409)
 		fr_json(p->req, 409,
-		    json_pack("{s:s, s:s, s:I}", "outcome", "not_run",
-			"reason",
+		    json_pack("{s:s, s:s, s:I}", "outcome", "not_run", "reason",
 			"another operator has changed this area meanwhile",
 			"revision", (json_int_t)p->revision));
 	else if (p->status == 404)
@@ -221,8 +220,8 @@
 	struct cf_config *scratch = cf_create(NULL);
 	bool ok;
 
-	ok = cj_parse(scratch, area, (const uint8_t *)req->body,
-	    req->body_bytes, error);
+	ok = cj_parse(
+	    scratch, area, (const uint8_t *)req->body, req->body_bytes, error);
 	talloc_free(scratch);
 	return ok;
 }
--- a/curranttackd/api_jobs.c
+++ b/curranttackd/api_jobs.c
@@ -41,8 +41,8 @@
 }
 
 static const char *
-aj_short_resource(const struct cf_shards *shards,
-    const struct st_job_spec *spec)
+aj_short_resource(
+    const struct cf_shards *shards, const struct st_job_spec *spec)
 {
 	struct st_res largest = {0};
 	const char *lacking;
@@ -139,8 +139,8 @@
 		aj_make_key(spec);
 	if (!aj_choose_shard(
 		f->d, spec, shard, error, sizeof(error), &status)) {
-		fr_outcome(req, status, ST_NOT_RUN, error,
-		    status == 503 ? 1000 : 0);
+		fr_outcome(
+		    req, status, ST_NOT_RUN, error, status == 503 ? 1000 : 0);
 		goto out;
 	}
 	rk_spec_to_message(spec, &msg);
@@ -182,8 +182,7 @@
 	call.query = &query;
 	target.shard = shard;
 	ca_post(f, &call, &target,
-	    clk_now_us() + wait_ms * CLK_US_PER_MS + AJ_DEADLINE_US, done,
-	    req);
+	    clk_now_us() + wait_ms * CLK_US_PER_MS + AJ_DEADLINE_US, done, req);
 }
 
 void
@@ -211,8 +210,8 @@
 		return;
 	}
 	body = jf_parse(reply->body.data, reply->body.len, error);
-	fr_json(req, 200,
-	    json_pack("{s:O}", "why", json_object_get(body, "why")));
+	fr_json(
+	    req, 200, json_pack("{s:O}", "why", json_object_get(body, "why")));
 	json_decref(body);
 }
 
--- a/curranttackd/api_operators.c
+++ b/curranttackd/api_operators.c
@@ -37,8 +37,8 @@
 
 	pthread_mutex_lock(&d->config_lock);
 	for (i = 0; i < d->config->shards->count && n < DM_MAX_SHARDS; i++)
-		strncpy(name[n++], d->config->shards->shard[i].id,
-		    MB_NAME_BYTES);
+		strncpy(
+		    name[n++], d->config->shards->shard[i].id, MB_NAME_BYTES);
 	pthread_mutex_unlock(&d->config_lock);
 	pthread_mutex_lock(&d->members_lock);
 	for (i = 0; i < n; i++) {
@@ -88,8 +88,8 @@
 
 	(void)rest;
 	pthread_mutex_lock(&d->config_lock);
-	o = json_pack("{s:s, s:s, s:s, s:I, s:I, s:b}", "vm",
-	    d->settings->vm, "domain", d->settings->domain, "preset",
+	o = json_pack("{s:s, s:s, s:s, s:I, s:I, s:b}", "vm", d->settings->vm,
+	    "domain", d->settings->domain, "preset",
 	    po_preset_name(d->config->preset), "revision",
 	    (json_int_t)d->config->revision, "uptime_s",
 	    (json_int_t)((clk_now_us() - d->started_us) / CLK_US_PER_S),
@@ -127,10 +127,9 @@
 		json_array_append_new(list,
 		    json_pack("{s:s, s:s, s:s, s:s, s:I, s:s}", "vm",
 			m->report.vm, "domain", m->report.domain, "address",
-			m->report.address, "state",
-			ao_member_state(m, now_us), "revision",
-			(json_int_t)m->report.config_revision, "preset",
-			m->report.preset));
+			m->report.address, "state", ao_member_state(m, now_us),
+			"revision", (json_int_t)m->report.config_revision,
+			"preset", m->report.preset));
 	}
 	pthread_mutex_unlock(&f->d->members_lock);
 	fr_json(req, 200, json_pack("{s:o}", "members", list));
@@ -211,8 +210,7 @@
 
 	getrusage(RUSAGE_SELF, &ru);
 	fprintf(out, AO_PREFIX "process_cpu_us_total %" PRId64 "\n",
-	    ((int64_t)ru.ru_utime.tv_sec + ru.ru_stime.tv_sec) *
-		    CLK_US_PER_S +
+	    ((int64_t)ru.ru_utime.tv_sec + ru.ru_stime.tv_sec) * CLK_US_PER_S +
 		ru.ru_utime.tv_usec + ru.ru_stime.tv_usec);
 	fprintf(out, AO_PREFIX "process_max_resident_kb %ld\n", ru.ru_maxrss);
 	fprintf(out, AO_PREFIX "control_cpu_us_total %" PRId64 "\n",
--- a/curranttackd/api_requests.c
+++ b/curranttackd/api_requests.c
@@ -77,8 +77,7 @@
 	r->rt.arg = r;
 	r->received_us = clk_now_us();
 	snprintf(r->id, sizeof(r->id), "%" PRIx64 "-%" PRIx64,
-	    f->d->incarnation,
-	    (uint64_t)atomic_fetch_add(&rq_next_id, 1));
+	    f->d->incarnation, (uint64_t)atomic_fetch_add(&rq_next_id, 1));
 	atomic_fetch_add(&f->d->in_flight, 1);
 	return r;
 }
@@ -101,15 +100,14 @@
 	char shard[MB_NAME_BYTES] = "";
 
 	pthread_mutex_lock(&r->front->d->config_lock);
-	home = cf_home_shard(
-	    r->front->d->config->shards, r->key, NULL, NULL);
+	home = cf_home_shard(r->front->d->config->shards, r->key, NULL, NULL);
 	if (home != NULL)
 		snprintf(shard, sizeof(shard), "%s", home->id);
 	pthread_mutex_unlock(&r->front->d->config_lock);
 	end.key = r->key;
-	end.result = a->outcome == ST_DONE ? ST_RESULT_DONE :
-	    a->outcome == ST_NOT_RUN	   ? ST_RESULT_NONE :
-					     ST_RESULT_UNKNOWN;
+	end.result = a->outcome == ST_DONE ? ST_RESULT_DONE
+	    : a->outcome == ST_NOT_RUN	   ? ST_RESULT_NONE
+					   : ST_RESULT_UNKNOWN;
 	end.status = (uint32_t)a->status;
 	end.answer.data = (uint8_t *)a->body;
 	end.answer.len = a->body_bytes;
@@ -124,9 +122,9 @@
 {
 	struct dm_service *s = r->service;
 
-	ct_add(a->outcome == ST_DONE ? CT_REQ_DONE :
-		a->outcome == ST_NOT_RUN ? CT_REQ_NOT_RUN :
-					   CT_REQ_UNKNOWN,
+	ct_add(a->outcome == ST_DONE	   ? CT_REQ_DONE
+		: a->outcome == ST_NOT_RUN ? CT_REQ_NOT_RUN
+					   : CT_REQ_UNKNOWN,
 	    1);
 	/* A forwarded request counts where its caller is. */
 	if (r->http == NULL)
@@ -198,8 +196,7 @@
 	    hc_header_value(resp, "X-Not-Run", text, sizeof(text)) != NULL)
 		return RT_REFUSED;
 	/* An answer to another request must not reach this caller. */
-	if (hc_header_value(resp, "X-Request-Id", text, sizeof(text)) ==
-		NULL ||
+	if (hc_header_value(resp, "X-Request-Id", text, sizeof(text)) == NULL ||
 	    strcmp(text, r->id) != 0)
 		return RT_LOST;
 	return RT_ANSWERED;
@@ -223,8 +220,8 @@
 		a.status = resp->status;
 		a.body = (const uint8_t *)resp->body;
 		a.body_bytes = resp->body_bytes;
-		a.content_type = hc_header_value(
-		    resp, "Content-Type", type, sizeof(type));
+		a.content_type =
+		    hc_header_value(resp, "Content-Type", type, sizeof(type));
 		if (a.content_type == NULL)
 			a.content_type = "application/octet-stream";
 		rq_finish(r, &a);
@@ -281,9 +278,9 @@
 	if (a.outcome == ST_DONE) {
 		a.body = reply->body.data;
 		a.body_bytes = reply->body.len;
-		a.content_type = reply->content_type != NULL ?
-		    reply->content_type :
-		    "application/octet-stream";
+		a.content_type = reply->content_type != NULL
+		    ? reply->content_type
+		    : "application/octet-stream";
 		rq_finish(r, &a);
 		return;
 	}
@@ -326,8 +323,8 @@
 	fwd.body.len = r->body_bytes;
 	call.forward = &fwd;
 	target.vm = vm;
-	ca_post(r->front, &call, &target, r->rt.deadline_us, rq_on_forwarded,
-	    r);
+	ca_post(
+	    r->front, &call, &target, r->rt.deadline_us, rq_on_forwarded, r);
 }
 
 static void
--- a/curranttackd/burn.c
+++ b/curranttackd/burn.c
@@ -140,15 +140,14 @@
 		const struct burn_objective *o = &b->objective[i];
 		json_t *windows = json_array();
 
-		for (k = 0; k < sizeof(bu_windows) / sizeof(bu_windows[0]);
-		     k++)
+		for (k = 0; k < sizeof(bu_windows) / sizeof(bu_windows[0]); k++)
 			json_array_append_new(
 			    windows, bu_show_window(b, o, bu_windows[k]));
 		json_array_append_new(list,
 		    json_pack("{s:s, s:s, s:s, s:I, s:i, s:o}", "objective",
 			o->name, "service", o->service, "class",
 			st_class_name(o->request_class), "target_us",
-			(json_int_t)o->target_us, "good_ppm",
-			(int)o->good_ppm, "windows", windows));
+			(json_int_t)o->target_us, "good_ppm", (int)o->good_ppm,
+			"windows", windows));
 	}
 }
--- a/curranttackd/calls.c
+++ b/curranttackd/calls.c
@@ -126,8 +126,8 @@
 }
 
 static void
-ca_handle_here(struct calls *c, const Currant__Call *call,
-    int64_t deadline_us, call_done_fn done, void *arg)
+ca_handle_here(struct calls *c, const Currant__Call *call, int64_t deadline_us,
+    call_done_fn done, void *arg)
 {
 	struct shard_host *host;
 
@@ -148,9 +148,8 @@
 }
 
 void
-ca_start(struct calls *c, Currant__Call *call,
-    const struct call_target *target, int64_t deadline_us, call_done_fn done,
-    void *arg)
+ca_start(struct calls *c, Currant__Call *call, const struct call_target *target,
+    int64_t deadline_us, call_done_fn done, void *arg)
 {
 	int64_t now_us = clk_now_us();
 	int64_t left_ms = (deadline_us - now_us) / CLK_US_PER_MS;
@@ -210,7 +209,8 @@
 		ca_reply(&reply, ST_NOT_RUN, 503,
 		    "the daemon in charge cannot be reached",
 		    CA_NO_OWNER_RETRY_MS);
-	HASH_ITER(hh, c->pending, p, next) {
+	HASH_ITER(hh, c->pending, p, next)
+	{
 		if (p->link == link)
 			ca_finish(c, p, &reply);
 	}
@@ -224,7 +224,8 @@
 	Currant__Reply reply;
 
 	ca_reply(&reply, ST_UNKNOWN, 504, "no answer within the deadline", 0);
-	HASH_ITER(hh, c->pending, p, next) {
+	HASH_ITER(hh, c->pending, p, next)
+	{
 		if (now_us >= p->deadline_us)
 			ca_finish(c, p, &reply);
 	}
@@ -325,8 +326,8 @@
 		abort();
 	free(call->shard);
 	call->shard = NULL;
-	ca_start(pc->front->d->calls, call, &target, pc->deadline_us,
-	    ca_return, pc);
+	ca_start(
+	    pc->front->d->calls, call, &target, pc->deadline_us, ca_return, pc);
 	call->shard = NULL;
 	currant__call__free_unpacked(call, NULL);
 }
--- a/curranttackd/configuration.c
+++ b/curranttackd/configuration.c
@@ -62,8 +62,8 @@
 
 	for (i = 0; i < all->count; i++) {
 		for (k = 0; k < d->service_count; k++) {
-			if (strcmp(d->service[k]->name,
-				all->service[i].name) == 0)
+			if (strcmp(d->service[k]->name, all->service[i].name) ==
+			    0)
 				break;
 		}
 		if (k < d->service_count || k == DM_MAX_SERVICES)
@@ -252,7 +252,7 @@
 		return;
 	}
 	json_array_foreach(json_object_get(body, "changes"), i, change)
-		cw_take_change(d, change);
+	    cw_take_change(d, change);
 	if (a->revision > d->watch_revision)
 		d->watch_revision = a->revision;
 	json_decref(body);
@@ -273,8 +273,7 @@
 	for (i = 0; i < d->view->count; i++) {
 		const struct mb_member *m = &d->view->member[i];
 
-		if (!mb_alive(m, now_us) ||
-		    m->report.config_revision <= best)
+		if (!mb_alive(m, now_us) || m->report.config_revision <= best)
 			continue;
 		best = m->report.config_revision;
 		memcpy(ahead, m->report.vm, sizeof(ahead));
@@ -309,8 +308,8 @@
 }
 
 void
-cw_on_fetch(struct daemon *d, struct peer_link *link,
-    const Currant__ConfigFetch *fetch)
+cw_on_fetch(
+    struct daemon *d, struct peer_link *link, const Currant__ConfigFetch *fetch)
 {
 	Currant__Frame frame = CURRANT__FRAME__INIT;
 	Currant__ConfigDocs docs = CURRANT__CONFIG_DOCS__INIT;
--- a/curranttackd/daemon.c
+++ b/curranttackd/daemon.c
@@ -93,8 +93,8 @@
 	hello.domain = d->settings->domain;
 	hello.token = d->settings->peer_token;
 	hello.incarnation = d->incarnation;
-	d->peers = peer_create(
-	    d->control, d->control, fd, &hello, &dm_peer_hooks, d);
+	d->peers =
+	    peer_create(d->control, d->control, fd, &hello, &dm_peer_hooks, d);
 	return d->peers != NULL ? 0 : -1;
 }
 
@@ -104,8 +104,8 @@
 	int callers_fd;
 	int operators_fd;
 
-	callers_fd = hs_listen(d->settings->listen_callers,
-	    d->callers_address, sizeof(d->callers_address));
+	callers_fd = hs_listen(d->settings->listen_callers, d->callers_address,
+	    sizeof(d->callers_address));
 	operators_fd = hs_listen(d->settings->listen_operators,
 	    d->operators_address, sizeof(d->operators_address));
 	if (callers_fd == -1 || operators_fd == -1)
@@ -132,8 +132,8 @@
 		goto fail;
 	d->control_http = hc_create(d->control, d->control, 0);
 	d->kv_ops = &kv_http_ops;
-	d->kv = kv_http_create(d->control, d->control_http,
-	    s->store_address, s->store_timeout_us);
+	d->kv = kv_http_create(
+	    d->control, d->control_http, s->store_address, s->store_timeout_us);
 	d->members = me_create(d);
 	d->calls = ca_create(d);
 	if (d->kv == NULL || d->members == NULL || d->calls == NULL)
@@ -280,8 +280,7 @@
 	    d->peers_address);
 	fflush(stdout);
 	lg_event(LG_INFO, "daemon", "started", "callers", d->callers_address,
-	    "operators", d->operators_address, "peers", d->peers_address,
-	    NULL);
+	    "operators", d->operators_address, "peers", d->peers_address, NULL);
 	loop_run(d->control);
 	return 0;
 }
--- a/curranttackd/front.c
+++ b/curranttackd/front.c
@@ -68,8 +68,8 @@
 		headers[1].value = seconds;
 	}
 	text = json_dumps(body, JSON_COMPACT);
-	hs_respond(req, status, "application/json", text, strlen(text),
-	    headers, 2);
+	hs_respond(
+	    req, status, "application/json", text, strlen(text), headers, 2);
 	free(text);
 	json_decref(body);
 }
@@ -121,9 +121,9 @@
 	}
 	for (r = routes; r->method != NULL; r++) {
 		len = strlen(r->prefix);
-		if (r->prefix[len - 1] == '/' ?
-			strncmp(req->path, r->prefix, len) != 0 :
-			strcmp(req->path, r->prefix) != 0)
+		if (r->prefix[len - 1] == '/'
+			? strncmp(req->path, r->prefix, len) != 0
+			: strcmp(req->path, r->prefix) != 0)
 			continue;
 		path_known = true;
 		if (strcmp(req->method, r->method) != 0)
@@ -150,8 +150,7 @@
 {
 	struct front *f = arg;
 
-	fr_dispatch(
-	    f, req, fr_operator_routes, f->d->settings->operator_token);
+	fr_dispatch(f, req, fr_operator_routes, f->d->settings->operator_token);
 }
 
 static int
@@ -165,8 +164,8 @@
 	if (f->loop == NULL)
 		return -1;
 	f->http = hc_create(f->loop, f->loop, 0);
-	f->callers = hs_create(
-	    f->loop, f->loop, callers_fd, &limits, fr_on_caller, f);
+	f->callers =
+	    hs_create(f->loop, f->loop, callers_fd, &limits, fr_on_caller, f);
 	f->operators = hs_create(
 	    f->loop, f->loop, operators_fd, &limits, fr_on_operator, f);
 	if (f->http == NULL || f->callers == NULL || f->operators == NULL)
@@ -187,8 +186,8 @@
 		d->front[i].d = d;
 		d->front[i].index = i;
 		/* MHD closes the socket it was given. */
-		if (fr_init(&d->front[i], dup(callers_fd),
-			dup(operators_fd)) == -1)
+		if (fr_init(&d->front[i], dup(callers_fd), dup(operators_fd)) ==
+		    -1)
 			return -1;
 	}
 	return 0;
--- a/curranttackd/gather.c
+++ b/curranttackd/gather.c
@@ -35,8 +35,8 @@
 
 	if (--g->left > 0)
 		return;
-	body = json_pack("{s:o, s:o}", g->list, g->items, "unreachable",
-	    g->missing);
+	body = json_pack(
+	    "{s:o, s:o}", g->list, g->items, "unreachable", g->missing);
 	fr_json(g->req, 200, body);
 	talloc_free(g);
 }
@@ -78,8 +78,7 @@
 }
 
 static void
-gather_ask(struct front *f, struct gather *g, const char *vm,
-    const char *shard)
+gather_ask(struct front *f, struct gather *g, const char *vm, const char *shard)
 {
 	Currant__Call call = CURRANT__CALL__INIT;
 	struct call_target target = {vm, shard};
--- a/curranttackd/main.c
+++ b/curranttackd/main.c
@@ -77,8 +77,8 @@
 
 	s = se_load(d, main_config, error);
 	if (s == NULL) {
-		lg_event(LG_ERROR, "daemon", "reload_refused", "reason",
-		    error, NULL);
+		lg_event(LG_ERROR, "daemon", "reload_refused", "reason", error,
+		    NULL);
 		return;
 	}
 	main_init_log(s);
--- a/curranttackd/members.c
+++ b/curranttackd/members.c
@@ -205,8 +205,7 @@
 
 	pthread_mutex_lock(&d->members_lock);
 	s->message = talloc_zero_array(s, struct me_message, d->view->count);
-	s->list =
-	    talloc_zero_array(s, Currant__Heartbeat *, d->view->count);
+	s->list = talloc_zero_array(s, Currant__Heartbeat *, d->view->count);
 	currant__summary__init(&s->summary);
 	for (i = 0; i < d->view->count; i++) {
 		const struct mb_member *m = &d->view->member[i];
@@ -235,12 +234,11 @@
 	peer_send(link, &frame);
 }
 
-typedef bool (*me_pick_fn)(struct daemon *d, const struct mb_member *m,
-    int64_t now_us);
+typedef bool (*me_pick_fn)(
+    struct daemon *d, const struct mb_member *m, int64_t now_us);
 
 static bool
-me_pick_same_domain(
-    struct daemon *d, const struct mb_member *m, int64_t now_us)
+me_pick_same_domain(struct daemon *d, const struct mb_member *m, int64_t now_us)
 {
 	(void)now_us;
 	return strcmp(m->report.domain, d->settings->domain) == 0;
@@ -265,7 +263,7 @@
 	struct daemon *d = me->d;
 	int64_t now_us = clk_now_us();
 	struct me_summary *s;
-	char (*vm)[MB_NAME_BYTES];
+	char(*vm)[MB_NAME_BYTES];
 	uint32_t n = 0;
 	uint32_t i;
 
@@ -418,8 +416,8 @@
 		return;
 	list = vj_parse(me, resp->body, resp->body_bytes, error);
 	if (list == NULL) {
-		lg_event(LG_WARN, "members", "bad_vm_list", "reason", error,
-		    NULL);
+		lg_event(
+		    LG_WARN, "members", "bad_vm_list", "reason", error, NULL);
 		return;
 	}
 	me_take_list(me, list);
@@ -435,8 +433,8 @@
 
 	if (me->vms_busy)
 		return;
-	snprintf(url, sizeof(url), "http://%s/v1/vms",
-	    me->d->settings->vms_address);
+	snprintf(
+	    url, sizeof(url), "http://%s/v1/vms", me->d->settings->vms_address);
 	req.method = "GET";
 	req.url = url;
 	req.deadline_us = clk_now_us() + me->d->settings->store_timeout_us;
--- a/curranttackd/settings.c
+++ b/curranttackd/settings.c
@@ -45,8 +45,8 @@
 	    2 * CLK_US_PER_S, 10 * CLK_US_PER_MS, SE_MINUTE_US);
 	s->store_lease_us = jf_duration_us(
 	    r, "store_lease", 3 * CLK_US_PER_S, CLK_US_PER_S, SE_MINUTE_US);
-	s->vms_poll_us = jf_duration_us(r, "vms_poll", CLK_US_PER_S,
-	    100 * CLK_US_PER_MS, 3 * CLK_US_PER_S);
+	s->vms_poll_us = jf_duration_us(
+	    r, "vms_poll", CLK_US_PER_S, 100 * CLK_US_PER_MS, 3 * CLK_US_PER_S);
 }
 
 static void
@@ -64,10 +64,10 @@
 {
 	s->heartbeat_us = jf_duration_us(r, "heartbeat", 300 * CLK_US_PER_MS,
 	    50 * CLK_US_PER_MS, CLK_US_PER_S);
-	s->summary_us = jf_duration_us(r, "summary", CLK_US_PER_S,
-	    100 * CLK_US_PER_MS, 2 * CLK_US_PER_S);
-	s->member_timeout_us = jf_duration_us(r, "timeout",
-	    2 * CLK_US_PER_S, 200 * CLK_US_PER_MS, SE_MINUTE_US);
+	s->summary_us = jf_duration_us(
+	    r, "summary", CLK_US_PER_S, 100 * CLK_US_PER_MS, 2 * CLK_US_PER_S);
+	s->member_timeout_us = jf_duration_us(
+	    r, "timeout", 2 * CLK_US_PER_S, 200 * CLK_US_PER_MS, SE_MINUTE_US);
 	if (!jf_failed(r) && s->member_timeout_us < 3 * s->heartbeat_us)
 		jf_fail(r, "timeout", "must be at least 3 heartbeats");
 }
@@ -77,8 +77,8 @@
 {
 	s->worker_lease_us = jf_duration_us(
 	    r, "lease", 6 * CLK_US_PER_S, CLK_US_PER_S, 10 * SE_MINUTE_US);
-	s->worker_renew_us = jf_duration_us(r, "renew",
-	    s->worker_lease_us / 3, 100 * CLK_US_PER_MS, 5 * SE_MINUTE_US);
+	s->worker_renew_us = jf_duration_us(r, "renew", s->worker_lease_us / 3,
+	    100 * CLK_US_PER_MS, 5 * SE_MINUTE_US);
 	if (!jf_failed(r) && s->worker_renew_us * 2 > s->worker_lease_us)
 		jf_fail(r, "renew", "must be at most half of the lease");
 }
@@ -95,8 +95,8 @@
 	    r, "keep_ended", SE_HOUR_US, 0, 30 * 24 * SE_HOUR_US);
 	s->keep_claims_us = jf_duration_us(r, "keep_claims", 24 * SE_HOUR_US,
 	    SE_MINUTE_US, 30 * 24 * SE_HOUR_US);
-	s->max_claim_bytes =
-	    (size_t)jf_integer(r, "max_claim_mb", 24, 1, 1024) << 20;
+	s->max_claim_bytes = (size_t)jf_integer(r, "max_claim_mb", 24, 1, 1024)
+	    << 20;
 }
 
 static void
@@ -104,11 +104,11 @@
 {
 	s->front_threads =
 	    (uint32_t)jf_integer(r, "threads", 2, 1, SE_MAX_THREADS);
-	s->max_connections = (uint32_t)jf_integer(
-	    r, "connections", 2000, 1, SE_MAX_CONNECTIONS);
+	s->max_connections =
+	    (uint32_t)jf_integer(r, "connections", 2000, 1, SE_MAX_CONNECTIONS);
 	s->idle_s = (uint32_t)jf_integer(r, "idle_seconds", 120, 1, 3600);
-	s->max_body_bytes =
-	    (size_t)jf_integer(r, "max_body_kb", 1024, 1, 1900) << 10;
+	s->max_body_bytes = (size_t)jf_integer(r, "max_body_kb", 1024, 1, 1900)
+	    << 10;
 	s->drain_us = jf_duration_us(r, "drain", 30 * CLK_US_PER_S,
 	    100 * CLK_US_PER_MS, 10 * SE_MINUTE_US);
 }
@@ -138,7 +138,8 @@
 	se_check_level(r, "level", s->log_level);
 	if (r->known_count < JF_MAX_KEYS)
 		r->known[r->known_count++] = "modules";
-	json_object_foreach(modules, name, value) {
+	json_object_foreach(modules, name, value)
+	{
 		struct se_module_level *m;
 
 		se_check_level(r, "modules", json_string_value(value));
--- a/curranttackd/shard_host.c
+++ b/curranttackd/shard_host.c
@@ -193,8 +193,8 @@
 	o = jj_show_job(h->sh, job, with_tasks);
 	sh_why(h->sh, job, why);
 	json_object_set_new(o, "why", json_string(why));
-	ho_reply_json(reply,
-	    sh_job_ended(h->sh, job) ? ST_DONE : ST_PENDING, 200, o);
+	ho_reply_json(
+	    reply, sh_job_ended(h->sh, job) ? ST_DONE : ST_PENDING, 200, o);
 }
 
 static void
@@ -262,15 +262,13 @@
 		break;
 	case HO_WAIT_CLAIM_GRANTED:
 		/* The holder sends nothing without our answer. */
-		sh_claim_end(
-		    h->sh, w->name, ST_RESULT_NONE, 0, NULL, 0);
+		sh_claim_end(h->sh, w->name, ST_RESULT_NONE, 0, NULL, 0);
 		ca_reply(reply, ST_NOT_RUN, 503,
 		    "the claim could not be made durable in time", 1000);
 		break;
 	default:
 		ca_reply(reply, ST_UNKNOWN, 504,
-		    "not known to be durable; ask again with the same key",
-		    0);
+		    "not known to be durable; ask again with the same key", 0);
 		break;
 	}
 }
@@ -283,7 +281,8 @@
 	Currant__Reply reply;
 	bool owned;
 
-	DL_FOREACH_SAFE(h->waiters, w, next) {
+	DL_FOREACH_SAFE(h->waiters, w, next)
+	{
 		if (!ho_settle(h, w, &reply)) {
 			if (now_us < w->deadline_us)
 				continue;
@@ -360,8 +359,7 @@
 ho_query(struct shard_host *h, const Currant__JobQuery *q, int64_t deadline_us,
     call_done_fn done, void *arg)
 {
-	int64_t until_us =
-	    clk_now_us() + (int64_t)q->wait_ms * CLK_US_PER_MS;
+	int64_t until_us = clk_now_us() + (int64_t)q->wait_ms * CLK_US_PER_MS;
 
 	/* Answers before the caller's own deadline passes. */
 	if (until_us > deadline_us - 50 * CLK_US_PER_MS)
@@ -382,8 +380,7 @@
 		return;
 	}
 	sh_cancel(h->sh, job);
-	ho_wait(h, HO_WAIT_ACCEPTED, id, job->ended_at, deadline_us, done,
-	    arg);
+	ho_wait(h, HO_WAIT_ACCEPTED, id, job->ended_at, deadline_us, done, arg);
 }
 
 static void
@@ -405,8 +402,8 @@
 		return;
 	case CL_IN_PROGRESS:
 	case CL_ANSWERED:
-		ho_wait(h, HO_WAIT_CLAIM_ENDED, take->key, 0, deadline_us,
-		    done, arg);
+		ho_wait(h, HO_WAIT_CLAIM_ENDED, take->key, 0, deadline_us, done,
+		    arg);
 		return;
 	case CL_OUTCOME_UNKNOWN:
 		ca_reply(&reply, ST_UNKNOWN, 504,
@@ -431,8 +428,8 @@
 	Currant__Reply reply;
 
 	sh_claim_end(h->sh, end->key,
-	    end->result <= ST_RESULT_UNKNOWN ? (enum st_result)end->result :
-					       ST_RESULT_UNKNOWN,
+	    end->result <= ST_RESULT_UNKNOWN ? (enum st_result)end->result
+					     : ST_RESULT_UNKNOWN,
 	    end->status, end->answer.data, end->answer.len);
 	ca_reply(&reply, ST_DONE, 200, NULL, 0);
 	done(&reply, arg);
@@ -474,8 +471,8 @@
 
 	pthread_mutex_lock(&h->lock);
 	if (!ho_owns(h, NULL)) {
-		ca_reply(&reply, ST_NOT_RUN, 503, "the shard has no owner",
-		    500);
+		ca_reply(
+		    &reply, ST_NOT_RUN, 503, "the shard has no owner", 500);
 		done(&reply, arg);
 	} else if (call->submit != NULL) {
 		ho_submit(h, call, deadline_us, done, arg);
@@ -505,8 +502,8 @@
 	struct sh_worker_spec *spec;
 	uint32_t i;
 
-	spec = talloc_zero_array(
-	    h, struct sh_worker_spec, conf->worker_count + 1);
+	spec =
+	    talloc_zero_array(h, struct sh_worker_spec, conf->worker_count + 1);
 	if (spec == NULL)
 		return -1;
 	for (i = 0; i < conf->worker_count; i++) {
@@ -536,8 +533,7 @@
 	uint32_t i;
 
 	for (i = 0; conf != NULL && i < c->teams->count; i++) {
-		part = cf_quota_part(
-		    c->shards, conf, &c->teams->team[i].quota);
+		part = cf_quota_part(c->shards, conf, &c->teams->team[i].quota);
 		sh_set_quota(h->sh, c->teams->team[i].name, &part);
 	}
 	sh_set_policy(h->sh, dm_policy(h->d));
@@ -562,8 +558,8 @@
 	h->generation++;
 	h->entries = 0;
 	TALLOC_FREE(h->batch);
-	h->sh = sh_create(
-	    NULL, h->id, &times, dm_policy(h->d), h->d->incarnation);
+	h->sh =
+	    sh_create(NULL, h->id, &times, dm_policy(h->d), h->d->incarnation);
 	if (h->sh == NULL || (conf != NULL && ho_load_workers(h, conf) == -1))
 		abort();
 }
@@ -577,8 +573,8 @@
 	b = rk_unpack_batch(h, a->value, a->value_bytes);
 	if (b == NULL) {
 		/* Serving from a log that cannot be read would lose work. */
-		lg_event(LG_ERROR, "shard", "unreadable_log", "shard", h->id,
-		    NULL);
+		lg_event(
+		    LG_ERROR, "shard", "unreadable_log", "shard", h->id, NULL);
 		abort();
 	}
 	for (i = 0; i < b->count; i++)
@@ -624,13 +620,13 @@
 		snprintf(key, DM_KEY_BYTES, "shard/%s/head", h->id);
 		break;
 	case OW_KEY_LOG:
-		snprintf(key, DM_KEY_BYTES, "shard/%s/log/%" PRIu64, h->id,
-		    op->seq);
+		snprintf(
+		    key, DM_KEY_BYTES, "shard/%s/log/%" PRIu64, h->id, op->seq);
 		break;
 	case OW_KEY_SNAPSHOT:
 		snprintf(key, DM_KEY_BYTES,
-		    "shard/%s/snap/%" PRIu64 "-%" PRIu64 "/%u", h->id,
-		    op->seq, op->epoch, op->part);
+		    "shard/%s/snap/%" PRIu64 "-%" PRIu64 "/%u", h->id, op->seq,
+		    op->epoch, op->part);
 		break;
 	}
 }
@@ -673,8 +669,8 @@
 }
 
 static void
-ho_read_value(struct shard_host *h, const struct kv_answer *a,
-    struct ow_answer *out)
+ho_read_value(
+    struct shard_host *h, const struct kv_answer *a, struct ow_answer *out)
 {
 	struct rk_batch *b;
 
@@ -773,8 +769,7 @@
 	event = ow_answer(&h->ow, &answer, now_us);
 	ho_on_event(h, event, a, now_us);
 	if (ho_owns(h, NULL)) {
-		sh_set_store_ok(
-		    h->sh, h->store_failures < HO_STORE_BAD_AFTER);
+		sh_set_store_ok(h->sh, h->store_failures < HO_STORE_BAD_AFTER);
 		ho_serve_waiters(h, now_us);
 	}
 	pthread_mutex_unlock(&h->lock);
@@ -818,8 +813,8 @@
 {
 	int64_t most_us = (int64_t)h->d->settings->commit_burst * HO_TOKEN_US;
 
-	h->tokens_us += (now_us - h->tokens_at_us) *
-	    (int64_t)h->d->settings->commit_per_s;
+	h->tokens_us +=
+	    (now_us - h->tokens_at_us) * (int64_t)h->d->settings->commit_per_s;
 	h->tokens_at_us = now_us;
 	if (h->tokens_us > most_us)
 		h->tokens_us = most_us;
@@ -969,8 +964,7 @@
 	pthread_mutex_lock(&h->lock);
 	ok = resp->error == HC_OK &&
 	    (resp->status == 200 || resp->status == 409) &&
-	    wj_parse_reply(
-		call, resp->body, resp->body_bytes, &reply, error);
+	    wj_parse_reply(call, resp->body, resp->body_bytes, &reply, error);
 	if (!ok) {
 		sh_sync_failed(h->sh, call->row, now_us);
 	} else if (!sh_sync_reply(h->sh, call->row, &reply, now_us)) {
@@ -1002,8 +996,8 @@
 	call->host = h;
 	call->generation = h->generation;
 	call->row = w;
-	snprintf(url, sizeof(url), "http://%s/v1/sync",
-	    h->sh->worker[w].address);
+	snprintf(
+	    url, sizeof(url), "http://%s/v1/sync", h->sh->worker[w].address);
 	req.method = "POST";
 	req.url = url;
 	req.body = body;
@@ -1095,8 +1089,8 @@
 		gone_at_us = now_us;
 	} else {
 		pthread_mutex_lock(&d->members_lock);
-		gone_at_us = mb_process_gone_at(d->view,
-		    h->ow.previous_owner, h->ow.previous_writer);
+		gone_at_us = mb_process_gone_at(
+		    d->view, h->ow.previous_owner, h->ow.previous_writer);
 		pthread_mutex_unlock(&d->members_lock);
 	}
 	if (gone_at_us != 0)
--- a/curranttackd/store_lease.c
+++ b/curranttackd/store_lease.c
@@ -39,8 +39,8 @@
 
 	d->store_lease_busy = false;
 	d->store_lease_renew_us = now_us +
-	    (a->result == KV_OK ? d->settings->store_lease_us / 3 :
-				  SL_RETRY_US);
+	    (a->result == KV_OK ? d->settings->store_lease_us / 3
+				: SL_RETRY_US);
 	if (a->result == KV_ABSENT)
 		sl_lost(d);
 }
@@ -55,6 +55,5 @@
 		d->kv_ops->lease_grant(
 		    d->kv, d->settings->store_lease_us, sl_on_granted, d);
 	else
-		d->kv_ops->lease_renew(
-		    d->kv, d->store_lease, sl_on_renewed, d);
+		d->kv_ops->lease_renew(d->kv, d->store_lease, sl_on_renewed, d);
 }
--- a/include/coordination/ownership.h
+++ b/include/coordination/ownership.h
@@ -127,13 +127,13 @@
 
 enum ow_event {
 	OW_EV_NONE,
-	OW_EV_RESET,	     /* forget what was replayed */
-	OW_EV_REPLAY,	     /* replay the value just read */
-	OW_EV_ACTIVE,	     /* sealed: the shard is ours */
-	OW_EV_COMMITTED,     /* the append is durable */
-	OW_EV_SNAPSHOT,	     /* the snapshot is in force */
-	OW_EV_FENCED,	     /* somebody else owns the shard */
-	OW_EV_RELEASED,	     /* handed over */
+	OW_EV_RESET,	 /* forget what was replayed */
+	OW_EV_REPLAY,	 /* replay the value just read */
+	OW_EV_ACTIVE,	 /* sealed: the shard is ours */
+	OW_EV_COMMITTED, /* the append is durable */
+	OW_EV_SNAPSHOT,	 /* the snapshot is in force */
+	OW_EV_FENCED,	 /* somebody else owns the shard */
+	OW_EV_RELEASED,	 /* handed over */
 };
 
 struct ow_machine {
--- a/include/curranttackd/burn.h
+++ b/include/curranttackd/burn.h
@@ -40,8 +40,7 @@
  * @done: it was answered
  * @latency_us: after this time
  */
-void bu_record(
-    struct burn *b, enum st_class c, bool done, int64_t latency_us);
+void bu_record(struct burn *b, enum st_class c, bool done, int64_t latency_us);
 
 /** bu_show() - counts of each objective over the report's windows */
 void bu_show(const struct burn *b, json_t *list);
--- a/include/curranttackd/calls.h
+++ b/include/curranttackd/calls.h
@@ -12,7 +12,7 @@
 
 /** struct call_target - who is to handle a call */
 struct call_target {
-	const char *vm;	   /* a daemon, or NULL for the owner of @shard */
+	const char *vm; /* a daemon, or NULL for the owner of @shard */
 	const char *shard;
 };
 
--- a/include/curranttackd/front.h
+++ b/include/curranttackd/front.h
@@ -58,8 +58,7 @@
  * @req: request to answer
  * @list: "burn"
  */
-void gather_members(
-    struct front *f, struct hs_request *req, const char *list);
+void gather_members(struct front *f, struct hs_request *req, const char *list);
 
 /* api_jobs.c */
 void api_job_submit(struct front *f, struct hs_request *req, const char *rest);
--- a/include/protocol/json_fields.h
+++ b/include/protocol/json_fields.h
@@ -78,8 +78,8 @@
  * @least: lower bound
  * @most: upper bound
  */
-int64_t jf_duration_us(struct jf_reader *r, const char *field,
-    int64_t fallback, int64_t least, int64_t most);
+int64_t jf_duration_us(struct jf_reader *r, const char *field, int64_t fallback,
+    int64_t least, int64_t most);
 /** jf_address() - "IP:PORT" */
 const char *jf_address(struct jf_reader *r, const char *field, bool required);
 
--- a/include/protocol/record_codec.h
+++ b/include/protocol/record_codec.h
@@ -37,8 +37,7 @@
     TALLOC_CTX *ctx, const uint8_t *buf, size_t len);
 
 /** rk_pack_head() - encode a shard's head */
-uint8_t *rk_pack_head(
-    TALLOC_CTX *ctx, const struct ow_head *h, size_t *bytes);
+uint8_t *rk_pack_head(TALLOC_CTX *ctx, const struct ow_head *h, size_t *bytes);
 /** rk_unpack_head() - decode a shard's head; false when it cannot be */
 bool rk_unpack_head(const uint8_t *buf, size_t len, struct ow_head *h);
 
@@ -49,8 +48,7 @@
 bool rk_unpack_lease(const uint8_t *buf, size_t len, uint64_t *writer);
 
 /** rk_spec_to_message() - fill a message that points into @spec */
-void rk_spec_to_message(
-    const struct st_job_spec *spec, Currant__JobSpec *msg);
+void rk_spec_to_message(const struct st_job_spec *spec, Currant__JobSpec *msg);
 /** rk_spec_from_message() - copy a message; NULL when out of range */
 struct st_job_spec *rk_spec_from_message(
     TALLOC_CTX *ctx, const Currant__JobSpec *msg);
--- a/include/state/claims.h
+++ b/include/state/claims.h
@@ -56,12 +56,12 @@
 };
 
 enum cl_verdict {
-	CL_GRANTED,	   /* new; run it once the claim is durable */
-	CL_IN_PROGRESS,	   /* another one holds it; wait */
-	CL_ANSWERED,	   /* ended; the claim holds the answer */
+	CL_GRANTED,	    /* new; run it once the claim is durable */
+	CL_IN_PROGRESS,	    /* another one holds it; wait */
+	CL_ANSWERED,	    /* ended; the claim holds the answer */
 	CL_OUTCOME_UNKNOWN, /* its holder never reported */
-	CL_OTHER_BODY,	   /* the key was used for another request */
-	CL_FULL,	   /* no room; certainly not run */
+	CL_OTHER_BODY,	    /* the key was used for another request */
+	CL_FULL,	    /* no room; certainly not run */
 };
 
 /** cl_create() - an empty table that holds up to @max_bytes */
@@ -82,9 +82,9 @@
  *
  * Return: verdict.
  */
-enum cl_verdict cl_take(struct cl_table *t, const char *key,
-    uint64_t body_hash, int64_t unknown_wall_us, int64_t expires_wall_us,
-    int64_t now_wall_us, struct cl_claim **claim);
+enum cl_verdict cl_take(struct cl_table *t, const char *key, uint64_t body_hash,
+    int64_t unknown_wall_us, int64_t expires_wall_us, int64_t now_wall_us,
+    struct cl_claim **claim);
 
 /**
  * cl_end() - store the answer of a claim
--- a/include/state/record.h
+++ b/include/state/record.h
@@ -62,7 +62,8 @@
  * @ctx: talloc parent
  * @from: source
  */
-struct st_job_spec *rc_dup_spec(TALLOC_CTX *ctx, const struct st_job_spec *from);
+struct st_job_spec *rc_dup_spec(
+    TALLOC_CTX *ctx, const struct st_job_spec *from);
 
 /**
  * rc_bytes() - rough encoded size, to keep batches below the value limit
--- a/include/state/routing.h
+++ b/include/state/routing.h
@@ -136,8 +136,8 @@
 	struct rng rng;
 	struct rt_action *actions;
 	struct rt_action *last_action;
-	uint32_t (*choose)(struct rt_service *s, const struct rt_request *req,
-	    int64_t now_us);
+	uint32_t (*choose)(
+	    struct rt_service *s, const struct rt_request *req, int64_t now_us);
 	uint64_t sends;
 	uint64_t retries;
 	struct ct_histogram latency[ST_CLASS_COUNT];
--- a/include/state/shard_internal.h
+++ b/include/state/shard_internal.h
@@ -51,8 +51,8 @@
 void sh_learn_run(
     struct sh_shard *sh, const struct sh_task *task, int64_t run_us);
 /** sh_learn_usage() - note what a task uses; may raise its reservation */
-void sh_learn_usage(struct sh_shard *sh, struct sh_task *task,
-    const struct st_res *used);
+void sh_learn_usage(
+    struct sh_shard *sh, struct sh_task *task, const struct st_res *used);
 
 /** sh_workers_tick() - detect lost workers and resolve held tasks */
 void sh_workers_tick(struct sh_shard *sh, int64_t now_us);
--- a/protocol/config_json.c
+++ b/protocol/config_json.c
@@ -52,8 +52,8 @@
 		jf_child(&child, r, json_array_get(list, i), "teams", (int)i);
 		t->name = talloc_strdup(teams, jf_name(&child, "name", true));
 		/* A quota of a whole team may exceed one VM's limits. */
-		t->quota.cpu_mcpu = 1000 *
-		    jf_integer(&child, "cpu", -1, 0, INT32_MAX);
+		t->quota.cpu_mcpu =
+		    1000 * jf_integer(&child, "cpu", -1, 0, INT32_MAX);
 		if (t->quota.cpu_mcpu < 0)
 			jf_fail(&child, "cpu", "is missing");
 		t->quota.mem_bytes = jf_memory_bytes(&child, "memory");
@@ -99,8 +99,8 @@
 	for (i = 0; i < n && !jf_failed(r); i++) {
 		struct jf_reader child;
 
-		jf_child(&child, r, json_array_get(list, i), "endpoints",
-		    (int)i);
+		jf_child(
+		    &child, r, json_array_get(list, i), "endpoints", (int)i);
 		cj_read_endpoint(&child, ctx, &s->endpoint[i]);
 	}
 	jf_end(r);
@@ -161,8 +161,7 @@
 	for (i = 0; i < n && !jf_failed(r); i++) {
 		struct jf_reader child;
 
-		jf_child(
-		    &child, r, json_array_get(list, i), "workers", (int)i);
+		jf_child(&child, r, json_array_get(list, i), "workers", (int)i);
 		cj_read_worker(&child, ctx, &s->worker[i]);
 		if (!jf_failed(r))
 			st_res_add(&s->capacity, &s->worker[i].capacity);
@@ -191,8 +190,8 @@
 		for (w = 0; w < s->worker_count; w++) {
 			char key[160];
 
-			snprintf(key, sizeof(key), "worker %s",
-			    s->worker[w].id);
+			snprintf(
+			    key, sizeof(key), "worker %s", s->worker[w].id);
 			if (json_object_get(seen, key) != NULL) {
 				snprintf(field, sizeof(field),
 				    "shards[%u].workers[%u]", i, w);
@@ -217,8 +216,7 @@
 		jf_fail(r, "goal", "must be \"packing\" or \"waiting\"");
 	if (n > CJ_MAX_SHARDS)
 		jf_fail(r, "shards", "has too many entries");
-	shards->shard =
-	    talloc_zero_array(shards, struct cf_shard, (unsigned)n);
+	shards->shard = talloc_zero_array(shards, struct cf_shard, (unsigned)n);
 	shards->count = (uint32_t)n;
 	for (i = 0; i < n && !jf_failed(r); i++) {
 		struct jf_reader child;
@@ -238,8 +236,7 @@
 }
 
 static void
-cj_read_objective(
-    struct jf_reader *r, TALLOC_CTX *ctx, struct cf_objective *o)
+cj_read_objective(struct jf_reader *r, TALLOC_CTX *ctx, struct cf_objective *o)
 {
 	const char *class_name;
 
@@ -289,7 +286,7 @@
     size_t body_bytes, char *error)
 {
 	static bool (*const parse[CF_AREA_COUNT])(
-	    struct cf_config *c, struct jf_reader *r) = {
+	    struct cf_config * c, struct jf_reader * r) = {
 	    [CF_PRESET] = cj_parse_preset,
 	    [CF_TEAMS] = cj_parse_teams,
 	    [CF_SERVICES] = cj_parse_services,
--- a/protocol/job_json.c
+++ b/protocol/job_json.c
@@ -57,8 +57,7 @@
 	    (int32_t)jf_integer(&r, "accelerators", 0, 0, JJ_MAX_ACCEL);
 	spec->run_us = jf_duration_us(&r, "run",
 	    spec->kind == ST_SERVICE ? 0 : -1, CLK_US_PER_MS, JJ_MAX_RUN_US);
-	spec->idempotent =
-	    jf_bool(&r, "idempotent", spec->kind == ST_SERVICE);
+	spec->idempotent = jf_bool(&r, "idempotent", spec->kind == ST_SERVICE);
 	if (spec->kind == ST_SERVICE && !spec->idempotent)
 		jf_fail(&r, "idempotent", "must be true for a service");
 	if (!jf_end(&r))
@@ -78,8 +77,8 @@
 	if (scoped == NULL)
 		return NULL;
 	h = XXH3_128bits(scoped, strlen(scoped));
-	id = talloc_asprintf(ctx, "%s.%016" PRIx64 "%016" PRIx64, shard,
-	    h.high64, h.low64);
+	id = talloc_asprintf(
+	    ctx, "%s.%016" PRIx64 "%016" PRIx64, shard, h.high64, h.low64);
 	talloc_free(scoped);
 	return id;
 }
@@ -127,16 +126,16 @@
 static json_t *
 jj_show_task(const struct sh_shard *sh, const struct sh_task *task)
 {
-	json_t *o = json_pack("{s:i, s:s, s:I}", "index", (int)task->index,
-	    "state", jj_task_state(sh, task), "attempt",
-	    (json_int_t)task->attempt);
+	json_t *o =
+	    json_pack("{s:i, s:s, s:I}", "index", (int)task->index, "state",
+		jj_task_state(sh, task), "attempt", (json_int_t)task->attempt);
 
 	if (task->state == SH_ENDED)
-		json_object_set_new(o, "result",
-		    json_string(st_result_name(task->result)));
+		json_object_set_new(
+		    o, "result", json_string(st_result_name(task->result)));
 	if (task->worker != PL_NONE)
-		json_object_set_new(o, "worker",
-		    json_string(sh->worker[task->worker].id));
+		json_object_set_new(
+		    o, "worker", json_string(sh->worker[task->worker].id));
 	return o;
 }
 
@@ -157,11 +156,11 @@
 			    tasks, jj_show_task(sh, &job->task[i]));
 	}
 	o = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b}",
-	    "job", spec->id, "state", jj_job_state(sh, job), "team",
-	    spec->team, "name", spec->name, "kind", st_kind_name(spec->kind),
-	    "class", st_class_name(spec->job_class), "count",
-	    (int)spec->count, "running", (int)running, "waiting",
-	    (int)job->waiting, "ended", sh_job_ended(sh, job));
+	    "job", spec->id, "state", jj_job_state(sh, job), "team", spec->team,
+	    "name", spec->name, "kind", st_kind_name(spec->kind), "class",
+	    st_class_name(spec->job_class), "count", (int)spec->count,
+	    "running", (int)running, "waiting", (int)job->waiting, "ended",
+	    sh_job_ended(sh, job));
 	json_object_set_new(o, "each", jj_show_res(&spec->each));
 	json_object_set_new(o, "results",
 	    json_pack("{s:i, s:i, s:i, s:i}", "done",
@@ -208,8 +207,7 @@
 		    sh->worker[w].id, "shard", sh->id, "rack",
 		    sh->rack_name[row->rack], "state", jj_worker_state(sh, w),
 		    "tasks", tasks);
-		json_object_set_new(
-		    o, "capacity", jj_show_res(&row->capacity));
+		json_object_set_new(o, "capacity", jj_show_res(&row->capacity));
 		json_object_set_new(o, "free", jj_show_res(&row->free));
 		json_array_append_new(list, o);
 	}
@@ -224,12 +222,12 @@
 	uint32_t w;
 
 	for (w = 0; w < sh->worker_count; w++) {
-		DL_FOREACH(sh->worker[w].tasks, task) {
+		DL_FOREACH(sh->worker[w].tasks, task)
+		{
 			json_array_append_new(list,
 			    json_pack("{s:s, s:i, s:s, s:s, s:s}", "job",
-				task->job->spec->id, "index",
-				(int)task->index, "state",
-				jj_task_state(sh, task), "worker",
+				task->job->spec->id, "index", (int)task->index,
+				"state", jj_task_state(sh, task), "worker",
 				sh->worker[w].id, "shard", sh->id));
 		}
 	}
--- a/protocol/json_fields.c
+++ b/protocol/json_fields.c
@@ -46,14 +46,14 @@
 
 	error[0] = '\0';
 	if (!jf_depth_ok(text, bytes)) {
-		snprintf(error, JF_ERROR_BYTES,
-		    "nested deeper than %d levels", JF_MAX_DEPTH);
+		snprintf(error, JF_ERROR_BYTES, "nested deeper than %d levels",
+		    JF_MAX_DEPTH);
 		return NULL;
 	}
 	value = json_loadb(text, bytes, JSON_REJECT_DUPLICATES, &why);
 	if (value == NULL)
-		snprintf(error, JF_ERROR_BYTES, "line %d: %s", why.line,
-		    why.text);
+		snprintf(
+		    error, JF_ERROR_BYTES, "line %d: %s", why.line, why.text);
 	return value;
 }
 
@@ -141,7 +141,8 @@
 
 	if (jf_failed(r))
 		return false;
-	json_object_foreach(r->object, key, value) {
+	json_object_foreach(r->object, key, value)
+	{
 		if (!jf_is_known(r, key)) {
 			jf_fail(r, key, "is not known");
 			return false;
@@ -192,8 +193,8 @@
 {
 	char reason[96];
 
-	snprintf(reason, sizeof(reason),
-	    "must be from %" PRId64 " to %" PRId64, least, most);
+	snprintf(reason, sizeof(reason), "must be from %" PRId64 " to %" PRId64,
+	    least, most);
 	jf_fail(r, field, reason);
 }
 
@@ -252,8 +253,7 @@
 	if (value == NULL)
 		return 0;
 	cores = json_number_value(value);
-	if (!json_is_number(value) || !(cores > 0.0) ||
-	    cores > JF_MAX_CORES) {
+	if (!json_is_number(value) || !(cores > 0.0) || cores > JF_MAX_CORES) {
 		jf_fail(r, field, "must be a number of cores, up to 4096");
 		return 0;
 	}
--- a/protocol/worker_json.c
+++ b/protocol/worker_json.c
@@ -109,8 +109,7 @@
 }
 
 static void
-wj_read_ended(
-    struct jf_reader *r, TALLOC_CTX *ctx, struct sh_sync_reply *reply)
+wj_read_ended(struct jf_reader *r, TALLOC_CTX *ctx, struct sh_sync_reply *reply)
 {
 	json_t *list = jf_array(r, "ended", false);
 	size_t n = json_array_size(list);
@@ -128,8 +127,7 @@
 }
 
 static void
-wj_read_usage(
-    struct jf_reader *r, TALLOC_CTX *ctx, struct sh_sync_reply *reply)
+wj_read_usage(struct jf_reader *r, TALLOC_CTX *ctx, struct sh_sync_reply *reply)
 {
 	json_t *list = jf_array(r, "usage", false);
 	size_t n = json_array_size(list);
--- a/state/claims.c
+++ b/state/claims.c
@@ -36,10 +36,10 @@
 	if (c->body_hash != body_hash)
 		return CL_OTHER_BODY;
 	if (c->state == CL_ENDED)
-		return c->result == ST_RESULT_DONE ? CL_ANSWERED :
-						     CL_OUTCOME_UNKNOWN;
-	return now_wall_us >= c->unknown_wall_us ? CL_OUTCOME_UNKNOWN :
-						   CL_IN_PROGRESS;
+		return c->result == ST_RESULT_DONE ? CL_ANSWERED
+						   : CL_OUTCOME_UNKNOWN;
+	return now_wall_us >= c->unknown_wall_us ? CL_OUTCOME_UNKNOWN
+						 : CL_IN_PROGRESS;
 }
 
 enum cl_verdict
@@ -108,7 +108,8 @@
 	uint32_t seen = 0;
 
 	/* Insertion order is close to expiry order. */
-	HASH_ITER(hh, t->by_key, c, next) {
+	HASH_ITER(hh, t->by_key, c, next)
+	{
 		if (seen++ >= budget || now_wall_us < c->expires_wall_us)
 			return;
 		cl_drop(t, c);
--- a/state/placement.c
+++ b/state/placement.c
@@ -75,10 +75,10 @@
 	float mem_left;
 	float score;
 
-	cpu_left = (float)(row->free.cpu_mcpu - req->need.cpu_mcpu) *
-	    row->cpu_inv;
-	mem_left = (float)(row->free.mem_bytes - req->need.mem_bytes) *
-	    row->mem_inv;
+	cpu_left =
+	    (float)(row->free.cpu_mcpu - req->need.cpu_mcpu) * row->cpu_inv;
+	mem_left =
+	    (float)(row->free.mem_bytes - req->need.mem_bytes) * row->mem_inv;
 	score = -policy->packing_weight * (cpu_left + mem_left);
 	/* Room in one resource without the other is stranded. */
 	score -= fabsf(cpu_left - mem_left) * 0.5F;
@@ -88,8 +88,8 @@
 		score -= policy->packing_weight * 0.25F *
 		    (float)(row->free.accel - req->need.accel);
 	if (req->rack_use != NULL)
-		score -= policy->spread_weight *
-		    (float)req->rack_use[row->rack];
+		score -=
+		    policy->spread_weight * (float)req->rack_use[row->rack];
 	return score;
 }
 
--- a/state/policy.c
+++ b/state/policy.c
@@ -5,91 +5,94 @@
 
 #define PO_MINUTE_US (60 * CLK_US_PER_S)
 
-static const struct po_policy po_table[PO_GOAL_COUNT][PO_PRESET_COUNT] = {
-    [PO_PACKING] =
-	{
-	    [PO_ORDINARY] =
+static const struct po_policy
+    po_table[PO_GOAL_COUNT]
+	    [PO_PRESET_COUNT] =
 		{
-		    .name = "ordinary",
-		    .packing_weight = 1.0F,
-		    .spread_weight = 0.10F,
-		    .accel_guard_weight = 2.0F,
-		    .aging_us = {PO_MINUTE_US, 5 * PO_MINUTE_US,
-			30 * PO_MINUTE_US},
-		    .preempt_heavy = true,
-		    .start_heavy = true,
-		    .queue_per_slot = {4, 2, 1},
-		    .retry_percent = 10,
-		},
-	    [PO_PEAKS] =
-		{
-		    .name = "peaks",
-		    .packing_weight = 0.7F,
-		    .spread_weight = 0.10F,
-		    .accel_guard_weight = 2.0F,
-		    .aging_us = {PO_MINUTE_US, 10 * PO_MINUTE_US,
-			120 * PO_MINUTE_US},
-		    .preempt_heavy = true,
-		    .start_heavy = true,
-		    .queue_per_slot = {4, 1, 0},
-		    .retry_percent = 5,
-		},
-	    [PO_MAINTENANCE] =
-		{
-		    .name = "maintenance",
-		    .packing_weight = 1.0F,
-		    .spread_weight = 0.30F,
-		    .accel_guard_weight = 2.0F,
-		    .aging_us = {PO_MINUTE_US, 5 * PO_MINUTE_US,
-			30 * PO_MINUTE_US},
-		    .preempt_heavy = true,
-		    .start_heavy = false,
-		    .queue_per_slot = {4, 2, 1},
-		    .retry_percent = 10,
-		},
-	},
-    [PO_WAITING] =
-	{
-	    [PO_ORDINARY] =
-		{
-		    .name = "ordinary",
-		    .packing_weight = 0.3F,
-		    .spread_weight = 0.25F,
-		    .accel_guard_weight = 1.0F,
-		    .aging_us = {PO_MINUTE_US, 2 * PO_MINUTE_US,
-			10 * PO_MINUTE_US},
-		    .preempt_heavy = true,
-		    .start_heavy = true,
-		    .queue_per_slot = {4, 2, 1},
-		    .retry_percent = 10,
-		},
-	    [PO_PEAKS] =
-		{
-		    .name = "peaks",
-		    .packing_weight = 0.1F,
-		    .spread_weight = 0.25F,
-		    .accel_guard_weight = 1.0F,
-		    .aging_us = {PO_MINUTE_US, 5 * PO_MINUTE_US,
-			60 * PO_MINUTE_US},
-		    .preempt_heavy = true,
-		    .start_heavy = true,
-		    .queue_per_slot = {4, 1, 0},
-		    .retry_percent = 5,
-		},
-	    [PO_MAINTENANCE] =
-		{
-		    .name = "maintenance",
-		    .packing_weight = 0.3F,
-		    .spread_weight = 0.40F,
-		    .accel_guard_weight = 1.0F,
-		    .aging_us = {PO_MINUTE_US, 2 * PO_MINUTE_US,
-			10 * PO_MINUTE_US},
-		    .preempt_heavy = true,
-		    .start_heavy = false,
-		    .queue_per_slot = {4, 2, 1},
-		    .retry_percent = 10,
-		},
-	},
+		    [PO_PACKING] =
+			{
+			    [PO_ORDINARY] =
+				{
+				    .name = "ordinary",
+				    .packing_weight = 1.0F,
+				    .spread_weight = 0.10F,
+				    .accel_guard_weight = 2.0F,
+				    .aging_us = {PO_MINUTE_US, 5 * PO_MINUTE_US,
+					30 * PO_MINUTE_US},
+				    .preempt_heavy = true,
+				    .start_heavy = true,
+				    .queue_per_slot = {4, 2, 1},
+				    .retry_percent = 10,
+				},
+			    [PO_PEAKS] =
+				{
+				    .name = "peaks",
+				    .packing_weight = 0.7F,
+				    .spread_weight = 0.10F,
+				    .accel_guard_weight = 2.0F,
+				    .aging_us = {PO_MINUTE_US,
+					10 * PO_MINUTE_US, 120 * PO_MINUTE_US},
+				    .preempt_heavy = true,
+				    .start_heavy = true,
+				    .queue_per_slot = {4, 1, 0},
+				    .retry_percent = 5,
+				},
+			    [PO_MAINTENANCE] =
+				{
+				    .name = "maintenance",
+				    .packing_weight = 1.0F,
+				    .spread_weight = 0.30F,
+				    .accel_guard_weight = 2.0F,
+				    .aging_us = {PO_MINUTE_US, 5 * PO_MINUTE_US,
+					30 * PO_MINUTE_US},
+				    .preempt_heavy = true,
+				    .start_heavy = false,
+				    .queue_per_slot = {4, 2, 1},
+				    .retry_percent = 10,
+				},
+			},
+		    [PO_WAITING] =
+			{
+			    [PO_ORDINARY] =
+				{
+				    .name = "ordinary",
+				    .packing_weight = 0.3F,
+				    .spread_weight = 0.25F,
+				    .accel_guard_weight = 1.0F,
+				    .aging_us = {PO_MINUTE_US, 2 * PO_MINUTE_US,
+					10 * PO_MINUTE_US},
+				    .preempt_heavy = true,
+				    .start_heavy = true,
+				    .queue_per_slot = {4, 2, 1},
+				    .retry_percent = 10,
+				},
+			    [PO_PEAKS] =
+				{
+				    .name = "peaks",
+				    .packing_weight = 0.1F,
+				    .spread_weight = 0.25F,
+				    .accel_guard_weight = 1.0F,
+				    .aging_us = {PO_MINUTE_US, 5 * PO_MINUTE_US,
+					60 * PO_MINUTE_US},
+				    .preempt_heavy = true,
+				    .start_heavy = true,
+				    .queue_per_slot = {4, 1, 0},
+				    .retry_percent = 5,
+				},
+			    [PO_MAINTENANCE] =
+				{
+				    .name = "maintenance",
+				    .packing_weight = 0.3F,
+				    .spread_weight = 0.40F,
+				    .accel_guard_weight = 1.0F,
+				    .aging_us = {PO_MINUTE_US, 2 * PO_MINUTE_US,
+					10 * PO_MINUTE_US},
+				    .preempt_heavy = true,
+				    .start_heavy = false,
+				    .queue_per_slot = {4, 2, 1},
+				    .retry_percent = 10,
+				},
+			},
 };
 
 const struct po_policy *
--- a/state/record.c
+++ b/state/record.c
@@ -33,8 +33,7 @@
 
 	if (r->spec != NULL)
 		n += RC_FIXED_BYTES + rc_text_bytes(r->spec->id) +
-		    rc_text_bytes(r->spec->key) +
-		    rc_text_bytes(r->spec->team) +
+		    rc_text_bytes(r->spec->key) + rc_text_bytes(r->spec->team) +
 		    rc_text_bytes(r->spec->name);
 	n += rc_text_bytes(r->job) + rc_text_bytes(r->worker) +
 	    rc_text_bytes(r->key);
--- a/state/routing.c
+++ b/state/routing.c
@@ -61,8 +61,8 @@
 			e = &s->endpoint[i];
 	}
 	if (e == NULL) {
-		s->endpoint = talloc_realloc(s, s->endpoint,
-		    struct rt_endpoint, s->endpoint_count + 1);
+		s->endpoint = talloc_realloc(
+		    s, s->endpoint, struct rt_endpoint, s->endpoint_count + 1);
 		if (s->endpoint == NULL)
 			abort();
 		e = &s->endpoint[s->endpoint_count++];
@@ -211,8 +211,7 @@
 }
 
 static void
-rt_refuse(
-    struct rt_service *s, struct rt_request *req, enum rt_reason reason)
+rt_refuse(struct rt_service *s, struct rt_request *req, enum rt_reason reason)
 {
 	struct rt_action *a;
 	int64_t ms;
@@ -300,8 +299,7 @@
 		return;
 	}
 	/* Who waits already goes first. */
-	if (s->queued[ST_URGENT] == 0 &&
-	    (c == ST_URGENT || s->queued[c] == 0))
+	if (s->queued[ST_URGENT] == 0 && (c == ST_URGENT || s->queued[c] == 0))
 		e = s->choose(s, req, now_us);
 	if (e != RT_NONE) {
 		rt_send(s, req, e, now_us);
@@ -361,8 +359,8 @@
 	e->failures++;
 	if (e->failures < RT_EJECT_AFTER && !e->probing)
 		return;
-	shift = e->ejections < RT_MAX_EJECT_SHIFT ? e->ejections :
-						    RT_MAX_EJECT_SHIFT;
+	shift = e->ejections < RT_MAX_EJECT_SHIFT ? e->ejections
+						  : RT_MAX_EJECT_SHIFT;
 	e->ejected_until_us = now_us + (RT_EJECT_US << shift);
 	e->ejections++;
 	e->failures = 0;
@@ -414,8 +412,7 @@
 {
 	if (how == RT_LOST)
 		req->may_have_run = true;
-	if ((req->may_have_run && !req->idempotent) ||
-	    !rt_take_retry(s, req)) {
+	if ((req->may_have_run && !req->idempotent) || !rt_take_retry(s, req)) {
 		rt_refuse(s, req, RT_NO_RETRY);
 		return;
 	}
@@ -434,8 +431,8 @@
 	req->endpoint = RT_NONE;
 	if (how == RT_ANSWERED) {
 		rt_note_success(s, e, now_us - req->sent_us);
-		ct_hist_record(&s->latency[req->request_class],
-		    now_us - req->arrived_us);
+		ct_hist_record(
+		    &s->latency[req->request_class], now_us - req->arrived_us);
 	} else {
 		rt_note_failure(e, now_us);
 		rt_retry(s, req, how, now_us);
@@ -444,8 +441,7 @@
 }
 
 void
-rt_forward_failed(
-    struct rt_service *s, struct rt_request *req, int64_t now_us)
+rt_forward_failed(struct rt_service *s, struct rt_request *req, int64_t now_us)
 {
 	rt_place(s, req, now_us);
 }
@@ -458,7 +454,8 @@
 	unsigned int c;
 
 	for (c = 0; c < ST_CLASS_COUNT; c++) {
-		DL_FOREACH_SAFE(s->queue[c], req, next) {
+		DL_FOREACH_SAFE(s->queue[c], req, next)
+		{
 			if (!rt_hopeless(s, req, 0, now_us))
 				continue;
 			rt_queue_remove(s, req);
--- a/state/shard.c
+++ b/state/shard.c
@@ -174,8 +174,8 @@
 		job->task[i].worker = PL_NONE;
 	}
 	if (spec->kind == ST_SERVICE)
-		job->rack_use = talloc_zero_array(
-		    job, uint16_t, sh->table->rack_count + 1);
+		job->rack_use =
+		    talloc_zero_array(job, uint16_t, sh->table->rack_count + 1);
 	job->waiting = spec->count;
 	job->open = spec->count;
 	job->accepted_us = now_us;
@@ -429,7 +429,8 @@
 	if (row->free.cpu_mcpu < 0 || row->free.mem_bytes < 0 ||
 	    row->free.accel < 0)
 		return "a worker is overcommitted";
-	DL_FOREACH(sh->worker[w].tasks, task) {
+	DL_FOREACH(sh->worker[w].tasks, task)
+	{
 		st_res_add(&sum, &task->reserved);
 		if (task->worker != w)
 			return "a task is listed on another worker";
@@ -513,8 +514,8 @@
 	switch (job->reason) {
 	case SH_WAIT_ROOM:
 		snprintf(buf, SH_TEXT_BYTES,
-		    "%s waits for %s: no usable worker has enough free.",
-		    name, job->short_resource);
+		    "%s waits for %s: no usable worker has enough free.", name,
+		    job->short_resource);
 		break;
 	case SH_WAIT_QUOTA:
 		snprintf(buf, SH_TEXT_BYTES,
--- a/state/shard_gang.c
+++ b/state/shard_gang.c
@@ -41,7 +41,8 @@
 
 	offer->worker = w;
 	offer->free_at_us = now_us;
-	DL_FOREACH(sh->worker[w].tasks, task) {
+	DL_FOREACH(sh->worker[w].tasks, task)
+	{
 		run_us = sh_task_run_us(sh, task->job);
 		if (run_us == INT64_MAX)
 			continue;
@@ -196,7 +197,8 @@
 	for (w = 0; w < sh->table->count; w++) {
 		if (sh->table->worker[w].held_from_us == 0)
 			continue;
-		DL_FOREACH(sh->worker[w].tasks, task) {
+		DL_FOREACH(sh->worker[w].tasks, task)
+		{
 			if (task->backfill && sh_may_displace(task))
 				sh_displace(sh, task);
 		}
@@ -212,7 +214,8 @@
 	const struct sh_task *task;
 	uint32_t n = 0;
 
-	DL_FOREACH(sh->worker[w].tasks, task) {
+	DL_FOREACH(sh->worker[w].tasks, task)
+	{
 		if (st_res_fits(need, &room))
 			return n;
 		if (task->job->spec->job_class != ST_HEAVY ||
@@ -229,7 +232,8 @@
 {
 	struct sh_task *task;
 
-	DL_FOREACH(sh->worker[w].tasks, task) {
+	DL_FOREACH(sh->worker[w].tasks, task)
+	{
 		if (victims == 0)
 			return;
 		if (task->job->spec->job_class != ST_HEAVY ||
--- a/state/shard_replay.c
+++ b/state/shard_replay.c
@@ -50,8 +50,7 @@
 		cl_drop(sh->claims, c);
 		return;
 	}
-	cl_end(sh->claims, c, r->result, r->status, r->answer,
-	    r->answer_bytes);
+	cl_end(sh->claims, c, r->result, r->status, r->answer, r->answer_bytes);
 	c->answer_kept = r->index == 1;
 }
 
@@ -142,8 +141,8 @@
 }
 
 static struct rc_record *
-sh_snapshot_task(TALLOC_CTX *ctx, const struct sh_shard *sh,
-    const struct sh_task *task)
+sh_snapshot_task(
+    TALLOC_CTX *ctx, const struct sh_shard *sh, const struct sh_task *task)
 {
 	struct rc_record *r;
 
@@ -187,8 +186,8 @@
 }
 
 static void
-sh_snapshot_job(struct sh_shard *sh, struct sh_job *job,
-    struct snapshot_list *s)
+sh_snapshot_job(
+    struct sh_shard *sh, struct sh_job *job, struct snapshot_list *s)
 {
 	struct rc_record *r;
 	uint32_t i;
@@ -210,8 +209,8 @@
 }
 
 static void
-sh_snapshot_claim(struct sh_shard *sh, const struct cl_claim *c,
-    struct snapshot_list *s)
+sh_snapshot_claim(
+    struct sh_shard *sh, const struct cl_claim *c, struct snapshot_list *s)
 {
 	struct rc_record *r;
 
@@ -239,8 +238,8 @@
 }
 
 struct rc_record **
-sh_snapshot(struct sh_shard *sh, TALLOC_CTX *ctx, size_t *count,
-    int64_t now_us, int64_t keep_ended_us)
+sh_snapshot(struct sh_shard *sh, TALLOC_CTX *ctx, size_t *count, int64_t now_us,
+    int64_t keep_ended_us)
 {
 	struct snapshot_list s = {0};
 	struct sh_job *job;
@@ -248,7 +247,8 @@
 	struct cl_claim *c;
 
 	s.list = talloc_array(NULL, struct rc_record *, 64);
-	HASH_ITER(hh, sh->jobs, job, next) {
+	HASH_ITER(hh, sh->jobs, job, next)
+	{
 		if (sh_job_ended(sh, job) && !job->cancel_queued &&
 		    now_us - job->ended_us >= keep_ended_us) {
 			HASH_DEL(sh->jobs, job);
--- a/state/shard_task.c
+++ b/state/shard_task.c
@@ -32,8 +32,7 @@
 }
 
 uint64_t
-sh_emit_task(
-    struct sh_shard *sh, enum rc_kind kind, const struct sh_task *task)
+sh_emit_task(struct sh_shard *sh, enum rc_kind kind, const struct sh_task *task)
 {
 	struct rc_record *r;
 
@@ -80,8 +79,8 @@
 	task->attempt = (sh->epoch << SH_EPOCH_SHIFT) | ++sh->next_attempt;
 	task->first_seq = 0;
 	task->backfill = sh->table->worker[w].held_from_us != 0;
-	sh_task_set_state(task,
-	    task->job->spec->idempotent ? SH_STARTING : SH_LOGGING);
+	sh_task_set_state(
+	    task, task->job->spec->idempotent ? SH_STARTING : SH_LOGGING);
 	task->durable_at = sh_emit_task(sh, RC_TASK_STARTING, task);
 	task->start_logged = true;
 	sh->worker[w].dirty = true;
@@ -195,8 +194,7 @@
 sh_task_need(const struct sh_shard *sh, const struct sh_job *job)
 {
 	char key[256];
-	const struct sh_profile *p =
-	    sh_profile_find(sh, job, key, sizeof(key));
+	const struct sh_profile *p = sh_profile_find(sh, job, key, sizeof(key));
 	struct st_res need = job->spec->each;
 	struct st_res learned = need;
 
--- a/state/shard_worker.c
+++ b/state/shard_worker.c
@@ -42,7 +42,8 @@
 	struct sh_task *task;
 	struct sh_task *next;
 
-	DL_FOREACH_SAFE(sh->worker[w].tasks, task, next) {
+	DL_FOREACH_SAFE(sh->worker[w].tasks, task, next)
+	{
 		if (task->first_seq == 0) {
 			sh_task_requeue(sh, task);
 			continue;
@@ -109,7 +110,7 @@
 	wk->want_inventory = true;
 	wk->lapse_us = 0;
 	DL_FOREACH_SAFE(wk->tasks, task, next)
-		sh_task_lost(sh, task, now_us);
+	sh_task_lost(sh, task, now_us);
 	sh_worker_update_usable(sh, w, now_us);
 }
 
@@ -146,8 +147,8 @@
 }
 
 static void
-sh_resolve_task(struct sh_shard *sh, struct sh_task *task, bool all,
-    int64_t now_us)
+sh_resolve_task(
+    struct sh_shard *sh, struct sh_task *task, bool all, int64_t now_us)
 {
 	if (task->job->spec->idempotent) {
 		if (all)
@@ -155,8 +156,9 @@
 		return;
 	}
 	/* It was started once, on the logged worker, or not at all. */
-	if (!all && (task->logged_worker == NULL ||
-			!sh_worker_resolved(sh, task->logged_worker)))
+	if (!all &&
+	    (task->logged_worker == NULL ||
+		!sh_worker_resolved(sh, task->logged_worker)))
 		return;
 	sh_task_end(sh, task, ST_RESULT_UNKNOWN, now_us);
 }
@@ -173,8 +175,7 @@
 			continue;
 		for (i = 0; i < job->spec->count; i++) {
 			if (job->task[i].state == SH_HELD)
-				sh_resolve_task(
-				    sh, &job->task[i], all, now_us);
+				sh_resolve_task(sh, &job->task[i], all, now_us);
 		}
 	}
 }
@@ -213,11 +214,13 @@
 
 	if (wk->strays != NULL)
 		return true;
-	DL_FOREACH(wk->tasks, task) {
+	DL_FOREACH(wk->tasks, task)
+	{
 		if (sh_task_sendable(sh, task))
 			return true;
 	}
-	LL_FOREACH(wk->acks, ack) {
+	LL_FOREACH(wk->acks, ack)
+	{
 		if (ack->durable_at <= sh->committed)
 			return true;
 	}
@@ -241,8 +244,7 @@
 static void
 sh_build_task(struct sh_shard *sh, struct sh_task *task, struct sh_sync *out)
 {
-	struct sh_ref ref = {
-	    task->job->spec->id, task->index, task->attempt};
+	struct sh_ref ref = {task->job->spec->id, task->index, task->attempt};
 	struct sh_start *start;
 
 	if (!sh_task_sendable(sh, task))
@@ -274,7 +276,8 @@
 {
 	const struct sh_stray *stray;
 
-	LL_FOREACH(wk->strays, stray) {
+	LL_FOREACH(wk->strays, stray)
+	{
 		if (out->stop_count == SH_SYNC_MAX)
 			return;
 		out->stop[out->stop_count].ref.job = stray->job;
@@ -290,7 +293,8 @@
 {
 	const struct sh_ack *ack;
 
-	LL_FOREACH(wk->acks, ack) {
+	LL_FOREACH(wk->acks, ack)
+	{
 		if (out->ack_count == SH_SYNC_MAX)
 			return;
 		if (ack->durable_at > sh->committed)
@@ -338,7 +342,8 @@
 	sh_build_stops(wk, out);
 	if (wk->want_inventory)
 		return;
-	DL_FOREACH(wk->tasks, task) {
+	DL_FOREACH(wk->tasks, task)
+	{
 		sh_build_task(sh, task, out);
 		if (sh_task_sendable(sh, task) || task->state == SH_LOGGING)
 			wk->dirty = true;
@@ -368,7 +373,8 @@
 	struct sh_worker *wk = &sh->worker[w];
 	struct sh_stray *s;
 
-	LL_FOREACH(wk->strays, s) {
+	LL_FOREACH(wk->strays, s)
+	{
 		if (s->attempt == ref->attempt && s->index == ref->index &&
 		    strcmp(s->job, ref->job) == 0)
 			return;
@@ -388,7 +394,8 @@
 	struct sh_stray *s;
 	struct sh_stray *next;
 
-	LL_FOREACH_SAFE(wk->strays, s, next) {
+	LL_FOREACH_SAFE(wk->strays, s, next)
+	{
 		if (s->attempt != ref->attempt || s->index != ref->index ||
 		    strcmp(s->job, ref->job) != 0)
 			continue;
@@ -453,11 +460,12 @@
 
 	for (i = 0; i < reply->running_count; i++)
 		sh_inventory_row(sh, w, &reply->running[i], now_us);
-	DL_FOREACH_SAFE(wk->tasks, task, next) {
+	DL_FOREACH_SAFE(wk->tasks, task, next)
+	{
 		if (sh_reply_lists(reply, task))
 			continue;
 		/* A start within the same lease is simply sent again. */
-		if (task->state == SH_RUNNING || 
+		if (task->state == SH_RUNNING ||
 		    (new_lease && task->first_seq != 0))
 			sh_task_lost(sh, task, now_us);
 	}
@@ -471,8 +479,7 @@
 {
 	if (task->job->spec->kind == ST_SERVICE)
 		return true;
-	return task->job->spec->idempotent &&
-	    task->failures < SH_MAX_FAILURES;
+	return task->job->spec->idempotent && task->failures < SH_MAX_FAILURES;
 }
 
 static void
@@ -522,9 +529,9 @@
 {
 	const struct sh_ack *ack;
 
-	LL_FOREACH(wk->acks, ack) {
-		if (ack->attempt == ref->attempt &&
-		    ack->index == ref->index &&
+	LL_FOREACH(wk->acks, ack)
+	{
+		if (ack->attempt == ref->attempt && ack->index == ref->index &&
 		    strcmp(ack->job, ref->job) == 0)
 			return true;
 	}
@@ -540,8 +547,7 @@
 
 	if (ended->result == ST_RESULT_CANCELLED)
 		return;
-	if (task->state == SH_HELD &&
-	    (same || task->job->spec->idempotent)) {
+	if (task->state == SH_HELD && (same || task->job->spec->idempotent)) {
 		task->attempt = ended->ref.attempt;
 		sh_task_outcome(sh, task, ended->result, now_us);
 	} else if (task->state == SH_ENDED && same &&
@@ -611,9 +617,9 @@
 	wk->consecutive_failures++;
 	if (wk->consecutive_failures < SH_QUARANTINE_AFTER && !wk->probing)
 		return;
-	shift = wk->quarantines < SH_MAX_QUARANTINE_SHIFT ?
-	    wk->quarantines :
-	    SH_MAX_QUARANTINE_SHIFT;
+	shift = wk->quarantines < SH_MAX_QUARANTINE_SHIFT
+	    ? wk->quarantines
+	    : SH_MAX_QUARANTINE_SHIFT;
 	wk->quarantines++;
 	wk->consecutive_failures = 0;
 	wk->probing = true;
@@ -621,15 +627,16 @@
 }
 
 static void
-sh_drop_acked(
-    struct sh_shard *sh, struct sh_worker *wk, const struct sh_sync_reply *reply)
+sh_drop_acked(struct sh_shard *sh, struct sh_worker *wk,
+    const struct sh_sync_reply *reply)
 {
 	struct sh_ack *ack;
 	struct sh_ack *next;
 	size_t i;
 
 	/* An outcome that is no longer reported has been acknowledged. */
-	LL_FOREACH_SAFE(wk->acks, ack, next) {
+	LL_FOREACH_SAFE(wk->acks, ack, next)
+	{
 		if (ack->durable_at > sh->committed)
 			continue;
 		for (i = 0; i < reply->ended_count; i++) {
@@ -707,10 +714,10 @@
 
 	wk->in_flight = false;
 	wk->dirty = true;
-	wk->sync_at_us = now_us +
-	    (wk->state == SH_W_LOST ? SH_LOST_RETRY_US : SH_RETRY_US);
+	wk->sync_at_us =
+	    now_us + (wk->state == SH_W_LOST ? SH_LOST_RETRY_US : SH_RETRY_US);
 	DL_FOREACH(wk->tasks, task)
-		task->stop_sent = false;
+	task->stop_sent = false;
 	/* No new tasks until it answers; the lease decides on the old. */
 	wk->avoid_until_us = now_us + SH_AVOID_US;
 	sh_worker_update_usable(sh, w, now_us);
--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -80,8 +80,8 @@
 	int n;
 
 	p->endpoint->active--;
-	n = asprintf(&answer, "answer to %.*s", (int)p->req->body_bytes,
-	    p->req->body);
+	n = asprintf(
+	    &answer, "answer to %.*s", (int)p->req->body_bytes, p->req->body);
 	if (p->cut)
 		hs_abort(p->req, answer, (size_t)n / 2, (size_t)n);
 	else
@@ -201,8 +201,8 @@
 		e->site = &s;
 		e->service_us = argc > 2 ? strtoll(argv[2], NULL, 10) : 5000;
 		standin_serve(s.loop, e->address, on_request, e);
-		at += (size_t)sprintf(addresses + at, "%s%s", i > 0 ? " " : "",
-		    e->address);
+		at += (size_t)sprintf(
+		    addresses + at, "%s%s", i > 0 ? " " : "", e->address);
 	}
 	standin_run(s.loop, addresses);
 	return 0;
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -12,8 +12,8 @@
 void
 standin_serve(struct loop *l, char *address, hs_handler_fn handler, void *arg)
 {
-	struct hs_limits limits = {STANDIN_MAX_BODY_BYTES,
-	    STANDIN_MAX_CONNECTIONS, 0};
+	struct hs_limits limits = {
+	    STANDIN_MAX_BODY_BYTES, STANDIN_MAX_CONNECTIONS, 0};
 	int fd;
 
 	fd = hs_listen("127.0.0.1:0", address, 64);
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -159,7 +159,8 @@
 	struct watcher *w;
 	struct watcher *next;
 
-	LL_FOREACH_SAFE(st->watchers, w, next) {
+	LL_FOREACH_SAFE(st->watchers, w, next)
+	{
 		if (strncmp(key, w->prefix, strlen(w->prefix)) != 0)
 			continue;
 		LL_DELETE(st->watchers, w);
@@ -187,8 +188,8 @@
 	*revision = e != NULL ? e->revision : 0;
 	if (create && e != NULL)
 		return 409;
-	if (!create && (e == NULL ? if_revision != 0 :
-				    e->revision != if_revision))
+	if (!create &&
+	    (e == NULL ? if_revision != 0 : e->revision != if_revision))
 		return 409;
 	if (e == NULL) {
 		e = calloc(1, sizeof(*e));
@@ -281,8 +282,8 @@
 	w->req = req;
 	w->prefix = strdup(prefix != NULL ? prefix : "");
 	w->after = (uint64_t)standin_query_i64(req, "after", 0);
-	w->deadline_us = clk_now_us() +
-	    standin_query_i64(req, "wait_ms", 0) * CLK_US_PER_MS;
+	w->deadline_us =
+	    clk_now_us() + standin_query_i64(req, "wait_ms", 0) * CLK_US_PER_MS;
 	for (e = st->entries; e != NULL; e = e->hh.next) {
 		if (strncmp(e->key, w->prefix, strlen(w->prefix)) == 0 &&
 		    e->revision > w->after)
@@ -330,8 +331,7 @@
 			    json_string_value(json_object_get(body, "match")));
 		if (json_object_get(body, "method") != NULL)
 			snprintf(f->method, sizeof(f->method), "%s",
-			    json_string_value(
-				json_object_get(body, "method")));
+			    json_string_value(json_object_get(body, "method")));
 	}
 	json_decref(body);
 	standin_reply(req, 200, "ok");
@@ -347,8 +347,7 @@
 
 		if (f->count <= 0 || strstr(req->path, f->match) == NULL)
 			continue;
-		if (f->method[0] != '\0' &&
-		    strcmp(f->method, req->method) != 0)
+		if (f->method[0] != '\0' && strcmp(f->method, req->method) != 0)
 			continue;
 		f->count--;
 		return f;
@@ -483,7 +482,8 @@
 	struct entry *e;
 	struct entry *next;
 
-	HASH_ITER(hh, st->entries, e, next) {
+	HASH_ITER(hh, st->entries, e, next)
+	{
 		if (e->lease == id)
 			do_delete(st, e->key, 0);
 	}
@@ -501,20 +501,23 @@
 	struct delayed *d;
 	struct delayed *dnext;
 
-	HASH_ITER(hh, st->leases, l, lnext) {
+	HASH_ITER(hh, st->leases, l, lnext)
+	{
 		if (now_us < l->expires_us)
 			continue;
 		HASH_DEL(st->leases, l);
 		expire_lease(st, l->id);
 		free(l);
 	}
-	LL_FOREACH_SAFE(st->delayed, d, dnext) {
+	LL_FOREACH_SAFE(st->delayed, d, dnext)
+	{
 		if (now_us < d->at_us)
 			continue;
 		LL_DELETE(st->delayed, d);
 		answer_write(st, d);
 	}
-	LL_FOREACH_SAFE(st->watchers, w, wnext) {
+	LL_FOREACH_SAFE(st->watchers, w, wnext)
+	{
 		if (now_us < w->deadline_us)
 			continue;
 		LL_DELETE(st->watchers, w);
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -120,7 +120,8 @@
 {
 	struct task *t;
 
-	DL_FOREACH(list, t) {
+	DL_FOREACH(list, t)
+	{
 		if (t->attempt == attempt && t->index == index &&
 		    strcmp(t->job, job) == 0)
 			return t;
@@ -162,7 +163,7 @@
 	struct task *next;
 
 	DL_FOREACH_SAFE(w->running, t, next)
-		end_task(w, t, ST_RESULT_CANCELLED, false);
+	end_task(w, t, ST_RESULT_CANCELLED, false);
 	w->generation++;
 	w->lease_until_us = 0;
 }
@@ -177,8 +178,7 @@
 	t->attempt =
 	    (uint64_t)json_integer_value(json_object_get(o, "attempt"));
 	t->need.cpu_mcpu = json_integer_value(json_object_get(o, "cpu_mcpu"));
-	t->need.mem_bytes =
-	    json_integer_value(json_object_get(o, "mem_bytes"));
+	t->need.mem_bytes = json_integer_value(json_object_get(o, "mem_bytes"));
 	t->need.accel =
 	    (int32_t)json_integer_value(json_object_get(o, "accelerators"));
 	t->idempotent = json_is_true(json_object_get(o, "idempotent"));
@@ -245,8 +245,8 @@
 	t = find_task(w->running, probe.job, probe.index, probe.attempt);
 	if (t != NULL) {
 		end_task(w, t, ST_RESULT_CANCELLED, true);
-	} else if (find_task(w->ended, probe.job, probe.index,
-		       probe.attempt) == NULL) {
+	} else if (find_task(w->ended, probe.job, probe.index, probe.attempt) ==
+	    NULL) {
 		/* Never started here, and now it never will be. */
 		t = calloc(1, sizeof(*t));
 		read_task(o, t);
@@ -278,7 +278,8 @@
 	json_t *usage = json_array();
 	const struct task *t;
 
-	DL_FOREACH(w->running, t) {
+	DL_FOREACH(w->running, t)
+	{
 		json_t *o;
 
 		if (clk_now_us() < t->started_us + USAGE_LAG_US)
@@ -301,23 +302,24 @@
 	json_t *reply;
 	struct task *t;
 
-	DL_FOREACH(w->ended, t) {
+	DL_FOREACH(w->ended, t)
+	{
 		json_t *o = show_ref(t);
 
 		json_object_set_new(
 		    o, "result", json_string(st_result_name(t->result)));
 		json_array_append_new(ended, o);
 	}
-	reply = json_pack("{s:I, s:I}", "clock_us",
-	    (json_int_t)worker_clock_us(w), "lease_generation",
-	    (json_int_t)w->generation);
+	reply =
+	    json_pack("{s:I, s:I}", "clock_us", (json_int_t)worker_clock_us(w),
+		"lease_generation", (json_int_t)w->generation);
 	if (json_array_size(ended) > 0)
 		json_object_set(reply, "ended", ended);
 	json_decref(ended);
 	if (inventory) {
 		running = json_array();
 		DL_FOREACH(w->running, t)
-			json_array_append_new(running, show_ref(t));
+		json_array_append_new(running, show_ref(t));
 		json_object_set_new(reply, "running", running);
 		if (w->usage_percent > 0)
 			json_object_set_new(reply, "usage", show_usage(w));
@@ -338,22 +340,21 @@
 
 	generation = (uint64_t)json_integer_value(
 	    json_object_get(body, "lease_generation"));
-	until_us =
-	    json_integer_value(json_object_get(body, "lease_until_us"));
-	json_array_foreach(json_object_get(body, "ack"), i, o)
-		ack_task(w, o);
+	until_us = json_integer_value(json_object_get(body, "lease_until_us"));
+	json_array_foreach(json_object_get(body, "ack"), i, o) ack_task(w, o);
 	if (generation == w->generation) {
 		if (until_us > w->lease_until_us)
 			w->lease_until_us = until_us;
 		json_array_foreach(json_object_get(body, "stop"), i, o)
-			stop_task(w, o);
-		json_array_foreach(json_object_get(body, "start"), i, o) {
+		    stop_task(w, o);
+		json_array_foreach(json_object_get(body, "start"), i, o)
+		{
 			if (worker_clock_us(w) < w->lease_until_us)
 				start_task(w, o, started, refused);
 		}
 	} else {
 		json_array_foreach(json_object_get(body, "start"), i, o)
-			json_array_append(refused, o);
+		    json_array_append(refused, o);
 	}
 	reply = build_reply(w,
 	    json_is_true(json_object_get(body, "want_inventory")) ||
@@ -457,13 +458,12 @@
 		multi += !h->idempotent && h->completions > 1;
 	}
 	standin_reply_json(req, 200,
-	    json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
-		"starts", (json_int_t)f->starts, "ends", (json_int_t)f->ends,
-		"live", (json_int_t)live, "overcommitted",
-		(json_int_t)f->overcommitted, "doubled",
-		(json_int_t)f->doubled, "repeated", (json_int_t)f->repeated,
-		"completed_twice", (json_int_t)multi, "syncs",
-		(json_int_t)f->syncs, "sync_bytes",
+	    json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "starts",
+		(json_int_t)f->starts, "ends", (json_int_t)f->ends, "live",
+		(json_int_t)live, "overcommitted", (json_int_t)f->overcommitted,
+		"doubled", (json_int_t)f->doubled, "repeated",
+		(json_int_t)f->repeated, "completed_twice", (json_int_t)multi,
+		"syncs", (json_int_t)f->syncs, "sync_bytes",
 		(json_int_t)f->sync_bytes));
 }
 
@@ -497,11 +497,13 @@
 
 	if (w->lease_until_us != 0 && worker_clock_us(w) >= w->lease_until_us)
 		lose_lease(w);
-	DL_FOREACH_SAFE(w->running, t, next) {
+	DL_FOREACH_SAFE(w->running, t, next)
+	{
 		if (now_us >= t->ends_us)
 			end_task(w, t, ST_RESULT_DONE, true);
 	}
-	LL_FOREACH_SAFE(w->polls, p, pnext) {
+	LL_FOREACH_SAFE(w->polls, p, pnext)
+	{
 		if (w->news == news && now_us < p->deadline_us)
 			continue;
 		LL_DELETE(w->polls, p);
@@ -549,8 +551,8 @@
 		w->generation = 1 + rng_below(&rng, 1000000);
 		w->clock_offset_us = (int64_t)rng_below(&rng, 1000000000);
 		standin_serve(f.loop, w->address, on_request, w);
-		at += (size_t)sprintf(addresses + at, "%s%s",
-		    i > 1 ? " " : "", w->address);
+		at += (size_t)sprintf(
+		    addresses + at, "%s%s", i > 1 ? " " : "", w->address);
 	}
 	loop_every(f.loop, TICK_US, on_tick, &f);
 	standin_run(f.loop, addresses);
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -90,8 +90,8 @@
 }
 
 static void
-hc_on_socket(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-    void *arg)
+hc_on_socket(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
 	struct hc_socket *sock = arg;
 	struct http_client *hc = sock->hc;
@@ -119,8 +119,7 @@
 	(void)te;
 	(void)now;
 	hc->timer = NULL;
-	curl_multi_socket_action(
-	    hc->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	curl_multi_socket_action(hc->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 	hc_collect(hc);
 }
 
@@ -136,8 +135,8 @@
 		return 0;
 	at = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
 	    (uint32_t)(timeout_ms % 1000) * 1000U);
-	hc->timer = tevent_add_timer(
-	    loop_ev(hc->loop), hc, at, hc_on_timer, hc);
+	hc->timer =
+	    tevent_add_timer(loop_ev(hc->loop), hc, at, hc_on_timer, hc);
 	return 0;
 }
 
@@ -222,8 +221,8 @@
 	struct hc_transfer *t = arg;
 	size_t got;
 
-	got = hc_append(
-	    &t->response_body, t->response_bytes, data, size * n, t);
+	got =
+	    hc_append(&t->response_body, t->response_bytes, data, size * n, t);
 	t->response_bytes += got;
 	return got;
 }
@@ -255,8 +254,8 @@
 	curl_easy_setopt(t->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS,
-	    (long)(left_ms > 0 ? left_ms : 1));
+	curl_easy_setopt(
+	    t->easy, CURLOPT_TIMEOUT_MS, (long)(left_ms > 0 ? left_ms : 1));
 	if (req->body != NULL || strcmp(req->method, "GET") != 0) {
 		curl_easy_setopt(t->easy, CURLOPT_POSTFIELDSIZE_LARGE,
 		    (curl_off_t)req->body_bytes);
@@ -311,8 +310,8 @@
 			line += len + 1;
 			while (*line == ' ')
 				line++;
-			snprintf(value, value_bytes, "%.*s",
-			    (int)(end - line), line);
+			snprintf(value, value_bytes, "%.*s", (int)(end - line),
+			    line);
 			return value;
 		}
 		line = end + 2;
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -17,6 +17,7 @@
 	struct loop *loop;
 	struct MHD_Daemon *mhd;
 	struct tevent_timer *timer;
+	struct tevent_immediate *resumed;
 	hs_handler_fn handler;
 	void *arg;
 	size_t max_body_bytes;
@@ -178,8 +179,8 @@
 }
 
 static void
-hs_on_readable(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-    void *arg)
+hs_on_readable(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
 	struct http_server *hs = arg;
 
@@ -215,8 +216,8 @@
 		return;
 	at = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
 	    (uint32_t)(timeout_ms % 1000) * 1000U);
-	hs->timer = tevent_add_timer(
-	    loop_ev(hs->loop), hs, at, hs_on_timer, hs);
+	hs->timer =
+	    tevent_add_timer(loop_ev(hs->loop), hs, at, hs_on_timer, hs);
 }
 
 struct http_server *
@@ -240,6 +241,9 @@
 	    MHD_OPTION_NOTIFY_COMPLETED, hs_on_completed, hs, MHD_OPTION_END);
 	if (hs->mhd == NULL)
 		goto fail;
+	hs->resumed = tevent_create_immediate(hs);
+	if (hs->resumed == NULL)
+		goto fail;
 	info = MHD_get_daemon_info(hs->mhd, MHD_DAEMON_INFO_EPOLL_FD);
 	if (info == NULL ||
 	    tevent_add_fd(loop_ev(l), hs, info->epoll_fd, TEVENT_FD_READ,
@@ -272,13 +276,29 @@
 	    hs_exchange_of(req)->conn, MHD_GET_ARGUMENT_KIND, name);
 }
 
+static void
+hs_on_resumed(struct tevent_context *ev, struct tevent_immediate *im, void *arg)
+{
+	struct http_server *hs = arg;
+
+	(void)ev;
+	(void)im;
+	MHD_run(hs->mhd);
+	hs_schedule(hs);
+}
+
 static void
 hs_resume(struct hs_exchange *ex)
 {
+	struct http_server *hs = ex->hs;
+
 	if (!ex->suspended)
 		return;
 	ex->suspended = false;
 	MHD_resume_connection(ex->conn);
+	/* The library acts on it in its next run, which nothing else starts. */
+	tevent_schedule_immediate(
+	    hs->resumed, loop_ev(hs->loop), hs_on_resumed, hs);
 }
 
 void
@@ -295,8 +315,8 @@
 	MHD_add_response_header(ex->response, "Content-Type", content_type);
 	for (i = 0; i < header_count; i++) {
 		if (headers[i].value != NULL)
-			MHD_add_response_header(ex->response, headers[i].name,
-			    headers[i].value);
+			MHD_add_response_header(
+			    ex->response, headers[i].name, headers[i].value);
 	}
 	hs_resume(ex);
 }
--- a/transport/kv_http.c
+++ b/transport/kv_http.c
@@ -97,28 +97,28 @@
 
 	ct_add(CT_STORE_WRITES, 1);
 	if (put->mode == KV_CREATE)
-		n = snprintf(path, sizeof(path), "/v1/kv/%s?create=1",
-		    put->key);
+		n = snprintf(
+		    path, sizeof(path), "/v1/kv/%s?create=1", put->key);
 	else
 		n = snprintf(path, sizeof(path),
 		    "/v1/kv/%s?if_revision=%" PRIu64, put->key,
 		    put->if_revision);
 	if (put->lease != 0)
-		snprintf(path + n, sizeof(path) - (size_t)n,
-		    "&lease=%" PRIu64, put->lease);
+		snprintf(path + n, sizeof(path) - (size_t)n, "&lease=%" PRIu64,
+		    put->lease);
 	kv_send(kv, "PUT", path, put->value, put->value_bytes, 0, done, arg);
 }
 
 static void
-kv_http_del(void *kv, const char *key, uint64_t if_revision, kv_done_fn done,
-    void *arg)
+kv_http_del(
+    void *kv, const char *key, uint64_t if_revision, kv_done_fn done, void *arg)
 {
 	char path[KV_URL_BYTES];
 
 	ct_add(CT_STORE_WRITES, 1);
 	if (if_revision != 0)
-		snprintf(path, sizeof(path),
-		    "/v1/kv/%s?if_revision=%" PRIu64, key, if_revision);
+		snprintf(path, sizeof(path), "/v1/kv/%s?if_revision=%" PRIu64,
+		    key, if_revision);
 	else
 		snprintf(path, sizeof(path), "/v1/kv/%s", key);
 	kv_send(kv, "DELETE", path, NULL, 0, 0, done, arg);
--- a/transport/loop.c
+++ b/transport/loop.c
@@ -112,15 +112,13 @@
 		abort();
 	call->fn = fn;
 	call->arg = arg;
-	tevent_threaded_schedule_immediate(
-	    l->tctx, im, loop_run_posted, call);
+	tevent_threaded_schedule_immediate(l->tctx, im, loop_run_posted, call);
 }
 
 static struct timeval
 loop_deadline(int64_t delay_us)
 {
-	return tevent_timeval_current_ofs(
-	    (uint32_t)(delay_us / CLK_US_PER_S),
+	return tevent_timeval_current_ofs((uint32_t)(delay_us / CLK_US_PER_S),
 	    (uint32_t)(delay_us % CLK_US_PER_S));
 }
 
@@ -161,8 +159,7 @@
 }
 
 void
-loop_after(
-    struct loop *l, int64_t delay_us, void (*fn)(void *arg), void *arg)
+loop_after(struct loop *l, int64_t delay_us, void (*fn)(void *arg), void *arg)
 {
 	struct loop_call *call;
 
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -95,8 +95,8 @@
 }
 
 static void
-peer_free_later(struct tevent_context *ev, struct tevent_immediate *im,
-    void *arg)
+peer_free_later(
+    struct tevent_context *ev, struct tevent_immediate *im, void *arg)
 {
 	(void)ev;
 	(void)im;
@@ -145,8 +145,8 @@
 }
 
 static bool
-peer_queue(struct peer_link *link, struct peer_buffer *b,
-    const Currant__Frame *frame)
+peer_queue(
+    struct peer_link *link, struct peer_buffer *b, const Currant__Frame *frame)
 {
 	uint8_t *bytes;
 	size_t len;
@@ -191,16 +191,15 @@
 peer_on_hello(struct peer_link *link, const Currant__Hello *hello)
 {
 	if (!link->net->hooks.accept_hello(hello, link->net->arg)) {
-		lg_event(LG_WARN, "peer", "hello_refused", "peer", hello->vm,
-		    NULL);
+		lg_event(
+		    LG_WARN, "peer", "hello_refused", "peer", hello->vm, NULL);
 		peer_close(link);
 		return;
 	}
 	TALLOC_FREE(link->hello_timer);
 	snprintf(link->vm, sizeof(link->vm), "%s", hello->vm);
 	link->established = true;
-	peer_buffer_append(
-	    link, &link->out, link->held.data, link->held.len);
+	peer_buffer_append(link, &link->out, link->held.data, link->held.len);
 	link->held.len = 0;
 	peer_flush(link);
 }
@@ -234,8 +233,8 @@
 		if (error == FR_MORE)
 			break;
 		if (error != FR_OK) {
-			lg_event(LG_WARN, "peer", "bad_frame", "peer",
-			    link->vm, "error", fr_error_text(error), NULL);
+			lg_event(LG_WARN, "peer", "bad_frame", "peer", link->vm,
+			    "error", fr_error_text(error), NULL);
 			peer_close(link);
 			return;
 		}
@@ -269,8 +268,8 @@
 }
 
 static void
-peer_on_event(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-    void *arg)
+peer_on_event(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
 	struct peer_link *link = arg;
 	socklen_t len = sizeof(int);
@@ -321,8 +320,8 @@
 	link->serial = ++net->next_serial;
 	DL_APPEND(net->links, link);
 	link->fd = fd;
-	link->fde = tevent_add_fd(loop_ev(net->loop), link, fd,
-	    TEVENT_FD_READ, peer_on_event, link);
+	link->fde = tevent_add_fd(
+	    loop_ev(net->loop), link, fd, TEVENT_FD_READ, peer_on_event, link);
 	link->hello_timer = tevent_add_timer(loop_ev(net->loop), link,
 	    tevent_timeval_current_ofs(PEER_HELLO_US / CLK_US_PER_S, 0),
 	    peer_on_hello_timeout, link);
@@ -330,8 +329,8 @@
 }
 
 static void
-peer_on_accept(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-    void *arg)
+peer_on_accept(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
 	struct peer_net *net = arg;
 	struct peer_link *link;
@@ -340,8 +339,7 @@
 	(void)ev;
 	(void)fde;
 	(void)flags;
-	fd = accept4(
-	    net->listen_fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
+	fd = accept4(net->listen_fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
 	if (fd == -1)
 		return;
 	link = peer_link_create(net, fd);
@@ -436,7 +434,8 @@
 {
 	struct peer_link *link;
 
-	DL_FOREACH(net->links, link) {
+	DL_FOREACH(net->links, link)
+	{
 		if (link->serial == serial)
 			return link;
 	}
