--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -629,9 +629,7 @@
 void
 ow_lease_lost(struct ow_machine *m)
 {
-	if (ow_active(m))
-		m->lease_lost = true;
-	else if (m->state != OW_IDLE && m->lease_taken)
+	if (ow_active(m) || m->lease_taken)
 		m->lease_lost = true;
 }
 
--- a/currantctl/cmd_config.c
+++ b/currantctl/cmd_config.c
@@ -91,8 +91,7 @@
 	json_t *m;
 	size_t i;
 
-	json_array_foreach(members, i, m)
-	{
+	json_array_foreach(members, i, m) {
 		const char *state =
 		    json_string_value(json_object_get(m, "state"));
 
@@ -135,7 +134,7 @@
 	} while (spent_ms < timeout_ms);
 	fprintf(stderr, "currantctl: not yet in force on:");
 	json_array_foreach(lagging, i, vm)
-	    fprintf(stderr, " %s", json_string_value(vm));
+		fprintf(stderr, " %s", json_string_value(vm));
 	fprintf(stderr, "\n");
 	json_decref(lagging);
 	return CTL_LAGGING;
--- a/currantctl/cmd_report.c
+++ b/currantctl/cmd_report.c
@@ -44,8 +44,7 @@
 	json_t *row;
 	size_t i;
 
-	json_array_foreach(merged, i, row)
-	{
+	json_array_foreach(merged, i, row) {
 		if (strcmp(json_string_value(json_object_get(row, "objective")),
 			objective) == 0 &&
 		    json_integer_value(json_object_get(row, "minutes")) ==
@@ -74,13 +73,12 @@
 	size_t i;
 	size_t k;
 
-	json_array_foreach(parts, i, part)
-	{
+	json_array_foreach(parts, i, part) {
 		const char *name =
 		    json_string_value(json_object_get(part, "objective"));
 
-		json_array_foreach(json_object_get(part, "windows"), k, window)
-		{
+		json_array_foreach(
+		    json_object_get(part, "windows"), k, window) {
 			json_int_t minutes = json_integer_value(
 			    json_object_get(window, "minutes"));
 
@@ -109,8 +107,7 @@
 	json_t *row;
 	size_t i;
 
-	json_array_foreach(merged, i, row)
-	{
+	json_array_foreach(merged, i, row) {
 		double good =
 		    (double)json_integer_value(json_object_get(row, "good"));
 		double bad =
@@ -185,13 +182,13 @@
 	    "of the line the budget will not last.</p>"
 	    "<svg width=\"960\" height=\"%zu\">\n",
 	    n * REPORT_ROW_PX + 10);
-	json_array_foreach(merged, i, row) report_html_row(f, row, i);
+	json_array_foreach(merged, i, row)
+		report_html_row(f, row, i);
 	fprintf(f,
 	    "<line x1=\"%.1f\" x2=\"%.1f\" y1=\"0\" y2=\"%zu\" "
 	    "stroke=\"#444\"/></svg>\n",
 	    one, one, n * REPORT_ROW_PX);
-	json_array_foreach(missing, i, name)
-	{
+	json_array_foreach(missing, i, name) {
 		fputs("<p>No answer from ", f);
 		report_html_text(f, json_string_value(name));
 		fputs(": its requests are not counted.</p>\n", f);
@@ -217,8 +214,8 @@
 
 	ctl_print_table(merged, columns, 7);
 	json_array_foreach(missing, i, name)
-	    printf("no answer from %s: its requests are not counted\n",
-		json_string_value(name));
+		printf("no answer from %s: its requests are not counted\n",
+		    json_string_value(name));
 }
 
 int
--- a/currantctl/cmd_show.c
+++ b/currantctl/cmd_show.c
@@ -24,8 +24,9 @@
 		ctl_print_table(
 		    json_object_get(resp.body, field), columns, count);
 	missing = json_object_get(resp.body, "unreachable");
-	json_array_foreach(missing, i, name) fprintf(
-	    stderr, "currantctl: no answer from %s\n", json_string_value(name));
+	json_array_foreach(missing, i, name)
+		fprintf(stderr, "currantctl: no answer from %s\n",
+		    json_string_value(name));
 	ctl_free(&resp);
 	return code;
 }
--- a/currantctl/table.c
+++ b/currantctl/table.c
@@ -53,8 +53,7 @@
 
 	for (c = 0; c < count; c++)
 		width[c] = (int)strlen(columns[c].title);
-	json_array_foreach(rows, i, row)
-	{
+	json_array_foreach(rows, i, row) {
 		for (c = 0; c < count; c++) {
 			table_cell(row, columns[c].field, cell);
 			if ((int)strlen(cell) > width[c])
@@ -64,8 +63,7 @@
 	for (c = 0; c < count; c++)
 		printf("%-*s%s", c + 1 < count ? width[c] : 0, columns[c].title,
 		    c + 1 < count ? "  " : "\n");
-	json_array_foreach(rows, i, row)
-	{
+	json_array_foreach(rows, i, row) {
 		for (c = 0; c < count; c++) {
 			table_cell(row, columns[c].field, cell);
 			printf("%-*s%s", c + 1 < count ? width[c] : 0, cell,
--- a/curranttackd/calls.c
+++ b/curranttackd/calls.c
@@ -209,8 +209,7 @@
 		ca_reply(&reply, ST_NOT_RUN, 503,
 		    "the daemon in charge cannot be reached",
 		    CA_NO_OWNER_RETRY_MS);
-	HASH_ITER(hh, c->pending, p, next)
-	{
+	HASH_ITER(hh, c->pending, p, next) {
 		if (p->link == link)
 			ca_finish(c, p, &reply);
 	}
@@ -224,8 +223,7 @@
 	Currant__Reply reply;
 
 	ca_reply(&reply, ST_UNKNOWN, 504, "no answer within the deadline", 0);
-	HASH_ITER(hh, c->pending, p, next)
-	{
+	HASH_ITER(hh, c->pending, p, next) {
 		if (now_us >= p->deadline_us)
 			ca_finish(c, p, &reply);
 	}
--- a/curranttackd/configuration.c
+++ b/curranttackd/configuration.c
@@ -252,7 +252,7 @@
 		return;
 	}
 	json_array_foreach(json_object_get(body, "changes"), i, change)
-	    cw_take_change(d, change);
+		cw_take_change(d, change);
 	if (a->revision > d->watch_revision)
 		d->watch_revision = a->revision;
 	json_decref(body);
--- a/curranttackd/settings.c
+++ b/curranttackd/settings.c
@@ -138,8 +138,7 @@
 	se_check_level(r, "level", s->log_level);
 	if (r->known_count < JF_MAX_KEYS)
 		r->known[r->known_count++] = "modules";
-	json_object_foreach(modules, name, value)
-	{
+	json_object_foreach(modules, name, value) {
 		struct se_module_level *m;
 
 		se_check_level(r, "modules", json_string_value(value));
--- a/curranttackd/shard_host.c
+++ b/curranttackd/shard_host.c
@@ -281,8 +281,7 @@
 	Currant__Reply reply;
 	bool owned;
 
-	DL_FOREACH_SAFE(h->waiters, w, next)
-	{
+	DL_FOREACH_SAFE(h->waiters, w, next) {
 		if (!ho_settle(h, w, &reply)) {
 			if (now_us < w->deadline_us)
 				continue;
@@ -908,21 +907,17 @@
 	struct daemon *d = h->d;
 	const struct cf_shard *conf = ho_config(h);
 	struct mb_member *self;
-	bool may = false;
+	bool may;
 
 	if (conf == NULL || atomic_load(&d->leaving) || d->store_lease == 0)
 		return false;
 	pthread_mutex_lock(&d->members_lock);
 	self = mb_find(d->view, d->settings->vm);
-	if (self->listed == MB_LEAVING)
-		may = false;
-	else if (mb_owner(d->view, h->id, now_us, NULL) != NULL)
-		may = false;
-	else if (strcmp(conf->domain, d->settings->domain) == 0)
-		may = true;
-	else
-		/* Workers may still obey a domain that is only cut off. */
-		may = !mb_domain_has_live(d->view, conf->domain, now_us);
+	/* Workers may still obey a domain that is only cut off. */
+	may = self->listed != MB_LEAVING &&
+	    mb_owner(d->view, h->id, now_us, NULL) == NULL &&
+	    (strcmp(conf->domain, d->settings->domain) == 0 ||
+		!mb_domain_has_live(d->view, conf->domain, now_us));
 	pthread_mutex_unlock(&d->members_lock);
 	return may;
 }
--- a/protocol/job_json.c
+++ b/protocol/job_json.c
@@ -222,8 +222,7 @@
 	uint32_t w;
 
 	for (w = 0; w < sh->worker_count; w++) {
-		DL_FOREACH(sh->worker[w].tasks, task)
-		{
+		DL_FOREACH(sh->worker[w].tasks, task) {
 			json_array_append_new(list,
 			    json_pack("{s:s, s:i, s:s, s:s, s:s}", "job",
 				task->job->spec->id, "index", (int)task->index,
--- a/protocol/json_fields.c
+++ b/protocol/json_fields.c
@@ -141,8 +141,7 @@
 
 	if (jf_failed(r))
 		return false;
-	json_object_foreach(r->object, key, value)
-	{
+	json_object_foreach(r->object, key, value) {
 		if (!jf_is_known(r, key)) {
 			jf_fail(r, key, "is not known");
 			return false;
--- a/state/claims.c
+++ b/state/claims.c
@@ -108,8 +108,7 @@
 	uint32_t seen = 0;
 
 	/* Insertion order is close to expiry order. */
-	HASH_ITER(hh, t->by_key, c, next)
-	{
+	HASH_ITER(hh, t->by_key, c, next) {
 		if (seen++ >= budget || now_wall_us < c->expires_wall_us)
 			return;
 		cl_drop(t, c);
--- a/state/routing.c
+++ b/state/routing.c
@@ -454,8 +454,7 @@
 	unsigned int c;
 
 	for (c = 0; c < ST_CLASS_COUNT; c++) {
-		DL_FOREACH_SAFE(s->queue[c], req, next)
-		{
+		DL_FOREACH_SAFE(s->queue[c], req, next) {
 			if (!rt_hopeless(s, req, 0, now_us))
 				continue;
 			rt_queue_remove(s, req);
--- a/state/shard.c
+++ b/state/shard.c
@@ -429,8 +429,7 @@
 	if (row->free.cpu_mcpu < 0 || row->free.mem_bytes < 0 ||
 	    row->free.accel < 0)
 		return "a worker is overcommitted";
-	DL_FOREACH(sh->worker[w].tasks, task)
-	{
+	DL_FOREACH(sh->worker[w].tasks, task) {
 		st_res_add(&sum, &task->reserved);
 		if (task->worker != w)
 			return "a task is listed on another worker";
--- a/state/shard_gang.c
+++ b/state/shard_gang.c
@@ -41,8 +41,7 @@
 
 	offer->worker = w;
 	offer->free_at_us = now_us;
-	DL_FOREACH(sh->worker[w].tasks, task)
-	{
+	DL_FOREACH(sh->worker[w].tasks, task) {
 		run_us = sh_task_run_us(sh, task->job);
 		if (run_us == INT64_MAX)
 			continue;
@@ -105,9 +104,14 @@
 static void
 sh_displace(struct sh_shard *sh, struct sh_task *task)
 {
+	sh->worker[task->worker].dirty = true;
+	if (task->first_seq == 0) {
+		/* Its worker has not heard of it. */
+		sh_task_requeue(sh, task);
+		return;
+	}
 	task->stop = true;
 	task->requeue = true;
-	sh->worker[task->worker].dirty = true;
 }
 
 static bool
@@ -118,19 +122,30 @@
 	    (task->state == SH_RUNNING || task->state == SH_STARTING);
 }
 
-/* A gang that has lost a member starts again as a whole. */
-static void
+/*
+ * A gang that has lost a member starts again as a whole. What must not run
+ * twice goes on, and the member that certainly did not run joins it late.
+ * Returns whether the start has to wait.
+ */
+static bool
 sh_gang_restart(struct sh_shard *sh, struct sh_job *job)
 {
+	bool wait = false;
 	uint32_t i;
 
-	job->reason = SH_WAIT_RECOVERY;
 	for (i = 0; i < job->spec->count; i++) {
 		struct sh_task *task = &job->task[i];
 
-		if (task->worker != PL_NONE && !task->stop)
+		wait |= task->state == SH_HELD;
+		if (task->worker == PL_NONE || !job->spec->idempotent)
+			continue;
+		if (!task->stop)
 			sh_displace(sh, task);
+		wait = true;
 	}
+	if (wait)
+		job->reason = SH_WAIT_RECOVERY;
+	return wait;
 }
 
 bool
@@ -138,7 +153,7 @@
 {
 	struct pl_request req = {
 	    .need = sh_task_need(sh, job), .ends_us = INT64_MAX};
-	uint32_t count = job->spec->count;
+	uint32_t count = job->waiting;
 	uint32_t *rows;
 	bool own_hold = sh->hold.job == job;
 	bool ok = false;
@@ -146,11 +161,8 @@
 
 	job->reason = SH_WAIT_GANG;
 	job->short_resource = req.need.accel > 0 ? "accelerators" : "cpu";
-	if (job->open > job->waiting) {
-		sh_gang_restart(sh, job);
+	if (job->open > job->waiting && sh_gang_restart(sh, job))
 		return false;
-	}
-	count = job->waiting;
 	rows = talloc_array(sh, uint32_t, count);
 	if (rows == NULL)
 		return false;
@@ -182,6 +194,7 @@
 sh_gang_tick(struct sh_shard *sh, int64_t now_us)
 {
 	struct sh_task *task;
+	struct sh_task *next;
 	uint32_t w;
 
 	if (sh->hold.job == NULL)
@@ -197,8 +210,7 @@
 	for (w = 0; w < sh->table->count; w++) {
 		if (sh->table->worker[w].held_from_us == 0)
 			continue;
-		DL_FOREACH(sh->worker[w].tasks, task)
-		{
+		DL_FOREACH_SAFE(sh->worker[w].tasks, task, next) {
 			if (task->backfill && sh_may_displace(task))
 				sh_displace(sh, task);
 		}
@@ -214,8 +226,7 @@
 	const struct sh_task *task;
 	uint32_t n = 0;
 
-	DL_FOREACH(sh->worker[w].tasks, task)
-	{
+	DL_FOREACH(sh->worker[w].tasks, task) {
 		if (st_res_fits(need, &room))
 			return n;
 		if (task->job->spec->job_class != ST_HEAVY ||
@@ -231,9 +242,9 @@
 sh_preempt_on(struct sh_shard *sh, uint32_t w, uint32_t victims)
 {
 	struct sh_task *task;
+	struct sh_task *next;
 
-	DL_FOREACH(sh->worker[w].tasks, task)
-	{
+	DL_FOREACH_SAFE(sh->worker[w].tasks, task, next) {
 		if (victims == 0)
 			return;
 		if (task->job->spec->job_class != ST_HEAVY ||
--- a/state/shard_replay.c
+++ b/state/shard_replay.c
@@ -247,8 +247,7 @@
 	struct cl_claim *c;
 
 	s.list = talloc_array(NULL, struct rc_record *, 64);
-	HASH_ITER(hh, sh->jobs, job, next)
-	{
+	HASH_ITER(hh, sh->jobs, job, next) {
 		if (sh_job_ended(sh, job) && !job->cancel_queued &&
 		    now_us - job->ended_us >= keep_ended_us) {
 			HASH_DEL(sh->jobs, job);
--- a/state/shard_sched.c
+++ b/state/shard_sched.c
@@ -38,8 +38,7 @@
 	} else {
 		struct sh_job *at;
 
-		DL_FOREACH(team->queue[c], at)
-		{
+		DL_FOREACH(team->queue[c], at) {
 			if (at->accepted_us > job->accepted_us)
 				break;
 		}
--- a/state/shard_worker.c
+++ b/state/shard_worker.c
@@ -42,8 +42,7 @@
 	struct sh_task *task;
 	struct sh_task *next;
 
-	DL_FOREACH_SAFE(sh->worker[w].tasks, task, next)
-	{
+	DL_FOREACH_SAFE(sh->worker[w].tasks, task, next) {
 		if (task->first_seq == 0) {
 			sh_task_requeue(sh, task);
 			continue;
@@ -110,7 +109,7 @@
 	wk->want_inventory = true;
 	wk->lapse_us = 0;
 	DL_FOREACH_SAFE(wk->tasks, task, next)
-	sh_task_lost(sh, task, now_us);
+		sh_task_lost(sh, task, now_us);
 	sh_worker_update_usable(sh, w, now_us);
 }
 
@@ -214,13 +213,11 @@
 
 	if (wk->strays != NULL)
 		return true;
-	DL_FOREACH(wk->tasks, task)
-	{
+	DL_FOREACH(wk->tasks, task) {
 		if (sh_task_sendable(sh, task))
 			return true;
 	}
-	LL_FOREACH(wk->acks, ack)
-	{
+	LL_FOREACH(wk->acks, ack) {
 		if (ack->durable_at <= sh->committed)
 			return true;
 	}
@@ -276,8 +273,7 @@
 {
 	const struct sh_stray *stray;
 
-	LL_FOREACH(wk->strays, stray)
-	{
+	LL_FOREACH(wk->strays, stray) {
 		if (out->stop_count == SH_SYNC_MAX)
 			return;
 		out->stop[out->stop_count].ref.job = stray->job;
@@ -293,8 +289,7 @@
 {
 	const struct sh_ack *ack;
 
-	LL_FOREACH(wk->acks, ack)
-	{
+	LL_FOREACH(wk->acks, ack) {
 		if (out->ack_count == SH_SYNC_MAX)
 			return;
 		if (ack->durable_at > sh->committed)
@@ -342,8 +337,7 @@
 	sh_build_stops(wk, out);
 	if (wk->want_inventory)
 		return;
-	DL_FOREACH(wk->tasks, task)
-	{
+	DL_FOREACH(wk->tasks, task) {
 		sh_build_task(sh, task, out);
 		if (sh_task_sendable(sh, task) || task->state == SH_LOGGING)
 			wk->dirty = true;
@@ -373,8 +367,7 @@
 	struct sh_worker *wk = &sh->worker[w];
 	struct sh_stray *s;
 
-	LL_FOREACH(wk->strays, s)
-	{
+	LL_FOREACH(wk->strays, s) {
 		if (s->attempt == ref->attempt && s->index == ref->index &&
 		    strcmp(s->job, ref->job) == 0)
 			return;
@@ -394,8 +387,7 @@
 	struct sh_stray *s;
 	struct sh_stray *next;
 
-	LL_FOREACH_SAFE(wk->strays, s, next)
-	{
+	LL_FOREACH_SAFE(wk->strays, s, next) {
 		if (s->attempt != ref->attempt || s->index != ref->index ||
 		    strcmp(s->job, ref->job) != 0)
 			continue;
@@ -460,8 +452,7 @@
 
 	for (i = 0; i < reply->running_count; i++)
 		sh_inventory_row(sh, w, &reply->running[i], now_us);
-	DL_FOREACH_SAFE(wk->tasks, task, next)
-	{
+	DL_FOREACH_SAFE(wk->tasks, task, next) {
 		if (sh_reply_lists(reply, task))
 			continue;
 		/* A start within the same lease is simply sent again. */
@@ -486,12 +477,10 @@
 sh_task_outcome(struct sh_shard *sh, struct sh_task *task,
     enum st_result result, int64_t now_us)
 {
-	bool stop_wanted = task->requeue;
-
 	if (result == ST_RESULT_CANCELLED) {
 		if (task->job->cancelled)
 			sh_task_end(sh, task, ST_RESULT_CANCELLED, now_us);
-		else if (stop_wanted || task->job->spec->idempotent)
+		else if (task->job->spec->idempotent)
 			sh_task_requeue(sh, task);
 		else
 			sh_task_end(sh, task, ST_RESULT_UNKNOWN, now_us);
@@ -529,8 +518,7 @@
 {
 	const struct sh_ack *ack;
 
-	LL_FOREACH(wk->acks, ack)
-	{
+	LL_FOREACH(wk->acks, ack) {
 		if (ack->attempt == ref->attempt && ack->index == ref->index &&
 		    strcmp(ack->job, ref->job) == 0)
 			return true;
@@ -635,8 +623,7 @@
 	size_t i;
 
 	/* An outcome that is no longer reported has been acknowledged. */
-	LL_FOREACH_SAFE(wk->acks, ack, next)
-	{
+	LL_FOREACH_SAFE(wk->acks, ack, next) {
 		if (ack->durable_at > sh->committed)
 			continue;
 		for (i = 0; i < reply->ended_count; i++) {
@@ -717,7 +704,7 @@
 	wk->sync_at_us =
 	    now_us + (wk->state == SH_W_LOST ? SH_LOST_RETRY_US : SH_RETRY_US);
 	DL_FOREACH(wk->tasks, task)
-	task->stop_sent = false;
+		task->stop_sent = false;
 	/* No new tasks until it answers; the lease decides on the old. */
 	wk->avoid_until_us = now_us + SH_AVOID_US;
 	sh_worker_update_usable(sh, w, now_us);
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -159,8 +159,7 @@
 	struct watcher *w;
 	struct watcher *next;
 
-	LL_FOREACH_SAFE(st->watchers, w, next)
-	{
+	LL_FOREACH_SAFE(st->watchers, w, next) {
 		if (strncmp(key, w->prefix, strlen(w->prefix)) != 0)
 			continue;
 		LL_DELETE(st->watchers, w);
@@ -482,8 +481,7 @@
 	struct entry *e;
 	struct entry *next;
 
-	HASH_ITER(hh, st->entries, e, next)
-	{
+	HASH_ITER(hh, st->entries, e, next) {
 		if (e->lease == id)
 			do_delete(st, e->key, 0);
 	}
@@ -501,23 +499,20 @@
 	struct delayed *d;
 	struct delayed *dnext;
 
-	HASH_ITER(hh, st->leases, l, lnext)
-	{
+	HASH_ITER(hh, st->leases, l, lnext) {
 		if (now_us < l->expires_us)
 			continue;
 		HASH_DEL(st->leases, l);
 		expire_lease(st, l->id);
 		free(l);
 	}
-	LL_FOREACH_SAFE(st->delayed, d, dnext)
-	{
+	LL_FOREACH_SAFE(st->delayed, d, dnext) {
 		if (now_us < d->at_us)
 			continue;
 		LL_DELETE(st->delayed, d);
 		answer_write(st, d);
 	}
-	LL_FOREACH_SAFE(st->watchers, w, wnext)
-	{
+	LL_FOREACH_SAFE(st->watchers, w, wnext) {
 		if (now_us < w->deadline_us)
 			continue;
 		LL_DELETE(st->watchers, w);
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -120,8 +120,7 @@
 {
 	struct task *t;
 
-	DL_FOREACH(list, t)
-	{
+	DL_FOREACH(list, t) {
 		if (t->attempt == attempt && t->index == index &&
 		    strcmp(t->job, job) == 0)
 			return t;
@@ -163,7 +162,7 @@
 	struct task *next;
 
 	DL_FOREACH_SAFE(w->running, t, next)
-	end_task(w, t, ST_RESULT_CANCELLED, false);
+		end_task(w, t, ST_RESULT_CANCELLED, false);
 	w->generation++;
 	w->lease_until_us = 0;
 }
@@ -278,8 +277,7 @@
 	json_t *usage = json_array();
 	const struct task *t;
 
-	DL_FOREACH(w->running, t)
-	{
+	DL_FOREACH(w->running, t) {
 		json_t *o;
 
 		if (clk_now_us() < t->started_us + USAGE_LAG_US)
@@ -302,8 +300,7 @@
 	json_t *reply;
 	struct task *t;
 
-	DL_FOREACH(w->ended, t)
-	{
+	DL_FOREACH(w->ended, t) {
 		json_t *o = show_ref(t);
 
 		json_object_set_new(
@@ -319,7 +316,7 @@
 	if (inventory) {
 		running = json_array();
 		DL_FOREACH(w->running, t)
-		json_array_append_new(running, show_ref(t));
+			json_array_append_new(running, show_ref(t));
 		json_object_set_new(reply, "running", running);
 		if (w->usage_percent > 0)
 			json_object_set_new(reply, "usage", show_usage(w));
@@ -341,20 +338,20 @@
 	generation = (uint64_t)json_integer_value(
 	    json_object_get(body, "lease_generation"));
 	until_us = json_integer_value(json_object_get(body, "lease_until_us"));
-	json_array_foreach(json_object_get(body, "ack"), i, o) ack_task(w, o);
+	json_array_foreach(json_object_get(body, "ack"), i, o)
+		ack_task(w, o);
 	if (generation == w->generation) {
 		if (until_us > w->lease_until_us)
 			w->lease_until_us = until_us;
 		json_array_foreach(json_object_get(body, "stop"), i, o)
-		    stop_task(w, o);
-		json_array_foreach(json_object_get(body, "start"), i, o)
-		{
+			stop_task(w, o);
+		json_array_foreach(json_object_get(body, "start"), i, o) {
 			if (worker_clock_us(w) < w->lease_until_us)
 				start_task(w, o, started, refused);
 		}
 	} else {
 		json_array_foreach(json_object_get(body, "start"), i, o)
-		    json_array_append(refused, o);
+			json_array_append(refused, o);
 	}
 	reply = build_reply(w,
 	    json_is_true(json_object_get(body, "want_inventory")) ||
@@ -497,13 +494,11 @@
 
 	if (w->lease_until_us != 0 && worker_clock_us(w) >= w->lease_until_us)
 		lose_lease(w);
-	DL_FOREACH_SAFE(w->running, t, next)
-	{
+	DL_FOREACH_SAFE(w->running, t, next) {
 		if (now_us >= t->ends_us)
 			end_task(w, t, ST_RESULT_DONE, true);
 	}
-	LL_FOREACH_SAFE(w->polls, p, pnext)
-	{
+	LL_FOREACH_SAFE(w->polls, p, pnext) {
 		if (w->news == news && now_us < p->deadline_us)
 			continue;
 		LL_DELETE(w->polls, p);
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -434,8 +434,7 @@
 {
 	struct peer_link *link;
 
-	DL_FOREACH(net->links, link)
-	{
+	DL_FOREACH(net->links, link) {
 		if (link->serial == serial)
 			return link;
 	}
