coordination: keep every seal while old requests may be under way

Cause: the new ownership model test (two or three racing daemons, a store that loses answers and applies writes up to 20 s late) lost acknowledged entries: after two takeovers in a row the second owner trimmed the first one's seal, and the deposed owner's late append found its place free. Ruled out: the test's own reading of values after they were trimmed.

--- a/coordination/ownership.c
+++ b/coordination/ownership.c
@@ -7,10 +7,13 @@
 #define OW_POLL_US (500 * CLK_US_PER_MS)
 #define OW_RETRY_MIN_US (50 * CLK_US_PER_MS)
 #define OW_RETRY_MAX_US (CLK_US_PER_S)
-/* An append that took longer is confirmed against the head's epoch. */
-#define OW_VERIFY_AFTER_US (10 * CLK_US_PER_S)
-/* Longer than any request of an earlier owner can be under way. */
+/*
+ * A successor's seal stays for OW_SEAL_KEEP_US. An owner whose last proof of
+ * ownership is older than OW_PROOF_US could miss it, so it looks at the head
+ * before it counts an append as done.
+ */
 #define OW_SEAL_KEEP_US (120 * CLK_US_PER_S)
+#define OW_PROOF_US (40 * CLK_US_PER_S)
 
 void
 ow_init(struct ow_machine *m, const char *vm, uint64_t writer)
@@ -67,7 +70,8 @@
 {
 	if (m->trim_seq > m->head.snapshot_seq || m->head.snapshot_seq == 0)
 		return false;
-	return m->trim_seq < m->seal_seq ||
+	/* Up to our seal there may be younger seals than we know of. */
+	return m->trim_seq > m->seal_seq ||
 	    now_us >= m->sealed_at_us + OW_SEAL_KEEP_US;
 }
 
@@ -189,6 +193,7 @@
 		return false;
 	memset(op, 0, sizeof(*op));
 	ow_fill(m, op);
+	m->sent_us = now_us;
 	m->in_flight = true;
 	return true;
 }
@@ -384,6 +389,7 @@
 {
 	m->seal_seq = m->next_seq++;
 	m->sealed_at_us = now_us;
+	m->proven_us = m->sent_us;
 	m->state = OW_READY;
 	return OW_EV_ACTIVE;
 }
@@ -430,8 +436,10 @@
 static enum ow_event
 ow_commit_or_verify(struct ow_machine *m, int64_t now_us)
 {
-	if (now_us - m->append_sent_us < OW_VERIFY_AFTER_US)
+	if (now_us - m->proven_us < OW_PROOF_US) {
+		m->proven_us = m->append_sent_us;
 		return ow_commit(m);
+	}
 	m->state = OW_VERIFY_APPEND;
 	return OW_EV_NONE;
 }
@@ -466,6 +474,7 @@
 	m->verify_wanted = false;
 	if (!ow_head_is_mine(m, a))
 		return ow_give_up(m, now_us);
+	m->proven_us = m->sent_us;
 	if (append)
 		return ow_commit(m);
 	m->state = OW_READY;
@@ -620,6 +629,9 @@
 	if (m->state != OW_READY || m->in_flight || parts == 0 ||
 	    m->verify_wanted || m->old_snap_parts > 0)
 		return false;
+	/* The same keys again: trimming the old would delete the new. */
+	if (m->head.snapshot_seq == m->next_seq - 1)
+		return false;
 	m->snap_parts = parts;
 	m->part = 0;
 	m->state = OW_SNAP_PARTS;
--- a/include/coordination/ownership.h
+++ b/include/coordination/ownership.h
@@ -156,6 +156,8 @@
 	uint64_t seal_seq;
 	int64_t sealed_at_us;
 	int64_t append_sent_us;
+	int64_t sent_us;
+	int64_t proven_us;
 	int64_t retry_at_us;
 	int64_t poll_at_us;
 	uint32_t failures;
--- a/tests/unit/shard_model.cc
+++ b/tests/unit/shard_model.cc
@@ -88,17 +88,16 @@
 		return;
 	st_res_sub(&room, &used);
 	if (!st_res_fits(&t.need, &room)) {
-		observer->violations.push_back(
-		    "overcommitted by " + t.id.job);
+		observer->violations.push_back("overcommitted by " + t.id.job);
 		r.refused.push_back(t);
 		return;
 	}
 	if (observer->live[t.id] > 0)
-		observer->violations.push_back("two places: " + t.id.job +
-		    "/" + std::to_string(t.id.index));
+		observer->violations.push_back("two places: " + t.id.job + "/" +
+		    std::to_string(t.id.index));
 	if (observer->starts[t.id] > 0 && !t.idempotent)
-		observer->violations.push_back("ran again: " + t.id.job +
-		    "/" + std::to_string(t.id.index));
+		observer->violations.push_back("ran again: " + t.id.job + "/" +
+		    std::to_string(t.id.index));
 	observer->live[t.id]++;
 	observer->starts[t.id]++;
 	st_res_add(&used, &t.need);
@@ -153,8 +152,7 @@
 		for (uint32_t i = 0; i < s.start_count; i++)
 			r.refused.push_back(make_task(s.start[i].ref));
 	}
-	r.has_inventory =
-	    s.want_inventory || s.lease_generation != generation;
+	r.has_inventory = s.want_inventory || s.lease_generation != generation;
 	r.lease_generation = generation;
 	if (r.has_inventory)
 		r.running = running;
--- a/tests/unit/shard_model.h
+++ b/tests/unit/shard_model.h
@@ -20,7 +20,8 @@
 struct TaskId {
 	std::string job;
 	uint32_t index;
-	bool operator<(const TaskId &o) const
+	bool
+	operator<(const TaskId &o) const
 	{
 		return job != o.job ? job < o.job : index < o.index;
 	}
@@ -62,7 +63,7 @@
 /* A worker as the platform promises it. */
 class ModelWorker
 {
-public:
+      public:
 	struct st_res capacity;
 	struct st_res used = {};
 	std::vector<ModelTask> running, ended;
@@ -78,7 +79,7 @@
 	void lose_all();
 	void restart();
 
-private:
+      private:
 	void start(const struct sh_start &s, int64_t now_us, ModelReply &r);
 	void stop(const struct sh_stop &s);
 	void end(size_t i, enum st_result result, bool keep);
--- a/tests/unit/test_shard_schedule.cc
+++ b/tests/unit/test_shard_schedule.cc
@@ -41,7 +41,7 @@
 
 class Cell
 {
-public:
+      public:
 	explicit Cell(uint64_t seed) : rng{seed}
 	{
 		mem = talloc_new(nullptr);
@@ -64,7 +64,11 @@
 		talloc_free(mem);
 	}
 
-	uint64_t chance(uint64_t n) { return rng_below(&rng, n); }
+	uint64_t
+	chance(uint64_t n)
+	{
+		return rng_below(&rng, n);
+	}
 
 	void take_over(size_t index);
 	void submit();
@@ -74,13 +78,17 @@
 	std::string describe_open();
 	void run(int steps);
 	void settle();
-	Owner &current() { return owners.back(); }
+	Owner &
+	current()
+	{
+		return owners.back();
+	}
 
 	Observer observer;
 	std::set<std::string> accepted;
 	std::map<std::string, struct st_job_spec> specs;
 
-private:
+      private:
 	void step_owner(int index, bool faults);
 	void step_append(int index, bool faults);
 	void send_syncs(int index, bool faults);
@@ -110,11 +118,11 @@
 	struct sh_worker_spec spec[8];
 	struct sh_shard *sh;
 
-	sh = sh_create(nullptr, "s", &settings,
-	    po_get(PO_ORDINARY, PO_PACKING), rng_next(&rng));
+	sh = sh_create(nullptr, "s", &settings, po_get(PO_ORDINARY, PO_PACKING),
+	    rng_next(&rng));
 	for (size_t i = 0; i < workers.size(); i++)
-		spec[i] = {names[i].c_str(), "127.0.0.1:1",
-		    i % 2 ? "r1" : "r0", workers[i].capacity};
+		spec[i] = {names[i].c_str(), "127.0.0.1:1", i % 2 ? "r1" : "r0",
+		    workers[i].capacity};
 	sh_set_workers(sh, spec, (uint32_t)workers.size());
 	return sh;
 }
@@ -159,8 +167,8 @@
 	spec.kind = kind == 0 ? ST_SERVICE : kind < 3 ? ST_GANG : ST_BATCH;
 	spec.job_class = (enum st_class)chance(3);
 	spec.count = 1 + (uint32_t)chance(4);
-	spec.each = {500 + (int64_t)chance(6) * 500, 1000000000,
-	    chance(5) == 0 ? 1 : 0};
+	spec.each = {
+	    500 + (int64_t)chance(6) * 500, 1000000000, chance(5) == 0 ? 1 : 0};
 	spec.run_us = 20000 + (int64_t)chance(400000);
 	spec.idempotent = spec.kind == ST_SERVICE || chance(2) == 0;
 	if (sh_submit(o.sh, &spec, now_us, &job, &why) != SH_ACCEPTED)
@@ -207,14 +215,14 @@
 		o.batch.clear();
 		for (; p != nullptr; p = p->next) {
 			/* The log outlives its writer. */
-			struct rc_record *copy = (struct rc_record *)
-			    talloc_memdup(mem, p->record, sizeof(*copy));
+			struct rc_record *copy =
+			    (struct rc_record *)talloc_memdup(
+				mem, p->record, sizeof(*copy));
 
 			if (copy->job != nullptr)
 				copy->job = talloc_strdup(mem, copy->job);
 			if (copy->worker != nullptr)
-				copy->worker =
-				    talloc_strdup(mem, copy->worker);
+				copy->worker = talloc_strdup(mem, copy->worker);
 			if (copy->spec != nullptr)
 				copy->spec = rc_dup_spec(mem, copy->spec);
 			o.batch.push_back(copy);
@@ -273,9 +281,9 @@
 			keep(m->sync.stop[i].ref);
 		for (uint32_t i = 0; i < m->sync.ack_count; i++)
 			keep(m->sync.ack[i]);
-		int64_t delay = faults && chance(10) == 0 ?
-		    (int64_t)chance(200) * kStepUs :
-		    (int64_t)chance(2) * kStepUs;
+		int64_t delay = faults && chance(10) == 0
+		    ? (int64_t)chance(200) * kStepUs
+		    : (int64_t)chance(2) * kStepUs;
 
 		flights.push_back(Flight{now_us + delay, false, m, {}});
 		if (faults && chance(30) == 0)
@@ -296,9 +304,9 @@
 			return;
 		f.reply = w.sync(f.sync->sync, now_us);
 		/* Whoever waits has given up after a while. */
-		int64_t delay = faults && chance(10) == 0 ?
-		    (int64_t)chance(40) * kStepUs :
-		    0;
+		int64_t delay = faults && chance(10) == 0
+		    ? (int64_t)chance(40) * kStepUs
+		    : 0;
 		if (faults && chance(20) == 0)
 			return;
 		flights.push_back(
@@ -324,8 +332,8 @@
 	std::vector<struct sh_ended> ended;
 
 	for (ModelTask &t : f.reply.ended)
-		ended.push_back({{t.id.job.c_str(), t.id.index, t.attempt},
-		    t.result});
+		ended.push_back(
+		    {{t.id.job.c_str(), t.id.index, t.attempt}, t.result});
 	r.fenced_by = f.reply.fenced_by;
 	r.clock_us = f.reply.clock_us;
 	r.lease_generation = f.reply.lease_generation;
@@ -503,8 +511,7 @@
 	EXPECT_GT(cell.accepted.size(), 10U);
 	/* What was told matches what happened. */
 	for (const std::string &id : cell.accepted) {
-		struct sh_job *job =
-		    sh_find_job(cell.current().sh, id.c_str());
+		struct sh_job *job = sh_find_job(cell.current().sh, id.c_str());
 
 		ASSERT_NE(job, nullptr) << id << " was lost";
 		for (uint32_t i = 0; i < job->spec->count; i++) {
