state: quarantine by evidence against the worker alone

Change: a job without any success counts once per worker, and failures during a quarantine are not counted again.

--- a/state/shard_worker.c
+++ b/state/shard_worker.c
@@ -568,19 +568,24 @@
 	sh_ack_add(sh, w, &ended->ref);
 }
 
+/*
+ * Whether a failure speaks against the worker. A job that fails on several
+ * workers is itself to blame; one that has not succeeded anywhere counts once
+ * on each worker.
+ */
 static bool
-sh_job_is_bad(struct sh_job *job, uint32_t w)
+sh_failure_counts(struct sh_job *job, uint32_t w)
 {
 	uint32_t i;
 
+	if (job->fail_count == SH_FAIL_SET)
+		return false;
 	for (i = 0; i < job->fail_count; i++) {
 		if (job->fail_set[i] == w)
-			return job->fail_count == SH_FAIL_SET;
+			return job->results[ST_RESULT_DONE] > 0;
 	}
-	if (job->fail_count == SH_FAIL_SET)
-		return true;
 	job->fail_set[job->fail_count++] = w;
-	return job->fail_count == SH_FAIL_SET;
+	return job->fail_count < SH_FAIL_SET;
 }
 
 void
@@ -599,8 +604,10 @@
 	}
 	if (result != ST_RESULT_FAILED)
 		return;
-	/* A job that fails on several workers is itself to blame. */
-	if (sh_job_is_bad(task->job, w))
+	/* Started before its quarantine: that is known already. */
+	if (now_us < wk->quarantined_until_us)
+		return;
+	if (!sh_failure_counts(task->job, w))
 		return;
 	wk->consecutive_failures++;
 	if (wk->consecutive_failures < SH_QUARANTINE_AFTER && !wk->probing)
--- a/tests/unit/test_ownership.cc
+++ b/tests/unit/test_ownership.cc
@@ -32,11 +32,12 @@
 /* Linearizable; what is lost or late is decided by the schedule. */
 class Store
 {
-public:
+      public:
 	std::map<std::string, Value> values;
 	uint64_t revision = 0;
 
-	static std::string key(const struct ow_op &op)
+	static std::string
+	key(const struct ow_op &op)
 	{
 		switch (op.key) {
 		case OW_KEY_LEASE:
@@ -52,7 +53,8 @@
 		}
 	}
 
-	struct ow_answer apply(const struct ow_op &op, const Value &value)
+	struct ow_answer
+	apply(const struct ow_op &op, const Value &value)
 	{
 		struct ow_answer a = {};
 		std::string k = key(op);
@@ -81,9 +83,9 @@
 				values.erase(it);
 			return a;
 		}
-		if (op.kind == OW_CREATE ?
-			there :
-			!there || it->second.revision != op.if_revision) {
+		if (op.kind == OW_CREATE
+			? there
+			: !there || it->second.revision != op.if_revision) {
 			a.result = OW_CONFLICT;
 			a.revision = there ? it->second.revision : 0;
 			return a;
@@ -119,7 +121,7 @@
 
 class Race
 {
-public:
+      public:
 	Race(uint64_t seed, int nodes) : rng{seed}
 	{
 		for (int i = 0; i < nodes; i++) {
@@ -133,7 +135,8 @@
 
 	void step(bool faults);
 	std::vector<int> replay();
-	bool someone_owns() const
+	bool
+	someone_owns() const
 	{
 		for (const auto &n : nodes) {
 			if (ow_active(&n->m))
@@ -151,10 +154,14 @@
 	int next_item = 1;
 	bool down = false;
 
-	uint64_t chance(uint64_t n) { return rng_below(&rng, n); }
+	uint64_t
+	chance(uint64_t n)
+	{
+		return rng_below(&rng, n);
+	}
 	void finish(Node &n);
 
-private:
+      private:
 	Value value_of(Node &n, const struct ow_op &op);
 	void begin(Node &n, bool faults);
 };
@@ -206,8 +213,8 @@
 		n.answer.result = OW_UNAVAILABLE;
 	} else if (fate == 2 && op.kind != OW_GET) {
 		/* Under way for up to a minute, and then done all the same. */
-		late.push_back(Late{
-		    now_us + (int64_t)chance(20) * CLK_US_PER_S, op, v});
+		late.push_back(
+		    Late{now_us + (int64_t)chance(20) * CLK_US_PER_S, op, v});
 		n.answer = {};
 		n.answer.result = OW_UNAVAILABLE;
 	} else {
@@ -270,8 +277,8 @@
 				if (n->m.writer == it->second.writer) {
 					ow_lease_lost(&n->m);
 					n->paused_until_us = now_us +
-					    (int64_t)chance(40) *
-						CLK_US_PER_S / 4;
+					    (int64_t)chance(40) * CLK_US_PER_S /
+						4;
 				}
 			}
 			store.values.erase(it);
@@ -366,8 +373,7 @@
 		    n.op.key == c.key) {
 			/* Undo the write where it must not have happened. */
 			if (!c.applied && c.kind != OW_GET &&
-			    n.answer.result == OW_OK &&
-			    c.kind == OW_CREATE)
+			    n.answer.result == OW_OK && c.kind == OW_CREATE)
 				race.store.values.erase(Store::key(n.op));
 			else if (!c.applied && c.kind == OW_CAS)
 				continue;
@@ -386,8 +392,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, OwnershipFault,
-    testing::Values(
-	FaultCase{OW_GET, OW_KEY_LEASE, false, "ReadLease"},
+    testing::Values(FaultCase{OW_GET, OW_KEY_LEASE, false, "ReadLease"},
 	FaultCase{OW_GET, OW_KEY_HEAD, false, "ReadHead"},
 	FaultCase{OW_CREATE, OW_KEY_LEASE, true, "TakeLeaseApplied"},
 	FaultCase{OW_CREATE, OW_KEY_LEASE, false, "TakeLeaseLost"},
