--- a/curranttackd/shard_host.c
+++ b/curranttackd/shard_host.c
@@ -245,6 +245,12 @@
 			    1);
 			return true;
 		}
+		if (c->state == CL_TAKEN &&
+		    clk_wall_us() >= c->unknown_wall_us) {
+			ca_reply(reply, ST_UNKNOWN, 504,
+			    "the first request with this key may have run", 0);
+			return true;
+		}
 		if (c->state != CL_ENDED || c->durable_at > h->sh->committed)
 			return false;
 		ho_reply_claim(c, reply);
--- /dev/null
+++ b/tests/fault/test_member_faults.cc
@@ -0,0 +1,270 @@
+/* Leaving VMs, configuration, bad input. */
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <csignal>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include "cluster.h"
+
+namespace
+{
+
+const char *const kBatch =
+    R"("kind":"batch","count":2,"cpu":0.5,"memory":"1GB","run":"100ms","idempotent":true)";
+
+int64_t
+revision_of(Cluster &c, const Daemon &d, const std::string &area)
+{
+	return c.ask(d, "/v1/config/" + area).number("revision");
+}
+
+TEST(MemberFaults, LeavingWorkerAndEndpointGetNothingNew)
+{
+	Cluster c({});
+
+	c.start();
+	Daemon &d = c.daemons[0];
+	Response service = c.submit(
+	    d, "svc", R"("kind":"service","count":6,"cpu":1,"memory":"1GB")");
+
+	ASSERT_TRUE(eventually([&] {
+		return c.job(d, service.text("job")).number("running") == 6;
+	}));
+	c.leaving["w1"] = "worker";
+	c.leaving["e0"] = "endpoint";
+	c.publish_vms();
+	ASSERT_TRUE(eventually([&] {
+		return c.ask(d, "/v1/workers").body.find("leaving") !=
+		    std::string::npos;
+	}));
+	/* Its services move, and nothing new comes. */
+	ASSERT_TRUE(eventually([&] {
+		return c.ask(d, "/v1/placements").body.find("\"w1\"") ==
+		    std::string::npos &&
+		    c.job(d, service.text("job")).number("running") == 6;
+	}));
+	auto executed = [&] {
+		return http(
+		    "GET", "http://" + c.endpoint_address[0] + "/_report")
+		    .json();
+	};
+	auto first_endpoint = [](const Json &j) {
+		json_t *list = json_object_get(j.get(), "endpoints");
+
+		return json_integer_value(
+		    json_object_get(json_array_get(list, 0), "executed"));
+	};
+
+	std::this_thread::sleep_for(std::chrono::seconds(1));
+	int64_t before = first_endpoint(executed());
+
+	for (int i = 0; i < 30; i++) {
+		Response r = c.request(
+		    c.daemons[(size_t)i % 2], "x", {"X-Idempotent: true"});
+
+		EXPECT_EQ(r.body, "answer to x");
+		Response j = c.submit(d, "j" + std::to_string(i), kBatch);
+
+		EXPECT_EQ(j.status, 202);
+	}
+	EXPECT_EQ(first_endpoint(executed()), before);
+	EXPECT_EQ(
+	    c.ask(d, "/v1/placements").body.find("\"w1\""), std::string::npos);
+	c.expect_no_violation();
+}
+
+TEST(MemberFaults, PresetIsInForceOnEveryDaemonAndNeverReverts)
+{
+	Layout layout;
+
+	layout.domains = {"d1", "d2", "d3"};
+	Cluster c(layout);
+
+	c.start();
+	Daemon &d = c.daemons[0];
+	int64_t revision = revision_of(c, d, "preset");
+	Response put =
+	    c.put_config(d, "preset", R"({"preset":"peaks"})", revision);
+
+	ASSERT_EQ(put.status, 200) << put.body;
+	revision = put.number("revision");
+	for (Daemon &each : c.daemons) {
+		EXPECT_TRUE(eventually([&] {
+			return c.ask(each, "/v1/status").text("preset") ==
+			    "peaks";
+		})) << each.vm;
+	}
+	/* A restart with the store down: the peers know. */
+	c.fault(R"({"kind":"down"})");
+	Daemon &victim = c.daemons[3];
+
+	victim.process->signal(SIGKILL);
+	c.start_daemon(victim);
+	c.publish_vms();
+	EXPECT_TRUE(eventually([&] {
+		return c.ask(victim, "/v1/status").text("preset") == "peaks" &&
+		    revision_of(c, victim, "preset") == revision;
+	}));
+	EXPECT_EQ(
+	    revision_of(c, victim, "shards"), revision_of(c, d, "shards"));
+	c.clear_faults();
+}
+
+TEST(MemberFaults, RacingOperatorsGetAClearConflict)
+{
+	Cluster c({});
+
+	c.start();
+	for (int round = 0; round < 5; round++) {
+		int64_t revision = revision_of(c, c.daemons[0], "preset");
+		Response r[2];
+		std::thread other([&] {
+			r[1] = c.put_config(c.daemons[1], "preset",
+			    R"({"preset":"maintenance"})", revision);
+		});
+
+		r[0] = c.put_config(
+		    c.daemons[0], "preset", R"({"preset":"peaks"})", revision);
+		other.join();
+		EXPECT_EQ(r[0].status + r[1].status, 609)
+		    << r[0].body << r[1].body;
+		const Response &lost = r[0].status == 409 ? r[0] : r[1];
+		const Response &won = r[0].status == 409 ? r[1] : r[0];
+
+		EXPECT_NE(lost.text("reason").find("another operator"),
+		    std::string::npos);
+		EXPECT_EQ(lost.number("revision"), won.number("revision"));
+		for (Daemon &d : c.daemons)
+			EXPECT_TRUE(eventually([&] {
+				return revision_of(c, d, "preset") ==
+				    won.number("revision");
+			}));
+	}
+}
+
+TEST(MemberFaults, LostAnswerOfAChangeIsResolved)
+{
+	Cluster c({});
+
+	c.start();
+	int64_t revision = revision_of(c, c.daemons[0], "preset");
+
+	c.fault(
+	    R"({"kind":"lost","method":"PUT","match":"config/","count":1})");
+	Response r = c.put_config(
+	    c.daemons[0], "preset", R"({"preset":"peaks"})", revision);
+
+	EXPECT_EQ(r.status, 200) << r.body;
+	EXPECT_GT(r.number("revision"), revision);
+}
+
+void
+send_garbage(const std::string &address, const std::string &bytes)
+{
+	size_t colon = address.rfind(':');
+	struct sockaddr_in sin = {};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons((uint16_t)std::stoi(address.substr(colon + 1)));
+	inet_pton(AF_INET, address.substr(0, colon).c_str(), &sin.sin_addr);
+	ASSERT_EQ(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	ASSERT_GT(write(fd, bytes.data(), bytes.size()), 0);
+	std::this_thread::sleep_for(std::chrono::milliseconds(50));
+	close(fd);
+}
+
+TEST(MemberFaults, BadInputHarmsNobody)
+{
+	Cluster c({});
+
+	c.start();
+	Daemon &d = c.daemons[0];
+	std::string jobs = "http://" + d.callers() + "/v1/jobs";
+	Response kept = c.submit(d, "kept", kBatch);
+
+	send_garbage(d.peers(), "GET / HTTP/1.1\r\n\r\n");
+	send_garbage(d.peers(), std::string("CT\1\0\xff\xff\xff\xff", 8));
+	send_garbage(d.peers(), std::string("CT\1\0\0\0\0\4\1\2\3\4", 12));
+	send_garbage(d.callers(), std::string(5000, '\0'));
+	struct {
+		const char *what;
+		std::string body;
+		long status;
+		const char *names;
+	} cases[] = {
+	    {"not JSON", "{\"team\":", 400, "line"},
+	    {"deep", std::string(50000, '['), 400, "nested"},
+	    {"wrong type", R"({"team":1})", 400, "team"},
+	    {"unknown", R"({"team":"t","colour":1})", 400, ""},
+	    {"oversize", std::string(3 << 20, ' '), 413, "too large"},
+	    {"impossible",
+		R"({"team":"t","name":"n","kind":"batch","cpu":500,"memory":"1GB","run":"1s"})",
+		422, "cpu"},
+	};
+
+	for (const auto &one : cases) {
+		Response r = http("POST", jobs, one.body);
+
+		EXPECT_EQ(r.status, one.status) << one.what << r.body;
+		EXPECT_NE(r.text("reason").find(one.names), std::string::npos)
+		    << one.what << ": " << r.body;
+		EXPECT_EQ(r.text("outcome"), "not_run") << one.what;
+	}
+	EXPECT_EQ(http("PATCH", jobs, "{}").status, 405);
+	EXPECT_EQ(c.request(d, "x", {"X-Deadline-Ms: soon"}).status, 400);
+	EXPECT_EQ(c.request(d, "x", {"X-Class: royal"}).status, 400);
+	EXPECT_EQ(
+	    c.put_config(d, "preset", R"({"preset":"x"})", 1).status, 400);
+	EXPECT_EQ(c.job(d, "nonsense").status, 404);
+	EXPECT_EQ(c.job(d, "d1.0000").status, 404);
+	/* The daemon goes on, and nothing is lost. */
+	EXPECT_EQ(c.await_job(kept.text("job")).text("state"), "done");
+	c.expect_no_violation();
+}
+
+TEST(MemberFaults, StrangersAreNotPeers)
+{
+	Layout layout;
+
+	layout.daemons_per_domain = 2;
+	Cluster c(layout);
+
+	c.start();
+	/* A daemon with another token is not let in. */
+	Daemon stranger;
+
+	stranger.vm = "d1-entry-9";
+	stranger.domain = "d1";
+	c.start_daemon(stranger);
+	std::string text = "s/test-peer-token/other-peer-token/";
+	std::string command = "sed -i '" + text + "' '" + stranger.path + "'";
+
+	ASSERT_EQ(system(command.c_str()), 0);
+	stranger.process->signal(SIGKILL);
+	stranger.process =
+	    std::make_unique<Process>("curranttackd/curranttackd",
+		std::vector<std::string>{"--config", stranger.path},
+		stranger.path + ".log");
+	c.daemons.push_back(std::move(stranger));
+	c.publish_vms();
+	std::this_thread::sleep_for(std::chrono::seconds(2));
+	Response r = c.ask(c.daemons[0], "/v1/members");
+	Json j = r.json();
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(json_object_get(j.get(), "members"), i, row) {
+		std::string vm = json_string_value(json_object_get(row, "vm"));
+		std::string state =
+		    json_string_value(json_object_get(row, "state"));
+
+		EXPECT_EQ(state, vm == "d1-entry-9" ? "silent" : "alive");
+	}
+}
+
+} // namespace
--- a/tests/unit/test_claims.cc
+++ b/tests/unit/test_claims.cc
@@ -11,12 +11,17 @@
 
 class ClaimTest : public testing::Test
 {
-protected:
+      protected:
 	struct cl_table *t = cl_create(nullptr, 4096);
 	struct cl_claim *c = nullptr;
 
-	void TearDown() override { talloc_free(t); }
-	enum cl_verdict take(const char *key, uint64_t hash, int64_t now)
+	void
+	TearDown() override
+	{
+		talloc_free(t);
+	}
+	enum cl_verdict
+	take(const char *key, uint64_t hash, int64_t now)
 	{
 		return cl_take(t, key, hash, 100, 1000, now, &c);
 	}
@@ -52,8 +57,8 @@
 {
 	int granted = 0;
 
-	while (take(("k" + std::to_string(granted)).c_str(), 1, 0) ==
-	    CL_GRANTED)
+	while (
+	    take(("k" + std::to_string(granted)).c_str(), 1, 0) == CL_GRANTED)
 		granted++;
 	EXPECT_GT(granted, 3);
 	EXPECT_LE(t->bytes, t->max_bytes);
@@ -67,8 +72,8 @@
 	std::string big(CL_MAX_ANSWER_BYTES + 1, 'x');
 
 	take("k", 1, 0);
-	cl_end(t, c, ST_RESULT_DONE, 200, (const uint8_t *)big.data(),
-	    big.size());
+	cl_end(
+	    t, c, ST_RESULT_DONE, 200, (const uint8_t *)big.data(), big.size());
 	EXPECT_FALSE(c->answer_kept);
 	EXPECT_EQ(c->answer_bytes, 0U);
 	EXPECT_EQ(take("k", 1, 1), CL_ANSWERED);
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -61,16 +61,13 @@
 	size_t used;
 
 	v[0] = 'X';
-	EXPECT_EQ(
-	    fr_unpack(v.data(), v.size(), &used, &frame), FR_BAD_MAGIC);
+	EXPECT_EQ(fr_unpack(v.data(), v.size(), &used, &frame), FR_BAD_MAGIC);
 	v = sample_frame();
 	v[4] = 0xff;
-	EXPECT_EQ(
-	    fr_unpack(v.data(), v.size(), &used, &frame), FR_TOO_LARGE);
+	EXPECT_EQ(fr_unpack(v.data(), v.size(), &used, &frame), FR_TOO_LARGE);
 	v = sample_frame();
 	v[FR_HEADER_BYTES] = 0xff;
-	EXPECT_EQ(
-	    fr_unpack(v.data(), v.size(), &used, &frame), FR_BAD_PAYLOAD);
+	EXPECT_EQ(fr_unpack(v.data(), v.size(), &used, &frame), FR_BAD_PAYLOAD);
 }
 
 class Mutations : public testing::TestWithParam<int>
--- a/tests/unit/test_config.cc
+++ b/tests/unit/test_config.cc
@@ -33,8 +33,8 @@
 	EXPECT_EQ(apply(c, CF_PRESET, 4, R"({"preset":"ordinary"})"), CF_OLD);
 	EXPECT_EQ(apply(c, CF_PRESET, 5, R"({"preset":"ordinary"})"), CF_OLD);
 	EXPECT_EQ(c->preset, PO_PEAKS);
-	EXPECT_EQ(apply(c, CF_PRESET, 6, R"({"preset":"holidays"})"),
-	    CF_INVALID);
+	EXPECT_EQ(
+	    apply(c, CF_PRESET, 6, R"({"preset":"holidays"})"), CF_INVALID);
 	EXPECT_EQ(c->preset, PO_PEAKS);
 	EXPECT_EQ(c->revision, 5U);
 	talloc_free(c);
@@ -56,8 +56,8 @@
 	struct cf_config *c = cf_create(nullptr);
 	std::string why;
 
-	EXPECT_EQ(apply(c, GetParam().area, 1, GetParam().text, &why),
-	    CF_INVALID);
+	EXPECT_EQ(
+	    apply(c, GetParam().area, 1, GetParam().text, &why), CF_INVALID);
 	EXPECT_NE(why.find(GetParam().names), std::string::npos) << why;
 	EXPECT_EQ(c->revision, 0U);
 	talloc_free(c);
@@ -122,8 +122,7 @@
 	EXPECT_EQ(jj_parse_job(nullptr, GetParam().text,
 		      strlen(GetParam().text), nullptr, error),
 	    nullptr);
-	EXPECT_NE(std::string(error).find(GetParam().names),
-	    std::string::npos)
+	EXPECT_NE(std::string(error).find(GetParam().names), std::string::npos)
 	    << error;
 }
 
--- a/tests/unit/test_membership.cc
+++ b/tests/unit/test_membership.cc
@@ -26,26 +26,35 @@
 
 class MembershipTest : public testing::Test
 {
-protected:
+      protected:
 	struct mb_view *v = nullptr;
 	int64_t now_us = 1000 * kS;
 
-	void SetUp() override
+	void
+	SetUp() override
 	{
 		struct mb_report self = report("b", "d1", 10);
 
 		v = mb_create(nullptr, &self, 2 * kS, 8 * kS);
 	}
-	void TearDown() override { talloc_free(v); }
-	enum mb_error hear(
-	    const char *vm, const char *domain, uint64_t inc, int64_t age = 0)
+	void
+	TearDown() override
+	{
+		talloc_free(v);
+	}
+	enum mb_error
+	hear(const char *vm, const char *domain, uint64_t inc, int64_t age = 0)
 	{
 		struct mb_report r = report(vm, domain, inc);
 
 		r.age_us = age;
 		return mb_on_report(v, &r, now_us);
 	}
-	bool alive(const char *vm) { return mb_alive(mb_find(v, vm), now_us); }
+	bool
+	alive(const char *vm)
+	{
+		return mb_alive(mb_find(v, vm), now_us);
+	}
 };
 
 TEST_F(MembershipTest, SilenceAndIncarnations)
--- a/tests/unit/test_placement.cc
+++ b/tests/unit/test_placement.cc
@@ -65,8 +65,8 @@
 	for (auto &h : held)
 		pl_release(t, h.first, &h.second);
 	for (uint32_t w = 0; w < t->count; w++) {
-		EXPECT_EQ(t->worker[w].free.cpu_mcpu,
-		    t->worker[w].capacity.cpu_mcpu);
+		EXPECT_EQ(
+		    t->worker[w].free.cpu_mcpu, t->worker[w].capacity.cpu_mcpu);
 	}
 	talloc_free(t);
 }
@@ -99,8 +99,7 @@
 	struct rng rng = {1};
 
 	for (int i = 0; i < 8; i++) {
-		struct pl_request req = {
-		    {1000, kGb, 0}, INT64_MAX, use.data()};
+		struct pl_request req = {{1000, kGb, 0}, INT64_MAX, use.data()};
 		uint32_t w = pl_pick_score(t, &req, policy, &rng);
 
 		pl_reserve(t, w, &req.need);
--- a/tests/unit/test_routing.cc
+++ b/tests/unit/test_routing.cc
@@ -17,15 +17,20 @@
 
 class RoutingTest : public testing::Test
 {
-protected:
-	struct rt_service *s = rt_create(
-	    nullptr, "svc", po_get(PO_ORDINARY, PO_WAITING), 1);
+      protected:
+	struct rt_service *s =
+	    rt_create(nullptr, "svc", po_get(PO_ORDINARY, PO_WAITING), 1);
 	int64_t now_us = 1000 * CLK_US_PER_S;
 	std::vector<std::unique_ptr<struct rt_request>> requests;
 
-	void TearDown() override { talloc_free(s); }
+	void
+	TearDown() override
+	{
+		talloc_free(s);
+	}
 
-	void endpoints(int n, uint32_t slots)
+	void
+	endpoints(int n, uint32_t slots)
 	{
 		rt_begin_update(s);
 		for (int i = 0; i < n; i++)
@@ -33,9 +38,9 @@
 			    "127.0.0.1:1", slots, false);
 		rt_end_update(s, now_us);
 	}
-	struct rt_request *arrive(enum st_class c = ST_NORMAL,
-	    bool idempotent = true, int64_t deadline_us = CLK_US_PER_S,
-	    bool may_forward = false)
+	struct rt_request *
+	arrive(enum st_class c = ST_NORMAL, bool idempotent = true,
+	    int64_t deadline_us = CLK_US_PER_S, bool may_forward = false)
 	{
 		auto r = std::make_unique<struct rt_request>();
 
@@ -48,7 +53,8 @@
 		return requests.back().get();
 	}
 	/* -1 when nothing is to be done. */
-	int next(struct rt_action *a = nullptr)
+	int
+	next(struct rt_action *a = nullptr)
 	{
 		struct rt_action local;
 
@@ -242,8 +248,7 @@
 	arrive();
 	next();
 	rt_set_peer_room(s, 1);
-	struct rt_request *r =
-	    arrive(ST_NORMAL, true, CLK_US_PER_S, true);
+	struct rt_request *r = arrive(ST_NORMAL, true, CLK_US_PER_S, true);
 
 	EXPECT_EQ(next(&a), RT_FORWARD);
 	EXPECT_EQ(a.request, r);
--- a/tests/unit/test_settings.cc
+++ b/tests/unit/test_settings.cc
@@ -13,16 +13,16 @@
 namespace
 {
 
-const char *const kGood = "[vm]\n"		      /* 1 */
-			  "id = \"v\"\n"	      /* 2 */
-			  "domain = \"d\"\n"	      /* 3 */
-			  "[listen]\n"		      /* 4 */
+const char *const kGood = "[vm]\n"	     /* 1 */
+			  "id = \"v\"\n"     /* 2 */
+			  "domain = \"d\"\n" /* 3 */
+			  "[listen]\n"	     /* 4 */
 			  "callers = \"127.0.0.1:0\"\n"
 			  "operators = \"127.0.0.1:0\"\n"
 			  "peers = \"127.0.0.1:0\"\n" /* 7 */
 			  "[platform]\n"
 			  "store = \"127.0.0.1:1\"\n"
-			  "vms = \"127.0.0.1:2\"\n"   /* 10 */
+			  "vms = \"127.0.0.1:2\"\n" /* 10 */
 			  "[access]\n"
 			  "peer_token = \"long-enough\"\n"; /* 12 */
 
@@ -70,8 +70,7 @@
 TEST_P(BadSettings, NameLineAndField)
 {
 	std::string why;
-	struct settings *s =
-	    load(std::string(kGood) + GetParam().more, &why);
+	struct settings *s = load(std::string(kGood) + GetParam().more, &why);
 
 	EXPECT_EQ(s, nullptr);
 	EXPECT_EQ(why.find(GetParam().expect), 0U) << why;
@@ -97,8 +96,7 @@
 	std::string why;
 
 	EXPECT_EQ(load("[vm]\nid = \"v\"\n", &why), nullptr);
-	EXPECT_NE(why.find("vm.domain: is missing"), std::string::npos)
-	    << why;
+	EXPECT_NE(why.find("vm.domain: is missing"), std::string::npos) << why;
 	EXPECT_EQ(load("", &why), nullptr);
 	EXPECT_NE(why.find("vm: is missing"), std::string::npos) << why;
 }
--- a/tests/unit/test_shard.cc
+++ b/tests/unit/test_shard.cc
@@ -18,12 +18,13 @@
 
 class ShardTest : public testing::Test
 {
-protected:
+      protected:
 	struct sh_shard *sh = nullptr;
 	int64_t now_us = 1000 * CLK_US_PER_S;
 	int next = 0;
 
-	void make(uint32_t workers, struct st_res capacity,
+	void
+	make(uint32_t workers, struct st_res capacity,
 	    const struct po_policy *policy = po_get(PO_ORDINARY, PO_PACKING))
 	{
 		struct sh_settings s = {6 * CLK_US_PER_S, 2 * CLK_US_PER_S,
@@ -42,10 +43,15 @@
 		for (uint32_t w = 0; w < workers; w++)
 			answer(w, true);
 	}
-	void TearDown() override { talloc_free(sh); }
+	void
+	TearDown() override
+	{
+		talloc_free(sh);
+	}
 
 	/* The worker takes what it is told. */
-	struct sh_sync exchange(uint32_t w)
+	struct sh_sync
+	exchange(uint32_t w)
 	{
 		struct sh_sync sync;
 		std::vector<struct sh_ref> started;
@@ -67,7 +73,8 @@
 		EXPECT_TRUE(sh_sync_reply(sh, w, &r, now_us));
 		return sync;
 	}
-	void answer(uint32_t w, bool inventory)
+	void
+	answer(uint32_t w, bool inventory)
 	{
 		struct sh_sync_reply r = {};
 		struct sh_sync sync;
@@ -78,18 +85,19 @@
 		r.has_inventory = inventory;
 		EXPECT_TRUE(sh_sync_reply(sh, w, &r, now_us));
 	}
-	void exchange_all()
+	void
+	exchange_all()
 	{
 		for (uint32_t w = 0; w < sh->worker_count; w++)
 			exchange(w);
 	}
-	void end(struct sh_task *task, enum st_result result)
+	void
+	end(struct sh_task *task, enum st_result result)
 	{
 		struct sh_sync_reply r = {};
 		struct sh_sync sync;
-		struct sh_ended e = {{task->job->spec->id, task->index,
-					 task->attempt},
-		    result};
+		struct sh_ended e = {
+		    {task->job->spec->id, task->index, task->attempt}, result};
 		uint32_t w = task->worker;
 
 		sh_sync_build(sh, w, now_us, &sync);
@@ -99,10 +107,10 @@
 		r.ended_count = 1;
 		EXPECT_TRUE(sh_sync_reply(sh, w, &r, now_us));
 	}
-	struct sh_job *submit(enum st_kind kind, enum st_class c,
-	    uint32_t count, struct st_res each, int64_t run_us,
-	    bool idempotent = true, const char *team = "t",
-	    enum sh_submit_verdict expect = SH_ACCEPTED)
+	struct sh_job *
+	submit(enum st_kind kind, enum st_class c, uint32_t count,
+	    struct st_res each, int64_t run_us, bool idempotent = true,
+	    const char *team = "t", enum sh_submit_verdict expect = SH_ACCEPTED)
 	{
 		std::string id = "s.j" + std::to_string(next++);
 		struct st_job_spec spec = {};
@@ -122,14 +130,16 @@
 		EXPECT_EQ(sh_submit(sh, &spec, now_us, &job, &why), expect);
 		return job;
 	}
-	void tick(int64_t by_us = 0)
+	void
+	tick(int64_t by_us = 0)
 	{
 		now_us += by_us;
 		sh_tick(sh, now_us);
 		EXPECT_EQ(sh_check(sh), nullptr) << sh_check(sh);
 	}
 	/* Keeps all leases alive over a time. */
-	void pass(int64_t by_us)
+	void
+	pass(int64_t by_us)
 	{
 		int64_t until_us = now_us + by_us;
 
@@ -138,7 +148,8 @@
 			exchange_all();
 		}
 	}
-	uint32_t placed(const struct sh_job *job)
+	uint32_t
+	placed(const struct sh_job *job)
 	{
 		uint32_t n = 0;
 
@@ -146,7 +157,11 @@
 			n += job->task[i].worker != PL_NONE;
 		return n;
 	}
-	void commit() { sh_committed(sh, sh->last_number); }
+	void
+	commit()
+	{
+		sh_committed(sh, sh->last_number);
+	}
 };
 
 TEST_F(ShardTest, ImpossibleWorkIsRefusedWithTheShortResource)
@@ -266,10 +281,10 @@
 TEST_F(ShardTest, TeamsShareByDominantResource)
 {
 	make(4, {10000, 100 * kGb, 0});
-	struct sh_job *a = submit(ST_BATCH, ST_NORMAL, 100, {1000, kGb, 0},
-	    CLK_US_PER_S, true, "a");
-	struct sh_job *b = submit(ST_BATCH, ST_NORMAL, 100, {1000, kGb, 0},
-	    CLK_US_PER_S, true, "b");
+	struct sh_job *a = submit(
+	    ST_BATCH, ST_NORMAL, 100, {1000, kGb, 0}, CLK_US_PER_S, true, "a");
+	struct sh_job *b = submit(
+	    ST_BATCH, ST_NORMAL, 100, {1000, kGb, 0}, CLK_US_PER_S, true, "b");
 
 	tick();
 	EXPECT_EQ(placed(a) + placed(b), 40U);
@@ -297,8 +312,8 @@
 	make(2, {4000, 16 * kGb, 0});
 	struct sh_job *service =
 	    submit(ST_SERVICE, ST_HEAVY, 1, {4000, kGb, 0}, 0);
-	struct sh_job *heavy = submit(
-	    ST_BATCH, ST_HEAVY, 1, {4000, kGb, 0}, 3600 * CLK_US_PER_S);
+	struct sh_job *heavy =
+	    submit(ST_BATCH, ST_HEAVY, 1, {4000, kGb, 0}, 3600 * CLK_US_PER_S);
 
 	tick();
 	exchange_all();
@@ -324,19 +339,18 @@
 		    (1 + i % 4) * CLK_US_PER_S, true, "small");
 	tick();
 	exchange_all();
-	struct sh_job *gang = submit(ST_GANG, ST_NORMAL, 4, {4000, kGb, 0},
-	    CLK_US_PER_S, true, "big");
+	struct sh_job *gang = submit(
+	    ST_GANG, ST_NORMAL, 4, {4000, kGb, 0}, CLK_US_PER_S, true, "big");
 	int64_t begin_us = now_us;
 
 	while (placed(gang) == 0 && now_us < begin_us + 60 * CLK_US_PER_S) {
-		submit(ST_BATCH, ST_NORMAL, 1, {1000, kGb, 0},
-		    2 * CLK_US_PER_S, true, "small");
+		submit(ST_BATCH, ST_NORMAL, 1, {1000, kGb, 0}, 2 * CLK_US_PER_S,
+		    true, "small");
 		for (uint32_t w = 0; w < 4; w++) {
 			struct sh_task *task;
 			struct sh_task *next_task;
 
-			DL_FOREACH_SAFE(sh->worker[w].tasks, task, next_task)
-			{
+			DL_FOREACH_SAFE(sh->worker[w].tasks, task, next_task) {
 				if (task->state == SH_RUNNING &&
 				    now_us - task->started_us >=
 					task->job->spec->run_us)
@@ -353,10 +367,10 @@
 TEST_F(ShardTest, TwoLargeGangsDoNotBlockEachOther)
 {
 	make(4, {4000, 16 * kGb, 0});
-	struct sh_job *a = submit(ST_GANG, ST_NORMAL, 3, {4000, kGb, 0},
-	    CLK_US_PER_S, true, "a");
-	struct sh_job *b = submit(ST_GANG, ST_NORMAL, 3, {4000, kGb, 0},
-	    CLK_US_PER_S, true, "b");
+	struct sh_job *a = submit(
+	    ST_GANG, ST_NORMAL, 3, {4000, kGb, 0}, CLK_US_PER_S, true, "a");
+	struct sh_job *b = submit(
+	    ST_GANG, ST_NORMAL, 3, {4000, kGb, 0}, CLK_US_PER_S, true, "b");
 
 	tick();
 	EXPECT_EQ(placed(a) + placed(b), 3U);
@@ -373,19 +387,19 @@
 TEST_F(ShardTest, BackfillNeverDelaysAReservation)
 {
 	make(2, {4000, 16 * kGb, 0});
-	submit(ST_BATCH, ST_NORMAL, 1, {2000, kGb, 0}, 10 * CLK_US_PER_S,
-	    true, "x");
+	submit(ST_BATCH, ST_NORMAL, 1, {2000, kGb, 0}, 10 * CLK_US_PER_S, true,
+	    "x");
 	tick();
 	exchange_all();
-	struct sh_job *gang = submit(ST_GANG, ST_NORMAL, 2, {4000, kGb, 0},
-	    CLK_US_PER_S, true, "g");
+	struct sh_job *gang = submit(
+	    ST_GANG, ST_NORMAL, 2, {4000, kGb, 0}, CLK_US_PER_S, true, "g");
 
 	tick();
 	ASSERT_EQ(sh->hold.job, gang);
 	struct sh_job *short_job = submit(ST_BATCH, ST_NORMAL, 1,
 	    {1000, kGb, 0}, 5 * CLK_US_PER_S, true, "y");
-	struct sh_job *long_job = submit(ST_BATCH, ST_NORMAL, 1,
-	    {1000, kGb, 0}, 60 * CLK_US_PER_S, true, "y");
+	struct sh_job *long_job = submit(ST_BATCH, ST_NORMAL, 1, {1000, kGb, 0},
+	    60 * CLK_US_PER_S, true, "y");
 	struct sh_job *once = submit(ST_BATCH, ST_NORMAL, 1, {1000, kGb, 0},
 	    5 * CLK_US_PER_S, false, "y");
 
@@ -457,8 +471,8 @@
 	std::vector<struct sh_job *> jobs;
 
 	for (int i = 0; i < 3; i++)
-		jobs.push_back(submit(ST_BATCH, ST_NORMAL, 1000,
-		    {1000, kGb, 0}, CLK_US_PER_S));
+		jobs.push_back(submit(
+		    ST_BATCH, ST_NORMAL, 1000, {1000, kGb, 0}, CLK_US_PER_S));
 	for (struct sh_job *job : jobs)
 		sh_cancel(sh, job);
 	uint32_t open = 3000;
@@ -481,8 +495,8 @@
 	make(2, {4000, 16 * kGb, 0});
 	struct sh_job *service =
 	    submit(ST_SERVICE, ST_NORMAL, 4, {1000, kGb, 0}, 0);
-	struct sh_job *once = submit(ST_BATCH, ST_NORMAL, 4, {1000, kGb, 0},
-	    3600 * CLK_US_PER_S, false);
+	struct sh_job *once = submit(
+	    ST_BATCH, ST_NORMAL, 4, {1000, kGb, 0}, 3600 * CLK_US_PER_S, false);
 
 	tick();
 	commit();
@@ -504,8 +518,8 @@
 TEST_F(ShardTest, UsageRaisesAReservationAndNeverLowersIt)
 {
 	make(1, {8000, 16 * kGb, 0});
-	struct sh_job *job = submit(
-	    ST_BATCH, ST_NORMAL, 1, {1000, 2 * kGb, 0}, CLK_US_PER_S);
+	struct sh_job *job =
+	    submit(ST_BATCH, ST_NORMAL, 1, {1000, 2 * kGb, 0}, CLK_US_PER_S);
 
 	tick();
 	exchange(0);
@@ -527,8 +541,8 @@
 		EXPECT_EQ(job->task[0].reserved.cpu_mcpu, 1000);
 	}
 	/* The next task of this kind is reserved at what was seen. */
-	struct sh_job *second = submit(
-	    ST_BATCH, ST_NORMAL, 1, {1000, 2 * kGb, 0}, CLK_US_PER_S);
+	struct sh_job *second =
+	    submit(ST_BATCH, ST_NORMAL, 1, {1000, 2 * kGb, 0}, CLK_US_PER_S);
 
 	tick();
 	EXPECT_EQ(second->task[0].reserved.mem_bytes, 3 * kGb);
@@ -565,12 +579,12 @@
 	struct cl_claim *claim;
 
 	for (int i = 0; i < 12; i++)
-		submit(ST_BATCH, ST_NORMAL, 1 + (uint32_t)i % 3,
-		    {1000, kGb, 0}, CLK_US_PER_S, i % 2 == 0);
+		submit(ST_BATCH, ST_NORMAL, 1 + (uint32_t)i % 3, {1000, kGb, 0},
+		    CLK_US_PER_S, i % 2 == 0);
 	sh_cancel(sh, sh_find_job(sh, "s.j3"));
 	sh_claim_take(sh, "k1", 7, 1000, 2000, 0, &claim);
-	sh_claim_end(sh, "k1", ST_RESULT_DONE, 200,
-	    (const uint8_t *)"whole", 5);
+	sh_claim_end(
+	    sh, "k1", ST_RESULT_DONE, 200, (const uint8_t *)"whole", 5);
 	sh_claim_take(sh, "k2", 8, 1000, 2000, 0, &claim);
 	for (int i = 0; i < 5; i++) {
 		tick(20 * CLK_US_PER_MS);
@@ -580,8 +594,7 @@
 			if (sh->worker[w].tasks != nullptr &&
 			    sh->worker[w].tasks->state == SH_RUNNING)
 				end(sh->worker[w].tasks,
-				    i % 2 ? ST_RESULT_DONE :
-					    ST_RESULT_FAILED);
+				    i % 2 ? ST_RESULT_DONE : ST_RESULT_FAILED);
 		}
 	}
 	commit();
