state: fill workers in order and guard free accelerators

Change: a preference for the front of the table; the guard grows with the accelerators that are free; accelerator work packs tighter.

--- a/include/state/placement.h
+++ b/include/state/placement.h
@@ -25,6 +25,8 @@
  * @held_from_us: a gang reservation needs the room from here on; 0 for none
  * @cpu_inv: reciprocal of the capacity, to compare workers of unlike sizes
  * @mem_inv: likewise
+ * @order: position in the table from 0 to 1; packing fills from the front,
+ *	so that workers at the back run empty
  */
 struct pl_worker {
 	struct st_res capacity;
@@ -34,6 +36,7 @@
 	int64_t held_from_us;
 	float cpu_inv;
 	float mem_inv;
+	float order;
 };
 
 struct pl_table {
--- a/state/placement.c
+++ b/state/placement.c
@@ -3,6 +3,12 @@
 #include "state/placement.h"
 
 #define PL_RANDOM_TRIES 8
+#define PL_LEFT_WEIGHT 1.0F
+#define PL_ORDER_WEIGHT 10.0F
+#define PL_BALANCE_WEIGHT 2.0F
+#define PL_ACCEL_LEFT_WEIGHT 2.0F
+/* Share of the guard that any free accelerator costs, however few. */
+#define PL_GUARD_BASE 0.5F
 
 struct pl_table *
 pl_create(TALLOC_CTX *ctx, uint32_t count)
@@ -39,6 +45,7 @@
 	row->usable = true;
 	row->cpu_inv = pl_inverse(capacity->cpu_mcpu);
 	row->mem_inv = pl_inverse(capacity->mem_bytes);
+	row->order = (float)w / (float)t->count;
 	if (rack >= t->rack_count)
 		t->rack_count = rack + 1;
 }
@@ -79,13 +86,17 @@
 	    (float)(row->free.cpu_mcpu - req->need.cpu_mcpu) * row->cpu_inv;
 	mem_left =
 	    (float)(row->free.mem_bytes - req->need.mem_bytes) * row->mem_inv;
-	score = -policy->packing_weight * (cpu_left + mem_left);
+	score = -policy->packing_weight *
+	    (PL_LEFT_WEIGHT * (cpu_left + mem_left) +
+		PL_ORDER_WEIGHT * row->order);
 	/* Room in one resource without the other is stranded. */
-	score -= fabsf(cpu_left - mem_left) * 0.5F;
-	if (req->need.accel == 0 && row->capacity.accel > 0)
-		score -= policy->accel_guard_weight;
+	score -= fabsf(cpu_left - mem_left) * PL_BALANCE_WEIGHT;
+	if (req->need.accel == 0 && row->free.accel > 0)
+		score -= policy->accel_guard_weight *
+		    (PL_GUARD_BASE +
+			(float)row->free.accel / (float)row->capacity.accel);
 	if (req->need.accel > 0)
-		score -= policy->packing_weight * 0.25F *
+		score -= policy->packing_weight * PL_ACCEL_LEFT_WEIGHT *
 		    (float)(row->free.accel - req->need.accel);
 	if (req->rack_use != NULL)
 		score -=
