--- a/contrib/demo_run.py
+++ b/contrib/demo_run.py
@@ -5,35 +5,19 @@
 import signal
 import subprocess
 import sys
-import tempfile
-import time
 import tomllib
-import urllib.request
 
-PEER_TOKEN = "demo-peer-token"
+from cluster import Cluster
 
 
-class Demo:
-    """Processes of one deployment, with stand-ins for the platform."""
+class Demo(Cluster):
+    """One sample deployment with a stand-in for each part of it."""
 
     def __init__(self, build, deployment):
-        self.build = build
+        super().__init__(build)
         self.sample = os.path.join("contrib", "samples", deployment)
-        self.tmp = tempfile.TemporaryDirectory()
-        self.processes = []
         self.failures = 0
 
-    def start(self, program, *args):
-        log = open(os.path.join(self.tmp.name, "log"), "ab")
-        process = subprocess.Popen(
-            [os.path.join(self.build, program), *args],
-            stdout=subprocess.PIPE, stderr=log, text=True)
-        self.processes.append(process)
-        line = process.stdout.readline().split()
-        if not line or line[0] != "ready":
-            raise RuntimeError(f"{program} did not start")
-        return process, line[1:]
-
     def load(self, area):
         with open(os.path.join(self.sample, area + ".toml"), "rb") as f:
             return tomllib.load(f)
@@ -58,81 +42,25 @@
         if not ok:
             self.failures += 1
 
-    def start_platform(self):
-        _, (self.store,) = self.start("tests/standins/standin-store")
-        _, (self.vms,) = self.start("tests/standins/standin-vmlist", "200")
-        shards = self.load("shards")
-        rows = [w for s in shards["shards"] for w in s["workers"]]
-        specs = [f"{w['id']}:{w['cpu']}:{w['memory'].removesuffix('GB')}:"
-                 f"{w.get('accelerators', 0)}" for w in rows]
-        _, addresses = self.start("tests/standins/standin-worker", *specs)
-        self.worker = addresses[0]
-        for row, address in zip(rows, addresses):
-            row["address"] = address
-        services = self.load("services")
-        self.endpoint = {}
-        for service in services["services"]:
-            count = len(service["endpoints"])
-            _, addresses = self.start(
-                "tests/standins/standin-endpoint", str(count), "3000")
-            self.endpoint[service["name"]] = addresses[0]
-            for row, address in zip(service["endpoints"], addresses):
-                row["address"] = address
-        self.shards, self.services = shards, services
-
-    def start_daemons(self):
-        vms = []
-        self.daemons = []
+    def start_all(self):
+        self.start_platform()
+        self.shards = self.load("shards")
+        self.worker = self.start_workers(self.shards)[0]
+        self.services = self.load("services")
+        self.endpoint = {
+            service["name"]: self.start_endpoints(service, 3000)[0]
+            for service in self.services["services"]}
         for shard in self.shards["shards"]:
-            vm = shard["domain"] + "-entry-1"
-            path = os.path.join(self.tmp.name, vm + ".toml")
-            with open(path, "w", encoding="utf-8") as f:
-                f.write(f"""
-[vm]
-id = "{vm}"
-domain = "{shard['domain']}"
-[listen]
-callers = "127.0.0.1:0"
-operators = "127.0.0.1:0"
-peers = "127.0.0.1:0"
-[platform]
-store = "{self.store}"
-vms = "{self.vms}"
-[access]
-peer_token = "{PEER_TOKEN}"
-""")
-            process, addresses = self.start(
-                "curranttackd/curranttackd", "--config", path)
-            self.daemons.append((vm, process, addresses))
-            vms.append({"vm": vm, "domain": shard["domain"],
-                        "address": addresses[2], "role": "daemon",
-                        "state": "live"})
-        self.put(f"http://{self.vms}/_vms", {"vms": vms})
-        self.env = dict(os.environ, CURRANT_SERVER=self.daemons[0][2][1],
-                        CURRANT_CALLERS=self.daemons[0][2][0])
-
-    def put(self, url, document):
-        request = urllib.request.Request(
-            url, json.dumps(document).encode(), method="PUT")
-        urllib.request.urlopen(request, timeout=10).read()
-
-    def get(self, url):
-        with urllib.request.urlopen(url, timeout=10) as response:
-            return json.load(response)
-
-    def wait_until(self, what, test, seconds=20):
-        deadline = time.monotonic() + seconds
-        while time.monotonic() < deadline:
-            if test():
-                self.check(what, True)
-                return
-            time.sleep(0.1)
-        self.check(what, False, "not within %d s" % seconds)
+            self.start_daemon(shard["domain"] + "-entry-1", shard["domain"])
+        self.publish_vms()
+        self.env = dict(os.environ, CURRANT_SERVER=self.operators(),
+                        CURRANT_CALLERS=self.callers())
+
+    def wait_until(self, what, test):
+        self.check(what, self.until(test))
 
     def configure(self):
-        self.wait_until("daemons know each other", lambda: all(
-            m["state"] == "alive" for m in self.members()) and
-            len(self.members()) == 3)
+        self.wait_until("daemons know each other", self.all_alive)
         for area in ("preset", "teams", "objectives"):
             self.ctl("config", "put", area,
                      os.path.join(self.sample, area + ".toml"))
@@ -144,13 +72,6 @@
             s["owner"] == s["shard"] + "-entry-1"
             for s in self.status()["shards"]))
 
-    def members(self):
-        return self.get(f"http://{self.env['CURRANT_SERVER']}/v1/members")[
-            "members"]
-
-    def status(self):
-        return self.get(f"http://{self.env['CURRANT_SERVER']}/v1/status")
-
     def job(self, name):
         return os.path.join(self.sample, "jobs", name + ".toml")
 
@@ -167,7 +88,7 @@
         self.ctl("job", "wait", gang)
         self.ctl("why", service)
         self.wait_until("the service runs", lambda: self.get(
-            f"http://{self.env['CURRANT_SERVER']}/v1/jobs/{service}")[
+            f"http://{self.operators()}/v1/jobs/{service}")[
                 "running"] == 6)
         self.ctl("placements")
         self.ctl("job", "cancel", service)
@@ -178,7 +99,7 @@
         answer = self.ctl("service", "request", name, "-b", "hello", "-i")
         self.check("a whole answer", answer == "answer to hello", answer)
         first = self.ctl("service", "request", name, "-b", "order", "-k", "k1")
-        for _, _, addresses in self.daemons:
+        for _, _, addresses, _ in self.daemons:
             self.env["CURRANT_CALLERS"] = addresses[0]
             again = self.ctl(
                 "service", "request", name, "-b", "order", "-k", "k1")
@@ -210,26 +131,17 @@
                    str(report["live"]))
 
     def stop_daemons(self):
-        for vm, process, _ in self.daemons:
+        for vm, process, _, _ in self.daemons:
             process.send_signal(signal.SIGTERM)
-        for vm, process, _ in self.daemons:
+        for vm, process, _, _ in self.daemons:
             self.check(f"{vm} exits cleanly", process.wait(40) == 0)
 
-    def close(self):
-        for process in self.processes:
-            if process.poll() is None:
-                process.kill()
-            process.wait()
-            process.stdout.close()
-        self.tmp.cleanup()
-
 
 def main():
     demo = Demo(sys.argv[1], sys.argv[2])
     print(f"--- {sys.argv[2]} ---")
     try:
-        demo.start_platform()
-        demo.start_daemons()
+        demo.start_all()
         demo.configure()
         demo.run_jobs()
         demo.run_requests()
