state, transport: fewer and smaller messages to workers

Change: outcomes come with the worker's news instead of by a further sync; acknowledgements ride on the next message; HTTP handles are reused and needless headers left out.

--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -89,8 +89,8 @@
 		st_res_sub(&here, &row->free);
 		accel_total += row->capacity.accel;
 		/* Free accelerators that no free core or memory can feed. */
-		if (row->free.accel > 0 && (row->free.cpu_mcpu < 2000 ||
-						row->free.mem_bytes < 8 * GB))
+		if (row->free.accel > 0 &&
+		    (row->free.cpu_mcpu < 2000 || row->free.mem_bytes < 8 * GB))
 			stranded += row->free.accel;
 		if (here.cpu_mcpu == 0 && here.mem_bytes == 0)
 			continue;
@@ -179,8 +179,7 @@
 	    decisions);
 	run("score, waiting", pl_pick_score, PO_WAITING, workers, tasks,
 	    decisions);
-	run("first fit", pl_pick_first, PO_PACKING, workers, tasks,
-	    decisions);
+	run("first fit", pl_pick_first, PO_PACKING, workers, tasks, decisions);
 	run("random fit", pl_pick_random, PO_PACKING, workers, tasks,
 	    decisions);
 	return 0;
--- a/bench/bench_shard.c
+++ b/bench/bench_shard.c
@@ -48,8 +48,7 @@
 	struct sh_sync sync;
 	uint32_t w;
 
-	b->sh = sh_create(
-	    NULL, "s", &s, po_get(PO_ORDINARY, PO_WAITING), 1);
+	b->sh = sh_create(NULL, "s", &s, po_get(PO_ORDINARY, PO_WAITING), 1);
 	for (w = 0; w < workers; w++) {
 		char id[16];
 		char rack[16];
@@ -240,8 +239,8 @@
 	       "%10.2f\n",
 	    workers, tasks, rate, (double)starts / seconds,
 	    spent / seconds * 100, spent / (double)starts * 1e6,
-	    (double)b.log_bytes / seconds / 1e3,
-	    (double)b.commits / seconds, memory >> 10, snapshot_bytes >> 10,
+	    (double)b.log_bytes / seconds / 1e3, (double)b.commits / seconds,
+	    memory >> 10, snapshot_bytes >> 10,
 	    (double)b.urgent_worst_us / CLK_US_PER_S);
 	return 0;
 }
--- a/bench/loadgen.c
+++ b/bench/loadgen.c
@@ -84,9 +84,9 @@
 
 	s->load = l;
 	/* Two urgent, six normal and two heavy in ten. */
-	s->request_class = draw < 2 ? ST_URGENT :
-	    draw < 8		    ? ST_NORMAL :
-				      ST_HEAVY;
+	s->request_class = draw < 2 ? ST_URGENT
+	    : draw < 8		    ? ST_NORMAL
+				    : ST_HEAVY;
 	s->begin_us = clk_now_us();
 	l->tally[s->request_class].offered++;
 	snprintf(ms, sizeof(ms), "%lld",
@@ -140,8 +140,8 @@
 		printf("%s %.1f %.1f %.1f %.1f %.1f %.2f %.2f %.2f\n",
 		    st_class_name((enum st_class)c),
 		    (double)t->offered / seconds, (double)t->done / seconds,
-		    (double)t->not_run / seconds,
-		    (double)t->unknown / seconds, (double)t->broken / seconds,
+		    (double)t->not_run / seconds, (double)t->unknown / seconds,
+		    (double)t->broken / seconds,
 		    (double)ct_hist_quantile(&t->latency, 0.5) / 1e3,
 		    (double)ct_hist_quantile(&t->latency, 0.99) / 1e3,
 		    (double)ct_hist_quantile(&t->latency, 0.999) / 1e3);
--- a/curranttackd/shard_host.c
+++ b/curranttackd/shard_host.c
@@ -1014,33 +1014,32 @@
 	struct sync_call *call = arg;
 	struct shard_host *h = call->host;
 	struct worker_link *link;
+	struct sh_sync_reply reply;
 	char error[JF_ERROR_BYTES];
-	json_t *body;
+	int64_t now_us = clk_now_us();
 
+	ct_add(CT_WORKER_MSGS, 1);
+	ct_add(CT_WORKER_BYTES, resp->sent_bytes + resp->received_bytes);
 	if (call->generation != h->generation)
 		goto out;
 	link = &h->link[call->row];
 	link->polling = false;
-	if (resp->error != HC_OK || resp->status != 200) {
-		link->poll_at_us = clk_now_us() + HO_EVENT_RETRY_US;
+	if (resp->error != HC_OK || resp->status != 200 ||
+	    !wj_parse_reply(
+		call, resp->body, resp->body_bytes, &reply, error)) {
+		link->poll_at_us = now_us + HO_EVENT_RETRY_US;
 		goto out;
 	}
-	body = jf_parse(resp->body, resp->body_bytes, error);
-	if (body == NULL)
-		goto out;
+	link->news = reply.news;
 	pthread_mutex_lock(&h->lock);
-	if ((uint64_t)json_integer_value(json_object_get(body, "news")) !=
-	    link->news)
-		sh_poke(h->sh, call->row);
+	sh_worker_news(
+	    h->sh, call->row, reply.ended, reply.ended_count, now_us);
 	pthread_mutex_unlock(&h->lock);
-	link->news =
-	    (uint64_t)json_integer_value(json_object_get(body, "news"));
-	json_decref(body);
 out:
 	talloc_free(call);
 }
 
-/* A worker tells by this request when it has outcomes to report. */
+/* A worker answers this request when it has new outcomes to report. */
 static void
 ho_poll_worker(struct shard_host *h, uint32_t w, int64_t now_us)
 {
--- a/include/state/shard.h
+++ b/include/state/shard.h
@@ -208,6 +208,7 @@
 /**
  * struct sh_sync_reply - a worker's answer; arrays belong to the caller
  * @fenced_by: higher epoch that the worker obeys, or 0
+ * @news: number of the newest outcome
  * @clock_us: the worker's clock when it answered
  * @lease_generation: its current lease
  * @has_inventory: @running lists all that runs
@@ -217,6 +218,7 @@
  */
 struct sh_sync_reply {
 	uint64_t fenced_by;
+	uint64_t news;
 	int64_t clock_us;
 	uint64_t lease_generation;
 	bool has_inventory;
@@ -273,6 +275,7 @@
 	bool poked;
 	struct sh_task *tasks;
 	struct sh_ack *acks;
+	uint32_t ack_count;
 	struct sh_stray *strays;
 	uint64_t seq;
 	uint64_t lease_generation;
@@ -551,6 +554,17 @@
 bool sh_sync_reply(struct sh_shard *sh, uint32_t w,
     const struct sh_sync_reply *reply, int64_t now_us);
 
+/**
+ * sh_worker_news() - outcomes that a worker has reported unasked
+ * @sh: shard
+ * @w: worker row
+ * @ended: outcomes; the worker keeps them until acknowledged
+ * @count: number of them
+ * @now_us: time
+ */
+void sh_worker_news(struct sh_shard *sh, uint32_t w,
+    const struct sh_ended *ended, size_t count, int64_t now_us);
+
 /** sh_poke() - a worker has news; talk to it soon */
 void sh_poke(struct sh_shard *sh, uint32_t w);
 
--- a/state/shard_worker.c
+++ b/state/shard_worker.c
@@ -7,6 +7,8 @@
 #define SH_RETRY_US (500 * CLK_US_PER_MS)
 #define SH_LOST_RETRY_US (2 * CLK_US_PER_S)
 #define SH_AVOID_US (CLK_US_PER_S)
+/* Fewer acknowledgements wait for the next message. */
+#define SH_ACKS_AT_ONCE 32
 #define SH_MAX_FAILURES 3
 #define SH_QUARANTINE_AFTER 3
 #define SH_QUARANTINE_US (30 * CLK_US_PER_S)
@@ -209,18 +211,13 @@
 sh_worker_sendable(const struct sh_shard *sh, const struct sh_worker *wk)
 {
 	const struct sh_task *task;
-	const struct sh_ack *ack;
 
-	if (wk->strays != NULL)
+	if (wk->strays != NULL || wk->ack_count >= SH_ACKS_AT_ONCE)
 		return true;
 	DL_FOREACH(wk->tasks, task) {
 		if (sh_task_sendable(sh, task))
 			return true;
 	}
-	LL_FOREACH(wk->acks, ack) {
-		if (ack->durable_at <= sh->committed)
-			return true;
-	}
 	return false;
 }
 
@@ -510,6 +507,7 @@
 	ack->attempt = ref->attempt;
 	ack->durable_at = sh->last_number;
 	LL_PREPEND(wk->acks, ack);
+	wk->ack_count++;
 	wk->dirty = true;
 }
 
@@ -642,10 +640,22 @@
 		if (i < reply->ended_count)
 			continue;
 		LL_DELETE(wk->acks, ack);
+		wk->ack_count--;
 		talloc_free(ack);
 	}
 }
 
+void
+sh_worker_news(struct sh_shard *sh, uint32_t w, const struct sh_ended *ended,
+    size_t count, int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		sh_take_ended(sh, w, &ended[i], now_us);
+	sh_worker_update_usable(sh, w, now_us);
+}
+
 bool
 sh_sync_reply(struct sh_shard *sh, uint32_t w,
     const struct sh_sync_reply *reply, int64_t now_us)
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -293,20 +293,29 @@
 }
 
 static json_t *
-build_reply(struct worker *w, bool inventory)
+show_ended(const struct worker *w)
 {
-	json_t *ended = json_array();
-	json_t *running;
-	json_t *reply;
-	struct task *t;
+	json_t *list = json_array();
+	const struct task *t;
 
 	DL_FOREACH(w->ended, t) {
 		json_t *o = show_ref(t);
 
 		json_object_set_new(
 		    o, "result", json_string(st_result_name(t->result)));
-		json_array_append_new(ended, o);
+		json_array_append_new(list, o);
 	}
+	return list;
+}
+
+static json_t *
+build_reply(struct worker *w, bool inventory)
+{
+	json_t *ended = show_ended(w);
+	json_t *running;
+	json_t *reply;
+	struct task *t;
+
 	reply =
 	    json_pack("{s:I, s:I}", "clock_us", (json_int_t)worker_clock_us(w),
 		"lease_generation", (json_int_t)w->generation);
@@ -395,8 +404,9 @@
 static void
 answer_poll(struct worker *w, struct hs_request *req)
 {
-	standin_reply_json(
-	    req, 200, json_pack("{s:I}", "news", (json_int_t)w->news));
+	standin_reply_json(req, 200,
+	    json_pack("{s:I, s:o}", "news", (json_int_t)w->news, "ended",
+		show_ended(w)));
 }
 
 static void
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -9,11 +9,14 @@
 #include "transport/http_client.h"
 
 #define HC_MAX_BODY_BYTES ((size_t)8 << 20)
+#define HC_MAX_IDLE_HANDLES 128
 
 struct http_client {
 	struct loop *loop;
 	CURLM *multi;
 	struct tevent_timer *timer;
+	CURL *idle[HC_MAX_IDLE_HANDLES];
+	uint32_t idle_count;
 };
 
 struct hc_socket {
@@ -50,6 +53,26 @@
 	return HC_CUT_OFF;
 }
 
+/* Making a handle costs more than resetting one. */
+static CURL *
+hc_take_handle(struct http_client *hc)
+{
+	if (hc->idle_count > 0)
+		return hc->idle[--hc->idle_count];
+	return curl_easy_init();
+}
+
+static void
+hc_give_handle(struct http_client *hc, CURL *easy)
+{
+	if (hc->idle_count == HC_MAX_IDLE_HANDLES) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	hc->idle[hc->idle_count++] = easy;
+}
+
 static void
 hc_finish(struct http_client *hc, CURL *easy, CURLcode code)
 {
@@ -72,7 +95,7 @@
 	resp.received_bytes = (size_t)header_bytes + t->response_bytes;
 	curl_multi_remove_handle(hc->multi, easy);
 	t->done(&resp, t->arg);
-	curl_easy_cleanup(easy);
+	hc_give_handle(hc, easy);
 	curl_slist_free_all(t->headers);
 	talloc_free(t);
 }
@@ -279,12 +302,13 @@
 	t->hc = hc;
 	t->done = done;
 	t->arg = arg;
-	t->easy = curl_easy_init();
+	t->easy = hc_take_handle(hc);
 	if (t->easy == NULL)
 		abort();
 	t->headers = curl_slist_append(NULL, "Expect:");
-	t->headers = curl_slist_append(
-	    t->headers, "Content-Type: application/octet-stream");
+	/* Without a value the library leaves these headers out. */
+	t->headers = curl_slist_append(t->headers, "Accept:");
+	t->headers = curl_slist_append(t->headers, "Content-Type:");
 	for (i = 0; i < req->header_count; i++) {
 		snprintf(line, sizeof(line), "%s: %s", req->headers[i].name,
 		    req->headers[i].value);
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -234,9 +234,10 @@
 	hs->handler = handler;
 	hs->arg = arg;
 	hs->max_body_bytes = limits->max_body_bytes;
-	hs->mhd = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0,
-	    NULL, NULL, hs_on_request, hs, MHD_OPTION_LISTEN_SOCKET, listen_fd,
-	    MHD_OPTION_CONNECTION_LIMIT, limits->max_connections,
+	hs->mhd = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
+		MHD_USE_SUPPRESS_DATE_NO_CLOCK,
+	    0, NULL, NULL, hs_on_request, hs, MHD_OPTION_LISTEN_SOCKET,
+	    listen_fd, MHD_OPTION_CONNECTION_LIMIT, limits->max_connections,
 	    MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_s,
 	    MHD_OPTION_NOTIFY_COMPLETED, hs_on_completed, hs, MHD_OPTION_END);
 	if (hs->mhd == NULL)
