coordination: pass on only news of other domains

Change: summaries inside a domain leave out its own members, who are heard directly, and pass a line of another domain on when it has news, else in every third round.

--- a/coordination/membership.c
+++ b/coordination/membership.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "coordination/membership.h"
 
@@ -43,6 +44,20 @@
 	return v;
 }
 
+uint64_t
+mb_digest(const struct mb_report *r)
+{
+	uint64_t d = r->incarnation;
+	uint32_t i;
+
+	d = d * 31 + r->config_revision;
+	d = d * 31 + r->leaving;
+	for (i = 0; i < r->owned_count; i++)
+		d = d * 31 + r->owned[i].epoch +
+		    XXH3_64bits(r->owned[i].shard, strlen(r->owned[i].shard));
+	return d;
+}
+
 struct mb_member *
 mb_find(struct mb_view *v, const char *vm)
 {
--- a/curranttackd/members.c
+++ b/curranttackd/members.c
@@ -10,6 +10,8 @@
 #include "protocol/vm_json.h"
 
 #define ME_MAX_LINKS 256
+/* A line without news is passed on in every third summary. */
+#define ME_RELAY_ROUNDS 3
 #define ME_RECONNECT_US (300 * CLK_US_PER_MS)
 
 struct me_link_slot {
@@ -24,6 +26,7 @@
 	struct me_link_slot slot[ME_MAX_LINKS];
 	uint32_t slot_count;
 	bool vms_busy;
+	uint32_t round;
 };
 
 struct members *
@@ -186,20 +189,29 @@
 enum me_scope {
 	ME_SELF,   /* only this daemon */
 	ME_DOMAIN, /* the living of this domain */
-	ME_ALL,	   /* every living member */
+	ME_OTHERS, /* news of other domains, and each line now and then */
 };
 
 static bool
-me_in_scope(struct daemon *d, const struct mb_member *m, enum me_scope scope,
+me_in_scope(struct members *me, struct mb_member *m, enum me_scope scope,
     int64_t now_us)
 {
+	struct daemon *d = me->d;
+	bool near = strcmp(m->report.domain, d->settings->domain) == 0;
+	uint64_t digest;
+
 	if (strcmp(m->report.vm, d->settings->vm) == 0)
 		return true;
 	if (scope == ME_SELF || !mb_alive(m, now_us) ||
 	    m->report.incarnation == 0)
 		return false;
-	return scope == ME_ALL ||
-	    strcmp(m->report.domain, d->settings->domain) == 0;
+	if (scope == ME_DOMAIN)
+		return near;
+	digest = mb_digest(&m->report);
+	if (near || (digest == m->relayed && me->round % ME_RELAY_ROUNDS != 0))
+		return false;
+	m->relayed = digest;
+	return true;
 }
 
 static struct me_summary *
@@ -214,9 +226,9 @@
 	s->list = talloc_zero_array(s, Currant__Heartbeat *, d->view->count);
 	currant__summary__init(&s->summary);
 	for (i = 0; i < d->view->count; i++) {
-		const struct mb_member *m = &d->view->member[i];
+		struct mb_member *m = &d->view->member[i];
 
-		if (!me_in_scope(d, m, scope, now_us))
+		if (!me_in_scope(me, m, scope, now_us))
 			continue;
 		me_fill(&s->message[s->count], m,
 		    m->heard_us == 0 ? 0 : now_us - m->heard_us);
@@ -313,7 +325,8 @@
 	if (!speaker)
 		return;
 	me_send_to(me, ME_DOMAIN, me_pick_other_speaker);
-	me_send_to(me, ME_ALL, me_pick_same_domain);
+	me_send_to(me, ME_OTHERS, me_pick_same_domain);
+	me->round++;
 }
 
 void
--- a/include/coordination/membership.h
+++ b/include/coordination/membership.h
@@ -66,6 +66,7 @@
  * @heard_us: when its newest report was made
  * @dead_at_us: dead from here on unless heard again
  * @listed: what the platform's list says
+ * @relayed: digest of the report that was last passed on in our domain
  * @gone_at_us: since when its VM is surely gone; 0 while it may live
  */
 struct mb_member {
@@ -73,6 +74,7 @@
 	int64_t heard_us;
 	int64_t dead_at_us;
 	enum mb_listed listed;
+	uint64_t relayed;
 	int64_t gone_at_us;
 };
 
@@ -101,6 +103,14 @@
 struct mb_view *mb_create(TALLOC_CTX *ctx, const struct mb_report *self,
     int64_t timeout_us, int64_t remote_timeout_us);
 
+/**
+ * mb_digest() - changes when a report must be passed on at once
+ * @r: report
+ *
+ * Free room changes all the time and may wait.
+ */
+uint64_t mb_digest(const struct mb_report *r);
+
 /** mb_find() - a member by VM id, or NULL */
 struct mb_member *mb_find(struct mb_view *v, const char *vm);
 
