--- a/currantctl/cmd_job.c
+++ b/currantctl/cmd_job.c
@@ -187,24 +187,10 @@
 	    {"RUNNING", "running"},
 	    {"WAITING", "waiting"},
 	};
-	struct ctl_response resp;
-	json_t *missing;
-	int code;
 
 	(void)argc;
 	(void)argv;
-	ctl_get(ctl, "/v1/jobs", &resp);
-	code = ctl_exit_code(ctl, &resp);
-	if (code == CTL_OK && ctl->json)
-		ctl_print_json(resp.body);
-	else if (code == CTL_OK)
-		ctl_print_table(json_object_get(resp.body, "jobs"), columns, 8);
-	missing = json_object_get(resp.body, "unreachable");
-	if (code == CTL_OK && json_array_size(missing) > 0)
-		fprintf(stderr, "currantctl: %zu shards did not answer\n",
-		    json_array_size(missing));
-	ctl_free(&resp);
-	return code;
+	return ctl_show_list(ctl, "/v1/jobs", "jobs", columns, 8);
 }
 
 static int
--- a/currantctl/cmd_service.c
+++ b/currantctl/cmd_service.c
@@ -16,20 +16,10 @@
 	    {"FREE SLOTS", "free_slots"},
 	    {"QUEUED", "queued"},
 	};
-	struct ctl_response resp;
-	int code;
 
 	(void)argc;
 	(void)argv;
-	ctl_get(ctl, "/v1/status", &resp);
-	code = ctl_exit_code(ctl, &resp);
-	if (code == CTL_OK && ctl->json)
-		ctl_print_json(json_object_get(resp.body, "services"));
-	else if (code == CTL_OK)
-		ctl_print_table(
-		    json_object_get(resp.body, "services"), columns, 4);
-	ctl_free(&resp);
-	return code;
+	return ctl_show_list(ctl, "/v1/status", "services", columns, 4);
 }
 
 static const struct argp_option request_options[] = {
--- a/currantctl/cmd_show.c
+++ b/currantctl/cmd_show.c
@@ -5,32 +5,6 @@
 
 #define SHOW_PATH_BYTES 256
 
-/* A list that shards or daemons have answered together. */
-static int
-show_list(struct ctl *ctl, const char *path, const char *field,
-    const struct ctl_column *columns, size_t count)
-{
-	struct ctl_response resp;
-	json_t *missing;
-	json_t *name;
-	size_t i;
-	int code;
-
-	ctl_get(ctl, path, &resp);
-	code = ctl_exit_code(ctl, &resp);
-	if (code == CTL_OK && ctl->json)
-		ctl_print_json(resp.body);
-	else if (code == CTL_OK)
-		ctl_print_table(
-		    json_object_get(resp.body, field), columns, count);
-	missing = json_object_get(resp.body, "unreachable");
-	json_array_foreach(missing, i, name)
-		fprintf(stderr, "currantctl: no answer from %s\n",
-		    json_string_value(name));
-	ctl_free(&resp);
-	return code;
-}
-
 int
 cmd_members(struct ctl *ctl, int argc, char **argv)
 {
@@ -45,7 +19,7 @@
 
 	(void)argc;
 	(void)argv;
-	return show_list(ctl, "/v1/members", "members", columns, 6);
+	return ctl_show_list(ctl, "/v1/members", "members", columns, 6);
 }
 
 int
@@ -63,7 +37,7 @@
 
 	(void)argc;
 	(void)argv;
-	return show_list(ctl, "/v1/workers", "workers", columns, 7);
+	return ctl_show_list(ctl, "/v1/workers", "workers", columns, 7);
 }
 
 int
@@ -79,7 +53,7 @@
 
 	(void)argc;
 	(void)argv;
-	return show_list(ctl, "/v1/placements", "placements", columns, 5);
+	return ctl_show_list(ctl, "/v1/placements", "placements", columns, 5);
 }
 
 int
--- a/currantctl/table.c
+++ b/currantctl/table.c
@@ -80,3 +80,28 @@
 	puts(text);
 	free(text);
 }
+
+int
+ctl_show_list(struct ctl *ctl, const char *path, const char *field,
+    const struct ctl_column *columns, size_t count)
+{
+	struct ctl_response resp;
+	json_t *missing;
+	json_t *name;
+	size_t i;
+	int code;
+
+	ctl_get(ctl, path, &resp);
+	code = ctl_exit_code(ctl, &resp);
+	if (code == CTL_OK && ctl->json)
+		ctl_print_json(resp.body);
+	else if (code == CTL_OK)
+		ctl_print_table(
+		    json_object_get(resp.body, field), columns, count);
+	missing = json_object_get(resp.body, "unreachable");
+	json_array_foreach(missing, i, name)
+		fprintf(stderr, "currantctl: no answer from %s\n",
+		    json_string_value(name));
+	ctl_free(&resp);
+	return code;
+}
--- a/curranttackd/api_jobs.c
+++ b/curranttackd/api_jobs.c
@@ -50,17 +50,9 @@
 	uint32_t w;
 
 	for (i = 0; i < shards->count; i++) {
-		for (w = 0; w < shards->shard[i].worker_count; w++) {
-			const struct st_res *cap =
-			    &shards->shard[i].worker[w].capacity;
-
-			if (cap->cpu_mcpu > largest.cpu_mcpu)
-				largest.cpu_mcpu = cap->cpu_mcpu;
-			if (cap->mem_bytes > largest.mem_bytes)
-				largest.mem_bytes = cap->mem_bytes;
-			if (cap->accel > largest.accel)
-				largest.accel = cap->accel;
-		}
+		for (w = 0; w < shards->shard[i].worker_count; w++)
+			st_res_max(
+			    &largest, &shards->shard[i].worker[w].capacity);
 	}
 	lacking = st_res_short(&spec->each, &largest);
 	if (lacking != NULL)
--- /dev/null
+++ b/curranttackd/shard_store.c
@@ -0,0 +1,346 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "curranttackd/shard_host_internal.h"
+#include "protocol/record_codec.h"
+
+#define HO_BATCH_BYTES ((size_t)512 << 10)
+#define HO_BATCH_RECORDS 5000
+#define HO_PART_BYTES ((size_t)800 << 10)
+#define HO_STORE_BAD_AFTER 2
+
+static void
+ho_key(const struct shard_host *h, const struct ow_op *op, char *key)
+{
+	switch (op->key) {
+	case OW_KEY_LEASE:
+		snprintf(key, DM_KEY_BYTES, "shard/%s/lease", h->id);
+		break;
+	case OW_KEY_HEAD:
+		snprintf(key, DM_KEY_BYTES, "shard/%s/head", h->id);
+		break;
+	case OW_KEY_LOG:
+		snprintf(
+		    key, DM_KEY_BYTES, "shard/%s/log/%" PRIu64, h->id, op->seq);
+		break;
+	case OW_KEY_SNAPSHOT:
+		snprintf(key, DM_KEY_BYTES,
+		    "shard/%s/snap/%" PRIu64 "-%" PRIu64 "/%u", h->id, op->seq,
+		    op->epoch, op->part);
+		break;
+	}
+}
+
+static uint8_t *
+ho_pack_seal(struct shard_host *h, const struct ow_op *op, size_t *bytes)
+{
+	struct rc_record seal = {.kind = RC_SEAL, .epoch = h->ow.epoch};
+	struct rc_record *list[1] = {&seal};
+	struct rk_batch b = {
+	    .writer = h->ow.writer,
+	    .nonce = op->nonce,
+	    .epoch = h->ow.epoch,
+	    .record = list,
+	    .count = 1,
+	};
+
+	return rk_pack_batch(h, &b, bytes);
+}
+
+static uint8_t *
+ho_value(struct shard_host *h, const struct ow_op *op, size_t *bytes)
+{
+	switch (op->key) {
+	case OW_KEY_LEASE:
+		return rk_pack_lease(
+		    h, h->d->settings->vm, h->ow.writer, bytes);
+	case OW_KEY_HEAD:
+		return rk_pack_head(h, &op->head, bytes);
+	case OW_KEY_LOG:
+		if (op->seal)
+			return ho_pack_seal(h, op, bytes);
+		*bytes = h->batch_bytes;
+		return talloc_memdup(h, h->batch, h->batch_bytes);
+	case OW_KEY_SNAPSHOT:
+		*bytes = h->part_bytes[op->part];
+		return talloc_memdup(h, h->part[op->part], *bytes);
+	}
+	return NULL;
+}
+
+static void
+ho_read_value(
+    struct shard_host *h, const struct kv_answer *a, struct ow_answer *out)
+{
+	struct rk_batch *b;
+
+	switch (h->op.key) {
+	case OW_KEY_LEASE:
+		if (!rk_unpack_lease(a->value, a->value_bytes, &out->writer))
+			out->writer = 0;
+		break;
+	case OW_KEY_HEAD:
+		if (!rk_unpack_head(a->value, a->value_bytes, &out->head))
+			out->result = OW_UNAVAILABLE;
+		break;
+	case OW_KEY_LOG:
+		b = rk_unpack_batch(h, a->value, a->value_bytes);
+		out->writer = b != NULL ? b->writer : 0;
+		out->nonce = b != NULL ? b->nonce : 0;
+		talloc_free(b);
+		break;
+	case OW_KEY_SNAPSHOT:
+		break;
+	}
+}
+
+static void
+ho_on_event(struct shard_host *h, enum ow_event event,
+    const struct kv_answer *a, int64_t now_us)
+{
+	switch (event) {
+	case OW_EV_NONE:
+		break;
+	case OW_EV_RESET:
+		ho_reset(h);
+		break;
+	case OW_EV_REPLAY:
+		ho_replay(h, a);
+		break;
+	case OW_EV_ACTIVE:
+		ho_activate(h, now_us);
+		break;
+	case OW_EV_COMMITTED:
+		sh_committed(h->sh, h->batch_number);
+		TALLOC_FREE(h->batch);
+		h->entries++;
+		break;
+	case OW_EV_SNAPSHOT:
+		h->entries = 0;
+		TALLOC_FREE(h->part);
+		lg_event(LG_INFO, "shard", "snapshot", "shard", h->id, "seq",
+		    lg_i64((int64_t)h->ow.head.snapshot_seq), NULL);
+		break;
+	case OW_EV_FENCED:
+		ho_fenced(h);
+		break;
+	case OW_EV_RELEASED:
+		lg_event(LG_INFO, "shard", "released", "shard", h->id, NULL);
+		TALLOC_FREE(h->sh);
+		h->link = NULL;
+		h->generation++;
+		if (!h->releasing) {
+			/* Only reloading: take it again at once. */
+			h->ow.release_wanted = false;
+			h->ow.poll_at_us = now_us;
+		}
+		break;
+	}
+}
+
+static void
+ho_on_store(const struct kv_answer *a, void *arg)
+{
+	struct shard_host *h = arg;
+	int64_t now_us = clk_now_us();
+	struct ow_answer answer = {0};
+	enum ow_event event;
+
+	pthread_mutex_lock(&h->lock);
+	switch (a->result) {
+	case KV_OK:
+		answer.result = OW_OK;
+		break;
+	case KV_ABSENT:
+		answer.result = OW_ABSENT;
+		break;
+	case KV_CONFLICT:
+		answer.result = OW_CONFLICT;
+		break;
+	case KV_UNAVAILABLE:
+		answer.result = OW_UNAVAILABLE;
+		break;
+	}
+	answer.revision = a->revision;
+	if (h->op.kind == OW_GET && a->result == KV_OK)
+		ho_read_value(h, a, &answer);
+	h->store_failures =
+	    answer.result == OW_UNAVAILABLE ? h->store_failures + 1 : 0;
+	event = ow_answer(&h->ow, &answer, now_us);
+	ho_on_event(h, event, a, now_us);
+	if (ho_owns(h, NULL)) {
+		sh_set_store_ok(h->sh, h->store_failures < HO_STORE_BAD_AFTER);
+		ho_serve_waiters(h, now_us);
+	}
+	pthread_mutex_unlock(&h->lock);
+	ho_tick(h, now_us);
+}
+
+static void
+ho_issue(struct shard_host *h, const struct ow_op *op)
+{
+	struct kv_put put = {0};
+	char key[DM_KEY_BYTES];
+	uint8_t *value;
+
+	h->op = *op;
+	ho_key(h, op, key);
+	switch (op->kind) {
+	case OW_GET:
+		h->d->kv_ops->get(h->d->kv, key, ho_on_store, h);
+		break;
+	case OW_CREATE:
+	case OW_CAS:
+		value = ho_value(h, op, &put.value_bytes);
+		put.key = key;
+		put.value = value;
+		put.mode = op->kind == OW_CREATE ? KV_CREATE : KV_CAS;
+		put.if_revision = op->if_revision;
+		if (op->key == OW_KEY_LEASE)
+			put.lease = h->d->store_lease;
+		h->d->kv_ops->put(h->d->kv, &put, ho_on_store, h);
+		talloc_free(value);
+		break;
+	case OW_DELETE:
+		h->d->kv_ops->del(
+		    h->d->kv, key, op->if_revision, ho_on_store, h);
+		break;
+	}
+}
+
+static bool
+ho_tokens(struct shard_host *h, int64_t now_us, uint32_t keep)
+{
+	int64_t most_us = (int64_t)h->d->settings->commit_burst * HO_TOKEN_US;
+
+	h->tokens_us +=
+	    (now_us - h->tokens_at_us) * (int64_t)h->d->settings->commit_per_s;
+	h->tokens_at_us = now_us;
+	if (h->tokens_us > most_us)
+		h->tokens_us = most_us;
+	return h->tokens_us >= (int64_t)(keep + 1) * HO_TOKEN_US;
+}
+
+static void
+ho_begin_append(struct shard_host *h, int64_t now_us)
+{
+	const struct sh_pending *p;
+	struct rk_batch b = {0};
+	size_t bytes = 0;
+
+	if (sh_records(h->sh) == NULL || h->ow.state != OW_READY ||
+	    h->ow.in_flight || !ho_tokens(h, now_us, 0))
+		return;
+	b.nonce = ow_append(&h->ow, now_us);
+	if (b.nonce == 0)
+		return;
+	b.record = talloc_array(h, struct rc_record *, HO_BATCH_RECORDS);
+	for (p = sh_records(h->sh); p != NULL; p = p->next) {
+		bytes += rc_bytes(p->record);
+		if (b.count == HO_BATCH_RECORDS ||
+		    (b.count > 0 && bytes > HO_BATCH_BYTES))
+			break;
+		b.record[b.count++] = p->record;
+		h->batch_number = p->number;
+	}
+	b.writer = h->ow.writer;
+	b.epoch = h->ow.epoch;
+	TALLOC_FREE(h->batch);
+	h->batch = rk_pack_batch(h, &b, &h->batch_bytes);
+	h->tokens_us -= HO_TOKEN_US;
+	talloc_free(b.record);
+}
+
+static uint32_t
+ho_pack_parts(struct shard_host *h, struct rc_record **record, size_t count)
+{
+	struct rk_batch b = {.writer = h->ow.writer, .epoch = h->ow.epoch};
+	uint32_t parts = 0;
+	size_t from = 0;
+	size_t bytes;
+	size_t i;
+
+	TALLOC_FREE(h->part);
+	h->part = talloc_zero_array(h, uint8_t *, (unsigned)count + 1);
+	h->part_bytes = talloc_zero_array(h->part, size_t, (unsigned)count + 1);
+	do {
+		bytes = 0;
+		for (i = from; i < count; i++) {
+			bytes += rc_bytes(record[i]);
+			if (i > from && bytes > HO_PART_BYTES)
+				break;
+		}
+		b.record = record + from;
+		b.count = i - from;
+		h->part[parts] =
+		    rk_pack_batch(h->part, &b, &h->part_bytes[parts]);
+		parts++;
+		from = i;
+	} while (from < count);
+	return parts;
+}
+
+static void
+ho_begin_snapshot(struct shard_host *h, int64_t now_us)
+{
+	struct rc_record **record;
+	uint32_t parts;
+	size_t count;
+
+	if (h->entries < h->d->settings->snapshot_every ||
+	    h->ow.state != OW_READY || h->ow.in_flight ||
+	    h->ow.old_snap_parts > 0 || h->ow.verify_wanted ||
+	    !ho_tokens(h, now_us, 2))
+		return;
+	record = sh_snapshot(
+	    h->sh, h, &count, now_us, h->d->settings->keep_ended_us);
+	parts = ho_pack_parts(h, record, count);
+	talloc_free(record);
+	if (!ow_snapshot(&h->ow, parts))
+		TALLOC_FREE(h->part);
+	else
+		h->tokens_us -= 2 * HO_TOKEN_US;
+}
+
+static bool
+ho_eligible(struct shard_host *h, int64_t now_us)
+{
+	struct daemon *d = h->d;
+	const struct cf_shard *conf = ho_config(h);
+	struct mb_member *self;
+	bool may;
+
+	if (conf == NULL || atomic_load(&d->leaving) || d->store_lease == 0)
+		return false;
+	pthread_mutex_lock(&d->members_lock);
+	self = mb_find(d->view, d->settings->vm);
+	/* Workers may still obey a domain that is only cut off. */
+	may = self->listed != MB_LEAVING &&
+	    mb_owner(d->view, h->id, now_us, NULL) == NULL &&
+	    (strcmp(conf->domain, d->settings->domain) == 0 ||
+		!mb_domain_has_live(d->view, conf->domain, now_us));
+	pthread_mutex_unlock(&d->members_lock);
+	return may;
+}
+
+void
+ho_store_step(struct shard_host *h, int64_t now_us)
+{
+	bool eligible = !ow_active(&h->ow) && ho_eligible(h, now_us);
+	bool trim = ho_tokens(h, now_us, h->d->settings->commit_burst / 2);
+	struct ow_op op;
+
+	if (ho_owns(h, NULL)) {
+		ho_begin_append(h, now_us);
+		ho_begin_snapshot(h, now_us);
+	}
+	if (!ow_next(&h->ow, now_us, eligible, trim, &op))
+		return;
+	if (op.kind == OW_DELETE)
+		h->tokens_us -= HO_TOKEN_US;
+	ho_issue(h, &op);
+}
--- /dev/null
+++ b/curranttackd/shard_workers.c
@@ -0,0 +1,141 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "curranttackd/shard_host_internal.h"
+#include "protocol/json_fields.h"
+#include "protocol/worker_json.h"
+
+#define HO_EVENT_WAIT_US (10 * CLK_US_PER_S)
+#define HO_EVENT_RETRY_US (500 * CLK_US_PER_MS)
+#define HO_MAX_SYNC_US (2 * CLK_US_PER_S)
+
+/** struct sync_call - a message to a worker that is under way */
+struct sync_call {
+	struct shard_host *host;
+	uint64_t generation;
+	uint32_t row;
+};
+
+static void
+ho_on_sync(const struct hc_response *resp, void *arg)
+{
+	struct sync_call *call = arg;
+	struct shard_host *h = call->host;
+	int64_t now_us = clk_now_us();
+	struct sh_sync_reply reply;
+	char error[JF_ERROR_BYTES];
+	bool ok;
+
+	ct_add(CT_WORKER_MSGS, 1);
+	ct_add(CT_WORKER_BYTES, resp->sent_bytes + resp->received_bytes);
+	if (call->generation != h->generation)
+		goto out;
+	pthread_mutex_lock(&h->lock);
+	ok = resp->error == HC_OK &&
+	    (resp->status == 200 || resp->status == 409) &&
+	    wj_parse_reply(call, resp->body, resp->body_bytes, &reply, error);
+	if (!ok) {
+		sh_sync_failed(h->sh, call->row, now_us);
+	} else if (!sh_sync_reply(h->sh, call->row, &reply, now_us)) {
+		ow_verify(&h->ow);
+	}
+	pthread_mutex_unlock(&h->lock);
+out:
+	talloc_free(call);
+}
+
+void
+ho_send_sync(struct shard_host *h, uint32_t w, int64_t now_us)
+{
+	struct hc_request req = {0};
+	struct sh_sync sync;
+	struct sync_call *call;
+	char url[160];
+	char *body;
+	int64_t timeout_us = h->d->settings->worker_renew_us;
+
+	if (timeout_us > HO_MAX_SYNC_US)
+		timeout_us = HO_MAX_SYNC_US;
+	sh_sync_build(h->sh, w, now_us, &sync);
+	ct_add(CT_TASKS_STARTED, sync.start_count);
+	body = wj_build_sync(h->id, &sync);
+	call = talloc_zero(h, struct sync_call);
+	if (call == NULL || body == NULL)
+		abort();
+	call->host = h;
+	call->generation = h->generation;
+	call->row = w;
+	snprintf(
+	    url, sizeof(url), "http://%s/v1/sync", h->sh->worker[w].address);
+	req.method = "POST";
+	req.url = url;
+	req.body = body;
+	req.body_bytes = strlen(body);
+	req.deadline_us = now_us + timeout_us;
+	hc_send(h->d->control_http, &req, ho_on_sync, call);
+	free(body);
+}
+
+static void
+ho_on_worker_news(const struct hc_response *resp, void *arg)
+{
+	struct sync_call *call = arg;
+	struct shard_host *h = call->host;
+	struct worker_link *link;
+	struct sh_sync_reply reply;
+	char error[JF_ERROR_BYTES];
+	int64_t now_us = clk_now_us();
+
+	ct_add(CT_WORKER_MSGS, 1);
+	ct_add(CT_WORKER_BYTES, resp->sent_bytes + resp->received_bytes);
+	if (call->generation != h->generation)
+		goto out;
+	link = &h->link[call->row];
+	link->polling = false;
+	if (resp->error != HC_OK || resp->status != 200 ||
+	    !wj_parse_reply(
+		call, resp->body, resp->body_bytes, &reply, error)) {
+		link->poll_at_us = now_us + HO_EVENT_RETRY_US;
+		goto out;
+	}
+	link->news = reply.news;
+	pthread_mutex_lock(&h->lock);
+	sh_worker_news(
+	    h->sh, call->row, reply.ended, reply.ended_count, now_us);
+	pthread_mutex_unlock(&h->lock);
+out:
+	talloc_free(call);
+}
+
+/* A worker answers this request when it has new outcomes to report. */
+void
+ho_poll_worker(struct shard_host *h, uint32_t w, int64_t now_us)
+{
+	struct worker_link *link = &h->link[w];
+	struct hc_request req = {0};
+	struct sync_call *call;
+	char url[200];
+
+	if (link->polling || now_us < link->poll_at_us)
+		return;
+	call = talloc_zero(h, struct sync_call);
+	if (call == NULL)
+		return;
+	call->host = h;
+	call->generation = h->generation;
+	call->row = w;
+	snprintf(url, sizeof(url),
+	    "http://%s/v1/events?after=%" PRIu64 "&wait_ms=%" PRId64,
+	    h->sh->worker[w].address, link->news,
+	    HO_EVENT_WAIT_US / CLK_US_PER_MS);
+	req.method = "GET";
+	req.url = url;
+	req.deadline_us = now_us + HO_EVENT_WAIT_US + CLK_US_PER_S;
+	link->polling = true;
+	hc_send(h->d->control_http, &req, ho_on_worker_news, call);
+}
--- a/include/currantctl/ctl.h
+++ b/include/currantctl/ctl.h
@@ -85,6 +85,19 @@
 /** ctl_print_table() - rows of a JSON list as an aligned table */
 void ctl_print_table(
     json_t *rows, const struct ctl_column *columns, size_t count);
+/**
+ * ctl_show_list() - print a list from the operators' side
+ * @ctl: common part
+ * @path: path of the list
+ * @field: its field in the answer
+ * @columns: columns of the table
+ * @count: number of columns
+ *
+ * Names on standard error who did not answer. Return: exit code.
+ */
+int ctl_show_list(struct ctl *ctl, const char *path, const char *field,
+    const struct ctl_column *columns, size_t count);
+
 /** ctl_print_json() - a JSON value, indented */
 void ctl_print_json(json_t *value);
 
--- a/include/state/types.h
+++ b/include/state/types.h
@@ -110,6 +110,8 @@
 bool st_res_fits(const struct st_res *need, const struct st_res *room);
 /** st_res_add() - add @b to @a */
 void st_res_add(struct st_res *a, const struct st_res *b);
+/** st_res_max() - raise @a to @b in each resource */
+void st_res_max(struct st_res *a, const struct st_res *b);
 /** st_res_sub() - take @b from @a */
 void st_res_sub(struct st_res *a, const struct st_res *b);
 
--- a/state/shard.c
+++ b/state/shard.c
@@ -195,16 +195,8 @@
 	room = pl_empty_room(sh->table, &spec->each);
 	if (room >= (spec->kind == ST_GANG ? spec->count : 1))
 		return NULL;
-	for (w = 0; w < sh->table->count; w++) {
-		const struct st_res *cap = &sh->table->worker[w].capacity;
-
-		if (cap->cpu_mcpu > largest.cpu_mcpu)
-			largest.cpu_mcpu = cap->cpu_mcpu;
-		if (cap->mem_bytes > largest.mem_bytes)
-			largest.mem_bytes = cap->mem_bytes;
-		if (cap->accel > largest.accel)
-			largest.accel = cap->accel;
-	}
+	for (w = 0; w < sh->table->count; w++)
+		st_res_max(&largest, &sh->table->worker[w].capacity);
 	if (room == 0 && st_res_short(&spec->each, &largest) != NULL)
 		return st_res_short(&spec->each, &largest);
 	total.cpu_mcpu = spec->each.cpu_mcpu * spec->count;
--- a/state/types.c
+++ b/state/types.c
@@ -90,6 +90,17 @@
 	a->accel += b->accel;
 }
 
+void
+st_res_max(struct st_res *a, const struct st_res *b)
+{
+	if (b->cpu_mcpu > a->cpu_mcpu)
+		a->cpu_mcpu = b->cpu_mcpu;
+	if (b->mem_bytes > a->mem_bytes)
+		a->mem_bytes = b->mem_bytes;
+	if (b->accel > a->accel)
+		a->accel = b->accel;
+}
+
 void
 st_res_sub(struct st_res *a, const struct st_res *b)
 {
