members, tests: a failure domain that is cut off goes on serving

Cause: cutting a domain off was unproved. The first try showed that a daemon took another's address in turn from the platform's list and from its heartbeats, and closed its links each time the two differed. Change: the listed address is used first, the reported one after a failure; daemons can be told which address to report. Tests with cut links (store, VM list, every peer link) and with bearer tokens. Before: submissions across domains failed in that setting.

--- a/coordination/membership.c
+++ b/coordination/membership.c
@@ -118,10 +118,8 @@
 	if (m->report.domain[0] == '\0')
 		snprintf(m->report.domain, sizeof(m->report.domain), "%s",
 		    e->domain);
-	/* A restarted daemon has another address before it is heard. */
-	if (e->address != NULL && strcmp(e->vm, v->self) != 0)
-		snprintf(m->report.address, sizeof(m->report.address), "%s",
-		    e->address);
+	snprintf(m->listed_address, sizeof(m->listed_address), "%s",
+	    e->address != NULL ? e->address : "");
 }
 
 void
--- a/curranttackd/daemon.c
+++ b/curranttackd/daemon.c
@@ -69,7 +69,9 @@
 
 	snprintf(self.vm, sizeof(self.vm), "%s", d->settings->vm);
 	snprintf(self.domain, sizeof(self.domain), "%s", d->settings->domain);
-	memcpy(self.address, d->peers_address, sizeof(self.address));
+	snprintf(self.address, sizeof(self.address), "%s",
+	    d->settings->advertise_peers != NULL ? d->settings->advertise_peers
+						 : d->peers_address);
 	self.incarnation = d->incarnation;
 	snprintf(self.preset, sizeof(self.preset), "%s",
 	    po_preset_name(PO_ORDINARY));
--- a/curranttackd/members.c
+++ b/curranttackd/members.c
@@ -16,9 +16,9 @@
 
 struct me_link_slot {
 	char vm[MB_NAME_BYTES];
-	char address[MB_NAME_BYTES];
 	struct peer_link *link;
 	int64_t retry_at_us;
+	bool use_reported;
 };
 
 struct members {
@@ -55,6 +55,17 @@
 	return &me->slot[me->slot_count++];
 }
 
+/* Where the platform says, or after a failure there, where it says itself. */
+static const char *
+me_address(const struct me_link_slot *slot, const struct mb_member *m)
+{
+	if (m->listed_address[0] == '\0')
+		return m->report.address;
+	if (m->report.address[0] == '\0')
+		return m->listed_address;
+	return slot->use_reported ? m->report.address : m->listed_address;
+}
+
 struct peer_link *
 me_link(struct members *me, const char *vm)
 {
@@ -67,16 +78,13 @@
 	pthread_mutex_lock(&me->d->members_lock);
 	m = mb_find(me->d->view, vm);
 	if (m != NULL)
-		memcpy(address, m->report.address, sizeof(address));
+		memcpy(address, me_address(slot, m), sizeof(address));
 	pthread_mutex_unlock(&me->d->members_lock);
-	if (slot->link != NULL && strcmp(slot->address, address) != 0)
-		peer_close(slot->link);
 	if (slot->link != NULL)
 		return slot->link;
 	if (address[0] == '\0' || clk_now_us() < slot->retry_at_us)
 		return NULL;
 	slot->retry_at_us = clk_now_us() + ME_RECONNECT_US;
-	memcpy(slot->address, address, sizeof(address));
 	slot->link = peer_connect(me->d->peers, address);
 	return slot->link;
 }
@@ -90,6 +98,8 @@
 		if (me->slot[i].link != link)
 			continue;
 		me->slot[i].link = NULL;
+		if (!peer_established(link))
+			me->slot[i].use_reported = !me->slot[i].use_reported;
 		if (!peer_refused(link))
 			continue;
 		pthread_mutex_lock(&me->d->members_lock);
--- a/curranttackd/settings.c
+++ b/curranttackd/settings.c
@@ -34,6 +34,8 @@
 	s->listen_callers = se_text(s, jf_address(r, "callers", true));
 	s->listen_operators = se_text(s, jf_address(r, "operators", true));
 	s->listen_peers = se_text(s, jf_address(r, "peers", true));
+	s->advertise_peers =
+	    se_text(s, jf_address(r, "advertise_peers", false));
 }
 
 static void
--- a/include/coordination/membership.h
+++ b/include/coordination/membership.h
@@ -66,6 +66,7 @@
  * @heard_us: when its newest report was made
  * @dead_at_us: dead from here on unless heard again
  * @listed: what the platform's list says
+ * @listed_address: address in the platform's list, or empty
  * @relayed: digest of the report that was last passed on in our domain
  * @gone_at_us: since when its VM is surely gone; 0 while it may live
  */
@@ -74,6 +75,7 @@
 	int64_t heard_us;
 	int64_t dead_at_us;
 	enum mb_listed listed;
+	char listed_address[MB_NAME_BYTES];
 	uint64_t relayed;
 	int64_t gone_at_us;
 };
--- a/include/curranttackd/settings.h
+++ b/include/curranttackd/settings.h
@@ -24,6 +24,7 @@
  * @listen_callers: "IP:PORT" for callers
  * @listen_operators: "IP:PORT" for operators
  * @listen_peers: "IP:PORT" for other daemons
+ * @advertise_peers: address that others are told, or NULL for the bound one
  * @store_address: the platform's key-value service
  * @vms_address: the platform's VM list
  * @peer_token: shared by all daemons
@@ -38,6 +39,7 @@
 	char *listen_callers;
 	char *listen_operators;
 	char *listen_peers;
+	char *advertise_peers;
 	char *store_address;
 	char *vms_address;
 	char *peer_token;
--- a/tests/fault/cluster.cc
+++ b/tests/fault/cluster.cc
@@ -224,7 +224,6 @@
 		std::to_string(layout.service_us)},
 	    log);
 	endpoint_address = endpoints->addresses;
-	store_via = store->addresses[0];
 	for (const std::string &domain : layout.domains) {
 		for (int i = 0; i < layout.daemons_per_domain; i++) {
 			Daemon d;
@@ -255,12 +254,17 @@
 	    << "[vm]\nid = \"" << d.vm << "\"\ndomain = \"" << d.domain
 	    << "\"\n[listen]\ncallers = \"127.0.0.1:0\"\n"
 	       "operators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
-	       "[platform]\nstore = \""
-	    << store_via << "\"\nvms = \"" << vms->addresses[0]
+	    << (d.advertise.empty()
+		       ? ""
+		       : "advertise_peers = \"" + d.advertise + "\"\n")
+	    << "[platform]\nstore = \""
+	    << (d.store_via.empty() ? store_address() : d.store_via)
+	    << "\"\nvms = \"" << (d.vms_via.empty() ? vms_address() : d.vms_via)
 	    << "\"\nstore_timeout = \"500ms\"\nstore_lease = \"1s\"\n"
 	       "vms_poll = \"200ms\"\n"
 	       "[access]\npeer_token = \"test-peer-token\"\n"
-	       "[members]\nheartbeat = \"100ms\"\nsummary = \"200ms\"\n"
+	    << d.more_settings
+	    << "[members]\nheartbeat = \"100ms\"\nsummary = \"200ms\"\n"
 	       "timeout = \"800ms\"\n"
 	       "[workers]\nlease = \"2s\"\nrenew = \"500ms\"\n"
 	       "[shards]\ncommits_per_second = 50\ncommit_burst = 50\n"
@@ -273,6 +277,13 @@
 
 void
 Cluster::publish_vms()
+{
+	publish_to(vms_address(), {});
+}
+
+void
+Cluster::publish_to(
+    const std::string &address, const std::map<std::string, std::string> &via)
 {
 	json_t *list = json_array();
 
@@ -282,7 +293,9 @@
 		json_array_append_new(list,
 		    json_pack("{s:s, s:s, s:s, s:s, s:s}", "vm", d.vm.c_str(),
 			"domain", d.domain.c_str(), "address",
-			d.peers().c_str(), "role", "daemon", "state",
+			via.count(d.vm) ? via.at(d.vm).c_str()
+					: d.peers().c_str(),
+			"role", "daemon", "state",
 			d.leaving ? "leaving" : "live"));
 	}
 	for (const auto &l : leaving)
@@ -293,7 +306,7 @@
 	Json o(json_pack("{s:o}", "vms", list));
 	char *text = json_dumps(o.get(), 0);
 
-	http("PUT", "http://" + vms->addresses[0] + "/_vms", text);
+	http("PUT", "http://" + address + "/_vms", text);
 	free(text);
 }
 
@@ -374,6 +387,12 @@
 	for (Daemon &d : daemons)
 		start_daemon(d);
 	publish_vms();
+	settle_and_configure();
+}
+
+void
+Cluster::settle_and_configure()
+{
 	ASSERT_TRUE(eventually([&] {
 		for (const Daemon &d : daemons) {
 			Json j = ask(d, "/v1/members").json();
--- a/tests/fault/cluster.h
+++ b/tests/fault/cluster.h
@@ -63,6 +63,11 @@
 	std::string path;
 	std::unique_ptr<Process> process;
 	bool leaving = false;
+	/* Its ways to the platform; empty for the direct ones. */
+	std::string store_via;
+	std::string vms_via;
+	std::string more_settings;
+	std::string advertise;
 
 	std::string
 	callers() const
@@ -97,6 +102,8 @@
 
 	/* Daemons know each other, and every shard has an owner. */
 	void start();
+	/* The same, once the daemons run and are listed. */
+	void settle_and_configure();
 	void start_daemon(Daemon &d);
 	void publish_vms();
 	Daemon &daemon(const std::string &vm);
@@ -155,8 +162,19 @@
 	{
 		return store->addresses[0];
 	}
-	/* Daemons started later reach the store through this address. */
-	std::string store_via;
+	std::string
+	vms_address() const
+	{
+		return vms->addresses[0];
+	}
+	/* Publishes to another list; @via replaces addresses by VM id. */
+	void publish_to(const std::string &list,
+	    const std::map<std::string, std::string> &via);
+	std::string
+	log_path() const
+	{
+		return dir + "/standins.log";
+	}
 };
 
 /* Polls until the condition holds; false after the time. */
--- a/tests/fault/test_member_faults.cc
+++ b/tests/fault/test_member_faults.cc
@@ -267,4 +267,169 @@
 	}
 }
 
+TEST(MemberFaults, TokensKeepTheSidesApart)
+{
+	Cluster c({});
+
+	for (Daemon &d : c.daemons)
+		d.more_settings = "caller_token = \"for-callers\"\n"
+				  "operator_token = \"for-operators\"\n";
+	c.start_daemon(c.daemons[0]);
+	Daemon &d = c.daemons[0];
+	std::string jobs = "http://" + d.callers() + "/v1/jobs";
+	std::string status = "http://" + d.operators() + "/v1/status";
+	std::string callers = "Authorization: Bearer for-callers";
+	std::string operators = "Authorization: Bearer for-operators";
+
+	EXPECT_EQ(http("GET", jobs).status, 401);
+	EXPECT_EQ(http("GET", jobs, "", {operators}).status, 401);
+	EXPECT_EQ(http("GET", jobs, "", {callers}).status, 200);
+	EXPECT_EQ(http("GET", jobs, "", {callers + "x"}).status, 401);
+	EXPECT_EQ(http("GET", status, "", {callers}).status, 401);
+	EXPECT_EQ(http("GET", status, "", {operators}).status, 200);
+	EXPECT_EQ(
+	    http("GET", "http://" + d.callers() + "/v1/status", "", {callers})
+		.status,
+	    404)
+	    << "operators' paths are not on the callers' side";
+	EXPECT_NE(http("GET", "http://" + d.callers() + "/ready").status, 401);
+}
+
+/* A link whose two ends believe that the other is silent. */
+class Link
+{
+      public:
+	explicit Link(Cluster &c)
+	    : process("tests/standins/standin-relay", {}, c.log_path())
+	{
+	}
+	void
+	lead_to(const std::string &target)
+	{
+		EXPECT_EQ(http("POST",
+			      "http://" + process.addresses[1] +
+				  "/_target?address=" + target)
+			      .status,
+		    200);
+	}
+	std::string
+	address() const
+	{
+		return process.addresses[0];
+	}
+	void
+	cut(bool on)
+	{
+		EXPECT_EQ(http("POST",
+			      "http://" + process.addresses[1] +
+				  "/_cut?on=" + (on ? "1" : "0"))
+			      .status,
+		    200);
+	}
+
+      private:
+	Process process;
+};
+
+TEST(MemberFaults, CutOffDomainGoesOnServing)
+{
+	Layout layout;
+
+	layout.domains = {"d1", "d2"};
+	layout.daemons_per_domain = 2;
+	Cluster c(layout);
+	Link store(c);
+	Process far_list("tests/standins/standin-vmlist", {}, c.log_path());
+	std::vector<std::unique_ptr<Link>> links;
+	std::map<std::string, std::string> seen_from_d1;
+	std::map<std::string, std::string> seen_from_d2;
+
+	store.lead_to(c.store_address());
+	for (Daemon &d : c.daemons) {
+		links.push_back(std::make_unique<Link>(c));
+		d.advertise = links.back()->address();
+		if (d.domain == "d2") {
+			d.store_via = store.address();
+			d.vms_via = far_list.addresses[0];
+		}
+		c.start_daemon(d);
+		links.back()->lead_to(d.peers());
+		(d.domain == "d2" ? seen_from_d1 : seen_from_d2)[d.vm] =
+		    d.advertise;
+	}
+	auto publish = [&] {
+		c.publish_to(c.vms_address(), seen_from_d1);
+		c.publish_to(far_list.addresses[0], seen_from_d2);
+	};
+	publish();
+	c.settle_and_configure();
+	Daemon &near = c.daemons[0];
+	Daemon &far = c.daemons[2];
+	/* Jobs whose home is the domain that will be cut off. */
+	std::vector<std::string> far_jobs;
+
+	for (int i = 0; far_jobs.size() < 3 && i < 60; i++) {
+		Response r = c.submit(near, "svc" + std::to_string(i),
+		    R"("kind":"service","count":2,"cpu":0.5,"memory":"1GB")");
+
+		ASSERT_EQ(r.status, 202) << r.body;
+		if (r.text("job").rfind("d2.", 0) == 0)
+			far_jobs.push_back(r.text("job"));
+	}
+	ASSERT_EQ(far_jobs.size(), 3U);
+	for (const std::string &id : far_jobs)
+		ASSERT_TRUE(eventually(
+		    [&] { return c.job(far, id).number("running") == 2; }));
+	Json before = c.worker_report();
+
+	store.cut(true);
+	for (auto &l : links)
+		l->cut(true);
+	http("POST", "http://" + far_list.addresses[0] + "/_down?on=1");
+	ASSERT_TRUE(eventually([&] {
+		return c.ask(near, "/v1/members").body.find("silent") !=
+		    std::string::npos &&
+		    c.ask(far, "/v1/members").body.find("silent") !=
+		    std::string::npos;
+	}));
+	std::this_thread::sleep_for(std::chrono::seconds(5));
+	/* Inside: services run on, and requests are served. */
+	for (const std::string &id : far_jobs)
+		EXPECT_EQ(c.job(far, id).number("running"), 2);
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(c.request(far, "x", {"X-Idempotent: true"}).body,
+		    "answer to x");
+	/* Outside: served too; the far shard is not taken. */
+	EXPECT_EQ(
+	    c.request(near, "x", {"X-Idempotent: true"}).body, "answer to x");
+	EXPECT_EQ(c.job(near, far_jobs[0]).outcome, "not_run");
+	int64_t takeovers = 0;
+
+	for (Daemon &d : c.daemons)
+		takeovers += c.metric(d, "shard_takeovers_total");
+	EXPECT_EQ(takeovers, 2);
+	int64_t revision = revision_of(c, near, "preset");
+
+	EXPECT_EQ(
+	    c.put_config(near, "preset", R"({"preset":"peaks"})", revision)
+		.status,
+	    200);
+	/* Healed: the change arrives, and nothing ran twice. */
+	store.cut(false);
+	for (auto &l : links)
+		l->cut(false);
+	http("POST", "http://" + far_list.addresses[0] + "/_down?on=0");
+	EXPECT_TRUE(eventually([&] {
+		return c.ask(far, "/v1/status").text("preset") == "peaks";
+	}));
+	EXPECT_TRUE(eventually(
+	    [&] { return c.job(near, far_jobs[0]).number("running") == 2; }));
+	Json after = c.worker_report();
+
+	EXPECT_EQ(json_integer_value(json_object_get(after.get(), "starts")),
+	    json_integer_value(json_object_get(before.get(), "starts")))
+	    << "no service was restarted";
+	c.expect_no_violation();
+}
+
 } // namespace
