state: a removed worker keeps its tasks for one lease

Cause: reading the recovery as a newcomer: after a change of the workers' list, held tasks were settled once all *configured* workers had answered, although a removed one runs on until its lease lapses. An idempotent task could then run in two places for up to a lease. More log events. Before: the new unit test settles the task at once. After: it waits.

--- a/curranttackd/api_requests.c
+++ b/curranttackd/api_requests.c
@@ -173,6 +173,10 @@
 rq_finish(struct request *r, const struct answer *a)
 {
 	rq_count(r, a);
+	if (a->outcome == ST_UNKNOWN)
+		lg_event(LG_WARN, "requests", "outcome_unknown", "service",
+		    r->service->name, "request", r->id, "reason", a->reason,
+		    NULL);
 	if (r->claimed)
 		rq_end_claim(r, a);
 	if (r->http != NULL)
--- a/curranttackd/shard_calls.c
+++ b/curranttackd/shard_calls.c
@@ -209,6 +209,10 @@
 	switch (sh_submit(h->sh, spec, clk_now_us(), &job, &why)) {
 	case SH_ACCEPTED:
 		ct_add(CT_JOBS_ACCEPTED, 1);
+		lg_event(LG_INFO, "shard", "job_submitted", "shard", h->id,
+		    "epoch", lg_i64((int64_t)h->ow.epoch), "job", spec->id,
+		    "team", spec->team, "kind", st_kind_name(spec->kind),
+		    "count", lg_i64(spec->count), NULL);
 		/* fallthrough */
 	case SH_DUPLICATE:
 		ho_wait(h, HO_WAIT_ACCEPTED, spec->id, job->durable_at,
@@ -228,6 +232,8 @@
 		break;
 	}
 	ct_add(CT_JOBS_REFUSED, 1);
+	lg_event(LG_INFO, "shard", "job_refused", "shard", h->id, "job",
+	    spec->id, "reason", reply.reason, NULL);
 	done(&reply, arg);
 out:
 	talloc_free(spec);
@@ -258,6 +264,8 @@
 		return;
 	}
 	sh_cancel(h->sh, job);
+	lg_event(
+	    LG_INFO, "shard", "job_cancelled", "shard", h->id, "job", id, NULL);
 	ho_wait(h, HO_WAIT_ACCEPTED, id, job->ended_at, deadline_us, done, arg);
 }
 
--- a/curranttackd/shard_store.c
+++ b/curranttackd/shard_store.c
@@ -38,8 +38,8 @@
 static uint8_t *
 ho_pack_seal(struct shard_host *h, const struct ow_op *op, size_t *bytes)
 {
-	struct rc_record seal = {.kind = RC_SEAL, .epoch = h->ow.epoch};
-	struct rc_record *list[1] = {&seal};
+	struct rc_record *seal = sh_seal_record(h, h->sh);
+	struct rc_record *list[1] = {seal};
 	struct rk_batch b = {
 	    .writer = h->ow.writer,
 	    .nonce = op->nonce,
@@ -48,7 +48,12 @@
 	    .count = 1,
 	};
 
-	return rk_pack_batch(h, &b, bytes);
+	uint8_t *value;
+
+	seal->epoch = h->ow.epoch;
+	value = rk_pack_batch(h, &b, bytes);
+	talloc_free(seal);
+	return value;
 }
 
 static uint8_t *
--- a/include/state/record.h
+++ b/include/state/record.h
@@ -37,7 +37,8 @@
  * @key: idempotency key of a claim
  * @answer: answer of a claim, @answer_bytes long
  * @status: HTTP status of the answer
- * @body_hash: hash of the claimed request's body
+ * @body_hash: hash of the claimed request's body, or for RC_SEAL of the
+ *	workers that the epoch knows
  * @deadline_wall_us: stored deadline on the wall clock
  */
 struct rc_record {
--- a/include/state/shard.h
+++ b/include/state/shard.h
@@ -388,6 +388,9 @@
 	uint32_t cancel_scan;
 	struct sh_gang_hold hold;
 	uint32_t held_count;
+	uint64_t workers_hash;
+	uint64_t sealed_workers_hash;
+	int64_t strangers_until_us;
 	uint64_t starts;
 	struct st_res capacity;
 };
@@ -435,6 +438,9 @@
  */
 void sh_apply(struct sh_shard *sh, const struct rc_record *r);
 
+/** sh_seal_record() - the record by which a new epoch seals the log */
+struct rc_record *sh_seal_record(TALLOC_CTX *ctx, const struct sh_shard *sh);
+
 /**
  * sh_begin() - become the shard's one active copy after sealing the log
  * @sh: shard
--- a/include/state/shard_internal.h
+++ b/include/state/shard_internal.h
@@ -54,6 +54,8 @@
 void sh_learn_usage(
     struct sh_shard *sh, struct sh_task *task, const struct st_res *used);
 
+/** sh_lease_lapse_us() - from its last possible renewal a lease has lapsed */
+int64_t sh_lease_lapse_us(const struct sh_shard *sh);
 /** sh_workers_tick() - detect lost workers and resolve held tasks */
 void sh_workers_tick(struct sh_shard *sh, int64_t now_us);
 /** sh_worker_note_result() - count failures towards quarantine */
--- a/state/shard.c
+++ b/state/shard.c
@@ -47,6 +47,17 @@
 	return n;
 }
 
+/* FNV-1a over the ids, independent of their order. */
+static uint64_t
+sh_hash_id(const char *id)
+{
+	uint64_t h = UINT64_C(0xcbf29ce484222325);
+
+	for (; *id != '\0'; id++)
+		h = (h ^ (unsigned char)*id) * UINT64_C(0x100000001b3);
+	return h;
+}
+
 int
 sh_set_workers(
     struct sh_shard *sh, const struct sh_worker_spec *spec, uint32_t count)
@@ -65,6 +76,7 @@
 		pl_set(sh->table, w, &spec[w].capacity,
 		    sh_rack_index(sh, spec[w].rack));
 		sh->table->worker[w].usable = false;
+		sh->workers_hash += sh_hash_id(spec[w].id);
 		st_res_add(&sh->capacity, &spec[w].capacity);
 	}
 	return 0;
--- a/state/shard_replay.c
+++ b/state/shard_replay.c
@@ -61,6 +61,7 @@
 
 	switch (r->kind) {
 	case RC_SEAL:
+		sh->sealed_workers_hash = r->body_hash;
 		break;
 	case RC_JOB_ACCEPTED:
 		if (sh_find_job(sh, r->spec->id) == NULL)
@@ -133,6 +134,12 @@
 	sh->held_count = 0;
 	for (job = sh->jobs; job != NULL; job = job->hh.next)
 		sh_begin_job(sh, job, now_us);
+	/*
+	 * A worker that is no longer configured may run tasks until the lease
+	 * that the earlier epoch gave it runs out.
+	 */
+	if (sh->sealed_workers_hash != sh->workers_hash)
+		sh->strangers_until_us = now_us + sh_lease_lapse_us(sh);
 	for (w = 0; w < sh->worker_count; w++) {
 		sh->worker[w].state = SH_W_UNFENCED;
 		sh->worker[w].want_inventory = true;
@@ -140,6 +147,20 @@
 	}
 }
 
+struct rc_record *
+sh_seal_record(TALLOC_CTX *ctx, const struct sh_shard *sh)
+{
+	struct rc_record *r;
+
+	r = talloc_zero(ctx, struct rc_record);
+	if (r == NULL)
+		abort();
+	r->kind = RC_SEAL;
+	r->epoch = sh->epoch;
+	r->body_hash = sh->workers_hash;
+	return r;
+}
+
 static struct rc_record *
 sh_snapshot_task(
     TALLOC_CTX *ctx, const struct sh_shard *sh, const struct sh_task *task)
@@ -247,6 +268,7 @@
 	struct cl_claim *c;
 
 	s.list = talloc_array(NULL, struct rc_record *, 64);
+	sh_snapshot_add(&s, sh_seal_record(NULL, sh));
 	HASH_ITER(hh, sh->jobs, job, next) {
 		if (sh_job_ended(sh, job) && !job->cancel_queued &&
 		    now_us - job->ended_us >= keep_ended_us) {
--- a/state/shard_worker.c
+++ b/state/shard_worker.c
@@ -74,14 +74,20 @@
 	sh->worker[w].poked = true;
 }
 
+int64_t
+sh_lease_lapse_us(const struct sh_shard *sh)
+{
+	return sh->settings.lease_us +
+	    sh->settings.lease_us / SH_DRIFT_DIVISOR + sh->settings.drift_us;
+}
+
 void
 sh_previous_owner_gone(struct sh_shard *sh, int64_t now_us)
 {
 	uint32_t w;
 	int64_t lapse_us;
 
-	lapse_us = now_us + sh->settings.lease_us +
-	    sh->settings.lease_us / SH_DRIFT_DIVISOR + sh->settings.drift_us;
+	lapse_us = now_us + sh_lease_lapse_us(sh);
 	for (w = 0; w < sh->worker_count; w++) {
 		struct sh_worker *wk = &sh->worker[w];
 
@@ -167,7 +173,7 @@
 static void
 sh_resolve_held(struct sh_shard *sh, int64_t now_us)
 {
-	bool all = sh_all_resolved(sh);
+	bool all = sh_all_resolved(sh) && now_us >= sh->strangers_until_us;
 	struct sh_job *job;
 	uint32_t i;
 
@@ -327,8 +333,7 @@
 	 * beyond what the owner reckons with.
 	 */
 	out->lease_until_us = wk->clock_us + sh->settings.lease_us;
-	lapse_us = wk->clock_at_us + sh->settings.lease_us +
-	    sh->settings.lease_us / SH_DRIFT_DIVISOR + sh->settings.drift_us;
+	lapse_us = wk->clock_at_us + sh_lease_lapse_us(sh);
 	if (lapse_us > wk->lapse_us)
 		wk->lapse_us = lapse_us;
 	sh_build_stops(wk, out);
--- a/tests/unit/test_shard.cc
+++ b/tests/unit/test_shard.cc
@@ -384,6 +384,51 @@
 	EXPECT_EQ(placed(small), 1U);
 }
 
+/* Its tasks may run on a removed worker until that one's lease is over. */
+TEST_F(ShardTest, RemovedWorkerKeepsItsTasksForOneLease)
+{
+	make(2, {4000, 64 * kGb, 0});
+	submit(ST_BATCH, ST_NORMAL, 2, {4000, kGb, 0}, 3600 * CLK_US_PER_S);
+	tick();
+	commit();
+	exchange_all();
+	TALLOC_CTX *mem = talloc_new(nullptr);
+	struct sh_settings settings = sh->settings;
+
+	for (bool removed : {false, true}) {
+		struct sh_shard *copy =
+		    sh_create(mem, "s", &settings, sh->policy, 2);
+		struct sh_worker_spec spec[2] = {
+		    {"w0", "127.0.0.1:1", "r", {4000, 64 * kGb, 0}},
+		    {"w1", "127.0.0.1:1", "r", {4000, 64 * kGb, 0}}};
+		size_t count;
+		struct rc_record **records =
+		    sh_snapshot(sh, mem, &count, now_us, CLK_US_PER_S);
+
+		sh_set_workers(copy, spec, removed ? 1 : 2);
+		for (size_t i = 0; i < count; i++)
+			sh_apply(copy, records[i]);
+		sh_begin(copy, 2, now_us);
+		/* No list shows the tasks. */
+		for (uint32_t w = 0; w < copy->worker_count; w++) {
+			struct sh_sync_reply r = {};
+			struct sh_sync sync;
+
+			sh_sync_build(copy, w, now_us, &sync);
+			r.lease_generation = 5;
+			r.has_inventory = true;
+			sh_sync_reply(copy, w, &r, now_us);
+		}
+		struct sh_job *job = sh_find_job(copy, "s.j0");
+
+		sh_tick(copy, now_us);
+		EXPECT_EQ(job->task[0].state == SH_HELD, removed);
+		sh_tick(copy, now_us + 7 * CLK_US_PER_S);
+		EXPECT_NE(job->task[0].state, SH_HELD);
+	}
+	talloc_free(mem);
+}
+
 TEST_F(ShardTest, GangIsNotStarvedBySmallWork)
 {
 	make(4, {4000, 16 * kGb, 0});
