curranttackd: work without a key goes to the least loaded shard

Cause: a job's home came from the hash of its key alone; one in three jobs waited for a full shard while others had room. Change: heartbeats carry each shard's load; for a job without a key of the caller's, sixteen random keys are tried and the one with the least loaded home is taken. Keyed jobs stay where their hash says. Conclusion: keyed jobs still wait for their home; handing tasks over to another shard is not built.

--- a/coordination/membership.c
+++ b/coordination/membership.c
@@ -247,6 +247,19 @@
 	return best;
 }
 
+uint32_t
+mb_shard_load(struct mb_view *v, const char *shard, int64_t now_us)
+{
+	struct mb_member *m = mb_owner(v, shard, now_us, NULL);
+	uint32_t i;
+
+	for (i = 0; m != NULL && i < m->report.owned_count; i++) {
+		if (strcmp(m->report.owned[i].shard, shard) == 0)
+			return m->report.owned[i].load;
+	}
+	return UINT32_MAX;
+}
+
 bool
 mb_domain_has_live(const struct mb_view *v, const char *domain, int64_t now_us)
 {
--- a/curranttackd/api_jobs.c
+++ b/curranttackd/api_jobs.c
@@ -12,7 +12,8 @@
 
 #define AJ_DEADLINE_US (10 * CLK_US_PER_S)
 #define AJ_MAX_WAIT_MS (10 * 60 * 1000)
-#define AJ_KEY_BYTES 40
+/* Enough to meet each of a dozen shards with good odds. */
+#define AJ_KEY_TRIES 16
 
 /* Relays the owner's answer. */
 static void
@@ -90,11 +91,48 @@
 	return true;
 }
 
+/* Load of the shard that a key belongs to. */
+static uint32_t
+aj_key_load(struct daemon *d, const struct st_job_spec *spec, const char *key)
+{
+	const struct cf_shard *home;
+	char shard[MB_NAME_BYTES] = "";
+	uint32_t load;
+	char *scoped;
+
+	scoped = talloc_asprintf(NULL, "%s/%s", spec->team, key);
+	pthread_mutex_lock(&d->config_lock);
+	home = cf_home_shard(d->config->shards, scoped, aj_shard_fits, spec);
+	if (home != NULL)
+		snprintf(shard, sizeof(shard), "%s", home->id);
+	pthread_mutex_unlock(&d->config_lock);
+	talloc_free(scoped);
+	pthread_mutex_lock(&d->members_lock);
+	load = mb_shard_load(d->view, shard, clk_now_us());
+	pthread_mutex_unlock(&d->members_lock);
+	return load;
+}
+
+/* Without a key of the caller's, one whose home shard is least loaded. */
 static void
-aj_make_key(struct st_job_spec *spec)
+aj_make_key(struct daemon *d, struct st_job_spec *spec)
 {
-	spec->key = talloc_asprintf(spec, "auto-%016" PRIx64 "%016" PRIx64,
-	    rng_seed_os(), rng_seed_os());
+	uint32_t best = UINT32_MAX;
+	uint32_t load;
+	char *key;
+	int i;
+
+	for (i = 0; i < AJ_KEY_TRIES; i++) {
+		key = talloc_asprintf(spec, "auto-%016" PRIx64 "%016" PRIx64,
+		    rng_seed_os(), rng_seed_os());
+		load = aj_key_load(d, spec, key);
+		if (spec->key != NULL && load >= best) {
+			talloc_free(key);
+			continue;
+		}
+		best = load;
+		spec->key = key;
+	}
 }
 
 static int64_t
@@ -128,7 +166,7 @@
 		return;
 	}
 	if (spec->key == NULL)
-		aj_make_key(spec);
+		aj_make_key(f->d, spec);
 	if (!aj_choose_shard(
 		f->d, spec, shard, error, sizeof(error), &status)) {
 		fr_outcome(
--- a/curranttackd/members.c
+++ b/curranttackd/members.c
@@ -140,6 +140,8 @@
 		currant__owned_shard__init(&msg->owned[i]);
 		msg->owned[i].shard = (char *)r->owned[i].shard;
 		msg->owned[i].epoch = r->owned[i].epoch;
+		msg->owned[i].has_load = 1;
+		msg->owned[i].load = r->owned[i].load;
 		msg->owned_list[i] = &msg->owned[i];
 	}
 	msg->beat.room = msg->room_list;
@@ -171,6 +173,7 @@
 			continue;
 		snprintf(r.owned[r.owned_count].shard, MB_NAME_BYTES, "%s",
 		    ho_shard_id(d->host[i]));
+		r.owned[r.owned_count].load = ho_load(d->host[i]);
 		r.owned[r.owned_count++].epoch = epoch;
 	}
 	r.room_count = 0;
@@ -365,6 +368,7 @@
 		snprintf(r.owned[i].shard, MB_NAME_BYTES, "%s",
 		    beat->owned[i]->shard);
 		r.owned[i].epoch = beat->owned[i]->epoch;
+		r.owned[i].load = beat->owned[i]->load;
 		r.owned_count++;
 	}
 	for (i = 0; i < beat->n_room && i < MB_MAX_ROOM; i++) {
--- a/curranttackd/shard_host.c
+++ b/curranttackd/shard_host.c
@@ -25,6 +25,12 @@
 	return ow_active(&h->ow) && h->sh != NULL && h->sh->active;
 }
 
+uint32_t
+ho_load(const struct shard_host *h)
+{
+	return sh_load(h->sh);
+}
+
 bool
 ho_idle(const struct shard_host *h)
 {
--- a/include/coordination/membership.h
+++ b/include/coordination/membership.h
@@ -24,9 +24,16 @@
 	MB_LEAVING,
 };
 
+/**
+ * struct mb_owned - a shard that a daemon owns
+ * @shard: shard id
+ * @epoch: epoch
+ * @load: thousandths of the fullest resource, plus waiting tasks
+ */
 struct mb_owned {
 	char shard[MB_NAME_BYTES];
 	uint64_t epoch;
+	uint32_t load;
 };
 
 struct mb_room {
@@ -187,6 +194,9 @@
 struct mb_member *mb_owner(
     struct mb_view *v, const char *shard, int64_t now_us, uint64_t *epoch);
 
+/** mb_shard_load() - a shard's load, or UINT32_MAX without a living owner */
+uint32_t mb_shard_load(struct mb_view *v, const char *shard, int64_t now_us);
+
 /** mb_domain_has_live() - whether some daemon of a domain may live */
 bool mb_domain_has_live(
     const struct mb_view *v, const char *domain, int64_t now_us);
--- a/include/curranttackd/shard_host.h
+++ b/include/curranttackd/shard_host.h
@@ -11,6 +11,8 @@
 void ho_tick(struct shard_host *h, int64_t now_us);
 /** ho_owns() - whether the shard is ours */
 bool ho_owns(const struct shard_host *h, uint64_t *epoch);
+/** ho_load() - load of a shard that we own, as heartbeats carry it */
+uint32_t ho_load(const struct shard_host *h);
 /** ho_shard_id() - shard id */
 const char *ho_shard_id(const struct shard_host *h);
 /** ho_call() - handle a call on the shard that we own */
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -76,10 +76,15 @@
   ProtobufCMessage base;
   char *shard;
   uint64_t epoch;
+  /*
+   * Thousandths of the fullest resource, plus waiting tasks.
+   */
+  protobuf_c_boolean has_load;
+  uint32_t load;
 };
 #define CURRANT__OWNED_SHARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__owned_shard__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, 0, 0 }
 
 
 struct  Currant__ServiceRoom
--- a/include/state/shard.h
+++ b/include/state/shard.h
@@ -489,6 +489,14 @@
 /** sh_find_job() - a job by id, or NULL */
 struct sh_job *sh_find_job(struct sh_shard *sh, const char *id);
 
+/**
+ * sh_load() - how loaded the shard is
+ * @sh: shard
+ *
+ * Return: thousandths of the fullest resource, plus waiting tasks.
+ */
+uint32_t sh_load(const struct sh_shard *sh);
+
 /** sh_job_ended() - whether all tasks have ended, durably */
 bool sh_job_ended(const struct sh_shard *sh, const struct sh_job *job);
 
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1132,7 +1132,7 @@
   (ProtobufCMessageInit) currant__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__owned_shard__field_descriptors[2] =
+static const ProtobufCFieldDescriptor currant__owned_shard__field_descriptors[3] =
 {
   {
     "shard",
@@ -1158,15 +1158,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__OwnedShard, has_load),
+    offsetof(Currant__OwnedShard, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__owned_shard__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
+  2,   /* field[2] = load */
   0,   /* field[0] = shard */
 };
 static const ProtobufCIntRange currant__owned_shard__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor currant__owned_shard__descriptor =
 {
@@ -1176,7 +1189,7 @@
   "Currant__OwnedShard",
   "currant",
   sizeof(Currant__OwnedShard),
-  2,
+  3,
   currant__owned_shard__field_descriptors,
   currant__owned_shard__field_indices_by_name,
   1,  currant__owned_shard__number_ranges,
--- a/state/shard.c
+++ b/state/shard.c
@@ -272,6 +272,35 @@
 	return job->open == 0 && job->ended_at <= sh->committed;
 }
 
+static uint32_t
+sh_permille(int64_t used, int64_t total)
+{
+	return total > 0 ? (uint32_t)(used * 1000 / total) : 0;
+}
+
+uint32_t
+sh_load(const struct sh_shard *sh)
+{
+	struct st_res used = {0};
+	const struct sh_team *team;
+	const struct sh_job *job;
+	uint32_t cpu;
+	uint32_t mem;
+	uint32_t waiting = 0;
+	int c;
+
+	for (team = sh->teams; team != NULL; team = team->hh.next) {
+		st_res_add(&used, &team->used);
+		for (c = 0; c < ST_CLASS_COUNT; c++) {
+			DL_FOREACH(team->queue[c], job)
+				waiting += job->waiting;
+		}
+	}
+	cpu = sh_permille(used.cpu_mcpu, sh->capacity.cpu_mcpu);
+	mem = sh_permille(used.mem_bytes / 1000, sh->capacity.mem_bytes / 1000);
+	return (cpu > mem ? cpu : mem) + waiting;
+}
+
 static void
 sh_cancel_enqueue(struct sh_shard *sh, struct sh_job *job)
 {
--- a/tests/fault/test_member_faults.cc
+++ b/tests/fault/test_member_faults.cc
@@ -432,4 +432,39 @@
 	c.expect_no_violation();
 }
 
+TEST(MemberFaults, WorkWithoutAKeyAvoidsAFullShard)
+{
+	Layout layout;
+
+	layout.domains = {"d1", "d2"};
+	layout.daemons_per_domain = 1;
+	layout.workers_per_domain = 2;
+	Cluster c(layout);
+	int filled = 0;
+
+	c.start();
+	Daemon &d = c.daemons[0];
+
+	for (int i = 0; filled < 2 && i < 60; i++) {
+		Response r = c.submit(d, "fill" + std::to_string(i),
+		    R"("kind":"service","cpu":8,"memory":"20GB")");
+		std::string id = r.text("job");
+
+		if (id.rfind("d1.", 0) == 0)
+			filled++;
+		else
+			http("DELETE",
+			    "http://" + d.callers() + "/v1/jobs/" + id);
+	}
+	ASSERT_EQ(filled, 2);
+	/* Until heartbeats have carried the loads. */
+	std::this_thread::sleep_for(std::chrono::seconds(3));
+	for (int i = 0; i < 12; i++) {
+		Response r = http("POST", "http://" + d.callers() + "/v1/jobs",
+		    R"({"team":"t","name":"n",)" + std::string(kBatch) + "}");
+
+		EXPECT_EQ(r.text("job").rfind("d2.", 0), 0U) << r.body;
+	}
+}
+
 } // namespace
