--- a/currantctl/http.c
+++ b/currantctl/http.c
@@ -62,11 +62,19 @@
     struct ctl_response *resp)
 {
 	struct http_sink sink = {.resp = resp};
-	struct curl_slist *headers = http_headers(ctl, call);
+	struct curl_slist *headers;
 	char url[HTTP_URL_BYTES];
-	CURL *easy = curl_easy_init();
+	CURL *easy;
 	CURLcode code;
 
+	if (call->address == NULL) {
+		fprintf(stderr,
+		    "currantctl: give --server IP:PORT or set "
+		    "CURRANT_SERVER\n");
+		exit(CTL_USAGE);
+	}
+	easy = curl_easy_init();
+	headers = http_headers(ctl, call);
 	memset(resp, 0, sizeof(*resp));
 	sink.out = open_memstream(&resp->text, &resp->text_bytes);
 	snprintf(url, sizeof(url), "http://%s%s", call->address, call->path);
@@ -105,12 +113,6 @@
 	struct ctl_call call = {
 	    .address = ctl->operators, .method = "GET", .path = path};
 
-	if (ctl->operators == NULL) {
-		fprintf(stderr,
-		    "currantctl: give --server IP:PORT or set "
-		    "CURRANT_SERVER\n");
-		exit(CTL_USAGE);
-	}
 	ctl_call(ctl, &call, resp);
 }
 
