state: compare resources by member

Cause: the linter found a comparison of struct bytes, padding included, in the check whether a learned size fits; it could take equal sizes for different ones (and only cost time). Change: st_res_equal(), used by the check of repeated submissions too.

--- a/include/state/types.h
+++ b/include/state/types.h
@@ -108,6 +108,8 @@
 
 /** st_res_fits() - whether @need is within @room in each resource */
 bool st_res_fits(const struct st_res *need, const struct st_res *room);
+/** st_res_equal() - whether all amounts are the same */
+bool st_res_equal(const struct st_res *a, const struct st_res *b);
 /** st_res_add() - add @b to @a */
 void st_res_add(struct st_res *a, const struct st_res *b);
 /** st_res_max() - raise @a to @b in each resource */
--- a/state/shard.c
+++ b/state/shard.c
@@ -224,11 +224,9 @@
 sh_same_work(const struct st_job_spec *a, const struct st_job_spec *b)
 {
 	return a->kind == b->kind && a->job_class == b->job_class &&
-	    a->count == b->count && a->each.cpu_mcpu == b->each.cpu_mcpu &&
-	    a->each.mem_bytes == b->each.mem_bytes &&
-	    a->each.accel == b->each.accel && a->run_us == b->run_us &&
-	    a->idempotent == b->idempotent && strcmp(a->name, b->name) == 0 &&
-	    strcmp(a->team, b->team) == 0;
+	    a->count == b->count && st_res_equal(&a->each, &b->each) &&
+	    a->run_us == b->run_us && a->idempotent == b->idempotent &&
+	    strcmp(a->name, b->name) == 0 && strcmp(a->team, b->team) == 0;
 }
 
 enum sh_submit_verdict
--- a/state/shard_task.c
+++ b/state/shard_task.c
@@ -195,7 +195,7 @@
 sh_correction_fits(const struct sh_shard *sh, struct sh_profile *p,
     const struct st_res *learned)
 {
-	if (memcmp(&p->checked, learned, sizeof(*learned)) != 0) {
+	if (!st_res_equal(&p->checked, learned)) {
 		p->checked = *learned;
 		p->checked_fits = pl_empty_room(sh->table, learned) > 0;
 	}
--- a/state/types.c
+++ b/state/types.c
@@ -82,6 +82,13 @@
 	return st_res_short(need, room) == NULL;
 }
 
+bool
+st_res_equal(const struct st_res *a, const struct st_res *b)
+{
+	return a->cpu_mcpu == b->cpu_mcpu && a->mem_bytes == b->mem_bytes &&
+	    a->accel == b->accel;
+}
+
 void
 st_res_add(struct st_res *a, const struct st_res *b)
 {
