tests: the worker stand-in keeps checkpoints and can throttle

Cause: the stand-in took a checkpoint's flag and forgot it. Change: a stopped task goes on from its checkpoint; throttling frees cores and stretches the run; contract cases for both and for the counters of violations.

--- a/tests/fault/test_contracts.cc
+++ b/tests/fault/test_contracts.cc
@@ -548,6 +548,88 @@
 INSTANTIATE_TEST_SUITE_P(
     Implementations, WorkerContract, testing::Values("Model", "Standin"));
 
+/* What only the HTTP stand-in has: checkpoints, throttling, its checks. */
+class StandinWorker : public testing::Test
+{
+      protected:
+	std::string
+	say(const std::string &lists, int64_t lease_ms = 60000)
+	{
+		int64_t until_us = clock_us + lease_ms * CLK_US_PER_MS;
+		Response r = http("POST", url + "/v1/sync",
+		    R"({"shard":"s","epoch":1,"seq":)" + std::to_string(++seq) +
+			R"(,"lease_generation":)" + std::to_string(generation) +
+			R"(,"lease_until_us":)" + std::to_string(until_us) +
+			(lists.empty() ? "" : ",") + lists + "}");
+
+		generation = r.number("lease_generation");
+		clock_us = r.number("clock_us");
+		return r.body;
+	}
+	static std::string
+	task(int attempt, int cpu, int run_ms = 60000)
+	{
+		return R"({"job":"s.j","index":0,"attempt":)" +
+		    std::to_string(attempt) + R"(,"cpu_mcpu":)" +
+		    std::to_string(cpu) +
+		    R"(,"mem_bytes":1000,"idempotent":true,"run_us":)" +
+		    std::to_string(run_ms * 1000) + R"(,"checkpoint":true})";
+	}
+	void
+	SetUp() override
+	{
+		say("");
+	}
+	void
+	TearDown() override
+	{
+		unlink(scratch_log().c_str());
+	}
+
+	Process process{
+	    "tests/standins/standin-worker", {"w:8:32:0"}, scratch_log()};
+	std::string url = "http://" + process.addresses[0];
+	int seq = 0;
+	int64_t generation = 0;
+	int64_t clock_us = 0;
+};
+
+TEST_F(StandinWorker, CheckpointedTaskGoesOnWhereItStopped)
+{
+	say(R"("start":[)" + task(1, 1000, 60000) + "]");
+	usleep(300000);
+	say(R"("stop":[)" + task(1, 1000) + "]");
+	/* All but a moment of its run was done before the checkpoint. */
+	say(R"("start":[)" + task(2, 1000, 250) + "]");
+	EXPECT_TRUE(eventually([&] {
+		return say("").find(R"("attempt":2,"result":"done")") !=
+		    std::string::npos;
+	}));
+}
+
+TEST_F(StandinWorker, ThrottledTaskFreesCores)
+{
+	say(R"("start":[)" + task(1, 8000) + "]");
+	say(R"("throttle":[)" + task(1, 2000) + "]");
+	EXPECT_NE(say(R"("start":[{"job":"s.k","index":0,"attempt":2,)"
+		      R"("cpu_mcpu":6000,"mem_bytes":1}])")
+		      .find("started"),
+	    std::string::npos);
+	EXPECT_EQ(http("GET", url + "/_report").number("overcommitted"), 0);
+}
+
+TEST_F(StandinWorker, ViolationsAreCounted)
+{
+	say(R"("start":[)" + task(1, 5000) + "," +
+	    R"({"job":"s.k","index":0,"attempt":2,"cpu_mcpu":6000,)"
+	    R"("mem_bytes":1}])");
+	say(R"("start":[)" + task(3, 100) + "]");
+	Response r = http("GET", url + "/_report");
+
+	EXPECT_EQ(r.number("overcommitted"), 1);
+	EXPECT_EQ(r.number("doubled"), 1);
+}
+
 /* --- endpoints --- */
 
 TEST(EndpointContract, WholeAnswerWithTheRequestIdOrCertainlyNotRun)
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -58,13 +58,17 @@
 	int64_t usage_percent;
 };
 
-/* Counts live and total starts of one task over all workers. */
+/*
+ * Counts live and total starts of one task over all workers, and keeps how
+ * far its last checkpoint had come.
+ */
 struct history {
 	char key[160];
 	uint32_t live;
 	uint32_t starts;
 	uint32_t completions;
 	bool idempotent;
+	int64_t checkpoint_us;
 	UT_hash_handle hh;
 };
 
@@ -227,6 +231,8 @@
 	h->live++;
 	h->starts++;
 	w->farm->starts++;
+	if (t->ends_us != INT64_MAX)
+		t->ends_us -= h->checkpoint_us;
 	st_res_add(&w->used, &t->need);
 	DL_APPEND(w->running, t);
 	json_array_append_new(started, show_ref(t));
@@ -243,6 +249,9 @@
 	read_task(o, &probe);
 	t = find_task(w->running, probe.job, probe.index, probe.attempt);
 	if (t != NULL) {
+		if (json_is_true(json_object_get(o, "checkpoint")))
+			get_history(w->farm, t)->checkpoint_us +=
+			    clk_now_us() - t->started_us;
 		end_task(w, t, ST_RESULT_CANCELLED, true);
 	} else if (find_task(w->ended, probe.job, probe.index, probe.attempt) ==
 	    NULL) {
@@ -256,6 +265,28 @@
 	free(probe.job);
 }
 
+/* Runs a task on fewer cores, and longer; never on more than it was given. */
+static void
+throttle_task(struct worker *w, json_t *o)
+{
+	struct task probe = {0};
+	struct task *t;
+	int64_t now_us = clk_now_us();
+
+	read_task(o, &probe);
+	t = find_task(w->running, probe.job, probe.index, probe.attempt);
+	free(probe.job);
+	if (t == NULL || probe.need.cpu_mcpu <= 0 ||
+	    probe.need.cpu_mcpu >= t->need.cpu_mcpu)
+		return;
+	if (t->ends_us != INT64_MAX)
+		t->ends_us = now_us +
+		    (t->ends_us - now_us) * t->need.cpu_mcpu /
+			probe.need.cpu_mcpu;
+	w->used.cpu_mcpu -= t->need.cpu_mcpu - probe.need.cpu_mcpu;
+	t->need.cpu_mcpu = probe.need.cpu_mcpu;
+}
+
 static void
 ack_task(struct worker *w, json_t *o)
 {
@@ -354,6 +385,8 @@
 			w->lease_until_us = until_us;
 		json_array_foreach(json_object_get(body, "stop"), i, o)
 			stop_task(w, o);
+		json_array_foreach(json_object_get(body, "throttle"), i, o)
+			throttle_task(w, o);
 		json_array_foreach(json_object_get(body, "start"), i, o) {
 			if (worker_clock_us(w) < w->lease_until_us)
 				start_task(w, o, started, refused);
