--- a/bench/bench_control.py
+++ b/bench/bench_control.py
@@ -100,7 +100,8 @@
           f"{'control':>9} {'worker kB':>9} {'worker ms':>9} {'peer kB':>8} "
           f"{'writes/s':>8} {'RSS MB':>8}   lease {lease}s, renew {renew}s")
     for workers, tasks, rate, length in (
-            (80, 1100, 17, seconds), (160, 2200, 35, seconds),
+            (40, 550, 9, seconds), (80, 1100, 17, seconds),
+            (160, 2200, 35, seconds),
             (320, 4400, 70, 3 * seconds)):
         run(build, workers, tasks, rate, length, lease, renew)
 
