tests, bench: check what was said not to have run; reload, huge headers

Cause: the fault tests remembered refusals as not run without looking for them; reloading and header limits had no test; the time until a leaving VM is known to all was not measured. Change: each refused submission of the ownership tests must be unknown to its shard afterwards; the new cases; a row in the membership bench.

--- a/bench/bench_members.py
+++ b/bench/bench_members.py
@@ -53,6 +53,18 @@
             for i in range(len(cluster.daemons))))
         print(f"        change in force on all {len(cluster.daemons)} daemons "
               f"after {time.monotonic() - started:.2f} s")
+        # The platform lists the last daemon as leaving.
+        vms = [{"vm": vm, "domain": domain, "address": addresses[2],
+                "role": "daemon", "state": "live"}
+               for vm, _, addresses, domain in cluster.daemons]
+        vms[-1]["state"] = "leaving"
+        started = time.monotonic()
+        cluster.put(f"http://{cluster.vms}/_vms", {"vms": vms})
+        cluster.until(lambda: all(
+            m["state"] == "leaving" for i in range(len(cluster.daemons))
+            for m in cluster.members(i) if m["vm"] == vms[-1]["vm"]))
+        print(f"        leaving VM known to all after "
+              f"{time.monotonic() - started:.2f} s")
     finally:
         cluster.close()
 
--- a/contrib/cluster.py
+++ b/contrib/cluster.py
@@ -107,8 +107,9 @@
         self.put(f"http://{self.operators()}/v1/config/{area}?if_revision=0",
                  document)
 
-    def members(self):
-        return self.get(f"http://{self.operators()}/v1/members")["members"]
+    def members(self, index=0):
+        return self.get(
+            f"http://{self.operators(index)}/v1/members")["members"]
 
     def status(self, index=0):
         return self.get(f"http://{self.operators(index)}/v1/status")
--- a/tests/fault/test_member_faults.cc
+++ b/tests/fault/test_member_faults.cc
@@ -4,6 +4,8 @@
 #include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
+#include <fstream>
+#include <sstream>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -295,6 +297,44 @@
 	EXPECT_NE(http("GET", "http://" + d.callers() + "/ready").status, 401);
 }
 
+TEST(MemberFaults, SettingsAreReloadedAndBadOnesRefused)
+{
+	Cluster c({});
+	Daemon &d = c.daemons[0];
+	std::string log;
+	auto logged = [&](const char *what) {
+		std::ifstream f(d.path.substr(0, d.path.size() - 5) + ".log");
+		std::stringstream text;
+
+		text << f.rdbuf();
+		log = text.str();
+		return log.find(what) != std::string::npos;
+	};
+
+	c.start_daemon(d);
+	std::ofstream(d.path, std::ios::app) << "[log.modules]\n";
+	d.process->signal(SIGHUP);
+	EXPECT_TRUE(eventually([&] { return logged("event=reloaded"); }));
+	std::ofstream(d.path, std::ios::app) << "peer = \"loud\"\n";
+	d.process->signal(SIGHUP);
+	EXPECT_TRUE(eventually([&] { return logged("event=reload_refused"); }));
+	EXPECT_NE(log.find("log.modules"), std::string::npos) << log;
+	EXPECT_EQ(c.ask(d, "/v1/status").status, 200) << "the old ones stay";
+}
+
+TEST(MemberFaults, HugeHeadersAreRefused)
+{
+	Cluster c({});
+
+	c.start_daemon(c.daemons[0]);
+	Response r = http("GET", "http://" + c.daemons[0].callers() + "/ready",
+	    "", {"X-Filler: " + std::string(100000, 'x')});
+
+	EXPECT_NE(r.status, 200);
+	EXPECT_NE(r.status, 503);
+	EXPECT_EQ(c.ask(c.daemons[0], "/v1/status").status, 200);
+}
+
 /* A link whose two ends believe that the other is silent. */
 class Link
 {
--- a/tests/fault/test_ownership_faults.cc
+++ b/tests/fault/test_ownership_faults.cc
@@ -9,6 +9,10 @@
 
 #include "cluster.h"
 
+extern "C" {
+#include "protocol/job_json.h"
+}
+
 namespace
 {
 
@@ -99,6 +103,19 @@
 			    << r.body;
 		}
 	}
+	/* What was said not to have run is not there. */
+	for (const std::string &key : load.not_run) {
+		TALLOC_CTX *mem = talloc_new(nullptr);
+		Response r;
+
+		ASSERT_TRUE(eventually([&] {
+			r = c.job(*c.owner("d1"),
+			    jj_job_id(mem, "d1", "t", key.c_str()));
+			return r.status != 503 && r.status != 0;
+		}));
+		EXPECT_EQ(r.status, 404) << key << " was told not run";
+		talloc_free(mem);
+	}
 	c.expect_no_violation();
 }
 
