state: count ended and displaced tasks

Cause: reading the change again: /metrics showed tasks_ended and tasks_preempted, which nothing ever added to, so they stayed 0. Change: both are counted where a task ends and where one is displaced. Nothing else changes.

--- a/state/shard_gang.c
+++ b/state/shard_gang.c
@@ -2,6 +2,7 @@
 #include <utlist.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "state/shard_internal.h"
 
 #define SH_HOLD_SLACK_US (60 * CLK_US_PER_S)
@@ -104,6 +105,7 @@
 static void
 sh_displace(struct sh_shard *sh, struct sh_task *task)
 {
+	ct_add(CT_TASKS_PREEMPTED, 1);
 	sh->worker[task->worker].dirty = true;
 	if (task->first_seq == 0) {
 		/* Its worker has not heard of it. */
--- a/state/shard_task.c
+++ b/state/shard_task.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "common/counters.h"
 #include "state/shard_internal.h"
 
 #define SH_EPOCH_SHIFT 32
@@ -144,6 +145,7 @@
 {
 	struct sh_job *job = task->job;
 
+	ct_add(CT_TASKS_ENDED, 1);
 	if (task->state == SH_HELD)
 		sh->held_count--;
 	sh_task_set_state(task, SH_ENDED);
