common, transport, curranttackd: one piece for what stood twice

Cause: reading the change again: secrets were compared in two ways, IP:PORT was read in three places, and a reply crossed loops by two copies of the same code; a field of Summary was never used. Change: tk_equal(), ad_parse() and ca_post_reply() serve all of them; the field is gone.

--- a/curranttackd/api_requests.c
+++ b/curranttackd/api_requests.c
@@ -24,7 +24,7 @@
  * @front: loop that serves it
  * @service: service
  * @http: the caller's request, or NULL when a peer forwarded it
- * @done: answer to the peer, with @done_arg
+ * @done: answer to the peer, with @done_arg, on the control loop
  * @key: scoped idempotency key that endpoints see, or NULL
  * @claimed: we hold the claim on @key and must end it
  * @id: names it in logs and towards endpoints
@@ -166,7 +166,7 @@
 		reply.body.len = a->body_bytes;
 		reply.content_type = (char *)a->content_type;
 	}
-	r->done(&reply, r->done_arg);
+	ca_post_reply(r->front->d->control, &reply, r->done, r->done_arg);
 }
 
 static void
@@ -524,42 +524,6 @@
 	rq_start(arg);
 }
 
-/** struct return_path - carries a peer's answer back to the control loop */
-struct return_path {
-	struct daemon *d;
-	call_done_fn done;
-	void *arg;
-	uint8_t *packed;
-	size_t packed_bytes;
-};
-
-static void
-rq_return_on_control(void *arg)
-{
-	struct return_path *p = arg;
-	Currant__Reply *reply;
-
-	reply = currant__reply__unpack(NULL, p->packed_bytes, p->packed);
-	if (reply == NULL)
-		abort();
-	p->done(reply, p->arg);
-	currant__reply__free_unpacked(reply, NULL);
-	talloc_free(p);
-}
-
-static void
-rq_return(const Currant__Reply *reply, void *arg)
-{
-	struct return_path *p = arg;
-
-	p->packed_bytes = currant__reply__get_packed_size(reply);
-	p->packed = talloc_size(p, p->packed_bytes + 1);
-	if (p->packed == NULL)
-		abort();
-	currant__reply__pack(reply, p->packed);
-	loop_post(p->d->control, rq_return_on_control, p);
-}
-
 void
 rq_forwarded(struct daemon *d, const Currant__Call *call, int64_t deadline_us,
     call_done_fn done, void *arg)
@@ -567,7 +531,6 @@
 	const Currant__ForwardRequest *fwd = call->forward;
 	static atomic_uint next_front;
 	struct dm_service *s = dm_find_service(d, fwd->service);
-	struct return_path *p;
 	struct request *r;
 	Currant__Reply reply;
 
@@ -578,14 +541,8 @@
 	}
 	r = rq_create(
 	    &d->front[atomic_fetch_add(&next_front, 1) % d->front_count], s);
-	p = talloc_zero(NULL, struct return_path);
-	if (p == NULL)
-		abort();
-	p->d = d;
-	p->done = done;
-	p->arg = arg;
-	r->done = rq_return;
-	r->done_arg = p;
+	r->done = done;
+	r->done_arg = arg;
 	r->rt.deadline_us = deadline_us;
 	r->rt.request_class = (enum st_class)fwd->request_class;
 	r->rt.idempotent = fwd->idempotent;
--- a/curranttackd/calls.c
+++ b/curranttackd/calls.c
@@ -269,14 +269,10 @@
 	    ca_answer_peer, hc);
 }
 
-/** struct posted_call - a call on its way between two loops */
-struct posted_call {
-	struct front *front;
+/** struct posted_reply - a reply on its way between two loops */
+struct posted_reply {
 	uint8_t *packed;
 	size_t packed_bytes;
-	char vm[MB_NAME_BYTES];
-	char shard[MB_NAME_BYTES];
-	int64_t deadline_us;
 	call_done_fn done;
 	void *arg;
 };
@@ -284,31 +280,56 @@
 static void
 ca_deliver(void *arg)
 {
-	struct posted_call *pc = arg;
+	struct posted_reply *pr = arg;
 	Currant__Reply *reply;
 
-	reply = currant__reply__unpack(NULL, pc->packed_bytes, pc->packed);
+	reply = currant__reply__unpack(NULL, pr->packed_bytes, pr->packed);
 	if (reply == NULL)
 		abort();
-	pc->done(reply, pc->arg);
+	pr->done(reply, pr->arg);
 	currant__reply__free_unpacked(reply, NULL);
-	talloc_free(pc);
+	talloc_free(pr);
 }
 
+void
+ca_post_reply(
+    struct loop *l, const Currant__Reply *reply, call_done_fn done, void *arg)
+{
+	struct posted_reply *pr;
+
+	/* No parent: it is handed from one thread to the other. */
+	pr = talloc_zero(NULL, struct posted_reply);
+	if (pr == NULL)
+		abort();
+	pr->done = done;
+	pr->arg = arg;
+	pr->packed_bytes = currant__reply__get_packed_size(reply);
+	pr->packed = talloc_size(pr, pr->packed_bytes + 1);
+	if (pr->packed == NULL)
+		abort();
+	currant__reply__pack(reply, pr->packed);
+	loop_post(l, ca_deliver, pr);
+}
+
+/** struct posted_call - a call on its way between two loops */
+struct posted_call {
+	struct front *front;
+	uint8_t *packed;
+	size_t packed_bytes;
+	char vm[MB_NAME_BYTES];
+	char shard[MB_NAME_BYTES];
+	int64_t deadline_us;
+	call_done_fn done;
+	void *arg;
+};
+
 static void
 ca_return(const Currant__Reply *reply, void *arg)
 {
 	struct posted_call *pc = arg;
-	Currant__Reply copy = *reply;
 
-	copy.id = 0;
-	talloc_free(pc->packed);
-	pc->packed_bytes = currant__reply__get_packed_size(&copy);
-	pc->packed = talloc_size(pc, pc->packed_bytes + 1);
-	if (pc->packed == NULL)
-		abort();
-	currant__reply__pack(&copy, pc->packed);
-	loop_post(pc->front->loop, ca_deliver, pc);
+	ca_post_reply(pc->front->loop, reply, pc->done, pc->arg);
+	talloc_free(pc);
 }
 
 static void
--- a/curranttackd/daemon.c
+++ b/curranttackd/daemon.c
@@ -5,6 +5,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "common/token.h"
 #include "curranttackd/calls.h"
 #include "curranttackd/front.h"
 #include "curranttackd/members.h"
@@ -20,14 +21,8 @@
 dm_accept_hello(const Currant__Hello *hello, void *arg)
 {
 	struct daemon *d = arg;
-	const char *token = d->settings->peer_token;
-	size_t len = strlen(token);
-	unsigned char diff = strlen(hello->token) != len;
-	size_t i;
-
-	for (i = 0; i < len && hello->token[i] != '\0'; i++)
-		diff |= (unsigned char)(hello->token[i] ^ token[i]);
-	return diff == 0;
+
+	return tk_equal(d->settings->peer_token, hello->token);
 }
 
 static void
--- a/curranttackd/front.c
+++ b/curranttackd/front.c
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "common/token.h"
 #include "curranttackd/front.h"
 
 #define FR_RETRY_TEXT_BYTES 16
@@ -80,20 +81,6 @@
 	fr_outcome(req, status, ST_NOT_RUN, reason, 0);
 }
 
-/* Takes the same time wherever the first difference is. */
-static bool
-fr_tokens_equal(const char *a, const char *b)
-{
-	size_t a_len = strlen(a);
-	size_t b_len = strlen(b);
-	unsigned char diff = a_len != b_len;
-	size_t i;
-
-	for (i = 0; i < a_len; i++)
-		diff |= (unsigned char)(a[i] ^ b[b_len > 0 ? i % b_len : 0]);
-	return diff == 0;
-}
-
 static bool
 fr_authorized(struct hs_request *req, const char *token)
 {
@@ -104,7 +91,7 @@
 	given = hs_header(req, "Authorization");
 	if (given == NULL || strncmp(given, "Bearer ", 7) != 0)
 		return false;
-	return fr_tokens_equal(token, given + 7);
+	return tk_equal(token, given + 7);
 }
 
 static void
--- a/include/curranttackd/calls.h
+++ b/include/curranttackd/calls.h
@@ -37,6 +37,16 @@
     const struct call_target *target, int64_t deadline_us, call_done_fn done,
     void *arg);
 
+/**
+ * ca_post_reply() - hand a reply to a callback on another loop
+ * @l: loop
+ * @reply: reply, copied
+ * @done: callback
+ * @arg: its argument
+ */
+void ca_post_reply(
+    struct loop *l, const Currant__Reply *reply, call_done_fn done, void *arg);
+
 /** ca_on_call() - a call from a peer */
 void ca_on_call(
     struct calls *c, struct peer_link *link, const Currant__Call *call);
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -132,15 +132,10 @@
   ProtobufCMessage base;
   size_t n_members;
   Currant__Heartbeat **members;
-  /*
-   * Set once for a planned exit.
-   */
-  protobuf_c_boolean has_leaving_now;
-  protobuf_c_boolean leaving_now;
 };
 #define CURRANT__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__summary__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL }
 
 
 struct  Currant__ConfigFetch
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1402,7 +1402,7 @@
   (ProtobufCMessageInit) currant__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__summary__field_descriptors[2] =
+static const ProtobufCFieldDescriptor currant__summary__field_descriptors[1] =
 {
   {
     "members",
@@ -1416,27 +1416,14 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "leaving_now",
-    2,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_BOOL,
-    offsetof(Currant__Summary, has_leaving_now),
-    offsetof(Currant__Summary, leaving_now),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned currant__summary__field_indices_by_name[] = {
-  1,   /* field[1] = leaving_now */
   0,   /* field[0] = members */
 };
 static const ProtobufCIntRange currant__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 1 }
 };
 const ProtobufCMessageDescriptor currant__summary__descriptor =
 {
@@ -1446,7 +1433,7 @@
   "Currant__Summary",
   "currant",
   sizeof(Currant__Summary),
-  2,
+  1,
   currant__summary__field_descriptors,
   currant__summary__field_indices_by_name,
   1,  currant__summary__number_ranges,
--- a/tests/standins/relay.c
+++ b/tests/standins/relay.c
@@ -14,6 +14,7 @@
 #include <utlist.h>
 
 #include "standin.h"
+#include "transport/address.h"
 
 #define BUFFER_BYTES 65536
 
@@ -123,27 +124,13 @@
 	DL_APPEND(relay->list, r);
 }
 
-static void
-set_target(struct relay *relay, const char *address)
-{
-	const char *colon = strrchr(address, ':');
-	char host[64];
-
-	if (colon == NULL)
-		return;
-	snprintf(host, sizeof(host), "%.*s", (int)(colon - address), address);
-	relay->target.sin_family = AF_INET;
-	relay->target.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	inet_pton(AF_INET, host, &relay->target.sin_addr);
-}
-
 static void
 on_control(struct hs_request *req, void *arg)
 {
 	struct relay *relay = arg;
 
 	if (strcmp(req->path, "/_target") == 0) {
-		set_target(relay, hs_query(req, "address"));
+		ad_parse(hs_query(req, "address"), &relay->target);
 	} else {
 		relay->cut = standin_query_i64(req, "on", 1) != 0;
 		while (relay->cut && relay->list != NULL)
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "common/clock.h"
+#include "transport/address.h"
 #include "transport/http_server.h"
 
 #define HS_BACKLOG 512
@@ -40,20 +41,15 @@
 int
 hs_listen(const char *address, char *bound, size_t bound_bytes)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET};
+	struct sockaddr_in sin;
 	socklen_t len = sizeof(sin);
-	char host[64];
-	const char *colon = strrchr(address, ':');
+	char host[INET_ADDRSTRLEN];
 	int one = 1;
 	int fd;
 
 	errno = EINVAL;
-	if (colon == NULL || (size_t)(colon - address) >= sizeof(host))
+	if (!ad_parse(address, &sin))
 		return -1;
-	snprintf(host, sizeof(host), "%.*s", (int)(colon - address), address);
-	if (inet_pton(AF_INET, host, &sin.sin_addr) != 1)
-		return -1;
-	sin.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 	if (fd == -1)
 		return -1;
@@ -64,6 +60,7 @@
 		close(fd);
 		return -1;
 	}
+	inet_ntop(AF_INET, &sin.sin_addr, host, sizeof(host));
 	snprintf(bound, bound_bytes, "%s:%u", host, ntohs(sin.sin_port));
 	return fd;
 }
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -12,6 +12,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "transport/address.h"
 #include "transport/peer.h"
 
 #define PEER_NAME_BYTES 64
@@ -377,18 +378,12 @@
 struct peer_link *
 peer_connect(struct peer_net *net, const char *address)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET};
+	struct sockaddr_in sin;
 	struct peer_link *link;
-	char host[PEER_NAME_BYTES];
-	const char *colon = strrchr(address, ':');
 	int fd;
 
-	if (colon == NULL)
+	if (!ad_parse(address, &sin))
 		return NULL;
-	snprintf(host, sizeof(host), "%.*s", (int)(colon - address), address);
-	if (inet_pton(AF_INET, host, &sin.sin_addr) != 1)
-		return NULL;
-	sin.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 	if (fd == -1)
 		return NULL;
