--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -997,1686 +997,3303 @@
   assert(message->base.descriptor == &currant__reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   currant__frame__init
-                     (Currant__Frame         *message)
+void   currant__step_spec__init
+                     (Currant__StepSpec         *message)
 {
-  static const Currant__Frame init_value = CURRANT__FRAME__INIT;
+  static const Currant__StepSpec init_value = CURRANT__STEP_SPEC__INIT;
   *message = init_value;
 }
-size_t currant__frame__get_packed_size
-                     (const Currant__Frame *message)
+size_t currant__step_spec__get_packed_size
+                     (const Currant__StepSpec *message)
 {
-  assert(message->base.descriptor == &currant__frame__descriptor);
+  assert(message->base.descriptor == &currant__step_spec__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t currant__frame__pack
-                     (const Currant__Frame *message,
+size_t currant__step_spec__pack
+                     (const Currant__StepSpec *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &currant__frame__descriptor);
+  assert(message->base.descriptor == &currant__step_spec__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t currant__frame__pack_to_buffer
-                     (const Currant__Frame *message,
+size_t currant__step_spec__pack_to_buffer
+                     (const Currant__StepSpec *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &currant__frame__descriptor);
+  assert(message->base.descriptor == &currant__step_spec__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Currant__Frame *
-       currant__frame__unpack
+Currant__StepSpec *
+       currant__step_spec__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Currant__Frame *)
-     protobuf_c_message_unpack (&currant__frame__descriptor,
+  return (Currant__StepSpec *)
+     protobuf_c_message_unpack (&currant__step_spec__descriptor,
                                 allocator, len, data);
 }
-void   currant__frame__free_unpacked
-                     (Currant__Frame *message,
+void   currant__step_spec__free_unpacked
+                     (Currant__StepSpec *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &currant__frame__descriptor);
+  assert(message->base.descriptor == &currant__step_spec__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor currant__hello__field_descriptors[5] =
+void   currant__queue_policy__init
+                     (Currant__QueuePolicy         *message)
 {
-  {
-    "version",
-    1,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Hello, version),
-    NULL,
+  static const Currant__QueuePolicy init_value = CURRANT__QUEUE_POLICY__INIT;
+  *message = init_value;
+}
+size_t currant__queue_policy__get_packed_size
+                     (const Currant__QueuePolicy *message)
+{
+  assert(message->base.descriptor == &currant__queue_policy__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__queue_policy__pack
+                     (const Currant__QueuePolicy *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__queue_policy__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__queue_policy__pack_to_buffer
+                     (const Currant__QueuePolicy *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__queue_policy__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__QueuePolicy *
+       currant__queue_policy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__QueuePolicy *)
+     protobuf_c_message_unpack (&currant__queue_policy__descriptor,
+                                allocator, len, data);
+}
+void   currant__queue_policy__free_unpacked
+                     (Currant__QueuePolicy *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__queue_policy__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__accepted_job__init
+                     (Currant__AcceptedJob         *message)
+{
+  static const Currant__AcceptedJob init_value = CURRANT__ACCEPTED_JOB__INIT;
+  *message = init_value;
+}
+size_t currant__accepted_job__get_packed_size
+                     (const Currant__AcceptedJob *message)
+{
+  assert(message->base.descriptor == &currant__accepted_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__accepted_job__pack
+                     (const Currant__AcceptedJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__accepted_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__accepted_job__pack_to_buffer
+                     (const Currant__AcceptedJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__accepted_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__AcceptedJob *
+       currant__accepted_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__AcceptedJob *)
+     protobuf_c_message_unpack (&currant__accepted_job__descriptor,
+                                allocator, len, data);
+}
+void   currant__accepted_job__free_unpacked
+                     (Currant__AcceptedJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__accepted_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__task_progress__init
+                     (Currant__TaskProgress         *message)
+{
+  static const Currant__TaskProgress init_value = CURRANT__TASK_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t currant__task_progress__get_packed_size
+                     (const Currant__TaskProgress *message)
+{
+  assert(message->base.descriptor == &currant__task_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__task_progress__pack
+                     (const Currant__TaskProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__task_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__task_progress__pack_to_buffer
+                     (const Currant__TaskProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__task_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__TaskProgress *
+       currant__task_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__TaskProgress *)
+     protobuf_c_message_unpack (&currant__task_progress__descriptor,
+                                allocator, len, data);
+}
+void   currant__task_progress__free_unpacked
+                     (Currant__TaskProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__task_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__job_progress__init
+                     (Currant__JobProgress         *message)
+{
+  static const Currant__JobProgress init_value = CURRANT__JOB_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t currant__job_progress__get_packed_size
+                     (const Currant__JobProgress *message)
+{
+  assert(message->base.descriptor == &currant__job_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__job_progress__pack
+                     (const Currant__JobProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__job_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__job_progress__pack_to_buffer
+                     (const Currant__JobProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__job_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__JobProgress *
+       currant__job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__JobProgress *)
+     protobuf_c_message_unpack (&currant__job_progress__descriptor,
+                                allocator, len, data);
+}
+void   currant__job_progress__free_unpacked
+                     (Currant__JobProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__job_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__pool_owner__init
+                     (Currant__PoolOwner         *message)
+{
+  static const Currant__PoolOwner init_value = CURRANT__POOL_OWNER__INIT;
+  *message = init_value;
+}
+size_t currant__pool_owner__get_packed_size
+                     (const Currant__PoolOwner *message)
+{
+  assert(message->base.descriptor == &currant__pool_owner__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__pool_owner__pack
+                     (const Currant__PoolOwner *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__pool_owner__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__pool_owner__pack_to_buffer
+                     (const Currant__PoolOwner *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__pool_owner__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__PoolOwner *
+       currant__pool_owner__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__PoolOwner *)
+     protobuf_c_message_unpack (&currant__pool_owner__descriptor,
+                                allocator, len, data);
+}
+void   currant__pool_owner__free_unpacked
+                     (Currant__PoolOwner *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__pool_owner__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__pool_term__init
+                     (Currant__PoolTerm         *message)
+{
+  static const Currant__PoolTerm init_value = CURRANT__POOL_TERM__INIT;
+  *message = init_value;
+}
+size_t currant__pool_term__get_packed_size
+                     (const Currant__PoolTerm *message)
+{
+  assert(message->base.descriptor == &currant__pool_term__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__pool_term__pack
+                     (const Currant__PoolTerm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__pool_term__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__pool_term__pack_to_buffer
+                     (const Currant__PoolTerm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__pool_term__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__PoolTerm *
+       currant__pool_term__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__PoolTerm *)
+     protobuf_c_message_unpack (&currant__pool_term__descriptor,
+                                allocator, len, data);
+}
+void   currant__pool_term__free_unpacked
+                     (Currant__PoolTerm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__pool_term__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__member__init
+                     (Currant__Member         *message)
+{
+  static const Currant__Member init_value = CURRANT__MEMBER__INIT;
+  *message = init_value;
+}
+size_t currant__member__get_packed_size
+                     (const Currant__Member *message)
+{
+  assert(message->base.descriptor == &currant__member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__member__pack
+                     (const Currant__Member *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__member__pack_to_buffer
+                     (const Currant__Member *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Member *
+       currant__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Member *)
+     protobuf_c_message_unpack (&currant__member__descriptor,
+                                allocator, len, data);
+}
+void   currant__member__free_unpacked
+                     (Currant__Member *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__advice_ask__init
+                     (Currant__AdviceAsk         *message)
+{
+  static const Currant__AdviceAsk init_value = CURRANT__ADVICE_ASK__INIT;
+  *message = init_value;
+}
+size_t currant__advice_ask__get_packed_size
+                     (const Currant__AdviceAsk *message)
+{
+  assert(message->base.descriptor == &currant__advice_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__advice_ask__pack
+                     (const Currant__AdviceAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__advice_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__advice_ask__pack_to_buffer
+                     (const Currant__AdviceAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__advice_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__AdviceAsk *
+       currant__advice_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__AdviceAsk *)
+     protobuf_c_message_unpack (&currant__advice_ask__descriptor,
+                                allocator, len, data);
+}
+void   currant__advice_ask__free_unpacked
+                     (Currant__AdviceAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__advice_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__advice_ticket__init
+                     (Currant__AdviceTicket         *message)
+{
+  static const Currant__AdviceTicket init_value = CURRANT__ADVICE_TICKET__INIT;
+  *message = init_value;
+}
+size_t currant__advice_ticket__get_packed_size
+                     (const Currant__AdviceTicket *message)
+{
+  assert(message->base.descriptor == &currant__advice_ticket__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__advice_ticket__pack
+                     (const Currant__AdviceTicket *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__advice_ticket__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__advice_ticket__pack_to_buffer
+                     (const Currant__AdviceTicket *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__advice_ticket__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__AdviceTicket *
+       currant__advice_ticket__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__AdviceTicket *)
+     protobuf_c_message_unpack (&currant__advice_ticket__descriptor,
+                                allocator, len, data);
+}
+void   currant__advice_ticket__free_unpacked
+                     (Currant__AdviceTicket *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__advice_ticket__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__advice_answer__init
+                     (Currant__AdviceAnswer         *message)
+{
+  static const Currant__AdviceAnswer init_value = CURRANT__ADVICE_ANSWER__INIT;
+  *message = init_value;
+}
+size_t currant__advice_answer__get_packed_size
+                     (const Currant__AdviceAnswer *message)
+{
+  assert(message->base.descriptor == &currant__advice_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__advice_answer__pack
+                     (const Currant__AdviceAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__advice_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__advice_answer__pack_to_buffer
+                     (const Currant__AdviceAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__advice_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__AdviceAnswer *
+       currant__advice_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__AdviceAnswer *)
+     protobuf_c_message_unpack (&currant__advice_answer__descriptor,
+                                allocator, len, data);
+}
+void   currant__advice_answer__free_unpacked
+                     (Currant__AdviceAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__advice_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__frame__init
+                     (Currant__Frame         *message)
+{
+  static const Currant__Frame init_value = CURRANT__FRAME__INIT;
+  *message = init_value;
+}
+size_t currant__frame__get_packed_size
+                     (const Currant__Frame *message)
+{
+  assert(message->base.descriptor == &currant__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__frame__pack
+                     (const Currant__Frame *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__frame__pack_to_buffer
+                     (const Currant__Frame *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Frame *
+       currant__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Frame *)
+     protobuf_c_message_unpack (&currant__frame__descriptor,
+                                allocator, len, data);
+}
+void   currant__frame__free_unpacked
+                     (Currant__Frame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor currant__hello__field_descriptors[5] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Hello, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Hello, vm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Hello, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Hello, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Hello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__hello__field_indices_by_name[] = {
+  2,   /* field[2] = domain */
+  4,   /* field[4] = incarnation */
+  3,   /* field[3] = token */
+  0,   /* field[0] = version */
+  1,   /* field[1] = vm */
+};
+static const ProtobufCIntRange currant__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor currant__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.Hello",
+  "Hello",
+  "Currant__Hello",
+  "currant",
+  sizeof(Currant__Hello),
+  5,
+  currant__hello__field_descriptors,
+  currant__hello__field_indices_by_name,
+  1,  currant__hello__number_ranges,
+  (ProtobufCMessageInit) currant__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__owned_shard__field_descriptors[3] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__OwnedShard, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__OwnedShard, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__OwnedShard, has_load),
+    offsetof(Currant__OwnedShard, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__owned_shard__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = load */
+  0,   /* field[0] = shard */
+};
+static const ProtobufCIntRange currant__owned_shard__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor currant__owned_shard__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.OwnedShard",
+  "OwnedShard",
+  "Currant__OwnedShard",
+  "currant",
+  sizeof(Currant__OwnedShard),
+  3,
+  currant__owned_shard__field_descriptors,
+  currant__owned_shard__field_indices_by_name,
+  1,  currant__owned_shard__number_ranges,
+  (ProtobufCMessageInit) currant__owned_shard__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__service_room__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ServiceRoom, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_slots",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ServiceRoom, free_slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__service_room__field_indices_by_name[] = {
+  1,   /* field[1] = free_slots */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange currant__service_room__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__service_room__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.ServiceRoom",
+  "ServiceRoom",
+  "Currant__ServiceRoom",
+  "currant",
+  sizeof(Currant__ServiceRoom),
+  2,
+  currant__service_room__field_descriptors,
+  currant__service_room__field_indices_by_name,
+  1,  currant__service_room__number_ranges,
+  (ProtobufCMessageInit) currant__service_room__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__heartbeat__field_descriptors[10] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Heartbeat, vm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Heartbeat, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Heartbeat, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Heartbeat, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_revision",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Heartbeat, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__Heartbeat, has_leaving),
+    offsetof(Currant__Heartbeat, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owned",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Heartbeat, n_owned),
+    offsetof(Currant__Heartbeat, owned),
+    &currant__owned_shard__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "room",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Heartbeat, n_room),
+    offsetof(Currant__Heartbeat, room),
+    &currant__service_room__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__Heartbeat, has_age_ms),
+    offsetof(Currant__Heartbeat, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "preset",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Heartbeat, preset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__heartbeat__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  8,   /* field[8] = age_ms */
+  4,   /* field[4] = config_revision */
+  1,   /* field[1] = domain */
+  3,   /* field[3] = incarnation */
+  5,   /* field[5] = leaving */
+  6,   /* field[6] = owned */
+  9,   /* field[9] = preset */
+  7,   /* field[7] = room */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange currant__heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor currant__heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.Heartbeat",
+  "Heartbeat",
+  "Currant__Heartbeat",
+  "currant",
+  sizeof(Currant__Heartbeat),
+  10,
+  currant__heartbeat__field_descriptors,
+  currant__heartbeat__field_indices_by_name,
+  1,  currant__heartbeat__number_ranges,
+  (ProtobufCMessageInit) currant__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__summary__field_descriptors[1] =
+{
+  {
+    "members",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Summary, n_members),
+    offsetof(Currant__Summary, members),
+    &currant__heartbeat__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__summary__field_indices_by_name[] = {
+  0,   /* field[0] = members */
+};
+static const ProtobufCIntRange currant__summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor currant__summary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.Summary",
+  "Summary",
+  "Currant__Summary",
+  "currant",
+  sizeof(Currant__Summary),
+  1,
+  currant__summary__field_descriptors,
+  currant__summary__field_indices_by_name,
+  1,  currant__summary__number_ranges,
+  (ProtobufCMessageInit) currant__summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__config_fetch__field_descriptors[1] =
+{
+  {
+    "have_revision",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ConfigFetch, have_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__config_fetch__field_indices_by_name[] = {
+  0,   /* field[0] = have_revision */
+};
+static const ProtobufCIntRange currant__config_fetch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor currant__config_fetch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.ConfigFetch",
+  "ConfigFetch",
+  "Currant__ConfigFetch",
+  "currant",
+  sizeof(Currant__ConfigFetch),
+  1,
+  currant__config_fetch__field_descriptors,
+  currant__config_fetch__field_indices_by_name,
+  1,  currant__config_fetch__number_ranges,
+  (ProtobufCMessageInit) currant__config_fetch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__config_doc__field_descriptors[3] =
+{
+  {
+    "area",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ConfigDoc, area),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ConfigDoc, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ConfigDoc, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__config_doc__field_indices_by_name[] = {
+  0,   /* field[0] = area */
+  2,   /* field[2] = body */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange currant__config_doc__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor currant__config_doc__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.ConfigDoc",
+  "ConfigDoc",
+  "Currant__ConfigDoc",
+  "currant",
+  sizeof(Currant__ConfigDoc),
+  3,
+  currant__config_doc__field_descriptors,
+  currant__config_doc__field_indices_by_name,
+  1,  currant__config_doc__number_ranges,
+  (ProtobufCMessageInit) currant__config_doc__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__config_docs__field_descriptors[2] =
+{
+  {
+    "docs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__ConfigDocs, n_docs),
+    offsetof(Currant__ConfigDocs, docs),
+    &currant__config_doc__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ConfigDocs, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__config_docs__field_indices_by_name[] = {
+  0,   /* field[0] = docs */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange currant__config_docs__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__config_docs__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.ConfigDocs",
+  "ConfigDocs",
+  "Currant__ConfigDocs",
+  "currant",
+  sizeof(Currant__ConfigDocs),
+  2,
+  currant__config_docs__field_descriptors,
+  currant__config_docs__field_indices_by_name,
+  1,  currant__config_docs__number_ranges,
+  (ProtobufCMessageInit) currant__config_docs__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__job_spec__field_descriptors[12] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobSpec, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobSpec, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobSpec, team),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobSpec, name),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobSpec, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_class",
+    6,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobSpec, job_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    7,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobSpec, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_mcpu",
+    8,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobSpec, cpu_mcpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mem_bytes",
+    9,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobSpec, mem_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT32,
+    offsetof(Currant__JobSpec, has_accelerators),
+    offsetof(Currant__JobSpec, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_us",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__JobSpec, has_run_us),
+    offsetof(Currant__JobSpec, run_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__JobSpec, has_idempotent),
+    offsetof(Currant__JobSpec, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__job_spec__field_indices_by_name[] = {
+  9,   /* field[9] = accelerators */
+  6,   /* field[6] = count */
+  7,   /* field[7] = cpu_mcpu */
+  0,   /* field[0] = id */
+  11,   /* field[11] = idempotent */
+  5,   /* field[5] = job_class */
+  1,   /* field[1] = key */
+  4,   /* field[4] = kind */
+  8,   /* field[8] = mem_bytes */
+  3,   /* field[3] = name */
+  10,   /* field[10] = run_us */
+  2,   /* field[2] = team */
+};
+static const ProtobufCIntRange currant__job_spec__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor currant__job_spec__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.JobSpec",
+  "JobSpec",
+  "Currant__JobSpec",
+  "currant",
+  sizeof(Currant__JobSpec),
+  12,
+  currant__job_spec__field_descriptors,
+  currant__job_spec__field_indices_by_name,
+  1,  currant__job_spec__number_ranges,
+  (ProtobufCMessageInit) currant__job_spec__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__task_ref__field_descriptors[3] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__TaskRef, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__TaskRef, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__TaskRef, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__task_ref__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  1,   /* field[1] = index */
+  0,   /* field[0] = job */
+};
+static const ProtobufCIntRange currant__task_ref__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor currant__task_ref__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.TaskRef",
+  "TaskRef",
+  "Currant__TaskRef",
+  "currant",
+  sizeof(Currant__TaskRef),
+  3,
+  currant__task_ref__field_descriptors,
+  currant__task_ref__field_indices_by_name,
+  1,  currant__task_ref__number_ranges,
+  (ProtobufCMessageInit) currant__task_ref__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue currant__record__kind__enum_values_by_number[9] =
+{
+  { "SEAL", "CURRANT__RECORD__KIND__SEAL", 1 },
+  { "JOB_ACCEPTED", "CURRANT__RECORD__KIND__JOB_ACCEPTED", 2 },
+  { "TASK_STARTING", "CURRANT__RECORD__KIND__TASK_STARTING", 3 },
+  { "TASK_ENDED", "CURRANT__RECORD__KIND__TASK_ENDED", 4 },
+  { "JOB_CANCELLED", "CURRANT__RECORD__KIND__JOB_CANCELLED", 5 },
+  { "CLAIM_TAKEN", "CURRANT__RECORD__KIND__CLAIM_TAKEN", 6 },
+  { "CLAIM_ENDED", "CURRANT__RECORD__KIND__CLAIM_ENDED", 7 },
+  { "TASK_REQUEUED", "CURRANT__RECORD__KIND__TASK_REQUEUED", 8 },
+  { "JOB_FORGOTTEN", "CURRANT__RECORD__KIND__JOB_FORGOTTEN", 9 },
+};
+static const ProtobufCIntRange currant__record__kind__value_ranges[] = {
+{1, 0},{0, 9}
+};
+static const ProtobufCEnumValueIndex currant__record__kind__enum_values_by_name[9] =
+{
+  { "CLAIM_ENDED", 6 },
+  { "CLAIM_TAKEN", 5 },
+  { "JOB_ACCEPTED", 1 },
+  { "JOB_CANCELLED", 4 },
+  { "JOB_FORGOTTEN", 8 },
+  { "SEAL", 0 },
+  { "TASK_ENDED", 3 },
+  { "TASK_REQUEUED", 7 },
+  { "TASK_STARTING", 2 },
+};
+const ProtobufCEnumDescriptor currant__record__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "currant.Record.Kind",
+  "Kind",
+  "Currant__Record__Kind",
+  "currant",
+  9,
+  currant__record__kind__enum_values_by_number,
+  9,
+  currant__record__kind__enum_values_by_name,
+  1,
+  currant__record__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor currant__record__field_descriptors[11] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Record, kind),
+    &currant__record__kind__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vm",
+    "epoch",
     2,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Hello, vm),
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Currant__Record, has_epoch),
+    offsetof(Currant__Record, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "domain",
+    "spec",
     3,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Currant__Hello, domain),
-    NULL,
+    offsetof(Currant__Record, spec),
+    &currant__job_spec__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "token",
+    "task",
     4,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Currant__Hello, token),
-    NULL,
+    offsetof(Currant__Record, task),
+    &currant__task_ref__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "worker",
     5,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Hello, incarnation),
+    offsetof(Currant__Record, worker),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned currant__hello__field_indices_by_name[] = {
-  2,   /* field[2] = domain */
-  4,   /* field[4] = incarnation */
-  3,   /* field[3] = token */
-  0,   /* field[0] = version */
-  1,   /* field[1] = vm */
-};
-static const ProtobufCIntRange currant__hello__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor currant__hello__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.Hello",
-  "Hello",
-  "Currant__Hello",
-  "currant",
-  sizeof(Currant__Hello),
-  5,
-  currant__hello__field_descriptors,
-  currant__hello__field_indices_by_name,
-  1,  currant__hello__number_ranges,
-  (ProtobufCMessageInit) currant__hello__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor currant__owned_shard__field_descriptors[3] =
-{
   {
-    "shard",
-    1,
-    PROTOBUF_C_LABEL_REQUIRED,
+    "result",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__Record, has_result),
+    offsetof(Currant__Record, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__OwnedShard, shard),
+    offsetof(Currant__Record, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
-    2,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Currant__OwnedShard, epoch),
+    "answer",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Currant__Record, has_answer),
+    offsetof(Currant__Record, answer),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load",
-    3,
+    "status",
+    9,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Currant__OwnedShard, has_load),
-    offsetof(Currant__OwnedShard, load),
+    offsetof(Currant__Record, has_status),
+    offsetof(Currant__Record, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_wall_us",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__Record, has_deadline_wall_us),
+    offsetof(Currant__Record, deadline_wall_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_hash",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Currant__Record, has_body_hash),
+    offsetof(Currant__Record, body_hash),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__owned_shard__field_indices_by_name[] = {
+static const unsigned currant__record__field_indices_by_name[] = {
+  7,   /* field[7] = answer */
+  10,   /* field[10] = body_hash */
+  9,   /* field[9] = deadline_wall_us */
   1,   /* field[1] = epoch */
-  2,   /* field[2] = load */
-  0,   /* field[0] = shard */
+  6,   /* field[6] = key */
+  0,   /* field[0] = kind */
+  5,   /* field[5] = result */
+  2,   /* field[2] = spec */
+  8,   /* field[8] = status */
+  3,   /* field[3] = task */
+  4,   /* field[4] = worker */
 };
-static const ProtobufCIntRange currant__owned_shard__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor currant__owned_shard__descriptor =
+const ProtobufCMessageDescriptor currant__record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.OwnedShard",
-  "OwnedShard",
-  "Currant__OwnedShard",
+  "currant.Record",
+  "Record",
+  "Currant__Record",
   "currant",
-  sizeof(Currant__OwnedShard),
-  3,
-  currant__owned_shard__field_descriptors,
-  currant__owned_shard__field_indices_by_name,
-  1,  currant__owned_shard__number_ranges,
-  (ProtobufCMessageInit) currant__owned_shard__init,
+  sizeof(Currant__Record),
+  11,
+  currant__record__field_descriptors,
+  currant__record__field_indices_by_name,
+  1,  currant__record__number_ranges,
+  (ProtobufCMessageInit) currant__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__service_room__field_descriptors[2] =
+static const ProtobufCFieldDescriptor currant__batch__field_descriptors[4] =
 {
   {
-    "service",
+    "writer",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__ServiceRoom, service),
+    offsetof(Currant__Batch, writer),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "free_slots",
+    "nonce",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__ServiceRoom, free_slots),
+    offsetof(Currant__Batch, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Batch, epoch),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Batch, n_records),
+    offsetof(Currant__Batch, records),
+    &currant__record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__service_room__field_indices_by_name[] = {
-  1,   /* field[1] = free_slots */
-  0,   /* field[0] = service */
+static const unsigned currant__batch__field_indices_by_name[] = {
+  2,   /* field[2] = epoch */
+  1,   /* field[1] = nonce */
+  3,   /* field[3] = records */
+  0,   /* field[0] = writer */
 };
-static const ProtobufCIntRange currant__service_room__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor currant__service_room__descriptor =
+const ProtobufCMessageDescriptor currant__batch__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.ServiceRoom",
-  "ServiceRoom",
-  "Currant__ServiceRoom",
+  "currant.Batch",
+  "Batch",
+  "Currant__Batch",
   "currant",
-  sizeof(Currant__ServiceRoom),
-  2,
-  currant__service_room__field_descriptors,
-  currant__service_room__field_indices_by_name,
-  1,  currant__service_room__number_ranges,
-  (ProtobufCMessageInit) currant__service_room__init,
+  sizeof(Currant__Batch),
+  4,
+  currant__batch__field_descriptors,
+  currant__batch__field_indices_by_name,
+  1,  currant__batch__number_ranges,
+  (ProtobufCMessageInit) currant__batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__heartbeat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor currant__shard_head__field_descriptors[8] =
 {
   {
-    "vm",
+    "owner",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Heartbeat, vm),
+    offsetof(Currant__ShardHead, owner),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "domain",
+    "epoch",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Heartbeat, domain),
+    offsetof(Currant__ShardHead, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "writer",
     3,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Heartbeat, address),
+    offsetof(Currant__ShardHead, writer),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "nonce",
     4,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Heartbeat, incarnation),
+    offsetof(Currant__ShardHead, nonce),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_revision",
+    "snapshot_seq",
     5,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Heartbeat, config_revision),
+    offsetof(Currant__ShardHead, snapshot_seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "snapshot_parts",
     6,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_BOOL,
-    offsetof(Currant__Heartbeat, has_leaving),
-    offsetof(Currant__Heartbeat, leaving),
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ShardHead, snapshot_parts),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "owned",
+    "snapshot_epoch",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Currant__Heartbeat, n_owned),
-    offsetof(Currant__Heartbeat, owned),
-    &currant__owned_shard__descriptor,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ShardHead, snapshot_epoch),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "room",
+    "trimmed_seq",
     8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Currant__Heartbeat, n_room),
-    offsetof(Currant__Heartbeat, room),
-    &currant__service_room__descriptor,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ShardHead, trimmed_seq),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned currant__shard_head__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  3,   /* field[3] = nonce */
+  0,   /* field[0] = owner */
+  6,   /* field[6] = snapshot_epoch */
+  5,   /* field[5] = snapshot_parts */
+  4,   /* field[4] = snapshot_seq */
+  7,   /* field[7] = trimmed_seq */
+  2,   /* field[2] = writer */
+};
+static const ProtobufCIntRange currant__shard_head__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor currant__shard_head__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.ShardHead",
+  "ShardHead",
+  "Currant__ShardHead",
+  "currant",
+  sizeof(Currant__ShardHead),
+  8,
+  currant__shard_head__field_descriptors,
+  currant__shard_head__field_indices_by_name,
+  1,  currant__shard_head__number_ranges,
+  (ProtobufCMessageInit) currant__shard_head__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__lease_holder__field_descriptors[2] =
+{
   {
-    "age_ms",
-    9,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Currant__Heartbeat, has_age_ms),
-    offsetof(Currant__Heartbeat, age_ms),
+    "owner",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__LeaseHolder, owner),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "preset",
-    10,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_STRING,
+    "writer",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Heartbeat, preset),
+    offsetof(Currant__LeaseHolder, writer),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__heartbeat__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  8,   /* field[8] = age_ms */
-  4,   /* field[4] = config_revision */
-  1,   /* field[1] = domain */
-  3,   /* field[3] = incarnation */
-  5,   /* field[5] = leaving */
-  6,   /* field[6] = owned */
-  9,   /* field[9] = preset */
-  7,   /* field[7] = room */
-  0,   /* field[0] = vm */
+static const unsigned currant__lease_holder__field_indices_by_name[] = {
+  0,   /* field[0] = owner */
+  1,   /* field[1] = writer */
 };
-static const ProtobufCIntRange currant__heartbeat__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__lease_holder__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor currant__heartbeat__descriptor =
+const ProtobufCMessageDescriptor currant__lease_holder__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.Heartbeat",
-  "Heartbeat",
-  "Currant__Heartbeat",
+  "currant.LeaseHolder",
+  "LeaseHolder",
+  "Currant__LeaseHolder",
   "currant",
-  sizeof(Currant__Heartbeat),
-  10,
-  currant__heartbeat__field_descriptors,
-  currant__heartbeat__field_indices_by_name,
-  1,  currant__heartbeat__number_ranges,
-  (ProtobufCMessageInit) currant__heartbeat__init,
+  sizeof(Currant__LeaseHolder),
+  2,
+  currant__lease_holder__field_descriptors,
+  currant__lease_holder__field_indices_by_name,
+  1,  currant__lease_holder__number_ranges,
+  (ProtobufCMessageInit) currant__lease_holder__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__summary__field_descriptors[1] =
+static const ProtobufCFieldDescriptor currant__submit_job__field_descriptors[1] =
 {
   {
-    "members",
+    "spec",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Currant__Summary, n_members),
-    offsetof(Currant__Summary, members),
-    &currant__heartbeat__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Currant__SubmitJob, spec),
+    &currant__job_spec__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__summary__field_indices_by_name[] = {
-  0,   /* field[0] = members */
+static const unsigned currant__submit_job__field_indices_by_name[] = {
+  0,   /* field[0] = spec */
 };
-static const ProtobufCIntRange currant__summary__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__submit_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor currant__summary__descriptor =
+const ProtobufCMessageDescriptor currant__submit_job__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.Summary",
-  "Summary",
-  "Currant__Summary",
+  "currant.SubmitJob",
+  "SubmitJob",
+  "Currant__SubmitJob",
   "currant",
-  sizeof(Currant__Summary),
+  sizeof(Currant__SubmitJob),
   1,
-  currant__summary__field_descriptors,
-  currant__summary__field_indices_by_name,
-  1,  currant__summary__number_ranges,
-  (ProtobufCMessageInit) currant__summary__init,
+  currant__submit_job__field_descriptors,
+  currant__submit_job__field_indices_by_name,
+  1,  currant__submit_job__number_ranges,
+  (ProtobufCMessageInit) currant__submit_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__config_fetch__field_descriptors[1] =
+static const ProtobufCFieldDescriptor currant__job_query__field_descriptors[2] =
 {
   {
-    "have_revision",
+    "id",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ConfigFetch, have_revision),
+    offsetof(Currant__JobQuery, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobQuery, wait_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__config_fetch__field_indices_by_name[] = {
-  0,   /* field[0] = have_revision */
+static const unsigned currant__job_query__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = wait_ms */
 };
-static const ProtobufCIntRange currant__config_fetch__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__job_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor currant__config_fetch__descriptor =
+const ProtobufCMessageDescriptor currant__job_query__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.ConfigFetch",
-  "ConfigFetch",
-  "Currant__ConfigFetch",
+  "currant.JobQuery",
+  "JobQuery",
+  "Currant__JobQuery",
   "currant",
-  sizeof(Currant__ConfigFetch),
-  1,
-  currant__config_fetch__field_descriptors,
-  currant__config_fetch__field_indices_by_name,
-  1,  currant__config_fetch__number_ranges,
-  (ProtobufCMessageInit) currant__config_fetch__init,
+  sizeof(Currant__JobQuery),
+  2,
+  currant__job_query__field_descriptors,
+  currant__job_query__field_indices_by_name,
+  1,  currant__job_query__number_ranges,
+  (ProtobufCMessageInit) currant__job_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__job_cancel__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobCancel, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__job_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange currant__job_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor currant__job_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.JobCancel",
+  "JobCancel",
+  "Currant__JobCancel",
+  "currant",
+  sizeof(Currant__JobCancel),
+  1,
+  currant__job_cancel__field_descriptors,
+  currant__job_cancel__field_indices_by_name,
+  1,  currant__job_cancel__number_ranges,
+  (ProtobufCMessageInit) currant__job_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__config_doc__field_descriptors[3] =
+static const ProtobufCFieldDescriptor currant__claim_take__field_descriptors[3] =
 {
   {
-    "area",
+    "key",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ConfigDoc, area),
+    offsetof(Currant__ClaimTake, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
+    "body_hash",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__ConfigDoc, revision),
+    offsetof(Currant__ClaimTake, body_hash),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
+    "keep_ms",
     3,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__ConfigDoc, body),
+    offsetof(Currant__ClaimTake, keep_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__config_doc__field_indices_by_name[] = {
-  0,   /* field[0] = area */
-  2,   /* field[2] = body */
-  1,   /* field[1] = revision */
+static const unsigned currant__claim_take__field_indices_by_name[] = {
+  1,   /* field[1] = body_hash */
+  2,   /* field[2] = keep_ms */
+  0,   /* field[0] = key */
 };
-static const ProtobufCIntRange currant__config_doc__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__claim_take__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor currant__config_doc__descriptor =
+const ProtobufCMessageDescriptor currant__claim_take__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.ConfigDoc",
-  "ConfigDoc",
-  "Currant__ConfigDoc",
+  "currant.ClaimTake",
+  "ClaimTake",
+  "Currant__ClaimTake",
   "currant",
-  sizeof(Currant__ConfigDoc),
+  sizeof(Currant__ClaimTake),
   3,
-  currant__config_doc__field_descriptors,
-  currant__config_doc__field_indices_by_name,
-  1,  currant__config_doc__number_ranges,
-  (ProtobufCMessageInit) currant__config_doc__init,
+  currant__claim_take__field_descriptors,
+  currant__claim_take__field_indices_by_name,
+  1,  currant__claim_take__number_ranges,
+  (ProtobufCMessageInit) currant__claim_take__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__config_docs__field_descriptors[2] =
+static const ProtobufCFieldDescriptor currant__claim_end__field_descriptors[4] =
 {
   {
-    "docs",
+    "key",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Currant__ConfigDocs, n_docs),
-    offsetof(Currant__ConfigDocs, docs),
-    &currant__config_doc__descriptor,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ClaimEnd, key),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
+    "result",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__ConfigDocs, revision),
+    offsetof(Currant__ClaimEnd, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ClaimEnd, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ClaimEnd, answer),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__config_docs__field_indices_by_name[] = {
-  0,   /* field[0] = docs */
-  1,   /* field[1] = revision */
+static const unsigned currant__claim_end__field_indices_by_name[] = {
+  3,   /* field[3] = answer */
+  0,   /* field[0] = key */
+  1,   /* field[1] = result */
+  2,   /* field[2] = status */
 };
-static const ProtobufCIntRange currant__config_docs__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__claim_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor currant__config_docs__descriptor =
+const ProtobufCMessageDescriptor currant__claim_end__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.ConfigDocs",
-  "ConfigDocs",
-  "Currant__ConfigDocs",
+  "currant.ClaimEnd",
+  "ClaimEnd",
+  "Currant__ClaimEnd",
   "currant",
-  sizeof(Currant__ConfigDocs),
-  2,
-  currant__config_docs__field_descriptors,
-  currant__config_docs__field_indices_by_name,
-  1,  currant__config_docs__number_ranges,
-  (ProtobufCMessageInit) currant__config_docs__init,
+  sizeof(Currant__ClaimEnd),
+  4,
+  currant__claim_end__field_descriptors,
+  currant__claim_end__field_indices_by_name,
+  1,  currant__claim_end__number_ranges,
+  (ProtobufCMessageInit) currant__claim_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__job_spec__field_descriptors[12] =
+static const ProtobufCFieldDescriptor currant__forward_request__field_descriptors[6] =
 {
   {
-    "id",
+    "service",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobSpec, id),
+    offsetof(Currant__ForwardRequest, service),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "request_id",
     2,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobSpec, key),
+    offsetof(Currant__ForwardRequest, request_id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "request_class",
     3,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobSpec, team),
+    offsetof(Currant__ForwardRequest, request_class),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "name",
+    "idempotent",
     4,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobSpec, name),
+    offsetof(Currant__ForwardRequest, idempotent),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
+    "body",
     5,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobSpec, kind),
+    offsetof(Currant__ForwardRequest, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "job_class",
+    "key",
     6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__ForwardRequest, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__forward_request__field_indices_by_name[] = {
+  4,   /* field[4] = body */
+  3,   /* field[3] = idempotent */
+  5,   /* field[5] = key */
+  2,   /* field[2] = request_class */
+  1,   /* field[1] = request_id */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange currant__forward_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor currant__forward_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.ForwardRequest",
+  "ForwardRequest",
+  "Currant__ForwardRequest",
+  "currant",
+  sizeof(Currant__ForwardRequest),
+  6,
+  currant__forward_request__field_descriptors,
+  currant__forward_request__field_indices_by_name,
+  1,  currant__forward_request__number_ranges,
+  (ProtobufCMessageInit) currant__forward_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__call__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobSpec, job_class),
+    offsetof(Currant__Call, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "count",
-    7,
+    "remaining_ms",
+    2,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobSpec, count),
+    offsetof(Currant__Call, remaining_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_mcpu",
-    8,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_INT64,
+    "shard",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobSpec, cpu_mcpu),
+    offsetof(Currant__Call, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submit",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Call, submit),
+    &currant__submit_job__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "query",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Call, query),
+    &currant__job_query__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Call, cancel),
+    &currant__job_cancel__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "mem_bytes",
-    9,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_INT64,
+    "claim_take",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobSpec, mem_bytes),
-    NULL,
+    offsetof(Currant__Call, claim_take),
+    &currant__claim_take__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
-    10,
+    "claim_end",
+    14,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_INT32,
-    offsetof(Currant__JobSpec, has_accelerators),
-    offsetof(Currant__JobSpec, accelerators),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Call, claim_end),
+    &currant__claim_end__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run_us",
-    11,
+    "forward",
+    15,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_INT64,
-    offsetof(Currant__JobSpec, has_run_us),
-    offsetof(Currant__JobSpec, run_us),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Call, forward),
+    &currant__forward_request__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idempotent",
-    12,
+    "list",
+    16,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_BOOL,
-    offsetof(Currant__JobSpec, has_idempotent),
-    offsetof(Currant__JobSpec, idempotent),
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Call, list),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__job_spec__field_indices_by_name[] = {
-  9,   /* field[9] = accelerators */
-  6,   /* field[6] = count */
-  7,   /* field[7] = cpu_mcpu */
+static const unsigned currant__call__field_indices_by_name[] = {
+  5,   /* field[5] = cancel */
+  7,   /* field[7] = claim_end */
+  6,   /* field[6] = claim_take */
+  8,   /* field[8] = forward */
   0,   /* field[0] = id */
-  11,   /* field[11] = idempotent */
-  5,   /* field[5] = job_class */
-  1,   /* field[1] = key */
-  4,   /* field[4] = kind */
-  8,   /* field[8] = mem_bytes */
-  3,   /* field[3] = name */
-  10,   /* field[10] = run_us */
-  2,   /* field[2] = team */
+  9,   /* field[9] = list */
+  4,   /* field[4] = query */
+  1,   /* field[1] = remaining_ms */
+  2,   /* field[2] = shard */
+  3,   /* field[3] = submit */
 };
-static const ProtobufCIntRange currant__job_spec__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__call__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 10, 3 },
+  { 0, 10 }
 };
-const ProtobufCMessageDescriptor currant__job_spec__descriptor =
+const ProtobufCMessageDescriptor currant__call__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.JobSpec",
-  "JobSpec",
-  "Currant__JobSpec",
+  "currant.Call",
+  "Call",
+  "Currant__Call",
   "currant",
-  sizeof(Currant__JobSpec),
-  12,
-  currant__job_spec__field_descriptors,
-  currant__job_spec__field_indices_by_name,
-  1,  currant__job_spec__number_ranges,
-  (ProtobufCMessageInit) currant__job_spec__init,
+  sizeof(Currant__Call),
+  10,
+  currant__call__field_descriptors,
+  currant__call__field_indices_by_name,
+  2,  currant__call__number_ranges,
+  (ProtobufCMessageInit) currant__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__task_ref__field_descriptors[3] =
+static const ProtobufCFieldDescriptor currant__reply__field_descriptors[7] =
 {
   {
-    "job",
+    "id",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__TaskRef, job),
+    offsetof(Currant__Reply, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
+    "outcome",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__TaskRef, index),
+    offsetof(Currant__Reply, outcome),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "status",
     3,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__Reply, has_status),
+    offsetof(Currant__Reply, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__TaskRef, attempt),
+    offsetof(Currant__Reply, reason),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__Reply, has_retry_after_ms),
+    offsetof(Currant__Reply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Currant__Reply, has_body),
+    offsetof(Currant__Reply, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Reply, content_type),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__task_ref__field_indices_by_name[] = {
-  2,   /* field[2] = attempt */
-  1,   /* field[1] = index */
-  0,   /* field[0] = job */
+static const unsigned currant__reply__field_indices_by_name[] = {
+  5,   /* field[5] = body */
+  6,   /* field[6] = content_type */
+  0,   /* field[0] = id */
+  1,   /* field[1] = outcome */
+  3,   /* field[3] = reason */
+  4,   /* field[4] = retry_after_ms */
+  2,   /* field[2] = status */
 };
-static const ProtobufCIntRange currant__task_ref__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor currant__task_ref__descriptor =
+const ProtobufCMessageDescriptor currant__reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.TaskRef",
-  "TaskRef",
-  "Currant__TaskRef",
+  "currant.Reply",
+  "Reply",
+  "Currant__Reply",
   "currant",
-  sizeof(Currant__TaskRef),
-  3,
-  currant__task_ref__field_descriptors,
-  currant__task_ref__field_indices_by_name,
-  1,  currant__task_ref__number_ranges,
-  (ProtobufCMessageInit) currant__task_ref__init,
+  sizeof(Currant__Reply),
+  7,
+  currant__reply__field_descriptors,
+  currant__reply__field_indices_by_name,
+  1,  currant__reply__number_ranges,
+  (ProtobufCMessageInit) currant__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue currant__record__kind__enum_values_by_number[9] =
-{
-  { "SEAL", "CURRANT__RECORD__KIND__SEAL", 1 },
-  { "JOB_ACCEPTED", "CURRANT__RECORD__KIND__JOB_ACCEPTED", 2 },
-  { "TASK_STARTING", "CURRANT__RECORD__KIND__TASK_STARTING", 3 },
-  { "TASK_ENDED", "CURRANT__RECORD__KIND__TASK_ENDED", 4 },
-  { "JOB_CANCELLED", "CURRANT__RECORD__KIND__JOB_CANCELLED", 5 },
-  { "CLAIM_TAKEN", "CURRANT__RECORD__KIND__CLAIM_TAKEN", 6 },
-  { "CLAIM_ENDED", "CURRANT__RECORD__KIND__CLAIM_ENDED", 7 },
-  { "TASK_REQUEUED", "CURRANT__RECORD__KIND__TASK_REQUEUED", 8 },
-  { "JOB_FORGOTTEN", "CURRANT__RECORD__KIND__JOB_FORGOTTEN", 9 },
-};
-static const ProtobufCIntRange currant__record__kind__value_ranges[] = {
-{1, 0},{0, 9}
-};
-static const ProtobufCEnumValueIndex currant__record__kind__enum_values_by_name[9] =
-{
-  { "CLAIM_ENDED", 6 },
-  { "CLAIM_TAKEN", 5 },
-  { "JOB_ACCEPTED", 1 },
-  { "JOB_CANCELLED", 4 },
-  { "JOB_FORGOTTEN", 8 },
-  { "SEAL", 0 },
-  { "TASK_ENDED", 3 },
-  { "TASK_REQUEUED", 7 },
-  { "TASK_STARTING", 2 },
-};
-const ProtobufCEnumDescriptor currant__record__kind__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "currant.Record.Kind",
-  "Kind",
-  "Currant__Record__Kind",
-  "currant",
-  9,
-  currant__record__kind__enum_values_by_number,
-  9,
-  currant__record__kind__enum_values_by_name,
-  1,
-  currant__record__kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCFieldDescriptor currant__record__field_descriptors[11] =
+static const ProtobufCFieldDescriptor currant__step_spec__field_descriptors[13] =
 {
   {
-    "kind",
+    "count",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Record, kind),
-    &currant__record__kind__descriptor,
+    offsetof(Currant__StepSpec, count),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "cpu_mcpu",
     2,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Currant__Record, has_epoch),
-    offsetof(Currant__Record, epoch),
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__StepSpec, cpu_mcpu),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "spec",
+    "mem_mb",
     3,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Record, spec),
-    &currant__job_spec__descriptor,
+    offsetof(Currant__StepSpec, mem_mb),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "task",
+    "gpu",
     4,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Record, task),
-    &currant__task_ref__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__StepSpec, has_gpu),
+    offsetof(Currant__StepSpec, gpu),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "worker",
+    "estimate_ms",
     5,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Record, worker),
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__StepSpec, has_estimate_ms),
+    offsetof(Currant__StepSpec, estimate_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "result",
+    "after",
     6,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Currant__Record, has_result),
-    offsetof(Currant__Record, result),
+    offsetof(Currant__StepSpec, n_after),
+    offsetof(Currant__StepSpec, after),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "flags",
     7,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Record, key),
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__StepSpec, has_flags),
+    offsetof(Currant__StepSpec, flags),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer",
+    "label",
     8,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Currant__Record, has_answer),
-    offsetof(Currant__Record, answer),
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__StepSpec, label),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "rack",
     9,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Currant__Record, has_status),
-    offsetof(Currant__Record, status),
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__StepSpec, rack),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_wall_us",
+    "max_per_worker",
     10,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_INT64,
-    offsetof(Currant__Record, has_deadline_wall_us),
-    offsetof(Currant__Record, deadline_wall_us),
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__StepSpec, has_max_per_worker),
+    offsetof(Currant__StepSpec, max_per_worker),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body_hash",
+    "image",
     11,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Currant__Record, has_body_hash),
-    offsetof(Currant__Record, body_hash),
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__StepSpec, image),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__StepSpec, has_target_ms),
+    offsetof(Currant__StepSpec, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "may_miss",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__StepSpec, has_may_miss),
+    offsetof(Currant__StepSpec, may_miss),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__record__field_indices_by_name[] = {
-  7,   /* field[7] = answer */
-  10,   /* field[10] = body_hash */
-  9,   /* field[9] = deadline_wall_us */
-  1,   /* field[1] = epoch */
-  6,   /* field[6] = key */
-  0,   /* field[0] = kind */
-  5,   /* field[5] = result */
-  2,   /* field[2] = spec */
-  8,   /* field[8] = status */
-  3,   /* field[3] = task */
-  4,   /* field[4] = worker */
+static const unsigned currant__step_spec__field_indices_by_name[] = {
+  5,   /* field[5] = after */
+  0,   /* field[0] = count */
+  1,   /* field[1] = cpu_mcpu */
+  4,   /* field[4] = estimate_ms */
+  6,   /* field[6] = flags */
+  3,   /* field[3] = gpu */
+  10,   /* field[10] = image */
+  7,   /* field[7] = label */
+  9,   /* field[9] = max_per_worker */
+  12,   /* field[12] = may_miss */
+  2,   /* field[2] = mem_mb */
+  8,   /* field[8] = rack */
+  11,   /* field[11] = target_ms */
 };
-static const ProtobufCIntRange currant__record__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__step_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
-const ProtobufCMessageDescriptor currant__record__descriptor =
+const ProtobufCMessageDescriptor currant__step_spec__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.Record",
-  "Record",
-  "Currant__Record",
+  "currant.StepSpec",
+  "StepSpec",
+  "Currant__StepSpec",
   "currant",
-  sizeof(Currant__Record),
-  11,
-  currant__record__field_descriptors,
-  currant__record__field_indices_by_name,
-  1,  currant__record__number_ranges,
-  (ProtobufCMessageInit) currant__record__init,
+  sizeof(Currant__StepSpec),
+  13,
+  currant__step_spec__field_descriptors,
+  currant__step_spec__field_indices_by_name,
+  1,  currant__step_spec__number_ranges,
+  (ProtobufCMessageInit) currant__step_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__batch__field_descriptors[4] =
+static const ProtobufCFieldDescriptor currant__queue_policy__field_descriptors[7] =
 {
   {
-    "writer",
+    "priority",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Batch, writer),
+    offsetof(Currant__QueuePolicy, priority),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "nonce",
+    "max_attempts",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Batch, nonce),
+    offsetof(Currant__QueuePolicy, max_attempts),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "stretch_milli",
     3,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Batch, epoch),
+    offsetof(Currant__QueuePolicy, stretch_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "records",
+    "target_latency_ms",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Currant__Batch, n_records),
-    offsetof(Currant__Batch, records),
-    &currant__record__descriptor,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__QueuePolicy, target_latency_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_decide_us",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__QueuePolicy, has_advice_decide_us),
+    offsetof(Currant__QueuePolicy, advice_decide_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_period_us",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__QueuePolicy, has_advice_period_us),
+    offsetof(Currant__QueuePolicy, advice_period_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_valid_ms",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__QueuePolicy, has_advice_valid_ms),
+    offsetof(Currant__QueuePolicy, advice_valid_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__batch__field_indices_by_name[] = {
-  2,   /* field[2] = epoch */
-  1,   /* field[1] = nonce */
-  3,   /* field[3] = records */
-  0,   /* field[0] = writer */
+static const unsigned currant__queue_policy__field_indices_by_name[] = {
+  4,   /* field[4] = advice_decide_us */
+  5,   /* field[5] = advice_period_us */
+  6,   /* field[6] = advice_valid_ms */
+  1,   /* field[1] = max_attempts */
+  0,   /* field[0] = priority */
+  2,   /* field[2] = stretch_milli */
+  3,   /* field[3] = target_latency_ms */
 };
-static const ProtobufCIntRange currant__batch__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__queue_policy__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor currant__batch__descriptor =
+const ProtobufCMessageDescriptor currant__queue_policy__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.Batch",
-  "Batch",
-  "Currant__Batch",
+  "currant.QueuePolicy",
+  "QueuePolicy",
+  "Currant__QueuePolicy",
   "currant",
-  sizeof(Currant__Batch),
-  4,
-  currant__batch__field_descriptors,
-  currant__batch__field_indices_by_name,
-  1,  currant__batch__number_ranges,
-  (ProtobufCMessageInit) currant__batch__init,
+  sizeof(Currant__QueuePolicy),
+  7,
+  currant__queue_policy__field_descriptors,
+  currant__queue_policy__field_indices_by_name,
+  1,  currant__queue_policy__number_ranges,
+  (ProtobufCMessageInit) currant__queue_policy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__shard_head__field_descriptors[8] =
+static const ProtobufCFieldDescriptor currant__accepted_job__field_descriptors[10] =
 {
   {
-    "owner",
+    "id",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ShardHead, owner),
+    offsetof(Currant__AcceptedJob, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "queue",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ShardHead, epoch),
+    offsetof(Currant__AcceptedJob, queue),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "writer",
+    "pool",
     3,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ShardHead, writer),
+    offsetof(Currant__AcceptedJob, pool),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "nonce",
+    "payload",
     4,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ShardHead, nonce),
+    offsetof(Currant__AcceptedJob, payload),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot_seq",
+    "steps",
     5,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Currant__ShardHead, snapshot_seq),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__AcceptedJob, n_steps),
+    offsetof(Currant__AcceptedJob, steps),
+    &currant__step_spec__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot_parts",
+    "accepted_wall_ms",
     6,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__ShardHead, snapshot_parts),
+    offsetof(Currant__AcceptedJob, accepted_wall_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot_epoch",
+    "policy",
     7,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Currant__ShardHead, snapshot_epoch),
-    NULL,
+    offsetof(Currant__AcceptedJob, policy),
+    &currant__queue_policy__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "trimmed_seq",
+    "repeat_count",
     8,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Currant__ShardHead, trimmed_seq),
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__AcceptedJob, has_repeat_count),
+    offsetof(Currant__AcceptedJob, repeat_count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned currant__shard_head__field_indices_by_name[] = {
-  1,   /* field[1] = epoch */
-  3,   /* field[3] = nonce */
-  0,   /* field[0] = owner */
-  6,   /* field[6] = snapshot_epoch */
-  5,   /* field[5] = snapshot_parts */
-  4,   /* field[4] = snapshot_seq */
-  7,   /* field[7] = trimmed_seq */
-  2,   /* field[2] = writer */
-};
-static const ProtobufCIntRange currant__shard_head__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor currant__shard_head__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.ShardHead",
-  "ShardHead",
-  "Currant__ShardHead",
-  "currant",
-  sizeof(Currant__ShardHead),
-  8,
-  currant__shard_head__field_descriptors,
-  currant__shard_head__field_indices_by_name,
-  1,  currant__shard_head__number_ranges,
-  (ProtobufCMessageInit) currant__shard_head__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor currant__lease_holder__field_descriptors[2] =
-{
   {
-    "owner",
-    1,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__LeaseHolder, owner),
+    "first_due_ms",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__AcceptedJob, has_first_due_ms),
+    offsetof(Currant__AcceptedJob, first_due_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "writer",
-    2,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Currant__LeaseHolder, writer),
+    "interval_ms",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__AcceptedJob, has_interval_ms),
+    offsetof(Currant__AcceptedJob, interval_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__lease_holder__field_indices_by_name[] = {
-  0,   /* field[0] = owner */
-  1,   /* field[1] = writer */
+static const unsigned currant__accepted_job__field_indices_by_name[] = {
+  5,   /* field[5] = accepted_wall_ms */
+  8,   /* field[8] = first_due_ms */
+  0,   /* field[0] = id */
+  9,   /* field[9] = interval_ms */
+  3,   /* field[3] = payload */
+  6,   /* field[6] = policy */
+  2,   /* field[2] = pool */
+  1,   /* field[1] = queue */
+  7,   /* field[7] = repeat_count */
+  4,   /* field[4] = steps */
 };
-static const ProtobufCIntRange currant__lease_holder__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__accepted_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 10 }
 };
-const ProtobufCMessageDescriptor currant__lease_holder__descriptor =
+const ProtobufCMessageDescriptor currant__accepted_job__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.LeaseHolder",
-  "LeaseHolder",
-  "Currant__LeaseHolder",
+  "currant.AcceptedJob",
+  "AcceptedJob",
+  "Currant__AcceptedJob",
   "currant",
-  sizeof(Currant__LeaseHolder),
-  2,
-  currant__lease_holder__field_descriptors,
-  currant__lease_holder__field_indices_by_name,
-  1,  currant__lease_holder__number_ranges,
-  (ProtobufCMessageInit) currant__lease_holder__init,
+  sizeof(Currant__AcceptedJob),
+  10,
+  currant__accepted_job__field_descriptors,
+  currant__accepted_job__field_indices_by_name,
+  1,  currant__accepted_job__number_ranges,
+  (ProtobufCMessageInit) currant__accepted_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__submit_job__field_descriptors[1] =
+static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[7] =
 {
   {
-    "spec",
+    "occurrence",
     1,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__SubmitJob, spec),
-    &currant__job_spec__descriptor,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__TaskProgress, has_occurrence),
+    offsetof(Currant__TaskProgress, occurrence),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned currant__submit_job__field_indices_by_name[] = {
-  0,   /* field[0] = spec */
-};
-static const ProtobufCIntRange currant__submit_job__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor currant__submit_job__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.SubmitJob",
-  "SubmitJob",
-  "Currant__SubmitJob",
-  "currant",
-  sizeof(Currant__SubmitJob),
-  1,
-  currant__submit_job__field_descriptors,
-  currant__submit_job__field_indices_by_name,
-  1,  currant__submit_job__number_ranges,
-  (ProtobufCMessageInit) currant__submit_job__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor currant__job_query__field_descriptors[2] =
-{
   {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__JobQuery, id),
+    "step",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__TaskProgress, has_step),
+    offsetof(Currant__TaskProgress, step),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_ms",
-    2,
+    "index",
+    3,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobQuery, wait_ms),
+    offsetof(Currant__TaskProgress, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned currant__job_query__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = wait_ms */
-};
-static const ProtobufCIntRange currant__job_query__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor currant__job_query__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.JobQuery",
-  "JobQuery",
-  "Currant__JobQuery",
-  "currant",
-  sizeof(Currant__JobQuery),
-  2,
-  currant__job_query__field_descriptors,
-  currant__job_query__field_indices_by_name,
-  1,  currant__job_query__number_ranges,
-  (ProtobufCMessageInit) currant__job_query__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor currant__job_cancel__field_descriptors[1] =
-{
   {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_REQUIRED,
+    "run",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__TaskProgress, has_run),
+    offsetof(Currant__TaskProgress, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__TaskProgress, has_failed),
+    offsetof(Currant__TaskProgress, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__TaskProgress, has_done),
+    offsetof(Currant__TaskProgress, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__JobCancel, id),
+    offsetof(Currant__TaskProgress, checkpoint),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__job_cancel__field_indices_by_name[] = {
-  0,   /* field[0] = id */
+static const unsigned currant__task_progress__field_indices_by_name[] = {
+  6,   /* field[6] = checkpoint */
+  5,   /* field[5] = done */
+  4,   /* field[4] = failed */
+  2,   /* field[2] = index */
+  0,   /* field[0] = occurrence */
+  3,   /* field[3] = run */
+  1,   /* field[1] = step */
 };
-static const ProtobufCIntRange currant__job_cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor currant__job_cancel__descriptor =
+const ProtobufCMessageDescriptor currant__task_progress__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.JobCancel",
-  "JobCancel",
-  "Currant__JobCancel",
+  "currant.TaskProgress",
+  "TaskProgress",
+  "Currant__TaskProgress",
   "currant",
-  sizeof(Currant__JobCancel),
-  1,
-  currant__job_cancel__field_descriptors,
-  currant__job_cancel__field_indices_by_name,
-  1,  currant__job_cancel__number_ranges,
-  (ProtobufCMessageInit) currant__job_cancel__init,
+  sizeof(Currant__TaskProgress),
+  7,
+  currant__task_progress__field_descriptors,
+  currant__task_progress__field_indices_by_name,
+  1,  currant__task_progress__number_ranges,
+  (ProtobufCMessageInit) currant__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__claim_take__field_descriptors[3] =
+static const ProtobufCFieldDescriptor currant__job_progress__field_descriptors[3] =
 {
   {
-    "key",
+    "state",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__ClaimTake, key),
+    offsetof(Currant__JobProgress, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body_hash",
+    "started",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Currant__ClaimTake, body_hash),
+    offsetof(Currant__JobProgress, started),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "keep_ms",
+    "tasks",
     3,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Currant__ClaimTake, keep_ms),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__JobProgress, n_tasks),
+    offsetof(Currant__JobProgress, tasks),
+    &currant__task_progress__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__claim_take__field_indices_by_name[] = {
-  1,   /* field[1] = body_hash */
-  2,   /* field[2] = keep_ms */
-  0,   /* field[0] = key */
+static const unsigned currant__job_progress__field_indices_by_name[] = {
+  1,   /* field[1] = started */
+  0,   /* field[0] = state */
+  2,   /* field[2] = tasks */
 };
-static const ProtobufCIntRange currant__claim_take__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor currant__claim_take__descriptor =
+const ProtobufCMessageDescriptor currant__job_progress__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.ClaimTake",
-  "ClaimTake",
-  "Currant__ClaimTake",
+  "currant.JobProgress",
+  "JobProgress",
+  "Currant__JobProgress",
   "currant",
-  sizeof(Currant__ClaimTake),
+  sizeof(Currant__JobProgress),
   3,
-  currant__claim_take__field_descriptors,
-  currant__claim_take__field_indices_by_name,
-  1,  currant__claim_take__number_ranges,
-  (ProtobufCMessageInit) currant__claim_take__init,
+  currant__job_progress__field_descriptors,
+  currant__job_progress__field_indices_by_name,
+  1,  currant__job_progress__number_ranges,
+  (ProtobufCMessageInit) currant__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__claim_end__field_descriptors[4] =
+static const ProtobufCFieldDescriptor currant__pool_owner__field_descriptors[4] =
 {
   {
-    "key",
+    "vm",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ClaimEnd, key),
+    offsetof(Currant__PoolOwner, vm),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "result",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__ClaimEnd, result),
+    offsetof(Currant__PoolOwner, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "lease",
     3,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__ClaimEnd, status),
+    offsetof(Currant__PoolOwner, lease),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer",
+    "commit",
     4,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__ClaimEnd, answer),
+    offsetof(Currant__PoolOwner, commit),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__claim_end__field_indices_by_name[] = {
-  3,   /* field[3] = answer */
-  0,   /* field[0] = key */
-  1,   /* field[1] = result */
-  2,   /* field[2] = status */
+static const unsigned currant__pool_owner__field_indices_by_name[] = {
+  3,   /* field[3] = commit */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = lease */
+  0,   /* field[0] = vm */
 };
-static const ProtobufCIntRange currant__claim_end__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__pool_owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor currant__claim_end__descriptor =
+const ProtobufCMessageDescriptor currant__pool_owner__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.ClaimEnd",
-  "ClaimEnd",
-  "Currant__ClaimEnd",
+  "currant.PoolOwner",
+  "PoolOwner",
+  "Currant__PoolOwner",
   "currant",
-  sizeof(Currant__ClaimEnd),
+  sizeof(Currant__PoolOwner),
   4,
-  currant__claim_end__field_descriptors,
-  currant__claim_end__field_indices_by_name,
-  1,  currant__claim_end__number_ranges,
-  (ProtobufCMessageInit) currant__claim_end__init,
+  currant__pool_owner__field_descriptors,
+  currant__pool_owner__field_indices_by_name,
+  1,  currant__pool_owner__number_ranges,
+  (ProtobufCMessageInit) currant__pool_owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__forward_request__field_descriptors[6] =
+static const ProtobufCFieldDescriptor currant__pool_term__field_descriptors[2] =
 {
   {
-    "service",
+    "term",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__ForwardRequest, service),
+    offsetof(Currant__PoolTerm, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_id",
+    "released",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Currant__ForwardRequest, request_id),
+    offsetof(Currant__PoolTerm, released),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned currant__pool_term__field_indices_by_name[] = {
+  1,   /* field[1] = released */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange currant__pool_term__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__pool_term__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.PoolTerm",
+  "PoolTerm",
+  "Currant__PoolTerm",
+  "currant",
+  sizeof(Currant__PoolTerm),
+  2,
+  currant__pool_term__field_descriptors,
+  currant__pool_term__field_indices_by_name,
+  1,  currant__pool_term__number_ranges,
+  (ProtobufCMessageInit) currant__pool_term__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__member__field_descriptors[4] =
+{
   {
-    "request_class",
-    3,
+    "vm",
+    1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ForwardRequest, request_class),
+    offsetof(Currant__Member, vm),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idempotent",
-    4,
+    "domain",
+    2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ForwardRequest, idempotent),
+    offsetof(Currant__Member, domain),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    5,
+    "address",
+    3,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__ForwardRequest, body),
+    offsetof(Currant__Member, address),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
-    6,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_STRING,
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__ForwardRequest, key),
+    offsetof(Currant__Member, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__forward_request__field_indices_by_name[] = {
-  4,   /* field[4] = body */
-  3,   /* field[3] = idempotent */
-  5,   /* field[5] = key */
-  2,   /* field[2] = request_class */
-  1,   /* field[1] = request_id */
-  0,   /* field[0] = service */
+static const unsigned currant__member__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  1,   /* field[1] = domain */
+  3,   /* field[3] = incarnation */
+  0,   /* field[0] = vm */
 };
-static const ProtobufCIntRange currant__forward_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor currant__forward_request__descriptor =
+const ProtobufCMessageDescriptor currant__member__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.ForwardRequest",
-  "ForwardRequest",
-  "Currant__ForwardRequest",
+  "currant.Member",
+  "Member",
+  "Currant__Member",
   "currant",
-  sizeof(Currant__ForwardRequest),
-  6,
-  currant__forward_request__field_descriptors,
-  currant__forward_request__field_indices_by_name,
-  1,  currant__forward_request__number_ranges,
-  (ProtobufCMessageInit) currant__forward_request__init,
+  sizeof(Currant__Member),
+  4,
+  currant__member__field_descriptors,
+  currant__member__field_indices_by_name,
+  1,  currant__member__number_ranges,
+  (ProtobufCMessageInit) currant__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__call__field_descriptors[10] =
+static const ProtobufCFieldDescriptor currant__advice_ask__field_descriptors[7] =
 {
   {
     "id",
@@ -2684,271 +4301,230 @@
     PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Call, id),
+    offsetof(Currant__AdviceAsk, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "remaining_ms",
+    "job",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Call, remaining_ms),
+    offsetof(Currant__AdviceAsk, job),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard",
+    "occurrence",
     3,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Call, shard),
+    offsetof(Currant__AdviceAsk, occurrence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "submit",
-    10,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
+    "step",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Call, submit),
-    &currant__submit_job__descriptor,
+    offsetof(Currant__AdviceAsk, step),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "query",
-    11,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Call, query),
-    &currant__job_query__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cancel",
-    12,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Call, cancel),
-    &currant__job_cancel__descriptor,
+    "workers",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Currant__AdviceAsk, n_workers),
+    offsetof(Currant__AdviceAsk, workers),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "claim_take",
-    13,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Call, claim_take),
-    &currant__claim_take__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim_end",
-    14,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
+    "cost_us",
+    6,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Call, claim_end),
-    &currant__claim_end__descriptor,
+    offsetof(Currant__AdviceAsk, cost_us),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "forward",
-    15,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Call, forward),
-    &currant__forward_request__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "list",
-    16,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_STRING,
+    "priority",
+    7,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Call, list),
+    offsetof(Currant__AdviceAsk, priority),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__call__field_indices_by_name[] = {
-  5,   /* field[5] = cancel */
-  7,   /* field[7] = claim_end */
-  6,   /* field[6] = claim_take */
-  8,   /* field[8] = forward */
+static const unsigned currant__advice_ask__field_indices_by_name[] = {
+  5,   /* field[5] = cost_us */
   0,   /* field[0] = id */
-  9,   /* field[9] = list */
-  4,   /* field[4] = query */
-  1,   /* field[1] = remaining_ms */
-  2,   /* field[2] = shard */
-  3,   /* field[3] = submit */
+  1,   /* field[1] = job */
+  2,   /* field[2] = occurrence */
+  6,   /* field[6] = priority */
+  3,   /* field[3] = step */
+  4,   /* field[4] = workers */
 };
-static const ProtobufCIntRange currant__call__number_ranges[2 + 1] =
+static const ProtobufCIntRange currant__advice_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 10, 3 },
-  { 0, 10 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor currant__call__descriptor =
+const ProtobufCMessageDescriptor currant__advice_ask__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.Call",
-  "Call",
-  "Currant__Call",
+  "currant.AdviceAsk",
+  "AdviceAsk",
+  "Currant__AdviceAsk",
   "currant",
-  sizeof(Currant__Call),
-  10,
-  currant__call__field_descriptors,
-  currant__call__field_indices_by_name,
-  2,  currant__call__number_ranges,
-  (ProtobufCMessageInit) currant__call__init,
+  sizeof(Currant__AdviceAsk),
+  7,
+  currant__advice_ask__field_descriptors,
+  currant__advice_ask__field_indices_by_name,
+  1,  currant__advice_ask__number_ranges,
+  (ProtobufCMessageInit) currant__advice_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__reply__field_descriptors[7] =
+static const ProtobufCFieldDescriptor currant__advice_ticket__field_descriptors[2] =
 {
   {
-    "id",
+    "worker",
     1,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Reply, id),
+    offsetof(Currant__AdviceTicket, worker),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
+    "ticket",
     2,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Reply, outcome),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "status",
-    3,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Currant__Reply, has_status),
-    offsetof(Currant__Reply, status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reason",
-    4,
-    PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Reply, reason),
+    offsetof(Currant__AdviceTicket, ticket),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned currant__advice_ticket__field_indices_by_name[] = {
+  1,   /* field[1] = ticket */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange currant__advice_ticket__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__advice_ticket__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.AdviceTicket",
+  "AdviceTicket",
+  "Currant__AdviceTicket",
+  "currant",
+  sizeof(Currant__AdviceTicket),
+  2,
+  currant__advice_ticket__field_descriptors,
+  currant__advice_ticket__field_indices_by_name,
+  1,  currant__advice_ticket__number_ranges,
+  (ProtobufCMessageInit) currant__advice_ticket__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__advice_answer__field_descriptors[3] =
+{
   {
-    "retry_after_ms",
-    5,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Currant__Reply, has_retry_after_ms),
-    offsetof(Currant__Reply, retry_after_ms),
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__AdviceAnswer, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    6,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Currant__Reply, has_body),
-    offsetof(Currant__Reply, body),
+    "ok",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Currant__AdviceAnswer, ok),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
-    7,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Reply, content_type),
-    NULL,
+    "good",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__AdviceAnswer, n_good),
+    offsetof(Currant__AdviceAnswer, good),
+    &currant__advice_ticket__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__reply__field_indices_by_name[] = {
-  5,   /* field[5] = body */
-  6,   /* field[6] = content_type */
+static const unsigned currant__advice_answer__field_indices_by_name[] = {
+  2,   /* field[2] = good */
   0,   /* field[0] = id */
-  1,   /* field[1] = outcome */
-  3,   /* field[3] = reason */
-  4,   /* field[4] = retry_after_ms */
-  2,   /* field[2] = status */
+  1,   /* field[1] = ok */
 };
-static const ProtobufCIntRange currant__reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__advice_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor currant__reply__descriptor =
+const ProtobufCMessageDescriptor currant__advice_answer__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.Reply",
-  "Reply",
-  "Currant__Reply",
+  "currant.AdviceAnswer",
+  "AdviceAnswer",
+  "Currant__AdviceAnswer",
   "currant",
-  sizeof(Currant__Reply),
-  7,
-  currant__reply__field_descriptors,
-  currant__reply__field_indices_by_name,
-  1,  currant__reply__number_ranges,
-  (ProtobufCMessageInit) currant__reply__init,
+  sizeof(Currant__AdviceAnswer),
+  3,
+  currant__advice_answer__field_descriptors,
+  currant__advice_answer__field_indices_by_name,
+  1,  currant__advice_answer__number_ranges,
+  (ProtobufCMessageInit) currant__advice_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__frame__field_descriptors[6] =
+static const ProtobufCFieldDescriptor currant__frame__field_descriptors[8] =
 {
   {
     "hello",
@@ -3022,8 +4598,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "advice_ask",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, advice_ask),
+    &currant__advice_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_answer",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, advice_answer),
+    &currant__advice_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__frame__field_indices_by_name[] = {
+  7,   /* field[7] = advice_answer */
+  6,   /* field[6] = advice_ask */
   4,   /* field[4] = call */
   3,   /* field[3] = config_docs */
   2,   /* field[2] = config_fetch */
@@ -3034,7 +4636,7 @@
 static const ProtobufCIntRange currant__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor currant__frame__descriptor =
 {
@@ -3044,7 +4646,7 @@
   "Currant__Frame",
   "currant",
   sizeof(Currant__Frame),
-  6,
+  8,
   currant__frame__field_descriptors,
   currant__frame__field_indices_by_name,
   1,  currant__frame__number_ranges,
--- /dev/null
+++ b/state/job.c
@@ -0,0 +1,111 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "state/job.h"
+
+const char *
+jb_state_name(enum jb_state state)
+{
+	static const char *const names[] = {
+	    [JB_PENDING] = "pending",
+	    [JB_RUNNING] = "running",
+	    [JB_COMPLETED] = "completed",
+	    [JB_FAILED] = "failed",
+	    [JB_CANCELLED] = "cancelled",
+	};
+
+	return names[state];
+}
+
+bool
+jb_has_ended(enum jb_state state)
+{
+	return state == JB_COMPLETED || state == JB_FAILED ||
+	    state == JB_CANCELLED;
+}
+
+static bool
+jb_check_step(const struct jb_spec *spec, uint32_t number, char *error,
+    size_t error_bytes)
+{
+	const struct jb_step *step = &spec->step[number];
+	uint32_t i;
+
+	if (step->count == 0) {
+		snprintf(error, error_bytes,
+		    "steps[%u].count: must be positive", number);
+		return false;
+	}
+	for (i = 0; i < step->after_count; i++) {
+		if (step->after[i] < number)
+			continue;
+		snprintf(error, error_bytes,
+		    "steps[%u].after: must name earlier steps", number);
+		return false;
+	}
+	return true;
+}
+
+bool
+jb_check(const struct jb_spec *spec, char *error, size_t error_bytes)
+{
+	uint64_t tasks = 0;
+	uint32_t i;
+
+	if (spec->step_count == 0 || spec->step_count > JB_MAX_STEPS) {
+		snprintf(
+		    error, error_bytes, "steps: must be 1 to %d", JB_MAX_STEPS);
+		return false;
+	}
+	if (strlen(spec->payload) > JB_MAX_PAYLOAD_BYTES) {
+		snprintf(error, error_bytes, "spec: longer than %d bytes",
+		    JB_MAX_PAYLOAD_BYTES);
+		return false;
+	}
+	for (i = 0; i < spec->step_count; i++) {
+		if (!jb_check_step(spec, i, error, error_bytes))
+			return false;
+		tasks += spec->step[i].count;
+	}
+	if (tasks > JB_MAX_TASKS) {
+		snprintf(error, error_bytes, "steps: more than %d tasks",
+		    JB_MAX_TASKS);
+		return false;
+	}
+	return true;
+}
+
+int64_t
+jb_chain_ms(const struct jb_spec *spec)
+{
+	int64_t end_ms[JB_MAX_STEPS] = {0};
+	int64_t longest_ms = 0;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < spec->step_count; i++) {
+		const struct jb_step *step = &spec->step[i];
+
+		for (j = 0; j < step->after_count; j++) {
+			if (end_ms[step->after[j]] > end_ms[i])
+				end_ms[i] = end_ms[step->after[j]];
+		}
+		end_ms[i] += step->estimate_ms;
+		if (end_ms[i] > longest_ms)
+			longest_ms = end_ms[i];
+	}
+	return longest_ms;
+}
+
+uint32_t
+jb_occurrences(const struct jb_spec *spec)
+{
+	return spec->repeat_count > 0 ? spec->repeat_count : 1;
+}
+
+bool
+jb_ref_equal(const struct jb_ref *a, const struct jb_ref *b)
+{
+	return a->occurrence == b->occurrence && a->step == b->step &&
+	    a->index == b->index && strcmp(a->job, b->job) == 0;
+}
--- /dev/null
+++ b/state/pool.c
@@ -0,0 +1,373 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "state/pool_internal.h"
+
+/* Callers count three times the objective as late, more as nothing. */
+#define WP_LATE_FACTOR 3
+
+struct wp_pool *
+wp_create(TALLOC_CTX *ctx, const char *name, const struct wp_settings *settings,
+    int64_t now_us)
+{
+	struct wp_pool *p = talloc_zero(ctx, struct wp_pool);
+
+	if (p == NULL)
+		abort();
+	snprintf(p->name, sizeof(p->name), "%s", name);
+	p->term = settings->term;
+	p->max_lease_us = settings->max_lease_us;
+	p->begun_us = now_us;
+	p->strangers_until_us = settings->earlier_until_us;
+	return p;
+}
+
+struct wp_job *
+wp_find_job(struct wp_pool *p, const char *id)
+{
+	struct wp_job *job;
+
+	HASH_FIND_STR(p->jobs, id, job);
+	return job;
+}
+
+static struct wp_occurrence *
+wp_occurrence_create(struct wp_job *job, uint32_t number, int64_t due_us,
+    enum wp_task_state state)
+{
+	const struct jb_spec *spec = job->spec;
+	struct wp_occurrence *occ = talloc_zero(job, struct wp_occurrence);
+	uint32_t i;
+	uint32_t j;
+
+	if (occ == NULL)
+		abort();
+	occ->job = job;
+	occ->number = number;
+	occ->due_us = due_us;
+	occ->open_steps = spec->step_count;
+	occ->step = talloc_zero_array(occ, struct wp_step, spec->step_count);
+	if (occ->step == NULL)
+		abort();
+	for (i = 0; i < spec->step_count; i++) {
+		struct wp_step *s = &occ->step[i];
+
+		s->occ = occ;
+		s->number = i;
+		s->spec = &spec->step[i];
+		s->open = s->spec->count;
+		s->waiting = state == WP_WAITING ? s->spec->count : 0;
+		s->task =
+		    talloc_zero_array(occ, struct wp_task, s->spec->count);
+		if (s->task == NULL)
+			abort();
+		for (j = 0; j < s->spec->count; j++) {
+			s->task[j].step = s;
+			s->task[j].index = j;
+			s->task[j].state = state;
+		}
+	}
+	job->occ[number] = occ;
+	return occ;
+}
+
+static int64_t
+wp_due_us(const struct wp_job *job, uint32_t number, int64_t wall_to_us)
+{
+	const struct jb_spec *spec = job->spec;
+
+	if (spec->repeat_count == 0)
+		return job->arrived_us;
+	return (spec->first_due_ms + spec->interval_ms * number) *
+	    CLK_US_PER_MS +
+	    wall_to_us;
+}
+
+static void
+wp_task_restore(struct wp_pool *p, struct wp_task *t,
+    const struct jb_task_progress *row, int64_t now_us)
+{
+	if (row->run > t->run)
+		t->run = row->run;
+	t->failed = row->failed;
+	t->step->gang_failed += row->failed;
+	wp_task_set_checkpoint(t, row->checkpoint);
+	if (row->done)
+		wp_task_done(p, t, now_us);
+}
+
+static void
+wp_job_restore(struct wp_pool *p, struct wp_job *job,
+    const struct jb_progress *progress, int64_t now_us)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < progress->task_count; i++) {
+		const struct jb_task_progress *row = &progress->task[i];
+		struct wp_step *s;
+
+		if (row->occurrence >= jb_occurrences(job->spec) ||
+		    row->step >= job->spec->step_count)
+			continue;
+		s = &job->occ[row->occurrence]->step[row->step];
+		if (row->index == JB_ALL_TASKS) {
+			for (j = 0; j < s->spec->count; j++)
+				wp_task_done(p, &s->task[j], now_us);
+		} else if (row->index < s->spec->count) {
+			wp_task_restore(p, &s->task[row->index], row, now_us);
+		}
+	}
+	if (jb_has_ended(progress->state))
+		job->state = progress->state;
+	job->started = progress->started;
+}
+
+static void
+wp_set_objective(struct wp_job *job)
+{
+	const struct jb_policy *policy = &job->spec->policy;
+	int64_t chain_ms = jb_chain_ms(job->spec);
+	int64_t objective_us;
+
+	objective_us = chain_ms * policy->stretch_milli +
+	    (int64_t)policy->target_latency_ms * CLK_US_PER_MS;
+	job->objective_us = job->arrived_us + objective_us;
+	job->late_us = job->arrived_us + WP_LATE_FACTOR * objective_us;
+}
+
+static void
+wp_occurrence_begin(
+    struct wp_pool *p, struct wp_occurrence *occ, int64_t now_us)
+{
+	const struct jb_spec *spec = occ->job->spec;
+	uint32_t i;
+	uint32_t j;
+
+	if (occ->due_us > now_us)
+		return;
+	for (i = 0; i < spec->step_count; i++) {
+		bool ready = true;
+
+		for (j = 0; j < spec->step[i].after_count; j++)
+			ready &= occ->step[spec->step[i].after[j]].open == 0;
+		if (ready)
+			wp_step_ready(p, &occ->step[i], now_us);
+	}
+}
+
+struct wp_job *
+wp_add_job(struct wp_pool *p, struct jb_spec *spec,
+    const struct jb_progress *progress, bool fresh, int64_t wall_to_us,
+    int64_t now_us)
+{
+	struct wp_job *job = talloc_zero(p, struct wp_job);
+	uint32_t k;
+
+	if (job == NULL)
+		abort();
+	job->pool = p;
+	job->spec = talloc_steal(job, spec);
+	job->occ = talloc_zero_array(
+	    job, struct wp_occurrence *, jb_occurrences(spec));
+	job->open_occurrences = jb_occurrences(spec);
+	job->arrived_us = spec->accepted_wall_ms * CLK_US_PER_MS + wall_to_us;
+	if (job->arrived_us > now_us)
+		job->arrived_us = now_us;
+	wp_set_objective(job);
+	HASH_ADD_STR(p->jobs, spec->id, job);
+	for (k = 0; k < jb_occurrences(spec); k++)
+		wp_occurrence_create(job, k, wp_due_us(job, k, wall_to_us),
+		    fresh || p->settled ? WP_WAITING : WP_HELD);
+	if (progress != NULL)
+		wp_job_restore(p, job, progress, now_us);
+	for (k = 0; k < jb_occurrences(spec) && !jb_has_ended(job->state); k++)
+		wp_occurrence_begin(p, job->occ[k], now_us);
+	return job;
+}
+
+void
+wp_cancel_job(struct wp_pool *p, struct wp_job *job, int64_t now_us)
+{
+	wp_job_stop(p, job, JB_CANCELLED, now_us);
+}
+
+void
+wp_forget_job(struct wp_pool *p, struct wp_job *job)
+{
+	uint32_t k;
+	uint32_t i;
+	uint32_t j;
+
+	for (k = 0; k < jb_occurrences(job->spec); k++) {
+		struct wp_occurrence *occ = job->occ[k];
+
+		for (i = 0; i < job->spec->step_count; i++) {
+			occ->step[i].ready = false;
+			wp_step_update(p, &occ->step[i]);
+			for (j = 0; j < job->spec->step[i].count; j++)
+				wp_task_release(&occ->step[i].task[j]);
+		}
+	}
+	if (job->dirty)
+		DL_DELETE2(p->dirty, job, dirty_prev, dirty_next);
+	HASH_DEL(p->jobs, job);
+	talloc_free(job);
+}
+
+static void
+wp_jobs_tick(struct wp_pool *p, int64_t now_us)
+{
+	struct wp_job *job;
+	struct wp_job *next;
+	uint32_t k;
+	uint32_t i;
+
+	HASH_ITER(hh, p->jobs, job, next) {
+		if (jb_has_ended(job->state) || job->stop_as != JB_PENDING)
+			continue;
+		for (k = 0; k < jb_occurrences(job->spec); k++) {
+			struct wp_occurrence *occ = job->occ[k];
+
+			if (occ->open_steps == 0)
+				continue;
+			wp_occurrence_begin(p, occ, now_us);
+			for (i = 0; i < job->spec->step_count; i++) {
+				if (occ->step[i].spec->flags & JB_GANG)
+					wp_gang_tick(p, &occ->step[i], now_us);
+			}
+		}
+	}
+}
+
+void
+wp_tick(struct wp_pool *p, int64_t now_us)
+{
+	if (p->deposed)
+		return;
+	wp_workers_tick(p, now_us);
+	wp_settle_held(p, now_us);
+	wp_jobs_tick(p, now_us);
+	wp_schedule(p, now_us);
+	p->wanted = false;
+}
+
+struct wp_order *
+wp_next_order(struct wp_pool *p)
+{
+	struct wp_order *o = p->orders;
+
+	if (o != NULL)
+		DL_DELETE(p->orders, o);
+	return o;
+}
+
+static bool
+wp_task_touched(const struct wp_task *t)
+{
+	return t->run > 0 || t->failed > 0 || t->state == WP_DONE;
+}
+
+static void
+wp_progress_of_step(const struct wp_step *s, struct jb_progress *progress)
+{
+	uint32_t i;
+
+	if (s->open == 0) {
+		progress->task[progress->task_count++] =
+		    (struct jb_task_progress){
+			.occurrence = s->occ->number,
+			.step = s->number,
+			.index = JB_ALL_TASKS,
+			.done = true,
+		    };
+		return;
+	}
+	for (i = 0; i < s->spec->count; i++) {
+		const struct wp_task *t = &s->task[i];
+
+		if (!wp_task_touched(t))
+			continue;
+		progress->task[progress->task_count++] =
+		    (struct jb_task_progress){
+			.occurrence = s->occ->number,
+			.step = s->number,
+			.index = i,
+			.run = t->run,
+			.failed = t->failed,
+			.done = t->state == WP_DONE,
+			.checkpoint = t->checkpoint,
+		    };
+	}
+}
+
+static void
+wp_progress_of(
+    struct wp_job *job, TALLOC_CTX *ctx, struct jb_progress *progress)
+{
+	uint32_t total = 0;
+	uint32_t k;
+	uint32_t i;
+
+	for (i = 0; i < job->spec->step_count; i++)
+		total += job->spec->step[i].count;
+	total *= jb_occurrences(job->spec);
+	progress->state = wp_shown_state(job);
+	progress->started = job->started;
+	progress->task_count = 0;
+	progress->task = talloc_zero_array(ctx, struct jb_task_progress, total);
+	if (jb_has_ended(job->state))
+		return;
+	for (k = 0; k < jb_occurrences(job->spec); k++) {
+		for (i = 0; i < job->spec->step_count; i++)
+			wp_progress_of_step(&job->occ[k]->step[i], progress);
+	}
+}
+
+struct wp_job *
+wp_next_dirty(struct wp_pool *p, TALLOC_CTX *ctx, struct jb_progress *progress)
+{
+	struct wp_job *job = p->dirty;
+
+	if (job == NULL)
+		return NULL;
+	DL_DELETE2(p->dirty, job, dirty_prev, dirty_next);
+	job->dirty = false;
+	wp_progress_of(job, ctx, progress);
+	return job;
+}
+
+void
+wp_commit_begin(struct wp_pool *p)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp)
+		w->flight_end = w->seen_end;
+}
+
+void
+wp_commit_end(struct wp_pool *p, int64_t now_us)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp) {
+		if (w->flight_end <= w->acked_end)
+			continue;
+		w->acked_end = w->flight_end;
+		if (w->hold_at_us > now_us)
+			w->hold_at_us = now_us;
+	}
+}
+
+enum jb_state
+wp_shown_state(const struct wp_job *job)
+{
+	if (jb_has_ended(job->state))
+		return job->state;
+	return job->started ? JB_RUNNING : JB_PENDING;
+}
--- /dev/null
+++ b/state/pool_sched.c
@@ -0,0 +1,280 @@
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "state/pool_internal.h"
+
+#define WP_MAX_READY 4096
+
+bool
+wp_usable(const struct wp_worker *w, int64_t now_us)
+{
+	return w->listed && w->fenced && w->reachable && !w->draining &&
+	    now_us >= w->avoid_until_us;
+}
+
+bool
+wp_may_run(const struct wp_step *s, const struct wp_worker *w)
+{
+	const struct jb_step *spec = s->spec;
+
+	if (spec->label != NULL && strcmp(spec->label, w->kind) != 0 &&
+	    strcmp(spec->label, w->rack) != 0)
+		return false;
+	return spec->cpu_mcpu <= w->capacity.cpu_mcpu &&
+	    spec->mem_mb <= w->capacity.mem_mb && spec->gpu <= w->capacity.gpu;
+}
+
+static uint32_t
+wp_tasks_on(const struct wp_step *s, const struct wp_worker *w)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++)
+		n += s->task[i].w == w;
+	return n;
+}
+
+static bool
+wp_avoids(const struct wp_task *t, const struct wp_worker *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->avoid_count && i < WP_AVOID_SET; i++) {
+		if (t->avoid[i] == w)
+			return true;
+	}
+	return false;
+}
+
+/* Lower is better: fullest first, so that whole workers stay free. */
+static double
+wp_score(const struct wp_step *s, const struct wp_task *t,
+    const struct wp_worker *w, const char *rack)
+{
+	struct wp_room left = wp_free_room(w);
+	double score;
+
+	score = (double)left.cpu_mcpu / (double)(w->capacity.cpu_mcpu + 1);
+	if (s->spec->gpu > 0)
+		score = (double)left.gpu + score;
+	if (s->spec->rack != NULL && strcmp(s->spec->rack, w->rack) != 0)
+		score += 1000;
+	if (rack != NULL && strcmp(rack, w->rack) != 0)
+		score += 500;
+	if (wp_avoids(t, w))
+		score += 100;
+	return score;
+}
+
+static struct wp_worker *
+wp_pick(struct wp_pool *p, const struct wp_step *s, const struct wp_task *t,
+    const char *rack, int64_t now_us, const char **ticket)
+{
+	struct wp_room need = wp_need(s->spec);
+	struct wp_worker *best = NULL;
+	double best_score = 0;
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp) {
+		const char *text = NULL;
+		double score;
+
+		if (!wp_usable(w, now_us) || !wp_fits(w, &need) ||
+		    !wp_may_run(s, w))
+			continue;
+		if (s->spec->max_per_worker > 0 &&
+		    wp_tasks_on(s, w) >= s->spec->max_per_worker)
+			continue;
+		if (wp_needs_advice(s)) {
+			text = wp_ticket_valid(s, w, now_us);
+			if (text == NULL)
+				continue;
+		}
+		score = wp_score(s, t, w, rack);
+		if (best != NULL && score >= best_score)
+			continue;
+		best = w;
+		best_score = score;
+		*ticket = text;
+	}
+	return best;
+}
+
+/* Rack of the first task that is placed, for steps that want one rack. */
+static const char *
+wp_common_rack(const struct wp_step *s)
+{
+	uint32_t i;
+
+	if (!(s->spec->flags & JB_SAME_RACK))
+		return NULL;
+	for (i = 0; i < s->spec->count; i++) {
+		if (s->task[i].w != NULL)
+			return s->task[i].w->rack;
+	}
+	return NULL;
+}
+
+static void
+wp_start_step(struct wp_pool *p, struct wp_step *s, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count && s->waiting > 0; i++) {
+		struct wp_task *t = &s->task[i];
+		const char *ticket = NULL;
+		struct wp_worker *w;
+
+		if (t->state != WP_WAITING || now_us < t->not_before_us)
+			continue;
+		w = wp_pick(p, s, t, wp_common_rack(s), now_us, &ticket);
+		if (w == NULL)
+			return;
+		wp_task_place(p, t, w, wp_next_run(p, t), ticket, now_us);
+	}
+}
+
+static uint32_t
+wp_gang_run(const struct wp_pool *p, const struct wp_step *s)
+{
+	uint32_t run = 0;
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++) {
+		if (wp_next_run(p, &s->task[i]) > run)
+			run = wp_next_run(p, &s->task[i]);
+	}
+	return run;
+}
+
+static const char *
+wp_gang_checkpoint(const struct wp_step *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++) {
+		if (s->task[i].checkpoint != NULL)
+			return s->task[i].checkpoint;
+	}
+	return NULL;
+}
+
+/* Where the members of a gang would go; filled in member by member. */
+struct wp_gang_plan {
+	struct wp_worker **w;
+	const char **ticket;
+};
+
+static void
+wp_plan_take(struct wp_worker *w, const struct wp_room *need, int sign)
+{
+	w->used.cpu_mcpu += sign * need->cpu_mcpu;
+	w->used.mem_mb += sign * need->mem_mb;
+	w->used.gpu += sign * need->gpu;
+}
+
+static bool
+wp_plan_gang(struct wp_pool *p, struct wp_step *s, const char *rack,
+    struct wp_gang_plan *plan, int64_t now_us)
+{
+	struct wp_room need = wp_need(s->spec);
+	uint32_t placed;
+	uint32_t i;
+
+	for (placed = 0; placed < s->spec->count; placed++) {
+		struct wp_worker *w;
+
+		w = wp_pick(p, s, &s->task[placed], rack, now_us,
+		    &plan->ticket[placed]);
+		plan->w[placed] = w;
+		if (w == NULL)
+			break;
+		wp_plan_take(w, &need, 1);
+		/* Counted by wp_tasks_on() until the plan is dropped. */
+		s->task[placed].w = w;
+		if (rack == NULL && (s->spec->flags & JB_SAME_RACK))
+			rack = w->rack;
+	}
+	for (i = 0; i < placed; i++) {
+		wp_plan_take(plan->w[i], &need, -1);
+		s->task[i].w = NULL;
+	}
+	return placed == s->spec->count;
+}
+
+static void
+wp_start_gang(struct wp_pool *p, struct wp_step *s, int64_t now_us)
+{
+	struct wp_gang_plan plan;
+	const char *checkpoint;
+	uint32_t run;
+	uint32_t i;
+
+	if (s->waiting != s->spec->count)
+		return;
+	for (i = 0; i < s->spec->count; i++) {
+		if (now_us < s->task[i].not_before_us)
+			return;
+	}
+	plan.w = talloc_zero_array(NULL, struct wp_worker *, s->spec->count);
+	plan.ticket = talloc_zero_array(plan.w, const char *, s->spec->count);
+	if (plan.w == NULL || plan.ticket == NULL)
+		abort();
+	if (!wp_plan_gang(p, s, NULL, &plan, now_us))
+		goto out;
+	run = wp_gang_run(p, s);
+	checkpoint = wp_gang_checkpoint(s);
+	for (i = 0; i < s->spec->count; i++) {
+		wp_task_set_checkpoint(&s->task[i], checkpoint);
+		wp_task_place(
+		    p, &s->task[i], plan.w[i], run, plan.ticket[i], now_us);
+	}
+out:
+	talloc_free(plan.w);
+}
+
+static int
+wp_compare_steps(const void *a, const void *b)
+{
+	const struct wp_step *const *x = a;
+	const struct wp_step *const *y = b;
+	const struct wp_job *jx = (*x)->occ->job;
+	const struct wp_job *jy = (*y)->occ->job;
+
+	if (jx->spec->policy.priority != jy->spec->policy.priority)
+		return jx->spec->policy.priority < jy->spec->policy.priority
+		    ? -1
+		    : 1;
+	if (jx->objective_us != jy->objective_us)
+		return jx->objective_us < jy->objective_us ? -1 : 1;
+	return strcmp(jx->spec->id, jy->spec->id);
+}
+
+void
+wp_schedule(struct wp_pool *p, int64_t now_us)
+{
+	static struct wp_step *order[WP_MAX_READY];
+	struct wp_step *s;
+	struct wp_step *tmp;
+	uint32_t n = 0;
+	uint32_t i;
+
+	if (p->deposed || p->draining)
+		return;
+	p->stats.passes++;
+	DL_FOREACH_SAFE(p->ready, s, tmp) {
+		if (n < WP_MAX_READY)
+			order[n++] = s;
+	}
+	qsort(order, n, sizeof(order[0]), wp_compare_steps);
+	for (i = 0; i < n; i++) {
+		if (order[i]->spec->flags & JB_GANG)
+			wp_start_gang(p, order[i], now_us);
+		else
+			wp_start_step(p, order[i], now_us);
+		wp_step_update(p, order[i]);
+	}
+}
--- /dev/null
+++ b/state/pool_task.c
@@ -0,0 +1,429 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "state/pool_internal.h"
+
+#define WP_RETRY_US (100 * CLK_US_PER_MS)
+#define WP_RESEND_US (400 * CLK_US_PER_MS)
+#define WP_FULL_PACE 100
+
+struct wp_room
+wp_need(const struct jb_step *step)
+{
+	struct wp_room need = {
+	    .cpu_mcpu = step->cpu_mcpu,
+	    .mem_mb = step->mem_mb,
+	    .gpu = step->gpu,
+	};
+
+	if (step->flags & JB_FILLER)
+		need.cpu_mcpu = 0;
+	return need;
+}
+
+struct wp_room
+wp_free_room(const struct wp_worker *w)
+{
+	struct wp_room left = {
+	    .cpu_mcpu =
+		w->capacity.cpu_mcpu - w->used.cpu_mcpu - w->stray.cpu_mcpu,
+	    .mem_mb = w->capacity.mem_mb - w->used.mem_mb - w->stray.mem_mb,
+	    .gpu = w->capacity.gpu - w->used.gpu - w->stray.gpu,
+	};
+
+	return left;
+}
+
+bool
+wp_fits(const struct wp_worker *w, const struct wp_room *need)
+{
+	struct wp_room left = wp_free_room(w);
+
+	return need->cpu_mcpu <= left.cpu_mcpu && need->mem_mb <= left.mem_mb &&
+	    need->gpu <= left.gpu;
+}
+
+void
+wp_task_ref(const struct wp_task *t, struct jb_ref *ref)
+{
+	memset(ref, 0, sizeof(*ref));
+	memcpy(ref->job, t->step->occ->job->spec->id, sizeof(ref->job));
+	ref->occurrence = t->step->occ->number;
+	ref->step = t->step->number;
+	ref->index = t->index;
+}
+
+struct wp_task *
+wp_find_task(struct wp_pool *p, const struct jb_ref *ref)
+{
+	struct wp_job *job = wp_find_job(p, ref->job);
+	struct wp_occurrence *occ;
+
+	if (job == NULL || ref->occurrence >= jb_occurrences(job->spec))
+		return NULL;
+	occ = job->occ[ref->occurrence];
+	if (occ == NULL || ref->step >= job->spec->step_count ||
+	    ref->index >= job->spec->step[ref->step].count)
+		return NULL;
+	return &occ->step[ref->step].task[ref->index];
+}
+
+uint32_t
+wp_next_run(const struct wp_pool *p, const struct wp_task *t)
+{
+	uint32_t base = p->term * WP_RUNS_PER_TERM;
+
+	return (t->run > base ? t->run : base) + 1;
+}
+
+void
+wp_mark_dirty(struct wp_job *job)
+{
+	if (job->dirty)
+		return;
+	job->dirty = true;
+	DL_APPEND2(job->pool->dirty, job, dirty_prev, dirty_next);
+}
+
+void
+wp_task_set_checkpoint(struct wp_task *t, const char *checkpoint)
+{
+	if (checkpoint == NULL || checkpoint[0] == '\0')
+		return;
+	if (t->checkpoint != NULL && strcmp(t->checkpoint, checkpoint) == 0)
+		return;
+	talloc_free(t->checkpoint);
+	t->checkpoint = talloc_strdup(t->step->occ, checkpoint);
+}
+
+struct wp_order *
+wp_pool_order(struct wp_pool *p, enum wp_order_kind kind, struct wp_worker *w,
+    const struct jb_ref *ref, uint32_t run)
+{
+	struct wp_order *o = talloc_zero(p, struct wp_order);
+
+	if (o == NULL)
+		abort();
+	o->kind = kind;
+	memcpy(o->worker, w->id, sizeof(o->worker));
+	memcpy(o->address, w->address, sizeof(o->address));
+	o->ref = *ref;
+	o->run = run;
+	DL_APPEND(p->orders, o);
+	return o;
+}
+
+static void
+wp_task_attach(struct wp_task *t, struct wp_worker *w)
+{
+	struct wp_room need = wp_need(t->step->spec);
+
+	t->w = w;
+	w->used.cpu_mcpu += need.cpu_mcpu;
+	w->used.mem_mb += need.mem_mb;
+	w->used.gpu += need.gpu;
+	DL_APPEND(w->tasks, t);
+}
+
+void
+wp_task_release(struct wp_task *t)
+{
+	struct wp_room need = wp_need(t->step->spec);
+	struct wp_worker *w = t->w;
+
+	if (w == NULL)
+		return;
+	w->used.cpu_mcpu -= need.cpu_mcpu;
+	w->used.mem_mb -= need.mem_mb;
+	w->used.gpu -= need.gpu;
+	DL_DELETE(w->tasks, t);
+	t->w = NULL;
+	t->in_doubt = false;
+	t->resend_us = 0;
+	t->order_out = false;
+	t->confirmed_clock_ms = 0;
+	t->stopped_clock_ms = 0;
+}
+
+void
+wp_task_send_start(
+    struct wp_pool *p, struct wp_task *t, const char *ticket, int64_t now_us)
+{
+	struct wp_worker *w = t->w;
+	struct wp_order *o;
+	struct jb_ref ref;
+	int64_t until = wp_worker_clock_ms(w, now_us + WP_LEASE_US);
+
+	wp_task_ref(t, &ref);
+	o = wp_pool_order(p, WP_ORDER_START, w, &ref, t->run);
+	o->payload = t->step->occ->job->spec->payload;
+	if (t->checkpoint != NULL)
+		o->checkpoint = talloc_strdup(o, t->checkpoint);
+	if (ticket != NULL)
+		o->ticket = talloc_strdup(o, ticket);
+	o->deadline_clock_ms = until;
+	if (until > w->lease_clock_ms)
+		w->lease_clock_ms = until;
+	if (until > t->deadline_clock_ms)
+		t->deadline_clock_ms = until;
+	t->sends++;
+	t->order_out = true;
+	t->resend_us = now_us + WP_RESEND_US;
+	p->stats.starts++;
+}
+
+void
+wp_task_place(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
+    uint32_t run, const char *ticket, int64_t now_us)
+{
+	struct wp_job *job = t->step->occ->job;
+
+	wp_task_attach(t, w);
+	t->state = WP_STARTING;
+	t->step->waiting--;
+	t->run = run;
+	t->sends = 0;
+	t->started_us = now_us;
+	t->moved_us = now_us;
+	t->percent = 0;
+	t->figure = 0;
+	t->pace = WP_FULL_PACE;
+	t->confirmed_clock_ms = 0;
+	t->deadline_clock_ms = 0;
+	wp_task_send_start(p, t, ticket, now_us);
+	if (!job->started) {
+		job->started = true;
+		wp_mark_dirty(job);
+	}
+}
+
+void
+wp_task_adopt(
+    struct wp_task *t, struct wp_worker *w, uint32_t run, int64_t now_us)
+{
+	if (t->state == WP_WAITING)
+		t->step->waiting--;
+	wp_task_attach(t, w);
+	t->state = WP_RUNNING;
+	t->run = run;
+	t->started_us = now_us;
+	t->moved_us = now_us;
+	t->pace = WP_FULL_PACE;
+	t->confirmed_clock_ms = w->clock_ms;
+	t->step->occ->job->started = true;
+}
+
+void
+wp_task_requeue(struct wp_task *t, int64_t not_before_us)
+{
+	struct wp_job *job = t->step->occ->job;
+
+	wp_task_release(t);
+	if (t->state == WP_DONE)
+		return;
+	if (job->stop_as != JB_PENDING) {
+		t->state = WP_DROPPED;
+		wp_job_settle(job);
+		return;
+	}
+	t->state = WP_WAITING;
+	t->not_before_us = not_before_us;
+	t->step->waiting++;
+	wp_step_update(job->pool, t->step);
+}
+
+void
+wp_task_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+{
+	struct jb_ref ref;
+
+	t->state = WP_STOPPING;
+	t->stopped_clock_ms = 0;
+	t->resend_us = now_us + WP_RESEND_US;
+	wp_task_ref(t, &ref);
+	wp_pool_order(p, WP_ORDER_STOP, t->w, &ref, t->run);
+}
+
+void
+wp_step_update(struct wp_pool *p, struct wp_step *s)
+{
+	bool listed = s->prev != NULL;
+	bool wanted = s->ready && s->waiting > 0;
+
+	if (wanted && !listed)
+		DL_APPEND(p->ready, s);
+	if (!wanted && listed) {
+		DL_DELETE(p->ready, s);
+		s->prev = NULL;
+		s->next = NULL;
+	}
+	if (wanted)
+		p->wanted = true;
+}
+
+void
+wp_step_ready(struct wp_pool *p, struct wp_step *s, int64_t now_us)
+{
+	if (s->ready)
+		return;
+	s->ready = true;
+	s->ready_us = now_us;
+	wp_step_update(p, s);
+}
+
+static void
+wp_occurrence_advance(
+    struct wp_pool *p, struct wp_occurrence *occ, int64_t now_us)
+{
+	const struct jb_spec *spec = occ->job->spec;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < spec->step_count; i++) {
+		const struct jb_step *step = &spec->step[i];
+		bool ready = true;
+
+		for (j = 0; j < step->after_count; j++)
+			ready &= occ->step[step->after[j]].open == 0;
+		if (ready)
+			wp_step_ready(p, &occ->step[i], now_us);
+	}
+}
+
+static void
+wp_job_occurrence_ended(struct wp_job *job)
+{
+	job->open_occurrences--;
+	if (job->open_occurrences > 0)
+		return;
+	job->state = JB_COMPLETED;
+}
+
+void
+wp_task_done(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+{
+	struct wp_step *s = t->step;
+	struct wp_job *job = s->occ->job;
+
+	if (t->state == WP_DONE || t->state == WP_DROPPED)
+		return;
+	if (t->state == WP_WAITING) {
+		s->waiting--;
+		wp_step_update(p, s);
+	}
+	t->state = WP_DONE;
+	s->open--;
+	wp_mark_dirty(job);
+	if (s->open > 0)
+		return;
+	s->occ->open_steps--;
+	if (s->occ->open_steps == 0)
+		wp_job_occurrence_ended(job);
+	else
+		wp_occurrence_advance(p, s->occ, now_us);
+}
+
+static void
+wp_task_avoid(struct wp_task *t, struct wp_worker *w)
+{
+	if (w == NULL)
+		return;
+	t->avoid[t->avoid_count % WP_AVOID_SET] = w;
+	t->avoid_count++;
+}
+
+void
+wp_task_failed(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+{
+	struct wp_step *s = t->step;
+	struct wp_job *job = s->occ->job;
+	const struct jb_policy *policy = &job->spec->policy;
+	uint32_t failed;
+
+	wp_task_avoid(t, t->w);
+	t->failed++;
+	wp_mark_dirty(job);
+	failed = t->failed;
+	if (s->spec->flags & JB_GANG) {
+		s->gang_failed++;
+		failed = s->gang_failed;
+	}
+	wp_task_requeue(t, now_us + WP_RETRY_US);
+	if (!(s->spec->flags & JB_LASTING) && policy->max_attempts > 0 &&
+	    failed >= policy->max_attempts)
+		wp_job_stop(p, job, JB_FAILED, now_us);
+}
+
+void
+wp_job_settle(struct wp_job *job)
+{
+	uint32_t k;
+	uint32_t i;
+	uint32_t j;
+
+	if (job->stop_as == JB_PENDING || jb_has_ended(job->state))
+		return;
+	for (k = 0; k < jb_occurrences(job->spec); k++) {
+		struct wp_occurrence *occ = job->occ[k];
+
+		for (i = 0; occ != NULL && i < job->spec->step_count; i++) {
+			for (j = 0; j < job->spec->step[i].count; j++) {
+				enum wp_task_state state =
+				    occ->step[i].task[j].state;
+
+				if (state != WP_DONE && state != WP_DROPPED)
+					return;
+			}
+		}
+	}
+	job->state = job->stop_as;
+	wp_mark_dirty(job);
+}
+
+static void
+wp_step_stop(struct wp_pool *p, struct wp_step *s, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++) {
+		struct wp_task *t = &s->task[i];
+
+		switch (t->state) {
+		case WP_WAITING:
+			s->waiting--;
+			t->state = WP_DROPPED;
+			break;
+		case WP_STARTING:
+		case WP_RUNNING:
+			wp_task_stop(p, t, now_us);
+			break;
+		case WP_HELD:
+		case WP_STOPPING:
+		case WP_DONE:
+		case WP_DROPPED:
+			break;
+		}
+	}
+	wp_step_update(p, s);
+}
+
+void
+wp_job_stop(
+    struct wp_pool *p, struct wp_job *job, enum jb_state state, int64_t now_us)
+{
+	uint32_t k;
+	uint32_t i;
+
+	if (job->stop_as != JB_PENDING || jb_has_ended(job->state))
+		return;
+	job->stop_as = state;
+	wp_mark_dirty(job);
+	for (k = 0; k < jb_occurrences(job->spec); k++) {
+		for (i = 0; job->occ[k] != NULL && i < job->spec->step_count;
+		     i++)
+			wp_step_stop(p, &job->occ[k]->step[i], now_us);
+	}
+	wp_job_settle(job);
+}
--- /dev/null
+++ b/state/pool_worker.c
@@ -0,0 +1,602 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "state/pool_internal.h"
+
+#define WP_HOLD_WAIT_MS 1000
+#define WP_HOLD_WAIT_SHARED_MS 300
+#define WP_HOLD_RETRY_US (250 * CLK_US_PER_MS)
+/* Ends that are not stored yet would be listed again at once. */
+#define WP_HOLD_UNACKED_US (150 * CLK_US_PER_MS)
+#define WP_HOLD_GATHER_US (5 * CLK_US_PER_MS)
+#define WP_UNHEALTHY_US (CLK_US_PER_S)
+#define WP_QUARANTINE_US (4 * CLK_US_PER_S)
+#define WP_QUARANTINE_FAILURES 3
+#define WP_MAX_SENDS 3
+#define WP_RETRY_US (100 * CLK_US_PER_MS)
+#define WP_RESEND_US (400 * CLK_US_PER_MS)
+
+struct wp_worker *
+wp_find_worker(struct wp_pool *p, const char *id)
+{
+	struct wp_worker *w;
+
+	HASH_FIND_STR(p->workers, id, w);
+	return w;
+}
+
+int64_t
+wp_worker_clock_ms(const struct wp_worker *w, int64_t now_us)
+{
+	return w->clock_ms + (now_us - w->clock_at_us) / CLK_US_PER_MS;
+}
+
+int64_t
+wp_lapse_us(const struct wp_worker *w)
+{
+	int64_t left_ms = w->lease_clock_ms - w->clock_ms;
+	int64_t at_us = w->doubt_until_us;
+	int64_t lapse_us;
+
+	if (w->clock_at_us == 0)
+		return at_us;
+	if (left_ms < 0)
+		left_ms = 0;
+	lapse_us = w->clock_at_us +
+	    left_ms * CLK_US_PER_MS * 1000 / WP_CLOCK_SLOW_PER_MILLE +
+	    WP_LAPSE_MARGIN_US;
+	return lapse_us > at_us ? lapse_us : at_us;
+}
+
+static struct wp_worker *
+wp_worker_create(struct wp_pool *p, const char *id, int64_t now_us)
+{
+	struct wp_worker *w = talloc_zero(p, struct wp_worker);
+
+	if (w == NULL)
+		abort();
+	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->hold_at_us = now_us;
+	/* An owner that came later than the worker finds nothing there. */
+	if (now_us < p->strangers_until_us)
+		w->doubt_until_us = p->strangers_until_us;
+	HASH_ADD_STR(p->workers, id, w);
+	return w;
+}
+
+void
+wp_set_worker(
+    struct wp_pool *p, const struct wp_worker_info *info, int64_t now_us)
+{
+	struct wp_worker *w = wp_find_worker(p, info->id);
+
+	if (w == NULL)
+		w = wp_worker_create(p, info->id, now_us);
+	snprintf(w->address, sizeof(w->address), "%s", info->address);
+	snprintf(w->domain, sizeof(w->domain), "%s", info->domain);
+	snprintf(w->kind, sizeof(w->kind), "%s", info->kind);
+	snprintf(w->rack, sizeof(w->rack), "%s", info->rack);
+	w->capacity = info->capacity;
+	if (!w->listed)
+		w->hold_at_us = now_us;
+	w->listed = true;
+	w->draining = info->draining;
+	if (info->draining && info->remaining_ms > 0)
+		w->leaves_us = now_us + info->remaining_ms * CLK_US_PER_MS;
+	p->wanted = true;
+}
+
+void
+wp_unlist_worker(struct wp_pool *p, const char *id, int64_t now_us)
+{
+	struct wp_worker *w = wp_find_worker(p, id);
+
+	(void)now_us;
+	if (w != NULL)
+		w->listed = false;
+}
+
+/* Everything that ran there in its earlier life is gone. */
+static void
+wp_worker_new_life(
+    struct wp_pool *p, struct wp_worker *w, int64_t born_ms, int64_t now_us)
+{
+	struct wp_task *t;
+	struct wp_task *tmp;
+
+	DL_FOREACH_SAFE(w->tasks, t, tmp)
+		wp_task_requeue(t, now_us);
+	w->born_ms = born_ms;
+	w->seen_end = 0;
+	w->flight_end = 0;
+	w->acked_end = 0;
+	w->lease_clock_ms = 0;
+	w->failures = 0;
+	w->avoid_until_us = 0;
+	w->doubt_until_us = 0;
+	memset(&w->stray, 0, sizeof(w->stray));
+	p->wanted = true;
+}
+
+static bool
+wp_worker_shares(const struct wp_worker *w)
+{
+	const struct wp_task *t;
+	bool serves = false;
+	bool fills = false;
+
+	DL_FOREACH(w->tasks, t) {
+		serves |= t->step->spec->target_ms > 0;
+		fills |= (t->step->spec->flags & JB_FILLER) != 0;
+	}
+	return serves && fills;
+}
+
+bool
+wp_hold_due(struct wp_pool *p, struct wp_worker *w, int64_t now_us,
+    struct wp_hold *hold)
+{
+	if (w->hold_out || now_us < w->hold_at_us || p->deposed)
+		return false;
+	/* Nothing is left there that a lease could keep. */
+	if (!w->listed && w->tasks == NULL && now_us > wp_lapse_us(w))
+		return false;
+	w->hold_out = true;
+	hold->acked_end = w->acked_end;
+	hold->deadline_clock_ms = 0;
+	hold->wait_ms = 0;
+	if (!w->fenced || !w->reachable)
+		return true;
+	hold->deadline_clock_ms = wp_worker_clock_ms(w, now_us + WP_LEASE_US);
+	if (hold->deadline_clock_ms > w->lease_clock_ms)
+		w->lease_clock_ms = hold->deadline_clock_ms;
+	if (w->last_list_us > 0 && w->acked_end == w->seen_end)
+		hold->wait_ms = wp_worker_shares(w) ? WP_HOLD_WAIT_SHARED_MS
+						    : WP_HOLD_WAIT_MS;
+	w->last_list_us = now_us;
+	return true;
+}
+
+static void
+wp_note_failure(struct wp_worker *w, const struct jb_ref *ref, int64_t now_us)
+{
+	/* One bad job says nothing about the worker. */
+	if (strcmp(w->failed_job, ref->job) == 0)
+		return;
+	memcpy(w->failed_job, ref->job, sizeof(w->failed_job));
+	w->failures++;
+	if (w->failures >= WP_QUARANTINE_FAILURES) {
+		w->avoid_until_us = now_us + WP_QUARANTINE_US;
+		w->failures = WP_QUARANTINE_FAILURES - 1;
+	}
+}
+
+static void
+wp_gang_done(struct wp_pool *p, struct wp_step *s, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++)
+		wp_task_done(p, &s->task[i], now_us);
+}
+
+/* An end of the run that the pool believes to be there. */
+static void
+wp_on_own_end(struct wp_pool *p, struct wp_worker *w, struct wp_task *t,
+    const struct wp_end *end, int64_t now_us)
+{
+	wp_task_set_checkpoint(t, end->checkpoint);
+	if (t->checkpoint != NULL)
+		wp_mark_dirty(t->step->occ->job);
+	switch (end->how) {
+	case WP_END_DONE:
+		w->failures = 0;
+		if (t->step->spec->flags & JB_LASTING) {
+			wp_task_requeue(t, now_us);
+			return;
+		}
+		wp_task_release(t);
+		if (t->step->spec->flags & JB_GANG)
+			wp_gang_done(p, t->step, now_us);
+		else
+			wp_task_done(p, t, now_us);
+		return;
+	case WP_END_FAILED:
+		wp_note_failure(w, &end->ref, now_us);
+		if (t->state == WP_DONE) {
+			wp_task_release(t);
+			return;
+		}
+		wp_task_failed(p, t, now_us);
+		return;
+	case WP_END_STOPPED:
+	case WP_END_LAPSED:
+	case WP_END_BROKEN:
+	case WP_END_ALONE:
+		wp_task_requeue(t, now_us);
+		return;
+	}
+}
+
+/* A task that an earlier owner started ended where this one looks first. */
+static void
+wp_on_held_end(struct wp_pool *p, struct wp_worker *w, struct wp_task *t,
+    const struct wp_end *end, int64_t now_us)
+{
+	wp_task_adopt(t, w, end->run, now_us);
+	wp_on_own_end(p, w, t, end, now_us);
+}
+
+static void
+wp_take_ends(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_hold_reply *reply, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < reply->end_count; i++) {
+		const struct wp_end *end = &reply->end[i];
+		struct wp_task *t;
+
+		if (end->number <= w->seen_end)
+			continue;
+		w->seen_end = end->number;
+		p->stats.ends[end->how]++;
+		p->wanted = true;
+		t = wp_find_task(p, &end->ref);
+		if (t == NULL)
+			continue;
+		if (t->w == w && t->run == end->run)
+			wp_on_own_end(p, w, t, end, now_us);
+		else if (t->state == WP_HELD && end->run >= t->run)
+			wp_on_held_end(p, w, t, end, now_us);
+	}
+}
+
+static void
+wp_note_running(struct wp_worker *w, struct wp_task *t,
+    const struct wp_running *row, int64_t now_us)
+{
+	if (t->state == WP_STARTING) {
+		t->state = WP_RUNNING;
+		t->confirmed_clock_ms = w->clock_ms;
+	}
+	t->in_doubt = false;
+	if (t->state == WP_RUNNING && !t->order_out)
+		t->resend_us = 0;
+	wp_task_set_checkpoint(t, row->checkpoint);
+	if (row->percent != t->percent)
+		t->moved_us = now_us;
+	t->percent = row->percent;
+	t->figure = row->figure;
+}
+
+/* Something runs there that this pool does not want there. */
+static void
+wp_note_stray(struct wp_pool *p, struct wp_worker *w, const struct wp_task *t,
+    const struct wp_running *row)
+{
+	/* Of unknown size: nothing is placed beside it. */
+	struct wp_room need = w->capacity;
+
+	if (t != NULL)
+		need = wp_need(t->step->spec);
+	w->stray.cpu_mcpu += need.cpu_mcpu;
+	w->stray.mem_mb += need.mem_mb;
+	w->stray.gpu += need.gpu;
+	wp_pool_order(p, WP_ORDER_STOP, w, &row->ref, row->run);
+}
+
+static void
+wp_take_running(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_hold_reply *reply, int64_t now_us)
+{
+	uint32_t i;
+
+	memset(&w->stray, 0, sizeof(w->stray));
+	for (i = 0; i < reply->running_count; i++) {
+		const struct wp_running *row = &reply->running[i];
+		struct wp_task *t = wp_find_task(p, &row->ref);
+
+		if (t != NULL && t->state == WP_HELD && row->run >= t->run) {
+			wp_task_adopt(t, w, row->run, now_us);
+			if (t->step->occ->job->stop_as != JB_PENDING)
+				wp_task_stop(p, t, now_us);
+		}
+		if (t != NULL && t->w == w && t->run == row->run)
+			wp_note_running(w, t, row, now_us);
+		else
+			wp_note_stray(p, w, t, row);
+	}
+}
+
+static bool
+wp_is_listed(const struct wp_hold_reply *reply, const struct wp_task *t)
+{
+	struct jb_ref ref;
+	uint32_t i;
+
+	wp_task_ref(t, &ref);
+	for (i = 0; i < reply->running_count; i++) {
+		if (reply->running[i].run == t->run &&
+		    jb_ref_equal(&reply->running[i].ref, &ref))
+			return true;
+	}
+	return false;
+}
+
+/* A list of the worker that a later one can't contradict lacks this task. */
+static bool
+wp_is_missing(const struct wp_task *t, int64_t clock_ms)
+{
+	switch (t->state) {
+	case WP_STARTING:
+		return t->in_doubt && clock_ms > t->deadline_clock_ms;
+	case WP_RUNNING:
+	case WP_DONE:
+		return t->confirmed_clock_ms > 0 &&
+		    clock_ms > t->confirmed_clock_ms;
+	case WP_STOPPING:
+		return t->stopped_clock_ms > 0 &&
+		    clock_ms > t->stopped_clock_ms;
+	case WP_WAITING:
+	case WP_HELD:
+	case WP_DROPPED:
+		break;
+	}
+	return false;
+}
+
+static void
+wp_find_missing(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_hold_reply *reply, int64_t now_us)
+{
+	struct wp_task *t;
+	struct wp_task *tmp;
+
+	DL_FOREACH_SAFE(w->tasks, t, tmp) {
+		if (!wp_is_missing(t, reply->clock_ms) ||
+		    wp_is_listed(reply, t))
+			continue;
+		p->stats.displaced++;
+		wp_task_requeue(t, now_us + WP_RETRY_US);
+	}
+}
+
+void
+wp_on_hold(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_hold_reply *reply, int64_t now_us)
+{
+	bool first = !w->fenced;
+
+	w->hold_out = false;
+	w->reachable = true;
+	w->fenced = true;
+	if (w->born_ms != 0 && w->born_ms != reply->born_ms)
+		wp_worker_new_life(p, w, reply->born_ms, now_us);
+	w->born_ms = reply->born_ms;
+	w->clock_ms = reply->clock_ms;
+	w->clock_at_us = now_us;
+	if (first) {
+		w->doubt_until_us = 0;
+		p->wanted = true;
+	}
+	wp_take_ends(p, w, reply, now_us);
+	wp_take_running(p, w, reply, now_us);
+	wp_find_missing(p, w, reply, now_us);
+	wp_share_worker(p, w, now_us);
+	if (first)
+		w->hold_at_us = now_us;
+	else
+		w->hold_at_us = now_us +
+		    (w->acked_end < w->seen_end ? WP_HOLD_UNACKED_US
+						: WP_HOLD_GATHER_US);
+}
+
+void
+wp_on_hold_lost(struct wp_pool *p, struct wp_worker *w,
+    enum wp_order_result result, int64_t now_us)
+{
+	w->hold_out = false;
+	w->hold_at_us = now_us + WP_HOLD_RETRY_US;
+	if (result == WP_REFUSED_FENCE) {
+		p->deposed = true;
+		return;
+	}
+	if (result != WP_REFUSED_UNHEALTHY)
+		w->reachable = false;
+}
+
+static void
+wp_unplace(struct wp_pool *p, struct wp_task *t, int64_t not_before_us)
+{
+	p->wanted = true;
+	wp_task_requeue(t, not_before_us);
+}
+
+static void
+wp_start_refused(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
+    enum wp_order_result result, int64_t now_us)
+{
+	switch (result) {
+	case WP_REFUSED_UNHEALTHY:
+	case WP_NOT_SENT:
+		w->avoid_until_us = now_us + WP_UNHEALTHY_US;
+		break;
+	case WP_REFUSED_TICKET: {
+		struct wp_ticket *ticket = wp_ticket_find(t->step, w);
+
+		if (ticket != NULL)
+			ticket->expires_us = 0;
+		break;
+	}
+	case WP_REFUSED_BAD:
+		wp_task_failed(p, t, now_us);
+		return;
+	default:
+		break;
+	}
+	/* An earlier send of the same run may have been carried out. */
+	if (t->sends > 1 && result != WP_REFUSED_LATE) {
+		t->in_doubt = true;
+		return;
+	}
+	wp_unplace(p, t, now_us + WP_RETRY_US);
+}
+
+static void
+wp_on_start(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
+    enum wp_order_result result, int64_t clock_ms, int64_t now_us)
+{
+	t->order_out = false;
+	switch (result) {
+	case WP_DONE_OK:
+		t->state = WP_RUNNING;
+		t->in_doubt = false;
+		t->resend_us = 0;
+		t->confirmed_clock_ms = clock_ms;
+		t->moved_us = now_us;
+		return;
+	case WP_NO_ANSWER:
+		t->in_doubt = true;
+		t->resend_us = now_us + WP_RETRY_US;
+		return;
+	case WP_REFUSED_OLD:
+		/* It ended or was stopped there; the next list settles it. */
+		t->in_doubt = true;
+		t->resend_us = 0;
+		t->deadline_clock_ms = clock_ms;
+		return;
+	case WP_REFUSED_FENCE:
+		p->deposed = true;
+		return;
+	default:
+		t->resend_us = 0;
+		wp_start_refused(p, t, w, result, now_us);
+		return;
+	}
+}
+
+void
+wp_on_order(struct wp_pool *p, const struct wp_order *o,
+    enum wp_order_result result, int64_t clock_ms, int64_t now_us)
+{
+	struct wp_worker *w = wp_find_worker(p, o->worker);
+	struct wp_task *t = wp_find_task(p, &o->ref);
+
+	p->stats.refused[result]++;
+	if (result == WP_REFUSED_FENCE)
+		p->deposed = true;
+	if (w == NULL || t == NULL || t->w != w || t->run != o->run)
+		return;
+	if (o->kind == WP_ORDER_START && t->state == WP_STARTING)
+		wp_on_start(p, t, w, result, clock_ms, now_us);
+	if (o->kind == WP_ORDER_STOP && t->state == WP_STOPPING &&
+	    result == WP_DONE_OK) {
+		t->stopped_clock_ms = clock_ms;
+		t->resend_us = 0;
+	}
+}
+
+/* Leases have lapsed: whatever ran there has ended. */
+static void
+wp_worker_lapsed(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
+{
+	struct wp_task *t;
+	struct wp_task *tmp;
+
+	DL_FOREACH_SAFE(w->tasks, t, tmp) {
+		p->stats.displaced++;
+		wp_unplace(p, t, now_us);
+	}
+	memset(&w->stray, 0, sizeof(w->stray));
+	w->doubt_until_us = 0;
+}
+
+static void
+wp_resend(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+{
+	struct jb_ref ref;
+
+	if (t->resend_us == 0 || now_us < t->resend_us || t->order_out)
+		return;
+	if (t->state == WP_STOPPING) {
+		wp_task_ref(t, &ref);
+		wp_pool_order(p, WP_ORDER_STOP, t->w, &ref, t->run);
+		t->resend_us = now_us + WP_RESEND_US;
+		return;
+	}
+	t->resend_us = 0;
+	if (t->state != WP_STARTING)
+		return;
+	if (t->sends >= WP_MAX_SENDS || !t->w->reachable || t->w->draining) {
+		wp_task_stop(p, t, now_us);
+		return;
+	}
+	wp_task_send_start(p, t,
+	    wp_needs_advice(t->step) ? wp_ticket_valid(t->step, t->w, now_us)
+				     : NULL,
+	    now_us);
+}
+
+static void
+wp_worker_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
+{
+	struct wp_task *t;
+	struct wp_task *tmp;
+
+	if (!w->reachable && w->tasks != NULL && now_us > wp_lapse_us(w))
+		wp_worker_lapsed(p, w, now_us);
+	DL_FOREACH_SAFE(w->tasks, t, tmp)
+		wp_resend(p, t, now_us);
+}
+
+void
+wp_workers_tick(struct wp_pool *p, int64_t now_us)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp)
+		wp_worker_tick(p, w, now_us);
+}
+
+static void
+wp_release_held(struct wp_pool *p, struct wp_job *job, int64_t now_us)
+{
+	uint32_t k;
+	uint32_t i;
+	uint32_t j;
+
+	for (k = 0; k < jb_occurrences(job->spec); k++) {
+		struct wp_occurrence *occ = job->occ[k];
+
+		for (i = 0; occ != NULL && i < job->spec->step_count; i++) {
+			for (j = 0; j < job->spec->step[i].count; j++) {
+				if (occ->step[i].task[j].state == WP_HELD)
+					wp_unplace(
+					    p, &occ->step[i].task[j], now_us);
+			}
+		}
+	}
+}
+
+void
+wp_settle_held(struct wp_pool *p, int64_t now_us)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+	struct wp_job *job;
+	struct wp_job *next;
+
+	if (p->settled)
+		return;
+	HASH_ITER(hh, p->workers, w, tmp) {
+		if (!w->fenced && now_us < w->doubt_until_us)
+			return;
+	}
+	p->settled = true;
+	HASH_ITER(hh, p->jobs, job, next)
+		wp_release_held(p, job, now_us);
+}
