state: an end settles nothing about later runs; watches pace themselves

A new owner that first heard the worker on which run 1 had failed started the task again, while run 2 was still on a worker that it had not heard yet. Ruled out: late orders (run 2 was confirmed long before). Change: an end of a held task counts, but the task stays held until every worker is fenced or its leases have lapsed; the newest run whose end has been counted is stored. Daemons that own nothing watch every 120 ms, owners every 15 ms.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -17,6 +17,9 @@
 #define CP_HOLD_WINDOW_US (10 * CLK_US_PER_S)
 /* Leases of workers, on a clock that may be slow, and some margin. */
 #define CP_WORKER_LEASE_US (4400 * CLK_US_PER_MS)
+/* Pauses between watches: owners want new jobs at once. */
+#define CP_OWNER_WATCH_US (15 * CLK_US_PER_MS)
+#define CP_WATCH_US (120 * CLK_US_PER_MS)
 #define CP_RANK_US (60 * CLK_US_PER_MS)
 #define CP_CLAIM_RETRY_US (400 * CLK_US_PER_MS)
 #define CP_COMMIT_PAUSE_US (30 * CLK_US_PER_MS)
@@ -836,6 +839,7 @@
 	}
 	HASH_ITER(hh, c->pools, h, tmp)
 		cp_host_tick(h, clk_now_us());
+	c->replica->pace_us = cp_owned(c) > 0 ? CP_OWNER_WATCH_US : CP_WATCH_US;
 }
 
 void
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -500,10 +500,12 @@
   protobuf_c_boolean has_done;
   protobuf_c_boolean done;
   char *checkpoint;
+  protobuf_c_boolean has_ended;
+  uint32_t ended;
 };
 #define CURRANT__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0 }
 
 
 struct  Currant__JobProgress
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -51,6 +51,7 @@
  * @index: position in the step
  * @state: life
  * @run: newest run
+ * @ended: newest run whose end has been counted
  * @failed: runs that failed
  * @checkpoint: where the next run resumes, or NULL
  * @w: worker that it takes room on, or NULL
@@ -74,6 +75,7 @@
 	uint32_t index;
 	enum wp_task_state state;
 	uint32_t run;
+	uint32_t ended;
 	uint32_t failed;
 	char *checkpoint;
 	struct wp_worker *w;
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -3908,7 +3908,7 @@
   (ProtobufCMessageInit) currant__accepted_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[7] =
+static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[8] =
 {
   {
     "occurrence",
@@ -3994,10 +3994,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__TaskProgress, has_ended),
+    offsetof(Currant__TaskProgress, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__task_progress__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
   5,   /* field[5] = done */
+  7,   /* field[7] = ended */
   4,   /* field[4] = failed */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
@@ -4007,7 +4020,7 @@
 static const ProtobufCIntRange currant__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor currant__task_progress__descriptor =
 {
@@ -4017,7 +4030,7 @@
   "Currant__TaskProgress",
   "currant",
   sizeof(Currant__TaskProgress),
-  7,
+  8,
   currant__task_progress__field_descriptors,
   currant__task_progress__field_indices_by_name,
   1,  currant__task_progress__number_ranges,
--- a/protocol/job_codec.c
+++ b/protocol/job_codec.c
@@ -179,6 +179,8 @@
 	to->run = from->run;
 	to->has_failed = from->failed > 0;
 	to->failed = from->failed;
+	to->has_ended = from->ended > 0;
+	to->ended = from->ended;
 	to->has_done = from->done;
 	to->done = from->done;
 	if (from->checkpoint != NULL)
@@ -245,6 +247,7 @@
 		    .step = from->step,
 		    .index = from->index,
 		    .run = from->run,
+		    .ended = from->ended,
 		    .failed = from->failed,
 		    .done = from->done,
 		    .checkpoint = jc_copy(progress, from->checkpoint),
--- a/state/pool.c
+++ b/state/pool.c
@@ -91,6 +91,7 @@
 {
 	if (row->run > t->run)
 		t->run = row->run;
+	t->ended = row->ended;
 	t->failed = row->failed;
 	t->step->gang_failed += row->failed;
 	wp_task_set_checkpoint(t, row->checkpoint);
@@ -296,6 +297,7 @@
 			.step = s->number,
 			.index = i,
 			.run = t->run,
+			.ended = t->ended,
 			.failed = t->failed,
 			.done = t->state == WP_DONE,
 			.checkpoint = t->checkpoint,
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -335,14 +335,17 @@
 }
 
 void
-wp_task_failed(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+wp_count_failure(
+    struct wp_pool *p, struct wp_task *t, uint32_t run, int64_t now_us)
 {
 	struct wp_step *s = t->step;
 	struct wp_job *job = s->occ->job;
 	const struct jb_policy *policy = &job->spec->policy;
 	uint32_t failed;
 
-	wp_task_avoid(t, t->w);
+	if (run <= t->ended)
+		return;
+	t->ended = run;
 	t->failed++;
 	wp_mark_dirty(job);
 	failed = t->failed;
@@ -350,12 +353,19 @@
 		s->gang_failed++;
 		failed = s->gang_failed;
 	}
-	wp_task_requeue(t, now_us + WP_RETRY_US);
 	if (!(s->spec->flags & JB_LASTING) && policy->max_attempts > 0 &&
 	    failed >= policy->max_attempts)
 		wp_job_stop(p, job, JB_FAILED, now_us);
 }
 
+void
+wp_task_failed(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+{
+	wp_task_avoid(t, t->w);
+	wp_task_requeue(t, now_us + WP_RETRY_US);
+	wp_count_failure(p, t, t->run, now_us);
+}
+
 void
 wp_job_settle(struct wp_job *job)
 {
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -220,13 +220,26 @@
 	}
 }
 
-/* A task that an earlier owner started ended where this one looks first. */
+/*
+ * An end of a run that an earlier owner started. Unless the task is done, a
+ * later run of it may be on a worker that has not been heard yet.
+ */
 static void
-wp_on_held_end(struct wp_pool *p, struct wp_worker *w, struct wp_task *t,
-    const struct wp_end *end, int64_t now_us)
+wp_on_held_end(struct wp_pool *p, struct wp_task *t, const struct wp_end *end,
+    int64_t now_us)
 {
-	wp_task_adopt(t, w, end->run, now_us);
-	wp_on_own_end(p, w, t, end, now_us);
+	if (end->run > t->run)
+		t->run = end->run;
+	wp_task_set_checkpoint(t, end->checkpoint);
+	wp_mark_dirty(t->step->occ->job);
+	if (end->how == WP_END_FAILED)
+		wp_count_failure(p, t, end->run, now_us);
+	if (end->how != WP_END_DONE || (t->step->spec->flags & JB_LASTING))
+		return;
+	if (t->step->spec->flags & JB_GANG)
+		wp_gang_done(p, t->step, now_us);
+	else
+		wp_task_done(p, t, now_us);
 }
 
 static void
@@ -249,8 +262,8 @@
 			continue;
 		if (t->w == w && t->run == end->run)
 			wp_on_own_end(p, w, t, end, now_us);
-		else if (t->state == WP_HELD && end->run >= t->run)
-			wp_on_held_end(p, w, t, end, now_us);
+		else if (t->state == WP_HELD)
+			wp_on_held_end(p, t, end, now_us);
 	}
 }
 
