curranttackd: bind questions for advice late; state: tell failed runs apart

Change: an owner keeps its questions and gives them out as daemons come free, two at a time each; a silent peer's link is closed. The runs that failed are stored by number.

--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -9,60 +9,67 @@
 #include "curranttackd/cell_pool.h"
 
 /* Calls that this VM has out at a time; the service takes them in turn. */
-#define AV_MAX_OUT 2
+#define AV_LINE_OUT 2
+/* Questions that an owner has out at one daemon. */
+#define AV_SEAT_OUT 2
 #define AV_SLACK_US (700 * CLK_US_PER_MS)
-#define AV_MAX_PEERS 64
+#define AV_PEER_SLACK_US (1500 * CLK_US_PER_MS)
+#define AV_MAX_SEATS 64
 /* Questions that are answered faster are kept apart from slower ones. */
 #define AV_SHORT_US (60 * CLK_US_PER_MS)
+/* One daemon of so many answers only short questions. */
+#define AV_RESERVE_EACH 3
 #define AV_RECONNECT_US (500 * CLK_US_PER_MS)
+#define AV_BAD_US (CLK_US_PER_S)
 
-/* A question that this VM puts to the service. */
+struct av_seat;
+
+/*
+ * A question: waiting for a seat, in this VM's line, or with a peer. One that
+ * came from a peer names the link and the peer's number for it.
+ */
 struct av_question {
 	struct av_desk *d;
 	struct wp_ask ask;
 	char *worker[WP_MAX_ASK];
 	int64_t cost_us;
+	struct av_seat *seat;
 	int64_t deadline_us;
 	fl_advice_fn done;
 	void *arg;
-	/* Set for a peer's question. */
 	uint64_t link;
 	uint64_t id;
 	struct av_question *prev;
 	struct av_question *next;
 };
 
-/* A daemon that can be asked. */
-struct av_peer {
+/* A daemon that can be asked; the first is this one. */
+struct av_seat {
 	char vm[WP_NAME_BYTES];
 	char address[WP_NAME_BYTES];
 	struct peer_link *link;
-	int64_t busy_until_us;
+	uint32_t out;
+	int64_t out_cost_us;
+	int64_t bad_until_us;
 	int64_t connect_at_us;
-};
-
-/* A question that a peer answers. */
-struct av_remote {
-	uint64_t id;
-	uint64_t link;
-	int64_t deadline_us;
-	fl_advice_fn done;
-	void *arg;
-	struct av_remote *prev;
-	struct av_remote *next;
+	bool usable;
+	bool reserved;
 };
 
 struct av_desk {
 	struct cell *c;
-	struct av_question *waiting;
-	uint32_t out;
-	int64_t busy_until_us;
-	struct av_peer peer[AV_MAX_PEERS];
-	uint32_t peer_count;
-	struct av_remote *remote;
+	struct av_question *queue;
+	struct av_question *line;
+	struct av_question *remote;
+	uint32_t line_out;
+	struct av_seat seat[AV_MAX_SEATS];
+	uint32_t seat_count;
 	uint64_t next_id;
 };
 
+static void av_start_line(struct av_desk *d);
+static void av_dispatch(struct av_desk *d);
+
 struct av_desk *
 av_create(struct cell *c)
 {
@@ -71,6 +78,8 @@
 	if (d == NULL)
 		abort();
 	d->c = c;
+	snprintf(d->seat[0].vm, sizeof(d->seat[0].vm), "%s", c->settings->vm);
+	d->seat_count = 1;
 	return d;
 }
 
@@ -80,7 +89,23 @@
 	return ask->decide_us + (int64_t)ask->period_us * ask->worker_count;
 }
 
-static void av_start_next(struct av_desk *d);
+static struct av_question *
+av_question_create(struct av_desk *d, const struct wp_ask *ask)
+{
+	struct av_question *q = talloc_zero(d, struct av_question);
+	uint32_t i;
+
+	if (q == NULL)
+		abort();
+	q->d = d;
+	q->ask = *ask;
+	for (i = 0; i < ask->worker_count; i++) {
+		q->worker[i] = talloc_strdup(q, ask->worker[i]);
+		q->ask.worker[i] = q->worker[i];
+	}
+	q->cost_us = av_cost_us(ask);
+	return q;
+}
 
 static void
 av_answer_peer(struct av_question *q, bool ok, const struct wp_advice *good,
@@ -113,6 +138,10 @@
 av_finish(struct av_question *q, bool ok, const struct wp_advice *good,
     uint32_t count)
 {
+	if (q->seat != NULL) {
+		q->seat->out--;
+		q->seat->out_cost_us -= q->cost_us;
+	}
 	if (q->link != 0)
 		av_answer_peer(q, ok, good, count);
 	else
@@ -126,219 +155,222 @@
 	struct av_question *q = arg;
 	struct av_desk *d = q->d;
 
-	d->out--;
+	d->line_out--;
 	av_finish(q, ok, good, count);
-	av_start_next(d);
+	av_start_line(d);
+	av_dispatch(d);
 }
 
 /* By priority, then in turn. */
 static struct av_question *
-av_take_first(struct av_desk *d)
+av_first(struct av_question *list)
 {
-	struct av_question *best = d->waiting;
+	struct av_question *best = list;
 	struct av_question *q;
 
-	DL_FOREACH(d->waiting, q) {
+	DL_FOREACH(list, q) {
 		if (q->ask.priority < best->ask.priority)
 			best = q;
 	}
-	if (best != NULL)
-		DL_DELETE(d->waiting, best);
 	return best;
 }
 
 static void
-av_start_next(struct av_desk *d)
+av_start_line(struct av_desk *d)
 {
 	const struct fl_fleet *f = d->c->fleet;
 	int64_t now_us = clk_now_us();
 
-	while (d->out < AV_MAX_OUT && d->waiting != NULL) {
-		struct av_question *q = av_take_first(d);
+	while (d->line_out < AV_LINE_OUT && d->line != NULL) {
+		struct av_question *q = av_first(d->line);
 
-		if (now_us >= q->deadline_us) {
-			av_finish(q, false, NULL, 0);
-			continue;
-		}
-		d->out++;
+		DL_DELETE(d->line, q);
+		d->line_out++;
 		f->advice->ask(f->handle, &q->ask,
 		    now_us + 2 * q->cost_us + AV_SLACK_US, av_on_service, q);
 	}
 }
 
-static struct av_question *
-av_question_create(struct av_desk *d, const struct wp_ask *ask)
+static struct av_seat *
+av_seat_of(struct av_desk *d, const char *vm)
 {
-	struct av_question *q = talloc_zero(d, struct av_question);
+	struct av_seat *seat;
 	uint32_t i;
 
-	if (q == NULL)
-		abort();
-	q->d = d;
-	q->ask = *ask;
-	for (i = 0; i < ask->worker_count; i++) {
-		q->worker[i] = talloc_strdup(q, ask->worker[i]);
-		q->ask.worker[i] = q->worker[i];
+	for (i = 0; i < d->seat_count; i++) {
+		if (strcmp(d->seat[i].vm, vm) == 0)
+			return &d->seat[i];
 	}
-	q->cost_us = av_cost_us(ask);
-	return q;
+	if (d->seat_count == AV_MAX_SEATS)
+		return NULL;
+	seat = &d->seat[d->seat_count++];
+	memset(seat, 0, sizeof(*seat));
+	snprintf(seat->vm, sizeof(seat->vm), "%s", vm);
+	return seat;
 }
 
 static void
-av_ask_here(struct av_desk *d, struct av_question *q)
+av_refresh_seat(struct av_desk *d, const struct rp_member *m,
+    uint32_t members_before, uint32_t members, int64_t now_us)
 {
-	int64_t now_us = clk_now_us();
+	struct av_seat *seat = av_seat_of(d, m->vm);
 
-	if (d->busy_until_us < now_us)
-		d->busy_until_us = now_us;
-	d->busy_until_us += q->cost_us;
-	q->deadline_us = d->busy_until_us + AV_SLACK_US;
-	DL_APPEND(d->waiting, q);
-	av_start_next(d);
+	if (seat == NULL)
+		return;
+	seat->reserved = members >= AV_RESERVE_EACH &&
+	    members_before % AV_RESERVE_EACH == 0;
+	if (seat == &d->seat[0])
+		return;
+	if (strcmp(seat->address, m->address) != 0 && seat->link != NULL)
+		peer_close(seat->link);
+	snprintf(seat->address, sizeof(seat->address), "%s", m->address);
+	if (seat->link == NULL && now_us >= seat->connect_at_us) {
+		seat->connect_at_us = now_us + AV_RECONNECT_US;
+		seat->link = peer_connect(d->c->peers, seat->address);
+	}
+	seat->usable = seat->link != NULL && peer_established(seat->link) &&
+	    now_us >= seat->bad_until_us;
 }
 
-/* Keeps one row for each member; connects when that is due. */
+/* Which daemons can be asked now, and which of them only briefly. */
 static void
-av_refresh_peers(struct av_desk *d, int64_t now_us)
+av_refresh(struct av_desk *d, int64_t now_us)
 {
 	struct rp_member *m;
+	struct rp_member *other;
 	struct rp_member *tmp;
+	struct rp_member *tmp2;
+	uint32_t members = 0;
 	uint32_t i;
 
+	for (i = 1; i < d->seat_count; i++)
+		d->seat[i].usable = false;
+	d->seat[0].usable = true;
+	d->seat[0].reserved = false;
+	HASH_ITER(hh, d->c->replica->members, m, tmp)
+		members += m->present;
 	HASH_ITER(hh, d->c->replica->members, m, tmp) {
-		struct av_peer *p = NULL;
+		uint32_t before = 0;
 
-		if (!m->present || strcmp(m->vm, d->c->settings->vm) == 0)
+		if (!m->present)
 			continue;
-		for (i = 0; i < d->peer_count; i++) {
-			if (strcmp(d->peer[i].vm, m->vm) == 0)
-				p = &d->peer[i];
-		}
-		if (p == NULL) {
-			if (d->peer_count == AV_MAX_PEERS)
-				continue;
-			p = &d->peer[d->peer_count++];
-			memset(p, 0, sizeof(*p));
-			snprintf(p->vm, sizeof(p->vm), "%s", m->vm);
-		}
-		snprintf(p->address, sizeof(p->address), "%s", m->address);
-		if (p->link == NULL && now_us >= p->connect_at_us) {
-			p->connect_at_us = now_us + AV_RECONNECT_US;
-			p->link = peer_connect(d->c->peers, p->address);
-		}
+		HASH_ITER(hh, d->c->replica->members, other, tmp2)
+			before += other->present && strcmp(other->vm, m->vm) < 0;
+		av_refresh_seat(d, m, before, members, now_us);
 	}
 }
 
-static bool
-av_peer_usable(const struct av_desk *d, const struct av_peer *p)
+/* The daemon that would answer first, of those kept for such questions. */
+static struct av_seat *
+av_choose_among(struct av_desk *d, bool is_short, bool any)
 {
-	struct rp_member *m;
+	struct av_seat *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < d->seat_count; i++) {
+		struct av_seat *seat = &d->seat[i];
 
-	if (p->link == NULL || !peer_established(p->link))
-		return false;
-	HASH_FIND_STR(d->c->replica->members, p->vm, m);
-	return m != NULL && m->present;
+		if (!seat->usable || (!any && seat->reserved != is_short))
+			continue;
+		if (best == NULL || seat->out_cost_us < best->out_cost_us)
+			best = seat;
+	}
+	return best;
 }
 
-/* A third of the daemons, by name, answers only short questions. */
-static bool
-av_is_reserved(const struct av_desk *d, const char *vm)
+static struct av_seat *
+av_choose(struct av_desk *d, bool is_short)
 {
-	struct rp_member *m;
-	struct rp_member *tmp;
-	uint32_t before = 0;
-	uint32_t all = 0;
+	struct av_seat *seat = av_choose_among(d, is_short, false);
 
-	HASH_ITER(hh, d->c->replica->members, m, tmp) {
-		if (!m->present)
-			continue;
-		all++;
-		before += strcmp(m->vm, vm) < 0;
-	}
-	return all > 2 && before % 3 == 0;
+	if (seat == NULL)
+		seat = av_choose_among(d, is_short, true);
+	return seat != NULL && seat->out < AV_SEAT_OUT ? seat : NULL;
 }
 
-/* The daemon that would answer first: NULL for this one. */
-static struct av_peer *
-av_choose(struct av_desk *d, const struct wp_ask *ask, int64_t now_us)
+static void
+av_send(struct av_desk *d, struct av_question *q, int64_t now_us)
 {
-	bool is_short = av_cost_us(ask) < AV_SHORT_US;
-	struct av_peer *best = NULL;
-	int64_t best_us = INT64_MAX;
-	int64_t at_us;
-	uint32_t i;
+	Currant__AdviceAsk row = CURRANT__ADVICE_ASK__INIT;
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+
+	q->id = ++d->next_id;
+	q->deadline_us = now_us + 2 * q->seat->out_cost_us + AV_PEER_SLACK_US;
+	row.id = q->id;
+	row.job = q->ask.job;
+	row.occurrence = q->ask.occurrence;
+	row.step = q->ask.step;
+	row.workers = q->worker;
+	row.n_workers = q->ask.worker_count;
+	row.cost_us = (uint64_t)q->cost_us;
+	row.priority = q->ask.priority;
+	frame.advice_ask = &row;
+	DL_APPEND(d->remote, q);
+	if (!peer_send(q->seat->link, &frame))
+		q->deadline_us = now_us;
+}
 
-	if (av_is_reserved(d, d->c->settings->vm) == is_short)
-		best_us = d->busy_until_us > now_us ? d->busy_until_us : now_us;
-	for (i = 0; i < d->peer_count; i++) {
-		struct av_peer *p = &d->peer[i];
+static struct av_question *
+av_first_of(struct av_question *list, bool is_short)
+{
+	struct av_question *best = NULL;
+	struct av_question *q;
 
-		if (!av_peer_usable(d, p) ||
-		    av_is_reserved(d, p->vm) != is_short)
+	DL_FOREACH(list, q) {
+		if ((q->cost_us < AV_SHORT_US) != is_short)
 			continue;
-		at_us = p->busy_until_us > now_us ? p->busy_until_us : now_us;
-		if (at_us < best_us) {
-			best_us = at_us;
-			best = p;
-		}
+		if (best == NULL || q->ask.priority < best->ask.priority)
+			best = q;
 	}
 	return best;
 }
 
 static void
-av_ask_peer(struct av_desk *d, struct av_peer *p, const struct wp_ask *ask,
-    fl_advice_fn done, void *arg, int64_t now_us)
+av_dispatch_some(struct av_desk *d, bool is_short)
 {
-	Currant__AdviceAsk row = CURRANT__ADVICE_ASK__INIT;
-	Currant__Frame frame = CURRANT__FRAME__INIT;
-	struct av_remote *r = talloc_zero(d, struct av_remote);
+	int64_t now_us = clk_now_us();
+	struct av_question *q;
+	struct av_seat *seat;
+
+	while ((q = av_first_of(d->queue, is_short)) != NULL) {
+		seat = av_choose(d, is_short);
+		if (seat == NULL)
+			return;
+		DL_DELETE(d->queue, q);
+		q->seat = seat;
+		seat->out++;
+		seat->out_cost_us += q->cost_us;
+		if (seat == &d->seat[0]) {
+			DL_APPEND(d->line, q);
+			av_start_line(d);
+		} else {
+			av_send(d, q, now_us);
+		}
+	}
+}
 
-	if (r == NULL)
-		abort();
-	if (p->busy_until_us < now_us)
-		p->busy_until_us = now_us;
-	p->busy_until_us += av_cost_us(ask);
-	r->id = ++d->next_id;
-	r->link = peer_serial(p->link);
-	r->deadline_us = p->busy_until_us + 2 * AV_SLACK_US;
-	r->done = done;
-	r->arg = arg;
-	row.id = r->id;
-	row.job = (char *)(uintptr_t)ask->job;
-	row.occurrence = ask->occurrence;
-	row.step = ask->step;
-	row.workers = (char **)(uintptr_t)ask->worker;
-	row.n_workers = ask->worker_count;
-	row.cost_us = (uint64_t)av_cost_us(ask);
-	row.priority = ask->priority;
-	frame.advice_ask = &row;
-	DL_APPEND(d->remote, r);
-	if (!peer_send(p->link, &frame))
-		r->deadline_us = now_us;
+static void
+av_dispatch(struct av_desk *d)
+{
+	av_dispatch_some(d, true);
+	av_dispatch_some(d, false);
 }
 
 void
-av_ask(
-    struct av_desk *d, const struct wp_ask *ask, fl_advice_fn done, void *arg)
+av_ask(struct av_desk *d, const struct wp_ask *ask, fl_advice_fn done,
+    void *arg)
 {
-	int64_t now_us = clk_now_us();
-	struct av_question *q;
-	struct av_peer *p;
+	struct av_question *q = av_question_create(d, ask);
 
-	p = av_choose(d, ask, now_us);
-	if (p != NULL) {
-		av_ask_peer(d, p, ask, done, arg, now_us);
-		return;
-	}
-	q = av_question_create(d, ask);
 	q->done = done;
 	q->arg = arg;
-	av_ask_here(d, q);
+	DL_APPEND(d->queue, q);
+	av_dispatch(d);
 }
 
 void
-av_on_ask(
-    struct av_desk *d, struct peer_link *link, const Currant__AdviceAsk *row)
+av_on_ask(struct av_desk *d, struct peer_link *link,
+    const Currant__AdviceAsk *row)
 {
 	struct wp_ask ask = {0};
 	struct av_question *q;
@@ -354,7 +386,8 @@
 	q = av_question_create(d, &ask);
 	q->link = peer_serial(link);
 	q->id = row->id;
-	av_ask_here(d, q);
+	DL_APPEND(d->line, q);
+	av_start_line(d);
 }
 
 void
@@ -362,55 +395,71 @@
     const Currant__AdviceAnswer *answer)
 {
 	struct wp_advice good[WP_MAX_ASK];
-	struct av_remote *r;
-	uint32_t n = 0;
+	struct av_question *q;
+	uint32_t n;
 
-	DL_FOREACH(d->remote, r) {
-		if (r->id == answer->id && r->link == peer_serial(link))
+	DL_FOREACH(d->remote, q) {
+		if (q->id == answer->id && q->seat->link == link)
 			break;
 	}
-	if (r == NULL)
+	if (q == NULL)
 		return;
 	for (n = 0; n < answer->n_good && n < WP_MAX_ASK; n++) {
 		good[n].worker = answer->good[n]->worker;
 		good[n].ticket = answer->good[n]->ticket;
 	}
-	DL_DELETE(d->remote, r);
-	r->done(answer->ok, good, n, r->arg);
-	talloc_free(r);
+	DL_DELETE(d->remote, q);
+	av_finish(q, answer->ok, good, n);
+	av_dispatch(d);
 }
 
-static void
-av_fail_remote(struct av_desk *d, uint64_t link, int64_t now_us)
+void
+av_on_closed(struct av_desk *d, struct peer_link *link)
 {
-	struct av_remote *r;
-	struct av_remote *tmp;
+	struct av_question *q;
+	struct av_question *tmp;
+	uint32_t i;
+
+	for (i = 1; i < d->seat_count; i++) {
+		struct av_seat *seat = &d->seat[i];
 
-	DL_FOREACH_SAFE(d->remote, r, tmp) {
-		if (r->link != link && now_us < r->deadline_us)
+		if (seat->link != link)
 			continue;
-		DL_DELETE(d->remote, r);
-		r->done(false, NULL, 0, r->arg);
-		talloc_free(r);
+		seat->link = NULL;
+		seat->usable = false;
+		DL_FOREACH_SAFE(d->remote, q, tmp) {
+			if (q->seat != seat)
+				continue;
+			DL_DELETE(d->remote, q);
+			av_finish(q, false, NULL, 0);
+		}
 	}
 }
 
-void
-av_on_closed(struct av_desk *d, struct peer_link *link)
+/* A peer that does not answer in time may hang on a silent connection. */
+static void
+av_check_remote(struct av_desk *d, int64_t now_us)
 {
-	uint32_t i;
+	struct av_question *q;
 
-	for (i = 0; i < d->peer_count; i++) {
-		if (d->peer[i].link == link)
-			d->peer[i].link = NULL;
+	DL_FOREACH(d->remote, q) {
+		if (now_us < q->deadline_us)
+			continue;
+		lg_event(LG_WARN, "advice", "peer_silent", "peer", q->seat->vm,
+		    "job", q->ask.job, NULL);
+		q->seat->bad_until_us = now_us + AV_BAD_US;
+		/* Closing fails all of its questions and changes the list. */
+		peer_close(q->seat->link);
+		return;
 	}
-	av_fail_remote(d, peer_serial(link), clk_now_us());
 }
 
 void
 av_tick(struct av_desk *d, int64_t now_us)
 {
-	av_fail_remote(d, 0, now_us);
-	if (cp_owned(d->c) > 0)
-		av_refresh_peers(d, now_us);
+	if (cp_owned(d->c) == 0)
+		return;
+	av_check_remote(d, now_us);
+	av_refresh(d, now_us);
+	av_dispatch(d);
 }
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -25,6 +25,7 @@
 #define CP_COMMIT_PAUSE_US (30 * CLK_US_PER_MS)
 #define CP_COMMIT_RETRY_US (150 * CLK_US_PER_MS)
 #define CP_KICK_US (2 * CLK_US_PER_MS)
+#define CP_LOG_EVERY_US (CLK_US_PER_S)
 #define CP_FORGET_EVERY_US (2 * CLK_US_PER_S)
 /* Workers that vanished lately may still run tasks. */
 #define CP_VANISHED_US (15 * CLK_US_PER_S)
@@ -783,6 +784,24 @@
 	}
 }
 
+/* What binds the pool, for whoever reads the log. */
+static void
+cp_log_state(struct cp_host *h, int64_t now_us)
+{
+	struct wp_counts n;
+
+	if (now_us < h->log_at_us)
+		return;
+	h->log_at_us = now_us + CP_LOG_EVERY_US;
+	wp_count(h->pool, now_us, &n);
+	lg_event(LG_INFO, "pool", "state", "pool", h->name, "jobs",
+	    lg_i64(n.jobs), "waiting", lg_i64(n.waiting), "running",
+	    lg_i64(n.running), "held", lg_i64(n.held), "usable",
+	    lg_i64(n.usable), "unfenced", lg_i64(n.unfenced), "commit",
+	    h->commit != NULL ? "1" : "0", "confirmed_ms",
+	    lg_i64((now_us - h->confirmed_us) / CLK_US_PER_MS), NULL);
+}
+
 static void
 cp_owner_tick(struct cp_host *h, int64_t now_us)
 {
@@ -792,6 +811,7 @@
 	}
 	cp_renew(h, now_us);
 	cp_forget_ended(h, now_us);
+	cp_log_state(h, now_us);
 	cp_act(h, now_us);
 }
 
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -50,6 +50,7 @@
 	bool was_released;
 	struct wp_pool *pool;
 	int64_t forget_at_us;
+	int64_t log_at_us;
 	UT_hash_handle hh;
 };
 
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -495,17 +495,15 @@
   uint32_t index;
   protobuf_c_boolean has_run;
   uint32_t run;
-  protobuf_c_boolean has_failed;
-  uint32_t failed;
   protobuf_c_boolean has_done;
   protobuf_c_boolean done;
   char *checkpoint;
-  protobuf_c_boolean has_ended;
-  uint32_t ended;
+  size_t n_failed_runs;
+  uint32_t *failed_runs;
 };
 #define CURRANT__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0,NULL }
 
 
 struct  Currant__JobProgress
--- a/include/state/job.h
+++ b/include/state/job.h
@@ -131,8 +131,7 @@
  * struct jb_task_progress - what must outlive the owner of a task
  * @index: task, or JB_ALL_TASKS when the whole step has ended well
  * @run: newest run
- * @ended: newest run whose end has been counted
- * @failed: runs that failed
+ * @failed_run: runs that failed, @failed of them
  * @done: it has ended well
  * @checkpoint: where the next run resumes, or NULL
  */
@@ -141,7 +140,7 @@
 	uint32_t step;
 	uint32_t index;
 	uint32_t run;
-	uint32_t ended;
+	const uint32_t *failed_run;
 	uint32_t failed;
 	bool done;
 	const char *checkpoint;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -43,6 +43,8 @@
 struct wp_step;
 struct wp_worker;
 
+/* Runs of a task that can be told apart once they have failed. */
+#define WP_MAX_FAILED 8
 #define WP_AVOID_SET 3
 
 /**
@@ -51,8 +53,7 @@
  * @index: position in the step
  * @state: life
  * @run: newest run
- * @ended: newest run whose end has been counted
- * @failed: runs that failed
+ * @failed_run: runs that failed, @failed of them
  * @checkpoint: where the next run resumes, or NULL
  * @w: worker that it takes room on, or NULL
  * @started_us: when it was given to its worker
@@ -68,14 +69,14 @@
  * @figure: load that the worker last reported: ms for a task that serves
  * @moved_us: when @percent last changed
  * @pace: share at which it may work, in percent
- * @avoid: workers on which it failed
+ * @avoid: workers on which it failed, avoided until @avoid_until_us
  */
 struct wp_task {
 	struct wp_step *step;
 	uint32_t index;
 	enum wp_task_state state;
 	uint32_t run;
-	uint32_t ended;
+	uint32_t failed_run[WP_MAX_FAILED];
 	uint32_t failed;
 	char *checkpoint;
 	struct wp_worker *w;
@@ -94,6 +95,7 @@
 	uint32_t pace;
 	struct wp_worker *avoid[WP_AVOID_SET];
 	uint32_t avoid_count;
+	int64_t avoid_until_us;
 	struct wp_task *prev;
 	struct wp_task *next;
 };
@@ -357,6 +359,16 @@
 	uint64_t passes;
 };
 
+/** struct wp_counts - tasks by state and workers by use */
+struct wp_counts {
+	uint32_t jobs;
+	uint32_t waiting;
+	uint32_t running;
+	uint32_t held;
+	uint32_t usable;
+	uint32_t unfenced;
+};
+
 struct wp_pool {
 	char name[WP_NAME_BYTES];
 	uint32_t term;
@@ -503,6 +515,9 @@
 /** wp_commit_end() - that commit is stored: its ends may be acknowledged */
 void wp_commit_end(struct wp_pool *p, int64_t now_us);
 
+/** wp_count() - what binds the pool */
+void wp_count(const struct wp_pool *p, int64_t now_us, struct wp_counts *n);
+
 /** wp_shown_state() - state of a job, from what is stored or certain */
 enum jb_state wp_shown_state(const struct wp_job *job);
 
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -48,6 +48,8 @@
     struct wp_pool *p, struct wp_task *t, const char *ticket, int64_t now_us);
 /** wp_task_done() - it has ended well */
 void wp_task_done(struct wp_pool *p, struct wp_task *t, int64_t now_us);
+/** wp_note_failed_run() - remember a failed run; false if it is known */
+bool wp_note_failed_run(struct wp_task *t, uint32_t run);
 /** wp_count_failure() - a run failed, wherever that was; counted once */
 void wp_count_failure(
     struct wp_pool *p, struct wp_task *t, uint32_t run, int64_t now_us);
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -3908,7 +3908,7 @@
   (ProtobufCMessageInit) currant__accepted_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[8] =
+static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[7] =
 {
   {
     "occurrence",
@@ -3958,18 +3958,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "failed",
-    5,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Currant__TaskProgress, has_failed),
-    offsetof(Currant__TaskProgress, failed),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "done",
     6,
@@ -3995,12 +3983,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ended",
+    "failed_runs",
     8,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Currant__TaskProgress, has_ended),
-    offsetof(Currant__TaskProgress, ended),
+    offsetof(Currant__TaskProgress, n_failed_runs),
+    offsetof(Currant__TaskProgress, failed_runs),
     NULL,
     NULL,
     0,             /* flags */
@@ -4008,19 +3996,19 @@
   },
 };
 static const unsigned currant__task_progress__field_indices_by_name[] = {
-  6,   /* field[6] = checkpoint */
-  5,   /* field[5] = done */
-  7,   /* field[7] = ended */
-  4,   /* field[4] = failed */
+  5,   /* field[5] = checkpoint */
+  4,   /* field[4] = done */
+  6,   /* field[6] = failed_runs */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
   3,   /* field[3] = run */
   1,   /* field[1] = step */
 };
-static const ProtobufCIntRange currant__task_progress__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__task_progress__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 6, 4 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor currant__task_progress__descriptor =
 {
@@ -4030,10 +4018,10 @@
   "Currant__TaskProgress",
   "currant",
   sizeof(Currant__TaskProgress),
-  8,
+  7,
   currant__task_progress__field_descriptors,
   currant__task_progress__field_indices_by_name,
-  1,  currant__task_progress__number_ranges,
+  2,  currant__task_progress__number_ranges,
   (ProtobufCMessageInit) currant__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/protocol/job_codec.c
+++ b/protocol/job_codec.c
@@ -177,10 +177,8 @@
 	to->index = from->index;
 	to->has_run = from->run > 0;
 	to->run = from->run;
-	to->has_failed = from->failed > 0;
-	to->failed = from->failed;
-	to->has_ended = from->ended > 0;
-	to->ended = from->ended;
+	to->failed_runs = (uint32_t *)(uintptr_t)from->failed_run;
+	to->n_failed_runs = from->failed;
 	to->has_done = from->done;
 	to->done = from->done;
 	if (from->checkpoint != NULL)
@@ -247,8 +245,9 @@
 		    .step = from->step,
 		    .index = from->index,
 		    .run = from->run,
-		    .ended = from->ended,
-		    .failed = from->failed,
+		    .failed_run = talloc_memdup(progress, from->failed_runs,
+			from->n_failed_runs * sizeof(uint32_t)),
+		    .failed = (uint32_t)from->n_failed_runs,
 		    .done = from->done,
 		    .checkpoint = jc_copy(progress, from->checkpoint),
 		};
--- a/state/pool.c
+++ b/state/pool.c
@@ -89,11 +89,12 @@
 wp_task_restore(struct wp_pool *p, struct wp_task *t,
     const struct jb_task_progress *row, int64_t now_us)
 {
+	uint32_t i;
+
 	if (row->run > t->run)
 		t->run = row->run;
-	t->ended = row->ended;
-	t->failed = row->failed;
-	t->step->gang_failed += row->failed;
+	for (i = 0; i < row->failed; i++)
+		wp_note_failed_run(t, row->failed_run[i]);
 	wp_task_set_checkpoint(t, row->checkpoint);
 	if (row->done)
 		wp_task_done(p, t, now_us);
@@ -297,7 +298,7 @@
 			.step = s->number,
 			.index = i,
 			.run = t->run,
-			.ended = t->ended,
+			.failed_run = t->failed_run,
 			.failed = t->failed,
 			.done = t->state == WP_DONE,
 			.checkpoint = t->checkpoint,
@@ -373,3 +374,54 @@
 		return job->state;
 	return job->started ? JB_RUNNING : JB_PENDING;
 }
+
+static void
+wp_count_step(const struct wp_step *s, struct wp_counts *n)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++) {
+		switch (s->task[i].state) {
+		case WP_WAITING:
+			n->waiting += s->ready;
+			break;
+		case WP_HELD:
+			n->held++;
+			break;
+		case WP_STARTING:
+		case WP_RUNNING:
+		case WP_STOPPING:
+			n->running++;
+			break;
+		case WP_DONE:
+		case WP_DROPPED:
+			break;
+		}
+	}
+}
+
+void
+wp_count(const struct wp_pool *p, int64_t now_us, struct wp_counts *n)
+{
+	struct wp_worker *w;
+	struct wp_worker *wnext;
+	struct wp_job *job;
+	struct wp_job *next;
+	uint32_t k;
+	uint32_t i;
+
+	memset(n, 0, sizeof(*n));
+	HASH_ITER(hh, p->workers, w, wnext) {
+		n->usable += wp_usable(w, now_us);
+		n->unfenced += !w->fenced;
+	}
+	HASH_ITER(hh, p->jobs, job, next) {
+		if (jb_has_ended(job->state))
+			continue;
+		n->jobs++;
+		for (k = 0; k < jb_occurrences(job->spec); k++) {
+			for (i = 0; i < job->spec->step_count; i++)
+				wp_count_step(&job->occ[k]->step[i], n);
+		}
+	}
+}
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -36,11 +36,14 @@
 	return n;
 }
 
+/* A worker on which the task failed lately may be to blame. */
 static bool
-wp_avoids(const struct wp_task *t, const struct wp_worker *w)
+wp_avoids(const struct wp_task *t, const struct wp_worker *w, int64_t now_us)
 {
 	uint32_t i;
 
+	if (now_us > t->avoid_until_us)
+		return false;
 	for (i = 0; i < t->avoid_count && i < WP_AVOID_SET; i++) {
 		if (t->avoid[i] == w)
 			return true;
@@ -63,8 +66,8 @@
 		score += 1000;
 	if (rack != NULL && strcmp(rack, w->rack) != 0)
 		score += 500;
-	if (wp_avoids(t, w))
-		score += 100;
+	if (w->failures > 0)
+		score += 50;
 	return score;
 }
 
@@ -83,7 +86,7 @@
 		double score;
 
 		if (!wp_usable(w, now_us) || !wp_fits(w, &need) ||
-		    !wp_may_run(s, w))
+		    !wp_may_run(s, w) || wp_avoids(t, w, now_us))
 			continue;
 		if (s->spec->max_per_worker > 0 &&
 		    wp_tasks_on(s, w) >= s->spec->max_per_worker)
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -7,6 +7,7 @@
 
 #define WP_RETRY_US (100 * CLK_US_PER_MS)
 #define WP_RESEND_US (400 * CLK_US_PER_MS)
+#define WP_AVOID_US (4 * CLK_US_PER_S)
 #define WP_FULL_PACE 100
 
 struct wp_room
@@ -326,12 +327,52 @@
 }
 
 static void
-wp_task_avoid(struct wp_task *t, struct wp_worker *w)
+wp_task_avoid(struct wp_task *t, struct wp_worker *w, int64_t now_us)
 {
 	if (w == NULL)
 		return;
 	t->avoid[t->avoid_count % WP_AVOID_SET] = w;
 	t->avoid_count++;
+	t->avoid_until_us = now_us + WP_AVOID_US;
+}
+
+static bool
+wp_has_failed_run(const struct wp_task *t, uint32_t run)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->failed; i++) {
+		if (t->failed_run[i] == run)
+			return true;
+	}
+	return false;
+}
+
+/* A run of a gang fails once, whichever members report it. */
+static bool
+wp_gang_has_failed_run(const struct wp_step *s, uint32_t run)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++) {
+		if (wp_has_failed_run(&s->task[i], run))
+			return true;
+	}
+	return false;
+}
+
+bool
+wp_note_failed_run(struct wp_task *t, uint32_t run)
+{
+	struct wp_step *s = t->step;
+
+	if (wp_has_failed_run(t, run))
+		return false;
+	if ((s->spec->flags & JB_GANG) && !wp_gang_has_failed_run(s, run))
+		s->gang_failed++;
+	if (t->failed < WP_MAX_FAILED)
+		t->failed_run[t->failed++] = run;
+	return true;
 }
 
 void
@@ -343,16 +384,10 @@
 	const struct jb_policy *policy = &job->spec->policy;
 	uint32_t failed;
 
-	if (run <= t->ended)
+	if (!wp_note_failed_run(t, run))
 		return;
-	t->ended = run;
-	t->failed++;
 	wp_mark_dirty(job);
-	failed = t->failed;
-	if (s->spec->flags & JB_GANG) {
-		s->gang_failed++;
-		failed = s->gang_failed;
-	}
+	failed = s->spec->flags & JB_GANG ? s->gang_failed : t->failed;
 	if (!(s->spec->flags & JB_LASTING) && policy->max_attempts > 0 &&
 	    failed >= policy->max_attempts)
 		wp_job_stop(p, job, JB_FAILED, now_us);
@@ -361,7 +396,7 @@
 void
 wp_task_failed(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
-	wp_task_avoid(t, t->w);
+	wp_task_avoid(t, t->w, now_us);
 	wp_task_requeue(t, now_us + WP_RETRY_US);
 	wp_count_failure(p, t, t->run, now_us);
 }
