cell: owners leave a list of the workers that they used

Change: each owner commits the workers that it may have work on, and uses a worker only once it is on that list. The record of a term says who owned it and until when owners before it may act. A done end for a task that waits is taken.

--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -90,6 +90,7 @@
 {
 	struct cell *c = arg;
 
+	cp_on_member(c, m);
 	if (strcmp(m->vm, c->settings->vm) == 0 && !m->present) {
 		c->member_lease = 0;
 		c->member_at_us = clk_now_us();
--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -217,8 +217,8 @@
 
 	if (seat == NULL)
 		return;
-	seat->reserved = members >= AV_RESERVE_EACH &&
-	    members_before % AV_RESERVE_EACH == 0;
+	seat->reserved =
+	    members >= AV_RESERVE_EACH && members_before % AV_RESERVE_EACH == 0;
 	if (seat == &d->seat[0])
 		return;
 	if (strcmp(seat->address, m->address) != 0 && seat->link != NULL)
@@ -255,7 +255,8 @@
 		if (!m->present)
 			continue;
 		HASH_ITER(hh, d->c->replica->members, other, tmp2)
-			before += other->present && strcmp(other->vm, m->vm) < 0;
+			before +=
+			    other->present && strcmp(other->vm, m->vm) < 0;
 		av_refresh_seat(d, m, before, members, now_us);
 	}
 }
@@ -357,8 +358,8 @@
 }
 
 void
-av_ask(struct av_desk *d, const struct wp_ask *ask, fl_advice_fn done,
-    void *arg)
+av_ask(
+    struct av_desk *d, const struct wp_ask *ask, fl_advice_fn done, void *arg)
 {
 	struct av_question *q = av_question_create(d, ask);
 
@@ -369,8 +370,8 @@
 }
 
 void
-av_on_ask(struct av_desk *d, struct peer_link *link,
-    const Currant__AdviceAsk *row)
+av_on_ask(
+    struct av_desk *d, struct peer_link *link, const Currant__AdviceAsk *row)
 {
 	struct wp_ask ask = {0};
 	struct av_question *q;
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -35,10 +35,10 @@
 	struct cp_host *h;
 	uint32_t epoch;
 	struct ks_expect expect;
-	struct ks_put put[KS_MAX_PUTS + 1];
+	struct ks_put put[KS_MAX_PUTS];
 	size_t put_count;
-	struct wp_job *job[KS_MAX_PUTS];
 	bool last;
+	bool registry;
 };
 
 /* A callback of an ownership that may have ended meanwhile. */
@@ -182,13 +182,20 @@
 }
 
 static uint8_t *
-cp_term_value(TALLOC_CTX *ctx, uint32_t term, bool released, size_t *bytes)
+cp_term_value(TALLOC_CTX *ctx, const struct cp_host *h, uint32_t term,
+    bool released, size_t *bytes)
 {
 	Currant__PoolTerm row = CURRANT__POOL_TERM__INIT;
 	uint8_t *value;
 
 	row.term = term;
 	row.released = released;
+	row.vm = h->cell->settings->vm;
+	row.has_incarnation = true;
+	row.incarnation = h->cell->incarnation;
+	row.has_earlier_wall_ms = true;
+	row.earlier_wall_ms =
+	    (h->earlier_until_us - cell_wall_to_us()) / CLK_US_PER_MS;
 	*bytes = currant__pool_term__get_packed_size(&row);
 	value = talloc_size(ctx, *bytes + 1);
 	if (value == NULL)
@@ -197,6 +204,25 @@
 	return value;
 }
 
+/* How long the last owner, or one before it, may still act on workers. */
+static int64_t
+cp_earlier_until_us(
+    const struct cp_host *h, const struct rp_owner *o, int64_t now_us)
+{
+	int64_t before_us =
+	    o->earlier_wall_ms * CLK_US_PER_MS + cell_wall_to_us();
+	int64_t last_us = now_us + CP_WORKER_LEASE_US;
+	const struct rp_member *m;
+
+	if (o->term == 0)
+		return 0;
+	HASH_FIND_STR(h->cell->replica->members, o->term_vm, m);
+	if (!o->released &&
+	    (m == NULL || m->incarnation <= o->term_incarnation))
+		last_us += CP_HOLD_WINDOW_US;
+	return before_us > last_us ? before_us : last_us;
+}
+
 static void
 cp_claim_failed(struct cp_host *h)
 {
@@ -240,7 +266,7 @@
 
 	put[0].value = cp_owner_value(ctx, h, 0, &put[0].value_bytes);
 	put[1].value =
-	    cp_term_value(ctx, o->term + 1, false, &put[1].value_bytes);
+	    cp_term_value(ctx, h, o->term + 1, false, &put[1].value_bytes);
 	f->keys->txn(f->handle, &txn, cp_on_claim, h);
 	talloc_free(ctx);
 }
@@ -293,21 +319,27 @@
 	return job;
 }
 
-/* How long an earlier owner may still act on workers. */
-static int64_t
-cp_earlier_until_us(const struct cp_host *h, const struct rp_owner *o,
-    bool released, int64_t now_us)
+/* Workers that an earlier owner used and that are not listed at present. */
+static void
+cp_load_registry(struct cp_host *h, int64_t now_us)
 {
-	const struct rp_member *m;
+	struct rp_owner *o = rp_owner_of(h->cell->replica, h->name);
+	Currant__PoolWorkers *list;
+	size_t i;
 
-	if (o->term <= 1)
-		return 0;
-	if (released)
-		return now_us + CP_WORKER_LEASE_US;
-	HASH_FIND_STR(h->cell->replica->members, o->last_vm, m);
-	if (m != NULL && m->incarnation > o->last_incarnation)
-		return now_us + CP_WORKER_LEASE_US;
-	return now_us + CP_HOLD_WINDOW_US + CP_WORKER_LEASE_US;
+	if (o->workers == NULL)
+		return;
+	list =
+	    currant__pool_workers__unpack(NULL, o->workers_bytes, o->workers);
+	if (list == NULL) {
+		lg_event(LG_ERROR, "pool", "unreadable_registry", "pool",
+		    h->name, NULL);
+		return;
+	}
+	for (i = 0; i < list->n_workers; i++)
+		wp_add_known_worker(h->pool, list->workers[i]->id,
+		    list->workers[i]->address, now_us);
+	currant__pool_workers__free_unpacked(list, NULL);
 }
 
 static void
@@ -328,6 +360,7 @@
 		if (w->gone_us != 0)
 			wp_unlist_worker(h->pool, w->id, now_us);
 	}
+	cp_load_registry(h, now_us);
 	HASH_ITER(hh, r->jobs, job, next) {
 		if (job->spec != NULL && !jb_has_ended(job->state) &&
 		    strcmp(job->pool, h->name) == 0)
@@ -342,8 +375,7 @@
 	struct wp_settings settings = {
 	    .term = o->term - 1,
 	    .max_lease_us = h->cell->settings->max_lease_ms * CLK_US_PER_MS,
-	    .earlier_until_us =
-		cp_earlier_until_us(h, o, h->was_released, now_us),
+	    .earlier_until_us = h->earlier_until_us,
 	};
 
 	h->epoch++;
@@ -579,6 +611,17 @@
 
 static void cp_send_commit(void *arg);
 
+static void
+cp_registry_stored(struct cp_host *h)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, h->pool->workers, w, tmp)
+		w->registered = w->registering;
+	cp_kick(h);
+}
+
 static void
 cp_commit_done(struct cp_host *h, uint64_t revision)
 {
@@ -589,6 +632,8 @@
 	h->commit_at_us = clk_now_us() + CP_COMMIT_PAUSE_US;
 	if (cm->last)
 		wp_commit_end(h->pool, clk_now_us());
+	if (cm->registry)
+		cp_registry_stored(h);
 	talloc_free(cm);
 	if (h->pool->dirty != NULL || h->state == CP_RELEASING)
 		cp_kick(h);
@@ -679,6 +724,43 @@
 	};
 }
 
+/* A later owner has to ask each worker that may run something. */
+static void
+cp_commit_registry(struct cp_host *h, struct cp_commit *cm)
+{
+	Currant__PoolWorkers list = CURRANT__POOL_WORKERS__INIT;
+	uint32_t count = HASH_COUNT(h->pool->workers);
+	Currant__KnownWorker *row;
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+	uint8_t *value;
+	size_t bytes;
+
+	if (!h->pool->registry_dirty)
+		return;
+	h->pool->registry_dirty = false;
+	cm->registry = true;
+	row = talloc_zero_array(cm, Currant__KnownWorker, count + 1);
+	list.workers = talloc_zero_array(cm, Currant__KnownWorker *, count + 1);
+	HASH_ITER(hh, h->pool->workers, w, tmp) {
+		w->registering = wp_is_known_worker(w, clk_now_us());
+		if (!w->registering)
+			continue;
+		currant__known_worker__init(&row[list.n_workers]);
+		row[list.n_workers].id = w->id;
+		row[list.n_workers].address = w->address;
+		list.workers[list.n_workers] = &row[list.n_workers];
+		list.n_workers++;
+	}
+	bytes = currant__pool_workers__get_packed_size(&list);
+	value = talloc_size(cm, bytes + 1);
+	if (value == NULL)
+		abort();
+	currant__pool_workers__pack(&list, value);
+	cp_commit_add(
+	    cm, cp_key(cm, RP_WORKERS_PREFIX, h->name), value, bytes, 0);
+}
+
 static void
 cp_commit_fill(struct cp_host *h, struct cp_commit *cm)
 {
@@ -687,6 +769,7 @@
 	uint8_t *value;
 	size_t bytes;
 
+	cp_commit_registry(h, cm);
 	while (cm->put_count < KS_MAX_PUTS) {
 		job = wp_next_dirty(h->pool, cm, &progress);
 		if (job == NULL)
@@ -718,7 +801,7 @@
 	    .remove_count = 1,
 	};
 
-	put.value = cp_term_value(ctx, o->term, true, &put.value_bytes);
+	put.value = cp_term_value(ctx, h, o->term, true, &put.value_bytes);
 	f->keys->txn(f->handle, &txn, cp_ignore, NULL);
 	talloc_free(ctx);
 	lg_event(LG_INFO, "pool", "released", "pool", h->name, "fence",
@@ -738,7 +821,7 @@
 
 	if (h->commit != NULL)
 		return;
-	if (h->pool->dirty == NULL) {
+	if (h->pool->dirty == NULL && !h->pool->registry_dirty) {
 		wp_commit_begin(h->pool);
 		wp_commit_end(h->pool, clk_now_us());
 		if (h->state == CP_RELEASING)
@@ -829,7 +912,10 @@
 			h->claim_at_us = now_us + cp_claim_delay_us(h);
 		if (now_us < h->claim_at_us)
 			break;
-		h->was_released = o->released;
+		h->earlier_until_us = cp_earlier_until_us(h, o, now_us);
+		snprintf(
+		    h->earlier_vm, sizeof(h->earlier_vm), "%s", o->term_vm);
+		h->earlier_incarnation = o->term_incarnation;
 		cp_claim(h, now_us);
 		break;
 	case CP_CLAIMING:
@@ -928,3 +1014,17 @@
 		cp_kick(h);
 	}
 }
+
+void
+cp_on_member(struct cell *c, const struct rp_member *m)
+{
+	struct cp_host *h;
+	struct cp_host *tmp;
+
+	HASH_ITER(hh, c->pools, h, tmp) {
+		if (h->pool == NULL || strcmp(h->earlier_vm, m->vm) != 0 ||
+		    m->incarnation <= h->earlier_incarnation)
+			continue;
+		wp_earlier_gone(h->pool, clk_now_us() + CP_WORKER_LEASE_US);
+	}
+}
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -155,8 +155,6 @@
 	o->incarnation = p->incarnation;
 	o->lease = p->lease;
 	o->commit = p->commit;
-	snprintf(o->last_vm, sizeof(o->last_vm), "%s", p->vm);
-	o->last_incarnation = p->incarnation;
 	currant__pool_owner__free_unpacked(p, NULL);
 }
 
@@ -174,6 +172,20 @@
 	r->hooks.owner(o, r->arg);
 }
 
+static void
+rp_apply_workers(
+    struct replica *r, const char *pool, const struct ks_item *item)
+{
+	struct rp_owner *o = rp_owner_of(r, pool);
+
+	if (item->deleted || item->revision <= o->workers_revision)
+		return;
+	talloc_free(o->workers);
+	o->workers_revision = item->revision;
+	o->workers = talloc_memdup(o, item->value, item->value_bytes);
+	o->workers_bytes = item->value_bytes;
+}
+
 static void
 rp_apply_term(struct replica *r, const char *pool, const struct ks_item *item)
 {
@@ -191,6 +203,10 @@
 	o->term_revision = item->revision;
 	o->term = t->term;
 	o->released = t->released;
+	snprintf(
+	    o->term_vm, sizeof(o->term_vm), "%s", t->vm != NULL ? t->vm : "");
+	o->term_incarnation = t->incarnation;
+	o->earlier_wall_ms = t->earlier_wall_ms;
 	currant__pool_term__free_unpacked(t, NULL);
 }
 
@@ -304,6 +320,7 @@
     {RP_CANCEL_PREFIX, rp_apply_cancel},
     {RP_OWNER_PREFIX, rp_apply_owner},
     {RP_TERM_PREFIX, rp_apply_term},
+    {RP_WORKERS_PREFIX, rp_apply_workers},
     {RP_MEMBER_PREFIX, rp_apply_member},
 };
 
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -27,7 +27,8 @@
  * @confirmed_us: the lease was in force then
  * @epoch: tells callbacks of earlier ownerships from present ones
  * @begin: the claim has been seen, the term not yet
- * @was_released: the owner before had stopped acting
+ * @earlier_vm: the owner before, with its incarnation
+ * @earlier_until_us: until then earlier owners may act
  * @pool: decisions; NULL unless owner
  */
 struct cp_host {
@@ -47,7 +48,9 @@
 	uint32_t epoch;
 	bool kicked;
 	bool begin;
-	bool was_released;
+	int64_t earlier_until_us;
+	char earlier_vm[WP_NAME_BYTES];
+	uint64_t earlier_incarnation;
 	struct wp_pool *pool;
 	int64_t forget_at_us;
 	int64_t log_at_us;
@@ -75,6 +78,8 @@
 void cp_on_cancel(struct cell *c, struct rp_job *job);
 /** cp_on_worker() - the replica has news of a worker */
 void cp_on_worker(struct cell *c, const struct rp_worker *w);
+/** cp_on_member() - the replica has news of a daemon */
+void cp_on_member(struct cell *c, const struct rp_member *m);
 /** cp_on_owner() - the replica has news of a pool's owner */
 void cp_on_owner(struct cell *c, const struct rp_owner *o);
 
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -16,6 +16,7 @@
 #define RP_PROGRESS_PREFIX "ct/progress/"
 #define RP_OWNER_PREFIX "ct/owner/"
 #define RP_TERM_PREFIX "ct/term/"
+#define RP_WORKERS_PREFIX "ct/workers/"
 #define RP_MEMBER_PREFIX "ct/member/"
 #define RP_KEY_BYTES 200
 
@@ -67,7 +68,9 @@
  * @created: the owner's fencing token
  * @term: counts the owners
  * @released: the last owner stopped before it gave the pool up
- * @last_vm: the last owner that was seen
+ * @term_vm: owner of that term, with its incarnation
+ * @earlier_wall_ms: until then owners before that term may act
+ * @workers: encoded list of workers that owners have used
  */
 struct rp_owner {
 	char pool[WP_NAME_BYTES];
@@ -81,8 +84,12 @@
 	uint32_t term;
 	bool released;
 	uint64_t term_revision;
-	char last_vm[WP_NAME_BYTES];
-	uint64_t last_incarnation;
+	char term_vm[WP_NAME_BYTES];
+	uint64_t term_incarnation;
+	int64_t earlier_wall_ms;
+	uint8_t *workers;
+	size_t workers_bytes;
+	uint64_t workers_revision;
 	bool seen;
 	UT_hash_handle hh;
 };
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -44,6 +44,8 @@
 typedef struct Currant__JobProgress Currant__JobProgress;
 typedef struct Currant__PoolOwner Currant__PoolOwner;
 typedef struct Currant__PoolTerm Currant__PoolTerm;
+typedef struct Currant__KnownWorker Currant__KnownWorker;
+typedef struct Currant__PoolWorkers Currant__PoolWorkers;
 typedef struct Currant__Member Currant__Member;
 typedef struct Currant__AdviceAsk Currant__AdviceAsk;
 typedef struct Currant__AdviceTicket Currant__AdviceTicket;
@@ -543,10 +545,43 @@
    * The last owner has stopped acting.
    */
   protobuf_c_boolean released;
+  /*
+   * The owner of this term, and until when owners before it may act.
+   */
+  char *vm;
+  protobuf_c_boolean has_incarnation;
+  uint64_t incarnation;
+  protobuf_c_boolean has_earlier_wall_ms;
+  int64_t earlier_wall_ms;
 };
 #define CURRANT__POOL_TERM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__pool_term__descriptor) \
-    , 0, 0 }
+    , 0, 0, NULL, 0, 0, 0, 0 }
+
+
+/*
+ * Workers that an owner of the pool may have work on.
+ */
+struct  Currant__KnownWorker
+{
+  ProtobufCMessage base;
+  char *id;
+  char *address;
+};
+#define CURRANT__KNOWN_WORKER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__known_worker__descriptor) \
+    , NULL, NULL }
+
+
+struct  Currant__PoolWorkers
+{
+  ProtobufCMessage base;
+  size_t n_workers;
+  Currant__KnownWorker **workers;
+};
+#define CURRANT__POOL_WORKERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__pool_workers__descriptor) \
+    , 0,NULL }
 
 
 struct  Currant__Member
@@ -1174,6 +1209,44 @@
 void   currant__pool_term__free_unpacked
                      (Currant__PoolTerm *message,
                       ProtobufCAllocator *allocator);
+/* Currant__KnownWorker methods */
+void   currant__known_worker__init
+                     (Currant__KnownWorker         *message);
+size_t currant__known_worker__get_packed_size
+                     (const Currant__KnownWorker   *message);
+size_t currant__known_worker__pack
+                     (const Currant__KnownWorker   *message,
+                      uint8_t             *out);
+size_t currant__known_worker__pack_to_buffer
+                     (const Currant__KnownWorker   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__KnownWorker *
+       currant__known_worker__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__known_worker__free_unpacked
+                     (Currant__KnownWorker *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__PoolWorkers methods */
+void   currant__pool_workers__init
+                     (Currant__PoolWorkers         *message);
+size_t currant__pool_workers__get_packed_size
+                     (const Currant__PoolWorkers   *message);
+size_t currant__pool_workers__pack
+                     (const Currant__PoolWorkers   *message,
+                      uint8_t             *out);
+size_t currant__pool_workers__pack_to_buffer
+                     (const Currant__PoolWorkers   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__PoolWorkers *
+       currant__pool_workers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__pool_workers__free_unpacked
+                     (Currant__PoolWorkers *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__Member methods */
 void   currant__member__init
                      (Currant__Member         *message);
@@ -1358,6 +1431,12 @@
 typedef void (*Currant__PoolTerm_Closure)
                  (const Currant__PoolTerm *message,
                   void *closure_data);
+typedef void (*Currant__KnownWorker_Closure)
+                 (const Currant__KnownWorker *message,
+                  void *closure_data);
+typedef void (*Currant__PoolWorkers_Closure)
+                 (const Currant__PoolWorkers *message,
+                  void *closure_data);
 typedef void (*Currant__Member_Closure)
                  (const Currant__Member *message,
                   void *closure_data);
@@ -1409,6 +1488,8 @@
 extern const ProtobufCMessageDescriptor currant__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_owner__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_term__descriptor;
+extern const ProtobufCMessageDescriptor currant__known_worker__descriptor;
+extern const ProtobufCMessageDescriptor currant__pool_workers__descriptor;
 extern const ProtobufCMessageDescriptor currant__member__descriptor;
 extern const ProtobufCMessageDescriptor currant__advice_ask__descriptor;
 extern const ProtobufCMessageDescriptor currant__advice_ticket__descriptor;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -181,6 +181,8 @@
  * @draining: receives nothing new
  * @fenced: obeys this owner
  * @reachable: its last call was answered
+ * @registered: a later owner would know of it
+ * @registering: the commit on its way names it
  * @used: room taken by tasks that are or may be there
  * @stray: room taken by runs that the owner did not ask for
  * @clock_ms: its clock when last read
@@ -207,6 +209,8 @@
 	bool draining;
 	bool fenced;
 	bool reachable;
+	bool registered;
+	bool registering;
 	struct wp_room used;
 	struct wp_room stray;
 	struct wp_task *tasks;
@@ -382,6 +386,7 @@
 	int64_t begun_us;
 	int64_t strangers_until_us;
 	bool settled;
+	bool registry_dirty;
 	bool wanted;
 	int64_t max_lease_us;
 	struct wp_stats stats;
@@ -443,6 +448,24 @@
 /** wp_unlist_worker() - service discovery no longer lists a worker */
 void wp_unlist_worker(struct wp_pool *p, const char *id, int64_t now_us);
 
+/**
+ * wp_add_known_worker() - an earlier owner may have work on a worker
+ * @p: pool
+ * @id: worker
+ * @address: "IP:PORT"
+ * @now_us: time
+ *
+ * For workers that service discovery does not list at present.
+ */
+void wp_add_known_worker(
+    struct wp_pool *p, const char *id, const char *address, int64_t now_us);
+
+/** wp_earlier_gone() - earlier owners have certainly stopped by now */
+void wp_earlier_gone(struct wp_pool *p, int64_t leases_end_us);
+
+/** wp_is_known_worker() - whether a later owner has to know of a worker */
+bool wp_is_known_worker(const struct wp_worker *w, int64_t now_us);
+
 /** wp_find_worker() - a worker by id, or NULL */
 struct wp_worker *wp_find_worker(struct wp_pool *p, const char *id);
 
--- a/include/transport/key_space.h
+++ b/include/transport/key_space.h
@@ -13,7 +13,8 @@
  * loop that made it.
  */
 
-#define KS_MAX_PUTS 30
+/* Puts beside one condition. */
+#define KS_MAX_PUTS 31
 
 enum ks_result {
 	KS_OK,
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1312,6 +1312,96 @@
   assert(message->base.descriptor == &currant__pool_term__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__known_worker__init
+                     (Currant__KnownWorker         *message)
+{
+  static const Currant__KnownWorker init_value = CURRANT__KNOWN_WORKER__INIT;
+  *message = init_value;
+}
+size_t currant__known_worker__get_packed_size
+                     (const Currant__KnownWorker *message)
+{
+  assert(message->base.descriptor == &currant__known_worker__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__known_worker__pack
+                     (const Currant__KnownWorker *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__known_worker__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__known_worker__pack_to_buffer
+                     (const Currant__KnownWorker *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__known_worker__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__KnownWorker *
+       currant__known_worker__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__KnownWorker *)
+     protobuf_c_message_unpack (&currant__known_worker__descriptor,
+                                allocator, len, data);
+}
+void   currant__known_worker__free_unpacked
+                     (Currant__KnownWorker *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__known_worker__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__pool_workers__init
+                     (Currant__PoolWorkers         *message)
+{
+  static const Currant__PoolWorkers init_value = CURRANT__POOL_WORKERS__INIT;
+  *message = init_value;
+}
+size_t currant__pool_workers__get_packed_size
+                     (const Currant__PoolWorkers *message)
+{
+  assert(message->base.descriptor == &currant__pool_workers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__pool_workers__pack
+                     (const Currant__PoolWorkers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__pool_workers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__pool_workers__pack_to_buffer
+                     (const Currant__PoolWorkers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__pool_workers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__PoolWorkers *
+       currant__pool_workers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__PoolWorkers *)
+     protobuf_c_message_unpack (&currant__pool_workers__descriptor,
+                                allocator, len, data);
+}
+void   currant__pool_workers__free_unpacked
+                     (Currant__PoolWorkers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__pool_workers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__member__init
                      (Currant__Member         *message)
 {
@@ -4166,7 +4256,7 @@
   (ProtobufCMessageInit) currant__pool_owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__pool_term__field_descriptors[2] =
+static const ProtobufCFieldDescriptor currant__pool_term__field_descriptors[5] =
 {
   {
     "term",
@@ -4192,15 +4282,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vm",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__PoolTerm, vm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Currant__PoolTerm, has_incarnation),
+    offsetof(Currant__PoolTerm, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "earlier_wall_ms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__PoolTerm, has_earlier_wall_ms),
+    offsetof(Currant__PoolTerm, earlier_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__pool_term__field_indices_by_name[] = {
+  4,   /* field[4] = earlier_wall_ms */
+  3,   /* field[3] = incarnation */
   1,   /* field[1] = released */
   0,   /* field[0] = term */
+  2,   /* field[2] = vm */
 };
 static const ProtobufCIntRange currant__pool_term__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor currant__pool_term__descriptor =
 {
@@ -4210,13 +4339,102 @@
   "Currant__PoolTerm",
   "currant",
   sizeof(Currant__PoolTerm),
-  2,
+  5,
   currant__pool_term__field_descriptors,
   currant__pool_term__field_indices_by_name,
   1,  currant__pool_term__number_ranges,
   (ProtobufCMessageInit) currant__pool_term__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__KnownWorker, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__KnownWorker, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__known_worker__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange currant__known_worker__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__known_worker__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.KnownWorker",
+  "KnownWorker",
+  "Currant__KnownWorker",
+  "currant",
+  sizeof(Currant__KnownWorker),
+  2,
+  currant__known_worker__field_descriptors,
+  currant__known_worker__field_indices_by_name,
+  1,  currant__known_worker__number_ranges,
+  (ProtobufCMessageInit) currant__known_worker__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__pool_workers__field_descriptors[1] =
+{
+  {
+    "workers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__PoolWorkers, n_workers),
+    offsetof(Currant__PoolWorkers, workers),
+    &currant__known_worker__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__pool_workers__field_indices_by_name[] = {
+  0,   /* field[0] = workers */
+};
+static const ProtobufCIntRange currant__pool_workers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor currant__pool_workers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.PoolWorkers",
+  "PoolWorkers",
+  "Currant__PoolWorkers",
+  "currant",
+  sizeof(Currant__PoolWorkers),
+  1,
+  currant__pool_workers__field_descriptors,
+  currant__pool_workers__field_indices_by_name,
+  1,  currant__pool_workers__number_ranges,
+  (ProtobufCMessageInit) currant__pool_workers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor currant__member__field_descriptors[4] =
 {
   {
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -9,8 +9,8 @@
 bool
 wp_usable(const struct wp_worker *w, int64_t now_us)
 {
-	return w->listed && w->fenced && w->reachable && !w->draining &&
-	    now_us >= w->avoid_until_us;
+	return w->listed && w->registered && w->fenced && w->reachable &&
+	    !w->draining && now_us >= w->avoid_until_us;
 }
 
 bool
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -63,6 +63,7 @@
 	if (now_us < p->strangers_until_us)
 		w->doubt_until_us = p->strangers_until_us;
 	HASH_ADD_STR(p->workers, id, w);
+	p->registry_dirty = true;
 	return w;
 }
 
@@ -98,6 +99,39 @@
 		w->listed = false;
 }
 
+void
+wp_add_known_worker(
+    struct wp_pool *p, const char *id, const char *address, int64_t now_us)
+{
+	struct wp_worker *w = wp_find_worker(p, id);
+
+	if (w != NULL)
+		return;
+	w = wp_worker_create(p, id, now_us);
+	snprintf(w->address, sizeof(w->address), "%s", address);
+	w->registered = true;
+}
+
+void
+wp_earlier_gone(struct wp_pool *p, int64_t leases_end_us)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp) {
+		if (w->doubt_until_us > leases_end_us)
+			w->doubt_until_us = leases_end_us;
+	}
+	if (p->strangers_until_us > leases_end_us)
+		p->strangers_until_us = leases_end_us;
+}
+
+bool
+wp_is_known_worker(const struct wp_worker *w, int64_t now_us)
+{
+	return w->listed || w->tasks != NULL || now_us < wp_lapse_us(w);
+}
+
 /* Everything that ran there in its earlier life is gone. */
 static void
 wp_worker_new_life(
@@ -242,6 +276,13 @@
 		wp_task_done(p, t, now_us);
 }
 
+/* It ended well before its lease was taken for lapsed; nothing has run since. */
+static bool
+wp_ends_waiting(const struct wp_task *t, const struct wp_end *end)
+{
+	return t->state == WP_WAITING && end->how == WP_END_DONE;
+}
+
 static void
 wp_take_ends(struct wp_pool *p, struct wp_worker *w,
     const struct wp_hold_reply *reply, int64_t now_us)
@@ -262,7 +303,7 @@
 			continue;
 		if (t->w == w && t->run == end->run)
 			wp_on_own_end(p, w, t, end, now_us);
-		else if (t->state == WP_HELD)
+		else if (t->state == WP_HELD || wp_ends_waiting(t, end))
 			wp_on_held_end(p, t, end, now_us);
 	}
 }
