curranttackd: renew the lease of a second ownership; state: check attempts on restore

Cause: an owner that lost a pool and won it again kept the mark of an unanswered renewal, so it never renewed and lost the pool every 1.4 s. A job whose last attempt had failed, but whose other tasks were still being stopped, was started again by the next owner.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -383,6 +383,8 @@
 	h->fence = o->created;
 	h->revision = o->revision;
 	h->commits = 0;
+	h->renew_out = false;
+	h->commit_at_us = now_us;
 	h->renew_at_us = now_us + CP_RENEW_US;
 	h->pool = wp_create(h, h->name, &settings, now_us);
 	cp_load_pool(h, now_us);
@@ -913,6 +915,8 @@
 		if (now_us < h->claim_at_us)
 			break;
 		h->earlier_until_us = cp_earlier_until_us(h, o, now_us);
+		h->before_until_us =
+		    o->earlier_wall_ms * CLK_US_PER_MS + cell_wall_to_us();
 		snprintf(
 		    h->earlier_vm, sizeof(h->earlier_vm), "%s", o->term_vm);
 		h->earlier_incarnation = o->term_incarnation;
@@ -1018,6 +1022,7 @@
 void
 cp_on_member(struct cell *c, const struct rp_member *m)
 {
+	int64_t until_us;
 	struct cp_host *h;
 	struct cp_host *tmp;
 
@@ -1025,6 +1030,9 @@
 		if (h->pool == NULL || strcmp(h->earlier_vm, m->vm) != 0 ||
 		    m->incarnation <= h->earlier_incarnation)
 			continue;
-		wp_earlier_gone(h->pool, clk_now_us() + CP_WORKER_LEASE_US);
+		until_us = clk_now_us() + CP_WORKER_LEASE_US;
+		if (until_us < h->before_until_us)
+			until_us = h->before_until_us;
+		wp_earlier_gone(h->pool, until_us);
 	}
 }
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -29,6 +29,7 @@
  * @begin: the claim has been seen, the term not yet
  * @earlier_vm: the owner before, with its incarnation
  * @earlier_until_us: until then earlier owners may act
+ * @before_until_us: until then owners before the last one may act
  * @pool: decisions; NULL unless owner
  */
 struct cp_host {
@@ -49,6 +50,7 @@
 	bool kicked;
 	bool begin;
 	int64_t earlier_until_us;
+	int64_t before_until_us;
 	char earlier_vm[WP_NAME_BYTES];
 	uint64_t earlier_incarnation;
 	struct wp_pool *pool;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -50,6 +50,8 @@
 void wp_task_done(struct wp_pool *p, struct wp_task *t, int64_t now_us);
 /** wp_note_failed_run() - remember a failed run; false if it is known */
 bool wp_note_failed_run(struct wp_task *t, uint32_t run);
+/** wp_check_attempts() - fail the job of a task that has no attempts left */
+void wp_check_attempts(struct wp_pool *p, struct wp_task *t, int64_t now_us);
 /** wp_count_failure() - a run failed, wherever that was; counted once */
 void wp_count_failure(
     struct wp_pool *p, struct wp_task *t, uint32_t run, int64_t now_us);
--- a/state/pool.c
+++ b/state/pool.c
@@ -100,6 +100,23 @@
 		wp_task_done(p, t, now_us);
 }
 
+static void
+wp_job_check_attempts(struct wp_pool *p, struct wp_job *job, int64_t now_us)
+{
+	uint32_t k;
+	uint32_t i;
+	uint32_t j;
+
+	for (k = 0; k < jb_occurrences(job->spec); k++) {
+		for (i = 0; i < job->spec->step_count; i++) {
+			struct wp_step *s = &job->occ[k]->step[i];
+
+			for (j = 0; j < s->spec->count; j++)
+				wp_check_attempts(p, &s->task[j], now_us);
+		}
+	}
+}
+
 static void
 wp_job_restore(struct wp_pool *p, struct wp_job *job,
     const struct jb_progress *progress, int64_t now_us)
@@ -122,6 +139,8 @@
 			wp_task_restore(p, &s->task[row->index], row, now_us);
 		}
 	}
+	if (!jb_has_ended(progress->state))
+		wp_job_check_attempts(p, job, now_us);
 	if (jb_has_ended(progress->state))
 		job->state = progress->state;
 	job->started = progress->started;
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -376,23 +376,28 @@
 }
 
 void
-wp_count_failure(
-    struct wp_pool *p, struct wp_task *t, uint32_t run, int64_t now_us)
+wp_check_attempts(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
-	struct wp_step *s = t->step;
+	const struct wp_step *s = t->step;
 	struct wp_job *job = s->occ->job;
-	const struct jb_policy *policy = &job->spec->policy;
+	uint32_t most = job->spec->policy.max_attempts;
 	uint32_t failed;
 
-	if (!wp_note_failed_run(t, run))
-		return;
-	wp_mark_dirty(job);
 	failed = s->spec->flags & JB_GANG ? s->gang_failed : t->failed;
-	if (!(s->spec->flags & JB_LASTING) && policy->max_attempts > 0 &&
-	    failed >= policy->max_attempts)
+	if (!(s->spec->flags & JB_LASTING) && most > 0 && failed >= most)
 		wp_job_stop(p, job, JB_FAILED, now_us);
 }
 
+void
+wp_count_failure(
+    struct wp_pool *p, struct wp_task *t, uint32_t run, int64_t now_us)
+{
+	if (!wp_note_failed_run(t, run))
+		return;
+	wp_mark_dirty(t->step->occ->job);
+	wp_check_attempts(p, t, now_us);
+}
+
 void
 wp_task_failed(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
