--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -305,6 +305,9 @@
 			wp_on_own_end(p, w, t, end, now_us);
 		else if (t->state == WP_HELD || wp_ends_waiting(t, end))
 			wp_on_held_end(p, t, end, now_us);
+		else if (end->how == WP_END_FAILED)
+			/* An earlier run, while a later one is elsewhere. */
+			wp_count_failure(p, t, end->run, now_us);
 	}
 }
 
