--- a/common/log.c
+++ b/common/log.c
@@ -15,6 +15,7 @@
 
 static char lg_vm[LG_NAME_BYTES] = "-";
 static char lg_domain[LG_NAME_BYTES] = "-";
+static FILE *lg_stream;
 static log4c_category_t *lg_root;
 static log4c_appender_t *lg_appender;
 
@@ -41,12 +42,12 @@
 lg_appender_append(log4c_appender_t *app, const log4c_logging_event_t *event)
 {
 	(void)app;
-	return fprintf(stdout, "%s\n", event->evt_rendered_msg);
+	return fprintf(lg_stream, "%s\n", event->evt_rendered_msg);
 }
 
 static const log4c_layout_type_t lg_layout_type = {"kv", lg_layout_format};
 static const log4c_appender_type_t lg_appender_type = {
-    "kv_stdout", NULL, lg_appender_append, NULL};
+    "kv", NULL, lg_appender_append, NULL};
 
 static int
 lg_find_priority(const char *level)
@@ -60,6 +61,13 @@
 	return -1;
 }
 
+void
+lg_use_stdout(void)
+{
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	lg_stream = stdout;
+}
+
 int
 lg_init(const char *vm, const char *domain, const char *level)
 {
@@ -72,14 +80,15 @@
 	if (priority == -1)
 		return -1;
 
-	setvbuf(stdout, NULL, _IOLBF, 0);
+	if (lg_stream == NULL)
+		lg_stream = stderr;
 	/* Keeps log4c from searching for configuration files. */
 	log4c_rc->config.nocleanup = 1;
 	log4c_layout_type_set(&lg_layout_type);
 	log4c_appender_type_set(&lg_appender_type);
 	layout = log4c_layout_get("kv");
 	log4c_layout_set_type(layout, &lg_layout_type);
-	lg_appender = log4c_appender_get("kv_stdout");
+	lg_appender = log4c_appender_get("kv");
 	log4c_appender_set_type(lg_appender, &lg_appender_type);
 	log4c_appender_set_layout(lg_appender, layout);
 	lg_root = log4c_category_get(LG_CATEGORY);
--- a/curranttackd/main.c
+++ b/curranttackd/main.c
@@ -76,6 +76,7 @@
 		return EXIT_SUCCESS;
 	}
 	curl_global_init(CURL_GLOBAL_DEFAULT);
+	lg_use_stdout();
 	if (lg_init(s->vm, s->domain, s->log_level) == -1) {
 		fprintf(stderr, "curranttackd: cannot set up logging\n");
 		return EXIT_FAILURE;
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -11,7 +11,7 @@
 };
 
 /**
- * lg_init() - set up logging to standard output
+ * lg_init() - set up logging, to standard error unless lg_use_stdout()
  * @vm: name of this VM, added to each line
  * @domain: failure domain, added to each line
  * @level: least severe level that is written: error, warn, info, debug
@@ -20,6 +20,9 @@
  */
 int lg_init(const char *vm, const char *domain, const char *level);
 
+/** lg_use_stdout() - log to standard output instead; before lg_init() */
+void lg_use_stdout(void);
+
 /**
  * lg_set_module_level() - override the level of one module
  * @module: module name
--- /dev/null
+++ b/tests/unit/test_pool.cc
@@ -0,0 +1,747 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "common/clock.h"
+#include "state/pool.h"
+}
+
+namespace
+{
+
+constexpr int64_t kMs = CLK_US_PER_MS;
+constexpr int64_t kS = CLK_US_PER_S;
+constexpr int64_t kBegin = 100 * kS;
+
+struct Step {
+	uint32_t count = 1;
+	uint32_t cpu = 1000;
+	uint32_t flags = 0;
+	std::vector<uint32_t> after;
+	uint32_t gpu = 0;
+	uint32_t target_ms = 0;
+};
+
+struct End {
+	uint64_t number;
+	std::string job;
+	uint32_t step;
+	uint32_t index;
+	uint32_t run;
+	enum wp_end_how how;
+};
+
+struct Running {
+	std::string job;
+	uint32_t step;
+	uint32_t index;
+	uint32_t run;
+	uint32_t figure;
+};
+
+/* Plays the host of a pool and its workers, one call at a time. */
+class Pool : public testing::Test
+{
+      protected:
+	void
+	begin(uint32_t term = 0, int64_t earlier_until_us = 0)
+	{
+		struct wp_settings settings = {term, 10 * kS, earlier_until_us};
+
+		now = kBegin;
+		p = wp_create(nullptr, "pool", &settings, now);
+	}
+
+	void
+	TearDown() override
+	{
+		talloc_free(p);
+	}
+
+	struct jb_spec *
+	spec(const std::string &id, const std::vector<Step> &steps,
+	    uint32_t advice_valid_ms = 0)
+	{
+		struct jb_spec *s = talloc_zero(nullptr, struct jb_spec);
+
+		snprintf(s->id, sizeof(s->id), "%s", id.c_str());
+		s->queue = talloc_strdup(s, "queue");
+		s->pool = talloc_strdup(s, "pool");
+		s->payload = talloc_strdup(s, "payload");
+		s->step = talloc_zero_array(s, struct jb_step, steps.size());
+		s->step_count = (uint32_t)steps.size();
+		for (size_t i = 0; i < steps.size(); i++) {
+			struct jb_step *to = &s->step[i];
+
+			to->count = steps[i].count;
+			to->cpu_mcpu = steps[i].cpu;
+			to->mem_mb = 1;
+			to->gpu = steps[i].gpu;
+			to->flags = steps[i].flags;
+			to->target_ms = steps[i].target_ms;
+			to->after_count = (uint32_t)steps[i].after.size();
+			to->after =
+			    (uint32_t *)talloc_memdup(s, steps[i].after.data(),
+				steps[i].after.size() * sizeof(uint32_t));
+		}
+		s->policy.max_attempts = 3;
+		s->policy.stretch_milli = 2000;
+		s->policy.advice_valid_ms = advice_valid_ms;
+		return s;
+	}
+
+	struct wp_job *
+	add(const std::string &id, const std::vector<Step> &steps,
+	    const struct jb_progress *progress = nullptr, bool fresh = true,
+	    uint32_t advice_valid_ms = 0)
+	{
+		return wp_add_job(p, spec(id, steps, advice_valid_ms), progress,
+		    fresh, 0, now);
+	}
+
+	void
+	list_worker(const std::string &id, int64_t cpu = 4000,
+	    bool draining = false, int64_t gpu = 0)
+	{
+		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
+		    "kind", "rack", {cpu, 1000, gpu}, draining, 0};
+
+		wp_set_worker(p, &info, now);
+	}
+
+	/* A renewal that the worker answers with these lists. */
+	void
+	hold(const std::string &id, const std::vector<Running> &running = {},
+	    const std::vector<End> &ends = {}, int64_t born = 1)
+	{
+		struct wp_worker *w = wp_find_worker(p, id.c_str());
+		std::vector<struct wp_running> rows;
+		std::vector<struct wp_end> done;
+		struct wp_hold_reply reply = {};
+		struct wp_hold h;
+
+		ASSERT_NE(w, nullptr);
+		w->hold_at_us = now;
+		if (!w->hold_out)
+			wp_hold_due(p, w, now, &h);
+		for (const Running &r : running) {
+			struct wp_running row = {};
+
+			fill(&row.ref, r.job, r.step, r.index);
+			row.run = r.run;
+			row.figure = r.figure;
+			rows.push_back(row);
+		}
+		for (const End &e : ends) {
+			struct wp_end row = {};
+
+			fill(&row.ref, e.job, e.step, e.index);
+			row.number = e.number;
+			row.run = e.run;
+			row.how = e.how;
+			done.push_back(row);
+		}
+		reply.born_ms = born;
+		reply.clock_ms = now / kMs;
+		reply.running = rows.data();
+		reply.running_count = (uint32_t)rows.size();
+		reply.end = done.data();
+		reply.end_count = (uint32_t)done.size();
+		wp_on_hold(p, w, &reply, now);
+	}
+
+	static void
+	fill(struct jb_ref *ref, const std::string &job, uint32_t step,
+	    uint32_t index)
+	{
+		snprintf(ref->job, sizeof(ref->job), "%s", job.c_str());
+		ref->step = step;
+		ref->index = index;
+	}
+
+	/* Everything dirty is stored at once. */
+	void
+	commit()
+	{
+		struct jb_progress progress;
+		struct wp_worker *w;
+		struct wp_worker *tmp;
+
+		p->registry_dirty = false;
+		while (wp_next_dirty(p, p, &progress) != nullptr)
+			;
+		HASH_ITER(hh, p->workers, w, tmp)
+			w->registered = true;
+		wp_commit_begin(p);
+		wp_commit_end(p, now);
+	}
+
+	/* A worker that is listed, fenced and known to later owners. */
+	void
+	ready_worker(const std::string &id, int64_t cpu = 4000)
+	{
+		list_worker(id, cpu);
+		hold(id);
+		commit();
+	}
+
+	std::vector<struct wp_order *>
+	tick(int64_t after_us = 0)
+	{
+		std::vector<struct wp_order *> orders;
+		struct wp_order *o;
+
+		now += after_us;
+		wp_tick(p, now);
+		while ((o = wp_next_order(p)) != nullptr)
+			orders.push_back(o);
+		return orders;
+	}
+
+	void
+	answer(
+	    const struct wp_order *o, enum wp_order_result result = WP_DONE_OK)
+	{
+		wp_on_order(p, o, result, now / kMs, now);
+	}
+
+	/* Starts whatever can start; all starts are confirmed. */
+	std::vector<struct wp_order *>
+	run_all(int64_t after_us = 0)
+	{
+		std::vector<struct wp_order *> orders = tick(after_us);
+
+		for (const struct wp_order *o : orders)
+			answer(o);
+		return orders;
+	}
+
+	struct wp_task *
+	task(const std::string &job, uint32_t step, uint32_t index)
+	{
+		struct wp_job *j = wp_find_job(p, job.c_str());
+
+		return &j->occ[0]->step[step].task[index];
+	}
+
+	struct wp_pool *p = nullptr;
+	int64_t now = 0;
+};
+
+const std::string kJob = "00000000000000a1";
+const std::string kOther = "00000000000000b2";
+
+TEST_F(Pool, RunsStepsInTheirOrder)
+{
+	begin();
+	ready_worker("w");
+	struct wp_job *job = add(kJob, {{1}, {1, 1000, 0, {0}}});
+
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->ref.step, 0U);
+	EXPECT_EQ(orders[0]->run, 1U);
+	EXPECT_EQ(wp_shown_state(job), JB_RUNNING);
+
+	now += kS;
+	hold("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->ref.step, 1U);
+	now += kS;
+	hold("w", {}, {{2, kJob, 1, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(wp_shown_state(job), JB_COMPLETED);
+}
+
+TEST_F(Pool, NothingIsPlacedBeyondAWorkersRoom)
+{
+	begin();
+	ready_worker("w", 4000);
+	add(kJob, {{3, 1500}});
+
+	auto orders = run_all();
+	EXPECT_EQ(orders.size(), 2U);
+	/* What is being stopped still takes room. */
+	wp_cancel_job(p, wp_find_job(p, kJob.c_str()), now);
+	add(kOther, {{1, 1500}});
+	orders = run_all();
+	EXPECT_EQ(orders.size(), 2U);
+	for (const struct wp_order *o : orders)
+		EXPECT_EQ(o->kind, WP_ORDER_STOP);
+	now += kS;
+	hold("w", {{kJob, 0, 1, 1, 0}},
+	    {{1, kJob, 0, 0, 1, WP_END_STOPPED}});
+	orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+	EXPECT_STREQ(orders[0]->ref.job, kOther.c_str());
+}
+
+TEST_F(Pool, EndsAreAcknowledgedOnceTheyAreStored)
+{
+	begin();
+	ready_worker("w");
+	add(kJob, {{1}});
+	run_all();
+	now += kS;
+	hold("w", {}, {{7, kJob, 0, 0, 1, WP_END_DONE}});
+
+	struct wp_worker *w = wp_find_worker(p, "w");
+	EXPECT_EQ(w->acked_end, 0U);
+	/* A commit that was made before the end says nothing about it. */
+	wp_commit_end(p, now);
+	EXPECT_EQ(w->acked_end, 0U);
+	commit();
+	EXPECT_EQ(w->acked_end, 7U);
+}
+
+TEST_F(Pool, WorkerUnknownToLaterOwnersGetsNoWork)
+{
+	begin();
+	list_worker("w");
+	hold("w");
+	add(kJob, {{1}});
+	EXPECT_TRUE(tick().empty());
+	EXPECT_TRUE(p->registry_dirty);
+	commit();
+	EXPECT_EQ(tick().size(), 1U);
+}
+
+TEST_F(Pool, GangStartsTogetherOrNotAtAll)
+{
+	begin();
+	ready_worker("w", 2000);
+	add(kJob, {{3, 1000, JB_GANG}});
+	EXPECT_TRUE(tick().empty());
+	ready_worker("v", 2000);
+	EXPECT_EQ(run_all().size(), 3U);
+}
+
+TEST_F(Pool, GangThatLosesAMemberStartsAnewWithOneRun)
+{
+	begin();
+	ready_worker("w", 2000);
+	add(kJob, {{2, 1000, JB_GANG}});
+	ASSERT_EQ(run_all().size(), 2U);
+	ready_worker("v", 2000);
+	now += kS;
+	hold("w", {},
+	    {{1, kJob, 0, 0, 1, WP_END_FAILED},
+		{2, kJob, 0, 1, 1, WP_END_BROKEN}});
+	auto orders = run_all(200 * kMs);
+	ASSERT_EQ(orders.size(), 2U);
+	EXPECT_EQ(orders[0]->run, 2U);
+	EXPECT_EQ(orders[1]->run, 2U);
+	EXPECT_EQ(task(kJob, 0, 0)->step->gang_failed, 1U);
+}
+
+TEST_F(Pool, GangWhoseMemberWasRefusedIsStopped)
+{
+	begin();
+	ready_worker("w", 1000);
+	ready_worker("v", 1000);
+	add(kJob, {{2, 1000, JB_GANG}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 2U);
+	answer(orders[0]);
+	answer(orders[1], WP_REFUSED_ROOM);
+	orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+}
+
+TEST_F(Pool, OneDoneMemberSpeaksForItsGang)
+{
+	begin();
+	ready_worker("w", 2000);
+	struct wp_job *job = add(kJob, {{2, 1000, JB_GANG}});
+	run_all();
+	now += kS;
+	hold("w", {{kJob, 0, 1, 1, 0}}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(wp_shown_state(job), JB_COMPLETED);
+	/* The other member's room is free once its end is listed. */
+	EXPECT_EQ(wp_find_worker(p, "w")->used.cpu_mcpu, 1000);
+}
+
+/* kps-dies trouble-1: a new owner heard the end of run 1 before run 2. */
+TEST_F(Pool, EndOfAHeldTaskSaysNothingOfLaterRuns)
+{
+	begin(1, kBegin + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	list_worker("w");
+	list_worker("v");
+	hold("w", {}, {{1, kJob, 0, 0, 1, WP_END_FAILED}});
+	commit();
+	EXPECT_TRUE(tick().empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_HELD);
+	EXPECT_EQ(task(kJob, 0, 0)->failed, 1U);
+	hold("v", {{kJob, 0, 0, 2, 0}});
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_RUNNING);
+	EXPECT_EQ(task(kJob, 0, 0)->run, 2U);
+	EXPECT_TRUE(tick().empty());
+}
+
+/* kps-dies hunt-1092-3: failures that a new owner hears out of order. */
+TEST_F(Pool, FailedRunsCountInAnyOrder)
+{
+	begin(1, kBegin + 14 * kS);
+	struct wp_job *job = add(kJob, {{1}}, nullptr, false);
+	list_worker("w");
+	list_worker("v");
+	hold("w", {}, {{1, kJob, 0, 0, 3, WP_END_FAILED}});
+	hold("v", {},
+	    {{1, kJob, 0, 0, 1, WP_END_FAILED},
+		{2, kJob, 0, 0, 2, WP_END_FAILED}});
+	commit();
+	EXPECT_TRUE(tick().empty());
+	EXPECT_EQ(wp_shown_state(job), JB_FAILED);
+}
+
+/* piskdag hunt-c0cd-3: run 3 was adopted before runs 1 and 2 were heard of. */
+TEST_F(Pool, FailuresOfEarlierRunsCountBesideAnAdoptedOne)
+{
+	begin(1, kBegin + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	list_worker("w");
+	list_worker("v");
+	hold("w", {{kJob, 0, 0, 3, 0}});
+	hold("v", {},
+	    {{1, kJob, 0, 0, 1, WP_END_FAILED},
+		{2, kJob, 0, 0, 2, WP_END_FAILED}});
+	EXPECT_EQ(task(kJob, 0, 0)->failed, 2U);
+	now += kS;
+	hold("w", {}, {{1, kJob, 0, 0, 3, WP_END_FAILED}});
+	commit();
+	EXPECT_TRUE(tick(kS).empty());
+	EXPECT_EQ(wp_shown_state(wp_find_job(p, kJob.c_str())), JB_FAILED);
+}
+
+TEST_F(Pool, FailureThatIsStoredIsNotCountedAgain)
+{
+	uint32_t failed[] = {1};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	row.run = 1;
+	row.failed_run = failed;
+	row.failed = 1;
+	begin(1, kBegin + 14 * kS);
+	add(kJob, {{1}}, &progress, false);
+	list_worker("w");
+	hold("w", {}, {{1, kJob, 0, 0, 1, WP_END_FAILED}});
+	EXPECT_EQ(task(kJob, 0, 0)->failed, 1U);
+}
+
+/* kps-dies hunt-8a9d-15: stored while other tasks were still being stopped. */
+TEST_F(Pool, JobWithoutAttemptsLeftIsNotStartedByTheNextOwner)
+{
+	uint32_t failed[] = {1, 2, 3};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	row.run = 3;
+	row.failed_run = failed;
+	row.failed = 3;
+	begin(1, kBegin + 14 * kS);
+	struct wp_job *job = add(kJob, {{2}}, &progress, false);
+	ready_worker("w");
+	EXPECT_TRUE(tick().empty());
+	EXPECT_EQ(wp_shown_state(job), JB_FAILED);
+}
+
+/* kps-dies scale-1 --seed 1001253358689: a domain was cut off meanwhile. */
+TEST_F(Pool, HeldTasksWaitForWorkersThatAreKnownButNotListed)
+{
+	begin(1, kBegin + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	wp_add_known_worker(p, "cut-off", "127.0.0.1:2", now);
+	ready_worker("w");
+	EXPECT_TRUE(tick(10 * kS).empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_HELD);
+	now += 5 * kS;
+	hold("w");
+	EXPECT_EQ(tick().size(), 1U);
+}
+
+TEST_F(Pool, EarlierOwnerThatIsGoneShortensTheWait)
+{
+	begin(1, kBegin + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	wp_add_known_worker(p, "cut-off", "127.0.0.1:2", now);
+	ready_worker("w");
+	wp_earlier_gone(p, kBegin + 3 * kS);
+	EXPECT_TRUE(tick(2 * kS).empty());
+	now += 2 * kS;
+	hold("w");
+	EXPECT_EQ(tick().size(), 1U);
+}
+
+TEST_F(Pool, JobsAcceptedAfterTheTakeoverStartAtOnce)
+{
+	begin(1, kBegin + 14 * kS);
+	wp_add_known_worker(p, "cut-off", "127.0.0.1:2", now);
+	ready_worker("w");
+	add(kJob, {{1}}, nullptr, true);
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	/* Runs of different owners can't be mistaken for each other. */
+	EXPECT_GT(orders[0]->run, 1000U);
+}
+
+TEST_F(Pool, DoneEndOfATaskThatWaitsIsTaken)
+{
+	begin();
+	ready_worker("w");
+	struct wp_job *job = add(kJob, {{1}});
+	run_all();
+	struct wp_worker *w = wp_find_worker(p, "w");
+	wp_on_hold_lost(p, w, WP_NO_ANSWER, now);
+	now += 5 * kS;
+	EXPECT_TRUE(tick().empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_WAITING);
+	hold("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(wp_shown_state(job), JB_COMPLETED);
+}
+
+TEST_F(Pool, SilentWorkersTasksMoveOnlyOnceItsLeaseHasLapsed)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += 100 * kMs;
+	hold("w", {{kJob, 0, 0, 1, 0}});
+	now += 100 * kMs;
+	hold("w", {{kJob, 0, 0, 1, 0}});
+	ready_worker("v", 1000);
+	wp_on_hold_lost(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	EXPECT_TRUE(tick(2900 * kMs).empty());
+	/* The worker's clock may be slow by 2%. */
+	now += 400 * kMs;
+	hold("v");
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->worker, "v");
+	EXPECT_EQ(orders[0]->run, 2U);
+}
+
+TEST_F(Pool, UnansweredStartIsSentAgainWithItsRun)
+{
+	begin();
+	ready_worker("w", 1000);
+	ready_worker("v", 1000);
+	add(kJob, {{1}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	std::string worker = orders[0]->worker;
+	answer(orders[0], WP_NO_ANSWER);
+	orders = tick(kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->run, 1U);
+	EXPECT_EQ(orders[0]->worker, worker);
+	answer(orders[0]);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_RUNNING);
+}
+
+TEST_F(Pool, StartInDoubtKeepsItsRoomUntilAListSettlesIt)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	auto orders = tick();
+	answer(orders[0], WP_NO_ANSWER);
+	orders = tick(kMs);
+	answer(orders[0], WP_REFUSED_ROOM);
+	EXPECT_EQ(wp_find_worker(p, "w")->used.cpu_mcpu, 1000);
+	/* The first start may still be carried out. */
+	now += 100 * kMs;
+	hold("w");
+	EXPECT_TRUE(tick().empty());
+	now += 2 * kS;
+	hold("w");
+	EXPECT_EQ(tick(200 * kMs).size(), 1U);
+}
+
+TEST_F(Pool, RunThatNoListNamesIsStartedAgain)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += kS;
+	hold("w");
+	auto orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->run, 2U);
+}
+
+TEST_F(Pool, WorkerInANewLifeRunsNothingOfBefore)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += kS;
+	hold("w", {}, {}, 2);
+	EXPECT_EQ(wp_find_worker(p, "w")->used.cpu_mcpu, 0);
+	EXPECT_EQ(tick(200 * kMs).size(), 1U);
+}
+
+TEST_F(Pool, StrayRunIsStoppedAndKeepsItsRoom)
+{
+	begin();
+	ready_worker("w", 1000);
+	now += kS;
+	hold("w", {{kOther, 0, 0, 1, 0}});
+	add(kJob, {{1}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	now += kS;
+	hold("w");
+	EXPECT_EQ(tick().size(), 1U);
+}
+
+TEST_F(Pool, LastingTaskIsStartedAgainHoweverItEnds)
+{
+	begin();
+	ready_worker("w", 1000);
+	struct wp_job *job = add(kJob, {{1, 1000, JB_LASTING}});
+	run_all();
+	enum wp_end_how hows[] = {
+	    WP_END_DONE, WP_END_FAILED, WP_END_LAPSED, WP_END_FAILED};
+
+	for (uint32_t i = 0; i < 4; i++) {
+		now += 5 * kS;
+		hold("w", {}, {{i + 1, kJob, 0, 0, i + 1, hows[i]}});
+		EXPECT_EQ(run_all(5 * kS).size(), 1U) << i;
+	}
+	EXPECT_EQ(wp_shown_state(job), JB_RUNNING);
+}
+
+TEST_F(Pool, StartsWaitForTicketsAndCarryThem)
+{
+	begin();
+	ready_worker("w");
+	ready_worker("v");
+	add(kJob, {{1}}, nullptr, true, 2000);
+	EXPECT_TRUE(tick().empty());
+	struct wp_ask ask;
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	EXPECT_EQ(ask.worker_count, 2U);
+	EXPECT_FALSE(wp_next_ask(p, now, &ask));
+	struct wp_advice good = {"v", "ticket-1"};
+	wp_on_advice(p, &ask, true, &good, 1, now, now);
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->worker, "v");
+	EXPECT_STREQ(orders[0]->ticket, "ticket-1");
+}
+
+TEST_F(Pool, ExpiredTicketsAreAskedForAgainAmongGoodWorkers)
+{
+	begin();
+	ready_worker("w");
+	ready_worker("v");
+	add(kJob, {{1}}, nullptr, true, 2000);
+	struct wp_ask ask;
+	tick();
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	struct wp_advice good = {"v", "ticket-1"};
+	wp_on_advice(p, &ask, true, &good, 1, now, now);
+	now += 3 * kS;
+	hold("w");
+	hold("v");
+	EXPECT_TRUE(tick().empty());
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	ASSERT_EQ(ask.worker_count, 1U);
+	EXPECT_STREQ(ask.worker[0], "v");
+}
+
+TEST_F(Pool, UnansweredQuestionIsAskedAgain)
+{
+	begin();
+	ready_worker("w");
+	add(kJob, {{1}}, nullptr, true, 2000);
+	struct wp_ask ask;
+	tick();
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	wp_on_advice(p, &ask, false, nullptr, 0, now, now);
+	EXPECT_FALSE(wp_next_ask(p, now, &ask));
+	now += kS;
+	EXPECT_TRUE(wp_next_ask(p, now, &ask));
+}
+
+TEST_F(Pool, FillersSlowDownBesideATaskThatMissesItsTarget)
+{
+	begin();
+	ready_worker("w");
+	add(kJob, {{1, 1000, JB_LASTING, {}, 0, 100}});
+	add(kOther, {{1, 1000, JB_FILLER}});
+	ASSERT_EQ(run_all().size(), 2U);
+	now += kS;
+	hold("w", {{kJob, 0, 0, 1, 150}, {kOther, 0, 0, 1, 900}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_PACE);
+	EXPECT_STREQ(orders[0]->ref.job, kOther.c_str());
+	EXPECT_LE(orders[0]->percent, 25U);
+	uint32_t low = orders[0]->percent;
+	now += kS;
+	hold("w", {{kJob, 0, 0, 1, 40}, {kOther, 0, 0, 1, 100}});
+	orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_GT(orders[0]->percent, low);
+}
+
+TEST_F(Pool, CancelledJobEndsOnceItsTasksAreGone)
+{
+	begin();
+	ready_worker("w");
+	struct wp_job *job = add(kJob, {{2, 1000}, {1, 1000, 0, {0}}});
+	run_all();
+	wp_cancel_job(p, job, now);
+	EXPECT_EQ(tick().size(), 2U);
+	EXPECT_EQ(wp_shown_state(job), JB_RUNNING);
+	now += kS;
+	hold("w", {},
+	    {{1, kJob, 0, 0, 1, WP_END_STOPPED},
+		{2, kJob, 0, 1, 1, WP_END_STOPPED}});
+	EXPECT_EQ(wp_shown_state(job), JB_CANCELLED);
+	EXPECT_TRUE(tick(kS).empty());
+}
+
+TEST_F(Pool, FencedPoolOrdersNothingMore)
+{
+	begin();
+	ready_worker("w");
+	add(kJob, {{1}});
+	auto orders = tick();
+	answer(orders[0], WP_REFUSED_FENCE);
+	EXPECT_TRUE(p->deposed);
+	add(kOther, {{1}});
+	EXPECT_TRUE(tick(kS).empty());
+	struct wp_hold h;
+	EXPECT_FALSE(wp_hold_due(p, wp_find_worker(p, "w"), now + 10 * kS, &h));
+}
+
+TEST_F(Pool, WorkerOnWhichTwoJobsFailIsLeftAloneForAWhile)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += kS;
+	hold("w", {}, {{1, kJob, 0, 0, 1, WP_END_FAILED}});
+	add(kOther, {{1}});
+	ASSERT_EQ(run_all(200 * kMs).size(), 1U);
+	now += kS;
+	hold("w", {}, {{2, kOther, 0, 0, 1, WP_END_FAILED}});
+	EXPECT_TRUE(tick(200 * kMs).empty());
+	EXPECT_FALSE(tick(5 * kS).empty());
+}
+
+} // namespace
