state: urgent tasks displace those that save their progress

Ruled out: waiting for ends (their mean run time is five times the slack of the urgent ones). Change: a task that finds no room has the fewest running tasks of lower priority stopped that checkpoint, on the worker where fewest are needed; room that is coming is claimed and not asked for twice. Workers that have left go off the stored list.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -185,6 +185,7 @@
  * @registering: the commit on its way names it
  * @used: room taken by tasks that are or may be there
  * @stray: room taken by runs that the owner did not ask for
+ * @claimed: in the present pass, room that urgent tasks wait for
  * @clock_ms: its clock when last read
  * @clock_at_us: when that reading arrived
  * @lease_clock_ms: latest deadline that was ever sent to it
@@ -214,6 +215,7 @@
 	bool registering;
 	struct wp_room used;
 	struct wp_room stray;
+	struct wp_room claimed;
 	struct wp_task *tasks;
 	int64_t clock_ms;
 	int64_t clock_at_us;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -99,6 +99,11 @@
 bool wp_may_run(const struct wp_step *s, const struct wp_worker *w);
 /** wp_usable() - whether new work may go to a worker now */
 bool wp_usable(const struct wp_worker *w, int64_t now_us);
+/** wp_may_take() - whether a step's tasks may start on a worker, given room */
+bool wp_may_take(
+    const struct wp_step *s, const struct wp_worker *w, int64_t now_us);
+/** wp_preempt_for() - displace less urgent tasks for one task of a step */
+void wp_preempt_for(struct wp_pool *p, const struct wp_step *s, int64_t now_us);
 /** wp_schedule() - start what can start */
 void wp_schedule(struct wp_pool *p, int64_t now_us);
 
--- /dev/null
+++ b/state/pool_preempt.c
@@ -0,0 +1,128 @@
+#include <string.h>
+#include <utlist.h>
+
+#include "state/pool_internal.h"
+
+/* A task that has just started is not displaced again at once. */
+#define WP_LEAST_RUN_US (300 * CLK_US_PER_MS)
+
+/*
+ * For bursts of short urgent jobs beside long ones: a task that saves its
+ * progress loses only the time of its restore.
+ */
+static bool
+wp_is_victim(
+    const struct wp_task *v, const struct wp_step *urgent, int64_t now_us)
+{
+	const struct wp_step *s = v->step;
+	const struct wp_job *job = s->occ->job;
+
+	return v->state == WP_RUNNING && (s->spec->flags & JB_CHECKPOINTS) &&
+	    !(s->spec->flags & (JB_GANG | JB_LASTING | JB_FILLER)) &&
+	    job->spec->policy.priority >
+	    urgent->occ->job->spec->policy.priority &&
+	    now_us - v->started_us > WP_LEAST_RUN_US;
+}
+
+static void
+wp_room_add(struct wp_room *to, const struct wp_room *n, int sign)
+{
+	to->cpu_mcpu += sign * n->cpu_mcpu;
+	to->mem_mb += sign * n->mem_mb;
+	to->gpu += sign * n->gpu;
+}
+
+static bool
+wp_room_holds(const struct wp_room *room, const struct wp_room *need)
+{
+	return need->cpu_mcpu <= room->cpu_mcpu &&
+	    need->mem_mb <= room->mem_mb && need->gpu <= room->gpu;
+}
+
+/* Room that is free or becomes free, less what other urgent tasks wait for. */
+static struct wp_room
+wp_coming_room(const struct wp_worker *w)
+{
+	struct wp_room room = wp_free_room(w);
+	const struct wp_task *t;
+
+	DL_FOREACH(w->tasks, t) {
+		struct wp_room need = wp_need(t->step->spec);
+
+		if (t->state == WP_STOPPING)
+			wp_room_add(&room, &need, 1);
+	}
+	wp_room_add(&room, &w->claimed, -1);
+	return room;
+}
+
+/* How many tasks would have to go; 0 when none, UINT32_MAX when it can't be. */
+static uint32_t
+wp_victims_needed(const struct wp_worker *w, const struct wp_step *s,
+    const struct wp_room *need, int64_t now_us)
+{
+	struct wp_room room = wp_coming_room(w);
+	const struct wp_task *v;
+	uint32_t n = 0;
+
+	if (wp_room_holds(&room, need))
+		return 0;
+	DL_FOREACH(w->tasks, v) {
+		struct wp_room freed = wp_need(v->step->spec);
+
+		if (!wp_is_victim(v, s, now_us))
+			continue;
+		wp_room_add(&room, &freed, 1);
+		n++;
+		if (wp_room_holds(&room, need))
+			return n;
+	}
+	return UINT32_MAX;
+}
+
+static void
+wp_displace(struct wp_pool *p, struct wp_worker *w, const struct wp_step *s,
+    const struct wp_room *need, int64_t now_us)
+{
+	struct wp_room room = wp_coming_room(w);
+	struct wp_task *v;
+	struct wp_task *tmp;
+
+	DL_FOREACH_SAFE(w->tasks, v, tmp) {
+		struct wp_room freed = wp_need(v->step->spec);
+
+		if (wp_room_holds(&room, need))
+			return;
+		if (!wp_is_victim(v, s, now_us))
+			continue;
+		wp_room_add(&room, &freed, 1);
+		p->stats.displaced++;
+		wp_task_stop(p, v, now_us);
+	}
+}
+
+void
+wp_preempt_for(struct wp_pool *p, const struct wp_step *s, int64_t now_us)
+{
+	struct wp_room need = wp_need(s->spec);
+	struct wp_worker *best = NULL;
+	uint32_t best_victims = UINT32_MAX;
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp) {
+		uint32_t victims;
+
+		if (!wp_may_take(s, w, now_us))
+			continue;
+		victims = wp_victims_needed(w, s, &need, now_us);
+		if (victims < best_victims) {
+			best = w;
+			best_victims = victims;
+		}
+	}
+	if (best == NULL)
+		return;
+	wp_displace(p, best, s, &need, now_us);
+	wp_room_add(&best->claimed, &need, 1);
+}
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -53,6 +53,17 @@
 	return false;
 }
 
+bool
+wp_may_take(const struct wp_step *s, const struct wp_worker *w, int64_t now_us)
+{
+	if (!wp_usable(w, now_us) || !wp_may_run(s, w))
+		return false;
+	if (s->spec->max_per_worker > 0 &&
+	    wp_tasks_on(s, w) >= s->spec->max_per_worker)
+		return false;
+	return !wp_needs_advice(s) || wp_ticket_valid(s, w, now_us) != NULL;
+}
+
 /* Lower is better: fullest first, so that whole workers stay free. */
 static double
 wp_score(const struct wp_step *s, const struct wp_worker *w, const char *rack)
@@ -83,27 +94,19 @@
 	struct wp_worker *tmp;
 
 	HASH_ITER(hh, p->workers, w, tmp) {
-		const char *text = NULL;
 		double score;
 
-		if (!wp_usable(w, now_us) || !wp_fits(w, &need) ||
-		    !wp_may_run(s, w) || wp_avoids(t, w, now_us))
-			continue;
-		if (s->spec->max_per_worker > 0 &&
-		    wp_tasks_on(s, w) >= s->spec->max_per_worker)
+		if (!wp_fits(w, &need) || !wp_may_take(s, w, now_us) ||
+		    wp_avoids(t, w, now_us))
 			continue;
-		if (wp_needs_advice(s)) {
-			text = wp_ticket_valid(s, w, now_us);
-			if (text == NULL)
-				continue;
-		}
 		score = wp_score(s, w, rack);
 		if (best != NULL && score >= best_score)
 			continue;
 		best = w;
 		best_score = score;
-		*ticket = text;
 	}
+	if (best != NULL && wp_needs_advice(s))
+		*ticket = wp_ticket_valid(s, best, now_us);
 	return best;
 }
 
@@ -135,8 +138,10 @@
 		if (t->state != WP_WAITING || now_us < t->not_before_us)
 			continue;
 		w = wp_pick(p, s, t, wp_common_rack(s), now_us, &ticket);
-		if (w == NULL)
-			return;
+		if (w == NULL) {
+			wp_preempt_for(p, s, now_us);
+			continue;
+		}
 		wp_task_place(p, t, w, wp_next_run(p, t), ticket, now_us);
 	}
 }
@@ -261,6 +266,8 @@
 wp_schedule(struct wp_pool *p, int64_t now_us)
 {
 	static struct wp_step *order[WP_MAX_READY];
+	struct wp_worker *w;
+	struct wp_worker *wnext;
 	struct wp_step *s;
 	struct wp_step *tmp;
 	uint32_t n = 0;
@@ -268,6 +275,8 @@
 
 	if (p->deposed || p->draining)
 		return;
+	HASH_ITER(hh, p->workers, w, wnext)
+		memset(&w->claimed, 0, sizeof(w->claimed));
 	p->stats.passes++;
 	DL_FOREACH_SAFE(p->ready, s, tmp) {
 		if (n < WP_MAX_READY)
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -611,6 +611,9 @@
 		wp_worker_lapsed(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp)
 		wp_resend(p, t, now_us);
+	/* A later owner need not wait for one that is gone. */
+	if (w->registered && !wp_is_known_worker(w, now_us))
+		p->registry_dirty = true;
 }
 
 void
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -272,8 +272,7 @@
 	for (const struct wp_order *o : orders)
 		EXPECT_EQ(o->kind, WP_ORDER_STOP);
 	now += kS;
-	hold("w", {{kJob, 0, 1, 1, 0}},
-	    {{1, kJob, 0, 0, 1, WP_END_STOPPED}});
+	hold("w", {{kJob, 0, 1, 1, 0}}, {{1, kJob, 0, 0, 1, WP_END_STOPPED}});
 	orders = tick();
 	ASSERT_EQ(orders.size(), 1U);
 	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
@@ -310,6 +309,22 @@
 	EXPECT_EQ(tick().size(), 1U);
 }
 
+/* kps-dies trouble-2: held tasks waited for workers that had left long ago. */
+TEST_F(Pool, WorkerThatHasLeftIsTakenOffTheList)
+{
+	begin();
+	ready_worker("w");
+	now += kS;
+	hold("w");
+	wp_unlist_worker(p, "w", now);
+	wp_on_hold_lost(p, wp_find_worker(p, "w"), WP_NOT_SENT, now);
+	tick();
+	EXPECT_FALSE(p->registry_dirty);
+	tick(5 * kS);
+	EXPECT_TRUE(p->registry_dirty);
+	EXPECT_FALSE(wp_is_known_worker(wp_find_worker(p, "w"), now));
+}
+
 TEST_F(Pool, GangStartsTogetherOrNotAtAll)
 {
 	begin();
@@ -714,6 +729,49 @@
 	EXPECT_TRUE(tick(kS).empty());
 }
 
+TEST_F(Pool, UrgentTaskDisplacesAsFewSavingTasksAsItNeeds)
+{
+	begin();
+	ready_worker("w", 4000);
+	struct jb_spec *slow = spec(kJob, {{4, 1000, JB_CHECKPOINTS}});
+	slow->policy.priority = 2;
+	wp_add_job(p, slow, nullptr, true, 0, now);
+	ASSERT_EQ(run_all().size(), 4U);
+	now += kS;
+	hold("w",
+	    {{kJob, 0, 0, 1, 0}, {kJob, 0, 1, 1, 0}, {kJob, 0, 2, 1, 0},
+		{kJob, 0, 3, 1, 0}});
+	add(kOther, {{1, 2000}});
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 2U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	EXPECT_EQ(orders[1]->kind, WP_ORDER_STOP);
+	/* Room that is coming is not asked for twice. */
+	EXPECT_TRUE(run_all(100 * kMs).empty());
+	now += 200 * kMs;
+	hold("w", {{kJob, 0, 2, 1, 0}, {kJob, 0, 3, 1, 0}},
+	    {{1, kJob, 0, 0, 1, WP_END_STOPPED},
+		{2, kJob, 0, 1, 1, WP_END_STOPPED}});
+	orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->ref.job, kOther.c_str());
+}
+
+TEST_F(Pool, TasksThatSaveNothingOrLastAreNotDisplaced)
+{
+	begin();
+	ready_worker("w", 2000);
+	struct jb_spec *slow =
+	    spec(kJob, {{1, 1000}, {1, 1000, JB_CHECKPOINTS | JB_LASTING}});
+	slow->policy.priority = 2;
+	wp_add_job(p, slow, nullptr, true, 0, now);
+	ASSERT_EQ(run_all().size(), 2U);
+	now += kS;
+	hold("w", {{kJob, 0, 0, 1, 0}, {kJob, 1, 0, 1, 0}});
+	add(kOther, {{1, 2000}});
+	EXPECT_TRUE(run_all().empty());
+}
+
 TEST_F(Pool, FencedPoolOrdersNothingMore)
 {
 	begin();
