curranttackd: an owner whose process is gone loses its lease at once

Cause: after a kill the pool waited out the lease (1.2 s) and then for a watch that paused 250 ms. Change: when a link to an owner closes and its port refuses the next connect, its lease is ended; a claimer watches without a pause.

--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -252,6 +252,7 @@
 	int64_t now_us = clk_now_us();
 
 	cell_member_tick(c, now_us);
+	rp_tick(c->replica, now_us);
 	pn_tick(c->links, now_us);
 	cp_tick(c);
 	av_tick(c->advice, now_us);
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -114,8 +114,15 @@
 	uint32_t i;
 
 	for (i = 0; i < n->count; i++) {
-		if (n->peer[i].link == link)
-			n->peer[i].link = NULL;
+		struct pn_peer *p = &n->peer[i];
+
+		if (p->link != link)
+			continue;
+		p->link = NULL;
+		if (peer_refused(link))
+			cp_on_refused(n->c, p->vm);
+		else
+			p->connect_at_us = 0;
 	}
 }
 
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -259,6 +259,7 @@
 		return;
 	if (a->result != KS_OK && a->result != KS_UNKNOWN)
 		cp_claim_failed(h);
+	rp_hurry(h->cell->replica);
 }
 
 static void
@@ -417,6 +418,20 @@
 	cp_kick(h);
 }
 
+/* The owner's key and the term are written together: wait for both. */
+static void
+cp_begin_when_shown(void *arg)
+{
+	struct cp_host *h = arg;
+	struct rp_owner *o = rp_owner_of(h->cell->replica, h->name);
+
+	if (!h->begin || o->term_revision < o->created)
+		return;
+	h->begin = false;
+	if (h->state == CP_CLAIMING)
+		cp_begin(h, o);
+}
+
 void
 cp_on_owner(struct cell *c, const struct rp_owner *o)
 {
@@ -444,21 +459,10 @@
 			    c->fleet->handle, o->lease, cp_ignore, NULL);
 		return;
 	}
-	if (h->state == CP_CLAIMING && o->lease == h->lease)
+	if (h->state == CP_CLAIMING && o->lease == h->lease) {
 		h->begin = true;
-}
-
-/* The owner's key and the term are written together: wait for both. */
-static void
-cp_begin_when_shown(struct cp_host *h)
-{
-	struct rp_owner *o = rp_owner_of(h->cell->replica, h->name);
-
-	if (!h->begin || o->term_revision < o->created)
-		return;
-	h->begin = false;
-	if (h->state == CP_CLAIMING)
-		cp_begin(h, o);
+		loop_after(c->loop, 0, cp_begin_when_shown, h);
+	}
 }
 
 static void
@@ -1110,3 +1114,36 @@
 		wp_earlier_gone(h->pool, until_us);
 	}
 }
+
+static void
+cp_on_lease_ended(const struct ks_answer *a, void *arg)
+{
+	struct cp_host *h = arg;
+	struct rp_owner *o = rp_owner_of(h->cell->replica, h->name);
+
+	if (a->result != KS_OK || !o->present || o->lease != h->ended_lease)
+		return;
+	o->present = false;
+	cp_on_owner(h->cell, o);
+	rp_hurry(h->cell->replica);
+}
+
+void
+cp_on_refused(struct cell *c, const char *vm)
+{
+	struct cp_host *h;
+	struct cp_host *tmp;
+
+	HASH_ITER(hh, c->pools, h, tmp) {
+		struct rp_owner *o = rp_owner_of(c->replica, h->name);
+
+		if (!o->present || strcmp(o->vm, vm) != 0 ||
+		    o->lease == h->ended_lease)
+			continue;
+		lg_event(LG_WARN, "pool", "owner_refused", "pool", h->name,
+		    "owner", vm, NULL);
+		h->ended_lease = o->lease;
+		c->fleet->keys->lease_end(
+		    c->fleet->handle, o->lease, cp_on_lease_ended, h);
+	}
+}
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -519,7 +519,8 @@
 		rp_take_ordered(r, &a->item[i]);
 	if (a->revision > r->as_of)
 		r->as_of = a->revision;
-	loop_after(r->loop, r->pace_us, rp_watch, r);
+	r->paused = true;
+	r->resume_us = clk_now_us() + r->pace_us;
 }
 
 static void
@@ -531,6 +532,21 @@
 	    r->fleet->handle, "", r->as_of, RP_WATCH_MS, rp_on_watch, r);
 }
 
+void
+rp_tick(struct replica *r, int64_t now_us)
+{
+	if (!r->paused || now_us < r->resume_us)
+		return;
+	r->paused = false;
+	rp_watch(r);
+}
+
+void
+rp_hurry(struct replica *r)
+{
+	rp_tick(r, INT64_MAX);
+}
+
 struct replica *
 rp_start(TALLOC_CTX *ctx, struct loop *l, const struct fl_fleet *fleet,
     const struct rp_hooks *hooks, void *arg)
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -21,6 +21,7 @@
  * struct cp_host - one pool as seen by this daemon
  * @claim_at_us: when it may be claimed; 0 while it has an owner
  * @lease: lease behind the ownership
+ * @ended_lease: lease of an owner that this daemon has ended
  * @fence: fencing token of this ownership
  * @revision: of the owner's key, after the last commit
  * @commits: number of the last commit
@@ -38,6 +39,7 @@
 	enum cp_state state;
 	int64_t claim_at_us;
 	uint64_t lease;
+	uint64_t ended_lease;
 	uint64_t fence;
 	uint64_t revision;
 	uint64_t commits;
@@ -85,6 +87,15 @@
 void cp_on_worker(struct cell *c, const struct rp_worker *w);
 /** cp_on_member() - the replica has news of a daemon */
 void cp_on_member(struct cell *c, const struct rp_member *m);
+/**
+ * cp_on_refused() - nothing listens where a daemon listened
+ * @c: cell
+ * @vm: the daemon
+ *
+ * Its process has ended, so its leases are ended at once. Should it live all
+ * the same, it finds its key gone, and workers refuse its orders.
+ */
+void cp_on_refused(struct cell *c, const char *vm);
 /** cp_on_owner() - the replica has news of a pool's owner */
 void cp_on_owner(struct cell *c, const struct rp_owner *o);
 
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -127,6 +127,7 @@
  * @ordered: the item at hand comes in the order of changes
  * @as_of: revision up to which changes are in
  * @pace_us: pause between two watches, to gather changes
+ * @paused: no watch is out until @resume_us
  */
 struct replica {
 	struct loop *loop;
@@ -138,6 +139,8 @@
 	uint64_t as_of;
 	uint64_t load_revision;
 	int64_t pace_us;
+	bool paused;
+	int64_t resume_us;
 	char *load_after;
 	struct qs_config *config;
 	uint64_t config_revision;
@@ -151,6 +154,12 @@
 struct replica *rp_start(TALLOC_CTX *ctx, struct loop *l,
     const struct fl_fleet *fleet, const struct rp_hooks *hooks, void *arg);
 
+/** rp_tick() - watch again when the pause is over */
+void rp_tick(struct replica *r, int64_t now_us);
+
+/** rp_hurry() - watch again at once */
+void rp_hurry(struct replica *r);
+
 /** rp_find_job() - a job whose description is known, or NULL */
 struct rp_job *rp_find_job(struct replica *r, const char *id);
 
