tests: a stand-in of the users' platform, and the cell's daemons on it

The stand-in speaks the store (revisions, leases, watches, history), workers (fences, leases on their own clock, runs and ends) and advice, with faults by call; it counts tasks that run twice, again or beyond a worker's room. 17 cases play kills, pauses, hand-overs, a store that refuses, loses answers or forgets its history, late orders and silent workers.

--- /dev/null
+++ b/tests/fault/test_cell.cc
@@ -0,0 +1,509 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <fstream>
+#include <signal.h>
+#include <sstream>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "cluster.h"
+
+/* Daemons of the cell as real processes, beside the platform's stand-in. */
+
+namespace
+{
+
+constexpr uint32_t kWorkers = 4;
+constexpr const char *kHost = "cell.example";
+
+int
+free_port()
+{
+	struct sockaddr_in sin = {};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sin.sin_family = AF_INET;
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&sin, sizeof(sin));
+	getsockname(fd, (struct sockaddr *)&sin, &len);
+	close(fd);
+	return ntohs(sin.sin_port);
+}
+
+std::string
+loopback(int port)
+{
+	return "127.0.0.1:" + std::to_string(port);
+}
+
+class CellDaemon
+{
+      public:
+	CellDaemon(const std::string &dir, const std::string &vm,
+	    const std::string &store, const std::string &advice)
+	    : vm(vm), callers(loopback(free_port())),
+	      ready(loopback(free_port())), metrics(loopback(free_port())),
+	      path(dir + "/" + vm + ".toml"), log(dir + "/" + vm + ".log")
+	{
+		std::ofstream(path)
+		    << "[vm]\nid = \"" << vm << "\"\ndomain = \"a\"\n"
+		    << "[listen]\ncallers = \"" << callers << "\"\nready = \""
+		    << ready << "\"\nmetrics = \"" << metrics
+		    << "\"\npeers = \"" << loopback(free_port())
+		    << "\"\n[cell]\nstore = \"" << store << "\"\nadvice = \""
+		    << advice << "\"\ngrace = \"6s\"\n";
+	}
+
+	~CellDaemon()
+	{
+		end(SIGKILL);
+	}
+
+	void
+	start()
+	{
+		std::string program = std::string(CURRANT_BUILD_DIR) +
+		    "/curranttackd/curranttackd";
+
+		pid = fork();
+		if (pid == 0) {
+			int fd = open(
+			    log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+			dup2(fd, STDOUT_FILENO);
+			dup2(fd, STDERR_FILENO);
+			execl(program.c_str(), program.c_str(), "--config",
+			    path.c_str(), nullptr);
+			_exit(127);
+		}
+	}
+
+	/* Exit status after a signal, or -1. */
+	int
+	end(int number)
+	{
+		int status = 0;
+
+		if (pid <= 0)
+			return -1;
+		kill(pid, number);
+		waitpid(pid, &status, 0);
+		pid = -1;
+		return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	}
+
+	void
+	signal(int number) const
+	{
+		kill(pid, number);
+	}
+
+	bool
+	is_ready() const
+	{
+		return http("GET", "http://" + ready + "/curranttack/readiness",
+			   "", {}, 500)
+			   .status == 200;
+	}
+
+	std::string
+	log_text() const
+	{
+		std::ifstream f(log);
+		std::ostringstream text;
+
+		text << f.rdbuf();
+		return text.str();
+	}
+
+	std::string vm;
+	std::string callers;
+	std::string ready;
+	std::string metrics;
+	std::string path;
+	std::string log;
+	pid_t pid = -1;
+};
+
+class Cell : public testing::Test
+{
+      protected:
+	void
+	SetUp() override
+	{
+		char name[] = "/tmp/currant-cell-XXXXXX";
+
+		dir = mkdtemp(name);
+		platform = std::make_unique<Process>(
+		    "tests/standins/standin-platform",
+		    std::vector<std::string>{std::to_string(kWorkers), "4000"},
+		    dir + "/platform.log");
+		store = platform->addresses[0];
+		advice = platform->addresses[1];
+		control = "http://" + platform->addresses[2];
+	}
+
+	void
+	TearDown() override
+	{
+		if (HasFailure())
+			std::cerr << "logs are in " << dir << "\n";
+	}
+
+	void
+	start_daemons(int n)
+	{
+		for (int i = 0; i < n; i++) {
+			daemons.push_back(std::make_unique<CellDaemon>(
+			    dir, "vm-" + std::to_string(i), store, advice));
+			daemons.back()->start();
+		}
+		configure(1);
+		for (auto &d : daemons)
+			ASSERT_TRUE(eventually([&] { return d->is_ready(); }));
+	}
+
+	void
+	configure(int version, const std::string &more = "")
+	{
+		http("POST", control + "/_config",
+		    "{\"version\":" + std::to_string(version) +
+			",\"routes\":[{\"name\":\"q\",\"host\":\"" + kHost +
+			"\",\"prefix\":\"/q/\",\"service\":\"batch\","
+			"\"max_attempts\":2,\"stretch_factor\":4.0,"
+			"\"target_latency_ms\":1000}" +
+			more +
+			"],\"services\":[{\"name\":\"batch\"}],"
+			"\"limits\":{}}");
+	}
+
+	Response
+	call(const std::string &method, size_t daemon, const std::string &path,
+	    const std::string &body = "")
+	{
+		return http(method, "http://" + daemons[daemon]->callers + path,
+		    body, {std::string("Host: ") + kHost}, 4000);
+	}
+
+	static std::string
+	id_of(int n)
+	{
+		char id[32];
+
+		snprintf(id, sizeof(id), "%016x", n);
+		return id;
+	}
+
+	Response
+	submit(size_t daemon, int n, int tasks = 2, int work_ms = 200,
+	    const std::string &how = "")
+	{
+		std::string spec = std::to_string(work_ms) + " 1000 " + how;
+
+		return call("POST", daemon, "/q/" + id_of(n),
+		    "{\"spec\":\"" + spec +
+			"\",\"steps\":[{\"count\":" + std::to_string(tasks) +
+			",\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":200}]}");
+	}
+
+	std::string
+	state(size_t daemon, int n)
+	{
+		return call("GET", daemon, "/q/" + id_of(n)).text("state");
+	}
+
+	void
+	fault(const std::string &json)
+	{
+		ASSERT_EQ(http("POST", control + "/_fault", json).status, 200);
+	}
+
+	int64_t
+	seen(const char *field)
+	{
+		return http("GET", control + "/_report").number(field);
+	}
+
+	/* No task ran twice at a time, or again, or beyond a worker's room. */
+	void
+	expect_clean()
+	{
+		EXPECT_EQ(seen("twice"), 0);
+		EXPECT_EQ(seen("again"), 0);
+		EXPECT_EQ(seen("over"), 0);
+	}
+
+	/* The daemon whose log says last that it owns the pool. */
+	size_t
+	owner()
+	{
+		std::string last;
+		size_t found = 0;
+
+		for (size_t i = 0; i < daemons.size(); i++) {
+			std::istringstream lines(daemons[i]->log_text());
+			std::string line;
+
+			while (std::getline(lines, line)) {
+				if (line.find("event=owner ") ==
+					std::string::npos ||
+				    line < last)
+					continue;
+				last = line;
+				found = i;
+			}
+		}
+		return found;
+	}
+
+	void
+	wait_completed(size_t daemon, int from, int to)
+	{
+		for (int n = from; n < to; n++)
+			EXPECT_TRUE(eventually(
+			    [&] { return state(daemon, n) == "completed"; },
+			    20000))
+			    << "job " << n << " is " << state(daemon, n);
+	}
+
+	std::string dir;
+	std::unique_ptr<Process> platform;
+	std::string store;
+	std::string advice;
+	std::string control;
+	std::vector<std::unique_ptr<CellDaemon>> daemons;
+};
+
+TEST_F(Cell, JobsAreRunWhicheverDaemonTakesThem)
+{
+	start_daemons(3);
+	for (int n = 0; n < 12; n++)
+		EXPECT_EQ(submit((size_t)n % 3, n).status, 200);
+	wait_completed(1, 0, 12);
+	EXPECT_EQ(seen("started"), 24);
+	expect_clean();
+}
+
+TEST_F(Cell, RequestsAreAnsweredByTheirQueue)
+{
+	start_daemons(1);
+	EXPECT_EQ(call("GET", 0, "/none/").status, 404);
+	EXPECT_EQ(call("GET", 0, "/q/" + id_of(77)).status, 410);
+	EXPECT_EQ(call("DELETE", 0, "/q/" + id_of(77)).status, 410);
+	EXPECT_EQ(call("GET", 0, "/q/").number("waiting"), 0);
+	Response r = call("POST", 0, "/q/" + id_of(1), "{\"steps\":7}");
+	EXPECT_EQ(r.status, 400);
+	EXPECT_NE(r.body.find("steps"), std::string::npos);
+	EXPECT_EQ(call("POST", 0, "/q/" + id_of(1), "not json").status, 400);
+	configure(2,
+	    ",{\"name\":\"r\",\"host\":\"cell.example\",\"prefix\":"
+	    "\"/new/\",\"service\":\"batch\"}");
+	EXPECT_TRUE(eventually(
+	    [&] { return call("GET", 0, "/new/").status == 200; }, 2000));
+}
+
+TEST_F(Cell, DaemonWithoutConfigurationSaysSo)
+{
+	daemons.push_back(
+	    std::make_unique<CellDaemon>(dir, "vm-0", store, advice));
+	daemons[0]->start();
+	EXPECT_TRUE(eventually([&] { return submit(0, 1).status == 503; }));
+	EXPECT_FALSE(daemons[0]->is_ready());
+}
+
+TEST_F(Cell, SameIdThroughTwoDaemonsIsOneJob)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	EXPECT_EQ(submit(1, 1).status, 200);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(0, 1, 2);
+	EXPECT_EQ(submit(1, 1).status, 200);
+	EXPECT_EQ(seen("started"), 2);
+	expect_clean();
+}
+
+TEST_F(Cell, FailingJobEndsAfterItsAttempts)
+{
+	start_daemons(1);
+	EXPECT_EQ(submit(0, 1, 1, 50, "fail").status, 200);
+	EXPECT_TRUE(eventually([&] { return state(0, 1) == "failed"; }, 15000));
+	EXPECT_EQ(seen("started"), 2);
+}
+
+TEST_F(Cell, CancelledJobStopsThroughAnyDaemon)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1, 2, 60000).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") == 2; }));
+	EXPECT_EQ(call("DELETE", 1, "/q/" + id_of(1)).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") == 0; }, 3000));
+	EXPECT_TRUE(
+	    eventually([&] { return state(0, 1) == "cancelled"; }, 3000));
+}
+
+TEST_F(Cell, KilledOwnersWorkGoesOnUnderTheNext)
+{
+	start_daemons(3);
+	for (int n = 0; n < 6; n++)
+		EXPECT_EQ(submit(0, n, 2, 1500).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") > 0; }));
+	size_t dead = owner();
+	size_t left = (dead + 1) % 3;
+
+	daemons[dead]->end(SIGKILL);
+	wait_completed(left, 0, 6);
+	EXPECT_EQ(seen("started"), 12);
+	expect_clean();
+}
+
+TEST_F(Cell, PausedOwnerFindsThatItWasReplaced)
+{
+	start_daemons(3);
+	for (int n = 0; n < 6; n++)
+		EXPECT_EQ(submit(0, n, 2, 800).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") > 0; }));
+	size_t paused = owner();
+	size_t left = (paused + 1) % 3;
+
+	daemons[paused]->signal(SIGSTOP);
+	EXPECT_TRUE(eventually([&] { return owner() != paused; }, 10000));
+	for (int n = 6; n < 12; n++)
+		EXPECT_EQ(submit(left, n, 2, 300).status, 200);
+	daemons[paused]->signal(SIGCONT);
+	wait_completed(left, 0, 12);
+	EXPECT_TRUE(eventually([&] {
+		return daemons[paused]->log_text().find("owner_lost") !=
+		    std::string::npos;
+	}));
+	expect_clean();
+}
+
+TEST_F(Cell, StoppedOwnerHandsOver)
+{
+	start_daemons(2);
+	for (int n = 0; n < 4; n++)
+		EXPECT_EQ(submit(0, n, 2, 1500).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") > 0; }));
+	size_t leaving = owner();
+
+	EXPECT_EQ(daemons[leaving]->end(SIGTERM), 0);
+	EXPECT_NE(daemons[leaving]->log_text().find("event=released"),
+	    std::string::npos);
+	wait_completed(1 - leaving, 0, 4);
+	EXPECT_EQ(seen("started"), 8);
+	expect_clean();
+}
+
+TEST_F(Cell, AllKilledAtOnceLoseNothingThatWasAccepted)
+{
+	start_daemons(3);
+	for (int n = 0; n < 6; n++)
+		EXPECT_EQ(submit((size_t)n % 3, n, 2, 1000).status, 200);
+	for (auto &d : daemons)
+		d->end(SIGKILL);
+	for (auto &d : daemons)
+		d->start();
+	wait_completed(0, 0, 6);
+	expect_clean();
+}
+
+TEST_F(Cell, StoreAwayWorkGoesOnAndNewJobsAreRefused)
+{
+	start_daemons(2);
+	/* Daemons learn of each other through the store. */
+	usleep(1000000);
+	EXPECT_EQ(submit(0, 1, 2, 1000).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") == 2; }));
+	fault("{\"target\":\"store\",\"kind\":\"refuse\",\"for_ms\":3000}");
+	EXPECT_EQ(submit(0, 2).status, 503);
+	/* The end can't be stored, but it is known. */
+	EXPECT_TRUE(
+	    eventually([&] { return state(0, 1) == "completed"; }, 2500));
+	EXPECT_TRUE(
+	    eventually([&] { return submit(0, 2).status == 200; }, 8000));
+	wait_completed(1, 2, 3);
+	EXPECT_EQ(seen("started"), 4);
+	expect_clean();
+}
+
+TEST_F(Cell, AcceptanceWhoseAnswerIsLostIsOneJob)
+{
+	start_daemons(2);
+	fault("{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"lost\","
+	      "\"count\":2}");
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(1, 1, 2);
+	EXPECT_EQ(seen("started"), 2);
+	expect_clean();
+}
+
+TEST_F(Cell, RefusedJobNeverRuns)
+{
+	start_daemons(2);
+	fault("{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	      "\"for_ms\":1500}");
+	EXPECT_EQ(submit(0, 1).status, 503);
+	usleep(3000000);
+	EXPECT_EQ(call("GET", 1, "/q/" + id_of(1)).status, 410);
+	EXPECT_EQ(seen("started"), 0);
+}
+
+TEST_F(Cell, OrdersCarriedOutLateRunNothingTwice)
+{
+	start_daemons(2);
+	for (uint32_t w = 0; w < kWorkers; w++)
+		fault("{\"target\":\"w-" + std::to_string(w) +
+		    "\",\"path\":\"run-start\",\"kind\":\"late\",\"count\":2,"
+		    "\"delay_ms\":2500}");
+	for (int n = 0; n < 8; n++)
+		EXPECT_EQ(submit(0, n, 2, 300).status, 200);
+	wait_completed(1, 0, 8);
+	usleep(3000000);
+	expect_clean();
+}
+
+TEST_F(Cell, SilentWorkersTasksRunElsewhereAfterItsLease)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1, 8, 4000).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") == 8; }));
+	http("POST", control + "/_worker", "{\"worker\":1,\"off\":true}");
+	wait_completed(0, 1, 2);
+	expect_clean();
+}
+
+TEST_F(Cell, ForgottenHistoryIsReadAnew)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(1, 1, 2);
+	http("POST", control + "/_forget", "");
+	EXPECT_EQ(submit(0, 2).status, 200);
+	wait_completed(1, 2, 3);
+	expect_clean();
+}
+
+TEST_F(Cell, BrokenSettingsAreNamed)
+{
+	std::string path = dir + "/broken.toml";
+
+	std::ofstream(path) << "[vm]\nid = \"a\"\ndomain = \"b\"\n[listen]\n"
+			       "callers = \"127.0.0.1\"\n[cell]\n";
+	std::string command = std::string(CURRANT_BUILD_DIR) +
+	    "/curranttackd/curranttackd --check --config " + path + " 2>&1";
+	FILE *f = popen(command.c_str(), "r");
+	char line[512] = "";
+
+	ASSERT_NE(f, nullptr);
+	ASSERT_NE(fgets(line, sizeof(line), f), nullptr);
+	EXPECT_EQ(WEXITSTATUS(pclose(f)), 78);
+	EXPECT_NE(std::string(line).find("listen.callers"), std::string::npos)
+	    << line;
+}
+
+} // namespace
--- /dev/null
+++ b/tests/standins/platform.c
@@ -0,0 +1,1072 @@
+/*
+ * Stand-in for the users' platform: store with revisions, leases, watches and
+ * history, workers with fencing and leases on their own clock, advice, and an
+ * operator's side. Faults are set through POST /_fault; GET /_report tells what
+ * the workers have seen.
+ *
+ * Usage: standin-platform WORKERS CPU
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "common/base64.h"
+#include "common/clock.h"
+#include "standin.h"
+
+#define TICK_US (5 * CLK_US_PER_MS)
+#define MAX_WORKERS 64
+#define MAX_HISTORY 20000
+#define NAME_BYTES 96
+#define STOP_US (50 * CLK_US_PER_MS)
+
+struct item {
+	char *key;
+	char *value; /* base64 */
+	uint64_t revision;
+	uint64_t created;
+	uint64_t lease;
+	UT_hash_handle hh;
+};
+
+struct lease {
+	uint64_t id;
+	int64_t ttl_us;
+	int64_t expires_us;
+	UT_hash_handle hh;
+};
+
+struct change {
+	uint64_t revision;
+	char *key;
+	json_t *row;
+};
+
+struct watcher {
+	struct hs_request *req;
+	char *prefix;
+	uint64_t after;
+	int64_t deadline_us;
+	struct watcher *next;
+};
+
+enum fault_kind {
+	FAULT_DOWN,   /* not done, no answer */
+	FAULT_LOST,   /* done, no answer */
+	FAULT_LATE,   /* no answer, and done later */
+	FAULT_REFUSE, /* 503, nothing done */
+};
+
+/* The next calls that match, or all until a time. */
+struct fault {
+	enum fault_kind kind;
+	char target[NAME_BYTES];
+	char path[NAME_BYTES];
+	int64_t count;
+	int64_t until_us;
+	int64_t delay_us;
+	struct fault *prev;
+	struct fault *next;
+};
+
+/* What a task asks for, read from the text that its job carries. */
+struct demand {
+	int64_t work_us;
+	int64_t cpu;
+	bool fails;
+};
+
+struct run {
+	char task[NAME_BYTES];
+	uint32_t run;
+	struct demand demand;
+	int64_t ends_us;
+	int64_t stops_us;
+	struct run *prev;
+	struct run *next;
+};
+
+struct end {
+	uint64_t number;
+	char task[NAME_BYTES];
+	uint32_t run;
+	const char *how;
+	struct end *prev;
+	struct end *next;
+};
+
+/* Highest run that has been on a worker, for each task. */
+struct seen {
+	char task[NAME_BYTES];
+	uint32_t run;
+	UT_hash_handle hh;
+};
+
+struct holder {
+	struct hs_request *req;
+	uint64_t acked;
+	int64_t deadline_us;
+	struct holder *prev;
+	struct holder *next;
+};
+
+struct worker {
+	char id[NAME_BYTES];
+	char address[64];
+	int64_t cpu;
+	int64_t born_us;
+	uint64_t fence;
+	int64_t lease_until_us;
+	uint64_t next_end;
+	struct run *runs;
+	struct end *ends;
+	struct seen *seen;
+	struct holder *holders;
+	bool off;
+};
+
+/* How often each task has run, over all workers. */
+struct tally {
+	char task[NAME_BYTES];
+	uint32_t now;
+	uint32_t done;
+	uint32_t started;
+	UT_hash_handle hh;
+};
+
+static struct loop *loop;
+static struct item *items;
+static struct lease *leases;
+static struct watcher *watchers;
+static struct change history[MAX_HISTORY];
+static uint32_t history_count;
+static uint64_t lost_history;
+static uint64_t revision = 1;
+static uint64_t next_lease = 1;
+static struct fault *faults;
+static struct worker workers[MAX_WORKERS];
+static uint32_t worker_count;
+static struct tally *tallies;
+static uint32_t twice;
+static uint32_t again;
+static uint32_t over;
+static char store_address[64];
+static char advice_address[64];
+static char control_address[64];
+
+static bool
+has_prefix(const char *text, const char *prefix)
+{
+	return strncmp(text, prefix, strlen(prefix)) == 0;
+}
+
+/* --- faults --- */
+
+static struct fault *
+find_fault(const char *target, const char *path)
+{
+	struct fault *f;
+	struct fault *tmp;
+
+	DL_FOREACH_SAFE(faults, f, tmp) {
+		if (f->until_us != 0 && clk_now_us() > f->until_us) {
+			DL_DELETE(faults, f);
+			free(f);
+			continue;
+		}
+		if (strcmp(f->target, target) != 0 ||
+		    strstr(path, f->path) == NULL)
+			continue;
+		if (f->until_us == 0 && f->count-- <= 0)
+			continue;
+		return f;
+	}
+	return NULL;
+}
+
+static void
+add_fault(struct hs_request *req)
+{
+	static const char *const kinds[] = {"down", "lost", "late", "refuse"};
+	json_t *body = standin_body(req);
+	struct fault *f = calloc(1, sizeof(*f));
+	const char *kind = json_string_value(json_object_get(body, "kind"));
+	const char *path = json_string_value(json_object_get(body, "path"));
+	int64_t for_ms = json_integer_value(json_object_get(body, "for_ms"));
+	int i;
+
+	for (i = 0; kind != NULL && i < 4; i++) {
+		if (strcmp(kinds[i], kind) == 0)
+			f->kind = (enum fault_kind)i;
+	}
+	snprintf(f->target, sizeof(f->target), "%s",
+	    json_string_value(json_object_get(body, "target")));
+	snprintf(f->path, sizeof(f->path), "%s", path != NULL ? path : "");
+	f->count = json_integer_value(json_object_get(body, "count"));
+	f->delay_us = json_integer_value(json_object_get(body, "delay_ms")) *
+	    CLK_US_PER_MS;
+	if (for_ms > 0)
+		f->until_us = clk_now_us() + for_ms * CLK_US_PER_MS;
+	DL_APPEND(faults, f);
+	json_decref(body);
+	standin_reply(req, 200, "ok");
+}
+
+static void
+never_answer(struct hs_request *req)
+{
+	(void)req; /* the caller's own time-out ends it */
+}
+
+/* --- store --- */
+
+static json_t *
+item_row(const struct item *it)
+{
+	return json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", it->key, "value",
+	    it->value, "revision", (json_int_t)it->revision, "created",
+	    (json_int_t)it->created, "lease", (json_int_t)it->lease);
+}
+
+static void
+note_change(const char *key, json_t *row)
+{
+	struct change *c;
+
+	if (history_count == MAX_HISTORY) {
+		fprintf(stderr, "stand-in: history is full\n");
+		exit(1);
+	}
+	c = &history[history_count++];
+	c->revision = revision;
+	c->key = strdup(key);
+	c->row = row;
+}
+
+static struct item *
+find_item(const char *key)
+{
+	struct item *it;
+
+	HASH_FIND_STR(items, key, it);
+	return it;
+}
+
+static void
+put_item(const char *key, const char *value, uint64_t lease)
+{
+	struct item *it = find_item(key);
+
+	if (it == NULL) {
+		it = calloc(1, sizeof(*it));
+		it->key = strdup(key);
+		it->created = revision;
+		HASH_ADD_KEYPTR(hh, items, it->key, strlen(it->key), it);
+	}
+	free(it->value);
+	it->value = strdup(value);
+	it->revision = revision;
+	it->lease = lease;
+	note_change(key, item_row(it));
+}
+
+static void
+remove_item(const char *key)
+{
+	struct item *it = find_item(key);
+
+	if (it == NULL)
+		return;
+	note_change(key,
+	    json_pack("{s:s, s:I, s:b}", "key", key, "revision",
+		(json_int_t)revision, "deleted", 1));
+	HASH_DEL(items, it);
+	free(it->key);
+	free(it->value);
+	free(it);
+}
+
+static int
+by_key(struct item *a, struct item *b)
+{
+	return strcmp(a->key, b->key);
+}
+
+static void
+answer_watchers(void)
+{
+	struct watcher *w;
+	struct watcher *tmp;
+
+	LL_FOREACH_SAFE(watchers, w, tmp) {
+		json_t *events = json_array();
+		uint32_t i;
+
+		for (i = 0; i < history_count; i++) {
+			if (history[i].revision > w->after &&
+			    has_prefix(history[i].key, w->prefix))
+				json_array_append(events, history[i].row);
+		}
+		if (json_array_size(events) == 0 &&
+		    clk_now_us() < w->deadline_us) {
+			json_decref(events);
+			continue;
+		}
+		LL_DELETE(watchers, w);
+		standin_reply_json(w->req, 200,
+		    json_pack("{s:o, s:I}", "events", events, "as_of",
+			(json_int_t)revision));
+		free(w->prefix);
+		free(w);
+	}
+}
+
+static void
+store_range(struct hs_request *req)
+{
+	const char *prefix = hs_query(req, "prefix");
+	const char *after = hs_query(req, "after");
+	json_t *rows = json_array();
+	struct item *it;
+	struct item *tmp;
+
+	HASH_SORT(items, by_key);
+	HASH_ITER(hh, items, it, tmp) {
+		if (has_prefix(it->key, prefix != NULL ? prefix : "") &&
+		    (after == NULL || strcmp(it->key, after) > 0))
+			json_array_append_new(rows, item_row(it));
+	}
+	standin_reply_json(req, 200,
+	    json_pack("{s:o, s:b, s:I}", "items", rows, "has_more", 0, "as_of",
+		(json_int_t)revision));
+}
+
+static void
+store_watch(struct hs_request *req)
+{
+	const char *prefix = hs_query(req, "prefix");
+	struct watcher *w;
+
+	if ((uint64_t)standin_query_i64(req, "after", 0) < lost_history) {
+		standin_reply(req, 410, "gone");
+		return;
+	}
+	w = calloc(1, sizeof(*w));
+	w->req = req;
+	w->prefix = strdup(prefix != NULL ? prefix : "");
+	w->after = (uint64_t)standin_query_i64(req, "after", 0);
+	w->deadline_us =
+	    clk_now_us() + standin_query_i64(req, "wait_ms", 0) * CLK_US_PER_MS;
+	LL_PREPEND(watchers, w);
+	answer_watchers();
+}
+
+static bool
+conditions_hold(json_t *body, json_t *conflict)
+{
+	bool hold = true;
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(json_object_get(body, "expected"), i, row) {
+		const char *key =
+		    json_string_value(json_object_get(row, "key"));
+		struct item *it = find_item(key);
+		uint64_t is = it != NULL ? it->revision : 0;
+
+		if (is !=
+		    (uint64_t)json_integer_value(
+			json_object_get(row, "revision")))
+			hold = false;
+		json_array_append_new(conflict,
+		    it != NULL
+			? item_row(it)
+			: json_pack("{s:s, s:i}", "key", key, "revision", 0));
+	}
+	return hold;
+}
+
+static bool
+leases_live(json_t *body)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(json_object_get(body, "set_keys"), i, row) {
+		uint64_t id =
+		    (uint64_t)json_integer_value(json_object_get(row, "lease"));
+		struct lease *l = NULL;
+
+		if (id != 0)
+			HASH_FIND(hh, leases, &id, sizeof(id), l);
+		if (id != 0 && l == NULL)
+			return false;
+	}
+	return true;
+}
+
+static int
+apply_txn(json_t *body, json_t *conflict)
+{
+	json_t *row;
+	size_t i;
+
+	if (!leases_live(body))
+		return 404;
+	if (!conditions_hold(body, conflict))
+		return 412;
+	revision++;
+	json_array_foreach(json_object_get(body, "set_keys"), i, row)
+		put_item(json_string_value(json_object_get(row, "key")),
+		    json_string_value(json_object_get(row, "value")),
+		    (uint64_t)json_integer_value(
+			json_object_get(row, "lease")));
+	json_array_foreach(json_object_get(body, "remove"), i, row)
+		remove_item(json_string_value(row));
+	answer_watchers();
+	return 200;
+}
+
+static void
+apply_late(void *arg)
+{
+	json_t *conflict = json_array();
+
+	apply_txn(arg, conflict);
+	json_decref(conflict);
+	json_decref(arg);
+}
+
+static void
+store_txn(struct hs_request *req, const struct fault *f)
+{
+	json_t *body = standin_body(req);
+	json_t *conflict;
+	int status;
+
+	if (body == NULL)
+		return;
+	if (f != NULL && f->kind == FAULT_LATE) {
+		loop_after(loop, f->delay_us, apply_late, body);
+		return;
+	}
+	conflict = json_array();
+	status = apply_txn(body, conflict);
+	json_decref(body);
+	if (f != NULL) {
+		json_decref(conflict);
+		return;
+	}
+	if (status == 200)
+		standin_reply_json(req, 200,
+		    json_pack("{s:I}", "revision", (json_int_t)revision));
+	else if (status == 412)
+		standin_reply_json(
+		    req, 412, json_pack("{s:O}", "items", conflict));
+	else
+		standin_reply(req, status, "no such lease");
+	json_decref(conflict);
+}
+
+static void
+store_lease(struct hs_request *req)
+{
+	json_t *body = standin_body(req);
+	struct lease *l = calloc(1, sizeof(*l));
+
+	l->id = next_lease++;
+	l->ttl_us =
+	    json_integer_value(json_object_get(body, "ttl_ms")) * CLK_US_PER_MS;
+	l->expires_us = clk_now_us() + l->ttl_us;
+	HASH_ADD(hh, leases, id, sizeof(l->id), l);
+	json_decref(body);
+	standin_reply_json(req, 200,
+	    json_pack("{s:I, s:I}", "lease", (json_int_t)l->id, "ttl_ms",
+		(json_int_t)(l->ttl_us / CLK_US_PER_MS)));
+}
+
+static void
+end_lease(struct lease *l)
+{
+	struct item *it;
+	struct item *tmp;
+
+	revision++;
+	HASH_ITER(hh, items, it, tmp) {
+		if (it->lease == l->id)
+			remove_item(it->key);
+	}
+	HASH_DEL(leases, l);
+	free(l);
+	answer_watchers();
+}
+
+static struct lease *
+lease_of(const char *path)
+{
+	const char *slash = strrchr(path, '/');
+	uint64_t id = strtoull(slash + 1, NULL, 10);
+	struct lease *l;
+
+	HASH_FIND(hh, leases, &id, sizeof(id), l);
+	return l;
+}
+
+static void
+store_keep(struct hs_request *req, bool end)
+{
+	struct lease *l = lease_of(req->path);
+
+	if (l == NULL) {
+		standin_reply(req, 404, "no such lease");
+		return;
+	}
+	if (end)
+		end_lease(l);
+	else
+		l->expires_us = clk_now_us() + l->ttl_us;
+	standin_reply_json(req, 200, json_pack("{s:i}", "ttl_ms", 1));
+}
+
+static void
+on_store(struct hs_request *req, void *arg)
+{
+	struct fault *f = find_fault("store", req->path);
+
+	(void)arg;
+	if (f != NULL && f->kind == FAULT_REFUSE) {
+		standin_reply(req, 503, "busy");
+		return;
+	}
+	if (f != NULL && f->kind == FAULT_DOWN) {
+		never_answer(req);
+		return;
+	}
+	if (has_prefix(req->path, "/curranttack/kv-range"))
+		store_range(req);
+	else if (has_prefix(req->path, "/curranttack/kv-watch"))
+		store_watch(req);
+	else if (has_prefix(req->path, "/curranttack/kv-txn"))
+		store_txn(req, f);
+	else if (strcmp(req->path, "/curranttack/kv-lease") == 0)
+		store_lease(req);
+	else if (has_prefix(req->path, "/curranttack/kv-keep/"))
+		store_keep(req, false);
+	else if (has_prefix(req->path, "/curranttack/kv-lease-end/"))
+		store_keep(req, true);
+	else
+		standin_reply(req, 404, "no such call");
+}
+
+/* --- workers --- */
+
+static struct tally *
+tally_of(const char *task)
+{
+	struct tally *t;
+
+	HASH_FIND_STR(tallies, task, t);
+	if (t != NULL)
+		return t;
+	t = calloc(1, sizeof(*t));
+	snprintf(t->task, sizeof(t->task), "%s", task);
+	HASH_ADD_STR(tallies, task, t);
+	return t;
+}
+
+static int64_t
+worker_clock_ms(const struct worker *w)
+{
+	return (clk_now_us() - w->born_us) / CLK_US_PER_MS + 1000;
+}
+
+static void
+end_run(struct worker *w, struct run *r, const char *how)
+{
+	struct end *e = calloc(1, sizeof(*e));
+	struct tally *t = tally_of(r->task);
+
+	t->now--;
+	t->done += strcmp(how, "done") == 0;
+	e->number = ++w->next_end;
+	memcpy(e->task, r->task, sizeof(e->task));
+	e->run = r->run;
+	e->how = how;
+	DL_APPEND(w->ends, e);
+	DL_DELETE(w->runs, r);
+	free(r);
+}
+
+static json_t *
+lists_of(struct worker *w, uint64_t acked)
+{
+	json_t *running = json_array();
+	json_t *finished = json_array();
+	struct end *tmp;
+	struct run *r;
+	struct end *e;
+
+	DL_FOREACH(w->runs, r)
+		json_array_append_new(running,
+		    json_pack(
+			"[s, i, s, i, i]", r->task, (int)r->run, "", 100, 0));
+	DL_FOREACH_SAFE(w->ends, e, tmp) {
+		if (e->number <= acked) {
+			DL_DELETE(w->ends, e);
+			free(e);
+			continue;
+		}
+		json_array_append_new(finished,
+		    json_pack("[I, s, i, s, s]", (json_int_t)e->number, e->task,
+			(int)e->run, e->how, ""));
+	}
+	return json_pack("{s:I, s:I, s:o, s:o}", "clock_ms",
+	    (json_int_t)worker_clock_ms(w), "born",
+	    (json_int_t)(w->born_us / CLK_US_PER_MS), "running", running,
+	    "finished", finished);
+}
+
+static void
+refuse(struct hs_request *req, const struct worker *w, const char *reason)
+{
+	standin_reply_json(req, 409,
+	    json_pack("{s:I, s:s}", "clock_ms", (json_int_t)worker_clock_ms(w),
+		"reason", reason));
+}
+
+static bool
+fence_holds(struct worker *w, json_t *body)
+{
+	uint64_t fence = (uint64_t)json_integer_value(
+	    json_object_get(body, "fencing_token"));
+
+	if (fence < w->fence)
+		return false;
+	w->fence = fence;
+	return true;
+}
+
+static void
+extend_lease(struct worker *w, json_t *body)
+{
+	int64_t until_us =
+	    (json_integer_value(json_object_get(body, "deadline_ms")) - 1000) *
+		CLK_US_PER_MS +
+	    w->born_us;
+
+	if (json_object_get(body, "deadline_ms") != NULL &&
+	    until_us > w->lease_until_us)
+		w->lease_until_us = until_us;
+}
+
+static struct run *
+find_run(struct worker *w, const char *task, uint32_t run)
+{
+	struct run *r;
+
+	DL_FOREACH(w->runs, r) {
+		if (r->run == run && strcmp(r->task, task) == 0)
+			return r;
+	}
+	return NULL;
+}
+
+static struct seen *
+seen_of(struct worker *w, const char *task)
+{
+	struct seen *s;
+
+	HASH_FIND_STR(w->seen, task, s);
+	if (s != NULL)
+		return s;
+	s = calloc(1, sizeof(*s));
+	snprintf(s->task, sizeof(s->task), "%s", task);
+	HASH_ADD_STR(w->seen, task, s);
+	return s;
+}
+
+/* The text of a job says "WORK_MS CPU [fail]". */
+static struct demand
+read_demand(const char *spec)
+{
+	struct demand d = {0};
+	char word[16] = "";
+	int64_t work_ms = 0;
+
+	sscanf(spec, "%" SCNd64 " %" SCNd64 " %15s", &work_ms, &d.cpu, word);
+	d.work_us = work_ms * CLK_US_PER_MS;
+	d.fails = strcmp(word, "fail") == 0;
+	return d;
+}
+
+static void
+begin_run(struct worker *w, const char *task, uint32_t run, const char *spec)
+{
+	struct run *r = calloc(1, sizeof(*r));
+	struct tally *t = tally_of(task);
+	int64_t used = 0;
+	struct run *other;
+
+	snprintf(r->task, sizeof(r->task), "%s", task);
+	r->run = run;
+	r->demand = read_demand(spec);
+	r->ends_us = clk_now_us() + r->demand.work_us;
+	DL_APPEND(w->runs, r);
+	seen_of(w, task)->run = run;
+	DL_FOREACH(w->runs, other)
+		used += other->demand.cpu;
+	over += used > w->cpu;
+	twice += t->now > 0;
+	again += t->done > 0;
+	t->now++;
+	t->started++;
+}
+
+static void
+run_start(struct worker *w, struct hs_request *req, json_t *body)
+{
+	const char *task = json_string_value(json_object_get(body, "task"));
+	uint32_t run =
+	    (uint32_t)json_integer_value(json_object_get(body, "run"));
+	int64_t deadline_ms =
+	    json_integer_value(json_object_get(body, "deadline_ms"));
+	const char *spec = json_string_value(json_object_get(body, "spec"));
+
+	if (task == NULL || spec == NULL || run == 0) {
+		if (req != NULL)
+			standin_reply(req, 400, "task, run and spec");
+		return;
+	}
+	if (!fence_holds(w, body)) {
+		if (req != NULL)
+			refuse(req, w, "fence");
+		return;
+	}
+	if (deadline_ms < worker_clock_ms(w)) {
+		if (req != NULL)
+			refuse(req, w, "late");
+		return;
+	}
+	extend_lease(w, body);
+	if (find_run(w, task, run) == NULL) {
+		if (run <= seen_of(w, task)->run) {
+			if (req != NULL)
+				refuse(req, w, "old");
+			return;
+		}
+		begin_run(w, task, run, spec);
+	}
+	if (req != NULL)
+		standin_reply_json(req, 200,
+		    json_pack(
+			"{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
+}
+
+static void
+run_stop(struct worker *w, struct hs_request *req, json_t *body)
+{
+	const char *task = json_string_value(json_object_get(body, "task"));
+	uint32_t run =
+	    (uint32_t)json_integer_value(json_object_get(body, "run"));
+	struct run *r;
+
+	if (!fence_holds(w, body)) {
+		refuse(req, w, "fence");
+		return;
+	}
+	r = find_run(w, task, run);
+	if (r != NULL && r->stops_us == 0)
+		r->stops_us = clk_now_us() + STOP_US;
+	if (seen_of(w, task)->run < run)
+		seen_of(w, task)->run = run;
+	standin_reply_json(req, 200,
+	    json_pack("{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
+}
+
+static void
+run_hold(struct worker *w, struct hs_request *req, json_t *body)
+{
+	uint64_t acked =
+	    (uint64_t)json_integer_value(json_object_get(body, "acked"));
+	int64_t wait_ms = json_integer_value(json_object_get(body, "wait_ms"));
+	struct holder *h;
+
+	if (!fence_holds(w, body)) {
+		refuse(req, w, "fence");
+		return;
+	}
+	extend_lease(w, body);
+	if (wait_ms == 0 || w->next_end > acked) {
+		standin_reply_json(req, 200, lists_of(w, acked));
+		return;
+	}
+	h = calloc(1, sizeof(*h));
+	h->req = req;
+	h->acked = acked;
+	h->deadline_us = clk_now_us() + wait_ms * CLK_US_PER_MS;
+	DL_APPEND(w->holders, h);
+}
+
+struct late_start {
+	struct worker *w;
+	json_t *body;
+};
+
+static void
+start_late(void *arg)
+{
+	struct late_start *late = arg;
+
+	run_start(late->w, NULL, late->body);
+	json_decref(late->body);
+	free(late);
+}
+
+static void
+start_with_fault(struct worker *w, json_t *body, const struct fault *f)
+{
+	struct late_start *late = calloc(1, sizeof(*late));
+
+	late->w = w;
+	late->body = json_incref(body);
+	loop_after(
+	    loop, f->kind == FAULT_LATE ? f->delay_us : 1, start_late, late);
+}
+
+static void
+on_worker(struct hs_request *req, void *arg)
+{
+	struct worker *w = arg;
+	const char *expected = hs_header(req, "X-Curranttack-Expect-Instance");
+	struct fault *f = find_fault(w->id, req->path);
+	json_t *body;
+
+	if (w->off || (f != NULL && f->kind == FAULT_DOWN)) {
+		never_answer(req);
+		return;
+	}
+	if (f != NULL && f->kind == FAULT_REFUSE) {
+		standin_reply(req, 503, "unhealthy");
+		return;
+	}
+	if (expected != NULL && strcmp(expected, w->id) != 0) {
+		standin_reply(req, 421, "another instance");
+		return;
+	}
+	body = standin_body(req);
+	if (body == NULL)
+		return;
+	if (f != NULL && strstr(req->path, "run-start") != NULL)
+		start_with_fault(w, body, f);
+	else if (strstr(req->path, "run-start") != NULL)
+		run_start(w, req, body);
+	else if (strstr(req->path, "run-stop") != NULL)
+		run_stop(w, req, body);
+	else if (strstr(req->path, "hold") != NULL)
+		run_hold(w, req, body);
+	else
+		standin_reply_json(req, 200,
+		    json_pack(
+			"{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
+	json_decref(body);
+}
+
+static void
+worker_tick(struct worker *w)
+{
+	int64_t now_us = clk_now_us();
+	struct holder *h;
+	struct holder *htmp;
+	struct run *r;
+	struct run *tmp;
+
+	DL_FOREACH_SAFE(w->runs, r, tmp) {
+		if (now_us > w->lease_until_us)
+			end_run(w, r, "lapsed");
+		else if (r->stops_us != 0 && now_us > r->stops_us)
+			end_run(w, r, "stopped");
+		else if (now_us > r->ends_us)
+			end_run(w, r, r->demand.fails ? "failed" : "done");
+	}
+	DL_FOREACH_SAFE(w->holders, h, htmp) {
+		if (w->next_end <= h->acked && now_us < h->deadline_us)
+			continue;
+		DL_DELETE(w->holders, h);
+		if (!w->off)
+			standin_reply_json(h->req, 200, lists_of(w, h->acked));
+		free(h);
+	}
+}
+
+static void
+list_worker(const struct worker *w)
+{
+	char key[NAME_BYTES + 16];
+	json_t *row;
+	char *text;
+	char *value;
+
+	snprintf(key, sizeof(key), "servers/%s", w->id);
+	row = json_pack("{s:s, s:s, s:s, s:s, s:{s:I, s:i, s:i}, s:[s, s]}",
+	    "service", "batch", "address", w->address, "zone", "a", "state",
+	    "ready", "capacity", "cpu", (json_int_t)w->cpu, "mem_mb", 100000,
+	    "gpu", 0, "labels", "a", "r1");
+	text = json_dumps(row, JSON_COMPACT);
+	value = b64_encode(NULL, (const uint8_t *)text, strlen(text));
+	revision++;
+	put_item(key, value, 0);
+	talloc_free(value);
+	free(text);
+	json_decref(row);
+}
+
+/* --- advice --- */
+
+static void
+on_advice(struct hs_request *req, void *arg)
+{
+	json_t *body = standin_body(req);
+	json_t *good = json_array();
+	json_t *id;
+	size_t i;
+
+	(void)arg;
+	json_array_foreach(json_object_get(body, "workers"), i, id)
+		json_array_append_new(
+		    good, json_pack("[s, s]", json_string_value(id), "ticket"));
+	json_decref(body);
+	standin_reply_json(req, 200, json_pack("{s:o}", "good", good));
+}
+
+/* --- control --- */
+
+static void
+put_config(struct hs_request *req)
+{
+	char *value =
+	    b64_encode(NULL, (const uint8_t *)req->body, req->body_bytes);
+
+	revision++;
+	put_item("op/config", value, 0);
+	talloc_free(value);
+	answer_watchers();
+	standin_reply(req, 200, "ok");
+}
+
+static void
+report(struct hs_request *req)
+{
+	uint32_t started = 0;
+	uint32_t done = 0;
+	uint32_t running = 0;
+	struct tally *t;
+	struct tally *tmp;
+
+	HASH_ITER(hh, tallies, t, tmp) {
+		started += t->started;
+		done += t->done > 0;
+		running += t->now;
+	}
+	standin_reply_json(req, 200,
+	    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i}", "twice", (int)twice,
+		"again", (int)again, "over", (int)over, "started", (int)started,
+		"done", (int)done, "running", (int)running));
+}
+
+static void
+switch_worker(struct hs_request *req)
+{
+	json_t *body = standin_body(req);
+	int64_t n = json_integer_value(json_object_get(body, "worker"));
+	struct worker *w = &workers[n];
+	struct run *r;
+	struct run *tmp;
+
+	w->off = json_is_true(json_object_get(body, "off"));
+	if (json_is_true(json_object_get(body, "reborn"))) {
+		DL_FOREACH_SAFE(w->runs, r, tmp) {
+			tally_of(r->task)->now--;
+			DL_DELETE(w->runs, r);
+			free(r);
+		}
+		w->ends = NULL;
+		w->seen = NULL;
+		w->next_end = 0;
+		w->fence = 0;
+		w->lease_until_us = 0;
+		w->born_us = clk_now_us();
+	}
+	json_decref(body);
+	standin_reply(req, 200, "ok");
+}
+
+static void
+on_control(struct hs_request *req, void *arg)
+{
+	(void)arg;
+	if (strcmp(req->path, "/_fault") == 0)
+		add_fault(req);
+	else if (strcmp(req->path, "/_config") == 0)
+		put_config(req);
+	else if (strcmp(req->path, "/_worker") == 0)
+		switch_worker(req);
+	else if (strcmp(req->path, "/_forget") == 0) {
+		lost_history = revision + 1;
+		revision++;
+		standin_reply(req, 200, "ok");
+	} else
+		report(req);
+}
+
+static void
+tick(void *arg)
+{
+	struct lease *l;
+	struct lease *tmp;
+	uint32_t i;
+
+	(void)arg;
+	HASH_ITER(hh, leases, l, tmp) {
+		if (clk_now_us() > l->expires_us)
+			end_lease(l);
+	}
+	for (i = 0; i < worker_count; i++)
+		worker_tick(&workers[i]);
+	answer_watchers();
+}
+
+int
+main(int argc, char **argv)
+{
+	char addresses[256];
+	uint32_t i;
+
+	if (argc != 3) {
+		fprintf(stderr, "usage: standin-platform WORKERS CPU\n");
+		return 64;
+	}
+	loop = loop_create(NULL);
+	worker_count = (uint32_t)strtoul(argv[1], NULL, 10);
+	if (worker_count > MAX_WORKERS)
+		return 64;
+	standin_serve(loop, store_address, on_store, NULL);
+	standin_serve(loop, advice_address, on_advice, NULL);
+	standin_serve(loop, control_address, on_control, NULL);
+	for (i = 0; i < worker_count; i++) {
+		struct worker *w = &workers[i];
+
+		snprintf(w->id, sizeof(w->id), "w-%u", i);
+		w->cpu = strtoll(argv[2], NULL, 10);
+		w->born_us = clk_now_us();
+		standin_serve(loop, w->address, on_worker, w);
+		list_worker(w);
+	}
+	loop_every(loop, TICK_US, tick, NULL);
+	snprintf(addresses, sizeof(addresses), "%s %s %s", store_address,
+	    advice_address, control_address);
+	standin_run(loop, addresses);
+	return 0;
+}
