--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -31,6 +31,8 @@
 #define CP_STORE_AWAY_US (250 * CLK_US_PER_MS)
 #define CP_COMMIT_RETRY_US (150 * CLK_US_PER_MS)
 #define CP_KICK_US (2 * CLK_US_PER_MS)
+/* Jobs that one write removes, with three keys each. */
+#define CP_REMOVE_JOBS 10
 #define CP_LOG_EVERY_US (CLK_US_PER_S)
 #define CP_FORGET_EVERY_US (2 * CLK_US_PER_S)
 /* Workers that vanished lately may still run tasks. */
@@ -924,6 +926,37 @@
 	cp_send_commit(cp_ref_create(h));
 }
 
+/* Callers have had their time to ask for a job that has ended. */
+static void
+cp_remove_expired(struct cp_host *h, int64_t now_us)
+{
+	const struct fl_fleet *f = h->cell->fleet;
+	int64_t keep_us = h->cell->settings->keep_ended_us;
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	const char *remove[CP_REMOVE_JOBS * 3];
+	struct ks_txn txn = {.remove = remove};
+	struct rp_job *job;
+	struct rp_job *next;
+
+	HASH_ITER(hh, h->cell->replica->jobs, job, next) {
+		if (txn.remove_count == CP_REMOVE_JOBS * 3)
+			break;
+		if (job->spec == NULL || !jb_has_ended(job->state) ||
+		    job->told || strcmp(job->pool, h->name) != 0 ||
+		    now_us - job->ended_us < keep_us)
+			continue;
+		remove[txn.remove_count++] =
+		    cp_key(ctx, RP_CANCEL_PREFIX, job->id);
+		remove[txn.remove_count++] =
+		    cp_key(ctx, RP_PROGRESS_PREFIX, job->id);
+		remove[txn.remove_count++] =
+		    cp_key(ctx, RP_JOB_PREFIX, job->id);
+	}
+	if (txn.remove_count > 0)
+		f->keys->txn(f->handle, &txn, cp_ignore, NULL);
+	talloc_free(ctx);
+}
+
 /* Jobs that have ended, are stored and are off all workers. */
 static void
 cp_forget_ended(struct cp_host *h, int64_t now_us)
@@ -935,6 +968,7 @@
 	if (now_us < h->forget_at_us)
 		return;
 	h->forget_at_us = now_us + CP_FORGET_EVERY_US;
+	cp_remove_expired(h, now_us);
 	HASH_ITER(hh, h->pool->jobs, job, next) {
 		if (!jb_has_ended(job->state) || job->dirty)
 			continue;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -601,6 +601,23 @@
 	    now_us);
 }
 
+/*
+ * For planned replacements: what runs on a worker ends when it leaves, so tasks
+ * that can go on elsewhere leave it first. Short ones end there.
+ */
+static void
+wp_leave_draining(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
+{
+	struct wp_task *t;
+	struct wp_task *tmp;
+
+	DL_FOREACH_SAFE(w->tasks, t, tmp) {
+		if (t->state == WP_RUNNING &&
+		    (t->step->spec->flags & (JB_CHECKPOINTS | JB_LASTING)))
+			wp_task_stop(p, t, now_us);
+	}
+}
+
 static void
 wp_worker_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
 {
@@ -609,6 +626,8 @@
 
 	if (!w->reachable && w->tasks != NULL && now_us > wp_lapse_us(w))
 		wp_worker_lapsed(p, w, now_us);
+	if (w->draining && w->reachable)
+		wp_leave_draining(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp)
 		wp_resend(p, t, now_us);
 	/* A later owner need not wait for one that is gone. */
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -44,7 +44,8 @@
 {
       public:
 	CellDaemon(const std::string &dir, const std::string &vm,
-	    const std::string &store, const std::string &advice)
+	    const std::string &store, const std::string &advice,
+	    const std::string &keep_ended = "120s")
 	    : vm(vm), callers(loopback(free_port())),
 	      ready(loopback(free_port())), metrics(loopback(free_port())),
 	      path(dir + "/" + vm + ".toml"), log(dir + "/" + vm + ".log")
@@ -55,7 +56,8 @@
 		    << ready << "\"\nmetrics = \"" << metrics
 		    << "\"\npeers = \"" << loopback(free_port())
 		    << "\"\n[cell]\nstore = \"" << store << "\"\nadvice = \""
-		    << advice << "\"\ngrace = \"6s\"\n";
+		    << advice << "\"\ngrace = \"6s\"\nkeep_ended = \""
+		    << keep_ended << "\"\n";
 	}
 
 	~CellDaemon()
@@ -158,8 +160,9 @@
 	start_daemons(int n)
 	{
 		for (int i = 0; i < n; i++) {
-			daemons.push_back(std::make_unique<CellDaemon>(
-			    dir, "vm-" + std::to_string(i), store, advice));
+			daemons.push_back(std::make_unique<CellDaemon>(dir,
+			    "vm-" + std::to_string(i), store, advice,
+			    keep_ended));
 			daemons.back()->start();
 		}
 		configure(1);
@@ -270,6 +273,7 @@
 			    << "job " << n << " is " << state(daemon, n);
 	}
 
+	std::string keep_ended = "120s";
 	std::string dir;
 	std::unique_ptr<Process> platform;
 	std::string store;
@@ -488,6 +492,19 @@
 	expect_clean();
 }
 
+TEST_F(Cell, EndedJobsAreForgottenInTime)
+{
+	keep_ended = "1s";
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(1, 1, 2);
+	EXPECT_TRUE(eventually(
+	    [&] { return call("GET", 1, "/q/" + id_of(1)).status == 410; },
+	    8000));
+	EXPECT_EQ(submit(0, 2).status, 200);
+	wait_completed(0, 2, 3);
+}
+
 TEST_F(Cell, BrokenSettingsAreNamed)
 {
 	std::string path = dir + "/broken.toml";
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -772,6 +772,30 @@
 	EXPECT_TRUE(run_all().empty());
 }
 
+TEST_F(Pool, TasksThatCanGoOnElsewhereLeaveADrainingWorker)
+{
+	begin();
+	ready_worker("w", 3000);
+	add(kJob,
+	    {{1, 1000}, {1, 1000, JB_CHECKPOINTS}, {1, 1000, JB_LASTING}});
+	ASSERT_EQ(run_all().size(), 3U);
+	ready_worker("v", 3000);
+	list_worker("w", 3000, true);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 2U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	EXPECT_EQ(orders[0]->ref.step, 1U);
+	EXPECT_EQ(orders[1]->ref.step, 2U);
+	now += 200 * kMs;
+	hold("w", {{kJob, 0, 0, 1, 0}},
+	    {{1, kJob, 1, 0, 1, WP_END_STOPPED},
+		{2, kJob, 2, 0, 1, WP_END_STOPPED}});
+	orders = run_all();
+	ASSERT_EQ(orders.size(), 2U);
+	EXPECT_STREQ(orders[0]->worker, "v");
+	EXPECT_STREQ(orders[1]->worker, "v");
+}
+
 TEST_F(Pool, FencedPoolOrdersNothingMore)
 {
 	begin();
