--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -80,6 +80,8 @@
 	snprintf(w->kind, sizeof(w->kind), "%s", info->kind);
 	snprintf(w->rack, sizeof(w->rack), "%s", info->rack);
 	w->capacity = info->capacity;
+	if (!w->registered)
+		p->registry_dirty = true;
 	if (!w->listed)
 		w->hold_at_us = now_us;
 	w->listed = true;
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -325,6 +325,23 @@
 	EXPECT_FALSE(wp_is_known_worker(wp_find_worker(p, "w"), now));
 }
 
+/* piskdag mix --seed 662680087766: a domain's workers came back after a cut. */
+TEST_F(Pool, WorkerThatComesBackIsUsedAgain)
+{
+	begin();
+	ready_worker("w");
+	wp_unlist_worker(p, "w", now);
+	tick(5 * kS);
+	wp_find_worker(p, "w")->registered = false;
+	p->registry_dirty = false;
+	list_worker("w");
+	EXPECT_TRUE(p->registry_dirty);
+	hold("w");
+	commit();
+	add(kJob, {{1}});
+	EXPECT_EQ(tick().size(), 1U);
+}
+
 TEST_F(Pool, GangStartsTogetherOrNotAtAll)
 {
 	begin();
