common: logs on standard output never wait; metrics of pools

Lines below a warning are held to 400 a second, a full pipe drops lines, and both are counted. Metrics show owner, jobs, tasks by state and usable workers of each pool, the configuration's version and for how long the store is silent.

--- a/common/log.c
+++ b/common/log.c
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <inttypes.h>
 #include <log4c.h>
 #include <stdarg.h>
@@ -5,6 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "common/log.h"
@@ -12,10 +14,16 @@
 #define LG_LINE_BYTES 2048
 #define LG_NAME_BYTES 64
 #define LG_CATEGORY "curranttack"
+/* Lines of info and debug that standard output takes in the long run. */
+#define LG_LINES_PER_S 400
+#define LG_LINES_BURST 4000
 
 static char lg_vm[LG_NAME_BYTES] = "-";
 static char lg_domain[LG_NAME_BYTES] = "-";
-static FILE *lg_stream;
+static bool lg_stdout;
+static int64_t lg_tokens = LG_LINES_BURST;
+static int64_t lg_filled_us;
+static uint64_t lg_dropped_lines;
 static log4c_category_t *lg_root;
 static log4c_appender_t *lg_appender;
 
@@ -38,11 +46,29 @@
 	return event->evt_msg;
 }
 
+/* Never waits: a line that the reader does not take is counted instead. */
+static int
+lg_write_stdout(const char *text)
+{
+	char line[LG_LINE_BYTES + 1];
+	int n = snprintf(line, sizeof(line), "%s\n", text);
+
+	if (n >= (int)sizeof(line))
+		n = (int)sizeof(line) - 1;
+	if (write(STDOUT_FILENO, line, (size_t)n) != n) {
+		lg_dropped_lines++;
+		return -1;
+	}
+	return n;
+}
+
 static int
 lg_appender_append(log4c_appender_t *app, const log4c_logging_event_t *event)
 {
 	(void)app;
-	return fprintf(lg_stream, "%s\n", event->evt_rendered_msg);
+	if (!lg_stdout)
+		return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+	return lg_write_stdout(event->evt_rendered_msg);
 }
 
 static const log4c_layout_type_t lg_layout_type = {"kv", lg_layout_format};
@@ -64,8 +90,11 @@
 void
 lg_use_stdout(void)
 {
-	setvbuf(stdout, NULL, _IOLBF, 0);
-	lg_stream = stdout;
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags != -1)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	lg_stdout = true;
 }
 
 int
@@ -80,8 +109,6 @@
 	if (priority == -1)
 		return -1;
 
-	if (lg_stream == NULL)
-		lg_stream = stderr;
 	/* Keeps log4c from searching for configuration files. */
 	log4c_rc->config.nocleanup = 1;
 	log4c_layout_type_set(&lg_layout_type);
@@ -174,6 +201,33 @@
 	snprintf(ts + n, len - n, ".%06" PRId64 "Z", now_us % CLK_US_PER_S);
 }
 
+uint64_t
+lg_dropped(void)
+{
+	return lg_dropped_lines;
+}
+
+/* Errors and warnings are not held to the budget. */
+static bool
+lg_take_token(void)
+{
+	int64_t now_us = clk_now_us();
+
+	if (lg_filled_us == 0)
+		lg_filled_us = now_us;
+	lg_tokens += (now_us - lg_filled_us) * LG_LINES_PER_S / CLK_US_PER_S;
+	if (now_us - lg_filled_us >= CLK_US_PER_S / LG_LINES_PER_S)
+		lg_filled_us = now_us;
+	if (lg_tokens > LG_LINES_BURST)
+		lg_tokens = LG_LINES_BURST;
+	if (lg_tokens <= 0) {
+		lg_dropped_lines++;
+		return false;
+	}
+	lg_tokens--;
+	return true;
+}
+
 void
 lg_event(enum lg_level level, const char *module, const char *event, ...)
 {
@@ -190,6 +244,8 @@
 	cat = lg_get_category(module);
 	if (!log4c_category_is_priority_enabled(cat, lg_levels[level].priority))
 		return;
+	if (lg_stdout && level > LG_WARN && !lg_take_token())
+		return;
 	lg_format_ts(ts, sizeof(ts));
 	at = lg_append_pair(line, at, "ts", ts);
 	at = lg_append_pair(line, at, "level", lg_levels[level].name);
--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -451,6 +451,54 @@
 	    req, cc_is_ready(f->c) ? 200 : 503, "text/plain", "", 0, NULL, 0);
 }
 
+static char *
+cc_pool_metrics(char *text, const struct cp_host *h)
+{
+	const struct wp_stats *s = &h->pool->stats;
+	struct wp_counts n;
+
+	wp_count(h->pool, clk_now_us(), &n);
+	return talloc_asprintf_append(text,
+	    "currant_pool_fence{pool=\"%s\"} %llu\n"
+	    "currant_pool_jobs{pool=\"%s\"} %u\n"
+	    "currant_pool_tasks_waiting{pool=\"%s\"} %u\n"
+	    "currant_pool_tasks_running{pool=\"%s\"} %u\n"
+	    "currant_pool_tasks_held{pool=\"%s\"} %u\n"
+	    "currant_pool_workers_usable{pool=\"%s\"} %u\n"
+	    "currant_pool_starts_total{pool=\"%s\"} %llu\n"
+	    "currant_pool_displaced_total{pool=\"%s\"} %llu\n"
+	    "currant_pool_asks_total{pool=\"%s\"} %llu\n",
+	    h->name, (unsigned long long)h->fence, h->name, n.jobs, h->name,
+	    n.waiting, h->name, n.running, h->name, n.held, h->name, n.usable,
+	    h->name, (unsigned long long)s->starts, h->name,
+	    (unsigned long long)s->displaced, h->name,
+	    (unsigned long long)s->asks);
+}
+
+/* What the daemon knows, how old that is, and what its pools wait for. */
+static char *
+cc_cell_metrics(char *text, const struct cell *c)
+{
+	const struct qs_config *config = c->replica->config;
+	struct cp_host *h;
+	struct cp_host *tmp;
+
+	text = talloc_asprintf_append(text,
+	    "currant_log_dropped_total %llu\n"
+	    "currant_config_version %llu\n"
+	    "currant_store_silent_ms %lld\n"
+	    "currant_ready %d\n",
+	    (unsigned long long)lg_dropped(),
+	    config != NULL ? (unsigned long long)config->version : 0ULL,
+	    (long long)((clk_now_us() - c->store_ok_us) / CLK_US_PER_MS),
+	    cc_is_ready(c));
+	HASH_ITER(hh, c->pools, h, tmp) {
+		if (h->pool != NULL)
+			text = cc_pool_metrics(text, h);
+	}
+	return text;
+}
+
 static void
 cc_on_metrics(struct hs_request *req, void *arg)
 {
@@ -462,6 +510,7 @@
 		text = talloc_asprintf_append(text, "currant_%s %llu\n",
 		    ct_name((enum ct_counter)i),
 		    (unsigned long long)ct_get((enum ct_counter)i));
+	text = cc_cell_metrics(text, f->c);
 	hs_respond(req, 200, "text/plain", text, strlen(text), NULL, 0);
 	talloc_free(text);
 }
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/log.h"
 #include "curranttackd/cell_advice.h"
 #include "curranttackd/cell_peers.h"
@@ -148,6 +149,7 @@
 {
 	lg_event(LG_WARN, "pool", "owner_lost", "pool", h->name, "fence",
 	    lg_i64((int64_t)h->fence), "reason", reason, NULL);
+	ct_add(CT_FENCED, 1);
 	h->epoch++;
 	TALLOC_FREE(h->pool);
 	TALLOC_FREE(h->commit);
@@ -402,6 +404,7 @@
 	    .earlier_until_us = h->earlier_until_us,
 	};
 
+	ct_add(CT_TAKEOVERS, 1);
 	h->epoch++;
 	h->state = CP_OWNER;
 	h->fence = o->created;
@@ -531,6 +534,7 @@
 		struct cp_ref *ref = cp_ref_create(h);
 
 		ref->order = talloc_steal(ref, o);
+		ct_add(CT_TASKS_STARTED, o->kind == WP_ORDER_START);
 		f->workers->order(f->handle, o, h->fence, cp_on_order, ref);
 	}
 }
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -20,7 +20,15 @@
  */
 int lg_init(const char *vm, const char *domain, const char *level);
 
-/** lg_use_stdout() - log to standard output instead; before lg_init() */
+/** lg_dropped() - lines over the budget, or that nobody read */
+uint64_t lg_dropped(void);
+
+/**
+ * lg_use_stdout() - log to standard output instead; before lg_init()
+ *
+ * Lines never wait for a reader, and those below a warning are held to a
+ * budget a second; lg_dropped() counts what is left out.
+ */
 void lg_use_stdout(void);
 
 /**
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -319,6 +319,25 @@
 	EXPECT_FALSE(daemons[0]->is_ready());
 }
 
+TEST_F(Cell, MetricsSayWhoOwnsWhat)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(0, 1, 2);
+	int owners = 0;
+	for (auto &d : daemons) {
+		std::string text =
+		    http("GET", "http://" + d->metrics + "/metrics").body;
+
+		EXPECT_NE(
+		    text.find("currant_config_version 1\n"), std::string::npos);
+		EXPECT_NE(text.find("currant_ready 1\n"), std::string::npos);
+		owners += text.find("currant_pool_fence{pool=\"batch\"}") !=
+		    std::string::npos;
+	}
+	EXPECT_EQ(owners, 1);
+}
+
 TEST_F(Cell, SameIdThroughTwoDaemonsIsOneJob)
 {
 	start_daemons(2);
