currantctl: trace; curranttackd: say which port is in use, and how jobs end

Change: the failed bind is logged with its address; the test chooses ports below the range of outgoing connections. job_ended tells each job's end, currantctl trace merges the lines of a job.

--- a/currantctl/main.c
+++ b/currantctl/main.c
@@ -34,6 +34,7 @@
     {"workers", NULL, cmd_workers, "list workers"},
     {"placements", NULL, cmd_placements, "list what runs where"},
     {"why", NULL, cmd_why, "say what a job waits for"},
+    {"trace", NULL, cmd_trace, "merge the log lines of one job"},
     {"report", "burn", cmd_report_burn, "error-budget burn"},
 };
 
--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -286,8 +286,11 @@
 
 	fd = hs_listen(
 	    c->settings->peers, c->peers_address, sizeof(c->peers_address));
-	if (fd == -1)
+	if (fd == -1) {
+		lg_event(LG_ERROR, "daemon", "cannot_listen", "address",
+		    c->settings->peers, NULL);
 		return -1;
+	}
 	hello.version = FR_VERSION;
 	hello.vm = c->settings->vm;
 	hello.domain = c->settings->domain;
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -645,18 +645,24 @@
 static void cp_send_commit(void *arg);
 
 static void
-cp_announce(struct cp_host *h, const char *id, enum jb_state state)
+cp_announce(struct cp_host *h, const char *id, enum jb_state state, bool stored)
 {
 	struct cell *c = h->cell;
 	struct rp_job *row = rp_find_job(c->replica, id);
 
-	if (row != NULL)
+	if (row != NULL) {
+		lg_event(LG_INFO, "pool", "job_ended", "job", id, "state",
+		    jb_state_name(state), "stored", stored ? "1" : "0",
+		    "known_ms",
+		    lg_i64((clk_now_us() - row->accepted_us) / CLK_US_PER_MS),
+		    NULL);
 		rp_tell_ended(c->replica, row, state);
+	}
 	pn_send_ended(c->links, id, state);
 }
 
 static void
-cp_announce_stored(struct cp_host *h, const struct cp_commit *cm)
+cp_announce_commit(struct cp_host *h, const struct cp_commit *cm, bool stored)
 {
 	const struct wp_job *job;
 	size_t i;
@@ -664,7 +670,7 @@
 	for (i = 0; i < cm->ended_count; i++) {
 		job = wp_find_job(h->pool, cm->ended[i]);
 		if (job != NULL)
-			cp_announce(h, cm->ended[i], job->state);
+			cp_announce(h, cm->ended[i], job->state, stored);
 	}
 }
 
@@ -679,7 +685,7 @@
 
 	if (h->commit == NULL || now_us - h->commit->made_us < CP_STORE_AWAY_US)
 		return;
-	cp_announce_stored(h, h->commit);
+	cp_announce_commit(h, h->commit, false);
 	h->commit->ended_count = 0;
 	for (job = h->pool->dirty; job != NULL; job = job->dirty_next) {
 		const struct rp_job *row =
@@ -687,7 +693,7 @@
 
 		if (jb_has_ended(job->state) && row != NULL &&
 		    !jb_has_ended(row->state))
-			cp_announce(h, job->spec->id, job->state);
+			cp_announce(h, job->spec->id, job->state, false);
 	}
 }
 
@@ -709,7 +715,7 @@
 
 	h->revision = revision;
 	h->commit = NULL;
-	cp_announce_stored(h, cm);
+	cp_announce_commit(h, cm, true);
 	h->commit_at_us = clk_now_us() + CP_COMMIT_PAUSE_US;
 	if (cm->last)
 		wp_commit_end(h->pool, clk_now_us());
--- a/include/currantctl/ctl.h
+++ b/include/currantctl/ctl.h
@@ -121,6 +121,7 @@
 int cmd_workers(struct ctl *ctl, int argc, char **argv);
 int cmd_placements(struct ctl *ctl, int argc, char **argv);
 int cmd_why(struct ctl *ctl, int argc, char **argv);
+int cmd_trace(struct ctl *ctl, int argc, char **argv);
 int cmd_report_burn(struct ctl *ctl, int argc, char **argv);
 
 /** ctl_wait_in_force() - wait until all live daemons have a revision */
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -19,19 +19,32 @@
 constexpr uint32_t kWorkers = 4;
 constexpr const char *kHost = "cell.example";
 
+/*
+ * A port that nothing listens on, below those that outgoing connections get:
+ * another process can't take it before the daemon does.
+ */
 int
 free_port()
 {
-	struct sockaddr_in sin = {};
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	sin.sin_family = AF_INET;
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&sin, sizeof(sin));
-	getsockname(fd, (struct sockaddr *)&sin, &len);
-	close(fd);
-	return ntohs(sin.sin_port);
+	constexpr int first = 10000;
+	constexpr int per_process = 100;
+	constexpr int processes = 200;
+	static int next = 0;
+
+	for (;;) {
+		struct sockaddr_in sin = {};
+		int port = first + getpid() % processes * per_process +
+		    next++ % per_process;
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons((uint16_t)port);
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		int rc = bind(fd, (struct sockaddr *)&sin, sizeof(sin));
+		close(fd);
+		if (rc == 0)
+			return port;
+	}
 }
 
 std::string
@@ -338,6 +351,31 @@
 	EXPECT_EQ(owners, 1);
 }
 
+TEST_F(Cell, TraceMergesTheLinesOfOneJob)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	EXPECT_EQ(submit(1, 2).status, 200);
+	wait_completed(0, 1, 3);
+	std::string command = std::string(CURRANT_BUILD_DIR) +
+	    "/currantctl/currantctl trace " + daemons[0]->log + " " +
+	    daemons[1]->log + " " + id_of(1);
+	FILE *f = popen(command.c_str(), "r");
+	std::string text;
+	char line[2048];
+
+	ASSERT_NE(f, nullptr);
+	while (fgets(line, sizeof(line), f) != nullptr)
+		text += line;
+	EXPECT_EQ(pclose(f), 0);
+	size_t submitted = text.find("event=submit");
+	size_t ended = text.find("event=job_ended");
+	EXPECT_NE(submitted, std::string::npos) << text;
+	EXPECT_NE(ended, std::string::npos) << text;
+	EXPECT_LT(submitted, ended);
+	EXPECT_EQ(text.find(id_of(2)), std::string::npos);
+}
+
 TEST_F(Cell, SameIdThroughTwoDaemonsIsOneJob)
 {
 	start_daemons(2);
@@ -524,6 +562,24 @@
 	wait_completed(0, 2, 3);
 }
 
+/* A case failed once in CI: a daemon had ended without a word. */
+TEST_F(Cell, PortInUseIsNamed)
+{
+	daemons.push_back(
+	    std::make_unique<CellDaemon>(dir, "vm-0", store, advice));
+	std::ofstream(daemons[0]->path)
+	    << "[vm]\nid = \"vm-0\"\ndomain = \"a\"\n[listen]\ncallers = \""
+	    << daemons[0]->callers << "\"\nready = \"" << daemons[0]->ready
+	    << "\"\npeers = \"" << store << "\"\n[cell]\nstore = \"" << store
+	    << "\"\n";
+	daemons[0]->start();
+	EXPECT_TRUE(eventually([&] {
+		return daemons[0]->log_text().find("event=cannot_listen") !=
+		    std::string::npos;
+	}));
+	EXPECT_NE(daemons[0]->log_text().find(store), std::string::npos);
+}
+
 TEST_F(Cell, BrokenSettingsAreNamed)
 {
 	std::string path = dir + "/broken.toml";
