--- a/contrib/completions/currantctl.bash
+++ b/contrib/completions/currantctl.bash
@@ -1,7 +1,7 @@
 # Completion of currantctl for bash.
 _currantctl() {
   local cur=${COMP_WORDS[COMP_CWORD]} groups i group='' verb=''
-  groups='job service preset config status members workers placements why report'
+  groups='job service preset config status members workers placements why trace report'
   for ((i = 1; i < COMP_CWORD; i++)); do
     case ${COMP_WORDS[i]} in
       -s | --server | -c | --callers) ((i++)) ;;
--- a/contrib/completions/currantctl.fish
+++ b/contrib/completions/currantctl.fish
@@ -1,5 +1,5 @@
 # Completion of currantctl for fish.
-set -l groups job service preset config status members workers placements why report
+set -l groups job service preset config status members workers placements why trace report
 complete -c currantctl -f
 complete -c currantctl -s s -l server -x -d "operators' side of a daemon"
 complete -c currantctl -s c -l callers -x -d "callers' side of a daemon"
