transport: intervals on a steady timer

Cause: tevent's timers follow the time of day, so a step back of 2.5 s would have stopped every tick, and with it renewals of leases, for that long.

--- a/transport/loop.c
+++ b/transport/loop.c
@@ -1,6 +1,8 @@
 #include <pthread.h>
 #include <stdbool.h>
 #include <stdlib.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "transport/loop.h"
@@ -15,8 +17,7 @@
 struct loop_call {
 	void (*fn)(void *arg);
 	void *arg;
-	int64_t interval_us;
-	struct loop *loop;
+	int fd;
 };
 
 struct loop *
@@ -130,28 +131,56 @@
 
 	(void)te;
 	(void)now;
-	if (call->interval_us > 0)
-		tevent_add_timer(ev, call, loop_deadline(call->interval_us),
-		    loop_run_timer, call);
+	(void)ev;
 	call->fn(call->arg);
-	if (call->interval_us == 0)
-		talloc_free(call);
+	talloc_free(call);
+}
+
+static void
+loop_run_interval(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
+{
+	struct loop_call *call = arg;
+	uint64_t expirations;
+
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	if (read(call->fd, &expirations, sizeof(expirations)) > 0)
+		call->fn(call->arg);
+}
+
+static int
+loop_close_interval(struct loop_call *call)
+{
+	if (call->fd != -1)
+		close(call->fd);
+	return 0;
 }
 
+/* The library's own timers follow the time of day, which may jump. */
 int
 loop_every(
     struct loop *l, int64_t interval_us, void (*fn)(void *arg), void *arg)
 {
 	struct loop_call *call;
+	struct timespec every = {
+	    .tv_sec = interval_us / CLK_US_PER_S,
+	    .tv_nsec = interval_us % CLK_US_PER_S * 1000,
+	};
+	struct itimerspec timer = {.it_interval = every, .it_value = every};
 
 	call = talloc_zero(l, struct loop_call);
 	if (call == NULL)
 		return -1;
 	call->fn = fn;
 	call->arg = arg;
-	call->interval_us = interval_us;
-	if (tevent_add_timer(l->ev, call, loop_deadline(interval_us),
-		loop_run_timer, call) == NULL) {
+	call->fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	talloc_set_destructor(call, loop_close_interval);
+	if (call->fd == -1 ||
+	    timerfd_settime(call->fd, 0, &timer, NULL) == -1 ||
+	    tevent_add_fd(l->ev, call, call->fd, TEVENT_FD_READ,
+		loop_run_interval, call) == NULL) {
 		talloc_free(call);
 		return -1;
 	}
