state: a task that stands still runs elsewhere

Ruled out: run times (estimates are off by up to 90%). Change: it is stopped, its worker avoided for 4 s and counted as failing.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -18,6 +18,7 @@
 #define WP_START_US (1500 * CLK_US_PER_MS)
 /* A worker's clock may be slow by 2%. */
 #define WP_CLOCK_SLOW_PER_MILLE 980
+#define WP_FULL_PACE 100
 #define WP_LAPSE_MARGIN_US (150 * CLK_US_PER_MS)
 
 /** wp_need() - room that a task of a step takes */
@@ -57,6 +58,8 @@
 /** wp_count_failure() - a run failed, wherever that was; counted once */
 void wp_count_failure(
     struct wp_pool *p, struct wp_task *t, uint32_t run, int64_t now_us);
+/** wp_task_avoid() - keep a task off a worker for a while */
+void wp_task_avoid(struct wp_task *t, struct wp_worker *w, int64_t now_us);
 /** wp_task_failed() - a run of it failed */
 void wp_task_failed(struct wp_pool *p, struct wp_task *t, int64_t now_us);
 /** wp_task_set_checkpoint() - remember where to resume */
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -8,7 +8,6 @@
 #define WP_RETRY_US (100 * CLK_US_PER_MS)
 #define WP_RESEND_US (400 * CLK_US_PER_MS)
 #define WP_AVOID_US (4 * CLK_US_PER_S)
-#define WP_FULL_PACE 100
 
 struct wp_room
 wp_need(const struct jb_step *step)
@@ -326,7 +325,7 @@
 		wp_occurrence_advance(p, s->occ, now_us);
 }
 
-static void
+void
 wp_task_avoid(struct wp_task *t, struct wp_worker *w, int64_t now_us)
 {
 	if (w == NULL)
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -14,6 +14,7 @@
 #define WP_UNHEALTHY_US (CLK_US_PER_S)
 #define WP_QUARANTINE_US (4 * CLK_US_PER_S)
 #define WP_QUARANTINE_FAILURES 2
+#define WP_STUCK_US (1500 * CLK_US_PER_MS)
 #define WP_MAX_SENDS 3
 #define WP_RETRY_US (100 * CLK_US_PER_MS)
 #define WP_RESEND_US (400 * CLK_US_PER_MS)
@@ -620,6 +621,35 @@
 	}
 }
 
+/* The lists show no progress of a task that nothing holds back. */
+static bool
+wp_is_stuck(const struct wp_worker *w, const struct wp_task *t)
+{
+	return t->state == WP_RUNNING && t->pace == WP_FULL_PACE &&
+	    !(t->step->spec->flags & (JB_LASTING | JB_GANG | JB_FILLER)) &&
+	    w->clock_at_us - t->moved_us > WP_STUCK_US;
+}
+
+/* For workers on which tasks stand still though they answer. */
+static void
+wp_leave_stuck(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
+{
+	struct wp_task *t;
+	struct wp_task *tmp;
+
+	DL_FOREACH_SAFE(w->tasks, t, tmp) {
+		struct jb_ref ref;
+
+		if (!wp_is_stuck(w, t))
+			continue;
+		wp_task_ref(t, &ref);
+		wp_note_failure(w, &ref, now_us);
+		wp_task_avoid(t, w, now_us);
+		p->stats.displaced++;
+		wp_task_stop(p, t, now_us);
+	}
+}
+
 static void
 wp_worker_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
 {
@@ -630,6 +660,7 @@
 		wp_worker_lapsed(p, w, now_us);
 	if (w->draining && w->reachable)
 		wp_leave_draining(p, w, now_us);
+	wp_leave_stuck(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp)
 		wp_resend(p, t, now_us);
 	/* A later owner need not wait for one that is gone. */
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -40,6 +40,7 @@
 	uint32_t index;
 	uint32_t run;
 	uint32_t figure;
+	uint32_t percent = 0;
 };
 
 /* Plays the host of a pool and its workers, one call at a time. */
@@ -133,6 +134,7 @@
 			fill(&row.ref, r.job, r.step, r.index);
 			row.run = r.run;
 			row.figure = r.figure;
+			row.percent = r.percent;
 			rows.push_back(row);
 		}
 		for (const End &e : ends) {
@@ -813,6 +815,44 @@
 	EXPECT_STREQ(orders[1]->worker, "v");
 }
 
+TEST_F(Pool, TaskThatStandsStillRunsElsewhere)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	ready_worker("v", 1000);
+	now += kS;
+	hold("w", {{kJob, 0, 0, 1, 0, 40}});
+	EXPECT_TRUE(tick(kS).empty());
+	/* It moves, however slowly. */
+	hold("w", {{kJob, 0, 0, 1, 0, 41}});
+	EXPECT_TRUE(tick(kS).empty());
+	hold("w", {{kJob, 0, 0, 1, 0, 41}});
+	EXPECT_TRUE(tick(kS).empty());
+	hold("w", {{kJob, 0, 0, 1, 0, 41}});
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	now += 100 * kMs;
+	hold("w", {}, {{1, kJob, 0, 0, 1, WP_END_STOPPED}});
+	orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->worker, "v");
+}
+
+/* No news of a worker says nothing of its tasks. */
+TEST_F(Pool, TaskOnASilentWorkerDoesNotCountAsStuck)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += 100 * kMs;
+	hold("w", {{kJob, 0, 0, 1, 0, 40}});
+	EXPECT_TRUE(tick(2500 * kMs).empty());
+}
+
 TEST_F(Pool, FencedPoolOrdersNothingMore)
 {
 	begin();
