state: stillness is judged by a task's own pace; tests: the stand-in tells progress

Cause: under the address sanitizer Cell.SilentWorkersTasksRunElsewhereAfterItsLease failed: the stand-in listed 100 percent for every run, which the real platform gives only to tasks that last, so runs of 4 s were taken for standing still; and a task of over 150 s would have been, too. Change: a task stands still when it takes longer than its last five percents did, at least 1.5 s, and is moved twice at most. The stand-in tells progress. The sanitizer also named a copy of no bytes from NULL in the peer links.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -68,6 +68,7 @@
  * @percent: what the worker last reported
  * @figure: load that the worker last reported: ms for a task that serves
  * @moved_us: when @percent last changed
+ * @stuck: times that it was moved because it stood still
  * @pace: share at which it may work, in percent
  * @avoid: workers on which it failed, avoided until @avoid_until_us
  */
@@ -92,6 +93,7 @@
 	uint32_t percent;
 	uint32_t figure;
 	int64_t moved_us;
+	uint32_t stuck;
 	uint32_t pace;
 	struct wp_worker *avoid[WP_AVOID_SET];
 	uint32_t avoid_count;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -15,6 +15,10 @@
 #define WP_QUARANTINE_US (4 * CLK_US_PER_S)
 #define WP_QUARANTINE_FAILURES 2
 #define WP_STUCK_US (1500 * CLK_US_PER_MS)
+/* A task that takes longer than this many percents did has stopped. */
+#define WP_STUCK_PERCENTS 5
+/* It may be the task, not the workers, that is slow. */
+#define WP_MAX_STUCK 2
 #define WP_MAX_SENDS 3
 #define WP_RETRY_US (100 * CLK_US_PER_MS)
 #define WP_RESEND_US (400 * CLK_US_PER_MS)
@@ -621,13 +625,28 @@
 	}
 }
 
+/* How long a task may take for one percent of its work, judged by the last. */
+static int64_t
+wp_stuck_after_us(const struct wp_task *t)
+{
+	int64_t estimate_us = t->step->spec->estimate_ms * CLK_US_PER_MS;
+	int64_t percent_us = estimate_us / 100;
+
+	if (t->percent > 0)
+		percent_us = (t->moved_us - t->started_us) / t->percent;
+	if (percent_us * WP_STUCK_PERCENTS > WP_STUCK_US)
+		return percent_us * WP_STUCK_PERCENTS;
+	return WP_STUCK_US;
+}
+
 /* The lists show no progress of a task that nothing holds back. */
 static bool
 wp_is_stuck(const struct wp_worker *w, const struct wp_task *t)
 {
 	return t->state == WP_RUNNING && t->pace == WP_FULL_PACE &&
+	    t->stuck < WP_MAX_STUCK &&
 	    !(t->step->spec->flags & (JB_LASTING | JB_GANG | JB_FILLER)) &&
-	    w->clock_at_us - t->moved_us > WP_STUCK_US;
+	    w->clock_at_us - t->moved_us > wp_stuck_after_us(t);
 }
 
 /* For workers on which tasks stand still though they answer. */
@@ -645,6 +664,7 @@
 		wp_task_ref(t, &ref);
 		wp_note_failure(w, &ref, now_us);
 		wp_task_avoid(t, w, now_us);
+		t->stuck++;
 		p->stats.displaced++;
 		wp_task_stop(p, t, now_us);
 	}
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -600,6 +600,16 @@
 	free(r);
 }
 
+static int
+percent_of(const struct run *r)
+{
+	int64_t left_us = r->ends_us - clk_now_us();
+
+	if (left_us <= 0 || r->demand.work_us == 0)
+		return 99;
+	return (int)(100 - 100 * left_us / r->demand.work_us);
+}
+
 static json_t *
 lists_of(struct worker *w, uint64_t acked)
 {
@@ -611,8 +621,8 @@
 
 	DL_FOREACH(w->runs, r)
 		json_array_append_new(running,
-		    json_pack(
-			"[s, i, s, i, i]", r->task, (int)r->run, "", 100, 0));
+		    json_pack("[s, i, s, i, i]", r->task, (int)r->run, "",
+			percent_of(r), 0));
 	DL_FOREACH_SAFE(w->ends, e, tmp) {
 		if (e->number <= acked) {
 			DL_DELETE(w->ends, e);
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -841,6 +841,22 @@
 	EXPECT_STREQ(orders[0]->worker, "v");
 }
 
+/* One percent of a task of ten minutes takes six seconds. */
+TEST_F(Pool, LongTaskIsJudgedByItsOwnPace)
+{
+	begin();
+	ready_worker("w", 1000);
+	struct jb_spec *s = spec(kJob, {{1}});
+	s->step[0].estimate_ms = 600000;
+	wp_add_job(p, s, nullptr, true, 0, now);
+	run_all();
+	for (uint32_t second = 1; second < 40; second++) {
+		now += kS;
+		hold("w", {{kJob, 0, 0, 1, 0, second / 6}});
+		EXPECT_TRUE(tick().empty()) << second;
+	}
+}
+
 /* No news of a worker says nothing of its tasks. */
 TEST_F(Pool, TaskOnASilentWorkerDoesNotCountAsStuck)
 {
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -64,6 +64,8 @@
 {
 	uint8_t *grown;
 
+	if (len == 0)
+		return true;
 	if (b->len + len > PEER_MAX_QUEUED_BYTES)
 		return false;
 	if (b->len + len > b->room) {
