tests: wait for the owner's line before tracing a job

Cell.TraceMergesTheLinesOfOneJob failed once under the address sanitizer: a daemon that is not the owner showed the job as completed, from its watch, before the owner had its commit's answer and logged the end. The check is as strict and waits for the line.

--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -357,6 +357,16 @@
 	EXPECT_EQ(submit(0, 1).status, 200);
 	EXPECT_EQ(submit(1, 2).status, 200);
 	wait_completed(0, 1, 3);
+	/* The owner's line may come after another daemon shows the end. */
+	ASSERT_TRUE(eventually([&] {
+		std::string text =
+		    daemons[0]->log_text() + daemons[1]->log_text();
+
+		return text.find("event=job_ended vm=vm-0 domain=a job=" +
+			   id_of(1)) != std::string::npos ||
+		    text.find("event=job_ended vm=vm-1 domain=a job=" +
+			id_of(1)) != std::string::npos;
+	}));
 	std::string command = std::string(CURRANT_BUILD_DIR) +
 	    "/currantctl/currantctl trace " + daemons[0]->log + " " +
 	    daemons[1]->log + " " + id_of(1);
