--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -869,6 +869,123 @@
 	EXPECT_TRUE(tick(2500 * kMs).empty());
 }
 
+TEST_F(Pool, OccurrencesStartWhenTheyAreDue)
+{
+	begin();
+	ready_worker("w");
+	struct jb_spec *s = spec(kJob, {{1}});
+	s->repeat_count = 2;
+	s->first_due_ms = (now + 2 * kS) / kMs;
+	s->interval_ms = 3000;
+	struct wp_job *job = wp_add_job(p, s, nullptr, true, 0, now);
+
+	EXPECT_TRUE(tick(kS).empty());
+	hold("w");
+	EXPECT_TRUE(tick(900 * kMs).empty());
+	auto orders = run_all(100 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->ref.occurrence, 0U);
+	now += kS;
+	hold("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(wp_shown_state(job), JB_RUNNING);
+	EXPECT_TRUE(tick().empty());
+	now += 2 * kS;
+	hold("w");
+	orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->ref.occurrence, 1U);
+}
+
+TEST_F(Pool, LabelsAndLimitsAWorkerAreKept)
+{
+	begin();
+	ready_worker("w");
+	ready_worker("v");
+	struct jb_spec *s = spec(kJob, {{3, 100}});
+	s->step[0].max_per_worker = 1;
+	wp_add_job(p, s, nullptr, true, 0, now);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 2U);
+	EXPECT_STRNE(orders[0]->worker, orders[1]->worker);
+
+	struct jb_spec *labelled = spec(kOther, {{1, 100}});
+	labelled->step[0].label = talloc_strdup(labelled, "other-kind");
+	wp_add_job(p, labelled, nullptr, true, 0, now);
+	EXPECT_TRUE(run_all().empty());
+	struct wp_worker_info info = {"u", "127.0.0.1:1", "a", "other-kind",
+	    "rack", {4000, 1000, 0}, false, 0};
+	wp_set_worker(p, &info, now);
+	hold("u");
+	commit();
+	orders = run_all();
+	/* The third task of the first job may go there, too. */
+	ASSERT_EQ(orders.size(), 2U);
+	EXPECT_STREQ(orders[0]->worker, "u");
+	EXPECT_STREQ(orders[1]->worker, "u");
+}
+
+TEST_F(Pool, TasksGoToTheRackOfTheirData)
+{
+	begin();
+	ready_worker("w");
+	struct wp_worker_info info = {"u", "127.0.0.1:1", "a", "kind",
+	    "data-rack", {64000, 1000, 0}, false, 0};
+	wp_set_worker(p, &info, now);
+	hold("u");
+	commit();
+	struct jb_spec *s = spec(kJob, {{1, 100}});
+	s->step[0].rack = talloc_strdup(s, "data-rack");
+	wp_add_job(p, s, nullptr, true, 0, now);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->worker, "u");
+}
+
+TEST_F(Pool, AcceleratorsArePackedSoThatWholeWorkersStayFree)
+{
+	begin();
+	for (const char *id : {"w", "v"}) {
+		list_worker(id, 64000, false, 8);
+		hold(id);
+	}
+	commit();
+	Step one;
+	one.count = 3;
+	one.gpu = 1;
+	add(kJob, {one});
+	ASSERT_EQ(run_all().size(), 3U);
+	Step whole;
+	whole.gpu = 8;
+	add(kOther, {whole});
+	EXPECT_EQ(run_all().size(), 1U);
+}
+
+TEST_F(Pool, CheckpointGoesWithTheNextRun)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1, 1000, JB_CHECKPOINTS}});
+	run_all();
+	now += kS;
+	struct wp_worker *w = wp_find_worker(p, "w");
+	struct wp_end end = {};
+	fill(&end.ref, kJob, 0, 0);
+	end.number = 1;
+	end.run = 1;
+	end.how = WP_END_STOPPED;
+	end.checkpoint = "saved-7";
+	struct wp_hold_reply reply = {};
+	reply.born_ms = 1;
+	reply.clock_ms = now / kMs;
+	reply.end = &end;
+	reply.end_count = 1;
+	wp_on_hold(p, w, &reply, now);
+	auto orders = run_all(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->checkpoint, "saved-7");
+	EXPECT_EQ(orders[0]->run, 2U);
+}
+
 TEST_F(Pool, FencedPoolOrdersNothingMore)
 {
 	begin();
