cell: one copy of packing, step readiness and requeueing; drop what nothing reads

Cause: a second reading of the change. Six places packed a message with the same four lines, two ran the same loop over the steps before a step, wp_unplace() had become wp_task_requeue() by another name, and two callbacks ignored their answer alike. Fields and parameters were written and never read: the pool's longest lease and begin, the job's late time, the step's ready time, the worker's leaving time, 'wanted', the configuration hook. Change: pk_pack(), wp_occurrence_advance(), wp_task_requeue() and cell_ignore() serve them all; the rest is gone. No behaviour, bound or check changes; two calls in tests lose a parameter.

--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -13,6 +13,7 @@
 #include "platform/platform.h"
 #include "protocol/curranttack.pb-c.h"
 #include "protocol/frame.h"
+#include "protocol/pack.h"
 
 #define CELL_TICK_US (25 * CLK_US_PER_MS)
 #define CELL_MEMBER_LEASE_MS 4000
@@ -103,13 +104,6 @@
 	}
 }
 
-static void
-cell_on_config(const struct qs_config *config, void *arg)
-{
-	(void)config;
-	(void)arg;
-}
-
 static void
 cell_on_answered(void *arg)
 {
@@ -124,7 +118,6 @@
     .worker = cell_on_worker,
     .owner = cell_on_owner,
     .member = cell_on_member,
-    .config = cell_on_config,
     .answered = cell_on_answered,
 };
 
@@ -159,9 +152,7 @@
 	row.domain = c->settings->domain;
 	row.address = c->peers_address;
 	row.incarnation = c->incarnation;
-	put.value_bytes = currant__member__get_packed_size(&row);
-	value = talloc_size(c, put.value_bytes + 1);
-	currant__member__pack(&row, value);
+	value = pk_pack(c, &row.base, &put.value_bytes);
 	put.value = value;
 	c->fleet->keys->txn(c->fleet->handle, &txn, cell_on_member_written, c);
 	talloc_free(value);
@@ -211,7 +202,7 @@
 		    f->handle, c->member_lease, cell_on_member_renewed, c);
 }
 
-static void
+void
 cell_ignore(const struct ks_answer *a, void *arg)
 {
 	(void)a;
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -189,5 +189,5 @@
 
 	if (job == NULL || row->state > JB_CANCELLED)
 		return;
-	rp_tell_ended(c->replica, job, (enum jb_state)row->state);
+	rp_tell_ended(job, (enum jb_state)row->state);
 }
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -12,6 +12,7 @@
 #include "curranttackd/cell_pool.h"
 #include "protocol/curranttack.pb-c.h"
 #include "protocol/job_codec.h"
+#include "protocol/pack.h"
 
 #define CP_LEASE_MS 1200
 #define CP_RENEW_US (350 * CLK_US_PER_MS)
@@ -41,8 +42,6 @@
 
 /* A commit on its way: the same transaction until its outcome is known. */
 struct cp_commit {
-	struct cp_host *h;
-	uint32_t epoch;
 	struct ks_expect expect;
 	struct ks_put put[KS_MAX_PUTS];
 	size_t put_count;
@@ -127,20 +126,13 @@
 	return ref->h->pool != NULL && ref->epoch == ref->h->epoch;
 }
 
-static void
-cp_ignore(const struct ks_answer *a, void *arg)
-{
-	(void)a;
-	(void)arg;
-}
-
 static void
 cp_end_lease(struct cp_host *h)
 {
 	const struct fl_fleet *f = h->cell->fleet;
 
 	if (h->lease != 0)
-		f->keys->lease_end(f->handle, h->lease, cp_ignore, NULL);
+		f->keys->lease_end(f->handle, h->lease, cell_ignore, NULL);
 	h->lease = 0;
 }
 
@@ -189,18 +181,12 @@
     TALLOC_CTX *ctx, const struct cp_host *h, uint64_t commit, size_t *bytes)
 {
 	Currant__PoolOwner row = CURRANT__POOL_OWNER__INIT;
-	uint8_t *value;
 
 	row.vm = h->cell->settings->vm;
 	row.incarnation = h->cell->incarnation;
 	row.lease = h->lease;
 	row.commit = commit;
-	*bytes = currant__pool_owner__get_packed_size(&row);
-	value = talloc_size(ctx, *bytes + 1);
-	if (value == NULL)
-		abort();
-	currant__pool_owner__pack(&row, value);
-	return value;
+	return pk_pack(ctx, &row.base, bytes);
 }
 
 static uint8_t *
@@ -208,7 +194,6 @@
     bool released, size_t *bytes)
 {
 	Currant__PoolTerm row = CURRANT__POOL_TERM__INIT;
-	uint8_t *value;
 
 	row.term = term;
 	row.released = released;
@@ -218,12 +203,7 @@
 	row.has_earlier_wall_ms = true;
 	row.earlier_wall_ms =
 	    (h->earlier_until_us - cell_wall_to_us()) / CLK_US_PER_MS;
-	*bytes = currant__pool_term__get_packed_size(&row);
-	value = talloc_size(ctx, *bytes + 1);
-	if (value == NULL)
-		abort();
-	currant__pool_term__pack(&row, value);
-	return value;
+	return pk_pack(ctx, &row.base, bytes);
 }
 
 /* How long the last owner, or one before it, may still act on workers. */
@@ -383,7 +363,7 @@
 			continue;
 		wp_set_worker(h->pool, &w->info, now_us);
 		if (w->gone_us != 0)
-			wp_unlist_worker(h->pool, w->id, now_us);
+			wp_unlist_worker(h->pool, w->id);
 	}
 	cp_load_registry(h, now_us);
 	HASH_ITER(hh, r->jobs, job, next) {
@@ -400,7 +380,6 @@
 	int64_t now_us = clk_now_us();
 	struct wp_settings settings = {
 	    .term = o->term - 1,
-	    .max_lease_us = h->cell->settings->max_lease_ms * CLK_US_PER_MS,
 	    .earlier_until_us = h->earlier_until_us,
 	};
 
@@ -413,7 +392,7 @@
 	h->renew_out = false;
 	h->commit_at_us = now_us;
 	h->renew_at_us = now_us + CP_RENEW_US;
-	h->pool = wp_create(h, h->name, &settings, now_us);
+	h->pool = wp_create(h, h->name, &settings);
 	cp_load_pool(h, now_us);
 	lg_event(LG_INFO, "pool", "owner", "pool", h->name, "fence",
 	    lg_i64((int64_t)h->fence), "term", lg_i64(o->term), "jobs",
@@ -461,7 +440,7 @@
 		/* An earlier process of this VM can't act any more. */
 		if (strcmp(o->vm, c->settings->vm) == 0)
 			c->fleet->keys->lease_end(
-			    c->fleet->handle, o->lease, cp_ignore, NULL);
+			    c->fleet->handle, o->lease, cell_ignore, NULL);
 		return;
 	}
 	if (h->state == CP_CLAIMING && o->lease == h->lease) {
@@ -656,7 +635,7 @@
 		    "known_ms",
 		    lg_i64((clk_now_us() - row->accepted_us) / CLK_US_PER_MS),
 		    NULL);
-		rp_tell_ended(c->replica, row, state);
+		rp_tell_ended(row, state);
 	}
 	pn_send_ended(c->links, id, state);
 }
@@ -839,11 +818,7 @@
 		list.workers[list.n_workers] = &row[list.n_workers];
 		list.n_workers++;
 	}
-	bytes = currant__pool_workers__get_packed_size(&list);
-	value = talloc_size(cm, bytes + 1);
-	if (value == NULL)
-		abort();
-	currant__pool_workers__pack(&list, value);
+	value = pk_pack(cm, &list.base, &bytes);
 	cp_commit_add(
 	    cm, cp_key(cm, RP_WORKERS_PREFIX, h->name), value, bytes, 0);
 }
@@ -892,7 +867,7 @@
 	};
 
 	put.value = cp_term_value(ctx, h, o->term, true, &put.value_bytes);
-	f->keys->txn(f->handle, &txn, cp_ignore, NULL);
+	f->keys->txn(f->handle, &txn, cell_ignore, NULL);
 	talloc_free(ctx);
 	lg_event(LG_INFO, "pool", "released", "pool", h->name, "fence",
 	    lg_i64((int64_t)h->fence), NULL);
@@ -963,7 +938,7 @@
 		    cp_key(ctx, RP_JOB_PREFIX, job->id);
 	}
 	if (txn.remove_count > 0)
-		f->keys->txn(f->handle, &txn, cp_ignore, NULL);
+		f->keys->txn(f->handle, &txn, cell_ignore, NULL);
 	talloc_free(ctx);
 }
 
@@ -1134,7 +1109,7 @@
 		if (w->gone_us == 0 && strcmp(w->pool, h->name) == 0)
 			wp_set_worker(h->pool, &w->info, now_us);
 		else if (wp_find_worker(h->pool, w->id) != NULL)
-			wp_unlist_worker(h->pool, w->id, now_us);
+			wp_unlist_worker(h->pool, w->id);
 		else
 			continue;
 		cp_kick(h);
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -128,9 +128,8 @@
 }
 
 void
-rp_tell_ended(struct replica *r, struct rp_job *job, enum jb_state state)
+rp_tell_ended(struct rp_job *job, enum jb_state state)
 {
-	(void)r;
 	if (jb_has_ended(job->state) || !jb_has_ended(state))
 		return;
 	job->told = true;
@@ -338,7 +337,6 @@
 	    lg_i64((int64_t)config->version), "revision",
 	    lg_i64((int64_t)item->revision), "queues",
 	    lg_i64(config->queue_count), NULL);
-	r->hooks.config(config, r->arg);
 }
 
 static const struct {
--- a/include/curranttackd/cell.h
+++ b/include/curranttackd/cell.h
@@ -41,11 +41,9 @@
 	uint64_t member_lease;
 	bool member_busy;
 	int64_t member_at_us;
-	int64_t member_ok_us;
 	bool draining;
 	int64_t drain_us;
 	int64_t store_ok_us;
-	char callers_address[64];
 	char peers_address[64];
 };
 
@@ -57,6 +55,9 @@
  */
 int cell_run(struct cell_settings *settings);
 
+/** cell_ignore() - for writes whose outcome the watch shows */
+void cell_ignore(const struct ks_answer *a, void *arg);
+
 /** cell_wall_to_us() - what added to a wall clock gives the steady clock */
 int64_t cell_wall_to_us(void);
 
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -170,7 +170,7 @@
 void rp_forget_job(struct replica *r, struct rp_job *job);
 
 /** rp_tell_ended() - a job's owner says how it has ended */
-void rp_tell_ended(struct replica *r, struct rp_job *job, enum jb_state state);
+void rp_tell_ended(struct rp_job *job, enum jb_state state);
 
 /**
  * rp_apply() - take one item in, out of the order of changes
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -134,7 +134,6 @@
 	uint32_t ticket_count;
 	bool ask_out;
 	int64_t ask_again_us;
-	int64_t ready_us;
 	struct wp_step *prev;
 	struct wp_step *next;
 };
@@ -168,7 +167,6 @@
 	enum jb_state stop_as;
 	int64_t arrived_us;
 	int64_t objective_us;
-	int64_t late_us;
 	bool dirty;
 	struct wp_job *dirty_prev;
 	struct wp_job *dirty_next;
@@ -233,7 +231,6 @@
 	uint32_t failures;
 	char failed_job[JB_ID_BYTES];
 	int64_t avoid_until_us;
-	int64_t leaves_us;
 	int64_t pace_at_us;
 	UT_hash_handle hh;
 };
@@ -389,24 +386,19 @@
 	struct wp_worker *workers;
 	struct wp_step *ready;
 	struct wp_order *orders;
-	int64_t begun_us;
 	int64_t strangers_until_us;
 	bool settled;
 	bool registry_dirty;
-	bool wanted;
-	int64_t max_lease_us;
 	struct wp_stats stats;
 };
 
 /**
  * struct wp_settings - bounds of a pool
  * @term: counts the owners; sets runs of different owners apart
- * @max_lease_us: longest lease that workers grant
  * @earlier_until_us: until then an earlier owner may renew leases
  */
 struct wp_settings {
 	uint32_t term;
-	int64_t max_lease_us;
 	int64_t earlier_until_us;
 };
 
@@ -415,10 +407,9 @@
  * @ctx: talloc parent
  * @name: service
  * @settings: bounds
- * @now_us: time
  */
-struct wp_pool *wp_create(TALLOC_CTX *ctx, const char *name,
-    const struct wp_settings *settings, int64_t now_us);
+struct wp_pool *wp_create(
+    TALLOC_CTX *ctx, const char *name, const struct wp_settings *settings);
 
 /**
  * wp_add_job() - take a job into the pool
@@ -455,7 +446,7 @@
     struct wp_pool *p, const struct wp_worker_info *info, int64_t now_us);
 
 /** wp_unlist_worker() - service discovery no longer lists a worker */
-void wp_unlist_worker(struct wp_pool *p, const char *id, int64_t now_us);
+void wp_unlist_worker(struct wp_pool *p, const char *id);
 
 /**
  * wp_add_known_worker() - an earlier owner may have work on a worker
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -50,7 +50,7 @@
 void wp_task_send_start(
     struct wp_pool *p, struct wp_task *t, const char *ticket, int64_t now_us);
 /** wp_task_done() - it has ended well */
-void wp_task_done(struct wp_pool *p, struct wp_task *t, int64_t now_us);
+void wp_task_done(struct wp_pool *p, struct wp_task *t);
 /** wp_note_failed_run() - remember a failed run; false if it is known */
 bool wp_note_failed_run(struct wp_task *t, uint32_t run);
 /** wp_check_attempts() - fail the job of a task that has no attempts left */
@@ -73,7 +73,9 @@
 /** wp_job_settle() - whether all tasks of a stopped job are off their workers */
 void wp_job_settle(struct wp_job *job);
 /** wp_step_ready() - put a step among those that may start */
-void wp_step_ready(struct wp_pool *p, struct wp_step *s, int64_t now_us);
+void wp_step_ready(struct wp_pool *p, struct wp_step *s);
+/** wp_occurrence_advance() - ready the steps whose earlier ones have ended */
+void wp_occurrence_advance(struct wp_pool *p, struct wp_occurrence *occ);
 /** wp_step_update() - keep a step listed while it has waiting tasks */
 void wp_step_update(struct wp_pool *p, struct wp_step *s);
 
--- a/protocol/job_codec.c
+++ b/protocol/job_codec.c
@@ -4,6 +4,7 @@
 
 #include "protocol/curranttack.pb-c.h"
 #include "protocol/job_codec.h"
+#include "protocol/pack.h"
 
 static char *
 jc_text(const char *text)
@@ -86,11 +87,7 @@
 	job.first_due_ms = spec->first_due_ms;
 	job.has_interval_ms = spec->repeat_count > 0;
 	job.interval_ms = spec->interval_ms;
-	*bytes = currant__accepted_job__get_packed_size(&job);
-	value = talloc_size(ctx, *bytes + 1);
-	if (value == NULL)
-		abort();
-	currant__accepted_job__pack(&job, value);
+	value = pk_pack(ctx, &job.base, bytes);
 	talloc_free(steps);
 	return value;
 }
@@ -209,11 +206,7 @@
 	p.started = progress->started;
 	p.tasks = rows;
 	p.n_tasks = progress->task_count;
-	*bytes = currant__job_progress__get_packed_size(&p);
-	value = talloc_size(ctx, *bytes + 1);
-	if (value == NULL)
-		abort();
-	currant__job_progress__pack(&p, value);
+	value = pk_pack(ctx, &p.base, bytes);
 	talloc_free(tasks);
 	return value;
 }
--- a/state/pool.c
+++ b/state/pool.c
@@ -5,12 +5,8 @@
 
 #include "state/pool_internal.h"
 
-/* Callers count three times the objective as late, more as nothing. */
-#define WP_LATE_FACTOR 3
-
 struct wp_pool *
-wp_create(TALLOC_CTX *ctx, const char *name, const struct wp_settings *settings,
-    int64_t now_us)
+wp_create(TALLOC_CTX *ctx, const char *name, const struct wp_settings *settings)
 {
 	struct wp_pool *p = talloc_zero(ctx, struct wp_pool);
 
@@ -18,8 +14,6 @@
 		abort();
 	snprintf(p->name, sizeof(p->name), "%s", name);
 	p->term = settings->term;
-	p->max_lease_us = settings->max_lease_us;
-	p->begun_us = now_us;
 	p->strangers_until_us = settings->earlier_until_us;
 	return p;
 }
@@ -86,8 +80,8 @@
 }
 
 static void
-wp_task_restore(struct wp_pool *p, struct wp_task *t,
-    const struct jb_task_progress *row, int64_t now_us)
+wp_task_restore(
+    struct wp_pool *p, struct wp_task *t, const struct jb_task_progress *row)
 {
 	uint32_t i;
 
@@ -97,7 +91,7 @@
 		wp_note_failed_run(t, row->failed_run[i]);
 	wp_task_set_checkpoint(t, row->checkpoint);
 	if (row->done)
-		wp_task_done(p, t, now_us);
+		wp_task_done(p, t);
 }
 
 /* Whatever still runs of it is stopped as something that nobody wants. */
@@ -155,9 +149,9 @@
 		s = &job->occ[row->occurrence]->step[row->step];
 		if (row->index == JB_ALL_TASKS) {
 			for (j = 0; j < s->spec->count; j++)
-				wp_task_done(p, &s->task[j], now_us);
+				wp_task_done(p, &s->task[j]);
 		} else if (row->index < s->spec->count) {
-			wp_task_restore(p, &s->task[row->index], row, now_us);
+			wp_task_restore(p, &s->task[row->index], row);
 		}
 	}
 	if (!jb_has_ended(progress->state))
@@ -177,27 +171,14 @@
 	objective_us = chain_ms * policy->stretch_milli +
 	    (int64_t)policy->target_latency_ms * CLK_US_PER_MS;
 	job->objective_us = job->arrived_us + objective_us;
-	job->late_us = job->arrived_us + WP_LATE_FACTOR * objective_us;
 }
 
 static void
 wp_occurrence_begin(
     struct wp_pool *p, struct wp_occurrence *occ, int64_t now_us)
 {
-	const struct jb_spec *spec = occ->job->spec;
-	uint32_t i;
-	uint32_t j;
-
-	if (occ->due_us > now_us)
-		return;
-	for (i = 0; i < spec->step_count; i++) {
-		bool ready = true;
-
-		for (j = 0; j < spec->step[i].after_count; j++)
-			ready &= occ->step[spec->step[i].after[j]].open == 0;
-		if (ready)
-			wp_step_ready(p, &occ->step[i], now_us);
-	}
+	if (occ->due_us <= now_us)
+		wp_occurrence_advance(p, occ);
 }
 
 struct wp_job *
@@ -300,7 +281,6 @@
 	wp_settle_held(p, now_us);
 	wp_jobs_tick(p, now_us);
 	wp_schedule(p, now_us);
-	p->wanted = false;
 }
 
 struct wp_order *
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -169,7 +169,6 @@
 	if (s == NULL)
 		return;
 	s->ask_out = false;
-	p->wanted = true;
 	if (!ok) {
 		s->ask_again_us = now_us + WP_ASK_RETRY_US;
 		return;
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -259,23 +259,19 @@
 		s->prev = NULL;
 		s->next = NULL;
 	}
-	if (wanted)
-		p->wanted = true;
 }
 
 void
-wp_step_ready(struct wp_pool *p, struct wp_step *s, int64_t now_us)
+wp_step_ready(struct wp_pool *p, struct wp_step *s)
 {
 	if (s->ready)
 		return;
 	s->ready = true;
-	s->ready_us = now_us;
 	wp_step_update(p, s);
 }
 
-static void
-wp_occurrence_advance(
-    struct wp_pool *p, struct wp_occurrence *occ, int64_t now_us)
+void
+wp_occurrence_advance(struct wp_pool *p, struct wp_occurrence *occ)
 {
 	const struct jb_spec *spec = occ->job->spec;
 	uint32_t i;
@@ -288,7 +284,7 @@
 		for (j = 0; j < step->after_count; j++)
 			ready &= occ->step[step->after[j]].open == 0;
 		if (ready)
-			wp_step_ready(p, &occ->step[i], now_us);
+			wp_step_ready(p, &occ->step[i]);
 	}
 }
 
@@ -302,7 +298,7 @@
 }
 
 void
-wp_task_done(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+wp_task_done(struct wp_pool *p, struct wp_task *t)
 {
 	struct wp_step *s = t->step;
 	struct wp_job *job = s->occ->job;
@@ -322,7 +318,7 @@
 	if (s->occ->open_steps == 0)
 		wp_job_occurrence_ended(job);
 	else
-		wp_occurrence_advance(p, s->occ, now_us);
+		wp_occurrence_advance(p, s->occ);
 }
 
 void
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -91,17 +91,13 @@
 		w->hold_at_us = now_us;
 	w->listed = true;
 	w->draining = info->draining;
-	if (info->draining && info->remaining_ms > 0)
-		w->leaves_us = now_us + info->remaining_ms * CLK_US_PER_MS;
-	p->wanted = true;
 }
 
 void
-wp_unlist_worker(struct wp_pool *p, const char *id, int64_t now_us)
+wp_unlist_worker(struct wp_pool *p, const char *id)
 {
 	struct wp_worker *w = wp_find_worker(p, id);
 
-	(void)now_us;
 	if (w != NULL)
 		w->listed = false;
 }
@@ -141,8 +137,7 @@
 
 /* Everything that ran there in its earlier life is gone. */
 static void
-wp_worker_new_life(
-    struct wp_pool *p, struct wp_worker *w, int64_t born_ms, int64_t now_us)
+wp_worker_new_life(struct wp_worker *w, int64_t born_ms, int64_t now_us)
 {
 	struct wp_task *t;
 	struct wp_task *tmp;
@@ -158,7 +153,6 @@
 	w->avoid_until_us = 0;
 	w->doubt_until_us = 0;
 	memset(&w->stray, 0, sizeof(w->stray));
-	p->wanted = true;
 }
 
 static bool
@@ -215,12 +209,12 @@
 }
 
 static void
-wp_gang_done(struct wp_pool *p, struct wp_step *s, int64_t now_us)
+wp_gang_done(struct wp_pool *p, struct wp_step *s)
 {
 	uint32_t i;
 
 	for (i = 0; i < s->spec->count; i++)
-		wp_task_done(p, &s->task[i], now_us);
+		wp_task_done(p, &s->task[i]);
 }
 
 /* An end of the run that the pool believes to be there. */
@@ -240,9 +234,9 @@
 		}
 		wp_task_release(t);
 		if (t->step->spec->flags & JB_GANG)
-			wp_gang_done(p, t->step, now_us);
+			wp_gang_done(p, t->step);
 		else
-			wp_task_done(p, t, now_us);
+			wp_task_done(p, t);
 		return;
 	case WP_END_FAILED:
 		wp_note_failure(w, &end->ref, now_us);
@@ -278,9 +272,9 @@
 	if (end->how != WP_END_DONE || (t->step->spec->flags & JB_LASTING))
 		return;
 	if (t->step->spec->flags & JB_GANG)
-		wp_gang_done(p, t->step, now_us);
+		wp_gang_done(p, t->step);
 	else
-		wp_task_done(p, t, now_us);
+		wp_task_done(p, t);
 }
 
 /* It ended well before its lease was taken for lapsed; nothing has run since. */
@@ -304,7 +298,6 @@
 			continue;
 		w->seen_end = end->number;
 		p->stats.ends[end->how]++;
-		p->wanted = true;
 		t = wp_find_task(p, &end->ref);
 		if (t == NULL)
 			continue;
@@ -439,14 +432,12 @@
 	w->unanswered = 0;
 	w->fenced = true;
 	if (w->born_ms != 0 && w->born_ms != reply->born_ms)
-		wp_worker_new_life(p, w, reply->born_ms, now_us);
+		wp_worker_new_life(w, reply->born_ms, now_us);
 	w->born_ms = reply->born_ms;
 	w->clock_ms = reply->clock_ms;
 	w->clock_at_us = now_us;
-	if (first) {
+	if (first)
 		w->doubt_until_us = 0;
-		p->wanted = true;
-	}
 	wp_take_ends(p, w, reply, now_us);
 	wp_take_running(p, w, reply, now_us);
 	wp_find_missing(p, w, reply, now_us);
@@ -473,13 +464,6 @@
 		w->reachable = false;
 }
 
-static void
-wp_unplace(struct wp_pool *p, struct wp_task *t, int64_t not_before_us)
-{
-	p->wanted = true;
-	wp_task_requeue(t, not_before_us);
-}
-
 static void
 wp_start_refused(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
     enum wp_order_result result, int64_t now_us)
@@ -507,7 +491,7 @@
 		t->in_doubt = true;
 		return;
 	}
-	wp_unplace(p, t, now_us + WP_RETRY_US);
+	wp_task_requeue(t, now_us + WP_RETRY_US);
 }
 
 static void
@@ -576,7 +560,7 @@
 
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		p->stats.displaced++;
-		wp_unplace(p, t, now_us);
+		wp_task_requeue(t, now_us);
 	}
 	memset(&w->stray, 0, sizeof(w->stray));
 	w->doubt_until_us = 0;
@@ -699,7 +683,7 @@
 }
 
 static void
-wp_release_held(struct wp_pool *p, struct wp_job *job, int64_t now_us)
+wp_release_held(struct wp_job *job, int64_t now_us)
 {
 	uint32_t k;
 	uint32_t i;
@@ -711,8 +695,8 @@
 		for (i = 0; occ != NULL && i < job->spec->step_count; i++) {
 			for (j = 0; j < job->spec->step[i].count; j++) {
 				if (occ->step[i].task[j].state == WP_HELD)
-					wp_unplace(
-					    p, &occ->step[i].task[j], now_us);
+					wp_task_requeue(
+					    &occ->step[i].task[j], now_us);
 			}
 		}
 	}
@@ -734,5 +718,5 @@
 	}
 	p->settled = true;
 	HASH_ITER(hh, p->jobs, job, next)
-		wp_release_held(p, job, now_us);
+		wp_release_held(job, now_us);
 }
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -50,10 +50,10 @@
 	void
 	begin(uint32_t term = 0, int64_t earlier_until_us = 0)
 	{
-		struct wp_settings settings = {term, 10 * kS, earlier_until_us};
+		struct wp_settings settings = {term, earlier_until_us};
 
 		now = kBegin;
-		p = wp_create(nullptr, "pool", &settings, now);
+		p = wp_create(nullptr, "pool", &settings);
 	}
 
 	void
@@ -318,7 +318,7 @@
 	ready_worker("w");
 	now += kS;
 	hold("w");
-	wp_unlist_worker(p, "w", now);
+	wp_unlist_worker(p, "w");
 	wp_on_hold_lost(p, wp_find_worker(p, "w"), WP_NOT_SENT, now);
 	tick();
 	EXPECT_FALSE(p->registry_dirty);
@@ -332,7 +332,7 @@
 {
 	begin();
 	ready_worker("w");
-	wp_unlist_worker(p, "w", now);
+	wp_unlist_worker(p, "w");
 	tick(5 * kS);
 	wp_find_worker(p, "w")->registered = false;
 	p->registry_dirty = false;
