state: an owner that may have a successor infers nothing from elapsed time

An owner cut off with its domain at 33.5 s could not reach a worker, took its lease for lapsed and ran the task again at 39.28 s, when the cut had healed, 20 ms within its start window, on a worker that its successor had not fenced yet. The successor had renewed the first worker, and stored the run's end. Ruled out: the clean-up before (it touches none of this); a lost end (it was adopted and stored); late orders (the start was answered). A new life or a list of the worker settles a task as before.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -591,6 +591,8 @@
 {
 	h->pool->draining = h->state != CP_OWNER ||
 	    now_us - h->confirmed_us > CP_START_WINDOW_US;
+	h->pool->unconfirmed =
+	    now_us - h->confirmed_us >= CP_LEASE_MS * CLK_US_PER_MS;
 	wp_tick(h->pool, now_us);
 	if (h->pool->deposed) {
 		cp_step_down(h, "fenced by a worker");
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -376,11 +376,21 @@
 	uint32_t unfenced;
 };
 
+/**
+ * struct wp_pool - a pool's jobs and workers
+ * @deposed: a worker obeys a later owner
+ * @draining: nothing new is started
+ * @unconfirmed: a later owner may exist, and may renew leases of workers
+ * @strangers_until_us: until then earlier owners may act on workers
+ * @settled: no worker can run a task that this owner does not know of
+ * @registry_dirty: the stored list of workers is out of date
+ */
 struct wp_pool {
 	char name[WP_NAME_BYTES];
 	uint32_t term;
 	bool deposed;
 	bool draining;
+	bool unconfirmed;
 	struct wp_job *jobs;
 	struct wp_job *dirty;
 	struct wp_worker *workers;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -660,7 +660,9 @@
 	struct wp_task *t;
 	struct wp_task *tmp;
 
-	if (!w->reachable && w->tasks != NULL && now_us > wp_lapse_us(w))
+	/* A later owner would have renewed the lease that we know of. */
+	if (!p->unconfirmed && !w->reachable && w->tasks != NULL &&
+	    now_us > wp_lapse_us(w))
 		wp_worker_lapsed(p, w, now_us);
 	if (w->draining && w->reachable)
 		wp_leave_draining(p, w, now_us);
@@ -710,7 +712,7 @@
 	struct wp_job *job;
 	struct wp_job *next;
 
-	if (p->settled)
+	if (p->settled || p->unconfirmed)
 		return;
 	HASH_ITER(hh, p->workers, w, tmp) {
 		if (!w->fenced && now_us < w->doubt_until_us)
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -500,6 +500,21 @@
 	EXPECT_EQ(tick().size(), 1U);
 }
 
+TEST_F(Pool, HeldTasksStayHeldForAnOwnerThatMayHaveASuccessor)
+{
+	begin(1, kBegin + 3 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	wp_add_known_worker(p, "cut-off", "127.0.0.1:2", now);
+	ready_worker("w");
+	p->unconfirmed = true;
+	now += 5 * kS;
+	hold("w");
+	EXPECT_TRUE(tick().empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_HELD);
+	p->unconfirmed = false;
+	EXPECT_EQ(tick().size(), 1U);
+}
+
 TEST_F(Pool, EarlierOwnerThatIsGoneShortensTheWait)
 {
 	begin(1, kBegin + 14 * kS);
@@ -562,6 +577,31 @@
 	EXPECT_EQ(orders[0]->run, 2U);
 }
 
+/*
+ * kps-dies hunt-15f4-19: an owner that was cut off took a lease for lapsed
+ * that its successor had renewed, and ran the task a second time.
+ */
+TEST_F(Pool, LeaseHasNotLapsedForAnOwnerThatMayHaveASuccessor)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += 100 * kMs;
+	hold("w", {{kJob, 0, 0, 1, 0}});
+	ready_worker("v", 1000);
+	wp_on_hold_lost(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	p->unconfirmed = true;
+	now += 5 * kS;
+	hold("v");
+	EXPECT_TRUE(tick().empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_RUNNING);
+	p->unconfirmed = false;
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->worker, "v");
+}
+
 TEST_F(Pool, UnansweredStartIsSentAgainWithItsRun)
 {
 	begin();
