--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -8,6 +8,7 @@
 #include "curranttackd/cell.h"
 #include "curranttackd/cell_advice.h"
 #include "curranttackd/cell_calls.h"
+#include "curranttackd/cell_maintenance.h"
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
 #include "platform/platform.h"
@@ -247,6 +248,7 @@
 	pn_tick(c->links, now_us);
 	cp_tick(c);
 	av_tick(c->advice, now_us);
+	cm_tick(c, now_us);
 	if (c->draining)
 		cell_drain_tick(c, now_us);
 }
@@ -297,6 +299,7 @@
 	struct pf_settings pf = {
 	    .store = c->settings->store,
 	    .advice = c->settings->advice != NULL ? c->settings->advice : "",
+	    .duties = c->settings->duties != NULL ? c->settings->duties : "",
 	};
 
 	c->incarnation = (uint64_t)clk_wall_us();
--- /dev/null
+++ b/curranttackd/cell_maintenance.c
@@ -0,0 +1,309 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "curranttackd/cell_maintenance.h"
+#include "curranttackd/cell_pool.h"
+#include "protocol/curranttack.pb-c.h"
+#include "protocol/pack.h"
+
+#define CM_WRITE_RETRY_US (300 * CLK_US_PER_MS)
+/* An owner whose lease was not confirmed for so long orders nothing. */
+#define CM_CONFIRMED_US (CLK_US_PER_S)
+
+/* A change of a wave's item, or an order, that is on its way. */
+struct cm_call {
+	struct cell *c;
+	char wave[WP_NAME_BYTES];
+	char vm[WP_NAME_BYTES];
+	char pool[WP_NAME_BYTES];
+	uint64_t fence;
+};
+
+/**
+ * struct cm_driver - what is on its way
+ * @write_out: a change of some wave's item is unanswered
+ * @write_at_us: no earlier change
+ */
+struct cm_driver {
+	bool write_out;
+	int64_t write_at_us;
+};
+
+static struct cm_driver *
+cm_driver_of(struct cell *c)
+{
+	if (c->maintenance == NULL)
+		c->maintenance = talloc_zero(c, struct cm_driver);
+	if (c->maintenance == NULL)
+		abort();
+	return c->maintenance;
+}
+
+static struct mw_owner
+cm_owner_of(const struct cp_host *h)
+{
+	const struct cell *c = h->cell;
+	struct mw_owner o = {
+	    .pool = h->pool,
+	    .fence = h->fence,
+	    .since_us = h->since_us,
+	    .turn_us = c->settings->duty_turn_us,
+	    .down_us = c->settings->maintenance_us,
+	};
+
+	o.first = c->replica->config->pool_count > 0 &&
+	    strcmp(c->replica->config->pool[0].name, h->name) == 0;
+	return o;
+}
+
+static bool
+cm_may_act(const struct cp_host *h, int64_t now_us)
+{
+	return h->state == CP_OWNER && h->pool != NULL &&
+	    now_us - h->confirmed_us < CM_CONFIRMED_US;
+}
+
+static struct rp_wave *
+cm_find_wave(struct cell *c, const char *id)
+{
+	struct rp_wave *w;
+
+	HASH_FIND_STR(c->replica->waves, id, w);
+	return w != NULL && w->wave != NULL ? w : NULL;
+}
+
+static void
+cm_on_written(const struct ks_answer *a, void *arg)
+{
+	struct cm_call *call = arg;
+	struct cm_driver *d = cm_driver_of(call->c);
+
+	d->write_out = false;
+	/* The watch shows what came of it. */
+	d->write_at_us = clk_now_us() + CM_WRITE_RETRY_US;
+	if (a->result == KS_OK)
+		rp_hurry(call->c->replica);
+	talloc_free(call);
+}
+
+static void
+cm_fill_row(Currant__MaintenanceVm *row, struct mw_vm *vm)
+{
+	currant__maintenance_vm__init(row);
+	row->vm = vm->name;
+	row->state = (uint32_t)vm->state;
+	row->pool = vm->pool;
+	row->has_fence = true;
+	row->fence = vm->fence;
+	row->worker = vm->worker;
+	row->has_born_ms = true;
+	row->born_ms = vm->born_ms;
+}
+
+static uint8_t *
+cm_pack(TALLOC_CTX *ctx, const struct rp_wave *w, struct mw_vm *next,
+    size_t *bytes)
+{
+	Currant__MaintenanceWave item = CURRANT__MAINTENANCE_WAVE__INIT;
+	uint32_t count = w->wave->vm_count;
+	Currant__MaintenanceVm *row;
+	uint32_t i;
+
+	row = talloc_zero_array(ctx, Currant__MaintenanceVm, count + 1);
+	item.vms = talloc_zero_array(ctx, Currant__MaintenanceVm *, count + 1);
+	if (row == NULL || item.vms == NULL)
+		abort();
+	for (i = 0; i < count; i++) {
+		if (next[i].state == MW_WAITING)
+			continue;
+		cm_fill_row(&row[item.n_vms], &next[i]);
+		item.vms[item.n_vms] = &row[item.n_vms];
+		item.n_vms++;
+	}
+	item.ends_wall_ms = w->ends_wall_ms;
+	if (w->progress == NULL)
+		item.ends_wall_ms =
+		    clk_wall_us() / CLK_US_PER_MS + w->wave->duration_ms;
+	return pk_pack(ctx, &item.base, bytes);
+}
+
+/* One line for each VM that the write moves on. */
+static void
+cm_log_changes(const struct rp_wave *w, const struct mw_vm *next)
+{
+	static const char *const events[] = {
+	    [MW_WAITING] = "vm_waiting",
+	    [MW_TAKEN] = "vm_taken",
+	    [MW_DONE] = "vm_done",
+	};
+	uint32_t i;
+
+	for (i = 0; i < w->wave->vm_count; i++) {
+		const struct mw_vm *vm = &w->wave->vm[i];
+
+		if (next[i].state == vm->state)
+			continue;
+		lg_event(LG_INFO, "maintenance", events[next[i].state], "wave",
+		    w->id, "target", vm->name, "pool", next[i].pool, "worker",
+		    next[i].worker, "gone", vm->gone ? "1" : "0", NULL);
+	}
+}
+
+/* Writes a wave's item and what operators read of it, all or nothing. */
+static void
+cm_write(struct cell *c, const struct rp_wave *w, struct mw_vm *next)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct cm_call *call = talloc_zero(c, struct cm_call);
+	struct mw_wave after = *w->wave;
+	struct ks_expect expect = {
+	    .key = talloc_asprintf(ctx, "%s%s", RP_WAVE_PREFIX, w->id),
+	    .revision = w->progress_revision,
+	};
+	struct ks_put put[2] = {{.key = expect.key}};
+	struct ks_txn txn = {
+	    .expect = &expect,
+	    .expect_count = 1,
+	    .put = put,
+	    .put_count = 2,
+	};
+	const char *text;
+
+	if (call == NULL)
+		abort();
+	cm_log_changes(w, next);
+	call->c = c;
+	after.vm = next;
+	put[0].value = cm_pack(ctx, w, next, &put[0].value_bytes);
+	c->fleet->entries->wave_status(
+	    ctx, after.number, mw_is_done(&after), &put[1].key, &text);
+	put[1].value = (const uint8_t *)text;
+	put[1].value_bytes = strlen(text);
+	cm_driver_of(c)->write_out = true;
+	c->fleet->keys->txn(c->fleet->handle, &txn, cm_on_written, call);
+	talloc_free(ctx);
+}
+
+static void
+cm_on_call(enum mw_result result, void *arg)
+{
+	struct cm_call *call = arg;
+	struct rp_wave *w = cm_find_wave(call->c, call->wave);
+	struct cp_host *h = cp_find(call->c, call->pool);
+	struct mw_vm *vm = NULL;
+	struct mw_owner o;
+
+	lg_event(LG_INFO, "maintenance", "order", "wave", call->wave, "target",
+	    call->vm, "fence", lg_i64((int64_t)call->fence), "result",
+	    lg_i64(result), NULL);
+	if (w != NULL)
+		vm = mw_find(w->wave, call->vm);
+	if (vm != NULL)
+		vm->call_out = false;
+	if (vm != NULL && h->pool != NULL && h->fence == call->fence) {
+		o = cm_owner_of(h);
+		mw_on_call(vm, &o, result, clk_now_us());
+	}
+	talloc_free(call);
+}
+
+static void
+cm_call(struct cp_host *h, const struct rp_wave *w, struct mw_vm *vm)
+{
+	struct cell *c = h->cell;
+	struct cm_call *call = talloc_zero(c, struct cm_call);
+
+	if (call == NULL)
+		abort();
+	call->c = c;
+	call->fence = h->fence;
+	memcpy(call->wave, w->id, sizeof(call->wave));
+	memcpy(call->vm, vm->name, sizeof(call->vm));
+	memcpy(call->pool, h->name, sizeof(call->pool));
+	vm->call_out = true;
+	c->fleet->duties->take_down(c->fleet->handle, vm->name, w->wave->number,
+	    c->settings->vm, h->fence, cm_on_call, call);
+}
+
+/* What changes for a pool's VMs; true when the item has to be written. */
+static bool
+cm_drive_pool(struct cp_host *h, struct rp_wave *w, struct mw_vm *next,
+    int64_t now_us)
+{
+	struct mw_owner o = cm_owner_of(h);
+	struct mw_wave plan = *w->wave;
+	bool changed = false;
+	uint32_t i;
+
+	mw_retire(w->wave, &o, now_us);
+	plan.vm = next;
+	for (i = 0; i < w->wave->vm_count; i++) {
+		struct mw_vm *vm = &w->wave->vm[i];
+
+		next[i].retiring = vm->retiring;
+		next[i].force_us = vm->force_us;
+		if (mw_may_take(&plan, &next[i], &o, now_us)) {
+			mw_take(&next[i], &o);
+			changed = true;
+		} else if (vm->gone || mw_is_back(vm, &o, now_us)) {
+			next[i].state = MW_DONE;
+			changed = true;
+		} else if (mw_call_due(vm, &o, now_us)) {
+			cm_call(h, w, vm);
+		}
+	}
+	return changed;
+}
+
+static void
+cm_drive(struct cell *c, struct rp_wave *w, int64_t now_us)
+{
+	struct cm_driver *d = cm_driver_of(c);
+	struct mw_vm *next;
+	struct cp_host *h;
+	struct cp_host *tmp;
+	bool changed = w->progress == NULL;
+	bool acts = false;
+
+	w->wave->ends_us = w->ends_wall_ms * CLK_US_PER_MS + cell_wall_to_us();
+	next = talloc_memdup(
+	    c, w->wave->vm, sizeof(*next) * (w->wave->vm_count + 1));
+	if (next == NULL)
+		abort();
+	HASH_ITER(hh, c->pools, h, tmp) {
+		if (!cm_may_act(h, now_us))
+			continue;
+		acts = true;
+		/* The first write sets the deadline. */
+		if (w->progress != NULL)
+			changed |= cm_drive_pool(h, w, next, now_us);
+	}
+	if (acts && changed && !d->write_out && now_us >= d->write_at_us)
+		cm_write(c, w, next);
+	talloc_free(next);
+}
+
+void
+cm_tick(struct cell *c, int64_t now_us)
+{
+	struct rp_wave *w;
+	struct rp_wave *next;
+	struct cp_host *h;
+	struct cp_host *tmp;
+
+	if (c->replica->waves == NULL || c->replica->config == NULL ||
+	    cp_owned(c) == 0)
+		return;
+	HASH_ITER(hh, c->pools, h, tmp) {
+		if (h->pool != NULL)
+			wp_retire_none(h->pool);
+	}
+	HASH_ITER(hh, c->replica->waves, w, next) {
+		if (w->wave != NULL &&
+		    (w->progress == NULL || !mw_is_done(w->wave)))
+			cm_drive(c, w, now_us);
+	}
+}
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -387,6 +387,7 @@
 	h->epoch++;
 	h->state = CP_OWNER;
 	h->fence = o->created;
+	h->since_us = now_us;
 	h->revision = o->revision;
 	h->commits = 0;
 	h->renew_out = false;
--- a/curranttackd/cell_settings.c
+++ b/curranttackd/cell_settings.c
@@ -40,6 +40,11 @@
 {
 	s->store = cs_text(s, jf_address(r, "store", true));
 	s->advice = cs_text(s, jf_address(r, "advice", false));
+	s->duties = cs_text(s, jf_address(r, "duties", false));
+	s->duty_turn_us =
+	    jf_duration_us(r, "duty_turn", 3 * CLK_US_PER_S, 0, CS_HOUR_US);
+	s->maintenance_us =
+	    jf_duration_us(r, "maintenance", 2 * CLK_US_PER_S, 0, CS_HOUR_US);
 	s->max_lease_ms =
 	    (uint32_t)jf_integer(r, "max_lease_ms", 10000, 1000, 600000);
 	s->grace_us = jf_duration_us(
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -339,6 +339,100 @@
 	    lg_i64(config->queue_count), NULL);
 }
 
+static struct rp_wave *
+rp_wave_get(struct replica *r, const char *id)
+{
+	struct rp_wave *w;
+
+	HASH_FIND_STR(r->waves, id, w);
+	if (w != NULL || strlen(id) >= WP_NAME_BYTES)
+		return w;
+	w = talloc_zero(r, struct rp_wave);
+	if (w == NULL)
+		abort();
+	snprintf(w->id, sizeof(w->id), "%s", id);
+	HASH_ADD_STR(r->waves, id, w);
+	return w;
+}
+
+static void
+rp_fill_wave_vm(struct mw_wave *m, const Currant__MaintenanceVm *row)
+{
+	struct mw_vm *vm = mw_find(m, row->vm);
+
+	if (vm == NULL || row->state > MW_DONE)
+		return;
+	vm->state = (enum mw_state)row->state;
+	vm->fence = row->fence;
+	vm->born_ms = row->born_ms;
+	snprintf(vm->pool, sizeof(vm->pool), "%s",
+	    row->pool != NULL ? row->pool : "");
+	snprintf(vm->worker, sizeof(vm->worker), "%s",
+	    row->worker != NULL ? row->worker : "");
+}
+
+/* The order and its progress may come in either order. */
+static void
+rp_fill_wave(struct rp_wave *w)
+{
+	Currant__MaintenanceWave *row;
+	size_t i;
+
+	if (w->wave == NULL || w->progress == NULL)
+		return;
+	row = currant__maintenance_wave__unpack(
+	    NULL, w->progress_bytes, w->progress);
+	if (row == NULL) {
+		lg_event(LG_ERROR, "replica", "unreadable_wave", "wave", w->id,
+		    NULL);
+		return;
+	}
+	w->ends_wall_ms = row->ends_wall_ms;
+	for (i = 0; i < row->n_vms; i++)
+		rp_fill_wave_vm(w->wave, row->vms[i]);
+	currant__maintenance_wave__free_unpacked(row, NULL);
+}
+
+static void
+rp_apply_wave_progress(
+    struct replica *r, const char *id, const struct ks_item *item)
+{
+	struct rp_wave *w = rp_wave_get(r, id);
+
+	if (w == NULL || item->deleted ||
+	    item->revision <= w->progress_revision)
+		return;
+	talloc_free(w->progress);
+	w->progress = talloc_memdup(w, item->value, item->value_bytes);
+	w->progress_bytes = item->value_bytes;
+	w->progress_revision = item->revision;
+	rp_fill_wave(w);
+}
+
+static void
+rp_apply_wave(struct replica *r, const char *id, const struct ks_item *item)
+{
+	char error[RP_ERROR_BYTES] = "";
+	struct rp_wave *w = rp_wave_get(r, id);
+	struct mw_wave *m = NULL;
+
+	if (w == NULL || item->revision <= w->revision)
+		return;
+	w->revision = item->revision;
+	if (!item->deleted) {
+		m = r->fleet->entries->wave(
+		    w, item->value, item->value_bytes, error, sizeof(error));
+		if (m == NULL) {
+			lg_event(LG_ERROR, "maintenance", "wave_refused",
+			    "wave", id, "reason", error, NULL);
+			return;
+		}
+	}
+	talloc_free(w->wave);
+	w->wave = m;
+	rp_fill_wave(w);
+}
+
 static const struct {
 	const char *prefix;
 	void (*apply)(
@@ -351,6 +445,7 @@
     {RP_TERM_PREFIX, rp_apply_term},
     {RP_WORKERS_PREFIX, rp_apply_workers},
     {RP_MEMBER_PREFIX, rp_apply_member},
+    {RP_WAVE_PREFIX, rp_apply_wave_progress},
 };
 
 static void
@@ -374,6 +469,9 @@
 	case FL_KEY_CONFIG:
 		rp_apply_config(r, item);
 		break;
+	case FL_KEY_WAVE:
+		rp_apply_wave(r, id, item);
+		break;
 	case FL_KEY_OTHER:
 		break;
 	}
--- a/include/curranttackd/cell.h
+++ b/include/curranttackd/cell.h
@@ -19,6 +19,7 @@
 struct av_desk;
 struct pn_links;
 struct cc_front;
+struct cm_driver;
 
 /**
  * struct cell - one daemon
@@ -37,6 +38,7 @@
 	struct av_desk *advice;
 	struct cc_front *front;
 	struct cp_host *pools;
+	struct cm_driver *maintenance;
 	uint64_t incarnation;
 	uint64_t member_lease;
 	bool member_busy;
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -23,6 +23,7 @@
  * @lease: lease behind the ownership
  * @ended_lease: lease of an owner that this daemon has ended
  * @fence: fencing token of this ownership
+ * @since_us: start of this ownership
  * @revision: of the owner's key, after the last commit
  * @commits: number of the last commit
  * @confirmed_us: the lease was in force then
@@ -41,6 +42,7 @@
 	uint64_t lease;
 	uint64_t ended_lease;
 	uint64_t fence;
+	int64_t since_us;
 	uint64_t revision;
 	uint64_t commits;
 	int64_t confirmed_us;
--- a/include/curranttackd/cell_settings.h
+++ b/include/curranttackd/cell_settings.h
@@ -16,6 +16,9 @@
  * @peers: "IP:PORT" for other daemons
  * @store: the platform's store
  * @advice: the platform's advice service, or NULL
+ * @duties: the platform's service that maintains VMs, or NULL
+ * @duty_turn_us: pause between orders of different owners to one VM
+ * @maintenance_us: how long a VM that is maintained stays down
  * @max_lease_ms: longest lease that workers grant
  * @grace_us: from the request to stop until the process is killed
  * @keep_ended_us: how long ended jobs are kept for callers
@@ -30,6 +33,9 @@
 	char *peers;
 	char *store;
 	char *advice;
+	char *duties;
+	int64_t duty_turn_us;
+	int64_t maintenance_us;
 	uint32_t max_lease_ms;
 	int64_t grace_us;
 	int64_t keep_ended_us;
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -18,6 +18,7 @@
 #define RP_TERM_PREFIX "ct/term/"
 #define RP_WORKERS_PREFIX "ct/workers/"
 #define RP_MEMBER_PREFIX "ct/member/"
+#define RP_WAVE_PREFIX "ct/wave/"
 #define RP_KEY_BYTES 200
 
 /**
@@ -110,6 +111,26 @@
 	UT_hash_handle hh;
 };
 
+/**
+ * struct rp_wave - a wave of maintenance
+ * @id: its name in the keys
+ * @revision: of the operators' order
+ * @wave: the order and how far it is; NULL while it is not known
+ * @progress_revision: of what is stored of it; 0 for nothing
+ * @ends_wall_ms: stored deadline
+ * @progress: what is stored, @progress_bytes long
+ */
+struct rp_wave {
+	char id[WP_NAME_BYTES];
+	uint64_t revision;
+	struct mw_wave *wave;
+	uint64_t progress_revision;
+	int64_t ends_wall_ms;
+	uint8_t *progress;
+	size_t progress_bytes;
+	UT_hash_handle hh;
+};
+
 /** struct rp_hooks - called after the replica has taken a change in */
 struct rp_hooks {
 	void (*job)(struct rp_job *job, void *arg);
@@ -148,6 +169,7 @@
 	struct rp_worker *workers;
 	struct rp_owner *owners;
 	struct rp_member *members;
+	struct rp_wave *waves;
 };
 
 /** rp_start() - load the key space and follow it */
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -46,6 +46,8 @@
 typedef struct Currant__PoolTerm Currant__PoolTerm;
 typedef struct Currant__KnownWorker Currant__KnownWorker;
 typedef struct Currant__PoolWorkers Currant__PoolWorkers;
+typedef struct Currant__MaintenanceVm Currant__MaintenanceVm;
+typedef struct Currant__MaintenanceWave Currant__MaintenanceWave;
 typedef struct Currant__Member Currant__Member;
 typedef struct Currant__AdviceAsk Currant__AdviceAsk;
 typedef struct Currant__AdviceTicket Currant__AdviceTicket;
@@ -586,6 +588,45 @@
     , 0,NULL }
 
 
+/*
+ * One VM of a wave of maintenance.
+ */
+struct  Currant__MaintenanceVm
+{
+  ProtobufCMessage base;
+  char *vm;
+  /*
+   * enum mw_state
+   */
+  uint32_t state;
+  /*
+   * Pool whose owner took it, the owner's fencing token, and the worker
+   * that the maintenance ends.
+   */
+  char *pool;
+  protobuf_c_boolean has_fence;
+  uint64_t fence;
+  char *worker;
+  protobuf_c_boolean has_born_ms;
+  int64_t born_ms;
+};
+#define CURRANT__MAINTENANCE_VM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__maintenance_vm__descriptor) \
+    , NULL, 0, NULL, 0, 0, NULL, 0, 0 }
+
+
+struct  Currant__MaintenanceWave
+{
+  ProtobufCMessage base;
+  int64_t ends_wall_ms;
+  size_t n_vms;
+  Currant__MaintenanceVm **vms;
+};
+#define CURRANT__MAINTENANCE_WAVE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__maintenance_wave__descriptor) \
+    , 0, 0,NULL }
+
+
 struct  Currant__Member
 {
   ProtobufCMessage base;
@@ -1284,6 +1325,44 @@
 void   currant__pool_workers__free_unpacked
                      (Currant__PoolWorkers *message,
                       ProtobufCAllocator *allocator);
+/* Currant__MaintenanceVm methods */
+void   currant__maintenance_vm__init
+                     (Currant__MaintenanceVm         *message);
+size_t currant__maintenance_vm__get_packed_size
+                     (const Currant__MaintenanceVm   *message);
+size_t currant__maintenance_vm__pack
+                     (const Currant__MaintenanceVm   *message,
+                      uint8_t             *out);
+size_t currant__maintenance_vm__pack_to_buffer
+                     (const Currant__MaintenanceVm   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__MaintenanceVm *
+       currant__maintenance_vm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__maintenance_vm__free_unpacked
+                     (Currant__MaintenanceVm *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__MaintenanceWave methods */
+void   currant__maintenance_wave__init
+                     (Currant__MaintenanceWave         *message);
+size_t currant__maintenance_wave__get_packed_size
+                     (const Currant__MaintenanceWave   *message);
+size_t currant__maintenance_wave__pack
+                     (const Currant__MaintenanceWave   *message,
+                      uint8_t             *out);
+size_t currant__maintenance_wave__pack_to_buffer
+                     (const Currant__MaintenanceWave   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__MaintenanceWave *
+       currant__maintenance_wave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__maintenance_wave__free_unpacked
+                     (Currant__MaintenanceWave *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__Member methods */
 void   currant__member__init
                      (Currant__Member         *message);
@@ -1512,6 +1591,12 @@
 typedef void (*Currant__PoolWorkers_Closure)
                  (const Currant__PoolWorkers *message,
                   void *closure_data);
+typedef void (*Currant__MaintenanceVm_Closure)
+                 (const Currant__MaintenanceVm *message,
+                  void *closure_data);
+typedef void (*Currant__MaintenanceWave_Closure)
+                 (const Currant__MaintenanceWave *message,
+                  void *closure_data);
 typedef void (*Currant__Member_Closure)
                  (const Currant__Member *message,
                   void *closure_data);
@@ -1571,6 +1656,8 @@
 extern const ProtobufCMessageDescriptor currant__pool_term__descriptor;
 extern const ProtobufCMessageDescriptor currant__known_worker__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_workers__descriptor;
+extern const ProtobufCMessageDescriptor currant__maintenance_vm__descriptor;
+extern const ProtobufCMessageDescriptor currant__maintenance_wave__descriptor;
 extern const ProtobufCMessageDescriptor currant__member__descriptor;
 extern const ProtobufCMessageDescriptor currant__advice_ask__descriptor;
 extern const ProtobufCMessageDescriptor currant__advice_ticket__descriptor;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -177,8 +177,10 @@
  * struct wp_worker - what the owner knows of a worker
  * @kind: first label
  * @rack: rack label
+ * @vm: VM that it is a life of; empty when not said
  * @listed: service discovery names it
  * @draining: receives nothing new
+ * @retiring: to be emptied for maintenance
  * @fenced: obeys this owner
  * @reachable: its last call was answered
  * @registered: a later owner would know of it
@@ -205,10 +207,12 @@
 	char domain[WP_NAME_BYTES];
 	char kind[WP_NAME_BYTES];
 	char rack[WP_NAME_BYTES];
+	char vm[WP_NAME_BYTES];
 	struct wp_room capacity;
 	int64_t born_ms;
 	bool listed;
 	bool draining;
+	bool retiring;
 	bool fenced;
 	bool reachable;
 	bool registered;
@@ -333,6 +337,7 @@
 	struct wp_room capacity;
 	bool draining;
 	int64_t remaining_ms;
+	const char *vm;
 };
 
 #define WP_MAX_ASK 100
@@ -479,6 +484,18 @@
 /** wp_find_worker() - a worker by id, or NULL */
 struct wp_worker *wp_find_worker(struct wp_pool *p, const char *id);
 
+/** wp_find_vm() - the newest listed worker on a VM, or NULL */
+struct wp_worker *wp_find_vm(struct wp_pool *p, const char *vm);
+
+/** wp_retire_none() - no worker is to be emptied any more */
+void wp_retire_none(struct wp_pool *p);
+
+/** wp_is_empty() - nothing is or may be on a worker */
+bool wp_is_empty(const struct wp_worker *w);
+
+/** wp_may_end() - whether a worker's end keeps no task away that must not be */
+bool wp_may_end(const struct wp_worker *w);
+
 /** wp_tick() - everything that is due, then a scheduling pass */
 void wp_tick(struct wp_pool *p, int64_t now_us);
 
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -7,7 +7,7 @@
 /**
  * DOC: Shared by the pool's files. Lowest first: pool_task (one task's moves),
  * pool_worker (reports and leases), pool_gang, pool_advice, pool_sharing,
- * pool_sched (who starts where), pool (jobs and ticks).
+ * pool_retire (emptying workers for maintenance), pool_sched (who starts where), pool (jobs and ticks).
  */
 
 /* A run number of a later owner is always higher. */
@@ -100,6 +100,11 @@
 /** wp_needs_advice() - whether the step's queue asks for tickets */
 bool wp_needs_advice(const struct wp_step *s);
 
+/** wp_may_keep_away() - whether planned work may stop a task that lasts */
+bool wp_may_keep_away(const struct wp_task *t);
+/** wp_leave_retiring() - move what can go on elsewhere off a worker */
+void wp_leave_retiring(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+
 /** wp_may_run() - whether a worker may run tasks of a step at all */
 bool wp_may_run(const struct wp_step *s, const struct wp_worker *w);
 /** wp_usable() - whether new work may go to a worker now */
--- a/include/transport/fleet.h
+++ b/include/transport/fleet.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_FLEET_H
 #define TRANSPORT_FLEET_H
 
+#include "state/maintenance.h"
 #include "state/pool.h"
 #include "state/queues.h"
 #include "transport/http_client.h"
@@ -49,14 +50,17 @@
 	FL_KEY_OTHER,
 	FL_KEY_WORKER,
 	FL_KEY_CONFIG,
+	FL_KEY_WAVE,
 };
 
 /**
  * struct fl_entry_ops - entries that others keep in the key space
- * @kind: what a key holds; for a worker, @id is its id
+ * @kind: what a key holds; for a worker or a wave, @id names it
  * @worker: decode a worker's entry; NULL for one that can't be used
  * @worker_pool: service of a decoded entry
  * @config: decode a configuration; NULL with @error when it can't be read
+ * @wave: decode a wave of maintenance; NULL with @error when it can't be read
+ * @wave_status: key and text that tell operators how far a wave is
  */
 struct fl_entry_ops {
 	enum fl_key_kind (*kind)(const char *key, const char **id);
@@ -64,6 +68,22 @@
 	    size_t bytes, struct wp_worker_info *info, const char **pool);
 	struct qs_config *(*config)(TALLOC_CTX *ctx, const uint8_t *value,
 	    size_t bytes, char *error, size_t error_bytes);
+	struct mw_wave *(*wave)(TALLOC_CTX *ctx, const uint8_t *value,
+	    size_t bytes, char *error, size_t error_bytes);
+	void (*wave_status)(TALLOC_CTX *ctx, uint64_t number, bool completed,
+	    const char **key, const char **text);
+};
+
+/** typedef fl_duty_fn - answer to an order to take a VM down */
+typedef void (*fl_duty_fn)(enum mw_result result, void *arg);
+
+/**
+ * struct fl_duty_ops - orders about whole VMs
+ * @take_down: have a VM of a wave maintained
+ */
+struct fl_duty_ops {
+	void (*take_down)(void *fleet, const char *vm, uint64_t wave,
+	    const char *holder, uint64_t fence, fl_duty_fn done, void *arg);
 };
 
 /**
@@ -88,6 +108,7 @@
 	const struct ks_ops *keys;
 	const struct fl_worker_ops *workers;
 	const struct fl_advice_ops *advice;
+	const struct fl_duty_ops *duties;
 	const struct fl_entry_ops *entries;
 	const struct fl_caller_ops *callers;
 	void *handle;
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1402,6 +1402,96 @@
   assert(message->base.descriptor == &currant__pool_workers__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__maintenance_vm__init
+                     (Currant__MaintenanceVm         *message)
+{
+  static const Currant__MaintenanceVm init_value = CURRANT__MAINTENANCE_VM__INIT;
+  *message = init_value;
+}
+size_t currant__maintenance_vm__get_packed_size
+                     (const Currant__MaintenanceVm *message)
+{
+  assert(message->base.descriptor == &currant__maintenance_vm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__maintenance_vm__pack
+                     (const Currant__MaintenanceVm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__maintenance_vm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__maintenance_vm__pack_to_buffer
+                     (const Currant__MaintenanceVm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__maintenance_vm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__MaintenanceVm *
+       currant__maintenance_vm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__MaintenanceVm *)
+     protobuf_c_message_unpack (&currant__maintenance_vm__descriptor,
+                                allocator, len, data);
+}
+void   currant__maintenance_vm__free_unpacked
+                     (Currant__MaintenanceVm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__maintenance_vm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__maintenance_wave__init
+                     (Currant__MaintenanceWave         *message)
+{
+  static const Currant__MaintenanceWave init_value = CURRANT__MAINTENANCE_WAVE__INIT;
+  *message = init_value;
+}
+size_t currant__maintenance_wave__get_packed_size
+                     (const Currant__MaintenanceWave *message)
+{
+  assert(message->base.descriptor == &currant__maintenance_wave__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__maintenance_wave__pack
+                     (const Currant__MaintenanceWave *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__maintenance_wave__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__maintenance_wave__pack_to_buffer
+                     (const Currant__MaintenanceWave *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__maintenance_wave__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__MaintenanceWave *
+       currant__maintenance_wave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__MaintenanceWave *)
+     protobuf_c_message_unpack (&currant__maintenance_wave__descriptor,
+                                allocator, len, data);
+}
+void   currant__maintenance_wave__free_unpacked
+                     (Currant__MaintenanceWave *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__maintenance_wave__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__member__init
                      (Currant__Member         *message)
 {
@@ -4525,6 +4615,160 @@
   (ProtobufCMessageInit) currant__pool_workers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor currant__maintenance_vm__field_descriptors[6] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__MaintenanceVm, vm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__MaintenanceVm, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__MaintenanceVm, pool),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Currant__MaintenanceVm, has_fence),
+    offsetof(Currant__MaintenanceVm, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__MaintenanceVm, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__MaintenanceVm, has_born_ms),
+    offsetof(Currant__MaintenanceVm, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__maintenance_vm__field_indices_by_name[] = {
+  5,   /* field[5] = born_ms */
+  3,   /* field[3] = fence */
+  2,   /* field[2] = pool */
+  1,   /* field[1] = state */
+  0,   /* field[0] = vm */
+  4,   /* field[4] = worker */
+};
+static const ProtobufCIntRange currant__maintenance_vm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor currant__maintenance_vm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.MaintenanceVm",
+  "MaintenanceVm",
+  "Currant__MaintenanceVm",
+  "currant",
+  sizeof(Currant__MaintenanceVm),
+  6,
+  currant__maintenance_vm__field_descriptors,
+  currant__maintenance_vm__field_indices_by_name,
+  1,  currant__maintenance_vm__number_ranges,
+  (ProtobufCMessageInit) currant__maintenance_vm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__maintenance_wave__field_descriptors[2] =
+{
+  {
+    "ends_wall_ms",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__MaintenanceWave, ends_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vms",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__MaintenanceWave, n_vms),
+    offsetof(Currant__MaintenanceWave, vms),
+    &currant__maintenance_vm__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__maintenance_wave__field_indices_by_name[] = {
+  0,   /* field[0] = ends_wall_ms */
+  1,   /* field[1] = vms */
+};
+static const ProtobufCIntRange currant__maintenance_wave__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__maintenance_wave__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.MaintenanceWave",
+  "MaintenanceWave",
+  "Currant__MaintenanceWave",
+  "currant",
+  sizeof(Currant__MaintenanceWave),
+  2,
+  currant__maintenance_wave__field_descriptors,
+  currant__maintenance_wave__field_indices_by_name,
+  1,  currant__maintenance_wave__number_ranges,
+  (ProtobufCMessageInit) currant__maintenance_wave__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor currant__member__field_descriptors[4] =
 {
   {
--- /dev/null
+++ b/state/maintenance.c
@@ -0,0 +1,236 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "state/maintenance.h"
+
+#define MW_RETRY_US (500 * CLK_US_PER_MS)
+/* An accepted VM that stays away is asked for again: it may be gone. */
+#define MW_MISSING_US (5 * CLK_US_PER_S)
+/* A VM without a worker may only be between two of them. */
+#define MW_UNSEEN_US (4 * CLK_US_PER_S)
+
+struct mw_vm *
+mw_find(struct mw_wave *m, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->vm_count; i++) {
+		if (strcmp(m->vm[i].name, name) == 0)
+			return &m->vm[i];
+	}
+	return NULL;
+}
+
+static uint32_t
+mw_count(const struct mw_wave *m, enum mw_state state)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < m->vm_count; i++)
+		n += m->vm[i].state == state;
+	return n;
+}
+
+bool
+mw_is_done(const struct mw_wave *m)
+{
+	return mw_count(m, MW_DONE) == m->vm_count;
+}
+
+/* VMs that are down, or that this owner is about to take. */
+static uint32_t
+mw_places_used(const struct mw_wave *m)
+{
+	uint32_t n = mw_count(m, MW_TAKEN);
+	uint32_t i;
+
+	for (i = 0; i < m->vm_count; i++)
+		n += m->vm[i].state == MW_WAITING && m->vm[i].retiring;
+	return n;
+}
+
+static uint32_t
+mw_task_count(const struct wp_worker *w)
+{
+	const struct wp_task *t;
+	uint32_t n = 0;
+
+	for (t = w->tasks; t != NULL; t = t->next)
+		n++;
+	return n;
+}
+
+/* The waiting VM whose worker loses least. */
+static struct mw_vm *
+mw_choose(struct mw_wave *m, const struct mw_owner *o)
+{
+	struct mw_vm *best = NULL;
+	uint32_t best_tasks = 0;
+	uint32_t i;
+
+	for (i = 0; i < m->vm_count; i++) {
+		struct mw_vm *vm = &m->vm[i];
+		const struct wp_worker *w;
+		uint32_t tasks;
+
+		if (vm->state != MW_WAITING || vm->retiring)
+			continue;
+		w = wp_find_vm(o->pool, vm->name);
+		if (w == NULL || w->draining || !w->fenced)
+			continue;
+		tasks = mw_task_count(w);
+		if (best != NULL && tasks >= best_tasks)
+			continue;
+		best = vm;
+		best_tasks = tasks;
+	}
+	return best;
+}
+
+/* Each round of the wave gets an equal share of the time that is left. */
+static int64_t
+mw_force_us(const struct mw_wave *m, const struct mw_owner *o, int64_t now_us)
+{
+	uint32_t left = m->vm_count - mw_count(m, MW_DONE);
+	uint32_t rounds = (left + m->maximum - 1) / m->maximum;
+	int64_t round_us;
+
+	if (rounds == 0 || m->ends_us <= now_us)
+		return now_us;
+	round_us = (m->ends_us - now_us) / rounds - 2 * o->down_us;
+	return now_us + (round_us > 0 ? round_us : 0);
+}
+
+/* A worker that can't be emptied any more gives its place back. */
+static void
+mw_check_retiring(struct mw_vm *vm, const struct mw_owner *o)
+{
+	struct wp_worker *w = wp_find_vm(o->pool, vm->name);
+
+	if (w == NULL || w->draining)
+		vm->retiring = false;
+	else
+		w->retiring = true;
+}
+
+static void
+mw_keep_empty(const struct mw_vm *vm, const struct mw_owner *o)
+{
+	struct wp_worker *w = wp_find_worker(o->pool, vm->worker);
+
+	if (w != NULL && w->born_ms == vm->born_ms)
+		w->retiring = true;
+}
+
+void
+mw_retire(struct mw_wave *m, const struct mw_owner *o, int64_t now_us)
+{
+	struct mw_vm *vm;
+	uint32_t i;
+
+	for (i = 0; i < m->vm_count; i++) {
+		vm = &m->vm[i];
+		if (vm->state == MW_WAITING && vm->retiring)
+			mw_check_retiring(vm, o);
+		if (vm->state == MW_TAKEN &&
+		    strcmp(vm->pool, o->pool->name) == 0)
+			mw_keep_empty(vm, o);
+	}
+	while (mw_places_used(m) < m->maximum) {
+		vm = mw_choose(m, o);
+		if (vm == NULL)
+			return;
+		vm->retiring = true;
+		vm->force_us = mw_force_us(m, o, now_us);
+		wp_find_vm(o->pool, vm->name)->retiring = true;
+	}
+}
+
+bool
+mw_may_take(const struct mw_wave *m, const struct mw_vm *vm,
+    const struct mw_owner *o, int64_t now_us)
+{
+	const struct wp_worker *w;
+
+	if (vm->state != MW_WAITING || mw_count(m, MW_TAKEN) >= m->maximum)
+		return false;
+	w = wp_find_vm(o->pool, vm->name);
+	if (w == NULL)
+		return o->first && now_us - o->since_us > MW_UNSEEN_US &&
+		    now_us > m->ends_us -
+			    (int64_t)m->duration_ms * CLK_US_PER_MS +
+			    MW_UNSEEN_US;
+	if (!vm->retiring)
+		return false;
+	if (wp_is_empty(w))
+		return true;
+	return now_us >= vm->force_us && wp_may_end(w);
+}
+
+void
+mw_take(struct mw_vm *vm, const struct mw_owner *o)
+{
+	const struct wp_worker *w = wp_find_vm(o->pool, vm->name);
+
+	vm->state = MW_TAKEN;
+	snprintf(vm->pool, sizeof(vm->pool), "%s", o->pool->name);
+	vm->fence = o->fence;
+	snprintf(
+	    vm->worker, sizeof(vm->worker), "%s", w != NULL ? w->id : "");
+	vm->born_ms = w != NULL ? w->born_ms : 0;
+}
+
+bool
+mw_call_due(const struct mw_vm *vm, const struct mw_owner *o, int64_t now_us)
+{
+	if (vm->state != MW_TAKEN || strcmp(vm->pool, o->pool->name) != 0)
+		return false;
+	if (vm->call_out || now_us < vm->call_at_us ||
+	    vm->fenced_at == o->fence)
+		return false;
+	/* The owner before may have called a moment ago. */
+	return vm->fence == o->fence || now_us - o->since_us > o->turn_us;
+}
+
+void
+mw_on_call(struct mw_vm *vm, const struct mw_owner *o, enum mw_result result,
+    int64_t now_us)
+{
+	vm->call_out = false;
+	vm->call_at_us = now_us + MW_RETRY_US;
+	switch (result) {
+	case MW_ACCEPTED:
+		if (vm->accepted_us == 0)
+			vm->accepted_us = now_us;
+		vm->call_at_us = now_us + MW_MISSING_US;
+		return;
+	case MW_FENCED:
+		vm->fenced_at = o->fence;
+		return;
+	case MW_UNWANTED:
+	case MW_GONE:
+		vm->gone = true;
+		return;
+	case MW_BUSY:
+	case MW_UNCERTAIN:
+		break;
+	}
+}
+
+bool
+mw_is_back(const struct mw_vm *vm, const struct mw_owner *o, int64_t now_us)
+{
+	const struct wp_worker *w;
+
+	if (vm->state != MW_TAKEN || vm->accepted_us == 0 ||
+	    strcmp(vm->pool, o->pool->name) != 0)
+		return false;
+	w = wp_find_vm(o->pool, vm->name);
+	if (w == NULL || !w->reachable || w->clock_at_us < vm->accepted_us)
+		return false;
+	if (vm->worker[0] == '\0')
+		return now_us - vm->accepted_us > 2 * o->down_us;
+	return strcmp(w->id, vm->worker) != 0 || w->born_ms != vm->born_ms;
+}
--- /dev/null
+++ b/state/pool_retire.c
@@ -0,0 +1,91 @@
+#include <string.h>
+#include <utlist.h>
+
+#include "state/pool_internal.h"
+
+#define WP_AT_WORK_PERCENT 100
+
+struct wp_worker *
+wp_find_vm(struct wp_pool *p, const char *vm)
+{
+	struct wp_worker *newest = NULL;
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp) {
+		if (!w->listed || strcmp(w->vm, vm) != 0)
+			continue;
+		if (newest == NULL || w->born_ms > newest->born_ms)
+			newest = w;
+	}
+	return newest;
+}
+
+void
+wp_retire_none(struct wp_pool *p)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp)
+		w->retiring = false;
+}
+
+bool
+wp_is_empty(const struct wp_worker *w)
+{
+	return w->tasks == NULL && w->stray.cpu_mcpu == 0 &&
+	    w->stray.mem_mb == 0;
+}
+
+static bool
+wp_is_at_work(const struct wp_task *t)
+{
+	return t->state == WP_RUNNING && t->percent >= WP_AT_WORK_PERCENT;
+}
+
+bool
+wp_may_keep_away(const struct wp_task *t)
+{
+	const struct wp_step *s = t->step;
+	uint32_t away = 0;
+	uint32_t i;
+
+	if (s->spec->may_miss == 0)
+		return true;
+	for (i = 0; i < s->spec->count; i++)
+		away += &s->task[i] != t && !wp_is_at_work(&s->task[i]);
+	return away < s->spec->may_miss;
+}
+
+bool
+wp_may_end(const struct wp_worker *w)
+{
+	const struct wp_task *t;
+
+	DL_FOREACH(w->tasks, t) {
+		if ((t->step->spec->flags & JB_LASTING) &&
+		    t->step->spec->may_miss > 0)
+			return false;
+	}
+	return true;
+}
+
+/* For maintenance: the worker has time, and callers have budgets. */
+void
+wp_leave_retiring(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
+{
+	struct wp_task *t;
+	struct wp_task *tmp;
+
+	DL_FOREACH_SAFE(w->tasks, t, tmp) {
+		uint32_t flags = t->step->spec->flags;
+
+		if (t->state != WP_RUNNING)
+			continue;
+		if ((flags & JB_LASTING) && !wp_may_keep_away(t))
+			continue;
+		if (flags & (JB_LASTING | JB_CHECKPOINTS))
+			wp_task_stop(p, t, now_us);
+	}
+}
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -12,7 +12,7 @@
 {
 	return w->unanswered < WP_MAX_UNANSWERED && w->listed &&
 	    w->registered && w->fenced && w->reachable && !w->draining &&
-	    now_us >= w->avoid_until_us;
+	    !w->retiring && now_us >= w->avoid_until_us;
 }
 
 bool
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -84,6 +84,7 @@
 	snprintf(w->domain, sizeof(w->domain), "%s", info->domain);
 	snprintf(w->kind, sizeof(w->kind), "%s", info->kind);
 	snprintf(w->rack, sizeof(w->rack), "%s", info->rack);
+	snprintf(w->vm, sizeof(w->vm), "%s", info->vm != NULL ? info->vm : "");
 	w->capacity = info->capacity;
 	if (!w->registered)
 		p->registry_dirty = true;
@@ -152,6 +153,7 @@
 	w->failures = 0;
 	w->avoid_until_us = 0;
 	w->doubt_until_us = 0;
+	w->retiring = false;
 	memset(&w->stray, 0, sizeof(w->stray));
 }
 
@@ -666,6 +668,8 @@
 		wp_worker_lapsed(p, w, now_us);
 	if (w->draining && w->reachable)
 		wp_leave_draining(p, w, now_us);
+	else if (w->retiring && w->reachable)
+		wp_leave_retiring(p, w, now_us);
 	wp_leave_stuck(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp)
 		wp_resend(p, t, now_us);
--- /dev/null
+++ b/tests/unit/test_maintenance.cc
@@ -0,0 +1,253 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "common/clock.h"
+#include "state/maintenance.h"
+}
+
+namespace
+{
+
+constexpr int64_t kMs = CLK_US_PER_MS;
+constexpr int64_t kS = CLK_US_PER_S;
+constexpr uint64_t kFence = 7;
+
+/* A pool with workers on VMs "m-0", "m-1" and so on, and a wave over them. */
+class Maintenance : public testing::Test
+{
+      protected:
+	void
+	begin(uint32_t vms, uint32_t maximum, uint32_t duration_ms = 20000)
+	{
+		struct wp_settings settings = {};
+
+		p = wp_create(nullptr, "pool", &settings);
+		m = talloc_zero(p, struct mw_wave);
+		m->number = 1;
+		m->maximum = maximum;
+		m->duration_ms = duration_ms;
+		m->ends_us = now + duration_ms * kMs;
+		m->vm = talloc_zero_array(m, struct mw_vm, vms);
+		m->vm_count = vms;
+		for (uint32_t i = 0; i < vms; i++) {
+			snprintf(m->vm[i].name, WP_NAME_BYTES, "m-%u", i);
+			list("w-" + std::to_string(i), m->vm[i].name, 1);
+		}
+		owner.pool = p;
+		owner.fence = kFence;
+		owner.turn_us = 3 * kS;
+		owner.down_us = 2 * kS;
+		owner.since_us = now - 60 * kS;
+	}
+
+	void
+	TearDown() override
+	{
+		talloc_free(p);
+	}
+
+	/* The worker is listed and has answered a renewal. */
+	void
+	list(const std::string &id, const std::string &vm, int64_t born_ms)
+	{
+		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
+		    "kind", "rack", {4000, 1000, 0}, false, 0, vm.c_str()};
+		struct wp_hold hold;
+		struct wp_hold_reply reply = {};
+		struct wp_worker *w;
+
+		wp_set_worker(p, &info, now);
+		w = wp_find_worker(p, id.c_str());
+		w->hold_at_us = now;
+		wp_hold_due(p, w, now, &hold);
+		reply.born_ms = born_ms;
+		reply.clock_ms = now / kMs;
+		wp_on_hold(p, w, &reply, now);
+		w->registered = true;
+	}
+
+	/* A job of steps that last, placed and at work on all its workers. */
+	struct wp_job *
+	lasting(uint32_t count, uint32_t may_miss)
+	{
+		struct jb_spec *s = talloc_zero(nullptr, struct jb_spec);
+
+		snprintf(s->id, sizeof(s->id), "00000000000000aa");
+		s->queue = talloc_strdup(s, "q");
+		s->pool = talloc_strdup(s, "pool");
+		s->payload = talloc_strdup(s, "");
+		s->step = talloc_zero_array(s, struct jb_step, 1);
+		s->step_count = 1;
+		s->step[0].count = count;
+		s->step[0].cpu_mcpu = 4000;
+		s->step[0].mem_mb = 1;
+		s->step[0].flags = JB_LASTING;
+		s->step[0].may_miss = may_miss;
+		return wp_add_job(p, s, nullptr, true, 0, now);
+	}
+
+	void
+	answer_orders()
+	{
+		while (struct wp_order *o = wp_next_order(p)) {
+			stops += o->kind == WP_ORDER_STOP;
+			wp_on_order(p, o, WP_DONE_OK, now / kMs, now);
+			talloc_free(o);
+		}
+	}
+
+	uint32_t
+	retiring() const
+	{
+		uint32_t n = 0;
+
+		for (uint32_t i = 0; i < m->vm_count; i++)
+			n += m->vm[i].retiring;
+		return n;
+	}
+
+	struct wp_pool *p = nullptr;
+	struct mw_wave *m = nullptr;
+	struct mw_owner owner = {};
+	int64_t now = 1000 * kS;
+	uint32_t stops = 0;
+};
+
+TEST_F(Maintenance, NoMoreThanTheMaximumAreEmptiedOrTaken)
+{
+	begin(5, 2);
+	mw_retire(m, &owner, now);
+	EXPECT_EQ(retiring(), 2U);
+	EXPECT_TRUE(mw_may_take(m, &m->vm[0], &owner, now));
+	EXPECT_FALSE(mw_may_take(m, &m->vm[4], &owner, now));
+	mw_take(&m->vm[0], &owner);
+	mw_take(&m->vm[1], &owner);
+	mw_retire(m, &owner, now);
+	EXPECT_EQ(m->vm[0].fence, kFence);
+	for (uint32_t i = 2; i < 5; i++)
+		EXPECT_FALSE(mw_may_take(m, &m->vm[i], &owner, now));
+}
+
+TEST_F(Maintenance, EmptiedWorkersGetNoWork)
+{
+	begin(2, 1);
+	mw_retire(m, &owner, now);
+	lasting(2, 0);
+	wp_tick(p, now);
+	EXPECT_EQ(wp_find_vm(p, "m-0")->tasks, nullptr);
+	EXPECT_NE(wp_find_vm(p, "m-1")->tasks, nullptr);
+}
+
+TEST_F(Maintenance, VmIsDoneOnceANewWorkerLivesOnIt)
+{
+	begin(1, 1);
+	mw_retire(m, &owner, now);
+	mw_take(&m->vm[0], &owner);
+	EXPECT_TRUE(mw_call_due(&m->vm[0], &owner, now));
+	mw_on_call(&m->vm[0], &owner, MW_ACCEPTED, now);
+	now += kS;
+	list("w-0", "m-0", 1);
+	EXPECT_FALSE(mw_is_back(&m->vm[0], &owner, now));
+	now += kS;
+	list("w-9", "m-0", 2);
+	EXPECT_TRUE(mw_is_back(&m->vm[0], &owner, now));
+}
+
+TEST_F(Maintenance, WorkerThatIsBornAnewUnderItsIdCounts)
+{
+	begin(1, 1);
+	mw_retire(m, &owner, now);
+	mw_take(&m->vm[0], &owner);
+	mw_on_call(&m->vm[0], &owner, MW_ACCEPTED, now);
+	now += 2 * kS;
+	list("w-0", "m-0", 5);
+	EXPECT_TRUE(mw_is_back(&m->vm[0], &owner, now));
+}
+
+TEST_F(Maintenance, NextOwnerWaitsItsTurnAndAFencedOneStops)
+{
+	begin(1, 1);
+	mw_retire(m, &owner, now);
+	mw_take(&m->vm[0], &owner);
+	owner.fence = kFence + 1;
+	owner.since_us = now;
+	EXPECT_FALSE(mw_call_due(&m->vm[0], &owner, now + kS));
+	EXPECT_TRUE(mw_call_due(&m->vm[0], &owner, now + 4 * kS));
+	mw_on_call(&m->vm[0], &owner, MW_FENCED, now + 4 * kS);
+	EXPECT_FALSE(mw_call_due(&m->vm[0], &owner, now + 60 * kS));
+	owner.fence = kFence + 2;
+	EXPECT_TRUE(mw_call_due(&m->vm[0], &owner, now + 60 * kS));
+}
+
+TEST_F(Maintenance, AnswersWithoutAnEffectAreAskedForAgain)
+{
+	const enum mw_result again[] = {MW_BUSY, MW_UNCERTAIN};
+
+	begin(1, 1);
+	mw_retire(m, &owner, now);
+	mw_take(&m->vm[0], &owner);
+	for (enum mw_result result : again) {
+		mw_on_call(&m->vm[0], &owner, result, now);
+		EXPECT_FALSE(mw_call_due(&m->vm[0], &owner, now));
+		now += kS;
+		EXPECT_TRUE(mw_call_due(&m->vm[0], &owner, now));
+		EXPECT_FALSE(m->vm[0].gone);
+	}
+	mw_on_call(&m->vm[0], &owner, MW_GONE, now);
+	EXPECT_TRUE(m->vm[0].gone);
+}
+
+TEST_F(Maintenance, TasksThatLastAreKeptAwayWithinTheirBudget)
+{
+	begin(4, 4);
+	struct wp_job *job = lasting(3, 1);
+	struct wp_step *s = &job->occ[0]->step[0];
+
+	wp_tick(p, now);
+	answer_orders();
+	for (uint32_t i = 0; i < 3; i++)
+		s->task[i].percent = 100;
+	mw_retire(m, &owner, now);
+	EXPECT_EQ(retiring(), 4U);
+	wp_tick(p, now);
+	answer_orders();
+	EXPECT_EQ(stops, 1U);
+	/* Time is up, but the others may not go as well. */
+	now = m->ends_us;
+	uint32_t taken = 0;
+	for (uint32_t i = 0; i < 4; i++)
+		taken += mw_may_take(m, &m->vm[i], &owner, now);
+	EXPECT_EQ(taken, 1U);
+}
+
+TEST_F(Maintenance, WorkWithoutABudgetEndsWhenTheRoundIsOver)
+{
+	begin(2, 1, 20000);
+	struct wp_job *job = lasting(2, 0);
+
+	(void)job;
+	wp_find_vm(p, "m-0");
+	wp_tick(p, now);
+	answer_orders();
+	mw_retire(m, &owner, now);
+	uint32_t first = m->vm[0].retiring ? 0 : 1;
+	EXPECT_FALSE(mw_may_take(m, &m->vm[first], &owner, now));
+	/* Half of the time, less what the maintenance takes. */
+	EXPECT_FALSE(mw_may_take(m, &m->vm[first], &owner, now + 5 * kS));
+	EXPECT_TRUE(mw_may_take(m, &m->vm[first], &owner, now + 7 * kS));
+}
+
+TEST_F(Maintenance, VmWithoutAWorkerIsTakenByTheFirstPoolOnly)
+{
+	begin(1, 1);
+	wp_unlist_worker(p, "w-0");
+	now += 10 * kS;
+	EXPECT_FALSE(mw_may_take(m, &m->vm[0], &owner, now));
+	owner.first = true;
+	EXPECT_TRUE(mw_may_take(m, &m->vm[0], &owner, now));
+}
+
+} // namespace
