curranttackd: pools go to the larger VMs; transport: connections to a fleet are kept

Change: a daemon's share of a core (vm.cores) is in its member entry; larger VMs claim first, and an owner gives a pool up to a linked VM of twice its size that owns none. The library keeps up to 3,000 connections.

--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -153,6 +153,8 @@
 	row.domain = c->settings->domain;
 	row.address = c->peers_address;
 	row.incarnation = c->incarnation;
+	row.has_cpu_mcpu = true;
+	row.cpu_mcpu = c->settings->cpu_mcpu;
 	value = pk_pack(c, &row.base, &put.value_bytes);
 	put.value = value;
 	c->fleet->keys->txn(c->fleet->handle, &txn, cell_on_member_written, c);
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -27,6 +27,8 @@
 #define CP_RANK_US (40 * CLK_US_PER_MS)
 #define CP_MAX_RANK 6
 #define CP_OWNED_RANK 3
+/* How often an owner looks for a larger VM. */
+#define CP_YIELD_US (3 * CLK_US_PER_S)
 #define CP_CLAIM_RETRY_US (400 * CLK_US_PER_MS)
 #define CP_COMMIT_PAUSE_US (60 * CLK_US_PER_MS)
 /* A commit that takes longer means that the store is away. */
@@ -107,6 +109,20 @@
 	return n;
 }
 
+/* Whether a daemon owns some pool, as far as is known here. */
+static bool
+cp_owns_any(const struct cell *c, const char *vm)
+{
+	struct rp_owner *o;
+	struct rp_owner *tmp;
+
+	HASH_ITER(hh, c->replica->owners, o, tmp) {
+		if (o->present && strcmp(o->vm, vm) == 0)
+			return true;
+	}
+	return false;
+}
+
 static struct cp_ref *
 cp_ref_create(struct cp_host *h)
 {
@@ -159,23 +175,64 @@
 	return XXH32(vm, strlen(vm), seed);
 }
 
-/* Daemons that own less come first; a hash spreads pools over equals. */
+/* Larger VMs come first; a hash spreads pools over equals. */
+static bool
+cp_claims_before(const struct cp_host *h, const struct rp_member *m)
+{
+	const struct cell_settings *own = h->cell->settings;
+
+	if (m->cpu_mcpu != own->cpu_mcpu)
+		return m->cpu_mcpu > own->cpu_mcpu;
+	return cp_claim_hash(h->name, m->vm) < cp_claim_hash(h->name, own->vm);
+}
+
+/* Daemons that own less come first, too. */
 static int64_t
 cp_claim_delay_us(const struct cp_host *h)
 {
 	const struct cell *c = h->cell;
-	uint32_t own = cp_claim_hash(h->name, c->settings->vm);
 	struct rp_member *m;
 	struct rp_member *tmp;
 	uint32_t rank = 0;
 
 	HASH_ITER(hh, c->replica->members, m, tmp)
-		rank += m->present && cp_claim_hash(h->name, m->vm) < own;
+		rank += m->present && cp_claims_before(h, m);
 	if (rank > CP_MAX_RANK)
 		rank = CP_MAX_RANK;
 	return (rank + CP_OWNED_RANK * cp_owned(c)) * CP_RANK_US;
 }
 
+/* Whether a daemon that owns nothing has twice this one's processor time. */
+static bool
+cp_is_outsized(const struct cp_host *h)
+{
+	const struct cell *c = h->cell;
+	struct rp_member *m;
+	struct rp_member *tmp;
+
+	HASH_ITER(hh, c->replica->members, m, tmp) {
+		if (m->present && m->cpu_mcpu >= 2 * c->settings->cpu_mcpu &&
+		    pn_link(c->links, m->vm) != NULL && !cp_owns_any(c, m->vm))
+			return true;
+	}
+	return false;
+}
+
+/* A pool on a small VM waits for its processor; a larger one takes over. */
+static void
+cp_yield_to_larger(struct cp_host *h, int64_t now_us)
+{
+	if (h->state != CP_OWNER || now_us < h->yield_at_us)
+		return;
+	h->yield_at_us = now_us + CP_YIELD_US;
+	if (!cp_is_outsized(h))
+		return;
+	lg_event(LG_INFO, "pool", "yielding", "pool", h->name, "fence",
+	    lg_i64((int64_t)h->fence), NULL);
+	h->state = CP_RELEASING;
+	cp_kick(h);
+}
+
 static uint8_t *
 cp_owner_value(
     TALLOC_CTX *ctx, const struct cp_host *h, uint64_t commit, size_t *bytes)
@@ -393,6 +450,7 @@
 	h->renew_out = false;
 	h->commit_at_us = now_us;
 	h->renew_at_us = now_us + CP_RENEW_US;
+	h->yield_at_us = now_us + CP_YIELD_US;
 	h->pool = wp_create(h, h->name, &settings);
 	cp_load_pool(h, now_us);
 	lg_event(LG_INFO, "pool", "owner", "pool", h->name, "fence",
@@ -994,6 +1052,7 @@
 		return;
 	}
 	cp_renew(h, now_us);
+	cp_yield_to_larger(h, now_us);
 	cp_forget_ended(h, now_us);
 	cp_log_state(h, now_us);
 	cp_announce_unstored(h, now_us);
--- a/curranttackd/cell_settings.c
+++ b/curranttackd/cell_settings.c
@@ -8,6 +8,7 @@
 
 #define CS_SECTION "cell"
 #define CS_MAX_CONNECTIONS 20000
+#define CS_DEFAULT_CPU_MCPU 1000
 #define CS_HOUR_US (3600 * CLK_US_PER_S)
 
 /* typedef cs_section_fn - reads one table of the file */
@@ -24,6 +25,9 @@
 {
 	s->vm = cs_text(s, jf_name(r, "id", true));
 	s->domain = cs_text(s, jf_name(r, "domain", true));
+	s->cpu_mcpu = CS_DEFAULT_CPU_MCPU;
+	if (json_object_get(r->object, "cores") != NULL)
+		s->cpu_mcpu = (uint32_t)jf_cpu_mcpu(r, "cores");
 }
 
 static void
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -266,6 +266,7 @@
 		snprintf(m->domain, sizeof(m->domain), "%s", row->domain);
 		snprintf(m->address, sizeof(m->address), "%s", row->address);
 		m->incarnation = row->incarnation;
+		m->cpu_mcpu = row->cpu_mcpu;
 		currant__member__free_unpacked(row, NULL);
 	}
 	r->hooks.member(m, r->arg);
--- a/include/curranttackd/cell_settings.h
+++ b/include/curranttackd/cell_settings.h
@@ -10,6 +10,7 @@
  * struct cell_settings - checked settings of a daemon of the cell
  * @vm: this VM
  * @domain: its failure domain
+ * @cpu_mcpu: share of a core that the daemon may use, in thousandths
  * @callers: "IP:PORT" for callers
  * @ready: "IP:PORT" that the balancer asks for readiness
  * @metrics: "IP:PORT" for metrics, or NULL
@@ -27,6 +28,7 @@
 struct cell_settings {
 	char *vm;
 	char *domain;
+	uint32_t cpu_mcpu;
 	char *callers;
 	char *ready;
 	char *metrics;
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -99,12 +99,16 @@
 	UT_hash_handle hh;
 };
 
-/** struct rp_member - a daemon of the cell */
+/**
+ * struct rp_member - a daemon of the cell
+ * @cpu_mcpu: share of a core that it may use, in thousandths
+ */
 struct rp_member {
 	char vm[WP_NAME_BYTES];
 	char domain[WP_NAME_BYTES];
 	char address[WP_NAME_BYTES];
 	uint64_t incarnation;
+	uint32_t cpu_mcpu;
 	uint64_t revision;
 	bool present;
 	bool seen;
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -634,10 +634,15 @@
   char *domain;
   char *address;
   uint64_t incarnation;
+  /*
+   * Share of a core that the daemon may use, in thousandths.
+   */
+  protobuf_c_boolean has_cpu_mcpu;
+  uint32_t cpu_mcpu;
 };
 #define CURRANT__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__member__descriptor) \
-    , NULL, NULL, NULL, 0 }
+    , NULL, NULL, NULL, 0, 0, 0 }
 
 
 struct  Currant__AdviceAsk
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -4769,7 +4769,7 @@
   (ProtobufCMessageInit) currant__maintenance_wave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__member__field_descriptors[4] =
+static const ProtobufCFieldDescriptor currant__member__field_descriptors[5] =
 {
   {
     "vm",
@@ -4819,9 +4819,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_mcpu",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__Member, has_cpu_mcpu),
+    offsetof(Currant__Member, cpu_mcpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__member__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  4,   /* field[4] = cpu_mcpu */
   1,   /* field[1] = domain */
   3,   /* field[3] = incarnation */
   0,   /* field[0] = vm */
@@ -4829,7 +4842,7 @@
 static const ProtobufCIntRange currant__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor currant__member__descriptor =
 {
@@ -4839,7 +4852,7 @@
   "Currant__Member",
   "currant",
   sizeof(Currant__Member),
-  4,
+  5,
   currant__member__field_descriptors,
   currant__member__field_indices_by_name,
   1,  currant__member__number_ranges,
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -9,7 +9,9 @@
 #include "transport/http_client.h"
 
 #define HC_MAX_BODY_BYTES ((size_t)8 << 20)
-#define HC_MAX_IDLE_HANDLES 128
+#define HC_MAX_IDLE_HANDLES 1024
+/* The library's own limit closes connections of a large fleet all the time. */
+#define HC_MAX_KEPT_CONNECTIONS 3000L
 
 struct http_client {
 	struct loop *loop;
@@ -215,6 +217,8 @@
 	curl_multi_setopt(hc->multi, CURLMOPT_SOCKETDATA, hc);
 	curl_multi_setopt(hc->multi, CURLMOPT_TIMERFUNCTION, hc_set_timer);
 	curl_multi_setopt(hc->multi, CURLMOPT_TIMERDATA, hc);
+	curl_multi_setopt(
+	    hc->multi, CURLMOPT_MAXCONNECTS, HC_MAX_KEPT_CONNECTIONS);
 	if (max_connections_per_host > 0)
 		curl_multi_setopt(hc->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
 		    max_connections_per_host);
