--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -43,13 +43,14 @@
 cell_on_frame(struct peer_link *link, const Currant__Frame *frame, void *arg)
 {
 	struct cell *c = arg;
+	size_t i;
 
 	if (frame->advice_ask != NULL)
 		av_on_ask(c->advice, link, frame->advice_ask);
 	if (frame->new_job != NULL)
 		pn_on_job(c, frame->new_job);
-	if (frame->ended_job != NULL)
-		pn_on_ended(c, frame->ended_job);
+	for (i = 0; i < frame->n_ended_jobs; i++)
+		pn_on_ended(c, frame->ended_jobs[i]);
 	if (frame->advice_answer != NULL)
 		av_on_answer(c->advice, link, frame->advice_answer);
 }
--- a/curranttackd/cell_maintenance.c
+++ b/curranttackd/cell_maintenance.c
@@ -104,8 +104,8 @@
 }
 
 static uint8_t *
-cm_pack(TALLOC_CTX *ctx, const struct rp_wave *w, struct mw_vm *next,
-    size_t *bytes)
+cm_pack(
+    TALLOC_CTX *ctx, const struct rp_wave *w, struct mw_vm *next, size_t *bytes)
 {
 	Currant__MaintenanceWave item = CURRANT__MAINTENANCE_WAVE__INIT;
 	uint32_t count = w->wave->vm_count;
@@ -230,8 +230,8 @@
 
 /* What changes for a pool's VMs; true when the item has to be written. */
 static bool
-cm_drive_pool(struct cp_host *h, struct rp_wave *w, struct mw_vm *next,
-    int64_t now_us)
+cm_drive_pool(
+    struct cp_host *h, struct rp_wave *w, struct mw_vm *next, int64_t now_us)
 {
 	struct mw_owner o = cm_owner_of(h);
 	struct mw_wave plan = *w->wave;
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -8,6 +8,8 @@
 #include "curranttackd/cell_pool.h"
 
 #define PN_MAX_PEERS 128
+/* Ended jobs that one message tells of. */
+#define PN_MAX_ENDED 32
 #define PN_RECONNECT_US (500 * CLK_US_PER_MS)
 
 struct pn_peer {
@@ -21,6 +23,9 @@
 	struct cell *c;
 	struct pn_peer peer[PN_MAX_PEERS];
 	uint32_t count;
+	Currant__EndedJob ended[PN_MAX_ENDED];
+	char ended_id[PN_MAX_ENDED][JB_ID_BYTES];
+	uint32_t ended_count;
 };
 
 struct pn_links *
@@ -146,21 +151,40 @@
 }
 
 void
-pn_send_ended(struct pn_links *n, const char *id, enum jb_state state)
+pn_note_ended(struct pn_links *n, const char *id, enum jb_state state)
+{
+	Currant__EndedJob *row;
+
+	if (n->ended_count == PN_MAX_ENDED)
+		pn_send_ended(n);
+	row = &n->ended[n->ended_count];
+	currant__ended_job__init(row);
+	memcpy(n->ended_id[n->ended_count], id, JB_ID_BYTES);
+	row->id = n->ended_id[n->ended_count];
+	row->state = (uint32_t)state;
+	n->ended_count++;
+}
+
+void
+pn_send_ended(struct pn_links *n)
 {
-	Currant__EndedJob row = CURRANT__ENDED_JOB__INIT;
 	Currant__Frame frame = CURRANT__FRAME__INIT;
+	Currant__EndedJob *rows[PN_MAX_ENDED];
 	uint32_t i;
 
-	row.id = (char *)(uintptr_t)id;
-	row.state = (uint32_t)state;
-	frame.ended_job = &row;
+	if (n->ended_count == 0)
+		return;
+	for (i = 0; i < n->ended_count; i++)
+		rows[i] = &n->ended[i];
+	frame.ended_jobs = rows;
+	frame.n_ended_jobs = n->ended_count;
 	for (i = 0; i < n->count; i++) {
 		struct peer_link *link = n->peer[i].link;
 
 		if (link != NULL && peer_established(link))
 			peer_send(link, &frame);
 	}
+	n->ended_count = 0;
 }
 
 void
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -34,6 +34,8 @@
 /* A commit that takes longer means that the store is away. */
 #define CP_STORE_AWAY_US (250 * CLK_US_PER_MS)
 #define CP_COMMIT_RETRY_US (150 * CLK_US_PER_MS)
+/* Everything that time alone brings about is looked at so often. */
+#define CP_TICK_US (20 * CLK_US_PER_MS)
 #define CP_KICK_US (2 * CLK_US_PER_MS)
 /* Jobs that one write removes, with three keys each. */
 #define CP_REMOVE_JOBS 10
@@ -645,6 +647,7 @@
 	}
 }
 
+/* What has changed since the last time goes out. */
 static void
 cp_act(struct cp_host *h, int64_t now_us)
 {
@@ -652,7 +655,12 @@
 	    now_us - h->confirmed_us > CP_START_WINDOW_US;
 	h->pool->unconfirmed =
 	    now_us - h->confirmed_us >= CP_LEASE_MS * CLK_US_PER_MS;
-	wp_tick(h->pool, now_us);
+	if (now_us >= h->tick_at_us) {
+		h->tick_at_us = now_us + CP_TICK_US;
+		wp_tick(h->pool, now_us);
+	} else {
+		wp_schedule(h->pool, now_us);
+	}
 	if (h->pool->deposed) {
 		cp_step_down(h, "fenced by a worker");
 		return;
@@ -698,7 +706,7 @@
 		    NULL);
 		rp_tell_ended(row, state);
 	}
-	pn_send_ended(c->links, id, state);
+	pn_note_ended(c->links, id, state);
 }
 
 static void
@@ -712,6 +720,7 @@
 		if (job != NULL)
 			cp_announce(h, cm->ended[i], job->state, stored);
 	}
+	pn_send_ended(h->cell->links);
 }
 
 /*
@@ -735,6 +744,7 @@
 		    !jb_has_ended(row->state))
 			cp_announce(h, job->spec->id, job->state, false);
 	}
+	pn_send_ended(h->cell->links);
 }
 
 static void
--- a/include/curranttackd/cell_peers.h
+++ b/include/curranttackd/cell_peers.h
@@ -31,8 +31,11 @@
 void pn_send_job(struct pn_links *n, const char *owner_vm, const char *id,
     const uint8_t *spec, size_t spec_bytes, uint64_t revision, uint64_t fence);
 
-/** pn_send_ended() - tell all daemons how a job has ended */
-void pn_send_ended(struct pn_links *n, const char *id, enum jb_state state);
+/** pn_note_ended() - a job has ended; told to all daemons by pn_send_ended() */
+void pn_note_ended(struct pn_links *n, const char *id, enum jb_state state);
+
+/** pn_send_ended() - tell all daemons how the jobs noted so far have ended */
+void pn_send_ended(struct pn_links *n);
 
 /** pn_on_job() - a peer has accepted a job */
 void pn_on_job(struct cell *c, const Currant__NewJob *row);
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -29,6 +29,7 @@
  * @confirmed_us: the lease was in force then
  * @epoch: tells callbacks of earlier ownerships from present ones
  * @begin: the claim has been seen, the term not yet
+ * @tick_at_us: next full look at the pool
  * @yield_at_us: when to look for a larger VM
  * @earlier_vm: the owner before, with its incarnation
  * @earlier_until_us: until then earlier owners may act
@@ -59,6 +60,7 @@
 	char earlier_vm[WP_NAME_BYTES];
 	uint64_t earlier_incarnation;
 	struct wp_pool *pool;
+	int64_t tick_at_us;
 	int64_t yield_at_us;
 	int64_t forget_at_us;
 	int64_t log_at_us;
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -734,11 +734,12 @@
   Currant__AdviceAsk *advice_ask;
   Currant__AdviceAnswer *advice_answer;
   Currant__NewJob *new_job;
-  Currant__EndedJob *ended_job;
+  size_t n_ended_jobs;
+  Currant__EndedJob **ended_jobs;
 };
 #define CURRANT__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__frame__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL }
 
 
 /* Currant__Hello methods */
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -104,7 +104,7 @@
 
 /** struct wp_ticket - what advice says of one worker for one step */
 struct wp_ticket {
-	struct wp_worker *w;
+	uint32_t slot;
 	int64_t born_ms;
 	bool good;
 	int64_t expires_us;
@@ -118,8 +118,11 @@
  * @ready: the steps before it have ended
  * @gang_failed: runs of the gang that failed
  * @ticket: answers of the advice service, @ticket_count of them
+ * @ticket_at: for each worker's slot, one more than its answer's position;
+ *	0 for none; @ticket_slots of them
  * @ask_out: a request for advice is unanswered
  * @ask_again_us: no earlier request for advice
+ * @try_again_us: until then only workers that have changed are looked at
  */
 struct wp_step {
 	struct wp_occurrence *occ;
@@ -132,8 +135,11 @@
 	uint32_t gang_failed;
 	struct wp_ticket *ticket;
 	uint32_t ticket_count;
+	uint16_t *ticket_at;
+	uint32_t ticket_slots;
 	bool ask_out;
 	int64_t ask_again_us;
+	int64_t try_again_us;
 	struct wp_step *prev;
 	struct wp_step *next;
 };
@@ -175,6 +181,7 @@
 
 /**
  * struct wp_worker - what the owner knows of a worker
+ * @slot: small number of its own in the pool
  * @kind: first label
  * @rack: rack label
  * @vm: VM that it is a life of; empty when not said
@@ -187,6 +194,8 @@
  * @registering: the commit on its way names it
  * @used: room taken by tasks that are or may be there
  * @stray: room taken by runs that the owner did not ask for
+ * @changed: has got room since the last pass
+ * @was_usable: in the last pass
  * @claimed: in the present pass, room that urgent tasks wait for
  * @clock_ms: its clock when last read
  * @clock_at_us: when that reading arrived
@@ -203,6 +212,9 @@
  */
 struct wp_worker {
 	char id[WP_NAME_BYTES];
+	uint32_t slot;
+	bool changed;
+	bool was_usable;
 	char address[WP_NAME_BYTES];
 	char domain[WP_NAME_BYTES];
 	char kind[WP_NAME_BYTES];
@@ -387,6 +399,7 @@
  * @draining: nothing new is started
  * @unconfirmed: a later owner may exist, and may renew leases of workers
  * @strangers_until_us: until then earlier owners may act on workers
+ * @worker_slots: workers that there have been
  * @settled: no worker can run a task that this owner does not know of
  * @registry_dirty: the stored list of workers is out of date
  */
@@ -399,6 +412,7 @@
 	struct wp_job *jobs;
 	struct wp_job *dirty;
 	struct wp_worker *workers;
+	uint32_t worker_slots;
 	struct wp_step *ready;
 	struct wp_order *orders;
 	int64_t strangers_until_us;
@@ -499,6 +513,9 @@
 /** wp_tick() - everything that is due, then a scheduling pass */
 void wp_tick(struct wp_pool *p, int64_t now_us);
 
+/** wp_schedule() - start what can start; between ticks, when something changed */
+void wp_schedule(struct wp_pool *p, int64_t now_us);
+
 /** wp_next_order() - the next order to send, for the caller to free, or NULL */
 struct wp_order *wp_next_order(struct wp_pool *p);
 
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -112,10 +112,8 @@
 /** wp_may_take() - whether a step's tasks may start on a worker, given room */
 bool wp_may_take(
     const struct wp_step *s, const struct wp_worker *w, int64_t now_us);
-/** wp_preempt_for() - displace less urgent tasks for one task of a step */
-void wp_preempt_for(struct wp_pool *p, const struct wp_step *s, int64_t now_us);
-/** wp_schedule() - start what can start */
-void wp_schedule(struct wp_pool *p, int64_t now_us);
+/** wp_preempt_for() - displace less urgent tasks for one task; false if none */
+bool wp_preempt_for(struct wp_pool *p, const struct wp_step *s, int64_t now_us);
 
 /** wp_share_worker() - keep fillers from harming tasks that serve */
 void wp_share_worker(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -5329,12 +5329,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ended_job",
+    "ended_jobs",
     10,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Frame, ended_job),
+    offsetof(Currant__Frame, n_ended_jobs),
+    offsetof(Currant__Frame, ended_jobs),
     &currant__ended_job__descriptor,
     NULL,
     0,             /* flags */
@@ -5347,7 +5347,7 @@
   4,   /* field[4] = call */
   3,   /* field[3] = config_docs */
   2,   /* field[2] = config_fetch */
-  9,   /* field[9] = ended_job */
+  9,   /* field[9] = ended_jobs */
   0,   /* field[0] = hello */
   8,   /* field[8] = new_job */
   5,   /* field[5] = reply */
--- a/state/maintenance.c
+++ b/state/maintenance.c
@@ -160,8 +160,7 @@
 	if (w == NULL)
 		return o->first && now_us - o->since_us > MW_UNSEEN_US &&
 		    now_us > m->ends_us -
-			    (int64_t)m->duration_ms * CLK_US_PER_MS +
-			    MW_UNSEEN_US;
+			(int64_t)m->duration_ms * CLK_US_PER_MS + MW_UNSEEN_US;
 	if (!vm->retiring)
 		return false;
 	if (wp_is_empty(w))
@@ -177,8 +176,7 @@
 	vm->state = MW_TAKEN;
 	snprintf(vm->pool, sizeof(vm->pool), "%s", o->pool->name);
 	vm->fence = o->fence;
-	snprintf(
-	    vm->worker, sizeof(vm->worker), "%s", w != NULL ? w->id : "");
+	snprintf(vm->worker, sizeof(vm->worker), "%s", w != NULL ? w->id : "");
 	vm->born_ms = w != NULL ? w->born_ms : 0;
 }
 
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -19,13 +19,12 @@
 struct wp_ticket *
 wp_ticket_find(const struct wp_step *s, const struct wp_worker *w)
 {
-	uint32_t i;
+	struct wp_ticket *ticket;
 
-	for (i = 0; i < s->ticket_count; i++) {
-		if (s->ticket[i].w == w && s->ticket[i].born_ms == w->born_ms)
-			return &s->ticket[i];
-	}
-	return NULL;
+	if (w->slot >= s->ticket_slots || s->ticket_at[w->slot] == 0)
+		return NULL;
+	ticket = &s->ticket[s->ticket_at[w->slot] - 1];
+	return ticket->born_ms == w->born_ms ? ticket : NULL;
 }
 
 const char *
@@ -114,30 +113,45 @@
 	struct wp_step *s;
 
 	DL_FOREACH(p->ready, s) {
-		if (!wp_step_may_ask(s, now_us) ||
-		    wp_tickets_at_hand(p, s, now_us) >= s->waiting)
+		if (!wp_step_may_ask(s, now_us))
 			continue;
-		if (wp_fill_ask(p, s, now_us, ask))
-			return true;
 		s->ask_again_us = now_us + WP_ASK_AGAIN_US;
+		if (wp_tickets_at_hand(p, s, now_us) < s->waiting &&
+		    wp_fill_ask(p, s, now_us, ask))
+			return true;
 	}
 	return false;
 }
 
-static struct wp_ticket *
-wp_ticket_get(struct wp_step *s, struct wp_worker *w)
+static void
+wp_ticket_slots(const struct wp_pool *p, struct wp_step *s)
 {
-	struct wp_ticket *ticket = wp_ticket_find(s, w);
-
-	if (ticket != NULL)
-		return ticket;
+	if (s->ticket_slots >= p->worker_slots)
+		return;
+	s->ticket_at =
+	    talloc_realloc(s->occ, s->ticket_at, uint16_t, p->worker_slots);
 	s->ticket = talloc_realloc(
-	    s->occ, s->ticket, struct wp_ticket, s->ticket_count + 1);
-	if (s->ticket == NULL)
+	    s->occ, s->ticket, struct wp_ticket, p->worker_slots);
+	if (s->ticket_at == NULL || s->ticket == NULL)
 		abort();
-	ticket = &s->ticket[s->ticket_count++];
-	memset(ticket, 0, sizeof(*ticket));
-	ticket->w = w;
+	memset(s->ticket_at + s->ticket_slots, 0,
+	    (p->worker_slots - s->ticket_slots) * sizeof(*s->ticket_at));
+	s->ticket_slots = p->worker_slots;
+}
+
+static struct wp_ticket *
+wp_ticket_get(
+    const struct wp_pool *p, struct wp_step *s, const struct wp_worker *w)
+{
+	struct wp_ticket *ticket;
+
+	wp_ticket_slots(p, s);
+	if (s->ticket_at[w->slot] == 0)
+		s->ticket_at[w->slot] = (uint16_t)++s->ticket_count;
+	ticket = &s->ticket[s->ticket_at[w->slot] - 1];
+	if (ticket->born_ms != w->born_ms || ticket->slot != w->slot)
+		memset(ticket, 0, sizeof(*ticket));
+	ticket->slot = w->slot;
 	ticket->born_ms = w->born_ms;
 	return ticket;
 }
@@ -174,16 +188,17 @@
 		return;
 	}
 	s->ask_again_us = now_us + WP_ASK_AGAIN_US;
+	s->try_again_us = 0;
 	for (i = 0; i < ask->worker_count; i++) {
 		w = wp_find_worker(p, ask->worker[i]);
 		if (w != NULL)
-			wp_ticket_get(s, w)->good = false;
+			wp_ticket_get(p, s, w)->good = false;
 	}
 	for (i = 0; i < good_count; i++) {
 		w = wp_find_worker(p, good[i].worker);
 		if (w == NULL)
 			continue;
-		ticket = wp_ticket_get(s, w);
+		ticket = wp_ticket_get(p, s, w);
 		ticket->good = true;
 		ticket->expires_us =
 		    asked_us + (int64_t)ask->valid_ms * CLK_US_PER_MS;
--- a/state/pool_preempt.c
+++ b/state/pool_preempt.c
@@ -101,7 +101,7 @@
 	}
 }
 
-void
+bool
 wp_preempt_for(struct wp_pool *p, const struct wp_step *s, int64_t now_us)
 {
 	struct wp_room need = wp_need(s->spec);
@@ -122,7 +122,8 @@
 		}
 	}
 	if (best == NULL)
-		return;
+		return false;
 	wp_displace(p, best, s, &need, now_us);
 	wp_room_add(&best->claimed, &need, 1);
+	return true;
 }
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -4,8 +4,11 @@
 
 #include "state/pool_internal.h"
 
-#define WP_MAX_READY 4096
 #define WP_MAX_UNANSWERED 2
+/* How often a step that can't start looks at all workers. */
+#define WP_TRY_AGAIN_US (100 * CLK_US_PER_MS)
+/* Starts of one pass: renewals must not wait for a burst. */
+#define WP_MAX_STARTS 200
 
 bool
 wp_usable(const struct wp_worker *w, int64_t now_us)
@@ -139,7 +142,10 @@
 			continue;
 		w = wp_pick(p, s, t, wp_common_rack(s), now_us, &ticket);
 		if (w == NULL) {
-			wp_preempt_for(p, s, now_us);
+			/* The next task may avoid other workers than this. */
+			if (!wp_preempt_for(p, s, now_us) &&
+			    t->avoid_count == 0)
+				return;
 			continue;
 		}
 		wp_task_place(p, t, w, wp_next_run(p, t), ticket, now_us);
@@ -245,49 +251,86 @@
 	talloc_free(plan.w);
 }
 
-static int
-wp_compare_steps(const void *a, const void *b)
+/* Workers that a pass looks at. */
+struct wp_pass {
+	struct wp_pool *pool;
+	int64_t now_us;
+	struct wp_worker **changed;
+	uint32_t changed_count;
+};
+
+static void
+wp_pass_begin(struct wp_pass *pass, struct wp_pool *p, int64_t now_us)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	pass->pool = p;
+	pass->now_us = now_us;
+	pass->changed_count = 0;
+	pass->changed =
+	    talloc_array(p, struct wp_worker *, HASH_COUNT(p->workers) + 1);
+	if (pass->changed == NULL)
+		abort();
+	HASH_ITER(hh, p->workers, w, tmp) {
+		bool usable = wp_usable(w, now_us);
+
+		memset(&w->claimed, 0, sizeof(w->claimed));
+		if (usable && (w->changed || !w->was_usable))
+			pass->changed[pass->changed_count++] = w;
+		w->changed = false;
+		w->was_usable = usable;
+	}
+}
+
+/* Whether a step that could not start may do so now. */
+static bool
+wp_pass_concerns(const struct wp_pass *pass, const struct wp_step *s)
+{
+	struct wp_room need = wp_need(s->spec);
+	uint32_t i;
+
+	if (pass->now_us >= s->try_again_us)
+		return true;
+	for (i = 0; i < pass->changed_count; i++) {
+		const struct wp_worker *w = pass->changed[i];
+
+		if (wp_fits(w, &need) && wp_may_take(s, w, pass->now_us))
+			return true;
+	}
+	return false;
+}
+
+static void
+wp_pass_step(struct wp_pass *pass, struct wp_step *s)
 {
-	const struct wp_step *const *x = a;
-	const struct wp_step *const *y = b;
-	const struct wp_job *jx = (*x)->occ->job;
-	const struct wp_job *jy = (*y)->occ->job;
-
-	if (jx->spec->policy.priority != jy->spec->policy.priority)
-		return jx->spec->policy.priority < jy->spec->policy.priority
-		    ? -1
-		    : 1;
-	if (jx->objective_us != jy->objective_us)
-		return jx->objective_us < jy->objective_us ? -1 : 1;
-	return strcmp(jx->spec->id, jy->spec->id);
+	if (!wp_pass_concerns(pass, s))
+		return;
+	s->try_again_us = pass->now_us + WP_TRY_AGAIN_US;
+	if (s->spec->flags & JB_GANG)
+		wp_start_gang(pass->pool, s, pass->now_us);
+	else
+		wp_start_step(pass->pool, s, pass->now_us);
+	wp_step_update(pass->pool, s);
 }
 
 void
 wp_schedule(struct wp_pool *p, int64_t now_us)
 {
-	static struct wp_step *order[WP_MAX_READY];
-	struct wp_worker *w;
-	struct wp_worker *wnext;
+	uint64_t started = p->stats.starts;
+	struct wp_pass pass;
 	struct wp_step *s;
 	struct wp_step *tmp;
-	uint32_t n = 0;
-	uint32_t i;
 
 	if (p->deposed || p->draining)
 		return;
-	HASH_ITER(hh, p->workers, w, wnext)
-		memset(&w->claimed, 0, sizeof(w->claimed));
 	p->stats.passes++;
+	wp_pass_begin(&pass, p, now_us);
 	DL_FOREACH_SAFE(p->ready, s, tmp) {
-		if (n < WP_MAX_READY)
-			order[n++] = s;
-	}
-	qsort((void *)order, n, sizeof(struct wp_step *), wp_compare_steps);
-	for (i = 0; i < n; i++) {
-		if (order[i]->spec->flags & JB_GANG)
-			wp_start_gang(p, order[i], now_us);
+		if (p->stats.starts - started > WP_MAX_STARTS)
+			s->try_again_us = 0;
 		else
-			wp_start_step(p, order[i], now_us);
-		wp_step_update(p, order[i]);
+			wp_pass_step(&pass, s);
 	}
+	talloc_free(pass.changed);
 }
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -139,6 +139,7 @@
 	w->used.mem_mb -= need.mem_mb;
 	w->used.gpu -= need.gpu;
 	DL_DELETE(w->tasks, t);
+	w->changed = true;
 	t->w = NULL;
 	t->in_doubt = false;
 	t->resend_us = 0;
@@ -230,6 +231,7 @@
 	}
 	t->state = WP_WAITING;
 	t->not_before_us = not_before_us;
+	t->step->try_again_us = 0;
 	t->step->waiting++;
 	wp_step_update(job->pool, t->step);
 }
@@ -246,6 +248,26 @@
 	wp_pool_order(p, WP_ORDER_STOP, t->w, &ref, t->run);
 }
 
+/* More urgent priorities first, then earlier objectives. */
+static int
+wp_compare_steps(const struct wp_step *a, const struct wp_step *b)
+{
+	const struct wp_job *ja = a->occ->job;
+	const struct wp_job *jb = b->occ->job;
+	uint32_t pa = ja->spec->policy.priority;
+	uint32_t pb = jb->spec->policy.priority;
+
+	if (pa != pb)
+		return pa < pb ? -1 : 1;
+	if (ja->objective_us != jb->objective_us)
+		return ja->objective_us < jb->objective_us ? -1 : 1;
+	if (ja != jb)
+		return strcmp(ja->spec->id, jb->spec->id);
+	if (a->occ != b->occ)
+		return a->occ->number < b->occ->number ? -1 : 1;
+	return a->number < b->number ? -1 : 1;
+}
+
 void
 wp_step_update(struct wp_pool *p, struct wp_step *s)
 {
@@ -253,7 +275,7 @@
 	bool wanted = s->ready && s->waiting > 0;
 
 	if (wanted && !listed)
-		DL_APPEND(p->ready, s);
+		DL_INSERT_INORDER(p->ready, s, wp_compare_steps);
 	if (!wanted && listed) {
 		DL_DELETE(p->ready, s);
 		s->prev = NULL;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -63,6 +63,7 @@
 	if (w == NULL)
 		abort();
 	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->slot = p->worker_slots++;
 	w->hold_at_us = now_us;
 	/* An owner that came later than the worker finds nothing there. */
 	if (now_us < p->strangers_until_us)
