state: copies of speculative tasks while a worker is silent

Cause: a step whose tasks may run twice still waited for a silent worker's lease (3 s), and after a takeover for every worker that was not heard (13 s). Change: state/pool_copy; such tasks start elsewhere after 0.3 s of silence, or 0.4 s after a takeover; the first end counts and the other run is stopped; a run that is listed again goes on as a spare, or is taken back if its copy has not started. Ruled out: copies of every late task; nothing tells a slow worker from a long task yet. Tests: Copies.* (5).

--- a/bench/bench_replay.c
+++ b/bench/bench_replay.c
@@ -140,7 +140,8 @@
 {
 	double unit = mix(j->seed, step) % 1000 / 1000.0;
 	double step_ms = j->kind->work_ms * (0.4 + 1.2 * unit);
-	double uneven = 0.7 + 0.6 * (mix(j->seed + step, index) % 1000) / 1000.0;
+	double uneven =
+	    0.7 + 0.6 * (mix(j->seed + step, index) % 1000) / 1000.0;
 
 	return (int64_t)(step_ms * uneven * (double)CLK_US_PER_MS);
 }
@@ -148,7 +149,11 @@
 static struct sim_job *
 find_job(struct sim *s, const char *id)
 {
-	return &s->job[strtoul(id, NULL, 16)];
+	size_t n = strtoul(id, NULL, 16);
+
+	if (n >= s->jobs)
+		abort();
+	return &s->job[n];
 }
 
 static void
@@ -170,8 +175,8 @@
 	spec->queue = talloc_strdup(spec, k->name);
 	spec->pool = talloc_strdup(spec, "pool");
 	spec->payload = talloc_strdup(spec, "text");
-	spec->step_count = 1 + (uint32_t)(rng_below(&s->rng, 100) <
-		(k->steps - 1) * PERCENT);
+	spec->step_count =
+	    1 + (uint32_t)(rng_below(&s->rng, 100) < (k->steps - 1) * PERCENT);
 	spec->step = talloc_zero_array(spec, struct jb_step, spec->step_count);
 	spec->policy.priority = k->priority;
 	spec->policy.max_attempts = 4;
@@ -189,7 +194,8 @@
 		step->cpu_mcpu =
 		    500 + (uint32_t)draw(&s->rng, k->cpu_mcpu, 3 * k->cpu_mcpu);
 		step->mem_mb = (uint32_t)k->mem_mb;
-		step->estimate_ms = (uint32_t)(work_us(j, i, 0) / CLK_US_PER_MS);
+		step->estimate_ms =
+		    (uint32_t)(work_us(j, i, 0) / CLK_US_PER_MS);
 		if (rng_below(&s->rng, 100) < k->saves * PERCENT)
 			step->flags = JB_CHECKPOINTS;
 		if (i > 0) {
@@ -292,8 +298,9 @@
 	for (i = 0; i < w->runs; i++) {
 		running[i].ref = w->run[i].ref;
 		running[i].run = w->run[i].run;
-		running[i].percent = (uint32_t)((s->now_us - w->run[i].begun_us) *
-		    PERCENT / (w->run[i].work_us + 1));
+		running[i].percent =
+		    (uint32_t)((s->now_us - w->run[i].begun_us) * PERCENT /
+			(w->run[i].work_us + 1));
 	}
 	reply.clock_ms = s->now_us / CLK_US_PER_MS;
 	reply.running = running;
@@ -336,7 +343,8 @@
 	uint32_t i;
 
 	for (i = 0; i < ask->worker_count; i++) {
-		uint32_t w = (uint32_t)(find_worker(s, ask->worker[i]) - s->worker);
+		uint32_t w =
+		    (uint32_t)(find_worker(s, ask->worker[i]) - s->worker);
 
 		if (mix(j->seed + ask->step, w) % 1000 < j->kind->good * 1000)
 			good[n++] = (struct wp_advice){ask->worker[i], "t"};
@@ -450,8 +458,11 @@
 	for (i = 0; i < workers; i++) {
 		char rack[WP_NAME_BYTES];
 		struct wp_worker_info info = {.id = s->worker[i].id,
-		    .address = "127.0.0.1:1", .domain = "a", .kind = "k",
-		    .rack = rack, .vm = ""};
+		    .address = "127.0.0.1:1",
+		    .domain = "a",
+		    .kind = "k",
+		    .rack = rack,
+		    .vm = ""};
 
 		snprintf(s->worker[i].id, WP_NAME_BYTES, "w-%u", i);
 		snprintf(rack, sizeof(rack), "r%u", i / 12);
@@ -544,8 +555,9 @@
 	int64_t seconds;
 
 	if (argc != 6) {
-		fprintf(stderr, "usage: bench_replay WORKERS JOBS_PER_S "
-				"SECONDS BURST SEED\n");
+		fprintf(stderr,
+		    "usage: bench_replay WORKERS JOBS_PER_S "
+		    "SECONDS BURST SEED\n");
 		return 64;
 	}
 	seconds = strtol(argv[3], NULL, 10);
@@ -554,7 +566,8 @@
 	while (s.now_us < BEGIN_US + (seconds + 20) * CLK_US_PER_S) {
 		if (s.now_us > BEGIN_US + CLK_US_PER_S &&
 		    s.now_us < BEGIN_US + seconds * CLK_US_PER_S)
-			arrive(&s, strtod(argv[2], NULL), strtod(argv[4], NULL));
+			arrive(
+			    &s, strtod(argv[2], NULL), strtod(argv[4], NULL));
 		play_step(&s);
 		s.now_us += STEP_US;
 	}
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -204,6 +204,7 @@
  * @seen_end: number of the newest end processed
  * @flight_end: number that the commit on its way covers
  * @acked_end: number up to which the ends are stored
+ * @lost_at_us: since when it is not reachable; 0 while it is
  * @hold_out: a renewal is on its way
  * @hold_at_us: when the next renewal is due
  * @unanswered: orders in a row without an answer
@@ -240,6 +241,7 @@
 	uint64_t seen_end;
 	uint64_t flight_end;
 	uint64_t acked_end;
+	int64_t lost_at_us;
 	bool hold_out;
 	int64_t hold_at_us;
 	int64_t last_list_us;
@@ -399,6 +401,7 @@
  * @draining: nothing new is started
  * @unconfirmed: a later owner may exist, and may renew leases of workers
  * @strangers_until_us: until then earlier owners may act on workers
+ * @began_us: first tick
  * @worker_slots: workers that there have been
  * @settled: no worker can run a task that this owner does not know of
  * @registry_dirty: the stored list of workers is out of date
@@ -415,6 +418,7 @@
 	uint32_t worker_slots;
 	struct wp_step *ready;
 	struct wp_order *orders;
+	int64_t began_us;
 	int64_t strangers_until_us;
 	bool settled;
 	bool registry_dirty;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -7,7 +7,7 @@
 /**
  * DOC: Shared by the pool's files. Lowest first: pool_task (one task's moves),
  * pool_worker (reports and leases), pool_gang, pool_advice, pool_sharing,
- * pool_retire (emptying workers for maintenance), pool_sched (who starts where), pool (jobs and ticks).
+ * pool_copy (copies of tasks that may run twice), pool_retire (emptying workers for maintenance), pool_sched (who starts where), pool (jobs and ticks).
  */
 
 /* A run number of a later owner is always higher. */
@@ -100,6 +100,15 @@
 /** wp_needs_advice() - whether the step's queue asks for tickets */
 bool wp_needs_advice(const struct wp_step *s);
 
+/** wp_may_copy() - whether copies of a task may run at the same time */
+bool wp_may_copy(const struct wp_task *t);
+/** wp_is_spare_copy() - whether a run may go on beside the task's newest one */
+bool wp_is_spare_copy(const struct wp_task *t, uint32_t run);
+/** wp_copy_lost() - start copies of what runs on a worker that is silent */
+void wp_copy_lost(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+/** wp_copy_held() - start copies of what an earlier owner's workers may run */
+void wp_copy_held(struct wp_pool *p, int64_t now_us);
+
 /** wp_may_keep_away() - whether planned work may stop a task that lasts */
 bool wp_may_keep_away(const struct wp_task *t);
 /** wp_leave_retiring() - move what can go on elsewhere off a worker */
--- a/state/pool.c
+++ b/state/pool.c
@@ -277,6 +277,8 @@
 {
 	if (p->deposed)
 		return;
+	if (p->began_us == 0)
+		p->began_us = now_us;
 	wp_workers_tick(p, now_us);
 	wp_settle_held(p, now_us);
 	wp_jobs_tick(p, now_us);
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -214,6 +214,7 @@
 	t->pace = WP_FULL_PACE;
 	t->confirmed_clock_ms = w->clock_ms;
 	t->step->occ->job->started = true;
+	wp_step_update(t->step->occ->job->pool, t->step);
 }
 
 void
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -280,6 +280,22 @@
 		wp_task_done(p, t);
 }
 
+/* An earlier copy has ended well: the one that runs is not needed. */
+static void
+wp_on_copy_done(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+{
+	struct wp_worker *w = t->w;
+	struct jb_ref ref;
+
+	wp_task_done(p, t);
+	if (w == NULL)
+		return;
+	wp_task_ref(t, &ref);
+	wp_pool_order(p, WP_ORDER_STOP, w, &ref, t->run);
+	/* Its room is given back once the worker no longer lists it. */
+	t->confirmed_clock_ms = wp_worker_clock_ms(w, now_us + WP_START_US);
+}
+
 /* It ended well before its lease was taken for lapsed; nothing has run since. */
 static bool
 wp_ends_waiting(const struct wp_task *t, const struct wp_end *end)
@@ -308,6 +324,8 @@
 			wp_on_own_end(p, w, t, end, now_us);
 		else if (t->state == WP_HELD || wp_ends_waiting(t, end))
 			wp_on_held_end(p, t, end, now_us);
+		else if (end->how == WP_END_DONE && wp_may_copy(t))
+			wp_on_copy_done(p, t, now_us);
 		else if (end->how == WP_END_FAILED)
 			/* An earlier run, while a later one is elsewhere. */
 			wp_count_failure(p, t, end->run, now_us);
@@ -345,9 +363,19 @@
 	w->stray.cpu_mcpu += need.cpu_mcpu;
 	w->stray.mem_mb += need.mem_mb;
 	w->stray.gpu += need.gpu;
+	if (t != NULL && wp_is_spare_copy(t, row->run))
+		return;
 	wp_pool_order(p, WP_ORDER_STOP, w, &row->ref, row->run);
 }
 
+/* Only workers' lists can tell whether it runs. */
+static bool
+wp_awaits_list(const struct wp_task *t)
+{
+	return t->state == WP_HELD ||
+	    (t->state == WP_WAITING && wp_may_copy(t));
+}
+
 static void
 wp_take_running(struct wp_pool *p, struct wp_worker *w,
     const struct wp_hold_reply *reply, int64_t now_us)
@@ -359,7 +387,7 @@
 		const struct wp_running *row = &reply->running[i];
 		struct wp_task *t = wp_find_task(p, &row->ref);
 
-		if (t != NULL && t->state == WP_HELD && row->run >= t->run) {
+		if (t != NULL && wp_awaits_list(t) && row->run >= t->run) {
 			wp_task_adopt(t, w, row->run, now_us);
 			if (t->step->occ->job->stop_as != JB_PENDING)
 				wp_task_stop(p, t, now_us);
@@ -432,6 +460,7 @@
 
 	w->hold_out = false;
 	w->reachable = true;
+	w->lost_at_us = 0;
 	w->unanswered = 0;
 	w->fenced = true;
 	if (w->born_ms != 0 && w->born_ms != reply->born_ms)
@@ -463,8 +492,11 @@
 		p->deposed = true;
 		return;
 	}
-	if (result != WP_REFUSED_UNHEALTHY)
-		w->reachable = false;
+	if (result == WP_REFUSED_UNHEALTHY)
+		return;
+	w->reachable = false;
+	if (w->lost_at_us == 0)
+		w->lost_at_us = now_us;
 }
 
 static void
@@ -663,6 +695,7 @@
 	struct wp_task *t;
 	struct wp_task *tmp;
 
+	wp_copy_lost(p, w, now_us);
 	/* A later owner would have renewed the lease that we know of. */
 	if (!p->unconfirmed && !w->reachable && w->tasks != NULL &&
 	    now_us > wp_lapse_us(w))
@@ -719,6 +752,7 @@
 
 	if (p->settled || p->unconfirmed)
 		return;
+	wp_copy_held(p, now_us);
 	HASH_ITER(hh, p->workers, w, tmp) {
 		if (!w->fenced && now_us < w->doubt_until_us)
 			return;
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1056,4 +1056,96 @@
 	EXPECT_FALSE(tick(5 * kS).empty());
 }
 
+/* A step whose tasks may run twice, one of them on a worker that falls silent. */
+class Copies : public Pool
+{
+      protected:
+	void
+	lose_worker()
+	{
+		begin();
+		ready_worker("w", 1000);
+		add(kJob, {{1, 1000, JB_COPIES}});
+		ASSERT_EQ(run_all().size(), 1U);
+		now += 100 * kMs;
+		hold("w", {{kJob, 0, 0, 1, 0, 10}});
+		wp_on_hold_lost(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+		ready_worker("v", 1000);
+	}
+};
+
+TEST_F(Copies, StartWhileAWorkerIsSilent)
+{
+	lose_worker();
+	EXPECT_EQ(run_all(200 * kMs).size(), 0U);
+	auto orders = run_all(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->worker, "v");
+	EXPECT_EQ(orders[0]->run, 2U);
+}
+
+TEST_F(Copies, FirstToEndCounts)
+{
+	lose_worker();
+	run_all(400 * kMs);
+	ASSERT_EQ(task(kJob, 0, 0)->run, 2U);
+	/* The first goes on beside the second. */
+	hold("w", {{kJob, 0, 0, 1, 0, 60}});
+	EXPECT_EQ(run_all().size(), 0U);
+	now += 100 * kMs;
+	hold("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(wp_shown_state(wp_find_job(p, kJob.c_str())), JB_COMPLETED);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	EXPECT_STREQ(orders[0]->worker, "v");
+	/* Its room is free once it is off the list. */
+	EXPECT_EQ(wp_find_worker(p, "v")->used.cpu_mcpu, 1000);
+	now += 2 * kS;
+	hold("v", {}, {{1, kJob, 0, 0, 2, WP_END_STOPPED}});
+	EXPECT_EQ(wp_find_worker(p, "v")->used.cpu_mcpu, 0);
+}
+
+TEST_F(Copies, RunThatComesBackBeforeItsCopyStartsIsKept)
+{
+	lose_worker();
+	list_worker("v", 1000, true);
+	run_all(400 * kMs);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_WAITING);
+	hold("w", {{kJob, 0, 0, 1, 0, 60}});
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_RUNNING);
+	EXPECT_EQ(run_all().size(), 0U);
+}
+
+TEST_F(Copies, OthersWaitForTheLease)
+{
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	ASSERT_EQ(run_all().size(), 1U);
+	now += 100 * kMs;
+	hold("w", {{kJob, 0, 0, 1, 0, 10}});
+	wp_on_hold_lost(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	ready_worker("v", 1000);
+	EXPECT_EQ(run_all(kS).size(), 0U);
+}
+
+TEST_F(Copies, NextOwnerNeedNotWaitForSilentWorkers)
+{
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	row.run = 1;
+	begin(1, kBegin + 13 * kS);
+	wp_add_known_worker(p, "silent", "127.0.0.1:1", now);
+	ready_worker("v", 2000);
+	add(kJob, {{1, 1000, JB_COPIES}}, &progress, false);
+	add(kOther, {{1}}, &progress, false);
+	EXPECT_EQ(run_all().size(), 0U);
+	auto orders = run_all(500 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(std::string(orders[0]->ref.job), kJob);
+	EXPECT_GT(orders[0]->run, 1U);
+}
+
 } // namespace
