curranttackd: operators' orders are watched alone; a daemon owns one pool

Change: a watch of its own over what operators write; no pause when an answer was full; a claim that is due is reconsidered if another pool was claimed meanwhile, and an owner of two gives one up to an idle daemon.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -188,9 +188,22 @@
 	return cp_claim_hash(h->name, m->vm) < cp_claim_hash(h->name, own->vm);
 }
 
+/* Pools that this daemon owns or is about to own. */
+static uint32_t
+cp_engaged(const struct cell *c)
+{
+	struct cp_host *h;
+	struct cp_host *tmp;
+	uint32_t n = 0;
+
+	HASH_ITER(hh, c->pools, h, tmp)
+		n += h->state != CP_IDLE;
+	return n;
+}
+
 /* Daemons that own less come first, too. */
 static int64_t
-cp_claim_delay_us(const struct cp_host *h)
+cp_claim_delay_us(struct cp_host *h)
 {
 	const struct cell *c = h->cell;
 	struct rp_member *m;
@@ -201,25 +214,50 @@
 		rank += m->present && cp_claims_before(h, m);
 	if (rank > CP_MAX_RANK)
 		rank = CP_MAX_RANK;
-	return (rank + CP_OWNED_RANK * cp_owned(c)) * CP_RANK_US;
+	h->claim_engaged = cp_engaged(c);
+	return (rank + CP_OWNED_RANK * h->claim_engaged) * CP_RANK_US;
+}
+
+/* Another pool was claimed meanwhile: others may be better placed now. */
+static bool
+cp_claim_is_outdated(struct cp_host *h, int64_t now_us)
+{
+	if (cp_engaged(h->cell) <= h->claim_engaged)
+		return false;
+	h->claim_at_us = now_us + cp_claim_delay_us(h);
+	return true;
 }
 
-/* Whether a daemon that owns nothing has twice this one's processor time. */
+/* Whether a daemon that owns nothing has twice the processor time for a pool. */
 static bool
 cp_is_outsized(const struct cp_host *h)
 {
 	const struct cell *c = h->cell;
+	uint32_t share_mcpu = c->settings->cpu_mcpu / cp_owned(c);
 	struct rp_member *m;
 	struct rp_member *tmp;
 
 	HASH_ITER(hh, c->replica->members, m, tmp) {
-		if (m->present && m->cpu_mcpu >= 2 * c->settings->cpu_mcpu &&
+		if (m->present && m->cpu_mcpu >= 2 * share_mcpu &&
 		    pn_link(c->links, m->vm) != NULL && !cp_owns_any(c, m->vm))
 			return true;
 	}
 	return false;
 }
 
+static bool
+cp_is_releasing(const struct cell *c)
+{
+	struct cp_host *h;
+	struct cp_host *tmp;
+
+	HASH_ITER(hh, c->pools, h, tmp) {
+		if (h->state == CP_RELEASING)
+			return true;
+	}
+	return false;
+}
+
 /* A pool on a small VM waits for its processor; a larger one takes over. */
 static void
 cp_yield_to_larger(struct cp_host *h, int64_t now_us)
@@ -227,7 +265,7 @@
 	if (h->state != CP_OWNER || now_us < h->yield_at_us)
 		return;
 	h->yield_at_us = now_us + CP_YIELD_US;
-	if (!cp_is_outsized(h))
+	if (cp_is_releasing(h->cell) || !cp_is_outsized(h))
 		return;
 	lg_event(LG_INFO, "pool", "yielding", "pool", h->name, "fence",
 	    lg_i64((int64_t)h->fence), NULL);
@@ -1081,7 +1119,7 @@
 			break;
 		if (h->claim_at_us == 0)
 			h->claim_at_us = now_us + cp_claim_delay_us(h);
-		if (now_us < h->claim_at_us)
+		if (now_us < h->claim_at_us || cp_claim_is_outdated(h, now_us))
 			break;
 		h->earlier_until_us = cp_earlier_until_us(h, o, now_us);
 		h->before_until_us =
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -10,9 +10,14 @@
 
 #define RP_RETRY_US (200 * CLK_US_PER_MS)
 #define RP_WATCH_MS 2000
+/* Orders of operators come alone, so that no flood of changes delays them. */
+#define RP_ORDERS_WATCH_MS 15000
+/* Changes of one answer from which on further ones must be waiting. */
+#define RP_FULL_PAGE 100
 #define RP_ERROR_BYTES 160
 
 static void rp_load(void *arg);
+static void rp_watch_orders(void *arg);
 static void rp_watch(void *arg);
 
 static struct rp_job *
@@ -580,6 +585,10 @@
 		lg_event(LG_INFO, "replica", "loaded", "revision",
 		    lg_i64((int64_t)r->as_of), "jobs",
 		    lg_i64(HASH_COUNT(r->jobs)), NULL);
+	if (!r->synced) {
+		r->orders_as_of = r->as_of;
+		rp_watch_orders(r);
+	}
 	r->synced = true;
 	rp_watch(r);
 }
@@ -618,6 +627,9 @@
 		r->as_of = a->revision;
 	r->paused = true;
 	r->resume_us = clk_now_us() + r->pace_us;
+	/* More changes are waiting: this copy is behind. */
+	if (a->item_count >= RP_FULL_PAGE)
+		rp_hurry(r);
 }
 
 static void
@@ -629,6 +641,36 @@
 	    r->fleet->handle, "", r->as_of, RP_WATCH_MS, rp_on_watch, r);
 }
 
+static void
+rp_on_orders(const struct ks_answer *a, void *arg)
+{
+	struct replica *r = arg;
+	size_t i;
+
+	if (a->result != KS_OK) {
+		/* The other watch loads what this one has missed. */
+		if (a->result == KS_COMPACTED)
+			r->orders_as_of = r->as_of;
+		loop_after(r->loop, RP_RETRY_US, rp_watch_orders, r);
+		return;
+	}
+	for (i = 0; i < a->item_count; i++)
+		rp_take(r, &a->item[i]);
+	if (a->revision > r->orders_as_of)
+		r->orders_as_of = a->revision;
+	rp_watch_orders(r);
+}
+
+static void
+rp_watch_orders(void *arg)
+{
+	struct replica *r = arg;
+
+	r->fleet->keys->watch(r->fleet->handle,
+	    r->fleet->entries->orders_prefix, r->orders_as_of,
+	    RP_ORDERS_WATCH_MS, rp_on_orders, r);
+}
+
 void
 rp_tick(struct replica *r, int64_t now_us)
 {
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -20,6 +20,7 @@
 /**
  * struct cp_host - one pool as seen by this daemon
  * @claim_at_us: when it may be claimed; 0 while it has an owner
+ * @claim_engaged: pools that this daemon had when that was set
  * @lease: lease behind the ownership
  * @ended_lease: lease of an owner that this daemon has ended
  * @fence: fencing token of this ownership
@@ -41,6 +42,7 @@
 	char name[WP_NAME_BYTES];
 	enum cp_state state;
 	int64_t claim_at_us;
+	uint32_t claim_engaged;
 	uint64_t lease;
 	uint64_t ended_lease;
 	uint64_t fence;
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -151,6 +151,7 @@
  * @synced: the first load is complete
  * @ordered: the item at hand comes in the order of changes
  * @as_of: revision up to which changes are in
+ * @orders_as_of: revision up to which operators' orders are in
  * @pace_us: pause between two watches, to gather changes
  * @paused: no watch is out until @resume_us
  */
@@ -163,6 +164,7 @@
 	bool ordered;
 	uint64_t as_of;
 	uint64_t load_revision;
+	uint64_t orders_as_of;
 	int64_t pace_us;
 	bool paused;
 	int64_t resume_us;
--- a/include/transport/fleet.h
+++ b/include/transport/fleet.h
@@ -55,6 +55,7 @@
 
 /**
  * struct fl_entry_ops - entries that others keep in the key space
+ * @orders_prefix: begins the keys of all that operators order
  * @kind: what a key holds; for a worker or a wave, @id names it
  * @worker: decode a worker's entry; NULL for one that can't be used
  * @worker_pool: service of a decoded entry
@@ -63,6 +64,7 @@
  * @wave_status: key and text that tell operators how far a wave is
  */
 struct fl_entry_ops {
+	const char *orders_prefix;
 	enum fl_key_kind (*kind)(const char *key, const char **id);
 	bool (*worker)(TALLOC_CTX *ctx, const char *id, const uint8_t *value,
 	    size_t bytes, struct wp_worker_info *info, const char **pool);
