state: questions for advice name fewer workers, and go out ahead

Change: a question names workers with room until three places a task and twelve more are found, at most as many as take as long as the decision itself; steps begin at different workers; a step is asked for when the ones before it are about to end. Tests: Pool.QuestionNamesAsFewWorkersAsWillDo, Pool.FullWorkersAreAskedForWhenNoneHasRoom, Pool.AdviceIsAskedForBeforeAStepIsReady.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -116,6 +116,8 @@
  * @waiting: tasks in WP_WAITING
  * @open: tasks that have not ended well
  * @ready: the steps before it have ended
+ * @near: the steps before it are about to end
+ * @near_listed: it is on the pool's list of such steps
  * @gang_failed: runs of the gang that failed
  * @ticket: answers of the advice service, @ticket_count of them
  * @ticket_at: for each worker's slot, one more than its answer's position;
@@ -132,6 +134,8 @@
 	uint32_t waiting;
 	uint32_t open;
 	bool ready;
+	bool near;
+	bool near_listed;
 	uint32_t gang_failed;
 	struct wp_ticket *ticket;
 	uint32_t ticket_count;
@@ -142,6 +146,8 @@
 	int64_t try_again_us;
 	struct wp_step *prev;
 	struct wp_step *next;
+	struct wp_step *near_prev;
+	struct wp_step *near_next;
 };
 
 struct wp_occurrence {
@@ -417,6 +423,7 @@
 	struct wp_worker *workers;
 	uint32_t worker_slots;
 	struct wp_step *ready;
+	struct wp_step *near;
 	struct wp_order *orders;
 	int64_t began_us;
 	int64_t strangers_until_us;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -97,6 +97,8 @@
 /** wp_ticket_valid() - ticket text that a start may carry, or NULL */
 const char *wp_ticket_valid(
     const struct wp_step *s, const struct wp_worker *w, int64_t now_us);
+/** wp_look_ahead() - have advice asked for before a step is ready */
+void wp_look_ahead(struct wp_pool *p, struct wp_step *s, int64_t now_us);
 /** wp_needs_advice() - whether the step's queue asks for tickets */
 bool wp_needs_advice(const struct wp_step *s);
 
--- a/state/pool.c
+++ b/state/pool.c
@@ -236,6 +236,7 @@
 
 		for (i = 0; i < job->spec->step_count; i++) {
 			occ->step[i].ready = false;
+			occ->step[i].near = false;
 			wp_step_update(p, &occ->step[i]);
 			for (j = 0; j < job->spec->step[i].count; j++)
 				wp_task_release(&occ->step[i].task[j]);
@@ -267,6 +268,7 @@
 			for (i = 0; i < job->spec->step_count; i++) {
 				if (occ->step[i].spec->flags & JB_GANG)
 					wp_gang_tick(p, &occ->step[i], now_us);
+				wp_look_ahead(p, &occ->step[i], now_us);
 			}
 		}
 	}
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -9,6 +9,12 @@
 #define WP_TICKET_MARGIN_US (100 * CLK_US_PER_MS)
 #define WP_ASK_RETRY_US (150 * CLK_US_PER_MS)
 #define WP_ASK_AGAIN_US (50 * CLK_US_PER_MS)
+#define WP_NOT_WORTH_ASKING UINT32_MAX
+/* Places that a question looks for, and more of them for each task. */
+#define WP_ASK_LEAST 12
+#define WP_ASK_PER_TASK 3
+#define WP_MAX_FIT 64
+#define WP_AHEAD_US (200 * CLK_US_PER_MS)
 
 bool
 wp_needs_advice(const struct wp_step *s)
@@ -63,19 +69,106 @@
 	return n;
 }
 
-static bool
+/* Steps begin at different workers, so that they do not all want the same. */
+static uint32_t
+wp_step_hash(const struct wp_step *s)
+{
+	const char *c;
+	uint32_t h = s->occ->number * 31 + s->number;
+
+	for (c = s->occ->job->spec->id; *c != '\0'; c++)
+		h = h * 31 + (uint8_t)*c;
+	return h;
+}
+
+/* Naming workers may take about as long as the decision itself. */
+static uint32_t
+wp_ask_most(const struct jb_policy *policy)
+{
+	uint32_t n = WP_MAX_ASK;
+
+	if (policy->advice_period_us > 0)
+		n = policy->advice_decide_us / policy->advice_period_us;
+	if (n > WP_MAX_ASK)
+		return WP_MAX_ASK;
+	return n < WP_ASK_LEAST ? WP_ASK_LEAST : n;
+}
+
+static uint32_t
+wp_fit_count(const struct wp_worker *w, const struct wp_room *need)
+{
+	struct wp_room left = wp_free_room(w);
+	int64_t n = WP_MAX_FIT;
+
+	if (need->cpu_mcpu > 0 && left.cpu_mcpu / need->cpu_mcpu < n)
+		n = left.cpu_mcpu / need->cpu_mcpu;
+	if (need->mem_mb > 0 && left.mem_mb / need->mem_mb < n)
+		n = left.mem_mb / need->mem_mb;
+	if (need->gpu > 0 && left.gpu / need->gpu < n)
+		n = left.gpu / need->gpu;
+	return n > 0 ? (uint32_t)n : 0;
+}
+
+/* What is worth asking of a worker for a step: how many of its tasks fit. */
+static uint32_t
 wp_worth_asking(const struct wp_step *s, const struct wp_worker *w,
     const struct wp_room *need, int64_t now_us)
 {
 	const struct wp_ticket *ticket;
 
 	if (!wp_usable(w, now_us) || !wp_may_run(s, w))
-		return false;
+		return WP_NOT_WORTH_ASKING;
 	ticket = wp_ticket_find(s, w);
-	if (ticket == NULL)
-		return true;
-	return ticket->good && wp_fits(w, need) &&
-	    now_us + WP_TICKET_MARGIN_US > ticket->expires_us;
+	if (ticket != NULL &&
+	    (!ticket->good ||
+		now_us + WP_TICKET_MARGIN_US <= ticket->expires_us))
+		return WP_NOT_WORTH_ASKING;
+	/* A worker that is known to be good is asked again for its room. */
+	if (ticket != NULL && !wp_fits(w, need))
+		return WP_NOT_WORTH_ASKING;
+	return wp_fit_count(w, need);
+}
+
+/* A question that is being put together. */
+struct wp_asking {
+	struct wp_ask *ask;
+	struct wp_room need;
+	uint32_t most;
+	uint32_t wanted;
+	uint32_t expected;
+};
+
+/*
+ * The answer takes longer for each worker named, so as few are named as will
+ * probably do.
+ */
+static void
+wp_ask_some(const struct wp_pool *p, const struct wp_step *s,
+    struct wp_asking *a, bool with_room, int64_t now_us)
+{
+	uint32_t count = HASH_COUNT(p->workers);
+	uint32_t skip = count > 0 ? wp_step_hash(s) % count : 0;
+	struct wp_worker *w = p->workers;
+	uint32_t i;
+
+	for (i = 0; i < skip; i++)
+		w = w->hh.next;
+	for (i = 0; i < count; i++, w = w->hh.next) {
+		uint32_t fit;
+
+		if (w == NULL)
+			w = p->workers;
+		if (a->ask->worker_count >= a->most || a->expected >= a->wanted)
+			return;
+		fit = wp_worth_asking(s, w, &a->need, now_us);
+		if (fit == WP_NOT_WORTH_ASKING || (fit > 0) != with_room)
+			continue;
+		if (s->spec->max_per_worker > 0 &&
+		    fit > s->spec->max_per_worker)
+			fit = s->spec->max_per_worker;
+		a->ask->worker[a->ask->worker_count++] = w->id;
+		a->expected += fit > 0 ? fit : 1;
+	}
 }
 
 static bool
@@ -83,16 +176,16 @@
     struct wp_pool *p, struct wp_step *s, int64_t now_us, struct wp_ask *ask)
 {
 	const struct jb_spec *spec = s->occ->job->spec;
-	struct wp_room need = wp_need(s->spec);
-	struct wp_worker *w;
-	struct wp_worker *tmp;
+	struct wp_asking a = {
+	    .ask = ask,
+	    .need = wp_need(s->spec),
+	    .most = wp_ask_most(&spec->policy),
+	    .wanted = WP_ASK_LEAST + s->waiting * WP_ASK_PER_TASK,
+	};
 
 	ask->worker_count = 0;
-	HASH_ITER(hh, p->workers, w, tmp) {
-		if (ask->worker_count < WP_MAX_ASK &&
-		    wp_worth_asking(s, w, &need, now_us))
-			ask->worker[ask->worker_count++] = w->id;
-	}
+	wp_ask_some(p, s, &a, true, now_us);
+	wp_ask_some(p, s, &a, false, now_us);
 	if (ask->worker_count == 0)
 		return false;
 	memcpy(ask->job, spec->id, sizeof(ask->job));
@@ -107,6 +200,58 @@
 	return true;
 }
 
+/* When a running task ends, as far as its progress tells. */
+static int64_t
+wp_expected_end_us(const struct wp_task *t)
+{
+	int64_t total_us = t->step->spec->estimate_ms * CLK_US_PER_MS;
+
+	if (t->percent > 0)
+		total_us = (t->moved_us - t->started_us) * 100 / t->percent;
+	return t->started_us + total_us;
+}
+
+static bool
+wp_ends_before(const struct wp_step *s, int64_t us)
+{
+	uint32_t i;
+
+	if (!s->ready || s->waiting > 0)
+		return false;
+	for (i = 0; i < s->spec->count; i++) {
+		const struct wp_task *t = &s->task[i];
+
+		if (t->state != WP_DONE &&
+		    (t->state != WP_RUNNING || wp_expected_end_us(t) > us))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * For chains of short steps: the time that advice takes passes while the steps
+ * before are still running.
+ */
+void
+wp_look_ahead(struct wp_pool *p, struct wp_step *s, int64_t now_us)
+{
+	const struct jb_policy *policy = &s->occ->job->spec->policy;
+	int64_t cost_us = (int64_t)policy->advice_decide_us +
+	    (int64_t)policy->advice_period_us * wp_ask_most(policy);
+	uint32_t i;
+
+	if (s->ready || s->near || s->spec->after_count == 0 ||
+	    !wp_needs_advice(s))
+		return;
+	for (i = 0; i < s->spec->after_count; i++) {
+		if (!wp_ends_before(&s->occ->step[s->spec->after[i]],
+			now_us + cost_us + WP_AHEAD_US))
+			return;
+	}
+	s->near = true;
+	wp_step_update(p, s);
+}
+
 bool
 wp_next_ask(struct wp_pool *p, int64_t now_us, struct wp_ask *ask)
 {
@@ -120,6 +265,13 @@
 		    wp_fill_ask(p, s, now_us, ask))
 			return true;
 	}
+	/* Once is enough: the rest is asked for when the step is ready. */
+	DL_FOREACH2(p->near, s, near_next)
+	{
+		if (wp_step_may_ask(s, now_us) && s->ticket_count == 0 &&
+		    wp_fill_ask(p, s, now_us, ask))
+			return true;
+	}
 	return false;
 }
 
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -269,6 +269,20 @@
 	return a->number < b->number ? -1 : 1;
 }
 
+static void
+wp_step_update_near(struct wp_pool *p, struct wp_step *s)
+{
+	bool wanted = s->near && !s->ready && s->waiting > 0;
+
+	if (wanted == s->near_listed)
+		return;
+	if (wanted)
+		DL_APPEND2(p->near, s, near_prev, near_next);
+	else
+		DL_DELETE2(p->near, s, near_prev, near_next);
+	s->near_listed = wanted;
+}
+
 void
 wp_step_update(struct wp_pool *p, struct wp_step *s)
 {
@@ -282,6 +296,7 @@
 		s->prev = NULL;
 		s->next = NULL;
 	}
+	wp_step_update_near(p, s);
 }
 
 void
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1148,4 +1148,65 @@
 	EXPECT_GT(orders[0]->run, 1U);
 }
 
+/* Each worker named makes the answer later for all who wait. */
+TEST_F(Pool, QuestionNamesAsFewWorkersAsWillDo)
+{
+	struct wp_ask ask;
+
+	begin();
+	for (int i = 0; i < 60; i++)
+		ready_worker("w" + std::to_string(i), 4000);
+	struct jb_spec *s = spec(kJob, {{2}}, 2000);
+	s->policy.advice_decide_us = 60000;
+	s->policy.advice_period_us = 1000;
+	wp_add_job(p, s, nullptr, true, 0, now);
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	EXPECT_LT(ask.worker_count, 10U);
+	EXPECT_GE(ask.worker_count, 2U);
+	EXPECT_FALSE(wp_next_ask(p, now, &ask));
+}
+
+TEST_F(Pool, FullWorkersAreAskedForWhenNoneHasRoom)
+{
+	struct wp_ask ask;
+
+	begin();
+	ready_worker("w", 1000);
+	add(kOther, {{1}});
+	ASSERT_EQ(run_all().size(), 1U);
+	add(kJob, {{1}}, nullptr, true, 2000);
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	EXPECT_EQ(ask.worker_count, 1U);
+}
+
+TEST_F(Pool, AdviceIsAskedForBeforeAStepIsReady)
+{
+	struct wp_ask ask;
+	struct wp_advice good = {"w", "ticket"};
+
+	begin();
+	ready_worker("w");
+	add(kJob, {{1}, {1, 1000, 0, {0}}}, nullptr, true, 2000);
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	wp_on_advice(p, &ask, true, &good, 1, now, now);
+	ASSERT_EQ(run_all().size(), 1U);
+	EXPECT_FALSE(wp_next_ask(p, now, &ask));
+	/* Half done after a second: too early. */
+	now += kS;
+	hold("w", {{kJob, 0, 0, 1, 0, 50}});
+	run_all();
+	EXPECT_FALSE(wp_next_ask(p, now, &ask));
+	now += 900 * kMs;
+	hold("w", {{kJob, 0, 0, 1, 0, 95}});
+	run_all();
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	EXPECT_EQ(ask.step, 1U);
+	wp_on_advice(p, &ask, true, &good, 1, now, now);
+	EXPECT_EQ(run_all().size(), 0U);
+	EXPECT_FALSE(wp_next_ask(p, now, &ask));
+	now += 100 * kMs;
+	hold("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(run_all().size(), 1U);
+}
+
 } // namespace
