transport: an answer that came while the loop stood still counts

Its own commit waited in steps of 2 ms, each a pass, so that sockets were not read. Change: the client keeps deadlines itself; one that is late by more than 10 ms lets the sockets be read first. An act on a pool is followed by a pause of twice its length; a commit that must wait has a timer of its own. Ruled out: putting the library's deadline off; it would not be checked again. Tests: HttpClient.AnswerThatCameDuringAPauseOfTheLoopCounts (failed before).

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -713,19 +713,29 @@
 cp_run_kicked(void *arg)
 {
 	struct cp_host *h = arg;
+	int64_t begin_us = clk_now_us();
 
 	h->kicked = false;
-	if (h->pool != NULL)
-		cp_act(h, clk_now_us());
+	if (h->pool == NULL)
+		return;
+	cp_act(h, begin_us);
+	h->act_us = clk_now_us() - begin_us;
 }
 
+/* The loop prefers timers to sockets: answers get twice the time of an act. */
 void
 cp_kick(struct cp_host *h)
 {
+	int64_t delay_us = 2 * h->act_us;
+
 	if (h->kicked)
 		return;
+	if (delay_us < CP_KICK_US)
+		delay_us = CP_KICK_US;
+	if (delay_us > CP_TICK_US)
+		delay_us = CP_TICK_US;
 	h->kicked = true;
-	loop_after(h->cell->loop, CP_KICK_US, cp_run_kicked, h);
+	loop_after(h->cell->loop, delay_us, cp_run_kicked, h);
 }
 
 static void cp_send_commit(void *arg);
@@ -986,6 +996,26 @@
 	h->claim_at_us = 0;
 }
 
+static void
+cp_commit_due(void *arg)
+{
+	struct cp_host *h = arg;
+
+	h->commit_timed = false;
+	if (h->pool != NULL)
+		cp_commit_next(h);
+}
+
+static void
+cp_commit_later(struct cp_host *h)
+{
+	if (h->commit_timed)
+		return;
+	h->commit_timed = true;
+	loop_after(
+	    h->cell->loop, h->commit_at_us - clk_now_us(), cp_commit_due, h);
+}
+
 static void
 cp_commit_next(struct cp_host *h)
 {
@@ -1003,7 +1033,7 @@
 		return;
 	}
 	if (clk_now_us() < h->commit_at_us) {
-		cp_kick(h);
+		cp_commit_later(h);
 		return;
 	}
 	cm = talloc_zero(h, struct cp_commit);
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -27,9 +27,12 @@
  * @since_us: start of this ownership
  * @revision: of the owner's key, after the last commit
  * @commits: number of the last commit
+ * @commit_at_us: no earlier commit
+ * @commit_timed: a timer for that is set
  * @confirmed_us: the lease was in force then
  * @epoch: tells callbacks of earlier ownerships from present ones
  * @begin: the claim has been seen, the term not yet
+ * @act_us: time that the last look at the pool took
  * @tick_at_us: next full look at the pool
  * @yield_at_us: when to look for a larger VM
  * @earlier_vm: the owner before, with its incarnation
@@ -54,6 +57,7 @@
 	bool renew_out;
 	struct cp_commit *commit;
 	int64_t commit_at_us;
+	bool commit_timed;
 	uint32_t epoch;
 	bool kicked;
 	bool begin;
@@ -62,6 +66,7 @@
 	char earlier_vm[WP_NAME_BYTES];
 	uint64_t earlier_incarnation;
 	struct wp_pool *pool;
+	int64_t act_us;
 	int64_t tick_at_us;
 	int64_t yield_at_us;
 	int64_t forget_at_us;
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -18,7 +18,8 @@
 class ResettingServer
 {
       public:
-	ResettingServer()
+	explicit ResettingServer(useconds_t answer_after_us = 0)
+	    : answer_after_us(answer_after_us)
 	{
 		socklen_t len = sizeof(sin);
 
@@ -66,6 +67,7 @@
 		int conn = accept(fd, nullptr, nullptr);
 
 		read_request(conn);
+		usleep(answer_after_us);
 		ASSERT_GT(write(conn, answer.data(), answer.size()), 0);
 		read_request(conn);
 		close(fd);
@@ -73,6 +75,7 @@
 		close(conn);
 	}
 
+	useconds_t answer_after_us;
 	struct sockaddr_in sin = {};
 	int fd = -1;
 	std::thread thread;
@@ -134,4 +137,33 @@
 	talloc_free(l);
 }
 
+/*
+ * A daemon that falls behind must not take its workers for silent: the answer
+ * has been there for longer than the deadline, unread.
+ */
+TEST(HttpClient, AnswerThatCameDuringAPauseOfTheLoopCounts)
+{
+	ResettingServer server(50000);
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	struct hc_request req = {};
+	Call call = {HC_OK, false};
+	auto pause = [](void *) { usleep(300000); };
+
+	req.method = "POST";
+	req.url = server.url.c_str();
+	req.body = "body";
+	req.body_bytes = 4;
+	req.deadline_us = clk_now_us() + 100 * CLK_US_PER_MS;
+	hc_send(hc, &req, on_done, &call);
+	/* The request has gone out by then, and the server takes a while. */
+	loop_after(l, 20 * CLK_US_PER_MS, pause, nullptr);
+	while (!call.done)
+		tevent_loop_once(loop_ev(l));
+	EXPECT_EQ(call.error, HC_OK);
+	/* The server waits for a second request. */
+	post(server.url, hc, l);
+	talloc_free(l);
+}
+
 } // namespace
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -4,11 +4,16 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <utlist.h>
 
 #include "common/clock.h"
 #include "transport/http_client.h"
 
 #define HC_MAX_BODY_BYTES ((size_t)8 << 20)
+/* A timer that is so late comes after a pause of the loop. */
+#define HC_LATE_US (10 * CLK_US_PER_MS)
+#define HC_DEFER_US 500
+#define HC_MAX_DEFERRED 8
 #define HC_MAX_IDLE_HANDLES 1024
 /* The library's own limit closes connections of a large fleet all the time. */
 #define HC_MAX_KEPT_CONNECTIONS 3000L
@@ -17,6 +22,10 @@
 	struct loop *loop;
 	CURLM *multi;
 	struct tevent_timer *timer;
+	struct hc_transfer *transfers;
+	struct tevent_timer *deadline_timer;
+	int64_t deadline_at_us;
+	uint32_t deferred;
 	CURL *idle[HC_MAX_IDLE_HANDLES];
 	uint32_t idle_count;
 };
@@ -36,6 +45,9 @@
 	char *response_headers;
 	hc_done_fn done;
 	void *arg;
+	int64_t deadline_us;
+	struct hc_transfer *prev;
+	struct hc_transfer *next;
 	/* A connection was there and the request went to it. */
 	bool sent;
 	char error[CURL_ERROR_SIZE];
@@ -98,6 +110,7 @@
 	resp.sent_bytes = (size_t)request_bytes;
 	resp.received_bytes = (size_t)header_bytes + t->response_bytes;
 	curl_multi_remove_handle(hc->multi, easy);
+	DL_DELETE(hc->transfers, t);
 	t->done(&resp, t->arg);
 	hc_give_handle(hc, easy);
 	curl_slist_free_all(t->headers);
@@ -127,6 +140,7 @@
 
 	(void)ev;
 	(void)fde;
+	hc->deferred = 0;
 	if (flags & TEVENT_FD_READ)
 		mask |= CURL_CSELECT_IN;
 	if (flags & TEVENT_FD_WRITE)
@@ -150,6 +164,70 @@
 	hc_collect(hc);
 }
 
+static void hc_arm_deadline(struct hc_transfer *t);
+
+/*
+ * The loop runs timers before it reads sockets. After a long pause answers
+ * may be there already, and must not be taken for missing.
+ */
+static bool
+hc_answers_may_wait(struct http_client *hc)
+{
+	return clk_now_us() - hc->deadline_at_us > HC_LATE_US &&
+	    hc->deferred++ < HC_MAX_DEFERRED;
+}
+
+static void
+hc_on_deadline(struct tevent_context *ev, struct tevent_timer *te,
+    struct timeval now, void *arg)
+{
+	struct http_client *hc = arg;
+	int64_t now_us = clk_now_us();
+	struct hc_transfer *next = NULL;
+	struct hc_transfer *t;
+	struct hc_transfer *tmp;
+
+	(void)te;
+	(void)now;
+	hc->deadline_timer = NULL;
+	if (hc_answers_may_wait(hc)) {
+		hc->deadline_timer = tevent_add_timer(ev, hc,
+		    tevent_timeval_current_ofs(0, HC_DEFER_US), hc_on_deadline,
+		    hc);
+		return;
+	}
+	hc->deferred = 0;
+	DL_FOREACH_SAFE(hc->transfers, t, tmp) {
+		if (t->deadline_us <= now_us)
+			hc_finish(hc, t->easy, CURLE_OPERATION_TIMEDOUT);
+	}
+	DL_FOREACH(hc->transfers, t) {
+		if (next == NULL || t->deadline_us < next->deadline_us)
+			next = t;
+	}
+	if (next != NULL)
+		hc_arm_deadline(next);
+}
+
+/* One timer serves the transfer that has to end first. */
+static void
+hc_arm_deadline(struct hc_transfer *t)
+{
+	struct http_client *hc = t->hc;
+	int64_t left_us = t->deadline_us - clk_now_us();
+
+	if (hc->deadline_timer != NULL && hc->deadline_at_us <= t->deadline_us)
+		return;
+	if (left_us < 0)
+		left_us = 0;
+	TALLOC_FREE(hc->deadline_timer);
+	hc->deadline_at_us = t->deadline_us;
+	hc->deadline_timer = tevent_add_timer(loop_ev(hc->loop), hc,
+	    tevent_timeval_current_ofs((uint32_t)(left_us / CLK_US_PER_S),
+		(uint32_t)(left_us % CLK_US_PER_S)),
+	    hc_on_deadline, hc);
+}
+
 static int
 hc_set_timer(CURLM *multi, long timeout_ms, void *arg)
 {
@@ -283,8 +361,6 @@
 static void
 hc_set_options(struct hc_transfer *t, const struct hc_request *req)
 {
-	int64_t left_ms = (req->deadline_us - clk_now_us()) / CLK_US_PER_MS;
-
 	curl_easy_setopt(t->easy, CURLOPT_URL, req->url);
 	curl_easy_setopt(t->easy, CURLOPT_CUSTOMREQUEST, req->method);
 	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
@@ -299,8 +375,6 @@
 	curl_easy_setopt(t->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(
-	    t->easy, CURLOPT_TIMEOUT_MS, (long)(left_ms > 0 ? left_ms : 1));
 	if (req->body != NULL || strcmp(req->method, "GET") != 0) {
 		curl_easy_setopt(t->easy, CURLOPT_POSTFIELDSIZE_LARGE,
 		    (curl_off_t)req->body_bytes);
@@ -337,6 +411,9 @@
 		t->headers = curl_slist_append(t->headers, line);
 	}
 	hc_set_options(t, req);
+	t->deadline_us = req->deadline_us;
+	DL_APPEND(hc->transfers, t);
+	hc_arm_deadline(t);
 	curl_multi_add_handle(hc->multi, t->easy);
 }
 
