curranttackd: daemons are told that a pool has lost its owner

Cause: a daemon whose watch pauses (250 ms) learns that late of a released or ended ownership. Change: whoever removes an owner's key tells all peers, who look at once.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -464,6 +464,7 @@
 	o->present = false;
 	cp_on_owner(h->cell, o);
 	rp_hurry(h->cell->replica);
+	pn_send_owner_gone(h->cell->links);
 }
 
 void
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -268,6 +268,15 @@
 		wp_commit_begin(h->pool);
 }
 
+static void
+cp_on_released(const struct ks_answer *a, void *arg)
+{
+	struct cp_host *h = arg;
+
+	if (a->result == KS_OK)
+		pn_send_owner_gone(h->cell->links);
+}
+
 static void
 cp_finish_release(struct cp_host *h)
 {
@@ -287,7 +296,7 @@
 	};
 
 	put.value = cp_term_value(ctx, h, o->term, true, &put.value_bytes);
-	f->keys->txn(f->handle, &txn, cell_ignore, NULL);
+	f->keys->txn(f->handle, &txn, cp_on_released, h);
 	talloc_free(ctx);
 	lg_event(LG_INFO, "pool", "released", "pool", h->name, "fence",
 	    lg_i64((int64_t)h->fence), NULL);
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -150,6 +150,19 @@
 	peer_send(link, &frame);
 }
 
+static void
+pn_send_all(struct pn_links *n, const Currant__Frame *frame)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->count; i++) {
+		struct peer_link *link = n->peer[i].link;
+
+		if (link != NULL && peer_established(link))
+			peer_send(link, frame);
+	}
+}
+
 void
 pn_note_ended(struct pn_links *n, const char *id, enum jb_state state)
 {
@@ -178,15 +191,20 @@
 		rows[i] = &n->ended[i];
 	frame.ended_jobs = rows;
 	frame.n_ended_jobs = n->ended_count;
-	for (i = 0; i < n->count; i++) {
-		struct peer_link *link = n->peer[i].link;
-
-		if (link != NULL && peer_established(link))
-			peer_send(link, &frame);
-	}
+	pn_send_all(n, &frame);
 	n->ended_count = 0;
 }
 
+void
+pn_send_owner_gone(struct pn_links *n)
+{
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+
+	frame.has_owner_gone = true;
+	frame.owner_gone = true;
+	pn_send_all(n, &frame);
+}
+
 void
 pn_on_job(struct cell *c, const Currant__NewJob *row)
 {
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -736,10 +736,15 @@
   Currant__NewJob *new_job;
   size_t n_ended_jobs;
   Currant__EndedJob **ended_jobs;
+  /*
+   * A pool has just lost its owner: look at the key space at once.
+   */
+  protobuf_c_boolean has_owner_gone;
+  protobuf_c_boolean owner_gone;
 };
 #define CURRANT__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__frame__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0 }
 
 
 /* Currant__Hello methods */
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -5218,7 +5218,7 @@
   (ProtobufCMessageInit) currant__ended_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__frame__field_descriptors[10] =
+static const ProtobufCFieldDescriptor currant__frame__field_descriptors[11] =
 {
   {
     "hello",
@@ -5340,6 +5340,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owner_gone",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__Frame, has_owner_gone),
+    offsetof(Currant__Frame, owner_gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__frame__field_indices_by_name[] = {
   7,   /* field[7] = advice_answer */
@@ -5350,13 +5362,14 @@
   9,   /* field[9] = ended_jobs */
   0,   /* field[0] = hello */
   8,   /* field[8] = new_job */
+  10,   /* field[10] = owner_gone */
   5,   /* field[5] = reply */
   1,   /* field[1] = summary */
 };
 static const ProtobufCIntRange currant__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor currant__frame__descriptor =
 {
@@ -5366,7 +5379,7 @@
   "Currant__Frame",
   "currant",
   sizeof(Currant__Frame),
-  10,
+  11,
   currant__frame__field_descriptors,
   currant__frame__field_indices_by_name,
   1,  currant__frame__number_ranges,
