--- a/protocol/json_fields.c
+++ b/protocol/json_fields.c
@@ -269,17 +269,22 @@
 jf_scaled(const char *text, const struct jf_unit *units, size_t count,
     int64_t *result)
 {
+	double scaled;
 	char *end;
-	long long n;
+	double n;
 	size_t i;
 
 	if (!isdigit((unsigned char)text[0]))
 		return false;
-	n = strtoll(text, &end, 10);
+	n = strtod(text, &end);
 	for (i = 0; i < count; i++) {
 		if (strcmp(end, units[i].suffix) != 0)
 			continue;
-		return !__builtin_mul_overflow(n, units[i].factor, result);
+		scaled = n * (double)units[i].factor;
+		if (!(scaled < (double)INT64_MAX))
+			return false;
+		*result = llround(scaled);
+		return true;
 	}
 	return false;
 }
--- a/tests/unit/test_settings.cc
+++ b/tests/unit/test_settings.cc
@@ -57,6 +57,17 @@
 	talloc_free(s);
 }
 
+TEST(Settings, TimesMayHaveFractions)
+{
+	std::string why;
+	struct settings *s =
+	    load(std::string(kGood) + "[workers]\nlease = \"4.5s\"\n", &why);
+
+	ASSERT_NE(s, nullptr) << why;
+	EXPECT_EQ(s->worker_lease_us, 4500000);
+	talloc_free(s);
+}
+
 struct Bad {
 	const char *name;
 	const char *more;
