state: one copy of adding room, and of the retry pauses

Room was added and taken by hand in five places, one of them new beside wp_room_add(); two pauses were defined in two files.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -19,10 +19,15 @@
 /* A worker's clock may be slow by 2%. */
 #define WP_CLOCK_SLOW_PER_MILLE 980
 #define WP_FULL_PACE 100
+/* Pause before a task starts again, and before an order is sent again. */
+#define WP_RETRY_US (100 * CLK_US_PER_MS)
+#define WP_RESEND_US (400 * CLK_US_PER_MS)
 #define WP_LAPSE_MARGIN_US (150 * CLK_US_PER_MS)
 
 /** wp_need() - room that a task of a step takes */
 struct wp_room wp_need(const struct jb_step *step);
+/** wp_room_add() - add room, or take it with @sign -1 */
+void wp_room_add(struct wp_room *to, const struct wp_room *n, int sign);
 /** wp_fits() - whether a worker has room for a task */
 bool wp_fits(const struct wp_worker *w, const struct wp_room *need);
 /** wp_free_room() - what a worker has left */
--- a/state/pool_preempt.c
+++ b/state/pool_preempt.c
@@ -24,14 +24,6 @@
 	    now_us - v->started_us > WP_LEAST_RUN_US;
 }
 
-static void
-wp_room_add(struct wp_room *to, const struct wp_room *n, int sign)
-{
-	to->cpu_mcpu += sign * n->cpu_mcpu;
-	to->mem_mb += sign * n->mem_mb;
-	to->gpu += sign * n->gpu;
-}
-
 static bool
 wp_room_holds(const struct wp_room *room, const struct wp_room *need)
 {
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -183,14 +183,6 @@
 	const char **ticket;
 };
 
-static void
-wp_plan_take(struct wp_worker *w, const struct wp_room *need, int sign)
-{
-	w->used.cpu_mcpu += sign * need->cpu_mcpu;
-	w->used.mem_mb += sign * need->mem_mb;
-	w->used.gpu += sign * need->gpu;
-}
-
 static bool
 wp_plan_gang(struct wp_pool *p, struct wp_step *s, const char *rack,
     struct wp_gang_plan *plan, int64_t now_us)
@@ -207,14 +199,14 @@
 		plan->w[placed] = w;
 		if (w == NULL)
 			break;
-		wp_plan_take(w, &need, 1);
+		wp_room_add(&w->used, &need, 1);
 		/* Counted by wp_tasks_on() until the plan is dropped. */
 		s->task[placed].w = w;
 		if (rack == NULL && (s->spec->flags & JB_SAME_RACK))
 			rack = w->rack;
 	}
 	for (i = 0; i < placed; i++) {
-		wp_plan_take(plan->w[i], &need, -1);
+		wp_room_add(&plan->w[i]->used, &need, -1);
 		s->task[i].w = NULL;
 	}
 	return placed == s->spec->count;
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -5,8 +5,6 @@
 
 #include "state/pool_internal.h"
 
-#define WP_RETRY_US (100 * CLK_US_PER_MS)
-#define WP_RESEND_US (400 * CLK_US_PER_MS)
 #define WP_AVOID_US (4 * CLK_US_PER_S)
 
 struct wp_room
@@ -23,6 +21,14 @@
 	return need;
 }
 
+void
+wp_room_add(struct wp_room *to, const struct wp_room *n, int sign)
+{
+	to->cpu_mcpu += sign * n->cpu_mcpu;
+	to->mem_mb += sign * n->mem_mb;
+	to->gpu += sign * n->gpu;
+}
+
 struct wp_room
 wp_free_room(const struct wp_worker *w)
 {
@@ -121,9 +127,7 @@
 	struct wp_room need = wp_need(t->step->spec);
 
 	t->w = w;
-	w->used.cpu_mcpu += need.cpu_mcpu;
-	w->used.mem_mb += need.mem_mb;
-	w->used.gpu += need.gpu;
+	wp_room_add(&w->used, &need, 1);
 	DL_APPEND(w->tasks, t);
 }
 
@@ -135,9 +139,7 @@
 
 	if (w == NULL)
 		return;
-	w->used.cpu_mcpu -= need.cpu_mcpu;
-	w->used.mem_mb -= need.mem_mb;
-	w->used.gpu -= need.gpu;
+	wp_room_add(&w->used, &need, -1);
 	DL_DELETE(w->tasks, t);
 	w->changed = true;
 	t->w = NULL;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -20,8 +20,6 @@
 /* It may be the task, not the workers, that is slow. */
 #define WP_MAX_STUCK 2
 #define WP_MAX_SENDS 3
-#define WP_RETRY_US (100 * CLK_US_PER_MS)
-#define WP_RESEND_US (400 * CLK_US_PER_MS)
 
 struct wp_worker *
 wp_find_worker(struct wp_pool *p, const char *id)
@@ -360,9 +358,7 @@
 
 	if (t != NULL)
 		need = wp_need(t->step->spec);
-	w->stray.cpu_mcpu += need.cpu_mcpu;
-	w->stray.mem_mb += need.mem_mb;
-	w->stray.gpu += need.gpu;
+	wp_room_add(&w->stray, &need, 1);
 	if (t != NULL && wp_is_spare_copy(t, row->run))
 		return;
 	wp_pool_order(p, WP_ORDER_STOP, w, &row->ref, row->run);
