--- a/common/counters.c
+++ b/common/counters.c
@@ -27,6 +27,7 @@
     [CT_PEER_BYTES_IN] = "peer_bytes_in",
     [CT_WORKER_MSGS] = "worker_messages",
     [CT_WORKER_BYTES] = "worker_bytes",
+    [CT_RELAYED] = "calls_relayed",
     [CT_TAKEOVERS] = "shard_takeovers",
     [CT_FENCED] = "shard_fenced",
 };
--- /dev/null
+++ b/coordination/relays.c
@@ -0,0 +1,79 @@
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "coordination/relays.h"
+
+struct re_table {
+	struct re_member *chosen;
+	uint32_t count;
+};
+
+/* Positive when @a is the better relay. */
+static int
+re_compare(const struct re_member *a, const struct re_member *b)
+{
+	if (a->busy != b->busy)
+		return a->busy ? -1 : 1;
+	if (a->cpu_mcpu != b->cpu_mcpu)
+		return a->cpu_mcpu > b->cpu_mcpu ? 1 : -1;
+	return 0;
+}
+
+static bool
+re_is_best_of_domain(const struct re_member *m, const struct re_member *members,
+    uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (members[i].usable &&
+		    strcmp(members[i].domain, m->domain) == 0 &&
+		    re_compare(&members[i], m) > 0)
+			return false;
+	}
+	return true;
+}
+
+struct re_table *
+re_create(TALLOC_CTX *ctx, const struct re_member *members, uint32_t count)
+{
+	struct re_table *t = talloc_zero(ctx, struct re_table);
+	uint32_t i;
+
+	if (t == NULL)
+		abort();
+	t->chosen = talloc_array(t, struct re_member, count + 1);
+	if (t->chosen == NULL)
+		abort();
+	for (i = 0; i < count; i++) {
+		if (members[i].usable &&
+		    re_is_best_of_domain(&members[i], members, count))
+			t->chosen[t->count++] = members[i];
+	}
+	return t;
+}
+
+/* Rendezvous hashing: a change moves only the workers that it concerns. */
+const char *
+re_pick(const struct re_table *t, const char *domain, const char *worker)
+{
+	XXH32_hash_t seed = XXH32(worker, strlen(worker), 0);
+	XXH32_hash_t best_hash = 0;
+	const char *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < t->count; i++) {
+		const struct re_member *m = &t->chosen[i];
+		XXH32_hash_t hash;
+
+		if (strcmp(m->domain, domain) != 0)
+			continue;
+		hash = XXH32(m->vm, strlen(m->vm), seed);
+		if (best != NULL && hash <= best_hash)
+			continue;
+		best = m->vm;
+		best_hash = hash;
+	}
+	return best;
+}
--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -11,6 +11,7 @@
 #include "curranttackd/cell_maintenance.h"
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
+#include "curranttackd/cell_relay.h"
 #include "platform/platform.h"
 #include "protocol/curranttack.pb-c.h"
 #include "protocol/frame.h"
@@ -55,6 +56,7 @@
 		rp_hurry(c->replica);
 	if (frame->advice_answer != NULL)
 		av_on_answer(c->advice, link, frame->advice_answer);
+	rl_on_frame(c->relay, link, frame);
 }
 
 static void
@@ -64,6 +66,7 @@
 
 	pn_on_closed(c->links, link);
 	av_on_closed(c->advice, link);
+	rl_on_closed(c->relay, link);
 }
 
 static const struct peer_hooks cell_peer_hooks = {
@@ -251,6 +254,7 @@
 	cell_member_tick(c, now_us);
 	rp_tick(c->replica, now_us);
 	pn_tick(c->links, now_us);
+	rl_tick(c->relay, now_us);
 	cp_tick(c);
 	av_tick(c->advice, now_us);
 	cm_tick(c, now_us);
@@ -315,6 +319,7 @@
 	c->fleet = pf_create(c, c->loop, &pf);
 	c->links = pn_create(c);
 	c->advice = av_create(c);
+	c->relay = rl_create(c);
 	c->replica = rp_start(c, c->loop, c->fleet, &cell_hooks, c);
 	c->front = cc_create(c);
 	if (c->front == NULL)
--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -15,12 +15,13 @@
 #define AV_SEAT_OUT 2
 #define AV_SLACK_US (700 * CLK_US_PER_MS)
 #define AV_PEER_SLACK_US (1500 * CLK_US_PER_MS)
-#define AV_MAX_SEATS 64
+#define AV_MAX_SEATS 256
 /* Questions that are answered faster are kept apart from slower ones. */
 #define AV_SHORT_US (60 * CLK_US_PER_MS)
 /* One daemon of so many answers only short questions. */
 #define AV_RESERVE_EACH 3
 #define AV_BAD_US (CLK_US_PER_S)
+#define AV_REFRESH_US (100 * CLK_US_PER_MS)
 
 struct av_seat;
 
@@ -63,6 +64,7 @@
 	struct av_seat seat[AV_MAX_SEATS];
 	uint32_t seat_count;
 	uint64_t next_id;
+	int64_t refresh_at_us;
 };
 
 static void av_start_line(struct av_desk *d);
@@ -234,6 +236,9 @@
 	uint32_t members = 0;
 	uint32_t i;
 
+	if (now_us < d->refresh_at_us)
+		return;
+	d->refresh_at_us = now_us + AV_REFRESH_US;
 	for (i = 1; i < d->seat_count; i++)
 		d->seat[i].usable = false;
 	d->seat[0].usable = true;
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -7,10 +7,11 @@
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
 
-#define PN_MAX_PEERS 128
+#define PN_MAX_PEERS 256
 /* Ended jobs that one message tells of. */
 #define PN_MAX_ENDED 32
 #define PN_RECONNECT_US (500 * CLK_US_PER_MS)
+#define PN_TICK_US (100 * CLK_US_PER_MS)
 
 struct pn_peer {
 	char vm[WP_NAME_BYTES];
@@ -23,6 +24,7 @@
 	struct cell *c;
 	struct pn_peer peer[PN_MAX_PEERS];
 	uint32_t count;
+	int64_t tick_at_us;
 	Currant__EndedJob ended[PN_MAX_ENDED];
 	char ended_id[PN_MAX_ENDED][JB_ID_BYTES];
 	uint32_t ended_count;
@@ -86,6 +88,9 @@
 	struct rp_member *m;
 	struct rp_member *tmp;
 
+	if (now_us < n->tick_at_us)
+		return;
+	n->tick_at_us = now_us + PN_TICK_US;
 	HASH_ITER(hh, n->c->replica->members, m, tmp) {
 		if (m->present && strcmp(m->vm, n->c->settings->vm) != 0)
 			pn_keep(n, m, now_us);
--- /dev/null
+++ b/curranttackd/cell_relay.c
@@ -0,0 +1,504 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "coordination/relays.h"
+#include "curranttackd/cell_peers.h"
+#include "curranttackd/cell_relay.h"
+#include "protocol/relay_codec.h"
+
+/* Entries of one frame. */
+#define RL_MAX_BATCH 64
+/* A relay has this long beyond what it grants the worker. */
+#define RL_ORDER_US (450 * CLK_US_PER_MS)
+#define RL_HOLD_SLACK_US (600 * CLK_US_PER_MS)
+/* A relay that fell silent is passed over for so long. */
+#define RL_BAD_US (CLK_US_PER_S)
+#define RL_TABLE_US (200 * CLK_US_PER_MS)
+/* A tick that is so late comes after a pause: answers may wait unread. */
+#define RL_LATE_US (150 * CLK_US_PER_MS)
+#define RL_LATE_TICKS 3
+
+/* A relay as its owner sees it. */
+struct rl_relay {
+	char vm[WP_NAME_BYTES];
+	uint64_t link;
+	int64_t bad_until_us;
+	Currant__RelayedOrder order[RL_MAX_BATCH];
+	Currant__RelayedOrder *orders[RL_MAX_BATCH];
+	uint32_t order_count;
+	Currant__RelayedHold hold[RL_MAX_BATCH];
+	Currant__RelayedHold *holds[RL_MAX_BATCH];
+	uint32_t hold_count;
+	UT_hash_handle hh;
+};
+
+/* A call that a relay has not answered. */
+struct rl_call {
+	uint64_t id;
+	struct rl_relay *relay;
+	int64_t deadline_us;
+	fl_order_fn order_done;
+	fl_hold_fn hold_done;
+	void *arg;
+	char worker[WP_NAME_BYTES];
+	char address[WP_NAME_BYTES];
+	struct wp_hold hold;
+	uint64_t fence;
+	UT_hash_handle hh;
+};
+
+struct rl_desk {
+	struct cell *c;
+	struct rl_relay *relays;
+	struct rl_call *calls;
+	uint64_t next_id;
+	struct re_table *table;
+	int64_t table_at_us;
+	int64_t tick_us;
+	uint32_t late_ticks;
+};
+
+/* A call that this daemon makes for an owner. */
+struct rl_errand {
+	struct rl_desk *d;
+	uint64_t link;
+	uint64_t id;
+};
+
+struct rl_desk *
+rl_create(struct cell *c)
+{
+	struct rl_desk *d = talloc_zero(c, struct rl_desk);
+
+	if (d == NULL)
+		abort();
+	d->c = c;
+	return d;
+}
+
+static struct rl_relay *
+rl_relay_of(struct rl_desk *d, const char *vm)
+{
+	struct rl_relay *r;
+
+	HASH_FIND_STR(d->relays, vm, r);
+	if (r != NULL)
+		return r;
+	r = talloc_zero(d, struct rl_relay);
+	if (r == NULL)
+		abort();
+	snprintf(r->vm, sizeof(r->vm), "%s", vm);
+	HASH_ADD_STR(d->relays, vm, r);
+	return r;
+}
+
+static bool
+rl_owns_any(const struct cell *c, const char *vm)
+{
+	struct rp_owner *o;
+	struct rp_owner *tmp;
+
+	HASH_ITER(hh, c->replica->owners, o, tmp) {
+		if (o->present && strcmp(o->vm, vm) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+rl_is_usable(struct rl_desk *d, const char *vm, int64_t now_us)
+{
+	const struct rl_relay *r;
+
+	HASH_FIND_STR(d->relays, vm, r);
+	return pn_link(d->c->links, vm) != NULL &&
+	    (r == NULL || now_us >= r->bad_until_us);
+}
+
+static void
+rl_refresh_table(struct rl_desk *d, int64_t now_us)
+{
+	const struct replica *replica = d->c->replica;
+	uint32_t count = 0;
+	struct re_member *list;
+	struct rp_member *m;
+	struct rp_member *tmp;
+
+	if (now_us < d->table_at_us)
+		return;
+	d->table_at_us = now_us + RL_TABLE_US;
+	list = talloc_zero_array(
+	    d, struct re_member, HASH_COUNT(replica->members) + 1);
+	if (list == NULL)
+		abort();
+	HASH_ITER(hh, replica->members, m, tmp) {
+		if (!m->present || strcmp(m->vm, d->c->settings->vm) == 0)
+			continue;
+		list[count++] = (struct re_member){
+		    .vm = m->vm,
+		    .domain = m->domain,
+		    .cpu_mcpu = m->cpu_mcpu,
+		    .busy = rl_owns_any(d->c, m->vm),
+		    .usable = rl_is_usable(d, m->vm, now_us),
+		};
+	}
+	talloc_free(d->table);
+	d->table = re_create(d, list, count);
+	talloc_free(list);
+}
+
+/* The relay for a worker, or NULL when it is called directly. */
+static struct rl_relay *
+rl_choose(struct rl_desk *d, const struct wp_worker *w)
+{
+	struct peer_link *link;
+	struct rl_relay *r;
+	const char *vm;
+
+	if (w == NULL || w->domain[0] == '\0')
+		return NULL;
+	rl_refresh_table(d, clk_now_us());
+	vm = re_pick(d->table, w->domain, w->id);
+	link = vm != NULL ? pn_link(d->c->links, vm) : NULL;
+	if (link == NULL)
+		return NULL;
+	r = rl_relay_of(d, vm);
+	r->link = peer_serial(link);
+	return r;
+}
+
+static void
+rl_send_batch(struct rl_desk *d, struct rl_relay *r)
+{
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+	struct peer_link *link;
+
+	if (r->order_count + r->hold_count == 0)
+		return;
+	frame.relayed_orders = r->orders;
+	frame.n_relayed_orders = r->order_count;
+	frame.relayed_holds = r->holds;
+	frame.n_relayed_holds = r->hold_count;
+	link = pn_link(d->c->links, r->vm);
+	/* What can't be sent is found out by its deadline. */
+	if (link != NULL)
+		peer_send(link, &frame);
+	r->order_count = 0;
+	r->hold_count = 0;
+}
+
+void
+rl_flush(struct rl_desk *d)
+{
+	struct rl_relay *r;
+	struct rl_relay *tmp;
+
+	HASH_ITER(hh, d->relays, r, tmp)
+		rl_send_batch(d, r);
+}
+
+static struct rl_call *
+rl_call_create(struct rl_desk *d, struct rl_relay *r, int64_t wait_us)
+{
+	struct rl_call *call = talloc_zero(d, struct rl_call);
+
+	if (call == NULL)
+		abort();
+	call->id = ++d->next_id;
+	call->relay = r;
+	call->deadline_us = clk_now_us() + wait_us;
+	HASH_ADD(hh, d->calls, id, sizeof(call->id), call);
+	return call;
+}
+
+void
+rl_order(struct rl_desk *d, const struct wp_worker *w, const struct wp_order *o,
+    uint64_t fence, bool relayed, fl_order_fn done, void *arg)
+{
+	const struct fl_fleet *f = d->c->fleet;
+	struct rl_relay *r = relayed ? rl_choose(d, w) : NULL;
+	struct rl_call *call;
+
+	if (r == NULL) {
+		f->workers->order(f->handle, o, fence, done, arg);
+		return;
+	}
+	if (r->order_count == RL_MAX_BATCH)
+		rl_send_batch(d, r);
+	call = rl_call_create(d, r, RL_ORDER_US);
+	call->order_done = done;
+	call->arg = arg;
+	rc_pack_order(&r->order[r->order_count], call->id, o, fence);
+	r->orders[r->order_count] = &r->order[r->order_count];
+	r->order_count++;
+}
+
+void
+rl_hold(struct rl_desk *d, const struct wp_worker *w,
+    const struct wp_hold *hold, uint64_t fence, bool relayed, fl_hold_fn done,
+    void *arg)
+{
+	const struct fl_fleet *f = d->c->fleet;
+	struct rl_relay *r = relayed ? rl_choose(d, w) : NULL;
+	struct rl_call *call;
+
+	if (r == NULL) {
+		f->workers->hold(f->handle, w, hold, fence, done, arg);
+		return;
+	}
+	if (r->hold_count == RL_MAX_BATCH)
+		rl_send_batch(d, r);
+	call = rl_call_create(
+	    d, r, hold->wait_ms * CLK_US_PER_MS + RL_HOLD_SLACK_US);
+	call->hold_done = done;
+	call->arg = arg;
+	call->hold = *hold;
+	call->fence = fence;
+	memcpy(call->worker, w->id, sizeof(call->worker));
+	memcpy(call->address, w->address, sizeof(call->address));
+	rc_pack_hold(&r->hold[r->hold_count], call->id, w, hold, fence);
+	r->holds[r->hold_count] = &r->hold[r->hold_count];
+	r->hold_count++;
+}
+
+/* A renewal may be repeated, so the worker itself is asked. */
+static void
+rl_hold_directly(struct rl_desk *d, const struct rl_call *call)
+{
+	const struct fl_fleet *f = d->c->fleet;
+	struct wp_hold hold = call->hold;
+	struct wp_worker w = {0};
+
+	memcpy(w.id, call->worker, sizeof(w.id));
+	memcpy(w.address, call->address, sizeof(w.address));
+	hold.wait_ms = 0;
+	f->workers->hold(
+	    f->handle, &w, &hold, call->fence, call->hold_done, call->arg);
+}
+
+static void
+rl_call_failed(struct rl_desk *d, struct rl_call *call)
+{
+	HASH_DEL(d->calls, call);
+	if (call->order_done != NULL)
+		call->order_done(WP_NO_ANSWER, 0, call->arg);
+	else
+		rl_hold_directly(d, call);
+	talloc_free(call);
+}
+
+static void
+rl_relay_failed(struct rl_desk *d, struct rl_relay *r, const char *reason)
+{
+	struct rl_call *call;
+	struct rl_call *tmp;
+	uint32_t calls = 0;
+
+	r->bad_until_us = clk_now_us() + RL_BAD_US;
+	r->order_count = 0;
+	r->hold_count = 0;
+	d->table_at_us = 0;
+	HASH_ITER(hh, d->calls, call, tmp) {
+		if (call->relay != r)
+			continue;
+		calls++;
+		rl_call_failed(d, call);
+	}
+	lg_event(LG_WARN, "relay", "failed", "relay", r->vm, "reason", reason,
+	    "calls", lg_i64(calls), NULL);
+}
+
+static void
+rl_on_order_result(struct rl_desk *d, const Currant__RelayedOrderResult *row)
+{
+	struct rl_call *call;
+
+	HASH_FIND(hh, d->calls, &row->id, sizeof(row->id), call);
+	if (call == NULL || call->order_done == NULL)
+		return;
+	HASH_DEL(d->calls, call);
+	call->order_done(rc_result(row->result), row->clock_ms, call->arg);
+	talloc_free(call);
+}
+
+static void
+rl_on_hold_result(struct rl_desk *d, const Currant__RelayedHoldResult *row)
+{
+	enum wp_order_result result = rc_result(row->result);
+	struct wp_hold_reply reply;
+	struct rl_call *call;
+
+	HASH_FIND(hh, d->calls, &row->id, sizeof(row->id), call);
+	if (call == NULL || call->hold_done == NULL)
+		return;
+	HASH_DEL(d->calls, call);
+	if (result == WP_DONE_OK && !rc_unpack_reply(call, row, &reply)) {
+		lg_event(LG_WARN, "relay", "unreadable_lists", "relay",
+		    call->relay->vm, "worker", call->worker, NULL);
+		result = WP_NO_ANSWER;
+	}
+	call->hold_done(
+	    result, result == WP_DONE_OK ? &reply : NULL, call->arg);
+	talloc_free(call);
+}
+
+static struct rl_errand *
+rl_errand_create(struct rl_desk *d, struct peer_link *link, uint64_t id)
+{
+	struct rl_errand *e = talloc_zero(d, struct rl_errand);
+
+	if (e == NULL)
+		abort();
+	e->d = d;
+	e->link = peer_serial(link);
+	e->id = id;
+	return e;
+}
+
+static void
+rl_answer(struct rl_errand *e, const Currant__Frame *frame)
+{
+	struct peer_link *link = peer_find(e->d->c->peers, e->link);
+
+	if (link != NULL)
+		peer_send(link, frame);
+	talloc_free(e);
+}
+
+static void
+rl_on_order_done(enum wp_order_result result, int64_t clock_ms, void *arg)
+{
+	Currant__RelayedOrderResult row = CURRANT__RELAYED_ORDER_RESULT__INIT;
+	Currant__RelayedOrderResult *rows = &row;
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+	struct rl_errand *e = arg;
+
+	row.id = e->id;
+	row.result = (uint32_t)result;
+	row.has_clock_ms = true;
+	row.clock_ms = clock_ms;
+	frame.order_results = &rows;
+	frame.n_order_results = 1;
+	rl_answer(e, &frame);
+}
+
+static void
+rl_on_hold_done(
+    enum wp_order_result result, const struct wp_hold_reply *reply, void *arg)
+{
+	Currant__RelayedHoldResult row = CURRANT__RELAYED_HOLD_RESULT__INIT;
+	Currant__RelayedHoldResult *rows = &row;
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+	struct rl_errand *e = arg;
+
+	row.id = e->id;
+	row.result = (uint32_t)result;
+	if (reply != NULL)
+		rc_pack_reply(e, &row, reply);
+	frame.hold_results = &rows;
+	frame.n_hold_results = 1;
+	rl_answer(e, &frame);
+}
+
+static void
+rl_run_order(struct rl_desk *d, struct peer_link *link,
+    const Currant__RelayedOrder *row)
+{
+	const struct fl_fleet *f = d->c->fleet;
+	struct rl_errand *e = rl_errand_create(d, link, row->id);
+	struct wp_order o;
+
+	if (!rc_unpack_order(row, &o)) {
+		lg_event(LG_WARN, "relay", "bad_order", "peer", peer_vm(link),
+		    NULL);
+		rl_on_order_done(WP_NOT_SENT, 0, e);
+		return;
+	}
+	ct_add(CT_RELAYED, 1);
+	f->workers->order(f->handle, &o, row->fence, rl_on_order_done, e);
+}
+
+static void
+rl_run_hold(
+    struct rl_desk *d, struct peer_link *link, const Currant__RelayedHold *row)
+{
+	const struct fl_fleet *f = d->c->fleet;
+	struct rl_errand *e = rl_errand_create(d, link, row->id);
+	struct wp_worker w;
+	struct wp_hold hold;
+
+	if (!rc_unpack_hold(row, &w, &hold)) {
+		lg_event(
+		    LG_WARN, "relay", "bad_hold", "peer", peer_vm(link), NULL);
+		rl_on_hold_done(WP_NOT_SENT, NULL, e);
+		return;
+	}
+	ct_add(CT_RELAYED, 1);
+	f->workers->hold(
+	    f->handle, &w, &hold, row->fence, rl_on_hold_done, e);
+}
+
+void
+rl_on_frame(
+    struct rl_desk *d, struct peer_link *link, const Currant__Frame *frame)
+{
+	size_t i;
+
+	for (i = 0; i < frame->n_relayed_orders; i++)
+		rl_run_order(d, link, frame->relayed_orders[i]);
+	for (i = 0; i < frame->n_relayed_holds; i++)
+		rl_run_hold(d, link, frame->relayed_holds[i]);
+	for (i = 0; i < frame->n_order_results; i++)
+		rl_on_order_result(d, frame->order_results[i]);
+	for (i = 0; i < frame->n_hold_results; i++)
+		rl_on_hold_result(d, frame->hold_results[i]);
+}
+
+void
+rl_on_closed(struct rl_desk *d, struct peer_link *link)
+{
+	struct rl_relay *r;
+	struct rl_relay *tmp;
+
+	HASH_ITER(hh, d->relays, r, tmp) {
+		if (r->link != peer_serial(link))
+			continue;
+		r->link = 0;
+		rl_relay_failed(d, r, "link closed");
+	}
+}
+
+/* After a pause of this process the sockets are read first. */
+static bool
+rl_answers_may_wait(struct rl_desk *d, int64_t now_us)
+{
+	if (d->tick_us != 0 && now_us - d->tick_us > RL_LATE_US)
+		d->late_ticks = RL_LATE_TICKS;
+	d->tick_us = now_us;
+	if (d->late_ticks == 0)
+		return false;
+	d->late_ticks--;
+	return true;
+}
+
+void
+rl_tick(struct rl_desk *d, int64_t now_us)
+{
+	struct rl_call *call;
+	struct rl_call *tmp;
+
+	if (rl_answers_may_wait(d, now_us))
+		return;
+	HASH_ITER(hh, d->calls, call, tmp) {
+		if (now_us < call->deadline_us)
+			continue;
+		/* Failing a relay removes all of its calls. */
+		rl_relay_failed(d, call->relay, "no answer");
+		return;
+	}
+}
--- a/curranttackd/cell_settings.c
+++ b/curranttackd/cell_settings.c
@@ -9,6 +9,9 @@
 #define CS_SECTION "cell"
 #define CS_MAX_CONNECTIONS 20000
 #define CS_DEFAULT_CPU_MCPU 1000
+/* Workers whose traffic one daemon carries by itself. */
+#define CS_DEFAULT_RELAY_ABOVE 100
+#define CS_MAX_WORKERS 100000
 #define CS_HOUR_US (3600 * CLK_US_PER_S)
 
 /* typedef cs_section_fn - reads one table of the file */
@@ -55,6 +58,8 @@
 	    r, "grace", 6 * CLK_US_PER_S, 500 * CLK_US_PER_MS, CS_HOUR_US);
 	s->keep_ended_us = jf_duration_us(
 	    r, "keep_ended", 120 * CLK_US_PER_S, 0, 24 * CS_HOUR_US);
+	s->relay_above = (uint32_t)jf_integer(
+	    r, "relay_above", CS_DEFAULT_RELAY_ABOVE, 0, CS_MAX_WORKERS);
 	s->max_connections =
 	    (uint32_t)jf_integer(r, "connections", 1000, 1, CS_MAX_CONNECTIONS);
 }
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include "curranttackd/cell_advice.h"
 #include "curranttackd/cell_pool_internal.h"
+#include "curranttackd/cell_relay.h"
 
 /* Without a confirmed lease the owner goes on this long. */
 #define CP_START_WINDOW_US (6 * CLK_US_PER_S)
@@ -36,10 +37,17 @@
 	talloc_free(ref);
 }
 
+/* Pools of many workers need daemons in the workers' domains to help. */
+static bool
+cp_is_relayed(const struct cp_host *h)
+{
+	return HASH_COUNT(h->pool->workers) > h->cell->settings->relay_above;
+}
+
 static void
 cp_send_orders(struct cp_host *h)
 {
-	const struct fl_fleet *f = h->cell->fleet;
+	bool relayed = cp_is_relayed(h);
 	struct wp_order *o;
 
 	while ((o = wp_next_order(h->pool)) != NULL) {
@@ -47,7 +55,8 @@
 
 		ref->order = talloc_steal(ref, o);
 		ct_add(CT_TASKS_STARTED, o->kind == WP_ORDER_START);
-		f->workers->order(f->handle, o, h->fence, cp_on_order, ref);
+		rl_order(h->cell->relay, wp_find_worker(h->pool, o->worker), o,
+		    h->fence, relayed, cp_on_order, ref);
 	}
 }
 
@@ -74,7 +83,7 @@
 static void
 cp_send_holds(struct cp_host *h, int64_t now_us)
 {
-	const struct fl_fleet *f = h->cell->fleet;
+	bool relayed = cp_is_relayed(h);
 	struct wp_worker *w;
 	struct wp_worker *tmp;
 	struct wp_hold hold;
@@ -86,8 +95,8 @@
 			continue;
 		ref = cp_ref_create(h);
 		memcpy(ref->worker, w->id, sizeof(ref->worker));
-		f->workers->hold(
-		    f->handle, w, &hold, h->fence, cp_on_hold, ref);
+		rl_hold(h->cell->relay, w, &hold, h->fence, relayed, cp_on_hold,
+		    ref);
 	}
 }
 
@@ -140,6 +149,7 @@
 	cp_send_orders(h);
 	cp_send_asks(h, now_us);
 	cp_send_holds(h, now_us);
+	rl_flush(h->cell->relay);
 	cp_commit_next(h);
 }
 
--- a/include/curranttackd/cell.h
+++ b/include/curranttackd/cell.h
@@ -17,6 +17,7 @@
 
 struct cp_host;
 struct av_desk;
+struct rl_desk;
 struct pn_links;
 struct cc_front;
 struct cm_driver;
@@ -36,6 +37,7 @@
 	struct peer_net *peers;
 	struct pn_links *links;
 	struct av_desk *advice;
+	struct rl_desk *relay;
 	struct cc_front *front;
 	struct cp_host *pools;
 	struct cm_driver *maintenance;
--- a/include/curranttackd/cell_settings.h
+++ b/include/curranttackd/cell_settings.h
@@ -23,6 +23,7 @@
  * @max_lease_ms: longest lease that workers grant
  * @grace_us: from the request to stop until the process is killed
  * @keep_ended_us: how long ended jobs are kept for callers
+ * @relay_above: pools with more workers than this are served through relays
  * @max_connections: callers' connections
  */
 struct cell_settings {
@@ -41,6 +42,7 @@
 	uint32_t max_lease_ms;
 	int64_t grace_us;
 	int64_t keep_ended_us;
+	uint32_t relay_above;
 	uint32_t max_connections;
 	char *log_level;
 };
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -54,6 +54,12 @@
 typedef struct Currant__AdviceAnswer Currant__AdviceAnswer;
 typedef struct Currant__NewJob Currant__NewJob;
 typedef struct Currant__EndedJob Currant__EndedJob;
+typedef struct Currant__RelayedOrder Currant__RelayedOrder;
+typedef struct Currant__RelayedHold Currant__RelayedHold;
+typedef struct Currant__RelayedOrderResult Currant__RelayedOrderResult;
+typedef struct Currant__RunningTask Currant__RunningTask;
+typedef struct Currant__EndedRun Currant__EndedRun;
+typedef struct Currant__RelayedHoldResult Currant__RelayedHoldResult;
 typedef struct Currant__Frame Currant__Frame;
 
 
@@ -722,6 +728,143 @@
     , NULL, 0 }
 
 
+/*
+ * An order to a worker, sent by a daemon of the worker's failure domain on
+ * behalf of the pool's owner.
+ */
+struct  Currant__RelayedOrder
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * enum wp_order_kind
+   */
+  uint32_t kind;
+  char *worker;
+  char *address;
+  char *job;
+  protobuf_c_boolean has_occurrence;
+  uint32_t occurrence;
+  protobuf_c_boolean has_step;
+  uint32_t step;
+  protobuf_c_boolean has_index;
+  uint32_t index;
+  uint32_t run;
+  uint64_t fence;
+  char *payload;
+  char *checkpoint;
+  char *ticket;
+  protobuf_c_boolean has_deadline_clock_ms;
+  int64_t deadline_clock_ms;
+  protobuf_c_boolean has_percent;
+  uint32_t percent;
+};
+#define CURRANT__RELAYED_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__relayed_order__descriptor) \
+    , 0, 0, NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, NULL, 0, 0, 0, 0 }
+
+
+struct  Currant__RelayedHold
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *worker;
+  char *address;
+  uint64_t fence;
+  uint64_t acked_end;
+  protobuf_c_boolean has_deadline_clock_ms;
+  int64_t deadline_clock_ms;
+  protobuf_c_boolean has_wait_ms;
+  uint32_t wait_ms;
+};
+#define CURRANT__RELAYED_HOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__relayed_hold__descriptor) \
+    , 0, NULL, NULL, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Currant__RelayedOrderResult
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * enum wp_order_result
+   */
+  uint32_t result;
+  protobuf_c_boolean has_clock_ms;
+  int64_t clock_ms;
+};
+#define CURRANT__RELAYED_ORDER_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__relayed_order_result__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Currant__RunningTask
+{
+  ProtobufCMessage base;
+  char *job;
+  protobuf_c_boolean has_occurrence;
+  uint32_t occurrence;
+  protobuf_c_boolean has_step;
+  uint32_t step;
+  protobuf_c_boolean has_index;
+  uint32_t index;
+  uint32_t run;
+  char *checkpoint;
+  protobuf_c_boolean has_percent;
+  uint32_t percent;
+  protobuf_c_boolean has_figure;
+  uint32_t figure;
+};
+#define CURRANT__RUNNING_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__running_task__descriptor) \
+    , NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
+
+
+struct  Currant__EndedRun
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  char *job;
+  protobuf_c_boolean has_occurrence;
+  uint32_t occurrence;
+  protobuf_c_boolean has_step;
+  uint32_t step;
+  protobuf_c_boolean has_index;
+  uint32_t index;
+  uint32_t run;
+  /*
+   * enum wp_end_how
+   */
+  uint32_t how;
+  char *checkpoint;
+};
+#define CURRANT__ENDED_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__ended_run__descriptor) \
+    , 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL }
+
+
+/*
+ * Lists of a worker; only with a result of WP_DONE_OK.
+ */
+struct  Currant__RelayedHoldResult
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t result;
+  protobuf_c_boolean has_born_ms;
+  int64_t born_ms;
+  protobuf_c_boolean has_clock_ms;
+  int64_t clock_ms;
+  size_t n_running;
+  Currant__RunningTask **running;
+  size_t n_ended;
+  Currant__EndedRun **ended;
+};
+#define CURRANT__RELAYED_HOLD_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__relayed_hold_result__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
 struct  Currant__Frame
 {
   ProtobufCMessage base;
@@ -741,10 +884,18 @@
    */
   protobuf_c_boolean has_owner_gone;
   protobuf_c_boolean owner_gone;
+  size_t n_relayed_orders;
+  Currant__RelayedOrder **relayed_orders;
+  size_t n_relayed_holds;
+  Currant__RelayedHold **relayed_holds;
+  size_t n_order_results;
+  Currant__RelayedOrderResult **order_results;
+  size_t n_hold_results;
+  Currant__RelayedHoldResult **hold_results;
 };
 #define CURRANT__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__frame__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0 }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Currant__Hello methods */
@@ -1488,6 +1639,120 @@
 void   currant__ended_job__free_unpacked
                      (Currant__EndedJob *message,
                       ProtobufCAllocator *allocator);
+/* Currant__RelayedOrder methods */
+void   currant__relayed_order__init
+                     (Currant__RelayedOrder         *message);
+size_t currant__relayed_order__get_packed_size
+                     (const Currant__RelayedOrder   *message);
+size_t currant__relayed_order__pack
+                     (const Currant__RelayedOrder   *message,
+                      uint8_t             *out);
+size_t currant__relayed_order__pack_to_buffer
+                     (const Currant__RelayedOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__RelayedOrder *
+       currant__relayed_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__relayed_order__free_unpacked
+                     (Currant__RelayedOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__RelayedHold methods */
+void   currant__relayed_hold__init
+                     (Currant__RelayedHold         *message);
+size_t currant__relayed_hold__get_packed_size
+                     (const Currant__RelayedHold   *message);
+size_t currant__relayed_hold__pack
+                     (const Currant__RelayedHold   *message,
+                      uint8_t             *out);
+size_t currant__relayed_hold__pack_to_buffer
+                     (const Currant__RelayedHold   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__RelayedHold *
+       currant__relayed_hold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__relayed_hold__free_unpacked
+                     (Currant__RelayedHold *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__RelayedOrderResult methods */
+void   currant__relayed_order_result__init
+                     (Currant__RelayedOrderResult         *message);
+size_t currant__relayed_order_result__get_packed_size
+                     (const Currant__RelayedOrderResult   *message);
+size_t currant__relayed_order_result__pack
+                     (const Currant__RelayedOrderResult   *message,
+                      uint8_t             *out);
+size_t currant__relayed_order_result__pack_to_buffer
+                     (const Currant__RelayedOrderResult   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__RelayedOrderResult *
+       currant__relayed_order_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__relayed_order_result__free_unpacked
+                     (Currant__RelayedOrderResult *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__RunningTask methods */
+void   currant__running_task__init
+                     (Currant__RunningTask         *message);
+size_t currant__running_task__get_packed_size
+                     (const Currant__RunningTask   *message);
+size_t currant__running_task__pack
+                     (const Currant__RunningTask   *message,
+                      uint8_t             *out);
+size_t currant__running_task__pack_to_buffer
+                     (const Currant__RunningTask   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__RunningTask *
+       currant__running_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__running_task__free_unpacked
+                     (Currant__RunningTask *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__EndedRun methods */
+void   currant__ended_run__init
+                     (Currant__EndedRun         *message);
+size_t currant__ended_run__get_packed_size
+                     (const Currant__EndedRun   *message);
+size_t currant__ended_run__pack
+                     (const Currant__EndedRun   *message,
+                      uint8_t             *out);
+size_t currant__ended_run__pack_to_buffer
+                     (const Currant__EndedRun   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__EndedRun *
+       currant__ended_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__ended_run__free_unpacked
+                     (Currant__EndedRun *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__RelayedHoldResult methods */
+void   currant__relayed_hold_result__init
+                     (Currant__RelayedHoldResult         *message);
+size_t currant__relayed_hold_result__get_packed_size
+                     (const Currant__RelayedHoldResult   *message);
+size_t currant__relayed_hold_result__pack
+                     (const Currant__RelayedHoldResult   *message,
+                      uint8_t             *out);
+size_t currant__relayed_hold_result__pack_to_buffer
+                     (const Currant__RelayedHoldResult   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__RelayedHoldResult *
+       currant__relayed_hold_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__relayed_hold_result__free_unpacked
+                     (Currant__RelayedHoldResult *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__Frame methods */
 void   currant__frame__init
                      (Currant__Frame         *message);
@@ -1626,6 +1891,24 @@
 typedef void (*Currant__EndedJob_Closure)
                  (const Currant__EndedJob *message,
                   void *closure_data);
+typedef void (*Currant__RelayedOrder_Closure)
+                 (const Currant__RelayedOrder *message,
+                  void *closure_data);
+typedef void (*Currant__RelayedHold_Closure)
+                 (const Currant__RelayedHold *message,
+                  void *closure_data);
+typedef void (*Currant__RelayedOrderResult_Closure)
+                 (const Currant__RelayedOrderResult *message,
+                  void *closure_data);
+typedef void (*Currant__RunningTask_Closure)
+                 (const Currant__RunningTask *message,
+                  void *closure_data);
+typedef void (*Currant__EndedRun_Closure)
+                 (const Currant__EndedRun *message,
+                  void *closure_data);
+typedef void (*Currant__RelayedHoldResult_Closure)
+                 (const Currant__RelayedHoldResult *message,
+                  void *closure_data);
 typedef void (*Currant__Frame_Closure)
                  (const Currant__Frame *message,
                   void *closure_data);
@@ -1675,6 +1958,12 @@
 extern const ProtobufCMessageDescriptor currant__advice_answer__descriptor;
 extern const ProtobufCMessageDescriptor currant__new_job__descriptor;
 extern const ProtobufCMessageDescriptor currant__ended_job__descriptor;
+extern const ProtobufCMessageDescriptor currant__relayed_order__descriptor;
+extern const ProtobufCMessageDescriptor currant__relayed_hold__descriptor;
+extern const ProtobufCMessageDescriptor currant__relayed_order_result__descriptor;
+extern const ProtobufCMessageDescriptor currant__running_task__descriptor;
+extern const ProtobufCMessageDescriptor currant__ended_run__descriptor;
+extern const ProtobufCMessageDescriptor currant__relayed_hold_result__descriptor;
 extern const ProtobufCMessageDescriptor currant__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1762,6 +1762,276 @@
   assert(message->base.descriptor == &currant__ended_job__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__relayed_order__init
+                     (Currant__RelayedOrder         *message)
+{
+  static const Currant__RelayedOrder init_value = CURRANT__RELAYED_ORDER__INIT;
+  *message = init_value;
+}
+size_t currant__relayed_order__get_packed_size
+                     (const Currant__RelayedOrder *message)
+{
+  assert(message->base.descriptor == &currant__relayed_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__relayed_order__pack
+                     (const Currant__RelayedOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__relayed_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__relayed_order__pack_to_buffer
+                     (const Currant__RelayedOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__relayed_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__RelayedOrder *
+       currant__relayed_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__RelayedOrder *)
+     protobuf_c_message_unpack (&currant__relayed_order__descriptor,
+                                allocator, len, data);
+}
+void   currant__relayed_order__free_unpacked
+                     (Currant__RelayedOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__relayed_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__relayed_hold__init
+                     (Currant__RelayedHold         *message)
+{
+  static const Currant__RelayedHold init_value = CURRANT__RELAYED_HOLD__INIT;
+  *message = init_value;
+}
+size_t currant__relayed_hold__get_packed_size
+                     (const Currant__RelayedHold *message)
+{
+  assert(message->base.descriptor == &currant__relayed_hold__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__relayed_hold__pack
+                     (const Currant__RelayedHold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__relayed_hold__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__relayed_hold__pack_to_buffer
+                     (const Currant__RelayedHold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__relayed_hold__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__RelayedHold *
+       currant__relayed_hold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__RelayedHold *)
+     protobuf_c_message_unpack (&currant__relayed_hold__descriptor,
+                                allocator, len, data);
+}
+void   currant__relayed_hold__free_unpacked
+                     (Currant__RelayedHold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__relayed_hold__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__relayed_order_result__init
+                     (Currant__RelayedOrderResult         *message)
+{
+  static const Currant__RelayedOrderResult init_value = CURRANT__RELAYED_ORDER_RESULT__INIT;
+  *message = init_value;
+}
+size_t currant__relayed_order_result__get_packed_size
+                     (const Currant__RelayedOrderResult *message)
+{
+  assert(message->base.descriptor == &currant__relayed_order_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__relayed_order_result__pack
+                     (const Currant__RelayedOrderResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__relayed_order_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__relayed_order_result__pack_to_buffer
+                     (const Currant__RelayedOrderResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__relayed_order_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__RelayedOrderResult *
+       currant__relayed_order_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__RelayedOrderResult *)
+     protobuf_c_message_unpack (&currant__relayed_order_result__descriptor,
+                                allocator, len, data);
+}
+void   currant__relayed_order_result__free_unpacked
+                     (Currant__RelayedOrderResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__relayed_order_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__running_task__init
+                     (Currant__RunningTask         *message)
+{
+  static const Currant__RunningTask init_value = CURRANT__RUNNING_TASK__INIT;
+  *message = init_value;
+}
+size_t currant__running_task__get_packed_size
+                     (const Currant__RunningTask *message)
+{
+  assert(message->base.descriptor == &currant__running_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__running_task__pack
+                     (const Currant__RunningTask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__running_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__running_task__pack_to_buffer
+                     (const Currant__RunningTask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__running_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__RunningTask *
+       currant__running_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__RunningTask *)
+     protobuf_c_message_unpack (&currant__running_task__descriptor,
+                                allocator, len, data);
+}
+void   currant__running_task__free_unpacked
+                     (Currant__RunningTask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__running_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__ended_run__init
+                     (Currant__EndedRun         *message)
+{
+  static const Currant__EndedRun init_value = CURRANT__ENDED_RUN__INIT;
+  *message = init_value;
+}
+size_t currant__ended_run__get_packed_size
+                     (const Currant__EndedRun *message)
+{
+  assert(message->base.descriptor == &currant__ended_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__ended_run__pack
+                     (const Currant__EndedRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__ended_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__ended_run__pack_to_buffer
+                     (const Currant__EndedRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__ended_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__EndedRun *
+       currant__ended_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__EndedRun *)
+     protobuf_c_message_unpack (&currant__ended_run__descriptor,
+                                allocator, len, data);
+}
+void   currant__ended_run__free_unpacked
+                     (Currant__EndedRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__ended_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__relayed_hold_result__init
+                     (Currant__RelayedHoldResult         *message)
+{
+  static const Currant__RelayedHoldResult init_value = CURRANT__RELAYED_HOLD_RESULT__INIT;
+  *message = init_value;
+}
+size_t currant__relayed_hold_result__get_packed_size
+                     (const Currant__RelayedHoldResult *message)
+{
+  assert(message->base.descriptor == &currant__relayed_hold_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__relayed_hold_result__pack
+                     (const Currant__RelayedHoldResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__relayed_hold_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__relayed_hold_result__pack_to_buffer
+                     (const Currant__RelayedHoldResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__relayed_hold_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__RelayedHoldResult *
+       currant__relayed_hold_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__RelayedHoldResult *)
+     protobuf_c_message_unpack (&currant__relayed_hold_result__descriptor,
+                                allocator, len, data);
+}
+void   currant__relayed_hold_result__free_unpacked
+                     (Currant__RelayedHoldResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__relayed_hold_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__frame__init
                      (Currant__Frame         *message)
 {
@@ -5218,158 +5488,971 @@
   (ProtobufCMessageInit) currant__ended_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__frame__field_descriptors[11] =
+static const ProtobufCFieldDescriptor currant__relayed_order__field_descriptors[15] =
 {
   {
-    "hello",
+    "id",
     1,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Frame, hello),
-    &currant__hello__descriptor,
+    offsetof(Currant__RelayedOrder, id),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "summary",
+    "kind",
     2,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Frame, summary),
-    &currant__summary__descriptor,
+    offsetof(Currant__RelayedOrder, kind),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_fetch",
+    "worker",
     3,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Frame, config_fetch),
-    &currant__config_fetch__descriptor,
+    offsetof(Currant__RelayedOrder, worker),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_docs",
+    "address",
     4,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Frame, config_docs),
-    &currant__config_docs__descriptor,
+    offsetof(Currant__RelayedOrder, address),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "call",
+    "job",
     5,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Frame, call),
-    &currant__call__descriptor,
+    offsetof(Currant__RelayedOrder, job),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reply",
+    "occurrence",
     6,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Frame, reply),
-    &currant__reply__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RelayedOrder, has_occurrence),
+    offsetof(Currant__RelayedOrder, occurrence),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "advice_ask",
+    "step",
     7,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Frame, advice_ask),
-    &currant__advice_ask__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RelayedOrder, has_step),
+    offsetof(Currant__RelayedOrder, step),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "advice_answer",
+    "index",
     8,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Frame, advice_answer),
-    &currant__advice_answer__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RelayedOrder, has_index),
+    offsetof(Currant__RelayedOrder, index),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "new_job",
+    "run",
     9,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Frame, new_job),
-    &currant__new_job__descriptor,
+    offsetof(Currant__RelayedOrder, run),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ended_jobs",
+    "fence",
     10,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Currant__Frame, n_ended_jobs),
-    offsetof(Currant__Frame, ended_jobs),
-    &currant__ended_job__descriptor,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedOrder, fence),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "owner_gone",
+    "payload",
     11,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_BOOL,
-    offsetof(Currant__Frame, has_owner_gone),
-    offsetof(Currant__Frame, owner_gone),
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedOrder, payload),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned currant__frame__field_indices_by_name[] = {
-  7,   /* field[7] = advice_answer */
-  6,   /* field[6] = advice_ask */
+  {
+    "checkpoint",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedOrder, checkpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedOrder, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_clock_ms",
+    14,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__RelayedOrder, has_deadline_clock_ms),
+    offsetof(Currant__RelayedOrder, deadline_clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    15,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RelayedOrder, has_percent),
+    offsetof(Currant__RelayedOrder, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__relayed_order__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  11,   /* field[11] = checkpoint */
+  13,   /* field[13] = deadline_clock_ms */
+  9,   /* field[9] = fence */
+  0,   /* field[0] = id */
+  7,   /* field[7] = index */
+  4,   /* field[4] = job */
+  1,   /* field[1] = kind */
+  5,   /* field[5] = occurrence */
+  10,   /* field[10] = payload */
+  14,   /* field[14] = percent */
+  8,   /* field[8] = run */
+  6,   /* field[6] = step */
+  12,   /* field[12] = ticket */
+  2,   /* field[2] = worker */
+};
+static const ProtobufCIntRange currant__relayed_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 15 }
+};
+const ProtobufCMessageDescriptor currant__relayed_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.RelayedOrder",
+  "RelayedOrder",
+  "Currant__RelayedOrder",
+  "currant",
+  sizeof(Currant__RelayedOrder),
+  15,
+  currant__relayed_order__field_descriptors,
+  currant__relayed_order__field_indices_by_name,
+  1,  currant__relayed_order__number_ranges,
+  (ProtobufCMessageInit) currant__relayed_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__relayed_hold__field_descriptors[7] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedHold, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedHold, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedHold, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedHold, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acked_end",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedHold, acked_end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_clock_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__RelayedHold, has_deadline_clock_ms),
+    offsetof(Currant__RelayedHold, deadline_clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RelayedHold, has_wait_ms),
+    offsetof(Currant__RelayedHold, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__relayed_hold__field_indices_by_name[] = {
+  4,   /* field[4] = acked_end */
+  2,   /* field[2] = address */
+  5,   /* field[5] = deadline_clock_ms */
+  3,   /* field[3] = fence */
+  0,   /* field[0] = id */
+  6,   /* field[6] = wait_ms */
+  1,   /* field[1] = worker */
+};
+static const ProtobufCIntRange currant__relayed_hold__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor currant__relayed_hold__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.RelayedHold",
+  "RelayedHold",
+  "Currant__RelayedHold",
+  "currant",
+  sizeof(Currant__RelayedHold),
+  7,
+  currant__relayed_hold__field_descriptors,
+  currant__relayed_hold__field_indices_by_name,
+  1,  currant__relayed_hold__number_ranges,
+  (ProtobufCMessageInit) currant__relayed_hold__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__relayed_order_result__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedOrderResult, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedOrderResult, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__RelayedOrderResult, has_clock_ms),
+    offsetof(Currant__RelayedOrderResult, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__relayed_order_result__field_indices_by_name[] = {
+  2,   /* field[2] = clock_ms */
+  0,   /* field[0] = id */
+  1,   /* field[1] = result */
+};
+static const ProtobufCIntRange currant__relayed_order_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor currant__relayed_order_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.RelayedOrderResult",
+  "RelayedOrderResult",
+  "Currant__RelayedOrderResult",
+  "currant",
+  sizeof(Currant__RelayedOrderResult),
+  3,
+  currant__relayed_order_result__field_descriptors,
+  currant__relayed_order_result__field_indices_by_name,
+  1,  currant__relayed_order_result__number_ranges,
+  (ProtobufCMessageInit) currant__relayed_order_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__running_task__field_descriptors[8] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RunningTask, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RunningTask, has_occurrence),
+    offsetof(Currant__RunningTask, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RunningTask, has_step),
+    offsetof(Currant__RunningTask, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RunningTask, has_index),
+    offsetof(Currant__RunningTask, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RunningTask, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RunningTask, checkpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RunningTask, has_percent),
+    offsetof(Currant__RunningTask, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "figure",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__RunningTask, has_figure),
+    offsetof(Currant__RunningTask, figure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__running_task__field_indices_by_name[] = {
+  5,   /* field[5] = checkpoint */
+  7,   /* field[7] = figure */
+  3,   /* field[3] = index */
+  0,   /* field[0] = job */
+  1,   /* field[1] = occurrence */
+  6,   /* field[6] = percent */
+  4,   /* field[4] = run */
+  2,   /* field[2] = step */
+};
+static const ProtobufCIntRange currant__running_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor currant__running_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.RunningTask",
+  "RunningTask",
+  "Currant__RunningTask",
+  "currant",
+  sizeof(Currant__RunningTask),
+  8,
+  currant__running_task__field_descriptors,
+  currant__running_task__field_indices_by_name,
+  1,  currant__running_task__number_ranges,
+  (ProtobufCMessageInit) currant__running_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__ended_run__field_descriptors[8] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__EndedRun, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__EndedRun, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__EndedRun, has_occurrence),
+    offsetof(Currant__EndedRun, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__EndedRun, has_step),
+    offsetof(Currant__EndedRun, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__EndedRun, has_index),
+    offsetof(Currant__EndedRun, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    6,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__EndedRun, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "how",
+    7,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__EndedRun, how),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__EndedRun, checkpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__ended_run__field_indices_by_name[] = {
+  7,   /* field[7] = checkpoint */
+  6,   /* field[6] = how */
+  4,   /* field[4] = index */
+  1,   /* field[1] = job */
+  0,   /* field[0] = number */
+  2,   /* field[2] = occurrence */
+  5,   /* field[5] = run */
+  3,   /* field[3] = step */
+};
+static const ProtobufCIntRange currant__ended_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor currant__ended_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.EndedRun",
+  "EndedRun",
+  "Currant__EndedRun",
+  "currant",
+  sizeof(Currant__EndedRun),
+  8,
+  currant__ended_run__field_descriptors,
+  currant__ended_run__field_indices_by_name,
+  1,  currant__ended_run__number_ranges,
+  (ProtobufCMessageInit) currant__ended_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__relayed_hold_result__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedHoldResult, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__RelayedHoldResult, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__RelayedHoldResult, has_born_ms),
+    offsetof(Currant__RelayedHoldResult, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__RelayedHoldResult, has_clock_ms),
+    offsetof(Currant__RelayedHoldResult, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__RelayedHoldResult, n_running),
+    offsetof(Currant__RelayedHoldResult, running),
+    &currant__running_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__RelayedHoldResult, n_ended),
+    offsetof(Currant__RelayedHoldResult, ended),
+    &currant__ended_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__relayed_hold_result__field_indices_by_name[] = {
+  2,   /* field[2] = born_ms */
+  3,   /* field[3] = clock_ms */
+  5,   /* field[5] = ended */
+  0,   /* field[0] = id */
+  1,   /* field[1] = result */
+  4,   /* field[4] = running */
+};
+static const ProtobufCIntRange currant__relayed_hold_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor currant__relayed_hold_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.RelayedHoldResult",
+  "RelayedHoldResult",
+  "Currant__RelayedHoldResult",
+  "currant",
+  sizeof(Currant__RelayedHoldResult),
+  6,
+  currant__relayed_hold_result__field_descriptors,
+  currant__relayed_hold_result__field_indices_by_name,
+  1,  currant__relayed_hold_result__number_ranges,
+  (ProtobufCMessageInit) currant__relayed_hold_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__frame__field_descriptors[15] =
+{
+  {
+    "hello",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, hello),
+    &currant__hello__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "summary",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, summary),
+    &currant__summary__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_fetch",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, config_fetch),
+    &currant__config_fetch__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_docs",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, config_docs),
+    &currant__config_docs__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, call),
+    &currant__call__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, reply),
+    &currant__reply__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_ask",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, advice_ask),
+    &currant__advice_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_answer",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, advice_answer),
+    &currant__advice_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "new_job",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, new_job),
+    &currant__new_job__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_jobs",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Frame, n_ended_jobs),
+    offsetof(Currant__Frame, ended_jobs),
+    &currant__ended_job__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner_gone",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__Frame, has_owner_gone),
+    offsetof(Currant__Frame, owner_gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relayed_orders",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Frame, n_relayed_orders),
+    offsetof(Currant__Frame, relayed_orders),
+    &currant__relayed_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relayed_holds",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Frame, n_relayed_holds),
+    offsetof(Currant__Frame, relayed_holds),
+    &currant__relayed_hold__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order_results",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Frame, n_order_results),
+    offsetof(Currant__Frame, order_results),
+    &currant__relayed_order_result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold_results",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Frame, n_hold_results),
+    offsetof(Currant__Frame, hold_results),
+    &currant__relayed_hold_result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__frame__field_indices_by_name[] = {
+  7,   /* field[7] = advice_answer */
+  6,   /* field[6] = advice_ask */
   4,   /* field[4] = call */
   3,   /* field[3] = config_docs */
   2,   /* field[2] = config_fetch */
   9,   /* field[9] = ended_jobs */
   0,   /* field[0] = hello */
+  14,   /* field[14] = hold_results */
   8,   /* field[8] = new_job */
+  13,   /* field[13] = order_results */
   10,   /* field[10] = owner_gone */
+  12,   /* field[12] = relayed_holds */
+  11,   /* field[11] = relayed_orders */
   5,   /* field[5] = reply */
   1,   /* field[1] = summary */
 };
 static const ProtobufCIntRange currant__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor currant__frame__descriptor =
 {
@@ -5379,7 +6462,7 @@
   "Currant__Frame",
   "currant",
   sizeof(Currant__Frame),
-  11,
+  15,
   currant__frame__field_descriptors,
   currant__frame__field_indices_by_name,
   1,  currant__frame__number_ranges,
--- a/tests/fault/cell_daemon.h
+++ b/tests/fault/cell_daemon.h
@@ -55,7 +55,8 @@
 	CellDaemon(const std::string &dir, const std::string &vm,
 	    const std::string &store, const std::string &advice,
 	    const std::string &keep_ended = "120s",
-	    const std::string &duties = "127.0.0.1:1")
+	    const std::string &duties = "127.0.0.1:1",
+	    const std::string &more = "")
 	    : vm(vm), callers(loopback(free_port())),
 	      ready(loopback(free_port())), metrics(loopback(free_port())),
 	      path(dir + "/" + vm + ".toml"), log(dir + "/" + vm + ".log")
@@ -69,7 +70,8 @@
 		    << advice << "\"\nduties = \"" << duties
 		    << "\"\nmaintenance = \"800ms\""
 		    << "\ngrace = \"6s\"\nkeep_ended = \"" << keep_ended
-		    << "\"\n";
+		    << "\"\n"
+		    << more;
 	}
 
 	~CellDaemon()
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -42,7 +42,7 @@
 		for (int i = 0; i < n; i++) {
 			daemons.push_back(std::make_unique<CellDaemon>(dir,
 			    "vm-" + std::to_string(i), store, advice,
-			    keep_ended, duties));
+			    keep_ended, duties, settings));
 			daemons.back()->start();
 		}
 		configure(1);
@@ -153,6 +153,7 @@
 			    << "job " << n << " is " << state(daemon, n);
 	}
 
+	std::string settings;
 	std::string keep_ended = "120s";
 	std::string dir;
 	std::unique_ptr<Process> platform;
@@ -322,6 +323,101 @@
 	expect_clean();
 }
 
+class RelayedCell : public Cell
+{
+      protected:
+	RelayedCell()
+	{
+		settings = "relay_above = 0\n";
+	}
+
+	/* Daemons that are not the owner relay for some worker. */
+	bool
+	relays(size_t daemon)
+	{
+		std::string text = http(
+		    "GET", "http://" + daemons[daemon]->metrics + "/metrics")
+				       .body;
+		std::string name = "currant_calls_relayed ";
+		size_t at = text.find(name);
+
+		return at != std::string::npos &&
+		    atoll(text.c_str() + at + name.size()) > 0;
+	}
+
+	/* A daemon that relays; few workers may all have the same one. */
+	size_t
+	wait_for_relay()
+	{
+		size_t at = owner();
+		size_t found = at;
+
+		EXPECT_TRUE(eventually([&] {
+			found =
+			    relays((at + 1) % 3) ? (at + 1) % 3 : (at + 2) % 3;
+			return relays(found);
+		}));
+		return found;
+	}
+};
+
+TEST_F(RelayedCell, JobsRunThroughRelays)
+{
+	start_daemons(3);
+	wait_for_relay();
+	for (int n = 0; n < 6; n++)
+		EXPECT_EQ(submit(n % 3, n, 2, 300).status, 200);
+	wait_completed(0, 0, 6);
+	EXPECT_EQ(seen("started"), 12);
+	expect_clean();
+}
+
+TEST_F(RelayedCell, KilledRelaysWorkersAreServedByOthers)
+{
+	start_daemons(3);
+	size_t dead = wait_for_relay();
+	size_t at = owner();
+
+	for (int n = 0; n < 6; n++)
+		EXPECT_EQ(submit(0, n, 2, 1500).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") > 0; }));
+	daemons[dead]->end(SIGKILL);
+	for (int n = 6; n < 12; n++)
+		EXPECT_EQ(submit(at, n, 2, 300).status, 200);
+	wait_completed(at, 0, 12);
+	EXPECT_EQ(seen("started"), 24);
+	expect_clean();
+}
+
+TEST_F(RelayedCell, FrozenRelayIsPassedOverAndRunsNothingTwice)
+{
+	start_daemons(3);
+	size_t frozen = wait_for_relay();
+	size_t at = owner();
+
+	for (int n = 0; n < 6; n++)
+		EXPECT_EQ(submit(0, n, 2, 1500).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") > 0; }));
+	daemons[frozen]->signal(SIGSTOP);
+	for (int n = 6; n < 12; n++)
+		EXPECT_EQ(submit(at, n, 2, 300).status, 200);
+	EXPECT_TRUE(eventually([&] {
+		return daemons[at]->log_text().find(
+			   "module=relay "
+			   "event=failed") != std::string::npos;
+	}));
+	wait_completed(at, 0, 12);
+	/* What it was told before it froze goes out late. */
+	daemons[frozen]->signal(SIGCONT);
+	EXPECT_TRUE(eventually(
+	    [&] { return submit(frozen, 12, 2, 300).status == 200; }));
+	for (int n = 13; n < 16; n++)
+		EXPECT_EQ(submit(frozen, n, 2, 300).status, 200);
+	wait_completed(at, 12, 16);
+	EXPECT_EQ(seen("started"), 32);
+	expect_clean();
+}
+
 TEST_F(Cell, StoppedOwnerHandsOver)
 {
 	start_daemons(2);
--- /dev/null
+++ b/tests/unit/test_relays.cc
@@ -0,0 +1,209 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "coordination/relays.h"
+#include "protocol/relay_codec.h"
+}
+
+namespace
+{
+
+constexpr int kWorkers = 400;
+
+class Relays : public testing::Test
+{
+      protected:
+	~Relays() override
+	{
+		talloc_free(ctx);
+	}
+
+	void
+	add(const char *vm, const char *domain, uint32_t cpu_mcpu,
+	    bool busy = false, bool usable = true)
+	{
+		members.push_back({vm, domain, cpu_mcpu, busy, usable});
+	}
+
+	/* Workers of a domain that each VM relays for. */
+	std::map<std::string, int>
+	shares(const char *domain)
+	{
+		struct re_table *t =
+		    re_create(ctx, members.data(), (uint32_t)members.size());
+		std::map<std::string, int> n;
+
+		for (int i = 0; i < kWorkers; i++) {
+			std::string id = "w" + std::to_string(i);
+			const char *vm = re_pick(t, domain, id.c_str());
+
+			n[vm != nullptr ? vm : "none"]++;
+		}
+		return n;
+	}
+
+	TALLOC_CTX *ctx = talloc_new(nullptr);
+	std::vector<struct re_member> members;
+};
+
+} // namespace
+
+TEST_F(Relays, LargeVmsOfTheWorkersDomainShareThem)
+{
+	add("a1", "a", 500);
+	add("a2", "a", 500);
+	add("a3", "a", 120);
+	add("b1", "b", 500);
+	auto n = shares("a");
+
+	EXPECT_EQ(n.size(), 2u);
+	EXPECT_GT(n["a1"], kWorkers / 4);
+	EXPECT_GT(n["a2"], kWorkers / 4);
+}
+
+TEST_F(Relays, OwnersOfPoolsRelayOnlyWhenNobodyElseCan)
+{
+	add("a1", "a", 500, true);
+	add("a2", "a", 120);
+	EXPECT_EQ(shares("a")["a2"], kWorkers);
+	members[1].usable = false;
+	EXPECT_EQ(shares("a")["a1"], kWorkers);
+}
+
+TEST_F(Relays, DomainWithoutAReachableDaemonHasNone)
+{
+	add("a1", "a", 500, false, false);
+	add("b1", "b", 500);
+	EXPECT_EQ(shares("a")["none"], kWorkers);
+}
+
+TEST_F(Relays, LossOfARelayMovesOnlyItsWorkers)
+{
+	add("a1", "a", 500);
+	add("a2", "a", 500);
+	add("a3", "a", 500);
+	struct re_table *before = re_create(ctx, members.data(), 3);
+	struct re_table *after = re_create(ctx, members.data(), 2);
+
+	for (int i = 0; i < kWorkers; i++) {
+		std::string id = "w" + std::to_string(i);
+		std::string vm = re_pick(before, "a", id.c_str());
+
+		if (vm == "a3")
+			continue;
+		EXPECT_EQ(re_pick(after, "a", id.c_str()), vm);
+	}
+}
+
+namespace
+{
+
+struct wp_order
+start_order()
+{
+	struct wp_order o = {};
+
+	o.kind = WP_ORDER_START;
+	snprintf(o.worker, sizeof(o.worker), "w1");
+	snprintf(o.address, sizeof(o.address), "10.0.0.1:80");
+	snprintf(o.ref.job, sizeof(o.ref.job), "0123456789abcdef");
+	o.ref.step = 2;
+	o.ref.index = 7;
+	o.run = 1003;
+	o.payload = "spec";
+	o.ticket = (char *)"ticket";
+	o.deadline_clock_ms = 4711;
+	return o;
+}
+
+} // namespace
+
+TEST(RelayCodec, OrderSurvivesTheTrip)
+{
+	struct wp_order o = start_order();
+	Currant__RelayedOrder m;
+	struct wp_order got;
+
+	rc_pack_order(&m, 9, &o, 77);
+	ASSERT_TRUE(rc_unpack_order(&m, &got));
+	EXPECT_EQ(m.id, 9u);
+	EXPECT_EQ(m.fence, 77u);
+	EXPECT_TRUE(jb_ref_equal(&got.ref, &o.ref));
+	EXPECT_EQ(got.run, o.run);
+	EXPECT_EQ(got.deadline_clock_ms, o.deadline_clock_ms);
+	EXPECT_STREQ(got.payload, "spec");
+	EXPECT_STREQ(got.ticket, "ticket");
+	EXPECT_EQ(got.checkpoint, nullptr);
+}
+
+TEST(RelayCodec, BadOrdersAreRefused)
+{
+	struct wp_order o = start_order();
+	std::string long_name(200, 'x');
+	Currant__RelayedOrder m;
+	struct wp_order got;
+
+	rc_pack_order(&m, 1, &o, 1);
+	m.kind = 99;
+	EXPECT_FALSE(rc_unpack_order(&m, &got));
+	rc_pack_order(&m, 1, &o, 1);
+	m.job = (char *)"short";
+	EXPECT_FALSE(rc_unpack_order(&m, &got));
+	rc_pack_order(&m, 1, &o, 1);
+	m.worker = long_name.data();
+	EXPECT_FALSE(rc_unpack_order(&m, &got));
+	rc_pack_order(&m, 1, &o, 1);
+	m.payload = nullptr;
+	EXPECT_FALSE(rc_unpack_order(&m, &got));
+	rc_pack_order(&m, 1, &o, 1);
+	m.address = (char *)"";
+	EXPECT_FALSE(rc_unpack_order(&m, &got));
+}
+
+TEST(RelayCodec, ListsSurviveTheTrip)
+{
+	TALLOC_CTX *ctx = talloc_new(nullptr);
+	struct wp_running running = {};
+	struct wp_end end = {};
+	struct wp_hold_reply reply = {};
+	Currant__RelayedHoldResult m = CURRANT__RELAYED_HOLD_RESULT__INIT;
+	struct wp_hold_reply got;
+
+	snprintf(running.ref.job, sizeof(running.ref.job), "0123456789abcdef");
+	running.run = 3;
+	running.checkpoint = "c";
+	running.percent = 40;
+	end.ref = running.ref;
+	end.number = 12;
+	end.run = 2;
+	end.how = WP_END_FAILED;
+	end.checkpoint = "";
+	reply = {1700000000000, 5000, &running, 1, &end, 1};
+	rc_pack_reply(ctx, &m, &reply);
+	ASSERT_TRUE(rc_unpack_reply(ctx, &m, &got));
+	EXPECT_EQ(got.born_ms, reply.born_ms);
+	EXPECT_EQ(got.clock_ms, reply.clock_ms);
+	ASSERT_EQ(got.running_count, 1u);
+	EXPECT_EQ(got.running[0].percent, 40u);
+	EXPECT_STREQ(got.running[0].checkpoint, "c");
+	ASSERT_EQ(got.end_count, 1u);
+	EXPECT_EQ(got.end[0].how, WP_END_FAILED);
+	EXPECT_EQ(got.end[0].number, 12u);
+	/* A list that lacks a row would say that a task has gone. */
+	m.running[0]->job = (char *)"?";
+	EXPECT_FALSE(rc_unpack_reply(ctx, &m, &got));
+	rc_pack_reply(ctx, &m, &reply);
+	m.has_clock_ms = false;
+	EXPECT_FALSE(rc_unpack_reply(ctx, &m, &got));
+	talloc_free(ctx);
+}
+
+TEST(RelayCodec, UnknownResultMeansNoAnswer)
+{
+	EXPECT_EQ(rc_result(WP_REFUSED_ROOM), WP_REFUSED_ROOM);
+	EXPECT_EQ(rc_result(4242), WP_NO_ANSWER);
+}
