state: a step's useless tickets don't keep it from asking; wide steps ask several questions

Its step allows one task a worker; the tickets of workers that had one already counted as tickets at hand, so no question went out while any was valid, and the questions in between named those same workers. Steps that are wider than one question's workers waited for one answer after another.

Change: only workers that the step's own limit and the waiting tasks allow count and are named; a step has up to four questions out, over different workers, as long as the places named are fewer than wanted. Placement of a step that needs advice looks at its tickets instead of at all workers.

Tests: Pool.FailedTaskAsksForWorkersThatItsStepStillAllows and Pool.WideStepAsksSeveralQuestionsAtOnce fail on the code before. job_ended tells the first and the newest start.

--- a/coordination/relays.c
+++ b/coordination/relays.c
@@ -21,8 +21,8 @@
 }
 
 static bool
-re_is_best_of_domain(const struct re_member *m, const struct re_member *members,
-    uint32_t count)
+re_is_best_of_domain(
+    const struct re_member *m, const struct re_member *members, uint32_t count)
 {
 	uint32_t i;
 
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -41,21 +41,32 @@
 	return pk_pack(ctx, &row.base, bytes);
 }
 
+/* Milliseconds after a job's arrival; -1 for what has not happened here. */
+static int64_t
+cp_after_arrival_ms(const struct wp_job *job, int64_t at_us)
+{
+	return at_us == 0 ? -1 : (at_us - job->arrived_us) / CLK_US_PER_MS;
+}
+
 static void
-cp_announce(struct cp_host *h, const char *id, enum jb_state state, bool stored)
+cp_announce(struct cp_host *h, const struct wp_job *job, bool stored)
 {
+	const char *id = job->spec->id;
 	struct cell *c = h->cell;
 	struct rp_job *row = rp_find_job(c->replica, id);
 
 	if (row != NULL) {
-		lg_event(LG_INFO, "pool", "job_ended", "job", id, "state",
-		    jb_state_name(state), "stored", stored ? "1" : "0",
-		    "known_ms",
-		    lg_i64((clk_now_us() - row->accepted_us) / CLK_US_PER_MS),
+		lg_event(LG_INFO, "pool", "job_ended", "job", id, "queue",
+		    row->queue, "state", jb_state_name(job->state), "stored",
+		    stored ? "1" : "0", "first_start_ms",
+		    lg_i64(cp_after_arrival_ms(job, job->first_start_us)),
+		    "last_start_ms",
+		    lg_i64(cp_after_arrival_ms(job, job->last_start_us)),
+		    "known_ms", lg_i64(cp_after_arrival_ms(job, clk_now_us())),
 		    NULL);
-		rp_tell_ended(row, state);
+		rp_tell_ended(row, job->state);
 	}
-	pn_note_ended(c->links, id, state);
+	pn_note_ended(c->links, id, job->state);
 }
 
 static void
@@ -67,7 +78,7 @@
 	for (i = 0; i < cm->ended_count; i++) {
 		job = wp_find_job(h->pool, cm->ended[i]);
 		if (job != NULL)
-			cp_announce(h, cm->ended[i], job->state, stored);
+			cp_announce(h, job, stored);
 	}
 	pn_send_ended(h->cell->links);
 }
@@ -91,7 +102,7 @@
 
 		if (jb_has_ended(job->state) && row != NULL &&
 		    !jb_has_ended(row->state))
-			cp_announce(h, job->spec->id, job->state, false);
+			cp_announce(h, job, false);
 	}
 	pn_send_ended(h->cell->links);
 }
--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -406,16 +406,16 @@
 }
 
 static void
-rl_run_order(struct rl_desk *d, struct peer_link *link,
-    const Currant__RelayedOrder *row)
+rl_run_order(
+    struct rl_desk *d, struct peer_link *link, const Currant__RelayedOrder *row)
 {
 	const struct fl_fleet *f = d->c->fleet;
 	struct rl_errand *e = rl_errand_create(d, link, row->id);
 	struct wp_order o;
 
 	if (!rc_unpack_order(row, &o)) {
-		lg_event(LG_WARN, "relay", "bad_order", "peer", peer_vm(link),
-		    NULL);
+		lg_event(
+		    LG_WARN, "relay", "bad_order", "peer", peer_vm(link), NULL);
 		rl_on_order_done(WP_NOT_SENT, 0, e);
 		return;
 	}
@@ -439,8 +439,7 @@
 		return;
 	}
 	ct_add(CT_RELAYED, 1);
-	f->workers->hold(
-	    f->handle, &w, &hold, row->fence, rl_on_hold_done, e);
+	f->workers->hold(f->handle, &w, &hold, row->fence, rl_on_hold_done, e);
 }
 
 void
--- a/include/protocol/relay_codec.h
+++ b/include/protocol/relay_codec.h
@@ -36,8 +36,8 @@
  *
  * Return: false when a field is not valid.
  */
-bool rc_unpack_hold(const Currant__RelayedHold *m, struct wp_worker *w,
-    struct wp_hold *hold);
+bool rc_unpack_hold(
+    const Currant__RelayedHold *m, struct wp_worker *w, struct wp_hold *hold);
 
 /** rc_pack_reply() - encode a worker's lists, as children of @ctx */
 void rc_pack_reply(TALLOC_CTX *ctx, Currant__RelayedHoldResult *m,
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -102,10 +102,18 @@
 	struct wp_task *next;
 };
 
-/** struct wp_ticket - what advice says of one worker for one step */
+/**
+ * struct wp_ticket - what advice says of one worker for one step
+ * @slot: of the worker
+ * @born_ms: life of the worker that this is about
+ * @asked: a question that names the worker is unanswered
+ * @known: it has been answered at some time
+ */
 struct wp_ticket {
 	uint32_t slot;
 	int64_t born_ms;
+	bool asked;
+	bool known;
 	bool good;
 	int64_t expires_us;
 	char text[WP_TICKET_BYTES];
@@ -122,7 +130,8 @@
  * @ticket: answers of the advice service, @ticket_count of them
  * @ticket_at: for each worker's slot, one more than its answer's position;
  *	0 for none; @ticket_slots of them
- * @ask_out: a request for advice is unanswered
+ * @asks_out: requests for advice that are unanswered
+ * @asked_places: places on the workers that these name
  * @ask_again_us: no earlier request for advice
  * @try_again_us: until then only workers that have changed are looked at
  */
@@ -141,7 +150,8 @@
 	uint32_t ticket_count;
 	uint16_t *ticket_at;
 	uint32_t ticket_slots;
-	bool ask_out;
+	uint32_t asks_out;
+	uint32_t asked_places;
 	int64_t ask_again_us;
 	int64_t try_again_us;
 	struct wp_step *prev;
@@ -166,6 +176,8 @@
  * @started: a task has been started at some time
  * @stop_as: final state once all its tasks are off their workers, or
  *	JB_PENDING
+ * @first_start_us: first start under this owner; 0 before
+ * @last_start_us: newest start under this owner; 0 before
  * @objective_us: when it must have ended to earn its full credit
  * @dirty: its progress is not stored
  */
@@ -178,6 +190,8 @@
 	bool started;
 	enum jb_state stop_as;
 	int64_t arrived_us;
+	int64_t first_start_us;
+	int64_t last_start_us;
 	int64_t objective_us;
 	bool dirty;
 	struct wp_job *dirty_prev;
@@ -362,13 +376,17 @@
 
 #define WP_MAX_ASK 100
 
-/** struct wp_ask - a question to the advice service */
+/**
+ * struct wp_ask - a question to the advice service
+ * @places: tasks of the step that the workers named have room for
+ */
 struct wp_ask {
 	char job[JB_ID_BYTES];
 	uint32_t occurrence;
 	uint32_t step;
 	const char *worker[WP_MAX_ASK];
 	uint32_t worker_count;
+	uint32_t places;
 	uint32_t decide_us;
 	uint32_t period_us;
 	uint32_t valid_ms;
@@ -409,6 +427,7 @@
  * @strangers_until_us: until then earlier owners may act on workers
  * @began_us: first tick
  * @worker_slots: workers that there have been
+ * @worker_at: worker of each slot
  * @settled: no worker can run a task that this owner does not know of
  * @registry_dirty: the stored list of workers is out of date
  */
@@ -422,6 +441,7 @@
 	struct wp_job *dirty;
 	struct wp_worker *workers;
 	uint32_t worker_slots;
+	struct wp_worker **worker_at;
 	struct wp_step *ready;
 	struct wp_step *near;
 	struct wp_order *orders;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -125,6 +125,30 @@
 bool wp_may_run(const struct wp_step *s, const struct wp_worker *w);
 /** wp_usable() - whether new work may go to a worker now */
 bool wp_usable(const struct wp_worker *w, int64_t now_us);
+/** wp_spare_places() - tasks of a step that its own limit still allows there */
+uint32_t wp_spare_places(const struct wp_step *s, const struct wp_worker *w);
+/** wp_has_taker() - whether a waiting task of a step does not avoid a worker */
+bool wp_has_taker(
+    const struct wp_step *s, const struct wp_worker *w, int64_t now_us);
+
+/**
+ * struct wp_scan - workers on which a step might start, one by one
+ *
+ * A step that needs advice can only start where it has a ticket, so however
+ * many workers there are, only these are looked at.
+ */
+struct wp_scan {
+	const struct wp_pool *pool;
+	const struct wp_step *step;
+	struct wp_worker *worker;
+	uint32_t ticket;
+};
+
+/** wp_scan_begin() - before the first worker */
+void wp_scan_begin(
+    struct wp_scan *scan, const struct wp_pool *p, const struct wp_step *s);
+/** wp_scan_next() - the next worker, or NULL */
+struct wp_worker *wp_scan_next(struct wp_scan *scan);
 /** wp_may_take() - whether a step's tasks may start on a worker, given room */
 bool wp_may_take(
     const struct wp_step *s, const struct wp_worker *w, int64_t now_us);
--- a/protocol/relay_codec.c
+++ b/protocol/relay_codec.c
@@ -103,8 +103,8 @@
 }
 
 bool
-rc_unpack_hold(const Currant__RelayedHold *m, struct wp_worker *w,
-    struct wp_hold *hold)
+rc_unpack_hold(
+    const Currant__RelayedHold *m, struct wp_worker *w, struct wp_hold *hold)
 {
 	memset(w, 0, sizeof(*w));
 	if (!rc_fits(m->worker, sizeof(w->id)) ||
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -15,6 +15,8 @@
 #define WP_ASK_PER_TASK 3
 #define WP_MAX_FIT 64
 #define WP_AHEAD_US (200 * CLK_US_PER_MS)
+/* A wide step asks several daemons at the same time. */
+#define WP_MAX_ASKS_OUT 4
 
 bool
 wp_needs_advice(const struct wp_step *s)
@@ -45,11 +47,19 @@
 	return ticket->text;
 }
 
+/* Places to ask about: not all are allowed, and some are taken meanwhile. */
+static uint32_t
+wp_places_wanted(const struct wp_step *s)
+{
+	return WP_ASK_LEAST + s->waiting * WP_ASK_PER_TASK;
+}
+
 static bool
 wp_step_may_ask(const struct wp_step *s, int64_t now_us)
 {
-	return wp_needs_advice(s) && !s->ask_out && now_us >= s->ask_again_us &&
-	    s->waiting > 0;
+	return wp_needs_advice(s) && s->asks_out < WP_MAX_ASKS_OUT &&
+	    now_us >= s->ask_again_us && s->waiting > 0 &&
+	    s->asked_places < wp_places_wanted(s);
 }
 
 /* Tasks of the step that could start at once on tickets at hand. */
@@ -57,13 +67,14 @@
 wp_tickets_at_hand(struct wp_pool *p, const struct wp_step *s, int64_t now_us)
 {
 	struct wp_room need = wp_need(s->spec);
+	struct wp_scan scan;
 	struct wp_worker *w;
-	struct wp_worker *tmp;
 	uint32_t n = 0;
 
-	HASH_ITER(hh, p->workers, w, tmp) {
-		if (wp_usable(w, now_us) && wp_fits(w, &need) &&
-		    wp_ticket_valid(s, w, now_us) != NULL)
+	wp_scan_begin(&scan, p, s);
+	while ((w = wp_scan_next(&scan)) != NULL) {
+		if (wp_fits(w, &need) && wp_may_take(s, w, now_us) &&
+		    wp_has_taker(s, w, now_us))
 			n++;
 	}
 	return n;
@@ -115,18 +126,26 @@
     const struct wp_room *need, int64_t now_us)
 {
 	const struct wp_ticket *ticket;
+	uint32_t spare;
+	uint32_t fit;
 
 	if (!wp_usable(w, now_us) || !wp_may_run(s, w))
 		return WP_NOT_WORTH_ASKING;
 	ticket = wp_ticket_find(s, w);
-	if (ticket != NULL &&
+	if (ticket != NULL && ticket->asked)
+		return WP_NOT_WORTH_ASKING;
+	if (ticket != NULL && ticket->known &&
 	    (!ticket->good ||
 		now_us + WP_TICKET_MARGIN_US <= ticket->expires_us))
 		return WP_NOT_WORTH_ASKING;
 	/* A worker that is known to be good is asked again for its room. */
-	if (ticket != NULL && !wp_fits(w, need))
+	if (ticket != NULL && ticket->known && !wp_fits(w, need))
+		return WP_NOT_WORTH_ASKING;
+	spare = wp_spare_places(s, w);
+	if (spare == 0 || !wp_has_taker(s, w, now_us))
 		return WP_NOT_WORTH_ASKING;
-	return wp_fit_count(w, need);
+	fit = wp_fit_count(w, need);
+	return fit < spare ? fit : spare;
 }
 
 /* A question that is being put together. */
@@ -163,14 +182,44 @@
 		fit = wp_worth_asking(s, w, &a->need, now_us);
 		if (fit == WP_NOT_WORTH_ASKING || (fit > 0) != with_room)
 			continue;
-		if (s->spec->max_per_worker > 0 &&
-		    fit > s->spec->max_per_worker)
-			fit = s->spec->max_per_worker;
 		a->ask->worker[a->ask->worker_count++] = w->id;
 		a->expected += fit > 0 ? fit : 1;
 	}
 }
 
+static void
+wp_ticket_slots(const struct wp_pool *p, struct wp_step *s)
+{
+	if (s->ticket_slots >= p->worker_slots)
+		return;
+	s->ticket_at =
+	    talloc_realloc(s->occ, s->ticket_at, uint16_t, p->worker_slots);
+	s->ticket = talloc_realloc(
+	    s->occ, s->ticket, struct wp_ticket, p->worker_slots);
+	if (s->ticket_at == NULL || s->ticket == NULL)
+		abort();
+	memset(s->ticket_at + s->ticket_slots, 0,
+	    (p->worker_slots - s->ticket_slots) * sizeof(*s->ticket_at));
+	s->ticket_slots = p->worker_slots;
+}
+
+static struct wp_ticket *
+wp_ticket_get(
+    const struct wp_pool *p, struct wp_step *s, const struct wp_worker *w)
+{
+	struct wp_ticket *ticket;
+
+	wp_ticket_slots(p, s);
+	if (s->ticket_at[w->slot] == 0)
+		s->ticket_at[w->slot] = (uint16_t)++s->ticket_count;
+	ticket = &s->ticket[s->ticket_at[w->slot] - 1];
+	if (ticket->born_ms != w->born_ms || ticket->slot != w->slot)
+		memset(ticket, 0, sizeof(*ticket));
+	ticket->slot = w->slot;
+	ticket->born_ms = w->born_ms;
+	return ticket;
+}
+
 static bool
 wp_fill_ask(
     struct wp_pool *p, struct wp_step *s, int64_t now_us, struct wp_ask *ask)
@@ -180,8 +229,9 @@
 	    .ask = ask,
 	    .need = wp_need(s->spec),
 	    .most = wp_ask_most(&spec->policy),
-	    .wanted = WP_ASK_LEAST + s->waiting * WP_ASK_PER_TASK,
+	    .wanted = wp_places_wanted(s) - s->asked_places,
 	};
+	uint32_t i;
 
 	ask->worker_count = 0;
 	wp_ask_some(p, s, &a, true, now_us);
@@ -195,7 +245,12 @@
 	ask->period_us = spec->policy.advice_period_us;
 	ask->valid_ms = spec->policy.advice_valid_ms;
 	ask->priority = spec->policy.priority;
-	s->ask_out = true;
+	ask->places = a.expected;
+	s->asks_out++;
+	s->asked_places += a.expected;
+	for (i = 0; i < ask->worker_count; i++)
+		wp_ticket_get(p, s, wp_find_worker(p, ask->worker[i]))->asked =
+		    true;
 	p->stats.asks++;
 	return true;
 }
@@ -275,39 +330,6 @@
 	return false;
 }
 
-static void
-wp_ticket_slots(const struct wp_pool *p, struct wp_step *s)
-{
-	if (s->ticket_slots >= p->worker_slots)
-		return;
-	s->ticket_at =
-	    talloc_realloc(s->occ, s->ticket_at, uint16_t, p->worker_slots);
-	s->ticket = talloc_realloc(
-	    s->occ, s->ticket, struct wp_ticket, p->worker_slots);
-	if (s->ticket_at == NULL || s->ticket == NULL)
-		abort();
-	memset(s->ticket_at + s->ticket_slots, 0,
-	    (p->worker_slots - s->ticket_slots) * sizeof(*s->ticket_at));
-	s->ticket_slots = p->worker_slots;
-}
-
-static struct wp_ticket *
-wp_ticket_get(
-    const struct wp_pool *p, struct wp_step *s, const struct wp_worker *w)
-{
-	struct wp_ticket *ticket;
-
-	wp_ticket_slots(p, s);
-	if (s->ticket_at[w->slot] == 0)
-		s->ticket_at[w->slot] = (uint16_t)++s->ticket_count;
-	ticket = &s->ticket[s->ticket_at[w->slot] - 1];
-	if (ticket->born_ms != w->born_ms || ticket->slot != w->slot)
-		memset(ticket, 0, sizeof(*ticket));
-	ticket->slot = w->slot;
-	ticket->born_ms = w->born_ms;
-	return ticket;
-}
-
 static struct wp_step *
 wp_find_step(struct wp_pool *p, const struct wp_ask *ask)
 {
@@ -334,7 +356,13 @@
 
 	if (s == NULL)
 		return;
-	s->ask_out = false;
+	s->asks_out--;
+	s->asked_places -= ask->places;
+	for (i = 0; i < ask->worker_count; i++) {
+		w = wp_find_worker(p, ask->worker[i]);
+		if (w != NULL)
+			wp_ticket_get(p, s, w)->asked = false;
+	}
 	if (!ok) {
 		s->ask_again_us = now_us + WP_ASK_RETRY_US;
 		return;
@@ -343,8 +371,11 @@
 	s->try_again_us = 0;
 	for (i = 0; i < ask->worker_count; i++) {
 		w = wp_find_worker(p, ask->worker[i]);
-		if (w != NULL)
-			wp_ticket_get(p, s, w)->good = false;
+		if (w == NULL)
+			continue;
+		ticket = wp_ticket_get(p, s, w);
+		ticket->known = true;
+		ticket->good = false;
 	}
 	for (i = 0; i < good_count; i++) {
 		w = wp_find_worker(p, good[i].worker);
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -56,15 +56,70 @@
 	return false;
 }
 
+uint32_t
+wp_spare_places(const struct wp_step *s, const struct wp_worker *w)
+{
+	uint32_t most = s->spec->max_per_worker;
+	uint32_t on;
+
+	if (most == 0)
+		return UINT32_MAX;
+	on = wp_tasks_on(s, w);
+	return on < most ? most - on : 0;
+}
+
+bool
+wp_has_taker(const struct wp_step *s, const struct wp_worker *w, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++) {
+		const struct wp_task *t = &s->task[i];
+
+		if (t->state == WP_WAITING && !wp_avoids(t, w, now_us))
+			return true;
+	}
+	return false;
+}
+
 bool
 wp_may_take(const struct wp_step *s, const struct wp_worker *w, int64_t now_us)
 {
 	if (!wp_usable(w, now_us) || !wp_may_run(s, w))
 		return false;
-	if (s->spec->max_per_worker > 0 &&
-	    wp_tasks_on(s, w) >= s->spec->max_per_worker)
+	if (wp_needs_advice(s) && wp_ticket_valid(s, w, now_us) == NULL)
 		return false;
-	return !wp_needs_advice(s) || wp_ticket_valid(s, w, now_us) != NULL;
+	return wp_spare_places(s, w) > 0;
+}
+
+void
+wp_scan_begin(
+    struct wp_scan *scan, const struct wp_pool *p, const struct wp_step *s)
+{
+	scan->pool = p;
+	scan->step = s;
+	scan->worker = p->workers;
+	scan->ticket = 0;
+}
+
+struct wp_worker *
+wp_scan_next(struct wp_scan *scan)
+{
+	const struct wp_step *s = scan->step;
+	struct wp_worker *w = scan->worker;
+
+	if (!wp_needs_advice(s)) {
+		if (w != NULL)
+			scan->worker = w->hh.next;
+		return w;
+	}
+	while (scan->ticket < s->ticket_count) {
+		const struct wp_ticket *ticket = &s->ticket[scan->ticket++];
+
+		if (ticket->good)
+			return scan->pool->worker_at[ticket->slot];
+	}
+	return NULL;
 }
 
 /* Lower is better: fullest first, so that whole workers stay free. */
@@ -93,10 +148,11 @@
 	struct wp_room need = wp_need(s->spec);
 	struct wp_worker *best = NULL;
 	double best_score = 0;
+	struct wp_scan scan;
 	struct wp_worker *w;
-	struct wp_worker *tmp;
 
-	HASH_ITER(hh, p->workers, w, tmp) {
+	wp_scan_begin(&scan, p, s);
+	while ((w = wp_scan_next(&scan)) != NULL) {
 		double score;
 
 		if (!wp_fits(w, &need) || !wp_may_take(s, w, now_us) ||
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -196,6 +196,9 @@
 	t->confirmed_clock_ms = 0;
 	t->deadline_clock_ms = 0;
 	wp_task_send_start(p, t, ticket, now_us);
+	if (job->first_start_us == 0)
+		job->first_start_us = now_us;
+	job->last_start_us = now_us;
 	if (!job->started) {
 		job->started = true;
 		wp_mark_dirty(job);
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -53,6 +53,17 @@
 	return lapse_us > at_us ? lapse_us : at_us;
 }
 
+static void
+wp_worker_take_slot(struct wp_pool *p, struct wp_worker *w)
+{
+	w->slot = p->worker_slots++;
+	p->worker_at = talloc_realloc(
+	    p, p->worker_at, struct wp_worker *, p->worker_slots);
+	if (p->worker_at == NULL)
+		abort();
+	p->worker_at[w->slot] = w;
+}
+
 static struct wp_worker *
 wp_worker_create(struct wp_pool *p, const char *id, int64_t now_us)
 {
@@ -61,7 +72,7 @@
 	if (w == NULL)
 		abort();
 	snprintf(w->id, sizeof(w->id), "%s", id);
-	w->slot = p->worker_slots++;
+	wp_worker_take_slot(p, w);
 	w->hold_at_us = now_us;
 	/* An owner that came later than the worker finds nothing there. */
 	if (now_us < p->strangers_until_us)
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -1209,4 +1210,67 @@
 	EXPECT_EQ(run_all().size(), 1U);
 }
 
+/*
+ * Load: standing tasks, one a worker, of which one fails. Tickets of workers
+ * that have one already are of no use to it.
+ */
+TEST_F(Pool, FailedTaskAsksForWorkersThatItsStepStillAllows)
+{
+	struct wp_ask ask;
+	struct wp_advice good[] = {{"w0", "t0"}, {"w1", "t1"}};
+
+	begin();
+	ready_worker("w0");
+	ready_worker("w1");
+	struct jb_spec *s = spec(kJob, {{2, 1000, JB_LASTING}}, 2000);
+	s->step[0].max_per_worker = 1;
+	wp_add_job(p, s, nullptr, true, 0, now);
+	tick();
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	wp_on_advice(p, &ask, true, good, 2, now, now);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 2U);
+	uint32_t on_w0 = std::string(orders[0]->worker) == "w0"
+	    ? orders[0]->ref.index
+	    : orders[1]->ref.index;
+	ready_worker("x");
+	hold("w0", {}, {{1, kJob, 0, on_w0, 1, WP_END_FAILED}});
+	hold("w1", {{kJob, 0, 1 - on_w0, 1, 0, 100}});
+	now += 500 * kMs;
+	EXPECT_TRUE(tick().empty());
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	ASSERT_EQ(ask.worker_count, 1U);
+	EXPECT_STREQ(ask.worker[0], "x");
+}
+
+/* Load: a step that is wider than one question's workers can take. */
+TEST_F(Pool, WideStepAsksSeveralQuestionsAtOnce)
+{
+	std::set<std::string> named;
+	struct wp_ask ask;
+	int asks = 0;
+
+	begin();
+	for (int i = 0; i < 200; i++)
+		ready_worker("w" + std::to_string(i), 1000);
+	struct jb_spec *s = spec(kJob, {{60}}, 2000);
+	s->policy.advice_decide_us = 500000;
+	s->policy.advice_period_us = 10000;
+	wp_add_job(p, s, nullptr, true, 0, now);
+	tick();
+	while (wp_next_ask(p, now, &ask)) {
+		asks++;
+		for (uint32_t i = 0; i < ask.worker_count; i++)
+			EXPECT_TRUE(named.insert(ask.worker[i]).second);
+		now += 50 * kMs;
+		ASSERT_LT(asks, 20);
+	}
+	EXPECT_GT(asks, 2);
+	EXPECT_GE(named.size(), 150U);
+	/* One comes back unanswered: its workers may be named again. */
+	wp_on_advice(p, &ask, false, nullptr, 0, now, now);
+	now += kS;
+	EXPECT_TRUE(wp_next_ask(p, now, &ask));
+}
+
 } // namespace
