state: ends are stored first, progress at intervals; small daemons watch less often

Change: jobs that have ended are stored before others; a job that goes on is stored every 300 ms. Each end has a place in the order in which ends were read, and is acknowledged once all jobs marked before it are stored, whatever others wait. Daemons with a smaller VM than others pause a second between watches; a new owner tells all to look at once.

Ruled out: acknowledging ends whose job is only in flight; the number is taken when the commit is made.

Test: Pool.EndedJobsAreStoredBeforeOthersAndAcknowledged. pool_store.c is split from pool.c.

--- a/bench/bench_replay.c
+++ b/bench/bench_replay.c
@@ -409,7 +409,8 @@
 	struct jb_progress progress;
 	struct wp_job *job;
 
-	while ((job = wp_next_dirty(s->pool, s->pool, &progress)) != NULL) {
+	while ((job = wp_next_dirty(s->pool, s->pool, s->now_us, &progress)) !=
+	    NULL) {
 		struct sim_job *j = find_job(s, job->spec->id);
 
 		talloc_free(progress.task);
--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -52,7 +52,7 @@
 		pn_on_job(c, frame->new_job);
 	for (i = 0; i < frame->n_ended_jobs; i++)
 		pn_on_ended(c, frame->ended_jobs[i]);
-	if (frame->owner_gone)
+	if (frame->owner_changed)
 		rp_hurry(c->replica);
 	if (frame->advice_answer != NULL)
 		av_on_answer(c->advice, link, frame->advice_answer);
--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -352,6 +352,7 @@
 	    lg_i64(HASH_COUNT(h->pool->jobs)), "workers",
 	    lg_i64(HASH_COUNT(h->pool->workers)), "earlier_ms",
 	    lg_i64((settings.earlier_until_us - now_us) / CLK_US_PER_MS), NULL);
+	pn_send_owner_changed(h->cell->links);
 	cp_kick(h);
 }
 
@@ -464,7 +465,7 @@
 	o->present = false;
 	cp_on_owner(h->cell, o);
 	rp_hurry(h->cell->replica);
-	pn_send_owner_gone(h->cell->links);
+	pn_send_owner_changed(h->cell->links);
 }
 
 void
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -22,7 +22,6 @@
 	int64_t made_us;
 	char ended[KS_MAX_PUTS][JB_ID_BYTES];
 	size_t ended_count;
-	bool last;
 	bool registry;
 };
 
@@ -127,12 +126,11 @@
 	h->commit = NULL;
 	cp_announce_commit(h, cm, true);
 	h->commit_at_us = clk_now_us() + CP_COMMIT_PAUSE_US;
-	if (cm->last)
-		wp_commit_end(h->pool, clk_now_us());
+	wp_commit_end(h->pool, clk_now_us());
 	if (cm->registry)
 		cp_registry_stored(h);
 	talloc_free(cm);
-	if (h->pool->dirty != NULL || h->state == CP_RELEASING)
+	if (wp_has_due(h->pool, clk_now_us()) || h->state == CP_RELEASING)
 		cp_kick(h);
 }
 
@@ -264,7 +262,7 @@
 
 	cp_commit_registry(h, cm);
 	while (cm->put_count < KS_MAX_PUTS) {
-		job = wp_next_dirty(h->pool, cm, &progress);
+		job = wp_next_dirty(h->pool, cm, cm->made_us, &progress);
 		if (job == NULL)
 			break;
 		if (jb_has_ended(progress.state))
@@ -274,9 +272,7 @@
 		cp_commit_add(cm, cp_key(cm, RP_PROGRESS_PREFIX, job->spec->id),
 		    value, bytes, 0);
 	}
-	cm->last = h->pool->dirty == NULL;
-	if (cm->last)
-		wp_commit_begin(h->pool);
+	wp_commit_begin(h->pool);
 }
 
 static void
@@ -285,7 +281,7 @@
 	struct cp_host *h = arg;
 
 	if (a->result == KS_OK)
-		pn_send_owner_gone(h->cell->links);
+		pn_send_owner_changed(h->cell->links);
 }
 
 static void
@@ -346,10 +342,10 @@
 
 	if (h->commit != NULL)
 		return;
-	if (h->pool->dirty == NULL && !h->pool->registry_dirty) {
+	if (!wp_has_due(h->pool, clk_now_us()) && !h->pool->registry_dirty) {
 		wp_commit_begin(h->pool);
 		wp_commit_end(h->pool, clk_now_us());
-		if (h->state == CP_RELEASING)
+		if (h->state == CP_RELEASING && h->pool->dirty == NULL)
 			cp_finish_release(h);
 		return;
 	}
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -201,12 +201,12 @@
 }
 
 void
-pn_send_owner_gone(struct pn_links *n)
+pn_send_owner_changed(struct pn_links *n)
 {
 	Currant__Frame frame = CURRANT__FRAME__INIT;
 
-	frame.has_owner_gone = true;
-	frame.owner_gone = true;
+	frame.has_owner_changed = true;
+	frame.owner_changed = true;
 	pn_send_all(n, &frame);
 }
 
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -10,6 +10,8 @@
 /* Pauses between watches: owners want new jobs at once. */
 #define CP_OWNER_WATCH_US (150 * CLK_US_PER_MS)
 #define CP_WATCH_US (250 * CLK_US_PER_MS)
+/* A daemon that would not take a pool over learns the rest from its peers. */
+#define CP_BYSTANDER_WATCH_US (1000 * CLK_US_PER_MS)
 /* Jobs that one write removes, with three keys each. */
 #define CP_REMOVE_JOBS 10
 #define CP_LOG_EVERY_US (CLK_US_PER_S)
@@ -207,6 +209,28 @@
 	}
 }
 
+/* Whether another daemon has a larger VM, and would claim pools first. */
+static bool
+cp_is_bystander(const struct cell *c)
+{
+	struct rp_member *m;
+	struct rp_member *tmp;
+
+	HASH_ITER(hh, c->replica->members, m, tmp) {
+		if (m->present && m->cpu_mcpu > c->settings->cpu_mcpu)
+			return true;
+	}
+	return false;
+}
+
+static int64_t
+cp_watch_pause_us(const struct cell *c)
+{
+	if (cp_owned(c) > 0)
+		return CP_OWNER_WATCH_US;
+	return cp_is_bystander(c) ? CP_BYSTANDER_WATCH_US : CP_WATCH_US;
+}
+
 void
 cp_tick(struct cell *c)
 {
@@ -223,7 +247,7 @@
 	}
 	HASH_ITER(hh, c->pools, h, tmp)
 		cp_host_tick(h, clk_now_us());
-	c->replica->pace_us = cp_owned(c) > 0 ? CP_OWNER_WATCH_US : CP_WATCH_US;
+	c->replica->pace_us = cp_watch_pause_us(c);
 }
 
 void
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -13,7 +13,7 @@
 /* Orders of operators come alone, so that no flood of changes delays them. */
 #define RP_ORDERS_WATCH_MS 15000
 /* Changes of one answer from which on further ones must be waiting. */
-#define RP_FULL_PAGE 100
+#define RP_FULL_PAGE 400
 #define RP_ERROR_BYTES 160
 
 static void rp_load(void *arg);
--- a/include/curranttackd/cell_peers.h
+++ b/include/curranttackd/cell_peers.h
@@ -37,8 +37,8 @@
 /** pn_send_ended() - tell all daemons how the jobs noted so far have ended */
 void pn_send_ended(struct pn_links *n);
 
-/** pn_send_owner_gone() - have all daemons look at the key space at once */
-void pn_send_owner_gone(struct pn_links *n);
+/** pn_send_owner_changed() - have all daemons look at the key space at once */
+void pn_send_owner_changed(struct pn_links *n);
 
 /** pn_on_job() - a peer has accepted a job */
 void pn_on_job(struct cell *c, const Currant__NewJob *row);
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -880,10 +880,10 @@
   size_t n_ended_jobs;
   Currant__EndedJob **ended_jobs;
   /*
-   * A pool has just lost its owner: look at the key space at once.
+   * A pool has lost its owner or has a new one: look at the key space at once.
    */
-  protobuf_c_boolean has_owner_gone;
-  protobuf_c_boolean owner_gone;
+  protobuf_c_boolean has_owner_changed;
+  protobuf_c_boolean owner_changed;
   size_t n_relayed_orders;
   Currant__RelayedOrder **relayed_orders;
   size_t n_relayed_holds;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -180,6 +180,8 @@
  * @last_start_us: newest start under this owner; 0 before
  * @objective_us: when it must have ended to earn its full credit
  * @dirty: its progress is not stored
+ * @dirty_seq: no end before this one (see wp_unstored_end) is unstored
+ * @store_at_us: while it goes on, it is not stored before
  */
 struct wp_job {
 	struct wp_pool *pool;
@@ -194,11 +196,23 @@
 	int64_t last_start_us;
 	int64_t objective_us;
 	bool dirty;
+	uint64_t dirty_seq;
+	int64_t store_at_us;
 	struct wp_job *dirty_prev;
 	struct wp_job *dirty_next;
 	UT_hash_handle hh;
 };
 
+/**
+ * struct wp_unstored_end - an end that may not be acknowledged yet
+ * @number: the worker's number for it
+ * @seq: counts the ends of all workers in the order in which they were read
+ */
+struct wp_unstored_end {
+	uint64_t number;
+	uint64_t seq;
+};
+
 /**
  * struct wp_worker - what the owner knows of a worker
  * @slot: small number of its own in the pool
@@ -222,7 +236,7 @@
  * @lease_clock_ms: latest deadline that was ever sent to it
  * @doubt_until_us: until then it may run work of an earlier owner
  * @seen_end: number of the newest end processed
- * @flight_end: number that the commit on its way covers
+ * @unstored: ends that are not stored, in order, @unstored_count of them
  * @acked_end: number up to which the ends are stored
  * @lost_at_us: since when it is not reachable; 0 while it is
  * @hold_out: a renewal is on its way
@@ -259,7 +273,8 @@
 	int64_t lease_clock_ms;
 	int64_t doubt_until_us;
 	uint64_t seen_end;
-	uint64_t flight_end;
+	struct wp_unstored_end *unstored;
+	uint32_t unstored_count;
 	uint64_t acked_end;
 	int64_t lost_at_us;
 	bool hold_out;
@@ -428,6 +443,8 @@
  * @began_us: first tick
  * @worker_slots: workers that there have been
  * @worker_at: worker of each slot
+ * @end_seq: ends that were read from workers
+ * @flight_seq: ends before this one are in the commit on its way, or stored
  * @settled: no worker can run a task that this owner does not know of
  * @registry_dirty: the stored list of workers is out of date
  */
@@ -447,6 +464,8 @@
 	struct wp_order *orders;
 	int64_t began_us;
 	int64_t strangers_until_us;
+	uint64_t end_seq;
+	uint64_t flight_seq;
 	bool settled;
 	bool registry_dirty;
 	struct wp_stats stats;
@@ -597,17 +616,23 @@
  * wp_next_dirty() - the next job whose progress has to be stored
  * @p: pool
  * @ctx: talloc parent of the progress
+ * @now_us: time
  * @progress: what to store
  *
+ * Jobs that have ended come first; others are stored at intervals.
+ *
  * Return: the job, no longer dirty, or NULL.
  */
-struct wp_job *wp_next_dirty(
-    struct wp_pool *p, TALLOC_CTX *ctx, struct jb_progress *progress);
+struct wp_job *wp_next_dirty(struct wp_pool *p, TALLOC_CTX *ctx, int64_t now_us,
+    struct jb_progress *progress);
+
+/** wp_has_due() - whether wp_next_dirty() would return a job */
+bool wp_has_due(struct wp_pool *p, int64_t now_us);
 
 /** wp_mark_dirty() - a job's progress has to be stored (again) */
 void wp_mark_dirty(struct wp_job *job);
 
-/** wp_commit_begin() - all that has ended so far is in the commit being made */
+/** wp_commit_begin() - the commit being made holds what wp_next_dirty() gave */
 void wp_commit_begin(struct wp_pool *p);
 
 /** wp_commit_end() - that commit is stored: its ends may be acknowledged */
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -6,7 +6,7 @@
 
 /**
  * DOC: Shared by the pool's files. Lowest first: pool_task (one task's moves),
- * pool_worker (reports and leases), pool_gang, pool_advice, pool_sharing,
+ * pool_worker (reports and leases), pool_store (what is stored and acknowledged), pool_gang, pool_advice, pool_sharing,
  * pool_copy (copies of tasks that may run twice), pool_retire (emptying workers for maintenance), pool_sched (who starts where), pool (jobs and ticks).
  */
 
@@ -23,6 +23,8 @@
 #define WP_RETRY_US (100 * CLK_US_PER_MS)
 #define WP_RESEND_US (400 * CLK_US_PER_MS)
 #define WP_LAPSE_MARGIN_US (150 * CLK_US_PER_MS)
+/* Pause between two writes of a job that goes on. */
+#define WP_STORE_PAUSE_US (300 * CLK_US_PER_MS)
 
 /** wp_need() - room that a task of a step takes */
 struct wp_room wp_need(const struct jb_step *step);
@@ -88,6 +90,8 @@
 int64_t wp_worker_clock_ms(const struct wp_worker *w, int64_t now_us);
 /** wp_lapse_us() - when everything on a worker has surely ended */
 int64_t wp_lapse_us(const struct wp_worker *w);
+/** wp_note_end() - an end has been read; acknowledged once it is stored */
+void wp_note_end(struct wp_pool *p, struct wp_worker *w, uint64_t number);
 /** wp_workers_tick() - lapsed leases, doubts, resends */
 void wp_workers_tick(struct wp_pool *p, int64_t now_us);
 /** wp_settle_held() - let held tasks go once no worker can run them */
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -6372,12 +6372,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "owner_gone",
+    "owner_changed",
     11,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_BOOL,
-    offsetof(Currant__Frame, has_owner_gone),
-    offsetof(Currant__Frame, owner_gone),
+    offsetof(Currant__Frame, has_owner_changed),
+    offsetof(Currant__Frame, owner_changed),
     NULL,
     NULL,
     0,             /* flags */
@@ -6443,7 +6443,7 @@
   14,   /* field[14] = hold_results */
   8,   /* field[8] = new_job */
   13,   /* field[13] = order_results */
-  10,   /* field[10] = owner_gone */
+  10,   /* field[10] = owner_changed */
   12,   /* field[12] = relayed_holds */
   11,   /* field[11] = relayed_orders */
   5,   /* field[5] = reply */
--- a/state/pool.c
+++ b/state/pool.c
@@ -196,6 +196,7 @@
 	job->occ = talloc_zero_array(
 	    job, struct wp_occurrence *, jb_occurrences(spec));
 	job->open_occurrences = jb_occurrences(spec);
+	job->store_at_us = fresh ? now_us + WP_STORE_PAUSE_US : 0;
 	job->arrived_us = spec->accepted_wall_ms * CLK_US_PER_MS + wall_to_us;
 	if (job->arrived_us > now_us)
 		job->arrived_us = now_us;
@@ -297,107 +298,6 @@
 	return o;
 }
 
-static bool
-wp_task_touched(const struct wp_task *t)
-{
-	return t->run > 0 || t->failed > 0 || t->state == WP_DONE;
-}
-
-static void
-wp_progress_of_step(const struct wp_step *s, struct jb_progress *progress)
-{
-	uint32_t i;
-
-	if (s->open == 0) {
-		progress->task[progress->task_count++] =
-		    (struct jb_task_progress){
-			.occurrence = s->occ->number,
-			.step = s->number,
-			.index = JB_ALL_TASKS,
-			.done = true,
-		    };
-		return;
-	}
-	for (i = 0; i < s->spec->count; i++) {
-		const struct wp_task *t = &s->task[i];
-
-		if (!wp_task_touched(t))
-			continue;
-		progress->task[progress->task_count++] =
-		    (struct jb_task_progress){
-			.occurrence = s->occ->number,
-			.step = s->number,
-			.index = i,
-			.run = t->run,
-			.failed_run = t->failed_run,
-			.failed = t->failed,
-			.done = t->state == WP_DONE,
-			.checkpoint = t->checkpoint,
-		    };
-	}
-}
-
-static void
-wp_progress_of(
-    struct wp_job *job, TALLOC_CTX *ctx, struct jb_progress *progress)
-{
-	uint32_t total = 0;
-	uint32_t k;
-	uint32_t i;
-
-	for (i = 0; i < job->spec->step_count; i++)
-		total += job->spec->step[i].count;
-	total *= jb_occurrences(job->spec);
-	progress->state = wp_shown_state(job);
-	progress->started = job->started;
-	progress->task_count = 0;
-	progress->task = talloc_zero_array(ctx, struct jb_task_progress, total);
-	if (jb_has_ended(job->state))
-		return;
-	for (k = 0; k < jb_occurrences(job->spec); k++) {
-		for (i = 0; i < job->spec->step_count; i++)
-			wp_progress_of_step(&job->occ[k]->step[i], progress);
-	}
-}
-
-struct wp_job *
-wp_next_dirty(struct wp_pool *p, TALLOC_CTX *ctx, struct jb_progress *progress)
-{
-	struct wp_job *job = p->dirty;
-
-	if (job == NULL)
-		return NULL;
-	DL_DELETE2(p->dirty, job, dirty_prev, dirty_next);
-	job->dirty = false;
-	wp_progress_of(job, ctx, progress);
-	return job;
-}
-
-void
-wp_commit_begin(struct wp_pool *p)
-{
-	struct wp_worker *w;
-	struct wp_worker *tmp;
-
-	HASH_ITER(hh, p->workers, w, tmp)
-		w->flight_end = w->seen_end;
-}
-
-void
-wp_commit_end(struct wp_pool *p, int64_t now_us)
-{
-	struct wp_worker *w;
-	struct wp_worker *tmp;
-
-	HASH_ITER(hh, p->workers, w, tmp) {
-		if (w->flight_end <= w->acked_end)
-			continue;
-		w->acked_end = w->flight_end;
-		if (w->hold_at_us > now_us)
-			w->hold_at_us = now_us;
-	}
-}
-
 enum jb_state
 wp_shown_state(const struct wp_job *job)
 {
--- /dev/null
+++ b/state/pool_store.c
@@ -0,0 +1,186 @@
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "state/pool_internal.h"
+
+static bool
+wp_task_touched(const struct wp_task *t)
+{
+	return t->run > 0 || t->failed > 0 || t->state == WP_DONE;
+}
+
+static void
+wp_progress_of_step(const struct wp_step *s, struct jb_progress *progress)
+{
+	uint32_t i;
+
+	if (s->open == 0) {
+		progress->task[progress->task_count++] =
+		    (struct jb_task_progress){
+			.occurrence = s->occ->number,
+			.step = s->number,
+			.index = JB_ALL_TASKS,
+			.done = true,
+		    };
+		return;
+	}
+	for (i = 0; i < s->spec->count; i++) {
+		const struct wp_task *t = &s->task[i];
+
+		if (!wp_task_touched(t))
+			continue;
+		progress->task[progress->task_count++] =
+		    (struct jb_task_progress){
+			.occurrence = s->occ->number,
+			.step = s->number,
+			.index = i,
+			.run = t->run,
+			.failed_run = t->failed_run,
+			.failed = t->failed,
+			.done = t->state == WP_DONE,
+			.checkpoint = t->checkpoint,
+		    };
+	}
+}
+
+static void
+wp_progress_of(
+    struct wp_job *job, TALLOC_CTX *ctx, struct jb_progress *progress)
+{
+	uint32_t total = 0;
+	uint32_t k;
+	uint32_t i;
+
+	for (i = 0; i < job->spec->step_count; i++)
+		total += job->spec->step[i].count;
+	total *= jb_occurrences(job->spec);
+	progress->state = wp_shown_state(job);
+	progress->started = job->started;
+	progress->task_count = 0;
+	progress->task = talloc_zero_array(ctx, struct jb_task_progress, total);
+	if (jb_has_ended(job->state))
+		return;
+	for (k = 0; k < jb_occurrences(job->spec); k++) {
+		for (i = 0; i < job->spec->step_count; i++)
+			wp_progress_of_step(&job->occ[k]->step[i], progress);
+	}
+}
+
+/* How a job ended is stored at once; what it has done so far may wait. */
+static bool
+wp_is_due(const struct wp_job *job, int64_t now_us)
+{
+	return jb_has_ended(job->state) || job->pool->draining ||
+	    now_us >= job->store_at_us;
+}
+
+static struct wp_job *
+wp_first_due(struct wp_pool *p, int64_t now_us)
+{
+	struct wp_job *first = NULL;
+	struct wp_job *job;
+
+	for (job = p->dirty; job != NULL; job = job->dirty_next) {
+		if (jb_has_ended(job->state))
+			return job;
+		if (first == NULL && wp_is_due(job, now_us))
+			first = job;
+	}
+	return first;
+}
+
+bool
+wp_has_due(struct wp_pool *p, int64_t now_us)
+{
+	return wp_first_due(p, now_us) != NULL;
+}
+
+struct wp_job *
+wp_next_dirty(struct wp_pool *p, TALLOC_CTX *ctx, int64_t now_us,
+    struct jb_progress *progress)
+{
+	struct wp_job *job = wp_first_due(p, now_us);
+
+	if (job == NULL)
+		return NULL;
+	DL_DELETE2(p->dirty, job, dirty_prev, dirty_next);
+	job->dirty = false;
+	job->store_at_us = now_us + WP_STORE_PAUSE_US;
+	wp_progress_of(job, ctx, progress);
+	return job;
+}
+
+void
+wp_mark_dirty(struct wp_job *job)
+{
+	struct wp_pool *p = job->pool;
+
+	if (job->dirty)
+		return;
+	job->dirty = true;
+	job->dirty_seq = p->end_seq;
+	DL_APPEND2(p->dirty, job, dirty_prev, dirty_next);
+}
+
+void
+wp_note_end(struct wp_pool *p, struct wp_worker *w, uint64_t number)
+{
+	struct wp_unstored_end *end;
+
+	w->unstored = talloc_realloc(
+	    p, w->unstored, struct wp_unstored_end, w->unstored_count + 1);
+	if (w->unstored == NULL)
+		abort();
+	end = &w->unstored[w->unstored_count++];
+	end->number = number;
+	end->seq = ++p->end_seq;
+	w->seen_end = number;
+}
+
+/* All ends before this one are stored, or are in the commit being made. */
+static uint64_t
+wp_first_unstored_seq(const struct wp_pool *p)
+{
+	uint64_t seq = p->end_seq + 1;
+	const struct wp_job *job;
+
+	for (job = p->dirty; job != NULL; job = job->dirty_next) {
+		if (job->dirty_seq < seq)
+			seq = job->dirty_seq;
+	}
+	return seq;
+}
+
+void
+wp_commit_begin(struct wp_pool *p)
+{
+	p->flight_seq = wp_first_unstored_seq(p);
+}
+
+static void
+wp_worker_stored(struct wp_worker *w, uint64_t seq, int64_t now_us)
+{
+	uint32_t stored = 0;
+
+	while (stored < w->unstored_count && w->unstored[stored].seq < seq)
+		stored++;
+	if (stored == 0)
+		return;
+	w->acked_end = w->unstored[stored - 1].number;
+	w->unstored_count -= stored;
+	memmove(w->unstored, w->unstored + stored,
+	    w->unstored_count * sizeof(*w->unstored));
+	if (w->hold_at_us > now_us)
+		w->hold_at_us = now_us;
+}
+
+void
+wp_commit_end(struct wp_pool *p, int64_t now_us)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp)
+		wp_worker_stored(w, p->flight_seq, now_us);
+}
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -84,15 +84,6 @@
 	return (t->run > base ? t->run : base) + 1;
 }
 
-void
-wp_mark_dirty(struct wp_job *job)
-{
-	if (job->dirty)
-		return;
-	job->dirty = true;
-	DL_APPEND2(job->pool->dirty, job, dirty_prev, dirty_next);
-}
-
 void
 wp_task_set_checkpoint(struct wp_task *t, const char *checkpoint)
 {
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -157,7 +157,7 @@
 		wp_task_requeue(t, now_us);
 	w->born_ms = born_ms;
 	w->seen_end = 0;
-	w->flight_end = 0;
+	w->unstored_count = 0;
 	w->acked_end = 0;
 	w->lease_clock_ms = 0;
 	w->failures = 0;
@@ -324,7 +324,7 @@
 
 		if (end->number <= w->seen_end)
 			continue;
-		w->seen_end = end->number;
+		wp_note_end(p, w, end->number);
 		p->stats.ends[end->how]++;
 		t = wp_find_task(p, &end->ref);
 		if (t == NULL)
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -174,7 +174,7 @@
 		struct wp_worker *tmp;
 
 		p->registry_dirty = false;
-		while (wp_next_dirty(p, p, &progress) != nullptr)
+		while (wp_next_dirty(p, p, now, &progress) != nullptr)
 			;
 		HASH_ITER(hh, p->workers, w, tmp)
 			w->registered = true;
@@ -237,6 +237,15 @@
 const std::string kJob = "00000000000000a1";
 const std::string kOther = "00000000000000b2";
 
+std::string
+job_id(int n)
+{
+	char id[JB_ID_BYTES];
+
+	snprintf(id, sizeof(id), "%016x", n);
+	return id;
+}
+
 TEST_F(Pool, RunsStepsInTheirOrder)
 {
 	begin();
@@ -300,6 +309,41 @@
 	EXPECT_EQ(w->acked_end, 7U);
 }
 
+/*
+ * Load: many jobs go on while one ends. Its end is what its caller waits for,
+ * and ends of others must not hold its acknowledgement up.
+ */
+TEST_F(Pool, EndedJobsAreStoredBeforeOthersAndAcknowledged)
+{
+	struct jb_progress progress;
+
+	begin();
+	ready_worker("w", 80000);
+	for (int n = 0; n < 40; n++)
+		add(job_id(n), {{2}});
+	run_all();
+	now += 400 * kMs;
+	commit();
+	struct wp_worker *w = wp_find_worker(p, "w");
+	now += 10 * kMs;
+	hold("w", {},
+	    {{1, job_id(0), 0, 0, 1, WP_END_DONE},
+		{2, job_id(1), 0, 0, 1, WP_END_DONE},
+		{3, job_id(0), 0, 1, 1, WP_END_DONE}});
+	EXPECT_TRUE(wp_has_due(p, now));
+	struct wp_job *first = wp_next_dirty(p, p, now, &progress);
+	ASSERT_NE(first, nullptr);
+	EXPECT_STREQ(first->spec->id, job_id(0).c_str());
+	EXPECT_EQ(progress.state, JB_COMPLETED);
+	EXPECT_EQ(wp_next_dirty(p, p, now, &progress), nullptr);
+	wp_commit_begin(p);
+	wp_commit_end(p, now);
+	EXPECT_EQ(w->acked_end, 1U);
+	now += 400 * kMs;
+	commit();
+	EXPECT_EQ(w->acked_end, 3U);
+}
+
 TEST_F(Pool, WorkerUnknownToLaterOwnersGetsNoWork)
 {
 	begin();
