state: questions for advice follow the room; late work goes behind; slow workers are left

Changes: a step's question covers what its queue's learned share of allowed workers makes likely to do; steps ask in their order until they would fill the room that is free or turns over (an eighth of the pool); a gang whose tickets expired unused pauses, longer each time. Standing tasks always ask. Steps that can't meet their objective go behind those of their priority that can, and what would earn nothing goes last; late work displaces nothing. A task that has longer to go than its siblings took in all is moved and its worker suspected.

Tests: Pool.StepsBeyondTheRoomThatComesFreeDoNotAsk, StandingTasksAskHoweverFullThePoolIs, GangWhoseTicketsExpiredUnusedPauses, QuestionsNameMoreWorkersWhereFewAreAllowed, LateWorkGoesBehindWhatCanBeInTime, HopelessWorkGoesBehindLessUrgentWork, TaskOnASlowWorkerRunsElsewhere, TaskThatIsNearlyDoneStaysWhereItIs; Cell.OwnerThatWakesUpNoLongerHoldsTasksBack (fails without the new incarnation).

--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -154,6 +154,7 @@
 	struct ks_txn txn = {.put = &put, .put_count = 1};
 	uint8_t *value;
 
+	c->member_changed = false;
 	snprintf(key, sizeof(key), "%s%s", RP_MEMBER_PREFIX, c->settings->vm);
 	row.vm = c->settings->vm;
 	row.domain = c->settings->domain;
@@ -206,11 +207,27 @@
 	if (c->member_lease == 0)
 		f->keys->lease_grant(
 		    f->handle, CELL_MEMBER_LEASE_MS, cell_on_member_lease, c);
+	else if (c->member_changed)
+		cell_write_member(c);
 	else
 		f->keys->lease_renew(
 		    f->handle, c->member_lease, cell_on_member_renewed, c);
 }
 
+void
+cell_begin_incarnation(struct cell *c)
+{
+	uint64_t wall_us = (uint64_t)clk_wall_us();
+
+	/* The time of day may have been set back. */
+	c->incarnation =
+	    wall_us > c->incarnation ? wall_us : c->incarnation + 1;
+	lg_event(LG_INFO, "daemon", "incarnation", "incarnation",
+	    lg_i64((int64_t)c->incarnation), NULL);
+	c->member_changed = true;
+	c->member_at_us = clk_now_us();
+}
+
 void
 cell_ignore(const struct ks_answer *a, void *arg)
 {
--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -55,8 +55,7 @@
 	return cp_claim_hash(h->name, m->vm) < cp_claim_hash(h->name, own->vm);
 }
 
-/* Pools that this daemon owns or is about to own. */
-static uint32_t
+uint32_t
 cp_engaged(const struct cell *c)
 {
 	struct cp_host *h;
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -101,6 +101,8 @@
 	cp_end_lease(h);
 	h->state = CP_IDLE;
 	h->claim_at_us = clk_now_us() + CP_CLAIM_RETRY_US;
+	if (cp_engaged(h->cell) == 0)
+		cell_begin_incarnation(h->cell);
 }
 
 /* Callers have had their time to ask for a job that has ended. */
--- a/include/curranttackd/cell.h
+++ b/include/curranttackd/cell.h
@@ -25,6 +25,7 @@
 /**
  * struct cell - one daemon
  * @incarnation: tells this process from earlier ones on the same VM
+ * @member_changed: this daemon's entry in the key space is out of date
  * @draining: asked to stop
  * @store_ok_us: when the key space last answered
  * @pools: hosts of the pools, owned or not
@@ -44,6 +45,7 @@
 	uint64_t incarnation;
 	uint64_t member_lease;
 	bool member_busy;
+	bool member_changed;
 	int64_t member_at_us;
 	bool draining;
 	int64_t drain_us;
@@ -62,6 +64,15 @@
 /** cell_ignore() - for writes whose outcome the watch shows */
 void cell_ignore(const struct ks_answer *a, void *arg);
 
+/**
+ * cell_begin_incarnation() - nothing that this daemon did so far goes on
+ * @c: cell; must not own or claim a pool
+ *
+ * For the next owner of a pool that this daemon has lost: it need not wait as
+ * long as for one that may still be frozen.
+ */
+void cell_begin_incarnation(struct cell *c);
+
 /** cell_wall_to_us() - what added to a wall clock gives the steady clock */
 int64_t cell_wall_to_us(void);
 
--- a/include/state/job.h
+++ b/include/state/job.h
@@ -181,6 +181,13 @@
  */
 int64_t jb_chain_ms(const struct jb_spec *spec);
 
+/**
+ * jb_chain_from_ms() - longest chain of estimates that begins with a step
+ * @spec: job
+ * @step: its first step
+ */
+int64_t jb_chain_from_ms(const struct jb_spec *spec, uint32_t step);
+
 /** jb_occurrences() - how often the steps run */
 uint32_t jb_occurrences(const struct jb_spec *spec);
 
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -68,7 +68,7 @@
  * @percent: what the worker last reported
  * @figure: load that the worker last reported: ms for a task that serves
  * @moved_us: when @percent last changed
- * @stuck: times that it was moved because it stood still
+ * @stuck: times that it was moved because it stood still or was slow
  * @pace: share at which it may work, in percent
  * @avoid: workers on which it failed, avoided until @avoid_until_us
  */
@@ -119,19 +119,40 @@
 	char text[WP_TICKET_BYTES];
 };
 
+/** struct wp_share - of the workers that questions of a queue named, how many
+ * were allowed; older answers count less
+ */
+struct wp_share {
+	char *queue;
+	uint32_t asked;
+	uint32_t good;
+	UT_hash_handle hh;
+};
+
+/** enum wp_outlook - whether a step's job can still meet its objective */
+enum wp_outlook {
+	WP_IN_TIME,
+	WP_LATE,     /* it will miss its objective */
+	WP_HOPELESS, /* and be so late that it earns its caller nothing */
+};
+
 /**
  * struct wp_step - one occurrence of a step
  * @waiting: tasks in WP_WAITING
  * @open: tasks that have not ended well
+ * @outlook: at the last look; orders the steps that may start
  * @ready: the steps before it have ended
  * @near: the steps before it are about to end
  * @near_listed: it is on the pool's list of such steps
  * @gang_failed: runs of the gang that failed
+ * @ran_us: time that runs took that ended well, @ran_count of them
  * @ticket: answers of the advice service, @ticket_count of them
  * @ticket_at: for each worker's slot, one more than its answer's position;
  *	0 for none; @ticket_slots of them
  * @asks_out: requests for advice that are unanswered
  * @asked_places: places on the workers that these name
+ * @has_tickets: at the last look, tickets for all its waiting tasks
+ * @unused: times in a row that such tickets expired unused
  * @ask_again_us: no earlier request for advice
  * @try_again_us: until then only workers that have changed are looked at
  */
@@ -142,16 +163,21 @@
 	struct wp_task *task;
 	uint32_t waiting;
 	uint32_t open;
+	enum wp_outlook outlook;
 	bool ready;
 	bool near;
 	bool near_listed;
 	uint32_t gang_failed;
+	int64_t ran_us;
+	uint32_t ran_count;
 	struct wp_ticket *ticket;
 	uint32_t ticket_count;
 	uint16_t *ticket_at;
 	uint32_t ticket_slots;
 	uint32_t asks_out;
 	uint32_t asked_places;
+	bool has_tickets;
+	uint32_t unused;
 	int64_t ask_again_us;
 	int64_t try_again_us;
 	struct wp_step *prev;
@@ -441,6 +467,7 @@
  * @unconfirmed: a later owner may exist, and may renew leases of workers
  * @strangers_until_us: until then earlier owners may act on workers
  * @began_us: first tick
+ * @shares: what advice has allowed, by queue
  * @worker_slots: workers that there have been
  * @worker_at: worker of each slot
  * @end_seq: ends that were read from workers
@@ -457,6 +484,7 @@
 	struct wp_job *jobs;
 	struct wp_job *dirty;
 	struct wp_worker *workers;
+	struct wp_share *shares;
 	uint32_t worker_slots;
 	struct wp_worker **worker_at;
 	struct wp_step *ready;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -19,6 +19,8 @@
 /* A worker's clock may be slow by 2%. */
 #define WP_CLOCK_SLOW_PER_MILLE 980
 #define WP_FULL_PACE 100
+/* A start has to arrive before its ticket expires. */
+#define WP_TICKET_MARGIN_US (100 * CLK_US_PER_MS)
 /* Pause before a task starts again, and before an order is sent again. */
 #define WP_RETRY_US (100 * CLK_US_PER_MS)
 #define WP_RESEND_US (400 * CLK_US_PER_MS)
@@ -83,6 +85,10 @@
 void wp_step_ready(struct wp_pool *p, struct wp_step *s);
 /** wp_occurrence_advance() - ready the steps whose earlier ones have ended */
 void wp_occurrence_advance(struct wp_pool *p, struct wp_occurrence *occ);
+/** wp_step_unlist() - take a step off those that may start */
+void wp_step_unlist(struct wp_pool *p, struct wp_step *s);
+/** wp_outlooks_tick() - see which steps can't be in time any more */
+void wp_outlooks_tick(struct wp_pool *p, int64_t now_us);
 /** wp_step_update() - keep a step listed while it has waiting tasks */
 void wp_step_update(struct wp_pool *p, struct wp_step *s);
 
@@ -106,6 +112,14 @@
 /** wp_ticket_valid() - ticket text that a start may carry, or NULL */
 const char *wp_ticket_valid(
     const struct wp_step *s, const struct wp_worker *w, int64_t now_us);
+/** wp_ticket_get() - answer about a worker in its present life; made if none */
+struct wp_ticket *wp_ticket_get(
+    const struct wp_pool *p, struct wp_step *s, const struct wp_worker *w);
+/** wp_learn_share() - so many of the workers named in a question were allowed */
+void wp_learn_share(
+    struct wp_pool *p, const struct wp_step *s, uint32_t asked, uint32_t good);
+/** wp_ask_most() - workers that a question of a queue may name */
+uint32_t wp_ask_most(const struct jb_policy *policy);
 /** wp_look_ahead() - have advice asked for before a step is ready */
 void wp_look_ahead(struct wp_pool *p, struct wp_step *s, int64_t now_us);
 /** wp_needs_advice() - whether the step's queue asks for tickets */
--- a/state/job.c
+++ b/state/job.c
@@ -97,6 +97,26 @@
 	return longest_ms;
 }
 
+int64_t
+jb_chain_from_ms(const struct jb_spec *spec, uint32_t step)
+{
+	/* First the longest chain after a step, then with the step itself. */
+	int64_t tail_ms[JB_MAX_STEPS] = {0};
+	uint32_t i;
+	uint32_t j;
+
+	for (i = spec->step_count; i-- > step;) {
+		const struct jb_step *s = &spec->step[i];
+
+		tail_ms[i] += s->estimate_ms;
+		for (j = 0; j < s->after_count; j++) {
+			if (tail_ms[i] > tail_ms[s->after[j]])
+				tail_ms[s->after[j]] = tail_ms[i];
+		}
+	}
+	return tail_ms[step];
+}
+
 uint32_t
 jb_occurrences(const struct jb_spec *spec)
 {
--- a/state/pool.c
+++ b/state/pool.c
@@ -285,6 +285,7 @@
 	wp_workers_tick(p, now_us);
 	wp_settle_held(p, now_us);
 	wp_jobs_tick(p, now_us);
+	wp_outlooks_tick(p, now_us);
 	wp_schedule(p, now_us);
 }
 
--- /dev/null
+++ b/state/pool_ask.c
@@ -0,0 +1,354 @@
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "state/pool_internal.h"
+
+/*
+ * Which questions for advice go out.
+ *
+ * A ticket expires soon, so a question about a step that finds no room before
+ * that is lost, and keeps others waiting. Steps ask in their order until the
+ * tasks in question would fill the room that is free or will be shortly.
+ */
+
+#define WP_ASK_AGAIN_US (50 * CLK_US_PER_MS)
+#define WP_NOT_WORTH_ASKING UINT32_MAX
+#define WP_MAX_FIT 64
+/* A wide step asks several daemons at the same time. */
+#define WP_MAX_ASKS_OUT 4
+/* Workers that a question may name however short the decision is. */
+#define WP_LEAST_NAMED 12
+/* Asked beyond what a step probably needs: one part of so many, and some. */
+#define WP_ASK_SPARE_PART 4
+#define WP_ASK_SPARE 4
+#define WP_MAX_PLACES 1000
+/* Share of workers that is allowed, before anything is known; its memory. */
+#define WP_SHARE_ASKED 100
+#define WP_SHARE_GOOD 35
+#define WP_SHARE_MEMORY 2000
+/* Part of a pool that is expected to become free while a question is out. */
+#define WP_TURNOVER_PART 8
+/* Pause after tickets that expired unused, doubled each time. */
+#define WP_UNUSED_PAUSE_US (250 * CLK_US_PER_MS)
+#define WP_MAX_UNUSED 4
+
+static struct wp_share *
+wp_share_of(struct wp_pool *p, const struct wp_step *s)
+{
+	const char *queue = s->occ->job->spec->queue;
+	struct wp_share *share;
+
+	HASH_FIND_STR(p->shares, queue, share);
+	if (share != NULL)
+		return share;
+	share = talloc_zero(p, struct wp_share);
+	if (share == NULL)
+		abort();
+	share->queue = talloc_strdup(share, queue);
+	share->asked = WP_SHARE_ASKED;
+	share->good = WP_SHARE_GOOD;
+	HASH_ADD_KEYPTR(
+	    hh, p->shares, share->queue, strlen(share->queue), share);
+	return share;
+}
+
+void
+wp_learn_share(
+    struct wp_pool *p, const struct wp_step *s, uint32_t asked, uint32_t good)
+{
+	struct wp_share *share = wp_share_of(p, s);
+
+	share->asked += asked;
+	share->good += good;
+	if (share->asked > WP_SHARE_MEMORY) {
+		share->asked /= 2;
+		share->good /= 2;
+	}
+}
+
+/* Places to ask about: not all are allowed, and some are taken meanwhile. */
+static uint32_t
+wp_places_wanted(struct wp_pool *p, const struct wp_step *s)
+{
+	const struct wp_share *share = wp_share_of(p, s);
+	uint64_t places = (uint64_t)s->waiting * share->asked /
+	    (share->good > 0 ? share->good : 1);
+
+	places += places / WP_ASK_SPARE_PART + WP_ASK_SPARE;
+	return places < WP_MAX_PLACES ? (uint32_t)places : WP_MAX_PLACES;
+}
+
+static bool
+wp_step_may_ask(struct wp_pool *p, const struct wp_step *s, int64_t now_us)
+{
+	return wp_needs_advice(s) && s->asks_out < WP_MAX_ASKS_OUT &&
+	    now_us >= s->ask_again_us && s->waiting > 0 &&
+	    s->asked_places < wp_places_wanted(p, s);
+}
+
+static uint32_t
+wp_fit_count(const struct wp_worker *w, const struct wp_room *need)
+{
+	struct wp_room left = wp_free_room(w);
+	int64_t n = WP_MAX_FIT;
+
+	if (need->cpu_mcpu > 0 && left.cpu_mcpu / need->cpu_mcpu < n)
+		n = left.cpu_mcpu / need->cpu_mcpu;
+	if (need->mem_mb > 0 && left.mem_mb / need->mem_mb < n)
+		n = left.mem_mb / need->mem_mb;
+	if (need->gpu > 0 && left.gpu / need->gpu < n)
+		n = left.gpu / need->gpu;
+	return n > 0 ? (uint32_t)n : 0;
+}
+
+/* Tasks of a step that a worker has room for, as far as the step allows. */
+static uint32_t
+wp_places_on(const struct wp_step *s, const struct wp_worker *w,
+    const struct wp_room *need)
+{
+	uint32_t fit = wp_fit_count(w, need);
+	uint32_t spare = wp_spare_places(s, w);
+
+	return fit < spare ? fit : spare;
+}
+
+/* Tasks of the step that could start on tickets at hand. */
+static uint32_t
+wp_tickets_at_hand(struct wp_pool *p, const struct wp_step *s, int64_t now_us)
+{
+	struct wp_room need = wp_need(s->spec);
+	struct wp_scan scan;
+	struct wp_worker *w;
+	uint32_t n = 0;
+
+	wp_scan_begin(&scan, p, s);
+	while ((w = wp_scan_next(&scan)) != NULL) {
+		if (wp_fits(w, &need) && wp_may_take(s, w, now_us) &&
+		    wp_has_taker(s, w, now_us))
+			n += wp_places_on(s, w, &need);
+	}
+	return n;
+}
+
+/* Steps begin at different workers, so that they do not all want the same. */
+static uint32_t
+wp_step_hash(const struct wp_step *s)
+{
+	const char *c;
+	uint32_t h = s->occ->number * 31 + s->number;
+
+	for (c = s->occ->job->spec->id; *c != '\0'; c++)
+		h = h * 31 + (uint8_t)*c;
+	return h;
+}
+
+/* Naming workers may take about as long as the decision itself. */
+uint32_t
+wp_ask_most(const struct jb_policy *policy)
+{
+	uint32_t n = WP_MAX_ASK;
+
+	if (policy->advice_period_us > 0)
+		n = policy->advice_decide_us / policy->advice_period_us;
+	if (n > WP_MAX_ASK)
+		return WP_MAX_ASK;
+	return n < WP_LEAST_NAMED ? WP_LEAST_NAMED : n;
+}
+
+/* What is worth asking of a worker for a step: how many of its tasks fit. */
+static uint32_t
+wp_worth_asking(const struct wp_step *s, const struct wp_worker *w,
+    const struct wp_room *need, int64_t now_us)
+{
+	const struct wp_ticket *ticket;
+
+	if (!wp_usable(w, now_us) || !wp_may_run(s, w))
+		return WP_NOT_WORTH_ASKING;
+	ticket = wp_ticket_find(s, w);
+	if (ticket != NULL && ticket->asked)
+		return WP_NOT_WORTH_ASKING;
+	if (ticket != NULL && ticket->known &&
+	    (!ticket->good ||
+		now_us + WP_TICKET_MARGIN_US <= ticket->expires_us))
+		return WP_NOT_WORTH_ASKING;
+	/* A worker that is known to be good is asked again for its room. */
+	if (ticket != NULL && ticket->known && !wp_fits(w, need))
+		return WP_NOT_WORTH_ASKING;
+	if (wp_spare_places(s, w) == 0 || !wp_has_taker(s, w, now_us))
+		return WP_NOT_WORTH_ASKING;
+	return wp_places_on(s, w, need);
+}
+
+/* A question that is being put together. */
+struct wp_asking {
+	struct wp_ask *ask;
+	struct wp_room need;
+	uint32_t most;
+	uint32_t wanted;
+	uint32_t expected;
+};
+
+/*
+ * The answer takes longer for each worker named, so as few are named as will
+ * probably do.
+ */
+static void
+wp_ask_some(const struct wp_pool *p, const struct wp_step *s,
+    struct wp_asking *a, bool with_room, int64_t now_us)
+{
+	uint32_t count = HASH_COUNT(p->workers);
+	uint32_t skip = count > 0 ? wp_step_hash(s) % count : 0;
+	struct wp_worker *w = p->workers;
+	uint32_t i;
+
+	for (i = 0; i < skip; i++)
+		w = w->hh.next;
+	for (i = 0; i < count; i++, w = w->hh.next) {
+		uint32_t fit;
+
+		if (w == NULL)
+			w = p->workers;
+		if (a->ask->worker_count >= a->most || a->expected >= a->wanted)
+			return;
+		fit = wp_worth_asking(s, w, &a->need, now_us);
+		if (fit == WP_NOT_WORTH_ASKING || (fit > 0) != with_room)
+			continue;
+		a->ask->worker[a->ask->worker_count++] = w->id;
+		a->expected += fit > 0 ? fit : 1;
+	}
+}
+
+static bool
+wp_fill_ask(
+    struct wp_pool *p, struct wp_step *s, int64_t now_us, struct wp_ask *ask)
+{
+	const struct jb_spec *spec = s->occ->job->spec;
+	struct wp_asking a = {
+	    .ask = ask,
+	    .need = wp_need(s->spec),
+	    .most = wp_ask_most(&spec->policy),
+	    .wanted = wp_places_wanted(p, s) - s->asked_places,
+	};
+	uint32_t i;
+
+	ask->worker_count = 0;
+	wp_ask_some(p, s, &a, true, now_us);
+	wp_ask_some(p, s, &a, false, now_us);
+	if (ask->worker_count == 0)
+		return false;
+	memcpy(ask->job, spec->id, sizeof(ask->job));
+	ask->occurrence = s->occ->number;
+	ask->step = s->number;
+	ask->decide_us = spec->policy.advice_decide_us;
+	ask->period_us = spec->policy.advice_period_us;
+	ask->valid_ms = spec->policy.advice_valid_ms;
+	ask->priority = spec->policy.priority;
+	ask->places = a.expected;
+	s->asks_out++;
+	s->asked_places += a.expected;
+	for (i = 0; i < ask->worker_count; i++)
+		wp_ticket_get(p, s, wp_find_worker(p, ask->worker[i]))->asked =
+		    true;
+	p->stats.asks++;
+	return true;
+}
+
+/* Room that is free, and a part of what is taken. */
+static struct wp_room
+wp_room_ahead(const struct wp_pool *p, int64_t now_us)
+{
+	struct wp_room ahead = {0};
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp) {
+		struct wp_room left;
+
+		if (!wp_usable(w, now_us))
+			continue;
+		left = wp_free_room(w);
+		wp_room_add(&ahead, &left, 1);
+		ahead.cpu_mcpu += w->capacity.cpu_mcpu / WP_TURNOVER_PART;
+		ahead.mem_mb += w->capacity.mem_mb / WP_TURNOVER_PART;
+		ahead.gpu += w->capacity.gpu / WP_TURNOVER_PART;
+	}
+	return ahead;
+}
+
+/* Whether the steps before have asked for all the room that a step needs. */
+static bool
+wp_is_spoken_for(const struct wp_room *ahead, const struct wp_room *need)
+{
+	return (need->cpu_mcpu > 0 && ahead->cpu_mcpu <= 0) ||
+	    (need->mem_mb > 0 && ahead->mem_mb <= 0) ||
+	    (need->gpu > 0 && ahead->gpu <= 0);
+}
+
+static void
+wp_speak_for(struct wp_room *ahead, const struct wp_step *s)
+{
+	struct wp_room need = wp_need(s->spec);
+
+	ahead->cpu_mcpu -= need.cpu_mcpu * s->waiting;
+	ahead->mem_mb -= need.mem_mb * s->waiting;
+	ahead->gpu -= need.gpu * s->waiting;
+}
+
+/* Tickets that ran out before there was room: others go first for a while. */
+static void
+wp_note_unused(struct wp_step *s, int64_t now_us)
+{
+	s->has_tickets = false;
+	if (s->spec->flags & JB_LASTING)
+		return;
+	s->ask_again_us = now_us + (WP_UNUSED_PAUSE_US << s->unused);
+	if (s->unused < WP_MAX_UNUSED)
+		s->unused++;
+}
+
+/* Whether a step should ask now, given the room that is left for it. */
+static bool
+wp_wants_ask(struct wp_pool *p, struct wp_step *s, const struct wp_room *ahead,
+    int64_t now_us)
+{
+	struct wp_room need = wp_need(s->spec);
+	bool had = s->has_tickets;
+
+	if (!wp_step_may_ask(p, s, now_us))
+		return false;
+	s->ask_again_us = now_us + WP_ASK_AGAIN_US;
+	s->has_tickets = wp_tickets_at_hand(p, s, now_us) >= s->waiting;
+	if (s->has_tickets)
+		return false;
+	if (had && s->asks_out == 0 && (s->spec->flags & JB_GANG)) {
+		wp_note_unused(s, now_us);
+		return false;
+	}
+	return (s->spec->flags & JB_LASTING) || !wp_is_spoken_for(ahead, &need);
+}
+
+bool
+wp_next_ask(struct wp_pool *p, int64_t now_us, struct wp_ask *ask)
+{
+	struct wp_room ahead = wp_room_ahead(p, now_us);
+	struct wp_step *s;
+
+	DL_FOREACH(p->ready, s) {
+		if (!wp_needs_advice(s))
+			continue;
+		if (wp_wants_ask(p, s, &ahead, now_us) &&
+		    wp_fill_ask(p, s, now_us, ask))
+			return true;
+		if (s->asks_out > 0 || s->has_tickets)
+			wp_speak_for(&ahead, s);
+	}
+	/* Once is enough: the rest is asked for when the step is ready. */
+	DL_FOREACH2(p->near, s, near_next)
+	{
+		if (wp_step_may_ask(p, s, now_us) && s->ticket_count == 0 &&
+		    wp_fill_ask(p, s, now_us, ask))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/state/pool_outlook.c
@@ -0,0 +1,45 @@
+#include <utlist.h>
+
+#include "state/pool_internal.h"
+
+/* A job that ends later than this many times its objective earns nothing. */
+#define WP_HOPELESS_TIMES 3
+/* Estimates are off by half and more: only a part of one is counted on. */
+#define WP_SURE_PART 2
+
+static enum wp_outlook
+wp_outlook_of(const struct wp_step *s, int64_t now_us)
+{
+	const struct wp_job *job = s->occ->job;
+	int64_t left_us = jb_chain_from_ms(job->spec, s->number) *
+	    CLK_US_PER_MS / WP_SURE_PART;
+	int64_t begun_us = job->arrived_us;
+	int64_t allowed_us = job->objective_us - job->arrived_us;
+	int64_t ends_us = now_us + left_us;
+
+	/* Without an objective, or for work that lasts, nothing is late. */
+	if (allowed_us <= 0 || (s->spec->flags & (JB_LASTING | JB_FILLER)))
+		return WP_IN_TIME;
+	if (s->occ->due_us > begun_us)
+		begun_us = s->occ->due_us;
+	if (ends_us > begun_us + WP_HOPELESS_TIMES * allowed_us)
+		return WP_HOPELESS;
+	return ends_us > begun_us + allowed_us ? WP_LATE : WP_IN_TIME;
+}
+
+void
+wp_outlooks_tick(struct wp_pool *p, int64_t now_us)
+{
+	struct wp_step *s;
+	struct wp_step *tmp;
+
+	DL_FOREACH_SAFE(p->ready, s, tmp) {
+		enum wp_outlook outlook = wp_outlook_of(s, now_us);
+
+		if (outlook == s->outlook)
+			continue;
+		wp_step_unlist(p, s);
+		s->outlook = outlook;
+		wp_step_update(p, s);
+	}
+}
--- a/state/pool_preempt.c
+++ b/state/pool_preempt.c
@@ -99,10 +99,13 @@
 	struct wp_room need = wp_need(s->spec);
 	struct wp_worker *best = NULL;
 	uint32_t best_victims = UINT32_MAX;
+	struct wp_scan scan;
 	struct wp_worker *w;
-	struct wp_worker *tmp;
 
-	HASH_ITER(hh, p->workers, w, tmp) {
+	if (s->outlook != WP_IN_TIME)
+		return false;
+	wp_scan_begin(&scan, p, s);
+	while ((w = wp_scan_next(&scan)) != NULL) {
 		uint32_t victims;
 
 		if (!wp_may_take(s, w, now_us))
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -177,6 +177,7 @@
 	wp_task_attach(t, w);
 	t->state = WP_STARTING;
 	t->step->waiting--;
+	t->step->unused = 0;
 	t->run = run;
 	t->sends = 0;
 	t->started_us = now_us;
@@ -245,7 +246,11 @@
 	wp_pool_order(p, WP_ORDER_STOP, t->w, &ref, t->run);
 }
 
-/* More urgent priorities first, then earlier objectives. */
+/*
+ * For loads beyond what the workers can do: work that would earn its caller
+ * nothing comes last, then go more urgent priorities, and among equals what
+ * can still be in time, earlier objectives first.
+ */
 static int
 wp_compare_steps(const struct wp_step *a, const struct wp_step *b)
 {
@@ -254,8 +259,12 @@
 	uint32_t pa = ja->spec->policy.priority;
 	uint32_t pb = jb->spec->policy.priority;
 
+	if ((a->outlook == WP_HOPELESS) != (b->outlook == WP_HOPELESS))
+		return a->outlook == WP_HOPELESS ? 1 : -1;
 	if (pa != pb)
 		return pa < pb ? -1 : 1;
+	if (a->outlook != b->outlook)
+		return a->outlook < b->outlook ? -1 : 1;
 	if (ja->objective_us != jb->objective_us)
 		return ja->objective_us < jb->objective_us ? -1 : 1;
 	if (ja != jb)
@@ -279,6 +288,14 @@
 	s->near_listed = wanted;
 }
 
+void
+wp_step_unlist(struct wp_pool *p, struct wp_step *s)
+{
+	DL_DELETE(p->ready, s);
+	s->prev = NULL;
+	s->next = NULL;
+}
+
 void
 wp_step_update(struct wp_pool *p, struct wp_step *s)
 {
@@ -287,11 +304,8 @@
 
 	if (wanted && !listed)
 		DL_INSERT_INORDER(p->ready, s, wp_compare_steps);
-	if (!wanted && listed) {
-		DL_DELETE(p->ready, s);
-		s->prev = NULL;
-		s->next = NULL;
-	}
+	if (!wanted && listed)
+		wp_step_unlist(p, s);
 	wp_step_update_near(p, s);
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -20,6 +20,10 @@
 /* It may be the task, not the workers, that is slow. */
 #define WP_MAX_STUCK 2
 #define WP_MAX_SENDS 3
+/* Ends of other tasks of a step that tell how long one usually takes. */
+#define WP_SLOW_SIBLINGS 3
+/* What stopping a task and starting it elsewhere takes. */
+#define WP_SLOW_MOVE_US (300 * CLK_US_PER_MS)
 
 struct wp_worker *
 wp_find_worker(struct wp_pool *p, const char *id)
@@ -240,6 +244,8 @@
 	switch (end->how) {
 	case WP_END_DONE:
 		w->failures = 0;
+		t->step->ran_us += now_us - t->started_us;
+		t->step->ran_count++;
 		if (t->step->spec->flags & JB_LASTING) {
 			wp_task_requeue(t, now_us);
 			return;
@@ -665,17 +671,44 @@
 	return WP_STUCK_US;
 }
 
-/* The lists show no progress of a task that nothing holds back. */
+/* Whether a task's own progress can be held against its worker. */
 static bool
-wp_is_stuck(const struct wp_worker *w, const struct wp_task *t)
+wp_may_be_moved(const struct wp_task *t)
 {
 	return t->state == WP_RUNNING && t->pace == WP_FULL_PACE &&
 	    t->stuck < WP_MAX_STUCK &&
-	    !(t->step->spec->flags & (JB_LASTING | JB_GANG | JB_FILLER)) &&
-	    w->clock_at_us - t->moved_us > wp_stuck_after_us(t);
+	    !(t->step->spec->flags & (JB_LASTING | JB_GANG | JB_FILLER));
+}
+
+/* The lists show no progress of a task that nothing holds back. */
+static bool
+wp_is_stuck(const struct wp_worker *w, const struct wp_task *t)
+{
+	return w->clock_at_us - t->moved_us > wp_stuck_after_us(t);
+}
+
+/*
+ * Tasks of a step are alike: one that has longer to go than most of the others
+ * took in all, with a new start added, is on a slow worker.
+ */
+static bool
+wp_is_slow(const struct wp_worker *w, const struct wp_task *t)
+{
+	const struct wp_step *s = t->step;
+	int64_t so_far_us = w->clock_at_us - t->started_us;
+	int64_t percent = t->percent > 0 ? t->percent : 1;
+	int64_t left_us = so_far_us * 100 / percent - so_far_us;
+	int64_t usual_us;
+
+	if (s->ran_count < WP_SLOW_SIBLINGS ||
+	    s->ran_count * 2 < s->spec->count)
+		return false;
+	usual_us = s->ran_us / s->ran_count;
+	return so_far_us > usual_us * 3 / 2 &&
+	    left_us > usual_us + WP_SLOW_MOVE_US;
 }
 
-/* For workers on which tasks stand still though they answer. */
+/* For workers on which tasks stand still or crawl though they answer. */
 static void
 wp_leave_stuck(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
 {
@@ -685,7 +718,8 @@
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		struct jb_ref ref;
 
-		if (!wp_is_stuck(w, t))
+		if (!wp_may_be_moved(t) ||
+		    (!wp_is_stuck(w, t) && !wp_is_slow(w, t)))
 			continue;
 		wp_task_ref(t, &ref);
 		wp_note_failure(w, &ref, now_us);
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <thread>
+
 #include "cell_daemon.h"
 
 /* Daemons of the cell as real processes, beside the platform's stand-in. */
@@ -323,6 +326,28 @@
 	expect_clean();
 }
 
+/*
+ * What ran on a worker that does not answer waits until the earlier owner can't
+ * renew its lease any more: no longer than a lease after that owner woke up.
+ */
+TEST_F(Cell, OwnerThatWakesUpNoLongerHoldsTasksBack)
+{
+	start_daemons(3);
+	EXPECT_EQ(submit(0, 1, 8, 3000).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") == 8; }));
+	size_t paused = owner();
+
+	daemons[paused]->signal(SIGSTOP);
+	http("POST", control + "/_worker", "{\"worker\":1,\"off\":true}");
+	EXPECT_TRUE(eventually([&] { return owner() != paused; }, 10000));
+	std::this_thread::sleep_for(std::chrono::seconds(1));
+	daemons[paused]->signal(SIGCONT);
+	/* A lease of 3.4 s, and the work of 3 s; without the news 13.4 s. */
+	EXPECT_TRUE(eventually(
+	    [&] { return state(owner(), 1) == "completed"; }, 10000));
+	expect_clean();
+}
+
 class RelayedCell : public Cell
 {
       protected:
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1317,4 +1317,184 @@
 	EXPECT_TRUE(wp_next_ask(p, now, &ask));
 }
 
+/*
+ * Load: far more steps wait than there is room. A question about one that will
+ * find none keeps those waiting that would.
+ */
+TEST_F(Pool, StepsBeyondTheRoomThatComesFreeDoNotAsk)
+{
+	struct wp_ask ask;
+	int asks = 0;
+
+	begin();
+	for (int i = 0; i < 4; i++)
+		ready_worker("w" + std::to_string(i), 8000);
+	for (int n = 0; n < 50; n++)
+		add(job_id(n), {{4, 1000}}, nullptr, true, 2000);
+	tick();
+	while (wp_next_ask(p, now, &ask))
+		asks++;
+	/* 32 cores and an eighth of them again, for jobs of four each. */
+	EXPECT_GE(asks, 8);
+	EXPECT_LE(asks, 10);
+}
+
+TEST_F(Pool, StandingTasksAskHoweverFullThePoolIs)
+{
+	struct wp_ask ask;
+
+	begin();
+	ready_worker("w", 4000);
+	ready_worker("v", 4000);
+	for (int n = 0; n < 20; n++)
+		add(job_id(n), {{4, 1000}}, nullptr, true, 2000);
+	add(kJob, {{1, 1000, JB_LASTING}}, nullptr, true, 2000);
+	tick();
+	bool asked = false;
+	while (wp_next_ask(p, now, &ask))
+		asked |= kJob == ask.job;
+	EXPECT_TRUE(asked);
+}
+
+/* Load: a gang that has tickets and finds no room for all of its members. */
+TEST_F(Pool, GangWhoseTicketsExpiredUnusedPauses)
+{
+	struct wp_ask ask;
+	struct wp_advice good[] = {{"w", "t"}, {"v", "t"}};
+
+	begin();
+	ready_worker("w", 4000);
+	ready_worker("v", 4000);
+	add(kJob, {{2, 4000, JB_GANG}}, nullptr, true, 2000);
+	tick();
+	ASSERT_TRUE(wp_next_ask(p, now, &ask));
+	wp_on_advice(p, &ask, true, good, 2, now, now);
+	p->draining = true;
+	EXPECT_FALSE(wp_next_ask(p, now, &ask));
+	now += 3 * kS;
+	EXPECT_FALSE(wp_next_ask(p, now, &ask));
+	now += 200 * kMs;
+	EXPECT_FALSE(wp_next_ask(p, now, &ask));
+	now += 100 * kMs;
+	EXPECT_TRUE(wp_next_ask(p, now, &ask));
+}
+
+TEST_F(Pool, QuestionsNameMoreWorkersWhereFewAreAllowed)
+{
+	struct wp_ask ask;
+	uint32_t first = 0;
+
+	begin();
+	for (int i = 0; i < 200; i++)
+		ready_worker("w" + std::to_string(i), 1000);
+	for (int n = 0; n < 40; n++) {
+		struct jb_spec *s = spec(job_id(n), {{4, 1000}}, 2000);
+		struct wp_advice good;
+		s->policy.advice_decide_us = 100000;
+		s->policy.advice_period_us = 1000;
+		struct wp_job *job = wp_add_job(p, s, nullptr, true, 0, now);
+		tick();
+		ASSERT_TRUE(wp_next_ask(p, now, &ask));
+		if (n == 0)
+			first = ask.worker_count;
+		/* Hardly any is allowed. */
+		good = {ask.worker[0], "t"};
+		wp_on_advice(p, &ask, true, &good, n % 2, now, now);
+		wp_cancel_job(p, job, now);
+		run_all();
+	}
+	EXPECT_GT(ask.worker_count, 2 * first);
+}
+
+/*
+ * Load: more than the workers can do for long. Work that can't be in time any
+ * more must not make the rest late as well.
+ */
+TEST_F(Pool, LateWorkGoesBehindWhatCanBeInTime)
+{
+	begin();
+	struct jb_spec *late = spec(kJob, {{1, 4000}});
+	struct jb_spec *good = spec(kOther, {{1, 4000}});
+	late->step[0].estimate_ms = 1000;
+	good->step[0].estimate_ms = 1000;
+	wp_add_job(p, late, nullptr, true, 0, now);
+	now += 3 * kS;
+	good->accepted_wall_ms = now / kMs;
+	wp_add_job(p, good, nullptr, true, 0, now);
+	ready_worker("w", 4000);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->ref.job, kOther.c_str());
+}
+
+TEST_F(Pool, HopelessWorkGoesBehindLessUrgentWork)
+{
+	begin();
+	struct jb_spec *hopeless = spec(kJob, {{1, 4000}});
+	struct jb_spec *other = spec(kOther, {{1, 4000}});
+	hopeless->step[0].estimate_ms = 1000;
+	other->step[0].estimate_ms = 1000;
+	other->policy.priority = 2;
+	wp_add_job(p, hopeless, nullptr, true, 0, now);
+	now += 20 * kS;
+	other->accepted_wall_ms = now / kMs;
+	wp_add_job(p, other, nullptr, true, 0, now);
+	ready_worker("w", 4000);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->ref.job, kOther.c_str());
+	/* It is done all the same once there is room. */
+	now += kS;
+	hold("w", {}, {{1, kOther, 0, 0, 1, WP_END_DONE}});
+	orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->ref.job, kJob.c_str());
+}
+
+/* Load: some workers have turned slow and report nothing wrong. */
+TEST_F(Pool, TaskOnASlowWorkerRunsElsewhere)
+{
+	begin();
+	ready_worker("w", 3000);
+	ready_worker("slow", 1000);
+	add(kJob, {{4, 1000}});
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 4U);
+	std::vector<End> ends;
+	uint32_t crawls = 0;
+	for (const struct wp_order *o : orders) {
+		if (std::string(o->worker) == "slow")
+			crawls = o->ref.index;
+		else
+			ends.push_back({ends.size() + 1, kJob, 0, o->ref.index,
+			    1, WP_END_DONE});
+	}
+	ASSERT_EQ(ends.size(), 3U);
+	now += kS;
+	hold("w", {}, ends);
+	hold("slow", {{kJob, 0, crawls, 1, 0, 20}});
+	EXPECT_TRUE(tick().empty());
+	now += 600 * kMs;
+	hold("slow", {{kJob, 0, crawls, 1, 0, 30}});
+	orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	EXPECT_STREQ(orders[0]->worker, "slow");
+}
+
+TEST_F(Pool, TaskThatIsNearlyDoneStaysWhereItIs)
+{
+	begin();
+	ready_worker("w", 4000);
+	add(kJob, {{4, 1000}});
+	ASSERT_EQ(run_all().size(), 4U);
+	now += kS;
+	hold("w", {{kJob, 0, 3, 1, 0, 40}},
+	    {{1, kJob, 0, 0, 1, WP_END_DONE}, {2, kJob, 0, 1, 1, WP_END_DONE},
+		{3, kJob, 0, 2, 1, WP_END_DONE}});
+	now += 600 * kMs;
+	hold("w", {{kJob, 0, 3, 1, 0, 60}});
+	EXPECT_TRUE(tick().empty());
+}
+
 } // namespace
