state: late work goes behind less urgent work that can be in time; more of it in the log

Change: a step that is late goes behind every step that can be in time, but for the most urgent priority, which keeps its place.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -479,12 +479,16 @@
 	    "currant_pool_tasks_waiting{pool=\"%s\"} %u\n"
 	    "currant_pool_tasks_running{pool=\"%s\"} %u\n"
 	    "currant_pool_tasks_held{pool=\"%s\"} %u\n"
+	    "currant_pool_tasks_late{pool=\"%s\"} %u\n"
 	    "currant_pool_workers_usable{pool=\"%s\"} %u\n"
+	    "currant_pool_cpu_percent{pool=\"%s\"} %u\n"
+	    "currant_pool_gpu_percent{pool=\"%s\"} %u\n"
 	    "currant_pool_starts_total{pool=\"%s\"} %llu\n"
 	    "currant_pool_displaced_total{pool=\"%s\"} %llu\n"
 	    "currant_pool_asks_total{pool=\"%s\"} %llu\n",
 	    h->name, (unsigned long long)h->fence, h->name, n.jobs, h->name,
-	    n.waiting, h->name, n.running, h->name, n.held, h->name, n.usable,
+	    n.waiting, h->name, n.running, h->name, n.held, h->name, n.late,
+	    h->name, n.usable, h->name, n.cpu_percent, h->name, n.gpu_percent,
 	    h->name, (unsigned long long)s->starts, h->name,
 	    (unsigned long long)s->displaced, h->name,
 	    (unsigned long long)s->asks);
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -450,7 +450,13 @@
 	uint64_t passes;
 };
 
-/** struct wp_counts - tasks by state and workers by use */
+/**
+ * struct wp_counts - tasks by state and workers by use
+ * @cpu_percent: of the cores of usable workers, how much is taken
+ * @gpu_percent: of their accelerators
+ * @late: waiting tasks of steps that can't be in time any more
+ * @asking: steps with an unanswered question for advice
+ */
 struct wp_counts {
 	uint32_t jobs;
 	uint32_t waiting;
@@ -458,6 +464,10 @@
 	uint32_t held;
 	uint32_t usable;
 	uint32_t unfenced;
+	uint32_t cpu_percent;
+	uint32_t gpu_percent;
+	uint32_t late;
+	uint32_t asking;
 };
 
 /**
--- a/state/pool.c
+++ b/state/pool.c
@@ -312,10 +312,12 @@
 {
 	uint32_t i;
 
+	n->asking += s->asks_out > 0;
 	for (i = 0; i < s->spec->count; i++) {
 		switch (s->task[i].state) {
 		case WP_WAITING:
 			n->waiting += s->ready;
+			n->late += s->ready && s->outlook != WP_IN_TIME;
 			break;
 		case WP_HELD:
 			n->held++;
@@ -332,11 +334,19 @@
 	}
 }
 
+static uint32_t
+wp_percent(int64_t part, int64_t whole)
+{
+	return whole > 0 ? (uint32_t)(part * 100 / whole) : 0;
+}
+
 void
 wp_count(const struct wp_pool *p, int64_t now_us, struct wp_counts *n)
 {
 	struct wp_worker *w;
 	struct wp_worker *wnext;
+	struct wp_room used = {0};
+	struct wp_room all = {0};
 	struct wp_job *job;
 	struct wp_job *next;
 	uint32_t k;
@@ -346,7 +356,13 @@
 	HASH_ITER(hh, p->workers, w, wnext) {
 		n->usable += wp_usable(w, now_us);
 		n->unfenced += !w->fenced;
+		if (!wp_usable(w, now_us))
+			continue;
+		wp_room_add(&all, &w->capacity, 1);
+		wp_room_add(&used, &w->used, 1);
 	}
+	n->cpu_percent = wp_percent(used.cpu_mcpu, all.cpu_mcpu);
+	n->gpu_percent = wp_percent(used.gpu, all.gpu);
 	HASH_ITER(hh, p->jobs, job, next) {
 		if (jb_has_ended(job->state))
 			continue;
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -246,10 +246,19 @@
 	wp_pool_order(p, WP_ORDER_STOP, t->w, &ref, t->run);
 }
 
+/* The most urgent work goes before less urgent work even when it is late. */
+static enum wp_outlook
+wp_order_outlook(const struct wp_step *s)
+{
+	if (s->outlook == WP_LATE && s->occ->job->spec->policy.priority == 0)
+		return WP_IN_TIME;
+	return s->outlook;
+}
+
 /*
- * For loads beyond what the workers can do: work that would earn its caller
- * nothing comes last, then go more urgent priorities, and among equals what
- * can still be in time, earlier objectives first.
+ * For loads beyond what the workers can do: what can still be in time goes
+ * before what can't, and what would earn its caller nothing comes last; then
+ * go more urgent priorities, and among equals earlier objectives.
  */
 static int
 wp_compare_steps(const struct wp_step *a, const struct wp_step *b)
@@ -259,8 +268,8 @@
 	uint32_t pa = ja->spec->policy.priority;
 	uint32_t pb = jb->spec->policy.priority;
 
-	if ((a->outlook == WP_HOPELESS) != (b->outlook == WP_HOPELESS))
-		return a->outlook == WP_HOPELESS ? 1 : -1;
+	if (wp_order_outlook(a) != wp_order_outlook(b))
+		return wp_order_outlook(a) < wp_order_outlook(b) ? -1 : 1;
 	if (pa != pb)
 		return pa < pb ? -1 : 1;
 	if (a->outlook != b->outlook)
