curranttackd: small daemons of a large cell are woken and told less

Their tick runs every 100 ms. lg_i64() has room for a line of 32 numbers: the pool's state line had outgrown 8 and showed wrong ones.

--- a/common/log.c
+++ b/common/log.c
@@ -266,9 +266,9 @@
 const char *
 lg_i64(int64_t v)
 {
-	static __thread char ring[8][24];
+	static __thread char ring[32][24];
 	static __thread unsigned int next;
-	char *buf = ring[next++ % 8];
+	char *buf = ring[next++ % 32];
 
 	snprintf(buf, sizeof(ring[0]), "%" PRId64, v);
 	return buf;
--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -18,6 +18,8 @@
 #include "protocol/pack.h"
 
 #define CELL_TICK_US (25 * CLK_US_PER_MS)
+/* For a daemon that owns nothing and would not take a pool over. */
+#define CELL_IDLE_TICK_US (100 * CLK_US_PER_MS)
 #define CELL_MEMBER_LEASE_MS 4000
 #define CELL_MEMBER_RENEW_US (1000 * CLK_US_PER_MS)
 #define CELL_MEMBER_RETRY_US (300 * CLK_US_PER_MS)
@@ -262,12 +264,25 @@
 	loop_stop(c->loop);
 }
 
+/* A wake-up costs processor time, which most VMs of a large cell lack. */
+static void
+cell_pace_tick(struct cell *c)
+{
+	bool idle = cp_is_bystander(c) && cp_owned(c) == 0 && !c->draining;
+
+	if (idle == c->idle)
+		return;
+	c->idle = idle;
+	loop_set_interval(c->tick, idle ? CELL_IDLE_TICK_US : CELL_TICK_US);
+}
+
 static void
 cell_tick(void *arg)
 {
 	struct cell *c = arg;
 	int64_t now_us = clk_now_us();
 
+	cell_pace_tick(c);
 	cell_member_tick(c, now_us);
 	rp_tick(c->replica, now_us);
 	pn_tick(c->links, now_us);
@@ -344,7 +359,8 @@
 	tevent_add_signal(loop_ev(c->loop), c, SIGTERM, 0, cell_on_signal, c);
 	tevent_add_signal(loop_ev(c->loop), c, SIGINT, 0, cell_on_signal, c);
 	tevent_add_signal(loop_ev(c->loop), c, SIGHUP, 0, cell_on_signal, c);
-	return loop_every(c->loop, CELL_TICK_US, cell_tick, c);
+	c->tick = loop_interval(c->loop, CELL_TICK_US, cell_tick, c);
+	return c->tick != NULL ? 0 : -1;
 }
 
 int
--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -276,6 +276,7 @@
 	spec->pool = talloc_strdup(spec, queue->pool);
 	spec->policy = queue->policy;
 	spec->accepted_wall_ms = clk_wall_us() / CLK_US_PER_MS;
+	spec->accepted_by = talloc_strdup(spec, f->c->settings->vm);
 	call = cc_call_create(f, req, id, RP_JOB_PREFIX);
 	snprintf(call->pool, sizeof(call->pool), "%s", spec->pool);
 	snprintf(call->term_key, sizeof(call->term_key), "%s%s", RP_TERM_PREFIX,
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -12,6 +12,8 @@
 #define PN_MAX_ENDED 32
 #define PN_RECONNECT_US (500 * CLK_US_PER_MS)
 #define PN_TICK_US (100 * CLK_US_PER_MS)
+/* In larger cells only the daemon that accepted a job is told of its end. */
+#define PN_SMALL_CELL 16
 
 struct pn_peer {
 	char vm[WP_NAME_BYTES];
@@ -82,17 +84,37 @@
 	p->link = peer_connect(n->c->peers, p->address);
 }
 
+static uint32_t
+pn_largest_mcpu(const struct pn_links *n)
+{
+	uint32_t largest_mcpu = n->c->settings->cpu_mcpu;
+	struct rp_member *m;
+	struct rp_member *tmp;
+
+	HASH_ITER(hh, n->c->replica->members, m, tmp) {
+		if (m->present && m->cpu_mcpu > largest_mcpu)
+			largest_mcpu = m->cpu_mcpu;
+	}
+	return largest_mcpu;
+}
+
+/* Pools go to the largest VMs; the others have nothing to tell one another. */
 void
 pn_tick(struct pn_links *n, int64_t now_us)
 {
+	uint32_t largest_mcpu;
 	struct rp_member *m;
 	struct rp_member *tmp;
 
 	if (now_us < n->tick_at_us)
 		return;
 	n->tick_at_us = now_us + PN_TICK_US;
+	largest_mcpu = pn_largest_mcpu(n);
 	HASH_ITER(hh, n->c->replica->members, m, tmp) {
-		if (m->present && strcmp(m->vm, n->c->settings->vm) != 0)
+		if (!m->present || strcmp(m->vm, n->c->settings->vm) == 0)
+			continue;
+		if (n->c->settings->cpu_mcpu == largest_mcpu ||
+		    m->cpu_mcpu == largest_mcpu)
 			pn_keep(n, m, now_us);
 	}
 }
@@ -200,6 +222,30 @@
 	n->ended_count = 0;
 }
 
+void
+pn_send_ended_to(
+    struct pn_links *n, const char *vm, const char *id, enum jb_state state)
+{
+	Currant__EndedJob row = CURRANT__ENDED_JOB__INIT;
+	Currant__EndedJob *rows = &row;
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+	struct peer_link *link = pn_link(n, vm);
+
+	if (link == NULL)
+		return;
+	row.id = (char *)(uintptr_t)id;
+	row.state = (uint32_t)state;
+	frame.ended_jobs = &rows;
+	frame.n_ended_jobs = 1;
+	peer_send(link, &frame);
+}
+
+bool
+pn_is_small_cell(const struct pn_links *n)
+{
+	return n->count <= PN_SMALL_CELL;
+}
+
 void
 pn_send_owner_changed(struct pn_links *n)
 {
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -173,10 +173,10 @@
 	    lg_i64(n.jobs), "waiting", lg_i64(n.waiting), "running",
 	    lg_i64(n.running), "held", lg_i64(n.held), "usable",
 	    lg_i64(n.usable), "unfenced", lg_i64(n.unfenced), "late",
-	    lg_i64(n.late), "asking", lg_i64(n.asking), "cpu_percent", lg_i64(n.cpu_percent), "gpu_percent",
-	    lg_i64(n.gpu_percent), "commit", h->commit != NULL ? "1" : "0",
-	    "confirmed_ms", lg_i64((now_us - h->confirmed_us) / CLK_US_PER_MS),
-	    NULL);
+	    lg_i64(n.late), "asking", lg_i64(n.asking), "cpu_percent",
+	    lg_i64(n.cpu_percent), "gpu_percent", lg_i64(n.gpu_percent),
+	    "commit", h->commit != NULL ? "1" : "0", "confirmed_ms",
+	    lg_i64((now_us - h->confirmed_us) / CLK_US_PER_MS), NULL);
 }
 
 static void
@@ -213,8 +213,7 @@
 	}
 }
 
-/* Whether another daemon has a larger VM, and would claim pools first. */
-static bool
+bool
 cp_is_bystander(const struct cell *c)
 {
 	struct rp_member *m;
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -55,7 +55,7 @@
  * lg_i64() - format an integer for lg_event()
  * @v: value
  *
- * Return: a string in a per-thread ring of 8 buffers.
+ * Return: a string in a per-thread ring of 32 buffers.
  */
 const char *lg_i64(int64_t v);
 
--- a/include/curranttackd/cell.h
+++ b/include/curranttackd/cell.h
@@ -26,6 +26,7 @@
  * struct cell - one daemon
  * @incarnation: tells this process from earlier ones on the same VM
  * @member_changed: this daemon's entry in the key space is out of date
+ * @idle: its tick runs at the slow pace
  * @draining: asked to stop
  * @store_ok_us: when the key space last answered
  * @pools: hosts of the pools, owned or not
@@ -47,6 +48,8 @@
 	bool member_busy;
 	bool member_changed;
 	int64_t member_at_us;
+	struct loop_call *tick;
+	bool idle;
 	bool draining;
 	int64_t drain_us;
 	int64_t store_ok_us;
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -89,6 +89,9 @@
 /** cp_owned() - number of pools that this daemon owns */
 uint32_t cp_owned(const struct cell *c);
 
+/** cp_is_bystander() - whether daemons on larger VMs would claim pools first */
+bool cp_is_bystander(const struct cell *c);
+
 /** cp_release_all() - hand all pools over */
 void cp_release_all(struct cell *c);
 
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -491,10 +491,14 @@
   int64_t first_due_ms;
   protobuf_c_boolean has_interval_ms;
   int64_t interval_ms;
+  /*
+   * VM of the daemon that accepted it: its caller asks there again.
+   */
+  char *accepted_by;
 };
 #define CURRANT__ACCEPTED_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__accepted_job__descriptor) \
-    , NULL, NULL, NULL, NULL, 0,NULL, 0, NULL, 0, 0, 0, 0, 0, 0 }
+    , NULL, NULL, NULL, NULL, 0,NULL, 0, NULL, 0, 0, 0, 0, 0, 0, NULL }
 
 
 struct  Currant__TaskProgress
--- a/include/transport/loop.h
+++ b/include/transport/loop.h
@@ -55,6 +55,19 @@
  */
 void loop_post(struct loop *l, void (*fn)(void *arg), void *arg);
 
+struct loop_call;
+
+/**
+ * loop_interval() - as loop_every(), for an interval that may change
+ *
+ * Return: the interval, freed with the loop, or NULL without memory.
+ */
+struct loop_call *loop_interval(
+    struct loop *l, int64_t interval_us, void (*fn)(void *arg), void *arg);
+
+/** loop_set_interval() - change an interval; 0, or -1 when it is refused */
+int loop_set_interval(struct loop_call *call, int64_t interval_us);
+
 /**
  * loop_every() - call a function at an interval, first after one interval
  * @l: loop
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -4293,7 +4293,7 @@
   (ProtobufCMessageInit) currant__queue_policy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__accepted_job__field_descriptors[10] =
+static const ProtobufCFieldDescriptor currant__accepted_job__field_descriptors[11] =
 {
   {
     "id",
@@ -4415,8 +4415,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accepted_by",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__AcceptedJob, accepted_by),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__accepted_job__field_indices_by_name[] = {
+  10,   /* field[10] = accepted_by */
   5,   /* field[5] = accepted_wall_ms */
   8,   /* field[8] = first_due_ms */
   0,   /* field[0] = id */
@@ -4431,7 +4444,7 @@
 static const ProtobufCIntRange currant__accepted_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor currant__accepted_job__descriptor =
 {
@@ -4441,7 +4454,7 @@
   "Currant__AcceptedJob",
   "currant",
   sizeof(Currant__AcceptedJob),
-  10,
+  11,
   currant__accepted_job__field_descriptors,
   currant__accepted_job__field_indices_by_name,
   1,  currant__accepted_job__number_ranges,
--- a/transport/loop.c
+++ b/transport/loop.c
@@ -158,33 +158,45 @@
 	return 0;
 }
 
-/* The library's own timers follow the time of day, which may jump. */
 int
-loop_every(
-    struct loop *l, int64_t interval_us, void (*fn)(void *arg), void *arg)
+loop_set_interval(struct loop_call *call, int64_t interval_us)
 {
-	struct loop_call *call;
 	struct timespec every = {
 	    .tv_sec = interval_us / CLK_US_PER_S,
 	    .tv_nsec = interval_us % CLK_US_PER_S * 1000,
 	};
 	struct itimerspec timer = {.it_interval = every, .it_value = every};
 
-	call = talloc_zero(l, struct loop_call);
+	return timerfd_settime(call->fd, 0, &timer, NULL);
+}
+
+/* The library's own timers follow the time of day, which may jump. */
+struct loop_call *
+loop_interval(
+    struct loop *l, int64_t interval_us, void (*fn)(void *arg), void *arg)
+{
+	struct loop_call *call = talloc_zero(l, struct loop_call);
+
 	if (call == NULL)
-		return -1;
+		return NULL;
 	call->fn = fn;
 	call->arg = arg;
 	call->fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
 	talloc_set_destructor(call, loop_close_interval);
-	if (call->fd == -1 ||
-	    timerfd_settime(call->fd, 0, &timer, NULL) == -1 ||
+	if (call->fd == -1 || loop_set_interval(call, interval_us) == -1 ||
 	    tevent_add_fd(l->ev, call, call->fd, TEVENT_FD_READ,
 		loop_run_interval, call) == NULL) {
 		talloc_free(call);
-		return -1;
+		return NULL;
 	}
-	return 0;
+	return call;
+}
+
+int
+loop_every(
+    struct loop *l, int64_t interval_us, void (*fn)(void *arg), void *arg)
+{
+	return loop_interval(l, interval_us, fn, arg) != NULL ? 0 : -1;
 }
 
 void
