curranttackd: the next owner waits only for workers that earlier owners may use

A new owner also waited for every worker whose entry had vanished in the last 15 s, though the stored list of workers names all that an earlier owner may have work on.

Change: workers whose entry is gone count only if that list has them. Test: Cell.NextOwnerDoesNotWaitForWorkersThatHaveLeft fails before (the stand-in's workers can leave).

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -18,8 +18,6 @@
 #define CP_OWNED_RANK 3
 /* How often an owner looks for a larger VM. */
 #define CP_YIELD_US (3 * CLK_US_PER_S)
-/* Workers that vanished lately may still run tasks. */
-#define CP_VANISHED_US (15 * CLK_US_PER_S)
 
 /* Whether a daemon owns some pool, as far as is known here. */
 static bool
@@ -306,16 +304,17 @@
 	struct rp_job *job;
 	struct rp_job *next;
 
+	cp_load_registry(h, now_us);
 	HASH_ITER(hh, r->workers, w, wnext) {
 		if (w->pool == NULL || strcmp(w->pool, h->name) != 0)
 			continue;
-		if (w->gone_us != 0 && now_us - w->gone_us > CP_VANISHED_US)
+		/* Nothing can run on one that earlier owners gave up. */
+		if (w->gone_us != 0 && wp_find_worker(h->pool, w->id) == NULL)
 			continue;
 		wp_set_worker(h->pool, &w->info, now_us);
 		if (w->gone_us != 0)
 			wp_unlist_worker(h->pool, w->id);
 	}
-	cp_load_registry(h, now_us);
 	HASH_ITER(hh, r->jobs, job, next) {
 		if (job->spec != NULL &&
 		    (!jb_has_ended(job->state) || job->told) &&
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -146,6 +146,13 @@
 		return found;
 	}
 
+	bool
+	owner_log(const std::string &text)
+	{
+		return daemons[owner()]->log_text().find(text) !=
+		    std::string::npos;
+	}
+
 	void
 	wait_completed(size_t daemon, int from, int to)
 	{
@@ -348,6 +355,29 @@
 	expect_clean();
 }
 
+/* A worker that left for good was given up before: nothing waits for it. */
+TEST_F(Cell, NextOwnerDoesNotWaitForWorkersThatHaveLeft)
+{
+	start_daemons(3);
+	EXPECT_TRUE(eventually([&] { return owner_log("event=state"); }));
+	http("POST", control + "/_worker",
+	    "{\"worker\":1,\"off\":true,\"left\":true}");
+	/* Its lease lapses, and the list of workers is stored without it. */
+	EXPECT_TRUE(eventually([&] { return owner_log(" usable=3 "); }, 10000));
+	std::this_thread::sleep_for(std::chrono::seconds(5));
+	EXPECT_EQ(submit(0, 1, 24, 1500).status, 200);
+	EXPECT_TRUE(eventually([&] { return seen("running") == 12; }));
+	size_t paused = owner();
+
+	daemons[paused]->signal(SIGSTOP);
+	EXPECT_TRUE(eventually([&] { return owner() != paused; }, 10000));
+	/* Two rounds of 1.5 s; the frozen owner might act for 13.4 s. */
+	EXPECT_TRUE(eventually(
+	    [&] { return state(owner(), 1) == "completed"; }, 10000));
+	daemons[paused]->signal(SIGCONT);
+	expect_clean();
+}
+
 class RelayedCell : public Cell
 {
       protected:
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1122,8 +1122,14 @@
 	json_t *body = standin_body(req);
 	int64_t n = json_integer_value(json_object_get(body, "worker"));
 	struct worker *w = &workers[n];
+	char key[NAME_BYTES + 16];
 
 	w->off = json_is_true(json_object_get(body, "off"));
+	if (json_is_true(json_object_get(body, "left"))) {
+		snprintf(key, sizeof(key), "servers/%s", w->id);
+		revision++;
+		remove_item(key);
+	}
 	if (json_is_true(json_object_get(body, "reborn")))
 		begin_life(w);
 	json_decref(body);
