curranttackd: a pool is handed over within 150 ms of being given up

Change: after 150 ms only a commit that is on its way is waited for. What is not stored is not acknowledged, so the workers list it to the next owner.

Test: Cell.HandOverUnderLoadIsQuick bounds a hand-over with 700 jobs ending; it passes on the code before, too: the stand-in stores too fast to show the fault.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -133,8 +133,7 @@
 		return;
 	lg_event(LG_INFO, "pool", "yielding", "pool", h->name, "fence",
 	    lg_i64((int64_t)h->fence), NULL);
-	h->state = CP_RELEASING;
-	cp_kick(h);
+	cp_release(h);
 }
 
 uint8_t *
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -344,10 +344,15 @@
 
 	if (h->commit != NULL)
 		return;
+	/* What is not stored by then, the workers list to the next owner. */
+	if (h->state == CP_RELEASING && clk_now_us() >= h->release_by_us) {
+		cp_finish_release(h);
+		return;
+	}
 	if (!wp_has_due(h->pool, clk_now_us()) && !h->pool->registry_dirty) {
 		wp_commit_begin(h->pool);
 		wp_commit_end(h->pool, clk_now_us());
-		if (h->state == CP_RELEASING && h->pool->dirty == NULL)
+		if (h->state == CP_RELEASING)
 			cp_finish_release(h);
 		return;
 	}
--- a/curranttackd/cell_lookup.c
+++ b/curranttackd/cell_lookup.c
@@ -99,8 +99,7 @@
 }
 
 void
-lk_ask(
-    struct lk_desk *d, const struct rp_job *job, lk_done_fn done, void *arg)
+lk_ask(struct lk_desk *d, const struct rp_job *job, lk_done_fn done, void *arg)
 {
 	struct peer_link *link = lk_owner_link(d, job);
 	Currant__JobStateQuery query = CURRANT__JOB_STATE_QUERY__INIT;
@@ -146,8 +145,8 @@
 }
 
 void
-lk_on_query(
-    struct lk_desk *d, struct peer_link *link, const Currant__JobStateQuery *query)
+lk_on_query(struct lk_desk *d, struct peer_link *link,
+    const Currant__JobStateQuery *query)
 {
 	Currant__JobStateAnswer answer = CURRANT__JOB_STATE_ANSWER__INIT;
 	Currant__Frame frame = CURRANT__FRAME__INIT;
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -16,6 +16,8 @@
 #define CP_REMOVE_JOBS 10
 #define CP_LOG_EVERY_US (CLK_US_PER_S)
 #define CP_FORGET_EVERY_US (2 * CLK_US_PER_S)
+/* For storing what has ended before a pool is handed over. */
+#define CP_RELEASE_US (150 * CLK_US_PER_MS)
 
 const char *
 cp_key(TALLOC_CTX *ctx, const char *prefix, const char *name)
@@ -253,6 +255,15 @@
 	c->replica->pace_us = cp_watch_pause_us(c);
 }
 
+/* Nothing is started meanwhile, so it must not take long. */
+void
+cp_release(struct cp_host *h)
+{
+	h->state = CP_RELEASING;
+	h->release_by_us = clk_now_us() + CP_RELEASE_US;
+	cp_kick(h);
+}
+
 void
 cp_release_all(struct cell *c)
 {
@@ -260,10 +271,8 @@
 	struct cp_host *tmp;
 
 	HASH_ITER(hh, c->pools, h, tmp) {
-		if (h->state == CP_OWNER) {
-			h->state = CP_RELEASING;
-			cp_kick(h);
-		}
+		if (h->state == CP_OWNER)
+			cp_release(h);
 	}
 }
 
--- a/include/curranttackd/cell_lookup.h
+++ b/include/curranttackd/cell_lookup.h
@@ -25,12 +25,12 @@
  * @done: called once, at once when nobody has to be asked
  * @arg: its argument
  */
-void lk_ask(struct lk_desk *d, const struct rp_job *job, lk_done_fn done,
-    void *arg);
+void lk_ask(
+    struct lk_desk *d, const struct rp_job *job, lk_done_fn done, void *arg);
 
 /** lk_on_query() - a peer asks this daemon */
-void lk_on_query(
-    struct lk_desk *d, struct peer_link *link, const Currant__JobStateQuery *query);
+void lk_on_query(struct lk_desk *d, struct peer_link *link,
+    const Currant__JobStateQuery *query);
 /** lk_on_answer() - a peer has answered */
 void lk_on_answer(struct lk_desk *d, const Currant__JobStateAnswer *answer);
 /** lk_on_closed() - a link to a peer is gone */
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -28,6 +28,7 @@
  * @revision: of the owner's key, after the last commit
  * @commits: number of the last commit
  * @commit_at_us: no earlier commit
+ * @release_by_us: while releasing, no further commit from then on
  * @commit_timed: a timer for that is set
  * @confirmed_us: the lease was in force then
  * @epoch: tells callbacks of earlier ownerships from present ones
@@ -57,6 +58,7 @@
 	bool renew_out;
 	struct cp_commit *commit;
 	int64_t commit_at_us;
+	int64_t release_by_us;
 	bool commit_timed;
 	uint32_t epoch;
 	bool kicked;
--- a/include/curranttackd/cell_pool_internal.h
+++ b/include/curranttackd/cell_pool_internal.h
@@ -38,6 +38,8 @@
 
 /** cp_engaged() - pools that this daemon owns or is about to own */
 uint32_t cp_engaged(const struct cell *c);
+/** cp_release() - hand a pool over */
+void cp_release(struct cp_host *h);
 /** cp_claim_tick() - claim a pool without an owner when it is our turn */
 void cp_claim_tick(struct cp_host *h, int64_t now_us);
 /** cp_claim_failed() - give a claim up and try again later */
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -378,6 +378,32 @@
 	expect_clean();
 }
 
+/*
+ * Load: many jobs go on and tasks of theirs end all the time. Nothing starts
+ * until the next owner is there, so the old one must not store all of it first.
+ */
+TEST_F(Cell, HandOverUnderLoadIsQuick)
+{
+	constexpr int jobs = 700;
+	constexpr auto work = std::chrono::milliseconds(3000);
+	std::string body = "{\"spec\":\"3000 5 \",\"steps\":[{\"count\":1,"
+			   "\"cpu\":5,\"mem_mb\":1,\"estimate_ms\":3000}]}";
+
+	start_daemons(2);
+	auto begin = std::chrono::steady_clock::now();
+	for (int n = 0; n < jobs; n++)
+		EXPECT_EQ(
+		    call("POST", n % 2, "/q/" + id_of(n), body).status, 200);
+	std::this_thread::sleep_until(begin + work);
+	size_t leaving = owner();
+
+	daemons[leaving]->signal(SIGTERM);
+	EXPECT_TRUE(eventually([&] { return owner() != leaving; }, 800));
+	wait_completed(1 - leaving, 0, jobs);
+	EXPECT_EQ(seen("started"), jobs);
+	expect_clean();
+}
+
 class RelayedCell : public Cell
 {
       protected:
