--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -59,7 +59,8 @@
 		rp_hurry(c->replica);
 	if (frame->advice_answer != NULL)
 		av_on_answer(c->advice, link, frame->advice_answer);
-	rl_on_frame(c->relay, link, frame);
+	rl_serve(c, link, frame);
+	rl_on_results(c->relay, frame);
 	if (frame->state_query != NULL)
 		lk_on_query(c->lookup, link, frame->state_query);
 	if (frame->state_answer != NULL)
--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -19,20 +19,6 @@
 /* How often an owner looks for a larger VM. */
 #define CP_YIELD_US (3 * CLK_US_PER_S)
 
-/* Whether a daemon owns some pool, as far as is known here. */
-static bool
-cp_owns_any(const struct cell *c, const char *vm)
-{
-	struct rp_owner *o;
-	struct rp_owner *tmp;
-
-	HASH_ITER(hh, c->replica->owners, o, tmp) {
-		if (o->present && strcmp(o->vm, vm) == 0)
-			return true;
-	}
-	return false;
-}
-
 /* A daemon's place among those that would claim a pool. */
 static uint32_t
 cp_claim_hash(const char *pool, const char *vm)
@@ -103,7 +89,8 @@
 
 	HASH_ITER(hh, c->replica->members, m, tmp) {
 		if (m->present && m->cpu_mcpu >= 2 * share_mcpu &&
-		    pn_link(c->links, m->vm) != NULL && !cp_owns_any(c, m->vm))
+		    pn_link(c->links, m->vm) != NULL &&
+		    !rp_owns_any(c->replica, m->vm))
 			return true;
 	}
 	return false;
--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -1,10 +1,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <utlist.h>
 
 #include "common/clock.h"
-#include "common/counters.h"
 #include "common/log.h"
 #include "coordination/relays.h"
 #include "curranttackd/cell_peers.h"
@@ -63,13 +61,6 @@
 	uint32_t late_ticks;
 };
 
-/* A call that this daemon makes for an owner. */
-struct rl_errand {
-	struct rl_desk *d;
-	uint64_t link;
-	uint64_t id;
-};
-
 struct rl_desk *
 rl_create(struct cell *c)
 {
@@ -97,19 +88,6 @@
 	return r;
 }
 
-static bool
-rl_owns_any(const struct cell *c, const char *vm)
-{
-	struct rp_owner *o;
-	struct rp_owner *tmp;
-
-	HASH_ITER(hh, c->replica->owners, o, tmp) {
-		if (o->present && strcmp(o->vm, vm) == 0)
-			return true;
-	}
-	return false;
-}
-
 static bool
 rl_is_usable(struct rl_desk *d, const char *vm, int64_t now_us)
 {
@@ -143,7 +121,7 @@
 		    .vm = m->vm,
 		    .domain = m->domain,
 		    .cpu_mcpu = m->cpu_mcpu,
-		    .busy = rl_owns_any(d->c, m->vm),
+		    .busy = rp_owns_any(replica, m->vm),
 		    .usable = rl_is_usable(d, m->vm, now_us),
 		};
 	}
@@ -347,111 +325,11 @@
 	talloc_free(call);
 }
 
-static struct rl_errand *
-rl_errand_create(struct rl_desk *d, struct peer_link *link, uint64_t id)
-{
-	struct rl_errand *e = talloc_zero(d, struct rl_errand);
-
-	if (e == NULL)
-		abort();
-	e->d = d;
-	e->link = peer_serial(link);
-	e->id = id;
-	return e;
-}
-
-static void
-rl_answer(struct rl_errand *e, const Currant__Frame *frame)
-{
-	struct peer_link *link = peer_find(e->d->c->peers, e->link);
-
-	if (link != NULL)
-		peer_send(link, frame);
-	talloc_free(e);
-}
-
-static void
-rl_on_order_done(enum wp_order_result result, int64_t clock_ms, void *arg)
-{
-	Currant__RelayedOrderResult row = CURRANT__RELAYED_ORDER_RESULT__INIT;
-	Currant__RelayedOrderResult *rows = &row;
-	Currant__Frame frame = CURRANT__FRAME__INIT;
-	struct rl_errand *e = arg;
-
-	row.id = e->id;
-	row.result = (uint32_t)result;
-	row.has_clock_ms = true;
-	row.clock_ms = clock_ms;
-	frame.order_results = &rows;
-	frame.n_order_results = 1;
-	rl_answer(e, &frame);
-}
-
-static void
-rl_on_hold_done(
-    enum wp_order_result result, const struct wp_hold_reply *reply, void *arg)
-{
-	Currant__RelayedHoldResult row = CURRANT__RELAYED_HOLD_RESULT__INIT;
-	Currant__RelayedHoldResult *rows = &row;
-	Currant__Frame frame = CURRANT__FRAME__INIT;
-	struct rl_errand *e = arg;
-
-	row.id = e->id;
-	row.result = (uint32_t)result;
-	if (reply != NULL)
-		rc_pack_reply(e, &row, reply);
-	frame.hold_results = &rows;
-	frame.n_hold_results = 1;
-	rl_answer(e, &frame);
-}
-
-static void
-rl_run_order(
-    struct rl_desk *d, struct peer_link *link, const Currant__RelayedOrder *row)
-{
-	const struct fl_fleet *f = d->c->fleet;
-	struct rl_errand *e = rl_errand_create(d, link, row->id);
-	struct wp_order o;
-
-	if (!rc_unpack_order(row, &o)) {
-		lg_event(
-		    LG_WARN, "relay", "bad_order", "peer", peer_vm(link), NULL);
-		rl_on_order_done(WP_NOT_SENT, 0, e);
-		return;
-	}
-	ct_add(CT_RELAYED, 1);
-	f->workers->order(f->handle, &o, row->fence, rl_on_order_done, e);
-}
-
-static void
-rl_run_hold(
-    struct rl_desk *d, struct peer_link *link, const Currant__RelayedHold *row)
-{
-	const struct fl_fleet *f = d->c->fleet;
-	struct rl_errand *e = rl_errand_create(d, link, row->id);
-	struct wp_worker w;
-	struct wp_hold hold;
-
-	if (!rc_unpack_hold(row, &w, &hold)) {
-		lg_event(
-		    LG_WARN, "relay", "bad_hold", "peer", peer_vm(link), NULL);
-		rl_on_hold_done(WP_NOT_SENT, NULL, e);
-		return;
-	}
-	ct_add(CT_RELAYED, 1);
-	f->workers->hold(f->handle, &w, &hold, row->fence, rl_on_hold_done, e);
-}
-
 void
-rl_on_frame(
-    struct rl_desk *d, struct peer_link *link, const Currant__Frame *frame)
+rl_on_results(struct rl_desk *d, const Currant__Frame *frame)
 {
 	size_t i;
 
-	for (i = 0; i < frame->n_relayed_orders; i++)
-		rl_run_order(d, link, frame->relayed_orders[i]);
-	for (i = 0; i < frame->n_relayed_holds; i++)
-		rl_run_hold(d, link, frame->relayed_holds[i]);
 	for (i = 0; i < frame->n_order_results; i++)
 		rl_on_order_result(d, frame->order_results[i]);
 	for (i = 0; i < frame->n_hold_results; i++)
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -173,6 +173,19 @@
 	return o;
 }
 
+bool
+rp_owns_any(const struct replica *r, const char *vm)
+{
+	struct rp_owner *o;
+	struct rp_owner *tmp;
+
+	HASH_ITER(hh, r->owners, o, tmp) {
+		if (o->present && strcmp(o->vm, vm) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void
 rp_read_owner(struct rp_owner *o, const struct ks_item *item)
 {
--- a/include/curranttackd/cell_relay.h
+++ b/include/curranttackd/cell_relay.h
@@ -39,9 +39,12 @@
 /** rl_flush() - send what was handed over since the last time */
 void rl_flush(struct rl_desk *d);
 
-/** rl_on_frame() - orders to pass on, or results of relayed ones */
-void rl_on_frame(
-    struct rl_desk *d, struct peer_link *link, const Currant__Frame *frame);
+/** rl_on_results() - a relay has sent results */
+void rl_on_results(struct rl_desk *d, const Currant__Frame *frame);
+
+/** rl_serve() - pass on what an owner has sent for workers of this domain */
+void rl_serve(
+    struct cell *c, struct peer_link *link, const Currant__Frame *frame);
 
 /** rl_on_closed() - a link to a peer is gone */
 void rl_on_closed(struct rl_desk *d, struct peer_link *link);
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -194,6 +194,9 @@
 /** rp_owner_of() - ownership of a pool; made when it is not known yet */
 struct rp_owner *rp_owner_of(struct replica *r, const char *pool);
 
+/** rp_owns_any() - whether a daemon owns some pool, as far as is known here */
+bool rp_owns_any(const struct replica *r, const char *vm);
+
 /** rp_forget_job() - drop a job that has been removed from the key space */
 void rp_forget_job(struct replica *r, struct rp_job *job);
 
