--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -6,8 +6,11 @@
 
 /**
  * DOC: Shared by the pool's files. Lowest first: pool_task (one task's moves),
- * pool_worker (reports and leases), pool_store (what is stored and acknowledged), pool_gang, pool_advice, pool_sharing,
- * pool_copy (copies of tasks that may run twice), pool_retire (emptying workers for maintenance), pool_sched (who starts where), pool (jobs and ticks).
+ * pool_store (what is stored and acknowledged), pool_worker (reports and
+ * leases), pool_gang, pool_advice (tickets), pool_ask (which questions for
+ * advice go out), pool_outlook (what is late), pool_sharing, pool_copy (copies
+ * of tasks that may run twice), pool_retire (emptying workers for
+ * maintenance), pool_sched (who starts where), pool (jobs and ticks).
  */
 
 /* A run number of a later owner is always higher. */
