state: orders and acknowledgements that reach a worker's new life do no harm

And a renewal sent after a lost one acknowledged ends by the old life's numbers, so that ends of the new life were forgotten unread and their tasks ran again.

Change: tasks on a worker that begins a new life are stopped first and started elsewhere once the stop is answered and a later list lacks them; answers that carry an earlier life's clock don't count. After a lost renewal the next one acknowledges nothing. The stand-in ends waiting renewals with their worker.

Pool.WorkerInANewLifeRunsNothingOfBefore expected the next start at once; it now expects the stop, its answer, a list without the run, and then the start.

--- a/curranttackd/cell_relay_serve.c
+++ b/curranttackd/cell_relay_serve.c
@@ -108,8 +108,7 @@
 }
 
 void
-rl_serve(
-    struct cell *c, struct peer_link *link, const Currant__Frame *frame)
+rl_serve(struct cell *c, struct peer_link *link, const Currant__Frame *frame)
 {
 	size_t i;
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -20,6 +20,8 @@
 /* It may be the task, not the workers, that is slow. */
 #define WP_MAX_STUCK 2
 #define WP_MAX_SENDS 3
+/* A worker's clock is never so far ahead of the estimate. */
+#define WP_CLOCK_AHEAD_MS 1000
 /* Ends of other tasks of a step that tell how long one usually takes. */
 #define WP_SLOW_SIBLINGS 3
 /* What stopping a task and starting it elsewhere takes. */
@@ -150,15 +152,24 @@
 	return w->listed || w->tasks != NULL || now_us < wp_lapse_us(w);
 }
 
-/* Everything that ran there in its earlier life is gone. */
+/*
+ * Everything that ran there in its earlier life is gone, but an order may reach
+ * the new life, whose clock does not tell that it is late. Once a stop has been
+ * answered, the run can't begin there any more.
+ */
 static void
-wp_worker_new_life(struct wp_worker *w, int64_t born_ms, int64_t now_us)
+wp_worker_new_life(
+    struct wp_pool *p, struct wp_worker *w, int64_t born_ms, int64_t now_us)
 {
 	struct wp_task *t;
 	struct wp_task *tmp;
 
-	DL_FOREACH_SAFE(w->tasks, t, tmp)
-		wp_task_requeue(t, now_us);
+	DL_FOREACH_SAFE(w->tasks, t, tmp) {
+		if (t->state == WP_DONE)
+			wp_task_release(t);
+		else
+			wp_task_stop(p, t, now_us);
+	}
 	w->born_ms = born_ms;
 	w->seen_end = 0;
 	w->unstored_count = 0;
@@ -195,7 +206,8 @@
 	if (!w->listed && w->tasks == NULL && now_us > wp_lapse_us(w))
 		return false;
 	w->hold_out = true;
-	hold->acked_end = w->acked_end;
+	/* After a lost call another life may answer, whose ends are unread. */
+	hold->acked_end = w->fenced && w->reachable ? w->acked_end : 0;
 	hold->deadline_clock_ms = 0;
 	hold->wait_ms = 0;
 	if (!w->fenced || !w->reachable)
@@ -477,7 +489,7 @@
 	w->unanswered = 0;
 	w->fenced = true;
 	if (w->born_ms != 0 && w->born_ms != reply->born_ms)
-		wp_worker_new_life(w, reply->born_ms, now_us);
+		wp_worker_new_life(p, w, reply->born_ms, now_us);
 	w->born_ms = reply->born_ms;
 	w->clock_ms = reply->clock_ms;
 	w->clock_at_us = now_us;
@@ -576,6 +588,14 @@
 	}
 }
 
+/* A new life's clock starts anew, far behind that of the one before. */
+static bool
+wp_is_of_earlier_life(
+    const struct wp_worker *w, int64_t clock_ms, int64_t now_us)
+{
+	return clock_ms > wp_worker_clock_ms(w, now_us) + WP_CLOCK_AHEAD_MS;
+}
+
 void
 wp_on_order(struct wp_pool *p, const struct wp_order *o,
     enum wp_order_result result, int64_t clock_ms, int64_t now_us)
@@ -593,7 +613,8 @@
 	if (o->kind == WP_ORDER_START && t->state == WP_STARTING)
 		wp_on_start(p, t, w, result, clock_ms, now_us);
 	if (o->kind == WP_ORDER_STOP && t->state == WP_STOPPING &&
-	    result == WP_DONE_OK) {
+	    result == WP_DONE_OK &&
+	    !wp_is_of_earlier_life(w, clock_ms, now_us)) {
 		t->stopped_clock_ms = clock_ms;
 		t->resend_us = 0;
 	}
--- a/tests/soak/test_soak.cc
+++ b/tests/soak/test_soak.cc
@@ -106,9 +106,15 @@
 		http("POST",
 		    "http://" + n.relay->addresses[1] +
 			"/_target?address=" + platform->addresses[0]);
-		n.daemon = std::make_unique<CellDaemon>(dir,
-		    "vm-" + std::to_string(i), n.relay->addresses[0],
-		    platform->addresses[1], "120s", platform->addresses[3]);
+		/* Every other seed plays the ways of a large cell. */
+		std::string large_cell = GetParam() % 2 == 1
+		    ? "relay_above = 0\nsmall_cell = 0\n"
+		    : "";
+
+		n.daemon =
+		    std::make_unique<CellDaemon>(dir, "vm-" + std::to_string(i),
+			n.relay->addresses[0], platform->addresses[1], "120s",
+			platform->addresses[3], large_cell);
 		n.daemon->start();
 		nodes.push_back(std::move(n));
 	}
@@ -417,12 +423,15 @@
  * 1: a daemon without the store showed a state that was no longer true; a late
  *    order outlived its worker (the stand-in's fault).
  * 6: more jobs than the workers could do in the time (the test's fault).
+ * 308: a start reached a worker's new life; the owner took its run for ended.
+ * 309: a renewal acknowledged ends of a new life by numbers of the old one; a
+ *    renewal outlived its worker (the stand-in's fault).
  */
 std::vector<int>
 seeds()
 {
 	const char *text = getenv("SOAK_SEEDS");
-	std::vector<int> list = {1, 6};
+	std::vector<int> list = {1, 6, 308, 309};
 	int first = 0;
 	int last = -1;
 
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -971,9 +971,17 @@
 static void
 begin_life(struct worker *w)
 {
+	struct holder *h;
+	struct holder *htmp;
 	struct run *r;
 	struct run *tmp;
 
+	/* Its connections end with it. */
+	DL_FOREACH_SAFE(w->holders, h, htmp) {
+		DL_DELETE(w->holders, h);
+		never_answer(h->req);
+		free(h);
+	}
 	DL_FOREACH_SAFE(w->runs, r, tmp) {
 		tally_of(r->task)->now--;
 		DL_DELETE(w->runs, r);
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -7,7 +7,7 @@
 
 extern "C" {
 #include "common/clock.h"
-#include "state/pool.h"
+#include "state/pool_internal.h"
 }
 
 namespace
@@ -182,6 +182,12 @@
 		wp_commit_end(p, now);
 	}
 
+	int64_t
+	clock_of(const std::string &id)
+	{
+		return wp_worker_clock_ms(wp_find_worker(p, id.c_str()), now);
+	}
+
 	/* A worker that is listed, fenced and known to later owners. */
 	void
 	ready_worker(const std::string &id, int64_t cpu = 4000)
@@ -705,8 +711,65 @@
 	run_all();
 	now += kS;
 	hold("w", {}, {}, 2);
+	/* Its start may yet reach the new life: a stop rules that out. */
+	auto orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	wp_on_order(p, orders[0], WP_DONE_OK, clock_of("w"), now);
+	now += 100 * kMs;
+	hold("w", {}, {}, 2);
 	EXPECT_EQ(wp_find_worker(p, "w")->used.cpu_mcpu, 0);
-	EXPECT_EQ(tick(200 * kMs).size(), 1U);
+	orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+	EXPECT_EQ(orders[0]->run, 2U);
+}
+
+/* The numbers of another life's ends begin anew and may be as high. */
+TEST_F(Pool, NothingIsAcknowledgedAfterALostRenewal)
+{
+	struct wp_hold h;
+
+	begin();
+	ready_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += kS;
+	hold("w", {}, {{7, kJob, 0, 0, 1, WP_END_DONE}});
+	commit();
+	struct wp_worker *w = wp_find_worker(p, "w");
+	ASSERT_TRUE(wp_hold_due(p, w, now, &h));
+	EXPECT_EQ(h.acked_end, 7U);
+	wp_on_hold_lost(p, w, WP_NO_ANSWER, now);
+	now += kS;
+	ASSERT_TRUE(wp_hold_due(p, w, now, &h));
+	EXPECT_EQ(h.acked_end, 0U);
+}
+
+/* A start that the new life has carried out before its first list arrived. */
+TEST_F(Pool, RunThatBeganInANewLifeEndsBeforeTheNextBegins)
+{
+	begin();
+	ready_worker("w", 1000);
+	ready_worker("v", 1000);
+	add(kJob, {{1}});
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	std::string at = orders[0]->worker;
+	now += kS;
+	hold(at, {{kJob, 0, 0, 1, 0}}, {}, 2);
+	orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	EXPECT_EQ(orders[0]->worker, at);
+	wp_on_order(p, orders[0], WP_DONE_OK, clock_of(at), now);
+	now += 100 * kMs;
+	hold(at, {{kJob, 0, 0, 1, 0}}, {}, 2);
+	EXPECT_TRUE(tick(200 * kMs).empty());
+	hold(at, {}, {{1, kJob, 0, 0, 1, WP_END_STOPPED}}, 2);
+	orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
 }
 
 TEST_F(Pool, StrayRunIsStoppedAndKeepsItsRoom)
