--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -303,12 +303,11 @@
 };
 
 static void
-cc_on_state(const char *id, enum jb_state state, void *arg)
+cc_on_state(enum jb_state state, void *arg)
 {
 	struct cc_viewer *v = arg;
 	char *body;
 
-	(void)id;
 	body = v->f->c->fleet->callers->state_body(v, state);
 	cc_respond(v->f, v->req, 200, body);
 	talloc_free(v);
--- a/curranttackd/cell_lookup.c
+++ b/curranttackd/cell_lookup.c
@@ -45,7 +45,7 @@
 	if (job != NULL && job->state > told)
 		told = job->state;
 	HASH_DEL(q->d->questions, q);
-	q->done(q->job, told, q->arg);
+	q->done(told, q->arg);
 	talloc_free(q);
 }
 
@@ -107,7 +107,7 @@
 	struct lk_question *q;
 
 	if (link == NULL) {
-		done(job->id, job->state, arg);
+		done(job->state, arg);
 		return;
 	}
 	q = talloc_zero(d, struct lk_question);
--- a/include/curranttackd/cell_lookup.h
+++ b/include/curranttackd/cell_lookup.h
@@ -11,7 +11,7 @@
  */
 
 /** typedef lk_done_fn - the newest state that could be learned */
-typedef void (*lk_done_fn)(const char *id, enum jb_state state, void *arg);
+typedef void (*lk_done_fn)(enum jb_state state, void *arg);
 
 struct lk_desk;
 
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -119,8 +119,10 @@
 	char text[WP_TICKET_BYTES];
 };
 
-/** struct wp_share - of the workers that questions of a queue named, how many
- * were allowed; older answers count less
+/**
+ * struct wp_share - what advice has allowed for a queue; older answers count less
+ * @asked: workers named in questions
+ * @good: those among them that were allowed
  */
 struct wp_share {
 	char *queue;
