state: a cancelled job ends though its last task was done

Cause, found by the soak (seed 404): of a cancelled job's tasks one was stopped and dropped, the last one was done before its stop arrived. Whether the job has settled was looked at only where a task is dropped, so it stayed cancelled in part for ever: callers saw it running, and its owner kept it.

Change: looked at where a task is done, too. Test: Pool.CancelledJobEndsThoughItsLastTaskWasDone fails before; seed 404 is in the soak's list.

--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -369,13 +369,16 @@
 	t->state = WP_DONE;
 	s->open--;
 	wp_mark_dirty(job);
-	if (s->open > 0)
+	if (s->open > 0) {
+		wp_job_settle(job);
 		return;
+	}
 	s->occ->open_steps--;
 	if (s->occ->open_steps == 0)
 		wp_job_occurrence_ended(job);
 	else
 		wp_occurrence_advance(p, s->occ);
+	wp_job_settle(job);
 }
 
 void
--- a/tests/soak/test_soak.cc
+++ b/tests/soak/test_soak.cc
@@ -424,6 +424,7 @@
  *    order outlived its worker (the stand-in's fault).
  * 6: more jobs than the workers could do in the time (the test's fault).
  * 308: a start reached a worker's new life; the owner took its run for ended.
+ * 404: a cancelled job whose last task had been done never ended.
  * 309: a renewal acknowledged ends of a new life by numbers of the old one; a
  *    renewal outlived its worker (the stand-in's fault).
  */
@@ -431,7 +432,7 @@
 seeds()
 {
 	const char *text = getenv("SOAK_SEEDS");
-	std::vector<int> list = {1, 6, 308, 309};
+	std::vector<int> list = {1, 6, 308, 309, 404};
 	int first = 0;
 	int last = -1;
 
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -725,6 +725,21 @@
 	EXPECT_EQ(orders[0]->run, 2U);
 }
 
+TEST_F(Pool, CancelledJobEndsThoughItsLastTaskWasDone)
+{
+	begin();
+	ready_worker("w", 4000);
+	struct wp_job *job = add(kJob, {{2}});
+	run_all();
+	now += kS;
+	wp_cancel_job(p, job, now);
+	EXPECT_EQ(run_all().size(), 2U);
+	hold("w", {{kJob, 0, 1, 1, 0}}, {{1, kJob, 0, 0, 1, WP_END_STOPPED}});
+	now += 100 * kMs;
+	hold("w", {}, {{2, kJob, 0, 1, 1, WP_END_DONE}});
+	EXPECT_EQ(wp_shown_state(job), JB_CANCELLED);
+}
+
 /* The numbers of another life's ends begin anew and may be as high. */
 TEST_F(Pool, NothingIsAcknowledgedAfterALostRenewal)
 {
