curranttackd: one copy of which VM is the largest

Cause: whether a daemon's VM is smaller than another's was worked out in a loop over the members in cell_pool and again in cell_peers. Both ask the replica now.

--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -82,20 +82,6 @@
 	p->link = peer_connect(n->c->peers, p->address);
 }
 
-static uint32_t
-pn_largest_mcpu(const struct pn_links *n)
-{
-	uint32_t largest_mcpu = n->c->settings->cpu_mcpu;
-	struct rp_member *m;
-	struct rp_member *tmp;
-
-	HASH_ITER(hh, n->c->replica->members, m, tmp) {
-		if (m->present && m->cpu_mcpu > largest_mcpu)
-			largest_mcpu = m->cpu_mcpu;
-	}
-	return largest_mcpu;
-}
-
 /* Pools go to the largest VMs; the others have nothing to tell one another. */
 void
 pn_tick(struct pn_links *n, int64_t now_us)
@@ -103,16 +89,17 @@
 	uint32_t largest_mcpu;
 	struct rp_member *m;
 	struct rp_member *tmp;
+	bool small;
 
 	if (now_us < n->tick_at_us)
 		return;
 	n->tick_at_us = now_us + PN_TICK_US;
-	largest_mcpu = pn_largest_mcpu(n);
+	largest_mcpu = rp_largest_mcpu(n->c->replica);
+	small = n->c->settings->cpu_mcpu < largest_mcpu;
 	HASH_ITER(hh, n->c->replica->members, m, tmp) {
 		if (!m->present || strcmp(m->vm, n->c->settings->vm) == 0)
 			continue;
-		if (n->c->settings->cpu_mcpu == largest_mcpu ||
-		    m->cpu_mcpu == largest_mcpu)
+		if (!small || m->cpu_mcpu == largest_mcpu)
 			pn_keep(n, m, now_us);
 	}
 }
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -218,14 +218,7 @@
 bool
 cp_is_bystander(const struct cell *c)
 {
-	struct rp_member *m;
-	struct rp_member *tmp;
-
-	HASH_ITER(hh, c->replica->members, m, tmp) {
-		if (m->present && m->cpu_mcpu > c->settings->cpu_mcpu)
-			return true;
-	}
-	return false;
+	return rp_largest_mcpu(c->replica) > c->settings->cpu_mcpu;
 }
 
 static int64_t
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -186,6 +186,20 @@
 	return false;
 }
 
+uint32_t
+rp_largest_mcpu(const struct replica *r)
+{
+	uint32_t largest_mcpu = 0;
+	struct rp_member *m;
+	struct rp_member *tmp;
+
+	HASH_ITER(hh, r->members, m, tmp) {
+		if (m->present && m->cpu_mcpu > largest_mcpu)
+			largest_mcpu = m->cpu_mcpu;
+	}
+	return largest_mcpu;
+}
+
 static void
 rp_read_owner(struct rp_owner *o, const struct ks_item *item)
 {
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -197,6 +197,9 @@
 /** rp_owns_any() - whether a daemon owns some pool, as far as is known here */
 bool rp_owns_any(const struct replica *r, const char *vm);
 
+/** rp_largest_mcpu() - largest share of a core among the daemons present */
+uint32_t rp_largest_mcpu(const struct replica *r);
+
 /** rp_forget_job() - drop a job that has been removed from the key space */
 void rp_forget_job(struct replica *r, struct rp_job *job);
 
