pool: acknowledgements of run ends go only to the incarnation that reported them

Cause: a renewal that waits at the worker carried the number up to which run ends are stored.

Ruled out: naming the incarnation in the call, which the worker's protocol has no field for; cancelling the waiting call, which the worker may have taken.

Change: an acknowledgement is sent once, in a renewal that does not wait, at most 500 ms after a reply of the incarnation that it is for; a reply that still lists such ends does not confirm it. A relayed renewal that is repeated acknowledges nothing. The stand-in waits for an end that is not acknowledged, as the protocol says, not for a number; what it drops is unchanged.

Tests: Pool.RenewalThatWaitsAcknowledgesNothing and Pool.NoRunEndIsAcknowledgedLongAfterTheLastReply (both fail before: the renewal that waits acknowledged 7).

--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -257,6 +257,8 @@
 	memcpy(w.id, call->worker, sizeof(w.id));
 	memcpy(w.address, call->address, sizeof(w.address));
 	renewal.wait_ms = 0;
+	/* The worker may have been restarted since the first attempt. */
+	renewal.acked_end = 0;
 	f->workers->renew(f->handle, &w, &renewal, call->fence,
 	    call->renewal_done, call->arg);
 }
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -308,6 +308,8 @@
  * @processed_end: number of the newest run end processed
  * @unacked: run ends that are not stored, in order, @unacked_count of them
  * @acked_end: run ends up to this number are stored
+ * @acked_sent: the renewal in flight acknowledges the ends up to this number
+ * @acked_confirmed: the worker has answered an acknowledgement up to this number
  * @unreachable_since_us: when it became unreachable; 0 while it is reachable
  * @renewal_in_flight: a renewal has no result yet
  * @renew_at_us: when the next renewal is due
@@ -349,6 +351,8 @@
 	struct wp_unacked_end *unacked;
 	uint32_t unacked_count;
 	uint64_t acked_end;
+	uint64_t acked_sent;
+	uint64_t acked_confirmed;
 	int64_t unreachable_since_us;
 	bool renewal_in_flight;
 	int64_t renew_at_us;
@@ -414,7 +418,8 @@
 /**
  * struct wp_renewal - what a lease renewal tells a worker
  * @deadline_clock_ms: new end of its lease; 0 while its clock is not known
- * @acked_end: run ends up to this number are stored and need not be reported
+ * @acked_end: run ends up to this number are stored and need not be reported;
+ *	0 for none
  * @wait_ms: how long the worker may wait for a change before it answers
  */
 struct wp_renewal {
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -15,6 +15,8 @@
  * again at once.
  */
 #define WP_RENEWAL_UNACKED_PAUSE_US (150 * CLK_US_PER_MS)
+/* An acknowledgement goes only to a worker that has replied so lately. */
+#define WP_ACK_MAX_REPLY_AGE_US (500 * CLK_US_PER_MS)
 /* Pause otherwise, so that one reply reports several changes. */
 #define WP_RENEWAL_PAUSE_US (5 * CLK_US_PER_MS)
 /* How long an unhealthy or unreachable worker receives no tasks. */
@@ -185,6 +187,8 @@
 	w->processed_end = 0;
 	w->unacked_count = 0;
 	w->acked_end = 0;
+	w->acked_sent = 0;
+	w->acked_confirmed = 0;
 	w->lease_end_clock_ms = 0;
 	w->failures = 0;
 	w->quarantined_until_us = 0;
@@ -208,6 +212,22 @@
 	return has_target && has_opportunistic;
 }
 
+/*
+ * What the next renewal acknowledges. A new incarnation numbers its run ends
+ * anew, so an acknowledgement that reaches it drops ends that were never read.
+ * It is therefore sent once, soon after a reply of the incarnation that it is
+ * for, and never with a renewal that waits at the worker.
+ */
+static uint64_t
+wp_ack_to_send(const struct wp_worker *w, int64_t now_us)
+{
+	if (w->acked_end == w->acked_confirmed || !w->token_accepted ||
+	    !w->reachable ||
+	    now_us - w->clock_read_us > WP_ACK_MAX_REPLY_AGE_US)
+		return 0;
+	return w->acked_end;
+}
+
 bool
 wp_renewal_due(struct wp_pool *p, struct wp_worker *w, int64_t now_us,
     struct wp_renewal *renewal)
@@ -218,12 +238,8 @@
 	if (!w->listed && w->tasks == NULL && now_us > wp_lease_expiry_us(w))
 		return false;
 	w->renewal_in_flight = true;
-	/*
-	 * After a lost call another incarnation may answer: the numbers of its
-	 * run ends start anew, and none of them has been read.
-	 */
-	renewal->acked_end =
-	    w->token_accepted && w->reachable ? w->acked_end : 0;
+	w->acked_sent = wp_ack_to_send(w, now_us);
+	renewal->acked_end = w->acked_sent;
 	renewal->deadline_clock_ms = 0;
 	renewal->wait_ms = 0;
 	if (!w->token_accepted || !w->reachable)
@@ -232,7 +248,7 @@
 	    wp_worker_clock_ms(w, now_us + WP_LEASE_US);
 	if (renewal->deadline_clock_ms > w->lease_end_clock_ms)
 		w->lease_end_clock_ms = renewal->deadline_clock_ms;
-	if (w->last_renewal_us > 0 && w->acked_end == w->processed_end)
+	if (w->last_renewal_us > 0 && w->acked_confirmed == w->processed_end)
 		renewal->wait_ms = wp_runs_throttled_tasks(w)
 		    ? WP_RENEWAL_WAIT_THROTTLED_MS
 		    : WP_RENEWAL_WAIT_MS;
@@ -502,6 +518,20 @@
 	}
 }
 
+/* A worker that still reports an end has not taken its acknowledgement. */
+static void
+wp_confirm_ack(struct wp_worker *w, const struct wp_renewal_reply *reply)
+{
+	uint32_t i;
+
+	for (i = 0; i < reply->end_count; i++) {
+		if (reply->end[i].number <= w->acked_sent)
+			return;
+	}
+	if (w->acked_sent > w->acked_confirmed)
+		w->acked_confirmed = w->acked_sent;
+}
+
 void
 wp_on_renewal(struct wp_pool *p, struct wp_worker *w,
     const struct wp_renewal_reply *reply, int64_t now_us)
@@ -517,6 +547,7 @@
 	    w->incarnation_ms != reply->incarnation_ms)
 		wp_worker_restarted(p, w, reply->incarnation_ms, now_us);
 	w->incarnation_ms = reply->incarnation_ms;
+	wp_confirm_ack(w, reply);
 	w->clock_ms = reply->clock_ms;
 	w->clock_read_us = now_us;
 	if (first_reply)
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -821,6 +821,18 @@
 	    json_pack("{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
 }
 
+static bool
+has_unacked_end(const struct worker *w, uint64_t acked)
+{
+	const struct end *e;
+
+	DL_FOREACH(w->ends, e) {
+		if (e->number > acked)
+			return true;
+	}
+	return false;
+}
+
 static void
 run_hold(struct worker *w, struct hs_request *req, json_t *body)
 {
@@ -834,7 +846,7 @@
 		return;
 	}
 	extend_lease(w, body);
-	if (wait_ms == 0 || w->next_end > acked) {
+	if (wait_ms == 0 || has_unacked_end(w, acked)) {
 		standin_reply_json(req, 200, lists_of(w, acked));
 		return;
 	}
@@ -933,7 +945,7 @@
 			end_run(w, r, r->demand.fails ? "failed" : "done");
 	}
 	DL_FOREACH_SAFE(w->holders, h, htmp) {
-		if (w->next_end <= h->acked && now_us < h->deadline_us)
+		if (!has_unacked_end(w, h->acked) && now_us < h->deadline_us)
 			continue;
 		DL_DELETE(w->holders, h);
 		if (!w->off)
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -790,6 +790,55 @@
 	EXPECT_EQ(renewal.acked_end, 0U);
 }
 
+/*
+ * A renewal that waits at the worker may wait at its next incarnation, and drop
+ * run ends there that were never read (soak seed 309: tasks ran again).
+ */
+TEST_F(Pool, RenewalThatWaitsAcknowledgesNothing)
+{
+	struct wp_renewal renewal;
+
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += kS;
+	renew_lease("w", {}, {{7, kJob, 0, 0, 1, WP_END_DONE}});
+	commit();
+	struct wp_worker *w = wp_find_worker(p, "w");
+	ASSERT_TRUE(wp_renewal_due(p, w, now, &renewal));
+	EXPECT_EQ(renewal.acked_end, 7U);
+	EXPECT_EQ(renewal.wait_ms, 0U);
+	renew_lease("w");
+	now += 200 * kMs;
+	ASSERT_TRUE(wp_renewal_due(p, w, now, &renewal));
+	EXPECT_GT(renewal.wait_ms, 0U);
+	EXPECT_EQ(renewal.acked_end, 0U);
+}
+
+/* The worker may have been restarted while the owner was paused. */
+TEST_F(Pool, NoRunEndIsAcknowledgedLongAfterTheLastReply)
+{
+	struct wp_renewal renewal;
+
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += kS;
+	renew_lease("w", {}, {{7, kJob, 0, 0, 1, WP_END_DONE}});
+	commit();
+	now += 2 * kS;
+	struct wp_worker *w = wp_find_worker(p, "w");
+	ASSERT_TRUE(wp_renewal_due(p, w, now, &renewal));
+	EXPECT_EQ(renewal.acked_end, 0U);
+	EXPECT_EQ(renewal.wait_ms, 0U);
+	renew_lease("w", {}, {{7, kJob, 0, 0, 1, WP_END_DONE}});
+	now += 200 * kMs;
+	ASSERT_TRUE(wp_renewal_due(p, w, now, &renewal));
+	EXPECT_EQ(renewal.acked_end, 7U);
+}
+
 /* The new incarnation carried out a start before its first reply arrived. */
 TEST_F(Pool, RunStartedByANewIncarnationEndsBeforeTheNextStarts)
 {
