pool: logs and metrics say what waiting steps wait for

Cause: 'state' lines have totals only, so that cores idle beside a queue could not be told from a queue for advice.

Change: each second the owner logs, by queue and for gangs and others apart, the waiting steps and the cores that they need, by cause: turn (no ticket and no request), advice (a request is in flight), resources (tickets, but no resources), retry.

Nothing is decided by it.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -12,6 +12,8 @@
 #include "protocol/job_codec.h"
 
 #define CC_BODY_BYTES ((size_t)1 << 20)
+/* Queues whose waiting steps are in the metrics. */
+#define CC_MAX_WAIT_ROWS 64
 #define CC_IDLE_S 60
 #define CC_ERROR_BYTES 160
 /* The response is sent this long before the caller gives up. */
@@ -516,6 +518,29 @@
 	    (unsigned long long)s->advice_requests);
 }
 
+/* Cores that waiting steps need, by queue and cause. */
+static char *
+cc_wait_metrics(char *text, const struct cp_host *h)
+{
+	struct wp_queue_waits row[CC_MAX_WAIT_ROWS];
+	uint32_t count =
+	    wp_get_waits(h->pool, clk_now_us(), row, CC_MAX_WAIT_ROWS);
+	uint32_t i;
+	int wait;
+
+	for (i = 0; i < count; i++) {
+		for (wait = 0; wait < WP_WAITS; wait++)
+			text = talloc_asprintf_append(text,
+			    "currant_pool_waiting_mcpu{pool=\"%s\",queue=\"%"
+			    "s\","
+			    "gangs=\"%d\",cause=\"%s\"} %lld\n",
+			    h->name, row[i].queue, row[i].gangs,
+			    wp_wait_name((enum wp_wait)wait),
+			    (long long)row[i].cpu_mcpu[wait]);
+	}
+	return text;
+}
+
 /* Metrics of the daemon, of its view of the store, and of its pools. */
 static char *
 cc_cell_metrics(char *text, const struct cell *c)
@@ -535,7 +560,7 @@
 	    cc_is_ready(c));
 	HASH_ITER(hh, c->pools, h, tmp) {
 		if (h->pool != NULL)
-			text = cc_pool_metrics(text, h);
+			text = cc_wait_metrics(cc_pool_metrics(text, h), h);
 	}
 	return text;
 }
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -47,6 +47,12 @@
 	return at_us == 0 ? -1 : (at_us - job->arrived_us) / CLK_US_PER_MS;
 }
 
+static const char *
+cp_waited_ms(const struct wp_job *job, enum wp_wait wait)
+{
+	return lg_i64(job->waited_us[wait] / CLK_US_PER_MS);
+}
+
 static void
 cp_announce_end(struct cp_host *h, const struct wp_job *job, bool stored)
 {
@@ -62,7 +68,12 @@
 		    "last_start_ms",
 		    lg_i64(cp_after_arrival_ms(job, job->last_start_us)),
 		    "known_ms", lg_i64(cp_after_arrival_ms(job, clk_now_us())),
-		    NULL);
+		    "objective_ms",
+		    lg_i64(cp_after_arrival_ms(job, job->objective_us)),
+		    "wait_turn_ms", cp_waited_ms(job, WP_WAIT_TURN),
+		    "wait_advice_ms", cp_waited_ms(job, WP_WAIT_ADVICE),
+		    "wait_resources_ms", cp_waited_ms(job, WP_WAIT_RESOURCES),
+		    "wait_retry_ms", cp_waited_ms(job, WP_WAIT_RETRY), NULL);
 		rp_on_end_reported(row, job->state);
 	}
 	/* In large cells, daemons query the owner when a caller queries a job. */
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -15,6 +15,8 @@
 /* Jobs that one transaction removes, with three keys each. */
 #define CP_REMOVE_JOBS 10
 #define CP_LOG_EVERY_US (CLK_US_PER_S)
+/* Queues whose waiting steps are logged. */
+#define CP_MAX_WAIT_ROWS 16
 #define CP_FORGET_EVERY_US (2 * CLK_US_PER_S)
 /* Time to store ended jobs before a pool is handed over. */
 #define CP_RELEASE_TIMEOUT_US (150 * CLK_US_PER_MS)
@@ -162,6 +164,31 @@
 	}
 }
 
+/* One line for each queue: its waiting steps, and the cores they need. */
+static void
+cp_log_waits(struct cp_host *h, int64_t now_us)
+{
+	struct wp_queue_waits row[CP_MAX_WAIT_ROWS];
+	uint32_t count = wp_get_waits(h->pool, now_us, row, CP_MAX_WAIT_ROWS);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const uint32_t *steps = row[i].steps;
+		const int64_t *cpu = row[i].cpu_mcpu;
+
+		lg_event(LG_INFO, "pool", "waits", "pool", h->name, "queue",
+		    row[i].queue, "gangs", row[i].gangs ? "1" : "0", "turn",
+		    lg_i64(steps[WP_WAIT_TURN]), "advice",
+		    lg_i64(steps[WP_WAIT_ADVICE]), "resources",
+		    lg_i64(steps[WP_WAIT_RESOURCES]), "retry",
+		    lg_i64(steps[WP_WAIT_RETRY]), "turn_mcpu",
+		    lg_i64(cpu[WP_WAIT_TURN]), "advice_mcpu",
+		    lg_i64(cpu[WP_WAIT_ADVICE]), "resources_mcpu",
+		    lg_i64(cpu[WP_WAIT_RESOURCES]), "retry_mcpu",
+		    lg_i64(cpu[WP_WAIT_RETRY]), NULL);
+	}
+}
+
 /* Logs at intervals what limits the pool. */
 static void
 cp_log_state(struct cp_host *h, int64_t now_us)
@@ -180,6 +207,7 @@
 	    lg_i64(n.cpu_percent), "gpu_percent", lg_i64(n.gpu_percent),
 	    "commit", h->commit != NULL ? "1" : "0", "confirmed_ms",
 	    lg_i64((now_us - h->lease_confirmed_us) / CLK_US_PER_MS), NULL);
+	cp_log_waits(h, now_us);
 }
 
 static void
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -147,6 +147,15 @@
 	UT_hash_handle hh;
 };
 
+/** enum wp_wait - what a step that is ready waits for */
+enum wp_wait {
+	WP_WAIT_TURN,	   /* steps before it may need all resources */
+	WP_WAIT_ADVICE,	   /* an advice request is in flight */
+	WP_WAIT_RESOURCES, /* it has tickets, but no resources */
+	WP_WAIT_RETRY,	   /* its tasks may not start again yet */
+};
+#define WP_WAITS (WP_WAIT_RETRY + 1)
+
 /** enum wp_lateness - whether a step's job can still meet its objective */
 enum wp_lateness {
 	WP_ON_TIME,
@@ -240,6 +249,7 @@
  * @first_start_us: first start under this owner; 0 before
  * @last_start_us: newest start under this owner; 0 before
  * @objective_us: when it has to end to meet its latency objective
+ * @waited_us: time that its steps were seen waiting, by cause
  * @dirty: its progress is not stored; it is on the pool's list of such jobs
  * @dirty_seq: value of the pool's @end_seq when it became dirty; all its run
  *	ends before this one are stored
@@ -257,6 +267,7 @@
 	int64_t first_start_us;
 	int64_t last_start_us;
 	int64_t objective_us;
+	int64_t waited_us[WP_WAITS];
 	bool dirty;
 	uint64_t dirty_seq;
 	int64_t store_not_before_us;
@@ -588,6 +599,20 @@
 	uint32_t asking;
 };
 
+/**
+ * struct wp_queue_waits - what the steps of a queue wait for
+ * @queue: the queue; belongs to the pool
+ * @gangs: it counts the gangs; otherwise all other steps
+ * @steps: waiting steps, by cause
+ * @cpu_mcpu: cores that their waiting tasks need, by cause
+ */
+struct wp_queue_waits {
+	const char *queue;
+	bool gangs;
+	uint32_t steps[WP_WAITS];
+	int64_t cpu_mcpu[WP_WAITS];
+};
+
 /**
  * struct wp_pool - a pool's jobs and workers
  * @name: service
@@ -610,6 +635,7 @@
  * @end_seq: run ends read from workers so far
  * @commit_seq: run ends before this one are stored, or in the commit in flight
  * @reconciled: no worker can run a task that this owner does not know of
+ * @sample_waits_at_us: when to sample next what steps wait for
  * @registry_dirty: the stored registry of workers is out of date
  * @stats: counts for metrics
  */
@@ -633,6 +659,7 @@
 	uint64_t end_seq;
 	uint64_t commit_seq;
 	bool reconciled;
+	int64_t sample_waits_at_us;
 	bool registry_dirty;
 	struct wp_stats stats;
 };
@@ -862,6 +889,21 @@
 void wp_get_counts(
     const struct wp_pool *p, int64_t now_us, struct wp_counts *n);
 
+/**
+ * wp_get_waits() - what the ready steps wait for, for metrics
+ * @p: pool
+ * @now_us: time
+ * @list: filled in, a row for each queue and kind of step
+ * @max: rows that fit in @list
+ *
+ * Return: number of rows.
+ */
+uint32_t wp_get_waits(const struct wp_pool *p, int64_t now_us,
+    struct wp_queue_waits *list, uint32_t max);
+
+/** wp_wait_name() - name of a cause in logs and metrics */
+const char *wp_wait_name(enum wp_wait wait);
+
 /** wp_public_state() - state of a job as callers may see it */
 enum jb_state wp_public_state(const struct wp_job *job);
 
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -9,7 +9,7 @@
  * tasks, steps and jobs), pool_store (what to store and acknowledge),
  * pool_worker (workers' reports and leases), pool_gang, pool_advice (tickets),
  * pool_ask (which advice requests are sent), pool_outlook (lateness),
- * pool_sharing (throttling), pool_copy (speculative copies of tasks),
+ * pool_waits (what steps wait for), pool_sharing (throttling), pool_copy (speculative copies of tasks),
  * pool_retire (emptying workers for maintenance), pool_sched (which task starts
  * where), pool (jobs and ticks).
  */
@@ -102,6 +102,8 @@
 void wp_step_unlist(struct wp_pool *p, struct wp_step *s);
 /** wp_lateness_tick() - find the ready steps that can't be on time any more */
 void wp_lateness_tick(struct wp_pool *p, int64_t now_us);
+/** wp_waits_tick() - sample at intervals what the ready steps wait for */
+void wp_waits_tick(struct wp_pool *p, int64_t now_us);
 /** wp_step_update_lists() - list a step, or unlist it, as its state requires */
 void wp_step_update_lists(struct wp_pool *p, struct wp_step *s);
 
