--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -119,6 +119,7 @@
  * @requested: an advice request in flight names the worker
  * @answered: the advice service has answered about the worker
  * @approved: its last answer was that the step may run there
+ * @reserved: members of the step for which resources are reserved there
  * @expires_us: end of the ticket's validity
  * @text: ticket that a start order carries
  */
@@ -128,6 +129,7 @@
 	bool requested;
 	bool answered;
 	bool approved;
+	uint32_t reserved;
 	int64_t expires_us;
 	char text[WP_TICKET_BYTES];
 };
@@ -137,6 +139,7 @@
  * @queue: queue of the jobs that it was asked for
  * @asked: workers named in answered requests
  * @approved: those among them that were approved
+ * @latency_us: usual time from a request to its answer
  *
  * Both counts are halved from time to time, so that older answers weigh less.
  */
@@ -144,6 +147,7 @@
 	char *queue;
 	uint32_t asked;
 	uint32_t approved;
+	int64_t latency_us;
 	UT_hash_handle hh;
 };
 
@@ -184,8 +188,10 @@
  * @requested_slots: slots on the workers that these requests name
  * @has_enough_tickets: when last checked, it had valid tickets for all its
  *	waiting tasks
- * @expired_unused: times in a row that such tickets expired unused
  * @next_request_us: no advice request before
+ * @rank: position among the ready steps when gangs were last planned
+ * @reserved: resources are reserved for it, as its tickets say
+ * @planned_us: when it is expected to start on them
  * @full_scan_at_us: until then only workers with newly freed resources are
  *	considered
  */
@@ -210,8 +216,10 @@
 	uint32_t requests_in_flight;
 	uint32_t requested_slots;
 	bool has_enough_tickets;
-	uint32_t expired_unused;
 	int64_t next_request_us;
+	uint32_t rank;
+	bool reserved;
+	int64_t planned_us;
 	int64_t full_scan_at_us;
 	struct wp_step *prev;
 	struct wp_step *next;
@@ -311,6 +319,10 @@
  * @used: resources of tasks that are or may be on it
  * @orphaned: resources of runs on it that belong to none of @tasks
  * @reserved: resources set aside for urgent tasks in the current pass
+ * @gang_reserved: resources reserved for gangs, free or not
+ * @reserved_members: members of gangs that they are reserved for
+ * @reserved_from_us: when the first of these gangs is expected to start
+ * @reserved_rank: rank of the most urgent of these gangs
  * @tasks: tasks that are or may be on it
  * @clock_ms: its clock when last read
  * @clock_read_us: when that reading arrived; 0 before the first
@@ -353,6 +365,10 @@
 	struct wp_resources used;
 	struct wp_resources orphaned;
 	struct wp_resources reserved;
+	struct wp_resources gang_reserved;
+	uint32_t reserved_members;
+	int64_t reserved_from_us;
+	uint32_t reserved_rank;
 	struct wp_task *tasks;
 	int64_t clock_ms;
 	int64_t clock_read_us;
@@ -535,6 +551,7 @@
  * @worker_cost_us: added for each worker named
  * @valid_ms: validity of a ticket
  * @priority: of the job; 0 is the most urgent
+ * @made_us: when the request was made
  */
 struct wp_advice_request {
 	char job[JB_ID_BYTES];
@@ -547,6 +564,7 @@
 	uint32_t worker_cost_us;
 	uint32_t valid_ms;
 	uint32_t priority;
+	int64_t made_us;
 };
 
 /** struct wp_approval - a worker that the advice service approved */
@@ -635,6 +653,7 @@
  * @end_seq: run ends read from workers so far
  * @commit_seq: run ends before this one are stored, or in the commit in flight
  * @reconciled: no worker can run a task that this owner does not know of
+ * @reserve_at_us: when gangs are planned next
  * @sample_waits_at_us: when to sample next what steps wait for
  * @registry_dirty: the stored registry of workers is out of date
  * @stats: counts for metrics
@@ -659,6 +678,7 @@
 	uint64_t end_seq;
 	uint64_t commit_seq;
 	bool reconciled;
+	int64_t reserve_at_us;
 	int64_t sample_waits_at_us;
 	bool registry_dirty;
 	struct wp_stats stats;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -38,8 +38,9 @@
 /** wp_resources_add() - add resources, or subtract them with a @sign of -1 */
 void wp_resources_add(
     struct wp_resources *to, const struct wp_resources *n, int sign);
-/** wp_fits() - whether a worker has enough free resources */
-bool wp_fits(const struct wp_worker *w, const struct wp_resources *need);
+/** wp_resources_fit() - whether resources cover a need */
+bool wp_resources_fit(
+    const struct wp_resources *available, const struct wp_resources *need);
 /** wp_free_resources() - capacity that neither tasks nor orphaned runs take */
 struct wp_resources wp_free_resources(const struct wp_worker *w);
 
@@ -134,13 +135,18 @@
  * wp_update_approval_rate() - learn from an answer of the advice service
  * @p: pool
  * @s: step that advice was requested for
- * @asked: workers named in the request
- * @approved: those among them that were approved
+ * @request: the request
+ * @approved: workers that were approved
+ * @now_us: time
  */
 void wp_update_approval_rate(struct wp_pool *p, const struct wp_step *s,
-    uint32_t asked, uint32_t approved);
+    const struct wp_advice_request *request, uint32_t approved, int64_t now_us);
 /** wp_max_request_workers() - workers that a queue's requests may name */
 uint32_t wp_max_request_workers(const struct jb_policy *policy);
+/** wp_advice_latency_us() - usual time from a request to its answer */
+int64_t wp_advice_latency_us(struct wp_pool *p, const struct wp_step *s);
+/** wp_expected_end_us() - when a running task will end, by its progress */
+int64_t wp_expected_end_us(const struct wp_task *t);
 /** wp_prefetch_advice() - request advice for a step that is not ready yet */
 void wp_prefetch_advice(struct wp_pool *p, struct wp_step *s, int64_t now_us);
 /** wp_needs_advice() - whether starts of a step must carry tickets */
@@ -161,6 +167,24 @@
 /** wp_evacuate_worker() - stop tasks on a worker that can go on elsewhere */
 void wp_evacuate_worker(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
 
+/** wp_reserve_tick() - plan at intervals where and when gangs start */
+void wp_reserve_tick(struct wp_pool *p, int64_t now_us);
+/** wp_reservation_release() - give up what is reserved for a step */
+void wp_reservation_release(struct wp_pool *p, struct wp_step *s);
+/**
+ * wp_available_to() - free resources of a worker that a step may take
+ *
+ * Leaves out what is reserved for other gangs, unless the step's tasks end
+ * before these are expected to start.
+ */
+struct wp_resources wp_available_to(
+    const struct wp_step *s, const struct wp_worker *w, int64_t now_us);
+/** wp_goes_before_reservation() - whether a step may take what is reserved */
+bool wp_goes_before_reservation(
+    const struct wp_step *s, const struct wp_worker *w);
+/** wp_idle_reserved() - resources that are reserved for gangs, and free */
+struct wp_resources wp_idle_reserved(const struct wp_worker *w);
+
 /** wp_is_suitable() - whether a worker's labels and capacity suit a step */
 bool wp_is_suitable(const struct wp_step *s, const struct wp_worker *w);
 /** wp_is_usable() - whether a worker may receive new tasks now */
--- a/state/pool.c
+++ b/state/pool.c
@@ -288,6 +288,7 @@
 	wp_jobs_tick(p, now_us);
 	wp_lateness_tick(p, now_us);
 	wp_waits_tick(p, now_us);
+	wp_reserve_tick(p, now_us);
 	wp_schedule(p, now_us);
 }
 
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -75,7 +75,7 @@
 }
 
 /* When a running task will end, extrapolated from its progress. */
-static int64_t
+int64_t
 wp_expected_end_us(const struct wp_task *t)
 {
 	int64_t total_us = t->step->spec->estimate_ms * CLK_US_PER_MS;
@@ -157,8 +157,7 @@
 	s->requests_in_flight--;
 	s->requested_slots -= request->slots;
 	if (ok)
-		wp_update_approval_rate(
-		    p, s, request->worker_count, approved_count);
+		wp_update_approval_rate(p, s, request, approved_count, now_us);
 	for (i = 0; i < request->worker_count; i++) {
 		w = wp_find_worker(p, request->worker[i]);
 		if (w != NULL)
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "state/gang_plan.h"
 #include "state/pool_internal.h"
 
 /*
@@ -32,9 +33,12 @@
 #define WP_MAX_ASKED 2000
 /* Fraction of a pool that is expected to become free during a request. */
 #define WP_TURNOVER_DIVISOR 8
-/* Backoff after tickets expired unused, doubled each time. */
-#define WP_UNUSED_BACKOFF_US (250 * CLK_US_PER_MS)
-#define WP_MAX_BACKOFF_DOUBLINGS 4
+/* Weight of an answer in the usual latency of a queue's requests. */
+#define WP_LATENCY_DIVISOR 8
+/* Approved slots for each member of a gang, to have a choice. */
+#define WP_GANG_CHOICE 2
+/* Tickets of a planned gang are renewed so much before they are needed. */
+#define WP_RENEWAL_MARGIN_US (150 * CLK_US_PER_MS)
 
 static struct wp_approval_rate *
 wp_approval_rate_of(struct wp_pool *p, const struct wp_step *s)
@@ -51,6 +55,7 @@
 	rate->queue = talloc_strdup(rate, queue);
 	rate->asked = WP_INITIAL_ASKED;
 	rate->approved = WP_INITIAL_APPROVED;
+	rate->latency_us = s->occ->job->spec->policy.advice_decide_us;
 	HASH_ADD_KEYPTR(
 	    hh, p->approval_rates, rate->queue, strlen(rate->queue), rate);
 	return rate;
@@ -58,11 +63,14 @@
 
 void
 wp_update_approval_rate(struct wp_pool *p, const struct wp_step *s,
-    uint32_t asked, uint32_t approved)
+    const struct wp_advice_request *request, uint32_t approved, int64_t now_us)
 {
 	struct wp_approval_rate *rate = wp_approval_rate_of(p, s);
+	int64_t latency_us = now_us - request->made_us;
 
-	rate->asked += asked;
+	rate->latency_us +=
+	    (latency_us - rate->latency_us) / WP_LATENCY_DIVISOR;
+	rate->asked += request->worker_count;
 	rate->approved += approved;
 	if (rate->asked > WP_MAX_ASKED) {
 		rate->asked /= 2;
@@ -70,6 +78,12 @@
 	}
 }
 
+int64_t
+wp_advice_latency_us(struct wp_pool *p, const struct wp_step *s)
+{
+	return wp_approval_rate_of(p, s)->latency_us;
+}
+
 /* Not all workers are approved, and some slots are taken meanwhile. */
 static uint32_t
 wp_slots_wanted(struct wp_pool *p, const struct wp_step *s)
@@ -93,27 +107,13 @@
 	    s->requested_slots < wp_slots_wanted(p, s);
 }
 
-static uint32_t
-wp_fit_count(const struct wp_worker *w, const struct wp_resources *need)
-{
-	struct wp_resources left = wp_free_resources(w);
-	int64_t n = WP_MAX_SLOTS_ON_WORKER;
-
-	if (need->cpu_mcpu > 0 && left.cpu_mcpu / need->cpu_mcpu < n)
-		n = left.cpu_mcpu / need->cpu_mcpu;
-	if (need->mem_mb > 0 && left.mem_mb / need->mem_mb < n)
-		n = left.mem_mb / need->mem_mb;
-	if (need->gpu > 0 && left.gpu / need->gpu < n)
-		n = left.gpu / need->gpu;
-	return n > 0 ? (uint32_t)n : 0;
-}
-
 /* Tasks of a step that fit on a worker, within the step's limit per worker. */
 static uint32_t
 wp_slots_on(const struct wp_step *s, const struct wp_worker *w,
-    const struct wp_resources *need)
+    const struct wp_resources *need, int64_t now_us)
 {
-	uint32_t fit = wp_fit_count(w, need);
+	struct wp_resources available = wp_available_to(s, w, now_us);
+	uint32_t fit = gp_fit_count(&available, need, WP_MAX_SLOTS_ON_WORKER);
 	uint32_t limit = wp_slots_left(s, w);
 
 	return fit < limit ? fit : limit;
@@ -131,9 +131,9 @@
 
 	wp_scan_begin(&scan, p, s);
 	while ((w = wp_scan_next(&scan)) != NULL) {
-		if (wp_fits(w, &need) && wp_may_start_on(s, w, now_us) &&
+		if (wp_may_start_on(s, w, now_us) &&
 		    wp_has_acceptable_task(s, w, now_us))
-			n += wp_slots_on(s, w, &need);
+			n += wp_slots_on(s, w, &need, now_us);
 	}
 	return n;
 }
@@ -180,11 +180,12 @@
 		now_us + WP_TICKET_MARGIN_US <= ticket->expires_us))
 		return WP_NOT_WORTH_REQUESTING;
 	/* An approved worker is named again only if a task fits on it. */
-	if (ticket != NULL && ticket->answered && !wp_fits(w, need))
+	if (ticket != NULL && ticket->answered &&
+	    wp_slots_on(s, w, need, now_us) == 0)
 		return WP_NOT_WORTH_REQUESTING;
 	if (wp_slots_left(s, w) == 0 || !wp_has_acceptable_task(s, w, now_us))
 		return WP_NOT_WORTH_REQUESTING;
-	return wp_slots_on(s, w, need);
+	return wp_slots_on(s, w, need, now_us);
 }
 
 /**
@@ -234,24 +235,14 @@
 	}
 }
 
-static bool
-wp_fill_request(struct wp_pool *p, struct wp_step *s, int64_t now_us,
-    struct wp_advice_request *request)
+/* Counts a filled-in request as in flight. */
+static void
+wp_send_request(struct wp_pool *p, struct wp_step *s, uint32_t slots,
+    int64_t now_us, struct wp_advice_request *request)
 {
 	const struct jb_spec *spec = s->occ->job->spec;
-	struct wp_request_draft draft = {
-	    .request = request,
-	    .need = wp_task_resources(s->spec),
-	    .max_workers = wp_max_request_workers(&spec->policy),
-	    .wanted_slots = wp_slots_wanted(p, s) - s->requested_slots,
-	};
 	uint32_t i;
 
-	request->worker_count = 0;
-	wp_name_workers(p, s, &draft, true, now_us);
-	wp_name_workers(p, s, &draft, false, now_us);
-	if (request->worker_count == 0)
-		return false;
 	memcpy(request->job, spec->id, sizeof(request->job));
 	request->occurrence = s->occ->number;
 	request->step = s->number;
@@ -259,13 +250,59 @@
 	request->worker_cost_us = spec->policy.advice_period_us;
 	request->valid_ms = spec->policy.advice_valid_ms;
 	request->priority = spec->policy.priority;
-	request->slots = draft.expected_slots;
+	request->made_us = now_us;
+	request->slots = slots;
 	s->requests_in_flight++;
-	s->requested_slots += draft.expected_slots;
+	s->requested_slots += slots;
 	for (i = 0; i < request->worker_count; i++)
 		wp_ticket_get(p, s, wp_find_worker(p, request->worker[i]))
 		    ->requested = true;
 	p->stats.advice_requests++;
+}
+
+static bool
+wp_fill_request(struct wp_pool *p, struct wp_step *s, int64_t now_us,
+    struct wp_advice_request *request)
+{
+	struct wp_request_draft draft = {
+	    .request = request,
+	    .need = wp_task_resources(s->spec),
+	    .max_workers = wp_max_request_workers(&s->occ->job->spec->policy),
+	    .wanted_slots = wp_slots_wanted(p, s) - s->requested_slots,
+	};
+
+	request->worker_count = 0;
+	wp_name_workers(p, s, &draft, true, now_us);
+	wp_name_workers(p, s, &draft, false, now_us);
+	if (request->worker_count == 0)
+		return false;
+	wp_send_request(p, s, draft.expected_slots, now_us, request);
+	return true;
+}
+
+/* Names the workers reserved for a gang whose tickets expire before it starts. */
+static bool
+wp_fill_renewal(struct wp_pool *p, struct wp_step *s, int64_t now_us,
+    struct wp_advice_request *request)
+{
+	uint32_t slots = 0;
+	uint32_t i;
+
+	request->worker_count = 0;
+	for (i = 0; i < s->ticket_count; i++) {
+		const struct wp_ticket *ticket = &s->ticket[i];
+		struct wp_worker *w = p->worker_by_index[ticket->worker_index];
+
+		if (ticket->reserved == 0 || ticket->requested ||
+		    wp_ticket_valid(s, w, s->planned_us) != NULL ||
+		    request->worker_count == WP_MAX_ADVICE_WORKERS)
+			continue;
+		request->worker[request->worker_count++] = w->id;
+		slots += ticket->reserved;
+	}
+	if (request->worker_count == 0)
+		return false;
+	wp_send_request(p, s, slots, now_us, request);
 	return true;
 }
 
@@ -279,11 +316,14 @@
 
 	HASH_ITER(hh, p->workers, w, tmp) {
 		struct wp_resources left;
+		struct wp_resources idle;
 
 		if (!wp_is_usable(w, now_us))
 			continue;
 		left = wp_free_resources(w);
+		idle = wp_idle_reserved(w);
 		wp_resources_add(&expected, &left, 1);
+		wp_resources_add(&expected, &idle, -1);
 		expected.cpu_mcpu += w->capacity.cpu_mcpu / WP_TURNOVER_DIVISOR;
 		expected.mem_mb += w->capacity.mem_mb / WP_TURNOVER_DIVISOR;
 		expected.gpu += w->capacity.gpu / WP_TURNOVER_DIVISOR;
@@ -311,26 +351,12 @@
 	expected->gpu -= need.gpu * s->waiting;
 }
 
-/* Tickets expired before the tasks fit: other steps go first for a while. */
-static void
-wp_back_off_unused(struct wp_step *s, int64_t now_us)
-{
-	s->has_enough_tickets = false;
-	if (s->spec->flags & JB_LONG_RUNNING)
-		return;
-	s->next_request_us =
-	    now_us + (WP_UNUSED_BACKOFF_US << s->expired_unused);
-	if (s->expired_unused < WP_MAX_BACKOFF_DOUBLINGS)
-		s->expired_unused++;
-}
-
 /* Whether a step should request advice now, given the resources left for it. */
 static bool
 wp_wants_request(struct wp_pool *p, struct wp_step *s,
     const struct wp_resources *expected, int64_t now_us)
 {
 	struct wp_resources need = wp_task_resources(s->spec);
-	bool had_tickets = s->has_enough_tickets;
 
 	if (!wp_may_request_advice(p, s, now_us))
 		return false;
@@ -339,25 +365,87 @@
 	    wp_slots_with_tickets(p, s, now_us) >= s->waiting;
 	if (s->has_enough_tickets)
 		return false;
-	if (had_tickets && s->requests_in_flight == 0 &&
-	    (s->spec->flags & JB_GANG)) {
-		wp_back_off_unused(s, now_us);
-		return false;
-	}
 	return (s->spec->flags & JB_LONG_RUNNING) ||
 	    !wp_is_exhausted(expected, &need);
 }
 
+/* Members of a gang that empty workers which have approved it could take. */
+static uint32_t
+wp_approved_slots(const struct wp_pool *p, const struct wp_step *s)
+{
+	struct wp_resources need = wp_task_resources(s->spec);
+	struct wp_scan scan;
+	struct wp_worker *w;
+	uint32_t n = 0;
+
+	wp_scan_begin(&scan, p, s);
+	while ((w = wp_scan_next(&scan)) != NULL) {
+		uint32_t limit = wp_slots_left(s, w);
+
+		if (w->listed && !w->draining)
+			n += gp_fit_count(&w->capacity, &need, limit);
+	}
+	return n;
+}
+
+/*
+ * Advice for a gang that can't start yet: enough workers are asked for once, to
+ * have a choice. Later only tickets for reserved workers are renewed, when the
+ * gang is about to start.
+ */
+static bool
+wp_next_gang_request(struct wp_pool *p, struct wp_step *s,
+    const struct wp_resources *expected, int64_t now_us,
+    struct wp_advice_request *request)
+{
+	struct wp_resources need = wp_task_resources(s->spec);
+
+	if (!wp_may_request_advice(p, s, now_us) || s->requests_in_flight > 0)
+		return false;
+	s->next_request_us = now_us + WP_REQUEST_INTERVAL_US;
+	if (wp_approved_slots(p, s) < WP_GANG_CHOICE * s->spec->count &&
+	    !wp_is_exhausted(expected, &need) &&
+	    wp_fill_request(p, s, now_us, request))
+		return true;
+	return s->reserved &&
+	    s->planned_us - now_us <=
+	    wp_advice_latency_us(p, s) + WP_RENEWAL_MARGIN_US &&
+	    wp_fill_renewal(p, s, now_us, request);
+}
+
+/* What the gangs before it may leave for a gang to ask for workers. */
+static struct wp_resources
+wp_gang_resources(const struct wp_pool *p, int64_t now_us)
+{
+	struct wp_resources sum = {0};
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp) {
+		if (wp_is_usable(w, now_us))
+			wp_resources_add(&sum, &w->capacity, 1);
+	}
+	return sum;
+}
+
 bool
 wp_next_advice_request(
     struct wp_pool *p, int64_t now_us, struct wp_advice_request *request)
 {
 	struct wp_resources expected = wp_expected_resources(p, now_us);
+	struct wp_resources for_gangs = wp_gang_resources(p, now_us);
 	struct wp_step *s;
 
 	DL_FOREACH(p->ready, s) {
 		if (!wp_needs_advice(s))
 			continue;
+		if (s->spec->flags & JB_GANG) {
+			if (wp_next_gang_request(
+				p, s, &for_gangs, now_us, request))
+				return true;
+			wp_deduct_step(&for_gangs, s);
+			continue;
+		}
 		if (wp_wants_request(p, s, &expected, now_us) &&
 		    wp_fill_request(p, s, now_us, request))
 			return true;
--- a/state/pool_preempt.c
+++ b/state/pool_preempt.c
@@ -26,14 +26,6 @@
 	    now_us - v->started_us > WP_MIN_RUN_US;
 }
 
-static bool
-wp_resources_fit(
-    const struct wp_resources *available, const struct wp_resources *need)
-{
-	return need->cpu_mcpu <= available->cpu_mcpu &&
-	    need->mem_mb <= available->mem_mb && need->gpu <= available->gpu;
-}
-
 /* Resources that are or become free, less those reserved for urgent tasks. */
 static struct wp_resources
 wp_soon_free_resources(const struct wp_worker *w)
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -145,12 +145,26 @@
 	return score;
 }
 
+/* @over_reservations: ignore those of less urgent gangs */
+static bool
+wp_has_resources_for(const struct wp_step *s, const struct wp_worker *w,
+    bool over_reservations, int64_t now_us)
+{
+	struct wp_resources need = wp_task_resources(s->spec);
+	struct wp_resources available;
+
+	if (over_reservations && wp_goes_before_reservation(s, w))
+		available = wp_free_resources(w);
+	else
+		available = wp_available_to(s, w, now_us);
+	return wp_resources_fit(&available, &need);
+}
+
 static struct wp_worker *
 wp_pick_worker(struct wp_pool *p, const struct wp_step *s,
-    const struct wp_task *t, const char *rack, int64_t now_us,
-    const char **ticket)
+    const struct wp_task *t, const char *rack, bool over_reservations,
+    int64_t now_us, const char **ticket)
 {
-	struct wp_resources need = wp_task_resources(s->spec);
 	struct wp_worker *best = NULL;
 	double best_score = 0;
 	struct wp_scan scan;
@@ -160,8 +174,8 @@
 	while ((w = wp_scan_next(&scan)) != NULL) {
 		double score;
 
-		if (!wp_fits(w, &need) || !wp_may_start_on(s, w, now_us) ||
-		    wp_avoids(t, w, now_us))
+		if (!wp_has_resources_for(s, w, over_reservations, now_us) ||
+		    !wp_may_start_on(s, w, now_us) || wp_avoids(t, w, now_us))
 			continue;
 		score = wp_score(s, w, rack);
 		if (best != NULL && score >= best_score)
@@ -201,7 +215,11 @@
 
 		if (t->state != WP_TASK_WAITING || now_us < t->not_before_us)
 			continue;
-		w = wp_pick_worker(p, s, t, wp_common_rack(s), now_us, &ticket);
+		w = wp_pick_worker(
+		    p, s, t, wp_common_rack(s), false, now_us, &ticket);
+		if (w == NULL)
+			w = wp_pick_worker(
+			    p, s, t, wp_common_rack(s), true, now_us, &ticket);
 		if (w == NULL) {
 			/* The next task may avoid other workers. */
 			if (!wp_preempt_for(p, s, now_us) &&
@@ -255,7 +273,7 @@
 	for (placed = 0; placed < s->spec->count; placed++) {
 		struct wp_worker *w;
 
-		w = wp_pick_worker(p, s, &s->task[placed], rack, now_us,
+		w = wp_pick_worker(p, s, &s->task[placed], rack, false, now_us,
 		    &plan->ticket[placed]);
 		plan->w[placed] = w;
 		if (w == NULL)
@@ -340,7 +358,6 @@
 static bool
 wp_pass_may_start(const struct wp_pass *pass, const struct wp_step *s)
 {
-	struct wp_resources need = wp_task_resources(s->spec);
 	uint32_t i;
 
 	if (pass->now_us >= s->full_scan_at_us)
@@ -348,7 +365,8 @@
 	for (i = 0; i < pass->changed_count; i++) {
 		const struct wp_worker *w = pass->changed[i];
 
-		if (wp_fits(w, &need) && wp_may_start_on(s, w, pass->now_us))
+		if (wp_has_resources_for(s, w, true, pass->now_us) &&
+		    wp_may_start_on(s, w, pass->now_us))
 			return true;
 	}
 	return false;
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -45,12 +45,11 @@
 }
 
 bool
-wp_fits(const struct wp_worker *w, const struct wp_resources *need)
+wp_resources_fit(
+    const struct wp_resources *available, const struct wp_resources *need)
 {
-	struct wp_resources left = wp_free_resources(w);
-
-	return need->cpu_mcpu <= left.cpu_mcpu && need->mem_mb <= left.mem_mb &&
-	    need->gpu <= left.gpu;
+	return need->cpu_mcpu <= available->cpu_mcpu &&
+	    need->mem_mb <= available->mem_mb && need->gpu <= available->gpu;
 }
 
 void
@@ -179,7 +178,6 @@
 	wp_task_attach(t, w);
 	t->state = WP_TASK_STARTING;
 	t->step->waiting--;
-	t->step->expired_unused = 0;
 	t->run = run;
 	t->start_sends = 0;
 	t->started_us = now_us;
@@ -302,6 +300,7 @@
 void
 wp_step_unlist(struct wp_pool *p, struct wp_step *s)
 {
+	wp_reservation_release(p, s);
 	DL_DELETE(p->ready, s);
 	s->prev = NULL;
 	s->next = NULL;
@@ -313,8 +312,10 @@
 	bool listed = s->prev != NULL;
 	bool wanted = s->ready && s->waiting > 0;
 
-	if (wanted && !listed)
+	if (wanted && !listed) {
+		s->rank = UINT32_MAX;
 		DL_INSERT_INORDER(p->ready, s, wp_compare_steps);
+	}
 	if (!wanted && listed)
 		wp_step_unlist(p, s);
 	wp_step_update_upcoming(p, s);
--- a/state/pool_waits.c
+++ b/state/pool_waits.c
@@ -103,8 +103,7 @@
 
 	DL_FOREACH(p->ready, s) {
 		enum wp_wait wait = wp_wait_of(p, s, now_us);
-		struct wp_queue_waits *row =
-		    wp_waits_row(list, &count, max, s);
+		struct wp_queue_waits *row = wp_waits_row(list, &count, max, s);
 
 		if (row == NULL)
 			continue;
