--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -191,7 +191,8 @@
  * @next_request_us: no advice request before
  * @rank: position among the ready steps when gangs were last planned
  * @reserved: resources are reserved for it, as its tickets say
- * @planned_us: when it is expected to start on them
+ * @planned_us: when a gang is expected to be able to start; INT64_MAX when it
+ *	is not, 0 before it was planned
  * @full_scan_at_us: until then only workers with newly freed resources are
  *	considered
  */
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -388,6 +388,15 @@
 	return n;
 }
 
+/* Whether further workers might let a gang start sooner than it can now. */
+static bool
+wp_wants_more_workers(
+    struct wp_pool *p, const struct wp_step *s, int64_t now_us)
+{
+	return wp_approved_slots(p, s) < WP_GANG_CHOICE * s->spec->count ||
+	    s->planned_us > now_us + 2 * wp_advice_latency_us(p, s);
+}
+
 /*
  * Advice for a gang that can't start yet: enough workers are asked for once, to
  * have a choice. Later only tickets for reserved workers are renewed, when the
@@ -403,7 +412,7 @@
 	if (!wp_may_request_advice(p, s, now_us) || s->requests_in_flight > 0)
 		return false;
 	s->next_request_us = now_us + WP_REQUEST_INTERVAL_US;
-	if (wp_approved_slots(p, s) < WP_GANG_CHOICE * s->spec->count &&
+	if (wp_wants_more_workers(p, s, now_us) &&
 	    !wp_is_exhausted(expected, &need) &&
 	    wp_fill_request(p, s, now_us, request))
 		return true;
--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -21,6 +21,8 @@
 #define WP_RESERVE_HORIZON_US (2 * CLK_US_PER_S)
 /* A stop takes about this long. */
 #define WP_STOP_TIME_US (300 * CLK_US_PER_MS)
+/* Leaves ranks for the steps that are listed until the next plan. */
+#define WP_RANK_STEP 64
 /* Runs take longer than estimated by up to a quarter. */
 #define WP_BACKFILL_PERCENT 125
 
@@ -121,7 +123,8 @@
 }
 
 static void
-wp_reserve_slot(struct wp_pool *p, struct wp_step *s, const struct gp_slot *slot)
+wp_reserve_slot(
+    struct wp_pool *p, struct wp_step *s, const struct gp_slot *slot)
 {
 	struct wp_worker *w = p->worker_by_index[slot->worker];
 	struct wp_resources need = wp_task_resources(s->spec);
@@ -271,9 +274,9 @@
 	int64_t planned_us = gp_choose(plan->slot, count, s->spec->count);
 	uint32_t i;
 
+	s->planned_us = planned_us;
 	if (!wp_may_reserve(plan, s, planned_us))
 		return;
-	s->planned_us = planned_us;
 	s->reserved = true;
 	for (i = 0; i < s->spec->count; i++)
 		wp_reserve_slot(plan->pool, s, &plan->slot[i]);
@@ -312,7 +315,8 @@
 	p->reserve_at_us = now_us + WP_RESERVE_INTERVAL_US;
 	wp_clear_reservations(p);
 	DL_FOREACH(p->ready, s) {
-		s->rank = rank++;
+		rank += WP_RANK_STEP;
+		s->rank = rank;
 		if (wp_is_waiting_gang(s))
 			wp_plan_reservation(&plan, s);
 	}
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -263,18 +263,19 @@
 };
 
 static bool
-wp_plan_gang(struct wp_pool *p, struct wp_step *s, const char *rack,
+wp_plan_gang(struct wp_pool *p, struct wp_step *s, bool over_reservations,
     struct wp_gang_plan *plan, int64_t now_us)
 {
 	struct wp_resources need = wp_task_resources(s->spec);
+	const char *rack = NULL;
 	uint32_t placed;
 	uint32_t i;
 
 	for (placed = 0; placed < s->spec->count; placed++) {
 		struct wp_worker *w;
 
-		w = wp_pick_worker(p, s, &s->task[placed], rack, false, now_us,
-		    &plan->ticket[placed]);
+		w = wp_pick_worker(p, s, &s->task[placed], rack,
+		    over_reservations, now_us, &plan->ticket[placed]);
 		plan->w[placed] = w;
 		if (w == NULL)
 			break;
@@ -309,7 +310,8 @@
 	plan.ticket = talloc_zero_array(plan.w, const char *, s->spec->count);
 	if (plan.w == NULL || plan.ticket == NULL)
 		abort();
-	if (!wp_plan_gang(p, s, NULL, &plan, now_us))
+	if (!wp_plan_gang(p, s, false, &plan, now_us) &&
+	    !wp_plan_gang(p, s, true, &plan, now_us))
 		goto out;
 	run = wp_gang_run(p, s);
 	checkpoint = wp_gang_checkpoint(s);
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -306,6 +306,15 @@
 	s->next = NULL;
 }
 
+/* Until gangs are planned again: just before the next step. */
+static uint32_t
+wp_rank_between(const struct wp_step *s)
+{
+	if (s->next == NULL)
+		return UINT32_MAX;
+	return s->next->rank > 0 ? s->next->rank - 1 : 0;
+}
+
 void
 wp_step_update_lists(struct wp_pool *p, struct wp_step *s)
 {
@@ -313,8 +322,8 @@
 	bool wanted = s->ready && s->waiting > 0;
 
 	if (wanted && !listed) {
-		s->rank = UINT32_MAX;
 		DL_INSERT_INORDER(p->ready, s, wp_compare_steps);
+		s->rank = wp_rank_between(s);
 	}
 	if (!wanted && listed)
 		wp_step_unlist(p, s);
