cell: ownership begins once everything up to the claim has been read

Cause: a daemon whose watch had lost its history (410) loads all keys again, page by page. While it did, it claimed a pool; the page with its claim came before the pages with the progress of jobs, and it began as owner with progress that was ten seconds old.

Change: rp_has_applied() tells whether a load is complete and the watch has passed a revision; ownership waits for that of its claim, and nothing is claimed during a load.

Tests: Replica.ClaimReadByALoadDoesNotCountUntilAllPagesAreRead and Replica.ClaimMadeDuringALoadCountsOnceTheWatchHasPassedIt; before, such a claim counted as soon as its page was read.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -351,7 +351,9 @@
 	struct cp_host *h = arg;
 	struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
 
-	if (!h->claim_visible || o->term_revision < o->fence)
+	/* Commits of earlier owners must be in the replica, too. */
+	if (!h->claim_visible || o->term_revision < o->fence ||
+	    !rp_has_applied(h->cell->replica, o->fence))
 		return;
 	h->claim_visible = false;
 	if (h->state == CP_CLAIMING)
@@ -428,7 +430,7 @@
 {
 	struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
 
-	if (h->cell->draining || o->present)
+	if (h->cell->draining || h->cell->replica->loading || o->present)
 		return;
 	if (h->claim_at_us == 0)
 		h->claim_at_us = now_us + cp_claim_delay_us(h);
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -609,6 +609,7 @@
 		return;
 	}
 	TALLOC_FREE(r->load_cursor);
+	r->loading = false;
 	rp_remove_unfound(r);
 	r->applied_revision = r->load_revision;
 	if (!r->synced)
@@ -629,6 +630,7 @@
 	struct replica *r = arg;
 
 	TALLOC_FREE(r->load_cursor);
+	r->loading = true;
 	r->fleet->keys->range(r->fleet->handle, "", NULL, rp_on_load_page, r);
 }
 
@@ -701,6 +703,12 @@
 	    RP_OPERATOR_WATCH_MS, rp_on_operator_watch, r);
 }
 
+bool
+rp_has_applied(const struct replica *r, uint64_t revision)
+{
+	return r->synced && !r->loading && r->applied_revision >= revision;
+}
+
 void
 rp_tick(struct replica *r, int64_t now_us)
 {
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -189,6 +189,7 @@
 /**
  * struct replica - local copy of the key space
  * @synced: the first load is complete
+ * @loading: a load is not complete; items are in no common order until then
  * @applying_in_order: the item being applied comes in the order of changes
  * @applied_revision: revision up to which all changes are applied
  * @load_revision: revision of the first page of the newest load
@@ -205,6 +206,7 @@
 	struct rp_hooks hooks;
 	void *arg;
 	bool synced;
+	bool loading;
 	bool applying_in_order;
 	uint64_t applied_revision;
 	uint64_t load_revision;
@@ -233,6 +235,14 @@
 struct replica *rp_start(TALLOC_CTX *ctx, struct loop *l,
     const struct fl_fleet *fleet, const struct rp_hooks *hooks, void *arg);
 
+/**
+ * rp_has_applied() - whether everything up to a revision is in the replica
+ *
+ * A key that a load has read tells nothing about keys of pages that are still
+ * to come, or were read earlier.
+ */
+bool rp_has_applied(const struct replica *r, uint64_t revision);
+
 /** rp_tick() - open the next watch if the pause is over */
 void rp_tick(struct replica *r, int64_t now_us);
 
