--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -166,15 +166,24 @@
 	av_dispatch(d);
 }
 
-/* The request with the lowest priority value; the oldest among equals. */
+/* The more urgent priority goes first, then the cheaper request. */
+static bool
+av_goes_before(const struct av_request *a, const struct av_request *b)
+{
+	if (a->request.priority != b->request.priority)
+		return a->request.priority < b->request.priority;
+	return a->cost_us < b->cost_us;
+}
+
+/* The request that goes first; the oldest among equals. */
 static struct av_request *
-av_highest_priority(struct av_request *list)
+av_first_request(struct av_request *list)
 {
 	struct av_request *best = list;
 	struct av_request *req;
 
 	DL_FOREACH(list, req) {
-		if (req->request.priority < best->request.priority)
+		if (av_goes_before(req, best))
 			best = req;
 	}
 	return best;
@@ -188,7 +197,7 @@
 
 	while (d->local_in_flight < AV_MAX_LOCAL_IN_FLIGHT &&
 	    d->local_queue != NULL) {
-		struct av_request *req = av_highest_priority(d->local_queue);
+		struct av_request *req = av_first_request(d->local_queue);
 
 		DL_DELETE(d->local_queue, req);
 		d->local_in_flight++;
@@ -320,7 +329,7 @@
 }
 
 static struct av_request *
-av_highest_priority_of(struct av_request *list, bool is_short)
+av_first_request_of(struct av_request *list, bool is_short)
 {
 	struct av_request *best = NULL;
 	struct av_request *req;
@@ -328,8 +337,7 @@
 	DL_FOREACH(list, req) {
 		if ((req->cost_us < AV_SHORT_US) != is_short)
 			continue;
-		if (best == NULL ||
-		    req->request.priority < best->request.priority)
+		if (best == NULL || av_goes_before(req, best))
 			best = req;
 	}
 	return best;
@@ -342,7 +350,7 @@
 	struct av_request *req;
 	struct av_target *target;
 
-	while ((req = av_highest_priority_of(d->queue, is_short)) != NULL) {
+	while ((req = av_first_request_of(d->queue, is_short)) != NULL) {
 		target = av_choose_target(d, is_short);
 		if (target == NULL)
 			return;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -139,7 +139,7 @@
  * @queue: queue of the jobs that it was asked for
  * @asked: workers named in answered requests
  * @approved: those among them that were approved
- * @latency_us: usual time from a request to its answer
+ * @queued_us: time that requests usually take beyond their cost
  *
  * Both counts are halved from time to time, so that older answers weigh less.
  */
@@ -147,7 +147,7 @@
 	char *queue;
 	uint32_t asked;
 	uint32_t approved;
-	int64_t latency_us;
+	int64_t queued_us;
 	UT_hash_handle hh;
 };
 
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -143,8 +143,9 @@
     const struct wp_advice_request *request, uint32_t approved, int64_t now_us);
 /** wp_max_request_workers() - workers that a queue's requests may name */
 uint32_t wp_max_request_workers(const struct jb_policy *policy);
-/** wp_advice_latency_us() - usual time from a request to its answer */
-int64_t wp_advice_latency_us(struct wp_pool *p, const struct wp_step *s);
+/** wp_advice_latency_us() - time that a request about @workers usually takes */
+int64_t wp_advice_latency_us(
+    struct wp_pool *p, const struct wp_step *s, uint32_t workers);
 /** wp_expected_end_us() - when a running task will end, by its progress */
 int64_t wp_expected_end_us(const struct wp_task *t);
 /** wp_prefetch_advice() - request advice for a step that is not ready yet */
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -63,11 +63,12 @@
 	struct wp_ticket *ticket;
 
 	wp_grow_tickets(p, s);
-	if (s->ticket_index[w->index] == 0)
+	if (s->ticket_index[w->index] == 0) {
 		s->ticket_index[w->index] = (uint16_t)++s->ticket_count;
+		memset(&s->ticket[s->ticket_count - 1], 0, sizeof(*ticket));
+	}
 	ticket = &s->ticket[s->ticket_index[w->index] - 1];
-	if (ticket->incarnation_ms != w->incarnation_ms ||
-	    ticket->worker_index != w->index)
+	if (ticket->incarnation_ms != w->incarnation_ms)
 		memset(ticket, 0, sizeof(*ticket));
 	ticket->worker_index = w->index;
 	ticket->incarnation_ms = w->incarnation_ms;
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -33,8 +33,10 @@
 #define WP_MAX_ASKED 2000
 /* Fraction of a pool that is expected to become free during a request. */
 #define WP_TURNOVER_DIVISOR 8
-/* Weight of an answer in the usual latency of a queue's requests. */
-#define WP_LATENCY_DIVISOR 8
+/* Weight of an answer in the time that requests usually wait. */
+#define WP_QUEUED_DIVISOR 8
+/* Requests wait so long at times although the service is not busy. */
+#define WP_IDLE_QUEUE_US (50 * CLK_US_PER_MS)
 /* Approved slots for each member of a gang, to have a choice. */
 #define WP_GANG_CHOICE 2
 /* Tickets of a planned gang are renewed so much before they are needed. */
@@ -55,7 +57,6 @@
 	rate->queue = talloc_strdup(rate, queue);
 	rate->asked = WP_INITIAL_ASKED;
 	rate->approved = WP_INITIAL_APPROVED;
-	rate->latency_us = s->occ->job->spec->policy.advice_decide_us;
 	HASH_ADD_KEYPTR(
 	    hh, p->approval_rates, rate->queue, strlen(rate->queue), rate);
 	return rate;
@@ -66,10 +67,12 @@
     const struct wp_advice_request *request, uint32_t approved, int64_t now_us)
 {
 	struct wp_approval_rate *rate = wp_approval_rate_of(p, s);
-	int64_t latency_us = now_us - request->made_us;
+	int64_t queued_us = now_us - request->made_us - request->base_cost_us -
+	    (int64_t)request->worker_cost_us * request->worker_count;
 
-	rate->latency_us +=
-	    (latency_us - rate->latency_us) / WP_LATENCY_DIVISOR;
+	if (queued_us < 0)
+		queued_us = 0;
+	rate->queued_us += (queued_us - rate->queued_us) / WP_QUEUED_DIVISOR;
 	rate->asked += request->worker_count;
 	rate->approved += approved;
 	if (rate->asked > WP_MAX_ASKED) {
@@ -79,9 +82,13 @@
 }
 
 int64_t
-wp_advice_latency_us(struct wp_pool *p, const struct wp_step *s)
+wp_advice_latency_us(
+    struct wp_pool *p, const struct wp_step *s, uint32_t workers)
 {
-	return wp_approval_rate_of(p, s)->latency_us;
+	const struct jb_policy *policy = &s->occ->job->spec->policy;
+
+	return wp_approval_rate_of(p, s)->queued_us + policy->advice_decide_us +
+	    (int64_t)policy->advice_period_us * workers;
 }
 
 /* Not all workers are approved, and some slots are taken meanwhile. */
@@ -388,13 +395,34 @@
 	return n;
 }
 
+/*
+ * Whether to ask about further workers, although enough have approved a gang:
+ * while they might let it start sooner, and the advice service has time.
+ */
+static bool
+wp_wants_more_choice(
+    struct wp_pool *p, const struct wp_step *s, uint32_t slots, int64_t now_us)
+{
+	const struct wp_approval_rate *rate = wp_approval_rate_of(p, s);
+	const struct jb_policy *policy = &s->occ->job->spec->policy;
+	int64_t latency_us =
+	    wp_advice_latency_us(p, s, wp_max_request_workers(policy));
+
+	if (rate->queued_us > policy->advice_decide_us + WP_IDLE_QUEUE_US)
+		return false;
+	return slots < WP_GANG_CHOICE * s->spec->count ||
+	    s->planned_us > now_us + 2 * latency_us;
+}
+
 /* Whether further workers might let a gang start sooner than it can now. */
 static bool
 wp_wants_more_workers(
     struct wp_pool *p, const struct wp_step *s, int64_t now_us)
 {
-	return wp_approved_slots(p, s) < WP_GANG_CHOICE * s->spec->count ||
-	    s->planned_us > now_us + 2 * wp_advice_latency_us(p, s);
+	uint32_t slots = wp_approved_slots(p, s);
+
+	return slots < s->spec->count ||
+	    wp_wants_more_choice(p, s, slots, now_us);
 }
 
 /*
@@ -418,7 +446,7 @@
 		return true;
 	return s->reserved &&
 	    s->planned_us - now_us <=
-	    wp_advice_latency_us(p, s) + WP_RENEWAL_MARGIN_US &&
+	    wp_advice_latency_us(p, s, s->spec->count) + WP_RENEWAL_MARGIN_US &&
 	    wp_fill_renewal(p, s, now_us, request);
 }
 
--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -184,7 +184,7 @@
 
 	if (!wp_needs_advice(s) || wp_ticket_valid(s, w, at_us) != NULL)
 		return at_us;
-	latency_us = wp_advice_latency_us(p, s);
+	latency_us = wp_advice_latency_us(p, s, s->spec->count);
 	return now_us + latency_us > at_us ? now_us + latency_us : at_us;
 }
 
@@ -237,7 +237,7 @@
 	return count;
 }
 
-/* Until when a gang's tickets last that are requested now. */
+/* How long tickets last that are requested now: resources wait no longer. */
 static int64_t
 wp_horizon_us(struct wp_pool *p, const struct wp_step *s, int64_t now_us)
 {
@@ -246,7 +246,7 @@
 
 	if (!wp_needs_advice(s))
 		return now_us + WP_RESERVE_HORIZON_US;
-	return now_us + valid_us - wp_advice_latency_us(p, s);
+	return now_us + wp_advice_latency_us(p, s, s->spec->count) + valid_us;
 }
 
 /*
