--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -21,12 +21,20 @@
 #define WP_RESERVE_HORIZON_US (2 * CLK_US_PER_S)
 /* A stop takes about this long. */
 #define WP_STOP_TIME_US (300 * CLK_US_PER_MS)
+/* Fraction of a pool that may be free and reserved before the last gang. */
+#define WP_MAX_IDLE_DIVISOR 16
 /* Leaves ranks for the steps that are listed until the next plan. */
 #define WP_RANK_STEP 64
 /* Runs take longer than estimated by up to a quarter. */
 #define WP_BACKFILL_PERCENT 125
 
-/* What a plan is made of; kept between the gangs of one pass. */
+/*
+ * struct wp_planner - plans the gangs of a pool in one pass
+ * @release, @slot: buffers, kept from one gang to the next
+ * @has_distant_gang: a gang that can't start soon has a reservation
+ * @idle: resources that are free and reserved
+ * @capacity: resources of all usable workers
+ */
 struct wp_planner {
 	struct wp_pool *pool;
 	int64_t now_us;
@@ -34,6 +42,8 @@
 	struct gp_slot *slot;
 	uint32_t slot_max;
 	bool has_distant_gang;
+	struct wp_resources idle;
+	struct wp_resources capacity;
 };
 
 static int64_t
@@ -124,13 +134,17 @@
 
 static void
 wp_reserve_slot(
-    struct wp_pool *p, struct wp_step *s, const struct gp_slot *slot)
+    struct wp_planner *plan, struct wp_step *s, const struct gp_slot *slot)
 {
-	struct wp_worker *w = p->worker_by_index[slot->worker];
+	struct wp_worker *w = plan->pool->worker_by_index[slot->worker];
 	struct wp_resources need = wp_task_resources(s->spec);
+	struct wp_resources idle = wp_idle_reserved(w);
 
-	wp_ticket_get(p, s, w)->reserved++;
+	wp_resources_add(&plan->idle, &idle, -1);
+	wp_ticket_get(plan->pool, s, w)->reserved++;
 	wp_resources_add(&w->gang_reserved, &need, 1);
+	idle = wp_idle_reserved(w);
+	wp_resources_add(&plan->idle, &idle, 1);
 	if (w->reserved_members == 0 || s->planned_us < w->reserved_from_us)
 		w->reserved_from_us = s->planned_us;
 	if (w->reserved_members == 0 || s->rank < w->reserved_rank)
@@ -237,7 +251,10 @@
 	return count;
 }
 
-/* How long tickets last that are requested now: resources wait no longer. */
+/*
+ * Resources wait no longer than until tickets that are requested now are half
+ * used up: later starts are too uncertain.
+ */
 static int64_t
 wp_horizon_us(struct wp_pool *p, const struct wp_step *s, int64_t now_us)
 {
@@ -246,7 +263,17 @@
 
 	if (!wp_needs_advice(s))
 		return now_us + WP_RESERVE_HORIZON_US;
-	return now_us + wp_advice_latency_us(p, s, s->spec->count) + valid_us;
+	return now_us + wp_advice_latency_us(p, s, s->spec->count) +
+	    valid_us / 2;
+}
+
+/* Whether enough resources wait for gangs, while other tasks could use them. */
+static bool
+wp_too_much_is_idle(const struct wp_planner *plan)
+{
+	return plan->idle.cpu_mcpu * WP_MAX_IDLE_DIVISOR >
+	    plan->capacity.cpu_mcpu ||
+	    plan->idle.gpu * WP_MAX_IDLE_DIVISOR > plan->capacity.gpu;
 }
 
 /*
@@ -257,7 +284,7 @@
 wp_may_reserve(
     struct wp_planner *plan, const struct wp_step *s, int64_t planned_us)
 {
-	if (planned_us == INT64_MAX)
+	if (planned_us == INT64_MAX || wp_too_much_is_idle(plan))
 		return false;
 	if (planned_us <= wp_horizon_us(plan->pool, s, plan->now_us))
 		return true;
@@ -279,7 +306,7 @@
 		return;
 	s->reserved = true;
 	for (i = 0; i < s->spec->count; i++)
-		wp_reserve_slot(plan->pool, s, &plan->slot[i]);
+		wp_reserve_slot(plan, s, &plan->slot[i]);
 }
 
 static bool
@@ -289,8 +316,9 @@
 }
 
 static void
-wp_clear_reservations(struct wp_pool *p)
+wp_planner_begin(struct wp_planner *plan)
 {
+	struct wp_pool *p = plan->pool;
 	struct wp_worker *w;
 	struct wp_worker *tmp;
 	struct wp_step *s;
@@ -300,6 +328,8 @@
 	HASH_ITER(hh, p->workers, w, tmp) {
 		memset(&w->gang_reserved, 0, sizeof(w->gang_reserved));
 		w->reserved_members = 0;
+		if (wp_is_usable(w, plan->now_us))
+			wp_resources_add(&plan->capacity, &w->capacity, 1);
 	}
 }
 
@@ -313,7 +343,7 @@
 	if (now_us < p->reserve_at_us)
 		return;
 	p->reserve_at_us = now_us + WP_RESERVE_INTERVAL_US;
-	wp_clear_reservations(p);
+	wp_planner_begin(&plan);
 	DL_FOREACH(p->ready, s) {
 		rank += WP_RANK_STEP;
 		s->rank = rank;
