pool: idle reservations are bounded while other steps want the resources

Change: the bound of a sixteenth holds while steps that are no gangs wait for more than a sixteenth of the pool.

--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -21,7 +21,7 @@
 #define WP_RESERVE_HORIZON_US (2 * CLK_US_PER_S)
 /* A stop takes about this long. */
 #define WP_STOP_TIME_US (300 * CLK_US_PER_MS)
-/* Fraction of a pool that may be reserved while no more than that is free. */
+/* Fraction of a pool that may idle for gangs while other steps want as much. */
 #define WP_MAX_IDLE_DIVISOR 16
 /* Leaves ranks for the steps that are listed until the next plan. */
 #define WP_RANK_STEP 64
@@ -33,7 +33,7 @@
  * @release, @slot: buffers, kept from one gang to the next
  * @has_distant_gang: a gang that can't start soon has a reservation
  * @idle: resources that are free and reserved
- * @free: free resources of all usable workers, reserved or not
+ * @wanted: resources that waiting steps need which are no gangs
  * @capacity: resources of all usable workers
  */
 struct wp_planner {
@@ -44,7 +44,7 @@
 	uint32_t slot_max;
 	bool has_distant_gang;
 	struct wp_resources idle;
-	struct wp_resources free;
+	struct wp_resources wanted;
 	struct wp_resources capacity;
 };
 
@@ -270,20 +270,20 @@
 }
 
 static bool
-wp_is_scarce(int64_t idle, int64_t free, int64_t capacity)
+wp_is_wanted(int64_t idle, int64_t wanted, int64_t capacity)
 {
 	int64_t max = capacity / WP_MAX_IDLE_DIVISOR;
 
-	return idle > max && free - idle < max;
+	return idle > max && wanted > max;
 }
 
-/* Whether enough waits for gangs, and hardly anything is left for others. */
+/* Whether so much waits for gangs that other steps go short. */
 static bool
 wp_too_much_is_idle(const struct wp_planner *plan)
 {
-	return wp_is_scarce(plan->idle.cpu_mcpu, plan->free.cpu_mcpu,
+	return wp_is_wanted(plan->idle.cpu_mcpu, plan->wanted.cpu_mcpu,
 		   plan->capacity.cpu_mcpu) ||
-	    wp_is_scarce(plan->idle.gpu, plan->free.gpu, plan->capacity.gpu);
+	    wp_is_wanted(plan->idle.gpu, plan->wanted.gpu, plan->capacity.gpu);
 }
 
 /*
@@ -333,18 +333,18 @@
 	struct wp_worker *tmp;
 	struct wp_step *s;
 
-	DL_FOREACH(p->ready, s)
+	DL_FOREACH(p->ready, s) {
+		struct wp_resources need = wp_task_resources(s->spec);
+
 		wp_reservation_release(p, s);
+		if (!(s->spec->flags & JB_GANG))
+			wp_resources_add(&plan->wanted, &need, (int)s->waiting);
+	}
 	HASH_ITER(hh, p->workers, w, tmp) {
-		struct wp_resources left;
-
 		memset(&w->gang_reserved, 0, sizeof(w->gang_reserved));
 		w->reserved_members = 0;
-		if (!wp_is_usable(w, plan->now_us))
-			continue;
-		left = wp_free_resources(w);
-		wp_resources_add(&plan->free, &left, 1);
-		wp_resources_add(&plan->capacity, &w->capacity, 1);
+		if (wp_is_usable(w, plan->now_us))
+			wp_resources_add(&plan->capacity, &w->capacity, 1);
 	}
 }
 
--- a/tests/unit/test_load.cc
+++ b/tests/unit/test_load.cc
@@ -219,8 +219,8 @@
 		if (o->kind == WP_ORDER_START) {
 			if (job.started == 0)
 				job.started = now;
-			w.runs.push_back(
-			    {o->ref.job, o->ref.index, o->run, now, now + work});
+			w.runs.push_back({o->ref.job, o->ref.index, o->run, now,
+			    now + work});
 		}
 		answer(o);
 	}
