pool: one function for the capacity of all usable workers

Cause: the planner of reservations and the budget for gangs' requests summed the same workers in a loop each. The slots that a worker counts for a gang are bounded by its members, as a member that needs nothing of a worker would make the sum overflow.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -8,8 +8,9 @@
  * DOC: Shared by the pool's files. Lowest first: pool_task (state changes of
  * tasks, steps and jobs), pool_store (what to store and acknowledge),
  * pool_worker (workers' reports and leases), pool_gang, pool_advice (tickets),
- * pool_ask (which advice requests are sent), pool_outlook (lateness),
- * pool_waits (what steps wait for), pool_sharing (throttling), pool_copy (speculative copies of tasks),
+ * pool_reserve (resources kept for gangs), pool_ask (which advice requests are
+ * sent), pool_outlook (lateness), pool_waits (what steps wait for),
+ * pool_sharing (throttling), pool_copy (speculative copies of tasks),
  * pool_retire (emptying workers for maintenance), pool_sched (which task starts
  * where), pool (jobs and ticks).
  */
@@ -190,6 +191,8 @@
 bool wp_is_suitable(const struct wp_step *s, const struct wp_worker *w);
 /** wp_is_usable() - whether a worker may receive new tasks now */
 bool wp_is_usable(const struct wp_worker *w, int64_t now_us);
+/** wp_usable_capacity() - resources of all workers that may receive tasks */
+struct wp_resources wp_usable_capacity(const struct wp_pool *p, int64_t now_us);
 /** wp_slots_left() - tasks that the step's limit per worker still allows */
 uint32_t wp_slots_left(const struct wp_step *s, const struct wp_worker *w);
 /** wp_has_acceptable_task() - whether a waiting task does not avoid a worker */
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -389,6 +389,8 @@
 	while ((w = wp_scan_next(&scan)) != NULL) {
 		uint32_t limit = wp_slots_left(s, w);
 
+		if (limit > s->spec->count)
+			limit = s->spec->count;
 		if (w->listed && !w->draining)
 			n += gp_fit_count(&w->capacity, &need, limit);
 	}
@@ -414,7 +416,6 @@
 	    s->planned_us > now_us + 2 * latency_us;
 }
 
-/* Whether further workers might let a gang start sooner than it can now. */
 static bool
 wp_wants_more_workers(
     struct wp_pool *p, const struct wp_step *s, int64_t now_us)
@@ -450,27 +451,12 @@
 	    wp_fill_renewal(p, s, now_us, request);
 }
 
-/* What the gangs before it may leave for a gang to ask for workers. */
-static struct wp_resources
-wp_gang_resources(const struct wp_pool *p, int64_t now_us)
-{
-	struct wp_resources sum = {0};
-	struct wp_worker *w;
-	struct wp_worker *tmp;
-
-	HASH_ITER(hh, p->workers, w, tmp) {
-		if (wp_is_usable(w, now_us))
-			wp_resources_add(&sum, &w->capacity, 1);
-	}
-	return sum;
-}
-
 bool
 wp_next_advice_request(
     struct wp_pool *p, int64_t now_us, struct wp_advice_request *request)
 {
 	struct wp_resources expected = wp_expected_resources(p, now_us);
-	struct wp_resources for_gangs = wp_gang_resources(p, now_us);
+	struct wp_resources for_gangs = wp_usable_capacity(p, now_us);
 	struct wp_step *s;
 
 	DL_FOREACH(p->ready, s) {
--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -343,9 +343,8 @@
 	HASH_ITER(hh, p->workers, w, tmp) {
 		memset(&w->gang_reserved, 0, sizeof(w->gang_reserved));
 		w->reserved_members = 0;
-		if (wp_is_usable(w, plan->now_us))
-			wp_resources_add(&plan->capacity, &w->capacity, 1);
 	}
+	plan->capacity = wp_usable_capacity(p, plan->now_us);
 }
 
 void
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -19,6 +19,20 @@
 	    !w->draining && !w->evacuating && now_us >= w->quarantined_until_us;
 }
 
+struct wp_resources
+wp_usable_capacity(const struct wp_pool *p, int64_t now_us)
+{
+	struct wp_resources sum = {0};
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+
+	HASH_ITER(hh, p->workers, w, tmp) {
+		if (wp_is_usable(w, now_us))
+			wp_resources_add(&sum, &w->capacity, 1);
+	}
+	return sum;
+}
+
 bool
 wp_is_suitable(const struct wp_step *s, const struct wp_worker *w)
 {
