--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -28,9 +28,12 @@
 /* Runs take longer than estimated by up to a quarter. */
 #define WP_BACKFILL_PERCENT 125
 
-/*
+/**
  * struct wp_planner - plans the gangs of a pool in one pass
- * @release, @slot: buffers, kept from one gang to the next
+ * @pool: the pool
+ * @now_us: time of the pass
+ * @release: buffer for gp_add_slots(), kept from one gang to the next
+ * @slot: buffer with space for @slot_max slots, kept as well
  * @has_distant_gang: a gang that can't start soon has a reservation
  * @idle: resources that are free and reserved
  * @wanted: resources that waiting steps need which are no gangs
