--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -244,8 +244,9 @@
 
 	wp_scan_begin(&scan, plan->pool, s);
 	while ((w = wp_scan_next(&scan)) != NULL) {
-		if (count + s->spec->count > plan->slot_max) {
-			plan->slot_max = 2 * (count + s->spec->count);
+		if (plan->slot == NULL ||
+		    count + s->spec->count > plan->slot_max) {
+			plan->slot_max = 2 * (count + s->spec->count) + 1;
 			plan->slot = talloc_realloc(plan->pool, plan->slot,
 			    struct gp_slot, plan->slot_max);
 			if (plan->slot == NULL)
@@ -311,11 +312,13 @@
 wp_plan_reservation(struct wp_planner *plan, struct wp_step *s)
 {
 	uint32_t count = wp_list_slots(plan, s);
-	int64_t planned_us = gp_choose(plan->slot, count, s->spec->count);
 	uint32_t i;
 
-	s->planned_us = planned_us;
-	if (!wp_may_reserve(plan, s, planned_us))
+	s->planned_us = INT64_MAX;
+	if (plan->slot == NULL)
+		return;
+	s->planned_us = gp_choose(plan->slot, count, s->spec->count);
+	if (!wp_may_reserve(plan, s, s->planned_us))
 		return;
 	s->reserved = true;
 	for (i = 0; i < s->spec->count; i++)
