--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -531,9 +531,9 @@
 	for (i = 0; i < count; i++) {
 		for (wait = 0; wait < WP_WAITS; wait++)
 			text = talloc_asprintf_append(text,
-			    "currant_pool_waiting_mcpu{pool=\"%s\",queue=\"%"
-			    "s\","
-			    "gangs=\"%d\",cause=\"%s\"} %lld\n",
+			    "currant_pool_waiting_mcpu{pool=\"%s\","
+			    "queue=\"%s\",gangs=\"%d\",cause=\"%s\"} "
+			    "%lld\n",
 			    h->name, row[i].queue, row[i].gangs,
 			    wp_wait_name((enum wp_wait)wait),
 			    (long long)row[i].cpu_mcpu[wait]);
