protocol: frames of another version are refused

fr_unpack() never looked at the version byte of a frame's header, so a daemon of a later release with another payload would have been decoded as if it were ours, field by field. Now FR_BAD_VERSION is returned and the link is closed with event=bad_frame, as for any other frame that can't be decoded. Frame.FrameOfAnotherVersionIsNotDecoded failed before (the frame was decoded) and passes now.

--- a/include/protocol/frame.h
+++ b/include/protocol/frame.h
@@ -23,6 +23,7 @@
 	FR_OK,
 	FR_INCOMPLETE, /* more bytes are needed */
 	FR_BAD_MAGIC,  /* not a frame of this protocol */
+	FR_BAD_VERSION,
 	FR_TOO_LARGE,
 	FR_BAD_PAYLOAD,
 };
--- a/protocol/frame.c
+++ b/protocol/frame.c
@@ -39,6 +39,8 @@
 	if ((len > 0 && buf[0] != FR_MAGIC_0) ||
 	    (len > 1 && buf[1] != FR_MAGIC_1))
 		return FR_BAD_MAGIC;
+	if (len > 2 && buf[2] != FR_VERSION)
+		return FR_BAD_VERSION;
 	if (len < FR_HEADER_BYTES)
 		return FR_INCOMPLETE;
 	memcpy(&n, buf + 4, sizeof(n));
@@ -61,6 +63,7 @@
 	    [FR_OK] = "ok",
 	    [FR_INCOMPLETE] = "incomplete frame",
 	    [FR_BAD_MAGIC] = "not a frame of this protocol",
+	    [FR_BAD_VERSION] = "frame of an unsupported version",
 	    [FR_TOO_LARGE] = "frame too large",
 	    [FR_BAD_PAYLOAD] = "payload cannot be decoded",
 	};
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -71,6 +71,16 @@
 	EXPECT_EQ(fr_unpack(v.data(), v.size(), &used, &frame), FR_BAD_PAYLOAD);
 }
 
+TEST(Frame, FrameOfAnotherVersionIsNotDecoded)
+{
+	std::vector<uint8_t> v = sample_frame();
+	Currant__Frame *frame;
+	size_t used;
+
+	v[2] = FR_VERSION + 1;
+	EXPECT_EQ(fr_unpack(v.data(), v.size(), &used, &frame), FR_BAD_VERSION);
+}
+
 class Mutations : public testing::TestWithParam<int>
 {
 };
