--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -8,12 +8,26 @@
 
 extern "C" {
 #include "common/clock.h"
+#include "transport/address.h"
 #include "transport/http_client.h"
 }
 
 namespace
 {
 
+TEST(Address, MalformedPortIsRejected)
+{
+	static const char *const malformed[] = {"127.0.0.1:", "127.0.0.1:x",
+	    "127.0.0.1:80x", "127.0.0.1:-1", "127.0.0.1: 80", "127.0.0.1:65536",
+	    "127.0.0.1:99999999999999999999", "127.0.0.1", ":80"};
+	struct sockaddr_in sin;
+
+	for (const char *text : malformed)
+		EXPECT_FALSE(ad_parse(text, &sin)) << text;
+	ASSERT_TRUE(ad_parse("127.0.0.1:65535", &sin));
+	EXPECT_EQ(ntohs(sin.sin_port), 65535);
+}
+
 /* Responds to one request, reads a second one and resets the connection. */
 class ResettingServer
 {
