currantctl: a response without the expected text is an error, not a crash

'preset show' and 'why' printed json_string_value() of a field without a check: with {"preset":7} as the response the tool died of SIGSEGV (run by hand on the code before: exit -11). Found by reading, not seen at a customer's. ctl_print_text() says which field is missing and exits with 2 (unknown). Six places that sent a GET request and then printed its error share ctl_fetch() now.

--- a/currantctl/cmd_config.c
+++ b/currantctl/cmd_config.c
@@ -24,24 +24,15 @@
 	char path[CONFIG_PATH_BYTES];
 
 	snprintf(path, sizeof(path), "/v1/config/%s", area);
-	ctl_get(ctl, path, resp);
-	return ctl_check_response(ctl, resp);
+	return ctl_fetch(ctl, path, resp);
 }
 
 int
 cmd_preset_show(struct ctl *ctl, int argc, char **argv)
 {
-	struct ctl_response resp;
-	int code;
-
 	(void)argc;
 	(void)argv;
-	ctl_get(ctl, "/v1/status", &resp);
-	code = ctl_check_response(ctl, &resp);
-	if (code == CTL_OK)
-		puts(json_string_value(json_object_get(resp.body, "preset")));
-	ctl_response_free(&resp);
-	return code;
+	return ctl_print_text(ctl, "/v1/status", "preset");
 }
 
 int
@@ -74,8 +65,7 @@
 	if (argc != 2)
 		return config_usage("config history AREA");
 	snprintf(path, sizeof(path), "/v1/history/%s", argv[1]);
-	ctl_get(ctl, path, &resp);
-	code = ctl_check_response(ctl, &resp);
+	code = ctl_fetch(ctl, path, &resp);
 	if (code == CTL_OK && ctl->json)
 		ctl_print_json(resp.body);
 	else if (code == CTL_OK)
--- a/currantctl/cmd_job.c
+++ b/currantctl/cmd_job.c
@@ -168,8 +168,7 @@
 
 	snprintf(
 	    path, sizeof(path), "/v1/jobs/%s", job_id_argument(argc, argv));
-	ctl_get(ctl, path, &resp);
-	code = ctl_check_response(ctl, &resp);
+	code = ctl_fetch(ctl, path, &resp);
 	if (code == CTL_OK)
 		job_print(ctl, resp.body);
 	ctl_response_free(&resp);
--- a/currantctl/cmd_report.c
+++ b/currantctl/cmd_report.c
@@ -228,8 +228,7 @@
 	int code;
 
 	argp_parse(&report_argp, argc, argv, 0, NULL, &html);
-	ctl_get(ctl, "/v1/burn", &resp);
-	code = ctl_check_response(ctl, &resp);
+	code = ctl_fetch(ctl, "/v1/burn", &resp);
 	if (code != CTL_OK)
 		goto out;
 	merged = report_merge_counts(json_object_get(resp.body, "burn"));
--- a/currantctl/cmd_show.c
+++ b/currantctl/cmd_show.c
@@ -69,8 +69,7 @@
 
 	(void)argc;
 	(void)argv;
-	ctl_get(ctl, "/v1/status", &resp);
-	code = ctl_check_response(ctl, &resp);
+	code = ctl_fetch(ctl, "/v1/status", &resp);
 	if (code == CTL_OK && ctl->json) {
 		ctl_print_json(resp.body);
 	} else if (code == CTL_OK) {
@@ -91,18 +90,11 @@
 cmd_why(struct ctl *ctl, int argc, char **argv)
 {
 	char path[SHOW_PATH_BYTES];
-	struct ctl_response resp;
-	int code;
 
 	if (argc != 2) {
 		fprintf(stderr, "currantctl: usage: why JOB\n");
 		return CTL_USAGE;
 	}
 	snprintf(path, sizeof(path), "/v1/why/%s", argv[1]);
-	ctl_get(ctl, path, &resp);
-	code = ctl_check_response(ctl, &resp);
-	if (code == CTL_OK)
-		puts(json_string_value(json_object_get(resp.body, "why")));
-	ctl_response_free(&resp);
-	return code;
+	return ctl_print_text(ctl, path, "why");
 }
--- a/currantctl/http.c
+++ b/currantctl/http.c
@@ -117,6 +117,13 @@
 	ctl_send(ctl, &req, resp);
 }
 
+int
+ctl_fetch(const struct ctl *ctl, const char *path, struct ctl_response *resp)
+{
+	ctl_get(ctl, path, resp);
+	return ctl_check_response(ctl, resp);
+}
+
 void
 ctl_response_free(struct ctl_response *resp)
 {
--- a/currantctl/table.c
+++ b/currantctl/table.c
@@ -91,8 +91,7 @@
 	size_t i;
 	int code;
 
-	ctl_get(ctl, path, &resp);
-	code = ctl_check_response(ctl, &resp);
+	code = ctl_fetch(ctl, path, &resp);
 	if (code == CTL_OK && ctl->json)
 		ctl_print_json(resp.body);
 	else if (code == CTL_OK)
@@ -105,3 +104,24 @@
 	ctl_response_free(&resp);
 	return code;
 }
+
+int
+ctl_print_text(const struct ctl *ctl, const char *path, const char *field)
+{
+	struct ctl_response resp;
+	const char *text;
+	int code;
+
+	code = ctl_fetch(ctl, path, &resp);
+	text = json_string_value(json_object_get(resp.body, field));
+	if (code == CTL_OK && text == NULL) {
+		fprintf(stderr,
+		    "currantctl: the response has no text in field \"%s\"\n",
+		    field);
+		code = CTL_UNKNOWN;
+	} else if (code == CTL_OK) {
+		puts(text);
+	}
+	ctl_response_free(&resp);
+	return code;
+}
--- a/include/currantctl/ctl.h
+++ b/include/currantctl/ctl.h
@@ -74,6 +74,16 @@
 /** ctl_get() - send a GET request to the operators' address */
 void ctl_get(
     const struct ctl *ctl, const char *path, struct ctl_response *resp);
+/**
+ * ctl_fetch() - send a GET request and print the reason if it failed
+ * @ctl: common options
+ * @path: path at the operators' address
+ * @resp: response; to be freed whatever the result is
+ *
+ * Return: exit code, as of ctl_check_response().
+ */
+int ctl_fetch(
+    const struct ctl *ctl, const char *path, struct ctl_response *resp);
 /** ctl_response_free() - free what a response holds */
 void ctl_response_free(struct ctl_response *resp);
 /**
@@ -112,6 +122,17 @@
 int ctl_print_list(struct ctl *ctl, const char *path, const char *field,
     const struct ctl_column *columns, size_t count);
 
+/**
+ * ctl_print_text() - get an object from the operators' address and print one
+ *	of its texts
+ * @ctl: common options
+ * @path: path of the object
+ * @field: field of the text
+ *
+ * Return: exit code.
+ */
+int ctl_print_text(const struct ctl *ctl, const char *path, const char *field);
+
 /** ctl_print_json() - print a JSON value, indented */
 void ctl_print_json(json_t *value);
 
