pool: counts of unreachable workers, expired leases and unanswered orders are logged

The logs did not tell whether the owner had missed a run end, or had taken the worker's lease to have expired. The pool's state now gives the counts, and a worker that stops answering is logged with the age of its last reply. LeaseThatExpiresIsCountedAndItsWorkerIsUnreachable needs the new counts.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -193,6 +193,7 @@
 static void
 cp_log_state(struct cp_host *h, int64_t now_us)
 {
+	const struct wp_stats *stats = &h->pool->stats;
 	struct wp_counts n;
 
 	if (now_us < h->log_at_us)
@@ -202,7 +203,11 @@
 	lg_event(LG_INFO, "pool", "state", "pool", h->name, "jobs",
 	    lg_i64(n.jobs), "waiting", lg_i64(n.waiting), "running",
 	    lg_i64(n.running), "held", lg_i64(n.held), "usable",
-	    lg_i64(n.usable), "unfenced", lg_i64(n.unfenced), "late",
+	    lg_i64(n.usable), "unfenced", lg_i64(n.unfenced), "unreachable",
+	    lg_i64(n.unreachable), "expired",
+	    lg_i64((int64_t)stats->leases_expired), "unanswered",
+	    lg_i64((int64_t)stats->refused[WP_NO_ANSWER]), "unsent",
+	    lg_i64((int64_t)stats->refused[WP_NOT_SENT]), "late",
 	    lg_i64(n.late), "asking", lg_i64(n.asking), "cpu_percent",
 	    lg_i64(n.cpu_percent), "gpu_percent", lg_i64(n.gpu_percent),
 	    "commit", h->commit != NULL ? "1" : "0", "confirmed_ms",
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -61,6 +61,20 @@
 	}
 }
 
+static void
+cp_renewal_failed(
+    struct cp_host *h, struct wp_worker *w, enum wp_order_result result)
+{
+	int64_t now_us = clk_now_us();
+	bool was_reachable = w->reachable;
+
+	wp_on_renewal_failed(h->pool, w, result, now_us);
+	if (was_reachable && !w->reachable)
+		lg_event(LG_INFO, "pool", "worker_unreachable", "pool", h->name,
+		    "worker", w->id, "result", lg_i64(result), "silent_ms",
+		    lg_i64((now_us - w->clock_read_us) / CLK_US_PER_MS), NULL);
+}
+
 static void
 cp_on_renewal(enum wp_order_result result, const struct wp_renewal_reply *reply,
     void *arg)
@@ -75,7 +89,7 @@
 		if (reply != NULL)
 			wp_on_renewal(h->pool, w, reply, clk_now_us());
 		else
-			wp_on_renewal_failed(h->pool, w, result, clk_now_us());
+			cp_renewal_failed(h, w, result);
 		cp_schedule_pass(h);
 	}
 	talloc_free(req);
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -580,6 +580,7 @@
  * @ends: run ends, by outcome
  * @refused: results of orders, by result
  * @displaced: tasks that were moved off their worker before they ended
+ * @leases_expired: leases of workers with tasks that were taken to have expired
  * @advice_requests: advice requests
  * @passes: scheduling passes
  */
@@ -588,6 +589,7 @@
 	uint64_t ends[WP_END_GANG_TIMEOUT + 1];
 	uint64_t refused[WP_NO_ANSWER + 1];
 	uint64_t displaced;
+	uint64_t leases_expired;
 	uint64_t advice_requests;
 	uint64_t passes;
 };
@@ -604,6 +606,7 @@
  * @gpu_percent: share of their accelerators that is taken
  * @late: waiting tasks of ready steps that will miss their objective
  * @asking: steps with an advice request in flight
+ * @unreachable: workers whose last renewal was not answered
  */
 struct wp_counts {
 	uint32_t jobs;
@@ -616,6 +619,7 @@
 	uint32_t gpu_percent;
 	uint32_t late;
 	uint32_t asking;
+	uint32_t unreachable;
 };
 
 /**
--- a/state/pool.c
+++ b/state/pool.c
@@ -359,6 +359,7 @@
 	HASH_ITER(hh, p->workers, w, wnext) {
 		n->usable += wp_is_usable(w, now_us);
 		n->unfenced += !w->token_accepted;
+		n->unreachable += w->unreachable_since_us != 0;
 		if (!wp_is_usable(w, now_us))
 			continue;
 		wp_resources_add(&all, &w->capacity, 1);
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -685,6 +685,7 @@
 	struct wp_task *t;
 	struct wp_task *tmp;
 
+	p->stats.leases_expired++;
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		p->stats.displaced++;
 		wp_task_requeue(t, now_us);
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -406,6 +406,24 @@
 	EXPECT_EQ(orders[0]->run, 2U);
 }
 
+TEST_F(Pool, LeaseThatExpiresIsCountedAndItsWorkerIsUnreachable)
+{
+	struct wp_counts n;
+
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	wp_get_counts(p, now, &n);
+	EXPECT_EQ(n.unreachable, 0U);
+	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	wp_get_counts(p, now, &n);
+	EXPECT_EQ(n.unreachable, 1U);
+	EXPECT_EQ(p->stats.leases_expired, 0U);
+	tick(4 * kS);
+	EXPECT_EQ(p->stats.leases_expired, 1U);
+}
+
 /*
  * A partitioned owner took a lease to have expired that its successor had
  * renewed, and ran the task a second time. Found by kps-dies hunt-15f4-19.
