pool: overdue replies to renewals are still read

Cause: a renewal timed out 0.4 s after the worker was due to reply, and its connection was closed, though the reply was on its way. The renewals after it shared that fate, so the owner missed all replies of a worker that was up, took its lease to have expired 3.2 s after the last reply that it had read, and started its tasks elsewhere.

Ruled out: ends acknowledged and not read, and tasks taken as gone because a reply lacks them.

Replies may then arrive in any order: a list that was made before the newest list is ignored, so is one of another incarnation, and no run end is acknowledged on the strength of an overdue reply. Relays pass on that a reply is overdue; such a result of an order means no answer.

--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -14,6 +14,8 @@
 /* Timeouts of relayed calls; a relay itself gives the worker less time. */
 #define RL_ORDER_TIMEOUT_US (450 * CLK_US_PER_MS)
 #define RL_RENEWAL_SLACK_US (600 * CLK_US_PER_MS)
+/* A relay itself awaits the worker's overdue reply for less time. */
+#define RL_OVERDUE_TIMEOUT_US (4 * CLK_US_PER_S)
 /* How long a relay is not used after it failed. */
 #define RL_AVOID_US (CLK_US_PER_S)
 #define RL_TABLE_REFRESH_US (200 * CLK_US_PER_MS)
@@ -47,6 +49,7 @@
 	char address[WP_NAME_BYTES];
 	struct wp_renewal renewal;
 	uint64_t fence;
+	bool overdue;
 	UT_hash_handle hh;
 };
 
@@ -269,6 +272,8 @@
 	HASH_DEL(d->calls, call);
 	if (call->order_done != NULL)
 		call->order_done(WP_NO_ANSWER, 0, call->arg);
+	else if (call->overdue)
+		call->renewal_done(WP_NO_ANSWER, NULL, call->arg);
 	else
 		rl_renew_directly(d, call);
 	talloc_free(call);
@@ -306,7 +311,7 @@
 		return;
 	HASH_DEL(d->calls, call);
 	call->order_done(
-	    rc_unpack_result(row->result), row->clock_ms, call->arg);
+	    rc_unpack_order_result(row->result), row->clock_ms, call->arg);
 	talloc_free(call);
 }
 
@@ -314,13 +319,19 @@
 rl_on_renewal_result(
     struct rl_dispatcher *d, const Currant__RelayedHoldResult *row)
 {
-	enum wp_order_result result = rc_unpack_result(row->result);
+	enum wp_order_result result = rc_unpack_renewal_result(row->result);
 	struct wp_renewal_reply reply;
 	struct rl_call *call;
 
 	HASH_FIND(hh, d->calls, &row->id, sizeof(row->id), call);
 	if (call == NULL || call->renewal_done == NULL)
 		return;
+	if (result == WP_OVERDUE) {
+		call->overdue = true;
+		call->deadline_us = clk_now_us() + RL_OVERDUE_TIMEOUT_US;
+		call->renewal_done(result, NULL, call->arg);
+		return;
+	}
 	HASH_DEL(d->calls, call);
 	if (result == WP_ACCEPTED &&
 	    !rc_unpack_renewal_reply(call, row, &reply)) {
@@ -382,6 +393,10 @@
 	HASH_ITER(hh, d->calls, call, tmp) {
 		if (now_us < call->deadline_us)
 			continue;
+		if (call->overdue) {
+			rl_call_failed(d, call);
+			continue;
+		}
 		/* Failing a relay removes all of its calls. */
 		rl_relay_failed(d, call->relay, "no answer");
 		return;
--- a/curranttackd/cell_relay_serve.c
+++ b/curranttackd/cell_relay_serve.c
@@ -32,7 +32,6 @@
 
 	if (link != NULL)
 		peer_send(link, frame);
-	talloc_free(call);
 }
 
 static void
@@ -50,6 +49,7 @@
 	frame.order_results = &rows;
 	frame.n_order_results = 1;
 	rl_respond(call, &frame);
+	talloc_free(call);
 }
 
 static void
@@ -68,6 +68,8 @@
 	frame.hold_results = &rows;
 	frame.n_hold_results = 1;
 	rl_respond(call, &frame);
+	if (result != WP_OVERDUE)
+		talloc_free(call);
 }
 
 static void
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -75,24 +75,37 @@
 		    lg_i64((now_us - w->clock_read_us) / CLK_US_PER_MS), NULL);
 }
 
+static void
+cp_handle_renewal(const struct cp_request *req, enum wp_order_result result,
+    const struct wp_renewal_reply *reply)
+{
+	struct cp_host *h = req->h;
+	struct wp_worker *w = wp_find_worker(h->pool, req->worker);
+	int64_t now_us = clk_now_us();
+
+	if (w == NULL)
+		return;
+	if (reply != NULL && req->overdue)
+		wp_on_overdue_reply(h->pool, w, reply, now_us);
+	else if (reply != NULL)
+		wp_on_renewal(h->pool, w, reply, now_us);
+	else if (!req->overdue || result == WP_REFUSED_STALE_TOKEN)
+		cp_renewal_failed(h, w, result);
+	cp_schedule_pass(h);
+}
+
 static void
 cp_on_renewal(enum wp_order_result result, const struct wp_renewal_reply *reply,
     void *arg)
 {
 	struct cp_request *req = arg;
-	struct cp_host *h = req->h;
-	struct wp_worker *w = NULL;
 
 	if (cp_request_is_current(req))
-		w = wp_find_worker(h->pool, req->worker);
-	if (w != NULL) {
-		if (reply != NULL)
-			wp_on_renewal(h->pool, w, reply, clk_now_us());
-		else
-			cp_renewal_failed(h, w, result);
-		cp_schedule_pass(h);
-	}
-	talloc_free(req);
+		cp_handle_renewal(req, result, reply);
+	if (result == WP_OVERDUE)
+		req->overdue = true;
+	else
+		talloc_free(req);
 }
 
 static void
--- a/include/curranttackd/cell_pool_internal.h
+++ b/include/curranttackd/cell_pool_internal.h
@@ -25,6 +25,7 @@
  * @order: order that was sent, if any; belongs to the request
  * @advice_request: advice request that was sent, if any
  * @worker: worker whose leases were renewed, if any
+ * @overdue: the reply to that renewal is overdue
  */
 struct cp_request {
 	struct cp_host *h;
@@ -33,6 +34,7 @@
 	struct wp_order *order;
 	struct wp_advice_request advice_request;
 	char worker[WP_NAME_BYTES];
+	bool overdue;
 };
 
 /** cp_make_key() - key of a pool or job under a prefix; allocated from @ctx */
--- a/include/curranttackd/cell_relay.h
+++ b/include/curranttackd/cell_relay.h
@@ -35,8 +35,9 @@
 /**
  * rl_renew() - renew a worker's leases and fetch its lists of runs
  *
- * Parameters as for rl_order(). A renewal may be repeated, so the worker is
- * called directly if its relay fails.
+ * Parameters as for rl_order(), but @done is also called, once and before, when
+ * the reply is overdue. A renewal may be repeated, so the worker is called
+ * directly if its relay fails.
  */
 void rl_renew(struct rl_dispatcher *d, const struct wp_worker *w,
     const struct wp_renewal *renewal, uint64_t fence, bool relayed,
--- a/include/protocol/relay_codec.h
+++ b/include/protocol/relay_codec.h
@@ -55,7 +55,9 @@
 bool rc_unpack_renewal_reply(TALLOC_CTX *ctx,
     const Currant__RelayedHoldResult *m, struct wp_renewal_reply *reply);
 
-/** rc_unpack_result() - a result; WP_NO_ANSWER for one not known here */
-enum wp_order_result rc_unpack_result(uint32_t result);
+/** rc_unpack_order_result() - WP_NO_ANSWER for one that no order can have */
+enum wp_order_result rc_unpack_order_result(uint32_t result);
+/** rc_unpack_renewal_result() - WP_NO_ANSWER for one not known here */
+enum wp_order_result rc_unpack_renewal_result(uint32_t result);
 
 #endif
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -335,7 +335,9 @@
  * @acked_sent: the renewal in flight acknowledges the ends up to this number
  * @acked_confirmed: the worker has answered an acknowledgement up to this number
  * @unreachable_since_us: when it became unreachable; 0 while it is reachable
- * @renewal_in_flight: a renewal has no result yet
+ * @lists_clock_ms: its clock when it made the lists that were read last
+ * @prompt_reply_us: when a reply that was not overdue arrived last
+ * @renewal_in_flight: a renewal has no result yet and is not overdue
  * @renew_at_us: when the next renewal is due
  * @last_renewal_us: when a new lease end was last sent to it; 0 before
  * @unanswered_orders: orders in a row without an answer
@@ -373,6 +375,8 @@
 	struct wp_task *tasks;
 	int64_t clock_ms;
 	int64_t clock_read_us;
+	int64_t lists_clock_ms;
+	int64_t prompt_reply_us;
 	int64_t lease_end_clock_ms;
 	int64_t earlier_owner_until_us;
 	uint64_t processed_end;
@@ -441,6 +445,7 @@
 	WP_REFUSED_MALFORMED,	 /* the order could not be parsed */
 	WP_NOT_SENT,
 	WP_NO_ANSWER, /* may have been, or may yet be, carried out */
+	WP_OVERDUE,   /* of a renewal: no reply yet, but there may be one */
 };
 
 /**
@@ -846,7 +851,21 @@
     const struct wp_renewal_reply *reply, int64_t now_us);
 
 /**
- * wp_on_renewal_failed() - handle a renewal that was refused or not answered
+ * wp_on_overdue_reply() - handle a reply to a renewal that was overdue
+ * @p: pool
+ * @w: worker
+ * @reply: the reply
+ * @now_us: time
+ *
+ * Other renewals may have been sent and answered meanwhile. A worker that has
+ * listed a run end has reported it, so its task must not be started again.
+ */
+void wp_on_overdue_reply(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_renewal_reply *reply, int64_t now_us);
+
+/**
+ * wp_on_renewal_failed() - handle a renewal that was refused, not answered or
+ * is overdue
  * @p: pool
  * @w: worker
  * @result: why
--- a/include/transport/fleet.h
+++ b/include/transport/fleet.h
@@ -13,7 +13,8 @@
  * Tables of functions: orders to workers, the advice service, maintenance of
  * VMs, decoding of entries that others write to the key space, and the formats
  * of callers' requests. Every asynchronous call ends with exactly one callback,
- * on the loop that made it.
+ * on the loop that made it; that of a renewal is called before, once, when the
+ * reply is overdue.
  */
 
 /**
@@ -27,7 +28,8 @@
 
 /**
  * typedef fl_renewal_fn - result of a renewal
- * @result: whether the worker accepted it
+ * @result: whether the worker accepted it; WP_OVERDUE when there is no reply
+ *	yet: the only result that another one follows
  * @reply: the worker's reply; NULL unless accepted
  * @arg: the caller's argument
  */
--- a/include/transport/http_client.h
+++ b/include/transport/http_client.h
@@ -20,6 +20,12 @@
 	const char *value;
 };
 
+/**
+ * typedef hc_overdue_fn - called once when a request's response is overdue
+ * @arg: the argument given to hc_send()
+ */
+typedef void (*hc_overdue_fn)(void *arg);
+
 /**
  * struct hc_request - one request; all strings are copied
  * @method: GET, PUT, POST or DELETE
@@ -27,6 +33,9 @@
  * @headers: extra headers, @header_count of them
  * @body: body, @body_bytes long; may be NULL
  * @deadline_us: deadline, on the clock of clk_now_us()
+ * @overdue_us: when to report that the response is overdue; 0 for never. The
+ *	request goes on until @deadline_us
+ * @overdue: called then; NULL unless @overdue_us is set
  */
 struct hc_request {
 	const char *method;
@@ -36,6 +45,8 @@
 	const void *body;
 	size_t body_bytes;
 	int64_t deadline_us;
+	int64_t overdue_us;
+	hc_overdue_fn overdue;
 };
 
 /**
--- a/protocol/relay_codec.c
+++ b/protocol/relay_codec.c
@@ -30,10 +30,17 @@
 }
 
 enum wp_order_result
-rc_unpack_result(uint32_t result)
+rc_unpack_order_result(uint32_t result)
 {
-	return result <= WP_NO_ANSWER ? (enum wp_order_result)result
-				      : WP_NO_ANSWER;
+	return result < WP_NO_ANSWER ? (enum wp_order_result)result
+				     : WP_NO_ANSWER;
+}
+
+enum wp_order_result
+rc_unpack_renewal_result(uint32_t result)
+{
+	return result == WP_OVERDUE ? WP_OVERDUE
+				    : rc_unpack_order_result(result);
 }
 
 void
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -190,6 +190,7 @@
 	w->acked_sent = 0;
 	w->acked_confirmed = 0;
 	w->lease_end_clock_ms = 0;
+	w->lists_clock_ms = 0;
 	w->failures = 0;
 	w->quarantined_until_us = 0;
 	w->earlier_owner_until_us = 0;
@@ -223,7 +224,7 @@
 {
 	if (w->acked_end == w->acked_confirmed || !w->token_accepted ||
 	    !w->reachable ||
-	    now_us - w->clock_read_us > WP_ACK_MAX_REPLY_AGE_US)
+	    now_us - w->prompt_reply_us > WP_ACK_MAX_REPLY_AGE_US)
 		return 0;
 	return w->acked_end;
 }
@@ -405,7 +406,7 @@
 {
 	if (t->state == WP_TASK_STARTING) {
 		t->state = WP_TASK_RUNNING;
-		t->confirmed_clock_ms = w->clock_ms;
+		t->confirmed_clock_ms = w->lists_clock_ms;
 	}
 	t->in_doubt = false;
 	if (t->state == WP_TASK_RUNNING && !t->order_in_flight)
@@ -532,30 +533,83 @@
 		w->acked_confirmed = w->acked_sent;
 }
 
-void
-wp_on_renewal(struct wp_pool *p, struct wp_worker *w,
+static void
+wp_read_clock(struct wp_worker *w, int64_t clock_ms, int64_t now_us)
+{
+	w->clock_ms = clock_ms;
+	w->clock_read_us = now_us;
+}
+
+static void
+wp_update_incarnation(struct wp_pool *p, struct wp_worker *w,
     const struct wp_renewal_reply *reply, int64_t now_us)
 {
-	bool first_reply = !w->token_accepted;
+	if (w->incarnation_ms == reply->incarnation_ms)
+		return;
+	if (w->incarnation_ms != 0)
+		wp_worker_restarted(p, w, reply->incarnation_ms, now_us);
+	w->incarnation_ms = reply->incarnation_ms;
+	wp_read_clock(w, reply->clock_ms, now_us);
+}
 
-	w->renewal_in_flight = false;
+static void
+wp_read_lists(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_renewal_reply *reply, int64_t now_us)
+{
 	w->reachable = true;
 	w->unreachable_since_us = 0;
 	w->unanswered_orders = 0;
-	w->token_accepted = true;
-	if (w->incarnation_ms != 0 &&
-	    w->incarnation_ms != reply->incarnation_ms)
-		wp_worker_restarted(p, w, reply->incarnation_ms, now_us);
-	w->incarnation_ms = reply->incarnation_ms;
-	wp_confirm_ack(w, reply);
-	w->clock_ms = reply->clock_ms;
-	w->clock_read_us = now_us;
-	if (first_reply)
+	if (!w->token_accepted)
 		w->earlier_owner_until_us = 0;
+	w->token_accepted = true;
+	w->lists_clock_ms = reply->clock_ms;
 	wp_process_run_ends(p, w, reply, now_us);
 	wp_process_running(p, w, reply, now_us);
 	wp_requeue_missing(p, w, reply, now_us);
 	wp_throttle_opportunistic(p, w, now_us);
+}
+
+/* Replies to renewals that were overdue may arrive in any order. */
+static bool
+wp_is_outdated(const struct wp_worker *w, const struct wp_renewal_reply *reply)
+{
+	return w->incarnation_ms == reply->incarnation_ms &&
+	    reply->clock_ms < w->lists_clock_ms;
+}
+
+void
+wp_on_overdue_reply(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_renewal_reply *reply, int64_t now_us)
+{
+	if (wp_is_outdated(w, reply))
+		return;
+	/* Which incarnation is the later one, only a prompt reply tells. */
+	if (w->incarnation_ms != 0 &&
+	    w->incarnation_ms != reply->incarnation_ms)
+		return;
+	wp_update_incarnation(p, w, reply, now_us);
+	/* The reply may be old, so a clock read before may be closer. */
+	if (reply->clock_ms > wp_worker_clock_ms(w, now_us))
+		wp_read_clock(w, reply->clock_ms, now_us);
+	wp_read_lists(p, w, reply, now_us);
+}
+
+void
+wp_on_renewal(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_renewal_reply *reply, int64_t now_us)
+{
+	bool first_reply = !w->token_accepted;
+
+	w->renewal_in_flight = false;
+	w->prompt_reply_us = now_us;
+	if (wp_is_outdated(w, reply)) {
+		w->renew_at_us = now_us;
+		return;
+	}
+	wp_update_incarnation(p, w, reply, now_us);
+	wp_confirm_ack(w, reply);
+	wp_read_clock(w, reply->clock_ms, now_us);
+	wp_read_lists(p, w, reply, now_us);
 	if (first_reply)
 		w->renew_at_us = now_us;
 	else
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -623,6 +623,21 @@
 	expect_no_violations();
 }
 
+/* As on a link that is full; one worker has room to run them again. */
+TEST_F(Cell, LateRepliesToRenewalsRunNothingAgain)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1, 16, 1000).status, 200);
+	EXPECT_TRUE(eventually([&] { return reported("running") == 16; }));
+	for (uint32_t w = 0; w < kWorkers - 1; w++)
+		inject_fault("{\"target\":\"w-" + std::to_string(w) +
+		    "\",\"path\":\"hold\",\"kind\":\"slow\","
+		    "\"for_ms\":8000,\"delay_ms\":1000}");
+	wait_completed(0, 1, 2);
+	EXPECT_EQ(reported("started"), 16);
+	expect_no_violations();
+}
+
 TEST_F(Cell, CompactedHistoryIsReloaded)
 {
 	start_daemons(2);
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -59,6 +59,7 @@
 	FAULT_LOST,   /* done, no answer */
 	FAULT_LATE,   /* no answer, and done later */
 	FAULT_REFUSE, /* 503, nothing done */
+	FAULT_SLOW,   /* of a hold, for a time: done, and answered later */
 };
 
 /* The next calls that match, or all until a time. */
@@ -196,7 +197,8 @@
 static void
 add_fault(struct hs_request *req)
 {
-	static const char *const kinds[] = {"down", "lost", "late", "refuse"};
+	static const char *const kinds[] = {
+	    "down", "lost", "late", "refuse", "slow"};
 	json_t *body = standin_body(req);
 	struct fault *f = calloc(1, sizeof(*f));
 	const char *kind = json_string_value(json_object_get(body, "kind"));
@@ -204,7 +206,7 @@
 	int64_t for_ms = json_integer_value(json_object_get(body, "for_ms"));
 	int i;
 
-	for (i = 0; kind != NULL && i < 4; i++) {
+	for (i = 0; kind != NULL && i < 5; i++) {
 		if (strcmp(kinds[i], kind) == 0)
 			f->kind = (enum fault_kind)i;
 	}
@@ -833,6 +835,38 @@
 	return false;
 }
 
+/* Lists that are on their way to the owner. */
+struct slow_lists {
+	struct hs_request *req;
+	json_t *lists;
+};
+
+static void
+send_slow_lists(void *arg)
+{
+	struct slow_lists *slow = arg;
+
+	standin_reply_json(slow->req, 200, slow->lists);
+	free(slow);
+}
+
+static void
+send_lists(struct worker *w, struct hs_request *req, uint64_t acked)
+{
+	const struct fault *f = find_fault(w->id, req->path);
+	json_t *lists = lists_of(w, acked);
+	struct slow_lists *slow;
+
+	if (f == NULL || f->kind != FAULT_SLOW) {
+		standin_reply_json(req, 200, lists);
+		return;
+	}
+	slow = calloc(1, sizeof(*slow));
+	slow->req = req;
+	slow->lists = lists;
+	loop_after(loop, f->delay_us, send_slow_lists, slow);
+}
+
 static void
 run_hold(struct worker *w, struct hs_request *req, json_t *body)
 {
@@ -847,7 +881,7 @@
 	}
 	extend_lease(w, body);
 	if (wait_ms == 0 || has_unacked_end(w, acked)) {
-		standin_reply_json(req, 200, lists_of(w, acked));
+		send_lists(w, req, acked);
 		return;
 	}
 	h = calloc(1, sizeof(*h));
@@ -949,7 +983,7 @@
 			continue;
 		DL_DELETE(w->holders, h);
 		if (!w->off)
-			standin_reply_json(h->req, 200, lists_of(w, h->acked));
+			send_lists(w, h->req, h->acked);
 		free(h);
 	}
 }
--- a/tests/unit/pool_fixture.h
+++ b/tests/unit/pool_fixture.h
@@ -158,6 +158,42 @@
 		wp_on_renewal(p, w, &reply, now);
 	}
 
+	void
+	renewal_overdue(const std::string &id)
+	{
+		struct wp_worker *w = wp_find_worker(p, id.c_str());
+		struct wp_renewal renewal;
+
+		w->renew_at_us = now;
+		wp_renewal_due(p, w, now, &renewal);
+		wp_on_renewal_failed(p, w, WP_OVERDUE, now);
+	}
+
+	/* The reply that the worker made at @made_us arrives. */
+	void
+	overdue_reply(const std::string &id, int64_t made_us,
+	    const std::vector<End> &ends, int64_t incarnation = 1)
+	{
+		std::vector<struct wp_run_end> rows;
+		struct wp_renewal_reply reply = {};
+
+		for (const End &e : ends) {
+			struct wp_run_end row = {};
+
+			fill_ref(&row.ref, e.job, e.step, e.index);
+			row.number = e.number;
+			row.run = e.run;
+			row.outcome = e.outcome;
+			rows.push_back(row);
+		}
+		reply.incarnation_ms = incarnation;
+		reply.clock_ms = made_us / kMs;
+		reply.end = rows.data();
+		reply.end_count = (uint32_t)rows.size();
+		wp_on_overdue_reply(
+		    p, wp_find_worker(p, id.c_str()), &reply, now);
+	}
+
 	static void
 	fill_ref(struct jb_ref *ref, const std::string &job, uint32_t step,
 	    uint32_t index)
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -99,6 +99,7 @@
 struct Call {
 	enum hc_error error;
 	bool done;
+	int overdue = 0;
 };
 
 void
@@ -181,4 +182,31 @@
 	talloc_free(l);
 }
 
+/* What an overdue response tells must not be lost: it may list run ends. */
+TEST(HttpClient, OverdueResponseIsReportedAndStillDelivered)
+{
+	ResettingServer server(200000);
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	struct hc_request req = {};
+	Call call = {HC_TIMEOUT, false};
+	auto overdue = [](void *arg) { ((Call *)arg)->overdue++; };
+
+	req.method = "POST";
+	req.url = server.url.c_str();
+	req.body = "body";
+	req.body_bytes = 4;
+	req.overdue_us = clk_now_us() + 50 * CLK_US_PER_MS;
+	req.overdue = overdue;
+	req.deadline_us = clk_now_us() + 3 * CLK_US_PER_S;
+	hc_send(hc, &req, on_done, &call);
+	while (!call.done)
+		tevent_loop_once(loop_ev(l));
+	EXPECT_EQ(call.error, HC_OK);
+	EXPECT_EQ(call.overdue, 1);
+	/* The server thread ends only after a second request. */
+	post(server.url, hc, l);
+	talloc_free(l);
+}
+
 } // namespace
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -424,6 +424,70 @@
 	EXPECT_EQ(p->stats.leases_expired, 1U);
 }
 
+/* Found on a calm day: the owner's link was full, and its timeouts short. */
+TEST_F(Pool, RunEndInAnOverdueReplyIsNotLost)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add_worker("v", 1000);
+	struct wp_job *job = add(kJob, {{1}});
+	auto orders = run_all();
+	std::string at = orders[0]->worker;
+	now += 100 * kMs;
+	renew_lease(at, {{kJob, 0, 0, 1, 0}});
+	now += 100 * kMs;
+	renewal_overdue(at);
+	now += kS;
+	overdue_reply(at, now - 500 * kMs, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(wp_public_state(job), JB_COMPLETED);
+	now += 4 * kS;
+	renew_lease(at == "w" ? "v" : "w");
+	EXPECT_TRUE(tick().empty());
+}
+
+TEST_F(Pool, OverdueReplyDoesNotUndoWhatALaterReplyReported)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += 100 * kMs;
+	renew_lease("w", {{kJob, 0, 0, 1, 0}});
+	now += 100 * kMs;
+	renewal_overdue("w");
+	now += 500 * kMs;
+	renew_lease("w", {{kJob, 0, 0, 1, 0}});
+	/* Made before the task was there. */
+	overdue_reply("w", kStart, {});
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	/* Of an incarnation that is not the worker's. */
+	overdue_reply("w", now + kS, {}, 2);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	EXPECT_EQ(wp_find_worker(p, "w")->incarnation_ms, 1);
+}
+
+/* The worker may have been restarted since it made an overdue reply. */
+TEST_F(Pool, NoRunEndIsAcknowledgedAfterAnOverdueReply)
+{
+	struct wp_renewal renewal;
+
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += 100 * kMs;
+	renew_lease("w", {{kJob, 0, 0, 1, 0}});
+	now += 100 * kMs;
+	renewal_overdue("w");
+	now += kS;
+	overdue_reply("w", now, {{7, kJob, 0, 0, 1, WP_END_DONE}});
+	commit();
+	struct wp_worker *w = wp_find_worker(p, "w");
+	ASSERT_TRUE(wp_renewal_due(p, w, now, &renewal));
+	EXPECT_EQ(renewal.acked_end, 0U);
+	EXPECT_GT(renewal.deadline_clock_ms, 0);
+}
+
 /*
  * A partitioned owner took a lease to have expired that its successor had
  * renewed, and ran the task a second time. Found by kps-dies hunt-15f4-19.
--- a/tests/unit/test_relays.cc
+++ b/tests/unit/test_relays.cc
@@ -205,7 +205,11 @@
 
 TEST(RelayCodec, UnknownResultMeansNoAnswer)
 {
-	EXPECT_EQ(
-	    rc_unpack_result(WP_REFUSED_NO_RESOURCES), WP_REFUSED_NO_RESOURCES);
-	EXPECT_EQ(rc_unpack_result(4242), WP_NO_ANSWER);
+	EXPECT_EQ(rc_unpack_order_result(WP_REFUSED_NO_RESOURCES),
+	    WP_REFUSED_NO_RESOURCES);
+	EXPECT_EQ(rc_unpack_order_result(4242), WP_NO_ANSWER);
+	EXPECT_EQ(rc_unpack_renewal_result(4242), WP_NO_ANSWER);
+	/* Only a renewal has a result that another one follows. */
+	EXPECT_EQ(rc_unpack_renewal_result(WP_OVERDUE), WP_OVERDUE);
+	EXPECT_EQ(rc_unpack_order_result(WP_OVERDUE), WP_NO_ANSWER);
 }
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -46,6 +46,9 @@
 	hc_done_fn done;
 	void *arg;
 	int64_t deadline_us;
+	/* 0 once it is reported. */
+	int64_t overdue_us;
+	hc_overdue_fn overdue;
 	struct hc_transfer *prev;
 	struct hc_transfer *next;
 	/* curl had a connection, so it may have sent the request. */
@@ -178,6 +181,28 @@
 	    hc->deferrals++ < HC_MAX_DEFERRALS;
 }
 
+/* When the timer has to run next for a transfer. */
+static int64_t
+hc_next_us(const struct hc_transfer *t)
+{
+	if (t->overdue_us != 0 && t->overdue_us < t->deadline_us)
+		return t->overdue_us;
+	return t->deadline_us;
+}
+
+static void
+hc_check_deadline(struct http_client *hc, struct hc_transfer *t, int64_t now_us)
+{
+	if (t->deadline_us <= now_us) {
+		hc_finish(hc, t->easy, CURLE_OPERATION_TIMEDOUT);
+		return;
+	}
+	if (t->overdue_us == 0 || t->overdue_us > now_us)
+		return;
+	t->overdue_us = 0;
+	t->overdue(t->arg);
+}
+
 static void
 hc_on_deadline(struct tevent_context *ev, struct tevent_timer *te,
     struct timeval now, void *arg)
@@ -198,12 +223,10 @@
 		return;
 	}
 	hc->deferrals = 0;
-	DL_FOREACH_SAFE(hc->transfers, t, tmp) {
-		if (t->deadline_us <= now_us)
-			hc_finish(hc, t->easy, CURLE_OPERATION_TIMEDOUT);
-	}
+	DL_FOREACH_SAFE(hc->transfers, t, tmp)
+		hc_check_deadline(hc, t, now_us);
 	DL_FOREACH(hc->transfers, t) {
-		if (next == NULL || t->deadline_us < next->deadline_us)
+		if (next == NULL || hc_next_us(t) < hc_next_us(next))
 			next = t;
 	}
 	if (next != NULL)
@@ -215,14 +238,15 @@
 hc_arm_deadline(struct hc_transfer *t)
 {
 	struct http_client *hc = t->hc;
-	int64_t left_us = t->deadline_us - clk_now_us();
+	int64_t next_us = hc_next_us(t);
+	int64_t left_us = next_us - clk_now_us();
 
-	if (hc->deadline_timer != NULL && hc->deadline_at_us <= t->deadline_us)
+	if (hc->deadline_timer != NULL && hc->deadline_at_us <= next_us)
 		return;
 	if (left_us < 0)
 		left_us = 0;
 	TALLOC_FREE(hc->deadline_timer);
-	hc->deadline_at_us = t->deadline_us;
+	hc->deadline_at_us = next_us;
 	hc->deadline_timer = tevent_add_timer(loop_ev(hc->loop), hc,
 	    tevent_timeval_current_ofs((uint32_t)(left_us / CLK_US_PER_S),
 		(uint32_t)(left_us % CLK_US_PER_S)),
@@ -413,6 +437,8 @@
 	}
 	hc_set_options(t, req);
 	t->deadline_us = req->deadline_us;
+	t->overdue_us = req->overdue_us;
+	t->overdue = req->overdue;
 	DL_APPEND(hc->transfers, t);
 	hc_arm_deadline(t);
 	curl_multi_add_handle(hc->multi, t->easy);
