pool: a new owner knows that leases of an earlier one may last

Cause: a new owner has not sent a worker any lease end, so it took the lease to have expired 0.15 s after the worker's reply, once the worker was unreachable. That was hidden as long as a first reply was followed at once by a renewal with a lease end. After a first reply that was overdue, renewals sent before it are still out, and the next one that is overdue makes the worker unreachable. Traced: a worker was unreachable 28 ms after its first reply, and 5 leases were taken to have expired within 0.3 s.

Change: with the first reply to a new owner, the worker's lease is taken to last for a whole lease from the time of the reply, as an earlier owner may have renewed it just before.

LeaseOfAnEarlierOwnerHasNotExpiredAfterAnOverdueReply failed before.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -552,6 +552,18 @@
 	wp_read_clock(w, reply->clock_ms, now_us);
 }
 
+/* An earlier owner may have renewed its lease until just before. */
+static void
+wp_accept_token(struct wp_worker *w, int64_t clock_ms)
+{
+	int64_t until_ms = clock_ms + WP_LEASE_US / CLK_US_PER_MS;
+
+	w->token_accepted = true;
+	w->earlier_owner_until_us = 0;
+	if (until_ms > w->lease_end_clock_ms)
+		w->lease_end_clock_ms = until_ms;
+}
+
 static void
 wp_read_lists(struct wp_pool *p, struct wp_worker *w,
     const struct wp_renewal_reply *reply, int64_t now_us)
@@ -560,8 +572,7 @@
 	w->unreachable_since_us = 0;
 	w->unanswered_orders = 0;
 	if (!w->token_accepted)
-		w->earlier_owner_until_us = 0;
-	w->token_accepted = true;
+		wp_accept_token(w, reply->clock_ms);
 	w->lists_clock_ms = reply->clock_ms;
 	wp_process_run_ends(p, w, reply, now_us);
 	wp_process_running(p, w, reply, now_us);
--- a/tests/unit/pool_fixture.h
+++ b/tests/unit/pool_fixture.h
@@ -172,9 +172,11 @@
 	/* The reply that the worker made at @made_us arrives. */
 	void
 	overdue_reply(const std::string &id, int64_t made_us,
-	    const std::vector<End> &ends, int64_t incarnation = 1)
+	    const std::vector<End> &ends, int64_t incarnation = 1,
+	    const std::vector<Running> &running = {})
 	{
 		std::vector<struct wp_run_end> rows;
+		std::vector<struct wp_running_task> runs;
 		struct wp_renewal_reply reply = {};
 
 		for (const End &e : ends) {
@@ -190,6 +192,15 @@
 		reply.clock_ms = made_us / kMs;
 		reply.end = rows.data();
 		reply.end_count = (uint32_t)rows.size();
+		for (const Running &r : running) {
+			struct wp_running_task row = {};
+
+			fill_ref(&row.ref, r.job, r.step, r.index);
+			row.run = r.run;
+			runs.push_back(row);
+		}
+		reply.running = runs.data();
+		reply.running_count = (uint32_t)runs.size();
 		wp_on_overdue_reply(
 		    p, wp_find_worker(p, id.c_str()), &reply, now);
 	}
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -466,6 +466,26 @@
 	EXPECT_EQ(wp_find_worker(p, "w")->incarnation_ms, 1);
 }
 
+/* The lease that an earlier owner renewed is not known to its successor. */
+TEST_F(Pool, LeaseOfAnEarlierOwnerHasNotExpiredAfterAnOverdueReply)
+{
+	create_pool(1, kStart + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	add_worker("v", 1000);
+	list_worker("w", 1000);
+	renewal_overdue("w");
+	now += 300 * kMs;
+	overdue_reply("w", now, {}, 1, {{kJob, 0, 0, 1, 0}});
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	/* A renewal that was sent before. */
+	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_OVERDUE, now);
+	commit();
+	EXPECT_TRUE(tick(2900 * kMs).empty());
+	now += 400 * kMs;
+	renew_lease("v");
+	EXPECT_EQ(tick().size(), 1U);
+}
+
 /* The worker may have been restarted since it made an overdue reply. */
 TEST_F(Pool, NoRunEndIsAcknowledgedAfterAnOverdueReply)
 {
