pool: start orders without an answer are limited by a window

Cause: up to 200 starts were sent in one pass, whatever the link carries. Traced (bytes of one owner in the first 31 s): 7.1 MB of 7,383 starts, of the 7.75 MB that the link carries in that time; 1.5 MB of 5,659 renewals, 0.7 MB of commits.

Change: as many starts are in flight as are answered in about 60 ms. The window grows by an order with each fast answer while it is used, shrinks in proportion to the delay of slow ones, and by 30% when orders time out, once for all that were sent before. Tasks beyond it wait in scheduling order; stops and renewals are not limited. It replaces the fixed limit of 200 starts a pass.

--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -31,7 +31,7 @@
 			    req->order->worker, "result", lg_i64(result), NULL);
 		wp_on_order_result(
 		    h->pool, req->order, result, clock_ms, clk_now_us());
-		if (result != WP_ACCEPTED)
+		if (result != WP_ACCEPTED || h->pool->starts_delayed)
 			cp_schedule_pass(h);
 	}
 	talloc_free(req);
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -5,6 +5,7 @@
 #include <uthash.h>
 
 #include "state/job.h"
+#include "state/start_window.h"
 
 /**
  * DOC: The workers of one service and the jobs that run on them.
@@ -416,6 +417,7 @@
  * @deadline_clock_ms: for a start, when the worker refuses it; its lease
  *	lasts at least until then
  * @percent: for a pace, share of full speed
+ * @sent: for a start, its place in the window of starts
  */
 struct wp_order {
 	enum wp_order_kind kind;
@@ -428,6 +430,7 @@
 	char *ticket;
 	int64_t deadline_clock_ms;
 	uint32_t percent;
+	struct sw_sent sent;
 	struct wp_order *prev;
 	struct wp_order *next;
 };
@@ -658,6 +661,8 @@
  * @ready: steps that may start, in the order in which they start
  * @upcoming: steps that advice is requested for before they are ready
  * @orders: orders to be fetched with wp_next_order()
+ * @starts: start orders without a result
+ * @starts_delayed: in the last pass, steps waited for @starts to be answered
  * @first_tick_us: time of the first tick; 0 before
  * @earlier_owner_until_us: until then earlier owners may act on workers
  * @end_seq: run ends read from workers so far
@@ -683,6 +688,8 @@
 	struct wp_step *ready;
 	struct wp_step *upcoming;
 	struct wp_order *orders;
+	struct sw_window starts;
+	bool starts_delayed;
 	int64_t first_tick_us;
 	int64_t earlier_owner_until_us;
 	uint64_t end_seq;
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -8,8 +8,6 @@
 #define WP_MAX_UNANSWERED_ORDERS 2
 /* How often a step that can't start considers all workers. */
 #define WP_FULL_SCAN_INTERVAL_US (100 * CLK_US_PER_MS)
-/* Starts per pass, so that a burst does not delay lease renewals. */
-#define WP_MAX_STARTS 200
 
 bool
 wp_is_usable(const struct wp_worker *w, int64_t now_us)
@@ -222,7 +220,9 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < s->spec->count && s->waiting > 0; i++) {
+	for (i = 0;
+	     i < s->spec->count && s->waiting > 0 && sw_is_open(&p->starts);
+	     i++) {
 		struct wp_task *t = &s->task[i];
 		const char *ticket = NULL;
 		struct wp_worker *w;
@@ -404,7 +404,6 @@
 void
 wp_schedule(struct wp_pool *p, int64_t now_us)
 {
-	uint64_t started = p->stats.starts;
 	struct wp_pass pass;
 	struct wp_step *s;
 	struct wp_step *tmp;
@@ -412,12 +411,15 @@
 	if (p->superseded || p->draining)
 		return;
 	p->stats.passes++;
+	p->starts_delayed = false;
 	wp_pass_begin(&pass, p, now_us);
 	DL_FOREACH_SAFE(p->ready, s, tmp) {
-		if (p->stats.starts - started > WP_MAX_STARTS)
-			s->full_scan_at_us = 0;
-		else
+		if (sw_is_open(&p->starts))
 			wp_pass_step(&pass, s);
+		if (!sw_is_open(&p->starts)) {
+			p->starts_delayed = true;
+			s->full_scan_at_us = 0;
+		}
 	}
 	talloc_free(pass.changed);
 }
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -159,6 +159,7 @@
 	if (ticket != NULL)
 		o->ticket = talloc_strdup(o, ticket);
 	o->deadline_clock_ms = until;
+	o->sent = sw_send(&p->starts, now_us);
 	if (until > w->lease_end_clock_ms)
 		w->lease_end_clock_ms = until;
 	if (until > t->deadline_clock_ms)
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -719,6 +719,16 @@
 	return clock_ms > wp_worker_clock_ms(w, now_us) + WP_MAX_CLOCK_AHEAD_MS;
 }
 
+static void
+wp_count_start_result(struct wp_pool *p, const struct wp_order *o,
+    enum wp_order_result result, int64_t now_us)
+{
+	if (result == WP_NO_ANSWER || result == WP_NOT_SENT)
+		sw_on_timeout(&p->starts, &o->sent, now_us);
+	else
+		sw_on_answer(&p->starts, &o->sent, now_us);
+}
+
 void
 wp_on_order_result(struct wp_pool *p, const struct wp_order *o,
     enum wp_order_result result, int64_t clock_ms, int64_t now_us)
@@ -727,6 +737,8 @@
 	struct wp_task *t = wp_find_task(p, &o->ref);
 
 	p->stats.refused[result]++;
+	if (o->kind == WP_ORDER_START)
+		wp_count_start_result(p, o, result, now_us);
 	if (w != NULL && result != WP_NO_ANSWER && result != WP_NOT_SENT)
 		w->unanswered_orders = 0;
 	if (result == WP_REFUSED_STALE_TOKEN)
--- /dev/null
+++ b/tests/unit/test_start_window.cc
@@ -0,0 +1,94 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "common/clock.h"
+#include "state/start_window.h"
+}
+
+namespace
+{
+
+constexpr int64_t kMs = CLK_US_PER_MS;
+
+class StartWindow : public testing::Test
+{
+      protected:
+	void
+	SetUp() override
+	{
+		sw_init(&win);
+	}
+
+	/* Sends as many orders as the window allows. */
+	std::vector<struct sw_sent>
+	fill()
+	{
+		std::vector<struct sw_sent> sent;
+
+		while (sw_is_open(&win))
+			sent.push_back(sw_send(&win, now));
+		return sent;
+	}
+
+	/* All orders that fit are answered after some time. */
+	void
+	round(int64_t latency_us)
+	{
+		std::vector<struct sw_sent> sent = fill();
+
+		now += latency_us;
+		for (const struct sw_sent &s : sent)
+			sw_on_answer(&win, &s, now);
+	}
+
+	struct sw_window win;
+	int64_t now = 100 * kMs;
+};
+
+TEST_F(StartWindow, SlowAnswersDoNotStopStartsAltogether)
+{
+	for (int i = 0; i < 50; i++)
+		round(2000 * kMs);
+	EXPECT_GE(fill().size(), 8U);
+}
+
+TEST_F(StartWindow, FastAnswersLetALargePoolStartManyTasks)
+{
+	for (int i = 0; i < 50; i++)
+		round(2000 * kMs);
+	for (int i = 0; i < 20; i++)
+		round(5 * kMs);
+	EXPECT_GE(fill().size(), 500U);
+}
+
+TEST_F(StartWindow, OneBurstOfTimeoutsShrinksItOnce)
+{
+	uint32_t limit;
+
+	for (int i = 0; i < 20; i++)
+		round(5 * kMs);
+	limit = win.limit;
+	std::vector<struct sw_sent> sent = fill();
+	now += 250 * kMs;
+	for (const struct sw_sent &s : sent)
+		sw_on_timeout(&win, &s, now);
+	EXPECT_LT(win.limit, limit);
+	EXPECT_GE(win.limit, limit / 2);
+	EXPECT_EQ(win.in_flight, 0U);
+}
+
+TEST_F(StartWindow, FewFastAnswersDoNotOpenIt)
+{
+	uint32_t limit = win.limit;
+
+	for (int i = 0; i < 500; i++) {
+		struct sw_sent sent = sw_send(&win, now);
+
+		sw_on_answer(&win, &sent, now + kMs);
+	}
+	EXPECT_EQ(win.limit, limit);
+}
+
+} // namespace
