cell: logs which workers hold tasks after a takeover, and until when

After a takeover, the tasks of jobs accepted earlier wait until each worker that may run one has answered. The line on the pool's state told how many tasks were held and how many workers had not accepted the fencing token, but not which, nor whether they still held anything: workers down for maintenance stay unfenced long after they no longer matter.

Each second, from 0.5 s after the takeover, one line names each worker that holds tasks (16 at most), whether discovery lists it and how long it may still hold them. One line tells when nothing waits for an earlier owner any more.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -326,6 +326,7 @@
 	h->state = CP_OWNER;
 	h->fence = o->fence;
 	h->owner_since_us = now_us;
+	h->reconciled_logged = false;
 	h->revision = o->revision;
 	h->commit_seq = 0;
 	h->renew_in_flight = false;
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -17,6 +17,9 @@
 #define CP_LOG_EVERY_US (CLK_US_PER_S)
 /* Queues whose waiting steps are logged. */
 #define CP_MAX_WAIT_ROWS 16
+/* Workers that tasks wait for after a takeover: which are logged, and when. */
+#define CP_MAX_HOLDING_ROWS 16
+#define CP_LOG_HOLDING_AFTER_US (500 * CLK_US_PER_MS)
 #define CP_FORGET_EVERY_US (2 * CLK_US_PER_S)
 /* Time to store ended jobs before a pool is handed over. */
 #define CP_RELEASE_TIMEOUT_US (150 * CLK_US_PER_MS)
@@ -189,6 +192,41 @@
 	}
 }
 
+/* One line for each worker that tasks of an earlier owner may wait for. */
+static void
+cp_log_holding(struct cp_host *h, int64_t now_us)
+{
+	struct wp_worker *w;
+	struct wp_worker *tmp;
+	uint32_t rows = 0;
+
+	/* Most workers respond to a new owner within this time. */
+	if (now_us - h->owner_since_us < CP_LOG_HOLDING_AFTER_US)
+		return;
+	HASH_ITER(hh, h->pool->workers, w, tmp) {
+		if (!wp_is_holding(w, now_us))
+			continue;
+		if (rows++ == CP_MAX_HOLDING_ROWS)
+			return;
+		lg_event(LG_INFO, "pool", "holding", "pool", h->name, "worker",
+		    w->id, "listed", w->listed ? "1" : "0", "left_ms",
+		    lg_i64(
+			(w->earlier_owner_until_us - now_us) / CLK_US_PER_MS),
+		    NULL);
+	}
+}
+
+static void
+cp_log_reconciled(struct cp_host *h, int64_t now_us)
+{
+	if (h->reconciled_logged || !h->pool->reconciled)
+		return;
+	h->reconciled_logged = true;
+	lg_event(LG_INFO, "pool", "reconciled", "pool", h->name, "fence",
+	    lg_i64((int64_t)h->fence), "after_ms",
+	    lg_i64((now_us - h->owner_since_us) / CLK_US_PER_MS), NULL);
+}
+
 /* Logs at intervals what limits the pool. */
 static void
 cp_log_state(struct cp_host *h, int64_t now_us)
@@ -208,6 +246,7 @@
 	    "commit", h->commit != NULL ? "1" : "0", "confirmed_ms",
 	    lg_i64((now_us - h->lease_confirmed_us) / CLK_US_PER_MS), NULL);
 	cp_log_waits(h, now_us);
+	cp_log_holding(h, now_us);
 }
 
 static void
@@ -221,6 +260,7 @@
 	cp_yield_to_larger_vm(h, now_us);
 	cp_forget_ended(h, now_us);
 	cp_log_state(h, now_us);
+	cp_log_reconciled(h, now_us);
 	cp_announce_unstored_ends(h, now_us);
 	cp_run_pass(h, now_us);
 }
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -58,6 +58,7 @@
  * @yield_check_at_us: when to look for a larger VM that could take over
  * @forget_at_us: when ended jobs are next removed
  * @log_at_us: when the pool's state is next logged
+ * @reconciled_logged: it was logged that no task waits for an earlier owner
  */
 struct cp_host {
 	struct cell *cell;
@@ -91,6 +92,7 @@
 	int64_t yield_check_at_us;
 	int64_t forget_at_us;
 	int64_t log_at_us;
+	bool reconciled_logged;
 	UT_hash_handle hh;
 };
 
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -760,6 +760,9 @@
 void wp_add_registered_worker(
     struct wp_pool *p, const char *id, const char *address, int64_t now_us);
 
+/** wp_is_holding() - whether a worker may run tasks of an earlier owner */
+bool wp_is_holding(const struct wp_worker *w, int64_t now_us);
+
 /**
  * wp_earlier_owners_stopped() - earlier owners renew no more leases
  * @p: pool
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -870,6 +870,12 @@
 	}
 }
 
+bool
+wp_is_holding(const struct wp_worker *w, int64_t now_us)
+{
+	return !w->token_accepted && now_us < w->earlier_owner_until_us;
+}
+
 void
 wp_reconcile_tick(struct wp_pool *p, int64_t now_us)
 {
@@ -882,7 +888,7 @@
 		return;
 	wp_copy_unreconciled(p, now_us);
 	HASH_ITER(hh, p->workers, w, tmp) {
-		if (!w->token_accepted && now_us < w->earlier_owner_until_us)
+		if (wp_is_holding(w, now_us))
 			return;
 	}
 	p->reconciled = true;
