pool: a worker that the registry may no longer name receives no tasks

The registry in the store names the workers that may run something; a later owner waits for no other. While an owner stored a registry without a worker that had left, the worker still counted as registered until the response came. If it returned meanwhile, it received tasks that a later owner would not know of, and would start again (TWICE).

What the registry says is now decided in the pool (wp_registry_begin, wp_registry_end): a worker that it leaves out is unregistered from the moment at which it may be stored. The test fixture uses the same functions, where it used to register all workers at once.

--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -121,17 +121,6 @@
 	pn_flush_ended(h->cell->links);
 }
 
-static void
-cp_registry_stored(struct cp_host *h)
-{
-	struct wp_worker *w;
-	struct wp_worker *tmp;
-
-	HASH_ITER(hh, h->pool->workers, w, tmp)
-		w->registered = w->registering;
-	cp_schedule_pass(h);
-}
-
 static void
 cp_commit_done(struct cp_host *h, uint64_t revision)
 {
@@ -142,8 +131,10 @@
 	cp_announce_commit_ends(h, cm, true);
 	h->commit_at_us = clk_now_us() + CP_COMMIT_PAUSE_US;
 	wp_commit_end(h->pool, clk_now_us());
-	if (cm->registry)
-		cp_registry_stored(h);
+	if (cm->registry) {
+		wp_registry_end(h->pool);
+		cp_schedule_pass(h);
+	}
 	talloc_free(cm);
 	if (wp_is_store_due(h->pool, clk_now_us()) || h->state == CP_RELEASING)
 		cp_schedule_pass(h);
@@ -248,12 +239,11 @@
 
 	if (!h->pool->registry_dirty)
 		return;
-	h->pool->registry_dirty = false;
+	wp_registry_begin(h->pool, clk_now_us());
 	cm->registry = true;
 	row = talloc_zero_array(cm, Currant__KnownWorker, count + 1);
 	list.workers = talloc_zero_array(cm, Currant__KnownWorker *, count + 1);
 	HASH_ITER(hh, h->pool->workers, w, tmp) {
-		w->registering = wp_needs_registration(w, clk_now_us());
 		if (!w->registering)
 			continue;
 		currant__known_worker__init(&row[list.n_workers]);
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -760,6 +760,12 @@
 void wp_add_registered_worker(
     struct wp_pool *p, const char *id, const char *address, int64_t now_us);
 
+/** wp_registry_begin() - decide what the registry about to be stored says */
+void wp_registry_begin(struct wp_pool *p, int64_t now_us);
+
+/** wp_registry_end() - that registry is stored */
+void wp_registry_end(struct wp_pool *p);
+
 /** wp_is_holding() - whether a worker may run tasks of an earlier owner */
 bool wp_is_holding(const struct wp_worker *w, int64_t now_us);
 
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -7,9 +7,10 @@
 /**
  * DOC: Shared by the pool's files. Lowest first: pool_task (state changes of
  * tasks, steps and jobs), pool_store (what to store and acknowledge),
- * pool_worker (workers' reports and leases), pool_gang, pool_advice (tickets),
- * pool_reserve (resources kept for gangs), pool_ask (which advice requests are
- * sent), pool_outlook (lateness), pool_waits (what steps wait for),
+ * pool_worker (workers' reports and leases), pool_reconcile (what may still run
+ * for an earlier owner), pool_gang, pool_advice (tickets), pool_reserve
+ * (resources kept for gangs), pool_ask (which advice requests are sent),
+ * pool_outlook (lateness), pool_waits (what steps wait for),
  * pool_sharing (throttling), pool_copy (speculative copies of tasks),
  * pool_retire (emptying workers for maintenance), pool_sched (which task starts
  * where), pool (jobs and ticks).
--- a/tests/unit/pool_fixture.h
+++ b/tests/unit/pool_fixture.h
@@ -167,21 +167,18 @@
 		ref->index = index;
 	}
 
-	/* Stores everything that is dirty, and registers all workers. */
+	/* Stores everything that is dirty, and the registry of workers. */
 	void
 	commit()
 	{
 		struct jb_progress progress;
-		struct wp_worker *w;
-		struct wp_worker *tmp;
 
-		p->registry_dirty = false;
+		wp_registry_begin(p, now);
 		while (wp_next_dirty(p, p, now, &progress) != nullptr)
 			;
-		HASH_ITER(hh, p->workers, w, tmp)
-			w->registered = true;
 		wp_commit_begin(p);
 		wp_commit_end(p, now);
+		wp_registry_end(p);
 	}
 
 	int64_t
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -137,6 +137,25 @@
 	EXPECT_FALSE(wp_needs_registration(wp_find_worker(p, "w"), now));
 }
 
+/* TWICE after a takeover, if the response to that commit is late. */
+TEST_F(Pool, WorkerReceivesNoTasksWhileTheRegistryWithoutItIsBeingStored)
+{
+	create_pool();
+	add_worker("w");
+	wp_unlist_worker(p, "w");
+	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	tick(5 * kS);
+	ASSERT_TRUE(p->registry_dirty);
+	wp_registry_begin(p, now);
+	list_worker("w");
+	renew_lease("w");
+	add(kJob, {{1}});
+	EXPECT_TRUE(tick().empty());
+	wp_registry_end(p);
+	commit();
+	EXPECT_EQ(tick().size(), 1U);
+}
+
 /*
  * After a network partition, returning workers have to be registered again.
  * Found by piskdag mix --seed 662680087766.
