pool: a lost stop order is repeated although the start's result came late

A task that is being stopped is taken off its worker when the worker has answered the stop or reports the end of the run. A stop that is lost is sent again after 0.4 s, unless a start of the task is in flight. That mark was only cleared when the start's result arrived while the task was still starting. A task that was reported as running, or stopped, before that result kept it for good: when its stop was lost as well, it stayed on its worker, taking resources and not to be started again, until the worker became unreachable for a whole lease. Its job never ended; a task that had to move (stopped by preemption, draining, a gang that lost a member, a restarted worker) had nothing running and was never started again (LOST).

The mark is cleared by the result of the start in any state.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -616,7 +616,6 @@
 wp_on_start_result(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
     enum wp_order_result result, int64_t clock_ms, int64_t now_us)
 {
-	t->order_in_flight = false;
 	switch (result) {
 	case WP_ACCEPTED:
 		t->state = WP_TASK_RUNNING;
@@ -668,6 +667,8 @@
 		p->superseded = true;
 	if (w == NULL || t == NULL || t->worker != w || t->run != o->run)
 		return;
+	if (o->kind == WP_ORDER_START)
+		t->order_in_flight = false;
 	if (o->kind == WP_ORDER_START && t->state == WP_TASK_STARTING)
 		wp_on_start_result(p, t, w, result, clock_ms, now_us);
 	if (o->kind == WP_ORDER_STOP && t->state == WP_TASK_STOPPING &&
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -137,6 +137,36 @@
 	EXPECT_FALSE(wp_needs_registration(wp_find_worker(p, "w"), now));
 }
 
+/* LOST: the stop was lost, and the start before it was never answered. */
+TEST_F(Pool, StopIsRepeatedAfterAStartWithoutAResponse)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{1}});
+	auto start = tick();
+	ASSERT_EQ(start.size(), 1U);
+	renew_lease("w", {{kJob, 0, 0, 1, 0}});
+	answer(start[0], WP_NO_ANSWER);
+	wp_cancel_job(p, wp_find_job(p, kJob.c_str()), now);
+	auto stop = tick(kMs);
+	ASSERT_EQ(stop.size(), 1U);
+	answer(stop[0], WP_NO_ANSWER);
+	EXPECT_EQ(tick(500 * kMs).size(), 1U);
+}
+
+TEST_F(Pool, StopIsRepeatedWhileAStartIsInFlight)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{1}});
+	auto start = tick();
+	ASSERT_EQ(start.size(), 1U);
+	wp_cancel_job(p, wp_find_job(p, kJob.c_str()), now);
+	ASSERT_EQ(tick(kMs).size(), 1U);
+	answer(start[0]);
+	EXPECT_EQ(tick(500 * kMs).size(), 1U);
+}
+
 /* TWICE after a takeover, if the response to that commit is late. */
 TEST_F(Pool, WorkerReceivesNoTasksWhileTheRegistryWithoutItIsBeingStored)
 {
