--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -681,7 +681,6 @@
 wp_on_start_result(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
     enum wp_order_result result, int64_t clock_ms, int64_t now_us)
 {
-	t->order_in_flight = false;
 	switch (result) {
 	case WP_ACCEPTED:
 		t->state = WP_TASK_RUNNING;
@@ -745,6 +744,8 @@
 		p->superseded = true;
 	if (w == NULL || t == NULL || t->worker != w || t->run != o->run)
 		return;
+	if (o->kind == WP_ORDER_START)
+		t->order_in_flight = false;
 	if (o->kind == WP_ORDER_START && t->state == WP_TASK_STARTING)
 		wp_on_start_result(p, t, w, result, clock_ms, now_us);
 	if (o->kind == WP_ORDER_STOP && t->state == WP_TASK_STOPPING &&
@@ -926,44 +927,3 @@
 	HASH_ITER(hh, p->workers, w, tmp)
 		wp_worker_tick(p, w, now_us);
 }
-
-static void
-wp_requeue_unreconciled(struct wp_job *job, int64_t now_us)
-{
-	uint32_t k;
-	uint32_t i;
-	uint32_t j;
-
-	for (k = 0; k < jb_occurrences(job->spec); k++) {
-		struct wp_occurrence *occ = job->occ[k];
-
-		for (i = 0; occ != NULL && i < job->spec->step_count; i++) {
-			for (j = 0; j < job->spec->step[i].count; j++) {
-				if (occ->step[i].task[j].state ==
-				    WP_TASK_UNRECONCILED)
-					wp_task_requeue(
-					    &occ->step[i].task[j], now_us);
-			}
-		}
-	}
-}
-
-void
-wp_reconcile_tick(struct wp_pool *p, int64_t now_us)
-{
-	struct wp_worker *w;
-	struct wp_worker *tmp;
-	struct wp_job *job;
-	struct wp_job *next;
-
-	if (p->reconciled || p->ownership_unconfirmed)
-		return;
-	wp_copy_unreconciled(p, now_us);
-	HASH_ITER(hh, p->workers, w, tmp) {
-		if (!w->token_accepted && now_us < w->earlier_owner_until_us)
-			return;
-	}
-	p->reconciled = true;
-	HASH_ITER(hh, p->jobs, job, next)
-		wp_requeue_unreconciled(job, now_us);
-}
