replica: workers' entries are followed by owners of pools only

Every daemon kept a copy of the whole key space; changes of workers' entries, which only the owner of a pool uses, were most of what it read.

Ruled out: that the owners or their relays take the time. In a profile of all 147 daemons, the store's responses took 52 to 64% of all samples, three quarters of them JSON; scheduling passes took 4%.

A replica that does not need workers' entries watches the cell's own keys. A daemon of a large cell (more than small_cell daemons) does so until it owns a pool. A new owner begins with the workers in the registry of its pool, as if discovery listed none of them, reads the entries (three pages of 1,100) and then watches all keys from where it was; so a takeover waits for nothing more, and what was known before the entries were read starts no task. Cells of up to small_cell daemons work as before.

Operators' keys now depend on their own watch alone. It waits for 2 s instead of 15 s, so that a response lost on a broken path is noticed as fast as by the watch over all keys, and reads the keys again when their history was lost.

Considered: decode the entries when they are needed. The daemons would still read them, and the store send them.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -294,14 +294,16 @@
 
 	cp_load_registry(h, now_us);
 	HASH_ITER(hh, r->workers, w, wnext) {
+		/* An entry that was not followed says nothing until it is read again. */
+		bool listed = w->unlisted_us == 0 && r->has_workers;
+
 		if (w->pool == NULL || strcmp(w->pool, h->name) != 0)
 			continue;
 		/* Unlisted and not in the list of earlier owners: nothing runs on it. */
-		if (w->unlisted_us != 0 &&
-		    wp_find_worker(h->pool, w->id) == NULL)
+		if (!listed && wp_find_worker(h->pool, w->id) == NULL)
 			continue;
 		wp_set_worker(h->pool, &w->info, now_us);
-		if (w->unlisted_us != 0)
+		if (!listed)
 			wp_unlist_worker(h->pool, w->id);
 	}
 	HASH_ITER(hh, r->jobs, job, next) {
@@ -341,6 +343,7 @@
 	    lg_i64((settings.earlier_owner_until_us - now_us) / CLK_US_PER_MS),
 	    NULL);
 	pn_send_owner_changed(h->cell->links);
+	rp_follow_workers(h->cell->replica, true);
 	cp_schedule_pass(h);
 }
 
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -5,6 +5,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool_internal.h"
 
 /* Pauses between watches; short for owners, as new jobs concern them. */
@@ -259,6 +260,20 @@
 				  : CP_WATCH_PAUSE_US;
 }
 
+/*
+ * Only a pool's owner needs the workers' entries. A new owner of a small cell has
+ * them at once; in a large one, each daemon would spend most of its processor
+ * time on them.
+ */
+static void
+cp_follow_workers(struct cell *c)
+{
+	if (cp_owned_count(c) > 0)
+		rp_follow_workers(c->replica, true);
+	else if (!pn_is_small_cell(c->links))
+		rp_follow_workers(c->replica, false);
+}
+
 void
 cp_tick(struct cell *c)
 {
@@ -276,6 +291,7 @@
 	HASH_ITER(hh, c->pools, h, tmp)
 		cp_host_tick(h, clk_now_us());
 	c->replica->watch_pause_us = cp_watch_pause_us(c);
+	cp_follow_workers(c);
 }
 
 /* No task is started during a release, so it has a short deadline. */
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -10,8 +10,6 @@
 
 #define RP_RETRY_US (200 * CLK_US_PER_MS)
 #define RP_WATCH_MS 2000
-/* Operators' keys have their own watch, which other changes can't delay. */
-#define RP_OPERATOR_WATCH_MS 15000
 /* A response with this many changes means that more are waiting. */
 #define RP_FULL_BATCH 400
 #define RP_ERROR_BYTES 160
@@ -524,19 +522,19 @@
 	r->applying_in_order = false;
 }
 
-/* What the load did not find has been deleted while no watch was open. */
+/* What the load did not find has been deleted while it was not watched. */
 static void
-rp_remove_unfound(struct replica *r)
+rp_remove_unfound_cell_keys(struct replica *r)
 {
-	struct ks_item removed = {.deleted = true};
+	struct ks_item removed = {
+	    .deleted = true,
+	    .revision = r->load_revision,
+	};
 	struct rp_owner *o;
 	struct rp_owner *onext;
 	struct rp_member *m;
 	struct rp_member *mnext;
-	struct rp_worker *w;
-	struct rp_worker *wnext;
 
-	removed.revision = r->load_revision;
 	HASH_ITER(hh, r->owners, o, onext) {
 		if (o->present && !o->found_by_load &&
 		    o->revision < removed.revision)
@@ -549,6 +547,18 @@
 			rp_apply_member(r, m->vm, &removed);
 		m->found_by_load = false;
 	}
+}
+
+static void
+rp_remove_unfound_workers(struct replica *r)
+{
+	struct ks_item removed = {
+	    .deleted = true,
+	    .revision = r->load_revision,
+	};
+	struct rp_worker *w;
+	struct rp_worker *wnext;
+
 	HASH_ITER(hh, r->workers, w, wnext) {
 		if (w->unlisted_us == 0 && !w->found_by_load &&
 		    w->revision < removed.revision)
@@ -582,6 +592,51 @@
 		w->found_by_load = true;
 }
 
+/* Entries that have not changed count again, too. */
+static void
+rp_report_workers(struct replica *r)
+{
+	struct rp_worker *w;
+	struct rp_worker *next;
+
+	if (r->has_workers)
+		return;
+	r->has_workers = true;
+	HASH_ITER(hh, r->workers, w, next) {
+		if (w->unlisted_us == 0 && w->pool != NULL)
+			r->hooks.worker(w, r->arg);
+	}
+}
+
+static bool
+rp_covers(const char *prefix, const char *keys)
+{
+	return strncmp(prefix, keys, strlen(prefix)) == 0;
+}
+
+static void
+rp_finish_load(struct replica *r)
+{
+	TALLOC_FREE(r->load_cursor);
+	r->loading = false;
+	if (rp_covers(r->load_prefix, r->fleet->entries->workers_prefix)) {
+		rp_remove_unfound_workers(r);
+		rp_report_workers(r);
+	}
+	if (rp_covers(r->load_prefix, RP_CELL_PREFIX)) {
+		rp_remove_unfound_cell_keys(r);
+		r->applied_revision = r->load_revision;
+	}
+	if (r->synced)
+		return;
+	lg_event(LG_INFO, "replica", "loaded", "revision",
+	    lg_i64((int64_t)r->applied_revision), "jobs",
+	    lg_i64(HASH_COUNT(r->jobs)), NULL);
+	r->synced = true;
+	r->operator_revision = r->applied_revision;
+	rp_watch_operator_keys(r);
+}
+
 static void
 rp_on_load_page(const struct ks_response *a, void *arg)
 {
@@ -604,34 +659,37 @@
 		talloc_free(r->load_cursor);
 		r->load_cursor =
 		    talloc_strdup(r, a->item[a->item_count - 1].key);
-		r->fleet->keys->range(
-		    r->fleet->handle, "", r->load_cursor, rp_on_load_page, r);
+		r->fleet->keys->range(r->fleet->handle, r->load_prefix,
+		    r->load_cursor, rp_on_load_page, r);
 		return;
 	}
-	TALLOC_FREE(r->load_cursor);
-	r->loading = false;
-	rp_remove_unfound(r);
-	r->applied_revision = r->load_revision;
-	if (!r->synced)
-		lg_event(LG_INFO, "replica", "loaded", "revision",
-		    lg_i64((int64_t)r->applied_revision), "jobs",
-		    lg_i64(HASH_COUNT(r->jobs)), NULL);
-	if (!r->synced) {
-		r->operator_revision = r->applied_revision;
-		rp_watch_operator_keys(r);
-	}
-	r->synced = true;
+	rp_finish_load(r);
 	rp_watch(r);
 }
 
+/* Reads the keys under load_prefix. */
 static void
 rp_load(void *arg)
 {
 	struct replica *r = arg;
 
 	TALLOC_FREE(r->load_cursor);
-	r->loading = true;
-	r->fleet->keys->range(r->fleet->handle, "", NULL, rp_on_load_page, r);
+	r->loading = rp_covers(r->load_prefix, RP_CELL_PREFIX);
+	r->fleet->keys->range(
+	    r->fleet->handle, r->load_prefix, NULL, rp_on_load_page, r);
+}
+
+static bool
+rp_lacks_workers(const struct replica *r)
+{
+	return r->follow_workers && !r->has_workers;
+}
+
+/* Operators' keys have their own watch, which other changes can't delay. */
+static const char *
+rp_watched_prefix(const struct replica *r)
+{
+	return r->follow_workers ? "" : RP_CELL_PREFIX;
 }
 
 static void
@@ -646,6 +704,8 @@
 	case KS_COMPACTED:
 		lg_event(LG_WARN, "replica", "history_lost", "revision",
 		    lg_i64((int64_t)r->applied_revision), NULL);
+		r->has_workers = false;
+		r->load_prefix = rp_watched_prefix(r);
 		rp_load(r);
 		return;
 	default:
@@ -659,30 +719,46 @@
 		r->applied_revision = a->revision;
 	r->watch_paused = true;
 	r->watch_resume_us = clk_now_us() + r->watch_pause_us;
-	/* More changes are waiting: the replica lags behind. */
-	if (a->item_count >= RP_FULL_BATCH)
+	/* More changes are waiting, or workers' entries are: it lags behind. */
+	if (a->item_count >= RP_FULL_BATCH || rp_lacks_workers(r))
 		rp_watch_now(r);
 }
 
+/*
+ * No watch is open while the workers' entries are loaded, so the watch over all
+ * keys that follows shows each of their changes since.
+ */
 static void
 rp_watch(void *arg)
 {
 	struct replica *r = arg;
 
-	r->fleet->keys->watch(r->fleet->handle, "", r->applied_revision,
-	    RP_WATCH_MS, rp_on_watch, r);
+	if (rp_lacks_workers(r)) {
+		r->load_prefix = r->fleet->entries->workers_prefix;
+		rp_load(r);
+		return;
+	}
+	r->has_workers = r->follow_workers;
+	r->fleet->keys->watch(r->fleet->handle, rp_watched_prefix(r),
+	    r->applied_revision, RP_WATCH_MS, rp_on_watch, r);
+}
+
+void
+rp_follow_workers(struct replica *r, bool follow)
+{
+	r->follow_workers = follow;
+	if (rp_lacks_workers(r))
+		rp_watch_now(r);
 }
 
 static void
-rp_on_operator_watch(const struct ks_response *a, void *arg)
+rp_on_operator_keys(const struct ks_response *a, void *arg)
 {
 	struct replica *r = arg;
 	size_t i;
 
 	if (a->result != KS_OK) {
-		/* The watch over all keys applies what this one has missed. */
-		if (a->result == KS_COMPACTED)
-			r->operator_revision = r->applied_revision;
+		r->load_operator_keys |= a->result == KS_COMPACTED;
 		loop_after(r->loop, RP_RETRY_US, rp_watch_operator_keys, r);
 		return;
 	}
@@ -690,17 +766,23 @@
 		rp_apply_item(r, &a->item[i]);
 	if (a->revision > r->operator_revision)
 		r->operator_revision = a->revision;
+	r->load_operator_keys = false;
 	rp_watch_operator_keys(r);
 }
 
+/* Operators' few keys fit into one page of a load. */
 static void
 rp_watch_operator_keys(void *arg)
 {
 	struct replica *r = arg;
+	const struct fl_fleet *f = r->fleet;
 
-	r->fleet->keys->watch(r->fleet->handle,
-	    r->fleet->entries->orders_prefix, r->operator_revision,
-	    RP_OPERATOR_WATCH_MS, rp_on_operator_watch, r);
+	if (r->load_operator_keys)
+		f->keys->range(f->handle, f->entries->orders_prefix, NULL,
+		    rp_on_operator_keys, r);
+	else
+		f->keys->watch(f->handle, f->entries->orders_prefix,
+		    r->operator_revision, RP_WATCH_MS, rp_on_operator_keys, r);
 }
 
 bool
@@ -737,6 +819,8 @@
 	r->hooks = *hooks;
 	r->arg = arg;
 	r->watch_pause_us = 10 * CLK_US_PER_MS;
+	r->follow_workers = true;
+	r->load_prefix = "";
 	rp_load(r);
 	return r;
 }
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -8,9 +8,11 @@
  *
  * Loaded once, then kept up to date by one watch over all keys, so that changes
  * arrive in the order in which they were made. An item is never replaced by an
- * earlier revision of itself.
+ * earlier revision of itself. A replica that does not follow the workers watches
+ * its cell's own keys only, and reads the workers' entries once it has to.
  */
 
+#define RP_CELL_PREFIX "ct/"
 #define RP_JOB_PREFIX "ct/job/"
 #define RP_CANCEL_PREFIX "ct/cancel/"
 #define RP_PROGRESS_PREFIX "ct/progress/"
@@ -194,9 +196,13 @@
  * @applied_revision: revision up to which all changes are applied
  * @load_revision: revision of the first page of the newest load
  * @operator_revision: revision up to which operators' keys are applied
+ * @load_operator_keys: their history was lost, so they have to be read again
  * @watch_pause_us: pause between two watches, so that each returns a batch
  * @watch_paused: no watch is open until @watch_resume_us
+ * @load_prefix: keys that the newest load reads
  * @load_cursor: last key of the page before; NULL for the first page
+ * @follow_workers: workers' entries are needed
+ * @has_workers: the workers' entries are as current as all other keys
  * @config: configuration in force, or NULL
  * @config_revision: revision of the newest configuration that was read
  */
@@ -211,10 +217,14 @@
 	uint64_t applied_revision;
 	uint64_t load_revision;
 	uint64_t operator_revision;
+	bool load_operator_keys;
 	int64_t watch_pause_us;
 	bool watch_paused;
 	int64_t watch_resume_us;
+	const char *load_prefix;
 	char *load_cursor;
+	bool follow_workers;
+	bool has_workers;
 	struct qs_config *config;
 	uint64_t config_revision;
 	struct rp_job *jobs;
@@ -239,10 +249,18 @@
  * rp_has_applied() - whether everything up to a revision is in the replica
  *
  * A key that a load has read tells nothing about keys of pages that are still
- * to come, or were read earlier.
+ * to come, or were read earlier. Workers' entries are not counted.
  */
 bool rp_has_applied(const struct replica *r, uint64_t revision);
 
+/**
+ * rp_follow_workers() - say whether workers' entries are needed
+ *
+ * Their changes are most of what a store of many workers reports. Entries that
+ * were not followed stay as they were, and are read again before they count.
+ */
+void rp_follow_workers(struct replica *r, bool follow);
+
 /** rp_tick() - open the next watch if the pause is over */
 void rp_tick(struct replica *r, int64_t now_us);
 
--- a/include/transport/fleet.h
+++ b/include/transport/fleet.h
@@ -76,6 +76,7 @@
 /**
  * struct fl_entry_ops - decodes entries that others write to the key space
  * @orders_prefix: prefix of the keys that hold operators' orders
+ * @workers_prefix: prefix of the keys that hold workers' entries
  * @kind: what a key holds; sets @id for a worker or a maintenance wave
  * @worker: decode a worker's entry and name its @pool; false when it is unusable
  * @config: decode a configuration; NULL with @error when it can't be read
@@ -84,6 +85,7 @@
  */
 struct fl_entry_ops {
 	const char *orders_prefix;
+	const char *workers_prefix;
 	enum fl_key_kind (*kind)(const char *key, const char **id);
 	bool (*worker)(TALLOC_CTX *ctx, const char *id, const uint8_t *value,
 	    size_t bytes, struct wp_worker_info *info, const char **pool);
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -526,6 +526,45 @@
 	expect_no_violations();
 }
 
+/* Daemons of a large cell don't follow the workers until they own a pool. */
+TEST_F(RelayedCell, NextOwnerLearnsWhichWorkersLeftAndContinues)
+{
+	start_daemons(3);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	http("POST", control + "/_worker",
+	    "{\"worker\":1,\"off\":true,\"left\":true}");
+	EXPECT_TRUE(
+	    eventually([&] { return owner_logged(" usable=3 "); }, 10000));
+	size_t dead = owner();
+	size_t left = (dead + 1) % 3;
+
+	daemons[dead]->end(SIGKILL);
+	EXPECT_TRUE(eventually([&] { return owner() != dead; }, 2500));
+	for (int n = 1; n < 7; n++)
+		EXPECT_EQ(submit(left, n, 2, 200).status, 200);
+	EXPECT_TRUE(
+	    eventually([&] { return reported("started") >= 14; }, 2000));
+	wait_completed(left, 1, 7);
+	EXPECT_EQ(reported("started"), 14);
+	expect_no_violations();
+}
+
+TEST_F(RelayedCell, LostHistoryHidesNoConfigurationFromAnyDaemon)
+{
+	start_daemons(3);
+	http("POST", control + "/_forget", "");
+	configure(2,
+	    ",{\"name\":\"n\",\"host\":\"" + std::string(kHost) +
+		"\",\"prefix\":\"/n/\",\"service\":\"batch\"}");
+	for (size_t i = 0; i < 3; i++)
+		EXPECT_TRUE(eventually(
+		    [&] { return call("GET", i, "/n/").status == 200; }, 3000));
+	EXPECT_EQ(submit(1, 1).status, 200);
+	wait_completed(2, 1, 2);
+	expect_no_violations();
+}
+
 TEST_F(Cell, StoppedOwnerReleasesItsPool)
 {
 	start_daemons(2);
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstring>
 #include <string>
 #include <vector>
 
@@ -19,34 +21,65 @@
 	void *range_arg = nullptr;
 	ks_done_fn watch_done = nullptr;
 	void *watch_arg = nullptr;
+	ks_done_fn orders_done = nullptr;
+	void *orders_arg = nullptr;
+	std::string range_prefix;
+	std::string watch_prefix;
+	uint64_t watch_after = 0;
+	bool orders_loaded = false;
+	uint32_t orders_wait_ms = 0;
 };
 
 void
-on_range(void *ks, const char *, const char *, ks_done_fn done, void *arg)
+on_range(void *ks, const char *prefix, const char *, ks_done_fn done, void *arg)
 {
 	Store *s = (Store *)ks;
 
+	if (strcmp(prefix, "orders/") == 0) {
+		s->orders_loaded = true;
+		s->orders_done = done;
+		s->orders_arg = arg;
+		return;
+	}
+	s->range_prefix = prefix;
 	s->range_done = done;
 	s->range_arg = arg;
 }
 
-/* Only the watch over all keys is answered. */
 void
-on_watch(void *ks, const char *prefix, uint64_t, uint32_t, ks_done_fn done,
-    void *arg)
+on_watch(void *ks, const char *prefix, uint64_t after, uint32_t wait_ms,
+    ks_done_fn done, void *arg)
 {
 	Store *s = (Store *)ks;
 
-	if (prefix[0] != '\0')
+	if (strcmp(prefix, "orders/") == 0) {
+		s->orders_loaded = false;
+		s->orders_wait_ms = wait_ms;
+		s->orders_done = done;
+		s->orders_arg = arg;
 		return;
+	}
+	s->watch_prefix = prefix;
+	s->watch_after = after;
 	s->watch_done = done;
 	s->watch_arg = arg;
 }
 
 enum fl_key_kind
-other_kind(const char *, const char **)
+kind_of(const char *key, const char **id)
+{
+	*id = key + 2;
+	return strncmp(key, "w/", 2) == 0 ? FL_KEY_WORKER : FL_KEY_OTHER;
+}
+
+bool
+decode_worker(TALLOC_CTX *ctx, const char *id, const uint8_t *value,
+    size_t bytes, struct wp_worker_info *info, const char **pool)
 {
-	return FL_KEY_OTHER;
+	*info = {};
+	info->id = talloc_strdup(ctx, id);
+	*pool = talloc_strndup(ctx, (const char *)value, bytes);
+	return true;
 }
 
 class Replica : public testing::Test
@@ -58,18 +91,22 @@
 		keys.range = on_range;
 		keys.watch = on_watch;
 		entries.orders_prefix = "orders/";
-		entries.kind = other_kind;
+		entries.workers_prefix = "w/";
+		entries.kind = kind_of;
+		entries.worker = decode_worker;
 		fleet.keys = &keys;
 		fleet.entries = &entries;
 		fleet.handle = &store;
 		hooks.job = [](struct rp_job *, void *) {};
 		hooks.cancel = [](struct rp_job *, void *) {};
-		hooks.worker = [](struct rp_worker *, void *) {};
+		hooks.worker = [](struct rp_worker *w, void *arg) {
+			((Replica *)arg)->changed.push_back(w->id);
+		};
 		hooks.owner = [](struct rp_owner *, void *) {};
 		hooks.member = [](struct rp_member *, void *) {};
 		hooks.store_answered = [](void *) {};
 		l = loop_create(nullptr);
-		r = rp_start(l, l, &fleet, &hooks, nullptr);
+		r = rp_start(l, l, &fleet, &hooks, this);
 	}
 
 	void
@@ -117,6 +154,36 @@
 		store.watch_done(&a, store.watch_arg);
 	}
 
+	static struct ks_item
+	worker_item(const char *key, uint64_t revision)
+	{
+		struct ks_item item = {};
+
+		item.key = key;
+		item.value = (const uint8_t *)"pool";
+		item.value_bytes = 4;
+		item.revision = revision;
+		return item;
+	}
+
+	bool
+	is_listed(const char *id)
+	{
+		struct rp_worker *w;
+
+		HASH_FIND_STR(r->workers, id, w);
+		return w != nullptr && w->unlisted_us == 0;
+	}
+
+	/* Answers the open watch, and ends the pause after it. */
+	void
+	next_watch(uint64_t as_of)
+	{
+		watch(KS_OK, as_of);
+		rp_watch_now(r);
+	}
+
+	std::vector<std::string> changed;
 	Store store;
 	struct ks_ops keys = {};
 	struct fl_entry_ops entries = {};
@@ -159,4 +226,115 @@
 	EXPECT_TRUE(rp_has_applied(r, 50));
 }
 
+/*
+ * Each of 147 daemons read every change of 1,100 workers' entries, though only
+ * the pools' owners use them; days were not played to their end.
+ */
+TEST_F(Replica, EntriesOfWorkersAreNotReadByDaemonsThatOwnNothing)
+{
+	page(10, {worker_item("w/a", 5)}, false);
+	EXPECT_EQ(store.watch_prefix, "");
+	rp_follow_workers(r, false);
+	next_watch(20);
+	EXPECT_EQ(store.watch_prefix, RP_CELL_PREFIX);
+	EXPECT_EQ(store.watch_after, 20u);
+	watch(KS_COMPACTED, 0);
+	EXPECT_EQ(store.range_prefix, RP_CELL_PREFIX);
+	page(30, {}, false);
+	EXPECT_EQ(store.watch_prefix, RP_CELL_PREFIX);
+	EXPECT_TRUE(rp_has_applied(r, 30));
+	EXPECT_TRUE(is_listed("a"));
+}
+
+/* A new owner that used what it knew would start tasks on workers that drain. */
+TEST_F(Replica, NewOwnerReadsEntriesThatItDidNotFollow)
+{
+	page(10, {worker_item("w/a", 5), worker_item("w/b", 6)}, false);
+	rp_follow_workers(r, false);
+	next_watch(20);
+	changed.clear();
+	watch(KS_OK, 30);
+	rp_follow_workers(r, true);
+	EXPECT_EQ(store.range_prefix, "w/");
+	EXPECT_FALSE(r->has_workers);
+	EXPECT_TRUE(rp_has_applied(r, 30));
+	page(40, {worker_item("w/a", 5), worker_item("w/c", 35)}, false);
+	EXPECT_TRUE(r->has_workers);
+	EXPECT_FALSE(is_listed("b"));
+	EXPECT_TRUE(is_listed("c"));
+	/* An entry that has not changed is reported, too. */
+	for (const char *id : {"a", "b", "c"})
+		EXPECT_NE(std::find(changed.begin(), changed.end(), id),
+		    changed.end())
+		    << id;
+	EXPECT_EQ(store.watch_prefix, "");
+	EXPECT_EQ(store.watch_after, 30u);
+}
+
+TEST_F(Replica, OwnerReadsEntriesAsSoonAsTheOpenWatchEnds)
+{
+	page(10, {}, false);
+	rp_follow_workers(r, false);
+	next_watch(20);
+	rp_follow_workers(r, true);
+	EXPECT_EQ(store.range_prefix, "");
+	watch(KS_OK, 21);
+	EXPECT_EQ(store.range_prefix, "w/");
+}
+
+TEST_F(Replica, EntriesReadBeforeHistoryWasLostDoNotCount)
+{
+	page(10, {worker_item("w/a", 5)}, false);
+	rp_follow_workers(r, false);
+	watch(KS_COMPACTED, 0);
+	rp_follow_workers(r, true);
+	page(40, {}, false);
+	EXPECT_EQ(store.range_prefix, "w/");
+	page(50, {}, false);
+	EXPECT_FALSE(is_listed("a"));
+	EXPECT_EQ(store.watch_after, 40u);
+}
+
+TEST_F(Replica, LoadOfEntriesThatFailsIsRepeated)
+{
+	struct ks_response refused = {};
+
+	page(10, {worker_item("w/a", 5)}, false);
+	rp_follow_workers(r, false);
+	next_watch(20);
+	watch(KS_OK, 30);
+	rp_follow_workers(r, true);
+	refused.result = KS_REFUSED;
+	store.range_prefix = "";
+	store.range_done(&refused, store.range_arg);
+	EXPECT_FALSE(r->has_workers);
+	loop_after(
+	    l, 400000, [](void *arg) { loop_stop((struct loop *)arg); }, l);
+	loop_run(l);
+	EXPECT_EQ(store.range_prefix, "w/");
+	page(40, {worker_item("w/a", 5)}, false);
+	EXPECT_TRUE(r->has_workers);
+}
+
+/* With a watch over the cell's own keys, nothing else shows what was missed. */
+TEST_F(Replica, OperatorsKeysAreLoadedAfterTheirHistoryWasLost)
+{
+	struct ks_response a = {};
+
+	page(10, {}, false);
+	EXPECT_FALSE(store.orders_loaded);
+	EXPECT_LE(store.orders_wait_ms, 2000u);
+	a.result = KS_COMPACTED;
+	store.orders_done(&a, store.orders_arg);
+	loop_after(
+	    l, 400000, [](void *arg) { loop_stop((struct loop *)arg); }, l);
+	loop_run(l);
+	EXPECT_TRUE(store.orders_loaded);
+	a.result = KS_OK;
+	a.revision = 70;
+	store.orders_done(&a, store.orders_arg);
+	EXPECT_FALSE(store.orders_loaded);
+	EXPECT_EQ(r->operator_revision, 70u);
+}
+
 } // namespace
