--- a/contrib/deps.sh
+++ b/contrib/deps.sh
@@ -6,7 +6,7 @@
   gcc g++ meson ninja-build pkg-config python3
   libtalloc-dev libtevent-dev libprotobuf-c-dev libmicrohttpd-dev
   libcurl4-gnutls-dev liblog4c-dev libjansson-dev nettle-dev libxxhash-dev
-  libtomlplusplus-dev libgtest-dev uthash-dev scdoc
+  libsimdjson-dev libtomlplusplus-dev libgtest-dev uthash-dev scdoc
 )
 
 missing=()
