peer: links are found by a hash of their number

A relay looks its link up for each reply, in a list of up to 146 links: 1.7 to 2.6% of all daemons' samples in two profiles of a large cell, 0.2% in one after the change.

--- a/transport/peer.c
+++ b/transport/peer.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include <utlist.h>
+#include <uthash.h>
 
 #include "common/clock.h"
 #include "common/counters.h"
@@ -39,8 +39,7 @@
 struct peer_link {
 	struct peer_net *net;
 	uint64_t serial;
-	struct peer_link *prev;
-	struct peer_link *next;
+	UT_hash_handle hh;
 	int fd;
 	struct tevent_fd *fde;
 	struct tevent_timer *hello_timer;
@@ -115,7 +114,7 @@
 	if (link->closing)
 		return;
 	link->closing = true;
-	DL_DELETE(link->net->links, link);
+	HASH_DEL(link->net->links, link);
 	TALLOC_FREE(link->fde);
 	close(link->fd);
 	link->net->hooks.on_closed(link, link->net->arg);
@@ -324,7 +323,7 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	link->net = net;
 	link->serial = ++net->next_serial;
-	DL_APPEND(net->links, link);
+	HASH_ADD(hh, net->links, serial, sizeof(link->serial), link);
 	link->fd = fd;
 	link->fde = tevent_add_fd(
 	    loop_ev(net->loop), link, fd, TEVENT_FD_READ, peer_on_event, link);
@@ -440,9 +439,6 @@
 {
 	struct peer_link *link;
 
-	DL_FOREACH(net->links, link) {
-		if (link->serial == serial)
-			return link;
-	}
-	return NULL;
+	HASH_FIND(hh, net->links, &serial, sizeof(serial), link);
+	return link;
 }
