pool: a silent worker holds only its own tasks after a takeover

Each task of a job accepted before the takeover stayed unreconciled until each worker in the stored registry had answered the new owner, or for 13.4 s. The earlier owner had known for seconds that these workers were away and what was on them, but did not store it.

An owner now closes a worker that gets no tasks for now: unreachable for 0.5 s, draining, evacuated or no longer listed. The registry then names all tasks that may be on it. From the moment at which that registry may be stored the worker gets no task, until a registry that opens it is known to be stored; so the list stays complete whether the commit is applied, late or lost, and whoever owns the pool next. It is not closed while a run end that was read from it is not stored, or while a run on it belongs to no task. The next owner keeps unreconciled only the tasks of closed workers that do not answer; an open one still holds all. It inherits closed workers with their list and opens them once they answer. When the lease of a closed worker has expired, its list is emptied. The registry names at most 64 tasks of a worker and 4,096 in all.

Not covered: a worker that falls silent in the last 2.5 s before the takeover holds all tasks for up to 13.4 s, as before.

tests/unit/takeover_model plays owners one after the other, the store and workers under seeded faults: orders and renewals that are lost or up to 12 s late, answers and commits that are lost or late, frozen, killed and cut-off owners, workers that fall silent, restart, drain, leave, join or are evacuated. It checks that no task runs twice or after it completed, before its turn, over a worker's capacity or attempts, and that tasks start within 1.2 s once nothing fails and half of the room is free. DepartedWorkerIsUnregistered stores the closed registry first and now also checks that the worker stays registered.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -260,6 +260,27 @@
 	return job;
 }
 
+static void
+cp_close_worker(struct cp_host *h, const Currant__KnownWorker *row)
+{
+	struct jb_ref *task =
+	    talloc_zero_array(NULL, struct jb_ref, row->n_tasks + 1);
+	size_t i;
+
+	if (task == NULL)
+		abort();
+	for (i = 0; i < row->n_tasks; i++) {
+		snprintf(
+		    task[i].job, sizeof(task[i].job), "%s", row->tasks[i]->job);
+		task[i].occurrence = row->tasks[i]->occurrence;
+		task[i].step = row->tasks[i]->step;
+		task[i].index = row->tasks[i]->index;
+	}
+	wp_close_registered_worker(
+	    h->pool, row->id, task, (uint32_t)row->n_tasks);
+	talloc_free(task);
+}
+
 /* Adds the workers that earlier owners used, as some may not be listed now. */
 static void
 cp_load_registry(struct cp_host *h, int64_t now_us)
@@ -277,9 +298,12 @@
 		    h->name, NULL);
 		return;
 	}
-	for (i = 0; i < list->n_workers; i++)
+	for (i = 0; i < list->n_workers; i++) {
 		wp_add_registered_worker(h->pool, list->workers[i]->id,
 		    list->workers[i]->address, now_us);
+		if (list->workers[i]->closed)
+			cp_close_worker(h, list->workers[i]);
+	}
 	currant__pool_workers__free_unpacked(list, NULL);
 }
 
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -225,6 +225,33 @@
 	};
 }
 
+static void
+cp_fill_closed_worker(
+    TALLOC_CTX *ctx, Currant__KnownWorker *row, const struct wp_worker *w)
+{
+	Currant__PoolTask *task;
+	uint32_t i;
+
+	row->has_closed = true;
+	row->closed = true;
+	task =
+	    talloc_zero_array(ctx, Currant__PoolTask, w->closed_task_count + 1);
+	row->tasks = talloc_zero_array(
+	    ctx, Currant__PoolTask *, w->closed_task_count + 1);
+	if (task == NULL || row->tasks == NULL)
+		abort();
+	for (i = 0; i < w->closed_task_count; i++) {
+		struct jb_ref *ref = &w->closed_task[i];
+
+		currant__pool_task__init(&task[i]);
+		task[i].job = ref->job;
+		task[i].occurrence = ref->occurrence;
+		task[i].step = ref->step;
+		task[i].index = ref->index;
+		row->tasks[row->n_tasks++] = &task[i];
+	}
+}
+
 /* Stores which workers may run something, as a later owner has to ask them. */
 static void
 cp_commit_registry(struct cp_host *h, struct cp_commit *cm)
@@ -249,6 +276,8 @@
 		currant__known_worker__init(&row[list.n_workers]);
 		row[list.n_workers].id = w->id;
 		row[list.n_workers].address = w->address;
+		if (!w->opening)
+			cp_fill_closed_worker(cm, &row[list.n_workers], w);
 		list.workers[list.n_workers] = &row[list.n_workers];
 		list.n_workers++;
 	}
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -204,12 +204,15 @@
 	if (now_us - h->owner_since_us < CP_LOG_HOLDING_AFTER_US)
 		return;
 	HASH_ITER(hh, h->pool->workers, w, tmp) {
-		if (!wp_is_holding(w, now_us))
+		if (!wp_is_holding(w, now_us) ||
+		    (w->closed && w->closed_task_count == 0))
 			continue;
 		if (rows++ == CP_MAX_HOLDING_ROWS)
 			return;
 		lg_event(LG_INFO, "pool", "holding", "pool", h->name, "worker",
-		    w->id, "listed", w->listed ? "1" : "0", "left_ms",
+		    w->id, "listed", w->listed ? "1" : "0", "closed",
+		    w->closed ? "1" : "0", "tasks",
+		    lg_i64(w->closed_task_count), "left_ms",
 		    lg_i64(
 			(w->earlier_owner_until_us - now_us) / CLK_US_PER_MS),
 		    NULL);
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -44,6 +44,7 @@
 typedef struct Currant__JobProgress Currant__JobProgress;
 typedef struct Currant__PoolOwner Currant__PoolOwner;
 typedef struct Currant__PoolTerm Currant__PoolTerm;
+typedef struct Currant__PoolTask Currant__PoolTask;
 typedef struct Currant__KnownWorker Currant__KnownWorker;
 typedef struct Currant__PoolWorkers Currant__PoolWorkers;
 typedef struct Currant__MaintenanceVm Currant__MaintenanceVm;
@@ -571,6 +572,19 @@
     , 0, 0, NULL, 0, 0, 0, 0 }
 
 
+struct  Currant__PoolTask
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+};
+#define CURRANT__POOL_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__pool_task__descriptor) \
+    , NULL, 0, 0, 0 }
+
+
 /*
  * Workers on which an owner of the pool may have tasks.
  */
@@ -579,10 +593,17 @@
   ProtobufCMessage base;
   char *id;
   char *address;
+  /*
+   * It receives no more tasks, and all that may be on it are these.
+   */
+  protobuf_c_boolean has_closed;
+  protobuf_c_boolean closed;
+  size_t n_tasks;
+  Currant__PoolTask **tasks;
 };
 #define CURRANT__KNOWN_WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__known_worker__descriptor) \
-    , NULL, NULL }
+    , NULL, NULL, 0, 0, 0,NULL }
 
 
 struct  Currant__PoolWorkers
@@ -1481,6 +1502,25 @@
 void   currant__pool_term__free_unpacked
                      (Currant__PoolTerm *message,
                       ProtobufCAllocator *allocator);
+/* Currant__PoolTask methods */
+void   currant__pool_task__init
+                     (Currant__PoolTask         *message);
+size_t currant__pool_task__get_packed_size
+                     (const Currant__PoolTask   *message);
+size_t currant__pool_task__pack
+                     (const Currant__PoolTask   *message,
+                      uint8_t             *out);
+size_t currant__pool_task__pack_to_buffer
+                     (const Currant__PoolTask   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__PoolTask *
+       currant__pool_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__pool_task__free_unpacked
+                     (Currant__PoolTask *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__KnownWorker methods */
 void   currant__known_worker__init
                      (Currant__KnownWorker         *message);
@@ -1931,6 +1971,9 @@
 typedef void (*Currant__PoolTerm_Closure)
                  (const Currant__PoolTerm *message,
                   void *closure_data);
+typedef void (*Currant__PoolTask_Closure)
+                 (const Currant__PoolTask *message,
+                  void *closure_data);
 typedef void (*Currant__KnownWorker_Closure)
                  (const Currant__KnownWorker *message,
                   void *closure_data);
@@ -2024,6 +2067,7 @@
 extern const ProtobufCMessageDescriptor currant__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_owner__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_term__descriptor;
+extern const ProtobufCMessageDescriptor currant__pool_task__descriptor;
 extern const ProtobufCMessageDescriptor currant__known_worker__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_workers__descriptor;
 extern const ProtobufCMessageDescriptor currant__maintenance_vm__descriptor;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -81,6 +81,8 @@
  * @pace: share of its full speed at which it may work, in percent
  * @avoided: ring of workers on which it failed, avoided until @avoid_until_us
  * @avoided_count: workers added to @avoided so far
+ * @held_in_pass: the last pass of wp_reconcile_tick() in which a closed worker
+ *	held it
  */
 struct wp_task {
 	struct wp_step *step;
@@ -108,6 +110,7 @@
 	struct wp_worker *avoided[WP_MAX_AVOIDED];
 	uint32_t avoided_count;
 	int64_t avoid_until_us;
+	uint32_t held_in_pass;
 	struct wp_task *prev;
 	struct wp_task *next;
 };
@@ -317,6 +320,10 @@
  * @reachable: its last renewal was answered
  * @registered: it is in the stored registry that a later owner reads
  * @registering: the registry in the commit in flight names it
+ * @closed: the stored registry may name all tasks on it, so it receives none
+ * @opening: the registry in the commit in flight does not close it
+ * @closed_task: the tasks that the registry names, @closed_task_count of them
+ * @close_at_us: it is not closed before
  * @used: resources of tasks that are or may be on it
  * @orphaned: resources of runs on it that belong to none of @tasks
  * @reserved: resources set aside for urgent tasks in the current pass
@@ -363,6 +370,11 @@
 	bool reachable;
 	bool registered;
 	bool registering;
+	bool closed;
+	bool opening;
+	struct jb_ref *closed_task;
+	uint32_t closed_task_count;
+	int64_t close_at_us;
 	struct wp_resources used;
 	struct wp_resources orphaned;
 	struct wp_resources reserved;
@@ -654,6 +666,7 @@
  * @end_seq: run ends read from workers so far
  * @commit_seq: run ends before this one are stored, or in the commit in flight
  * @reconciled: no worker can run a task that this owner does not know of
+ * @reconcile_pass: counts the passes of wp_reconcile_tick()
  * @reserve_at_us: when gangs are planned next
  * @sample_waits_at_us: when to sample next what steps wait for
  * @registry_dirty: the stored registry of workers is out of date
@@ -679,6 +692,7 @@
 	uint64_t end_seq;
 	uint64_t commit_seq;
 	bool reconciled;
+	uint32_t reconcile_pass;
 	int64_t reserve_at_us;
 	int64_t sample_waits_at_us;
 	bool registry_dirty;
@@ -760,15 +774,27 @@
 void wp_add_registered_worker(
     struct wp_pool *p, const char *id, const char *address, int64_t now_us);
 
+/**
+ * wp_close_registered_worker() - say which tasks may be on a registered worker
+ * @p: pool
+ * @id: worker
+ * @task: all tasks that an earlier owner may have on it; not kept
+ * @task_count: number of these
+ *
+ * Other tasks do not wait for it while it does not respond.
+ */
+void wp_close_registered_worker(struct wp_pool *p, const char *id,
+    const struct jb_ref *task, uint32_t task_count);
+
+/** wp_is_holding() - whether a worker may run tasks of an earlier owner */
+bool wp_is_holding(const struct wp_worker *w, int64_t now_us);
+
 /** wp_registry_begin() - decide what the registry about to be stored says */
 void wp_registry_begin(struct wp_pool *p, int64_t now_us);
 
 /** wp_registry_end() - that registry is stored */
 void wp_registry_end(struct wp_pool *p);
 
-/** wp_is_holding() - whether a worker may run tasks of an earlier owner */
-bool wp_is_holding(const struct wp_worker *w, int64_t now_us);
-
 /**
  * wp_earlier_owners_stopped() - earlier owners renew no more leases
  * @p: pool
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -121,6 +121,9 @@
 /** wp_reconcile_tick() - requeue unreconciled tasks that can't be running */
 void wp_reconcile_tick(struct wp_pool *p, int64_t now_us);
 
+/** wp_close_tick() - find out whether a worker has to be closed, or opened */
+void wp_close_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+
 /** wp_gang_tick() - stop what is left of a gang that has lost a member */
 void wp_gang_tick(struct wp_pool *p, struct wp_step *s, int64_t now_us);
 
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1312,6 +1312,51 @@
   assert(message->base.descriptor == &currant__pool_term__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__pool_task__init
+                     (Currant__PoolTask         *message)
+{
+  static const Currant__PoolTask init_value = CURRANT__POOL_TASK__INIT;
+  *message = init_value;
+}
+size_t currant__pool_task__get_packed_size
+                     (const Currant__PoolTask *message)
+{
+  assert(message->base.descriptor == &currant__pool_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__pool_task__pack
+                     (const Currant__PoolTask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__pool_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__pool_task__pack_to_buffer
+                     (const Currant__PoolTask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__pool_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__PoolTask *
+       currant__pool_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__PoolTask *)
+     protobuf_c_message_unpack (&currant__pool_task__descriptor,
+                                allocator, len, data);
+}
+void   currant__pool_task__free_unpacked
+                     (Currant__PoolTask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__pool_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__known_worker__init
                      (Currant__KnownWorker         *message)
 {
@@ -4886,7 +4931,84 @@
   (ProtobufCMessageInit) currant__pool_term__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[2] =
+static const ProtobufCFieldDescriptor currant__pool_task__field_descriptors[4] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__PoolTask, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__PoolTask, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__PoolTask, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__PoolTask, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__pool_task__field_indices_by_name[] = {
+  3,   /* field[3] = index */
+  0,   /* field[0] = job */
+  1,   /* field[1] = occurrence */
+  2,   /* field[2] = step */
+};
+static const ProtobufCIntRange currant__pool_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor currant__pool_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.PoolTask",
+  "PoolTask",
+  "Currant__PoolTask",
+  "currant",
+  sizeof(Currant__PoolTask),
+  4,
+  currant__pool_task__field_descriptors,
+  currant__pool_task__field_indices_by_name,
+  1,  currant__pool_task__number_ranges,
+  (ProtobufCMessageInit) currant__pool_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[4] =
 {
   {
     "id",
@@ -4912,15 +5034,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closed",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__KnownWorker, has_closed),
+    offsetof(Currant__KnownWorker, closed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__KnownWorker, n_tasks),
+    offsetof(Currant__KnownWorker, tasks),
+    &currant__pool_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__known_worker__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  2,   /* field[2] = closed */
   0,   /* field[0] = id */
+  3,   /* field[3] = tasks */
 };
 static const ProtobufCIntRange currant__known_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor currant__known_worker__descriptor =
 {
@@ -4930,7 +5078,7 @@
   "Currant__KnownWorker",
   "currant",
   sizeof(Currant__KnownWorker),
-  2,
+  4,
   currant__known_worker__field_descriptors,
   currant__known_worker__field_indices_by_name,
   1,  currant__known_worker__number_ranges,
--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -1,13 +1,128 @@
+#include <stdlib.h>
+#include <utlist.h>
+
 #include "state/pool_internal.h"
 
 /*
- * Which workers may run something for an earlier owner. Each owner keeps a
- * registry of the workers that may run something in the store.
+ * Which workers may run something for an earlier owner, and which tasks.
+ *
+ * Each owner keeps a registry of the workers that may run something in the
+ * store. A worker that is to receive no tasks for now is closed: from the
+ * moment at which the registry that says so may be stored, it receives none, so
+ * the tasks that the registry names for it are all that may be on it. It
+ * receives tasks again after a registry that opens it is known to be stored.
+ * While a closed worker does not respond to the next owner, only these tasks
+ * wait for its lease to expire; an open one holds all tasks.
+ */
+
+/* A worker that is unreachable for so long is closed. */
+#define WP_CLOSE_UNREACHABLE_US (500 * CLK_US_PER_MS)
+/* Tasks that the registry names for one worker, and for all. */
+#define WP_MAX_CLOSED_TASKS 64
+#define WP_MAX_REGISTRY_TASKS 4096
+/* When the registry had no room for a worker's tasks. */
+#define WP_CLOSE_RETRY_US (CLK_US_PER_S)
+
+bool
+wp_is_holding(const struct wp_worker *w, int64_t now_us)
+{
+	return !w->token_accepted && now_us < w->earlier_owner_until_us;
+}
+
+/* Whether a worker can't be given tasks for now. */
+static bool
+wp_is_out_of_use(const struct wp_worker *w, int64_t now_us)
+{
+	if (!w->listed || w->draining || w->evacuating)
+		return true;
+	if (w->closed && !w->token_accepted)
+		return true;
+	return w->unreachable_since_us != 0 &&
+	    now_us - w->unreachable_since_us >= WP_CLOSE_UNREACHABLE_US;
+}
+
+static uint32_t
+wp_count_tasks(const struct wp_worker *w)
+{
+	const struct wp_task *t;
+	uint32_t n = 0;
+
+	DL_FOREACH(w->tasks, t)
+		n++;
+	return n;
+}
+
+/*
+ * Whether the tasks on a worker are all that a later owner has to know of. A
+ * run whose end is read but not stored is not among them any more.
  */
+static bool
+wp_knows_all_runs(const struct wp_worker *w, int64_t now_us)
+{
+	return !wp_is_holding(w, now_us) && w->unacked_count == 0 &&
+	    w->orphaned.cpu_mcpu == 0 && w->orphaned.mem_mb == 0 &&
+	    w->orphaned.gpu == 0;
+}
+
+static bool
+wp_may_close(const struct wp_worker *w, int64_t now_us)
+{
+	if (!wp_is_out_of_use(w, now_us))
+		return false;
+	return w->closed ||
+	    (wp_knows_all_runs(w, now_us) &&
+		wp_count_tasks(w) <= WP_MAX_CLOSED_TASKS);
+}
+
+void
+wp_close_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
+{
+	if (!w->registered || now_us < w->close_at_us)
+		return;
+	if (w->closed != wp_may_close(w, now_us))
+		p->registry_dirty = true;
+	/* Its lease has expired, so its tasks no longer have to wait. */
+	if (w->closed && w->closed_task_count > 0 && w->tasks == NULL &&
+	    wp_knows_all_runs(w, now_us))
+		p->registry_dirty = true;
+}
+
+static void
+wp_list_closed_tasks(struct wp_worker *w)
+{
+	const struct wp_task *t;
+
+	w->closed_task = talloc_realloc(
+	    w, w->closed_task, struct jb_ref, wp_count_tasks(w) + 1);
+	if (w->closed_task == NULL)
+		abort();
+	w->closed_task_count = 0;
+	DL_FOREACH(w->tasks, t)
+		wp_task_ref(t, &w->closed_task[w->closed_task_count++]);
+}
+
+/* @room: further tasks that the registry may name */
+static void
+wp_registry_add(struct wp_worker *w, uint32_t *room, int64_t now_us)
+{
+	w->opening = !wp_may_close(w, now_us);
+	if (w->opening)
+		return;
+	if (wp_knows_all_runs(w, now_us))
+		wp_list_closed_tasks(w);
+	if (w->closed_task_count > *room) {
+		w->close_at_us = now_us + WP_CLOSE_RETRY_US;
+		w->opening = true;
+		return;
+	}
+	w->closed = true;
+	*room -= w->closed_task_count;
+}
 
 void
 wp_registry_begin(struct wp_pool *p, int64_t now_us)
 {
+	uint32_t room = WP_MAX_REGISTRY_TASKS;
 	struct wp_worker *w;
 	struct wp_worker *tmp;
 
@@ -15,7 +130,10 @@
 	HASH_ITER(hh, p->workers, w, tmp) {
 		w->registering = wp_needs_registration(w, now_us);
 		/* The store may have it long before this owner knows. */
-		w->registered &= w->registering;
+		if (!w->registering)
+			w->registered = false;
+		else
+			wp_registry_add(w, &room, now_us);
 	}
 }
 
@@ -25,8 +143,57 @@
 	struct wp_worker *w;
 	struct wp_worker *tmp;
 
-	HASH_ITER(hh, p->workers, w, tmp)
+	HASH_ITER(hh, p->workers, w, tmp) {
 		w->registered = w->registering;
+		if (w->registered && w->opening)
+			w->closed = false;
+	}
+}
+
+void
+wp_close_registered_worker(struct wp_pool *p, const char *id,
+    const struct jb_ref *task, uint32_t task_count)
+{
+	struct wp_worker *w = wp_find_worker(p, id);
+	uint32_t i;
+
+	if (w == NULL)
+		return;
+	w->closed = true;
+	w->closed_task =
+	    talloc_realloc(w, w->closed_task, struct jb_ref, task_count + 1);
+	if (w->closed_task == NULL)
+		abort();
+	for (i = 0; i < task_count; i++)
+		w->closed_task[i] = task[i];
+	w->closed_task_count = task_count;
+}
+
+static void
+wp_hold_closed_tasks(struct wp_pool *p, struct wp_worker *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->closed_task_count; i++) {
+		struct wp_task *t = wp_find_task(p, &w->closed_task[i]);
+
+		if (t != NULL)
+			t->held_in_pass = p->reconcile_pass;
+	}
+}
+
+static void
+wp_requeue_step(struct wp_pool *p, struct wp_step *s, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++) {
+		struct wp_task *t = &s->task[i];
+
+		if (t->state == WP_TASK_UNRECONCILED &&
+		    t->held_in_pass != p->reconcile_pass)
+			wp_task_requeue(t, now_us);
+	}
 }
 
 static void
@@ -34,28 +201,15 @@
 {
 	uint32_t k;
 	uint32_t i;
-	uint32_t j;
 
 	for (k = 0; k < jb_occurrences(job->spec); k++) {
 		struct wp_occurrence *occ = job->occ[k];
 
-		for (i = 0; occ != NULL && i < job->spec->step_count; i++) {
-			for (j = 0; j < job->spec->step[i].count; j++) {
-				if (occ->step[i].task[j].state ==
-				    WP_TASK_UNRECONCILED)
-					wp_task_requeue(
-					    &occ->step[i].task[j], now_us);
-			}
-		}
+		for (i = 0; occ != NULL && i < job->spec->step_count; i++)
+			wp_requeue_step(job->pool, &occ->step[i], now_us);
 	}
 }
 
-bool
-wp_is_holding(const struct wp_worker *w, int64_t now_us)
-{
-	return !w->token_accepted && now_us < w->earlier_owner_until_us;
-}
-
 void
 wp_reconcile_tick(struct wp_pool *p, int64_t now_us)
 {
@@ -63,15 +217,21 @@
 	struct wp_worker *tmp;
 	struct wp_job *job;
 	struct wp_job *next;
+	bool holding = false;
 
 	if (p->reconciled || p->ownership_unconfirmed)
 		return;
 	wp_copy_unreconciled(p, now_us);
+	p->reconcile_pass++;
 	HASH_ITER(hh, p->workers, w, tmp) {
-		if (wp_is_holding(w, now_us))
+		if (!wp_is_holding(w, now_us))
+			continue;
+		if (!w->closed)
 			return;
+		holding = true;
+		wp_hold_closed_tasks(p, w);
 	}
-	p->reconciled = true;
+	p->reconciled = !holding;
 	HASH_ITER(hh, p->jobs, job, next)
 		wp_requeue_unreconciled(job, now_us);
 }
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -15,7 +15,7 @@
 wp_is_usable(const struct wp_worker *w, int64_t now_us)
 {
 	return w->unanswered_orders < WP_MAX_UNANSWERED_ORDERS && w->listed &&
-	    w->registered && w->token_accepted && w->reachable &&
+	    w->registered && !w->closed && w->token_accepted && w->reachable &&
 	    !w->draining && !w->evacuating && now_us >= w->quarantined_until_us;
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -838,6 +838,7 @@
 	/* A later owner does not have to wait for a worker that is gone. */
 	if (w->registered && !wp_needs_registration(w, now_us))
 		p->registry_dirty = true;
+	wp_close_tick(p, w, now_us);
 }
 
 void
--- /dev/null
+++ b/tests/unit/takeover_model.h
@@ -0,0 +1,245 @@
+#ifndef TESTS_UNIT_TAKEOVER_MODEL_H
+#define TESTS_UNIT_TAKEOVER_MODEL_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "common/clock.h"
+#include "protocol/job_codec.h"
+#include "state/pool_internal.h"
+}
+
+/* One run of a task on a model worker. */
+struct ModelRun {
+	uint32_t run = 0;
+	int64_t ends_us = 0;
+	enum wp_run_outcome outcome = WP_END_DONE;
+	bool stopping = false;
+	int64_t cpu = 0;
+};
+
+struct ModelEnd {
+	uint64_t number = 0;
+	std::string task;
+	uint32_t run = 0;
+	enum wp_run_outcome outcome = WP_END_DONE;
+};
+
+/* A worker process; it does what the platform's workers are said to do. */
+struct ModelWorker {
+	std::string id;
+	int64_t incarnation = 0;
+	bool alive = true;
+	bool listed = true;
+	bool draining = false;
+	int64_t silent_until_us = 0;
+	int64_t born_us = 0;
+	int64_t rate_per_mille = 1000;
+	uint64_t token = 0;
+	int64_t lease_end_ms = 0;
+	uint64_t last_end = 0;
+	std::map<std::string, ModelRun> running;
+	std::map<std::string, uint32_t> barred;
+	std::vector<ModelEnd> ends;
+};
+
+/**
+ * struct ModelKnownEnd - the end of a run that completed or failed
+ * @noted: it was acknowledged before the worker's lease expired
+ * @expired: the lease expired first, so it does not count
+ * @started_after: a later run of the task has started
+ */
+struct ModelKnownEnd {
+	std::string worker;
+	int64_t incarnation;
+	uint64_t number;
+	bool noted;
+	bool expired;
+	bool started_after;
+};
+
+struct ModelStep {
+	uint32_t count;
+	uint32_t flags;
+	std::vector<uint32_t> after;
+};
+
+struct ModelJob {
+	std::string id;
+	std::vector<ModelStep> steps;
+	bool advice = false;
+	bool bad = false;   /* its tasks may fail */
+	bool saves = false; /* its tasks may be preempted */
+	uint32_t priority = 0;
+	uint64_t revision = 0;
+	bool cancelled = false;
+	std::vector<uint8_t> progress;
+	enum jb_state state = JB_PENDING;
+};
+
+struct ModelRegistered {
+	std::string id;
+	bool closed;
+	std::vector<struct jb_ref> tasks;
+};
+
+struct ModelCommit {
+	uint64_t token;
+	uint64_t sequence;
+	bool has_registry;
+	std::vector<ModelRegistered> registry;
+	std::map<std::string, std::pair<enum jb_state, std::vector<uint8_t>>>
+	    progress;
+};
+
+struct ModelOwner {
+	int number = 0;
+	struct wp_pool *pool = nullptr;
+	uint64_t token = 0;
+	bool alive = true;
+	int64_t frozen_until_us = 0;
+	int64_t cut_until_us = 0; /* no path to the store */
+	int64_t confirmed_us = 0;
+	int64_t renew_at_us = 0;
+	int64_t full_pass_at_us = 0;
+	int64_t commit_at_us = 0;
+	uint64_t sequence = 0;
+	std::shared_ptr<ModelCommit> commit;
+	std::vector<std::function<void()>> inbox; /* while it is frozen */
+};
+
+/* How often things go wrong, in parts of a thousand. */
+struct ModelFaults {
+	uint32_t lost = 0;
+	uint32_t late = 0;
+	uint32_t answer_lost = 0;
+};
+
+/**
+ * A pool's owners one after the other, their workers and the store, under
+ * faults that a seed determines. Records what must never happen.
+ */
+class TakeoverModel
+{
+      public:
+	explicit TakeoverModel(uint64_t seed);
+	~TakeoverModel();
+
+	void add_worker();
+	void add_job(bool may_be_special = true);
+	void cancel_some_job();
+	void run_for(int64_t us);
+	void break_something();
+	void heal(const std::set<std::string> &except);
+	void freeze_owner(int64_t us);
+	void kill_owner();
+	ModelOwner *owner();
+	uint64_t random(uint64_t below);
+	bool is_step_done(const ModelJob &job, uint32_t step, uint32_t index);
+	bool chance(uint32_t per_mille);
+	bool is_running(const std::string &task);
+	bool is_done(const std::string &task);
+	/* Whether an owner can know that it has completed. */
+	bool is_visibly_done(const std::string &task);
+	/* Runs on workers that respond, and those for which they have room. */
+	size_t running_count();
+	size_t slot_count();
+	bool is_ready(const ModelJob &job, uint32_t step, bool visibly = false);
+
+	static std::string task_name(
+	    const std::string &job, uint32_t step, uint32_t index);
+
+	int64_t now = 1000 * CLK_US_PER_S;
+	std::vector<std::string> violations;
+	std::map<std::string, ModelWorker> workers;
+	std::map<std::string, ModelJob> jobs;
+	ModelFaults faults;
+	int64_t owner_since_us = 0;
+	uint64_t takeovers = 0;
+	uint64_t starts = 0;
+
+      private:
+	struct Event {
+		int64_t at_us;
+		uint64_t order;
+		std::function<void()> action;
+		bool
+		operator<(const Event &other) const
+		{
+			if (at_us != other.at_us)
+				return at_us > other.at_us;
+			return order > other.order;
+		}
+	};
+
+	void after(int64_t us, std::function<void()> action);
+	void to_owner(
+	    int number, uint64_t token, std::function<void(ModelOwner &)> f);
+	void claim();
+	void load_pool(ModelOwner &o, int64_t earlier_until_us);
+	void load_job(ModelOwner &o, const ModelJob &job, bool is_new);
+	void tick_owner(ModelOwner &o);
+	void renew_ownership(ModelOwner &o);
+	void step_down(ModelOwner &o);
+	void start_commit(ModelOwner &o);
+	void send_commit(ModelOwner &o, std::shared_ptr<ModelCommit> cm);
+	bool apply_commit(const ModelCommit &cm);
+	void send_orders(ModelOwner &o);
+	void send_renewals(ModelOwner &o);
+	void send_advice_requests(ModelOwner &o);
+	void list_worker(ModelOwner &o, const ModelWorker &w);
+	void discovery_changed(const std::string &id);
+	bool hears(const ModelWorker &w) const;
+	int64_t clock_ms(const ModelWorker &w) const;
+	void tick_worker(ModelWorker &w);
+	void end_run(ModelWorker &w, const std::string &task,
+	    enum wp_run_outcome outcome);
+	enum wp_order_result do_order(ModelWorker &w, const struct wp_order &o,
+	    uint64_t token, const std::string &task);
+	enum wp_order_result do_start(
+	    ModelWorker &w, const struct wp_order &o, const std::string &task);
+	void check_start(
+	    ModelWorker &w, const std::string &task, const ModelStep &step);
+	void acknowledge(ModelWorker &w, uint64_t number);
+	void expire_ends(const ModelWorker &w);
+	void check_attempts(const std::string &task);
+	void restart_worker(ModelWorker &w);
+	void remove_worker(ModelWorker &w);
+	void extend_lease(ModelWorker &w, int64_t until_ms);
+	void break_owner();
+	void break_around_a_commit(const std::string &id);
+	void evacuate(const std::string &id);
+	struct jb_spec *make_spec(const ModelJob &job);
+	ModelStep *find_step(const std::string &task);
+	int64_t delay();
+
+	std::mt19937_64 rng;
+	std::priority_queue<Event> events;
+	uint64_t event_count = 0;
+	std::map<int, std::unique_ptr<ModelOwner>> owners;
+	int current = 0;
+	int owner_count = 0;
+	std::map<std::string, std::vector<ModelKnownEnd>> done;
+	std::map<std::string, std::vector<ModelKnownEnd>> failed;
+
+	/* The store. */
+	uint64_t revision = 1;
+	uint64_t stored_token = 0;
+	uint64_t stored_sequence = 0;
+	uint32_t term = 0;
+	int64_t lease_until_us = 0;
+	int64_t earlier_until_us = 0;
+	std::vector<ModelRegistered> registry;
+	int64_t claim_at_us = 0;
+	int next_worker = 0;
+	int next_job = 1;
+};
+
+#endif
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -131,6 +131,9 @@
 	wp_unlist_worker(p, "w");
 	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_NOT_SENT, now);
 	tick();
+	commit();
+	tick();
+	EXPECT_TRUE(wp_find_worker(p, "w")->registered);
 	EXPECT_FALSE(p->registry_dirty);
 	tick(5 * kS);
 	EXPECT_TRUE(p->registry_dirty);
--- /dev/null
+++ b/tests/unit/test_takeover.cc
@@ -0,0 +1,428 @@
+#include "pool_fixture.h"
+#include "takeover_model.h"
+
+#include <utlist.h>
+
+namespace
+{
+
+/* What an owner stores about its workers, and what the next one makes of it. */
+class Takeover : public Pool
+{
+      protected:
+	/* The next owner takes over; the workers of this one are all silent. */
+	void
+	take_over()
+	{
+		struct wp_pool *earlier = p;
+		struct wp_settings settings = {1, now + 14 * kS};
+		struct wp_worker *w;
+		struct wp_worker *tmp;
+
+		p = wp_create(nullptr, "pool", &settings);
+		HASH_ITER(hh, earlier->workers, w, tmp) {
+			if (!w->registered)
+				continue;
+			wp_add_registered_worker(p, w->id, w->address, now);
+			if (w->closed)
+				wp_close_registered_worker(p, w->id,
+				    w->closed_task, w->closed_task_count);
+		}
+		talloc_free(earlier);
+	}
+
+	void
+	lose(const std::string &id)
+	{
+		wp_on_renewal_failed(p, worker(id), WP_NO_ANSWER, now);
+	}
+
+	struct wp_worker *
+	worker(const std::string &id)
+	{
+		return wp_find_worker(p, id.c_str());
+	}
+
+	enum wp_task_state
+	state_of(uint32_t index)
+	{
+		return task(kJob, 0, index)->state;
+	}
+};
+
+/* LOST in a hunt: workers down for maintenance held all tasks for 13 s. */
+TEST_F(Takeover, OnlyTasksThatMayBeOnALostWorkerWaitForItsLease)
+{
+	create_pool();
+	add_worker("gone", 1000);
+	add(kJob, {{2}});
+	ASSERT_EQ(run_all().size(), 1U);
+	lose("gone");
+	tick(600 * kMs);
+	ASSERT_TRUE(p->registry_dirty);
+	commit();
+	take_over();
+	add_worker("w");
+	add(kJob, {{2}}, nullptr, false);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->ref.index, 1U);
+	EXPECT_EQ(state_of(0), WP_TASK_UNRECONCILED);
+	now += 14 * kS;
+	renew_lease("w", {{kJob, 0, 1, 1001, 0, 50}});
+	EXPECT_EQ(run_all().size(), 1U);
+}
+
+TEST_F(Takeover, WorkerLostJustBeforeHoldsAllTasks)
+{
+	create_pool();
+	add_worker("gone", 1000);
+	add(kJob, {{2}});
+	ASSERT_EQ(run_all().size(), 1U);
+	lose("gone");
+	tick(100 * kMs);
+	commit();
+	take_over();
+	add_worker("w");
+	add(kJob, {{2}}, nullptr, false);
+	EXPECT_TRUE(run_all(13 * kS).empty());
+}
+
+TEST_F(Takeover, ClosedWorkerReceivesNoTasksUntilTheRegistrySaysSo)
+{
+	create_pool();
+	add_worker("w");
+	list_worker("w", 4000, true);
+	tick();
+	ASSERT_TRUE(p->registry_dirty);
+	wp_registry_begin(p, now);
+	/* It may be stored already. */
+	list_worker("w", 4000, false);
+	add(kJob, {{1}});
+	EXPECT_TRUE(tick().empty());
+	wp_registry_end(p);
+	EXPECT_TRUE(tick(kS).empty());
+	ASSERT_TRUE(p->registry_dirty);
+	wp_registry_begin(p, now);
+	EXPECT_TRUE(tick().empty());
+	wp_registry_end(p);
+	EXPECT_FALSE(worker("w")->closed);
+	EXPECT_EQ(tick().size(), 1U);
+}
+
+TEST_F(Takeover, UnregisteredWorkerReceivesNoTasksWhileThatIsBeingStored)
+{
+	create_pool();
+	add_worker("w");
+	wp_unlist_worker(p, "w");
+	lose("w");
+	tick(5 * kS);
+	wp_registry_begin(p, now);
+	list_worker("w");
+	renew_lease("w");
+	add(kJob, {{1}});
+	EXPECT_TRUE(tick().empty());
+}
+
+TEST_F(Takeover, RunWhoseEndIsNotStoredStaysAmongAClosedWorkersTasks)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	ASSERT_EQ(run_all().size(), 1U);
+	list_worker("w", 1000, true);
+	tick();
+	commit();
+	ASSERT_TRUE(worker("w")->closed);
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	wp_registry_begin(p, now);
+	EXPECT_EQ(worker("w")->closed_task_count, 1U);
+	EXPECT_FALSE(worker("w")->opening);
+	wp_registry_end(p);
+	commit();
+	commit();
+	EXPECT_EQ(worker("w")->closed_task_count, 0U);
+}
+
+TEST_F(Takeover, WorkerIsNotClosedBeforeItsRunEndsAreStored)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	ASSERT_EQ(run_all().size(), 1U);
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	wp_unlist_worker(p, "w");
+	tick();
+	EXPECT_FALSE(p->registry_dirty);
+	wp_registry_begin(p, now);
+	EXPECT_TRUE(worker("w")->opening);
+	EXPECT_FALSE(worker("w")->closed);
+}
+
+TEST_F(Takeover, ClosedTasksSurviveASecondTakeover)
+{
+	create_pool();
+	add_worker("gone", 1000);
+	add(kJob, {{2}});
+	ASSERT_EQ(run_all().size(), 1U);
+	lose("gone");
+	tick(600 * kMs);
+	commit();
+	take_over();
+	commit();
+	take_over();
+	add_worker("w");
+	add(kJob, {{2}}, nullptr, false);
+	EXPECT_EQ(run_all().size(), 1U);
+	EXPECT_EQ(state_of(0), WP_TASK_UNRECONCILED);
+}
+
+TEST_F(Takeover, ReturningClosedWorkersRunIsAdopted)
+{
+	create_pool();
+	add_worker("gone", 1000);
+	add(kJob, {{2}});
+	ASSERT_EQ(run_all().size(), 1U);
+	lose("gone");
+	tick(600 * kMs);
+	commit();
+	take_over();
+	add_worker("w");
+	add(kJob, {{2}}, nullptr, false);
+	ASSERT_EQ(run_all().size(), 1U);
+	list_worker("gone", 1000);
+	renew_lease("gone", {{kJob, 0, 0, 1, 0, 10}});
+	EXPECT_EQ(state_of(0), WP_TASK_RUNNING);
+	tick(100 * kMs);
+	EXPECT_TRUE(p->reconciled);
+	EXPECT_TRUE(p->registry_dirty);
+}
+
+/* Seeds to play: TAKEOVER_SEEDS="FIRST-LAST", or a few fixed ones. */
+std::pair<uint64_t, uint64_t>
+seeds()
+{
+	const char *text = getenv("TAKEOVER_SEEDS");
+	unsigned long long first = 1;
+	unsigned long long last = 40;
+
+	if (text != nullptr)
+		sscanf(text, "%llu-%llu", &first, &last);
+	return {first, last};
+}
+
+/* Delay of a task while nothing fails: a pause after a failure, and advice. */
+constexpr int64_t kMaxIdle = 1200 * kMs;
+
+class TakeoverSchedule : public testing::Test
+{
+      protected:
+	void
+	begin(uint64_t seed)
+	{
+		m = std::make_unique<TakeoverModel>(seed);
+		for (int i = 0; i < 8; i++)
+			m->add_worker();
+		m->run_for(kS);
+	}
+
+	/* Faults of all kinds, with a light load. */
+	void
+	play_faults(int64_t us)
+	{
+		int64_t end = m->now + us;
+
+		m->faults = {(uint32_t)m->random(60), (uint32_t)m->random(40),
+		    (uint32_t)m->random(60)};
+		while (m->now < end) {
+			if (m->chance(400))
+				m->add_job();
+			if (m->chance(60))
+				m->cancel_some_job();
+			if (m->chance(180))
+				m->break_something();
+			m->run_for((int64_t)(20 + m->random(400)) * kMs);
+		}
+	}
+
+	/* Tasks whose turn has come and that do not run. */
+	std::set<std::string>
+	idle_tasks()
+	{
+		std::set<std::string> idle;
+
+		for (auto &row : m->jobs) {
+			ModelJob &job = row.second;
+
+			if (jb_has_ended(job.state) || job.cancelled)
+				continue;
+			for (uint32_t s = 0; s < job.steps.size(); s++) {
+				if (m->is_ready(job, s, true))
+					add_idle_tasks(job, s, &idle);
+			}
+		}
+		return idle;
+	}
+
+	void
+	add_idle_tasks(
+	    const ModelJob &job, uint32_t step, std::set<std::string> *idle)
+	{
+		for (uint32_t i = 0; i < job.steps[step].count; i++) {
+			std::string name =
+			    TakeoverModel::task_name(job.id, step, i);
+
+			if (!m->is_done(name) && !m->is_running(name))
+				idle->insert(name);
+		}
+	}
+
+	/* No task but those held stays idle while most workers are free. */
+	void
+	expect_no_task_waits(
+	    uint64_t seed, int64_t us, const std::set<std::string> &held)
+	{
+		std::map<std::string, int64_t> since;
+		int64_t end = m->now + us;
+
+		while (m->now < end) {
+			std::set<std::string> idle = idle_tasks();
+
+			m->run_for(50 * kMs);
+			for (auto s = since.begin(); s != since.end();)
+				s = idle.count(s->first) > 0 ? std::next(s)
+							     : since.erase(s);
+			if (m->running_count() > m->slot_count() / 2)
+				since.clear();
+			for (const std::string &t : idle) {
+				if (held.count(t) > 0)
+					continue;
+				since.emplace(t, m->now);
+				ASSERT_LE(m->now - since[t], kMaxIdle)
+				    << "seed " << seed << " task " << t
+				    << " at " << m->now / kMs;
+			}
+		}
+	}
+
+	void
+	expect_no_violation(uint64_t seed)
+	{
+		for (size_t i = 0; i < m->violations.size() && i < 5; i++)
+			ADD_FAILURE()
+			    << "seed " << seed << ": " << m->violations[i];
+	}
+
+	void
+	silence_one(std::set<std::string> *silent)
+	{
+		std::vector<std::string> names;
+
+		for (auto &w : m->workers) {
+			if (w.second.alive && !w.second.draining &&
+			    silent->count(w.first) == 0)
+				names.push_back(w.first);
+		}
+		if (names.size() < 5)
+			return;
+		std::string id = names[m->random(names.size())];
+		m->workers[id].silent_until_us = INT64_MAX;
+		silent->insert(id);
+	}
+
+	/* Ends the owner, and notes which tasks it has on silent workers. */
+	void
+	take_over(
+	    const std::set<std::string> &silent, std::set<std::string> *held)
+	{
+		uint64_t takeovers = m->takeovers;
+		struct wp_worker *w;
+		struct wp_task *t;
+		struct jb_ref ref;
+
+		ASSERT_NE(m->owner(), nullptr);
+		for (const std::string &id : silent) {
+			w = wp_find_worker(m->owner()->pool, id.c_str());
+			DL_FOREACH(w->tasks, t) {
+				wp_task_ref(t, &ref);
+				held->insert(TakeoverModel::task_name(
+				    ref.job, ref.step, ref.index));
+			}
+		}
+		if (m->chance(500))
+			m->kill_owner();
+		else
+			m->freeze_owner(60 * kS);
+		for (int i = 0; i < 500 && m->takeovers == takeovers; i++)
+			m->run_for(10 * kMs);
+		ASSERT_GT(m->takeovers, takeovers);
+	}
+
+	std::unique_ptr<TakeoverModel> m;
+};
+
+/* TWICE and LOST: whatever fails, nothing runs twice and all jobs end. */
+TEST_F(TakeoverSchedule, NothingRunsTwiceAndAllJobsEnd)
+{
+	auto range = seeds();
+	uint64_t takeovers = 0;
+	uint64_t starts = 0;
+
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		begin(seed);
+		play_faults(25 * kS);
+		m->heal({});
+		m->run_for(20 * kS);
+		for (int i = 0; i < 4; i++)
+			m->add_job(false);
+		expect_no_task_waits(seed, 10 * kS, {});
+		expect_no_violation(seed);
+		EXPECT_TRUE(idle_tasks().empty()) << "seed " << seed;
+		for (auto &row : m->jobs) {
+			const ModelJob &job = row.second;
+
+			bool ends = job.cancelled ||
+			    !(job.steps[0].flags & JB_LONG_RUNNING);
+			EXPECT_EQ(jb_has_ended(job.state), ends)
+			    << "seed " << seed << " job " << job.id;
+		}
+		takeovers += m->takeovers;
+		starts += m->starts;
+	}
+	printf("%llu takeovers, %llu starts\n", (unsigned long long)takeovers,
+	    (unsigned long long)starts);
+}
+
+/* LOST-1: a worker that was silent before holds only what may be on it. */
+TEST_F(TakeoverSchedule, SilentWorkerHoldsOnlyItsTasksAfterATakeover)
+{
+	auto range = seeds();
+
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		std::set<std::string> silent;
+		std::set<std::string> held;
+
+		begin(seed);
+		play_faults((int64_t)m->random(10) * kS);
+		m->heal({});
+		m->run_for(15 * kS);
+		for (int i = 0; i < 8; i++)
+			m->add_job(false);
+		m->run_for((int64_t)m->random(800) * kMs);
+		for (uint64_t i = 0; i < 2; i++)
+			silence_one(&silent);
+		m->run_for((int64_t)(3000 + m->random(3000)) * kMs);
+		for (int i = 0; i < 8; i++)
+			m->add_job(false);
+		m->run_for((int64_t)m->random(400) * kMs);
+		take_over(silent, &held);
+		m->run_for(500 * kMs);
+		expect_no_task_waits(seed, 8 * kS, held);
+		m->heal({});
+		m->run_for(30 * kS);
+		expect_no_violation(seed);
+		EXPECT_TRUE(idle_tasks().empty()) << "seed " << seed;
+	}
+}
+
+} // namespace
