cell: an owner on a narrow link uses relays for fewer workers

Cause: an owner called up to 100 workers by itself, whatever its link carries.

Change: the settings tell the daemon its VM's link; the default of relay_above is the number of workers that half of the link can carry at 32 kbit/s each (a few starts a second and the renewals), 100 at most. It changes nothing on links of 6.4 Mbit/s and more.

--- a/curranttackd/cell_settings.c
+++ b/curranttackd/cell_settings.c
@@ -11,6 +11,11 @@
 #define CS_DEFAULT_CPU_MCPU 1000
 /* Workers that one daemon can call without relays. */
 #define CS_DEFAULT_RELAY_ABOVE 100
+/* Traffic with a worker that is called directly, at a few starts a second. */
+#define CS_WORKER_KBPS 32
+/* Fraction of a VM's link that may carry traffic with workers. */
+#define CS_WORKER_LINK_DIVISOR 2
+#define CS_DEFAULT_LINK_KBPS 1000000
 #define CS_MAX_WORKERS 100000
 /* Daemons that can all be told of each job's end without overload. */
 #define CS_DEFAULT_SMALL_CELL 16
@@ -34,6 +39,20 @@
 	s->cpu_mcpu = CS_DEFAULT_CPU_MCPU;
 	if (json_object_get(r->object, "cores") != NULL)
 		s->cpu_mcpu = (uint32_t)jf_cpu_mcpu(r, "cores");
+	s->link_kbps = CS_DEFAULT_LINK_KBPS;
+	if (json_object_get(r->object, "link_mbps") != NULL)
+		s->link_kbps = (uint32_t)jf_link_kbps(r, "link_mbps");
+}
+
+/* The processor limits it on most VMs, a narrow link before that. */
+static uint32_t
+cs_default_relay_above(const struct cell_settings *s)
+{
+	uint32_t workers =
+	    s->link_kbps / CS_WORKER_LINK_DIVISOR / CS_WORKER_KBPS;
+
+	return workers < CS_DEFAULT_RELAY_ABOVE ? workers
+						: CS_DEFAULT_RELAY_ABOVE;
 }
 
 static void
@@ -62,7 +81,7 @@
 	s->keep_ended_us = jf_duration_us(
 	    r, "keep_ended", 120 * CLK_US_PER_S, 0, 24 * CS_HOUR_US);
 	s->relay_above_workers = (uint32_t)jf_integer(
-	    r, "relay_above", CS_DEFAULT_RELAY_ABOVE, 0, CS_MAX_WORKERS);
+	    r, "relay_above", cs_default_relay_above(s), 0, CS_MAX_WORKERS);
 	s->small_cell_daemons = (uint32_t)jf_integer(
 	    r, "small_cell", CS_DEFAULT_SMALL_CELL, 0, CS_MAX_DAEMONS);
 	s->max_connections =
--- a/include/curranttackd/cell_settings.h
+++ b/include/curranttackd/cell_settings.h
@@ -11,6 +11,7 @@
  * @vm: id of this VM
  * @domain: its failure domain
  * @cpu_mcpu: share of a core that the daemon may use, in thousandths
+ * @link_kbps: rate of the VM's own link
  * @callers_address: "IP:PORT" to listen on for callers
  * @ready_address: "IP:PORT" to listen on for the load balancer's readiness
  *	checks
@@ -36,6 +37,7 @@
 	char *vm;
 	char *domain;
 	uint32_t cpu_mcpu;
+	uint32_t link_kbps;
 	char *callers_address;
 	char *ready_address;
 	char *metrics_address;
--- a/include/protocol/json_fields.h
+++ b/include/protocol/json_fields.h
@@ -83,6 +83,8 @@
 json_t *jf_array(struct jf_reader *r, const char *field, bool required);
 /** jf_cpu_mcpu() - read a required number of cores; in thousandths */
 int64_t jf_cpu_mcpu(struct jf_reader *r, const char *field);
+/** jf_link_kbps() - read a required number of Mbit/s; in kbit/s */
+int64_t jf_link_kbps(struct jf_reader *r, const char *field);
 /** jf_memory_bytes() - read a required size such as "128GB" or "512MB" */
 int64_t jf_memory_bytes(struct jf_reader *r, const char *field);
 /**
--- a/protocol/json_fields.c
+++ b/protocol/json_fields.c
@@ -11,7 +11,8 @@
 
 #define JF_MAX_NAME 63
 #define JF_MAX_CORES 4096.0
-#define JF_MCPU 1000.0
+#define JF_MAX_LINK_MBPS 1000000.0
+#define JF_THOUSANDTHS 1000.0
 #define JF_KB INT64_C(1000)
 
 static bool
@@ -242,20 +243,36 @@
 	return value;
 }
 
-int64_t
-jf_cpu_mcpu(struct jf_reader *r, const char *field)
+/* Reads a required positive number; returns it in thousandths. */
+static int64_t
+jf_thousandths(
+    struct jf_reader *r, const char *field, double max, const char *rule)
 {
 	json_t *value = jf_get(r, field, true);
-	double cores;
+	double number;
 
 	if (value == NULL)
 		return 0;
-	cores = json_number_value(value);
-	if (!json_is_number(value) || !(cores > 0.0) || cores > JF_MAX_CORES) {
-		jf_fail(r, field, "must be a number of cores, up to 4096");
+	number = json_number_value(value);
+	if (!json_is_number(value) || !(number > 0.0) || number > max) {
+		jf_fail(r, field, rule);
 		return 0;
 	}
-	return (int64_t)llround(cores * JF_MCPU);
+	return (int64_t)llround(number * JF_THOUSANDTHS);
+}
+
+int64_t
+jf_cpu_mcpu(struct jf_reader *r, const char *field)
+{
+	return jf_thousandths(
+	    r, field, JF_MAX_CORES, "must be a number of cores, up to 4096");
+}
+
+int64_t
+jf_link_kbps(struct jf_reader *r, const char *field)
+{
+	return jf_thousandths(r, field, JF_MAX_LINK_MBPS,
+	    "must be a number of megabits a second, up to 1000000");
 }
 
 /** struct jf_unit - a unit's suffix and its factor */
