--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -109,6 +109,16 @@
 		ASSERT_EQ(http("POST", control + "/_fault", json).status, 200);
 	}
 
+	/* As on a link that is full; one worker has room to run tasks again. */
+	void
+	delay_replies_of_all_but_one()
+	{
+		for (uint32_t w = 0; w < kWorkers - 1; w++)
+			inject_fault("{\"target\":\"w-" + std::to_string(w) +
+			    "\",\"path\":\"hold\",\"kind\":\"slow\","
+			    "\"for_ms\":8000,\"delay_ms\":1000}");
+	}
+
 	int64_t
 	reported(const char *field)
 	{
@@ -526,6 +536,18 @@
 	expect_no_violations();
 }
 
+TEST_F(RelayedCell, LateRepliesThroughRelaysRunNothingAgain)
+{
+	start_daemons(3);
+	wait_for_relay();
+	EXPECT_EQ(submit(0, 1, 16, 1000).status, 200);
+	EXPECT_TRUE(eventually([&] { return reported("running") == 16; }));
+	delay_replies_of_all_but_one();
+	wait_completed(owner(), 1, 2);
+	EXPECT_EQ(reported("started"), 16);
+	expect_no_violations();
+}
+
 TEST_F(Cell, StoppedOwnerReleasesItsPool)
 {
 	start_daemons(2);
@@ -623,16 +645,12 @@
 	expect_no_violations();
 }
 
-/* As on a link that is full; one worker has room to run them again. */
 TEST_F(Cell, LateRepliesToRenewalsRunNothingAgain)
 {
 	start_daemons(2);
 	EXPECT_EQ(submit(0, 1, 16, 1000).status, 200);
 	EXPECT_TRUE(eventually([&] { return reported("running") == 16; }));
-	for (uint32_t w = 0; w < kWorkers - 1; w++)
-		inject_fault("{\"target\":\"w-" + std::to_string(w) +
-		    "\",\"path\":\"hold\",\"kind\":\"slow\","
-		    "\"for_ms\":8000,\"delay_ms\":1000}");
+	delay_replies_of_all_but_one();
 	wait_completed(0, 1, 2);
 	EXPECT_EQ(reported("started"), 16);
 	expect_no_violations();
