tests: dead workers do not use up the window of start orders

400 starts of which every second is not answered are all sent within a quarter of a second. Passes on the code as it is; it guards what the window must not do when a failure domain is cut off.

--- a/tests/unit/test_start_window.cc
+++ b/tests/unit/test_start_window.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <vector>
 
 extern "C" {
@@ -79,6 +80,32 @@
 	EXPECT_EQ(win.in_flight, 0U);
 }
 
+/* Every second order goes to a worker that is cut off. */
+TEST_F(StartWindow, UnansweredOrdersOfDeadWorkersDoNotDelayOthers)
+{
+	std::deque<struct sw_sent> live;
+	std::deque<struct sw_sent> dead;
+	int sent = 0;
+	int64_t begin = now;
+
+	while (sent < 400) {
+		while (sent < 400 && sw_is_open(&win)) {
+			(sent % 2 ? dead : live).push_back(sw_send(&win, now));
+			sent++;
+		}
+		now += kMs;
+		while (!live.empty() && now - live[0].at_us >= 5 * kMs) {
+			sw_on_answer(&win, &live[0], now);
+			live.pop_front();
+		}
+		while (!dead.empty() && now - dead[0].at_us >= 250 * kMs) {
+			sw_on_timeout(&win, &dead[0], now);
+			dead.pop_front();
+		}
+	}
+	EXPECT_LT(now - begin, 250 * kMs);
+}
+
 TEST_F(StartWindow, FewFastAnswersDoNotOpenIt)
 {
 	uint32_t limit = win.limit;
