replica: a job's state is read without decoding its tasks

Each commit of an owner rewrites the progress of up to 30 jobs, and each daemon decoded every task of them, to learn the state of the job and whether a task was started.

A second message names only these two fields; the library passes over the rest.

Malformed tasks now show when a pool is loaded. Such a job is logged and left alone, since it is not known which of its tasks are done.

The new test fails before (the job stays unknown); 20,000 damaged values check that both decoders give the same state for whatever the whole one accepts.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -244,12 +244,21 @@
 	struct wp_job *job;
 	int64_t now_us = clk_now_us();
 
-	spec = jc_unpack_job(NULL, row->spec, row->spec_bytes);
-	if (spec == NULL)
-		return NULL;
-	if (row->progress != NULL)
+	if (row->progress != NULL) {
 		progress = jc_unpack_progress(
 		    NULL, row->progress, row->progress_bytes);
+		/* Tasks that are done are not known, so none may be started. */
+		if (progress == NULL) {
+			lg_event(LG_ERROR, "pool", "unreadable_progress", "job",
+			    row->id, NULL);
+			return NULL;
+		}
+	}
+	spec = jc_unpack_job(NULL, row->spec, row->spec_bytes);
+	if (spec == NULL) {
+		talloc_free(progress);
+		return NULL;
+	}
 	job = wp_add_job(h->pool, spec, progress, row->spec_revision > h->fence,
 	    cell_wall_to_steady_us(), now_us);
 	talloc_free(progress);
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -102,16 +102,17 @@
 static void
 rp_apply_progress(struct replica *r, const char *id, const struct ks_item *item)
 {
+	enum jb_state state;
 	struct rp_job *job;
-	struct jb_progress *progress;
+	bool started;
 
 	if (item->deleted)
 		return;
 	job = rp_get_job(r, id);
 	if (job == NULL || item->revision <= job->progress_revision)
 		return;
-	progress = jc_unpack_progress(NULL, item->value, item->value_bytes);
-	if (progress == NULL) {
+	if (!jc_unpack_state(
+		item->value, item->value_bytes, &state, &started)) {
 		lg_event(LG_ERROR, "replica", "unreadable_progress", "job", id,
 		    NULL);
 		return;
@@ -120,14 +121,13 @@
 	job->progress = talloc_memdup(job, item->value, item->value_bytes);
 	job->progress_bytes = item->value_bytes;
 	job->progress_revision = item->revision;
-	job->started = progress->started;
-	if (jb_has_ended(progress->state))
+	job->started = started;
+	if (jb_has_ended(state))
 		job->end_reported = false;
 	if (!job->end_reported)
-		job->state = progress->state;
+		job->state = state;
 	if (jb_has_ended(job->state) && job->ended_us == 0)
 		job->ended_us = clk_now_us();
-	talloc_free(progress);
 }
 
 void
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -42,6 +42,7 @@
 typedef struct Currant__AcceptedJob Currant__AcceptedJob;
 typedef struct Currant__TaskProgress Currant__TaskProgress;
 typedef struct Currant__JobProgress Currant__JobProgress;
+typedef struct Currant__JobProgressHead Currant__JobProgressHead;
 typedef struct Currant__PoolOwner Currant__PoolOwner;
 typedef struct Currant__PoolTerm Currant__PoolTerm;
 typedef struct Currant__KnownWorker Currant__KnownWorker;
@@ -533,6 +534,20 @@
     , 0, 0, 0,NULL }
 
 
+/*
+ * The fields of JobProgress that are read without its tasks.
+ */
+struct  Currant__JobProgressHead
+{
+  ProtobufCMessage base;
+  uint32_t state;
+  protobuf_c_boolean started;
+};
+#define CURRANT__JOB_PROGRESS_HEAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__job_progress_head__descriptor) \
+    , 0, 0 }
+
+
 struct  Currant__PoolOwner
 {
   ProtobufCMessage base;
@@ -1443,6 +1458,25 @@
 void   currant__job_progress__free_unpacked
                      (Currant__JobProgress *message,
                       ProtobufCAllocator *allocator);
+/* Currant__JobProgressHead methods */
+void   currant__job_progress_head__init
+                     (Currant__JobProgressHead         *message);
+size_t currant__job_progress_head__get_packed_size
+                     (const Currant__JobProgressHead   *message);
+size_t currant__job_progress_head__pack
+                     (const Currant__JobProgressHead   *message,
+                      uint8_t             *out);
+size_t currant__job_progress_head__pack_to_buffer
+                     (const Currant__JobProgressHead   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__JobProgressHead *
+       currant__job_progress_head__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__job_progress_head__free_unpacked
+                     (Currant__JobProgressHead *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__PoolOwner methods */
 void   currant__pool_owner__init
                      (Currant__PoolOwner         *message);
@@ -1925,6 +1959,9 @@
 typedef void (*Currant__JobProgress_Closure)
                  (const Currant__JobProgress *message,
                   void *closure_data);
+typedef void (*Currant__JobProgressHead_Closure)
+                 (const Currant__JobProgressHead *message,
+                  void *closure_data);
 typedef void (*Currant__PoolOwner_Closure)
                  (const Currant__PoolOwner *message,
                   void *closure_data);
@@ -2022,6 +2059,7 @@
 extern const ProtobufCMessageDescriptor currant__accepted_job__descriptor;
 extern const ProtobufCMessageDescriptor currant__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor currant__job_progress__descriptor;
+extern const ProtobufCMessageDescriptor currant__job_progress_head__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_owner__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_term__descriptor;
 extern const ProtobufCMessageDescriptor currant__known_worker__descriptor;
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1222,6 +1222,51 @@
   assert(message->base.descriptor == &currant__job_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__job_progress_head__init
+                     (Currant__JobProgressHead         *message)
+{
+  static const Currant__JobProgressHead init_value = CURRANT__JOB_PROGRESS_HEAD__INIT;
+  *message = init_value;
+}
+size_t currant__job_progress_head__get_packed_size
+                     (const Currant__JobProgressHead *message)
+{
+  assert(message->base.descriptor == &currant__job_progress_head__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__job_progress_head__pack
+                     (const Currant__JobProgressHead *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__job_progress_head__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__job_progress_head__pack_to_buffer
+                     (const Currant__JobProgressHead *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__job_progress_head__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__JobProgressHead *
+       currant__job_progress_head__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__JobProgressHead *)
+     protobuf_c_message_unpack (&currant__job_progress_head__descriptor,
+                                allocator, len, data);
+}
+void   currant__job_progress_head__free_unpacked
+                     (Currant__JobProgressHead *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__job_progress_head__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__pool_owner__init
                      (Currant__PoolOwner         *message)
 {
@@ -4719,6 +4764,57 @@
   (ProtobufCMessageInit) currant__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor currant__job_progress_head__field_descriptors[2] =
+{
+  {
+    "state",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobProgressHead, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Currant__JobProgressHead, started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__job_progress_head__field_indices_by_name[] = {
+  1,   /* field[1] = started */
+  0,   /* field[0] = state */
+};
+static const ProtobufCIntRange currant__job_progress_head__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__job_progress_head__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.JobProgressHead",
+  "JobProgressHead",
+  "Currant__JobProgressHead",
+  "currant",
+  sizeof(Currant__JobProgressHead),
+  2,
+  currant__job_progress_head__field_descriptors,
+  currant__job_progress_head__field_indices_by_name,
+  1,  currant__job_progress_head__number_ranges,
+  (ProtobufCMessageInit) currant__job_progress_head__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor currant__pool_owner__field_descriptors[4] =
 {
   {
--- a/protocol/job_codec.c
+++ b/protocol/job_codec.c
@@ -211,6 +211,27 @@
 	return value;
 }
 
+static enum jb_state
+jc_read_state(uint32_t state)
+{
+	return state <= JB_CANCELLED ? (enum jb_state)state : JB_PENDING;
+}
+
+bool
+jc_unpack_state(
+    const uint8_t *value, size_t bytes, enum jb_state *state, bool *started)
+{
+	Currant__JobProgressHead *head =
+	    currant__job_progress_head__unpack(NULL, bytes, value);
+
+	if (head == NULL)
+		return false;
+	*state = jc_read_state(head->state);
+	*started = head->started;
+	currant__job_progress_head__free_unpacked(head, NULL);
+	return true;
+}
+
 struct jb_progress *
 jc_unpack_progress(TALLOC_CTX *ctx, const uint8_t *value, size_t bytes)
 {
@@ -224,8 +245,7 @@
 	progress = talloc_zero(ctx, struct jb_progress);
 	if (progress == NULL)
 		abort();
-	progress->state =
-	    p->state <= JB_CANCELLED ? (enum jb_state)p->state : JB_PENDING;
+	progress->state = jc_read_state(p->state);
 	progress->started = p->started;
 	progress->task = talloc_zero_array(
 	    progress, struct jb_task_progress, p->n_tasks + 1);
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -301,6 +301,46 @@
 	EXPECT_STREQ(q->task[0].checkpoint, "c");
 }
 
+/* Two decoders of one value must not differ in what callers are told. */
+TEST_F(Decoders, StateIsReadFromProgressAsTheWholeDecoderReadsIt)
+{
+	struct jb_task_progress rows[3] = {};
+	struct jb_progress p = {JB_COMPLETED, true, rows, 3};
+	enum jb_state state;
+	bool started;
+	size_t bytes;
+	uint8_t *value;
+	std::mt19937 rng(5);
+
+	for (uint32_t i = 0; i < 3; i++)
+		rows[i].index = i;
+	value = jc_pack_progress(ctx, &p, &bytes);
+	ASSERT_TRUE(jc_unpack_state(value, bytes, &state, &started));
+	EXPECT_EQ(state, JB_COMPLETED);
+	EXPECT_TRUE(started);
+	for (int round = 0; round < 20000; round++) {
+		std::vector<uint8_t> text(value, value + bytes);
+
+		if (round < (int)bytes)
+			text.resize(round);
+		else
+			text[rng() % bytes] = (uint8_t)rng();
+		struct jb_progress *whole =
+		    jc_unpack_progress(ctx, text.data(), text.size());
+
+		if (whole == nullptr) {
+			jc_unpack_state(
+			    text.data(), text.size(), &state, &started);
+			continue;
+		}
+		ASSERT_TRUE(jc_unpack_state(
+		    text.data(), text.size(), &state, &started));
+		EXPECT_EQ(state, whole->state);
+		EXPECT_EQ(started, whole->started);
+		talloc_free(whole);
+	}
+}
+
 TEST_F(Decoders, TaskNameRoundTrip)
 {
 	struct jb_ref ref = {};
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -337,4 +337,24 @@
 	EXPECT_EQ(r->operator_revision, 70u);
 }
 
+/* Every daemon decoded each task of a job whenever one of them changed. */
+TEST_F(Replica, StateOfAJobIsAppliedWithoutDecodingItsTasks)
+{
+	/* A state, started, and a task that is no message. */
+	const uint8_t value[] = {0x08, JB_RUNNING, 0x10, 1, 0x1a, 1, 0xff};
+	struct ks_item item = {};
+	struct rp_job *job;
+
+	item.key = RP_PROGRESS_PREFIX "00000000000000a1";
+	item.value = value;
+	item.value_bytes = sizeof(value);
+	item.revision = 5;
+	page(9, {item}, false);
+	HASH_FIND_STR(r->jobs, "00000000000000a1", job);
+	ASSERT_NE(job, nullptr);
+	EXPECT_EQ(job->state, JB_RUNNING);
+	EXPECT_TRUE(job->started);
+	EXPECT_EQ(job->progress_bytes, sizeof(value));
+}
+
 } // namespace
