pool: workers whose entries are not read yet are not closed

What callers would have seen: after a takeover in a large cell, nothing starts for some commits longer than necessary.

Cause: a new owner of a large cell begins with the workers of the registry, as if discovery listed none of them, and reads their entries afterwards. A worker that is not listed is closed with the next registry, so the first commit would have closed all workers, each with its tasks, and a second one opened them.

Change: a worker that is known from the registry alone is not closed for 0.5 s. That limit was checked before a registry was asked for, but not when it was written; now it is part of the decision itself, and does not delay opening.

Takeover.WorkersAreNotClosedBeforeTheirEntriesAreRead failed before; WorkerThatStaysUnlistedIsClosed guards the other direction.

--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -69,15 +69,16 @@
 {
 	if (!wp_is_out_of_use(w, now_us))
 		return false;
-	return w->closed ||
-	    (wp_knows_all_runs(w, now_us) &&
-		wp_count_tasks(w) <= WP_MAX_CLOSED_TASKS);
+	if (w->closed)
+		return true;
+	return now_us >= w->close_at_us && wp_knows_all_runs(w, now_us) &&
+	    wp_count_tasks(w) <= WP_MAX_CLOSED_TASKS;
 }
 
 void
 wp_close_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
 {
-	if (!w->registered || now_us < w->close_at_us)
+	if (!w->registered)
 		return;
 	if (w->closed != wp_may_close(w, now_us))
 		p->registry_dirty = true;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -32,6 +32,8 @@
 #define WP_MAX_STRAGGLER_MOVES 2
 /* A start that is still unanswered after so many sends is stopped instead. */
 #define WP_MAX_SENDS 3
+/* A new owner has read which workers are listed by then. */
+#define WP_ENTRIES_DELAY_US (500 * CLK_US_PER_MS)
 /* A worker's clock is never further ahead of the estimate. */
 #define WP_MAX_CLOCK_AHEAD_MS 1000
 /* Completed runs of a step that tell how long one usually takes. */
@@ -142,6 +144,7 @@
 	w = wp_worker_create(p, id, now_us);
 	snprintf(w->address, sizeof(w->address), "%s", address);
 	w->registered = true;
+	w->close_at_us = now_us + WP_ENTRIES_DELAY_US;
 }
 
 void
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -198,6 +198,36 @@
 	EXPECT_TRUE(p->registry_dirty);
 }
 
+/* A new owner of a large cell reads the list of workers after its claim. */
+TEST_F(Takeover, WorkersAreNotClosedBeforeTheirEntriesAreRead)
+{
+	create_pool();
+	add_worker("w");
+	commit();
+	take_over();
+	renew_lease("w");
+	tick(200 * kMs);
+	commit();
+	EXPECT_FALSE(worker("w")->closed);
+	list_worker("w");
+	add(kJob, {{1}});
+	EXPECT_EQ(tick().size(), 1U);
+}
+
+TEST_F(Takeover, WorkerThatStaysUnlistedIsClosed)
+{
+	create_pool();
+	add_worker("w");
+	commit();
+	take_over();
+	renew_lease("w");
+	commit();
+	tick(kS);
+	EXPECT_TRUE(p->registry_dirty);
+	commit();
+	EXPECT_TRUE(worker("w")->closed);
+}
+
 /* Seeds to play: TAKEOVER_SEEDS="FIRST-LAST", or a few fixed ones. */
 std::pair<uint64_t, uint64_t>
 seeds()
