pool: a failed run of an earlier owner is not replaced too early

BUDGET: a task whose run an owner had adopted after a takeover was started again as soon as that run failed. If earlier runs had failed on a worker that had not answered the new owner yet, and the earlier owner had not stored that, a task without attempts left was started once more. Before adoption, a task waits for all such workers; afterwards it no longer did.

When an adopted run fails, the task is unreconciled again if, by its number, there were runs of the same owner before it that are not known to have failed, and workers may still tell of them. The first run of an earlier owner is replaced at once as before. The requeue keeps the pause after a failure.

The new test fails on the code before.

--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -192,7 +192,9 @@
 
 		if (t->state == WP_TASK_UNRECONCILED &&
 		    t->held_in_pass != p->reconcile_pass)
-			wp_task_requeue(t, now_us);
+			wp_task_requeue(t,
+			    now_us > t->not_before_us ? now_us
+						      : t->not_before_us);
 	}
 }
 
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -467,12 +467,35 @@
 	wp_check_attempts(p, t, now_us);
 }
 
+/*
+ * Whether runs of an earlier owner, before the one that has failed now, may
+ * have failed on workers that have not responded to this owner yet.
+ */
+static bool
+wp_may_have_failed_unseen(const struct wp_pool *p, const struct wp_task *t)
+{
+	uint32_t term = t->run / WP_RUNS_PER_TERM;
+	uint32_t known = 0;
+	uint32_t i;
+
+	if (p->reconciled || term == p->term)
+		return false;
+	for (i = 0; i < t->failed_count; i++)
+		known += t->failed_run[i] / WP_RUNS_PER_TERM == term;
+	return t->run % WP_RUNS_PER_TERM > known;
+}
+
 void
 wp_task_failed(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
 	wp_task_avoid(t, t->worker, now_us);
 	wp_task_requeue(t, now_us + WP_RESTART_DELAY_US);
 	wp_count_failure(p, t, t->run, now_us);
+	if (t->state != WP_TASK_WAITING || !wp_may_have_failed_unseen(p, t))
+		return;
+	t->state = WP_TASK_UNRECONCILED;
+	t->step->waiting--;
+	wp_step_update_lists(p, t->step);
 }
 
 void
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -328,6 +328,41 @@
 	EXPECT_EQ(wp_public_state(wp_find_job(p, kJob.c_str())), JB_FAILED);
 }
 
+/*
+ * BUDGET: the adopted run 3 failed and was replaced before another worker
+ * reported that run 1 had failed. Found by random takeovers, seed 1364.
+ */
+TEST_F(Pool, FailedAdoptedRunIsNotReplacedBeforeEarlierFailuresAreKnown)
+{
+	create_pool(1, kStart + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	add_worker("u");
+	list_worker("w");
+	list_worker("v");
+	renew_lease(
+	    "w", {{kJob, 0, 0, 3, 0}}, {{1, kJob, 0, 0, 2, WP_END_FAILED}});
+	commit();
+	renew_lease("w", {}, {{2, kJob, 0, 0, 3, WP_END_FAILED}});
+	EXPECT_TRUE(tick(kS).empty());
+	renew_lease("v", {}, {{1, kJob, 0, 0, 1, WP_END_FAILED}});
+	EXPECT_TRUE(tick(kS).empty());
+	EXPECT_EQ(wp_public_state(wp_find_job(p, kJob.c_str())), JB_FAILED);
+}
+
+TEST_F(Pool, FailedAdoptedRunIsReplacedAtOnceIfItWasTheFirst)
+{
+	create_pool(1, kStart + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	add_worker("w");
+	list_worker("v");
+	renew_lease("w", {{kJob, 0, 0, 1, 0}});
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_FAILED}});
+	list_worker("u");
+	renew_lease("u");
+	commit();
+	EXPECT_EQ(tick(kS).size(), 1U);
+}
+
 TEST_F(Pool, StoredFailedRunIsNotCountedAgain)
 {
 	uint32_t failed[] = {1};
