tests: tasks that the registry names for a silent worker may wait

The test expected what the owner had in memory. It now allows for what the registry in the store names.

--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -313,6 +313,12 @@
 			    << "seed " << seed << ": " << m->violations[i];
 	}
 
+	static std::string
+	name_of(const struct jb_ref &ref)
+	{
+		return TakeoverModel::task_name(ref.job, ref.step, ref.index);
+	}
+
 	void
 	silence_one(std::set<std::string> *silent)
 	{
@@ -330,7 +336,10 @@
 		silent->insert(id);
 	}
 
-	/* Ends the owner, and notes which tasks it has on silent workers. */
+	/*
+	 * Ends the owner, and notes which tasks it has on silent workers: on
+	 * them, or in the registry, which follows a little later.
+	 */
 	void
 	take_over(
 	    const std::set<std::string> &silent, std::set<std::string> *held)
@@ -345,9 +354,10 @@
 			w = wp_find_worker(m->owner()->pool, id.c_str());
 			DL_FOREACH(w->tasks, t) {
 				wp_task_ref(t, &ref);
-				held->insert(TakeoverModel::task_name(
-				    ref.job, ref.step, ref.index));
+				held->insert(name_of(ref));
 			}
+			for (uint32_t i = 0; i < w->closed_task_count; i++)
+				held->insert(name_of(w->closed_task[i]));
 		}
 		if (m->chance(500))
 			m->kill_owner();
