tests: workers that shrink and grow while they run

What callers saw: nothing yet. Workers may from now on shrink and grow while they run, and the stand-in's workers had one size and an entry that was written once.

They can be resized, also together with a new life.

A first test resizes workers ten times under load.

--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -103,6 +103,35 @@
 		return call("GET", daemon, "/q/" + job_id(n)).text("state");
 	}
 
+	/* Cores of a worker shrink or grow while it runs, or with a new life. */
+	void
+	resize(uint32_t worker, int cpu, bool reborn = false)
+	{
+		http("POST", control + "/_size",
+		    "{\"worker\":" + std::to_string(worker) +
+			",\"cpu\":" + std::to_string(cpu) +
+			",\"reborn\":" + (reborn ? "true}" : "false}"));
+	}
+
+	/* A worker that is cut off from the store alone. */
+	void
+	mute(uint32_t worker, bool on)
+	{
+		http("POST", control + "/_worker",
+		    "{\"worker\":" + std::to_string(worker) +
+			",\"off\":false,\"mute\":" + (on ? "true}" : "false}"));
+	}
+
+	/* So many jobs that tasks wait all the while, as many run. */
+	void
+	fill_workers(int jobs)
+	{
+		for (int n = 0; n < jobs; n++)
+			EXPECT_EQ(submit(0, n, 8, 900).status, 200);
+		EXPECT_TRUE(
+		    eventually([&] { return reported("running") == 16; }));
+	}
+
 	void
 	inject_fault(const std::string &json)
 	{
@@ -623,6 +652,22 @@
 	expect_no_violations();
 }
 
+TEST_F(Cell, WorkersThatShrinkAreNotOverfilled)
+{
+	start_daemons(2);
+	fill_workers(16);
+	for (int i = 0; i < 10; i++) {
+		for (uint32_t w = 0; w < kWorkers - 1; w++)
+			resize(w, 1000 * ((i + (int)w) % 3));
+		usleep(900000);
+	}
+	for (uint32_t w = 0; w < kWorkers; w++)
+		resize(w, 4000);
+	wait_completed(1, 0, 16);
+	EXPECT_EQ(reported("started"), 128);
+	expect_no_violations();
+}
+
 TEST_F(Cell, CompactedHistoryIsReloaded)
 {
 	start_daemons(2);
