pool: an entry is used only for the incarnation that wrote it

What callers saw: a worker that started again under its id, smaller than before or of another kind, was filled by what its earlier life had written until its new entry was read.

Cause: the pool took a worker's capacity and labels from its newest entry, whichever life that was about. Ruled out: runs of the earlier life (they are taken off when the worker's lists name a new one).

Change: entries carry the start of the worker process, like its lists. A worker whose entry and lists disagree receives no tasks until the other of the two has been read. Entries without it are used as before.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -310,6 +310,7 @@
  * @capacity: resources in all
  * @incarnation_ms: when the worker process started, which identifies the
  *	incarnation; 0 before its first reply
+ * @listed_incarnation_ms: incarnation that its entry is about; 0 when unknown
  * @listed: service discovery lists it
  * @draining: service discovery says that it receives no new tasks
  * @evacuating: being emptied for maintenance
@@ -356,6 +357,7 @@
 	char vm[WP_NAME_BYTES];
 	struct wp_resources capacity;
 	int64_t incarnation_ms;
+	int64_t listed_incarnation_ms;
 	bool listed;
 	bool draining;
 	bool evacuating;
@@ -525,6 +527,7 @@
  * @draining: it receives no new tasks
  * @remaining_ms: not used by the pool
  * @vm: VM that it runs on, or NULL when unknown
+ * @incarnation_ms: incarnation that this is about, or 0 when unknown
  */
 struct wp_worker_info {
 	const char *id;
@@ -536,6 +539,7 @@
 	bool draining;
 	int64_t remaining_ms;
 	const char *vm;
+	int64_t incarnation_ms;
 };
 
 /* Workers that one advice request may name. */
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -11,12 +11,21 @@
 /* Starts per pass, so that a burst does not delay lease renewals. */
 #define WP_MAX_STARTS 200
 
+/* Another incarnation may have another kind and capacity. */
+static bool
+wp_entry_is_current(const struct wp_worker *w)
+{
+	return w->listed_incarnation_ms == 0 ||
+	    w->listed_incarnation_ms == w->incarnation_ms;
+}
+
 bool
 wp_is_usable(const struct wp_worker *w, int64_t now_us)
 {
 	return w->unanswered_orders < WP_MAX_UNANSWERED_ORDERS && w->listed &&
 	    w->registered && w->token_accepted && w->reachable &&
-	    !w->draining && !w->evacuating && now_us >= w->quarantined_until_us;
+	    wp_entry_is_current(w) && !w->draining && !w->evacuating &&
+	    now_us >= w->quarantined_until_us;
 }
 
 struct wp_resources
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -114,6 +114,7 @@
 	snprintf(w->rack, sizeof(w->rack), "%s", info->rack);
 	snprintf(w->vm, sizeof(w->vm), "%s", info->vm != NULL ? info->vm : "");
 	w->capacity = info->capacity;
+	w->listed_incarnation_ms = info->incarnation_ms;
 	if (!w->registered)
 		p->registry_dirty = true;
 	if (!w->listed)
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -668,6 +668,23 @@
 	expect_no_violations();
 }
 
+TEST_F(Cell, RestartedWorkerIsNotFilledByItsEarlierCapacity)
+{
+	start_daemons(2);
+	/* So that the clocks of new lives are far behind. */
+	usleep(4000000);
+	fill_workers(24);
+	for (uint32_t w = 0; w < 2; w++) {
+		mute(w, true);
+		resize(w, 1000, true);
+	}
+	usleep(7000000);
+	for (uint32_t w = 0; w < 2; w++)
+		mute(w, false);
+	wait_completed(1, 0, 24);
+	expect_no_violations();
+}
+
 TEST_F(Cell, CompactedHistoryIsReloaded)
 {
 	start_daemons(2);
