pool: starts rely on a worker's capacity only while its report is recent

What callers saw: an owner went on to fill workers by capacities that it had read long ago. A worker that had shrunk meanwhile was given more than its processors hold, for up to 6 s by an owner that was cut off from the store, and without any limit by one whose watch alone failed or on a worker that could not reach the store.

Cause: the pool never asked how old a worker's entry was. Ruled out as a measure: the age of the owner's copy. It says nothing of workers that can't report, and after an outage the copy is current again before the workers have reported. A load after compaction shows old entries as new.

Change: an entry tells the worker's clock when it was written, and the owner knows that clock from the worker's lists. A capacity is relied on for one interval of reports and the time to act on a report (report_interval, report_delay; 1.5 s and 3 s, less 0.3 s for slow clocks), on the worker's clock. Start orders carry that time as their deadline, so that the worker refuses those that arrive too late. An unanswered start is not repeated either; the worker's lists tell what became of it. Renewals, stops and what runs are not touched. As soon as the worker's next report is read, it is used again.

Entries without a clock are used as before.

--- a/contrib/deploy_check.sh
+++ b/contrib/deploy_check.sh
@@ -20,7 +20,8 @@
   -e 's/{{advice}}/127.0.0.1:8002/; s/{{bounds.max_hold_ms}}/10000/' \
   -e 's/{{limits.cpu_share}}/0.25/' \
   -e 's/{{cloud.address}}/127.0.0.1:8003/; s/{{bounds.lease_ms}}/3000/' \
-  -e 's/{{bounds.maintenance_s}}/1.5/' \
+  -e 's/{{bounds.maintenance_s}}/1.5/; s/{{bounds.contact_ms}}/3000/' \
+  -e 's/{{heartbeat_ms}}/1500/' \
   -e 's/{{bounds.grace_s}}/6/; s/{{bounds.status_s}}/120/' \
   deploy/settings.template.toml >"$clone/settings.toml"
 if grep -n '{{' "$clone/settings.toml"; then
--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -15,6 +15,8 @@
 #define CP_RENEW_US (350 * CLK_US_PER_MS)
 #define CP_RANK_DELAY_US (40 * CLK_US_PER_MS)
 #define CP_MAX_RANK 6
+/* Workers' clocks may be slow by 2%, and they report a little late. */
+#define CP_CAPACITY_MARGIN_US (300 * CLK_US_PER_MS)
 #define CP_RANKS_PER_POOL 3
 /* How often an owner looks for a larger VM. */
 #define CP_YIELD_CHECK_US (3 * CLK_US_PER_S)
@@ -312,6 +314,18 @@
 	}
 }
 
+/*
+ * A shrunk capacity counts this long after a report that did not show it yet:
+ * one interval in which it is reported, and the time to act on that.
+ */
+static int64_t
+cp_capacity_valid_ms(const struct cell_settings *s)
+{
+	return (s->report_interval_us + s->report_delay_us -
+		   CP_CAPACITY_MARGIN_US) /
+	    CLK_US_PER_MS;
+}
+
 static void
 cp_begin_ownership(struct cp_host *h, const struct rp_owner *o)
 {
@@ -319,6 +333,7 @@
 	struct wp_settings settings = {
 	    .term = o->term - 1,
 	    .earlier_owner_until_us = h->earlier_owner_until_us,
+	    .capacity_valid_ms = cp_capacity_valid_ms(h->cell->settings),
 	};
 
 	ct_add(CT_TAKEOVERS, 1);
--- a/curranttackd/cell_settings.c
+++ b/curranttackd/cell_settings.c
@@ -59,6 +59,10 @@
 	    (uint32_t)jf_integer(r, "max_lease_ms", 10000, 1000, 600000);
 	s->grace_us = jf_duration_us(
 	    r, "grace", 6 * CLK_US_PER_S, 500 * CLK_US_PER_MS, CS_HOUR_US);
+	s->report_interval_us = jf_duration_us(r, "report_interval",
+	    1500 * CLK_US_PER_MS, 100 * CLK_US_PER_MS, CS_HOUR_US);
+	s->report_delay_us = jf_duration_us(
+	    r, "report_delay", 3 * CLK_US_PER_S, CLK_US_PER_S, CS_HOUR_US);
 	s->keep_ended_us = jf_duration_us(
 	    r, "keep_ended", 120 * CLK_US_PER_S, 0, 24 * CS_HOUR_US);
 	s->relay_above_workers = (uint32_t)jf_integer(
--- a/include/curranttackd/cell_settings.h
+++ b/include/curranttackd/cell_settings.h
@@ -24,6 +24,9 @@
  * @maintenance_down_us: how long a VM stays down for maintenance
  * @max_lease_ms: longest lease that workers grant
  * @grace_us: time from the request to stop until the process is killed
+ * @report_interval_us: how often workers write their entries
+ * @report_delay_us: how long after that starts may still rely on the entry
+ *	before
  * @keep_ended_us: how long ended jobs are kept for callers to query
  * @relay_above_workers: pools with more workers than this use relays
  * @small_cell_daemons: in cells of up to this many daemons, all are told of
@@ -47,6 +50,8 @@
 	int64_t maintenance_down_us;
 	uint32_t max_lease_ms;
 	int64_t grace_us;
+	int64_t report_interval_us;
+	int64_t report_delay_us;
 	int64_t keep_ended_us;
 	uint32_t relay_above_workers;
 	uint32_t small_cell_daemons;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -308,6 +308,8 @@
  * @rack: rack label
  * @vm: VM that it runs on; empty when unknown
  * @capacity: resources in all
+ * @capacity_until_ms: time on its clock after which its capacity may have shrunk
+ *	unnoticed; 0 for no limit
  * @incarnation_ms: when the worker process started, which identifies the
  *	incarnation; 0 before its first reply
  * @listed_incarnation_ms: incarnation that its entry is about; 0 when unknown
@@ -356,6 +358,7 @@
 	char rack[WP_NAME_BYTES];
 	char vm[WP_NAME_BYTES];
 	struct wp_resources capacity;
+	int64_t capacity_until_ms;
 	int64_t incarnation_ms;
 	int64_t listed_incarnation_ms;
 	bool listed;
@@ -528,6 +531,7 @@
  * @remaining_ms: not used by the pool
  * @vm: VM that it runs on, or NULL when unknown
  * @incarnation_ms: incarnation that this is about, or 0 when unknown
+ * @clock_ms: the worker's clock when it reported this, or 0 when unknown
  */
 struct wp_worker_info {
 	const char *id;
@@ -540,6 +544,7 @@
 	int64_t remaining_ms;
 	const char *vm;
 	int64_t incarnation_ms;
+	int64_t clock_ms;
 };
 
 /* Workers that one advice request may name. */
@@ -655,6 +660,8 @@
  * @orders: orders to be fetched with wp_next_order()
  * @first_tick_us: time of the first tick; 0 before
  * @earlier_owner_until_us: until then earlier owners may act on workers
+ * @capacity_valid_ms: how long a worker's report of its capacity can be relied
+ *	on, on its clock; 0 for no limit
  * @end_seq: run ends read from workers so far
  * @commit_seq: run ends before this one are stored, or in the commit in flight
  * @reconciled: no worker can run a task that this owner does not know of
@@ -680,6 +687,7 @@
 	struct wp_order *orders;
 	int64_t first_tick_us;
 	int64_t earlier_owner_until_us;
+	int64_t capacity_valid_ms;
 	uint64_t end_seq;
 	uint64_t commit_seq;
 	bool reconciled;
@@ -693,10 +701,13 @@
  * struct wp_settings - settings of a pool
  * @term: counts the owners, so that run numbers of different owners differ
  * @earlier_owner_until_us: until then an earlier owner may renew leases
+ * @capacity_valid_ms: how long a worker's report of its capacity can be relied
+ *	on, on its clock; 0 for no limit
  */
 struct wp_settings {
 	uint32_t term;
 	int64_t earlier_owner_until_us;
+	int64_t capacity_valid_ms;
 };
 
 /**
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -21,6 +21,8 @@
 #define WP_LEASE_US (3 * CLK_US_PER_S)
 /* A worker refuses a start order that arrives later. */
 #define WP_START_VALID_US (1500 * CLK_US_PER_MS)
+/* A start order has to arrive before the worker's capacity is out of date. */
+#define WP_START_MARGIN_MS 250
 /* A worker's clock may be slow by 2%. */
 #define WP_MIN_CLOCK_RATE_PER_MILLE 980
 #define WP_FULL_PACE 100
@@ -191,6 +193,8 @@
 bool wp_is_suitable(const struct wp_step *s, const struct wp_worker *w);
 /** wp_is_usable() - whether a worker may receive new tasks now */
 bool wp_is_usable(const struct wp_worker *w, int64_t now_us);
+/** wp_knows_capacity() - whether a start may rely on a worker's capacity */
+bool wp_knows_capacity(const struct wp_worker *w, int64_t now_us);
 /** wp_usable_capacity() - resources of all workers that may receive tasks */
 struct wp_resources wp_usable_capacity(const struct wp_pool *p, int64_t now_us);
 /** wp_slots_left() - tasks that the step's limit per worker still allows */
--- a/state/pool.c
+++ b/state/pool.c
@@ -15,6 +15,7 @@
 	snprintf(p->name, sizeof(p->name), "%s", name);
 	p->term = settings->term;
 	p->earlier_owner_until_us = settings->earlier_owner_until_us;
+	p->capacity_valid_ms = settings->capacity_valid_ms;
 	return p;
 }
 
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -19,12 +19,25 @@
 	    w->listed_incarnation_ms == w->incarnation_ms;
 }
 
+/*
+ * The age of its report is measured on the worker's own clock, so that it does
+ * not matter what delayed the report.
+ */
+bool
+wp_knows_capacity(const struct wp_worker *w, int64_t now_us)
+{
+	return wp_entry_is_current(w) &&
+	    (w->capacity_until_ms == 0 ||
+		wp_worker_clock_ms(w, now_us) + WP_START_MARGIN_MS <=
+		    w->capacity_until_ms);
+}
+
 bool
 wp_is_usable(const struct wp_worker *w, int64_t now_us)
 {
 	return w->unanswered_orders < WP_MAX_UNANSWERED_ORDERS && w->listed &&
 	    w->registered && w->token_accepted && w->reachable &&
-	    wp_entry_is_current(w) && !w->draining && !w->evacuating &&
+	    wp_knows_capacity(w, now_us) && !w->draining && !w->evacuating &&
 	    now_us >= w->quarantined_until_us;
 }
 
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -142,6 +142,17 @@
 	t->stopped_clock_ms = 0;
 }
 
+/* A start is refused once the worker's capacity may have shrunk unnoticed. */
+static int64_t
+wp_start_deadline_ms(const struct wp_worker *w, int64_t now_us)
+{
+	int64_t until = wp_worker_clock_ms(w, now_us + WP_START_VALID_US);
+
+	if (w->capacity_until_ms != 0 && w->capacity_until_ms < until)
+		return w->capacity_until_ms;
+	return until;
+}
+
 void
 wp_task_send_start(
     struct wp_pool *p, struct wp_task *t, const char *ticket, int64_t now_us)
@@ -149,7 +160,7 @@
 	struct wp_worker *w = t->worker;
 	struct wp_order *o;
 	struct jb_ref ref;
-	int64_t until = wp_worker_clock_ms(w, now_us + WP_START_VALID_US);
+	int64_t until = wp_start_deadline_ms(w, now_us);
 
 	wp_task_ref(t, &ref);
 	o = wp_queue_order(p, WP_ORDER_START, w, &ref, t->run);
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -115,6 +115,9 @@
 	snprintf(w->vm, sizeof(w->vm), "%s", info->vm != NULL ? info->vm : "");
 	w->capacity = info->capacity;
 	w->listed_incarnation_ms = info->incarnation_ms;
+	w->capacity_until_ms = 0;
+	if (p->capacity_valid_ms > 0 && info->clock_ms > 0)
+		w->capacity_until_ms = info->clock_ms + p->capacity_valid_ms;
 	if (!w->registered)
 		p->registry_dirty = true;
 	if (!w->listed)
@@ -716,6 +719,9 @@
 		wp_task_stop(p, t, now_us);
 		return;
 	}
+	/* The worker's next reports tell whether it has started. */
+	if (!wp_knows_capacity(t->worker, now_us))
+		return;
 	wp_task_send_start(p, t,
 	    wp_needs_advice(t->step)
 		? wp_ticket_valid(t->step, t->worker, now_us)
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -668,6 +668,51 @@
 	expect_no_violations();
 }
 
+/* Neither owner nor workers reach the store; both reach each other. */
+TEST_F(Cell, NothingStartsOnOldCapacitiesWhileTheStoreIsDown)
+{
+	start_daemons(2);
+	fill_workers(24);
+	inject_fault("{\"target\":\"store\",\"path\":\"\","
+		     "\"kind\":\"down\",\"for_ms\":7000}");
+	for (uint32_t w = 0; w < kWorkers; w++)
+		resize(w, 1000);
+	usleep(9500000);
+	for (uint32_t w = 0; w < kWorkers; w++)
+		resize(w, 4000);
+	wait_completed(1, 0, 24);
+	expect_no_violations();
+}
+
+/* Its lease is renewed all the while. */
+TEST_F(Cell, OwnerThatReadsNothingDoesNotStartOnOldCapacities)
+{
+	start_daemons(2);
+	fill_workers(24);
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-watch\","
+		     "\"kind\":\"refuse\",\"for_ms\":8000}");
+	for (uint32_t w = 0; w < kWorkers; w++)
+		resize(w, 1000);
+	usleep(8000000);
+	for (uint32_t w = 0; w < kWorkers; w++)
+		resize(w, 4000);
+	wait_completed(1, 0, 24);
+	expect_no_violations();
+}
+
+TEST_F(Cell, NothingStartsOnWorkerThatCannotReportItsCapacity)
+{
+	start_daemons(2);
+	fill_workers(24);
+	mute(0, true);
+	resize(0, 1000);
+	usleep(8000000);
+	mute(0, false);
+	resize(0, 4000);
+	wait_completed(1, 0, 24);
+	expect_no_violations();
+}
+
 TEST_F(Cell, RestartedWorkerIsNotFilledByItsEarlierCapacity)
 {
 	start_daemons(2);
--- a/tests/unit/test_capacity.cc
+++ b/tests/unit/test_capacity.cc
@@ -20,11 +20,11 @@
 	/* The worker's entry in service discovery changes. */
 	void
 	resize(const std::string &id, int64_t cpu, int64_t gpu = 0,
-	    int64_t incarnation = 0)
+	    int64_t incarnation = 0, int64_t clock_ms = 0)
 	{
 		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
 		    "kind", "rack", {cpu, 1000, gpu}, false, 0, nullptr,
-		    incarnation};
+		    incarnation, clock_ms};
 
 		wp_set_worker(p, &info, now);
 	}
@@ -83,4 +83,81 @@
 	EXPECT_EQ(count(run_all(10 * kMs)), 4U);
 }
 
+TEST_F(Capacity, NothingStartsOnACapacityThatWasReportedTooLongAgo)
+{
+	p->capacity_valid_ms = 4200;
+	add_worker("w-1");
+	resize("w-1", 4000, 0, 1, clock_of("w-1"));
+	run_tasks(kJob, 2);
+	add(kOther, {{1, 1000}});
+	now += 4 * kS;
+	renew_lease("w-1", {{kJob, 0, 0, 1, 0, 40}, {kJob, 0, 1, 1, 0, 40}});
+	EXPECT_EQ(count(run_all()), 0U);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	resize("w-1", 3000, 0, 1, clock_of("w-1") - 1500);
+	EXPECT_EQ(count(run_all(10 * kMs)), 1U);
+}
+
+/* A replica that is loaded again, or lags, tells what is old as if new. */
+TEST_F(Capacity, OldReportIsOldHoweverLateItIsRead)
+{
+	p->capacity_valid_ms = 4200;
+	add_worker("w-1");
+	now += 10 * kS;
+	renew_lease("w-1");
+	resize("w-1", 4000, 0, 1, clock_of("w-1") - 4000);
+	add(kJob, {{1, 1000}});
+	EXPECT_EQ(count(run_all()), 0U);
+}
+
+TEST_F(Capacity, StartThatArrivesLateIsRefusedOnceItsCapacityIsOld)
+{
+	p->capacity_valid_ms = 4200;
+	add_worker("w-1");
+	resize("w-1", 4000, 0, 1, clock_of("w-1"));
+	int64_t reported_ms = clock_of("w-1");
+
+	add(kJob, {{1, 1000}});
+	now += 3800 * kMs;
+	renew_lease("w-1");
+	std::vector<struct wp_order *> orders = tick();
+	ASSERT_EQ(count(orders), 1U);
+	EXPECT_EQ(orders[0]->deadline_clock_ms, reported_ms + 4200);
+}
+
+TEST_F(Capacity, UnansweredStartIsNotSentAgainOnAnOldCapacity)
+{
+	p->capacity_valid_ms = 4200;
+	add_worker("w-1");
+	resize("w-1", 4000, 0, 1, clock_of("w-1"));
+	add(kJob, {{1, 1000}});
+	now += 3800 * kMs;
+	renew_lease("w-1");
+	std::vector<struct wp_order *> orders = tick();
+	ASSERT_EQ(count(orders), 1U);
+	now += 250 * kMs;
+	answer(orders[0], WP_NO_ANSWER);
+	EXPECT_TRUE(tick().empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_STARTING);
+	/* It was carried out all the same. */
+	renew_lease("w-1", running(kJob, 0, 1));
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+}
+
+/* Its replica may be as old as the owner's before. */
+TEST_F(Capacity, NextOwnerDoesNotStartOnOldReports)
+{
+	talloc_free(p);
+	create_pool(1, kStart + 10 * kS);
+	p->capacity_valid_ms = 4200;
+	now += 5 * kS;
+	resize("w-1", 4000, 0, 1, now / kMs - 4300);
+	renew_lease("w-1");
+	commit();
+	add(kJob, {{4, 1000}});
+	EXPECT_EQ(count(run_all()), 0U);
+	resize("w-1", 2000, 0, 1, now / kMs - 100);
+	EXPECT_EQ(count(run_all(10 * kMs)), 2U);
+}
+
 } // namespace
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -65,7 +65,7 @@
 const char kWorker[] =
     R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready",)"
     R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},)"
-    R"("labels":["kind-a","r1-3"],"seq":4,"born":1700000000123})";
+    R"("labels":["kind-a","r1-3"],"seq":4,"born":1700000000123,"clock_ms":5400})";
 
 const char kConfig[] =
     R"({"version":7,"routes":[{"name":"q","host":"h.example",)"
@@ -91,6 +91,7 @@
 	EXPECT_EQ(info.capacity.cpu_mcpu, 16000);
 	EXPECT_EQ(info.capacity.gpu, 2);
 	EXPECT_EQ(info.incarnation_ms, 1700000000123);
+	EXPECT_EQ(info.clock_ms, 5400);
 	EXPECT_FALSE(info.draining);
 	EXPECT_STREQ(pool, "s");
 }
