pool: an unanswered start is not repeated on a worker that has shrunk

What callers saw: a start without an answer was sent again up to twice, also when the worker had shrunk meanwhile and no longer had room for it.

Cause: a repeated start asks only whether the worker is reachable. The task counts as being there, so nothing else would notice.

Change: while a worker's tasks exceed its capacity, an unanswered start is not repeated. It counts until the worker's lists show what became of it; without a run there it waits again.

Before: Capacity.UnansweredStartIsNotSentAgainOnceItIsTooMuch failed.

--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -52,6 +52,12 @@
 	    need->mem_mb <= available->mem_mb && need->gpu <= available->gpu;
 }
 
+bool
+wp_is_overfull(const struct wp_worker *w)
+{
+	return !wp_resources_fit(&w->capacity, &w->used);
+}
+
 void
 wp_task_ref(const struct wp_task *t, struct jb_ref *ref)
 {
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -720,7 +720,7 @@
 		return;
 	}
 	/* The worker's next reports tell whether it has started. */
-	if (!wp_knows_capacity(t->worker, now_us))
+	if (!wp_knows_capacity(t->worker, now_us) || wp_is_overfull(t->worker))
 		return;
 	wp_task_send_start(p, t,
 	    wp_needs_advice(t->step)
--- a/tests/unit/test_capacity.cc
+++ b/tests/unit/test_capacity.cc
@@ -144,6 +144,23 @@
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
 }
 
+TEST_F(Capacity, UnansweredStartIsNotSentAgainOnceItIsTooMuch)
+{
+	add_worker("w-1");
+	add(kJob, {{4, 1000}});
+	std::vector<struct wp_order *> orders = tick();
+	ASSERT_EQ(count(orders), 4U);
+	for (size_t i = 0; i < 3; i++)
+		answer(orders[i]);
+	resize("w-1", 3000);
+	answer(orders[3], WP_NO_ANSWER);
+	EXPECT_TRUE(tick().empty());
+	/* The worker's lists tell that it has not started. */
+	now += 2 * kS;
+	renew_lease("w-1", running(kJob, 0, 3));
+	EXPECT_EQ(task(kJob, 0, 3)->state, WP_TASK_WAITING);
+}
+
 /* Its replica may be as old as the owner's before. */
 TEST_F(Capacity, NextOwnerDoesNotStartOnOldReports)
 {
