pool: a run of an unknown job takes all of a worker that grows, too

What callers saw: a worker with a run of a job that the owner did not know received tasks when it grew, beside that run.

Cause: such a run was counted as the capacity of the time when it was read, so what the worker grew by was taken to be free.

Change: the worker is marked instead, and has no free resources until its lists no longer name such a run. It does not count as empty for maintenance either.

Before: Capacity.UnknownRunTakesAllOfAWorkerThatGrows failed.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -322,6 +322,7 @@
  * @registering: the registry in the commit in flight names it
  * @used: resources of tasks that are or may be on it
  * @orphaned: resources of runs on it that belong to none of @tasks
+ * @has_unknown_run: it reports a run of a job that the pool does not know
  * @reserved: resources set aside for urgent tasks in the current pass
  * @gang_reserved: resources reserved for gangs, free or not
  * @reserved_members: members of gangs that they are reserved for
@@ -370,6 +371,7 @@
 	bool registering;
 	struct wp_resources used;
 	struct wp_resources orphaned;
+	bool has_unknown_run;
 	struct wp_resources reserved;
 	struct wp_resources gang_reserved;
 	uint32_t reserved_members;
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -31,16 +31,16 @@
 	to->gpu += sign * n->gpu;
 }
 
+/* An unknown run may take all that a worker has, however much that is. */
 struct wp_resources
 wp_free_resources(const struct wp_worker *w)
 {
-	struct wp_resources left = {
-	    .cpu_mcpu =
-		w->capacity.cpu_mcpu - w->used.cpu_mcpu - w->orphaned.cpu_mcpu,
-	    .mem_mb = w->capacity.mem_mb - w->used.mem_mb - w->orphaned.mem_mb,
-	    .gpu = w->capacity.gpu - w->used.gpu - w->orphaned.gpu,
-	};
+	struct wp_resources left = {0};
 
+	if (!w->has_unknown_run)
+		left = w->capacity;
+	wp_resources_add(&left, &w->used, -1);
+	wp_resources_add(&left, &w->orphaned, -1);
 	return left;
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -168,6 +168,13 @@
 	return w->listed || w->tasks != NULL || now_us < wp_lease_expiry_us(w);
 }
 
+static void
+wp_forget_orphans(struct wp_worker *w)
+{
+	memset(&w->orphaned, 0, sizeof(w->orphaned));
+	w->has_unknown_run = false;
+}
+
 /*
  * All runs of the earlier incarnation have ended. A start order in flight may
  * still reach the new one, whose clock started anew, so that it can't tell that
@@ -198,7 +205,7 @@
 	w->quarantined_until_us = 0;
 	w->earlier_owner_until_us = 0;
 	w->evacuating = false;
-	memset(&w->orphaned, 0, sizeof(w->orphaned));
+	wp_forget_orphans(w);
 }
 
 static bool
@@ -426,12 +433,14 @@
 wp_handle_orphan(struct wp_pool *p, struct wp_worker *w,
     const struct wp_task *t, const struct wp_running_task *report)
 {
-	/* Its resources are unknown: assume that it takes them all. */
-	struct wp_resources need = w->capacity;
+	struct wp_resources need;
 
-	if (t != NULL)
+	if (t != NULL) {
 		need = wp_task_resources(t->step->spec);
-	wp_resources_add(&w->orphaned, &need, 1);
+		wp_resources_add(&w->orphaned, &need, 1);
+	} else {
+		w->has_unknown_run = true;
+	}
 	if (t != NULL && wp_is_spare_copy(t, report->run))
 		return;
 	wp_queue_order(p, WP_ORDER_STOP, w, &report->ref, report->run);
@@ -451,7 +460,7 @@
 {
 	uint32_t i;
 
-	memset(&w->orphaned, 0, sizeof(w->orphaned));
+	wp_forget_orphans(w);
 	for (i = 0; i < reply->running_count; i++) {
 		const struct wp_running_task *report = &reply->running[i];
 		struct wp_task *t = wp_find_task(p, &report->ref);
@@ -693,7 +702,7 @@
 		p->stats.displaced++;
 		wp_task_requeue(t, now_us);
 	}
-	memset(&w->orphaned, 0, sizeof(w->orphaned));
+	wp_forget_orphans(w);
 	w->earlier_owner_until_us = 0;
 }
 
--- a/tests/unit/test_capacity.cc
+++ b/tests/unit/test_capacity.cc
@@ -177,4 +177,19 @@
 	EXPECT_EQ(count(run_all(10 * kMs)), 2U);
 }
 
+TEST_F(Capacity, UnknownRunTakesAllOfAWorkerThatGrows)
+{
+	struct wp_worker_info grown = {"w-1", "127.0.0.1:1", "a", "kind",
+	    "rack", {4000, 4000, 0}, false, 0};
+
+	add_worker("w-1", 1000);
+	renew_lease("w-1", {{job_id(99), 0, 0, 1, 0}});
+	add(kJob, {{2, 1000}});
+	wp_set_worker(p, &grown, now);
+	EXPECT_FALSE(wp_is_worker_empty(wp_find_worker(p, "w-1")));
+	EXPECT_EQ(count(run_all()), 0U);
+	renew_lease("w-1");
+	EXPECT_EQ(count(run_all(200 * kMs)), 2U);
+}
+
 } // namespace
