pool: a worker that grows is used in the next pass

What callers saw: what a worker grew by stayed free for up to 100 ms.

Cause: a step that could not start looks at all workers again only then; before, it looks at those that became usable or that tasks have left.

Change: a worker that grows counts as one with resources freed.

Before: Capacity.GrownWorkerIsUsedAtOnce failed.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -113,6 +113,8 @@
 	snprintf(w->kind, sizeof(w->kind), "%s", info->kind);
 	snprintf(w->rack, sizeof(w->rack), "%s", info->rack);
 	snprintf(w->vm, sizeof(w->vm), "%s", info->vm != NULL ? info->vm : "");
+	if (!wp_resources_fit(&w->capacity, &info->capacity))
+		w->freed = true;
 	w->capacity = info->capacity;
 	w->listed_incarnation_ms = info->incarnation_ms;
 	w->capacity_until_ms = 0;
--- a/tests/unit/test_capacity.cc
+++ b/tests/unit/test_capacity.cc
@@ -192,4 +192,14 @@
 	EXPECT_EQ(count(run_all(200 * kMs)), 2U);
 }
 
+TEST_F(Capacity, GrownWorkerIsUsedAtOnce)
+{
+	add_worker("w-1", 1000);
+	run_tasks(kJob, 1);
+	add(kOther, {{1, 1000}});
+	EXPECT_EQ(count(run_all()), 0U);
+	resize("w-1", 2000);
+	EXPECT_EQ(count(run_all(kMs)), 1U);
+}
+
 } // namespace
