platform: a worker with a malformed number of accelerators is not used

What callers saw: an entry whose number of accelerators was negative or no number named a worker without accelerators, which received tasks.

Cause: the field fell back to 0. Cores and memory were checked.

Without the field a worker has none, as before.

Before: Decoders.MalformedWorkerEntryIsRejected failed with both.

--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -110,6 +110,9 @@
 	    R"({"service":"s","address":"a","zone":"z","state":"ready","capacity":{"cpu":"1","mem_mb":1}})",
 	    R"({"service":"s","address":"a","zone":"z","state":"ready","capacity":[1]})",
 	    R"({"service":"s","address":"a","zone":"z","state":"ready","capacity":{"cpu":-1,"mem_mb":1}})",
+	    R"({"service":"s","address":"a","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1,"gpu":-1}})",
+	    R"({"service":"s","address":"a","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1,"gpu":"1"}})",
+	    R"({"service":"s","address":"a","zone":"z","state":"ready"})",
 	};
 
 	for (const std::string &text : bad)
