pool: workers that shrink are counted and logged

What operators saw: nothing told that a worker had shrunk, that its tasks took more than it has, or that it was not used since its report was too old.

Change: event worker_capacity when an entry changes a worker's capacity; two counts in the pool's state line and metrics, overfull and outdated.

Nothing on a worker is stopped only since it has shrunk. Considered: moving tasks with checkpoints until the rest fits. A move costs the work since the last checkpoint and the restore for sure; the shrink may be over in a moment, and a worker that is too full need not be slow. Tasks that do get slow or stand still are moved already, and more urgent tasks preempt until they fit. Long-running tasks stay: their steps allow only a few to be away. The new tests fix what holds: nothing starts until it fits, runs being stopped and adopted runs count, a gang planned on the earlier capacity waits, a worker without accelerators left receives nothing that needs none either while it is too full.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -505,6 +505,8 @@
 	    "currant_pool_tasks_held{pool=\"%s\"} %u\n"
 	    "currant_pool_tasks_late{pool=\"%s\"} %u\n"
 	    "currant_pool_workers_usable{pool=\"%s\"} %u\n"
+	    "currant_pool_workers_overfull{pool=\"%s\"} %u\n"
+	    "currant_pool_workers_outdated{pool=\"%s\"} %u\n"
 	    "currant_pool_cpu_percent{pool=\"%s\"} %u\n"
 	    "currant_pool_gpu_percent{pool=\"%s\"} %u\n"
 	    "currant_pool_starts_total{pool=\"%s\"} %llu\n"
@@ -512,8 +514,9 @@
 	    "currant_pool_asks_total{pool=\"%s\"} %llu\n",
 	    h->name, (unsigned long long)h->fence, h->name, n.jobs, h->name,
 	    n.waiting, h->name, n.running, h->name, n.held, h->name, n.late,
-	    h->name, n.usable, h->name, n.cpu_percent, h->name, n.gpu_percent,
-	    h->name, (unsigned long long)s->starts, h->name,
+	    h->name, n.usable, h->name, n.overfull, h->name, n.outdated,
+	    h->name, n.cpu_percent, h->name, n.gpu_percent, h->name,
+	    (unsigned long long)s->starts, h->name,
 	    (unsigned long long)s->displaced, h->name,
 	    (unsigned long long)s->advice_requests);
 }
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -203,7 +203,8 @@
 	    lg_i64(n.jobs), "waiting", lg_i64(n.waiting), "running",
 	    lg_i64(n.running), "held", lg_i64(n.held), "usable",
 	    lg_i64(n.usable), "unfenced", lg_i64(n.unfenced), "late",
-	    lg_i64(n.late), "asking", lg_i64(n.asking), "cpu_percent",
+	    lg_i64(n.late), "asking", lg_i64(n.asking), "overfull",
+	    lg_i64(n.overfull), "outdated", lg_i64(n.outdated), "cpu_percent",
 	    lg_i64(n.cpu_percent), "gpu_percent", lg_i64(n.gpu_percent),
 	    "commit", h->commit != NULL ? "1" : "0", "confirmed_ms",
 	    lg_i64((now_us - h->lease_confirmed_us) / CLK_US_PER_MS), NULL);
@@ -332,6 +333,30 @@
 	cp_schedule_pass(h);
 }
 
+/* Its capacity is about to change while it runs, or with a new life. */
+static void
+cp_log_capacity(struct cp_host *h, const struct wp_worker_info *info)
+{
+	const struct wp_worker *w = wp_find_worker(h->pool, info->id);
+	const struct wp_resources *now = &info->capacity;
+
+	if (w == NULL || !w->listed ||
+	    memcmp(&w->capacity, now, sizeof(*now)) == 0)
+		return;
+	lg_event(LG_INFO, "pool", "worker_capacity", "pool", h->name, "worker",
+	    w->id, "cpu_mcpu", lg_i64(now->cpu_mcpu), "mem_mb",
+	    lg_i64(now->mem_mb), "gpu", lg_i64(now->gpu), "used_cpu_mcpu",
+	    lg_i64(w->used.cpu_mcpu), "used_mem_mb", lg_i64(w->used.mem_mb),
+	    "used_gpu", lg_i64(w->used.gpu), NULL);
+}
+
+static void
+cp_set_worker(struct cp_host *h, const struct rp_worker *w, int64_t now_us)
+{
+	cp_log_capacity(h, &w->info);
+	wp_set_worker(h->pool, &w->info, now_us);
+}
+
 void
 cp_on_worker(struct cell *c, const struct rp_worker *w)
 {
@@ -343,7 +368,7 @@
 		if (h->pool == NULL)
 			continue;
 		if (w->unlisted_us == 0 && strcmp(w->pool, h->name) == 0)
-			wp_set_worker(h->pool, &w->info, now_us);
+			cp_set_worker(h, w, now_us);
 		else if (wp_find_worker(h->pool, w->id) != NULL)
 			wp_unlist_worker(h->pool, w->id);
 		else
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -615,6 +615,8 @@
  * @gpu_percent: share of their accelerators that is taken
  * @late: waiting tasks of ready steps that will miss their objective
  * @asking: steps with an advice request in flight
+ * @overfull: usable workers whose tasks take more than their capacity
+ * @outdated: workers not used since their capacity was reported too long ago
  */
 struct wp_counts {
 	uint32_t jobs;
@@ -627,6 +629,8 @@
 	uint32_t gpu_percent;
 	uint32_t late;
 	uint32_t asking;
+	uint32_t overfull;
+	uint32_t outdated;
 };
 
 /**
--- a/state/pool.c
+++ b/state/pool.c
@@ -360,8 +360,10 @@
 	HASH_ITER(hh, p->workers, w, wnext) {
 		n->usable += wp_is_usable(w, now_us);
 		n->unfenced += !w->token_accepted;
+		n->outdated += w->listed && !wp_knows_capacity(w, now_us);
 		if (!wp_is_usable(w, now_us))
 			continue;
+		n->overfull += wp_is_overfull(w);
 		wp_resources_add(&all, &w->capacity, 1);
 		wp_resources_add(&used, &w->used, 1);
 	}
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -665,6 +665,7 @@
 		resize(w, 4000);
 	wait_completed(1, 0, 16);
 	EXPECT_EQ(reported("started"), 128);
+	EXPECT_TRUE(owner_logged("event=worker_capacity"));
 	expect_no_violations();
 }
 
--- a/tests/unit/test_capacity.cc
+++ b/tests/unit/test_capacity.cc
@@ -61,6 +61,129 @@
 	}
 };
 
+TEST_F(Capacity, ShrunkWorkerReceivesNoTasksUntilItsRunsHaveLeft)
+{
+	add_worker("w-1");
+	run_tasks(kJob, 4);
+	add(kOther, {{4, 1000}});
+	resize("w-1", 2000);
+	now += kS;
+	/* Two have ended: the others take all that is left. */
+	renew_lease("w-1", running(kJob, 2, 4),
+	    {{1, kJob, 0, 0, 1, WP_END_DONE}, {2, kJob, 0, 1, 1, WP_END_DONE}});
+	EXPECT_EQ(count(run_all(200 * kMs)), 0U);
+	renew_lease(
+	    "w-1", running(kJob, 3, 4), {{3, kJob, 0, 2, 1, WP_END_DONE}});
+	EXPECT_EQ(count(run_all(200 * kMs)), 1U);
+}
+
+TEST_F(Capacity, RunsOfAnOverfullWorkerAreNotStopped)
+{
+	struct wp_counts n;
+
+	add_worker("w-1");
+	run_tasks(kJob, 4);
+	resize("w-1", 0);
+	for (int i = 0; i < 20; i++) {
+		EXPECT_TRUE(tick(50 * kMs).empty());
+		renew_lease("w-1", running(kJob, 0, 4));
+	}
+	wp_get_counts(p, now, &n);
+	EXPECT_EQ(n.overfull, 1U);
+	EXPECT_EQ(task(kJob, 0, 3)->state, WP_TASK_RUNNING);
+}
+
+TEST_F(Capacity, WorkerWithoutAcceleratorsLeftReceivesNoTasks)
+{
+	list_worker("w-1", 8000, false, 4);
+	renew_lease("w-1");
+	commit();
+	add(kJob, {{2, 1000, 0, {}, 2}});
+	EXPECT_EQ(count(run_all()), 2U);
+	renew_lease("w-1", running(kJob, 0, 2));
+	resize("w-1", 8000, 0);
+	add(kOther, {{1, 1000, 0, {}, 1}});
+	add(job_id(3), {{1, 1000}});
+	EXPECT_EQ(count(run_all(200 * kMs)), 0U);
+	/* Once they have left, it may run what needs none. */
+	renew_lease("w-1", {},
+	    {{1, kJob, 0, 0, 1, WP_END_DONE}, {2, kJob, 0, 1, 1, WP_END_DONE}});
+	std::vector<struct wp_order *> orders = run_all(200 * kMs);
+	ASSERT_EQ(count(orders), 1U);
+	EXPECT_EQ(std::string(orders[0]->ref.job), job_id(3));
+}
+
+TEST_F(Capacity, StoppedRunsOfAShrunkWorkerCountUntilTheyHaveEnded)
+{
+	add_worker("w-1");
+	run_tasks(kJob, 4);
+	add(kOther, {{4, 1000}});
+	resize("w-1", 4000);
+	wp_cancel_job(p, wp_find_job(p, kJob.c_str()), now);
+	resize("w-1", 3000);
+	EXPECT_EQ(count(run_all(200 * kMs)), 0U);
+	renew_lease("w-1", running(kJob, 2, 4),
+	    {{1, kJob, 0, 0, 1, WP_END_STOPPED},
+		{2, kJob, 0, 1, 1, WP_END_STOPPED}});
+	EXPECT_EQ(count(run_all(200 * kMs)), 1U);
+}
+
+TEST_F(Capacity, GangPlannedOnTheEarlierCapacityDoesNotStart)
+{
+	add_worker("w-1");
+	list_worker("w-2");
+	renew_lease("w-2");
+	commit();
+	run_tasks(kJob, 1);
+	add(kOther, {{2, 4000, JB_GANG}});
+	EXPECT_EQ(count(run_all(200 * kMs)), 0U);
+	resize("w-2", 3000);
+	renew_lease("w-1", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(count(run_all(200 * kMs)), 0U);
+	resize("w-2", 4000);
+	EXPECT_EQ(count(run_all(200 * kMs)), 2U);
+}
+
+TEST_F(Capacity, UrgentTaskPreemptsOnAnOverfullWorkerUntilItFits)
+{
+	struct jb_spec *low = spec(kJob, {{4, 1000, JB_CHECKPOINTS}});
+
+	low->policy.priority = 1;
+	add_worker("w-1");
+	wp_add_job(p, low, nullptr, true, 0, now);
+	run_all();
+	renew_lease("w-1", running(kJob, 0, 4));
+	now += kS;
+	renew_lease("w-1", running(kJob, 0, 4));
+	resize("w-1", 2000);
+	add(kOther, {{1, 1000}});
+	std::vector<struct wp_order *> orders = run_all();
+	EXPECT_EQ(count(orders), 0U);
+	EXPECT_EQ(count(orders, WP_ORDER_STOP), 3U);
+	now += 100 * kMs;
+	renew_lease("w-1", running(kJob, 2, 4),
+	    {{1, kJob, 0, 0, 1, WP_END_STOPPED},
+		{2, kJob, 0, 1, 1, WP_END_STOPPED}});
+	EXPECT_EQ(count(run_all(200 * kMs)), 0U);
+	renew_lease(
+	    "w-1", running(kJob, 3, 4), {{3, kJob, 0, 2, 1, WP_END_STOPPED}});
+	EXPECT_EQ(count(run_all(200 * kMs)), 1U);
+}
+
+TEST_F(Capacity, NextOwnerCountsAdoptedRunsAgainstTheShrunkCapacity)
+{
+	talloc_free(p);
+	create_pool(1, kStart + 10 * kS);
+	add(kJob, {{4, 1000}}, nullptr, false);
+	list_worker("w-1", 2000);
+	commit();
+	add(kOther, {{4, 1000}});
+	EXPECT_EQ(count(run_all()), 0U);
+	renew_lease("w-1", running(kJob, 0, 4));
+	EXPECT_EQ(count(run_all(200 * kMs)), 0U);
+	EXPECT_EQ(wp_find_worker(p, "w-1")->used.cpu_mcpu, 4000);
+}
+
 TEST_F(Capacity, RestartedWorkerReceivesNothingOnTheEntryOfItsEarlierLife)
 {
 	add_worker("w-1");
@@ -85,6 +208,8 @@
 
 TEST_F(Capacity, NothingStartsOnACapacityThatWasReportedTooLongAgo)
 {
+	struct wp_counts n;
+
 	p->capacity_valid_ms = 4200;
 	add_worker("w-1");
 	resize("w-1", 4000, 0, 1, clock_of("w-1"));
@@ -93,6 +218,8 @@
 	now += 4 * kS;
 	renew_lease("w-1", {{kJob, 0, 0, 1, 0, 40}, {kJob, 0, 1, 1, 0, 40}});
 	EXPECT_EQ(count(run_all()), 0U);
+	wp_get_counts(p, now, &n);
+	EXPECT_EQ(n.outdated, 1U);
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
 	resize("w-1", 3000, 0, 1, clock_of("w-1") - 1500);
 	EXPECT_EQ(count(run_all(10 * kMs)), 1U);
