soak: workers that shrink and grow among the random faults

Workers that are full all the while shrink, grow, start again with another size, can't reach the store, and the store is down for everybody, among the faults of the soak test.

Seeds 2 and 3 are played by default. The schedules of the other test's seeds are as before.

--- a/tests/soak/test_soak.cc
+++ b/tests/soak/test_soak.cc
@@ -10,7 +10,8 @@
  * The programs of a cell as separate processes under a seeded schedule of
  * faults from outside: signals, links that are cut or fall silent, a store that
  * loses, delays and refuses, workers that vanish and are born anew, orders that
- * are carried out late. It checks what callers and workers see.
+ * are carried out late, that shrink and grow. It checks what callers and workers
+ * see.
  *
  * SOAK_SEEDS="FIRST-LAST" plays other seeds than the fixed ones, SOAK_SECONDS
  * sets how long the faults of each last, SOAK_DAEMONS how many daemons there are.
@@ -20,6 +21,7 @@
 {
 
 constexpr uint32_t kWorkers = 8;
+constexpr int kCores = 4;
 constexpr const char *kHost = "cell.example";
 constexpr int64_t kSettleMs = 45000;
 constexpr int64_t kStaleMs = 4000;
@@ -73,11 +75,13 @@
 		char name[] = "/tmp/currant-soak-XXXXXX";
 
 		random.seed((unsigned)GetParam());
+		sizes.seed((unsigned)GetParam());
 		dir = mkdtemp(name);
-		platform = std::make_unique<Process>(
-		    "tests/standins/standin-platform",
-		    std::vector<std::string>{std::to_string(kWorkers), "4000"},
-		    dir + "/platform.log");
+		platform =
+		    std::make_unique<Process>("tests/standins/standin-platform",
+			std::vector<std::string>{std::to_string(kWorkers),
+			    std::to_string(1000 * kCores)},
+			dir + "/platform.log");
 		control = "http://" + platform->addresses[2];
 		for (int i = 0; i < number_from("SOAK_DAEMONS", 4); i++)
 			add_node(i);
@@ -314,6 +318,41 @@
 		}
 	}
 
+	void
+	resize(uint32_t worker, int cores, bool reborn)
+	{
+		http("POST", control + "/_size",
+		    "{\"worker\":" + std::to_string(worker) +
+			",\"cpu\":" + std::to_string(1000 * cores) +
+			",\"reborn\":" + (reborn ? "true}" : "false}"));
+	}
+
+	void
+	play_sizes()
+	{
+		uint32_t worker = (uint32_t)sizes() % kWorkers;
+		int cores = (int)(sizes() % (kCores + 1));
+		unsigned choice = (unsigned)sizes() % 40;
+
+		if (now_ms() < next_size_ms)
+			return;
+		next_size_ms = now_ms() + 50 + (int64_t)(sizes() % 400);
+		if (choice == 0)
+			http("POST", control + "/_fault",
+			    "{\"target\":\"store\",\"path\":\"\","
+			    "\"kind\":\"down\",\"for_ms\":" +
+				std::to_string(1000 + sizes() % 6000) + "}");
+		else if (choice < 4)
+			resize(worker, cores, true);
+		else if (choice < 10)
+			http("POST", control + "/_worker",
+			    "{\"worker\":" + std::to_string(worker) +
+				",\"off\":false,\"mute\":" +
+				(choice < 7 ? "true}" : "false}"));
+		else
+			resize(worker, cores, false);
+	}
+
 	void
 	play_faults()
 	{
@@ -336,10 +375,12 @@
 	heal_all()
 	{
 		http("POST", control + "/_clear", "");
-		for (uint32_t i = 0; i < kWorkers; i++)
+		for (uint32_t i = 0; i < kWorkers; i++) {
 			http("POST", control + "/_worker",
 			    "{\"worker\":" + std::to_string(i) +
 				",\"off\":false}");
+			resize(i, kCores, false);
+		}
 		for (Node &n : nodes)
 			heal(n);
 	}
@@ -381,6 +422,7 @@
 	}
 
 	std::mt19937 random;
+	std::mt19937 sizes; /* so that the other seeds keep their schedules */
 	std::string dir;
 	std::unique_ptr<Process> platform;
 	std::string control;
@@ -388,6 +430,7 @@
 	std::vector<Sent> jobs;
 	int version = 0;
 	int64_t next_fault_ms = 0;
+	int64_t next_size_ms = 0;
 };
 
 TEST_P(Soak, PromisesHold)
@@ -418,6 +461,61 @@
 		  << " starts\n";
 }
 
+class SoakOfSizes : public Soak
+{
+      protected:
+	/* More than the workers can do in the time, so that they are full. */
+	void
+	fill_workers()
+	{
+		char id[32];
+
+		for (int n = 0; n < 16; n++) {
+			snprintf(id, sizeof(id), "%016x", n);
+			call("POST", id,
+			    "{\"spec\":\"" + std::to_string(300 + below(900)) +
+				" 1000\",\"steps\":[{\"count\":32,"
+				"\"cpu\":1000,\"mem_mb\":10,"
+				"\"estimate_ms\":700}]}");
+		}
+	}
+};
+
+TEST_P(SoakOfSizes, NoWorkerIsOverfilled)
+{
+	int64_t until_ms = now_ms() + 1000 * number_from("SOAK_SECONDS", 12);
+
+	fill_workers();
+	while (now_ms() < until_ms && !HasFailure()) {
+		if (below(4) == 0)
+			play_faults();
+		play_sizes();
+		usleep(kPauseUs);
+	}
+	heal_all();
+	EXPECT_TRUE(eventually([&] { return seen("done") > 100; }, kSettleMs));
+	EXPECT_EQ(seen("twice"), 0);
+	EXPECT_EQ(seen("again"), 0);
+	EXPECT_EQ(seen("over"), 0);
+	std::cout << "seed " << GetParam() << ": " << seen("started")
+		  << " starts\n";
+}
+
+std::vector<int>
+seeds_or(std::vector<int> list)
+{
+	const char *text = getenv("SOAK_SEEDS");
+	int first = 0;
+	int last = -1;
+
+	if (text == nullptr || sscanf(text, "%d-%d", &first, &last) != 2)
+		return list;
+	list.clear();
+	for (int seed = first; seed <= last; seed++)
+		list.push_back(seed);
+	return list;
+}
+
 /*
  * Seeds that ever failed, with their cause.
  * 1: a daemon without the store showed a state that was no longer true; a late
@@ -431,19 +529,16 @@
 std::vector<int>
 seeds()
 {
-	const char *text = getenv("SOAK_SEEDS");
-	std::vector<int> list = {1, 6, 308, 309, 404};
-	int first = 0;
-	int last = -1;
+	return seeds_or({1, 6, 308, 309, 404});
+}
 
-	if (text == nullptr || sscanf(text, "%d-%d", &first, &last) != 2)
-		return list;
-	list.clear();
-	for (int seed = first; seed <= last; seed++)
-		list.push_back(seed);
-	return list;
+std::vector<int>
+size_seeds()
+{
+	return seeds_or({2, 3});
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Soak, testing::ValuesIn(seeds()));
+INSTANTIATE_TEST_SUITE_P(Seeds, SoakOfSizes, testing::ValuesIn(size_seeds()));
 
 } // namespace
