pool: a worker that is too full does not hide what is free elsewhere

What callers saw: steps that need advice asked for none while workers with free cores were there, because others had shrunk below what ran on them.

Cause: the sum of free resources counted what those have too little of as negative, so it could be used up by one large worker.

Change: such a worker adds nothing to the sum, and nothing to what is idle for gangs.

Before: Capacity.OverfullWorkerDoesNotHideWhatIsFreeElsewhere failed.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -41,6 +41,8 @@
 /** wp_resources_add() - add resources, or subtract them with a @sign of -1 */
 void wp_resources_add(
     struct wp_resources *to, const struct wp_resources *n, int sign);
+/** wp_resources_clip() - what a worker has too little of counts as none left */
+void wp_resources_clip(struct wp_resources *n);
 /** wp_resources_fit() - whether resources cover a need */
 bool wp_resources_fit(
     const struct wp_resources *available, const struct wp_resources *need);
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -328,6 +328,7 @@
 		if (!wp_is_usable(w, now_us))
 			continue;
 		left = wp_free_resources(w);
+		wp_resources_clip(&left);
 		idle = wp_idle_reserved(w);
 		wp_resources_add(&expected, &left, 1);
 		wp_resources_add(&expected, &idle, -1);
--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -106,6 +106,7 @@
 	struct wp_resources left = wp_free_resources(w);
 	struct wp_resources idle = w->gang_reserved;
 
+	wp_resources_clip(&left);
 	if (idle.cpu_mcpu > left.cpu_mcpu)
 		idle.cpu_mcpu = left.cpu_mcpu;
 	if (idle.mem_mb > left.mem_mb)
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -31,6 +31,20 @@
 	to->gpu += sign * n->gpu;
 }
 
+static int64_t
+wp_not_negative(int64_t n)
+{
+	return n > 0 ? n : 0;
+}
+
+void
+wp_resources_clip(struct wp_resources *n)
+{
+	n->cpu_mcpu = wp_not_negative(n->cpu_mcpu);
+	n->mem_mb = wp_not_negative(n->mem_mb);
+	n->gpu = wp_not_negative(n->gpu);
+}
+
 /* An unknown run may take all that a worker has, however much that is. */
 struct wp_resources
 wp_free_resources(const struct wp_worker *w)
--- a/tests/unit/test_capacity.cc
+++ b/tests/unit/test_capacity.cc
@@ -319,6 +319,19 @@
 	EXPECT_EQ(count(run_all(200 * kMs)), 2U);
 }
 
+TEST_F(Capacity, OverfullWorkerDoesNotHideWhatIsFreeElsewhere)
+{
+	struct wp_advice_request request;
+
+	add_worker("w-1", 8000);
+	run_tasks(kJob, 8);
+	add_worker("w-2");
+	resize("w-1", 0);
+	add(kOther, {{4, 1000}}, nullptr, true, 2000);
+	tick(200 * kMs);
+	EXPECT_TRUE(wp_next_advice_request(p, now, &request));
+}
+
 TEST_F(Capacity, GrownWorkerIsUsedAtOnce)
 {
 	add_worker("w-1", 1000);
