pool: a stop is repeated although the start before it has no answer

What callers saw: a task that was stopped while its start was in flight stayed "stopping" for good when the worker did not take the stop (it was unhealthy, or the answer was lost). A gang with such a member never started again, a cancelled job never ended, and the resources stayed taken, until the worker went away.

Cause: an order in flight keeps the pool from repeating one. The result of a start is only noted while the task is starting, so after the stop nothing cleared that mark.

Ruled out: the worker's lists, which do not show the run. A stopped run counts until the worker has taken the stop, since its start may arrive later.

Change: stopping a task forgets the start in flight.

Before: Pool.StopIsRepeatedUntilAWorkerTakesIt failed.

--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -271,6 +271,8 @@
 	struct jb_ref ref;
 
 	t->state = WP_TASK_STOPPING;
+	/* The result of a start in flight no longer matters. */
+	t->order_in_flight = false;
 	t->stopped_clock_ms = 0;
 	t->resend_at_us = now_us + WP_RESEND_DELAY_US;
 	wp_task_ref(t, &ref);
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1385,4 +1385,27 @@
 	EXPECT_TRUE(tick().empty());
 }
 
+/* Its start was in flight when it was stopped. */
+TEST_F(Pool, StopIsRepeatedUntilAWorkerTakesIt)
+{
+	create_pool();
+	add_worker("w-1");
+	struct wp_job *job = add(kJob, {{1, 1000}});
+	std::vector<struct wp_order *> start = tick();
+
+	ASSERT_EQ(start.size(), 1U);
+	wp_cancel_job(p, job, now);
+	std::vector<struct wp_order *> stop = tick();
+	ASSERT_EQ(stop.size(), 1U);
+	answer(start[0], WP_NO_ANSWER);
+	answer(stop[0], WP_REFUSED_UNHEALTHY);
+	stop = tick(500 * kMs);
+	ASSERT_EQ(stop.size(), 1U);
+	EXPECT_EQ(stop[0]->kind, WP_ORDER_STOP);
+	answer(stop[0]);
+	now += 100 * kMs;
+	renew_lease("w-1");
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_CANCELLED);
+}
+
 } // namespace
