pool: a worker that has restarted may have the longest lease

What callers saw: two runs of a task. A worker restarted, was given a task, and could not be reached some seconds later. After 3 s the task started elsewhere, while its run there went on for up to 7 s more.

Cause: the first renewal that reaches a new life carries a deadline by the clock of the earlier one. The new clock starts anew, so that deadline is far ahead, and the worker shortens it to the longest lease that it grants (10 s). The owner took the lease to be the one it gave next.

Change: once a worker's lists show a new life, its lease is taken to last for the longest lease from then (max_lease_ms of the settings).

Before: Pool.RestartedWorkerMayHaveTheLongestLease failed.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -334,6 +334,7 @@
 	    .term = o->term - 1,
 	    .earlier_owner_until_us = h->earlier_owner_until_us,
 	    .capacity_valid_ms = cp_capacity_valid_ms(h->cell->settings),
+	    .max_lease_ms = h->cell->settings->max_lease_ms,
 	};
 
 	ct_add(CT_TAKEOVERS, 1);
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -668,6 +668,7 @@
  * @earlier_owner_until_us: until then earlier owners may act on workers
  * @capacity_valid_ms: how long a worker's report of its capacity can be relied
  *	on, on its clock; 0 for no limit
+ * @max_lease_ms: longest lease that workers grant
  * @end_seq: run ends read from workers so far
  * @commit_seq: run ends before this one are stored, or in the commit in flight
  * @reconciled: no worker can run a task that this owner does not know of
@@ -694,6 +695,7 @@
 	int64_t first_tick_us;
 	int64_t earlier_owner_until_us;
 	int64_t capacity_valid_ms;
+	int64_t max_lease_ms;
 	uint64_t end_seq;
 	uint64_t commit_seq;
 	bool reconciled;
@@ -709,11 +711,13 @@
  * @earlier_owner_until_us: until then an earlier owner may renew leases
  * @capacity_valid_ms: how long a worker's report of its capacity can be relied
  *	on, on its clock; 0 for no limit
+ * @max_lease_ms: longest lease that workers grant
  */
 struct wp_settings {
 	uint32_t term;
 	int64_t earlier_owner_until_us;
 	int64_t capacity_valid_ms;
+	int64_t max_lease_ms;
 };
 
 /**
--- a/state/pool.c
+++ b/state/pool.c
@@ -16,6 +16,7 @@
 	p->term = settings->term;
 	p->earlier_owner_until_us = settings->earlier_owner_until_us;
 	p->capacity_valid_ms = settings->capacity_valid_ms;
+	p->max_lease_ms = settings->max_lease_ms;
 	return p;
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -182,10 +182,13 @@
  * still reach the new one, whose clock started anew, so that it can't tell that
  * the deadline has passed. Once it has answered a stop, the run can't start
  * there any more.
+ *
+ * Deadlines by the clock of the earlier one are far ahead for the new one, which
+ * shortens them to the longest lease.
  */
 static void
 wp_worker_restarted(struct wp_pool *p, struct wp_worker *w,
-    int64_t incarnation_ms, int64_t now_us)
+    const struct wp_renewal_reply *reply, int64_t now_us)
 {
 	struct wp_task *t;
 	struct wp_task *tmp;
@@ -196,13 +199,13 @@
 		else
 			wp_task_stop(p, t, now_us);
 	}
-	w->incarnation_ms = incarnation_ms;
+	w->incarnation_ms = reply->incarnation_ms;
 	w->processed_end = 0;
 	w->unacked_count = 0;
 	w->acked_end = 0;
 	w->acked_sent = 0;
 	w->acked_confirmed = 0;
-	w->lease_end_clock_ms = 0;
+	w->lease_end_clock_ms = reply->clock_ms + p->max_lease_ms;
 	w->failures = 0;
 	w->quarantined_until_us = 0;
 	w->earlier_owner_until_us = 0;
@@ -560,7 +563,7 @@
 	w->token_accepted = true;
 	if (w->incarnation_ms != 0 &&
 	    w->incarnation_ms != reply->incarnation_ms)
-		wp_worker_restarted(p, w, reply->incarnation_ms, now_us);
+		wp_worker_restarted(p, w, reply, now_us);
 	w->incarnation_ms = reply->incarnation_ms;
 	wp_confirm_ack(w, reply);
 	w->clock_ms = reply->clock_ms;
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1408,4 +1408,24 @@
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_CANCELLED);
 }
 
+/* A renewal by the clock of its earlier life gives it the longest lease. */
+TEST_F(Pool, RestartedWorkerMayHaveTheLongestLease)
+{
+	create_pool();
+	p->max_lease_ms = 10000;
+	add_worker("w-1");
+	list_worker("w-2");
+	renew_lease("w-1", {}, {}, 2);
+	commit();
+	add(kJob, {{1, 1000}});
+	run_all();
+	renew_lease("w-1", {{kJob, 0, 0, 1, 0}}, {}, 2);
+	wp_on_renewal_failed(
+	    p, wp_find_worker(p, "w-1"), WP_NO_ANSWER, now + kMs);
+	tick(9 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	tick(2 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+}
+
 } // namespace
