pool: slots are counted as starts are decided on a worker that is too full

What callers saw: opportunistic steps that need advice waited for as long as a worker that had approved them was too full, although others had room.

Cause: slots were counted as if a task without need of cores fits however few are left, and a start is not allowed there. So the step seemed to have tickets enough and asked for none elsewhere.

Before: Capacity.NothingFitsOnAnOverfullWorker failed.

--- a/state/gang_plan.c
+++ b/state/gang_plan.c
@@ -28,11 +28,11 @@
 {
 	int64_t n;
 
+	if (available < 0)
+		return 0;
 	if (need <= 0)
 		return max;
 	n = available / need;
-	if (n < 0)
-		n = 0;
 	return n < max ? n : max;
 }
 
--- a/tests/unit/test_capacity.cc
+++ b/tests/unit/test_capacity.cc
@@ -1,5 +1,9 @@
 #include "pool_fixture.h"
 
+extern "C" {
+#include "state/gang_plan.h"
+}
+
 /*
  * Workers whose capacity shrinks and grows while they run: no start may exceed
  * it, whatever else happens meanwhile.
@@ -332,6 +336,16 @@
 	EXPECT_TRUE(wp_next_advice_request(p, now, &request));
 }
 
+/* What a task does not need must not be exceeded already either. */
+TEST_F(Capacity, NothingFitsOnAnOverfullWorker)
+{
+	struct wp_resources left = {-1000, 100, 0};
+	struct wp_resources memory = {0, 1, 0};
+
+	EXPECT_FALSE(wp_resources_fit(&left, &memory));
+	EXPECT_EQ(gp_fit_count(&left, &memory, 4), 0U);
+}
+
 TEST_F(Capacity, GrownWorkerIsUsedAtOnce)
 {
 	add_worker("w-1", 1000);
