pool: a gang asks further workers when those that approved it stay full

What callers saw: a gang that needs advice waited for ever beside free workers. Enough workers had approved it, but they were full of tasks that run until they are cancelled, or had shrunk.

Cause: workers that approved a gang count as if they were empty, and while the advice service is busy no further ones are asked about.

Change: a gang that can't be planned on the workers that approved it asks about others, busy or not. Each worker is asked about once, so this ends.

Before: Gangs.FurtherWorkersAreAskedWhenTheApprovedOneStaysFull failed.

--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -423,7 +423,8 @@
 {
 	uint32_t slots = wp_approved_slots(p, s);
 
-	return slots < s->spec->count ||
+	/* Those that have approved it may stay full. */
+	return slots < s->spec->count || s->planned_us == INT64_MAX ||
 	    wp_wants_more_choice(p, s, slots, now_us);
 }
 
--- a/tests/unit/test_gangs.cc
+++ b/tests/unit/test_gangs.cc
@@ -152,6 +152,30 @@
 	EXPECT_EQ(run_all(100 * kMs).size(), 2U);
 }
 
+TEST_F(Gangs, FurtherWorkersAreAskedWhenTheApprovedOneStaysFull)
+{
+	struct wp_advice_request request;
+	struct wp_approval approval = {"w-1", "ticket"};
+
+	create_pool();
+	add_worker("w-1");
+	add_job(kOther, {1, 4000, JB_LONG_RUNNING}, 1000);
+	EXPECT_EQ(run_all().size(), 1U);
+	add_job(kJob, {1, 4000, JB_GANG}, 1000, 1, 2000);
+	tick(100 * kMs);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	now += 300 * kMs;
+	wp_on_advice(p, &request, true, &approval, 1, now, now);
+	/* The service is busy. */
+	p->approval_rates->queued_us = kS;
+	add_worker("w-2");
+	tick(100 * kMs);
+	now += 100 * kMs;
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	ASSERT_EQ(request.worker_count, 1U);
+	EXPECT_STREQ(request.worker[0], "w-2");
+}
+
 /*
  * Tickets of a gang expire while the workers that approve it are busy. Renewing
  * them over and over would delay the requests of other steps.
