merge: workers whose capacity shrinks and grows

Joining: the registry closes no worker that reports a run of an unknown job (it had been counted among the orphaned resources). A worker that has restarted is taken to have the longest lease also when its first reply was overdue.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -312,8 +312,11 @@
  * @rack: rack label
  * @vm: VM that it runs on; empty when unknown
  * @capacity: resources in all
+ * @capacity_until_ms: time on its clock after which its capacity may have shrunk
+ *	unnoticed; 0 for no limit
  * @incarnation_ms: when the worker process started, which identifies the
  *	incarnation; 0 before its first reply
+ * @listed_incarnation_ms: incarnation that its entry is about; 0 when unknown
  * @listed: service discovery lists it
  * @draining: service discovery says that it receives no new tasks
  * @evacuating: being emptied for maintenance
@@ -327,6 +330,7 @@
  * @close_at_us: it is not closed before
  * @used: resources of tasks that are or may be on it
  * @orphaned: resources of runs on it that belong to none of @tasks
+ * @has_unknown_run: it reports a run of a job that the pool does not know
  * @reserved: resources set aside for urgent tasks in the current pass
  * @gang_reserved: resources reserved for gangs, free or not
  * @reserved_members: members of gangs that they are reserved for
@@ -365,7 +369,9 @@
 	char rack[WP_NAME_BYTES];
 	char vm[WP_NAME_BYTES];
 	struct wp_resources capacity;
+	int64_t capacity_until_ms;
 	int64_t incarnation_ms;
+	int64_t listed_incarnation_ms;
 	bool listed;
 	bool draining;
 	bool evacuating;
@@ -380,6 +386,7 @@
 	int64_t close_at_us;
 	struct wp_resources used;
 	struct wp_resources orphaned;
+	bool has_unknown_run;
 	struct wp_resources reserved;
 	struct wp_resources gang_reserved;
 	uint32_t reserved_members;
@@ -545,6 +552,8 @@
  * @draining: it receives no new tasks
  * @remaining_ms: not used by the pool
  * @vm: VM that it runs on, or NULL when unknown
+ * @incarnation_ms: incarnation that this is about, or 0 when unknown
+ * @clock_ms: the worker's clock when it reported this, or 0 when unknown
  */
 struct wp_worker_info {
 	const char *id;
@@ -556,6 +565,8 @@
 	bool draining;
 	int64_t remaining_ms;
 	const char *vm;
+	int64_t incarnation_ms;
+	int64_t clock_ms;
 };
 
 /* Workers that one advice request may name. */
@@ -627,6 +638,8 @@
  * @late: waiting tasks of ready steps that will miss their objective
  * @asking: steps with an advice request in flight
  * @unreachable: workers whose last renewal was not answered
+ * @overfull: usable workers whose tasks take more than their capacity
+ * @outdated: workers not used since their capacity was reported too long ago
  */
 struct wp_counts {
 	uint32_t jobs;
@@ -640,6 +653,8 @@
 	uint32_t late;
 	uint32_t asking;
 	uint32_t unreachable;
+	uint32_t overfull;
+	uint32_t outdated;
 };
 
 /**
@@ -677,6 +692,9 @@
  * @starts_delayed: in the last pass, steps waited for @starts to be answered
  * @first_tick_us: time of the first tick; 0 before
  * @earlier_owner_until_us: until then earlier owners may act on workers
+ * @capacity_valid_ms: how long a worker's report of its capacity can be relied
+ *	on, on its clock; 0 for no limit
+ * @max_lease_ms: longest lease that workers grant
  * @end_seq: run ends read from workers so far
  * @commit_seq: run ends before this one are stored, or in the commit in flight
  * @reconciled: no worker can run a task that this owner does not know of
@@ -705,6 +723,8 @@
 	bool starts_delayed;
 	int64_t first_tick_us;
 	int64_t earlier_owner_until_us;
+	int64_t capacity_valid_ms;
+	int64_t max_lease_ms;
 	uint64_t end_seq;
 	uint64_t commit_seq;
 	bool reconciled;
@@ -719,10 +739,15 @@
  * struct wp_settings - settings of a pool
  * @term: counts the owners, so that run numbers of different owners differ
  * @earlier_owner_until_us: until then an earlier owner may renew leases
+ * @capacity_valid_ms: how long a worker's report of its capacity can be relied
+ *	on, on its clock; 0 for no limit
+ * @max_lease_ms: longest lease that workers grant
  */
 struct wp_settings {
 	uint32_t term;
 	int64_t earlier_owner_until_us;
+	int64_t capacity_valid_ms;
+	int64_t max_lease_ms;
 };
 
 /**
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -22,6 +22,8 @@
 #define WP_LEASE_US (3 * CLK_US_PER_S)
 /* A worker refuses a start order that arrives later. */
 #define WP_START_VALID_US (1500 * CLK_US_PER_MS)
+/* A start order has to arrive before the worker's capacity is out of date. */
+#define WP_START_MARGIN_MS 250
 /* A worker's clock may be slow by 2%. */
 #define WP_MIN_CLOCK_RATE_PER_MILLE 980
 #define WP_FULL_PACE 100
@@ -40,12 +42,17 @@
 /** wp_resources_add() - add resources, or subtract them with a @sign of -1 */
 void wp_resources_add(
     struct wp_resources *to, const struct wp_resources *n, int sign);
+/** wp_resources_clip() - what a worker has too little of counts as none left */
+void wp_resources_clip(struct wp_resources *n);
 /** wp_resources_fit() - whether resources cover a need */
 bool wp_resources_fit(
     const struct wp_resources *available, const struct wp_resources *need);
 /** wp_free_resources() - capacity that neither tasks nor orphaned runs take */
 struct wp_resources wp_free_resources(const struct wp_worker *w);
 
+/** wp_is_overfull() - whether its tasks take more than a worker's capacity */
+bool wp_is_overfull(const struct wp_worker *w);
+
 /** wp_task_ref() - fill in the reference that names a task */
 void wp_task_ref(const struct wp_task *t, struct jb_ref *ref);
 /** wp_find_task() - find a task by reference, or NULL */
@@ -195,6 +202,8 @@
 bool wp_is_suitable(const struct wp_step *s, const struct wp_worker *w);
 /** wp_is_usable() - whether a worker may receive new tasks now */
 bool wp_is_usable(const struct wp_worker *w, int64_t now_us);
+/** wp_knows_capacity() - whether a start may rely on a worker's capacity */
+bool wp_knows_capacity(const struct wp_worker *w, int64_t now_us);
 /** wp_usable_capacity() - resources of all workers that may receive tasks */
 struct wp_resources wp_usable_capacity(const struct wp_pool *p, int64_t now_us);
 /** wp_slots_left() - tasks that the step's limit per worker still allows */
--- a/state/pool.c
+++ b/state/pool.c
@@ -16,6 +16,8 @@
 	p->term = settings->term;
 	p->earlier_owner_until_us = settings->earlier_owner_until_us;
 	sw_init(&p->starts);
+	p->capacity_valid_ms = settings->capacity_valid_ms;
+	p->max_lease_ms = settings->max_lease_ms;
 	return p;
 }
 
@@ -361,8 +363,10 @@
 		n->usable += wp_is_usable(w, now_us);
 		n->unfenced += !w->token_accepted;
 		n->unreachable += w->unreachable_since_us != 0;
+		n->outdated += w->listed && !wp_knows_capacity(w, now_us);
 		if (!wp_is_usable(w, now_us))
 			continue;
+		n->overfull += wp_is_overfull(w);
 		wp_resources_add(&all, &w->capacity, 1);
 		wp_resources_add(&used, &w->used, 1);
 	}
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -328,6 +328,7 @@
 		if (!wp_is_usable(w, now_us))
 			continue;
 		left = wp_free_resources(w);
+		wp_resources_clip(&left);
 		idle = wp_idle_reserved(w);
 		wp_resources_add(&expected, &left, 1);
 		wp_resources_add(&expected, &idle, -1);
@@ -422,7 +423,8 @@
 {
 	uint32_t slots = wp_approved_slots(p, s);
 
-	return slots < s->spec->count ||
+	/* Those that have approved it may stay full. */
+	return slots < s->spec->count || s->planned_us == INT64_MAX ||
 	    wp_wants_more_choice(p, s, slots, now_us);
 }
 
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -31,16 +31,30 @@
 	to->gpu += sign * n->gpu;
 }
 
+static int64_t
+wp_not_negative(int64_t n)
+{
+	return n > 0 ? n : 0;
+}
+
+void
+wp_resources_clip(struct wp_resources *n)
+{
+	n->cpu_mcpu = wp_not_negative(n->cpu_mcpu);
+	n->mem_mb = wp_not_negative(n->mem_mb);
+	n->gpu = wp_not_negative(n->gpu);
+}
+
+/* An unknown run may take all that a worker has, however much that is. */
 struct wp_resources
 wp_free_resources(const struct wp_worker *w)
 {
-	struct wp_resources left = {
-	    .cpu_mcpu =
-		w->capacity.cpu_mcpu - w->used.cpu_mcpu - w->orphaned.cpu_mcpu,
-	    .mem_mb = w->capacity.mem_mb - w->used.mem_mb - w->orphaned.mem_mb,
-	    .gpu = w->capacity.gpu - w->used.gpu - w->orphaned.gpu,
-	};
+	struct wp_resources left = {0};
 
+	if (!w->has_unknown_run)
+		left = w->capacity;
+	wp_resources_add(&left, &w->used, -1);
+	wp_resources_add(&left, &w->orphaned, -1);
 	return left;
 }
 
@@ -52,6 +66,12 @@
 	    need->mem_mb <= available->mem_mb && need->gpu <= available->gpu;
 }
 
+bool
+wp_is_overfull(const struct wp_worker *w)
+{
+	return !wp_resources_fit(&w->capacity, &w->used);
+}
+
 void
 wp_task_ref(const struct wp_task *t, struct jb_ref *ref)
 {
@@ -142,6 +162,17 @@
 	t->stopped_clock_ms = 0;
 }
 
+/* A start is refused once the worker's capacity may have shrunk unnoticed. */
+static int64_t
+wp_start_deadline_ms(const struct wp_worker *w, int64_t now_us)
+{
+	int64_t until = wp_worker_clock_ms(w, now_us + WP_START_VALID_US);
+
+	if (w->capacity_until_ms != 0 && w->capacity_until_ms < until)
+		return w->capacity_until_ms;
+	return until;
+}
+
 void
 wp_task_send_start(
     struct wp_pool *p, struct wp_task *t, const char *ticket, int64_t now_us)
@@ -149,7 +180,7 @@
 	struct wp_worker *w = t->worker;
 	struct wp_order *o;
 	struct jb_ref ref;
-	int64_t until = wp_worker_clock_ms(w, now_us + WP_START_VALID_US);
+	int64_t until = wp_start_deadline_ms(w, now_us);
 
 	wp_task_ref(t, &ref);
 	o = wp_queue_order(p, WP_ORDER_START, w, &ref, t->run);
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -115,7 +115,13 @@
 	snprintf(w->kind, sizeof(w->kind), "%s", info->kind);
 	snprintf(w->rack, sizeof(w->rack), "%s", info->rack);
 	snprintf(w->vm, sizeof(w->vm), "%s", info->vm != NULL ? info->vm : "");
+	if (!wp_resources_fit(&w->capacity, &info->capacity))
+		w->freed = true;
 	w->capacity = info->capacity;
+	w->listed_incarnation_ms = info->incarnation_ms;
+	w->capacity_until_ms = 0;
+	if (p->capacity_valid_ms > 0 && info->clock_ms > 0)
+		w->capacity_until_ms = info->clock_ms + p->capacity_valid_ms;
 	if (!w->registered)
 		p->registry_dirty = true;
 	if (!w->listed)
@@ -167,15 +173,25 @@
 	return w->listed || w->tasks != NULL || now_us < wp_lease_expiry_us(w);
 }
 
+static void
+wp_forget_orphans(struct wp_worker *w)
+{
+	memset(&w->orphaned, 0, sizeof(w->orphaned));
+	w->has_unknown_run = false;
+}
+
 /*
  * All runs of the earlier incarnation have ended. A start order in flight may
  * still reach the new one, whose clock started anew, so that it can't tell that
  * the deadline has passed. Once it has answered a stop, the run can't start
  * there any more.
+ *
+ * Deadlines by the clock of the earlier one are far ahead for the new one, which
+ * shortens them to the longest lease.
  */
 static void
 wp_worker_restarted(struct wp_pool *p, struct wp_worker *w,
-    int64_t incarnation_ms, int64_t now_us)
+    const struct wp_renewal_reply *reply, int64_t now_us)
 {
 	struct wp_task *t;
 	struct wp_task *tmp;
@@ -186,19 +202,19 @@
 		else
 			wp_task_stop(p, t, now_us);
 	}
-	w->incarnation_ms = incarnation_ms;
+	w->incarnation_ms = reply->incarnation_ms;
 	w->processed_end = 0;
 	w->unacked_count = 0;
 	w->acked_end = 0;
 	w->acked_sent = 0;
 	w->acked_confirmed = 0;
-	w->lease_end_clock_ms = 0;
+	w->lease_end_clock_ms = reply->clock_ms + p->max_lease_ms;
 	w->lists_clock_ms = 0;
 	w->failures = 0;
 	w->quarantined_until_us = 0;
 	w->earlier_owner_until_us = 0;
 	w->evacuating = false;
-	memset(&w->orphaned, 0, sizeof(w->orphaned));
+	wp_forget_orphans(w);
 }
 
 static bool
@@ -426,12 +442,14 @@
 wp_handle_orphan(struct wp_pool *p, struct wp_worker *w,
     const struct wp_task *t, const struct wp_running_task *report)
 {
-	/* Its resources are unknown: assume that it takes them all. */
-	struct wp_resources need = w->capacity;
+	struct wp_resources need;
 
-	if (t != NULL)
+	if (t != NULL) {
 		need = wp_task_resources(t->step->spec);
-	wp_resources_add(&w->orphaned, &need, 1);
+		wp_resources_add(&w->orphaned, &need, 1);
+	} else {
+		w->has_unknown_run = true;
+	}
 	if (t != NULL && wp_is_spare_copy(t, report->run))
 		return;
 	wp_queue_order(p, WP_ORDER_STOP, w, &report->ref, report->run);
@@ -451,7 +469,7 @@
 {
 	uint32_t i;
 
-	memset(&w->orphaned, 0, sizeof(w->orphaned));
+	wp_forget_orphans(w);
 	for (i = 0; i < reply->running_count; i++) {
 		const struct wp_running_task *report = &reply->running[i];
 		struct wp_task *t = wp_find_task(p, &report->ref);
@@ -550,7 +568,7 @@
 	if (w->incarnation_ms == reply->incarnation_ms)
 		return;
 	if (w->incarnation_ms != 0)
-		wp_worker_restarted(p, w, reply->incarnation_ms, now_us);
+		wp_worker_restarted(p, w, reply, now_us);
 	w->incarnation_ms = reply->incarnation_ms;
 	wp_read_clock(w, reply->clock_ms, now_us);
 }
@@ -771,7 +789,7 @@
 		p->stats.displaced++;
 		wp_task_requeue(t, now_us);
 	}
-	memset(&w->orphaned, 0, sizeof(w->orphaned));
+	wp_forget_orphans(w);
 	w->earlier_owner_until_us = 0;
 }
 
@@ -797,6 +815,9 @@
 		wp_task_stop(p, t, now_us);
 		return;
 	}
+	/* The worker's next reports tell whether it has started. */
+	if (!wp_knows_capacity(t->worker, now_us) || wp_is_overfull(t->worker))
+		return;
 	wp_task_send_start(p, t,
 	    wp_needs_advice(t->step)
 		? wp_ticket_valid(t->step, t->worker, now_us)
