pool: workers that are lost one after the other are closed together

The registry names all workers, so it is large in a large pool. Each worker that became unreachable caused one to be stored: when a failure domain is partitioned, its workers are lost within a second or two, and the owner would store the whole list with each commit meanwhile.

A registry is stored only to close workers, or to empty their lists, at most every 0.5 s. Opening a worker, or registering one, is not delayed.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -670,6 +670,7 @@
  * @reserve_at_us: when gangs are planned next
  * @sample_waits_at_us: when to sample next what steps wait for
  * @registry_dirty: the stored registry of workers is out of date
+ * @close_at_us: no registry is stored before only to close workers
  * @stats: counts for metrics
  */
 struct wp_pool {
@@ -696,6 +697,7 @@
 	int64_t reserve_at_us;
 	int64_t sample_waits_at_us;
 	bool registry_dirty;
+	int64_t close_at_us;
 	struct wp_stats stats;
 };
 
--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -22,6 +22,8 @@
 #define WP_MAX_REGISTRY_TASKS 4096
 /* When the registry had no room for a worker's tasks. */
 #define WP_CLOSE_RETRY_US (CLK_US_PER_S)
+/* Between registries that are stored only to close workers. */
+#define WP_CLOSE_INTERVAL_US (500 * CLK_US_PER_MS)
 
 bool
 wp_is_holding(const struct wp_worker *w, int64_t now_us)
@@ -74,16 +76,24 @@
 		wp_count_tasks(w) <= WP_MAX_CLOSED_TASKS);
 }
 
+/* Its lease has expired, so its tasks no longer have to wait. */
+static bool
+wp_has_stale_list(const struct wp_worker *w, int64_t now_us)
+{
+	return w->closed && w->closed_task_count > 0 && w->tasks == NULL &&
+	    wp_knows_all_runs(w, now_us);
+}
+
 void
 wp_close_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
 {
+	bool may_close = wp_may_close(w, now_us);
+	bool opens = w->closed && !may_close;
+	bool closes = (!w->closed && may_close) || wp_has_stale_list(w, now_us);
+
 	if (!w->registered || now_us < w->close_at_us)
 		return;
-	if (w->closed != wp_may_close(w, now_us))
-		p->registry_dirty = true;
-	/* Its lease has expired, so its tasks no longer have to wait. */
-	if (w->closed && w->closed_task_count > 0 && w->tasks == NULL &&
-	    wp_knows_all_runs(w, now_us))
+	if (opens || (closes && now_us >= p->close_at_us))
 		p->registry_dirty = true;
 }
 
@@ -127,6 +137,7 @@
 	struct wp_worker *tmp;
 
 	p->registry_dirty = false;
+	p->close_at_us = now_us + WP_CLOSE_INTERVAL_US;
 	HASH_ITER(hh, p->workers, w, tmp) {
 		w->registering = wp_needs_registration(w, now_us);
 		/* The store may have it long before this owner knows. */
