pool: slow answers of single relays do not shrink the window of starts

Cause: a slow answer shrank the window in proportion to the orders in flight when its order was sent, even if these were few, and an answer that came late because a relay was cut off counted as overload. A few such answers set the window to its minimum of 16, several times within 3 s.

Change: an answer that is slow, or missing, is a sign of overload only if at least half of the window was in flight, and no order that was sent later was answered fast.

--- a/include/state/start_window.h
+++ b/include/state/start_window.h
@@ -18,12 +18,14 @@
  * struct sw_window - start orders in flight, and how many there may be
  * @limit: orders that may be in flight
  * @in_flight: orders without a result
- * @shrink_after_us: timeouts of orders sent before do not shrink it again
+ * @shrink_after_us: slow answers to orders sent before do not shrink it again
+ * @fast_since_us: when the newest order was sent that was answered fast
  */
 struct sw_window {
 	uint32_t limit;
 	uint32_t in_flight;
 	int64_t shrink_after_us;
+	int64_t fast_since_us;
 };
 
 /**
--- a/tests/unit/test_start_window.cc
+++ b/tests/unit/test_start_window.cc
@@ -106,6 +106,41 @@
 	EXPECT_LT(now - begin, 250 * kMs);
 }
 
+/* A relay that was cut off answered late, and hardly any task started. */
+TEST_F(StartWindow, SlowAnswersOfOneRelayDoNotDelayOthers)
+{
+	uint32_t limit;
+
+	for (int i = 0; i < 20; i++)
+		round(5 * kMs);
+	limit = win.limit;
+	for (int i = 0; i < 20; i++) {
+		struct sw_sent slow = sw_send(&win, now);
+
+		now += kMs;
+		round(5 * kMs);
+		now += 200 * kMs;
+		sw_on_answer(&win, &slow, now);
+	}
+	EXPECT_GE(win.limit, limit);
+}
+
+TEST_F(StartWindow, SlowAnswersToFewOrdersDoNotShrinkIt)
+{
+	uint32_t limit;
+
+	for (int i = 0; i < 20; i++)
+		round(5 * kMs);
+	limit = win.limit;
+	for (int i = 0; i < 50; i++) {
+		struct sw_sent sent = sw_send(&win, now);
+
+		now += 200 * kMs;
+		sw_on_answer(&win, &sent, now);
+	}
+	EXPECT_EQ(win.limit, limit);
+}
+
 TEST_F(StartWindow, FewFastAnswersDoNotOpenIt)
 {
 	uint32_t limit = win.limit;
