--- a/tests/unit/test_pool_schedule.cc
+++ b/tests/unit/test_pool_schedule.cc
@@ -801,6 +801,9 @@
 		if (e.second.job->spec->step[0].flags & JB_LONG_RUNNING)
 			cancel(e.second);
 	}
+	/* So that all that is left fits somewhere. */
+	for (auto &e : workers)
+		resize(e.second, kCores);
 	for (int64_t end = now + 30 * kS; now < end && !HasFailure();)
 		play_tick();
 	check_all_ended();
