pool: jobs whose tasks crash their workers are given up

What callers saw: a task that crashes each worker that starts it was started again without end; each start took a worker down for seconds, with the work of all tasks on it.

Cause: nothing was known of a crash but that the worker had a new incarnation; its tasks were requeued.

Change: when a worker falls silent or returns with another incarnation, the runs that it had just started are remembered at their tasks (worker, incarnation, weight as evidence), and stored with the job's progress. A crash is certain once that incarnation has ended, if the worker had confirmed the start; a worker that is silent or refuses connections may be partitioned. A job fails after two certain crashes under one of its tasks that tell enough against it, or four; one, or crashes that are part of an outage, are not enough. With two suspected crashes a task waits until they are known, and does not start before they are stored; it is never started with five. A suspected task starts beside nothing that has just started, where its crash costs the fewest tasks, and nothing starts beside it until it has lived for 0.5 s; siblings wait until one has lived, and do not count when resources for advice are planned. Steps with suspected tasks go first. A run that lives for 2 s clears its task.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -509,13 +509,17 @@
 	    "currant_pool_gpu_percent{pool=\"%s\"} %u\n"
 	    "currant_pool_starts_total{pool=\"%s\"} %llu\n"
 	    "currant_pool_displaced_total{pool=\"%s\"} %llu\n"
-	    "currant_pool_asks_total{pool=\"%s\"} %llu\n",
+	    "currant_pool_asks_total{pool=\"%s\"} %llu\n"
+	    "currant_pool_task_crashes_total{pool=\"%s\"} %llu\n"
+	    "currant_pool_given_up_total{pool=\"%s\"} %llu\n",
 	    h->name, (unsigned long long)h->fence, h->name, n.jobs, h->name,
 	    n.waiting, h->name, n.running, h->name, n.held, h->name, n.late,
 	    h->name, n.usable, h->name, n.cpu_percent, h->name, n.gpu_percent,
 	    h->name, (unsigned long long)s->starts, h->name,
 	    (unsigned long long)s->displaced, h->name,
-	    (unsigned long long)s->advice_requests);
+	    (unsigned long long)s->advice_requests, h->name,
+	    (unsigned long long)s->crashes, h->name,
+	    (unsigned long long)s->given_up);
 }
 
 /* Cores that waiting steps need, by queue and cause. */
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -144,6 +144,24 @@
 	talloc_free(req);
 }
 
+/* One line for each change of what is known of a run and its worker's crash. */
+static void
+cp_log_crashes(struct cp_host *h)
+{
+	struct wp_crash_event *e;
+
+	while ((e = wp_next_crash_event(h->pool)) != NULL) {
+		lg_event(LG_WARN, "pool", "task_crash", "pool", h->name, "kind",
+		    wp_crash_kind_name(e->kind), "job", e->ref.job, "step",
+		    lg_i64(e->ref.step), "index", lg_i64(e->ref.index), "run",
+		    lg_i64(e->crash.run), "worker", e->crash.worker,
+		    "incarnation", lg_i64(e->crash.incarnation_ms), "crashes",
+		    lg_i64(e->crashes), "weight", lg_i64(e->crash.weight),
+		    NULL);
+		talloc_free(e);
+	}
+}
+
 static void
 cp_send_advice_requests(struct cp_host *h, int64_t now_us)
 {
@@ -171,6 +189,7 @@
 	} else {
 		wp_schedule(h->pool, now_us);
 	}
+	cp_log_crashes(h);
 	if (h->pool->superseded) {
 		cp_step_down(h, "fenced by a worker");
 		return;
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Currant__StepSpec Currant__StepSpec;
 typedef struct Currant__QueuePolicy Currant__QueuePolicy;
 typedef struct Currant__AcceptedJob Currant__AcceptedJob;
+typedef struct Currant__TaskCrash Currant__TaskCrash;
 typedef struct Currant__TaskProgress Currant__TaskProgress;
 typedef struct Currant__JobProgress Currant__JobProgress;
 typedef struct Currant__JobProgressHead Currant__JobProgressHead;
@@ -501,6 +502,23 @@
     , NULL, NULL, NULL, NULL, 0,NULL, 0, NULL, 0, 0, 0, 0, 0, 0 }
 
 
+struct  Currant__TaskCrash
+{
+  ProtobufCMessage base;
+  uint32_t run;
+  char *worker;
+  protobuf_c_boolean has_incarnation_ms;
+  int64_t incarnation_ms;
+  protobuf_c_boolean has_ended;
+  protobuf_c_boolean ended;
+  protobuf_c_boolean has_weight;
+  uint32_t weight;
+};
+#define CURRANT__TASK_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__task_crash__descriptor) \
+    , 0, NULL, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Currant__TaskProgress
 {
   ProtobufCMessage base;
@@ -516,10 +534,12 @@
   char *checkpoint;
   size_t n_failed_runs;
   uint32_t *failed_runs;
+  size_t n_crashes;
+  Currant__TaskCrash **crashes;
 };
 #define CURRANT__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL }
 
 
 struct  Currant__JobProgress
@@ -1441,6 +1461,25 @@
 void   currant__accepted_job__free_unpacked
                      (Currant__AcceptedJob *message,
                       ProtobufCAllocator *allocator);
+/* Currant__TaskCrash methods */
+void   currant__task_crash__init
+                     (Currant__TaskCrash         *message);
+size_t currant__task_crash__get_packed_size
+                     (const Currant__TaskCrash   *message);
+size_t currant__task_crash__pack
+                     (const Currant__TaskCrash   *message,
+                      uint8_t             *out);
+size_t currant__task_crash__pack_to_buffer
+                     (const Currant__TaskCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__TaskCrash *
+       currant__task_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__task_crash__free_unpacked
+                     (Currant__TaskCrash *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__TaskProgress methods */
 void   currant__task_progress__init
                      (Currant__TaskProgress         *message);
@@ -1993,6 +2032,9 @@
 typedef void (*Currant__AcceptedJob_Closure)
                  (const Currant__AcceptedJob *message,
                   void *closure_data);
+typedef void (*Currant__TaskCrash_Closure)
+                 (const Currant__TaskCrash *message,
+                  void *closure_data);
 typedef void (*Currant__TaskProgress_Closure)
                  (const Currant__TaskProgress *message,
                   void *closure_data);
@@ -2100,6 +2142,7 @@
 extern const ProtobufCMessageDescriptor currant__step_spec__descriptor;
 extern const ProtobufCMessageDescriptor currant__queue_policy__descriptor;
 extern const ProtobufCMessageDescriptor currant__accepted_job__descriptor;
+extern const ProtobufCMessageDescriptor currant__task_crash__descriptor;
 extern const ProtobufCMessageDescriptor currant__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor currant__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor currant__job_progress_head__descriptor;
--- a/include/state/job.h
+++ b/include/state/job.h
@@ -130,6 +130,28 @@
 	JB_CANCELLED,
 };
 
+/* Longest name of a worker, with its end. */
+#define JB_WORKER_BYTES 64
+
+/**
+ * struct jb_crash - a run that has crashed its worker, or may have done so
+ * @run: the run
+ * @worker: name of the worker
+ * @incarnation_ms: incarnation of the worker
+ * @ended: that incarnation has ended; before, the worker may only be silent
+ * @weight: how strongly it tells against the task; 0 when it is unknown whether
+ *	the worker ever started the run
+ * @made_us: when it was suspected, or loaded by this owner; not stored
+ */
+struct jb_crash {
+	uint32_t run;
+	char worker[JB_WORKER_BYTES];
+	int64_t incarnation_ms;
+	bool ended;
+	uint32_t weight;
+	int64_t made_us;
+};
+
 /**
  * struct jb_task_progress - stored state of a task, for the pool's next owner
  * @index: task, or JB_ALL_TASKS when the whole step has succeeded
@@ -137,6 +159,8 @@
  * @failed_run: numbers of the runs that failed, @failed of them
  * @done: the task has succeeded
  * @checkpoint: where the next run resumes, or NULL
+ * @crash: runs under which a worker has or may have crashed, @crash_count of
+ *	them
  */
 struct jb_task_progress {
 	uint32_t occurrence;
@@ -147,6 +171,8 @@
 	uint32_t failed;
 	bool done;
 	const char *checkpoint;
+	const struct jb_crash *crash;
+	uint32_t crash_count;
 };
 
 /**
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -52,6 +52,8 @@
 
 /* Failed runs that a task remembers, to count each only once. */
 #define WP_MAX_FAILED_RUNS 8
+/* Runs of a task that have or may have crashed their worker, at most. */
+#define WP_MAX_CRASHES 5
 /* Workers that a task avoids at a time. */
 #define WP_MAX_AVOIDED 3
 
@@ -84,6 +86,8 @@
  * @avoided_count: workers added to @avoided so far
  * @held_in_pass: the last pass of wp_reconcile_tick() in which a closed worker
  *	held it
+ * @crash: runs under which a worker has or may have crashed, @crash_count of
+ *	them; the task is then a suspect
  */
 struct wp_task {
 	struct wp_step *step;
@@ -112,8 +116,12 @@
 	uint32_t avoided_count;
 	int64_t avoid_until_us;
 	uint32_t held_in_pass;
+	struct jb_crash *crash;
+	uint32_t crash_count;
 	struct wp_task *prev;
 	struct wp_task *next;
+	struct wp_task *crash_prev;
+	struct wp_task *crash_next;
 };
 
 /**
@@ -199,6 +207,8 @@
  *	is not, 0 before it was planned
  * @full_scan_at_us: until then only workers with newly freed resources are
  *	considered
+ * @suspects: tasks with entries in @crash
+ * @trial_passed: one of these has lived for a while since the last crash
  */
 struct wp_step {
 	struct wp_occurrence *occ;
@@ -226,6 +236,8 @@
 	bool reserved;
 	int64_t planned_us;
 	int64_t full_scan_at_us;
+	uint32_t suspects;
+	bool trial_passed;
 	struct wp_step *prev;
 	struct wp_step *next;
 	struct wp_step *upcoming_prev;
@@ -267,6 +279,9 @@
  * @dirty_seq: value of the pool's @end_seq when it became dirty; all its run
  *	ends before this one are stored
  * @store_not_before_us: unless it ends, its progress is not stored before
+ * @crash_unstored: what is known of crashes under its tasks has changed and is
+ *	in no commit yet
+ * @crash_commit: it was last stored with that commit of the pool
  */
 struct wp_job {
 	struct wp_pool *pool;
@@ -284,6 +299,8 @@
 	bool dirty;
 	uint64_t dirty_seq;
 	int64_t store_not_before_us;
+	bool crash_unstored;
+	uint64_t crash_commit;
 	struct wp_job *dirty_prev;
 	struct wp_job *dirty_next;
 	UT_hash_handle hh;
@@ -300,6 +317,13 @@
 	uint64_t seq;
 };
 
+/** enum wp_blame - what an unreachable worker may have crashed of */
+enum wp_blame {
+	WP_BLAME_UNKNOWN, /* not decided yet, or it is reachable */
+	WP_BLAME_FRESH,	  /* a task that it had just started */
+	WP_BLAME_OTHERS,  /* something else: it had just started none */
+};
+
 /**
  * struct wp_worker - a worker as the pool's owner knows it
  * @id: name
@@ -343,6 +367,10 @@
  * @acked_sent: the renewal in flight acknowledges the ends up to this number
  * @acked_confirmed: the worker has answered an acknowledgement up to this number
  * @unreachable_since_us: when it became unreachable; 0 while it is reachable
+ * @cut_at_us: when the connection failed while it was reachable, which tells
+ *	when it crashed; 0 if it did not, or it is reachable again
+ * @replaced: another incarnation answers at its address
+ * @blame: what it fell silent of
  * @lists_clock_ms: its clock when it made the lists that were read last
  * @prompt_reply_us: when a reply that was not overdue arrived last
  * @renewal_in_flight: a renewal has no result yet and is not overdue
@@ -399,6 +427,9 @@
 	uint64_t acked_sent;
 	uint64_t acked_confirmed;
 	int64_t unreachable_since_us;
+	int64_t cut_at_us;
+	bool replaced;
+	enum wp_blame blame;
 	bool renewal_in_flight;
 	int64_t renew_at_us;
 	int64_t last_renewal_us;
@@ -603,6 +634,8 @@
  * @leases_expired: leases of workers with tasks that were taken to have expired
  * @advice_requests: advice requests
  * @passes: scheduling passes
+ * @crashes: suspected runs whose worker has crashed
+ * @given_up: jobs that failed because a task of them crashes its workers
  */
 struct wp_stats {
 	uint64_t starts;
@@ -612,6 +645,8 @@
 	uint64_t leases_expired;
 	uint64_t advice_requests;
 	uint64_t passes;
+	uint64_t crashes;
+	uint64_t given_up;
 };
 
 /**
@@ -656,6 +691,29 @@
 	int64_t cpu_mcpu[WP_WAITS];
 };
 
+/** enum wp_crash_kind - what became known of a run and its worker's crash */
+enum wp_crash_kind {
+	WP_CRASH_SUSPECTED, /* its worker is silent and may have crashed */
+	WP_CRASH_CONFIRMED, /* its worker has crashed */
+	WP_CRASH_REFUTED,   /* its worker was only silent */
+	WP_CRASH_GIVEN_UP,  /* too many workers have crashed under its task */
+};
+
+/**
+ * struct wp_crash_event - a change of what is known of a crash, for logs
+ * @ref: the task
+ * @crash: the run
+ * @crashes: workers that have crashed under the task so far
+ */
+struct wp_crash_event {
+	enum wp_crash_kind kind;
+	struct jb_ref ref;
+	struct jb_crash crash;
+	uint32_t crashes;
+	struct wp_crash_event *prev;
+	struct wp_crash_event *next;
+};
+
 /**
  * struct wp_pool - a pool's jobs and workers
  * @name: service
@@ -675,10 +733,14 @@
  * @orders: orders to be fetched with wp_next_order()
  * @starts: start orders without a result
  * @starts_delayed: in the last pass, steps waited for @starts to be answered
+ * @suspects: tasks under which workers have or may have crashed
+ * @crashes_checked_us: when the outcome of these crashes was last looked for
+ * @crash_events: to be fetched with wp_next_crash_event()
  * @first_tick_us: time of the first tick; 0 before
  * @earlier_owner_until_us: until then earlier owners may act on workers
  * @end_seq: run ends read from workers so far
  * @commit_seq: run ends before this one are stored, or in the commit in flight
+ * @commits: commits that are stored
  * @reconciled: no worker can run a task that this owner does not know of
  * @reconcile_pass: counts the passes of wp_reconcile_tick()
  * @reserve_at_us: when gangs are planned next
@@ -703,10 +765,14 @@
 	struct wp_order *orders;
 	struct sw_window starts;
 	bool starts_delayed;
+	struct wp_task *suspects;
+	int64_t crashes_checked_us;
+	struct wp_crash_event *crash_events;
 	int64_t first_tick_us;
 	int64_t earlier_owner_until_us;
 	uint64_t end_seq;
 	uint64_t commit_seq;
+	uint64_t commits;
 	bool reconciled;
 	uint32_t reconcile_pass;
 	int64_t reserve_at_us;
@@ -864,6 +930,16 @@
  */
 struct wp_order *wp_next_order(struct wp_pool *p);
 
+/**
+ * wp_next_crash_event() - take the next event about a worker's crash
+ *
+ * Return: the event, which the caller frees with talloc_free(), or NULL.
+ */
+struct wp_crash_event *wp_next_crash_event(struct wp_pool *p);
+
+/** wp_crash_kind_name() - name of a kind of event in logs */
+const char *wp_crash_kind_name(enum wp_crash_kind kind);
+
 /**
  * wp_on_order_result() - handle the result of an order
  * @p: pool
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -12,6 +12,8 @@
  * (resources kept for gangs), pool_ask (which advice requests are sent),
  * pool_outlook (lateness), pool_waits (what steps wait for),
  * pool_sharing (throttling), pool_copy (speculative copies of tasks),
+ * pool_crash (crashes of workers under tasks), pool_suspect (which tasks may
+ * have caused them, and how these start again),
  * pool_retire (emptying workers for maintenance), pool_sched (which task starts
  * where), pool (jobs and ticks).
  */
@@ -124,6 +126,73 @@
 /** wp_close_tick() - find out whether a worker has to be closed, or opened */
 void wp_close_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
 
+/* Nothing is started for this long beside a suspected task. */
+#define WP_TRIAL_US (500 * CLK_US_PER_MS)
+
+/* Weights of a crash as evidence against a task. */
+#define WP_CRASH_UNSURE 0 /* the worker may not have started it */
+#define WP_CRASH_OUTAGE 1 /* other workers fell silent, or it is unknown when */
+#define WP_CRASH_SHARED 2 /* tasks of other jobs had just been started, too */
+#define WP_CRASH_SOLE 4	  /* nothing else is known that could be the cause */
+
+/** wp_certain_crashes() - workers known to have crashed under a task */
+uint32_t wp_certain_crashes(const struct wp_task *t);
+/**
+ * wp_crashes_allow_start() - whether a task may start, for its crashes so far
+ *
+ * Not while suspected crashes might prove it to be the cause, nor before a
+ * later owner would know of the crashes, and never again once as many as are
+ * remembered may have happened under it.
+ */
+bool wp_crashes_allow_start(
+    const struct wp_pool *p, const struct wp_task *t, int64_t now_us);
+/**
+ * wp_crash_suspect() - a task's newest run may have crashed its worker
+ * @p: pool
+ * @t: task
+ * @w: the worker
+ * @weight: how strongly that tells against the task
+ * @now_us: time
+ */
+void wp_crash_suspect(struct wp_pool *p, struct wp_task *t,
+    const struct wp_worker *w, uint32_t weight, int64_t now_us);
+/** wp_crash_restore() - take over what is stored of a crash under a task */
+void wp_crash_restore(struct wp_pool *p, struct wp_task *t,
+    const struct jb_crash *stored, int64_t now_us);
+/** wp_crash_retract() - a suspected run has not been started on a worker */
+void wp_crash_retract(
+    struct wp_pool *p, struct wp_task *t, const struct wp_worker *w);
+/** wp_crash_forget() - drop what is known of crashes under a task */
+void wp_crash_forget(struct wp_pool *p, struct wp_task *t);
+/** wp_crash_tick() - find out at intervals which suspected crashes happened */
+void wp_crash_tick(struct wp_pool *p, int64_t now_us);
+/** wp_check_crashes() - fail the job of a task that crashes its workers */
+void wp_check_crashes(struct wp_pool *p, struct wp_task *t, int64_t now_us);
+
+/** wp_lived_us() - how long a task's newest run was seen alive */
+int64_t wp_lived_us(const struct wp_task *t);
+/**
+ * wp_suspect_tasks() - a worker may have crashed under its tasks
+ * @p: pool
+ * @w: worker that is silent, or whose incarnation has ended
+ * @now_us: time
+ *
+ * Called before the tasks are taken off the worker.
+ */
+void wp_suspect_tasks(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+/**
+ * wp_may_restart() - whether a waiting task may start, for the crashes so far
+ *
+ * While a sibling is tried, it may not.
+ */
+bool wp_may_restart(
+    const struct wp_pool *p, const struct wp_task *t, int64_t now_us);
+/** wp_startable() - waiting tasks of a step that may start at the same time */
+uint32_t wp_startable(const struct wp_step *s);
+/** wp_may_share() - whether a task may start beside the others on a worker */
+bool wp_may_share(const struct wp_pool *p, const struct wp_task *t,
+    const struct wp_worker *w, int64_t now_us);
+
 /** wp_gang_tick() - stop what is left of a gang that has lost a member */
 void wp_gang_tick(struct wp_pool *p, struct wp_step *s, int64_t now_us);
 
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &currant__accepted_job__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__task_crash__init
+                     (Currant__TaskCrash         *message)
+{
+  static const Currant__TaskCrash init_value = CURRANT__TASK_CRASH__INIT;
+  *message = init_value;
+}
+size_t currant__task_crash__get_packed_size
+                     (const Currant__TaskCrash *message)
+{
+  assert(message->base.descriptor == &currant__task_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__task_crash__pack
+                     (const Currant__TaskCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__task_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__task_crash__pack_to_buffer
+                     (const Currant__TaskCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__task_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__TaskCrash *
+       currant__task_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__TaskCrash *)
+     protobuf_c_message_unpack (&currant__task_crash__descriptor,
+                                allocator, len, data);
+}
+void   currant__task_crash__free_unpacked
+                     (Currant__TaskCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__task_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__task_progress__init
                      (Currant__TaskProgress         *message)
 {
@@ -4628,7 +4673,97 @@
   (ProtobufCMessageInit) currant__accepted_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[7] =
+static const ProtobufCFieldDescriptor currant__task_crash__field_descriptors[5] =
+{
+  {
+    "run",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__TaskCrash, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__TaskCrash, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation_ms",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__TaskCrash, has_incarnation_ms),
+    offsetof(Currant__TaskCrash, incarnation_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__TaskCrash, has_ended),
+    offsetof(Currant__TaskCrash, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__TaskCrash, has_weight),
+    offsetof(Currant__TaskCrash, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__task_crash__field_indices_by_name[] = {
+  3,   /* field[3] = ended */
+  2,   /* field[2] = incarnation_ms */
+  0,   /* field[0] = run */
+  4,   /* field[4] = weight */
+  1,   /* field[1] = worker */
+};
+static const ProtobufCIntRange currant__task_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor currant__task_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.TaskCrash",
+  "TaskCrash",
+  "Currant__TaskCrash",
+  "currant",
+  sizeof(Currant__TaskCrash),
+  5,
+  currant__task_crash__field_descriptors,
+  currant__task_crash__field_indices_by_name,
+  1,  currant__task_crash__number_ranges,
+  (ProtobufCMessageInit) currant__task_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[8] =
 {
   {
     "occurrence",
@@ -4714,9 +4849,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__TaskProgress, n_crashes),
+    offsetof(Currant__TaskProgress, crashes),
+    &currant__task_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__task_progress__field_indices_by_name[] = {
   5,   /* field[5] = checkpoint */
+  7,   /* field[7] = crashes */
   4,   /* field[4] = done */
   6,   /* field[6] = failed_runs */
   2,   /* field[2] = index */
@@ -4728,7 +4876,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor currant__task_progress__descriptor =
 {
@@ -4738,7 +4886,7 @@
   "Currant__TaskProgress",
   "currant",
   sizeof(Currant__TaskProgress),
-  7,
+  8,
   currant__task_progress__field_descriptors,
   currant__task_progress__field_indices_by_name,
   2,  currant__task_progress__number_ranges,
--- a/protocol/job_codec.c
+++ b/protocol/job_codec.c
@@ -163,8 +163,37 @@
 	return spec;
 }
 
+static Currant__TaskCrash **
+jc_fill_crashes(TALLOC_CTX *ctx, const struct jb_task_progress *from)
+{
+	Currant__TaskCrash *crashes;
+	Currant__TaskCrash **rows;
+	uint32_t i;
+
+	crashes = talloc_zero_array(ctx, Currant__TaskCrash, from->crash_count);
+	rows = talloc_zero_array(ctx, Currant__TaskCrash *, from->crash_count);
+	if (crashes == NULL || rows == NULL)
+		abort();
+	for (i = 0; i < from->crash_count; i++) {
+		const struct jb_crash *c = &from->crash[i];
+
+		rows[i] = &crashes[i];
+		currant__task_crash__init(rows[i]);
+		rows[i]->run = c->run;
+		rows[i]->worker = jc_text(c->worker);
+		rows[i]->has_incarnation_ms = true;
+		rows[i]->incarnation_ms = c->incarnation_ms;
+		rows[i]->has_ended = c->ended;
+		rows[i]->ended = c->ended;
+		rows[i]->has_weight = true;
+		rows[i]->weight = c->weight;
+	}
+	return rows;
+}
+
 static void
-jc_fill_task(Currant__TaskProgress *to, const struct jb_task_progress *from)
+jc_fill_task(TALLOC_CTX *ctx, Currant__TaskProgress *to,
+    const struct jb_task_progress *from)
 {
 	currant__task_progress__init(to);
 	to->has_occurrence = from->occurrence > 0;
@@ -180,6 +209,10 @@
 	to->done = from->done;
 	if (from->checkpoint != NULL)
 		to->checkpoint = jc_text(from->checkpoint);
+	if (from->crash_count == 0)
+		return;
+	to->crashes = jc_fill_crashes(ctx, from);
+	to->n_crashes = from->crash_count;
 }
 
 uint8_t *
@@ -199,7 +232,7 @@
 	if (tasks == NULL || rows == NULL)
 		abort();
 	for (i = 0; i < progress->task_count; i++) {
-		jc_fill_task(&tasks[i], &progress->task[i]);
+		jc_fill_task(tasks, &tasks[i], &progress->task[i]);
 		rows[i] = &tasks[i];
 	}
 	p.state = (uint32_t)progress->state;
@@ -232,6 +265,28 @@
 	return true;
 }
 
+static struct jb_crash *
+jc_read_crashes(TALLOC_CTX *ctx, const Currant__TaskProgress *from)
+{
+	struct jb_crash *crash;
+	size_t i;
+
+	crash = talloc_zero_array(ctx, struct jb_crash, from->n_crashes + 1);
+	if (crash == NULL)
+		abort();
+	for (i = 0; i < from->n_crashes; i++) {
+		const Currant__TaskCrash *c = from->crashes[i];
+
+		crash[i].run = c->run;
+		snprintf(
+		    crash[i].worker, sizeof(crash[i].worker), "%s", c->worker);
+		crash[i].incarnation_ms = c->incarnation_ms;
+		crash[i].ended = c->ended;
+		crash[i].weight = c->weight;
+	}
+	return crash;
+}
+
 struct jb_progress *
 jc_unpack_progress(TALLOC_CTX *ctx, const uint8_t *value, size_t bytes)
 {
@@ -263,6 +318,8 @@
 		    .failed = (uint32_t)from->n_failed_runs,
 		    .done = from->done,
 		    .checkpoint = jc_copy(progress, from->checkpoint),
+		    .crash = jc_read_crashes(progress, from),
+		    .crash_count = (uint32_t)from->n_crashes,
 		};
 	}
 	currant__job_progress__free_unpacked(p, NULL);
--- a/state/pool.c
+++ b/state/pool.c
@@ -81,8 +81,8 @@
 }
 
 static void
-wp_task_restore(
-    struct wp_pool *p, struct wp_task *t, const struct jb_task_progress *entry)
+wp_task_restore(struct wp_pool *p, struct wp_task *t,
+    const struct jb_task_progress *entry, int64_t now_us)
 {
 	uint32_t i;
 
@@ -91,6 +91,8 @@
 	for (i = 0; i < entry->failed; i++)
 		wp_record_failed_run(t, entry->failed_run[i]);
 	wp_task_set_checkpoint(t, entry->checkpoint);
+	for (i = 0; i < entry->crash_count; i++)
+		wp_crash_restore(p, t, &entry->crash[i], now_us);
 	if (entry->done)
 		wp_task_done(p, t);
 }
@@ -127,8 +129,10 @@
 		for (i = 0; i < job->spec->step_count; i++) {
 			struct wp_step *s = &job->occ[k]->step[i];
 
-			for (j = 0; j < s->spec->count; j++)
+			for (j = 0; j < s->spec->count; j++) {
 				wp_check_attempts(p, &s->task[j], now_us);
+				wp_check_crashes(p, &s->task[j], now_us);
+			}
 		}
 	}
 }
@@ -152,7 +156,8 @@
 			for (j = 0; j < s->spec->count; j++)
 				wp_task_done(p, &s->task[j]);
 		} else if (entry->index < s->spec->count) {
-			wp_task_restore(p, &s->task[entry->index], entry);
+			wp_task_restore(
+			    p, &s->task[entry->index], entry, now_us);
 		}
 	}
 	if (!jb_has_ended(progress->state))
@@ -241,8 +246,10 @@
 			occ->step[i].ready = false;
 			occ->step[i].upcoming = false;
 			wp_step_update_lists(p, &occ->step[i]);
-			for (j = 0; j < job->spec->step[i].count; j++)
+			for (j = 0; j < job->spec->step[i].count; j++) {
 				wp_task_release(&occ->step[i].task[j]);
+				wp_crash_forget(p, &occ->step[i].task[j]);
+			}
 		}
 	}
 	if (job->dirty)
@@ -285,6 +292,7 @@
 	if (p->first_tick_us == 0)
 		p->first_tick_us = now_us;
 	wp_workers_tick(p, now_us);
+	wp_crash_tick(p, now_us);
 	wp_reconcile_tick(p, now_us);
 	wp_jobs_tick(p, now_us);
 	wp_lateness_tick(p, now_us);
--- a/state/pool_copy.c
+++ b/state/pool_copy.c
@@ -37,6 +37,7 @@
 	if (w->reachable || w->unreachable_since_us == 0 ||
 	    now_us - w->unreachable_since_us < WP_COPY_UNREACHABLE_US)
 		return;
+	wp_suspect_tasks(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		if (t->state != WP_TASK_RUNNING || t->in_doubt ||
 		    !wp_may_run_copies(t))
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -157,6 +157,20 @@
 	return score;
 }
 
+/* The work of all tasks on a worker is lost if a suspected task crashes it. */
+static double
+wp_risk_score(const struct wp_task *t, const struct wp_worker *w)
+{
+	const struct wp_task *other;
+	double score = 0;
+
+	if (t->crash_count == 0)
+		return 0;
+	DL_FOREACH(w->tasks, other)
+		score += 100;
+	return score;
+}
+
 /* @over_reservations: ignore those of less urgent gangs */
 static bool
 wp_has_resources_for(const struct wp_step *s, const struct wp_worker *w,
@@ -187,9 +201,10 @@
 		double score;
 
 		if (!wp_has_resources_for(s, w, over_reservations, now_us) ||
-		    !wp_may_start_on(s, w, now_us) || wp_avoids(t, w, now_us))
+		    !wp_may_start_on(s, w, now_us) || wp_avoids(t, w, now_us) ||
+		    !wp_may_share(p, t, w, now_us))
 			continue;
-		score = wp_score(s, w, rack);
+		score = wp_score(s, w, rack) + wp_risk_score(t, w);
 		if (best != NULL && score >= best_score)
 			continue;
 		best = w;
@@ -227,7 +242,8 @@
 		const char *ticket = NULL;
 		struct wp_worker *w;
 
-		if (t->state != WP_TASK_WAITING || now_us < t->not_before_us)
+		if (t->state != WP_TASK_WAITING || now_us < t->not_before_us ||
+		    !wp_may_restart(p, t, now_us))
 			continue;
 		w = wp_pick_worker(
 		    p, s, t, wp_common_rack(s), false, now_us, &ticket);
@@ -235,6 +251,8 @@
 			w = wp_pick_worker(
 			    p, s, t, wp_common_rack(s), true, now_us, &ticket);
 		if (w == NULL) {
+			if (t->crash_count > 0)
+				continue;
 			/* The next task may avoid other workers. */
 			if (!wp_preempt_for(p, s, now_us) &&
 			    t->avoided_count == 0)
@@ -317,7 +335,8 @@
 	if (s->waiting != s->spec->count)
 		return;
 	for (i = 0; i < s->spec->count; i++) {
-		if (now_us < s->task[i].not_before_us)
+		if (now_us < s->task[i].not_before_us ||
+		    !wp_may_restart(p, &s->task[i], now_us))
 			return;
 	}
 	plan.w = talloc_zero_array(NULL, struct wp_worker *, s->spec->count);
--- a/state/pool_store.c
+++ b/state/pool_store.c
@@ -7,7 +7,8 @@
 static bool
 wp_task_has_progress(const struct wp_task *t)
 {
-	return t->run > 0 || t->failed_count > 0 || t->state == WP_TASK_DONE;
+	return t->run > 0 || t->failed_count > 0 || t->crash_count > 0 ||
+	    t->state == WP_TASK_DONE;
 }
 
 static void
@@ -40,6 +41,8 @@
 			.failed = t->failed_count,
 			.done = t->state == WP_TASK_DONE,
 			.checkpoint = t->checkpoint,
+			.crash = t->crash,
+			.crash_count = t->crash_count,
 		    };
 	}
 }
@@ -72,7 +75,7 @@
 wp_is_job_due(const struct wp_job *job, int64_t now_us)
 {
 	return jb_has_ended(job->state) || job->pool->draining ||
-	    now_us >= job->store_not_before_us;
+	    job->crash_unstored || now_us >= job->store_not_before_us;
 }
 
 static struct wp_job *
@@ -106,6 +109,9 @@
 		return NULL;
 	DL_DELETE2(p->dirty, job, dirty_prev, dirty_next);
 	job->dirty = false;
+	if (job->crash_unstored)
+		job->crash_commit = p->commits + 1;
+	job->crash_unstored = false;
 	job->store_not_before_us = now_us + WP_STORE_INTERVAL_US;
 	wp_get_progress(job, ctx, progress);
 	return job;
@@ -181,6 +187,7 @@
 	struct wp_worker *w;
 	struct wp_worker *tmp;
 
+	p->commits++;
 	HASH_ITER(hh, p->workers, w, tmp)
 		wp_worker_ack_ends(w, p->commit_seq, now_us);
 }
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -257,9 +257,11 @@
 }
 
 /*
- * Under overload, steps that can still meet their objective go first and steps
- * whose result is worth nothing any more go last. Within each group, the more
- * urgent priority goes first, then the earlier objective.
+ * A step under which a worker may have crashed goes first: as long as its tasks
+ * wait to be tried, they may still crash workers. Under overload, steps that
+ * can still meet their objective go first and steps whose result is worth
+ * nothing any more go last. Within each group, the more urgent priority goes
+ * first, then the earlier objective.
  */
 static int
 wp_compare_steps(const struct wp_step *a, const struct wp_step *b)
@@ -269,6 +271,8 @@
 	uint32_t pa = ja->spec->policy.priority;
 	uint32_t pb = jb->spec->policy.priority;
 
+	if ((a->suspects > 0) != (b->suspects > 0))
+		return a->suspects > 0 ? -1 : 1;
 	if (wp_sort_lateness(a) != wp_sort_lateness(b))
 		return wp_sort_lateness(a) < wp_sort_lateness(b) ? -1 : 1;
 	if (pa != pb)
@@ -380,6 +384,8 @@
 		wp_step_update_lists(p, s);
 	}
 	t->state = WP_TASK_DONE;
+	s->trial_passed |= t->crash_count > 0;
+	wp_crash_forget(p, t);
 	s->unfinished--;
 	wp_mark_dirty(job);
 	if (s->unfinished > 0) {
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -180,6 +180,7 @@
 	struct wp_task *t;
 	struct wp_task *tmp;
 
+	wp_suspect_tasks(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		if (t->state == WP_TASK_DONE)
 			wp_task_release(t);
@@ -573,6 +574,9 @@
 {
 	w->reachable = true;
 	w->unreachable_since_us = 0;
+	w->cut_at_us = 0;
+	w->replaced = false;
+	w->blame = WP_BLAME_UNKNOWN;
 	w->unanswered_orders = 0;
 	if (!w->token_accepted)
 		wp_accept_token(w, reply->clock_ms);
@@ -645,7 +649,10 @@
 	}
 	if (result == WP_REFUSED_UNHEALTHY)
 		return;
+	if (w->reachable && result != WP_OVERDUE)
+		w->cut_at_us = now_us;
 	w->reachable = false;
+	w->replaced |= result == WP_REFUSED_INCARNATION;
 	if (w->unreachable_since_us == 0)
 		w->unreachable_since_us = now_us;
 }
@@ -677,6 +684,7 @@
 		t->in_doubt = true;
 		return;
 	}
+	wp_crash_retract(p, t, w);
 	wp_task_requeue(t, now_us + WP_RESTART_DELAY_US);
 }
 
@@ -767,6 +775,7 @@
 	struct wp_task *tmp;
 
 	p->stats.leases_expired++;
+	wp_suspect_tasks(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		p->stats.displaced++;
 		wp_task_requeue(t, now_us);
