--- a/state/pool.c
+++ b/state/pool.c
@@ -83,8 +83,8 @@
 }
 
 static void
-wp_task_restore(
-    struct wp_pool *p, struct wp_task *t, const struct jb_task_progress *entry)
+wp_task_restore(struct wp_pool *p, struct wp_task *t,
+    const struct jb_task_progress *entry, int64_t now_us)
 {
 	uint32_t i;
 
@@ -93,6 +93,8 @@
 	for (i = 0; i < entry->failed; i++)
 		wp_record_failed_run(t, entry->failed_run[i]);
 	wp_task_set_checkpoint(t, entry->checkpoint);
+	for (i = 0; i < entry->crash_count; i++)
+		wp_crash_restore(p, t, &entry->crash[i], now_us);
 	if (entry->done)
 		wp_task_done(p, t);
 }
@@ -129,8 +131,10 @@
 		for (i = 0; i < job->spec->step_count; i++) {
 			struct wp_step *s = &job->occ[k]->step[i];
 
-			for (j = 0; j < s->spec->count; j++)
+			for (j = 0; j < s->spec->count; j++) {
 				wp_check_attempts(p, &s->task[j], now_us);
+				wp_check_crashes(p, &s->task[j], now_us);
+			}
 		}
 	}
 }
@@ -154,7 +158,8 @@
 			for (j = 0; j < s->spec->count; j++)
 				wp_task_done(p, &s->task[j]);
 		} else if (entry->index < s->spec->count) {
-			wp_task_restore(p, &s->task[entry->index], entry);
+			wp_task_restore(
+			    p, &s->task[entry->index], entry, now_us);
 		}
 	}
 	if (!jb_has_ended(progress->state))
@@ -243,8 +248,10 @@
 			occ->step[i].ready = false;
 			occ->step[i].upcoming = false;
 			wp_step_update_lists(p, &occ->step[i]);
-			for (j = 0; j < job->spec->step[i].count; j++)
+			for (j = 0; j < job->spec->step[i].count; j++) {
 				wp_task_release(&occ->step[i].task[j]);
+				wp_crash_forget(p, &occ->step[i].task[j]);
+			}
 		}
 	}
 	if (job->dirty)
@@ -287,6 +294,7 @@
 	if (p->first_tick_us == 0)
 		p->first_tick_us = now_us;
 	wp_workers_tick(p, now_us);
+	wp_crash_tick(p, now_us);
 	wp_reconcile_tick(p, now_us);
 	wp_jobs_tick(p, now_us);
 	wp_lateness_tick(p, now_us);
