pool: a task that crashes its workers late is given up, too

What callers would have seen: a task that crashes each worker some seconds after its start was started again without end.

Cause: only tasks that had just been started are suspected of a crash, so that a task that lives longer is never counted.

Considered: suspecting all tasks on a crashed worker. Suspects are tried one at a time on workers that start nothing else meanwhile, so each crash would have slowed all innocent tasks of that worker.

Change: each task counts the workers that started anew while they ran it, if it had lived there for less than 10 s, and stores the count with the job's progress. With four the job fails, as with four certain crashes. A worker that is away for longer than its lease is not counted: that stays open.

Both tests fail without the limit (10 starts in 10 crashes; the job runs on).

--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -536,10 +536,12 @@
   uint32_t *failed_runs;
   size_t n_crashes;
   Currant__TaskCrash **crashes;
+  protobuf_c_boolean has_crashed_workers;
+  uint32_t crashed_workers;
 };
 #define CURRANT__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Currant__JobProgress
--- a/include/state/job.h
+++ b/include/state/job.h
@@ -161,6 +161,7 @@
  * @checkpoint: where the next run resumes, or NULL
  * @crash: runs under which a worker has or may have crashed, @crash_count of
  *	them
+ * @crashed_workers: workers that crashed while they ran it
  */
 struct jb_task_progress {
 	uint32_t occurrence;
@@ -173,6 +174,7 @@
 	const char *checkpoint;
 	const struct jb_crash *crash;
 	uint32_t crash_count;
+	uint32_t crashed_workers;
 };
 
 /**
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -88,6 +88,7 @@
  *	held it
  * @crash: runs under which a worker has or may have crashed, @crash_count of
  *	them; the task is then a suspect
+ * @crashed_workers: workers that crashed while they ran it, whatever the cause
  */
 struct wp_task {
 	struct wp_step *step;
@@ -118,6 +119,7 @@
 	uint32_t held_in_pass;
 	struct jb_crash *crash;
 	uint32_t crash_count;
+	uint32_t crashed_workers;
 	struct wp_task *prev;
 	struct wp_task *next;
 	struct wp_task *crash_prev;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -176,6 +176,17 @@
 /** wp_check_crashes() - fail the job of a task that crashes its workers */
 void wp_check_crashes(struct wp_pool *p, struct wp_task *t, int64_t now_us);
 
+/**
+ * wp_count_crashed_worker() - a worker has started anew, so it has crashed
+ *
+ * Counts it for all tasks that it ran, however long ago they were started.
+ * Called before the tasks are taken off the worker.
+ */
+void wp_count_crashed_worker(
+    struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+/** wp_has_begun() - whether the worker has confirmed the start of a task */
+bool wp_has_begun(const struct wp_task *t);
+
 /** wp_lived_us() - how long a task's newest run was seen alive */
 int64_t wp_lived_us(const struct wp_task *t);
 /**
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -4763,7 +4763,7 @@
   (ProtobufCMessageInit) currant__task_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[8] =
+static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[9] =
 {
   {
     "occurrence",
@@ -4861,9 +4861,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashed_workers",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__TaskProgress, has_crashed_workers),
+    offsetof(Currant__TaskProgress, crashed_workers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__task_progress__field_indices_by_name[] = {
   5,   /* field[5] = checkpoint */
+  8,   /* field[8] = crashed_workers */
   7,   /* field[7] = crashes */
   4,   /* field[4] = done */
   6,   /* field[6] = failed_runs */
@@ -4876,7 +4889,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor currant__task_progress__descriptor =
 {
@@ -4886,7 +4899,7 @@
   "Currant__TaskProgress",
   "currant",
   sizeof(Currant__TaskProgress),
-  8,
+  9,
   currant__task_progress__field_descriptors,
   currant__task_progress__field_indices_by_name,
   2,  currant__task_progress__number_ranges,
--- a/protocol/job_codec.c
+++ b/protocol/job_codec.c
@@ -209,6 +209,8 @@
 	to->done = from->done;
 	if (from->checkpoint != NULL)
 		to->checkpoint = jc_text(from->checkpoint);
+	to->has_crashed_workers = from->crashed_workers > 0;
+	to->crashed_workers = from->crashed_workers;
 	if (from->crash_count == 0)
 		return;
 	to->crashes = jc_fill_crashes(ctx, from);
@@ -271,7 +273,9 @@
 	struct jb_crash *crash;
 	size_t i;
 
-	crash = talloc_zero_array(ctx, struct jb_crash, from->n_crashes + 1);
+	if (from->n_crashes == 0)
+		return NULL;
+	crash = talloc_zero_array(ctx, struct jb_crash, from->n_crashes);
 	if (crash == NULL)
 		abort();
 	for (i = 0; i < from->n_crashes; i++) {
@@ -320,6 +324,7 @@
 		    .checkpoint = jc_copy(progress, from->checkpoint),
 		    .crash = jc_read_crashes(progress, from),
 		    .crash_count = (uint32_t)from->n_crashes,
+		    .crashed_workers = from->crashed_workers,
 		};
 	}
 	currant__job_progress__free_unpacked(p, NULL);
--- a/state/pool.c
+++ b/state/pool.c
@@ -93,6 +93,7 @@
 	for (i = 0; i < entry->failed; i++)
 		wp_record_failed_run(t, entry->failed_run[i]);
 	wp_task_set_checkpoint(t, entry->checkpoint);
+	t->crashed_workers = entry->crashed_workers;
 	for (i = 0; i < entry->crash_count; i++)
 		wp_crash_restore(p, t, &entry->crash[i], now_us);
 	if (entry->done)
--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -23,6 +23,10 @@
 /* It does when they tell so much against the task, or are so many. */
 #define WP_MAX_WEIGHT 5
 #define WP_MAX_CERTAIN_CRASHES 4
+/* Workers that may crash while they run a task, suspected or not. */
+#define WP_MAX_CRASHED_WORKERS 4
+/* A run that has lived for so long is not counted for its worker's crash. */
+#define WP_COUNTED_LIFE_US (10 * CLK_US_PER_S)
 
 static const char *const wp_crash_kind_names[] = {
     [WP_CRASH_SUSPECTED] = "suspected",
@@ -236,6 +240,8 @@
 	uint32_t certain = wp_certain_crashes(t);
 	uint32_t i;
 
+	if (t->crashed_workers >= WP_MAX_CRASHED_WORKERS)
+		return true;
 	if (certain >= WP_MIN_CRASHES &&
 	    (certain >= WP_MAX_CERTAIN_CRASHES ||
 		wp_weight_of_crashes(t) >= WP_MAX_WEIGHT))
@@ -252,16 +258,34 @@
 wp_check_crashes(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
 	struct wp_job *job = t->step->occ->job;
+	struct jb_crash last = {.run = t->run};
 
 	if (job->final_state != JB_PENDING || jb_has_ended(job->state) ||
 	    !wp_is_cause(t))
 		return;
 	p->stats.given_up++;
-	wp_queue_crash_event(
-	    p, WP_CRASH_GIVEN_UP, t, &t->crash[t->crash_count - 1]);
+	if (t->crash_count > 0)
+		last = t->crash[t->crash_count - 1];
+	wp_queue_crash_event(p, WP_CRASH_GIVEN_UP, t, &last);
 	wp_job_stop(p, job, JB_FAILED, now_us);
 }
 
+void
+wp_count_crashed_worker(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
+{
+	struct wp_task *t;
+
+	if (w->draining || w->evacuating)
+		return;
+	DL_FOREACH(w->tasks, t) {
+		if (!wp_has_begun(t) || wp_lived_us(t) >= WP_COUNTED_LIFE_US)
+			continue;
+		t->crashed_workers++;
+		wp_crash_changed(t);
+		wp_check_crashes(p, t, now_us);
+	}
+}
+
 enum wp_verdict {
 	WP_VERDICT_OPEN,
 	WP_VERDICT_CRASHED,
--- a/state/pool_store.c
+++ b/state/pool_store.c
@@ -43,6 +43,7 @@
 			.checkpoint = t->checkpoint,
 			.crash = t->crash,
 			.crash_count = t->crash_count,
+			.crashed_workers = t->crashed_workers,
 		    };
 	}
 }
--- a/state/pool_suspect.c
+++ b/state/pool_suspect.c
@@ -44,8 +44,7 @@
 		t->state == WP_TASK_STOPPING);
 }
 
-/* Whether the worker has confirmed the start of a task. */
-static bool
+bool
 wp_has_begun(const struct wp_task *t)
 {
 	return t->state == WP_TASK_RUNNING || t->confirmed_clock_ms > 0;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -197,6 +197,7 @@
 	struct wp_task *tmp;
 
 	wp_suspect_tasks(p, w, now_us);
+	wp_count_crashed_worker(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		if (t->state == WP_TASK_DONE)
 			wp_task_release(t);
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -199,6 +199,61 @@
 	EXPECT_NE(t->worker, nullptr);
 }
 
+/* So long after its start that nothing else tells against it. */
+TEST_F(Crashes, TaskThatCrashesItsWorkersLateIsGivenUp)
+{
+	int64_t incarnation = 1;
+	int starts = 0;
+
+	create_pool();
+	add_worker("w");
+	add(kJob, {{1}});
+	struct wp_task *t = task(kJob, 0, 0);
+	for (int round = 0; round < 10; round++) {
+		for (int i = 0; i < 60 && t->worker == nullptr; i++)
+			run_all(100 * kMs);
+		if (t->worker == nullptr)
+			break;
+		starts++;
+		now += 5 * kS;
+		renew_lease("w", {{kJob, 0, 0, t->run, 0}}, {}, incarnation);
+		renew_lease("w", {}, {}, ++incarnation);
+		run_all(200 * kMs);
+		now += 100 * kMs;
+		renew_lease("w", {}, {}, incarnation);
+		commit();
+	}
+	EXPECT_LE(starts, 5);
+	EXPECT_EQ(wp_public_state(wp_find_job(p, kJob.c_str())), JB_FAILED);
+}
+
+TEST_F(Crashes, CrashedWorkersAreCountedAcrossOwners)
+{
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+	struct jb_progress *stored;
+	size_t bytes = 0;
+
+	row.run = 3;
+	row.crashed_workers = 3;
+	uint8_t *value = jc_pack_progress(nullptr, &progress, &bytes);
+	stored = jc_unpack_progress(nullptr, value, bytes);
+	talloc_free(value);
+	create_pool(1);
+	add_worker("w");
+	add(kJob, {{1}}, stored, false);
+	talloc_free(stored);
+	run_all(2 * kS);
+	ASSERT_NE(task(kJob, 0, 0)->worker, nullptr);
+	now += 5 * kS;
+	renew_lease("w", {{kJob, 0, 0, task(kJob, 0, 0)->run, 0}});
+	renew_lease("w", {}, {}, 2);
+	run_all(200 * kMs);
+	now += 100 * kMs;
+	renew_lease("w", {}, {}, 2);
+	EXPECT_EQ(wp_public_state(wp_find_job(p, kJob.c_str())), JB_FAILED);
+}
+
 /* A run as the simulated worker sees it. */
 struct SimRun {
 	std::string job;
