pool: a task whose crashes stay unknown is tried again

What callers would have seen: a job that never ends.

Cause: a task with five suspected crashes is not started, and its job fails once all five have ended. A crash whose worker never returns stays open; after a takeover its worker may not even be known to the owner. Then the task neither started nor failed, and its siblings and its gang waited.

Ruled out: counting such a crash as ended, since the worker may only be partitioned, and a job would fail with fewer crashes than it needs.

Change: when a task has reached the limit, a crash that is open for longer than a crashed worker takes to return is forgotten, so the task is tried once more.

Before: CrashSimulation.JobEndsThoughAWorkerUnderItsTaskHasLeftForGood failed.

--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -299,6 +299,12 @@
 
 	switch (wp_crash_verdict(p, c)) {
 	case WP_VERDICT_OPEN:
+		/* Its worker may never return, and no other run can tell. */
+		if (t->crash_count < WP_MAX_CRASHES ||
+		    now_us < c->made_us + WP_OPEN_CRASH_US)
+			return;
+		wp_drop_crash(p, t, i);
+		wp_crash_changed(t);
 		return;
 	case WP_VERDICT_CRASHED:
 		c->ended = true;
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -588,6 +588,28 @@
 	EXPECT_EQ(starts[kJob + ".0"], 3);
 }
 
+/* Nobody can tell the next owner what became of a worker that has left. */
+TEST_F(CrashSimulation, JobEndsThoughAWorkerUnderItsTaskHasLeftForGood)
+{
+	struct jb_crash crash[WP_MAX_CRASHES] = {
+	    {1, "gone", 1, false, WP_CRASH_OUTAGE, 0},
+	    {2, "w0", 1, true, WP_CRASH_UNSURE, 0},
+	    {3, "w1", 1, true, WP_CRASH_UNSURE, 0},
+	    {4, "w2", 1, true, WP_CRASH_UNSURE, 0},
+	    {5, "w3", 1, true, WP_CRASH_UNSURE, 0}};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	create_pool(1);
+	create_workers(4);
+	row.crash = crash;
+	row.crash_count = WP_MAX_CRASHES;
+	row.run = 5;
+	add(kJob, {{1}}, &progress, false);
+	play(60 * kS);
+	EXPECT_TRUE(jb_has_ended(state_of(kJob)));
+}
+
 /* Every few seconds some workers crash at once, and others one by one. */
 TEST_F(CrashSimulation, InnocentJobsOutliveWorkersThatCrashByThemselves)
 {
