pool: a task under which a worker has crashed preempts after a while

What callers would have seen: an urgent task waits beside less urgent tasks with checkpoints, for as long as these run, once a worker has crashed under it for whatever reason.

Cause: a suspected task that fits nowhere never preempts, as it may only wait for a worker on which nothing else has just started.

Change: only while it is isolated, it does not preempt.

Before: Crashes.UrgentTaskUnderWhichAWorkerHasCrashedPreempts failed.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -196,6 +196,8 @@
     const struct wp_pool *p, const struct wp_task *t, int64_t now_us);
 /** wp_startable() - waiting tasks of a step that may start at the same time */
 uint32_t wp_startable(const struct wp_step *s);
+/** wp_is_isolated() - whether a suspected task waits for a worker of its own */
+bool wp_is_isolated(const struct wp_task *t, int64_t now_us);
 /** wp_may_share() - whether a task may start beside the others on a worker */
 bool wp_may_share(const struct wp_pool *p, const struct wp_task *t,
     const struct wp_worker *w, int64_t now_us);
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -273,7 +273,7 @@
 			w = wp_pick_worker(
 			    p, s, t, wp_common_rack(s), true, now_us, &ticket);
 		if (w == NULL) {
-			if (t->crash_count > 0)
+			if (wp_is_isolated(t, now_us))
 				continue;
 			/* The next task may avoid other workers. */
 			if (!wp_preempt_for(p, s, now_us) &&
--- a/state/pool_suspect.c
+++ b/state/pool_suspect.c
@@ -219,10 +219,11 @@
 	return 1;
 }
 
-static bool
-wp_is_patient(const struct wp_task *t, int64_t now_us)
+bool
+wp_is_isolated(const struct wp_task *t, int64_t now_us)
 {
-	return now_us <
+	return t->crash_count > 0 &&
+	    now_us <
 	    t->crash[t->crash_count - 1].made_us + WP_TRIAL_PATIENCE_US;
 }
 
@@ -230,7 +231,7 @@
 wp_may_share(const struct wp_pool *p, const struct wp_task *t,
     const struct wp_worker *w, int64_t now_us)
 {
-	bool isolated = t->crash_count > 0 && wp_is_patient(t, now_us);
+	bool isolated = wp_is_isolated(t, now_us);
 	const struct wp_task *other;
 
 	if (p->suspects == NULL)
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -610,6 +610,31 @@
 	EXPECT_TRUE(jb_has_ended(state_of(kJob)));
 }
 
+TEST_F(Crashes, UrgentTaskUnderWhichAWorkerHasCrashedPreempts)
+{
+	struct jb_crash crash = {1, "v", 1, true, WP_CRASH_OUTAGE, 0};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	create_pool();
+	add_worker("w", 1000);
+	struct jb_spec *slow = spec(kOther, {{1, 1000, JB_CHECKPOINTS}});
+	slow->policy.priority = 2;
+	wp_add_job(p, slow, nullptr, true, 0, now);
+	ASSERT_EQ(run_all().size(), 1U);
+	row.run = 1;
+	row.crash = &crash;
+	row.crash_count = 1;
+	add(kJob, {{1}}, &progress, false);
+	for (uint32_t i = 1; i <= 60; i++) {
+		renew_lease("w", {{kOther, 0, 0, 1, 0, i}});
+		run_all(100 * kMs);
+		if (task(kOther, 0, 0)->state == WP_TASK_STOPPING)
+			return;
+	}
+	FAIL() << "it still waits after 6 s";
+}
+
 /* Every few seconds some workers crash at once, and others one by one. */
 TEST_F(CrashSimulation, InnocentJobsOutliveWorkersThatCrashByThemselves)
 {
