pool: a new owner allows for the longest lease of a restarted worker

What callers could see: two runs of a task. A worker restarts, its owner renews its lease by the clock of its earlier life, and that owner is replaced. The next owner starts a task there; when the worker can't be reached, it starts the task elsewhere after 3 s, while the run there may go on for up to 7 s more.

Cause: an owner that has seen the restart takes the lease to be the longest one, but an owner that reads the worker's lists for the first time took it to be what owners grant by the right clock.

Change: a worker whose clock shows that it is not older than the longest lease may have that lease when a new owner first reads its lists.

Ruled out: the longest lease for all workers, as tasks on a silent worker would wait for 7 s longer after each takeover.

Before: Pool.WorkerThatRestartedBeforeATakeoverMayHaveTheLongestLease failed.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -574,11 +574,24 @@
 	wp_read_clock(w, reply->clock_ms, now_us);
 }
 
-/* An earlier owner may have renewed its lease until just before. */
+/*
+ * An earlier owner may have renewed its lease until just before, and by the clock
+ * of an earlier incarnation if this one is not older than the longest lease.
+ */
+static int64_t
+wp_inherited_lease_end_ms(const struct wp_pool *p, int64_t clock_ms)
+{
+	int64_t lease_ms = WP_LEASE_US / CLK_US_PER_MS;
+
+	if (clock_ms <= p->max_lease_ms && lease_ms < p->max_lease_ms)
+		lease_ms = p->max_lease_ms;
+	return clock_ms + lease_ms;
+}
+
 static void
-wp_accept_token(struct wp_worker *w, int64_t clock_ms)
+wp_accept_token(const struct wp_pool *p, struct wp_worker *w, int64_t clock_ms)
 {
-	int64_t until_ms = clock_ms + WP_LEASE_US / CLK_US_PER_MS;
+	int64_t until_ms = wp_inherited_lease_end_ms(p, clock_ms);
 
 	w->token_accepted = true;
 	w->earlier_owner_until_us = 0;
@@ -597,7 +610,7 @@
 	w->blame = WP_BLAME_UNKNOWN;
 	w->unanswered_orders = 0;
 	if (!w->token_accepted)
-		wp_accept_token(w, reply->clock_ms);
+		wp_accept_token(p, w, reply->clock_ms);
 	w->lists_clock_ms = reply->clock_ms;
 	wp_process_run_ends(p, w, reply, now_us);
 	wp_process_running(p, w, reply, now_us);
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1617,4 +1617,22 @@
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
 }
 
+/* Its earlier owner renewed it by the clock of its earlier life. */
+TEST_F(Pool, WorkerThatRestartedBeforeATakeoverMayHaveTheLongestLease)
+{
+	create_pool();
+	p->max_lease_ms = 10000;
+	list_worker("w-1");
+	overdue_reply("w-1", 2 * kS, {}, 2);
+	commit();
+	add(kJob, {{1, 1000}});
+	run_all();
+	wp_on_renewal_failed(
+	    p, wp_find_worker(p, "w-1"), WP_NO_ANSWER, now + kMs);
+	tick(9 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	tick(2 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+}
+
 } // namespace
