pool: a step keeps the first place only while it has suspects

What callers would have seen: after a crash, a step of low priority with many tasks starts all of them before more urgent steps that wait already. And a step that was waiting when a worker crashed under one of its tasks did not go first.

Cause: the list of ready steps is kept in order, and suspects are part of that order, but a step was not moved when its suspects came or went.

Change: it is moved then.

Before: Crashes.StepGoesFirstOnlyAsLongAsATaskOfItIsSuspected failed.

--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -137,6 +137,19 @@
 	return NULL;
 }
 
+/* The place of a step depends on whether it has suspects. */
+static void
+wp_count_suspect(struct wp_pool *p, struct wp_step *s, int change)
+{
+	bool had_suspects = s->suspects > 0;
+
+	s->suspects += (uint32_t)change;
+	if (s->prev == NULL || had_suspects == (s->suspects > 0))
+		return;
+	wp_step_unlist(p, s);
+	wp_step_update_lists(p, s);
+}
+
 static bool
 wp_remember_crash(
     struct wp_pool *p, struct wp_task *t, const struct jb_crash *crash)
@@ -151,7 +164,7 @@
 		abort();
 	if (t->crash_count == 0) {
 		DL_APPEND2(p->suspects, t, crash_prev, crash_next);
-		t->step->suspects++;
+		wp_count_suspect(p, t->step, 1);
 	}
 	t->crash[t->crash_count++] = *crash;
 	return true;
@@ -208,7 +221,7 @@
 	if (t->crash_count > 0)
 		return;
 	DL_DELETE2(p->suspects, t, crash_prev, crash_next);
-	t->step->suspects--;
+	wp_count_suspect(p, t->step, -1);
 }
 
 void
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -635,6 +635,30 @@
 	FAIL() << "it still waits after 6 s";
 }
 
+TEST_F(Crashes, StepGoesFirstOnlyAsLongAsATaskOfItIsSuspected)
+{
+	struct jb_crash crash = {1, "v", 1, true, WP_CRASH_OUTAGE, 0};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	create_pool();
+	add_worker("w", 1000);
+	tick();
+	row.run = 1;
+	row.crash = &crash;
+	row.crash_count = 1;
+	struct jb_spec *slow = spec(kJob, {{2}});
+	slow->policy.priority = 2;
+	wp_add_job(p, slow, &progress, false, 0, now);
+	add(kOther, {{1}});
+	run_all();
+	ASSERT_NE(task(kJob, 0, 0)->worker, nullptr);
+	now += kS;
+	renew_lease("w", {}, {{1, kJob, 0, 0, 2, WP_END_DONE}});
+	run_all();
+	EXPECT_NE(task(kOther, 0, 0)->worker, nullptr);
+}
+
 /* Every few seconds some workers crash at once, and others one by one. */
 TEST_F(CrashSimulation, InnocentJobsOutliveWorkersThatCrashByThemselves)
 {
