pool: a registry that opens a worker is stored once

Stores saw the registry of workers twice each time a worker was opened, as each tick asked for another one while the first was being stored. The registry names all workers, so it is large in a large pool.

Change: no further one is asked for while the one in flight opens it.

Before: Takeover.RegistryThatOpensAWorkerIsStoredOnce failed.

--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -89,7 +89,7 @@
 wp_close_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
 {
 	bool may_close = wp_may_close(w, now_us);
-	bool opens = w->closed && !may_close;
+	bool opens = w->closed && !w->opening && !may_close;
 	bool closes = (!w->closed && may_close) || wp_has_stale_list(w, now_us);
 
 	if (!w->registered)
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -57,6 +57,24 @@
 	}
 };
 
+TEST_F(Takeover, RegistryThatOpensAWorkerIsStoredOnce)
+{
+	create_pool();
+	add_worker("w");
+	lose("w");
+	tick(kS);
+	commit_if_due();
+	ASSERT_TRUE(worker("w")->closed);
+	renew_lease("w");
+	tick();
+	ASSERT_TRUE(p->registry_dirty);
+	wp_registry_begin(p, now);
+	tick(20 * kMs);
+	wp_registry_end(p);
+	ASSERT_FALSE(worker("w")->closed);
+	EXPECT_FALSE(p->registry_dirty);
+}
+
 /* LOST in a hunt: workers down for maintenance held all tasks for 13 s. */
 TEST_F(Takeover, OnlyTasksThatMayBeOnALostWorkerWaitForItsLease)
 {
