pool: runs of unknown jobs on a silent worker end with its lease

What callers could see: after a takeover all tasks wait for a silent worker that should have been closed.

Cause: a worker with a run that belongs to no task is not closed, since its tasks would not be all that may be on it. When it fell silent, its lease was only looked at if it had tasks, too, so the run counted until it answered.

Change: the lease of each worker that is not empty is looked at.

Before: Takeover.SilentWorkerWithARunOfAnUnknownJobIsClosedAtItsLeaseEnd failed.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -949,8 +949,8 @@
 	 * While a later owner may exist, the lease may have been renewed
 	 * without this owner's knowledge.
 	 */
-	if (!p->ownership_unconfirmed && !w->reachable && w->tasks != NULL &&
-	    now_us > wp_lease_expiry_us(w))
+	if (!p->ownership_unconfirmed && !w->reachable &&
+	    !wp_is_worker_empty(w) && now_us > wp_lease_expiry_us(w))
 		wp_worker_lease_expired(p, w, now_us);
 	if (w->draining && w->reachable)
 		wp_drain_worker(p, w, now_us);
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -57,6 +57,20 @@
 	}
 };
 
+TEST_F(Takeover, SilentWorkerWithARunOfAnUnknownJobIsClosedAtItsLeaseEnd)
+{
+	create_pool();
+	add_worker("w");
+	renew_lease("w", {{kOther, 0, 0, 1, 0}});
+	lose("w");
+	tick(2 * kS);
+	commit_if_due();
+	EXPECT_FALSE(worker("w")->closed);
+	tick(2 * kS);
+	commit_if_due();
+	EXPECT_TRUE(worker("w")->closed);
+}
+
 TEST_F(Takeover, RegistryThatOpensAWorkerIsStoredOnce)
 {
 	create_pool();
