pool: a large step with a suspect costs no more than others in each pass

While one task of a step is tried after a crash, each pass asked for each waiting sibling whether any sibling goes before it, though the response is the same for all siblings without a crash.

Change: it is asked once in a pass.

--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -252,9 +252,26 @@
 	return NULL;
 }
 
+/* @others_wait: tasks without a crash wait for their siblings in this pass */
+static bool
+wp_may_start_task(const struct wp_pool *p, const struct wp_task *t,
+    bool *others_wait, int64_t now_us)
+{
+	if (t->state != WP_TASK_WAITING || now_us < t->not_before_us ||
+	    (*others_wait && t->crash_count == 0))
+		return false;
+	if (wp_may_restart(p, t, now_us))
+		return true;
+	/* It looks at all siblings, and would find the same for each of these. */
+	if (t->crash_count == 0)
+		*others_wait = true;
+	return false;
+}
+
 static void
 wp_start_step(struct wp_pool *p, struct wp_step *s, int64_t now_us)
 {
+	bool others_wait = false;
 	uint32_t i;
 
 	for (i = 0;
@@ -264,8 +281,7 @@
 		const char *ticket = NULL;
 		struct wp_worker *w;
 
-		if (t->state != WP_TASK_WAITING || now_us < t->not_before_us ||
-		    !wp_may_restart(p, t, now_us))
+		if (!wp_may_start_task(p, t, &others_wait, now_us))
 			continue;
 		w = wp_pick_worker(
 		    p, s, t, wp_common_rack(s), false, now_us, &ticket);
