--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -643,6 +643,77 @@
 	EXPECT_EQ(starts[kJob + ".0"], 3);
 }
 
+/* Nobody can tell the next owner what became of a worker that has left. */
+TEST_F(CrashSimulation, JobEndsThoughAWorkerUnderItsTaskHasLeftForGood)
+{
+	struct jb_crash crash[WP_MAX_CRASHES] = {
+	    {1, "gone", 1, false, WP_CRASH_OUTAGE, 0},
+	    {2, "w0", 1, true, WP_CRASH_UNSURE, 0},
+	    {3, "w1", 1, true, WP_CRASH_UNSURE, 0},
+	    {4, "w2", 1, true, WP_CRASH_UNSURE, 0},
+	    {5, "w3", 1, true, WP_CRASH_UNSURE, 0}};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	create_pool(1);
+	create_workers(4);
+	row.crash = crash;
+	row.crash_count = WP_MAX_CRASHES;
+	row.run = 5;
+	add(kJob, {{1}}, &progress, false);
+	play(60 * kS);
+	EXPECT_TRUE(jb_has_ended(state_of(kJob)));
+}
+
+TEST_F(Crashes, UrgentTaskUnderWhichAWorkerHasCrashedPreempts)
+{
+	struct jb_crash crash = {1, "v", 1, true, WP_CRASH_OUTAGE, 0};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	create_pool();
+	add_worker("w", 1000);
+	struct jb_spec *slow = spec(kOther, {{1, 1000, JB_CHECKPOINTS}});
+	slow->policy.priority = 2;
+	wp_add_job(p, slow, nullptr, true, 0, now);
+	ASSERT_EQ(run_all().size(), 1U);
+	row.run = 1;
+	row.crash = &crash;
+	row.crash_count = 1;
+	add(kJob, {{1}}, &progress, false);
+	for (uint32_t i = 1; i <= 60; i++) {
+		renew_lease("w", {{kOther, 0, 0, 1, 0, i}});
+		run_all(100 * kMs);
+		if (task(kOther, 0, 0)->state == WP_TASK_STOPPING)
+			return;
+	}
+	FAIL() << "it still waits after 6 s";
+}
+
+TEST_F(Crashes, StepGoesFirstOnlyAsLongAsATaskOfItIsSuspected)
+{
+	struct jb_crash crash = {1, "v", 1, true, WP_CRASH_OUTAGE, 0};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	create_pool();
+	add_worker("w", 1000);
+	tick();
+	row.run = 1;
+	row.crash = &crash;
+	row.crash_count = 1;
+	struct jb_spec *slow = spec(kJob, {{2}});
+	slow->policy.priority = 2;
+	wp_add_job(p, slow, &progress, false, 0, now);
+	add(kOther, {{1}});
+	run_all();
+	ASSERT_NE(task(kJob, 0, 0)->worker, nullptr);
+	now += kS;
+	renew_lease("w", {}, {{1, kJob, 0, 0, 2, WP_END_DONE}});
+	run_all();
+	EXPECT_NE(task(kOther, 0, 0)->worker, nullptr);
+}
+
 /* Every few seconds some workers crash at once, and others one by one. */
 TEST_F(CrashSimulation, InnocentJobsOutliveWorkersThatCrashByThemselves)
 {
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -57,6 +57,38 @@
 	}
 };
 
+TEST_F(Takeover, SilentWorkerWithARunOfAnUnknownJobIsClosedAtItsLeaseEnd)
+{
+	create_pool();
+	add_worker("w");
+	renew_lease("w", {{kOther, 0, 0, 1, 0}});
+	lose("w");
+	tick(2 * kS);
+	commit_if_due();
+	EXPECT_FALSE(worker("w")->closed);
+	tick(2 * kS);
+	commit_if_due();
+	EXPECT_TRUE(worker("w")->closed);
+}
+
+TEST_F(Takeover, RegistryThatOpensAWorkerIsStoredOnce)
+{
+	create_pool();
+	add_worker("w");
+	lose("w");
+	tick(kS);
+	commit_if_due();
+	ASSERT_TRUE(worker("w")->closed);
+	renew_lease("w");
+	tick();
+	ASSERT_TRUE(p->registry_dirty);
+	wp_registry_begin(p, now);
+	tick(20 * kMs);
+	wp_registry_end(p);
+	ASSERT_FALSE(worker("w")->closed);
+	EXPECT_FALSE(p->registry_dirty);
+}
+
 /* LOST in a hunt: workers down for maintenance held all tasks for 13 s. */
 TEST_F(Takeover, OnlyTasksThatMayBeOnALostWorkerWaitForItsLease)
 {
