pool: an owner that resumes starts nothing on workers that forgot tokens

A worker that restarts has forgotten the highest fencing token, and its clock starts anew, so the deadline by its earlier clock lies far ahead. An owner may start tasks for 6 s after its lease was last confirmed, to bridge outages of the store, so nothing else held the starts back.

Change: while ownership is unconfirmed, an owner starts tasks, and sends unanswered starts again, only on workers that it had heard of before, in the same incarnation, and that have answered a renewal sent in the last 2 s. What counts is when the renewal was sent, as an answer may have waited in a socket during the pause. Any worker that a later owner has called refuses a renewal and so ends the ownership. In an outage of the store, starts go on as before on workers that answer and did not restart.

Before: Pool.OwnerThatResumesStartsNothingBeforeAWorkerHasAnswered, Pool.WorkerThatRestartedReceivesNoTasksWhileOwnershipIsUnconfirmed and Pool.OwnerThatResumesResendsNoStartBeforeTheWorkerHasAnswered failed.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -379,6 +379,9 @@
  * @prompt_reply_us: when a reply that was not overdue arrived last
  * @renewal_in_flight: a renewal has no result yet and is not overdue
  * @renew_at_us: when the next renewal is due
+ * @renewal_sent_us: when the last renewal was sent
+ * @answered_renewal_us: when the last renewal that it answered in time was sent
+ * @new_to_owner: first heard of, or restarted, while ownership is unconfirmed
  * @last_renewal_us: when a new lease end was last sent to it; 0 before
  * @unanswered_orders: orders in a row without an answer
  * @failures: failed runs in a row, of different jobs
@@ -439,6 +442,9 @@
 	enum wp_blame blame;
 	bool renewal_in_flight;
 	int64_t renew_at_us;
+	int64_t renewal_sent_us;
+	int64_t answered_renewal_us;
+	bool new_to_owner;
 	int64_t last_renewal_us;
 	uint32_t unanswered_orders;
 	uint32_t failures;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -271,6 +271,12 @@
 bool wp_is_suitable(const struct wp_step *s, const struct wp_worker *w);
 /** wp_is_usable() - whether a worker may receive new tasks now */
 bool wp_is_usable(const struct wp_worker *w, int64_t now_us);
+/**
+ * wp_would_tell() - whether a worker that a later owner had called would have
+ * refused this owner's token
+ */
+bool wp_would_tell(
+    const struct wp_pool *p, const struct wp_worker *w, int64_t now_us);
 /** wp_knows_capacity() - whether a start may rely on a worker's capacity */
 bool wp_knows_capacity(const struct wp_worker *w, int64_t now_us);
 /** wp_usable_capacity() - resources of all workers that may receive tasks */
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -6,6 +6,11 @@
 
 /* Unanswered orders in a row after which a worker receives no more tasks. */
 #define WP_MAX_UNANSWERED_ORDERS 2
+/*
+ * While ownership is unconfirmed, a worker whose last answer is to an older
+ * renewal receives no tasks. It may be longer between two renewals that wait.
+ */
+#define WP_TELLING_US (2 * CLK_US_PER_S)
 /* How often a step that can't start considers all workers. */
 #define WP_FULL_SCAN_INTERVAL_US (100 * CLK_US_PER_MS)
 
@@ -39,6 +44,23 @@
 	    now_us >= w->quarantined_until_us;
 }
 
+/*
+ * A worker that restarts forgets the tokens that it has seen, and its clock
+ * starts anew, so that a deadline by its earlier clock does not keep it from
+ * starting what an owner sends that has been superseded while it was paused. An
+ * owner that may have been superseded relies only on workers that it knew before
+ * and that have accepted its token since.
+ */
+bool
+wp_would_tell(
+    const struct wp_pool *p, const struct wp_worker *w, int64_t now_us)
+{
+	if (!p->ownership_unconfirmed)
+		return true;
+	return !w->new_to_owner &&
+	    now_us - w->answered_renewal_us <= WP_TELLING_US;
+}
+
 struct wp_resources
 wp_usable_capacity(const struct wp_pool *p, int64_t now_us)
 {
@@ -122,7 +144,8 @@
 wp_may_start_on(
     const struct wp_step *s, const struct wp_worker *w, int64_t now_us)
 {
-	if (!wp_is_usable(w, now_us) || !wp_is_suitable(s, w))
+	if (!wp_is_usable(w, now_us) || !wp_is_suitable(s, w) ||
+	    !wp_would_tell(s->occ->job->pool, w, now_us))
 		return false;
 	if (wp_needs_advice(s) && wp_ticket_valid(s, w, now_us) == NULL)
 		return false;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -259,6 +259,7 @@
 	if (!w->listed && w->tasks == NULL && now_us > wp_lease_expiry_us(w))
 		return false;
 	w->renewal_in_flight = true;
+	w->renewal_sent_us = now_us;
 	w->acked_sent = wp_ack_to_send(w, now_us);
 	renewal->acked_end = w->acked_sent;
 	renewal->deadline_clock_ms = 0;
@@ -570,6 +571,7 @@
 		return;
 	if (w->incarnation_ms != 0)
 		wp_worker_restarted(p, w, reply, now_us);
+	w->new_to_owner = p->ownership_unconfirmed;
 	w->incarnation_ms = reply->incarnation_ms;
 	wp_read_clock(w, reply->clock_ms, now_us);
 }
@@ -638,6 +640,7 @@
 
 	w->renewal_in_flight = false;
 	w->prompt_reply_us = now_us;
+	w->answered_renewal_us = w->renewal_sent_us;
 	if (wp_is_outdated(w, reply)) {
 		w->renew_at_us = now_us;
 		return;
@@ -825,7 +828,8 @@
 		return;
 	}
 	/* The worker's next reports tell whether it has started. */
-	if (!wp_knows_capacity(t->worker, now_us) || wp_is_overfull(t->worker))
+	if (!wp_knows_capacity(t->worker, now_us) ||
+	    wp_is_overfull(t->worker) || !wp_would_tell(p, t->worker, now_us))
 		return;
 	wp_task_send_start(p, t,
 	    wp_needs_advice(t->step)
@@ -931,6 +935,7 @@
 	struct wp_task *t;
 	struct wp_task *tmp;
 
+	w->new_to_owner = w->new_to_owner && p->ownership_unconfirmed;
 	wp_copy_unreachable(p, w, now_us);
 	/*
 	 * While a later owner may exist, the lease may have been renewed
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -620,6 +620,64 @@
 	EXPECT_STREQ(orders[0]->worker, "v");
 }
 
+/* Soak seed 502: a restarted worker carried out a superseded owner's start. */
+TEST_F(Pool, OwnerThatResumesStartsNothingBeforeAWorkerHasAnswered)
+{
+	struct wp_renewal renewal;
+
+	create_pool();
+	add_worker("w");
+	ASSERT_TRUE(tick(100 * kMs).empty());
+	wp_renewal_due(p, wp_find_worker(p, "w"), now, &renewal);
+	add(kJob, {{1}});
+	p->ownership_unconfirmed = true;
+	now += 4 * kS;
+	EXPECT_TRUE(tick().empty());
+	/* The worker answered before the pause ended. */
+	renew_lease("w");
+	EXPECT_TRUE(tick(10 * kMs).empty());
+	renew_lease("w");
+	EXPECT_EQ(tick(200 * kMs).size(), 1U);
+}
+
+TEST_F(Pool, WorkerThatRestartedReceivesNoTasksWhileOwnershipIsUnconfirmed)
+{
+	create_pool();
+	add_worker("w");
+	p->ownership_unconfirmed = true;
+	now += kS;
+	renew_lease("w", {}, {}, 2);
+	add(kJob, {{1}});
+	EXPECT_TRUE(tick(200 * kMs).empty());
+	p->ownership_unconfirmed = false;
+	EXPECT_EQ(tick(200 * kMs).size(), 1U);
+}
+
+TEST_F(Pool, OwnerThatResumesResendsNoStartBeforeTheWorkerHasAnswered)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{1}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	answer(orders[0], WP_NO_ANSWER);
+	p->ownership_unconfirmed = true;
+	now += 4 * kS;
+	EXPECT_TRUE(tick().empty());
+}
+
+TEST_F(Pool, TasksStartWhileOwnershipIsUnconfirmed)
+{
+	create_pool();
+	add_worker("w");
+	add_worker("v");
+	p->ownership_unconfirmed = true;
+	now += kS;
+	renew_lease("w");
+	add(kJob, {{1}});
+	EXPECT_EQ(tick(200 * kMs).size(), 1U);
+}
+
 TEST_F(Pool, UnansweredStartIsResentWithTheSameRun)
 {
 	create_pool();
