pool: tasks of an ended job are no suspects

While there is a suspect, each start looks at the tasks on each worker that it considers. The tasks of a job that had ended stayed suspects until the job was forgotten, minutes later, so after a first failed job that was so nearly always.

Change: what is known of crashes under them is dropped.

The description of wp_crashes_allow_start() now says what holds for a task with as many crashes as are remembered.

Before: CrashSimulation.TasksOfAnEndedJobAreNoSuspects failed.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -148,8 +148,8 @@
  * wp_crashes_allow_start() - whether a task may start, for its crashes so far
  *
  * Not while suspected crashes might prove it to be the cause, nor before a
- * later owner would know of the crashes, and never again once as many as are
- * remembered may have happened under it.
+ * later owner would know of the crashes, nor while as many as are remembered may
+ * have happened under it.
  */
 bool wp_crashes_allow_start(
     const struct wp_pool *p, const struct wp_task *t, int64_t now_us);
--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -362,7 +362,11 @@
 		const struct wp_job *job = t->step->occ->job;
 		uint32_t i = t->crash_count;
 
-		if (job->final_state != JB_PENDING || jb_has_ended(job->state))
+		if (jb_has_ended(job->state)) {
+			wp_crash_forget(p, t);
+			continue;
+		}
+		if (job->final_state != JB_PENDING)
 			continue;
 		while (i-- > 0) {
 			if (!t->crash[i].ended)
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -383,6 +383,17 @@
 	EXPECT_EQ(p->stats.given_up, 1U);
 }
 
+TEST_F(CrashSimulation, TasksOfAnEndedJobAreNoSuspects)
+{
+	create_pool();
+	create_workers(8);
+	deadly[kJob] = 0;
+	add(kJob, {{1}});
+	play(30 * kS);
+	ASSERT_EQ(state_of(kJob), JB_FAILED);
+	EXPECT_EQ(p->suspects, nullptr);
+}
+
 TEST_F(CrashSimulation, BystanderOnACrashedWorkerIsNotGivenUp)
 {
 	create_pool();
