pool: a task of an earlier owner's job is tried less often after crashes

Cause: an owner that is lost takes the crashes that it had not stored with it. The next owner needs four certain crashes of its own where the evidence against the task is weak.

Change: three, for jobs that were accepted before the owner took over. Considered: storing a crash before its task starts again; that would stop work while the store is away.

CrashSimulation.UnstoredCrashesOfEarlierOwnersDoNotProlongTheTries failed before.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -270,6 +270,7 @@
  * @unfinished_occurrences: occurrences with unfinished steps
  * @state: JB_PENDING until the job has ended; see wp_public_state()
  * @started: a task has been started, by this owner or an earlier one
+ * @inherited: accepted before this owner took over
  * @final_state: state that the job takes once all its tasks are off their
  *	workers, or JB_PENDING while it is not being stopped
  * @arrived_us: when it was accepted
@@ -292,6 +293,7 @@
 	uint32_t unfinished_occurrences;
 	enum jb_state state;
 	bool started;
+	bool inherited;
 	enum jb_state final_state;
 	int64_t arrived_us;
 	int64_t first_start_us;
--- a/state/pool.c
+++ b/state/pool.c
@@ -205,6 +205,7 @@
 	job->occ = talloc_zero_array(
 	    job, struct wp_occurrence *, jb_occurrences(spec));
 	job->unfinished_occurrences = jb_occurrences(spec);
+	job->inherited = !is_new;
 	job->store_not_before_us = is_new ? now_us + WP_STORE_INTERVAL_US : 0;
 	job->arrived_us = spec->accepted_wall_ms * CLK_US_PER_MS + wall_to_us;
 	if (job->arrived_us > now_us)
--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -23,6 +23,8 @@
 /* It does when they tell so much against the task, or are so many. */
 #define WP_MAX_WEIGHT 5
 #define WP_MAX_CERTAIN_CRASHES 4
+/* The same for a job of an earlier owner, which may not have stored some. */
+#define WP_MAX_INHERITED_CRASHES 3
 /* Workers that may crash while they run a task, suspected or not. */
 #define WP_MAX_CRASHED_WORKERS 4
 /* A run that has lived for so long is not counted for its worker's crash. */
@@ -247,6 +249,13 @@
 	wp_crash_changed(t);
 }
 
+static uint32_t
+wp_max_certain_crashes(const struct wp_job *job)
+{
+	return job->inherited ? WP_MAX_INHERITED_CRASHES
+			      : WP_MAX_CERTAIN_CRASHES;
+}
+
 static bool
 wp_is_cause(const struct wp_task *t)
 {
@@ -256,7 +265,7 @@
 	if (t->crashed_workers >= WP_MAX_CRASHED_WORKERS)
 		return true;
 	if (certain >= WP_MIN_CRASHES &&
-	    (certain >= WP_MAX_CERTAIN_CRASHES ||
+	    (certain >= wp_max_certain_crashes(t->step->occ->job) ||
 		wp_weight_of_crashes(t) >= WP_MAX_WEIGHT))
 		return true;
 	/* It can't be started any more, so nothing else will be learned. */
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -574,6 +574,25 @@
 	EXPECT_EQ(state_of(kJob), JB_FAILED);
 }
 
+/* Owners that were lost did not store the crashes just before. */
+TEST_F(CrashSimulation, UnstoredCrashesOfEarlierOwnersDoNotProlongTheTries)
+{
+	struct jb_crash crash[3] = {{2001, "w0", 1, true, WP_CRASH_OUTAGE, 0},
+	    {2002, "w1", 1, true, WP_CRASH_OUTAGE, 0},
+	    {2003, "w2", 1, true, WP_CRASH_OUTAGE, 0}};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	create_pool(2);
+	create_workers(4);
+	row.crash = crash;
+	row.crash_count = 3;
+	row.run = 2003;
+	add(kJob, {{1}}, &progress, false);
+	play(5 * kS);
+	EXPECT_EQ(state_of(kJob), JB_FAILED);
+}
+
 /* Workers crash for other reasons, too. */
 TEST_F(CrashSimulation, TwoCrashesWithOtherSuspectsAreNoProof)
 {
