--- a/include/state/job.h
+++ b/include/state/job.h
@@ -139,8 +139,8 @@
  * @worker: name of the worker
  * @incarnation_ms: incarnation of the worker
  * @ended: that incarnation has ended; before, the worker may only be silent
- * @weight: how strongly it tells against the task; 0 when it is unknown whether
- *	the worker ever started the run
+ * @weight: evidence against the task, one of the WP_CRASH_* weights; 0 when it is
+ *	unknown whether the worker ever started the run
  * @made_us: when it was suspected, or loaded by this owner; not stored
  */
 struct jb_crash {
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -353,7 +353,7 @@
  * @registered: it is in the stored registry that a later owner reads
  * @registering: the registry in the commit in flight names it
  * @closed: the stored registry may name all tasks on it, so it receives none
- * @opening: the registry in the commit in flight does not close it
+ * @opening: the registry in the commit in flight opens it
  * @closed_task: the tasks that the registry names, @closed_task_count of them
  * @close_at_us: it is not closed before
  * @used: resources of tasks that are or may be on it
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -205,8 +205,8 @@
  */
 bool wp_may_restart(
     const struct wp_pool *p, const struct wp_task *t, int64_t now_us);
-/** wp_startable() - waiting tasks of a step that may start at the same time */
-uint32_t wp_startable(const struct wp_step *s);
+/** wp_startable_count() - waiting tasks of a step that may start at the same time */
+uint32_t wp_startable_count(const struct wp_step *s);
 /** wp_is_isolated() - whether a suspected task waits for a worker of its own */
 bool wp_is_isolated(const struct wp_task *t, int64_t now_us);
 /** wp_may_share() - whether a task may start beside the others on a worker */
--- a/state/gang_plan.c
+++ b/state/gang_plan.c
@@ -57,8 +57,9 @@
 	uint32_t count = 0;
 	uint32_t i = 0;
 
-	qsort(offer->release, offer->release_count, sizeof(*offer->release),
-	    gp_compare_releases);
+	if (offer->release_count > 0)
+		qsort(offer->release, offer->release_count,
+		    sizeof(*offer->release), gp_compare_releases);
 	for (;;) {
 		uint32_t fit = gp_fit_count(&available, need, offer->max_slots);
 
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -96,7 +96,7 @@
 wp_slots_wanted(struct wp_pool *p, const struct wp_step *s)
 {
 	const struct wp_approval_rate *rate = wp_approval_rate_of(p, s);
-	uint64_t slots = (uint64_t)wp_startable(s) * rate->asked /
+	uint64_t slots = (uint64_t)wp_startable_count(s) * rate->asked /
 	    (rate->approved > 0 ? rate->approved : 1);
 
 	slots += slots / WP_SPARE_SLOTS_DIVISOR + WP_SPARE_SLOTS;
@@ -353,7 +353,7 @@
 wp_deduct_step(struct wp_resources *expected, const struct wp_step *s)
 {
 	struct wp_resources need = wp_task_resources(s->spec);
-	int64_t tasks = wp_startable(s);
+	int64_t tasks = wp_startable_count(s);
 
 	expected->cpu_mcpu -= need.cpu_mcpu * tasks;
 	expected->mem_mb -= need.mem_mb * tasks;
@@ -371,7 +371,7 @@
 		return false;
 	s->next_request_us = now_us + WP_REQUEST_INTERVAL_US;
 	s->has_enough_tickets =
-	    wp_slots_with_tickets(p, s, now_us) >= wp_startable(s);
+	    wp_slots_with_tickets(p, s, now_us) >= wp_startable_count(s);
 	if (s->has_enough_tickets)
 		return false;
 	return (s->spec->flags & JB_LONG_RUNNING) ||
--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -8,13 +8,15 @@
  * What is known of workers that crashed under a task: which crashes have
  * happened, which are only suspected, and when a job fails because of them.
  *
- * A crash under a task is certain if the worker had confirmed the start, and
- * once its incarnation has ended. A worker that is only silent, or refuses
- * connections, may as well be partitioned.
+ * A crash is suspected when a worker falls silent soon after it started the
+ * task. It is open until the worker answers again, which refutes it, or its
+ * incarnation has ended. It is then certain if the worker had confirmed the
+ * start. A worker that is only silent, or refuses connections, may as well be
+ * partitioned.
  */
 
 #define WP_CHECK_INTERVAL_US (100 * CLK_US_PER_MS)
-/* A worker that has crashed under a task is back by then. */
+/* How long the outcome of a suspected crash is awaited. */
 #define WP_OPEN_CRASH_US (6 * CLK_US_PER_S)
 /* A run that has lived for so long does not crash its worker. */
 #define WP_CLEARED_US (2 * CLK_US_PER_S)
--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -55,8 +55,9 @@
 }
 
 /*
- * Whether the tasks on a worker are all that a later owner has to know of. A
- * run whose end is read but not stored is not among them any more.
+ * Whether the tasks on a worker are all that a later owner has to know of. Else
+ * it may run more: a run whose end is read but not stored is not among them any
+ * more, and a run of an unknown job never was.
  */
 static bool
 wp_knows_all_runs(const struct wp_worker *w, int64_t now_us)
--- a/state/pool_suspect.c
+++ b/state/pool_suspect.c
@@ -179,7 +179,7 @@
 
 /* Whether a sibling is tried, or has to be tried first. */
 static bool
-wp_goes_before(const struct wp_pool *p, const struct wp_task *other,
+wp_blocks_sibling(const struct wp_pool *p, const struct wp_task *other,
     const struct wp_task *t, int64_t now_us)
 {
 	if (other == t || other->crash_count == 0)
@@ -203,14 +203,14 @@
 	if (s->trial_passed || (s->spec->flags & JB_GANG))
 		return true;
 	for (i = 0; i < s->spec->count; i++) {
-		if (wp_goes_before(p, &s->task[i], t, now_us))
+		if (wp_blocks_sibling(p, &s->task[i], t, now_us))
 			return false;
 	}
 	return true;
 }
 
 uint32_t
-wp_startable(const struct wp_step *s)
+wp_startable_count(const struct wp_step *s)
 {
 	if (s->suspects == 0 || s->trial_passed || s->waiting == 0 ||
 	    (s->spec->flags & JB_GANG))
