pool: the tasks on a worker are counted by one function

The score of a suspected task counted them in a loop of its own, a hundred for each without a name, beside wp_count_tasks(); that function is shared now and the number has a name. wp_worker_restarted() set the incarnation that its only caller sets right after it.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -55,6 +55,9 @@
 /** wp_is_overfull() - whether its tasks take more than a worker's capacity */
 bool wp_is_overfull(const struct wp_worker *w);
 
+/** wp_count_tasks() - tasks that are or may be on a worker */
+uint32_t wp_count_tasks(const struct wp_worker *w);
+
 /** wp_task_ref() - fill in the reference that names a task */
 void wp_task_ref(const struct wp_task *t, struct jb_ref *ref);
 /** wp_find_task() - find a task by reference, or NULL */
--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -43,17 +43,6 @@
 	    now_us - w->unreachable_since_us >= WP_CLOSE_UNREACHABLE_US;
 }
 
-static uint32_t
-wp_count_tasks(const struct wp_worker *w)
-{
-	const struct wp_task *t;
-	uint32_t n = 0;
-
-	DL_FOREACH(w->tasks, t)
-		n++;
-	return n;
-}
-
 /*
  * Whether the tasks on a worker are all that a later owner has to know of. Else
  * it may run more: a run whose end is read but not stored is not among them any
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -11,6 +11,8 @@
  * renewal receives no tasks. It may be longer between two renewals that wait.
  */
 #define WP_TELLING_US (2 * CLK_US_PER_S)
+/* Added to a worker's score for each task that a crash would cost. */
+#define WP_RISK_PER_TASK 100.0
 /* How often a step that can't start considers all workers. */
 #define WP_FULL_SCAN_INTERVAL_US (100 * CLK_US_PER_MS)
 
@@ -206,14 +208,9 @@
 static double
 wp_risk_score(const struct wp_task *t, const struct wp_worker *w)
 {
-	const struct wp_task *other;
-	double score = 0;
-
 	if (t->crash_count == 0)
 		return 0;
-	DL_FOREACH(w->tasks, other)
-		score += 100;
-	return score;
+	return WP_RISK_PER_TASK * wp_count_tasks(w);
 }
 
 /* @over_reservations: ignore those of less urgent gangs */
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -133,6 +133,17 @@
 	return o;
 }
 
+uint32_t
+wp_count_tasks(const struct wp_worker *w)
+{
+	const struct wp_task *t;
+	uint32_t n = 0;
+
+	DL_FOREACH(w->tasks, t)
+		n++;
+	return n;
+}
+
 static void
 wp_task_attach(struct wp_task *t, struct wp_worker *w)
 {
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -204,7 +204,6 @@
 		else
 			wp_task_stop(p, t, now_us);
 	}
-	w->incarnation_ms = reply->incarnation_ms;
 	w->processed_end = 0;
 	w->unacked_count = 0;
 	w->acked_end = 0;
