--- a/tests/unit/pool_fixture.h
+++ b/tests/unit/pool_fixture.h
@@ -123,7 +123,7 @@
 	{
 		struct wp_worker *w = wp_find_worker(p, id.c_str());
 		std::vector<struct wp_running_task> rows;
-		std::vector<struct wp_run_end> done;
+		std::vector<struct wp_run_end> done = end_rows(ends);
 		struct wp_renewal_reply reply = {};
 		struct wp_renewal renewal;
 
@@ -140,6 +140,20 @@
 			row.percent = r.percent;
 			rows.push_back(row);
 		}
+		reply.incarnation_ms = incarnation;
+		reply.clock_ms = now / kMs;
+		reply.running = rows.data();
+		reply.running_count = (uint32_t)rows.size();
+		reply.end = done.data();
+		reply.end_count = (uint32_t)done.size();
+		wp_on_renewal(p, w, &reply, now);
+	}
+
+	static std::vector<struct wp_run_end>
+	end_rows(const std::vector<End> &ends)
+	{
+		std::vector<struct wp_run_end> rows;
+
 		for (const End &e : ends) {
 			struct wp_run_end row = {};
 
@@ -147,15 +161,9 @@
 			row.number = e.number;
 			row.run = e.run;
 			row.outcome = e.outcome;
-			done.push_back(row);
+			rows.push_back(row);
 		}
-		reply.incarnation_ms = incarnation;
-		reply.clock_ms = now / kMs;
-		reply.running = rows.data();
-		reply.running_count = (uint32_t)rows.size();
-		reply.end = done.data();
-		reply.end_count = (uint32_t)done.size();
-		wp_on_renewal(p, w, &reply, now);
+		return rows;
 	}
 
 	void
@@ -175,19 +183,10 @@
 	    const std::vector<End> &ends, int64_t incarnation = 1,
 	    const std::vector<Running> &running = {})
 	{
-		std::vector<struct wp_run_end> rows;
+		std::vector<struct wp_run_end> rows = end_rows(ends);
 		std::vector<struct wp_running_task> runs;
 		struct wp_renewal_reply reply = {};
 
-		for (const End &e : ends) {
-			struct wp_run_end row = {};
-
-			fill_ref(&row.ref, e.job, e.step, e.index);
-			row.number = e.number;
-			row.run = e.run;
-			row.outcome = e.outcome;
-			rows.push_back(row);
-		}
 		reply.incarnation_ms = incarnation;
 		reply.clock_ms = made_us / kMs;
 		reply.end = rows.data();
