http_client: a response says how often its request was sent

The client library repeats a request by itself when a reused connection ends before the response begins. A response now carries the number of connections that the request was handed to, and how many of them were new. What is done about it is not part of this.

--- a/include/transport/http_client.h
+++ b/include/transport/http_client.h
@@ -57,6 +57,9 @@
  * @sent_bytes: size of the request on the wire
  * @received_bytes: size of the response on the wire
  * @headers: response headers; read them with hc_header_value()
+ * @sends: how many connections the request was handed to; above 1, the client
+ *	library sent it again by itself, and an earlier copy may have been read
+ * @connects: how many of these connections were new
  */
 struct hc_response {
 	enum hc_error error;
@@ -66,6 +69,8 @@
 	size_t sent_bytes;
 	size_t received_bytes;
 	const char *headers;
+	uint32_t sends;
+	uint32_t connects;
 };
 
 /**
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -28,12 +28,16 @@
 	EXPECT_EQ(ntohs(sin.sin_port), 65535);
 }
 
-/* Responds to one request, reads a second one and resets the connection. */
+/*
+ * Responds to one request, reads a second one and resets the connection. May
+ * return after that, and respond to a third one with 503.
+ */
 class ResettingServer
 {
       public:
-	explicit ResettingServer(useconds_t response_delay_us = 0)
-	    : response_delay_us(response_delay_us)
+	explicit ResettingServer(
+	    useconds_t response_delay_us = 0, bool returns = false)
+	    : response_delay_us(response_delay_us), returns(returns)
 	{
 		socklen_t len = sizeof(sin);
 
@@ -84,13 +88,30 @@
 		usleep(response_delay_us);
 		ASSERT_GT(write(conn, response.data(), response.size()), 0);
 		read_request(conn);
-		close(fd);
+		if (!returns)
+			close(fd);
 		setsockopt(conn, SOL_SOCKET, SO_LINGER, &reset_on_close,
 		    sizeof(reset_on_close));
 		close(conn);
+		if (returns)
+			reject();
+	}
+
+	void
+	reject()
+	{
+		const std::string response =
+		    "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
+		int conn = accept(fd, nullptr, nullptr);
+
+		read_request(conn);
+		send(conn, response.data(), response.size(), MSG_NOSIGNAL);
+		close(conn);
+		close(fd);
 	}
 
 	useconds_t response_delay_us;
+	bool returns;
 	struct sockaddr_in sin = {};
 	int fd = -1;
 	std::thread thread;
@@ -100,6 +121,8 @@
 	enum hc_error error;
 	bool done;
 	int overdue = 0;
+	uint32_t sends = 0;
+	uint32_t connects = 0;
 };
 
 void
@@ -108,11 +131,13 @@
 	Call *call = (Call *)arg;
 
 	call->error = resp->error;
+	call->sends = resp->sends;
+	call->connects = resp->connects;
 	call->done = true;
 }
 
-enum hc_error
-post(const std::string &url, struct http_client *hc, struct loop *l)
+Call
+post_call(const std::string &url, struct http_client *hc, struct loop *l)
 {
 	struct hc_request req = {};
 	Call call = {HC_OK, false};
@@ -125,7 +150,13 @@
 	hc_send(hc, &req, on_done, &call);
 	while (!call.done)
 		tevent_loop_once(loop_ev(l));
-	return call.error;
+	return call;
+}
+
+enum hc_error
+post(const std::string &url, struct http_client *hc, struct loop *l)
+{
+	return post_call(url, hc, l).error;
 }
 
 /*
@@ -153,6 +184,21 @@
 	talloc_free(l);
 }
 
+TEST(HttpClient, RequestSentAgainOnAnotherConnectionIsCounted)
+{
+	ResettingServer server(0, true);
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	Call first = post_call(server.url, hc, l);
+	Call second = post_call(server.url, hc, l);
+
+	EXPECT_EQ(first.sends, 1U);
+	EXPECT_EQ(first.connects, 1U);
+	EXPECT_EQ(second.sends, 2U);
+	EXPECT_EQ(second.connects, 1U);
+	talloc_free(l);
+}
+
 /*
  * A stalled loop must not report timeouts for responses that arrived in time
  * but were not read yet: a daemon would take its workers for dead.
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -51,8 +51,8 @@
 	hc_overdue_fn overdue;
 	struct hc_transfer *prev;
 	struct hc_transfer *next;
-	/* curl had a connection, so it may have sent the request. */
-	bool sent;
+	/* How often curl had a connection, so it may have sent the request. */
+	uint32_t sends;
 	char error[CURL_ERROR_SIZE];
 };
 
@@ -65,7 +65,7 @@
 	 * curl retries a request when a reused connection is reset, so a failed
 	 * connect does not mean that nothing was sent.
 	 */
-	if (!t->sent)
+	if (t->sends == 0)
 		return HC_NOT_CONNECTED;
 	if (code == CURLE_OPERATION_TIMEDOUT)
 		return HC_TIMEOUT;
@@ -100,8 +100,10 @@
 	long status = 0;
 	long request_bytes = 0;
 	long header_bytes = 0;
+	long connects = 0;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &t);
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
 	curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &header_bytes);
@@ -112,6 +114,8 @@
 	resp.headers = t->response_headers != NULL ? t->response_headers : "";
 	resp.sent_bytes = (size_t)request_bytes;
 	resp.received_bytes = (size_t)header_bytes + t->response_bytes;
+	resp.sends = t->sends;
+	resp.connects = (uint32_t)connects;
 	curl_multi_remove_handle(hc->multi, easy);
 	DL_DELETE(hc->transfers, t);
 	t->done(&resp, t->arg);
@@ -379,7 +383,7 @@
 	(void)local_ip;
 	(void)remote_port;
 	(void)local_port;
-	t->sent = true;
+	t->sends++;
 	return CURL_PREREQFUNC_OK;
 }
 
