transport: a request that isn't repeatable is sent at most once

What callers saw: a job was refused with 503 (maybe=0) and ran; an order to a worker was reported as rejected and was carried out.

Cause: the HTTP client library sends a request again by itself when a reused connection ends before the first byte of the response, whatever the method is. hc_send() then reported the status of the second copy as if it were the only one. Layers above take a 503 or 429 as proof that nothing was done, although the first copy had been read whole.

Evidence: a loopback server answers one request, reads the next one whole on the kept connection, closes or resets it, and would answer 503 to a third. On the code before, RequestIsSentOnceAndItsResponseIsMissing failed in all 8 cases (POST, PUT, DELETE, GET; closed, reset): error HC_OK instead of HC_CUT_OFF, status 503, three requests at the server for two calls.

The change: before each transfer, the client asks whether a part of the request was written to any connection so far (CURLINFO_REQUEST_SIZE). If so, and unless the caller has set `repeatable`, the transfer ends with HC_CUT_OFF. The same figure decides between HC_NOT_CONNECTED and the other errors, so a connection that was found dead before the first byte counts as not sent.

What was tried: aborting whenever there had been an earlier connection. The library finds out that an idle connection was reset only when the write fails, so each write after a reset ended as HC_CUT_OFF with nothing sent (ClosedMeanwhileIsReplacedBeforeASend/1 failed so). With the bytes written it goes out on a new connection; an idle connection that was closed is replaced before the write.

Transactions, leases of the store, orders, advice, maintenance, sync of the product's own workers and requests to endpoints are not; routing repeats the latter itself where they are idempotent. currantctl opens a connection for each request, so the library never repeats there.

--- a/curranttackd/members.c
+++ b/curranttackd/members.c
@@ -506,6 +506,7 @@
 	req.method = "GET";
 	req.url = url;
 	req.deadline_us = clk_now_us() + me->d->settings->store_timeout_us;
+	req.repeatable = true;
 	me->vm_list_in_flight = true;
 	hc_send(me->d->control_http, &req, me_on_vm_list, me);
 }
--- a/curranttackd/shard_workers.c
+++ b/curranttackd/shard_workers.c
@@ -142,6 +142,7 @@
 	req.method = "GET";
 	req.url = url;
 	req.deadline_us = now_us + HO_POLL_WAIT_US + CLK_US_PER_S;
+	req.repeatable = true;
 	poll->poll_in_flight = true;
 	hc_send(h->d->control_http, &req, ho_on_worker_events, call);
 }
--- a/include/transport/http_client.h
+++ b/include/transport/http_client.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_HTTP_CLIENT_H
 #define TRANSPORT_HTTP_CLIENT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -36,6 +37,11 @@
  * @overdue_us: when to report that the response is overdue; 0 for never. The
  *	request goes on until @deadline_us
  * @overdue: called then; NULL unless @overdue_us is set
+ * @repeatable: the request may be sent again when its connection ends before
+ *	the response begins; the response is then to the last copy, and tells
+ *	nothing of the others. Set it for reads, and for writes of which
+ *	neither a second copy nor its refusal matters. Without it, the request
+ *	is handed to at most one connection and then ends with HC_CUT_OFF
  */
 struct hc_request {
 	const char *method;
@@ -47,6 +53,7 @@
 	int64_t deadline_us;
 	int64_t overdue_us;
 	hc_overdue_fn overdue;
+	bool repeatable;
 };
 
 /**
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -1,10 +1,14 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <atomic>
+#include <cstring>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
+#include <tuple>
 #include <unistd.h>
+#include <vector>
 
 extern "C" {
 #include "common/clock.h"
@@ -96,10 +100,153 @@
 	std::thread thread;
 };
 
+/* What a server does with a request: whole, or begun with ResetEarly. */
+enum class Reply {
+	Ok,
+	OkThenClose,
+	OkThenReset,
+	Refuse,
+	Close,
+	Reset,
+	ResetEarly,
+	Silence,
+};
+
+/* Handles each request as its script says, on one connection at a time. */
+class ScriptedServer
+{
+      public:
+	explicit ScriptedServer(const std::vector<Reply> &script)
+	    : script(script)
+	{
+		struct sockaddr_in sin = {};
+		socklen_t len = sizeof(sin);
+
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		bind(fd, (struct sockaddr *)&sin, sizeof(sin));
+		listen(fd, 8);
+		getsockname(fd, (struct sockaddr *)&sin, &len);
+		url =
+		    "http://127.0.0.1:" + std::to_string(ntohs(sin.sin_port)) +
+		    "/";
+		thread = std::thread([this] { serve(); });
+	}
+
+	~ScriptedServer()
+	{
+		stopped = true;
+		shutdown(fd, SHUT_RDWR);
+		shutdown(conn, SHUT_RDWR);
+		thread.join();
+		close(fd);
+	}
+
+	std::string url;
+	std::atomic<int> connections{0};
+	std::atomic<int> requests{0};
+	std::atomic<int> closed{0};
+
+      private:
+	Reply
+	next_reply() const
+	{
+		size_t n = (size_t)requests;
+
+		return n < script.size() ? script[n] : Reply::Ok;
+	}
+
+	bool
+	read_request(int conn)
+	{
+		std::string text;
+		char buf[4096];
+		size_t body;
+
+		for (;;) {
+			ssize_t n = read(conn, buf, sizeof(buf));
+
+			if (n <= 0)
+				return false;
+			text.append(buf, (size_t)n);
+			body = text.find("\r\n\r\n");
+			if (next_reply() == Reply::ResetEarly)
+				return true;
+			if (body == std::string::npos)
+				continue;
+			if (text.find("Content-Length: 4") ==
+				std::string::npos ||
+			    text.size() >= body + 8)
+				return true;
+		}
+	}
+
+	static void
+	write_status(int conn, const char *status)
+	{
+		std::string text = std::string("HTTP/1.1 ") + status +
+		    "\r\nContent-Length: 0\r\n\r\n";
+
+		EXPECT_EQ(write(conn, text.data(), text.size()),
+		    (ssize_t)text.size());
+	}
+
+	static bool
+	is_ok(Reply reply)
+	{
+		return reply == Reply::Ok || reply == Reply::OkThenClose ||
+		    reply == Reply::OkThenReset;
+	}
+
+	/* Whether the connection is kept. */
+	bool
+	reply(int conn)
+	{
+		Reply r = next_reply();
+		struct linger reset_on_close = {1, 0};
+
+		requests++;
+		if (is_ok(r))
+			write_status(conn, "200 OK");
+		if (r == Reply::Refuse)
+			write_status(conn, "503 Service Unavailable");
+		if (r == Reply::OkThenReset)
+			/* The response must not be reset along with it. */
+			usleep(50000);
+		if (r == Reply::OkThenReset || r == Reply::Reset ||
+		    r == Reply::ResetEarly)
+			setsockopt(conn, SOL_SOCKET, SO_LINGER, &reset_on_close,
+			    sizeof(reset_on_close));
+		return r == Reply::Ok || r == Reply::Refuse ||
+		    r == Reply::Silence;
+	}
+
+	void
+	serve()
+	{
+		while (
+		    !stopped && (conn = accept(fd, nullptr, nullptr)) != -1) {
+			connections++;
+			while (!stopped && read_request(conn) && reply(conn))
+				;
+			close(conn);
+			closed++;
+		}
+	}
+
+	std::vector<Reply> script;
+	int fd = -1;
+	std::atomic<int> conn{-1};
+	std::atomic<bool> stopped{false};
+	std::thread thread;
+};
+
 struct Call {
 	enum hc_error error;
 	bool done;
 	int overdue = 0;
+	int status = 0;
 };
 
 void
@@ -108,24 +255,35 @@
 	Call *call = (Call *)arg;
 
 	call->error = resp->error;
+	call->status = resp->status;
 	call->done = true;
 }
 
-enum hc_error
-post(const std::string &url, struct http_client *hc, struct loop *l)
+Call
+send(const std::string &url, struct http_client *hc, struct loop *l,
+    const char *method, bool repeatable)
 {
 	struct hc_request req = {};
 	Call call = {HC_OK, false};
 
-	req.method = "POST";
+	req.method = method;
 	req.url = url.c_str();
-	req.body = "body";
-	req.body_bytes = 4;
+	if (strcmp(method, "GET") != 0) {
+		req.body = "body";
+		req.body_bytes = 4;
+	}
 	req.deadline_us = clk_now_us() + 3 * CLK_US_PER_S;
+	req.repeatable = repeatable;
 	hc_send(hc, &req, on_done, &call);
 	while (!call.done)
 		tevent_loop_once(loop_ev(l));
-	return call.error;
+	return call;
+}
+
+enum hc_error
+post(const std::string &url, struct http_client *hc, struct loop *l)
+{
+	return send(url, hc, l, "POST", false).error;
 }
 
 /*
@@ -140,7 +298,150 @@
 	struct http_client *hc = hc_create(l, l, 0);
 
 	EXPECT_EQ(post(server.url, hc, l), HC_OK);
-	EXPECT_NE(post(server.url, hc, l), HC_NOT_CONNECTED);
+	EXPECT_EQ(post(server.url, hc, l), HC_CUT_OFF);
+	talloc_free(l);
+}
+
+class HttpClientOnALostResponse
+    : public testing::TestWithParam<std::tuple<const char *, Reply>>
+{
+};
+
+/* The 503 to a second copy was taken for the response to the first. */
+TEST_P(HttpClientOnALostResponse, RequestIsSentOnceAndItsResponseIsMissing)
+{
+	ScriptedServer server(
+	    {Reply::Ok, std::get<1>(GetParam()), Reply::Refuse});
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	const char *method = std::get<0>(GetParam());
+	Call call;
+
+	EXPECT_EQ(post(server.url, hc, l), HC_OK);
+	call = send(server.url, hc, l, method, false);
+	EXPECT_EQ(call.error, HC_CUT_OFF);
+	EXPECT_EQ(call.status, 0);
+	EXPECT_EQ(server.requests, 2);
+	/* The client goes on with a connection that works. */
+	call = send(server.url, hc, l, method, false);
+	EXPECT_EQ(call.error, HC_OK);
+	EXPECT_EQ(call.status, 503);
+	EXPECT_EQ(server.requests, 3);
+	talloc_free(l);
+}
+
+TEST_P(HttpClientOnALostResponse, RepeatableRequestIsAnswered)
+{
+	ScriptedServer server({Reply::Ok, std::get<1>(GetParam())});
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	Call call;
+
+	EXPECT_EQ(post(server.url, hc, l), HC_OK);
+	call = send(server.url, hc, l, std::get<0>(GetParam()), true);
+	EXPECT_EQ(call.error, HC_OK);
+	EXPECT_EQ(call.status, 200);
+	EXPECT_EQ(server.requests, 3);
+	talloc_free(l);
+}
+
+INSTANTIATE_TEST_SUITE_P(HttpClient, HttpClientOnALostResponse,
+    testing::Combine(testing::Values("POST", "PUT", "DELETE", "GET"),
+	testing::Values(Reply::Close, Reply::Reset)));
+
+TEST(HttpClient, RequestThatWaitedForAConnectionWasNotSent)
+{
+	ScriptedServer server({Reply::Ok, Reply::Silence});
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 1);
+	struct hc_request req = {};
+	Call silent = {HC_OK, false};
+	Call waiting = {HC_OK, false};
+
+	EXPECT_EQ(post(server.url, hc, l), HC_OK);
+	req.method = "POST";
+	req.url = server.url.c_str();
+	req.body = "body";
+	req.body_bytes = 4;
+	req.deadline_us = clk_now_us() + 200 * CLK_US_PER_MS;
+	hc_send(hc, &req, on_done, &silent);
+	req.deadline_us = clk_now_us() + 100 * CLK_US_PER_MS;
+	hc_send(hc, &req, on_done, &waiting);
+	while (!silent.done || !waiting.done)
+		tevent_loop_once(loop_ev(l));
+	EXPECT_EQ(silent.error, HC_TIMEOUT);
+	EXPECT_EQ(waiting.error, HC_NOT_CONNECTED);
+	EXPECT_EQ(server.requests, 2);
+	talloc_free(l);
+}
+
+TEST(HttpClient, RequestOfWhichAPartWasSentIsNotSentAgain)
+{
+	ScriptedServer server({Reply::Ok, Reply::ResetEarly, Reply::Refuse});
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	std::string body(4 << 20, 'x');
+	struct hc_request req = {};
+	Call call = {HC_OK, false};
+
+	EXPECT_EQ(post(server.url, hc, l), HC_OK);
+	req.method = "POST";
+	req.url = server.url.c_str();
+	req.body = body.data();
+	req.body_bytes = body.size();
+	req.deadline_us = clk_now_us() + 3 * CLK_US_PER_S;
+	hc_send(hc, &req, on_done, &call);
+	while (!call.done)
+		tevent_loop_once(loop_ev(l));
+	EXPECT_EQ(call.error, HC_CUT_OFF);
+	EXPECT_EQ(server.requests, 2);
+	talloc_free(l);
+}
+
+class HttpClientOnAnIdleConnection : public testing::TestWithParam<Reply>
+{
+};
+
+/* Nothing was sent on the old connection, so the request goes out on a new one. */
+TEST_P(HttpClientOnAnIdleConnection, ClosedMeanwhileIsReplacedBeforeASend)
+{
+	ScriptedServer server({GetParam(), GetParam(), Reply::Refuse});
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	Call call;
+	int i;
+
+	for (i = 1; i <= 2; i++) {
+		EXPECT_EQ(post(server.url, hc, l), HC_OK);
+		while (server.closed < i)
+			usleep(1000);
+	}
+	call = send(server.url, hc, l, "POST", false);
+	EXPECT_EQ(call.error, HC_OK);
+	EXPECT_EQ(call.status, 503);
+	EXPECT_EQ(server.requests, 3);
+	EXPECT_EQ(server.connections, 3);
+	talloc_free(l);
+}
+
+INSTANTIATE_TEST_SUITE_P(HttpClient, HttpClientOnAnIdleConnection,
+    testing::Values(Reply::OkThenClose, Reply::OkThenReset));
+
+TEST(HttpClient, RequestForWhichNoConnectionIsLeftWasNotSent)
+{
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	std::string url;
+
+	{
+		ScriptedServer server({Reply::OkThenClose});
+
+		url = server.url;
+		EXPECT_EQ(post(url, hc, l), HC_OK);
+		while (server.closed < 1)
+			usleep(1000);
+	}
+	EXPECT_EQ(post(url, hc, l), HC_NOT_CONNECTED);
 	talloc_free(l);
 }
 
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -51,21 +51,30 @@
 	hc_overdue_fn overdue;
 	struct hc_transfer *prev;
 	struct hc_transfer *next;
-	/* curl had a connection, so it may have sent the request. */
-	bool sent;
+	bool repeatable;
 	char error[CURL_ERROR_SIZE];
 };
 
+/* Whether a part of the request was written to any connection so far. */
+static bool
+hc_was_sent(const struct hc_transfer *t)
+{
+	long bytes = 0;
+
+	curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &bytes);
+	return bytes > 0;
+}
+
 static enum hc_error
 hc_map_error(const struct hc_transfer *t, CURLcode code)
 {
 	if (code == CURLE_OK)
 		return HC_OK;
 	/*
-	 * curl retries a request when a reused connection is reset, so a failed
+	 * curl retries a request when a reused connection ends, so a failed
 	 * connect does not mean that nothing was sent.
 	 */
-	if (!t->sent)
+	if (!hc_was_sent(t))
 		return HC_NOT_CONNECTED;
 	if (code == CURLE_OPERATION_TIMEDOUT)
 		return HC_TIMEOUT;
@@ -369,17 +378,19 @@
 	return hc_append(&t->response_headers, have, data, size * n, t);
 }
 
+/* Runs before curl sends the request, or sends it again. */
 static int
 hc_on_connected(
     void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
 {
-	struct hc_transfer *t = arg;
+	const struct hc_transfer *t = arg;
 
 	(void)remote_ip;
 	(void)local_ip;
 	(void)remote_port;
 	(void)local_port;
-	t->sent = true;
+	if (!t->repeatable && hc_was_sent(t))
+		return CURL_PREREQFUNC_ABORT;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -439,6 +450,7 @@
 	t->deadline_us = req->deadline_us;
 	t->overdue_us = req->overdue_us;
 	t->overdue = req->overdue;
+	t->repeatable = req->repeatable;
 	DL_APPEND(hc->transfers, t);
 	hc_arm_deadline(t);
 	curl_multi_add_handle(hc->multi, t->easy);
--- a/transport/kv_http.c
+++ b/transport/kv_http.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "common/clock.h"
 #include "common/counters.h"
@@ -76,6 +77,8 @@
 	req.body = body;
 	req.body_bytes = body_bytes;
 	req.deadline_us = clk_now_us() + kv->timeout_us + wait_us;
+	/* The refusal of a second copy of a write would hide the first one. */
+	req.repeatable = strcmp(method, "GET") == 0;
 	hc_send(kv->hc, &req, kv_on_response, call);
 }
 
