standins: store and workers may cut a connection without a response

The platform's stand-in left a connection silent when a response was lost; real stores and workers close or reset it. A fault can now do so before the request is executed (close_before, reset_before), after it (close_after, reset_after), or execute it later (late_close, late_reset), answer 429 (throttle) or 409 (room), and act on requests whose body holds a text, on a percentage of them, or on all workers. The store may have doors, an address for each daemon, so that it can reject one daemon while it serves others.

The HTTP server gets hs_cut() for it, beside hs_abort(). Kinds that are not known are refused; they used to count as "down".

--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -118,4 +118,13 @@
 void hs_abort(struct hs_request *req, const void *body, size_t body_bytes,
     size_t announced_bytes);
 
+/**
+ * hs_cut() - make hs_respond() close the connection instead of responding
+ * @req: request
+ * @reset: close it with a reset
+ *
+ * Lets test doubles simulate a server that fails.
+ */
+void hs_cut(struct hs_request *req, bool reset);
+
 #endif
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -4,7 +4,12 @@
  * operator's side. Faults are set through POST /_fault; GET /_report tells what
  * the workers have seen.
  *
- * Usage: standin-platform WORKERS CPU
+ * A fault acts on the next "count" calls that match, or for "for_ms", then on
+ * "percent" of them: "target" is store, store-N (what uses its N-th door), w
+ * (all workers), w-N, advice or duties; "path" and "body" are parts of the
+ * request's. Earlier faults go first. Kinds: see fault_kinds.
+ *
+ * Usage: standin-platform WORKERS CPU [DOORS]
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -19,6 +24,7 @@
 
 #define TICK_US (5 * CLK_US_PER_MS)
 #define MAX_WORKERS 64
+#define MAX_DOORS 16
 #define MAX_HISTORY 20000
 #define NAME_BYTES 96
 #define STOP_US (50 * CLK_US_PER_MS)
@@ -66,19 +72,53 @@
 };
 
 enum fault_kind {
-	FAULT_DOWN,   /* not done, no answer */
-	FAULT_LOST,   /* done, no answer */
-	FAULT_LATE,   /* no answer, and done later */
-	FAULT_REFUSE, /* 503, nothing done */
-	FAULT_SLOW,   /* of a hold, for a time: done, and answered later */
+	FAULT_DOWN,	/* not done, no answer */
+	FAULT_LOST,	/* done, no answer */
+	FAULT_LATE,	/* no answer, and done later */
+	FAULT_REFUSE,	/* 503, nothing done */
+	FAULT_THROTTLE, /* 429, nothing done */
+	FAULT_ROOM,	/* of a start: 409, nothing done */
+	FAULT_SLOW,	/* of a hold, for a time: done, and answered later */
+};
+
+/* What becomes of a connection without an answer. */
+enum fault_end {
+	END_SILENT,
+	END_CLOSED,
+	END_RESET,
+};
+
+static const struct {
+	const char *name;
+	enum fault_kind kind;
+	enum fault_end end;
+} fault_kinds[] = {
+    {"down", FAULT_DOWN, END_SILENT},
+    {"close_before", FAULT_DOWN, END_CLOSED},
+    {"reset_before", FAULT_DOWN, END_RESET},
+    {"lost", FAULT_LOST, END_SILENT},
+    {"close_after", FAULT_LOST, END_CLOSED},
+    {"reset_after", FAULT_LOST, END_RESET},
+    {"late", FAULT_LATE, END_SILENT},
+    {"late_close", FAULT_LATE, END_CLOSED},
+    {"late_reset", FAULT_LATE, END_RESET},
+    {"refuse", FAULT_REFUSE, END_SILENT},
+    {"throttle", FAULT_THROTTLE, END_SILENT},
+    {"room", FAULT_ROOM, END_SILENT},
+    {"slow", FAULT_SLOW, END_SILENT},
 };
 
+#define FAULT_KINDS (sizeof(fault_kinds) / sizeof(fault_kinds[0]))
+
 /* The next calls that match, or all until a time. */
 struct fault {
 	enum fault_kind kind;
+	enum fault_end end;
 	char target[NAME_BYTES];
 	char path[NAME_BYTES];
+	char body[NAME_BYTES];
 	int64_t count;
+	int64_t percent; /* 0: all */
 	int64_t until_us;
 	int64_t delay_us;
 	struct fault *prev;
@@ -191,6 +231,7 @@
 static char advice_address[64];
 static char control_address[64];
 static char duty_address[64];
+static char doors[MAX_DOORS][16];
 static uint32_t most_down;
 
 static bool
@@ -201,8 +242,31 @@
 
 /* --- faults --- */
 
+/* "w" is all of "w-0" and so on. */
+static bool
+is_target(const struct fault *f, const char *target)
+{
+	size_t n = strlen(f->target);
+
+	return strncmp(f->target, target, n) == 0 &&
+	    (target[n] == '\0' || target[n] == '-');
+}
+
+static bool
+is_hit(struct fault *f, const char *target, const char *path, const char *body)
+{
+	if (!is_target(f, target) || strstr(path, f->path) == NULL ||
+	    strstr(body, f->body) == NULL)
+		return false;
+	if (f->until_us == 0)
+		return f->count-- > 0;
+	return f->percent == 0 || rand() % 100 < f->percent;
+}
+
+/* Faults of the kind "slow" are found when the answer is due. */
 static struct fault *
-find_fault(const char *target, const char *path)
+find_fault(
+    const char *target, const char *path, const char *body, bool is_answer)
 {
 	struct fault *f;
 	struct fault *tmp;
@@ -213,36 +277,54 @@
 			free(f);
 			continue;
 		}
-		if (strcmp(f->target, target) != 0 ||
-		    strstr(path, f->path) == NULL)
-			continue;
-		if (f->until_us == 0 && f->count-- <= 0)
-			continue;
-		return f;
+		if ((f->kind == FAULT_SLOW) == is_answer &&
+		    is_hit(f, target, path, body))
+			return f;
 	}
 	return NULL;
 }
 
+static struct fault *
+fault_of(const char *target, struct hs_request *req)
+{
+	return find_fault(target, req->path, req->body, false);
+}
+
+static void
+copy_text(char *to, size_t bytes, const json_t *body, const char *field)
+{
+	const char *text = json_string_value(json_object_get(body, field));
+
+	snprintf(to, bytes, "%s", text != NULL ? text : "");
+}
+
 static void
 add_fault(struct hs_request *req)
 {
-	static const char *const kinds[] = {
-	    "down", "lost", "late", "refuse", "slow"};
 	json_t *body = standin_body(req);
 	struct fault *f = calloc(1, sizeof(*f));
-	const char *kind = json_string_value(json_object_get(body, "kind"));
-	const char *path = json_string_value(json_object_get(body, "path"));
 	int64_t for_ms = json_integer_value(json_object_get(body, "for_ms"));
-	int i;
+	char kind[NAME_BYTES];
+	size_t i;
 
-	for (i = 0; kind != NULL && i < 5; i++) {
-		if (strcmp(kinds[i], kind) == 0)
-			f->kind = (enum fault_kind)i;
+	copy_text(kind, sizeof(kind), body, "kind");
+	copy_text(f->target, sizeof(f->target), body, "target");
+	copy_text(f->path, sizeof(f->path), body, "path");
+	copy_text(f->body, sizeof(f->body), body, "body");
+	for (i = 0; i < FAULT_KINDS; i++) {
+		if (strcmp(fault_kinds[i].name, kind) == 0)
+			break;
 	}
-	snprintf(f->target, sizeof(f->target), "%s",
-	    json_string_value(json_object_get(body, "target")));
-	snprintf(f->path, sizeof(f->path), "%s", path != NULL ? path : "");
+	if (i == FAULT_KINDS) {
+		free(f);
+		json_decref(body);
+		standin_reply(req, 400, "no such kind");
+		return;
+	}
+	f->kind = fault_kinds[i].kind;
+	f->end = fault_kinds[i].end;
 	f->count = json_integer_value(json_object_get(body, "count"));
+	f->percent = json_integer_value(json_object_get(body, "percent"));
 	f->delay_us = json_integer_value(json_object_get(body, "delay_ms")) *
 	    CLK_US_PER_MS;
 	if (for_ms > 0)
@@ -258,6 +340,36 @@
 	(void)req; /* the caller's own time-out ends it */
 }
 
+/* Whether a fault keeps a request from being executed for good. */
+static bool
+rejects(const struct fault *f, struct hs_request *req)
+{
+	if (f == NULL)
+		return false;
+	if (f->end != END_SILENT)
+		hs_cut(req, f->end == END_RESET);
+	switch (f->kind) {
+	case FAULT_DOWN:
+		if (f->end == END_SILENT)
+			never_answer(req);
+		else
+			standin_reply(req, 503, "cut");
+		return true;
+	case FAULT_REFUSE:
+		standin_reply(req, 503, "busy");
+		return true;
+	case FAULT_THROTTLE:
+		standin_reply(req, 429, "too many");
+		return true;
+	case FAULT_ROOM:
+	case FAULT_LOST:
+	case FAULT_LATE:
+	case FAULT_SLOW:
+		return false;
+	}
+	return false;
+}
+
 /* --- store --- */
 
 static json_t *
@@ -488,12 +600,14 @@
 		return;
 	if (f != NULL && f->kind == FAULT_LATE) {
 		loop_after(loop, f->delay_us, apply_late, body);
+		if (f->end != END_SILENT)
+			standin_reply(req, 503, "cut");
 		return;
 	}
 	conflict = json_array();
 	status = apply_txn(body, conflict);
 	json_decref(body);
-	if (f != NULL) {
+	if (f != NULL && f->end == END_SILENT) {
 		json_decref(conflict);
 		return;
 	}
@@ -571,17 +685,11 @@
 static void
 on_store(struct hs_request *req, void *arg)
 {
-	struct fault *f = find_fault("store", req->path);
+	const char *door = arg;
+	struct fault *f = fault_of(door, req);
 
-	(void)arg;
-	if (f != NULL && f->kind == FAULT_REFUSE) {
-		standin_reply(req, 503, "busy");
+	if (rejects(f, req))
 		return;
-	}
-	if (f != NULL && f->kind == FAULT_DOWN) {
-		never_answer(req);
-		return;
-	}
 	if (has_prefix(req->path, "/curranttack/kv-range"))
 		store_range(req);
 	else if (has_prefix(req->path, "/curranttack/kv-watch"))
@@ -830,33 +938,35 @@
 	const char *spec = json_string_value(json_object_get(body, "spec"));
 
 	if (task == NULL || spec == NULL || run == 0) {
-		if (req != NULL)
-			standin_reply(req, 400, "task, run and spec");
+		standin_reply(req, 400, "task, run and spec");
 		return;
 	}
 	if (!fence_holds(w, body)) {
-		if (req != NULL)
-			refuse(req, w, "fence");
+		refuse(req, w, "fence");
 		return;
 	}
 	if (deadline_ms < worker_clock_ms(w)) {
-		if (req != NULL)
-			refuse(req, w, "late");
+		refuse(req, w, "late");
 		return;
 	}
 	extend_lease(w, body);
 	if (find_run(w, task, run) == NULL) {
 		if (run <= seen_of(w, task)->run) {
-			if (req != NULL)
-				refuse(req, w, "old");
+			refuse(req, w, "old");
 			return;
 		}
 		begin_run(w, task, run, spec);
 	}
-	if (req != NULL)
-		standin_reply_json(req, 200,
-		    json_pack(
-			"{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
+	standin_reply_json(req, 200,
+	    json_pack("{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
+}
+
+static void
+refuse_for_room(struct worker *w, struct hs_request *req, json_t *body)
+{
+	if (fence_holds(w, body))
+		extend_lease(w, body);
+	refuse(req, w, "room");
 }
 
 static void
@@ -910,11 +1020,11 @@
 static void
 send_lists(struct worker *w, struct hs_request *req, uint64_t acked)
 {
-	const struct fault *f = find_fault(w->id, req->path);
+	const struct fault *f = find_fault(w->id, "hold", "", true);
 	json_t *lists = lists_of(w, acked);
 	struct slow_lists *slow;
 
-	if (f == NULL || f->kind != FAULT_SLOW) {
+	if (f == NULL) {
 		standin_reply_json(req, 200, lists);
 		return;
 	}
@@ -937,7 +1047,7 @@
 		return;
 	}
 	extend_lease(w, body);
-	if (wait_ms == 0 || has_unacked_end(w, acked)) {
+	if (req == NULL || wait_ms == 0 || has_unacked_end(w, acked)) {
 		send_lists(w, req, acked);
 		return;
 	}
@@ -948,34 +1058,55 @@
 	DL_APPEND(w->holders, h);
 }
 
-struct late_start {
+static void
+execute(
+    struct worker *w, struct hs_request *req, const char *path, json_t *body)
+{
+	if (strstr(path, "run-start") != NULL)
+		run_start(w, req, body);
+	else if (strstr(path, "run-stop") != NULL)
+		run_stop(w, req, body);
+	else if (strstr(path, "hold") != NULL)
+		run_hold(w, req, body);
+	else
+		standin_reply_json(req, 200,
+		    json_pack(
+			"{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
+}
+
+struct late_call {
 	struct worker *w;
 	int64_t born_us;
+	char path[NAME_BYTES];
 	json_t *body;
 };
 
 static void
-start_late(void *arg)
+execute_late(void *arg)
 {
-	struct late_start *late = arg;
+	struct late_call *late = arg;
 
 	/* What a worker held back is gone with that life of it. */
 	if (late->born_us == late->w->born_us)
-		run_start(late->w, NULL, late->body);
+		execute(late->w, NULL, late->path, late->body);
 	json_decref(late->body);
 	free(late);
 }
 
 static void
-start_with_fault(struct worker *w, json_t *body, const struct fault *f)
+hold_back(struct worker *w, struct hs_request *req, json_t *body,
+    const struct fault *f)
 {
-	struct late_start *late = calloc(1, sizeof(*late));
+	struct late_call *late = calloc(1, sizeof(*late));
 
 	late->w = w;
 	late->born_us = w->born_us;
 	late->body = json_incref(body);
+	snprintf(late->path, sizeof(late->path), "%s", req->path);
 	loop_after(
-	    loop, f->kind == FAULT_LATE ? f->delay_us : 1, start_late, late);
+	    loop, f->kind == FAULT_LATE ? f->delay_us : 1, execute_late, late);
+	if (f->end != END_SILENT)
+		standin_reply(req, 503, "cut");
 }
 
 static void
@@ -983,17 +1114,15 @@
 {
 	struct worker *w = arg;
 	const char *expected = hs_header(req, "X-Curranttack-Expect-Instance");
-	struct fault *f = find_fault(w->id, req->path);
+	struct fault *f = fault_of(w->id, req);
 	json_t *body;
 
-	if (w->off || (f != NULL && f->kind == FAULT_DOWN)) {
+	if (w->off) {
 		never_answer(req);
 		return;
 	}
-	if (f != NULL && f->kind == FAULT_REFUSE) {
-		standin_reply(req, 503, "unhealthy");
+	if (rejects(f, req))
 		return;
-	}
 	if (expected != NULL && strcmp(expected, w->id) != 0) {
 		standin_reply(req, 421, "another instance");
 		return;
@@ -1001,18 +1130,12 @@
 	body = standin_body(req);
 	if (body == NULL)
 		return;
-	if (f != NULL && strstr(req->path, "run-start") != NULL)
-		start_with_fault(w, body, f);
-	else if (strstr(req->path, "run-start") != NULL)
-		run_start(w, req, body);
-	else if (strstr(req->path, "run-stop") != NULL)
-		run_stop(w, req, body);
-	else if (strstr(req->path, "hold") != NULL)
-		run_hold(w, req, body);
+	if (f != NULL && f->kind == FAULT_ROOM)
+		refuse_for_room(w, req, body);
+	else if (f != NULL && (f->kind == FAULT_LATE || f->end == END_SILENT))
+		hold_back(w, req, body, f);
 	else
-		standin_reply_json(req, 200,
-		    json_pack(
-			"{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
+		execute(w, req, req->path, body);
 	json_decref(body);
 }
 
@@ -1080,7 +1203,7 @@
 		return;
 	w->beat_at_us = clk_now_us() + BEAT_US;
 	if (!w->off && !w->mute && !w->left &&
-	    find_fault("store", "beat") == NULL)
+	    find_fault("store", "beat", "", false) == NULL)
 		list_worker(w);
 }
 
@@ -1133,6 +1256,7 @@
 	json_t *body = standin_body(req);
 	const char *vm = json_string_value(json_object_get(body, "machine"));
 	uint32_t down = 0;
+	struct fault *f;
 	uint32_t n = MAX_WORKERS;
 	uint32_t i;
 
@@ -1144,10 +1268,13 @@
 		standin_reply(req, 400, "no such machine");
 		return;
 	}
-	if (find_fault("duties", req->path) != NULL) {
+	f = fault_of("duties", req);
+	if (f != NULL && f->kind == FAULT_REFUSE) {
 		standin_reply(req, 429, "busy");
 		return;
 	}
+	if (rejects(f, req))
+		return;
 	if (workers[n].maintained == 0) {
 		begin_life(&workers[n]);
 		workers[n].maintained++;
@@ -1172,6 +1299,11 @@
 	size_t i;
 
 	(void)arg;
+	if (rejects(fault_of("advice", req), req)) {
+		json_decref(body);
+		json_decref(good);
+		return;
+	}
 	json_array_foreach(json_object_get(body, "workers"), i, id)
 		json_array_append_new(
 		    good, json_pack("[s, s]", json_string_value(id), "ticket"));
@@ -1362,21 +1494,37 @@
 	answer_watchers();
 }
 
+/* An address of the store for one daemon, so that faults can be its own. */
+static void
+add_door(uint32_t i, char *addresses, size_t bytes)
+{
+	char *name = doors[i];
+	size_t n = strlen(addresses);
+	char address[64];
+
+	snprintf(name, sizeof(doors[i]), "store-%u", i);
+	standin_serve(loop, address, on_store, name);
+	snprintf(addresses + n, bytes - n, " %s", address);
+}
+
 int
 main(int argc, char **argv)
 {
-	char addresses[256];
+	char addresses[1024];
+	uint32_t door_count;
 	uint32_t i;
 
-	if (argc != 3) {
-		fprintf(stderr, "usage: standin-platform WORKERS CPU\n");
+	if (argc < 3) {
+		fprintf(
+		    stderr, "usage: standin-platform WORKERS CPU [DOORS]\n");
 		return 64;
 	}
+	door_count = argc > 3 ? (uint32_t)strtoul(argv[3], NULL, 10) : 0;
 	loop = loop_create(NULL);
 	worker_count = (uint32_t)strtoul(argv[1], NULL, 10);
-	if (worker_count > MAX_WORKERS)
+	if (worker_count > MAX_WORKERS || door_count > MAX_DOORS)
 		return 64;
-	standin_serve(loop, store_address, on_store, NULL);
+	standin_serve(loop, store_address, on_store, "store");
 	standin_serve(loop, advice_address, on_advice, NULL);
 	standin_serve(loop, control_address, on_control, NULL);
 	standin_serve(loop, duty_address, on_duty, NULL);
@@ -1393,6 +1541,8 @@
 	loop_every(loop, TICK_US, tick, NULL);
 	snprintf(addresses, sizeof(addresses), "%s %s %s %s", store_address,
 	    advice_address, control_address, duty_address);
+	for (i = 0; i < door_count; i++)
+		add_door(i, addresses, sizeof(addresses));
 	standin_run(loop, addresses);
 	return 0;
 }
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -26,6 +26,8 @@
 void
 standin_reply(struct hs_request *req, int status, const char *text)
 {
+	if (req == NULL)
+		return;
 	hs_respond(req, status, "text/plain", text, strlen(text), NULL, 0);
 }
 
@@ -34,8 +36,9 @@
 {
 	char *text = json_dumps(value, JSON_COMPACT);
 
-	hs_respond(
-	    req, status, "application/json", text, strlen(text), NULL, 0);
+	if (req != NULL)
+		hs_respond(req, status, "application/json", text, strlen(text),
+		    NULL, 0);
 	free(text);
 	json_decref(value);
 }
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -15,10 +15,10 @@
 void standin_serve(
     struct loop *l, char *address, hs_handler_fn handler, void *arg);
 
-/** standin_reply() - answer with text */
+/** standin_reply() - answer with text; NULL is a request without an answer */
 void standin_reply(struct hs_request *req, int status, const char *text);
 
-/** standin_reply_json() - answer with a JSON value and release it */
+/** standin_reply_json() - the same with a JSON value, which it releases */
 void standin_reply_json(struct hs_request *req, int status, json_t *value);
 
 /** standin_body() - the request's body as JSON; NULL answers 400 */
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -34,6 +34,9 @@
 	bool too_large;
 	bool handled;
 	bool suspended;
+	bool cut;
+	bool reset;
+	bool closed;
 };
 
 static void hs_schedule(struct http_server *hs);
@@ -137,6 +140,8 @@
 		*data_len = 0;
 		return MHD_YES;
 	}
+	if (ex->closed)
+		return MHD_NO;
 	if (ex->response != NULL)
 		return hs_queue_response(ex);
 	if (ex->handled)
@@ -151,6 +156,8 @@
 		return hs_queue_response(ex);
 	}
 	hs->handler(&ex->req, hs->arg);
+	if (ex->closed)
+		return MHD_NO;
 	if (ex->response != NULL)
 		return hs_queue_response(ex);
 	ex->suspended = true;
@@ -299,6 +306,37 @@
 	    hs->resume_event, loop_ev(hs->loop), hs_on_resumed, hs);
 }
 
+void
+hs_cut(struct hs_request *req, bool reset)
+{
+	struct hs_exchange *ex = hs_exchange_of(req);
+
+	ex->cut = true;
+	ex->reset = reset;
+}
+
+static void
+hs_reset_connection(struct hs_exchange *ex)
+{
+	const struct sockaddr none = {.sa_family = AF_UNSPEC};
+	const union MHD_ConnectionInfo *info;
+
+	info = MHD_get_connection_info(
+	    ex->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	/* Closing it would send a FIN first. */
+	if (info != NULL)
+		connect(info->connect_fd, &none, sizeof(none));
+}
+
+static void
+hs_close(struct hs_exchange *ex)
+{
+	if (ex->reset)
+		hs_reset_connection(ex);
+	ex->closed = true;
+	hs_resume(ex);
+}
+
 void
 hs_respond(struct hs_request *req, int status, const char *content_type,
     const void *body, size_t body_bytes, const struct hs_header *headers,
@@ -307,6 +345,10 @@
 	struct hs_exchange *ex = hs_exchange_of(req);
 	size_t i;
 
+	if (ex->cut) {
+		hs_close(ex);
+		return;
+	}
 	ex->status = status;
 	ex->response = MHD_create_response_from_buffer(
 	    body_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
