--- /dev/null
+++ b/tests/fault/cell_fixture.h
@@ -0,0 +1,259 @@
+#ifndef TESTS_CELL_FIXTURE_H
+#define TESTS_CELL_FIXTURE_H
+
+/* Cell daemons as real processes, against the platform's stand-in. */
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <thread>
+
+#include "cell_daemon.h"
+
+constexpr uint32_t kWorkers = 4;
+constexpr const char *kHost = "cell.example";
+
+class Cell : public testing::Test
+{
+      protected:
+	void
+	SetUp() override
+	{
+		char name[] = "/tmp/currant-cell-XXXXXX";
+
+		dir = mkdtemp(name);
+		platform = std::make_unique<Process>(
+		    "tests/standins/standin-platform",
+		    std::vector<std::string>{std::to_string(kWorkers), "4000"},
+		    dir + "/platform.log");
+		store = platform->addresses[0];
+		advice = platform->addresses[1];
+		control = "http://" + platform->addresses[2];
+		duties = platform->addresses[3];
+	}
+
+	void
+	TearDown() override
+	{
+		if (HasFailure())
+			std::cerr << "logs are in " << dir << "\n";
+	}
+
+	void
+	start_daemons(int n)
+	{
+		for (int i = 0; i < n; i++) {
+			daemons.push_back(std::make_unique<CellDaemon>(dir,
+			    "vm-" + std::to_string(i), store, advice,
+			    keep_ended, duties, settings));
+			daemons.back()->start();
+		}
+		configure(1);
+		for (auto &d : daemons)
+			ASSERT_TRUE(eventually([&] { return d->is_ready(); }));
+	}
+
+	void
+	configure(int version, const std::string &more = "")
+	{
+		http("POST", control + "/_config",
+		    "{\"version\":" + std::to_string(version) +
+			",\"routes\":[{\"name\":\"q\",\"host\":\"" + kHost +
+			"\",\"prefix\":\"/q/\",\"service\":\"batch\","
+			"\"max_attempts\":2,\"stretch_factor\":4.0,"
+			"\"target_latency_ms\":1000}" +
+			more +
+			"],\"services\":[{\"name\":\"batch\"}],"
+			"\"limits\":{}}");
+	}
+
+	Response
+	call(const std::string &method, size_t daemon, const std::string &path,
+	    const std::string &body = "")
+	{
+		return http(method, "http://" + daemons[daemon]->callers + path,
+		    body, {std::string("Host: ") + kHost}, 4000);
+	}
+
+	static std::string
+	job_id(int n)
+	{
+		char id[32];
+
+		snprintf(id, sizeof(id), "%016x", n);
+		return id;
+	}
+
+	Response
+	submit(size_t daemon, int n, int tasks = 2, int work_ms = 200,
+	    const std::string &behaviour = "")
+	{
+		std::string spec =
+		    std::to_string(work_ms) + " 1000 " + behaviour;
+
+		return call("POST", daemon, "/q/" + job_id(n),
+		    "{\"spec\":\"" + spec +
+			"\",\"steps\":[{\"count\":" + std::to_string(tasks) +
+			",\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":200}]}");
+	}
+
+	std::string
+	state(size_t daemon, int n)
+	{
+		return call("GET", daemon, "/q/" + job_id(n)).text("state");
+	}
+
+	/* Cores of a worker shrink or grow while it runs, or with a new life. */
+	void
+	resize(uint32_t worker, int cpu, bool reborn = false)
+	{
+		http("POST", control + "/_size",
+		    "{\"worker\":" + std::to_string(worker) +
+			",\"cpu\":" + std::to_string(cpu) +
+			",\"reborn\":" + (reborn ? "true}" : "false}"));
+	}
+
+	/* A worker that is cut off from the store alone. */
+	void
+	mute(uint32_t worker, bool on)
+	{
+		http("POST", control + "/_worker",
+		    "{\"worker\":" + std::to_string(worker) +
+			",\"off\":false,\"mute\":" + (on ? "true}" : "false}"));
+	}
+
+	/* So many jobs that tasks wait all the while, as many run. */
+	void
+	fill_workers(int jobs)
+	{
+		for (int n = 0; n < jobs; n++)
+			EXPECT_EQ(submit(0, n, 8, 900).status, 200);
+		EXPECT_TRUE(
+		    eventually([&] { return reported("running") == 16; }));
+	}
+
+	void
+	inject_fault(const std::string &json)
+	{
+		ASSERT_EQ(http("POST", control + "/_fault", json).status, 200);
+	}
+
+	/* As on a link that is full; one worker has room to run tasks again. */
+	void
+	delay_replies_of_all_but_one()
+	{
+		for (uint32_t w = 0; w < kWorkers - 1; w++)
+			inject_fault("{\"target\":\"w-" + std::to_string(w) +
+			    "\",\"path\":\"hold\",\"kind\":\"slow\","
+			    "\"for_ms\":8000,\"delay_ms\":1000}");
+	}
+
+	int64_t
+	reported(const char *field)
+	{
+		return http("GET", control + "/_report").number(field);
+	}
+
+	/*
+	 * No task ran twice at once or again after it was done, and no
+	 * worker's cores were exceeded.
+	 */
+	void
+	expect_no_violations()
+	{
+		EXPECT_EQ(reported("twice"), 0);
+		EXPECT_EQ(reported("again"), 0);
+		EXPECT_EQ(reported("over"), 0);
+	}
+
+	/* The daemon that logged most recently that it owns the pool. */
+	size_t
+	owner()
+	{
+		std::string last;
+		size_t found = 0;
+
+		for (size_t i = 0; i < daemons.size(); i++) {
+			std::istringstream lines(daemons[i]->log_text());
+			std::string line;
+
+			while (std::getline(lines, line)) {
+				if (line.find("event=owner ") ==
+					std::string::npos ||
+				    line < last)
+					continue;
+				last = line;
+				found = i;
+			}
+		}
+		return found;
+	}
+
+	bool
+	owner_logged(const std::string &text)
+	{
+		return daemons[owner()]->log_text().find(text) !=
+		    std::string::npos;
+	}
+
+	void
+	wait_completed(size_t daemon, int from, int to)
+	{
+		for (int n = from; n < to; n++)
+			EXPECT_TRUE(eventually(
+			    [&] { return state(daemon, n) == "completed"; },
+			    20000))
+			    << "job " << n << " is " << state(daemon, n);
+	}
+
+	std::string settings;
+	std::string keep_ended = "120s";
+	std::string dir;
+	std::unique_ptr<Process> platform;
+	std::string store;
+	std::string advice;
+	std::string control;
+	std::string duties;
+	std::vector<std::unique_ptr<CellDaemon>> daemons;
+};
+
+class RelayedCell : public Cell
+{
+      protected:
+	RelayedCell()
+	{
+		settings = "relay_above = 0\nsmall_cell = 0\n";
+	}
+
+	/* Whether a daemon has relayed calls to workers. */
+	bool
+	has_relayed(size_t daemon)
+	{
+		std::string text = http(
+		    "GET", "http://" + daemons[daemon]->metrics + "/metrics")
+				       .body;
+		std::string name = "currant_calls_relayed ";
+		size_t at = text.find(name);
+
+		return at != std::string::npos &&
+		    atoll(text.c_str() + at + name.size()) > 0;
+	}
+
+	/* A daemon that relays; the few workers may all use the same one. */
+	size_t
+	wait_for_relay()
+	{
+		size_t current = owner();
+		size_t found = current;
+
+		EXPECT_TRUE(eventually([&] {
+			found = has_relayed((current + 1) % 3)
+			    ? (current + 1) % 3
+			    : (current + 2) % 3;
+			return has_relayed(found);
+		}));
+		return found;
+	}
+};
+
+#endif
