platform: a page of the store may end with any key

Callers saw nothing but 503 or silence from a daemon that started while another writer's key was the last one of a page: it never became ready.

Cause: the cursor of the next page went into the URL as it stood. A space or a line break made the URL invalid (the store answers 400), '#' and '&' cut it off, so the page repeated or skipped, '%2f' and '+' named another key. The load began anew for ever: the list was no longer followed.

Ruled out: Cell.OddEntriesOfAnotherWriterEndNoDaemon (nesting, numbers, ports, text; a megabyte) passes before and after: no daemon ends, and the others are used.

--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -113,6 +113,36 @@
 			",\"reborn\":" + (reborn ? "true}" : "false}"));
 	}
 
+	/* What another writer leaves among the entries of the workers. */
+	void
+	put_entry(const std::string &encoded_id, const std::string &text)
+	{
+		ASSERT_EQ(
+		    http("POST", control + "/_entry?id=" + encoded_id, text)
+			.status,
+		    200);
+	}
+
+	static std::string
+	entry(const std::string &address, const std::string &cpu = "4000")
+	{
+		return "{\"service\":\"batch\",\"address\":\"" + address +
+		    "\",\"zone\":\"a\",\"state\":\"ready\",\"capacity\":{"
+		    "\"cpu\":" +
+		    cpu +
+		    ",\"mem_mb\":100000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+		    "\"clock_ms\":1}";
+	}
+
+	/* No daemon has ended by itself. */
+	void
+	expect_all_running()
+	{
+		for (auto &d : daemons)
+			EXPECT_EQ(waitpid(d->pid, nullptr, WNOHANG), 0)
+			    << d->vm;
+	}
+
 	/* A worker that is cut off from the store alone. */
 	void
 	mute(uint32_t worker, bool on)
@@ -854,6 +884,66 @@
 	expect_no_violations();
 }
 
+TEST_F(Cell, OddEntriesOfAnotherWriterEndNoDaemon)
+{
+	const std::string big(1000 * 1000, 'x');
+	const std::string odd[] = {
+	    "",
+	    "\xff\xfe",
+	    "{",
+	    std::string(500000, '['),
+	    std::string(1000, '[') + std::string(1000, ']'),
+	    std::string(2000, '[') + std::string(2000, ']'),
+	    "{\"a\":" + std::string(5000, '[') + std::string(5000, ']') + "}",
+	    entry("127.0.0.1:99999999999999999999"),
+	    entry("127.0.0.1:65536"),
+	    entry("127.0.0.1:0"),
+	    entry("127.0.0.1"),
+	    entry("127.0.0.1:-1"),
+	    entry("127.0.0.1:9/x?y#z"),
+	    entry("a@127.0.0.1:9"),
+	    entry("127.0.0.1:9\\r\\nX: y"),
+	    entry(""),
+	    entry(big),
+	    entry("127.0.0.1:9", "99999999999999999999"),
+	    entry("127.0.0.1:9", "9223372036854775807"),
+	    entry("127.0.0.1:9", "1e999"),
+	    entry("127.0.0.1:9", "-1"),
+	    entry("127.0.0.1:9", "1e18"),
+	};
+	const std::string positions[] = {"0", "w-1x", "zz"};
+	int n = 0;
+
+	for (const std::string &at : positions) {
+		for (size_t i = 0; i < std::size(odd) / 2; i++)
+			put_entry(at + std::to_string(n++), odd[i]);
+	}
+	start_daemons(3);
+	EXPECT_EQ(submit(0, 1, 8, 300).status, 200);
+	for (const std::string &at : positions) {
+		for (const std::string &text : odd)
+			put_entry(at + std::to_string(n++), text);
+	}
+	wait_completed(1, 1, 2);
+	EXPECT_EQ(submit(1, 2, 16, 100).status, 200);
+	wait_completed(2, 2, 3);
+	expect_all_running();
+	expect_no_violations();
+}
+
+TEST_F(Cell, OddKeyAtTheEndOfAPageDoesNotEndTheList)
+{
+	http("POST", control + "/_page?items=1", "");
+	for (const char *id : {"0%20a%26b%23c%25%2f%3f", "1%0d%0ab", "2%c3%a9",
+		 "3%2b%3d%22", "4%20", "w-1%23", "w-2%26after%3d"})
+		put_entry(id, "{}");
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1, 16, 100).status, 200);
+	wait_completed(1, 1, 2);
+	expect_all_running();
+	expect_no_violations();
+}
+
 /* A test failed in CI as a daemon that could not listen did not log why. */
 TEST_F(Cell, PortInUseIsLogged)
 {
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -177,6 +177,8 @@
 static struct change history[MAX_HISTORY];
 static uint32_t history_count;
 static uint64_t lost_history;
+/* Items on a page of a range; 0 for all. */
+static size_t page_items;
 static uint64_t revision = 1;
 static uint64_t next_lease = 1;
 static struct fault *faults;
@@ -367,18 +369,23 @@
 	const char *prefix = hs_query(req, "prefix");
 	const char *after = hs_query(req, "after");
 	json_t *rows = json_array();
+	bool more = false;
 	struct item *it;
 	struct item *tmp;
 
 	HASH_SORT(items, by_key);
 	HASH_ITER(hh, items, it, tmp) {
-		if (has_prefix(it->key, prefix != NULL ? prefix : "") &&
-		    (after == NULL || strcmp(it->key, after) > 0))
-			json_array_append_new(rows, item_row(it));
+		if (!has_prefix(it->key, prefix != NULL ? prefix : "") ||
+		    (after != NULL && strcmp(it->key, after) <= 0))
+			continue;
+		more = page_items > 0 && json_array_size(rows) == page_items;
+		if (more)
+			break;
+		json_array_append_new(rows, item_row(it));
 	}
 	standin_reply_json(req, 200,
-	    json_pack("{s:o, s:b, s:I}", "items", rows, "has_more", 0, "as_of",
-		(json_int_t)revision));
+	    json_pack("{s:o, s:b, s:I}", "items", rows, "has_more", more,
+		"as_of", (json_int_t)revision));
 }
 
 static void
@@ -1223,6 +1230,17 @@
 		    : ""));
 }
 
+/* An entry among those of the workers, as another writer may leave it. */
+static void
+put_entry(struct hs_request *req)
+{
+	const char *id = hs_query(req, "id");
+	char key[256];
+
+	snprintf(key, sizeof(key), "servers/%s", id != NULL ? id : "");
+	put_operator_item(req, key);
+}
+
 /*
  * How often tasks of one job have been started, and how many workers have
  * crashed under one of them at most.
@@ -1310,7 +1328,12 @@
 		put_operator_item(req, "op/config");
 	else if (strcmp(req->path, "/_wave") == 0)
 		put_operator_item(req, "op/wave/1");
-	else if (strcmp(req->path, "/_clear") == 0)
+	else if (strcmp(req->path, "/_entry") == 0)
+		put_entry(req);
+	else if (strcmp(req->path, "/_page") == 0) {
+		page_items = (size_t)standin_query_i64(req, "items", 0);
+		standin_reply(req, 200, "ok");
+	} else if (strcmp(req->path, "/_clear") == 0)
 		clear_faults(req);
 	else if (strcmp(req->path, "/_job") == 0)
 		report_job(req);
