replica: rows that can't be used are reported once, with the reason

On call could not tell which entry of another writer was left out, nor why: unusable_worker named no reason, an id of 64 bytes or more was left out without a word, and a refused configuration or wave was logged again by each watch that showed it.

The decoder of a worker's entry now says why, as those of configurations and waves do; the replica warns once for each row and revision, and counts such rows in currant_rows_left_out.

Replica.RowThatIsLeftOutIsReportedOncePerRevision is new; there was nothing to count before. Tests of the decoders take the new arguments.

--- a/common/counters.c
+++ b/common/counters.c
@@ -30,6 +30,7 @@
     [CT_RELAYED] = "calls_relayed",
     [CT_TAKEOVERS] = "shard_takeovers",
     [CT_FENCED] = "shard_fenced",
+    [CT_LEFT_OUT] = "rows_left_out",
 };
 
 void
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/log.h"
 #include "curranttackd/replica.h"
 #include "protocol/curranttack.pb-c.h"
@@ -18,6 +19,42 @@
 static void rp_watch_operator_keys(void *arg);
 static void rp_watch(void *arg);
 
+/* Reports a row that is not used, once for each of its revisions. */
+static void
+rp_leave_out(struct replica *r, const struct ks_item *item, const char *module,
+    const char *event, const char *reason)
+{
+	size_t bytes = strlen(item->key) + 1;
+	struct rp_left_out *row;
+
+	HASH_FIND_STR(r->left_out, item->key, row);
+	if (row == NULL) {
+		row = talloc_zero_size(r, sizeof(*row) + bytes);
+		if (row == NULL)
+			abort();
+		memcpy(row->key, item->key, bytes);
+		HASH_ADD_KEYPTR(hh, r->left_out, row->key, bytes - 1, row);
+	}
+	if (item->revision <= row->revision)
+		return;
+	row->revision = item->revision;
+	ct_add(CT_LEFT_OUT, 1);
+	lg_event(LG_WARN, module, event, "key", item->key, "revision",
+	    lg_i64((int64_t)item->revision), "reason", reason, NULL);
+}
+
+static void
+rp_forget_left_out(struct replica *r, const struct ks_item *item)
+{
+	struct rp_left_out *row;
+
+	HASH_FIND_STR(r->left_out, item->key, row);
+	if (row == NULL || item->revision <= row->revision)
+		return;
+	HASH_DEL(r->left_out, row);
+	talloc_free(row);
+}
+
 static struct rp_job *
 rp_get_job(struct replica *r, const char *id)
 {
@@ -302,43 +339,64 @@
 	r->hooks.member(m, r->arg);
 }
 
-static void
-rp_apply_worker(struct replica *r, const char *id, const struct ks_item *item)
+static struct rp_worker *
+rp_get_worker(struct replica *r, const char *id)
+{
+	struct rp_worker *w;
+
+	HASH_FIND_STR(r->workers, id, w);
+	if (w != NULL)
+		return w;
+	w = talloc_zero(r, struct rp_worker);
+	if (w == NULL)
+		abort();
+	snprintf(w->id, sizeof(w->id), "%s", id);
+	HASH_ADD_STR(r->workers, id, w);
+	return w;
+}
+
+static bool
+rp_read_worker(
+    struct replica *r, struct rp_worker *w, const struct ks_item *item)
 {
+	char error[RP_ERROR_BYTES] = "";
 	struct wp_worker_info info;
 	const char *pool = NULL;
+	TALLOC_CTX *ctx = talloc_new(w);
+
+	if (!r->fleet->entries->worker(ctx, w->id, item->value,
+		item->value_bytes, &info, &pool, error, sizeof(error))) {
+		rp_leave_out(r, item, "replica", "unusable_worker", error);
+		talloc_free(ctx);
+		return false;
+	}
+	talloc_free(w->info_ctx);
+	w->info_ctx = ctx;
+	w->info = info;
+	w->pool = pool;
+	return true;
+}
+
+static void
+rp_apply_worker(struct replica *r, const char *id, const struct ks_item *item)
+{
 	struct rp_worker *w;
-	TALLOC_CTX *ctx;
 
 	HASH_FIND_STR(r->workers, id, w);
-	if (w != NULL && item->revision <= w->revision)
+	if (w == NULL && item->deleted)
+		return;
+	if (strlen(id) >= WP_NAME_BYTES) {
+		rp_leave_out(
+		    r, item, "replica", "unusable_worker", "id: is too long");
 		return;
-	if (w == NULL) {
-		if (item->deleted || strlen(id) >= WP_NAME_BYTES)
-			return;
-		w = talloc_zero(r, struct rp_worker);
-		if (w == NULL)
-			abort();
-		snprintf(w->id, sizeof(w->id), "%s", id);
-		HASH_ADD_STR(r->workers, id, w);
 	}
+	w = rp_get_worker(r, id);
+	if (item->revision <= w->revision)
+		return;
 	w->revision = item->revision;
 	w->unlisted_us = 0;
-	ctx = talloc_new(w);
-	if (item->deleted ||
-	    !r->fleet->entries->worker(
-		ctx, id, item->value, item->value_bytes, &info, &pool)) {
-		if (!item->deleted)
-			lg_event(LG_WARN, "replica", "unusable_worker",
-			    "worker", id, NULL);
+	if (item->deleted || !rp_read_worker(r, w, item))
 		w->unlisted_us = clk_now_us();
-		talloc_free(ctx);
-	} else {
-		talloc_free(w->info_ctx);
-		w->info_ctx = ctx;
-		w->info = info;
-		w->pool = pool;
-	}
 	if (w->pool != NULL)
 		r->hooks.worker(w, r->arg);
 }
@@ -354,7 +412,7 @@
 	config = r->fleet->entries->config(
 	    r, item->value, item->value_bytes, error, sizeof(error));
 	if (config == NULL) {
-		lg_event(LG_ERROR, "config", "refused", "reason", error, NULL);
+		rp_leave_out(r, item, "config", "refused", error);
 		return;
 	}
 	r->config_revision = item->revision;
@@ -447,15 +505,20 @@
 	struct rp_wave *w = rp_get_wave(r, id);
 	struct mw_wave *m = NULL;
 
-	if (w == NULL || item->revision <= w->revision)
+	if (w == NULL) {
+		rp_leave_out(
+		    r, item, "maintenance", "wave_refused", "id: is too long");
+		return;
+	}
+	if (item->revision <= w->revision)
 		return;
 	w->revision = item->revision;
 	if (!item->deleted) {
 		m = r->fleet->entries->wave(
 		    w, item->value, item->value_bytes, error, sizeof(error));
 		if (m == NULL) {
-			lg_event(LG_ERROR, "maintenance", "wave_refused",
-			    "wave", id, "reason", error, NULL);
+			rp_leave_out(
+			    r, item, "maintenance", "wave_refused", error);
 			return;
 		}
 	}
@@ -485,6 +548,8 @@
 	const char *id = NULL;
 	size_t i;
 
+	if (item->deleted)
+		rp_forget_left_out(r, item);
 	for (i = 0; i < sizeof(rp_prefixes) / sizeof(rp_prefixes[0]); i++) {
 		size_t n = strlen(rp_prefixes[i].prefix);
 
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -38,6 +38,7 @@
 	CT_RELAYED,
 	CT_TAKEOVERS, /* shards or pools that this daemon came to own */
 	CT_FENCED,    /* shards or pools that it lost to another owner */
+	CT_LEFT_OUT,  /* rows of the key space that can't be used */
 	CT_COUNT,
 };
 
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -168,6 +168,16 @@
 	UT_hash_handle hh;
 };
 
+/**
+ * struct rp_left_out - a row that is not used, and has been reported
+ * @revision: revision of the row that was reported
+ */
+struct rp_left_out {
+	uint64_t revision;
+	UT_hash_handle hh;
+	char key[];
+};
+
 /**
  * struct rp_hooks - callbacks, made after the replica has applied a change
  * @job: a new job; called once for each
@@ -232,6 +242,7 @@
 	struct rp_owner *owners;
 	struct rp_member *members;
 	struct rp_wave *waves;
+	struct rp_left_out *left_out;
 };
 
 /**
--- a/include/transport/fleet.h
+++ b/include/transport/fleet.h
@@ -80,7 +80,8 @@
  * @orders_prefix: prefix of the keys that hold operators' orders
  * @workers_prefix: prefix of the keys that hold workers' entries
  * @kind: what a key holds; sets @id for a worker or a maintenance wave
- * @worker: decode a worker's entry and name its @pool; false when it is unusable
+ * @worker: decode a worker's entry and name its @pool; false with @error when it
+ *	names no worker to use
  * @config: decode a configuration; NULL with @error when it can't be read
  * @wave: decode a maintenance wave; NULL with @error when it can't be read
  * @wave_status: key and text that show operators the progress of a wave
@@ -90,7 +91,8 @@
 	const char *workers_prefix;
 	enum fl_key_kind (*kind)(const char *key, const char **id);
 	bool (*worker)(TALLOC_CTX *ctx, const char *id, const uint8_t *value,
-	    size_t bytes, struct wp_worker_info *info, const char **pool);
+	    size_t bytes, struct wp_worker_info *info, const char **pool,
+	    char *error, size_t error_bytes);
 	struct qs_config *(*config)(TALLOC_CTX *ctx, const uint8_t *value,
 	    size_t bytes, char *error, size_t error_bytes);
 	struct mw_wave *(*wave)(TALLOC_CTX *ctx, const uint8_t *value,
--- a/tests/unit/test_entries.cc
+++ b/tests/unit/test_entries.cc
@@ -24,8 +24,8 @@
 		int fd = hs_listen("127.0.0.1:0", address, sizeof(address));
 
 		l = loop_create(nullptr);
-		ASSERT_NE(hs_create(l, l, fd, &limits, on_request, this),
-		    nullptr);
+		ASSERT_NE(
+		    hs_create(l, l, fd, &limits, on_request, this), nullptr);
 		fleet = pf_create(l, l, &settings);
 	}
 
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -32,7 +32,8 @@
 	worker(const std::string &text)
 	{
 		return pf_entry_ops.worker(ctx, "i-1",
-		    (const uint8_t *)text.data(), text.size(), &info, &pool);
+		    (const uint8_t *)text.data(), text.size(), &info, &pool,
+		    error, sizeof(error));
 	}
 
 	struct qs_config *
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -7,6 +7,7 @@
 
 extern "C" {
 #include "common/base64.h"
+#include "common/counters.h"
 #include "curranttackd/replica.h"
 #include "protocol/curranttack.pb-c.h"
 #include "protocol/pack.h"
@@ -72,11 +73,17 @@
 	return strncmp(key, "w/", 2) == 0 ? FL_KEY_WORKER : FL_KEY_OTHER;
 }
 
+const char kOdd[] = "odd";
+
 bool
 decode_worker(TALLOC_CTX *ctx, const char *id, const uint8_t *value,
-    size_t bytes, struct wp_worker_info *info, const char **pool)
+    size_t bytes, struct wp_worker_info *info, const char **pool, char *error,
+    size_t error_bytes)
 {
 	*info = {};
+	snprintf(error, error_bytes, "%s", kOdd);
+	if (std::string((const char *)value, bytes) == kOdd)
+		return false;
 	info->id = talloc_strdup(ctx, id);
 	*pool = talloc_strndup(ctx, (const char *)value, bytes);
 	return true;
@@ -166,6 +173,16 @@
 		return item;
 	}
 
+	static struct ks_item
+	odd_item(const char *key, uint64_t revision)
+	{
+		struct ks_item item = worker_item(key, revision);
+
+		item.value = (const uint8_t *)kOdd;
+		item.value_bytes = strlen(kOdd);
+		return item;
+	}
+
 	bool
 	is_listed(const char *id)
 	{
@@ -357,4 +374,30 @@
 	EXPECT_EQ(job->progress_bytes, sizeof(value));
 }
 
+TEST_F(Replica, RowThatIsLeftOutIsReportedOncePerRevision)
+{
+	const std::string long_key = "w/" + std::string(100, 'x');
+	uint64_t before = ct_get(CT_LEFT_OUT);
+
+	page(10,
+	    {odd_item("w/a", 5), worker_item("w/b", 6),
+		worker_item(long_key.c_str(), 7)},
+	    false);
+	EXPECT_EQ(ct_get(CT_LEFT_OUT), before + 2);
+	EXPECT_FALSE(is_listed("a"));
+	EXPECT_TRUE(is_listed("b"));
+	watch(KS_COMPACTED, 0);
+	page(20,
+	    {odd_item("w/a", 5), odd_item("w/b", 15),
+		worker_item(long_key.c_str(), 7)},
+	    false);
+	EXPECT_EQ(ct_get(CT_LEFT_OUT), before + 3);
+	EXPECT_EQ(changed.back(), "b");
+	EXPECT_FALSE(is_listed("b"));
+	watch(KS_COMPACTED, 0);
+	page(30, {worker_item("w/a", 25), odd_item("w/b", 26)}, false);
+	EXPECT_EQ(ct_get(CT_LEFT_OUT), before + 4);
+	EXPECT_TRUE(is_listed("a"));
+}
+
 } // namespace
