platform: an address that is no IP:PORT names no worker

Callers saw a job stay running for 20 s, and its tasks on one worker ran twice one after the other: another writer had replaced the worker's entry by one with port 65536. The entry counted as a worker: what ran there was renewed at that address, so its lease expired.

Cause: any text was an address. It was cut to 63 bytes and put into the URL of a call as it stood, so '@', '/', '#' and '?' named another host or path, and a port beyond 65535 no call at all.

Ruled out: that a daemon ends.

--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -931,6 +931,30 @@
 	expect_no_violations();
 }
 
+TEST_F(Cell, TasksOfAWorkerWhoseEntryTurnsOddRunOnce)
+{
+	const std::string odd[] = {entry("127.0.0.1:65536"), "{",
+	    std::string(3000, '['),
+	    entry("127.0.0.1:9", "99999999999999999999")};
+
+	start_daemons(2);
+	for (uint32_t w = 0; w < kWorkers; w++)
+		mute(w, true);
+	EXPECT_EQ(submit(0, 1, 16, 4000).status, 200);
+	EXPECT_TRUE(eventually([&] { return reported("running") == 16; }));
+	for (uint32_t w = 0; w < kWorkers; w++)
+		put_entry("w-" + std::to_string(w), odd[w]);
+	EXPECT_EQ(submit(0, 2, 16, 100).status, 200);
+	wait_completed(1, 1, 2);
+	EXPECT_EQ(reported("started"), 16);
+	for (uint32_t w = 0; w < kWorkers; w++)
+		mute(w, false);
+	wait_completed(1, 2, 3);
+	EXPECT_EQ(reported("started"), 32);
+	expect_all_running();
+	expect_no_violations();
+}
+
 TEST_F(Cell, OddKeyAtTheEndOfAPageDoesNotEndTheList)
 {
 	http("POST", control + "/_page?items=1", "");
--- a/tests/unit/test_entries.cc
+++ b/tests/unit/test_entries.cc
@@ -94,4 +94,87 @@
 	}
 }
 
+/* What another writer may leave in place of one field of a worker's entry. */
+class WorkerEntry : public testing::Test
+{
+      protected:
+	void
+	TearDown() override
+	{
+		talloc_free(ctx);
+	}
+
+	bool
+	read(const std::string &text, const std::string &id = "i-1")
+	{
+		error[0] = '\0';
+		return pf_entry_ops.worker(ctx, id.c_str(),
+		    (const uint8_t *)text.data(), text.size(), &info, &pool,
+		    error, sizeof(error));
+	}
+
+	/* The entry, with the value of one field replaced or added. */
+	static std::string
+	with(const std::string &field, const std::string &json)
+	{
+		json_t *row = json_loads(kEntry, 0, nullptr);
+		json_t *at = row;
+		std::string name = field;
+		size_t dot = field.find('.');
+		std::string text;
+		char *dump;
+
+		if (dot != std::string::npos) {
+			at = json_object_get(row, field.substr(0, dot).c_str());
+			name = field.substr(dot + 1);
+		}
+		json_object_set_new(at, name.c_str(), json_string("@"));
+		dump = json_dumps(row, JSON_COMPACT);
+		text = dump;
+		free(dump);
+		json_decref(row);
+		return text.replace(text.find("\"@\""), 3, json);
+	}
+
+	void
+	expect_left_out(
+	    const std::string &field, const std::vector<std::string> &values)
+	{
+		std::string name = field.substr(0, field.find('.'));
+
+		for (const std::string &json : values) {
+			EXPECT_FALSE(read(with(field, json)))
+			    << field << " " << json.substr(0, 80);
+			EXPECT_NE(error[0], '\0') << json.substr(0, 80);
+		}
+	}
+
+	static constexpr const char *kEntry =
+	    R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",)"
+	    R"("slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,)"
+	    R"("mem_mb":32768,"gpu":2},"labels":["kind-a","r1-3"],"clock_ms":5400,)"
+	    R"("machine":"m-1","born":1700000000123,"seq":4})";
+
+	TALLOC_CTX *ctx = talloc_new(nullptr);
+	struct wp_worker_info info = {};
+	const char *pool = nullptr;
+	char error[160] = "";
+};
+
+TEST_F(WorkerEntry, AddressThatNamesNoPortOfAHostNamesNoWorker)
+{
+	ASSERT_TRUE(read(kEntry)) << error;
+	ASSERT_TRUE(read(with("address", "\"10.0.0.1:65535\""))) << error;
+	expect_left_out("address",
+	    {"\"\"", "\"10.0.0.1\"", "\"10.0.0.1:\"", "\"10.0.0.1:0\"",
+		"\"10.0.0.1:65536\"", "\"10.0.0.1:99999999999999999999\"",
+		"\"10.0.0.1:-1\"", "\"10.0.0.1:+1\"", "\"10.0.0.1: 80\"",
+		"\"10.0.0.1:80 \"", "\" 10.0.0.1:80\"", "\":80\"",
+		"\"10.0.0.1:80/a?b\"", "\"10.0.0.1:80#\"", "\"u@10.0.0.1:80\"",
+		"\"10.0.0.1:80@10.0.0.2:80\"", "\"10.0.0.1:80\\r\\nX: y\"",
+		"\"host.example:80\"", "\"[::1]:80\"", "\"10.0.0.256:80\"",
+		"\"1:80\"", "\"10.0.0.1:" + std::string(60, '0') + "80\"",
+		"\"" + std::string(1 << 20, '1') + ":80\""});
+}
+
 } // namespace
