platform: an id that can't stand in a header names no worker

Orders and renewals name the worker that they are for in a header, with the id from the entry's key as it stands. Any writer may choose the key: a line break ended the header and began another one, and a blank at its end was trimmed, so that the header named another worker.

Seen in the decoder only; no run in which a worker was misled was made.

--- a/tests/unit/test_entries.cc
+++ b/tests/unit/test_entries.cc
@@ -177,4 +177,15 @@
 		"\"" + std::string(1 << 20, '1') + ":80\""});
 }
 
+TEST_F(WorkerEntry, IdThatIsNoHeaderTextNamesNoWorker)
+{
+	for (const char *id : {"i-7f3a91c2", "a.b_c-d", "\xc3\xa9", "0"})
+		EXPECT_TRUE(read(kEntry, id)) << id << ": " << error;
+	for (const char *id :
+	    {"a b", "a ", " a", "a\r\nX: y", "a\n", "a\t", "\x01", "a\x7f"}) {
+		EXPECT_FALSE(read(kEntry, id)) << id;
+		EXPECT_NE(error[0], '\0');
+	}
+}
+
 } // namespace
