platform: a number that no worker can report names no worker

One entry with a capacity of 2^63-1 made the pool's sum of free resources overflow (undefined; it wrapped below zero), so that no step asked for advice any more and no task that needs it could start: LOST, as long as the entry stands and its worker answers.

Cause: amounts and times of an entry were any 64-bit number, cast from unsigned to signed and added over workers or multiplied by a million. `born` and `clock_ms` of another type counted as absent, so the entry was used without a limit to the age of its capacity.

--- a/tests/unit/test_entries.cc
+++ b/tests/unit/test_entries.cc
@@ -188,4 +188,63 @@
 	}
 }
 
+TEST_F(WorkerEntry, AmountThatNoWorkerCanHaveNamesNoWorker)
+{
+	const std::vector<std::string> odd = {"-1", "-9223372036854775808",
+	    "9223372036854775807", "1000000001", "99999999999999999999", "1e18",
+	    "1e999", "5.0", "0.5", "-0.0", "null", "true", "\"1\"", "[1]",
+	    "{}"};
+
+	expect_left_out("capacity.cpu", odd);
+	expect_left_out("capacity.mem_mb", odd);
+	expect_left_out("capacity.gpu", odd);
+	expect_left_out("capacity", odd);
+	ASSERT_TRUE(read(with("capacity.cpu", "0"))) << error;
+	ASSERT_TRUE(read(with("capacity.cpu", "1000000"))) << error;
+	EXPECT_EQ(info.capacity.cpu_mcpu, 1000000);
+}
+
+TEST_F(WorkerEntry, TimeThatIsNoTimeNamesNoWorker)
+{
+	for (const char *field : {"clock_ms", "born", "remaining_ms"})
+		expect_left_out(field,
+		    {"-1", "9223372036854775807", "99999999999999999999",
+			"1e18", "5.0", "true", "\"1\"", "[]"});
+	ASSERT_TRUE(read(with("born", "4102444800000"))) << error;
+}
+
+TEST_F(WorkerEntry, TextThatIsNoObjectNamesNoWorker)
+{
+	const std::string whole = kEntry;
+	const std::string odd[] = {"", " ", "{}", "[]", "null", "7", "\"x\"",
+	    "\xff", std::string(1, '\0'), whole + whole, whole + "x",
+	    std::string(1 << 20, '['), std::string(1 << 20, '{'),
+	    std::string(1 << 20, ' '),
+	    std::string(2000, '[') + std::string(2000, ']'),
+	    whole.substr(0, whole.size() - 1) + ",\"a\":" +
+		std::string(2100, '[') + std::string(2100, ']') + "}"};
+
+	for (size_t n = 0; n < whole.size(); n++)
+		EXPECT_FALSE(read(whole.substr(0, n))) << n;
+	for (const std::string &text : odd) {
+		EXPECT_FALSE(read(text)) << text.substr(0, 80);
+		EXPECT_NE(error[0], '\0') << text.substr(0, 80);
+	}
+}
+
+TEST_F(WorkerEntry, OtherFieldsMayHoldAnything)
+{
+	const std::string nested =
+	    std::string(1000, '[') + std::string(1000, ']');
+
+	for (const char *field :
+	    {"version", "slots", "seq", "cold_left_ms", "more"}) {
+		for (const std::string &json :
+		    {std::string("-1"), std::string("\"x\""), nested}) {
+			EXPECT_TRUE(read(with(field, json))) << error;
+			EXPECT_STREQ(info.address, "10.0.0.1:80");
+		}
+	}
+}
+
 } // namespace
