platform: names that would be cut off name no worker

Zone, labels, machine, service and address of an entry were kept in buffers of 64 bytes, cut off without a word. A machine's name that is cut off may be another machine's: a maintenance wave takes a VM for empty by the worker that its name leads to. Labels, machine and zone of another type counted as empty, though by the contract a field of another type means that the entry names no worker.

A worker's machine, labels and times may still be missing or null.

--- a/tests/unit/test_entries.cc
+++ b/tests/unit/test_entries.cc
@@ -213,6 +213,32 @@
 	ASSERT_TRUE(read(with("born", "4102444800000"))) << error;
 }
 
+TEST_F(WorkerEntry, TextThatIsTooLongOrOfAnotherTypeNamesNoWorker)
+{
+	const std::vector<std::string> odd = {"true", "7", "[]", "{}",
+	    "\"" + std::string(64, 'x') + "\"",
+	    "\"" + std::string(1 << 20, 'x') + "\"", "\"a\\u0000b\"",
+	    "\"\xff\"", "\"\\ud800\"", std::string(3000, '[')};
+
+	for (const char *field : {"service", "zone", "machine"})
+		expect_left_out(field, odd);
+	expect_left_out("state", {"null", "7", "\"asleep\"", "\"\"", "[]"});
+	for (const char *field : {"service", "zone", "address", "capacity"})
+		expect_left_out(field, {"null"});
+	expect_left_out("labels", {"true", "7", "{}", "\"a\""});
+	for (const std::string &text : odd) {
+		expect_left_out("labels", {"[" + text + ",\"r\"]"});
+		expect_left_out("labels", {"[\"a\"," + text + "]"});
+	}
+	/* Fields that an entry may lack. */
+	for (const char *field :
+	    {"machine", "labels", "born", "clock_ms", "remaining_ms"})
+		EXPECT_TRUE(read(with(field, "null"))) << error;
+	EXPECT_TRUE(read(with("labels", "[]"))) << error;
+	EXPECT_TRUE(read(with("labels", "[\"a\"]"))) << error;
+	EXPECT_TRUE(read(with("zone", "\"" + std::string(63, 'x') + "\"")));
+}
+
 TEST_F(WorkerEntry, TextThatIsNoObjectNamesNoWorker)
 {
 	const std::string whole = kEntry;
