replica, platform: a pool with a too long name is left out

Cause: pools, owners and daemons are kept by name in buffers of 64 bytes, but looked up by the whole name. A longer one is never found, so each look-up adds another, cut-off one, each of which claims the pool.

Replica.RowsWithTooLongNamesAreLeftOut, before: 4 rows added. WorkerEntry.ServiceWithATooLongNameIsLeftOutOfTheConfiguration, before: 2 pools instead of 1.

--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -27,6 +27,8 @@
 	size_t bytes = strlen(item->key) + 1;
 	struct rp_left_out *row;
 
+	if (item->deleted)
+		return;
 	HASH_FIND_STR(r->left_out, item->key, row);
 	if (row == NULL) {
 		row = talloc_zero_size(r, sizeof(*row) + bytes);
@@ -93,6 +95,8 @@
 	struct jb_spec *spec;
 
 	spec = jc_unpack_job(NULL, item->value, item->value_bytes);
+	if (spec != NULL && strlen(spec->pool) >= WP_NAME_BYTES)
+		TALLOC_FREE(spec);
 	if (spec == NULL) {
 		lg_event(LG_ERROR, "replica", "unreadable_job", "job", job->id,
 		    NULL);
@@ -555,7 +559,11 @@
 
 		if (strncmp(item->key, rp_prefixes[i].prefix, n) != 0)
 			continue;
-		rp_prefixes[i].apply(r, item->key + n, item);
+		if (strlen(item->key + n) < WP_NAME_BYTES)
+			rp_prefixes[i].apply(r, item->key + n, item);
+		else
+			rp_leave_out(r, item, "replica", "unusable_row",
+			    "its name is too long");
 		return;
 	}
 	switch (r->fleet->entries->kind(item->key, &id)) {
--- a/tests/unit/test_entries.cc
+++ b/tests/unit/test_entries.cc
@@ -5,6 +5,7 @@
 
 extern "C" {
 #include "common/clock.h"
+#include "common/counters.h"
 #include "platform/internal.h"
 #include "transport/http_server.h"
 }
@@ -273,4 +274,26 @@
 	}
 }
 
+TEST_F(WorkerEntry, ServiceWithATooLongNameIsLeftOutOfTheConfiguration)
+{
+	const std::string name(64, 's');
+	const std::string text =
+	    R"({"version":1,"routes":[)"
+	    R"({"name":"a","host":"h","prefix":"/a/","service":")" +
+	    name +
+	    R"("},{"name":"b","host":"h","prefix":"/b/","service":"s"}],)"
+	    R"("services":[{"name":")" +
+	    name + R"("},{"name":"s"}]})";
+	uint64_t before = ct_get(CT_LEFT_OUT);
+	struct qs_config *c = pf_entry_ops.config(ctx,
+	    (const uint8_t *)text.data(), text.size(), error, sizeof(error));
+
+	ASSERT_NE(c, nullptr) << error;
+	ASSERT_EQ(c->pool_count, 1u);
+	EXPECT_STREQ(c->pool[0].name, "s");
+	ASSERT_EQ(c->queue_count, 1u);
+	EXPECT_STREQ(c->queue[0].name, "b");
+	EXPECT_EQ(ct_get(CT_LEFT_OUT), before + 2);
+}
+
 } // namespace
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -400,4 +400,22 @@
 	EXPECT_TRUE(is_listed("a"));
 }
 
+TEST_F(Replica, RowsWithTooLongNamesAreLeftOut)
+{
+	const std::string name(64, 'x');
+	std::vector<std::string> keys;
+	std::vector<struct ks_item> items;
+	uint64_t before = ct_get(CT_LEFT_OUT);
+
+	for (const char *prefix : {RP_OWNER_PREFIX, RP_TERM_PREFIX,
+		 RP_WORKERS_PREFIX, RP_MEMBER_PREFIX, RP_WAVE_PREFIX})
+		keys.push_back(prefix + name);
+	for (const std::string &key : keys)
+		items.push_back(worker_item(key.c_str(), 5));
+	page(10, items, false);
+	EXPECT_EQ(ct_get(CT_LEFT_OUT), before + 5);
+	EXPECT_EQ(HASH_COUNT(r->owners), 0u);
+	EXPECT_EQ(HASH_COUNT(r->members), 0u);
+}
+
 } // namespace
