--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -41,8 +41,13 @@
 	char key[RP_KEY_BYTES];
 	uint8_t *value;
 	size_t value_bytes;
+	int64_t arrived_us;
 	int64_t deadline_us;
+	uint32_t attempts;
 	uint32_t refused;
+	uint32_t unanswered;
+	/* Attempts that the client library sent more than once by itself. */
+	uint32_t sent_again;
 	/* An attempt got no response, so the write may still take effect. */
 	bool uncertain;
 	bool cancel;
@@ -89,13 +94,25 @@
 	return clk_now_us() + wait_us - CC_RESPONSE_MARGIN_US;
 }
 
+/* One line for a request that is decided without a write. */
+static void
+cc_log_unwritten(
+    const char *event, const char *id, int status, const char *reason)
+{
+	lg_event(status == 503 ? LG_WARN : LG_INFO, "callers", event, "job", id,
+	    "status", lg_i64(status), "attempts", "0", "reason", reason, NULL);
+}
+
 static void
 cc_finish(struct cc_request *r, int status, const char *body)
 {
 	lg_event(status == 200 ? LG_INFO : LG_WARN, "callers",
 	    r->cancel ? "cancel" : "submit", "job", r->id, "status",
-	    lg_i64(status), "refused", lg_i64(r->refused), "maybe",
-	    r->uncertain ? "1" : "0", NULL);
+	    lg_i64(status), "attempts", lg_i64(r->attempts), "refused",
+	    lg_i64(r->refused), "unanswered", lg_i64(r->unanswered),
+	    "sent_again", lg_i64(r->sent_again), "maybe",
+	    r->uncertain ? "1" : "0", "took_ms",
+	    lg_i64((clk_now_us() - r->arrived_us) / CLK_US_PER_MS), NULL);
 	cc_respond(r->f, r->req, status, body);
 	talloc_free(r);
 }
@@ -163,6 +180,8 @@
 	struct cell *c = r->f->c;
 	size_t i;
 
+	r->attempts++;
+	r->sent_again += a->sends > 1;
 	switch (a->result) {
 	case KS_OK:
 		c->store_answered_us = clk_now_us();
@@ -179,6 +198,7 @@
 			cc_retry_put(r);
 		return;
 	case KS_UNKNOWN:
+		r->unanswered++;
 		r->uncertain = true;
 		cc_retry_put(r);
 		return;
@@ -235,6 +255,7 @@
 	r->req = req;
 	memcpy(r->id, id, sizeof(r->id));
 	snprintf(r->key, sizeof(r->key), "%s%s", prefix, id);
+	r->arrived_us = clk_now_us();
 	r->deadline_us = cc_deadline_us(f, req);
 	return r;
 }
@@ -255,6 +276,7 @@
 	struct jb_spec *spec;
 
 	if (rp_find_job(f->c->replica, id) != NULL) {
+		cc_log_unwritten("submit", id, 200, "known");
 		cc_respond(f, req, 200, "{}");
 		return;
 	}
@@ -269,8 +291,7 @@
 	if (cc_store_is_unreachable(f->c)) {
 		talloc_free(spec);
 		ct_add(CT_JOBS_REFUSED, 1);
-		lg_event(LG_WARN, "callers", "submit", "job", id, "status",
-		    "503", "reason", "store is away", NULL);
+		cc_log_unwritten("submit", id, 503, "store is away");
 		cc_respond_error(f, req, 503, "the platform's store is away");
 		return;
 	}
@@ -340,6 +361,7 @@
 	struct cc_request *r;
 
 	if (job->cancelled || jb_has_ended(job->state)) {
+		cc_log_unwritten("cancel", id, 200, "cancelled or ended");
 		cc_respond(f, req, 200, "{}");
 		return;
 	}
@@ -365,6 +387,8 @@
 	memcpy(id, r->id, sizeof(id));
 	talloc_free(r);
 	if (a->result != KS_OK) {
+		if (cancel)
+			cc_log_unwritten("cancel", id, 503, "store is away");
 		cc_respond_error(f, req, 503, "the platform's store is away");
 		return;
 	}
@@ -372,6 +396,8 @@
 	for (i = 0; i < a->item_count; i++)
 		rp_apply_out_of_order(f->c->replica, &a->item[i]);
 	job = rp_find_job(f->c->replica, id);
+	if (job == NULL && cancel)
+		cc_log_unwritten("cancel", id, 410, "no such job");
 	if (job == NULL)
 		cc_respond_error(f, req, 410, "no such job");
 	else if (cancel)
@@ -449,6 +475,8 @@
 
 	f->pending_count++;
 	if (config == NULL || !f->c->replica->synced) {
+		lg_event(LG_INFO, "callers", "not_ready", "method", req->method,
+		    "path", req->path, "status", "503", NULL);
 		cc_respond_error(f, req, 503, "no configuration yet");
 		return;
 	}
@@ -525,6 +553,21 @@
 	    (unsigned long long)s->given_up);
 }
 
+/* Results of orders, by result. */
+static char *
+cc_order_metrics(char *text, const struct cp_host *h)
+{
+	int result;
+
+	for (result = WP_ACCEPTED; result <= WP_NO_ANSWER; result++)
+		text = talloc_asprintf_append(text,
+		    "currant_pool_order_results_total{pool=\"%s\","
+		    "result=\"%d\"} %llu\n",
+		    h->name, result,
+		    (unsigned long long)h->pool->stats.refused[result]);
+	return text;
+}
+
 /* Cores that waiting steps need, by queue and cause. */
 static char *
 cc_wait_metrics(char *text, const struct cp_host *h)
@@ -566,8 +609,11 @@
 	    (long long)((clk_now_us() - c->store_answered_us) / CLK_US_PER_MS),
 	    cc_is_ready(c));
 	HASH_ITER(hh, c->pools, h, tmp) {
-		if (h->pool != NULL)
-			text = cc_wait_metrics(cc_pool_metrics(text, h), h);
+		if (h->pool == NULL)
+			continue;
+		text = cc_pool_metrics(text, h);
+		text = cc_order_metrics(text, h);
+		text = cc_wait_metrics(text, h);
 	}
 	return text;
 }
--- a/curranttackd/cell_relay_serve.c
+++ b/curranttackd/cell_relay_serve.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "common/counters.h"
@@ -10,10 +11,18 @@
 	struct cell *c;
 	uint64_t link;
 	uint64_t id;
+	uint64_t fence;
+	/* Of an order. */
+	struct jb_ref ref;
+	uint32_t run;
+	enum wp_order_kind kind;
+	char worker[WP_NAME_BYTES];
+	char owner[WP_NAME_BYTES];
 };
 
 static struct rl_served_call *
-rl_served_call_create(struct cell *c, struct peer_link *link, uint64_t id)
+rl_served_call_create(
+    struct cell *c, struct peer_link *link, uint64_t id, uint64_t fence)
 {
 	struct rl_served_call *call = talloc_zero(c, struct rl_served_call);
 
@@ -22,6 +31,8 @@
 	call->c = c;
 	call->link = peer_serial(link);
 	call->id = id;
+	call->fence = fence;
+	snprintf(call->owner, sizeof(call->owner), "%s", peer_vm(link));
 	return call;
 }
 
@@ -34,6 +45,17 @@
 		peer_send(link, frame);
 }
 
+static void
+rl_log_order_refused(
+    const struct rl_served_call *call, enum wp_order_result result)
+{
+	lg_event(LG_INFO, "relay", "order_refused", "job", call->ref.job,
+	    "step", lg_i64(call->ref.step), "index", lg_i64(call->ref.index),
+	    "run", lg_i64(call->run), "kind", lg_i64(call->kind), "worker",
+	    call->worker, "result", lg_i64(result), "owner", call->owner,
+	    "fence", lg_i64((int64_t)call->fence), NULL);
+}
+
 static void
 rl_on_order_done(enum wp_order_result result, int64_t clock_ms, void *arg)
 {
@@ -42,6 +64,8 @@
 	Currant__Frame frame = CURRANT__FRAME__INIT;
 	struct rl_served_call *call = arg;
 
+	if (result != WP_ACCEPTED)
+		rl_log_order_refused(call, result);
 	row.id = call->id;
 	row.result = (uint32_t)result;
 	row.has_clock_ms = true;
@@ -77,7 +101,8 @@
     struct cell *c, struct peer_link *link, const Currant__RelayedOrder *row)
 {
 	const struct fl_fleet *f = c->fleet;
-	struct rl_served_call *call = rl_served_call_create(c, link, row->id);
+	struct rl_served_call *call =
+	    rl_served_call_create(c, link, row->id, row->fence);
 	struct wp_order o;
 
 	if (!rc_unpack_order(row, &o)) {
@@ -86,6 +111,10 @@
 		rl_on_order_done(WP_NOT_SENT, 0, call);
 		return;
 	}
+	call->ref = o.ref;
+	call->run = o.run;
+	call->kind = o.kind;
+	snprintf(call->worker, sizeof(call->worker), "%s", o.worker);
 	ct_add(CT_RELAYED, 1);
 	f->workers->order(f->handle, &o, row->fence, rl_on_order_done, call);
 }
@@ -95,7 +124,8 @@
     struct cell *c, struct peer_link *link, const Currant__RelayedHold *row)
 {
 	const struct fl_fleet *f = c->fleet;
-	struct rl_served_call *call = rl_served_call_create(c, link, row->id);
+	struct rl_served_call *call =
+	    rl_served_call_create(c, link, row->id, row->fence);
 	struct wp_worker w;
 	struct wp_renewal renewal;
 
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -14,23 +14,30 @@
 #define CP_FULL_PASS_US (20 * CLK_US_PER_MS)
 #define CP_MIN_PASS_DELAY_US (2 * CLK_US_PER_MS)
 
+/* @kept: the run still counts as being on the worker. */
+static void
+cp_log_order_refused(const struct cp_host *h, const struct wp_order *o,
+    enum wp_order_result result, bool kept)
+{
+	lg_event(LG_INFO, "pool", "order_refused", "job", o->ref.job, "step",
+	    lg_i64(o->ref.step), "index", lg_i64(o->ref.index), "run",
+	    lg_i64(o->run), "kind", lg_i64(o->kind), "worker", o->worker,
+	    "result", lg_i64(result), "sends", lg_i64(o->sends), "kept",
+	    lg_i64(kept), "fence", lg_i64((int64_t)h->fence), NULL);
+}
+
 static void
 cp_on_order(enum wp_order_result result, int64_t clock_ms, void *arg)
 {
 	struct cp_request *req = arg;
 	struct cp_host *h = req->h;
+	bool kept;
 
 	if (cp_request_is_current(req)) {
-		if (result != WP_ACCEPTED)
-			lg_event(LG_INFO, "pool", "order_refused", "job",
-			    req->order->ref.job, "step",
-			    lg_i64(req->order->ref.step), "index",
-			    lg_i64(req->order->ref.index), "run",
-			    lg_i64(req->order->run), "kind",
-			    lg_i64(req->order->kind), "worker",
-			    req->order->worker, "result", lg_i64(result), NULL);
-		wp_on_order_result(
+		kept = wp_on_order_result(
 		    h->pool, req->order, result, clock_ms, clk_now_us());
+		if (result != WP_ACCEPTED)
+			cp_log_order_refused(h, req->order, result, kept);
 		if (result != WP_ACCEPTED || h->pool->starts_delayed)
 			cp_schedule_pass(h);
 	}
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -33,6 +33,12 @@
 	CT_PEER_BYTES_OUT,
 	CT_PEER_MSGS_IN,
 	CT_PEER_BYTES_IN,
+	CT_HTTP_SENT_AGAIN, /* by the client library, to any side */
+	CT_STORE_SENT_AGAIN,
+	CT_STORE_REJECTED,
+	CT_STORE_UNANSWERED,
+	CT_WORKER_SENT_AGAIN,
+	CT_SERVICE_SENT_AGAIN, /* to the advice and maintenance services */
 	CT_WORKER_MSGS,
 	CT_WORKER_BYTES,
 	CT_RELAYED,
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -478,6 +478,7 @@
  *	lasts at least until then
  * @percent: for a pace, share of full speed
  * @sent: for a start, its place in the window of starts
+ * @sends: for a start, how often it was sent for this run, with this one
  */
 struct wp_order {
 	enum wp_order_kind kind;
@@ -491,6 +492,7 @@
 	int64_t deadline_clock_ms;
 	uint32_t percent;
 	struct sw_sent sent;
+	uint32_t sends;
 	struct wp_order *prev;
 	struct wp_order *next;
 };
@@ -984,8 +986,11 @@
  * @result: result
  * @clock_ms: the worker's clock in its answer, or 0
  * @now_us: time
+ *
+ * Return: whether the run still counts as being on the worker; false after a
+ * start that was taken as not carried out.
  */
-void wp_on_order_result(struct wp_pool *p, const struct wp_order *o,
+bool wp_on_order_result(struct wp_pool *p, const struct wp_order *o,
     enum wp_order_result result, int64_t clock_ms, int64_t now_us);
 
 /**
--- a/include/transport/key_space.h
+++ b/include/transport/key_space.h
@@ -47,6 +47,7 @@
  * @item: items of a range, a watch or a conflict, @item_count of them
  * @more: whether further pages follow
  * @lease: the lease that was granted
+ * @sends: how often the request was sent; above 1, again by the layer below
  */
 struct ks_response {
 	enum ks_result result;
@@ -55,6 +56,7 @@
 	size_t item_count;
 	bool more;
 	uint64_t lease;
+	uint32_t sends;
 };
 
 /**
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -206,7 +206,7 @@
 		w->lease_end_clock_ms = until;
 	if (until > t->deadline_clock_ms)
 		t->deadline_clock_ms = until;
-	t->start_sends++;
+	o->sends = ++t->start_sends;
 	t->order_in_flight = true;
 	t->resend_at_us = now_us + WP_RESEND_DELAY_US;
 	p->stats.starts++;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -773,8 +773,8 @@
 		sw_on_answer(&p->starts, &o->sent, now_us);
 }
 
-void
-wp_on_order_result(struct wp_pool *p, const struct wp_order *o,
+static void
+wp_apply_order_result(struct wp_pool *p, const struct wp_order *o,
     enum wp_order_result result, int64_t clock_ms, int64_t now_us)
 {
 	struct wp_worker *w = wp_find_worker(p, o->worker);
@@ -801,6 +801,18 @@
 	}
 }
 
+bool
+wp_on_order_result(struct wp_pool *p, const struct wp_order *o,
+    enum wp_order_result result, int64_t clock_ms, int64_t now_us)
+{
+	const struct wp_task *t;
+
+	wp_apply_order_result(p, o, result, clock_ms, now_us);
+	t = wp_find_task(p, &o->ref);
+	return t != NULL && t->worker != NULL && t->run == o->run &&
+	    strcmp(t->worker->id, o->worker) == 0;
+}
+
 /* The worker's lease has expired, so all its runs have ended. */
 static void
 wp_worker_lease_expired(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -565,6 +565,33 @@
 	expect_no_violations();
 }
 
+TEST_F(RelayedCell, OrderThatARelayGotNoAnswerToIsLoggedByBoth)
+{
+	start_daemons(3);
+	wait_for_relay();
+	size_t current = owner();
+
+	for (uint32_t w = 0; w < kWorkers; w++)
+		inject_fault("{\"target\":\"w-" + std::to_string(w) +
+		    "\",\"path\":\"run-start\",\"kind\":\"lost\","
+		    "\"count\":1}");
+	EXPECT_EQ(submit(0, 1, 1, 300).status, 200);
+	wait_completed(current, 1, 2);
+	std::string by_owner = daemons[current]->log_text();
+	std::string by_relays;
+
+	for (size_t i = 0; i < 3; i++)
+		by_relays += i != current ? daemons[i]->log_text() : "";
+	EXPECT_NE(by_relays.find("module=relay event=order_refused"),
+	    std::string::npos);
+	EXPECT_NE(by_relays.find(" result=10 owner=vm-" +
+		      std::to_string(current) + " fence="),
+	    std::string::npos);
+	EXPECT_NE(by_owner.find(" result=10 sends=1 kept=1 fence="),
+	    std::string::npos);
+	expect_no_violations();
+}
+
 /* Daemons of a large cell don't follow the workers until they own a pool. */
 TEST_F(RelayedCell, NextOwnerLearnsWhichWorkersLeftAndContinues)
 {
@@ -677,6 +704,29 @@
 	expect_no_violations();
 }
 
+TEST_F(Cell, LinesOfASubmitSayWhatItsAttemptsGot)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":1500}");
+	EXPECT_EQ(submit(0, 2).status, 503);
+	auto logged = [&](const std::string &text) {
+		return daemons[0]->log_text().find(text) != std::string::npos;
+	};
+
+	EXPECT_TRUE(logged("job=" + job_id(1) +
+	    " status=200 attempts=1 refused=0 unanswered=0 sent_again=0 "
+	    "maybe=0 took_ms="));
+	EXPECT_TRUE(
+	    logged("job=" + job_id(1) + " status=200 attempts=0 reason=known"));
+	EXPECT_TRUE(logged("job=" + job_id(2) +
+	    " status=503 attempts=3 refused=3 unanswered=0 sent_again=0 "
+	    "maybe=0 took_ms="));
+}
+
 TEST_F(Cell, RefusedJobNeverRuns)
 {
 	start_daemons(2);
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1632,6 +1632,36 @@
 	EXPECT_TRUE(tick().empty());
 }
 
+TEST_F(Pool, ResultOfAStartSaysWhetherTheRunIsKept)
+{
+	create_pool();
+	add_worker("w-1");
+	add(kJob, {{1, 1000}});
+	std::vector<struct wp_order *> start = tick();
+
+	ASSERT_EQ(start.size(), 1U);
+	EXPECT_EQ(start[0]->sends, 1U);
+	EXPECT_TRUE(
+	    wp_on_order_result(p, start[0], WP_NO_ANSWER, now / kMs, now));
+	start = tick(500 * kMs);
+	ASSERT_EQ(start.size(), 1U);
+	EXPECT_EQ(start[0]->sends, 2U);
+	EXPECT_TRUE(wp_on_order_result(
+	    p, start[0], WP_REFUSED_NO_RESOURCES, now / kMs, now));
+}
+
+TEST_F(Pool, StartThatWasSentOnceAndRefusedIsNotKept)
+{
+	create_pool();
+	add_worker("w-1");
+	add(kJob, {{1, 1000}});
+	std::vector<struct wp_order *> start = tick();
+
+	ASSERT_EQ(start.size(), 1U);
+	EXPECT_FALSE(wp_on_order_result(
+	    p, start[0], WP_REFUSED_NO_RESOURCES, now / kMs, now));
+}
+
 /* Its start was in flight when it was stopped. */
 TEST_F(Pool, StopIsRepeatedUntilAWorkerTakesIt)
 {
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -7,6 +7,7 @@
 #include <utlist.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "transport/http_client.h"
 
 #define HC_MAX_BODY_BYTES ((size_t)8 << 20)
@@ -116,6 +117,7 @@
 	resp.received_bytes = (size_t)header_bytes + t->response_bytes;
 	resp.sends = t->sends;
 	resp.connects = (uint32_t)connects;
+	ct_add(CT_HTTP_SENT_AGAIN, t->sends > 1);
 	curl_multi_remove_handle(hc->multi, easy);
 	DL_DELETE(hc->transfers, t);
 	t->done(&resp, t->arg);
