tests: a job whose write lost its connection is not refused

The stand-in for the platform learns the faults close_before, close_after, reset_before, reset_after and late_close for transactions and starts.

--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -118,4 +118,14 @@
 void hs_abort(struct hs_request *req, const void *body, size_t body_bytes,
     size_t announced_bytes);
 
+/**
+ * hs_drop() - close the connection without a response
+ * @req: request
+ * @reset: whether to reset it
+ *
+ * Lets test doubles simulate a server that fails. To be called while the
+ * request is handled.
+ */
+void hs_drop(struct hs_request *req, bool reset);
+
 #endif
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -677,6 +677,35 @@
 	expect_no_violations();
 }
 
+class CellWithALostWrite : public Cell,
+			   public testing::WithParamInterface<const char *>
+{
+};
+
+/* The connection had been used before, and later attempts were refused. */
+TEST_P(CellWithALostWrite, JobThatMayRunIsNotRefused)
+{
+	bool done = std::string(GetParam()).find("before") == std::string::npos;
+
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"" +
+	    std::string(GetParam()) + "\",\"count\":1,\"delay_ms\":2500}");
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":2400}");
+	EXPECT_EQ(submit(0, 1).status, 504);
+	usleep(2000000);
+	EXPECT_EQ(reported("started"), done ? 4 : 2);
+	expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(Cell, CellWithALostWrite,
+    testing::Values("close_before", "close_after", "reset_before",
+	"reset_after", "late_close"));
+
 TEST_F(Cell, RefusedJobNeverRuns)
 {
 	start_daemons(2);
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -71,6 +71,13 @@
 	FAULT_LATE,   /* no answer, and done later */
 	FAULT_REFUSE, /* 503, nothing done */
 	FAULT_SLOW,   /* of a hold, for a time: done, and answered later */
+	/* The connection ends; a transaction or a start is: */
+	FAULT_CLOSE_BEFORE, /* not done */
+	FAULT_CLOSE_AFTER,  /* done */
+	FAULT_RESET_BEFORE, /* not done */
+	FAULT_RESET_AFTER,  /* done */
+	FAULT_LATE_CLOSE,   /* done later */
+	FAULT_KINDS,
 };
 
 /* The next calls that match, or all until a time. */
@@ -226,8 +233,9 @@
 static void
 add_fault(struct hs_request *req)
 {
-	static const char *const kinds[] = {
-	    "down", "lost", "late", "refuse", "slow"};
+	static const char *const kinds[FAULT_KINDS] = {"down", "lost", "late",
+	    "refuse", "slow", "close_before", "close_after", "reset_before",
+	    "reset_after", "late_close"};
 	json_t *body = standin_body(req);
 	struct fault *f = calloc(1, sizeof(*f));
 	const char *kind = json_string_value(json_object_get(body, "kind"));
@@ -235,7 +243,7 @@
 	int64_t for_ms = json_integer_value(json_object_get(body, "for_ms"));
 	int i;
 
-	for (i = 0; kind != NULL && i < 5; i++) {
+	for (i = 0; kind != NULL && i < FAULT_KINDS; i++) {
 		if (strcmp(kinds[i], kind) == 0)
 			f->kind = (enum fault_kind)i;
 	}
@@ -252,6 +260,31 @@
 	standin_reply(req, 200, "ok");
 }
 
+static bool
+ends_connection(const struct fault *f)
+{
+	return f != NULL && f->kind >= FAULT_CLOSE_BEFORE;
+}
+
+static bool
+is_not_done(const struct fault *f)
+{
+	return f->kind == FAULT_CLOSE_BEFORE || f->kind == FAULT_RESET_BEFORE;
+}
+
+static bool
+is_done_later(const struct fault *f)
+{
+	return f->kind == FAULT_LATE || f->kind == FAULT_LATE_CLOSE;
+}
+
+static void
+end_connection(struct hs_request *req, const struct fault *f)
+{
+	hs_drop(
+	    req, f->kind == FAULT_RESET_BEFORE || f->kind == FAULT_RESET_AFTER);
+}
+
 static void
 never_answer(struct hs_request *req)
 {
@@ -486,7 +519,7 @@
 
 	if (body == NULL)
 		return;
-	if (f != NULL && f->kind == FAULT_LATE) {
+	if (f != NULL && is_done_later(f)) {
 		loop_after(loop, f->delay_us, apply_late, body);
 		return;
 	}
@@ -582,6 +615,13 @@
 		never_answer(req);
 		return;
 	}
+	if (ends_connection(f)) {
+		if (!is_not_done(f) &&
+		    has_prefix(req->path, "/curranttack/kv-txn"))
+			store_txn(req, f);
+		end_connection(req, f);
+		return;
+	}
 	if (has_prefix(req->path, "/curranttack/kv-range"))
 		store_range(req);
 	else if (has_prefix(req->path, "/curranttack/kv-watch"))
@@ -974,8 +1014,22 @@
 	late->w = w;
 	late->born_us = w->born_us;
 	late->body = json_incref(body);
-	loop_after(
-	    loop, f->kind == FAULT_LATE ? f->delay_us : 1, start_late, late);
+	loop_after(loop, is_done_later(f) ? f->delay_us : 1, start_late, late);
+}
+
+static void
+answer_worker_call(struct worker *w, struct hs_request *req, json_t *body)
+{
+	if (strstr(req->path, "run-start") != NULL)
+		run_start(w, req, body);
+	else if (strstr(req->path, "run-stop") != NULL)
+		run_stop(w, req, body);
+	else if (strstr(req->path, "hold") != NULL)
+		run_hold(w, req, body);
+	else
+		standin_reply_json(req, 200,
+		    json_pack(
+			"{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
 }
 
 static void
@@ -984,6 +1038,7 @@
 	struct worker *w = arg;
 	const char *expected = hs_header(req, "X-Curranttack-Expect-Instance");
 	struct fault *f = find_fault(w->id, req->path);
+	bool start = strstr(req->path, "run-start") != NULL;
 	json_t *body;
 
 	if (w->off || (f != NULL && f->kind == FAULT_DOWN)) {
@@ -1001,18 +1056,12 @@
 	body = standin_body(req);
 	if (body == NULL)
 		return;
-	if (f != NULL && strstr(req->path, "run-start") != NULL)
+	if (f != NULL && start && !is_not_done(f))
 		start_with_fault(w, body, f);
-	else if (strstr(req->path, "run-start") != NULL)
-		run_start(w, req, body);
-	else if (strstr(req->path, "run-stop") != NULL)
-		run_stop(w, req, body);
-	else if (strstr(req->path, "hold") != NULL)
-		run_hold(w, req, body);
-	else
-		standin_reply_json(req, 200,
-		    json_pack(
-			"{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
+	if (ends_connection(f))
+		end_connection(req, f);
+	else if (f == NULL || !start)
+		answer_worker_call(w, req, body);
 	json_decref(body);
 }
 
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -34,6 +34,7 @@
 	bool too_large;
 	bool handled;
 	bool suspended;
+	bool dropped;
 };
 
 static void hs_schedule(struct http_server *hs);
@@ -151,6 +152,8 @@
 		return hs_queue_response(ex);
 	}
 	hs->handler(&ex->req, hs->arg);
+	if (ex->dropped)
+		return MHD_NO;
 	if (ex->response != NULL)
 		return hs_queue_response(ex);
 	ex->suspended = true;
@@ -356,3 +359,17 @@
 	    announced_bytes, 4096, hs_read_partial, part, free);
 	hs_resume(ex);
 }
+
+void
+hs_drop(struct hs_request *req, bool reset)
+{
+	struct hs_exchange *ex = hs_exchange_of(req);
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    ex->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct sockaddr none = {.sa_family = AF_UNSPEC};
+
+	/* On Linux, this resets the connection at once. */
+	if (reset && info != NULL)
+		connect(info->connect_fd, &none, sizeof(none));
+	ex->dropped = true;
+}
