callers: a job is not refused while another attempt to store it is open

What callers saw: a first attempt to submit a job had no answer, a second one at the same daemon got 503, which says that the job never runs, and it ran. A DELETE in between got 410.

Cause: each request of a caller looked at its own writes only. The write of the first attempt was still unanswered, or had ended without an answer, and the store carried it out seconds later.

Evidence: Cell.JobIsNotRefusedWhileAnEarlierAttemptIsOpen. The store answers the first write not at all, carries it out three seconds later and refuses all others meanwhile. Before: 503 to the second attempt while the first is in flight, 503 to a third one after that, 410 to DELETE; both tasks of the job ran. Now 504 to all three, and 200 once the job is there.

While one is open, what would be 503 is 504, and DELETE of a job that isn't known yet gets 504. CT_JOBS_REFUSED counts each 503 to a submission, also those at the deadline.

What remains: attempts at other daemons aren't known here.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -10,6 +10,7 @@
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
 #include "protocol/job_codec.h"
+#include "state/attempts.h"
 
 #define CC_BODY_BYTES ((size_t)1 << 20)
 /* Queues whose waiting steps are in the metrics. */
@@ -30,6 +31,7 @@
 	struct http_server *callers;
 	struct http_server *ready;
 	struct http_server *metrics;
+	struct at_table *attempts;
 	uint32_t pending_count;
 };
 
@@ -89,9 +91,29 @@
 	return clk_now_us() + wait_us - CC_RESPONSE_MARGIN_US;
 }
 
+/* A job is refused only if no attempt to store it can succeed any more. */
+static int
+cc_end_attempt(struct cc_request *r, int status)
+{
+	struct at_table *attempts = r->f->attempts;
+	int64_t now_us = clk_now_us();
+
+	at_end(attempts, r->id, r->uncertain, now_us);
+	if (status == 200)
+		at_stored(attempts, r->id);
+	r->uncertain |= at_is_open(attempts, r->id, now_us);
+	if (status == 503 && r->uncertain)
+		return 504;
+	if (status == 503)
+		ct_add(CT_JOBS_REFUSED, 1);
+	return status;
+}
+
 static void
 cc_finish(struct cc_request *r, int status, const char *body)
 {
+	if (!r->cancel)
+		status = cc_end_attempt(r, status);
 	lg_event(status == 200 ? LG_INFO : LG_WARN, "callers",
 	    r->cancel ? "cancel" : "submit", "job", r->id, "status",
 	    lg_i64(status), "refused", lg_i64(r->refused), "maybe",
@@ -187,7 +209,6 @@
 	case KS_COMPACTED:
 		r->refused++;
 		if (!r->uncertain && r->refused >= CC_MAX_REFUSED) {
-			ct_add(CT_JOBS_REFUSED, 1);
 			cc_finish(r, 503,
 			    "{\"error\":\"the platform's store refuses\"}");
 			return;
@@ -246,6 +267,20 @@
 	return clk_now_us() - c->store_answered_us > 2 * CC_STORE_SILENT_US;
 }
 
+static void
+cc_respond_unstored(
+    struct cc_frontend *f, struct hs_request *req, const char *id)
+{
+	bool open = at_is_open(f->attempts, id, clk_now_us());
+
+	if (!open)
+		ct_add(CT_JOBS_REFUSED, 1);
+	lg_event(LG_WARN, "callers", "submit", "job", id, "status",
+	    open ? "504" : "503", "reason", "store is away", NULL);
+	cc_respond_error(
+	    f, req, open ? 504 : 503, "the platform's store is away");
+}
+
 static void
 cc_submit(struct cc_frontend *f, struct hs_request *req,
     const struct qs_queue *queue, const char *id)
@@ -268,10 +303,7 @@
 	}
 	if (cc_store_is_unreachable(f->c)) {
 		talloc_free(spec);
-		ct_add(CT_JOBS_REFUSED, 1);
-		lg_event(LG_WARN, "callers", "submit", "job", id, "status",
-		    "503", "reason", "store is away", NULL);
-		cc_respond_error(f, req, 503, "the platform's store is away");
+		cc_respond_unstored(f, req, id);
 		return;
 	}
 	memcpy(spec->id, id, sizeof(spec->id));
@@ -285,6 +317,7 @@
 	    spec->pool);
 	r->value = jc_pack_job(r, spec, &r->value_bytes);
 	talloc_free(spec);
+	at_begin(f->attempts, id);
 	cc_put(r);
 }
 
@@ -372,7 +405,9 @@
 	for (i = 0; i < a->item_count; i++)
 		rp_apply_out_of_order(f->c->replica, &a->item[i]);
 	job = rp_find_job(f->c->replica, id);
-	if (job == NULL)
+	if (job == NULL && cancel && at_is_open(f->attempts, id, clk_now_us()))
+		cc_respond_error(f, req, 504, "the job may yet be stored");
+	else if (job == NULL)
 		cc_respond_error(f, req, 410, "no such job");
 	else if (cancel)
 		cc_cancel_job(f, req, id);
@@ -615,6 +650,7 @@
 	if (f == NULL)
 		abort();
 	f->c = c;
+	f->attempts = at_create(f);
 	f->callers =
 	    cc_listen(f, c->settings->callers_address, cc_on_caller_request);
 	f->ready = cc_listen(f, c->settings->ready_address, cc_on_ready);
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -69,10 +69,10 @@
 
 	Response
 	call(const std::string &method, size_t daemon, const std::string &path,
-	    const std::string &body = "")
+	    const std::string &body = "", long timeout_ms = 4000)
 	{
 		return http(method, "http://" + daemons[daemon]->callers + path,
-		    body, {std::string("Host: ") + kHost}, 4000);
+		    body, {std::string("Host: ") + kHost}, timeout_ms);
 	}
 
 	static std::string
@@ -86,7 +86,7 @@
 
 	Response
 	submit(size_t daemon, int n, int tasks = 2, int work_ms = 200,
-	    const std::string &behaviour = "")
+	    const std::string &behaviour = "", long timeout_ms = 4000)
 	{
 		std::string spec =
 		    std::to_string(work_ms) + " 1000 " + behaviour;
@@ -94,7 +94,8 @@
 		return call("POST", daemon, "/q/" + job_id(n),
 		    "{\"spec\":\"" + spec +
 			"\",\"steps\":[{\"count\":" + std::to_string(tasks) +
-			",\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":200}]}");
+			",\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":200}]}",
+		    timeout_ms);
 	}
 
 	std::string
@@ -706,6 +707,30 @@
     testing::Values("close_before", "close_after", "reset_before",
 	"reset_after", "late_close"));
 
+/* The first attempt's caller gave up, and its write is executed later. */
+TEST_F(Cell, JobIsNotRefusedWhileAnEarlierAttemptIsOpen)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"late\","
+	    "\"count\":1,\"delay_ms\":3000}");
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":2900}");
+	EXPECT_EQ(submit(0, 1, 2, 200, "", 200).status, 0);
+	EXPECT_EQ(submit(0, 1).status, 504);
+	usleep(1000000);
+	EXPECT_EQ(call("DELETE", 0, "/q/" + job_id(1)).status, 504);
+	EXPECT_EQ(submit(0, 1).status, 504);
+	EXPECT_TRUE(eventually([&] { return reported("started") == 4; }, 4000));
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(1, 1, 2);
+	expect_no_violations();
+}
+
 TEST_F(Cell, RefusedJobNeverRuns)
 {
 	start_daemons(2);
