tests: a frozen or stopping daemon doesn't refuse a job that may run

The write of a job is in flight when its daemon is frozen for 3 s, so that the caller's deadline passes, or gets SIGTERM. The store has carried it out without an answer, does so 4 s later, or closes the connection, and refuses all other transactions meanwhile.

hs_drop() says that it ignores the result of connect(), as the linter asks.

--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -731,6 +731,51 @@
 	expect_no_violations();
 }
 
+class CellWithAnInterruptedWrite
+    : public Cell,
+      public testing::WithParamInterface<std::tuple<int, const char *>>
+{
+};
+
+/* A deadline passes while the write is in flight, or a grace period begins. */
+TEST_P(CellWithAnInterruptedWrite, JobThatMayRunIsNotRefused)
+{
+	int signal = std::get<0>(GetParam());
+	std::string kind = std::get<1>(GetParam());
+	Response r;
+
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"" +
+	    kind + "\",\"count\":1,\"delay_ms\":4000}");
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":3900}");
+	std::thread caller([&] { r = submit(0, 1, 2, 200, "", 8000); });
+	usleep(150000);
+	daemons[0]->signal(signal);
+	if (signal == SIGSTOP) {
+		usleep(3000000);
+		daemons[0]->signal(SIGCONT);
+	}
+	caller.join();
+	EXPECT_EQ(r.status, 504);
+	/* A late write fails if the pool has changed its owner meanwhile. */
+	if (kind.find("late") == std::string::npos) {
+		EXPECT_TRUE(
+		    eventually([&] { return reported("started") == 4; }, 8000));
+		wait_completed(1, 1, 2);
+	}
+	usleep(2500000);
+	expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(Cell, CellWithAnInterruptedWrite,
+    testing::Combine(testing::Values(SIGSTOP, SIGTERM),
+	testing::Values("late", "late_close", "lost", "close_after")));
+
 TEST_F(Cell, RefusedJobNeverRuns)
 {
 	start_daemons(2);
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -370,6 +370,6 @@
 
 	/* On Linux, this resets the connection at once. */
 	if (reset && info != NULL)
-		connect(info->connect_fd, &none, sizeof(none));
+		(void)connect(info->connect_fd, &none, sizeof(none));
 	ex->dropped = true;
 }
