--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -474,6 +474,104 @@
 	    "maybe=0 took_ms="));
 }
 
+class CellWithALostWrite : public Cell,
+			   public testing::WithParamInterface<const char *>
+{
+};
+
+/* The connection had been used before, and later attempts were refused. */
+TEST_P(CellWithALostWrite, JobThatMayRunIsNotRefused)
+{
+	bool done = std::string(GetParam()).find("before") == std::string::npos;
+
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"" +
+	    std::string(GetParam()) + "\",\"count\":1,\"delay_ms\":2500}");
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":2400}");
+	EXPECT_EQ(submit(0, 1).status, 504);
+	usleep(2000000);
+	EXPECT_EQ(reported("started"), done ? 4 : 2);
+	expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(Cell, CellWithALostWrite,
+    testing::Values("close_before", "close_after", "reset_before",
+	"reset_after", "late_close"));
+
+/* The first attempt's caller gave up, and its write is executed later. */
+TEST_F(Cell, JobIsNotRefusedWhileAnEarlierAttemptIsOpen)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"late\","
+	    "\"count\":1,\"delay_ms\":3000}");
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":2900}");
+	EXPECT_EQ(submit(0, 1, 2, 200, "", 200).status, 0);
+	EXPECT_EQ(submit(0, 1).status, 504);
+	usleep(1000000);
+	EXPECT_EQ(call("DELETE", 0, "/q/" + job_id(1)).status, 504);
+	EXPECT_EQ(submit(0, 1).status, 504);
+	EXPECT_TRUE(eventually([&] { return reported("started") == 4; }, 4000));
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(1, 1, 2);
+	expect_no_violations();
+}
+
+class CellWithAnInterruptedWrite
+    : public Cell,
+      public testing::WithParamInterface<std::tuple<int, const char *>>
+{
+};
+
+/* A deadline passes while the write is in flight, or a grace period begins. */
+TEST_P(CellWithAnInterruptedWrite, JobThatMayRunIsNotRefused)
+{
+	int signal = std::get<0>(GetParam());
+	std::string kind = std::get<1>(GetParam());
+	Response r;
+
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"" +
+	    kind + "\",\"count\":1,\"delay_ms\":4000}");
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":3900}");
+	std::thread caller([&] { r = submit(0, 1, 2, 200, "", 8000); });
+	usleep(150000);
+	daemons[0]->signal(signal);
+	if (signal == SIGSTOP) {
+		usleep(3000000);
+		daemons[0]->signal(SIGCONT);
+	}
+	caller.join();
+	EXPECT_EQ(r.status, 504);
+	/* A late write fails if the pool has changed its owner meanwhile. */
+	if (kind.find("late") == std::string::npos) {
+		EXPECT_TRUE(
+		    eventually([&] { return reported("started") == 4; }, 8000));
+		wait_completed(1, 1, 2);
+	}
+	usleep(2500000);
+	expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(Cell, CellWithAnInterruptedWrite,
+    testing::Combine(testing::Values(SIGSTOP, SIGTERM),
+	testing::Values("late", "late_close", "lost", "close_after")));
+
 TEST_F(Cell, RefusedJobNeverRuns)
 {
 	start_daemons(2);
--- a/tests/unit/test_platform_calls.cc
+++ b/tests/unit/test_platform_calls.cc
@@ -69,8 +69,8 @@
 	static void
 	respond(int conn, const std::string &status)
 	{
-		const std::string text = "HTTP/1.1 " + status +
-		    "\r\nContent-Length: 2\r\n\r\n{}";
+		const std::string text =
+		    "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}";
 
 		send(conn, text.data(), text.size(), MSG_NOSIGNAL);
 	}
