replica, peers, pool: unstored ends of jobs are told to daemons that lack them

Cause: while the store is unreachable, an owner announces ends of jobs to all daemons once (job_ended stored=0), and all of them show it. A daemon that is restarted, or cut off at that moment, never learns of it. When it becomes the next owner, it starts the tasks again as soon as the leases of the workers that have left have expired: their run ends left with them. A report that arrived before the replica had read the job was dropped as well, and an owner that was told of an end did not end the job in its pool.

Ruled out: acknowledgements that run ahead of the store (a run end is acknowledged only after the commit that contains it, so ends of single tasks that no caller has been shown go with the worker, and running these again breaks no promise).

Change: each daemon sends all ends that it knows and the store lacks over every link that is established anew, then says so (ends_told). Reports are kept by id, also before the job is read. An owner ends a job that is reported as ended, after it has stopped what it had started.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -265,7 +265,7 @@
 	    cell_wall_to_steady_us(), now_us);
 	talloc_free(progress);
 	if (row->end_reported)
-		wp_end_job(h->pool, job, row->state);
+		wp_end_job(h->pool, job, row->state, now_us);
 	if (row->cancelled)
 		wp_cancel_job(h->pool, job, now_us);
 	return job;
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -74,7 +74,7 @@
 		    "wait_advice_ms", cp_waited_ms(job, WP_WAIT_ADVICE),
 		    "wait_resources_ms", cp_waited_ms(job, WP_WAIT_RESOURCES),
 		    "wait_retry_ms", cp_waited_ms(job, WP_WAIT_RETRY), NULL);
-		rp_on_end_reported(row, job->state);
+		rp_on_end_reported(c->replica, id, job->state);
 	}
 	/* In large cells, daemons query the owner when a caller queries a job. */
 	if (!stored || pn_is_small_cell(c->links))
--- a/curranttackd/cell_lookup.c
+++ b/curranttackd/cell_lookup.c
@@ -163,15 +163,12 @@
 {
 	struct lk_query *q = lk_find(r, answer->id);
 	enum jb_state state = JB_PENDING;
-	struct rp_job *job;
 
 	if (q == NULL)
 		return;
 	if (answer->state <= JB_CANCELLED)
 		state = (enum jb_state)answer->state;
-	job = rp_find_job(r->c->replica, q->job);
-	if (job != NULL)
-		rp_on_end_reported(job, state);
+	cp_on_end_reported(r->c, q->job, state);
 	lk_finish(q, state);
 }
 
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -12,12 +12,18 @@
 #define PN_MAX_ENDED 32
 #define PN_RECONNECT_US (500 * CLK_US_PER_MS)
 #define PN_TICK_US (100 * CLK_US_PER_MS)
+/* A daemon has links to all others in touch so long after its start. */
+#define PN_START_US (3 * CLK_US_PER_S)
 
 struct pn_peer {
 	char vm[WP_NAME_BYTES];
 	char address[WP_NAME_BYTES];
 	struct peer_link *link;
 	int64_t connect_at_us;
+	/* It was told on that link of all ends that are not stored. */
+	bool ends_sent;
+	/* Its own link, if it has told its ends on that; 0 before. */
+	uint64_t ends_link;
 };
 
 struct pn_links {
@@ -25,6 +31,7 @@
 	struct pn_peer peer[PN_MAX_PEERS];
 	uint32_t count;
 	int64_t tick_at_us;
+	int64_t started_us;
 	Currant__EndedJob ended[PN_MAX_ENDED];
 	char ended_id[PN_MAX_ENDED][JB_ID_BYTES];
 	uint32_t ended_count;
@@ -38,17 +45,18 @@
 	if (n == NULL)
 		abort();
 	n->c = c;
+	n->started_us = clk_now_us();
 	return n;
 }
 
 static struct pn_peer *
-pn_find_peer(struct pn_links *n, const char *vm)
+pn_find_peer(const struct pn_links *n, const char *vm)
 {
 	uint32_t i;
 
 	for (i = 0; i < n->count; i++) {
 		if (strcmp(n->peer[i].vm, vm) == 0)
-			return &n->peer[i];
+			return (struct pn_peer *)(uintptr_t)&n->peer[i];
 	}
 	return NULL;
 }
@@ -79,29 +87,104 @@
 	if (p->link != NULL || now_us < p->connect_at_us)
 		return;
 	p->connect_at_us = now_us + PN_RECONNECT_US;
+	p->ends_sent = false;
 	p->link = peer_connect(n->c->peers, p->address);
 }
 
+/* A daemon that was restarted or cut off lacks what it was told before. */
+static void
+pn_send_all_ends(struct pn_links *n, struct pn_peer *p)
+{
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+	Currant__EndedJob row[PN_MAX_ENDED];
+	Currant__EndedJob *rows[PN_MAX_ENDED];
+	struct peer_link *link = p->link;
+	struct rp_job *job;
+	struct rp_job *tmp;
+
+	p->ends_sent = true;
+	frame.ended_jobs = rows;
+	HASH_ITER(hh, n->c->replica->jobs, job, tmp) {
+		if (!job->end_reported)
+			continue;
+		if (frame.n_ended_jobs == PN_MAX_ENDED) {
+			peer_send(link, &frame);
+			frame.n_ended_jobs = 0;
+		}
+		rows[frame.n_ended_jobs] = &row[frame.n_ended_jobs];
+		currant__ended_job__init(rows[frame.n_ended_jobs]);
+		rows[frame.n_ended_jobs]->id = job->id;
+		rows[frame.n_ended_jobs]->state = (uint32_t)job->state;
+		frame.n_ended_jobs++;
+	}
+	frame.has_ends_told = true;
+	frame.ends_told = true;
+	peer_send(link, &frame);
+}
+
+static bool
+pn_is_established(const struct pn_peer *p)
+{
+	return p->link != NULL && peer_established(p->link);
+}
+
 /* Pools go to the largest VMs, so the others need no links to one another. */
+static bool
+pn_needs_link(const struct pn_links *n, const struct rp_member *m)
+{
+	uint32_t largest_mcpu = rp_max_cpu_mcpu(n->c->replica);
+
+	if (!m->present || strcmp(m->vm, n->c->settings->vm) == 0)
+		return false;
+	return n->c->settings->cpu_mcpu >= largest_mcpu ||
+	    m->cpu_mcpu == largest_mcpu;
+}
+
 void
 pn_tick(struct pn_links *n, int64_t now_us)
 {
-	uint32_t largest_mcpu;
 	struct rp_member *m;
 	struct rp_member *tmp;
-	bool outranked;
+	uint32_t i;
 
 	if (now_us < n->tick_at_us)
 		return;
 	n->tick_at_us = now_us + PN_TICK_US;
-	largest_mcpu = rp_max_cpu_mcpu(n->c->replica);
-	outranked = n->c->settings->cpu_mcpu < largest_mcpu;
 	HASH_ITER(hh, n->c->replica->members, m, tmp) {
-		if (!m->present || strcmp(m->vm, n->c->settings->vm) == 0)
-			continue;
-		if (!outranked || m->cpu_mcpu == largest_mcpu)
+		if (pn_needs_link(n, m))
 			pn_keep_link(n, m, now_us);
 	}
+	for (i = 0; i < n->count; i++) {
+		if (pn_is_established(&n->peer[i]) && !n->peer[i].ends_sent)
+			pn_send_all_ends(n, &n->peer[i]);
+	}
+}
+
+bool
+pn_awaits_ends(const struct pn_links *n, int64_t now_us)
+{
+	bool is_new = now_us - n->started_us < PN_START_US;
+	struct rp_member *m;
+	struct rp_member *tmp;
+
+	HASH_ITER(hh, n->c->replica->members, m, tmp) {
+		const struct pn_peer *p = pn_find_peer(n, m->vm);
+
+		if (!pn_needs_link(n, m) || (p != NULL && p->ends_link != 0))
+			continue;
+		if (is_new || (p != NULL && pn_is_established(p)))
+			return true;
+	}
+	return false;
+}
+
+void
+pn_on_ends_told(struct pn_links *n, const struct peer_link *link)
+{
+	struct pn_peer *p = pn_get_peer(n, peer_vm(link));
+
+	if (p != NULL)
+		p->ends_link = peer_serial(link);
 }
 
 struct peer_link *
@@ -109,9 +192,7 @@
 {
 	const struct pn_peer *p = pn_find_peer(n, vm);
 
-	if (p == NULL || p->link == NULL || !peer_established(p->link))
-		return NULL;
-	return p->link;
+	return p != NULL && pn_is_established(p) ? p->link : NULL;
 }
 
 void
@@ -133,6 +214,8 @@
 	for (i = 0; i < n->count; i++) {
 		struct pn_peer *p = &n->peer[i];
 
+		if (p->ends_link == peer_serial(link))
+			p->ends_link = 0;
 		if (p->link != link)
 			continue;
 		p->link = NULL;
@@ -251,9 +334,6 @@
 void
 pn_on_ended(struct cell *c, const Currant__EndedJob *row)
 {
-	struct rp_job *job = rp_find_job(c->replica, row->id);
-
-	if (job == NULL || row->state > JB_CANCELLED)
-		return;
-	rp_on_end_reported(job, (enum jb_state)row->state);
+	if (row->state <= JB_CANCELLED)
+		cp_on_end_reported(c, row->id, (enum jb_state)row->state);
 }
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -398,6 +398,28 @@
 	cp_schedule_pass(h);
 }
 
+void
+cp_on_end_reported(struct cell *c, const char *id, enum jb_state state)
+{
+	const struct rp_job *row;
+	struct cp_host *h;
+	struct wp_job *job;
+
+	if (!rp_on_end_reported(c->replica, id, state))
+		return;
+	row = rp_find_job(c->replica, id);
+	if (row == NULL)
+		return;
+	h = cp_get_host(c, row->pool);
+	job = h->pool != NULL ? wp_find_job(h->pool, id) : NULL;
+	if (job == NULL || jb_has_ended(job->state))
+		return;
+	lg_event(LG_WARN, "pool", "end_learned", "job", id, "state",
+	    jb_state_name(state), NULL);
+	wp_end_job(h->pool, job, state, clk_now_us());
+	cp_schedule_pass(h);
+}
+
 /* Its capacity is about to change while it runs, or with a new life. */
 static void
 cp_log_capacity(struct cp_host *h, const struct wp_worker_info *info)
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -130,14 +130,20 @@
 		job->ended_us = clk_now_us();
 }
 
-void
-rp_on_end_reported(struct rp_job *job, enum jb_state state)
+bool
+rp_on_end_reported(struct replica *r, const char *id, enum jb_state state)
 {
-	if (jb_has_ended(job->state) || !jb_has_ended(state))
-		return;
+	struct rp_job *job;
+
+	if (!jb_has_ended(state))
+		return false;
+	job = rp_get_job(r, id);
+	if (job == NULL || jb_has_ended(job->state))
+		return false;
 	job->end_reported = true;
 	job->state = state;
 	job->ended_us = clk_now_us();
+	return true;
 }
 
 static void
--- a/include/curranttackd/cell_peers.h
+++ b/include/curranttackd/cell_peers.h
@@ -45,7 +45,17 @@
 
 /** pn_on_job() - a peer has sent a job that it accepted */
 void pn_on_job(struct cell *c, const Currant__NewJob *row);
-/** pn_on_ended() - a pool's owner reports the final state of a job */
+/** pn_on_ended() - a daemon reports the final state of a job */
 void pn_on_ended(struct cell *c, const Currant__EndedJob *row);
+/** pn_on_ends_told() - a peer has sent all ends of jobs that the store lacks */
+void pn_on_ends_told(struct pn_links *n, const struct peer_link *link);
+
+/**
+ * pn_awaits_ends() - whether another daemon may know ends that this one lacks
+ *
+ * Return: true while a daemon in touch has not sent them, or this one has just
+ * started and has no links yet.
+ */
+bool pn_awaits_ends(const struct pn_links *n, int64_t now_us);
 
 #endif
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -282,8 +282,15 @@
 /** rp_forget_job() - free a job that was removed from the key space */
 void rp_forget_job(struct replica *r, struct rp_job *job);
 
-/** rp_on_end_reported() - a job's owner reports its final state */
-void rp_on_end_reported(struct rp_job *job, enum jb_state state);
+/**
+ * rp_on_end_reported() - a job is reported to have ended, before that is stored
+ * @r: replica
+ * @id: the job; its description may not be known yet
+ * @state: its final state
+ *
+ * Return: whether that is news.
+ */
+bool rp_on_end_reported(struct replica *r, const char *id, enum jb_state state);
 
 /**
  * rp_apply_out_of_order() - apply an item that did not come from the watch
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -775,7 +775,8 @@
 
 
 /*
- * How a job has ended, sent by its pool's owner.
+ * How a job has ended: sent by its pool's owner, and while the end is not stored
+ * by all daemons that know of it.
  */
 struct  Currant__EndedJob
 {
@@ -982,10 +983,15 @@
   Currant__RelayedHoldResult **hold_results;
   Currant__JobStateQuery *state_query;
   Currant__JobStateAnswer *state_answer;
+  /*
+   * The sender has sent all ends of jobs that it knows and the store lacks.
+   */
+  protobuf_c_boolean has_ends_told;
+  protobuf_c_boolean ends_told;
 };
 #define CURRANT__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__frame__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0 }
 
 
 /* Currant__Hello methods */
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -747,6 +747,8 @@
  *	ordered
  * @draining: nothing new is started
  * @ownership_unconfirmed: a later owner may exist and renew workers' leases
+ * @ends_unknown: other daemons may know of jobs that have ended, though the
+ *	store does not
  * @jobs: by id
  * @dirty: jobs whose progress is not stored, in the order they became dirty
  * @workers: by name; none is ever removed
@@ -783,6 +785,7 @@
 	bool superseded;
 	bool draining;
 	bool ownership_unconfirmed;
+	bool ends_unknown;
 	struct wp_job *jobs;
 	struct wp_job *dirty;
 	struct wp_worker *workers;
@@ -859,8 +862,18 @@
 /** wp_find_job() - find a job by id, or NULL */
 struct wp_job *wp_find_job(struct wp_pool *p, const char *id);
 
-/** wp_end_job() - end a job in the state that an earlier owner has reported */
-void wp_end_job(struct wp_pool *p, struct wp_job *job, enum jb_state state);
+/**
+ * wp_end_job() - end a job in the state that an earlier owner has reported
+ * @p: pool
+ * @job: the job
+ * @state: its final state
+ * @now_us: time
+ *
+ * Callers may have seen that state, so nothing of the job is started any more.
+ * What was started before is stopped first.
+ */
+void wp_end_job(
+    struct wp_pool *p, struct wp_job *job, enum jb_state state, int64_t now_us);
 
 /** wp_cancel_job() - stop a job's tasks and start no more */
 void wp_cancel_job(struct wp_pool *p, struct wp_job *job, int64_t now_us);
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -6846,7 +6846,7 @@
   (ProtobufCMessageInit) currant__relayed_hold_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__frame__field_descriptors[17] =
+static const ProtobufCFieldDescriptor currant__frame__field_descriptors[18] =
 {
   {
     "hello",
@@ -7052,6 +7052,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ends_told",
+    18,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__Frame, has_ends_told),
+    offsetof(Currant__Frame, ends_told),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__frame__field_indices_by_name[] = {
   7,   /* field[7] = advice_answer */
@@ -7060,6 +7072,7 @@
   3,   /* field[3] = config_docs */
   2,   /* field[2] = config_fetch */
   9,   /* field[9] = ended_jobs */
+  17,   /* field[17] = ends_told */
   0,   /* field[0] = hello */
   14,   /* field[14] = hold_results */
   8,   /* field[8] = new_job */
@@ -7075,7 +7088,7 @@
 static const ProtobufCIntRange currant__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor currant__frame__descriptor =
 {
@@ -7085,7 +7098,7 @@
   "Currant__Frame",
   "currant",
   sizeof(Currant__Frame),
-  17,
+  18,
   currant__frame__field_descriptors,
   currant__frame__field_indices_by_name,
   1,  currant__frame__number_ranges,
--- a/state/pool.c
+++ b/state/pool.c
@@ -223,11 +223,38 @@
 	return job;
 }
 
+static bool
+wp_job_is_on_worker(const struct wp_job *job)
+{
+	uint32_t k;
+	uint32_t i;
+	uint32_t j;
+
+	for (k = 0; k < jb_occurrences(job->spec); k++) {
+		for (i = 0; i < job->spec->step_count; i++) {
+			const struct wp_step *s = &job->occ[k]->step[i];
+
+			for (j = 0; j < s->spec->count; j++) {
+				if (s->task[j].worker != NULL)
+					return true;
+			}
+		}
+	}
+	return false;
+}
+
 void
-wp_end_job(struct wp_pool *p, struct wp_job *job, enum jb_state state)
+wp_end_job(
+    struct wp_pool *p, struct wp_job *job, enum jb_state state, int64_t now_us)
 {
-	wp_job_close(p, job, state);
-	wp_mark_dirty(job);
+	if (!wp_job_is_on_worker(job)) {
+		wp_job_close(p, job, state);
+		wp_mark_dirty(job);
+	} else if (job->final_state != JB_PENDING) {
+		job->final_state = state;
+	} else {
+		wp_job_stop(p, job, state, now_us);
+	}
 }
 
 void
--- a/tests/fault/cell_daemon.h
+++ b/tests/fault/cell_daemon.h
@@ -4,6 +4,7 @@
 /* A daemon of the cell as a real process. */
 
 #include <arpa/inet.h>
+#include <cstring>
 #include <fcntl.h>
 #include <fstream>
 #include <signal.h>
@@ -74,6 +75,18 @@
 		    << more;
 	}
 
+	/* Has to be called before start(). */
+	void
+	set_cores(const std::string &cores) const
+	{
+		std::ifstream from(path);
+		std::ostringstream text;
+
+		text << from.rdbuf();
+		std::ofstream(path) << "[vm]\ncores = " << cores << "\n"
+				    << text.str().substr(strlen("[vm]\n"));
+	}
+
 	~CellDaemon()
 	{
 		end(SIGKILL);
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -9,6 +9,7 @@
 #include "common/base64.h"
 #include "curranttackd/replica.h"
 #include "protocol/curranttack.pb-c.h"
+#include "protocol/job_codec.h"
 #include "protocol/pack.h"
 }
 
@@ -193,6 +194,32 @@
 	struct replica *r = nullptr;
 };
 
+/* A daemon that has just started is told of ends before it has read the jobs. */
+TEST_F(Replica, EndReportedBeforeTheJobIsReadIsKept)
+{
+	const char *id = "00000000000000a1";
+	struct ks_item item = {};
+	struct jb_spec *spec = talloc_zero(l, struct jb_spec);
+
+	EXPECT_TRUE(rp_on_end_reported(r, id, JB_COMPLETED));
+	EXPECT_FALSE(rp_on_end_reported(r, id, JB_COMPLETED));
+	EXPECT_EQ(rp_find_job(r, id), nullptr);
+	snprintf(spec->id, sizeof(spec->id), "%s", id);
+	spec->queue = talloc_strdup(spec, "queue");
+	spec->pool = talloc_strdup(spec, "pool");
+	spec->payload = talloc_strdup(spec, "payload");
+	spec->step = talloc_zero_array(spec, struct jb_step, 1);
+	spec->step_count = 1;
+	spec->step[0].count = 1;
+	item.key = RP_JOB_PREFIX "00000000000000a1";
+	item.value = jc_pack_job(l, spec, &item.value_bytes);
+	item.revision = 5;
+	page(9, {item}, false);
+	ASSERT_NE(rp_find_job(r, id), nullptr);
+	EXPECT_EQ(rp_find_job(r, id)->state, JB_COMPLETED);
+	EXPECT_TRUE(rp_find_job(r, id)->end_reported);
+}
+
 /*
  * After the store has dropped its history, a daemon loads all keys again. The
  * page with its claim came before the pages with the progress of jobs, and it
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -71,6 +71,60 @@
 	EXPECT_TRUE(worker("w")->closed);
 }
 
+TEST_F(Takeover, NothingOfAnEarlierOwnerStartsWhileUnstoredEndsAreUnknown)
+{
+	create_pool(1, kStart + 14 * kS);
+	p->ends_unknown = true;
+	add(kJob, {{1}}, nullptr, false);
+	add_worker("w");
+	EXPECT_TRUE(run_all(100 * kMs).empty());
+	EXPECT_EQ(state_of(0), WP_TASK_UNRECONCILED);
+	/* It can't have run before, so it doesn't wait. */
+	add(kOther, {{1}});
+	EXPECT_EQ(run_all(100 * kMs).size(), 1u);
+	p->ends_unknown = false;
+	EXPECT_EQ(run_all(100 * kMs).size(), 1u);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+}
+
+TEST_F(Takeover, NothingIsStartedOfAJobThatIsReportedAsEndedLater)
+{
+	create_pool(1, kStart + 14 * kS);
+	struct wp_job *job = add(kJob, {{2}}, nullptr, false);
+	add_worker("w");
+	list_worker("gone");
+	tick();
+	wp_end_job(p, job, JB_COMPLETED, now);
+	EXPECT_EQ(wp_public_state(job), JB_COMPLETED);
+	EXPECT_TRUE(job->dirty);
+	now += 15 * kS;
+	renew_lease("w");
+	EXPECT_TRUE(run_all().empty());
+	EXPECT_TRUE(run_all(1 * kS).empty());
+	EXPECT_EQ(wp_public_state(job), JB_COMPLETED);
+}
+
+TEST_F(Takeover, RunsOfAJobThatIsReportedAsEndedAreStoppedFirst)
+{
+	create_pool(1);
+	struct wp_job *job = add(kJob, {{2}}, nullptr, false);
+	add_worker("w");
+	std::vector<struct wp_order *> starts = run_all(100 * kMs);
+	ASSERT_EQ(starts.size(), 2u);
+	wp_end_job(p, job, JB_COMPLETED, now);
+	EXPECT_FALSE(jb_has_ended(wp_public_state(job)));
+	std::vector<struct wp_order *> stops = run_all(10 * kMs);
+	ASSERT_EQ(stops.size(), 2u);
+	EXPECT_EQ(stops[0]->kind, WP_ORDER_STOP);
+	now += 100 * kMs;
+	renew_lease("w", {},
+	    {{1, kJob, 0, 0, starts[0]->run, WP_END_STOPPED},
+		{2, kJob, 0, 1, starts[1]->run, WP_END_STOPPED}});
+	EXPECT_TRUE(run_all(1 * kS).empty());
+	EXPECT_EQ(wp_public_state(job), JB_COMPLETED);
+	EXPECT_EQ(wp_find_worker(p, "w")->used.cpu_mcpu, 0);
+}
+
 TEST_F(Takeover, RegistryThatOpensAWorkerIsStoredOnce)
 {
 	create_pool();
