pool: no refusal of a repeated start proves that the first was not carried out

What workers saw: a task running on two workers. Cause: a start without a response is sent again, and the second send may be refused while the first was executed or will be. For two results the pool did not keep that in mind: "malformed" (a 400, or a 409 whose reason can't be read) counted as a failed attempt, and "expired" as proof. Expired only says that the second send came after its deadline; the first may run, and its deadline may be later, as the estimate of the worker's clock and the limit of its reported capacity move.

Evidence: Pool.NoRefusalOfASecondSendProvesThatTheFirstWasNotCarriedOut plays all results; before, the two started the task on the other worker, dropped the end of the first run, and one counted a failure. The other results were right. Whichever the result is, the task now keeps its place until the worker's lists of a time after all deadlines lack it (Pool.RefusedSecondSendIsGivenUpOnce- TheWorkerShowsThatNothingRuns, failed before, too).

Ruled out: results that are taken for another send's. A start is not sent again before the last one has its result, which each call gives exactly once, and a task that leaves its worker gets a higher run number.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -707,17 +707,18 @@
 			ticket->expires_us = 0;
 		break;
 	}
-	case WP_REFUSED_MALFORMED:
-		wp_task_failed(p, t, now_us);
-		return;
 	default:
 		break;
 	}
 	/* An earlier send of the same run may have been carried out. */
-	if (t->start_sends > 1 && result != WP_REFUSED_EXPIRED) {
+	if (t->start_sends > 1) {
 		t->in_doubt = true;
 		return;
 	}
+	if (result == WP_REFUSED_MALFORMED) {
+		wp_task_failed(p, t, now_us);
+		return;
+	}
 	wp_crash_retract(p, t, w);
 	wp_task_requeue(t, now_us + WP_RESTART_DELAY_US);
 }
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -715,6 +715,48 @@
 	EXPECT_EQ(tick(200 * kMs).size(), 1U);
 }
 
+/* Whatever the second answer is, the first start may have been carried out. */
+TEST_F(Pool, NoRefusalOfASecondSendProvesThatTheFirstWasNotCarriedOut)
+{
+	for (int r = WP_REFUSED_STALE_RUN; r <= WP_NO_ANSWER; r++) {
+		SCOPED_TRACE(r);
+		create_pool();
+		add_worker("w", 1000);
+		add_worker("v", 1000);
+		add(kJob, {{1}});
+		auto orders = tick();
+		ASSERT_EQ(orders.size(), 1U);
+		std::string first = orders[0]->worker;
+		answer(orders[0], WP_NO_ANSWER);
+		orders = tick(kMs);
+		ASSERT_EQ(orders.size(), 1U);
+		now += 100 * kMs;
+		answer(orders[0], (enum wp_order_result)r);
+		for (const struct wp_order *o : tick(300 * kMs))
+			EXPECT_EQ(o->worker, first);
+		EXPECT_EQ(task(kJob, 0, 0)->failed_count, 0U);
+		/* It was, and its end is all that is left of it. */
+		renew_lease(first, {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+		EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_DONE);
+		talloc_free(p);
+		p = nullptr;
+	}
+}
+
+TEST_F(Pool, RefusedSecondSendIsGivenUpOnceTheWorkerShowsThatNothingRuns)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	answer(tick()[0], WP_NO_ANSWER);
+	answer(tick(kMs)[0], WP_REFUSED_MALFORMED);
+	now += 3 * kS;
+	renew_lease("w");
+	auto orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->run, 2U);
+}
+
 TEST_F(Pool, UnreportedRunIsStartedAgain)
 {
 	create_pool();
