pool: a run is not missing while a reply may leave run ends out

What workers saw: tasks that had completed ran again, and their first ends were acknowledged afterwards (found by reading, not in a record). A worker lists at most 500 run ends at a time, the oldest first. While the store is unreachable no end is acknowledged, so a busy worker has more than that, and a run that has ended since is on neither of its lists. The pool took it as gone and started the task again; a new owner did so with all tasks whose ends were not among the first 500 that it read.

Three tests failed before: Pool.RunWhoseEndHasNoPlaceInTheReplyIsNotStarted- Again, Takeover.WorkerWithMoreEndsThanItListsHoldsAllTasks (both started the task again) and Takeover.SilentWorkerWithMoreEndsThanItListsHoldsUntilItsLease- Ends. Now a reply with that many ends proves of no run that it is gone, and after a takeover the worker holds the tasks of earlier jobs until it has listed the rest, or its lease has ended and with it what it had not listed.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -358,6 +358,7 @@
  * @close_at_us: it is not closed before
  * @used: resources of tasks that are or may be on it
  * @orphaned: resources of runs on it that belong to none of @tasks
+ * @has_unlisted_ends: it may have more run ends than its last reply lists
  * @has_unknown_run: it reports a run of a job that the pool does not know
  * @reserved: resources set aside for urgent tasks in the current pass
  * @gang_reserved: resources reserved for gangs, free or not
@@ -421,6 +422,7 @@
 	int64_t close_at_us;
 	struct wp_resources used;
 	struct wp_resources orphaned;
+	bool has_unlisted_ends;
 	bool has_unknown_run;
 	struct wp_resources reserved;
 	struct wp_resources gang_reserved;
@@ -566,12 +568,16 @@
 	const char *checkpoint;
 };
 
+/* A worker lists its oldest run ends only, so many at a time. */
+#define WP_MAX_LISTED_ENDS 500
+
 /**
  * struct wp_renewal_reply - a worker's reply to a lease renewal
  * @incarnation_ms: when the worker process started
  * @clock_ms: the worker's clock when it made the lists
  * @running: runs on the worker, @running_count of them
- * @end: run ends that were not acknowledged, @end_count of them
+ * @end: run ends that were not acknowledged, @end_count of them, but at most
+ *	WP_MAX_LISTED_ENDS
  */
 struct wp_renewal_reply {
 	int64_t incarnation_ms;
@@ -918,7 +924,10 @@
 void wp_close_registered_worker(struct wp_pool *p, const char *id,
     const struct jb_ref *task, uint32_t task_count);
 
-/** wp_is_holding() - whether a worker may run tasks of an earlier owner */
+/**
+ * wp_is_holding() - whether a worker may run tasks of an earlier owner, or have
+ * ends of their runs that it has not listed yet
+ */
 bool wp_is_holding(const struct wp_worker *w, int64_t now_us);
 
 /** wp_registry_begin() - decide what the registry about to be stored says */
--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -28,6 +28,8 @@
 bool
 wp_is_holding(const struct wp_worker *w, int64_t now_us)
 {
+	if (w->has_unlisted_ends)
+		return now_us < wp_lease_expiry_us(w);
 	return !w->token_accepted && now_us < w->earlier_owner_until_us;
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -533,6 +533,8 @@
 	struct wp_task *t;
 	struct wp_task *tmp;
 
+	if (w->has_unlisted_ends)
+		return;
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		if (!wp_is_missing(t, reply->clock_ms) ||
 		    wp_is_reported(reply, t))
@@ -614,6 +616,7 @@
 	if (!w->token_accepted)
 		wp_accept_token(p, w, reply->clock_ms);
 	w->lists_clock_ms = reply->clock_ms;
+	w->has_unlisted_ends = reply->end_count >= WP_MAX_LISTED_ENDS;
 	wp_process_run_ends(p, w, reply, now_us);
 	wp_process_running(p, w, reply, now_us);
 	wp_requeue_missing(p, w, reply, now_us);
--- a/tests/unit/pool_fixture.h
+++ b/tests/unit/pool_fixture.h
@@ -149,6 +149,18 @@
 		wp_on_renewal(p, w, &reply, now);
 	}
 
+	/* As many ends, of another job, as one reply can list. */
+	static std::vector<End>
+	full_list(uint64_t first)
+	{
+		std::vector<End> ends;
+
+		for (uint64_t n = first; n < first + 500; n++)
+			ends.push_back({n, "00000000000000ff", 0, 0,
+			    (uint32_t)n, WP_END_DONE});
+		return ends;
+	}
+
 	static std::vector<struct wp_run_end>
 	end_rows(const std::vector<End> &ends)
 	{
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -757,6 +757,23 @@
 	EXPECT_EQ(orders[0]->run, 2U);
 }
 
+/* After an outage of the store a worker has more ends than a reply lists. */
+TEST_F(Pool, RunWhoseEndHasNoPlaceInTheReplyIsNotStartedAgain)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += kS;
+	renew_lease("w", {}, full_list(1));
+	EXPECT_TRUE(tick(200 * kMs).empty());
+	commit();
+	now += kS;
+	renew_lease("w", {}, {{501, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_TRUE(tick(200 * kMs).empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_DONE);
+}
+
 TEST_F(Pool, UnreportedRunIsStartedAgain)
 {
 	create_pool();
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -87,6 +87,35 @@
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
 }
 
+TEST_F(Takeover, WorkerWithMoreEndsThanItListsHoldsAllTasks)
+{
+	create_pool(1, kStart + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	list_worker("w");
+	renew_lease("w", {}, full_list(1));
+	list_worker("v");
+	renew_lease("v");
+	commit();
+	EXPECT_TRUE(run_all(100 * kMs).empty());
+	renew_lease("w", {}, {{501, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_TRUE(run_all(100 * kMs).empty());
+	EXPECT_EQ(state_of(0), WP_TASK_DONE);
+}
+
+TEST_F(Takeover, SilentWorkerWithMoreEndsThanItListsHoldsUntilItsLeaseEnds)
+{
+	create_pool(1, kStart + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	add_worker("v");
+	list_worker("w");
+	renew_lease("w", {}, full_list(1));
+	lose("w");
+	EXPECT_TRUE(run_all(100 * kMs).empty());
+	now += 4 * kS;
+	renew_lease("v");
+	EXPECT_EQ(run_all(100 * kMs).size(), 1u);
+}
+
 TEST_F(Takeover, NothingIsStartedOfAJobThatIsReportedAsEndedLater)
 {
 	create_pool(1, kStart + 14 * kS);
