tests: repeated starts that are refused run nothing twice

The schedule of takeovers refuses seven tenths of the starts that it has been sent before, for any reason, whether the first was carried out or not. The other schedules draw the same random numbers as before.

--- a/tests/unit/takeover_model.cc
+++ b/tests/unit/takeover_model.cc
@@ -419,6 +419,22 @@
 	return WP_ACCEPTED;
 }
 
+/* Says nothing of the sends before, which may have been carried out. */
+bool
+TakeoverModel::refuse_repeat(
+    ModelWorker &w, const struct wp_order &o, enum wp_order_result *result)
+{
+	static const enum wp_order_result refusals[] = {WP_REFUSED_UNHEALTHY,
+	    WP_REFUSED_NO_RESOURCES, WP_REFUSED_TICKET, WP_REFUSED_MALFORMED};
+
+	if (faults.repeat_refused == 0 || !chance(faults.repeat_refused))
+		return false;
+	*result = clock_ms(w) >= o.deadline_clock_ms
+	    ? WP_REFUSED_EXPIRED
+	    : refusals[random(sizeof(refusals) / sizeof(refusals[0]))];
+	return true;
+}
+
 enum wp_order_result
 TakeoverModel::do_order(ModelWorker &w, const struct wp_order &o,
     uint64_t token, const std::string &task)
@@ -885,6 +901,8 @@
 		bool lost = chance(faults.lost);
 		bool late = chance(faults.late);
 		bool unanswered = lost || late || chance(faults.answer_lost);
+		bool repeated = copy.kind == WP_ORDER_START &&
+		    !sent.insert({task, copy.run}).second;
 		auto answered = std::make_shared<bool>(false);
 
 		talloc_free(order);
@@ -908,7 +926,8 @@
 				return;
 			if (there.incarnation != incarnation)
 				result = WP_REFUSED_INCARNATION;
-			else
+			else if (token < there.token || !repeated ||
+			    !refuse_repeat(there, copy, &result))
 				result = do_order(there, copy, token, task);
 			if (unanswered)
 				return;
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -120,6 +120,7 @@
 	uint32_t lost = 0;
 	uint32_t late = 0;
 	uint32_t answer_lost = 0;
+	uint32_t repeat_refused = 0; /* a start that was sent before */
 };
 
 /**
@@ -203,6 +204,8 @@
 	    enum wp_run_outcome outcome);
 	enum wp_order_result do_order(ModelWorker &w, const struct wp_order &o,
 	    uint64_t token, const std::string &task);
+	bool refuse_repeat(ModelWorker &w, const struct wp_order &o,
+	    enum wp_order_result *result);
 	enum wp_order_result do_start(
 	    ModelWorker &w, const struct wp_order &o, const std::string &task);
 	void check_start(
@@ -226,6 +229,7 @@
 	std::map<int, std::unique_ptr<ModelOwner>> owners;
 	int current = 0;
 	int owner_count = 0;
+	std::set<std::pair<std::string, uint32_t>> sent;
 	std::map<std::string, std::vector<ModelKnownEnd>> done;
 	std::map<std::string, std::vector<ModelKnownEnd>> failed;
 
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -409,7 +409,7 @@
 		int64_t end = m->now + us;
 
 		m->faults = {(uint32_t)m->random(60), (uint32_t)m->random(40),
-		    (uint32_t)m->random(60)};
+		    (uint32_t)m->random(60), repeat_refused};
 		while (m->now < end) {
 			if (m->chance(400))
 				m->add_job();
@@ -544,6 +544,8 @@
 		ASSERT_GT(m->takeovers, takeovers);
 	}
 
+	/* A start that has to be sent again is often refused. */
+	uint32_t repeat_refused = 0;
 	std::unique_ptr<TakeoverModel> m;
 };
 
@@ -579,6 +581,26 @@
 	    (unsigned long long)starts);
 }
 
+TEST_F(TakeoverSchedule, RefusedRepeatsOfStartsRunNothingTwice)
+{
+	auto range = seeds();
+
+	repeat_refused = 700;
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		begin(seed);
+		play_faults(25 * kS);
+		m->heal({});
+		m->run_for(20 * kS);
+		expect_no_violation(seed);
+		for (auto &row : m->jobs) {
+			bool failed = row.second.state == JB_FAILED;
+
+			EXPECT_FALSE(failed && !row.second.bad)
+			    << "seed " << seed << " job " << row.first;
+		}
+	}
+}
+
 /* LOST-1: a worker that was silent before holds only what may be on it. */
 TEST_F(TakeoverSchedule, SilentWorkerHoldsOnlyItsTasksAfterATakeover)
 {
