--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -28,6 +28,8 @@
 bool
 wp_is_holding(const struct wp_worker *w, int64_t now_us)
 {
+	if (w->has_unlisted_ends)
+		return now_us < wp_lease_expiry_us(w);
 	return !w->token_accepted && now_us < w->earlier_owner_until_us;
 }
 
@@ -223,7 +225,7 @@
 	struct wp_job *next;
 	bool holding = false;
 
-	if (p->reconciled || p->ownership_unconfirmed)
+	if (p->reconciled || p->ownership_unconfirmed || p->ends_unknown)
 		return;
 	wp_copy_unreconciled(p, now_us);
 	p->reconcile_pass++;
