--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -10,6 +10,7 @@
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
 #include "protocol/job_codec.h"
+#include "state/attempts.h"
 
 #define CC_BODY_BYTES ((size_t)1 << 20)
 /* Queues whose waiting steps are in the metrics. */
@@ -30,6 +31,7 @@
 	struct http_server *callers;
 	struct http_server *ready;
 	struct http_server *metrics;
+	struct at_table *attempts;
 	uint32_t pending_count;
 };
 
@@ -99,13 +101,33 @@
 cc_log_unwritten(
     const char *event, const char *id, int status, const char *reason)
 {
-	lg_event(status == 503 ? LG_WARN : LG_INFO, "callers", event, "job", id,
+	lg_event(status >= 500 ? LG_WARN : LG_INFO, "callers", event, "job", id,
 	    "status", lg_i64(status), "attempts", "0", "reason", reason, NULL);
 }
 
+/* A job is refused only if no attempt to store it can succeed any more. */
+static int
+cc_end_attempt(struct cc_request *r, int status)
+{
+	struct at_table *attempts = r->f->attempts;
+	int64_t now_us = clk_now_us();
+
+	at_end(attempts, r->id, r->uncertain, now_us);
+	if (status == 200)
+		at_stored(attempts, r->id);
+	r->uncertain |= at_is_open(attempts, r->id, now_us);
+	if (status == 503 && r->uncertain)
+		return 504;
+	if (status == 503)
+		ct_add(CT_JOBS_REFUSED, 1);
+	return status;
+}
+
 static void
 cc_finish(struct cc_request *r, int status, const char *body)
 {
+	if (!r->cancel)
+		status = cc_end_attempt(r, status);
 	lg_event(status == 200 ? LG_INFO : LG_WARN, "callers",
 	    r->cancel ? "cancel" : "submit", "job", r->id, "status",
 	    lg_i64(status), "attempts", lg_i64(r->attempts), "refused",
@@ -207,7 +229,6 @@
 	case KS_COMPACTED:
 		r->refused++;
 		if (!r->uncertain && r->refused >= CC_MAX_REFUSED) {
-			ct_add(CT_JOBS_REFUSED, 1);
 			cc_finish(r, 503,
 			    "{\"error\":\"the platform's store refuses\"}");
 			return;
@@ -267,6 +288,19 @@
 	return clk_now_us() - c->store_answered_us > 2 * CC_STORE_SILENT_US;
 }
 
+static void
+cc_respond_unstored(
+    struct cc_frontend *f, struct hs_request *req, const char *id)
+{
+	bool open = at_is_open(f->attempts, id, clk_now_us());
+
+	if (!open)
+		ct_add(CT_JOBS_REFUSED, 1);
+	cc_log_unwritten("submit", id, open ? 504 : 503, "store is away");
+	cc_respond_error(
+	    f, req, open ? 504 : 503, "the platform's store is away");
+}
+
 static void
 cc_submit(struct cc_frontend *f, struct hs_request *req,
     const struct qs_queue *queue, const char *id)
@@ -290,9 +324,7 @@
 	}
 	if (cc_store_is_unreachable(f->c)) {
 		talloc_free(spec);
-		ct_add(CT_JOBS_REFUSED, 1);
-		cc_log_unwritten("submit", id, 503, "store is away");
-		cc_respond_error(f, req, 503, "the platform's store is away");
+		cc_respond_unstored(f, req, id);
 		return;
 	}
 	memcpy(spec->id, id, sizeof(spec->id));
@@ -306,6 +338,7 @@
 	    spec->pool);
 	r->value = jc_pack_job(r, spec, &r->value_bytes);
 	talloc_free(spec);
+	at_begin(f->attempts, id);
 	cc_put(r);
 }
 
@@ -372,6 +405,20 @@
 	cc_put(r);
 }
 
+/* The store doesn't have the job; an attempt to store it may still succeed. */
+static void
+cc_respond_unknown(
+    struct cc_frontend *f, struct hs_request *req, const char *id, bool cancel)
+{
+	bool open = cancel && at_is_open(f->attempts, id, clk_now_us());
+	const char *reason = open ? "the job may yet be stored" : "no such job";
+	int status = open ? 504 : 410;
+
+	if (cancel)
+		cc_log_unwritten("cancel", id, status, reason);
+	cc_respond_error(f, req, status, reason);
+}
+
 /* A job that is missing in the replica may have been accepted just now. */
 static void
 cc_on_lookup(const struct ks_response *a, void *arg)
@@ -396,10 +443,8 @@
 	for (i = 0; i < a->item_count; i++)
 		rp_apply_out_of_order(f->c->replica, &a->item[i]);
 	job = rp_find_job(f->c->replica, id);
-	if (job == NULL && cancel)
-		cc_log_unwritten("cancel", id, 410, "no such job");
 	if (job == NULL)
-		cc_respond_error(f, req, 410, "no such job");
+		cc_respond_unknown(f, req, id, cancel);
 	else if (cancel)
 		cc_cancel_job(f, req, id);
 	else
@@ -661,6 +706,7 @@
 	if (f == NULL)
 		abort();
 	f->c = c;
+	f->attempts = at_create(f);
 	f->callers =
 	    cc_listen(f, c->settings->callers_address, cc_on_caller_request);
 	f->ready = cc_listen(f, c->settings->ready_address, cc_on_ready);
