relay: a start that was under way too long is not passed on

Cause: an order that a paused relay has in its socket, or that a cut link has in a buffer, is delivered when the relay or the link resumes. The worker refuses it by its deadline or its run number, but a worker that has started again under its name knows neither: its clock begins anew, so the deadline is far ahead. When the owner has seen the new life before, it has barred the run there; when the worker's lease expired first, the task is on another worker by then.

Ruled out: the same through the owner's own connections, which end with the worker's life.

Now each batch of relayed calls carries the time on its sender's steady clock. It answers that they were not sent. Stops do no harm, so they are passed on.

--- a/coordination/relays.c
+++ b/coordination/relays.c
@@ -2,8 +2,12 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "common/clock.h"
 #include "coordination/relays.h"
 
+/* Short enough for clocks that differ by a few percent. */
+#define RE_DELAY_INTERVAL_US (10 * CLK_US_PER_S)
+
 struct re_table {
 	struct re_candidate *relay;
 	uint32_t count;
@@ -78,3 +82,24 @@
 	}
 	return best;
 }
+
+int64_t
+re_delay_us(struct re_delay *d, int64_t sent_us, int64_t now_us)
+{
+	int64_t difference_us = now_us - sent_us;
+
+	if (!d->known) {
+		d->known = true;
+		d->least_us = difference_us;
+		d->earlier_us = difference_us;
+		d->interval_end_us = now_us + RE_DELAY_INTERVAL_US;
+	} else if (now_us >= d->interval_end_us) {
+		d->earlier_us = d->least_us;
+		d->least_us = difference_us;
+		d->interval_end_us = now_us + RE_DELAY_INTERVAL_US;
+	}
+	if (difference_us < d->least_us)
+		d->least_us = difference_us;
+	return difference_us -
+	    (d->least_us < d->earlier_us ? d->least_us : d->earlier_us);
+}
--- a/curranttackd/cell.c
+++ b/curranttackd/cell.c
@@ -77,6 +77,7 @@
 	pn_on_closed(c->links, link);
 	av_on_closed(c->advice, link);
 	rl_on_closed(c->relay, link);
+	rl_forget_sender(c, link);
 	lk_on_closed(c->lookup, link);
 }
 
--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -165,6 +165,8 @@
 	frame.n_relayed_orders = r->order_count;
 	frame.relayed_holds = r->renewals;
 	frame.n_relayed_holds = r->renewal_count;
+	frame.has_sent_us = true;
+	frame.sent_us = clk_now_us();
 	link = pn_link(d->c->links, r->vm);
 	/* Calls that can't be sent fail at their deadlines. */
 	if (link != NULL)
--- a/curranttackd/cell_relay_serve.c
+++ b/curranttackd/cell_relay_serve.c
@@ -1,10 +1,22 @@
 #include <stdlib.h>
 
+#include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "coordination/relays.h"
 #include "curranttackd/cell_relay.h"
 #include "protocol/relay_codec.h"
 
+/* The sender of an order that was under way for so long has given it up. */
+#define RL_MAX_START_DELAY_US (CLK_US_PER_S)
+
+/* A daemon that this one relays for. */
+struct rl_sender {
+	uint64_t link;
+	struct re_delay delay;
+	UT_hash_handle hh;
+};
+
 /* A call that this daemon relays for an owner. */
 struct rl_served_call {
 	struct cell *c;
@@ -12,6 +24,35 @@
 	uint64_t id;
 };
 
+static struct rl_sender *
+rl_get_sender(struct cell *c, uint64_t link)
+{
+	struct rl_sender *s;
+
+	HASH_FIND(hh, c->relay_senders, &link, sizeof(link), s);
+	if (s != NULL)
+		return s;
+	s = talloc_zero(c, struct rl_sender);
+	if (s == NULL)
+		abort();
+	s->link = link;
+	HASH_ADD(hh, c->relay_senders, link, sizeof(s->link), s);
+	return s;
+}
+
+void
+rl_forget_sender(struct cell *c, struct peer_link *link)
+{
+	uint64_t serial = peer_serial(link);
+	struct rl_sender *s;
+
+	HASH_FIND(hh, c->relay_senders, &serial, sizeof(serial), s);
+	if (s == NULL)
+		return;
+	HASH_DEL(c->relay_senders, s);
+	talloc_free(s);
+}
+
 static struct rl_served_call *
 rl_served_call_create(struct cell *c, struct peer_link *link, uint64_t id)
 {
@@ -72,9 +113,19 @@
 		talloc_free(call);
 }
 
+/*
+ * After a pause of this daemon or of the link, an order may be older than the
+ * life of its worker, on whose clock the deadline is far ahead.
+ */
+static bool
+rl_is_overdue_start(const struct wp_order *o, int64_t delay_us)
+{
+	return o->kind == WP_ORDER_START && delay_us > RL_MAX_START_DELAY_US;
+}
+
 static void
-rl_serve_order(
-    struct cell *c, struct peer_link *link, const Currant__RelayedOrder *row)
+rl_serve_order(struct cell *c, struct peer_link *link,
+    const Currant__RelayedOrder *row, int64_t delay_us)
 {
 	const struct fl_fleet *f = c->fleet;
 	struct rl_served_call *call = rl_served_call_create(c, link, row->id);
@@ -86,6 +137,13 @@
 		rl_on_order_done(WP_NOT_SENT, 0, call);
 		return;
 	}
+	if (rl_is_overdue_start(&o, delay_us)) {
+		lg_event(LG_WARN, "relay", "overdue_start", "peer",
+		    peer_vm(link), "worker", o.worker, "delay_ms",
+		    lg_i64(delay_us / CLK_US_PER_MS), NULL);
+		rl_on_order_done(WP_NOT_SENT, 0, call);
+		return;
+	}
 	ct_add(CT_RELAYED, 1);
 	f->workers->order(f->handle, &o, row->fence, rl_on_order_done, call);
 }
@@ -113,10 +171,16 @@
 void
 rl_serve(struct cell *c, struct peer_link *link, const Currant__Frame *frame)
 {
+	struct rl_sender *s;
+	int64_t delay_us = 0;
 	size_t i;
 
+	if (frame->has_sent_us) {
+		s = rl_get_sender(c, peer_serial(link));
+		delay_us = re_delay_us(&s->delay, frame->sent_us, clk_now_us());
+	}
 	for (i = 0; i < frame->n_relayed_orders; i++)
-		rl_serve_order(c, link, frame->relayed_orders[i]);
+		rl_serve_order(c, link, frame->relayed_orders[i], delay_us);
 	for (i = 0; i < frame->n_relayed_holds; i++)
 		rl_serve_renewal(c, link, frame->relayed_holds[i]);
 }
--- a/include/coordination/relays.h
+++ b/include/coordination/relays.h
@@ -29,6 +29,32 @@
 	bool reachable;
 };
 
+/**
+ * struct re_delay - how long the frames of a link are under way
+ * @known: a frame has been seen
+ * @least_us: least difference between the clocks at both ends in this interval
+ * @earlier_us: the same for the interval before
+ * @interval_end_us: when this interval ends
+ *
+ * The clocks have no common origin and may run at slightly different rates.
+ */
+struct re_delay {
+	bool known;
+	int64_t least_us;
+	int64_t earlier_us;
+	int64_t interval_end_us;
+};
+
+/**
+ * re_delay_us() - how much longer than usual a frame was under way
+ * @d: what is known of its link
+ * @sent_us: time on the sender's steady clock when it was sent
+ * @now_us: time on the receiver's steady clock
+ *
+ * Return: microseconds beyond the fastest recent frame; 0 for the first one.
+ */
+int64_t re_delay_us(struct re_delay *d, int64_t sent_us, int64_t now_us);
+
 /** struct re_table - the chosen relays of all failure domains */
 struct re_table;
 
--- a/include/curranttackd/cell.h
+++ b/include/curranttackd/cell.h
@@ -18,6 +18,7 @@
 struct cp_host;
 struct av_dispatcher;
 struct rl_dispatcher;
+struct rl_sender;
 struct lk_resolver;
 struct pn_links;
 struct cc_frontend;
@@ -31,6 +32,7 @@
  * @links: one connection to each member of the cell
  * @advice: spreads advice requests over the daemons
  * @relay: sends orders and renewals to workers, directly or through relays
+ * @relay_senders: by link, the daemons that this one relays for
  * @lookup: asks pool owners for the state of jobs
  * @frontend: HTTP servers for callers, readiness checks and metrics
  * @pools: known pools by name, owned or not
@@ -56,6 +58,7 @@
 	struct pn_links *links;
 	struct av_dispatcher *advice;
 	struct rl_dispatcher *relay;
+	struct rl_sender *relay_senders;
 	struct lk_resolver *lookup;
 	struct cc_frontend *frontend;
 	struct cp_host *pools;
--- a/include/curranttackd/cell_relay.h
+++ b/include/curranttackd/cell_relay.h
@@ -53,6 +53,9 @@
 void rl_serve(
     struct cell *c, struct peer_link *link, const Currant__Frame *frame);
 
+/** rl_forget_sender() - a link over which calls may have come was closed */
+void rl_forget_sender(struct cell *c, struct peer_link *link);
+
 /** rl_on_closed() - a link was closed: fail the calls sent over it */
 void rl_on_closed(struct rl_dispatcher *d, struct peer_link *link);
 
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -988,10 +988,15 @@
    */
   protobuf_c_boolean has_ends_told;
   protobuf_c_boolean ends_told;
+  /*
+   * Steady clock of the sender of relayed calls, in microseconds.
+   */
+  protobuf_c_boolean has_sent_us;
+  int64_t sent_us;
 };
 #define CURRANT__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__frame__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0 }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0, 0, 0 }
 
 
 /* Currant__Hello methods */
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -6846,7 +6846,7 @@
   (ProtobufCMessageInit) currant__relayed_hold_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor currant__frame__field_descriptors[19] =
 {
   {
     "hello",
@@ -7064,6 +7064,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    19,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__Frame, has_sent_us),
+    offsetof(Currant__Frame, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__frame__field_indices_by_name[] = {
   7,   /* field[7] = advice_answer */
@@ -7081,6 +7093,7 @@
   12,   /* field[12] = relayed_holds */
   11,   /* field[11] = relayed_orders */
   5,   /* field[5] = reply */
+  18,   /* field[18] = sent_us */
   16,   /* field[16] = state_answer */
   15,   /* field[15] = state_query */
   1,   /* field[1] = summary */
@@ -7088,7 +7101,7 @@
 static const ProtobufCIntRange currant__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor currant__frame__descriptor =
 {
@@ -7098,7 +7111,7 @@
   "Currant__Frame",
   "currant",
   sizeof(Currant__Frame),
-  18,
+  19,
   currant__frame__field_descriptors,
   currant__frame__field_indices_by_name,
   1,  currant__frame__number_ranges,
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -312,6 +312,36 @@
 	expect_no_violations();
 }
 
+/*
+ * A relay is paused with starts in its sockets. Their workers fall silent, and
+ * start anew with clocks on which the deadlines of these starts are far ahead.
+ */
+TEST_F(RelayedCell, ResumedRelayStartsNothingOnANewLifeOfItsWorkers)
+{
+	start_daemons(3);
+	size_t paused = wait_for_relay();
+	size_t current = owner();
+
+	usleep(6000000);
+	daemons[paused]->signal(SIGSTOP);
+	EXPECT_EQ(submit(current, 1, 16, 9000).status, 200);
+	EXPECT_TRUE(eventually([&] { return reported("running") == 16; }));
+	for (uint32_t w = 0; w < kWorkers - 1; w++)
+		http("POST", control + "/_worker",
+		    "{\"worker\":" + std::to_string(w) + ",\"off\":true}");
+	usleep(4500000);
+	for (uint32_t w = 0; w < kWorkers - 1; w++)
+		http("POST", control + "/_worker",
+		    "{\"worker\":" + std::to_string(w) +
+			",\"off\":false,\"reborn\":true}");
+	EXPECT_TRUE(
+	    eventually([&] { return reported("running") == 16; }, 5000));
+	daemons[paused]->signal(SIGCONT);
+	usleep(1500000);
+	EXPECT_EQ(owner(), current);
+	expect_no_violations();
+}
+
 /* Daemons of a large cell don't follow the workers until they own a pool. */
 TEST_F(RelayedCell, NextOwnerLearnsWhichWorkersLeftAndContinues)
 {
--- a/tests/unit/test_relays.cc
+++ b/tests/unit/test_relays.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 extern "C" {
+#include "common/clock.h"
 #include "coordination/relays.h"
 #include "protocol/relay_codec.h"
 }
@@ -213,3 +214,34 @@
 	EXPECT_EQ(rc_unpack_renewal_result(WP_OVERDUE), WP_OVERDUE);
 	EXPECT_EQ(rc_unpack_order_result(WP_OVERDUE), WP_NO_ANSWER);
 }
+
+TEST(RelayDelay, IsCountedFromTheFastestRecentFrame)
+{
+	constexpr int64_t ms = CLK_US_PER_MS;
+	struct re_delay d = {};
+
+	/* The clocks differ by an hour. */
+	auto delay = [&](int64_t sent, int64_t now) {
+		return re_delay_us(&d, sent, now + 3600 * CLK_US_PER_S);
+	};
+	EXPECT_EQ(delay(1000 * ms, 1007 * ms), 0);
+	EXPECT_EQ(delay(1100 * ms, 1102 * ms), 0);
+	EXPECT_EQ(delay(1200 * ms, 1203 * ms), 1 * ms);
+	/* The receiver was paused for half a minute. */
+	EXPECT_EQ(delay(1300 * ms, 31302 * ms), 30000 * ms);
+	EXPECT_EQ(delay(2300 * ms, 31302 * ms), 29000 * ms);
+	EXPECT_EQ(delay(31300 * ms, 31302 * ms), 0);
+}
+
+TEST(RelayDelay, FollowsClocksOfDifferentRates)
+{
+	struct re_delay d = {};
+
+	for (int64_t s = 0; s < 300; s++) {
+		int64_t sent_us = s * CLK_US_PER_S * 98 / 100;
+
+		EXPECT_LT(
+		    re_delay_us(&d, sent_us, s * CLK_US_PER_S), CLK_US_PER_S)
+		    << "second " << s;
+	}
+}
