tests: an unsafe request whose response is lost runs once

The product's own interface had the same fault: an endpoint runs a request that must not be repeated and closes the used connection without a response, and the HTTP client library sent the request again.

--- a/tests/fault/test_request_faults.cc
+++ b/tests/fault/test_request_faults.cc
@@ -99,6 +99,34 @@
 	c.expect_no_violation();
 }
 
+TEST(RequestFaults, UnsafeRequestWithALostResponseRunsOnce)
+{
+	Cluster c({});
+
+	c.start();
+	for (int i = 0; i < 40; i++)
+		EXPECT_EQ(
+		    c.request(c.daemons[0], "used connections", {}).status,
+		    200);
+	for (int i = 0; i < 5; i++) {
+		std::string key = "order" + std::to_string(i);
+
+		for (size_t e = 0; e < c.endpoint_address.size(); e++)
+			c.set_endpoint_behaviour(e, R"({"drops":1})");
+		EXPECT_EQ(
+		    c.request(c.daemons[0], key, {"Idempotency-Key: " + key})
+			.status,
+		    504);
+		EXPECT_EQ(c.execution_count(key), 1);
+		for (size_t e = 0; e < c.endpoint_address.size(); e++)
+			c.set_endpoint_behaviour(e, R"({"drops":0})");
+		EXPECT_EQ(
+		    c.request(c.daemons[0], "used connections", {}).status,
+		    200);
+	}
+	c.expect_no_violation();
+}
+
 TEST(RequestFaults, RequestOfAKilledDaemonIsUnknownAndNotRepeated)
 {
 	Layout layout;
--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -38,6 +38,7 @@
 	bool refuse;
 	bool cut;
 	bool hang;
+	int64_t drops; /* requests to run without a response */
 };
 
 struct site {
@@ -107,6 +108,12 @@
 		e->most_active = e->active;
 	count_execution(e->site, "key", hs_header(req, "Idempotency-Key"));
 	count_execution(e->site, "id", hs_header(req, "X-Request-Id"));
+	if (e->drops > 0) {
+		e->drops--;
+		e->active--;
+		hs_drop(req, false);
+		return;
+	}
 	p = calloc(1, sizeof(*p));
 	p->endpoint = e;
 	p->req = req;
@@ -130,6 +137,8 @@
 		e->cut = json_is_true(value);
 	if ((value = json_object_get(body, "hang")) != NULL)
 		e->hang = json_is_true(value);
+	if ((value = json_object_get(body, "drops")) != NULL)
+		e->drops = json_integer_value(value);
 	if ((value = json_object_get(body, "service_us")) != NULL)
 		e->service_us = json_integer_value(value);
 	json_decref(body);
