standins: a run that is there needs no room, as the contract says

A start that a fault answers with 409 (room) is accepted if that run is already there, and refused as old if a later one was.

--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -961,9 +961,18 @@
 	    json_pack("{s:I}", "clock_ms", (json_int_t)worker_clock_ms(w)));
 }
 
+/* A run that is there needs no room. */
 static void
 refuse_for_room(struct worker *w, struct hs_request *req, json_t *body)
 {
+	const char *task = json_string_value(json_object_get(body, "task"));
+	uint32_t run =
+	    (uint32_t)json_integer_value(json_object_get(body, "run"));
+
+	if (task == NULL || run <= seen_of(w, task)->run) {
+		run_start(w, req, body);
+		return;
+	}
 	if (fence_holds(w, body))
 		extend_lease(w, body);
 	refuse(req, w, "room");
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -325,7 +325,7 @@
 	    ex->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 	/* Closing it would send a FIN first. */
 	if (info != NULL)
-		connect(info->connect_fd, &none, sizeof(none));
+		(void)connect(info->connect_fd, &none, sizeof(none));
 }
 
 static void
