--- a/tests/fault/cell_fixture.h
+++ b/tests/fault/cell_fixture.h
@@ -113,6 +113,36 @@
 			",\"reborn\":" + (reborn ? "true}" : "false}"));
 	}
 
+	/* What another writer leaves among the entries of the workers. */
+	void
+	put_entry(const std::string &encoded_id, const std::string &text)
+	{
+		ASSERT_EQ(
+		    http("POST", control + "/_entry?id=" + encoded_id, text)
+			.status,
+		    200);
+	}
+
+	static std::string
+	entry(const std::string &address, const std::string &cpu = "4000")
+	{
+		return "{\"service\":\"batch\",\"address\":\"" + address +
+		    "\",\"zone\":\"a\",\"state\":\"ready\",\"capacity\":{"
+		    "\"cpu\":" +
+		    cpu +
+		    ",\"mem_mb\":100000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+		    "\"clock_ms\":1}";
+	}
+
+	/* No daemon has ended by itself. */
+	void
+	expect_all_running()
+	{
+		for (auto &d : daemons)
+			EXPECT_EQ(waitpid(d->pid, nullptr, WNOHANG), 0)
+			    << d->vm;
+	}
+
 	/* A worker that is cut off from the store alone. */
 	void
 	mute(uint32_t worker, bool on)
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -601,6 +601,90 @@
 	expect_no_violations();
 }
 
+TEST_F(Cell, OddEntriesOfAnotherWriterEndNoDaemon)
+{
+	const std::string big(1000 * 1000, 'x');
+	const std::string odd[] = {
+	    "",
+	    "\xff\xfe",
+	    "{",
+	    std::string(500000, '['),
+	    std::string(1000, '[') + std::string(1000, ']'),
+	    std::string(2000, '[') + std::string(2000, ']'),
+	    "{\"a\":" + std::string(5000, '[') + std::string(5000, ']') + "}",
+	    entry("127.0.0.1:99999999999999999999"),
+	    entry("127.0.0.1:65536"),
+	    entry("127.0.0.1:0"),
+	    entry("127.0.0.1"),
+	    entry("127.0.0.1:-1"),
+	    entry("127.0.0.1:9/x?y#z"),
+	    entry("a@127.0.0.1:9"),
+	    entry("127.0.0.1:9\\r\\nX: y"),
+	    entry(""),
+	    entry(big),
+	    entry("127.0.0.1:9", "99999999999999999999"),
+	    entry("127.0.0.1:9", "9223372036854775807"),
+	    entry("127.0.0.1:9", "1e999"),
+	    entry("127.0.0.1:9", "-1"),
+	    entry("127.0.0.1:9", "1e18"),
+	};
+	const std::string positions[] = {"0", "w-1x", "zz"};
+	int n = 0;
+
+	for (const std::string &at : positions) {
+		for (size_t i = 0; i < std::size(odd) / 2; i++)
+			put_entry(at + std::to_string(n++), odd[i]);
+	}
+	start_daemons(3);
+	EXPECT_EQ(submit(0, 1, 8, 300).status, 200);
+	for (const std::string &at : positions) {
+		for (const std::string &text : odd)
+			put_entry(at + std::to_string(n++), text);
+	}
+	wait_completed(1, 1, 2);
+	EXPECT_EQ(submit(1, 2, 16, 100).status, 200);
+	wait_completed(2, 2, 3);
+	expect_all_running();
+	expect_no_violations();
+}
+
+TEST_F(Cell, TasksOfAWorkerWhoseEntryTurnsOddRunOnce)
+{
+	const std::string odd[] = {entry("127.0.0.1:65536"), "{",
+	    std::string(3000, '['),
+	    entry("127.0.0.1:9", "99999999999999999999")};
+
+	start_daemons(2);
+	for (uint32_t w = 0; w < kWorkers; w++)
+		mute(w, true);
+	EXPECT_EQ(submit(0, 1, 16, 4000).status, 200);
+	EXPECT_TRUE(eventually([&] { return reported("running") == 16; }));
+	for (uint32_t w = 0; w < kWorkers; w++)
+		put_entry("w-" + std::to_string(w), odd[w]);
+	EXPECT_EQ(submit(0, 2, 16, 100).status, 200);
+	wait_completed(1, 1, 2);
+	EXPECT_EQ(reported("started"), 16);
+	for (uint32_t w = 0; w < kWorkers; w++)
+		mute(w, false);
+	wait_completed(1, 2, 3);
+	EXPECT_EQ(reported("started"), 32);
+	expect_all_running();
+	expect_no_violations();
+}
+
+TEST_F(Cell, OddKeyAtTheEndOfAPageDoesNotEndTheList)
+{
+	http("POST", control + "/_page?items=1", "");
+	for (const char *id : {"0%20a%26b%23c%25%2f%3f", "1%0d%0ab", "2%c3%a9",
+		 "3%2b%3d%22", "4%20", "w-1%23", "w-2%26after%3d"})
+		put_entry(id, "{}");
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1, 16, 100).status, 200);
+	wait_completed(1, 1, 2);
+	expect_all_running();
+	expect_no_violations();
+}
+
 /* A test failed in CI as a daemon that could not listen did not log why. */
 TEST_F(Cell, PortInUseIsLogged)
 {
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -51,21 +51,32 @@
 	hc_overdue_fn overdue;
 	struct hc_transfer *prev;
 	struct hc_transfer *next;
-	/* curl had a connection, so it may have sent the request. */
-	bool sent;
+	/* Copies of the request that curl may have sent. */
+	uint32_t sends;
+	bool repeatable;
 	char error[CURL_ERROR_SIZE];
 };
 
+/* Whether a part of the request was written to any connection so far. */
+static bool
+hc_was_sent(const struct hc_transfer *t)
+{
+	long bytes = 0;
+
+	curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &bytes);
+	return bytes > 0;
+}
+
 static enum hc_error
 hc_map_error(const struct hc_transfer *t, CURLcode code)
 {
 	if (code == CURLE_OK)
 		return HC_OK;
 	/*
-	 * curl retries a request when a reused connection is reset, so a failed
+	 * curl retries a request when a reused connection ends, so a failed
 	 * connect does not mean that nothing was sent.
 	 */
-	if (!t->sent)
+	if (!hc_was_sent(t))
 		return HC_NOT_CONNECTED;
 	if (code == CURLE_OPERATION_TIMEDOUT)
 		return HC_TIMEOUT;
@@ -100,8 +111,10 @@
 	long status = 0;
 	long request_bytes = 0;
 	long header_bytes = 0;
+	long connects = 0;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &t);
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
 	curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &header_bytes);
@@ -112,6 +125,8 @@
 	resp.headers = t->response_headers != NULL ? t->response_headers : "";
 	resp.sent_bytes = (size_t)request_bytes;
 	resp.received_bytes = (size_t)header_bytes + t->response_bytes;
+	resp.sends = t->sends;
+	resp.connects = (uint32_t)connects;
 	curl_multi_remove_handle(hc->multi, easy);
 	DL_DELETE(hc->transfers, t);
 	t->done(&resp, t->arg);
@@ -369,6 +384,7 @@
 	return hc_append(&t->response_headers, have, data, size * n, t);
 }
 
+/* Runs before curl sends the request, or sends it again. */
 static int
 hc_on_connected(
     void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
@@ -379,7 +395,10 @@
 	(void)local_ip;
 	(void)remote_port;
 	(void)local_port;
-	t->sent = true;
+	if (!t->repeatable && hc_was_sent(t))
+		return CURL_PREREQFUNC_ABORT;
+	if (t->sends == 0 || hc_was_sent(t))
+		t->sends++;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -439,6 +458,7 @@
 	t->deadline_us = req->deadline_us;
 	t->overdue_us = req->overdue_us;
 	t->overdue = req->overdue;
+	t->repeatable = req->repeatable;
 	DL_APPEND(hc->transfers, t);
 	hc_arm_deadline(t);
 	curl_multi_add_handle(hc->multi, t->easy);
