tests: a maintenance order whose connection was cut keeps to the maximum

The owner takes any response but 200 for none (order result=5), counts the VM as down and repeats the order until it gets a 200.

--- a/tests/fault/test_cut_connections.cc
+++ b/tests/fault/test_cut_connections.cc
@@ -126,4 +126,21 @@
 	expect_one_run_of_cut_starts("late_close", "throttle");
 }
 
+TEST_F(CutConnectionsOfOwner, MaintenanceThatBeganKeepsToItsMaximum)
+{
+	start_daemons(2);
+	http("POST", control + "/_wave",
+	    "{\"wave\":1,\"machines\":[\"m-0\",\"m-1\",\"m-2\",\"m-3\"],"
+	    "\"duration_s\":20,\"maximum\":1}");
+	EXPECT_TRUE(
+	    eventually([&] { return reported("maintained") == 1; }, 8000));
+	inject_fault(
+	    "{\"target\":\"duties\",\"kind\":\"close_after\",\"count\":1}");
+	inject_fault(
+	    "{\"target\":\"duties\",\"kind\":\"throttle\",\"count\":2}");
+	EXPECT_TRUE(
+	    eventually([&] { return reported("maintained") == 4; }, 20000));
+	EXPECT_EQ(reported("most_down"), 1);
+}
+
 } // namespace
