--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -10,6 +10,7 @@
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
 #include "protocol/job_codec.h"
+#include "state/attempts.h"
 
 #define CC_BODY_BYTES ((size_t)1 << 20)
 /* Queues whose waiting steps are in the metrics. */
@@ -30,6 +31,7 @@
 	struct http_server *callers;
 	struct http_server *ready;
 	struct http_server *metrics;
+	struct at_table *attempts;
 	uint32_t pending_count;
 };
 
@@ -41,8 +43,13 @@
 	char key[RP_KEY_BYTES];
 	uint8_t *value;
 	size_t value_bytes;
+	int64_t arrived_us;
 	int64_t deadline_us;
+	uint32_t attempts;
 	uint32_t refused;
+	uint32_t unanswered;
+	/* Attempts that the client library sent more than once by itself. */
+	uint32_t sent_again;
 	/* An attempt got no response, so the write may still take effect. */
 	bool uncertain;
 	bool cancel;
@@ -89,13 +96,45 @@
 	return clk_now_us() + wait_us - CC_RESPONSE_MARGIN_US;
 }
 
+/* One line for a request that is decided without a write. */
+static void
+cc_log_unwritten(
+    const char *event, const char *id, int status, const char *reason)
+{
+	lg_event(status >= 500 ? LG_WARN : LG_INFO, "callers", event, "job", id,
+	    "status", lg_i64(status), "attempts", "0", "reason", reason, NULL);
+}
+
+/* A job is refused only if no attempt to store it can succeed any more. */
+static int
+cc_end_attempt(struct cc_request *r, int status)
+{
+	struct at_table *attempts = r->f->attempts;
+	int64_t now_us = clk_now_us();
+
+	at_end(attempts, r->id, r->uncertain, now_us);
+	if (status == 200)
+		at_stored(attempts, r->id);
+	r->uncertain |= at_is_open(attempts, r->id, now_us);
+	if (status == 503 && r->uncertain)
+		return 504;
+	if (status == 503)
+		ct_add(CT_JOBS_REFUSED, 1);
+	return status;
+}
+
 static void
 cc_finish(struct cc_request *r, int status, const char *body)
 {
+	if (!r->cancel)
+		status = cc_end_attempt(r, status);
 	lg_event(status == 200 ? LG_INFO : LG_WARN, "callers",
 	    r->cancel ? "cancel" : "submit", "job", r->id, "status",
-	    lg_i64(status), "refused", lg_i64(r->refused), "maybe",
-	    r->uncertain ? "1" : "0", NULL);
+	    lg_i64(status), "attempts", lg_i64(r->attempts), "refused",
+	    lg_i64(r->refused), "unanswered", lg_i64(r->unanswered),
+	    "sent_again", lg_i64(r->sent_again), "maybe",
+	    r->uncertain ? "1" : "0", "took_ms",
+	    lg_i64((clk_now_us() - r->arrived_us) / CLK_US_PER_MS), NULL);
 	cc_respond(r->f, r->req, status, body);
 	talloc_free(r);
 }
@@ -163,6 +202,8 @@
 	struct cell *c = r->f->c;
 	size_t i;
 
+	r->attempts++;
+	r->sent_again += a->sends > 1;
 	switch (a->result) {
 	case KS_OK:
 		c->store_answered_us = clk_now_us();
@@ -179,6 +220,7 @@
 			cc_retry_put(r);
 		return;
 	case KS_UNKNOWN:
+		r->unanswered++;
 		r->uncertain = true;
 		cc_retry_put(r);
 		return;
@@ -187,7 +229,6 @@
 	case KS_COMPACTED:
 		r->refused++;
 		if (!r->uncertain && r->refused >= CC_MAX_REFUSED) {
-			ct_add(CT_JOBS_REFUSED, 1);
 			cc_finish(r, 503,
 			    "{\"error\":\"the platform's store refuses\"}");
 			return;
@@ -235,6 +276,7 @@
 	r->req = req;
 	memcpy(r->id, id, sizeof(r->id));
 	snprintf(r->key, sizeof(r->key), "%s%s", prefix, id);
+	r->arrived_us = clk_now_us();
 	r->deadline_us = cc_deadline_us(f, req);
 	return r;
 }
@@ -246,6 +288,19 @@
 	return clk_now_us() - c->store_answered_us > 2 * CC_STORE_SILENT_US;
 }
 
+static void
+cc_respond_unstored(
+    struct cc_frontend *f, struct hs_request *req, const char *id)
+{
+	bool open = at_is_open(f->attempts, id, clk_now_us());
+
+	if (!open)
+		ct_add(CT_JOBS_REFUSED, 1);
+	cc_log_unwritten("submit", id, open ? 504 : 503, "store is away");
+	cc_respond_error(
+	    f, req, open ? 504 : 503, "the platform's store is away");
+}
+
 static void
 cc_submit(struct cc_frontend *f, struct hs_request *req,
     const struct qs_queue *queue, const char *id)
@@ -255,6 +310,7 @@
 	struct jb_spec *spec;
 
 	if (rp_find_job(f->c->replica, id) != NULL) {
+		cc_log_unwritten("submit", id, 200, "known");
 		cc_respond(f, req, 200, "{}");
 		return;
 	}
@@ -268,10 +324,7 @@
 	}
 	if (cc_store_is_unreachable(f->c)) {
 		talloc_free(spec);
-		ct_add(CT_JOBS_REFUSED, 1);
-		lg_event(LG_WARN, "callers", "submit", "job", id, "status",
-		    "503", "reason", "store is away", NULL);
-		cc_respond_error(f, req, 503, "the platform's store is away");
+		cc_respond_unstored(f, req, id);
 		return;
 	}
 	memcpy(spec->id, id, sizeof(spec->id));
@@ -285,6 +338,7 @@
 	    spec->pool);
 	r->value = jc_pack_job(r, spec, &r->value_bytes);
 	talloc_free(spec);
+	at_begin(f->attempts, id);
 	cc_put(r);
 }
 
@@ -340,6 +394,7 @@
 	struct cc_request *r;
 
 	if (job->cancelled || jb_has_ended(job->state)) {
+		cc_log_unwritten("cancel", id, 200, "cancelled or ended");
 		cc_respond(f, req, 200, "{}");
 		return;
 	}
@@ -350,6 +405,20 @@
 	cc_put(r);
 }
 
+/* The store doesn't have the job; an attempt to store it may still succeed. */
+static void
+cc_respond_unknown(
+    struct cc_frontend *f, struct hs_request *req, const char *id, bool cancel)
+{
+	bool open = cancel && at_is_open(f->attempts, id, clk_now_us());
+	const char *reason = open ? "the job may yet be stored" : "no such job";
+	int status = open ? 504 : 410;
+
+	if (cancel)
+		cc_log_unwritten("cancel", id, status, reason);
+	cc_respond_error(f, req, status, reason);
+}
+
 /* A job that is missing in the replica may have been accepted just now. */
 static void
 cc_on_lookup(const struct ks_response *a, void *arg)
@@ -365,6 +434,8 @@
 	memcpy(id, r->id, sizeof(id));
 	talloc_free(r);
 	if (a->result != KS_OK) {
+		if (cancel)
+			cc_log_unwritten("cancel", id, 503, "store is away");
 		cc_respond_error(f, req, 503, "the platform's store is away");
 		return;
 	}
@@ -373,7 +444,7 @@
 		rp_apply_out_of_order(f->c->replica, &a->item[i]);
 	job = rp_find_job(f->c->replica, id);
 	if (job == NULL)
-		cc_respond_error(f, req, 410, "no such job");
+		cc_respond_unknown(f, req, id, cancel);
 	else if (cancel)
 		cc_cancel_job(f, req, id);
 	else
@@ -449,6 +520,8 @@
 
 	f->pending_count++;
 	if (config == NULL || !f->c->replica->synced) {
+		lg_event(LG_INFO, "callers", "not_ready", "method", req->method,
+		    "path", req->path, "status", "503", NULL);
 		cc_respond_error(f, req, 503, "no configuration yet");
 		return;
 	}
@@ -525,6 +598,21 @@
 	    (unsigned long long)s->given_up);
 }
 
+/* Results of orders, by result. */
+static char *
+cc_order_metrics(char *text, const struct cp_host *h)
+{
+	int result;
+
+	for (result = WP_ACCEPTED; result <= WP_NO_ANSWER; result++)
+		text = talloc_asprintf_append(text,
+		    "currant_pool_order_results_total{pool=\"%s\","
+		    "result=\"%d\"} %llu\n",
+		    h->name, result,
+		    (unsigned long long)h->pool->stats.refused[result]);
+	return text;
+}
+
 /* Cores that waiting steps need, by queue and cause. */
 static char *
 cc_wait_metrics(char *text, const struct cp_host *h)
@@ -566,8 +654,11 @@
 	    (long long)((clk_now_us() - c->store_answered_us) / CLK_US_PER_MS),
 	    cc_is_ready(c));
 	HASH_ITER(hh, c->pools, h, tmp) {
-		if (h->pool != NULL)
-			text = cc_wait_metrics(cc_pool_metrics(text, h), h);
+		if (h->pool == NULL)
+			continue;
+		text = cc_pool_metrics(text, h);
+		text = cc_order_metrics(text, h);
+		text = cc_wait_metrics(text, h);
 	}
 	return text;
 }
@@ -615,6 +706,7 @@
 	if (f == NULL)
 		abort();
 	f->c = c;
+	f->attempts = at_create(f);
 	f->callers =
 	    cc_listen(f, c->settings->callers_address, cc_on_caller_request);
 	f->ready = cc_listen(f, c->settings->ready_address, cc_on_ready);
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -358,6 +358,7 @@
  * @close_at_us: it is not closed before
  * @used: resources of tasks that are or may be on it
  * @orphaned: resources of runs on it that belong to none of @tasks
+ * @has_unlisted_ends: it may have more run ends than its last reply lists
  * @has_unknown_run: it reports a run of a job that the pool does not know
  * @reserved: resources set aside for urgent tasks in the current pass
  * @gang_reserved: resources reserved for gangs, free or not
@@ -421,6 +422,7 @@
 	int64_t close_at_us;
 	struct wp_resources used;
 	struct wp_resources orphaned;
+	bool has_unlisted_ends;
 	bool has_unknown_run;
 	struct wp_resources reserved;
 	struct wp_resources gang_reserved;
@@ -478,6 +480,7 @@
  *	lasts at least until then
  * @percent: for a pace, share of full speed
  * @sent: for a start, its place in the window of starts
+ * @sends: for a start, how often it was sent for this run, with this one
  */
 struct wp_order {
 	enum wp_order_kind kind;
@@ -491,6 +494,7 @@
 	int64_t deadline_clock_ms;
 	uint32_t percent;
 	struct sw_sent sent;
+	uint32_t sends;
 	struct wp_order *prev;
 	struct wp_order *next;
 };
@@ -566,12 +570,16 @@
 	const char *checkpoint;
 };
 
+/* A worker lists its oldest run ends only, so many at a time. */
+#define WP_MAX_LISTED_ENDS 500
+
 /**
  * struct wp_renewal_reply - a worker's reply to a lease renewal
  * @incarnation_ms: when the worker process started
  * @clock_ms: the worker's clock when it made the lists
  * @running: runs on the worker, @running_count of them
- * @end: run ends that were not acknowledged, @end_count of them
+ * @end: run ends that were not acknowledged, @end_count of them, but at most
+ *	WP_MAX_LISTED_ENDS
  */
 struct wp_renewal_reply {
 	int64_t incarnation_ms;
@@ -747,6 +755,8 @@
  *	ordered
  * @draining: nothing new is started
  * @ownership_unconfirmed: a later owner may exist and renew workers' leases
+ * @ends_unknown: other daemons may know of jobs that have ended, though the
+ *	store does not
  * @jobs: by id
  * @dirty: jobs whose progress is not stored, in the order they became dirty
  * @workers: by name; none is ever removed
@@ -783,6 +793,7 @@
 	bool superseded;
 	bool draining;
 	bool ownership_unconfirmed;
+	bool ends_unknown;
 	struct wp_job *jobs;
 	struct wp_job *dirty;
 	struct wp_worker *workers;
@@ -859,8 +870,18 @@
 /** wp_find_job() - find a job by id, or NULL */
 struct wp_job *wp_find_job(struct wp_pool *p, const char *id);
 
-/** wp_end_job() - end a job in the state that an earlier owner has reported */
-void wp_end_job(struct wp_pool *p, struct wp_job *job, enum jb_state state);
+/**
+ * wp_end_job() - end a job in the state that an earlier owner has reported
+ * @p: pool
+ * @job: the job
+ * @state: its final state
+ * @now_us: time
+ *
+ * Callers may have seen that state, so nothing of the job is started any more.
+ * What was started before is stopped first.
+ */
+void wp_end_job(
+    struct wp_pool *p, struct wp_job *job, enum jb_state state, int64_t now_us);
 
 /** wp_cancel_job() - stop a job's tasks and start no more */
 void wp_cancel_job(struct wp_pool *p, struct wp_job *job, int64_t now_us);
@@ -905,7 +926,10 @@
 void wp_close_registered_worker(struct wp_pool *p, const char *id,
     const struct jb_ref *task, uint32_t task_count);
 
-/** wp_is_holding() - whether a worker may run tasks of an earlier owner */
+/**
+ * wp_is_holding() - whether a worker may run tasks of an earlier owner, or have
+ * ends of their runs that it has not listed yet
+ */
 bool wp_is_holding(const struct wp_worker *w, int64_t now_us);
 
 /** wp_registry_begin() - decide what the registry about to be stored says */
@@ -984,8 +1008,11 @@
  * @result: result
  * @clock_ms: the worker's clock in its answer, or 0
  * @now_us: time
+ *
+ * Return: whether the run still counts as being on the worker; false after a
+ * start that was taken as not carried out.
  */
-void wp_on_order_result(struct wp_pool *p, const struct wp_order *o,
+bool wp_on_order_result(struct wp_pool *p, const struct wp_order *o,
     enum wp_order_result result, int64_t clock_ms, int64_t now_us);
 
 /**
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -533,6 +533,8 @@
 	struct wp_task *t;
 	struct wp_task *tmp;
 
+	if (w->has_unlisted_ends)
+		return;
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		if (!wp_is_missing(t, reply->clock_ms) ||
 		    wp_is_reported(reply, t))
@@ -614,6 +616,7 @@
 	if (!w->token_accepted)
 		wp_accept_token(p, w, reply->clock_ms);
 	w->lists_clock_ms = reply->clock_ms;
+	w->has_unlisted_ends = reply->end_count >= WP_MAX_LISTED_ENDS;
 	wp_process_run_ends(p, w, reply, now_us);
 	wp_process_running(p, w, reply, now_us);
 	wp_requeue_missing(p, w, reply, now_us);
@@ -707,17 +710,18 @@
 			ticket->expires_us = 0;
 		break;
 	}
-	case WP_REFUSED_MALFORMED:
-		wp_task_failed(p, t, now_us);
-		return;
 	default:
 		break;
 	}
 	/* An earlier send of the same run may have been carried out. */
-	if (t->start_sends > 1 && result != WP_REFUSED_EXPIRED) {
+	if (t->start_sends > 1) {
 		t->in_doubt = true;
 		return;
 	}
+	if (result == WP_REFUSED_MALFORMED) {
+		wp_task_failed(p, t, now_us);
+		return;
+	}
 	wp_crash_retract(p, t, w);
 	wp_task_requeue(t, now_us + WP_RESTART_DELAY_US);
 }
@@ -773,8 +777,8 @@
 		sw_on_answer(&p->starts, &o->sent, now_us);
 }
 
-void
-wp_on_order_result(struct wp_pool *p, const struct wp_order *o,
+static void
+wp_apply_order_result(struct wp_pool *p, const struct wp_order *o,
     enum wp_order_result result, int64_t clock_ms, int64_t now_us)
 {
 	struct wp_worker *w = wp_find_worker(p, o->worker);
@@ -801,6 +805,18 @@
 	}
 }
 
+bool
+wp_on_order_result(struct wp_pool *p, const struct wp_order *o,
+    enum wp_order_result result, int64_t clock_ms, int64_t now_us)
+{
+	const struct wp_task *t;
+
+	wp_apply_order_result(p, o, result, clock_ms, now_us);
+	t = wp_find_task(p, &o->ref);
+	return t != NULL && t->worker != NULL && t->run == o->run &&
+	    strcmp(t->worker->id, o->worker) == 0;
+}
+
 /* The worker's lease has expired, so all its runs have ended. */
 static void
 wp_worker_lease_expired(struct wp_pool *p, struct wp_worker *w, int64_t now_us)
--- a/tests/fault/cell_fixture.h
+++ b/tests/fault/cell_fixture.h
@@ -69,10 +69,10 @@
 
 	Response
 	call(const std::string &method, size_t daemon, const std::string &path,
-	    const std::string &body = "")
+	    const std::string &body = "", long timeout_ms = 4000)
 	{
 		return http(method, "http://" + daemons[daemon]->callers + path,
-		    body, {std::string("Host: ") + kHost}, 4000);
+		    body, {std::string("Host: ") + kHost}, timeout_ms);
 	}
 
 	static std::string
@@ -86,7 +86,7 @@
 
 	Response
 	submit(size_t daemon, int n, int tasks = 2, int work_ms = 200,
-	    const std::string &behaviour = "")
+	    const std::string &behaviour = "", long timeout_ms = 4000)
 	{
 		std::string spec =
 		    std::to_string(work_ms) + " 1000 " + behaviour;
@@ -94,7 +94,8 @@
 		return call("POST", daemon, "/q/" + job_id(n),
 		    "{\"spec\":\"" + spec +
 			"\",\"steps\":[{\"count\":" + std::to_string(tasks) +
-			",\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":200}]}");
+			",\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":200}]}",
+		    timeout_ms);
 	}
 
 	std::string
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -312,6 +312,33 @@
 	expect_no_violations();
 }
 
+TEST_F(RelayedCell, OrderThatARelayGotNoAnswerToIsLoggedByBoth)
+{
+	start_daemons(3);
+	wait_for_relay();
+	size_t current = owner();
+
+	for (uint32_t w = 0; w < kWorkers; w++)
+		inject_fault("{\"target\":\"w-" + std::to_string(w) +
+		    "\",\"path\":\"run-start\",\"kind\":\"lost\","
+		    "\"count\":1}");
+	EXPECT_EQ(submit(0, 1, 1, 300).status, 200);
+	wait_completed(current, 1, 2);
+	std::string by_owner = daemons[current]->log_text();
+	std::string by_relays;
+
+	for (size_t i = 0; i < 3; i++)
+		by_relays += i != current ? daemons[i]->log_text() : "";
+	EXPECT_NE(by_relays.find("module=relay event=order_refused"),
+	    std::string::npos);
+	EXPECT_NE(by_relays.find(" result=10 owner=vm-" +
+		      std::to_string(current) + " fence="),
+	    std::string::npos);
+	EXPECT_NE(by_owner.find(" result=10 sends=1 kept=1 fence="),
+	    std::string::npos);
+	expect_no_violations();
+}
+
 /* Daemons of a large cell don't follow the workers until they own a pool. */
 TEST_F(RelayedCell, NextOwnerLearnsWhichWorkersLeftAndContinues)
 {
@@ -412,6 +439,51 @@
 	expect_no_violations();
 }
 
+/*
+ * A job completes while the store is down, its worker leaves, and its owner is
+ * lost. The next owner was restarted meanwhile: only a third daemon was told.
+ */
+TEST_F(Cell, RestartedOwnerLearnsUnstoredEndsFromItsPeers)
+{
+	start_daemons(2);
+	daemons.push_back(std::make_unique<CellDaemon>(
+	    dir, "vm-small", store, advice, keep_ended, duties));
+	daemons.back()->set_cores("0.1");
+	daemons.back()->start();
+	ASSERT_TRUE(eventually([&] { return daemons[2]->is_ready(); }));
+	/* Daemons learn of each other through the store. */
+	usleep(1000000);
+	size_t dead = owner();
+	size_t next = 1 - dead;
+	ASSERT_LT(dead, 2u);
+
+	EXPECT_EQ(submit(2, 1, 16, 1000).status, 200);
+	EXPECT_TRUE(eventually([&] { return reported("running") == 16; }));
+	inject_fault("{\"target\":\"store\",\"path\":\"\","
+		     "\"kind\":\"down\",\"for_ms\":60000}");
+	ASSERT_TRUE(
+	    eventually([&] { return state(2, 1) == "completed"; }, 4000));
+	for (uint32_t w = 0; w < kWorkers - 1; w++)
+		http("POST", control + "/_worker",
+		    "{\"worker\":" + std::to_string(w) +
+			",\"off\":true,\"left\":true}");
+	daemons[2]->signal(SIGSTOP);
+	daemons[dead]->end(SIGKILL);
+	daemons[next]->end(SIGKILL);
+	http("POST", control + "/_clear");
+	daemons[next]->start();
+	EXPECT_TRUE(eventually([&] { return owner() == next; }, 15000));
+	daemons[2]->signal(SIGCONT);
+	daemons[dead]->start();
+	EXPECT_TRUE(eventually(
+	    [&] { return owner_logged("event=reconciled"); }, 20000));
+	usleep(1500000);
+	EXPECT_EQ(owner(), next);
+	EXPECT_EQ(state(next, 1), "completed");
+	EXPECT_EQ(reported("started"), 16);
+	expect_no_violations();
+}
+
 TEST_F(Cell, LostStoreResponseCreatesOneJob)
 {
 	start_daemons(2);
@@ -424,6 +496,127 @@
 	expect_no_violations();
 }
 
+TEST_F(Cell, LinesOfASubmitSayWhatItsAttemptsGot)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	EXPECT_EQ(submit(0, 1).status, 200);
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":1500}");
+	EXPECT_EQ(submit(0, 2).status, 503);
+	auto logged = [&](const std::string &text) {
+		return daemons[0]->log_text().find(text) != std::string::npos;
+	};
+
+	EXPECT_TRUE(logged("job=" + job_id(1) +
+	    " status=200 attempts=1 refused=0 unanswered=0 sent_again=0 "
+	    "maybe=0 took_ms="));
+	EXPECT_TRUE(
+	    logged("job=" + job_id(1) + " status=200 attempts=0 reason=known"));
+	EXPECT_TRUE(logged("job=" + job_id(2) +
+	    " status=503 attempts=3 refused=3 unanswered=0 sent_again=0 "
+	    "maybe=0 took_ms="));
+}
+
+class CellWithALostWrite : public Cell,
+			   public testing::WithParamInterface<const char *>
+{
+};
+
+/* The connection had been used before, and later attempts were refused. */
+TEST_P(CellWithALostWrite, JobThatMayRunIsNotRefused)
+{
+	bool done = std::string(GetParam()).find("before") == std::string::npos;
+
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"" +
+	    std::string(GetParam()) + "\",\"count\":1,\"delay_ms\":2500}");
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":2400}");
+	EXPECT_EQ(submit(0, 1).status, 504);
+	usleep(2000000);
+	EXPECT_EQ(reported("started"), done ? 4 : 2);
+	expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(Cell, CellWithALostWrite,
+    testing::Values("close_before", "close_after", "reset_before",
+	"reset_after", "late_close"));
+
+/* The first attempt's caller gave up, and its write is executed later. */
+TEST_F(Cell, JobIsNotRefusedWhileAnEarlierAttemptIsOpen)
+{
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"late\","
+	    "\"count\":1,\"delay_ms\":3000}");
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":2900}");
+	EXPECT_EQ(submit(0, 1, 2, 200, "", 200).status, 0);
+	EXPECT_EQ(submit(0, 1).status, 504);
+	usleep(1000000);
+	EXPECT_EQ(call("DELETE", 0, "/q/" + job_id(1)).status, 504);
+	EXPECT_EQ(submit(0, 1).status, 504);
+	EXPECT_TRUE(eventually([&] { return reported("started") == 4; }, 4000));
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(1, 1, 2);
+	expect_no_violations();
+}
+
+class CellWithAnInterruptedWrite
+    : public Cell,
+      public testing::WithParamInterface<std::tuple<int, const char *>>
+{
+};
+
+/* A deadline passes while the write is in flight, or a grace period begins. */
+TEST_P(CellWithAnInterruptedWrite, JobThatMayRunIsNotRefused)
+{
+	int signal = std::get<0>(GetParam());
+	std::string kind = std::get<1>(GetParam());
+	Response r;
+
+	start_daemons(2);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"" +
+	    kind + "\",\"count\":1,\"delay_ms\":4000}");
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":3900}");
+	std::thread caller([&] { r = submit(0, 1, 2, 200, "", 8000); });
+	usleep(150000);
+	daemons[0]->signal(signal);
+	if (signal == SIGSTOP) {
+		usleep(3000000);
+		daemons[0]->signal(SIGCONT);
+	}
+	caller.join();
+	EXPECT_EQ(r.status, 504);
+	/* A late write fails if the pool has changed its owner meanwhile. */
+	if (kind.find("late") == std::string::npos) {
+		EXPECT_TRUE(
+		    eventually([&] { return reported("started") == 4; }, 8000));
+		wait_completed(1, 1, 2);
+	}
+	usleep(2500000);
+	expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(Cell, CellWithAnInterruptedWrite,
+    testing::Combine(testing::Values(SIGSTOP, SIGTERM),
+	testing::Values("late", "late_close", "lost", "close_after")));
+
 TEST_F(Cell, RefusedJobNeverRuns)
 {
 	start_daemons(2);
--- /dev/null
+++ b/tests/unit/test_platform_calls.cc
@@ -0,0 +1,227 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+extern "C" {
+#include "common/counters.h"
+#include "platform/platform.h"
+}
+
+/* Calls of the platform's tables over connections that end without an answer. */
+
+namespace
+{
+
+/*
+ * Serves one request a letter: 'a' accepts, 'r' rejects, 'c' closes the
+ * connection once the request is read.
+ */
+class ScriptedServer
+{
+      public:
+	explicit ScriptedServer(const char *script) : script(script)
+	{
+		struct sockaddr_in sin = {};
+		socklen_t len = sizeof(sin);
+
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		bind(fd, (struct sockaddr *)&sin, sizeof(sin));
+		listen(fd, 8);
+		getsockname(fd, (struct sockaddr *)&sin, &len);
+		address = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
+		thread = std::thread([this] { serve(); });
+	}
+
+	~ScriptedServer()
+	{
+		shutdown(fd, SHUT_RDWR);
+		thread.join();
+		close(fd);
+	}
+
+	std::string address;
+
+      private:
+	/* Bodies of these calls are JSON objects. */
+	static bool
+	read_request(int conn)
+	{
+		std::string text;
+		char buf[4096];
+
+		while (text.find("\r\n\r\n{") == std::string::npos ||
+		    text.back() != '}') {
+			ssize_t n = read(conn, buf, sizeof(buf));
+
+			if (n <= 0)
+				return false;
+			text.append(buf, (size_t)n);
+		}
+		return true;
+	}
+
+	static void
+	respond(int conn, const std::string &status)
+	{
+		const std::string text =
+		    "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}";
+
+		send(conn, text.data(), text.size(), MSG_NOSIGNAL);
+	}
+
+	/* Whether the connection is kept. */
+	bool
+	serve_request(int conn)
+	{
+		char step = *script;
+
+		if (step == '\0' || !read_request(conn))
+			return false;
+		script++;
+		if (step != 'c')
+			respond(conn, step == 'a' ? "200 OK" : "503 Busy");
+		return step != 'c';
+	}
+
+	void
+	serve()
+	{
+		int conn;
+
+		while ((conn = accept(fd, nullptr, nullptr)) != -1) {
+			while (serve_request(conn))
+				continue;
+			close(conn);
+		}
+	}
+
+	const char *script;
+	int fd = -1;
+	std::thread thread;
+};
+
+class Calls : public testing::Test
+{
+      protected:
+	void
+	connect(const std::string &address)
+	{
+		struct pf_settings settings = {};
+
+		settings.store = address.c_str();
+		settings.advice = address.c_str();
+		settings.maintenance = address.c_str();
+		fleet = pf_create(l, l, &settings);
+	}
+
+	~Calls() override
+	{
+		talloc_free(l);
+	}
+
+	enum ks_result
+	write()
+	{
+		struct ks_put put = {};
+		struct ks_txn txn = {};
+
+		put.key = "k";
+		put.value = (const uint8_t *)"v";
+		put.value_bytes = 1;
+		txn.put = &put;
+		txn.put_count = 1;
+		done = false;
+		fleet->keys->txn(fleet->handle, &txn, on_write, this);
+		wait();
+		return write_result;
+	}
+
+	enum wp_order_result
+	start(const std::string &address)
+	{
+		struct wp_order o = {};
+
+		o.kind = WP_ORDER_START;
+		o.payload = "text";
+		snprintf(o.worker, sizeof(o.worker), "i-1");
+		snprintf(o.address, sizeof(o.address), "%s", address.c_str());
+		snprintf(o.ref.job, sizeof(o.ref.job), "00000000000000a1");
+		o.run = 7;
+		done = false;
+		fleet->workers->order(fleet->handle, &o, 3, on_order, this);
+		wait();
+		return order_result;
+	}
+
+	struct loop *l = loop_create(nullptr);
+	struct fl_fleet *fleet = nullptr;
+
+      private:
+	static void
+	on_write(const struct ks_response *a, void *arg)
+	{
+		((Calls *)arg)->write_result = a->result;
+		((Calls *)arg)->done = true;
+	}
+
+	static void
+	on_order(enum wp_order_result result, int64_t clock_ms, void *arg)
+	{
+		(void)clock_ms;
+		((Calls *)arg)->order_result = result;
+		((Calls *)arg)->done = true;
+	}
+
+	void
+	wait()
+	{
+		while (!done)
+			tevent_loop_once(loop_ev(l));
+	}
+
+	bool done = false;
+	enum ks_result write_result = KS_UNKNOWN;
+	enum wp_order_result order_result = WP_NO_ANSWER;
+};
+
+/* The second answer would hide what became of the first copy. */
+TEST_F(Calls, WriteWithoutAnAnswerIsNotSentAgain)
+{
+	ScriptedServer store("acr");
+
+	connect(store.address);
+	EXPECT_EQ(write(), KS_OK);
+	EXPECT_EQ(write(), KS_UNKNOWN);
+	EXPECT_EQ(write(), KS_REFUSED);
+}
+
+TEST_F(Calls, StartWithoutAnAnswerIsNotSentAgain)
+{
+	ScriptedServer worker("acr");
+
+	connect(worker.address);
+	EXPECT_EQ(start(worker.address), WP_ACCEPTED);
+	EXPECT_EQ(start(worker.address), WP_NO_ANSWER);
+	EXPECT_EQ(start(worker.address), WP_REFUSED_UNHEALTHY);
+}
+
+TEST_F(Calls, RejectedAndUnansweredWritesAreCounted)
+{
+	ScriptedServer store("rc");
+	uint64_t rejected = ct_get(CT_STORE_REJECTED);
+	uint64_t unanswered = ct_get(CT_STORE_UNANSWERED);
+
+	connect(store.address);
+	write();
+	EXPECT_EQ(ct_get(CT_STORE_REJECTED), rejected + 1);
+	write();
+	EXPECT_EQ(ct_get(CT_STORE_UNANSWERED), unanswered + 1);
+}
+
+} // namespace
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -715,6 +715,65 @@
 	EXPECT_EQ(tick(200 * kMs).size(), 1U);
 }
 
+/* Whatever the second answer is, the first start may have been carried out. */
+TEST_F(Pool, NoRefusalOfASecondSendProvesThatTheFirstWasNotCarriedOut)
+{
+	for (int r = WP_REFUSED_STALE_RUN; r <= WP_NO_ANSWER; r++) {
+		SCOPED_TRACE(r);
+		create_pool();
+		add_worker("w", 1000);
+		add_worker("v", 1000);
+		add(kJob, {{1}});
+		auto orders = tick();
+		ASSERT_EQ(orders.size(), 1U);
+		std::string first = orders[0]->worker;
+		answer(orders[0], WP_NO_ANSWER);
+		orders = tick(kMs);
+		ASSERT_EQ(orders.size(), 1U);
+		now += 100 * kMs;
+		answer(orders[0], (enum wp_order_result)r);
+		for (const struct wp_order *o : tick(300 * kMs))
+			EXPECT_EQ(o->worker, first);
+		EXPECT_EQ(task(kJob, 0, 0)->failed_count, 0U);
+		/* It was, and its end is all that is left of it. */
+		renew_lease(first, {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+		EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_DONE);
+		talloc_free(p);
+		p = nullptr;
+	}
+}
+
+TEST_F(Pool, RefusedSecondSendIsGivenUpOnceTheWorkerShowsThatNothingRuns)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	answer(tick()[0], WP_NO_ANSWER);
+	answer(tick(kMs)[0], WP_REFUSED_MALFORMED);
+	now += 3 * kS;
+	renew_lease("w");
+	auto orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->run, 2U);
+}
+
+/* After an outage of the store a worker has more ends than a reply lists. */
+TEST_F(Pool, RunWhoseEndHasNoPlaceInTheReplyIsNotStartedAgain)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	now += kS;
+	renew_lease("w", {}, full_list(1));
+	EXPECT_TRUE(tick(200 * kMs).empty());
+	commit();
+	now += kS;
+	renew_lease("w", {}, {{501, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_TRUE(tick(200 * kMs).empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_DONE);
+}
+
 TEST_F(Pool, UnreportedRunIsStartedAgain)
 {
 	create_pool();
@@ -1632,6 +1691,36 @@
 	EXPECT_TRUE(tick().empty());
 }
 
+TEST_F(Pool, ResultOfAStartSaysWhetherTheRunIsKept)
+{
+	create_pool();
+	add_worker("w-1");
+	add(kJob, {{1, 1000}});
+	std::vector<struct wp_order *> start = tick();
+
+	ASSERT_EQ(start.size(), 1U);
+	EXPECT_EQ(start[0]->sends, 1U);
+	EXPECT_TRUE(
+	    wp_on_order_result(p, start[0], WP_NO_ANSWER, now / kMs, now));
+	start = tick(500 * kMs);
+	ASSERT_EQ(start.size(), 1U);
+	EXPECT_EQ(start[0]->sends, 2U);
+	EXPECT_TRUE(wp_on_order_result(
+	    p, start[0], WP_REFUSED_NO_RESOURCES, now / kMs, now));
+}
+
+TEST_F(Pool, StartThatWasSentOnceAndRefusedIsNotKept)
+{
+	create_pool();
+	add_worker("w-1");
+	add(kJob, {{1, 1000}});
+	std::vector<struct wp_order *> start = tick();
+
+	ASSERT_EQ(start.size(), 1U);
+	EXPECT_FALSE(wp_on_order_result(
+	    p, start[0], WP_REFUSED_NO_RESOURCES, now / kMs, now));
+}
+
 /* Its start was in flight when it was stopped. */
 TEST_F(Pool, StopIsRepeatedUntilAWorkerTakesIt)
 {
