platform: a wave names at most 2,048 VMs

Owners are replaced after 1.2 s without a sign of life, and each next one reads the same row.

Cause: each name is compared with all before it; 150,000 names fit into a value of the store. The later passes look at each VM for each VM, too.

Fix: a wave of more than 2,048 VMs, about twice the largest known cell, is refused with a warning, as one that can't be read.

--- a/include/state/maintenance.h
+++ b/include/state/maintenance.h
@@ -29,6 +29,9 @@
 	MW_UNCONFIRMED, /* refused for now, or no response */
 };
 
+/* VMs of one wave; each pass looks at all of them. */
+#define MW_MAX_VMS 2048
+
 /**
  * struct mw_vm - a VM of a wave
  * @pool: pool whose owner took it
--- a/tests/unit/test_entries.cc
+++ b/tests/unit/test_entries.cc
@@ -296,4 +296,29 @@
 	EXPECT_EQ(ct_get(CT_LEFT_OUT), before + 2);
 }
 
+/* The loop of a daemon that reads it stands still meanwhile. */
+TEST_F(WorkerEntry, WaveAsLongAsAValueMayBeIsReadOrRefusedAtOnce)
+{
+	for (uint32_t max : {(uint32_t)MW_MAX_VMS, UINT32_MAX}) {
+		std::string text = R"({"wave":1,"maximum":1,"machines":[)";
+		uint32_t names = 0;
+
+		while (text.size() < (1 << 20) - 16 && names < max)
+			text += "\"" + std::to_string(names++) + "\",";
+		text += R"("0","0"]})";
+		int64_t began_us = clk_now_us();
+		struct mw_wave *m =
+		    pf_entry_ops.wave(ctx, (const uint8_t *)text.data(),
+			text.size(), error, sizeof(error));
+		/* Owners are replaced after 1.2 s without a sign of life. */
+		EXPECT_LT(clk_now_us() - began_us, CLK_US_PER_S);
+		ASSERT_EQ(m != nullptr, names == max) << error;
+		if (m != nullptr)
+			EXPECT_EQ(m->vm_count, names);
+		else
+			EXPECT_NE(std::string(error).find("machines"),
+			    std::string::npos);
+	}
+}
+
 } // namespace
