job: a job has at most 32,768 tasks in all its occurrences

One caller's job ended every daemon, one after the other: each that owned its pool ended as soon as it read the job, which had been accepted and stored, and so did the next owner (LOST, processes that end by themselves).

Cause: the tasks of all occurrences are created when the job is read, and `repeat_count` may be up to 2^32-1. An allocation that is refused was used all the same. 9e18 or 2^32 counted as no repetition at all, and `interval_ms` times the number of an occurrence could overflow.

Cell.JobWithMoreOccurrencesThanFitIntoMemoryEndsNoDaemon, before: the owner ended within 0.2 s of the acceptance, the other daemon on taking over; on both as well. Now 400 for each such job, 0.3 s.

--- a/include/state/job.h
+++ b/include/state/job.h
@@ -17,6 +17,10 @@
 #define JB_ID_BYTES (JB_ID_LENGTH + 1)
 #define JB_MAX_STEPS 64
 #define JB_MAX_TASKS 4096
+/* Of all occurrences: the progress of each has to fit into one stored value. */
+#define JB_MAX_RECURRING_TASKS 32768
+/* The last occurrence is due before: in the year 2109. */
+#define JB_MAX_DUE_MS ((int64_t)1 << 42)
 #define JB_MAX_PAYLOAD_BYTES 4000
 /* Index of a progress entry that covers all tasks of its step. */
 #define JB_ALL_TASKS UINT32_MAX
--- a/state/job.c
+++ b/state/job.c
@@ -46,6 +46,28 @@
 	return true;
 }
 
+static bool
+jb_check_occurrences(
+    const struct jb_spec *spec, uint64_t tasks, char *error, size_t error_bytes)
+{
+	int64_t count = jb_occurrences(spec);
+
+	if (spec->repeat_count > JB_MAX_RECURRING_TASKS / tasks) {
+		snprintf(error, error_bytes,
+		    "repeat_count: more than %d tasks in all",
+		    JB_MAX_RECURRING_TASKS);
+		return false;
+	}
+	if (spec->first_due_ms < 0 || spec->first_due_ms > JB_MAX_DUE_MS ||
+	    spec->interval_ms < 0 ||
+	    spec->interval_ms > (JB_MAX_DUE_MS - spec->first_due_ms) / count) {
+		snprintf(error, error_bytes,
+		    "interval_ms: an occurrence is due too late");
+		return false;
+	}
+	return true;
+}
+
 bool
 jb_validate(const struct jb_spec *spec, char *error, size_t error_bytes)
 {
@@ -72,7 +94,7 @@
 		    JB_MAX_TASKS);
 		return false;
 	}
-	return true;
+	return jb_check_occurrences(spec, tasks, error, error_bytes);
 }
 
 int64_t
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -955,6 +955,29 @@
 	expect_no_violations();
 }
 
+TEST_F(Cell, JobWithMoreOccurrencesThanFitIntoMemoryEndsNoDaemon)
+{
+	start_daemons(2);
+	int n = 10;
+
+	for (const char *repeat : {"4294967295", "100000000", "9e18",
+		 "99999999999999999999", "4294967296", "-1"}) {
+		std::string body =
+		    "{\"spec\":\"1 "
+		    "1000\",\"steps\":[{\"count\":1,\"cpu\":1000}],"
+		    "\"interval_ms\":1000,\"repeat_count\":";
+
+		EXPECT_EQ(
+		    call("POST", 0, "/q/" + job_id(n++), body + repeat + "}")
+			.status,
+		    400)
+		    << repeat;
+	}
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(1, 1, 2);
+	expect_all_running();
+}
+
 TEST_F(Cell, OddKeyAtTheEndOfAPageDoesNotEndTheList)
 {
 	http("POST", control + "/_page?items=1", "");
