calls: a deadline far ahead is the longest wait, not one that is over

A caller that says it waits 2^63-1 ms got 503 after the store's first refusal, though a retry 80 ms later succeeds. The milliseconds of its header overflowed when they became microseconds (undefined; -1000 here).

Cell.CallerThatWaitsForEverIsNotRefusedAtOnce, before: 503; now 200. The wait is held to ten minutes, and to none below zero.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -19,6 +19,7 @@
 /* The response is sent this long before the caller gives up. */
 #define CC_RESPONSE_MARGIN_US (250 * CLK_US_PER_MS)
 #define CC_DEFAULT_WAIT_US (2500 * CLK_US_PER_MS)
+#define CC_MAX_WAIT_US (600 * CLK_US_PER_S)
 #define CC_RETRY_US (80 * CLK_US_PER_MS)
 /* Attempts that the store refused without effect before a caller gets 503. */
 #define CC_MAX_REFUSED 3
@@ -77,6 +78,19 @@
 	talloc_free(body);
 }
 
+/* Callers may send any text; a longer wait than the longest is no fault. */
+static int64_t
+cc_parse_wait_us(const char *text)
+{
+	long long wait_ms = strtoll(text, NULL, 10);
+
+	if (wait_ms < 0)
+		return 0;
+	return wait_ms < CC_MAX_WAIT_US / CLK_US_PER_MS
+	    ? wait_ms * CLK_US_PER_MS
+	    : CC_MAX_WAIT_US;
+}
+
 static int64_t
 cc_deadline_us(struct cc_frontend *f, struct hs_request *req)
 {
@@ -85,7 +99,7 @@
 	int64_t wait_us = CC_DEFAULT_WAIT_US;
 
 	if (text != NULL)
-		wait_us = strtoll(text, NULL, 10) * CLK_US_PER_MS;
+		wait_us = cc_parse_wait_us(text);
 	return clk_now_us() + wait_us - CC_RESPONSE_MARGIN_US;
 }
 
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -978,6 +978,25 @@
 	expect_all_running();
 }
 
+/* With 2^63-1 ms it was refused at once while the store was slow. */
+TEST_F(Cell, CallerThatWaitsForEverIsNotRefusedAtOnce)
+{
+	start_daemons(1);
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\","
+		     "\"kind\":\"refuse\",\"count\":1}");
+	EXPECT_EQ(
+	    http("POST", "http://" + daemons[0]->callers + "/q/" + job_id(1),
+		"{\"spec\":\"1 1000\",\"steps\":[{\"count\":1,"
+		"\"cpu\":1000}]}",
+		{std::string("Host: ") + kHost,
+		    "X-Curranttack-Deadline-Remaining: "
+		    "9223372036854775807"},
+		4000)
+		.status,
+	    200);
+	expect_all_running();
+}
+
 TEST_F(Cell, OddKeyAtTheEndOfAPageDoesNotEndTheList)
 {
 	http("POST", control + "/_page?items=1", "");
