platform: an item beyond the parser's limits hides no other item

One item of the store's response with a number of 20 digits or 1e999, a half of a surrogate pair (a writer chooses its keys), or 1,024 levels made the whole response unreadable. The same page or changes were asked for again for ever: the list was no longer followed.

Cause: the library gives up a body at the first thing that it can't hold, correct JSON or not.

StoreBody.ItemBeyondTheParsersLimitsLeavesOutNoOther, before: the first body already is unreadable; now nine kinds of items in three places each. That a store writes such a body was not seen; values are base64, so only keys and a fault of the store could.

--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -483,6 +483,45 @@
 	EXPECT_FALSE(read("{\"a\":" + std::string(5000, '[')));
 }
 
+TEST_F(StoreBody, ItemBeyondTheParsersLimitsLeavesOutNoOther)
+{
+	const std::string odd[] = {
+	    R"("revision":99999999999999999999)",
+	    R"("revision":-99999999999999999999)",
+	    R"("revision":1e999)",
+	    R"("revision":7,"more":123456789012345678901234567890)",
+	    R"("revision":7,"more":[-1e400,1.5E+999])",
+	    R"("revision":7,"more":)" + std::string(1500, '[') +
+		std::string(1500, ']'),
+	    R"("revision":7,"more":)" + std::string(3000, '[') + R"("]\"")" +
+		std::string(3000, ']'),
+	    R"("revision":7,"more":"\ud800")",
+	    R"("revision":7,"more":"\udc00\ud800x")",
+	};
+	const std::string good = R"({"key":"a","value":"QUJD","revision":7})";
+
+	for (const std::string &text : odd) {
+		std::string item =
+		    R"({"key":"odd","value":"QUJD",)" + text + "}";
+
+		for (const std::string &rows : {item + "," + good,
+			 good + "," + item, good + "," + item + "," + good}) {
+			ASSERT_TRUE(
+			    read(R"({"as_of":12,"has_more":true,"events":[)" +
+				rows + "]}"))
+			    << text.substr(0, 80);
+			EXPECT_EQ(a.revision, 12u);
+			EXPECT_TRUE(a.more);
+			size_t found = 0;
+			for (size_t i = 0; i < a.item_count; i++)
+				found += std::string(a.item[i].key) == "a";
+			EXPECT_EQ(found,
+			    rows.size() > 2 * good.size() + item.size() ? 2u
+									: 1u);
+		}
+	}
+}
+
 /* Both libraries must agree on what an answer of the store says. */
 TEST_F(StoreBody, EveryDamagedBodyIsRejectedOrReadAsItStands)
 {
