--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -895,6 +895,48 @@
 	expect_no_violations();
 }
 
+TEST_F(Cell, JobWithMoreOccurrencesThanFitIntoMemoryEndsNoDaemon)
+{
+	start_daemons(2);
+	int n = 10;
+
+	for (const char *repeat : {"4294967295", "100000000", "9e18",
+		 "99999999999999999999", "4294967296", "-1"}) {
+		std::string body =
+		    "{\"spec\":\"1 "
+		    "1000\",\"steps\":[{\"count\":1,\"cpu\":1000}],"
+		    "\"interval_ms\":1000,\"repeat_count\":";
+
+		EXPECT_EQ(
+		    call("POST", 0, "/q/" + job_id(n++), body + repeat + "}")
+			.status,
+		    400)
+		    << repeat;
+	}
+	EXPECT_EQ(submit(0, 1).status, 200);
+	wait_completed(1, 1, 2);
+	expect_all_running();
+}
+
+/* With 2^63-1 ms it was refused at once while the store was slow. */
+TEST_F(Cell, CallerThatWaitsForEverIsNotRefusedAtOnce)
+{
+	start_daemons(1);
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\","
+		     "\"kind\":\"refuse\",\"count\":1}");
+	EXPECT_EQ(
+	    http("POST", "http://" + daemons[0]->callers + "/q/" + job_id(1),
+		"{\"spec\":\"1 1000\",\"steps\":[{\"count\":1,"
+		"\"cpu\":1000}]}",
+		{std::string("Host: ") + kHost,
+		    "X-Curranttack-Deadline-Remaining: "
+		    "9223372036854775807"},
+		4000)
+		.status,
+	    200);
+	expect_all_running();
+}
+
 TEST_F(Cell, OddKeyAtTheEndOfAPageDoesNotEndTheList)
 {
 	http("POST", control + "/_page?items=1", "");
