--- a/tests/standins/endpoint.c
+++ b/tests/standins/endpoint.c
@@ -111,7 +111,8 @@
 	if (e->drops > 0) {
 		e->drops--;
 		e->active--;
-		hs_drop(req, false);
+		hs_cut(req, false);
+		hs_respond(req, 503, "text/plain", "cut", 3, NULL, 0);
 		return;
 	}
 	p = calloc(1, sizeof(*p));
