tests: a frozen daemon accepts a job that was refused elsewhere, known red

A caller sends a job to a frozen daemon and leaves after 300 ms; another daemon answers 503 for the same job; the first one thaws, reads the request, stores the job, and it runs (started=4 instead of 2, in three plays of three). A daemon doesn't know how old the requests in its sockets are.

--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -776,6 +776,27 @@
     testing::Combine(testing::Values(SIGSTOP, SIGTERM),
 	testing::Values("late", "late_close", "lost", "close_after")));
 
+/* The caller had left when the frozen daemon read its request. */
+TEST_F(Cell, FrozenDaemonAcceptsNothingThatWasRefusedElsewhere)
+{
+	start_daemons(3);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	usleep(1000000);
+	size_t frozen = (owner() + 1) % 3;
+
+	daemons[frozen]->signal(SIGSTOP);
+	EXPECT_EQ(submit(frozen, 1, 2, 200, "", 300).status, 0);
+	inject_fault(
+	    "{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"refuse\","
+	    "\"for_ms\":1500}");
+	EXPECT_EQ(submit((frozen + 1) % 3, 1).status, 503);
+	usleep(2000000);
+	daemons[frozen]->signal(SIGCONT);
+	usleep(3000000);
+	EXPECT_EQ(reported("started"), 2);
+}
+
 TEST_F(Cell, RefusedJobNeverRuns)
 {
 	start_daemons(2);
