callers, http_server: a job whose caller has left is not stored

Cause: a daemon handles what its sockets hold, however old it is. It can't know its age, but it can see that the caller has closed the connection: then nobody waits for the job, and not storing it is the only outcome that agrees with whatever the caller was told elsewhere. The same holds for callers that give up.

A caller that closes only its sending half is taken to have left.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -341,6 +341,13 @@
 		cc_respond_unstored(f, req, id);
 		return;
 	}
+	/* It may have been told elsewhere since that the job is refused. */
+	if (hs_caller_has_left(req)) {
+		talloc_free(spec);
+		cc_log_unwritten("submit", id, 503, "caller has left");
+		cc_respond_error(f, req, 503, "the caller has left");
+		return;
+	}
 	memcpy(spec->id, id, sizeof(spec->id));
 	spec->queue = talloc_strdup(spec, queue->name);
 	spec->pool = talloc_strdup(spec, queue->pool);
--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -106,6 +106,14 @@
     const void *body, size_t body_bytes, const struct hs_header *headers,
     size_t header_count);
 
+/**
+ * hs_caller_has_left() - whether the caller has closed its connection
+ * @req: request
+ *
+ * A process that was paused reads requests whose callers have long given up.
+ */
+bool hs_caller_has_left(struct hs_request *req);
+
 /**
  * hs_abort() - close the connection in the middle of a response
  * @req: request
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -361,6 +361,21 @@
 	hs_resume(ex);
 }
 
+bool
+hs_caller_has_left(struct hs_request *req)
+{
+	const union MHD_ConnectionInfo *info;
+	ssize_t n;
+	char byte;
+
+	info = MHD_get_connection_info(
+	    hs_exchange_of(req)->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (info == NULL)
+		return false;
+	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n == -1 && errno == ECONNRESET);
+}
+
 struct hs_partial {
 	size_t n;
 	char data[];
