pool: a worker that no earlier owner registered holds no tasks

Cause: every worker that was not closed held all tasks until earlier owners' leases had certainly expired, also one that is listed but not in the stored registry, though a worker gets no task before it is in there.

Why it is safe: an owner gives tasks to a worker only after the registry that names it is known to be stored; its commits fail once another has claimed; a new owner reads the registry up to its claim. A worker leaves the registry only when its lease has certainly expired. The random takeovers of tests/unit/takeover_model use it, too, and pass.

Pool.WorkerThatNoEarlierOwnerRegisteredHoldsNoTasks, before: 0 starts instead of 1. An entry that was registered but not closed yet when the owner was lost still holds all tasks.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -316,6 +316,7 @@
 			cp_close_worker(h, list->workers[i]);
 	}
 	currant__pool_workers__free_unpacked(list, NULL);
+	wp_registry_loaded(h->pool);
 }
 
 static void
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -763,6 +763,7 @@
  * @crash_events: to be fetched with wp_next_crash_event()
  * @first_tick_us: time of the first tick; 0 before
  * @earlier_owner_until_us: until then earlier owners may act on workers
+ * @knows_registered: all workers that earlier owners registered have been added
  * @capacity_valid_ms: how long a worker's report of its capacity can be relied
  *	on, on its clock; 0 for no limit
  * @max_lease_ms: longest lease that workers grant
@@ -799,6 +800,7 @@
 	struct wp_crash_event *crash_events;
 	int64_t first_tick_us;
 	int64_t earlier_owner_until_us;
+	bool knows_registered;
 	int64_t capacity_valid_ms;
 	int64_t max_lease_ms;
 	uint64_t end_seq;
@@ -893,6 +895,13 @@
 void wp_add_registered_worker(
     struct wp_pool *p, const char *id, const char *address, int64_t now_us);
 
+/**
+ * wp_registry_loaded() - all workers of the stored registry have been added
+ *
+ * Earlier owners gave no task to any other worker.
+ */
+void wp_registry_loaded(struct wp_pool *p);
+
 /**
  * wp_close_registered_worker() - say which tasks may be on a registered worker
  * @p: pool
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -95,7 +95,7 @@
 	wp_worker_assign_index(p, w);
 	w->renew_at_us = now_us;
 	/* After that, no run of an earlier owner can be left on it. */
-	if (now_us < p->earlier_owner_until_us)
+	if (now_us < p->earlier_owner_until_us && !p->knows_registered)
 		w->earlier_owner_until_us = p->earlier_owner_until_us;
 	HASH_ADD_STR(p->workers, id, w);
 	p->registry_dirty = true;
@@ -153,6 +153,12 @@
 	w->close_at_us = now_us + WP_ENTRIES_DELAY_US;
 }
 
+void
+wp_registry_loaded(struct wp_pool *p)
+{
+	p->knows_registered = true;
+}
+
 void
 wp_earlier_owners_stopped(struct wp_pool *p, int64_t leases_end_us)
 {
--- a/tests/unit/takeover_model.cc
+++ b/tests/unit/takeover_model.cc
@@ -672,6 +672,8 @@
 			wp_close_registered_worker(o.pool, r.id.c_str(),
 			    r.tasks.data(), (uint32_t)r.tasks.size());
 	}
+	if (!registry.empty())
+		wp_registry_loaded(o.pool);
 	for (auto &w : workers) {
 		if (w.second.listed ||
 		    wp_find_worker(o.pool, w.first.c_str()) != nullptr) {
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -416,6 +416,18 @@
 	EXPECT_EQ(tick().size(), 1U);
 }
 
+TEST_F(Pool, WorkerThatNoEarlierOwnerRegisteredHoldsNoTasks)
+{
+	create_pool(1, kStart + 14 * kS);
+	add(kJob, {{1}}, nullptr, false);
+	wp_add_registered_worker(p, "w", "127.0.0.1:2", now);
+	wp_registry_loaded(p);
+	list_worker("left-by-another-writer");
+	EXPECT_TRUE(tick().empty());
+	add_worker("w");
+	EXPECT_EQ(tick().size(), 1U);
+}
+
 TEST_F(Pool, TasksStayUnreconciledWhileOwnershipIsUnconfirmed)
 {
 	create_pool(1, kStart + 3 * kS);
--- a/tests/unit/test_reader_fuzz.cc
+++ b/tests/unit/test_reader_fuzz.cc
@@ -70,7 +70,8 @@
 const char kSync[] =
     R"({"worker":"w","epoch":1,"seq":2,"running":[],"ended":[]})";
 
-const char kVms[] = R"({"vms":[{"id":"v","domain":"d","address":"1.2.3.4:5"}]})";
+const char kVms[] =
+    R"({"vms":[{"id":"v","domain":"d","address":"1.2.3.4:5"}]})";
 
 /* What a daemon does with rows once they are read. */
 class Readers
@@ -186,8 +187,8 @@
 	char error[160];
 
 	readers().apply("servers/i-1", data, bytes);
-	if (pf_entry_ops.worker(ctx, "i-1", data, bytes, &info, &pool, error,
-		sizeof(error)))
+	if (pf_entry_ops.worker(
+		ctx, "i-1", data, bytes, &info, &pool, error, sizeof(error)))
 		run_pool(&info, nullptr, nullptr);
 	talloc_free(ctx);
 }
@@ -439,8 +440,7 @@
     {"frame", read_frame, valid_frame},
     {"relayed", read_relayed, valid_relayed},
     {"records", read_records, valid_cell_row},
-    {"product_job", read_product_json,
-	[] { return std::string(kProductJob); }},
+    {"product_job", read_product_json, [] { return std::string(kProductJob); }},
     {"product_sync", read_product_json, [] { return std::string(kSync); }},
     {"product_vms", read_product_json, [] { return std::string(kVms); }},
 };
@@ -551,7 +551,8 @@
 			break;
 		case 5:
 			/* The longest number of a binary row. */
-			text.replace(at, 1, "\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01");
+			text.replace(
+			    at, 1, "\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01");
 			break;
 		default:
 			replace_value(text, odd_value());
