tests: the count of starts before a partition is read once all jobs run

Traced: the test submits five services of two tasks, three at home in the domain that is cut off, and read the count of starts as soon as these three ran. In that run the two others had not started all of their tasks by then; 10 is one start for each of the 10 tasks, so nothing was restarted. The test now waits for all five before it reads the count; what it expects is the same.

--- a/tests/fault/test_member_faults.cc
+++ b/tests/fault/test_member_faults.cc
@@ -411,19 +411,23 @@
 	Daemon &far = c.daemons[2];
 	/* Jobs whose home shard is in the domain that will be partitioned. */
 	std::vector<std::string> far_jobs;
+	std::vector<std::string> near_jobs;
 
 	for (int i = 0; far_jobs.size() < 3 && i < 60; i++) {
 		Response r = c.submit(near, "svc" + std::to_string(i),
 		    R"("kind":"service","count":2,"cpu":0.5,"memory":"1GB")");
 
 		ASSERT_EQ(r.status, 202) << r.body;
-		if (r.text("job").rfind("d2.", 0) == 0)
-			far_jobs.push_back(r.text("job"));
+		(r.text("job").rfind("d2.", 0) == 0 ? far_jobs : near_jobs)
+		    .push_back(r.text("job"));
 	}
 	ASSERT_EQ(far_jobs.size(), 3U);
 	for (const std::string &id : far_jobs)
 		ASSERT_TRUE(eventually(
 		    [&] { return c.job(far, id).number("running") == 2; }));
+	for (const std::string &id : near_jobs)
+		ASSERT_TRUE(eventually(
+		    [&] { return c.job(near, id).number("running") == 2; }));
 	Json before = c.worker_report();
 
 	store.set_partitioned(true);
