pool: runs beside their copies count towards a step's limit per worker

Cause: when a worker falls silent, a task that allows copies starts elsewhere, and the first run goes on. If the worker returns and the second one falls silent, the third run may be placed on the first worker again. The limit counted tasks placed there, not runs that are there besides: only the resources of those counted.

Copies.EarlierRunCountsTowardsTheLimitPerWorker plays that order of events; before, run 3 was started on the worker that listed run 1, now it waits until the worker lists nothing.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -358,6 +358,7 @@
  * @close_at_us: it is not closed before
  * @used: resources of tasks that are or may be on it
  * @orphaned: resources of runs on it that belong to none of @tasks
+ * @orphan: these runs, as far as their jobs are known, @orphan_count of them
  * @has_unlisted_ends: it may have more run ends than its last reply lists
  * @has_unknown_run: it reports a run of a job that the pool does not know
  * @reserved: resources set aside for urgent tasks in the current pass
@@ -422,6 +423,8 @@
 	int64_t close_at_us;
 	struct wp_resources used;
 	struct wp_resources orphaned;
+	struct jb_ref *orphan;
+	uint32_t orphan_count;
 	bool has_unlisted_ends;
 	bool has_unknown_run;
 	struct wp_resources reserved;
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -90,11 +90,28 @@
 }
 
 static uint32_t
-wp_tasks_on(const struct wp_step *s, const struct wp_worker *w)
+wp_orphans_on(const struct wp_step *s, const struct wp_worker *w)
 {
+	const char *job = s->occ->job->spec->id;
 	uint32_t n = 0;
 	uint32_t i;
 
+	for (i = 0; i < w->orphan_count; i++) {
+		const struct jb_ref *ref = &w->orphan[i];
+
+		n += ref->step == s->number &&
+		    ref->occurrence == s->occ->number &&
+		    strcmp(ref->job, job) == 0;
+	}
+	return n;
+}
+
+static uint32_t
+wp_tasks_on(const struct wp_step *s, const struct wp_worker *w)
+{
+	uint32_t n = wp_orphans_on(s, w);
+	uint32_t i;
+
 	for (i = 0; i < s->spec->count; i++)
 		n += s->task[i].worker == w;
 	return n;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -183,6 +183,8 @@
 wp_forget_orphans(struct wp_worker *w)
 {
 	memset(&w->orphaned, 0, sizeof(w->orphaned));
+	TALLOC_FREE(w->orphan);
+	w->orphan_count = 0;
 	w->has_unknown_run = false;
 }
 
@@ -445,19 +447,28 @@
 	t->load = report->load;
 }
 
+static void
+wp_add_orphan(struct wp_worker *w, const struct wp_task *t)
+{
+	struct wp_resources need = wp_task_resources(t->step->spec);
+
+	wp_resources_add(&w->orphaned, &need, 1);
+	w->orphan =
+	    talloc_realloc(w, w->orphan, struct jb_ref, w->orphan_count + 1);
+	if (w->orphan == NULL)
+		abort();
+	wp_task_ref(t, &w->orphan[w->orphan_count++]);
+}
+
 /* A worker reports a run that is not the newest run of a task placed there. */
 static void
 wp_handle_orphan(struct wp_pool *p, struct wp_worker *w,
     const struct wp_task *t, const struct wp_running_task *report)
 {
-	struct wp_resources need;
-
-	if (t != NULL) {
-		need = wp_task_resources(t->step->spec);
-		wp_resources_add(&w->orphaned, &need, 1);
-	} else {
+	if (t != NULL)
+		wp_add_orphan(w, t);
+	else
 		w->has_unknown_run = true;
-	}
 	if (t != NULL && wp_is_spare_copy(t, report->run))
 		return;
 	wp_queue_order(p, WP_ORDER_STOP, w, &report->ref, report->run);
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1391,6 +1391,33 @@
 	EXPECT_EQ(run_all().size(), 0U);
 }
 
+/* Its worker may hold one task of the step, and has room for more. */
+TEST_F(Copies, EarlierRunCountsTowardsTheLimitPerWorker)
+{
+	create_pool();
+	add_worker("w", 3000);
+	struct jb_spec *spec = this->spec(kJob, {{1, 1000, JB_SPECULATIVE}});
+	spec->step[0].max_per_worker = 1;
+	wp_add_job(p, spec, nullptr, true, 0, now);
+	ASSERT_EQ(run_all().size(), 1U);
+	now += 100 * kMs;
+	renew_lease("w", {{kJob, 0, 0, 1, 0, 10}});
+	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	add_worker("v", 1000);
+	ASSERT_EQ(run_all(400 * kMs).size(), 1U);
+	renew_lease("v", {{kJob, 0, 0, 2, 0, 10}});
+	renew_lease("w", {{kJob, 0, 0, 1, 0, 60}});
+	wp_on_renewal_failed(p, wp_find_worker(p, "v"), WP_NO_ANSWER, now);
+	for (const struct wp_order *o : run_all(400 * kMs))
+		EXPECT_NE(o->kind, WP_ORDER_START) << o->worker;
+	now += 100 * kMs;
+	renew_lease("w");
+	auto orders = run_all(100 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->run, 3U);
+	EXPECT_STREQ(orders[0]->worker, "w");
+}
+
 TEST_F(Copies, TasksWithoutCopiesWaitForTheLease)
 {
 	create_pool();
