--- a/tests/unit/test_platform_calls.cc
+++ b/tests/unit/test_platform_calls.cc
@@ -159,6 +159,22 @@
 		return order_result;
 	}
 
+	enum wp_order_result
+	renew(const std::string &address, uint64_t acked_end)
+	{
+		struct wp_worker w = {};
+		struct wp_renewal renewal = {};
+
+		snprintf(w.id, sizeof(w.id), "i-1");
+		snprintf(w.address, sizeof(w.address), "%s", address.c_str());
+		renewal.acked_end = acked_end;
+		done = false;
+		fleet->workers->renew(
+		    fleet->handle, &w, &renewal, 3, on_renewal, this);
+		wait();
+		return order_result;
+	}
+
 	struct loop *l = loop_create(nullptr);
 	struct fl_fleet *fleet = nullptr;
 
@@ -178,6 +194,15 @@
 		((Calls *)arg)->done = true;
 	}
 
+	static void
+	on_renewal(enum wp_order_result result,
+	    const struct wp_renewal_reply *reply, void *arg)
+	{
+		(void)reply;
+		((Calls *)arg)->order_result = result;
+		((Calls *)arg)->done = true;
+	}
+
 	void
 	wait()
 	{
@@ -211,6 +236,26 @@
 	EXPECT_EQ(start(worker.address), WP_REFUSED_UNHEALTHY);
 }
 
+/* A new life of the worker would forget run ends that were never read. */
+TEST_F(Calls, AcknowledgementWithoutAnAnswerIsNotSentAgain)
+{
+	ScriptedServer worker("acr");
+
+	connect(worker.address);
+	EXPECT_EQ(start(worker.address), WP_ACCEPTED);
+	EXPECT_EQ(renew(worker.address, 57), WP_NO_ANSWER);
+	EXPECT_EQ(renew(worker.address, 57), WP_REFUSED_UNHEALTHY);
+}
+
+TEST_F(Calls, RenewalWithoutAnAcknowledgementIsSentAgain)
+{
+	ScriptedServer worker("acr");
+
+	connect(worker.address);
+	EXPECT_EQ(start(worker.address), WP_ACCEPTED);
+	EXPECT_EQ(renew(worker.address, 0), WP_REFUSED_UNHEALTHY);
+}
+
 TEST_F(Calls, RejectedAndUnansweredWritesAreCounted)
 {
 	ScriptedServer store("rc");
