relay: an acknowledgement that was under way too long is not passed on

What workers may see: a run that ended done is started again, and its end was acknowledged without having been read (found by reading, not in a record).

A renewal that lies in the socket of a paused relay is passed on when the relay resumes, seconds after the owner gave it up. A worker that has started again under its name meanwhile numbers its run ends anew, so the acknowledgement drops ends that nobody has read. The owner itself takes care of that: it acknowledges soon after a reply of the same life only, and a renewal that it repeats past a failed relay carries none.

The stand-in counts such acknowledgements in foreign_acks; no other test reads it.

Now a relay passes on renewals that took a second longer than the fastest recent batch of their link without the acknowledgement. The owner sends it again.

--- a/curranttackd/cell_relay_serve.c
+++ b/curranttackd/cell_relay_serve.c
@@ -8,8 +8,8 @@
 #include "curranttackd/cell_relay.h"
 #include "protocol/relay_codec.h"
 
-/* The sender of an order that was under way for so long has given it up. */
-#define RL_MAX_START_DELAY_US (CLK_US_PER_S)
+/* The sender of a call that was under way for so long has given it up. */
+#define RL_MAX_DELAY_US (CLK_US_PER_S)
 
 /* A daemon that this one relays for. */
 struct rl_sender {
@@ -144,7 +144,7 @@
 static bool
 rl_is_overdue_start(const struct wp_order *o, int64_t delay_us)
 {
-	return o->kind == WP_ORDER_START && delay_us > RL_MAX_START_DELAY_US;
+	return o->kind == WP_ORDER_START && delay_us > RL_MAX_DELAY_US;
 }
 
 static void
@@ -178,8 +178,8 @@
 }
 
 static void
-rl_serve_renewal(
-    struct cell *c, struct peer_link *link, const Currant__RelayedHold *row)
+rl_serve_renewal(struct cell *c, struct peer_link *link,
+    const Currant__RelayedHold *row, int64_t delay_us)
 {
 	const struct fl_fleet *f = c->fleet;
 	struct rl_served_call *call =
@@ -193,6 +193,9 @@
 		rl_on_renewal_done(WP_NOT_SENT, NULL, call);
 		return;
 	}
+	/* The worker may have been restarted since it was sent. */
+	if (delay_us > RL_MAX_DELAY_US)
+		renewal.acked_end = 0;
 	ct_add(CT_RELAYED, 1);
 	f->workers->renew(
 	    f->handle, &w, &renewal, row->fence, rl_on_renewal_done, call);
@@ -212,5 +215,5 @@
 	for (i = 0; i < frame->n_relayed_orders; i++)
 		rl_serve_order(c, link, frame->relayed_orders[i], delay_us);
 	for (i = 0; i < frame->n_relayed_holds; i++)
-		rl_serve_renewal(c, link, frame->relayed_holds[i]);
+		rl_serve_renewal(c, link, frame->relayed_holds[i], delay_us);
 }
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -369,6 +369,32 @@
 	expect_no_violations();
 }
 
+/* Workers forget the ends that are acknowledged, read or not. */
+TEST_F(RelayedCell, ResumedRelayAcknowledgesNothingToANewLifeOfItsWorkers)
+{
+	start_daemons(3);
+	size_t paused = wait_for_relay();
+
+	usleep(6000000);
+	EXPECT_EQ(submit(owner(), 1, 400, 150).status, 200);
+	EXPECT_TRUE(eventually([&] { return reported("running") == 16; }));
+	usleep(300000);
+	daemons[paused]->signal(SIGSTOP);
+	usleep(300000);
+	for (uint32_t w = 0; w < kWorkers; w++)
+		http("POST", control + "/_worker",
+		    "{\"worker\":" + std::to_string(w) + ",\"off\":true}");
+	usleep(1500000);
+	for (uint32_t w = 0; w < kWorkers; w++)
+		http("POST", control + "/_worker",
+		    "{\"worker\":" + std::to_string(w) +
+			",\"off\":false,\"reborn\":true}");
+	daemons[paused]->signal(SIGCONT);
+	usleep(1500000);
+	EXPECT_EQ(reported("foreign_acks"), 0);
+	expect_no_violations();
+}
+
 /* Daemons of a large cell don't follow the workers until they own a pool. */
 TEST_F(RelayedCell, NextOwnerLearnsWhichWorkersLeftAndContinues)
 {
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -226,6 +226,8 @@
 static uint32_t worker_count;
 static struct tally *tallies;
 static uint32_t twice;
+/* Acknowledgements of ends that this life of the worker hasn't had. */
+static uint32_t foreign_acks;
 static uint32_t again;
 static uint32_t over;
 static uint32_t over_budget;
@@ -1062,6 +1064,7 @@
 		refuse(req, w, "fence");
 		return;
 	}
+	foreign_acks += req != NULL && acked > w->next_end;
 	extend_lease(w, body);
 	if (req == NULL || wait_ms == 0 || has_unacked_end(w, acked)) {
 		send_lists(w, req, acked);
@@ -1361,11 +1364,12 @@
 	for (i = 0; i < worker_count; i++)
 		maintained += workers[i].maintained;
 	standin_reply_json(req, 200,
-	    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:s}",
-		"budget", (int)over_budget, "twice", (int)twice, "again",
-		(int)again, "over", (int)over, "started", (int)started, "done",
-		(int)done, "running", (int)running, "maintained",
-		(int)maintained, "most_down", (int)most_down, "wave",
+	    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:s}",
+		"foreign_acks", (int)foreign_acks, "budget", (int)over_budget,
+		"twice", (int)twice, "again", (int)again, "over", (int)over,
+		"started", (int)started, "done", (int)done, "running",
+		(int)running, "maintained", (int)maintained, "most_down",
+		(int)most_down, "wave",
 		find_item("status/wave/1") != NULL
 		    ? find_item("status/wave/1")->value
 		    : ""));
