replica: jobs removed with history that the store dropped are forgotten

What callers may see: tasks of a job that completed run again when a daemon that was away takes its pool over; at least, a job that was removed is shown in an old state and stays in memory (found by reading, not in a record).

Cause: a daemon that was cut off for longer than ended jobs are kept (two minutes by default) misses both a job's end and its removal. When the store has dropped that history, the daemon loads all keys again. For owners, members and workers it took what the load didn't find as deleted, but not for jobs: such a job stayed as it was last seen, waiting or running, and an owner loads it so (cp_load_job()). What would have shown the opposite was gone.

Evidence: Replica.JobRemovedWithHistoryThatTheStoreDroppedIsForgotten failed before (the job was still there) and passes now; that its tasks are started was read in the code and not run. A job that is written while the load runs is newer than the load's revision and stays; one that was there at that revision and is not removed is on one of the pages.

--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -628,6 +628,20 @@
 	}
 }
 
+static void
+rp_remove_unfound_jobs(struct replica *r)
+{
+	struct rp_job *job;
+	struct rp_job *next;
+
+	HASH_ITER(hh, r->jobs, job, next) {
+		if (job->spec != NULL &&
+		    job->load_revision != r->load_revision &&
+		    job->spec_revision < r->load_revision)
+			rp_forget_job(r, job);
+	}
+}
+
 static void
 rp_remove_unfound_workers(struct replica *r)
 {
@@ -654,15 +668,21 @@
 	struct rp_owner *o = NULL;
 	struct rp_member *m = NULL;
 	struct rp_worker *w = NULL;
+	struct rp_job *job = NULL;
 	size_t owner_length = strlen(RP_OWNER_PREFIX);
 	size_t member_length = strlen(RP_MEMBER_PREFIX);
+	size_t job_length = strlen(RP_JOB_PREFIX);
 
-	if (strncmp(item->key, RP_OWNER_PREFIX, owner_length) == 0)
+	if (strncmp(item->key, RP_JOB_PREFIX, job_length) == 0)
+		HASH_FIND_STR(r->jobs, item->key + job_length, job);
+	else if (strncmp(item->key, RP_OWNER_PREFIX, owner_length) == 0)
 		HASH_FIND_STR(r->owners, item->key + owner_length, o);
 	else if (strncmp(item->key, RP_MEMBER_PREFIX, member_length) == 0)
 		HASH_FIND_STR(r->members, item->key + member_length, m);
 	else if (r->fleet->entries->kind(item->key, &id) == FL_KEY_WORKER)
 		HASH_FIND_STR(r->workers, id, w);
+	if (job != NULL)
+		job->load_revision = r->load_revision;
 	if (o != NULL)
 		o->found_by_load = true;
 	if (m != NULL)
@@ -704,6 +724,7 @@
 	}
 	if (rp_covers(r->load_prefix, RP_CELL_PREFIX)) {
 		rp_remove_unfound_cell_keys(r);
+		rp_remove_unfound_jobs(r);
 		r->applied_revision = r->load_revision;
 	}
 	if (r->synced)
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -41,6 +41,7 @@
  * @cancel_revision: revision of the cancellation
  * @accepted_us: when this daemon first saw the job
  * @ended_us: when this daemon learned of its end; 0 before
+ * @load_revision: revision of the last load that has read its description
  */
 struct rp_job {
 	char id[JB_ID_BYTES];
@@ -61,6 +62,7 @@
 	uint64_t cancel_revision;
 	int64_t accepted_us;
 	int64_t ended_us;
+	uint64_t load_revision;
 	UT_hash_handle hh;
 };
 
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -139,6 +139,25 @@
 		return item;
 	}
 
+	struct ks_item
+	job_item(const char *id, uint64_t revision)
+	{
+		struct jb_spec *spec = talloc_zero(l, struct jb_spec);
+		struct ks_item item = {};
+
+		snprintf(spec->id, sizeof(spec->id), "%s", id);
+		spec->queue = talloc_strdup(spec, "queue");
+		spec->pool = talloc_strdup(spec, "pool");
+		spec->payload = talloc_strdup(spec, "payload");
+		spec->step = talloc_zero_array(spec, struct jb_step, 1);
+		spec->step_count = 1;
+		spec->step[0].count = 1;
+		item.key = talloc_asprintf(l, "%s%s", RP_JOB_PREFIX, id);
+		item.value = jc_pack_job(l, spec, &item.value_bytes);
+		item.revision = revision;
+		return item;
+	}
+
 	void
 	page(uint64_t as_of, std::vector<struct ks_item> items, bool more)
 	{
@@ -215,23 +234,11 @@
 TEST_F(Replica, EndReportedBeforeTheJobIsReadIsKept)
 {
 	const char *id = "00000000000000a1";
-	struct ks_item item = {};
-	struct jb_spec *spec = talloc_zero(l, struct jb_spec);
 
 	EXPECT_TRUE(rp_on_end_reported(r, id, JB_COMPLETED));
 	EXPECT_FALSE(rp_on_end_reported(r, id, JB_COMPLETED));
 	EXPECT_EQ(rp_find_job(r, id), nullptr);
-	snprintf(spec->id, sizeof(spec->id), "%s", id);
-	spec->queue = talloc_strdup(spec, "queue");
-	spec->pool = talloc_strdup(spec, "pool");
-	spec->payload = talloc_strdup(spec, "payload");
-	spec->step = talloc_zero_array(spec, struct jb_step, 1);
-	spec->step_count = 1;
-	spec->step[0].count = 1;
-	item.key = RP_JOB_PREFIX "00000000000000a1";
-	item.value = jc_pack_job(l, spec, &item.value_bytes);
-	item.revision = 5;
-	page(9, {item}, false);
+	page(9, {job_item(id, 5)}, false);
 	ASSERT_NE(rp_find_job(r, id), nullptr);
 	EXPECT_EQ(rp_find_job(r, id)->state, JB_COMPLETED);
 	EXPECT_TRUE(rp_find_job(r, id)->end_reported);
@@ -255,6 +262,26 @@
 	EXPECT_TRUE(rp_has_applied(r, 50));
 }
 
+/* As owner, the daemon would have started tasks that had ended. */
+TEST_F(Replica, JobRemovedWithHistoryThatTheStoreDroppedIsForgotten)
+{
+	const char *removed = "00000000000000a1";
+	const char *kept = "00000000000000a2";
+	const char *accepted = "00000000000000a3";
+	struct ks_item item = job_item(accepted, 70);
+
+	page(10, {job_item(removed, 5), job_item(kept, 6)}, false);
+	watch(KS_COMPACTED, 0);
+	page(60, {job_item(kept, 6)}, true);
+	/* Accepted by this daemon, after the page where it would be. */
+	rp_apply_out_of_order(r, &item);
+	EXPECT_NE(rp_find_job(r, removed), nullptr);
+	page(75, {}, false);
+	EXPECT_EQ(rp_find_job(r, removed), nullptr);
+	EXPECT_NE(rp_find_job(r, kept), nullptr);
+	EXPECT_NE(rp_find_job(r, accepted), nullptr);
+}
+
 /* Pages read before the claim may lack commits that were made before it. */
 TEST_F(Replica, ClaimMadeDuringALoadCountsOnceTheWatchHasPassedIt)
 {
