--- a/tests/unit/test_ctl.cc
+++ b/tests/unit/test_ctl.cc
@@ -6,6 +6,8 @@
 #include <thread>
 #include <unistd.h>
 
+#include "loopback.h"
+
 extern "C" {
 #include "currantctl/ctl.h"
 }
@@ -19,16 +21,7 @@
       public:
 	explicit OneResponse(const std::string &body)
 	{
-		struct sockaddr_in sin = {};
-		socklen_t len = sizeof(sin);
-
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(fd, (struct sockaddr *)&sin, sizeof(sin));
-		listen(fd, 1);
-		getsockname(fd, (struct sockaddr *)&sin, &len);
-		address = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
+		fd = listen_on_loopback(&address);
 		response = "HTTP/1.1 200 OK\r\nContent-Length: " +
 		    std::to_string(body.size()) + "\r\n\r\n" + body;
 		thread = std::thread([this] { serve(); });
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -10,6 +10,8 @@
 #include <unistd.h>
 #include <vector>
 
+#include "loopback.h"
+
 extern "C" {
 #include "common/clock.h"
 #include "transport/address.h"
@@ -43,17 +45,10 @@
 	    useconds_t response_delay_us = 0, bool returns = false)
 	    : response_delay_us(response_delay_us), returns(returns)
 	{
-		socklen_t len = sizeof(sin);
-
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(fd, (struct sockaddr *)&sin, sizeof(sin));
-		listen(fd, 8);
-		getsockname(fd, (struct sockaddr *)&sin, &len);
-		url =
-		    "http://127.0.0.1:" + std::to_string(ntohs(sin.sin_port)) +
-		    "/";
+		std::string address;
+
+		fd = listen_on_loopback(&address);
+		url = "http://" + address + "/";
 		thread = std::thread([this] { serve(); });
 	}
 
@@ -116,7 +111,6 @@
 
 	useconds_t response_delay_us;
 	bool returns;
-	struct sockaddr_in sin = {};
 	int fd = -1;
 	std::thread thread;
 };
@@ -140,18 +134,10 @@
 	explicit ScriptedServer(const std::vector<Reply> &script)
 	    : script(script)
 	{
-		struct sockaddr_in sin = {};
-		socklen_t len = sizeof(sin);
-
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(fd, (struct sockaddr *)&sin, sizeof(sin));
-		listen(fd, 8);
-		getsockname(fd, (struct sockaddr *)&sin, &len);
-		url =
-		    "http://127.0.0.1:" + std::to_string(ntohs(sin.sin_port)) +
-		    "/";
+		std::string address;
+
+		fd = listen_on_loopback(&address);
+		url = "http://" + address + "/";
 		thread = std::thread([this] { serve(); });
 	}
 
--- a/tests/unit/test_platform_calls.cc
+++ b/tests/unit/test_platform_calls.cc
@@ -6,6 +6,8 @@
 #include <thread>
 #include <unistd.h>
 
+#include "loopback.h"
+
 extern "C" {
 #include "common/counters.h"
 #include "platform/platform.h"
@@ -25,16 +27,7 @@
       public:
 	explicit ScriptedServer(const char *script) : script(script)
 	{
-		struct sockaddr_in sin = {};
-		socklen_t len = sizeof(sin);
-
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(fd, (struct sockaddr *)&sin, sizeof(sin));
-		listen(fd, 8);
-		getsockname(fd, (struct sockaddr *)&sin, &len);
-		address = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
+		fd = listen_on_loopback(&address);
 		thread = std::thread([this] { serve(); });
 	}
 
