replica: split by job into five files

Loading and watching, the choice of the function for a row, jobs, owners and members, and the rows that others write stood in one file of 926 lines. Whole functions move, unchanged: replica.c (249 lines) loads and watches, replica_rows.c (139) picks the function for a row and reports rows left out, replica_jobs.c (166), replica_pools.c (181) and replica_entries.c (216: workers' entries, the configuration, maintenance waves) read rows into records. What they share is in replica_internal.h. The watch on operators' keys now calls rp_apply_out_of_order(), which does what it called before.

--- /dev/null
+++ b/curranttackd/replica_pools.c
@@ -0,0 +1,181 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "curranttackd/replica_internal.h"
+#include "protocol/curranttack.pb-c.h"
+
+struct rp_owner *
+rp_get_owner(struct replica *r, const char *pool)
+{
+	struct rp_owner *o;
+
+	HASH_FIND_STR(r->owners, pool, o);
+	if (o != NULL)
+		return o;
+	o = talloc_zero(r, struct rp_owner);
+	if (o == NULL)
+		abort();
+	snprintf(o->pool, sizeof(o->pool), "%s", pool);
+	HASH_ADD_STR(r->owners, pool, o);
+	return o;
+}
+
+bool
+rp_owns_any(const struct replica *r, const char *vm)
+{
+	struct rp_owner *o;
+	struct rp_owner *tmp;
+
+	HASH_ITER(hh, r->owners, o, tmp) {
+		if (o->present && strcmp(o->vm, vm) == 0)
+			return true;
+	}
+	return false;
+}
+
+uint32_t
+rp_max_cpu_mcpu(const struct replica *r)
+{
+	uint32_t largest_mcpu = 0;
+	struct rp_member *m;
+	struct rp_member *tmp;
+
+	HASH_ITER(hh, r->members, m, tmp) {
+		if (m->present && m->cpu_mcpu > largest_mcpu)
+			largest_mcpu = m->cpu_mcpu;
+	}
+	return largest_mcpu;
+}
+
+static void
+rp_read_owner(struct rp_owner *o, const struct ks_item *item)
+{
+	Currant__PoolOwner *p;
+
+	p = currant__pool_owner__unpack(NULL, item->value_bytes, item->value);
+	if (p == NULL) {
+		lg_event(LG_ERROR, "replica", "unreadable_owner", "pool",
+		    o->pool, NULL);
+		return;
+	}
+	o->present = true;
+	o->fence = item->created;
+	snprintf(o->vm, sizeof(o->vm), "%s", p->vm);
+	o->incarnation = p->incarnation;
+	o->lease = p->lease;
+	o->commit_seq = p->commit;
+	currant__pool_owner__free_unpacked(p, NULL);
+}
+
+void
+rp_apply_owner(struct replica *r, const char *pool, const struct ks_item *item)
+{
+	struct rp_owner *o = rp_get_owner(r, pool);
+
+	if (item->revision <= o->revision)
+		return;
+	o->revision = item->revision;
+	o->present = false;
+	if (!item->deleted)
+		rp_read_owner(o, item);
+	r->hooks.owner(o, r->arg);
+}
+
+void
+rp_apply_workers(
+    struct replica *r, const char *pool, const struct ks_item *item)
+{
+	struct rp_owner *o = rp_get_owner(r, pool);
+
+	if (item->deleted || item->revision <= o->workers_revision)
+		return;
+	talloc_free(o->workers);
+	o->workers_revision = item->revision;
+	o->workers = talloc_memdup(o, item->value, item->value_bytes);
+	o->workers_bytes = item->value_bytes;
+}
+
+void
+rp_apply_term(struct replica *r, const char *pool, const struct ks_item *item)
+{
+	struct rp_owner *o = rp_get_owner(r, pool);
+	Currant__PoolTerm *t;
+
+	if (item->deleted || item->revision <= o->term_revision)
+		return;
+	t = currant__pool_term__unpack(NULL, item->value_bytes, item->value);
+	if (t == NULL) {
+		lg_event(
+		    LG_ERROR, "replica", "unreadable_term", "pool", pool, NULL);
+		return;
+	}
+	o->term_revision = item->revision;
+	o->term = t->term;
+	o->released = t->released;
+	snprintf(
+	    o->term_vm, sizeof(o->term_vm), "%s", t->vm != NULL ? t->vm : "");
+	o->term_incarnation = t->incarnation;
+	o->earlier_owner_until_wall_ms = t->earlier_wall_ms;
+	currant__pool_term__free_unpacked(t, NULL);
+}
+
+void
+rp_apply_member(struct replica *r, const char *vm, const struct ks_item *item)
+{
+	Currant__Member *row = NULL;
+	struct rp_member *m;
+
+	HASH_FIND_STR(r->members, vm, m);
+	if (m == NULL) {
+		m = talloc_zero(r, struct rp_member);
+		if (m == NULL)
+			abort();
+		snprintf(m->vm, sizeof(m->vm), "%s", vm);
+		HASH_ADD_STR(r->members, vm, m);
+	}
+	if (item->revision <= m->revision)
+		return;
+	m->revision = item->revision;
+	m->present = false;
+	if (!item->deleted)
+		row = currant__member__unpack(
+		    NULL, item->value_bytes, item->value);
+	if (row != NULL) {
+		m->present = true;
+		snprintf(m->domain, sizeof(m->domain), "%s", row->domain);
+		snprintf(m->address, sizeof(m->address), "%s", row->address);
+		m->incarnation = row->incarnation;
+		m->cpu_mcpu = row->cpu_mcpu;
+		currant__member__free_unpacked(row, NULL);
+	}
+	r->hooks.member(m, r->arg);
+}
+
+/* What the load did not find has been deleted while it was not watched. */
+void
+rp_remove_unfound_cell_keys(struct replica *r)
+{
+	struct ks_item removed = {
+	    .deleted = true,
+	    .revision = r->load_revision,
+	};
+	struct rp_owner *o;
+	struct rp_owner *onext;
+	struct rp_member *m;
+	struct rp_member *mnext;
+
+	HASH_ITER(hh, r->owners, o, onext) {
+		if (o->present && !o->found_by_load &&
+		    o->revision < removed.revision)
+			rp_apply_owner(r, o->pool, &removed);
+		o->found_by_load = false;
+	}
+	HASH_ITER(hh, r->members, m, mnext) {
+		if (m->present && !m->found_by_load &&
+		    m->revision < removed.revision)
+			rp_apply_member(r, m->vm, &removed);
+		m->found_by_load = false;
+	}
+}
--- /dev/null
+++ b/curranttackd/replica_rows.c
@@ -0,0 +1,139 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/counters.h"
+#include "common/log.h"
+#include "curranttackd/replica_internal.h"
+
+/* Reports a row that is not used, once for each of its revisions. */
+void
+rp_leave_out(struct replica *r, const struct ks_item *item, const char *module,
+    const char *event, const char *reason)
+{
+	size_t bytes = strlen(item->key) + 1;
+	struct rp_left_out *row;
+
+	if (item->deleted)
+		return;
+	HASH_FIND_STR(r->left_out, item->key, row);
+	if (row == NULL) {
+		row = talloc_zero_size(r, sizeof(*row) + bytes);
+		if (row == NULL)
+			abort();
+		memcpy(row->key, item->key, bytes);
+		HASH_ADD_KEYPTR(hh, r->left_out, row->key, bytes - 1, row);
+	}
+	if (item->revision <= row->revision)
+		return;
+	row->revision = item->revision;
+	ct_add(CT_LEFT_OUT, 1);
+	lg_event(LG_WARN, module, event, "key", item->key, "revision",
+	    lg_i64((int64_t)item->revision), "reason", reason, NULL);
+}
+
+static void
+rp_forget_left_out(struct replica *r, const struct ks_item *item)
+{
+	struct rp_left_out *row;
+
+	HASH_FIND_STR(r->left_out, item->key, row);
+	if (row == NULL || item->revision <= row->revision)
+		return;
+	HASH_DEL(r->left_out, row);
+	talloc_free(row);
+}
+
+static const struct {
+	const char *prefix;
+	void (*apply)(
+	    struct replica *r, const char *name, const struct ks_item *item);
+} rp_prefixes[] = {
+    {RP_JOB_PREFIX, rp_apply_job},
+    {RP_PROGRESS_PREFIX, rp_apply_progress},
+    {RP_CANCEL_PREFIX, rp_apply_cancel},
+    {RP_OWNER_PREFIX, rp_apply_owner},
+    {RP_TERM_PREFIX, rp_apply_term},
+    {RP_WORKERS_PREFIX, rp_apply_workers},
+    {RP_MEMBER_PREFIX, rp_apply_member},
+    {RP_WAVE_PREFIX, rp_apply_wave_progress},
+};
+
+static void
+rp_apply_item(struct replica *r, const struct ks_item *item)
+{
+	const char *id = NULL;
+	size_t i;
+
+	if (item->deleted)
+		rp_forget_left_out(r, item);
+	for (i = 0; i < sizeof(rp_prefixes) / sizeof(rp_prefixes[0]); i++) {
+		size_t n = strlen(rp_prefixes[i].prefix);
+
+		if (strncmp(item->key, rp_prefixes[i].prefix, n) != 0)
+			continue;
+		if (strlen(item->key + n) < WP_NAME_BYTES)
+			rp_prefixes[i].apply(r, item->key + n, item);
+		else
+			rp_leave_out(r, item, "replica", "unusable_row",
+			    "its name is too long");
+		return;
+	}
+	switch (r->fleet->entries->kind(item->key, &id)) {
+	case FL_KEY_WORKER:
+		rp_apply_worker(r, id, item);
+		break;
+	case FL_KEY_CONFIG:
+		rp_apply_config(r, item);
+		break;
+	case FL_KEY_WAVE:
+		rp_apply_wave(r, id, item);
+		break;
+	case FL_KEY_OTHER:
+		break;
+	}
+}
+
+void
+rp_apply_out_of_order(struct replica *r, const struct ks_item *item)
+{
+	rp_apply_item(r, item);
+}
+
+void
+rp_apply_in_order(struct replica *r, const struct ks_item *item)
+{
+	r->applying_in_order = true;
+	rp_apply_item(r, item);
+	r->applying_in_order = false;
+}
+
+/* Marks an item as found by the load, if its kind can be deleted. */
+void
+rp_mark_found(struct replica *r, const struct ks_item *item)
+{
+	const char *id = NULL;
+	struct rp_owner *o = NULL;
+	struct rp_member *m = NULL;
+	struct rp_worker *w = NULL;
+	struct rp_job *job = NULL;
+	size_t owner_length = strlen(RP_OWNER_PREFIX);
+	size_t member_length = strlen(RP_MEMBER_PREFIX);
+	size_t job_length = strlen(RP_JOB_PREFIX);
+
+	if (strncmp(item->key, RP_JOB_PREFIX, job_length) == 0)
+		HASH_FIND_STR(r->jobs, item->key + job_length, job);
+	else if (strncmp(item->key, RP_OWNER_PREFIX, owner_length) == 0)
+		HASH_FIND_STR(r->owners, item->key + owner_length, o);
+	else if (strncmp(item->key, RP_MEMBER_PREFIX, member_length) == 0)
+		HASH_FIND_STR(r->members, item->key + member_length, m);
+	else if (r->fleet->entries->kind(item->key, &id) == FL_KEY_WORKER)
+		HASH_FIND_STR(r->workers, id, w);
+	if (job != NULL)
+		job->load_revision = r->load_revision;
+	if (o != NULL)
+		o->found_by_load = true;
+	if (m != NULL)
+		m->found_by_load = true;
+	if (w != NULL)
+		w->found_by_load = true;
+}
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -306,9 +306,9 @@
 bool rp_on_end_reported(struct replica *r, const char *id, enum jb_state state);
 
 /**
- * rp_apply_out_of_order() - apply an item that did not come from the watch
+ * rp_apply_out_of_order() - apply an item that came outside the order of changes
  * @r: replica
- * @item: item as returned by a read or a write
+ * @item: item of a read, a write, or the watch on operators' keys
  *
  * Calls no job hook: the pool may have a later owner that the watch has not
  * shown yet.
