shard: split by job, and its files no longer call in a circle

shard.c (586 lines), shard_worker.c (742) and shard.h (704) held several jobs each, and five files (shard, gang, sched, task, worker) called one another in a circle. Whole functions move, unchanged: records to be logged to shard_log.c (40 lines), jobs, teams and their queues to shard_job.c (95), claims to shard_claim.c (58), invariants and reasons for waiting to shard_check.c (139); messages to workers to shard_sync.c (155), replies to shard_reply.c (149), ended runs to shard_outcome.c (204). shard.c is left with 301 lines, shard_worker.c with 249. The header is split into what a shard consists of (shard_types.h, 352), messages (shard_messages.h, 111) and functions (shard.h, 264).

Calls among the files of the shard, counted from the symbols of the objects: one circle of five files before, none now; shard_internal.h gives the order.

test_shard: 22 passed; test_shard_schedule: 120 passed.

--- a/include/state/shard_internal.h
+++ b/include/state/shard_internal.h
@@ -3,6 +3,17 @@
 
 #include "state/shard.h"
 
+/**
+ * DOC: Shared by the files that implement a shard. Each uses only those named
+ * before it: shard_log (records to be logged), shard_job (jobs, teams and their
+ * queues), shard_claim (idempotency keys), shard_task (life cycle of a task,
+ * learned use), shard_gang (gangs, preemption), shard_sched (scheduling passes),
+ * shard_worker (leases, lost workers, quarantine), shard_outcome (runs that have
+ * ended), shard_sync (messages to workers), shard_reply (their replies), shard
+ * (the others together), shard_replay (log and snapshot), shard_check
+ * (invariants, reasons for waiting).
+ */
+
 /**
  * sh_append_record() - add a record to the list to be logged
  *
@@ -58,6 +69,24 @@
 void sh_learn_usage(
     struct sh_shard *sh, struct sh_task *task, const struct st_res *used);
 
+/** sh_find_task() - task that a worker names; NULL when there is none */
+struct sh_task *sh_find_task(struct sh_shard *sh, const struct sh_ref *ref);
+/** sh_task_matches() - whether a task's latest start is the one named by @ref */
+bool sh_task_matches(
+    const struct sh_task *task, const struct sh_ref *ref, uint32_t w);
+/** sh_orphan_add() - have a worker stop a run that is unknown or unwanted */
+void sh_orphan_add(struct sh_shard *sh, uint32_t w, const struct sh_ref *ref);
+/** sh_handle_ended() - apply the outcome of a run, and acknowledge it later */
+void sh_handle_ended(struct sh_shard *sh, uint32_t w,
+    const struct sh_ended *ended, int64_t now_us);
+/** sh_remove_acked() - forget acknowledgements that the worker has received */
+void sh_remove_acked(struct sh_shard *sh, struct sh_worker *wk,
+    const struct sh_sync_reply *reply);
+
+/** sh_drain() - move the tasks of a leaving worker elsewhere */
+void sh_drain(struct sh_shard *sh, uint32_t w);
+/** sh_task_lost() - a task has certainly stopped, and its outcome is unknown */
+void sh_task_lost(struct sh_shard *sh, struct sh_task *task, int64_t now_us);
 /** sh_lease_with_margin_us() - time after which an unrenewed lease is over */
 int64_t sh_lease_with_margin_us(const struct sh_shard *sh);
 /** sh_workers_tick() - detect lost workers and reconcile earlier tasks */
--- a/state/shard_sched.c
+++ b/state/shard_sched.c
@@ -20,40 +20,6 @@
 	uint32_t count;
 };
 
-void
-sh_queue_update(struct sh_job *job)
-{
-	bool want = job->waiting > 0 && !job->cancelled;
-	struct sh_team *team = job->team;
-	enum st_class c = job->spec->job_class;
-
-	if (want == job->queued)
-		return;
-	job->queued = want;
-	if (!want) {
-		if (team->cursor[c] == job)
-			team->cursor[c] = job->next;
-		DL_DELETE(team->queue[c], job);
-		return;
-	}
-	/* Lets a pass that is under way see the job, too. */
-	if (team->cursor[c] == NULL)
-		team->cursor[c] = job;
-	/* The queue is sorted by age, also when a job returns to it. */
-	if (team->queue[c] == NULL ||
-	    team->queue[c]->prev->accepted_us <= job->accepted_us) {
-		DL_APPEND(team->queue[c], job);
-	} else {
-		struct sh_job *at;
-
-		DL_FOREACH(team->queue[c], at) {
-			if (at->accepted_us > job->accepted_us)
-				break;
-		}
-		DL_PREPEND_ELEM(team->queue[c], at, job);
-	}
-}
-
 static double
 sh_fraction(int64_t used, int64_t total)
 {
