cell: parts of a daemon don't know what wires them

cell.c created all parts and was called by four of them, and cell_peers.c called the pools that call it: eleven files of the cell called one another in a circle. Now cell_run.c (225 lines) creates and connects the parts and only main.c knows it; cell_frames.c (89) passes what peers send to the part that it is for, among that new jobs and ends of jobs, whose functions stood in cell_peers.c; cell_member.c (115) keeps this daemon's entry among the members; cell.c (30) is left with three functions that the parts use. The links get the function for a refused connection when they are created. Functions move unchanged.

Calls, counted from the symbols of the objects: a circle of eleven files before, of five now (cell_advice, cell_claim, cell_commit, cell_pool, cell_traffic: the host of a pool and the advice that asks it how many pools it owns). Includes: a circle of nine before, none now but of a header and its internal one.

test_cell, Cell.*Own*, *Stop*, RelayedCell.*: 18 passed.

--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -5,7 +5,6 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "curranttackd/cell_peers.h"
-#include "curranttackd/cell_pool.h"
 
 #define PN_MAX_PEERS 256
 /* Ended jobs in one message. */
@@ -28,6 +27,7 @@
 
 struct pn_links {
 	struct cell *c;
+	pn_refused_fn on_refused;
 	struct pn_peer peer[PN_MAX_PEERS];
 	uint32_t count;
 	int64_t tick_at_us;
@@ -38,13 +38,14 @@
 };
 
 struct pn_links *
-pn_create(struct cell *c)
+pn_create(struct cell *c, pn_refused_fn on_refused)
 {
 	struct pn_links *n = talloc_zero(c, struct pn_links);
 
 	if (n == NULL)
 		abort();
 	n->c = c;
+	n->on_refused = on_refused;
 	n->started_us = clk_now_us();
 	return n;
 }
@@ -223,7 +224,7 @@
 			continue;
 		p->link = NULL;
 		if (peer_refused(link))
-			cp_on_connection_refused(n->c, p->vm);
+			n->on_refused(n->c, p->vm);
 		else
 			p->connect_at_us = 0;
 	}
@@ -314,29 +315,3 @@
 	frame.owner_changed = true;
 	pn_broadcast(n, &frame);
 }
-
-void
-pn_on_job(struct cell *c, const Currant__NewJob *row)
-{
-	char key[RP_KEY_BYTES];
-	struct rp_job *job;
-	struct ks_item item = {
-	    .key = key,
-	    .value = row->spec.data,
-	    .value_bytes = row->spec.len,
-	    .revision = row->revision,
-	};
-
-	snprintf(key, sizeof(key), "%s%s", RP_JOB_PREFIX, row->id);
-	rp_apply_out_of_order(c->replica, &item);
-	job = rp_find_job(c->replica, row->id);
-	if (job != NULL && cp_owns(c, job->pool, row->fence))
-		rp_announce_job(c->replica, job);
-}
-
-void
-pn_on_ended(struct cell *c, const Currant__EndedJob *row)
-{
-	if (row->state <= JB_CANCELLED)
-		cp_on_end_reported(c, row->id, (enum jb_state)row->state);
-}
--- a/curranttackd/main.c
+++ b/curranttackd/main.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 
 #include "common/log.h"
-#include "curranttackd/cell.h"
+#include "curranttackd/cell_run.h"
 #include "curranttackd/daemon.h"
 
 #define MAIN_SETTINGS_ENV "CURRANTTACK_SETTINGS"
--- a/include/curranttackd/cell.h
+++ b/include/curranttackd/cell.h
@@ -8,7 +8,8 @@
 #include "transport/peer.h"
 
 /**
- * DOC: One daemon of the cell: API for callers, pool ownership, advice.
+ * DOC: What the parts of one daemon of the cell share: API for callers, pool
+ * ownership, advice. cell_run.h creates them.
  *
  * Everything runs on a single event loop. Jobs, cancellations, progress and
  * pool ownership are items in the platform's key-value store, and every daemon
@@ -42,7 +43,7 @@
  * @member_call_in_flight: a store call about the member entry is unanswered
  * @member_dirty: the stored member entry is out of date
  * @member_next_us: when the member entry is next written or its lease renewed
- * @tick: timer of cell_tick()
+ * @tick: timer of all parts
  * @slow_tick: @tick runs at the interval of idle daemons
  * @draining: the daemon was asked to stop
  * @drain_started_us: when it was asked to
@@ -76,14 +77,6 @@
 	char peers_address[64];
 };
 
-/**
- * cell_run() - run a daemon until it is asked to stop
- * @settings: checked settings; must live as long as the daemon
- *
- * Return: 0 after a clean stop, or -1 when the daemon could not start.
- */
-int cell_run(struct cell_settings *settings);
-
 /** cell_ignore_answer() - callback for writes whose outcome the watch shows */
 void cell_ignore_answer(const struct ks_response *a, void *arg);
 
--- a/include/curranttackd/cell_peers.h
+++ b/include/curranttackd/cell_peers.h
@@ -12,8 +12,11 @@
 
 struct pn_links;
 
+/** typedef pn_refused_fn - a daemon's address refuses connections */
+typedef void (*pn_refused_fn)(struct cell *c, const char *vm);
+
 /** pn_create() - a set without links; freed with the cell */
-struct pn_links *pn_create(struct cell *c);
+struct pn_links *pn_create(struct cell *c, pn_refused_fn on_refused);
 
 /** pn_tick() - open the links to other members that are missing */
 void pn_tick(struct pn_links *n, int64_t now_us);
@@ -43,10 +46,6 @@
 /** pn_send_owner_changed() - make all daemons read the key space at once */
 void pn_send_owner_changed(struct pn_links *n);
 
-/** pn_on_job() - a peer has sent a job that it accepted */
-void pn_on_job(struct cell *c, const Currant__NewJob *row);
-/** pn_on_ended() - a daemon reports the final state of a job */
-void pn_on_ended(struct cell *c, const Currant__EndedJob *row);
 /** pn_on_ends_told() - a peer has sent all ends of jobs that the store lacks */
 void pn_on_ends_told(struct pn_links *n, const struct peer_link *link);
 
