daemon, calls, front: dispatchers read tables and don't know the handlers

calls.c called four modules that make calls, front.c all handlers that respond through it, and members, configuration and hosts of shards one another for two look-ups: twelve files called one another in a circle. Now calls.c gets a table of functions (call_handlers.c, which has what a daemon does with a call for itself), front.c a table of routes (api_routes.c), and daemon.c holds what the parts look up (dm_policy(), dm_find_service(), dm_vm_is_leaving(), which was in members.c). daemon_run.c, the former daemon.c, creates the parts; only main.c knows it. Handlers and what they share are declared in api.h, no longer in front.h. dm_begin_shutdown() is static, as only this file calls it. What is done is the same.

Calls, counted from the symbols of the objects: a circle of twelve files before, of three now (shard_calls, shard_host, shard_store). Includes: a circle of six before, none now but of a header and its internal one.

--- a/curranttackd/api_config.c
+++ b/curranttackd/api_config.c
@@ -5,7 +5,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
-#include "curranttackd/front.h"
+#include "curranttackd/api.h"
 #include "protocol/config_json.h"
 #include "protocol/json_fields.h"
 
--- a/curranttackd/api_jobs.c
+++ b/curranttackd/api_jobs.c
@@ -5,7 +5,7 @@
 
 #include "common/clock.h"
 #include "common/rng.h"
-#include "curranttackd/front.h"
+#include "curranttackd/api.h"
 #include "protocol/job_json.h"
 #include "protocol/json_fields.h"
 #include "protocol/record_codec.h"
--- a/curranttackd/api_operators.c
+++ b/curranttackd/api_operators.c
@@ -8,7 +8,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "curranttackd/burn.h"
-#include "curranttackd/front.h"
+#include "curranttackd/api.h"
 #include "protocol/json_fields.h"
 
 #define AO_METRIC_PREFIX "currant_"
--- a/curranttackd/api_requests.c
+++ b/curranttackd/api_requests.c
@@ -8,7 +8,7 @@
 #include "common/counters.h"
 #include "common/log.h"
 #include "curranttackd/burn.h"
-#include "curranttackd/front.h"
+#include "curranttackd/api.h"
 
 #define RQ_DEFAULT_DEADLINE_MS 10000
 #define RQ_MAX_DEADLINE_MS (10 * 60 * 1000)
--- a/curranttackd/calls.c
+++ b/curranttackd/calls.c
@@ -5,8 +5,6 @@
 #include "common/clock.h"
 #include "curranttackd/calls.h"
 #include "curranttackd/front.h"
-#include "curranttackd/members.h"
-#include "curranttackd/shard_host.h"
 
 #define CA_NO_OWNER_RETRY_MS 500
 
@@ -30,23 +28,27 @@
 /**
  * struct call_table - the calls of this daemon
  * @d: daemon
+ * @ops: the parts of the daemon that calls need
  * @next_id: id of the latest call
  * @pending: calls to peers by id
  */
 struct call_table {
 	struct daemon *d;
+	const struct call_ops *ops;
 	uint64_t next_id;
 	struct pending_call *pending;
 };
 
 struct call_table *
-ca_create(struct daemon *d)
+ca_create(struct daemon *d, const struct call_ops *ops)
 {
 	struct call_table *c;
 
 	c = talloc_zero(d, struct call_table);
-	if (c != NULL)
-		c->d = d;
+	if (c == NULL)
+		return NULL;
+	c->d = d;
+	c->ops = ops;
 	return c;
 }
 
@@ -63,7 +65,7 @@
 	reply->retry_after_ms = retry_after_ms;
 }
 
-static void
+void
 ca_reply_not_run(call_done_fn done, void *arg, const char *reason)
 {
 	Currant__Reply reply;
@@ -89,7 +91,7 @@
 	struct pending_call *p;
 	struct peer_link *link;
 
-	link = me_get_link(c->d->members, vm);
+	link = c->ops->get_link(c->d, vm);
 	if (link == NULL) {
 		ca_reply_not_run(
 		    done, arg, "the daemon in charge cannot be reached");
@@ -112,59 +114,6 @@
 	HASH_ADD(hh, c->pending, id, sizeof(p->id), p);
 }
 
-static struct shard_host *
-ca_owned_shard_host(struct daemon *d, const char *shard)
-{
-	uint32_t i;
-
-	for (i = 0; i < d->shard_host_count; i++) {
-		if (strcmp(ho_shard_id(d->shard_host[i]), shard) == 0 &&
-		    ho_owns(d->shard_host[i], NULL))
-			return d->shard_host[i];
-	}
-	return NULL;
-}
-
-static void
-ca_reply_burn(struct call_table *c, call_done_fn done, void *arg)
-{
-	json_t *list = ao_burn_json(c->d);
-	char *text = json_dumps(list, JSON_COMPACT);
-	Currant__Reply reply;
-
-	ca_init_reply(&reply, ST_DONE, 200, NULL, 0);
-	reply.has_body = 1;
-	reply.body.data = (uint8_t *)text;
-	reply.body.len = strlen(text);
-	done(&reply, arg);
-	free(text);
-	json_decref(list);
-}
-
-static void
-ca_handle_locally(struct call_table *c, const Currant__Call *call,
-    int64_t deadline_us, call_done_fn done, void *arg)
-{
-	struct shard_host *host;
-
-	if (call->forward != NULL) {
-		rq_serve_forwarded(c->d, call, deadline_us, done, arg);
-		return;
-	}
-	if (call->list != NULL && strcmp(call->list, "burn") == 0) {
-		ca_reply_burn(c, done, arg);
-		return;
-	}
-	host =
-	    ca_owned_shard_host(c->d, call->shard != NULL ? call->shard : "");
-	if (host == NULL) {
-		ca_reply_not_run(
-		    done, arg, "this daemon does not own the shard");
-		return;
-	}
-	ho_handle_call(host, call, deadline_us, done, arg);
-}
-
 void
 ca_start(struct call_table *c, Currant__Call *call,
     const struct call_target *target, int64_t deadline_us, call_done_fn done,
@@ -178,8 +127,8 @@
 	call->remaining_ms = remaining_ms > 0 ? (uint32_t)remaining_ms : 0;
 	call->shard = (char *)target->shard;
 	if (target->vm == NULL && target->shard != NULL &&
-	    ca_owned_shard_host(c->d, target->shard) != NULL) {
-		ca_handle_locally(c, call, deadline_us, done, arg);
+	    c->ops->owns_shard(c->d, target->shard)) {
+		c->ops->handle(c->d, call, deadline_us, done, arg);
 		return;
 	}
 	if (target->vm != NULL) {
@@ -192,7 +141,7 @@
 		pthread_mutex_unlock(&c->d->members_lock);
 	}
 	if (target->vm != NULL && strcmp(vm, c->d->settings->vm) == 0) {
-		ca_handle_locally(c, call, deadline_us, done, arg);
+		c->ops->handle(c->d, call, deadline_us, done, arg);
 		return;
 	}
 	if (vm[0] == '\0' || strcmp(vm, c->d->settings->vm) == 0) {
@@ -291,7 +240,7 @@
 	handled->calls = c;
 	handled->id = call->id;
 	handled->link_serial = peer_serial(link);
-	ca_handle_locally(c, call,
+	c->ops->handle(c->d, call,
 	    clk_now_us() + (int64_t)call->remaining_ms * CLK_US_PER_MS,
 	    ca_reply_to_peer, handled);
 }
--- a/curranttackd/configuration.c
+++ b/curranttackd/configuration.c
@@ -5,7 +5,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "curranttackd/burn.h"
-#include "curranttackd/front.h"
+#include "curranttackd/api.h"
 #include "curranttackd/members.h"
 #include "curranttackd/shard_host.h"
 #include "protocol/config_json.h"
@@ -15,27 +15,6 @@
 #define CW_WATCH_WAIT_US (20 * CLK_US_PER_S)
 #define CW_WATCH_RETRY_US (200 * CLK_US_PER_MS)
 
-const struct po_policy *
-dm_policy(const struct daemon *d)
-{
-	return po_get(d->config->preset, d->config->shards->goal);
-}
-
-struct dm_service *
-dm_find_service(struct daemon *d, const char *name)
-{
-	struct dm_service *found = NULL;
-	uint32_t i;
-
-	pthread_mutex_lock(&d->config_lock);
-	for (i = 0; i < d->service_count; i++) {
-		if (strcmp(d->service[i]->name, name) == 0)
-			found = d->service[i];
-	}
-	pthread_mutex_unlock(&d->config_lock);
-	return found;
-}
-
 static struct dm_service *
 cw_create_service(struct daemon *d, const char *name)
 {
@@ -104,7 +83,7 @@
 
 		if (strcmp(e->domain, d->settings->domain) == 0)
 			rt_update_endpoint(s->routing, e->id, e->address,
-			    e->slots, me_vm_is_leaving(d, e->id));
+			    e->slots, dm_vm_is_leaving(d, e->id));
 	}
 	rt_set_peer_free_slots(s->routing, peer_room);
 	rt_set_share(s->routing, rank, daemons, now_us);
--- a/curranttackd/front.c
+++ b/curranttackd/front.c
@@ -9,35 +9,6 @@
 
 #define FR_RETRY_AFTER_BYTES 16
 
-static const struct fr_route fr_caller_routes[] = {
-    {"POST", "/v1/jobs", api_job_submit},
-    {"GET", "/v1/jobs", api_job_list},
-    {"GET", "/v1/jobs/", api_job_show},
-    {"DELETE", "/v1/jobs/", api_job_cancel},
-    {"POST", "/v1/services/", api_service_request},
-    {"GET", "/ready", api_ready},
-    {NULL, NULL, NULL},
-};
-
-static const struct fr_route fr_operator_routes[] = {
-    {"POST", "/v1/jobs", api_job_submit},
-    {"GET", "/v1/jobs", api_job_list},
-    {"GET", "/v1/jobs/", api_job_show},
-    {"DELETE", "/v1/jobs/", api_job_cancel},
-    {"GET", "/v1/why/", api_job_why},
-    {"GET", "/v1/status", api_status},
-    {"GET", "/v1/members", api_members},
-    {"GET", "/v1/workers", api_workers},
-    {"GET", "/v1/placements", api_placements},
-    {"GET", "/v1/config/", api_config_get},
-    {"PUT", "/v1/config/", api_config_put},
-    {"GET", "/v1/history/", api_config_history},
-    {"GET", "/v1/burn", api_burn},
-    {"GET", "/metrics", api_metrics},
-    {"GET", "/ready", api_ready},
-    {NULL, NULL, NULL},
-};
-
 void
 fr_respond_json(struct hs_request *req, int status, json_t *body)
 {
@@ -130,7 +101,7 @@
 {
 	struct frontend *f = arg;
 
-	fr_dispatch(f, req, fr_caller_routes, f->d->settings->caller_token);
+	fr_dispatch(f, req, f->routes->callers, f->d->settings->caller_token);
 }
 
 static void
@@ -138,7 +109,8 @@
 {
 	struct frontend *f = arg;
 
-	fr_dispatch(f, req, fr_operator_routes, f->d->settings->operator_token);
+	fr_dispatch(
+	    f, req, f->routes->operators, f->d->settings->operator_token);
 }
 
 static int
@@ -162,7 +134,8 @@
 }
 
 int
-fr_create(struct daemon *d, int callers_fd, int operators_fd)
+fr_create(struct daemon *d, int callers_fd, int operators_fd,
+    const struct fr_routes *routes)
 {
 	uint32_t i;
 
@@ -173,6 +146,7 @@
 	for (i = 0; i < d->frontend_count; i++) {
 		d->frontend[i].d = d;
 		d->frontend[i].index = i;
+		d->frontend[i].routes = routes;
 		/* An HTTP server closes its socket, so it gets a duplicate. */
 		if (fr_init_frontend(&d->frontend[i], dup(callers_fd),
 			dup(operators_fd)) == -1)
--- a/curranttackd/gather.c
+++ b/curranttackd/gather.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "common/clock.h"
-#include "curranttackd/front.h"
+#include "curranttackd/api.h"
 #include "protocol/json_fields.h"
 
 #define GA_TIMEOUT_US (3 * CLK_US_PER_S)
--- a/curranttackd/main.c
+++ b/curranttackd/main.c
@@ -6,7 +6,7 @@
 
 #include "common/log.h"
 #include "curranttackd/cell_run.h"
-#include "curranttackd/daemon.h"
+#include "curranttackd/daemon_run.h"
 
 #define MAIN_SETTINGS_ENV "CURRANTTACK_SETTINGS"
 #define MAIN_EXIT_USAGE 64
--- a/curranttackd/members.c
+++ b/curranttackd/members.c
@@ -3,7 +3,6 @@
 
 #include "common/clock.h"
 #include "common/log.h"
-#include "curranttackd/front.h"
 #include "curranttackd/members.h"
 #include "curranttackd/shard_host.h"
 #include "protocol/json_fields.h"
@@ -432,18 +431,6 @@
 		me_apply_heartbeat(me->d, summary->members[i], now_us);
 }
 
-bool
-me_vm_is_leaving(struct daemon *d, const char *vm)
-{
-	uint32_t i;
-
-	for (i = 0; i < d->leaving_vm_count; i++) {
-		if (strcmp(d->leaving_vm[i], vm) == 0)
-			return true;
-	}
-	return false;
-}
-
 static void
 me_apply_vm_list(struct members *me, const struct vj_vm_list *list)
 {
--- a/curranttackd/shard_host.c
+++ b/curranttackd/shard_host.c
@@ -5,7 +5,6 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
-#include "curranttackd/members.h"
 #include "curranttackd/shard_host_internal.h"
 #include "protocol/record_codec.h"
 
@@ -188,7 +187,7 @@
 
 	for (w = 0; w < h->shard->worker_count; w++)
 		sh_set_leaving(h->shard, w,
-		    me_vm_is_leaving(h->d, h->shard->worker[w].id));
+		    dm_vm_is_leaving(h->d, h->shard->worker[w].id));
 }
 
 /*
--- a/include/curranttackd/calls.h
+++ b/include/curranttackd/calls.h
@@ -29,8 +29,27 @@
 	const char *shard;
 };
 
-/** ca_create() - create an empty table; NULL without memory */
-struct call_table *ca_create(struct daemon *d);
+/**
+ * struct call_ops - the parts of the daemon that calls need
+ * @get_link: the link to a daemon, or NULL
+ * @owns_shard: whether this daemon owns a shard
+ * @handle: handle a call that is for this daemon; replies exactly once
+ */
+struct call_ops {
+	struct peer_link *(*get_link)(struct daemon *d, const char *vm);
+	bool (*owns_shard)(const struct daemon *d, const char *shard);
+	void (*handle)(struct daemon *d, const Currant__Call *call,
+	    int64_t deadline_us, call_done_fn done, void *arg);
+};
+
+/**
+ * ca_create() - create an empty table
+ * @d: daemon
+ * @ops: not copied
+ *
+ * Return: the table, or NULL without memory.
+ */
+struct call_table *ca_create(struct daemon *d, const struct call_ops *ops);
 
 /**
  * ca_start() - start a call; only on the control loop
@@ -89,4 +108,7 @@
 void ca_init_reply(Currant__Reply *reply, enum st_outcome outcome,
     uint32_t status, const char *reason, uint32_t retry_after_ms);
 
+/** ca_reply_not_run() - reply that a call has not run, to be tried again */
+void ca_reply_not_run(call_done_fn done, void *arg, const char *reason);
+
 #endif
--- a/include/curranttackd/daemon.h
+++ b/include/curranttackd/daemon.h
@@ -24,6 +24,10 @@
 struct members;
 struct shard_host;
 
+/**
+ * DOC: What the parts of one daemon share. daemon_run.h creates them.
+ */
+
 /**
  * struct dm_service - what the daemon keeps for one service
  * @name: service name
@@ -117,28 +121,6 @@
 	atomic_int_fast64_t control_cpu_us;
 };
 
-/**
- * dm_create() - create a daemon that listens; it serves once dm_run() is called
- * @ctx: talloc parent
- * @s: settings; must outlive the daemon
- *
- * Return: daemon, or NULL when an address cannot be bound or without memory.
- */
-struct daemon *dm_create(TALLOC_CTX *ctx, struct settings *s);
-/**
- * dm_run() - run the control loop until a shutdown has completed
- * @d: daemon
- *
- * Prints "ready" and the bound addresses on standard output.
- * Return: 0, or -1 when signals or threads cannot be set up.
- */
-int dm_run(struct daemon *d);
-/**
- * dm_begin_shutdown() - begin a graceful shutdown; only on the control loop
- * @d: daemon
- */
-void dm_begin_shutdown(struct daemon *d);
-
 /** dm_find_service() - a service by name, or NULL; takes config_lock */
 struct dm_service *dm_find_service(struct daemon *d, const char *name);
 
@@ -150,6 +132,9 @@
  */
 const struct po_policy *dm_policy(const struct daemon *d);
 
+/** dm_vm_is_leaving() - whether the platform's list marks a VM as leaving */
+bool dm_vm_is_leaving(const struct daemon *d, const char *vm);
+
 /* configuration.c */
 
 /** cw_tick() - watch the store, and fetch newer documents from peers */
--- a/include/curranttackd/front.h
+++ b/include/curranttackd/front.h
@@ -3,13 +3,51 @@
 
 #include <jansson.h>
 
-#include "curranttackd/calls.h"
 #include "curranttackd/daemon.h"
 
+/**
+ * DOC: The loops that serve callers and operators. Requests go to the handlers
+ * in a table of routes (api.h), which this module only reads.
+ */
+
+struct frontend;
+
+/**
+ * typedef fr_handler_fn - handles a request and sees that it is responded to
+ * @f: frontend that received it
+ * @req: request
+ * @suffix: path after the prefix of the route
+ */
+typedef void (*fr_handler_fn)(
+    struct frontend *f, struct hs_request *req, const char *suffix);
+
+/**
+ * struct fr_route - maps a method and a path to a handler
+ * @method: HTTP method
+ * @prefix: whole path, or its beginning if it ends in '/'
+ * @handler: handler
+ */
+struct fr_route {
+	const char *method;
+	const char *prefix;
+	fr_handler_fn handler;
+};
+
+/**
+ * struct fr_routes - all routes, each list ended by a route without a method
+ * @callers: what callers may use
+ * @operators: what operators may use
+ */
+struct fr_routes {
+	const struct fr_route *callers;
+	const struct fr_route *operators;
+};
+
 /**
  * struct frontend - one loop that serves callers and operators
  * @d: daemon
  * @index: position in the daemon's list
+ * @routes: handlers by method and path
  * @loop: loop that runs in a thread of its own
  * @http: HTTP client for requests to endpoints
  * @callers: HTTP server for callers
@@ -18,6 +56,7 @@
 struct frontend {
 	struct daemon *d;
 	uint32_t index;
+	const struct fr_routes *routes;
 	struct loop *loop;
 	struct http_client *http;
 	struct http_server *callers;
@@ -29,10 +68,12 @@
  * @d: daemon
  * @callers_fd: listening socket for callers, shared by all frontends
  * @operators_fd: listening socket for operators, shared by all frontends
+ * @routes: handlers; not copied
  *
  * Return: 0 or -1.
  */
-int fr_create(struct daemon *d, int callers_fd, int operators_fd);
+int fr_create(struct daemon *d, int callers_fd, int operators_fd,
+    const struct fr_routes *routes);
 /** fr_start() - start the threads of the frontends; 0 or -1 */
 int fr_start(struct daemon *d);
 
@@ -51,97 +92,4 @@
 void fr_respond_outcome(struct hs_request *req, int status,
     enum st_outcome outcome, const char *reason, uint32_t retry_after_ms);
 
-/**
- * typedef fr_handler_fn - handles a request and sees that it is responded to
- * @f: frontend that received it
- * @req: request
- * @suffix: path after the prefix of the route
- */
-typedef void (*fr_handler_fn)(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-
-/**
- * struct fr_route - maps a method and a path to a handler
- * @method: HTTP method
- * @prefix: whole path, or its beginning if it ends in '/'
- * @handler: handler
- */
-struct fr_route {
-	const char *method;
-	const char *prefix;
-	fr_handler_fn handler;
-};
-
-/**
- * gather_from_daemons() - ask every daemon for a list and respond with all
- * @f: frontend
- * @req: request to respond to
- * @list: "burn"
- *
- * Names the daemons that did not reply in the field "unreachable".
- */
-void gather_from_daemons(
-    struct frontend *f, struct hs_request *req, const char *list);
-
-/* api_jobs.c: handlers of the routes for jobs */
-void api_job_submit(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_job_list(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_job_show(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_job_cancel(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_job_why(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-
-/* api_requests.c: requests to services */
-void api_service_request(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-/**
- * rq_serve_forwarded() - run a request that a peer has forwarded
- * @d: daemon
- * @call: call with the request, copied
- * @deadline_us: time after which a response is worthless
- * @done: receives the reply on the control loop
- * @arg: its argument
- */
-void rq_serve_forwarded(struct daemon *d, const Currant__Call *call,
-    int64_t deadline_us, call_done_fn done, void *arg);
-/** rq_run_actions() - carry out the pending actions of a service; any loop */
-void rq_run_actions(struct daemon *d, struct dm_service *s);
-
-/* api_operators.c and api_config.c: handlers of operators' routes */
-
-/** ao_burn_json() - this daemon's counts for the report of budget burn */
-json_t *ao_burn_json(struct daemon *d);
-void api_ready(struct frontend *f, struct hs_request *req, const char *suffix);
-void api_status(struct frontend *f, struct hs_request *req, const char *suffix);
-void api_members(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_workers(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_placements(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_config_get(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_config_put(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_config_history(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_metrics(
-    struct frontend *f, struct hs_request *req, const char *suffix);
-void api_burn(struct frontend *f, struct hs_request *req, const char *suffix);
-
-/**
- * gather_from_shards() - ask every shard's owner for a list; respond with all
- * @f: frontend
- * @req: request to respond to
- * @list: "jobs", "workers" or "placements"
- *
- * Names the shards whose owner did not reply in the field "unreachable".
- */
-void gather_from_shards(
-    struct frontend *f, struct hs_request *req, const char *list);
-
 #endif
--- a/include/curranttackd/members.h
+++ b/include/curranttackd/members.h
@@ -31,7 +31,5 @@
 void me_on_link_closed(struct members *me, struct peer_link *link);
 /** me_send_heartbeat() - send this daemon's heartbeat now */
 void me_send_heartbeat(struct members *me);
-/** me_vm_is_leaving() - whether the platform's list marks a VM as leaving */
-bool me_vm_is_leaving(struct daemon *d, const char *vm);
 
 #endif
