pool: a late renewal lengthens the lease of a restarted worker

A worker that restarts under its id has forgotten its lease and its clock starts anew. A renewal or start sent to its earlier life that was not answered may be carried out up to 12 s later: the deadline, by the earlier clock, is far ahead, so the lease lasts max_hold_ms from then. The owner set the lease end once, at the first reply of the new life (reading + max_hold). If the worker falls silent again, its tasks were started elsewhere while they still ran there: two runs of one task. The same for an owner that takes over a worker whose clock shows more than max_hold_ms (it took 3 s).

Before: LateOrders.RenewalByTheClockOfTheEarlierLifeMayComeSecondsAfterARestart and Pool.EarlierOwnersRenewalMayHaveReachedARestartedWorkerLate fail (task state WAITING, RUNNING expected). Both pass now.

The owner keeps when the newest call with a deadline was sent that got no answer. Only that lengthens the lease it assumes: a restart after calls that were all answered costs nothing (Pool.RestartedWorkerMayHaveTheLongestLease is unchanged).

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -344,6 +344,7 @@
  *	unnoticed; 0 for no limit
  * @incarnation_ms: when the worker process started, which identifies the
  *	incarnation; 0 before its first reply
+ * @incarnation_read_us: when that incarnation was first heard from
  * @listed_incarnation_ms: incarnation that its entry is about; 0 when unknown
  * @listed: service discovery lists it
  * @draining: service discovery says that it receives no new tasks
@@ -370,6 +371,8 @@
  * @clock_ms: its clock when last read
  * @clock_read_us: when that reading arrived; 0 before the first
  * @lease_end_clock_ms: latest lease end or start deadline ever sent to it
+ * @unanswered_lease_us: when a lease end or start deadline was last sent to it
+ *	that was not answered
  * @earlier_owner_until_us: until then it may run tasks of an earlier owner
  * @processed_end: number of the newest run end processed
  * @unacked: run ends that are not stored, in order, @unacked_count of them
@@ -408,6 +411,7 @@
 	struct wp_resources capacity;
 	int64_t capacity_until_ms;
 	int64_t incarnation_ms;
+	int64_t incarnation_read_us;
 	int64_t listed_incarnation_ms;
 	bool listed;
 	bool draining;
@@ -438,6 +442,7 @@
 	int64_t lists_clock_ms;
 	int64_t prompt_reply_us;
 	int64_t lease_end_clock_ms;
+	int64_t unanswered_lease_us;
 	int64_t earlier_owner_until_us;
 	uint64_t processed_end;
 	struct wp_unacked_end *unacked;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -34,6 +34,8 @@
 /* Delay before a task starts again, and before an order is sent again. */
 #define WP_RESTART_DELAY_US (100 * CLK_US_PER_MS)
 #define WP_RESEND_DELAY_US (400 * CLK_US_PER_MS)
+/* An order that is not answered may be carried out this much later. */
+#define WP_MAX_ORDER_DELAY_US (12500 * CLK_US_PER_MS)
 /* Added to the time at which a worker's lease expires. */
 #define WP_EXPIRY_MARGIN_US (150 * CLK_US_PER_MS)
 /* Between two writes of the progress of a job that has not ended. */
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -73,6 +73,13 @@
 	return expires_us > earlier_us ? expires_us : earlier_us;
 }
 
+static void
+wp_read_clock(struct wp_worker *w, int64_t clock_ms, int64_t now_us)
+{
+	w->clock_ms = clock_ms;
+	w->clock_read_us = now_us;
+}
+
 static void
 wp_worker_assign_index(struct wp_pool *p, struct wp_worker *w)
 {
@@ -188,14 +195,40 @@
 	w->has_unknown_run = false;
 }
 
+/*
+ * Deadlines by the clock of an earlier incarnation are far ahead for this one,
+ * which shortens them to the longest lease, from when they arrive.
+ */
+static void
+wp_extend_restarted_lease(
+    const struct wp_pool *p, struct wp_worker *w, int64_t now_us)
+{
+	int64_t arrives_us = w->unanswered_lease_us + WP_MAX_ORDER_DELAY_US;
+	int64_t until_ms;
+
+	if (arrives_us < now_us)
+		arrives_us = now_us;
+	until_ms = wp_worker_clock_ms(w, arrives_us) + p->max_lease_ms;
+	if (until_ms > w->lease_end_clock_ms)
+		w->lease_end_clock_ms = until_ms;
+}
+
+/* A lease end or start deadline was sent then, and may still arrive. */
+static void
+wp_lease_unanswered(const struct wp_pool *p, struct wp_worker *w,
+    int64_t sent_us, int64_t now_us)
+{
+	if (sent_us > w->unanswered_lease_us)
+		w->unanswered_lease_us = sent_us;
+	if (sent_us < w->incarnation_read_us)
+		wp_extend_restarted_lease(p, w, now_us);
+}
+
 /*
  * All runs of the earlier incarnation have ended. A start order in flight may
  * still reach the new one, whose clock started anew, so that it can't tell that
  * the deadline has passed. Once it has answered a stop, the run can't start
  * there any more.
- *
- * Deadlines by the clock of the earlier one are far ahead for the new one, which
- * shortens them to the longest lease.
  */
 static void
 wp_worker_restarted(struct wp_pool *p, struct wp_worker *w,
@@ -212,12 +245,14 @@
 		else
 			wp_task_stop(p, t, now_us);
 	}
+	wp_read_clock(w, reply->clock_ms, now_us);
 	w->processed_end = 0;
 	w->unacked_count = 0;
 	w->acked_end = 0;
 	w->acked_sent = 0;
 	w->acked_confirmed = 0;
-	w->lease_end_clock_ms = reply->clock_ms + p->max_lease_ms;
+	w->lease_end_clock_ms = 0;
+	wp_extend_restarted_lease(p, w, now_us);
 	w->lists_clock_ms = 0;
 	w->failures = 0;
 	w->quarantined_until_us = 0;
@@ -575,13 +610,6 @@
 		w->acked_confirmed = w->acked_sent;
 }
 
-static void
-wp_read_clock(struct wp_worker *w, int64_t clock_ms, int64_t now_us)
-{
-	w->clock_ms = clock_ms;
-	w->clock_read_us = now_us;
-}
-
 static void
 wp_update_incarnation(struct wp_pool *p, struct wp_worker *w,
     const struct wp_renewal_reply *reply, int64_t now_us)
@@ -592,21 +620,23 @@
 		wp_worker_restarted(p, w, reply, now_us);
 	w->new_to_owner = p->ownership_unconfirmed;
 	w->incarnation_ms = reply->incarnation_ms;
+	w->incarnation_read_us = now_us;
 	wp_read_clock(w, reply->clock_ms, now_us);
 }
 
 /*
  * An earlier owner may have renewed its lease until just before, and by the clock
- * of an earlier incarnation if this one is not older than the longest lease.
+ * of an earlier incarnation while this one was young.
  */
 static int64_t
 wp_inherited_lease_end_ms(const struct wp_pool *p, int64_t clock_ms)
 {
-	int64_t lease_ms = WP_LEASE_US / CLK_US_PER_MS;
+	int64_t late_ms = WP_MAX_ORDER_DELAY_US / CLK_US_PER_MS;
+	int64_t renewed_ms = clock_ms + WP_LEASE_US / CLK_US_PER_MS;
+	int64_t longest_ms =
+	    (clock_ms < late_ms ? clock_ms : late_ms) + p->max_lease_ms;
 
-	if (clock_ms <= p->max_lease_ms && lease_ms < p->max_lease_ms)
-		lease_ms = p->max_lease_ms;
-	return clock_ms + lease_ms;
+	return renewed_ms > longest_ms ? renewed_ms : longest_ms;
 }
 
 static void
@@ -703,6 +733,8 @@
 	}
 	if (result == WP_REFUSED_UNHEALTHY)
 		return;
+	if (w->last_renewal_us == w->renewal_sent_us)
+		wp_lease_unanswered(p, w, w->renewal_sent_us, now_us);
 	if (w->reachable && result != WP_OVERDUE)
 		w->cut_at_us = now_us;
 	w->reachable = false;
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1821,4 +1821,81 @@
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
 }
 
+TEST_F(Pool, EarlierOwnersRenewalMayHaveReachedARestartedWorkerLate)
+{
+	create_pool();
+	p->max_lease_ms = 10000;
+	list_worker("w-1");
+	overdue_reply("w-1", 11 * kS, {}, 2);
+	commit();
+	add(kJob, {{1, 1000}});
+	run_all();
+	wp_on_renewal_failed(
+	    p, wp_find_worker(p, "w-1"), WP_NO_ANSWER, now + kMs);
+	tick(9 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	tick(2 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+}
+
+/* Starts and renewals that a restarted worker carries out late. */
+class LateOrders : public Pool
+{
+      protected:
+	void
+	SetUp() override
+	{
+		create_pool();
+		p->max_lease_ms = 10000;
+		add_worker("w", 1000);
+	}
+
+	/* A start isn't answered; its task is off the worker when it expires. */
+	void
+	lose_a_start()
+	{
+		add(kJob, {{1}});
+		auto orders = tick();
+		ASSERT_EQ(orders.size(), 1U);
+		answer(orders[0], WP_NO_ANSWER);
+		now += 1600 * kMs;
+		renew_lease("w");
+		ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+	}
+
+	struct wp_worker *
+	worker()
+	{
+		return wp_find_worker(p, "w");
+	}
+
+	int64_t
+	free_cpu()
+	{
+		return wp_free_resources(worker()).cpu_mcpu;
+	}
+};
+
+TEST_F(LateOrders, RenewalByTheClockOfTheEarlierLifeMayComeSecondsAfterARestart)
+{
+	struct wp_renewal renewal;
+
+	now += kS;
+	worker()->renew_at_us = now;
+	ASSERT_TRUE(wp_renewal_due(p, worker(), now, &renewal));
+	ASSERT_GT(renewal.deadline_clock_ms, 0);
+	wp_on_renewal_failed(p, worker(), WP_NO_ANSWER, now);
+	now += kS;
+	renew_lease("w", {}, {}, 2);
+	add(kJob, {{1}});
+	run_all();
+	renew_lease("w", {{kJob, 0, 0, 1, 0}}, {}, 2);
+	wp_on_renewal_failed(p, worker(), WP_NO_ANSWER, now);
+	/* It may come 12 s after it was sent, and then lasts for 10 s. */
+	tick(20 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	tick(3 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+}
+
 } // namespace
