pool: starts without an answer are ruled out on a restarted worker

A start that was not answered may be carried out up to 12 s later, also by the next life of its worker under the same id (X-Curranttack-Expect-Instance carries the id), on whose clock the deadline is far ahead. After a restart only tasks still placed on the worker were stopped. A start whose task had left (its deadline had passed, a repeated send was accepted and its run had ended, its job was over) was forgotten: the new life ran it beside what the owner had placed there (over its capacity, over the limit per worker of its step), or while the task ran elsewhere, or after its end.

Named tests that fail before: LateOrders. StartOfATaskThatHasLeftCountsOnARestartedWorkerUntilStopped (the first order to the new life is the start of another task, not a stop), .TaskDoesNotStartElsewhereBeforeARestartedWorkerRulesItOut and .StartCountsTowardsTheLimitPerWorkerAfterARestart (a START for a STOP).

Each worker has a list of its starts without an answer, for 12.5 s. When another incarnation is heard of, it is told to stop them, again and again until it confirms; until a reply that it made later has been read, they count towards its resources and its steps' limits, and their waiting tasks do not start elsewhere. Starts that were answered are not on the list, so an ordinary restart delays nothing (.StartsThatWereAnsweredDelayNothingAfterA- Restart).

Not prevented, since nobody can: a late start that the new life carries out before its owner has heard of it.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -328,6 +328,29 @@
 	WP_BLAME_OTHERS,  /* something else: it had just started none */
 };
 
+/**
+ * struct wp_stray - a start order that was not answered and may arrive late
+ * @ref: the task
+ * @run: the run
+ * @need: resources that the run would take
+ * @until_us: it does not arrive later
+ * @ruled_out: the worker's incarnation refuses it
+ * @stopped_clock_ms: when that incarnation confirmed a stop; 0 before
+ * @stop_at_us: when a stop is sent next
+ *
+ * The incarnation that it was sent to refuses it after its deadline. A later one,
+ * whose clock started anew, does so only once it has been told to stop the run.
+ */
+struct wp_stray {
+	struct jb_ref ref;
+	uint32_t run;
+	struct wp_resources need;
+	int64_t until_us;
+	bool ruled_out;
+	int64_t stopped_clock_ms;
+	int64_t stop_at_us;
+};
+
 /**
  * struct wp_worker - a worker as the pool's owner knows it
  * @id: name
@@ -360,6 +383,8 @@
  * @used: resources of tasks that are or may be on it
  * @orphaned: resources of runs on it that belong to none of @tasks
  * @orphan: these runs, as far as their jobs are known, @orphan_count of them
+ * @stray: starts that may yet be carried out, @stray_count of them
+ * @strayed: resources of those that are not ruled out
  * @has_unlisted_ends: it may have more run ends than its last reply lists
  * @has_unknown_run: it reports a run of a job that the pool does not know
  * @reserved: resources set aside for urgent tasks in the current pass
@@ -429,6 +454,9 @@
 	struct wp_resources orphaned;
 	struct jb_ref *orphan;
 	uint32_t orphan_count;
+	struct wp_stray *stray;
+	uint32_t stray_count;
+	struct wp_resources strayed;
 	bool has_unlisted_ends;
 	bool has_unknown_run;
 	struct wp_resources reserved;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -7,7 +7,8 @@
 /**
  * DOC: Shared by the pool's files. Lowest first: pool_task (state changes of
  * tasks, steps and jobs), pool_store (what to store and acknowledge),
- * pool_worker (workers' reports and leases), pool_reconcile (what may still run
+ * pool_stray (starts that may be carried out late), pool_worker (workers'
+ * reports and leases), pool_reconcile (what may still run
  * for an earlier owner), pool_gang, pool_advice (tickets), pool_reserve
  * (resources kept for gangs), pool_ask (which advice requests are sent),
  * pool_outlook (lateness), pool_waits (what steps wait for),
@@ -128,6 +129,22 @@
 int64_t wp_worker_clock_ms(const struct wp_worker *w, int64_t now_us);
 /** wp_lease_expiry_us() - when all runs on a silent worker must have ended */
 int64_t wp_lease_expiry_us(const struct wp_worker *w);
+/** wp_stray_add() - a start order was not answered */
+void wp_stray_add(
+    struct wp_pool *p, struct wp_worker *w, const struct wp_order *o);
+/** wp_strays_restarted() - another incarnation may carry out late starts */
+void wp_strays_restarted(
+    struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+/** wp_strays_tick() - rule out late starts with stops, forget the oldest */
+void wp_strays_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+/** wp_strays_stopped() - the worker has confirmed a stop */
+void wp_strays_stopped(
+    struct wp_worker *w, const struct wp_order *o, int64_t clock_ms);
+/** wp_strays_read() - the worker's lists of that time have been read */
+void wp_strays_read(struct wp_worker *w, int64_t clock_ms);
+/** wp_strays_on() - late starts of a step that a worker may carry out */
+uint32_t wp_strays_on(const struct wp_step *s, const struct wp_worker *w);
+
 /** wp_record_run_end() - a run end was read; to be acknowledged once stored */
 void wp_record_run_end(struct wp_pool *p, struct wp_worker *w, uint64_t number);
 /** wp_workers_tick() - expire leases, move tasks, send orders again */
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -109,7 +109,7 @@
 static uint32_t
 wp_tasks_on(const struct wp_step *s, const struct wp_worker *w)
 {
-	uint32_t n = wp_orphans_on(s, w);
+	uint32_t n = wp_orphans_on(s, w) + wp_strays_on(s, w);
 	uint32_t i;
 
 	for (i = 0; i < s->spec->count; i++)
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -55,6 +55,7 @@
 		left = w->capacity;
 	wp_resources_add(&left, &w->used, -1);
 	wp_resources_add(&left, &w->orphaned, -1);
+	wp_resources_add(&left, &w->strayed, -1);
 	return left;
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -259,6 +259,7 @@
 	w->earlier_owner_until_us = 0;
 	w->evacuating = false;
 	wp_forget_orphans(w);
+	wp_strays_restarted(p, w, now_us);
 }
 
 static bool
@@ -666,6 +667,7 @@
 	w->has_unlisted_ends = reply->end_count >= WP_MAX_LISTED_ENDS;
 	wp_process_run_ends(p, w, reply, now_us);
 	wp_process_running(p, w, reply, now_us);
+	wp_strays_read(w, reply->clock_ms);
 	wp_requeue_missing(p, w, reply, now_us);
 	wp_throttle_opportunistic(p, w, now_us);
 }
@@ -840,6 +842,13 @@
 		w->unanswered_orders = 0;
 	if (result == WP_REFUSED_STALE_TOKEN)
 		p->superseded = true;
+	if (w != NULL && o->kind == WP_ORDER_START && result == WP_NO_ANSWER) {
+		wp_lease_unanswered(p, w, o->sent.at_us, now_us);
+		wp_stray_add(p, w, o);
+	}
+	if (w != NULL && o->kind == WP_ORDER_STOP && result == WP_ACCEPTED &&
+	    !wp_is_from_earlier_incarnation(w, clock_ms, now_us))
+		wp_strays_stopped(w, o, clock_ms);
 	if (w == NULL || t == NULL || t->worker != w || t->run != o->run)
 		return;
 	if (o->kind == WP_ORDER_START)
@@ -1029,6 +1038,7 @@
 	wp_move_stragglers(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp)
 		wp_resend(p, t, now_us);
+	wp_strays_tick(p, w, now_us);
 	/* A later owner does not have to wait for a worker that is gone. */
 	if (w->registered && !wp_needs_registration(w, now_us))
 		p->registry_dirty = true;
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1876,6 +1876,99 @@
 	}
 };
 
+TEST_F(LateOrders, StartOfATaskThatHasLeftCountsOnARestartedWorkerUntilStopped)
+{
+	lose_a_start();
+	list_worker("w", 1000, true);
+	add_worker("v", 1000);
+	ASSERT_EQ(run_all(200 * kMs).size(), 1U);
+	ASSERT_STREQ(task(kJob, 0, 0)->worker->id, "v");
+	list_worker("w", 1000);
+	commit();
+	add(kOther, {{1}});
+	renew_lease("w", {}, {}, 2);
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	EXPECT_STREQ(orders[0]->worker, "w");
+	EXPECT_STREQ(orders[0]->ref.job, kJob.c_str());
+	EXPECT_EQ(free_cpu(), 0);
+	/* It is sent again until it is confirmed. */
+	answer(orders[0], WP_NO_ANSWER);
+	orders = tick(400 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	answer(orders[0]);
+	EXPECT_EQ(free_cpu(), 0);
+	now += 100 * kMs;
+	renew_lease("w", {}, {}, 2);
+	EXPECT_EQ(free_cpu(), 1000);
+	orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+}
+
+TEST_F(LateOrders, TaskDoesNotStartElsewhereBeforeARestartedWorkerRulesItOut)
+{
+	lose_a_start();
+	now += 50 * kMs;
+	renew_lease("w", {}, {}, 2);
+	add_worker("v", 1000);
+	auto orders = tick(200 * kMs);
+	ASSERT_FALSE(orders.empty());
+	for (const struct wp_order *o : orders) {
+		EXPECT_EQ(o->kind, WP_ORDER_STOP);
+		answer(o);
+	}
+	now += 100 * kMs;
+	renew_lease("w", {}, {}, 2);
+	orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+}
+
+TEST_F(LateOrders, StartCountsTowardsTheLimitPerWorkerAfterARestart)
+{
+	struct jb_spec *s = spec(kJob, {{2, 100}});
+
+	s->step[0].max_per_worker = 1;
+	wp_add_job(p, s, nullptr, true, 0, now);
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	answer(orders[0], WP_NO_ANSWER);
+	now += 1600 * kMs;
+	renew_lease("w");
+	renew_lease("w", {}, {}, 2);
+	for (const struct wp_order *o : tick(200 * kMs))
+		EXPECT_EQ(o->kind, WP_ORDER_STOP);
+}
+
+/* In ordinary operation, a restarted worker is used at once. */
+TEST_F(LateOrders, StartsThatWereAnsweredDelayNothingAfterARestart)
+{
+	add(kJob, {{1}});
+	run_all();
+	now += 100 * kMs;
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	add(kOther, {{1}});
+	renew_lease("w", {}, {}, 2);
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+}
+
+TEST_F(LateOrders, StartIsForgottenOnceItIsTooLateForIt)
+{
+	lose_a_start();
+	ASSERT_EQ(run_all(200 * kMs).size(), 1U);
+	now += 100 * kMs;
+	renew_lease("w", {}, {{1, kJob, 0, 0, 2, WP_END_DONE}});
+	now += 13 * kS;
+	tick();
+	renew_lease("w", {}, {}, 2);
+	EXPECT_TRUE(tick().empty());
+	EXPECT_EQ(free_cpu(), 1000);
+}
+
 TEST_F(LateOrders, RenewalByTheClockOfTheEarlierLifeMayComeSecondsAfterARestart)
 {
 	struct wp_renewal renewal;
