pool: a task is done whichever of its runs has completed

When a run of a task ended done on a worker other than that of its newest run, the end was acknowledged and, for steps without copies, ignored. Such a run is one that was started late by a restarted worker. The newest run, often one being stopped or not known to have started, was then followed by another: a start after an end that is taken note of.

The named test LateOrders.TaskIsDoneWhicheverRunOfItHasCompleted fails before (the job stays running).

Such an end now counts, and the newest run is stopped, as for copies. That stop was sent once; it is now sent again until the worker confirms it, so that the run does not go on for as long as it takes.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -86,6 +86,8 @@
 void wp_task_requeue(struct wp_task *t, int64_t not_before_us);
 /** wp_task_stop() - order the stop of a task that is or may be on its worker */
 void wp_task_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us);
+/** wp_task_send_stop() - order the stop of a task's newest run, or again */
+void wp_task_send_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us);
 /** wp_task_send_start() - order a start, or order it again */
 void wp_task_send_start(
     struct wp_pool *p, struct wp_task *t, const char *ticket, int64_t now_us);
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -279,17 +279,23 @@
 }
 
 void
-wp_task_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+wp_task_send_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
 	struct jb_ref ref;
 
-	t->state = WP_TASK_STOPPING;
-	t->stopped_clock_ms = 0;
 	t->resend_at_us = now_us + WP_RESEND_DELAY_US;
 	wp_task_ref(t, &ref);
 	wp_queue_order(p, WP_ORDER_STOP, t->worker, &ref, t->run);
 }
 
+void
+wp_task_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+{
+	t->state = WP_TASK_STOPPING;
+	t->stopped_clock_ms = 0;
+	wp_task_send_stop(p, t, now_us);
+}
+
 /* Late work of the highest priority still goes before less urgent work. */
 static enum wp_lateness
 wp_sort_lateness(const struct wp_step *s)
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -411,23 +411,38 @@
 		wp_task_done(p, t);
 }
 
-/* An earlier copy has completed, so the newest run is stopped. */
+/* Another run has completed, so the newest one is stopped. */
 static void
 wp_on_copy_done(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
 	struct wp_worker *w = t->worker;
-	struct jb_ref ref;
 
 	wp_task_done(p, t);
 	if (w == NULL)
 		return;
-	wp_task_ref(t, &ref);
-	wp_queue_order(p, WP_ORDER_STOP, w, &ref, t->run);
+	wp_task_send_stop(p, t, now_us);
 	/* Its resources are released once the worker no longer reports it. */
 	t->confirmed_clock_ms =
 	    wp_worker_clock_ms(w, now_us + WP_START_VALID_US);
 }
 
+/* Of the members of a gang, only one may list it. */
+static void
+wp_on_other_run_done(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+{
+	struct wp_step *s = t->step;
+	uint32_t i;
+
+	if (s->spec->flags & JB_LONG_RUNNING)
+		return;
+	if (!(s->spec->flags & JB_GANG)) {
+		wp_on_copy_done(p, t, now_us);
+		return;
+	}
+	for (i = 0; i < s->spec->count; i++)
+		wp_on_copy_done(p, &s->task[i], now_us);
+}
+
 /* It completed before its lease was taken to have expired; none ran since. */
 static bool
 wp_completes_waiting(const struct wp_task *t, const struct wp_run_end *end)
@@ -457,8 +472,8 @@
 		else if (t->state == WP_TASK_UNRECONCILED ||
 		    wp_completes_waiting(t, end))
 			wp_on_other_run_end(p, t, end, now_us);
-		else if (end->outcome == WP_END_DONE && wp_may_run_copies(t))
-			wp_on_copy_done(p, t, now_us);
+		else if (end->outcome == WP_END_DONE)
+			wp_on_other_run_done(p, t, now_us);
 		else if (end->outcome == WP_END_FAILED)
 			/* An earlier run, while a later one is elsewhere. */
 			wp_count_failure(p, t, end->run, now_us);
@@ -855,7 +870,8 @@
 		t->order_in_flight = false;
 	if (o->kind == WP_ORDER_START && t->state == WP_TASK_STARTING)
 		wp_on_start_result(p, t, w, result, clock_ms, now_us);
-	if (o->kind == WP_ORDER_STOP && t->state == WP_TASK_STOPPING &&
+	if (o->kind == WP_ORDER_STOP &&
+	    (t->state == WP_TASK_STOPPING || t->state == WP_TASK_DONE) &&
 	    result == WP_ACCEPTED &&
 	    !wp_is_from_earlier_incarnation(w, clock_ms, now_us)) {
 		t->stopped_clock_ms = clock_ms;
@@ -895,15 +911,11 @@
 static void
 wp_resend(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
-	struct jb_ref ref;
-
 	if (t->resend_at_us == 0 || now_us < t->resend_at_us ||
-	    t->order_in_flight)
+	    (t->order_in_flight && t->state != WP_TASK_DONE))
 		return;
-	if (t->state == WP_TASK_STOPPING) {
-		wp_task_ref(t, &ref);
-		wp_queue_order(p, WP_ORDER_STOP, t->worker, &ref, t->run);
-		t->resend_at_us = now_us + WP_RESEND_DELAY_US;
+	if (t->state == WP_TASK_STOPPING || t->state == WP_TASK_DONE) {
+		wp_task_send_stop(p, t, now_us);
 		return;
 	}
 	t->resend_at_us = 0;
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1991,4 +1991,30 @@
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
 }
 
+TEST_F(LateOrders, TaskIsDoneWhicheverRunOfItHasCompleted)
+{
+	lose_a_start();
+	renew_lease("w", {}, {}, 2);
+	for (const struct wp_order *o : tick(200 * kMs))
+		answer(o);
+	now += 100 * kMs;
+	renew_lease("w", {}, {}, 2);
+	ASSERT_EQ(run_all(200 * kMs).size(), 1U);
+	ASSERT_EQ(task(kJob, 0, 0)->run, 2U);
+	add_worker("v", 1000);
+	renew_lease("v", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(wp_public_state(wp_find_job(p, kJob.c_str())), JB_COMPLETED);
+	/* The newer run is stopped, and counts until it has ended. */
+	for (int i = 0; i < 3; i++) {
+		auto orders = tick(i == 0 ? 0 : 400 * kMs);
+		ASSERT_EQ(orders.size(), 1U);
+		EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+		answer(orders[0], WP_NO_ANSWER);
+		renew_lease("w", {{kJob, 0, 0, 2, 0}}, {}, 2);
+		EXPECT_EQ(free_cpu(), 0);
+	}
+	renew_lease("w", {}, {{1, kJob, 0, 0, 2, WP_END_STOPPED}}, 2);
+	EXPECT_EQ(free_cpu(), 1000);
+}
+
 } // namespace
