pool: a waiting task does not start beside a run that a worker lists

A worker that listed a run of a task that waited was told to stop it, and the task started elsewhere in the same pass, while the run went on until the stop arrived (and for up to stop_ms): two runs at once. It takes a run that the owner does not know of: one that a restarted worker started late for an earlier owner, after the registry had closed that worker without it.

Fails before: LateOrders. RunThatIsListedIsTakenOverByItsWaitingTask (two orders, none expected) and .EarlierRunThatIsListedEndsBeforeItsTaskStartsAgain (a START for a STOP).

The task takes the run over if it is its newest, else it counts as being stopped there until a later reply lists no run of it. Tasks that allow copies go on as before.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -527,10 +527,32 @@
 
 /* Whether a run that a worker reports may be taken over. */
 static bool
-wp_may_be_adopted(const struct wp_task *t)
+wp_may_be_adopted(const struct wp_task *t, uint32_t run)
 {
-	return t->state == WP_TASK_UNRECONCILED ||
-	    (t->state == WP_TASK_WAITING && wp_may_run_copies(t));
+	return run >= t->run &&
+	    (t->state == WP_TASK_UNRECONCILED || t->state == WP_TASK_WAITING);
+}
+
+/* It was started late; its task does not start elsewhere before it has ended. */
+static bool
+wp_has_to_end_first(const struct wp_task *t, uint32_t run)
+{
+	return run < t->run && t->state == WP_TASK_WAITING &&
+	    !wp_may_run_copies(t);
+}
+
+static void
+wp_take_over_run(struct wp_pool *p, struct wp_worker *w, struct wp_task *t,
+    uint32_t run, int64_t now_us)
+{
+	if (wp_may_be_adopted(t, run)) {
+		wp_task_adopt(t, w, run, now_us);
+		if (t->step->occ->job->final_state != JB_PENDING)
+			wp_task_stop(p, t, now_us);
+	} else if (wp_has_to_end_first(t, run)) {
+		wp_task_adopt(t, w, t->run, now_us);
+		wp_task_stop(p, t, now_us);
+	}
 }
 
 static void
@@ -544,12 +566,8 @@
 		const struct wp_running_task *report = &reply->running[i];
 		struct wp_task *t = wp_find_task(p, &report->ref);
 
-		if (t != NULL && wp_may_be_adopted(t) &&
-		    report->run >= t->run) {
-			wp_task_adopt(t, w, report->run, now_us);
-			if (t->step->occ->job->final_state != JB_PENDING)
-				wp_task_stop(p, t, now_us);
-		}
+		if (t != NULL)
+			wp_take_over_run(p, w, t, report->run, now_us);
 		if (t != NULL && t->worker == w && t->run == report->run)
 			wp_update_running(w, t, report, now_us);
 		else
@@ -557,6 +575,13 @@
 	}
 }
 
+/* A stop of the newest run is one of all earlier ones there. */
+static bool
+wp_is_or_precedes(const struct wp_task *t, uint32_t run)
+{
+	return run == t->run || (t->state == WP_TASK_STOPPING && run < t->run);
+}
+
 static bool
 wp_is_reported(const struct wp_renewal_reply *reply, const struct wp_task *t)
 {
@@ -565,7 +590,7 @@
 
 	wp_task_ref(t, &ref);
 	for (i = 0; i < reply->running_count; i++) {
-		if (reply->running[i].run == t->run &&
+		if (wp_is_or_precedes(t, reply->running[i].run) &&
 		    jb_ref_equal(&reply->running[i].ref, &ref))
 			return true;
 	}
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1991,6 +1991,43 @@
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
 }
 
+TEST_F(LateOrders, RunThatIsListedIsTakenOverByItsWaitingTask)
+{
+	add_worker("v", 1000);
+	add(kJob, {{1}});
+	task(kJob, 0, 0)->run = 3;
+	renew_lease("w", {{kJob, 0, 0, 3, 0}});
+	EXPECT_TRUE(tick(200 * kMs).empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	EXPECT_STREQ(task(kJob, 0, 0)->worker->id, "w");
+}
+
+TEST_F(LateOrders, EarlierRunThatIsListedEndsBeforeItsTaskStartsAgain)
+{
+	add_worker("v", 1000);
+	add(kJob, {{1}});
+	task(kJob, 0, 0)->run = 5;
+	renew_lease("w", {{kJob, 0, 0, 3, 0}});
+	for (int i = 0; i < 3; i++) {
+		for (const struct wp_order *o : tick(100 * kMs)) {
+			EXPECT_EQ(o->kind, WP_ORDER_STOP);
+			answer(o);
+		}
+		now += 50 * kMs;
+		renew_lease("w", {{kJob, 0, 0, 3, 0}});
+	}
+	for (const struct wp_order *o : tick(100 * kMs)) {
+		EXPECT_EQ(o->kind, WP_ORDER_STOP);
+		answer(o);
+	}
+	now += 50 * kMs;
+	renew_lease("w", {}, {{1, kJob, 0, 0, 3, WP_END_STOPPED}});
+	auto orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+	EXPECT_EQ(orders[0]->run, 6U);
+}
+
 TEST_F(LateOrders, TaskIsDoneWhicheverRunOfItHasCompleted)
 {
 	lose_a_start();
