--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -328,6 +328,29 @@
 	WP_BLAME_OTHERS,  /* something else: it had just started none */
 };
 
+/**
+ * struct wp_stray - a start order that was not answered and may arrive late
+ * @ref: the task
+ * @run: the run
+ * @need: resources that the run would take
+ * @until_us: it does not arrive later
+ * @ruled_out: the worker's incarnation refuses it
+ * @stopped_clock_ms: when that incarnation confirmed a stop; 0 before
+ * @stop_at_us: when a stop is sent next
+ *
+ * The incarnation that it was sent to refuses it after its deadline. A later one,
+ * whose clock started anew, does so only once it has been told to stop the run.
+ */
+struct wp_stray {
+	struct jb_ref ref;
+	uint32_t run;
+	struct wp_resources need;
+	int64_t until_us;
+	bool ruled_out;
+	int64_t stopped_clock_ms;
+	int64_t stop_at_us;
+};
+
 /**
  * struct wp_worker - a worker as the pool's owner knows it
  * @id: name
@@ -344,6 +367,7 @@
  *	unnoticed; 0 for no limit
  * @incarnation_ms: when the worker process started, which identifies the
  *	incarnation; 0 before its first reply
+ * @incarnation_read_us: when that incarnation was first heard from
  * @listed_incarnation_ms: incarnation that its entry is about; 0 when unknown
  * @listed: service discovery lists it
  * @draining: service discovery says that it receives no new tasks
@@ -359,6 +383,8 @@
  * @used: resources of tasks that are or may be on it
  * @orphaned: resources of runs on it that belong to none of @tasks
  * @orphan: these runs, as far as their jobs are known, @orphan_count of them
+ * @stray: starts that may yet be carried out, @stray_count of them
+ * @strayed: resources of those that are not ruled out
  * @has_unlisted_ends: it may have more run ends than its last reply lists
  * @has_unknown_run: it reports a run of a job that the pool does not know
  * @reserved: resources set aside for urgent tasks in the current pass
@@ -370,6 +396,8 @@
  * @clock_ms: its clock when last read
  * @clock_read_us: when that reading arrived; 0 before the first
  * @lease_end_clock_ms: latest lease end or start deadline ever sent to it
+ * @unanswered_lease_us: when a lease end or start deadline was last sent to it
+ *	that was not answered
  * @earlier_owner_until_us: until then it may run tasks of an earlier owner
  * @processed_end: number of the newest run end processed
  * @unacked: run ends that are not stored, in order, @unacked_count of them
@@ -408,6 +436,7 @@
 	struct wp_resources capacity;
 	int64_t capacity_until_ms;
 	int64_t incarnation_ms;
+	int64_t incarnation_read_us;
 	int64_t listed_incarnation_ms;
 	bool listed;
 	bool draining;
@@ -425,6 +454,9 @@
 	struct wp_resources orphaned;
 	struct jb_ref *orphan;
 	uint32_t orphan_count;
+	struct wp_stray *stray;
+	uint32_t stray_count;
+	struct wp_resources strayed;
 	bool has_unlisted_ends;
 	bool has_unknown_run;
 	struct wp_resources reserved;
@@ -438,6 +470,7 @@
 	int64_t lists_clock_ms;
 	int64_t prompt_reply_us;
 	int64_t lease_end_clock_ms;
+	int64_t unanswered_lease_us;
 	int64_t earlier_owner_until_us;
 	uint64_t processed_end;
 	struct wp_unacked_end *unacked;
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -73,6 +73,13 @@
 	return expires_us > earlier_us ? expires_us : earlier_us;
 }
 
+static void
+wp_read_clock(struct wp_worker *w, int64_t clock_ms, int64_t now_us)
+{
+	w->clock_ms = clock_ms;
+	w->clock_read_us = now_us;
+}
+
 static void
 wp_worker_assign_index(struct wp_pool *p, struct wp_worker *w)
 {
@@ -188,14 +195,40 @@
 	w->has_unknown_run = false;
 }
 
+/*
+ * Deadlines by the clock of an earlier incarnation are far ahead for this one,
+ * which shortens them to the longest lease, from when they arrive.
+ */
+static void
+wp_extend_restarted_lease(
+    const struct wp_pool *p, struct wp_worker *w, int64_t now_us)
+{
+	int64_t arrives_us = w->unanswered_lease_us + WP_MAX_ORDER_DELAY_US;
+	int64_t until_ms;
+
+	if (arrives_us < now_us)
+		arrives_us = now_us;
+	until_ms = wp_worker_clock_ms(w, arrives_us) + p->max_lease_ms;
+	if (until_ms > w->lease_end_clock_ms)
+		w->lease_end_clock_ms = until_ms;
+}
+
+/* A lease end or start deadline was sent then, and may still arrive. */
+static void
+wp_lease_unanswered(const struct wp_pool *p, struct wp_worker *w,
+    int64_t sent_us, int64_t now_us)
+{
+	if (sent_us > w->unanswered_lease_us)
+		w->unanswered_lease_us = sent_us;
+	if (sent_us < w->incarnation_read_us)
+		wp_extend_restarted_lease(p, w, now_us);
+}
+
 /*
  * All runs of the earlier incarnation have ended. A start order in flight may
  * still reach the new one, whose clock started anew, so that it can't tell that
  * the deadline has passed. Once it has answered a stop, the run can't start
  * there any more.
- *
- * Deadlines by the clock of the earlier one are far ahead for the new one, which
- * shortens them to the longest lease.
  */
 static void
 wp_worker_restarted(struct wp_pool *p, struct wp_worker *w,
@@ -212,18 +245,21 @@
 		else
 			wp_task_stop(p, t, now_us);
 	}
+	wp_read_clock(w, reply->clock_ms, now_us);
 	w->processed_end = 0;
 	w->unacked_count = 0;
 	w->acked_end = 0;
 	w->acked_sent = 0;
 	w->acked_confirmed = 0;
-	w->lease_end_clock_ms = reply->clock_ms + p->max_lease_ms;
+	w->lease_end_clock_ms = 0;
+	wp_extend_restarted_lease(p, w, now_us);
 	w->lists_clock_ms = 0;
 	w->failures = 0;
 	w->quarantined_until_us = 0;
 	w->earlier_owner_until_us = 0;
 	w->evacuating = false;
 	wp_forget_orphans(w);
+	wp_strays_restarted(p, w, now_us);
 }
 
 static bool
@@ -375,23 +411,38 @@
 		wp_task_done(p, t);
 }
 
-/* An earlier copy has completed, so the newest run is stopped. */
+/* Another run has completed, so the newest one is stopped. */
 static void
 wp_on_copy_done(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
 	struct wp_worker *w = t->worker;
-	struct jb_ref ref;
 
 	wp_task_done(p, t);
 	if (w == NULL)
 		return;
-	wp_task_ref(t, &ref);
-	wp_queue_order(p, WP_ORDER_STOP, w, &ref, t->run);
+	wp_task_send_stop(p, t, now_us);
 	/* Its resources are released once the worker no longer reports it. */
 	t->confirmed_clock_ms =
 	    wp_worker_clock_ms(w, now_us + WP_START_VALID_US);
 }
 
+/* Of the members of a gang, only one may list it. */
+static void
+wp_on_other_run_done(struct wp_pool *p, struct wp_task *t, int64_t now_us)
+{
+	struct wp_step *s = t->step;
+	uint32_t i;
+
+	if (s->spec->flags & JB_LONG_RUNNING)
+		return;
+	if (!(s->spec->flags & JB_GANG)) {
+		wp_on_copy_done(p, t, now_us);
+		return;
+	}
+	for (i = 0; i < s->spec->count; i++)
+		wp_on_copy_done(p, &s->task[i], now_us);
+}
+
 /* It completed before its lease was taken to have expired; none ran since. */
 static bool
 wp_completes_waiting(const struct wp_task *t, const struct wp_run_end *end)
@@ -421,8 +472,8 @@
 		else if (t->state == WP_TASK_UNRECONCILED ||
 		    wp_completes_waiting(t, end))
 			wp_on_other_run_end(p, t, end, now_us);
-		else if (end->outcome == WP_END_DONE && wp_may_run_copies(t))
-			wp_on_copy_done(p, t, now_us);
+		else if (end->outcome == WP_END_DONE)
+			wp_on_other_run_done(p, t, now_us);
 		else if (end->outcome == WP_END_FAILED)
 			/* An earlier run, while a later one is elsewhere. */
 			wp_count_failure(p, t, end->run, now_us);
@@ -476,10 +527,32 @@
 
 /* Whether a run that a worker reports may be taken over. */
 static bool
-wp_may_be_adopted(const struct wp_task *t)
+wp_may_be_adopted(const struct wp_task *t, uint32_t run)
+{
+	return run >= t->run &&
+	    (t->state == WP_TASK_UNRECONCILED || t->state == WP_TASK_WAITING);
+}
+
+/* It was started late; its task does not start elsewhere before it has ended. */
+static bool
+wp_has_to_end_first(const struct wp_task *t, uint32_t run)
 {
-	return t->state == WP_TASK_UNRECONCILED ||
-	    (t->state == WP_TASK_WAITING && wp_may_run_copies(t));
+	return run < t->run && t->state == WP_TASK_WAITING &&
+	    !wp_may_run_copies(t);
+}
+
+static void
+wp_take_over_run(struct wp_pool *p, struct wp_worker *w, struct wp_task *t,
+    uint32_t run, int64_t now_us)
+{
+	if (wp_may_be_adopted(t, run)) {
+		wp_task_adopt(t, w, run, now_us);
+		if (t->step->occ->job->final_state != JB_PENDING)
+			wp_task_stop(p, t, now_us);
+	} else if (wp_has_to_end_first(t, run)) {
+		wp_task_adopt(t, w, t->run, now_us);
+		wp_task_stop(p, t, now_us);
+	}
 }
 
 static void
@@ -493,12 +566,8 @@
 		const struct wp_running_task *report = &reply->running[i];
 		struct wp_task *t = wp_find_task(p, &report->ref);
 
-		if (t != NULL && wp_may_be_adopted(t) &&
-		    report->run >= t->run) {
-			wp_task_adopt(t, w, report->run, now_us);
-			if (t->step->occ->job->final_state != JB_PENDING)
-				wp_task_stop(p, t, now_us);
-		}
+		if (t != NULL)
+			wp_take_over_run(p, w, t, report->run, now_us);
 		if (t != NULL && t->worker == w && t->run == report->run)
 			wp_update_running(w, t, report, now_us);
 		else
@@ -506,6 +575,13 @@
 	}
 }
 
+/* A stop of the newest run is one of all earlier ones there. */
+static bool
+wp_is_or_precedes(const struct wp_task *t, uint32_t run)
+{
+	return run == t->run || (t->state == WP_TASK_STOPPING && run < t->run);
+}
+
 static bool
 wp_is_reported(const struct wp_renewal_reply *reply, const struct wp_task *t)
 {
@@ -514,7 +590,7 @@
 
 	wp_task_ref(t, &ref);
 	for (i = 0; i < reply->running_count; i++) {
-		if (reply->running[i].run == t->run &&
+		if (wp_is_or_precedes(t, reply->running[i].run) &&
 		    jb_ref_equal(&reply->running[i].ref, &ref))
 			return true;
 	}
@@ -575,13 +651,6 @@
 		w->acked_confirmed = w->acked_sent;
 }
 
-static void
-wp_read_clock(struct wp_worker *w, int64_t clock_ms, int64_t now_us)
-{
-	w->clock_ms = clock_ms;
-	w->clock_read_us = now_us;
-}
-
 static void
 wp_update_incarnation(struct wp_pool *p, struct wp_worker *w,
     const struct wp_renewal_reply *reply, int64_t now_us)
@@ -592,21 +661,23 @@
 		wp_worker_restarted(p, w, reply, now_us);
 	w->new_to_owner = p->ownership_unconfirmed;
 	w->incarnation_ms = reply->incarnation_ms;
+	w->incarnation_read_us = now_us;
 	wp_read_clock(w, reply->clock_ms, now_us);
 }
 
 /*
  * An earlier owner may have renewed its lease until just before, and by the clock
- * of an earlier incarnation if this one is not older than the longest lease.
+ * of an earlier incarnation while this one was young.
  */
 static int64_t
 wp_inherited_lease_end_ms(const struct wp_pool *p, int64_t clock_ms)
 {
-	int64_t lease_ms = WP_LEASE_US / CLK_US_PER_MS;
+	int64_t late_ms = WP_MAX_ORDER_DELAY_US / CLK_US_PER_MS;
+	int64_t renewed_ms = clock_ms + WP_LEASE_US / CLK_US_PER_MS;
+	int64_t longest_ms =
+	    (clock_ms < late_ms ? clock_ms : late_ms) + p->max_lease_ms;
 
-	if (clock_ms <= p->max_lease_ms && lease_ms < p->max_lease_ms)
-		lease_ms = p->max_lease_ms;
-	return clock_ms + lease_ms;
+	return renewed_ms > longest_ms ? renewed_ms : longest_ms;
 }
 
 static void
@@ -636,6 +707,7 @@
 	w->has_unlisted_ends = reply->end_count >= WP_MAX_LISTED_ENDS;
 	wp_process_run_ends(p, w, reply, now_us);
 	wp_process_running(p, w, reply, now_us);
+	wp_strays_read(w, reply->clock_ms);
 	wp_requeue_missing(p, w, reply, now_us);
 	wp_throttle_opportunistic(p, w, now_us);
 }
@@ -703,6 +775,8 @@
 	}
 	if (result == WP_REFUSED_UNHEALTHY)
 		return;
+	if (w->last_renewal_us == w->renewal_sent_us)
+		wp_lease_unanswered(p, w, w->renewal_sent_us, now_us);
 	if (w->reachable && result != WP_OVERDUE)
 		w->cut_at_us = now_us;
 	w->reachable = false;
@@ -808,13 +882,21 @@
 		w->unanswered_orders = 0;
 	if (result == WP_REFUSED_STALE_TOKEN)
 		p->superseded = true;
+	if (w != NULL && o->kind == WP_ORDER_START && result == WP_NO_ANSWER) {
+		wp_lease_unanswered(p, w, o->sent.at_us, now_us);
+		wp_stray_add(p, w, o);
+	}
+	if (w != NULL && o->kind == WP_ORDER_STOP && result == WP_ACCEPTED &&
+	    !wp_is_from_earlier_incarnation(w, clock_ms, now_us))
+		wp_strays_stopped(w, o, clock_ms);
 	if (w == NULL || t == NULL || t->worker != w || t->run != o->run)
 		return;
 	if (o->kind == WP_ORDER_START)
 		t->order_in_flight = false;
 	if (o->kind == WP_ORDER_START && t->state == WP_TASK_STARTING)
 		wp_on_start_result(p, t, w, result, clock_ms, now_us);
-	if (o->kind == WP_ORDER_STOP && t->state == WP_TASK_STOPPING &&
+	if (o->kind == WP_ORDER_STOP &&
+	    (t->state == WP_TASK_STOPPING || t->state == WP_TASK_DONE) &&
 	    result == WP_ACCEPTED &&
 	    !wp_is_from_earlier_incarnation(w, clock_ms, now_us)) {
 		t->stopped_clock_ms = clock_ms;
@@ -854,15 +936,11 @@
 static void
 wp_resend(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
-	struct jb_ref ref;
-
 	if (t->resend_at_us == 0 || now_us < t->resend_at_us ||
-	    t->order_in_flight)
+	    (t->order_in_flight && t->state != WP_TASK_DONE))
 		return;
-	if (t->state == WP_TASK_STOPPING) {
-		wp_task_ref(t, &ref);
-		wp_queue_order(p, WP_ORDER_STOP, t->worker, &ref, t->run);
-		t->resend_at_us = now_us + WP_RESEND_DELAY_US;
+	if (t->state == WP_TASK_STOPPING || t->state == WP_TASK_DONE) {
+		wp_task_send_stop(p, t, now_us);
 		return;
 	}
 	t->resend_at_us = 0;
@@ -997,6 +1075,7 @@
 	wp_move_stragglers(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp)
 		wp_resend(p, t, now_us);
+	wp_strays_tick(p, w, now_us);
 	/* A later owner does not have to wait for a worker that is gone. */
 	if (w->registered && !wp_needs_registration(w, now_us))
 		p->registry_dirty = true;
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1821,4 +1821,237 @@
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
 }
 
+TEST_F(Pool, EarlierOwnersRenewalMayHaveReachedARestartedWorkerLate)
+{
+	create_pool();
+	p->max_lease_ms = 10000;
+	list_worker("w-1");
+	overdue_reply("w-1", 11 * kS, {}, 2);
+	commit();
+	add(kJob, {{1, 1000}});
+	run_all();
+	wp_on_renewal_failed(
+	    p, wp_find_worker(p, "w-1"), WP_NO_ANSWER, now + kMs);
+	tick(9 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	tick(2 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+}
+
+/* Starts and renewals that a restarted worker carries out late. */
+class LateOrders : public Pool
+{
+      protected:
+	void
+	SetUp() override
+	{
+		create_pool();
+		p->max_lease_ms = 10000;
+		add_worker("w", 1000);
+	}
+
+	/* A start isn't answered; its task is off the worker when it expires. */
+	void
+	lose_a_start()
+	{
+		add(kJob, {{1}});
+		auto orders = tick();
+		ASSERT_EQ(orders.size(), 1U);
+		answer(orders[0], WP_NO_ANSWER);
+		now += 1600 * kMs;
+		renew_lease("w");
+		ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+	}
+
+	struct wp_worker *
+	worker()
+	{
+		return wp_find_worker(p, "w");
+	}
+
+	int64_t
+	free_cpu()
+	{
+		return wp_free_resources(worker()).cpu_mcpu;
+	}
+};
+
+TEST_F(LateOrders, StartOfATaskThatHasLeftCountsOnARestartedWorkerUntilStopped)
+{
+	lose_a_start();
+	list_worker("w", 1000, true);
+	add_worker("v", 1000);
+	ASSERT_EQ(run_all(200 * kMs).size(), 1U);
+	ASSERT_STREQ(task(kJob, 0, 0)->worker->id, "v");
+	list_worker("w", 1000);
+	commit();
+	add(kOther, {{1}});
+	renew_lease("w", {}, {}, 2);
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+	EXPECT_STREQ(orders[0]->worker, "w");
+	EXPECT_STREQ(orders[0]->ref.job, kJob.c_str());
+	EXPECT_EQ(free_cpu(), 0);
+	/* It is sent again until it is confirmed. */
+	answer(orders[0], WP_NO_ANSWER);
+	orders = tick(400 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	answer(orders[0]);
+	EXPECT_EQ(free_cpu(), 0);
+	now += 100 * kMs;
+	renew_lease("w", {}, {}, 2);
+	EXPECT_EQ(free_cpu(), 1000);
+	orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+}
+
+TEST_F(LateOrders, TaskDoesNotStartElsewhereBeforeARestartedWorkerRulesItOut)
+{
+	lose_a_start();
+	now += 50 * kMs;
+	renew_lease("w", {}, {}, 2);
+	add_worker("v", 1000);
+	auto orders = tick(200 * kMs);
+	ASSERT_FALSE(orders.empty());
+	for (const struct wp_order *o : orders) {
+		EXPECT_EQ(o->kind, WP_ORDER_STOP);
+		answer(o);
+	}
+	now += 100 * kMs;
+	renew_lease("w", {}, {}, 2);
+	orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+}
+
+TEST_F(LateOrders, StartCountsTowardsTheLimitPerWorkerAfterARestart)
+{
+	struct jb_spec *s = spec(kJob, {{2, 100}});
+
+	s->step[0].max_per_worker = 1;
+	wp_add_job(p, s, nullptr, true, 0, now);
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	answer(orders[0], WP_NO_ANSWER);
+	now += 1600 * kMs;
+	renew_lease("w");
+	renew_lease("w", {}, {}, 2);
+	for (const struct wp_order *o : tick(200 * kMs))
+		EXPECT_EQ(o->kind, WP_ORDER_STOP);
+}
+
+/* In ordinary operation, a restarted worker is used at once. */
+TEST_F(LateOrders, StartsThatWereAnsweredDelayNothingAfterARestart)
+{
+	add(kJob, {{1}});
+	run_all();
+	now += 100 * kMs;
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	add(kOther, {{1}});
+	renew_lease("w", {}, {}, 2);
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+}
+
+TEST_F(LateOrders, StartIsForgottenOnceItIsTooLateForIt)
+{
+	lose_a_start();
+	ASSERT_EQ(run_all(200 * kMs).size(), 1U);
+	now += 100 * kMs;
+	renew_lease("w", {}, {{1, kJob, 0, 0, 2, WP_END_DONE}});
+	now += 13 * kS;
+	tick();
+	renew_lease("w", {}, {}, 2);
+	EXPECT_TRUE(tick().empty());
+	EXPECT_EQ(free_cpu(), 1000);
+}
+
+TEST_F(LateOrders, RenewalByTheClockOfTheEarlierLifeMayComeSecondsAfterARestart)
+{
+	struct wp_renewal renewal;
+
+	now += kS;
+	worker()->renew_at_us = now;
+	ASSERT_TRUE(wp_renewal_due(p, worker(), now, &renewal));
+	ASSERT_GT(renewal.deadline_clock_ms, 0);
+	wp_on_renewal_failed(p, worker(), WP_NO_ANSWER, now);
+	now += kS;
+	renew_lease("w", {}, {}, 2);
+	add(kJob, {{1}});
+	run_all();
+	renew_lease("w", {{kJob, 0, 0, 1, 0}}, {}, 2);
+	wp_on_renewal_failed(p, worker(), WP_NO_ANSWER, now);
+	/* It may come 12 s after it was sent, and then lasts for 10 s. */
+	tick(20 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	tick(3 * kS);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+}
+
+TEST_F(LateOrders, RunThatIsListedIsTakenOverByItsWaitingTask)
+{
+	add_worker("v", 1000);
+	add(kJob, {{1}});
+	task(kJob, 0, 0)->run = 3;
+	renew_lease("w", {{kJob, 0, 0, 3, 0}});
+	EXPECT_TRUE(tick(200 * kMs).empty());
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	EXPECT_STREQ(task(kJob, 0, 0)->worker->id, "w");
+}
+
+TEST_F(LateOrders, EarlierRunThatIsListedEndsBeforeItsTaskStartsAgain)
+{
+	add_worker("v", 1000);
+	add(kJob, {{1}});
+	task(kJob, 0, 0)->run = 5;
+	renew_lease("w", {{kJob, 0, 0, 3, 0}});
+	for (int i = 0; i < 3; i++) {
+		for (const struct wp_order *o : tick(100 * kMs)) {
+			EXPECT_EQ(o->kind, WP_ORDER_STOP);
+			answer(o);
+		}
+		now += 50 * kMs;
+		renew_lease("w", {{kJob, 0, 0, 3, 0}});
+	}
+	for (const struct wp_order *o : tick(100 * kMs)) {
+		EXPECT_EQ(o->kind, WP_ORDER_STOP);
+		answer(o);
+	}
+	now += 50 * kMs;
+	renew_lease("w", {}, {{1, kJob, 0, 0, 3, WP_END_STOPPED}});
+	auto orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+	EXPECT_EQ(orders[0]->run, 6U);
+}
+
+TEST_F(LateOrders, TaskIsDoneWhicheverRunOfItHasCompleted)
+{
+	lose_a_start();
+	renew_lease("w", {}, {}, 2);
+	for (const struct wp_order *o : tick(200 * kMs))
+		answer(o);
+	now += 100 * kMs;
+	renew_lease("w", {}, {}, 2);
+	ASSERT_EQ(run_all(200 * kMs).size(), 1U);
+	ASSERT_EQ(task(kJob, 0, 0)->run, 2U);
+	add_worker("v", 1000);
+	renew_lease("v", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(wp_public_state(wp_find_job(p, kJob.c_str())), JB_COMPLETED);
+	/* The newer run is stopped, and counts until it has ended. */
+	for (int i = 0; i < 3; i++) {
+		auto orders = tick(i == 0 ? 0 : 400 * kMs);
+		ASSERT_EQ(orders.size(), 1U);
+		EXPECT_EQ(orders[0]->kind, WP_ORDER_STOP);
+		answer(orders[0], WP_NO_ANSWER);
+		renew_lease("w", {{kJob, 0, 0, 2, 0}}, {}, 2);
+		EXPECT_EQ(free_cpu(), 0);
+	}
+	renew_lease("w", {}, {{1, kJob, 0, 0, 2, WP_END_STOPPED}}, 2);
+	EXPECT_EQ(free_cpu(), 1000);
+}
+
 } // namespace
