pool: a step whose advice is far off holds back no step that ends before

Cause: steps request advice in scheduling order, as long as resources are left for them, and a step counted as taking its resources from its request on. Wide steps wait seconds for advice; all that time cheap steps behind them requested nothing.

Ruled out: silent workers (none), the window of starts (61, hardly used), takeovers.

Change: a step with requests in flight takes its resources when the first answer is expected. A step behind it may use them, if its run is expected to have ended by then. More than 64 such steps, overdue answers and steps with enough tickets count at once, as before.

AdviceFarOff.StepThatEndsBeforeTheAnswerIsNotHeldBack failed before; StepThatWouldStillRunAtTheAnswerWaitsItsTurn holds before and after.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -200,6 +200,7 @@
  *	0 for none; @ticket_index_count entries
  * @requests_in_flight: advice requests without an answer
  * @requested_slots: slots on the workers that these requests name
+ * @answer_due_us: when the first of these requests is expected to be answered
  * @has_enough_tickets: when last checked, it had valid tickets for all its
  *	waiting tasks
  * @next_request_us: no advice request before
@@ -232,6 +233,7 @@
 	uint32_t ticket_index_count;
 	uint32_t requests_in_flight;
 	uint32_t requested_slots;
+	int64_t answer_due_us;
 	bool has_enough_tickets;
 	int64_t next_request_us;
 	uint32_t rank;
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -41,6 +41,8 @@
 #define WP_GANG_CHOICE 2
 /* Tickets of a planned gang are renewed so much before they are needed. */
 #define WP_RENEWAL_MARGIN_US (150 * CLK_US_PER_MS)
+/* Steps with requests in flight that are told apart by when these are answered. */
+#define WP_MAX_CLAIMS 64
 
 static struct wp_approval_rate *
 wp_approval_rate_of(struct wp_pool *p, const struct wp_step *s)
@@ -259,6 +261,9 @@
 	request->priority = spec->policy.priority;
 	request->made_us = now_us;
 	request->slots = slots;
+	if (s->requests_in_flight == 0)
+		s->answer_due_us =
+		    now_us + wp_advice_latency_us(p, s, request->worker_count);
 	s->requests_in_flight++;
 	s->requested_slots += slots;
 	for (i = 0; i < request->worker_count; i++)
@@ -349,23 +354,96 @@
 	    (need->gpu > 0 && expected->gpu <= 0);
 }
 
-static void
-wp_deduct_step(struct wp_resources *expected, const struct wp_step *s)
+/**
+ * struct wp_outlook - resources left for the steps that come next
+ * @free: what is free or expected to become free, less what the steps before
+ *	can take with tickets that they have
+ * @claim: what steps before will take once advice on them is answered,
+ *	@claim_count of them
+ */
+struct wp_outlook {
+	struct wp_resources free;
+	struct wp_claim {
+		int64_t from_us;
+		struct wp_resources need;
+	} claim[WP_MAX_CLAIMS];
+	uint32_t claim_count;
+};
+
+static struct wp_resources
+wp_waiting_resources(const struct wp_step *s)
 {
 	struct wp_resources need = wp_task_resources(s->spec);
 	int64_t tasks = wp_startable_count(s);
 
-	expected->cpu_mcpu -= need.cpu_mcpu * tasks;
-	expected->mem_mb -= need.mem_mb * tasks;
-	expected->gpu -= need.gpu * tasks;
+	need.cpu_mcpu *= tasks;
+	need.mem_mb *= tasks;
+	need.gpu *= tasks;
+	return need;
+}
+
+static void
+wp_deduct_step(struct wp_resources *expected, const struct wp_step *s)
+{
+	struct wp_resources need = wp_waiting_resources(s);
+
+	wp_resources_add(expected, &need, -1);
+}
+
+/* Counts what a step is about to take among what is not left for the next. */
+static void
+wp_outlook_deduct(struct wp_outlook *outlook, const struct wp_step *s)
+{
+	struct wp_claim *claim;
+
+	if (s->has_enough_tickets || outlook->claim_count == WP_MAX_CLAIMS) {
+		wp_deduct_step(&outlook->free, s);
+		return;
+	}
+	claim = &outlook->claim[outlook->claim_count++];
+	claim->from_us = s->answer_due_us;
+	claim->need = wp_waiting_resources(s);
+}
+
+/* When tasks that start with tickets requested now are expected to have ended. */
+static int64_t
+wp_expected_run_end_us(
+    struct wp_pool *p, const struct wp_step *s, int64_t now_us)
+{
+	uint32_t workers = wp_max_request_workers(&s->occ->job->spec->policy);
+
+	if ((s->spec->flags & JB_LONG_RUNNING) || s->spec->estimate_ms == 0)
+		return INT64_MAX;
+	return now_us + wp_advice_latency_us(p, s, workers) +
+	    s->spec->estimate_ms * CLK_US_PER_MS;
+}
+
+/*
+ * Resources left for a step. Those that steps before it will take only after its
+ * tasks have ended are its to use.
+ */
+static struct wp_resources
+wp_outlook_for(struct wp_pool *p, const struct wp_outlook *outlook,
+    const struct wp_step *s, int64_t now_us)
+{
+	struct wp_resources left = outlook->free;
+	int64_t end_us = wp_expected_run_end_us(p, s, now_us);
+	uint32_t i;
+
+	for (i = 0; i < outlook->claim_count; i++) {
+		if (outlook->claim[i].from_us < end_us)
+			wp_resources_add(&left, &outlook->claim[i].need, -1);
+	}
+	return left;
 }
 
 /* Whether a step should request advice now, given the resources left for it. */
 static bool
 wp_wants_request(struct wp_pool *p, struct wp_step *s,
-    const struct wp_resources *expected, int64_t now_us)
+    const struct wp_outlook *outlook, int64_t now_us)
 {
 	struct wp_resources need = wp_task_resources(s->spec);
+	struct wp_resources left;
 
 	if (!wp_may_request_advice(p, s, now_us))
 		return false;
@@ -374,8 +452,9 @@
 	    wp_slots_with_tickets(p, s, now_us) >= wp_startable_count(s);
 	if (s->has_enough_tickets)
 		return false;
+	left = wp_outlook_for(p, outlook, s, now_us);
 	return (s->spec->flags & JB_LONG_RUNNING) ||
-	    !wp_is_exhausted(expected, &need);
+	    !wp_is_exhausted(&left, &need);
 }
 
 /* Members of a gang that empty workers which have approved it could take. */
@@ -458,7 +537,7 @@
 wp_next_advice_request(
     struct wp_pool *p, int64_t now_us, struct wp_advice_request *request)
 {
-	struct wp_resources expected = wp_expected_resources(p, now_us);
+	struct wp_outlook outlook = {.free = wp_expected_resources(p, now_us)};
 	struct wp_resources for_gangs = wp_usable_capacity(p, now_us);
 	struct wp_step *s;
 
@@ -472,11 +551,11 @@
 			wp_deduct_step(&for_gangs, s);
 			continue;
 		}
-		if (wp_wants_request(p, s, &expected, now_us) &&
+		if (wp_wants_request(p, s, &outlook, now_us) &&
 		    wp_fill_request(p, s, now_us, request))
 			return true;
 		if (s->requests_in_flight > 0 || s->has_enough_tickets)
-			wp_deduct_step(&expected, s);
+			wp_outlook_deduct(&outlook, s);
 	}
 	/* One request each: the rest is requested when the step is ready. */
 	DL_FOREACH2(p->upcoming, s, upcoming_next)
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1595,6 +1595,59 @@
 	EXPECT_LE(requests, 10);
 }
 
+/* The first step takes all cores, but only once advice on it is answered. */
+class AdviceFarOff : public Pool
+{
+      protected:
+	void
+	SetUp() override
+	{
+		create_pool();
+		add_worker("w", 8000);
+		add_step(kJob, 16, 0, 3000 * kMs, 4000);
+		tick();
+		ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+		ASSERT_STREQ(request.job, kJob.c_str());
+	}
+
+	void
+	add_step(const std::string &id, uint32_t tasks, uint32_t priority,
+	    uint32_t decide_us, int64_t estimate_ms)
+	{
+		struct jb_spec *s = spec(id, {{tasks, 1000}}, 2000);
+
+		s->policy.priority = priority;
+		s->policy.advice_decide_us = decide_us;
+		s->step[0].estimate_ms = estimate_ms;
+		wp_add_job(p, s, nullptr, true, 0, now);
+	}
+
+	/* Whether a step that is added now requests advice. */
+	bool
+	is_requested(const std::string &id, int64_t estimate_ms)
+	{
+		bool found = false;
+
+		add_step(id, 2, 1, 10 * kMs, estimate_ms);
+		tick();
+		while (wp_next_advice_request(p, now, &request))
+			found |= id == request.job;
+		return found;
+	}
+
+	struct wp_advice_request request;
+};
+
+TEST_F(AdviceFarOff, StepThatEndsBeforeTheAnswerIsNotHeldBack)
+{
+	EXPECT_TRUE(is_requested(kOther, 800));
+}
+
+TEST_F(AdviceFarOff, StepThatWouldStillRunAtTheAnswerWaitsItsTurn)
+{
+	EXPECT_FALSE(is_requested(kOther, 4000));
+}
+
 TEST_F(Pool, LongRunningTasksRequestAdviceInAFullPool)
 {
 	struct wp_advice_request request;
