pool: a job has begun once a worker is known to have a run of it

Cause: wp_task_place() set `started`, which both the state that callers see and the number of waiting jobs come from, when the start order was queued.

A stale count is not needed: the stored flag itself is set, and different daemons gave the same.

Now a job has begun when a worker accepts a start, lists a run or lists an end of it. Nothing else reads the flag. An adopted run of a job that had not begun is now stored as well.

Pool.JobWhoseStartGotNoAnswerIsNotShownAsRunning failed before in three places ("wp_public_state(job) Which is: 1, JB_PENDING Which is: 0"); the two others hold that an unanswered start counts once it is listed or has ended.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -269,7 +269,8 @@
  * @occ: occurrences, jb_occurrences() of them
  * @unfinished_occurrences: occurrences with unfinished steps
  * @state: JB_PENDING until the job has ended; see wp_public_state()
- * @started: a task has been started, by this owner or an earlier one
+ * @started: a worker is known to have, or have had, a run of it; a start order
+ *	that was sent does not count
  * @inherited: accepted before this owner took over
  * @final_state: state that the job takes once all its tasks are off their
  *	workers, or JB_PENDING while it is not being stopped
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -67,6 +67,8 @@
 /** wp_task_place() - reserve a worker's resources and order the start */
 void wp_task_place(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
     uint32_t run, const char *ticket, int64_t now_us);
+/** wp_job_begun() - a worker has, or had, a run of a job */
+void wp_job_begun(struct wp_job *job);
 /** wp_task_adopt() - take over a run that a worker reports */
 void wp_task_adopt(
     struct wp_task *t, struct wp_worker *w, uint32_t run, int64_t now_us);
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -234,10 +234,15 @@
 	if (job->first_start_us == 0)
 		job->first_start_us = now_us;
 	job->last_start_us = now_us;
-	if (!job->started) {
-		job->started = true;
-		wp_mark_dirty(job);
-	}
+}
+
+void
+wp_job_begun(struct wp_job *job)
+{
+	if (job->started)
+		return;
+	job->started = true;
+	wp_mark_dirty(job);
 }
 
 void
@@ -253,7 +258,7 @@
 	t->progressed_us = now_us;
 	t->pace = WP_FULL_PACE;
 	t->confirmed_clock_ms = w->lists_clock_ms;
-	t->step->occ->job->started = true;
+	wp_job_begun(t->step->occ->job);
 	wp_step_update_lists(t->step->occ->job->pool, t->step);
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -416,6 +416,7 @@
 		t = wp_find_task(p, &end->ref);
 		if (t == NULL)
 			continue;
+		wp_job_begun(t->step->occ->job);
 		if (t->worker == w && t->run == end->run)
 			wp_on_current_run_end(p, w, t, end, now_us);
 		else if (t->state == WP_TASK_UNRECONCILED ||
@@ -437,6 +438,7 @@
 		t->state = WP_TASK_RUNNING;
 		t->confirmed_clock_ms = w->lists_clock_ms;
 	}
+	wp_job_begun(t->step->occ->job);
 	t->in_doubt = false;
 	if (t->state == WP_TASK_RUNNING && !t->order_in_flight)
 		t->resend_at_us = 0;
@@ -749,6 +751,7 @@
 {
 	switch (result) {
 	case WP_ACCEPTED:
+		wp_job_begun(t->step->occ->job);
 		t->state = WP_TASK_RUNNING;
 		t->in_doubt = false;
 		t->resend_at_us = 0;
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -28,6 +28,54 @@
 	EXPECT_EQ(wp_public_state(job), JB_COMPLETED);
 }
 
+/* Callers are told how many jobs still wait. */
+TEST_F(Pool, JobWhoseStartGotNoAnswerIsNotShownAsRunning)
+{
+	create_pool();
+	add_worker("w");
+	struct wp_job *job = add(kJob, {{1}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(wp_public_state(job), JB_PENDING);
+	answer(orders[0], WP_NO_ANSWER);
+	commit();
+	EXPECT_EQ(wp_public_state(job), JB_PENDING);
+	now += 2 * kS;
+	renew_lease("w");
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+	EXPECT_EQ(wp_public_state(job), JB_PENDING);
+	run_all(200 * kMs);
+	EXPECT_EQ(wp_public_state(job), JB_RUNNING);
+}
+
+TEST_F(Pool, JobWhoseUnansweredStartIsListedIsShownAsRunning)
+{
+	create_pool();
+	add_worker("w");
+	struct wp_job *job = add(kJob, {{1}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	answer(orders[0], WP_NO_ANSWER);
+	renew_lease("w", {{kJob, 0, 0, 1, 0, 10}});
+	EXPECT_EQ(wp_public_state(job), JB_RUNNING);
+	struct jb_progress progress = {};
+	now += kS;
+	ASSERT_NE(wp_next_dirty(p, p, now, &progress), nullptr);
+	EXPECT_TRUE(progress.started);
+}
+
+TEST_F(Pool, JobOfWhichOnlyAnEndWasListedIsShownAsRunning)
+{
+	create_pool();
+	add_worker("w");
+	struct wp_job *job = add(kJob, {{1}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	answer(orders[0], WP_NO_ANSWER);
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_FAILED}});
+	EXPECT_EQ(wp_public_state(job), JB_RUNNING);
+}
+
 TEST_F(Pool, PlacementNeverExceedsAWorkersCapacity)
 {
 	create_pool();
