--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -15,7 +15,8 @@
  * pool_sharing (throttling), pool_copy (speculative copies of tasks),
  * pool_crash (crashes of workers under tasks), pool_suspect (which tasks may
  * have caused them, and how these start again),
- * pool_retire (emptying workers for maintenance), pool_sched (which task starts
+ * pool_retire (emptying workers for maintenance), pool_over (workers that list
+ * more than they may hold), pool_sched (which task starts
  * where), pool (jobs and ticks).
  */
 
@@ -70,6 +71,8 @@
 /** wp_task_place() - reserve a worker's resources and order the start */
 void wp_task_place(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
     uint32_t run, const char *ticket, int64_t now_us);
+/** wp_job_begun() - a worker has, or had, a run of a job */
+void wp_job_begun(struct wp_job *job);
 /** wp_task_adopt() - take over a run that a worker reports */
 void wp_task_adopt(
     struct wp_task *t, struct wp_worker *w, uint32_t run, int64_t now_us);
@@ -368,4 +371,13 @@
 void wp_throttle_opportunistic(
     struct wp_pool *p, struct wp_worker *w, int64_t now_us);
 
+/**
+ * wp_note_over_limit() - count and report a worker that lists too much
+ *
+ * Called with a reply before it is read, so that the event tells what the pool
+ * had counted there. Changes no decision.
+ */
+void wp_note_over_limit(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_renewal_reply *reply, int64_t now_us);
+
 #endif
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -467,6 +467,7 @@
 		t = wp_find_task(p, &end->ref);
 		if (t == NULL)
 			continue;
+		wp_job_begun(t->step->occ->job);
 		if (t->worker == w && t->run == end->run)
 			wp_on_current_run_end(p, w, t, end, now_us);
 		else if (t->state == WP_TASK_UNRECONCILED ||
@@ -488,6 +489,7 @@
 		t->state = WP_TASK_RUNNING;
 		t->confirmed_clock_ms = w->lists_clock_ms;
 	}
+	wp_job_begun(t->step->occ->job);
 	t->in_doubt = false;
 	if (t->state == WP_TASK_RUNNING && !t->order_in_flight)
 		t->resend_at_us = 0;
@@ -705,6 +707,7 @@
 		wp_accept_token(p, w, reply->clock_ms);
 	w->lists_clock_ms = reply->clock_ms;
 	w->has_unlisted_ends = reply->end_count >= WP_MAX_LISTED_ENDS;
+	wp_note_over_limit(p, w, reply, now_us);
 	wp_process_run_ends(p, w, reply, now_us);
 	wp_process_running(p, w, reply, now_us);
 	wp_strays_read(w, reply->clock_ms);
@@ -823,6 +826,7 @@
 {
 	switch (result) {
 	case WP_ACCEPTED:
+		wp_job_begun(t->step->occ->job);
 		t->state = WP_TASK_RUNNING;
 		t->in_doubt = false;
 		t->resend_at_us = 0;
