pool: a copy of a forgotten job counts until its worker lists it no more

A job that has ended is forgotten 2 s after that is stored, and its tasks' resources were released with it, also those of a copy whose stop had been lost or was still under way. Until the worker's next reply, the room it took was given to others: a start over the worker's capacity.

Found by reading.

Such a worker counts as running something unknown, so that it receives nothing until its next reply, which is how runs of unknown jobs are treated in any case. The copy's stop is sent again then. Jobs of which nothing is on a worker, nearly all, are forgotten as before.

--- a/state/pool.c
+++ b/state/pool.c
@@ -263,6 +263,16 @@
 	wp_job_stop(p, job, JB_CANCELLED, now_us);
 }
 
+/* A copy that is being stopped goes on until its worker no longer lists it. */
+static void
+wp_task_forget(struct wp_pool *p, struct wp_task *t)
+{
+	if (t->worker != NULL)
+		t->worker->has_unknown_run = true;
+	wp_task_release(t);
+	wp_crash_forget(p, t);
+}
+
 void
 wp_forget_job(struct wp_pool *p, struct wp_job *job)
 {
@@ -277,10 +287,8 @@
 			occ->step[i].ready = false;
 			occ->step[i].upcoming = false;
 			wp_step_update_lists(p, &occ->step[i]);
-			for (j = 0; j < job->spec->step[i].count; j++) {
-				wp_task_release(&occ->step[i].task[j]);
-				wp_crash_forget(p, &occ->step[i].task[j]);
-			}
+			for (j = 0; j < job->spec->step[i].count; j++)
+				wp_task_forget(p, &occ->step[i].task[j]);
 		}
 	}
 	if (job->dirty)
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1380,6 +1380,26 @@
 	EXPECT_EQ(wp_find_worker(p, "v")->used.cpu_mcpu, 0);
 }
 
+TEST_F(Copies, CopyOfAForgottenJobCountsUntilItsWorkerNoLongerListsIt)
+{
+	lose_worker();
+	run_all(400 * kMs);
+	ASSERT_STREQ(task(kJob, 0, 0)->worker->id, "v");
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	list_worker("w", 1000, true);
+	wp_forget_job(p, wp_find_job(p, kJob.c_str()));
+	add(kOther, {{1, 1000}});
+	for (const struct wp_order *o : tick())
+		EXPECT_NE(o->kind, WP_ORDER_START);
+	renew_lease("v", {{kJob, 0, 0, 2, 0}});
+	for (const struct wp_order *o : tick(200 * kMs))
+		EXPECT_EQ(o->kind, WP_ORDER_STOP);
+	renew_lease("v", {}, {{1, kJob, 0, 0, 2, WP_END_STOPPED}});
+	auto orders = tick(200 * kMs);
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_START);
+}
+
 TEST_F(Copies, RunReportedBeforeItsCopyStartsIsAdopted)
 {
 	lose_worker();
