pool: a list older than a run that goes on beside its copy is outdated

What workers would see: a task of a step that allows copies starts on a worker beside its own earlier run, or others of its step do, beyond the step's limit per worker (ROUTE), or beyond the worker's capacity (LIMIT).

Cause: a worker falls silent, and 300 ms later its tasks that allow copies wait for another worker while their runs go on. Nothing counts these runs until the worker lists them; it is left out until then, since it is unreachable. But a reply that was overdue makes it reachable, and that reply may have been made before the runs began: it arrives late and lists none of them, so the worker is taken to be free.

Fix: when a run is left on its worker, the worker's lists from before the run was confirmed become outdated, as if a later list had been read. A reply made in the same millisecond counts as older.

Evidence: Limits.OverdueReplyDoesNotHideARunThatItIsOlderThan, Limits.ReplyOfTheSameMillisecondDoesNotHideARun and Limits.OverdueReplyDoesNotHideARunBesideItsCopy failed before (a second start on the same worker; run 2 beside run 1), and pass now.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -381,7 +381,7 @@
  *	when it crashed; 0 if it did not, or it is reachable again
  * @replaced: another incarnation answers at its address
  * @blame: what it fell silent of
- * @lists_clock_ms: its clock when it made the lists that were read last
+ * @lists_clock_ms: lists that it made before then, on its clock, are outdated
  * @prompt_reply_us: when a reply that was not overdue arrived last
  * @renewal_in_flight: a renewal has no result yet and is not overdue
  * @renew_at_us: when the next renewal is due
--- a/state/pool_copy.c
+++ b/state/pool_copy.c
@@ -24,6 +24,14 @@
 	    (t->state == WP_TASK_STARTING || t->state == WP_TASK_RUNNING);
 }
 
+/* Its run may go on there, so lists that were made before it began are outdated. */
+static void
+wp_leave_run(struct wp_worker *w, const struct wp_task *t)
+{
+	if (w->lists_clock_ms <= t->confirmed_clock_ms)
+		w->lists_clock_ms = t->confirmed_clock_ms + 1;
+}
+
 /*
  * For network partitions: a copy does not have to wait until the worker's lease
  * expires. The worker receives no new tasks until it has reported its runs.
@@ -43,6 +51,7 @@
 		    !wp_may_run_copies(t))
 			continue;
 		p->stats.displaced++;
+		wp_leave_run(w, t);
 		wp_task_requeue(t, now_us);
 	}
 }
--- a/tests/unit/takeover_model.cc
+++ b/tests/unit/takeover_model.cc
@@ -22,8 +22,13 @@
 constexpr int64_t kStopTime = 60 * kMs;
 constexpr int64_t kGangTimeout = 2 * kS;
 constexpr int64_t kMaxLate = 12 * kS;
+/* An overdue reply is awaited for so long. */
+constexpr int64_t kMaxOverdue = 3 * kS;
 constexpr int64_t kNever = INT64_MAX;
 constexpr const char *kUnadvised = "w3";
+constexpr const char *kKinds[] = {"big", "small"};
+/* One of them may be the one that is not approved. */
+constexpr size_t kMinOfAKind = 4;
 constexpr int64_t kMaxHoldMs = 10000;
 constexpr uint32_t kMaxAttempts = 3;
 constexpr uint32_t kAdviceValidMs = 2000;
@@ -119,8 +124,10 @@
 TakeoverModel::is_running(const std::string &task)
 {
 	for (auto &w : workers) {
-		if (w.second.alive && w.second.running.count(task) > 0)
-			return true;
+		for (auto &r : w.second.running) {
+			if (w.second.alive && r.first.first == task)
+				return true;
+		}
 	}
 	return false;
 }
@@ -202,6 +209,7 @@
 	w.born_us = now - (int64_t)random(1000) * kS;
 	w.incarnation = w.born_us / kMs;
 	w.rate_per_mille = 980 + (int64_t)random(21);
+	w.kind = kKinds[next_worker % 2];
 	workers[w.id] = w;
 	discovery_changed(w.id);
 }
@@ -219,13 +227,13 @@
 }
 
 void
-TakeoverModel::end_run(
-    ModelWorker &w, const std::string &task, enum wp_run_outcome outcome)
+TakeoverModel::end_run(ModelWorker &w, const std::string &task, uint32_t number,
+    enum wp_run_outcome outcome)
 {
-	ModelRun run = w.running[task];
+	ModelRun run = w.running[{task, number}];
 	uint32_t flags = find_step(task)->flags;
 
-	w.running.erase(task);
+	w.running.erase({task, number});
 	w.barred[task] = std::max(w.barred[task], run.run);
 	w.ends.push_back({++w.last_end, task, run.run, outcome});
 	if (outcome == WP_END_DONE && !(flags & JB_LONG_RUNNING))
@@ -242,9 +250,8 @@
 		std::string other = task_name(ref.job, ref.step, i);
 
 		for (auto &v : workers) {
-			auto r = v.second.running.find(other);
+			auto r = v.second.running.find({other, number});
 			if (v.second.alive && r != v.second.running.end() &&
-			    r->second.run == run.run &&
 			    r->second.outcome != WP_END_PEER_ENDED) {
 				r->second.outcome = WP_END_PEER_ENDED;
 				r->second.ends_us = now;
@@ -256,7 +263,9 @@
 void
 TakeoverModel::tick_worker(ModelWorker &w)
 {
-	std::vector<std::pair<std::string, enum wp_run_outcome>> ended;
+	std::vector<
+	    std::pair<std::pair<std::string, uint32_t>, enum wp_run_outcome>>
+	    ended;
 	bool expired = clock_ms(w) > w.lease_end_ms;
 
 	if (!w.alive)
@@ -268,7 +277,7 @@
 			ended.push_back({r.first, r.second.outcome});
 	}
 	for (auto &e : ended)
-		end_run(w, e.first, e.second);
+		end_run(w, e.first.first, e.first.second, e.second);
 	if (expired)
 		expire_ends(w);
 }
@@ -326,19 +335,38 @@
 	}
 }
 
+/* What is being stopped there still counts, whichever task it is of. */
 void
-TakeoverModel::check_start(
-    ModelWorker &w, const std::string &task, const ModelStep &step)
+TakeoverModel::check_placement(
+    const ModelWorker &w, const std::string &task, const ModelStep &step)
 {
-	struct jb_ref ref = ref_of(task);
+	std::string name = task.substr(0, task.rfind('.'));
+	uint32_t beside = 0;
 	int64_t used = 0;
 	std::string when = " at " + std::to_string(now / kMs) + " on " + w.id;
 
-	starts++;
-	for (auto &r : w.running)
+	for (auto &r : w.running) {
 		used += r.second.cpu;
+		beside +=
+		    r.first.first.substr(0, r.first.first.rfind('.')) == name;
+	}
 	if (used + kCpu > kCapacity)
 		violations.push_back("over capacity: " + task + when);
+	if (step.max_per_worker > 0 && beside >= step.max_per_worker)
+		violations.push_back("too many of its step: " + task + when);
+	if (!step.label.empty() && step.label != w.kind)
+		violations.push_back("without its label: " + task + when);
+}
+
+void
+TakeoverModel::check_start(
+    ModelWorker &w, const std::string &task, const ModelStep &step)
+{
+	struct jb_ref ref = ref_of(task);
+	std::string when = " at " + std::to_string(now / kMs) + " on " + w.id;
+
+	starts++;
+	check_placement(w, task, step);
 	if (!is_ready(jobs[ref.job], ref.step))
 		violations.push_back("before its turn: " + task + when);
 	if (step.flags & JB_SPECULATIVE)
@@ -368,13 +396,11 @@
     ModelWorker &w, const struct wp_order &o, const std::string &task)
 {
 	ModelStep *step = find_step(task);
-	auto present = w.running.find(task);
 	ModelRun run;
 
-	if (present != w.running.end() && present->second.run == o.run)
+	if (w.running.count({task, o.run}) > 0)
 		return WP_ACCEPTED;
-	if (o.run <= w.barred[task] ||
-	    (present != w.running.end() && present->second.run > o.run)) {
+	if (o.run <= w.barred[task]) {
 		extend_lease(w, o.deadline_clock_ms);
 		return WP_REFUSED_STALE_RUN;
 	}
@@ -393,7 +419,7 @@
 		run.outcome = WP_END_GANG_TIMEOUT;
 		run.ends_us = now + kGangTimeout;
 	}
-	w.running[task] = run;
+	w.running[{task, o.run}] = run;
 	if (!(step->flags & JB_GANG))
 		return WP_ACCEPTED;
 	/* The members work once all are present, and complete together. */
@@ -402,9 +428,8 @@
 	for (uint32_t i = 0; i < step->count; i++) {
 		std::string name = task_name(ref.job, ref.step, i);
 		for (auto &v : workers) {
-			auto r = v.second.running.find(name);
+			auto r = v.second.running.find({name, o.run});
 			if (v.second.alive && r != v.second.running.end() &&
-			    r->second.run == o.run &&
 			    r->second.outcome == WP_END_GANG_TIMEOUT)
 				members.push_back(&r->second);
 		}
@@ -447,9 +472,8 @@
 	if (o.kind != WP_ORDER_STOP)
 		return WP_ACCEPTED;
 	w.barred[task] = std::max(w.barred[task], o.run);
-	auto present = w.running.find(task);
-	if (present != w.running.end() && present->second.run <= o.run &&
-	    !present->second.stopping) {
+	auto present = w.running.find({task, o.run});
+	if (present != w.running.end() && !present->second.stopping) {
 		present->second.stopping = true;
 		present->second.outcome = WP_END_STOPPED;
 		present->second.ends_us = std::min(
@@ -458,16 +482,20 @@
 	return WP_ACCEPTED;
 }
 
+void
+TakeoverModel::end_all_runs(ModelWorker &w)
+{
+	auto gone = w.running;
+
+	for (auto &r : gone)
+		end_run(w, r.first.first, r.first.second, WP_END_LEASE_EXPIRED);
+}
+
 /* The new process has the same name; it knows of nothing before. */
 void
 TakeoverModel::restart_worker(ModelWorker &w)
 {
-	std::vector<std::string> gone;
-
-	for (auto &r : w.running)
-		gone.push_back(r.first);
-	for (const std::string &task : gone)
-		end_run(w, task, WP_END_LEASE_EXPIRED);
+	end_all_runs(w);
 	w.alive = false;
 	w.token = 0;
 	w.lease_end_ms = 0;
@@ -497,12 +525,11 @@
 	discovery_changed(id);
 	after((int64_t)(300 + random(2000)) * kMs, [this, id] {
 		ModelWorker &left = workers[id];
-		std::vector<std::string> gone;
 
-		for (auto &r : left.running)
-			gone.push_back(r.first);
-		for (const std::string &task : gone)
-			end_run(left, task, WP_END_LEASE_EXPIRED);
+		/* It was started again meanwhile. */
+		if (!left.draining)
+			return;
+		end_all_runs(left);
 		left.alive = false;
 		left.running.clear();
 		left.listed = false;
@@ -531,8 +558,9 @@
 void
 TakeoverModel::list_worker(ModelOwner &o, const ModelWorker &w)
 {
-	struct wp_worker_info info = {w.id.c_str(), "127.0.0.1:1", "a", "kind",
-	    "rack", {kCapacity, 1000, 0}, w.draining, 0, nullptr};
+	struct wp_worker_info info = {w.id.c_str(), "127.0.0.1:1", "a",
+	    w.kind.c_str(), "rack", {kCapacity, 1000, 0}, w.draining, 0,
+	    nullptr, w.incarnation, 0};
 
 	if (w.listed)
 		wp_set_worker(o.pool, &info, now);
@@ -574,6 +602,9 @@
 		to->mem_mb = 1;
 		to->estimate_ms = 500;
 		to->flags = from.flags | (job.saves ? JB_CHECKPOINTS : 0);
+		to->max_per_worker = from.max_per_worker;
+		if (!from.label.empty())
+			to->label = talloc_strdup(s, from.label.c_str());
 		to->after_count = (uint32_t)from.after.size();
 		to->after = (uint32_t *)talloc_memdup(
 		    s, from.after.data(), from.after.size() * sizeof(uint32_t));
@@ -605,20 +636,27 @@
 	job.priority = (uint32_t)random(3);
 	uint64_t steps = 1 + random(3);
 	for (uint64_t i = 0; i < steps; i++) {
-		ModelStep step = {(uint32_t)(1 + random(3)), 0, {}};
+		ModelStep step = {(uint32_t)(1 + random(3)), 0, {}, 0, ""};
 
 		if (i > 0)
 			step.after.push_back((uint32_t)(i - 1));
-		if (may_be_special && chance(100))
+		if (may_be_special && chance(speculative))
 			step.flags = JB_SPECULATIVE;
 		else if (may_be_special && chance(100))
 			step.flags = JB_GANG;
+		if (may_be_special && chance(400))
+			step.max_per_worker = (uint32_t)(1 + random(2));
+		if (may_be_special && chance(200))
+			step.label = kKinds[random(2)];
 		job.steps.push_back(step);
 	}
-	if (may_be_special && chance(60))
+	if (may_be_special && chance(60)) {
 		job.steps[0].count = 12;
+		job.steps[0].max_per_worker = 0;
+		job.steps[0].label = "";
+	}
 	if (may_be_special && chance(60))
-		job.steps = {{1, JB_LONG_RUNNING, {}}};
+		job.steps = {{1, JB_LONG_RUNNING, {}, 0, ""}};
 	job.revision = ++revision;
 	jobs[job.id] = job;
 	for (auto &row : owners) {
@@ -939,6 +977,63 @@
 	}
 }
 
+void
+TakeoverModel::fail_renewal(
+    std::shared_ptr<ModelRenewal> call, enum wp_order_result result)
+{
+	to_owner(call->owner, call->token, [=](ModelOwner &me) {
+		struct wp_worker *w =
+		    wp_find_worker(me.pool, call->worker.c_str());
+
+		if (call->ended || call->overdue)
+			return;
+		call->overdue = result == WP_OVERDUE;
+		call->ended = !call->overdue;
+		wp_on_renewal_failed(me.pool, w, result, now);
+	});
+}
+
+/* The lists are made now, and may arrive long after later ones. */
+void
+TakeoverModel::reply_to_renewal(
+    std::shared_ptr<ModelRenewal> call, int64_t takes_us)
+{
+	ModelWorker &w = workers[call->worker];
+	auto running = std::make_shared<std::vector<struct wp_running_task>>();
+	auto ends = std::make_shared<std::vector<struct wp_run_end>>();
+	struct wp_renewal_reply reply = {};
+
+	if (!hears(w) || w.token != call->token)
+		return;
+	for (auto &run : w.running)
+		running->push_back(
+		    {ref_of(run.first.first), run.first.second, nullptr, 0, 0});
+	for (const ModelEnd &e : w.ends)
+		ends->push_back(
+		    {e.number, ref_of(e.task), e.run, e.outcome, nullptr});
+	reply.incarnation_ms = w.incarnation;
+	reply.clock_ms = clock_ms(w);
+	after(takes_us, [=] {
+		to_owner(call->owner, call->token, [=](ModelOwner &me) {
+			struct wp_worker *to =
+			    wp_find_worker(me.pool, call->worker.c_str());
+			struct wp_renewal_reply a = reply;
+
+			if (call->ended)
+				return;
+			call->ended = true;
+			a.running = running->data();
+			a.running_count = (uint32_t)running->size();
+			a.end = ends->data();
+			a.end_count = (uint32_t)ends->size();
+			if (call->overdue)
+				wp_on_overdue_reply(me.pool, to, &a, now);
+			else
+				wp_on_renewal(me.pool, to, &a, now);
+		});
+	});
+}
+
 void
 TakeoverModel::send_renewals(ModelOwner &o)
 {
@@ -949,7 +1044,6 @@
 	HASH_ITER(hh, o.pool->workers, w, tmp) {
 		std::string id = w->id;
 		int64_t incarnation = w->incarnation_ms;
-		int number = o.number;
 		uint64_t token = o.token;
 
 		if (!wp_renewal_due(o.pool, w, now, &renewal))
@@ -957,19 +1051,13 @@
 		bool lost = chance(faults.lost);
 		bool late = lost && chance(faults.late * 3);
 		bool unanswered = lost || chance(faults.answer_lost);
-		auto answered = std::make_shared<bool>(false);
-		auto fail = [=](enum wp_order_result result) {
-			to_owner(number, token, [=](ModelOwner &me) {
-				if (*answered)
-					return;
-				*answered = true;
-				wp_on_renewal_failed(me.pool,
-				    wp_find_worker(me.pool, id.c_str()), result,
-				    now);
-			});
-		};
+		int64_t takes = chance(faults.answer_late)
+		    ? (int64_t)random(kMaxOverdue)
+		    : delay();
+		auto call = std::make_shared<ModelRenewal>();
+		*call = {o.number, o.token, id, false, false};
 		after(kTimeout + renewal.wait_ms * kMs,
-		    [=] { fail(WP_NO_ANSWER); });
+		    [=] { fail_renewal(call, WP_OVERDUE); });
 		if (lost && !late)
 			continue;
 		struct wp_renewal r = renewal;
@@ -979,8 +1067,10 @@
 			if (!there.alive || (!late && !hears(there)))
 				return;
 			if (token < there.token) {
-				after(delay(),
-				    [=] { fail(WP_REFUSED_STALE_TOKEN); });
+				after(delay(), [=] {
+					fail_renewal(
+					    call, WP_REFUSED_STALE_TOKEN);
+				});
 				return;
 			}
 			there.token = token;
@@ -995,48 +1085,7 @@
 				return;
 			int64_t pause =
 			    std::min<int64_t>(r.wait_ms, random(200)) * kMs;
-			after(pause, [=] {
-				ModelWorker &now_there = workers[id];
-				auto running = std::make_shared<
-				    std::vector<struct wp_running_task>>();
-				auto ends = std::make_shared<
-				    std::vector<struct wp_run_end>>();
-				struct wp_renewal_reply reply = {};
-
-				if (!hears(now_there) ||
-				    now_there.token != token)
-					return;
-				for (auto &run : now_there.running)
-					running->push_back({ref_of(run.first),
-					    run.second.run, nullptr, 0, 0});
-				for (const ModelEnd &e : now_there.ends)
-					ends->push_back(
-					    {e.number, ref_of(e.task), e.run,
-						e.outcome, nullptr});
-				reply.incarnation_ms = now_there.incarnation;
-				reply.clock_ms = clock_ms(now_there);
-				after(delay(), [=] {
-					to_owner(
-					    number, token, [=](ModelOwner &me) {
-						    struct wp_renewal_reply a =
-							reply;
-						    if (*answered)
-							    return;
-						    *answered = true;
-						    a.running = running->data();
-						    a.running_count =
-							(uint32_t)
-							    running->size();
-						    a.end = ends->data();
-						    a.end_count =
-							(uint32_t)ends->size();
-						    wp_on_renewal(me.pool,
-							wp_find_worker(me.pool,
-							    id.c_str()),
-							&a, now);
-					    });
-				});
-			});
+			after(pause, [=] { reply_to_renewal(call, takes); });
 		});
 	}
 }
@@ -1208,10 +1257,27 @@
 	}
 }
 
+/* So that each label has a worker for each member of the largest gang. */
+void
+TakeoverModel::add_missing_kinds()
+{
+	for (const char *kind : kKinds) {
+		size_t count = 0;
+
+		for (auto &w : workers)
+			count += w.second.alive && !w.second.draining &&
+			    w.second.kind == kind;
+		for (; count < kMinOfAKind;
+		     count += kKinds[next_worker % 2] == kind)
+			add_worker();
+	}
+}
+
 void
 TakeoverModel::heal(const std::set<std::string> &except)
 {
 	faults = ModelFaults();
+	add_missing_kinds();
 	for (auto &w : workers) {
 		if (except.count(w.first) > 0)
 			continue;
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -42,10 +42,12 @@
 	int64_t silent_until_us = 0;
 	int64_t born_us = 0;
 	int64_t rate_per_mille = 1000;
+	std::string kind;
 	uint64_t token = 0;
 	int64_t lease_end_ms = 0;
 	uint64_t last_end = 0;
-	std::map<std::string, ModelRun> running;
+	/* By task and number of the run. */
+	std::map<std::pair<std::string, uint32_t>, ModelRun> running;
 	std::map<std::string, uint32_t> barred;
 	std::vector<ModelEnd> ends;
 };
@@ -69,6 +71,8 @@
 	uint32_t count;
 	uint32_t flags;
 	std::vector<uint32_t> after;
+	uint32_t max_per_worker = 0;
+	std::string label;
 };
 
 struct ModelJob {
@@ -115,12 +119,22 @@
 	std::vector<std::function<void()>> inbox; /* while it is frozen */
 };
 
+/* A renewal without an answer; when it is overdue, the answer may still come. */
+struct ModelRenewal {
+	int owner = 0;
+	uint64_t token = 0;
+	std::string worker;
+	bool overdue = false;
+	bool ended = false;
+};
+
 /* How often things go wrong, in parts of a thousand. */
 struct ModelFaults {
 	uint32_t lost = 0;
 	uint32_t late = 0;
 	uint32_t answer_lost = 0;
 	uint32_t repeat_refused = 0; /* a start that was sent before */
+	uint32_t answer_late = 0;    /* of a renewal */
 };
 
 /**
@@ -162,6 +176,7 @@
 	std::map<std::string, ModelWorker> workers;
 	std::map<std::string, ModelJob> jobs;
 	ModelFaults faults;
+	uint32_t speculative = 100; /* steps that allow copies, per mille */
 	int64_t owner_since_us = 0;
 	uint64_t takeovers = 0;
 	uint64_t starts = 0;
@@ -194,13 +209,17 @@
 	bool apply_commit(const ModelCommit &cm);
 	void send_orders(ModelOwner &o);
 	void send_renewals(ModelOwner &o);
+	void fail_renewal(
+	    std::shared_ptr<ModelRenewal> call, enum wp_order_result result);
+	void reply_to_renewal(
+	    std::shared_ptr<ModelRenewal> call, int64_t takes_us);
 	void send_advice_requests(ModelOwner &o);
 	void list_worker(ModelOwner &o, const ModelWorker &w);
 	void discovery_changed(const std::string &id);
 	bool hears(const ModelWorker &w) const;
 	int64_t clock_ms(const ModelWorker &w) const;
 	void tick_worker(ModelWorker &w);
-	void end_run(ModelWorker &w, const std::string &task,
+	void end_run(ModelWorker &w, const std::string &task, uint32_t run,
 	    enum wp_run_outcome outcome);
 	enum wp_order_result do_order(ModelWorker &w, const struct wp_order &o,
 	    uint64_t token, const std::string &task);
@@ -210,9 +229,13 @@
 	    ModelWorker &w, const struct wp_order &o, const std::string &task);
 	void check_start(
 	    ModelWorker &w, const std::string &task, const ModelStep &step);
+	void check_placement(const ModelWorker &w, const std::string &task,
+	    const ModelStep &step);
 	void acknowledge(ModelWorker &w, uint64_t number);
 	void expire_ends(const ModelWorker &w);
 	void check_attempts(const std::string &task);
+	void end_all_runs(ModelWorker &w);
+	void add_missing_kinds();
 	void restart_worker(ModelWorker &w);
 	void remove_worker(ModelWorker &w);
 	void extend_lease(ModelWorker &w, int64_t until_ms);
--- /dev/null
+++ b/tests/unit/test_limits.cc
@@ -0,0 +1,91 @@
+#include "pool_fixture.h"
+
+namespace
+{
+
+/* A step's limit per worker, whatever is known late or only to workers. */
+class Limits : public Pool
+{
+      protected:
+	struct wp_job *
+	add_limited(const std::string &id, uint32_t count, uint32_t flags,
+	    uint32_t max_per_worker = 1)
+	{
+		struct jb_spec *s = spec(id, {{count, 1000, flags}});
+
+		s->step[0].max_per_worker = max_per_worker;
+		return wp_add_job(p, s, nullptr, true, 0, now);
+	}
+
+	static size_t
+	count_starts(const std::vector<struct wp_order *> &orders)
+	{
+		size_t n = 0;
+
+		for (const struct wp_order *o : orders)
+			n += o->kind == WP_ORDER_START;
+		return n;
+	}
+};
+
+/* The worker's reply was made before it started the run, and arrives later. */
+TEST_F(Limits, OverdueReplyDoesNotHideARunThatItIsOlderThan)
+{
+	create_pool();
+	add_worker("w", 3000);
+	now += 10 * kMs;
+	int64_t made_us = now;
+	now += 10 * kMs;
+	add_limited(kJob, 1, JB_SPECULATIVE);
+	ASSERT_EQ(count_starts(run_all()), 1U);
+	renewal_overdue("w");
+	now += 400 * kMs;
+	tick();
+	overdue_reply("w", made_us, {});
+	EXPECT_EQ(count_starts(run_all(10 * kMs)), 0U);
+	renew_lease("w", {{kJob, 0, 0, 1, 0, 10}});
+	EXPECT_EQ(count_starts(run_all(10 * kMs)), 0U);
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	EXPECT_EQ(task(kJob, 0, 0)->run, 1U);
+}
+
+/* Both are dated to the same millisecond. */
+TEST_F(Limits, ReplyOfTheSameMillisecondDoesNotHideARun)
+{
+	create_pool();
+	add_worker("w", 3000);
+	now += 10 * kMs;
+	int64_t made_us = now;
+	add_limited(kJob, 1, JB_SPECULATIVE);
+	ASSERT_EQ(count_starts(run_all()), 1U);
+	renewal_overdue("w");
+	now += 400 * kMs;
+	tick();
+	overdue_reply("w", made_us, {});
+	EXPECT_EQ(count_starts(run_all(10 * kMs)), 0U);
+}
+
+/* A copy elsewhere is the newest run, and the first one goes on. */
+TEST_F(Limits, OverdueReplyDoesNotHideARunBesideItsCopy)
+{
+	create_pool();
+	add_worker("w", 3000);
+	now += 10 * kMs;
+	int64_t made_us = now;
+	now += 10 * kMs;
+	add_limited(kJob, 2, JB_SPECULATIVE);
+	ASSERT_EQ(count_starts(run_all()), 1U);
+	renewal_overdue("w");
+	add_worker("v", 1000);
+	ASSERT_EQ(count_starts(run_all(400 * kMs)), 1U);
+	overdue_reply("w", made_us, {});
+	for (int i = 0; i < 20; i++) {
+		now += 100 * kMs;
+		renew_lease("v", {{kJob, 0, 0, 2, 0, 10}});
+		EXPECT_EQ(count_starts(run_all()), 0U) << i;
+	}
+	renew_lease("w");
+	EXPECT_EQ(count_starts(run_all(10 * kMs)), 1U);
+}
+
+} // namespace
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -409,7 +409,8 @@
 		int64_t end = m->now + us;
 
 		m->faults = {(uint32_t)m->random(60), (uint32_t)m->random(40),
-		    (uint32_t)m->random(60), repeat_refused};
+		    (uint32_t)m->random(60), repeat_refused,
+		    (uint32_t)m->random(answers_late)};
 		while (m->now < end) {
 			if (m->chance(400))
 				m->add_job();
@@ -546,6 +547,7 @@
 
 	/* A start that has to be sent again is often refused. */
 	uint32_t repeat_refused = 0;
+	uint32_t answers_late = 60;
 	std::unique_ptr<TakeoverModel> m;
 };
 
@@ -601,6 +603,23 @@
 	}
 }
 
+/* ROUTE and LIMIT: runs go on beside their copies, and replies are late. */
+TEST_F(TakeoverSchedule, CopiesKeepToTheLimitsOfWorkersAndSteps)
+{
+	auto range = seeds();
+
+	answers_late = 300;
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		begin(seed);
+		m->speculative = 600;
+		play_faults(25 * kS);
+		m->heal({});
+		m->run_for(20 * kS);
+		expect_no_task_waits(seed, 2 * kS, {});
+		expect_no_violation(seed);
+	}
+}
+
 /* LOST-1: a worker that was silent before holds only what may be on it. */
 TEST_F(TakeoverSchedule, SilentWorkerHoldsOnlyItsTasksAfterATakeover)
 {
