pool: the start of a copy counts until its deadline

What workers would see: a task starts beside a copy of another task of its step, beyond the step's limit per worker (ROUTE), or beyond the worker's capacity (LIMIT), when the copy's start is carried out in the last moments before its deadline. Found by reading; no play has shown it.

Cause: when the earlier run of a task completes, its copy is stopped, and counts until the worker does not list it, from 1.5 s later by the worker's clock as it is estimated then. The copy's deadline was set by an earlier estimate. A reply that took long lowers the estimate, so that the deadline may lie after that time.

Fix: the copy counts until its deadline at least. A task keeps no deadline by another clock any more: not from a worker that it was on before its run was taken over, nor from an earlier incarnation.

Evidence: Limits.StartOfACopyCountsUntilItsDeadline (a reply that took 300 ms) failed before: the other task of the step was started on the worker 200 ms before the copy's deadline.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -68,7 +68,7 @@
  * @worker: worker whose resources it takes, or NULL
  * @started_us: when it was placed on its worker
  * @not_before_us: earliest next start, set after a failure
- * @deadline_clock_ms: the worker refuses the start from then on
+ * @deadline_clock_ms: the worker refuses the start from then on; 0 for none
  * @confirmed_clock_ms: when the worker confirmed the start; 0 before
  * @stopped_clock_ms: when the worker confirmed the stop; 0 before
  * @resend_at_us: when an unanswered order is sent again; 0 for never
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -253,6 +253,7 @@
 	t->progressed_us = now_us;
 	t->pace = WP_FULL_PACE;
 	t->confirmed_clock_ms = w->lists_clock_ms;
+	t->deadline_clock_ms = 0;
 	t->step->occ->job->started = true;
 	wp_step_update_lists(t->step->occ->job->pool, t->step);
 }
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -207,6 +207,8 @@
 	wp_suspect_tasks(p, w, now_us);
 	wp_count_crashed_worker(p, w, now_us);
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
+		/* By the clock of the earlier incarnation. */
+		t->deadline_clock_ms = 0;
 		if (t->state == WP_TASK_DONE)
 			wp_task_release(t);
 		else
@@ -390,6 +392,8 @@
 	/* Its resources are released once the worker no longer reports it. */
 	t->confirmed_clock_ms =
 	    wp_worker_clock_ms(w, now_us + WP_START_VALID_US);
+	if (t->deadline_clock_ms > t->confirmed_clock_ms)
+		t->confirmed_clock_ms = t->deadline_clock_ms;
 }
 
 /* It completed before its lease was taken to have expired; none ran since. */
--- a/tests/unit/test_limits.cc
+++ b/tests/unit/test_limits.cc
@@ -88,4 +88,33 @@
 	EXPECT_EQ(count_starts(run_all(10 * kMs)), 1U);
 }
 
+/* The worker's clock was taken to be further ahead when the copy was ordered. */
+TEST_F(Limits, StartOfACopyCountsUntilItsDeadline)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add_limited(kJob, 2, JB_SPECULATIVE);
+	ASSERT_EQ(count_starts(run_all()), 1U);
+	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	add_worker("v", 3000);
+	auto orders = tick(400 * kMs);
+	ASSERT_EQ(count_starts(orders), 1U);
+	ASSERT_EQ(orders.back()->ref.index, 0U);
+	/* Its reply takes long, so its clock is further ahead than that. */
+	int64_t slow_us = 300 * kMs;
+	now -= slow_us;
+	struct wp_renewal_reply reply = {1, now / kMs, nullptr, 0, nullptr, 0};
+	now += slow_us;
+	wp_on_renewal(p, wp_find_worker(p, "v"), &reply, now);
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_DONE);
+	list_worker("w", 1000, true);
+	now += 1300 * kMs;
+	renew_lease("v");
+	EXPECT_EQ(count_starts(tick()), 0U);
+	now += 300 * kMs;
+	renew_lease("v");
+	EXPECT_EQ(count_starts(tick()), 1U);
+}
+
 } // namespace
