--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -68,7 +68,7 @@
  * @worker: worker whose resources it takes, or NULL
  * @started_us: when it was placed on its worker
  * @not_before_us: earliest next start, set after a failure
- * @deadline_clock_ms: the worker refuses the start from then on
+ * @deadline_clock_ms: the worker refuses the start from then on; 0 for none
  * @confirmed_clock_ms: when the worker confirmed the start; 0 before
  * @stopped_clock_ms: when the worker confirmed the stop; 0 before
  * @resend_at_us: when an unanswered order is sent again; 0 for never
@@ -412,7 +412,7 @@
  *	when it crashed; 0 if it did not, or it is reachable again
  * @replaced: another incarnation answers at its address
  * @blame: what it fell silent of
- * @lists_clock_ms: its clock when it made the lists that were read last
+ * @lists_clock_ms: lists that it made before then, on its clock, are outdated
  * @prompt_reply_us: when a reply that was not overdue arrived last
  * @renewal_in_flight: a renewal has no result yet and is not overdue
  * @renew_at_us: when the next renewal is due
