pool, advice: the log says why the first gangs wait

'pool waits' counts steps by cause; which gang waits for which part of its advice was not to be seen, nor what the advice service was busy with.

New lines, each second and bounded: 'pool gang_waits' for the first four waiting gangs (from wp_get_gang_waits(), pure), 'pool advice_rate' by queue, 'advice state' for the requests of an owner.

From 38 s on, all workers usable, 25 to 60% of the cores in use. Hypotheses, and what the lines say of them:

Its request costs 755 ms and waits 0.5 s, a ticket is valid for 1.5 s.
Five of the last eight lines show valid tickets for all members and room for fewer.
Supported: gangs with 10 to 24 approved workers ask for 1 to 4 tickets at a time and never hold four that have room.
- Requests of the other pool starve at peers: 'forwarded_ms' up to 18,017 and 'queued_ms' up to 16,159 on its owner, 9 to 23 requests a second failed from 38 s to 44 s ('peer_silent' for daemons that were answering).
- A request whose answer never came keeps a gang from asking: not seen, asked_ms stays below 2.8 s.
Members that wait for a retry: retry_ms is 0 in all lines, no suspects.
Not the cause here.
- The window of starts: 32 to 51, not examined further.

Gangs.WaitingGangTellsItsTicketsAndWhenItMayStart covers the new function.

--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -23,6 +23,7 @@
 #define AV_SHORT_TARGET_EVERY 3
 #define AV_AVOID_US (CLK_US_PER_S)
 #define AV_REFRESH_US (100 * CLK_US_PER_MS)
+#define AV_LOG_EVERY_US (CLK_US_PER_S)
 
 struct av_target;
 
@@ -35,6 +36,7 @@
 	struct wp_advice_request request;
 	char *worker[WP_MAX_ADVICE_WORKERS];
 	int64_t cost_us;
+	int64_t made_us;
 	struct av_target *target;
 	int64_t deadline_us;
 	fl_advice_fn done;
@@ -56,6 +58,14 @@
 	bool for_short;
 };
 
+/* Requests of this daemon's pools since the last line of the log. */
+struct av_stats {
+	uint32_t answered;
+	uint32_t failed;
+	int64_t answered_cost_us;
+	int64_t failed_cost_us;
+};
+
 struct av_dispatcher {
 	struct cell *c;
 	struct av_request *queue;
@@ -66,6 +76,8 @@
 	uint32_t target_count;
 	uint64_t next_id;
 	int64_t refresh_at_us;
+	int64_t log_at_us;
+	struct av_stats stats;
 };
 
 static void av_start_local(struct av_dispatcher *d);
@@ -108,6 +120,7 @@
 		req->request.worker[i] = req->worker[i];
 	}
 	req->cost_us = av_cost_us(request);
+	req->made_us = clk_now_us();
 	return req;
 }
 
@@ -138,6 +151,18 @@
 	peer_send(link, &frame);
 }
 
+static void
+av_count_result(struct av_stats *stats, const struct av_request *req, bool ok)
+{
+	if (ok) {
+		stats->answered++;
+		stats->answered_cost_us += req->cost_us;
+	} else {
+		stats->failed++;
+		stats->failed_cost_us += req->cost_us;
+	}
+}
+
 static void
 av_finish(struct av_request *req, bool ok, const struct wp_approval *approved,
     uint32_t count)
@@ -146,10 +171,12 @@
 		req->target->in_flight--;
 		req->target->in_flight_cost_us -= req->cost_us;
 	}
-	if (req->origin_link != 0)
+	if (req->origin_link != 0) {
 		av_respond_to_peer(req, ok, approved, count);
-	else
+	} else {
+		av_count_result(&req->d->stats, req, ok);
 		req->done(ok, approved, count, req->arg);
+	}
 	talloc_free(req);
 }
 
@@ -472,6 +499,78 @@
 	}
 }
 
+/* Requests in a list, and how long the oldest has been waiting. */
+static uint32_t
+av_count_list(const struct av_request *list, int64_t now_us, int64_t *oldest_us)
+{
+	const struct av_request *req;
+	uint32_t n = 0;
+
+	*oldest_us = 0;
+	DL_FOREACH(list, req) {
+		n++;
+		if (now_us - req->made_us > *oldest_us)
+			*oldest_us = now_us - req->made_us;
+	}
+	return n;
+}
+
+/* The daemon that has had a request for longest. */
+static const char *
+av_slowest_peer(const struct av_dispatcher *d)
+{
+	const struct av_request *slowest = d->forwarded;
+	const struct av_request *req;
+
+	DL_FOREACH(d->forwarded, req) {
+		if (req->made_us < slowest->made_us)
+			slowest = req;
+	}
+	return slowest != NULL ? slowest->target->vm : "";
+}
+
+static void
+av_log_state(struct av_dispatcher *d, int64_t now_us)
+{
+	const struct av_stats *stats = &d->stats;
+	uint32_t usable[2] = {0};
+	uint32_t busy[2] = {0};
+	int64_t queued_us;
+	int64_t forwarded_us;
+	int64_t local_us;
+	uint32_t queued;
+	uint32_t forwarded;
+	uint32_t local;
+	uint32_t i;
+
+	if (now_us < d->log_at_us)
+		return;
+	d->log_at_us = now_us + AV_LOG_EVERY_US;
+	for (i = 0; i < d->target_count; i++) {
+		const struct av_target *target = &d->target[i];
+
+		usable[target->for_short] += target->usable;
+		busy[target->for_short] +=
+		    target->usable && target->in_flight > 0;
+	}
+	queued = av_count_list(d->queue, now_us, &queued_us);
+	forwarded = av_count_list(d->forwarded, now_us, &forwarded_us);
+	local = av_count_list(d->local_queue, now_us, &local_us);
+	lg_event(LG_INFO, "advice", "state", "queued", lg_i64(queued),
+	    "queued_ms", lg_i64(queued_us / CLK_US_PER_MS), "forwarded",
+	    lg_i64(forwarded), "forwarded_ms",
+	    lg_i64(forwarded_us / CLK_US_PER_MS), "slowest", av_slowest_peer(d),
+	    "local", lg_i64(local), "local_ms",
+	    lg_i64(local_us / CLK_US_PER_MS), "long_targets",
+	    lg_i64(usable[false]), "long_busy", lg_i64(busy[false]),
+	    "short_targets", lg_i64(usable[true]), "short_busy",
+	    lg_i64(busy[true]), "answered", lg_i64(stats->answered), "failed",
+	    lg_i64(stats->failed), "answered_cost_ms",
+	    lg_i64(stats->answered_cost_us / CLK_US_PER_MS), "failed_cost_ms",
+	    lg_i64(stats->failed_cost_us / CLK_US_PER_MS), NULL);
+	memset(&d->stats, 0, sizeof(d->stats));
+}
+
 void
 av_tick(struct av_dispatcher *d, int64_t now_us)
 {
@@ -480,4 +579,5 @@
 	av_check_timeouts(d, now_us);
 	av_refresh_targets(d, now_us);
 	av_dispatch(d);
+	av_log_state(d, now_us);
 }
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -18,6 +18,8 @@
 #define CP_LOG_EVERY_US (CLK_US_PER_S)
 /* Queues whose waiting steps are logged. */
 #define CP_MAX_WAIT_ROWS 16
+/* Waiting gangs that are logged: more than the first may wait for its turn. */
+#define CP_MAX_GANG_ROWS 4
 /* Workers that tasks wait for after a takeover: which are logged, and when. */
 #define CP_MAX_HOLDING_ROWS 16
 #define CP_LOG_HOLDING_AFTER_US (500 * CLK_US_PER_MS)
@@ -193,6 +195,60 @@
 	}
 }
 
+static int64_t
+cp_left_ms(int64_t at_us, int64_t now_us)
+{
+	if (at_us == INT64_MAX)
+		return -1;
+	return at_us > now_us ? (at_us - now_us) / CLK_US_PER_MS : 0;
+}
+
+/* One line for each of the first gangs that have not started. */
+static void
+cp_log_gang_waits(struct cp_host *h, int64_t now_us)
+{
+	struct wp_gang_wait row[CP_MAX_GANG_ROWS];
+	uint32_t count =
+	    wp_get_gang_waits(h->pool, now_us, row, CP_MAX_GANG_ROWS);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct wp_gang_wait *g = &row[i];
+
+		lg_event(LG_INFO, "pool", "gang_waits", "pool", h->name, "job",
+		    g->job, "step", lg_i64(g->step), "rank", lg_i64(g->rank),
+		    "members", lg_i64(g->members), "waiting",
+		    lg_i64(g->waiting), "approved", lg_i64(g->approved),
+		    "valid", lg_i64(g->valid), "room", lg_i64(g->room),
+		    "requested", lg_i64(g->requested), "asked_ms",
+		    lg_i64(g->asked_us > 0
+			    ? (now_us - g->asked_us) / CLK_US_PER_MS
+			    : 0),
+		    "planned_ms", lg_i64(cp_left_ms(g->planned_us, now_us)),
+		    "reserved", g->reserved ? "1" : "0", "retry_ms",
+		    lg_i64(cp_left_ms(g->not_before_us, now_us)), "suspects",
+		    lg_i64(g->suspects), NULL);
+	}
+}
+
+/* What is expected of the advice service, by queue. */
+static void
+cp_log_advice_rates(struct cp_host *h)
+{
+	const struct wp_approval_rate *rate;
+	const struct wp_approval_rate *tmp;
+	uint32_t rows = 0;
+
+	HASH_ITER(hh, h->pool->approval_rates, rate, tmp) {
+		if (rows++ == CP_MAX_WAIT_ROWS)
+			return;
+		lg_event(LG_INFO, "pool", "advice_rate", "pool", h->name,
+		    "queue", rate->queue, "approved_percent",
+		    lg_i64((int64_t)rate->approved * 100 / rate->asked),
+		    "queued_ms", lg_i64(rate->queued_us / CLK_US_PER_MS), NULL);
+	}
+}
+
 /* One line for each worker that tasks of an earlier owner may wait for. */
 static void
 cp_log_holding(struct cp_host *h, int64_t now_us)
@@ -257,6 +313,8 @@
 	    h->commit != NULL ? "1" : "0", "confirmed_ms",
 	    lg_i64((now_us - h->lease_confirmed_us) / CLK_US_PER_MS), NULL);
 	cp_log_waits(h, now_us);
+	cp_log_gang_waits(h, now_us);
+	cp_log_advice_rates(h);
 	cp_log_holding(h, now_us);
 }
 
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -202,6 +202,7 @@
  * @requested_slots: slots on the workers that these requests name
  * @has_enough_tickets: when last checked, it had valid tickets for all its
  *	waiting tasks
+ * @asked_us: when its last advice request was made
  * @next_request_us: no advice request before
  * @rank: position among the ready steps when gangs were last planned
  * @reserved: resources are reserved for it, as its tickets say
@@ -233,6 +234,7 @@
 	uint32_t requests_in_flight;
 	uint32_t requested_slots;
 	bool has_enough_tickets;
+	int64_t asked_us;
 	int64_t next_request_us;
 	uint32_t rank;
 	bool reserved;
@@ -727,6 +729,40 @@
 	int64_t cpu_mcpu[WP_WAITS];
 };
 
+/**
+ * struct wp_gang_wait - why a gang has not started
+ * @job: its job; belongs to the pool
+ * @step: number of the step
+ * @rank: position among the waiting gangs, from 0
+ * @members: tasks of the gang
+ * @waiting: those that wait; a gang starts only when all do
+ * @approved: workers that have approved it
+ * @valid: those whose ticket is still valid
+ * @room: members that could start on these, past reservations of other gangs
+ * @requested: workers that the request in flight names
+ * @asked_us: since when that request has been in flight; 0 for none
+ * @planned_us: when it is expected to start; INT64_MAX for never
+ * @reserved: resources are reserved for it
+ * @not_before_us: earliest start of the member that has to wait longest
+ * @suspects: members that may have crashed their workers
+ */
+struct wp_gang_wait {
+	const char *job;
+	uint32_t step;
+	uint32_t rank;
+	uint32_t members;
+	uint32_t waiting;
+	uint32_t approved;
+	uint32_t valid;
+	uint32_t room;
+	uint32_t requested;
+	int64_t asked_us;
+	int64_t planned_us;
+	bool reserved;
+	int64_t not_before_us;
+	uint32_t suspects;
+};
+
 /** enum wp_crash_kind - what became known of a run and its worker's crash */
 enum wp_crash_kind {
 	WP_CRASH_SUSPECTED, /* its worker is silent and may have crashed */
@@ -1139,6 +1175,18 @@
 uint32_t wp_get_waits(const struct wp_pool *p, int64_t now_us,
     struct wp_queue_waits *list, uint32_t max);
 
+/**
+ * wp_get_gang_waits() - why the first waiting gangs have not started, for logs
+ * @p: pool
+ * @now_us: time
+ * @list: filled in, in scheduling order
+ * @max: rows that fit in @list
+ *
+ * Return: number of rows.
+ */
+uint32_t wp_get_gang_waits(const struct wp_pool *p, int64_t now_us,
+    struct wp_gang_wait *list, uint32_t max);
+
 /** wp_wait_name() - name of a cause in logs and metrics */
 const char *wp_wait_name(enum wp_wait wait);
 
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -260,6 +260,7 @@
 	request->made_us = now_us;
 	request->slots = slots;
 	s->requests_in_flight++;
+	s->asked_us = now_us;
 	s->requested_slots += slots;
 	for (i = 0; i < request->worker_count; i++)
 		wp_ticket_get(p, s, wp_find_worker(p, request->worker[i]))
--- a/state/pool_waits.c
+++ b/state/pool_waits.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "state/gang_plan.h"
 #include "state/pool_internal.h"
 
 /* Interval of the samples that a job's waiting times are made of. */
@@ -112,3 +113,69 @@
 	}
 	return count;
 }
+
+static void
+wp_count_tickets(const struct wp_pool *p, const struct wp_step *s,
+    struct wp_gang_wait *row, int64_t now_us)
+{
+	struct wp_resources need = wp_task_resources(s->spec);
+	uint32_t i;
+
+	for (i = 0; i < s->ticket_count; i++) {
+		const struct wp_ticket *ticket = &s->ticket[i];
+		struct wp_worker *w = p->worker_by_index[ticket->worker_index];
+		struct wp_resources available = wp_available_to(s, w, now_us);
+		uint32_t limit = wp_slots_left(s, w);
+
+		row->requested += ticket->requested;
+		row->approved += ticket->approved;
+		if (wp_ticket_valid(s, w, now_us) == NULL)
+			continue;
+		row->valid++;
+		if (limit > s->spec->count)
+			limit = s->spec->count;
+		if (wp_may_start_on(s, w, now_us))
+			row->room += gp_fit_count(&available, &need, limit);
+	}
+}
+
+static void
+wp_describe_gang(const struct wp_pool *p, const struct wp_step *s,
+    struct wp_gang_wait *row, int64_t now_us)
+{
+	uint32_t i;
+
+	memset(row, 0, sizeof(*row));
+	row->job = s->occ->job->spec->id;
+	row->step = s->number;
+	row->members = s->spec->count;
+	row->waiting = s->waiting;
+	row->asked_us = s->requests_in_flight > 0 ? s->asked_us : 0;
+	row->planned_us = s->planned_us;
+	row->reserved = s->reserved;
+	row->suspects = s->suspects;
+	for (i = 0; i < s->spec->count; i++) {
+		if (s->task[i].not_before_us > row->not_before_us)
+			row->not_before_us = s->task[i].not_before_us;
+	}
+	wp_count_tickets(p, s, row, now_us);
+}
+
+uint32_t
+wp_get_gang_waits(const struct wp_pool *p, int64_t now_us,
+    struct wp_gang_wait *list, uint32_t max)
+{
+	const struct wp_step *s;
+	uint32_t count = 0;
+
+	DL_FOREACH(p->ready, s) {
+		if (count == max)
+			break;
+		if (!(s->spec->flags & JB_GANG))
+			continue;
+		wp_describe_gang(p, s, &list[count], now_us);
+		list[count].rank = count;
+		count++;
+	}
+	return count;
+}
--- a/tests/unit/test_gangs.cc
+++ b/tests/unit/test_gangs.cc
@@ -208,4 +208,35 @@
 	EXPECT_EQ(run_all(50 * kMs).size(), 2U);
 }
 
+TEST_F(Gangs, WaitingGangTellsItsTicketsAndWhenItMayStart)
+{
+	struct wp_advice_request request;
+	struct wp_approval approvals[] = {{"w", "t"}, {"v", "t"}};
+	struct wp_gang_wait row[2];
+
+	fill_two_workers(6000);
+	add_job(kJob, {2, 4000, JB_GANG}, 1000, 1, 2000);
+	tick(50 * kMs);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	ASSERT_EQ(wp_get_gang_waits(p, now + 300 * kMs, row, 2), 1U);
+	EXPECT_EQ(row[0].requested, 2U);
+	EXPECT_EQ(row[0].asked_us, now);
+	EXPECT_EQ(row[0].approved, 0U);
+	EXPECT_EQ(row[0].planned_us, INT64_MAX);
+	wp_on_advice(p, &request, true, approvals, 2, now, now);
+	tick(50 * kMs);
+	ASSERT_EQ(wp_get_gang_waits(p, now, row, 2), 1U);
+	EXPECT_STREQ(row[0].job, kJob.c_str());
+	EXPECT_EQ(row[0].members, 2U);
+	EXPECT_EQ(row[0].waiting, 2U);
+	EXPECT_EQ(row[0].approved, 2U);
+	EXPECT_EQ(row[0].valid, 2U);
+	EXPECT_EQ(row[0].room, 0U);
+	EXPECT_EQ(row[0].asked_us, 0);
+	EXPECT_EQ(row[0].planned_us, kStart + 6 * kS);
+	EXPECT_TRUE(row[0].reserved);
+	ASSERT_EQ(wp_get_gang_waits(p, now + 2 * kS, row, 2), 1U);
+	EXPECT_EQ(row[0].valid, 0U);
+}
+
 } // namespace
