gang_plan: among equal slots, the one that is free sooner is chosen

The new gang_waits lines showed gangs first in rank with valid tickets of eight workers, but room on two or three of these, again and again.

A gang without valid tickets can start on no worker before an answer of the advice service, 0.9 to 1.3 s from now. So a worker that is free now and one whose run is expected to end within that time were equal slots, and the lower index decided. Runs take longer than estimated, so tickets were renewed for workers that stayed full, beside others that were free; the tickets are valid for 1.5 s, so all of it began again.

Slots now keep when their resources are free; among equal times the sooner one is chosen, then the lower index as before.

Gangs.FreeWorkersAreReservedBeforeThoseThatAreFreeOnceTicketsArrive failed before: wp_ticket_find(step, wp_find_worker(p, "w"))->reserved is 1, expected 0 and passes now. GangPlan.StartsWhenTheLastMemberHasASlot names the new field in its rows; what it expects is unchanged.

--- a/include/state/gang_plan.h
+++ b/include/state/gang_plan.h
@@ -25,10 +25,12 @@
  * struct gp_slot - room for one member on a worker
  * @worker: index of the worker
  * @at_us: from when on
+ * @free_us: when its resources are expected to be free, at most @at_us
  */
 struct gp_slot {
 	uint32_t worker;
 	int64_t at_us;
+	int64_t free_us;
 };
 
 /**
--- a/state/gang_plan.c
+++ b/state/gang_plan.c
@@ -11,7 +11,10 @@
 	return (x->at_us > y->at_us) - (x->at_us < y->at_us);
 }
 
-/* Among equals the lower index, so that repeated plans name the same workers. */
+/*
+ * Among equals the one that is free sooner, as runs may take longer than
+ * expected; then the lower index, so that repeated plans name the same workers.
+ */
 static int
 gp_compare_slots(const void *a, const void *b)
 {
@@ -20,6 +23,8 @@
 
 	if (x->at_us != y->at_us)
 		return x->at_us < y->at_us ? -1 : 1;
+	if (x->free_us != y->free_us)
+		return x->free_us < y->free_us ? -1 : 1;
 	return (x->worker > y->worker) - (x->worker < y->worker);
 }
 
@@ -64,7 +69,8 @@
 		uint32_t fit = gp_fit_count(&available, need, offer->max_slots);
 
 		while (count < fit)
-			slot[count++] = (struct gp_slot){offer->worker, at_us};
+			slot[count++] =
+			    (struct gp_slot){offer->worker, at_us, at_us};
 		if (count == offer->max_slots || i == offer->release_count)
 			return count;
 		if (offer->release[i].at_us > at_us)
--- a/tests/unit/test_gangs.cc
+++ b/tests/unit/test_gangs.cc
@@ -57,7 +57,8 @@
 
 TEST(GangPlan, StartsWhenTheLastMemberHasASlot)
 {
-	struct gp_slot slot[] = {{1, 500}, {2, 100}, {3, 300}, {4, 200}};
+	struct gp_slot slot[] = {
+	    {1, 500, 500}, {2, 100, 100}, {3, 300, 300}, {4, 200, 200}};
 
 	EXPECT_EQ(gp_choose(slot, 4, 3), 300);
 	EXPECT_EQ(slot[0].worker, 2U);
@@ -239,4 +240,37 @@
 	EXPECT_EQ(row[0].valid, 0U);
 }
 
+/* A run that is about to end may take longer. */
+TEST_F(Gangs, FreeWorkersAreReservedBeforeThoseThatAreFreeOnceTicketsArrive)
+{
+	struct wp_advice_request request;
+	struct wp_approval approvals[] = {{"w", "t"}, {"v", "t"}, {"u", "t"}};
+	struct wp_job *gang;
+	struct jb_spec *s;
+
+	create_pool();
+	add_worker("w", 4000);
+	add_job(kOther, {1, 3000}, 3000);
+	ASSERT_EQ(run_all().size(), 1U);
+	add_worker("v", 3000);
+	add_worker("u", 3000);
+	s = spec(kJob, {{2, 3000, JB_GANG}}, 1500);
+	s->policy.advice_decide_us = 700000;
+	gang = wp_add_job(p, s, nullptr, true, 0, now);
+	tick(50 * kMs);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	wp_on_advice(p, &request, true, approvals, 3, now - 2 * kS, now);
+	now = kStart + 2900 * kMs;
+	for (const char *id : {"w", "v", "u"})
+		renew_lease(id,
+		    id[0] == 'w' ? std::vector<Running>{{kOther, 0, 0, 1, 0}}
+				 : std::vector<Running>{});
+	tick(50 * kMs);
+	struct wp_step *step = &gang->occ[0]->step[0];
+	ASSERT_TRUE(step->reserved);
+	EXPECT_EQ(wp_ticket_find(step, wp_find_worker(p, "w"))->reserved, 0U);
+	EXPECT_EQ(wp_ticket_find(step, wp_find_worker(p, "v"))->reserved, 1U);
+	EXPECT_EQ(wp_ticket_find(step, wp_find_worker(p, "u"))->reserved, 1U);
+}
+
 } // namespace
