pool_ask: a renewal names spare workers that have approved the gang

A request renewed the tickets of exactly the workers reserved for a gang. When what one of them had free was taken meanwhile, or its run took longer, the gang asked for one more ticket: 755 ms and half a second of queue, while the other tickets, valid for 1.5 s, expired.

A renewal now names as many workers again, that have approved the gang before, those with room first; no more than cost a quarter of the request's base cost (17 here, 10 ms each beside 715 ms).

Gangs.RenewedTicketsSufficeAlthoughAReservedWorkerStaysFull failed before: run_all(50 * kMs).size() is 0, expected 2 and passes now.

--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -39,6 +39,8 @@
 #define WP_IDLE_QUEUE_US (50 * CLK_US_PER_MS)
 /* Approved slots for each member of a gang, to have a choice. */
 #define WP_GANG_CHOICE 2
+/* Part of its base cost by which a renewal may cost more to have spares. */
+#define WP_RENEWAL_SPARE_DIVISOR 4
 /* Tickets of a planned gang are renewed so much before they are needed. */
 #define WP_RENEWAL_MARGIN_US (150 * CLK_US_PER_MS)
 
@@ -289,14 +291,13 @@
 }
 
 /* Names the workers reserved for a gang whose tickets expire before it starts. */
-static bool
-wp_fill_renewal(struct wp_pool *p, struct wp_step *s, int64_t now_us,
+static uint32_t
+wp_name_reserved(const struct wp_pool *p, const struct wp_step *s,
     struct wp_advice_request *request)
 {
 	uint32_t slots = 0;
 	uint32_t i;
 
-	request->worker_count = 0;
 	for (i = 0; i < s->ticket_count; i++) {
 		const struct wp_ticket *ticket = &s->ticket[i];
 		struct wp_worker *w = p->worker_by_index[ticket->worker_index];
@@ -308,8 +309,67 @@
 		request->worker[request->worker_count++] = w->id;
 		slots += ticket->reserved;
 	}
+	return slots;
+}
+
+/* Further workers that a renewal may name, as each of them costs little. */
+static uint32_t
+wp_max_spare_workers(const struct wp_step *s)
+{
+	const struct jb_policy *policy = &s->occ->job->spec->policy;
+	uint32_t max = s->spec->count;
+
+	if (policy->advice_period_us > 0)
+		max = policy->advice_decide_us / WP_RENEWAL_SPARE_DIVISOR /
+		    policy->advice_period_us;
+	return max < s->spec->count ? max : s->spec->count;
+}
+
+/*
+ * Names workers that have approved a gang and are not reserved for it, first
+ * those with room for a member. What a reserved worker has free may be taken
+ * while the request is in flight; a request about one replacement takes as long
+ * again, and the other tickets expire meanwhile.
+ */
+static void
+wp_name_spares(const struct wp_pool *p, const struct wp_step *s, bool with_room,
+    uint32_t max, struct wp_advice_request *request, int64_t now_us)
+{
+	struct wp_resources need = wp_task_resources(s->spec);
+	struct wp_scan scan;
+	struct wp_worker *w;
+
+	wp_scan_begin(&scan, p, s);
+	while (
+	    (w = wp_scan_next(&scan)) != NULL && request->worker_count < max) {
+		const struct wp_ticket *ticket = wp_ticket_find(s, w);
+
+		if (ticket == NULL || ticket->reserved > 0 ||
+		    ticket->requested || !wp_is_usable(w, now_us) ||
+		    !wp_is_suitable(s, w) ||
+		    wp_ticket_valid(s, w, s->planned_us) != NULL ||
+		    (wp_slots_on(s, w, &need, now_us) > 0) != with_room)
+			continue;
+		request->worker[request->worker_count++] = w->id;
+	}
+}
+
+static bool
+wp_fill_renewal(struct wp_pool *p, struct wp_step *s, int64_t now_us,
+    struct wp_advice_request *request)
+{
+	uint32_t slots;
+	uint32_t max;
+
+	request->worker_count = 0;
+	slots = wp_name_reserved(p, s, request);
 	if (request->worker_count == 0)
 		return false;
+	max = request->worker_count + wp_max_spare_workers(s);
+	if (max > WP_MAX_ADVICE_WORKERS)
+		max = WP_MAX_ADVICE_WORKERS;
+	wp_name_spares(p, s, true, max, request, now_us);
+	wp_name_spares(p, s, false, max, request, now_us);
 	wp_send_request(p, s, slots, now_us, request);
 	return true;
 }
--- a/tests/unit/test_gangs.cc
+++ b/tests/unit/test_gangs.cc
@@ -240,6 +240,40 @@
 	EXPECT_EQ(row[0].valid, 0U);
 }
 
+/* One more ticket takes as long as all did, and these expire meanwhile. */
+TEST_F(Gangs, RenewedTicketsSufficeAlthoughAReservedWorkerStaysFull)
+{
+	struct wp_advice_request request;
+	struct wp_approval approvals[] = {{"w", "t"}, {"v", "t"}, {"u", "t"}};
+	std::vector<std::string> ids = {"w", "v", "u"};
+
+	create_pool();
+	for (const std::string &id : ids)
+		add_worker(id, 4000);
+	add_job(kOther, {3, 3000}, 6000);
+	auto first = run_all();
+	ASSERT_EQ(first.size(), 3U);
+	add_job(kJob, {2, 4000, JB_GANG}, 1000, 1, 2000);
+	tick(50 * kMs);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	wp_on_advice(p, &request, true, approvals, 3, now, now);
+	do {
+		tick(50 * kMs);
+		ASSERT_LT(now, kStart + 6 * kS);
+	} while (!wp_next_advice_request(p, now, &request));
+	for (uint32_t i = 0; i < request.worker_count; i++)
+		approvals[i].worker = request.worker[i];
+	wp_on_advice(
+	    p, &request, true, approvals, request.worker_count, now, now);
+	now = kStart + 6 * kS;
+	for (const struct wp_order *o : first) {
+		if (request.worker[0] != std::string(o->worker))
+			renew_lease(o->worker, {},
+			    {{1, kOther, 0, o->ref.index, 1, WP_END_DONE}});
+	}
+	EXPECT_EQ(run_all(50 * kMs).size(), 2U);
+}
+
 /* A run that is about to end may take longer. */
 TEST_F(Gangs, FreeWorkersAreReservedBeforeThoseThatAreFreeOnceTicketsArrive)
 {
