pool_ask: a gang asks about three times the workers

A gang asked about as many workers as approve it on average, with a quarter to spare; but its members need workers that have room at the same time, and in a busy pool two thirds of them have none. So it asked for others, then again for the first ones, whose tickets had expired.

Naming a worker costs 10 ms there, a request 715 ms. Gangs now ask for three times the slots, within the existing limit of a request's cost (about twice its base).

Backlog.OfGangsWithShortTicketsDrainsWhileAdviceIsScarce and Backlog.OfGangsWithShortTicketsDrains (test_load) failed before: the last of 60 gangs started after 15.2 s and 14.6 s with 12 and 20 daemons, bounds 13 s and 12 s; now 11.3 s and 11.0 s with 163 and 252 requests (249 and 397 before). Ruled out in the same load: a lower bound of the queue time up to which gangs ask for more choice (no difference), planning with the time at which tickets in flight arrive (15.3 s).

--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -26,6 +26,11 @@
 #define WP_SPARE_SLOTS_DIVISOR 4
 #define WP_SPARE_SLOTS 4
 #define WP_MAX_SLOTS_WANTED 1000
+/*
+ * A gang asks for this many times the slots that it needs, as they have to be
+ * free at the same time; naming a worker costs little beside the request.
+ */
+#define WP_GANG_SLOTS_FACTOR 3
 /* Approval rate of a queue before the first answer: 35%. */
 #define WP_INITIAL_ASKED 100
 #define WP_INITIAL_APPROVED 35
@@ -102,6 +107,8 @@
 	    (rate->approved > 0 ? rate->approved : 1);
 
 	slots += slots / WP_SPARE_SLOTS_DIVISOR + WP_SPARE_SLOTS;
+	if (s->spec->flags & JB_GANG)
+		slots *= WP_GANG_SLOTS_FACTOR;
 	return slots < WP_MAX_SLOTS_WANTED ? (uint32_t)slots
 					   : WP_MAX_SLOTS_WANTED;
 }
--- a/tests/unit/test_load.cc
+++ b/tests/unit/test_load.cc
@@ -24,11 +24,16 @@
 	uint32_t approved_percent;
 	uint32_t decide_us;
 	uint32_t period_us;
+	uint32_t valid_ms = 2000;
 };
 
 const Kind kGang = {"gang", 8, 9000, 4000, JB_GANG, 1, 30, 310000, 4400};
 const Kind kBatch = {"batch", 10, 2000, 2200, 0, 2, 45, 42000, 600};
 const Kind kUrgent = {"urgent", 2, 2800, 800, 0, 0, 70, 7000, 100};
+/* One task a worker; tickets expire in twice the time that these take. */
+const Kind kShortTickets = {
+    "short", 4, 17000, 3600, JB_GANG, 1, 30, 715000, 10270, 1500};
+const Kind kSmall = {"small", 13, 2800, 3800, 0, 2, 45, 195000, 2730, 1500};
 /* Takes whole workers, of which nine tenths run something most of the time. */
 const Kind kWhole = {"whole", 4, 32000, 3600, JB_GANG, 1, 30, 715000, 10000};
 
@@ -96,8 +101,8 @@
 	submit(const Kind &kind)
 	{
 		std::string id = job_id((int)jobs.size() + 1);
-		struct jb_spec *s =
-		    spec(id, {{kind.count, kind.cpu, kind.flags}}, 2000);
+		struct jb_spec *s = spec(
+		    id, {{kind.count, kind.cpu, kind.flags}}, kind.valid_ms);
 
 		talloc_free(s->queue);
 		s->queue = talloc_strdup(s, kind.queue);
@@ -410,4 +415,39 @@
 	EXPECT_LE(longest_wait(kWhole), 12 * kS);
 }
 
+/*
+ * What gathered during an outage: 60 gangs of four and as many steps of small
+ * tasks on 98 workers, while few daemons ask for advice.
+ */
+class Backlog : public Load
+{
+      protected:
+	void
+	play(int daemons)
+	{
+		begin(98, daemons, 5);
+		for (int i = 0; i < 60; i++) {
+			submit(kShortTickets);
+			submit(kSmall);
+		}
+		while (now < kStart + 30 * kS) {
+			arrive(kSmall, 3);
+			play_step();
+		}
+	}
+};
+
+/* Each gang had to ask again and again, 2.5 times on average. */
+TEST_F(Backlog, OfGangsWithShortTicketsDrainsWhileAdviceIsScarce)
+{
+	play(12);
+	EXPECT_LE(longest_wait(kShortTickets), 13 * kS);
+}
+
+TEST_F(Backlog, OfGangsWithShortTicketsDrains)
+{
+	play(20);
+	EXPECT_LE(longest_wait(kShortTickets), 12 * kS);
+}
+
 } // namespace
