--- a/tests/unit/test_gangs.cc
+++ b/tests/unit/test_gangs.cc
@@ -57,7 +57,8 @@
 
 TEST(GangPlan, StartsWhenTheLastMemberHasASlot)
 {
-	struct gp_slot slot[] = {{1, 500}, {2, 100}, {3, 300}, {4, 200}};
+	struct gp_slot slot[] = {
+	    {1, 500, 500}, {2, 100, 100}, {3, 300, 300}, {4, 200, 200}};
 
 	EXPECT_EQ(gp_choose(slot, 4, 3), 300);
 	EXPECT_EQ(slot[0].worker, 2U);
@@ -208,4 +209,102 @@
 	EXPECT_EQ(run_all(50 * kMs).size(), 2U);
 }
 
+TEST_F(Gangs, WaitingGangTellsItsTicketsAndWhenItMayStart)
+{
+	struct wp_advice_request request;
+	struct wp_approval approvals[] = {{"w", "t"}, {"v", "t"}};
+	struct wp_gang_wait row[2];
+
+	fill_two_workers(6000);
+	add_job(kJob, {2, 4000, JB_GANG}, 1000, 1, 2000);
+	tick(50 * kMs);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	ASSERT_EQ(wp_get_gang_waits(p, now + 300 * kMs, row, 2), 1U);
+	EXPECT_EQ(row[0].requested, 2U);
+	EXPECT_EQ(row[0].asked_us, now);
+	EXPECT_EQ(row[0].approved, 0U);
+	EXPECT_EQ(row[0].planned_us, INT64_MAX);
+	wp_on_advice(p, &request, true, approvals, 2, now, now);
+	tick(50 * kMs);
+	ASSERT_EQ(wp_get_gang_waits(p, now, row, 2), 1U);
+	EXPECT_STREQ(row[0].job, kJob.c_str());
+	EXPECT_EQ(row[0].members, 2U);
+	EXPECT_EQ(row[0].waiting, 2U);
+	EXPECT_EQ(row[0].approved, 2U);
+	EXPECT_EQ(row[0].valid, 2U);
+	EXPECT_EQ(row[0].room, 0U);
+	EXPECT_EQ(row[0].asked_us, 0);
+	EXPECT_EQ(row[0].planned_us, kStart + 6 * kS);
+	EXPECT_TRUE(row[0].reserved);
+	ASSERT_EQ(wp_get_gang_waits(p, now + 2 * kS, row, 2), 1U);
+	EXPECT_EQ(row[0].valid, 0U);
+}
+
+/* One more ticket takes as long as all did, and these expire meanwhile. */
+TEST_F(Gangs, RenewedTicketsSufficeAlthoughAReservedWorkerStaysFull)
+{
+	struct wp_advice_request request;
+	struct wp_approval approvals[] = {{"w", "t"}, {"v", "t"}, {"u", "t"}};
+	std::vector<std::string> ids = {"w", "v", "u"};
+
+	create_pool();
+	for (const std::string &id : ids)
+		add_worker(id, 4000);
+	add_job(kOther, {3, 3000}, 6000);
+	auto first = run_all();
+	ASSERT_EQ(first.size(), 3U);
+	add_job(kJob, {2, 4000, JB_GANG}, 1000, 1, 2000);
+	tick(50 * kMs);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	wp_on_advice(p, &request, true, approvals, 3, now, now);
+	do {
+		tick(50 * kMs);
+		ASSERT_LT(now, kStart + 6 * kS);
+	} while (!wp_next_advice_request(p, now, &request));
+	for (uint32_t i = 0; i < request.worker_count; i++)
+		approvals[i].worker = request.worker[i];
+	wp_on_advice(
+	    p, &request, true, approvals, request.worker_count, now, now);
+	now = kStart + 6 * kS;
+	for (const struct wp_order *o : first) {
+		if (request.worker[0] != std::string(o->worker))
+			renew_lease(o->worker, {},
+			    {{1, kOther, 0, o->ref.index, 1, WP_END_DONE}});
+	}
+	EXPECT_EQ(run_all(50 * kMs).size(), 2U);
+}
+
+/* A run that is about to end may take longer. */
+TEST_F(Gangs, FreeWorkersAreReservedBeforeThoseThatAreFreeOnceTicketsArrive)
+{
+	struct wp_advice_request request;
+	struct wp_approval approvals[] = {{"w", "t"}, {"v", "t"}, {"u", "t"}};
+	struct wp_job *gang;
+	struct jb_spec *s;
+
+	create_pool();
+	add_worker("w", 4000);
+	add_job(kOther, {1, 3000}, 3000);
+	ASSERT_EQ(run_all().size(), 1U);
+	add_worker("v", 3000);
+	add_worker("u", 3000);
+	s = spec(kJob, {{2, 3000, JB_GANG}}, 1500);
+	s->policy.advice_decide_us = 700000;
+	gang = wp_add_job(p, s, nullptr, true, 0, now);
+	tick(50 * kMs);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	wp_on_advice(p, &request, true, approvals, 3, now - 2 * kS, now);
+	now = kStart + 2900 * kMs;
+	for (const char *id : {"w", "v", "u"})
+		renew_lease(id,
+		    id[0] == 'w' ? std::vector<Running>{{kOther, 0, 0, 1, 0}}
+				 : std::vector<Running>{});
+	tick(50 * kMs);
+	struct wp_step *step = &gang->occ[0]->step[0];
+	ASSERT_TRUE(step->reserved);
+	EXPECT_EQ(wp_ticket_find(step, wp_find_worker(p, "w"))->reserved, 0U);
+	EXPECT_EQ(wp_ticket_find(step, wp_find_worker(p, "v"))->reserved, 1U);
+	EXPECT_EQ(wp_ticket_find(step, wp_find_worker(p, "u"))->reserved, 1U);
+}
+
 } // namespace
