replica: rows that are left out have a file of their own

The readers of entries report rows that they can't use through the file that passes the rows to them, so the two called each other. The reports are now in replica_left_out.c, below both. Functions move unchanged.

--- a/include/curranttackd/replica_internal.h
+++ b/include/curranttackd/replica_internal.h
@@ -8,18 +8,15 @@
  * space and watches it), replica_rows (passes each row to the function for its
  * kind), replica_jobs (jobs, their progress and cancellation), replica_pools
  * (owners of pools and daemons of the cell), replica_entries (what others write:
- * workers' entries, the configuration, maintenance waves).
+ * workers' entries, the configuration, maintenance waves), replica_left_out
+ * (rows that are not used).
  *
  * Functions rp_apply_*() for one kind of row take the part of its key behind the
  * prefix. They ignore rows that are not newer than what they have.
  */
 
-/* replica_rows.c */
+/* replica_left_out.c */
 
-/** rp_apply_in_order() - apply an item that came in the order of changes */
-void rp_apply_in_order(struct replica *r, const struct ks_item *item);
-/** rp_mark_found() - mark an item as found by the load, if it can be deleted */
-void rp_mark_found(struct replica *r, const struct ks_item *item);
 /**
  * rp_leave_out() - report a row that is not used, once for each revision
  * @r: replica
@@ -30,6 +27,15 @@
  */
 void rp_leave_out(struct replica *r, const struct ks_item *item,
     const char *module, const char *event, const char *reason);
+/** rp_forget_left_out() - forget the report on a row that was deleted */
+void rp_forget_left_out(struct replica *r, const struct ks_item *item);
+
+/* replica_rows.c */
+
+/** rp_apply_in_order() - apply an item that came in the order of changes */
+void rp_apply_in_order(struct replica *r, const struct ks_item *item);
+/** rp_mark_found() - mark an item as found by the load, if it can be deleted */
+void rp_mark_found(struct replica *r, const struct ks_item *item);
 
 /* replica_jobs.c */
 
