--- a/curranttackd/api_config.c
+++ b/curranttackd/api_config.c
@@ -42,6 +42,21 @@
 
 static void ac_write(void *arg);
 
+static struct config_op *
+ac_create_op(struct frontend *f, struct hs_request *req, const char *prefix,
+    enum cf_area area)
+{
+	struct config_op *op = talloc_zero(NULL, struct config_op);
+
+	if (op == NULL)
+		abort();
+	op->frontend = f;
+	op->req = req;
+	op->area = area;
+	snprintf(op->key, sizeof(op->key), "%s/%s", prefix, cf_area_name(area));
+	return op;
+}
+
 void
 api_config_get(struct frontend *f, struct hs_request *req, const char *suffix)
 {
@@ -255,13 +270,7 @@
 		fr_respond_error(req, 400, error);
 		return;
 	}
-	op = talloc_zero(NULL, struct config_op);
-	if (op == NULL)
-		abort();
-	op->frontend = f;
-	op->req = req;
-	op->area = area;
-	snprintf(op->key, sizeof(op->key), "config/%s", cf_area_name(area));
+	op = ac_create_op(f, req, "config", area);
 	op->if_revision = strtoull(if_revision, NULL, 10);
 	op->body = talloc_memdup(op, req->body, req->body_bytes);
 	op->body_bytes = req->body_bytes;
@@ -319,11 +328,6 @@
 		fr_respond_error(req, 404, "no such area of the configuration");
 		return;
 	}
-	op = talloc_zero(NULL, struct config_op);
-	if (op == NULL)
-		abort();
-	op->frontend = f;
-	op->req = req;
-	snprintf(op->key, sizeof(op->key), "history/%s", cf_area_name(area));
+	op = ac_create_op(f, req, "history", area);
 	loop_post(f->d->control_loop, ac_fetch_history, op);
 }
--- a/curranttackd/members.c
+++ b/curranttackd/members.c
@@ -3,45 +3,11 @@
 
 #include "common/clock.h"
 #include "common/log.h"
-#include "curranttackd/members.h"
+#include "curranttackd/members_internal.h"
 #include "curranttackd/shard_host.h"
-#include "protocol/json_fields.h"
-#include "protocol/vm_json.h"
 
-#define ME_MAX_LINKS 256
 /* An unchanged report is relayed only in every third summary. */
 #define ME_UNCHANGED_RELAY_ROUNDS 3
-#define ME_RECONNECT_DELAY_US (300 * CLK_US_PER_MS)
-
-/**
- * struct me_link_slot - the link to one daemon
- * @vm: VM of the daemon
- * @link: link, or NULL
- * @retry_at_us: no attempt to connect before this time
- * @use_reported_address: connect to the address that the daemon reports
- *	rather than to the one in the platform's VM list
- */
-struct me_link_slot {
-	char vm[MB_NAME_BYTES];
-	struct peer_link *link;
-	int64_t retry_at_us;
-	bool use_reported_address;
-};
-
-/**
- * struct members - exchange of heartbeats and summaries
- * @d: daemon
- * @slot: links, @slot_count long
- * @vm_list_in_flight: a read of the VM list is in flight
- * @round: number of summaries sent
- */
-struct members {
-	struct daemon *d;
-	struct me_link_slot slot[ME_MAX_LINKS];
-	uint32_t slot_count;
-	bool vm_list_in_flight;
-	uint32_t round;
-};
 
 struct members *
 me_create(struct daemon *d)
@@ -54,80 +20,6 @@
 	return me;
 }
 
-static struct me_link_slot *
-me_get_slot(struct members *me, const char *vm)
-{
-	uint32_t i;
-
-	for (i = 0; i < me->slot_count; i++) {
-		if (strcmp(me->slot[i].vm, vm) == 0)
-			return &me->slot[i];
-	}
-	if (me->slot_count == ME_MAX_LINKS)
-		return NULL;
-	snprintf(me->slot[me->slot_count].vm, MB_NAME_BYTES, "%s", vm);
-	return &me->slot[me->slot_count++];
-}
-
-/*
- * The listed and the reported address may differ; each failure to connect
- * switches between them.
- */
-static const char *
-me_choose_address(const struct me_link_slot *slot, const struct mb_member *m)
-{
-	if (m->listed_address[0] == '\0')
-		return m->report.address;
-	if (m->report.address[0] == '\0')
-		return m->listed_address;
-	return slot->use_reported_address ? m->report.address
-					  : m->listed_address;
-}
-
-struct peer_link *
-me_get_link(struct members *me, const char *vm)
-{
-	struct me_link_slot *slot = me_get_slot(me, vm);
-	char address[MB_NAME_BYTES] = "";
-	struct mb_member *m;
-
-	if (slot == NULL)
-		return NULL;
-	pthread_mutex_lock(&me->d->members_lock);
-	m = mb_find(me->d->view, vm);
-	if (m != NULL)
-		memcpy(address, me_choose_address(slot, m), sizeof(address));
-	pthread_mutex_unlock(&me->d->members_lock);
-	if (slot->link != NULL)
-		return slot->link;
-	if (address[0] == '\0' || clk_now_us() < slot->retry_at_us)
-		return NULL;
-	slot->retry_at_us = clk_now_us() + ME_RECONNECT_DELAY_US;
-	slot->link = peer_connect(me->d->peers, address);
-	return slot->link;
-}
-
-void
-me_on_link_closed(struct members *me, struct peer_link *link)
-{
-	uint32_t i;
-
-	for (i = 0; i < me->slot_count; i++) {
-		if (me->slot[i].link != link)
-			continue;
-		me->slot[i].link = NULL;
-		if (!peer_established(link))
-			me->slot[i].use_reported_address =
-			    !me->slot[i].use_reported_address;
-		if (!peer_refused(link))
-			continue;
-		pthread_mutex_lock(&me->d->members_lock);
-		mb_on_connection_refused(
-		    me->d->view, me->slot[i].vm, clk_now_us());
-		pthread_mutex_unlock(&me->d->members_lock);
-	}
-}
-
 /** struct me_heartbeat - a heartbeat message with the arrays it points to */
 struct me_heartbeat {
 	Currant__Heartbeat beat;
@@ -431,73 +323,6 @@
 		me_apply_heartbeat(me->d, summary->members[i], now_us);
 }
 
-static void
-me_apply_vm_list(struct members *me, const struct vj_vm_list *list)
-{
-	struct daemon *d = me->d;
-	struct mb_vm_entry *entry;
-	uint32_t n = 0;
-	uint32_t i;
-
-	entry = talloc_array(list, struct mb_vm_entry, list->count + 1);
-	d->leaving_vm_count = 0;
-	for (i = 0; i < list->count; i++) {
-		const struct vj_vm *vm = &list->vm[i];
-
-		if (vm->leaving && d->leaving_vm_count < DM_MAX_LEAVING_VMS)
-			snprintf(d->leaving_vm[d->leaving_vm_count++],
-			    MB_NAME_BYTES, "%s", vm->id);
-		if (vm->role != VJ_DAEMON)
-			continue;
-		entry[n].vm = vm->id;
-		entry[n].domain = vm->domain;
-		entry[n].address = vm->address;
-		entry[n++].leaving = vm->leaving;
-	}
-	pthread_mutex_lock(&d->members_lock);
-	mb_on_vm_list(d->view, entry, n, clk_now_us());
-	pthread_mutex_unlock(&d->members_lock);
-}
-
-static void
-me_on_vm_list(const struct hc_response *resp, void *arg)
-{
-	struct members *me = arg;
-	char error[JF_ERROR_BYTES];
-	struct vj_vm_list *list;
-
-	me->vm_list_in_flight = false;
-	if (resp->error != HC_OK || resp->status != 200)
-		return;
-	list = vj_parse(me, resp->body, resp->body_bytes, error);
-	if (list == NULL) {
-		lg_event(
-		    LG_WARN, "members", "bad_vm_list", "reason", error, NULL);
-		return;
-	}
-	me_apply_vm_list(me, list);
-	talloc_free(list);
-}
-
-static void
-me_on_vm_list_due(void *arg)
-{
-	struct members *me = arg;
-	struct hc_request req = {0};
-	char url[128];
-
-	if (me->vm_list_in_flight)
-		return;
-	snprintf(url, sizeof(url), "http://%s/v1/vms",
-	    me->d->settings->vm_list_address);
-	req.method = "GET";
-	req.url = url;
-	req.deadline_us = clk_now_us() + me->d->settings->store_timeout_us;
-	req.repeatable = true;
-	me->vm_list_in_flight = true;
-	hc_send(me->d->control_http, &req, me_on_vm_list, me);
-}
-
 void
 me_start(struct members *me)
 {
--- a/include/curranttackd/api.h
+++ b/include/curranttackd/api.h
@@ -52,6 +52,8 @@
  */
 void rq_serve_forwarded(struct daemon *d, const Currant__Call *call,
     int64_t deadline_us, call_done_fn done, void *arg);
+/* request_attempts.c */
+
 /** rq_run_actions() - carry out the pending actions of a service; any loop */
 void rq_run_actions(struct daemon *d, struct dm_service *s);
 
