pool: a line and a counter for workers that list more than a limit

Now each reply of a worker is compared with its capacity, as last reported for that incarnation, and with the steps' limits per worker, before it is read: so the line tells what the pool believed until then. One line each time that a worker comes to list too much, 16 a second at most; a counter by limit counts all. No decision reads any of it.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -607,7 +607,11 @@
 	    "currant_pool_displaced_total{pool=\"%s\"} %llu\n"
 	    "currant_pool_asks_total{pool=\"%s\"} %llu\n"
 	    "currant_pool_task_crashes_total{pool=\"%s\"} %llu\n"
-	    "currant_pool_given_up_total{pool=\"%s\"} %llu\n",
+	    "currant_pool_given_up_total{pool=\"%s\"} %llu\n"
+	    "currant_pool_over_limit_total{pool=\"%s\",limit=\"capacity\"} "
+	    "%llu\n"
+	    "currant_pool_over_limit_total{pool=\"%s\",limit=\"step_limit\"} "
+	    "%llu\n",
 	    h->name, (unsigned long long)h->fence, h->name, n.jobs, h->name,
 	    n.waiting, h->name, n.running, h->name, n.held, h->name, n.late,
 	    h->name, n.usable, h->name, n.overfull, h->name, n.outdated,
@@ -616,7 +620,9 @@
 	    (unsigned long long)s->displaced, h->name,
 	    (unsigned long long)s->advice_requests, h->name,
 	    (unsigned long long)s->crashes, h->name,
-	    (unsigned long long)s->given_up);
+	    (unsigned long long)s->given_up, h->name,
+	    (unsigned long long)s->over_limit[WP_OVER_CAPACITY], h->name,
+	    (unsigned long long)s->over_limit[WP_OVER_STEP_LIMIT]);
 }
 
 /* Results of orders, by result. */
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -172,6 +172,32 @@
 	}
 }
 
+/* One line each time that a worker comes to list more than a limit. */
+static void
+cp_log_over_limit(struct cp_host *h)
+{
+	struct wp_over_event *e;
+
+	while ((e = wp_next_over_event(h->pool)) != NULL) {
+		lg_event(LG_WARN, "pool", "over_limit", "pool", h->name,
+		    "limit", wp_over_kind_name(e->kind), "worker", e->worker,
+		    "incarnation", lg_i64(e->incarnation_ms), "clock_ms",
+		    lg_i64(e->clock_ms), "cpu_mcpu",
+		    lg_i64(e->capacity.cpu_mcpu), "mem_mb",
+		    lg_i64(e->capacity.mem_mb), "gpu", lg_i64(e->capacity.gpu),
+		    "listed_cpu_mcpu", lg_i64(e->listed.cpu_mcpu),
+		    "listed_mem_mb", lg_i64(e->listed.mem_mb), "listed_gpu",
+		    lg_i64(e->listed.gpu), "used_cpu_mcpu",
+		    lg_i64(e->used.cpu_mcpu), "used_mem_mb",
+		    lg_i64(e->used.mem_mb), "used_gpu", lg_i64(e->used.gpu),
+		    "orphaned_cpu_mcpu", lg_i64(e->orphaned.cpu_mcpu),
+		    "orphaned_mem_mb", lg_i64(e->orphaned.mem_mb),
+		    "orphaned_gpu", lg_i64(e->orphaned.gpu), "run_count",
+		    lg_i64(e->run_count), "runs", e->runs, NULL);
+		talloc_free(e);
+	}
+}
+
 static void
 cp_send_advice_requests(struct cp_host *h, int64_t now_us)
 {
@@ -202,6 +228,7 @@
 		wp_schedule(h->pool, now_us);
 	}
 	cp_log_crashes(h);
+	cp_log_over_limit(h);
 	if (h->pool->superseded) {
 		cp_step_down(h, "fenced by a worker");
 		return;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -395,6 +395,8 @@
  * @last_failed_job: job of the last of these
  * @quarantined_until_us: it is not usable before
  * @next_pace_us: the pace of its tasks does not change before
+ * @over_capacity: its last reply listed more than its capacity
+ * @over_step_limit: its last reply listed more runs of a step than may be there
  */
 struct wp_worker {
 	char id[WP_NAME_BYTES];
@@ -461,6 +463,8 @@
 	char last_failed_job[JB_ID_BYTES];
 	int64_t quarantined_until_us;
 	int64_t next_pace_us;
+	bool over_capacity;
+	bool over_step_limit;
 	UT_hash_handle hh;
 };
 
@@ -658,6 +662,12 @@
 	const char *ticket;
 };
 
+/** enum wp_over_kind - a limit of what runs on a worker */
+enum wp_over_kind {
+	WP_OVER_CAPACITY,   /* the worker's capacity */
+	WP_OVER_STEP_LIMIT, /* a step's limit per worker */
+};
+
 /**
  * struct wp_stats - counts since the pool was created
  * @starts: start orders, repeated ones included
@@ -669,6 +679,7 @@
  * @passes: scheduling passes
  * @crashes: suspected runs whose worker has crashed
  * @given_up: jobs that failed because a task of them crashes its workers
+ * @over_limit: how often a worker came to list more than a limit, by limit
  */
 struct wp_stats {
 	uint64_t starts;
@@ -680,6 +691,7 @@
 	uint64_t passes;
 	uint64_t crashes;
 	uint64_t given_up;
+	uint64_t over_limit[WP_OVER_STEP_LIMIT + 1];
 };
 
 /**
@@ -751,6 +763,34 @@
 	struct wp_crash_event *next;
 };
 
+/**
+ * struct wp_over_event - a worker has come to list more than a limit, for logs
+ * @worker: worker
+ * @incarnation_ms: its incarnation
+ * @clock_ms: its clock when it made the list
+ * @capacity: its capacity, as last reported
+ * @listed: resources of the runs that it lists, as far as their jobs are known
+ * @used: resources of the tasks that were placed there before this reply
+ * @orphaned: resources of other runs there, by the reply before
+ * @runs: the first of these runs, each with a mark: '+' for the newest run of a
+ *	task that is placed there, '-' for another, '?' if its job is unknown
+ * @run_count: the runs listed; for a step's limit, those of the step
+ */
+struct wp_over_event {
+	enum wp_over_kind kind;
+	char worker[WP_NAME_BYTES];
+	int64_t incarnation_ms;
+	int64_t clock_ms;
+	struct wp_resources capacity;
+	struct wp_resources listed;
+	struct wp_resources used;
+	struct wp_resources orphaned;
+	char *runs;
+	uint32_t run_count;
+	struct wp_over_event *prev;
+	struct wp_over_event *next;
+};
+
 /**
  * struct wp_pool - a pool's jobs and workers
  * @name: service
@@ -790,6 +830,9 @@
  * @sample_waits_at_us: when to sample next what steps wait for
  * @registry_dirty: the stored registry of workers is out of date
  * @close_at_us: no registry is stored before only to close workers
+ * @over_events: workers that have come to list more than a limit, for logs
+ * @over_window_us: when the current second of these events began
+ * @over_in_window: these events in that second
  * @stats: counts for metrics
  */
 struct wp_pool {
@@ -827,6 +870,9 @@
 	int64_t sample_waits_at_us;
 	bool registry_dirty;
 	int64_t close_at_us;
+	struct wp_over_event *over_events;
+	int64_t over_window_us;
+	uint32_t over_in_window;
 	struct wp_stats stats;
 };
 
@@ -1014,6 +1060,16 @@
 /** wp_crash_kind_name() - name of a kind of event in logs */
 const char *wp_crash_kind_name(enum wp_crash_kind kind);
 
+/**
+ * wp_next_over_event() - take the next event about a worker that is over a limit
+ *
+ * Return: the event, which the caller frees with talloc_free(), or NULL.
+ */
+struct wp_over_event *wp_next_over_event(struct wp_pool *p);
+
+/** wp_over_kind_name() - name of a limit in logs */
+const char *wp_over_kind_name(enum wp_over_kind kind);
+
 /**
  * wp_on_order_result() - handle the result of an order
  * @p: pool
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -14,7 +14,8 @@
  * pool_sharing (throttling), pool_copy (speculative copies of tasks),
  * pool_crash (crashes of workers under tasks), pool_suspect (which tasks may
  * have caused them, and how these start again),
- * pool_retire (emptying workers for maintenance), pool_sched (which task starts
+ * pool_retire (emptying workers for maintenance), pool_over (workers that list
+ * more than they may hold), pool_sched (which task starts
  * where), pool (jobs and ticks).
  */
 
@@ -349,4 +350,13 @@
 void wp_throttle_opportunistic(
     struct wp_pool *p, struct wp_worker *w, int64_t now_us);
 
+/**
+ * wp_note_over_limit() - count and report a worker that lists too much
+ *
+ * Called with a reply before it is read, so that the event tells what the pool
+ * had counted there. Changes no decision.
+ */
+void wp_note_over_limit(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_renewal_reply *reply, int64_t now_us);
+
 #endif
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -636,6 +636,7 @@
 		wp_accept_token(p, w, reply->clock_ms);
 	w->lists_clock_ms = reply->clock_ms;
 	w->has_unlisted_ends = reply->end_count >= WP_MAX_LISTED_ENDS;
+	wp_note_over_limit(p, w, reply, now_us);
 	wp_process_run_ends(p, w, reply, now_us);
 	wp_process_running(p, w, reply, now_us);
 	wp_requeue_missing(p, w, reply, now_us);
