--- a/state/pool_over.c
+++ b/state/pool_over.c
@@ -69,15 +69,16 @@
 	return sum;
 }
 
-/* The capacity of another incarnation may be another one. */
+/* Without an entry, or with one of another incarnation, it is not known. */
 static bool
 wp_lists_over_capacity(struct wp_pool *p, const struct wp_worker *w,
     const struct wp_renewal_reply *reply)
 {
 	struct wp_resources listed;
 
-	if (w->listed_incarnation_ms != 0 &&
-	    w->listed_incarnation_ms != reply->incarnation_ms)
+	if (!w->listed ||
+	    (w->listed_incarnation_ms != 0 &&
+		w->listed_incarnation_ms != reply->incarnation_ms))
 		return false;
 	listed = wp_listed_resources(p, reply);
 	return !wp_resources_fit(&w->capacity, &listed);
@@ -134,10 +135,9 @@
 		e->run_count++;
 		if (named++ >= WP_MAX_OVER_RUNS)
 			continue;
-		e->runs = talloc_asprintf_append(e->runs,
-		    "%s%s.%u.%u.%u:%u%c", named > 1 ? "," : "", ref->job,
-		    ref->occurrence, ref->step, ref->index, run->run,
-		    wp_run_mark(p, w, run));
+		e->runs = talloc_asprintf_append(e->runs, "%s%s.%u.%u.%u:%u%c",
+		    named > 1 ? "," : "", ref->job, ref->occurrence, ref->step,
+		    ref->index, run->run, wp_run_mark(p, w, run));
 	}
 }
 
--- a/tests/unit/test_over_limit.cc
+++ b/tests/unit/test_over_limit.cc
@@ -91,8 +91,8 @@
 	ASSERT_NE(next_event(), nullptr);
 	EXPECT_EQ(event->kind, WP_OVER_STEP_LIMIT);
 	EXPECT_EQ(event->run_count, 2U);
-	EXPECT_STREQ(event->runs,
-	    "00000000000000a1.0.0.0:1+,00000000000000a1.0.0.1:1-");
+	EXPECT_STREQ(
+	    event->runs, "00000000000000a1.0.0.0:1+,00000000000000a1.0.0.1:1-");
 	renew_lease("w", beside);
 	EXPECT_EQ(next_event(), nullptr);
 	EXPECT_EQ(p->stats.over_limit[WP_OVER_STEP_LIMIT], 1U);
@@ -101,8 +101,8 @@
 
 TEST_F(OverLimit, CapacityOfAnotherIncarnationTellsNothing)
 {
-	struct wp_worker_info info = {"w", "127.0.0.1:1", "a", "kind", "rack",
-	    {1000, 1000, 0}, false, 0};
+	struct wp_worker_info info = {
+	    "w", "127.0.0.1:1", "a", "kind", "rack", {1000, 1000, 0}, false, 0};
 
 	add(kJob, {{2}});
 	info.incarnation_ms = 2;
@@ -114,6 +114,15 @@
 	EXPECT_NE(next_event(), nullptr);
 }
 
+TEST_F(OverLimit, CapacityOfAWorkerWithoutAnEntryTellsNothing)
+{
+	add(kJob, {{1}});
+	wp_add_registered_worker(p, "w", "127.0.0.1:1", now);
+	renew_lease("w", {{kJob, 0, 0, 1, 0, 10}});
+	EXPECT_EQ(next_event(), nullptr);
+	EXPECT_EQ(p->stats.over_limit[WP_OVER_CAPACITY], 0U);
+}
+
 TEST_F(OverLimit, EventsOfASecondAreBounded)
 {
 	size_t events = 0;
