cell_advice: a request that has waited for long goes first

Two owners share the daemons that ask the advice service.

Cause: a daemon served the requests forwarded to it by priority, then by cost. The other owner kept two urgent requests of about 1.2 s there at all times, so the less urgent ones were never served; and their deadline, twice their own cost and 1.5 s, knew nothing of calls of other owners. An owner's own queue starved its less urgent steps in the same way.

A request that has waited 0.5 s at the daemon that serves it, or 3 s at its owner, now goes first, oldest first. The deadline allows for two calls of the largest cost seen, where requests that are not short are served. Both decisions are pure, in the new state/advice_queue.

AdviceQueue.RequestsOfAnotherOwnerAreAnsweredBeforeTheirDeadline fails without the first part (0 requests answered in 60 s, at least 12 expected) and without the second one (answered at 3.05 s, deadline 2.00 s).

A link that is really silent is now found later: 4.4 s instead of 1.9 s for a cheap request beside expensive ones; a daemon that dies still closes its link at once.

--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -8,6 +8,7 @@
 #include "curranttackd/cell_advice.h"
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
+#include "state/advice_queue.h"
 
 /* Calls of this VM in flight; the service handles them one at a time. */
 #define AV_MAX_LOCAL_IN_FLIGHT 2
@@ -15,7 +16,9 @@
 #define AV_MAX_TARGET_IN_FLIGHT 2
 /* Added to twice the expected time of a call to get its deadline. */
 #define AV_LOCAL_SLACK_US (700 * CLK_US_PER_MS)
-#define AV_PEER_SLACK_US (1500 * CLK_US_PER_MS)
+/* Requests that have waited for so long go first: here, and on the way here. */
+#define AV_MAX_LOCAL_WAIT_US (500 * CLK_US_PER_MS)
+#define AV_MAX_WAIT_US (3 * CLK_US_PER_S)
 #define AV_MAX_TARGETS 256
 /* Requests with a lower cost are short and go to daemons kept for them. */
 #define AV_SHORT_US (60 * CLK_US_PER_MS)
@@ -37,6 +40,7 @@
 	char *worker[WP_MAX_ADVICE_WORKERS];
 	int64_t cost_us;
 	int64_t made_us;
+	int64_t queued_us;
 	struct av_target *target;
 	int64_t deadline_us;
 	fl_advice_fn done;
@@ -76,6 +80,7 @@
 	uint32_t target_count;
 	uint64_t next_id;
 	int64_t refresh_at_us;
+	int64_t largest_cost_us;
 	int64_t log_at_us;
 	struct av_stats stats;
 };
@@ -121,6 +126,9 @@
 	}
 	req->cost_us = av_cost_us(request);
 	req->made_us = clk_now_us();
+	req->queued_us = req->made_us;
+	if (req->cost_us > d->largest_cost_us)
+		d->largest_cost_us = req->cost_us;
 	return req;
 }
 
@@ -193,24 +201,25 @@
 	av_dispatch(d);
 }
 
-/* The more urgent priority goes first, then the cheaper request. */
 static bool
-av_goes_before(const struct av_request *a, const struct av_request *b)
+av_goes_before(
+    const struct av_request *a, const struct av_request *b, int64_t overdue_us)
 {
-	if (a->request.priority != b->request.priority)
-		return a->request.priority < b->request.priority;
-	return a->cost_us < b->cost_us;
+	struct aq_entry x = {a->request.priority, a->cost_us, a->queued_us};
+	struct aq_entry y = {b->request.priority, b->cost_us, b->queued_us};
+
+	return aq_goes_before(&x, &y, overdue_us);
 }
 
 /* The request that goes first; the oldest among equals. */
 static struct av_request *
-av_first_request(struct av_request *list)
+av_first_request(struct av_request *list, int64_t overdue_us)
 {
 	struct av_request *best = list;
 	struct av_request *req;
 
 	DL_FOREACH(list, req) {
-		if (av_goes_before(req, best))
+		if (av_goes_before(req, best, overdue_us))
 			best = req;
 	}
 	return best;
@@ -224,7 +233,8 @@
 
 	while (d->local_in_flight < AV_MAX_LOCAL_IN_FLIGHT &&
 	    d->local_queue != NULL) {
-		struct av_request *req = av_first_request(d->local_queue);
+		struct av_request *req = av_first_request(
+		    d->local_queue, now_us - AV_MAX_LOCAL_WAIT_US);
 
 		DL_DELETE(d->local_queue, req);
 		d->local_in_flight++;
@@ -340,7 +350,8 @@
 
 	req->id = ++d->next_id;
 	req->deadline_us =
-	    now_us + 2 * req->target->in_flight_cost_us + AV_PEER_SLACK_US;
+	    aq_answer_deadline_us(now_us, req->target->in_flight_cost_us,
+		req->target->for_short ? 0 : d->largest_cost_us);
 	row.id = req->id;
 	row.job = req->request.job;
 	row.occurrence = req->request.occurrence;
@@ -356,7 +367,7 @@
 }
 
 static struct av_request *
-av_first_request_of(struct av_request *list, bool is_short)
+av_first_request_of(struct av_request *list, bool is_short, int64_t overdue_us)
 {
 	struct av_request *best = NULL;
 	struct av_request *req;
@@ -364,7 +375,7 @@
 	DL_FOREACH(list, req) {
 		if ((req->cost_us < AV_SHORT_US) != is_short)
 			continue;
-		if (best == NULL || av_goes_before(req, best))
+		if (best == NULL || av_goes_before(req, best, overdue_us))
 			best = req;
 	}
 	return best;
@@ -377,7 +388,8 @@
 	struct av_request *req;
 	struct av_target *target;
 
-	while ((req = av_first_request_of(d->queue, is_short)) != NULL) {
+	while ((req = av_first_request_of(
+		    d->queue, is_short, now_us - AV_MAX_WAIT_US)) != NULL) {
 		target = av_choose_target(d, is_short);
 		if (target == NULL)
 			return;
@@ -386,6 +398,7 @@
 		target->in_flight++;
 		target->in_flight_cost_us += req->cost_us;
 		if (target == &d->target[0]) {
+			req->queued_us = now_us;
 			DL_APPEND(d->local_queue, req);
 			av_start_local(d);
 		} else {
