--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -9,7 +9,6 @@
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool_internal.h"
 #include "protocol/curranttack.pb-c.h"
-#include "protocol/job_codec.h"
 #include "protocol/pack.h"
 
 #define CP_RENEW_US (350 * CLK_US_PER_MS)
@@ -238,118 +237,6 @@
 	f->keys->lease_grant(f->handle, CP_LEASE_MS, cp_on_lease_granted, h);
 }
 
-struct wp_job *
-cp_load_job(struct cp_host *h, struct rp_job *row)
-{
-	struct jb_progress *progress = NULL;
-	struct jb_spec *spec;
-	struct wp_job *job;
-	int64_t now_us = clk_now_us();
-
-	if (row->progress != NULL) {
-		progress = jc_unpack_progress(
-		    NULL, row->progress, row->progress_bytes);
-		/* Tasks that are done are not known, so none may be started. */
-		if (progress == NULL) {
-			lg_event(LG_ERROR, "pool", "unreadable_progress", "job",
-			    row->id, NULL);
-			return NULL;
-		}
-	}
-	spec = jc_unpack_job(NULL, row->spec, row->spec_bytes);
-	if (spec == NULL) {
-		talloc_free(progress);
-		return NULL;
-	}
-	job = wp_add_job(h->pool, spec, progress, row->spec_revision > h->fence,
-	    cell_wall_to_steady_us(), now_us);
-	talloc_free(progress);
-	if (row->end_reported)
-		wp_end_job(h->pool, job, row->state, now_us);
-	if (row->cancelled)
-		wp_cancel_job(h->pool, job, now_us);
-	return job;
-}
-
-static void
-cp_close_worker(struct cp_host *h, const Currant__KnownWorker *row)
-{
-	struct jb_ref *task =
-	    talloc_zero_array(NULL, struct jb_ref, row->n_tasks + 1);
-	size_t i;
-
-	if (task == NULL)
-		abort();
-	for (i = 0; i < row->n_tasks; i++) {
-		snprintf(
-		    task[i].job, sizeof(task[i].job), "%s", row->tasks[i]->job);
-		task[i].occurrence = row->tasks[i]->occurrence;
-		task[i].step = row->tasks[i]->step;
-		task[i].index = row->tasks[i]->index;
-	}
-	wp_close_registered_worker(
-	    h->pool, row->id, task, (uint32_t)row->n_tasks);
-	talloc_free(task);
-}
-
-/* Adds the workers that earlier owners used, as some may not be listed now. */
-static void
-cp_load_registry(struct cp_host *h, int64_t now_us)
-{
-	struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
-	Currant__PoolWorkers *list;
-	size_t i;
-
-	if (o->workers == NULL)
-		return;
-	list =
-	    currant__pool_workers__unpack(NULL, o->workers_bytes, o->workers);
-	if (list == NULL) {
-		lg_event(LG_ERROR, "pool", "unreadable_registry", "pool",
-		    h->name, NULL);
-		return;
-	}
-	for (i = 0; i < list->n_workers; i++) {
-		wp_add_registered_worker(h->pool, list->workers[i]->id,
-		    list->workers[i]->address, now_us);
-		if (list->workers[i]->closed)
-			cp_close_worker(h, list->workers[i]);
-	}
-	currant__pool_workers__free_unpacked(list, NULL);
-	wp_registry_loaded(h->pool);
-}
-
-static void
-cp_load_pool(struct cp_host *h, int64_t now_us)
-{
-	struct replica *r = h->cell->replica;
-	struct rp_worker *w;
-	struct rp_worker *wnext;
-	struct rp_job *job;
-	struct rp_job *next;
-
-	cp_load_registry(h, now_us);
-	HASH_ITER(hh, r->workers, w, wnext) {
-		/* An entry that was not followed says nothing until it is read again. */
-		bool listed = w->unlisted_us == 0 && r->has_workers;
-
-		if (w->pool == NULL || strcmp(w->pool, h->name) != 0)
-			continue;
-		/* Unlisted and not in the list of earlier owners: nothing runs on it. */
-		if (!listed && wp_find_worker(h->pool, w->id) == NULL)
-			continue;
-		wp_set_worker(h->pool, &w->info, now_us);
-		if (!listed)
-			wp_unlist_worker(h->pool, w->id);
-	}
-	HASH_ITER(hh, r->jobs, job, next) {
-		if (job->spec != NULL &&
-		    (!jb_has_ended(job->state) || job->end_reported) &&
-		    strcmp(job->pool, h->name) == 0)
-			cp_load_job(h, job);
-	}
-}
-
 /*
  * A shrunk capacity counts this long after a report that did not show it yet:
  * one interval in which it is reported, and the time to act on that.
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -11,7 +11,7 @@
 #define PN_MAX_ENDED 32
 #define PN_RECONNECT_US (500 * CLK_US_PER_MS)
 #define PN_TICK_US (100 * CLK_US_PER_MS)
-/* A daemon has links to all others in touch so long after its start. */
+/* By then a new daemon has links to all others that can be reached. */
 #define PN_START_US (3 * CLK_US_PER_S)
 
 struct pn_peer {
--- a/include/curranttackd/cell_peers.h
+++ b/include/curranttackd/cell_peers.h
@@ -52,8 +52,8 @@
 /**
  * pn_awaits_ends() - whether another daemon may know ends that this one lacks
  *
- * Return: true while a daemon in touch has not sent them, or this one has just
- * started and has no links yet.
+ * Return: true while a daemon that can be reached has not sent them, or this
+ * one has just started and has no links yet.
  */
 bool pn_awaits_ends(struct pn_links *n, int64_t now_us);
 
--- a/include/curranttackd/cell_pool_internal.h
+++ b/include/curranttackd/cell_pool_internal.h
@@ -5,9 +5,9 @@
 
 /**
  * DOC: Shared by the files that implement pool hosts: cell_claim (claims,
- * ownership and its lease), cell_traffic (scheduling passes, orders, renewals,
- * advice), cell_commit (commits to the store), cell_pool (hosts, and changes in
- * the replica).
+ * ownership and its lease), cell_load (what an owner knows from the replica),
+ * cell_traffic (scheduling passes, orders, renewals, advice), cell_commit
+ * (commits to the store), cell_pool (hosts, and changes in the replica).
  */
 
 #define CP_LEASE_MS 1200
@@ -63,6 +63,8 @@
 void cp_try_begin_ownership(void *arg);
 /** cp_load_job() - add a job of the replica to the pool; NULL if unreadable */
 struct wp_job *cp_load_job(struct cp_host *h, struct rp_job *row);
+/** cp_load_pool() - fill a new owner's pool from the replica */
+void cp_load_pool(struct cp_host *h, int64_t now_us);
 /** cp_renew_lease() - renew the lease of an ownership if that is due */
 void cp_renew_lease(struct cp_host *h, int64_t now_us);
 /** cp_yield_to_larger_vm() - release a pool if a larger VM could take over */
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -187,7 +187,6 @@
  * @worker: a worker was listed, changed or removed
  * @owner: the owner's key of a pool changed
  * @member: a daemon's entry was written or removed
- * @config: not called
  * @store_answered: the key space has answered a read or a watch
  */
 struct rp_hooks {
@@ -196,7 +195,6 @@
 	void (*worker)(struct rp_worker *w, void *arg);
 	void (*owner)(struct rp_owner *o, void *arg);
 	void (*member)(struct rp_member *m, void *arg);
-	void (*config)(const struct qs_config *config, void *arg);
 	void (*store_answered)(void *arg);
 };
 
