tests: schedules of a pool check steps' limits per worker and labels

The random schedules of a pool now have steps with labels and with a limit per worker, check both by what truly runs at each moment, and let workers' replies arrive up to 2.9 s late. CopiesKeepToTheLimitsOfTheirSteps plays mostly steps that allow copies, one task on a worker, while workers fall silent for a moment and return. POOL_SCHEDULE_SEEDS plays more than the first 100 seeds.

--- a/tests/unit/test_pool_schedule.cc
+++ b/tests/unit/test_pool_schedule.cc
@@ -11,8 +11,8 @@
 /*
  * Seeded random schedules of faults for the decisions of a pool: workers
  * restart, are silent, refuse, shrink and grow; orders and advice are lost.
- * Storms alternate with calm. No start may exceed a worker's capacity, no task
- * may have two runs, and in calm no job may wait while half of the pool is free.
+ * Storms alternate with calm. No start may exceed a worker's capacity or its
+ * step's limit there, or lack the step's label, no task may have two runs, and in calm no job may wait while half of the pool is free.
  */
 
 namespace
@@ -32,6 +32,8 @@
 constexpr int64_t kGangTimeout = 3 * kS;
 constexpr uint32_t kTicketMs = 2000;
 constexpr int64_t kMaxLeaseMs = 10000;
+/* A reply is overdue after this time. */
+constexpr int64_t kOverdue = 400 * kMs;
 
 using TaskName = std::tuple<std::string, uint32_t, uint32_t>;
 
@@ -56,6 +58,7 @@
 	uint64_t acked = 0;
 	int64_t until = 0;
 	int64_t fails_at = 0;
+	bool overdue = false;
 };
 
 struct SimWorker {
@@ -133,6 +136,12 @@
 		return std::hash<std::string>()(job + worker) % 100 < 60;
 	}
 
+	static std::string
+	kind_of(const std::string &worker)
+	{
+		return worker.back() % 2 == 0 ? "even" : "odd";
+	}
+
 	const struct jb_step *
 	step_of(const TaskName &t)
 	{
@@ -144,8 +153,9 @@
 	void
 	report(SimWorker &w)
 	{
+		std::string kind = kind_of(w.id);
 		struct wp_worker_info info = {w.id.c_str(), "127.0.0.1:1", "a",
-		    "kind", "rack", {w.cpu, 1000, 0}, false, 0, nullptr,
+		    kind.c_str(), "rack", {w.cpu, 1000, 0}, false, 0, nullptr,
 		    w.born / kMs, clock_ms(w)};
 
 		w.beaten_at = now;
@@ -215,6 +225,31 @@
 		return n;
 	}
 
+	static size_t
+	runs_of_step(const SimWorker &w, const std::string &job, uint32_t step)
+	{
+		size_t n = 0;
+
+		for (const SimRun &r : w.runs)
+			n += std::get<0>(r.task) == job &&
+			    std::get<1>(r.task) == step;
+		return n;
+	}
+
+	/* What is being stopped there still counts. */
+	void
+	check_placement(const SimWorker &w, const TaskName &task)
+	{
+		const struct jb_step *s = step_of(task);
+		size_t n =
+		    runs_of_step(w, std::get<0>(task), std::get<1>(task));
+
+		if (s->max_per_worker > 0 && n >= s->max_per_worker)
+			fail(w.id + " has too many of " + std::get<0>(task));
+		if (s->label != nullptr && kind_of(w.id) != s->label)
+			fail(w.id + " lacks a label for " + std::get<0>(task));
+	}
+
 	void
 	begin_run(SimWorker &w, const TaskName &task, uint32_t run)
 	{
@@ -227,6 +262,7 @@
 			r.ends = now + job.work;
 		if (runs_of(task) > 0 && !(s->flags & JB_SPECULATIVE))
 			fail("two runs of " + std::get<0>(task));
+		check_placement(w, task);
 		w.runs.push_back(r);
 		w.seen[task] = run;
 		starts++;
@@ -397,6 +433,7 @@
 			    : 0;
 			w.hold.until = now + renewal.wait_ms * kMs;
 			w.hold.acked = renewal.acked_end;
+			w.hold.overdue = false;
 			if (is_silent(w))
 				continue;
 			extend_lease(w, renewal.deadline_clock_ms);
@@ -406,13 +443,15 @@
 		}
 	}
 
+	/* Its lists are made now, and arrive after @takes, in time or overdue. */
 	void
-	reply(SimWorker &w)
+	reply(SimWorker &w, int64_t takes = 0)
 	{
-		struct wp_worker *to = wp_find_worker(p, w.id.c_str());
-		std::vector<struct wp_running_task> running;
-		std::vector<struct wp_run_end> ended;
+		auto running =
+		    std::make_shared<std::vector<struct wp_running_task>>();
+		auto ended = std::make_shared<std::vector<struct wp_run_end>>();
 		struct wp_renewal_reply r = {};
+		std::string id = w.id;
 
 		for (const SimRun &run : w.runs) {
 			struct wp_running_task row = {};
@@ -424,7 +463,7 @@
 			    ? (uint32_t)((now - run.begun) * 99 /
 				  (run.ends - run.begun))
 			    : 100;
-			running.push_back(row);
+			running->push_back(row);
 		}
 		for (const SimEnd &e : w.ends) {
 			struct wp_run_end row = {};
@@ -434,16 +473,31 @@
 			row.number = e.number;
 			row.run = e.run;
 			row.outcome = e.outcome;
-			ended.push_back(row);
+			ended->push_back(row);
 		}
 		r.incarnation_ms = w.born / kMs;
 		r.clock_ms = clock_ms(w);
-		r.running = running.data();
-		r.running_count = (uint32_t)running.size();
-		r.end = ended.data();
-		r.end_count = (uint32_t)ended.size();
-		w.hold.open = false;
-		wp_on_renewal(p, to, &r, now);
+		r.running_count = (uint32_t)running->size();
+		r.end_count = (uint32_t)ended->size();
+		auto arrive = [this, id, r, running, ended](bool overdue) {
+			struct wp_worker *to = wp_find_worker(p, id.c_str());
+			struct wp_renewal_reply a = r;
+
+			a.running = running->data();
+			a.end = ended->data();
+			if (overdue)
+				wp_on_overdue_reply(p, to, &a, now);
+			else
+				wp_on_renewal(p, to, &a, now);
+		};
+		if (takes == 0) {
+			w.hold.open = false;
+			arrive(false);
+			return;
+		}
+		w.hold.fails_at = now + kOverdue;
+		w.hold.overdue = true;
+		later(kOverdue + takes, [arrive] { arrive(true); });
 	}
 
 	void
@@ -460,10 +514,13 @@
 				w.hold.open = false;
 				wp_on_renewal_failed(p,
 				    wp_find_worker(p, w.id.c_str()),
-				    WP_NO_ANSWER, now);
+				    w.hold.overdue ? WP_OVERDUE : WP_NO_ANSWER,
+				    now);
 			} else if (w.hold.fails_at == 0 &&
 			    (now >= w.hold.until || !w.ends.empty())) {
-				reply(w);
+				bool late = storm && below(20) == 0;
+
+				reply(w, late ? below(2500) * kMs : 0);
 			}
 		}
 	}
@@ -537,6 +594,11 @@
 
 		steps[0].count = (uint32_t)(1 + below(4));
 		steps[0].cpu = (uint32_t)(500 * (1 + below(3)));
+		if (copies && below(4) > 0) {
+			flags = JB_SPECULATIVE;
+			advice = 0;
+			steps[0].count = (uint32_t)(4 + below(8));
+		}
 		steps[0].flags = flags;
 		if (flags != JB_LONG_RUNNING && below(3) == 0) {
 			steps.push_back({1, 500, 0, {0}});
@@ -547,6 +609,13 @@
 		job.job->spec->policy.max_attempts = 100;
 		for (uint32_t i = 0; i < steps.size(); i++)
 			job.job->spec->step[i].estimate_ms = 500;
+		if ((copies || below(2) == 0) &&
+		    (advice == 0 || flags != JB_GANG))
+			job.job->spec->step[0].max_per_worker =
+			    (uint32_t)(1 + below(copies ? 1 : 2));
+		if (below(4) == 0 && advice == 0)
+			job.job->spec->step[0].label = talloc_strdup(
+			    job.job->spec, below(2) == 0 ? "even" : "odd");
 		job.work = (200 + below(1800)) * kMs;
 		job.idle_since = now;
 		jobs[id] = job;
@@ -583,6 +652,10 @@
 
 		if (!storm || below(6) > 0)
 			return;
+		if (copies && below(3) > 0) {
+			w.silent_until = now + (300 + below(1500)) * kMs;
+			return;
+		}
 		switch (below(5)) {
 		case 0:
 			w.silent_until = now + below(4000) * kMs;
@@ -636,6 +709,19 @@
 		return false;
 	}
 
+	static int64_t
+	slots_in_limit(
+	    const SimWorker &w, const SimJob &job, const struct jb_step *s)
+	{
+		const struct jb_spec *spec = job.job->spec;
+		int64_t n = (int64_t)runs_of_step(
+		    w, spec->id, (uint32_t)(s - spec->step));
+
+		if (s->max_per_worker == 0)
+			return INT64_MAX;
+		return std::max<int64_t>(s->max_per_worker - n, 0);
+	}
+
 	/* Tasks of a step that would fit on the workers that may run it. */
 	int64_t
 	slots(const SimJob &job, const struct jb_step *s) const
@@ -651,7 +737,10 @@
 			if (job.job->spec->policy.advice_valid_ms > 0 &&
 			    !is_approved(job.job->spec->id, e.first))
 				continue;
-			n += cpu > 0 ? left / cpu : 4;
+			if (s->label != nullptr && kind_of(e.first) != s->label)
+				continue;
+			n += std::min(cpu > 0 ? left / cpu : 4,
+			    slots_in_limit(e.second, job, s));
 		}
 		return n;
 	}
@@ -765,6 +854,23 @@
 		}
 	}
 
+	void
+	play_storms()
+	{
+		for (int round = 0; round < 4 && !HasFailure(); round++) {
+			storm = true;
+			for (int64_t end = now + kStorm; now < end;) {
+				play_callers();
+				play_tick();
+			}
+			begin_calm();
+			for (int64_t end = now + kCalm; now < end;) {
+				play_callers();
+				play_tick();
+			}
+		}
+	}
+
 	void
 	check_all_ended()
 	{
@@ -779,24 +885,14 @@
 	std::map<std::string, SimJob> jobs;
 	std::multimap<int64_t, std::function<void()>> events;
 	bool storm = false;
+	bool copies = false; /* most steps allow copies, one task on a worker */
 	int64_t calm_since = kStart;
 	int starts = 0;
 };
 
 TEST_P(Schedule, CapacitiesHoldAndNothingWaitsForEver)
 {
-	for (int round = 0; round < 4 && !HasFailure(); round++) {
-		storm = true;
-		for (int64_t end = now + kStorm; now < end;) {
-			play_callers();
-			play_tick();
-		}
-		begin_calm();
-		for (int64_t end = now + kCalm; now < end;) {
-			play_callers();
-			play_tick();
-		}
-	}
+	play_storms();
 	for (auto &e : jobs) {
 		if (e.second.job->spec->step[0].flags & JB_LONG_RUNNING)
 			cancel(e.second);
@@ -810,6 +906,23 @@
 	EXPECT_GT(starts, 100);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, Schedule, testing::Range(0, 100));
+/* ROUTE: runs go on beside their copies while workers fall silent and return. */
+TEST_P(Schedule, CopiesKeepToTheLimitsOfTheirSteps)
+{
+	copies = true;
+	play_storms();
+	EXPECT_GT(starts, 100);
+}
+
+/* Seeds to play: the first 100, or POOL_SCHEDULE_SEEDS of them. */
+int
+schedules()
+{
+	const char *text = getenv("POOL_SCHEDULE_SEEDS");
+
+	return text != nullptr ? atoi(text) : 100;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Schedule, testing::Range(0, schedules()));
 
 } // namespace
