pool: a start is not sent again to a worker that is not listed

What a worker could see: a start of a queue's task after the worker has left the pool that the queue's service names (ROUTE), when the first start got no answer and the worker's entry has gone, or names another service, since. Such a worker may have been started again under its id, on whose clock the deadline is far ahead.

Cause: first starts go to listed workers only; repeats looked at the worker's connection, drain and capacity, not at its entry.

Fix: the start is not repeated, as for a capacity that is out of date; the worker's next list tells whether it was carried out, and the task waits for another worker once its deadline has passed.

Evidence: Limits.StartIsNotSentAgainToAWorkerThatIsNotListed failed before: the start was sent again 10 ms after its answer was lost.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -878,7 +878,7 @@
 		return;
 	}
 	/* The worker's next reports tell whether it has started. */
-	if (!wp_knows_capacity(t->worker, now_us) ||
+	if (!t->worker->listed || !wp_knows_capacity(t->worker, now_us) ||
 	    wp_is_overfull(t->worker) || !wp_would_tell(p, t->worker, now_us))
 		return;
 	wp_task_send_start(p, t,
--- a/tests/unit/test_limits.cc
+++ b/tests/unit/test_limits.cc
@@ -117,4 +117,26 @@
 	EXPECT_EQ(count_starts(tick()), 1U);
 }
 
+/* It may be in another service by now, under the same id. */
+TEST_F(Limits, StartIsNotSentAgainToAWorkerThatIsNotListed)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add_limited(kJob, 1, 0);
+	auto orders = tick();
+	ASSERT_EQ(count_starts(orders), 1U);
+	wp_unlist_worker(p, "w");
+	answer(orders[0], WP_NO_ANSWER);
+	EXPECT_EQ(count_starts(tick(10 * kMs)), 0U);
+	EXPECT_EQ(count_starts(tick(500 * kMs)), 0U);
+	add_worker("v", 1000);
+	now += 1500 * kMs;
+	renew_lease("v");
+	renew_lease("w");
+	tick();
+	orders = tick(200 * kMs);
+	ASSERT_EQ(count_starts(orders), 1U);
+	EXPECT_STREQ(orders[0]->worker, "v");
+}
+
 } // namespace
