--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -181,7 +181,7 @@
 	while ((e = wp_next_over_event(h->pool)) != NULL) {
 		lg_event(LG_WARN, "pool", "over_limit", "pool", h->name,
 		    "limit", wp_over_kind_name(e->kind), "worker", e->worker,
-		    "incarnation", lg_i64(e->incarnation_ms), "clock_ms",
+		    "incarnation", lg_i64(e->incarnation_ms), "listed_at_ms",
 		    lg_i64(e->clock_ms), "cpu_mcpu",
 		    lg_i64(e->capacity.cpu_mcpu), "mem_mb",
 		    lg_i64(e->capacity.mem_mb), "gpu", lg_i64(e->capacity.gpu),
--- a/tests/unit/test_advice_queue.cc
+++ b/tests/unit/test_advice_queue.cc
@@ -73,8 +73,8 @@
 		while (calls.size() < 2 && !queue.empty()) {
 			auto next = std::min_element(queue.begin(), queue.end(),
 			    [&](const Forwarded &a, const Forwarded &b) {
-				    return aq_goes_before(&a.entry, &b.entry,
-					now - 500 * kMs);
+				    return aq_goes_before(
+					&a.entry, &b.entry, now - 500 * kMs);
 			    });
 			calls.push_back(*next);
 			queue.erase(next);
