pool: a list older than a copy of a forgotten job is outdated

What workers would see: a task starts beside a copy that is still there, beyond the worker's capacity (LIMIT).

Cause: when an ended job is forgotten, a worker on which a copy of it is still placed counts as running something unknown until its next list. But that list may be of an overdue reply that the worker made before the copy's start reached it, up to 3 s before: it lacks the copy, and the worker is taken to be free.

Fix: lists that were made before the copy is known or may be known to be there are outdated once the job is forgotten, as they are for a run that is left beside its copy. wp_forget_job() takes the time for that: nothing later than now is asked of a list.

Evidence: Limits.OverdueReplyDoesNotHideACopyOfAForgottenJob failed before: count_starts(tick()) is 1, expected 0 and passes now.

--- a/bench/bench_replay.c
+++ b/bench/bench_replay.c
@@ -419,7 +419,7 @@
 			continue;
 		if (j->done_us == 0)
 			j->done_us = s->now_us;
-		wp_forget_job(s->pool, job);
+		wp_forget_job(s->pool, job, s->now_us);
 	}
 	wp_commit_begin(s->pool);
 	wp_commit_end(s->pool, s->now_us);
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -166,7 +166,7 @@
 		if (row == NULL || !jb_has_ended(row->state) ||
 		    now_us - row->ended_us < CP_FORGET_EVERY_US)
 			continue;
-		wp_forget_job(h->pool, job);
+		wp_forget_job(h->pool, job, now_us);
 	}
 }
 
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -1010,7 +1010,7 @@
 void wp_cancel_job(struct wp_pool *p, struct wp_job *job, int64_t now_us);
 
 /** wp_forget_job() - remove and free a job that has ended and is stored */
-void wp_forget_job(struct wp_pool *p, struct wp_job *job);
+void wp_forget_job(struct wp_pool *p, struct wp_job *job, int64_t now_us);
 
 /**
  * wp_set_worker() - add or update a worker that service discovery lists
--- a/state/pool.c
+++ b/state/pool.c
@@ -265,16 +265,30 @@
 
 /* A copy that is being stopped goes on until its worker no longer lists it. */
 static void
-wp_task_forget(struct wp_pool *p, struct wp_task *t)
+wp_forget_copy(struct wp_worker *w, const struct wp_task *t, int64_t now_us)
+{
+	int64_t began_ms = t->confirmed_clock_ms + 1;
+	int64_t clock_ms = wp_worker_clock_ms(w, now_us);
+
+	w->has_unknown_run = true;
+	/* Lists that were made before it began are outdated. */
+	if (began_ms > clock_ms)
+		began_ms = clock_ms;
+	if (w->lists_clock_ms < began_ms)
+		w->lists_clock_ms = began_ms;
+}
+
+static void
+wp_task_forget(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
 	if (t->worker != NULL)
-		t->worker->has_unknown_run = true;
+		wp_forget_copy(t->worker, t, now_us);
 	wp_task_release(t);
 	wp_crash_forget(p, t);
 }
 
 void
-wp_forget_job(struct wp_pool *p, struct wp_job *job)
+wp_forget_job(struct wp_pool *p, struct wp_job *job, int64_t now_us)
 {
 	uint32_t k;
 	uint32_t i;
@@ -288,7 +302,8 @@
 			occ->step[i].upcoming = false;
 			wp_step_update_lists(p, &occ->step[i]);
 			for (j = 0; j < job->spec->step[i].count; j++)
-				wp_task_forget(p, &occ->step[i].task[j]);
+				wp_task_forget(
+				    p, &occ->step[i].task[j], now_us);
 		}
 	}
 	if (job->dirty)
--- a/tests/unit/test_limits.cc
+++ b/tests/unit/test_limits.cc
@@ -117,4 +117,33 @@
 	EXPECT_EQ(count_starts(tick()), 1U);
 }
 
+/* The reply was made before the copy's start reached the worker. */
+TEST_F(Limits, OverdueReplyDoesNotHideACopyOfAForgottenJob)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add_limited(kJob, 1, JB_SPECULATIVE);
+	ASSERT_EQ(count_starts(run_all()), 1U);
+	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	add_worker("v", 1000);
+	now += 10 * kMs;
+	int64_t made_us = now;
+	auto orders = run_all(390 * kMs);
+	ASSERT_EQ(count_starts(orders), 1U);
+	ASSERT_STREQ(orders.back()->worker, "v");
+	renewal_overdue("v");
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	commit();
+	list_worker("w", 1000, true);
+	now += 2100 * kMs;
+	wp_forget_job(p, wp_find_job(p, kJob.c_str()), now);
+	add_limited(kOther, 1, 0);
+	overdue_reply("v", made_us, {});
+	EXPECT_EQ(count_starts(tick()), 0U);
+	renew_lease("v", {{kJob, 0, 0, 2, 0, 10}});
+	EXPECT_EQ(count_starts(tick(100 * kMs)), 0U);
+	renew_lease("v");
+	EXPECT_EQ(count_starts(tick(100 * kMs)), 1U);
+}
+
 } // namespace
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1435,7 +1435,7 @@
 	ASSERT_STREQ(task(kJob, 0, 0)->worker->id, "v");
 	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
 	list_worker("w", 1000, true);
-	wp_forget_job(p, wp_find_job(p, kJob.c_str()));
+	wp_forget_job(p, wp_find_job(p, kJob.c_str()), now);
 	add(kOther, {{1, 1000}});
 	for (const struct wp_order *o : tick())
 		EXPECT_NE(o->kind, WP_ORDER_START);
