pool: a start is not repeated where other runs leave no room for it

What workers would see: a start beyond a worker's capacity (LIMIT), if the worker has shrunk while a start of it is unanswered.

Cause: an unanswered start is sent again unless the tasks placed on the worker exceed its capacity (wp_is_overfull()). Runs that it lists beside these, such as an earlier run whose copy is elsewhere, and starts that may be carried out late, take room as well, and were not looked at: where a start is placed first, they are.

Fix: it is sent again only if nothing that wp_free_resources() deducts exceeds the capacity. Else the next lists tell whether it has started, as before.

Evidence: Limits.UnansweredStartIsNotRepeatedBesideAnEarlierRun failed before: count_starts(tick()) is 1, expected 0 and passes now.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -941,6 +941,16 @@
 	w->earlier_owner_until_us = 0;
 }
 
+/* For the tasks placed there, beside other runs that are or may be there. */
+static bool
+wp_has_room_for_all(const struct wp_worker *w)
+{
+	const struct wp_resources none = {0};
+	struct wp_resources left = wp_free_resources(w);
+
+	return wp_resources_fit(&left, &none);
+}
+
 static void
 wp_resend(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
@@ -961,7 +971,8 @@
 	}
 	/* The worker's next reports tell whether it has started. */
 	if (!wp_knows_capacity(t->worker, now_us) ||
-	    wp_is_overfull(t->worker) || !wp_would_tell(p, t->worker, now_us))
+	    !wp_has_room_for_all(t->worker) ||
+	    !wp_would_tell(p, t->worker, now_us))
 		return;
 	wp_task_send_start(p, t,
 	    wp_needs_advice(t->step)
--- a/tests/unit/test_limits.cc
+++ b/tests/unit/test_limits.cc
@@ -146,4 +146,25 @@
 	EXPECT_EQ(count_starts(tick(100 * kMs)), 1U);
 }
 
+/* The worker has shrunk, and an earlier run still takes what is left. */
+TEST_F(Limits, UnansweredStartIsNotRepeatedBesideAnEarlierRun)
+{
+	create_pool();
+	add_worker("w", 2000);
+	add_limited(kJob, 1, JB_SPECULATIVE);
+	ASSERT_EQ(count_starts(run_all()), 1U);
+	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	add_worker("v", 1000);
+	ASSERT_EQ(count_starts(run_all(400 * kMs)), 1U);
+	list_worker("v", 1000, true);
+	renew_lease("w", {{kJob, 0, 0, 1, 0, 10}});
+	add_limited(kOther, 1, 0);
+	auto orders = tick();
+	ASSERT_EQ(count_starts(orders), 1U);
+	ASSERT_STREQ(orders.back()->worker, "w");
+	answer(orders.back(), WP_NO_ANSWER);
+	list_worker("w", 1000);
+	EXPECT_EQ(count_starts(tick()), 0U);
+}
+
 } // namespace
