pool: a stop counts only for the incarnation that it was meant for

What workers would see: two runs of one task, or a start beyond a worker's capacity (LIMIT), after a worker has restarted twice within seconds.

Cause: a task that is stopped is released once its worker has confirmed the stop and a later list lacks it. That a confirmation came from an earlier incarnation was told from its clock alone, which had to be over 1 s ahead. An incarnation that had lived for less than that was not told apart: its answer, read after the first list of the next one, released the task, whose unanswered start could still arrive.

Fix: an order keeps the incarnation that it is meant for, and a stop that was meant for another than the current one confirms nothing. It is sent again, as the restart orders in any case. The check of the clock stays.

Evidence: Limits.StopConfirmedByAnEarlierIncarnationFreesNothing (the clock of the next incarnation is 800 ms behind) failed before: count_starts(stops) is 1, expected 0 and passes now.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -516,6 +516,7 @@
  * struct wp_order - an order to a worker about one run of a task
  * @worker: name of the worker
  * @address: "IP:PORT" of the worker
+ * @incarnation_ms: incarnation of the worker that it is meant for
  * @ref: the task
  * @run: the run
  * @payload: for a start; belongs to the job
@@ -531,6 +532,7 @@
 	enum wp_order_kind kind;
 	char worker[WP_NAME_BYTES];
 	char address[WP_NAME_BYTES];
+	int64_t incarnation_ms;
 	struct jb_ref ref;
 	uint32_t run;
 	const char *payload;
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -128,6 +128,7 @@
 	o->kind = kind;
 	memcpy(o->worker, w->id, sizeof(o->worker));
 	memcpy(o->address, w->address, sizeof(o->address));
+	o->incarnation_ms = w->incarnation_ms;
 	o->ref = *ref;
 	o->run = run;
 	DL_APPEND(p->orders, o);
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -239,6 +239,7 @@
 
 	wp_suspect_tasks(p, w, now_us);
 	wp_count_crashed_worker(p, w, now_us);
+	w->incarnation_ms = reply->incarnation_ms;
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		/* By the clock of the earlier incarnation. */
 		t->deadline_clock_ms = 0;
@@ -860,10 +861,11 @@
 
 /* The clock of a new incarnation starts anew, far behind the earlier one. */
 static bool
-wp_is_from_earlier_incarnation(
-    const struct wp_worker *w, int64_t clock_ms, int64_t now_us)
+wp_is_from_earlier_incarnation(const struct wp_worker *w,
+    const struct wp_order *o, int64_t clock_ms, int64_t now_us)
 {
-	return clock_ms > wp_worker_clock_ms(w, now_us) + WP_MAX_CLOCK_AHEAD_MS;
+	return o->incarnation_ms != w->incarnation_ms ||
+	    clock_ms > wp_worker_clock_ms(w, now_us) + WP_MAX_CLOCK_AHEAD_MS;
 }
 
 static void
@@ -895,7 +897,7 @@
 		wp_stray_add(p, w, o);
 	}
 	if (w != NULL && o->kind == WP_ORDER_STOP && result == WP_ACCEPTED &&
-	    !wp_is_from_earlier_incarnation(w, clock_ms, now_us))
+	    !wp_is_from_earlier_incarnation(w, o, clock_ms, now_us))
 		wp_strays_stopped(w, o, clock_ms);
 	if (w == NULL || t == NULL || t->worker != w || t->run != o->run)
 		return;
@@ -906,7 +908,7 @@
 	if (o->kind == WP_ORDER_STOP &&
 	    (t->state == WP_TASK_STOPPING || t->state == WP_TASK_DONE) &&
 	    result == WP_ACCEPTED &&
-	    !wp_is_from_earlier_incarnation(w, clock_ms, now_us)) {
+	    !wp_is_from_earlier_incarnation(w, o, clock_ms, now_us)) {
 		t->stopped_clock_ms = clock_ms;
 		t->resend_at_us = 0;
 	}
--- a/tests/unit/test_limits.cc
+++ b/tests/unit/test_limits.cc
@@ -167,4 +167,35 @@
 	EXPECT_EQ(count_starts(tick()), 0U);
 }
 
+/* The answer is of an incarnation that lived for less than a second. */
+TEST_F(Limits, StopConfirmedByAnEarlierIncarnationFreesNothing)
+{
+	create_pool();
+	add_worker("w", 1000);
+	struct wp_worker *w = wp_find_worker(p, "w");
+	add_limited(kJob, 1, 0);
+	auto starts = tick();
+	ASSERT_EQ(count_starts(starts), 1U);
+	wp_cancel_job(p, wp_find_job(p, kJob.c_str()), now);
+	auto stops = tick();
+	ASSERT_EQ(stops.size(), 1U);
+	answer(starts[0], WP_NO_ANSWER);
+	int64_t stopped_ms = now / kMs;
+	struct wp_renewal_reply reply = {2, stopped_ms - 800};
+	wp_on_renewal(p, w, &reply, now);
+	wp_on_order_result(p, stops[0], WP_ACCEPTED, stopped_ms, now);
+	add_limited(kOther, 1, 0);
+	now += 900 * kMs;
+	reply.clock_ms += 900;
+	wp_on_renewal(p, w, &reply, now);
+	stops = tick();
+	EXPECT_EQ(count_starts(stops), 0U);
+	for (const struct wp_order *o : stops)
+		wp_on_order_result(p, o, WP_ACCEPTED, reply.clock_ms, now);
+	now += 100 * kMs;
+	reply.clock_ms += 100;
+	wp_on_renewal(p, w, &reply, now);
+	EXPECT_EQ(count_starts(tick()), 1U);
+}
+
 } // namespace
