pool: a job has not begun because a start of it is ruled out

What callers would see: a job as running of which no worker has, or had, a run.

Cause: when a worker restarts, a waiting task whose start may still arrive there is placed on it until a stop is confirmed. That used wp_task_adopt(), which records that the job has begun, as for a run that a worker lists.

Fix: those who have read a run in a list record it: wp_update_running(), as before, and the case of an older run that has to end first.

Evidence: Limits.JobOfAStartThatIsRuledOutHasNotBegun failed before: wp_public_state(...) is 1 (running), expected 0 (pending) and passes now.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -73,7 +73,7 @@
     uint32_t run, const char *ticket, int64_t now_us);
 /** wp_job_begun() - a worker has, or had, a run of a job */
 void wp_job_begun(struct wp_job *job);
-/** wp_task_adopt() - take over a run that a worker reports */
+/** wp_task_adopt() - take over a run that is or may be on a worker */
 void wp_task_adopt(
     struct wp_task *t, struct wp_worker *w, uint32_t run, int64_t now_us);
 /** wp_task_release() - release the worker's resources that a task takes */
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -261,7 +261,6 @@
 	t->pace = WP_FULL_PACE;
 	t->confirmed_clock_ms = w->lists_clock_ms;
 	t->deadline_clock_ms = 0;
-	wp_job_begun(t->step->occ->job);
 	wp_step_update_lists(t->step->occ->job->pool, t->step);
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -557,6 +557,7 @@
 		if (t->step->occ->job->final_state != JB_PENDING)
 			wp_task_stop(p, t, now_us);
 	} else if (wp_has_to_end_first(t, run)) {
+		wp_job_begun(t->step->occ->job);
 		wp_task_adopt(t, w, t->run, now_us);
 		wp_task_stop(p, t, now_us);
 	}
--- a/tests/unit/test_limits.cc
+++ b/tests/unit/test_limits.cc
@@ -223,4 +223,23 @@
 	EXPECT_EQ(count_starts(tick(200 * kMs)), 1U);
 }
 
+/* Its start was sent, and may not have been carried out. */
+TEST_F(Limits, JobOfAStartThatIsRuledOutHasNotBegun)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add_limited(kJob, 1, 0);
+	auto orders = tick();
+	ASSERT_EQ(count_starts(orders), 1U);
+	answer(orders[0], WP_NO_ANSWER);
+	tick();
+	list_worker("w", 1000, true);
+	now += 2 * kS;
+	renew_lease("w");
+	ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+	renew_lease("w", {}, {}, 2);
+	ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_STOPPING);
+	EXPECT_EQ(wp_public_state(wp_find_job(p, kJob.c_str())), JB_PENDING);
+}
+
 } // namespace
