pool: a run is counted for one crash of its worker

What callers would see: a job failed because its task crashes its workers, after fewer such crashes than that takes (WP_MAX_CRASHED_WORKERS).

Cause: a task of a worker that has restarted stays placed there until a stop is confirmed. It kept when the earlier incarnation had confirmed its start, by a clock that is not valid any more, so that it seemed to have begun on the new one too: another restart before the stop was confirmed counted a second crash under the same run.

Fix: that time is reset with the deadline. A task that is done then needs something else to tell that it is gone, which a confirmed stop does as for a task that is being stopped; by the old clock that could take as long as the earlier incarnation had lived.

Evidence: Limits.RunIsCountedForOneCrashOfItsWorker failed before: crashed_workers is 2, expected 1 Limits.MemberOfAGangOnARestartedWorkerIsReleased failed with the reset alone (the test has one clock for all incarnations, so it passes without both).

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -243,6 +243,7 @@
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		/* By the clock of the earlier incarnation. */
 		t->deadline_clock_ms = 0;
+		t->confirmed_clock_ms = 0;
 		if (t->state == WP_TASK_DONE)
 			wp_task_release(t);
 		else
@@ -605,6 +606,12 @@
 	return false;
 }
 
+static bool
+wp_is_after(int64_t clock_ms, int64_t confirmed_ms)
+{
+	return confirmed_ms > 0 && clock_ms > confirmed_ms;
+}
+
 /* Whether a task is gone if the worker's reply of that time lacks it. */
 static bool
 wp_is_missing(const struct wp_task *t, int64_t clock_ms)
@@ -613,12 +620,12 @@
 	case WP_TASK_STARTING:
 		return t->in_doubt && clock_ms > t->deadline_clock_ms;
 	case WP_TASK_RUNNING:
-	case WP_TASK_DONE:
-		return t->confirmed_clock_ms > 0 &&
-		    clock_ms > t->confirmed_clock_ms;
+		return wp_is_after(clock_ms, t->confirmed_clock_ms);
 	case WP_TASK_STOPPING:
-		return t->stopped_clock_ms > 0 &&
-		    clock_ms > t->stopped_clock_ms;
+		return wp_is_after(clock_ms, t->stopped_clock_ms);
+	case WP_TASK_DONE:
+		return wp_is_after(clock_ms, t->confirmed_clock_ms) ||
+		    wp_is_after(clock_ms, t->stopped_clock_ms);
 	case WP_TASK_WAITING:
 	case WP_TASK_UNRECONCILED:
 	case WP_TASK_CANCELLED:
--- a/tests/unit/test_limits.cc
+++ b/tests/unit/test_limits.cc
@@ -242,4 +242,41 @@
 	EXPECT_EQ(wp_public_state(wp_find_job(p, kJob.c_str())), JB_PENDING);
 }
 
+/* No incarnation but the first ran it. */
+TEST_F(Limits, RunIsCountedForOneCrashOfItsWorker)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add_limited(kJob, 1, 0);
+	ASSERT_EQ(count_starts(run_all()), 1U);
+	now += 500 * kMs;
+	renew_lease("w", {{kJob, 0, 0, 1, 0, 10}});
+	renew_lease("w", {}, {}, 2);
+	ASSERT_EQ(task(kJob, 0, 0)->crashed_workers, 1U);
+	renew_lease("w", {}, {}, 3);
+	EXPECT_EQ(task(kJob, 0, 0)->crashed_workers, 1U);
+}
+
+/* Another member has listed that the gang is done. */
+TEST_F(Limits, MemberOfAGangOnARestartedWorkerIsReleased)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add_worker("v", 1000);
+	add_limited(kJob, 2, JB_GANG);
+	ASSERT_EQ(count_starts(run_all()), 2U);
+	now += 500 * kMs;
+	renew_lease("w", {{kJob, 0, 0, 1, 0, 10}, {kJob, 0, 1, 1, 0, 10}});
+	std::string first = task(kJob, 0, 0)->worker->id;
+	std::string second = task(kJob, 0, 1)->worker->id;
+	renew_lease(first, {}, {}, 2);
+	renew_lease(second, {}, {{1, kJob, 0, 1, 1, WP_END_DONE}});
+	ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_DONE);
+	ASSERT_NE(task(kJob, 0, 0)->worker, nullptr);
+	run_all(400 * kMs);
+	now += 100 * kMs;
+	renew_lease(first, {}, {}, 2);
+	EXPECT_EQ(task(kJob, 0, 0)->worker, nullptr);
+}
+
 } // namespace
