pool: a copy in flight to a restarted worker counts until it is stopped

What workers would see: a start beyond a worker's capacity (LIMIT), beside a copy whose start is carried out after the worker has restarted.

Cause: when a worker restarts, copies there whose task is done already are released at once. A start order among them that has no result yet may still reach the new incarnation. Once it is known to be unanswered it counts as a start that may be carried out late, but until then (up to 450 ms) nothing counted it.

Fix: such a task stays on its worker until the new incarnation has confirmed a stop and a later list lacks it, as tasks do that are not done.

Evidence: Limits.StartOfACopyCountsWhileItIsInFlightToARestartedWorker failed before: count_starts(run_all(100 * kMs)) is 1, expected 0 and passes now.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -244,10 +244,13 @@
 		/* By the clock of the earlier incarnation. */
 		t->deadline_clock_ms = 0;
 		t->confirmed_clock_ms = 0;
-		if (t->state == WP_TASK_DONE)
-			wp_task_release(t);
-		else
+		t->stopped_clock_ms = 0;
+		if (t->state != WP_TASK_DONE)
 			wp_task_stop(p, t, now_us);
+		else if (t->order_in_flight)
+			wp_task_send_stop(p, t, now_us);
+		else
+			wp_task_release(t);
 	}
 	wp_read_clock(w, reply->clock_ms, now_us);
 	w->processed_end = 0;
--- a/tests/unit/test_limits.cc
+++ b/tests/unit/test_limits.cc
@@ -279,4 +279,25 @@
 	EXPECT_EQ(task(kJob, 0, 0)->worker, nullptr);
 }
 
+/* The start has no result yet when the worker has restarted. */
+TEST_F(Limits, StartOfACopyCountsWhileItIsInFlightToARestartedWorker)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add_limited(kJob, 1, JB_SPECULATIVE);
+	ASSERT_EQ(count_starts(run_all()), 1U);
+	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	add_worker("v", 1000);
+	ASSERT_EQ(count_starts(tick(400 * kMs)), 1U);
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_DONE);
+	list_worker("w", 1000, true);
+	add_limited(kOther, 1, 0);
+	renew_lease("v", {}, {}, 2);
+	EXPECT_EQ(count_starts(run_all(100 * kMs)), 0U);
+	now += 100 * kMs;
+	renew_lease("v", {}, {}, 2);
+	EXPECT_EQ(count_starts(tick()), 1U);
+}
+
 } // namespace
