pool: a worker with a run that takes only GPUs is not empty

What callers would see: a VM is taken down for maintenance while a run is still on its worker, and a later owner that does not wait for that run.

Cause: whether a worker lists runs beside its tasks was told from what they take: cores and memory (wp_is_worker_empty()), or also GPUs (wp_knows_all_runs()). An opportunistic task takes no cores of its own, and none of this says that a step needs memory.

Fix: the runs are counted instead.

Evidence: Limits.WorkerWithARunThatTakesOnlyGpusIsNotEmpty failed before: wp_is_worker_empty(...) is true, expected false and passes now. test_maintenance: 9 passed.

--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -54,8 +54,7 @@
 wp_knows_all_runs(const struct wp_worker *w, int64_t now_us)
 {
 	return !wp_is_holding(w, now_us) && w->unacked_count == 0 &&
-	    !w->has_unknown_run && w->orphaned.cpu_mcpu == 0 &&
-	    w->orphaned.mem_mb == 0 && w->orphaned.gpu == 0;
+	    !w->has_unknown_run && w->orphan_count == 0;
 }
 
 static bool
--- a/state/pool_retire.c
+++ b/state/pool_retire.c
@@ -36,8 +36,7 @@
 bool
 wp_is_worker_empty(const struct wp_worker *w)
 {
-	return w->tasks == NULL && !w->has_unknown_run &&
-	    w->orphaned.cpu_mcpu == 0 && w->orphaned.mem_mb == 0;
+	return w->tasks == NULL && !w->has_unknown_run && w->orphan_count == 0;
 }
 
 static bool
--- a/tests/unit/test_limits.cc
+++ b/tests/unit/test_limits.cc
@@ -300,4 +300,23 @@
 	EXPECT_EQ(count_starts(tick()), 1U);
 }
 
+/* Its step takes no cores of its own, and no memory. */
+TEST_F(Limits, WorkerWithARunThatTakesOnlyGpusIsNotEmpty)
+{
+	create_pool();
+	list_worker("w", 1000, false, 1);
+	renew_lease("w");
+	commit();
+	struct jb_spec *s =
+	    spec(kJob, {{1, 1000, JB_OPPORTUNISTIC | JB_SPECULATIVE, {}, 1}});
+	s->step[0].mem_mb = 0;
+	wp_add_job(p, s, nullptr, true, 0, now);
+	ASSERT_EQ(count_starts(run_all()), 1U);
+	wp_on_renewal_failed(p, wp_find_worker(p, "w"), WP_NO_ANSWER, now);
+	tick(400 * kMs);
+	wp_end_job(p, wp_find_job(p, kJob.c_str()), JB_CANCELLED, now);
+	renew_lease("w", {{kJob, 0, 0, 1, 0, 10}});
+	EXPECT_FALSE(wp_is_worker_empty(wp_find_worker(p, "w")));
+}
+
 } // namespace
