maintenance: a reply that crosses the order shows no new worker

What operators would see: a VM counts as done while it is down, and the next one is taken beyond the wave's limit (LIMIT of maintenance).

Cause: a VM is done once a reply that arrived after the accepted order shows another incarnation than the one that was taken. If the worker had crashed and restarted between these two, a reply that it made before the order and that arrives after it shows that as well.

Fix: the renewal that is answered has to be sent after the order was accepted.

Evidence: Maintenance.ReplyThatCrossesTheOrderShowsNoNewWorker failed before: mw_has_new_worker(...) is true, expected false and passes now, with the other 9.

--- a/state/maintenance.c
+++ b/state/maintenance.c
@@ -234,7 +234,8 @@
 	    strcmp(vm->pool, o->pool->name) != 0)
 		return false;
 	w = wp_find_worker_on_vm(o->pool, vm->name);
-	if (w == NULL || !w->reachable || w->clock_read_us < vm->accepted_us)
+	if (w == NULL || !w->reachable ||
+	    w->answered_renewal_us < vm->accepted_us)
 		return false;
 	if (vm->worker[0] == '\0')
 		return now_us - vm->accepted_us > 2 * o->downtime_us;
--- a/tests/unit/test_maintenance.cc
+++ b/tests/unit/test_maintenance.cc
@@ -156,6 +156,27 @@
 	EXPECT_TRUE(mw_has_new_worker(&m->vm[0], &owner, now));
 }
 
+/* It had crashed before, and the reply was made before the order. */
+TEST_F(Maintenance, ReplyThatCrossesTheOrderShowsNoNewWorker)
+{
+	begin(1, 1);
+	mw_evacuate(m, &owner, now);
+	mw_take(&m->vm[0], &owner);
+	struct wp_worker *w = wp_find_worker_on_vm(p, "m-0");
+	struct wp_renewal renewal;
+	w->renew_at_us = now;
+	ASSERT_TRUE(wp_renewal_due(p, w, now, &renewal));
+	now += 100 * CLK_US_PER_MS;
+	mw_on_order_result(&m->vm[0], &owner, MW_ACCEPTED, now);
+	now += 10 * CLK_US_PER_MS;
+	struct wp_renewal_reply reply = {5, now / CLK_US_PER_MS};
+	wp_on_renewal(p, w, &reply, now);
+	EXPECT_FALSE(mw_has_new_worker(&m->vm[0], &owner, now));
+	now += 2 * kS;
+	list("w-0", "m-0", 5);
+	EXPECT_TRUE(mw_has_new_worker(&m->vm[0], &owner, now));
+}
+
 TEST_F(Maintenance, RestartedWorkerWithTheSameIdCountsAsNew)
 {
 	begin(1, 1);
