--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -85,7 +85,7 @@
  * @avoided: ring of workers on which it failed, avoided until @avoid_until_us
  * @avoided_count: workers added to @avoided so far
  * @held_in_pass: the last pass of wp_reconcile_tick() in which a closed worker
- *	held it
+ *	or an older run held it
  * @crash: runs under which a worker has or may have crashed, @crash_count of
  *	them; the task is then a suspect
  * @crashed_workers: workers that crashed while they ran it, whatever the cause
@@ -516,6 +516,7 @@
  * struct wp_order - an order to a worker about one run of a task
  * @worker: name of the worker
  * @address: "IP:PORT" of the worker
+ * @incarnation_ms: incarnation of the worker that it is meant for
  * @ref: the task
  * @run: the run
  * @payload: for a start; belongs to the job
@@ -531,6 +532,7 @@
 	enum wp_order_kind kind;
 	char worker[WP_NAME_BYTES];
 	char address[WP_NAME_BYTES];
+	int64_t incarnation_ms;
 	struct jb_ref ref;
 	uint32_t run;
 	const char *payload;
@@ -1010,7 +1012,7 @@
 void wp_cancel_job(struct wp_pool *p, struct wp_job *job, int64_t now_us);
 
 /** wp_forget_job() - remove and free a job that has ended and is stored */
-void wp_forget_job(struct wp_pool *p, struct wp_job *job);
+void wp_forget_job(struct wp_pool *p, struct wp_job *job, int64_t now_us);
 
 /**
  * wp_set_worker() - add or update a worker that service discovery lists
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -128,6 +128,7 @@
 	o->kind = kind;
 	memcpy(o->worker, w->id, sizeof(o->worker));
 	memcpy(o->address, w->address, sizeof(o->address));
+	o->incarnation_ms = w->incarnation_ms;
 	o->ref = *ref;
 	o->run = run;
 	DL_APPEND(p->orders, o);
@@ -260,7 +261,6 @@
 	t->pace = WP_FULL_PACE;
 	t->confirmed_clock_ms = w->lists_clock_ms;
 	t->deadline_clock_ms = 0;
-	wp_job_begun(t->step->occ->job);
 	wp_step_update_lists(t->step->occ->job->pool, t->step);
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -239,13 +239,18 @@
 
 	wp_suspect_tasks(p, w, now_us);
 	wp_count_crashed_worker(p, w, now_us);
+	w->incarnation_ms = reply->incarnation_ms;
 	DL_FOREACH_SAFE(w->tasks, t, tmp) {
 		/* By the clock of the earlier incarnation. */
 		t->deadline_clock_ms = 0;
-		if (t->state == WP_TASK_DONE)
-			wp_task_release(t);
-		else
+		t->confirmed_clock_ms = 0;
+		t->stopped_clock_ms = 0;
+		if (t->state != WP_TASK_DONE)
 			wp_task_stop(p, t, now_us);
+		else if (t->order_in_flight)
+			wp_task_send_stop(p, t, now_us);
+		else
+			wp_task_release(t);
 	}
 	wp_read_clock(w, reply->clock_ms, now_us);
 	w->processed_end = 0;
@@ -556,6 +561,7 @@
 		if (t->step->occ->job->final_state != JB_PENDING)
 			wp_task_stop(p, t, now_us);
 	} else if (wp_has_to_end_first(t, run)) {
+		wp_job_begun(t->step->occ->job);
 		wp_task_adopt(t, w, t->run, now_us);
 		wp_task_stop(p, t, now_us);
 	}
@@ -603,6 +609,12 @@
 	return false;
 }
 
+static bool
+wp_is_after(int64_t clock_ms, int64_t confirmed_ms)
+{
+	return confirmed_ms > 0 && clock_ms > confirmed_ms;
+}
+
 /* Whether a task is gone if the worker's reply of that time lacks it. */
 static bool
 wp_is_missing(const struct wp_task *t, int64_t clock_ms)
@@ -611,12 +623,12 @@
 	case WP_TASK_STARTING:
 		return t->in_doubt && clock_ms > t->deadline_clock_ms;
 	case WP_TASK_RUNNING:
-	case WP_TASK_DONE:
-		return t->confirmed_clock_ms > 0 &&
-		    clock_ms > t->confirmed_clock_ms;
+		return wp_is_after(clock_ms, t->confirmed_clock_ms);
 	case WP_TASK_STOPPING:
-		return t->stopped_clock_ms > 0 &&
-		    clock_ms > t->stopped_clock_ms;
+		return wp_is_after(clock_ms, t->stopped_clock_ms);
+	case WP_TASK_DONE:
+		return wp_is_after(clock_ms, t->confirmed_clock_ms) ||
+		    wp_is_after(clock_ms, t->stopped_clock_ms);
 	case WP_TASK_WAITING:
 	case WP_TASK_UNRECONCILED:
 	case WP_TASK_CANCELLED:
@@ -860,10 +872,11 @@
 
 /* The clock of a new incarnation starts anew, far behind the earlier one. */
 static bool
-wp_is_from_earlier_incarnation(
-    const struct wp_worker *w, int64_t clock_ms, int64_t now_us)
+wp_is_from_earlier_incarnation(const struct wp_worker *w,
+    const struct wp_order *o, int64_t clock_ms, int64_t now_us)
 {
-	return clock_ms > wp_worker_clock_ms(w, now_us) + WP_MAX_CLOCK_AHEAD_MS;
+	return o->incarnation_ms != w->incarnation_ms ||
+	    clock_ms > wp_worker_clock_ms(w, now_us) + WP_MAX_CLOCK_AHEAD_MS;
 }
 
 static void
@@ -895,7 +908,7 @@
 		wp_stray_add(p, w, o);
 	}
 	if (w != NULL && o->kind == WP_ORDER_STOP && result == WP_ACCEPTED &&
-	    !wp_is_from_earlier_incarnation(w, clock_ms, now_us))
+	    !wp_is_from_earlier_incarnation(w, o, clock_ms, now_us))
 		wp_strays_stopped(w, o, clock_ms);
 	if (w == NULL || t == NULL || t->worker != w || t->run != o->run)
 		return;
@@ -906,7 +919,7 @@
 	if (o->kind == WP_ORDER_STOP &&
 	    (t->state == WP_TASK_STOPPING || t->state == WP_TASK_DONE) &&
 	    result == WP_ACCEPTED &&
-	    !wp_is_from_earlier_incarnation(w, clock_ms, now_us)) {
+	    !wp_is_from_earlier_incarnation(w, o, clock_ms, now_us)) {
 		t->stopped_clock_ms = clock_ms;
 		t->resend_at_us = 0;
 	}
@@ -941,6 +954,16 @@
 	w->earlier_owner_until_us = 0;
 }
 
+/* For the tasks placed there, beside other runs that are or may be there. */
+static bool
+wp_has_room_for_all(const struct wp_worker *w)
+{
+	const struct wp_resources none = {0};
+	struct wp_resources left = wp_free_resources(w);
+
+	return wp_resources_fit(&left, &none);
+}
+
 static void
 wp_resend(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
@@ -961,7 +984,8 @@
 	}
 	/* The worker's next reports tell whether it has started. */
 	if (!t->worker->listed || !wp_knows_capacity(t->worker, now_us) ||
-	    wp_is_overfull(t->worker) || !wp_would_tell(p, t->worker, now_us))
+	    !wp_has_room_for_all(t->worker) ||
+	    !wp_would_tell(p, t->worker, now_us))
 		return;
 	wp_task_send_start(p, t,
 	    wp_needs_advice(t->step)
