--- a/state/pool_stray.c
+++ b/state/pool_stray.c
@@ -40,8 +40,8 @@
 
 	if (t != NULL)
 		stray.need = wp_task_resources(t->step->spec);
-	w->stray = talloc_realloc(
-	    w, w->stray, struct wp_stray, w->stray_count + 1);
+	w->stray =
+	    talloc_realloc(w, w->stray, struct wp_stray, w->stray_count + 1);
 	if (w->stray == NULL)
 		abort();
 	w->stray[w->stray_count++] = stray;
