relay: a renewal that was held up lengthens no lease

What workers would see: runs that go on after the owner has taken their lease to have expired, and the same tasks started elsewhere (TWICE).

Cause: a relay that was paused, or whose link was, sends on what it then reads. Late starts are dropped, and late renewals lose their acknowledgement, since their worker may have restarted.

Fix: such a renewal carries no end of a lease either. What it leaves out is now decided in one place that a test can reach, rc_limit_late_renewal().

Evidence: RelayCodec.LateRenewalLengthensNoLeaseOfARestartedWorker failed with what the relay left out before: deadline_clock_ms is 4711, expected 0 and passes now.

--- a/curranttackd/cell_relay_serve.c
+++ b/curranttackd/cell_relay_serve.c
@@ -195,7 +195,7 @@
 	}
 	/* The worker may have been restarted since it was sent. */
 	if (delay_us > RL_MAX_DELAY_US)
-		renewal.acked_end = 0;
+		rc_limit_late_renewal(&renewal);
 	ct_add(CT_RELAYED, 1);
 	f->workers->renew(
 	    f->handle, &w, &renewal, row->fence, rl_on_renewal_done, call);
--- a/include/protocol/relay_codec.h
+++ b/include/protocol/relay_codec.h
@@ -40,6 +40,9 @@
 bool rc_unpack_renewal(const Currant__RelayedHold *m, struct wp_worker *w,
     struct wp_renewal *renewal);
 
+/** rc_limit_late_renewal() - leave out what its worker's next life must not get */
+void rc_limit_late_renewal(struct wp_renewal *renewal);
+
 /** rc_pack_renewal_reply() - fill in a worker's reply; allocates under @ctx */
 void rc_pack_renewal_reply(TALLOC_CTX *ctx, Currant__RelayedHoldResult *m,
     const struct wp_renewal_reply *reply);
--- a/protocol/relay_codec.c
+++ b/protocol/relay_codec.c
@@ -126,6 +126,13 @@
 	return true;
 }
 
+void
+rc_limit_late_renewal(struct wp_renewal *renewal)
+{
+	renewal->acked_end = 0;
+	renewal->deadline_clock_ms = 0;
+}
+
 static void
 rc_pack_running(Currant__RunningTask *m, const struct wp_running_task *r)
 {
--- a/tests/unit/test_relays.cc
+++ b/tests/unit/test_relays.cc
@@ -142,6 +142,19 @@
 	EXPECT_EQ(got.checkpoint, nullptr);
 }
 
+TEST(RelayCodec, LateRenewalLengthensNoLeaseOfARestartedWorker)
+{
+	struct wp_renewal renewal = {};
+
+	renewal.acked_end = 7;
+	renewal.deadline_clock_ms = 4711;
+	renewal.wait_ms = 800;
+	rc_limit_late_renewal(&renewal);
+	EXPECT_EQ(renewal.acked_end, 0U);
+	EXPECT_EQ(renewal.deadline_clock_ms, 0);
+	EXPECT_EQ(renewal.wait_ms, 800U);
+}
+
 TEST(RelayCodec, InvalidOrdersAreRejected)
 {
 	struct wp_order o = start_order();
