pool: whether a reference names a task of a step is decided in one place

Runs beside the placed tasks and late starts compared references with a step in the same way, in pool_sched and pool_stray: wp_is_of_step() serves both. A reply of a worker without late starts no longer sums up none of them.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -64,6 +64,8 @@
 
 /** wp_task_ref() - fill in the reference that names a task */
 void wp_task_ref(const struct wp_task *t, struct jb_ref *ref);
+/** wp_is_of_step() - whether a reference names a task of a step */
+bool wp_is_of_step(const struct wp_step *s, const struct jb_ref *ref);
 /** wp_find_task() - find a task by reference, or NULL */
 struct wp_task *wp_find_task(struct wp_pool *p, const struct jb_ref *ref);
 /** wp_next_run() - the lowest unused run number of a task */
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -92,17 +92,11 @@
 static uint32_t
 wp_orphans_on(const struct wp_step *s, const struct wp_worker *w)
 {
-	const char *job = s->occ->job->spec->id;
 	uint32_t n = 0;
 	uint32_t i;
 
-	for (i = 0; i < w->orphan_count; i++) {
-		const struct jb_ref *ref = &w->orphan[i];
-
-		n += ref->step == s->number &&
-		    ref->occurrence == s->occ->number &&
-		    strcmp(ref->job, job) == 0;
-	}
+	for (i = 0; i < w->orphan_count; i++)
+		n += wp_is_of_step(s, &w->orphan[i]);
 	return n;
 }
 
--- a/state/pool_stray.c
+++ b/state/pool_stray.c
@@ -133,6 +133,8 @@
 {
 	uint32_t i;
 
+	if (w->stray_count == 0)
+		return;
 	for (i = 0; i < w->stray_count; i++) {
 		struct wp_stray *stray = &w->stray[i];
 
@@ -145,16 +147,11 @@
 uint32_t
 wp_strays_on(const struct wp_step *s, const struct wp_worker *w)
 {
-	const char *job = s->occ->job->spec->id;
 	uint32_t n = 0;
 	uint32_t i;
 
-	for (i = 0; i < w->stray_count; i++) {
-		const struct jb_ref *ref = &w->stray[i].ref;
-
-		n += !w->stray[i].ruled_out && ref->step == s->number &&
-		    ref->occurrence == s->occ->number &&
-		    strcmp(ref->job, job) == 0;
-	}
+	for (i = 0; i < w->stray_count; i++)
+		n += !w->stray[i].ruled_out &&
+		    wp_is_of_step(s, &w->stray[i].ref);
 	return n;
 }
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -83,6 +83,13 @@
 	ref->index = t->index;
 }
 
+bool
+wp_is_of_step(const struct wp_step *s, const struct jb_ref *ref)
+{
+	return ref->step == s->number && ref->occurrence == s->occ->number &&
+	    strcmp(ref->job, s->occ->job->spec->id) == 0;
+}
+
 struct wp_task *
 wp_find_task(struct wp_pool *p, const struct jb_ref *ref)
 {
