--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -582,7 +582,7 @@
 class Cloud:
     def __init__(self, cell):
         self.cell, self.record = cell, cell.record
-        self.fences, self.done = {}, set()
+        self.fences, self.done, self.orders = {}, set(), []
 
     async def start(self):
         self.server = await Server(self.handle, "cloud").start()
@@ -594,6 +594,11 @@
         if not path.endswith("machine-upkeep") or not workers:
             return 400, {}
         fence = int(headers.get("x-curranttack-fencing-token", 0))
+        holder = headers.get("x-curranttack-duty-holder")
+        at = self.record("cloud", "order", machine=machine,
+                         wave=body.get("wave"), holder=holder, fence=fence)
+        self.orders.append({"at": at, "machine": machine, "holder": holder,
+                            "fence": fence})
         if fence < self.fences.get(machine, 0):
             return 409, {"reason": "fence"}
         self.fences[machine] = fence
