replica: what an abandoned load has found doesn't count

Cause: a load that fails after its first page is begun anew, but its flags `found_by_load` stayed. The owner's key, found by the first attempt, lapsed before the second, which kept it; the watch then goes on behind the revision at which it was removed. Ruled out: a claim that was sent and lost (no daemon logged one), a lease that was still renewed (the owner logged "lease has ended").

Change: each attempt of a load has a number, which rows of every kind keep in place of a flag (jobs: in place of the load's revision).

--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -90,13 +90,14 @@
 	rp_watch(r);
 }
 
-/* Reads the keys under load_prefix. */
+/* Reads the keys under load_prefix; what an earlier attempt found is void. */
 static void
 rp_load(void *arg)
 {
 	struct replica *r = arg;
 
 	TALLOC_FREE(r->load_cursor);
+	r->load_number++;
 	r->loading = rp_covers(r->load_prefix, RP_CELL_PREFIX);
 	r->fleet->keys->range(
 	    r->fleet->handle, r->load_prefix, NULL, rp_on_load_page, r);
--- a/curranttackd/replica_entries.c
+++ b/curranttackd/replica_entries.c
@@ -82,10 +82,9 @@
 	struct rp_worker *wnext;
 
 	HASH_ITER(hh, r->workers, w, wnext) {
-		if (w->unlisted_us == 0 && !w->found_by_load &&
+		if (w->unlisted_us == 0 && w->found_in_load != r->load_number &&
 		    w->revision < removed.revision)
 			rp_apply_worker(r, w->id, &removed);
-		w->found_by_load = false;
 	}
 }
 
--- a/curranttackd/replica_jobs.c
+++ b/curranttackd/replica_jobs.c
@@ -158,8 +158,7 @@
 	struct rp_job *next;
 
 	HASH_ITER(hh, r->jobs, job, next) {
-		if (job->spec != NULL &&
-		    job->load_revision != r->load_revision &&
+		if (job->spec != NULL && job->found_in_load != r->load_number &&
 		    job->spec_revision < r->load_revision)
 			rp_forget_job(r, job);
 	}
--- a/curranttackd/replica_pools.c
+++ b/curranttackd/replica_pools.c
@@ -167,15 +167,13 @@
 	struct rp_member *mnext;
 
 	HASH_ITER(hh, r->owners, o, onext) {
-		if (o->present && !o->found_by_load &&
+		if (o->present && o->found_in_load != r->load_number &&
 		    o->revision < removed.revision)
 			rp_apply_owner(r, o->pool, &removed);
-		o->found_by_load = false;
 	}
 	HASH_ITER(hh, r->members, m, mnext) {
-		if (m->present && !m->found_by_load &&
+		if (m->present && m->found_in_load != r->load_number &&
 		    m->revision < removed.revision)
 			rp_apply_member(r, m->vm, &removed);
-		m->found_by_load = false;
 	}
 }
--- a/curranttackd/replica_rows.c
+++ b/curranttackd/replica_rows.c
@@ -88,11 +88,11 @@
 	else if (r->fleet->entries->kind(item->key, &id) == FL_KEY_WORKER)
 		HASH_FIND_STR(r->workers, id, w);
 	if (job != NULL)
-		job->load_revision = r->load_revision;
+		job->found_in_load = r->load_number;
 	if (o != NULL)
-		o->found_by_load = true;
+		o->found_in_load = r->load_number;
 	if (m != NULL)
-		m->found_by_load = true;
+		m->found_in_load = r->load_number;
 	if (w != NULL)
-		w->found_by_load = true;
+		w->found_in_load = r->load_number;
 }
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -41,7 +41,7 @@
  * @cancel_revision: revision of the cancellation
  * @accepted_us: when this daemon first saw the job
  * @ended_us: when this daemon learned of its end; 0 before
- * @load_revision: revision of the last load that has read its description
+ * @found_in_load: number of the last load that has read its description
  */
 struct rp_job {
 	char id[JB_ID_BYTES];
@@ -62,7 +62,7 @@
 	uint64_t cancel_revision;
 	int64_t accepted_us;
 	int64_t ended_us;
-	uint64_t load_revision;
+	uint32_t found_in_load;
 	UT_hash_handle hh;
 };
 
@@ -72,7 +72,7 @@
  * @info: decoded entry; strings belong to @info_ctx
  * @pool: pool it works for; NULL until an entry could be decoded
  * @unlisted_us: when its entry was removed or became unusable; 0 while listed
- * @found_by_load: the load in progress has read its entry
+ * @found_in_load: number of the last load that has read its entry
  */
 struct rp_worker {
 	char id[WP_NAME_BYTES];
@@ -81,7 +81,7 @@
 	const char *pool;
 	TALLOC_CTX *info_ctx;
 	int64_t unlisted_us;
-	bool found_by_load;
+	uint32_t found_in_load;
 	UT_hash_handle hh;
 };
 
@@ -103,7 +103,7 @@
  *	@term may still act on workers
  * @workers: encoded list of workers that owners have used, @workers_bytes long
  * @workers_revision: revision of @workers; 0 without one
- * @found_by_load: the load in progress has read the owner's key
+ * @found_in_load: number of the last load that has read the owner's key
  */
 struct rp_owner {
 	char pool[WP_NAME_BYTES];
@@ -123,7 +123,7 @@
 	uint8_t *workers;
 	size_t workers_bytes;
 	uint64_t workers_revision;
-	bool found_by_load;
+	uint32_t found_in_load;
 	UT_hash_handle hh;
 };
 
@@ -136,7 +136,7 @@
  * @cpu_mcpu: share of a core that it may use, in thousandths
  * @revision: last change of its entry
  * @present: its entry exists
- * @found_by_load: the load in progress has read its entry
+ * @found_in_load: number of the last load that has read its entry
  */
 struct rp_member {
 	char vm[WP_NAME_BYTES];
@@ -146,7 +146,7 @@
 	uint32_t cpu_mcpu;
 	uint64_t revision;
 	bool present;
-	bool found_by_load;
+	uint32_t found_in_load;
 	UT_hash_handle hh;
 };
 
@@ -204,6 +204,7 @@
  * @loading: a load is not complete; items are in no common order until then
  * @applying_in_order: the item being applied comes in the order of changes
  * @applied_revision: revision up to which all changes are applied
+ * @load_number: number of the newest load; one that is begun anew has its own
  * @load_revision: revision of the first page of the newest load
  * @operator_revision: revision up to which operators' keys are applied
  * @load_operator_keys: their history was lost, so they have to be read again
@@ -225,6 +226,7 @@
 	bool loading;
 	bool applying_in_order;
 	uint64_t applied_revision;
+	uint32_t load_number;
 	uint64_t load_revision;
 	uint64_t operator_revision;
 	bool load_operator_keys;
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -139,6 +139,30 @@
 		return item;
 	}
 
+	struct ks_item
+	member_item(uint64_t revision)
+	{
+		Currant__Member row = CURRANT__MEMBER__INIT;
+		struct ks_item item = {};
+
+		row.vm = (char *)"vm-1";
+		row.domain = (char *)"a";
+		row.address = (char *)"127.0.0.1:1";
+		item.key = RP_MEMBER_PREFIX "vm-1";
+		item.value = pk_pack(l, &row.base, &item.value_bytes);
+		item.revision = revision;
+		return item;
+	}
+
+	bool
+	has_member()
+	{
+		struct rp_member *m;
+
+		HASH_FIND_STR(r->members, "vm-1", m);
+		return m != nullptr && m->present;
+	}
+
 	struct ks_item
 	job_item(const char *id, uint64_t revision)
 	{
@@ -171,6 +195,20 @@
 		store.range_done(&a, store.range_arg);
 	}
 
+	/* The store refuses the next page, and the load is begun anew. */
+	void
+	page_refused()
+	{
+		struct ks_response a = {};
+
+		a.result = KS_REFUSED;
+		store.range_done(&a, store.range_arg);
+		loop_after(
+		    l, 400000, [](void *arg) { loop_stop((struct loop *)arg); },
+		    l);
+		loop_run(l);
+	}
+
 	void
 	watch(enum ks_result result, uint64_t as_of)
 	{
@@ -262,6 +300,33 @@
 	EXPECT_TRUE(rp_has_applied(r, 50));
 }
 
+/*
+ * The store dropped its history and went down while it was read again; the
+ * owner's lease lapsed meanwhile. Every daemon kept the key that the first
+ * attempt had found, no daemon claimed the pool, and accepted jobs were lost.
+ */
+TEST_F(Replica, RowsThatOnlyAnAbandonedLoadFoundAreRemoved)
+{
+	const char *removed = "00000000000000a1";
+
+	page(10,
+	    {job_item(removed, 4), owner_item(5), member_item(6),
+		worker_item("w/a", 7)},
+	    false);
+	watch(KS_COMPACTED, 0);
+	page(60,
+	    {job_item(removed, 4), owner_item(5), member_item(6),
+		worker_item("w/a", 7)},
+	    true);
+	page_refused();
+	EXPECT_TRUE(rp_get_owner(r, "pool")->present);
+	page(70, {}, false);
+	EXPECT_FALSE(rp_get_owner(r, "pool")->present);
+	EXPECT_FALSE(has_member());
+	EXPECT_FALSE(is_listed("a"));
+	EXPECT_EQ(rp_find_job(r, removed), nullptr);
+}
+
 /* As owner, the daemon would have started tasks that had ended. */
 TEST_F(Replica, JobRemovedWithHistoryThatTheStoreDroppedIsForgotten)
 {
