claim: the key of an owner without a link is read again

Change: an idle daemon reads the key every 3 s while it changes no more and there is no link to the owner, or the key names the daemon itself. A read without the key at a later revision counts as its removal. Cost: none while the owner is linked.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -17,6 +17,8 @@
 /* Workers' clocks may be slow by 2%, and they report a little late. */
 #define CP_CAPACITY_MARGIN_US (300 * CLK_US_PER_MS)
 #define CP_RANKS_PER_POOL 3
+/* An owner that can't be reached may have lost its key unnoticed. */
+#define CP_OWNER_CHECK_US (3 * CLK_US_PER_S)
 /* How often an owner looks for a larger VM. */
 #define CP_YIELD_CHECK_US (3 * CLK_US_PER_S)
 
@@ -309,6 +311,7 @@
 	    strcmp(o->vm, c->settings->vm) == 0;
 	int64_t now_us = clk_now_us();
 
+	h->owner_check_at_us = now_us + CP_OWNER_CHECK_US;
 	if (!o->present) {
 		if (h->state == CP_OWNER)
 			cp_step_down(h, "key is gone");
@@ -365,14 +368,65 @@
 	    f->handle, h->lease, cp_on_lease_renewed, cp_request_create(h));
 }
 
+/* No item at a revision proves that the key of an earlier one is gone. */
+static void
+cp_on_owner_read(const struct ks_response *a, void *arg)
+{
+	struct cp_host *h = arg;
+	struct replica *r = h->cell->replica;
+	const struct rp_owner *o = rp_get_owner(r, h->name);
+	char key[RP_KEY_BYTES];
+	struct ks_item removed = {
+	    .key = key,
+	    .deleted = true,
+	    .revision = a->revision,
+	};
+	size_t i;
+
+	if (a->result != KS_OK)
+		return;
+	snprintf(key, sizeof(key), "%s%s", RP_OWNER_PREFIX, h->name);
+	for (i = 0; i < a->item_count; i++) {
+		if (strcmp(a->item[i].key, key) != 0)
+			continue;
+		rp_apply_out_of_order(r, &a->item[i]);
+		return;
+	}
+	if (o->present && a->revision > o->revision)
+		lg_event(LG_WARN, "pool", "owner_vanished", "pool", h->name,
+		    "owner", o->vm, "revision", lg_i64((int64_t)a->revision),
+		    NULL);
+	rp_apply_out_of_order(r, &removed);
+}
+
+/* Reads the key of an owner that no link shows to be at work. */
+static void
+cp_check_owner(struct cp_host *h, const struct rp_owner *o, int64_t now_us)
+{
+	const struct fl_fleet *f = h->cell->fleet;
+	char key[RP_KEY_BYTES];
+
+	if (now_us < h->owner_check_at_us)
+		return;
+	h->owner_check_at_us = now_us + CP_OWNER_CHECK_US;
+	if (pn_link(h->cell->links, o->vm) != NULL)
+		return;
+	snprintf(key, sizeof(key), "%s%s", RP_OWNER_PREFIX, h->name);
+	f->keys->range(f->handle, key, NULL, cp_on_owner_read, h);
+}
+
 /* Claims a pool without an owner once the delay for this daemon is over. */
 void
 cp_claim_tick(struct cp_host *h, int64_t now_us)
 {
 	struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
 
-	if (h->cell->draining || h->cell->replica->loading || o->present)
+	if (h->cell->draining || h->cell->replica->loading)
 		return;
+	if (o->present) {
+		cp_check_owner(h, o, now_us);
+		return;
+	}
 	if (h->claim_at_us == 0)
 		h->claim_at_us = now_us + cp_claim_delay_us(h);
 	if (now_us < h->claim_at_us || cp_claim_is_outdated(h, now_us))
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -31,6 +31,7 @@
  *	CP_CLAIMING: when the claim times out
  * @claim_active_count: cp_active_count() when the delay of the claim was
  *	computed
+ * @owner_check_at_us: when the owner's key is read again, unless it changes
  * @lease: lease that the ownership depends on
  * @ended_lease: lease of another owner that this daemon has ended
  * @fence: fencing token of this ownership
@@ -66,6 +67,7 @@
 	enum cp_state state;
 	int64_t claim_at_us;
 	uint32_t claim_active_count;
+	int64_t owner_check_at_us;
 	uint64_t lease;
 	uint64_t ended_lease;
 	uint64_t fence;
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -831,6 +831,22 @@
 	expect_no_violations();
 }
 
+/*
+ * Whatever hid the end of the owner's key from all daemons, accepted jobs were
+ * not run until the next restart.
+ */
+TEST_F(Cell, PoolIsClaimedThoughNoDaemonSawItsOwnersKeyGo)
+{
+	start_daemons(3);
+	EXPECT_EQ(submit(0, 0).status, 200);
+	wait_completed(0, 0, 1);
+	http("POST", control + "/_vanish?prefix=ct/owner/");
+	EXPECT_EQ(submit(0, 1).status, 200);
+	EXPECT_TRUE(
+	    eventually([&] { return state(1, 1) == "completed"; }, 15000));
+	expect_no_violations();
+}
+
 TEST_F(Cell, EndedJobsAreRemovedAfterRetention)
 {
 	keep_ended = "1s";
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1446,6 +1446,33 @@
 	standin_reply(req, 200, "ok");
 }
 
+/* Items go with their leases, and no watch shows it: what it missed is gone. */
+static void
+vanish_items(struct hs_request *req)
+{
+	const char *prefix = hs_query(req, "prefix");
+	struct item *it;
+	struct item *tmp;
+
+	revision++;
+	HASH_ITER(hh, items, it, tmp) {
+		struct lease *l;
+
+		if (prefix == NULL || !has_prefix(it->key, prefix))
+			continue;
+		HASH_FIND(hh, leases, &it->lease, sizeof(it->lease), l);
+		if (l != NULL) {
+			HASH_DEL(leases, l);
+			free(l);
+		}
+		HASH_DEL(items, it);
+		free(it->key);
+		free(it->value);
+		free(it);
+	}
+	standin_reply(req, 200, "ok");
+}
+
 /* A worker's cores shrink or grow while it runs, or with a new life. */
 static void
 size_worker(struct hs_request *req)
@@ -1486,6 +1513,8 @@
 		switch_worker(req);
 	else if (strcmp(req->path, "/_size") == 0)
 		size_worker(req);
+	else if (strcmp(req->path, "/_vanish") == 0)
+		vanish_items(req);
 	else if (strcmp(req->path, "/_forget") == 0) {
 		lost_history = revision + 1;
 		revision++;
