commit: the end of a job is shown once it is stored

Cause: an owner that couldn't store an end for 250 ms told callers and peers of it. The end was in the memory of daemons and of one worker alone. Evidence: the cut-off owner logs `job_ended ... stored=0`, a caller is told 0.2 s later, and the next owner has neither row nor report. Ruled out: an acknowledgement before the commit was done (`noted -` in the record; acknowledgements follow the answer of the commit), and a stored row that the next owner didn't read (stored=0).

Change: ends are shown, logged and sent to peers when the commit with them is answered. GET shows `running` until then.

Tests: Cell.EndThatALossOfPowerCanTakeIsNotShown and the same of RelayedCell failed before, and pass. Cell.StoreOutageKeepsJobsRunningAndRefusesNewOnes asked for `completed` during the outage, which is the fault; it now asks that the tasks end during it, that this is not shown, and that it is shown when the store is back. Cell.RestartedOwnerLearnsUnstoredEndsFromItsPeers asked that a daemon shows an end that is not stored; the new tests forbid that for every daemon, and lose the power of all in place of one.

--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -10,8 +10,6 @@
 #include "protocol/pack.h"
 
 #define CP_COMMIT_PAUSE_US (60 * CLK_US_PER_MS)
-/* The store counts as unreachable when a commit takes longer. */
-#define CP_STORE_UNREACHABLE_US (250 * CLK_US_PER_MS)
 #define CP_COMMIT_RETRY_US (150 * CLK_US_PER_MS)
 
 /* A commit in flight; repeated unchanged until its outcome is known. */
@@ -54,7 +52,7 @@
 }
 
 static void
-cp_announce_end(struct cp_host *h, const struct wp_job *job, bool stored)
+cp_announce_end(struct cp_host *h, const struct wp_job *job)
 {
 	const char *id = job->spec->id;
 	struct cell *c = h->cell;
@@ -62,8 +60,8 @@
 
 	if (row != NULL) {
 		lg_event(LG_INFO, "pool", "job_ended", "job", id, "queue",
-		    row->queue, "state", jb_state_name(job->state), "stored",
-		    stored ? "1" : "0", "first_start_ms",
+		    row->queue, "state", jb_state_name(job->state),
+		    "first_start_ms",
 		    lg_i64(cp_after_arrival_ms(job, job->first_start_us)),
 		    "last_start_ms",
 		    lg_i64(cp_after_arrival_ms(job, job->last_start_us)),
@@ -77,13 +75,13 @@
 		rp_on_end_reported(c->replica, id, job->state);
 	}
 	/* In large cells, daemons query the owner when a caller queries a job. */
-	if (!stored || pn_is_small_cell(c->links))
+	if (pn_is_small_cell(c->links))
 		pn_queue_ended(c->links, id, job->state);
 }
 
+/* Only what is stored is told: all daemons and workers may lose power. */
 static void
-cp_announce_commit_ends(
-    struct cp_host *h, const struct cp_commit *cm, bool stored)
+cp_announce_commit_ends(struct cp_host *h, const struct cp_commit *cm)
 {
 	const struct wp_job *job;
 	size_t i;
@@ -91,32 +89,7 @@
 	for (i = 0; i < cm->ended_count; i++) {
 		job = wp_find_job(h->pool, cm->ended[i]);
 		if (job != NULL)
-			cp_announce_end(h, job, stored);
-	}
-	pn_flush_ended(h->cell->links);
-}
-
-/*
- * While the store is unreachable, the ends of jobs can't be stored, but are
- * final all the same: workers keep the end of a run until it is acknowledged.
- */
-void
-cp_announce_unstored_ends(struct cp_host *h, int64_t now_us)
-{
-	struct wp_job *job;
-
-	if (h->commit == NULL ||
-	    now_us - h->commit->created_us < CP_STORE_UNREACHABLE_US)
-		return;
-	cp_announce_commit_ends(h, h->commit, false);
-	h->commit->ended_count = 0;
-	for (job = h->pool->dirty; job != NULL; job = job->dirty_next) {
-		const struct rp_job *row =
-		    rp_find_job(h->cell->replica, job->spec->id);
-
-		if (jb_has_ended(job->state) && row != NULL &&
-		    !jb_has_ended(row->state))
-			cp_announce_end(h, job, false);
+			cp_announce_end(h, job);
 	}
 	pn_flush_ended(h->cell->links);
 }
@@ -128,7 +101,7 @@
 
 	h->revision = revision;
 	h->commit = NULL;
-	cp_announce_commit_ends(h, cm, true);
+	cp_announce_commit_ends(h, cm);
 	h->commit_at_us = clk_now_us() + CP_COMMIT_PAUSE_US;
 	wp_commit_end(h->pool, clk_now_us());
 	if (cm->registry) {
--- a/curranttackd/cell_lookup.c
+++ b/curranttackd/cell_lookup.c
@@ -128,7 +128,7 @@
 	peer_send(link, &frame);
 }
 
-/* A final state is given only once it is stored or was reported to all. */
+/* A final state is given only once it is stored. */
 static enum jb_state
 lk_state_of(struct lk_resolver *r, const char *id)
 {
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -330,7 +330,6 @@
 	cp_forget_ended(h, now_us);
 	cp_log_state(h, now_us);
 	cp_log_reconciled(h, now_us);
-	cp_announce_unstored_ends(h, now_us);
 	cp_run_pass(h, now_us);
 }
 
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -123,7 +123,7 @@
 void cp_on_job(struct cell *c, struct rp_job *job);
 /** cp_on_cancel() - a job of the replica was cancelled */
 void cp_on_cancel(struct cell *c, struct rp_job *job);
-/** cp_on_end_reported() - a job is reported to have ended, before it is stored */
+/** cp_on_end_reported() - a job's end is stored, though the watch may be behind */
 void cp_on_end_reported(struct cell *c, const char *id, enum jb_state state);
 /** cp_on_worker() - a worker of the replica was listed, changed or removed */
 void cp_on_worker(struct cell *c, const struct rp_worker *w);
--- a/include/curranttackd/cell_pool_internal.h
+++ b/include/curranttackd/cell_pool_internal.h
@@ -81,7 +81,5 @@
     TALLOC_CTX *ctx, const struct cp_host *h, uint64_t commit, size_t *bytes);
 /** cp_start_commit() - commit what has changed, unless a commit is in flight */
 void cp_start_commit(struct cp_host *h);
-/** cp_announce_unstored_ends() - report ended jobs while the store is away */
-void cp_announce_unstored_ends(struct cp_host *h, int64_t now_us);
 
 #endif
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -32,8 +32,8 @@
  * @queue: queue it was submitted to
  * @pool: pool that runs it
  * @state: as stored, or as reported by its owner
- * @end_reported: @state is a final state that its owner has reported but not
- *	stored yet
+ * @end_reported: @state is a final state that its owner has stored, though the
+ *	watch has not shown it yet
  * @started: a task has been started at some time
  * @recurring: it has occurrences that are due at set times
  * @announced: the job hook has been called
@@ -296,7 +296,7 @@
 void rp_forget_job(struct replica *r, struct rp_job *job);
 
 /**
- * rp_on_end_reported() - a job is reported to have ended, before that is stored
+ * rp_on_end_reported() - a job's end is stored, though the watch may be behind
  * @r: replica
  * @id: the job; its description may not be known yet
  * @state: its final state
--- a/tests/fault/cell_fixture.h
+++ b/tests/fault/cell_fixture.h
@@ -237,6 +237,47 @@
 			    << "job " << n << " is " << state(daemon, n);
 	}
 
+	/*
+	 * Job 1 runs to its end while the store is down; no daemon shows that
+	 * as long as it isn't stored.
+	 */
+	void
+	complete_job_1_during_an_outage()
+	{
+		/* Daemons learn of each other through the store. */
+		usleep(1000000);
+		EXPECT_EQ(submit(0, 1, 2, 1000).status, 200);
+		ASSERT_TRUE(
+		    eventually([&] { return reported("running") == 2; }));
+		inject_fault("{\"target\":\"store\",\"path\":\"\","
+			     "\"kind\":\"down\",\"for_ms\":60000}");
+		ASSERT_TRUE(
+		    eventually([&] { return reported("done") == 2; }, 4000));
+		for (int n = 0; n < 15; n++) {
+			for (size_t d = 0; d < daemons.size(); d++)
+				EXPECT_NE(
+				    call("GET", d, "/q/" + job_id(1), "", 300)
+					.text("state"),
+				    "completed");
+			usleep(100000);
+		}
+	}
+
+	/* All daemons and workers lose power, and come back after the store. */
+	void
+	lose_all_power()
+	{
+		for (auto &d : daemons)
+			d->end(SIGKILL);
+		for (uint32_t w = 0; w < kWorkers; w++)
+			http("POST", control + "/_worker",
+			    "{\"worker\":" + std::to_string(w) +
+				",\"off\":false,\"reborn\":true}");
+		http("POST", control + "/_clear");
+		for (auto &d : daemons)
+			d->start();
+	}
+
 	std::string settings;
 	std::string keep_ended = "120s";
 	std::string dir;
