peers: ends that are not stored are no longer exchanged

Daemons told each other, over each new link, of ends that the store lacked, and a new owner waited up to a second for them. No such end is shown any more, so nothing depends on them. Removed: pn_send_all_ends(), pn_awaits_ends(), pn_on_ends_told(), the pool's ends_unknown, field 18 of a frame (reserved).

--- a/curranttackd/cell_frames.c
+++ b/curranttackd/cell_frames.c
@@ -56,8 +56,6 @@
 		cell_on_new_job(c, frame->new_job);
 	for (i = 0; i < frame->n_ended_jobs; i++)
 		cell_on_ended_job(c, frame->ended_jobs[i]);
-	if (frame->ends_told)
-		pn_on_ends_told(c->links, link);
 	if (frame->owner_changed)
 		rp_watch_now(c->replica);
 	if (frame->advice_answer != NULL)
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -11,18 +11,12 @@
 #define PN_MAX_ENDED 32
 #define PN_RECONNECT_US (500 * CLK_US_PER_MS)
 #define PN_TICK_US (100 * CLK_US_PER_MS)
-/* By then a new daemon has links to all others that can be reached. */
-#define PN_START_US (3 * CLK_US_PER_S)
 
 struct pn_peer {
 	char vm[WP_NAME_BYTES];
 	char address[WP_NAME_BYTES];
 	struct peer_link *link;
 	int64_t connect_at_us;
-	/* It was told on that link of all ends that are not stored. */
-	bool ends_sent;
-	/* Its own link, if it has told its ends on that; 0 before. */
-	uint64_t ends_link;
 };
 
 struct pn_links {
@@ -31,7 +25,6 @@
 	struct pn_peer peer[PN_MAX_PEERS];
 	uint32_t count;
 	int64_t tick_at_us;
-	int64_t started_us;
 	Currant__EndedJob ended[PN_MAX_ENDED];
 	char ended_id[PN_MAX_ENDED][JB_ID_BYTES];
 	uint32_t ended_count;
@@ -46,7 +39,6 @@
 		abort();
 	n->c = c;
 	n->on_refused = on_refused;
-	n->started_us = clk_now_us();
 	return n;
 }
 
@@ -88,41 +80,9 @@
 	if (p->link != NULL || now_us < p->connect_at_us)
 		return;
 	p->connect_at_us = now_us + PN_RECONNECT_US;
-	p->ends_sent = false;
 	p->link = peer_connect(n->c->peers, p->address);
 }
 
-/* A daemon that was restarted or cut off lacks what it was told before. */
-static void
-pn_send_all_ends(struct pn_links *n, struct pn_peer *p)
-{
-	Currant__Frame frame = CURRANT__FRAME__INIT;
-	Currant__EndedJob row[PN_MAX_ENDED];
-	Currant__EndedJob *rows[PN_MAX_ENDED];
-	struct peer_link *link = p->link;
-	struct rp_job *job;
-	struct rp_job *tmp;
-
-	p->ends_sent = true;
-	frame.ended_jobs = rows;
-	HASH_ITER(hh, n->c->replica->jobs, job, tmp) {
-		if (!job->end_reported)
-			continue;
-		if (frame.n_ended_jobs == PN_MAX_ENDED) {
-			peer_send(link, &frame);
-			frame.n_ended_jobs = 0;
-		}
-		rows[frame.n_ended_jobs] = &row[frame.n_ended_jobs];
-		currant__ended_job__init(rows[frame.n_ended_jobs]);
-		rows[frame.n_ended_jobs]->id = job->id;
-		rows[frame.n_ended_jobs]->state = (uint32_t)job->state;
-		frame.n_ended_jobs++;
-	}
-	frame.has_ends_told = true;
-	frame.ends_told = true;
-	peer_send(link, &frame);
-}
-
 static bool
 pn_is_established(const struct pn_peer *p)
 {
@@ -146,7 +106,6 @@
 	struct rp_member *m;
 	struct rp_member *tmp;
 	uint32_t largest_mcpu;
-	uint32_t i;
 
 	if (now_us < n->tick_at_us)
 		return;
@@ -156,39 +115,6 @@
 		if (pn_needs_link(n, m, largest_mcpu))
 			pn_keep_link(n, m, now_us);
 	}
-	for (i = 0; i < n->count; i++) {
-		if (pn_is_established(&n->peer[i]) && !n->peer[i].ends_sent)
-			pn_send_all_ends(n, &n->peer[i]);
-	}
-}
-
-bool
-pn_awaits_ends(struct pn_links *n, int64_t now_us)
-{
-	uint32_t largest_mcpu = rp_max_cpu_mcpu(n->c->replica);
-	bool is_new = now_us - n->started_us < PN_START_US;
-	struct rp_member *m;
-	struct rp_member *tmp;
-
-	HASH_ITER(hh, n->c->replica->members, m, tmp) {
-		const struct pn_peer *p = pn_find_peer(n, m->vm);
-
-		if (!pn_needs_link(n, m, largest_mcpu) ||
-		    (p != NULL && p->ends_link != 0))
-			continue;
-		if (is_new || (p != NULL && pn_is_established(p)))
-			return true;
-	}
-	return false;
-}
-
-void
-pn_on_ends_told(struct pn_links *n, const struct peer_link *link)
-{
-	struct pn_peer *p = pn_get_peer(n, peer_vm(link));
-
-	if (p != NULL)
-		p->ends_link = peer_serial(link);
 }
 
 struct peer_link *
@@ -218,8 +144,6 @@
 	for (i = 0; i < n->count; i++) {
 		struct pn_peer *p = &n->peer[i];
 
-		if (p->ends_link == peer_serial(link))
-			p->ends_link = 0;
 		if (p->link != link)
 			continue;
 		p->link = NULL;
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -11,8 +11,6 @@
 
 /* An owner whose lease has not been confirmed for this long starts nothing. */
 #define CP_UNCONFIRMED_START_LIMIT_US (6 * CLK_US_PER_S)
-/* A new owner waits so long for ends of jobs that other daemons know of. */
-#define CP_AWAIT_ENDS_US (1000 * CLK_US_PER_MS)
 /* Interval of full passes, which also handle what is due at some time. */
 #define CP_FULL_PASS_US (20 * CLK_US_PER_MS)
 #define CP_MIN_PASS_DELAY_US (2 * CLK_US_PER_MS)
@@ -219,8 +217,6 @@
 	    now_us - h->lease_confirmed_us > CP_UNCONFIRMED_START_LIMIT_US;
 	h->pool->ownership_unconfirmed =
 	    now_us - h->lease_confirmed_us >= CP_LEASE_MS * CLK_US_PER_MS;
-	h->pool->ends_unknown = now_us - h->owner_since_us < CP_AWAIT_ENDS_US &&
-	    pn_awaits_ends(h->cell->links, now_us);
 	if (now_us >= h->full_pass_at_us) {
 		h->full_pass_at_us = now_us + CP_FULL_PASS_US;
 		wp_tick(h->pool, now_us);
--- a/include/curranttackd/cell_peers.h
+++ b/include/curranttackd/cell_peers.h
@@ -46,15 +46,4 @@
 /** pn_send_owner_changed() - make all daemons read the key space at once */
 void pn_send_owner_changed(struct pn_links *n);
 
-/** pn_on_ends_told() - a peer has sent all ends of jobs that the store lacks */
-void pn_on_ends_told(struct pn_links *n, const struct peer_link *link);
-
-/**
- * pn_awaits_ends() - whether another daemon may know ends that this one lacks
- *
- * Return: true while a daemon that can be reached has not sent them, or this
- * one has just started and has no links yet.
- */
-bool pn_awaits_ends(struct pn_links *n, int64_t now_us);
-
 #endif
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -983,11 +983,6 @@
   Currant__RelayedHoldResult **hold_results;
   Currant__JobStateQuery *state_query;
   Currant__JobStateAnswer *state_answer;
-  /*
-   * The sender has sent all ends of jobs that it knows and the store lacks.
-   */
-  protobuf_c_boolean has_ends_told;
-  protobuf_c_boolean ends_told;
   /*
    * Steady clock of the sender of relayed calls, in microseconds.
    */
@@ -996,7 +991,7 @@
 };
 #define CURRANT__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__frame__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0, 0, 0 }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0 }
 
 
 /* Currant__Hello methods */
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -872,8 +872,6 @@
  *	ordered
  * @draining: nothing new is started
  * @ownership_unconfirmed: a later owner may exist and renew workers' leases
- * @ends_unknown: other daemons may know of jobs that have ended, though the
- *	store does not
  * @jobs: by id
  * @dirty: jobs whose progress is not stored, in the order they became dirty
  * @workers: by name; none is ever removed
@@ -914,7 +912,6 @@
 	bool superseded;
 	bool draining;
 	bool ownership_unconfirmed;
-	bool ends_unknown;
 	struct wp_job *jobs;
 	struct wp_job *dirty;
 	struct wp_worker *workers;
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -6846,7 +6846,7 @@
   (ProtobufCMessageInit) currant__relayed_hold_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__frame__field_descriptors[19] =
+static const ProtobufCFieldDescriptor currant__frame__field_descriptors[18] =
 {
   {
     "hello",
@@ -7052,18 +7052,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "ends_told",
-    18,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_BOOL,
-    offsetof(Currant__Frame, has_ends_told),
-    offsetof(Currant__Frame, ends_told),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "sent_us",
     19,
@@ -7084,7 +7072,6 @@
   3,   /* field[3] = config_docs */
   2,   /* field[2] = config_fetch */
   9,   /* field[9] = ended_jobs */
-  17,   /* field[17] = ends_told */
   0,   /* field[0] = hello */
   14,   /* field[14] = hold_results */
   8,   /* field[8] = new_job */
@@ -7093,15 +7080,16 @@
   12,   /* field[12] = relayed_holds */
   11,   /* field[11] = relayed_orders */
   5,   /* field[5] = reply */
-  18,   /* field[18] = sent_us */
+  17,   /* field[17] = sent_us */
   16,   /* field[16] = state_answer */
   15,   /* field[15] = state_query */
   1,   /* field[1] = summary */
 };
-static const ProtobufCIntRange currant__frame__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 19, 17 },
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor currant__frame__descriptor =
 {
@@ -7111,10 +7099,10 @@
   "Currant__Frame",
   "currant",
   sizeof(Currant__Frame),
-  19,
+  18,
   currant__frame__field_descriptors,
   currant__frame__field_indices_by_name,
-  1,  currant__frame__number_ranges,
+  2,  currant__frame__number_ranges,
   (ProtobufCMessageInit) currant__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -243,7 +243,7 @@
 	struct wp_job *next;
 	bool holding = false;
 
-	if (p->reconciled || p->ownership_unconfirmed || p->ends_unknown)
+	if (p->reconciled || p->ownership_unconfirmed)
 		return;
 	wp_copy_unreconciled(p, now_us);
 	p->reconcile_pass++;
