callers: 410 to a cancellation follows a tombstone

Cause: the 410 rested on a read of the store and on this daemon's own list of attempts. Other daemons' attempts, and those from before a restart, are known to nobody. Ruled out: a replica that was behind (the 410 followed a read).

Change: a DELETE of a job that the store lacks writes ct/cancel/ID on condition that the job is absent, and a job is created on condition that ct/cancel/ID is absent: the store lets one of both take effect.

--- a/curranttackd/cell_calls_query.c
+++ b/curranttackd/cell_calls_query.c
@@ -60,20 +60,6 @@
 	bool cancel;
 };
 
-/* The store doesn't have the job; an attempt to store it may still succeed. */
-static void
-cc_respond_unknown(
-    struct cc_frontend *f, struct hs_request *req, const char *id, bool cancel)
-{
-	bool open = cancel && at_is_open(f->attempts, id, clk_now_us());
-	const char *reason = open ? "the job may yet be stored" : "no such job";
-	int status = open ? 504 : 410;
-
-	if (cancel)
-		cc_log_unwritten("cancel", id, status, reason);
-	cc_respond_error(f, req, status, reason);
-}
-
 /* A job that is missing in the replica may have been accepted just now. */
 static void
 cc_on_lookup(const struct ks_response *a, void *arg)
@@ -98,10 +84,10 @@
 	for (i = 0; i < a->item_count; i++)
 		rp_apply_out_of_order(f->c->replica, &a->item[i]);
 	job = rp_find_job(f->c->replica, id);
-	if (job == NULL)
-		cc_respond_unknown(f, req, id, cancel);
-	else if (cancel)
+	if (cancel)
 		cc_cancel_job(f, req, id);
+	else if (job == NULL)
+		cc_respond_error(f, req, 410, "no such job");
 	else
 		cc_respond_state(f, req, job);
 }
--- a/curranttackd/replica_jobs.c
+++ b/curranttackd/replica_jobs.c
@@ -31,6 +31,15 @@
 	return job != NULL && job->spec != NULL ? job : NULL;
 }
 
+struct rp_job *
+rp_find_tombstone(struct replica *r, const char *id)
+{
+	struct rp_job *job;
+
+	HASH_FIND_STR(r->jobs, id, job);
+	return job != NULL && job->spec == NULL ? job : NULL;
+}
+
 void
 rp_forget_job(struct replica *r, struct rp_job *job)
 {
@@ -54,6 +63,9 @@
 	job->spec = talloc_memdup(job, item->value, item->value_bytes);
 	job->spec_bytes = item->value_bytes;
 	job->spec_revision = item->revision;
+	/* It could be created, so an earlier tombstone is gone. */
+	if (job->cancel_revision < item->revision)
+		job->cancelled = false;
 	job->queue = talloc_strdup(job, spec->queue);
 	job->pool = talloc_strdup(job, spec->pool);
 	job->recurring = spec->repeat_count > 0;
@@ -136,19 +148,32 @@
 	return true;
 }
 
+/* The cancellation of a stored job is removed together with the job. */
+static void
+rp_drop_tombstone(struct replica *r, struct rp_job *job)
+{
+	if (job->spec == NULL && job->progress == NULL && !job->end_reported)
+		rp_forget_job(r, job);
+}
+
 void
 rp_apply_cancel(struct replica *r, const char *id, const struct ks_item *item)
 {
-	struct rp_job *job;
+	struct rp_job *job =
+	    item->deleted ? rp_find_tombstone(r, id) : rp_get_job(r, id);
+	bool is_new;
 
-	if (item->deleted)
+	if (job == NULL || item->revision <= job->cancel_revision)
 		return;
-	job = rp_get_job(r, id);
-	if (job == NULL || job->cancelled)
+	if (item->deleted) {
+		rp_drop_tombstone(r, job);
 		return;
+	}
+	is_new = !job->cancelled;
 	job->cancelled = true;
 	job->cancel_revision = item->revision;
-	r->hooks.cancel(job, r->arg);
+	if (is_new)
+		r->hooks.cancel(job, r->arg);
 }
 
 void
@@ -161,5 +186,9 @@
 		if (job->spec != NULL && job->found_in_load != r->load_number &&
 		    job->spec_revision < r->load_revision)
 			rp_forget_job(r, job);
+		else if (job->cancelled &&
+		    job->found_in_load != r->load_number &&
+		    job->cancel_revision < r->load_revision)
+			rp_drop_tombstone(r, job);
 	}
 }
--- a/curranttackd/replica_rows.c
+++ b/curranttackd/replica_rows.c
@@ -78,9 +78,12 @@
 	size_t owner_length = strlen(RP_OWNER_PREFIX);
 	size_t member_length = strlen(RP_MEMBER_PREFIX);
 	size_t job_length = strlen(RP_JOB_PREFIX);
+	size_t cancel_length = strlen(RP_CANCEL_PREFIX);
 
 	if (strncmp(item->key, RP_JOB_PREFIX, job_length) == 0)
 		HASH_FIND_STR(r->jobs, item->key + job_length, job);
+	else if (strncmp(item->key, RP_CANCEL_PREFIX, cancel_length) == 0)
+		job = rp_find_tombstone(r, item->key + cancel_length);
 	else if (strncmp(item->key, RP_OWNER_PREFIX, owner_length) == 0)
 		HASH_FIND_STR(r->owners, item->key + owner_length, o);
 	else if (strncmp(item->key, RP_MEMBER_PREFIX, member_length) == 0)
--- a/include/curranttackd/cell_calls_internal.h
+++ b/include/curranttackd/cell_calls_internal.h
@@ -3,13 +3,15 @@
 
 #include "curranttackd/cell.h"
 #include "state/attempts.h"
+#include "state/tombstones.h"
 
 /**
  * DOC: Shared by the files that implement the HTTP API for callers: cell_calls
- * (servers, and which handler a request goes to), cell_calls_write (submissions
- * and cancellations, which are stored), cell_calls_query (states of jobs and
- * lengths of queues), cell_calls_metrics (the metrics page), cell_calls_respond
- * (what all of them use).
+ * (servers, and which handler a request goes to), cell_calls_submit and
+ * cell_calls_cancel (what is stored), cell_calls_write (writes to the key space
+ * until their outcome is known), cell_calls_query (states of jobs and lengths of
+ * queues), cell_calls_metrics (the metrics page), cell_calls_respond (what all of
+ * them use).
  */
 
 /**
@@ -19,6 +21,7 @@
  * @ready: server for the load balancer's readiness checks
  * @metrics: server for metrics, or NULL
  * @attempts: attempts of callers to store a job that may still succeed
+ * @tombstones: lease of the cancellations of jobs that are not stored
  * @pending_count: callers' requests without a response
  */
 struct cc_frontend {
@@ -27,6 +30,7 @@
 	struct http_server *ready;
 	struct http_server *metrics;
 	struct at_table *attempts;
+	struct tb_lease tombstones;
 	uint32_t pending_count;
 };
 
@@ -48,10 +52,83 @@
 
 /* cell_calls_write.c */
 
+struct cc_write;
+
+/**
+ * struct cc_write_ops - one kind of write
+ * @event: event in the log
+ * @send: send it, with cc_on_written() for the answer
+ * @stored: it was done, at a revision
+ * @conflict: a condition of it failed
+ * @end: turn the status of the response into one that is certain; may be NULL
+ */
+struct cc_write_ops {
+	const char *event;
+	void (*send)(struct cc_write *w);
+	void (*stored)(struct cc_write *w, uint64_t revision);
+	void (*conflict)(struct cc_write *w, const struct ks_response *a);
+	int (*end)(struct cc_write *w, int status);
+};
+
+/**
+ * struct cc_write - a caller's request that waits for the key space
+ * @ops: its kind
+ * @f: servers
+ * @req: the request
+ * @id: the job
+ * @job_key: key of the job
+ * @cancel_key: key of its cancellation
+ * @lease: lease of what is written, or 0
+ * @arrived_us: when the request came
+ * @deadline_us: when it has to be answered
+ * @attempts: attempts that have ended
+ * @refused: those without effect
+ * @unanswered: those without an answer
+ * @sent_again: those that the client library sent more than once by itself
+ * @uncertain: an attempt had no answer, so the write may still take effect
+ *
+ * First member of the struct of each kind.
+ */
+struct cc_write {
+	const struct cc_write_ops *ops;
+	struct cc_frontend *f;
+	struct hs_request *req;
+	char id[JB_ID_BYTES];
+	char job_key[RP_KEY_BYTES];
+	char cancel_key[RP_KEY_BYTES];
+	uint64_t lease;
+	int64_t arrived_us;
+	int64_t deadline_us;
+	uint32_t attempts;
+	uint32_t refused;
+	uint32_t unanswered;
+	uint32_t sent_again;
+	bool uncertain;
+};
+
+/** cc_write_init() - fill a write for a caller's request */
+void cc_write_init(struct cc_write *w, const struct cc_write_ops *ops,
+    struct cc_frontend *f, struct hs_request *req, const char *id);
+/** cc_write_retry() - send it again after a pause, or respond at its deadline */
+void cc_write_retry(struct cc_write *w);
+/** cc_write_refused() - an attempt was refused: try again, or respond */
+void cc_write_refused(struct cc_write *w);
+/** cc_write_finish() - respond, and free the write */
+void cc_write_finish(struct cc_write *w, int status, const char *body);
+/** cc_on_written() - the answer to an attempt; @arg is the write */
+void cc_on_written(const struct ks_response *a, void *arg);
+/** cc_find_revision() - a key's revision after a conflict; 0 if it is absent */
+uint64_t cc_find_revision(const struct ks_response *a, const char *key);
+
+/* cell_calls_submit.c */
+
 /** cc_submit() - store a job of a caller, unless it is known */
 void cc_submit(struct cc_frontend *f, struct hs_request *req,
     const struct qs_queue *queue, const char *id);
-/** cc_cancel_job() - store the cancellation of a job in the replica */
+
+/* cell_calls_cancel.c */
+
+/** cc_cancel_job() - store the cancellation of a job, which may be unknown */
 void cc_cancel_job(
     struct cc_frontend *f, struct hs_request *req, const char *id);
 
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -37,11 +37,13 @@
  * @started: a task has been started at some time
  * @recurring: it has occurrences that are due at set times
  * @announced: the job hook has been called
- * @cancelled: a caller has cancelled it
+ * @cancelled: a caller has cancelled it; without @spec by a tombstone, which
+ *	keeps it from being created
  * @cancel_revision: revision of the cancellation
  * @accepted_us: when this daemon first saw the job
  * @ended_us: when this daemon learned of its end; 0 before
- * @found_in_load: number of the last load that has read its description
+ * @found_in_load: number of the last load that has read its description or,
+ *	without one, its tombstone
  */
 struct rp_job {
 	char id[JB_ID_BYTES];
--- a/include/curranttackd/replica_internal.h
+++ b/include/curranttackd/replica_internal.h
@@ -45,6 +45,8 @@
     struct replica *r, const char *id, const struct ks_item *item);
 void rp_apply_cancel(
     struct replica *r, const char *id, const struct ks_item *item);
+/** rp_find_tombstone() - a job of which only the cancellation is known, or NULL */
+struct rp_job *rp_find_tombstone(struct replica *r, const char *id);
 /** rp_remove_unfound_jobs() - forget jobs that the finished load has not read */
 void rp_remove_unfound_jobs(struct replica *r);
 
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -347,6 +347,54 @@
 	EXPECT_NE(rp_find_job(r, accepted), nullptr);
 }
 
+/* A tombstone is gone with its lease, and the id may be used again. */
+TEST_F(Replica, JobIsNotCancelledByATombstoneThatIsGone)
+{
+	const char *id = "00000000000000a1";
+	struct ks_item tombstone = {};
+	struct ks_item item = job_item(id, 30);
+
+	tombstone.key = RP_CANCEL_PREFIX "00000000000000a1";
+	tombstone.revision = 20;
+	page(25, {tombstone}, false);
+	EXPECT_EQ(rp_find_job(r, id), nullptr);
+	/* Accepted here, before the watch shows that the tombstone is gone. */
+	rp_apply_out_of_order(r, &item);
+	ASSERT_NE(rp_find_job(r, id), nullptr);
+	EXPECT_FALSE(rp_find_job(r, id)->cancelled);
+	tombstone.deleted = true;
+	tombstone.revision = 29;
+	rp_apply_out_of_order(r, &tombstone);
+	EXPECT_NE(rp_find_job(r, id), nullptr);
+	tombstone.deleted = false;
+	tombstone.revision = 31;
+	rp_apply_out_of_order(r, &tombstone);
+	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
+}
+
+TEST_F(Replica, TombstonesAreForgotten)
+{
+	struct ks_item by_watch = {};
+	struct ks_item by_load = {};
+	struct ks_item kept = {};
+
+	by_watch.key = RP_CANCEL_PREFIX "00000000000000a1";
+	by_watch.revision = 5;
+	by_load.key = RP_CANCEL_PREFIX "00000000000000a2";
+	by_load.revision = 6;
+	kept.key = RP_CANCEL_PREFIX "00000000000000a3";
+	kept.revision = 7;
+	page(10, {by_watch, by_load, kept}, false);
+	EXPECT_EQ(HASH_COUNT(r->jobs), 3u);
+	by_watch.deleted = true;
+	by_watch.revision = 11;
+	rp_apply_out_of_order(r, &by_watch);
+	EXPECT_EQ(HASH_COUNT(r->jobs), 2u);
+	watch(KS_COMPACTED, 0);
+	page(60, {kept}, false);
+	EXPECT_EQ(HASH_COUNT(r->jobs), 1u);
+}
+
 /* Pages read before the claim may lack commits that were made before it. */
 TEST_F(Replica, ClaimMadeDuringALoadCountsOnceTheWatchHasPassedIt)
 {
