tests: a model of what callers and workers are told

Three daemons run in one process on a simulated clock, with the real code from cell_run() on; loop, links, HTTP server, store and workers are simulated (tests/unit/sim_cell). A seed gives jobs, repeated and cancelled through other daemons, and disruptions that follow closely on one another: the store down, slow, compacted, with lost and late writes; domains cut off; losses of power; workers and daemons that crash or freeze. Checked from outside only: LOST, TWICE, UNASKED, REFUSED.

--- /dev/null
+++ b/tests/unit/sim_cell.h
@@ -0,0 +1,249 @@
+#ifndef TESTS_UNIT_SIM_CELL_H
+#define TESTS_UNIT_SIM_CELL_H
+
+/*
+ * Daemons of a cell in one process and on a simulated clock. The code of the
+ * daemons is the real one, from cell_run() on; the loop, the links between
+ * daemons, the HTTP server, the key space and the workers are simulated here.
+ * Everything is decided by the seed.
+ */
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "common/clock.h"
+#include "curranttackd/cell.h"
+#include "platform/platform.h"
+}
+
+constexpr int64_t kSimMs = CLK_US_PER_MS;
+constexpr int64_t kSimS = CLK_US_PER_S;
+
+class SimWorld;
+
+/* What the store does with calls, until a time. */
+enum class StoreTrouble {
+	kSilent,  /* not done, no answer */
+	kBusy,	  /* refused */
+	kLost,	  /* writes are done, and not answered */
+	kLate,	  /* writes are done seconds later, and not answered */
+	kSlow,	  /* each call takes long */
+};
+
+struct SimItem {
+	std::string key;
+	std::string value;
+	uint64_t revision = 0;
+	uint64_t created = 0;
+	uint64_t lease = 0;
+	bool deleted = false;
+};
+
+struct SimResponse {
+	enum ks_result result = KS_OK;
+	uint64_t revision = 0;
+	std::vector<SimItem> items;
+	bool more = false;
+	uint64_t lease = 0;
+};
+
+struct SimTxn {
+	std::vector<std::pair<std::string, uint64_t>> expect;
+	std::vector<SimItem> put;
+	std::vector<std::string> remove;
+};
+
+/* The platform's store, by its published contract. */
+class SimStore
+{
+      public:
+	explicit SimStore(SimWorld *world) : w(world)
+	{
+	}
+
+	SimResponse range(const std::string &prefix, const std::string &after);
+	SimResponse txn(const SimTxn &t);
+	SimResponse grant(uint32_t ttl_ms);
+	SimResponse renew(uint64_t lease);
+	SimResponse end(uint64_t lease);
+	void put(const std::string &key, const std::string &value);
+	void remove(const std::string &key);
+	std::vector<SimItem> changes(
+	    const std::string &prefix, uint64_t after) const;
+	void expire();
+	void compact();
+	bool has_history(uint64_t after) const;
+
+	uint64_t revision = 1;
+	bool leases_paused = false;
+
+      private:
+	struct Lease {
+		int64_t ttl_us;
+		int64_t expires_us;
+	};
+
+	void write(const SimItem &item);
+	void erase(const std::string &key);
+
+	SimWorld *w;
+	std::map<std::string, SimItem> items;
+	std::vector<SimItem> history;
+	std::map<uint64_t, Lease> leases;
+	uint64_t compacted = 0;
+	uint64_t next_lease = 1;
+	int64_t checked_us = 0;
+};
+
+struct SimRun {
+	uint32_t run = 0;
+	int64_t begun_us = 0;
+	int64_t ends_us = 0;
+	int64_t stops_us = 0;
+	uint32_t cpu = 0;
+};
+
+struct SimEnd {
+	uint64_t number = 0;
+	struct jb_ref ref = {};
+	uint32_t run = 0;
+	enum wp_run_outcome outcome = WP_END_DONE;
+};
+
+struct SimWorker {
+	std::string id;
+	std::string domain;
+	bool alive = true;
+	uint32_t life = 1;
+	int64_t born_us = 0;
+	int64_t seen_us = 0; /* by the store */
+	uint64_t token = 0;
+	int64_t lease_until_us = 0;
+	uint64_t next_end = 0;
+	std::map<std::string, SimRun> running; /* by task */
+	std::map<std::string, struct jb_ref> refs;
+	std::map<std::string, uint32_t> barred;
+	std::vector<SimEnd> ends;
+	std::vector<std::function<void()>> waiting;
+};
+
+struct SimDaemon {
+	size_t index = 0;
+	std::string vm;
+	std::string domain;
+	uint64_t life = 0;
+	bool up = false;
+	bool powered = true;
+	int64_t frozen_until_us = 0;
+	int64_t trouble_us = 0; /* until when it was disrupted at last */
+	struct cell_settings settings = {};
+	struct cell *cell = nullptr;
+	hs_handler_fn handler = nullptr;
+	void *handler_arg = nullptr;
+	struct peer_net *net = nullptr;
+	std::string listening;
+	struct fl_fleet fleet = {};
+	std::map<StoreTrouble, int64_t> store; /* trouble of its own calls */
+};
+
+/* What a caller gets: a status, or 0 without an answer. */
+using SimReply = std::function<void(int status, const std::string &body)>;
+
+/* What is seen from outside the daemons. */
+struct SimObserver {
+	virtual ~SimObserver() = default;
+	virtual void on_start(const SimDaemon &d, const SimWorker &w,
+	    const std::string &task, uint32_t run) = 0;
+	virtual void on_end(const SimWorker &w, const std::string &task,
+	    uint32_t run, enum wp_run_outcome outcome) = 0;
+	virtual void on_noted(const std::string &task, uint32_t run,
+	    enum wp_run_outcome outcome) = 0;
+};
+
+class SimWorld
+{
+      public:
+	SimWorld(uint64_t seed, size_t daemon_count, size_t worker_count,
+	    SimObserver *observer);
+	~SimWorld();
+
+	void run_until(int64_t us);
+	void after(int64_t us, std::function<void()> action);
+	/* Dropped when that life of the daemon ends, held while it is frozen. */
+	void after_in(uint64_t life, int64_t us, std::function<void()> action);
+	uint64_t random(uint64_t below);
+	bool chance(uint32_t percent);
+
+	void start(size_t daemon);
+	/* By a signal: its connections are reset. Without power, they hang. */
+	void kill(size_t daemon, bool power);
+	void freeze(size_t daemon, int64_t us);
+	void crash(size_t worker);
+	void revive(size_t worker);
+	void cut_from_store(size_t daemon, int64_t us);
+	void cut_domain(const std::string &domain, int64_t us);
+	void store_trouble(StoreTrouble kind, int64_t us);
+	void store_trouble_of(size_t daemon, StoreTrouble kind, int64_t us);
+	void compact();
+	void heal();
+
+	void call(size_t daemon, const std::string &method,
+	    const std::string &path, const std::string &body, int64_t wait_us,
+	    SimReply reply);
+
+	bool store_has(size_t daemon, StoreTrouble kind) const;
+	bool reaches_store(const std::string &domain) const;
+	bool reaches(const std::string &from, const std::string &to) const;
+	bool is_in_touch(const SimDaemon &d) const;
+	SimDaemon *daemon_of(uint64_t life);
+
+	int64_t now = 1000 * kSimS;
+	uint64_t booting = 0;
+	SimStore store;
+	std::vector<std::unique_ptr<SimDaemon>> daemons;
+	std::vector<std::unique_ptr<SimWorker>> workers;
+	SimObserver *seen;
+	bool verbose = false;
+
+      private:
+	struct Event {
+		int64_t at;
+		uint64_t seq;
+		uint64_t life; /* 0: not of a daemon */
+		std::function<void()> action;
+	};
+	struct Later {
+		bool
+		operator()(const Event &a, const Event &b) const
+		{
+			return a.at != b.at ? a.at > b.at : a.seq > b.seq;
+		}
+	};
+
+	void tick();
+	void tick_worker(SimWorker &w);
+	void mark_store_trouble(int64_t us);
+
+	std::mt19937_64 rng;
+	std::priority_queue<Event, std::vector<Event>, Later> events;
+	uint64_t next_event = 1;
+	uint64_t next_life = 1;
+	std::map<StoreTrouble, int64_t> troubles;
+	std::map<std::string, int64_t> cut_domains;
+	std::map<size_t, int64_t> cut_daemons;
+	int64_t store_trouble_us = 0;
+};
+
+/* The world whose daemons run; there is one at a time. */
+extern SimWorld *sim_world;
+
+std::string sim_task_name(const struct jb_ref &ref);
+
+#endif
