pool: attempts are counted beyond the runs that a task remembers

Cause: the number of failed runs was the length of the list of their numbers, which ends at 8. Change: the newest 8 numbers are kept, those dropped are counted and stored (failed_earlier). An end that is read again is a recent one.

Pool.JobFailsAfterMoreAttemptsThanATaskRemembers and NextOwnerCountsAttemptsWhoseNumbersAreForgotten failed before (20 runs, job not failed), and pass.

--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -538,10 +538,15 @@
   Currant__TaskCrash **crashes;
   protobuf_c_boolean has_crashed_workers;
   uint32_t crashed_workers;
+  /*
+   * Runs that failed before those in failed_runs.
+   */
+  protobuf_c_boolean has_failed_earlier;
+  uint32_t failed_earlier;
 };
 #define CURRANT__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__task_progress__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Currant__JobProgress
--- a/include/state/job.h
+++ b/include/state/job.h
@@ -160,7 +160,8 @@
  * struct jb_task_progress - stored state of a task, for the pool's next owner
  * @index: task, or JB_ALL_TASKS when the whole step has succeeded
  * @run: number of the newest run
- * @failed_run: numbers of the runs that failed, @failed of them
+ * @failed_run: numbers of the newest runs that failed, @failed of them
+ * @failed_earlier: runs that failed before these
  * @done: the task has succeeded
  * @checkpoint: where the next run resumes, or NULL
  * @crash: runs under which a worker has or may have crashed, @crash_count of
@@ -174,6 +175,7 @@
 	uint32_t run;
 	const uint32_t *failed_run;
 	uint32_t failed;
+	uint32_t failed_earlier;
 	bool done;
 	const char *checkpoint;
 	const struct jb_crash *crash;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -63,7 +63,8 @@
  * @index: position in the step
  * @state: life cycle
  * @run: number of the newest run
- * @failed_run: numbers of failed runs, @failed_count of them
+ * @failed_run: numbers of the newest failed runs, @failed_count of them
+ * @failed_earlier: failed runs before these
  * @checkpoint: where the next run resumes, or NULL
  * @worker: worker whose resources it takes, or NULL
  * @started_us: when it was placed on its worker
@@ -97,6 +98,7 @@
 	uint32_t run;
 	uint32_t failed_run[WP_MAX_FAILED_RUNS];
 	uint32_t failed_count;
+	uint32_t failed_earlier;
 	char *checkpoint;
 	struct wp_worker *worker;
 	int64_t started_us;
@@ -194,6 +196,7 @@
  * @upcoming: the steps that it depends on are about to be done
  * @upcoming_listed: it is on the pool's list of upcoming steps
  * @gang_failed_count: failed runs of the gang
+ * @gang_failed_earlier: of these, those whose numbers its tasks don't keep
  * @completed_us: total time of the @completed_count runs that completed
  * @ticket: cached advice, @ticket_count entries
  * @ticket_index: for each worker's index, its position in @ticket plus one, or
@@ -226,6 +229,7 @@
 	bool upcoming;
 	bool upcoming_listed;
 	uint32_t gang_failed_count;
+	uint32_t gang_failed_earlier;
 	int64_t completed_us;
 	uint32_t completed_count;
 	struct wp_ticket *ticket;
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -4763,7 +4763,7 @@
   (ProtobufCMessageInit) currant__task_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[9] =
+static const ProtobufCFieldDescriptor currant__task_progress__field_descriptors[10] =
 {
   {
     "occurrence",
@@ -4873,12 +4873,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_earlier",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__TaskProgress, has_failed_earlier),
+    offsetof(Currant__TaskProgress, failed_earlier),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__task_progress__field_indices_by_name[] = {
   5,   /* field[5] = checkpoint */
   8,   /* field[8] = crashed_workers */
   7,   /* field[7] = crashes */
   4,   /* field[4] = done */
+  9,   /* field[9] = failed_earlier */
   6,   /* field[6] = failed_runs */
   2,   /* field[2] = index */
   0,   /* field[0] = occurrence */
@@ -4889,7 +4902,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor currant__task_progress__descriptor =
 {
@@ -4899,7 +4912,7 @@
   "Currant__TaskProgress",
   "currant",
   sizeof(Currant__TaskProgress),
-  9,
+  10,
   currant__task_progress__field_descriptors,
   currant__task_progress__field_indices_by_name,
   2,  currant__task_progress__number_ranges,
--- a/protocol/job_codec.c
+++ b/protocol/job_codec.c
@@ -205,6 +205,8 @@
 	to->run = from->run;
 	to->failed_runs = (uint32_t *)(uintptr_t)from->failed_run;
 	to->n_failed_runs = from->failed;
+	to->has_failed_earlier = from->failed_earlier > 0;
+	to->failed_earlier = from->failed_earlier;
 	to->has_done = from->done;
 	to->done = from->done;
 	if (from->checkpoint != NULL)
@@ -320,6 +322,7 @@
 		    .failed_run = talloc_memdup(progress, from->failed_runs,
 			from->n_failed_runs * sizeof(uint32_t)),
 		    .failed = (uint32_t)from->n_failed_runs,
+		    .failed_earlier = from->failed_earlier,
 		    .done = from->done,
 		    .checkpoint = jc_copy(progress, from->checkpoint),
 		    .crash = jc_read_crashes(progress, from),
--- a/state/pool.c
+++ b/state/pool.c
@@ -82,6 +82,19 @@
 	    wall_to_us;
 }
 
+/* All members of a gang share its runs. */
+static void
+wp_restore_earlier_failures(struct wp_task *t, uint32_t earlier)
+{
+	struct wp_step *s = t->step;
+
+	t->failed_earlier = earlier;
+	if (earlier <= s->gang_failed_earlier)
+		return;
+	s->gang_failed_count += earlier - s->gang_failed_earlier;
+	s->gang_failed_earlier = earlier;
+}
+
 static void
 wp_task_restore(struct wp_pool *p, struct wp_task *t,
     const struct jb_task_progress *entry, int64_t now_us)
@@ -92,6 +105,7 @@
 		t->run = entry->run;
 	for (i = 0; i < entry->failed; i++)
 		wp_record_failed_run(t, entry->failed_run[i]);
+	wp_restore_earlier_failures(t, entry->failed_earlier);
 	wp_task_set_checkpoint(t, entry->checkpoint);
 	t->crashed_workers = entry->crashed_workers;
 	for (i = 0; i < entry->crash_count; i++)
--- a/state/pool_store.c
+++ b/state/pool_store.c
@@ -39,6 +39,7 @@
 			.run = t->run,
 			.failed_run = t->failed_run,
 			.failed = t->failed_count,
+			.failed_earlier = t->failed_earlier,
 			.done = t->state == WP_TASK_DONE,
 			.checkpoint = t->checkpoint,
 			.crash = t->crash,
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -497,6 +497,16 @@
 	return false;
 }
 
+/* An end that is read again is a recent one, so older numbers can go. */
+static void
+wp_drop_oldest_failed_run(struct wp_task *t)
+{
+	t->failed_count--;
+	t->failed_earlier++;
+	memmove(t->failed_run, t->failed_run + 1,
+	    t->failed_count * sizeof(t->failed_run[0]));
+}
+
 bool
 wp_record_failed_run(struct wp_task *t, uint32_t run)
 {
@@ -506,8 +516,9 @@
 		return false;
 	if ((s->spec->flags & JB_GANG) && !wp_gang_has_failed_run(s, run))
 		s->gang_failed_count++;
-	if (t->failed_count < WP_MAX_FAILED_RUNS)
-		t->failed_run[t->failed_count++] = run;
+	if (t->failed_count == WP_MAX_FAILED_RUNS)
+		wp_drop_oldest_failed_run(t);
+	t->failed_run[t->failed_count++] = run;
 	return true;
 }
 
@@ -519,8 +530,8 @@
 	uint32_t max_attempts = job->spec->policy.max_attempts;
 	uint32_t failed;
 
-	failed =
-	    s->spec->flags & JB_GANG ? s->gang_failed_count : t->failed_count;
+	failed = s->spec->flags & JB_GANG ? s->gang_failed_count
+					  : t->failed_earlier + t->failed_count;
 	if (!(s->spec->flags & JB_LONG_RUNNING) && max_attempts > 0 &&
 	    failed >= max_attempts)
 		wp_job_stop(p, job, JB_FAILED, now_us);
--- a/tests/unit/sim_cell.cc
+++ b/tests/unit/sim_cell.cc
@@ -617,16 +617,15 @@
 		return WP_REFUSED_STALE_RUN;
 	if (used_cpu(w) + 1000 > kCores)
 		return WP_REFUSED_NO_RESOURCES;
-	w.running[task] = {run, sim_world->now, sim_world->now + work_us, 0,
-	    1000};
+	w.running[task] = {
+	    run, sim_world->now, sim_world->now + work_us, 0, 1000};
 	w.refs[task] = ref;
 	sim_world->seen->on_start(d, w, task, run);
 	return WP_ACCEPTED;
 }
 
 static enum wp_order_result
-stop_run(
-    SimWorker &w, const struct jb_ref &ref, uint32_t run, uint64_t token)
+stop_run(SimWorker &w, const struct jb_ref &ref, uint32_t run, uint64_t token)
 {
 	std::string task = sim_task_name(ref);
 
@@ -664,8 +663,8 @@
 	int64_t work_us = o->payload != nullptr ? atoll(o->payload) : 0;
 
 	auto no_answer = [=] {
-		sim_world->after_in(life, kOrderTimeout,
-		    [=] { done(WP_NO_ANSWER, 0, arg); });
+		sim_world->after_in(
+		    life, kOrderTimeout, [=] { done(WP_NO_ANSWER, 0, arg); });
 	};
 	if (w == nullptr || !sim_world->reaches(d->domain, w->domain)) {
 		no_answer();
@@ -727,9 +726,9 @@
 
 		row.ref = w.refs.at(r.first);
 		row.run = r.second.run;
-		row.percent = (uint32_t)(100 *
-		    (sim_world->now - r.second.begun_us) /
-		    (r.second.ends_us - r.second.begun_us + 1));
+		row.percent =
+		    (uint32_t)(100 * (sim_world->now - r.second.begun_us) /
+			(r.second.ends_us - r.second.begun_us + 1));
 		lists->running.push_back(row);
 	}
 	for (const SimEnd &e : w.ends) {
@@ -824,8 +823,8 @@
 		struct ks_item row = {};
 
 		row.key = it.key.c_str();
-		row.value = it.deleted ? nullptr
-				       : (const uint8_t *)it.value.data();
+		row.value =
+		    it.deleted ? nullptr : (const uint8_t *)it.value.data();
 		row.value_bytes = it.deleted ? 0 : it.value.size();
 		row.revision = it.revision;
 		row.created = it.created;
@@ -870,8 +869,7 @@
 static void
 answer_call(uint64_t life, const SimCall &c, const SimResponse &a, int64_t us)
 {
-	sim_world->after_in(
-	    life, us, [=] { deliver(a, c.done, c.arg); });
+	sim_world->after_in(life, us, [=] { deliver(a, c.done, c.arg); });
 }
 
 /* The call has arrived; what is done with its answer is decided now. */
@@ -910,17 +908,16 @@
 {
 	SimDaemon *d = (SimDaemon *)handle;
 	uint64_t life = d->life;
-	int64_t latency_us =
-	    sim_world->store_has(d->index, StoreTrouble::kSlow) ? kSlowLatency
-								: kStoreLatency;
+	int64_t latency_us = sim_world->store_has(d->index, StoreTrouble::kSlow)
+	    ? kSlowLatency
+	    : kStoreLatency;
 
 	if (is_cut_from_store(*d)) {
-		answer_call(
-		    life, c, without_answer(KS_UNKNOWN), c.timeout_us);
+		answer_call(life, c, without_answer(KS_UNKNOWN), c.timeout_us);
 		return;
 	}
-	sim_world->after(latency_us / 2,
-	    [=] { execute_call(d, life, c, latency_us / 2); });
+	sim_world->after(
+	    latency_us / 2, [=] { execute_call(d, life, c, latency_us / 2); });
 }
 
 static void
@@ -1007,8 +1004,9 @@
 	a.revision = w->store.revision;
 	if (!a.items.empty() || w->now >= deadline_us) {
 		answer_call(life, c, a,
-		    w->store_has(d->index, StoreTrouble::kSlow) ? kSlowLatency
-								: kStoreLatency);
+		    w->store_has(d->index, StoreTrouble::kSlow)
+			? kSlowLatency
+			: kStoreLatency);
 		return;
 	}
 	w->after(kTick, [=] {
@@ -1025,9 +1023,8 @@
 	uint64_t life = d->life;
 	int64_t deadline_us = sim_world->now + wait_ms * kSimMs;
 
-	sim_world->after(kLatency, [=] {
-		poll_watch(d, life, p, after, deadline_us, done, arg);
-	});
+	sim_world->after(kLatency,
+	    [=] { poll_watch(d, life, p, after, deadline_us, done, arg); });
 }
 
 /* --- entries and formats --- */
--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -30,11 +30,11 @@
 
 /* What the store does with calls, until a time. */
 enum class StoreTrouble {
-	kSilent,  /* not done, no answer */
-	kBusy,	  /* refused */
-	kLost,	  /* writes are done, and not answered */
-	kLate,	  /* writes are done seconds later, and not answered */
-	kSlow,	  /* each call takes long */
+	kSilent, /* not done, no answer */
+	kBusy,	 /* refused */
+	kLost,	 /* writes are done, and not answered */
+	kLate,	 /* writes are done seconds later, and not answered */
+	kSlow,	 /* each call takes long */
 };
 
 struct SimItem {
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -297,12 +297,14 @@
 	row.run = 5;
 	row.failed_run = failed;
 	row.failed = 2;
+	row.failed_earlier = 5;
 	row.checkpoint = "c";
 	value = jc_pack_progress(ctx, &p, &bytes);
 	struct jb_progress *q = jc_unpack_progress(ctx, value, bytes);
 	ASSERT_NE(q, nullptr);
 	ASSERT_EQ(q->task_count, 1U);
 	EXPECT_EQ(q->task[0].failed_run[0], 3U);
+	EXPECT_EQ(q->task[0].failed_earlier, 5U);
 	EXPECT_EQ(q->task[0].run, 5U);
 	EXPECT_STREQ(q->task[0].checkpoint, "c");
 }
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -431,6 +431,62 @@
  * The earlier owner stored this while it was still stopping other tasks.
  * Found by kps-dies hunt-8a9d-15.
  */
+/* A task that always failed was started without end: 8 failures were counted. */
+TEST_F(Pool, JobFailsAfterMoreAttemptsThanATaskRemembers)
+{
+	create_pool();
+	struct jb_spec *s = spec(kJob, {{1}});
+	uint64_t attempts = 0;
+
+	s->policy.max_attempts = 12;
+	struct wp_job *job = wp_add_job(p, s, nullptr, true, 0, now);
+	add_worker("w");
+	while (attempts < 20 && !jb_has_ended(wp_public_state(job))) {
+		now += 10 * kS;
+		renew_lease("w");
+		std::vector<struct wp_order *> orders = run_all();
+		ASSERT_EQ(orders.size(), 1u);
+		renew_lease("w", {},
+		    {{++attempts, kJob, 0, 0, orders[0]->run, WP_END_FAILED}});
+		commit();
+	}
+	EXPECT_EQ(attempts, 12u);
+	EXPECT_EQ(wp_public_state(job), JB_FAILED);
+}
+
+TEST_F(Pool, NextOwnerCountsAttemptsWhoseNumbersAreForgotten)
+{
+	for (uint32_t flags : {0u, (uint32_t)JB_GANG}) {
+		uint32_t failed[8] = {4, 5, 6, 7, 8, 9, 10, 11};
+		struct jb_task_progress row = {};
+		struct jb_progress progress = {};
+
+		create_pool(1);
+		struct jb_spec *s = spec(kJob, {{1, 1000, flags}});
+		s->policy.max_attempts = 12;
+		row.run = 11;
+		row.failed_run = failed;
+		row.failed = 8;
+		row.failed_earlier = 3;
+		progress.state = JB_RUNNING;
+		progress.started = true;
+		progress.task = &row;
+		progress.task_count = 1;
+		struct wp_job *job = wp_add_job(p, s, &progress, false, 0, now);
+		add_worker("w");
+		EXPECT_FALSE(jb_has_ended(wp_public_state(job)));
+		now += 20 * kS;
+		renew_lease("w");
+		std::vector<struct wp_order *> orders = run_all();
+		ASSERT_EQ(orders.size(), 1u);
+		renew_lease(
+		    "w", {}, {{1, kJob, 0, 0, orders[0]->run, WP_END_FAILED}});
+		EXPECT_EQ(wp_public_state(job), JB_FAILED) << flags;
+		talloc_free(p);
+		p = nullptr;
+	}
+}
+
 TEST_F(Pool, JobWithoutAttemptsLeftFailsUnderTheNextOwner)
 {
 	uint32_t failed[] = {1, 2, 3};
--- a/tests/unit/test_promises.cc
+++ b/tests/unit/test_promises.cc
@@ -213,16 +213,14 @@
 			job.body = std::to_string(work_us) + " " +
 			    std::to_string(1 + w.random(3)) + " " +
 			    std::to_string(1 + w.random(3));
-			int64_t from_us = kFirstJob +
-			    (int64_t)w.random(16 * 1000) * kSimMs;
+			int64_t from_us =
+			    kFirstJob + (int64_t)w.random(16 * 1000) * kSimMs;
 			std::string name = id;
 
-			at(from_us,
-			    [=] { submit(name, any_daemon(), 3); });
+			at(from_us, [=] { submit(name, any_daemon(), 3); });
 			at(from_us + kSimS, [=] { query(name); });
 			if (w.chance(15))
-				at(from_us +
-					(int64_t)w.random(4000) * kSimMs,
+				at(from_us + (int64_t)w.random(4000) * kSimMs,
 				    [=] { cancel(name, any_daemon()); });
 		}
 	}
@@ -232,8 +230,8 @@
 	int64_t
 	span(int64_t from_ms, int64_t to_ms)
 	{
-		return (from_ms + (int64_t)w.random(
-				      (uint64_t)(to_ms - from_ms))) *
+		return (from_ms +
+			   (int64_t)w.random((uint64_t)(to_ms - from_ms))) *
 		    kSimMs;
 	}
 
@@ -259,8 +257,8 @@
 	void
 	store_down()
 	{
-		StoreTrouble kind = w.chance(50) ? StoreTrouble::kSilent
-						 : StoreTrouble::kBusy;
+		StoreTrouble kind =
+		    w.chance(50) ? StoreTrouble::kSilent : StoreTrouble::kBusy;
 		int64_t us = span(500, 5000);
 
 		w.store.leases_paused = w.chance(50);
@@ -286,7 +284,8 @@
 		size_t daemon = any_daemon();
 		bool all = w.chance(30);
 
-		note(std::string(kind == StoreTrouble::kLate ? "late" : "lost") +
+		note(
+		    std::string(kind == StoreTrouble::kLate ? "late" : "lost") +
 		    " writes of " + (all ? "all" : w.daemons[daemon]->vm) +
 		    " for " + std::to_string(us / kSimMs) + " ms");
 		if (all)
@@ -444,7 +443,8 @@
 		for (auto &other : t.running) {
 			if (other.first != wk.id &&
 			    is_on(other.first, task, other.second))
-				breaks("TWICE", text + " beside " +
+				breaks("TWICE",
+				    text + " beside " +
 					std::to_string(other.second) + " on " +
 					other.first);
 		}
