maintenance: a VM with a worker of another pool isn't taken as one without

Cause: it looked for a worker in its own pool only. Change: a VM is without a worker when no pool lists one on it or did so in the last 4 s, and no wave has it taken; while the workers' entries are not current, none is.

Maintenance.VmWithAWorkerOfAnotherPoolIsNotTakenAsOneWithoutAWorker failed before, and passes.

--- a/curranttackd/cell_maintenance.c
+++ b/curranttackd/cell_maintenance.c
@@ -10,6 +10,8 @@
 #include "protocol/pack.h"
 
 #define CM_WRITE_RETRY_US (300 * CLK_US_PER_MS)
+/* A worker that is no longer listed may be back within this time. */
+#define CM_RESTART_US (4 * CLK_US_PER_S)
 /* An owner whose lease was not confirmed for this long does no maintenance. */
 #define CM_UNCONFIRMED_LIMIT_US (CLK_US_PER_S)
 
@@ -42,16 +44,62 @@
 	return c->maintenance;
 }
 
+static bool
+cm_has_worker(const struct replica *r, const char *vm, int64_t now_us)
+{
+	struct rp_worker *w;
+	struct rp_worker *next;
+
+	HASH_ITER(hh, r->workers, w, next) {
+		if (w->info.vm == NULL || strcmp(w->info.vm, vm) != 0)
+			continue;
+		if (w->unlisted_us == 0 ||
+		    now_us - w->unlisted_us < CM_RESTART_US)
+			return true;
+	}
+	return false;
+}
+
+/* Its worker is away, but another owner orders it, perhaps for another wave. */
+static bool
+cm_is_taken(const struct replica *r, const char *vm)
+{
+	const struct mw_vm *found;
+	struct rp_wave *w;
+	struct rp_wave *next;
+
+	HASH_ITER(hh, r->waves, w, next) {
+		if (w->wave == NULL)
+			continue;
+		found = mw_find(w->wave, vm);
+		if (found != NULL && found->state == MW_TAKEN)
+			return true;
+	}
+	return false;
+}
+
+/* Without current entries, any VM may be in use. */
+static bool
+cm_is_in_use(const char *vm, void *arg)
+{
+	const struct replica *r = ((const struct cell *)arg)->replica;
+
+	return !r->has_workers || cm_is_taken(r, vm) ||
+	    cm_has_worker(r, vm, clk_now_us());
+}
+
 static struct mw_owner
 cm_make_owner(const struct cp_host *h)
 {
-	const struct cell *c = h->cell;
+	struct cell *c = h->cell;
 	struct mw_owner o = {
 	    .pool = h->pool,
 	    .fence = h->fence,
 	    .since_us = h->owner_since_us,
 	    .takeover_pause_us = c->settings->duty_turn_us,
 	    .downtime_us = c->settings->maintenance_down_us,
+	    .is_in_use = cm_is_in_use,
+	    .arg = c,
 	};
 
 	o.takes_workerless_vms = c->replica->config->pool_count > 0 &&
--- a/include/state/maintenance.h
+++ b/include/state/maintenance.h
@@ -89,6 +89,9 @@
  * @downtime_us: expected time that a VM stays down
  * @takes_workerless_vms: it also takes VMs on which no worker is known; set for
  *	one pool only
+ * @is_in_use: whether a worker of any pool is or was lately on a VM, or an owner
+ *	has taken it
+ * @arg: argument of @is_in_use
  */
 struct mw_owner {
 	struct wp_pool *pool;
@@ -97,6 +100,8 @@
 	int64_t takeover_pause_us;
 	int64_t downtime_us;
 	bool takes_workerless_vms;
+	bool (*is_in_use)(const char *vm, void *arg);
+	void *arg;
 };
 
 /** mw_find() - find a VM of a wave by name; NULL when there is none */
--- a/state/maintenance.c
+++ b/state/maintenance.c
@@ -152,6 +152,19 @@
 	}
 }
 
+/* The wave has been known for so long that each worker has been listed. */
+static bool
+mw_is_workerless(const struct mw_wave *m, const struct mw_vm *vm,
+    const struct mw_owner *o, int64_t now_us)
+{
+	int64_t begun_us =
+	    m->deadline_us - (int64_t)m->duration_ms * CLK_US_PER_MS;
+
+	return now_us - o->since_us > MW_NO_WORKER_US &&
+	    now_us > begun_us + MW_NO_WORKER_US &&
+	    !o->is_in_use(vm->name, o->arg);
+}
+
 bool
 mw_may_take(const struct mw_wave *m, const struct mw_vm *vm,
     const struct mw_owner *o, int64_t now_us)
@@ -163,10 +176,7 @@
 	w = wp_find_worker_on_vm(o->pool, vm->name);
 	if (w == NULL)
 		return o->takes_workerless_vms &&
-		    now_us - o->since_us > MW_NO_WORKER_US &&
-		    now_us > m->deadline_us -
-			(int64_t)m->duration_ms * CLK_US_PER_MS +
-			MW_NO_WORKER_US;
+		    mw_is_workerless(m, vm, o, now_us);
 	if (!vm->evacuating)
 		return false;
 	if (wp_is_worker_empty(w))
--- a/tests/unit/test_maintenance.cc
+++ b/tests/unit/test_maintenance.cc
@@ -41,6 +41,10 @@
 		owner.takeover_pause_us = 3 * kS;
 		owner.downtime_us = 2 * kS;
 		owner.since_us = now - 60 * kS;
+		owner.is_in_use = [](const char *, void *arg) {
+			return *(bool *)arg;
+		};
+		owner.arg = &is_in_use;
 	}
 
 	void
@@ -114,6 +118,7 @@
 	struct mw_owner owner = {};
 	int64_t now = 1000 * kS;
 	uint32_t stops = 0;
+	bool is_in_use = false;
 };
 
 TEST_F(Maintenance, NoMoreThanMaxDownAreEvacuatedOrTaken)
@@ -271,4 +276,20 @@
 	EXPECT_TRUE(mw_may_take(m, &m->vm[0], &owner, now));
 }
 
+/*
+ * The first pool's owner took the VMs of all other pools, without evacuating
+ * them, and two owners ordered one VM.
+ */
+TEST_F(Maintenance, VmWithAWorkerOfAnotherPoolIsNotTakenAsOneWithoutAWorker)
+{
+	begin(1, 1);
+	wp_unlist_worker(p, "w-0");
+	now += 10 * kS;
+	owner.takes_workerless_vms = true;
+	is_in_use = true;
+	EXPECT_FALSE(mw_may_take(m, &m->vm[0], &owner, now));
+	is_in_use = false;
+	EXPECT_TRUE(mw_may_take(m, &m->vm[0], &owner, now));
+}
+
 } // namespace
