tests: the simulated cell is a file a part

sim_cell.cc had 1,670 lines: store, calls to it, workers, formats, callers, links, and the world with its clock.

--- /dev/null
+++ b/tests/unit/sim_formats.cc
@@ -0,0 +1,137 @@
+#include "sim_internal.h"
+
+#include <cstring>
+
+static enum fl_key_kind
+sim_kind(const char *key, const char **id)
+{
+	*id = key + 2;
+	if (strcmp(key, "op/config") == 0)
+		return FL_KEY_CONFIG;
+	return strncmp(key, "w/", 2) == 0 ? FL_KEY_WORKER : FL_KEY_OTHER;
+}
+
+static bool
+sim_read_worker(TALLOC_CTX *ctx, const char *id, const uint8_t *value,
+    size_t bytes, struct wp_worker_info *info, const char **pool, char *error,
+    size_t error_bytes)
+{
+	std::string text((const char *)value, bytes);
+	size_t space = text.find(' ');
+	int64_t born_us = atoll(text.substr(space + 1).c_str());
+
+	(void)error;
+	(void)error_bytes;
+	*info = {};
+	info->id = talloc_strdup(ctx, id);
+	info->address = info->id;
+	info->domain = talloc_strdup(ctx, text.substr(0, space).c_str());
+	info->kind = "kind";
+	info->rack = "rack";
+	info->capacity = {kCores, 100000, 0};
+	info->incarnation_ms = (kWallStart + born_us) / kSimMs;
+	info->clock_ms = (sim_world->now - born_us) / kSimMs + 1;
+	*pool = "pool";
+	return true;
+}
+
+static struct qs_config *
+sim_read_config(TALLOC_CTX *ctx, const uint8_t *value, size_t bytes,
+    char *error, size_t error_bytes)
+{
+	struct qs_config *c = talloc_zero(ctx, struct qs_config);
+
+	(void)value;
+	(void)bytes;
+	(void)error;
+	(void)error_bytes;
+	c->version = 1;
+	c->queue = talloc_zero_array(c, struct qs_queue, 1);
+	c->queue_count = 1;
+	c->queue[0].name = talloc_strdup(c, "q");
+	c->queue[0].host = talloc_strdup(c, "host");
+	c->queue[0].prefix = talloc_strdup(c, "/q/");
+	c->queue[0].pool = talloc_strdup(c, "pool");
+	c->queue[0].policy.max_attempts = 4;
+	c->queue[0].policy.stretch_milli = 4000;
+	c->queue[0].policy.target_latency_ms = 1000;
+	c->pool = talloc_zero_array(c, struct qs_pool, 1);
+	c->pool_count = 1;
+	c->pool[0].name = talloc_strdup(c, "pool");
+	c->max_body_bytes = 1 << 20;
+	return c;
+}
+
+/* "WORK_US STEPS TASKS": steps follow one another. */
+static struct jb_spec *
+sim_read_job(TALLOC_CTX *ctx, const char *body, size_t bytes, char *error,
+    size_t error_bytes)
+{
+	struct jb_spec *spec = talloc_zero(ctx, struct jb_spec);
+	std::string text(body, bytes);
+	unsigned int steps = 0;
+	unsigned int tasks = 0;
+	long long work_us = 0;
+
+	(void)error;
+	(void)error_bytes;
+	sscanf(text.c_str(), "%lld %u %u", &work_us, &steps, &tasks);
+	spec->payload = talloc_strdup(spec, std::to_string(work_us).c_str());
+	spec->step = talloc_zero_array(spec, struct jb_step, steps);
+	spec->step_count = steps;
+	for (unsigned int i = 0; i < steps; i++) {
+		struct jb_step *s = &spec->step[i];
+
+		s->count = tasks;
+		s->cpu_mcpu = 1000;
+		s->mem_mb = 10;
+		s->estimate_ms = (uint32_t)(work_us / kSimMs);
+		s->after = talloc_zero_array(spec, uint32_t, 1);
+		s->after_count = i > 0;
+		s->after[0] = i > 0 ? i - 1 : 0;
+	}
+	return spec;
+}
+
+static char *
+sim_state_body(TALLOC_CTX *ctx, enum jb_state state)
+{
+	return talloc_strdup(ctx, jb_state_name(state));
+}
+
+static char *
+sim_waiting_body(TALLOC_CTX *ctx, uint32_t waiting)
+{
+	return talloc_asprintf(ctx, "%u", waiting);
+}
+
+static const struct fl_entry_ops sim_entries = {
+    "op/",
+    "w/",
+    sim_kind,
+    sim_read_worker,
+    sim_read_config,
+    nullptr,
+    nullptr,
+};
+static const struct fl_caller_ops sim_callers = {
+    sim_read_job,
+    sim_state_body,
+    sim_waiting_body,
+    "Wait",
+    "/ready",
+};
+
+extern "C" struct fl_fleet *
+pf_create(TALLOC_CTX *, struct loop *, const struct pf_settings *)
+{
+	SimDaemon *d = sim_world->daemon_of(sim_world->booting);
+
+	d->fleet = {};
+	d->fleet.keys = &sim_key_ops;
+	d->fleet.workers = &sim_worker_ops;
+	d->fleet.entries = &sim_entries;
+	d->fleet.callers = &sim_callers;
+	d->fleet.handle = d;
+	return &d->fleet;
+}
--- /dev/null
+++ b/tests/unit/sim_internal.h
@@ -0,0 +1,36 @@
+#ifndef TESTS_UNIT_SIM_INTERNAL_H
+#define TESTS_UNIT_SIM_INTERNAL_H
+
+/*
+ * Shared by the files of the simulated cell: sim_world (clock, loops, log,
+ * disruptions), sim_store (the store), sim_calls (daemons' calls to it),
+ * sim_workers, sim_formats (entries, configuration, jobs), sim_callers (the HTTP
+ * server), sim_links (links between daemons).
+ */
+
+#include "sim_cell.h"
+
+constexpr int64_t kLatency = 1 * kSimMs;
+constexpr int64_t kTick = 10 * kSimMs;
+constexpr int64_t kHeartbeat = 1500 * kSimMs;
+constexpr int64_t kContact = 3 * kSimS;
+constexpr uint32_t kCores = 4000;
+/* Of the wall clock, at the start of the simulated clock. */
+constexpr int64_t kWallStart = 1700000000 * kSimS;
+
+/* The loop of one life of a daemon. */
+struct loop {
+	uint64_t life;
+};
+
+extern const struct ks_ops sim_key_ops;
+extern const struct fl_worker_ops sim_worker_ops;
+
+/* Forget what a life of a daemon had, as when it is killed. */
+void sim_drop_requests(uint64_t life);
+void sim_drop_links(uint64_t life, bool power);
+/* Forget what the world had. */
+void sim_clear_requests();
+void sim_clear_links();
+
+#endif
