maintenance: how long a worker may be missing is said once

The time that a VM may lack a worker stood twice, as MW_NO_WORKER_US and as CM_RESTART_US, with one meaning; the first is now in the header. The simulated cell had a cut of one daemon from the store that nothing read (cut_from_store()): removed, no schedule used it.

--- a/curranttackd/cell_maintenance.c
+++ b/curranttackd/cell_maintenance.c
@@ -10,8 +10,6 @@
 #include "protocol/pack.h"
 
 #define CM_WRITE_RETRY_US (300 * CLK_US_PER_MS)
-/* A worker that is no longer listed may be back within this time. */
-#define CM_RESTART_US (4 * CLK_US_PER_S)
 /* An owner whose lease was not confirmed for this long does no maintenance. */
 #define CM_UNCONFIRMED_LIMIT_US (CLK_US_PER_S)
 
@@ -54,7 +52,7 @@
 		if (w->info.vm == NULL || strcmp(w->info.vm, vm) != 0)
 			continue;
 		if (w->unlisted_us == 0 ||
-		    now_us - w->unlisted_us < CM_RESTART_US)
+		    now_us - w->unlisted_us < MW_NO_WORKER_US)
 			return true;
 	}
 	return false;
--- a/include/state/maintenance.h
+++ b/include/state/maintenance.h
@@ -12,6 +12,9 @@
  * is stored for the next owner; the other fields are known to this owner only.
  */
 
+/* A VM may lack a worker for a moment, while its worker restarts. */
+#define MW_NO_WORKER_US (4 * CLK_US_PER_S)
+
 /** enum mw_state - progress of a VM in a wave; the numbers are stored */
 enum mw_state {
 	MW_WAITING,
--- a/state/maintenance.c
+++ b/state/maintenance.c
@@ -7,8 +7,6 @@
 #define MW_RETRY_US (500 * CLK_US_PER_MS)
 /* An order is repeated when the VM isn't back: it may no longer exist. */
 #define MW_REORDER_US (5 * CLK_US_PER_S)
-/* A VM may lack a worker for a moment, while its worker restarts. */
-#define MW_NO_WORKER_US (4 * CLK_US_PER_S)
 
 struct mw_vm *
 mw_find(struct mw_wave *m, const char *name)
--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -187,7 +187,6 @@
 	void freeze(size_t daemon, int64_t us);
 	void crash(size_t worker);
 	void revive(size_t worker);
-	void cut_from_store(size_t daemon, int64_t us);
 	void cut_domain(const std::string &domain, int64_t us);
 	void store_trouble(StoreTrouble kind, int64_t us);
 	void store_trouble_of(size_t daemon, StoreTrouble kind, int64_t us);
@@ -237,7 +236,6 @@
 	uint64_t next_life = 1;
 	std::map<StoreTrouble, int64_t> troubles;
 	std::map<std::string, int64_t> cut_domains;
-	std::map<size_t, int64_t> cut_daemons;
 	int64_t store_trouble_us = 0;
 };
 
--- a/tests/unit/sim_world.cc
+++ b/tests/unit/sim_world.cc
@@ -179,14 +179,6 @@
 	d.trouble_us = std::max(d.trouble_us, d.frozen_until_us);
 }
 
-void
-SimWorld::cut_from_store(size_t index, int64_t us)
-{
-	cut_daemons[index] = now + us;
-	daemons[index]->trouble_us =
-	    std::max(daemons[index]->trouble_us, now + us);
-}
-
 void
 SimWorld::cut_domain(const std::string &domain, int64_t us)
 {
@@ -202,7 +194,6 @@
 {
 	troubles.clear();
 	cut_domains.clear();
-	cut_daemons.clear();
 	store.leases_paused = false;
 	for (auto &d : daemons) {
 		d->store.clear();
