tests: a cancelled job is submitted again through either daemon

Cause: which daemon owns the pool, and so which one the writes go through, is decided by a race between two daemons that start together; the line named a fixed daemon. It meant the one without an open attempt.

504 of the other daemon is right and stays. It knows that it wrote the job and got no answer. The tombstone that it meets shows that none of these writes can take effect while the tombstone exists, but not for how long that is: the daemon doesn't know when the tombstone was written, and a write may be outstanding for 60 s more. 'Not run' has to be certain, so it answers 'unknown'.

Change: the owner is a parameter (it is started first), both daemons are asked, and both answers are expected: 503 from the daemon without an open attempt, 504 from the other. The second test of the class runs for either owner as well.

--- a/tests/fault/cell_fixture.h
+++ b/tests/fault/cell_fixture.h
@@ -40,14 +40,20 @@
 	}
 
 	void
-	start_daemons(int n)
+	create_daemons(int n)
 	{
-		for (int i = 0; i < n; i++) {
+		for (int i = 0; i < n; i++)
 			daemons.push_back(std::make_unique<CellDaemon>(dir,
 			    "vm-" + std::to_string(i), store, advice,
 			    keep_ended, duties, settings));
-			daemons.back()->start();
-		}
+	}
+
+	void
+	start_daemons(int n)
+	{
+		create_daemons(n);
+		for (auto &d : daemons)
+			d->start();
 		configure(1);
 		for (auto &d : daemons)
 			ASSERT_TRUE(eventually([&] { return d->is_ready(); }));
@@ -220,6 +226,13 @@
 		return found;
 	}
 
+	bool
+	owns(size_t daemon)
+	{
+		return daemons[daemon]->log_text().find("event=owner ") !=
+		    std::string::npos;
+	}
+
 	bool
 	owner_logged(const std::string &text)
 	{
--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -609,18 +609,31 @@
 	expect_no_violations();
 }
 
-/* All writes of a job are carried out later, and none of them is answered. */
-class CellWithLateWrites : public Cell
+/* All writes of a job are late and unanswered. The parameter is the owner. */
+class CellWithLateWrites : public Cell,
+			   public testing::WithParamInterface<size_t>
 {
       protected:
+	void
+	start_owner_first(size_t owner)
+	{
+		create_daemons(2);
+		daemons[owner]->start();
+		configure(1);
+		ASSERT_TRUE(eventually([&] { return owns(owner); }));
+		daemons[1 - owner]->start();
+		for (auto &d : daemons)
+			ASSERT_TRUE(eventually([&] { return d->is_ready(); }));
+	}
+
 	/* Through the daemon that isn't the owner, whose term stays current. */
 	void
 	submit_late()
 	{
-		start_daemons(2);
+		start_owner_first(GetParam());
 		EXPECT_EQ(submit(0, 0).status, 200);
 		wait_completed(0, 0, 1);
-		first = 1 - owner();
+		ASSERT_EQ(owner(), GetParam());
 		inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\","
 			     "\"body\":\"\\\"key\\\":\\\"ct/job/" +
 		    job_id(1) +
@@ -640,22 +653,25 @@
 		EXPECT_EQ(call("GET", 1, "/q/" + job_id(1)).status, 410);
 	}
 
-	size_t first = 0;
+	const size_t first = 1 - GetParam();
 };
 
+INSTANTIATE_TEST_SUITE_P(OwnerIs, CellWithLateWrites, testing::Values(0, 1));
+
 /* Seconds after a 410, the job appeared and was run from first to last task. */
-TEST_F(CellWithLateWrites, JobIsNotRunAfterAnotherDaemonAcknowledgedToCancelIt)
+TEST_P(CellWithLateWrites, JobIsNotRunAfterAnotherDaemonAcknowledgedToCancelIt)
 {
 	submit_late();
 	expect_cancelled_for_good(1 - first);
-	/* A request that the caller had sent before is still the same job. */
-	EXPECT_EQ(submit(1, 1).status, 503);
+	/* A daemon whose own writes are open can't tell that none succeeds. */
+	EXPECT_EQ(submit(1 - first, 1).status, 503);
+	EXPECT_EQ(submit(first, 1).status, 504);
 	EXPECT_EQ(submit(0, 2).status, 200);
 	wait_completed(1, 2, 3);
 }
 
 /* What the daemon itself had attempted was in its memory alone. */
-TEST_F(
+TEST_P(
     CellWithLateWrites, JobIsNotRunAfterARestartedDaemonAcknowledgedToCancelIt)
 {
 	submit_late();
