pool_ask: approval rates, forecasts and requests have files of their own

pool_ask.c (637 lines) held four jobs. Whole functions move: what the pool has learned of the advice service to pool_approval.c (95 lines), the resources left for the next steps to pool_forecast.c (101), which workers a request names to pool_request.c (260); which step requests advice stays in pool_ask.c (184). Each of the three has a header with kernel-doc; pool_internal.h lost what only pool_advice and pool_reserve used.

Renamed: wp_outlook is wp_forecast (pool_outlook is about lateness), wp_claim is wp_demand (a claim is a reservation of an idempotency key), wp_send_request is wp_begin_request (it sends nothing). wp_slots_wanted() gets the part that depends on the approval rate from wp_slots_to_request(), and wp_wants_more_choice() asks wp_is_advice_busy(): so pool_approval.c calls no other file of the pool.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -9,8 +9,10 @@
  * tasks, steps and jobs), pool_store (what to store and acknowledge),
  * pool_stray (starts that may be carried out late), pool_worker (workers'
  * reports and leases), pool_reconcile (what may still run
- * for an earlier owner), pool_gang, pool_advice (tickets), pool_reserve
- * (resources kept for gangs), pool_ask (which advice requests are sent),
+ * for an earlier owner), pool_gang, pool_approval (what the advice service
+ * approves, and how fast), pool_advice (tickets), pool_reserve (resources kept
+ * for gangs), pool_forecast (resources left for the next steps), pool_request
+ * (workers that an advice request names), pool_ask (steps that request advice),
  * pool_outlook (lateness), pool_waits (what steps wait for),
  * pool_sharing (throttling), pool_copy (speculative copies of tasks),
  * pool_crash (crashes of workers under tasks), pool_suspect (which tasks may
@@ -254,21 +256,6 @@
 /** wp_ticket_get() - as wp_ticket_find(), but adds an entry if there is none */
 struct wp_ticket *wp_ticket_get(
     const struct wp_pool *p, struct wp_step *s, const struct wp_worker *w);
-/**
- * wp_update_approval_rate() - learn from an answer of the advice service
- * @p: pool
- * @s: step that advice was requested for
- * @request: the request
- * @approved: workers that were approved
- * @now_us: time
- */
-void wp_update_approval_rate(struct wp_pool *p, const struct wp_step *s,
-    const struct wp_advice_request *request, uint32_t approved, int64_t now_us);
-/** wp_max_request_workers() - workers that a queue's requests may name */
-uint32_t wp_max_request_workers(const struct jb_policy *policy);
-/** wp_advice_latency_us() - time that a request about @workers usually takes */
-int64_t wp_advice_latency_us(
-    struct wp_pool *p, const struct wp_step *s, uint32_t workers);
 /** wp_expected_end_us() - when a running task will end, by its progress */
 int64_t wp_expected_end_us(const struct wp_task *t);
 /** wp_prefetch_advice() - request advice for a step that is not ready yet */
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <utlist.h>
 
-#include "state/pool_internal.h"
+#include "state/pool_approval.h"
 
 /* Delay after a request that was not answered. */
 #define WP_ADVICE_RETRY_US (150 * CLK_US_PER_MS)
--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -3,7 +3,7 @@
 #include <utlist.h>
 
 #include "state/gang_plan.h"
-#include "state/pool_internal.h"
+#include "state/pool_approval.h"
 
 /*
  * Reserves resources for gangs.
