cell: the stored term says until when earlier owners really act

Callers saw nothing run for more than 9 s after two takeovers in a row beside a silent worker, though the first of them knew that its predecessor had ended.

Cause: until when earlier owners may act is written with the claim. When the last owner's daemon shows a newer incarnation later, only the owner's memory was corrected; its successor read the time of the claim, up to 13.4 s.

Change: the corrected time goes into the term with the next commit. No commit is made for it: the registry of a new owner is due at once anyway.

Evidence: simulated daemons, all killed, and again 1 s after they are back. Before: test_promises_silent.cc: Expected: (t.longest_idle_us) <= (kOneLease), actual: 9340000 vs 4000000; after: passes.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -187,6 +187,7 @@
 	    !cp_earlier_owner_has_ended(h))
 		return false;
 	h->earlier_owner_until_us = until_us;
+	h->term_dirty = true;
 	return true;
 }
 
@@ -466,6 +467,7 @@
 	    h->earlier_owner_vm, sizeof(h->earlier_owner_vm), "%s", o->term_vm);
 	h->earlier_owner_incarnation = o->term_incarnation;
 	h->earlier_owner_until_us = cp_earlier_owner_until_us(h, o, now_us);
+	h->term_dirty = false;
 	cp_claim(h, now_us);
 }
 
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -259,6 +259,22 @@
 	    cm, cp_make_key(cm, RP_WORKERS_PREFIX, h->name), value, bytes, 0);
 }
 
+/* Earlier owners stop sooner than was known when the pool was claimed. */
+static void
+cp_commit_term(struct cp_host *h, struct cp_commit *cm)
+{
+	const struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
+	uint8_t *value;
+	size_t bytes;
+
+	if (!h->term_dirty)
+		return;
+	h->term_dirty = false;
+	value = cp_term_value(cm, h, o->term, false, &bytes);
+	cp_commit_add(
+	    cm, cp_make_key(cm, RP_TERM_PREFIX, h->name), value, bytes, 0);
+}
+
 static void
 cp_commit_fill(struct cp_host *h, struct cp_commit *cm)
 {
@@ -267,6 +283,7 @@
 	uint8_t *value;
 	size_t bytes;
 
+	cp_commit_term(h, cm);
 	cp_commit_registry(h, cm);
 	while (cm->put_count < KS_MAX_PUTS) {
 		job = wp_next_dirty(h->pool, cm, cm->created_us, &progress);
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -53,6 +53,7 @@
  * @older_owners_until_us: until then owners before the last one may
  * @earlier_owner_vm: VM of the last owner
  * @earlier_owner_incarnation: incarnation of the last owner's daemon
+ * @term_dirty: the stored term says that earlier owners may act for longer
  * @pool: scheduler of the pool; NULL unless owner
  * @pass_duration_us: time that the last scheduling pass took
  * @full_pass_at_us: when the next pass also handles everything that is due
@@ -88,6 +89,7 @@
 	int64_t older_owners_until_us;
 	char earlier_owner_vm[WP_NAME_BYTES];
 	uint64_t earlier_owner_incarnation;
+	bool term_dirty;
 	struct wp_pool *pool;
 	int64_t pass_duration_us;
 	int64_t full_pass_at_us;
--- a/tests/unit/test_promises_silent.cc
+++ b/tests/unit/test_promises_silent.cc
@@ -293,4 +293,16 @@
 	}
 }
 
+/* The stored term went on to name the time of the claim. */
+TEST(SilentWorkers, NextOwnerButOneWaitsForOneLease)
+{
+	Scene scene = {
+	    "", Silence::kCrash, 1, 1000, Killed::kTwice, 1300, -5, 60, kShort};
+	Takeover t(scene);
+
+	t.play();
+	EXPECT_LE(t.longest_idle_us, kOneLease);
+	EXPECT_TRUE(t.twice.empty());
+}
+
 } // namespace
