transport: the last line of a process tells what it left unanswered

Callers saw connections that ended without an answer when a daemon stopped. Logs and metrics couldn't tell which: the last line was `stopped busy=0`, and no counter told a request that was read from one that was answered or cut.

Each HTTP server now counts its connections, the requests on them that are not read whole, without an answer, or with an answer that isn't sent whole; all of them together count requests read, answered, cut, and answered at the end of the process (0 so far). The last line of both kinds of daemon has these numbers. One line a process and four counters, whatever the load.

--- a/common/counters.c
+++ b/common/counters.c
@@ -37,6 +37,10 @@
     [CT_TAKEOVERS] = "shard_takeovers",
     [CT_FENCED] = "shard_fenced",
     [CT_LEFT_OUT] = "rows_left_out",
+    [CT_HTTP_READ] = "http_requests_read",
+    [CT_HTTP_ANSWERED] = "http_requests_answered",
+    [CT_HTTP_CUT] = "http_requests_cut",
+    [CT_HTTP_AT_END] = "http_requests_answered_at_end",
 };
 
 void
--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -122,6 +122,16 @@
 	return f;
 }
 
+void
+cc_get_counts(const struct cc_frontend *f, struct hs_counts *counts)
+{
+	memset(counts, 0, sizeof(*counts));
+	hs_add_counts(f->callers, counts);
+	hs_add_counts(f->ready, counts);
+	if (f->metrics != NULL)
+		hs_add_counts(f->metrics, counts);
+}
+
 uint32_t
 cc_pending_count(const struct cc_frontend *f)
 {
--- a/curranttackd/cell_run.c
+++ b/curranttackd/cell_run.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/log.h"
 #include "curranttackd/cell.h"
 #include "curranttackd/cell_advice.h"
@@ -86,6 +87,23 @@
 	cell_member_leave(c);
 }
 
+static void
+cell_log_stopped(struct cell *c)
+{
+	struct hs_counts n;
+
+	cc_get_counts(c->frontend, &n);
+	lg_event(LG_INFO, "daemon", "stopped", "busy",
+	    lg_i64(cc_pending_count(c->frontend)), "connections",
+	    lg_i64(n.connections), "reading", lg_i64(n.reading), "unanswered",
+	    lg_i64(n.unanswered), "sending", lg_i64(n.sending), "read",
+	    lg_i64((int64_t)ct_get(CT_HTTP_READ)), "answered",
+	    lg_i64((int64_t)ct_get(CT_HTTP_ANSWERED)), "cut",
+	    lg_i64((int64_t)ct_get(CT_HTTP_CUT)), "answered_at_end",
+	    lg_i64((int64_t)ct_get(CT_HTTP_AT_END)), "after_ms",
+	    lg_i64((clk_now_us() - c->drain_started_us) / CLK_US_PER_MS), NULL);
+}
+
 static void
 cell_drain_tick(struct cell *c, int64_t now_us)
 {
@@ -97,8 +115,7 @@
 	if (now_us < last_us &&
 	    (cc_pending_count(c->frontend) > 0 || cp_owned_count(c) > 0))
 		return;
-	lg_event(LG_INFO, "daemon", "stopped", "busy",
-	    lg_i64(cc_pending_count(c->frontend)), NULL);
+	cell_log_stopped(c);
 	loop_stop(c->loop);
 }
 
--- a/curranttackd/daemon_run.c
+++ b/curranttackd/daemon_run.c
@@ -4,11 +4,13 @@
 #include <time.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/log.h"
 #include "common/token.h"
 #include "curranttackd/api.h"
 #include "curranttackd/call_handlers.h"
 #include "curranttackd/daemon_run.h"
+#include "curranttackd/front.h"
 #include "curranttackd/members.h"
 #include "curranttackd/shard_host.h"
 
@@ -157,6 +159,23 @@
 	return true;
 }
 
+static void
+dm_log_exit(struct daemon *d, int64_t now_us)
+{
+	struct hs_counts n;
+
+	fr_get_counts(d, &n);
+	lg_event(LG_INFO, "daemon", "exit", "in_flight",
+	    lg_i64(atomic_load(&d->requests_in_flight)), "connections",
+	    lg_i64(n.connections), "reading", lg_i64(n.reading), "unanswered",
+	    lg_i64(n.unanswered), "sending", lg_i64(n.sending), "read",
+	    lg_i64((int64_t)ct_get(CT_HTTP_READ)), "answered",
+	    lg_i64((int64_t)ct_get(CT_HTTP_ANSWERED)), "cut",
+	    lg_i64((int64_t)ct_get(CT_HTTP_CUT)), "answered_at_end",
+	    lg_i64((int64_t)ct_get(CT_HTTP_AT_END)), "after_ms",
+	    lg_i64((now_us - d->shutdown_started_us) / CLK_US_PER_MS), NULL);
+}
+
 /*
  * Requests end before the shards are released, since the end of a claimed
  * request is reported to the owner of a shard.
@@ -175,8 +194,7 @@
 		ho_begin_release(d->shard_host[i]);
 	if (!dm_shard_hosts_idle(d) && !timed_out)
 		return;
-	lg_event(LG_INFO, "daemon", "exit", "in_flight",
-	    lg_i64(atomic_load(&d->requests_in_flight)), NULL);
+	dm_log_exit(d, now_us);
 	loop_stop(d->control_loop);
 }
 
--- a/curranttackd/front.c
+++ b/curranttackd/front.c
@@ -166,3 +166,15 @@
 	}
 	return 0;
 }
+
+void
+fr_get_counts(const struct daemon *d, struct hs_counts *counts)
+{
+	uint32_t i;
+
+	memset(counts, 0, sizeof(*counts));
+	for (i = 0; i < d->frontend_count; i++) {
+		hs_add_counts(d->frontend[i].callers, counts);
+		hs_add_counts(d->frontend[i].operators, counts);
+	}
+}
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -45,6 +45,10 @@
 	CT_TAKEOVERS, /* shards or pools that this daemon came to own */
 	CT_FENCED,    /* shards or pools that it lost to another owner */
 	CT_LEFT_OUT,  /* rows of the key space that can't be used */
+	CT_HTTP_READ, /* requests that were read whole */
+	CT_HTTP_ANSWERED,
+	CT_HTTP_CUT,	/* read whole, and the connection ended in between */
+	CT_HTTP_AT_END, /* answered because the process ends */
 	CT_COUNT,
 };
 
--- a/include/curranttackd/cell_calls.h
+++ b/include/curranttackd/cell_calls.h
@@ -16,6 +16,9 @@
  */
 struct cc_frontend *cc_create(struct cell *c);
 
+/** cc_get_counts() - what the servers have open */
+void cc_get_counts(const struct cc_frontend *f, struct hs_counts *counts);
+
 /** cc_pending_count() - number of callers' requests without a response */
 uint32_t cc_pending_count(const struct cc_frontend *f);
 
--- a/include/curranttackd/front.h
+++ b/include/curranttackd/front.h
@@ -77,6 +77,9 @@
 /** fr_start() - start the threads of the frontends; 0 or -1 */
 int fr_start(struct daemon *d);
 
+/** fr_get_counts() - what the servers of all frontends have open */
+void fr_get_counts(const struct daemon *d, struct hs_counts *counts);
+
 /** fr_respond_json() - respond with a JSON value and release it */
 void fr_respond_json(struct hs_request *req, int status, json_t *body);
 /** fr_respond_error() - respond with outcome "not_run" and the reason */
--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -74,6 +74,23 @@
 struct http_server *hs_create(TALLOC_CTX *ctx, struct loop *l, int listen_fd,
     const struct hs_limits *limits, hs_handler_fn handler, void *arg);
 
+/**
+ * struct hs_counts - what a server has open
+ * @connections: connections
+ * @reading: requests whose body hasn't arrived whole
+ * @unanswered: requests that the handler has, without a response
+ * @sending: responses that the caller's connection hasn't taken whole
+ */
+struct hs_counts {
+	uint32_t connections;
+	uint32_t reading;
+	uint32_t unanswered;
+	uint32_t sending;
+};
+
+/** hs_add_counts() - add a server's counts; safe from any thread */
+void hs_add_counts(const struct http_server *hs, struct hs_counts *counts);
+
 /**
  * hs_header() - look up a request header
  * @req: request
--- a/tests/unit/sim_callers.cc
+++ b/tests/unit/sim_callers.cc
@@ -43,6 +43,11 @@
 	return (struct http_server *)talloc_zero_size(ctx, 1);
 }
 
+extern "C" void
+hs_add_counts(const struct http_server *, struct hs_counts *)
+{
+}
+
 extern "C" const char *
 hs_header(struct hs_request *req, const char *name)
 {
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -2,6 +2,7 @@
 #include <errno.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,11 +10,19 @@
 #include <unistd.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "transport/address.h"
 #include "transport/http_server.h"
 
 #define HS_BACKLOG 512
 
+enum hs_phase {
+	HS_READING,
+	HS_UNANSWERED,
+	HS_SENDING,
+	HS_PHASES,
+};
+
 struct http_server {
 	struct loop *loop;
 	struct MHD_Daemon *mhd;
@@ -22,6 +31,8 @@
 	hs_handler_fn handler;
 	void *arg;
 	size_t max_body_bytes;
+	atomic_uint connections;
+	atomic_uint in_phase[HS_PHASES];
 };
 
 struct hs_exchange {
@@ -31,6 +42,7 @@
 	char *body;
 	struct MHD_Response *response;
 	int status;
+	enum hs_phase phase;
 	bool too_large;
 	bool handled;
 	bool suspended;
@@ -82,9 +94,18 @@
 	ex->req.path = talloc_strdup(ex, url);
 	ex->req.method = talloc_strdup(ex, method);
 	ex->req.body = "";
+	atomic_fetch_add(&hs->in_phase[HS_READING], 1);
 	return ex;
 }
 
+static void
+hs_set_phase(struct hs_exchange *ex, enum hs_phase phase)
+{
+	atomic_fetch_sub(&ex->hs->in_phase[ex->phase], 1);
+	atomic_fetch_add(&ex->hs->in_phase[phase], 1);
+	ex->phase = phase;
+}
+
 static void
 hs_append_body(struct hs_exchange *ex, const char *data, size_t n)
 {
@@ -115,6 +136,7 @@
 {
 	enum MHD_Result rc;
 
+	hs_set_phase(ex, HS_SENDING);
 	rc = MHD_queue_response(
 	    ex->conn, (unsigned int)ex->status, ex->response);
 	MHD_destroy_response(ex->response);
@@ -147,6 +169,8 @@
 	if (ex->handled)
 		return MHD_YES;
 	ex->handled = true;
+	ct_add(CT_HTTP_READ, 1);
+	hs_set_phase(ex, HS_UNANSWERED);
 	if (ex->too_large) {
 		static const char text[] =
 		    "{\"outcome\":\"not_run\",\"reason\":\"body too large\"}";
@@ -165,6 +189,30 @@
 	return MHD_YES;
 }
 
+static void
+hs_count_end(struct hs_exchange *ex, enum MHD_RequestTerminationCode code)
+{
+	atomic_fetch_sub(&ex->hs->in_phase[ex->phase], 1);
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		ct_add(CT_HTTP_ANSWERED, 1);
+	else if (ex->phase != HS_READING)
+		ct_add(CT_HTTP_CUT, 1);
+}
+
+static void
+hs_on_connection(void *arg, struct MHD_Connection *conn, void **state,
+    enum MHD_ConnectionNotificationCode code)
+{
+	struct http_server *hs = arg;
+
+	(void)conn;
+	(void)state;
+	if (code == MHD_CONNECTION_NOTIFY_STARTED)
+		atomic_fetch_add(&hs->connections, 1);
+	else
+		atomic_fetch_sub(&hs->connections, 1);
+}
+
 static void
 hs_on_completed(void *arg, struct MHD_Connection *conn, void **state,
     enum MHD_RequestTerminationCode code)
@@ -173,9 +221,9 @@
 
 	(void)arg;
 	(void)conn;
-	(void)code;
 	if (ex == NULL)
 		return;
+	hs_count_end(ex, code);
 	if (ex->response != NULL)
 		MHD_destroy_response(ex->response);
 	talloc_free(ex);
@@ -243,7 +291,8 @@
 	    0, NULL, NULL, hs_on_request, hs, MHD_OPTION_LISTEN_SOCKET,
 	    listen_fd, MHD_OPTION_CONNECTION_LIMIT, limits->max_connections,
 	    MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_s,
-	    MHD_OPTION_NOTIFY_COMPLETED, hs_on_completed, hs, MHD_OPTION_END);
+	    MHD_OPTION_NOTIFY_COMPLETED, hs_on_completed, hs,
+	    MHD_OPTION_NOTIFY_CONNECTION, hs_on_connection, hs, MHD_OPTION_END);
 	if (hs->mhd == NULL)
 		goto fail;
 	hs->resume_event = tevent_create_immediate(hs);
@@ -261,6 +310,15 @@
 	return NULL;
 }
 
+void
+hs_add_counts(const struct http_server *hs, struct hs_counts *counts)
+{
+	counts->connections += atomic_load(&hs->connections);
+	counts->reading += atomic_load(&hs->in_phase[HS_READING]);
+	counts->unanswered += atomic_load(&hs->in_phase[HS_UNANSWERED]);
+	counts->sending += atomic_load(&hs->in_phase[HS_SENDING]);
+}
+
 static struct hs_exchange *
 hs_exchange_of(struct hs_request *req)
 {
