daemon: what callers send in its last moments is answered

Callers that keep sending to a daemon that got SIGTERM saw connections end without an answer as the process exited: the listening sockets were open and connections were read until the loop stopped, and what had come by then was cut at the exit. The readiness and metrics servers didn't even ask to close.

Cause: a tick decided to stop from the number of callers' requests without a response alone. It didn't look at requests that were being read, at answers that were being sent, at the listen queue, nor at what had arrived since the last read; connections stayed open while the process was taken down. Ruled out: the load balancer's time (unchanged) and the store (calm in all of these).

coordination/drain decides the steps: serve until load balancers have seen that the daemon isn't ready; accept what is in the listen queue and close the listening sockets, so that later callers are refused; serve the connections there are, each answer with `Connection: close` on all servers; end when no request is read, unanswered or being sent and no new connection waits for its first request (300 ms at most), after reading once more, and close all connections at once; or end before the grace period does. It ends at half of a grace period below 1.6 s; it took 2.5 s whatever the period was.

What remains: the request that is on its way to an idle connection as it is closed, and the handshake that completes between the last accept and the close.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -132,6 +132,39 @@
 		hs_add_counts(f->metrics, counts);
 }
 
+static void
+cc_for_each(struct cc_frontend *f, void (*fn)(struct http_server *hs))
+{
+	fn(f->callers);
+	fn(f->ready);
+	if (f->metrics != NULL)
+		fn(f->metrics);
+}
+
+void
+cc_begin_drain(struct cc_frontend *f)
+{
+	cc_for_each(f, hs_begin_drain);
+}
+
+void
+cc_stop_accepting(struct cc_frontend *f)
+{
+	cc_for_each(f, hs_stop_accepting);
+}
+
+void
+cc_run(struct cc_frontend *f)
+{
+	cc_for_each(f, hs_run);
+}
+
+void
+cc_stop(struct cc_frontend *f)
+{
+	cc_for_each(f, hs_stop);
+}
+
 uint32_t
 cc_pending_count(const struct cc_frontend *f)
 {
--- a/curranttackd/cell_calls_respond.c
+++ b/curranttackd/cell_calls_respond.c
@@ -12,15 +12,12 @@
 cc_respond(
     struct cc_frontend *f, struct hs_request *req, int status, const char *body)
 {
-	struct hs_header headers[2] = {
-	    {"Retry-After",
-		status == 503 || status == 429 ? CC_RETRY_AFTER : NULL},
-	    {"Connection", f->c->draining ? "close" : NULL},
-	};
+	struct hs_header retry = {"Retry-After",
+	    status == 503 || status == 429 ? CC_RETRY_AFTER : NULL};
 
 	f->pending_count--;
 	hs_respond(
-	    req, status, "application/json", body, strlen(body), headers, 2);
+	    req, status, "application/json", body, strlen(body), &retry, 1);
 }
 
 void
--- a/curranttackd/cell_run.c
+++ b/curranttackd/cell_run.c
@@ -26,6 +26,10 @@
 #define CELL_UNREADY_US (2500 * CLK_US_PER_MS)
 /* Part of the grace period that is kept for the exit itself. */
 #define CELL_EXIT_MARGIN_US (800 * CLK_US_PER_MS)
+/* For answers to reach their callers before the exit. */
+#define CELL_FLUSH_US (200 * CLK_US_PER_MS)
+/* For the request on a connection that was accepted last. */
+#define CELL_FRESH_US (300 * CLK_US_PER_MS)
 
 static void
 cell_on_job(struct rp_job *job, void *arg)
@@ -80,23 +84,32 @@
 static void
 cell_start_drain(struct cell *c)
 {
+	int64_t grace_us = c->settings->grace_us;
+	struct dr_limits limits = {
+	    .unready_us = CELL_UNREADY_US,
+	    .end_us = grace_us > 2 * CELL_EXIT_MARGIN_US
+		? grace_us - CELL_EXIT_MARGIN_US
+		: grace_us / 2,
+	    .flush_us = CELL_FLUSH_US,
+	    .fresh_us = CELL_FRESH_US,
+	};
+
 	c->draining = true;
 	c->drain_started_us = clk_now_us();
+	dr_begin(&c->drain, &limits, c->drain_started_us);
+	cc_begin_drain(c->frontend);
 	lg_event(LG_INFO, "daemon", "draining", NULL);
 	cp_release_all(c);
 	cell_member_leave(c);
 }
 
 static void
-cell_log_stopped(struct cell *c)
+cell_log_stopped(struct cell *c, const struct hs_counts *n)
 {
-	struct hs_counts n;
-
-	cc_get_counts(c->frontend, &n);
 	lg_event(LG_INFO, "daemon", "stopped", "busy",
 	    lg_i64(cc_pending_count(c->frontend)), "connections",
-	    lg_i64(n.connections), "reading", lg_i64(n.reading), "unanswered",
-	    lg_i64(n.unanswered), "sending", lg_i64(n.sending), "read",
+	    lg_i64(n->connections), "reading", lg_i64(n->reading), "unanswered",
+	    lg_i64(n->unanswered), "sending", lg_i64(n->sending), "read",
 	    lg_i64((int64_t)ct_get(CT_HTTP_READ)), "answered",
 	    lg_i64((int64_t)ct_get(CT_HTTP_ANSWERED)), "cut",
 	    lg_i64((int64_t)ct_get(CT_HTTP_CUT)), "answered_at_end",
@@ -104,19 +117,46 @@
 	    lg_i64((clk_now_us() - c->drain_started_us) / CLK_US_PER_MS), NULL);
 }
 
+/* Connections are closed at once: callers must not send to them any more. */
+static void
+cell_stop(struct cell *c)
+{
+	struct hs_counts n;
+
+	cc_get_counts(c->frontend, &n);
+	cc_stop(c->frontend);
+	cell_log_stopped(c, &n);
+	loop_stop(c->loop);
+}
+
+static void
+cell_get_view(struct cell *c, struct dr_view *view)
+{
+	struct hs_counts n;
+
+	cc_get_counts(c->frontend, &n);
+	view->requests = n.reading + n.unanswered + n.sending;
+	view->fresh = n.fresh;
+	view->has_duties = cp_owned_count(c) > 0;
+}
+
 static void
 cell_drain_tick(struct cell *c, int64_t now_us)
 {
-	int64_t last_us =
-	    c->drain_started_us + c->settings->grace_us - CELL_EXIT_MARGIN_US;
+	enum dr_step step = c->drain.step;
+	struct dr_view view;
 
-	if (now_us < c->drain_started_us + CELL_UNREADY_US)
+	if (step == DR_ENDED)
 		return;
-	if (now_us < last_us &&
-	    (cc_pending_count(c->frontend) > 0 || cp_owned_count(c) > 0))
+	/* What has arrived by now is part of the decision. */
+	cc_run(c->frontend);
+	cell_get_view(c, &view);
+	if (dr_next(&c->drain, &view, now_us) == step)
 		return;
-	cell_log_stopped(c);
-	loop_stop(c->loop);
+	if (c->drain.step == DR_CLOSING)
+		cc_stop_accepting(c->frontend);
+	else
+		cell_stop(c);
 }
 
 /* Timer wake-ups cost CPU time, which most VMs of a large cell lack. */
--- a/include/curranttackd/cell.h
+++ b/include/curranttackd/cell.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTTACKD_CELL_H
 #define CURRANTTACKD_CELL_H
 
+#include "coordination/drain.h"
 #include "curranttackd/cell_settings.h"
 #include "curranttackd/replica.h"
 #include "transport/fleet.h"
@@ -47,6 +48,7 @@
  * @slow_tick: @tick runs at the interval of idle daemons
  * @draining: the daemon was asked to stop
  * @drain_started_us: when it was asked to
+ * @drain: the steps since then
  * @store_answered_us: when the key space last answered
  * @peers_address: "IP:PORT" that the socket for peers is bound to
  */
@@ -73,6 +75,7 @@
 	bool slow_tick;
 	bool draining;
 	int64_t drain_started_us;
+	struct dr_drain drain;
 	int64_t store_answered_us;
 	char peers_address[64];
 };
--- a/include/curranttackd/cell_calls.h
+++ b/include/curranttackd/cell_calls.h
@@ -19,6 +19,15 @@
 /** cc_get_counts() - what the servers have open */
 void cc_get_counts(const struct cc_frontend *f, struct hs_counts *counts);
 
+/** cc_begin_drain() - ask callers to close their connections */
+void cc_begin_drain(struct cc_frontend *f);
+/** cc_stop_accepting() - refuse connections from now on */
+void cc_stop_accepting(struct cc_frontend *f);
+/** cc_run() - read and send what is possible without waiting */
+void cc_run(struct cc_frontend *f);
+/** cc_stop() - close all connections */
+void cc_stop(struct cc_frontend *f);
+
 /** cc_pending_count() - number of callers' requests without a response */
 uint32_t cc_pending_count(const struct cc_frontend *f);
 
--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -77,12 +77,14 @@
 /**
  * struct hs_counts - what a server has open
  * @connections: connections
+ * @fresh: those that have carried no request yet
  * @reading: requests whose body hasn't arrived whole
  * @unanswered: requests that the handler has, without a response
  * @sending: responses that the caller's connection hasn't taken whole
  */
 struct hs_counts {
 	uint32_t connections;
+	uint32_t fresh;
 	uint32_t reading;
 	uint32_t unanswered;
 	uint32_t sending;
@@ -91,6 +93,29 @@
 /** hs_add_counts() - add a server's counts; safe from any thread */
 void hs_add_counts(const struct http_server *hs, struct hs_counts *counts);
 
+/**
+ * hs_begin_drain() - ask callers to close their connections, with each response
+ * @hs: server
+ */
+void hs_begin_drain(struct http_server *hs);
+
+/**
+ * hs_stop_accepting() - accept what waits, then close the listening socket
+ * @hs: server
+ *
+ * Later callers are refused.
+ */
+void hs_stop_accepting(struct http_server *hs);
+
+/** hs_run() - read and send what is possible without waiting */
+void hs_run(struct http_server *hs);
+
+/**
+ * hs_stop() - close all connections; none may be waiting for a response
+ * @hs: server; of no use afterwards
+ */
+void hs_stop(struct http_server *hs);
+
 /**
  * hs_header() - look up a request header
  * @req: request
--- a/tests/fault/raw_caller.h
+++ b/tests/fault/raw_caller.h
@@ -44,8 +44,8 @@
 		close();
 		sin.sin_family = AF_INET;
 		sin.sin_port = htons((uint16_t)atoi(&address[colon + 1]));
-		inet_pton(AF_INET, address.substr(0, colon).c_str(),
-		    &sin.sin_addr);
+		inet_pton(
+		    AF_INET, address.substr(0, colon).c_str(), &sin.sin_addr);
 		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 		if (::connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
 			return true;
@@ -162,8 +162,7 @@
 		if (end == std::string::npos || length == nullptr)
 			return false;
 		return text.size() >= end + 4 +
-			(size_t)atoi(length + sizeof("\r\nContent-Length:") -
-			    1);
+		    (size_t)atoi(length + sizeof("\r\nContent-Length:") - 1);
 	}
 
 	std::string address;
--- a/tests/fault/test_drain.cc
+++ b/tests/fault/test_drain.cc
@@ -1,14 +1,128 @@
 #include "cell_fixture.h"
 #include "raw_caller.h"
 
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <random>
+
 /* Requests on open connections while their daemon ends. */
 
 namespace
 {
 
+constexpr int kCallers = 24;
+constexpr int kStops = 6;
+/* Of the grace period of 6 s. */
+constexpr int64_t kGraceMs = 6000;
+
+int64_t
+now_ms()
+{
+	return std::chrono::duration_cast<std::chrono::milliseconds>(
+	    std::chrono::steady_clock::now().time_since_epoch())
+	    .count();
+}
+
+/* How requests ended; safe from any thread. */
+class Tally
+{
+      public:
+	void
+	note(End end, const RawCaller &caller, const std::string &what)
+	{
+		counts[(size_t)end]++;
+		if (end == End::ANSWERED || end == End::NOT_SENT)
+			return;
+		std::lock_guard<std::mutex> guard(lock);
+		unanswered += what + " " +
+		    (end == End::CUT ? "cut" : "without an answer") + " " +
+		    std::to_string(caller.elapsed_ms()) + " ms after it was " +
+		    "sent, " + std::to_string(now_ms() - since_ms) +
+		    " ms after SIGTERM\n";
+	}
+
+	int
+	count(End end) const
+	{
+		return counts[(size_t)end];
+	}
+
+	int
+	total() const
+	{
+		return counts[0] + counts[1] + counts[2] + counts[3];
+	}
+
+	std::atomic<int64_t> since_ms{0};
+	std::string unanswered;
+
+      private:
+	std::mutex lock;
+	std::atomic<int> counts[4]{};
+};
+
 class Drain : public Cell
 {
       protected:
+	void
+	terminate(size_t daemon)
+	{
+		tally.since_ms = now_ms();
+		daemons[daemon]->signal(SIGTERM);
+	}
+
+	void
+	sleep_until(int64_t ms_after_sigterm)
+	{
+		int64_t left = tally.since_ms + ms_after_sigterm - now_ms();
+
+		if (left > 0)
+			usleep((useconds_t)left * 1000);
+	}
+
+	/* Waits for the end of a daemon that got SIGTERM. */
+	void
+	expect_exit_in_time(size_t daemon)
+	{
+		int status = -1;
+
+		EXPECT_EQ(waitpid(daemons[daemon]->pid, &status, 0),
+		    daemons[daemon]->pid);
+		EXPECT_EQ(status, 0);
+		EXPECT_LT(now_ms() - tally.since_ms, kGraceMs);
+		daemons[daemon]->pid = -1;
+	}
+
+	static std::string
+	body_of_job()
+	{
+		return "{\"spec\":\"50 1000 \",\"steps\":[{\"count\":1,"
+		       "\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":200}]}";
+	}
+
+	/* GET and POST by turns; few of the jobs are new. */
+	void
+	play_turn(RawCaller &caller, int n)
+	{
+		std::string method = n % 2 == 0 ? "GET" : "POST";
+		End end = n % 2 == 0
+		    ? caller.request("GET", "/q/" + job_id(n & ~0x7f))
+		    : caller.request(
+			  "POST", "/q/" + job_id(n & ~0x7f), body_of_job());
+
+		tally.note(end, caller, method);
+	}
+
+	void
+	expect_nothing_cut()
+	{
+		EXPECT_EQ(tally.count(End::CUT), 0) << tally.unanswered;
+		EXPECT_EQ(tally.count(End::TIMEOUT), 0) << tally.unanswered;
+	}
+
+	Tally tally;
+
 	std::string
 	last_line(size_t daemon, const std::string &event)
 	{
@@ -35,4 +149,182 @@
 	    << line;
 }
 
+/* A quarter of the callers go on with the daemon that ends. */
+TEST_F(Drain, NoRequestIsCutWhileDaemonsEndInTurn)
+{
+	std::vector<std::thread> threads;
+	std::atomic<int> ending{-1};
+	std::atomic<bool> over{false};
+
+	start_daemons(3);
+	for (int t = 0; t < kCallers; t++) {
+		threads.emplace_back([&, t] {
+			std::mt19937 random((unsigned)t);
+			std::deque<RawCaller> callers;
+			size_t at = 0;
+
+			for (auto &d : daemons)
+				callers.emplace_back(d->callers);
+			for (int n = t << 20; !over; n++) {
+				int gone = ending;
+
+				if (t % 4 == 0 && gone >= 0)
+					at = (size_t)gone;
+				else if ((int)at == gone)
+					at = (at + 1 + random() % 2) % 3;
+				else if (!callers[at].is_open())
+					at = random() % 3;
+				play_turn(callers[at], n);
+				usleep(1000);
+			}
+		});
+	}
+	for (int stop = 0; stop < kStops; stop++) {
+		size_t daemon = (size_t)stop % 3;
+
+		usleep(1000000);
+		ending = (int)daemon;
+		terminate(daemon);
+		expect_exit_in_time(daemon);
+		usleep(100000);
+		ending = -1;
+		daemons[daemon]->start();
+		EXPECT_TRUE(
+		    eventually([&] { return daemons[daemon]->is_ready(); }));
+	}
+	over = true;
+	for (std::thread &t : threads)
+		t.join();
+	std::cout << "requests " << tally.total() << ", answered "
+		  << tally.count(End::ANSWERED) << ", not sent "
+		  << tally.count(End::NOT_SENT) << ", cut "
+		  << tally.count(End::CUT) << "\n";
+	expect_nothing_cut();
+}
+
+/* The server that is asked: its address, and a path of it. */
+struct Server {
+	const char *name;
+	std::string CellDaemon::*address;
+	const char *path;
+};
+
+void
+PrintTo(const Server &s, std::ostream *out)
+{
+	*out << s.name;
+}
+
+class DrainOfServer : public Drain, public testing::WithParamInterface<Server>
+{
+      protected:
+	/* The daemon is frozen while the requests arrive at its sockets. */
+	void
+	send_in_the_last_moments(std::deque<RawCaller> &callers, bool kept)
+	{
+		for (RawCaller &c : callers) {
+			if (kept) {
+				ASSERT_TRUE(c.connect());
+			}
+		}
+		terminate(0);
+		sleep_until(2400);
+		daemons[0]->signal(SIGSTOP);
+		sleep_until(2700);
+		for (RawCaller &c : callers) {
+			if (!kept) {
+				ASSERT_TRUE(c.connect());
+			}
+			ASSERT_TRUE(c.send("GET", GetParam().path));
+		}
+		daemons[0]->signal(SIGCONT);
+		for (RawCaller &c : callers)
+			tally.note(c.receive(), c, GetParam().name);
+		expect_exit_in_time(0);
+		expect_nothing_cut();
+	}
+};
+
+TEST_P(DrainOfServer, ConnectionThatWaitsToBeAcceptedIsServed)
+{
+	std::deque<RawCaller> callers;
+
+	start_daemons(1);
+	for (int i = 0; i < kCallers; i++)
+		callers.emplace_back(*daemons[0].*GetParam().address);
+	send_in_the_last_moments(callers, false);
+}
+
+TEST_P(DrainOfServer, RequestThatHasArrivedOnAKeptConnectionIsAnswered)
+{
+	std::deque<RawCaller> callers;
+
+	start_daemons(1);
+	for (int i = 0; i < kCallers; i++)
+		callers.emplace_back(*daemons[0].*GetParam().address);
+	send_in_the_last_moments(callers, true);
+}
+
+TEST_P(DrainOfServer, CallersThatGoOnAreAnsweredUntilTheyAreRefused)
+{
+	std::vector<std::thread> threads;
+	std::atomic<bool> over{false};
+
+	start_daemons(1);
+	for (int t = 0; t < kCallers; t++) {
+		threads.emplace_back([&] {
+			RawCaller caller(*daemons[0].*GetParam().address);
+
+			while (!over)
+				tally.note(
+				    caller.request("GET", GetParam().path),
+				    caller, GetParam().name);
+		});
+	}
+	usleep(300000);
+	terminate(0);
+	expect_exit_in_time(0);
+	over = true;
+	for (std::thread &t : threads)
+		t.join();
+	EXPECT_GT(tally.count(End::NOT_SENT), 0);
+	expect_nothing_cut();
+}
+
+TEST_P(DrainOfServer, AnswersAskToCloseTheConnection)
+{
+	start_daemons(1);
+	RawCaller caller(*daemons[0].*GetParam().address);
+	ASSERT_EQ(caller.request("GET", GetParam().path), End::ANSWERED);
+	EXPECT_TRUE(caller.is_open());
+	terminate(0);
+	usleep(200000);
+	EXPECT_EQ(caller.request("GET", GetParam().path), End::ANSWERED);
+	EXPECT_TRUE(caller.has_header("Connection: close"));
+	expect_exit_in_time(0);
+}
+
+TEST_P(DrainOfServer, RequestThatIsHalfReadIsAnswered)
+{
+	start_daemons(1);
+	RawCaller caller(*daemons[0].*GetParam().address);
+	std::string path = GetParam().path;
+	ASSERT_TRUE(caller.connect());
+	terminate(0);
+	sleep_until(2300);
+	ASSERT_TRUE(caller.send_text("GET " + path +
+	    " HTTP/1.1\r\nHost: cell.example\r\nContent-Length: 5\r\n\r\n"));
+	sleep_until(2800);
+	ASSERT_TRUE(caller.send_text("12345"));
+	tally.note(caller.receive(), caller, GetParam().name);
+	expect_exit_in_time(0);
+	expect_nothing_cut();
+}
+
+INSTANTIATE_TEST_SUITE_P(Servers, DrainOfServer,
+    testing::Values(Server{"callers", &CellDaemon::callers, "/q/"},
+	Server{"readiness", &CellDaemon::ready, "/curranttack/readiness"},
+	Server{"metrics", &CellDaemon::metrics, "/metrics"}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/tests/unit/sim_callers.cc
+++ b/tests/unit/sim_callers.cc
@@ -48,6 +48,26 @@
 {
 }
 
+extern "C" void
+hs_begin_drain(struct http_server *)
+{
+}
+
+extern "C" void
+hs_stop_accepting(struct http_server *)
+{
+}
+
+extern "C" void
+hs_run(struct http_server *)
+{
+}
+
+extern "C" void
+hs_stop(struct http_server *)
+{
+}
+
 extern "C" const char *
 hs_header(struct hs_request *req, const char *name)
 {
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -26,15 +26,24 @@
 struct http_server {
 	struct loop *loop;
 	struct MHD_Daemon *mhd;
+	struct tevent_fd *fde;
 	struct tevent_timer *timer;
 	struct tevent_immediate *resume_event;
 	hs_handler_fn handler;
 	void *arg;
 	size_t max_body_bytes;
+	bool draining;
 	atomic_uint connections;
+	atomic_uint fresh;
 	atomic_uint in_phase[HS_PHASES];
 };
 
+/* One for each connection. */
+struct hs_caller {
+	struct http_server *hs;
+	bool fresh;
+};
+
 struct hs_exchange {
 	struct hs_request req;
 	struct http_server *hs;
@@ -80,6 +89,19 @@
 	return fd;
 }
 
+static void
+hs_set_used(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	struct hs_caller *caller = info != NULL ? info->socket_context : NULL;
+
+	if (caller == NULL || !caller->fresh)
+		return;
+	caller->fresh = false;
+	atomic_fetch_sub(&caller->hs->fresh, 1);
+}
+
 static struct hs_exchange *
 hs_exchange_create(struct http_server *hs, struct MHD_Connection *conn,
     const char *url, const char *method)
@@ -94,6 +116,7 @@
 	ex->req.path = talloc_strdup(ex, url);
 	ex->req.method = talloc_strdup(ex, method);
 	ex->req.body = "";
+	hs_set_used(conn);
 	atomic_fetch_add(&hs->in_phase[HS_READING], 1);
 	return ex;
 }
@@ -204,13 +227,25 @@
     enum MHD_ConnectionNotificationCode code)
 {
 	struct http_server *hs = arg;
+	struct hs_caller *caller = *state;
 
 	(void)conn;
-	(void)state;
-	if (code == MHD_CONNECTION_NOTIFY_STARTED)
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		caller = talloc_zero(hs, struct hs_caller);
+		if (caller == NULL)
+			abort();
+		caller->hs = hs;
+		caller->fresh = true;
+		*state = caller;
 		atomic_fetch_add(&hs->connections, 1);
-	else
-		atomic_fetch_sub(&hs->connections, 1);
+		atomic_fetch_add(&hs->fresh, 1);
+		return;
+	}
+	atomic_fetch_sub(&hs->connections, 1);
+	if (caller->fresh)
+		atomic_fetch_sub(&hs->fresh, 1);
+	talloc_free(caller);
+	*state = NULL;
 }
 
 static void
@@ -264,6 +299,8 @@
 	struct timeval at;
 
 	TALLOC_FREE(hs->timer);
+	if (hs->mhd == NULL)
+		return;
 	if (MHD_get_timeout(hs->mhd, &timeout_ms) != MHD_YES)
 		return;
 	at = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
@@ -299,9 +336,11 @@
 	if (hs->resume_event == NULL)
 		goto fail;
 	info = MHD_get_daemon_info(hs->mhd, MHD_DAEMON_INFO_EPOLL_FD);
-	if (info == NULL ||
-	    tevent_add_fd(loop_ev(l), hs, info->epoll_fd, TEVENT_FD_READ,
-		hs_on_readable, hs) == NULL)
+	if (info == NULL)
+		goto fail;
+	hs->fde = tevent_add_fd(
+	    loop_ev(l), hs, info->epoll_fd, TEVENT_FD_READ, hs_on_readable, hs);
+	if (hs->fde == NULL)
 		goto fail;
 	hs_schedule(hs);
 	return hs;
@@ -314,11 +353,56 @@
 hs_add_counts(const struct http_server *hs, struct hs_counts *counts)
 {
 	counts->connections += atomic_load(&hs->connections);
+	counts->fresh += atomic_load(&hs->fresh);
 	counts->reading += atomic_load(&hs->in_phase[HS_READING]);
 	counts->unanswered += atomic_load(&hs->in_phase[HS_UNANSWERED]);
 	counts->sending += atomic_load(&hs->in_phase[HS_SENDING]);
 }
 
+void
+hs_begin_drain(struct http_server *hs)
+{
+	hs->draining = true;
+}
+
+void
+hs_run(struct http_server *hs)
+{
+	if (hs->mhd == NULL)
+		return;
+	MHD_run(hs->mhd);
+	hs_schedule(hs);
+}
+
+void
+hs_stop_accepting(struct http_server *hs)
+{
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+	MHD_socket listener = MHD_quiesce_daemon(hs->mhd);
+	int fd;
+
+	if (listener == MHD_INVALID_SOCKET)
+		return;
+	while ((fd = accept4(listener, (struct sockaddr *)&sin, &len,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC)) != -1) {
+		MHD_add_connection(hs->mhd, fd, (struct sockaddr *)&sin, len);
+		len = sizeof(sin);
+	}
+	close(listener);
+	hs_run(hs);
+}
+
+void
+hs_stop(struct http_server *hs)
+{
+	TALLOC_FREE(hs->timer);
+	TALLOC_FREE(hs->fde);
+	if (atomic_load(&hs->in_phase[HS_UNANSWERED]) == 0)
+		MHD_stop_daemon(hs->mhd);
+	hs->mhd = NULL;
+}
+
 static struct hs_exchange *
 hs_exchange_of(struct hs_request *req)
 {
@@ -342,12 +426,9 @@
 static void
 hs_on_resumed(struct tevent_context *ev, struct tevent_immediate *im, void *arg)
 {
-	struct http_server *hs = arg;
-
 	(void)ev;
 	(void)im;
-	MHD_run(hs->mhd);
-	hs_schedule(hs);
+	hs_run(arg);
 }
 
 static void
@@ -411,6 +492,8 @@
 	ex->response = MHD_create_response_from_buffer(
 	    body_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
 	MHD_add_response_header(ex->response, "Content-Type", content_type);
+	if (ex->hs->draining)
+		MHD_add_response_header(ex->response, "Connection", "close");
 	for (i = 0; i < header_count; i++) {
 		if (headers[i].value != NULL)
 			MHD_add_response_header(
