daemon: a request that still waits when a daemon ends is answered

Callers whose request waited for a store that was slow or silent saw their connection end without an answer when the grace period of their daemon was over: 0.8 s before its end the loop stopped, though requests were pending.

Cause: the bound of a request was the caller's deadline and the store's time-outs, and the drain only counted what was pending. Ruled out: the caller's deadline (these had 9 s left) and the time to send an answer (the connections were idle).

A request that arrives later is answered as far as the replica can; one that would have to be written is refused.

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -159,6 +159,12 @@
 	cc_for_each(f, hs_run);
 }
 
+void
+cc_answer_overdue(struct cc_frontend *f)
+{
+	cc_for_each(f, hs_answer_overdue);
+}
+
 void
 cc_stop(struct cc_frontend *f)
 {
--- a/curranttackd/cell_calls_cancel.c
+++ b/curranttackd/cell_calls_cancel.c
@@ -69,6 +69,7 @@
 	    .put_count = 1,
 	};
 
+	w->in_flight = true;
 	f->keys->txn(f->handle, &txn, cc_on_written, w);
 }
 
@@ -81,6 +82,8 @@
 	struct cc_frontend *f = c->w.f;
 	const struct fl_fleet *fleet = f->c->fleet;
 
+	if (cc_write_is_over(&c->w))
+		return;
 	if (a->result != KS_OK || a->lease == 0) {
 		cc_write_refused(&c->w);
 		return;
@@ -145,6 +148,11 @@
 		cc_respond(f, req, 200, "{}");
 		return;
 	}
+	if (cc_is_ending(f->c)) {
+		cc_log_unwritten("cancel", id, 503, "daemon ends");
+		cc_respond_error(f, req, 503, "this daemon is about to end");
+		return;
+	}
 	c = talloc_zero(f, struct cc_cancellation);
 	if (c == NULL)
 		abort();
--- a/curranttackd/cell_calls_query.c
+++ b/curranttackd/cell_calls_query.c
@@ -16,7 +16,7 @@
 	    strcmp(o->vm, c->settings->vm) != 0;
 }
 
-/* A caller's query for the state of a job. */
+/* A caller's query for the state of a job; @req is NULL once answered. */
 struct cc_state_query {
 	struct cc_frontend *f;
 	struct hs_request *req;
@@ -28,11 +28,22 @@
 	struct cc_state_query *q = arg;
 	char *body;
 
-	body = q->f->c->fleet->callers->state_body(q, state);
-	cc_respond(q->f, q->req, 200, body);
+	if (q->req != NULL) {
+		body = q->f->c->fleet->callers->state_body(q, state);
+		cc_respond(q->f, q->req, 200, body);
+	}
 	talloc_free(q);
 }
 
+static void
+cc_state_overdue(void *arg)
+{
+	struct cc_state_query *q = arg;
+
+	cc_respond_error(q->f, q->req, 503, "this daemon is about to end");
+	q->req = NULL;
+}
+
 static void
 cc_respond_state(
     struct cc_frontend *f, struct hs_request *req, const struct rp_job *job)
@@ -48,10 +59,12 @@
 		abort();
 	q->f = f;
 	q->req = req;
+	req->overdue = cc_state_overdue;
+	req->overdue_arg = q;
 	lk_resolve(f->c->lookup, job, cc_on_state, q);
 }
 
-/* A request for a job that the replica doesn't have. */
+/* A request for a job that the replica lacks; @req is NULL once answered. */
 struct cc_job_lookup {
 	struct cc_frontend *f;
 	struct hs_request *req;
@@ -74,6 +87,8 @@
 
 	memcpy(id, l->id, sizeof(id));
 	talloc_free(l);
+	if (req == NULL)
+		return;
 	if (a->result != KS_OK) {
 		if (cancel)
 			cc_log_unwritten("cancel", id, 503, "store is away");
@@ -92,6 +107,18 @@
 		cc_respond_state(f, req, job);
 }
 
+/* Nothing has been written. */
+static void
+cc_lookup_overdue(void *arg)
+{
+	struct cc_job_lookup *l = arg;
+
+	if (l->cancel)
+		cc_log_unwritten("cancel", l->id, 503, "daemon ends");
+	cc_respond_error(l->f, l->req, 503, "this daemon is about to end");
+	l->req = NULL;
+}
+
 static void
 cc_lookup(
     struct cc_frontend *f, struct hs_request *req, const char *id, bool cancel)
@@ -103,6 +130,8 @@
 		abort();
 	l->f = f;
 	l->req = req;
+	req->overdue = cc_lookup_overdue;
+	req->overdue_arg = l;
 	memcpy(l->id, id, sizeof(l->id));
 	snprintf(l->key, sizeof(l->key), "%s%s", RP_JOB_PREFIX, id);
 	l->cancel = cancel;
--- a/curranttackd/cell_calls_respond.c
+++ b/curranttackd/cell_calls_respond.c
@@ -46,6 +46,13 @@
 	return clk_now_us() - c->store_answered_us > CC_STORE_AWAY_US;
 }
 
+/* What would have to wait for the store is refused from now on. */
+bool
+cc_is_ending(const struct cell *c)
+{
+	return c->draining && dr_is_overdue(&c->drain, clk_now_us());
+}
+
 /* Not ready without the store, so that new connections go to other daemons. */
 bool
 cc_is_ready(const struct cell *c)
--- a/curranttackd/cell_calls_submit.c
+++ b/curranttackd/cell_calls_submit.c
@@ -114,6 +114,7 @@
 	s->term_revision =
 	    rp_get_owner(w->f->c->replica, s->pool)->term_revision;
 	expect[2].revision = s->term_revision;
+	w->in_flight = true;
 	f->keys->txn(f->handle, &txn, cc_on_written, w);
 }
 
@@ -126,16 +127,15 @@
 };
 
 static void
-cc_respond_unstored(
-    struct cc_frontend *f, struct hs_request *req, const char *id)
+cc_respond_unstored(struct cc_frontend *f, struct hs_request *req,
+    const char *id, const char *reason)
 {
 	bool open = at_is_open(f->attempts, id, clk_now_us());
 
 	if (!open)
 		ct_add(CT_JOBS_REFUSED, 1);
-	cc_log_unwritten("submit", id, open ? 504 : 503, "store is away");
-	cc_respond_error(
-	    f, req, open ? 504 : 503, "the platform's store is away");
+	cc_log_unwritten("submit", id, open ? 504 : 503, reason);
+	cc_respond_error(f, req, open ? 504 : 503, reason);
 }
 
 static struct cc_submission *
@@ -180,9 +180,11 @@
 		cc_respond_error(f, req, 400, error);
 		return;
 	}
-	if (cc_store_is_unreachable(f->c)) {
+	if (cc_store_is_unreachable(f->c) || cc_is_ending(f->c)) {
 		talloc_free(spec);
-		cc_respond_unstored(f, req, id);
+		cc_respond_unstored(f, req, id,
+		    cc_is_ending(f->c) ? "this daemon is about to end"
+				       : "the platform's store is away");
 		return;
 	}
 	/* It may have been told elsewhere since that the job is refused. */
--- a/curranttackd/cell_calls_write.c
+++ b/curranttackd/cell_calls_write.c
@@ -39,6 +39,8 @@
 	return clk_now_us() + wait_us - CC_RESPONSE_MARGIN_US;
 }
 
+static void cc_write_overdue(void *arg);
+
 void
 cc_write_init(struct cc_write *w, const struct cc_write_ops *ops,
     struct cc_frontend *f, struct hs_request *req, const char *id)
@@ -52,10 +54,12 @@
 	    w->cancel_key, sizeof(w->cancel_key), "%s%s", RP_CANCEL_PREFIX, id);
 	w->arrived_us = clk_now_us();
 	w->deadline_us = cc_deadline_us(f, req);
+	req->overdue = cc_write_overdue;
+	req->overdue_arg = w;
 }
 
-void
-cc_write_finish(struct cc_write *w, int status, const char *body)
+static void
+cc_write_respond(struct cc_write *w, int status, const char *body)
 {
 	if (w->ops->end != NULL)
 		status = w->ops->end(w, status);
@@ -66,15 +70,43 @@
 	    w->uncertain ? "1" : "0", "took_ms",
 	    lg_i64((clk_now_us() - w->arrived_us) / CLK_US_PER_MS), NULL);
 	cc_respond(w->f, w->req, status, body);
+	w->req = NULL;
+}
+
+/* The process is about to end; the write itself may still be under way. */
+static void
+cc_write_overdue(void *arg)
+{
+	struct cc_write *w = arg;
+
+	w->uncertain |= w->in_flight;
+	cc_write_respond(w, w->uncertain ? 504 : 503,
+	    "{\"error\":\"this daemon is about to end\"}");
+}
+
+void
+cc_write_finish(struct cc_write *w, int status, const char *body)
+{
+	cc_write_respond(w, status, body);
 	talloc_free(w);
 }
 
+bool
+cc_write_is_over(struct cc_write *w)
+{
+	if (w->req != NULL)
+		return false;
+	talloc_free(w);
+	return true;
+}
+
 static void
 cc_write_send(void *arg)
 {
 	struct cc_write *w = arg;
 
-	w->ops->send(w);
+	if (!cc_write_is_over(w))
+		w->ops->send(w);
 }
 
 void
@@ -107,6 +139,9 @@
 	struct cell *c = w->f->c;
 	size_t i;
 
+	w->in_flight = false;
+	if (cc_write_is_over(w))
+		return;
 	w->attempts++;
 	w->sent_again += a->sends > 1;
 	switch (a->result) {
--- a/curranttackd/cell_run.c
+++ b/curranttackd/cell_run.c
@@ -150,6 +150,8 @@
 		return;
 	/* What has arrived by now is part of the decision. */
 	cc_run(c->frontend);
+	if (dr_is_overdue(&c->drain, now_us))
+		cc_answer_overdue(c->frontend);
 	cell_get_view(c, &view);
 	if (dr_next(&c->drain, &view, now_us) == step)
 		return;
--- a/include/curranttackd/cell_calls.h
+++ b/include/curranttackd/cell_calls.h
@@ -25,6 +25,8 @@
 void cc_stop_accepting(struct cc_frontend *f);
 /** cc_run() - read and send what is possible without waiting */
 void cc_run(struct cc_frontend *f);
+/** cc_answer_overdue() - respond to all requests that wait for something */
+void cc_answer_overdue(struct cc_frontend *f);
 /** cc_stop() - close all connections */
 void cc_stop(struct cc_frontend *f);
 
--- a/include/curranttackd/cell_calls_internal.h
+++ b/include/curranttackd/cell_calls_internal.h
@@ -47,6 +47,8 @@
     const char *event, const char *id, int status, const char *reason);
 /** cc_store_is_unreachable() - whether a write would not succeed */
 bool cc_store_is_unreachable(const struct cell *c);
+/** cc_is_ending() - whether nothing is awaited any more, as the process ends */
+bool cc_is_ending(const struct cell *c);
 /** cc_is_ready() - whether new connections should come to this daemon */
 bool cc_is_ready(const struct cell *c);
 
@@ -74,7 +76,7 @@
  * struct cc_write - a caller's request that waits for the key space
  * @ops: its kind
  * @f: servers
- * @req: the request
+ * @req: the request, or NULL once it was answered at the end of the process
  * @id: the job
  * @job_key: key of the job
  * @cancel_key: key of its cancellation
@@ -85,6 +87,7 @@
  * @refused: those without effect
  * @unanswered: those without an answer
  * @sent_again: those that the client library sent more than once by itself
+ * @in_flight: the store has been sent an attempt that has not ended
  * @uncertain: an attempt had no answer, so the write may still take effect
  *
  * First member of the struct of each kind.
@@ -103,6 +106,7 @@
 	uint32_t refused;
 	uint32_t unanswered;
 	uint32_t sent_again;
+	bool in_flight;
 	bool uncertain;
 };
 
@@ -113,6 +117,8 @@
 void cc_write_retry(struct cc_write *w);
 /** cc_write_refused() - an attempt was refused: try again, or respond */
 void cc_write_refused(struct cc_write *w);
+/** cc_write_is_over() - whether it has been answered: then it is freed */
+bool cc_write_is_over(struct cc_write *w);
 /** cc_write_finish() - respond, and free the write */
 void cc_write_finish(struct cc_write *w, int status, const char *body);
 /** cc_on_written() - the answer to an attempt; @arg is the write */
--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -28,12 +28,17 @@
  * @method: HTTP method
  * @path: path without the query
  * @body: whole body, @body_bytes long, NUL-terminated
+ * @overdue: set by a handler that responds later: responds at once, as the
+ *	process is about to end
+ * @overdue_arg: its argument
  */
 struct hs_request {
 	const char *method;
 	const char *path;
 	const char *body;
 	size_t body_bytes;
+	void (*overdue)(void *arg);
+	void *overdue_arg;
 };
 
 struct hs_header {
@@ -110,6 +115,9 @@
 /** hs_run() - read and send what is possible without waiting */
 void hs_run(struct http_server *hs);
 
+/** hs_answer_overdue() - have each request that waits for a response get one */
+void hs_answer_overdue(struct http_server *hs);
+
 /**
  * hs_stop() - close all connections; none may be waiting for a response
  * @hs: server; of no use afterwards
--- a/tests/fault/test_drain.cc
+++ b/tests/fault/test_drain.cc
@@ -202,6 +202,67 @@
 	expect_nothing_cut();
 }
 
+/* What the store does with calls from the SIGTERM on. */
+class DrainWithoutStore : public Drain,
+			  public testing::WithParamInterface<const char *>
+{
+};
+
+TEST_P(DrainWithoutStore, WhatStillWaitsIsAnsweredBeforeTheExit)
+{
+	/* The jobs of the last are stored. */
+	static const char *const methods[] = {
+	    "POST", "GET", "DELETE", "DELETE"};
+	/* Long before the exit, and when the store still counts as present. */
+	static const int times_ms[] = {500, 2000, 2300, 2600, 2900, 4900};
+	std::deque<RawCaller> callers;
+	std::vector<std::string> refused;
+
+	start_daemons(2);
+	for (int i = 3; i < 24; i += 4)
+		EXPECT_EQ(submit(0, i, 1, 20000).status, 200);
+	for (int i = 0; i < 24; i++) {
+		callers.emplace_back(daemons[0]->callers);
+		callers[(size_t)i].more_headers =
+		    "X-Curranttack-Deadline-Remaining: 9000\r\n";
+		ASSERT_TRUE(callers[(size_t)i].connect());
+	}
+	inject_fault(GetParam());
+	terminate(0);
+	for (int i = 0; i < 24; i++) {
+		sleep_until(times_ms[i / 4]);
+		EXPECT_TRUE(callers[(size_t)i].send(methods[i % 4],
+		    "/q/" + job_id(i), i % 4 == 0 ? body_of_job() : ""))
+		    << i;
+	}
+	for (int i = 0; i < 24; i++) {
+		RawCaller &c = callers[(size_t)i];
+
+		tally.note(c.receive(), c, methods[i % 4]);
+		EXPECT_EQ(c.status == 503, c.has_header("Retry-After"));
+		if (i % 4 == 0 && c.status == 503)
+			refused.push_back(job_id(i));
+	}
+	expect_exit_in_time(0);
+	EXPECT_EQ(tally.count(End::ANSWERED), 24);
+	expect_nothing_cut();
+	http("POST", control + "/_clear");
+	/* What was held back has been carried out by then. */
+	usleep(4000000);
+	for (const std::string &id : refused)
+		EXPECT_EQ(call("GET", 1, "/q/" + id).status, 410) << id;
+}
+
+INSTANTIATE_TEST_SUITE_P(Store, DrainWithoutStore,
+    testing::Values("{\"target\":\"store\",\"path\":\"\",\"kind\":\"down\","
+		    "\"for_ms\":9000}",
+	"{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"down\","
+	"\"for_ms\":9000}",
+	"{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"late\","
+	"\"for_ms\":9000,\"delay_ms\":1500}",
+	"{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"lost\","
+	"\"for_ms\":9000}"));
+
 /* The server that is asked: its address, and a path of it. */
 struct Server {
 	const char *name;
--- a/tests/unit/sim_callers.cc
+++ b/tests/unit/sim_callers.cc
@@ -63,6 +63,11 @@
 {
 }
 
+extern "C" void
+hs_answer_overdue(struct http_server *)
+{
+}
+
 extern "C" void
 hs_stop(struct http_server *)
 {
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -32,6 +33,7 @@
 	hs_handler_fn handler;
 	void *arg;
 	size_t max_body_bytes;
+	LIST_HEAD(, hs_exchange) unanswered;
 	bool draining;
 	atomic_uint connections;
 	atomic_uint fresh;
@@ -47,6 +49,7 @@
 struct hs_exchange {
 	struct hs_request req;
 	struct http_server *hs;
+	LIST_ENTRY(hs_exchange) link; /* while unanswered */
 	struct MHD_Connection *conn;
 	char *body;
 	struct MHD_Response *response;
@@ -124,6 +127,10 @@
 static void
 hs_set_phase(struct hs_exchange *ex, enum hs_phase phase)
 {
+	if (ex->phase == HS_UNANSWERED)
+		LIST_REMOVE(ex, link);
+	if (phase == HS_UNANSWERED)
+		LIST_INSERT_HEAD(&ex->hs->unanswered, ex, link);
 	atomic_fetch_sub(&ex->hs->in_phase[ex->phase], 1);
 	atomic_fetch_add(&ex->hs->in_phase[phase], 1);
 	ex->phase = phase;
@@ -215,6 +222,8 @@
 static void
 hs_count_end(struct hs_exchange *ex, enum MHD_RequestTerminationCode code)
 {
+	if (ex->phase == HS_UNANSWERED)
+		LIST_REMOVE(ex, link);
 	atomic_fetch_sub(&ex->hs->in_phase[ex->phase], 1);
 	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
 		ct_add(CT_HTTP_ANSWERED, 1);
@@ -393,6 +402,22 @@
 	hs_run(hs);
 }
 
+void
+hs_answer_overdue(struct http_server *hs)
+{
+	struct hs_exchange *ex;
+
+	/* A response only resumes a connection; hs_run() changes the list. */
+	LIST_FOREACH(ex, &hs->unanswered, link)
+	{
+		if (ex->response != NULL || ex->req.overdue == NULL)
+			continue;
+		ct_add(CT_HTTP_AT_END, 1);
+		ex->req.overdue(ex->req.overdue_arg);
+	}
+	hs_run(hs);
+}
+
 void
 hs_stop(struct http_server *hs)
 {
