daemon: a pool that is won after SIGTERM is released

A daemon that got SIGTERM while it claimed a pool won it, kept it without giving its tasks away, and ended only when its grace period was over, 5.2 s after SIGTERM in place of 2.5 s; its pool waited for that long.

Cause: pools are released once, at the SIGTERM; a claim that is under way by then may still succeed. Seen in 3 of 17 drains of daemons that had just started (`owner` 0.3 s after `draining`, `stopped ... after_ms=5222`). They are now released at each step of the drain.

--- a/curranttackd/cell_run.c
+++ b/curranttackd/cell_run.c
@@ -148,6 +148,8 @@
 
 	if (step == DR_ENDED)
 		return;
+	/* A claim that was under way may have succeeded since. */
+	cp_release_all(c);
 	/* What has arrived by now is part of the decision. */
 	cc_run(c->frontend);
 	if (dr_is_overdue(&c->drain, now_us))
--- a/tests/fault/test_drain.cc
+++ b/tests/fault/test_drain.cc
@@ -202,6 +202,20 @@
 	expect_nothing_cut();
 }
 
+/* The store answers nothing while the daemon claims the pool. */
+TEST_F(Drain, PoolThatIsWonAfterSigtermIsReleased)
+{
+	start_daemons(1);
+	kill(platform->pid, SIGSTOP);
+	usleep(450000);
+	terminate(0);
+	usleep(100000);
+	kill(platform->pid, SIGCONT);
+	expect_exit_in_time(0);
+	EXPECT_LT(now_ms() - tally.since_ms, 4000);
+	EXPECT_TRUE(owns(0));
+}
+
 /* What the store does with calls from the SIGTERM on. */
 class DrainWithoutStore : public Drain,
 			  public testing::WithParamInterface<const char *>
