cell_advice: targets, peers and what is done at intervals have files of their own

cell_advice.c (596 lines) held five jobs. Whole functions move: requests and answers on the way to peers to cell_advice_forward.c (56 lines), the choice of a daemon to cell_advice_targets.c (109), what peers send to cell_advice_peers.c (72), timeouts and the log to cell_advice_tick.c (112); queues and calls of the service stay (206). cell_advice_internal.h describes the fields and gives the order of the files. next_id is last_id, as it is the id given last.

Only av_tick() asks how many pools the daemon owns, and no file of a pool's host calls cell_advice_tick.c. Calls, counted from the symbols of the objects: a circle of 5 files around the host of a pool before, of 4 now.

Eight cases of test_cell (JobsRun, SameId, NextOwner, FrozenOwner, DelayedOrders; relayed: JobsRun, Frozen*): passed; the others were not run.

--- /dev/null
+++ b/curranttackd/cell_advice_tick.c
@@ -0,0 +1,112 @@
+#include <string.h>
+#include <utlist.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "curranttackd/cell_advice_internal.h"
+#include "curranttackd/cell_peers.h"
+#include "curranttackd/cell_pool.h"
+
+#define AV_AVOID_US (CLK_US_PER_S)
+#define AV_LOG_EVERY_US (CLK_US_PER_S)
+
+/* A peer may not respond because its connection has silently failed. */
+static void
+av_check_timeouts(struct av_dispatcher *d, int64_t now_us)
+{
+	struct av_request *req;
+
+	DL_FOREACH(d->forwarded, req) {
+		if (now_us < req->deadline_us)
+			continue;
+		lg_event(LG_WARN, "advice", "peer_silent", "peer",
+		    req->target->vm, "job", req->request.job, NULL);
+		req->target->avoid_until_us = now_us + AV_AVOID_US;
+		/* Closing the link fails all of its requests and changes the list. */
+		pn_reset_link(d->c->links, req->target->vm);
+		return;
+	}
+}
+
+/* Requests in a list, and how long the oldest has been waiting. */
+static uint32_t
+av_count_list(const struct av_request *list, int64_t now_us, int64_t *oldest_us)
+{
+	const struct av_request *req;
+	uint32_t n = 0;
+
+	*oldest_us = 0;
+	DL_FOREACH(list, req) {
+		n++;
+		if (now_us - req->made_us > *oldest_us)
+			*oldest_us = now_us - req->made_us;
+	}
+	return n;
+}
+
+/* The daemon that has had a request for longest. */
+static const char *
+av_slowest_peer(const struct av_dispatcher *d)
+{
+	const struct av_request *slowest = d->forwarded;
+	const struct av_request *req;
+
+	DL_FOREACH(d->forwarded, req) {
+		if (req->made_us < slowest->made_us)
+			slowest = req;
+	}
+	return slowest != NULL ? slowest->target->vm : "";
+}
+
+static void
+av_log_state(struct av_dispatcher *d, int64_t now_us)
+{
+	const struct av_stats *stats = &d->stats;
+	uint32_t usable[2] = {0};
+	uint32_t busy[2] = {0};
+	int64_t queued_us;
+	int64_t forwarded_us;
+	int64_t local_us;
+	uint32_t queued;
+	uint32_t forwarded;
+	uint32_t local;
+	uint32_t i;
+
+	if (now_us < d->log_at_us)
+		return;
+	d->log_at_us = now_us + AV_LOG_EVERY_US;
+	for (i = 0; i < d->target_count; i++) {
+		const struct av_target *target = &d->target[i];
+
+		usable[target->for_short] += target->usable;
+		busy[target->for_short] +=
+		    target->usable && target->in_flight > 0;
+	}
+	queued = av_count_list(d->queue, now_us, &queued_us);
+	forwarded = av_count_list(d->forwarded, now_us, &forwarded_us);
+	local = av_count_list(d->local_queue, now_us, &local_us);
+	lg_event(LG_INFO, "advice", "state", "queued", lg_i64(queued),
+	    "queued_ms", lg_i64(queued_us / CLK_US_PER_MS), "forwarded",
+	    lg_i64(forwarded), "forwarded_ms",
+	    lg_i64(forwarded_us / CLK_US_PER_MS), "slowest", av_slowest_peer(d),
+	    "local", lg_i64(local), "local_ms",
+	    lg_i64(local_us / CLK_US_PER_MS), "long_targets",
+	    lg_i64(usable[false]), "long_busy", lg_i64(busy[false]),
+	    "short_targets", lg_i64(usable[true]), "short_busy",
+	    lg_i64(busy[true]), "answered", lg_i64(stats->answered), "failed",
+	    lg_i64(stats->failed), "answered_cost_ms",
+	    lg_i64(stats->answered_cost_us / CLK_US_PER_MS), "failed_cost_ms",
+	    lg_i64(stats->failed_cost_us / CLK_US_PER_MS), NULL);
+	memset(&d->stats, 0, sizeof(d->stats));
+}
+
+void
+av_tick(struct av_dispatcher *d, int64_t now_us)
+{
+	if (cp_owned_count(d->c) == 0)
+		return;
+	av_check_timeouts(d, now_us);
+	av_refresh_targets(d, now_us);
+	av_dispatch(d);
+	av_log_state(d, now_us);
+}
