shard: the record of a task's state is filled in once

sh_append_task_record() and sh_snapshot_task() filled in the same six fields of a record; sh_task_record() in shard_log.c does it for both. The records are the same.

No test is changed.

--- a/include/state/shard_internal.h
+++ b/include/state/shard_internal.h
@@ -20,6 +20,18 @@
  * Takes ownership of @r. Return: the record's number.
  */
 uint64_t sh_append_record(struct sh_shard *sh, struct rc_record *r);
+/**
+ * sh_task_record() - describe the present state of a task
+ * @ctx: parent of the record
+ * @sh: shard
+ * @kind: kind of the record
+ * @task: task
+ *
+ * Return: a record without an epoch, and without a worker unless the task is on
+ * one.
+ */
+struct rc_record *sh_task_record(TALLOC_CTX *ctx, const struct sh_shard *sh,
+    enum rc_kind kind, const struct sh_task *task);
 /** sh_append_task_record() - log a change of a task; returns the number */
 uint64_t sh_append_task_record(
     struct sh_shard *sh, enum rc_kind kind, const struct sh_task *task);
--- a/state/shard_log.c
+++ b/state/shard_log.c
@@ -3,6 +3,24 @@
 
 #include "state/shard_internal.h"
 
+struct rc_record *
+sh_task_record(TALLOC_CTX *ctx, const struct sh_shard *sh, enum rc_kind kind,
+    const struct sh_task *task)
+{
+	struct rc_record *r = talloc_zero(ctx, struct rc_record);
+
+	if (r == NULL)
+		abort();
+	r->kind = kind;
+	r->job = talloc_strdup(r, task->job->spec->id);
+	r->index = task->index;
+	r->attempt = task->attempt;
+	r->result = task->result;
+	if (task->worker != PL_NONE)
+		r->worker = talloc_strdup(r, sh->worker[task->worker].id);
+	return r;
+}
+
 uint64_t
 sh_append_record(struct sh_shard *sh, struct rc_record *r)
 {
--- a/state/shard_replay.c
+++ b/state/shard_replay.c
@@ -176,16 +176,10 @@
 	if (task->state == SH_ENDED && task->attempt == 0 &&
 	    task->result == ST_RESULT_CANCELLED)
 		return NULL;
-	r = talloc_zero(ctx, struct rc_record);
-	r->kind = task->state == SH_ENDED ? RC_TASK_ENDED : RC_TASK_STARTING;
+	r = sh_task_record(ctx, sh,
+	    task->state == SH_ENDED ? RC_TASK_ENDED : RC_TASK_STARTING, task);
 	r->epoch = sh->epoch;
-	r->job = talloc_strdup(r, task->job->spec->id);
-	r->index = task->index;
-	r->attempt = task->attempt;
-	r->result = task->result;
-	if (task->worker != PL_NONE)
-		r->worker = talloc_strdup(r, sh->worker[task->worker].id);
-	else if (task->logged_worker != NULL)
+	if (task->worker == PL_NONE && task->logged_worker != NULL)
 		r->worker = talloc_strdup(r, task->logged_worker);
 	return r;
 }
--- a/state/shard_task.c
+++ b/state/shard_task.c
@@ -1,5 +1,4 @@
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
 
@@ -36,19 +35,7 @@
 sh_append_task_record(
     struct sh_shard *sh, enum rc_kind kind, const struct sh_task *task)
 {
-	struct rc_record *r;
-
-	r = talloc_zero(sh, struct rc_record);
-	if (r == NULL)
-		abort();
-	r->kind = kind;
-	r->job = talloc_strdup(r, task->job->spec->id);
-	r->index = task->index;
-	r->attempt = task->attempt;
-	r->result = task->result;
-	if (task->worker != PL_NONE)
-		r->worker = talloc_strdup(r, sh->worker[task->worker].id);
-	return sh_append_record(sh, r);
+	return sh_append_record(sh, sh_task_record(sh, sh, kind, task));
 }
 
 static bool
