--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -27,6 +27,20 @@
 		wp_on_renewal_failed(p, w, why, now);
 	}
 
+	/* A job of an earlier owner, which stored these crashes under its task. */
+	void
+	add_with_crashes(
+	    std::vector<struct jb_crash> crashes, uint32_t newest_run = 0)
+	{
+		struct jb_task_progress row = {};
+		struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+		row.run = newest_run;
+		row.crash = crashes.data();
+		row.crash_count = (uint32_t)crashes.size();
+		add(kJob, {{1}}, &progress, false);
+	}
+
 	std::vector<enum wp_crash_kind>
 	events(const std::string &job)
 	{
@@ -171,17 +185,10 @@
 
 TEST_F(Crashes, TaskWithTwoCrashesStartsOnlyOnceTheyAreStored)
 {
-	struct jb_crash crash = {1, "v", 1, true, WP_CRASH_OUTAGE, 0};
-	struct jb_task_progress row = {};
-	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
-
 	create_pool(1);
 	add_worker("w");
 	add_worker("x");
-	row.run = 1;
-	row.crash = &crash;
-	row.crash_count = 1;
-	add(kJob, {{1}}, &progress, false);
+	add_with_crashes({{1, "v", 1, true, WP_CRASH_OUTAGE, 0}}, 1);
 	run_all(2 * kS);
 	struct wp_task *t = task(kJob, 0, 0);
 	ASSERT_NE(t->worker, nullptr);
@@ -561,15 +568,12 @@
 
 TEST_F(CrashSimulation, JobWithTwoStoredCrashesFailsUnderTheNextOwner)
 {
-	struct jb_crash crash[2] = {{1, "w0", 1, true, WP_CRASH_SHARED, 0},
+	std::vector<struct jb_crash> crashes = {
+	    {1, "w0", 1, true, WP_CRASH_SHARED, 0},
 	    {2, "w1", 1, true, WP_CRASH_SOLE, 0}};
-	struct jb_task_progress row = {};
-	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
 
 	create_pool(1);
-	row.crash = crash;
-	row.crash_count = 2;
-	add(kJob, {{1}}, &progress, false);
+	add_with_crashes(crashes);
 	play(5 * kS);
 	EXPECT_EQ(state_of(kJob), JB_FAILED);
 }
@@ -577,18 +581,14 @@
 /* Owners that were lost did not store the crashes just before. */
 TEST_F(CrashSimulation, UnstoredCrashesOfEarlierOwnersDoNotProlongTheTries)
 {
-	struct jb_crash crash[3] = {{2001, "w0", 1, true, WP_CRASH_OUTAGE, 0},
+	std::vector<struct jb_crash> crashes = {
+	    {2001, "w0", 1, true, WP_CRASH_OUTAGE, 0},
 	    {2002, "w1", 1, true, WP_CRASH_OUTAGE, 0},
 	    {2003, "w2", 1, true, WP_CRASH_OUTAGE, 0}};
-	struct jb_task_progress row = {};
-	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
 
 	create_pool(2);
 	create_workers(4);
-	row.crash = crash;
-	row.crash_count = 3;
-	row.run = 2003;
-	add(kJob, {{1}}, &progress, false);
+	add_with_crashes(crashes, 2003);
 	play(5 * kS);
 	EXPECT_EQ(state_of(kJob), JB_FAILED);
 }
@@ -596,17 +596,13 @@
 /* Workers crash for other reasons, too. */
 TEST_F(CrashSimulation, TwoCrashesWithOtherSuspectsAreNoProof)
 {
-	struct jb_crash crash[2] = {{1, "w0", 1, true, WP_CRASH_SHARED, 0},
+	std::vector<struct jb_crash> crashes = {
+	    {1, "w0", 1, true, WP_CRASH_SHARED, 0},
 	    {2, "w1", 1, true, WP_CRASH_SHARED, 0}};
-	struct jb_task_progress row = {};
-	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
 
 	create_pool(1);
 	create_workers(4);
-	row.crash = crash;
-	row.crash_count = 2;
-	row.run = 2;
-	add(kJob, {{1}}, &progress, false);
+	add_with_crashes(crashes, 2);
 	play(5 * kS);
 	EXPECT_EQ(state_of(kJob), JB_COMPLETED);
 }
@@ -676,41 +672,30 @@
 /* Nobody can tell the next owner what became of a worker that has left. */
 TEST_F(CrashSimulation, JobEndsThoughAWorkerUnderItsTaskHasLeftForGood)
 {
-	struct jb_crash crash[WP_MAX_CRASHES] = {
+	std::vector<struct jb_crash> crashes = {
 	    {1, "gone", 1, false, WP_CRASH_OUTAGE, 0},
 	    {2, "w0", 1, true, WP_CRASH_UNSURE, 0},
 	    {3, "w1", 1, true, WP_CRASH_UNSURE, 0},
 	    {4, "w2", 1, true, WP_CRASH_UNSURE, 0},
 	    {5, "w3", 1, true, WP_CRASH_UNSURE, 0}};
-	struct jb_task_progress row = {};
-	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
 
+	crashes.resize(WP_MAX_CRASHES);
 	create_pool(1);
 	create_workers(4);
-	row.crash = crash;
-	row.crash_count = WP_MAX_CRASHES;
-	row.run = 5;
-	add(kJob, {{1}}, &progress, false);
+	add_with_crashes(crashes, 5);
 	play(60 * kS);
 	EXPECT_TRUE(jb_has_ended(state_of(kJob)));
 }
 
 TEST_F(Crashes, UrgentTaskUnderWhichAWorkerHasCrashedPreempts)
 {
-	struct jb_crash crash = {1, "v", 1, true, WP_CRASH_OUTAGE, 0};
-	struct jb_task_progress row = {};
-	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
-
 	create_pool();
 	add_worker("w", 1000);
 	struct jb_spec *slow = spec(kOther, {{1, 1000, JB_CHECKPOINTS}});
 	slow->policy.priority = 2;
 	wp_add_job(p, slow, nullptr, true, 0, now);
 	ASSERT_EQ(run_all().size(), 1U);
-	row.run = 1;
-	row.crash = &crash;
-	row.crash_count = 1;
-	add(kJob, {{1}}, &progress, false);
+	add_with_crashes({{1, "v", 1, true, WP_CRASH_OUTAGE, 0}}, 1);
 	for (uint32_t i = 1; i <= 60; i++) {
 		renew_lease("w", {{kOther, 0, 0, 1, 0, i}});
 		run_all(100 * kMs);
