--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -240,26 +240,14 @@
 		}
 	};
 
+	/* takeover_model.cc */
 	void after(int64_t us, std::function<void()> action);
 	void to_owner(
 	    int number, uint64_t token, std::function<void(ModelOwner &)> f);
-	void claim();
-	void load_pool(ModelOwner &o, int64_t earlier_until_us);
-	void load_job(ModelOwner &o, const ModelJob &job, bool is_new);
-	void tick_owner(ModelOwner &o);
-	void renew_ownership(ModelOwner &o);
-	void step_down(ModelOwner &o);
-	void start_commit(ModelOwner &o);
-	void send_commit(ModelOwner &o, std::shared_ptr<ModelCommit> cm);
-	bool apply_commit(const ModelCommit &cm);
-	void send_orders(ModelOwner &o);
-	void send_renewals(ModelOwner &o);
-	void fail_renewal(
-	    std::shared_ptr<ModelRenewal> call, enum wp_order_result result);
-	void reply_to_renewal(
-	    std::shared_ptr<ModelRenewal> call, int64_t takes_us);
-	void send_advice_requests(ModelOwner &o);
-	void forget_ended_jobs(ModelOwner &o);
+	ModelStep *find_step(const std::string &task);
+	int64_t delay();
+
+	/* takeover_workers.cc */
 	void report_worker(ModelWorker &w);
 	int64_t largest_cpu(const ModelWorker &w) const;
 	void list_worker(ModelOwner &o, const ModelWorker &w);
@@ -269,10 +257,20 @@
 	void tick_worker(ModelWorker &w);
 	void end_run(ModelWorker &w, const std::string &task, uint32_t run,
 	    enum wp_run_outcome outcome);
+	void acknowledge(ModelWorker &w, uint64_t number);
+	void expire_ends(const ModelWorker &w);
+	void end_all_runs(ModelWorker &w);
+	void restart_worker(ModelWorker &w);
+	void remove_worker(ModelWorker &w);
+
+	/* takeover_starts.cc */
 	enum wp_order_result do_order(ModelWorker &w, const ModelOrder &order);
 	bool refuse_repeat(ModelWorker &w, const struct wp_order &o,
 	    enum wp_order_result *result);
 	enum wp_order_result do_start(ModelWorker &w, const ModelOrder &order);
+	void extend_lease(ModelWorker &w, int64_t until_ms);
+
+	/* takeover_checks.cc */
 	void check_start(
 	    ModelWorker &w, const ModelOrder &order, const ModelStep &step);
 	void check_placement(
@@ -284,21 +282,40 @@
 	int64_t heard_at_us(const ModelWorker &w);
 	void count_known_time(ModelWorker &w);
 	void report(bool fault, const std::string &what);
-	void acknowledge(ModelWorker &w, uint64_t number);
-	void expire_ends(const ModelWorker &w);
 	void check_attempts(const std::string &task);
-	void end_all_runs(ModelWorker &w);
+
+	/* takeover_jobs.cc */
+	void load_job(ModelOwner &o, const ModelJob &job, bool is_new);
+	struct jb_spec *make_spec(const ModelJob &job);
+
+	/* takeover_owners.cc */
+	void claim();
+	void load_pool(ModelOwner &o, int64_t earlier_until_us);
+	void tick_owner(ModelOwner &o);
+	void renew_ownership(ModelOwner &o);
+	void step_down(ModelOwner &o);
+	void forget_ended_jobs(ModelOwner &o);
+
+	/* takeover_commits.cc */
+	void start_commit(ModelOwner &o);
+	void send_commit(ModelOwner &o, std::shared_ptr<ModelCommit> cm);
+	bool apply_commit(const ModelCommit &cm);
+
+	/* takeover_calls.cc */
+	void send_orders(ModelOwner &o);
+	void send_renewals(ModelOwner &o);
+	void fail_renewal(
+	    std::shared_ptr<ModelRenewal> call, enum wp_order_result result);
+	void reply_to_renewal(
+	    std::shared_ptr<ModelRenewal> call, int64_t takes_us);
+	void send_advice_requests(ModelOwner &o);
+
+	/* takeover_faults.cc */
 	void add_missing_kinds();
-	void restart_worker(ModelWorker &w);
-	void remove_worker(ModelWorker &w);
-	void extend_lease(ModelWorker &w, int64_t until_ms);
 	std::vector<std::string> alive_workers() const;
 	void break_owner();
 	void break_around_a_commit(const std::string &id);
 	void evacuate(const std::string &id);
-	struct jb_spec *make_spec(const ModelJob &job);
-	ModelStep *find_step(const std::string &task);
-	int64_t delay();
 
 	std::mt19937_64 rng;
 	std::priority_queue<Event> events;
