shard host: no circle among its files

shard_calls, shard_host and shard_store called one another: each needed the calls that wait for a reply or the shard's state, and the response to a store operation ran ho_tick(). Now shard_waiters.c (189 lines) has the waiting calls, shard_state.c (161) the state that is loaded, activated and given up, and ho_start_store_op() gets the function for the response from ho_tick()'s file, which passes it to ho_on_store_result() and ticks. 46 of 50 functions move or stay unchanged; the others are these and ho_send_store_op().

Calls, counted from the symbols of the objects: a circle of 3 files before, none now.

--- a/curranttackd/shard_store.c
+++ b/curranttackd/shard_store.c
@@ -149,15 +149,13 @@
 	}
 }
 
-static void
-ho_on_store_response(const struct kv_response *a, void *arg)
+void
+ho_on_store_result(
+    struct shard_host *h, const struct kv_response *a, int64_t now_us)
 {
-	struct shard_host *h = arg;
-	int64_t now_us = clk_now_us();
 	struct ow_response answer = {0};
 	enum ow_event event;
 
-	pthread_mutex_lock(&h->lock);
 	switch (a->result) {
 	case KV_OK:
 		answer.result = OW_OK;
@@ -184,12 +182,11 @@
 		    h->shard, h->store_failures < HO_MAX_STORE_FAILURES);
 		ho_answer_waiters(h, now_us);
 	}
-	pthread_mutex_unlock(&h->lock);
-	ho_tick(h, now_us);
 }
 
 static void
-ho_send_store_op(struct shard_host *h, const struct ow_op *op)
+ho_send_store_op(
+    struct shard_host *h, const struct ow_op *op, kv_done_fn on_response)
 {
 	struct kv_put put = {0};
 	char key[DM_KEY_BYTES];
@@ -199,7 +196,7 @@
 	ho_format_key(h, op, key);
 	switch (op->kind) {
 	case OW_GET:
-		h->d->kv_ops->get(h->d->kv, key, ho_on_store_response, h);
+		h->d->kv_ops->get(h->d->kv, key, on_response, h);
 		break;
 	case OW_CREATE:
 	case OW_CAS:
@@ -210,12 +207,12 @@
 		put.if_revision = op->if_revision;
 		if (op->key == OW_KEY_LEASE)
 			put.lease = h->d->store_lease_id;
-		h->d->kv_ops->put(h->d->kv, &put, ho_on_store_response, h);
+		h->d->kv_ops->put(h->d->kv, &put, on_response, h);
 		talloc_free(value);
 		break;
 	case OW_DELETE:
 		h->d->kv_ops->del(
-		    h->d->kv, key, op->if_revision, ho_on_store_response, h);
+		    h->d->kv, key, op->if_revision, on_response, h);
 		break;
 	}
 }
@@ -344,7 +341,7 @@
 }
 
 void
-ho_start_store_op(struct shard_host *h, int64_t now_us)
+ho_start_store_op(struct shard_host *h, kv_done_fn on_response, int64_t now_us)
 {
 	bool eligible =
 	    !ow_is_active(&h->ownership) && ho_may_take_ownership(h, now_us);
@@ -360,5 +357,5 @@
 		return;
 	if (op.kind == OW_DELETE)
 		h->commit_budget -= HO_WRITE_COST;
-	ho_send_store_op(h, &op);
+	ho_send_store_op(h, &op, on_response);
 }
--- a/include/curranttackd/shard_host_internal.h
+++ b/include/curranttackd/shard_host_internal.h
@@ -1,10 +1,20 @@
 #ifndef CURRANTTACKD_SHARD_HOST_INTERNAL_H
 #define CURRANTTACKD_SHARD_HOST_INTERNAL_H
 
+#include <jansson.h>
+
 #include "curranttackd/shard_host.h"
 #include "common/clock.h"
 #include "state/shard.h"
 
+/*
+ * Shared by the files of a shard's host. Lowest first: shard_waiters (calls that
+ * wait for their reply), shard_state (the shard's state on this daemon),
+ * shard_store (what is read from the store and written to it), shard_workers
+ * (calls of workers), shard_host (what is due), shard_calls (calls of other
+ * daemons).
+ */
+
 /*
  * The budget of store writes is a token bucket: each microsecond adds
  * commits_per_s units, and a write costs this many.
@@ -104,30 +114,33 @@
 	bool release_wanted;
 };
 
-/** ho_find_config() - the shard's configuration, or NULL without any */
-const struct cf_shard *ho_find_config(const struct shard_host *h);
-
-/* shard_calls.c */
+/* shard_waiters.c */
 
+/**
+ * ho_add_waiter() - reply to a call later
+ * @h: host
+ * @kind: what the call waits for
+ * @name: job id or idempotency key; copied
+ * @durable_at: number of the log record that must be durable, if any
+ * @deadline_us: reply by then in any case
+ * @done: receives the reply
+ * @arg: its argument
+ */
+void ho_add_waiter(struct shard_host *h, enum waiter_kind kind,
+    const char *name, uint64_t durable_at, int64_t deadline_us,
+    call_done_fn done, void *arg);
+/** ho_init_json_reply() - a reply with an allocated body; consumes @value */
+void ho_init_json_reply(Currant__Reply *reply, enum st_outcome outcome,
+    uint32_t status, json_t *value);
 /** ho_answer_waiters() - reply to calls that are complete or timed out */
 void ho_answer_waiters(struct shard_host *h, int64_t now_us);
 /** ho_fail_waiters() - reply to all waiting calls that the owner has changed */
 void ho_fail_waiters(struct shard_host *h);
 
-/* shard_store.c */
-
-/** ho_start_store_op() - start the next store operation, if any is due */
-void ho_start_store_op(struct shard_host *h, int64_t now_us);
-
-/* shard_workers.c */
-
-/** ho_send_sync() - send a worker its orders and the renewal of its lease */
-void ho_send_sync(struct shard_host *h, uint32_t w, int64_t now_us);
-/** ho_poll_worker_events() - start a long poll for outcomes on a worker */
-void ho_poll_worker_events(struct shard_host *h, uint32_t w, int64_t now_us);
-
-/* shard_host.c */
+/* shard_state.c */
 
+/** ho_find_config() - the shard's configuration, or NULL without any */
+const struct cf_shard *ho_find_config(const struct shard_host *h);
 /** ho_apply_quotas() - pass quotas and policy of the configuration on */
 void ho_apply_quotas(struct shard_host *h);
 /** ho_reset() - replace the shard's state by an empty one, before a replay */
@@ -145,4 +158,26 @@
 /** ho_on_fenced() - another daemon has taken the shard; discard its state */
 void ho_on_fenced(struct shard_host *h);
 
+/* shard_store.c */
+
+/**
+ * ho_start_store_op() - start the next store operation, if any is due
+ * @h: host
+ * @on_response: called with the response and @h, without the host's lock; it
+ *	passes the response to ho_on_store_result()
+ * @now_us: time
+ */
+void ho_start_store_op(
+    struct shard_host *h, kv_done_fn on_response, int64_t now_us);
+/** ho_on_store_result() - take over the response to the store operation */
+void ho_on_store_result(
+    struct shard_host *h, const struct kv_response *a, int64_t now_us);
+
+/* shard_workers.c */
+
+/** ho_send_sync() - send a worker its orders and the renewal of its lease */
+void ho_send_sync(struct shard_host *h, uint32_t w, int64_t now_us);
+/** ho_poll_worker_events() - start a long poll for outcomes on a worker */
+void ho_poll_worker_events(struct shard_host *h, uint32_t w, int64_t now_us);
+
 #endif
