daemon: requests to services and operators end with an answer at the exit

The product's own front ends cut what was open when their daemon ended: requests that came after the last one was answered, every query of jobs and of operators, and everything at the end of `drain`. Answers never asked to close the connection, so a caller that went on kept the daemon until `drain` was over, and was cut then.

Cause: the shutdown looked at requests to services alone, and `_exit` followed as soon as none was in flight; the listening sockets (and the originals they are duplicated from) stayed open; nothing bounded what was still waiting; a reply to a peer that its connection hadn't taken yet was dropped.

The steps of coordination/drain now hold here as well. Frontends stop accepting on their own loops, read once more, and close their connections when nothing is read, unanswered or being sent; the process ends when all have, no reply to a peer is unsent, and the shards are released. 0.2 s before `drain` is over, what waits is answered: reads 503 with Retry-After and X-Outcome not_run, the rest 504 unknown; the handler's own response then has no effect. A query that waits for a job (wait_ms) therefore keeps its daemon until then; it was cut before.

--- a/curranttackd/daemon_run.c
+++ b/curranttackd/daemon_run.c
@@ -19,6 +19,10 @@
 #define DM_CONFIG_INTERVAL_US (200 * CLK_US_PER_MS)
 /* For load balancers to see that GET /ready fails, before the exit. */
 #define DM_UNREADY_DELAY_US (CLK_US_PER_S)
+/* For answers to reach their callers before the exit. */
+#define DM_FLUSH_US (200 * CLK_US_PER_MS)
+/* For the request on a connection that was accepted last. */
+#define DM_FRESH_US (300 * CLK_US_PER_MS)
 
 static bool
 dm_accept_hello(const Currant__Hello *hello, void *arg)
@@ -176,26 +180,67 @@
 	    lg_i64((now_us - d->shutdown_started_us) / CLK_US_PER_MS), NULL);
 }
 
+static void
+dm_exit(struct daemon *d, int64_t now_us)
+{
+	dm_log_exit(d, now_us);
+	loop_stop(d->control_loop);
+}
+
 /*
  * Requests end before the shards are released, since the end of a claimed
  * request is reported to the owner of a shard.
  */
 static void
-dm_step_shutdown(struct daemon *d, int64_t now_us)
+dm_release_shards(struct daemon *d, int64_t now_us)
 {
-	bool timed_out = now_us >= d->drain_deadline_us;
 	uint32_t i;
 
-	if (now_us < d->shutdown_started_us + DM_UNREADY_DELAY_US)
-		return;
-	if (atomic_load(&d->requests_in_flight) > 0 && !timed_out)
+	if (atomic_load(&d->requests_in_flight) > 0 &&
+	    !dr_is_overdue(&d->drain, now_us))
 		return;
 	for (i = 0; i < d->shard_host_count; i++)
 		ho_begin_release(d->shard_host[i]);
-	if (!dm_shard_hosts_idle(d) && !timed_out)
+}
+
+static void
+dm_get_view(struct daemon *d, struct dr_view *view)
+{
+	struct hs_counts n;
+
+	fr_get_counts(d, &n);
+	view->requests = n.reading + n.unanswered + n.sending +
+	    (uint32_t)atomic_load(&d->requests_in_flight);
+	view->fresh = n.fresh;
+	view->has_duties = !fr_all_refuse(d) || !dm_shard_hosts_idle(d) ||
+	    peer_has_unsent(d->peers);
+}
+
+static void
+dm_step_shutdown(struct daemon *d, int64_t now_us)
+{
+	enum dr_step step = d->drain.step;
+	struct dr_view view;
+
+	if (step == DR_CLOSING)
+		dm_release_shards(d, now_us);
+	if (dr_is_overdue(&d->drain, now_us))
+		fr_answer_all_overdue(d);
+	dm_get_view(d, &view);
+	switch (dr_next(&d->drain, &view, now_us)) {
+	case DR_SERVING:
 		return;
-	dm_log_exit(d, now_us);
-	loop_stop(d->control_loop);
+	case DR_CLOSING:
+		if (step == DR_SERVING)
+			fr_stop_accepting(d);
+		return;
+	case DR_ENDED:
+		if (fr_all_stopped(d) || now_us >= d->drain.end_by_us)
+			dm_exit(d, now_us);
+		else
+			fr_stop(d);
+		return;
+	}
 }
 
 static void
@@ -243,11 +288,18 @@
 static void
 dm_begin_shutdown(struct daemon *d)
 {
+	struct dr_limits limits = {
+	    .unready_us = DM_UNREADY_DELAY_US,
+	    .end_us = d->settings->drain_timeout_us,
+	    .flush_us = DM_FLUSH_US,
+	    .fresh_us = DM_FRESH_US,
+	};
+
 	if (atomic_exchange(&d->shutting_down, true))
 		return;
 	d->shutdown_started_us = clk_now_us();
-	d->drain_deadline_us =
-	    d->shutdown_started_us + d->settings->drain_timeout_us;
+	dr_begin(&d->drain, &limits, d->shutdown_started_us);
+	fr_begin_drain(d);
 	lg_event(LG_INFO, "daemon", "leaving", "in_flight",
 	    lg_i64(atomic_load(&d->requests_in_flight)), NULL);
 	me_send_heartbeat(d->members);
--- a/curranttackd/front.c
+++ b/curranttackd/front.c
@@ -8,6 +8,7 @@
 #include "curranttackd/front.h"
 
 #define FR_RETRY_AFTER_BYTES 16
+#define FR_RETRY_AFTER_MS 1000
 
 void
 fr_respond_json(struct hs_request *req, int status, json_t *body)
@@ -65,6 +66,22 @@
 	return tk_equal(token, authorization + 7);
 }
 
+/* Whoever serves it may still do so; only reads are sure to have no effect. */
+static void
+fr_answer_overdue(void *arg)
+{
+	struct hs_request *req = arg;
+	bool is_read = strcmp(req->method, "GET") == 0;
+
+	hs_drop_next(req);
+	if (is_read)
+		fr_respond_outcome(req, 503, ST_NOT_RUN,
+		    "this daemon is about to end", FR_RETRY_AFTER_MS);
+	else
+		fr_respond_outcome(req, 504, ST_UNKNOWN,
+		    "this daemon is about to end, and it may have run", 0);
+}
+
 static void
 fr_dispatch(struct frontend *f, struct hs_request *req,
     const struct fr_route *routes, const char *token)
@@ -73,6 +90,8 @@
 	bool path_found = false;
 	size_t len;
 
+	req->overdue = fr_answer_overdue;
+	req->overdue_arg = req;
 	if (!fr_authorized(req, token)) {
 		fr_respond_error(
 		    req, 401, "the bearer token is missing or wrong");
@@ -152,6 +171,8 @@
 			dup(operators_fd)) == -1)
 			return -1;
 	}
+	close(callers_fd);
+	close(operators_fd);
 	return 0;
 }
 
@@ -178,3 +199,122 @@
 		hs_add_counts(d->frontend[i].operators, counts);
 	}
 }
+
+static void
+fr_for_each(struct daemon *d, void (*fn)(void *arg))
+{
+	uint32_t i;
+
+	for (i = 0; i < d->frontend_count; i++)
+		loop_post(d->frontend[i].loop, fn, &d->frontend[i]);
+}
+
+static void
+fr_begin_drain_posted(void *arg)
+{
+	struct frontend *f = arg;
+
+	hs_begin_drain(f->callers);
+	hs_begin_drain(f->operators);
+}
+
+void
+fr_begin_drain(struct daemon *d)
+{
+	fr_for_each(d, fr_begin_drain_posted);
+}
+
+static void
+fr_stop_accepting_posted(void *arg)
+{
+	struct frontend *f = arg;
+
+	hs_stop_accepting(f->callers);
+	hs_stop_accepting(f->operators);
+	f->refuses = true;
+}
+
+void
+fr_stop_accepting(struct daemon *d)
+{
+	fr_for_each(d, fr_stop_accepting_posted);
+}
+
+static void
+fr_answer_overdue_posted(void *arg)
+{
+	struct frontend *f = arg;
+
+	if (f->stopped)
+		return;
+	hs_answer_overdue(f->callers);
+	hs_answer_overdue(f->operators);
+}
+
+void
+fr_answer_all_overdue(struct daemon *d)
+{
+	fr_for_each(d, fr_answer_overdue_posted);
+}
+
+/* What has arrived by now is served first, so that nothing is cut. */
+static void
+fr_stop_posted(void *arg)
+{
+	struct frontend *f = arg;
+	struct hs_counts n = {0};
+
+	if (f->stopped)
+		return;
+	hs_run(f->callers);
+	hs_run(f->operators);
+	hs_add_counts(f->callers, &n);
+	hs_add_counts(f->operators, &n);
+	if (n.reading + n.unanswered + n.sending > 0)
+		return;
+	hs_stop(f->callers);
+	hs_stop(f->operators);
+	f->stopped = true;
+}
+
+void
+fr_stop(struct daemon *d)
+{
+	fr_for_each(d, fr_stop_posted);
+}
+
+static bool
+fr_all(const struct daemon *d, bool (*is)(const struct frontend *f))
+{
+	uint32_t i;
+
+	for (i = 0; i < d->frontend_count; i++) {
+		if (!is(&d->frontend[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool
+fr_refuses(const struct frontend *f)
+{
+	return f->refuses;
+}
+
+bool
+fr_all_refuse(const struct daemon *d)
+{
+	return fr_all(d, fr_refuses);
+}
+
+static bool
+fr_has_stopped(const struct frontend *f)
+{
+	return f->stopped;
+}
+
+bool
+fr_all_stopped(const struct daemon *d)
+{
+	return fr_all(d, fr_has_stopped);
+}
--- a/include/curranttackd/daemon.h
+++ b/include/curranttackd/daemon.h
@@ -5,6 +5,7 @@
 #include <stdatomic.h>
 
 #include "coordination/config.h"
+#include "coordination/drain.h"
 #include "coordination/membership.h"
 #include "curranttackd/settings.h"
 #include "state/routing.h"
@@ -72,7 +73,7 @@
  * @watch_in_flight: a watch on the configuration is in flight
  * @watch_retry_at_us: no watch before this time
  * @shutdown_started_us: when the shutdown began
- * @drain_deadline_us: when the shutdown stops waiting
+ * @drain: the steps of the shutdown
  * @reload_settings: reads the settings file again on SIGHUP
  * @started_us: when the daemon was created
  * @shutting_down: SIGTERM or SIGINT has been received; GET /ready fails
@@ -113,7 +114,7 @@
 	bool watch_in_flight;
 	int64_t watch_retry_at_us;
 	int64_t shutdown_started_us;
-	int64_t drain_deadline_us;
+	struct dr_drain drain;
 	void (*reload_settings)(struct daemon *d);
 	int64_t started_us;
 	atomic_bool shutting_down;
--- a/include/curranttackd/front.h
+++ b/include/curranttackd/front.h
@@ -52,6 +52,8 @@
  * @http: HTTP client for requests to endpoints
  * @callers: HTTP server for callers
  * @operators: HTTP server for operators
+ * @refuses: the process ends, and connections are refused
+ * @stopped: all its connections are closed
  */
 struct frontend {
 	struct daemon *d;
@@ -61,6 +63,8 @@
 	struct http_client *http;
 	struct http_server *callers;
 	struct http_server *operators;
+	atomic_bool refuses;
+	atomic_bool stopped;
 };
 
 /**
@@ -77,6 +81,19 @@
 /** fr_start() - start the threads of the frontends; 0 or -1 */
 int fr_start(struct daemon *d);
 
+/** fr_begin_drain() - ask callers of all frontends to close their connections */
+void fr_begin_drain(struct daemon *d);
+/** fr_stop_accepting() - refuse connections from now on */
+void fr_stop_accepting(struct daemon *d);
+/** fr_all_refuse() - whether all frontends do that by now */
+bool fr_all_refuse(const struct daemon *d);
+/** fr_answer_all_overdue() - respond to all requests that wait for something */
+void fr_answer_all_overdue(struct daemon *d);
+/** fr_stop() - have those frontends that serve nothing close all connections */
+void fr_stop(struct daemon *d);
+/** fr_all_stopped() - whether all have */
+bool fr_all_stopped(const struct daemon *d);
+
 /** fr_get_counts() - what the servers of all frontends have open */
 void fr_get_counts(const struct daemon *d, struct hs_counts *counts);
 
--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -156,6 +156,14 @@
     const void *body, size_t body_bytes, const struct hs_header *headers,
     size_t header_count);
 
+/**
+ * hs_drop_next() - respond now, in place of the one who will respond later
+ * @req: request; stays valid until the later hs_respond(), which has no effect
+ *
+ * For @overdue of a request whose handler can't be told.
+ */
+void hs_drop_next(struct hs_request *req);
+
 /**
  * hs_caller_has_left() - whether the caller has closed its connection
  * @req: request
--- a/include/transport/peer.h
+++ b/include/transport/peer.h
@@ -79,4 +79,7 @@
 /** peer_close() - close a link; on_closed is called */
 void peer_close(struct peer_link *link);
 
+/** peer_has_unsent() - whether a frame waits for an open connection to take it */
+bool peer_has_unsent(const struct peer_net *net);
+
 #endif
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -57,6 +57,8 @@
 	enum hs_phase phase;
 	bool too_large;
 	bool handled;
+	bool answered;
+	bool owed; /* answered, and the handler will respond all the same */
 	bool suspended;
 	bool cut;
 	bool reset;
@@ -270,8 +272,10 @@
 	hs_count_end(ex, code);
 	if (ex->response != NULL)
 		MHD_destroy_response(ex->response);
-	talloc_free(ex);
 	*state = NULL;
+	ex->conn = NULL;
+	if (!ex->owed)
+		talloc_free(ex);
 }
 
 static void
@@ -501,6 +505,20 @@
 	hs_resume(ex);
 }
 
+static void
+hs_drop_owed(struct hs_exchange *ex)
+{
+	ex->owed = false;
+	if (ex->conn == NULL)
+		talloc_free(ex);
+}
+
+void
+hs_drop_next(struct hs_request *req)
+{
+	hs_exchange_of(req)->owed = true;
+}
+
 void
 hs_respond(struct hs_request *req, int status, const char *content_type,
     const void *body, size_t body_bytes, const struct hs_header *headers,
@@ -509,6 +527,11 @@
 	struct hs_exchange *ex = hs_exchange_of(req);
 	size_t i;
 
+	if (ex->answered) {
+		hs_drop_owed(ex);
+		return;
+	}
+	ex->answered = true;
 	if (ex->cut) {
 		hs_close(ex);
 		return;
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -442,3 +442,15 @@
 	HASH_FIND(hh, net->links, &serial, sizeof(serial), link);
 	return link;
 }
+
+bool
+peer_has_unsent(const struct peer_net *net)
+{
+	const struct peer_link *link;
+
+	for (link = net->links; link != NULL; link = link->hh.next) {
+		if (link->established && link->out.len > 0)
+			return true;
+	}
+	return false;
+}
