--- a/tests/soak/test_soak.cc
+++ b/tests/soak/test_soak.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "../fault/cell_daemon.h"
+#include "seeds.h"
 
 /*
  * The programs of a cell as separate processes under a seeded schedule of
@@ -43,14 +44,6 @@
 	    .count();
 }
 
-int
-number_from(const char *name, int fallback)
-{
-	const char *text = getenv(name);
-
-	return text != nullptr ? atoi(text) : fallback;
-}
-
 int
 draw_below(std::mt19937 &random, int n)
 {
@@ -757,21 +750,6 @@
 		  << " starts\n";
 }
 
-std::vector<int>
-seeds_or(std::vector<int> list)
-{
-	const char *text = getenv("SOAK_SEEDS");
-	int first = 0;
-	int last = -1;
-
-	if (text == nullptr || sscanf(text, "%d-%d", &first, &last) != 2)
-		return list;
-	list.clear();
-	for (int seed = first; seed <= last; seed++)
-		list.push_back(seed);
-	return list;
-}
-
 /*
  * Seeds that ever failed, with their cause.
  * 1: a daemon without the store showed a state that was no longer true; a late
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -78,7 +78,7 @@
 	FAULT_REFUSE,	/* 503, nothing done */
 	FAULT_THROTTLE, /* 429, nothing done */
 	FAULT_ROOM,	/* of a start: 409, nothing done */
-	FAULT_SLOW,	/* of a hold, for a time: done, and answered later */
+	FAULT_SLOW,	/* of a hold or the store, for a time: answered later */
 };
 
 /* What becomes of a connection without an answer. */
@@ -384,15 +384,48 @@
 	    (json_int_t)it->created, "lease", (json_int_t)it->lease);
 }
 
+/* The older half is gone, and who has not seen it is told so. */
+static void
+compact_history(void)
+{
+	uint32_t gone = MAX_HISTORY / 2;
+	uint32_t i;
+
+	if (history[gone - 1].revision > lost_history)
+		lost_history = history[gone - 1].revision;
+	for (i = 0; i < gone; i++) {
+		free(history[i].key);
+		json_decref(history[i].row);
+	}
+	history_count -= gone;
+	memmove(history, history + gone, history_count * sizeof(*history));
+}
+
+/* The first change after a revision. */
+static uint32_t
+first_change_after(uint64_t after)
+{
+	uint32_t low = 0;
+	uint32_t high = history_count;
+
+	while (low < high) {
+		uint32_t middle = low + (high - low) / 2;
+
+		if (history[middle].revision <= after)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
 static void
 note_change(const char *key, json_t *row)
 {
 	struct change *c;
 
-	if (history_count == MAX_HISTORY) {
-		fprintf(stderr, "stand-in: history is full\n");
-		exit(1);
-	}
+	if (history_count == MAX_HISTORY)
+		compact_history();
 	c = &history[history_count++];
 	c->revision = revision;
 	c->key = strdup(key);
@@ -458,9 +491,8 @@
 		json_t *events = json_array();
 		uint32_t i;
 
-		for (i = 0; i < history_count; i++) {
-			if (history[i].revision > w->after &&
-			    has_prefix(history[i].key, w->prefix))
+		for (i = first_change_after(w->after); i < history_count; i++) {
+			if (has_prefix(history[i].key, w->prefix))
 				json_array_append(events, history[i].row);
 		}
 		if (json_array_size(events) == 0 &&
@@ -692,13 +724,8 @@
 }
 
 static void
-on_store(struct hs_request *req, void *arg)
+serve_store(struct hs_request *req, const struct fault *f)
 {
-	const char *door = arg;
-	struct fault *f = fault_of(door, req);
-
-	if (rejects(f, req))
-		return;
 	if (has_prefix(req->path, "/curranttack/kv-range"))
 		store_range(req);
 	else if (has_prefix(req->path, "/curranttack/kv-watch"))
@@ -715,6 +742,28 @@
 		standin_reply(req, 404, "no such call");
 }
 
+static void
+serve_store_late(void *arg)
+{
+	serve_store(arg, NULL);
+}
+
+static void
+on_store(struct hs_request *req, void *arg)
+{
+	const char *door = arg;
+	struct fault *slow = find_fault(door, req->path, req->body, true);
+	struct fault *f;
+
+	if (slow != NULL) {
+		loop_after(loop, slow->delay_us, serve_store_late, req);
+		return;
+	}
+	f = fault_of(door, req);
+	if (!rejects(f, req))
+		serve_store(req, f);
+}
+
 /* --- workers --- */
 
 static struct tally *
@@ -1352,6 +1401,8 @@
 	uint32_t done = 0;
 	uint32_t running = 0;
 	uint32_t maintained = 0;
+	uint32_t busy = 0;
+	const struct run *r;
 	uint32_t i;
 	struct tally *t;
 	struct tally *tmp;
@@ -1363,13 +1414,19 @@
 	}
 	for (i = 0; i < worker_count; i++)
 		maintained += workers[i].maintained;
+	for (i = 0; i < worker_count; i++) {
+		if (!workers[i].off)
+			DL_FOREACH(workers[i].runs, r)
+				busy++;
+	}
 	standin_reply_json(req, 200,
-	    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:s}",
+	    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, "
+		      "s:s}",
 		"foreign_acks", (int)foreign_acks, "budget", (int)over_budget,
 		"twice", (int)twice, "again", (int)again, "over", (int)over,
 		"started", (int)started, "done", (int)done, "running",
-		(int)running, "maintained", (int)maintained, "most_down",
-		(int)most_down, "wave",
+		(int)running, "busy", (int)busy, "maintained", (int)maintained,
+		"most_down", (int)most_down, "wave",
 		find_item("status/wave/1") != NULL
 		    ? find_item("status/wave/1")->value
 		    : ""));
