--- a/tests/fault/cell_fixture.h
+++ b/tests/fault/cell_fixture.h
@@ -22,10 +22,11 @@
 		char name[] = "/tmp/currant-cell-XXXXXX";
 
 		dir = mkdtemp(name);
-		platform = std::make_unique<Process>(
-		    "tests/standins/standin-platform",
-		    std::vector<std::string>{std::to_string(kWorkers), "4000"},
-		    dir + "/platform.log");
+		platform =
+		    std::make_unique<Process>("tests/standins/standin-platform",
+			std::vector<std::string>{
+			    std::to_string(worker_count), "4000"},
+			dir + "/platform.log");
 		store = platform->addresses[0];
 		advice = platform->addresses[1];
 		control = "http://" + platform->addresses[2];
@@ -282,7 +283,7 @@
 	{
 		for (auto &d : daemons)
 			d->end(SIGKILL);
-		for (uint32_t w = 0; w < kWorkers; w++)
+		for (uint32_t w = 0; w < worker_count; w++)
 			http("POST", control + "/_worker",
 			    "{\"worker\":" + std::to_string(w) +
 				",\"off\":false,\"reborn\":true}");
@@ -291,6 +292,7 @@
 			d->start();
 	}
 
+	uint32_t worker_count = kWorkers;
 	std::string settings;
 	std::string keep_ended = "120s";
 	std::string dir;
