callers: a request for a job that only the store knows has its own deadline

Callers that asked for, or cancelled, a job which the daemon's copy of the key space doesn't hold got no answer within their 1 s while the store was silent.

Cause: cc_lookup() waited for the 3 s of the store's read, whatever time the caller had; a DELETE's deadline was counted from the end of that read. Class: a wait that isn't bounded by the time of the one who waits.

Change: the deadline is taken when the request arrives. Lookups are in a list that the tick of the cell looks through, and those at their deadline get 503 (nothing has been written); a store that is well gets 100 ms in any case. The cancellation that follows a lookup keeps the request's deadline. Ruled out: loop_after(), which follows the wall clock and has no way to be cancelled, so a caller with minutes left would leave its timer behind for as long.

--- a/curranttackd/cell_calls_cancel.c
+++ b/curranttackd/cell_calls_cancel.c
@@ -138,7 +138,8 @@
 };
 
 void
-cc_cancel_job(struct cc_frontend *f, struct hs_request *req, const char *id)
+cc_cancel_job(struct cc_frontend *f, struct hs_request *req, const char *id,
+    int64_t deadline_us)
 {
 	const struct rp_job *job = rp_find_job(f->c->replica, id);
 	struct cc_cancellation *c;
@@ -156,7 +157,7 @@
 	c = talloc_zero(f, struct cc_cancellation);
 	if (c == NULL)
 		abort();
-	cc_write_init(&c->w, &cc_cancellation_ops, f, req, id);
+	cc_write_init(&c->w, &cc_cancellation_ops, f, req, id, deadline_us);
 	if (job != NULL)
 		c->job_revision = job->spec_revision;
 	cc_send_cancellation(&c->w);
--- a/curranttackd/cell_calls_query.c
+++ b/curranttackd/cell_calls_query.c
@@ -1,11 +1,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "common/clock.h"
 #include "curranttackd/cell_calls_internal.h"
 #include "curranttackd/cell_lookup.h"
 
+/* A store that is well answers sooner. */
+#define CC_MIN_LOOKUP_US (100 * CLK_US_PER_MS)
+
 /* A final state can't change; any other may have changed unnoticed. */
 static bool
 cc_may_be_stale(const struct cell *c, const struct rp_job *job)
@@ -66,57 +70,98 @@
 
 /* A request for a job that the replica lacks; @req is NULL once answered. */
 struct cc_job_lookup {
+	struct cc_job_lookup *prev;
+	struct cc_job_lookup *next;
 	struct cc_frontend *f;
 	struct hs_request *req;
 	char id[JB_ID_BYTES];
 	char key[RP_KEY_BYTES];
+	int64_t deadline_us;
+	int64_t answer_by_us;
 	bool cancel;
 };
 
-/* A job that is missing in the replica may have been accepted just now. */
+/* The request, which the caller of this function has to answer. */
+static struct hs_request *
+cc_lookup_take_request(struct cc_job_lookup *l)
+{
+	struct hs_request *req = l->req;
+
+	DL_DELETE(l->f->lookups, l);
+	l->req = NULL;
+	return req;
+}
+
+/* Nothing has been written. */
 static void
-cc_on_lookup(const struct ks_response *a, void *arg)
+cc_lookup_refuse(struct cc_job_lookup *l, const char *reason)
+{
+	struct hs_request *req = cc_lookup_take_request(l);
+
+	if (l->cancel)
+		cc_log_unwritten("cancel", l->id, 503, reason);
+	cc_respond_error(l->f, req, 503, reason);
+}
+
+static void
+cc_lookup_overdue(void *arg)
+{
+	cc_lookup_refuse(arg, "this daemon is about to end");
+}
+
+void
+cc_tick(struct cc_frontend *f, int64_t now_us)
+{
+	struct cc_job_lookup *l;
+	struct cc_job_lookup *tmp;
+
+	DL_FOREACH_SAFE(f->lookups, l, tmp) {
+		if (now_us >= l->answer_by_us)
+			cc_lookup_refuse(
+			    l, "the platform's store does not answer");
+	}
+}
+
+static void
+cc_lookup_finish(struct cc_job_lookup *l, const struct ks_response *a)
 {
-	struct cc_job_lookup *l = arg;
 	struct cc_frontend *f = l->f;
-	struct hs_request *req = l->req;
+	struct hs_request *req;
 	const struct rp_job *job;
-	char id[JB_ID_BYTES];
-	bool cancel = l->cancel;
 	size_t i;
 
-	memcpy(id, l->id, sizeof(id));
-	talloc_free(l);
-	if (req == NULL)
-		return;
 	if (a->result != KS_OK) {
-		if (cancel)
-			cc_log_unwritten("cancel", id, 503, "store is away");
-		cc_respond_error(f, req, 503, "the platform's store is away");
+		cc_lookup_refuse(l, "the platform's store is away");
 		return;
 	}
+	req = cc_lookup_take_request(l);
 	f->c->store_answered_us = clk_now_us();
 	for (i = 0; i < a->item_count; i++)
 		rp_apply_out_of_order(f->c->replica, &a->item[i]);
-	job = rp_find_job(f->c->replica, id);
-	if (cancel)
-		cc_cancel_job(f, req, id);
+	job = rp_find_job(f->c->replica, l->id);
+	if (l->cancel)
+		cc_cancel_job(f, req, l->id, l->deadline_us);
 	else if (job == NULL)
 		cc_respond_error(f, req, 410, "no such job");
 	else
 		cc_respond_state(f, req, job);
 }
 
-/* Nothing has been written. */
+/* A job that is missing in the replica may have been accepted just now. */
 static void
-cc_lookup_overdue(void *arg)
+cc_on_lookup(const struct ks_response *a, void *arg)
 {
 	struct cc_job_lookup *l = arg;
 
-	if (l->cancel)
-		cc_log_unwritten("cancel", l->id, 503, "daemon ends");
-	cc_respond_error(l->f, l->req, 503, "this daemon is about to end");
-	l->req = NULL;
+	if (l->req != NULL)
+		cc_lookup_finish(l, a);
+	talloc_free(l);
+}
+
+static int64_t
+cc_later(int64_t a_us, int64_t b_us)
+{
+	return a_us > b_us ? a_us : b_us;
 }
 
 static void
@@ -130,6 +175,10 @@
 		abort();
 	l->f = f;
 	l->req = req;
+	l->deadline_us = cc_deadline_us(f, req);
+	l->answer_by_us =
+	    cc_later(l->deadline_us, clk_now_us() + CC_MIN_LOOKUP_US);
+	DL_APPEND(f->lookups, l);
 	req->overdue = cc_lookup_overdue;
 	req->overdue_arg = l;
 	memcpy(l->id, id, sizeof(l->id));
@@ -157,7 +206,7 @@
 {
 	(void)queue;
 	if (rp_find_job(f->c->replica, id) != NULL)
-		cc_cancel_job(f, req, id);
+		cc_cancel_job(f, req, id, cc_deadline_us(f, req));
 	else
 		cc_lookup(f, req, id, true);
 }
--- a/curranttackd/cell_calls_submit.c
+++ b/curranttackd/cell_calls_submit.c
@@ -146,7 +146,8 @@
 
 	if (s == NULL)
 		abort();
-	cc_write_init(&s->w, &cc_submission_ops, f, req, id);
+	cc_write_init(
+	    &s->w, &cc_submission_ops, f, req, id, cc_deadline_us(f, req));
 	memcpy(spec->id, id, sizeof(spec->id));
 	spec->queue = talloc_strdup(spec, queue->name);
 	spec->pool = talloc_strdup(spec, queue->pool);
--- a/curranttackd/cell_calls_write.c
+++ b/curranttackd/cell_calls_write.c
@@ -27,7 +27,7 @@
 	    : CC_MAX_WAIT_US;
 }
 
-static int64_t
+int64_t
 cc_deadline_us(struct cc_frontend *f, struct hs_request *req)
 {
 	const char *text =
@@ -43,7 +43,8 @@
 
 void
 cc_write_init(struct cc_write *w, const struct cc_write_ops *ops,
-    struct cc_frontend *f, struct hs_request *req, const char *id)
+    struct cc_frontend *f, struct hs_request *req, const char *id,
+    int64_t deadline_us)
 {
 	w->ops = ops;
 	w->f = f;
@@ -53,7 +54,7 @@
 	snprintf(
 	    w->cancel_key, sizeof(w->cancel_key), "%s%s", RP_CANCEL_PREFIX, id);
 	w->arrived_us = clk_now_us();
-	w->deadline_us = cc_deadline_us(f, req);
+	w->deadline_us = deadline_us;
 	req->overdue = cc_write_overdue;
 	req->overdue_arg = w;
 }
--- a/curranttackd/cell_run.c
+++ b/curranttackd/cell_run.c
@@ -190,6 +190,7 @@
 	cp_tick(c);
 	av_tick(c->advice, now_us);
 	cm_tick(c, now_us);
+	cc_tick(c->frontend, now_us);
 	if (c->draining)
 		cell_drain_tick(c, now_us);
 }
--- a/include/curranttackd/cell_calls.h
+++ b/include/curranttackd/cell_calls.h
@@ -30,6 +30,9 @@
 /** cc_stop() - close all connections */
 void cc_stop(struct cc_frontend *f);
 
+/** cc_tick() - respond to callers whose deadline is near */
+void cc_tick(struct cc_frontend *f, int64_t now_us);
+
 /** cc_pending_count() - number of callers' requests without a response */
 uint32_t cc_pending_count(const struct cc_frontend *f);
 
--- a/include/curranttackd/cell_calls_internal.h
+++ b/include/curranttackd/cell_calls_internal.h
@@ -14,6 +14,8 @@
  * them use).
  */
 
+struct cc_job_lookup;
+
 /**
  * struct cc_frontend - HTTP servers of the daemon
  * @c: cell
@@ -22,6 +24,7 @@
  * @metrics: server for metrics, or NULL
  * @attempts: attempts of callers to store a job that may still succeed
  * @tombstones: lease of the cancellations of jobs that are not stored
+ * @lookups: requests for jobs that are read from the store
  * @pending_count: callers' requests without a response
  */
 struct cc_frontend {
@@ -31,6 +34,7 @@
 	struct http_server *metrics;
 	struct at_table *attempts;
 	struct tb_lease tombstones;
+	struct cc_job_lookup *lookups;
 	uint32_t pending_count;
 };
 
@@ -110,9 +114,12 @@
 	bool uncertain;
 };
 
+/** cc_deadline_us() - when a caller that asks now needs a response */
+int64_t cc_deadline_us(struct cc_frontend *f, struct hs_request *req);
 /** cc_write_init() - fill a write for a caller's request */
 void cc_write_init(struct cc_write *w, const struct cc_write_ops *ops,
-    struct cc_frontend *f, struct hs_request *req, const char *id);
+    struct cc_frontend *f, struct hs_request *req, const char *id,
+    int64_t deadline_us);
 /** cc_write_retry() - send it again after a pause, or respond at its deadline */
 void cc_write_retry(struct cc_write *w);
 /** cc_write_refused() - an attempt was refused: try again, or respond */
@@ -135,8 +142,8 @@
 /* cell_calls_cancel.c */
 
 /** cc_cancel_job() - store the cancellation of a job, which may be unknown */
-void cc_cancel_job(
-    struct cc_frontend *f, struct hs_request *req, const char *id);
+void cc_cancel_job(struct cc_frontend *f, struct hs_request *req,
+    const char *id, int64_t deadline_us);
 
 /* cell_calls_query.c */
 
