pool: the next owner starts jobs that were never started at once

Callers saw nothing run for 3.4 s, at worst 13.4 s, after a takeover beside a worker that fell silent too late to be closed, though the other workers were free and most of what waited had never been started.

Cause: the next owner can't tell a task that waits from one whose start was sent to the silent worker just before, so all tasks of earlier jobs waited for that worker's lease.

Change: the list of workers, which is stored with commits, also names jobs as not started (state/pool_defer). An owner starts nothing of a named job from when the list may be stored until a list without it is known to be stored, as it is with closed workers. Named are jobs with more than 8.75 s of work of their queue before them, on all workers; no longer named are those with less than 7 s (an owner starts tasks for 6 s without the store) and those that could start before their turn. The next owner starts named jobs at once, if the list is of the term before its own; an older build's owner in between changes the term, so its starts are safe.

Ways weighed: naming the tasks handed to each worker (a commit before each start); naming what may start (each new job would wait for a commit); an order in each queue up to which jobs may have been started (late work changes it); restricting new jobs to some workers (costs placement). Not covered: jobs that are due within 7 s of work, have begun, recur, or give no estimate; they wait for one lease where the last owner's daemon is known to have ended.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -19,6 +19,8 @@
 #define CP_RANKS_PER_POOL 3
 /* An owner that can't be reached may have lost its key unnoticed. */
 #define CP_OWNER_CHECK_US (3 * CLK_US_PER_S)
+/* Longer than an owner may start tasks while the store is unavailable. */
+#define CP_NEAR_WORK_MS 7000
 /* How often an owner looks for a larger VM. */
 #define CP_YIELD_CHECK_US (3 * CLK_US_PER_S)
 
@@ -286,6 +288,7 @@
 	    .term = o->term - 1,
 	    .capacity_valid_ms = cp_capacity_valid_ms(h->cell->settings),
 	    .max_lease_ms = h->cell->settings->max_lease_ms,
+	    .near_work_ms = CP_NEAR_WORK_MS,
 	};
 
 	/* Its daemon may have shown that while the claim was being written. */
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -225,6 +225,26 @@
 	}
 }
 
+static void
+cp_fill_not_started(
+    const struct cp_host *h, struct cp_commit *cm, Currant__PoolWorkers *list)
+{
+	struct wp_job *job;
+	struct wp_job *next;
+
+	list->has_term = true;
+	list->term = rp_get_owner(h->cell->replica, h->name)->term;
+	list->not_started =
+	    talloc_zero_array(cm, char *, HASH_COUNT(h->pool->jobs) + 1);
+	if (list->not_started == NULL)
+		abort();
+	HASH_ITER(hh, h->pool->jobs, job, next) {
+		if (wp_is_named(job))
+			list->not_started[list->n_not_started++] =
+			    job->spec->id;
+	}
+}
+
 /* Stores which workers may run something, as a later owner has to ask them. */
 static void
 cp_commit_registry(struct cp_host *h, struct cp_commit *cm)
@@ -254,6 +274,7 @@
 		list.workers[list.n_workers] = &row[list.n_workers];
 		list.n_workers++;
 	}
+	cp_fill_not_started(h, cm, &list);
 	value = pk_pack(cm, &list.base, &bytes);
 	cp_commit_add(
 	    cm, cp_make_key(cm, RP_WORKERS_PREFIX, h->name), value, bytes, 0);
--- a/curranttackd/cell_load.c
+++ b/curranttackd/cell_load.c
@@ -62,43 +62,64 @@
 	talloc_free(task);
 }
 
-/* Adds the workers that earlier owners used, as some may not be listed now. */
-static void
-cp_load_registry(struct cp_host *h, int64_t now_us)
+static Currant__PoolWorkers *
+cp_read_registry(struct cp_host *h)
 {
 	struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
 	Currant__PoolWorkers *list;
-	size_t i;
 
 	if (o->workers == NULL)
-		return;
+		return NULL;
 	list =
 	    currant__pool_workers__unpack(NULL, o->workers_bytes, o->workers);
-	if (list == NULL) {
+	if (list == NULL)
 		lg_event(LG_ERROR, "pool", "unreadable_registry", "pool",
 		    h->name, NULL);
-		return;
-	}
+	return list;
+}
+
+/* Adds the workers that earlier owners used, as some may not be listed now. */
+static void
+cp_load_registry(
+    struct cp_host *h, const Currant__PoolWorkers *list, int64_t now_us)
+{
+	size_t i;
+
 	for (i = 0; i < list->n_workers; i++) {
 		wp_add_registered_worker(h->pool, list->workers[i]->id,
 		    list->workers[i]->address, now_us);
 		if (list->workers[i]->closed)
 			cp_close_worker(h, list->workers[i]);
 	}
-	currant__pool_workers__free_unpacked(list, NULL);
 	wp_registry_loaded(h->pool);
 }
 
+/* An owner in between may have started them before it stored a registry. */
+static void
+cp_load_not_started(
+    struct cp_host *h, const Currant__PoolWorkers *list, int64_t now_us)
+{
+	const struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
+	size_t i;
+
+	if (!list->has_term || list->term + 1 != o->term)
+		return;
+	for (i = 0; i < list->n_not_started; i++)
+		wp_job_never_started(h->pool, list->not_started[i], now_us);
+}
+
 void
 cp_load_pool(struct cp_host *h, int64_t now_us)
 {
+	Currant__PoolWorkers *list = cp_read_registry(h);
 	struct replica *r = h->cell->replica;
 	struct rp_worker *w;
 	struct rp_worker *wnext;
 	struct rp_job *job;
 	struct rp_job *next;
 
-	cp_load_registry(h, now_us);
+	if (list != NULL)
+		cp_load_registry(h, list, now_us);
 	HASH_ITER(hh, r->workers, w, wnext) {
 		/* An entry that was not followed says nothing until it is read again. */
 		bool listed = w->unlisted_us == 0 && r->has_workers;
@@ -118,4 +139,8 @@
 		    strcmp(job->pool, h->name) == 0)
 			cp_load_job(h, job);
 	}
+	if (list == NULL)
+		return;
+	cp_load_not_started(h, list, now_us);
+	currant__pool_workers__free_unpacked(list, NULL);
 }
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -653,10 +653,18 @@
   ProtobufCMessage base;
   size_t n_workers;
   Currant__KnownWorker **workers;
+  /*
+   * Of the owner, and jobs that it doesn't start before another such list
+   * is stored; nothing of them was started.
+   */
+  protobuf_c_boolean has_term;
+  uint32_t term;
+  size_t n_not_started;
+  char **not_started;
 };
 #define CURRANT__POOL_WORKERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__pool_workers__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0, 0, 0,NULL }
 
 
 /*
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -294,6 +294,11 @@
  * @crash_unstored: what is known of crashes under its tasks has changed and is
  *	in no commit yet
  * @crash_commit: it was last stored with that commit of the pool
+ * @deferred: the stored registry may name it as not started, so nothing of it is
+ * @resuming: the registry in the commit in flight no longer names it
+ * @defer_at_us: it is not named before
+ * @near_pass: the last plan in which its turn was near
+ * @far_pass: the last plan in which it was to be named
  */
 struct wp_job {
 	struct wp_pool *pool;
@@ -314,6 +319,11 @@
 	int64_t store_not_before_us;
 	bool crash_unstored;
 	uint64_t crash_commit;
+	bool deferred;
+	bool resuming;
+	int64_t defer_at_us;
+	uint32_t near_pass;
+	uint32_t far_pass;
 	struct wp_job *dirty_prev;
 	struct wp_job *dirty_next;
 	UT_hash_handle hh;
@@ -905,6 +915,11 @@
  * @sample_waits_at_us: when to sample next what steps wait for
  * @registry_dirty: the stored registry of workers is out of date
  * @close_at_us: no registry is stored before only to close workers
+ * @near_work_ms: jobs with less work of their queue before them, on all workers,
+ *	are not deferred; 0 if none are
+ * @defer_pass: counts the plans of which jobs to defer
+ * @defer_at_us: when that is next planned
+ * @early_jobs: jobs that the next registry no longer names before their turn
  * @over_events: workers that have come to list more than a limit, for logs
  * @over_window_us: when the current second of these events began
  * @over_in_window: these events in that second
@@ -944,6 +959,10 @@
 	int64_t sample_waits_at_us;
 	bool registry_dirty;
 	int64_t close_at_us;
+	int64_t near_work_ms;
+	uint32_t defer_pass;
+	int64_t defer_at_us;
+	uint32_t early_jobs;
 	struct wp_over_event *over_events;
 	int64_t over_window_us;
 	uint32_t over_in_window;
@@ -957,12 +976,15 @@
  * @capacity_valid_ms: how long a worker's report of its capacity can be relied
  *	on, on its clock; 0 for no limit
  * @max_lease_ms: longest lease that workers grant
+ * @near_work_ms: how much work of a queue, on all workers, may start without the
+ *	store; jobs after that are deferred; 0 if none are
  */
 struct wp_settings {
 	uint32_t term;
 	int64_t earlier_owner_until_us;
 	int64_t capacity_valid_ms;
 	int64_t max_lease_ms;
+	int64_t near_work_ms;
 };
 
 /**
@@ -1047,6 +1069,24 @@
  */
 void wp_registry_loaded(struct wp_pool *p);
 
+/**
+ * wp_is_named() - whether the registry being stored names a job as not started
+ * @job: job
+ *
+ * From wp_registry_begin() on, for as long as that registry is the newest.
+ */
+bool wp_is_named(const struct wp_job *job);
+
+/**
+ * wp_job_never_started() - the stored registry names a job as not started
+ * @p: pool of a new owner, with all its jobs
+ * @id: job
+ * @now_us: time
+ *
+ * The registry has to be the last owner's. The job's tasks wait for no worker.
+ */
+void wp_job_never_started(struct wp_pool *p, const char *id, int64_t now_us);
+
 /**
  * wp_close_registered_worker() - say which tasks may be on a registered worker
  * @p: pool
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -9,7 +9,8 @@
  * tasks, steps and jobs), pool_store (what to store and acknowledge),
  * pool_stray (starts that may be carried out late), pool_worker (workers'
  * reports and leases), pool_reconcile (what may still run
- * for an earlier owner), pool_gang, pool_advice (tickets), pool_reserve
+ * for an earlier owner), pool_defer (jobs that no later owner has to wait for),
+ * pool_gang, pool_advice (tickets), pool_reserve
  * (resources kept for gangs), pool_ask (which advice requests are sent),
  * pool_outlook (lateness), pool_waits (what steps wait for),
  * pool_sharing (throttling), pool_copy (speculative copies of tasks),
@@ -159,6 +160,15 @@
 /** wp_reconcile_tick() - requeue unreconciled tasks that can't be running */
 void wp_reconcile_tick(struct wp_pool *p, int64_t now_us);
 
+/** wp_defer_tick() - find out at intervals which jobs' turn is far, or near */
+void wp_defer_tick(struct wp_pool *p, int64_t now_us);
+/** wp_defer_begin() - a registry is made that may name other jobs */
+void wp_defer_begin(struct wp_pool *p, int64_t now_us);
+/** wp_defer_end() - that registry is stored */
+void wp_defer_end(struct wp_pool *p);
+/** wp_defer_no_longer() - a job that is named could start now */
+void wp_defer_no_longer(struct wp_pool *p, struct wp_job *job, int64_t now_us);
+
 /** wp_close_tick() - find out whether a worker has to be closed, or opened */
 void wp_close_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
 
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -5355,7 +5355,7 @@
   (ProtobufCMessageInit) currant__known_worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__pool_workers__field_descriptors[1] =
+static const ProtobufCFieldDescriptor currant__pool_workers__field_descriptors[3] =
 {
   {
     "workers",
@@ -5369,14 +5369,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__PoolWorkers, has_term),
+    offsetof(Currant__PoolWorkers, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "not_started",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Currant__PoolWorkers, n_not_started),
+    offsetof(Currant__PoolWorkers, not_started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__pool_workers__field_indices_by_name[] = {
+  2,   /* field[2] = not_started */
+  1,   /* field[1] = term */
   0,   /* field[0] = workers */
 };
 static const ProtobufCIntRange currant__pool_workers__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor currant__pool_workers__descriptor =
 {
@@ -5386,7 +5412,7 @@
   "Currant__PoolWorkers",
   "currant",
   sizeof(Currant__PoolWorkers),
-  1,
+  3,
   currant__pool_workers__field_descriptors,
   currant__pool_workers__field_indices_by_name,
   1,  currant__pool_workers__number_ranges,
--- a/state/pool.c
+++ b/state/pool.c
@@ -18,6 +18,7 @@
 	sw_init(&p->starts);
 	p->capacity_valid_ms = settings->capacity_valid_ms;
 	p->max_lease_ms = settings->max_lease_ms;
+	p->near_work_ms = settings->near_work_ms;
 	return p;
 }
 
@@ -362,6 +363,7 @@
 	wp_workers_tick(p, now_us);
 	wp_crash_tick(p, now_us);
 	wp_reconcile_tick(p, now_us);
+	wp_defer_tick(p, now_us);
 	wp_jobs_tick(p, now_us);
 	wp_lateness_tick(p, now_us);
 	wp_waits_tick(p, now_us);
--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -129,6 +129,7 @@
 	struct wp_worker *tmp;
 
 	p->registry_dirty = false;
+	wp_defer_begin(p, now_us);
 	p->close_at_us = now_us + WP_CLOSE_INTERVAL_US;
 	HASH_ITER(hh, p->workers, w, tmp) {
 		w->registering = wp_needs_registration(w, now_us);
@@ -146,6 +147,7 @@
 	struct wp_worker *w;
 	struct wp_worker *tmp;
 
+	wp_defer_end(p);
 	HASH_ITER(hh, p->workers, w, tmp) {
 		w->registered = w->registering;
 		if (w->registered && w->opening)
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -476,12 +476,34 @@
 	return false;
 }
 
+static bool
+wp_has_place(struct wp_pool *p, const struct wp_step *s, int64_t now_us)
+{
+	struct wp_scan scan;
+	struct wp_worker *w;
+
+	wp_scan_begin(&scan, p, s);
+	while ((w = wp_scan_next(&scan)) != NULL) {
+		if (wp_has_resources_for(s, w, true, now_us) &&
+		    wp_may_start_on(s, w, now_us))
+			return true;
+	}
+	return false;
+}
+
 static void
 wp_pass_step(struct wp_pass *pass, struct wp_step *s)
 {
+	struct wp_job *job = s->occ->job;
+
 	if (!wp_pass_may_start(pass, s))
 		return;
 	s->full_scan_at_us = pass->now_us + WP_FULL_SCAN_INTERVAL_US;
+	if (job->deferred) {
+		if (wp_has_place(pass->pool, s, pass->now_us))
+			wp_defer_no_longer(pass->pool, job, pass->now_us);
+		return;
+	}
 	if (s->spec->flags & JB_GANG)
 		wp_start_gang(pass->pool, s, pass->now_us);
 	else
--- a/tests/unit/takeover_model.cc
+++ b/tests/unit/takeover_model.cc
@@ -876,7 +876,7 @@
 TakeoverModel::load_pool(ModelOwner &o, int64_t earlier_us)
 {
 	struct wp_settings settings = {term - 1, earlier_us,
-	    capacity_changes ? kReportValidMs : 0, kMaxHoldMs};
+	    capacity_changes ? kReportValidMs : 0, kMaxHoldMs, near_work_ms};
 
 	o.pool = wp_create(nullptr, "pool", &settings);
 	for (const ModelRegistered &r : registry) {
@@ -902,6 +902,11 @@
 		if (!jb_has_ended(j.second.state))
 			load_job(o, j.second, false);
 	}
+	if (registry_term + 1 != term)
+		return;
+	deferred += not_started.size();
+	for (const std::string &id : not_started)
+		wp_job_never_started(o.pool, id.c_str(), now);
 }
 
 void
@@ -964,8 +969,11 @@
 		return false;
 	stored_sequence = cm.sequence;
 	revision++;
-	if (cm.has_registry)
+	if (cm.has_registry) {
 		registry = cm.registry;
+		not_started = cm.not_started;
+		registry_term = cm.term;
+	}
 	for (auto &row : cm.progress) {
 		ModelJob &job = jobs[row.first];
 
@@ -1071,6 +1079,12 @@
 				    w->closed_task + w->closed_task_count);
 			cm->registry.push_back(r);
 		}
+		cm->term = o.pool->term + 1;
+		for (job = o.pool->jobs; job != nullptr;
+		     job = (struct wp_job *)job->hh.next) {
+			if (wp_is_named(job))
+				cm->not_started.push_back(job->spec->id);
+		}
 	}
 	while (cm->progress.size() < 5 &&
 	    (job = wp_next_dirty(o.pool, ctx, now, &progress)) != nullptr) {
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -111,6 +111,8 @@
 	uint64_t sequence;
 	bool has_registry;
 	std::vector<ModelRegistered> registry;
+	std::vector<std::string> not_started;
+	uint32_t term;
 	std::map<std::string, std::pair<enum jb_state, std::vector<uint8_t>>>
 	    progress;
 };
@@ -222,6 +224,8 @@
 	/* So many workers crash that tasks are taken for the cause. */
 	bool crashes_fail_jobs = false;
 	bool capacity_changes = false; /* workers report theirs */
+	int64_t near_work_ms = 0;      /* jobs after that are deferred */
+	uint64_t deferred = 0;	       /* and known to a next owner */
 	int64_t owner_since_us = 0;
 	uint64_t takeovers = 0;
 	uint64_t starts = 0;
@@ -318,6 +322,8 @@
 	int64_t lease_until_us = 0;
 	int64_t earlier_until_us = 0;
 	std::vector<ModelRegistered> registry;
+	std::vector<std::string> not_started;
+	uint32_t registry_term = 0;
 	int64_t claim_at_us = 0;
 	int next_worker = 0;
 	int next_job = 1;
--- a/tests/unit/test_promises_silent.cc
+++ b/tests/unit/test_promises_silent.cc
@@ -22,7 +22,10 @@
 constexpr int64_t kWait = 2500 * kSimMs;
 constexpr int64_t kSample = 20 * kSimMs;
 constexpr int64_t kForEver = 1000 * kSimS;
-/* For as long as a worker's lease may run, and until the owner knows that. */
+/* How long a job may have nothing running beside free workers. */
+constexpr int64_t kMaxIdle = 3 * kSimS;
+
+/* The same while a worker's lease may run, and until the owner knows that. */
 constexpr int64_t kOneLease = 4 * kSimS;
 
 enum class Silence {
@@ -185,17 +188,12 @@
 		unsigned int tasks = 0;
 
 		sscanf(s.body, "%*u %u %u", &steps, &tasks);
-		for (auto &j : jobs) {
-			size_t n = tasks;
-
-			for (const std::string &task : done)
-				n -= job_of(task) == j.first;
-			for (const std::string &task : may_be_there)
-				n -= job_of(task) == j.first &&
-				    done.count(task) == 0;
-			if (n > 0 && n <= tasks)
-				idle[j.first] = n;
-		}
+		for (auto &j : jobs)
+			idle[j.first] = tasks - done_of[j.first];
+		for (const std::string &task : may_be_there)
+			idle[job_of(task)] -= done.count(task) == 0;
+		for (auto j = idle.begin(); j != idle.end();)
+			j = j->second > 0 ? std::next(j) : idle.erase(j);
 		return idle;
 	}
 
@@ -251,8 +249,8 @@
 	on_end(const SimWorker &, const std::string &task, uint32_t,
 	    enum wp_run_outcome outcome) override
 	{
-		if (outcome == WP_END_DONE)
-			done.insert(task);
+		if (outcome == WP_END_DONE && done.insert(task).second)
+			done_of[job_of(task)]++;
 	}
 
 	void
@@ -273,10 +271,52 @@
 	std::set<std::string> silent;
 	std::set<std::string> may_be_there;
 	std::set<std::string> done;
+	std::map<std::string, size_t> done_of; /* by job */
 	std::set<std::string> noted;
 };
 
 constexpr const char *kShort = "400000 1 20";
+constexpr const char *kLong = "4000000 1 20";
+
+const Scene kScenes[] = {
+    {"no worker is silent", Silence::kNone, 0, 0, Killed::kAll, 1300, 0, 60,
+	kLong},
+    {"one is cut off", Silence::kCut, 1, 1000, Killed::kAll, 1300, 0, 60,
+	kLong},
+    {"one is cut off, short tasks", Silence::kCut, 1, 1000, Killed::kAll, 1300,
+	0, 200, kShort},
+    {"one crashed", Silence::kCrash, 1, 1000, Killed::kAll, 1300, 0, 60, kLong},
+    {"one crashed, daemons return one by one", Silence::kCrash, 1, 1000,
+	Killed::kAll, 1300, 40, 200, kShort},
+    {"a third is cut off", Silence::kCut, 3, 1000, Killed::kAll, 1300, 0, 200,
+	kShort},
+    {"a third is cut off later", Silence::kCut, 3, 100, Killed::kAll, 1300, 10,
+	200, kShort},
+    {"all lose power, a third of the workers too", Silence::kReborn, 3, 0,
+	Killed::kAll, 1300, 100, 200, kShort},
+    {"the owner alone", Silence::kCut, 1, 1000, Killed::kOwner, 1300, 0, 200,
+	kShort},
+    {"two takeovers", Silence::kCut, 1, 1000, Killed::kTwice, 1300, 0, 200,
+	kShort},
+    {"daemons are down for longer", Silence::kCut, 1, 1000, Killed::kAll, 2500,
+	20, 200, kShort},
+};
+
+TEST(SilentWorkers, NoJobWaitsBesideFreeWorkersAfterATakeover)
+{
+	for (const Scene &scene : kScenes) {
+		Takeover t(scene);
+
+		t.play();
+		printf("%s: %lld ms\n", scene.name,
+		    (long long)(t.longest_idle_us / kSimMs));
+		EXPECT_LE(t.longest_idle_us, kMaxIdle)
+		    << scene.name << ": job " << t.idle_job;
+		EXPECT_TRUE(t.twice.empty())
+		    << scene.name << ": " << t.twice.size() << ", "
+		    << t.twice.front();
+	}
+}
 
 /* A member's entry that arrived between claim and ownership was not heard of. */
 TEST(SilentWorkers, OwnerWaitsForOneLeaseWheneverTheLastOwnersDaemonReturns)
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -358,6 +358,222 @@
 	EXPECT_TRUE(worker("w")->closed);
 }
 
+/* Jobs whose turn is far are named in the registry, and start nothing. */
+class DeferredJobs : public Takeover
+{
+      protected:
+	/* One worker for one task at a time; the job of number 1 runs. */
+	void
+	begin(int jobs, bool is_new = true)
+	{
+		create_pool();
+		p->near_work_ms = 10000;
+		add_worker("w", 1000);
+		add_jobs(jobs, is_new);
+		run_all();
+	}
+
+	void
+	add_jobs(int jobs, bool is_new = true)
+	{
+		for (int n = 1; n <= jobs; n++)
+			add(job_id(n), {{1}}, nullptr, is_new)
+			    ->spec->step[0]
+			    .estimate_ms = 4000;
+	}
+
+	/* Jobs are planned at intervals, and then stored. */
+	void
+	store_plan()
+	{
+		renew_lease("w", {{job_id(1), 0, 0, 1, 0, 10}});
+		run_all(kS);
+		commit_if_due();
+	}
+
+	void
+	end_run(int job, uint64_t number)
+	{
+		renew_lease(
+		    "w", {}, {{number, job_id(job), 0, 0, 1, WP_END_DONE}});
+	}
+
+	bool
+	is_named(int n)
+	{
+		return wp_is_named(wp_find_job(p, job_id(n).c_str()));
+	}
+
+	std::vector<std::string>
+	named()
+	{
+		std::vector<std::string> ids;
+
+		for (int n = 1; wp_find_job(p, job_id(n).c_str()); n++) {
+			if (is_named(n))
+				ids.push_back(job_id(n));
+		}
+		return ids;
+	}
+
+	/* The next owner; the worker of this one is silent, another answers. */
+	void
+	take_over_beside(int jobs, const std::vector<std::string> &names)
+	{
+		take_over();
+		add_worker("other", 64000);
+		add_jobs(jobs, false);
+		for (const std::string &id : names)
+			wp_job_never_started(p, id.c_str(), now);
+	}
+};
+
+TEST_F(DeferredJobs, OnlyJobsWhoseTurnIsFarAreNamed)
+{
+	begin(10);
+	store_plan();
+	EXPECT_FALSE(is_named(1));
+	EXPECT_FALSE(is_named(2));
+	EXPECT_FALSE(is_named(4));
+	EXPECT_TRUE(is_named(6));
+	EXPECT_TRUE(is_named(10));
+}
+
+TEST_F(DeferredJobs, NoneIsNamedWhereLittleWaits)
+{
+	begin(4);
+	store_plan();
+	EXPECT_TRUE(named().empty());
+	EXPECT_FALSE(p->registry_dirty);
+}
+
+TEST_F(DeferredJobs, NextOwnerStartsThemBesideASilentWorker)
+{
+	begin(10);
+	store_plan();
+	std::vector<std::string> names = named();
+	take_over_beside(10, names);
+	EXPECT_EQ(run_all().size(), names.size());
+	EXPECT_EQ(task(job_id(1), 0, 0)->state, WP_TASK_UNRECONCILED);
+	EXPECT_EQ(task(job_id(2), 0, 0)->state, WP_TASK_UNRECONCILED);
+	EXPECT_TRUE(run_all(2 * kS).empty());
+}
+
+/* It may be stored long before this owner knows. */
+TEST_F(DeferredJobs, StartsNothingFromWhenTheRegistryMayBeStored)
+{
+	begin(10);
+	renew_lease("w", {{job_id(1), 0, 0, 1, 0, 10}});
+	run_all(kS);
+	wp_registry_begin(p, now);
+	ASSERT_TRUE(is_named(10));
+	list_worker("w", 64000);
+	EXPECT_LT(run_all(200 * kMs).size(), 9U);
+	EXPECT_EQ(task(job_id(10), 0, 0)->run, 0U);
+}
+
+TEST_F(DeferredJobs, StartsNothingBeforeARegistryWithoutItIsStored)
+{
+	begin(10);
+	store_plan();
+	ASSERT_TRUE(is_named(10));
+	list_worker("w", 64000);
+	run_all(200 * kMs);
+	ASSERT_TRUE(p->registry_dirty);
+	wp_registry_begin(p, now);
+	EXPECT_FALSE(is_named(10));
+	run_all(200 * kMs);
+	EXPECT_EQ(task(job_id(10), 0, 0)->run, 0U);
+	wp_registry_end(p);
+	run_all(200 * kMs);
+	EXPECT_GT(task(job_id(10), 0, 0)->run, 0U);
+}
+
+TEST_F(DeferredJobs, JobsAreNoLongerNamedBeforeTheirTurn)
+{
+	begin(10);
+	store_plan();
+	for (int n = 1; n <= 10; n++) {
+		end_run(n, (uint64_t)n);
+		commit();
+		run_all(200 * kMs);
+		if (n == 10)
+			return;
+		EXPECT_GT(task(job_id(n + 1), 0, 0)->run, 0U) << n;
+		now += kS;
+		renew_lease("w", {{job_id(n + 1), 0, 0, 1, 0, 10}});
+		run_all();
+		commit_if_due();
+	}
+}
+
+TEST_F(DeferredJobs, JobWhoseStartWasRefusedIsNotNamed)
+{
+	create_pool();
+	p->near_work_ms = 10000;
+	add_worker("w", 1000);
+	add(job_id(11), {{1}})->spec->step[0].estimate_ms = 4000;
+	std::vector<struct wp_order *> orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	answer(orders[0], WP_REFUSED_NO_RESOURCES);
+	add_jobs(10);
+	add(job_id(12), {{1}})->spec->step[0].estimate_ms = 4000;
+	run_all();
+	store_plan();
+	EXPECT_FALSE(is_named(11));
+	EXPECT_TRUE(is_named(12));
+}
+
+/* The worker may still carry it out. */
+TEST_F(DeferredJobs, JobWhoseStartWasNotAnsweredIsNotNamed)
+{
+	create_pool();
+	p->near_work_ms = 10000;
+	add_worker("w", 1000);
+	add(job_id(11), {{1}})->spec->step[0].estimate_ms = 4000;
+	std::vector<struct wp_order *> orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	answer(orders[0], WP_NO_ANSWER);
+	add_jobs(10);
+	add(job_id(12), {{1}})->spec->step[0].estimate_ms = 4000;
+	for (int i = 0; i < 5; i++)
+		store_plan();
+	EXPECT_FALSE(is_named(11));
+	EXPECT_TRUE(is_named(12));
+}
+
+TEST_F(DeferredJobs, NextOwnerStartsAGangAndTasksThatLast)
+{
+	begin(10);
+	add(job_id(11), {{4, 250, JB_GANG}});
+	add(job_id(12), {{2, 250, JB_LONG_RUNNING}});
+	store_plan();
+	ASSERT_TRUE(is_named(11));
+	ASSERT_TRUE(is_named(12));
+	take_over();
+	add_worker("other", 64000);
+	add(job_id(11), {{4, 250, JB_GANG}}, nullptr, false);
+	add(job_id(12), {{2, 250, JB_LONG_RUNNING}}, nullptr, false);
+	EXPECT_TRUE(run_all().empty());
+	wp_job_never_started(p, job_id(11).c_str(), now);
+	wp_job_never_started(p, job_id(12).c_str(), now);
+	EXPECT_EQ(run_all(100 * kMs).size(), 6U);
+}
+
+TEST_F(DeferredJobs, UnreconciledJobIsNotNamed)
+{
+	begin(10);
+	take_over();
+	p->near_work_ms = 10000;
+	add_worker("v", 1000);
+	add_jobs(10, false);
+	now += kS;
+	renew_lease("v");
+	run_all();
+	commit();
+	EXPECT_TRUE(named().empty());
+}
+
 /* Seeds to play: TAKEOVER_SEEDS="FIRST-LAST", or a few fixed ones. */
 std::pair<uint64_t, uint64_t>
 seeds()
@@ -400,6 +616,8 @@
 		    (uint32_t)m->random(60), repeat_refused,
 		    (uint32_t)m->random(answers_late)};
 		while (m->now < end) {
+			for (uint64_t i = 0; i < burst; i++)
+				m->add_job();
 			if (m->chance(400))
 				m->add_job();
 			if (m->chance(60))
@@ -610,6 +828,8 @@
 	/* A start that has to be sent again is often refused. */
 	uint32_t repeat_refused = 0;
 	uint32_t answers_late = 60;
+	/* Jobs more at a time, so that many wait. */
+	uint64_t burst = 0;
 	std::unique_ptr<TakeoverModel> m;
 };
 
@@ -664,6 +884,29 @@
 	play_late_seed(1143);
 }
 
+/* TWICE: jobs that are named as not started are started by the next owner. */
+TEST_F(TakeoverSchedule, JobsNamedAsNotStartedRunOnce)
+{
+	auto range = seeds();
+	uint64_t deferred = 0;
+
+	burst = 2;
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		begin(seed);
+		m->near_work_ms = 200;
+		m->kill_owner();
+		play_faults(25 * kS);
+		m->heal({});
+		m->run_for(60 * kS);
+		expect_no_violation(seed);
+		EXPECT_EQ(idle_beside_free_room(), 0U) << "seed " << seed;
+		deferred += m->deferred;
+	}
+	EXPECT_GT(deferred, 0U);
+	printf("%llu jobs deferred over a takeover\n",
+	    (unsigned long long)deferred);
+}
+
 TEST_F(TakeoverSchedule, RefusedRepeatsOfStartsRunNothingTwice)
 {
 	auto range = seeds();
