--- a/tests/unit/takeover_commits.cc
+++ b/tests/unit/takeover_commits.cc
@@ -11,8 +11,11 @@
 		return false;
 	stored_sequence = cm.sequence;
 	revision++;
-	if (cm.has_registry)
+	if (cm.has_registry) {
 		registry = cm.registry;
+		not_started = cm.not_started;
+		registry_term = cm.term;
+	}
 	for (auto &row : cm.progress) {
 		ModelJob &job = jobs[row.first];
 
@@ -118,6 +121,12 @@
 				    w->closed_task + w->closed_task_count);
 			cm->registry.push_back(r);
 		}
+		cm->term = o.pool->term + 1;
+		for (job = o.pool->jobs; job != nullptr;
+		     job = (struct wp_job *)job->hh.next) {
+			if (wp_is_named(job))
+				cm->not_started.push_back(job->spec->id);
+		}
 	}
 	while (cm->progress.size() < 5 &&
 	    (job = wp_next_dirty(o.pool, ctx, now, &progress)) != nullptr) {
--- a/tests/unit/takeover_owners.cc
+++ b/tests/unit/takeover_owners.cc
@@ -21,7 +21,7 @@
 TakeoverModel::load_pool(ModelOwner &o, int64_t earlier_us)
 {
 	struct wp_settings settings = {term - 1, earlier_us,
-	    capacity_changes ? kReportValidMs : 0, kMaxHoldMs};
+	    capacity_changes ? kReportValidMs : 0, kMaxHoldMs, near_work_ms};
 
 	o.pool = wp_create(nullptr, "pool", &settings);
 	for (const ModelRegistered &r : registry) {
@@ -47,6 +47,11 @@
 		if (!jb_has_ended(j.second.state))
 			load_job(o, j.second, false);
 	}
+	if (registry_term + 1 != term)
+		return;
+	deferred += not_started.size();
+	for (const std::string &id : not_started)
+		wp_job_never_started(o.pool, id.c_str(), now);
 }
 
 void
