pool: a term that is stored again keeps its owner's fencing token

Callers' jobs reached their owner only by its watch (up to seconds later where watches are slow or cut) for the rest of an ownership whose predecessor had returned: daemons no longer sent them ahead.

Change: a term that is stored again names the fencing token; without it, as in rows of a claim or of an older build, the row's revision is the token. Ruled out: comparing the number of the term, as a new owner's key may arrive before its term does.

--- a/curranttackd/cell_calls_submit.c
+++ b/curranttackd/cell_calls_submit.c
@@ -20,6 +20,7 @@
 	char pool[WP_NAME_BYTES];
 	char term_key[RP_KEY_BYTES];
 	uint64_t term_revision;
+	uint64_t term_fence;
 };
 
 /* A job is refused only if no attempt to store it can succeed any more. */
@@ -60,7 +61,7 @@
 	job = rp_find_job(c->replica, w->id);
 	o = rp_get_owner(c->replica, s->pool);
 	/* Only an owner whose term was still current when the job was written. */
-	if (job == NULL || !o->present || o->fence != s->term_revision)
+	if (job == NULL || !o->present || o->fence != s->term_fence)
 		return;
 	if (strcmp(o->vm, c->settings->vm) != 0)
 		pn_send_job(c->links, o->vm, w->id, s->value, s->value_bytes,
@@ -94,6 +95,7 @@
 {
 	struct cc_submission *s = (struct cc_submission *)w;
 	const struct fl_fleet *f = w->f->c->fleet;
+	const struct rp_owner *o = rp_get_owner(w->f->c->replica, s->pool);
 	struct ks_expect expect[] = {
 	    {w->job_key, 0},
 	    {w->cancel_key, 0},
@@ -111,8 +113,8 @@
 	    .put_count = 1,
 	};
 
-	s->term_revision =
-	    rp_get_owner(w->f->c->replica, s->pool)->term_revision;
+	s->term_revision = o->term_revision;
+	s->term_fence = o->term_fence;
 	expect[2].revision = s->term_revision;
 	w->in_flight = true;
 	f->keys->txn(f->handle, &txn, cc_on_written, w);
--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -131,12 +131,14 @@
 
 uint8_t *
 cp_term_value(TALLOC_CTX *ctx, const struct cp_host *h, uint32_t term,
-    bool released, size_t *bytes)
+    uint64_t fence, bool released, size_t *bytes)
 {
 	Currant__PoolTerm row = CURRANT__POOL_TERM__INIT;
 
 	row.term = term;
 	row.released = released;
+	row.has_fence = fence != 0;
+	row.fence = fence;
 	row.vm = h->cell->settings->vm;
 	row.has_incarnation = true;
 	row.incarnation = h->cell->incarnation;
@@ -237,7 +239,7 @@
 
 	put[0].value = cp_owner_value(ctx, h, 0, &put[0].value_bytes);
 	put[1].value =
-	    cp_term_value(ctx, h, o->term + 1, false, &put[1].value_bytes);
+	    cp_term_value(ctx, h, o->term + 1, 0, false, &put[1].value_bytes);
 	f->keys->txn(f->handle, &txn, cp_on_claim_written, h);
 	talloc_free(ctx);
 }
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -291,7 +291,7 @@
 	if (!h->term_dirty)
 		return;
 	h->term_dirty = false;
-	value = cp_term_value(cm, h, o->term, false, &bytes);
+	value = cp_term_value(cm, h, o->term, h->fence, false, &bytes);
 	cp_commit_add(
 	    cm, cp_make_key(cm, RP_TERM_PREFIX, h->name), value, bytes, 0);
 }
@@ -348,7 +348,8 @@
 	    .remove_count = 1,
 	};
 
-	put.value = cp_term_value(ctx, h, o->term, true, &put.value_bytes);
+	put.value =
+	    cp_term_value(ctx, h, o->term, h->fence, true, &put.value_bytes);
 	f->keys->txn(f->handle, &txn, cp_on_released, h);
 	talloc_free(ctx);
 	lg_event(LG_INFO, "pool", "released", "pool", h->name, "fence",
--- a/curranttackd/replica_pools.c
+++ b/curranttackd/replica_pools.c
@@ -113,6 +113,7 @@
 	}
 	o->term_revision = item->revision;
 	o->term = t->term;
+	o->term_fence = t->has_fence ? t->fence : item->revision;
 	o->released = t->released;
 	snprintf(
 	    o->term_vm, sizeof(o->term_vm), "%s", t->vm != NULL ? t->vm : "");
--- a/include/curranttackd/cell_pool_internal.h
+++ b/include/curranttackd/cell_pool_internal.h
@@ -77,10 +77,17 @@
 void cp_renew_lease(struct cp_host *h, int64_t now_us);
 /** cp_yield_to_larger_vm() - release a pool if a larger VM could take over */
 void cp_yield_to_larger_vm(struct cp_host *h, int64_t now_us);
-/** cp_term_value() - encoded term of a pool; allocated from @ctx */
+/**
+ * cp_term_value() - encoded term of a pool
+ * @ctx: parent
+ * @h: host of the pool
+ * @term: number of the term
+ * @fence: fencing token of its owner; 0 while it is being claimed
+ * @released: the owner has stopped all work
+ * @bytes: set to the length
+ */
 uint8_t *cp_term_value(TALLOC_CTX *ctx, const struct cp_host *h, uint32_t term,
-    bool released, size_t *bytes);
-
+    uint64_t fence, bool released, size_t *bytes);
 /** cp_run_pass() - run a scheduling pass and send its orders and requests */
 void cp_run_pass(struct cp_host *h, int64_t now_us);
 
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -99,6 +99,7 @@
  * @term: number of owners that the pool has had
  * @released: the owner of @term stopped all work before it gave the pool up
  * @term_revision: last change of the stored term
+ * @term_fence: fencing token of the owner of @term
  * @term_vm: VM of the owner of @term
  * @term_incarnation: incarnation of the owner of @term
  * @earlier_owner_until_wall_ms: wall-clock time until which owners before
@@ -119,6 +120,7 @@
 	uint32_t term;
 	bool released;
 	uint64_t term_revision;
+	uint64_t term_fence;
 	char term_vm[WP_NAME_BYTES];
 	uint64_t term_incarnation;
 	int64_t earlier_owner_until_wall_ms;
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -608,10 +608,15 @@
   uint64_t incarnation;
   protobuf_c_boolean has_earlier_wall_ms;
   int64_t earlier_wall_ms;
+  /*
+   * Fencing token of that owner; else the row's own revision.
+   */
+  protobuf_c_boolean has_fence;
+  uint64_t fence;
 };
 #define CURRANT__POOL_TERM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__pool_term__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, 0 }
+    , 0, 0, NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Currant__PoolTask
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -5111,7 +5111,7 @@
   (ProtobufCMessageInit) currant__pool_owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__pool_term__field_descriptors[5] =
+static const ProtobufCFieldDescriptor currant__pool_term__field_descriptors[6] =
 {
   {
     "term",
@@ -5173,9 +5173,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fence",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Currant__PoolTerm, has_fence),
+    offsetof(Currant__PoolTerm, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__pool_term__field_indices_by_name[] = {
   4,   /* field[4] = earlier_wall_ms */
+  5,   /* field[5] = fence */
   3,   /* field[3] = incarnation */
   1,   /* field[1] = released */
   0,   /* field[0] = term */
@@ -5184,7 +5197,7 @@
 static const ProtobufCIntRange currant__pool_term__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor currant__pool_term__descriptor =
 {
@@ -5194,7 +5207,7 @@
   "Currant__PoolTerm",
   "currant",
   sizeof(Currant__PoolTerm),
-  5,
+  6,
   currant__pool_term__field_descriptors,
   currant__pool_term__field_indices_by_name,
   1,  currant__pool_term__number_ranges,
