transport: a connection that is made as a server stops accepting is served

A caller whose connection was completed between the last accept and the close of the listening socket sent its request and got a reset.

Cause: nothing ends a listening socket without its queue; between two system calls a handshake may complete. Ruled out: requests that were read (the counters), and the connection limit.

The socket now drops the first segment of new handshakes (a socket filter on the port's own socket), what has begun completes and is accepted for 50 ms, and then the socket is closed. A caller whose first segment is dropped sends it again and is refused, a second later, as by a daemon that is gone. Without the filter (`no_filter`, warned of) it is as before.

That the remaining window is closed for handshakes longer than 50 ms is not claimed.

--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -82,7 +82,8 @@
 /**
  * struct hs_counts - what a server has open
  * @connections: connections
- * @fresh: those that have carried no request yet
+ * @fresh: those that have carried no request yet, and one for the handshakes
+ *	that are under way after hs_stop_accepting()
  * @reading: requests whose body hasn't arrived whole
  * @unanswered: requests that the handler has, without a response
  * @sending: responses that the caller's connection hasn't taken whole
@@ -108,7 +109,8 @@
  * hs_stop_accepting() - accept what waits, then close the listening socket
  * @hs: server
  *
- * Later callers are refused.
+ * Handshakes that have begun complete; later callers are refused once the socket
+ * is closed, and their first segment is dropped until then.
  */
 void hs_stop_accepting(struct http_server *hs);
 
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/filter.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <stdatomic.h>
@@ -12,10 +13,13 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/log.h"
 #include "transport/address.h"
 #include "transport/http_server.h"
 
 #define HS_BACKLOG 512
+/* For handshakes that have begun when the server stops accepting. */
+#define HS_HANDSHAKE_US (50 * CLK_US_PER_MS)
 
 enum hs_phase {
 	HS_READING,
@@ -27,6 +31,7 @@
 struct http_server {
 	struct loop *loop;
 	struct MHD_Daemon *mhd;
+	int listener; /* once MHD no longer accepts */
 	struct tevent_fd *fde;
 	struct tevent_timer *timer;
 	struct tevent_immediate *resume_event;
@@ -387,23 +392,68 @@
 	hs_schedule(hs);
 }
 
-void
-hs_stop_accepting(struct http_server *hs)
+/* Drops the first segment of each handshake; those under way complete. */
+static void
+hs_refuse_handshakes(int listener)
+{
+	enum { TCP_FLAGS_OFFSET = 13, TCP_FLAG_SYN = 0x02 };
+	struct sock_filter code[] = {
+	    BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+	    BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TCP_FLAG_SYN, 0, 1),
+	    BPF_STMT(BPF_RET | BPF_K, 0),
+	    BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = {
+	    .len = sizeof(code) / sizeof(code[0]),
+	    .filter = code,
+	};
+
+	/* Without it, a connection that is made just now may be cut. */
+	if (setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+		sizeof(program)) == -1)
+		lg_event(LG_WARN, "http", "no_filter", "error", strerror(errno),
+		    NULL);
+}
+
+static void
+hs_accept_all(struct http_server *hs)
 {
 	struct sockaddr_in sin;
 	socklen_t len = sizeof(sin);
-	MHD_socket listener = MHD_quiesce_daemon(hs->mhd);
 	int fd;
 
-	if (listener == MHD_INVALID_SOCKET)
-		return;
-	while ((fd = accept4(listener, (struct sockaddr *)&sin, &len,
+	while ((fd = accept4(hs->listener, (struct sockaddr *)&sin, &len,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC)) != -1) {
 		MHD_add_connection(hs->mhd, fd, (struct sockaddr *)&sin, len);
 		len = sizeof(sin);
 	}
-	close(listener);
+}
+
+static void
+hs_close_listener(void *arg)
+{
+	struct http_server *hs = arg;
+
+	if (hs->mhd == NULL)
+		return;
+	hs_accept_all(hs);
+	close(hs->listener);
+	hs_run(hs);
+	atomic_fetch_sub(&hs->fresh, 1);
+}
+
+void
+hs_stop_accepting(struct http_server *hs)
+{
+	hs->listener = MHD_quiesce_daemon(hs->mhd);
+	if (hs->listener == MHD_INVALID_SOCKET)
+		return;
+	/* One that may be in its handshake. */
+	atomic_fetch_add(&hs->fresh, 1);
+	hs_refuse_handshakes(hs->listener);
+	hs_accept_all(hs);
 	hs_run(hs);
+	loop_after(hs->loop, HS_HANDSHAKE_US, hs_close_listener, hs);
 }
 
 void
