--- a/tests/fault/test_drain.cc
+++ b/tests/fault/test_drain.cc
@@ -216,6 +216,141 @@
 	EXPECT_TRUE(owns(0));
 }
 
+/* Callers go on with all daemons while something else happens to these. */
+class Steady : public Drain
+{
+      protected:
+	void
+	play_while(const std::function<void()> &happens)
+	{
+		std::vector<std::thread> threads;
+		std::atomic<bool> over{false};
+
+		for (int t = 0; t < kCallers; t++) {
+			threads.emplace_back([&, t] {
+				RawCaller caller(
+				    daemons[(size_t)t % daemons.size()]
+					->callers);
+
+				for (int n = t << 20; !over; n++) {
+					play_turn(caller, n);
+					usleep(1000);
+				}
+			});
+		}
+		tally.since_ms = now_ms();
+		happens();
+		over = true;
+		for (std::thread &t : threads)
+			t.join();
+		EXPECT_GT(tally.count(End::ANSWERED), kCallers);
+		EXPECT_EQ(tally.count(End::NOT_SENT), 0);
+		expect_nothing_cut();
+	}
+};
+
+TEST_F(Steady, HangupCutsNothing)
+{
+	start_daemons(2);
+	play_while([&] {
+		for (int i = 0; i < 20; i++) {
+			daemons[(size_t)i % 2]->signal(SIGHUP);
+			usleep(100000);
+		}
+	});
+}
+
+TEST_F(Steady, ConfigurationCutsNothing)
+{
+	start_daemons(2);
+	play_while([&] {
+		for (int version = 2; version < 22; version++) {
+			configure(version,
+			    version % 2 == 0
+				? ",{\"name\":\"r\",\"host\":\"cell.example\","
+				  "\"prefix\":\"/r/\",\"service\":\"batch\"}"
+				: "");
+			usleep(100000);
+		}
+	});
+}
+
+TEST_F(Drain, BodyThatIsTooLargeIsAnswered)
+{
+	start_daemons(1);
+	RawCaller caller(daemons[0]->callers);
+	std::string body((size_t)3 << 19, 'x');
+	EXPECT_EQ(
+	    caller.request("POST", "/q/" + job_id(1), body), End::ANSWERED);
+	EXPECT_EQ(caller.status, 413);
+	terminate(0);
+	EXPECT_EQ(
+	    caller.request("POST", "/q/" + job_id(1), body), End::ANSWERED);
+	EXPECT_EQ(caller.status, 413);
+	expect_exit_in_time(0);
+}
+
+/* The connection is closed after the first answer, which says so. */
+TEST_F(Drain, FirstOfTwoRequestsSentAtOnceIsAnswered)
+{
+	std::string one = "GET /q/ HTTP/1.1\r\nHost: cell.example\r\n\r\n";
+
+	start_daemons(1);
+	terminate(0);
+	usleep(100000);
+	for (int i = 0; i < 20; i++) {
+		RawCaller caller(daemons[0]->callers);
+
+		ASSERT_TRUE(caller.connect());
+		ASSERT_TRUE(caller.send_text(one + one));
+		usleep(20000);
+		EXPECT_EQ(caller.receive(), End::ANSWERED);
+		EXPECT_TRUE(caller.has_header("Connection: close"));
+	}
+	expect_exit_in_time(0);
+}
+
+/* A daemon asks the owner for the state of a job. */
+class DrainBesideAFrozenOwner : public Drain
+{
+      protected:
+	DrainBesideAFrozenOwner()
+	{
+		settings = "relay_above = 0\nsmall_cell = 0\n";
+	}
+};
+
+TEST_F(DrainBesideAFrozenOwner, QueriesAreAnsweredUntilTheExit)
+{
+	std::vector<std::thread> threads;
+	std::atomic<bool> over{false};
+
+	start_daemons(3);
+	EXPECT_EQ(submit(0, 1, 1, 60000).status, 200);
+	ASSERT_TRUE(eventually([&] { return reported("running") == 1; }));
+	size_t frozen = owner();
+	size_t ending = (frozen + 1) % 3;
+
+	daemons[frozen]->signal(SIGSTOP);
+	for (int t = 0; t < kCallers; t++) {
+		threads.emplace_back([&] {
+			RawCaller caller(daemons[ending]->callers);
+
+			while (!over)
+				tally.note(
+				    caller.request("GET", "/q/" + job_id(1)),
+				    caller, "GET");
+		});
+	}
+	terminate(ending);
+	expect_exit_in_time(ending);
+	over = true;
+	for (std::thread &t : threads)
+		t.join();
+	EXPECT_GT(tally.count(End::ANSWERED), kCallers);
+	expect_nothing_cut();
+}
+
 /* What the store does with calls from the SIGTERM on. */
 class DrainWithoutStore : public Drain,
 			  public testing::WithParamInterface<const char *>
