replica: a load says its rows, attempts and time, and a 410 its revision

Every load logs its rows, attempts, time and how many callers got 503 since it began; callers gone names the revision that a 410 rests on, and the copy's. From CellWithALargeStore.EveryJobIsKnownEverywhereThoughLoadsFail:

replica loaded prefix="" revision=3093 jobs=3000 rows=4818 attempts=8 took_ms=1640 not_ready=307

--- a/curranttackd/cell_calls.c
+++ b/curranttackd/cell_calls.c
@@ -52,6 +52,7 @@
 
 	f->pending_count++;
 	if (config == NULL || !f->c->replica->synced) {
+		f->c->replica->not_ready++;
 		lg_event(LG_INFO, "callers", "not_ready", "method", req->method,
 		    "path", req->path, "status", "503", NULL);
 		cc_respond_error(f, req, 503, "no configuration yet");
--- a/curranttackd/cell_calls_query.c
+++ b/curranttackd/cell_calls_query.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/log.h"
 #include "curranttackd/cell_calls_internal.h"
 #include "curranttackd/cell_lookup.h"
 
@@ -60,6 +61,20 @@
 	bool cancel;
 };
 
+/* The store had no such job at a revision read after the request arrived. */
+static void
+cc_respond_gone(struct cc_frontend *f, struct hs_request *req, const char *id,
+    uint64_t revision)
+{
+	const struct replica *r = f->c->replica;
+
+	lg_event(LG_INFO, "callers", "gone", "job", id, "status", "410",
+	    "revision", lg_i64((int64_t)revision), "copy_revision",
+	    lg_i64((int64_t)r->applied_revision), "loading",
+	    r->loading ? "1" : "0", NULL);
+	cc_respond_error(f, req, 410, "no such job");
+}
+
 /* A job that is missing in the replica may have been accepted just now. */
 static void
 cc_on_lookup(const struct ks_response *a, void *arg)
@@ -87,7 +102,7 @@
 	if (cancel)
 		cc_cancel_job(f, req, id);
 	else if (job == NULL)
-		cc_respond_error(f, req, 410, "no such job");
+		cc_respond_gone(f, req, id, a->revision);
 	else
 		cc_respond_state(f, req, job);
 }
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -36,6 +36,22 @@
 	return strncmp(prefix, keys, strlen(prefix)) == 0;
 }
 
+static void
+rp_log_load(struct replica *r)
+{
+	int64_t took_us = clk_now_us() - r->load_since_us;
+
+	lg_event(LG_INFO, "replica", "loaded", "prefix", r->load_prefix,
+	    "revision", lg_i64((int64_t)r->load_revision), "jobs",
+	    lg_i64(HASH_COUNT(r->jobs)), "rows", lg_i64(r->load_rows),
+	    "attempts", lg_i64(r->load_attempts), "took_ms",
+	    lg_i64(took_us / CLK_US_PER_MS), "not_ready", lg_i64(r->not_ready),
+	    NULL);
+	r->load_since_us = 0;
+	r->load_attempts = 0;
+	r->not_ready = 0;
+}
+
 static void
 rp_finish_load(struct replica *r)
 {
@@ -50,11 +66,9 @@
 		rp_remove_unfound_jobs(r);
 		r->applied_revision = r->load_revision;
 	}
+	rp_log_load(r);
 	if (r->synced)
 		return;
-	lg_event(LG_INFO, "replica", "loaded", "revision",
-	    lg_i64((int64_t)r->applied_revision), "jobs",
-	    lg_i64(HASH_COUNT(r->jobs)), NULL);
 	r->synced = true;
 	r->operator_revision = r->applied_revision;
 	rp_watch_operator_keys(r);
@@ -67,7 +81,9 @@
 	size_t i;
 
 	if (a->result != KS_OK) {
-		lg_event(LG_WARN, "replica", "load_failed", NULL);
+		lg_event(LG_WARN, "replica", "load_failed", "attempt",
+		    lg_i64(r->load_attempts), "rows", lg_i64(r->load_rows),
+		    NULL);
 		loop_after(r->loop, RP_RETRY_US, rp_load, r);
 		return;
 	}
@@ -78,6 +94,7 @@
 		rp_apply_in_order(r, &a->item[i]);
 		rp_mark_found(r, &a->item[i]);
 	}
+	r->load_rows += (uint32_t)a->item_count;
 	if (a->more && a->item_count > 0) {
 		talloc_free(r->load_cursor);
 		r->load_cursor =
@@ -98,6 +115,10 @@
 
 	TALLOC_FREE(r->load_cursor);
 	r->load_number++;
+	r->load_attempts++;
+	r->load_rows = 0;
+	if (r->load_since_us == 0)
+		r->load_since_us = clk_now_us();
 	r->loading = rp_covers(r->load_prefix, RP_CELL_PREFIX);
 	r->fleet->keys->range(
 	    r->fleet->handle, r->load_prefix, NULL, rp_on_load_page, r);
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -208,6 +208,11 @@
  * @applied_revision: revision up to which all changes are applied
  * @load_number: number of the newest load; one that is begun anew has its own
  * @load_revision: revision of the first page of the newest load
+ * @load_since_us: when the newest load, or the first of its failed attempts,
+ *	began; 0 between loads
+ * @load_attempts: how often it has been begun
+ * @load_rows: rows that its newest attempt has read
+ * @not_ready: callers that were answered 503 since it began
  * @operator_revision: revision up to which operators' keys are applied
  * @load_operator_keys: their history was lost, so they have to be read again
  * @watch_pause_us: pause between two watches, so that each returns a batch
@@ -230,6 +235,10 @@
 	uint64_t applied_revision;
 	uint32_t load_number;
 	uint64_t load_revision;
+	int64_t load_since_us;
+	uint32_t load_attempts;
+	uint32_t load_rows;
+	uint32_t not_ready;
 	uint64_t operator_revision;
 	bool load_operator_keys;
 	int64_t watch_pause_us;
