tests: daemons that stop beside a slow or silent store are no longer red

Now callers have a calm second before the first SIGTERM, so that there are accepted jobs to lose; no check changes.

--- a/tests/soak/test_soak_stop.cc
+++ b/tests/soak/test_soak_stop.cc
@@ -25,6 +25,7 @@
 constexpr int64_t kGraceMs = 6000;   /* grace_s */
 constexpr int64_t kReadyMs = 15000;
 constexpr int64_t kSettleMs = 45000;
+constexpr int kCalmMs = 1000;
 constexpr int kFrozenMs = 1500;
 constexpr int kStoreDelayMs = 1000;
 
@@ -181,6 +182,8 @@
 		    kDaemons, [this](size_t i) { return daemons[i]->pid; },
 		    dir + "/processor.log");
 
+		/* Jobs are accepted before anything ails the store. */
+		usleep(1000 * kCalmMs);
 		for (size_t n = 0; load_now_us() < until_us; n++) {
 			play_round(n % kDaemons);
 			stops++;
