tests: the owner of a pool doesn't serve while thousands of jobs wait (red)

Found beside the drain: with more new jobs than the workers can do, each owner in turn stopped serving for 2.7 to 10 s at 8,000 waiting jobs, lost its lease, saw SIGTERM 3.2 s late, ended 8.4 and 9.5 s after it, and left a POST unanswered for 10 s. One daemon and 9,000 jobs show it as well: submissions take up to 3.6 s from 6,000 waiting jobs on, "lease has ended" every 2 to 5 s, then all workers of the pool are held. perf, 6 s: 95% in wp_compare_steps, of DL_INSERT_INORDER on the ready steps (wp_step_update_lists): each insertion walks the list.

Not mended here: state/pool_*.c is another part's. The bound is ack_ms.

--- a/tests/fault/test_drain.cc
+++ b/tests/fault/test_drain.cc
@@ -275,6 +275,37 @@
 	});
 }
 
+/* Far more than the workers can do. */
+TEST_F(Steady, OwnerServesWhileThousandsOfJobsWait)
+{
+	constexpr int per_caller = 350;
+	constexpr int64_t ack_ms = 4000;
+	std::vector<std::thread> threads;
+	std::atomic<int64_t> slowest_ms{0};
+
+	start_daemons(1);
+	ASSERT_TRUE(eventually([&] { return owns(0); }));
+	for (int t = 0; t < kCallers; t++) {
+		threads.emplace_back([&, t] {
+			RawCaller caller(daemons[0]->callers);
+
+			for (int n = 0; n < per_caller; n++) {
+				tally.note(caller.request("POST",
+					       "/q/" + job_id((t << 20) + n),
+					       body_of_job()),
+				    caller, "POST");
+				if (caller.elapsed_ms() > slowest_ms)
+					slowest_ms = caller.elapsed_ms();
+			}
+		});
+	}
+	for (std::thread &t : threads)
+		t.join();
+	EXPECT_LT(slowest_ms, ack_ms);
+	EXPECT_FALSE(owner_logged("lease has ended"));
+	expect_nothing_cut();
+}
+
 TEST_F(Drain, BodyThatIsTooLargeIsAnswered)
 {
 	start_daemons(1);
