--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -887,6 +887,59 @@
 	expect_no_violations();
 }
 
+class CellWithoutWatch : public Cell
+{
+      protected:
+	void
+	SetUp() override
+	{
+		Cell::SetUp();
+		start_daemons(2);
+		EXPECT_EQ(submit(0, 1).status, 200);
+		wait_completed(1, 1, 2);
+		owner = owns(0) ? 0 : 1;
+	}
+
+	/* Through the daemon that doesn't own the pool. */
+	void
+	expect_start_of_a_new_job(int n)
+	{
+		usleep(500000);
+		int64_t started = reported("started");
+		inject_fault("{\"target\":\"store\",\"path\":\"kv-watch\","
+			     "\"kind\":\"refuse\",\"for_ms\":3000}");
+		usleep(500000);
+		EXPECT_EQ(submit(1 - owner, n).status, 200);
+		usleep(1000000);
+		EXPECT_EQ(reported("started"), started + 2);
+		expect_no_violations();
+	}
+
+	size_t owner = 0;
+};
+
+TEST_F(CellWithoutWatch, JobReachesItsOwner)
+{
+	expect_start_of_a_new_job(2);
+}
+
+/* The owner stores its term again once the last owner is known to have ended. */
+TEST_F(CellWithoutWatch, JobReachesItsOwnerAfterItsPredecessorHasReturned)
+{
+	size_t gone = owner;
+
+	owner = 1 - gone;
+	daemons[gone]->end(SIGKILL);
+	ASSERT_TRUE(eventually([&] { return owns(owner); }));
+	EXPECT_EQ(submit(owner, 2).status, 200);
+	wait_completed(owner, 2, 3);
+	daemons[gone]->start();
+	ASSERT_TRUE(eventually([&] { return daemons[gone]->is_ready(); }));
+	EXPECT_EQ(submit(gone, 3).status, 200);
+	wait_completed(owner, 3, 4);
+	expect_start_of_a_new_job(4);
+}
+
 TEST_F(Cell, CompactedHistoryIsReloaded)
 {
 	start_daemons(2);
--- a/tests/fault/test_drain.cc
+++ b/tests/fault/test_drain.cc
@@ -216,6 +216,104 @@
 	EXPECT_TRUE(owns(0));
 }
 
+/* Its last moments pass while it is frozen. */
+TEST_F(Drain, RequestThatWaitedWhileTheDaemonWasFrozenIsAnswered)
+{
+	std::deque<RawCaller> callers;
+
+	start_daemons(2);
+	for (int i = 0; i < 8; i++) {
+		callers.emplace_back(daemons[0]->callers);
+		callers.back().more_headers =
+		    "X-Curranttack-Deadline-Remaining: 9000\r\n";
+		ASSERT_TRUE(callers.back().connect());
+	}
+	inject_fault("{\"target\":\"store\",\"path\":\"kv-txn\","
+		     "\"kind\":\"down\",\"for_ms\":9000}");
+	terminate(0);
+	sleep_until(2800);
+	for (int i = 0; i < 8; i++)
+		EXPECT_TRUE(callers[(size_t)i].send(
+		    "POST", "/q/" + job_id(i), body_of_job()));
+	sleep_until(3200);
+	daemons[0]->signal(SIGSTOP);
+	sleep_until(5400);
+	daemons[0]->signal(SIGCONT);
+	for (RawCaller &c : callers) {
+		tally.note(c.receive(), c, "POST");
+		EXPECT_EQ(c.status, 504);
+	}
+	expect_exit_in_time(0);
+	expect_nothing_cut();
+}
+
+TEST_F(Drain, FurtherSignalsChangeNothing)
+{
+	start_daemons(1);
+	RawCaller caller(daemons[0]->callers);
+	ASSERT_TRUE(caller.connect());
+	terminate(0);
+	for (int number : {SIGTERM, SIGINT, SIGHUP, SIGTERM}) {
+		usleep(300000);
+		daemons[0]->signal(number);
+	}
+	sleep_until(2300);
+	tally.note(caller.request("GET", "/q/"), caller, "GET");
+	EXPECT_EQ(caller.status, 200);
+	expect_exit_in_time(0);
+	expect_nothing_cut();
+}
+
+/* Its first part is no request yet, so nothing counts it. */
+TEST_F(Drain, RequestWhoseHeaderIsHalfReadIsAnswered)
+{
+	start_daemons(1);
+	RawCaller caller(daemons[0]->callers);
+	ASSERT_EQ(caller.request("GET", "/q/"), End::ANSWERED);
+	terminate(0);
+	sleep_until(2400);
+	ASSERT_TRUE(caller.send_text("GET /q/ HTTP/1.1\r\nHost: "));
+	sleep_until(2700);
+	ASSERT_TRUE(caller.send_text("cell.example\r\n\r\n"));
+	tally.note(caller.receive(), caller, "GET");
+	expect_exit_in_time(0);
+	expect_nothing_cut();
+}
+
+class DrainOfAFullServer : public Drain
+{
+      protected:
+	DrainOfAFullServer()
+	{
+		settings = "connections = 8\n";
+	}
+};
+
+/* They wait in the listen queue for those that are idle. */
+TEST_F(DrainOfAFullServer, RequestsThatWaitForAConnectionAreAnswered)
+{
+	std::deque<RawCaller> idle;
+	std::deque<RawCaller> callers;
+
+	start_daemons(1);
+	for (int i = 0; i < 8; i++) {
+		idle.emplace_back(daemons[0]->callers);
+		ASSERT_EQ(idle.back().request("GET", "/q/"), End::ANSWERED);
+	}
+	for (int i = 0; i < 8; i++)
+		callers.emplace_back(daemons[0]->callers);
+	terminate(0);
+	sleep_until(1000);
+	for (RawCaller &c : callers) {
+		ASSERT_TRUE(c.connect());
+		ASSERT_TRUE(c.send("GET", "/q/"));
+	}
+	for (RawCaller &c : callers)
+		tally.note(c.receive(), c, "GET");
+	expect_exit_in_time(0);
+	expect_nothing_cut();
+}
+
 /* What the store does with calls from the SIGTERM on. */
 class DrainWithoutStore : public Drain,
 			  public testing::WithParamInterface<const char *>
