--- a/curranttackd/cell_calls_query.c
+++ b/curranttackd/cell_calls_query.c
@@ -4,6 +4,7 @@
 #include <utlist.h>
 
 #include "common/clock.h"
+#include "common/log.h"
 #include "curranttackd/cell_calls_internal.h"
 #include "curranttackd/cell_lookup.h"
 
@@ -122,6 +123,20 @@
 	}
 }
 
+/* The store had no such job at a revision read after the request arrived. */
+static void
+cc_respond_gone(struct cc_frontend *f, struct hs_request *req, const char *id,
+    uint64_t revision)
+{
+	const struct replica *r = f->c->replica;
+
+	lg_event(LG_INFO, "callers", "gone", "job", id, "status", "410",
+	    "revision", lg_i64((int64_t)revision), "copy_revision",
+	    lg_i64((int64_t)r->applied_revision), "loading",
+	    r->loading ? "1" : "0", NULL);
+	cc_respond_error(f, req, 410, "no such job");
+}
+
 static void
 cc_lookup_finish(struct cc_job_lookup *l, const struct ks_response *a)
 {
@@ -142,7 +157,7 @@
 	if (l->cancel)
 		cc_cancel_job(f, req, l->id, l->deadline_us);
 	else if (job == NULL)
-		cc_respond_error(f, req, 410, "no such job");
+		cc_respond_gone(f, req, l->id, a->revision);
 	else
 		cc_respond_state(f, req, job);
 }
