--- a/tests/fault/test_drain.cc
+++ b/tests/fault/test_drain.cc
@@ -216,6 +216,141 @@
 	EXPECT_TRUE(owns(0));
 }
 
+/* Callers go on with all daemons while something else happens to these. */
+class Steady : public Drain
+{
+      protected:
+	void
+	play_while(const std::function<void()> &happens)
+	{
+		std::vector<std::thread> threads;
+		std::atomic<bool> over{false};
+
+		for (int t = 0; t < kCallers; t++) {
+			threads.emplace_back([&, t] {
+				RawCaller caller(
+				    daemons[(size_t)t % daemons.size()]
+					->callers);
+
+				for (int n = t << 20; !over; n++) {
+					play_turn(caller, n);
+					usleep(1000);
+				}
+			});
+		}
+		tally.since_ms = now_ms();
+		happens();
+		over = true;
+		for (std::thread &t : threads)
+			t.join();
+		EXPECT_GT(tally.count(End::ANSWERED), kCallers);
+		EXPECT_EQ(tally.count(End::NOT_SENT), 0);
+		expect_nothing_cut();
+	}
+};
+
+TEST_F(Steady, HangupCutsNothing)
+{
+	start_daemons(2);
+	play_while([&] {
+		for (int i = 0; i < 20; i++) {
+			daemons[(size_t)i % 2]->signal(SIGHUP);
+			usleep(100000);
+		}
+	});
+}
+
+TEST_F(Steady, ConfigurationCutsNothing)
+{
+	start_daemons(2);
+	play_while([&] {
+		for (int version = 2; version < 22; version++) {
+			configure(version,
+			    version % 2 == 0
+				? ",{\"name\":\"r\",\"host\":\"cell.example\","
+				  "\"prefix\":\"/r/\",\"service\":\"batch\"}"
+				: "");
+			usleep(100000);
+		}
+	});
+}
+
+TEST_F(Drain, BodyThatIsTooLargeIsAnswered)
+{
+	start_daemons(1);
+	RawCaller caller(daemons[0]->callers);
+	std::string body((size_t)3 << 19, 'x');
+	EXPECT_EQ(
+	    caller.request("POST", "/q/" + job_id(1), body), End::ANSWERED);
+	EXPECT_EQ(caller.status, 413);
+	terminate(0);
+	EXPECT_EQ(
+	    caller.request("POST", "/q/" + job_id(1), body), End::ANSWERED);
+	EXPECT_EQ(caller.status, 413);
+	expect_exit_in_time(0);
+}
+
+/* The connection is closed after the first answer, which says so. */
+TEST_F(Drain, FirstOfTwoRequestsSentAtOnceIsAnswered)
+{
+	std::string one = "GET /q/ HTTP/1.1\r\nHost: cell.example\r\n\r\n";
+
+	start_daemons(1);
+	terminate(0);
+	usleep(100000);
+	for (int i = 0; i < 20; i++) {
+		RawCaller caller(daemons[0]->callers);
+
+		ASSERT_TRUE(caller.connect());
+		ASSERT_TRUE(caller.send_text(one + one));
+		usleep(20000);
+		EXPECT_EQ(caller.receive(), End::ANSWERED);
+		EXPECT_TRUE(caller.has_header("Connection: close"));
+	}
+	expect_exit_in_time(0);
+}
+
+/* A daemon asks the owner for the state of a job. */
+class DrainBesideAFrozenOwner : public Drain
+{
+      protected:
+	DrainBesideAFrozenOwner()
+	{
+		settings = "relay_above = 0\nsmall_cell = 0\n";
+	}
+};
+
+TEST_F(DrainBesideAFrozenOwner, QueriesAreAnsweredUntilTheExit)
+{
+	std::vector<std::thread> threads;
+	std::atomic<bool> over{false};
+
+	start_daemons(3);
+	EXPECT_EQ(submit(0, 1, 1, 60000).status, 200);
+	ASSERT_TRUE(eventually([&] { return reported("running") == 1; }));
+	size_t frozen = owner();
+	size_t ending = (frozen + 1) % 3;
+
+	daemons[frozen]->signal(SIGSTOP);
+	for (int t = 0; t < kCallers; t++) {
+		threads.emplace_back([&] {
+			RawCaller caller(daemons[ending]->callers);
+
+			while (!over)
+				tally.note(
+				    caller.request("GET", "/q/" + job_id(1)),
+				    caller, "GET");
+		});
+	}
+	terminate(ending);
+	expect_exit_in_time(ending);
+	over = true;
+	for (std::thread &t : threads)
+		t.join();
+	EXPECT_GT(tally.count(End::ANSWERED), kCallers);
+	expect_nothing_cut();
+}
+
 /* Its last moments pass while it is frozen. */
 TEST_F(Drain, RequestThatWaitedWhileTheDaemonWasFrozenIsAnswered)
 {
@@ -311,338 +446,193 @@
 	for (RawCaller &c : callers)
 		tally.note(c.receive(), c, "GET");
 	expect_exit_in_time(0);
-	/* Callers go on with all daemons while something else happens to these. */
-	class Steady : public Drain
-	{
-	      protected:
-		void
-		play_while(const std::function<void()> &happens)
-		{
-			std::vector<std::thread> threads;
-			std::atomic<bool> over{false};
-
-			for (int t = 0; t < kCallers; t++) {
-				threads.emplace_back([&, t] {
-					RawCaller caller(
-					    daemons[(size_t)t % daemons.size()]
-						->callers);
-
-					for (int n = t << 20; !over; n++) {
-						play_turn(caller, n);
-						usleep(1000);
-					}
-				});
-			}
-			tally.since_ms = now_ms();
-			happens();
-			over = true;
-			for (std::thread &t : threads)
-				t.join();
-			EXPECT_GT(tally.count(End::ANSWERED), kCallers);
-			EXPECT_EQ(tally.count(End::NOT_SENT), 0);
-			expect_nothing_cut();
-		}
-	};
+	expect_nothing_cut();
+}
 
-	TEST_F(Steady, HangupCutsNothing)
-	{
-		start_daemons(2);
-		play_while([&] {
-			for (int i = 0; i < 20; i++) {
-				daemons[(size_t)i % 2]->signal(SIGHUP);
-				usleep(100000);
-			}
-		});
-	}
+/* What the store does with calls from the SIGTERM on. */
+class DrainWithoutStore : public Drain,
+			  public testing::WithParamInterface<const char *>
+{
+};
 
-	TEST_F(Steady, ConfigurationCutsNothing)
-	{
-		start_daemons(2);
-		play_while([&] {
-			for (int version = 2; version < 22; version++) {
-				configure(version,
-				    version % 2 == 0
-					? ",{\"name\":\"r\",\"host\":\"cell."
-					  "example\","
-					  "\"prefix\":\"/r/"
-					  "\",\"service\":\"batch\"}"
-					: "");
-				usleep(100000);
-			}
-		});
-	}
+TEST_P(DrainWithoutStore, WhatStillWaitsIsAnsweredBeforeTheExit)
+{
+	/* The jobs of the last are stored. */
+	static const char *const methods[] = {
+	    "POST", "GET", "DELETE", "DELETE"};
+	/* Long before the exit, and when the store still counts as present. */
+	static const int times_ms[] = {500, 2000, 2300, 2600, 2900, 4900};
+	std::deque<RawCaller> callers;
+	std::vector<std::string> refused;
 
-	TEST_F(Drain, BodyThatIsTooLargeIsAnswered)
-	{
-		start_daemons(1);
-		RawCaller caller(daemons[0]->callers);
-		std::string body((size_t)3 << 19, 'x');
-		EXPECT_EQ(caller.request("POST", "/q/" + job_id(1), body),
-		    End::ANSWERED);
-		EXPECT_EQ(caller.status, 413);
-		terminate(0);
-		EXPECT_EQ(caller.request("POST", "/q/" + job_id(1), body),
-		    End::ANSWERED);
-		EXPECT_EQ(caller.status, 413);
-		expect_exit_in_time(0);
+	start_daemons(2);
+	for (int i = 3; i < 24; i += 4)
+		EXPECT_EQ(submit(0, i, 1, 20000).status, 200);
+	for (int i = 0; i < 24; i++) {
+		callers.emplace_back(daemons[0]->callers);
+		callers[(size_t)i].more_headers =
+		    "X-Curranttack-Deadline-Remaining: 9000\r\n";
+		ASSERT_TRUE(callers[(size_t)i].connect());
 	}
-
-	/* The connection is closed after the first answer, which says so. */
-	TEST_F(Drain, FirstOfTwoRequestsSentAtOnceIsAnswered)
-	{
-		std::string one =
-		    "GET /q/ HTTP/1.1\r\nHost: cell.example\r\n\r\n";
-
-		start_daemons(1);
-		terminate(0);
-		usleep(100000);
-		for (int i = 0; i < 20; i++) {
-			RawCaller caller(daemons[0]->callers);
-
-			ASSERT_TRUE(caller.connect());
-			ASSERT_TRUE(caller.send_text(one + one));
-			usleep(20000);
-			EXPECT_EQ(caller.receive(), End::ANSWERED);
-			EXPECT_TRUE(caller.has_header("Connection: close"));
-		}
-		expect_exit_in_time(0);
+	inject_fault(GetParam());
+	terminate(0);
+	for (int i = 0; i < 24; i++) {
+		sleep_until(times_ms[i / 4]);
+		EXPECT_TRUE(callers[(size_t)i].send(methods[i % 4],
+		    "/q/" + job_id(i), i % 4 == 0 ? body_of_job() : ""))
+		    << i;
 	}
+	for (int i = 0; i < 24; i++) {
+		RawCaller &c = callers[(size_t)i];
 
-	/* A daemon asks the owner for the state of a job. */
-	class DrainBesideAFrozenOwner : public Drain
-	{
-	      protected:
-		DrainBesideAFrozenOwner()
-		{
-			settings = "relay_above = 0\nsmall_cell = 0\n";
-		}
-	};
-
-	TEST_F(DrainBesideAFrozenOwner, QueriesAreAnsweredUntilTheExit)
-	{
-		std::vector<std::thread> threads;
-		std::atomic<bool> over{false};
-
-		start_daemons(3);
-		EXPECT_EQ(submit(0, 1, 1, 60000).status, 200);
-		ASSERT_TRUE(
-		    eventually([&] { return reported("running") == 1; }));
-		size_t frozen = owner();
-		size_t ending = (frozen + 1) % 3;
-
-		daemons[frozen]->signal(SIGSTOP);
-		for (int t = 0; t < kCallers; t++) {
-			threads.emplace_back([&] {
-				RawCaller caller(daemons[ending]->callers);
-
-				while (!over)
-					tally.note(caller.request("GET",
-						       "/q/" + job_id(1)),
-					    caller, "GET");
-			});
-		}
-		terminate(ending);
-		expect_exit_in_time(ending);
-		over = true;
-		for (std::thread &t : threads)
-			t.join();
-		EXPECT_GT(tally.count(End::ANSWERED), kCallers);
-		expect_nothing_cut();
+		tally.note(c.receive(), c, methods[i % 4]);
+		EXPECT_EQ(c.status == 503, c.has_header("Retry-After"));
+		if (i % 4 == 0 && c.status == 503)
+			refused.push_back(job_id(i));
 	}
+	expect_exit_in_time(0);
+	EXPECT_EQ(tally.count(End::ANSWERED), 24);
+	expect_nothing_cut();
+	http("POST", control + "/_clear");
+	/* What was held back has been carried out by then. */
+	usleep(4000000);
+	for (const std::string &id : refused)
+		EXPECT_EQ(call("GET", 1, "/q/" + id).status, 410) << id;
+}
 
-	/* What the store does with calls from the SIGTERM on. */
-	class DrainWithoutStore
-	    : public Drain,
-	      public testing::WithParamInterface<const char *>
-	{
-	};
+INSTANTIATE_TEST_SUITE_P(Store, DrainWithoutStore,
+    testing::Values("{\"target\":\"store\",\"path\":\"\",\"kind\":\"down\","
+		    "\"for_ms\":9000}",
+	"{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"down\","
+	"\"for_ms\":9000}",
+	"{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"late\","
+	"\"for_ms\":9000,\"delay_ms\":1500}",
+	"{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"lost\","
+	"\"for_ms\":9000}"));
+
+/* The server that is asked: its address, and a path of it. */
+struct Server {
+	const char *name;
+	std::string CellDaemon::*address;
+	const char *path;
+};
+
+void
+PrintTo(const Server &s, std::ostream *out)
+{
+	*out << s.name;
+}
 
-	TEST_P(DrainWithoutStore, WhatStillWaitsIsAnsweredBeforeTheExit)
+class DrainOfServer : public Drain, public testing::WithParamInterface<Server>
+{
+      protected:
+	/* The daemon is frozen while the requests arrive at its sockets. */
+	void
+	send_in_the_last_moments(std::deque<RawCaller> &callers, bool kept)
 	{
-		/* The jobs of the last are stored. */
-		static const char *const methods[] = {
-		    "POST", "GET", "DELETE", "DELETE"};
-		/* Long before the exit, and when the store still counts as present. */
-		static const int times_ms[] = {
-		    500, 2000, 2300, 2600, 2900, 4900};
-		std::deque<RawCaller> callers;
-		std::vector<std::string> refused;
-
-		start_daemons(2);
-		for (int i = 3; i < 24; i += 4)
-			EXPECT_EQ(submit(0, i, 1, 20000).status, 200);
-		for (int i = 0; i < 24; i++) {
-			callers.emplace_back(daemons[0]->callers);
-			callers[(size_t)i].more_headers =
-			    "X-Curranttack-Deadline-Remaining: 9000\r\n";
-			ASSERT_TRUE(callers[(size_t)i].connect());
+		for (RawCaller &c : callers) {
+			if (kept) {
+				ASSERT_TRUE(c.connect());
+			}
 		}
-		inject_fault(GetParam());
 		terminate(0);
-		for (int i = 0; i < 24; i++) {
-			sleep_until(times_ms[i / 4]);
-			EXPECT_TRUE(callers[(size_t)i].send(methods[i % 4],
-			    "/q/" + job_id(i), i % 4 == 0 ? body_of_job() : ""))
-			    << i;
-		}
-		for (int i = 0; i < 24; i++) {
-			RawCaller &c = callers[(size_t)i];
-
-			tally.note(c.receive(), c, methods[i % 4]);
-			EXPECT_EQ(c.status == 503, c.has_header("Retry-After"));
-			if (i % 4 == 0 && c.status == 503)
-				refused.push_back(job_id(i));
+		sleep_until(2400);
+		daemons[0]->signal(SIGSTOP);
+		sleep_until(2700);
+		for (RawCaller &c : callers) {
+			if (!kept) {
+				ASSERT_TRUE(c.connect());
+			}
+			ASSERT_TRUE(c.send("GET", GetParam().path));
 		}
+		daemons[0]->signal(SIGCONT);
+		for (RawCaller &c : callers)
+			tally.note(c.receive(), c, GetParam().name);
 		expect_exit_in_time(0);
-		EXPECT_EQ(tally.count(End::ANSWERED), 24);
 		expect_nothing_cut();
-		http("POST", control + "/_clear");
-		/* What was held back has been carried out by then. */
-		usleep(4000000);
-		for (const std::string &id : refused)
-			EXPECT_EQ(call("GET", 1, "/q/" + id).status, 410) << id;
-	}
-
-	INSTANTIATE_TEST_SUITE_P(Store, DrainWithoutStore,
-	    testing::Values(
-		"{\"target\":\"store\",\"path\":\"\",\"kind\":\"down\","
-		"\"for_ms\":9000}",
-		"{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"down\","
-		"\"for_ms\":9000}",
-		"{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"late\","
-		"\"for_ms\":9000,\"delay_ms\":1500}",
-		"{\"target\":\"store\",\"path\":\"kv-txn\",\"kind\":\"lost\","
-		"\"for_ms\":9000}"));
-
-	/* The server that is asked: its address, and a path of it. */
-	struct Server {
-		const char *name;
-		std::string CellDaemon::*address;
-		const char *path;
-	};
-
-	void PrintTo(const Server &s, std::ostream *out)
-	{
-		*out << s.name;
 	}
+};
 
-	class DrainOfServer : public Drain,
-			      public testing::WithParamInterface<Server>
-	{
-	      protected:
-		/* The daemon is frozen while the requests arrive at its sockets. */
-		void
-		send_in_the_last_moments(
-		    std::deque<RawCaller> &callers, bool kept)
-		{
-			for (RawCaller &c : callers) {
-				if (kept) {
-					ASSERT_TRUE(c.connect());
-				}
-			}
-			terminate(0);
-			sleep_until(2400);
-			daemons[0]->signal(SIGSTOP);
-			sleep_until(2700);
-			for (RawCaller &c : callers) {
-				if (!kept) {
-					ASSERT_TRUE(c.connect());
-				}
-				ASSERT_TRUE(c.send("GET", GetParam().path));
-			}
-			daemons[0]->signal(SIGCONT);
-			for (RawCaller &c : callers)
-				tally.note(c.receive(), c, GetParam().name);
-			expect_exit_in_time(0);
-			expect_nothing_cut();
-		}
-	};
-
-	TEST_P(DrainOfServer, ConnectionThatWaitsToBeAcceptedIsServed)
-	{
-		std::deque<RawCaller> callers;
+TEST_P(DrainOfServer, ConnectionThatWaitsToBeAcceptedIsServed)
+{
+	std::deque<RawCaller> callers;
 
-		start_daemons(1);
-		for (int i = 0; i < kCallers; i++)
-			callers.emplace_back(*daemons[0].*GetParam().address);
-		send_in_the_last_moments(callers, false);
-	}
+	start_daemons(1);
+	for (int i = 0; i < kCallers; i++)
+		callers.emplace_back(*daemons[0].*GetParam().address);
+	send_in_the_last_moments(callers, false);
+}
 
-	TEST_P(DrainOfServer, RequestThatHasArrivedOnAKeptConnectionIsAnswered)
-	{
-		std::deque<RawCaller> callers;
+TEST_P(DrainOfServer, RequestThatHasArrivedOnAKeptConnectionIsAnswered)
+{
+	std::deque<RawCaller> callers;
 
-		start_daemons(1);
-		for (int i = 0; i < kCallers; i++)
-			callers.emplace_back(*daemons[0].*GetParam().address);
-		send_in_the_last_moments(callers, true);
-	}
+	start_daemons(1);
+	for (int i = 0; i < kCallers; i++)
+		callers.emplace_back(*daemons[0].*GetParam().address);
+	send_in_the_last_moments(callers, true);
+}
 
-	TEST_P(DrainOfServer, CallersThatGoOnAreAnsweredUntilTheyAreRefused)
-	{
-		std::vector<std::thread> threads;
-		std::atomic<bool> over{false};
+TEST_P(DrainOfServer, CallersThatGoOnAreAnsweredUntilTheyAreRefused)
+{
+	std::vector<std::thread> threads;
+	std::atomic<bool> over{false};
 
-		start_daemons(1);
-		for (int t = 0; t < kCallers; t++) {
-			threads.emplace_back([&] {
-				RawCaller caller(
-				    *daemons[0].*GetParam().address);
+	start_daemons(1);
+	for (int t = 0; t < kCallers; t++) {
+		threads.emplace_back([&] {
+			RawCaller caller(*daemons[0].*GetParam().address);
 
-				while (!over)
-					tally.note(caller.request(
-						       "GET", GetParam().path),
-					    caller, GetParam().name);
-			});
-		}
-		usleep(300000);
-		terminate(0);
-		expect_exit_in_time(0);
-		over = true;
-		for (std::thread &t : threads)
-			t.join();
-		EXPECT_GT(tally.count(End::NOT_SENT), 0);
-		expect_nothing_cut();
+			while (!over)
+				tally.note(
+				    caller.request("GET", GetParam().path),
+				    caller, GetParam().name);
+		});
 	}
+	usleep(300000);
+	terminate(0);
+	expect_exit_in_time(0);
+	over = true;
+	for (std::thread &t : threads)
+		t.join();
+	EXPECT_GT(tally.count(End::NOT_SENT), 0);
+	expect_nothing_cut();
+}
 
-	TEST_P(DrainOfServer, AnswersAskToCloseTheConnection)
-	{
-		start_daemons(1);
-		RawCaller caller(*daemons[0].*GetParam().address);
-		ASSERT_EQ(
-		    caller.request("GET", GetParam().path), End::ANSWERED);
-		EXPECT_TRUE(caller.is_open());
-		terminate(0);
-		usleep(200000);
-		EXPECT_EQ(
-		    caller.request("GET", GetParam().path), End::ANSWERED);
-		EXPECT_TRUE(caller.has_header("Connection: close"));
-		expect_exit_in_time(0);
-	}
+TEST_P(DrainOfServer, AnswersAskToCloseTheConnection)
+{
+	start_daemons(1);
+	RawCaller caller(*daemons[0].*GetParam().address);
+	ASSERT_EQ(caller.request("GET", GetParam().path), End::ANSWERED);
+	EXPECT_TRUE(caller.is_open());
+	terminate(0);
+	usleep(200000);
+	EXPECT_EQ(caller.request("GET", GetParam().path), End::ANSWERED);
+	EXPECT_TRUE(caller.has_header("Connection: close"));
+	expect_exit_in_time(0);
+}
 
-	TEST_P(DrainOfServer, RequestThatIsHalfReadIsAnswered)
-	{
-		start_daemons(1);
-		RawCaller caller(*daemons[0].*GetParam().address);
-		std::string path = GetParam().path;
-		ASSERT_TRUE(caller.connect());
-		terminate(0);
-		sleep_until(2300);
-		ASSERT_TRUE(caller.send_text("GET " + path +
-		    " HTTP/1.1\r\nHost: cell.example\r\nContent-Length: "
-		    "5\r\n\r\n"));
-		sleep_until(2800);
-		ASSERT_TRUE(caller.send_text("12345"));
-		tally.note(caller.receive(), caller, GetParam().name);
-		expect_exit_in_time(0);
-		expect_nothing_cut();
-	}
+TEST_P(DrainOfServer, RequestThatIsHalfReadIsAnswered)
+{
+	start_daemons(1);
+	RawCaller caller(*daemons[0].*GetParam().address);
+	std::string path = GetParam().path;
+	ASSERT_TRUE(caller.connect());
+	terminate(0);
+	sleep_until(2300);
+	ASSERT_TRUE(caller.send_text("GET " + path +
+	    " HTTP/1.1\r\nHost: cell.example\r\nContent-Length: 5\r\n\r\n"));
+	sleep_until(2800);
+	ASSERT_TRUE(caller.send_text("12345"));
+	tally.note(caller.receive(), caller, GetParam().name);
+	expect_exit_in_time(0);
+	expect_nothing_cut();
+}
 
-	INSTANTIATE_TEST_SUITE_P(Servers, DrainOfServer,
-	    testing::Values(Server{"callers", &CellDaemon::callers, "/q/"},
-		Server{
-		    "readiness", &CellDaemon::ready, "/curranttack/readiness"},
-		Server{"metrics", &CellDaemon::metrics, "/metrics"}),
-	    [](const auto &info) { return std::string(info.param.name); });
+INSTANTIATE_TEST_SUITE_P(Servers, DrainOfServer,
+    testing::Values(Server{"callers", &CellDaemon::callers, "/q/"},
+	Server{"readiness", &CellDaemon::ready, "/curranttack/readiness"},
+	Server{"metrics", &CellDaemon::metrics, "/metrics"}),
+    [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
