tests: takeovers while the clock is set back

The simulated daemons' time of day can be set. Set back by 60 s while all daemons are killed beside a crashed worker: 11.2 s without a start (4 s allowed), since restarted daemons have lower incarnations; after two such takeovers an owner takes earlier ones to act for 71 s (13.4 s allowed), since the stored term says so by the time of day. Set ahead by 60 s, or not at all: within the bounds. Not mended here.

--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -174,6 +174,9 @@
 	    SimObserver *observer);
 	~SimWorld();
 
+	/* Of the time of day of all daemons. */
+	int64_t wall_step_us = 0;
+
 	void run_until(int64_t us);
 	void after(int64_t us, std::function<void()> action);
 	/* Dropped when that life of the daemon ends, held while it is frozen. */
--- a/tests/unit/sim_world.cc
+++ b/tests/unit/sim_world.cc
@@ -261,7 +261,7 @@
 extern "C" int64_t
 clk_wall_us(void)
 {
-	return kWallStart + sim_world->now;
+	return kWallStart + sim_world->now + sim_world->wall_step_us;
 }
 
 struct loop_call {
--- a/tests/unit/test_promises_silent.cc
+++ b/tests/unit/test_promises_silent.cc
@@ -27,6 +27,8 @@
 
 /* The same while a worker's lease may run, and until the owner knows that. */
 constexpr int64_t kOneLease = 4 * kSimS;
+/* A lease, after the time for which an owner may not know that it is none. */
+constexpr int64_t kUnknownOwner = 13400 * kSimMs;
 
 enum class Silence {
 	kNone,
@@ -51,7 +53,8 @@
 	int64_t down_ms;
 	int64_t stagger_ms;
 	size_t jobs;
-	const char *body; /* "WORK_US STEPS TASKS" */
+	const char *body;     /* "WORK_US STEPS TASKS" */
+	int64_t wall_step_ms; /* when daemons are killed */
 };
 
 class Takeover : public SimObserver
@@ -78,6 +81,8 @@
 	}
 
 	int64_t longest_idle_us = 0;
+	/* How long owners took earlier ones to act on. */
+	int64_t longest_earlier_us = 0;
 	std::string idle_job;
 	std::vector<std::string> twice;
 
@@ -149,6 +154,7 @@
 	kill_daemons()
 	{
 		fault_us = w.now;
+		w.wall_step_us += s.wall_step_ms * kSimMs;
 		for (size_t i = 0; i < kDaemons; i++) {
 			if (s.killed != Killed::kOwner ||
 			    owner_of(*w.daemons[i]) != nullptr)
@@ -197,12 +203,26 @@
 		return idle;
 	}
 
+	void
+	sample_earlier_owners()
+	{
+		for (auto &d : w.daemons) {
+			const struct cp_host *h = owner_of(*d);
+
+			if (h != nullptr)
+				longest_earlier_us =
+				    std::max(longest_earlier_us,
+					h->earlier_owner_until_us - w.now);
+		}
+	}
+
 	void
 	sample()
 	{
 		std::map<std::string, size_t> idle;
 		size_t used = 0;
 
+		sample_earlier_owners();
 		if (fault_us == 0 || !has_owner()) {
 			since.clear();
 			return;
@@ -345,4 +365,34 @@
 	EXPECT_TRUE(t.twice.empty());
 }
 
+/* A restarted daemon's incarnation is its time of day. */
+TEST(SilentWorkers, OwnerWaitsForOneLeaseThoughTheClockIsSetBackMeanwhile)
+{
+	for (int64_t step_ms : {0, 60000, -60000}) {
+		Scene scene = {"", Silence::kCrash, 1, 1000, Killed::kAll, 1300,
+		    0, 60, kShort, step_ms};
+		Takeover t(scene);
+
+		t.play();
+		EXPECT_LE(t.longest_idle_us, kOneLease)
+		    << "set by " << step_ms << " ms";
+		EXPECT_TRUE(t.twice.empty()) << "set by " << step_ms << " ms";
+	}
+}
+
+/* The stored term says by the time of day until when earlier owners act. */
+TEST(SilentWorkers, EarlierOwnersAreNotWaitedForLongerThoughTheClockIsSetBack)
+{
+	for (int64_t step_ms : {0, -60000}) {
+		Scene scene = {"", Silence::kCrash, 1, 1000, Killed::kTwice,
+		    1300, 0, 60, kShort, step_ms};
+		Takeover t(scene);
+
+		t.play();
+		EXPECT_LE(t.longest_earlier_us, kUnknownOwner)
+		    << "set by " << step_ms << " ms";
+		EXPECT_TRUE(t.twice.empty()) << "set by " << step_ms << " ms";
+	}
+}
+
 } // namespace
