advice: long requests use idle daemons that are kept for short ones

Cause: steps wait for the advice service, which serves one call at a time for each daemon. A third of the daemons is kept for short requests; in every line of advice state from 57 s to 67 s these were idle (short_busy=0 of 3), while long requests waited for 2 to 3.8 s at the other four. Ruled out by the logs: a pool without an owner, tasks held after a takeover, workers that can't be used, gangs (gangs=0 in the waits).

Change: once the oldest long request has waited for 1.5 s, long requests also go to daemons kept for short ones with nothing of this owner in flight. One daemon in nine is never lent; short requests prefer those that aren't lent. The deadline of short ones at a lent daemon allows for a long call before them. The choice is pure code now (aq_choose_target).

The test failed before (the choice without lending):

test_advice_queue.cc: Failure: choose(false, 2 * kS) Which is: (expected 3)

Not measured: cells of 60 machines or more.

--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -12,8 +12,6 @@
 
 /* Calls of this VM in flight; the service handles them one at a time. */
 #define AV_MAX_LOCAL_IN_FLIGHT 2
-/* Requests of an owner in flight at one daemon. */
-#define AV_MAX_TARGET_IN_FLIGHT 2
 /* Added to twice the expected time of a call to get its deadline. */
 #define AV_LOCAL_SLACK_US (700 * CLK_US_PER_MS)
 /* Requests that have waited for so long go first: here, and on the way here. */
@@ -24,6 +22,8 @@
 #define AV_SHORT_US (60 * CLK_US_PER_MS)
 /* One daemon in this many is kept for short requests. */
 #define AV_SHORT_TARGET_EVERY 3
+/* Of these, one in this many is never lent to long requests. */
+#define AV_KEPT_TARGET_EVERY 3
 #define AV_AVOID_US (CLK_US_PER_S)
 #define AV_REFRESH_US (100 * CLK_US_PER_MS)
 #define AV_LOG_EVERY_US (CLK_US_PER_S)
@@ -55,11 +55,8 @@
 struct av_target {
 	char vm[WP_NAME_BYTES];
 	struct peer_link *link;
-	uint32_t in_flight;
-	int64_t in_flight_cost_us;
+	struct aq_load *load;
 	int64_t avoid_until_us;
-	bool usable;
-	bool for_short;
 };
 
 /* Requests of this daemon's pools since the last line of the log. */
@@ -77,6 +74,7 @@
 	struct av_request *forwarded;
 	uint32_t local_in_flight;
 	struct av_target target[AV_MAX_TARGETS];
+	struct aq_load load[AV_MAX_TARGETS];
 	uint32_t target_count;
 	uint64_t next_id;
 	int64_t refresh_at_us;
@@ -98,6 +96,7 @@
 	d->c = c;
 	snprintf(
 	    d->target[0].vm, sizeof(d->target[0].vm), "%s", c->settings->vm);
+	d->target[0].load = &d->load[0];
 	d->target_count = 1;
 	return d;
 }
@@ -176,8 +175,8 @@
     uint32_t count)
 {
 	if (req->target != NULL) {
-		req->target->in_flight--;
-		req->target->in_flight_cost_us -= req->cost_us;
+		req->target->load->in_flight--;
+		req->target->load->in_flight_cost_us -= req->cost_us;
 	}
 	if (req->origin_link != 0) {
 		av_respond_to_peer(req, ok, approved, count);
@@ -256,8 +255,10 @@
 	}
 	if (d->target_count == AV_MAX_TARGETS)
 		return NULL;
-	target = &d->target[d->target_count++];
+	target = &d->target[d->target_count];
 	memset(target, 0, sizeof(*target));
+	target->load = &d->load[d->target_count++];
+	memset(target->load, 0, sizeof(*target->load));
 	snprintf(target->vm, sizeof(target->vm), "%s", vm);
 	return target;
 }
@@ -270,12 +271,14 @@
 
 	if (target == NULL)
 		return;
-	target->for_short = members >= AV_SHORT_TARGET_EVERY &&
+	target->load->for_short = members >= AV_SHORT_TARGET_EVERY &&
 	    members_before % AV_SHORT_TARGET_EVERY == 0;
+	target->load->lends = target->load->for_short &&
+	    members_before % (AV_SHORT_TARGET_EVERY * AV_KEPT_TARGET_EVERY) > 0;
 	if (target == &d->target[0])
 		return;
 	target->link = pn_link(d->c->links, target->vm);
-	target->usable =
+	target->load->usable =
 	    target->link != NULL && now_us >= target->avoid_until_us;
 }
 
@@ -294,9 +297,10 @@
 		return;
 	d->refresh_at_us = now_us + AV_REFRESH_US;
 	for (i = 1; i < d->target_count; i++)
-		d->target[i].usable = false;
-	d->target[0].usable = true;
-	d->target[0].for_short = false;
+		d->load[i].usable = false;
+	d->load[0].usable = true;
+	d->load[0].for_short = false;
+	d->load[0].lends = false;
 	HASH_ITER(hh, d->c->replica->members, m, tmp)
 		members += m->present;
 	HASH_ITER(hh, d->c->replica->members, m, tmp) {
@@ -311,35 +315,13 @@
 	}
 }
 
-/* The least loaded target of those for such requests, or of all if @any. */
 static struct av_target *
-av_least_loaded(struct av_dispatcher *d, bool is_short, bool any)
+av_choose_target(struct av_dispatcher *d, bool is_short, int64_t waited_us)
 {
-	struct av_target *best = NULL;
-	uint32_t i;
-
-	for (i = 0; i < d->target_count; i++) {
-		struct av_target *target = &d->target[i];
-
-		if (!target->usable || (!any && target->for_short != is_short))
-			continue;
-		if (best == NULL ||
-		    target->in_flight_cost_us < best->in_flight_cost_us)
-			best = target;
-	}
-	return best;
-}
-
-static struct av_target *
-av_choose_target(struct av_dispatcher *d, bool is_short)
-{
-	struct av_target *target = av_least_loaded(d, is_short, false);
+	uint32_t i =
+	    aq_choose_target(d->load, d->target_count, is_short, waited_us);
 
-	if (target == NULL)
-		target = av_least_loaded(d, is_short, true);
-	return target != NULL && target->in_flight < AV_MAX_TARGET_IN_FLIGHT
-	    ? target
-	    : NULL;
+	return i != AQ_NONE ? &d->target[i] : NULL;
 }
 
 static void
@@ -350,8 +332,10 @@
 
 	req->id = ++d->next_id;
 	req->deadline_us =
-	    aq_answer_deadline_us(now_us, req->target->in_flight_cost_us,
-		req->target->for_short ? 0 : d->largest_cost_us);
+	    aq_answer_deadline_us(now_us, req->target->load->in_flight_cost_us,
+		req->target->load->for_short && !req->target->load->lends
+		    ? 0
+		    : d->largest_cost_us);
 	row.id = req->id;
 	row.job = req->request.job;
 	row.occurrence = req->request.occurrence;
@@ -381,6 +365,21 @@
 	return best;
 }
 
+/* How long the oldest request of a kind has waited in the queue. */
+static int64_t
+av_longest_wait_us(struct av_dispatcher *d, bool is_short, int64_t now_us)
+{
+	int64_t oldest_us = now_us;
+	struct av_request *req;
+
+	DL_FOREACH(d->queue, req) {
+		if ((req->cost_us < AV_SHORT_US) == is_short &&
+		    req->made_us < oldest_us)
+			oldest_us = req->made_us;
+	}
+	return now_us - oldest_us;
+}
+
 static void
 av_dispatch_kind(struct av_dispatcher *d, bool is_short)
 {
@@ -390,13 +389,14 @@
 
 	while ((req = av_first_request_of(
 		    d->queue, is_short, now_us - AV_MAX_WAIT_US)) != NULL) {
-		target = av_choose_target(d, is_short);
+		target = av_choose_target(
+		    d, is_short, av_longest_wait_us(d, is_short, now_us));
 		if (target == NULL)
 			return;
 		DL_DELETE(d->queue, req);
 		req->target = target;
-		target->in_flight++;
-		target->in_flight_cost_us += req->cost_us;
+		target->load->in_flight++;
+		target->load->in_flight_cost_us += req->cost_us;
 		if (target == &d->target[0]) {
 			req->queued_us = now_us;
 			DL_APPEND(d->local_queue, req);
@@ -484,7 +484,7 @@
 		if (target->link != link)
 			continue;
 		target->link = NULL;
-		target->usable = false;
+		target->load->usable = false;
 		DL_FOREACH_SAFE(d->forwarded, req, tmp) {
 			if (req->target != target)
 				continue;
@@ -562,9 +562,9 @@
 	for (i = 0; i < d->target_count; i++) {
 		const struct av_target *target = &d->target[i];
 
-		usable[target->for_short] += target->usable;
-		busy[target->for_short] +=
-		    target->usable && target->in_flight > 0;
+		usable[target->load->for_short] += target->load->usable;
+		busy[target->load->for_short] +=
+		    target->load->usable && target->load->in_flight > 0;
 	}
 	queued = av_count_list(d->queue, now_us, &queued_us);
 	forwarded = av_count_list(d->forwarded, now_us, &forwarded_us);
--- a/include/state/advice_queue.h
+++ b/include/state/advice_queue.h
@@ -48,4 +48,35 @@
 int64_t aq_answer_deadline_us(
     int64_t now_us, int64_t in_flight_cost_us, int64_t largest_cost_us);
 
+/**
+ * struct aq_load - a daemon that can call the service, as one owner sees it
+ * @usable: it can be reached
+ * @for_short: it is kept for short requests
+ * @lends: of those, it serves long ones while these wait and it is idle
+ * @in_flight: requests of this owner there
+ * @in_flight_cost_us: their cost
+ */
+struct aq_load {
+	bool usable;
+	bool for_short;
+	bool lends;
+	uint32_t in_flight;
+	int64_t in_flight_cost_us;
+};
+
+/* No daemon can take the request now. */
+#define AQ_NONE UINT32_MAX
+
+/**
+ * aq_choose_target() - the daemon that a request is sent to
+ * @load: daemons
+ * @count: how many
+ * @is_short: whether it is a short request
+ * @waited_us: how long the oldest request of its kind has waited
+ *
+ * Return: index in @load, or AQ_NONE.
+ */
+uint32_t aq_choose_target(const struct aq_load *load, uint32_t count,
+    bool is_short, int64_t waited_us);
+
 #endif
--- a/state/advice_queue.c
+++ b/state/advice_queue.c
@@ -6,6 +6,10 @@
 #define AQ_ANSWER_SLACK_US (1500 * CLK_US_PER_MS)
 /* Calls of other owners that the daemon may have begun before. */
 #define AQ_CALLS_BEFORE 2
+/* Requests of an owner in flight at one daemon. */
+#define AQ_MAX_IN_FLIGHT 2
+/* Long requests that have waited for so long may use idle daemons that lend. */
+#define AQ_BORROW_AFTER_US (1500 * CLK_US_PER_MS)
 
 bool
 aq_goes_before(
@@ -30,3 +34,56 @@
 	return now_us + 2 * in_flight_cost_us +
 	    AQ_CALLS_BEFORE * largest_cost_us + AQ_ANSWER_SLACK_US;
 }
+
+/* Of two that are equally loaded, the one that serves no other requests. */
+static bool
+aq_is_less_loaded(const struct aq_load *a, const struct aq_load *b)
+{
+	if (a->in_flight_cost_us != b->in_flight_cost_us)
+		return a->in_flight_cost_us < b->in_flight_cost_us;
+	return !a->lends && b->lends;
+}
+
+/* The least loaded daemon of those for such requests, or of all if @any. */
+static uint32_t
+aq_least_loaded(
+    const struct aq_load *load, uint32_t count, bool is_short, bool any)
+{
+	uint32_t best = AQ_NONE;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (!load[i].usable || (!any && load[i].for_short != is_short))
+			continue;
+		if (best == AQ_NONE || aq_is_less_loaded(&load[i], &load[best]))
+			best = i;
+	}
+	return best;
+}
+
+static uint32_t
+aq_idle_lender(const struct aq_load *load, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (load[i].usable && load[i].lends && load[i].in_flight == 0)
+			return i;
+	}
+	return AQ_NONE;
+}
+
+uint32_t
+aq_choose_target(const struct aq_load *load, uint32_t count, bool is_short,
+    int64_t waited_us)
+{
+	uint32_t best = aq_least_loaded(load, count, is_short, false);
+
+	if (best == AQ_NONE)
+		best = aq_least_loaded(load, count, is_short, true);
+	if (best != AQ_NONE && load[best].in_flight < AQ_MAX_IN_FLIGHT)
+		return best;
+	if (!is_short && waited_us >= AQ_BORROW_AFTER_US)
+		return aq_idle_lender(load, count);
+	return AQ_NONE;
+}
--- a/tests/unit/test_advice_queue.cc
+++ b/tests/unit/test_advice_queue.cc
@@ -88,4 +88,72 @@
 	EXPECT_GE(answered, 12);
 }
 
+/* Seven daemons as a cell has them: 0, 3 and 6 are kept for short requests. */
+class AdviceTargets : public testing::Test
+{
+      protected:
+	AdviceTargets()
+	{
+		for (uint32_t i = 0; i < load.size(); i++) {
+			load[i].usable = true;
+			load[i].for_short = i % 3 == 0;
+			load[i].lends = i % 3 == 0 && i > 0;
+		}
+	}
+
+	uint32_t
+	choose(bool is_short, int64_t waited_us)
+	{
+		return aq_choose_target(
+		    load.data(), (uint32_t)load.size(), is_short, waited_us);
+	}
+
+	void
+	send(uint32_t target, int64_t cost_us)
+	{
+		load[target].in_flight++;
+		load[target].in_flight_cost_us += cost_us;
+	}
+
+	void
+	fill_with_long_requests()
+	{
+		uint32_t target;
+
+		while ((target = choose(false, 0)) != AQ_NONE) {
+			EXPECT_FALSE(load[target].for_short);
+			send(target, 600 * kMs);
+		}
+	}
+
+	std::vector<struct aq_load> load = std::vector<struct aq_load>(7);
+};
+
+/* A pool stood still with room free, and three of seven daemons were idle. */
+TEST_F(AdviceTargets, LongRequestsThatWaitUseIdleDaemonsKeptForShortOnes)
+{
+	fill_with_long_requests();
+	EXPECT_EQ(choose(false, 400 * kMs), AQ_NONE);
+	EXPECT_EQ(choose(false, 2 * kS), 3u);
+	send(3, 600 * kMs);
+	EXPECT_EQ(choose(false, 2 * kS), 6u);
+	send(6, 600 * kMs);
+	EXPECT_EQ(choose(false, 2 * kS), AQ_NONE);
+}
+
+TEST_F(AdviceTargets, LongRequestsLeaveADaemonToShortOnes)
+{
+	fill_with_long_requests();
+	for (uint32_t target; (target = choose(false, 9 * kS)) != AQ_NONE;)
+		send(target, 600 * kMs);
+	EXPECT_EQ(choose(true, 0), 0u);
+}
+
+TEST_F(AdviceTargets, DaemonsWithShortRequestsAreNotLent)
+{
+	fill_with_long_requests();
+	send(3, 20 * kMs);
+	EXPECT_EQ(choose(false, 2 * kS), 6u);
+}
+
 } // namespace
