--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -26,6 +26,7 @@
 	d->c = c;
 	snprintf(
 	    d->target[0].vm, sizeof(d->target[0].vm), "%s", c->settings->vm);
+	d->target[0].load = &d->load[0];
 	d->target_count = 1;
 	return d;
 }
@@ -77,8 +78,8 @@
     uint32_t count)
 {
 	if (req->target != NULL) {
-		req->target->in_flight--;
-		req->target->in_flight_cost_us -= req->cost_us;
+		req->target->load->in_flight--;
+		req->target->load->in_flight_cost_us -= req->cost_us;
 	}
 	if (req->origin_link != 0) {
 		av_respond_to_peer(req, ok, approved, count);
@@ -160,6 +161,21 @@
 	return best;
 }
 
+/* How long the oldest request of a kind has waited in the queue. */
+static int64_t
+av_longest_wait_us(struct av_dispatcher *d, bool is_short, int64_t now_us)
+{
+	int64_t oldest_us = now_us;
+	struct av_request *req;
+
+	DL_FOREACH(d->queue, req) {
+		if ((req->cost_us < AV_SHORT_US) == is_short &&
+		    req->made_us < oldest_us)
+			oldest_us = req->made_us;
+	}
+	return now_us - oldest_us;
+}
+
 static void
 av_dispatch_kind(struct av_dispatcher *d, bool is_short)
 {
@@ -169,13 +185,14 @@
 
 	while ((req = av_first_request_of(
 		    d->queue, is_short, now_us - AV_MAX_WAIT_US)) != NULL) {
-		target = av_choose_target(d, is_short);
+		target = av_choose_target(
+		    d, is_short, av_longest_wait_us(d, is_short, now_us));
 		if (target == NULL)
 			return;
 		DL_DELETE(d->queue, req);
 		req->target = target;
-		target->in_flight++;
-		target->in_flight_cost_us += req->cost_us;
+		target->load->in_flight++;
+		target->load->in_flight_cost_us += req->cost_us;
 		if (target == &d->target[0]) {
 			req->queued_us = now_us;
 			DL_APPEND(d->local_queue, req);
--- a/curranttackd/cell_advice_forward.c
+++ b/curranttackd/cell_advice_forward.c
@@ -12,8 +12,10 @@
 
 	req->id = ++d->last_id;
 	req->deadline_us =
-	    aq_answer_deadline_us(now_us, req->target->in_flight_cost_us,
-		req->target->for_short ? 0 : d->largest_cost_us);
+	    aq_answer_deadline_us(now_us, req->target->load->in_flight_cost_us,
+		req->target->load->for_short && !req->target->load->lends
+		    ? 0
+		    : d->largest_cost_us);
 	row.id = req->id;
 	row.job = req->request.job;
 	row.occurrence = req->request.occurrence;
--- a/curranttackd/cell_advice_peers.c
+++ b/curranttackd/cell_advice_peers.c
@@ -61,7 +61,7 @@
 		if (target->link != link)
 			continue;
 		target->link = NULL;
-		target->usable = false;
+		target->load->usable = false;
 		DL_FOREACH_SAFE(d->forwarded, req, tmp) {
 			if (req->target != target)
 				continue;
--- a/curranttackd/cell_advice_targets.c
+++ b/curranttackd/cell_advice_targets.c
@@ -5,10 +5,10 @@
 #include "curranttackd/cell_advice_internal.h"
 #include "curranttackd/cell_peers.h"
 
-/* Requests of an owner in flight at one daemon. */
-#define AV_MAX_TARGET_IN_FLIGHT 2
 /* One daemon in this many is kept for short requests. */
 #define AV_SHORT_TARGET_EVERY 3
+/* Of these, one in this many is never lent to long requests. */
+#define AV_KEPT_TARGET_EVERY 3
 #define AV_REFRESH_US (100 * CLK_US_PER_MS)
 
 static struct av_target *
@@ -23,8 +23,10 @@
 	}
 	if (d->target_count == AV_MAX_TARGETS)
 		return NULL;
-	target = &d->target[d->target_count++];
+	target = &d->target[d->target_count];
 	memset(target, 0, sizeof(*target));
+	target->load = &d->load[d->target_count++];
+	memset(target->load, 0, sizeof(*target->load));
 	snprintf(target->vm, sizeof(target->vm), "%s", vm);
 	return target;
 }
@@ -37,12 +39,14 @@
 
 	if (target == NULL)
 		return;
-	target->for_short = members >= AV_SHORT_TARGET_EVERY &&
+	target->load->for_short = members >= AV_SHORT_TARGET_EVERY &&
 	    members_before % AV_SHORT_TARGET_EVERY == 0;
+	target->load->lends = target->load->for_short &&
+	    members_before % (AV_SHORT_TARGET_EVERY * AV_KEPT_TARGET_EVERY) > 0;
 	if (target == &d->target[0])
 		return;
 	target->link = pn_link(d->c->links, target->vm);
-	target->usable =
+	target->load->usable =
 	    target->link != NULL && now_us >= target->avoid_until_us;
 }
 
@@ -60,9 +64,10 @@
 		return;
 	d->refresh_at_us = now_us + AV_REFRESH_US;
 	for (i = 1; i < d->target_count; i++)
-		d->target[i].usable = false;
-	d->target[0].usable = true;
-	d->target[0].for_short = false;
+		d->load[i].usable = false;
+	d->load[0].usable = true;
+	d->load[0].for_short = false;
+	d->load[0].lends = false;
 	HASH_ITER(hh, d->c->replica->members, m, tmp)
 		members += m->present;
 	HASH_ITER(hh, d->c->replica->members, m, tmp) {
@@ -77,33 +82,11 @@
 	}
 }
 
-/* The least loaded target of those for such requests, or of all if @any. */
-static struct av_target *
-av_least_loaded(struct av_dispatcher *d, bool is_short, bool any)
-{
-	struct av_target *best = NULL;
-	uint32_t i;
-
-	for (i = 0; i < d->target_count; i++) {
-		struct av_target *target = &d->target[i];
-
-		if (!target->usable || (!any && target->for_short != is_short))
-			continue;
-		if (best == NULL ||
-		    target->in_flight_cost_us < best->in_flight_cost_us)
-			best = target;
-	}
-	return best;
-}
-
 struct av_target *
-av_choose_target(struct av_dispatcher *d, bool is_short)
+av_choose_target(struct av_dispatcher *d, bool is_short, int64_t waited_us)
 {
-	struct av_target *target = av_least_loaded(d, is_short, false);
+	uint32_t i =
+	    aq_choose_target(d->load, d->target_count, is_short, waited_us);
 
-	if (target == NULL)
-		target = av_least_loaded(d, is_short, true);
-	return target != NULL && target->in_flight < AV_MAX_TARGET_IN_FLIGHT
-	    ? target
-	    : NULL;
+	return i != AQ_NONE ? &d->target[i] : NULL;
 }
--- a/curranttackd/cell_advice_tick.c
+++ b/curranttackd/cell_advice_tick.c
@@ -78,9 +78,9 @@
 	for (i = 0; i < d->target_count; i++) {
 		const struct av_target *target = &d->target[i];
 
-		usable[target->for_short] += target->usable;
-		busy[target->for_short] +=
-		    target->usable && target->in_flight > 0;
+		usable[target->load->for_short] += target->load->usable;
+		busy[target->load->for_short] +=
+		    target->load->usable && target->load->in_flight > 0;
 	}
 	queued = av_count_list(d->queue, now_us, &queued_us);
 	forwarded = av_count_list(d->forwarded, now_us, &forwarded_us);
--- a/include/curranttackd/cell_advice_internal.h
+++ b/include/curranttackd/cell_advice_internal.h
@@ -2,6 +2,7 @@
 #define CURRANTTACKD_CELL_ADVICE_INTERNAL_H
 
 #include "curranttackd/cell_advice.h"
+#include "state/advice_queue.h"
 
 /**
  * DOC: Shared by the files that spread advice requests over daemons. Lowest
@@ -17,20 +18,14 @@
  * struct av_target - a daemon that can call the service
  * @vm: its VM
  * @link: connection to it, or NULL; unused for this daemon
- * @in_flight: requests that it has
- * @in_flight_cost_us: what these cost the service
+ * @load: what it can take, and what it has
  * @avoid_until_us: gets none before, as it has been silent
- * @usable: may get requests now
- * @for_short: kept for short requests
  */
 struct av_target {
 	char vm[WP_NAME_BYTES];
 	struct peer_link *link;
-	uint32_t in_flight;
-	int64_t in_flight_cost_us;
+	struct aq_load *load;
 	int64_t avoid_until_us;
-	bool usable;
-	bool for_short;
 };
 
 /**
@@ -81,6 +76,7 @@
  * @forwarded: requests that peers have
  * @local_in_flight: calls of the service in flight
  * @target: daemons that can call the service; the first one is this daemon
+ * @load: of the target of the same index
  * @target_count: number of them
  * @last_id: id of the last forwarded request
  * @refresh_at_us: when the targets are next brought up to date
@@ -95,6 +91,7 @@
 	struct av_request *forwarded;
 	uint32_t local_in_flight;
 	struct av_target target[AV_MAX_TARGETS];
+	struct aq_load load[AV_MAX_TARGETS];
 	uint32_t target_count;
 	uint64_t last_id;
 	int64_t refresh_at_us;
@@ -120,8 +117,16 @@
  * And which of them are kept for short requests.
  */
 void av_refresh_targets(struct av_dispatcher *d, int64_t now_us);
-/** av_choose_target() - the daemon for a request, or NULL while all are busy */
-struct av_target *av_choose_target(struct av_dispatcher *d, bool is_short);
+/**
+ * av_choose_target() - the daemon for a request
+ * @d: dispatcher
+ * @is_short: whether it is a short request
+ * @waited_us: how long the oldest request of its kind has waited
+ *
+ * Return: the daemon, or NULL while all are busy.
+ */
+struct av_target *av_choose_target(
+    struct av_dispatcher *d, bool is_short, int64_t waited_us);
 
 /* cell_advice.c */
 
