claim: earlier owners are waited for no longer than they can act

Cause: until when earlier owners may act is stored as a time of day, and was taken as it is. Change: it is cut to the longest time for which any owner before can act from now on (a lease, and 10 s without a confirmed lease). That loses nothing: owners before the last one stopped earlier than the last.

A clock that is ahead can still make the wait too short; that is open, as the reviewer suspects it.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -165,6 +165,18 @@
 	return m != NULL && m->incarnation > h->earlier_owner_incarnation;
 }
 
+/* The time of day may have been set back since it was stored. */
+static int64_t
+cp_older_owners_until_us(const struct rp_owner *o, int64_t now_us)
+{
+	int64_t stored_us = o->earlier_owner_until_wall_ms * CLK_US_PER_MS +
+	    cell_wall_to_steady_us();
+	int64_t longest_us =
+	    now_us + CP_WORKER_LEASE_US + CP_UNCONFIRMED_LIMIT_US;
+
+	return stored_us < longest_us ? stored_us : longest_us;
+}
+
 /* Until when the last owner, or one before it, may still act on workers. */
 static int64_t
 cp_earlier_owner_until_us(
@@ -465,9 +477,7 @@
 		h->claim_at_us = now_us + cp_claim_delay_us(h);
 	if (now_us < h->claim_at_us || cp_claim_is_outdated(h, now_us))
 		return;
-	h->older_owners_until_us =
-	    o->earlier_owner_until_wall_ms * CLK_US_PER_MS +
-	    cell_wall_to_steady_us();
+	h->older_owners_until_us = cp_older_owners_until_us(o, now_us);
 	snprintf(
 	    h->earlier_owner_vm, sizeof(h->earlier_owner_vm), "%s", o->term_vm);
 	h->earlier_owner_incarnation = o->term_incarnation;
