tests: a connection whose request waits for a service is not idle

The idle time-out of the server against a request that lasts longer than it, of the class "closes something while it owes an answer".

--- a/tests/fault/test_drain_services.cc
+++ b/tests/fault/test_drain_services.cc
@@ -36,9 +36,8 @@
 		return c->daemons[0];
 	}
 
-	/* Settings that may change are read again on SIGHUP. */
 	void
-	set_drain(const std::string &duration)
+	replace_drain(const std::string &setting)
 	{
 		std::ifstream from(daemon().settings_path);
 		std::ostringstream text;
@@ -47,8 +46,15 @@
 		text << from.rdbuf();
 		settings = text.str();
 		settings.replace(settings.find("drain = \"20s\""),
-		    strlen("drain = \"20s\""), "drain = \"" + duration + "\"");
+		    strlen("drain = \"20s\""), setting);
 		std::ofstream(daemon().settings_path) << settings;
+	}
+
+	/* Settings that may change are read again on SIGHUP. */
+	void
+	set_drain(const std::string &duration)
+	{
+		replace_drain("drain = \"" + duration + "\"");
 		daemon().process->signal(SIGHUP);
 		usleep(300000);
 	}
@@ -136,6 +142,34 @@
 	EXPECT_EQ(daemon().process->wait(25000), 0);
 }
 
+/* The time-out of idle connections is shorter than the service takes. */
+TEST_F(DrainOfServices, ConnectionWithAWaitingRequestIsNotIdle)
+{
+	start(3500000);
+	replace_drain("idle_seconds = 1");
+	daemon().process->signal(SIGKILL);
+	daemon().process->wait(5000);
+	daemon().process =
+	    std::make_unique<Process>("curranttackd/curranttackd",
+		std::vector<std::string>{"--config", daemon().settings_path},
+		daemon().settings_path + ".log");
+	ASSERT_TRUE(eventually([&] {
+		return http("GET", "http://" + daemon().callers() + "/ready")
+			   .status == 200;
+	}));
+	RawCaller busy(daemon().callers());
+	RawCaller idle(daemon().callers());
+	ASSERT_TRUE(eventually([&] {
+		return idle.request("POST", "/v1/services/svc/requests", "x") ==
+		    End::ANSWERED &&
+		    idle.status == 200;
+	}));
+	EXPECT_EQ(busy.request("POST", "/v1/services/svc/requests", "x"),
+	    End::ANSWERED);
+	EXPECT_EQ(busy.status, 200);
+	EXPECT_FALSE(idle.is_open());
+}
+
 TEST_F(DrainOfServices, WhatStillWaitsIsAnsweredBeforeTheExit)
 {
 	start(30000000);
