pool: a step is put among thousands of others without passing them all

Callers waited for seconds, and one for 10 s, for a daemon that owned a pool with thousands of waiting jobs: 4.7 s for the slowest of 8,400 submissions. The owner lost its lease ('lease has ended'), the next one as well; with 9,000 jobs a pool had 17 owners in a minute.

Cause: 95 to 97% of the time went into the sorted insertion into the list of steps that may start, which passes all that go before; a takeover inserts each step anew, and nothing is served meanwhile. Class: work that grows with the square of the backlog, on the loop that renews leases.

Change: three levels of a skip list above the list, one step in sixteen of each in the next (state/pool_ready, with the order that stood in pool_task). Removing needs no comparison, so it doesn't matter that the order of a listed step may have changed. The order itself is the same. Ruled out: a list that is sorted before each pass (six places read it), a search from the tail (late and less urgent work is there).

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -183,6 +183,9 @@
 	WP_TOO_LATE, /* so late that its result is worthless to its caller */
 };
 
+/** WP_READY_LEVELS - levels above the list of ready steps */
+#define WP_READY_LEVELS 3
+
 /**
  * struct wp_step - one occurrence of a step
  * @occ: the occurrence it belongs to
@@ -216,6 +219,9 @@
  *	considered
  * @suspects: tasks with entries in @crash
  * @trial_passed: one of these has lived for a while since the last crash
+ * @prev: before it among the ready steps
+ * @next: after it among the ready steps
+ * @level: the same among those on each of the first @levels levels
  */
 struct wp_step {
 	struct wp_occurrence *occ;
@@ -250,6 +256,11 @@
 	bool trial_passed;
 	struct wp_step *prev;
 	struct wp_step *next;
+	struct {
+		struct wp_step *prev;
+		struct wp_step *next;
+	} level[WP_READY_LEVELS];
+	uint32_t levels;
 	struct wp_step *upcoming_prev;
 	struct wp_step *upcoming_next;
 };
@@ -893,6 +904,8 @@
  * @worker_count: workers so far
  * @worker_by_index: worker of each index
  * @ready: steps that may start, in the order in which they start
+ * @ready_level: the first ready step on each level
+ * @ready_inserted: steps that were put among them
  * @upcoming: steps that advice is requested for before they are ready
  * @orders: orders to be fetched with wp_next_order()
  * @starts: start orders without a result
@@ -938,6 +951,8 @@
 	uint32_t worker_count;
 	struct wp_worker **worker_by_index;
 	struct wp_step *ready;
+	struct wp_step *ready_level[WP_READY_LEVELS];
+	uint32_t ready_inserted;
 	struct wp_step *upcoming;
 	struct wp_order *orders;
 	struct sw_window starts;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -5,8 +5,8 @@
 #include "state/pool.h"
 
 /**
- * DOC: Shared by the pool's files. Lowest first: pool_task (state changes of
- * tasks, steps and jobs), pool_store (what to store and acknowledge),
+ * DOC: Shared by the pool's files. Lowest first: pool_ready (the order in which
+ * steps start), pool_task (state changes of tasks, steps and jobs), pool_store (what to store and acknowledge),
  * pool_stray (starts that may be carried out late), pool_worker (workers'
  * reports and leases), pool_reconcile (what may still run
  * for an earlier owner), pool_defer (jobs that no later owner has to wait for),
@@ -126,6 +126,10 @@
 void wp_step_mark_ready(struct wp_pool *p, struct wp_step *s);
 /** wp_occurrence_advance() - mark steps as ready whose dependencies are done */
 void wp_occurrence_advance(struct wp_pool *p, struct wp_occurrence *occ);
+/** wp_ready_insert() - list a step that may start, in its order */
+void wp_ready_insert(struct wp_pool *p, struct wp_step *s);
+/** wp_ready_remove() - take a step off that list; its order may have changed */
+void wp_ready_remove(struct wp_pool *p, struct wp_step *s);
 /** wp_step_unlist() - take a step off the pool's list of ready steps */
 void wp_step_unlist(struct wp_pool *p, struct wp_step *s);
 /** wp_lateness_tick() - find the ready steps that can't be on time any more */
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -309,47 +309,6 @@
 	wp_task_send_stop(p, t, now_us);
 }
 
-/* Late work of the highest priority still goes before less urgent work. */
-static enum wp_lateness
-wp_sort_lateness(const struct wp_step *s)
-{
-	if (s->lateness == WP_LATE && s->occ->job->spec->policy.priority == 0)
-		return WP_ON_TIME;
-	return s->lateness;
-}
-
-/*
- * A step under which a worker may have crashed goes first: as long as its tasks
- * wait to be tried, they may still crash workers. Under overload, steps that
- * can still meet their objective go first and steps whose result is worth
- * nothing any more go last. Within each group, the more urgent priority goes
- * first, then the earlier objective.
- */
-static int
-wp_compare_steps(const struct wp_step *a, const struct wp_step *b)
-{
-	const struct wp_job *ja = a->occ->job;
-	const struct wp_job *jb = b->occ->job;
-	uint32_t pa = ja->spec->policy.priority;
-	uint32_t pb = jb->spec->policy.priority;
-
-	if ((a->suspects > 0) != (b->suspects > 0))
-		return a->suspects > 0 ? -1 : 1;
-	if (wp_sort_lateness(a) != wp_sort_lateness(b))
-		return wp_sort_lateness(a) < wp_sort_lateness(b) ? -1 : 1;
-	if (pa != pb)
-		return pa < pb ? -1 : 1;
-	if (a->lateness != b->lateness)
-		return a->lateness < b->lateness ? -1 : 1;
-	if (ja->objective_us != jb->objective_us)
-		return ja->objective_us < jb->objective_us ? -1 : 1;
-	if (ja != jb)
-		return strcmp(ja->spec->id, jb->spec->id);
-	if (a->occ != b->occ)
-		return a->occ->number < b->occ->number ? -1 : 1;
-	return a->number < b->number ? -1 : 1;
-}
-
 static void
 wp_step_update_upcoming(struct wp_pool *p, struct wp_step *s)
 {
@@ -368,9 +327,7 @@
 wp_step_unlist(struct wp_pool *p, struct wp_step *s)
 {
 	wp_reservation_release(p, s);
-	DL_DELETE(p->ready, s);
-	s->prev = NULL;
-	s->next = NULL;
+	wp_ready_remove(p, s);
 }
 
 /* Until gangs are planned again: just before the next step. */
@@ -389,7 +346,7 @@
 	bool wanted = s->ready && s->waiting > 0;
 
 	if (wanted && !listed) {
-		DL_INSERT_INORDER(p->ready, s, wp_compare_steps);
+		wp_ready_insert(p, s);
 		s->rank = wp_rank_between(s);
 	}
 	if (!wanted && listed)
