transport: the HTTP server is three files

Whole functions move: how a server stops to http_drain.c (110 lines), what a handler reads and answers to http_response.c (177); connections and requests stay (337). The types that they share are in http_server_internal.h, with their fields described.

--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -1,49 +1,18 @@
 #include <arpa/inet.h>
 #include <errno.h>
-#include <linux/filter.h>
-#include <microhttpd.h>
 #include <netinet/in.h>
-#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "common/clock.h"
 #include "common/counters.h"
-#include "common/log.h"
 #include "transport/address.h"
-#include "transport/http_server.h"
+#include "transport/http_server_internal.h"
 
 #define HS_BACKLOG 512
-/* For handshakes that have begun when the server stops accepting. */
-#define HS_HANDSHAKE_US (50 * CLK_US_PER_MS)
-
-enum hs_phase {
-	HS_READING,
-	HS_UNANSWERED,
-	HS_SENDING,
-	HS_PHASES,
-};
-
-struct http_server {
-	struct loop *loop;
-	struct MHD_Daemon *mhd;
-	int listener; /* once MHD no longer accepts */
-	struct tevent_fd *fde;
-	struct tevent_timer *timer;
-	struct tevent_immediate *resume_event;
-	hs_handler_fn handler;
-	void *arg;
-	size_t max_body_bytes;
-	LIST_HEAD(, hs_exchange) unanswered;
-	bool draining;
-	atomic_uint connections;
-	atomic_uint fresh;
-	atomic_uint in_phase[HS_PHASES];
-};
 
 /* One for each connection. */
 struct hs_caller {
@@ -51,25 +20,6 @@
 	bool fresh;
 };
 
-struct hs_exchange {
-	struct hs_request req;
-	struct http_server *hs;
-	LIST_ENTRY(hs_exchange) link; /* while unanswered */
-	struct MHD_Connection *conn;
-	char *body;
-	struct MHD_Response *response;
-	int status;
-	enum hs_phase phase;
-	bool too_large;
-	bool handled;
-	bool answered;
-	bool owed; /* answered, and the handler will respond all the same */
-	bool suspended;
-	bool cut;
-	bool reset;
-	bool closed;
-};
-
 static void hs_schedule(struct http_server *hs);
 
 int
@@ -131,7 +81,7 @@
 	return ex;
 }
 
-static void
+void
 hs_set_phase(struct hs_exchange *ex, enum hs_phase phase)
 {
 	if (ex->phase == HS_UNANSWERED)
@@ -377,12 +327,6 @@
 	counts->sending += atomic_load(&hs->in_phase[HS_SENDING]);
 }
 
-void
-hs_begin_drain(struct http_server *hs)
-{
-	hs->draining = true;
-}
-
 void
 hs_run(struct http_server *hs)
 {
@@ -391,264 +335,3 @@
 	MHD_run(hs->mhd);
 	hs_schedule(hs);
 }
-
-/* Drops the first segment of each handshake; those under way complete. */
-static void
-hs_refuse_handshakes(int listener)
-{
-	enum { TCP_FLAGS_OFFSET = 13, TCP_FLAG_SYN = 0x02 };
-	struct sock_filter code[] = {
-	    BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
-	    BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TCP_FLAG_SYN, 0, 1),
-	    BPF_STMT(BPF_RET | BPF_K, 0),
-	    BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
-	};
-	struct sock_fprog program = {
-	    .len = sizeof(code) / sizeof(code[0]),
-	    .filter = code,
-	};
-
-	/* Without it, a connection that is made just now may be cut. */
-	if (setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program,
-		sizeof(program)) == -1)
-		lg_event(LG_WARN, "http", "no_filter", "error", strerror(errno),
-		    NULL);
-}
-
-static void
-hs_accept_all(struct http_server *hs)
-{
-	struct sockaddr_in sin;
-	socklen_t len = sizeof(sin);
-	int fd;
-
-	while ((fd = accept4(hs->listener, (struct sockaddr *)&sin, &len,
-		    SOCK_NONBLOCK | SOCK_CLOEXEC)) != -1) {
-		MHD_add_connection(hs->mhd, fd, (struct sockaddr *)&sin, len);
-		len = sizeof(sin);
-	}
-}
-
-static void
-hs_close_listener(void *arg)
-{
-	struct http_server *hs = arg;
-
-	if (hs->mhd == NULL)
-		return;
-	hs_accept_all(hs);
-	close(hs->listener);
-	hs_run(hs);
-	atomic_fetch_sub(&hs->fresh, 1);
-}
-
-void
-hs_stop_accepting(struct http_server *hs)
-{
-	hs->listener = MHD_quiesce_daemon(hs->mhd);
-	if (hs->listener == MHD_INVALID_SOCKET)
-		return;
-	/* One that may be in its handshake. */
-	atomic_fetch_add(&hs->fresh, 1);
-	hs_refuse_handshakes(hs->listener);
-	hs_accept_all(hs);
-	hs_run(hs);
-	loop_after(hs->loop, HS_HANDSHAKE_US, hs_close_listener, hs);
-}
-
-void
-hs_answer_overdue(struct http_server *hs)
-{
-	struct hs_exchange *ex;
-
-	/* A response only resumes a connection; hs_run() changes the list. */
-	LIST_FOREACH(ex, &hs->unanswered, link)
-	{
-		if (ex->response != NULL || ex->req.overdue == NULL)
-			continue;
-		ct_add(CT_HTTP_AT_END, 1);
-		ex->req.overdue(ex->req.overdue_arg);
-	}
-	hs_run(hs);
-}
-
-void
-hs_stop(struct http_server *hs)
-{
-	TALLOC_FREE(hs->timer);
-	TALLOC_FREE(hs->fde);
-	if (atomic_load(&hs->in_phase[HS_UNANSWERED]) == 0)
-		MHD_stop_daemon(hs->mhd);
-	hs->mhd = NULL;
-}
-
-static struct hs_exchange *
-hs_exchange_of(struct hs_request *req)
-{
-	return (struct hs_exchange *)req;
-}
-
-const char *
-hs_header(struct hs_request *req, const char *name)
-{
-	return MHD_lookup_connection_value(
-	    hs_exchange_of(req)->conn, MHD_HEADER_KIND, name);
-}
-
-const char *
-hs_query(struct hs_request *req, const char *name)
-{
-	return MHD_lookup_connection_value(
-	    hs_exchange_of(req)->conn, MHD_GET_ARGUMENT_KIND, name);
-}
-
-static void
-hs_on_resumed(struct tevent_context *ev, struct tevent_immediate *im, void *arg)
-{
-	(void)ev;
-	(void)im;
-	hs_run(arg);
-}
-
-static void
-hs_resume(struct hs_exchange *ex)
-{
-	struct http_server *hs = ex->hs;
-
-	if (!ex->suspended)
-		return;
-	ex->suspended = false;
-	MHD_resume_connection(ex->conn);
-	/* MHD handles the resumed connection in MHD_run(), which must be called. */
-	tevent_schedule_immediate(
-	    hs->resume_event, loop_ev(hs->loop), hs_on_resumed, hs);
-}
-
-void
-hs_cut(struct hs_request *req, bool reset)
-{
-	struct hs_exchange *ex = hs_exchange_of(req);
-
-	ex->cut = true;
-	ex->reset = reset;
-}
-
-static void
-hs_reset_connection(struct hs_exchange *ex)
-{
-	const struct sockaddr none = {.sa_family = AF_UNSPEC};
-	const union MHD_ConnectionInfo *info;
-
-	info = MHD_get_connection_info(
-	    ex->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-	/* Closing it would send a FIN first. */
-	if (info != NULL)
-		(void)connect(info->connect_fd, &none, sizeof(none));
-}
-
-static void
-hs_close(struct hs_exchange *ex)
-{
-	if (ex->reset)
-		hs_reset_connection(ex);
-	ex->closed = true;
-	hs_resume(ex);
-}
-
-static void
-hs_drop_owed(struct hs_exchange *ex)
-{
-	ex->owed = false;
-	if (ex->conn == NULL)
-		talloc_free(ex);
-}
-
-void
-hs_drop_next(struct hs_request *req)
-{
-	hs_exchange_of(req)->owed = true;
-}
-
-void
-hs_respond(struct hs_request *req, int status, const char *content_type,
-    const void *body, size_t body_bytes, const struct hs_header *headers,
-    size_t header_count)
-{
-	struct hs_exchange *ex = hs_exchange_of(req);
-	size_t i;
-
-	if (ex->answered) {
-		hs_drop_owed(ex);
-		return;
-	}
-	ex->answered = true;
-	if (ex->cut) {
-		hs_close(ex);
-		return;
-	}
-	ex->status = status;
-	ex->response = MHD_create_response_from_buffer(
-	    body_bytes, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(ex->response, "Content-Type", content_type);
-	if (ex->hs->draining)
-		MHD_add_response_header(ex->response, "Connection", "close");
-	for (i = 0; i < header_count; i++) {
-		if (headers[i].value != NULL)
-			MHD_add_response_header(
-			    ex->response, headers[i].name, headers[i].value);
-	}
-	hs_resume(ex);
-}
-
-bool
-hs_caller_has_left(struct hs_request *req)
-{
-	const union MHD_ConnectionInfo *info;
-	ssize_t n;
-	char byte;
-
-	info = MHD_get_connection_info(
-	    hs_exchange_of(req)->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-	if (info == NULL)
-		return false;
-	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return n == 0 || (n == -1 && errno == ECONNRESET);
-}
-
-struct hs_partial {
-	size_t n;
-	char data[];
-};
-
-static ssize_t
-hs_read_partial(void *arg, uint64_t pos, char *buf, size_t max)
-{
-	struct hs_partial *part = arg;
-	size_t n;
-
-	if (pos >= part->n)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	n = part->n - (size_t)pos;
-	if (n > max)
-		n = max;
-	memcpy(buf, part->data + pos, n);
-	return (ssize_t)n;
-}
-
-void
-hs_abort(struct hs_request *req, const void *body, size_t body_bytes,
-    size_t announced_bytes)
-{
-	struct hs_exchange *ex = hs_exchange_of(req);
-	struct hs_partial *part;
-
-	part = malloc(sizeof(*part) + body_bytes);
-	if (part == NULL)
-		abort();
-	part->n = body_bytes;
-	memcpy(part->data, body, body_bytes);
-	ex->status = 200;
-	ex->response = MHD_create_response_from_callback(
-	    announced_bytes, 4096, hs_read_partial, part, free);
-	hs_resume(ex);
-}
