--- a/curranttackd/cell_calls_cancel.c
+++ b/curranttackd/cell_calls_cancel.c
@@ -69,6 +69,7 @@
 	    .put_count = 1,
 	};
 
+	w->in_flight = true;
 	f->keys->txn(f->handle, &txn, cc_on_written, w);
 }
 
@@ -81,6 +82,8 @@
 	struct cc_frontend *f = c->w.f;
 	const struct fl_fleet *fleet = f->c->fleet;
 
+	if (cc_write_is_over(&c->w))
+		return;
 	if (a->result != KS_OK || a->lease == 0) {
 		cc_write_refused(&c->w);
 		return;
@@ -135,7 +138,8 @@
 };
 
 void
-cc_cancel_job(struct cc_frontend *f, struct hs_request *req, const char *id)
+cc_cancel_job(struct cc_frontend *f, struct hs_request *req, const char *id,
+    int64_t deadline_us)
 {
 	const struct rp_job *job = rp_find_job(f->c->replica, id);
 	struct cc_cancellation *c;
@@ -145,10 +149,15 @@
 		cc_respond(f, req, 200, "{}");
 		return;
 	}
+	if (cc_is_ending(f->c)) {
+		cc_log_unwritten("cancel", id, 503, "daemon ends");
+		cc_respond_error(f, req, 503, "this daemon is about to end");
+		return;
+	}
 	c = talloc_zero(f, struct cc_cancellation);
 	if (c == NULL)
 		abort();
-	cc_write_init(&c->w, &cc_cancellation_ops, f, req, id);
+	cc_write_init(&c->w, &cc_cancellation_ops, f, req, id, deadline_us);
 	if (job != NULL)
 		c->job_revision = job->spec_revision;
 	cc_send_cancellation(&c->w);
--- a/curranttackd/cell_calls_respond.c
+++ b/curranttackd/cell_calls_respond.c
@@ -12,15 +12,12 @@
 cc_respond(
     struct cc_frontend *f, struct hs_request *req, int status, const char *body)
 {
-	struct hs_header headers[2] = {
-	    {"Retry-After",
-		status == 503 || status == 429 ? CC_RETRY_AFTER : NULL},
-	    {"Connection", f->c->draining ? "close" : NULL},
-	};
+	struct hs_header retry = {"Retry-After",
+	    status == 503 || status == 429 ? CC_RETRY_AFTER : NULL};
 
 	f->pending_count--;
 	hs_respond(
-	    req, status, "application/json", body, strlen(body), headers, 2);
+	    req, status, "application/json", body, strlen(body), &retry, 1);
 }
 
 void
@@ -49,6 +46,13 @@
 	return clk_now_us() - c->store_answered_us > CC_STORE_AWAY_US;
 }
 
+/* What would have to wait for the store is refused from now on. */
+bool
+cc_is_ending(const struct cell *c)
+{
+	return c->draining && dr_is_overdue(&c->drain, clk_now_us());
+}
+
 /* Not ready without the store, so that new connections go to other daemons. */
 bool
 cc_is_ready(const struct cell *c)
--- a/curranttackd/cell_calls_submit.c
+++ b/curranttackd/cell_calls_submit.c
@@ -20,6 +20,7 @@
 	char pool[WP_NAME_BYTES];
 	char term_key[RP_KEY_BYTES];
 	uint64_t term_revision;
+	uint64_t term_fence;
 };
 
 /* A job is refused only if no attempt to store it can succeed any more. */
@@ -60,7 +61,7 @@
 	job = rp_find_job(c->replica, w->id);
 	o = rp_get_owner(c->replica, s->pool);
 	/* Only an owner whose term was still current when the job was written. */
-	if (job == NULL || !o->present || o->fence != s->term_revision)
+	if (job == NULL || !o->present || o->fence != s->term_fence)
 		return;
 	if (strcmp(o->vm, c->settings->vm) != 0)
 		pn_send_job(c->links, o->vm, w->id, s->value, s->value_bytes,
@@ -94,6 +95,7 @@
 {
 	struct cc_submission *s = (struct cc_submission *)w;
 	const struct fl_fleet *f = w->f->c->fleet;
+	const struct rp_owner *o = rp_get_owner(w->f->c->replica, s->pool);
 	struct ks_expect expect[] = {
 	    {w->job_key, 0},
 	    {w->cancel_key, 0},
@@ -111,9 +113,10 @@
 	    .put_count = 1,
 	};
 
-	s->term_revision =
-	    rp_get_owner(w->f->c->replica, s->pool)->term_revision;
+	s->term_revision = o->term_revision;
+	s->term_fence = o->term_fence;
 	expect[2].revision = s->term_revision;
+	w->in_flight = true;
 	f->keys->txn(f->handle, &txn, cc_on_written, w);
 }
 
@@ -126,16 +129,15 @@
 };
 
 static void
-cc_respond_unstored(
-    struct cc_frontend *f, struct hs_request *req, const char *id)
+cc_respond_unstored(struct cc_frontend *f, struct hs_request *req,
+    const char *id, const char *reason)
 {
 	bool open = at_is_open(f->attempts, id, clk_now_us());
 
 	if (!open)
 		ct_add(CT_JOBS_REFUSED, 1);
-	cc_log_unwritten("submit", id, open ? 504 : 503, "store is away");
-	cc_respond_error(
-	    f, req, open ? 504 : 503, "the platform's store is away");
+	cc_log_unwritten("submit", id, open ? 504 : 503, reason);
+	cc_respond_error(f, req, open ? 504 : 503, reason);
 }
 
 static struct cc_submission *
@@ -146,7 +148,8 @@
 
 	if (s == NULL)
 		abort();
-	cc_write_init(&s->w, &cc_submission_ops, f, req, id);
+	cc_write_init(
+	    &s->w, &cc_submission_ops, f, req, id, cc_deadline_us(f, req));
 	memcpy(spec->id, id, sizeof(spec->id));
 	spec->queue = talloc_strdup(spec, queue->name);
 	spec->pool = talloc_strdup(spec, queue->pool);
@@ -180,9 +183,11 @@
 		cc_respond_error(f, req, 400, error);
 		return;
 	}
-	if (cc_store_is_unreachable(f->c)) {
+	if (cc_store_is_unreachable(f->c) || cc_is_ending(f->c)) {
 		talloc_free(spec);
-		cc_respond_unstored(f, req, id);
+		cc_respond_unstored(f, req, id,
+		    cc_is_ending(f->c) ? "this daemon is about to end"
+				       : "the platform's store is away");
 		return;
 	}
 	/* It may have been told elsewhere since that the job is refused. */
--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -19,6 +19,8 @@
 #define CP_RANKS_PER_POOL 3
 /* An owner that can't be reached may have lost its key unnoticed. */
 #define CP_OWNER_CHECK_US (3 * CLK_US_PER_S)
+/* Longer than an owner may start tasks while the store is unavailable. */
+#define CP_NEAR_WORK_MS 7000
 /* How often an owner looks for a larger VM. */
 #define CP_YIELD_CHECK_US (3 * CLK_US_PER_S)
 
@@ -129,12 +131,14 @@
 
 uint8_t *
 cp_term_value(TALLOC_CTX *ctx, const struct cp_host *h, uint32_t term,
-    bool released, size_t *bytes)
+    uint64_t fence, bool released, size_t *bytes)
 {
 	Currant__PoolTerm row = CURRANT__POOL_TERM__INIT;
 
 	row.term = term;
 	row.released = released;
+	row.has_fence = fence != 0;
+	row.fence = fence;
 	row.vm = h->cell->settings->vm;
 	row.has_incarnation = true;
 	row.incarnation = h->cell->incarnation;
@@ -145,23 +149,62 @@
 	return pk_pack(ctx, &row.base, bytes);
 }
 
+/*
+ * Whether the last owner's process has ended, or has lost its pools: it has been
+ * followed by another incarnation, which may be this one.
+ */
+static bool
+cp_earlier_owner_has_ended(const struct cp_host *h)
+{
+	const struct cell *c = h->cell;
+	const struct rp_member *m;
+
+	if (strcmp(h->earlier_owner_vm, c->settings->vm) == 0)
+		return c->incarnation > h->earlier_owner_incarnation;
+	HASH_FIND_STR(c->replica->members, h->earlier_owner_vm, m);
+	return m != NULL && m->incarnation > h->earlier_owner_incarnation;
+}
+
+/* The time of day may have been set back since it was stored. */
+static int64_t
+cp_older_owners_until_us(const struct rp_owner *o, int64_t now_us)
+{
+	int64_t stored_us = o->earlier_owner_until_wall_ms * CLK_US_PER_MS +
+	    cell_wall_to_steady_us();
+	int64_t longest_us =
+	    now_us + CP_WORKER_LEASE_US + CP_UNCONFIRMED_LIMIT_US;
+
+	return stored_us < longest_us ? stored_us : longest_us;
+}
+
 /* Until when the last owner, or one before it, may still act on workers. */
 static int64_t
 cp_earlier_owner_until_us(
     const struct cp_host *h, const struct rp_owner *o, int64_t now_us)
 {
-	int64_t older_us = o->earlier_owner_until_wall_ms * CLK_US_PER_MS +
-	    cell_wall_to_steady_us();
 	int64_t last_us = now_us + CP_WORKER_LEASE_US;
-	const struct rp_member *m;
 
 	if (o->term == 0)
 		return 0;
-	HASH_FIND_STR(h->cell->replica->members, o->term_vm, m);
-	if (!o->released &&
-	    (m == NULL || m->incarnation <= o->term_incarnation))
+	if (!o->released && !cp_earlier_owner_has_ended(h))
 		last_us += CP_UNCONFIRMED_LIMIT_US;
-	return older_us > last_us ? older_us : last_us;
+	return h->older_owners_until_us > last_us ? h->older_owners_until_us
+						  : last_us;
+}
+
+bool
+cp_update_earlier_owner(struct cp_host *h, int64_t now_us)
+{
+	int64_t until_us = now_us + CP_WORKER_LEASE_US;
+
+	if (until_us < h->older_owners_until_us)
+		until_us = h->older_owners_until_us;
+	if (until_us >= h->earlier_owner_until_us ||
+	    !cp_earlier_owner_has_ended(h))
+		return false;
+	h->earlier_owner_until_us = until_us;
+	h->term_dirty = true;
+	return true;
 }
 
 void
@@ -208,7 +251,7 @@
 
 	put[0].value = cp_owner_value(ctx, h, 0, &put[0].value_bytes);
 	put[1].value =
-	    cp_term_value(ctx, h, o->term + 1, false, &put[1].value_bytes);
+	    cp_term_value(ctx, h, o->term + 1, 0, false, &put[1].value_bytes);
 	f->keys->txn(f->handle, &txn, cp_on_claim_written, h);
 	talloc_free(ctx);
 }
@@ -257,11 +300,14 @@
 	int64_t now_us = clk_now_us();
 	struct wp_settings settings = {
 	    .term = o->term - 1,
-	    .earlier_owner_until_us = h->earlier_owner_until_us,
 	    .capacity_valid_ms = cp_capacity_valid_ms(h->cell->settings),
 	    .max_lease_ms = h->cell->settings->max_lease_ms,
+	    .near_work_ms = CP_NEAR_WORK_MS,
 	};
 
+	/* Its daemon may have shown that while the claim was being written. */
+	cp_update_earlier_owner(h, now_us);
+	settings.earlier_owner_until_us = h->earlier_owner_until_us;
 	ct_add(CT_TAKEOVERS, 1);
 	h->generation++;
 	h->state = CP_OWNER;
@@ -431,13 +477,12 @@
 		h->claim_at_us = now_us + cp_claim_delay_us(h);
 	if (now_us < h->claim_at_us || cp_claim_is_outdated(h, now_us))
 		return;
-	h->earlier_owner_until_us = cp_earlier_owner_until_us(h, o, now_us);
-	h->older_owners_until_us =
-	    o->earlier_owner_until_wall_ms * CLK_US_PER_MS +
-	    cell_wall_to_steady_us();
+	h->older_owners_until_us = cp_older_owners_until_us(o, now_us);
 	snprintf(
 	    h->earlier_owner_vm, sizeof(h->earlier_owner_vm), "%s", o->term_vm);
 	h->earlier_owner_incarnation = o->term_incarnation;
+	h->earlier_owner_until_us = cp_earlier_owner_until_us(h, o, now_us);
+	h->term_dirty = false;
 	cp_claim(h, now_us);
 }
 
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -225,6 +225,26 @@
 	}
 }
 
+static void
+cp_fill_not_started(
+    const struct cp_host *h, struct cp_commit *cm, Currant__PoolWorkers *list)
+{
+	struct wp_job *job;
+	struct wp_job *next;
+
+	list->has_term = true;
+	list->term = rp_get_owner(h->cell->replica, h->name)->term;
+	list->not_started =
+	    talloc_zero_array(cm, char *, HASH_COUNT(h->pool->jobs) + 1);
+	if (list->not_started == NULL)
+		abort();
+	HASH_ITER(hh, h->pool->jobs, job, next) {
+		if (wp_is_named(job))
+			list->not_started[list->n_not_started++] =
+			    job->spec->id;
+	}
+}
+
 /* Stores which workers may run something, as a later owner has to ask them. */
 static void
 cp_commit_registry(struct cp_host *h, struct cp_commit *cm)
@@ -254,11 +274,28 @@
 		list.workers[list.n_workers] = &row[list.n_workers];
 		list.n_workers++;
 	}
+	cp_fill_not_started(h, cm, &list);
 	value = pk_pack(cm, &list.base, &bytes);
 	cp_commit_add(
 	    cm, cp_make_key(cm, RP_WORKERS_PREFIX, h->name), value, bytes, 0);
 }
 
+/* Earlier owners stop sooner than was known when the pool was claimed. */
+static void
+cp_commit_term(struct cp_host *h, struct cp_commit *cm)
+{
+	const struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
+	uint8_t *value;
+	size_t bytes;
+
+	if (!h->term_dirty)
+		return;
+	h->term_dirty = false;
+	value = cp_term_value(cm, h, o->term, h->fence, false, &bytes);
+	cp_commit_add(
+	    cm, cp_make_key(cm, RP_TERM_PREFIX, h->name), value, bytes, 0);
+}
+
 static void
 cp_commit_fill(struct cp_host *h, struct cp_commit *cm)
 {
@@ -267,6 +304,7 @@
 	uint8_t *value;
 	size_t bytes;
 
+	cp_commit_term(h, cm);
 	cp_commit_registry(h, cm);
 	while (cm->put_count < KS_MAX_PUTS) {
 		job = wp_next_dirty(h->pool, cm, cm->created_us, &progress);
@@ -310,7 +348,8 @@
 	    .remove_count = 1,
 	};
 
-	put.value = cp_term_value(ctx, h, o->term, true, &put.value_bytes);
+	put.value =
+	    cp_term_value(ctx, h, o->term, h->fence, true, &put.value_bytes);
 	f->keys->txn(f->handle, &txn, cp_on_released, h);
 	talloc_free(ctx);
 	lg_event(LG_INFO, "pool", "released", "pool", h->name, "fence",
--- a/include/curranttackd/cell_calls_internal.h
+++ b/include/curranttackd/cell_calls_internal.h
@@ -14,6 +14,8 @@
  * them use).
  */
 
+struct cc_job_lookup;
+
 /**
  * struct cc_frontend - HTTP servers of the daemon
  * @c: cell
@@ -22,6 +24,7 @@
  * @metrics: server for metrics, or NULL
  * @attempts: attempts of callers to store a job that may still succeed
  * @tombstones: lease of the cancellations of jobs that are not stored
+ * @lookups: requests for jobs that are read from the store
  * @pending_count: callers' requests without a response
  */
 struct cc_frontend {
@@ -31,6 +34,7 @@
 	struct http_server *metrics;
 	struct at_table *attempts;
 	struct tb_lease tombstones;
+	struct cc_job_lookup *lookups;
 	uint32_t pending_count;
 };
 
@@ -47,6 +51,8 @@
     const char *event, const char *id, int status, const char *reason);
 /** cc_store_is_unreachable() - whether a write would not succeed */
 bool cc_store_is_unreachable(const struct cell *c);
+/** cc_is_ending() - whether nothing is awaited any more, as the process ends */
+bool cc_is_ending(const struct cell *c);
 /** cc_is_ready() - whether new connections should come to this daemon */
 bool cc_is_ready(const struct cell *c);
 
@@ -74,7 +80,7 @@
  * struct cc_write - a caller's request that waits for the key space
  * @ops: its kind
  * @f: servers
- * @req: the request
+ * @req: the request, or NULL once it was answered at the end of the process
  * @id: the job
  * @job_key: key of the job
  * @cancel_key: key of its cancellation
@@ -85,6 +91,7 @@
  * @refused: those without effect
  * @unanswered: those without an answer
  * @sent_again: those that the client library sent more than once by itself
+ * @in_flight: the store has been sent an attempt that has not ended
  * @uncertain: an attempt had no answer, so the write may still take effect
  *
  * First member of the struct of each kind.
@@ -103,16 +110,22 @@
 	uint32_t refused;
 	uint32_t unanswered;
 	uint32_t sent_again;
+	bool in_flight;
 	bool uncertain;
 };
 
+/** cc_deadline_us() - when a caller that asks now needs a response */
+int64_t cc_deadline_us(struct cc_frontend *f, struct hs_request *req);
 /** cc_write_init() - fill a write for a caller's request */
 void cc_write_init(struct cc_write *w, const struct cc_write_ops *ops,
-    struct cc_frontend *f, struct hs_request *req, const char *id);
+    struct cc_frontend *f, struct hs_request *req, const char *id,
+    int64_t deadline_us);
 /** cc_write_retry() - send it again after a pause, or respond at its deadline */
 void cc_write_retry(struct cc_write *w);
 /** cc_write_refused() - an attempt was refused: try again, or respond */
 void cc_write_refused(struct cc_write *w);
+/** cc_write_is_over() - whether it has been answered: then it is freed */
+bool cc_write_is_over(struct cc_write *w);
 /** cc_write_finish() - respond, and free the write */
 void cc_write_finish(struct cc_write *w, int status, const char *body);
 /** cc_on_written() - the answer to an attempt; @arg is the write */
@@ -129,8 +142,8 @@
 /* cell_calls_cancel.c */
 
 /** cc_cancel_job() - store the cancellation of a job, which may be unknown */
-void cc_cancel_job(
-    struct cc_frontend *f, struct hs_request *req, const char *id);
+void cc_cancel_job(struct cc_frontend *f, struct hs_request *req,
+    const char *id, int64_t deadline_us);
 
 /* cell_calls_query.c */
 
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -5,12 +5,15 @@
 #include "state/pool.h"
 
 /**
- * DOC: Shared by the pool's files. Lowest first: pool_task (state changes of
- * tasks, steps and jobs), pool_store (what to store and acknowledge),
+ * DOC: Shared by the pool's files. Lowest first: pool_ready (the order in which
+ * steps start), pool_task (state changes of tasks, steps and jobs), pool_store (what to store and acknowledge),
  * pool_stray (starts that may be carried out late), pool_worker (workers'
  * reports and leases), pool_reconcile (what may still run
- * for an earlier owner), pool_gang, pool_advice (tickets), pool_reserve
- * (resources kept for gangs), pool_ask (which advice requests are sent),
+ * for an earlier owner), pool_defer (jobs that no later owner has to wait for),
+ * pool_gang, pool_approval (what the advice service approves, and how fast),
+ * pool_advice (tickets), pool_reserve (resources kept for gangs), pool_forecast
+ * (resources left for the next steps), pool_request (workers that an advice
+ * request names), pool_ask (steps that request advice),
  * pool_outlook (lateness), pool_waits (what steps wait for),
  * pool_sharing (throttling), pool_copy (speculative copies of tasks),
  * pool_crash (crashes of workers under tasks), pool_suspect (which tasks may
@@ -123,6 +126,10 @@
 void wp_step_mark_ready(struct wp_pool *p, struct wp_step *s);
 /** wp_occurrence_advance() - mark steps as ready whose dependencies are done */
 void wp_occurrence_advance(struct wp_pool *p, struct wp_occurrence *occ);
+/** wp_ready_insert() - list a step that may start, in its order */
+void wp_ready_insert(struct wp_pool *p, struct wp_step *s);
+/** wp_ready_remove() - take a step off that list; its order may have changed */
+void wp_ready_remove(struct wp_pool *p, struct wp_step *s);
 /** wp_step_unlist() - take a step off the pool's list of ready steps */
 void wp_step_unlist(struct wp_pool *p, struct wp_step *s);
 /** wp_lateness_tick() - find the ready steps that can't be on time any more */
@@ -159,6 +166,15 @@
 /** wp_reconcile_tick() - requeue unreconciled tasks that can't be running */
 void wp_reconcile_tick(struct wp_pool *p, int64_t now_us);
 
+/** wp_defer_tick() - find out at intervals which jobs' turn is far, or near */
+void wp_defer_tick(struct wp_pool *p, int64_t now_us);
+/** wp_defer_begin() - a registry is made that may name other jobs */
+void wp_defer_begin(struct wp_pool *p, int64_t now_us);
+/** wp_defer_end() - that registry is stored */
+void wp_defer_end(struct wp_pool *p);
+/** wp_defer_no_longer() - a job that is named could start now */
+void wp_defer_no_longer(struct wp_pool *p, struct wp_job *job, int64_t now_us);
+
 /** wp_close_tick() - find out whether a worker has to be closed, or opened */
 void wp_close_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
 
@@ -254,21 +270,6 @@
 /** wp_ticket_get() - as wp_ticket_find(), but adds an entry if there is none */
 struct wp_ticket *wp_ticket_get(
     const struct wp_pool *p, struct wp_step *s, const struct wp_worker *w);
-/**
- * wp_update_approval_rate() - learn from an answer of the advice service
- * @p: pool
- * @s: step that advice was requested for
- * @request: the request
- * @approved: workers that were approved
- * @now_us: time
- */
-void wp_update_approval_rate(struct wp_pool *p, const struct wp_step *s,
-    const struct wp_advice_request *request, uint32_t approved, int64_t now_us);
-/** wp_max_request_workers() - workers that a queue's requests may name */
-uint32_t wp_max_request_workers(const struct jb_policy *policy);
-/** wp_advice_latency_us() - time that a request about @workers usually takes */
-int64_t wp_advice_latency_us(
-    struct wp_pool *p, const struct wp_step *s, uint32_t workers);
 /** wp_expected_end_us() - when a running task will end, by its progress */
 int64_t wp_expected_end_us(const struct wp_task *t);
 /** wp_prefetch_advice() - request advice for a step that is not ready yet */
--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -28,12 +28,17 @@
  * @method: HTTP method
  * @path: path without the query
  * @body: whole body, @body_bytes long, NUL-terminated
+ * @overdue: set by a handler that responds later: responds at once, as the
+ *	process is about to end
+ * @overdue_arg: its argument
  */
 struct hs_request {
 	const char *method;
 	const char *path;
 	const char *body;
 	size_t body_bytes;
+	void (*overdue)(void *arg);
+	void *overdue_arg;
 };
 
 struct hs_header {
@@ -74,6 +79,53 @@
 struct http_server *hs_create(TALLOC_CTX *ctx, struct loop *l, int listen_fd,
     const struct hs_limits *limits, hs_handler_fn handler, void *arg);
 
+/**
+ * struct hs_counts - what a server has open
+ * @connections: connections
+ * @fresh: those that have carried no request yet, and one for the handshakes
+ *	that are under way after hs_stop_accepting()
+ * @reading: requests whose body hasn't arrived whole
+ * @unanswered: requests that the handler has, without a response
+ * @sending: responses that the caller's connection hasn't taken whole
+ */
+struct hs_counts {
+	uint32_t connections;
+	uint32_t fresh;
+	uint32_t reading;
+	uint32_t unanswered;
+	uint32_t sending;
+};
+
+/** hs_add_counts() - add a server's counts; safe from any thread */
+void hs_add_counts(const struct http_server *hs, struct hs_counts *counts);
+
+/**
+ * hs_begin_drain() - ask callers to close their connections, with each response
+ * @hs: server
+ */
+void hs_begin_drain(struct http_server *hs);
+
+/**
+ * hs_stop_accepting() - accept what waits, then close the listening socket
+ * @hs: server
+ *
+ * Handshakes that have begun complete; later callers are refused once the socket
+ * is closed, and their first segment is dropped until then.
+ */
+void hs_stop_accepting(struct http_server *hs);
+
+/** hs_run() - read and send what is possible without waiting */
+void hs_run(struct http_server *hs);
+
+/** hs_answer_overdue() - have each request that waits for a response get one */
+void hs_answer_overdue(struct http_server *hs);
+
+/**
+ * hs_stop() - close all connections; none may be waiting for a response
+ * @hs: server; of no use afterwards
+ */
+void hs_stop(struct http_server *hs);
+
 /**
  * hs_header() - look up a request header
  * @req: request
@@ -106,6 +158,14 @@
     const void *body, size_t body_bytes, const struct hs_header *headers,
     size_t header_count);
 
+/**
+ * hs_drop_next() - respond now, in place of the one who will respond later
+ * @req: request; stays valid until the later hs_respond(), which has no effect
+ *
+ * For @overdue of a request whose handler can't be told.
+ */
+void hs_drop_next(struct hs_request *req);
+
 /**
  * hs_caller_has_left() - whether the caller has closed its connection
  * @req: request
--- a/tests/unit/sim_callers.cc
+++ b/tests/unit/sim_callers.cc
@@ -43,6 +43,36 @@
 	return (struct http_server *)talloc_zero_size(ctx, 1);
 }
 
+extern "C" void
+hs_add_counts(const struct http_server *, struct hs_counts *)
+{
+}
+
+extern "C" void
+hs_begin_drain(struct http_server *)
+{
+}
+
+extern "C" void
+hs_stop_accepting(struct http_server *)
+{
+}
+
+extern "C" void
+hs_run(struct http_server *)
+{
+}
+
+extern "C" void
+hs_answer_overdue(struct http_server *)
+{
+}
+
+extern "C" void
+hs_stop(struct http_server *)
+{
+}
+
 extern "C" const char *
 hs_header(struct hs_request *req, const char *name)
 {
