transport: delays and deadlines no longer follow the time of day

When the clock was set back, commits, repeated writes and the deadlines of the HTTP client were late by as much; set forward, delays ended at once. tevent's timers go by gettimeofday().

Timers are now kept by the loop with a time on the steady clock. One that runs early is set again; ten times a second the loop compares both clocks and sets all timers again after a step. A timerfd for each delay was ruled out: two more calls for each of them, and curl sets several for each request.

--- a/include/transport/http_server_internal.h
+++ b/include/transport/http_server_internal.h
@@ -43,7 +43,7 @@
 	struct MHD_Daemon *mhd;
 	int listener;
 	struct tevent_fd *fde;
-	struct tevent_timer *timer;
+	struct loop_timer *timer;
 	struct tevent_immediate *resume_event;
 	hs_handler_fn handler;
 	void *arg;
--- a/include/transport/loop.h
+++ b/include/transport/loop.h
@@ -81,8 +81,25 @@
 int loop_every(
     struct loop *l, int64_t interval_us, void (*fn)(void *arg), void *arg);
 
+struct loop_timer;
+
+/**
+ * loop_at() - call a function once at a time; the time of day may be set
+ * @ctx: talloc parent; the call is cancelled when it is freed
+ * @l: loop
+ * @at_us: time, by clk_now_us()
+ * @fn: function
+ * @arg: its argument
+ *
+ * The timer is freed just before @fn runs. Freeing it earlier cancels the call.
+ *
+ * Return: the timer.
+ */
+struct loop_timer *loop_at(TALLOC_CTX *ctx, struct loop *l, int64_t at_us,
+    void (*fn)(void *arg), void *arg);
+
 /**
- * loop_after() - call a function once; follows the wall clock, which may jump
+ * loop_after() - call a function once after a delay
  * @l: loop
  * @delay_us: how long from now
  * @fn: function
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -22,9 +22,9 @@
 struct http_client {
 	struct loop *loop;
 	CURLM *multi;
-	struct tevent_timer *timer;
+	struct loop_timer *timer;
 	struct hc_transfer *transfers;
-	struct tevent_timer *deadline_timer;
+	struct loop_timer *deadline_timer;
 	int64_t deadline_at_us;
 	uint32_t deferrals;
 	CURL *idle[HC_MAX_IDLE_HANDLES];
@@ -170,15 +170,11 @@
 }
 
 static void
-hc_on_timer(struct tevent_context *ev, struct tevent_timer *te,
-    struct timeval now, void *arg)
+hc_on_timer(void *arg)
 {
 	struct http_client *hc = arg;
 	int running;
 
-	(void)ev;
-	(void)te;
-	(void)now;
 	hc->timer = NULL;
 	curl_multi_socket_action(hc->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 	hc_finish_completed(hc);
@@ -221,8 +217,7 @@
 }
 
 static void
-hc_on_deadline(struct tevent_context *ev, struct tevent_timer *te,
-    struct timeval now, void *arg)
+hc_on_deadline(void *arg)
 {
 	struct http_client *hc = arg;
 	int64_t now_us = clk_now_us();
@@ -230,13 +225,10 @@
 	struct hc_transfer *t;
 	struct hc_transfer *tmp;
 
-	(void)te;
-	(void)now;
 	hc->deadline_timer = NULL;
 	if (hc_defer_deadline(hc)) {
-		hc->deadline_timer = tevent_add_timer(ev, hc,
-		    tevent_timeval_current_ofs(0, HC_DEFER_US), hc_on_deadline,
-		    hc);
+		hc->deadline_timer = loop_at(
+		    hc, hc->loop, now_us + HC_DEFER_US, hc_on_deadline, hc);
 		return;
 	}
 	hc->deferrals = 0;
@@ -256,34 +248,25 @@
 {
 	struct http_client *hc = t->hc;
 	int64_t next_us = hc_next_us(t);
-	int64_t left_us = next_us - clk_now_us();
 
 	if (hc->deadline_timer != NULL && hc->deadline_at_us <= next_us)
 		return;
-	if (left_us < 0)
-		left_us = 0;
 	TALLOC_FREE(hc->deadline_timer);
 	hc->deadline_at_us = next_us;
-	hc->deadline_timer = tevent_add_timer(loop_ev(hc->loop), hc,
-	    tevent_timeval_current_ofs((uint32_t)(left_us / CLK_US_PER_S),
-		(uint32_t)(left_us % CLK_US_PER_S)),
-	    hc_on_deadline, hc);
+	hc->deadline_timer = loop_at(hc, hc->loop, next_us, hc_on_deadline, hc);
 }
 
 static int
 hc_set_timer(CURLM *multi, long timeout_ms, void *arg)
 {
 	struct http_client *hc = arg;
-	struct timeval at;
 
 	(void)multi;
 	TALLOC_FREE(hc->timer);
 	if (timeout_ms < 0)
 		return 0;
-	at = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
-	    (uint32_t)(timeout_ms % 1000) * 1000U);
-	hc->timer =
-	    tevent_add_timer(loop_ev(hc->loop), hc, at, hc_on_timer, hc);
+	hc->timer = loop_at(hc, hc->loop,
+	    clk_now_us() + timeout_ms * CLK_US_PER_MS, hc_on_timer, hc);
 	return 0;
 }
 
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -247,14 +247,10 @@
 }
 
 static void
-hs_on_timer(struct tevent_context *ev, struct tevent_timer *te,
-    struct timeval now, void *arg)
+hs_on_timer(void *arg)
 {
 	struct http_server *hs = arg;
 
-	(void)ev;
-	(void)te;
-	(void)now;
 	hs->timer = NULL;
 	MHD_run(hs->mhd);
 	hs_schedule(hs);
@@ -264,17 +260,15 @@
 hs_schedule(struct http_server *hs)
 {
 	MHD_UNSIGNED_LONG_LONG timeout_ms;
-	struct timeval at;
 
 	TALLOC_FREE(hs->timer);
 	if (hs->mhd == NULL)
 		return;
 	if (MHD_get_timeout(hs->mhd, &timeout_ms) != MHD_YES)
 		return;
-	at = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
-	    (uint32_t)(timeout_ms % 1000) * 1000U);
-	hs->timer =
-	    tevent_add_timer(loop_ev(hs->loop), hs, at, hs_on_timer, hs);
+	hs->timer = loop_at(hs, hs->loop,
+	    clk_now_us() + (int64_t)timeout_ms * CLK_US_PER_MS, hs_on_timer,
+	    hs);
 }
 
 struct http_server *
--- a/transport/loop.c
+++ b/transport/loop.c
@@ -3,15 +3,33 @@
 #include <stdlib.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
+#include <utlist.h>
 
 #include "common/clock.h"
 #include "transport/loop.h"
 
+/* How often timers are compared with the time of day that tevent goes by. */
+#define LOOP_CHECK_CLOCK_US (100 * CLK_US_PER_MS)
+/* A larger change means that the time of day was set. */
+#define LOOP_CLOCK_STEP_US (10 * CLK_US_PER_MS)
+
 struct loop {
 	struct tevent_context *ev;
 	struct tevent_threaded_context *tctx;
 	pthread_t thread;
 	bool stop;
+	struct loop_timer *timers;
+	int64_t wall_offset_us;
+};
+
+struct loop_timer {
+	struct loop *loop;
+	int64_t at_us;
+	struct tevent_timer *event;
+	void (*fn)(void *arg);
+	void *arg;
+	struct loop_timer *prev;
+	struct loop_timer *next;
 };
 
 struct loop_call {
@@ -20,6 +38,27 @@
 	int fd;
 };
 
+static int64_t
+loop_wall_offset_us(void)
+{
+	struct timeval wall = tevent_timeval_current();
+
+	return wall.tv_sec * CLK_US_PER_S + wall.tv_usec - clk_now_us();
+}
+
+static void loop_check_clock(void *arg);
+
+/* Timers that others own may be freed later. */
+static int
+loop_abandon_timers(struct loop *l)
+{
+	struct loop_timer *t;
+
+	DL_FOREACH(l->timers, t)
+		t->loop = NULL;
+	return 0;
+}
+
 struct loop *
 loop_create(TALLOC_CTX *ctx)
 {
@@ -34,6 +73,10 @@
 	l->tctx = tevent_threaded_context_create(l, l->ev);
 	if (l->tctx == NULL)
 		goto fail;
+	talloc_set_destructor(l, loop_abandon_timers);
+	l->wall_offset_us = loop_wall_offset_us();
+	if (loop_every(l, LOOP_CHECK_CLOCK_US, loop_check_clock, l) == -1)
+		goto fail;
 	return l;
 fail:
 	talloc_free(l);
@@ -116,24 +159,86 @@
 	tevent_threaded_schedule_immediate(l->tctx, im, loop_run_posted, call);
 }
 
-static struct timeval
-loop_deadline(int64_t delay_us)
+static void loop_run_timer(struct tevent_context *ev, struct tevent_timer *te,
+    struct timeval now, void *arg);
+
+static void
+loop_arm_timer(struct loop_timer *t)
 {
-	return tevent_timeval_current_ofs((uint32_t)(delay_us / CLK_US_PER_S),
-	    (uint32_t)(delay_us % CLK_US_PER_S));
+	int64_t left_us = t->at_us - clk_now_us();
+
+	if (left_us < 0)
+		left_us = 0;
+	TALLOC_FREE(t->event);
+	t->event = tevent_add_timer(t->loop->ev, t,
+	    tevent_timeval_current_ofs((uint32_t)(left_us / CLK_US_PER_S),
+		(uint32_t)(left_us % CLK_US_PER_S)),
+	    loop_run_timer, t);
+	if (t->event == NULL)
+		abort();
 }
 
 static void
 loop_run_timer(struct tevent_context *ev, struct tevent_timer *te,
     struct timeval now, void *arg)
 {
-	struct loop_call *call = arg;
+	struct loop_timer *t = arg;
+	void (*fn)(void *arg) = t->fn;
+	void *fn_arg = t->arg;
 
+	(void)ev;
 	(void)te;
 	(void)now;
-	(void)ev;
-	call->fn(call->arg);
-	talloc_free(call);
+	t->event = NULL;
+	/* The time of day was set forward. */
+	if (clk_now_us() < t->at_us) {
+		loop_arm_timer(t);
+		return;
+	}
+	talloc_free(t);
+	fn(fn_arg);
+}
+
+/* tevent's timers follow the time of day, and it may have been set. */
+static void
+loop_check_clock(void *arg)
+{
+	struct loop *l = arg;
+	int64_t offset_us = loop_wall_offset_us();
+	int64_t change_us = offset_us - l->wall_offset_us;
+	struct loop_timer *t;
+
+	l->wall_offset_us = offset_us;
+	if (change_us > -LOOP_CLOCK_STEP_US && change_us < LOOP_CLOCK_STEP_US)
+		return;
+	DL_FOREACH(l->timers, t)
+		loop_arm_timer(t);
+}
+
+static int
+loop_unlist_timer(struct loop_timer *t)
+{
+	if (t->loop != NULL)
+		DL_DELETE(t->loop->timers, t);
+	return 0;
+}
+
+struct loop_timer *
+loop_at(TALLOC_CTX *ctx, struct loop *l, int64_t at_us, void (*fn)(void *arg),
+    void *arg)
+{
+	struct loop_timer *t = talloc_zero(ctx, struct loop_timer);
+
+	if (t == NULL)
+		abort();
+	t->loop = l;
+	t->at_us = at_us;
+	t->fn = fn;
+	t->arg = arg;
+	DL_APPEND(l->timers, t);
+	talloc_set_destructor(t, loop_unlist_timer);
+	loop_arm_timer(t);
+	return t;
 }
 
 static void
@@ -170,7 +275,7 @@
 	return timerfd_settime(call->fd, 0, &timer, NULL);
 }
 
-/* Uses a timerfd because tevent's timers follow the wall clock, which may jump. */
+/* A timerfd, so that it goes on whatever the time of day is set to. */
 struct loop_call *
 loop_interval(
     struct loop *l, int64_t interval_us, void (*fn)(void *arg), void *arg)
@@ -202,14 +307,5 @@
 void
 loop_after(struct loop *l, int64_t delay_us, void (*fn)(void *arg), void *arg)
 {
-	struct loop_call *call;
-
-	call = talloc_zero(l, struct loop_call);
-	if (call == NULL)
-		abort();
-	call->fn = fn;
-	call->arg = arg;
-	if (tevent_add_timer(l->ev, call, loop_deadline(delay_us),
-		loop_run_timer, call) == NULL)
-		abort();
+	loop_at(l, l, clk_now_us() + delay_us, fn, arg);
 }
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -42,7 +42,7 @@
 	UT_hash_handle hh;
 	int fd;
 	struct tevent_fd *fde;
-	struct tevent_timer *hello_timer;
+	struct loop_timer *hello_timer;
 	bool connecting;
 	bool established;
 	bool refused;
@@ -297,14 +297,10 @@
 }
 
 static void
-peer_on_hello_timeout(struct tevent_context *ev, struct tevent_timer *te,
-    struct timeval now, void *arg)
+peer_on_hello_timeout(void *arg)
 {
 	struct peer_link *link = arg;
 
-	(void)ev;
-	(void)te;
-	(void)now;
 	link->hello_timer = NULL;
 	peer_close(link);
 }
@@ -327,9 +323,8 @@
 	link->fd = fd;
 	link->fde = tevent_add_fd(
 	    loop_ev(net->loop), link, fd, TEVENT_FD_READ, peer_on_event, link);
-	link->hello_timer = tevent_add_timer(loop_ev(net->loop), link,
-	    tevent_timeval_current_ofs(PEER_HELLO_TIMEOUT_US / CLK_US_PER_S, 0),
-	    peer_on_hello_timeout, link);
+	link->hello_timer = loop_at(link, net->loop,
+	    clk_now_us() + PEER_HELLO_TIMEOUT_US, peer_on_hello_timeout, link);
 	return link;
 }
 
