member: a restarted daemon has a higher incarnation than its terms name

After all daemons had been killed beside a silent worker and returned with clocks 60 s back, nothing started for 11.2 s: an incarnation is the time of day at the start, so the next owner couldn't tell that the last one's process had ended, and waited 13.4 s.

At its first sync a daemon now looks for terms that name its VM, and begins an incarnation above theirs. It can't have claimed a pool by then, so each such term is of an earlier process. Keeping a counter in the store was ruled out: a read and a write more before a daemon can take part.

--- a/curranttackd/cell_member.c
+++ b/curranttackd/cell_member.c
@@ -77,11 +77,37 @@
 		c->store_answered_us = clk_now_us();
 }
 
+/*
+ * The time of day may have been set back since an earlier process on this VM
+ * claimed a pool. Others tell by a higher incarnation that it has ended.
+ */
+static void
+cell_follow_earlier_incarnations(struct cell *c)
+{
+	uint64_t latest = 0;
+	struct rp_owner *o;
+	struct rp_owner *tmp;
+
+	if (c->follows_earlier || !c->replica->synced)
+		return;
+	c->follows_earlier = true;
+	HASH_ITER(hh, c->replica->owners, o, tmp) {
+		if (strcmp(o->term_vm, c->settings->vm) == 0 &&
+		    o->term_incarnation > latest)
+			latest = o->term_incarnation;
+	}
+	if (latest < c->incarnation)
+		return;
+	c->incarnation = latest;
+	cell_begin_incarnation(c);
+}
+
 void
 cell_member_tick(struct cell *c, int64_t now_us)
 {
 	const struct fl_fleet *f = c->fleet;
 
+	cell_follow_earlier_incarnations(c);
 	if (c->member_call_in_flight || now_us < c->member_next_us ||
 	    c->draining)
 		return;
--- a/include/curranttackd/cell.h
+++ b/include/curranttackd/cell.h
@@ -40,6 +40,7 @@
  * @pools: known pools by name, owned or not
  * @maintenance: in-flight writes of maintenance waves; NULL until first used
  * @incarnation: distinguishes this process from earlier ones on the same VM
+ * @follows_earlier: @incarnation is higher than all that terms name for this VM
  * @member_lease: lease of this daemon's member entry; 0 without one
  * @member_call_in_flight: a store call about the member entry is unanswered
  * @member_dirty: the stored member entry is out of date
@@ -67,6 +68,7 @@
 	struct cp_host *pools;
 	struct cm_driver *maintenance;
 	uint64_t incarnation;
+	bool follows_earlier;
 	uint64_t member_lease;
 	bool member_call_in_flight;
 	bool member_dirty;
