pool: a job waits while the stored registry names its identity

TWICE was possible: a job that the registry names as not started is cancelled and forgotten, another is submitted under its identity and started, and the next owner, who still reads the old registry, starts it again at once.

A forgotten job's identity is kept until a registry without it is stored; a job that is added under it begins as deferred, and the registry is stored again. Storing a registry at each cancellation was ruled out: the job would still be started if the commit is slower than the caller.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -933,6 +933,7 @@
  * @defer_pass: counts the plans of which jobs to defer
  * @defer_at_us: when that is next planned
  * @early_jobs: jobs that the next registry no longer names before their turn
+ * @named_identities: identities of forgotten jobs that the stored registry names
  * @over_events: workers that have come to list more than a limit, for logs
  * @over_window_us: when the current second of these events began
  * @over_in_window: these events in that second
@@ -978,6 +979,7 @@
 	uint32_t defer_pass;
 	int64_t defer_at_us;
 	uint32_t early_jobs;
+	struct wp_named_identity *named_identities;
 	struct wp_over_event *over_events;
 	int64_t over_window_us;
 	uint32_t over_in_window;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -172,6 +172,10 @@
 void wp_defer_begin(struct wp_pool *p, int64_t now_us);
 /** wp_defer_end() - that registry is stored */
 void wp_defer_end(struct wp_pool *p);
+/** wp_defer_forget() - a job is about to be freed */
+void wp_defer_forget(struct wp_pool *p, const struct wp_job *job);
+/** wp_defer_inherit() - defer a new job whose identity the registry names */
+void wp_defer_inherit(struct wp_pool *p, struct wp_job *job);
 /** wp_defer_no_longer() - a job that is named could start now */
 void wp_defer_no_longer(struct wp_pool *p, struct wp_job *job, int64_t now_us);
 
--- a/state/pool.c
+++ b/state/pool.c
@@ -227,6 +227,7 @@
 		job->arrived_us = now_us;
 	wp_set_objective(job);
 	HASH_ADD_STR(p->jobs, spec->id, job);
+	wp_defer_inherit(p, job);
 	for (k = 0; k < jb_occurrences(spec); k++)
 		wp_occurrence_create(job, k, wp_due_us(job, k, wall_to_us),
 		    is_new || p->reconciled ? WP_TASK_WAITING
@@ -323,6 +324,7 @@
 	}
 	if (job->dirty)
 		DL_DELETE2(p->dirty, job, dirty_prev, dirty_next);
+	wp_defer_forget(p, job);
 	HASH_DEL(p->jobs, job);
 	talloc_free(job);
 }
--- a/state/pool_defer.c
+++ b/state/pool_defer.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
 
@@ -35,6 +36,14 @@
 	double ms;
 };
 
+/* Its job is forgotten; another one may be submitted under the identity. */
+struct wp_named_identity {
+	char job[JB_ID_BYTES];
+	bool resuming; /* as of struct wp_job */
+	struct wp_named_identity *prev;
+	struct wp_named_identity *next;
+};
+
 static double
 wp_share(int64_t need, int64_t all)
 {
@@ -176,6 +185,7 @@
 void
 wp_defer_begin(struct wp_pool *p, int64_t now_us)
 {
+	struct wp_named_identity *id;
 	struct wp_job *job;
 	struct wp_job *next;
 
@@ -187,11 +197,22 @@
 		job->resuming = job->deferred && !far;
 		job->deferred |= far;
 	}
+	DL_FOREACH(p->named_identities, id)
+		id->resuming = true;
+}
+
+static void
+wp_drop_identity(struct wp_pool *p, struct wp_named_identity *id)
+{
+	DL_DELETE(p->named_identities, id);
+	talloc_free(id);
 }
 
 void
 wp_defer_end(struct wp_pool *p)
 {
+	struct wp_named_identity *id;
+	struct wp_named_identity *tmp;
 	struct wp_job *job;
 	struct wp_job *next;
 
@@ -201,6 +222,42 @@
 		job->deferred = false;
 		job->resuming = false;
 	}
+	DL_FOREACH_SAFE(p->named_identities, id, tmp) {
+		if (id->resuming)
+			wp_drop_identity(p, id);
+	}
+}
+
+void
+wp_defer_forget(struct wp_pool *p, const struct wp_job *job)
+{
+	struct wp_named_identity *id;
+
+	if (!job->deferred)
+		return;
+	id = talloc_zero(p, struct wp_named_identity);
+	if (id == NULL)
+		abort();
+	memcpy(id->job, job->spec->id, sizeof(id->job));
+	id->resuming = job->resuming;
+	DL_APPEND(p->named_identities, id);
+}
+
+void
+wp_defer_inherit(struct wp_pool *p, struct wp_job *job)
+{
+	struct wp_named_identity *id;
+
+	DL_FOREACH(p->named_identities, id) {
+		if (strcmp(id->job, job->spec->id) == 0)
+			break;
+	}
+	if (id == NULL)
+		return;
+	job->deferred = true;
+	job->resuming = id->resuming;
+	p->registry_dirty = true;
+	wp_drop_identity(p, id);
 }
 
 void
