http_server: a request counts as being read from its first line on

A connection was closed at the end of a drain while the header of a request was arriving on it: libmicrohttpd calls the handler only once the header is complete, so until then nothing counted the request.

It is now counted when its first line has arrived (the callback that gets the URI). Before that line is complete nothing tells; such a caller is cut as before.

Drain.RequestWhoseHeaderIsHalfReadIsAnswered failed before; the 8 cases of Drain, 7 of test_cut_connections and 27 of test_http_client pass.

--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -62,19 +62,18 @@
 	atomic_fetch_sub(&caller->hs->fresh, 1);
 }
 
-static struct hs_exchange *
-hs_exchange_create(struct http_server *hs, struct MHD_Connection *conn,
-    const char *url, const char *method)
+/* The first line of a request has arrived. */
+static void *
+hs_on_request_line(void *arg, const char *uri, struct MHD_Connection *conn)
 {
-	struct hs_exchange *ex;
+	struct http_server *hs = arg;
+	struct hs_exchange *ex = talloc_zero(hs, struct hs_exchange);
 
-	ex = talloc_zero(hs, struct hs_exchange);
+	(void)uri;
 	if (ex == NULL)
-		return NULL;
+		abort();
 	ex->hs = hs;
 	ex->conn = conn;
-	ex->req.path = talloc_strdup(ex, url);
-	ex->req.method = talloc_strdup(ex, method);
 	ex->req.body = "";
 	hs_set_used(conn);
 	atomic_fetch_add(&hs->in_phase[HS_READING], 1);
@@ -140,9 +139,10 @@
 	struct hs_exchange *ex = *state;
 
 	(void)version;
-	if (ex == NULL) {
-		*state = hs_exchange_create(hs, conn, url, method);
-		return *state != NULL ? MHD_YES : MHD_NO;
+	if (ex->req.path == NULL) {
+		ex->req.path = talloc_strdup(ex, url);
+		ex->req.method = talloc_strdup(ex, method);
+		return MHD_YES;
 	}
 	if (*data_len > 0) {
 		hs_append_body(ex, data, *data_len);
@@ -290,6 +290,7 @@
 	    0, NULL, NULL, hs_on_request, hs, MHD_OPTION_LISTEN_SOCKET,
 	    listen_fd, MHD_OPTION_CONNECTION_LIMIT, limits->max_connections,
 	    MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_s,
+	    MHD_OPTION_URI_LOG_CALLBACK, hs_on_request_line, hs,
 	    MHD_OPTION_NOTIFY_COMPLETED, hs_on_completed, hs,
 	    MHD_OPTION_NOTIFY_CONNECTION, hs_on_connection, hs, MHD_OPTION_END);
 	if (hs->mhd == NULL)
