http_drain: a full server makes room for its listen queue before it ends

At its limit of connections a server that was stopping cut what waited in its listen queue: 8 of 8 requests in the test, sent 1.5 s before. Its places were held by idle connections until the exit.

When it stops accepting and is full, it now shuts the reading side of idle connections. What has arrived on them is still read and answered; the rest close, and the queue gets their places. Answers have asked callers to close these connections since the drain began. A higher limit during the drain was ruled out: it is what bounds memory and descriptors.

DrainOfAFullServer.RequestsThatWaitForAConnectionAreAnswered failed before, passes 3 of 3; all of test_drain and test_http_client pass.

--- a/include/transport/http_server_internal.h
+++ b/include/transport/http_server_internal.h
@@ -21,6 +21,22 @@
 	HS_PHASES,
 };
 
+/**
+ * struct hs_caller - a connection
+ * @hs: server
+ * @link: in the server's list
+ * @conn: libmicrohttpd's connection
+ * @fresh: it has carried no request yet
+ * @busy: a request on it has begun to arrive, and its answer isn't sent yet
+ */
+struct hs_caller {
+	struct http_server *hs;
+	LIST_ENTRY(hs_caller) link;
+	struct MHD_Connection *conn;
+	bool fresh;
+	bool busy;
+};
+
 /**
  * struct http_server - a server
  * @loop: event loop
@@ -32,6 +48,8 @@
  * @handler: called for each request
  * @arg: its argument
  * @max_body_bytes: longest body
+ * @max_connections: connections that it has at most
+ * @callers: connections
  * @unanswered: requests without a response
  * @draining: callers are asked to close their connections
  * @connections: number of connections
@@ -48,6 +66,8 @@
 	hs_handler_fn handler;
 	void *arg;
 	size_t max_body_bytes;
+	unsigned int max_connections;
+	LIST_HEAD(, hs_caller) callers;
 	LIST_HEAD(, hs_exchange) unanswered;
 	bool draining;
 	atomic_uint connections;
--- a/transport/http_drain.c
+++ b/transport/http_drain.c
@@ -42,6 +42,25 @@
 		    NULL);
 }
 
+/* What has arrived on them is still read and answered. */
+static void
+hs_close_idle(struct http_server *hs)
+{
+	const union MHD_ConnectionInfo *info;
+	struct hs_caller *caller;
+
+	LIST_FOREACH(caller, &hs->callers, link)
+	{
+		if (caller->fresh || caller->busy)
+			continue;
+		info = MHD_get_connection_info(
+		    caller->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+		if (info != NULL)
+			shutdown(info->connect_fd, SHUT_RD);
+	}
+	hs_run(hs);
+}
+
 static void
 hs_accept_all(struct http_server *hs)
 {
@@ -78,6 +97,9 @@
 	/* One that may be in its handshake. */
 	atomic_fetch_add(&hs->fresh, 1);
 	hs_refuse_handshakes(hs->listener);
+	/* Those that wait in the listen queue need their places. */
+	if (atomic_load(&hs->connections) >= hs->max_connections)
+		hs_close_idle(hs);
 	hs_accept_all(hs);
 	hs_run(hs);
 	loop_after(hs->loop, HS_HANDSHAKE_US, hs_close_listener, hs);
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -14,12 +14,6 @@
 
 #define HS_BACKLOG 512
 
-/* One for each connection. */
-struct hs_caller {
-	struct http_server *hs;
-	bool fresh;
-};
-
 static void hs_schedule(struct http_server *hs);
 
 int
@@ -49,14 +43,24 @@
 	return fd;
 }
 
-static void
-hs_set_used(struct MHD_Connection *conn)
+static struct hs_caller *
+hs_caller_of(struct MHD_Connection *conn)
 {
 	const union MHD_ConnectionInfo *info =
 	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-	struct hs_caller *caller = info != NULL ? info->socket_context : NULL;
 
-	if (caller == NULL || !caller->fresh)
+	return info != NULL ? info->socket_context : NULL;
+}
+
+static void
+hs_set_busy(struct MHD_Connection *conn, bool busy)
+{
+	struct hs_caller *caller = hs_caller_of(conn);
+
+	if (caller == NULL)
+		return;
+	caller->busy = busy;
+	if (!caller->fresh)
 		return;
 	caller->fresh = false;
 	atomic_fetch_sub(&caller->hs->fresh, 1);
@@ -75,7 +79,7 @@
 	ex->hs = hs;
 	ex->conn = conn;
 	ex->req.body = "";
-	hs_set_used(conn);
+	hs_set_busy(conn, true);
 	atomic_fetch_add(&hs->in_phase[HS_READING], 1);
 	return ex;
 }
@@ -195,13 +199,14 @@
 	struct http_server *hs = arg;
 	struct hs_caller *caller = *state;
 
-	(void)conn;
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
 		caller = talloc_zero(hs, struct hs_caller);
 		if (caller == NULL)
 			abort();
 		caller->hs = hs;
+		caller->conn = conn;
 		caller->fresh = true;
+		LIST_INSERT_HEAD(&hs->callers, caller, link);
 		*state = caller;
 		atomic_fetch_add(&hs->connections, 1);
 		atomic_fetch_add(&hs->fresh, 1);
@@ -210,6 +215,7 @@
 	atomic_fetch_sub(&hs->connections, 1);
 	if (caller->fresh)
 		atomic_fetch_sub(&hs->fresh, 1);
+	LIST_REMOVE(caller, link);
 	talloc_free(caller);
 	*state = NULL;
 }
@@ -221,9 +227,9 @@
 	struct hs_exchange *ex = *state;
 
 	(void)arg;
-	(void)conn;
 	if (ex == NULL)
 		return;
+	hs_set_busy(conn, false);
 	hs_count_end(ex, code);
 	if (ex->response != NULL)
 		MHD_destroy_response(ex->response);
@@ -285,6 +291,7 @@
 	hs->handler = handler;
 	hs->arg = arg;
 	hs->max_body_bytes = limits->max_body_bytes;
+	hs->max_connections = limits->max_connections;
 	hs->mhd = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
 		MHD_USE_SUPPRESS_DATE_NO_CLOCK,
 	    0, NULL, NULL, hs_on_request, hs, MHD_OPTION_LISTEN_SOCKET,
