--- a/include/transport/http_server.h
+++ b/include/transport/http_server.h
@@ -84,7 +84,7 @@
  * @connections: connections
  * @fresh: those that have carried no request yet, and one for the handshakes
  *	that are under way after hs_stop_accepting()
- * @reading: requests whose body hasn't arrived whole
+ * @reading: requests whose first line has arrived, and not all of them
  * @unanswered: requests that the handler has, without a response
  * @sending: responses that the caller's connection hasn't taken whole
  */
