coordination, curranttackd: witnesses bound how long an earlier owner acts

Cause: an owner that can't confirm its lease goes on renewing workers' leases for 10 s, so that an outage of the store ends nothing. The next owner has to wait for these 10 s and a worker's lease of 3.4 s, for each worker that doesn't answer, unless the last owner's daemon has shown a newer incarnation.

Change: the stored term names up to three other daemons as witnesses. An owner acts alone for 3 s; for longer, up to the old 10 s, only until 1.5 s after it sent a question that a majority of them granted. The next owner claims with the old bound, asks them to stop, and waits for claim + 3 s, or for the last grants, and 3.4 s. With a majority (one of two, two of three) a single witness that doesn't answer holds up neither side. A list that may be stored already counts beside the one that is known to be. The limit is checked before each pass, too: a timer could run one after the process was stopped, and send renewals, before the tick noticed. The term is read when the claim is sent, not when its lease was requested. A change of the term alone is now committed at once. A term without a list, as a build before this one writes, means the old rule; daemons that don't say in their entry that they answer aren't named.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -129,12 +129,34 @@
 	cp_release(h);
 }
 
+static void
+cp_fill_witnesses(
+    TALLOC_CTX *ctx, Currant__PoolTerm *row, const struct wt_list *list)
+{
+	Currant__PoolWitness *w =
+	    talloc_zero_array(ctx, Currant__PoolWitness, list->count + 1);
+	uint32_t i;
+
+	row->witnesses =
+	    talloc_zero_array(ctx, Currant__PoolWitness *, list->count + 1);
+	if (w == NULL || row->witnesses == NULL)
+		abort();
+	for (i = 0; i < list->count; i++) {
+		currant__pool_witness__init(&w[i]);
+		w[i].vm = (char *)(uintptr_t)list->witness[i].vm;
+		w[i].incarnation = list->witness[i].incarnation;
+		row->witnesses[row->n_witnesses++] = &w[i];
+	}
+}
+
 uint8_t *
 cp_term_value(TALLOC_CTX *ctx, const struct cp_host *h, uint32_t term,
-    uint64_t fence, bool released, size_t *bytes)
+    uint64_t fence, bool released, const struct wt_list *witnesses,
+    size_t *bytes)
 {
 	Currant__PoolTerm row = CURRANT__POOL_TERM__INIT;
 
+	cp_fill_witnesses(ctx, &row, witnesses);
 	row.term = term;
 	row.released = released;
 	row.has_fence = fence != 0;
@@ -149,64 +171,6 @@
 	return pk_pack(ctx, &row.base, bytes);
 }
 
-/*
- * Whether the last owner's process has ended, or has lost its pools: it has been
- * followed by another incarnation, which may be this one.
- */
-static bool
-cp_earlier_owner_has_ended(const struct cp_host *h)
-{
-	const struct cell *c = h->cell;
-	const struct rp_member *m;
-
-	if (strcmp(h->earlier_owner_vm, c->settings->vm) == 0)
-		return c->incarnation > h->earlier_owner_incarnation;
-	HASH_FIND_STR(c->replica->members, h->earlier_owner_vm, m);
-	return m != NULL && m->incarnation > h->earlier_owner_incarnation;
-}
-
-/* The time of day may have been set back since it was stored. */
-static int64_t
-cp_older_owners_until_us(const struct rp_owner *o, int64_t now_us)
-{
-	int64_t stored_us = o->earlier_owner_until_wall_ms * CLK_US_PER_MS +
-	    cell_wall_to_steady_us();
-	int64_t longest_us =
-	    now_us + CP_WORKER_LEASE_US + CP_UNCONFIRMED_LIMIT_US;
-
-	return stored_us < longest_us ? stored_us : longest_us;
-}
-
-/* Until when the last owner, or one before it, may still act on workers. */
-static int64_t
-cp_earlier_owner_until_us(
-    const struct cp_host *h, const struct rp_owner *o, int64_t now_us)
-{
-	int64_t last_us = now_us + CP_WORKER_LEASE_US;
-
-	if (o->term == 0)
-		return 0;
-	if (!o->released && !cp_earlier_owner_has_ended(h))
-		last_us += CP_UNCONFIRMED_LIMIT_US;
-	return h->older_owners_until_us > last_us ? h->older_owners_until_us
-						  : last_us;
-}
-
-bool
-cp_update_earlier_owner(struct cp_host *h, int64_t now_us)
-{
-	int64_t until_us = now_us + CP_WORKER_LEASE_US;
-
-	if (until_us < h->older_owners_until_us)
-		until_us = h->older_owners_until_us;
-	if (until_us >= h->earlier_owner_until_us ||
-	    !cp_earlier_owner_has_ended(h))
-		return false;
-	h->earlier_owner_until_us = until_us;
-	h->term_dirty = true;
-	return true;
-}
-
 void
 cp_abort_claim(struct cp_host *h)
 {
@@ -234,6 +198,7 @@
 	const struct fl_fleet *f = h->cell->fleet;
 	struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
 	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct wt_list witnesses;
 	struct ks_expect expect[2] = {
 	    {cp_make_key(ctx, RP_OWNER_PREFIX, h->name), 0},
 	    {cp_make_key(ctx, RP_TERM_PREFIX, h->name), o->term_revision},
@@ -249,9 +214,12 @@
 	    .put_count = 2,
 	};
 
+	/* Of the term that the claim depends on. */
+	cp_note_earlier_owners(h, o);
+	cp_choose_witnesses(h, &witnesses);
 	put[0].value = cp_owner_value(ctx, h, 0, &put[0].value_bytes);
-	put[1].value =
-	    cp_term_value(ctx, h, o->term + 1, 0, false, &put[1].value_bytes);
+	put[1].value = cp_term_value(
+	    ctx, h, o->term + 1, 0, false, &witnesses, &put[1].value_bytes);
 	f->keys->txn(f->handle, &txn, cp_on_claim_written, h);
 	talloc_free(ctx);
 }
@@ -306,12 +274,13 @@
 	};
 
 	/* Its daemon may have shown that while the claim was being written. */
-	cp_update_earlier_owner(h, now_us);
+	cp_apply_earlier_owner(h);
 	settings.earlier_owner_until_us = h->earlier_owner_until_us;
 	ct_add(CT_TAKEOVERS, 1);
 	h->generation++;
 	h->state = CP_OWNER;
 	h->fence = o->fence;
+	cp_begin_permit(h, o);
 	h->owner_since_us = now_us;
 	h->reconciled_logged = false;
 	h->revision = o->revision;
@@ -330,6 +299,7 @@
 	    NULL);
 	pn_send_owner_changed(h->cell->links);
 	rp_follow_workers(h->cell->replica, true);
+	cp_inquire_tick(h, now_us);
 	cp_schedule_pass(h);
 }
 
@@ -477,12 +447,6 @@
 		h->claim_at_us = now_us + cp_claim_delay_us(h);
 	if (now_us < h->claim_at_us || cp_claim_is_outdated(h, now_us))
 		return;
-	h->older_owners_until_us = cp_older_owners_until_us(o, now_us);
-	snprintf(
-	    h->earlier_owner_vm, sizeof(h->earlier_owner_vm), "%s", o->term_vm);
-	h->earlier_owner_incarnation = o->term_incarnation;
-	h->earlier_owner_until_us = cp_earlier_owner_until_us(h, o, now_us);
-	h->term_dirty = false;
 	cp_claim(h, now_us);
 }
 
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -21,6 +21,7 @@
 	char ended[KS_MAX_PUTS][JB_ID_BYTES];
 	size_t ended_count;
 	bool registry;
+	bool witnesses;
 };
 
 static void cp_send_commit(void *arg);
@@ -101,6 +102,8 @@
 
 	h->revision = revision;
 	h->commit = NULL;
+	if (cm->witnesses)
+		wt_permit_changed(&h->permit);
 	cp_announce_commit_ends(h, cm);
 	h->commit_at_us = clk_now_us() + CP_COMMIT_PAUSE_US;
 	wp_commit_end(h->pool, clk_now_us());
@@ -280,18 +283,25 @@
 	    cm, cp_make_key(cm, RP_WORKERS_PREFIX, h->name), value, bytes, 0);
 }
 
-/* Earlier owners stop sooner than was known when the pool was claimed. */
+/*
+ * Earlier owners stop sooner than was known when the pool was claimed, or other
+ * daemons are this one's witnesses.
+ */
 static void
 cp_commit_term(struct cp_host *h, struct cp_commit *cm)
 {
 	const struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
+	struct wt_list list;
 	uint8_t *value;
 	size_t bytes;
 
 	if (!h->term_dirty)
 		return;
 	h->term_dirty = false;
-	value = cp_term_value(cm, h, o->term, h->fence, false, &bytes);
+	cp_choose_witnesses(h, &list);
+	wt_permit_change(&h->permit, &list);
+	cm->witnesses = true;
+	value = cp_term_value(cm, h, o->term, h->fence, false, &list, &bytes);
 	cp_commit_add(
 	    cm, cp_make_key(cm, RP_TERM_PREFIX, h->name), value, bytes, 0);
 }
@@ -348,8 +358,8 @@
 	    .remove_count = 1,
 	};
 
-	put.value =
-	    cp_term_value(ctx, h, o->term, h->fence, true, &put.value_bytes);
+	put.value = cp_term_value(ctx, h, o->term, h->fence, true,
+	    &h->permit.stored.list, &put.value_bytes);
 	f->keys->txn(f->handle, &txn, cp_on_released, h);
 	talloc_free(ctx);
 	lg_event(LG_INFO, "pool", "released", "pool", h->name, "fence",
@@ -396,7 +406,7 @@
 		return;
 	}
 	if (!wp_is_store_due(h->pool, clk_now_us()) &&
-	    !h->pool->registry_dirty) {
+	    !h->pool->registry_dirty && !h->term_dirty) {
 		wp_commit_begin(h->pool);
 		wp_commit_end(h->pool, clk_now_us());
 		if (h->state == CP_RELEASING)
--- a/curranttackd/cell_frames.c
+++ b/curranttackd/cell_frames.c
@@ -6,6 +6,7 @@
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
 #include "curranttackd/cell_relay.h"
+#include "curranttackd/cell_witness.h"
 #include "protocol/curranttack.pb-c.h"
 
 static bool
@@ -66,6 +67,10 @@
 		lk_on_query(c->lookup, link, frame->state_query);
 	if (frame->state_answer != NULL)
 		lk_on_answer(c->lookup, frame->state_answer);
+	if (frame->witness_ask != NULL)
+		cp_on_witness_ask(c, link, frame->witness_ask);
+	if (frame->witness_answer != NULL)
+		cp_on_witness_answer(c, link, frame->witness_answer);
 }
 
 static void
--- a/curranttackd/cell_member.c
+++ b/curranttackd/cell_member.c
@@ -44,6 +44,8 @@
 	row.incarnation = c->incarnation;
 	row.has_cpu_mcpu = true;
 	row.cpu_mcpu = c->settings->cpu_mcpu;
+	row.has_witness = true;
+	row.witness = true;
 	value = pk_pack(c, &row.base, &put.value_bytes);
 	put.value = value;
 	c->fleet->keys->txn(c->fleet->handle, &txn, cell_on_member_written, c);
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -321,11 +321,13 @@
 static void
 cp_owner_tick(struct cp_host *h, int64_t now_us)
 {
-	if (now_us - h->lease_confirmed_us > CP_UNCONFIRMED_LIMIT_US) {
+	if (!cp_may_act(h, now_us)) {
 		cp_step_down(h, "lease not confirmed");
 		return;
 	}
 	cp_renew_lease(h, now_us);
+	cp_witness_tick(h, now_us);
+	cp_inquire_tick(h, now_us);
 	cp_yield_to_larger_vm(h, now_us);
 	cp_forget_ended(h, now_us);
 	cp_log_state(h, now_us);
@@ -528,10 +530,10 @@
 	struct cp_host *tmp;
 
 	HASH_ITER(hh, c->pools, h, tmp) {
-		if (h->pool == NULL ||
-		    strcmp(h->earlier_owner_vm, m->vm) != 0 ||
-		    !cp_update_earlier_owner(h, clk_now_us()))
-			continue;
-		wp_earlier_owners_stopped(h->pool, h->earlier_owner_until_us);
+		bool concerns = strcmp(h->earlier_owner_vm, m->vm) == 0 ||
+		    wt_find(&h->inquiry.votes.list, m->vm) != -1;
+
+		if (h->pool != NULL && concerns)
+			cp_apply_earlier_owner(h);
 	}
 }
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -213,6 +213,11 @@
 void
 cp_run_pass(struct cp_host *h, int64_t now_us)
 {
+	/* The process may have been stopped since the last tick. */
+	if (!cp_may_act(h, now_us)) {
+		cp_step_down(h, "lease not confirmed");
+		return;
+	}
 	h->pool->draining = h->state != CP_OWNER ||
 	    now_us - h->lease_confirmed_us > CP_UNCONFIRMED_START_LIMIT_US;
 	h->pool->ownership_unconfirmed =
--- a/curranttackd/replica_pools.c
+++ b/curranttackd/replica_pools.c
@@ -97,6 +97,23 @@
 	o->workers_bytes = item->value_bytes;
 }
 
+static void
+rp_read_witnesses(struct wt_list *list, const Currant__PoolTerm *t)
+{
+	size_t i;
+
+	memset(list, 0, sizeof(*list));
+	/* More than that: their quorum is not that of a shorter list. */
+	if (t->n_witnesses > WT_MAX_WITNESSES)
+		return;
+	for (i = 0; i < t->n_witnesses; i++) {
+		struct wt_witness *w = &list->witness[list->count++];
+
+		snprintf(w->vm, sizeof(w->vm), "%s", t->witnesses[i]->vm);
+		w->incarnation = t->witnesses[i]->incarnation;
+	}
+}
+
 void
 rp_apply_term(struct replica *r, const char *pool, const struct ks_item *item)
 {
@@ -119,6 +136,7 @@
 	    o->term_vm, sizeof(o->term_vm), "%s", t->vm != NULL ? t->vm : "");
 	o->term_incarnation = t->incarnation;
 	o->earlier_owner_until_wall_ms = t->earlier_wall_ms;
+	rp_read_witnesses(&o->witnesses, t);
 	currant__pool_term__free_unpacked(t, NULL);
 }
 
@@ -149,6 +167,7 @@
 		snprintf(m->address, sizeof(m->address), "%s", row->address);
 		m->incarnation = row->incarnation;
 		m->cpu_mcpu = row->cpu_mcpu;
+		m->witness = row->witness;
 		currant__member__free_unpacked(row, NULL);
 	}
 	r->hooks.member(m, r->arg);
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -53,7 +53,20 @@
  * @older_owners_until_us: until then owners before the last one may
  * @earlier_owner_vm: VM of the last owner
  * @earlier_owner_incarnation: incarnation of the last owner's daemon
- * @term_dirty: the stored term says that earlier owners may act for longer
+ * @term_dirty: the stored term says that earlier owners may act for longer, or
+ *	names other witnesses
+ * @term: term of this ownership
+ * @permit: what this owner may rely on while its lease is not confirmed
+ * @ask_at_us: when its witnesses are next asked
+ * @witness_check_at_us: when it next looks whether they are there
+ * @beyond_logged: it was logged that it acts on their grants
+ * @inquiring: it is not known yet how long the last owner may act
+ * @inquiry: what its witnesses have told
+ * @inquiry_term: its term
+ * @inquiry_fence: its fencing token
+ * @inquire_at_us: when its witnesses are next asked
+ * @inquiry_logged: it was logged which of them have not answered
+ * @memory: what this daemon has granted as a witness
  * @pool: scheduler of the pool; NULL unless owner
  * @pass_duration_us: time that the last scheduling pass took
  * @full_pass_at_us: when the next pass also handles everything that is due
@@ -90,6 +103,18 @@
 	char earlier_owner_vm[WP_NAME_BYTES];
 	uint64_t earlier_owner_incarnation;
 	bool term_dirty;
+	uint32_t term;
+	struct wt_permit permit;
+	int64_t ask_at_us;
+	int64_t witness_check_at_us;
+	bool beyond_logged;
+	bool inquiring;
+	struct wt_inquiry inquiry;
+	uint32_t inquiry_term;
+	uint64_t inquiry_fence;
+	int64_t inquire_at_us;
+	bool inquiry_logged;
+	struct wt_memory memory;
 	struct wp_pool *pool;
 	int64_t pass_duration_us;
 	int64_t full_pass_at_us;
--- a/include/curranttackd/cell_pool_internal.h
+++ b/include/curranttackd/cell_pool_internal.h
@@ -5,14 +5,13 @@
 
 /**
  * DOC: Shared by the files that implement pool hosts: cell_claim (claims,
- * ownership and its lease), cell_load (what an owner knows from the replica),
- * cell_traffic (scheduling passes, orders, renewals, advice), cell_commit
+ * ownership and its lease), cell_earlier (how long earlier owners may act),
+ * cell_witness (how long this one may, and what a witness answers), cell_load
+ * (what an owner knows from the replica), cell_traffic (scheduling passes, orders, renewals, advice), cell_commit
  * (commits to the store), cell_pool (hosts, and changes in the replica).
  */
 
 #define CP_LEASE_MS 1200
-/* An owner whose lease has not been confirmed for this long steps down. */
-#define CP_UNCONFIRMED_LIMIT_US (10 * CLK_US_PER_S)
 /* Lease of a worker on a clock that may run slow, plus a margin. */
 #define CP_WORKER_LEASE_US (3400 * CLK_US_PER_MS)
 #define CP_CLAIM_RETRY_US (400 * CLK_US_PER_MS)
@@ -55,13 +54,50 @@
 /** cp_claim_tick() - claim a pool without an owner once the delay is over */
 void cp_claim_tick(struct cp_host *h, int64_t now_us);
 /**
- * cp_update_earlier_owner() - look whether the last owner's process has ended
+ * cp_note_earlier_owners() - how long earlier owners may act, before a claim
+ * @h: host that claims its pool
+ * @o: ownership on which the claim depends
+ */
+void cp_note_earlier_owners(struct cp_host *h, const struct rp_owner *o);
+/**
+ * cp_update_earlier_owner() - look whether earlier owners stop sooner
  * @h: host that claims or owns its pool
  * @now_us: time
  *
  * Return: true after bringing forward until when earlier owners may act.
  */
 bool cp_update_earlier_owner(struct cp_host *h, int64_t now_us);
+/** cp_apply_earlier_owner() - the same, from what is known here; then use it */
+void cp_apply_earlier_owner(struct cp_host *h);
+/** cp_inquire_tick() - ask the last owner's witnesses if that is due */
+void cp_inquire_tick(struct cp_host *h, int64_t now_us);
+/**
+ * cp_on_revoked() - a witness of the last owner grants nothing more
+ * @h: host
+ * @from: the witness
+ * @term: term of the question
+ * @left_ms: for so long its last grant may hold
+ */
+void cp_on_revoked(struct cp_host *h, const struct wt_witness *from,
+    uint32_t term, int64_t left_ms);
+/** cp_choose_witnesses() - the daemons that this owner should name */
+void cp_choose_witnesses(const struct cp_host *h, struct wt_list *list);
+/** cp_begin_permit() - an ownership begins */
+void cp_begin_permit(struct cp_host *h, const struct rp_owner *o);
+/** cp_may_act() - whether an owner may act on workers */
+bool cp_may_act(const struct cp_host *h, int64_t now_us);
+/** cp_witness_tick() - keep the witnesses up to date and ask them if need be */
+void cp_witness_tick(struct cp_host *h, int64_t now_us);
+/**
+ * cp_send_witness_ask() - ask a witness
+ * @h: host
+ * @vm: VM of the witness
+ * @term: term of the owner that it is a witness of
+ * @fence: fencing token of that owner
+ * @revoke: it should grant nothing more
+ */
+void cp_send_witness_ask(struct cp_host *h, const char *vm, uint32_t term,
+    uint64_t fence, bool revoke);
 /** cp_abort_claim() - give a claim up and retry later */
 void cp_abort_claim(struct cp_host *h);
 /**
@@ -84,10 +120,12 @@
  * @term: number of the term
  * @fence: fencing token of its owner; 0 while it is being claimed
  * @released: the owner has stopped all work
+ * @witnesses: the owner's witnesses
  * @bytes: set to the length
  */
 uint8_t *cp_term_value(TALLOC_CTX *ctx, const struct cp_host *h, uint32_t term,
-    uint64_t fence, bool released, size_t *bytes);
+    uint64_t fence, bool released, const struct wt_list *witnesses,
+    size_t *bytes);
 /** cp_run_pass() - run a scheduling pass and send its orders and requests */
 void cp_run_pass(struct cp_host *h, int64_t now_us);
 
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTTACKD_REPLICA_H
 #define CURRANTTACKD_REPLICA_H
 
+#include "coordination/witness.h"
 #include "transport/fleet.h"
 
 /**
@@ -104,6 +105,8 @@
  * @term_incarnation: incarnation of the owner of @term
  * @earlier_owner_until_wall_ms: wall-clock time until which owners before
  *	@term may still act on workers
+ * @witnesses: witnesses of the owner of @term; none if it has none, or if the
+ *	stored list can't be used
  * @workers: encoded list of workers that owners have used, @workers_bytes long
  * @workers_revision: revision of @workers; 0 without one
  * @found_in_load: number of the last load that has read the owner's key
@@ -124,6 +127,7 @@
 	char term_vm[WP_NAME_BYTES];
 	uint64_t term_incarnation;
 	int64_t earlier_owner_until_wall_ms;
+	struct wt_list witnesses;
 	uint8_t *workers;
 	size_t workers_bytes;
 	uint64_t workers_revision;
@@ -138,6 +142,7 @@
  * @address: "IP:PORT" for other daemons
  * @incarnation: distinguishes its process from earlier ones on that VM
  * @cpu_mcpu: share of a core that it may use, in thousandths
+ * @witness: it answers as a witness
  * @revision: last change of its entry
  * @present: its entry exists
  * @found_in_load: number of the last load that has read its entry
@@ -148,6 +153,7 @@
 	char address[WP_NAME_BYTES];
 	uint64_t incarnation;
 	uint32_t cpu_mcpu;
+	bool witness;
 	uint64_t revision;
 	bool present;
 	uint32_t found_in_load;
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -45,6 +45,7 @@
 typedef struct Currant__JobProgress Currant__JobProgress;
 typedef struct Currant__JobProgressHead Currant__JobProgressHead;
 typedef struct Currant__PoolOwner Currant__PoolOwner;
+typedef struct Currant__PoolWitness Currant__PoolWitness;
 typedef struct Currant__PoolTerm Currant__PoolTerm;
 typedef struct Currant__PoolTask Currant__PoolTask;
 typedef struct Currant__KnownWorker Currant__KnownWorker;
@@ -65,6 +66,8 @@
 typedef struct Currant__RunningTask Currant__RunningTask;
 typedef struct Currant__EndedRun Currant__EndedRun;
 typedef struct Currant__RelayedHoldResult Currant__RelayedHoldResult;
+typedef struct Currant__WitnessAsk Currant__WitnessAsk;
+typedef struct Currant__WitnessAnswer Currant__WitnessAnswer;
 typedef struct Currant__Frame Currant__Frame;
 
 
@@ -592,6 +595,20 @@
     , NULL, 0, 0, 0 }
 
 
+/*
+ * A daemon that tells a pool's owner whether it may go on without the store.
+ */
+struct  Currant__PoolWitness
+{
+  ProtobufCMessage base;
+  char *vm;
+  uint64_t incarnation;
+};
+#define CURRANT__POOL_WITNESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__pool_witness__descriptor) \
+    , NULL, 0 }
+
+
 struct  Currant__PoolTerm
 {
   ProtobufCMessage base;
@@ -613,10 +630,16 @@
    */
   protobuf_c_boolean has_fence;
   uint64_t fence;
+  /*
+   * Its witnesses. Without any, as in rows of a build before them, it may
+   * act for longer, and the next owner waits for that.
+   */
+  size_t n_witnesses;
+  Currant__PoolWitness **witnesses;
 };
 #define CURRANT__POOL_TERM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__pool_term__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Currant__PoolTask
@@ -723,10 +746,15 @@
    */
   protobuf_c_boolean has_cpu_mcpu;
   uint32_t cpu_mcpu;
+  /*
+   * It answers as a witness of a pool's owner; builds before that don't.
+   */
+  protobuf_c_boolean has_witness;
+  protobuf_c_boolean witness;
 };
 #define CURRANT__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__member__descriptor) \
-    , NULL, NULL, NULL, 0, 0, 0 }
+    , NULL, NULL, NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Currant__AdviceAsk
@@ -972,6 +1000,51 @@
     , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * Of a pool's owner: may it act a little longer? Of the next one, which names
+ * the term before its own: grant nothing more, and until when does it hold?
+ */
+struct  Currant__WitnessAsk
+{
+  ProtobufCMessage base;
+  char *pool;
+  uint32_t term;
+  uint64_t fence;
+  /*
+   * On the steady clock of the sender.
+   */
+  int64_t asked_us;
+  protobuf_c_boolean has_revoke;
+  protobuf_c_boolean revoke;
+};
+#define CURRANT__WITNESS_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__witness_ask__descriptor) \
+    , NULL, 0, 0, 0, 0, 0 }
+
+
+struct  Currant__WitnessAnswer
+{
+  ProtobufCMessage base;
+  char *pool;
+  uint32_t term;
+  int64_t asked_us;
+  uint64_t incarnation;
+  /*
+   * To the owner.
+   */
+  protobuf_c_boolean has_granted;
+  protobuf_c_boolean granted;
+  /*
+   * To the next one: for so long the last grant may hold.
+   */
+  protobuf_c_boolean has_left_ms;
+  int64_t left_ms;
+};
+#define CURRANT__WITNESS_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__witness_answer__descriptor) \
+    , NULL, 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Currant__Frame
 {
   ProtobufCMessage base;
@@ -1006,10 +1079,12 @@
    */
   protobuf_c_boolean has_sent_us;
   int64_t sent_us;
+  Currant__WitnessAsk *witness_ask;
+  Currant__WitnessAnswer *witness_answer;
 };
 #define CURRANT__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__frame__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0 }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0, NULL, NULL }
 
 
 /* Currant__Hello methods */
@@ -1582,6 +1657,25 @@
 void   currant__pool_owner__free_unpacked
                      (Currant__PoolOwner *message,
                       ProtobufCAllocator *allocator);
+/* Currant__PoolWitness methods */
+void   currant__pool_witness__init
+                     (Currant__PoolWitness         *message);
+size_t currant__pool_witness__get_packed_size
+                     (const Currant__PoolWitness   *message);
+size_t currant__pool_witness__pack
+                     (const Currant__PoolWitness   *message,
+                      uint8_t             *out);
+size_t currant__pool_witness__pack_to_buffer
+                     (const Currant__PoolWitness   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__PoolWitness *
+       currant__pool_witness__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__pool_witness__free_unpacked
+                     (Currant__PoolWitness *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__PoolTerm methods */
 void   currant__pool_term__init
                      (Currant__PoolTerm         *message);
@@ -1962,6 +2056,44 @@
 void   currant__relayed_hold_result__free_unpacked
                      (Currant__RelayedHoldResult *message,
                       ProtobufCAllocator *allocator);
+/* Currant__WitnessAsk methods */
+void   currant__witness_ask__init
+                     (Currant__WitnessAsk         *message);
+size_t currant__witness_ask__get_packed_size
+                     (const Currant__WitnessAsk   *message);
+size_t currant__witness_ask__pack
+                     (const Currant__WitnessAsk   *message,
+                      uint8_t             *out);
+size_t currant__witness_ask__pack_to_buffer
+                     (const Currant__WitnessAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__WitnessAsk *
+       currant__witness_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__witness_ask__free_unpacked
+                     (Currant__WitnessAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__WitnessAnswer methods */
+void   currant__witness_answer__init
+                     (Currant__WitnessAnswer         *message);
+size_t currant__witness_answer__get_packed_size
+                     (const Currant__WitnessAnswer   *message);
+size_t currant__witness_answer__pack
+                     (const Currant__WitnessAnswer   *message,
+                      uint8_t             *out);
+size_t currant__witness_answer__pack_to_buffer
+                     (const Currant__WitnessAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__WitnessAnswer *
+       currant__witness_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__witness_answer__free_unpacked
+                     (Currant__WitnessAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__Frame methods */
 void   currant__frame__init
                      (Currant__Frame         *message);
@@ -2073,6 +2205,9 @@
 typedef void (*Currant__PoolOwner_Closure)
                  (const Currant__PoolOwner *message,
                   void *closure_data);
+typedef void (*Currant__PoolWitness_Closure)
+                 (const Currant__PoolWitness *message,
+                  void *closure_data);
 typedef void (*Currant__PoolTerm_Closure)
                  (const Currant__PoolTerm *message,
                   void *closure_data);
@@ -2133,6 +2268,12 @@
 typedef void (*Currant__RelayedHoldResult_Closure)
                  (const Currant__RelayedHoldResult *message,
                   void *closure_data);
+typedef void (*Currant__WitnessAsk_Closure)
+                 (const Currant__WitnessAsk *message,
+                  void *closure_data);
+typedef void (*Currant__WitnessAnswer_Closure)
+                 (const Currant__WitnessAnswer *message,
+                  void *closure_data);
 typedef void (*Currant__Frame_Closure)
                  (const Currant__Frame *message,
                   void *closure_data);
@@ -2173,6 +2314,7 @@
 extern const ProtobufCMessageDescriptor currant__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor currant__job_progress_head__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_owner__descriptor;
+extern const ProtobufCMessageDescriptor currant__pool_witness__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_term__descriptor;
 extern const ProtobufCMessageDescriptor currant__pool_task__descriptor;
 extern const ProtobufCMessageDescriptor currant__known_worker__descriptor;
@@ -2193,6 +2335,8 @@
 extern const ProtobufCMessageDescriptor currant__running_task__descriptor;
 extern const ProtobufCMessageDescriptor currant__ended_run__descriptor;
 extern const ProtobufCMessageDescriptor currant__relayed_hold_result__descriptor;
+extern const ProtobufCMessageDescriptor currant__witness_ask__descriptor;
+extern const ProtobufCMessageDescriptor currant__witness_answer__descriptor;
 extern const ProtobufCMessageDescriptor currant__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1357,6 +1357,51 @@
   assert(message->base.descriptor == &currant__pool_owner__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__pool_witness__init
+                     (Currant__PoolWitness         *message)
+{
+  static const Currant__PoolWitness init_value = CURRANT__POOL_WITNESS__INIT;
+  *message = init_value;
+}
+size_t currant__pool_witness__get_packed_size
+                     (const Currant__PoolWitness *message)
+{
+  assert(message->base.descriptor == &currant__pool_witness__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__pool_witness__pack
+                     (const Currant__PoolWitness *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__pool_witness__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__pool_witness__pack_to_buffer
+                     (const Currant__PoolWitness *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__pool_witness__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__PoolWitness *
+       currant__pool_witness__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__PoolWitness *)
+     protobuf_c_message_unpack (&currant__pool_witness__descriptor,
+                                allocator, len, data);
+}
+void   currant__pool_witness__free_unpacked
+                     (Currant__PoolWitness *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__pool_witness__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__pool_term__init
                      (Currant__PoolTerm         *message)
 {
@@ -2257,6 +2302,96 @@
   assert(message->base.descriptor == &currant__relayed_hold_result__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__witness_ask__init
+                     (Currant__WitnessAsk         *message)
+{
+  static const Currant__WitnessAsk init_value = CURRANT__WITNESS_ASK__INIT;
+  *message = init_value;
+}
+size_t currant__witness_ask__get_packed_size
+                     (const Currant__WitnessAsk *message)
+{
+  assert(message->base.descriptor == &currant__witness_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__witness_ask__pack
+                     (const Currant__WitnessAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__witness_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__witness_ask__pack_to_buffer
+                     (const Currant__WitnessAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__witness_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__WitnessAsk *
+       currant__witness_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__WitnessAsk *)
+     protobuf_c_message_unpack (&currant__witness_ask__descriptor,
+                                allocator, len, data);
+}
+void   currant__witness_ask__free_unpacked
+                     (Currant__WitnessAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__witness_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__witness_answer__init
+                     (Currant__WitnessAnswer         *message)
+{
+  static const Currant__WitnessAnswer init_value = CURRANT__WITNESS_ANSWER__INIT;
+  *message = init_value;
+}
+size_t currant__witness_answer__get_packed_size
+                     (const Currant__WitnessAnswer *message)
+{
+  assert(message->base.descriptor == &currant__witness_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__witness_answer__pack
+                     (const Currant__WitnessAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__witness_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__witness_answer__pack_to_buffer
+                     (const Currant__WitnessAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__witness_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__WitnessAnswer *
+       currant__witness_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__WitnessAnswer *)
+     protobuf_c_message_unpack (&currant__witness_answer__descriptor,
+                                allocator, len, data);
+}
+void   currant__witness_answer__free_unpacked
+                     (Currant__WitnessAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__witness_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__frame__init
                      (Currant__Frame         *message)
 {
@@ -5111,7 +5246,58 @@
   (ProtobufCMessageInit) currant__pool_owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__pool_term__field_descriptors[6] =
+static const ProtobufCFieldDescriptor currant__pool_witness__field_descriptors[2] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__PoolWitness, vm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__PoolWitness, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__pool_witness__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange currant__pool_witness__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__pool_witness__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.PoolWitness",
+  "PoolWitness",
+  "Currant__PoolWitness",
+  "currant",
+  sizeof(Currant__PoolWitness),
+  2,
+  currant__pool_witness__field_descriptors,
+  currant__pool_witness__field_indices_by_name,
+  1,  currant__pool_witness__number_ranges,
+  (ProtobufCMessageInit) currant__pool_witness__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__pool_term__field_descriptors[7] =
 {
   {
     "term",
@@ -5185,6 +5371,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "witnesses",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__PoolTerm, n_witnesses),
+    offsetof(Currant__PoolTerm, witnesses),
+    &currant__pool_witness__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__pool_term__field_indices_by_name[] = {
   4,   /* field[4] = earlier_wall_ms */
@@ -5193,11 +5391,12 @@
   1,   /* field[1] = released */
   0,   /* field[0] = term */
   2,   /* field[2] = vm */
+  6,   /* field[6] = witnesses */
 };
 static const ProtobufCIntRange currant__pool_term__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor currant__pool_term__descriptor =
 {
@@ -5207,7 +5406,7 @@
   "Currant__PoolTerm",
   "currant",
   sizeof(Currant__PoolTerm),
-  6,
+  7,
   currant__pool_term__field_descriptors,
   currant__pool_term__field_indices_by_name,
   1,  currant__pool_term__number_ranges,
@@ -5586,7 +5785,7 @@
   (ProtobufCMessageInit) currant__maintenance_wave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__member__field_descriptors[5] =
+static const ProtobufCFieldDescriptor currant__member__field_descriptors[6] =
 {
   {
     "vm",
@@ -5648,6 +5847,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "witness",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__Member, has_witness),
+    offsetof(Currant__Member, witness),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__member__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -5655,11 +5866,12 @@
   1,   /* field[1] = domain */
   3,   /* field[3] = incarnation */
   0,   /* field[0] = vm */
+  5,   /* field[5] = witness */
 };
 static const ProtobufCIntRange currant__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor currant__member__descriptor =
 {
@@ -5669,7 +5881,7 @@
   "Currant__Member",
   "currant",
   sizeof(Currant__Member),
-  5,
+  6,
   currant__member__field_descriptors,
   currant__member__field_indices_by_name,
   1,  currant__member__number_ranges,
@@ -6898,7 +7110,200 @@
   (ProtobufCMessageInit) currant__relayed_hold_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor currant__witness_ask__field_descriptors[5] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__WitnessAsk, pool),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__WitnessAsk, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__WitnessAsk, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_us",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__WitnessAsk, asked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revoke",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__WitnessAsk, has_revoke),
+    offsetof(Currant__WitnessAsk, revoke),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__witness_ask__field_indices_by_name[] = {
+  3,   /* field[3] = asked_us */
+  2,   /* field[2] = fence */
+  0,   /* field[0] = pool */
+  4,   /* field[4] = revoke */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange currant__witness_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor currant__witness_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.WitnessAsk",
+  "WitnessAsk",
+  "Currant__WitnessAsk",
+  "currant",
+  sizeof(Currant__WitnessAsk),
+  5,
+  currant__witness_ask__field_descriptors,
+  currant__witness_ask__field_indices_by_name,
+  1,  currant__witness_ask__number_ranges,
+  (ProtobufCMessageInit) currant__witness_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__witness_answer__field_descriptors[6] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__WitnessAnswer, pool),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__WitnessAnswer, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_us",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__WitnessAnswer, asked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__WitnessAnswer, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__WitnessAnswer, has_granted),
+    offsetof(Currant__WitnessAnswer, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__WitnessAnswer, has_left_ms),
+    offsetof(Currant__WitnessAnswer, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__witness_answer__field_indices_by_name[] = {
+  2,   /* field[2] = asked_us */
+  4,   /* field[4] = granted */
+  3,   /* field[3] = incarnation */
+  5,   /* field[5] = left_ms */
+  0,   /* field[0] = pool */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange currant__witness_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor currant__witness_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.WitnessAnswer",
+  "WitnessAnswer",
+  "Currant__WitnessAnswer",
+  "currant",
+  sizeof(Currant__WitnessAnswer),
+  6,
+  currant__witness_answer__field_descriptors,
+  currant__witness_answer__field_indices_by_name,
+  1,  currant__witness_answer__number_ranges,
+  (ProtobufCMessageInit) currant__witness_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__frame__field_descriptors[20] =
 {
   {
     "hello",
@@ -7116,6 +7521,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "witness_ask",
+    20,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, witness_ask),
+    &currant__witness_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "witness_answer",
+    21,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Frame, witness_answer),
+    &currant__witness_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__frame__field_indices_by_name[] = {
   7,   /* field[7] = advice_answer */
@@ -7136,12 +7565,14 @@
   16,   /* field[16] = state_answer */
   15,   /* field[15] = state_query */
   1,   /* field[1] = summary */
+  19,   /* field[19] = witness_answer */
+  18,   /* field[18] = witness_ask */
 };
 static const ProtobufCIntRange currant__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 19, 17 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor currant__frame__descriptor =
 {
@@ -7151,7 +7582,7 @@
   "Currant__Frame",
   "currant",
   sizeof(Currant__Frame),
-  18,
+  20,
   currant__frame__field_descriptors,
   currant__frame__field_indices_by_name,
   2,  currant__frame__number_ranges,
--- a/tests/unit/sim_formats.cc
+++ b/tests/unit/sim_formats.cc
@@ -62,7 +62,10 @@
 	return c;
 }
 
-/* "WORK_US STEPS TASKS": steps follow one another. */
+/*
+ * "WORK_US STEPS TASKS": steps follow one another. With WORK_US 0, the tasks run
+ * until their job is cancelled.
+ */
 static struct jb_spec *
 sim_read_job(TALLOC_CTX *ctx, const char *body, size_t bytes, char *error,
     size_t error_bytes)
@@ -86,6 +89,8 @@
 		s->cpu_mcpu = 1000;
 		s->mem_mb = 10;
 		s->estimate_ms = (uint32_t)(work_us / kSimMs);
+		if (work_us == 0)
+			s->flags |= JB_LONG_RUNNING;
 		s->after = talloc_zero_array(spec, uint32_t, 1);
 		s->after_count = i > 0;
 		s->after[0] = i > 0 ? i - 1 : 0;
--- a/tests/unit/sim_workers.cc
+++ b/tests/unit/sim_workers.cc
@@ -8,6 +8,8 @@
 constexpr int64_t kOrderTimeout = 250 * kSimMs;
 constexpr int64_t kRenewalSlack = 700 * kSimMs;
 constexpr int64_t kStopTime = 50 * kSimMs;
+/* Of tasks that last. */
+constexpr int64_t kNoEnd = 100000 * kSimS;
 
 } // namespace
 
@@ -169,6 +171,8 @@
 		return WP_REFUSED_STALE_RUN;
 	if (used_cpu(w) + 1000 > kCores)
 		return WP_REFUSED_NO_RESOURCES;
+	if (work_us == 0)
+		work_us = kNoEnd;
 	w.running[task] = {
 	    run, sim_world->now, sim_world->now + work_us, 0, 1000};
 	w.refs[task] = ref;
