tests: owners with witnesses in the model of takeovers

The model's owners now act for as long as coordination/witness lets them; a new schedule gives them four witnesses. It cuts an owner off together with witnesses and workers, cuts an owner and its witnesses from the store alone, stops owners for up to 14 s and lets them resume, restarts and stops witnesses, loses and delays questions and answers, lets a next owner be slow to ask, stops the store with leases that pause or run out, and gives clocks that are up to 2% slow. Beside what is always checked, an owner that acts 0.3 s longer than its successor counts on is a violation: that is what a worker's lease is longer than needed.

--- a/tests/unit/takeover_calls.cc
+++ b/tests/unit/takeover_calls.cc
@@ -52,7 +52,7 @@
 			ModelWorker &there = workers[id];
 			enum wp_order_result result;
 
-			if (!there.alive || (!late && !hears(there)))
+			if (!there.alive || (!late && !reaches(number, there)))
 				return;
 			if (token < there.token || !repeated ||
 			    !refuse_repeat(there, copy, &result))
@@ -91,7 +91,7 @@
 	auto ends = std::make_shared<std::vector<struct wp_run_end>>();
 	struct wp_renewal_reply reply = {};
 
-	if (!hears(w) || w.token != call->token)
+	if (!reaches(call->owner, w) || w.token != call->token)
 		return;
 	for (auto &run : w.running)
 		running->push_back(
@@ -153,7 +153,8 @@
 		after(late ? (int64_t)random(kMaxLate) : delay(), [=] {
 			ModelWorker &there = workers[id];
 
-			if (!there.alive || (!late && !hears(there)))
+			if (!there.alive ||
+			    (!late && !reaches(call->owner, there)))
 				return;
 			if (token < there.token) {
 				after(delay(), [=] {
--- a/tests/unit/takeover_faults.cc
+++ b/tests/unit/takeover_faults.cc
@@ -171,6 +171,14 @@
 TakeoverModel::heal(const std::set<std::string> &except)
 {
 	faults = ModelFaults();
+	away_until_us = std::min(away_until_us, now);
+	split_until_us = std::min(split_until_us, now);
+	store_down_until_us = std::min(store_down_until_us, now);
+	freeze_claim_us = 0;
+	for (ModelWitness &v : witnesses) {
+		v.frozen_until_us = std::min(v.frozen_until_us, now);
+		v.cut_until_us = std::min(v.cut_until_us, now);
+	}
 	add_missing_kinds();
 	for (auto &w : workers) {
 		w.second.cpu = kCapacity;
--- a/tests/unit/takeover_internal.h
+++ b/tests/unit/takeover_internal.h
@@ -6,7 +6,7 @@
  * takeover_workers, takeover_starts (orders that a worker carries out),
  * takeover_checks (what must never happen), takeover_jobs, takeover_owners (claims
  * and passes), takeover_commits (the store), takeover_calls (an owner's calls of
- * workers and of the advice service), takeover_faults.
+ * workers and of the advice service), takeover_witness, takeover_faults.
  */
 
 #include "takeover_model.h"
--- a/tests/unit/takeover_model.cc
+++ b/tests/unit/takeover_model.cc
@@ -193,9 +193,11 @@
 			tick_worker(w.second);
 			count_known_time(w.second);
 		}
+		for (ModelWitness &v : witnesses)
+			tick_witness(v);
 		for (size_t i = 1; i <= (size_t)owner_count; i++)
 			tick_owner(*owners[(int)i]);
-		if (now >= lease_until_us) {
+		if (now >= lease_until_us && now >= store_down_until_us) {
 			if (claim_at_us == 0)
 				claim_at_us =
 				    now + (int64_t)(20 + random(300)) * kMs;
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -12,6 +12,7 @@
 
 extern "C" {
 #include "common/clock.h"
+#include "coordination/witness.h"
 #include "protocol/job_codec.h"
 #include "state/pool_internal.h"
 }
@@ -42,6 +43,7 @@
 	bool listed = true;
 	bool draining = false;
 	int64_t silent_until_us = 0;
+	bool away = false; /* on the side of an owner that is cut off */
 	int64_t born_us = 0;
 	int64_t rate_per_mille = 1000;
 	std::string kind;
@@ -132,6 +134,21 @@
 	int64_t incarnation; /* that its owner knew */
 };
 
+/* A daemon that is asked by owners. */
+struct ModelWitness {
+	std::string vm;
+	uint64_t incarnation = 1;
+	bool alive = true;
+	bool away = false;
+	int64_t died_us = 0;
+	int64_t frozen_until_us = 0;
+	int64_t cut_until_us = 0; /* no path to the store */
+	int64_t look_at_us = 0;
+	int64_t slow_per_mille = 0;
+	uint64_t seen_token = 0; /* in its copy of the store; 0: no owner */
+	struct wt_memory memory = {};
+};
+
 struct ModelOwner {
 	int number = 0;
 	struct wp_pool *pool = nullptr;
@@ -148,6 +165,21 @@
 	std::shared_ptr<ModelCommit> commit;
 	std::vector<std::function<void()>> inbox; /* while it is frozen */
 	std::map<std::string, ModelHeard> heard;
+	/* Without witnesses, the permit is for the longest time. */
+	bool away = false;
+	int64_t slow_per_mille = 0;
+	uint32_t term = 0;
+	struct wt_permit permit = {};
+	int64_t ask_at_us = 0;
+	int64_t list_at_us = 0;
+	uint64_t list = 0;
+	struct wt_inquiry inquiry = {};
+	bool inquiring = false;
+	uint32_t inquiry_term = 0;
+	uint64_t inquiry_token = 0;
+	int64_t inquire_at_us = 0;
+	int64_t earlier_until_us = 0;
+	int64_t older_until_us = 0;
 
 	void
 	hear(const std::string &id, int64_t incarnation, int64_t now)
@@ -186,6 +218,10 @@
 	~TakeoverModel();
 
 	void add_worker();
+	/* Owners have witnesses from now on. */
+	void use_witnesses(uint64_t seed);
+	void break_witnesses();
+	void part(int64_t us);
 	void add_job(bool may_be_special = true);
 	void cancel_some_job();
 	void run_for(int64_t us);
@@ -229,6 +265,9 @@
 	int64_t owner_since_us = 0;
 	uint64_t takeovers = 0;
 	uint64_t starts = 0;
+	uint64_t grants = 0;
+	uint64_t conclusions = 0;
+	std::vector<ModelWitness> witnesses;
 
       private:
 	struct Event {
@@ -294,6 +333,7 @@
 
 	/* takeover_owners.cc */
 	void claim();
+	bool last_owner_has_ended();
 	void load_pool(ModelOwner &o, int64_t earlier_until_us);
 	void tick_owner(ModelOwner &o);
 	void renew_ownership(ModelOwner &o);
@@ -321,7 +361,36 @@
 	void break_around_a_commit(const std::string &id);
 	void evacuate(const std::string &id);
 
+	/* takeover_witness.cc */
+	uint64_t pick(uint64_t below);
+	int64_t local_us(const ModelOwner &o, int64_t us) const;
+	bool may_act(const ModelOwner &o) const;
+	bool is_together(bool away, bool other_away) const;
+	bool reaches(int number, const ModelWorker &w) const;
+	ModelWitness *find_witness(const char *vm);
+	struct wt_list choose_witnesses(const ModelOwner &o);
+	void begin_witnesses(ModelOwner &o, bool last_has_ended);
+	void write_list(int number, uint64_t token, struct wt_list list,
+	    uint64_t sequence, bool again);
+	void ask_witnesses(ModelOwner &o, const struct wt_list &list);
+	void tick_permit(ModelOwner &o);
+	void ask_witness(ModelOwner &o, const std::string &vm, uint32_t of_term,
+	    uint64_t of_token, bool revoke);
+	void answer_question(int number, uint64_t token, ModelWitness &v,
+	    uint32_t of_term, uint64_t of_token, int64_t asked_us, bool revoke);
+	void on_revoked(
+	    ModelOwner &o, const struct wt_witness &from, int64_t left_us);
+	void conclude(ModelOwner &o);
+	void tick_inquiry(ModelOwner &o);
+	void check_acts(const ModelOwner &o);
+	void tick_witness(ModelWitness &v);
+	void restart_witness(ModelWitness &v, int64_t down_us);
+	void cut_from_store(int64_t us);
+	void stop_store(int64_t us);
+	bool split_workers(int64_t us);
+
 	std::mt19937_64 rng;
+	std::mt19937_64 witness_rng;
 	std::priority_queue<Event> events;
 	uint64_t event_count = 0;
 	std::map<int, std::unique_ptr<ModelOwner>> owners;
@@ -338,6 +407,15 @@
 	uint32_t term = 0;
 	int64_t lease_until_us = 0;
 	int64_t earlier_until_us = 0;
+	struct wt_list stored_witnesses = {};
+	uint64_t stored_list = 0;
+	uint64_t last_token = 0;
+	int64_t store_down_until_us = 0;
+	int64_t away_until_us = 0;
+	int64_t split_until_us = 0;
+	int64_t freeze_claim_us = 0;
+	/* By token: until when its successor takes it to act. */
+	std::map<uint64_t, int64_t> concluded;
 	std::vector<ModelRegistered> registry;
 	std::vector<std::string> not_started;
 	uint32_t registry_term = 0;
--- a/tests/unit/takeover_owners.cc
+++ b/tests/unit/takeover_owners.cc
@@ -11,7 +11,6 @@
 constexpr int64_t kOwnerRenewal = 350 * kMs;
 constexpr int64_t kWorkerLease = 3400 * kMs;
 constexpr int64_t kStartLimit = 6 * kS;
-constexpr int64_t kOwnerLimit = 10 * kS;
 constexpr int64_t kReportValidMs = 4200;
 constexpr int64_t kForgetEvery = 2 * kS;
 
@@ -54,17 +53,28 @@
 		wp_job_never_started(o.pool, id.c_str(), now);
 }
 
+/* Its daemon may have shown a newer incarnation. */
+bool
+TakeoverModel::last_owner_has_ended()
+{
+	return owners.count(current) > 0 && !owners[current]->alive &&
+	    chance(500);
+}
+
 void
 TakeoverModel::claim()
 {
 	auto o = std::make_unique<ModelOwner>();
-	int64_t last_us = now + kWorkerLease + (term > 0 ? kOwnerLimit : 0);
+	int64_t last_us = now + kWorkerLease;
+	bool ended = last_owner_has_ended();
 
-	if (owners.count(current) > 0 && !owners[current]->alive && chance(500))
-		last_us = now + kWorkerLease;
+	if (term > 0 && !ended)
+		last_us += WT_UNCONFIRMED_LIMIT_US;
+	o->older_until_us = earlier_until_us;
 	earlier_until_us = std::max(earlier_until_us, last_us);
 	if (term == 0)
 		earlier_until_us = 0;
+	o->earlier_until_us = earlier_until_us;
 	term++;
 	takeovers++;
 	stored_token = ++revision;
@@ -75,6 +85,7 @@
 	o->confirmed_us = now;
 	o->renew_at_us = now + kOwnerRenewal;
 	o->commit_at_us = now;
+	begin_witnesses(*o, ended);
 	load_pool(*o, earlier_until_us);
 	owner_since_us = now;
 	owners[current] = std::move(o);
@@ -110,7 +121,7 @@
 		return;
 	std::vector<std::function<void()>> inbox;
 	inbox.swap(o.inbox);
-	if (now - o.confirmed_us > kOwnerLimit) {
+	if (!may_act(o)) {
 		step_down(o);
 		return;
 	}
@@ -121,6 +132,9 @@
 	renew_ownership(o);
 	if (o.pool == nullptr)
 		return;
+	check_acts(o);
+	tick_permit(o);
+	tick_inquiry(o);
 	o.pool->draining = now - o.confirmed_us > kStartLimit;
 	o.pool->ownership_unconfirmed = now - o.confirmed_us >= kOwnerLease;
 	if (now >= o.full_pass_at_us) {
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -641,6 +641,8 @@
 				m->cancel_some_job();
 			if (m->chance(180))
 				m->break_something();
+			if (!m->witnesses.empty() && m->chance(150))
+				m->break_witnesses();
 			m->run_for((int64_t)(20 + m->random(400)) * kMs);
 		}
 	}
@@ -961,6 +963,33 @@
 	}
 }
 
+/*
+ * TWICE and LOST: owners are cut off together with witnesses and workers, are
+ * stopped and resume, and witnesses restart, while messages are lost or late.
+ */
+TEST_F(TakeoverSchedule, OwnersWithWitnessesRunNothingTwice)
+{
+	auto range = seeds();
+	uint64_t grants = 0;
+	uint64_t conclusions = 0;
+
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		begin(seed);
+		m->use_witnesses(seed);
+		play_faults(25 * kS);
+		m->heal({});
+		m->run_for(30 * kS);
+		expect_no_violation(seed);
+		EXPECT_EQ(idle_beside_free_room(), 0U) << "seed " << seed;
+		grants += m->grants;
+		conclusions += m->conclusions;
+	}
+	EXPECT_GT(grants, 0U);
+	EXPECT_GT(conclusions, 0U);
+	printf("%llu grants, %llu owners bounded by witnesses\n",
+	    (unsigned long long)grants, (unsigned long long)conclusions);
+}
+
 /* LOST-1: a worker that was silent before holds only what may be on it. */
 TEST_F(TakeoverSchedule, SilentWorkerHoldsOnlyItsTasksAfterATakeover)
 {
