replica, cell_claim: a claim doesn't wait for a watch that hangs

Cause: a watch that was sent while the store failed hangs until its own time-out, for up to 2.8 s after the store answers again. The owner learns from its renewal that its lease has ended, and the pool is claimed at once, but a claim counts only once the watch has shown it.

Change: when the store has answered a claim, the open watch is given up and another is sent; a late answer to the first one is ignored.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -189,7 +189,10 @@
 		return;
 	if (a->result != KS_OK && a->result != KS_UNKNOWN)
 		cp_abort_claim(h);
-	rp_watch_now(h->cell->replica);
+	if (a->result == KS_OK)
+		rp_watch_anew(h->cell->replica);
+	else
+		rp_watch_now(h->cell->replica);
 }
 
 static void
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -137,12 +137,24 @@
 	return r->follow_workers ? "" : RP_CELL_PREFIX;
 }
 
+/* One that was given up is answered at last; a later one has shown more. */
+struct rp_watch_call {
+	struct replica *r;
+	uint64_t number;
+};
+
 static void
 rp_on_watch(const struct ks_response *a, void *arg)
 {
-	struct replica *r = arg;
+	struct rp_watch_call *call = arg;
+	struct replica *r = call->r;
+	bool given_up = call->number != r->watch_number;
 	size_t i;
 
+	talloc_free(call);
+	if (given_up)
+		return;
+	r->watching = false;
 	switch (a->result) {
 	case KS_OK:
 		break;
@@ -177,6 +189,7 @@
 rp_watch(void *arg)
 {
 	struct replica *r = arg;
+	struct rp_watch_call *call;
 
 	if (rp_lacks_workers(r)) {
 		r->load_prefix = r->fleet->entries->workers_prefix;
@@ -184,8 +197,14 @@
 		return;
 	}
 	r->has_workers = r->follow_workers;
+	call = talloc_zero(r, struct rp_watch_call);
+	if (call == NULL)
+		abort();
+	call->r = r;
+	call->number = ++r->watch_number;
+	r->watching = true;
 	r->fleet->keys->watch(r->fleet->handle, rp_watched_prefix(r),
-	    r->applied_revision, RP_WATCH_MS, rp_on_watch, r);
+	    r->applied_revision, RP_WATCH_MS, rp_on_watch, call);
 }
 
 void
@@ -251,6 +270,18 @@
 	rp_tick(r, INT64_MAX);
 }
 
+void
+rp_watch_anew(struct replica *r)
+{
+	if (!r->watching) {
+		rp_watch_now(r);
+		return;
+	}
+	r->watching = false;
+	r->watch_number++;
+	rp_watch(r);
+}
+
 struct replica *
 rp_start(TALLOC_CTX *ctx, struct loop *l, const struct fl_fleet *fleet,
     const struct rp_hooks *hooks, void *arg)
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -224,6 +224,8 @@
  * @operator_revision: revision up to which operators' keys are applied
  * @load_operator_keys: their history was lost, so they have to be read again
  * @watch_pause_us: pause between two watches, so that each returns a batch
+ * @watching: a watch is open
+ * @watch_number: counts watches, so that one that was given up is recognized
  * @watch_paused: no watch is open until @watch_resume_us
  * @load_prefix: keys that the newest load reads
  * @load_cursor: last key of the page before; NULL for the first page
@@ -250,6 +252,8 @@
 	uint64_t operator_revision;
 	bool load_operator_keys;
 	int64_t watch_pause_us;
+	bool watching;
+	uint64_t watch_number;
 	bool watch_paused;
 	int64_t watch_resume_us;
 	const char *load_prefix;
@@ -298,6 +302,13 @@
 
 /** rp_watch_now() - open the next watch without waiting for the pause to end */
 void rp_watch_now(struct replica *r);
+/**
+ * rp_watch_anew() - the store has answered, so it should have answered the watch
+ * @r: replica
+ *
+ * A watch that was sent while the store was silent may hang until it times out.
+ */
+void rp_watch_anew(struct replica *r);
 
 /** rp_find_job() - find a job whose description is known; NULL otherwise */
 struct rp_job *rp_find_job(struct replica *r, const char *id);
--- a/tests/unit/takeover_witness.cc
+++ b/tests/unit/takeover_witness.cc
@@ -98,8 +98,8 @@
 		rows.push_back({v.vm.c_str(), v.vm.c_str(), v.incarnation,
 		    v.alive && is_together(o.away, v.away), true});
 	}
-	wt_choose(&o.permit.stored.list, "", rows.data(),
-	    (uint32_t)rows.size(), &list);
+	wt_choose(&o.permit.stored.list, "", rows.data(), (uint32_t)rows.size(),
+	    &list);
 	return list;
 }
 
@@ -233,8 +233,8 @@
 	v.vm.copy(from.vm, sizeof(from.vm) - 1);
 	from.incarnation = v.incarnation;
 	if (revoke)
-		left_us = std::max<int64_t>(
-		    wt_revoke(&v.memory, of_term) - local, 0);
+		left_us =
+		    std::max<int64_t>(wt_revoke(&v.memory, of_term) - local, 0);
 	else
 		granted = v.seen_token == of_token &&
 		    wt_grant(&v.memory, of_term, local);
@@ -246,8 +246,7 @@
 			if (revoke)
 				on_revoked(me, from, left_us);
 			else if (granted)
-				wt_permit_granted(
-				    &me.permit, &from, asked_us);
+				wt_permit_granted(&me.permit, &from, asked_us);
 		});
 	});
 }
@@ -262,8 +261,7 @@
 	int32_t i = wt_find(&list, from.vm);
 
 	if (list.witness[i].incarnation == from.incarnation)
-		wt_on_revoked(
-		    &o.inquiry, from.vm, local_us(o, now) + left_us);
+		wt_on_revoked(&o.inquiry, from.vm, local_us(o, now) + left_us);
 	else
 		wt_on_ended(&o.inquiry, from.vm, local_us(o, now));
 	conclude(o);
@@ -312,8 +310,8 @@
 		    v->incarnation != w.incarnation)
 			wt_on_ended(&o.inquiry, w.vm, local_us(o, now));
 		else
-			ask_witness(o, w.vm, o.inquiry_term, o.inquiry_token,
-			    true);
+			ask_witness(
+			    o, w.vm, o.inquiry_term, o.inquiry_token, true);
 	}
 	conclude(o);
 }
@@ -437,8 +435,7 @@
 	case 3:
 		return stop_store((int64_t)(500 + pick(9000)) * kMs);
 	case 4:
-		return restart_witness(
-		    v, (int64_t)(100 + pick(3000)) * kMs);
+		return restart_witness(v, (int64_t)(100 + pick(3000)) * kMs);
 	case 5:
 		v.frozen_until_us = now + (int64_t)(100 + pick(8000)) * kMs;
 		return;
--- a/tests/unit/test_promises_long.cc
+++ b/tests/unit/test_promises_long.cc
@@ -269,6 +269,12 @@
 	play_outage(StoreTrouble::kSilent, false);
 }
 
+/* Once it answered again, watches of all daemons hung for up to 2.8 s more. */
+TEST(LongRunningTasks, StoreThatRefusesWhileLeasesRunOutEndsNoRun)
+{
+	play_outage(StoreTrouble::kBusy, false);
+}
+
 /* Others take its work over, so it may not act for as long as in an outage. */
 TEST(LongRunningTasks, OwnerThatAloneIsCutOffStopsSoon)
 {
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -466,6 +466,36 @@
 	EXPECT_EQ(store.range_prefix, "w/");
 }
 
+/* It was sent while the store was silent, and hung after that. */
+TEST_F(Replica, WatchThatWasGivenUpIsIgnored)
+{
+	page(10, {}, false);
+	ks_done_fn hung = store.watch_done;
+	void *hung_arg = store.watch_arg;
+	struct ks_response late = {};
+
+	rp_watch_anew(r);
+	EXPECT_NE(store.watch_arg, hung_arg);
+	EXPECT_EQ(store.watch_after, 10u);
+	watch(KS_OK, 30);
+	EXPECT_TRUE(rp_has_applied(r, 30));
+	rp_watch_now(r);
+	EXPECT_EQ(store.watch_after, 30u);
+	late.result = KS_COMPACTED;
+	hung(&late, hung_arg);
+	EXPECT_EQ(store.range_prefix, "");
+	watch(KS_OK, 40);
+	EXPECT_TRUE(rp_has_applied(r, 40));
+}
+
+TEST_F(Replica, NoSecondWatchIsOpenedDuringALoad)
+{
+	rp_watch_anew(r);
+	EXPECT_EQ(store.watch_done, nullptr);
+	page(10, {}, false);
+	EXPECT_EQ(store.watch_after, 10u);
+}
+
 TEST_F(Replica, EntriesReadBeforeHistoryWasLostDoNotCount)
 {
 	page(10, {worker_item("w/a", 5)}, false);
