cell_earlier: a lower incarnation of a witness doesn't show that it ended

The store may apply a write of an earlier incarnation after that of a later one, whose process then goes on granting. An answer over a link is another matter: it comes from the process that runs now.

Change: only a higher incarnation in the entry counts. Also, the last owner's daemon may be a witness once that owner is known to have stopped; before, one that had handed the pool over never was. The log names it last_owner; vm is the logging daemon's.

--- a/curranttackd/cell_earlier.c
+++ b/curranttackd/cell_earlier.c
@@ -78,8 +78,9 @@
 cp_log_earlier_owner(const struct cp_host *h, const char *by,
     const char *slowest, int64_t now_us)
 {
-	lg_event(LG_INFO, "pool", "earlier_owner", "pool", h->name, "vm",
-	    h->earlier_owner_vm, "by", by, "slowest", slowest, "left_ms",
+	lg_event(LG_INFO, "pool", "earlier_owner", "pool", h->name,
+	    "last_owner", h->earlier_owner_vm, "by", by, "slowest", slowest,
+	    "left_ms",
 	    lg_i64((h->earlier_owner_until_us - now_us) / CLK_US_PER_MS), NULL);
 }
 
@@ -106,7 +107,10 @@
 	return true;
 }
 
-/* A witness of another incarnation than the stored list names. */
+/*
+ * Whether the incarnation of a witness that the stored list names has ended. An
+ * entry with a lower one may be a write that the store has applied late.
+ */
 static bool
 cp_witness_has_ended(const struct cp_host *h, const struct wt_witness *w)
 {
@@ -115,9 +119,8 @@
 
 	if (strcmp(w->vm, c->settings->vm) == 0)
 		return c->incarnation != w->incarnation;
-	/* The list was written after that incarnation's entry. */
 	HASH_FIND_STR(c->replica->members, w->vm, m);
-	return m != NULL && m->present && m->incarnation != w->incarnation;
+	return m != NULL && m->incarnation > w->incarnation;
 }
 
 static void
@@ -179,7 +182,7 @@
 			    v->list.witness[i].vm);
 	}
 	lg_event(LG_INFO, "pool", "earlier_owner_unknown", "pool", h->name,
-	    "vm", h->earlier_owner_vm, "unanswered", names, "left_ms",
+	    "last_owner", h->earlier_owner_vm, "unanswered", names, "left_ms",
 	    lg_i64((h->earlier_owner_until_us - now_us) / CLK_US_PER_MS), NULL);
 }
 
--- a/curranttackd/cell_witness.c
+++ b/curranttackd/cell_witness.c
@@ -19,15 +19,18 @@
 
 /* --- owner --- */
 
-/* The last owner may have ended, or be cut off; daemons of earlier builds don't
- * answer. */
+/*
+ * The last owner may have ended, or be cut off, until it is known to have
+ * stopped. Daemons of earlier builds don't answer.
+ */
 static bool
 cp_is_candidate(const struct cp_host *h, const struct rp_member *m)
 {
 	if (!m->present || !m->witness ||
 	    strcmp(m->vm, h->cell->settings->vm) == 0)
 		return false;
-	return m->incarnation != h->earlier_owner_incarnation ||
+	return clk_now_us() >= h->earlier_owner_until_us ||
+	    m->incarnation != h->earlier_owner_incarnation ||
 	    strcmp(m->vm, h->earlier_owner_vm) != 0;
 }
 
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -146,6 +146,8 @@
 	int64_t look_at_us = 0;
 	int64_t slow_per_mille = 0;
 	uint64_t seen_token = 0; /* in its copy of the store; 0: no owner */
+	uint64_t entry = 1;	 /* incarnation that its stored entry shows */
+	int64_t entry_at_us = 0; /* when it is next written */
 	struct wt_memory memory = {};
 };
 
@@ -386,6 +388,7 @@
 	void tick_witness(ModelWitness &v);
 	void restart_witness(ModelWitness &v, int64_t down_us);
 	void cut_from_store(int64_t us);
+	void write_entry_late(ModelWitness &v);
 	void stop_store(int64_t us);
 	bool split_workers(int64_t us);
 
--- a/tests/unit/takeover_witness.cc
+++ b/tests/unit/takeover_witness.cc
@@ -95,7 +95,7 @@
 	for (const ModelWitness &v : witnesses) {
 		if (!v.alive && now > v.died_us + 4 * kS)
 			continue;
-		rows.push_back({v.vm.c_str(), v.vm.c_str(), v.incarnation,
+		rows.push_back({v.vm.c_str(), v.vm.c_str(), v.entry,
 		    v.alive && is_together(o.away, v.away), true});
 	}
 	wt_choose(&o.permit.stored.list, "", rows.data(), (uint32_t)rows.size(),
@@ -306,8 +306,8 @@
 
 		if (votes.until_us[i] != WT_UNKNOWN)
 			continue;
-		if (v->alive && is_together(o.away, v->away) &&
-		    v->incarnation != w.incarnation)
+		/* A lower one may have been written late. */
+		if (v->entry > w.incarnation)
 			wt_on_ended(&o.inquiry, w.vm, local_us(o, now));
 		else
 			ask_witness(
@@ -335,6 +335,8 @@
 	    now < store_down_until_us || now < v.cut_until_us ||
 	    !is_together(v.away, false))
 		return;
+	if (now >= v.entry_at_us)
+		v.entry = v.incarnation;
 	v.look_at_us = now + (int64_t)pick(kLookEvery);
 	v.seen_token = now < lease_until_us ? stored_token : 0;
 }
@@ -410,6 +412,21 @@
 	});
 }
 
+/* The store applies an earlier write after the one that followed it. */
+void
+TakeoverModel::write_entry_late(ModelWitness &v)
+{
+	std::string vm = v.vm;
+	uint64_t before = v.incarnation - 1;
+
+	after((int64_t)pick(2000) * kMs, [this, vm, before] {
+		ModelWitness *late = find_witness(vm.c_str());
+
+		late->entry = before;
+		late->entry_at_us = now + (int64_t)pick(4000) * kMs;
+	});
+}
+
 /* Leases are paused, or run out meanwhile. */
 void
 TakeoverModel::stop_store(int64_t us)
@@ -441,7 +458,7 @@
 		return;
 	case 6:
 		v.incarnation += v.alive;
-		return;
+		return write_entry_late(v);
 	case 7:
 		return freeze_owner((int64_t)(500 + pick(14000)) * kMs);
 	case 8:
--- a/tests/unit/test_promises_long.cc
+++ b/tests/unit/test_promises_long.cc
@@ -275,6 +275,31 @@
 	play_outage(StoreTrouble::kBusy, false);
 }
 
+/* It was stopped for longer than it may act, and no worker knows another. */
+TEST(LongRunningTasks, OwnerThatResumesRenewsNothing)
+{
+	constexpr int64_t kStopped = 5500 * kSimMs;
+	constexpr int64_t kLease = 3100 * kSimMs;
+
+	for (int64_t offset_ms = 0; offset_ms < 400; offset_ms++) {
+		LongRunning t;
+
+		t.begin_jobs();
+		size_t cut = t.owner();
+		t.w.daemons[cut]->domain = "cut";
+		for (auto &wk : t.w.workers)
+			wk->domain = "cut";
+		t.w.cut_domain("cut", 20 * kSimS);
+		t.w.run_until(t.w.now + offset_ms * kSimMs);
+		int64_t stopped_us = t.w.now;
+		t.w.freeze(cut, kStopped);
+		t.w.run_until(stopped_us + kStopped + 50 * kSimMs);
+		for (auto &wk : t.w.workers)
+			ASSERT_LE(wk->lease_until_us, stopped_us + kLease)
+			    << offset_ms << " ms, " << wk->id;
+	}
+}
+
 /* Others take its work over, so it may not act for as long as in an outage. */
 TEST(LongRunningTasks, OwnerThatAloneIsCutOffStopsSoon)
 {
