member: a restarted daemon is also above incarnations of witnesses

A daemon that restarts with its clock set back passed the incarnations that terms name for owners, but not those of witnesses; a next owner then kept the long bound for it, since only a higher incarnation shows that a witness ended.

--- a/curranttackd/cell_member.c
+++ b/curranttackd/cell_member.c
@@ -79,9 +79,25 @@
 		c->store_answered_us = clk_now_us();
 }
 
+/* The highest incarnation on this VM that the term of a pool names. */
+static uint64_t
+cell_named_incarnation(const struct cell *c, const struct rp_owner *o)
+{
+	const char *vm = c->settings->vm;
+	int32_t i = wt_find(&o->witnesses, vm);
+	uint64_t latest = 0;
+
+	if (strcmp(o->term_vm, vm) == 0)
+		latest = o->term_incarnation;
+	if (i != -1 && o->witnesses.witness[i].incarnation > latest)
+		latest = o->witnesses.witness[i].incarnation;
+	return latest;
+}
+
 /*
- * The time of day may have been set back since an earlier process on this VM
- * claimed a pool. Others tell by a higher incarnation that it has ended.
+ * The time of day may have been set back since an earlier process on this VM was
+ * the owner of a pool, or a witness. Others tell by a higher incarnation that it
+ * has ended.
  */
 static void
 cell_follow_earlier_incarnations(struct cell *c)
@@ -94,9 +110,10 @@
 		return;
 	c->follows_earlier = true;
 	HASH_ITER(hh, c->replica->owners, o, tmp) {
-		if (strcmp(o->term_vm, c->settings->vm) == 0 &&
-		    o->term_incarnation > latest)
-			latest = o->term_incarnation;
+		uint64_t named = cell_named_incarnation(c, o);
+
+		if (named > latest)
+			latest = named;
 	}
 	if (latest < c->incarnation)
 		return;
