state: room is kept for long-running tasks that lost their run

The rule allows 9 s, however full the pool is.

Cause: while their workers' leases ran, younger short tasks took the room of the workers that had returned. Where a worker answered with another incarnation, a task was stopped there first and waited 100 ms, and steps before it in the order took its room meanwhile.

Ruled out: a place at the head of the order for such steps. They aren't startable while the room is taken, so a place in the order keeps nothing.

Change: from the moment a worker is silent or a run is stopped, each long-running task that has run is planned where it can start first, and its resources are held there. Other steps get them only for tasks of a known length that end before; gangs are planned with what is left. Tasks of an earlier owner that aren't reconciled count too, so the run of each long-running task is stored when it begins, not only the first of its job. Siblings that have never run wait for those that have.

Four of the new tests failed before for lack of room, RunThatBeginsLaterIsStored for lack of a row; ShortTasksThatEndInTimeMayUseTheRoom passed and bounds the change.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -90,6 +90,7 @@
  * @crash: runs under which a worker has or may have crashed, @crash_count of
  *	them; the task is then a suspect
  * @crashed_workers: workers that crashed while they ran it, whatever the cause
+ * @held_on: worker on which resources were last held for it, or NULL
  */
 struct wp_task {
 	struct wp_step *step;
@@ -122,6 +123,7 @@
 	struct jb_crash *crash;
 	uint32_t crash_count;
 	uint32_t crashed_workers;
+	struct wp_worker *held_on;
 	struct wp_task *prev;
 	struct wp_task *next;
 	struct wp_task *crash_prev;
@@ -422,6 +424,8 @@
  * @reserved_members: members of gangs that they are reserved for
  * @reserved_from_us: when the first of these gangs is expected to start
  * @reserved_rank: rank of the most urgent of these gangs
+ * @held: resources held for lost tasks, free or not
+ * @holds: number of these tasks
  * @tasks: tasks that are or may be on it
  * @clock_ms: its clock when last read
  * @clock_read_us: when that reading arrived; 0 before the first
@@ -496,6 +500,8 @@
 	uint32_t reserved_members;
 	int64_t reserved_from_us;
 	uint32_t reserved_rank;
+	struct wp_resources held;
+	uint32_t holds;
 	struct wp_task *tasks;
 	int64_t clock_ms;
 	int64_t clock_read_us;
@@ -530,6 +536,20 @@
 	UT_hash_handle hh;
 };
 
+/**
+ * struct wp_hold - resources held for a long-running task that lost its run
+ * @step: step of the task; only compared, as it may be gone
+ * @worker: the worker
+ * @need: the resources, free or not
+ * @from_us: when the task is expected to be able to start there
+ */
+struct wp_hold {
+	const struct wp_step *step;
+	struct wp_worker *worker;
+	struct wp_resources need;
+	int64_t from_us;
+};
+
 /** enum wp_order_kind - what an order tells a worker to do */
 enum wp_order_kind {
 	WP_ORDER_START,
@@ -925,6 +945,8 @@
  * @reconciled: no worker can run a task that this owner does not know of
  * @reconcile_pass: counts the passes of wp_reconcile_tick()
  * @reserve_at_us: when gangs are planned next
+ * @hold: resources held for lost tasks, @hold_count entries
+ * @restore_at_us: when these tasks are planned next
  * @sample_waits_at_us: when to sample next what steps wait for
  * @registry_dirty: the stored registry of workers is out of date
  * @close_at_us: no registry is stored before only to close workers
@@ -971,6 +993,9 @@
 	bool reconciled;
 	uint32_t reconcile_pass;
 	int64_t reserve_at_us;
+	struct wp_hold *hold;
+	uint32_t hold_count;
+	int64_t restore_at_us;
 	int64_t sample_waits_at_us;
 	bool registry_dirty;
 	int64_t close_at_us;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -11,7 +11,8 @@
  * reports and leases), pool_reconcile (what may still run
  * for an earlier owner), pool_defer (jobs that no later owner has to wait for),
  * pool_gang, pool_approval (what the advice service approves, and how fast),
- * pool_advice (tickets), pool_reserve (resources kept for gangs), pool_forecast
+ * pool_advice (tickets), pool_reserve (resources kept for gangs), pool_restore
+ * (those kept for long-running tasks that lost their run), pool_forecast
  * (resources left for the next steps), pool_request (workers that an advice
  * request names), pool_ask (steps that request advice),
  * pool_outlook (lateness), pool_waits (what steps wait for),
@@ -310,6 +311,46 @@
 /** wp_idle_reserved() - resources that are reserved for gangs, and free */
 struct wp_resources wp_idle_reserved(const struct wp_worker *w);
 
+/** wp_backfill_us() - how long a task of a step may take at most */
+int64_t wp_backfill_us(const struct wp_step *s);
+/** wp_release_us() - when a task on a worker is expected to be off it */
+int64_t wp_release_us(const struct wp_task *t, int64_t now_us);
+/**
+ * wp_ticket_ready_us() - when a step can start on a worker, as to tickets
+ * @p: pool
+ * @s: step
+ * @w: worker
+ * @at_us: when it can start there otherwise
+ * @now_us: time
+ */
+int64_t wp_ticket_ready_us(struct wp_pool *p, const struct wp_step *s,
+    const struct wp_worker *w, int64_t at_us, int64_t now_us);
+
+/** wp_restore_tick() - plan at intervals where lost tasks start again */
+void wp_restore_tick(struct wp_pool *p, int64_t now_us);
+/** wp_restore_soon() - plan at the next tick, if a task is long-running */
+void wp_restore_soon(struct wp_task *t);
+/** wp_restored() - a worker has confirmed a new run of a task */
+void wp_restored(struct wp_task *t);
+/** wp_forget_holds() - hold nothing until the next plan */
+void wp_forget_holds(struct wp_pool *p);
+/** wp_is_interrupted() - whether a long-running task waits that has run before */
+bool wp_is_interrupted(const struct wp_task *t);
+/** wp_has_interrupted_task() - whether such a task of a step may start now */
+bool wp_has_interrupted_task(const struct wp_step *s, int64_t now_us);
+/** wp_held_slots() - tasks of a step for which resources of a worker are held */
+uint32_t wp_held_slots(const struct wp_step *s, const struct wp_worker *w);
+/**
+ * wp_unheld() - free resources of a worker less those held for other steps
+ *
+ * Unless the step's tasks end before these can start.
+ */
+struct wp_resources wp_unheld(
+    const struct wp_step *s, const struct wp_worker *w, int64_t now_us);
+
+/** wp_avoids() - whether a task failed on a worker lately */
+bool wp_avoids(
+    const struct wp_task *t, const struct wp_worker *w, int64_t now_us);
 /** wp_is_suitable() - whether a worker's labels and capacity suit a step */
 bool wp_is_suitable(const struct wp_step *s, const struct wp_worker *w);
 /** wp_is_usable() - whether a worker may receive new tasks now */
--- a/state/pool.c
+++ b/state/pool.c
@@ -321,6 +321,7 @@
 				    p, &occ->step[i].task[j], now_us);
 		}
 	}
+	wp_forget_holds(p);
 	if (job->dirty)
 		DL_DELETE2(p->dirty, job, dirty_prev, dirty_next);
 	HASH_DEL(p->jobs, job);
@@ -367,6 +368,7 @@
 	wp_jobs_tick(p, now_us);
 	wp_lateness_tick(p, now_us);
 	wp_waits_tick(p, now_us);
+	wp_restore_tick(p, now_us);
 	wp_reserve_tick(p, now_us);
 	wp_schedule(p, now_us);
 }
--- a/state/pool_preempt.c
+++ b/state/pool_preempt.c
@@ -26,11 +26,12 @@
 	    now_us - v->started_us > WP_MIN_RUN_US;
 }
 
-/* Resources that are or become free, less those reserved for urgent tasks. */
+/* Resources that are or become free, less those kept for other tasks. */
 static struct wp_resources
-wp_soon_free_resources(const struct wp_worker *w)
+wp_soon_free_resources(
+    const struct wp_step *s, const struct wp_worker *w, int64_t now_us)
 {
-	struct wp_resources available = wp_free_resources(w);
+	struct wp_resources available = wp_unheld(s, w, now_us);
 	const struct wp_task *t;
 
 	DL_FOREACH(w->tasks, t) {
@@ -48,7 +49,7 @@
 wp_victims_needed(const struct wp_worker *w, const struct wp_step *s,
     const struct wp_resources *need, int64_t now_us)
 {
-	struct wp_resources available = wp_soon_free_resources(w);
+	struct wp_resources available = wp_soon_free_resources(s, w, now_us);
 	const struct wp_task *v;
 	uint32_t n = 0;
 
@@ -71,7 +72,7 @@
 wp_preempt_on(struct wp_pool *p, struct wp_worker *w, const struct wp_step *s,
     const struct wp_resources *need, int64_t now_us)
 {
-	struct wp_resources available = wp_soon_free_resources(w);
+	struct wp_resources available = wp_soon_free_resources(s, w, now_us);
 	struct wp_task *v;
 	struct wp_task *tmp;
 
--- a/state/pool_reserve.c
+++ b/state/pool_reserve.c
@@ -51,7 +51,7 @@
 	struct wp_resources capacity;
 };
 
-static int64_t
+int64_t
 wp_backfill_us(const struct wp_step *s)
 {
 	return s->spec->estimate_ms * CLK_US_PER_MS * WP_BACKFILL_PERCENT / 100;
@@ -66,9 +66,10 @@
 }
 
 static struct wp_resources
-wp_unreserved(const struct wp_step *s, const struct wp_worker *w)
+wp_unreserved(
+    const struct wp_step *s, const struct wp_worker *w, int64_t now_us)
 {
-	struct wp_resources left = wp_free_resources(w);
+	struct wp_resources left = wp_unheld(s, w, now_us);
 	struct wp_resources need = wp_task_resources(s->spec);
 
 	wp_resources_add(&left, &w->gang_reserved, -1);
@@ -89,9 +90,9 @@
     const struct wp_step *s, const struct wp_worker *w, int64_t now_us)
 {
 	if (w->reserved_members == 0 ||
-	    wp_ends_before_reservation(s, w, now_us))
-		return wp_free_resources(w);
-	return wp_unreserved(s, w);
+	    wp_ends_before_reservation(s, w, now_us) || wp_held_slots(s, w) > 0)
+		return wp_unheld(s, w, now_us);
+	return wp_unreserved(s, w, now_us);
 }
 
 bool
@@ -159,7 +160,7 @@
 }
 
 /* A run that takes longer than expected is given as much time again. */
-static int64_t
+int64_t
 wp_release_us(const struct wp_task *t, int64_t now_us)
 {
 	int64_t ends_us;
@@ -196,7 +197,7 @@
 }
 
 /* When a start with a ticket is possible on a worker at the earliest. */
-static int64_t
+int64_t
 wp_ticket_ready_us(struct wp_pool *p, const struct wp_step *s,
     const struct wp_worker *w, int64_t at_us, int64_t now_us)
 {
@@ -216,7 +217,7 @@
 	uint32_t limit = wp_slots_left(s, w);
 	struct gp_offer offer = {
 	    .worker = w->index,
-	    .available = wp_free_resources(w),
+	    .available = wp_unheld(s, w, plan->now_us),
 	    .max_slots = limit < s->spec->count ? limit : s->spec->count,
 	    .now_us = plan->now_us,
 	};
--- /dev/null
+++ b/state/pool_restore.c
@@ -0,0 +1,434 @@
+#include <stdlib.h>
+#include <utlist.h>
+
+#include "state/gang_plan.h"
+#include "state/pool_internal.h"
+
+/*
+ * Room for long-running tasks that have lost their run.
+ *
+ * Such a task has to run again within seconds, however full the pool is. From
+ * the moment at which its worker falls silent, or its run is stopped, it is
+ * planned where it is expected to be able to start first, and its resources are
+ * held there: other steps take them only for tasks that end before. Gangs are
+ * planned after that, with what is left. A task that has never run has no such
+ * claim and waits for its turn.
+ */
+
+#define WP_RESTORE_INTERVAL_US (50 * CLK_US_PER_MS)
+/* Tasks that are planned at a time; the rest follows when these have started. */
+#define WP_MAX_HOLDS 64
+/* How long a new owner takes to find out that a run is over, if it is. */
+#define WP_UNRECONCILED_US (3 * CLK_US_PER_S)
+/* Another worker is planned only if it has room so much sooner. */
+#define WP_KEEP_HOLD_US (300 * CLK_US_PER_MS)
+
+/**
+ * struct wp_lost - a long-running task whose run has ended, or may have
+ * @task: the task
+ * @from_us: it does not start before
+ * @order: position in the list, so that the same one always goes first
+ */
+struct wp_lost {
+	struct wp_task *task;
+	int64_t from_us;
+	uint32_t order;
+};
+
+/**
+ * struct wp_restorer - plans where lost tasks start
+ * @pool: the pool
+ * @now_us: time of the pass
+ * @lost: these tasks, @lost_count of them, with space for @lost_max
+ * @release: buffer for gp_add_slots(), with space for @release_max
+ */
+struct wp_restorer {
+	struct wp_pool *pool;
+	int64_t now_us;
+	struct wp_lost *lost;
+	uint32_t lost_count;
+	uint32_t lost_max;
+	struct gp_release *release;
+	uint32_t release_max;
+};
+
+static bool
+wp_lasts(const struct wp_step *s)
+{
+	return (s->spec->flags & (JB_LONG_RUNNING | JB_GANG)) ==
+	    JB_LONG_RUNNING;
+}
+
+bool
+wp_is_interrupted(const struct wp_task *t)
+{
+	return t->state == WP_TASK_WAITING && t->run > 0 && wp_lasts(t->step);
+}
+
+bool
+wp_has_interrupted_task(const struct wp_step *s, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; wp_lasts(s) && i < s->spec->count; i++) {
+		const struct wp_task *t = &s->task[i];
+
+		if (wp_is_interrupted(t) && now_us >= t->not_before_us &&
+		    now_us > t->avoid_until_us && t->crash_count == 0)
+			return true;
+	}
+	return false;
+}
+
+uint32_t
+wp_held_slots(const struct wp_step *s, const struct wp_worker *w)
+{
+	const struct wp_pool *p = s->occ->job->pool;
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; w->holds > 0 && i < p->hold_count; i++)
+		n += p->hold[i].worker == w && p->hold[i].step == s;
+	return n;
+}
+
+/* Runs whose length is not known are taken to end too late. */
+static bool
+wp_ends_before_hold(
+    const struct wp_step *s, const struct wp_hold *hold, int64_t now_us)
+{
+	return !(s->spec->flags & JB_LONG_RUNNING) &&
+	    s->spec->estimate_ms > 0 &&
+	    now_us + wp_backfill_us(s) <= hold->from_us;
+}
+
+struct wp_resources
+wp_unheld(const struct wp_step *s, const struct wp_worker *w, int64_t now_us)
+{
+	const struct wp_pool *p = s->occ->job->pool;
+	struct wp_resources left = wp_free_resources(w);
+	uint32_t i;
+
+	for (i = 0; w->holds > 0 && i < p->hold_count; i++) {
+		const struct wp_hold *hold = &p->hold[i];
+
+		if (hold->worker == w && hold->step != s &&
+		    !wp_ends_before_hold(s, hold, now_us))
+			wp_resources_add(&left, &hold->need, -1);
+	}
+	return left;
+}
+
+static void
+wp_add_lost(struct wp_restorer *r, struct wp_task *t, int64_t from_us)
+{
+	if (t->step->occ->job->final_state != JB_PENDING)
+		return;
+	if (r->lost_count == r->lost_max) {
+		r->lost_max = 2 * r->lost_max + 16;
+		r->lost = talloc_realloc(
+		    r->pool, r->lost, struct wp_lost, r->lost_max);
+		if (r->lost == NULL)
+			abort();
+	}
+	if (from_us < r->now_us)
+		from_us = r->now_us;
+	r->lost[r->lost_count] =
+	    (struct wp_lost){t, from_us, r->lost_count};
+	r->lost_count++;
+}
+
+static void
+wp_list_waiting(struct wp_restorer *r)
+{
+	struct wp_step *s;
+	uint32_t i;
+
+	DL_FOREACH(r->pool->ready, s) {
+		for (i = 0; wp_lasts(s) && i < s->spec->count; i++) {
+			if (wp_is_interrupted(&s->task[i]))
+				wp_add_lost(r, &s->task[i],
+				    s->task[i].not_before_us);
+		}
+	}
+}
+
+/* Tasks on a silent worker, and those that are stopped to run elsewhere. */
+static void
+wp_list_lost_on(struct wp_restorer *r, const struct wp_worker *w)
+{
+	struct wp_task *t;
+
+	DL_FOREACH(w->tasks, t) {
+		if (!wp_lasts(t->step))
+			continue;
+		if (!w->reachable)
+			wp_add_lost(r, t, wp_lease_expiry_us(w));
+		else if (t->state == WP_TASK_STOPPING)
+			wp_add_lost(r, t, wp_release_us(t, r->now_us));
+	}
+}
+
+/* What an earlier owner had started may run on a worker that has not answered. */
+static void
+wp_list_unreconciled(struct wp_restorer *r, struct wp_occurrence *occ)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; occ != NULL && i < occ->job->spec->step_count; i++) {
+		struct wp_step *s = &occ->step[i];
+
+		for (j = 0; wp_lasts(s) && j < s->spec->count; j++) {
+			struct wp_task *t = &s->task[j];
+
+			if (t->state == WP_TASK_UNRECONCILED && t->run > 0)
+				wp_add_lost(
+				    r, t, r->now_us + WP_UNRECONCILED_US);
+		}
+	}
+}
+
+static void
+wp_list_lost(struct wp_restorer *r)
+{
+	struct wp_worker *w;
+	struct wp_worker *wtmp;
+	struct wp_job *job;
+	struct wp_job *jtmp;
+	uint32_t k;
+
+	wp_list_waiting(r);
+	HASH_ITER(hh, r->pool->workers, w, wtmp)
+		wp_list_lost_on(r, w);
+	if (r->pool->reconciled)
+		return;
+	HASH_ITER(hh, r->pool->jobs, job, jtmp) {
+		for (k = 0; k < jb_occurrences(job->spec); k++)
+			wp_list_unreconciled(r, job->occ[k]);
+	}
+}
+
+/* The rest of a worker's long-running tasks stay. */
+static bool
+wp_frees_room(const struct wp_task *t)
+{
+	return t->state == WP_TASK_STOPPING ||
+	    !(t->step->spec->flags & JB_LONG_RUNNING);
+}
+
+static uint32_t
+wp_list_room(struct wp_restorer *r, const struct wp_worker *w)
+{
+	uint32_t count = wp_count_tasks(w);
+	const struct wp_task *t;
+
+	if (count > r->release_max) {
+		r->release_max = 2 * count;
+		r->release = talloc_realloc(
+		    r->pool, r->release, struct gp_release, r->release_max);
+		if (r->release == NULL)
+			abort();
+	}
+	count = 0;
+	DL_FOREACH(w->tasks, t) {
+		if (!wp_frees_room(t))
+			continue;
+		r->release[count++] = (struct gp_release){
+		    .at_us = wp_release_us(t, r->now_us),
+		    .freed = wp_task_resources(t->step->spec),
+		};
+	}
+	return count;
+}
+
+/* When a task of a step fits on a worker, or INT64_MAX. */
+static int64_t
+wp_room_from_us(struct wp_restorer *r, const struct wp_step *s,
+    const struct wp_worker *w, bool free_now)
+{
+	struct wp_resources need = wp_task_resources(s->spec);
+	struct gp_offer offer = {
+	    .worker = w->index,
+	    .available = wp_free_resources(w),
+	    .max_slots = 1,
+	    .now_us = r->now_us,
+	};
+	struct gp_slot slot;
+
+	wp_resources_add(&offer.available, &w->held, -1);
+	if (wp_resources_fit(&offer.available, &need))
+		return r->now_us;
+	if (free_now)
+		return INT64_MAX;
+	offer.release_count = wp_list_room(r, w);
+	offer.release = r->release;
+	return gp_add_slots(&offer, &need, &slot) > 0 ? slot.at_us : INT64_MAX;
+}
+
+/* Whether a worker may take one more task of the step, beside those planned. */
+static bool
+wp_may_hold(const struct wp_restorer *r, const struct wp_task *t,
+    const struct wp_worker *w)
+{
+	const struct wp_step *s = t->step;
+	uint32_t left;
+
+	if (!wp_is_usable(w, r->now_us) || !wp_is_suitable(s, w) ||
+	    wp_avoids(t, w, r->now_us))
+		return false;
+	left = wp_slots_left(s, w);
+	if (left < UINT32_MAX && t->worker == w)
+		left++;
+	return left > wp_held_slots(s, w);
+}
+
+static int64_t
+wp_later(int64_t a_us, int64_t b_us)
+{
+	return a_us > b_us ? a_us : b_us;
+}
+
+/* When a lost task could start on a worker, or INT64_MAX. */
+static int64_t
+wp_restored_us(struct wp_restorer *r, const struct wp_lost *lost,
+    const struct wp_worker *w, bool free_now)
+{
+	const struct wp_step *s = lost->task->step;
+	int64_t at_us;
+
+	if (!wp_may_hold(r, lost->task, w))
+		return INT64_MAX;
+	at_us = wp_room_from_us(r, s, w, free_now);
+	if (at_us == INT64_MAX)
+		return INT64_MAX;
+	at_us = wp_later(at_us, lost->from_us);
+	return wp_ticket_ready_us(r->pool, s, w, at_us, r->now_us);
+}
+
+/* The worker on which a lost task can start first, or NULL. */
+static struct wp_worker *
+wp_find_room(struct wp_restorer *r, const struct wp_lost *lost, int64_t *at_us)
+{
+	struct wp_task *t = lost->task;
+	struct wp_worker *best = NULL;
+	struct wp_scan scan;
+	struct wp_worker *w;
+
+	*at_us = INT64_MAX;
+	wp_scan_begin(&scan, r->pool, t->step);
+	while ((w = wp_scan_next(&scan)) != NULL) {
+		int64_t w_us =
+		    wp_restored_us(r, lost, w, *at_us <= lost->from_us);
+
+		/* So that room that becomes free is kept together. */
+		if (w_us != INT64_MAX && w == t->held_on)
+			w_us -= WP_KEEP_HOLD_US;
+		if (w_us >= *at_us)
+			continue;
+		best = w;
+		*at_us = w_us;
+	}
+	if (best != NULL)
+		*at_us = wp_later(*at_us, lost->from_us);
+	return best;
+}
+
+static void
+wp_hold(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
+    int64_t from_us)
+{
+	struct wp_hold *hold = &p->hold[p->hold_count++];
+
+	*hold = (struct wp_hold){
+	    .step = t->step,
+	    .worker = w,
+	    .need = wp_task_resources(t->step->spec),
+	    .from_us = from_us,
+	};
+	w->holds++;
+	wp_resources_add(&w->held, &hold->need, 1);
+	t->held_on = w;
+}
+
+static void
+wp_plan_lost(struct wp_restorer *r, const struct wp_lost *lost)
+{
+	int64_t at_us;
+	struct wp_worker *w = wp_find_room(r, lost, &at_us);
+
+	if (w != NULL)
+		wp_hold(r->pool, lost->task, w, at_us);
+}
+
+void
+wp_forget_holds(struct wp_pool *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->hold_count; i++) {
+		struct wp_worker *w = p->hold[i].worker;
+
+		w->holds = 0;
+		w->held = (struct wp_resources){0};
+	}
+	p->hold_count = 0;
+	p->restore_at_us = 0;
+}
+
+static int
+wp_compare_lost(const void *a, const void *b)
+{
+	const struct wp_lost *x = a;
+	const struct wp_lost *y = b;
+
+	if (x->from_us != y->from_us)
+		return x->from_us < y->from_us ? -1 : 1;
+	return (x->order > y->order) - (x->order < y->order);
+}
+
+static void
+wp_plan_all_lost(struct wp_restorer *r)
+{
+	struct wp_pool *p = r->pool;
+	uint32_t i;
+
+	if (p->hold == NULL)
+		p->hold = talloc_array(p, struct wp_hold, WP_MAX_HOLDS);
+	if (p->hold == NULL)
+		abort();
+	qsort(r->lost, r->lost_count, sizeof(*r->lost), wp_compare_lost);
+	for (i = 0; i < r->lost_count && p->hold_count < WP_MAX_HOLDS; i++)
+		wp_plan_lost(r, &r->lost[i]);
+}
+
+void
+wp_restore_tick(struct wp_pool *p, int64_t now_us)
+{
+	struct wp_restorer r = {.pool = p, .now_us = now_us};
+
+	if (now_us < p->restore_at_us)
+		return;
+	wp_forget_holds(p);
+	p->restore_at_us = now_us + WP_RESTORE_INTERVAL_US;
+	wp_list_lost(&r);
+	if (r.lost_count > 0)
+		wp_plan_all_lost(&r);
+	talloc_free(r.lost);
+	talloc_free(r.release);
+}
+
+void
+wp_restore_soon(struct wp_task *t)
+{
+	if (wp_lasts(t->step))
+		t->step->occ->job->pool->restore_at_us = 0;
+}
+
+/* A later owner has to know that the task has run. */
+void
+wp_restored(struct wp_task *t)
+{
+	if (wp_lasts(t->step))
+		wp_mark_dirty(t->step->occ->job);
+}
--- a/state/pool_sched.c
+++ b/state/pool_sched.c
@@ -112,7 +112,7 @@
 }
 
 /* The task failed on that worker lately, and the worker may be the cause. */
-static bool
+bool
 wp_avoids(const struct wp_task *t, const struct wp_worker *w, int64_t now_us)
 {
 	uint32_t i;
@@ -233,7 +233,7 @@
 	struct wp_resources available;
 
 	if (over_reservations && wp_goes_before_reservation(s, w))
-		available = wp_free_resources(w);
+		available = wp_unheld(s, w, now_us);
 	else
 		available = wp_available_to(s, w, now_us);
 	return wp_resources_fit(&available, &need);
@@ -302,6 +302,7 @@
 static void
 wp_start_step(struct wp_pool *p, struct wp_step *s, int64_t now_us)
 {
+	bool interrupted_first = wp_has_interrupted_task(s, now_us);
 	bool others_wait = false;
 	uint32_t i;
 
@@ -312,6 +313,9 @@
 		const char *ticket = NULL;
 		struct wp_worker *w;
 
+		/* Their room is not for tasks that have never run. */
+		if (interrupted_first && !wp_is_interrupted(t))
+			continue;
 		if (!wp_may_start_task(p, t, &others_wait, now_us))
 			continue;
 		w = wp_pick_worker(
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -288,6 +288,7 @@
 	t->not_before_us = not_before_us;
 	t->step->full_scan_at_us = 0;
 	t->step->waiting++;
+	wp_restore_soon(t);
 	wp_step_update_lists(job->pool, t->step);
 }
 
--- /dev/null
+++ b/tests/unit/test_restore.cc
@@ -0,0 +1,229 @@
+#include "pool_fixture.h"
+
+#include <algorithm>
+#include <set>
+
+/*
+ * Long-running tasks that have lost their run have to run again within 9 s of its
+ * end, however full the pool is (issue 48).
+ */
+namespace
+{
+
+constexpr int64_t kFreshCpu = 500;
+
+class Restore : public Pool
+{
+      protected:
+	struct wp_job *
+	add_job(const std::string &id, const Step &step, int64_t estimate_ms,
+	    uint32_t priority = 0, uint32_t advice_valid_ms = 0)
+	{
+		struct jb_spec *s = spec(id, {step}, advice_valid_ms);
+
+		s->step[0].estimate_ms = estimate_ms;
+		s->policy.priority = priority;
+		s->accepted_wall_ms = now / kMs;
+		return wp_add_job(p, s, nullptr, true, 0, now);
+	}
+
+	/* Answers the renewals of all workers but the silent ones. */
+	void
+	renew_all(const std::set<std::string> &silent = {})
+	{
+		struct wp_worker *w;
+		struct wp_worker *tmp;
+
+		HASH_ITER(hh, p->workers, w, tmp) {
+			if (silent.count(w->id) == 0)
+				renew_lease(w->id, runs_on(w), ends[w->id],
+				    std::max<int64_t>(w->incarnation_ms, 1));
+		}
+	}
+
+	/* What the worker runs: all that it was told, and nothing it was told to
+	 * stop. */
+	std::vector<Running>
+	runs_on(const struct wp_worker *w)
+	{
+		std::vector<Running> rows;
+
+		for (const struct wp_task *t = w->tasks; t != nullptr;
+		     t = t->next) {
+			if (t->state == WP_TASK_RUNNING)
+				rows.push_back({t->step->occ->job->spec->id,
+				    t->step->number, t->index, t->run, 0,
+				    percent_of(t)});
+		}
+		return rows;
+	}
+
+	uint32_t
+	percent_of(const struct wp_task *t) const
+	{
+		int64_t estimate_us = t->step->spec->estimate_ms * kMs;
+
+		if (estimate_us == 0)
+			return 0;
+		return (uint32_t)std::min<int64_t>(
+		    99, (now - t->started_us) * 100 / estimate_us);
+	}
+
+	/* Ticks; workers accept all orders. @per_tick_us apart, for @for_us. */
+	void
+	play(int64_t for_us, const std::set<std::string> &silent = {})
+	{
+		int64_t until_us = now + for_us;
+
+		while (now < until_us) {
+			for (const struct wp_order *o : tick(50 * kMs)) {
+				if (silent.count(o->worker) > 0) {
+					answer(o, WP_NO_ANSWER);
+					continue;
+				}
+				answer(o);
+				count(o);
+			}
+			renew_all(silent);
+			commit();
+		}
+	}
+
+	void
+	count(const struct wp_order *o)
+	{
+		std::string id = o->ref.job;
+
+		starts[id] += o->kind == WP_ORDER_START;
+		stops[id] += o->kind == WP_ORDER_STOP;
+	}
+
+	uint32_t
+	running_on(const std::string &job, const std::string &worker)
+	{
+		const struct wp_worker *w = wp_find_worker(p, worker.c_str());
+		uint32_t n = 0;
+
+		for (const struct wp_task *t = w->tasks; t != nullptr;
+		     t = t->next)
+			n += job == t->step->occ->job->spec->id;
+		return n;
+	}
+
+	/* Full workers: one with a long-running task of 3,000, others without. */
+	void
+	fill(const std::vector<std::string> &others, uint32_t flags = 0,
+	    uint32_t priority = 0)
+	{
+		create_pool();
+		add_worker("lost");
+		add_job(kJob, {1, 3000, JB_LONG_RUNNING}, 0);
+		run_all();
+		ASSERT_EQ(running_on(kJob, "lost"), 1U);
+		for (const std::string &id : others)
+			add_worker(id);
+		add_job(kOther, {200, kFreshCpu, flags}, 25000, priority);
+		/* What is younger is suspected of the crash of its worker. */
+		play(2500 * kMs);
+	}
+
+	std::map<std::string, std::vector<End>> ends;
+	std::map<std::string, int> starts;
+	std::map<std::string, int> stops;
+};
+
+TEST_F(Restore, RoomIsKeptWhileTheLeaseOfASilentWorkerRuns)
+{
+	fill({"full"});
+	renewal_overdue("lost");
+	play(1500 * kMs, {"lost"});
+	add_worker("returned");
+	play(1000 * kMs, {"lost"});
+	/* Younger tasks take what is left, and no more. */
+	EXPECT_EQ(running_on(kOther, "returned"), 2U);
+	play(2 * kS, {"lost"});
+	EXPECT_EQ(running_on(kJob, "returned"), 1U);
+	EXPECT_EQ(stops[kOther], 0);
+}
+
+TEST_F(Restore, RoomIsKeptOnAWorkerThatHasRestarted)
+{
+	fill({"full"});
+	now += 100 * kMs;
+	renew_lease("lost", {}, {}, 2);
+	play(300 * kMs);
+	EXPECT_EQ(running_on(kJob, "lost"), 1U);
+	EXPECT_EQ(stops[kOther], 2); /* those that the worker had lost */
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+}
+
+TEST_F(Restore, ShortTasksThatEndInTimeMayUseTheRoom)
+{
+	fill({"full"});
+	add_job(job_id(7), {4, kFreshCpu, 0}, 500);
+	renewal_overdue("lost");
+	play(200 * kMs, {"lost"});
+	add_worker("returned");
+	play(100 * kMs, {"lost"});
+	EXPECT_EQ(running_on(job_id(7), "returned"), 4U);
+}
+
+TEST_F(Restore, RoomIsKeptForATaskThatAnEarlierOwnerStarted)
+{
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+
+	row.run = 1;
+	create_pool(1, kStart + 5 * kS);
+	wp_add_registered_worker(p, "gone", "127.0.0.1:2", now);
+	wp_registry_loaded(p);
+	add_worker("full");
+	add_worker("returned");
+	add(kJob, {{1, 3000, JB_LONG_RUNNING}}, &progress, false);
+	add_job(kOther, {200, kFreshCpu}, 25000);
+	play(1 * kS, {"gone"});
+	EXPECT_EQ(running_on(kOther, "full") + running_on(kOther, "returned"),
+	    10U);
+}
+
+TEST_F(Restore, SiblingsThatNeverRanDoNotTakeTheRoom)
+{
+	create_pool();
+	add_worker("a");
+	add_worker("b");
+	add_job(kJob, {6, 3000, JB_LONG_RUNNING}, 0);
+	task(kJob, 0, 0)->not_before_us = now + 1 * kS;
+	play(2500 * kMs);
+	ASSERT_EQ(task(kJob, 0, 0)->run, 0U);
+	ASSERT_EQ(task(kJob, 0, 1)->state, WP_TASK_RUNNING);
+	std::string lost = task(kJob, 0, 1)->worker->id;
+	renewal_overdue(lost);
+	play(4 * kS, {lost});
+	add_worker("returned");
+	play(300 * kMs, {lost});
+	EXPECT_EQ(task(kJob, 0, 1)->state, WP_TASK_RUNNING);
+	EXPECT_EQ(task(kJob, 0, 0)->run, 0U);
+}
+
+/* So that the next owner can tell it from one that has never run. */
+TEST_F(Restore, RunThatBeginsLaterIsStored)
+{
+	struct jb_progress progress;
+	uint32_t rows = 0;
+
+	create_pool();
+	add_worker("a");
+	add_job(kJob, {2, 3000, JB_LONG_RUNNING}, 0);
+	play(1 * kS);
+	commit();
+	add_worker("b");
+	run_all(100 * kMs);
+	run_all(100 * kMs);
+	ASSERT_EQ(task(kJob, 0, 1)->state, WP_TASK_RUNNING);
+	now += 1 * kS;
+	while (wp_next_dirty(p, p, now, &progress) != nullptr)
+		rows = progress.task_count;
+	EXPECT_EQ(rows, 2U);
+}
+
+} // namespace
