state: room is made for long-running tasks that lost their run

Only on-time steps preempted, and only tasks of a lower priority with checkpoints.

Change: if no room is expected to become free within 2 s of the time at which the task may start, other tasks are stopped on one worker: never long-running tasks, members of gangs or more than a step may miss; of the rest, where it costs least, first tasks that fill, then those with checkpoints, then those that have done the least work, and what is expected to end within 0.4 s is left alone. The room is held until the task has started. If it can't start, others are stopped for it again after 5, 10, 20 s and so on; if no worker could hold it after all stops, nothing is stopped. First starts have no last run in the rule's sense and still wait for their turn.

Ruled out: preempting while the lease still runs, as the worker may return.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -91,6 +91,10 @@
  *	them; the task is then a suspect
  * @crashed_workers: workers that crashed while they ran it, whatever the cause
  * @held_on: worker on which resources were last held for it, or NULL
+ * @restore_by_us: if it lost its run, others are stopped for it unless room
+ *	becomes free until then; 0 before it waits
+ * @preempt_at_us: none are stopped for it before
+ * @preempt_count: how often that was done since it last began
  */
 struct wp_task {
 	struct wp_step *step;
@@ -124,6 +128,9 @@
 	uint32_t crash_count;
 	uint32_t crashed_workers;
 	struct wp_worker *held_on;
+	int64_t restore_by_us;
+	int64_t preempt_at_us;
+	uint32_t preempt_count;
 	struct wp_task *prev;
 	struct wp_task *next;
 	struct wp_task *crash_prev;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -12,7 +12,8 @@
  * for an earlier owner), pool_defer (jobs that no later owner has to wait for),
  * pool_gang, pool_approval (what the advice service approves, and how fast),
  * pool_advice (tickets), pool_reserve (resources kept for gangs), pool_restore
- * (those kept for long-running tasks that lost their run), pool_forecast
+ * (those kept for long-running tasks that lost their run), pool_victims (what is
+ * stopped for these), pool_forecast
  * (resources left for the next steps), pool_request (workers that an advice
  * request names), pool_ask (steps that request advice),
  * pool_outlook (lateness), pool_waits (what steps wait for),
@@ -348,6 +349,55 @@
 struct wp_resources wp_unheld(
     const struct wp_step *s, const struct wp_worker *w, int64_t now_us);
 
+/**
+ * struct wp_victim - a task that may be stopped to make room
+ * @task: the task
+ * @kind: those of a lower kind are less missed
+ * @loss: work that is lost, in us on a thousandth of a core
+ * @order: position on its worker
+ */
+struct wp_victim {
+	struct wp_task *task;
+	uint32_t kind;
+	int64_t loss;
+	uint32_t order;
+};
+
+/**
+ * struct wp_victims - tasks that would have to be stopped on a worker
+ * @ctx: talloc parent of @victim
+ * @victim: the tasks, @count of them
+ * @kind: highest kind among them
+ * @loss: work that is lost in all
+ */
+struct wp_victims {
+	TALLOC_CTX *ctx;
+	struct wp_victim *victim;
+	uint32_t count;
+	uint32_t kind;
+	int64_t loss;
+};
+
+/** wp_frees_room() - whether a task leaves its worker in the foreseeable future */
+bool wp_frees_room(const struct wp_task *t);
+/**
+ * wp_choose_victims() - find what to stop on a worker
+ * @v: filled in
+ * @w: the worker
+ * @need: resources that are needed beyond those held there
+ * @due_us: what is expected to end until then is not stopped
+ * @now_us: time
+ *
+ * Return: whether the resources can be had.
+ */
+bool wp_choose_victims(struct wp_victims *v, const struct wp_worker *w,
+    const struct wp_resources *need, int64_t due_us, int64_t now_us);
+/** wp_is_less_missed() - whether to stop these rather than others */
+bool wp_is_less_missed(const struct wp_victims *a, const struct wp_victims *b);
+/** wp_stop_victims() - order the stops */
+void wp_stop_victims(
+    struct wp_pool *p, const struct wp_victims *v, int64_t now_us);
+
 /** wp_avoids() - whether a task failed on a worker lately */
 bool wp_avoids(
     const struct wp_task *t, const struct wp_worker *w, int64_t now_us);
--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -11,8 +11,9 @@
  * the moment at which its worker falls silent, or its run is stopped, it is
  * planned where it is expected to be able to start first, and its resources are
  * held there: other steps take them only for tasks that end before. Gangs are
- * planned after that, with what is left. A task that has never run has no such
- * claim and waits for its turn.
+ * planned after that, with what is left. If no room is expected in time, other
+ * tasks are stopped. A task that has never run has no such claim and waits for
+ * its turn.
  */
 
 #define WP_RESTORE_INTERVAL_US (50 * CLK_US_PER_MS)
@@ -22,6 +23,13 @@
 #define WP_UNRECONCILED_US (3 * CLK_US_PER_S)
 /* Another worker is planned only if it has room so much sooner. */
 #define WP_KEEP_HOLD_US (300 * CLK_US_PER_MS)
+/* How long room that becomes free by itself is waited for. */
+#define WP_RESTORE_WAIT_US (2 * CLK_US_PER_S)
+/* About as long as it takes to stop a task and to hear of it. */
+#define WP_MAKE_ROOM_US (400 * CLK_US_PER_MS)
+/* Others are stopped again for the same task after this time, doubled each time. */
+#define WP_PREEMPT_AGAIN_US (5 * CLK_US_PER_S)
+#define WP_MAX_PREEMPT_DOUBLINGS 5
 
 /**
  * struct wp_lost - a long-running task whose run has ended, or may have
@@ -133,8 +141,7 @@
 	}
 	if (from_us < r->now_us)
 		from_us = r->now_us;
-	r->lost[r->lost_count] =
-	    (struct wp_lost){t, from_us, r->lost_count};
+	r->lost[r->lost_count] = (struct wp_lost){t, from_us, r->lost_count};
 	r->lost_count++;
 }
 
@@ -147,8 +154,8 @@
 	DL_FOREACH(r->pool->ready, s) {
 		for (i = 0; wp_lasts(s) && i < s->spec->count; i++) {
 			if (wp_is_interrupted(&s->task[i]))
-				wp_add_lost(r, &s->task[i],
-				    s->task[i].not_before_us);
+				wp_add_lost(
+				    r, &s->task[i], s->task[i].not_before_us);
 		}
 	}
 }
@@ -209,8 +216,7 @@
 	}
 }
 
-/* The rest of a worker's long-running tasks stay. */
-static bool
+bool
 wp_frees_room(const struct wp_task *t)
 {
 	return t->state == WP_TASK_STOPPING ||
@@ -335,8 +341,8 @@
 }
 
 static void
-wp_hold(struct wp_pool *p, struct wp_task *t, struct wp_worker *w,
-    int64_t from_us)
+wp_hold(
+    struct wp_pool *p, struct wp_task *t, struct wp_worker *w, int64_t from_us)
 {
 	struct wp_hold *hold = &p->hold[p->hold_count++];
 
@@ -351,12 +357,87 @@
 	t->held_on = w;
 }
 
+static bool
+wp_may_preempt_for(
+    const struct wp_restorer *r, const struct wp_task *t, int64_t at_us)
+{
+	return t->state == WP_TASK_WAITING && !r->pool->draining &&
+	    r->now_us >= t->not_before_us && r->now_us >= t->preempt_at_us &&
+	    at_us > wp_later(t->restore_by_us, r->now_us + WP_MAKE_ROOM_US) &&
+	    wp_may_restart(r->pool, t, r->now_us);
+}
+
+/*
+ * The worker on which stops cost the least, or NULL. Those with a valid ticket go
+ * first; a ticket for another one is requested once it is planned.
+ */
+static struct wp_worker *
+wp_find_victims(
+    struct wp_restorer *r, const struct wp_task *t, struct wp_victims *best)
+{
+	struct wp_resources need = wp_task_resources(t->step->spec);
+	struct wp_victims v = {.ctx = r->pool};
+	int64_t due_us = r->now_us + WP_MAKE_ROOM_US;
+	struct wp_worker *found = NULL;
+	bool found_may_start = false;
+	struct wp_scan scan;
+	struct wp_worker *w;
+
+	wp_scan_begin(&scan, r->pool, t->step);
+	while ((w = wp_scan_next(&scan)) != NULL) {
+		bool may_start = wp_may_start_on(t->step, w, r->now_us);
+		struct wp_victims spare = *best;
+
+		if ((found_may_start && !may_start) || !wp_may_hold(r, t, w) ||
+		    !wp_choose_victims(&v, w, &need, due_us, r->now_us))
+			continue;
+		if (found != NULL && found_may_start == may_start &&
+		    !wp_is_less_missed(&v, best))
+			continue;
+		found = w;
+		found_may_start = may_start;
+		*best = v;
+		v = spare;
+		v.ctx = r->pool;
+	}
+	talloc_free(v.victim);
+	return found;
+}
+
+/* Stops other tasks, if it may start there now. Return: whether it is planned. */
+static bool
+wp_make_room(struct wp_restorer *r, struct wp_task *t)
+{
+	struct wp_victims v = {.ctx = r->pool};
+	struct wp_worker *w = wp_find_victims(r, t, &v);
+	int64_t at_us = r->now_us + WP_MAKE_ROOM_US;
+
+	if (w == NULL)
+		return false;
+	if (wp_may_start_on(t->step, w, r->now_us)) {
+		wp_stop_victims(r->pool, &v, r->now_us);
+		t->preempt_at_us =
+		    r->now_us + (WP_PREEMPT_AGAIN_US << t->preempt_count);
+		if (t->preempt_count < WP_MAX_PREEMPT_DOUBLINGS)
+			t->preempt_count++;
+	}
+	wp_hold(r->pool, t, w,
+	    wp_ticket_ready_us(r->pool, t->step, w, at_us, r->now_us));
+	talloc_free(v.victim);
+	return true;
+}
+
 static void
 wp_plan_lost(struct wp_restorer *r, const struct wp_lost *lost)
 {
+	struct wp_task *t = lost->task;
 	int64_t at_us;
 	struct wp_worker *w = wp_find_room(r, lost, &at_us);
 
+	if (t->state == WP_TASK_WAITING && t->restore_by_us == 0)
+		t->restore_by_us = lost->from_us + WP_RESTORE_WAIT_US;
+	if (wp_may_preempt_for(r, t, at_us) && wp_make_room(r, t))
+		return;
 	if (w != NULL)
 		wp_hold(r->pool, lost->task, w, at_us);
 }
@@ -429,6 +510,8 @@
 void
 wp_restored(struct wp_task *t)
 {
+	t->restore_by_us = 0;
+	t->preempt_count = 0;
 	if (wp_lasts(t->step))
 		wp_mark_dirty(t->step->occ->job);
 }
--- a/tests/unit/test_restore.cc
+++ b/tests/unit/test_restore.cc
@@ -50,7 +50,7 @@
 
 		for (const struct wp_task *t = w->tasks; t != nullptr;
 		     t = t->next) {
-			if (t->state == WP_TASK_RUNNING)
+			if (t->state == WP_TASK_RUNNING && !has_ended(w, t))
 				rows.push_back({t->step->occ->job->spec->id,
 				    t->step->number, t->index, t->run, 0,
 				    percent_of(t)});
@@ -58,6 +58,17 @@
 		return rows;
 	}
 
+	bool
+	has_ended(const struct wp_worker *w, const struct wp_task *t)
+	{
+		const std::vector<End> &list = ends[w->id];
+
+		return std::any_of(list.begin(), list.end(), [t](const End &e) {
+			return e.job == t->step->occ->job->spec->id &&
+			    e.index == t->index && e.run == t->run;
+		});
+	}
+
 	uint32_t
 	percent_of(const struct wp_task *t) const
 	{
@@ -81,8 +92,10 @@
 					answer(o, WP_NO_ANSWER);
 					continue;
 				}
-				answer(o);
 				count(o);
+				answer(o,
+				    refuse == o->ref.job ? WP_REFUSED_UNHEALTHY
+							 : WP_ACCEPTED);
 			}
 			renew_all(silent);
 			commit();
@@ -112,8 +125,8 @@
 
 	/* Full workers: one with a long-running task of 3,000, others without. */
 	void
-	fill(const std::vector<std::string> &others, uint32_t flags = 0,
-	    uint32_t priority = 0)
+	fill(
+	    const std::vector<std::string> &others, int64_t estimate_ms = 25000)
 	{
 		create_pool();
 		add_worker("lost");
@@ -122,11 +135,32 @@
 		ASSERT_EQ(running_on(kJob, "lost"), 1U);
 		for (const std::string &id : others)
 			add_worker(id);
-		add_job(kOther, {200, kFreshCpu, flags}, 25000, priority);
+		add_job(kOther, {200, kFreshCpu}, estimate_ms);
 		/* What is younger is suspected of the crash of its worker. */
 		play(2500 * kMs);
 	}
 
+	/* The tasks on a worker that have taken as long as estimated are done. */
+	void
+	end_overdue(const std::string &id)
+	{
+		const struct wp_worker *w = wp_find_worker(p, id.c_str());
+		uint64_t number = 0;
+
+		for (const struct wp_task *t = w->tasks; t != nullptr;
+		     t = t->next) {
+			const struct jb_step *step = t->step->spec;
+
+			if (now - t->started_us < step->estimate_ms * kMs)
+				continue;
+			ends[id].push_back({++number,
+			    t->step->occ->job->spec->id, t->step->number,
+			    t->index, t->run, WP_END_DONE});
+		}
+		ASSERT_GT(number, 0U);
+	}
+
+	std::string refuse; /* a job whose starts the workers refuse */
 	std::map<std::string, std::vector<End>> ends;
 	std::map<std::string, int> starts;
 	std::map<std::string, int> stops;
@@ -182,8 +216,8 @@
 	add(kJob, {{1, 3000, JB_LONG_RUNNING}}, &progress, false);
 	add_job(kOther, {200, kFreshCpu}, 25000);
 	play(1 * kS, {"gone"});
-	EXPECT_EQ(running_on(kOther, "full") + running_on(kOther, "returned"),
-	    10U);
+	EXPECT_EQ(
+	    running_on(kOther, "full") + running_on(kOther, "returned"), 10U);
 }
 
 TEST_F(Restore, SiblingsThatNeverRanDoNotTakeTheRoom)
@@ -226,4 +260,159 @@
 	EXPECT_EQ(rows, 2U);
 }
 
+TEST_F(Restore, RoomIsMadeIfNoneBecomesFreeInTime)
+{
+	fill({"full"});
+	renewal_overdue("lost");
+	play(8 * kS, {"lost"});
+	EXPECT_EQ(running_on(kJob, "full"), 1U);
+	/* As many as it needs. */
+	EXPECT_EQ(stops[kOther], 6);
+	EXPECT_EQ(running_on(kOther, "full"), 2U);
+}
+
+TEST_F(Restore, RoomThatBecomesFreeInTimeIsWaitedFor)
+{
+	struct wp_worker *w;
+
+	fill({"full"});
+	renewal_overdue("lost");
+	play(2800 * kMs, {"lost"});
+	/* Six of them end 1.1 s after the lease. */
+	w = wp_find_worker(p, "full");
+	uint32_t n = 0;
+	for (struct wp_task *t = w->tasks; t != nullptr; t = t->next) {
+		if (n++ < 6)
+			t->started_us = now + 1500 * kMs - 25 * kS;
+	}
+	play(1500 * kMs, {"lost"});
+	ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+	EXPECT_EQ(stops[kOther], 0);
+	end_overdue("full");
+	play(300 * kMs, {"lost"});
+	EXPECT_EQ(running_on(kJob, "full"), 1U);
+	EXPECT_EQ(stops[kOther], 0);
+}
+
+TEST_F(Restore, TasksWithCheckpointsAreStoppedBeforeOthers)
+{
+	create_pool();
+	add_worker("lost");
+	add_job(kJob, {1, 3000, JB_LONG_RUNNING}, 0);
+	run_all();
+	for (const char *id : {"a", "b", "c"})
+		add_worker(id);
+	add_job(job_id(1), {1, 3000, 0}, 25000);
+	add_job(job_id(2), {1, 3000, JB_CHECKPOINTS}, 25000);
+	add_job(job_id(3), {1, 3000, 0}, 25000);
+	add_job(job_id(4), {3, 1000, 0}, 25000);
+	play(2500 * kMs);
+	ASSERT_EQ(task(kJob, 0, 0)->worker, wp_find_worker(p, "lost"));
+	renewal_overdue("lost");
+	play(5 * kS, {"lost"});
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	EXPECT_EQ(stops[job_id(2)], 1);
+	EXPECT_EQ(stops[job_id(1)] + stops[job_id(3)] + stops[job_id(4)], 0);
+}
+
+TEST_F(Restore, TasksThatFillAreStoppedBeforeThoseWithCheckpoints)
+{
+	create_pool();
+	add_worker("lost");
+	add_job(kJob, {1, 1000, JB_LONG_RUNNING}, 0)->spec->step[0].mem_mb =
+	    600;
+	run_all();
+	add_worker("a");
+	add_job(job_id(1), {1, 1000, JB_CHECKPOINTS}, 25000)
+	    ->spec->step[0]
+	    .mem_mb = 700;
+	play(100 * kMs);
+	add_worker("b");
+	add_job(job_id(2), {1, 1000, JB_OPPORTUNISTIC}, 25000)
+	    ->spec->step[0]
+	    .mem_mb = 700;
+	play(2500 * kMs);
+	ASSERT_EQ(running_on(job_id(1), "a"), 1U);
+	ASSERT_EQ(running_on(job_id(2), "b"), 1U);
+	renewal_overdue("lost");
+	play(5 * kS, {"lost"});
+	EXPECT_EQ(running_on(kJob, "b"), 1U);
+	EXPECT_EQ(stops[job_id(1)], 0);
+}
+
+TEST_F(Restore, TheYoungestAreStopped)
+{
+	fill({"old"});
+	play(3 * kS);
+	add_worker("young");
+	play(500 * kMs);
+	renewal_overdue("lost");
+	play(8 * kS, {"lost"});
+	EXPECT_EQ(running_on(kJob, "young"), 1U);
+	EXPECT_EQ(running_on(kOther, "old"), 8U);
+}
+
+TEST_F(Restore, NothingIsStoppedIfThePoolCannotHoldThem)
+{
+	create_pool();
+	for (const char *id : {"a", "b", "c"})
+		add_worker(id);
+	add_job(kJob, {3, 3000, JB_LONG_RUNNING}, 0);
+	play(100 * kMs);
+	add_job(kOther, {200, kFreshCpu}, 200000);
+	play(2500 * kMs);
+	renewal_overdue("a");
+	renewal_overdue("b");
+	play(60 * kS, {"a", "b"});
+	EXPECT_EQ(running_on(kJob, "c"), 1U);
+	EXPECT_EQ(stops[kOther], 0);
+}
+
+TEST_F(Restore, StopsAreFewIfTheTaskCannotStartAfterwards)
+{
+	fill({"x", "y", "z"}, 200000);
+	renewal_overdue("lost");
+	refuse = kJob;
+	play(60 * kS, {"lost"});
+	/* After 0, 5, 15, 35 s: four times six tasks. */
+	EXPECT_GE(stops[kOther], 6);
+	EXPECT_LE(stops[kOther], 24);
+}
+
+TEST_F(Restore, FirstStartsWaitForTheirTurn)
+{
+	fill({"full"});
+	add_job(job_id(9), {1, 3000, JB_LONG_RUNNING}, 0);
+	play(8 * kS);
+	EXPECT_EQ(task(job_id(9), 0, 0)->run, 0U);
+	EXPECT_EQ(stops[kOther], 0);
+}
+
+TEST_F(Restore, MembersOfGangsAreNotStopped)
+{
+	create_pool();
+	add_worker("lost");
+	add_job(kJob, {1, 3000, JB_LONG_RUNNING}, 0);
+	run_all();
+	add_worker("full");
+	add_job(kOther, {2, 2000, JB_GANG}, 25000);
+	play(2500 * kMs);
+	ASSERT_EQ(running_on(kOther, "full"), 2U);
+	renewal_overdue("lost");
+	play(10 * kS, {"lost"});
+	EXPECT_EQ(stops[kOther], 0);
+}
+
+TEST_F(Restore, WaitingGangsDoNotTakeTheRoom)
+{
+	fill({"full"});
+	add_job(job_id(3), {2, 2000, JB_GANG}, 25000);
+	renewal_overdue("lost");
+	play(1 * kS, {"lost"});
+	add_worker("returned");
+	play(3 * kS, {"lost"});
+	EXPECT_EQ(running_on(kJob, "returned"), 1U);
+	EXPECT_EQ(running_on(job_id(3), "returned"), 0U);
+}
+
 } // namespace
