state: tickets are renewed for room that is made for a lost task

Callers would see a long-running task of a queue that needs advice wait for ever in a full pool.

Change: a worker counts as well if room on it is held for a task of the step from 0.5 s after the answer at the latest. Room that is far asks for nothing (TicketsForRoomThatIsFarAreNotRenewed, which passed before).

TicketsAreRenewedForRoomThatHasToBeMade failed before: no start and no stop in 4 s.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -341,6 +341,9 @@
 bool wp_has_interrupted_task(const struct wp_step *s, int64_t now_us);
 /** wp_held_slots() - tasks of a step for which resources of a worker are held */
 uint32_t wp_held_slots(const struct wp_step *s, const struct wp_worker *w);
+/** wp_held_slots_by() - those of them that can start by a time */
+uint32_t wp_held_slots_by(
+    const struct wp_step *s, const struct wp_worker *w, int64_t until_us);
 /**
  * wp_unheld() - free resources of a worker less those held for other steps
  *
--- a/state/pool_request.c
+++ b/state/pool_request.c
@@ -15,6 +15,8 @@
  * free at the same time; naming a worker costs little beside the request.
  */
 #define WP_GANG_SLOTS_FACTOR 3
+/* A ticket is asked for if room is held from so soon after the answer. */
+#define WP_HELD_TICKET_US (500 * CLK_US_PER_MS)
 /* Part of its base cost by which a renewal may cost more to have spares. */
 #define WP_RENEWAL_SPARE_DIVISOR 4
 
@@ -54,12 +56,24 @@
 	return h;
 }
 
+/* Room that lost tasks are given there by the time of an answer, or soon after. */
+static uint32_t
+wp_slots_held_soon(
+    const struct wp_step *s, const struct wp_worker *w, int64_t now_us)
+{
+	struct wp_pool *p = s->occ->job->pool;
+
+	return wp_held_slots_by(
+	    s, w, now_us + wp_advice_latency_us(p, s, 1) + WP_HELD_TICKET_US);
+}
+
 /* Slots on a worker if a request should name it, or WP_NOT_WORTH_REQUESTING. */
 static uint32_t
 wp_slots_worth_requesting(const struct wp_step *s, const struct wp_worker *w,
     const struct wp_resources *need, int64_t now_us)
 {
 	const struct wp_ticket *ticket;
+	uint32_t slots;
 
 	if (!wp_is_usable(w, now_us) || !wp_is_suitable(s, w))
 		return WP_NOT_WORTH_REQUESTING;
@@ -70,13 +84,15 @@
 	    (!ticket->approved ||
 		now_us + WP_TICKET_MARGIN_US <= ticket->expires_us))
 		return WP_NOT_WORTH_REQUESTING;
+	slots = wp_slots_on(s, w, need, now_us);
+	if (slots == 0)
+		slots = wp_slots_held_soon(s, w, now_us);
 	/* An approved worker is named again only if a task fits on it. */
-	if (ticket != NULL && ticket->answered &&
-	    wp_slots_on(s, w, need, now_us) == 0)
+	if (ticket != NULL && ticket->answered && slots == 0)
 		return WP_NOT_WORTH_REQUESTING;
 	if (wp_slots_left(s, w) == 0 || !wp_has_acceptable_task(s, w, now_us))
 		return WP_NOT_WORTH_REQUESTING;
-	return wp_slots_on(s, w, need, now_us);
+	return slots;
 }
 
 /**
--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -89,17 +89,25 @@
 }
 
 uint32_t
-wp_held_slots(const struct wp_step *s, const struct wp_worker *w)
+wp_held_slots_by(
+    const struct wp_step *s, const struct wp_worker *w, int64_t until_us)
 {
 	const struct wp_pool *p = s->occ->job->pool;
 	uint32_t n = 0;
 	uint32_t i;
 
 	for (i = 0; w->holds > 0 && i < p->hold_count; i++)
-		n += p->hold[i].worker == w && p->hold[i].step == s;
+		n += p->hold[i].worker == w && p->hold[i].step == s &&
+		    p->hold[i].from_us <= until_us;
 	return n;
 }
 
+uint32_t
+wp_held_slots(const struct wp_step *s, const struct wp_worker *w)
+{
+	return wp_held_slots_by(s, w, INT64_MAX);
+}
+
 /* Runs whose length is not known are taken to end too late. */
 static bool
 wp_ends_before_hold(
--- a/state/pool_victims.c
+++ b/state/pool_victims.c
@@ -135,8 +135,8 @@
 	all = v->count;
 	v->count = 0;
 	while (v->count < all && !wp_resources_fit(&available, need)) {
-		struct wp_resources freed = wp_task_resources(
-		    v->victim[v->count++].task->step->spec);
+		struct wp_resources freed =
+		    wp_task_resources(v->victim[v->count++].task->step->spec);
 
 		wp_resources_add(&available, &freed, 1);
 	}
--- a/tests/unit/test_restore.cc
+++ b/tests/unit/test_restore.cc
@@ -97,11 +97,30 @@
 				    refuse == o->ref.job ? WP_REFUSED_UNHEALTHY
 							 : WP_ACCEPTED);
 			}
+			answer_advice();
 			renew_all(silent);
 			commit();
 		}
 	}
 
+	/* All workers are approved. */
+	void
+	answer_advice()
+	{
+		struct wp_advice_request r;
+
+		while (wp_next_advice_request(p, now, &r)) {
+			std::vector<struct wp_approval> ok;
+
+			for (uint32_t i = 0; i < r.worker_count; i++) {
+				ok.push_back({r.worker[i], "ticket"});
+				asked[r.worker[i]]++;
+			}
+			wp_on_advice(
+			    p, &r, true, ok.data(), r.worker_count, now, now);
+		}
+	}
+
 	void
 	count(const struct wp_order *o)
 	{
@@ -162,6 +181,7 @@
 
 	std::string refuse; /* a job whose starts the workers refuse */
 	std::map<std::string, std::vector<End>> ends;
+	std::map<std::string, int> asked; /* advice, by worker */
 	std::map<std::string, int> starts;
 	std::map<std::string, int> stops;
 };
@@ -415,4 +435,43 @@
 	EXPECT_EQ(running_on(job_id(3), "returned"), 0U);
 }
 
+/* The pool is full, so no room is there for which to ask. */
+TEST_F(Restore, TicketsAreRenewedForRoomThatHasToBeMade)
+{
+	create_pool();
+	add_worker("lost");
+	add_worker("full");
+	add_job(kJob, {1, 3000, JB_LONG_RUNNING}, 0, 0, 800);
+	play(100 * kMs);
+	std::string lost = task(kJob, 0, 0)->worker->id;
+	std::string full = lost == "lost" ? "full" : "lost";
+	add_job(kOther, {200, kFreshCpu}, 25000);
+	play(2500 * kMs);
+	ASSERT_GT(asked[full], 0);
+	renewal_overdue(lost);
+	play(4 * kS, {lost});
+	EXPECT_EQ(running_on(kJob, full), 1U);
+	EXPECT_EQ(stops[kOther], 6);
+	EXPECT_LE(asked[full], 4);
+}
+
+/* Tickets are short, and room will be there only in 20 s. */
+TEST_F(Restore, TicketsForRoomThatIsFarAreNotRenewed)
+{
+	create_pool();
+	add_worker("lost");
+	add_worker("full");
+	add_job(kJob, {1, 3000, JB_LONG_RUNNING}, 0, 0, 800);
+	play(100 * kMs);
+	std::string lost = task(kJob, 0, 0)->worker->id;
+	std::string full = lost == "lost" ? "full" : "lost";
+	add_job(kOther, {1, 3000, JB_GANG}, 25000);
+	play(2500 * kMs);
+	ASSERT_EQ(running_on(kOther, full), 1U);
+	renewal_overdue(lost);
+	play(12 * kS, {lost});
+	EXPECT_EQ(stops[kOther], 0);
+	EXPECT_LE(asked[full], 2);
+}
+
 } // namespace
