state: crashes that a long run has outlived are no longer counted

In eight crashes under one task, each 6 s after a start and with 25 s of life between two pairs of crashes, the job was given up after the fourth.

Change: a run that has lived for 10 s clears the count, and that is stored. A task that crashes each worker within 10 s is given up as before.

CrashedWorkersAreForgottenOnceARunHasLived (job failed) and ThatARunHasClearedItsTaskIsStored failed before.

--- a/include/state/job.h
+++ b/include/state/job.h
@@ -166,7 +166,8 @@
  * @checkpoint: where the next run resumes, or NULL
  * @crash: runs under which a worker has or may have crashed, @crash_count of
  *	them
- * @crashed_workers: workers that crashed while they ran it
+ * @crashed_workers: workers that crashed while they ran it, since a run of it
+ *	has lived for long
  */
 struct jb_task_progress {
 	uint32_t occurrence;
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -89,7 +89,8 @@
  *	or an older run held it
  * @crash: runs under which a worker has or may have crashed, @crash_count of
  *	them; the task is then a suspect
- * @crashed_workers: workers that crashed while they ran it, whatever the cause
+ * @crashed_workers: workers that crashed while they ran it, whatever the cause,
+ *	since a run of it has lived for long
  * @held_on: worker on which resources were last held for it, or NULL
  * @restore_by_us: if it lost its run, others are stopped for it unless room
  *	becomes free until then; 0 before it waits
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -231,6 +231,8 @@
  */
 void wp_count_crashed_worker(
     struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+/** wp_crash_lived() - a run is alive; if it has lived for long, that clears it */
+void wp_crash_lived(struct wp_task *t);
 /** wp_has_begun() - whether the worker has confirmed the start of a task */
 bool wp_has_begun(const struct wp_task *t);
 
--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -310,6 +310,17 @@
 	}
 }
 
+/* Else a few crashes in months would add up. */
+void
+wp_crash_lived(struct wp_task *t)
+{
+	if (t->crashed_workers == 0 || t->state != WP_TASK_RUNNING ||
+	    wp_lived_us(t) < WP_COUNTED_LIFE_US)
+		return;
+	t->crashed_workers = 0;
+	wp_crash_changed(t);
+}
+
 enum wp_verdict {
 	WP_VERDICT_OPEN,
 	WP_VERDICT_CRASHED,
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -503,6 +503,7 @@
 	t->in_doubt = false;
 	if (t->state == WP_TASK_RUNNING && !t->order_in_flight)
 		t->resend_at_us = 0;
+	wp_crash_lived(t);
 	wp_task_set_checkpoint(t, report->checkpoint);
 	if (report->percent != t->percent)
 		t->progressed_us = now_us;
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -422,6 +422,16 @@
 		return wp_public_state(wp_find_job(p, job.c_str()));
 	}
 
+	/* Those that are down return so soon, most before their lease ends. */
+	void
+	return_after(int64_t us)
+	{
+		for (auto &[id, w] : workers) {
+			if (w.back_us != 0)
+				w.back_us = now + us;
+		}
+	}
+
 	std::map<std::string, SimWorker> workers;
 	std::map<std::string, int> deadly; /* job, and task or -1 for all */
 	std::map<std::string, int> starts;
@@ -624,6 +634,53 @@
 	EXPECT_EQ(state_of(kJob), JB_RUNNING);
 }
 
+TEST_F(Crashes, ThatARunHasClearedItsTaskIsStored)
+{
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+	struct jb_progress stored;
+
+	row.run = 3;
+	row.crashed_workers = 3;
+	create_pool(1);
+	add_worker("w");
+	add(kJob, {{1, 1000, JB_LONG_RUNNING}}, &progress, false);
+	run_all(2 * kS);
+	uint32_t run = task(kJob, 0, 0)->run;
+	renew_lease("w", {{kJob, 0, 0, run, 0}});
+	commit();
+	now += 11 * kS;
+	ASSERT_EQ(wp_next_dirty(p, p, now, &stored), nullptr);
+	renew_lease("w", {{kJob, 0, 0, run, 0}});
+	ASSERT_NE(wp_next_dirty(p, p, now, &stored), nullptr);
+	ASSERT_EQ(stored.task_count, 1U);
+	EXPECT_EQ(stored.task[0].crashed_workers, 0U);
+}
+
+/* Months apart, beside workers that crash now and then. */
+TEST_F(CrashSimulation, CrashedWorkersAreForgottenOnceARunHasLived)
+{
+	create_pool();
+	create_workers(4);
+	work_us = 100000 * kS;
+	add(kJob, {{1, 1000, JB_LONG_RUNNING}});
+	play(100 * kMs);
+	struct wp_task *t = task(kJob, 0, 0);
+	for (int i = 0; i < 8; i++) {
+		ASSERT_NE(t->worker, nullptr);
+		crash(t->worker->id);
+		return_after(500 * kMs);
+		play(6 * kS);
+		ASSERT_NE(t->worker, nullptr);
+		crash(t->worker->id);
+		return_after(500 * kMs);
+		play(25 * kS);
+		EXPECT_EQ(t->crashed_workers, 0U);
+	}
+	EXPECT_EQ(state_of(kJob), JB_RUNNING);
+	EXPECT_EQ(p->stats.given_up, 0U);
+}
+
 /* Partitions: the workers return with the incarnation that they had. */
 TEST_F(CrashSimulation, SilentWorkersFailNoJob)
 {
