state: outages of several workers do not tell against a long-running job

Callers would see a long-running job fail though its workers crashed for other causes: the power of a rack that goes, returns and goes again 0.6 to 1.4 s after the tasks have started.

Change: a crash is not held against a task that was not just started (0.25 s) if two other workers at least crashed within 0.25 s of it, without a task of the same job and without one that they had just started.

Ruled out: excusing fresh starts too. So outages within 0.25 to 0.5 s of the starts still count, and so do workers that fall silent without a cut connection, as it isn't known when they crashed.

OutagesOfARackFailNoLongRunningJob failed before; TaskThatCrashesItsWorkersAloneIsGivenUpBesideOutages passed and bounds the change.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -91,6 +91,7 @@
  *	them; the task is then a suspect
  * @crashed_workers: workers that crashed while they ran it, whatever the cause,
  *	since a run of it has lived for long
+ * @excused_run: a run that did not cause its worker's crash; 0 for none
  * @held_on: worker on which resources were last held for it, or NULL
  * @restore_by_us: if it lost its run, others are stopped for it unless room
  *	becomes free until then; 0 before it waits
@@ -128,6 +129,7 @@
 	struct jb_crash *crash;
 	uint32_t crash_count;
 	uint32_t crashed_workers;
+	uint32_t excused_run;
 	struct wp_worker *held_on;
 	int64_t restore_by_us;
 	int64_t preempt_at_us;
@@ -447,6 +449,7 @@
  * @acked_sent: the renewal in flight acknowledges the ends up to this number
  * @acked_confirmed: the worker has answered an acknowledgement up to this number
  * @unreachable_since_us: when it became unreachable; 0 while it is reachable
+ * @fell_silent_us: when it last became unreachable; 0 before
  * @cut_at_us: when the connection failed while it was reachable, which tells
  *	when it crashed; 0 if it did not, or it is reachable again
  * @replaced: another incarnation answers at its address
@@ -525,6 +528,7 @@
 	uint64_t acked_sent;
 	uint64_t acked_confirmed;
 	int64_t unreachable_since_us;
+	int64_t fell_silent_us;
 	int64_t cut_at_us;
 	bool replaced;
 	enum wp_blame blame;
--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -302,7 +302,8 @@
 	if (w->draining || w->evacuating)
 		return;
 	DL_FOREACH(w->tasks, t) {
-		if (!wp_has_begun(t) || wp_lived_us(t) >= WP_COUNTED_LIFE_US)
+		if (!wp_has_begun(t) || t->excused_run == t->run ||
+		    wp_lived_us(t) >= WP_COUNTED_LIFE_US)
 			continue;
 		t->crashed_workers++;
 		wp_crash_changed(t);
--- a/state/pool_suspect.c
+++ b/state/pool_suspect.c
@@ -10,6 +10,11 @@
  * suspected task starts where nothing else has just started, and nothing else
  * starts beside it until it has lived for a while: the next crash then tells
  * which task is the cause. Of a step's tasks, one at a time is tried.
+ *
+ * Where several other workers crash at the same moment, without a task of the
+ * same job and without one that had just been started, the cause is another one:
+ * the power of a rack, say. Such a crash tells nothing against a task, however
+ * often it comes.
  */
 
 /* A run that crashes its worker does so this soon after its start. */
@@ -22,6 +27,8 @@
 #define WP_TOGETHER_US (250 * CLK_US_PER_MS)
 /* So many others make an outage, even if each had just started a task. */
 #define WP_OUTAGE_WORKERS 6
+/* So many others without a cause of their own excuse the task. */
+#define WP_EXCUSING_WORKERS 2
 /* A suspected task starts beside others so long after the crash. */
 #define WP_TRIAL_PATIENCE_US (5 * CLK_US_PER_S)
 
@@ -131,6 +138,45 @@
 	return false;
 }
 
+static bool
+wp_runs_job(const struct wp_worker *w, const struct wp_job *job)
+{
+	const struct wp_task *t;
+
+	DL_FOREACH(w->tasks, t) {
+		if (t->step->occ->job == job)
+			return true;
+	}
+	return false;
+}
+
+/* Whether another worker's crash can't be the doing of a job, or of its own tasks. */
+static bool
+wp_crashed_beside(const struct wp_worker *w, const struct wp_worker *other,
+    const struct wp_job *job)
+{
+	int64_t apart_us = other->fell_silent_us - w->fell_silent_us;
+
+	return other != w && other->fell_silent_us != 0 &&
+	    apart_us > -WP_TOGETHER_US && apart_us < WP_TOGETHER_US &&
+	    !wp_has_own_cause(other) && !wp_runs_job(other, job);
+}
+
+static bool
+wp_is_excused(
+    const struct wp_pool *p, const struct wp_worker *w, const struct wp_task *t)
+{
+	const struct wp_job *job = t->step->occ->job;
+	const struct wp_worker *other;
+	uint32_t n = 0;
+
+	if (w->fell_silent_us == 0 || w->cut_at_us == 0 || wp_is_fresh(w, t))
+		return false;
+	for (other = p->workers; other != NULL; other = other->hh.next)
+		n += wp_crashed_beside(w, other, job);
+	return n >= WP_EXCUSING_WORKERS;
+}
+
 static uint32_t
 wp_weigh_crash(const struct wp_pool *p, const struct wp_worker *w,
     const struct wp_task *suspect)
@@ -165,7 +211,9 @@
 		weight = wp_weigh_crash(p, w, first);
 	w->blame = first != NULL ? WP_BLAME_FRESH : WP_BLAME_OTHERS;
 	DL_FOREACH(w->tasks, t) {
-		if (is_suspect(w, t))
+		if (wp_is_excused(p, w, t))
+			t->excused_run = t->run;
+		else if (is_suspect(w, t))
 			wp_crash_suspect(p, t, w,
 			    wp_has_begun(t) ? weight : WP_CRASH_UNSURE, now_us);
 	}
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -802,8 +802,10 @@
 		w->cut_at_us = now_us;
 	w->reachable = false;
 	w->replaced |= result == WP_REFUSED_INCARNATION;
-	if (w->unreachable_since_us == 0)
+	if (w->unreachable_since_us == 0) {
 		w->unreachable_since_us = now_us;
+		w->fell_silent_us = now_us;
+	}
 }
 
 static void
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -432,6 +432,27 @@
 		}
 	}
 
+	/* Whether the workers run the only task of each job. */
+	bool
+	is_each_at_work(int jobs)
+	{
+		int n = 0;
+
+		for (auto &[id, w] : workers)
+			n += (int)w.runs.size();
+		return n == jobs;
+	}
+
+	bool
+	is_running(const std::string &job, uint32_t count)
+	{
+		for (uint32_t i = 0; i < count; i++) {
+			if (task(job, 0, i)->state != WP_TASK_RUNNING)
+				return false;
+		}
+		return true;
+	}
+
 	std::map<std::string, SimWorker> workers;
 	std::map<std::string, int> deadly; /* job, and task or -1 for all */
 	std::map<std::string, int> starts;
@@ -657,6 +678,53 @@
 	EXPECT_EQ(stored.task[0].crashed_workers, 0U);
 }
 
+/* The power of a rack returns and goes again, each time soon after the starts. */
+TEST_F(CrashSimulation, OutagesOfARackFailNoLongRunningJob)
+{
+	create_pool();
+	create_workers(6);
+	work_us = 600 * kS;
+	for (int n = 1; n <= 6; n++)
+		add(job_id(n), {{1, 3000, JB_LONG_RUNNING}});
+	play(100 * kMs);
+	for (int i = 0; i < 6; i++) {
+		play(600 * kMs + i * 150 * kMs);
+		for (const char *id : {"w0", "w1", "w2", "w3"})
+			crash(id);
+		return_after(1500 * kMs);
+		for (int n = 0; n < 500 && !is_each_at_work(6); n++)
+			play(20 * kMs);
+		ASSERT_TRUE(is_each_at_work(6)) << "outage " << i;
+	}
+	EXPECT_EQ(p->stats.given_up, 0U);
+	EXPECT_EQ(starts[job_id(1) + ".0"], 7);
+}
+
+/* As above, but other workers crash at other times. */
+TEST_F(CrashSimulation, TaskThatCrashesItsWorkersAloneIsGivenUpBesideOutages)
+{
+	create_pool();
+	create_workers(8);
+	work_us = 600 * kS;
+	add(kOther, {{4, 3000, JB_LONG_RUNNING}});
+	add(kJob, {{1, 3000, JB_LONG_RUNNING}});
+	for (int i = 0; i < 8 && state_of(kJob) != JB_FAILED; i++) {
+		for (int n = 0; n < 500 && !is_running(kJob, 1); n++)
+			play(20 * kMs);
+		play(600 * kMs);
+		crash(task(kJob, 0, 0)->worker->id);
+		return_after(1500 * kMs);
+		play(600 * kMs);
+		for (const char *other : {"w1", "w2", "w3"}) {
+			if (workers[other].back_us == 0)
+				crash(other);
+		}
+		return_after(1500 * kMs);
+		play(2 * kS);
+	}
+	EXPECT_EQ(state_of(kJob), JB_FAILED);
+}
+
 /* Months apart, beside workers that crash now and then. */
 TEST_F(CrashSimulation, CrashedWorkersAreForgottenOnceARunHasLived)
 {
