--- a/tests/unit/test_restore.cc
+++ b/tests/unit/test_restore.cc
@@ -130,6 +130,13 @@
 		stops[id] += o->kind == WP_ORDER_STOP;
 	}
 
+	static bool
+	is_at_work(const struct wp_task *t, const std::set<std::string> &lost)
+	{
+		return t->state == WP_TASK_RUNNING &&
+		    lost.count(t->worker->id) == 0;
+	}
+
 	uint32_t
 	running_on(const std::string &job, const std::string &worker)
 	{
@@ -435,6 +442,50 @@
 	EXPECT_EQ(running_on(job_id(3), "returned"), 0U);
 }
 
+/*
+ * Three long-running jobs on four of eight workers, and 120 jobs that fill the
+ * rest and wait; two of the four workers are lost.
+ */
+class FullPool : public Restore, public testing::WithParamInterface<bool>
+{
+};
+
+TEST_P(FullPool, TasksThatLoseTheirWorkerRunAgainWithin9Seconds)
+{
+	std::set<std::string> lost;
+	int64_t waited_us = 0;
+
+	create_pool();
+	for (int i = 0; i < 8; i++)
+		add_worker("w" + std::to_string(i));
+	add_job(job_id(1), {2, 3000, JB_LONG_RUNNING}, 0);
+	add_job(job_id(2), {1, 3000, JB_LONG_RUNNING}, 0);
+	add_job(job_id(3), {1, 3000, JB_LONG_RUNNING}, 0);
+	play(500 * kMs);
+	for (int n = 100; n < 220; n++)
+		add_job(job_id(n), {20, kFreshCpu}, 25000);
+	play(3 * kS);
+	lost = {task(job_id(1), 0, 0)->worker->id,
+	    task(job_id(2), 0, 0)->worker->id};
+	ASSERT_EQ(lost.size(), 2U);
+	for (const std::string &id : lost)
+		renewal_overdue(id);
+	for (int64_t from_us = now; now < from_us + 15 * kS;) {
+		play(100 * kMs, lost);
+		if (GetParam() && now == from_us + 1500 * kMs) {
+			add_worker("new0");
+			add_worker("new1");
+		}
+		for (int n = 1; n <= 3; n++) {
+			if (!is_at_work(task(job_id(n), 0, 0), lost))
+				waited_us = now - from_us;
+		}
+	}
+	EXPECT_LE(waited_us, 8 * kS);
+}
+
+INSTANTIATE_TEST_SUITE_P(WorkersReturn, FullPool, testing::Bool());
+
 /* The pool is full, so no room is there for which to ask. */
 TEST_F(Restore, TicketsAreRenewedForRoomThatHasToBeMade)
 {
