--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1444,8 +1444,8 @@
 }
 
 /*
- * How often tasks of one job have been started, and how many workers have
- * crashed under one of them at most.
+ * How often tasks of one job have been started, how many of them run, and how
+ * many workers have crashed under one of them at most.
  */
 static void
 report_job(struct hs_request *req)
@@ -1453,6 +1453,7 @@
 	const char *job = hs_query(req, "job");
 	uint32_t started = 0;
 	uint32_t crashed = 0;
+	uint32_t running = 0;
 	struct tally *t;
 	struct tally *tmp;
 
@@ -1460,12 +1461,13 @@
 		if (job == NULL || !has_prefix(t->task, job))
 			continue;
 		started += t->started;
+		running += t->now;
 		if (t->crashed > crashed)
 			crashed = t->crashed;
 	}
 	standin_reply_json(req, 200,
-	    json_pack("{s:i, s:i}", "started", (int)started, "crashed",
-		(int)crashed));
+	    json_pack("{s:i, s:i, s:i}", "started", (int)started, "crashed",
+		(int)crashed, "running", (int)running));
 }
 
 static void
