--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -302,7 +302,8 @@
 	if (w->draining || w->evacuating)
 		return;
 	DL_FOREACH(w->tasks, t) {
-		if (!wp_has_begun(t) || wp_lived_us(t) >= WP_COUNTED_LIFE_US)
+		if (!wp_has_begun(t) || t->excused_run == t->run ||
+		    wp_lived_us(t) >= WP_COUNTED_LIFE_US)
 			continue;
 		t->crashed_workers++;
 		wp_crash_changed(t);
@@ -310,6 +311,17 @@
 	}
 }
 
+/* Else a few crashes in months would add up. */
+void
+wp_crash_lived(struct wp_task *t)
+{
+	if (t->crashed_workers == 0 || t->state != WP_TASK_RUNNING ||
+	    wp_lived_us(t) < WP_COUNTED_LIFE_US)
+		return;
+	t->crashed_workers = 0;
+	wp_crash_changed(t);
+}
+
 enum wp_verdict {
 	WP_VERDICT_OPEN,
 	WP_VERDICT_CRASHED,
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -497,11 +497,13 @@
 	if (t->state == WP_TASK_STARTING) {
 		t->state = WP_TASK_RUNNING;
 		t->confirmed_clock_ms = w->lists_clock_ms;
+		wp_restored(t);
 	}
 	wp_job_begun(t->step->occ->job);
 	t->in_doubt = false;
 	if (t->state == WP_TASK_RUNNING && !t->order_in_flight)
 		t->resend_at_us = 0;
+	wp_crash_lived(t);
 	wp_task_set_checkpoint(t, report->checkpoint);
 	if (report->percent != t->percent)
 		t->progressed_us = now_us;
@@ -800,8 +802,10 @@
 		w->cut_at_us = now_us;
 	w->reachable = false;
 	w->replaced |= result == WP_REFUSED_INCARNATION;
-	if (w->unreachable_since_us == 0)
+	if (w->unreachable_since_us == 0) {
 		w->unreachable_since_us = now_us;
+		w->fell_silent_us = now_us;
+	}
 }
 
 static void
@@ -843,6 +847,7 @@
 	switch (result) {
 	case WP_ACCEPTED:
 		wp_job_begun(t->step->occ->job);
+		wp_restored(t);
 		t->state = WP_TASK_RUNNING;
 		t->in_doubt = false;
 		t->resend_at_us = 0;
--- a/tests/unit/test_crashes.cc
+++ b/tests/unit/test_crashes.cc
@@ -422,6 +422,37 @@
 		return wp_public_state(wp_find_job(p, job.c_str()));
 	}
 
+	/* Those that are down return so soon, most before their lease ends. */
+	void
+	return_after(int64_t us)
+	{
+		for (auto &[id, w] : workers) {
+			if (w.back_us != 0)
+				w.back_us = now + us;
+		}
+	}
+
+	/* Whether the workers run the only task of each job. */
+	bool
+	is_each_at_work(int jobs)
+	{
+		int n = 0;
+
+		for (auto &[id, w] : workers)
+			n += (int)w.runs.size();
+		return n == jobs;
+	}
+
+	bool
+	is_running(const std::string &job, uint32_t count)
+	{
+		for (uint32_t i = 0; i < count; i++) {
+			if (task(job, 0, i)->state != WP_TASK_RUNNING)
+				return false;
+		}
+		return true;
+	}
+
 	std::map<std::string, SimWorker> workers;
 	std::map<std::string, int> deadly; /* job, and task or -1 for all */
 	std::map<std::string, int> starts;
@@ -624,6 +655,100 @@
 	EXPECT_EQ(state_of(kJob), JB_RUNNING);
 }
 
+TEST_F(Crashes, ThatARunHasClearedItsTaskIsStored)
+{
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+	struct jb_progress stored;
+
+	row.run = 3;
+	row.crashed_workers = 3;
+	create_pool(1);
+	add_worker("w");
+	add(kJob, {{1, 1000, JB_LONG_RUNNING}}, &progress, false);
+	run_all(2 * kS);
+	uint32_t run = task(kJob, 0, 0)->run;
+	renew_lease("w", {{kJob, 0, 0, run, 0}});
+	commit();
+	now += 11 * kS;
+	ASSERT_EQ(wp_next_dirty(p, p, now, &stored), nullptr);
+	renew_lease("w", {{kJob, 0, 0, run, 0}});
+	ASSERT_NE(wp_next_dirty(p, p, now, &stored), nullptr);
+	ASSERT_EQ(stored.task_count, 1U);
+	EXPECT_EQ(stored.task[0].crashed_workers, 0U);
+}
+
+/* The power of a rack returns and goes again, each time soon after the starts. */
+TEST_F(CrashSimulation, OutagesOfARackFailNoLongRunningJob)
+{
+	create_pool();
+	create_workers(6);
+	work_us = 600 * kS;
+	for (int n = 1; n <= 6; n++)
+		add(job_id(n), {{1, 3000, JB_LONG_RUNNING}});
+	play(100 * kMs);
+	for (int i = 0; i < 6; i++) {
+		play(600 * kMs + i * 150 * kMs);
+		for (const char *id : {"w0", "w1", "w2", "w3"})
+			crash(id);
+		return_after(1500 * kMs);
+		for (int n = 0; n < 500 && !is_each_at_work(6); n++)
+			play(20 * kMs);
+		ASSERT_TRUE(is_each_at_work(6)) << "outage " << i;
+	}
+	EXPECT_EQ(p->stats.given_up, 0U);
+	EXPECT_EQ(starts[job_id(1) + ".0"], 7);
+}
+
+/* As above, but other workers crash at other times. */
+TEST_F(CrashSimulation, TaskThatCrashesItsWorkersAloneIsGivenUpBesideOutages)
+{
+	create_pool();
+	create_workers(8);
+	work_us = 600 * kS;
+	add(kOther, {{4, 3000, JB_LONG_RUNNING}});
+	add(kJob, {{1, 3000, JB_LONG_RUNNING}});
+	for (int i = 0; i < 8 && state_of(kJob) != JB_FAILED; i++) {
+		for (int n = 0; n < 500 && !is_running(kJob, 1); n++)
+			play(20 * kMs);
+		play(600 * kMs);
+		crash(task(kJob, 0, 0)->worker->id);
+		return_after(1500 * kMs);
+		play(600 * kMs);
+		for (const char *other : {"w1", "w2", "w3"}) {
+			if (workers[other].back_us == 0)
+				crash(other);
+		}
+		return_after(1500 * kMs);
+		play(2 * kS);
+	}
+	EXPECT_EQ(state_of(kJob), JB_FAILED);
+}
+
+/* Months apart, beside workers that crash now and then. */
+TEST_F(CrashSimulation, CrashedWorkersAreForgottenOnceARunHasLived)
+{
+	create_pool();
+	create_workers(4);
+	work_us = 100000 * kS;
+	add(kJob, {{1, 1000, JB_LONG_RUNNING}});
+	play(100 * kMs);
+	struct wp_task *t = task(kJob, 0, 0);
+	for (int i = 0; i < 8; i++) {
+		ASSERT_NE(t->worker, nullptr);
+		crash(t->worker->id);
+		return_after(500 * kMs);
+		play(6 * kS);
+		ASSERT_NE(t->worker, nullptr);
+		crash(t->worker->id);
+		return_after(500 * kMs);
+		play(25 * kS);
+		EXPECT_EQ(t->crashed_workers, 0U);
+	}
+	EXPECT_EQ(state_of(kJob), JB_RUNNING);
+	EXPECT_EQ(p->stats.given_up, 0U);
+}
+
 /* Partitions: the workers return with the incarnation that they had. */
 TEST_F(CrashSimulation, SilentWorkersFailNoJob)
 {
