pool: log why a task waits for long beside free room

The log has counts only: it doesn't tell which task waits, nor which of a dozen conditions keeps it.

wp_find_stuck() looks at the tasks of all steps that may begin, once a second. It names those that have waited for 3 s although a usable worker has room for them and hasn't been disapproved, and those whose start or stop has had no result for 6 s, with what bars them: the first condition of a scheduling pass that fails, and the figures that it rests on. It changes no decision.

The cause isn't known yet; this is what is to tell it.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -23,6 +23,8 @@
 /* Workers that tasks wait for after a takeover: which are logged, and when. */
 #define CP_MAX_HOLDING_ROWS 16
 #define CP_LOG_HOLDING_AFTER_US (500 * CLK_US_PER_MS)
+/* Steps whose tasks wait for long beside room for them. */
+#define CP_MAX_STUCK_ROWS 8
 #define CP_FORGET_EVERY_US (2 * CLK_US_PER_S)
 /* Time to store ended jobs before a pool is handed over. */
 #define CP_RELEASE_TIMEOUT_US (150 * CLK_US_PER_MS)
@@ -276,6 +278,34 @@
 	}
 }
 
+/* One line for each step of which a task has had no run for long beside room. */
+static void
+cp_log_stuck(struct cp_host *h, int64_t now_us)
+{
+	struct wp_stuck row[CP_MAX_STUCK_ROWS];
+	uint32_t count = wp_find_stuck(h->pool, now_us, row, CP_MAX_STUCK_ROWS);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct wp_stuck *t = &row[i];
+
+		lg_event(LG_WARN, "pool", "stuck", "pool", h->name, "job",
+		    t->ref.job, "occurrence", lg_i64(t->ref.occurrence), "step",
+		    lg_i64(t->ref.step), "index", lg_i64(t->ref.index), "run",
+		    lg_i64(t->run), "state", lg_i64(t->state), "why",
+		    wp_stuck_name(t->why), "waited_ms",
+		    lg_i64(t->waited_us / CLK_US_PER_MS), "retry_ms",
+		    lg_i64(cp_left_ms(t->not_before_us, now_us)), "worker",
+		    t->worker, "waiting", lg_i64(t->waiting), "listed",
+		    t->listed ? "1" : "0", "suspects", lg_i64(t->suspects),
+		    "room", lg_i64(t->room), "answered", lg_i64(t->answered),
+		    "approved", lg_i64(t->approved), "valid", lg_i64(t->valid),
+		    "requested", lg_i64(t->requested), "in_flight",
+		    lg_i64(t->in_flight), "requested_slots",
+		    lg_i64(t->requested_slots), NULL);
+	}
+}
+
 static void
 cp_log_reconciled(struct cp_host *h, int64_t now_us)
 {
@@ -316,6 +346,7 @@
 	cp_log_gang_waits(h, now_us);
 	cp_log_advice_rates(h);
 	cp_log_holding(h, now_us);
+	cp_log_stuck(h, now_us);
 }
 
 static void
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -90,6 +90,9 @@
  * @crash: runs under which a worker has or may have crashed, @crash_count of
  *	them; the task is then a suspect
  * @crashed_workers: workers that crashed while they ran it, whatever the cause
+ * @seen_state: its state and run when wp_find_stuck() last looked
+ * @seen_run: see @seen_state
+ * @seen_since_us: since when it has found these; 0 before it looked
  */
 struct wp_task {
 	struct wp_step *step;
@@ -122,6 +125,9 @@
 	struct jb_crash *crash;
 	uint32_t crash_count;
 	uint32_t crashed_workers;
+	enum wp_task_state seen_state;
+	uint32_t seen_run;
+	int64_t seen_since_us;
 	struct wp_task *prev;
 	struct wp_task *next;
 	struct wp_task *crash_prev;
@@ -838,6 +844,63 @@
 	uint32_t suspects;
 };
 
+/** enum wp_stuck_why - what keeps a task from running, for logs */
+enum wp_stuck_why {
+	WP_STUCK_ORDER,	     /* its start or stop has no result */
+	WP_STUCK_HELD,	     /* it waits for workers of an earlier owner */
+	WP_STUCK_NOT_READY,  /* the steps before are done, and it isn't ready */
+	WP_STUCK_UNLISTED,   /* its step isn't among those that may start */
+	WP_STUCK_DEFERRED,   /* the registry names its job as not started */
+	WP_STUCK_RETRY,	     /* it may not start again yet */
+	WP_STUCK_SUSPECT,    /* crashes under it or its siblings bar it */
+	WP_STUCK_AVOIDS,     /* it avoids the workers with room */
+	WP_STUCK_RESERVED,   /* what is free is reserved for gangs */
+	WP_STUCK_UNANSWERED, /* an advice request is in flight */
+	WP_STUCK_NOT_ASKED,  /* advice has not been requested */
+	WP_STUCK_NO_APPROVAL, /* all suitable workers are disapproved */
+	WP_STUCK_SCAN,	      /* it could start, and is not started */
+};
+
+/**
+ * struct wp_stuck - a task that has had no run for long beside room for it
+ * @ref: the task
+ * @run: its newest run
+ * @state: its state
+ * @why: what keeps it from running
+ * @waited_us: how long it has been seen so
+ * @not_before_us: earliest next start
+ * @worker: worker that it is on; empty for none
+ * @waiting: the step's count of waiting tasks
+ * @listed: the step is among those that may start
+ * @suspects: tasks of the step under which workers may have crashed
+ * @room: usable workers with room for it, whether approved or not
+ * @answered: workers that the advice service has answered about
+ * @approved: workers approved by its last answers
+ * @valid: those whose ticket is still valid
+ * @requested: workers that requests in flight name
+ * @in_flight: these requests
+ * @requested_slots: slots that they ask for
+ */
+struct wp_stuck {
+	struct jb_ref ref;
+	uint32_t run;
+	enum wp_task_state state;
+	enum wp_stuck_why why;
+	int64_t waited_us;
+	int64_t not_before_us;
+	char worker[WP_NAME_BYTES];
+	uint32_t waiting;
+	bool listed;
+	uint32_t suspects;
+	uint32_t room;
+	uint32_t answered;
+	uint32_t approved;
+	uint32_t valid;
+	uint32_t requested;
+	uint32_t in_flight;
+	uint32_t requested_slots;
+};
+
 /** enum wp_crash_kind - what became known of a run and its worker's crash */
 enum wp_crash_kind {
 	WP_CRASH_SUSPECTED, /* its worker is silent and may have crashed */
@@ -1337,6 +1400,24 @@
 uint32_t wp_get_gang_waits(const struct wp_pool *p, int64_t now_us,
     struct wp_gang_wait *list, uint32_t max);
 
+/**
+ * wp_find_stuck() - find tasks that have had no run for seconds beside free room
+ * @p: pool
+ * @now_us: time
+ * @list: filled in, one row for each step
+ * @max: rows that fit in @list
+ *
+ * To be called at intervals, by which the time of each task is measured. Looks
+ * for room for a limited number of steps, and changes no decision.
+ *
+ * Return: number of rows.
+ */
+uint32_t wp_find_stuck(
+    struct wp_pool *p, int64_t now_us, struct wp_stuck *list, uint32_t max);
+
+/** wp_stuck_name() - name of what keeps a task from running, in logs */
+const char *wp_stuck_name(enum wp_stuck_why why);
+
 /** wp_wait_name() - name of a cause in logs and metrics */
 const char *wp_wait_name(enum wp_wait wait);
 
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -20,7 +20,7 @@
  * have caused them, and how these start again),
  * pool_retire (emptying workers for maintenance), pool_over (workers that list
  * more than they may hold), pool_sched (which task starts
- * where), pool (jobs and ticks).
+ * where), pool_stuck (what keeps tasks from running), pool (jobs and ticks).
  */
 
 /* Run numbers of a later owner are always higher. */
--- /dev/null
+++ b/tests/unit/test_stuck.cc
@@ -0,0 +1,156 @@
+#include "pool_fixture.h"
+
+/* A task that waits for long beside room is named, with what keeps it. */
+
+namespace
+{
+
+class Stuck : public Pool
+{
+      protected:
+	/* Looks each second, as the daemon does. */
+	std::vector<struct wp_stuck>
+	look_for(int64_t us)
+	{
+		std::vector<struct wp_stuck> rows(8);
+		uint32_t count = 0;
+
+		for (int64_t end = now + us; now < end;) {
+			now += kS;
+			count = wp_find_stuck(p, now, rows.data(), 8);
+		}
+		rows.resize(count);
+		return rows;
+	}
+
+	struct wp_job *
+	add_advised(const std::string &id, uint32_t count)
+	{
+		struct wp_job *job = add(id, {{count}}, nullptr, true, 2000);
+
+		job->spec->policy.advice_decide_us = 20000;
+		return job;
+	}
+
+	void
+	expect_why(enum wp_stuck_why why)
+	{
+		std::vector<struct wp_stuck> rows = look_for(5 * kS);
+
+		ASSERT_EQ(rows.size(), 1u);
+		EXPECT_STREQ(wp_stuck_name(rows[0].why), wp_stuck_name(why));
+		EXPECT_STREQ(rows[0].ref.job, kJob.c_str());
+		EXPECT_GE(rows[0].waited_us, 3 * kS);
+	}
+};
+
+TEST_F(Stuck, TaskThatWaitsForAFullPoolIsNotNamed)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add(kJob, {{1}});
+	run_all();
+	add(kOther, {{1}});
+	run_all();
+	EXPECT_TRUE(look_for(10 * kS).empty());
+}
+
+TEST_F(Stuck, TaskThatRunsOrIsDoneIsNotNamed)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{2}, {1, 1000, 0, {0}}});
+	run_all();
+	EXPECT_TRUE(look_for(10 * kS).empty());
+}
+
+TEST_F(Stuck, TaskIsNotNamedInItsFirstSeconds)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{1}});
+	EXPECT_TRUE(look_for(3 * kS).empty());
+	EXPECT_FALSE(look_for(kS).empty());
+}
+
+TEST_F(Stuck, WhatKeepsATaskIsNamed)
+{
+	create_pool();
+	add_worker("w");
+	struct wp_job *job = add(kJob, {{1}});
+
+	expect_why(WP_STUCK_SCAN);
+	job->deferred = true;
+	expect_why(WP_STUCK_DEFERRED);
+	job->deferred = false;
+	task(kJob, 0, 0)->not_before_us = now + 60 * kS;
+	expect_why(WP_STUCK_RETRY);
+	task(kJob, 0, 0)->not_before_us = 0;
+	wp_step_unlist(p, &job->occ[0]->step[0]);
+	expect_why(WP_STUCK_UNLISTED);
+	wp_step_update_lists(p, &job->occ[0]->step[0]);
+	expect_why(WP_STUCK_SCAN);
+}
+
+TEST_F(Stuck, AdviceThatIsNotAnsweredIsNamed)
+{
+	struct wp_advice_request request;
+	struct wp_approval good = {"w", "t"};
+
+	create_pool();
+	add_worker("w");
+	add_advised(kJob, 1);
+	expect_why(WP_STUCK_NOT_ASKED);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	expect_why(WP_STUCK_UNANSWERED);
+	wp_on_advice(p, &request, true, &good, 1, now, now);
+	std::vector<struct wp_stuck> rows(1);
+	ASSERT_EQ(wp_find_stuck(p, now, rows.data(), 1), 1u);
+	EXPECT_STREQ(wp_stuck_name(rows[0].why), "scan");
+	EXPECT_EQ(rows[0].approved, 1u);
+	EXPECT_EQ(rows[0].valid, 1u);
+	EXPECT_EQ(rows[0].in_flight, 0u);
+	EXPECT_EQ(rows[0].requested_slots, 0u);
+}
+
+TEST_F(Stuck, StepThatNoWorkerMayRunIsNamed)
+{
+	struct wp_advice_request request;
+
+	create_pool();
+	add_worker("w");
+	add_advised(kJob, 1);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+	wp_on_advice(p, &request, true, nullptr, 0, now, now);
+	expect_why(WP_STUCK_NO_APPROVAL);
+}
+
+TEST_F(Stuck, StopThatIsNotConfirmedIsNamed)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{1}});
+	run_all();
+	wp_task_stop(p, task(kJob, 0, 0), now);
+	EXPECT_TRUE(look_for(6 * kS).empty());
+	expect_why(WP_STUCK_ORDER);
+	EXPECT_EQ(look_for(kS)[0].state, WP_TASK_STOPPING);
+	EXPECT_STREQ(look_for(kS)[0].worker, "w");
+}
+
+TEST_F(Stuck, RowsAreBounded)
+{
+	struct wp_stuck row[3];
+
+	create_pool();
+	add_worker("w");
+	for (int i = 0; i < 10; i++)
+		add(job_id(i), {{2}});
+	wp_find_stuck(p, now, row, 3);
+	now += 4 * kS;
+	EXPECT_EQ(wp_find_stuck(p, now, row, 3), 3u);
+	EXPECT_STREQ(row[0].ref.job, job_id(0).c_str());
+	EXPECT_STREQ(row[2].ref.job, job_id(2).c_str());
+}
+
+} // namespace
