tests: check a pool's lists and counts after each event

PoolInvariants makes the counts that decide whether a task can start anew from the tasks: waiting, unfinished and suspected tasks of each step, the lists of ready and upcoming steps, resources of each worker, slots and workers named by advice requests. Each start and stop must have an answer, a deadline or a report that ends it; no task may be held for an earlier owner once the pool is reconciled.

The random schedules of test_pool_schedule and the takeover model check it after each event that reaches an owner and after each pass.

--- a/tests/unit/takeover_model.cc
+++ b/tests/unit/takeover_model.cc
@@ -50,6 +50,8 @@
 		    [this, number, token, f] { to_owner(number, token, f); });
 	else
 		f(o);
+	if (o.pool != nullptr && now >= o.frozen_until_us)
+		check_pool(o);
 }
 
 ModelOwner *
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -299,6 +299,7 @@
 	void renew_ownership(ModelOwner &o);
 	void step_down(ModelOwner &o);
 	void forget_ended_jobs(ModelOwner &o);
+	void check_pool(const ModelOwner &o);
 
 	/* takeover_commits.cc */
 	void start_commit(ModelOwner &o);
--- a/tests/unit/takeover_owners.cc
+++ b/tests/unit/takeover_owners.cc
@@ -1,5 +1,7 @@
 #include "takeover_internal.h"
 
+#include "pool_invariants.h"
+
 #include <algorithm>
 
 namespace
@@ -138,6 +140,16 @@
 	send_advice_requests(o);
 	send_renewals(o);
 	start_commit(o);
+	check_pool(o);
+}
+
+void
+TakeoverModel::check_pool(const ModelOwner &o)
+{
+	std::string fault = PoolInvariants::find_fault(o.pool);
+
+	if (!fault.empty())
+		violations.push_back("pool: " + fault);
 }
 
 /* As the cell does it, once their end is stored for a while. */
--- a/tests/unit/test_pool_schedule.cc
+++ b/tests/unit/test_pool_schedule.cc
@@ -1,5 +1,7 @@
 #include "pool_fixture.h"
 
+#include "pool_invariants.h"
+
 #include <algorithm>
 #include <functional>
 #include <iostream>
@@ -787,6 +789,15 @@
 		return text;
 	}
 
+	void
+	check_pool()
+	{
+		std::string fault = PoolInvariants::find_fault(p);
+
+		if (!fault.empty())
+			fail(fault);
+	}
+
 	/* What the rule on lost jobs asks for, in calm only. */
 	void
 	check_waits()
@@ -823,6 +834,7 @@
 
 			events.erase(events.begin());
 			fn();
+			check_pool();
 		}
 		for (auto &e : workers)
 			play_runs(e.second);
@@ -837,6 +849,7 @@
 		send_renewals();
 		send_advice_requests();
 		commit();
+		check_pool();
 		check_waits();
 	}
 
