pool: ask an unlisted worker until it lists nothing

A worker that is unlisted and has no tasks of the pool gets no renewal once its lease has ended. It may have listed an older run, whose task is held until that has ended, or a run of an unknown job. As long as its last renewal was answered it counts as reachable, so its lease isn't taken to have expired either: what it listed last stands for ever.

The task is then never started, and the pool is never reconciled.

Renewals go on until the worker is empty. One that is gone doesn't answer, which makes it unreachable, and its lease expires.

UnlistedWorker.ThatListedAnOlderRunHoldsItsTaskNoLongerThanItsLease failed before. test_pool, test_gangs, 200 schedules: no failure; test_takeover: the known red cases only.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -306,8 +306,9 @@
 {
 	if (w->renewal_in_flight || now_us < w->renew_at_us || p->superseded)
 		return false;
-	/* No run can be left there for a lease to keep alive. */
-	if (!w->listed && w->tasks == NULL && now_us > wp_lease_expiry_us(w))
+	/* No run can be left there, and what it listed last says so. */
+	if (!w->listed && wp_is_worker_empty(w) &&
+	    now_us > wp_lease_expiry_us(w))
 		return false;
 	w->renewal_in_flight = true;
 	w->renewal_sent_us = now_us;
--- a/tests/unit/test_stuck.cc
+++ b/tests/unit/test_stuck.cc
@@ -153,4 +153,71 @@
 	EXPECT_STREQ(row[2].ref.job, job_id(2).c_str());
 }
 
+/*
+ * LOST: an owner is paused between two renewals, and a worker that lists an
+ * older run is unlisted meanwhile. Nothing else tells that this run has ended.
+ */
+class UnlistedWorker : public Stuck
+{
+      protected:
+	void
+	begin(const struct jb_task_progress &row)
+	{
+		struct jb_task_progress rows[] = {row};
+		struct jb_progress progress = {};
+
+		progress.task = rows;
+		progress.task_count = 1;
+		create_pool(1, kStart + 13 * kS);
+		add(kJob, {{1}}, &progress, false);
+		add_worker("w");
+		add_worker("v");
+	}
+
+	/* No renewal is in flight, and the worker's lease ends meanwhile. */
+	void
+	pause_owner()
+	{
+		wp_unlist_worker(p, "w");
+		now += 6 * kS;
+		renew_lease("v");
+		run_all();
+	}
+
+	/* Asks the worker, which is gone, if the owner would. */
+	void
+	ask_in_vain()
+	{
+		struct wp_worker *w = wp_find_worker(p, "w");
+		struct wp_renewal renewal;
+
+		if (wp_renewal_due(p, w, now, &renewal))
+			wp_on_renewal_failed(p, w, WP_NO_ANSWER, now);
+	}
+};
+
+TEST_F(UnlistedWorker, ThatListedAnOlderRunHoldsItsTaskNoLongerThanItsLease)
+{
+	struct jb_task_progress row = {};
+
+	row.run = 2;
+	begin(row);
+	renew_lease("w", {{kJob, 0, 0, 1, 0}});
+	run_all();
+	ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_UNRECONCILED);
+	pause_owner();
+	for (int i = 0; i < 20; i++) {
+		ask_in_vain();
+		now += 250 * kMs;
+		renew_lease("v");
+		run_all();
+	}
+	EXPECT_TRUE(p->reconciled);
+	EXPECT_STREQ(task(kJob, 0, 0)->worker != nullptr
+		? task(kJob, 0, 0)->worker->id
+		: "none",
+	    "v");
+	EXPECT_TRUE(look_for(10 * kS).empty());
+}
+
 } // namespace
