pool: a worker that refuses all renewals holds its tasks for a lease only

A renewal that is answered 429 or 503 left the worker reachable. Each one that is sent moves the end of the lease that the pool reckons with, and only an unreachable worker's lease is taken to expire. So a worker that answers, and refuses all renewals, holds its tasks for as long as it does so, though it has ended them 3 s after the last renewal that it accepted. Stops that it refuses as well are never confirmed.

After 1.5 s without an answer it counts as unreachable: renewals carry no deadline any more, so the lease is taken to expire, and a copy of a speculative task starts at once. A worker that recovers before is kept, with its tasks. It isn't taken for one that crashed, as nothing was cut.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -409,7 +409,7 @@
  * @draining: service discovery says that it receives no new tasks
  * @evacuating: being emptied for maintenance
  * @token_accepted: it has accepted this owner's fencing token
- * @reachable: its last renewal was answered
+ * @reachable: its last renewal was answered, or refused for a short time
  * @registered: it is in the stored registry that a later owner reads
  * @registering: the registry in the commit in flight names it
  * @closed: the stored registry may name all tasks on it, so it receives none
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -21,6 +21,11 @@
 #define WP_RENEWAL_PAUSE_US (5 * CLK_US_PER_MS)
 /* How long an unhealthy or unreachable worker receives no tasks. */
 #define WP_UNHEALTHY_PAUSE_US (CLK_US_PER_S)
+/*
+ * A worker that refuses renewals for so long counts as unreachable: its lease is
+ * not extended, and has to be taken to expire some time.
+ */
+#define WP_UNHEALTHY_LIMIT_US (WP_LEASE_US / 2)
 #define WP_QUARANTINE_US (4 * CLK_US_PER_S)
 /* Failures in a row, of different jobs, after which a worker is quarantined. */
 #define WP_QUARANTINE_FAILURES 2
@@ -793,11 +798,13 @@
 		p->superseded = true;
 		return;
 	}
-	if (result == WP_REFUSED_UNHEALTHY)
+	if (result == WP_REFUSED_UNHEALTHY &&
+	    now_us - w->prompt_reply_us < WP_UNHEALTHY_LIMIT_US)
 		return;
 	if (w->last_renewal_us == w->renewal_sent_us)
 		wp_lease_unanswered(p, w, w->renewal_sent_us, now_us);
-	if (w->reachable && result != WP_OVERDUE)
+	if (w->reachable && result != WP_OVERDUE &&
+	    result != WP_REFUSED_UNHEALTHY)
 		w->cut_at_us = now_us;
 	w->reachable = false;
 	w->replaced |= result == WP_REFUSED_INCARNATION;
--- a/tests/unit/test_stuck.cc
+++ b/tests/unit/test_stuck.cc
@@ -1,5 +1,7 @@
 #include "pool_fixture.h"
 
+#include <algorithm>
+
 /* A task that waits for long beside room is named, with what keeps it. */
 
 namespace
@@ -220,4 +222,94 @@
 	EXPECT_TRUE(look_for(10 * kS).empty());
 }
 
+/* LOST: a worker that is up answers each renewal that it is unhealthy. */
+class UnhealthyWorker : public Stuck
+{
+      protected:
+	void
+	begin()
+	{
+		create_pool();
+		add_worker("w");
+		add(kJob, {{1}});
+		run_all();
+		renew_lease("w", {{kJob, 0, 0, 1, 0}});
+		add_worker("v");
+		ASSERT_STREQ(task(kJob, 0, 0)->worker->id, "w");
+	}
+
+	/* What the worker says to the next renewal, if one is due. */
+	void
+	refuse_renewal()
+	{
+		struct wp_worker *w = wp_find_worker(p, "w");
+		struct wp_renewal renewal;
+
+		if (!wp_renewal_due(p, w, now, &renewal))
+			return;
+		deadline_ms = std::max(deadline_ms, renewal.deadline_clock_ms);
+		wp_on_renewal_failed(p, w, WP_REFUSED_UNHEALTHY, now);
+	}
+
+	void
+	play(int64_t us)
+	{
+		for (int64_t end = now + us; now < end;) {
+			now += 50 * kMs;
+			refuse_renewal();
+			renew_lease("v",
+			    is_on("v")
+				? std::vector<Running>{{kJob, 0, 0, 2, 0}}
+				: std::vector<Running>{});
+			run_all();
+			if (is_on("v") && moved_ms == 0)
+				moved_ms = now / kMs;
+		}
+	}
+
+	bool
+	is_on(const std::string &id)
+	{
+		const struct wp_worker *w = task(kJob, 0, 0)->worker;
+
+		return w != nullptr && w->id == id;
+	}
+
+	int64_t deadline_ms = 0;
+	int64_t moved_ms = 0;
+};
+
+TEST_F(UnhealthyWorker, ThatRefusesAllRenewalsHoldsItsTasksNoLongerThanALease)
+{
+	begin();
+	int64_t since_ms = now / kMs;
+	play(10 * kS);
+	EXPECT_GT(moved_ms, deadline_ms);
+	EXPECT_GT(moved_ms, 0);
+	EXPECT_LE(moved_ms - since_ms, 5500);
+}
+
+TEST_F(UnhealthyWorker, ThatRefusesForASecondKeepsItsTasks)
+{
+	begin();
+	play(kS);
+	renew_lease("w", {{kJob, 0, 0, 1, 0}});
+	EXPECT_TRUE(wp_find_worker(p, "w")->reachable);
+	run_all();
+	EXPECT_TRUE(is_on("w"));
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	EXPECT_EQ(moved_ms, 0);
+}
+
+TEST_F(UnhealthyWorker, ThatRecoversKeepsItsTasksAndIsUsed)
+{
+	begin();
+	play(2500 * kMs);
+	EXPECT_FALSE(wp_is_usable(wp_find_worker(p, "w"), now));
+	renew_lease("w", {{kJob, 0, 0, 1, 0}});
+	run_all();
+	EXPECT_TRUE(is_on("w"));
+	EXPECT_TRUE(wp_is_usable(wp_find_worker(p, "w"), now));
+}
+
 } // namespace
