--- a/tests/unit/takeover_calls.cc
+++ b/tests/unit/takeover_calls.cc
@@ -10,6 +10,7 @@
 constexpr int64_t kMaxLate = 12 * kS;
 /* An overdue reply is awaited for so long. */
 constexpr int64_t kMaxOverdue = 3 * kS;
+constexpr int64_t kMaxAdvice = 4 * kS;
 constexpr const char *kUnadvised = "w3";
 
 } // namespace
@@ -162,6 +163,13 @@
 				});
 				return;
 			}
+			if (now < there.unhealthy_until_us) {
+				after(delay(), [=] {
+					fail_renewal(
+					    call, WP_REFUSED_UNHEALTHY);
+				});
+				return;
+			}
 			there.token = token;
 			if (clock_ms(there) <= there.lease_end_ms ||
 			    there.running.empty())
@@ -193,7 +201,11 @@
 
 		for (uint32_t i = 0; i < request.worker_count; i++)
 			named->push_back(request.worker[i]);
-		after(ok ? 50 * kMs : kTimeout, [=] {
+		int64_t takes = ok ? 50 * kMs : kTimeout;
+
+		if (faults.advice_late > 0 && chance(faults.advice_late))
+			takes += (int64_t)random(kMaxAdvice);
+		after(takes, [=] {
 			to_owner(number, token, [=](ModelOwner &me) {
 				struct wp_advice_request r = copy;
 				std::vector<struct wp_approval> good;
--- a/tests/unit/takeover_faults.cc
+++ b/tests/unit/takeover_faults.cc
@@ -167,6 +167,16 @@
 		    now + (int64_t)(100 + random(8000)) * kMs;
 }
 
+void
+TakeoverModel::sicken_some_worker(int64_t until_us)
+{
+	std::vector<std::string> alive = alive_workers();
+
+	if (!alive.empty())
+		workers[alive[random(alive.size())]].unhealthy_until_us =
+		    until_us;
+}
+
 void
 TakeoverModel::heal(const std::set<std::string> &except)
 {
@@ -177,6 +187,7 @@
 		if (except.count(w.first) > 0)
 			continue;
 		w.second.silent_until_us = now;
+		w.second.unhealthy_until_us = now;
 		if (w.second.alive && !w.second.listed) {
 			w.second.listed = true;
 			discovery_changed(w.first);
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -42,6 +42,7 @@
 	bool listed = true;
 	bool draining = false;
 	int64_t silent_until_us = 0;
+	int64_t unhealthy_until_us = 0; /* it does nothing that it is told */
 	int64_t born_us = 0;
 	int64_t rate_per_mille = 1000;
 	std::string kind;
@@ -173,6 +174,7 @@
 	uint32_t answer_lost = 0;
 	uint32_t repeat_refused = 0; /* a start that was sent before */
 	uint32_t answer_late = 0;    /* of a renewal */
+	uint32_t advice_late = 0;    /* by seconds */
 };
 
 /**
@@ -195,6 +197,7 @@
 	void kill_owner();
 	void restart_some_worker();
 	void silence_some_worker();
+	void sicken_some_worker(int64_t until_us);
 	void resize_some_worker();
 	ModelOwner *owner();
 	uint64_t random(uint64_t below);
--- a/tests/unit/takeover_starts.cc
+++ b/tests/unit/takeover_starts.cc
@@ -97,6 +97,8 @@
 
 	if (order.token < w.token)
 		return WP_REFUSED_STALE_TOKEN;
+	if (now < w.unhealthy_until_us)
+		return WP_REFUSED_UNHEALTHY;
 	w.token = order.token;
 	if (o.kind == WP_ORDER_START)
 		return do_start(w, order);
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -631,7 +631,7 @@
 
 		m->faults = {(uint32_t)m->random(60), (uint32_t)m->random(40),
 		    (uint32_t)m->random(60), repeat_refused,
-		    (uint32_t)m->random(answers_late)};
+		    (uint32_t)m->random(answers_late), advice_late};
 		while (m->now < end) {
 			for (uint64_t i = 0; i < burst; i++)
 				m->add_job();
@@ -641,6 +641,9 @@
 				m->cancel_some_job();
 			if (m->chance(180))
 				m->break_something();
+			if (unhealthy > 0 && m->chance(unhealthy))
+				m->sicken_some_worker(m->now +
+				    (int64_t)(100 + m->random(12000)) * kMs);
 			m->run_for((int64_t)(20 + m->random(400)) * kMs);
 		}
 	}
@@ -765,6 +768,24 @@
 			    << "seed " << seed << ": " << m->violations[i];
 	}
 
+	/* What the log would name, a few seconds from now. */
+	std::string
+	stuck_tasks()
+	{
+		struct wp_stuck row[4];
+		std::string text;
+		uint32_t count = 0;
+
+		for (int i = 0; i < 8 && m->owner() != nullptr; i++) {
+			count = wp_find_stuck(m->owner()->pool, m->now, row, 4);
+			m->run_for(kS);
+		}
+		for (uint32_t i = 0; i < count; i++)
+			text += name_of(row[i].ref) + " " +
+			    wp_stuck_name(row[i].why) + " ";
+		return text;
+	}
+
 	static std::string
 	name_of(const struct jb_ref &ref)
 	{
@@ -832,6 +853,12 @@
 		expect_no_task_waits(seed, 10 * kS, {});
 		expect_no_violation(seed);
 		EXPECT_TRUE(idle_tasks().empty()) << "seed " << seed;
+		expect_all_ended(seed);
+	}
+
+	void
+	expect_all_ended(uint64_t seed)
+	{
 		for (auto &row : m->jobs) {
 			const ModelJob &job = row.second;
 
@@ -845,6 +872,8 @@
 	/* A start that has to be sent again is often refused. */
 	uint32_t repeat_refused = 0;
 	uint32_t answers_late = 60;
+	uint32_t unhealthy = 0;
+	uint32_t advice_late = 0;
 	/* Jobs more at a time, so that many wait. */
 	uint64_t burst = 0;
 	std::unique_ptr<TakeoverModel> m;
@@ -868,6 +897,40 @@
 	    (unsigned long long)starts);
 }
 
+/* LOST: workers refuse all that they are told, and advice is late. */
+TEST_F(TakeoverSchedule, UnhealthyWorkersAndLateAdviceHoldNoTask)
+{
+	auto range = seeds();
+
+	unhealthy = 150;
+	advice_late = 150;
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		play_all_faults(seed);
+		EXPECT_EQ(stuck_tasks(), "") << "seed " << seed;
+	}
+}
+
+TEST_F(TakeoverSchedule, WorkerThatStaysUnhealthyHoldsNoTask)
+{
+	auto range = seeds();
+
+	unhealthy = 150;
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		begin(seed);
+		play_faults(10 * kS);
+		m->heal({});
+		m->run_for(10 * kS);
+		for (int i = 0; i < 6; i++)
+			m->add_job(false);
+		m->run_for(200 * kMs);
+		m->sicken_some_worker(INT64_MAX);
+		m->run_for(10 * kS);
+		expect_no_violation(seed);
+		EXPECT_EQ(stuck_tasks(), "") << "seed " << seed;
+		expect_all_ended(seed);
+	}
+}
+
 /* All that is free is reserved for it, for longer than tickets are valid. */
 TEST_F(TakeoverSchedule, NoTaskWaitsForRoomThatAWideGangCannotUseYet)
 {
