pool: an answer about a worker's earlier incarnation isn't kept

Advice is cached for one incarnation of a worker, and a worker that isn't approved is never asked about again. When a worker restarted while a request named it, the answer was recorded for the new incarnation, and an earlier answer that arrived late replaced a later one. The protocol says that tickets are for one life of a worker; whether the approval itself can differ between lives isn't said. If it does, a step can lose the workers that it may run on, for good.

A request now keeps the incarnations that it is about; the answer counts for these only. A restarted worker is asked about again, which costs a request.

RestartedWorker.* (3) failed before.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -705,6 +705,7 @@
  * @occurrence: occurrence of the step
  * @step: the step
  * @worker: names of the workers, @worker_count of them; they belong to the pool
+ * @incarnation_ms: incarnations of these that it is about
  * @slots: tasks of the step that are expected to fit on these workers
  * @base_cost_us: time that an answer takes
  * @worker_cost_us: added for each worker named
@@ -717,6 +718,7 @@
 	uint32_t occurrence;
 	uint32_t step;
 	const char *worker[WP_MAX_ADVICE_WORKERS];
+	int64_t incarnation_ms[WP_MAX_ADVICE_WORKERS];
 	uint32_t worker_count;
 	uint32_t slots;
 	uint32_t base_cost_us;
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -143,6 +143,38 @@
 	return t != NULL ? t->step : NULL;
 }
 
+/* The ticket that a request is about; NULL if its worker has been restarted. */
+static struct wp_ticket *
+wp_requested_ticket(struct wp_pool *p, struct wp_step *s,
+    const struct wp_advice_request *request, uint32_t i)
+{
+	const struct wp_worker *w = wp_find_worker(p, request->worker[i]);
+
+	if (w == NULL || w->incarnation_ms != request->incarnation_ms[i])
+		return NULL;
+	return wp_ticket_get(p, s, w);
+}
+
+static void
+wp_approve(struct wp_pool *p, struct wp_step *s,
+    const struct wp_advice_request *request, const struct wp_approval *a,
+    int64_t valid_from_us)
+{
+	struct wp_ticket *ticket = NULL;
+	uint32_t i;
+
+	for (i = 0; i < request->worker_count; i++) {
+		if (strcmp(request->worker[i], a->worker) == 0)
+			ticket = wp_requested_ticket(p, s, request, i);
+	}
+	if (ticket == NULL)
+		return;
+	ticket->approved = true;
+	ticket->expires_us =
+	    valid_from_us + (int64_t)request->valid_ms * CLK_US_PER_MS;
+	snprintf(ticket->text, sizeof(ticket->text), "%s", a->ticket);
+}
+
 void
 wp_on_advice(struct wp_pool *p, const struct wp_advice_request *request,
     bool ok, const struct wp_approval *approved, uint32_t approved_count,
@@ -150,7 +182,6 @@
 {
 	struct wp_step *s = wp_find_requested_step(p, request);
 	struct wp_ticket *ticket;
-	struct wp_worker *w;
 	uint32_t i;
 
 	if (s == NULL)
@@ -160,9 +191,12 @@
 	if (ok)
 		wp_update_approval_rate(p, s, request, approved_count, now_us);
 	for (i = 0; i < request->worker_count; i++) {
-		w = wp_find_worker(p, request->worker[i]);
-		if (w != NULL)
-			wp_ticket_get(p, s, w)->requested = false;
+		ticket = wp_requested_ticket(p, s, request, i);
+		if (ticket == NULL)
+			continue;
+		ticket->requested = false;
+		ticket->answered |= ok;
+		ticket->approved &= !ok;
 	}
 	if (!ok) {
 		s->next_request_us = now_us + WP_ADVICE_RETRY_US;
@@ -170,23 +204,6 @@
 	}
 	s->next_request_us = now_us;
 	s->full_scan_at_us = 0;
-	for (i = 0; i < request->worker_count; i++) {
-		w = wp_find_worker(p, request->worker[i]);
-		if (w == NULL)
-			continue;
-		ticket = wp_ticket_get(p, s, w);
-		ticket->answered = true;
-		ticket->approved = false;
-	}
-	for (i = 0; i < approved_count; i++) {
-		w = wp_find_worker(p, approved[i].worker);
-		if (w == NULL)
-			continue;
-		ticket = wp_ticket_get(p, s, w);
-		ticket->approved = true;
-		ticket->expires_us =
-		    valid_from_us + (int64_t)request->valid_ms * CLK_US_PER_MS;
-		snprintf(ticket->text, sizeof(ticket->text), "%s",
-		    approved[i].ticket);
-	}
+	for (i = 0; i < approved_count; i++)
+		wp_approve(p, s, request, &approved[i], valid_from_us);
 }
--- a/state/pool_request.c
+++ b/state/pool_request.c
@@ -149,9 +149,12 @@
 	s->requests_in_flight++;
 	s->asked_us = now_us;
 	s->requested_slots += slots;
-	for (i = 0; i < request->worker_count; i++)
-		wp_ticket_get(p, s, wp_find_worker(p, request->worker[i]))
-		    ->requested = true;
+	for (i = 0; i < request->worker_count; i++) {
+		struct wp_worker *w = wp_find_worker(p, request->worker[i]);
+
+		request->incarnation_ms[i] = w->incarnation_ms;
+		wp_ticket_get(p, s, w)->requested = true;
+	}
 	p->stats.advice_requests++;
 }
 
--- a/tests/unit/test_stuck.cc
+++ b/tests/unit/test_stuck.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "pool_invariants.h"
+
 /* A task that waits for long beside room is named, with what keeps it. */
 
 namespace
@@ -312,4 +314,57 @@
 	EXPECT_TRUE(wp_is_usable(wp_find_worker(p, "w"), now));
 }
 
+/*
+ * LOST: advice is kept for one incarnation of a worker, and a worker that is
+ * not approved is never asked about again.
+ */
+class RestartedWorker : public Stuck
+{
+      protected:
+	/* The worker restarts while the advice service is being asked about it. */
+	void
+	begin()
+	{
+		create_pool();
+		add_worker("w");
+		add_advised(kJob, 1);
+		ASSERT_TRUE(wp_next_advice_request(p, now, &request));
+		renew_lease("w", {}, {}, 2);
+		now += 100 * kMs;
+	}
+
+	struct wp_advice_request request = {};
+};
+
+TEST_F(RestartedWorker, ThatWasDisapprovedBeforeIsAskedAbout)
+{
+	begin();
+	wp_on_advice(p, &request, true, nullptr, 0, now, now);
+	EXPECT_TRUE(wp_next_advice_request(p, now, &request));
+	EXPECT_EQ(request.worker_count, 1u);
+}
+
+TEST_F(RestartedWorker, GetsNoStartWithATicketOfItsEarlierIncarnation)
+{
+	struct wp_approval good = {"w", "t"};
+
+	begin();
+	wp_on_advice(p, &request, true, &good, 1, now, now);
+	EXPECT_TRUE(run_all().empty());
+}
+
+/* The later request's answer counts, whichever of the two comes first. */
+TEST_F(RestartedWorker, IsApprovedByTheAnswerAboutItsPresentIncarnation)
+{
+	struct wp_approval good = {"w", "t"};
+	struct wp_advice_request later = {};
+
+	begin();
+	ASSERT_TRUE(wp_next_advice_request(p, now, &later));
+	wp_on_advice(p, &later, true, &good, 1, now, now);
+	wp_on_advice(p, &request, true, nullptr, 0, now, now);
+	ASSERT_EQ(run_all().size(), 1u);
+	EXPECT_EQ(PoolInvariants::find_fault(p), "");
+}
+
 } // namespace
