advice: a daemon whose last request failed isn't asked first

Requests were not lost: each failed after 1.1 s, as the call of the daemon that had it was not answered, and the next one failed as well. An idle cell has many daemons that are equally loaded, and the first of them got each request, whether its last ones had failed or not. While much waits, requests are spread and a failing daemon costs little; the last task of a step meets it again and again.

A daemon whose last request failed counts as having 700 ms to do before, until one succeeds: others are asked first, and it is asked when they are busy, or fail too.

AdviceTargets.DaemonWhoseLastRequestFailed* and ShortRequestsAvoidADaemonThatFailsAsWell failed before.

--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -78,6 +78,7 @@
     uint32_t count)
 {
 	if (req->target != NULL) {
+		req->target->load->failing = !ok;
 		req->target->load->in_flight--;
 		req->target->load->in_flight_cost_us -= req->cost_us;
 	}
--- a/include/state/advice_queue.h
+++ b/include/state/advice_queue.h
@@ -53,6 +53,7 @@
  * @usable: it can be reached
  * @for_short: it is kept for short requests
  * @lends: of those, it serves long ones while these wait and it is idle
+ * @failing: the last request that this owner sent there failed
  * @in_flight: requests of this owner there
  * @in_flight_cost_us: their cost
  */
@@ -60,6 +61,7 @@
 	bool usable;
 	bool for_short;
 	bool lends;
+	bool failing;
 	uint32_t in_flight;
 	int64_t in_flight_cost_us;
 };
--- a/state/advice_queue.c
+++ b/state/advice_queue.c
@@ -11,6 +11,9 @@
 /* Long requests that have waited for so long may use idle daemons that lend. */
 #define AQ_BORROW_AFTER_US (1500 * CLK_US_PER_MS)
 
+/* A daemon whose last call failed counts as having that much to do before. */
+#define AQ_FAILING_COST_US (700 * CLK_US_PER_MS)
+
 bool
 aq_goes_before(
     const struct aq_entry *a, const struct aq_entry *b, int64_t overdue_us)
@@ -35,12 +38,21 @@
 	    AQ_CALLS_BEFORE * largest_cost_us + AQ_ANSWER_SLACK_US;
 }
 
+static int64_t
+aq_expected_cost_us(const struct aq_load *l)
+{
+	return l->in_flight_cost_us + (l->failing ? AQ_FAILING_COST_US : 0);
+}
+
 /* Of two that are equally loaded, the one that serves no other requests. */
 static bool
 aq_is_less_loaded(const struct aq_load *a, const struct aq_load *b)
 {
-	if (a->in_flight_cost_us != b->in_flight_cost_us)
-		return a->in_flight_cost_us < b->in_flight_cost_us;
+	int64_t a_us = aq_expected_cost_us(a);
+	int64_t b_us = aq_expected_cost_us(b);
+
+	if (a_us != b_us)
+		return a_us < b_us;
 	return !a->lends && b->lends;
 }
 
--- a/tests/unit/test_advice_queue.cc
+++ b/tests/unit/test_advice_queue.cc
@@ -156,4 +156,41 @@
 	EXPECT_EQ(choose(false, 2 * kS), 6u);
 }
 
+/*
+ * LOST: the last task of a step asks for advice again and again, and an idle
+ * cell passes each request to the first daemon, whose calls fail.
+ */
+TEST_F(AdviceTargets, DaemonWhoseLastRequestFailedIsAskedOnlyIfOthersAreBusy)
+{
+	EXPECT_EQ(choose(false, 0), 1u);
+	load[1].failing = true;
+	EXPECT_EQ(choose(false, 0), 2u);
+	for (uint32_t i : {2u, 4u, 5u}) {
+		send(i, 600 * kMs);
+		send(i, 600 * kMs);
+	}
+	EXPECT_EQ(choose(false, 0), 1u);
+	send(1, 600 * kMs);
+	send(1, 600 * kMs);
+	EXPECT_EQ(choose(false, 0), AQ_NONE);
+}
+
+TEST_F(AdviceTargets, DaemonsAreAskedThoughAllOfThemFail)
+{
+	for (auto &l : load)
+		l.failing = true;
+	EXPECT_EQ(choose(false, 0), 1u);
+	EXPECT_EQ(choose(true, 0), 0u);
+}
+
+/* A short request costs less than the wait for one that fails. */
+TEST_F(AdviceTargets, ShortRequestsAvoidADaemonThatFailsAsWell)
+{
+	load[0].failing = true;
+	EXPECT_EQ(choose(true, 0), 3u);
+	load[3].failing = true;
+	load[6].failing = true;
+	EXPECT_EQ(choose(true, 0), 0u);
+}
+
 } // namespace
