--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -297,12 +297,12 @@
 		    lg_i64(t->waited_us / CLK_US_PER_MS), "retry_ms",
 		    lg_i64(cp_left_ms(t->not_before_us, now_us)), "worker",
 		    t->worker, "waiting", lg_i64(t->waiting), "listed",
-		    t->listed ? "1" : "0", "suspects", lg_i64(t->suspects),
-		    "room", lg_i64(t->room), "answered", lg_i64(t->answered),
-		    "approved", lg_i64(t->approved), "valid", lg_i64(t->valid),
-		    "requested", lg_i64(t->requested), "in_flight",
-		    lg_i64(t->in_flight), "requested_slots",
-		    lg_i64(t->requested_slots), NULL);
+		    t->listed ? "1" : "0", "ahead", lg_i64(t->ahead),
+		    "suspects", lg_i64(t->suspects), "room", lg_i64(t->room),
+		    "answered", lg_i64(t->answered), "approved",
+		    lg_i64(t->approved), "valid", lg_i64(t->valid), "requested",
+		    lg_i64(t->requested), "in_flight", lg_i64(t->in_flight),
+		    "requested_slots", lg_i64(t->requested_slots), NULL);
 	}
 }
 
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -874,6 +874,7 @@
  * @worker: worker that it is on; empty for none
  * @waiting: the step's count of waiting tasks
  * @listed: the step is among those that may start
+ * @ahead: steps among these that go before it, whose turn comes first
  * @suspects: tasks of the step under which workers may have crashed
  * @room: usable workers with room for it, whether approved or not
  * @answered: workers that the advice service has answered about
@@ -893,6 +894,7 @@
 	char worker[WP_NAME_BYTES];
 	uint32_t waiting;
 	bool listed;
+	uint32_t ahead;
 	uint32_t suspects;
 	uint32_t room;
 	uint32_t answered;
--- a/state/pool_stuck.c
+++ b/state/pool_stuck.c
@@ -164,6 +164,19 @@
 					       : WP_STUCK_NOT_ASKED;
 }
 
+static uint32_t
+wp_steps_ahead(const struct wp_pool *p, const struct wp_step *s)
+{
+	const struct wp_step *other;
+	uint32_t n = 0;
+
+	if (s->prev == NULL)
+		return 0;
+	for (other = p->ready; other != s; other = other->next)
+		n++;
+	return n;
+}
+
 static void
 wp_stuck_fill(const struct wp_pool *p, const struct wp_task *t,
     const struct wp_stuck_room *n, struct wp_stuck *row, int64_t now_us)
@@ -181,6 +194,7 @@
 		snprintf(row->worker, sizeof(row->worker), "%s", t->worker->id);
 	row->waiting = s->waiting;
 	row->listed = s->prev != NULL;
+	row->ahead = wp_steps_ahead(p, s);
 	row->suspects = s->suspects;
 	row->room = n->room;
 	row->in_flight = s->requests_in_flight;
--- a/tests/unit/test_stuck.cc
+++ b/tests/unit/test_stuck.cc
@@ -155,6 +155,8 @@
 	EXPECT_EQ(wp_find_stuck(p, now, row, 3), 3u);
 	EXPECT_STREQ(row[0].ref.job, job_id(0).c_str());
 	EXPECT_STREQ(row[2].ref.job, job_id(2).c_str());
+	EXPECT_EQ(row[0].ahead, 0u);
+	EXPECT_EQ(row[2].ahead, 2u);
 }
 
 /*
