--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -97,6 +97,9 @@
  *	becomes free until then; 0 before it waits
  * @preempt_at_us: none are stopped for it before
  * @preempt_count: how often that was done since it last began
+ * @seen_state: its state and run when wp_find_stuck() last looked
+ * @seen_run: see @seen_state
+ * @seen_since_us: since when it has found these; 0 before it looked
  */
 struct wp_task {
 	struct wp_step *step;
@@ -134,6 +137,9 @@
 	int64_t restore_by_us;
 	int64_t preempt_at_us;
 	uint32_t preempt_count;
+	enum wp_task_state seen_state;
+	uint32_t seen_run;
+	int64_t seen_since_us;
 	struct wp_task *prev;
 	struct wp_task *next;
 	struct wp_task *crash_prev;
@@ -415,7 +421,7 @@
  * @draining: service discovery says that it receives no new tasks
  * @evacuating: being emptied for maintenance
  * @token_accepted: it has accepted this owner's fencing token
- * @reachable: its last renewal was answered
+ * @reachable: its last renewal was answered, or refused for a short time
  * @registered: it is in the stored registry that a later owner reads
  * @registering: the registry in the commit in flight names it
  * @closed: the stored registry may name all tasks on it, so it receives none
@@ -731,6 +737,7 @@
  * @occurrence: occurrence of the step
  * @step: the step
  * @worker: names of the workers, @worker_count of them; they belong to the pool
+ * @incarnation_ms: incarnations of these that it is about
  * @slots: tasks of the step that are expected to fit on these workers
  * @base_cost_us: time that an answer takes
  * @worker_cost_us: added for each worker named
@@ -743,6 +750,7 @@
 	uint32_t occurrence;
 	uint32_t step;
 	const char *worker[WP_MAX_ADVICE_WORKERS];
+	int64_t incarnation_ms[WP_MAX_ADVICE_WORKERS];
 	uint32_t worker_count;
 	uint32_t slots;
 	uint32_t base_cost_us;
@@ -870,6 +878,65 @@
 	uint32_t suspects;
 };
 
+/** enum wp_stuck_why - what keeps a task from running, for logs */
+enum wp_stuck_why {
+	WP_STUCK_ORDER,	     /* its start or stop has no result */
+	WP_STUCK_HELD,	     /* it waits for workers of an earlier owner */
+	WP_STUCK_NOT_READY,  /* the steps before are done, and it isn't ready */
+	WP_STUCK_UNLISTED,   /* its step isn't among those that may start */
+	WP_STUCK_DEFERRED,   /* the registry names its job as not started */
+	WP_STUCK_RETRY,	     /* it may not start again yet */
+	WP_STUCK_SUSPECT,    /* crashes under it or its siblings bar it */
+	WP_STUCK_AVOIDS,     /* it avoids the workers with room */
+	WP_STUCK_RESERVED,   /* what is free is reserved for gangs */
+	WP_STUCK_UNANSWERED, /* an advice request is in flight */
+	WP_STUCK_NOT_ASKED,  /* advice has not been requested */
+	WP_STUCK_NO_APPROVAL, /* all suitable workers are disapproved */
+	WP_STUCK_SCAN,	      /* it could start, and is not started */
+};
+
+/**
+ * struct wp_stuck - a task that has had no run for long beside room for it
+ * @ref: the task
+ * @run: its newest run
+ * @state: its state
+ * @why: what keeps it from running
+ * @waited_us: how long it has been seen so
+ * @not_before_us: earliest next start
+ * @worker: worker that it is on; empty for none
+ * @waiting: the step's count of waiting tasks
+ * @listed: the step is among those that may start
+ * @ahead: steps among these that go before it, whose turn comes first
+ * @suspects: tasks of the step under which workers may have crashed
+ * @room: usable workers with room for it, whether approved or not
+ * @answered: workers that the advice service has answered about
+ * @approved: workers approved by its last answers
+ * @valid: those whose ticket is still valid
+ * @requested: workers that requests in flight name
+ * @in_flight: these requests
+ * @requested_slots: slots that they ask for
+ */
+struct wp_stuck {
+	struct jb_ref ref;
+	uint32_t run;
+	enum wp_task_state state;
+	enum wp_stuck_why why;
+	int64_t waited_us;
+	int64_t not_before_us;
+	char worker[WP_NAME_BYTES];
+	uint32_t waiting;
+	bool listed;
+	uint32_t ahead;
+	uint32_t suspects;
+	uint32_t room;
+	uint32_t answered;
+	uint32_t approved;
+	uint32_t valid;
+	uint32_t requested;
+	uint32_t in_flight;
+	uint32_t requested_slots;
+};
+
 /** enum wp_crash_kind - what became known of a run and its worker's crash */
 enum wp_crash_kind {
 	WP_CRASH_SUSPECTED, /* its worker is silent and may have crashed */
@@ -1376,6 +1443,24 @@
 uint32_t wp_get_gang_waits(const struct wp_pool *p, int64_t now_us,
     struct wp_gang_wait *list, uint32_t max);
 
+/**
+ * wp_find_stuck() - find tasks that have had no run for seconds beside free room
+ * @p: pool
+ * @now_us: time
+ * @list: filled in, one row for each step
+ * @max: rows that fit in @list
+ *
+ * To be called at intervals, by which the time of each task is measured. Looks
+ * for room for a limited number of steps, and changes no decision.
+ *
+ * Return: number of rows.
+ */
+uint32_t wp_find_stuck(
+    struct wp_pool *p, int64_t now_us, struct wp_stuck *list, uint32_t max);
+
+/** wp_stuck_name() - name of what keeps a task from running, in logs */
+const char *wp_stuck_name(enum wp_stuck_why why);
+
 /** wp_wait_name() - name of a cause in logs and metrics */
 const char *wp_wait_name(enum wp_wait wait);
 
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -44,6 +44,7 @@
 	bool draining = false;
 	int64_t silent_until_us = 0;
 	bool away = false; /* on the side of an owner that is cut off */
+	int64_t unhealthy_until_us = 0; /* it does nothing that it is told */
 	int64_t born_us = 0;
 	int64_t rate_per_mille = 1000;
 	std::string kind;
@@ -207,6 +208,7 @@
 	uint32_t answer_lost = 0;
 	uint32_t repeat_refused = 0; /* a start that was sent before */
 	uint32_t answer_late = 0;    /* of a renewal */
+	uint32_t advice_late = 0;    /* by seconds */
 };
 
 /**
@@ -233,6 +235,7 @@
 	void kill_owner();
 	void restart_some_worker();
 	void silence_some_worker();
+	void sicken_some_worker(int64_t until_us);
 	void resize_some_worker();
 	ModelOwner *owner();
 	uint64_t random(uint64_t below);
@@ -341,6 +344,7 @@
 	void renew_ownership(ModelOwner &o);
 	void step_down(ModelOwner &o);
 	void forget_ended_jobs(ModelOwner &o);
+	void check_pool(const ModelOwner &o);
 
 	/* takeover_commits.cc */
 	void start_commit(ModelOwner &o);
