pool: a later worker's answer ends the earlier one on its VM

Cause: an owner told that a worker has ended only from an answer under the same id, or from the end of its lease. The stored list named ids and addresses, so the next owner couldn't tell at all.

Ruled out: to conclude it from entries.

Change: state/pool_gone. A worker is over if a later one on its VM, by start time, has answered a call that was made after the earlier one was known, and after its last answer. Its tasks wait again, it leaves the registry, is not called and holds nothing. The registry names VM and start of each worker. Tasks are suspected of a crash as at the end of a lease, not counted as after a restart under the same id: that count isn't made at lease ends either, and losses of power would end long-running jobs as failed. While ownership is unconfirmed nothing is concluded.

--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -269,6 +269,9 @@
 		currant__known_worker__init(&row[list.n_workers]);
 		row[list.n_workers].id = w->id;
 		row[list.n_workers].address = w->address;
+		row[list.n_workers].vm = w->vm;
+		row[list.n_workers].has_born_ms = true;
+		row[list.n_workers].born_ms = wp_newest_incarnation_ms(w);
 		if (!w->opening)
 			cp_fill_closed_worker(cm, &row[list.n_workers], w);
 		list.workers[list.n_workers] = &row[list.n_workers];
--- a/curranttackd/cell_load.c
+++ b/curranttackd/cell_load.c
@@ -88,6 +88,9 @@
 	for (i = 0; i < list->n_workers; i++) {
 		wp_add_registered_worker(h->pool, list->workers[i]->id,
 		    list->workers[i]->address, now_us);
+		wp_describe_registered_worker(h->pool, list->workers[i]->id,
+		    list->workers[i]->vm != NULL ? list->workers[i]->vm : "",
+		    list->workers[i]->born_ms, now_us);
 		if (list->workers[i]->closed)
 			cp_close_worker(h, list->workers[i]);
 	}
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -647,10 +647,16 @@
   protobuf_c_boolean closed;
   size_t n_tasks;
   Currant__PoolTask **tasks;
+  /*
+   * Where it runs or ran, and when it started.
+   */
+  char *vm;
+  protobuf_c_boolean has_born_ms;
+  int64_t born_ms;
 };
 #define CURRANT__KNOWN_WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__known_worker__descriptor) \
-    , NULL, NULL, 0, 0, 0,NULL }
+    , NULL, NULL, 0, 0, 0,NULL, NULL, 0, 0 }
 
 
 struct  Currant__PoolWorkers
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -399,6 +399,9 @@
  *	incarnation; 0 before its first reply
  * @incarnation_read_us: when that incarnation was first heard from
  * @listed_incarnation_ms: incarnation that its entry is about; 0 when unknown
+ * @known_incarnation_ms: the same, or that of the stored registry
+ * @known_since_us: when that was first read
+ * @over: it has ended, as a later worker on its VM has answered
  * @listed: service discovery lists it
  * @draining: service discovery says that it receives no new tasks
  * @evacuating: being emptied for maintenance
@@ -470,6 +473,9 @@
 	int64_t incarnation_ms;
 	int64_t incarnation_read_us;
 	int64_t listed_incarnation_ms;
+	int64_t known_incarnation_ms;
+	int64_t known_since_us;
+	bool over;
 	bool listed;
 	bool draining;
 	bool evacuating;
@@ -739,6 +745,7 @@
  * @refused: results of orders, by result
  * @displaced: tasks that were moved off their worker before they ended
  * @leases_expired: leases of workers with tasks that were taken to have expired
+ * @over: workers that had ended, as later ones on their VMs showed
  * @advice_requests: advice requests
  * @passes: scheduling passes
  * @crashes: suspected runs whose worker has crashed
@@ -751,6 +758,7 @@
 	uint64_t refused[WP_NO_ANSWER + 1];
 	uint64_t displaced;
 	uint64_t leases_expired;
+	uint64_t over;
 	uint64_t advice_requests;
 	uint64_t passes;
 	uint64_t crashes;
@@ -926,6 +934,7 @@
  * @reconcile_pass: counts the passes of wp_reconcile_tick()
  * @reserve_at_us: when gangs are planned next
  * @sample_waits_at_us: when to sample next what steps wait for
+ * @check_over_at_us: when to look next for workers that have ended
  * @registry_dirty: the stored registry of workers is out of date
  * @close_at_us: no registry is stored before only to close workers
  * @near_work_ms: jobs with less work of their queue before them, on all workers,
@@ -972,6 +981,7 @@
 	uint32_t reconcile_pass;
 	int64_t reserve_at_us;
 	int64_t sample_waits_at_us;
+	int64_t check_over_at_us;
 	bool registry_dirty;
 	int64_t close_at_us;
 	int64_t near_work_ms;
@@ -1077,6 +1087,20 @@
 void wp_add_registered_worker(
     struct wp_pool *p, const char *id, const char *address, int64_t now_us);
 
+/**
+ * wp_describe_registered_worker() - say which worker the registry is about
+ * @p: pool
+ * @id: worker
+ * @vm: VM that it runs or ran on; empty when unknown
+ * @incarnation_ms: its newest incarnation known; 0 when unknown
+ * @now_us: time
+ */
+void wp_describe_registered_worker(struct wp_pool *p, const char *id,
+    const char *vm, int64_t incarnation_ms, int64_t now_us);
+
+/** wp_newest_incarnation_ms() - newest incarnation known, or 0 */
+int64_t wp_newest_incarnation_ms(const struct wp_worker *w);
+
 /**
  * wp_registry_loaded() - all workers of the stored registry have been added
  *
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -9,7 +9,8 @@
  * steps start), pool_task (state changes of tasks, steps and jobs), pool_store (what to store and acknowledge),
  * pool_stray (starts that may be carried out late), pool_worker (workers'
  * reports and leases), pool_reconcile (what may still run
- * for an earlier owner), pool_defer (jobs that no later owner has to wait for),
+ * for an earlier owner), pool_gone (workers that have ended, as a later one runs on
+ * their VM), pool_defer (jobs that no later owner has to wait for),
  * pool_gang, pool_approval (what the advice service approves, and how fast),
  * pool_advice (tickets), pool_reserve (resources kept for gangs), pool_forecast
  * (resources left for the next steps), pool_request (workers that an advice
@@ -139,6 +140,13 @@
 /** wp_step_update_lists() - list a step, or unlist it, as its state requires */
 void wp_step_update_lists(struct wp_pool *p, struct wp_step *s);
 
+/** wp_know_incarnation() - an entry or the registry tells of an incarnation */
+void wp_know_incarnation(const struct wp_pool *p, struct wp_worker *w,
+    int64_t incarnation_ms, int64_t now_us);
+/** wp_over_tick() - find workers that later ones on their VMs show to be over */
+void wp_over_tick(struct wp_pool *p, int64_t now_us);
+/** wp_forget_orphans() - forget the runs of no task that a worker had */
+void wp_forget_orphans(struct wp_worker *w);
 /** wp_worker_clock_ms() - estimate of a worker's clock */
 int64_t wp_worker_clock_ms(const struct wp_worker *w, int64_t now_us);
 /** wp_lease_expiry_us() - when all runs on a silent worker must have ended */
@@ -151,6 +159,8 @@
     struct wp_pool *p, struct wp_worker *w, int64_t now_us);
 /** wp_strays_tick() - rule out late starts with stops, forget the oldest */
 void wp_strays_tick(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+/** wp_strays_forget() - the worker is over, so no start reaches it any more */
+void wp_strays_forget(struct wp_worker *w);
 /** wp_strays_stopped() - the worker has confirmed a stop */
 void wp_strays_stopped(
     struct wp_worker *w, const struct wp_order *o, int64_t clock_ms);
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -5291,7 +5291,7 @@
   (ProtobufCMessageInit) currant__pool_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[4] =
+static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[6] =
 {
   {
     "id",
@@ -5341,17 +5341,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vm",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__KnownWorker, vm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__KnownWorker, has_born_ms),
+    offsetof(Currant__KnownWorker, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__known_worker__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  5,   /* field[5] = born_ms */
   2,   /* field[2] = closed */
   0,   /* field[0] = id */
   3,   /* field[3] = tasks */
+  4,   /* field[4] = vm */
 };
 static const ProtobufCIntRange currant__known_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor currant__known_worker__descriptor =
 {
@@ -5361,7 +5387,7 @@
   "Currant__KnownWorker",
   "currant",
   sizeof(Currant__KnownWorker),
-  4,
+  6,
   currant__known_worker__field_descriptors,
   currant__known_worker__field_indices_by_name,
   1,  currant__known_worker__number_ranges,
--- a/state/pool_stray.c
+++ b/state/pool_stray.c
@@ -78,6 +78,13 @@
 	wp_strays_count(w);
 }
 
+void
+wp_strays_forget(struct wp_worker *w)
+{
+	w->stray_count = 0;
+	wp_strays_count(w);
+}
+
 static void
 wp_strays_expire(struct wp_worker *w, int64_t now_us)
 {
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -126,10 +126,11 @@
 		w->freed = true;
 	w->capacity = info->capacity;
 	w->listed_incarnation_ms = info->incarnation_ms;
+	wp_know_incarnation(p, w, info->incarnation_ms, now_us);
 	w->capacity_until_ms = 0;
 	if (p->capacity_valid_ms > 0 && info->clock_ms > 0)
 		w->capacity_until_ms = info->clock_ms + p->capacity_valid_ms;
-	if (!w->registered)
+	if (!w->registered && !w->over)
 		p->registry_dirty = true;
 	if (!w->listed)
 		w->renew_at_us = now_us;
@@ -183,10 +184,11 @@
 bool
 wp_needs_registration(const struct wp_worker *w, int64_t now_us)
 {
-	return w->listed || w->tasks != NULL || now_us < wp_lease_expiry_us(w);
+	return !w->over &&
+	    (w->listed || w->tasks != NULL || now_us < wp_lease_expiry_us(w));
 }
 
-static void
+void
 wp_forget_orphans(struct wp_worker *w)
 {
 	memset(&w->orphaned, 0, sizeof(w->orphaned));
@@ -304,7 +306,8 @@
 wp_renewal_due(struct wp_pool *p, struct wp_worker *w, int64_t now_us,
     struct wp_renewal *renewal)
 {
-	if (w->renewal_in_flight || now_us < w->renew_at_us || p->superseded)
+	if (w->renewal_in_flight || now_us < w->renew_at_us || p->superseded ||
+	    w->over)
 		return false;
 	/* No run can be left there for a lease to keep alive. */
 	if (!w->listed && w->tasks == NULL && now_us > wp_lease_expiry_us(w))
@@ -714,6 +717,7 @@
     const struct wp_renewal_reply *reply, int64_t now_us)
 {
 	w->reachable = true;
+	w->over = false;
 	w->unreachable_since_us = 0;
 	w->cut_at_us = 0;
 	w->replaced = false;
@@ -1120,6 +1124,7 @@
 	struct wp_worker *w;
 	struct wp_worker *tmp;
 
+	wp_over_tick(p, now_us);
 	HASH_ITER(hh, p->workers, w, tmp)
 		wp_worker_tick(p, w, now_us);
 }
--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -119,6 +119,7 @@
 
 struct SimWorker {
 	std::string id;
+	std::string vm;
 	std::string domain;
 	bool alive = true;
 	uint32_t life = 1;
@@ -190,6 +191,8 @@
 	void freeze(size_t daemon, int64_t us);
 	void crash(size_t worker);
 	void revive(size_t worker);
+	/* Another one begins on its VM, last in @workers. */
+	void begin_on_vm_of(size_t worker);
 	void cut_domain(const std::string &domain, int64_t us);
 	void store_trouble(StoreTrouble kind, int64_t us);
 	void store_trouble_of(size_t daemon, StoreTrouble kind, int64_t us);
--- a/tests/unit/sim_formats.cc
+++ b/tests/unit/sim_formats.cc
@@ -19,6 +19,7 @@
 	std::string text((const char *)value, bytes);
 	size_t space = text.find(' ');
 	int64_t born_us = atoll(text.substr(space + 1).c_str());
+	size_t vm = text.rfind(' ') + 1;
 
 	(void)error;
 	(void)error_bytes;
@@ -28,6 +29,7 @@
 	info->domain = talloc_strdup(ctx, text.substr(0, space).c_str());
 	info->kind = "kind";
 	info->rack = "rack";
+	info->vm = talloc_strdup(ctx, text.substr(vm).c_str());
 	info->capacity = {kCores, 100000, 0};
 	info->incarnation_ms = (kWallStart + born_us) / kSimMs;
 	info->clock_ms = (sim_world->now - born_us) / kSimMs + 1;
@@ -62,7 +64,7 @@
 	return c;
 }
 
-/* "WORK_US STEPS TASKS": steps follow one another. */
+/* "WORK_US STEPS TASKS [FLAGS]": steps follow one another. */
 static struct jb_spec *
 sim_read_job(TALLOC_CTX *ctx, const char *body, size_t bytes, char *error,
     size_t error_bytes)
@@ -71,11 +73,12 @@
 	std::string text(body, bytes);
 	unsigned int steps = 0;
 	unsigned int tasks = 0;
+	unsigned int flags = 0;
 	long long work_us = 0;
 
 	(void)error;
 	(void)error_bytes;
-	sscanf(text.c_str(), "%lld %u %u", &work_us, &steps, &tasks);
+	sscanf(text.c_str(), "%lld %u %u %u", &work_us, &steps, &tasks, &flags);
 	spec->payload = talloc_strdup(spec, std::to_string(work_us).c_str());
 	spec->step = talloc_zero_array(spec, struct jb_step, steps);
 	spec->step_count = steps;
@@ -83,6 +86,7 @@
 		struct jb_step *s = &spec->step[i];
 
 		s->count = tasks;
+		s->flags = flags;
 		s->cpu_mcpu = 1000;
 		s->mem_mb = 10;
 		s->estimate_ms = (uint32_t)(work_us / kSimMs);
--- a/tests/unit/sim_workers.cc
+++ b/tests/unit/sim_workers.cc
@@ -75,7 +75,8 @@
 		    now >= w->seen_us + kHeartbeat) {
 			w->seen_us = now;
 			store.put("w/" + w->id,
-			    w->domain + " " + std::to_string(w->born_us));
+			    w->domain + " " + std::to_string(w->born_us) + " " +
+				w->vm);
 		} else if (now > w->seen_us + 3 * kHeartbeat) {
 			store.remove("w/" + w->id);
 		}
@@ -111,6 +112,20 @@
 	w.seen_us = now - kHeartbeat;
 }
 
+void
+SimWorld::begin_on_vm_of(size_t index)
+{
+	auto wk = std::make_unique<SimWorker>();
+
+	crash(index);
+	wk->id = "w" + std::to_string(workers.size());
+	wk->vm = workers[index]->vm;
+	wk->domain = workers[index]->domain;
+	wk->born_us = now;
+	wk->seen_us = now - kHeartbeat;
+	workers.push_back(std::move(wk));
+}
+
 static int64_t
 clock_ms(const SimWorker &w)
 {
--- a/tests/unit/sim_world.cc
+++ b/tests/unit/sim_world.cc
@@ -30,6 +30,7 @@
 		auto wk = std::make_unique<SimWorker>();
 
 		wk->id = "w" + std::to_string(i);
+		wk->vm = "vm-of-" + wk->id;
 		wk->domain = domains[i % 3];
 		wk->born_us = now - (int64_t)i * kSimS;
 		wk->seen_us = now - kHeartbeat;
--- a/tests/unit/takeover_commits.cc
+++ b/tests/unit/takeover_commits.cc
@@ -111,7 +111,8 @@
 	if (cm->has_registry) {
 		wp_registry_begin(o.pool, now);
 		HASH_ITER(hh, o.pool->workers, w, tmp) {
-			ModelRegistered r = {w->id, false, {}};
+			ModelRegistered r = {w->id, w->vm,
+			    wp_newest_incarnation_ms(w), false, {}};
 
 			if (!w->registering)
 				continue;
--- a/tests/unit/takeover_faults.cc
+++ b/tests/unit/takeover_faults.cc
@@ -99,7 +99,7 @@
 	if (alive.empty())
 		return;
 	ModelWorker &w = workers[alive[random(alive.size())]];
-	switch (random(14)) {
+	switch (random(replacements ? 18 : 14)) {
 	case 0:
 	case 1:
 	case 2:
@@ -126,6 +126,12 @@
 	case 9:
 		break_around_a_commit(w.id);
 		break;
+	case 14:
+	case 15:
+	case 16:
+	case 17:
+		replace_worker(w);
+		break;
 	default:
 		w.silent_until_us = now + (int64_t)(100 + random(8000)) * kMs;
 		break;
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -37,6 +37,7 @@
 /* A worker process; it does what the platform's workers are said to do. */
 struct ModelWorker {
 	std::string id;
+	std::string vm;
 	int64_t incarnation = 0;
 	bool alive = true;
 	bool listed = true;
@@ -102,6 +103,8 @@
 
 struct ModelRegistered {
 	std::string id;
+	std::string vm;
+	int64_t incarnation;
 	bool closed;
 	std::vector<struct jb_ref> tasks;
 };
@@ -224,11 +227,13 @@
 	/* So many workers crash that tasks are taken for the cause. */
 	bool crashes_fail_jobs = false;
 	bool capacity_changes = false; /* workers report theirs */
+	bool replacements = false;     /* workers end, others take their VM */
 	int64_t near_work_ms = 0;      /* jobs after that are deferred */
 	uint64_t deferred = 0;	       /* and known to a next owner */
 	int64_t owner_since_us = 0;
 	uint64_t takeovers = 0;
 	uint64_t starts = 0;
+	uint64_t over = 0; /* as a later worker on their VM showed */
 
       private:
 	struct Event {
@@ -266,6 +271,8 @@
 	void end_all_runs(ModelWorker &w);
 	void restart_worker(ModelWorker &w);
 	void remove_worker(ModelWorker &w);
+	void replace_worker(ModelWorker &w);
+	void begin_on_vm(const ModelWorker &last);
 
 	/* takeover_starts.cc */
 	enum wp_order_result do_order(ModelWorker &w, const ModelOrder &order);
--- a/tests/unit/takeover_owners.cc
+++ b/tests/unit/takeover_owners.cc
@@ -27,6 +27,8 @@
 	for (const ModelRegistered &r : registry) {
 		wp_add_registered_worker(
 		    o.pool, r.id.c_str(), "127.0.0.1:1", now);
+		wp_describe_registered_worker(
+		    o.pool, r.id.c_str(), r.vm.c_str(), r.incarnation, now);
 		if (r.closed)
 			wp_close_registered_worker(o.pool, r.id.c_str(),
 			    r.tasks.data(), (uint32_t)r.tasks.size());
@@ -83,6 +85,7 @@
 void
 TakeoverModel::step_down(ModelOwner &o)
 {
+	over += o.pool != nullptr ? o.pool->stats.over : 0;
 	talloc_free(o.pool);
 	o.pool = nullptr;
 	o.commit = nullptr;
--- a/tests/unit/takeover_workers.cc
+++ b/tests/unit/takeover_workers.cc
@@ -17,6 +17,7 @@
 	ModelWorker w;
 
 	w.id = "w" + std::to_string(next_worker++);
+	w.vm = "vm-" + w.id;
 	w.born_us = now - (int64_t)random(1000) * kS;
 	w.incarnation = w.born_us / kMs;
 	w.rate_per_mille = 980 + (int64_t)random(21);
@@ -192,13 +193,50 @@
 	});
 }
 
+/* The VM's clock may have been set back meanwhile. */
+void
+TakeoverModel::begin_on_vm(const ModelWorker &last)
+{
+	ModelWorker w;
+
+	w.id = "w" + std::to_string(next_worker++);
+	w.vm = last.vm;
+	w.born_us = now;
+	w.incarnation = now / kMs;
+	if (chance(200))
+		w.incarnation = last.incarnation + 2000 - (int64_t)random(4000);
+	w.rate_per_mille = last.rate_per_mille;
+	w.kind = last.kind;
+	report_worker(w);
+	workers[w.id] = w;
+	discovery_changed(w.id);
+}
+
+/* It ends, and another one begins on its VM; its entry is removed late. */
+void
+TakeoverModel::replace_worker(ModelWorker &w)
+{
+	std::string id = w.id;
+
+	end_all_runs(w);
+	w.alive = false;
+	w.running.clear();
+	after((int64_t)(100 + random(3000)) * kMs,
+	    [this, id] { begin_on_vm(workers[id]); });
+	after((int64_t)random(6000) * kMs, [this, id] {
+		workers[id].listed = false;
+		discovery_changed(id);
+	});
+}
+
 void
 TakeoverModel::list_worker(ModelOwner &o, const ModelWorker &w)
 {
 	const std::string &kind = capacity_changes ? w.reported_kind : w.kind;
 	struct wp_worker_info info = {w.id.c_str(), "127.0.0.1:1", "a",
 	    kind.c_str(), "rack", {w.reported_cpu, 1000, 0}, w.draining, 0,
-	    nullptr, capacity_changes ? w.reported_incarnation : w.incarnation,
+	    w.vm.c_str(),
+	    capacity_changes ? w.reported_incarnation : w.incarnation,
 	    capacity_changes ? w.reported_clock_ms : 0};
 
 	if (w.listed)
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -618,6 +618,7 @@
 	{
 		m = std::make_unique<TakeoverModel>(seed);
 		m->capacity_changes = capacity_changes;
+		m->replacements = replacements;
 		for (int i = 0; i < worker_count; i++)
 			m->add_worker();
 		m->run_for(kS);
@@ -847,6 +848,7 @@
 	uint32_t answers_late = 60;
 	/* Jobs more at a time, so that many wait. */
 	uint64_t burst = 0;
+	bool replacements = false;
 	std::unique_ptr<TakeoverModel> m;
 };
 
@@ -924,6 +926,21 @@
 	    (unsigned long long)deferred);
 }
 
+/* TWICE and LOST: workers end, and others begin on their VMs. */
+TEST_F(TakeoverSchedule, TasksOfReplacedWorkersRunOnceAndAllJobsEnd)
+{
+	auto range = seeds();
+	uint64_t over = 0;
+
+	replacements = true;
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		play_all_faults(seed);
+		over += m->over + m->owner()->pool->stats.over;
+	}
+	EXPECT_GT(over, 2 * (range.second - range.first));
+	printf("%llu workers were over\n", (unsigned long long)over);
+}
+
 TEST_F(TakeoverSchedule, RefusedRepeatsOfStartsRunNothingTwice)
 {
 	auto range = seeds();
