pool: the next owner doesn't wait anew for a worker never reached

Cause: each owner counted from its own claim until when earlier owners' leases may last on a silent worker, though the one before had never reached it either, so could have given it none.

Ruled out: to store a time of day, as the term does: a clock that is set forward between two owners would bring it nearer (TWICE). What is left of the time is stored instead, and counted from when a daemon first read that list, which is never before it was stored; a daemon that was restarted since only waits longer. As the mark binds every owner until a list without it is stored, it doesn't matter which term wrote the list.

Change: state/pool_unleased. The time is stored again when earlier owners are known to have stopped.

Cost: a worker that comes back to such an owner gets its lease one commit later, and none while the store is unavailable.

--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -225,6 +225,21 @@
 	}
 }
 
+static void
+cp_fill_worker(TALLOC_CTX *ctx, Currant__KnownWorker *row, struct wp_worker *w)
+{
+	currant__known_worker__init(row);
+	row->id = w->id;
+	row->address = w->address;
+	row->vm = w->vm;
+	row->has_born_ms = true;
+	row->born_ms = wp_newest_incarnation_ms(w);
+	row->has_lease_left_ms = w->marked;
+	row->lease_left_ms = wp_inherited_lease_ms(w, clk_now_us());
+	if (!w->opening)
+		cp_fill_closed_worker(ctx, row, w);
+}
+
 static void
 cp_fill_not_started(
     const struct cp_host *h, struct cp_commit *cm, Currant__PoolWorkers *list)
@@ -266,14 +281,7 @@
 	HASH_ITER(hh, h->pool->workers, w, tmp) {
 		if (!w->registering)
 			continue;
-		currant__known_worker__init(&row[list.n_workers]);
-		row[list.n_workers].id = w->id;
-		row[list.n_workers].address = w->address;
-		row[list.n_workers].vm = w->vm;
-		row[list.n_workers].has_born_ms = true;
-		row[list.n_workers].born_ms = wp_newest_incarnation_ms(w);
-		if (!w->opening)
-			cp_fill_closed_worker(cm, &row[list.n_workers], w);
+		cp_fill_worker(cm, &row[list.n_workers], w);
 		list.workers[list.n_workers] = &row[list.n_workers];
 		list.n_workers++;
 	}
--- a/curranttackd/cell_load.c
+++ b/curranttackd/cell_load.c
@@ -78,6 +78,22 @@
 	return list;
 }
 
+static void
+cp_load_worker(
+    struct cp_host *h, const Currant__KnownWorker *row, int64_t now_us)
+{
+	const struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
+
+	wp_add_registered_worker(h->pool, row->id, row->address, now_us);
+	wp_describe_registered_worker(h->pool, row->id,
+	    row->vm != NULL ? row->vm : "", row->born_ms, now_us);
+	if (row->has_lease_left_ms)
+		wp_mark_registered_worker(
+		    h->pool, row->id, row->lease_left_ms, o->workers_read_us);
+	if (row->closed)
+		cp_close_worker(h, row);
+}
+
 /* Adds the workers that earlier owners used, as some may not be listed now. */
 static void
 cp_load_registry(
@@ -85,15 +101,8 @@
 {
 	size_t i;
 
-	for (i = 0; i < list->n_workers; i++) {
-		wp_add_registered_worker(h->pool, list->workers[i]->id,
-		    list->workers[i]->address, now_us);
-		wp_describe_registered_worker(h->pool, list->workers[i]->id,
-		    list->workers[i]->vm != NULL ? list->workers[i]->vm : "",
-		    list->workers[i]->born_ms, now_us);
-		if (list->workers[i]->closed)
-			cp_close_worker(h, list->workers[i]);
-	}
+	for (i = 0; i < list->n_workers; i++)
+		cp_load_worker(h, list->workers[i], now_us);
 	wp_registry_loaded(h->pool);
 }
 
--- a/curranttackd/replica_pools.c
+++ b/curranttackd/replica_pools.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/log.h"
 #include "curranttackd/replica_internal.h"
 #include "protocol/curranttack.pb-c.h"
@@ -93,6 +94,7 @@
 		return;
 	talloc_free(o->workers);
 	o->workers_revision = item->revision;
+	o->workers_read_us = clk_now_us();
 	o->workers = talloc_memdup(o, item->value, item->value_bytes);
 	o->workers_bytes = item->value_bytes;
 }
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -106,6 +106,7 @@
  *	@term may still act on workers
  * @workers: encoded list of workers that owners have used, @workers_bytes long
  * @workers_revision: revision of @workers; 0 without one
+ * @workers_read_us: when that revision was first read
  * @found_in_load: number of the last load that has read the owner's key
  */
 struct rp_owner {
@@ -127,6 +128,7 @@
 	uint8_t *workers;
 	size_t workers_bytes;
 	uint64_t workers_revision;
+	int64_t workers_read_us;
 	uint32_t found_in_load;
 	UT_hash_handle hh;
 };
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -653,10 +653,16 @@
   char *vm;
   protobuf_c_boolean has_born_ms;
   int64_t born_ms;
+  /*
+   * It has no lease from the owner that stored this, and gets none before a
+   * list without this is stored; earlier leases end within this time.
+   */
+  protobuf_c_boolean has_lease_left_ms;
+  int64_t lease_left_ms;
 };
 #define CURRANT__KNOWN_WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__known_worker__descriptor) \
-    , NULL, NULL, 0, 0, 0,NULL, NULL, 0, 0 }
+    , NULL, NULL, 0, 0, 0,NULL, NULL, 0, 0, 0, 0 }
 
 
 struct  Currant__PoolWorkers
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -411,6 +411,9 @@
  * @registering: the registry in the commit in flight names it
  * @closed: the stored registry may name all tasks on it, so it receives none
  * @opening: the registry in the commit in flight opens it
+ * @unleased: the stored registry may say that it has no lease from this owner, so
+ *	it gets none, and no tasks
+ * @marked: the newest registry, stored or in flight, says so
  * @closed_task: the tasks that the registry names, @closed_task_count of them
  * @close_at_us: it is not closed before
  * @used: resources of tasks that are or may be on it
@@ -485,6 +488,8 @@
 	bool registering;
 	bool closed;
 	bool opening;
+	bool unleased;
+	bool marked;
 	struct jb_ref *closed_task;
 	uint32_t closed_task_count;
 	int64_t close_at_us;
@@ -1138,6 +1143,22 @@
 void wp_close_registered_worker(struct wp_pool *p, const char *id,
     const struct jb_ref *task, uint32_t task_count);
 
+/**
+ * wp_inherited_lease_ms() - for how long leases of earlier owners may last on a
+ * worker that has none from this owner
+ */
+int64_t wp_inherited_lease_ms(const struct wp_worker *w, int64_t now_us);
+
+/**
+ * wp_mark_registered_worker() - a worker has no lease from the last owner
+ * @p: pool
+ * @id: worker
+ * @left_ms: for how long those of earlier ones may last, as stored
+ * @since_us: when the registry that says so was stored, or later
+ */
+void wp_mark_registered_worker(
+    struct wp_pool *p, const char *id, int64_t left_ms, int64_t since_us);
+
 /**
  * wp_is_holding() - whether a worker may run tasks of an earlier owner, or have
  * ends of their runs that it has not listed yet
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -10,7 +10,7 @@
  * pool_stray (starts that may be carried out late), pool_worker (workers'
  * reports and leases), pool_reconcile (what may still run
  * for an earlier owner), pool_gone (workers that have ended, as a later one runs on
- * their VM), pool_defer (jobs that no later owner has to wait for),
+ * their VM), pool_unleased (workers that have no lease from this owner), pool_defer (jobs that no later owner has to wait for),
  * pool_gang, pool_approval (what the advice service approves, and how fast),
  * pool_advice (tickets), pool_reserve (resources kept for gangs), pool_forecast
  * (resources left for the next steps), pool_request (workers that an advice
@@ -143,6 +143,13 @@
 /** wp_know_incarnation() - an entry or the registry tells of an incarnation */
 void wp_know_incarnation(const struct wp_pool *p, struct wp_worker *w,
     int64_t incarnation_ms, int64_t now_us);
+/** wp_unleased_tick() - have a worker marked as without a lease, or not any more */
+void wp_unleased_tick(
+    struct wp_pool *p, const struct wp_worker *w, int64_t now_us);
+/** wp_unleased_begin() - decide what the registry about to be stored says */
+void wp_unleased_begin(struct wp_worker *w, int64_t now_us);
+/** wp_unleased_end() - that registry is stored */
+void wp_unleased_end(struct wp_worker *w);
 /** wp_over_tick() - find workers that later ones on their VMs show to be over */
 void wp_over_tick(struct wp_pool *p, int64_t now_us);
 /** wp_forget_orphans() - forget the runs of no task that a worker had */
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -5291,7 +5291,7 @@
   (ProtobufCMessageInit) currant__pool_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[6] =
+static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[7] =
 {
   {
     "id",
@@ -5365,19 +5365,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_left_ms",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__KnownWorker, has_lease_left_ms),
+    offsetof(Currant__KnownWorker, lease_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__known_worker__field_indices_by_name[] = {
   1,   /* field[1] = address */
   5,   /* field[5] = born_ms */
   2,   /* field[2] = closed */
   0,   /* field[0] = id */
+  6,   /* field[6] = lease_left_ms */
   3,   /* field[3] = tasks */
   4,   /* field[4] = vm */
 };
 static const ProtobufCIntRange currant__known_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor currant__known_worker__descriptor =
 {
@@ -5387,7 +5400,7 @@
   "Currant__KnownWorker",
   "currant",
   sizeof(Currant__KnownWorker),
-  6,
+  7,
   currant__known_worker__field_descriptors,
   currant__known_worker__field_indices_by_name,
   1,  currant__known_worker__number_ranges,
--- a/state/pool_reconcile.c
+++ b/state/pool_reconcile.c
@@ -138,6 +138,7 @@
 			w->registered = false;
 		else
 			wp_registry_add(w, &room, now_us);
+		wp_unleased_begin(w, now_us);
 	}
 }
 
@@ -152,6 +153,7 @@
 		w->registered = w->registering;
 		if (w->registered && w->opening)
 			w->closed = false;
+		wp_unleased_end(w);
 	}
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -177,8 +177,10 @@
 		if (w->earlier_owner_until_us > leases_end_us)
 			w->earlier_owner_until_us = leases_end_us;
 	}
-	if (p->earlier_owner_until_us > leases_end_us)
-		p->earlier_owner_until_us = leases_end_us;
+	if (p->earlier_owner_until_us <= leases_end_us)
+		return;
+	p->earlier_owner_until_us = leases_end_us;
+	p->registry_dirty = true;
 }
 
 bool
@@ -318,7 +320,7 @@
 	renewal->acked_end = w->acked_sent;
 	renewal->deadline_clock_ms = 0;
 	renewal->wait_ms = 0;
-	if (!w->token_accepted || !w->reachable)
+	if (!w->token_accepted || !w->reachable || w->unleased)
 		return true;
 	renewal->deadline_clock_ms =
 	    wp_worker_clock_ms(w, now_us + WP_LEASE_US);
@@ -1116,6 +1118,7 @@
 	if (w->registered && !wp_needs_registration(w, now_us))
 		p->registry_dirty = true;
 	wp_close_tick(p, w, now_us);
+	wp_unleased_tick(p, w, now_us);
 }
 
 void
--- a/tests/unit/takeover_commits.cc
+++ b/tests/unit/takeover_commits.cc
@@ -15,6 +15,7 @@
 		registry = cm.registry;
 		not_started = cm.not_started;
 		registry_term = cm.term;
+		registry_stored_us = now;
 	}
 	for (auto &row : cm.progress) {
 		ModelJob &job = jobs[row.first];
@@ -112,7 +113,9 @@
 		wp_registry_begin(o.pool, now);
 		HASH_ITER(hh, o.pool->workers, w, tmp) {
 			ModelRegistered r = {w->id, w->vm,
-			    wp_newest_incarnation_ms(w), false, {}};
+			    wp_newest_incarnation_ms(w),
+			    w->marked ? wp_inherited_lease_ms(w, now) : -1,
+			    false, {}};
 
 			if (!w->registering)
 				continue;
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -105,6 +105,7 @@
 	std::string id;
 	std::string vm;
 	int64_t incarnation;
+	int64_t lease_left_ms; /* -1 without a mark */
 	bool closed;
 	std::vector<struct jb_ref> tasks;
 };
@@ -228,12 +229,14 @@
 	bool crashes_fail_jobs = false;
 	bool capacity_changes = false; /* workers report theirs */
 	bool replacements = false;     /* workers end, others take their VM */
+	int64_t work_factor = 1;       /* how long runs last */
 	int64_t near_work_ms = 0;      /* jobs after that are deferred */
 	uint64_t deferred = 0;	       /* and known to a next owner */
 	int64_t owner_since_us = 0;
 	uint64_t takeovers = 0;
 	uint64_t starts = 0;
-	uint64_t over = 0; /* as a later worker on their VM showed */
+	uint64_t marked = 0; /* as having no lease of the last owner */
+	uint64_t over = 0;   /* as a later worker on their VM showed */
 
       private:
 	struct Event {
@@ -348,6 +351,7 @@
 	std::vector<ModelRegistered> registry;
 	std::vector<std::string> not_started;
 	uint32_t registry_term = 0;
+	int64_t registry_stored_us = 0;
 	int64_t claim_at_us = 0;
 	int next_worker = 0;
 	int next_job = 1;
--- a/tests/unit/takeover_owners.cc
+++ b/tests/unit/takeover_owners.cc
@@ -23,12 +23,20 @@
 	struct wp_settings settings = {term - 1, earlier_us,
 	    capacity_changes ? kReportValidMs : 0, kMaxHoldMs, near_work_ms};
 
+	/* Every other daemon has been started since. */
+	int64_t read_us = takeovers % 2 == 0 ? now : registry_stored_us;
+
 	o.pool = wp_create(nullptr, "pool", &settings);
 	for (const ModelRegistered &r : registry) {
 		wp_add_registered_worker(
 		    o.pool, r.id.c_str(), "127.0.0.1:1", now);
 		wp_describe_registered_worker(
 		    o.pool, r.id.c_str(), r.vm.c_str(), r.incarnation, now);
+		if (r.lease_left_ms >= 0) {
+			wp_mark_registered_worker(
+			    o.pool, r.id.c_str(), r.lease_left_ms, read_us);
+			marked++;
+		}
 		if (r.closed)
 			wp_close_registered_worker(o.pool, r.id.c_str(),
 			    r.tasks.data(), (uint32_t)r.tasks.size());
--- a/tests/unit/takeover_starts.cc
+++ b/tests/unit/takeover_starts.cc
@@ -39,7 +39,7 @@
 	run.cpu = kCpu;
 	run.sent_us = order.sent_us;
 	run.astray = order.incarnation != w.incarnation;
-	run.ends_us = now + (int64_t)(50 + random(1200)) * kMs;
+	run.ends_us = now + (int64_t)(50 + random(1200)) * work_factor * kMs;
 	if (jobs[task.substr(0, 16)].bad && chance(300))
 		run.outcome = WP_END_FAILED;
 	else if (step->flags & JB_LONG_RUNNING)
--- a/tests/unit/test_pool_gone.cc
+++ b/tests/unit/test_pool_gone.cc
@@ -277,4 +277,134 @@
 	EXPECT_EQ(task(kJob, 0, 0)->crash_count, 0u);
 }
 
+/* Workers that have no lease from their pool's owner, as its registry says. */
+class PoolUnleased : public PoolGone
+{
+      protected:
+	/* A new owner can't reach "a"; earlier leases there last until then. */
+	void
+	take_over_beside_a_silent_worker()
+	{
+		take_over();
+		list_on("a", "vm", 100);
+		commit();
+		until_us = p->earlier_owner_until_us;
+		lose("a");
+	}
+
+	/* What the registry of the last owner says of "a", read then. */
+	void
+	take_over_marked(int64_t left_ms, int64_t read_us)
+	{
+		take_over();
+		wp_mark_registered_worker(p, "a", left_ms, read_us);
+		list_on("a", "vm", 100);
+	}
+
+	bool
+	has_deadline(const std::string &id)
+	{
+		struct wp_renewal renewal;
+
+		worker(id)->renew_at_us = now;
+		worker(id)->renewal_in_flight = false;
+		EXPECT_TRUE(wp_renewal_due(p, worker(id), now, &renewal));
+		return renewal.deadline_clock_ms != 0;
+	}
+
+	int64_t until_us = 0;
+};
+
+TEST_F(PoolUnleased, SilentWorkerIsMarkedWithWhatIsLeftOfEarlierLeases)
+{
+	take_over_beside_a_silent_worker();
+	EXPECT_FALSE(p->registry_dirty);
+	run_all(600 * kMs);
+	EXPECT_TRUE(p->registry_dirty);
+	wp_registry_begin(p, now);
+	EXPECT_TRUE(worker("a")->marked);
+	EXPECT_EQ(wp_inherited_lease_ms(worker("a"), now),
+	    (until_us - now) / kMs + 1);
+	wp_registry_end(p);
+	run_all(600 * kMs);
+	EXPECT_FALSE(p->registry_dirty);
+}
+
+TEST_F(PoolUnleased, WorkerThatHasAnsweredIsNeverMarked)
+{
+	take_over();
+	list_on("a", "vm", 100);
+	answer_from("a", 100);
+	commit();
+	lose("a");
+	run_all(2 * kS);
+	commit();
+	EXPECT_FALSE(worker("a")->marked);
+}
+
+TEST_F(PoolUnleased, MarkedWorkerGetsNoLeaseBeforeAListWithoutTheMarkIsStored)
+{
+	take_over_beside_a_silent_worker();
+	run_all(600 * kMs);
+	wp_registry_begin(p, now);
+	answer_from("a", 100);
+	EXPECT_FALSE(has_deadline("a"));
+	EXPECT_FALSE(wp_is_usable(worker("a"), now));
+	wp_registry_end(p);
+	EXPECT_FALSE(has_deadline("a"));
+	run_all(10 * kMs);
+	EXPECT_TRUE(p->registry_dirty);
+	wp_registry_begin(p, now);
+	EXPECT_FALSE(worker("a")->marked);
+	EXPECT_FALSE(has_deadline("a"));
+	wp_registry_end(p);
+	EXPECT_TRUE(has_deadline("a"));
+	EXPECT_TRUE(wp_is_usable(worker("a"), now));
+}
+
+TEST_F(PoolUnleased, NextOwnerWaitsForEarlierLeasesNotFromItsOwnClaim)
+{
+	take_over_marked(3000, kStart - 2 * kS);
+	commit();
+	now = kStart + 900 * kMs;
+	run_all();
+	EXPECT_FALSE(p->reconciled);
+	now = kStart + 1100 * kMs;
+	run_all();
+	EXPECT_TRUE(p->reconciled);
+}
+
+TEST_F(PoolUnleased, MarkNeverProlongsTheWait)
+{
+	take_over_marked(100000, kStart);
+	EXPECT_EQ(
+	    worker("a")->earlier_owner_until_us, p->earlier_owner_until_us);
+}
+
+/* Until it answers: the next owner but one relies on it, too. */
+TEST_F(PoolUnleased, NextOwnerKeepsTheMark)
+{
+	take_over_marked(3000, kStart);
+	commit();
+	EXPECT_TRUE(worker("a")->marked);
+	answer_from("a", 100);
+	EXPECT_FALSE(has_deadline("a"));
+	run_all(10 * kMs);
+	EXPECT_TRUE(p->registry_dirty);
+	commit();
+	EXPECT_TRUE(has_deadline("a"));
+}
+
+/* The time that is left has become shorter. */
+TEST_F(PoolUnleased, MarkIsStoredAgainOnceEarlierOwnersAreKnownToHaveStopped)
+{
+	take_over_beside_a_silent_worker();
+	run_all(600 * kMs);
+	commit();
+	EXPECT_FALSE(p->registry_dirty);
+	wp_earlier_owners_stopped(p, now + 1 * kS);
+	EXPECT_TRUE(p->registry_dirty);
+	EXPECT_LE(wp_inherited_lease_ms(worker("a"), now), 1001);
+}
+
 } // namespace
--- a/tests/unit/test_promises_gone.cc
+++ b/tests/unit/test_promises_gone.cc
@@ -24,6 +24,9 @@
 /* Nothing of an ended worker is waited for once its VM's next one answers. */
 constexpr int64_t kSoon = 1500 * kSimMs;
 
+/* The rule asks for a run from 6 s after the last one, for 3 s. */
+constexpr int64_t kRule = 9 * kSimS;
+
 class Gone : public testing::Test, public SimObserver
 {
       protected:
@@ -184,4 +187,34 @@
 	}
 }
 
+/* The next owner waits for a lease or so; the one after, not once more. */
+TEST_F(Gone, OwnerDoesNotWaitAnewForAWorkerThatTheLastOneNeverReached)
+{
+	for (int64_t alive_ms : {800, 1000, 1500, 2000}) {
+		begin(1);
+		size_t first = owner();
+		size_t worker = busiest(1)[0];
+
+		w->crash(worker);
+		w->kill(first, true);
+		w->after(kDown, [this, first] { w->start(first); });
+		int64_t lost_us = w->now;
+
+		while (owner() == kDaemons || owner() == first)
+			run_for(kSample);
+		int64_t claimed_us = w->now;
+
+		run_for(alive_ms * kSimMs);
+		w->kill(owner(), true);
+		run_for(20 * kSimS);
+		printf("%lld ms after its claim at %lld ms: %lld ms\n",
+		    (long long)alive_ms,
+		    (long long)((claimed_us - lost_us) / kSimMs),
+		    (long long)(longest_us / kSimMs));
+		EXPECT_EQ(running().size(), kTasks);
+		EXPECT_LE(longest_us, kRule) << alive_ms << " ms";
+		EXPECT_TRUE(twice.empty()) << alive_ms << " ms";
+	}
+}
+
 } // namespace
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -642,10 +642,50 @@
 				m->cancel_some_job();
 			if (m->chance(180))
 				m->break_something();
+			if (short_owners)
+				end_young_owner();
 			m->run_for((int64_t)(20 + m->random(400)) * kMs);
 		}
 	}
 
+	/* They answer an owner that can't store that, and are cut off again. */
+	void
+	return_silent_workers()
+	{
+		std::vector<std::string> back;
+
+		if (m->owner() == nullptr)
+			return;
+		m->owner()->cut_until_us = m->now + 3 * kS;
+		for (auto &w : m->workers) {
+			if (w.second.alive && w.second.silent_until_us > m->now)
+				back.push_back(w.first);
+		}
+		for (const std::string &id : back)
+			m->workers[id].silent_until_us = m->now;
+		m->run_for((int64_t)(300 + m->random(800)) * kMs);
+		for (const std::string &id : back)
+			m->workers[id].silent_until_us =
+			    m->now + (int64_t)m->random(8000) * kMs;
+	}
+
+	/* Within seconds of its claim, beside workers that fall silent or return. */
+	void
+	end_young_owner()
+	{
+		if (m->now - m->owner_since_us < 600 * kMs || !m->chance(200))
+			return;
+		if (m->chance(300))
+			return_silent_workers();
+		else if (m->chance(500))
+			m->silence_some_worker();
+		if (m->chance(500))
+			m->kill_owner();
+		else
+			m->freeze_owner(
+			    (int64_t)(1000 + m->random(12000)) * kMs);
+	}
+
 	/* Orders are often late, and workers often restart meanwhile. */
 	void
 	play_late_orders(int64_t us)
@@ -849,6 +889,7 @@
 	/* Jobs more at a time, so that many wait. */
 	uint64_t burst = 0;
 	bool replacements = false;
+	bool short_owners = false;
 	std::unique_ptr<TakeoverModel> m;
 };
 
@@ -894,6 +935,7 @@
 TEST_F(TakeoverSchedule, NextOwnerWaitsForTheLongestLeaseOfARestartedWorker)
 {
 	play_late_seed(231);
+	play_late_seed(883);
 	play_late_seed(1676);
 }
 
@@ -941,6 +983,30 @@
 	printf("%llu workers were over\n", (unsigned long long)over);
 }
 
+/* TWICE: a worker that an owner has not reached is not waited for anew. */
+TEST_F(TakeoverSchedule, OwnersThatEndSoonRunNothingTwice)
+{
+	auto range = seeds();
+	uint64_t marked = 0;
+
+	short_owners = true;
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		replacements = seed % 2 == 0;
+		begin(seed);
+		m->work_factor = 5;
+		play_faults(25 * kS);
+		m->heal({});
+		m->work_factor = 1;
+		m->run_for(60 * kS);
+		expect_no_violation(seed);
+		EXPECT_EQ(idle_beside_free_room(), 0U) << "seed " << seed;
+		marked += m->marked;
+	}
+	EXPECT_GT(marked, 10 * (range.second - range.first));
+	printf("%llu workers were marked in a list that was read\n",
+	    (unsigned long long)marked);
+}
+
 TEST_F(TakeoverSchedule, RefusedRepeatsOfStartsRunNothingTwice)
 {
 	auto range = seeds();
