--- a/tests/unit/takeover_faults.cc
+++ b/tests/unit/takeover_faults.cc
@@ -164,13 +164,15 @@
 }
 
 void
-TakeoverModel::silence_some_worker()
+TakeoverModel::silence_some_worker(int64_t us)
 {
 	std::vector<std::string> alive = alive_workers();
 
-	if (!alive.empty())
-		workers[alive[random(alive.size())]].silent_until_us =
-		    now + (int64_t)(100 + random(8000)) * kMs;
+	if (alive.empty())
+		return;
+	if (us == 0)
+		us = (int64_t)(100 + random(8000)) * kMs;
+	workers[alive[random(alive.size())]].silent_until_us = now + us;
 }
 
 void
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -198,7 +198,7 @@
 	void freeze_owner(int64_t us);
 	void kill_owner();
 	void restart_some_worker();
-	void silence_some_worker();
+	void silence_some_worker(int64_t us = 0);
 	void resize_some_worker();
 	ModelOwner *owner();
 	uint64_t random(uint64_t below);
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -669,6 +669,18 @@
 			    m->now + (int64_t)m->random(8000) * kMs;
 	}
 
+	/* Until the next one has claimed the pool. */
+	void
+	end_owner()
+	{
+		uint64_t takeovers = m->takeovers;
+
+		m->kill_owner();
+		for (int i = 0; i < 500 && m->takeovers == takeovers; i++)
+			m->run_for(10 * kMs);
+		ASSERT_GT(m->takeovers, takeovers);
+	}
+
 	/* Within seconds of its claim, beside workers that fall silent or return. */
 	void
 	end_young_owner()
@@ -1007,6 +1019,30 @@
 	    (unsigned long long)marked);
 }
 
+/* TWICE: an owner that has marked a worker, and can't store that it answers. */
+TEST_F(TakeoverSchedule, MarkedWorkerThatReturnsGetsNoLeaseWithoutTheStore)
+{
+	auto range = seeds();
+	uint64_t marked = 0;
+
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		begin(seed);
+		m->work_factor = 20;
+		for (int i = 0; i < 6; i++)
+			m->add_job(false);
+		m->run_for(1 * kS);
+		m->silence_some_worker(6 * kS);
+		end_owner();
+		m->run_for((int64_t)(600 + m->random(500)) * kMs);
+		return_silent_workers();
+		end_owner();
+		m->run_for(8 * kS);
+		expect_no_violation(seed);
+		marked += m->marked;
+	}
+	EXPECT_GT(marked, (range.second - range.first) / 3);
+}
+
 TEST_F(TakeoverSchedule, RefusedRepeatsOfStartsRunNothingTwice)
 {
 	auto range = seeds();
