pool: workers that are gone are not counted as unreachable

Renewals stop once a worker is unlisted, has no tasks and its lease has expired; the registry drops it then. What stays is the struct, since tickets and tasks to be kept off a worker refer to it, and a glance at each tick.

Change: both counts leave out workers that no later owner has to know of.

Two tests, which failed before (counts 1 and 1 instead of 0).

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -778,12 +778,13 @@
  * @running: tasks that are starting, running or being stopped
  * @held: tasks in WP_TASK_UNRECONCILED
  * @usable: workers that may receive tasks
- * @unfenced: workers that have not accepted this owner's fencing token
+ * @unfenced: workers that have not accepted this owner's fencing token, without
+ *	those on which nothing runs any more and that are not listed
  * @cpu_percent: share of the usable workers' cores that is taken
  * @gpu_percent: share of their accelerators that is taken
  * @late: waiting tasks of ready steps that will miss their objective
  * @asking: steps with an advice request in flight
- * @unreachable: workers whose last renewal was not answered
+ * @unreachable: those, likewise, whose last renewal was not answered
  * @overfull: usable workers whose tasks take more than their capacity
  * @outdated: workers not used since their capacity was reported too long ago
  */
--- a/state/pool.c
+++ b/state/pool.c
@@ -436,9 +436,12 @@
 
 	memset(n, 0, sizeof(*n));
 	HASH_ITER(hh, p->workers, w, wnext) {
-		n->usable += wp_is_usable(w, now_us);
+		/* Nothing depends on one that is gone. */
+		if (!wp_needs_registration(w, now_us))
+			continue;
 		n->unfenced += !w->token_accepted;
 		n->unreachable += w->unreachable_since_us != 0;
+		n->usable += wp_is_usable(w, now_us);
 		n->outdated += w->listed && !wp_knows_capacity(w, now_us);
 		if (!wp_is_usable(w, now_us))
 			continue;
--- a/tests/unit/test_pool_gone.cc
+++ b/tests/unit/test_pool_gone.cc
@@ -132,6 +132,39 @@
 	EXPECT_FALSE(p->registry_dirty);
 }
 
+TEST_F(PoolGone, WorkerThatIsOverIsNotCountedAsUnreachable)
+{
+	struct wp_counts n;
+
+	take_over();
+	list_on("b", "vm", 200);
+	lose("a");
+	wp_get_counts(p, now, &n);
+	EXPECT_EQ(n.unreachable, 1u);
+	EXPECT_EQ(n.unfenced, 2u);
+	answer_from("b", 200);
+	EXPECT_TRUE(is_over_after("a"));
+	wp_get_counts(p, now, &n);
+	EXPECT_EQ(n.unreachable, 0u);
+	EXPECT_EQ(n.unfenced, 0u);
+}
+
+TEST_F(PoolGone, WorkerWhoseLeaseHasExpiredIsNotCountedAsUnreachable)
+{
+	struct wp_counts n;
+
+	take_over();
+	lose("a");
+	run_all(kHoldsAll - 1 * kS);
+	wp_get_counts(p, now, &n);
+	EXPECT_EQ(n.unreachable, 1u);
+	EXPECT_EQ(n.unfenced, 1u);
+	run_all(2 * kS);
+	wp_get_counts(p, now, &n);
+	EXPECT_EQ(n.unreachable, 0u);
+	EXPECT_EQ(n.unfenced, 0u);
+}
+
 TEST_F(PoolGone, EntryAloneEndsNothing)
 {
 	lose_worker_with_a_task();
