--- a/tests/unit/test_pool_gone.cc
+++ b/tests/unit/test_pool_gone.cc
@@ -407,6 +407,18 @@
 	EXPECT_TRUE(p->reconciled);
 }
 
+/* However short the time is for which this owner lasts. */
+TEST_F(PoolUnleased, WorkerWhoseEarlierLeasesHaveEndedLeavesTheFirstList)
+{
+	take_over_marked(3000, kStart - 4 * kS);
+	wp_unlist_worker(p, "a");
+	EXPECT_FALSE(wp_is_holding(worker("a"), now));
+	commit();
+	EXPECT_FALSE(worker("a")->registered);
+	run_all();
+	EXPECT_TRUE(p->reconciled);
+}
+
 TEST_F(PoolUnleased, MarkNeverProlongsTheWait)
 {
 	take_over_marked(100000, kStart);
