--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -417,6 +417,9 @@
  *	incarnation; 0 before its first reply
  * @incarnation_read_us: when that incarnation was first heard from
  * @listed_incarnation_ms: incarnation that its entry is about; 0 when unknown
+ * @known_incarnation_ms: the same, or that of the stored registry
+ * @known_since_us: when that was first read
+ * @over: it has ended, as a later worker on its VM has answered
  * @listed: service discovery lists it
  * @draining: service discovery says that it receives no new tasks
  * @evacuating: being emptied for maintenance
@@ -426,6 +429,9 @@
  * @registering: the registry in the commit in flight names it
  * @closed: the stored registry may name all tasks on it, so it receives none
  * @opening: the registry in the commit in flight opens it
+ * @unleased: the stored registry may say that it has no lease from this owner, so
+ *	it gets none, and no tasks
+ * @marked: the newest registry, stored or in flight, says so
  * @closed_task: the tasks that the registry names, @closed_task_count of them
  * @close_at_us: it is not closed before
  * @used: resources of tasks that are or may be on it
@@ -491,6 +497,9 @@
 	int64_t incarnation_ms;
 	int64_t incarnation_read_us;
 	int64_t listed_incarnation_ms;
+	int64_t known_incarnation_ms;
+	int64_t known_since_us;
+	bool over;
 	bool listed;
 	bool draining;
 	bool evacuating;
@@ -500,6 +509,8 @@
 	bool registering;
 	bool closed;
 	bool opening;
+	bool unleased;
+	bool marked;
 	struct jb_ref *closed_task;
 	uint32_t closed_task_count;
 	int64_t close_at_us;
@@ -779,6 +790,7 @@
  * @refused: results of orders, by result
  * @displaced: tasks that were moved off their worker before they ended
  * @leases_expired: leases of workers with tasks that were taken to have expired
+ * @over: workers that had ended, as later ones on their VMs showed
  * @advice_requests: advice requests
  * @passes: scheduling passes
  * @crashes: suspected runs whose worker has crashed
@@ -791,6 +803,7 @@
 	uint64_t refused[WP_NO_ANSWER + 1];
 	uint64_t displaced;
 	uint64_t leases_expired;
+	uint64_t over;
 	uint64_t advice_requests;
 	uint64_t passes;
 	uint64_t crashes;
@@ -805,12 +818,13 @@
  * @running: tasks that are starting, running or being stopped
  * @held: tasks in WP_TASK_UNRECONCILED
  * @usable: workers that may receive tasks
- * @unfenced: workers that have not accepted this owner's fencing token
+ * @unfenced: workers that have not accepted this owner's fencing token, without
+ *	those on which nothing runs any more and that are not listed
  * @cpu_percent: share of the usable workers' cores that is taken
  * @gpu_percent: share of their accelerators that is taken
  * @late: waiting tasks of ready steps that will miss their objective
  * @asking: steps with an advice request in flight
- * @unreachable: workers whose last renewal was not answered
+ * @unreachable: those, likewise, whose last renewal was not answered
  * @overfull: usable workers whose tasks take more than their capacity
  * @outdated: workers not used since their capacity was reported too long ago
  */
@@ -1027,6 +1041,7 @@
  * @hold: resources held for lost tasks, @hold_count entries
  * @restore_at_us: when these tasks are planned next
  * @sample_waits_at_us: when to sample next what steps wait for
+ * @check_over_at_us: when to look next for workers that have ended
  * @registry_dirty: the stored registry of workers is out of date
  * @close_at_us: no registry is stored before only to close workers
  * @near_work_ms: jobs with less work of their queue before them, on all workers,
@@ -1077,6 +1092,7 @@
 	uint32_t hold_count;
 	int64_t restore_at_us;
 	int64_t sample_waits_at_us;
+	int64_t check_over_at_us;
 	bool registry_dirty;
 	int64_t close_at_us;
 	int64_t near_work_ms;
@@ -1183,6 +1199,20 @@
 void wp_add_registered_worker(
     struct wp_pool *p, const char *id, const char *address, int64_t now_us);
 
+/**
+ * wp_describe_registered_worker() - say which worker the registry is about
+ * @p: pool
+ * @id: worker
+ * @vm: VM that it runs or ran on; empty when unknown
+ * @incarnation_ms: its newest incarnation known; 0 when unknown
+ * @now_us: time
+ */
+void wp_describe_registered_worker(struct wp_pool *p, const char *id,
+    const char *vm, int64_t incarnation_ms, int64_t now_us);
+
+/** wp_newest_incarnation_ms() - newest incarnation known, or 0 */
+int64_t wp_newest_incarnation_ms(const struct wp_worker *w);
+
 /**
  * wp_registry_loaded() - all workers of the stored registry have been added
  *
@@ -1220,6 +1250,22 @@
 void wp_close_registered_worker(struct wp_pool *p, const char *id,
     const struct jb_ref *task, uint32_t task_count);
 
+/**
+ * wp_inherited_lease_ms() - for how long leases of earlier owners may last on a
+ * worker that has none from this owner
+ */
+int64_t wp_inherited_lease_ms(const struct wp_worker *w, int64_t now_us);
+
+/**
+ * wp_mark_registered_worker() - a worker has no lease from the last owner
+ * @p: pool
+ * @id: worker
+ * @left_ms: for how long those of earlier ones may last, as stored
+ * @since_us: when the registry that says so was stored, or later
+ */
+void wp_mark_registered_worker(
+    struct wp_pool *p, const char *id, int64_t left_ms, int64_t since_us);
+
 /**
  * wp_is_holding() - whether a worker may run tasks of an earlier owner, or have
  * ends of their runs that it has not listed yet
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -5490,7 +5490,7 @@
   (ProtobufCMessageInit) currant__pool_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[4] =
+static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[7] =
 {
   {
     "id",
@@ -5540,17 +5540,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vm",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__KnownWorker, vm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__KnownWorker, has_born_ms),
+    offsetof(Currant__KnownWorker, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_left_ms",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__KnownWorker, has_lease_left_ms),
+    offsetof(Currant__KnownWorker, lease_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__known_worker__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  5,   /* field[5] = born_ms */
   2,   /* field[2] = closed */
   0,   /* field[0] = id */
+  6,   /* field[6] = lease_left_ms */
   3,   /* field[3] = tasks */
+  4,   /* field[4] = vm */
 };
 static const ProtobufCIntRange currant__known_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor currant__known_worker__descriptor =
 {
@@ -5560,7 +5599,7 @@
   "Currant__KnownWorker",
   "currant",
   sizeof(Currant__KnownWorker),
-  4,
+  7,
   currant__known_worker__field_descriptors,
   currant__known_worker__field_indices_by_name,
   1,  currant__known_worker__number_ranges,
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -38,6 +38,7 @@
 /* A worker process; it does what the platform's workers are said to do. */
 struct ModelWorker {
 	std::string id;
+	std::string vm;
 	int64_t incarnation = 0;
 	bool alive = true;
 	bool listed = true;
@@ -105,6 +106,9 @@
 
 struct ModelRegistered {
 	std::string id;
+	std::string vm;
+	int64_t incarnation;
+	int64_t lease_left_ms; /* -1 without a mark */
 	bool closed;
 	std::vector<struct jb_ref> tasks;
 };
@@ -234,7 +238,7 @@
 	void freeze_owner(int64_t us);
 	void kill_owner();
 	void restart_some_worker();
-	void silence_some_worker();
+	void silence_some_worker(int64_t us = 0);
 	void sicken_some_worker(int64_t until_us);
 	void resize_some_worker();
 	ModelOwner *owner();
@@ -265,6 +269,8 @@
 	/* So many workers crash that tasks are taken for the cause. */
 	bool crashes_fail_jobs = false;
 	bool capacity_changes = false; /* workers report theirs */
+	bool replacements = false;     /* workers end, others take their VM */
+	int64_t work_factor = 1;       /* how long runs last */
 	int64_t near_work_ms = 0;      /* jobs after that are deferred */
 	uint64_t deferred = 0;	       /* and known to a next owner */
 	int64_t owner_since_us = 0;
@@ -273,6 +279,8 @@
 	uint64_t grants = 0;
 	uint64_t conclusions = 0;
 	std::vector<ModelWitness> witnesses;
+	uint64_t marked = 0; /* as having no lease of the last owner */
+	uint64_t over = 0;   /* as a later worker on their VM showed */
 
       private:
 	struct Event {
@@ -310,6 +318,8 @@
 	void end_all_runs(ModelWorker &w);
 	void restart_worker(ModelWorker &w);
 	void remove_worker(ModelWorker &w);
+	void replace_worker(ModelWorker &w);
+	void begin_on_vm(const ModelWorker &last);
 
 	/* takeover_starts.cc */
 	enum wp_order_result do_order(ModelWorker &w, const ModelOrder &order);
@@ -426,6 +436,7 @@
 	std::vector<ModelRegistered> registry;
 	std::vector<std::string> not_started;
 	uint32_t registry_term = 0;
+	int64_t registry_stored_us = 0;
 	int64_t claim_at_us = 0;
 	int next_worker = 0;
 	int next_job = 1;
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -618,6 +618,7 @@
 	{
 		m = std::make_unique<TakeoverModel>(seed);
 		m->capacity_changes = capacity_changes;
+		m->replacements = replacements;
 		for (int i = 0; i < worker_count; i++)
 			m->add_worker();
 		m->run_for(kS);
@@ -646,10 +647,62 @@
 			if (unhealthy > 0 && m->chance(unhealthy))
 				m->sicken_some_worker(m->now +
 				    (int64_t)(100 + m->random(12000)) * kMs);
+			if (short_owners)
+				end_young_owner();
 			m->run_for((int64_t)(20 + m->random(400)) * kMs);
 		}
 	}
 
+	/* They answer an owner that can't store that, and are cut off again. */
+	void
+	return_silent_workers()
+	{
+		std::vector<std::string> back;
+
+		if (m->owner() == nullptr)
+			return;
+		m->owner()->cut_until_us = m->now + 3 * kS;
+		for (auto &w : m->workers) {
+			if (w.second.alive && w.second.silent_until_us > m->now)
+				back.push_back(w.first);
+		}
+		for (const std::string &id : back)
+			m->workers[id].silent_until_us = m->now;
+		m->run_for((int64_t)(300 + m->random(800)) * kMs);
+		for (const std::string &id : back)
+			m->workers[id].silent_until_us =
+			    m->now + (int64_t)m->random(8000) * kMs;
+	}
+
+	/* Until the next one has claimed the pool. */
+	void
+	end_owner()
+	{
+		uint64_t takeovers = m->takeovers;
+
+		m->kill_owner();
+		for (int i = 0; i < 500 && m->takeovers == takeovers; i++)
+			m->run_for(10 * kMs);
+		ASSERT_GT(m->takeovers, takeovers);
+	}
+
+	/* Within seconds of its claim, beside workers that fall silent or return. */
+	void
+	end_young_owner()
+	{
+		if (m->now - m->owner_since_us < 600 * kMs || !m->chance(200))
+			return;
+		if (m->chance(300))
+			return_silent_workers();
+		else if (m->chance(500))
+			m->silence_some_worker();
+		if (m->chance(500))
+			m->kill_owner();
+		else
+			m->freeze_owner(
+			    (int64_t)(1000 + m->random(12000)) * kMs);
+	}
+
 	/* Orders are often late, and workers often restart meanwhile. */
 	void
 	play_late_orders(int64_t us)
@@ -878,6 +931,8 @@
 	uint32_t advice_late = 0;
 	/* Jobs more at a time, so that many wait. */
 	uint64_t burst = 0;
+	bool replacements = false;
+	bool short_owners = false;
 	std::unique_ptr<TakeoverModel> m;
 };
 
@@ -957,6 +1012,7 @@
 TEST_F(TakeoverSchedule, NextOwnerWaitsForTheLongestLeaseOfARestartedWorker)
 {
 	play_late_seed(231);
+	play_late_seed(883);
 	play_late_seed(1676);
 }
 
@@ -989,6 +1045,69 @@
 	    (unsigned long long)deferred);
 }
 
+/* TWICE and LOST: workers end, and others begin on their VMs. */
+TEST_F(TakeoverSchedule, TasksOfReplacedWorkersRunOnceAndAllJobsEnd)
+{
+	auto range = seeds();
+	uint64_t over = 0;
+
+	replacements = true;
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		play_all_faults(seed);
+		over += m->over + m->owner()->pool->stats.over;
+	}
+	EXPECT_GT(over, 2 * (range.second - range.first));
+	printf("%llu workers were over\n", (unsigned long long)over);
+}
+
+/* TWICE: a worker that an owner has not reached is not waited for anew. */
+TEST_F(TakeoverSchedule, OwnersThatEndSoonRunNothingTwice)
+{
+	auto range = seeds();
+	uint64_t marked = 0;
+
+	short_owners = true;
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		replacements = seed % 2 == 0;
+		begin(seed);
+		m->work_factor = 5;
+		play_faults(25 * kS);
+		m->heal({});
+		m->work_factor = 1;
+		m->run_for(60 * kS);
+		expect_no_violation(seed);
+		EXPECT_EQ(idle_beside_free_room(), 0U) << "seed " << seed;
+		marked += m->marked;
+	}
+	EXPECT_GT(marked, 10 * (range.second - range.first));
+	printf("%llu workers were marked in a list that was read\n",
+	    (unsigned long long)marked);
+}
+
+/* TWICE: an owner that has marked a worker, and can't store that it answers. */
+TEST_F(TakeoverSchedule, MarkedWorkerThatReturnsGetsNoLeaseWithoutTheStore)
+{
+	auto range = seeds();
+	uint64_t marked = 0;
+
+	for (uint64_t seed = range.first; seed <= range.second; seed++) {
+		begin(seed);
+		m->work_factor = 20;
+		for (int i = 0; i < 6; i++)
+			m->add_job(false);
+		m->run_for(1 * kS);
+		m->silence_some_worker(6 * kS);
+		end_owner();
+		m->run_for((int64_t)(600 + m->random(500)) * kMs);
+		return_silent_workers();
+		end_owner();
+		m->run_for(8 * kS);
+		expect_no_violation(seed);
+		marked += m->marked;
+	}
+	EXPECT_GT(marked, (range.second - range.first) / 3);
+}
+
 TEST_F(TakeoverSchedule, RefusedRepeatsOfStartsRunNothingTwice)
 {
 	auto range = seeds();
