cell_earlier: witnesses are asked until no answer can change the bound

What was seen: by reading. Once two of three witnesses had answered, the third was no longer asked, though its answer could bring forward how long the last owner acts, if one of the two had granted lately: up to 1.5 s in vain.

Change: wt_is_settled() says when no further answer matters.

Inquiry.IsSettledOnceNoAnswerCanChangeIt fails with the rule before.

--- a/coordination/witness.c
+++ b/coordination/witness.c
@@ -322,6 +322,22 @@
 	wt_on_revoked(q, vm, now_us + WT_GRANT_US + WT_GRANT_MARGIN_US);
 }
 
+bool
+wt_is_settled(const struct wt_inquiry *q)
+{
+	const struct wt_votes *v = &q->votes;
+	bool unknown = false;
+	uint32_t i;
+
+	if (v->list.count == 0)
+		return true;
+	for (i = 0; i < v->list.count; i++)
+		unknown |= v->until_us[i] == WT_UNKNOWN;
+	return !unknown ||
+	    v->until_us[wt_decisive_vote(v)] <=
+	    q->claimed_us + WT_ALONE_LIMIT_US;
+}
+
 int64_t
 wt_last_owner_until_us(const struct wt_inquiry *q, const char **slowest)
 {
--- a/curranttackd/cell_earlier.c
+++ b/curranttackd/cell_earlier.c
@@ -186,20 +186,15 @@
 	    lg_i64((h->earlier_owner_until_us - now_us) / CLK_US_PER_MS), NULL);
 }
 
-/* Until enough witnesses have answered; a later answer would tell nothing new. */
 void
 cp_inquire_tick(struct cp_host *h, int64_t now_us)
 {
-	const char *slowest;
-
 	if (!h->inquiring || now_us < h->inquire_at_us)
 		return;
 	h->inquire_at_us = now_us + CP_INQUIRE_US;
 	cp_inquire(h, true);
 	cp_apply_earlier_owner(h);
-	if (now_us >= h->earlier_owner_until_us ||
-	    wt_last_owner_until_us(&h->inquiry, &slowest) <
-		h->inquiry.claimed_us + WT_UNCONFIRMED_LIMIT_US)
+	if (now_us >= h->earlier_owner_until_us || wt_is_settled(&h->inquiry))
 		h->inquiring = false;
 	else
 		cp_log_unanswered(h, now_us);
--- a/include/coordination/witness.h
+++ b/include/coordination/witness.h
@@ -198,4 +198,7 @@
 int64_t wt_last_owner_until_us(
     const struct wt_inquiry *q, const char **slowest);
 
+/** wt_is_settled() - whether no further answer can show that it stops sooner */
+bool wt_is_settled(const struct wt_inquiry *q);
+
 #endif
--- a/tests/unit/test_reader_fuzz.cc
+++ b/tests/unit/test_reader_fuzz.cc
@@ -395,6 +395,27 @@
 	return text;
 }
 
+std::string
+valid_term_row()
+{
+	TALLOC_CTX *ctx = talloc_new(nullptr);
+	Currant__PoolTerm row = CURRANT__POOL_TERM__INIT;
+	Currant__PoolWitness witness = CURRANT__POOL_WITNESS__INIT;
+	Currant__PoolWitness *rows[] = {&witness, &witness};
+	size_t bytes;
+
+	row.term = 3;
+	row.vm = (char *)"vm-1";
+	witness.vm = (char *)"vm-2";
+	witness.incarnation = 7;
+	row.witnesses = rows;
+	row.n_witnesses = 2;
+	uint8_t *value = pk_pack(ctx, &row.base, &bytes);
+	std::string text = packed(value, bytes);
+	talloc_free(ctx);
+	return text;
+}
+
 std::string
 valid_frame()
 {
@@ -437,6 +458,7 @@
     {"stored_job", read_stored_job, valid_stored_job},
     {"progress", read_progress, valid_progress},
     {"cell_rows", read_cell_rows, valid_cell_row},
+    {"term_row", read_cell_rows, valid_term_row},
     {"frame", read_frame, valid_frame},
     {"relayed", read_relayed, valid_relayed},
     {"records", read_records, valid_cell_row},
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -154,6 +154,27 @@
 		return item;
 	}
 
+	/* A term whose owner has so many witnesses. */
+	struct ks_item
+	term_item(uint64_t revision, size_t witness_count)
+	{
+		Currant__PoolTerm row = CURRANT__POOL_TERM__INIT;
+		Currant__PoolWitness witness = CURRANT__POOL_WITNESS__INIT;
+		std::vector<Currant__PoolWitness *> rows(
+		    witness_count, &witness);
+		struct ks_item item = {};
+
+		witness.vm = (char *)"vm-2";
+		witness.incarnation = 9;
+		row.term = 2;
+		row.witnesses = rows.data();
+		row.n_witnesses = witness_count;
+		item.key = RP_TERM_PREFIX "pool";
+		item.value = pk_pack(l, &row.base, &item.value_bytes);
+		item.revision = revision;
+		return item;
+	}
+
 	bool
 	has_member()
 	{
@@ -466,6 +487,34 @@
 	EXPECT_EQ(store.range_prefix, "w/");
 }
 
+/* Without a list that can be used, the next owner waits for longer. */
+TEST_F(Replica, WitnessesOfATermAreThoseOfItsLastRow)
+{
+	const struct wt_list *list = &rp_get_owner(r, "pool")->witnesses;
+
+	page(10, {term_item(5, 2)}, false);
+	EXPECT_EQ(list->count, 2u);
+	EXPECT_STREQ(list->witness[0].vm, "vm-2");
+	EXPECT_EQ(list->witness[0].incarnation, 9u);
+	struct ks_item none = term_item(11, 0);
+	rp_apply_out_of_order(r, &none);
+	EXPECT_EQ(list->count, 0u);
+	struct ks_item many = term_item(12, WT_MAX_WITNESSES + 1);
+	rp_apply_out_of_order(r, &many);
+	EXPECT_EQ(list->count, 0u);
+}
+
+/* Its daemon is of a build that doesn't answer. */
+TEST_F(Replica, MemberIsAWitnessOnlyIfItsEntrySaysSo)
+{
+	struct rp_member *m;
+
+	page(10, {member_item(5)}, false);
+	HASH_FIND_STR(r->members, "vm-1", m);
+	ASSERT_NE(m, nullptr);
+	EXPECT_FALSE(m->witness);
+}
+
 /* It was sent while the store was silent, and hung after that. */
 TEST_F(Replica, WatchThatWasGivenUpIsIgnored)
 {
--- a/tests/unit/test_witness.cc
+++ b/tests/unit/test_witness.cc
@@ -375,6 +375,27 @@
 	EXPECT_EQ(until(), kAlone);
 }
 
+/* The last one's answer was no longer asked for once two had answered. */
+TEST_F(Inquiry, IsSettledOnceNoAnswerCanChangeIt)
+{
+	begin({"x", "y", "z"});
+	wt_on_revoked(&q, "x", kAlone + kS);
+	EXPECT_FALSE(wt_is_settled(&q));
+	wt_on_revoked(&q, "z", 0);
+	EXPECT_FALSE(wt_is_settled(&q));
+	wt_on_revoked(&q, "y", 0);
+	EXPECT_TRUE(wt_is_settled(&q));
+	begin({"x", "y", "z"});
+	wt_on_revoked(&q, "x", 0);
+	wt_on_revoked(&q, "z", 0);
+	EXPECT_TRUE(wt_is_settled(&q));
+	begin({"x"});
+	wt_on_revoked(&q, "x", kAlone + kS);
+	EXPECT_TRUE(wt_is_settled(&q));
+	begin({});
+	EXPECT_TRUE(wt_is_settled(&q));
+}
+
 TEST_F(Inquiry, EndedWitnessHasGrantedNothingSince)
 {
 	begin({"x"});
