--- a/state/pool_unleased.c
+++ b/state/pool_unleased.c
@@ -17,6 +17,9 @@
 /* A worker that is unreachable for so long is marked. */
 #define WP_MARK_UNREACHABLE_US (100 * CLK_US_PER_MS)
 
+/* Longer than any wait for earlier owners; a list that says more is wrong. */
+#define WP_MAX_LEFT_MS 60000
+
 /* An inherited mark stays until the worker answers. */
 static bool
 wp_may_mark(const struct wp_worker *w, int64_t now_us)
@@ -67,13 +70,16 @@
     struct wp_pool *p, const char *id, int64_t left_ms, int64_t since_us)
 {
 	struct wp_worker *w = wp_find_worker(p, id);
-	int64_t until_us = since_us +
-	    left_ms * CLK_US_PER_MS * 1000 / WP_MIN_CLOCK_RATE_PER_MILLE;
+	int64_t until_us;
 
 	if (w == NULL)
 		return;
 	w->unleased = true;
 	w->marked = true;
+	if (left_ms < 0 || left_ms > WP_MAX_LEFT_MS)
+		return;
+	until_us = since_us +
+	    left_ms * CLK_US_PER_MS * 1000 / WP_MIN_CLOCK_RATE_PER_MILLE;
 	if (until_us < w->earlier_owner_until_us)
 		w->earlier_owner_until_us = until_us;
 }
