pool: a confirmation without a clock keeps no task for ever

That a run is gone is seen from lists that its worker made after it had confirmed the order, by the clock in its answer. A 200 whose body can't be read passes 0 for the clock. A stop then counted as confirmed at no time, and wasn't sent again; a start left a running task that no list could show to be gone. The protocol puts a clock into each response with a body, so this takes an answer that is cut or malformed.

A stop without a clock is sent again; a start counts as confirmed at its deadline, after which the worker would refuse it.

AnswerWithoutAClock.ToAStartDoesNotKeepATaskThatIsGone and ToAStopIsNotTakenForItsConfirmation failed before. test_pool, test_gangs, test_crashes, 200 schedules: no failure; test_takeover: the known red cases only.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -854,7 +854,8 @@
 		t->state = WP_TASK_RUNNING;
 		t->in_doubt = false;
 		t->resend_at_us = 0;
-		t->confirmed_clock_ms = clock_ms;
+		t->confirmed_clock_ms =
+		    clock_ms > 0 ? clock_ms : t->deadline_clock_ms;
 		t->progressed_us = now_us;
 		return;
 	case WP_NO_ANSWER:
@@ -926,7 +927,7 @@
 		wp_on_start_result(p, t, w, result, clock_ms, now_us);
 	if (o->kind == WP_ORDER_STOP &&
 	    (t->state == WP_TASK_STOPPING || t->state == WP_TASK_DONE) &&
-	    result == WP_ACCEPTED &&
+	    result == WP_ACCEPTED && clock_ms > 0 &&
 	    !wp_is_from_earlier_incarnation(w, o, clock_ms, now_us)) {
 		t->stopped_clock_ms = clock_ms;
 		t->resend_at_us = 0;
--- a/tests/unit/test_stuck.cc
+++ b/tests/unit/test_stuck.cc
@@ -369,4 +369,62 @@
 	EXPECT_EQ(PoolInvariants::find_fault(p), "");
 }
 
+/*
+ * LOST: that a run is gone is seen from lists that a worker made after it had
+ * confirmed the order, by the clock in its answer.
+ */
+class AnswerWithoutAClock : public Stuck
+{
+      protected:
+	void
+	begin()
+	{
+		create_pool();
+		add_worker("w");
+		add(kJob, {{1}});
+		for (const struct wp_order *o : tick())
+			wp_on_order_result(p, o, WP_ACCEPTED, 0, now);
+		ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	}
+
+	/* The worker lists nothing, and confirms all orders. */
+	void
+	list_nothing(int64_t us)
+	{
+		for (int64_t end = now + us; now < end;) {
+			now += 100 * kMs;
+			renew_lease("w");
+			run_all();
+		}
+	}
+};
+
+TEST_F(AnswerWithoutAClock, ToAStartDoesNotKeepATaskThatIsGone)
+{
+	begin();
+	list_nothing(2 * kS);
+	EXPECT_GT(task(kJob, 0, 0)->run, 1u);
+}
+
+TEST_F(AnswerWithoutAClock, ToAStartKeepsATaskThatIsStillStarting)
+{
+	begin();
+	list_nothing(kS);
+	renew_lease("w", {{kJob, 0, 0, 1, 0}});
+	run_all();
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	EXPECT_EQ(task(kJob, 0, 0)->run, 1u);
+}
+
+TEST_F(AnswerWithoutAClock, ToAStopIsNotTakenForItsConfirmation)
+{
+	begin();
+	wp_task_stop(p, task(kJob, 0, 0), now);
+	for (const struct wp_order *o : tick())
+		wp_on_order_result(p, o, WP_ACCEPTED, 0, now);
+	EXPECT_EQ(PoolInvariants::find_fault(p), "");
+	list_nothing(kS);
+	EXPECT_GT(task(kJob, 0, 0)->run, 1u);
+}
+
 } // namespace
