tests: each task starts in calm while half of a pool is free

The random schedules looked at jobs of which nothing runs, so one task of a step that never runs again went unseen.

--- a/tests/unit/test_pool_schedule.cc
+++ b/tests/unit/test_pool_schedule.cc
@@ -825,6 +825,40 @@
 		}
 	}
 
+	/*
+	 * Each task, too, starts in calm while half of the pool is free. That no
+	 * worker may run it is the seed's doing.
+	 */
+	void
+	check_tasks()
+	{
+		struct wp_stuck row[8];
+		int64_t used = 0;
+		int64_t all = 0;
+		uint32_t count;
+
+		if (now < look_at)
+			return;
+		look_at = now + kS / 2;
+		for (const auto &e : workers) {
+			used += used_cpu(e.second);
+			all += e.second.cpu;
+		}
+		if (storm || used * 2 >= all || now - calm_since < kSettled)
+			roomy_since = now;
+		count = wp_find_stuck(p, now, row, 8);
+		if (now - roomy_since < kMaxWait)
+			return;
+		for (uint32_t i = 0; i < count; i++) {
+			if (row[i].why != WP_STUCK_NO_APPROVAL)
+				fail(std::string("stuck: ") + row[i].ref.job +
+				    " step " + std::to_string(row[i].ref.step) +
+				    " task " +
+				    std::to_string(row[i].ref.index) + " " +
+				    wp_stuck_name(row[i].why));
+		}
+	}
+
 	void
 	play_tick()
 	{
@@ -851,6 +885,7 @@
 		commit();
 		check_pool();
 		check_waits();
+		check_tasks();
 	}
 
 	void
@@ -900,6 +935,8 @@
 	bool storm = false;
 	bool copies = false; /* most steps allow copies, one task on a worker */
 	int64_t calm_since = kStart;
+	int64_t roomy_since = kStart; /* half of the pool is free */
+	int64_t look_at = kStart;
 	int starts = 0;
 };
 
