--- a/tests/unit/test_pool_gone.cc
+++ b/tests/unit/test_pool_gone.cc
@@ -264,6 +264,29 @@
 	EXPECT_TRUE(wp_is_usable(worker("a"), now));
 }
 
+/*
+ * "b" was an earlier life on "vm", and begins again under its id on another VM;
+ * its entry is still the old one. "a" is only cut off.
+ */
+TEST_F(PoolGone, LifeOnAVmThatIsNotKnownYetEndsNothing)
+{
+	create_pool();
+	list_on("b", "vm", 50);
+	answer_from("b", 50);
+	lose("b");
+	list_on("a", "vm", 100);
+	answer_from("a", 100);
+	commit();
+	add(kJob, {{1}});
+	ASSERT_EQ(run_all().size(), 1u);
+	now += 10 * kMs;
+	renew_lease("a", {{kJob, 0, 0, 1, 0}}, {}, 100);
+	lose("a");
+	answer_from("b", 200);
+	EXPECT_FALSE(is_over_after("a"));
+	EXPECT_EQ(p->stats.over, 0u);
+}
+
 /* The next owner has not forgotten that earlier ones may act there. */
 TEST_F(PoolGone, WorkerThatBeginsAgainUnderItsIdHoldsUntilItAnswers)
 {
--- a/tests/unit/test_promises_long.cc
+++ b/tests/unit/test_promises_long.cc
@@ -32,8 +32,8 @@
 class LongRunning : public SimObserver
 {
       public:
-	explicit LongRunning(uint64_t seed = 1)
-	    : w(seed, kDaemons, kWorkers, this), begin(w.now)
+	explicit LongRunning(uint64_t seed = 1, size_t daemons = kDaemons)
+	    : w(seed, daemons, kWorkers, this), begin(w.now)
 	{
 		w.verbose = getenv("PROMISE_LOG") != nullptr;
 	}
@@ -53,6 +53,14 @@
 		ASSERT_NE(owner(), kDaemons);
 	}
 
+	void
+	begin_without_check()
+	{
+		submit("00000000000000a0", "0 1 6");
+		submit("00000000000000a1", "0 1 1");
+		w.run_until(w.now + 3 * kSimS);
+	}
+
 	void
 	run_for(int64_t us)
 	{
@@ -300,6 +308,48 @@
 	}
 }
 
+/*
+ * Before there were witnesses, none of these ended a run: an owner acted for 10 s
+ * on its own, and a worker's lease is longer than what it is stopped for.
+ */
+class OutageBesideFault : public testing::TestWithParam<const char *>
+{
+};
+
+TEST_P(OutageBesideFault, EndsNoRun)
+{
+	std::string fault = GetParam();
+
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		LongRunning t(seed);
+
+		t.begin_jobs();
+		size_t owner = t.owner();
+		t.w.store.leases_paused = true;
+		t.w.store_trouble(StoreTrouble::kSilent, kOutage);
+		t.run_for(4 * kSimS);
+		if (fault == "OwnerIsStopped")
+			t.w.freeze(owner, 1800 * kSimMs);
+		for (size_t i = 0; i < kDaemons; i++) {
+			if (i == owner || fault == "OwnerIsStopped")
+				continue;
+			if (fault == "WitnessesAreStopped") {
+				t.w.freeze(i, 1800 * kSimMs);
+				continue;
+			}
+			t.w.kill(i, false);
+			t.w.after(kDown, [&t, i] { t.w.start(i); });
+		}
+		t.run_to_end();
+		EXPECT_EQ(t.lapsed, 0U) << "seed " << seed;
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, OutageBesideFault,
+    testing::Values(
+	"OwnerIsStopped", "WitnessesAreStopped", "WitnessesRestart"),
+    [](const auto &info) { return std::string(info.param); });
+
 /* Others take its work over, so it may not act for as long as in an outage. */
 TEST(LongRunningTasks, OwnerThatAloneIsCutOffStopsSoon)
 {
@@ -315,4 +365,106 @@
 	EXPECT_EQ(t.lapsed, 0U);
 }
 
+/* The daemons' time of day is set forward as the second of two owners ends. */
+class ClockSetForward
+{
+      public:
+	explicit ClockSetForward(uint64_t seed) : t(seed, kManyDaemons)
+	{
+	}
+
+	/* The one that is not cut off, or NULL. */
+	struct cp_host *
+	owner(bool cut)
+	{
+		for (auto &d : t.w.daemons) {
+			if (!d->up || d->cell == nullptr ||
+			    d->cell->pools == nullptr ||
+			    (d->domain == "cut") != cut)
+				continue;
+			if (d->cell->pools->pool != nullptr)
+				return d->cell->pools;
+		}
+		return nullptr;
+	}
+
+	size_t
+	index_of(const std::string &vm)
+	{
+		size_t i = 0;
+
+		while (t.w.daemons[i]->vm != vm)
+			i++;
+		return i;
+	}
+
+	/* The owner, two of its witnesses, and the workers with tasks. */
+	void
+	cut_owner_off()
+	{
+		const struct cp_host *h = owner(false);
+		const struct wt_list *list = &h->permit.stored.list;
+
+		ASSERT_EQ(list->count, 3U);
+		for (uint32_t i = 0; i < 2; i++)
+			t.w.daemons[index_of(list->witness[i].vm)]->domain =
+			    "cut";
+		t.w.daemons[index_of(h->cell->settings->vm)]->domain = "cut";
+		for (auto &wk : t.w.workers) {
+			if (!wk->running.empty())
+				wk->domain = "cut";
+		}
+		t.w.cut_domain("cut", 25 * kSimS);
+	}
+
+	void
+	play(int64_t step_us)
+	{
+		t.w.run_until(t.begin + 11 * kSimS);
+		if (owner(false) == nullptr)
+			return;
+		t.begin_without_check();
+		cut_owner_off();
+		while (owner(false) == nullptr && t.w.now < t.begin + kEnd)
+			t.run_for(kSample);
+		t.run_for(kSecondOwner);
+		struct cp_host *h = owner(false);
+		ASSERT_NE(h, nullptr);
+		bound_us = h->earlier_owner_until_us;
+		t.w.kill(index_of(h->cell->settings->vm), false);
+		t.w.wall_step_us += step_us;
+		while (owner(false) == nullptr && t.w.now < t.begin + kEnd)
+			t.run_for(kSample);
+		t.run_for(kSimS);
+		h = owner(false);
+		ASSERT_NE(h, nullptr);
+		next_bound_us = h->earlier_owner_until_us;
+		t.run_for(16 * kSimS);
+	}
+
+	static constexpr size_t kManyDaemons = 7;
+	/* By then its witnesses are daemons that are not cut off. */
+	static constexpr int64_t kSecondOwner = 3 * kSimS;
+	int64_t bound_us = 0;
+	int64_t next_bound_us = 0;
+	LongRunning t;
+};
+
+TEST(LongRunningTasks, RunOnceThoughTheClockIsSetForwardBetweenOwners)
+{
+	for (int64_t step_us : {(int64_t)0, 4 * kSimS, 15 * kSimS}) {
+		for (uint64_t seed = 1; seed <= 10; seed++) {
+			ClockSetForward c(seed);
+
+			c.play(step_us);
+			EXPECT_TRUE(c.t.twice.empty())
+			    << "seed " << seed << ", step " << step_us / kSimS
+			    << " s: " << c.t.twice.size()
+			    << ", the next owner's bound is "
+			    << (c.bound_us - c.next_bound_us) / kSimMs
+			    << " ms earlier";
+		}
+	}
+}
+
 } // namespace
--- a/tests/unit/test_restore.cc
+++ b/tests/unit/test_restore.cc
@@ -406,6 +406,43 @@
 	EXPECT_LE(stops[kOther], 24);
 }
 
+/* Two refusals, then a calm service: 7 s are as long as the rule allows. */
+TEST_F(Restore, RoomIsMadeWithin7SecondsOnceStartsAreAccepted)
+{
+	fill({"x", "y", "z"}, 200000);
+	renewal_overdue("lost");
+	refuse = kJob;
+	for (int n = 0; n < 400 && task(kJob, 0, 0)->preempt_count < 2; n++)
+		play(50 * kMs, {"lost"});
+	ASSERT_EQ(task(kJob, 0, 0)->preempt_count, 2U);
+	play(500 * kMs, {"lost"});
+	ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_WAITING);
+	refuse = "";
+	play(7 * kS, {"lost"});
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+}
+
+/* What was stopped for an earlier loss doesn't delay the next one. */
+TEST_F(Restore, TaskThatRanAgainHasRoomMadeAtOnceWhenItIsLostAgain)
+{
+	fill({"x", "y", "z"}, 200000);
+	renewal_overdue("lost");
+	refuse = kJob;
+	for (int n = 0; n < 1200 && task(kJob, 0, 0)->preempt_count < 3; n++)
+		play(50 * kMs, {"lost"});
+	ASSERT_EQ(task(kJob, 0, 0)->preempt_count, 3U);
+	refuse = "";
+	play(2 * kS, {"lost"});
+	ASSERT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+	ASSERT_EQ(task(kJob, 0, 0)->preempt_count, 0U);
+	std::string second = task(kJob, 0, 0)->worker->id;
+	play(1 * kS, {"lost"});
+	renewal_overdue(second);
+	/* One lease, and the 9 s of the rule after it. */
+	play(3400 * kMs + 9 * kS, {"lost", second});
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
+}
+
 TEST_F(Restore, FirstStartsWaitForTheirTurn)
 {
 	fill({"full"});
