--- a/tests/unit/test_promises_long.cc
+++ b/tests/unit/test_promises_long.cc
@@ -205,6 +205,23 @@
 	}
 }
 
+/* Any number of daemons may be lost at once. */
+TEST(LongRunningTasks, RunAgainInTimeWhereOwnerWitnessAndWorkerDoNotReturn)
+{
+	for (bool power : {false, true}) {
+		LongRunning t;
+
+		t.begin_jobs();
+		size_t owner = t.owner();
+		t.w.kill(owner, power);
+		t.w.kill((owner + 1) % kDaemons, power);
+		t.lose_worker();
+		t.run_to_end();
+		EXPECT_LE(t.longest_without_run_us, kMaxWithoutRun)
+		    << "power " << power;
+	}
+}
+
 TEST(LongRunningTasks, RunAgainInTimeWhereAllDaemonsDieAndTheOwnerDoesNotReturn)
 {
 	for (bool power : {false, true}) {
