cell_earlier: a clock that is set forward doesn't shorten the wait for owners

Before witnesses its own 13.4 s covered it.

The term also says how long earlier owners may act from when it was made, and a daemon counts that from when it first read the row, on its steady clock. A row of a build before this one has no witnesses either, so the next owner waits 13.4 s after it; its time of day is used as before. The 2% by which a clock may be slow are a constant of the clock now, as three modules need them.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -149,6 +149,17 @@
 	}
 }
 
+/* Rounded up, as it is waited for. */
+static int64_t
+cp_earlier_left_ms(const struct cp_host *h)
+{
+	int64_t left_us = h->earlier_owner_until_us - clk_now_us();
+
+	if (left_us <= 0)
+		return 0;
+	return (left_us + CLK_US_PER_MS - 1) / CLK_US_PER_MS;
+}
+
 uint8_t *
 cp_term_value(TALLOC_CTX *ctx, const struct cp_host *h, uint32_t term,
     uint64_t fence, bool released, const struct wt_list *witnesses,
@@ -168,6 +179,8 @@
 	row.earlier_wall_ms =
 	    (h->earlier_owner_until_us - cell_wall_to_steady_us()) /
 	    CLK_US_PER_MS;
+	row.has_earlier_left_ms = true;
+	row.earlier_left_ms = cp_earlier_left_ms(h);
 	return pk_pack(ctx, &row.base, bytes);
 }
 
--- a/curranttackd/cell_earlier.c
+++ b/curranttackd/cell_earlier.c
@@ -28,15 +28,22 @@
 	return m != NULL && m->incarnation > h->earlier_owner_incarnation;
 }
 
-/* The time of day may have been set back since it was stored. */
+/* Until when owners before the last one may act; the stored time may be wrong. */
 static int64_t
 cp_older_owners_until_us(const struct rp_owner *o, int64_t now_us)
 {
-	int64_t stored_us = o->earlier_owner_until_wall_ms * CLK_US_PER_MS +
-	    cell_wall_to_steady_us();
 	int64_t longest_us =
 	    now_us + CP_WORKER_LEASE_US + WT_UNCONFIRMED_LIMIT_US;
+	int64_t stored_us;
 
+	if (o->earlier_left_ms >= 0)
+		stored_us = o->term_read_us +
+		    o->earlier_left_ms * CLK_US_PER_MS * 1000 /
+			CLK_MIN_RATE_PER_MILLE;
+	else
+		/* By the time of day, which may have been set. */
+		stored_us = o->earlier_owner_until_wall_ms * CLK_US_PER_MS +
+		    cell_wall_to_steady_us();
 	return stored_us < longest_us ? stored_us : longest_us;
 }
 
--- a/curranttackd/replica_pools.c
+++ b/curranttackd/replica_pools.c
@@ -138,6 +138,8 @@
 	    o->term_vm, sizeof(o->term_vm), "%s", t->vm != NULL ? t->vm : "");
 	o->term_incarnation = t->incarnation;
 	o->earlier_owner_until_wall_ms = t->earlier_wall_ms;
+	o->earlier_left_ms = t->has_earlier_left_ms ? t->earlier_left_ms : -1;
+	o->term_read_us = clk_now_us();
 	rp_read_witnesses(&o->witnesses, t);
 	currant__pool_term__free_unpacked(t, NULL);
 }
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -5,6 +5,8 @@
 
 #define CLK_US_PER_MS INT64_C(1000)
 #define CLK_US_PER_S INT64_C(1000000)
+/* A VM's monotonic clock may be slow by 2%. */
+#define CLK_MIN_RATE_PER_MILLE 980
 
 /**
  * clk_now_us() - read the monotonic clock
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -105,6 +105,9 @@
  * @term_incarnation: incarnation of the owner of @term
  * @earlier_owner_until_wall_ms: wall-clock time until which owners before
  *	@term may still act on workers
+ * @earlier_left_ms: for so long, from @term_read_us, owners before that one may
+ *	act; -1 if the row doesn't say
+ * @term_read_us: when that revision of the term was first read
  * @witnesses: witnesses of the owner of @term; none if it has none, or if the
  *	stored list can't be used
  * @workers: encoded list of workers that owners have used, @workers_bytes long
@@ -128,6 +131,8 @@
 	char term_vm[WP_NAME_BYTES];
 	uint64_t term_incarnation;
 	int64_t earlier_owner_until_wall_ms;
+	int64_t earlier_left_ms;
+	int64_t term_read_us;
 	struct wt_list witnesses;
 	uint8_t *workers;
 	size_t workers_bytes;
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -636,10 +636,16 @@
    */
   size_t n_witnesses;
   Currant__PoolWitness **witnesses;
+  /*
+   * How long earlier owners may act from when this was made; counted from
+   * when it is first read, so that a clock that is set doesn't matter.
+   */
+  protobuf_c_boolean has_earlier_left_ms;
+  int64_t earlier_left_ms;
 };
 #define CURRANT__POOL_TERM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__pool_term__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Currant__PoolTask
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -34,8 +34,6 @@
 #define WP_START_VALID_US (1500 * CLK_US_PER_MS)
 /* A start order has to arrive before the worker's capacity is out of date. */
 #define WP_START_MARGIN_MS 250
-/* A worker's clock may be slow by 2%. */
-#define WP_MIN_CLOCK_RATE_PER_MILLE 980
 #define WP_FULL_PACE 100
 /* A start order has to arrive before its ticket expires. */
 #define WP_TICKET_MARGIN_US (100 * CLK_US_PER_MS)
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -5297,7 +5297,7 @@
   (ProtobufCMessageInit) currant__pool_witness__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__pool_term__field_descriptors[7] =
+static const ProtobufCFieldDescriptor currant__pool_term__field_descriptors[8] =
 {
   {
     "term",
@@ -5383,8 +5383,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier_left_ms",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Currant__PoolTerm, has_earlier_left_ms),
+    offsetof(Currant__PoolTerm, earlier_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__pool_term__field_indices_by_name[] = {
+  7,   /* field[7] = earlier_left_ms */
   4,   /* field[4] = earlier_wall_ms */
   5,   /* field[5] = fence */
   3,   /* field[3] = incarnation */
@@ -5396,7 +5409,7 @@
 static const ProtobufCIntRange currant__pool_term__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor currant__pool_term__descriptor =
 {
@@ -5406,7 +5419,7 @@
   "Currant__PoolTerm",
   "currant",
   sizeof(Currant__PoolTerm),
-  7,
+  8,
   currant__pool_term__field_descriptors,
   currant__pool_term__field_indices_by_name,
   1,  currant__pool_term__number_ranges,
--- a/state/pool_unleased.c
+++ b/state/pool_unleased.c
@@ -78,8 +78,8 @@
 	w->marked = true;
 	if (left_ms < 0 || left_ms > WP_MAX_LEFT_MS)
 		return;
-	until_us = since_us +
-	    left_ms * CLK_US_PER_MS * 1000 / WP_MIN_CLOCK_RATE_PER_MILLE;
+	until_us =
+	    since_us + left_ms * CLK_US_PER_MS * 1000 / CLK_MIN_RATE_PER_MILLE;
 	if (until_us < w->earlier_owner_until_us)
 		w->earlier_owner_until_us = until_us;
 }
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -73,7 +73,7 @@
 	if (left_ms < 0)
 		left_ms = 0;
 	expires_us = w->clock_read_us +
-	    left_ms * CLK_US_PER_MS * 1000 / WP_MIN_CLOCK_RATE_PER_MILLE +
+	    left_ms * CLK_US_PER_MS * 1000 / CLK_MIN_RATE_PER_MILLE +
 	    WP_EXPIRY_MARGIN_US;
 	return expires_us > earlier_us ? expires_us : earlier_us;
 }
