cell_witness: an owner whose grants have run out waits for others

The owner stepped down as soon as its grants had run out, before it could ask again, though the workers' leases went on for more than a second.

It now does nothing while it has no permission, and asks. Longer grants were ruled out: the next owner waits for them.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -353,13 +353,15 @@
 static void
 cp_owner_tick(struct cp_host *h, int64_t now_us)
 {
-	if (!cp_may_act(h, now_us)) {
-		cp_step_down(h, "lease not confirmed");
+	bool may_act = cp_check_permit(h, now_us);
+
+	if (h->pool == NULL)
 		return;
-	}
 	cp_renew_lease(h, now_us);
 	cp_witness_tick(h, now_us);
 	cp_inquire_tick(h, now_us);
+	if (!may_act)
+		return;
 	cp_yield_to_larger_vm(h, now_us);
 	cp_forget_ended(h, now_us);
 	cp_log_state(h, now_us);
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -214,10 +214,8 @@
 cp_run_pass(struct cp_host *h, int64_t now_us)
 {
 	/* The process may have been stopped since the last tick. */
-	if (!cp_may_act(h, now_us)) {
-		cp_step_down(h, "lease not confirmed");
+	if (!cp_check_permit(h, now_us))
 		return;
-	}
 	h->pool->draining = h->state != CP_OWNER ||
 	    now_us - h->lease_confirmed_us > CP_UNCONFIRMED_START_LIMIT_US;
 	h->pool->ownership_unconfirmed =
--- a/curranttackd/cell_witness.c
+++ b/curranttackd/cell_witness.c
@@ -83,12 +83,24 @@
 	h->beyond_logged = false;
 }
 
-bool
+static bool
 cp_may_act(const struct cp_host *h, int64_t now_us)
 {
 	return now_us <= wt_may_act_until_us(&h->permit, h->lease_confirmed_us);
 }
 
+bool
+cp_check_permit(struct cp_host *h, int64_t now_us)
+{
+	if (cp_may_act(h, now_us))
+		return true;
+	/* Until then the witnesses may grant again, or the store answer. */
+	if (h->state == CP_RELEASING ||
+	    now_us - h->lease_confirmed_us > WT_UNCONFIRMED_LIMIT_US)
+		cp_step_down(h, "lease not confirmed");
+	return false;
+}
+
 /* A list that names one that has ended is replaced by the next commit. */
 static void
 cp_check_witnesses(struct cp_host *h, int64_t now_us)
--- a/include/curranttackd/cell_pool_internal.h
+++ b/include/curranttackd/cell_pool_internal.h
@@ -84,8 +84,14 @@
 void cp_choose_witnesses(const struct cp_host *h, struct wt_list *list);
 /** cp_begin_permit() - an ownership begins */
 void cp_begin_permit(struct cp_host *h, const struct rp_owner *o);
-/** cp_may_act() - whether an owner may act on workers */
-bool cp_may_act(const struct cp_host *h, int64_t now_us);
+/**
+ * cp_check_permit() - whether an owner may act on workers
+ * @h: host that owns its pool, or is releasing it
+ * @now_us: time
+ *
+ * Steps down if it can't get permission any more.
+ */
+bool cp_check_permit(struct cp_host *h, int64_t now_us);
 /** cp_witness_tick() - keep the witnesses up to date and ask them if need be */
 void cp_witness_tick(struct cp_host *h, int64_t now_us);
 /**
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -381,6 +381,7 @@
 	uint64_t pick(uint64_t below);
 	int64_t local_us(const ModelOwner &o, int64_t us) const;
 	bool may_act(const ModelOwner &o) const;
+	bool has_no_permit(const ModelOwner &o) const;
 	bool is_together(bool away, bool other_away) const;
 	bool reaches(int number, const ModelWorker &w) const;
 	ModelWitness *find_witness(const char *vm);
--- a/tests/unit/takeover_witness.cc
+++ b/tests/unit/takeover_witness.cc
@@ -62,6 +62,14 @@
 	    wt_may_act_until_us(&o.permit, local_us(o, o.confirmed_us));
 }
 
+/* And gets none any more without being confirmed. */
+bool
+TakeoverModel::has_no_permit(const ModelOwner &o) const
+{
+	return local_us(o, now) - local_us(o, o.confirmed_us) >
+	    WT_UNCONFIRMED_LIMIT_US;
+}
+
 bool
 TakeoverModel::is_together(bool away, bool other_away) const
 {
