--- a/curranttackd/cell_load.c
+++ b/curranttackd/cell_load.c
@@ -78,16 +78,24 @@
 	return list;
 }
 
+/* Whether the last owner, and not one before it, stored a registry. */
+static bool
+cp_is_of_last_owner(const struct rp_owner *o, const Currant__PoolWorkers *list)
+{
+	return list->has_term && list->term + 1 == o->term;
+}
+
 static void
-cp_load_worker(
-    struct cp_host *h, const Currant__KnownWorker *row, int64_t now_us)
+cp_load_worker(struct cp_host *h, const Currant__PoolWorkers *list,
+    const Currant__KnownWorker *row, int64_t now_us)
 {
 	const struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
 
 	wp_add_registered_worker(h->pool, row->id, row->address, now_us);
 	wp_describe_registered_worker(h->pool, row->id,
 	    row->vm != NULL ? row->vm : "", row->born_ms, now_us);
-	if (row->has_lease_left_ms)
+	/* An owner in between may be of a build that doesn't know the mark. */
+	if (row->has_lease_left_ms && cp_is_of_last_owner(o, list))
 		wp_mark_registered_worker(
 		    h->pool, row->id, row->lease_left_ms, o->workers_read_us);
 	if (row->closed)
@@ -102,7 +110,7 @@
 	size_t i;
 
 	for (i = 0; i < list->n_workers; i++)
-		cp_load_worker(h, list->workers[i], now_us);
+		cp_load_worker(h, list, list->workers[i], now_us);
 	wp_registry_loaded(h->pool);
 }
 
@@ -114,7 +122,7 @@
 	const struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
 	size_t i;
 
-	if (!list->has_term || list->term + 1 != o->term)
+	if (!cp_is_of_last_owner(o, list))
 		return;
 	for (i = 0; i < list->n_not_started; i++)
 		wp_job_never_started(h->pool, list->not_started[i], now_us);
