--- a/tests/fault/cell_fixture.h
+++ b/tests/fault/cell_fixture.h
@@ -24,8 +24,8 @@
 		dir = mkdtemp(name);
 		platform =
 		    std::make_unique<Process>("tests/standins/standin-platform",
-			std::vector<std::string>{
-			    std::to_string(worker_count), "4000"},
+			std::vector<std::string>{std::to_string(worker_count),
+			    "4000", std::to_string(doors)},
 			dir + "/platform.log");
 		store = platform->addresses[0];
 		advice = platform->addresses[1];
@@ -45,8 +45,10 @@
 	{
 		for (int i = 0; i < n; i++)
 			daemons.push_back(std::make_unique<CellDaemon>(dir,
-			    "vm-" + std::to_string(i), store, advice,
-			    keep_ended, duties, settings));
+			    "vm-" + std::to_string(i),
+			    doors > 0 ? platform->addresses[4 + (size_t)i]
+				      : store,
+			    advice, keep_ended, duties, settings));
 	}
 
 	void
@@ -227,6 +229,24 @@
 		return found;
 	}
 
+	/* How often a daemon logged that it owns the pool. */
+	size_t
+	takeovers()
+	{
+		const std::string line = "event=owner ";
+		size_t n = 0;
+
+		for (auto &d : daemons) {
+			std::string text = d->log_text();
+			size_t at = 0;
+
+			for (; (at = text.find(line, at)) != std::string::npos;
+			     at += line.size())
+				n++;
+		}
+		return n;
+	}
+
 	bool
 	owns(size_t daemon)
 	{
@@ -293,6 +313,7 @@
 	}
 
 	uint32_t worker_count = kWorkers;
+	uint32_t doors = 0; /* to the store, one for each daemon if any */
 	std::string settings;
 	std::string keep_ended = "120s";
 	std::string dir;
--- a/tests/fault/test_silent_workers.cc
+++ b/tests/fault/test_silent_workers.cc
@@ -44,23 +44,6 @@
 			",\"off\":" + (off ? "true}" : "false}"));
 	}
 
-	size_t
-	takeovers()
-	{
-		const std::string line = "event=owner ";
-		size_t n = 0;
-
-		for (auto &d : daemons) {
-			std::string text = d->log_text();
-			size_t at = 0;
-
-			for (; (at = text.find(line, at)) != std::string::npos;
-			     at += line.size())
-				n++;
-		}
-		return n;
-	}
-
 	void
 	kill_all_daemons()
 	{
--- a/tests/soak/test_soak_power.cc
+++ b/tests/soak/test_soak_power.cc
@@ -1,11 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <random>
 
-#include "../fault/cell_fixture.h"
 #include "load.h"
-#include "seeds.h"
+#include "seeded_cell.h"
 
 /*
  * All daemons and some workers lose power at once while jobs wait, by a seed;
@@ -28,7 +26,7 @@
 constexpr int64_t kAnswerMs = 4000;
 constexpr useconds_t kSampleUs = 50000;
 
-class PowerSoak : public Cell, public testing::WithParamInterface<int>
+class PowerSoak : public SeededCell
 {
       protected:
 	PowerSoak()
@@ -36,26 +34,6 @@
 		worker_count = kManyWorkers;
 	}
 
-	void
-	TearDown() override
-	{
-		if (HasFailure())
-			std::cerr << "seed " << GetParam() << "\n";
-		Cell::TearDown();
-	}
-
-	int
-	below(int n)
-	{
-		return (int)(random() % (unsigned)n);
-	}
-
-	void
-	pause_ms(int ms)
-	{
-		usleep((useconds_t)(1000 * ms));
-	}
-
 	void
 	submit_jobs()
 	{
@@ -68,16 +46,7 @@
 		EXPECT_TRUE(eventually([&] {
 			return reported("running") == kCores * kManyWorkers;
 		}));
-		pause_ms(below(2000));
-	}
-
-	void
-	set_worker(uint32_t worker, bool off, bool reborn)
-	{
-		http("POST", control + "/_worker",
-		    "{\"worker\":" + std::to_string(worker) +
-			",\"off\":" + (off ? "true" : "false") +
-			",\"reborn\":" + (reborn ? "true}" : "false}"));
+		pause_below(2000);
 	}
 
 	void
@@ -202,7 +171,6 @@
 		std::atomic<bool> over{false};
 		int64_t back_us;
 
-		random.seed((unsigned)GetParam());
 		start_daemons(kDaemons);
 		submit_jobs();
 		lose_power();
@@ -230,7 +198,6 @@
 			  << (load_now_us() - back_us) / 1000 << " ms\n";
 	}
 
-	std::mt19937 random;
 	std::vector<int> accepted;
 	std::vector<uint32_t> without_power;
 	std::vector<size_t> logged;
@@ -255,20 +222,14 @@
 	EXPECT_LE(longest_idle_us, 1000 * kIdleMs);
 }
 
-std::string
-name_of(const testing::TestParamInfo<int> &info)
-{
-	return std::to_string(info.param);
-}
-
 /*
  * Seeds that ever failed, with their cause.
  * 811, 812: a new owner starts nothing until it knows of a silent worker's tasks
  *    ("event=reconciled after_ms=13448" or 3449).
  */
 INSTANTIATE_TEST_SUITE_P(
-    Seeds, PowerSoak, testing::ValuesIn(seeds_or({800})), name_of);
-INSTANTIATE_TEST_SUITE_P(
-    Seeds, IdlePowerSoak, testing::ValuesIn(seeds_or({811, 812})), name_of);
+    Seeds, PowerSoak, testing::ValuesIn(seeds_or({800})), name_of_seed);
+INSTANTIATE_TEST_SUITE_P(Seeds, IdlePowerSoak,
+    testing::ValuesIn(seeds_or({811, 812})), name_of_seed);
 
 } // namespace
--- a/tests/soak/test_soak_stop.cc
+++ b/tests/soak/test_soak_stop.cc
@@ -1,11 +1,8 @@
 #include <gtest/gtest.h>
 
-#include <random>
-
-#include "../fault/cell_fixture.h"
 #include "load.h"
 #include "processor_watch.h"
-#include "seeds.h"
+#include "seeded_cell.h"
 
 /*
  * Callers that send without a pause while daemons get SIGTERM, by a seed: one
@@ -36,39 +33,18 @@
 	kSilentStore, /* from SIGTERM on */
 };
 
-class StopSoak : public Cell, public testing::WithParamInterface<int>
+class StopSoak : public SeededCell
 {
       protected:
 	void
 	SetUp() override
 	{
-		Cell::SetUp();
-		random.seed((unsigned)GetParam());
+		SeededCell::SetUp();
 		start_daemons(kDaemons);
 		for (auto &d : daemons)
 			targets.emplace_back().address = d->callers;
 	}
 
-	void
-	TearDown() override
-	{
-		if (HasFailure())
-			std::cerr << "seed " << GetParam() << "\n";
-		Cell::TearDown();
-	}
-
-	int
-	below(int n)
-	{
-		return (int)(random() % (unsigned)n);
-	}
-
-	void
-	pause_below(int ms)
-	{
-		usleep((useconds_t)(1000 * below(ms)));
-	}
-
 	/* What is planned beside a SIGTERM. */
 	void
 	change_something(size_t i)
@@ -250,7 +226,6 @@
 	}
 
 	Ailment ailment = Ailment::kNone;
-	std::mt19937 random;
 	std::deque<LoadTarget> targets;
 	std::vector<size_t> stopping;
 	LoadSummary seen;
@@ -284,24 +259,18 @@
 	play_and_check(Ailment::kSilentStore);
 }
 
-std::string
-name_of(const testing::TestParamInfo<int> &info)
-{
-	return std::to_string(info.param);
-}
-
 /*
  * Seeds that ever failed, with their cause.
  * 720, 730: a daemon ended while requests waited for the store
  *    ("event=stopped busy=4").
  */
 INSTANTIATE_TEST_SUITE_P(
-    Seeds, StopSoak, testing::ValuesIn(seeds_or({700})), name_of);
-INSTANTIATE_TEST_SUITE_P(
-    Seeds, StopSoakOfFreezes, testing::ValuesIn(seeds_or({710})), name_of);
+    Seeds, StopSoak, testing::ValuesIn(seeds_or({700})), name_of_seed);
 INSTANTIATE_TEST_SUITE_P(
-    Seeds, StopSoakWithASlowStore, testing::ValuesIn(seeds_or({720})), name_of);
+    Seeds, StopSoakOfFreezes, testing::ValuesIn(seeds_or({710})), name_of_seed);
+INSTANTIATE_TEST_SUITE_P(Seeds, StopSoakWithASlowStore,
+    testing::ValuesIn(seeds_or({720})), name_of_seed);
 INSTANTIATE_TEST_SUITE_P(Seeds, StopSoakWithASilentStore,
-    testing::ValuesIn(seeds_or({730})), name_of);
+    testing::ValuesIn(seeds_or({730})), name_of_seed);
 
 } // namespace
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -2,7 +2,7 @@
  * Stand-in for the users' platform: store with revisions, leases, watches and
  * history, workers with fencing and leases on their own clock, advice, and an
  * operator's side. Faults are set through POST /_fault; GET /_report tells what
- * the workers have seen.
+ * the workers have seen, GET /_runs?job=ID when each run of a job began and ended.
  *
  * A fault acts on the next "count" calls that match, or for "for_ms", then on
  * "percent" of them: "target" is store, store-N (what uses its N-th door), w
@@ -136,6 +136,7 @@
 struct run {
 	char task[NAME_BYTES];
 	uint32_t run;
+	uint32_t record;
 	struct demand demand;
 	int64_t ends_us;
 	int64_t stops_us;
@@ -143,6 +144,16 @@
 	struct run *next;
 };
 
+/* A run of a task, kept after its end; how: NULL while it goes on. */
+struct record {
+	char task[NAME_BYTES];
+	char worker[NAME_BYTES];
+	uint32_t run;
+	int64_t began_us;
+	int64_t ended_us;
+	const char *how;
+};
+
 struct end {
 	uint64_t number;
 	char task[NAME_BYTES];
@@ -182,6 +193,8 @@
 	uint32_t size_count;
 	uint64_t seq;
 	int64_t beat_at_us;
+	int64_t listed_us;
+	uint32_t renamed;
 	bool mute;
 	int64_t born_us;
 	uint64_t fence;
@@ -225,6 +238,10 @@
 static struct worker workers[MAX_WORKERS];
 static uint32_t worker_count;
 static struct tally *tallies;
+static struct record *records;
+static uint32_t record_count;
+/* Entries of silent workers are removed after so long; 0: never. */
+static int64_t expiry_us;
 static uint32_t twice;
 /* Acknowledgements of ends that this life of the worker hasn't had. */
 static uint32_t foreign_acks;
@@ -786,12 +803,36 @@
 	return (clk_now_us() - w->born_us) / CLK_US_PER_MS + 1000;
 }
 
+static uint32_t
+add_record(const struct worker *w, const char *task, uint32_t run)
+{
+	struct record *new;
+
+	if ((record_count & (record_count - 1)) == 0)
+		records = realloc(records,
+		    (record_count > 0 ? 2 * record_count : 1) *
+			sizeof(*records));
+	new = &records[record_count];
+	*new = (struct record){.run = run, .began_us = clk_now_us()};
+	snprintf(new->task, sizeof(new->task), "%s", task);
+	memcpy(new->worker, w->id, sizeof(new->worker));
+	return record_count++;
+}
+
+static void
+end_record(const struct run *r, const char *how)
+{
+	records[r->record].ended_us = clk_now_us();
+	records[r->record].how = how;
+}
+
 static void
 end_run(struct worker *w, struct run *r, const char *how)
 {
 	struct end *e = calloc(1, sizeof(*e));
 	struct tally *t = tally_of(r->task);
 
+	end_record(r, how);
 	t->now--;
 	t->done += strcmp(how, "done") == 0;
 	e->number = ++w->next_end;
@@ -960,6 +1001,7 @@
 	r->run = run;
 	r->demand = read_demand(spec);
 	r->ends_us = clk_now_us() + r->demand.work_us;
+	r->record = add_record(w, task, run);
 	DL_APPEND(w->runs, r);
 	seen_of(w, task)->run = run;
 	DL_FOREACH(w->runs, other)
@@ -1192,6 +1234,10 @@
 	if (rejects(f, req))
 		return;
 	if (expected != NULL && strcmp(expected, w->id) != 0) {
+		if (w->renamed > 0) {
+			never_answer(req);
+			return;
+		}
 		standin_reply(req, 421, "another instance");
 		return;
 	}
@@ -1258,15 +1304,30 @@
 	value = b64_encode(NULL, (const uint8_t *)text, strlen(text));
 	revision++;
 	put_item(key, value, 0);
+	w->listed_us = clk_now_us();
 	talloc_free(value);
 	free(text);
 	json_decref(row);
 }
 
+static void
+unlist_worker(const struct worker *w)
+{
+	char key[NAME_BYTES + 16];
+
+	snprintf(key, sizeof(key), "servers/%s", w->id);
+	if (find_item(key) == NULL)
+		return;
+	revision++;
+	remove_item(key);
+}
+
 /* Workers can't reach a store that answers nobody. */
 static void
 beat(struct worker *w)
 {
+	if (expiry_us != 0 && clk_now_us() > w->listed_us + expiry_us)
+		unlist_worker(w);
 	if (clk_now_us() < w->beat_at_us)
 		return;
 	w->beat_at_us = clk_now_us() + BEAT_US;
@@ -1291,6 +1352,7 @@
 		free(h);
 	}
 	DL_FOREACH_SAFE(w->runs, r, tmp) {
+		end_record(r, "died");
 		tally_of(r->task)->now--;
 		tally_of(r->task)->crashed++;
 		DL_DELETE(w->runs, r);
@@ -1468,6 +1530,30 @@
 		(int)crashed));
 }
 
+/* Of one job: [task, run, worker, began, ended, how], times in ms. */
+static void
+report_runs(struct hs_request *req)
+{
+	const char *job = hs_query(req, "job");
+	json_t *rows = json_array();
+	uint32_t i;
+
+	for (i = 0; i < record_count; i++) {
+		const struct record *r = &records[i];
+
+		if (job == NULL || !has_prefix(r->task, job))
+			continue;
+		json_array_append_new(rows,
+		    json_pack("[s, i, s, I, I, s]", r->task, (int)r->run,
+			r->worker, (json_int_t)(r->began_us / CLK_US_PER_MS),
+			(json_int_t)(r->ended_us / CLK_US_PER_MS),
+			r->how != NULL ? r->how : ""));
+	}
+	standin_reply_json(req, 200,
+	    json_pack("{s:o, s:I}", "runs", rows, "now_ms",
+		(json_int_t)(clk_now_us() / CLK_US_PER_MS)));
+}
+
 static void
 clear_faults(struct hs_request *req)
 {
@@ -1481,24 +1567,34 @@
 	standin_reply(req, 200, "ok");
 }
 
+/* Another worker on the same VM; nothing answers for the earlier one. */
+static void
+rename_worker(struct worker *w, uint32_t n)
+{
+	begin_life(w);
+	unlist_worker(w);
+	snprintf(w->id, sizeof(w->id), "w-%u-%u", n, ++w->renamed);
+	standin_serve(loop, w->address, on_worker, w);
+	list_worker(w);
+}
+
 static void
 switch_worker(struct hs_request *req)
 {
 	json_t *body = standin_body(req);
 	int64_t n = json_integer_value(json_object_get(body, "worker"));
 	struct worker *w = &workers[n];
-	char key[NAME_BYTES + 16];
 
 	w->off = json_is_true(json_object_get(body, "off"));
 	w->mute = json_is_true(json_object_get(body, "mute"));
 	if (json_is_true(json_object_get(body, "left"))) {
 		w->left = true;
-		snprintf(key, sizeof(key), "servers/%s", w->id);
-		revision++;
-		remove_item(key);
+		unlist_worker(w);
 	}
 	if (json_is_true(json_object_get(body, "reborn")))
 		begin_life(w);
+	if (json_is_true(json_object_get(body, "renamed")))
+		rename_worker(w, (uint32_t)n);
 	json_decref(body);
 	standin_reply(req, 200, "ok");
 }
@@ -1547,6 +1643,18 @@
 	standin_reply(req, 200, "ok");
 }
 
+/* As if they had been started earlier; before any daemon knows them. */
+static void
+age_workers(struct hs_request *req)
+{
+	int64_t ms = standin_query_i64(req, "ms", 0);
+	uint32_t i;
+
+	for (i = 0; i < worker_count; i++)
+		workers[i].born_us -= ms * CLK_US_PER_MS;
+	standin_reply(req, 200, "ok");
+}
+
 static void
 on_control(struct hs_request *req, void *arg)
 {
@@ -1566,7 +1674,14 @@
 		clear_faults(req);
 	else if (strcmp(req->path, "/_job") == 0)
 		report_job(req);
-	else if (strcmp(req->path, "/_worker") == 0)
+	else if (strcmp(req->path, "/_runs") == 0)
+		report_runs(req);
+	else if (strcmp(req->path, "/_age") == 0)
+		age_workers(req);
+	else if (strcmp(req->path, "/_expiry") == 0) {
+		expiry_us = standin_query_i64(req, "ms", 0) * CLK_US_PER_MS;
+		standin_reply(req, 200, "ok");
+	} else if (strcmp(req->path, "/_worker") == 0)
 		switch_worker(req);
 	else if (strcmp(req->path, "/_size") == 0)
 		size_worker(req);
