pool: log what long-running tasks without a run wait for

wp_find_without_run() names, once a second, long-running tasks that have or may have had no run for 3 s, a row for each step, with the worker that is waited for longest and how long its lease still lasts. It changes no decision.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -22,6 +22,8 @@
 #define CP_MAX_GANG_ROWS 4
 /* Workers that tasks wait for after a takeover: which are logged, and when. */
 #define CP_MAX_HOLDING_ROWS 16
+/* Steps of long-running tasks that are logged while these have no run. */
+#define CP_MAX_WITHOUT_RUN_ROWS 8
 #define CP_LOG_HOLDING_AFTER_US (500 * CLK_US_PER_MS)
 #define CP_FORGET_EVERY_US (2 * CLK_US_PER_S)
 /* Time to store ended jobs before a pool is handed over. */
@@ -249,6 +251,29 @@
 	}
 }
 
+/* One line for each step of long-running tasks that have no run. */
+static void
+cp_log_without_run(struct cp_host *h, int64_t now_us)
+{
+	struct wp_without_run row[CP_MAX_WITHOUT_RUN_ROWS];
+	uint32_t count = wp_find_without_run(
+	    h->pool, h->owner_since_us, now_us, row, CP_MAX_WITHOUT_RUN_ROWS);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct wp_without_run *t = &row[i];
+
+		lg_event(LG_INFO, "pool", "without_run", "pool", h->name, "job",
+		    t->ref.job, "step", lg_i64(t->ref.step), "index",
+		    lg_i64(t->ref.index), "tasks", lg_i64(t->tasks), "run",
+		    lg_i64(t->run), "state", lg_i64(t->state), "why",
+		    wp_without_run_name(t->why), "for_ms",
+		    lg_i64(t->for_us / CLK_US_PER_MS), "worker", t->worker,
+		    "listed", t->listed ? "1" : "0", "left_ms",
+		    lg_i64(t->left_us / CLK_US_PER_MS), NULL);
+	}
+}
+
 /* One line for each worker that tasks of an earlier owner may wait for. */
 static void
 cp_log_holding(struct cp_host *h, int64_t now_us)
@@ -315,6 +340,7 @@
 	cp_log_waits(h, now_us);
 	cp_log_gang_waits(h, now_us);
 	cp_log_advice_rates(h);
+	cp_log_without_run(h, now_us);
 	cp_log_holding(h, now_us);
 }
 
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -804,6 +804,40 @@
 	int64_t cpu_mcpu[WP_WAITS];
 };
 
+/** enum wp_without_run_why - what the next run of a long-running task waits for */
+enum wp_without_run_why {
+	WP_WITHOUT_RUN_HELD, /* workers that may run it for an earlier owner */
+	WP_WITHOUT_RUN_OLDER_RUN, /* the stop of an earlier owner's run */
+	WP_WITHOUT_RUN_SILENT,	  /* the lease of its worker, which is silent */
+	WP_WITHOUT_RUN_WAITS,	  /* resources, advice or its turn */
+};
+
+/**
+ * struct wp_without_run - long-running tasks of a step that have or may have had
+ *	no run for seconds
+ * @ref: the first of them
+ * @run: its newest run
+ * @state: its state
+ * @why: what its next run waits for
+ * @tasks: how many there are
+ * @for_us: for how long at most
+ * @worker: worker whose lease is waited for, the longest; empty for none
+ * @listed: discovery lists this worker
+ * @left_us: until that lease has certainly expired; negative if it has, and the
+ *	ownership isn't confirmed
+ */
+struct wp_without_run {
+	struct jb_ref ref;
+	uint32_t run;
+	enum wp_task_state state;
+	enum wp_without_run_why why;
+	uint32_t tasks;
+	int64_t for_us;
+	char worker[WP_NAME_BYTES];
+	bool listed;
+	int64_t left_us;
+};
+
 /**
  * struct wp_gang_wait - why a gang has not started
  * @job: its job; belongs to the pool
@@ -1313,6 +1347,22 @@
 void wp_get_counts(
     const struct wp_pool *p, int64_t now_us, struct wp_counts *n);
 
+/**
+ * wp_find_without_run() - find long-running tasks without a run, for logs
+ * @p: pool
+ * @owned_us: since when the pool has had its owner
+ * @now_us: time
+ * @list: filled in, one row for each step
+ * @max: rows that fit in @list
+ *
+ * Return: number of rows.
+ */
+uint32_t wp_find_without_run(const struct wp_pool *p, int64_t owned_us,
+    int64_t now_us, struct wp_without_run *list, uint32_t max);
+
+/** wp_without_run_name() - name of what a run waits for, in logs */
+const char *wp_without_run_name(enum wp_without_run_why why);
+
 /**
  * wp_get_waits() - what the ready steps wait for, for metrics
  * @p: pool
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -14,7 +14,8 @@
  * pool_advice (tickets), pool_reserve (resources kept for gangs), pool_forecast
  * (resources left for the next steps), pool_request (workers that an advice
  * request names), pool_ask (steps that request advice),
- * pool_outlook (lateness), pool_waits (what steps wait for),
+ * pool_outlook (lateness), pool_waits (what steps wait for), pool_without_run (what
+ * long-running tasks wait for),
  * pool_sharing (throttling), pool_copy (speculative copies of tasks),
  * pool_crash (crashes of workers under tasks), pool_suspect (which tasks may
  * have caused them, and how these start again),
