tests: an earlier owner's end is stored without another commit

Cause: cp_update_earlier_owner() marks the term, but cp_start_commit() stores nothing unless progress or the registry of the workers has to be stored as well. An owner whose tasks are all held has neither for seconds.

--- a/tests/fault/test_silent_workers.cc
+++ b/tests/fault/test_silent_workers.cc
@@ -45,15 +45,43 @@
 	}
 
 	void
-	kill_all_daemons()
+	end_all_daemons()
 	{
-		size_t before = takeovers();
-
 		for (auto &d : daemons)
 			d->signal(SIGKILL);
 		for (auto &d : daemons)
 			d->end(SIGKILL);
 		usleep(kDaemonsAreDownUs);
+	}
+
+	void
+	start_all_but(size_t one)
+	{
+		for (size_t d = 0; d < daemons.size(); d++) {
+			if (d != one)
+				daemons[d]->start();
+		}
+	}
+
+	/* How long earlier owners may act, as the newest one logged. */
+	int
+	earlier_ms()
+	{
+		std::string text = daemons[owner()]->log_text();
+		std::string key = " earlier_ms=";
+		size_t at = text.rfind(key);
+
+		return at == std::string::npos
+		    ? -1
+		    : atoi(text.c_str() + at + key.size());
+	}
+
+	void
+	kill_all_daemons()
+	{
+		size_t before = takeovers();
+
+		end_all_daemons();
 		for (auto &d : daemons)
 			d->start();
 		ASSERT_TRUE(
@@ -70,6 +98,31 @@
 	}
 };
 
+/* Nothing else has to be stored meanwhile. */
+TEST_F(CellBesideSilentWorkers, NextOwnerKnowsThatTheOneBeforeTheLastHasEnded)
+{
+	start_daemons(3);
+	ASSERT_TRUE(eventually([&] { return takeovers() == 1; }));
+	/* The registry of the workers is stored. */
+	usleep(1500000);
+	size_t first = owner();
+
+	end_all_daemons();
+	start_all_but(first);
+	ASSERT_TRUE(eventually([&] { return takeovers() == 2; }));
+	usleep(500000);
+	daemons[first]->start();
+	usleep(1500000);
+	size_t second = owner();
+
+	ASSERT_NE(second, first);
+	end_all_daemons();
+	daemons[second]->start();
+	ASSERT_TRUE(eventually([&] { return takeovers() == 3; }));
+	/* One lease. */
+	EXPECT_LE(earlier_ms(), 3500);
+}
+
 TEST_F(CellBesideSilentWorkers, WaitingTasksStartAfterAllDaemonsWereKilled)
 {
 	begin();
