tests: an owner that is cut off from the store with its worker

A change of how long an earlier owner may act can let a task run twice where the earlier one still reaches a worker that the next one doesn't. No test of real processes played that.

OwnerIsCutOffWithItsWorker cuts the owner, and up to two other daemons, off from the store for 8 to 14 s, while the worker with most tasks answers the owner's fencing token alone (a fault's "but" in the stand-in).

--- a/tests/soak/test_soak_lasting.cc
+++ b/tests/soak/test_soak_lasting.cc
@@ -197,6 +197,25 @@
 			"\":true}");
 	}
 
+	void
+	cut_off_from_store(size_t daemon, int for_ms)
+	{
+		inject_fault("{\"target\":\"store-" + std::to_string(daemon) +
+		    "\",\"kind\":\"down\",\"for_ms\":" +
+		    std::to_string(for_ms) + "}");
+	}
+
+	/* Of its newest term. */
+	int
+	fence_of(size_t daemon)
+	{
+		std::string text = daemons[daemon]->log_text();
+		std::string key = " fence=";
+
+		return atoi(text.c_str() +
+		    text.find(key, text.rfind("event=owner ")) + key.size());
+	}
+
 	/* The returned time is that of the fault. */
 	int64_t
 	kill_daemon(size_t daemon)
@@ -401,8 +420,29 @@
 	int64_t at_ms = now_ms();
 
 	crash(workers_by_load()[0]);
-	inject_fault("{\"target\":\"store-" + std::to_string(owner()) +
-	    "\",\"kind\":\"down\",\"for_ms\":" + std::to_string(for_ms) + "}");
+	cut_off_from_store(owner(), for_ms);
+	pause_ms(for_ms);
+	note_fault(at_ms, now_ms());
+	await_and_judge();
+}
+
+/*
+ * Its worker answers it alone, so the next owner can't know until when it goes
+ * on; other daemons may be cut off from the store with it.
+ */
+TEST_P(LastingSoak, OwnerIsCutOffWithItsWorker)
+{
+	begin();
+	int for_ms = 8000 + below(6000);
+	size_t first = owner();
+	int64_t at_ms = now_ms();
+
+	inject_fault("{\"target\":\"w-" + std::to_string(workers_by_load()[0]) +
+	    "\",\"kind\":\"down\",\"but\":\"\\\"fencing_token\\\":" +
+	    std::to_string(fence_of(first)) +
+	    ",\",\"for_ms\":" + std::to_string(for_ms) + "}");
+	for (int n = below(3); n >= 0; n--)
+		cut_off_from_store((first + (size_t)n) % kDaemons, for_ms);
 	pause_ms(for_ms);
 	note_fault(at_ms, now_ms());
 	await_and_judge();
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -7,7 +7,8 @@
  * A fault acts on the next "count" calls that match, or for "for_ms", then on
  * "percent" of them: "target" is store, store-N (what uses its N-th door), w
  * (all workers), w-N, advice or duties; "path" and "body" are parts of the
- * request's. Earlier faults go first. Kinds: see fault_kinds.
+ * request's; "but" is what a request that is spared has in its body. Earlier
+ * faults go first. Kinds: see fault_kinds.
  *
  * Usage: standin-platform WORKERS CPU [DOORS]
  */
@@ -117,6 +118,7 @@
 	char target[NAME_BYTES];
 	char path[NAME_BYTES];
 	char body[NAME_BYTES];
+	char but[NAME_BYTES];
 	int64_t count;
 	int64_t percent; /* 0: all */
 	int64_t until_us;
@@ -277,7 +279,8 @@
 is_hit(struct fault *f, const char *target, const char *path, const char *body)
 {
 	if (!is_target(f, target) || strstr(path, f->path) == NULL ||
-	    strstr(body, f->body) == NULL)
+	    strstr(body, f->body) == NULL ||
+	    (f->but[0] != '\0' && strstr(body, f->but) != NULL))
 		return false;
 	if (f->until_us == 0)
 		return f->count-- > 0;
@@ -332,6 +335,7 @@
 	copy_text(f->target, sizeof(f->target), body, "target");
 	copy_text(f->path, sizeof(f->path), body, "path");
 	copy_text(f->body, sizeof(f->body), body, "body");
+	copy_text(f->but, sizeof(f->but), body, "but");
 	for (i = 0; i < FAULT_KINDS; i++) {
 		if (strcmp(fault_kinds[i].name, kind) == 0)
 			break;
