standins: a store that is down answers no watch that it holds

A store that is silent says nothing, so what the test is for, an outage that shows nothing to anybody, wasn't played reliably.

Watches that a door holds are answered only after a fault of the kind "down" that covers all of them for a time.

--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -66,6 +66,7 @@
 
 struct watcher {
 	struct hs_request *req;
+	const char *door;
 	char *prefix;
 	uint64_t after;
 	int64_t deadline_us;
@@ -308,6 +309,21 @@
 	return NULL;
 }
 
+/* Whether a target answers nothing for a time, what it has accepted included. */
+static bool
+is_silent(const char *target, const char *path)
+{
+	const struct fault *f;
+
+	DL_FOREACH(faults, f) {
+		if (f->kind == FAULT_DOWN && f->until_us > clk_now_us() &&
+		    f->percent == 0 && is_target(f, target) &&
+		    strstr(path, f->path) != NULL && f->body[0] == '\0')
+			return true;
+	}
+	return false;
+}
+
 static struct fault *
 fault_of(const char *target, struct hs_request *req)
 {
@@ -509,9 +525,12 @@
 	struct watcher *tmp;
 
 	LL_FOREACH_SAFE(watchers, w, tmp) {
-		json_t *events = json_array();
+		json_t *events;
 		uint32_t i;
 
+		if (is_silent(w->door, "kv-watch"))
+			continue;
+		events = json_array();
 		for (i = first_change_after(w->after); i < history_count; i++) {
 			if (has_prefix(history[i].key, w->prefix))
 				json_array_append(events, history[i].row);
@@ -556,7 +575,7 @@
 }
 
 static void
-store_watch(struct hs_request *req)
+store_watch(struct hs_request *req, const char *door)
 {
 	const char *prefix = hs_query(req, "prefix");
 	struct watcher *w;
@@ -567,6 +586,7 @@
 	}
 	w = calloc(1, sizeof(*w));
 	w->req = req;
+	w->door = door;
 	w->prefix = strdup(prefix != NULL ? prefix : "");
 	w->after = (uint64_t)standin_query_i64(req, "after", 0);
 	w->deadline_us =
@@ -745,12 +765,12 @@
 }
 
 static void
-serve_store(struct hs_request *req, const struct fault *f)
+serve_store(struct hs_request *req, const char *door, const struct fault *f)
 {
 	if (has_prefix(req->path, "/curranttack/kv-range"))
 		store_range(req);
 	else if (has_prefix(req->path, "/curranttack/kv-watch"))
-		store_watch(req);
+		store_watch(req, door);
 	else if (has_prefix(req->path, "/curranttack/kv-txn"))
 		store_txn(req, f);
 	else if (strcmp(req->path, "/curranttack/kv-lease") == 0)
@@ -763,10 +783,19 @@
 		standin_reply(req, 404, "no such call");
 }
 
+/* A request that the store answers late. */
+struct slow_call {
+	struct hs_request *req;
+	const char *door;
+};
+
 static void
 serve_store_late(void *arg)
 {
-	serve_store(arg, NULL);
+	struct slow_call *late = arg;
+
+	serve_store(late->req, late->door, NULL);
+	free(late);
 }
 
 static void
@@ -774,15 +803,19 @@
 {
 	const char *door = arg;
 	struct fault *slow = find_fault(door, req->path, req->body, true);
+	struct slow_call *late;
 	struct fault *f;
 
 	if (slow != NULL) {
-		loop_after(loop, slow->delay_us, serve_store_late, req);
+		late = calloc(1, sizeof(*late));
+		late->req = req;
+		late->door = door;
+		loop_after(loop, slow->delay_us, serve_store_late, late);
 		return;
 	}
 	f = fault_of(door, req);
 	if (!rejects(f, req))
-		serve_store(req, f);
+		serve_store(req, door, f);
 }
 
 /* --- workers --- */
