tests: an outage of the store while other daemons are dead

Where they have died before, nobody tells it, and the store answers nobody either, so no other owner can claim.

NothingEndsWhileTheStoreAndDaemonsAreDown kills one to three of the three others 3 s before an outage of 9 s.

--- a/tests/soak/test_soak_lasting.cc
+++ b/tests/soak/test_soak_lasting.cc
@@ -320,6 +320,20 @@
 		judge();
 	}
 
+	void
+	await_the_end_of_an_outage()
+	{
+		inject_fault(
+		    "{\"target\":\"store\",\"kind\":\"down\",\"for_ms\":" +
+		    std::to_string(kOutageMs) + "}");
+		pause_ms(kOutageMs + 4000);
+		for (const LastingRun &r : runs_of(""))
+			EXPECT_NE(r.how, "lapsed")
+			    << r.task << " on " << r.worker;
+		EXPECT_EQ(open_runs().size(), lasting_tasks);
+		judge();
+	}
+
 	/* A new owner waits longer for workers that may have restarted. */
 	int age_ms = 60000;
 	std::vector<FaultSpan> faults;
@@ -452,13 +466,19 @@
 TEST_P(LastingSoak, NothingEndsWhileTheStoreIsDown)
 {
 	begin();
-	inject_fault("{\"target\":\"store\",\"kind\":\"down\",\"for_ms\":" +
-	    std::to_string(kOutageMs) + "}");
-	pause_ms(kOutageMs + 4000);
-	for (const LastingRun &r : runs_of(""))
-		EXPECT_NE(r.how, "lapsed") << r.task << " on " << r.worker;
-	EXPECT_EQ(open_runs().size(), lasting_tasks);
-	judge();
+	await_the_end_of_an_outage();
+}
+
+/* Others can't tell the owner that the store answers nobody. */
+TEST_P(LastingSoak, NothingEndsWhileTheStoreAndDaemonsAreDown)
+{
+	begin();
+	size_t first = owner();
+
+	for (int n = 1 + below(kDaemons - 1); n > 0; n--)
+		kill_daemon((first + (size_t)n) % kDaemons);
+	pause_ms(3000);
+	await_the_end_of_an_outage();
 }
 
 /*
