--- a/tests/fault/test_silent_workers.cc
+++ b/tests/fault/test_silent_workers.cc
@@ -44,21 +44,36 @@
 			",\"off\":" + (off ? "true}" : "false}"));
 	}
 
-	size_t
-	takeovers()
+	void
+	end_all_daemons()
 	{
-		const std::string line = "event=owner ";
-		size_t n = 0;
-
-		for (auto &d : daemons) {
-			std::string text = d->log_text();
-			size_t at = 0;
+		for (auto &d : daemons)
+			d->signal(SIGKILL);
+		for (auto &d : daemons)
+			d->end(SIGKILL);
+		usleep(kDaemonsAreDownUs);
+	}
 
-			for (; (at = text.find(line, at)) != std::string::npos;
-			     at += line.size())
-				n++;
+	void
+	start_all_but(size_t one)
+	{
+		for (size_t d = 0; d < daemons.size(); d++) {
+			if (d != one)
+				daemons[d]->start();
 		}
-		return n;
+	}
+
+	/* How long earlier owners may act, as the newest one logged. */
+	int
+	earlier_ms()
+	{
+		std::string text = daemons[owner()]->log_text();
+		std::string key = " earlier_ms=";
+		size_t at = text.rfind(key);
+
+		return at == std::string::npos
+		    ? -1
+		    : atoi(text.c_str() + at + key.size());
 	}
 
 	void
@@ -66,11 +81,7 @@
 	{
 		size_t before = takeovers();
 
-		for (auto &d : daemons)
-			d->signal(SIGKILL);
-		for (auto &d : daemons)
-			d->end(SIGKILL);
-		usleep(kDaemonsAreDownUs);
+		end_all_daemons();
 		for (auto &d : daemons)
 			d->start();
 		ASSERT_TRUE(
@@ -87,6 +98,31 @@
 	}
 };
 
+/* Nothing else has to be stored meanwhile. */
+TEST_F(CellBesideSilentWorkers, NextOwnerKnowsThatTheOneBeforeTheLastHasEnded)
+{
+	start_daemons(3);
+	ASSERT_TRUE(eventually([&] { return takeovers() == 1; }));
+	/* The registry of the workers is stored. */
+	usleep(1500000);
+	size_t first = owner();
+
+	end_all_daemons();
+	start_all_but(first);
+	ASSERT_TRUE(eventually([&] { return takeovers() == 2; }));
+	usleep(500000);
+	daemons[first]->start();
+	usleep(1500000);
+	size_t second = owner();
+
+	ASSERT_NE(second, first);
+	end_all_daemons();
+	daemons[second]->start();
+	ASSERT_TRUE(eventually([&] { return takeovers() == 3; }));
+	/* One lease. */
+	EXPECT_LE(earlier_ms(), 3500);
+}
+
 TEST_F(CellBesideSilentWorkers, WaitingTasksStartAfterAllDaemonsWereKilled)
 {
 	begin();
