cell_witness: an owner replaces witnesses that it has no link to

Cause: a named witness stayed on the list for as long as its entry existed, 4 s after its end, and nobody granted.

Change: an owner only names daemons to which it has a link; without any, it names none, and the old limit of 10 s applies, also to the wait of the next owner. A claim may still name daemons without a link, as links come up later.

LongRunningTasks.OutageAfterOtherDaemonsEndedEndsNoRun failed before.

--- a/curranttackd/cell_witness.c
+++ b/curranttackd/cell_witness.c
@@ -45,13 +45,17 @@
 	uint32_t n = 0;
 
 	HASH_ITER(hh, c->replica->members, m, tmp) {
-		if (n == max || !cp_is_candidate(h, m))
+		bool linked = pn_link(c->links, m->vm) != NULL;
+
+		/* One that has ended keeps its entry for a while. */
+		if (n == max || !cp_is_candidate(h, m) ||
+		    (h->pool != NULL && !linked))
 			continue;
 		candidate[n++] = (struct wt_candidate){
 		    .vm = m->vm,
 		    .domain = m->domain,
 		    .incarnation = m->incarnation,
-		    .linked = pn_link(c->links, m->vm) != NULL,
+		    .linked = linked,
 		    .large = m->cpu_mcpu == largest_mcpu,
 		};
 	}
--- a/tests/unit/takeover_witness.cc
+++ b/tests/unit/takeover_witness.cc
@@ -93,10 +93,13 @@
 	struct wt_list list = {};
 
 	for (const ModelWitness &v : witnesses) {
-		if (!v.alive && now > v.died_us + 4 * kS)
+		bool linked = v.alive && is_together(o.away, v.away);
+
+		if ((!v.alive && now > v.died_us + 4 * kS) ||
+		    (o.pool != nullptr && !linked))
 			continue;
-		rows.push_back({v.vm.c_str(), v.vm.c_str(), v.entry,
-		    v.alive && is_together(o.away, v.away), true});
+		rows.push_back(
+		    {v.vm.c_str(), v.vm.c_str(), v.entry, linked, true});
 	}
 	wt_choose(&o.permit.stored.list, "", rows.data(), (uint32_t)rows.size(),
 	    &list);
--- a/tests/unit/test_promises_long.cc
+++ b/tests/unit/test_promises_long.cc
@@ -269,6 +269,24 @@
 	play_outage(StoreTrouble::kSilent, false);
 }
 
+/* Their entries, and so the list that named them, outlived them. */
+TEST(LongRunningTasks, OutageAfterOtherDaemonsEndedEndsNoRun)
+{
+	for (size_t killed = 1; killed < kDaemons; killed++) {
+		LongRunning t;
+
+		t.begin_jobs();
+		size_t owner = t.owner();
+		for (size_t n = 1; n <= killed; n++)
+			t.w.kill((owner + n) % kDaemons, false);
+		t.run_for(3 * kSimS);
+		t.w.store.leases_paused = true;
+		t.w.store_trouble(StoreTrouble::kSilent, kOutage);
+		t.run_to_end();
+		EXPECT_EQ(t.lapsed, 0U) << killed << " ended";
+	}
+}
+
 /* Once it answered again, watches of all daemons hung for up to 2.8 s more. */
 TEST(LongRunningTasks, StoreThatRefusesWhileLeasesRunOutEndsNoRun)
 {
