state: a task that ran again has room made at once when it is lost again

It is reset with the count of stops once a run is confirmed.

Restore.TaskThatRanAgainHasRoomMadeAtOnceWhenItIsLostAgain failed before, passes now with the other 23 of test_restore.

--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -591,6 +591,7 @@
 wp_restored(struct wp_task *t)
 {
 	t->restore_by_us = 0;
+	t->preempt_at_us = 0;
 	t->preempt_count = 0;
 	if (wp_lasts(t->step))
 		wp_mark_dirty(t->step->occ->job);
