pool_worker: runs on young workers are not waited for longer after a takeover

LOST, seen in the soak: a worker that had started less than 19.5 s before a takeover and died after it held its tasks for 10 s. A new owner takes the lease of a young worker to last for the longest one, since a renewal by the clock of its earlier life may have reached it late, also where it had no earlier life.

The registry says whether a worker had an earlier incarnation, as far as any owner knew; each one that got calls was in the registry before. One that didn't, or that no owner had registered, holds for one lease. Where a list doesn't say, as those of an earlier build, the longest lease counts as before.

The model stores the field as well.

--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -237,6 +237,8 @@
 	row->vm = w->vm;
 	row->has_born_ms = true;
 	row->born_ms = wp_newest_incarnation_ms(w);
+	row->has_began_again = true;
+	row->began_again = w->began_again;
 	row->has_lease_left_ms = w->marked;
 	row->lease_left_ms = wp_inherited_lease_ms(w, clk_now_us());
 	if (!w->opening)
--- a/curranttackd/cell_load.c
+++ b/curranttackd/cell_load.c
@@ -93,7 +93,8 @@
 
 	wp_add_registered_worker(h->pool, row->id, row->address, now_us);
 	wp_describe_registered_worker(h->pool, row->id,
-	    row->vm != NULL ? row->vm : "", row->born_ms, now_us);
+	    row->vm != NULL ? row->vm : "", row->born_ms,
+	    !row->has_began_again || row->began_again, now_us);
 	/* An owner in between may be of a build that doesn't know the mark. */
 	if (row->has_lease_left_ms && cp_is_of_last_owner(o, list))
 		wp_mark_registered_worker(
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -688,10 +688,15 @@
    */
   protobuf_c_boolean has_lease_left_ms;
   int64_t lease_left_ms;
+  /*
+   * It had an earlier incarnation; taken to be true where this is missing.
+   */
+  protobuf_c_boolean has_began_again;
+  protobuf_c_boolean began_again;
 };
 #define CURRANT__KNOWN_WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__known_worker__descriptor) \
-    , NULL, NULL, 0, 0, 0,NULL, NULL, 0, 0, 0, 0 }
+    , NULL, NULL, 0, 0, 0,NULL, NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Currant__PoolWorkers
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -422,6 +422,7 @@
  * @listed_incarnation_ms: incarnation that its entry is about; 0 when unknown
  * @known_incarnation_ms: the same, or that of the stored registry
  * @known_since_us: when that was first read
+ * @began_again: it had an earlier incarnation, and calls for that may reach it
  * @over: it has ended, as a later worker on its VM has answered
  * @listed: service discovery lists it
  * @draining: service discovery says that it receives no new tasks
@@ -502,6 +503,7 @@
 	int64_t listed_incarnation_ms;
 	int64_t known_incarnation_ms;
 	int64_t known_since_us;
+	bool began_again;
 	bool over;
 	bool listed;
 	bool draining;
@@ -1242,10 +1244,11 @@
  * @id: worker
  * @vm: VM that it runs or ran on; empty when unknown
  * @incarnation_ms: its newest incarnation known; 0 when unknown
+ * @began_again: it had an earlier one, or that is unknown
  * @now_us: time
  */
 void wp_describe_registered_worker(struct wp_pool *p, const char *id,
-    const char *vm, int64_t incarnation_ms, int64_t now_us);
+    const char *vm, int64_t incarnation_ms, bool began_again, int64_t now_us);
 
 /** wp_newest_incarnation_ms() - newest incarnation known, or 0 */
 int64_t wp_newest_incarnation_ms(const struct wp_worker *w);
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -142,8 +142,10 @@
 void wp_step_update_lists(struct wp_pool *p, struct wp_step *s);
 
 /** wp_know_incarnation() - an entry or the registry tells of an incarnation */
-void wp_know_incarnation(const struct wp_pool *p, struct wp_worker *w,
+void wp_know_incarnation(struct wp_pool *p, struct wp_worker *w,
     int64_t incarnation_ms, int64_t now_us);
+/** wp_note_new_life() - a worker is known to have had an earlier incarnation */
+void wp_note_new_life(struct wp_pool *p, struct wp_worker *w);
 /** wp_unleased_tick() - have a worker marked as without a lease, or not any more */
 void wp_unleased_tick(
     struct wp_pool *p, const struct wp_worker *w, int64_t now_us);
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -5503,7 +5503,7 @@
   (ProtobufCMessageInit) currant__pool_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[7] =
+static const ProtobufCFieldDescriptor currant__known_worker__field_descriptors[8] =
 {
   {
     "id",
@@ -5589,9 +5589,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "began_again",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__KnownWorker, has_began_again),
+    offsetof(Currant__KnownWorker, began_again),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__known_worker__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  7,   /* field[7] = began_again */
   5,   /* field[5] = born_ms */
   2,   /* field[2] = closed */
   0,   /* field[0] = id */
@@ -5602,7 +5615,7 @@
 static const ProtobufCIntRange currant__known_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor currant__known_worker__descriptor =
 {
@@ -5612,7 +5625,7 @@
   "Currant__KnownWorker",
   "currant",
   sizeof(Currant__KnownWorker),
-  7,
+  8,
   currant__known_worker__field_descriptors,
   currant__known_worker__field_indices_by_name,
   1,  currant__known_worker__number_ranges,
--- a/state/pool_gone.c
+++ b/state/pool_gone.c
@@ -26,11 +26,22 @@
 }
 
 void
-wp_know_incarnation(const struct wp_pool *p, struct wp_worker *w,
+wp_note_new_life(struct wp_pool *p, struct wp_worker *w)
+{
+	if (w->began_again)
+		return;
+	w->began_again = true;
+	p->registry_dirty = true;
+}
+
+void
+wp_know_incarnation(struct wp_pool *p, struct wp_worker *w,
     int64_t incarnation_ms, int64_t now_us)
 {
 	if (w->known_since_us != 0 && w->known_incarnation_ms == incarnation_ms)
 		return;
+	if (w->known_since_us != 0)
+		wp_note_new_life(p, w);
 	w->known_incarnation_ms = incarnation_ms;
 	w->known_since_us = now_us;
 	if (!w->over || incarnation_ms == w->incarnation_ms)
@@ -42,13 +53,14 @@
 
 void
 wp_describe_registered_worker(struct wp_pool *p, const char *id, const char *vm,
-    int64_t incarnation_ms, int64_t now_us)
+    int64_t incarnation_ms, bool began_again, int64_t now_us)
 {
 	struct wp_worker *w = wp_find_worker(p, id);
 
 	if (w == NULL)
 		return;
 	snprintf(w->vm, sizeof(w->vm), "%s", vm);
+	w->began_again = began_again;
 	wp_know_incarnation(p, w, incarnation_ms, now_us);
 }
 
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -690,6 +690,10 @@
 		return;
 	if (w->incarnation_ms != 0)
 		wp_worker_restarted(p, w, reply, now_us);
+	if (w->incarnation_ms != 0 ||
+	    (w->known_since_us != 0 &&
+		w->known_incarnation_ms != reply->incarnation_ms))
+		wp_note_new_life(p, w);
 	w->new_to_owner = p->ownership_unconfirmed;
 	w->incarnation_ms = reply->incarnation_ms;
 	w->incarnation_read_us = now_us;
@@ -698,23 +702,27 @@
 
 /*
  * An earlier owner may have renewed its lease until just before, and by the clock
- * of an earlier incarnation while this one was young.
+ * of an earlier incarnation while this one was young. Each incarnation that got
+ * calls was in the registry before.
  */
 static int64_t
-wp_inherited_lease_end_ms(const struct wp_pool *p, int64_t clock_ms)
+wp_inherited_lease_end_ms(
+    const struct wp_pool *p, const struct wp_worker *w, int64_t clock_ms)
 {
 	int64_t late_ms = WP_MAX_ORDER_DELAY_US / CLK_US_PER_MS;
 	int64_t renewed_ms = clock_ms + WP_LEASE_US / CLK_US_PER_MS;
 	int64_t longest_ms =
 	    (clock_ms < late_ms ? clock_ms : late_ms) + p->max_lease_ms;
 
+	if (p->knows_registered && !w->began_again)
+		return renewed_ms;
 	return renewed_ms > longest_ms ? renewed_ms : longest_ms;
 }
 
 static void
 wp_accept_token(const struct wp_pool *p, struct wp_worker *w, int64_t clock_ms)
 {
-	int64_t until_ms = wp_inherited_lease_end_ms(p, clock_ms);
+	int64_t until_ms = wp_inherited_lease_end_ms(p, w, clock_ms);
 
 	w->token_accepted = true;
 	w->earlier_owner_until_us = 0;
--- a/tests/unit/takeover_commits.cc
+++ b/tests/unit/takeover_commits.cc
@@ -115,7 +115,7 @@
 			ModelRegistered r = {w->id, w->vm,
 			    wp_newest_incarnation_ms(w),
 			    w->marked ? wp_inherited_lease_ms(w, now) : -1,
-			    false, {}};
+			    w->began_again, false, {}};
 
 			if (!w->registering)
 				continue;
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -109,6 +109,7 @@
 	std::string vm;
 	int64_t incarnation;
 	int64_t lease_left_ms; /* -1 without a mark */
+	bool began_again;
 	bool closed;
 	std::vector<struct jb_ref> tasks;
 };
--- a/tests/unit/test_pool_gone.cc
+++ b/tests/unit/test_pool_gone.cc
@@ -22,12 +22,31 @@
 
 	/* As the registry of the last owner names it. */
 	void
-	register_on(
-	    const std::string &id, const std::string &vm, int64_t incarnation)
+	register_on(const std::string &id, const std::string &vm,
+	    int64_t incarnation, bool began_again = false)
 	{
 		wp_add_registered_worker(p, id.c_str(), "127.0.0.1:1", now);
 		wp_describe_registered_worker(
-		    p, id.c_str(), vm.c_str(), incarnation, now);
+		    p, id.c_str(), vm.c_str(), incarnation, began_again, now);
+	}
+
+	/* How long runs on "a" are waited for; it was young when it answered. */
+	int64_t
+	lease_of_young_worker_us(int64_t incarnation, bool began_again)
+	{
+		create_pool(1, kStart + kHoldsAll);
+		p->max_lease_ms = 10000;
+		register_on("a", "vm", 100, began_again);
+		wp_registry_loaded(p);
+		list_on("a", "vm", incarnation);
+		struct wp_renewal renewal;
+		struct wp_renewal_reply reply = {};
+		wp_renewal_due(p, worker("a"), now, &renewal);
+		reply.incarnation_ms = incarnation;
+		reply.clock_ms = 1000;
+		wp_on_renewal(p, worker("a"), &reply, now);
+		lose("a");
+		return wp_lease_expiry_us(worker("a")) - now;
 	}
 
 	void
@@ -286,6 +305,14 @@
 	EXPECT_EQ(p->stats.over, 0u);
 }
 
+/* LOST: runs on it were waited for by 10 s after a takeover. */
+TEST_F(PoolGone, YoungWorkerWithoutAnEarlierLifeHoldsForOneLease)
+{
+	EXPECT_LE(lease_of_young_worker_us(100, false), 3500 * kMs);
+	EXPECT_GE(lease_of_young_worker_us(100, true), 10 * kS);
+	EXPECT_GE(lease_of_young_worker_us(200, false), 10 * kS);
+}
+
 /* The next owner has not forgotten that earlier ones may act there. */
 TEST_F(PoolGone, WorkerThatBeginsAgainUnderItsIdHoldsUntilItAnswers)
 {
