state: only the first run of a long-running task is stored as it begins

The next owner only has to know that a task has run at all, so later runs needn't be stored at once.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -92,6 +92,7 @@
  * @crashed_workers: workers that crashed while they ran it, whatever the cause,
  *	since a run of it has lived for long
  * @excused_run: a run that did not cause its worker's crash; 0 for none
+ * @has_run: a long-running task has begun before, which is or will be stored
  * @held_on: worker on which resources were last held for it, or NULL
  * @search_at_us: when all workers are searched for room for it again; 0 for at
  *	once
@@ -132,6 +133,7 @@
 	uint32_t crash_count;
 	uint32_t crashed_workers;
 	uint32_t excused_run;
+	bool has_run;
 	struct wp_worker *held_on;
 	int64_t search_at_us;
 	int64_t restore_by_us;
--- a/state/pool.c
+++ b/state/pool.c
@@ -104,6 +104,7 @@
 
 	if (entry->run > t->run)
 		t->run = entry->run;
+	t->has_run = entry->run > 0;
 	for (i = 0; i < entry->failed; i++)
 		wp_record_failed_run(t, entry->failed_run[i]);
 	wp_restore_earlier_failures(t, entry->failed_earlier);
--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -592,6 +592,8 @@
 {
 	t->restore_by_us = 0;
 	t->preempt_count = 0;
-	if (wp_lasts(t->step))
-		wp_mark_dirty(t->step->occ->job);
+	if (!wp_lasts(t->step) || t->has_run)
+		return;
+	t->has_run = true;
+	wp_mark_dirty(t->step->occ->job);
 }
