state: room is made at once for a task that a takeover has held

A task whose lease ran out under the same owner has 2 s left and keeps them.

Restore.RoomIsMadeAtOnceForATaskThatATakeoverHasHeld failed before; the 25 cases of test_restore pass.

--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -504,6 +504,9 @@
 	struct wp_worker *w = t->held_on;
 	int64_t at_us = INT64_MAX;
 
+	/* One that an earlier owner may have started has been waited for. */
+	if (t->state == WP_TASK_UNRECONCILED && t->restore_by_us == 0)
+		t->restore_by_us = lost->from_us;
 	if (t->state == WP_TASK_WAITING && t->restore_by_us == 0)
 		t->restore_by_us = lost->from_us + WP_RESTORE_WAIT_US;
 	if (w != NULL)
--- a/tests/unit/test_restore.cc
+++ b/tests/unit/test_restore.cc
@@ -247,6 +247,30 @@
 	    running_on(kOther, "full") + running_on(kOther, "returned"), 10U);
 }
 
+/* LOST: the time for room to become free came on top of the takeover's. */
+TEST_F(Restore, RoomIsMadeAtOnceForATaskThatATakeoverHasHeld)
+{
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+	std::vector<Running> runs;
+
+	row.run = 1;
+	create_pool(1, kStart + 5 * kS);
+	wp_add_registered_worker(p, "gone", "127.0.0.1:2", now);
+	wp_registry_loaded(p);
+	add_worker("full");
+	add(kOther, {{8, kFreshCpu}}, nullptr, false)
+	    ->spec->step[0]
+	    .estimate_ms = 6800;
+	add(kJob, {{1, 3000, JB_LONG_RUNNING}}, &progress, false);
+	for (uint32_t i = 0; i < 8; i++)
+		runs.push_back({kOther, 0, i, 1, 0});
+	renew_lease("full", runs, {});
+	ASSERT_EQ(running_on(kOther, "full"), 8U);
+	play(5800 * kMs, {"gone"});
+	EXPECT_EQ(running_on(kJob, "full"), 1U);
+}
+
 TEST_F(Restore, SiblingsThatNeverRanDoNotTakeTheRoom)
 {
 	create_pool();
