pool: logs tell how long lost tasks wait for advice

Cause: without_run says 'waits' for advice and for room alike, and only after 3 s. Of the 9 s within which a lost long-running task has to run again, a takeover leaves 1.35 s, so nothing tells how close it was.

Change: why=advice where a task has no valid ticket; pool state has restored and restore_ms, the longest time from when such a task might start until it ran.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -364,8 +364,11 @@
 	    lg_i64((int64_t)stats->refused[WP_NOT_SENT]), "window",
 	    lg_i64(h->pool->starts.limit), "late", lg_i64(n.late), "asking",
 	    lg_i64(n.asking), "overfull", lg_i64(n.overfull), "outdated",
-	    lg_i64(n.outdated), "cpu_percent", lg_i64(n.cpu_percent),
-	    "gpu_percent", lg_i64(n.gpu_percent), "commit",
+	    lg_i64(n.outdated), "restored", lg_i64((int64_t)stats->restored),
+	    "restore_ms",
+	    lg_i64(wp_take_longest_restore_us(h->pool) / CLK_US_PER_MS),
+	    "cpu_percent", lg_i64(n.cpu_percent), "gpu_percent",
+	    lg_i64(n.gpu_percent), "commit",
 	    h->commit != NULL ? "1" : "0", "confirmed_ms",
 	    lg_i64((now_us - h->lease_confirmed_us) / CLK_US_PER_MS), NULL);
 	cp_log_waits(h, now_us);
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -800,6 +800,7 @@
  * @over: workers that had ended, as later ones on their VMs showed
  * @advice_requests: advice requests
  * @passes: scheduling passes
+ * @restored: long-running tasks that run again
  * @crashes: suspected runs whose worker has crashed
  * @given_up: jobs that failed because a task of them crashes its workers
  * @over_limit: how often a worker came to list more than a limit, by limit
@@ -813,6 +814,7 @@
 	uint64_t over;
 	uint64_t advice_requests;
 	uint64_t passes;
+	uint64_t restored;
 	uint64_t crashes;
 	uint64_t given_up;
 	uint64_t over_limit[WP_OVER_STEP_LIMIT + 1];
@@ -870,7 +872,8 @@
 	WP_WITHOUT_RUN_HELD, /* workers that may run it for an earlier owner */
 	WP_WITHOUT_RUN_OLDER_RUN, /* the stop of an earlier owner's run */
 	WP_WITHOUT_RUN_SILENT,	  /* the lease of its worker, which is silent */
-	WP_WITHOUT_RUN_WAITS,	  /* resources, advice or its turn */
+	WP_WITHOUT_RUN_WAITS,	  /* resources or its turn */
+	WP_WITHOUT_RUN_ADVICE,	  /* a valid ticket for any worker */
 };
 
 /**
@@ -1081,6 +1084,8 @@
  * @reserve_at_us: when gangs are planned next
  * @hold: resources held for lost tasks, @hold_count entries
  * @restore_at_us: when these tasks are planned next
+ * @longest_restore_us: longest time that one of them has waited until it ran
+ *	again, since wp_take_longest_restore_us()
  * @sample_waits_at_us: when to sample next what steps wait for
  * @check_over_at_us: when to look next for workers that have ended
  * @registry_dirty: the stored registry of workers is out of date
@@ -1132,6 +1137,7 @@
 	struct wp_hold *hold;
 	uint32_t hold_count;
 	int64_t restore_at_us;
+	int64_t longest_restore_us;
 	int64_t sample_waits_at_us;
 	int64_t check_over_at_us;
 	bool registry_dirty;
@@ -1503,6 +1509,13 @@
  */
 void wp_commit_end(struct wp_pool *p, int64_t now_us);
 
+/**
+ * wp_take_longest_restore_us() - the longest wait of a task that runs again
+ *
+ * From when it might start, since the last call; 0 if there was none.
+ */
+int64_t wp_take_longest_restore_us(struct wp_pool *p);
+
 /** wp_get_counts() - count tasks and workers for metrics */
 void wp_get_counts(
     const struct wp_pool *p, int64_t now_us, struct wp_counts *n);
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -356,7 +356,7 @@
 /** wp_restore_soon() - plan at the next tick, if a task is long-running */
 void wp_restore_soon(struct wp_task *t);
 /** wp_restored() - a worker has confirmed a new run of a task */
-void wp_restored(struct wp_task *t);
+void wp_restored(struct wp_task *t, int64_t now_us);
 /** wp_forget_holds() - hold nothing until the next plan */
 void wp_forget_holds(struct wp_pool *p);
 /** wp_is_interrupted() - whether a long-running task waits that has run before */
--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -589,10 +589,33 @@
 	t->step->occ->job->pool->restore_at_us = 0;
 }
 
+static void
+wp_note_restored(struct wp_task *t, int64_t now_us)
+{
+	struct wp_pool *p = t->step->occ->job->pool;
+	int64_t waited_us = now_us - t->not_before_us;
+
+	p->stats.restored++;
+	if (waited_us > p->longest_restore_us)
+		p->longest_restore_us = waited_us;
+}
+
+int64_t
+wp_take_longest_restore_us(struct wp_pool *p)
+{
+	int64_t longest_us = p->longest_restore_us;
+
+	p->longest_restore_us = 0;
+	return longest_us;
+}
+
 /* A later owner has to know that the task has run. */
 void
-wp_restored(struct wp_task *t)
+wp_restored(struct wp_task *t, int64_t now_us)
 {
+	/* 0: it hasn't run since it was loaded. */
+	if (t->has_run && t->not_before_us > 0)
+		wp_note_restored(t, now_us);
 	t->restore_by_us = 0;
 	t->preempt_at_us = 0;
 	t->preempt_count = 0;
--- a/state/pool_without_run.c
+++ b/state/pool_without_run.c
@@ -15,6 +15,7 @@
     [WP_WITHOUT_RUN_OLDER_RUN] = "older_run",
     [WP_WITHOUT_RUN_SILENT] = "silent",
     [WP_WITHOUT_RUN_WAITS] = "waits",
+    [WP_WITHOUT_RUN_ADVICE] = "advice",
 };
 
 const char *
@@ -80,6 +81,23 @@
 	return INT64_MAX;
 }
 
+static bool
+wp_lacks_tickets(
+    const struct wp_pool *p, const struct wp_step *s, int64_t now_us)
+{
+	struct wp_scan scan;
+	struct wp_worker *w;
+
+	if (!wp_needs_advice(s))
+		return false;
+	wp_scan_begin(&scan, p, s);
+	while ((w = wp_scan_next(&scan)) != NULL) {
+		if (wp_ticket_valid(s, w, now_us) != NULL)
+			return false;
+	}
+	return true;
+}
+
 static void
 wp_without_run_fill(const struct wp_pool *p, const struct wp_task *t,
     struct wp_without_run *row, int64_t now_us)
@@ -91,7 +109,9 @@
 	row->run = t->run;
 	row->why = WP_WITHOUT_RUN_SILENT;
 	if (t->state == WP_TASK_WAITING)
-		row->why = WP_WITHOUT_RUN_WAITS;
+		row->why = wp_lacks_tickets(p, t->step, now_us)
+		    ? WP_WITHOUT_RUN_ADVICE
+		    : WP_WITHOUT_RUN_WAITS;
 	if (t->state == WP_TASK_UNRECONCILED) {
 		w = wp_longest_holder(p, t, now_us);
 		row->why =
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -508,7 +508,7 @@
 	if (t->state == WP_TASK_STARTING) {
 		t->state = WP_TASK_RUNNING;
 		t->confirmed_clock_ms = w->lists_clock_ms;
-		wp_restored(t);
+		wp_restored(t, now_us);
 	}
 	wp_job_begun(t->step->occ->job);
 	t->in_doubt = false;
@@ -869,7 +869,7 @@
 	switch (result) {
 	case WP_ACCEPTED:
 		wp_job_begun(t->step->occ->job);
-		wp_restored(t);
+		wp_restored(t, now_us);
 		t->state = WP_TASK_RUNNING;
 		t->in_doubt = false;
 		t->resend_at_us = 0;
--- a/tests/unit/test_without_run.cc
+++ b/tests/unit/test_without_run.cc
@@ -103,6 +103,34 @@
 	EXPECT_STREQ(rows()[0].worker, "");
 }
 
+TEST_F(WithoutRun, TasksThatWaitForATicketAreTold)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{1, 1000, JB_LONG_RUNNING}}, nullptr, true, 500);
+	task(kJob, 0, 0)->not_before_us = now;
+	tick();
+	now += 3 * kS;
+	ASSERT_EQ(rows().size(), 1u);
+	EXPECT_STREQ(wp_without_run_name(rows()[0].why), "advice");
+}
+
+/* From when it might start, as its worker had ended. */
+TEST_F(WithoutRun, LongestWaitOfATaskThatRunsAgainIsToldOnce)
+{
+	create_pool();
+	add_worker("w", 1000);
+	add_lasting(kJob, 1);
+	run_all();
+	EXPECT_EQ(wp_take_longest_restore_us(p), 0);
+	renew_lease("w", {}, {{1, kJob, 0, 0, 1, WP_END_STOPPED}});
+	now += 700 * kMs;
+	run_all();
+	EXPECT_EQ(p->stats.restored, 1u);
+	EXPECT_EQ(wp_take_longest_restore_us(p), 700 * kMs);
+	EXPECT_EQ(wp_take_longest_restore_us(p), 0);
+}
+
 TEST_F(WithoutRun, RowsAreBounded)
 {
 	struct wp_without_run row[2];
