pool_lost_advice: advice and room are there when a lost task may start

Cause: a task whose run was lost asked for advice only once it might start: 7.65 s after a loss together with the owner, when 1.35 s of the 9 s are left. An answer about such a step takes 0.73 s and 10 ms for each worker named, longer behind others, and where three workers in ten are approved the first request often found none. Room in a full pool was made after that.

Change: steps with lost tasks ask ahead of time, so that the tickets arrive with half of their validity left when the tasks may start; such requests name enough workers at once and go before all others; room for tasks that a takeover holds is made 0.7 s before they may start, at a time that is now known instead of '3 s from now'.

Conclusion: what a lost task needs is asked for while it waits anyway.

--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -108,8 +108,10 @@
 av_goes_before(
     const struct av_request *a, const struct av_request *b, int64_t overdue_us)
 {
-	struct aq_entry x = {a->request.priority, a->cost_us, a->queued_us};
-	struct aq_entry y = {b->request.priority, b->cost_us, b->queued_us};
+	struct aq_entry x = {
+	    a->request.priority, a->cost_us, a->queued_us, a->request.urgent};
+	struct aq_entry y = {
+	    b->request.priority, b->cost_us, b->queued_us, b->request.urgent};
 
 	return aq_goes_before(&x, &y, overdue_us);
 }
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -368,8 +368,8 @@
 	    "restore_ms",
 	    lg_i64(wp_take_longest_restore_us(h->pool) / CLK_US_PER_MS),
 	    "cpu_percent", lg_i64(n.cpu_percent), "gpu_percent",
-	    lg_i64(n.gpu_percent), "commit",
-	    h->commit != NULL ? "1" : "0", "confirmed_ms",
+	    lg_i64(n.gpu_percent), "commit", h->commit != NULL ? "1" : "0",
+	    "confirmed_ms",
 	    lg_i64((now_us - h->lease_confirmed_us) / CLK_US_PER_MS), NULL);
 	cp_log_waits(h, now_us);
 	cp_log_gang_waits(h, now_us);
--- a/include/state/advice_queue.h
+++ b/include/state/advice_queue.h
@@ -19,11 +19,13 @@
  * @priority: of the queue of the job; 0 is the most urgent
  * @cost_us: time that the service needs for the request
  * @since_us: when the request was queued
+ * @urgent: goes before all that are not
  */
 struct aq_entry {
 	uint32_t priority;
 	int64_t cost_us;
 	int64_t since_us;
+	bool urgent;
 };
 
 /**
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -234,6 +234,9 @@
  *	waiting tasks
  * @asked_us: when its last advice request was made
  * @next_request_us: no advice request before
+ * @lost: its tasks that have lost their run and may not start yet, if it needs
+ *	advice
+ * @lost_from_us: when the first of them may start
  * @rank: position among the ready steps when gangs were last planned
  * @reserved: resources are reserved for it, as its tickets say
  * @planned_us: when a gang is expected to be able to start; INT64_MAX when it
@@ -271,6 +274,8 @@
 	bool has_enough_tickets;
 	int64_t asked_us;
 	int64_t next_request_us;
+	uint32_t lost;
+	int64_t lost_from_us;
 	uint32_t rank;
 	bool reserved;
 	int64_t planned_us;
@@ -761,6 +766,7 @@
  * @worker_cost_us: added for each worker named
  * @valid_ms: validity of a ticket
  * @priority: of the job; 0 is the most urgent
+ * @urgent: a long-running task that lost its run needs it; goes first
  * @made_us: when the request was made
  */
 struct wp_advice_request {
@@ -775,6 +781,7 @@
 	uint32_t worker_cost_us;
 	uint32_t valid_ms;
 	uint32_t priority;
+	bool urgent;
 	int64_t made_us;
 };
 
@@ -1083,6 +1090,7 @@
  * @reconcile_pass: counts the passes of wp_reconcile_tick()
  * @reserve_at_us: when gangs are planned next
  * @hold: resources held for lost tasks, @hold_count entries
+ * @lost_step: steps with such tasks that need advice, @lost_step_count entries
  * @restore_at_us: when these tasks are planned next
  * @longest_restore_us: longest time that one of them has waited until it ran
  *	again, since wp_take_longest_restore_us()
@@ -1136,6 +1144,8 @@
 	int64_t reserve_at_us;
 	struct wp_hold *hold;
 	uint32_t hold_count;
+	struct wp_step **lost_step;
+	uint32_t lost_step_count;
 	int64_t restore_at_us;
 	int64_t longest_restore_us;
 	int64_t sample_waits_at_us;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -13,7 +13,8 @@
  * their VM), pool_unleased (workers that have no lease from this owner), pool_defer (jobs that no later owner has to wait for),
  * pool_gang, pool_approval (what the advice service approves, and how fast),
  * pool_advice (tickets), pool_reserve (resources kept for gangs), pool_restore
- * (those kept for long-running tasks that lost their run), pool_victims (what is
+ * (those kept for long-running tasks that lost their run), pool_lost_advice (their
+ * tickets), pool_victims (what is
  * stopped for these), pool_forecast
  * (resources left for the next steps), pool_request (workers that an advice
  * request names), pool_ask (steps that request advice),
@@ -355,8 +356,19 @@
 void wp_restore_tick(struct wp_pool *p, int64_t now_us);
 /** wp_restore_soon() - plan at the next tick, if a task is long-running */
 void wp_restore_soon(struct wp_task *t);
+/** wp_lasts() - whether the tasks of a step run until they are cancelled, alone */
+bool wp_lasts(const struct wp_step *s);
+/** wp_forget_lost_steps() - forget which steps have lost runs */
+void wp_forget_lost_steps(struct wp_pool *p);
+/** wp_add_lost_step() - a task of a step lost its run and may start from then on */
+void wp_add_lost_step(struct wp_step *s, int64_t from_us);
+/** wp_next_lost_request() - the next advice request for such tasks */
+bool wp_next_lost_request(
+    struct wp_pool *p, int64_t now_us, struct wp_advice_request *request);
 /** wp_restored() - a worker has confirmed a new run of a task */
 void wp_restored(struct wp_task *t, int64_t now_us);
+/** wp_lost_approved() - plan the tasks of a step anew, as workers are approved */
+void wp_lost_approved(struct wp_step *s);
 /** wp_forget_holds() - hold nothing until the next plan */
 void wp_forget_holds(struct wp_pool *p);
 /** wp_is_interrupted() - whether a long-running task waits that has run before */
--- a/state/advice_queue.c
+++ b/state/advice_queue.c
@@ -21,6 +21,8 @@
 	bool a_overdue = a->since_us < overdue_us;
 	bool b_overdue = b->since_us < overdue_us;
 
+	if (a->urgent != b->urgent)
+		return a->urgent;
 	if (a_overdue != b_overdue)
 		return a_overdue;
 	if (a_overdue && a->since_us != b->since_us)
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -206,4 +206,6 @@
 	s->full_scan_at_us = 0;
 	for (i = 0; i < approved_count; i++)
 		wp_approve(p, s, request, &approved[i], valid_from_us);
+	if (approved_count > 0)
+		wp_lost_approved(s);
 }
--- a/state/pool_request.c
+++ b/state/pool_request.c
@@ -15,6 +15,8 @@
  * free at the same time; naming a worker costs little beside the request.
  */
 #define WP_GANG_SLOTS_FACTOR 3
+/* The same for tasks that have lost their run: a second request takes too long. */
+#define WP_LOST_SLOTS_FACTOR 2
 /* A ticket is asked for if room is held from so soon after the answer. */
 #define WP_HELD_TICKET_US (500 * CLK_US_PER_MS)
 /* Part of its base cost by which a renewal may cost more to have spares. */
@@ -24,11 +26,14 @@
 uint32_t
 wp_slots_wanted(struct wp_pool *p, const struct wp_step *s)
 {
-	uint64_t slots = wp_slots_to_request(p, s, wp_startable_count(s));
+	uint32_t tasks = wp_startable_count(s) + s->lost;
+	uint64_t slots = wp_slots_to_request(p, s, tasks);
 
 	slots += slots / WP_SPARE_SLOTS_DIVISOR + WP_SPARE_SLOTS;
 	if (s->spec->flags & JB_GANG)
 		slots *= WP_GANG_SLOTS_FACTOR;
+	if (s->lost > 0)
+		slots *= WP_LOST_SLOTS_FACTOR;
 	return slots < WP_MAX_SLOTS_WANTED ? (uint32_t)slots
 					   : WP_MAX_SLOTS_WANTED;
 }
@@ -90,7 +95,8 @@
 	/* An approved worker is named again only if a task fits on it. */
 	if (ticket != NULL && ticket->answered && slots == 0)
 		return WP_NOT_WORTH_REQUESTING;
-	if (wp_slots_left(s, w) == 0 || !wp_has_acceptable_task(s, w, now_us))
+	if (wp_slots_left(s, w) == 0 ||
+	    (s->lost == 0 && !wp_has_acceptable_task(s, w, now_us)))
 		return WP_NOT_WORTH_REQUESTING;
 	return slots;
 }
@@ -102,6 +108,7 @@
  * @max_workers: workers that it may name
  * @wanted_slots: slots that it should ask for
  * @expected_slots: slots on the workers named so far, at least one for each
+ * @widely: each worker counts as one slot, as all its slots may be refused
  */
 struct wp_request_draft {
 	struct wp_advice_request *request;
@@ -109,6 +116,7 @@
 	uint32_t max_workers;
 	uint32_t wanted_slots;
 	uint32_t expected_slots;
+	bool widely;
 };
 
 /*
@@ -138,10 +146,16 @@
 		if (fit == WP_NOT_WORTH_REQUESTING || (fit > 0) != with_slots)
 			continue;
 		draft->request->worker[draft->request->worker_count++] = w->id;
-		draft->expected_slots += fit > 0 ? fit : 1;
+		draft->expected_slots += fit > 0 && !draft->widely ? fit : 1;
 	}
 }
 
+static bool
+wp_has_lost_task(const struct wp_step *s, int64_t now_us)
+{
+	return s->lost > 0 || wp_has_interrupted_task(s, now_us);
+}
+
 /* Counts a filled-in request as in flight. */
 static void
 wp_begin_request(struct wp_pool *p, struct wp_step *s, uint32_t slots,
@@ -157,6 +171,7 @@
 	request->worker_cost_us = spec->policy.advice_period_us;
 	request->valid_ms = spec->policy.advice_valid_ms;
 	request->priority = spec->policy.priority;
+	request->urgent = wp_has_lost_task(s, now_us);
 	request->made_us = now_us;
 	request->slots = slots;
 	if (s->requests_in_flight == 0)
@@ -183,6 +198,7 @@
 	    .need = wp_task_resources(s->spec),
 	    .max_workers = wp_max_request_workers(&s->occ->job->spec->policy),
 	    .wanted_slots = wp_slots_wanted(p, s) - s->requested_slots,
+	    .widely = wp_has_lost_task(s, now_us),
 	};
 
 	request->worker_count = 0;
--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -19,8 +19,10 @@
 #define WP_RESTORE_INTERVAL_US (50 * CLK_US_PER_MS)
 /* Tasks that are planned at a time; the rest follows when these have started. */
 #define WP_MAX_HOLDS 64
-/* How long a new owner takes to find out that a run is over, if it is. */
+/* How long a new owner takes to find out that a run is over, if nothing tells. */
 #define WP_UNRECONCILED_US (3 * CLK_US_PER_S)
+/* Others are stopped for a held task so long before it may start. */
+#define WP_HELD_ROOM_US (700 * CLK_US_PER_MS)
 /* Another worker is planned only if it has room so much sooner. */
 #define WP_KEEP_HOLD_US (300 * CLK_US_PER_MS)
 /* Searches of all workers in a pass: for tasks without a plan, and for others. */
@@ -69,7 +71,13 @@
 	uint32_t searches_again;
 };
 
-static bool
+static int64_t
+wp_later(int64_t a_us, int64_t b_us)
+{
+	return a_us > b_us ? a_us : b_us;
+}
+
+bool
 wp_lasts(const struct wp_step *s)
 {
 	return (s->spec->flags & (JB_LONG_RUNNING | JB_GANG)) ==
@@ -186,16 +194,35 @@
 	DL_FOREACH(w->tasks, t) {
 		if (!wp_lasts(t->step))
 			continue;
-		if (!w->reachable)
+		if (!w->reachable) {
 			wp_add_lost(r, t, wp_lease_expiry_us(w));
-		else if (t->state == WP_TASK_STOPPING)
+			wp_add_lost_step(t->step, wp_lease_expiry_us(w));
+		} else if (t->state == WP_TASK_STOPPING)
 			wp_add_lost(r, t, wp_release_us(t, r->now_us));
 	}
 }
 
+/* When the last worker that holds tasks of an earlier owner is over. */
+static int64_t
+wp_held_until_us(const struct wp_restorer *r)
+{
+	const struct wp_pool *p = r->pool;
+	const struct wp_worker *w;
+	int64_t until_us = 0;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (wp_is_holding(w, r->now_us))
+			until_us = wp_later(until_us, wp_lease_expiry_us(w));
+	}
+	if (until_us == 0 || p->ownership_unconfirmed)
+		return r->now_us + WP_UNRECONCILED_US;
+	return until_us;
+}
+
 /* What an earlier owner had started may run on a worker that has not answered. */
 static void
-wp_list_unreconciled(struct wp_restorer *r, struct wp_occurrence *occ)
+wp_list_unreconciled(
+    struct wp_restorer *r, struct wp_occurrence *occ, int64_t until_us)
 {
 	uint32_t i;
 	uint32_t j;
@@ -206,9 +233,10 @@
 		for (j = 0; wp_lasts(s) && j < s->spec->count; j++) {
 			struct wp_task *t = &s->task[j];
 
-			if (t->state == WP_TASK_UNRECONCILED && t->run > 0)
-				wp_add_lost(
-				    r, t, r->now_us + WP_UNRECONCILED_US);
+			if (t->state != WP_TASK_UNRECONCILED || t->run == 0)
+				continue;
+			wp_add_lost(r, t, until_us);
+			wp_add_lost_step(s, until_us);
 		}
 	}
 }
@@ -220,6 +248,7 @@
 	struct wp_worker *wtmp;
 	struct wp_job *job;
 	struct wp_job *jtmp;
+	int64_t until_us;
 	uint32_t k;
 
 	wp_list_waiting(r);
@@ -227,9 +256,10 @@
 		wp_list_lost_on(r, w);
 	if (r->pool->reconciled)
 		return;
+	until_us = wp_held_until_us(r);
 	HASH_ITER(hh, r->pool->jobs, job, jtmp) {
 		for (k = 0; k < jb_occurrences(job->spec); k++)
-			wp_list_unreconciled(r, job->occ[k]);
+			wp_list_unreconciled(r, job->occ[k], until_us);
 	}
 }
 
@@ -306,12 +336,6 @@
 	return left > wp_held_slots(s, w);
 }
 
-static int64_t
-wp_later(int64_t a_us, int64_t b_us)
-{
-	return a_us > b_us ? a_us : b_us;
-}
-
 /* When a lost task could start on a worker, or INT64_MAX. */
 static int64_t
 wp_restored_us(struct wp_restorer *r, const struct wp_lost *lost,
@@ -411,12 +435,25 @@
 	t->held_on = w;
 }
 
+/* A held task has room by the time at which it may start. */
+static bool
+wp_may_start_soon(const struct wp_restorer *r, const struct wp_lost *lost)
+{
+	const struct wp_task *t = lost->task;
+
+	if (t->state == WP_TASK_UNRECONCILED)
+		return r->now_us + WP_HELD_ROOM_US >= lost->from_us;
+	return t->state == WP_TASK_WAITING && r->now_us >= t->not_before_us;
+}
+
 static bool
 wp_may_preempt_for(
-    const struct wp_restorer *r, const struct wp_task *t, int64_t at_us)
+    const struct wp_restorer *r, const struct wp_lost *lost, int64_t at_us)
 {
-	return t->state == WP_TASK_WAITING && !r->pool->draining &&
-	    r->now_us >= t->not_before_us && r->now_us >= t->preempt_at_us &&
+	const struct wp_task *t = lost->task;
+
+	return wp_may_start_soon(r, lost) && !r->pool->draining &&
+	    r->now_us >= t->preempt_at_us &&
 	    at_us > wp_later(t->restore_by_us, r->now_us + WP_MAKE_ROOM_US) &&
 	    wp_may_restart(r->pool, t, r->now_us);
 }
@@ -460,11 +497,12 @@
 
 /* Stops other tasks, if it may start there now. Return: whether it is planned. */
 static bool
-wp_make_room(struct wp_restorer *r, struct wp_task *t)
+wp_make_room(struct wp_restorer *r, const struct wp_lost *lost)
 {
+	struct wp_task *t = lost->task;
 	struct wp_victims v = {.ctx = r->pool};
 	struct wp_worker *w = wp_find_victims(r, t, &v);
-	int64_t at_us = r->now_us + WP_MAKE_ROOM_US;
+	int64_t at_us = wp_later(r->now_us + WP_MAKE_ROOM_US, lost->from_us);
 
 	if (w == NULL)
 		return false;
@@ -505,7 +543,7 @@
 	int64_t at_us = INT64_MAX;
 
 	/* One that an earlier owner may have started has been waited for. */
-	if (t->state == WP_TASK_UNRECONCILED && t->restore_by_us == 0)
+	if (t->state == WP_TASK_UNRECONCILED)
 		t->restore_by_us = lost->from_us;
 	if (t->state == WP_TASK_WAITING && t->restore_by_us == 0)
 		t->restore_by_us = lost->from_us + WP_RESTORE_WAIT_US;
@@ -516,7 +554,7 @@
 	if (at_us > lost->from_us && wp_may_search(r, t, at_us)) {
 		w = wp_find_room(r, lost, false, &at_us);
 		t->held_on = w;
-		if (wp_may_preempt_for(r, t, at_us) && wp_make_room(r, t))
+		if (wp_may_preempt_for(r, lost, at_us) && wp_make_room(r, lost))
 			return;
 	}
 	if (w != NULL && at_us != INT64_MAX)
@@ -536,6 +574,18 @@
 	}
 	p->hold_count = 0;
 	p->restore_at_us = 0;
+	wp_forget_lost_steps(p);
+}
+
+void
+wp_lost_approved(struct wp_step *s)
+{
+	uint32_t i;
+
+	for (i = 0; s->lost > 0 && i < s->spec->count; i++) {
+		if (s->task[i].state == WP_TASK_UNRECONCILED)
+			wp_restore_soon(&s->task[i]);
+	}
 }
 
 static int
--- a/tests/unit/test_advice_queue.cc
+++ b/tests/unit/test_advice_queue.cc
@@ -38,6 +38,17 @@
 	EXPECT_FALSE(aq_goes_before(&overdue, &older, 30));
 }
 
+TEST(AdviceQueue, RequestsForLostTasksGoBeforeOverdueOnes)
+{
+	struct aq_entry overdue = {0, 100, 20};
+	struct aq_entry lost = {2, 900, 50, true};
+	struct aq_entry older = {2, 900, 40, true};
+
+	EXPECT_TRUE(aq_goes_before(&lost, &overdue, 30));
+	EXPECT_FALSE(aq_goes_before(&overdue, &lost, 30));
+	EXPECT_TRUE(aq_goes_before(&older, &lost, 45));
+}
+
 struct Forwarded {
 	struct aq_entry entry;
 	int64_t deadline_us;
