pool_restore: only long-running tasks count as restored

Cause: wp_restored() is called for each confirmed start, and a short task that an earlier owner had ordered counts as one that has run; so restore_ms in pool state showed waits of 20 to 50 s after takeovers that were those of short tasks.

Change: short tasks are left out. Conclusion: the figure is about what it says.

--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -664,7 +664,7 @@
 wp_restored(struct wp_task *t, int64_t now_us)
 {
 	/* 0: it hasn't run since it was loaded. */
-	if (t->has_run && t->not_before_us > 0)
+	if (wp_lasts(t->step) && t->has_run && t->not_before_us > 0)
 		wp_note_restored(t, now_us);
 	t->restore_by_us = 0;
 	t->preempt_at_us = 0;
