pool_restore: a ticket that arrives has its task planned at once

Ruled out: the advice service's time (requests in flight were answered).

Change: an answer has the lost tasks of its step searched for at once; only room that is there counts for tickets; requests for any lost task that waits go first.

--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -20,8 +20,6 @@
 #define WP_MAX_REQUESTS_IN_FLIGHT 4
 /* Approved slots for each member of a gang, to have a choice. */
 #define WP_GANG_CHOICE 2
-/* Room that is held from so soon on counts as room for a valid ticket. */
-#define WP_HELD_SOON_US (500 * CLK_US_PER_MS)
 /* Tickets of a planned gang are renewed so much before they are needed. */
 #define WP_RENEWAL_MARGIN_US (150 * CLK_US_PER_MS)
 
@@ -35,18 +33,7 @@
 	    s->requested_slots < wp_slots_wanted(p, s);
 }
 
-/* Slots on a worker, or room there that lost tasks of the step are given soon. */
-static uint32_t
-wp_slots_now_or_held(const struct wp_step *s, const struct wp_worker *w,
-    const struct wp_resources *need, int64_t now_us)
-{
-	uint32_t slots = wp_slots_on(s, w, need, now_us);
-	uint32_t held = wp_held_slots_by(s, w, now_us + WP_HELD_SOON_US);
-
-	return slots > held ? slots : held;
-}
-
-/* Tasks of the step that could start now, or soon, with valid tickets. */
+/* Tasks of the step that could start now with valid tickets. */
 static uint32_t
 wp_slots_with_tickets(
     struct wp_pool *p, const struct wp_step *s, int64_t now_us)
@@ -60,7 +47,7 @@
 	while ((w = wp_scan_next(&scan)) != NULL) {
 		if (wp_may_start_on(s, w, now_us) &&
 		    wp_has_acceptable_task(s, w, now_us))
-			n += wp_slots_now_or_held(s, w, &need, now_us);
+			n += wp_slots_on(s, w, &need, now_us);
 	}
 	return n;
 }
--- a/state/pool_request.c
+++ b/state/pool_request.c
@@ -151,9 +151,14 @@
 }
 
 static bool
-wp_has_lost_task(const struct wp_step *s, int64_t now_us)
+wp_has_lost_task(const struct wp_step *s)
 {
-	return s->lost > 0 || wp_has_interrupted_task(s, now_us);
+	bool has = s->lost > 0;
+	uint32_t i;
+
+	for (i = 0; !has && wp_lasts(s) && i < s->spec->count; i++)
+		has = wp_is_interrupted(&s->task[i]);
+	return has;
 }
 
 /* Counts a filled-in request as in flight. */
@@ -171,7 +176,7 @@
 	request->worker_cost_us = spec->policy.advice_period_us;
 	request->valid_ms = spec->policy.advice_valid_ms;
 	request->priority = spec->policy.priority;
-	request->urgent = wp_has_lost_task(s, now_us);
+	request->urgent = wp_has_lost_task(s);
 	request->made_us = now_us;
 	request->slots = slots;
 	if (s->requests_in_flight == 0)
@@ -198,7 +203,7 @@
 	    .need = wp_task_resources(s->spec),
 	    .max_workers = wp_max_request_workers(&s->occ->job->spec->policy),
 	    .wanted_slots = wp_slots_wanted(p, s) - s->requested_slots,
-	    .widely = wp_has_lost_task(s, now_us),
+	    .widely = wp_has_lost_task(s),
 	};
 
 	request->worker_count = 0;
--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -582,9 +582,11 @@
 {
 	uint32_t i;
 
-	for (i = 0; s->lost > 0 && i < s->spec->count; i++) {
-		if (s->task[i].state == WP_TASK_UNRECONCILED)
-			wp_restore_soon(&s->task[i]);
+	for (i = 0; wp_lasts(s) && i < s->spec->count; i++) {
+		struct wp_task *t = &s->task[i];
+
+		if (t->state == WP_TASK_UNRECONCILED || wp_is_interrupted(t))
+			wp_restore_soon(t);
 	}
 }
 
