pool_restore: room that was made for a task is planned for it first

Callers saw a long-running task that lost its worker in a full pool without a run for more than 9 s (LOST), where many were lost at once.

Cause: where lost tasks start is planned anew each 50 ms, the oldest first. One that was planned before another took the room that had been made for this one, which may stop no more tasks for 5 s.

Ruled out: tickets (valid or in flight), suspicion after the crash.

Change: tasks for which others have been stopped are planned first.

--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -42,11 +42,13 @@
  * struct wp_lost - a long-running task whose run has ended, or may have
  * @task: the task
  * @from_us: it does not start before
+ * @has_made_room: others have been stopped for it, where it is planned
  * @order: position in the list, so that the same one always goes first
  */
 struct wp_lost {
 	struct wp_task *task;
 	int64_t from_us;
+	bool has_made_room;
 	uint32_t order;
 };
 
@@ -166,7 +168,12 @@
 	}
 	if (from_us < r->now_us)
 		from_us = r->now_us;
-	r->lost[r->lost_count] = (struct wp_lost){t, from_us, r->lost_count};
+	r->lost[r->lost_count] = (struct wp_lost){
+	    .task = t,
+	    .from_us = from_us,
+	    .has_made_room = t->held_on != NULL && r->now_us < t->preempt_at_us,
+	    .order = r->lost_count,
+	};
 	r->lost_count++;
 }
 
@@ -596,6 +603,9 @@
 	const struct wp_lost *x = a;
 	const struct wp_lost *y = b;
 
+	/* Else another one takes that room, and this one may stop no more. */
+	if (x->has_made_room != y->has_made_room)
+		return x->has_made_room ? -1 : 1;
 	if (x->from_us != y->from_us)
 		return x->from_us < y->from_us ? -1 : 1;
 	return (x->order > y->order) - (x->order < y->order);
--- a/tests/unit/test_lost_advice.cc
+++ b/tests/unit/test_lost_advice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 /*
  * Long-running tasks whose steps need advice, and whose run was lost: with the
@@ -17,9 +18,12 @@
 constexpr int64_t kPeriodUs = 10400;
 constexpr uint32_t kValidMs = 1500;
 constexpr size_t kCallers = 4;
+constexpr size_t kManyCallers = 8;
 constexpr int kJobs = 8;
+constexpr int kManyJobs = 20;
 constexpr uint32_t kTasks = 3;
 constexpr int kWorkers = 30;
+constexpr int kManyWorkers = 80;
 constexpr int64_t kStopUs = 400 * kMs;
 /* From the loss to the claim of the next owner, and what it waits then. */
 constexpr int64_t kClaimedUs = 1250 * kMs;
@@ -61,7 +65,7 @@
 
 		while (wp_next_advice_request(p, now, &r)) {
 			int64_t &free_us =
-			    *std::min_element(caller, caller + kCallers);
+			    *std::min_element(caller.begin(), caller.end());
 
 			free_us = std::max(free_us, now) + kDecideUs +
 			    kPeriodUs * r.worker_count;
@@ -126,12 +130,12 @@
 	void
 	renew_all()
 	{
-		for (int n = 0; n < kWorkers; n++) {
-			std::string id = "w" + std::to_string(n);
+		struct wp_worker *w;
+		struct wp_worker *tmp;
 
-			if (id != silent)
-				renew_lease(
-				    id, runs_on(wp_find_worker(p, id.c_str())));
+		HASH_ITER(hh, p->workers, w, tmp) {
+			if (silent.count(w->id) == 0)
+				renew_lease(w->id, runs_on(w));
 		}
 	}
 
@@ -147,8 +151,8 @@
 					stops++;
 				}
 				answer(o,
-				    silent == o->worker ? WP_NO_ANSWER
-							: WP_ACCEPTED);
+				    silent.count(o->worker) > 0 ? WP_NO_ANSWER
+								: WP_ACCEPTED);
 			}
 			answer_advice();
 			renew_all();
@@ -162,7 +166,8 @@
 	{
 		const struct wp_task *t = task(job_id(n), 0, index);
 
-		return t->state == WP_TASK_RUNNING && silent != t->worker->id;
+		return t->state == WP_TASK_RUNNING &&
+		    silent.count(t->worker->id) == 0;
 	}
 
 	/* Jobs of which the first task has no run. */
@@ -177,9 +182,9 @@
 	}
 
 	void
-	add_workers()
+	add_workers(int count = kWorkers)
 	{
-		for (int n = 0; n < kWorkers; n++)
+		for (int n = 0; n < count; n++)
 			add_worker("w" + std::to_string(n), 16000);
 	}
 
@@ -191,7 +196,7 @@
 		wp_add_registered_worker(p, "gone", "127.0.0.1:2", now);
 		wp_registry_loaded(p);
 		add_workers();
-		silent = "gone";
+		silent = {"gone"};
 		for (int n = 1; n <= kJobs; n++)
 			add_inherited(n);
 		if (full)
@@ -219,8 +224,8 @@
 		}
 	}
 
-	std::string silent;
-	int64_t caller[kCallers] = {};
+	std::set<std::string> silent;
+	std::vector<int64_t> caller = std::vector<int64_t>(kCallers);
 	std::vector<Asked> asked;
 	std::map<const struct wp_task *, int64_t> stopped_us;
 	int requests = 0;
@@ -267,8 +272,8 @@
 	/* Younger tasks are suspected of the crash. */
 	play(kStart + 6 * kS);
 	ASSERT_TRUE(is_at_work(1, 0));
-	silent = task(job_id(1), 0, 0)->worker->id;
-	renewal_overdue(silent);
+	silent = {task(job_id(1), 0, 0)->worker->id};
+	renewal_overdue(*silent.begin());
 	play(now + WP_LEASE_US + 500 * kMs);
 	for (uint32_t i = 0; i < kTasks; i++)
 		EXPECT_TRUE(is_at_work(1, i)) << i;
@@ -283,4 +288,51 @@
 	EXPECT_GT(stops, 0);
 }
 
+/* It avoids the worker on which it failed, and may start elsewhere at once. */
+TEST_F(LostAdvice, RequestForATaskWhoseRunFailedGoesFirst)
+{
+	struct wp_advice_request r;
+
+	create_pool();
+	add_workers();
+	add_lasting(1, nullptr);
+	play(kStart + 6 * kS);
+	std::string id = task(job_id(1), 0, 0)->worker->id;
+	std::vector<Running> others = runs_on(wp_find_worker(p, id.c_str()));
+	others.erase(others.begin());
+	renew_lease(id, others, {{1, job_id(1), 0, 0, 1, WP_END_FAILED}});
+	ASSERT_EQ(task(job_id(1), 0, 0)->state, WP_TASK_WAITING);
+	ASSERT_EQ(task(job_id(1), 0, 1)->state, WP_TASK_RUNNING);
+	tick(100 * kMs);
+	ASSERT_TRUE(wp_next_advice_request(p, now, &r));
+	EXPECT_TRUE(r.urgent);
+}
+
+/* LOST: tickets had expired when the turn of their tasks came to be planned. */
+TEST_F(LostAdvice, ManyTasksOfSilentWorkersOfAFullPoolRunAgainWithin9Seconds)
+{
+	int lost = 0;
+
+	create_pool();
+	caller.resize(kManyCallers);
+	add_workers(kManyWorkers);
+	for (int n = 1; n <= kManyJobs; n++)
+		add_lasting(n, nullptr);
+	play(kStart + 12 * kS);
+	add(kOther, {{700, 2000}})->spec->step[0].estimate_ms = 25000;
+	play(now + 4 * kS);
+	for (int n = 1; n <= kManyJobs; n++) {
+		for (uint32_t i = 0; i < kTasks; i++)
+			silent.insert(task(job_id(n), 0, i)->worker->id);
+	}
+	for (const std::string &id : silent)
+		renewal_overdue(id);
+	play(now + kMaxWithoutRunUs);
+	for (int n = 1; n <= kManyJobs; n++) {
+		for (uint32_t i = 0; i < kTasks; i++)
+			lost += !is_at_work(n, i);
+	}
+	EXPECT_EQ(lost, 0);
+}
+
 } // namespace
