pool_lost_advice: nothing is asked for on behalf of cancelled jobs

Cause: found on reading: a cancelled job's tasks may be held by a takeover, too, and their step was listed among those that ask ahead of time. The loop over workers with tickets also stood twice.

Ruled out: none. Change: steps of jobs that are being stopped are left out; wp_slots_if_empty() serves gangs and lost tasks.

--- a/include/state/pool_request.h
+++ b/include/state/pool_request.h
@@ -22,6 +22,9 @@
 uint32_t wp_slots_on(const struct wp_step *s, const struct wp_worker *w,
     const struct wp_resources *need, int64_t now_us);
 
+/** wp_slots_if_empty() - tasks of a step that would fit on a worker, if empty */
+uint32_t wp_slots_if_empty(const struct wp_step *s, const struct wp_worker *w);
+
 /**
  * wp_fill_request() - request advice on workers for a step
  * @p: pool
--- a/state/pool_ask.c
+++ b/state/pool_ask.c
@@ -1,6 +1,5 @@
 #include <utlist.h>
 
-#include "state/gang_plan.h"
 #include "state/pool_approval.h"
 #include "state/pool_forecast.h"
 #include "state/pool_request.h"
@@ -76,19 +75,14 @@
 static uint32_t
 wp_approved_slots(const struct wp_pool *p, const struct wp_step *s)
 {
-	struct wp_resources need = wp_task_resources(s->spec);
 	struct wp_scan scan;
 	struct wp_worker *w;
 	uint32_t n = 0;
 
 	wp_scan_begin(&scan, p, s);
 	while ((w = wp_scan_next(&scan)) != NULL) {
-		uint32_t limit = wp_slots_left(s, w);
-
-		if (limit > s->spec->count)
-			limit = s->spec->count;
 		if (w->listed && !w->draining)
-			n += gp_fit_count(&w->capacity, &need, limit);
+			n += wp_slots_if_empty(s, w);
 	}
 	return n;
 }
--- a/state/pool_lost_advice.c
+++ b/state/pool_lost_advice.c
@@ -1,6 +1,5 @@
 #include <stdlib.h>
 
-#include "state/gang_plan.h"
 #include "state/pool_approval.h"
 #include "state/pool_request.h"
 
@@ -41,7 +40,8 @@
 			s->lost_from_us = from_us;
 		return;
 	}
-	if (!wp_needs_advice(s) || p->lost_step_count == WP_MAX_LOST_STEPS)
+	if (!wp_needs_advice(s) || s->occ->job->final_state != JB_PENDING ||
+	    p->lost_step_count == WP_MAX_LOST_STEPS)
 		return;
 	if (p->lost_step == NULL)
 		p->lost_step =
@@ -53,25 +53,20 @@
 	s->lost_from_us = from_us;
 }
 
-/* Tasks of a step that approved workers could take, were they empty. */
+/* Tasks of a step that workers with tickets for that time could take, if empty. */
 static uint32_t
 wp_slots_with_tickets_at(
     struct wp_pool *p, const struct wp_step *s, int64_t at_us, int64_t now_us)
 {
-	struct wp_resources need = wp_task_resources(s->spec);
 	struct wp_scan scan;
 	struct wp_worker *w;
 	uint32_t n = 0;
 
 	wp_scan_begin(&scan, p, s);
 	while ((w = wp_scan_next(&scan)) != NULL) {
-		uint32_t limit = wp_slots_left(s, w);
-
-		if (limit > s->spec->count)
-			limit = s->spec->count;
 		if (wp_is_usable(w, now_us) && wp_is_suitable(s, w) &&
 		    wp_ticket_valid(s, w, at_us) != NULL)
-			n += gp_fit_count(&w->capacity, &need, limit);
+			n += wp_slots_if_empty(s, w);
 	}
 	return n;
 }
--- a/state/pool_request.c
+++ b/state/pool_request.c
@@ -49,6 +49,17 @@
 	return fit < limit ? fit : limit;
 }
 
+uint32_t
+wp_slots_if_empty(const struct wp_step *s, const struct wp_worker *w)
+{
+	struct wp_resources need = wp_task_resources(s->spec);
+	uint32_t limit = wp_slots_left(s, w);
+
+	if (limit > s->spec->count)
+		limit = s->spec->count;
+	return gp_fit_count(&w->capacity, &need, limit);
+}
+
 /* Steps begin at different workers, so that they do not all name the same. */
 static uint32_t
 wp_step_hash(const struct wp_step *s)
--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -442,7 +442,7 @@
 	t->held_on = w;
 }
 
-/* A held task has room by the time at which it may start. */
+/* Room for a held task is made shortly before it may start. */
 static bool
 wp_may_start_soon(const struct wp_restorer *r, const struct wp_lost *lost)
 {
--- a/tests/unit/test_lost_advice.cc
+++ b/tests/unit/test_lost_advice.cc
@@ -263,6 +263,14 @@
 	EXPECT_EQ(requests, kJobs);
 }
 
+TEST_F(LostAdvice, NothingIsAskedForForACancelledJob)
+{
+	take_over(false);
+	wp_cancel_job(p, wp_find_job(p, job_id(1).c_str()), now);
+	play(kStart + kHeldUs);
+	EXPECT_EQ(requests, kJobs - 1);
+}
+
 /* A crash of one worker, beside its owner that goes on. */
 TEST_F(LostAdvice, TasksOfASilentWorkerRunAgainAsSoonAsItsLeaseHasExpired)
 {
