pool_request: whether a request is urgent is found out once

A request's draft and the request itself each looked through a step's tasks for a lost one and kept the answer; the time of an answer was worked out before the cheap conditions that mostly rule a request out; a worker's lease expiry was worked out twice for each of its tasks, and wp_add_lost() and wp_add_lost_step() stood in a pair at both places.

Change: the request alone keeps urgent, the draft's copy is gone; the cheap conditions go first; wp_add_awaited() is the pair.

Ruled out: sharing the test set-ups of Restore and LostAdvice, which differ in how runs are stopped and advice is answered.

--- a/state/pool_lost_advice.c
+++ b/state/pool_lost_advice.c
@@ -71,20 +71,27 @@
 	return n;
 }
 
+static int64_t
+wp_answer_expected_us(
+    struct wp_pool *p, const struct wp_step *s, int64_t now_us)
+{
+	uint32_t max = wp_max_request_workers(&s->occ->job->spec->policy);
+	uint32_t workers = wp_slots_wanted(p, s);
+
+	return now_us +
+	    wp_advice_latency_us(p, s, workers < max ? workers : max);
+}
+
 /* Tickets are to have half of their validity left when the tasks may start. */
 static bool
 wp_is_request_due(struct wp_pool *p, struct wp_step *s, int64_t now_us)
 {
-	const struct jb_policy *policy = &s->occ->job->spec->policy;
-	int64_t valid_us = policy->advice_valid_ms * CLK_US_PER_MS;
-	uint32_t workers = wp_slots_wanted(p, s);
+	int64_t valid_us =
+	    s->occ->job->spec->policy.advice_valid_ms * CLK_US_PER_MS;
 
-	if (s->requests_in_flight > 0 || now_us < s->next_request_us)
-		return false;
-	if (workers > wp_max_request_workers(policy))
-		workers = wp_max_request_workers(policy);
-	if (now_us + wp_advice_latency_us(p, s, workers) <
-	    s->lost_from_us - valid_us / 2)
+	if (s->requests_in_flight > 0 || now_us < s->next_request_us ||
+	    wp_answer_expected_us(p, s, now_us) <
+		s->lost_from_us - valid_us / 2)
 		return false;
 	s->next_request_us = now_us + WP_LOST_REQUEST_INTERVAL_US;
 	return wp_slots_with_tickets_at(p, s, s->lost_from_us, now_us) <
--- a/state/pool_request.c
+++ b/state/pool_request.c
@@ -119,7 +119,6 @@
  * @max_workers: workers that it may name
  * @wanted_slots: slots that it should ask for
  * @expected_slots: slots on the workers named so far, at least one for each
- * @widely: each worker counts as one slot, as all its slots may be refused
  */
 struct wp_request_draft {
 	struct wp_advice_request *request;
@@ -127,12 +126,12 @@
 	uint32_t max_workers;
 	uint32_t wanted_slots;
 	uint32_t expected_slots;
-	bool widely;
 };
 
 /*
  * The answer takes longer for each worker named, so no more are named than the
- * step is expected to need.
+ * step is expected to need. In an urgent request each counts as one slot, as all
+ * the slots of a worker are refused together.
  */
 static void
 wp_name_workers(const struct wp_pool *p, const struct wp_step *s,
@@ -157,7 +156,8 @@
 		if (fit == WP_NOT_WORTH_REQUESTING || (fit > 0) != with_slots)
 			continue;
 		draft->request->worker[draft->request->worker_count++] = w->id;
-		draft->expected_slots += fit > 0 && !draft->widely ? fit : 1;
+		draft->expected_slots +=
+		    fit > 0 && !draft->request->urgent ? fit : 1;
 	}
 }
 
@@ -187,7 +187,6 @@
 	request->worker_cost_us = spec->policy.advice_period_us;
 	request->valid_ms = spec->policy.advice_valid_ms;
 	request->priority = spec->policy.priority;
-	request->urgent = wp_has_lost_task(s);
 	request->made_us = now_us;
 	request->slots = slots;
 	if (s->requests_in_flight == 0)
@@ -214,10 +213,10 @@
 	    .need = wp_task_resources(s->spec),
 	    .max_workers = wp_max_request_workers(&s->occ->job->spec->policy),
 	    .wanted_slots = wp_slots_wanted(p, s) - s->requested_slots,
-	    .widely = wp_has_lost_task(s),
 	};
 
 	request->worker_count = 0;
+	request->urgent = wp_has_lost_task(s);
 	wp_name_workers(p, s, &draft, true, now_us);
 	wp_name_workers(p, s, &draft, false, now_us);
 	if (request->worker_count == 0)
@@ -298,6 +297,8 @@
 	uint32_t max;
 
 	request->worker_count = 0;
+	/* Lost tasks of gangs are not restored. */
+	request->urgent = false;
 	slots = wp_name_reserved(p, s, request);
 	if (request->worker_count == 0)
 		return false;
--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -177,6 +177,14 @@
 	r->lost_count++;
 }
 
+/* One that can't start before may ask for advice meanwhile. */
+static void
+wp_add_awaited(struct wp_restorer *r, struct wp_task *t, int64_t from_us)
+{
+	wp_add_lost(r, t, from_us);
+	wp_add_lost_step(t->step, from_us);
+}
+
 static void
 wp_list_waiting(struct wp_restorer *r)
 {
@@ -196,15 +204,15 @@
 static void
 wp_list_lost_on(struct wp_restorer *r, const struct wp_worker *w)
 {
+	int64_t expires_us = wp_lease_expiry_us(w);
 	struct wp_task *t;
 
 	DL_FOREACH(w->tasks, t) {
 		if (!wp_lasts(t->step))
 			continue;
-		if (!w->reachable) {
-			wp_add_lost(r, t, wp_lease_expiry_us(w));
-			wp_add_lost_step(t->step, wp_lease_expiry_us(w));
-		} else if (t->state == WP_TASK_STOPPING)
+		if (!w->reachable)
+			wp_add_awaited(r, t, expires_us);
+		else if (t->state == WP_TASK_STOPPING)
 			wp_add_lost(r, t, wp_release_us(t, r->now_us));
 	}
 }
@@ -240,10 +248,8 @@
 		for (j = 0; wp_lasts(s) && j < s->spec->count; j++) {
 			struct wp_task *t = &s->task[j];
 
-			if (t->state != WP_TASK_UNRECONCILED || t->run == 0)
-				continue;
-			wp_add_lost(r, t, until_us);
-			wp_add_lost_step(s, until_us);
+			if (t->state == WP_TASK_UNRECONCILED && t->run > 0)
+				wp_add_awaited(r, t, until_us);
 		}
 	}
 }
