pool_worker: a worker that has left stays registered while a start may come late

What callers saw: a task could run twice. A worker whose start order got no answer left, was dropped from the registry 3.4 s later, and came back under its id with a new incarnation, which may carry that start out up to 12.5 s after it was sent, with the longest lease. The next owner, which found no row, took it for a new worker and waited for 3.2 s instead of 10 s.

Cause: a worker needed its row only for as long as a lease that was given to it may last, while an order that was sent to it may take longer to arrive.

Ruled out: keeping all workers for 12.5 s; only a start gives a later incarnation something to run, renewals alone don't, and the next owner's token stops those.

Change: the row stays while a start without an answer may be carried out. Such a worker is closed by then and holds no task at a takeover.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -217,7 +217,8 @@
 wp_needs_registration(const struct wp_worker *w, int64_t now_us)
 {
 	return !w->over &&
-	    (w->listed || w->tasks != NULL || now_us < wp_lease_expiry_us(w));
+	    (w->listed || w->tasks != NULL || w->stray_count > 0 ||
+		now_us < wp_lease_expiry_us(w));
 }
 
 void
