coordination: owners have links to all daemons, wherever their pools are

Cause: daemons on smaller VMs had links only to the largest VMs, as pools go there. With fewer large VMs than pools, a small VM owns one, and keeps it, as the large one is taken. That owner reached one other daemon for advice, and no relay: its queue of requests grew to 1,078, 57 s of waiting, while the owner on the large VM had 16 daemons (advice state: long_targets=2 against 10). Nor could other daemons send it jobs.

Ruled out: advice that the service refuses or that fails (none failed for long), too little room, requests of cancelled jobs.

Change: who is linked is a pure function, li_needs_link(). An owner connects to all daemons, and all daemons to owners.

Links.OwnersReachAllDaemonsWhereverPoolsAre/SmallOwnerToSmall and /SmallToSmallOwner failed with the rule as it was.

--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -4,7 +4,9 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "coordination/links.h"
 #include "curranttackd/cell_peers.h"
+#include "curranttackd/cell_pool.h"
 
 #define PN_MAX_PEERS 256
 /* Ended jobs in one message. */
@@ -89,15 +91,22 @@
 	return p->link != NULL && peer_established(p->link);
 }
 
-/* Pools go to the largest VMs, so the others need no links to one another. */
 static bool
 pn_needs_link(
     const struct pn_links *n, const struct rp_member *m, uint32_t largest_mcpu)
 {
-	if (!m->present || strcmp(m->vm, n->c->settings->vm) == 0)
-		return false;
-	return n->c->settings->cpu_mcpu >= largest_mcpu ||
-	    m->cpu_mcpu == largest_mcpu;
+	const struct replica *r = n->c->replica;
+	struct li_daemon own = {
+	    .cpu_mcpu = n->c->settings->cpu_mcpu,
+	    .owns_pool = cp_owned_count(n->c) > 0,
+	};
+	struct li_daemon peer = {
+	    .cpu_mcpu = m->cpu_mcpu,
+	    .owns_pool = rp_owns_any(r, m->vm),
+	};
+
+	return m->present && strcmp(m->vm, n->c->settings->vm) != 0 &&
+	    li_needs_link(&own, &peer, largest_mcpu);
 }
 
 void
