state: how long leases last is told in a file of its own

The later of two times was chosen in four places of pool_worker.c, in pool_restore and in cell_calls_query; the time that a stored lease has left, and its way back into a time on the slowest clock, stood twice, in pool_restart and pool_unleased. clk_later_us(), wp_left_ms() and wp_slowest_clock_us() take their place, and the five functions on leases move from pool_worker.c (1,217 lines) to pool_lease.c.

--- a/curranttackd/cell_calls_query.c
+++ b/curranttackd/cell_calls_query.c
@@ -173,12 +173,6 @@
 	talloc_free(l);
 }
 
-static int64_t
-cc_later(int64_t a_us, int64_t b_us)
-{
-	return a_us > b_us ? a_us : b_us;
-}
-
 static void
 cc_lookup(
     struct cc_frontend *f, struct hs_request *req, const char *id, bool cancel)
@@ -192,7 +186,7 @@
 	l->req = req;
 	l->deadline_us = cc_deadline_us(f, req);
 	l->answer_by_us =
-	    cc_later(l->deadline_us, clk_now_us() + CC_MIN_LOOKUP_US);
+	    clk_later_us(l->deadline_us, clk_now_us() + CC_MIN_LOOKUP_US);
 	DL_APPEND(f->lookups, l);
 	req->overdue = cc_lookup_overdue;
 	req->overdue_arg = l;
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -8,6 +8,13 @@
 /* A VM's monotonic clock may be slow by 2%. */
 #define CLK_MIN_RATE_PER_MILLE 980
 
+/** clk_later_us() - the later of two times */
+static inline int64_t
+clk_later_us(int64_t a_us, int64_t b_us)
+{
+	return a_us > b_us ? a_us : b_us;
+}
+
 /**
  * clk_now_us() - read the monotonic clock
  *
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -24,7 +24,7 @@
  * pool_crash (crashes of workers under tasks), pool_suspect (which tasks may
  * have caused them, and how these start again),
  * pool_retire (emptying workers for maintenance), pool_over (workers that list
- * more than they may hold), pool_lease_events (what leases are taken to be), pool_sched (which task starts
+ * more than they may hold), pool_lease (how long leases last), pool_lease_events (what leases are taken to be), pool_sched (which task starts
  * where), pool_stuck (what keeps tasks from running), pool (jobs and ticks).
  */
 
@@ -195,6 +195,15 @@
 void wp_forget_orphans(struct wp_worker *w);
 /** wp_worker_clock_ms() - estimate of a worker's clock */
 int64_t wp_worker_clock_ms(const struct wp_worker *w, int64_t now_us);
+/** wp_slowest_clock_us() - when @left_ms have passed on the slowest clock */
+int64_t wp_slowest_clock_us(int64_t since_us, int64_t left_ms);
+/** wp_left_ms() - time left until a moment, rounded up; 0 once it has passed */
+int64_t wp_left_ms(int64_t until_us, int64_t now_us);
+/**
+ * wp_given_lease_expiry_us() - when a lease ends that was given to the
+ * incarnation as which a worker is known
+ */
+int64_t wp_given_lease_expiry_us(const struct wp_worker *w);
 /** wp_lease_expiry_us() - when all runs on a silent worker must have ended */
 int64_t wp_lease_expiry_us(const struct wp_worker *w);
 /** wp_stray_add() - a start order was not answered */
--- a/state/pool_restart.c
+++ b/state/pool_restart.c
@@ -32,8 +32,7 @@
 static int64_t
 wp_longest_lease_us(const struct wp_pool *p)
 {
-	return p->max_lease_ms * CLK_US_PER_MS * 1000 / CLK_MIN_RATE_PER_MILLE +
-	    WP_EXPIRY_MARGIN_US;
+	return wp_slowest_clock_us(0, p->max_lease_ms) + WP_EXPIRY_MARGIN_US;
 }
 
 static void
@@ -183,9 +182,7 @@
 int64_t
 wp_late_lease_ms(const struct wp_worker *w, int64_t now_us)
 {
-	int64_t left_us = w->late_lease_until_us - now_us;
-
-	return left_us > 0 ? left_us / CLK_US_PER_MS + 1 : 0;
+	return wp_left_ms(w->late_lease_until_us, now_us);
 }
 
 void
@@ -202,6 +199,5 @@
 	if (left_ms == 0)
 		return;
 	w->late_lease_registered = true;
-	w->late_lease_until_us =
-	    since_us + left_ms * CLK_US_PER_MS * 1000 / CLK_MIN_RATE_PER_MILLE;
+	w->late_lease_until_us = wp_slowest_clock_us(since_us, left_ms);
 }
--- a/state/pool_restore.c
+++ b/state/pool_restore.c
@@ -73,12 +73,6 @@
 	uint32_t searches_again;
 };
 
-static int64_t
-wp_later(int64_t a_us, int64_t b_us)
-{
-	return a_us > b_us ? a_us : b_us;
-}
-
 bool
 wp_lasts(const struct wp_step *s)
 {
@@ -227,7 +221,8 @@
 
 	for (w = p->workers; w != NULL; w = w->hh.next) {
 		if (wp_is_holding(w, r->now_us))
-			until_us = wp_later(until_us, wp_lease_expiry_us(w));
+			until_us =
+			    clk_later_us(until_us, wp_lease_expiry_us(w));
 	}
 	if (until_us == 0 || p->ownership_unconfirmed)
 		return r->now_us + WP_UNRECONCILED_US;
@@ -362,7 +357,7 @@
 	at_us = wp_room_from_us(r, s, w, free_now);
 	if (at_us == INT64_MAX)
 		return INT64_MAX;
-	at_us = wp_later(at_us, lost->from_us);
+	at_us = clk_later_us(at_us, lost->from_us);
 	return wp_ticket_ready_us(r->pool, s, w, at_us, r->now_us);
 }
 
@@ -394,7 +389,7 @@
 		*at_us = w_us;
 	}
 	if (best != NULL)
-		*at_us = wp_later(*at_us, lost->from_us);
+		*at_us = clk_later_us(*at_us, lost->from_us);
 	return best;
 }
 
@@ -467,7 +462,8 @@
 
 	return wp_may_start_soon(r, lost) && !r->pool->draining &&
 	    r->now_us >= t->preempt_at_us &&
-	    at_us > wp_later(t->restore_by_us, r->now_us + WP_MAKE_ROOM_US) &&
+	    at_us >
+	    clk_later_us(t->restore_by_us, r->now_us + WP_MAKE_ROOM_US) &&
 	    wp_may_restart(r->pool, t, r->now_us);
 }
 
@@ -515,7 +511,8 @@
 	struct wp_task *t = lost->task;
 	struct wp_victims v = {.ctx = r->pool};
 	struct wp_worker *w = wp_find_victims(r, t, &v);
-	int64_t at_us = wp_later(r->now_us + WP_MAKE_ROOM_US, lost->from_us);
+	int64_t at_us =
+	    clk_later_us(r->now_us + WP_MAKE_ROOM_US, lost->from_us);
 
 	if (w == NULL)
 		return false;
--- a/state/pool_unleased.c
+++ b/state/pool_unleased.c
@@ -57,9 +57,7 @@
 int64_t
 wp_inherited_lease_ms(const struct wp_worker *w, int64_t now_us)
 {
-	int64_t left_us = w->earlier_owner_until_us - now_us;
-
-	return left_us > 0 ? left_us / CLK_US_PER_MS + 1 : 0;
+	return wp_left_ms(w->earlier_owner_until_us, now_us);
 }
 
 void
@@ -75,8 +73,7 @@
 	w->marked = true;
 	if (left_ms < 0 || left_ms > WP_MAX_LEFT_MS)
 		return;
-	until_us =
-	    since_us + left_ms * CLK_US_PER_MS * 1000 / CLK_MIN_RATE_PER_MILLE;
+	until_us = wp_slowest_clock_us(since_us, left_ms);
 	if (until_us < w->earlier_owner_until_us)
 		w->earlier_owner_until_us = until_us;
 }
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -59,48 +59,6 @@
 	return w;
 }
 
-int64_t
-wp_worker_clock_ms(const struct wp_worker *w, int64_t now_us)
-{
-	return w->clock_ms + (now_us - w->clock_read_us) / CLK_US_PER_MS;
-}
-
-int64_t
-wp_inherited_lease_until_us(const struct wp_worker *w)
-{
-	return w->earlier_owner_until_us > w->late_lease_until_us
-	    ? w->earlier_owner_until_us
-	    : w->late_lease_until_us;
-}
-
-/* As far as its lease has been given to the incarnation that it is known as. */
-static int64_t
-wp_given_lease_expiry_us(const struct wp_worker *w)
-{
-	int64_t left_ms = w->lease_end_clock_ms - w->clock_ms;
-	int64_t expires_us;
-
-	if (w->clock_read_us == 0)
-		return w->earlier_owner_until_us;
-	if (left_ms < 0)
-		left_ms = 0;
-	expires_us = w->clock_read_us +
-	    left_ms * CLK_US_PER_MS * 1000 / CLK_MIN_RATE_PER_MILLE +
-	    WP_EXPIRY_MARGIN_US;
-	return expires_us > w->earlier_owner_until_us
-	    ? expires_us
-	    : w->earlier_owner_until_us;
-}
-
-int64_t
-wp_lease_expiry_us(const struct wp_worker *w)
-{
-	int64_t given_us = wp_given_lease_expiry_us(w);
-
-	return given_us > w->late_lease_until_us ? given_us
-						 : w->late_lease_until_us;
-}
-
 static void
 wp_read_clock(struct wp_worker *w, int64_t clock_ms, int64_t now_us)
 {
