cell_traffic: one function chooses the token of a call

A worker's own token, or else the pool's, was chosen in the same way for orders and for renewals. test_links.cc is formatted anew.

--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -53,6 +53,13 @@
 	    h->cell->settings->relay_above_workers;
 }
 
+/* A worker that has restarted has a later one than the pool's. */
+static uint64_t
+cp_token(const struct cp_host *h, uint64_t workers_own)
+{
+	return workers_own != 0 ? workers_own : h->fence;
+}
+
 static void
 cp_send_orders(struct cp_host *h)
 {
@@ -65,8 +72,7 @@
 		req->order = talloc_steal(req, o);
 		ct_add(CT_TASKS_STARTED, o->kind == WP_ORDER_START);
 		rl_order(h->cell->relay, wp_find_worker(h->pool, o->worker), o,
-		    o->fence != 0 ? o->fence : h->fence, relayed, cp_on_order,
-		    req);
+		    cp_token(h, o->fence), relayed, cp_on_order, req);
 	}
 }
 
@@ -142,8 +148,7 @@
 		memcpy(req->worker, w->id, sizeof(req->worker));
 		req->fence = renewal.fence;
 		rl_renew(h->cell->relay, w, &renewal,
-		    renewal.fence != 0 ? renewal.fence : h->fence, relayed,
-		    cp_on_renewal, req);
+		    cp_token(h, renewal.fence), relayed, cp_on_renewal, req);
 	}
 }
 
--- a/tests/unit/test_links.cc
+++ b/tests/unit/test_links.cc
@@ -29,8 +29,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Sizes, Links,
-    testing::Values(Case{"LargeToSmall", {kLarge, false}, {kSmall, false},
-			true},
+    testing::Values(
+	Case{"LargeToSmall", {kLarge, false}, {kSmall, false}, true},
 	Case{"SmallToLarge", {kSmall, false}, {kLarge, false}, true},
 	Case{"SmallOwnerToSmall", {kSmall, true}, {kSmall, false}, true},
 	Case{"SmallToSmallOwner", {kSmall, false}, {kSmall, true}, true},
