replica: tell how an owner learned of a cancellation, and how old its copy is

The owner's job_cancelled line named the job only. It didn't tell an owner that learned late, as its copy of the key space stood still, from one that stopped late, nor by which way it learned.

job_cancelled now has what showed the cancellation, its revision, and the revision and age of the copy; it is also written where the cancellation was known before the job was loaded. The state line has the age of the copy and the number of stops without an answer. A watch without an answer leaves a line and is counted. The age is an upper bound: what a call showed counts from when the call was sent. No change of logic.

--- a/common/counters.c
+++ b/common/counters.c
@@ -41,6 +41,7 @@
     [CT_HTTP_ANSWERED] = "http_requests_answered",
     [CT_HTTP_CUT] = "http_requests_cut",
     [CT_HTTP_AT_END] = "http_requests_answered_at_end",
+    [CT_WATCHES_UNANSWERED] = "store_watches_unanswered",
 };
 
 void
--- a/curranttackd/cell_calls_metrics.c
+++ b/curranttackd/cell_calls_metrics.c
@@ -23,6 +23,7 @@
 	    "currant_pool_tasks_running{pool=\"%s\"} %u\n"
 	    "currant_pool_tasks_held{pool=\"%s\"} %u\n"
 	    "currant_pool_tasks_late{pool=\"%s\"} %u\n"
+	    "currant_pool_stops_unanswered{pool=\"%s\"} %u\n"
 	    "currant_pool_workers_usable{pool=\"%s\"} %u\n"
 	    "currant_pool_workers_overfull{pool=\"%s\"} %u\n"
 	    "currant_pool_workers_outdated{pool=\"%s\"} %u\n"
@@ -39,9 +40,9 @@
 	    "%llu\n",
 	    h->name, (unsigned long long)h->fence, h->name, n.jobs, h->name,
 	    n.waiting, h->name, n.running, h->name, n.held, h->name, n.late,
-	    h->name, n.usable, h->name, n.overfull, h->name, n.outdated,
-	    h->name, n.cpu_percent, h->name, n.gpu_percent, h->name,
-	    (unsigned long long)s->starts, h->name,
+	    h->name, n.stops_unanswered, h->name, n.usable, h->name, n.overfull,
+	    h->name, n.outdated, h->name, n.cpu_percent, h->name, n.gpu_percent,
+	    h->name, (unsigned long long)s->starts, h->name,
 	    (unsigned long long)s->displaced, h->name,
 	    (unsigned long long)s->advice_requests, h->name,
 	    (unsigned long long)s->crashes, h->name,
@@ -100,10 +101,13 @@
 	    "currant_log_dropped_total %llu\n"
 	    "currant_config_version %llu\n"
 	    "currant_store_silent_ms %lld\n"
+	    "currant_copy_age_ms %lld\n"
 	    "currant_ready %d\n",
 	    (unsigned long long)lg_dropped(),
 	    config != NULL ? (unsigned long long)config->version : 0ULL,
 	    (long long)((clk_now_us() - c->store_answered_us) / CLK_US_PER_MS),
+	    (long long)(rp_copy_age_us(c->replica, clk_now_us()) /
+		CLK_US_PER_MS),
 	    cc_is_ready(c));
 	HASH_ITER(hh, c->pools, h, tmp) {
 		if (h->pool == NULL)
--- a/curranttackd/cell_load.c
+++ b/curranttackd/cell_load.c
@@ -36,8 +36,10 @@
 	talloc_free(progress);
 	if (row->end_reported)
 		wp_end_job(h->pool, job, row->state, now_us);
-	if (row->cancelled)
+	if (row->cancelled) {
+		cp_log_cancelled(h, row, "job");
 		wp_cancel_job(h->pool, job, now_us);
+	}
 	return job;
 }
 
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -370,7 +370,9 @@
 	    "cpu_percent", lg_i64(n.cpu_percent), "gpu_percent",
 	    lg_i64(n.gpu_percent), "commit", h->commit != NULL ? "1" : "0",
 	    "confirmed_ms",
-	    lg_i64((now_us - h->lease_confirmed_us) / CLK_US_PER_MS), NULL);
+	    lg_i64((now_us - h->lease_confirmed_us) / CLK_US_PER_MS), "copy_ms",
+	    lg_i64(rp_copy_age_us(h->cell->replica, now_us) / CLK_US_PER_MS),
+	    "stops_unanswered", lg_i64(n.stops_unanswered), NULL);
 	cp_log_waits(h, now_us);
 	cp_log_gang_waits(h, now_us);
 	cp_log_advice_rates(h);
@@ -501,6 +503,18 @@
 	cp_schedule_pass(h);
 }
 
+void
+cp_log_cancelled(
+    const struct cp_host *h, const struct rp_job *row, const char *by)
+{
+	const struct replica *r = h->cell->replica;
+
+	lg_event(LG_INFO, "pool", "job_cancelled", "job", row->id, "by", by,
+	    "revision", lg_i64((int64_t)row->cancel_revision), "copy_revision",
+	    lg_i64((int64_t)r->applied_revision), "copy_ms",
+	    lg_i64(rp_copy_age_us(r, clk_now_us()) / CLK_US_PER_MS), NULL);
+}
+
 void
 cp_on_cancel(struct cell *c, struct rp_job *row)
 {
@@ -515,7 +529,7 @@
 	job = wp_find_job(h->pool, row->id);
 	if (job == NULL)
 		return;
-	lg_event(LG_INFO, "pool", "job_cancelled", "job", row->id, NULL);
+	cp_log_cancelled(h, row, row->cancelled_by);
 	wp_cancel_job(h->pool, job, clk_now_us());
 	cp_schedule_pass(h);
 }
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "common/log.h"
 #include "curranttackd/replica_internal.h"
 
@@ -65,6 +66,7 @@
 		rp_remove_unfound_cell_keys(r);
 		rp_remove_unfound_jobs(r);
 		r->applied_revision = r->load_revision;
+		r->current_us = r->load_sent_us;
 	}
 	rp_log_load(r);
 	if (r->synced)
@@ -90,6 +92,7 @@
 	r->hooks.store_answered(r->arg);
 	if (r->load_cursor == NULL)
 		r->load_revision = a->revision;
+	r->source = "load";
 	for (i = 0; i < a->item_count; i++) {
 		rp_apply_in_order(r, &a->item[i]);
 		rp_mark_found(r, &a->item[i]);
@@ -117,8 +120,9 @@
 	r->load_number++;
 	r->load_attempts++;
 	r->load_rows = 0;
+	r->load_sent_us = clk_now_us();
 	if (r->load_since_us == 0)
-		r->load_since_us = clk_now_us();
+		r->load_since_us = r->load_sent_us;
 	r->loading = rp_covers(r->load_prefix, RP_CELL_PREFIX);
 	r->fleet->keys->range(
 	    r->fleet->handle, r->load_prefix, NULL, rp_on_load_page, r);
@@ -141,14 +145,52 @@
 struct rp_watch_call {
 	struct replica *r;
 	uint64_t number;
+	int64_t sent_us;
 };
 
+int64_t
+rp_copy_age_us(const struct replica *r, int64_t now_us)
+{
+	return now_us - r->current_us;
+}
+
+/* Without changes the store has waited; with changes it may not have. */
+static void
+rp_note_current(struct replica *r, const struct ks_response *a, int64_t sent_us)
+{
+	int64_t now_us = clk_now_us();
+	int64_t at_us = sent_us;
+
+	if (a->item_count == 0)
+		at_us += RP_WATCH_MS * CLK_US_PER_MS;
+	if (at_us > now_us)
+		at_us = now_us;
+	if (at_us > r->current_us)
+		r->current_us = at_us;
+}
+
+static void
+rp_log_watch_failed(
+    const struct replica *r, enum ks_result result, int64_t sent_us)
+{
+	int64_t now_us = clk_now_us();
+
+	if (result != KS_UNKNOWN)
+		return;
+	ct_add(CT_WATCHES_UNANSWERED, 1);
+	lg_event(LG_WARN, "replica", "watch_failed", "open_ms",
+	    lg_i64((now_us - sent_us) / CLK_US_PER_MS), "revision",
+	    lg_i64((int64_t)r->applied_revision), "copy_ms",
+	    lg_i64(rp_copy_age_us(r, now_us) / CLK_US_PER_MS), NULL);
+}
+
 static void
 rp_on_watch(const struct ks_response *a, void *arg)
 {
 	struct rp_watch_call *call = arg;
 	struct replica *r = call->r;
 	bool given_up = call->number != r->watch_number;
+	int64_t sent_us = call->sent_us;
 	size_t i;
 
 	talloc_free(call);
@@ -166,14 +208,17 @@
 		rp_load(r);
 		return;
 	default:
+		rp_log_watch_failed(r, a->result, sent_us);
 		loop_after(r->loop, RP_RETRY_US, rp_watch, r);
 		return;
 	}
 	r->hooks.store_answered(r->arg);
+	r->source = "watch";
 	for (i = 0; i < a->item_count; i++)
 		rp_apply_in_order(r, &a->item[i]);
 	if (a->revision > r->applied_revision)
 		r->applied_revision = a->revision;
+	rp_note_current(r, a, sent_us);
 	r->watch_paused = true;
 	r->watch_resume_us = clk_now_us() + r->watch_pause_us;
 	/* More changes are waiting, or workers' entries are: it lags behind. */
@@ -202,6 +247,7 @@
 		abort();
 	call->r = r;
 	call->number = ++r->watch_number;
+	call->sent_us = clk_now_us();
 	r->watching = true;
 	r->fleet->keys->watch(r->fleet->handle, rp_watched_prefix(r),
 	    r->applied_revision, RP_WATCH_MS, rp_on_watch, call);
--- a/curranttackd/replica_jobs.c
+++ b/curranttackd/replica_jobs.c
@@ -172,6 +172,8 @@
 	is_new = !job->cancelled;
 	job->cancelled = true;
 	job->cancel_revision = item->revision;
+	if (is_new)
+		job->cancelled_by = r->source;
 	if (is_new)
 		r->hooks.cancel(job, r->arg);
 }
--- a/curranttackd/replica_rows.c
+++ b/curranttackd/replica_rows.c
@@ -55,6 +55,7 @@
 void
 rp_apply_out_of_order(struct replica *r, const struct ks_item *item)
 {
+	r->source = "call";
 	rp_apply_item(r, item);
 }
 
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -49,6 +49,7 @@
 	CT_HTTP_ANSWERED,
 	CT_HTTP_CUT,	/* read whole, and the connection ended in between */
 	CT_HTTP_AT_END, /* answered because the process ends */
+	CT_WATCHES_UNANSWERED, /* over the key space */
 	CT_COUNT,
 };
 
--- a/include/curranttackd/cell_pool_internal.h
+++ b/include/curranttackd/cell_pool_internal.h
@@ -115,6 +115,14 @@
 void cp_try_begin_ownership(void *arg);
 /** cp_load_job() - add a job of the replica to the pool; NULL if unreadable */
 struct wp_job *cp_load_job(struct cp_host *h, struct rp_job *row);
+/**
+ * cp_log_cancelled() - log that an owner has learned of a cancellation
+ * @h: host of the pool
+ * @row: the job
+ * @by: what showed it
+ */
+void cp_log_cancelled(
+    const struct cp_host *h, const struct rp_job *row, const char *by);
 /** cp_load_pool() - fill a new owner's pool from the replica */
 void cp_load_pool(struct cp_host *h, int64_t now_us);
 /** cp_renew_lease() - renew the lease of an ownership if that is due */
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -41,6 +41,7 @@
  * @cancelled: a caller has cancelled it; without @spec by a tombstone, which
  *	keeps it from being created
  * @cancel_revision: revision of the cancellation
+ * @cancelled_by: what showed the cancellation here first, for the log
  * @accepted_us: when this daemon first saw the job
  * @ended_us: when this daemon learned of its end; 0 before
  * @found_in_load: number of the last load that has read its description or,
@@ -63,6 +64,7 @@
 	bool announced;
 	bool cancelled;
 	uint64_t cancel_revision;
+	const char *cancelled_by;
 	int64_t accepted_us;
 	int64_t ended_us;
 	uint32_t found_in_load;
@@ -220,9 +222,12 @@
  * @synced: the first load is complete
  * @loading: a load is not complete; items are in no common order until then
  * @applying_in_order: the item being applied comes in the order of changes
+ * @source: what shows the item being applied, for the log
  * @applied_revision: revision up to which all changes are applied
+ * @current_us: the copy has all changes that were made before that
  * @load_number: number of the newest load; one that is begun anew has its own
  * @load_revision: revision of the first page of the newest load
+ * @load_sent_us: when that page was asked for
  * @load_since_us: when the newest load, or the first of its failed attempts,
  *	began; 0 between loads
  * @load_attempts: how often it has been begun
@@ -249,9 +254,12 @@
 	bool synced;
 	bool loading;
 	bool applying_in_order;
+	const char *source;
 	uint64_t applied_revision;
+	int64_t current_us;
 	uint32_t load_number;
 	uint64_t load_revision;
+	int64_t load_sent_us;
 	int64_t load_since_us;
 	uint32_t load_attempts;
 	uint32_t load_rows;
@@ -296,6 +304,14 @@
  */
 bool rp_has_applied(const struct replica *r, uint64_t revision);
 
+/**
+ * rp_copy_age_us() - how long ago the replica was last known to be current
+ *
+ * An upper bound: what a call showed counts from when it was sent, as its answer
+ * may have been under way for long.
+ */
+int64_t rp_copy_age_us(const struct replica *r, int64_t now_us);
+
 /**
  * rp_follow_workers() - say whether workers' entries are needed
  *
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -876,6 +876,8 @@
  * @unreachable: those, likewise, whose last renewal was not answered
  * @overfull: usable workers whose tasks take more than their capacity
  * @outdated: workers not used since their capacity was reported too long ago
+ * @stops_unanswered: tasks that are being stopped, and whose worker hasn't
+ *	confirmed the stop
  */
 struct wp_counts {
 	uint32_t jobs;
@@ -891,6 +893,7 @@
 	uint32_t unreachable;
 	uint32_t overfull;
 	uint32_t outdated;
+	uint32_t stops_unanswered;
 };
 
 /**
--- a/state/pool.c
+++ b/state/pool.c
@@ -411,8 +411,11 @@
 			break;
 		case WP_TASK_STARTING:
 		case WP_TASK_RUNNING:
+			n->running++;
+			break;
 		case WP_TASK_STOPPING:
 			n->running++;
+			n->stops_unanswered += s->task[i].resend_at_us != 0;
 			break;
 		case WP_TASK_DONE:
 		case WP_TASK_CANCELLED:
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -7,6 +7,7 @@
 
 extern "C" {
 #include "common/base64.h"
+#include "common/clock.h"
 #include "common/counters.h"
 #include "curranttackd/replica.h"
 #include "protocol/curranttack.pb-c.h"
@@ -537,6 +538,51 @@
 	EXPECT_TRUE(rp_has_applied(r, 40));
 }
 
+/* A copy that stands still has to be told from one that nothing changes. */
+TEST_F(Replica, AgeOfTheCopyCountsFromWhenTheAnsweredCallWasSent)
+{
+	uint64_t before = ct_get(CT_WATCHES_UNANSWERED);
+	int64_t first_us = r->load_sent_us;
+
+	page(10, {}, false);
+	EXPECT_EQ(r->current_us, first_us);
+	int64_t sent_us = clk_now_us();
+	rp_watch_anew(r);
+	watch(KS_UNKNOWN, 0);
+	EXPECT_EQ(ct_get(CT_WATCHES_UNANSWERED), before + 1);
+	EXPECT_EQ(r->current_us, first_us);
+	loop_after(
+	    l, 400000, [](void *arg) { loop_stop((struct loop *)arg); }, l);
+	loop_run(l);
+	struct ks_item changed_item = member_item(12);
+	struct ks_response a = {};
+	a.result = KS_OK;
+	a.revision = 12;
+	a.item = &changed_item;
+	a.item_count = 1;
+	store.watch_done(&a, store.watch_arg);
+	EXPECT_GT(r->current_us, sent_us);
+	EXPECT_LT(r->current_us, clk_now_us());
+	EXPECT_EQ(rp_copy_age_us(r, r->current_us + 7), 7);
+}
+
+TEST_F(Replica, WhatShowedACancellationFirstIsKnown)
+{
+	struct ks_item cancel = {};
+
+	cancel.key = RP_CANCEL_PREFIX "00000000000000a1";
+	cancel.revision = 6;
+	page(10,
+	    {cancel, job_item("00000000000000a1", 5),
+		job_item("00000000000000a2", 4)},
+	    false);
+	EXPECT_STREQ(rp_find_job(r, "00000000000000a1")->cancelled_by, "load");
+	cancel.key = RP_CANCEL_PREFIX "00000000000000a2";
+	cancel.revision = 12;
+	rp_apply_out_of_order(r, &cancel);
+	EXPECT_STREQ(rp_find_job(r, "00000000000000a2")->cancelled_by, "call");
+}
+
 TEST_F(Replica, NoSecondWatchIsOpenedDuringALoad)
 {
 	rp_watch_anew(r);
