tests: the simulated store may leave watches without an answer

Other calls of the same daemon are answered meanwhile, as where a connection on which a response was lost returns nothing further. The simulated store could only be silent to all calls, and then the lease of an owner isn't confirmed.

--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -37,6 +37,7 @@
 	kLost,	 /* writes are done, and not answered */
 	kLate,	 /* writes are done seconds later, and not answered */
 	kSlow,	 /* each call takes long */
+	kHung,	 /* watches get no answer, though other calls do */
 };
 
 struct SimItem {
