replica: don't cancel a job by a tombstone that is shown after it

A job that a peer sent, or that a call showed, is applied ahead of the watch. If the watch still had to show a tombstone of the same id, put and removed before the job was created, the tombstone cancelled the new job in the memory of that daemon: its owner would have stopped and stored it as cancelled, and a DELETE would have been answered 200 without a write.

rp_read_job() already dropped a tombstone that was known before the job; the reverse order wasn't covered. A cancellation with a revision below that of the job's row is now left out: a job is created on condition that no cancellation exists, so one that is older is gone.

JobIsNotCancelledByATombstoneThatIsShownLate failed before the change.

--- a/curranttackd/replica_jobs.c
+++ b/curranttackd/replica_jobs.c
@@ -169,6 +169,9 @@
 		rp_drop_tombstone(r, job);
 		return;
 	}
+	/* A tombstone from before the job, which could be created since. */
+	if (job->spec != NULL && item->revision < job->spec_revision)
+		return;
 	is_new = !job->cancelled;
 	job->cancelled = true;
 	job->cancel_revision = item->revision;
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -394,6 +394,25 @@
 	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
 }
 
+/* The job came from a peer before the watch had shown the tombstone. */
+TEST_F(Replica, JobIsNotCancelledByATombstoneThatIsShownLate)
+{
+	const char *id = "00000000000000a1";
+	struct ks_item tombstone = {};
+	struct ks_item item = job_item(id, 30);
+
+	tombstone.key = RP_CANCEL_PREFIX "00000000000000a1";
+	tombstone.revision = 20;
+	page(15, {}, false);
+	rp_apply_out_of_order(r, &item);
+	rp_apply_out_of_order(r, &tombstone);
+	ASSERT_NE(rp_find_job(r, id), nullptr);
+	EXPECT_FALSE(rp_find_job(r, id)->cancelled);
+	tombstone.revision = 31;
+	rp_apply_out_of_order(r, &tombstone);
+	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
+}
+
 TEST_F(Replica, TombstonesAreForgotten)
 {
 	struct ks_item by_watch = {};
