callers, pool: tell a pool's owner of a cancellation at once

The owner's lease stays confirmed, so it renews its workers; nothing but the watch told it of a cancellation, while new jobs are sent to it by peers.

The daemon that stores a cancellation now sends it to the owner with its revision (a new field of Frame; older builds ignore it), and sends it again where the cancellation was found done, or was known from memory, as the first report may have been lost with a link. The receiver applies it ahead of its watch, whether it owns the pool or not. A report that the watch has passed is left out: the job may be gone, and nothing would remove the entry. One that outruns its job is kept until the job's row is known; one older than the row is left out.

--- a/curranttackd/cell_calls_cancel.c
+++ b/curranttackd/cell_calls_cancel.c
@@ -1,7 +1,9 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "common/clock.h"
 #include "curranttackd/cell_calls_internal.h"
+#include "curranttackd/cell_peers.h"
 
 /*
  * A cancellation that is being stored. That of a job which the store lacks is a
@@ -15,6 +17,24 @@
 	int64_t lease_asked_us;
 };
 
+/*
+ * Its watch may stand still while it renews the runs of the job. Sent whenever a
+ * caller is told, as it may not have had what was sent to it before.
+ */
+static void
+cc_tell_owner(struct cc_frontend *f, const char *id, uint64_t revision)
+{
+	struct cell *c = f->c;
+	const struct rp_job *job = rp_find_job(c->replica, id);
+	const struct rp_owner *o;
+
+	if (job == NULL)
+		return;
+	o = rp_get_owner(c->replica, job->pool);
+	if (o->present && strcmp(o->vm, c->settings->vm) != 0)
+		pn_send_cancelled(c->links, o->vm, id, revision);
+}
+
 static void
 cc_on_cancel_stored(struct cc_write *w, uint64_t revision)
 {
@@ -26,6 +46,7 @@
 	};
 
 	rp_apply_out_of_order(w->f->c->replica, &item);
+	cc_tell_owner(w->f, w->id, revision);
 	if (c->job_revision == 0)
 		cc_write_finish(w, 410, "{\"error\":\"no such job\"}");
 	else
@@ -40,10 +61,12 @@
 
 	c->job_revision = cc_find_revision(a, w->job_key);
 	c->cancel_revision = cc_find_revision(a, w->cancel_key);
-	if (c->job_revision != 0 && c->cancel_revision != 0)
-		cc_write_finish(w, 200, "{}");
-	else
+	if (c->job_revision == 0 || c->cancel_revision == 0) {
 		cc_write_retry(w);
+		return;
+	}
+	cc_tell_owner(w->f, w->id, c->cancel_revision);
+	cc_write_finish(w, 200, "{}");
 }
 
 static void
@@ -145,6 +168,8 @@
 	struct cc_cancellation *c;
 
 	if (job != NULL && (job->cancelled || jb_has_ended(job->state))) {
+		if (job->cancelled)
+			cc_tell_owner(f, id, job->cancel_revision);
 		cc_log_unwritten("cancel", id, 200, "cancelled or ended");
 		cc_respond(f, req, 200, "{}");
 		return;
--- a/curranttackd/cell_frames.c
+++ b/curranttackd/cell_frames.c
@@ -37,6 +37,13 @@
 		rp_announce_job(c->replica, job);
 }
 
+/* A peer has stored a cancellation, or found it stored. */
+static void
+cell_on_cancelled_job(struct cell *c, const Currant__CancelledJob *row)
+{
+	rp_on_cancel_reported(c->replica, row->id, row->revision);
+}
+
 /* A daemon reports the final state of a job. */
 static void
 cell_on_ended_job(struct cell *c, const Currant__EndedJob *row)
@@ -57,6 +64,8 @@
 		cell_on_new_job(c, frame->new_job);
 	for (i = 0; i < frame->n_ended_jobs; i++)
 		cell_on_ended_job(c, frame->ended_jobs[i]);
+	for (i = 0; i < frame->n_cancelled_jobs; i++)
+		cell_on_cancelled_job(c, frame->cancelled_jobs[i]);
 	if (frame->owner_changed)
 		rp_watch_now(c->replica);
 	if (frame->advice_answer != NULL)
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -173,6 +173,24 @@
 	peer_send(link, &frame);
 }
 
+void
+pn_send_cancelled(
+    struct pn_links *n, const char *owner_vm, const char *id, uint64_t revision)
+{
+	Currant__CancelledJob row = CURRANT__CANCELLED_JOB__INIT;
+	Currant__CancelledJob *rows[1] = {&row};
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+	struct peer_link *link = pn_link(n, owner_vm);
+
+	if (link == NULL)
+		return;
+	row.id = (char *)(uintptr_t)id;
+	row.revision = revision;
+	frame.cancelled_jobs = rows;
+	frame.n_cancelled_jobs = 1;
+	peer_send(link, &frame);
+}
+
 static void
 pn_broadcast(struct pn_links *n, const Currant__Frame *frame)
 {
--- a/curranttackd/replica_jobs.c
+++ b/curranttackd/replica_jobs.c
@@ -181,6 +181,19 @@
 		r->hooks.cancel(job, r->arg);
 }
 
+void
+rp_on_cancel_reported(struct replica *r, const char *id, uint64_t revision)
+{
+	struct ks_item item = {
+	    .revision = revision,
+	};
+
+	if (rp_has_applied(r, revision))
+		return;
+	r->source = "peer";
+	rp_apply_cancel(r, id, &item);
+}
+
 void
 rp_remove_unfound_jobs(struct replica *r)
 {
--- a/include/curranttackd/cell_peers.h
+++ b/include/curranttackd/cell_peers.h
@@ -34,6 +34,16 @@
 void pn_send_job(struct pn_links *n, const char *owner_vm, const char *id,
     const uint8_t *spec, size_t spec_bytes, uint64_t revision, uint64_t fence);
 
+/**
+ * pn_send_cancelled() - tell a pool's owner of a cancellation that is stored
+ * @n: links
+ * @owner_vm: VM of the owner
+ * @id: the job
+ * @revision: revision of the cancellation
+ */
+void pn_send_cancelled(struct pn_links *n, const char *owner_vm, const char *id,
+    uint64_t revision);
+
 /** pn_queue_ended() - queue the end of a job for pn_flush_ended() */
 void pn_queue_ended(struct pn_links *n, const char *id, enum jb_state state);
 
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -358,6 +358,19 @@
  */
 bool rp_on_end_reported(struct replica *r, const char *id, enum jb_state state);
 
+/**
+ * rp_on_cancel_reported() - a cancellation is stored, which the watch may not
+ *	have shown yet
+ * @r: replica
+ * @id: the job; its description may not be known yet
+ * @revision: revision of the cancellation
+ *
+ * A report of what the watch has shown already is late, and is left out: the job
+ * may have been removed since.
+ */
+void rp_on_cancel_reported(
+    struct replica *r, const char *id, uint64_t revision);
+
 /**
  * rp_apply_out_of_order() - apply an item that came outside the order of changes
  * @r: replica
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -58,6 +58,7 @@
 typedef struct Currant__AdviceAnswer Currant__AdviceAnswer;
 typedef struct Currant__NewJob Currant__NewJob;
 typedef struct Currant__EndedJob Currant__EndedJob;
+typedef struct Currant__CancelledJob Currant__CancelledJob;
 typedef struct Currant__JobStateQuery Currant__JobStateQuery;
 typedef struct Currant__JobStateAnswer Currant__JobStateAnswer;
 typedef struct Currant__RelayedOrder Currant__RelayedOrder;
@@ -863,6 +864,23 @@
     , NULL, 0 }
 
 
+/*
+ * A cancellation that is stored already, of a job in the key space.
+ */
+struct  Currant__CancelledJob
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * Of the cancellation.
+   */
+  uint64_t revision;
+};
+#define CURRANT__CANCELLED_JOB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__cancelled_job__descriptor) \
+    , NULL, 0 }
+
+
 /*
  * Asks the owner of a job's pool; sent by a daemon whose copy may be stale.
  */
@@ -1109,10 +1127,12 @@
   int64_t sent_us;
   Currant__WitnessAsk *witness_ask;
   Currant__WitnessAnswer *witness_answer;
+  size_t n_cancelled_jobs;
+  Currant__CancelledJob **cancelled_jobs;
 };
 #define CURRANT__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__frame__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0, NULL, NULL, 0,NULL }
 
 
 /* Currant__Hello methods */
@@ -1932,6 +1952,25 @@
 void   currant__ended_job__free_unpacked
                      (Currant__EndedJob *message,
                       ProtobufCAllocator *allocator);
+/* Currant__CancelledJob methods */
+void   currant__cancelled_job__init
+                     (Currant__CancelledJob         *message);
+size_t currant__cancelled_job__get_packed_size
+                     (const Currant__CancelledJob   *message);
+size_t currant__cancelled_job__pack
+                     (const Currant__CancelledJob   *message,
+                      uint8_t             *out);
+size_t currant__cancelled_job__pack_to_buffer
+                     (const Currant__CancelledJob   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__CancelledJob *
+       currant__cancelled_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__cancelled_job__free_unpacked
+                     (Currant__CancelledJob *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__JobStateQuery methods */
 void   currant__job_state_query__init
                      (Currant__JobStateQuery         *message);
@@ -2272,6 +2311,9 @@
 typedef void (*Currant__EndedJob_Closure)
                  (const Currant__EndedJob *message,
                   void *closure_data);
+typedef void (*Currant__CancelledJob_Closure)
+                 (const Currant__CancelledJob *message,
+                  void *closure_data);
 typedef void (*Currant__JobStateQuery_Closure)
                  (const Currant__JobStateQuery *message,
                   void *closure_data);
@@ -2355,6 +2397,7 @@
 extern const ProtobufCMessageDescriptor currant__advice_answer__descriptor;
 extern const ProtobufCMessageDescriptor currant__new_job__descriptor;
 extern const ProtobufCMessageDescriptor currant__ended_job__descriptor;
+extern const ProtobufCMessageDescriptor currant__cancelled_job__descriptor;
 extern const ProtobufCMessageDescriptor currant__job_state_query__descriptor;
 extern const ProtobufCMessageDescriptor currant__job_state_answer__descriptor;
 extern const ProtobufCMessageDescriptor currant__relayed_order__descriptor;
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -1942,6 +1942,51 @@
   assert(message->base.descriptor == &currant__ended_job__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__cancelled_job__init
+                     (Currant__CancelledJob         *message)
+{
+  static const Currant__CancelledJob init_value = CURRANT__CANCELLED_JOB__INIT;
+  *message = init_value;
+}
+size_t currant__cancelled_job__get_packed_size
+                     (const Currant__CancelledJob *message)
+{
+  assert(message->base.descriptor == &currant__cancelled_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__cancelled_job__pack
+                     (const Currant__CancelledJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__cancelled_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__cancelled_job__pack_to_buffer
+                     (const Currant__CancelledJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__cancelled_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__CancelledJob *
+       currant__cancelled_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__CancelledJob *)
+     protobuf_c_message_unpack (&currant__cancelled_job__descriptor,
+                                allocator, len, data);
+}
+void   currant__cancelled_job__free_unpacked
+                     (Currant__CancelledJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__cancelled_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__job_state_query__init
                      (Currant__JobStateQuery         *message)
 {
@@ -6325,6 +6370,57 @@
   (ProtobufCMessageInit) currant__ended_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor currant__cancelled_job__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__CancelledJob, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__CancelledJob, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__cancelled_job__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange currant__cancelled_job__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__cancelled_job__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.CancelledJob",
+  "CancelledJob",
+  "Currant__CancelledJob",
+  "currant",
+  sizeof(Currant__CancelledJob),
+  2,
+  currant__cancelled_job__field_descriptors,
+  currant__cancelled_job__field_indices_by_name,
+  1,  currant__cancelled_job__number_ranges,
+  (ProtobufCMessageInit) currant__cancelled_job__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor currant__job_state_query__field_descriptors[2] =
 {
   {
@@ -7381,7 +7477,7 @@
   (ProtobufCMessageInit) currant__witness_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__frame__field_descriptors[20] =
+static const ProtobufCFieldDescriptor currant__frame__field_descriptors[21] =
 {
   {
     "hello",
@@ -7623,11 +7719,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancelled_jobs",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Frame, n_cancelled_jobs),
+    offsetof(Currant__Frame, cancelled_jobs),
+    &currant__cancelled_job__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__frame__field_indices_by_name[] = {
   7,   /* field[7] = advice_answer */
   6,   /* field[6] = advice_ask */
   4,   /* field[4] = call */
+  20,   /* field[20] = cancelled_jobs */
   3,   /* field[3] = config_docs */
   2,   /* field[2] = config_fetch */
   9,   /* field[9] = ended_jobs */
@@ -7650,7 +7759,7 @@
 {
   { 1, 0 },
   { 19, 17 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor currant__frame__descriptor =
 {
@@ -7660,7 +7769,7 @@
   "Currant__Frame",
   "currant",
   sizeof(Currant__Frame),
-  20,
+  21,
   currant__frame__field_descriptors,
   currant__frame__field_indices_by_name,
   2,  currant__frame__number_ranges,
--- /dev/null
+++ b/tests/unit/test_promises_learned.cc
@@ -0,0 +1,153 @@
+#include <gtest/gtest.h>
+
+#include "sim_cell.h"
+
+extern "C" {
+#include "curranttackd/cell_pool.h"
+}
+
+/*
+ * How the owner of a pool learns of a cancellation that another daemon has
+ * acknowledged, while its copy of the key space stands still.
+ */
+
+namespace
+{
+
+constexpr size_t kDaemons = 3;
+constexpr size_t kWorkers = 8;
+constexpr size_t kTasks = 6;
+constexpr int64_t kWait = 2500 * kSimMs;
+/* From the acknowledgement until nothing of the job may run any more. */
+constexpr int64_t kCancelled = 3 * kSimS;
+constexpr int64_t kStopped = 200 * kSimMs;
+const char kJob[] = "00000000000000a0";
+
+class Learned : public SimObserver
+{
+      public:
+	explicit Learned(uint64_t seed) : w(seed, kDaemons, kWorkers, this)
+	{
+		w.verbose = getenv("PROMISE_LOG") != nullptr;
+	}
+
+	/* Long-running tasks; the watch of the owner hangs at some moment. */
+	void
+	begin()
+	{
+		w.run_until(w.now + 3 * kSimS);
+		w.call(0, "POST", std::string("/q/") + kJob, "0 1 6", kWait,
+		    [](int status, const std::string &) {
+			    EXPECT_EQ(status, 200);
+		    });
+		w.run_until(
+		    w.now + 5 * kSimS + (int64_t)w.random(2500) * kSimMs);
+		ASSERT_EQ(running(), kTasks);
+		ASSERT_LT(owner(), kDaemons);
+	}
+
+	void
+	cancel(size_t daemon, int expected)
+	{
+		int got = 0;
+
+		w.call(daemon, "DELETE", std::string("/q/") + kJob, "", kWait,
+		    [&](int status, const std::string &) { got = status; });
+		while (got == 0)
+			w.run_until(w.now + kSimMs);
+		ASSERT_EQ(got, expected);
+	}
+
+	/* By a daemon that has no link to the owner. */
+	void
+	cancel_unlinked()
+	{
+		w.store.put(std::string("ct/cancel/") + kJob,
+		    std::string(1, '\0'));
+	}
+
+	size_t
+	owner()
+	{
+		for (size_t i = 0; i < kDaemons; i++) {
+			const SimDaemon &d = *w.daemons[i];
+
+			if (d.up && d.cell->pools != nullptr &&
+			    d.cell->pools->pool != nullptr)
+				return i;
+		}
+		return kDaemons;
+	}
+
+	size_t
+	running()
+	{
+		size_t n = 0;
+
+		for (auto &wk : w.workers)
+			n += wk->alive ? wk->running.size() : 0;
+		return n;
+	}
+
+	SimWorld w;
+	size_t lapsed = 0;
+
+      private:
+	void
+	on_start(const SimDaemon &, const SimWorker &, const std::string &,
+	    uint32_t) override
+	{
+	}
+
+	void
+	on_end(const SimWorker &, const std::string &, uint32_t,
+	    enum wp_run_outcome outcome) override
+	{
+		lapsed += outcome == WP_END_LEASE_EXPIRED;
+	}
+
+	void
+	on_noted(const std::string &, uint32_t, enum wp_run_outcome) override
+	{
+	}
+};
+
+/* The owner went on renewing the runs for as long as its watch hung. */
+TEST(LearnedCancellation, OwnerWhoseWatchHangsStopsWhatAnotherDaemonCancelled)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		Learned t(seed);
+
+		t.begin();
+		size_t owner = t.owner();
+		t.w.store_trouble_of(owner, StoreTrouble::kHung, 20 * kSimS);
+		t.w.run_until(t.w.now + (int64_t)t.w.random(5000) * kSimMs);
+		t.cancel((owner + 1) % kDaemons, 200);
+		t.w.run_until(t.w.now + kStopped);
+		EXPECT_EQ(t.running(), 0U) << "seed " << seed;
+	}
+}
+
+/* The first report to the owner was lost with its link. */
+TEST(LearnedCancellation, OwnerIsToldAgainWhereTheCallerRepeatsItsRequest)
+{
+	for (bool knows : {false, true}) {
+		Learned t(1);
+
+		t.begin();
+		size_t owner = t.owner();
+		size_t other = (owner + 1) % kDaemons;
+		t.w.store_trouble_of(owner, StoreTrouble::kHung, 20 * kSimS);
+		if (!knows)
+			t.w.store_trouble_of(
+			    other, StoreTrouble::kHung, 20 * kSimS);
+		t.w.run_until(t.w.now + 5 * kSimS);
+		t.cancel_unlinked();
+		t.w.run_until(t.w.now + 400 * kSimMs);
+		t.cancel(other, 200);
+		t.w.run_until(t.w.now + kStopped);
+		EXPECT_EQ(t.running(), 0U) << "known at the other: " << knows;
+	}
+}
+
+} // namespace
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -413,6 +413,39 @@
 	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
 }
 
+/* A report that outruns the job must neither be lost nor reach a later one. */
+TEST_F(Replica, CancellationReportedBeforeItsJobIsKept)
+{
+	const char *id = "00000000000000a1";
+	struct ks_item item = job_item(id, 30);
+
+	page(15, {}, false);
+	rp_on_cancel_reported(r, id, 31);
+	EXPECT_EQ(rp_find_job(r, id), nullptr);
+	rp_apply_out_of_order(r, &item);
+	ASSERT_NE(rp_find_job(r, id), nullptr);
+	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
+	EXPECT_STREQ(rp_find_job(r, id)->cancelled_by, "peer");
+}
+
+TEST_F(Replica, CancellationReportedLateReachesNoLaterJob)
+{
+	const char *id = "00000000000000a1";
+	struct ks_item item = job_item(id, 30);
+
+	page(15, {}, false);
+	rp_on_cancel_reported(r, id, 12);
+	EXPECT_EQ(HASH_COUNT(r->jobs), 0u);
+	rp_on_cancel_reported(r, id, 20);
+	rp_apply_out_of_order(r, &item);
+	ASSERT_NE(rp_find_job(r, id), nullptr);
+	EXPECT_FALSE(rp_find_job(r, id)->cancelled);
+	rp_on_cancel_reported(r, id, 20);
+	EXPECT_FALSE(rp_find_job(r, id)->cancelled);
+	rp_on_cancel_reported(r, id, 31);
+	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
+}
+
 TEST_F(Replica, TombstonesAreForgotten)
 {
 	struct ks_item by_watch = {};
