replica: read cancellations apart while an owner's copy stands still

A hung watch is opened anew after 3 s, which by itself is the whole bound; a load of the key space can take longer.

Nothing limited how old an owner's copy may be while its lease is confirmed by small calls. Now, once the copy isn't known to be less than a second old, the owner reads the changes below ct/cancel/ by a call that doesn't wait, from the newest revision that the copy or such a call has covered; where that isn't answered or the history is gone, it reads ct/cancel/ page by page. Removals are left to the watch. Nothing is ended because the copy is old: in an outage these calls fail like all others. An idle cell makes one such call for each idle watch of an owner (one in 2.1 s).

Ruled out: a second watch (it hangs as the first one does); handing the pool over.

The unit tests call what the change adds, so they weren't run without it.

--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -372,6 +372,8 @@
 	    "confirmed_ms",
 	    lg_i64((now_us - h->lease_confirmed_us) / CLK_US_PER_MS), "copy_ms",
 	    lg_i64(rp_copy_age_us(h->cell->replica, now_us) / CLK_US_PER_MS),
+	    "cancels_ms",
+	    lg_i64(rp_cancels_age_us(h->cell->replica, now_us) / CLK_US_PER_MS),
 	    "stops_unanswered", lg_i64(n.stops_unanswered), NULL);
 	cp_log_waits(h, now_us);
 	cp_log_gang_waits(h, now_us);
@@ -465,6 +467,7 @@
 	HASH_ITER(hh, c->pools, h, tmp)
 		cp_host_tick(h, clk_now_us());
 	c->replica->watch_pause_us = cp_watch_pause_us(c);
+	rp_follow_cancels(c->replica, cp_owned_count(c) > 0);
 	cp_follow_workers(c);
 }
 
--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -304,16 +304,18 @@
 void
 rp_tick(struct replica *r, int64_t now_us)
 {
-	if (!r->watch_paused || now_us < r->watch_resume_us)
-		return;
-	r->watch_paused = false;
-	rp_watch(r);
+	rp_cancels_tick(r, now_us);
+	if (now_us >= r->watch_resume_us)
+		rp_watch_now(r);
 }
 
 void
 rp_watch_now(struct replica *r)
 {
-	rp_tick(r, INT64_MAX);
+	if (!r->watch_paused)
+		return;
+	r->watch_paused = false;
+	rp_watch(r);
 }
 
 void
--- a/curranttackd/replica_jobs.c
+++ b/curranttackd/replica_jobs.c
@@ -182,7 +182,8 @@
 }
 
 void
-rp_on_cancel_reported(struct replica *r, const char *id, uint64_t revision)
+rp_note_cancel(
+    struct replica *r, const char *id, uint64_t revision, const char *source)
 {
 	struct ks_item item = {
 	    .revision = revision,
@@ -190,10 +191,16 @@
 
 	if (rp_has_applied(r, revision))
 		return;
-	r->source = "peer";
+	r->source = source;
 	rp_apply_cancel(r, id, &item);
 }
 
+void
+rp_on_cancel_reported(struct replica *r, const char *id, uint64_t revision)
+{
+	rp_note_cancel(r, id, revision, "peer");
+}
+
 void
 rp_remove_unfound_jobs(struct replica *r)
 {
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -243,6 +243,15 @@
  * @load_cursor: last key of the page before; NULL for the first page
  * @follow_workers: workers' entries are needed
  * @has_workers: the workers' entries are as current as all other keys
+ * @follow_cancels: cancellations must be known soon after they were stored
+ * @reading_cancels: a call for the cancellations alone is open
+ * @load_cancels: their changes can't be had, so they are read as a whole
+ * @cancels_cursor: last key of the page before; NULL for the first page
+ * @cancels_as_of: revision of that first page
+ * @cancels_revision: revision up to which cancellations have been read so
+ * @cancels_sent_us: when the newest such read began
+ * @cancels_current_us: cancellations that were stored before that are known
+ * @cancels_at_us: not before then are they read again
  * @config: configuration in force, or NULL
  * @config_revision: revision of the newest configuration that was read
  */
@@ -275,6 +284,15 @@
 	char *load_cursor;
 	bool follow_workers;
 	bool has_workers;
+	bool follow_cancels;
+	bool reading_cancels;
+	bool load_cancels;
+	char *cancels_cursor;
+	uint64_t cancels_as_of;
+	uint64_t cancels_revision;
+	int64_t cancels_sent_us;
+	int64_t cancels_current_us;
+	int64_t cancels_at_us;
 	struct qs_config *config;
 	uint64_t config_revision;
 	struct rp_job *jobs;
@@ -320,7 +338,18 @@
  */
 void rp_follow_workers(struct replica *r, bool follow);
 
-/** rp_tick() - open the next watch if the pause is over */
+/**
+ * rp_follow_cancels() - say whether cancellations must be known soon
+ *
+ * While the replica isn't known to be current, they are then read by calls of
+ * their own, which a watch that hangs or a long load don't delay.
+ */
+void rp_follow_cancels(struct replica *r, bool follow);
+
+/** rp_cancels_age_us() - the same as rp_copy_age_us() for cancellations */
+int64_t rp_cancels_age_us(const struct replica *r, int64_t now_us);
+
+/** rp_tick() - open the next watch if the pause is over, and what else is due */
 void rp_tick(struct replica *r, int64_t now_us);
 
 /** rp_watch_now() - open the next watch without waiting for the pause to end */
--- a/include/curranttackd/replica_internal.h
+++ b/include/curranttackd/replica_internal.h
@@ -6,7 +6,8 @@
 /**
  * DOC: Shared by the files that implement the replica: replica (loads the key
  * space and watches it), replica_rows (passes each row to the function for its
- * kind), replica_jobs (jobs, their progress and cancellation), replica_pools
+ * kind), replica_jobs (jobs, their progress and cancellation), replica_cancels
+ * (cancellations, while the watch is not answered), replica_pools
  * (owners of pools and daemons of the cell), replica_entries (what others write:
  * workers' entries, the configuration, maintenance waves), replica_left_out
  * (rows that are not used).
@@ -45,11 +46,25 @@
     struct replica *r, const char *id, const struct ks_item *item);
 void rp_apply_cancel(
     struct replica *r, const char *id, const struct ks_item *item);
+/**
+ * rp_note_cancel() - a cancellation that the watch may not have shown yet
+ * @r: replica
+ * @id: the job; its description may not be known yet
+ * @revision: revision of the cancellation; nothing is done if the watch passed it
+ * @source: what showed it, for the log
+ */
+void rp_note_cancel(
+    struct replica *r, const char *id, uint64_t revision, const char *source);
 /** rp_find_tombstone() - a job of which only the cancellation is known, or NULL */
 struct rp_job *rp_find_tombstone(struct replica *r, const char *id);
 /** rp_remove_unfound_jobs() - forget jobs that the finished load has not read */
 void rp_remove_unfound_jobs(struct replica *r);
 
+/* replica_cancels.c */
+
+/** rp_cancels_tick() - read the cancellations if the copy stands still */
+void rp_cancels_tick(struct replica *r, int64_t now_us);
+
 /* replica_pools.c */
 
 void rp_apply_owner(
--- a/tests/unit/test_promises_learned.cc
+++ b/tests/unit/test_promises_learned.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "sim_cell.h"
 
 extern "C" {
@@ -62,8 +64,8 @@
 	void
 	cancel_unlinked()
 	{
-		w.store.put(std::string("ct/cancel/") + kJob,
-		    std::string(1, '\0'));
+		w.store.put(
+		    std::string("ct/cancel/") + kJob, std::string(1, '\0'));
 	}
 
 	size_t
@@ -150,4 +152,27 @@
 	}
 }
 
+TEST(LearnedCancellation, OwnerWhoseWatchHangsReadsCancellationsOtherwise)
+{
+	int64_t longest_us = 0;
+
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		Learned t(seed);
+
+		t.begin();
+		t.w.store_trouble_of(
+		    t.owner(), StoreTrouble::kHung, 20 * kSimS);
+		t.w.run_until(t.w.now + (int64_t)t.w.random(5000) * kSimMs);
+		t.cancel_unlinked();
+		int64_t stored_us = t.w.now;
+		while (t.running() > 0 && t.w.now < stored_us + 2 * kCancelled)
+			t.w.run_until(t.w.now + 10 * kSimMs);
+		longest_us = std::max(longest_us, t.w.now - stored_us);
+		EXPECT_EQ(t.running(), 0U) << "seed " << seed;
+		EXPECT_EQ(t.lapsed, 0U) << "seed " << seed;
+	}
+	printf("%lld ms\n", (long long)(longest_us / kSimMs));
+	EXPECT_LE(longest_us, kCancelled + kStopped);
+}
+
 } // namespace
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -26,6 +26,11 @@
 	void *watch_arg = nullptr;
 	ks_done_fn orders_done = nullptr;
 	void *orders_arg = nullptr;
+	ks_done_fn cancels_done = nullptr;
+	void *cancels_arg = nullptr;
+	uint64_t cancels_after = 0;
+	std::string cancels_cursor;
+	std::string cancels_call;
 	std::string range_prefix;
 	std::string watch_prefix;
 	uint64_t watch_after = 0;
@@ -34,10 +39,18 @@
 };
 
 void
-on_range(void *ks, const char *prefix, const char *, ks_done_fn done, void *arg)
+on_range(void *ks, const char *prefix, const char *cursor, ks_done_fn done,
+    void *arg)
 {
 	Store *s = (Store *)ks;
 
+	if (strcmp(prefix, RP_CANCEL_PREFIX) == 0) {
+		s->cancels_call = "range";
+		s->cancels_cursor = cursor != nullptr ? cursor : "";
+		s->cancels_done = done;
+		s->cancels_arg = arg;
+		return;
+	}
 	if (strcmp(prefix, "orders/") == 0) {
 		s->orders_loaded = true;
 		s->orders_done = done;
@@ -55,6 +68,13 @@
 {
 	Store *s = (Store *)ks;
 
+	if (strcmp(prefix, RP_CANCEL_PREFIX) == 0) {
+		s->cancels_call = "watch";
+		s->cancels_after = after;
+		s->cancels_done = done;
+		s->cancels_arg = arg;
+		return;
+	}
 	if (strcmp(prefix, "orders/") == 0) {
 		s->orders_loaded = false;
 		s->orders_wait_ms = wait_ms;
@@ -272,6 +292,39 @@
 		return w != nullptr && w->unlisted_us == 0;
 	}
 
+	/* Whether a call for the cancellations alone is made after that time. */
+	std::string
+	cancels_call_after(int64_t us)
+	{
+		store.cancels_call = "";
+		rp_tick(r, clk_now_us() + us);
+		return store.cancels_call;
+	}
+
+	void
+	cancels(enum ks_result result, uint64_t as_of,
+	    std::vector<struct ks_item> items, bool more)
+	{
+		struct ks_response a = {};
+
+		a.result = result;
+		a.revision = as_of;
+		a.item = items.data();
+		a.item_count = items.size();
+		a.more = more;
+		store.cancels_done(&a, store.cancels_arg);
+	}
+
+	static struct ks_item
+	cancel_item(const char *key, uint64_t revision)
+	{
+		struct ks_item item = {};
+
+		item.key = key;
+		item.revision = revision;
+		return item;
+	}
+
 	/* Answers the open watch, and ends the pause after it. */
 	void
 	next_watch(uint64_t as_of)
@@ -446,6 +499,85 @@
 	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
 }
 
+/* The watch hung, and an owner renewed what had been cancelled. */
+TEST_F(Replica, CancellationsAreReadApartWhileTheCopyStandsStill)
+{
+	const char *id = "00000000000000a1";
+
+	page(10, {job_item(id, 5)}, false);
+	EXPECT_EQ(cancels_call_after(5 * CLK_US_PER_S), "");
+	rp_follow_cancels(r, true);
+	EXPECT_EQ(cancels_call_after(900 * CLK_US_PER_MS), "");
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+	EXPECT_EQ(store.cancels_after, 10u);
+	EXPECT_EQ(cancels_call_after(2 * CLK_US_PER_S), "");
+	cancels(KS_OK, 20,
+	    {cancel_item(RP_CANCEL_PREFIX "00000000000000a1", 12)}, false);
+	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
+	EXPECT_STREQ(rp_find_job(r, id)->cancelled_by, "check");
+	EXPECT_FALSE(rp_has_applied(r, 12));
+	EXPECT_EQ(cancels_call_after(900 * CLK_US_PER_MS), "");
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+	EXPECT_EQ(store.cancels_after, 20u);
+}
+
+TEST_F(Replica, CancellationsAreReadWholeWhereTheirChangesCannotBeHad)
+{
+	const char *a1 = RP_CANCEL_PREFIX "00000000000000a1";
+	const char *a2 = RP_CANCEL_PREFIX "00000000000000a2";
+
+	for (enum ks_result result : {KS_COMPACTED, KS_UNKNOWN}) {
+		uint64_t as_of = 20 + (uint64_t)result;
+
+		if (!r->synced)
+			page(10,
+			    {job_item("00000000000000a1", 5),
+				job_item("00000000000000a2", 6)},
+			    false);
+		rp_follow_cancels(r, true);
+		EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+		cancels(result, 0, {}, false);
+		EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "range");
+		EXPECT_EQ(store.cancels_cursor, "");
+		cancels(KS_OK, as_of, {cancel_item(a1, 12)}, true);
+		EXPECT_EQ(store.cancels_cursor, a1);
+		cancels(KS_OK, as_of + 1, {cancel_item(a2, 13)}, false);
+		EXPECT_TRUE(rp_find_job(r, "00000000000000a1")->cancelled);
+		EXPECT_TRUE(rp_find_job(r, "00000000000000a2")->cancelled);
+		EXPECT_EQ(r->cancels_revision, as_of);
+	}
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+}
+
+/* A page that failed would have left out what stands on the pages before. */
+TEST_F(Replica, CancellationsAreReadFromTheBeginningAfterAPageFails)
+{
+	page(10, {}, false);
+	rp_follow_cancels(r, true);
+	cancels_call_after(CLK_US_PER_S);
+	cancels(KS_COMPACTED, 0, {}, false);
+	cancels_call_after(CLK_US_PER_S);
+	cancels(KS_OK, 20,
+	    {cancel_item(RP_CANCEL_PREFIX "00000000000000a1", 12)}, true);
+	cancels(KS_REFUSED, 0, {}, false);
+	EXPECT_EQ(cancels_call_after(400 * CLK_US_PER_MS), "");
+	EXPECT_EQ(r->cancels_revision, 0u);
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "range");
+	EXPECT_EQ(store.cancels_cursor, "");
+}
+
+/* It may take long, and pages that fail begin it anew. */
+TEST_F(Replica, CancellationsAreReadApartDuringALoad)
+{
+	page(10, {job_item("00000000000000a1", 5)}, false);
+	rp_follow_cancels(r, true);
+	watch(KS_COMPACTED, 0);
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+	cancels(KS_OK, 20,
+	    {cancel_item(RP_CANCEL_PREFIX "00000000000000a1", 12)}, false);
+	EXPECT_TRUE(rp_find_job(r, "00000000000000a1")->cancelled);
+}
+
 TEST_F(Replica, TombstonesAreForgotten)
 {
 	struct ks_item by_watch = {};
