--- a/tests/unit/sim_calls.cc
+++ b/tests/unit/sim_calls.cc
@@ -11,6 +11,7 @@
 constexpr int64_t kWriteTimeout = 900 * kSimMs;
 constexpr int64_t kReadTimeout = 3 * kSimS;
 constexpr int64_t kWatchSlack = 800 * kSimMs;
+constexpr size_t kNarrowItems = 12;
 
 } // namespace
 
@@ -204,6 +205,12 @@
 	}
 	a.items = w->store.changes(prefix, after);
 	a.revision = w->store.revision;
+	if (w->store_has(d->index, StoreTrouble::kNarrow) &&
+	    a.items.size() > kNarrowItems) {
+		answer_call(life, c, without_answer(KS_UNKNOWN),
+		    deadline_us + kWatchSlack - w->now);
+		return;
+	}
 	if (!a.items.empty() || w->now >= deadline_us) {
 		answer_call(life, c, a,
 		    w->store_has(d->index, StoreTrouble::kSlow)
--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -38,6 +38,7 @@
 	kLate,	 /* writes are done seconds later, and not answered */
 	kSlow,	 /* each call takes long */
 	kHung,	 /* watches get no answer, though other calls do */
+	kNarrow, /* watches' answers with many changes don't arrive in time */
 };
 
 struct SimItem {
