replica: let an owner whose watch was overdue catch up over a narrow link

The copy of an owner stood still for ever, while its lease stayed confirmed: once a watch had taken longer than its time-out (2.8 s), the next one asked for the same changes and those that had come since, which took longer still. Most of them are workers' entries, each as often as it was written.

An owner whose watch has no answer though the store's waiting time is over now watches the cell's own keys alone, then reads the workers' entries as they are, page by page, and watches all keys from there: the way in which a new owner of a large cell begins. A watch that is cut early is repeated as before. Daemons that own nothing keep to what they did, so that they have the entries when they claim.

--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -8,6 +8,8 @@
 
 #define RP_RETRY_US (200 * CLK_US_PER_MS)
 #define RP_WATCH_MS 2000
+/* Of the first watch after one that was overdue; workers' entries wait for it. */
+#define RP_CATCH_UP_MS 500
 /* A response with this many changes means that more are waiting. */
 #define RP_FULL_BATCH 400
 
@@ -131,14 +133,21 @@
 static bool
 rp_lacks_workers(const struct replica *r)
 {
-	return r->follow_workers && !r->has_workers;
+	return r->follow_workers && !r->has_workers && r->overdue_watches == 0;
 }
 
 /* Operators' keys have their own watch, which other changes can't delay. */
 static const char *
 rp_watched_prefix(const struct replica *r)
 {
-	return r->follow_workers ? "" : RP_CELL_PREFIX;
+	return r->follow_workers && r->overdue_watches == 0 ? ""
+							    : RP_CELL_PREFIX;
+}
+
+static uint32_t
+rp_watch_wait_ms(const struct replica *r)
+{
+	return r->overdue_watches == 1 ? RP_CATCH_UP_MS : RP_WATCH_MS;
 }
 
 /* One that was given up is answered at last; a later one has shown more. */
@@ -146,6 +155,7 @@
 	struct replica *r;
 	uint64_t number;
 	int64_t sent_us;
+	uint32_t wait_ms;
 };
 
 int64_t
@@ -156,13 +166,14 @@
 
 /* Without changes the store has waited; with changes it may not have. */
 static void
-rp_note_current(struct replica *r, const struct ks_response *a, int64_t sent_us)
+rp_note_current(struct replica *r, const struct ks_response *a,
+    const struct rp_watch_call *call)
 {
 	int64_t now_us = clk_now_us();
-	int64_t at_us = sent_us;
+	int64_t at_us = call->sent_us;
 
 	if (a->item_count == 0)
-		at_us += RP_WATCH_MS * CLK_US_PER_MS;
+		at_us += call->wait_ms * CLK_US_PER_MS;
 	if (at_us > now_us)
 		at_us = now_us;
 	if (at_us > r->current_us)
@@ -184,17 +195,31 @@
 	    lg_i64(rp_copy_age_us(r, now_us) / CLK_US_PER_MS), NULL);
 }
 
+/*
+ * The answer may have been too long for a narrow link, and more has changed by
+ * now. What concerns the cell is asked for alone; workers' entries, which are
+ * most of it, are then read as they are. For owners only, as a claimant should
+ * have the entries at once.
+ */
+static void
+rp_note_overdue(struct replica *r, const struct rp_watch_call *call)
+{
+	int64_t open_us = clk_now_us() - call->sent_us;
+
+	if (r->follow_workers && r->follow_cancels &&
+	    open_us >= call->wait_ms * CLK_US_PER_MS)
+		r->overdue_watches++;
+}
+
 static void
 rp_on_watch(const struct ks_response *a, void *arg)
 {
-	struct rp_watch_call *call = arg;
-	struct replica *r = call->r;
-	bool given_up = call->number != r->watch_number;
-	int64_t sent_us = call->sent_us;
+	struct rp_watch_call call = *(struct rp_watch_call *)arg;
+	struct replica *r = call.r;
 	size_t i;
 
-	talloc_free(call);
-	if (given_up)
+	talloc_free(arg);
+	if (call.number != r->watch_number)
 		return;
 	r->watching = false;
 	switch (a->result) {
@@ -204,11 +229,13 @@
 		lg_event(LG_WARN, "replica", "history_lost", "revision",
 		    lg_i64((int64_t)r->applied_revision), NULL);
 		r->has_workers = false;
+		r->overdue_watches = 0;
 		r->load_prefix = rp_watched_prefix(r);
 		rp_load(r);
 		return;
 	default:
-		rp_log_watch_failed(r, a->result, sent_us);
+		rp_log_watch_failed(r, a->result, call.sent_us);
+		rp_note_overdue(r, &call);
 		loop_after(r->loop, RP_RETRY_US, rp_watch, r);
 		return;
 	}
@@ -218,7 +245,8 @@
 		rp_apply_in_order(r, &a->item[i]);
 	if (a->revision > r->applied_revision)
 		r->applied_revision = a->revision;
-	rp_note_current(r, a, sent_us);
+	rp_note_current(r, a, &call);
+	r->overdue_watches = 0;
 	r->watch_paused = true;
 	r->watch_resume_us = clk_now_us() + r->watch_pause_us;
 	/* More changes are waiting, or workers' entries are: it lags behind. */
@@ -241,16 +269,17 @@
 		rp_load(r);
 		return;
 	}
-	r->has_workers = r->follow_workers;
+	r->has_workers = r->follow_workers && r->overdue_watches == 0;
 	call = talloc_zero(r, struct rp_watch_call);
 	if (call == NULL)
 		abort();
 	call->r = r;
 	call->number = ++r->watch_number;
 	call->sent_us = clk_now_us();
+	call->wait_ms = rp_watch_wait_ms(r);
 	r->watching = true;
 	r->fleet->keys->watch(r->fleet->handle, rp_watched_prefix(r),
-	    r->applied_revision, RP_WATCH_MS, rp_on_watch, call);
+	    r->applied_revision, call->wait_ms, rp_on_watch, call);
 }
 
 void
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -236,6 +236,8 @@
  * @operator_revision: revision up to which operators' keys are applied
  * @load_operator_keys: their history was lost, so they have to be read again
  * @watch_pause_us: pause between two watches, so that each returns a batch
+ * @overdue_watches: since one was answered, those that the store should have
+ *	answered; the next one is over the cell's own keys
  * @watching: a watch is open
  * @watch_number: counts watches, so that one that was given up is recognized
  * @watch_paused: no watch is open until @watch_resume_us
@@ -276,6 +278,7 @@
 	uint64_t operator_revision;
 	bool load_operator_keys;
 	int64_t watch_pause_us;
+	uint32_t overdue_watches;
 	bool watching;
 	uint64_t watch_number;
 	bool watch_paused;
--- a/tests/unit/test_promises_learned.cc
+++ b/tests/unit/test_promises_learned.cc
@@ -175,4 +175,24 @@
 	EXPECT_LE(longest_us, kCancelled + kStopped);
 }
 
+/* Each time more had changed, and the answer was asked for again. */
+TEST(LearnedCancellation, OwnerWhoseWatchFellBehindCatchesUpOverANarrowLink)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		Learned t(seed);
+
+		t.begin();
+		size_t owner = t.owner();
+		t.w.store_trouble_of(owner, StoreTrouble::kNarrow, 30 * kSimS);
+		t.w.store_trouble_of(owner, StoreTrouble::kHung, 4 * kSimS);
+		t.w.run_until(t.w.now + 12 * kSimS);
+		ASSERT_EQ(t.owner(), owner);
+		const struct replica *r = t.w.daemons[owner]->cell->replica;
+		EXPECT_LT(rp_copy_age_us(r, t.w.now), kCancelled)
+		    << "seed " << seed;
+		EXPECT_TRUE(r->has_workers) << "seed " << seed;
+		EXPECT_EQ(t.running(), kTasks) << "seed " << seed;
+	}
+}
+
 } // namespace
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstring>
@@ -292,6 +293,18 @@
 		return w != nullptr && w->unlisted_us == 0;
 	}
 
+	/* The open watch has no answer, after so long; the next one is opened. */
+	void
+	watch_unanswered(int64_t open_us)
+	{
+		usleep((useconds_t)open_us);
+		watch(KS_UNKNOWN, 0);
+		loop_after(
+		    l, 400000, [](void *arg) { loop_stop((struct loop *)arg); },
+		    l);
+		loop_run(l);
+	}
+
 	/* Whether a call for the cancellations alone is made after that time. */
 	std::string
 	cancels_call_after(int64_t us)
@@ -767,6 +780,35 @@
 	EXPECT_STREQ(rp_find_job(r, "00000000000000a2")->cancelled_by, "call");
 }
 
+/* Workers' entries made each answer too long for a narrow link, for ever. */
+TEST_F(Replica, OverdueWatchOfAnOwnerIsFollowedByOneOverTheCellsOwnKeys)
+{
+	page(10, {worker_item("w/a", 5)}, false);
+	rp_follow_cancels(r, true);
+	watch_unanswered(2050 * CLK_US_PER_MS);
+	EXPECT_EQ(store.watch_prefix, RP_CELL_PREFIX);
+	EXPECT_EQ(store.watch_after, 10u);
+	EXPECT_FALSE(r->has_workers);
+	watch(KS_OK, 50);
+	EXPECT_EQ(store.range_prefix, "w/");
+	page(60, {worker_item("w/b", 55)}, false);
+	EXPECT_FALSE(is_listed("a"));
+	EXPECT_TRUE(is_listed("b"));
+	EXPECT_EQ(store.watch_prefix, "");
+	EXPECT_EQ(store.watch_after, 50u);
+}
+
+/* A watch that waits may be cut at any time. */
+TEST_F(Replica, WatchThatIsCutIsFollowedByOneOverAllKeys)
+{
+	page(10, {worker_item("w/a", 5)}, false);
+	rp_follow_cancels(r, true);
+	watch_unanswered(100 * CLK_US_PER_MS);
+	EXPECT_EQ(store.watch_prefix, "");
+	EXPECT_EQ(store.watch_after, 10u);
+	EXPECT_TRUE(r->has_workers);
+}
+
 TEST_F(Replica, NoSecondWatchIsOpenedDuringALoad)
 {
 	rp_watch_anew(r);
