--- a/curranttackd/replica_jobs.c
+++ b/curranttackd/replica_jobs.c
@@ -169,13 +169,38 @@
 		rp_drop_tombstone(r, job);
 		return;
 	}
+	/* A tombstone from before the job, which could be created since. */
+	if (job->spec != NULL && item->revision < job->spec_revision)
+		return;
 	is_new = !job->cancelled;
 	job->cancelled = true;
 	job->cancel_revision = item->revision;
+	if (is_new)
+		job->cancelled_by = r->source;
 	if (is_new)
 		r->hooks.cancel(job, r->arg);
 }
 
+void
+rp_note_cancel(
+    struct replica *r, const char *id, uint64_t revision, const char *source)
+{
+	struct ks_item item = {
+	    .revision = revision,
+	};
+
+	if (rp_has_applied(r, revision))
+		return;
+	r->source = source;
+	rp_apply_cancel(r, id, &item);
+}
+
+void
+rp_on_cancel_reported(struct replica *r, const char *id, uint64_t revision)
+{
+	rp_note_cancel(r, id, revision, "peer");
+}
+
 void
 rp_remove_unfound_jobs(struct replica *r)
 {
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -41,6 +41,7 @@
  * @cancelled: a caller has cancelled it; without @spec by a tombstone, which
  *	keeps it from being created
  * @cancel_revision: revision of the cancellation
+ * @cancelled_by: what showed the cancellation here first, for the log
  * @accepted_us: when this daemon first saw the job
  * @ended_us: when this daemon learned of its end; 0 before
  * @found_in_load: number of the last load that has read its description or,
@@ -63,6 +64,7 @@
 	bool announced;
 	bool cancelled;
 	uint64_t cancel_revision;
+	const char *cancelled_by;
 	int64_t accepted_us;
 	int64_t ended_us;
 	uint32_t found_in_load;
@@ -220,9 +222,12 @@
  * @synced: the first load is complete
  * @loading: a load is not complete; items are in no common order until then
  * @applying_in_order: the item being applied comes in the order of changes
+ * @source: what shows the item being applied, for the log
  * @applied_revision: revision up to which all changes are applied
+ * @current_us: the copy has all changes that were made before that
  * @load_number: number of the newest load; one that is begun anew has its own
  * @load_revision: revision of the first page of the newest load
+ * @load_sent_us: when that page was asked for
  * @load_since_us: when the newest load, or the first of its failed attempts,
  *	began; 0 between loads
  * @load_attempts: how often it has been begun
@@ -231,6 +236,8 @@
  * @operator_revision: revision up to which operators' keys are applied
  * @load_operator_keys: their history was lost, so they have to be read again
  * @watch_pause_us: pause between two watches, so that each returns a batch
+ * @overdue_watches: since one was answered, those that the store should have
+ *	answered; the next one is over the cell's own keys
  * @watching: a watch is open
  * @watch_number: counts watches, so that one that was given up is recognized
  * @watch_paused: no watch is open until @watch_resume_us
@@ -238,6 +245,15 @@
  * @load_cursor: last key of the page before; NULL for the first page
  * @follow_workers: workers' entries are needed
  * @has_workers: the workers' entries are as current as all other keys
+ * @follow_cancels: cancellations must be known soon after they were stored
+ * @reading_cancels: a call for the cancellations alone is open
+ * @load_cancels: their changes can't be had, so they are read as a whole
+ * @cancels_cursor: last key of the page before; NULL for the first page
+ * @cancels_as_of: revision of that first page
+ * @cancels_revision: revision up to which cancellations have been read so
+ * @cancels_sent_us: when the newest such read began
+ * @cancels_current_us: cancellations that were stored before that are known
+ * @cancels_at_us: not before then are they read again
  * @config: configuration in force, or NULL
  * @config_revision: revision of the newest configuration that was read
  */
@@ -249,9 +265,12 @@
 	bool synced;
 	bool loading;
 	bool applying_in_order;
+	const char *source;
 	uint64_t applied_revision;
+	int64_t current_us;
 	uint32_t load_number;
 	uint64_t load_revision;
+	int64_t load_sent_us;
 	int64_t load_since_us;
 	uint32_t load_attempts;
 	uint32_t load_rows;
@@ -259,6 +278,7 @@
 	uint64_t operator_revision;
 	bool load_operator_keys;
 	int64_t watch_pause_us;
+	uint32_t overdue_watches;
 	bool watching;
 	uint64_t watch_number;
 	bool watch_paused;
@@ -267,6 +287,15 @@
 	char *load_cursor;
 	bool follow_workers;
 	bool has_workers;
+	bool follow_cancels;
+	bool reading_cancels;
+	bool load_cancels;
+	char *cancels_cursor;
+	uint64_t cancels_as_of;
+	uint64_t cancels_revision;
+	int64_t cancels_sent_us;
+	int64_t cancels_current_us;
+	int64_t cancels_at_us;
 	struct qs_config *config;
 	uint64_t config_revision;
 	struct rp_job *jobs;
@@ -296,6 +325,14 @@
  */
 bool rp_has_applied(const struct replica *r, uint64_t revision);
 
+/**
+ * rp_copy_age_us() - how long ago the replica was last known to be current
+ *
+ * An upper bound: what a call showed counts from when it was sent, as its answer
+ * may have been under way for long.
+ */
+int64_t rp_copy_age_us(const struct replica *r, int64_t now_us);
+
 /**
  * rp_follow_workers() - say whether workers' entries are needed
  *
@@ -304,7 +341,18 @@
  */
 void rp_follow_workers(struct replica *r, bool follow);
 
-/** rp_tick() - open the next watch if the pause is over */
+/**
+ * rp_follow_cancels() - say whether cancellations must be known soon
+ *
+ * While the replica isn't known to be current, they are then read by calls of
+ * their own, which a watch that hangs or a long load don't delay.
+ */
+void rp_follow_cancels(struct replica *r, bool follow);
+
+/** rp_cancels_age_us() - the same as rp_copy_age_us() for cancellations */
+int64_t rp_cancels_age_us(const struct replica *r, int64_t now_us);
+
+/** rp_tick() - open the next watch if the pause is over, and what else is due */
 void rp_tick(struct replica *r, int64_t now_us);
 
 /** rp_watch_now() - open the next watch without waiting for the pause to end */
@@ -342,6 +390,19 @@
  */
 bool rp_on_end_reported(struct replica *r, const char *id, enum jb_state state);
 
+/**
+ * rp_on_cancel_reported() - a cancellation is stored, which the watch may not
+ *	have shown yet
+ * @r: replica
+ * @id: the job; its description may not be known yet
+ * @revision: revision of the cancellation
+ *
+ * A report of what the watch has shown already is late, and is left out: the job
+ * may have been removed since.
+ */
+void rp_on_cancel_reported(
+    struct replica *r, const char *id, uint64_t revision);
+
 /**
  * rp_apply_out_of_order() - apply an item that came outside the order of changes
  * @r: replica
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstring>
@@ -7,6 +8,7 @@
 
 extern "C" {
 #include "common/base64.h"
+#include "common/clock.h"
 #include "common/counters.h"
 #include "curranttackd/replica.h"
 #include "protocol/curranttack.pb-c.h"
@@ -25,6 +27,11 @@
 	void *watch_arg = nullptr;
 	ks_done_fn orders_done = nullptr;
 	void *orders_arg = nullptr;
+	ks_done_fn cancels_done = nullptr;
+	void *cancels_arg = nullptr;
+	uint64_t cancels_after = 0;
+	std::string cancels_cursor;
+	std::string cancels_call;
 	std::string range_prefix;
 	std::string watch_prefix;
 	uint64_t watch_after = 0;
@@ -33,10 +40,18 @@
 };
 
 void
-on_range(void *ks, const char *prefix, const char *, ks_done_fn done, void *arg)
+on_range(void *ks, const char *prefix, const char *cursor, ks_done_fn done,
+    void *arg)
 {
 	Store *s = (Store *)ks;
 
+	if (strcmp(prefix, RP_CANCEL_PREFIX) == 0) {
+		s->cancels_call = "range";
+		s->cancels_cursor = cursor != nullptr ? cursor : "";
+		s->cancels_done = done;
+		s->cancels_arg = arg;
+		return;
+	}
 	if (strcmp(prefix, "orders/") == 0) {
 		s->orders_loaded = true;
 		s->orders_done = done;
@@ -54,6 +69,13 @@
 {
 	Store *s = (Store *)ks;
 
+	if (strcmp(prefix, RP_CANCEL_PREFIX) == 0) {
+		s->cancels_call = "watch";
+		s->cancels_after = after;
+		s->cancels_done = done;
+		s->cancels_arg = arg;
+		return;
+	}
 	if (strcmp(prefix, "orders/") == 0) {
 		s->orders_loaded = false;
 		s->orders_wait_ms = wait_ms;
@@ -271,6 +293,51 @@
 		return w != nullptr && w->unlisted_us == 0;
 	}
 
+	/* The open watch has no answer, after so long; the next one is opened. */
+	void
+	watch_unanswered(int64_t open_us)
+	{
+		usleep((useconds_t)open_us);
+		watch(KS_UNKNOWN, 0);
+		loop_after(
+		    l, 400000, [](void *arg) { loop_stop((struct loop *)arg); },
+		    l);
+		loop_run(l);
+	}
+
+	/* Whether a call for the cancellations alone is made after that time. */
+	std::string
+	cancels_call_after(int64_t us)
+	{
+		store.cancels_call = "";
+		rp_tick(r, clk_now_us() + us);
+		return store.cancels_call;
+	}
+
+	void
+	cancels(enum ks_result result, uint64_t as_of,
+	    std::vector<struct ks_item> items, bool more)
+	{
+		struct ks_response a = {};
+
+		a.result = result;
+		a.revision = as_of;
+		a.item = items.data();
+		a.item_count = items.size();
+		a.more = more;
+		store.cancels_done(&a, store.cancels_arg);
+	}
+
+	static struct ks_item
+	cancel_item(const char *key, uint64_t revision)
+	{
+		struct ks_item item = {};
+
+		item.key = key;
+		item.revision = revision;
+		return item;
+	}
+
 	/* Answers the open watch, and ends the pause after it. */
 	void
 	next_watch(uint64_t as_of)
@@ -393,6 +460,137 @@
 	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
 }
 
+/* The job came from a peer before the watch had shown the tombstone. */
+TEST_F(Replica, JobIsNotCancelledByATombstoneThatIsShownLate)
+{
+	const char *id = "00000000000000a1";
+	struct ks_item tombstone = {};
+	struct ks_item item = job_item(id, 30);
+
+	tombstone.key = RP_CANCEL_PREFIX "00000000000000a1";
+	tombstone.revision = 20;
+	page(15, {}, false);
+	rp_apply_out_of_order(r, &item);
+	rp_apply_out_of_order(r, &tombstone);
+	ASSERT_NE(rp_find_job(r, id), nullptr);
+	EXPECT_FALSE(rp_find_job(r, id)->cancelled);
+	tombstone.revision = 31;
+	rp_apply_out_of_order(r, &tombstone);
+	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
+}
+
+/* A report that outruns the job must neither be lost nor reach a later one. */
+TEST_F(Replica, CancellationReportedBeforeItsJobIsKept)
+{
+	const char *id = "00000000000000a1";
+	struct ks_item item = job_item(id, 30);
+
+	page(15, {}, false);
+	rp_on_cancel_reported(r, id, 31);
+	EXPECT_EQ(rp_find_job(r, id), nullptr);
+	rp_apply_out_of_order(r, &item);
+	ASSERT_NE(rp_find_job(r, id), nullptr);
+	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
+	EXPECT_STREQ(rp_find_job(r, id)->cancelled_by, "peer");
+}
+
+TEST_F(Replica, CancellationReportedLateReachesNoLaterJob)
+{
+	const char *id = "00000000000000a1";
+	struct ks_item item = job_item(id, 30);
+
+	page(15, {}, false);
+	rp_on_cancel_reported(r, id, 12);
+	EXPECT_EQ(HASH_COUNT(r->jobs), 0u);
+	rp_on_cancel_reported(r, id, 20);
+	rp_apply_out_of_order(r, &item);
+	ASSERT_NE(rp_find_job(r, id), nullptr);
+	EXPECT_FALSE(rp_find_job(r, id)->cancelled);
+	rp_on_cancel_reported(r, id, 20);
+	EXPECT_FALSE(rp_find_job(r, id)->cancelled);
+	rp_on_cancel_reported(r, id, 31);
+	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
+}
+
+/* The watch hung, and an owner renewed what had been cancelled. */
+TEST_F(Replica, CancellationsAreReadApartWhileTheCopyStandsStill)
+{
+	const char *id = "00000000000000a1";
+
+	page(10, {job_item(id, 5)}, false);
+	EXPECT_EQ(cancels_call_after(5 * CLK_US_PER_S), "");
+	rp_follow_cancels(r, true);
+	EXPECT_EQ(cancels_call_after(900 * CLK_US_PER_MS), "");
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+	EXPECT_EQ(store.cancels_after, 10u);
+	EXPECT_EQ(cancels_call_after(2 * CLK_US_PER_S), "");
+	cancels(KS_OK, 20,
+	    {cancel_item(RP_CANCEL_PREFIX "00000000000000a1", 12)}, false);
+	EXPECT_TRUE(rp_find_job(r, id)->cancelled);
+	EXPECT_STREQ(rp_find_job(r, id)->cancelled_by, "check");
+	EXPECT_FALSE(rp_has_applied(r, 12));
+	EXPECT_EQ(cancels_call_after(900 * CLK_US_PER_MS), "");
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+	EXPECT_EQ(store.cancels_after, 20u);
+}
+
+TEST_F(Replica, CancellationsAreReadWholeWhereTheirChangesCannotBeHad)
+{
+	const char *a1 = RP_CANCEL_PREFIX "00000000000000a1";
+	const char *a2 = RP_CANCEL_PREFIX "00000000000000a2";
+
+	for (enum ks_result result : {KS_COMPACTED, KS_UNKNOWN}) {
+		uint64_t as_of = 20 + (uint64_t)result;
+
+		if (!r->synced)
+			page(10,
+			    {job_item("00000000000000a1", 5),
+				job_item("00000000000000a2", 6)},
+			    false);
+		rp_follow_cancels(r, true);
+		EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+		cancels(result, 0, {}, false);
+		EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "range");
+		EXPECT_EQ(store.cancels_cursor, "");
+		cancels(KS_OK, as_of, {cancel_item(a1, 12)}, true);
+		EXPECT_EQ(store.cancels_cursor, a1);
+		cancels(KS_OK, as_of + 1, {cancel_item(a2, 13)}, false);
+		EXPECT_TRUE(rp_find_job(r, "00000000000000a1")->cancelled);
+		EXPECT_TRUE(rp_find_job(r, "00000000000000a2")->cancelled);
+		EXPECT_EQ(r->cancels_revision, as_of);
+	}
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+}
+
+/* A page that failed would have left out what stands on the pages before. */
+TEST_F(Replica, CancellationsAreReadFromTheBeginningAfterAPageFails)
+{
+	page(10, {}, false);
+	rp_follow_cancels(r, true);
+	cancels_call_after(CLK_US_PER_S);
+	cancels(KS_COMPACTED, 0, {}, false);
+	cancels_call_after(CLK_US_PER_S);
+	cancels(KS_OK, 20,
+	    {cancel_item(RP_CANCEL_PREFIX "00000000000000a1", 12)}, true);
+	cancels(KS_REFUSED, 0, {}, false);
+	EXPECT_EQ(cancels_call_after(400 * CLK_US_PER_MS), "");
+	EXPECT_EQ(r->cancels_revision, 0u);
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "range");
+	EXPECT_EQ(store.cancels_cursor, "");
+}
+
+/* It may take long, and pages that fail begin it anew. */
+TEST_F(Replica, CancellationsAreReadApartDuringALoad)
+{
+	page(10, {job_item("00000000000000a1", 5)}, false);
+	rp_follow_cancels(r, true);
+	watch(KS_COMPACTED, 0);
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+	cancels(KS_OK, 20,
+	    {cancel_item(RP_CANCEL_PREFIX "00000000000000a1", 12)}, false);
+	EXPECT_TRUE(rp_find_job(r, "00000000000000a1")->cancelled);
+}
+
 TEST_F(Replica, TombstonesAreForgotten)
 {
 	struct ks_item by_watch = {};
@@ -537,6 +735,80 @@
 	EXPECT_TRUE(rp_has_applied(r, 40));
 }
 
+/* A copy that stands still has to be told from one that nothing changes. */
+TEST_F(Replica, AgeOfTheCopyCountsFromWhenTheAnsweredCallWasSent)
+{
+	uint64_t before = ct_get(CT_WATCHES_UNANSWERED);
+	int64_t first_us = r->load_sent_us;
+
+	page(10, {}, false);
+	EXPECT_EQ(r->current_us, first_us);
+	int64_t sent_us = clk_now_us();
+	rp_watch_anew(r);
+	watch(KS_UNKNOWN, 0);
+	EXPECT_EQ(ct_get(CT_WATCHES_UNANSWERED), before + 1);
+	EXPECT_EQ(r->current_us, first_us);
+	loop_after(
+	    l, 400000, [](void *arg) { loop_stop((struct loop *)arg); }, l);
+	loop_run(l);
+	struct ks_item changed_item = member_item(12);
+	struct ks_response a = {};
+	a.result = KS_OK;
+	a.revision = 12;
+	a.item = &changed_item;
+	a.item_count = 1;
+	store.watch_done(&a, store.watch_arg);
+	EXPECT_GT(r->current_us, sent_us);
+	EXPECT_LT(r->current_us, clk_now_us());
+	EXPECT_EQ(rp_copy_age_us(r, r->current_us + 7), 7);
+}
+
+TEST_F(Replica, WhatShowedACancellationFirstIsKnown)
+{
+	struct ks_item cancel = {};
+
+	cancel.key = RP_CANCEL_PREFIX "00000000000000a1";
+	cancel.revision = 6;
+	page(10,
+	    {cancel, job_item("00000000000000a1", 5),
+		job_item("00000000000000a2", 4)},
+	    false);
+	EXPECT_STREQ(rp_find_job(r, "00000000000000a1")->cancelled_by, "load");
+	cancel.key = RP_CANCEL_PREFIX "00000000000000a2";
+	cancel.revision = 12;
+	rp_apply_out_of_order(r, &cancel);
+	EXPECT_STREQ(rp_find_job(r, "00000000000000a2")->cancelled_by, "call");
+}
+
+/* Workers' entries made each answer too long for a narrow link, for ever. */
+TEST_F(Replica, OverdueWatchOfAnOwnerIsFollowedByOneOverTheCellsOwnKeys)
+{
+	page(10, {worker_item("w/a", 5)}, false);
+	rp_follow_cancels(r, true);
+	watch_unanswered(2050 * CLK_US_PER_MS);
+	EXPECT_EQ(store.watch_prefix, RP_CELL_PREFIX);
+	EXPECT_EQ(store.watch_after, 10u);
+	EXPECT_FALSE(r->has_workers);
+	watch(KS_OK, 50);
+	EXPECT_EQ(store.range_prefix, "w/");
+	page(60, {worker_item("w/b", 55)}, false);
+	EXPECT_FALSE(is_listed("a"));
+	EXPECT_TRUE(is_listed("b"));
+	EXPECT_EQ(store.watch_prefix, "");
+	EXPECT_EQ(store.watch_after, 50u);
+}
+
+/* A watch that waits may be cut at any time. */
+TEST_F(Replica, WatchThatIsCutIsFollowedByOneOverAllKeys)
+{
+	page(10, {worker_item("w/a", 5)}, false);
+	rp_follow_cancels(r, true);
+	watch_unanswered(100 * CLK_US_PER_MS);
+	EXPECT_EQ(store.watch_prefix, "");
+	EXPECT_EQ(store.watch_after, 10u);
+	EXPECT_TRUE(r->has_workers);
+}
+
 TEST_F(Replica, NoSecondWatchIsOpenedDuringALoad)
 {
 	rp_watch_anew(r);
