tests: random faults about the time of a cancellation, in the simulated cell

Owners that die, stop, are cut off or are slow, watches that hang, history that is dropped, writes whose answers are lost or that come late, about a DELETE that is repeated until it is acknowledged; the job is handed in once more after it. Nothing of the job may run 3.2 s after the acknowledgement or the last fault that cuts somebody off, whichever is later, nor 10 s after that.

--- a/tests/unit/test_promises_learned.cc
+++ b/tests/unit/test_promises_learned.cc
@@ -25,6 +25,22 @@
 constexpr int64_t kStopped = 200 * kSimMs;
 const char kJob[] = "00000000000000a0";
 
+/* LEARNED_SEEDS=FROM-TO plays others. */
+std::vector<uint64_t>
+seeds()
+{
+	const char *range = getenv("LEARNED_SEEDS");
+	unsigned long from = 1;
+	unsigned long to = 60;
+	std::vector<uint64_t> list;
+
+	if (range != nullptr && sscanf(range, "%lu-%lu", &from, &to) != 2)
+		abort();
+	for (unsigned long seed = from; seed <= to; seed++)
+		list.push_back(seed);
+	return list;
+}
+
 class Learned : public SimObserver
 {
       public:
@@ -195,4 +211,97 @@
 	}
 }
 
+/* Faults about the time of a cancellation; returns when the last one is over. */
+int64_t
+disturb(Learned &t)
+{
+	SimWorld &w = t.w;
+	size_t owner = t.owner() % kDaemons;
+	size_t any = w.random(kDaemons);
+	int64_t us = (int64_t)(500 + w.random(5000)) * kSimMs;
+
+	switch (w.random(10)) {
+	case 0:
+		w.kill(owner, w.chance(50));
+		w.after(us, [&w, owner] { w.start(owner); });
+		return w.now + us;
+	case 1:
+		w.freeze(owner, us);
+		return w.now + us;
+	case 2:
+		w.compact();
+		return w.now;
+	case 3:
+		w.store_trouble_of(owner, StoreTrouble::kHung, 2 * us);
+		return w.now;
+	case 4:
+		w.store_trouble(StoreTrouble::kHung, us);
+		return w.now;
+	case 5:
+		w.store_trouble_of(owner, StoreTrouble::kSlow, 2 * us);
+		return w.now;
+	case 6:
+		w.store_trouble_of(any, StoreTrouble::kLost, us);
+		return w.now + us;
+	case 7:
+		w.store_trouble_of(any, StoreTrouble::kLate, us);
+		return w.now + us + 6 * kSimS;
+	case 8:
+		w.store_trouble_of(owner, StoreTrouble::kSilent, us);
+		return w.now + us;
+	default:
+		w.cut_domain(w.daemons[owner]->domain, us);
+		return w.now + us;
+	}
+}
+
+/* Until a daemon acknowledges it; the same job is handed in again then. */
+void
+cancel_until_acknowledged(Learned &t)
+{
+	SimWorld &w = t.w;
+	int status = 0;
+
+	for (int n = 0; n < 40 && status != 200; n++) {
+		size_t daemon = w.random(kDaemons);
+
+		status = -1;
+		w.call(daemon, "DELETE", std::string("/q/") + kJob, "", kWait,
+		    [&](int got, const std::string &) { status = got; });
+		while (status == -1)
+			w.run_until(w.now + kSimMs);
+		if (status != 200)
+			w.run_until(w.now + 100 * kSimMs);
+	}
+	EXPECT_EQ(status, 200);
+	w.call(w.random(kDaemons), "POST", std::string("/q/") + kJob, "0 1 6",
+	    kWait, [](int, const std::string &) {});
+}
+
+TEST(LearnedCancellation, NothingRunsOnWhateverHappensAboutTheTime)
+{
+	for (uint64_t seed : seeds()) {
+		Learned t(seed);
+		int64_t over_us = 0;
+
+		t.begin();
+		for (size_t n = 1 + t.w.random(3); n > 0; n--) {
+			over_us = std::max(over_us, disturb(t));
+			t.w.run_until(
+			    t.w.now + (int64_t)t.w.random(2500) * kSimMs);
+		}
+		cancel_until_acknowledged(t);
+		for (size_t n = t.w.random(3); n > 0; n--) {
+			t.w.run_until(
+			    t.w.now + (int64_t)t.w.random(1500) * kSimMs);
+			over_us = std::max(over_us, disturb(t));
+		}
+		t.w.run_until(
+		    std::max(over_us, t.w.now) + kCancelled + kStopped);
+		EXPECT_EQ(t.running(), 0U) << "seed " << seed;
+		t.w.run_until(t.w.now + 10 * kSimS);
+		EXPECT_EQ(t.running(), 0U) << "seed " << seed << ", later";
+	}
+}
+
 } // namespace
