tests: worker faults about the time of a cancellation, too

The schedule of random faults also lets workers crash and return, be cut off, and carry calls out up to 12 s late.

--- a/tests/unit/test_promises_learned.cc
+++ b/tests/unit/test_promises_learned.cc
@@ -23,6 +23,8 @@
 /* From the acknowledgement until nothing of the job may run any more. */
 constexpr int64_t kCancelled = 3 * kSimS;
 constexpr int64_t kStopped = 200 * kSimMs;
+/* Of calls to workers. */
+constexpr int64_t kLatest = 12500 * kSimMs;
 const char kJob[] = "00000000000000a0";
 
 /* LEARNED_SEEDS=FROM-TO plays others. */
@@ -218,9 +220,10 @@
 	SimWorld &w = t.w;
 	size_t owner = t.owner() % kDaemons;
 	size_t any = w.random(kDaemons);
+	size_t worker = w.random(kWorkers);
 	int64_t us = (int64_t)(500 + w.random(5000)) * kSimMs;
 
-	switch (w.random(10)) {
+	switch (w.random(13)) {
 	case 0:
 		w.kill(owner, w.chance(50));
 		w.after(us, [&w, owner] { w.start(owner); });
@@ -249,9 +252,21 @@
 	case 8:
 		w.store_trouble_of(owner, StoreTrouble::kSilent, us);
 		return w.now + us;
-	default:
+	case 9:
 		w.cut_domain(w.daemons[owner]->domain, us);
 		return w.now + us;
+	case 10:
+		w.crash(worker);
+		w.after(us, [&w, worker] { w.revive(worker); });
+		return w.now + us;
+	case 11:
+		w.workers[worker]->domain = "cut";
+		w.cut_domain("cut", us);
+		return w.now + us;
+	default:
+		w.late_per_mille = 300;
+		w.after(us, [&w] { w.late_per_mille = 0; });
+		return w.now + us + kLatest;
 	}
 }
 
