--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -591,6 +591,23 @@
 	EXPECT_TRUE(rp_find_job(r, "00000000000000a1")->cancelled);
 }
 
+/* No watch is open meanwhile. */
+TEST_F(Replica, CancellationsAreReadApartWhileANewOwnerReadsEntries)
+{
+	page(10, {job_item("00000000000000a1", 5)}, false);
+	rp_follow_workers(r, false);
+	next_watch(20);
+	watch(KS_OK, 30);
+	rp_follow_workers(r, true);
+	rp_follow_cancels(r, true);
+	EXPECT_EQ(store.range_prefix, "w/");
+	EXPECT_EQ(cancels_call_after(CLK_US_PER_S), "watch");
+	EXPECT_EQ(store.cancels_after, 30u);
+	cancels(KS_OK, 40,
+	    {cancel_item(RP_CANCEL_PREFIX "00000000000000a1", 35)}, false);
+	EXPECT_TRUE(rp_find_job(r, "00000000000000a1")->cancelled);
+}
+
 TEST_F(Replica, TombstonesAreForgotten)
 {
 	struct ks_item by_watch = {};
