transport, platform: a response that is arriving isn't given up at its deadline

In a cell on links of 2 Mbit/s, after a configuration of 1,400 routes, watches fell behind the store's history and all 16 daemons read the key space anew. A page of 500 rows took longer than its 3 s, was given up and asked for again, in full, on each daemon, without end (8 to 10 attempts each). The links stayed full, so that stops of cancelled jobs got no connection for 5.4 and 7.7 s after the acknowledgement, and owners' copies were up to 39 s old.

Cause: the deadline of a read holds for its whole answer, whatever part of it has come. What has arrived is thrown away, and the next attempt costs as much: once answers take longer than the deadline, no load or watch ever ends.

Change: a request may say until when its response may go on arriving; then each part of the body puts the deadline off by 2 s. Without a first part the deadlines are as they were, so silent stores and hung watches are noticed as soon.

Ruled out: longer deadlines (a silent store would be noticed later); smaller pages (a read names no number of rows).

HttpClient.ResponseThatIsStillArrivingAtItsDeadlineIsDelivered failed with the putting off taken out; ResponseThatArrivesForTooLongOrStopsArrivingTimesOut keeps the bounds.

--- a/include/transport/http_client.h
+++ b/include/transport/http_client.h
@@ -34,6 +34,8 @@
  * @headers: extra headers, @header_count of them
  * @body: body, @body_bytes long; may be NULL
  * @deadline_us: deadline, on the clock of clk_now_us()
+ * @arriving_until_us: as long as parts of the body arrive, the deadline is put
+ *	off, to this time at most; 0 for never
  * @overdue_us: when to report that the response is overdue; 0 for never. The
  *	request goes on until @deadline_us
  * @overdue: called then; NULL unless @overdue_us is set
@@ -51,6 +53,7 @@
 	const void *body;
 	size_t body_bytes;
 	int64_t deadline_us;
+	int64_t arriving_until_us;
 	int64_t overdue_us;
 	hc_overdue_fn overdue;
 	bool repeatable;
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -536,4 +536,97 @@
 	talloc_free(l);
 }
 
+/* Sends a body in parts, with pauses between them; then all is silent. */
+class SlowServer
+{
+      public:
+	SlowServer(size_t parts, size_t announced) : announced(announced)
+	{
+		std::string address;
+
+		fd = listen_on_loopback(&address);
+		url = "http://" + address + "/";
+		thread = std::thread([this, parts] { serve(parts); });
+	}
+
+	~SlowServer()
+	{
+		ended = true;
+		thread.join();
+	}
+
+	std::string url;
+
+      private:
+	void
+	serve(size_t parts)
+	{
+		std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " +
+		    std::to_string(announced) + "\r\n\r\n";
+		int conn = accept(fd, nullptr, nullptr);
+
+		send(conn, head.data(), head.size(), MSG_NOSIGNAL);
+		for (size_t n = 0; n < parts; n++) {
+			usleep(50000);
+			send(conn, "x", 1, MSG_NOSIGNAL);
+		}
+		while (!ended)
+			usleep(10000);
+		close(conn);
+		close(fd);
+	}
+
+	size_t announced;
+	std::atomic<bool> ended{false};
+	int fd;
+	std::thread thread;
+};
+
+/* How a request ends whose deadline passes while its body arrives. */
+enum hc_error
+read_slowly(const std::string &url, int64_t arriving_us, int64_t *took_us)
+{
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	struct hc_request req = {};
+	Call call = {HC_OK, false};
+	int64_t now_us = clk_now_us();
+
+	req.method = "GET";
+	req.url = url.c_str();
+	req.deadline_us = now_us + 200 * CLK_US_PER_MS;
+	req.arriving_until_us = arriving_us > 0 ? now_us + arriving_us : 0;
+	hc_send(hc, &req, on_done, &call);
+	while (!call.done)
+		tevent_loop_once(loop_ev(l));
+	*took_us = clk_now_us() - now_us;
+	talloc_free(l);
+	return call.error;
+}
+
+/* A page that took longer than its deadline was asked for again, for ever. */
+TEST(HttpClient, ResponseThatIsStillArrivingAtItsDeadlineIsDelivered)
+{
+	SlowServer server(10, 10);
+	int64_t took_us;
+
+	EXPECT_EQ(read_slowly(server.url, 20 * CLK_US_PER_S, &took_us), HC_OK);
+}
+
+TEST(HttpClient, ResponseThatArrivesForTooLongOrStopsArrivingTimesOut)
+{
+	SlowServer endless(40, 100);
+	SlowServer stops(3, 100);
+	SlowServer plain(10, 10);
+	int64_t took_us;
+
+	EXPECT_EQ(read_slowly(endless.url, 600 * CLK_US_PER_MS, &took_us),
+	    HC_TIMEOUT);
+	EXPECT_LT(took_us, 2 * CLK_US_PER_S);
+	EXPECT_EQ(
+	    read_slowly(stops.url, 20 * CLK_US_PER_S, &took_us), HC_TIMEOUT);
+	EXPECT_LT(took_us, 5 * CLK_US_PER_S);
+	EXPECT_EQ(read_slowly(plain.url, 0, &took_us), HC_TIMEOUT);
+}
+
 } // namespace
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -13,6 +13,8 @@
 #define HC_MAX_BODY_BYTES ((size_t)8 << 20)
 /* A deadline timer that fires this late means that the loop was stalled. */
 #define HC_STALL_US (10 * CLK_US_PER_MS)
+/* A response of which nothing has arrived for so long no longer arrives. */
+#define HC_ARRIVAL_PAUSE_US (2 * CLK_US_PER_S)
 #define HC_DEFER_US 500
 #define HC_MAX_DEFERRALS 8
 #define HC_MAX_IDLE_HANDLES 1024
@@ -47,6 +49,7 @@
 	hc_done_fn done;
 	void *arg;
 	int64_t deadline_us;
+	int64_t arriving_until_us;
 	/* 0 once it is reported. */
 	int64_t overdue_us;
 	hc_overdue_fn overdue;
@@ -347,12 +350,24 @@
 	return n;
 }
 
+/* The deadline's timer looks for the new one when it fires. */
+static void
+hc_put_off_deadline(struct hc_transfer *t)
+{
+	int64_t until_us = clk_now_us() + HC_ARRIVAL_PAUSE_US;
+
+	if (until_us > t->arriving_until_us)
+		until_us = t->arriving_until_us;
+	t->deadline_us = clk_later_us(t->deadline_us, until_us);
+}
+
 static size_t
 hc_on_body(char *data, size_t size, size_t n, void *arg)
 {
 	struct hc_transfer *t = arg;
 	size_t got;
 
+	hc_put_off_deadline(t);
 	got =
 	    hc_append(&t->response_body, t->response_bytes, data, size * n, t);
 	t->response_bytes += got;
@@ -441,6 +456,7 @@
 	}
 	hc_set_options(t, req);
 	t->deadline_us = req->deadline_us;
+	t->arriving_until_us = req->arriving_until_us;
 	t->overdue_us = req->overdue_us;
 	t->overdue = req->overdue;
 	t->repeatable = req->repeatable;
