replica: a load goes on after a page that was not answered

Change: a page that is not answered is read again. The pages of a load are of different revisions anyway, and the watch after it begins at the revision of the first, so what is removed between two pages is shown then; where the store has dropped that history, the key space is loaded anew. A page that is refused, which costs the link nothing, still begins the load anew, and what only an abandoned load found is removed.

Replica.LoadGoesOnAfterAPageThatWasNotAnswered failed before.

--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -13,7 +13,7 @@
 /* A response with this many changes means that more are waiting. */
 #define RP_FULL_BATCH 400
 
-static void rp_load(void *arg);
+static void rp_load(struct replica *r);
 static void rp_watch_operator_keys(void *arg);
 static void rp_watch(void *arg);
 
@@ -78,6 +78,36 @@
 	rp_watch_operator_keys(r);
 }
 
+static void rp_on_load_page(const struct ks_response *a, void *arg);
+
+/* The page after those that have been read. */
+static void
+rp_read_load_page(void *arg)
+{
+	struct replica *r = arg;
+
+	if (r->load_cursor == NULL)
+		r->load_sent_us = clk_now_us();
+	r->fleet->keys->range(r->fleet->handle, r->load_prefix, r->load_cursor,
+	    rp_on_load_page, r);
+}
+
+static void rp_load_again(void *arg);
+
+/* A page that is not answered may have been too long for the link. */
+static void
+rp_load_page_failed(struct replica *r, enum ks_result result)
+{
+	lg_event(LG_WARN, "replica", "load_failed", "attempt",
+	    lg_i64(r->load_attempts), "rows", lg_i64(r->load_rows), NULL);
+	if (result != KS_UNKNOWN) {
+		loop_after(r->loop, RP_RETRY_US, rp_load_again, r);
+		return;
+	}
+	r->load_attempts++;
+	loop_after(r->loop, RP_RETRY_US, rp_read_load_page, r);
+}
+
 static void
 rp_on_load_page(const struct ks_response *a, void *arg)
 {
@@ -85,10 +115,7 @@
 	size_t i;
 
 	if (a->result != KS_OK) {
-		lg_event(LG_WARN, "replica", "load_failed", "attempt",
-		    lg_i64(r->load_attempts), "rows", lg_i64(r->load_rows),
-		    NULL);
-		loop_after(r->loop, RP_RETRY_US, rp_load, r);
+		rp_load_page_failed(r, a->result);
 		return;
 	}
 	r->hooks.store_answered(r->arg);
@@ -104,30 +131,35 @@
 		talloc_free(r->load_cursor);
 		r->load_cursor =
 		    talloc_strdup(r, a->item[a->item_count - 1].key);
-		r->fleet->keys->range(r->fleet->handle, r->load_prefix,
-		    r->load_cursor, rp_on_load_page, r);
+		rp_read_load_page(r);
 		return;
 	}
 	rp_finish_load(r);
 	rp_watch(r);
 }
 
-/* Reads the keys under load_prefix; what an earlier attempt found is void. */
+/*
+ * Reads the keys under load_prefix; what an earlier load found is void. Its pages are
+ * of different revisions, whether one of them was repeated or not: the watch
+ * that follows begins at that of the first.
+ */
 static void
-rp_load(void *arg)
+rp_load(struct replica *r)
 {
-	struct replica *r = arg;
-
 	TALLOC_FREE(r->load_cursor);
 	r->load_number++;
 	r->load_attempts++;
 	r->load_rows = 0;
-	r->load_sent_us = clk_now_us();
 	if (r->load_since_us == 0)
-		r->load_since_us = r->load_sent_us;
+		r->load_since_us = clk_now_us();
 	r->loading = rp_covers(r->load_prefix, RP_CELL_PREFIX);
-	r->fleet->keys->range(
-	    r->fleet->handle, r->load_prefix, NULL, rp_on_load_page, r);
+	rp_read_load_page(r);
+}
+
+static void
+rp_load_again(void *arg)
+{
+	rp_load(arg);
 }
 
 static bool
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -230,7 +230,7 @@
  * @load_sent_us: when that page was asked for
  * @load_since_us: when the newest load, or the first of its failed attempts,
  *	began; 0 between loads
- * @load_attempts: how often it has been begun
+ * @load_attempts: how often it, or one of its pages, has been asked for again
  * @load_rows: rows that its newest attempt has read
  * @not_ready: callers that were answered 503 since it began
  * @operator_revision: revision up to which operators' keys are applied
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -33,6 +33,7 @@
 	std::string cancels_cursor;
 	std::string cancels_call;
 	std::string range_prefix;
+	std::string range_cursor;
 	std::string watch_prefix;
 	uint64_t watch_after = 0;
 	bool orders_loaded = false;
@@ -59,6 +60,7 @@
 		return;
 	}
 	s->range_prefix = prefix;
+	s->range_cursor = cursor != nullptr ? cursor : "";
 	s->range_done = done;
 	s->range_arg = arg;
 }
@@ -238,13 +240,13 @@
 		store.range_done(&a, store.range_arg);
 	}
 
-	/* The store refuses the next page, and the load is begun anew. */
+	/* The next page is refused, or not answered, and read again later. */
 	void
-	page_refused()
+	page_fails(enum ks_result result)
 	{
 		struct ks_response a = {};
 
-		a.result = KS_REFUSED;
+		a.result = result;
 		store.range_done(&a, store.range_arg);
 		loop_after(
 		    l, 400000, [](void *arg) { loop_stop((struct loop *)arg); },
@@ -406,7 +408,7 @@
 	    {job_item(removed, 4), owner_item(5), member_item(6),
 		worker_item("w/a", 7)},
 	    true);
-	page_refused();
+	page_fails(KS_REFUSED);
 	EXPECT_TRUE(rp_get_owner(r, "pool")->present);
 	page(70, {}, false);
 	EXPECT_FALSE(rp_get_owner(r, "pool")->present);
@@ -415,6 +417,24 @@
 	EXPECT_EQ(rp_find_job(r, removed), nullptr);
 }
 
+/* Each page that timed out cost all those before it, for ever. */
+TEST_F(Replica, LoadGoesOnAfterAPageThatWasNotAnswered)
+{
+	const char *removed = "00000000000000a1";
+
+	page(10, {}, false);
+	watch(KS_COMPACTED, 0);
+	page(60, {job_item(removed, 4), owner_item(5)}, true);
+	page_fails(KS_UNKNOWN);
+	EXPECT_EQ(store.range_cursor, RP_OWNER_PREFIX "pool");
+	page(70, {member_item(65)}, false);
+	EXPECT_EQ(store.watch_after, 60u);
+	EXPECT_FALSE(rp_has_applied(r, 61));
+	EXPECT_TRUE(has_member());
+	EXPECT_NE(rp_find_job(r, removed), nullptr);
+	EXPECT_TRUE(rp_get_owner(r, "pool")->present);
+}
+
 /* As owner, the daemon would have started tasks that had ended. */
 TEST_F(Replica, JobRemovedWithHistoryThatTheStoreDroppedIsForgotten)
 {
