pool_worker: a stop doesn't wait for the result of an earlier start

What callers saw: UNASKED; a run of a job goes on though its cancellation was acknowledged. In the only record with runs, the starts of two long-running tasks had no answer and were sent again; the workers' lists showed the runs; the job was cancelled, the owner knew it 0.6 s later, and the stops of these two were not sent, for want of a connection. They were never sent again.

Cause: wp_resend() held back whatever a task was to be told while a start of it had no result (order_in_flight).

Ruled out: that the mark has to be cleared by wp_task_stop(), as before. It tells that a start may yet be carried out by a later incarnation, which stays true. A stop that overtakes the start rules the run out on the worker.

--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -1060,13 +1060,14 @@
 static void
 wp_resend(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
-	if (t->resend_at_us == 0 || now_us < t->resend_at_us ||
-	    (t->order_in_flight && t->state != WP_TASK_DONE))
+	if (t->resend_at_us == 0 || now_us < t->resend_at_us)
 		return;
 	if (t->state == WP_TASK_STOPPING || t->state == WP_TASK_DONE) {
 		wp_task_send_stop(p, t, now_us);
 		return;
 	}
+	if (t->order_in_flight)
+		return;
 	t->resend_at_us = 0;
 	if (t->state != WP_TASK_STARTING)
 		return;
