pool_stop: a stop that was accepted is repeated while its run is listed

What callers may see: UNASKED; a run of a cancelled job goes on for good, or a task that has to move or whose copy has completed is never started or released, though the worker has accepted the stop and answers all calls.

Cause: the answer to a stop ended its repetition (resend_at_us = 0), whatever the worker's lists said afterwards. A list that lacked the run ended the task, but nothing followed from a list that still showed it.

Ruled out as the cause in that record: there, the two stops were never sent again. By the platform's pages an accepted stop takes effect, so this needs an answer that is taken for that of the incarnation that lists the run.

Change: a list made more than 0.5 s after the stop was accepted (workers take 0.2 or 0.4 s) that shows the run has the stop sent again, for tasks of all kinds.

Their new schedules cancel long-running jobs while orders aren't sent, their results are known up to 6 s late, and stops are accepted without an effect.

Stops.StopThatWasAcceptedIsRepeatedWhileTheRunIsListed and Stops.StopOfACopyOfADoneTaskIsRepeatedWhileItIsListed failed before.

--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -7,7 +7,8 @@
 /**
  * DOC: Shared by the pool's files. Lowest first: pool_ready (the order in which
  * steps start), pool_task (state changes of tasks, steps and jobs), pool_store (what to store and acknowledge),
- * pool_stray (starts that may be carried out late), pool_worker (workers'
+ * pool_stray (starts that may be carried out late), pool_stop (stops without an
+ * effect), pool_worker (workers'
  * reports and leases), pool_reconcile (what may still run
  * for an earlier owner), pool_gone (workers that have ended, as a later one runs on
  * their VM), pool_restart (workers that restart under their names), pool_unleased (workers that have no lease from this owner), pool_defer (jobs that no later owner has to wait for),
@@ -98,6 +99,9 @@
 void wp_task_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us);
 /** wp_task_send_stop() - order the stop of a task's newest run, or again */
 void wp_task_send_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us);
+/** wp_stop_listed() - a worker lists a task's run, perhaps after it took a stop */
+void wp_stop_listed(
+    const struct wp_worker *w, struct wp_task *t, int64_t now_us);
 /** wp_task_send_start() - order a start, or order it again */
 void wp_task_send_start(
     struct wp_pool *p, struct wp_task *t, const char *ticket, int64_t now_us);
--- /dev/null
+++ b/state/pool_stop.c
@@ -0,0 +1,20 @@
+#include "state/pool_internal.h"
+
+/*
+ * Stops are repeated until their effect is seen: the worker has accepted one, and
+ * a later list lacks the run. What it accepted may have been for an earlier
+ * incarnation, or have been undone.
+ */
+
+/* A run that was told to stop has ended after this time. */
+#define WP_MAX_STOP_MS 500
+
+void
+wp_stop_listed(const struct wp_worker *w, struct wp_task *t, int64_t now_us)
+{
+	if (t->stopped_clock_ms == 0 ||
+	    w->lists_clock_ms - t->stopped_clock_ms <= WP_MAX_STOP_MS)
+		return;
+	t->stopped_clock_ms = 0;
+	t->resend_at_us = now_us;
+}
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -513,6 +513,7 @@
 	t->in_doubt = false;
 	if (t->state == WP_TASK_RUNNING && !t->order_in_flight)
 		t->resend_at_us = 0;
+	wp_stop_listed(w, t, now_us);
 	wp_crash_lived(t);
 	wp_task_set_checkpoint(t, report->checkpoint);
 	if (report->percent != t->percent)
--- a/tests/unit/takeover_checks.cc
+++ b/tests/unit/takeover_checks.cc
@@ -5,6 +5,8 @@
 
 /* A new incarnation has got a stop by then, even if some are lost. */
 constexpr int64_t kRuledOut = 2 * kS;
+/* A run of a cancelled job may go on for so long, while all calls arrive. */
+constexpr int64_t kUnasked = 3200 * kMs;
 
 } // namespace
 
@@ -168,3 +170,45 @@
 	check_ends(w, order);
 	check_attempts(task);
 }
+
+bool
+TakeoverModel::is_calm() const
+{
+	return faults.lost == 0 && faults.late == 0 &&
+	    faults.answer_lost == 0 && faults.answer_late == 0 &&
+	    faults.not_sent == 0 && faults.result_late == 0 &&
+	    faults.stop_undone == 0;
+}
+
+/* Its owner acts, has been told of all cancellations, and can call it. */
+bool
+TakeoverModel::is_reached(const ModelWorker &w)
+{
+	ModelOwner *o = owner();
+
+	return o != nullptr && now >= o->frozen_until_us && may_act(*o) &&
+	    hears(w) && reaches(o->number, w) && now >= w.unhealthy_until_us &&
+	    wp_find_worker(o->pool, w.id.c_str()) != nullptr;
+}
+
+/* UNASKED: counted anew after each disturbance and each claim. */
+void
+TakeoverModel::check_cancelled(ModelWorker &w)
+{
+	bool counts = w.alive && is_calm() && is_reached(w) &&
+	    now - kTick >= owner_since_us;
+
+	for (auto &r : w.running) {
+		const std::string &task = r.first.first;
+
+		if (!counts || !jobs[ref_of(task).job].cancelled) {
+			r.second.unasked_us = 0;
+			continue;
+		}
+		r.second.unasked_us += kTick;
+		if (r.second.unasked_us == kUnasked + kTick)
+			violations.push_back("goes on though cancelled: " +
+			    task + ":" + std::to_string(r.first.second) +
+			    " at " + std::to_string(now / kMs) + " on " + w.id);
+	}
+}
--- a/tests/unit/takeover_model.cc
+++ b/tests/unit/takeover_model.cc
@@ -199,6 +199,8 @@
 			tick_witness(v);
 		for (size_t i = 1; i <= (size_t)owner_count; i++)
 			tick_owner(*owners[(int)i]);
+		for (auto &w : workers)
+			check_cancelled(w.second);
 		if (now >= lease_until_us && now >= store_down_until_us) {
 			if (claim_at_us == 0)
 				claim_at_us =
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -28,6 +28,7 @@
 	int64_t cpu = 0;
 	int64_t sent_us = 0;
 	bool astray = false; /* its order was sent to an earlier incarnation */
+	int64_t unasked_us = 0; /* in calm, though its job is cancelled */
 };
 
 struct ModelEnd {
@@ -219,6 +220,9 @@
 	uint32_t repeat_refused = 0; /* a start that was sent before */
 	uint32_t answer_late = 0;    /* of a renewal */
 	uint32_t advice_late = 0;    /* by seconds */
+	uint32_t not_sent = 0;	     /* orders, for want of a connection */
+	uint32_t result_late = 0;    /* no answer to an order, known late */
+	uint32_t stop_undone = 0;    /* accepted without an effect */
 };
 
 /**
@@ -272,6 +276,7 @@
 	std::map<std::string, ModelJob> jobs;
 	ModelFaults faults;
 	uint32_t speculative = 100; /* steps that allow copies, per mille */
+	uint32_t lasting = 60;	    /* jobs that last, per mille */
 	/* So many workers crash that tasks are taken for the cause. */
 	bool crashes_fail_jobs = false;
 	bool capacity_changes = false; /* workers report theirs */
@@ -346,6 +351,9 @@
 	int64_t heard_at_us(const ModelWorker &w);
 	void count_known_time(ModelWorker &w);
 	void report(bool fault, const std::string &what);
+	bool is_calm() const;
+	bool is_reached(const ModelWorker &w);
+	void check_cancelled(ModelWorker &w);
 	void check_attempts(const std::string &task);
 
 	/* takeover_jobs.cc */
--- a/tests/unit/test_stops.cc
+++ b/tests/unit/test_stops.cc
@@ -59,4 +59,40 @@
 	EXPECT_EQ(stops(450 * kMs), 1U);
 }
 
+TEST_F(Stops, StopThatWasAcceptedIsRepeatedWhileTheRunIsListed)
+{
+	answer(begin(WP_ACCEPTED));
+	now += 400 * kMs;
+	list_run("w", 1);
+	EXPECT_EQ(stops(0), 0U);
+	for (int i = 0; i < 3; i++) {
+		now += 600 * kMs;
+		list_run("w", 1);
+		EXPECT_EQ(stops(0), 1U);
+	}
+	now += 300 * kMs;
+	renew_lease("w");
+	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_CANCELLED);
+	EXPECT_EQ(stops(kS), 0U);
+}
+
+/* Its earlier run has completed elsewhere. */
+TEST_F(Stops, StopOfACopyOfADoneTaskIsRepeatedWhileItIsListed)
+{
+	create_pool();
+	add_worker("v");
+	add(kJob, {{1, 1000, JB_SPECULATIVE}});
+	ASSERT_EQ(run_all().size(), 1U);
+	list_run("v", 1);
+	add_worker("w");
+	wp_on_renewal_failed(p, wp_find_worker(p, "v"), WP_NO_ANSWER, now);
+	ASSERT_EQ(run_all(400 * kMs).size(), 1U);
+	list_run("w", 2);
+	renew_lease("v", {}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	EXPECT_EQ(stops(0), 1U);
+	now += 600 * kMs;
+	list_run("w", 2);
+	EXPECT_EQ(stops(0), 1U);
+}
+
 } // namespace
--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -742,6 +742,44 @@
 		EXPECT_EQ(idle_beside_free_room(), 0U) << "seed " << seed;
 	}
 
+	/* Jobs that last are cancelled while orders fail; calm follows. */
+	void
+	play_cancellations(uint64_t seed)
+	{
+		begin(seed);
+		m->lasting = 500;
+		for (int round = 0; round < 6; round++) {
+			m->faults = {(uint32_t)m->random(150),
+			    (uint32_t)m->random(60), (uint32_t)m->random(300),
+			    repeat_refused, (uint32_t)m->random(200), 0,
+			    (uint32_t)m->random(300), (uint32_t)m->random(300),
+			    (uint32_t)m->random(300)};
+			play_cancelling((int64_t)(500 + m->random(3000)) * kMs);
+			m->heal({});
+			m->run_for(5 * kS);
+		}
+		m->run_for(15 * kS);
+		expect_no_violation(seed);
+	}
+
+	void
+	play_cancelling(int64_t us)
+	{
+		int64_t end = m->now + us;
+
+		while (m->now < end) {
+			m->add_job();
+			if (m->chance(700))
+				m->cancel_some_job();
+			if (m->chance(150))
+				m->break_something();
+			if (m->chance(100))
+				m->sicken_some_worker(m->now +
+				    (int64_t)(100 + m->random(3000)) * kMs);
+			m->run_for((int64_t)(20 + m->random(400)) * kMs);
+		}
+	}
+
 	/* Tasks whose turn has come and that do not run. */
 	std::set<std::string>
 	idle_tasks()
@@ -967,6 +1005,15 @@
 	}
 }
 
+/* UNASKED: stops get lost, are refused or undone, and starts have no answer. */
+TEST_F(TakeoverSchedule, NoRunOfACancelledJobGoesOnInCalm)
+{
+	auto range = seeds();
+
+	for (uint64_t seed = range.first; seed <= range.second; seed++)
+		play_cancellations(seed);
+}
+
 TEST_F(TakeoverSchedule, WorkerThatStaysUnhealthyHoldsNoTask)
 {
 	auto range = seeds();
