relays: relayed calls are given up though all ticks of the owner are late

What callers might see: while the owner of a large pool is so busy that its ticks come more than 150 ms late, calls through a relay that doesn't answer have no result for as long as the load lasts.

Cause: after a late tick, three ticks pass without giving calls up, since responses may be unread. Each further late tick began these three anew, so with one late tick in three, or all late, no call was ever given up.

Ruled out: that a result is lost otherwise. Each relayed call ends by its response, with its relay, or at its deadline; each direct one at its deadline.

Change: the time after a pause lasts for three ticks, and the fourth gives calls up although it may be late. The decision moves to coordination/, where it is tested.

--- a/coordination/relays.c
+++ b/coordination/relays.c
@@ -7,6 +7,10 @@
 
 /* Short enough for clocks that differ by a few percent. */
 #define RE_DELAY_INTERVAL_US (10 * CLK_US_PER_S)
+/* After a tick this late the process was paused. */
+#define RE_LATE_TICK_US (150 * CLK_US_PER_MS)
+/* Sockets are read between ticks, so all is read after a few. */
+#define RE_GRACE_TICKS 3
 
 struct re_table {
 	struct re_candidate *relay;
@@ -103,3 +107,19 @@
 	return difference_us -
 	    (d->least_us < d->earlier_us ? d->least_us : d->earlier_us);
 }
+
+bool
+re_may_be_unread(struct re_pause *p, int64_t now_us)
+{
+	bool late =
+	    p->last_tick_us != 0 && now_us - p->last_tick_us > RE_LATE_TICK_US;
+
+	p->last_tick_us = now_us;
+	/* A pause within this time doesn't prolong it: all ticks may be late. */
+	if (p->ticks_left == 0 && late)
+		p->ticks_left = RE_GRACE_TICKS + 1;
+	if (p->ticks_left == 0)
+		return false;
+	p->ticks_left--;
+	return p->ticks_left > 0;
+}
--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -19,9 +19,6 @@
 /* How long a relay is not used after it failed. */
 #define RL_AVOID_US (CLK_US_PER_S)
 #define RL_TABLE_REFRESH_US (200 * CLK_US_PER_MS)
-/* After a tick this late the process was paused: responses may be unread. */
-#define RL_LATE_TICK_US (150 * CLK_US_PER_MS)
-#define RL_GRACE_TICKS 3
 
 /* A relay, with the batch of calls that is sent to it next. */
 struct rl_relay {
@@ -60,8 +57,7 @@
 	uint64_t next_id;
 	struct re_table *table;
 	int64_t table_refresh_at_us;
-	int64_t last_tick_us;
-	uint32_t grace_ticks;
+	struct re_pause pause;
 };
 
 struct rl_dispatcher *
@@ -371,26 +367,14 @@
 	}
 }
 
-/* After this process was paused, sockets are read before calls time out. */
-static bool
-rl_responses_may_be_unread(struct rl_dispatcher *d, int64_t now_us)
-{
-	if (d->last_tick_us != 0 && now_us - d->last_tick_us > RL_LATE_TICK_US)
-		d->grace_ticks = RL_GRACE_TICKS;
-	d->last_tick_us = now_us;
-	if (d->grace_ticks == 0)
-		return false;
-	d->grace_ticks--;
-	return true;
-}
-
 void
 rl_tick(struct rl_dispatcher *d, int64_t now_us)
 {
 	struct rl_call *call;
 	struct rl_call *tmp;
 
-	if (rl_responses_may_be_unread(d, now_us))
+	/* After this process was paused, sockets are read before calls time out. */
+	if (re_may_be_unread(&d->pause, now_us))
 		return;
 	HASH_ITER(hh, d->calls, call, tmp) {
 		if (now_us < call->deadline_us)
--- a/include/coordination/relays.h
+++ b/include/coordination/relays.h
@@ -55,6 +55,26 @@
  */
 int64_t re_delay_us(struct re_delay *d, int64_t sent_us, int64_t now_us);
 
+/**
+ * struct re_pause - whether this process was paused just before
+ * @last_tick_us: time of the last tick; 0 before the first
+ * @ticks_left: further ticks of the time after a pause
+ */
+struct re_pause {
+	int64_t last_tick_us;
+	uint32_t ticks_left;
+};
+
+/**
+ * re_may_be_unread() - whether responses may have arrived that are not read yet
+ * @p: what is known of this process
+ * @now_us: time of this tick
+ *
+ * Then calls without a response are not given up. A process all of whose ticks are
+ * late gives them up at every fourth tick.
+ */
+bool re_may_be_unread(struct re_pause *p, int64_t now_us);
+
 /** struct re_table - the chosen relays of all failure domains */
 struct re_table;
 
--- a/tests/unit/test_relays.cc
+++ b/tests/unit/test_relays.cc
@@ -258,3 +258,40 @@
 		    << "second " << s;
 	}
 }
+
+constexpr int64_t kTick = 25 * CLK_US_PER_MS;
+constexpr int64_t kPause = 200 * CLK_US_PER_MS;
+
+TEST(RelayPauses, ResponsesAreReadBeforeCallsAreGivenUpAfterAPause)
+{
+	struct re_pause p = {};
+	int64_t now = CLK_US_PER_S;
+
+	EXPECT_FALSE(re_may_be_unread(&p, now));
+	EXPECT_FALSE(re_may_be_unread(&p, now += kTick));
+	EXPECT_TRUE(re_may_be_unread(&p, now += kPause));
+	EXPECT_TRUE(re_may_be_unread(&p, now += kTick));
+	EXPECT_TRUE(re_may_be_unread(&p, now += kTick));
+	EXPECT_FALSE(re_may_be_unread(&p, now += kTick));
+}
+
+/* Each renewal and start in flight would stay so for as long as the load lasts. */
+TEST(RelayPauses, CallsAreGivenUpThoughAllTicksAreLate)
+{
+	struct re_pause p = {};
+	int64_t now = CLK_US_PER_S;
+	int64_t given_up = now;
+
+	for (int i = 0; i < 40; i++) {
+		now += i % 3 == 0 ? kPause : kTick;
+		if (!re_may_be_unread(&p, now))
+			given_up = now;
+		EXPECT_LT(now - given_up, CLK_US_PER_S);
+	}
+	for (int i = 0; i < 40; i++) {
+		now += kPause;
+		if (!re_may_be_unread(&p, now))
+			given_up = now;
+		EXPECT_LT(now - given_up, CLK_US_PER_S);
+	}
+}
