pool_sharing: a pace is sent again until the worker has accepted it

What users may see: HARM; a task stays over its latency target because an opportunistic task beside it was told to slow down and the order was lost. Or an opportunistic task works at a few percent, or not at all, for good: the order that lets it speed up was lost, or an earlier owner had slowed it down.

Cause: the pace counted as changed when the order was queued, so the same pace was never sent again; the lowest (0) and the full one aren't followed by another. A new owner took the runs that it took over to work at full pace.

Ruled out: that the lists show it. They have progress and load, but no pace.

Change: a pace counts as known at the start of a run and once the worker has accepted the order.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -83,6 +83,7 @@
  * @straggler_moves: how often it was moved because it made no progress or was
  *	slow
  * @pace: share of its full speed at which it may work, in percent
+ * @pace_confirmed: the worker has accepted that, or it is that of the start
  * @avoided: ring of workers on which it failed, avoided until @avoid_until_us
  * @avoided_count: workers added to @avoided so far
  * @held_in_pass: the last pass of wp_reconcile_tick() in which a closed worker
@@ -128,6 +129,7 @@
 	int64_t progressed_us;
 	uint32_t straggler_moves;
 	uint32_t pace;
+	bool pace_confirmed;
 	struct wp_worker *avoided[WP_MAX_AVOIDED];
 	uint32_t avoided_count;
 	int64_t avoid_until_us;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -548,6 +548,8 @@
  */
 void wp_throttle_opportunistic(
     struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+/** wp_pace_accepted() - a worker has accepted the pace of a task's newest run */
+void wp_pace_accepted(struct wp_task *t, const struct wp_order *o);
 
 /**
  * wp_note_over_limit() - count and report a worker that lists too much
--- a/state/pool_sharing.c
+++ b/state/pool_sharing.c
@@ -62,9 +62,10 @@
 		    t->state != WP_TASK_RUNNING)
 			continue;
 		pace = wp_next_pace(t->pace, worst_percent);
-		if (pace == t->pace)
+		if (pace == t->pace && t->pace_confirmed)
 			continue;
 		t->pace = pace;
+		t->pace_confirmed = false;
 		wp_task_ref(t, &ref);
 		o = wp_queue_order(p, WP_ORDER_PACE, w, &ref, t->run);
 		o->percent = pace;
@@ -73,3 +74,10 @@
 	if (changed)
 		w->next_pace_us = now_us + WP_PACE_INTERVAL_US;
 }
+
+void
+wp_pace_accepted(struct wp_task *t, const struct wp_order *o)
+{
+	if (o->percent == t->pace)
+		t->pace_confirmed = true;
+}
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -238,6 +238,7 @@
 	t->percent = 0;
 	t->load = 0;
 	t->pace = WP_FULL_PACE;
+	t->pace_confirmed = true;
 	t->confirmed_clock_ms = 0;
 	t->deadline_clock_ms = 0;
 	wp_task_send_start(p, t, ticket, now_us);
@@ -267,6 +268,7 @@
 	t->started_us = now_us;
 	t->progressed_us = now_us;
 	t->pace = WP_FULL_PACE;
+	t->pace_confirmed = false;
 	t->confirmed_clock_ms = w->lists_clock_ms;
 	t->deadline_clock_ms = 0;
 	wp_step_update_lists(t->step->occ->job->pool, t->step);
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -970,6 +970,8 @@
 		return;
 	if (o->kind == WP_ORDER_START)
 		t->order_in_flight = false;
+	if (o->kind == WP_ORDER_PACE && result == WP_ACCEPTED)
+		wp_pace_accepted(t, o);
 	if (o->kind == WP_ORDER_START && t->state == WP_TASK_STARTING)
 		wp_on_start_result(p, t, w, result, clock_ms, now_us);
 	if (o->kind == WP_ORDER_STOP &&
--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -1151,6 +1151,46 @@
 	EXPECT_GT(orders[0]->percent, low);
 }
 
+/* HARM: a filler goes on at full pace, as the order that slows it was lost. */
+TEST_F(Pool, PaceIsRepeatedUntilTheWorkerAcceptsIt)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{1, 1000, JB_LONG_RUNNING, {}, 0, 100}});
+	add(kOther, {{1, 1000, JB_OPPORTUNISTIC}});
+	ASSERT_EQ(run_all().size(), 2U);
+	uint32_t percent = 100;
+	for (int i = 0; i < 6; i++) {
+		now += 400 * kMs;
+		renew_lease("w", {{kJob, 0, 0, 1, 200}, {kOther, 0, 0, 1, 10}});
+		std::vector<struct wp_order *> orders = tick();
+		ASSERT_EQ(orders.size(), 1U) << i;
+		percent = orders[0]->percent;
+		answer(orders[0], i < 5 ? WP_NO_ANSWER : WP_ACCEPTED);
+	}
+	EXPECT_EQ(percent, 0U);
+	now += 400 * kMs;
+	renew_lease("w", {{kJob, 0, 0, 1, 200}, {kOther, 0, 0, 1, 10}});
+	EXPECT_TRUE(tick().empty());
+}
+
+/* An earlier owner may have slowed it down. */
+TEST_F(Pool, NewOwnerTellsTheFillersThatItTakesOverTheirPace)
+{
+	create_pool(1, kStart + 14 * kS);
+	add(kOther, {{1, 1000, JB_OPPORTUNISTIC}}, nullptr, false);
+	list_worker("w");
+	renew_lease("w", {{kOther, 0, 0, 1, 0}});
+	std::vector<struct wp_order *> orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_EQ(orders[0]->kind, WP_ORDER_PACE);
+	EXPECT_EQ(orders[0]->percent, 100U);
+	answer(orders[0]);
+	now += 400 * kMs;
+	renew_lease("w", {{kOther, 0, 0, 1, 0}});
+	EXPECT_TRUE(tick().empty());
+}
+
 TEST_F(Pool, CancelledJobEndsOnceItsTasksAreStopped)
 {
 	create_pool();
