tests: calm after cancellations is played with witnesses, replaced and resized workers

TakeoverSchedule.NoRunOfACancelledJobGoesOnInCalm plays every other seed with workers that are replaced, every third with witnesses, every fifth with workers that change their size.

--- a/tests/unit/test_takeover.cc
+++ b/tests/unit/test_takeover.cc
@@ -746,7 +746,10 @@
 	void
 	play_cancellations(uint64_t seed)
 	{
-		begin(seed);
+		replacements = seed % 2 == 0;
+		begin(seed, 8, seed % 5 == 0);
+		if (seed % 3 == 0)
+			m->use_witnesses(seed);
 		m->lasting = 500;
 		for (int round = 0; round < 6; round++) {
 			m->faults = {(uint32_t)m->random(150),
@@ -776,6 +779,8 @@
 			if (m->chance(100))
 				m->sicken_some_worker(m->now +
 				    (int64_t)(100 + m->random(3000)) * kMs);
+			if (!m->witnesses.empty() && m->chance(150))
+				m->break_witnesses();
 			m->run_for((int64_t)(20 + m->random(400)) * kMs);
 		}
 	}
