shard: a stop is sent again when an inventory lists its task

What users of shards might see: a task of a cancelled job, or one that has to move, goes on for good although its worker has answered the message with the stop.

Cause: a stop counted as sent once (stop_sent); only a message that failed cleared the mark. The worker's inventory, which lists what runs there, didn't.

Change: an inventory that lists the task has the stop sent again. A stop is idempotent, so one that is still under way does no harm.

ShardTest.StopIsSentAgainWhenAnInventoryListsTheTask failed before. test_shard and test_shard_schedule pass.

--- a/include/state/shard_types.h
+++ b/include/state/shard_types.h
@@ -51,7 +51,8 @@
  * @backfill: runs on capacity that is reserved for a gang
  * @first_seq: number of the first message with this start; 0 when none was
  *	sent, UINT64_MAX when the task was found running
- * @stop_sent: a message with the stop was sent and has not failed
+ * @stop_sent: a message with the stop was sent and has not failed, and no inventory
+ *	has listed the task since
  * @failures: attempts that ended as failed
  * @started_us: when it was assigned to its worker
  * @logged_worker: id of the worker in the replayed start record, or NULL
--- a/state/shard_reply.c
+++ b/state/shard_reply.c
@@ -17,6 +17,8 @@
 	if (sh_task_matches(task, ref, w)) {
 		if (task->state == SH_STARTING)
 			sh_task_set_state(task, SH_RUNNING);
+		/* A stop that has had no effect is sent again. */
+		task->stop_sent = false;
 		return;
 	}
 	if (task != NULL && task->state == SH_UNRECONCILED &&
--- a/tests/unit/test_shard.cc
+++ b/tests/unit/test_shard.cc
@@ -615,6 +615,39 @@
 	}
 }
 
+TEST_F(ShardTest, StopIsSentAgainWhenAnInventoryListsTheTask)
+{
+	make(1, {4000, 16 * kGb, 0});
+	struct sh_job *job =
+	    submit(ST_SERVICE, ST_NORMAL, 1, {1000, kGb, 0}, 0);
+	struct sh_sync sync;
+
+	tick();
+	commit();
+	exchange_all();
+	struct sh_ref run = {job->spec->id, 0, job->task[0].attempt};
+	sh_cancel(sh, job);
+	tick();
+	for (int i = 0; i < 3; i++) {
+		struct sh_sync_reply r = {};
+
+		sh_sync_build(sh, 0, now_us, &sync);
+		EXPECT_EQ(sync.stop_count, 1U) << i;
+		r.clock_us = now_us;
+		r.lease_generation = 1;
+		EXPECT_TRUE(sh_sync_reply(sh, 0, &r, now_us));
+		tick(CLK_US_PER_S);
+		sh_sync_build(sh, 0, now_us, &sync);
+		EXPECT_EQ(sync.stop_count, 0U) << i;
+		r.clock_us = now_us;
+		r.has_inventory = true;
+		r.running = &run;
+		r.running_count = 1;
+		EXPECT_TRUE(sh_sync_reply(sh, 0, &r, now_us));
+		EXPECT_TRUE(sh_sync_due(sh, 0, now_us)) << i;
+	}
+}
+
 TEST_F(ShardTest, UsageRaisesAReservationAndNeverLowersIt)
 {
 	make(1, {8000, 16 * kGb, 0});
