--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -472,6 +472,7 @@
 	t->in_doubt = false;
 	if (t->state == WP_TASK_RUNNING && !t->order_in_flight)
 		t->resend_at_us = 0;
+	wp_stop_listed(w, t, now_us);
 	wp_crash_lived(t);
 	wp_task_set_checkpoint(t, report->checkpoint);
 	if (report->percent != t->percent)
@@ -928,6 +929,8 @@
 		return;
 	if (o->kind == WP_ORDER_START)
 		t->order_in_flight = false;
+	if (o->kind == WP_ORDER_PACE && result == WP_ACCEPTED)
+		wp_pace_accepted(t, o);
 	if (o->kind == WP_ORDER_START && t->state == WP_TASK_STARTING)
 		wp_on_start_result(p, t, w, result, clock_ms, now_us);
 	if (o->kind == WP_ORDER_STOP &&
@@ -1019,13 +1022,14 @@
 static void
 wp_resend(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
-	if (t->resend_at_us == 0 || now_us < t->resend_at_us ||
-	    (t->order_in_flight && t->state != WP_TASK_DONE))
+	if (t->resend_at_us == 0 || now_us < t->resend_at_us)
 		return;
 	if (t->state == WP_TASK_STOPPING || t->state == WP_TASK_DONE) {
 		wp_task_send_stop(p, t, now_us);
 		return;
 	}
+	if (t->order_in_flight)
+		return;
 	t->resend_at_us = 0;
 	if (t->state != WP_TASK_STARTING)
 		return;
