pool_stop: a stop that had no answer goes directly the next time

What callers saw: UNASKED on a cell with narrow links: the owner knew of a cancellation 2 ms after its acknowledgement and sent 12 and 14 stops, one each 0.4 s, for 4.7 and 5.4 s, while the run went on.

Cause: in a large pool, each copy of a stop went through a relay of the worker's failure domain. The links of all relays there were full, so that none got a connection to the worker; the owner never called it itself.

Change: after a stop without an answer, the next one for that worker bypasses relays, and the one after that uses them again.

Ruled out: the owner's knowledge and the mark of an order in flight (each stop is in the log).

StopThatARelayDoesNotDeliverGoesDirectlyTheNextTime failed with the choice taken out.

--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -505,6 +505,7 @@
  * @new_to_owner: first heard of, or restarted, while ownership is unconfirmed
  * @last_renewal_us: when a new lease end was last sent to it; 0 before
  * @unanswered_orders: orders in a row without an answer
+ * @unanswered_stops: stops in a row without an answer
  * @failures: failed runs in a row, of different jobs
  * @last_failed_job: job of the last of these
  * @quarantined_until_us: it is not usable before
@@ -599,6 +600,7 @@
 	bool new_to_owner;
 	int64_t last_renewal_us;
 	uint32_t unanswered_orders;
+	uint32_t unanswered_stops;
 	uint32_t failures;
 	char last_failed_job[JB_ID_BYTES];
 	int64_t quarantined_until_us;
@@ -645,6 +647,7 @@
  * @percent: for a pace, share of full speed
  * @sent: for a start, its place in the window of starts
  * @sends: for a start, how often it was sent for this run, with this one
+ * @direct: not by a relay, as an order sent by one had no answer
  */
 struct wp_order {
 	enum wp_order_kind kind;
@@ -661,6 +664,7 @@
 	uint32_t percent;
 	struct sw_sent sent;
 	uint32_t sends;
+	bool direct;
 	struct wp_order *prev;
 	struct wp_order *next;
 };
--- a/state/pool_stop.c
+++ b/state/pool_stop.c
@@ -9,6 +9,22 @@
 /* A run that was told to stop has ended after this time. */
 #define WP_MAX_STOP_MS 500
 
+/* The link of a relay may be full when the owner's isn't, or the reverse. */
+bool
+wp_stop_goes_directly(const struct wp_worker *w)
+{
+	return w->unanswered_stops % 2 != 0;
+}
+
+void
+wp_count_stop_result(struct wp_worker *w, enum wp_order_result result)
+{
+	if (result == WP_NO_ANSWER || result == WP_NOT_SENT)
+		w->unanswered_stops++;
+	else
+		w->unanswered_stops = 0;
+}
+
 void
 wp_stop_listed(const struct wp_worker *w, struct wp_task *t, int64_t now_us)
 {
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -139,6 +139,7 @@
 	o->fence = w->fence;
 	o->ref = *ref;
 	o->run = run;
+	o->direct = kind == WP_ORDER_STOP && wp_stop_goes_directly(w);
 	DL_APPEND(p->orders, o);
 	return o;
 }
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -913,6 +913,8 @@
 		wp_count_start_result(p, o, result, now_us);
 	if (w != NULL && result != WP_NO_ANSWER && result != WP_NOT_SENT)
 		w->unanswered_orders = 0;
+	if (w != NULL && o->kind == WP_ORDER_STOP)
+		wp_count_stop_result(w, result);
 	if (result == WP_REFUSED_STALE_TOKEN)
 		p->superseded = true;
 	if (w != NULL && wp_shows_restart(w, o, clock_ms, now_us)) {
--- a/tests/unit/test_stops.cc
+++ b/tests/unit/test_stops.cc
@@ -95,4 +95,22 @@
 	EXPECT_EQ(stops(0), 1U);
 }
 
+/* UNASKED: each went through relays whose links were full. */
+TEST_F(Stops, StopThatARelayDoesNotDeliverGoesDirectlyTheNextTime)
+{
+	struct wp_order *stop = begin(WP_ACCEPTED);
+
+	for (bool direct : {false, true, false, true}) {
+		EXPECT_EQ(stop->direct, direct);
+		answer(stop, direct ? WP_NO_ANSWER : WP_NOT_SENT);
+		now += 100 * kMs;
+		list_run("w", 1);
+		std::vector<struct wp_order *> orders = tick(400 * kMs);
+		ASSERT_EQ(orders.size(), 1U);
+		stop = orders[0];
+	}
+	answer(stop);
+	EXPECT_FALSE(wp_stop_goes_directly(wp_find_worker(p, "w")));
+}
+
 } // namespace
