http_client: a busy process gives calls up that have no response

What callers might see: while a daemon is busy, orders and renewals without a response have no result for seconds, so nothing follows from that: starts stay in flight, workers aren't found to be unreachable.

Cause: a deadline timer that is more than 10 ms late is deferred up to eight times by 0.5 ms, as responses may be waiting in the sockets; each socket event began these eight anew. With several busy connections the sockets are never quiet for 4 ms, so no call was given up. Found by reading, when looking for results that get lost; not traced to a play.

Ruled out: giving calls up at once. Responses that arrived in time would be lost.

Change: the timer is deferred for 0.1 s at most; then all sockets that have something to read are read before calls end.

--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -509,6 +509,71 @@
 	talloc_free(l);
 }
 
+/* Calls that keep a process busy: each response takes long and asks for another. */
+struct BusyCall {
+	struct http_client *hc;
+	std::string url;
+	bool ends;
+
+	void
+	send()
+	{
+		struct hc_request req = {};
+
+		req.method = "GET";
+		req.url = url.c_str();
+		req.deadline_us = clk_now_us() + 3 * CLK_US_PER_S;
+		hc_send(hc, &req, on_response, this);
+	}
+
+	static void
+	on_response(const struct hc_response *, void *arg)
+	{
+		BusyCall *call = (BusyCall *)arg;
+
+		usleep(20000);
+		if (!call->ends)
+			call->send();
+	}
+};
+
+TEST(HttpClient, CallsWithoutAResponseEndInABusyProcess)
+{
+	ScriptedServer silent(std::vector<Reply>(5, Reply::Silence));
+	ScriptedServer servers[6] = {ScriptedServer({}), ScriptedServer({}),
+	    ScriptedServer({}), ScriptedServer({}), ScriptedServer({}),
+	    ScriptedServer({})};
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+	std::vector<BusyCall> busy;
+	auto stall = [](void *) { usleep(30000); };
+
+	for (const ScriptedServer &server : servers)
+		busy.push_back({hc, server.url, false});
+	for (BusyCall &b : busy)
+		b.send();
+	for (int i = 0; i < 5; i++) {
+		struct hc_request req = {};
+		Call call = {HC_OK, false};
+
+		req.method = "GET";
+		req.url = silent.url.c_str();
+		req.deadline_us = clk_now_us() + 100 * CLK_US_PER_MS;
+		hc_send(hc, &req, on_done, &call);
+		loop_after(l, 95 * CLK_US_PER_MS, stall, nullptr);
+		while (!call.done)
+			tevent_loop_once(loop_ev(l));
+		/* An order is repeated after 0.4 s. */
+		EXPECT_LT(clk_now_us() - req.deadline_us, 400 * CLK_US_PER_MS);
+	}
+	for (BusyCall &b : busy)
+		b.ends = true;
+	for (int64_t end = clk_now_us() + 200 * CLK_US_PER_MS;
+	     clk_now_us() < end;)
+		tevent_loop_once(loop_ev(l));
+	talloc_free(l);
+}
+
 /* What an overdue response tells must not be lost: it may list run ends. */
 TEST(HttpClient, OverdueResponseIsReportedAndStillDelivered)
 {
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -1,4 +1,5 @@
 #include <curl/curl.h>
+#include <poll.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,6 +16,7 @@
 #define HC_STALL_US (10 * CLK_US_PER_MS)
 #define HC_DEFER_US 500
 #define HC_MAX_DEFERRALS 8
+#define HC_MAX_DEFER_US (100 * CLK_US_PER_MS)
 #define HC_MAX_IDLE_HANDLES 1024
 /* With its default limit, curl closes connections of a large fleet constantly. */
 #define HC_MAX_CACHED_CONNECTIONS 3000L
@@ -24,9 +26,12 @@
 	CURLM *multi;
 	struct loop_timer *timer;
 	struct hc_transfer *transfers;
+	struct hc_socket *sockets;
 	struct loop_timer *deadline_timer;
 	int64_t deadline_at_us;
 	uint32_t deferrals;
+	/* 0 unless the deadline timer is deferred. */
+	int64_t defer_until_us;
 	CURL *idle[HC_MAX_IDLE_HANDLES];
 	uint32_t idle_count;
 };
@@ -35,6 +40,8 @@
 	struct http_client *hc;
 	struct tevent_fd *fde;
 	curl_socket_t fd;
+	struct hc_socket *prev;
+	struct hc_socket *next;
 };
 
 struct hc_transfer {
@@ -185,15 +192,49 @@
 /*
  * The loop runs timers before it reads sockets. After a stall, responses may
  * already be waiting in the sockets, so the deadline is deferred a few times to
- * let the loop read them first.
+ * let the loop read them first. In a busy process each time may be late, so that
+ * ends after a while.
  */
 static bool
-hc_defer_deadline(struct http_client *hc)
+hc_defer_deadline(struct http_client *hc, int64_t now_us)
 {
-	return clk_now_us() - hc->deadline_at_us > HC_STALL_US &&
+	if (now_us - hc->deadline_at_us <= HC_STALL_US)
+		return false;
+	if (hc->defer_until_us == 0)
+		hc->defer_until_us = now_us + HC_MAX_DEFER_US;
+	return now_us < hc->defer_until_us &&
 	    hc->deferrals++ < HC_MAX_DEFERRALS;
 }
 
+/* So that no call ends whose response has arrived. */
+static void
+hc_read_sockets(struct http_client *hc)
+{
+	const struct hc_socket *sock;
+	struct pollfd *pfd;
+	nfds_t count = 0;
+	nfds_t i;
+	int running;
+
+	DL_FOREACH(hc->sockets, sock)
+		count++;
+	pfd = talloc_zero_array(hc, struct pollfd, count + 1);
+	if (pfd == NULL)
+		abort();
+	count = 0;
+	DL_FOREACH(hc->sockets, sock)
+		pfd[count++] = (struct pollfd){sock->fd, POLLIN, 0};
+	if (poll(pfd, count, 0) <= 0)
+		count = 0;
+	for (i = 0; i < count; i++) {
+		if (pfd[i].revents != 0)
+			curl_multi_socket_action(
+			    hc->multi, pfd[i].fd, CURL_CSELECT_IN, &running);
+	}
+	talloc_free(pfd);
+	hc_finish_completed(hc);
+}
+
 /* When the timer has to run next for a transfer. */
 static int64_t
 hc_next_us(const struct hc_transfer *t)
@@ -226,12 +267,15 @@
 	struct hc_transfer *tmp;
 
 	hc->deadline_timer = NULL;
-	if (hc_defer_deadline(hc)) {
+	if (hc_defer_deadline(hc, now_us)) {
 		hc->deadline_timer = loop_at(
 		    hc, hc->loop, now_us + HC_DEFER_US, hc_on_deadline, hc);
 		return;
 	}
+	if (hc->defer_until_us != 0)
+		hc_read_sockets(hc);
 	hc->deferrals = 0;
+	hc->defer_until_us = 0;
 	DL_FOREACH_SAFE(hc->transfers, t, tmp)
 		hc_check_deadline(hc, t, now_us);
 	DL_FOREACH(hc->transfers, t) {
@@ -280,6 +324,8 @@
 	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		curl_multi_assign(hc->multi, fd, NULL);
+		if (sock != NULL)
+			DL_DELETE(hc->sockets, sock);
 		talloc_free(sock);
 		return 0;
 	}
@@ -298,6 +344,7 @@
 	sock->fd = fd;
 	sock->fde = tevent_add_fd(
 	    loop_ev(hc->loop), sock, fd, flags, hc_on_socket, sock);
+	DL_APPEND(hc->sockets, sock);
 	curl_multi_assign(hc->multi, fd, sock);
 	return 0;
 }
