tests: a stop without an effect still rules later starts out in the models

In the new schedules of cancelled jobs, stops were accepted without any effect. Now only the run that is there goes on.

--- a/tests/unit/takeover_starts.cc
+++ b/tests/unit/takeover_starts.cc
@@ -104,9 +104,9 @@
 		return do_start(w, order);
 	if (o.kind != WP_ORDER_STOP)
 		return WP_ACCEPTED;
+	w.barred[task] = std::max(w.barred[task], o.run);
 	if (faults.stop_undone > 0 && chance(faults.stop_undone))
 		return WP_ACCEPTED;
-	w.barred[task] = std::max(w.barred[task], o.run);
 	auto present = w.running.find({task, o.run});
 	if (present != w.running.end() && !present->second.stopping) {
 		present->second.stopping = true;
