tests: cancelled jobs run nothing in the simulated cell

A run that goes on after its job's cancellation was acknowledged (UNASKED) was looked for by no model: the simulated cell checked starts after it only. Now each tick of the cell looks at all runs of such jobs. None may go on later than cancel_ms and stop_ms (3,000 and 200 ms, the tightest bounds) after the last of: the acknowledgement (200 or 410), contact_ms (3 s) after the last disruption of anything in the cell, and, for a run that was started late, contact_ms after its start. All schedules with the simulated cell have the check.

New in the cell: watches that hang while other calls are answered, paths that are cut in one direction, calls to workers and answers of workers that are lost, VMs of different sizes, and relays above two workers.

--- a/tests/unit/sim_callers.cc
+++ b/tests/unit/sim_callers.cc
@@ -131,7 +131,12 @@
 	r->path = path;
 	r->body = body;
 	r->wait_ms = std::to_string(wait_us / kSimMs);
-	r->reply = std::move(reply);
+	r->reply = [this, method, path, reply = std::move(reply)](
+		       int status, const std::string &text) {
+		if (method == "DELETE")
+			cancelled.on_answer(path, status);
+		reply(status, text);
+	};
 	r->r.method = r->method.c_str();
 	r->r.path = r->path.c_str();
 	r->r.body = r->body.c_str();
--- a/tests/unit/sim_calls.cc
+++ b/tests/unit/sim_calls.cc
@@ -191,7 +191,8 @@
 	SimCall c = {nullptr, false, 0, done, arg};
 
 	if (is_cut_from_store(*d) ||
-	    w->store_has(d->index, StoreTrouble::kBusy)) {
+	    w->store_has(d->index, StoreTrouble::kBusy) ||
+	    w->store_has(d->index, StoreTrouble::kHung)) {
 		answer_call(life, c, without_answer(KS_UNKNOWN),
 		    std::max<int64_t>(deadline_us + kWatchSlack - w->now, 0));
 		return;
--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "life_clocks.h"
+#include "sim_cancelled.h"
 
 extern "C" {
 #include "common/clock.h"
@@ -37,6 +38,7 @@
 	kLost,	 /* writes are done, and not answered */
 	kLate,	 /* writes are done seconds later, and not answered */
 	kSlow,	 /* each call takes long */
+	kHung,	 /* open watches are not answered, other calls are */
 };
 
 struct SimItem {
@@ -110,6 +112,7 @@
 	int64_t ends_us = 0;
 	int64_t stops_us = 0;
 	uint32_t cpu = 0;
+	bool late = false; /* by a call that was carried out late */
 };
 
 struct SimEnd {
@@ -155,6 +158,7 @@
 	size_t index = 0;
 	std::string vm;
 	std::string domain;
+	uint32_t cpu_mcpu = 1000;
 	uint64_t life = 0;
 	bool up = false;
 	bool powered = true;
@@ -182,13 +186,28 @@
 	    uint32_t run, enum wp_run_outcome outcome) = 0;
 	virtual void on_noted(const std::string &task, uint32_t run,
 	    enum wp_run_outcome outcome) = 0;
+	/* A run of a cancelled job that goes on; a failure by itself. */
+	virtual void on_unasked(const std::string &text);
+};
+
+/* What differs from the usual cell. */
+struct SimOptions {
+	std::vector<uint32_t> cpu_mcpu; /* by daemon */
+	uint32_t relay_above_workers = 1000;
+};
+
+/* Shares of the calls to workers that meet this, until a time. */
+struct SimCallTrouble {
+	uint32_t lost_per_mille = 0;	   /* not carried out */
+	uint32_t unanswered_per_mille = 0; /* carried out */
+	int64_t until_us = 0;
 };
 
 class SimWorld
 {
       public:
 	SimWorld(uint64_t seed, size_t daemon_count, size_t worker_count,
-	    SimObserver *observer);
+	    SimObserver *observer, const SimOptions &options = {});
 	~SimWorld();
 
 	/* Of the time of day of all daemons. */
@@ -215,6 +234,12 @@
 	/* Another one begins on its VM, last in @workers. */
 	void begin_on_vm_of(size_t worker);
 	void cut_domain(const std::string &domain, int64_t us);
+	/* What one sends to the other is lost. */
+	void cut_path(
+	    const std::string &from, const std::string &to, int64_t us);
+	void call_trouble(const SimCallTrouble &trouble);
+	bool loses_call();
+	bool loses_answer();
 	void store_trouble(StoreTrouble kind, int64_t us);
 	void store_trouble_of(size_t daemon, StoreTrouble kind, int64_t us);
 	void compact();
@@ -231,6 +256,8 @@
 	SimDaemon *daemon_of(uint64_t life);
 
 	int64_t now = 1000 * kSimS;
+	SimOptions options;
+	SimCancelled cancelled;
 	uint64_t booting = 0;
 	SimStore store;
 	std::vector<std::unique_ptr<SimDaemon>> daemons;
@@ -269,6 +296,8 @@
 	uint64_t next_life = 1;
 	std::map<StoreTrouble, int64_t> troubles;
 	std::map<std::string, int64_t> cut_domains;
+	std::map<std::pair<std::string, std::string>, int64_t> cut_paths;
+	SimCallTrouble calls;
 	int64_t store_trouble_us = 0;
 };
 
--- a/tests/unit/sim_workers.cc
+++ b/tests/unit/sim_workers.cc
@@ -86,6 +86,7 @@
 			store.remove("w/" + w->id);
 		}
 	}
+	cancelled.check();
 	after(kTick, [this] { tick(); });
 }
 
@@ -94,6 +95,7 @@
 {
 	SimWorker &w = *workers[index];
 
+	cancelled.on_disruption(0);
 	w.alive = false;
 	w.life++;
 	w.running.clear();
@@ -144,6 +146,7 @@
 
 	if (w.alive)
 		return;
+	cancelled.on_disruption(0);
 	w.alive = true;
 	w.clock_began_ms =
 	    clocks.next_ms(sim_clock_ms(w.born_us, w.clock_began_ms));
@@ -221,7 +224,7 @@
 
 static enum wp_order_result
 start_run(SimDaemon &d, SimWorker &w, const struct jb_ref &ref, uint32_t run,
-    int64_t deadline_clock_ms, int64_t work_us, uint64_t token)
+    int64_t deadline_clock_ms, int64_t work_us, uint64_t token, bool late)
 {
 	std::string task = sim_task_name(ref);
 
@@ -239,7 +242,7 @@
 	if (work_us == 0)
 		work_us = kNoEnd;
 	w.running[task] = {
-	    run, sim_world->now, sim_world->now + work_us, 0, 1000};
+	    run, sim_world->now, sim_world->now + work_us, 0, 1000, late};
 	w.refs[task] = ref;
 	sim_world->seen->on_start(d, w, task, run);
 	return WP_ACCEPTED;
@@ -293,17 +296,22 @@
 		return;
 	}
 	/* Any life under the worker's id carries it out. */
-	auto carry_out = [=] {
+	auto carry_out = [=](bool late) {
 		return kind == WP_ORDER_START
-		    ? start_run(*d, *w, ref, run, deadline_ms, work_us, token)
+		    ? start_run(
+			  *d, *w, ref, run, deadline_ms, work_us, token, late)
 		    : stop_run(*w, ref, run, token);
 	};
 	auto arrive_late = [=] {
 		sim_world->arrive(*w, sent_us, [=] {
 			if (sim_world->reaches(d->domain, w->domain))
-				carry_out();
+				carry_out(true);
 		});
 	};
+	if (sim_world->loses_call()) {
+		no_answer();
+		return;
+	}
 	if (late_us > 0) {
 		no_answer();
 		sim_world->after(late_us, arrive_late);
@@ -315,8 +323,9 @@
 			arrive_late();
 			return;
 		}
-		enum wp_order_result result = carry_out();
-		if (!sim_world->reaches(d->domain, w->domain)) {
+		enum wp_order_result result = carry_out(false);
+		if (!sim_world->reaches(w->domain, d->domain) ||
+		    sim_world->loses_answer()) {
 			no_answer();
 			return;
 		}
@@ -403,7 +412,8 @@
 		done(WP_NO_ANSWER, nullptr, arg);
 	});
 	auto reply = [=](enum wp_order_result result) {
-		if (!sim_world->reaches(d->domain, w->domain))
+		if (!sim_world->reaches(w->domain, d->domain) ||
+		    sim_world->loses_answer())
 			return;
 		auto lists = make_lists(*w);
 
@@ -416,7 +426,8 @@
 			    arg);
 		});
 	};
-	if (w == nullptr || !sim_world->reaches(d->domain, w->domain))
+	if (w == nullptr || !sim_world->reaches(d->domain, w->domain) ||
+	    sim_world->loses_call())
 		return;
 	/* Whether it has; to any life under the worker's id. */
 	auto carry_out = [=] {
--- a/tests/unit/sim_world.cc
+++ b/tests/unit/sim_world.cc
@@ -11,9 +11,9 @@
 SimWorld *sim_world;
 
 SimWorld::SimWorld(uint64_t seed, size_t daemon_count, size_t worker_count,
-    SimObserver *observer)
-    : store(this), seen(observer), rng(seed), clocks(seed),
-      late_rng(seed ^ 0x6c617465ULL)
+    SimObserver *observer, const SimOptions &options)
+    : options(options), cancelled(this), store(this), seen(observer), rng(seed),
+      clocks(seed), late_rng(seed ^ 0x6c617465ULL)
 {
 	static const char *const domains[] = {"a", "b", "c"};
 
@@ -25,6 +25,8 @@
 		d->index = i;
 		d->vm = "vm-" + std::to_string(i);
 		d->domain = domains[i % 3];
+		if (i < options.cpu_mcpu.size())
+			d->cpu_mcpu = options.cpu_mcpu[i];
 		daemons.push_back(std::move(d));
 	}
 	for (size_t i = 0; i < worker_count; i++) {
@@ -113,10 +115,11 @@
 	d.life = next_life++;
 	d.frozen_until_us = 0;
 	d.trouble_us = std::max(d.trouble_us, now);
+	cancelled.on_disruption(0);
 	d.settings = {};
 	d.settings.vm = const_cast<char *>(d.vm.c_str());
 	d.settings.domain = const_cast<char *>(d.domain.c_str());
-	d.settings.cpu_mcpu = 1000;
+	d.settings.cpu_mcpu = d.cpu_mcpu;
 	d.settings.link_kbps = 1000000;
 	d.settings.callers_address = const_cast<char *>("callers");
 	d.settings.ready_address = const_cast<char *>("ready");
@@ -127,7 +130,7 @@
 	d.settings.report_interval_us = kHeartbeat;
 	d.settings.report_delay_us = kContact;
 	d.settings.keep_ended_us = 120 * kSimS;
-	d.settings.relay_above_workers = 1000;
+	d.settings.relay_above_workers = options.relay_above_workers;
 	d.settings.small_cell_daemons = 16;
 	d.settings.max_connections = 100;
 	booting = d.life;
@@ -147,6 +150,7 @@
 SimWorld::mark_store_trouble(int64_t us)
 {
 	store_trouble_us = std::max(store_trouble_us, now + us);
+	cancelled.on_disruption(us);
 }
 
 void
@@ -180,23 +184,55 @@
 
 	d.frozen_until_us = std::max(d.frozen_until_us, now + us);
 	d.trouble_us = std::max(d.trouble_us, d.frozen_until_us);
+	cancelled.on_disruption(us);
 }
 
 void
 SimWorld::cut_domain(const std::string &domain, int64_t us)
 {
 	cut_domains[domain] = now + us;
+	cancelled.on_disruption(us);
 	for (auto &d : daemons) {
 		if (d->domain == domain)
 			d->trouble_us = std::max(d->trouble_us, now + us);
 	}
 }
 
+void
+SimWorld::cut_path(const std::string &from, const std::string &to, int64_t us)
+{
+	cut_paths[{from, to}] = now + us;
+	cancelled.on_disruption(us);
+}
+
+void
+SimWorld::call_trouble(const SimCallTrouble &trouble)
+{
+	calls = trouble;
+	cancelled.on_disruption(trouble.until_us - now);
+}
+
+bool
+SimWorld::loses_call()
+{
+	return now < calls.until_us && late_rng() % 1000 < calls.lost_per_mille;
+}
+
+bool
+SimWorld::loses_answer()
+{
+	return now < calls.until_us &&
+	    late_rng() % 1000 < calls.unanswered_per_mille;
+}
+
 void
 SimWorld::heal()
 {
 	troubles.clear();
 	cut_domains.clear();
+	cut_paths.clear();
+	calls = {};
+	cancelled.on_disruption(0);
 	store.leases_paused = false;
 	for (auto &d : daemons) {
 		d->store.clear();
@@ -218,6 +254,10 @@
 bool
 SimWorld::reaches(const std::string &from, const std::string &to) const
 {
+	auto cut = cut_paths.find({from, to});
+
+	if (cut != cut_paths.end() && now < cut->second)
+		return false;
 	return from == to || (reaches_store(from) && reaches_store(to));
 }
 
@@ -238,6 +278,7 @@
 	d.up = false;
 	d.powered = !power;
 	d.trouble_us = std::max(d.trouble_us, now);
+	cancelled.on_disruption(0);
 	sim_drop_links(d.life, power);
 	sim_drop_requests(d.life);
 	talloc_free(d.cell);
--- a/tests/unit/test_promises.cc
+++ b/tests/unit/test_promises.cc
@@ -490,6 +490,12 @@
 		tasks[task].noted_done |= outcome == WP_END_DONE;
 	}
 
+	void
+	on_unasked(const std::string &text) override
+	{
+		breaks("UNASKED", text);
+	}
+
 	void
 	check_accepted()
 	{
