tests: late starts, lost calls and handovers about the time of a cancellation

About the time of a cancellation, now calls to workers are lost or not answered, tasks fail, their next starts are late, workers restart (so that they forget what they were asked to stop), and the owner is killed or hands its pool over.

--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -170,6 +170,7 @@
 	void *handler_arg = nullptr;
 	struct peer_net *net = nullptr;
 	std::string listening;
+	std::function<void()> on_sigterm;
 	struct fl_fleet fleet = {};
 	std::map<StoreTrouble, int64_t> store; /* trouble of its own calls */
 };
@@ -194,6 +195,7 @@
 struct SimOptions {
 	std::vector<uint32_t> cpu_mcpu; /* by daemon */
 	uint32_t relay_above_workers = 1000;
+	int64_t keep_ended_us = 120 * kSimS;
 };
 
 /* Shares of the calls to workers that meet this, until a time. */
@@ -228,9 +230,13 @@
 	void start(size_t daemon);
 	/* By a signal: its connections are reset. Without power, they hang. */
 	void kill(size_t daemon, bool power);
+	/* It hands its pools over, and ends by itself. */
+	void terminate(size_t daemon);
 	void freeze(size_t daemon, int64_t us);
 	void crash(size_t worker);
 	void revive(size_t worker);
+	/* By its own fault, if there is one. */
+	void fail_a_run(size_t worker);
 	/* Another one begins on its VM, last in @workers. */
 	void begin_on_vm_of(size_t worker);
 	void cut_domain(const std::string &domain, int64_t us);
--- a/tests/unit/sim_workers.cc
+++ b/tests/unit/sim_workers.cc
@@ -159,6 +159,15 @@
 	reconnect(w);
 }
 
+void
+SimWorld::fail_a_run(size_t index)
+{
+	SimWorker &w = *workers[index];
+
+	if (w.alive && !w.running.empty())
+		end_run(w, w.running.begin()->first, WP_END_FAILED);
+}
+
 void
 SimWorld::begin_on_vm_of(size_t index)
 {
