tests: owners that can't load their copies in larger cells as well

In a cell with more daemons than small_cell_daemons, only owners follow the workers' entries, and ends of jobs aren't told to all.

--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -196,6 +196,8 @@
 struct SimOptions {
 	std::vector<uint32_t> cpu_mcpu; /* by daemon */
 	uint32_t relay_above_workers = 1000;
+	/* In a larger cell, only owners follow the workers' entries. */
+	uint32_t small_cell_daemons = 16;
 	int64_t keep_ended_us = 120 * kSimS;
 };
 
--- a/tests/unit/sim_world.cc
+++ b/tests/unit/sim_world.cc
@@ -132,7 +132,7 @@
 	d.settings.report_delay_us = kContact;
 	d.settings.keep_ended_us = options.keep_ended_us;
 	d.settings.relay_above_workers = options.relay_above_workers;
-	d.settings.small_cell_daemons = 16;
+	d.settings.small_cell_daemons = options.small_cell_daemons;
 	d.settings.max_connections = 100;
 	booting = d.life;
 	if (cell_run(&d.settings) != 0)
--- a/tests/unit/test_promises_cancelled.cc
+++ b/tests/unit/test_promises_cancelled.cc
@@ -37,7 +37,7 @@
 };
 
 SimOptions
-options_of(uint64_t seed)
+options_of(uint64_t seed, bool narrow)
 {
 	std::mt19937_64 rng(seed);
 	SimOptions o;
@@ -49,6 +49,8 @@
 		o.relay_above_workers = 2;
 	if (rng() % 3 == 0)
 		o.keep_ended_us = kKeepShort;
+	if (narrow && rng() % 3 == 0)
+		o.small_cell_daemons = 2;
 	return o;
 }
 
@@ -56,8 +58,8 @@
 {
       public:
 	explicit Cancelled(uint64_t seed, bool narrow = false)
-	    : narrow(narrow),
-	      w(seed, 3 + seed % 3, 4 + seed % 5, this, options_of(seed)),
+	    : narrow(narrow), w(seed, 3 + seed % 3, 4 + seed % 5, this,
+				  options_of(seed, narrow)),
 	      begin(w.now), removable(w.daemons.size() - 2)
 	{
 		w.verbose = getenv("PROMISE_LOG") != nullptr;
