--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "life_clocks.h"
+#include "sim_cancelled.h"
 
 extern "C" {
 #include "common/clock.h"
@@ -37,7 +38,7 @@
 	kLost,	 /* writes are done, and not answered */
 	kLate,	 /* writes are done seconds later, and not answered */
 	kSlow,	 /* each call takes long */
-	kHung,	 /* watches get no answer, though other calls do */
+	kHung,	 /* open watches are not answered, other calls are */
 	kNarrow, /* watches' answers with many changes don't arrive in time */
 };
 
@@ -112,6 +113,7 @@
 	int64_t ends_us = 0;
 	int64_t stops_us = 0;
 	uint32_t cpu = 0;
+	bool late = false; /* by a call that was carried out late */
 };
 
 struct SimEnd {
@@ -157,6 +159,7 @@
 	size_t index = 0;
 	std::string vm;
 	std::string domain;
+	uint32_t cpu_mcpu = 1000;
 	uint64_t life = 0;
 	bool up = false;
 	bool powered = true;
@@ -168,8 +171,10 @@
 	void *handler_arg = nullptr;
 	struct peer_net *net = nullptr;
 	std::string listening;
+	std::function<void()> on_sigterm;
 	struct fl_fleet fleet = {};
 	std::map<StoreTrouble, int64_t> store; /* trouble of its own calls */
+	int64_t narrow_until_us = 0; /* its link, for pages of the store */
 };
 
 /* What a caller gets: a status, or 0 without an answer. */
@@ -184,18 +189,33 @@
 	    uint32_t run, enum wp_run_outcome outcome) = 0;
 	virtual void on_noted(const std::string &task, uint32_t run,
 	    enum wp_run_outcome outcome) = 0;
+	/* A run of a cancelled job that goes on; a failure by itself. */
+	virtual void on_unasked(const std::string &text);
+};
+
+/* What differs from the usual cell. */
+struct SimOptions {
+	std::vector<uint32_t> cpu_mcpu; /* by daemon */
+	uint32_t relay_above_workers = 1000;
+	/* In a larger cell, only owners follow the workers' entries. */
+	uint32_t small_cell_daemons = 16;
+	int64_t keep_ended_us = 120 * kSimS;
+};
+
+/* Shares of the calls to workers that meet this, until a time. */
+struct SimCallTrouble {
+	uint32_t lost_per_mille = 0;	   /* not carried out */
+	uint32_t unanswered_per_mille = 0; /* carried out */
+	int64_t until_us = 0;
 };
 
 class SimWorld
 {
       public:
 	SimWorld(uint64_t seed, size_t daemon_count, size_t worker_count,
-	    SimObserver *observer, uint32_t small_cell_daemons = 16);
+	    SimObserver *observer, const SimOptions &options = {});
 	~SimWorld();
 
-	/* In a larger cell, only owners follow the workers' entries. */
-	uint32_t small_cell_daemons;
-
 	/* Of the time of day of all daemons. */
 	int64_t wall_step_us = 0;
 
@@ -214,12 +234,22 @@
 	void start(size_t daemon);
 	/* By a signal: its connections are reset. Without power, they hang. */
 	void kill(size_t daemon, bool power);
+	/* It hands its pools over, and ends by itself. */
+	void terminate(size_t daemon);
 	void freeze(size_t daemon, int64_t us);
 	void crash(size_t worker);
 	void revive(size_t worker);
+	/* By its own fault, if there is one. */
+	void fail_a_run(size_t worker);
 	/* Another one begins on its VM, last in @workers. */
 	void begin_on_vm_of(size_t worker);
 	void cut_domain(const std::string &domain, int64_t us);
+	/* What one sends to the other is lost. */
+	void cut_path(
+	    const std::string &from, const std::string &to, int64_t us);
+	void call_trouble(const SimCallTrouble &trouble);
+	bool loses_call();
+	bool loses_answer();
 	void store_trouble(StoreTrouble kind, int64_t us);
 	void store_trouble_of(size_t daemon, StoreTrouble kind, int64_t us);
 	void compact();
@@ -236,6 +266,8 @@
 	SimDaemon *daemon_of(uint64_t life);
 
 	int64_t now = 1000 * kSimS;
+	SimOptions options;
+	SimCancelled cancelled;
 	uint64_t booting = 0;
 	SimStore store;
 	std::vector<std::unique_ptr<SimDaemon>> daemons;
@@ -274,6 +306,8 @@
 	uint64_t next_life = 1;
 	std::map<StoreTrouble, int64_t> troubles;
 	std::map<std::string, int64_t> cut_domains;
+	std::map<std::pair<std::string, std::string>, int64_t> cut_paths;
+	SimCallTrouble calls;
 	int64_t store_trouble_us = 0;
 };
 
--- a/tests/unit/sim_world.cc
+++ b/tests/unit/sim_world.cc
@@ -1,6 +1,7 @@
 #include "sim_internal.h"
 
 #include <algorithm>
+#include <csignal>
 #include <cstdarg>
 
 extern "C" {
@@ -11,8 +12,8 @@
 SimWorld *sim_world;
 
 SimWorld::SimWorld(uint64_t seed, size_t daemon_count, size_t worker_count,
-    SimObserver *observer, uint32_t small_cell)
-    : small_cell_daemons(small_cell), store(this), seen(observer), rng(seed),
+    SimObserver *observer, const SimOptions &options)
+    : options(options), cancelled(this), store(this), seen(observer), rng(seed),
       clocks(seed), late_rng(seed ^ 0x6c617465ULL)
 {
 	static const char *const domains[] = {"a", "b", "c"};
@@ -25,6 +26,8 @@
 		d->index = i;
 		d->vm = "vm-" + std::to_string(i);
 		d->domain = domains[i % 3];
+		if (i < options.cpu_mcpu.size())
+			d->cpu_mcpu = options.cpu_mcpu[i];
 		daemons.push_back(std::move(d));
 	}
 	for (size_t i = 0; i < worker_count; i++) {
@@ -113,10 +116,11 @@
 	d.life = next_life++;
 	d.frozen_until_us = 0;
 	d.trouble_us = std::max(d.trouble_us, now);
+	cancelled.on_disruption(0);
 	d.settings = {};
 	d.settings.vm = const_cast<char *>(d.vm.c_str());
 	d.settings.domain = const_cast<char *>(d.domain.c_str());
-	d.settings.cpu_mcpu = 1000;
+	d.settings.cpu_mcpu = d.cpu_mcpu;
 	d.settings.link_kbps = 1000000;
 	d.settings.callers_address = const_cast<char *>("callers");
 	d.settings.ready_address = const_cast<char *>("ready");
@@ -126,9 +130,9 @@
 	d.settings.grace_us = 6 * kSimS;
 	d.settings.report_interval_us = kHeartbeat;
 	d.settings.report_delay_us = kContact;
-	d.settings.keep_ended_us = 120 * kSimS;
-	d.settings.relay_above_workers = 1000;
-	d.settings.small_cell_daemons = small_cell_daemons;
+	d.settings.keep_ended_us = options.keep_ended_us;
+	d.settings.relay_above_workers = options.relay_above_workers;
+	d.settings.small_cell_daemons = options.small_cell_daemons;
 	d.settings.max_connections = 100;
 	booting = d.life;
 	if (cell_run(&d.settings) != 0)
@@ -147,6 +151,7 @@
 SimWorld::mark_store_trouble(int64_t us)
 {
 	store_trouble_us = std::max(store_trouble_us, now + us);
+	cancelled.on_disruption(us);
 }
 
 void
@@ -173,6 +178,18 @@
 	    (own != daemons[index]->store.end() && now < own->second);
 }
 
+void
+SimWorld::terminate(size_t index)
+{
+	SimDaemon &d = *daemons[index];
+
+	if (!d.up)
+		return;
+	d.trouble_us = std::max(d.trouble_us, now);
+	cancelled.on_disruption(0);
+	after_in(d.life, 0, [&d] { d.on_sigterm(); });
+}
+
 void
 SimWorld::freeze(size_t index, int64_t us)
 {
@@ -180,23 +197,55 @@
 
 	d.frozen_until_us = std::max(d.frozen_until_us, now + us);
 	d.trouble_us = std::max(d.trouble_us, d.frozen_until_us);
+	cancelled.on_disruption(us);
 }
 
 void
 SimWorld::cut_domain(const std::string &domain, int64_t us)
 {
 	cut_domains[domain] = now + us;
+	cancelled.on_disruption(us);
 	for (auto &d : daemons) {
 		if (d->domain == domain)
 			d->trouble_us = std::max(d->trouble_us, now + us);
 	}
 }
 
+void
+SimWorld::cut_path(const std::string &from, const std::string &to, int64_t us)
+{
+	cut_paths[{from, to}] = now + us;
+	cancelled.on_disruption(us);
+}
+
+void
+SimWorld::call_trouble(const SimCallTrouble &trouble)
+{
+	calls = trouble;
+	cancelled.on_disruption(trouble.until_us - now);
+}
+
+bool
+SimWorld::loses_call()
+{
+	return now < calls.until_us && late_rng() % 1000 < calls.lost_per_mille;
+}
+
+bool
+SimWorld::loses_answer()
+{
+	return now < calls.until_us &&
+	    late_rng() % 1000 < calls.unanswered_per_mille;
+}
+
 void
 SimWorld::heal()
 {
 	troubles.clear();
 	cut_domains.clear();
+	cut_paths.clear();
+	calls = {};
+	cancelled.on_disruption(0);
 	store.leases_paused = false;
 	for (auto &d : daemons) {
 		d->store.clear();
@@ -218,6 +267,10 @@
 bool
 SimWorld::reaches(const std::string &from, const std::string &to) const
 {
+	auto cut = cut_paths.find({from, to});
+
+	if (cut != cut_paths.end() && now < cut->second)
+		return false;
 	return from == to || (reaches_store(from) && reaches_store(to));
 }
 
@@ -238,6 +291,7 @@
 	d.up = false;
 	d.powered = !power;
 	d.trouble_us = std::max(d.trouble_us, now);
+	cancelled.on_disruption(0);
 	sim_drop_links(d.life, power);
 	sim_drop_requests(d.life);
 	talloc_free(d.cell);
@@ -295,14 +349,25 @@
 }
 
 extern "C" void
-loop_stop(struct loop *)
+loop_stop(struct loop *l)
 {
+	SimDaemon *d = sim_world->daemon_of(l->life);
+	size_t index = d->index;
+
+	sim_world->after_in(
+	    l->life, 0, [index] { sim_world->kill(index, false); });
 }
 
 extern "C" struct tevent_signal *
-_tevent_add_signal(struct tevent_context *, TALLOC_CTX *, int, int,
-    tevent_signal_handler_t, void *, const char *, const char *)
+_tevent_add_signal(struct tevent_context *, TALLOC_CTX *, int signum, int,
+    tevent_signal_handler_t handler, void *arg, const char *, const char *)
 {
+	SimDaemon *d = sim_world->daemon_of(sim_world->booting);
+
+	if (signum == SIGTERM)
+		d->on_sigterm = [=] {
+			handler(nullptr, nullptr, SIGTERM, 1, nullptr, arg);
+		};
 	return nullptr;
 }
 
--- a/tests/unit/test_promises_learned.cc
+++ b/tests/unit/test_promises_learned.cc
@@ -43,11 +43,20 @@
 	return list;
 }
 
+static SimOptions
+options(uint32_t small_cell)
+{
+	SimOptions o;
+
+	o.small_cell_daemons = small_cell;
+	return o;
+}
+
 class Learned : public SimObserver
 {
       public:
 	explicit Learned(uint64_t seed, uint32_t small_cell = kDaemons)
-	    : w(seed, kDaemons, kWorkers, this, small_cell)
+	    : w(seed, kDaemons, kWorkers, this, options(small_cell))
 	{
 		w.verbose = getenv("PROMISE_LOG") != nullptr;
 	}
