--- a/tests/fault/cell_fixture.h
+++ b/tests/fault/cell_fixture.h
@@ -43,12 +43,14 @@
 	void
 	create_daemons(int n)
 	{
-		for (int i = 0; i < n; i++)
+		for (; n > 0; n--) {
+			size_t i = daemons.size();
+
 			daemons.push_back(std::make_unique<CellDaemon>(dir,
 			    "vm-" + std::to_string(i),
-			    doors > 0 ? platform->addresses[4 + (size_t)i]
-				      : store,
+			    doors > 0 ? platform->addresses[4 + i] : store,
 			    advice, keep_ended, duties, settings));
+		}
 	}
 
 	void
--- a/tests/soak/lasting_runs.h
+++ b/tests/soak/lasting_runs.h
@@ -13,6 +13,14 @@
 	int64_t began_ms = 0;
 	int64_t ended_ms = 0; /* 0: goes on */
 	std::string how;
+	int run = 0;
+	/* Orders to stop it, and the last one's time. */
+	int stops = 0;
+	int64_t stop_ms = 0;
+	/* Fence of the last renewal of its worker's lease, and the time. */
+	int renewed_by = 0;
+	int64_t renewed_ms = 0;
+	bool is_late = false; /* the order was carried out late */
 };
 
 /* A fault, from its begin until what it ails is back or gone for good. */
--- a/tests/soak/lasting_soak.h
+++ b/tests/soak/lasting_soak.h
@@ -45,7 +45,7 @@
 		http("POST",
 		    control + "/_expiry?ms=" + std::to_string(kExpiryMs));
 		http("POST", control + "/_age?ms=" + std::to_string(age_ms));
-		start_daemons(kDaemons);
+		start_daemons(daemon_count);
 		/* Daemons learn of each other through the store. */
 		pause_ms(1000);
 	}
@@ -112,6 +112,12 @@
 		pause_ms(2000 + below(1000));
 	}
 
+	static int64_t
+	number_at(const json_t *row, size_t i)
+	{
+		return json_integer_value(json_array_get(row, i));
+	}
+
 	/* Runs of a job, or of all. */
 	std::vector<LastingRun>
 	runs_of(const std::string &job)
@@ -127,9 +133,15 @@
 
 			r.task = json_string_value(json_array_get(row, 0));
 			r.worker = json_string_value(json_array_get(row, 2));
-			r.began_ms = json_integer_value(json_array_get(row, 3));
-			r.ended_ms = json_integer_value(json_array_get(row, 4));
+			r.began_ms = number_at(row, 3);
+			r.ended_ms = number_at(row, 4);
 			r.how = json_string_value(json_array_get(row, 5));
+			r.run = (int)number_at(row, 1);
+			r.stops = (int)number_at(row, 6);
+			r.stop_ms = number_at(row, 7);
+			r.renewed_by = (int)number_at(row, 8);
+			r.renewed_ms = number_at(row, 9);
+			r.is_late = json_is_true(json_array_get(row, 10));
 			runs.push_back(r);
 		}
 		return runs;
@@ -189,6 +201,16 @@
 		set_worker(worker, true, true);
 	}
 
+	/* Calls that are sent meanwhile arrive after its return. */
+	void
+	crash_and_keep_calls(uint32_t worker)
+	{
+		http("POST", control + "/_worker",
+		    "{\"worker\":" + std::to_string(worker) +
+			",\"off\":true,\"reborn\":true,\"retry_ms\":" +
+			std::to_string(700 + below(2000)) + "}");
+	}
+
 	/* The worker is back, or another one on its VM. */
 	void
 	return_worker(uint32_t worker, bool renamed)
@@ -338,6 +360,7 @@
 
 	/* A new owner waits longer for workers that may have restarted. */
 	int age_ms = 60000;
+	int daemon_count = kDaemons;
 	std::vector<FaultSpan> faults;
 	int lasting_jobs = 0;
 	size_t lasting_tasks = 0;
--- a/tests/soak/test_soak_restart.cc
+++ b/tests/soak/test_soak_restart.cc
@@ -49,10 +49,7 @@
 	restart(const std::vector<uint32_t> &restarted)
 	{
 		for (uint32_t w : restarted)
-			http("POST", control + "/_worker",
-			    "{\"worker\":" + std::to_string(w) +
-				",\"off\":true,\"reborn\":true,\"retry_ms\":" +
-				std::to_string(700 + below(2000)) + "}");
+			crash_and_keep_calls(w);
 		pause_ms(200 + below(700));
 		for (uint32_t w : restarted)
 			return_worker(w, false);
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -162,6 +162,12 @@
 	int64_t began_us;
 	int64_t ended_us;
 	const char *how;
+	uint32_t stops; /* orders to stop it, and the last one's time */
+	int64_t stop_us;
+	uint64_t
+	    renewed_by; /* fence of the lease's last renewal, and its time */
+	int64_t renewed_us;
+	bool late; /* the order was carried out late */
 };
 
 struct end {
@@ -253,6 +259,8 @@
 static struct tally *tallies;
 static struct record *records;
 static uint32_t record_count;
+/* What is being executed was held back. */
+static bool is_late;
 /* Entries of silent workers are removed after so long; 0: never. */
 static int64_t expiry_us;
 static uint32_t twice;
@@ -867,7 +875,11 @@
 		    (record_count > 0 ? 2 * record_count : 1) *
 			sizeof(*records));
 	new = &records[record_count];
-	*new = (struct record){.run = run, .began_us = clk_now_us()};
+	*new = (struct record){
+	    .run = run,
+	    .began_us = clk_now_us(),
+	    .late = is_late,
+	};
 	snprintf(new->task, sizeof(new->task), "%s", task);
 	memcpy(new->worker, w->id, sizeof(new->worker));
 	return record_count++;
@@ -980,12 +992,18 @@
 		CLK_US_PER_MS +
 	    w->born_us;
 	int64_t longest_us = clk_now_us() + MAX_HOLD_US;
+	const struct run *r;
 
 	if (until_us > longest_us)
 		until_us = longest_us;
-	if (json_object_get(body, "deadline_ms") != NULL &&
-	    until_us > w->lease_until_us)
-		w->lease_until_us = until_us;
+	if (json_object_get(body, "deadline_ms") == NULL ||
+	    until_us <= w->lease_until_us)
+		return;
+	w->lease_until_us = until_us;
+	DL_FOREACH(w->runs, r) {
+		records[r->record].renewed_by = w->fence;
+		records[r->record].renewed_us = clk_now_us();
+	}
 }
 
 static struct run *
@@ -1152,6 +1170,10 @@
 		return;
 	}
 	r = find_run(w, task, run);
+	if (r != NULL) {
+		records[r->record].stops++;
+		records[r->record].stop_us = clk_now_us();
+	}
 	if (r != NULL && r->stops_us == 0)
 		r->stops_us = clk_now_us() + STOP_US;
 	if (seen_of(w, task)->run < run)
@@ -1248,6 +1270,7 @@
 struct late_call {
 	struct worker *w;
 	int64_t born_us;
+	bool is_late;
 	char path[NAME_BYTES];
 	json_t *body;
 };
@@ -1257,9 +1280,11 @@
 {
 	struct late_call *late = arg;
 
+	is_late = late->is_late;
 	/* What a worker held back is gone with that life of it. */
 	if (late->born_us == late->w->born_us)
 		execute(late->w, NULL, late->path, late->body);
+	is_late = false;
 	json_decref(late->body);
 	free(late);
 }
@@ -1285,8 +1310,10 @@
 		loop_after(loop, kept->retry_us, retry_call, kept);
 		return;
 	}
+	is_late = true;
 	if (!w->off && kept->renamed == w->renamed)
 		execute(w, NULL, kept->path, kept->body);
+	is_late = false;
 	json_decref(kept->body);
 	free(kept);
 }
@@ -1317,6 +1344,7 @@
 
 	late->w = w;
 	late->born_us = w->born_us;
+	late->is_late = f->kind == FAULT_LATE;
 	late->body = json_incref(body);
 	snprintf(late->path, sizeof(late->path), "%s", req->path);
 	loop_after(
@@ -1656,7 +1684,10 @@
 		(int)crashed, "running", (int)running));
 }
 
-/* Of one job: [task, run, worker, began, ended, how], times in ms. */
+/*
+ * Of one job: [task, run, worker, began, ended, how, stops, last stop, fence of
+ * the last renewal, its time, whether it began late], times in ms.
+ */
 static void
 report_runs(struct hs_request *req)
 {
@@ -1670,10 +1701,14 @@
 		if (job == NULL || !has_prefix(r->task, job))
 			continue;
 		json_array_append_new(rows,
-		    json_pack("[s, i, s, I, I, s]", r->task, (int)r->run,
-			r->worker, (json_int_t)(r->began_us / CLK_US_PER_MS),
+		    json_pack("[s, i, s, I, I, s, i, I, I, I, b]", r->task,
+			(int)r->run, r->worker,
+			(json_int_t)(r->began_us / CLK_US_PER_MS),
 			(json_int_t)(r->ended_us / CLK_US_PER_MS),
-			r->how != NULL ? r->how : ""));
+			r->how != NULL ? r->how : "", (int)r->stops,
+			(json_int_t)(r->stop_us / CLK_US_PER_MS),
+			(json_int_t)r->renewed_by,
+			(json_int_t)(r->renewed_us / CLK_US_PER_MS), r->late));
 	}
 	standin_reply_json(req, 200,
 	    json_pack("{s:o, s:I}", "runs", rows, "now_ms",
