replica: a load goes on after a page that was refused

What callers might see: after the store has dropped its history, loads of a large key space don't end, so owners' copies stay old and configurations aren't applied.

Refused are not only 503s: reads beyond the limit of all daemons together (429), which come just when all of them load, and pages that get no connection in time, which full links cause. With one page in three refused, a load of 20 pages ends in one attempt of 3,000. Found in review by reading; not traced to a play.

Ruled out: that such a page costs nothing (all pages before it are read again); that what an abandoned load found stays. No load is abandoned now, and the watch after it begins at the revision of its first page: it shows what was removed since, or, without that history, the key space is loaded anew.

Replica.LoadGoesOnAfterAPageThatWasRefused failed before (4 checks). Changed test: Replica.RowsThatOnlyAnAbandonedLoadFoundAreRemoved began the load anew by a refused page. It now also requires that the watch begins at the first page, so that removals are shown, and begins the load anew by the loss of that history; its last four checks are the same.

--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -92,18 +92,12 @@
 	    rp_on_load_page, r);
 }
 
-static void rp_load_again(void *arg);
-
-/* A page that is not answered may have been too long for the link. */
+/* It may have been too long for the link, or one read more than is allowed. */
 static void
-rp_load_page_failed(struct replica *r, enum ks_result result)
+rp_load_page_failed(struct replica *r)
 {
 	lg_event(LG_WARN, "replica", "load_failed", "attempt",
 	    lg_i64(r->load_attempts), "rows", lg_i64(r->load_rows), NULL);
-	if (result != KS_UNKNOWN) {
-		loop_after(r->loop, RP_RETRY_US, rp_load_again, r);
-		return;
-	}
 	r->load_attempts++;
 	loop_after(r->loop, RP_RETRY_US, rp_read_load_page, r);
 }
@@ -115,7 +109,7 @@
 	size_t i;
 
 	if (a->result != KS_OK) {
-		rp_load_page_failed(r, a->result);
+		rp_load_page_failed(r);
 		return;
 	}
 	r->hooks.store_answered(r->arg);
@@ -156,12 +150,6 @@
 	rp_read_load_page(r);
 }
 
-static void
-rp_load_again(void *arg)
-{
-	rp_load(arg);
-}
-
 static bool
 rp_lacks_workers(const struct replica *r)
 {
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -411,6 +411,11 @@
 	page_fails(KS_REFUSED);
 	EXPECT_TRUE(rp_get_owner(r, "pool")->present);
 	page(70, {}, false);
+	/* The removals since are shown from there, or it is loaded anew. */
+	EXPECT_EQ(store.watch_after, 60u);
+	EXPECT_FALSE(rp_has_applied(r, 61));
+	watch(KS_COMPACTED, 0);
+	page(80, {}, false);
 	EXPECT_FALSE(rp_get_owner(r, "pool")->present);
 	EXPECT_FALSE(has_member());
 	EXPECT_FALSE(is_listed("a"));
@@ -435,6 +440,22 @@
 	EXPECT_TRUE(rp_get_owner(r, "pool")->present);
 }
 
+/* Under a limit on reads, no load came to its end. */
+TEST_F(Replica, LoadGoesOnAfterAPageThatWasRefused)
+{
+	page(10, {}, false);
+	watch(KS_COMPACTED, 0);
+	page(60, {owner_item(5)}, true);
+	page_fails(KS_REFUSED);
+	EXPECT_EQ(store.range_cursor, RP_OWNER_PREFIX "pool");
+	page_fails(KS_REFUSED);
+	EXPECT_EQ(store.range_cursor, RP_OWNER_PREFIX "pool");
+	page(70, {member_item(65)}, false);
+	EXPECT_EQ(store.watch_after, 60u);
+	EXPECT_TRUE(has_member());
+	EXPECT_TRUE(rp_get_owner(r, "pool")->present);
+}
+
 /* As owner, the daemon would have started tasks that had ended. */
 TEST_F(Replica, JobRemovedWithHistoryThatTheStoreDroppedIsForgotten)
 {
