replica: one watch at a time is given up for a claim

What callers might see: a daemon on a narrow link that takes over several pools learns of its claims, and of all else, late.

Cause: once a claim is stored, an open watch is given up and the next one asks for the same changes. The transfer isn't ended.

Change: while one that was given up has not ended, no other is. A watch that hangs ends at its deadline as before (2.8 s), and the first claim after that opens another.

Ruled out: keeping the watch that is open (one sent while the store was silent hangs, which is why claims give it up: Replica.WatchThatWasGivenUpIsIgnored).

Replica.WatchesThatClaimsGiveUpDoNotAddUp failed before (a third copy was asked for).

--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -239,8 +239,10 @@
 	size_t i;
 
 	talloc_free(arg);
-	if (call.number != r->watch_number)
+	if (call.number != r->watch_number) {
+		r->given_up = false;
 		return;
+	}
 	r->watching = false;
 	switch (a->result) {
 	case KS_OK:
@@ -374,6 +376,10 @@
 		rp_watch_now(r);
 		return;
 	}
+	/* That one may be arriving still, over a narrow link. */
+	if (r->given_up)
+		return;
+	r->given_up = true;
 	r->watching = false;
 	r->watch_number++;
 	rp_watch(r);
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -240,6 +240,7 @@
  *	answered; the next one is over the cell's own keys
  * @watching: a watch is open
  * @watch_number: counts watches, so that one that was given up is recognized
+ * @given_up: one that was given up has not ended
  * @watch_paused: no watch is open until @watch_resume_us
  * @load_prefix: keys that the newest load reads
  * @load_cursor: last key of the page before; NULL for the first page
@@ -281,6 +282,7 @@
 	uint32_t overdue_watches;
 	bool watching;
 	uint64_t watch_number;
+	bool given_up;
 	bool watch_paused;
 	int64_t watch_resume_us;
 	const char *load_prefix;
@@ -361,7 +363,8 @@
  * rp_watch_anew() - the store has answered, so it should have answered the watch
  * @r: replica
  *
- * A watch that was sent while the store was silent may hang until it times out.
+ * A watch that was sent while the store was silent may hang until it times out. One
+ * at a time is given up, as its answer goes on arriving if it doesn't hang.
  */
 void rp_watch_anew(struct replica *r);
 
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -793,6 +793,27 @@
 	EXPECT_TRUE(rp_has_applied(r, 40));
 }
 
+/* Each filled the link with the same response until it had arrived. */
+TEST_F(Replica, WatchesThatClaimsGiveUpDoNotAddUp)
+{
+	struct ks_response late = {};
+
+	page(10, {}, false);
+	ks_done_fn arriving = store.watch_done;
+	void *arriving_arg = store.watch_arg;
+	rp_watch_anew(r);
+	void *second_arg = store.watch_arg;
+	EXPECT_NE(second_arg, arriving_arg);
+	rp_watch_anew(r);
+	EXPECT_EQ(store.watch_arg, second_arg);
+	late.result = KS_UNKNOWN;
+	arriving(&late, arriving_arg);
+	rp_watch_anew(r);
+	EXPECT_NE(store.watch_arg, second_arg);
+	watch(KS_OK, 30);
+	EXPECT_TRUE(rp_has_applied(r, 30));
+}
+
 /* A copy that stands still has to be told from one that nothing changes. */
 TEST_F(Replica, AgeOfTheCopyCountsFromWhenTheAnsweredCallWasSent)
 {
