replica: reading the cancellations goes on after a page that failed

What callers might see: UNASKED by an owner whose copy stands still while the store limits or refuses reads.

Cause: such an owner reads the cancellations apart. Where their changes can't be had (after a compaction), it reads them whole, page by page, and a page that was refused or not answered began that with the first key, as a load did.

Change: the page is read again. The revision up to which they are known, and the time, stay those of the first page, so nothing is left out: the calls that follow show what has changed on the pages before.

--- a/curranttackd/replica_cancels.c
+++ b/curranttackd/replica_cancels.c
@@ -42,13 +42,15 @@
 	}
 }
 
-/* A watch that hangs, or whose history is lost, is followed by a load. */
+/*
+ * A watch that hangs, or whose history is lost, is followed by a load, which goes
+ * on after a page that failed.
+ */
 static void
 rp_cancels_failed(struct replica *r, enum ks_result result)
 {
 	bool was_load = r->load_cancels;
 
-	TALLOC_FREE(r->cancels_cursor);
 	r->load_cancels |= result == KS_COMPACTED || result == KS_UNKNOWN;
 	if (was_load || result == KS_REFUSED)
 		r->cancels_at_us = clk_now_us() + RP_CANCELS_RETRY_US;
