platform: a stop that had no answer is awaited for longer

What callers saw: UNASKED in the form of the report, 'at -6.207 s ... acked at 25.696 s': a long-running task that began before the traffic. The owner knew of the cancellation 0.34 s after its acknowledgement and sent 14 stops in 5.2 s, none of which got through, while the worker's lease was renewed.

Cause: an order has 250 ms, with the connection that it may need; a renewal has 3 s. On a full link a connection takes longer, each stop was given up before it was sent, and the next began with another connection.

Change: a repeated stop has 1 s. The count of stops without an answer tells both that, and which stop bypasses relays, in place of a field of its own.

Ruled out: longer times for all orders (starts that are late do harm, and the first stop's result tells soon that a worker is gone).

Calls.StopThatHadNoAnswerIsAwaitedForLonger failed with the time as it was.

--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -72,8 +72,8 @@
 		req->order = talloc_steal(req, o);
 		ct_add(CT_TASKS_STARTED, o->kind == WP_ORDER_START);
 		rl_order(h->cell->relay, wp_find_worker(h->pool, o->worker), o,
-		    cp_token(h, o->fence), relayed && !o->direct, cp_on_order,
-		    req);
+		    cp_token(h, o->fence), relayed && !wp_bypasses_relays(o),
+		    cp_on_order, req);
 	}
 }
 
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -646,8 +646,8 @@
  *	lasts at least until then
  * @percent: for a pace, share of full speed
  * @sent: for a start, its place in the window of starts
- * @sends: for a start, how often it was sent for this run, with this one
- * @direct: not by a relay, as an order sent by one had no answer
+ * @sends: for a start, how often it was sent for this run, with this one; for a
+ *	stop, how many stops to its worker in a row had no answer, and this one
  */
 struct wp_order {
 	enum wp_order_kind kind;
@@ -664,7 +664,6 @@
 	uint32_t percent;
 	struct sw_sent sent;
 	uint32_t sends;
-	bool direct;
 	struct wp_order *prev;
 	struct wp_order *next;
 };
@@ -1509,6 +1508,12 @@
  */
 void wp_schedule(struct wp_pool *p, int64_t now_us);
 
+/**
+ * wp_bypasses_relays() - whether an order is sent to its worker directly
+ * @o: order
+ */
+bool wp_bypasses_relays(const struct wp_order *o);
+
 /**
  * wp_next_order() - take the next order to send
  *
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -99,8 +99,6 @@
 void wp_task_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us);
 /** wp_task_send_stop() - order the stop of a task's newest run, or again */
 void wp_task_send_stop(struct wp_pool *p, struct wp_task *t, int64_t now_us);
-/** wp_stop_goes_directly() - whether the next stop bypasses relays */
-bool wp_stop_goes_directly(const struct wp_worker *w);
 /** wp_count_stop_result() - note whether a worker has answered a stop */
 void wp_count_stop_result(struct wp_worker *w, enum wp_order_result result);
 /** wp_stop_listed() - a worker lists a task's run, perhaps after it took a stop */
--- a/state/pool_stop.c
+++ b/state/pool_stop.c
@@ -11,9 +11,9 @@
 
 /* The link of a relay may be full when the owner's isn't, or the reverse. */
 bool
-wp_stop_goes_directly(const struct wp_worker *w)
+wp_bypasses_relays(const struct wp_order *o)
 {
-	return w->unanswered_stops % 2 != 0;
+	return o->kind == WP_ORDER_STOP && o->sends % 2 == 0;
 }
 
 void
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -139,7 +139,8 @@
 	o->fence = w->fence;
 	o->ref = *ref;
 	o->run = run;
-	o->direct = kind == WP_ORDER_STOP && wp_stop_goes_directly(w);
+	if (kind == WP_ORDER_STOP)
+		o->sends = w->unanswered_stops + 1;
 	DL_APPEND(p->orders, o);
 	return o;
 }
--- a/tests/unit/test_platform_calls.cc
+++ b/tests/unit/test_platform_calls.cc
@@ -19,8 +19,8 @@
 {
 
 /*
- * Serves one request a letter: 'a' accepts, 'r' rejects, 'c' closes the
- * connection once the request is read.
+ * Serves one request a letter: 'a' accepts, 's' accepts after 0.6 s, 'r' rejects,
+ * 'c' closes the connection once the request is read.
  */
 class ScriptedServer
 {
@@ -77,8 +77,10 @@
 		if (step == '\0' || !read_request(conn))
 			return false;
 		script++;
+		if (step == 's')
+			usleep(600000);
 		if (step != 'c')
-			respond(conn, step == 'a' ? "200 OK" : "503 Busy");
+			respond(conn, step == 'r' ? "503 Busy" : "200 OK");
 		return step != 'c';
 	}
 
@@ -137,10 +139,18 @@
 
 	enum wp_order_result
 	start(const std::string &address)
+	{
+		return order(address, WP_ORDER_START, 1);
+	}
+
+	enum wp_order_result
+	order(
+	    const std::string &address, enum wp_order_kind kind, uint32_t sends)
 	{
 		struct wp_order o = {};
 
-		o.kind = WP_ORDER_START;
+		o.kind = kind;
+		o.sends = sends;
 		o.payload = "text";
 		snprintf(o.worker, sizeof(o.worker), "i-1");
 		snprintf(o.address, sizeof(o.address), "%s", address.c_str());
@@ -249,6 +259,18 @@
 	EXPECT_EQ(renew(worker.address, 0), WP_REFUSED_UNHEALTHY);
 }
 
+/* UNASKED: each stop was given up while its connection was being made. */
+TEST_F(Calls, StopThatHadNoAnswerIsAwaitedForLonger)
+{
+	for (uint32_t sends : {1U, 2U, 3U}) {
+		ScriptedServer server("s");
+
+		connect(server.address);
+		EXPECT_EQ(order(server.address, WP_ORDER_STOP, sends),
+		    sends == 1 ? WP_NO_ANSWER : WP_ACCEPTED);
+	}
+}
+
 TEST_F(Calls, RejectedAndUnansweredWritesAreCounted)
 {
 	ScriptedServer store("rc");
--- a/tests/unit/test_stops.cc
+++ b/tests/unit/test_stops.cc
@@ -101,7 +101,7 @@
 	struct wp_order *stop = begin(WP_ACCEPTED);
 
 	for (bool direct : {false, true, false, true}) {
-		EXPECT_EQ(stop->direct, direct);
+		EXPECT_EQ(wp_bypasses_relays(stop), direct);
 		answer(stop, direct ? WP_NO_ANSWER : WP_NOT_SENT);
 		now += 100 * kMs;
 		list_run("w", 1);
@@ -110,7 +110,7 @@
 		stop = orders[0];
 	}
 	answer(stop);
-	EXPECT_FALSE(wp_stop_goes_directly(wp_find_worker(p, "w")));
+	EXPECT_EQ(wp_find_worker(p, "w")->unanswered_stops, 0U);
 }
 
 } // namespace
