replica: operators' keys on later pages are read

What operators might see: after the store has dropped its history, a daemon that owns no pool doesn't know of a maintenance wave until it is written again.

Cause: these keys were read as one page, whatever its response said of others. A page ends at 1 MB, and a configuration may be as large by itself, so keys after it were left out, and the watch that follows shows only what changes later.

Change: they are read page by page. A page that fails is read again, and the watch that follows begins at the revision of the first one.

Replica.OperatorsKeysOnLaterPagesAreRead failed before (4 checks).

--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -325,13 +325,17 @@
 	}
 	for (i = 0; i < a->item_count; i++)
 		rp_apply_out_of_order(r, &a->item[i]);
-	if (a->revision > r->operator_revision)
+	/* The watch that follows a load begins at its first page. */
+	if (r->operator_cursor == NULL && a->revision > r->operator_revision)
 		r->operator_revision = a->revision;
-	r->load_operator_keys = false;
+	TALLOC_FREE(r->operator_cursor);
+	if (r->load_operator_keys && a->more && a->item_count > 0)
+		r->operator_cursor =
+		    talloc_strdup(r, a->item[a->item_count - 1].key);
+	r->load_operator_keys = r->operator_cursor != NULL;
 	rp_watch_operator_keys(r);
 }
 
-/* Operators' few keys fit into one page of a load. */
 static void
 rp_watch_operator_keys(void *arg)
 {
@@ -339,8 +343,8 @@
 	const struct fl_fleet *f = r->fleet;
 
 	if (r->load_operator_keys)
-		f->keys->range(f->handle, f->entries->orders_prefix, NULL,
-		    rp_on_operator_keys, r);
+		f->keys->range(f->handle, f->entries->orders_prefix,
+		    r->operator_cursor, rp_on_operator_keys, r);
 	else
 		f->keys->watch(f->handle, f->entries->orders_prefix,
 		    r->operator_revision, RP_WATCH_MS, rp_on_operator_keys, r);
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -235,6 +235,7 @@
  * @not_ready: callers that were answered 503 since it began
  * @operator_revision: revision up to which operators' keys are applied
  * @load_operator_keys: their history was lost, so they have to be read again
+ * @operator_cursor: last key of the page before; NULL for the first page
  * @watch_pause_us: pause between two watches, so that each returns a batch
  * @overdue_watches: since one was answered, those that the store should have
  *	answered; the next one is over the cell's own keys
@@ -278,6 +279,7 @@
 	uint32_t not_ready;
 	uint64_t operator_revision;
 	bool load_operator_keys;
+	char *operator_cursor;
 	int64_t watch_pause_us;
 	uint32_t overdue_watches;
 	bool watching;
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -37,6 +37,8 @@
 	std::string watch_prefix;
 	uint64_t watch_after = 0;
 	bool orders_loaded = false;
+	std::string orders_cursor;
+	uint64_t orders_after = 0;
 	uint32_t orders_wait_ms = 0;
 };
 
@@ -55,6 +57,7 @@
 	}
 	if (strcmp(prefix, "orders/") == 0) {
 		s->orders_loaded = true;
+		s->orders_cursor = cursor != nullptr ? cursor : "";
 		s->orders_done = done;
 		s->orders_arg = arg;
 		return;
@@ -81,6 +84,7 @@
 	if (strcmp(prefix, "orders/") == 0) {
 		s->orders_loaded = false;
 		s->orders_wait_ms = wait_ms;
+		s->orders_after = after;
 		s->orders_done = done;
 		s->orders_arg = arg;
 		return;
@@ -964,6 +968,45 @@
 	EXPECT_EQ(r->operator_revision, 70u);
 }
 
+/* A large configuration fills a page, and what followed was not read. */
+TEST_F(Replica, OperatorsKeysOnLaterPagesAreRead)
+{
+	struct ks_response a = {};
+	struct ks_response refused = {};
+	struct ks_item item = worker_item("w/a", 60);
+	struct ks_item last = worker_item("w/b", 65);
+
+	auto answer = [&](const struct ks_response *with) {
+		store.orders_done(with, store.orders_arg);
+		loop_after(
+		    l, 300000, [](void *arg) { loop_stop((struct loop *)arg); },
+		    l);
+		loop_run(l);
+	};
+	page(10, {}, false);
+	a.result = KS_COMPACTED;
+	answer(&a);
+	EXPECT_EQ(store.orders_cursor, "");
+	a.result = KS_OK;
+	a.revision = 70;
+	a.item = &item;
+	a.item_count = 1;
+	a.more = true;
+	answer(&a);
+	EXPECT_TRUE(store.orders_loaded);
+	EXPECT_EQ(store.orders_cursor, "w/a");
+	refused.result = KS_REFUSED;
+	answer(&refused);
+	EXPECT_EQ(store.orders_cursor, "w/a");
+	a.revision = 80;
+	a.item = &last;
+	a.more = false;
+	answer(&a);
+	EXPECT_FALSE(store.orders_loaded);
+	EXPECT_TRUE(is_listed("b"));
+	EXPECT_EQ(store.orders_after, 70u);
+}
+
 /* Every daemon decoded each task of a job whenever one of them changed. */
 TEST_F(Replica, StateOfAJobIsAppliedWithoutDecodingItsTasks)
 {
