replica: an owner whose watch arrives for long catches up, too

What callers might see: an owner on a narrow link knows of jobs, configurations and maintenance ever later, until the store has dropped its history.

Change: an answer with a full batch of changes (400), for which the store hasn't waited, counts as overdue if it was open for as long as a watch waits. A slow answer that is not full, such as one large configuration, changes nothing.

--- a/curranttackd/replica.c
+++ b/curranttackd/replica.c
@@ -236,6 +236,7 @@
 {
 	struct rp_watch_call call = *(struct rp_watch_call *)arg;
 	struct replica *r = call.r;
+	bool lags = a->item_count >= RP_FULL_BATCH;
 	size_t i;
 
 	talloc_free(arg);
@@ -269,10 +270,12 @@
 		r->applied_revision = a->revision;
 	rp_note_current(r, a, &call);
 	r->overdue_watches = 0;
+	/* The store didn't wait, so the answer was arriving for so long. */
+	if (lags)
+		rp_note_overdue(r, &call);
 	r->watch_paused = true;
 	r->watch_resume_us = clk_now_us() + r->watch_pause_us;
-	/* More changes are waiting, or workers' entries are: it lags behind. */
-	if (a->item_count >= RP_FULL_BATCH || rp_lacks_workers(r))
+	if (lags || rp_lacks_workers(r))
 		rp_watch_now(r);
 }
 
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -238,7 +238,8 @@
  * @operator_cursor: last key of the page before; NULL for the first page
  * @watch_pause_us: pause between two watches, so that each returns a batch
  * @overdue_watches: since one was answered, those that the store should have
- *	answered; the next one is over the cell's own keys
+ *	answered, or a full answer that arrived for as long; the next one is over
+ *	the cell's own keys
  * @watching: a watch is open
  * @watch_number: counts watches, so that one that was given up is recognized
  * @given_up: one that was given up has not ended
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -895,6 +895,33 @@
 }
 
 /* A watch that waits may be cut at any time. */
+/* Each answer arrived, but late, and the copy fell ever further behind. */
+TEST_F(Replica, OwnerLagsNoFurtherBehindByAnswersThatArriveForLong)
+{
+	std::vector<struct ks_item> items(400, worker_item("w/a", 20));
+	struct ks_response a = {};
+
+	a.result = KS_OK;
+	a.revision = 20;
+	a.item = items.data();
+	a.item_count = items.size();
+	page(10, {worker_item("w/a", 5)}, false);
+	rp_follow_cancels(r, true);
+	store.watch_done(&a, store.watch_arg);
+	EXPECT_EQ(store.watch_prefix, "");
+	usleep(2100000);
+	store.watch_done(&a, store.watch_arg);
+	EXPECT_EQ(store.watch_prefix, RP_CELL_PREFIX);
+	EXPECT_EQ(store.watch_after, 20u);
+	store.range_prefix = "";
+	watch(KS_OK, 30);
+	EXPECT_EQ(store.range_prefix, "w/");
+	page(40, {worker_item("w/a", 35)}, false);
+	EXPECT_EQ(store.watch_prefix, "");
+	EXPECT_EQ(store.watch_after, 30u);
+	EXPECT_TRUE(r->has_workers);
+}
+
 TEST_F(Replica, WatchThatIsCutIsFollowedByOneOverAllKeys)
 {
 	page(10, {worker_item("w/a", 5)}, false);
