tests: the lines of a submission are looked at once the pool has its owner

Traced from the logs of that run: the daemon began at 02.336 s and took the submission at 02.350 s, while the other daemon's claim of the pool was under way. A job is created on condition that the term is the one that was read; the claim changed it, so the first attempt met a conflict and the second was done: 'attempts=2 refused=0 unanswered=0', which is what happened.

The test was wrong to submit before the first claim is done.

--- a/tests/fault/test_cell.cc
+++ b/tests/fault/test_cell.cc
@@ -535,6 +535,9 @@
 TEST_F(Cell, LinesOfASubmitSayWhatItsAttemptsGot)
 {
 	start_daemons(2);
+	/* A claim under way changes the term, and an attempt is repeated. */
+	EXPECT_EQ(submit(0, 3).status, 200);
+	wait_completed(0, 3, 4);
 	EXPECT_EQ(submit(0, 1).status, 200);
 	EXPECT_EQ(submit(0, 1).status, 200);
 	inject_fault(
