--- a/curranttackd/cell_advice_tick.c
+++ b/curranttackd/cell_advice_tick.c
@@ -10,6 +10,20 @@
 #define AV_AVOID_US (CLK_US_PER_S)
 #define AV_LOG_EVERY_US (CLK_US_PER_S)
 
+static void
+av_log_silent(const struct av_request *req, int64_t now_us)
+{
+	const struct av_target *target = req->target;
+	int64_t unheard_us =
+	    target->link != NULL ? now_us - peer_heard_us(target->link) : 0;
+
+	lg_event(LG_WARN, "advice", "peer_silent", "peer", target->vm, "job",
+	    req->request.job, "waited_ms",
+	    lg_i64((now_us - req->made_us) / CLK_US_PER_MS), "in_flight",
+	    lg_i64(target->load->in_flight), "unheard_ms",
+	    lg_i64(unheard_us / CLK_US_PER_MS), NULL);
+}
+
 /* A peer may not respond because its connection has silently failed. */
 static void
 av_check_timeouts(struct av_dispatcher *d, int64_t now_us)
@@ -19,8 +33,7 @@
 	DL_FOREACH(d->forwarded, req) {
 		if (now_us < req->deadline_us)
 			continue;
-		lg_event(LG_WARN, "advice", "peer_silent", "peer",
-		    req->target->vm, "job", req->request.job, NULL);
+		av_log_silent(req, now_us);
 		req->target->avoid_until_us = now_us + AV_AVOID_US;
 		/* Closing the link fails all of its requests and changes the list. */
 		pn_reset_link(d->c->links, req->target->vm);
@@ -64,6 +77,7 @@
 	const struct av_stats *stats = &d->stats;
 	uint32_t usable[2] = {0};
 	uint32_t busy[2] = {0};
+	uint32_t failing[2] = {0};
 	int64_t queued_us;
 	int64_t forwarded_us;
 	int64_t local_us;
@@ -81,6 +95,8 @@
 		usable[target->load->for_short] += target->load->usable;
 		busy[target->load->for_short] +=
 		    target->load->usable && target->load->in_flight > 0;
+		failing[target->load->for_short] +=
+		    target->load->usable && target->load->failing;
 	}
 	queued = av_count_list(d->queue, now_us, &queued_us);
 	forwarded = av_count_list(d->forwarded, now_us, &forwarded_us);
@@ -92,11 +108,13 @@
 	    "local", lg_i64(local), "local_ms",
 	    lg_i64(local_us / CLK_US_PER_MS), "long_targets",
 	    lg_i64(usable[false]), "long_busy", lg_i64(busy[false]),
-	    "short_targets", lg_i64(usable[true]), "short_busy",
-	    lg_i64(busy[true]), "answered", lg_i64(stats->answered), "failed",
-	    lg_i64(stats->failed), "answered_cost_ms",
-	    lg_i64(stats->answered_cost_us / CLK_US_PER_MS), "failed_cost_ms",
-	    lg_i64(stats->failed_cost_us / CLK_US_PER_MS), NULL);
+	    "long_failing", lg_i64(failing[false]), "short_targets",
+	    lg_i64(usable[true]), "short_busy", lg_i64(busy[true]),
+	    "short_failing", lg_i64(failing[true]), "answered",
+	    lg_i64(stats->answered), "failed", lg_i64(stats->failed),
+	    "answered_cost_ms", lg_i64(stats->answered_cost_us / CLK_US_PER_MS),
+	    "failed_cost_ms", lg_i64(stats->failed_cost_us / CLK_US_PER_MS),
+	    NULL);
 	memset(&d->stats, 0, sizeof(d->stats));
 }
 
--- a/include/transport/peer.h
+++ b/include/transport/peer.h
@@ -74,6 +74,8 @@
 const char *peer_address(const struct peer_link *link);
 /** peer_serial() - number of the link, never reused in its net */
 uint64_t peer_serial(const struct peer_link *link);
+/** peer_heard_us() - when bytes last arrived, or the link was created */
+int64_t peer_heard_us(const struct peer_link *link);
 /** peer_find() - an open link by its serial, or NULL */
 struct peer_link *peer_find(struct peer_net *net, uint64_t serial);
 /** peer_close() - close a link; on_closed is called */
--- a/tests/unit/sim_links.cc
+++ b/tests/unit/sim_links.cc
@@ -32,6 +32,7 @@
 	bool established;
 	bool refused;
 	bool closing;
+	int64_t heard_us;
 };
 
 /* Open links; others point to memory that is freed. */
@@ -45,6 +46,7 @@
 	link->net = net;
 	link->life = net->life;
 	link->serial = ++net->next_serial;
+	link->heard_us = sim_world->now;
 	sim_links.insert(link);
 	return link;
 }
@@ -151,6 +153,7 @@
 		    fr_unpack((const uint8_t *)text.data(), text.size(), &used,
 			&copy) != FR_OK)
 			return;
+		other->heard_us = sim_world->now;
 		other->net->hooks.on_frame(other, copy, other->net->arg);
 		currant__frame__free_unpacked(copy, NULL);
 	});
@@ -187,6 +190,12 @@
 	return link->serial;
 }
 
+extern "C" int64_t
+peer_heard_us(const struct peer_link *link)
+{
+	return link->heard_us;
+}
+
 extern "C" struct peer_link *
 peer_find(struct peer_net *net, uint64_t serial)
 {
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -40,6 +40,7 @@
 	struct peer_net *net;
 	uint64_t serial;
 	UT_hash_handle hh;
+	int64_t heard_us;
 	int fd;
 	struct tevent_fd *fde;
 	struct loop_timer *hello_timer;
@@ -264,6 +265,7 @@
 		return;
 	}
 	ct_add(CT_PEER_BYTES_IN, (uint64_t)n);
+	link->heard_us = clk_now_us();
 	if (!peer_buffer_append(link, &link->in, buf, (size_t)n)) {
 		peer_close(link);
 		return;
@@ -319,6 +321,7 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	link->net = net;
 	link->serial = ++net->next_serial;
+	link->heard_us = clk_now_us();
 	HASH_ADD(hh, net->links, serial, sizeof(link->serial), link);
 	link->fd = fd;
 	link->fde = tevent_add_fd(
@@ -429,6 +432,12 @@
 	return link->serial;
 }
 
+int64_t
+peer_heard_us(const struct peer_link *link)
+{
+	return link->heard_us;
+}
+
 struct peer_link *
 peer_find(struct peer_net *net, uint64_t serial)
 {
