peer: a link that goes silent is closed, whether anything is asked over it or not

Callers saw accepted work wait: after open connections between daemons had gone silent without a reset, requests for advice went on over them, and each link was found only by the deadline of a request over it, 1.5 to 8 s later and one link a tick. Links that were idle were found once a new owner needed them.

Each side of a link now sends an empty frame when it has sent nothing for 700 ms, and closes the link when nothing at all has arrived for 2,250 ms. The hello says so; over a link to a build that doesn't say it, none are sent and silence isn't looked for. One timer of a net checks all links, each 250 ms. Bytes that wait unread in the socket count as arrived, and after a pause of this process no link is closed for a second. Frames that wait in our own queue stand for the heartbeat. The event is link_silent, the counter peer_links_silent.

Ruled out: a ping that is answered (the answer queues behind data), deadlines in each user of the links (idle links stay), the kernel's keep-alive.

--- a/common/counters.c
+++ b/common/counters.c
@@ -42,6 +42,7 @@
     [CT_HTTP_CUT] = "http_requests_cut",
     [CT_HTTP_AT_END] = "http_requests_answered_at_end",
     [CT_WATCHES_UNANSWERED] = "store_watches_unanswered",
+    [CT_PEER_SILENT] = "peer_links_silent",
 };
 
 void
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -50,6 +50,7 @@
 	CT_HTTP_CUT,	/* read whole, and the connection ended in between */
 	CT_HTTP_AT_END, /* answered because the process ends */
 	CT_WATCHES_UNANSWERED, /* over the key space */
+	CT_PEER_SILENT,	       /* links that were closed, as nothing arrived */
 	CT_COUNT,
 };
 
--- a/include/protocol/curranttack.pb-c.h
+++ b/include/protocol/curranttack.pb-c.h
@@ -97,10 +97,16 @@
   char *domain;
   char *token;
   uint64_t incarnation;
+  /*
+   * It sends an empty frame when it has sent nothing for a while, and closes
+   * a link over which nothing arrives; builds before that don't.
+   */
+  protobuf_c_boolean has_heartbeats;
+  protobuf_c_boolean heartbeats;
 };
 #define CURRANT__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__hello__descriptor) \
-    , 0, NULL, NULL, NULL, 0 }
+    , 0, NULL, NULL, NULL, 0, 0, 0 }
 
 
 struct  Currant__OwnedShard
--- a/include/transport/peer.h
+++ b/include/transport/peer.h
@@ -12,6 +12,9 @@
  * Both sides send a hello first. Frames sent before the other side's hello
  * has arrived are queued locally, so a link that was never established is
  * known not to have delivered any.
+ *
+ * A link on which nothing arrives any more is closed; see
+ * coordination/link_alive.h. Peers of builds without heartbeats are exempt.
  */
 
 struct peer_net;
--- a/protocol/curranttack.pb-c.c
+++ b/protocol/curranttack.pb-c.c
@@ -2482,7 +2482,7 @@
   assert(message->base.descriptor == &currant__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor currant__hello__field_descriptors[5] =
+static const ProtobufCFieldDescriptor currant__hello__field_descriptors[6] =
 {
   {
     "version",
@@ -2544,9 +2544,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heartbeats",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Currant__Hello, has_heartbeats),
+    offsetof(Currant__Hello, heartbeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__hello__field_indices_by_name[] = {
   2,   /* field[2] = domain */
+  5,   /* field[5] = heartbeats */
   4,   /* field[4] = incarnation */
   3,   /* field[3] = token */
   0,   /* field[0] = version */
@@ -2555,7 +2568,7 @@
 static const ProtobufCIntRange currant__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor currant__hello__descriptor =
 {
@@ -2565,7 +2578,7 @@
   "Currant__Hello",
   "currant",
   sizeof(Currant__Hello),
-  5,
+  6,
   currant__hello__field_descriptors,
   currant__hello__field_indices_by_name,
   1,  currant__hello__number_ranges,
--- a/transport/peer.c
+++ b/transport/peer.c
@@ -2,6 +2,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "coordination/link_alive.h"
 #include "transport/address.h"
 #include "transport/peer.h"
 
@@ -28,6 +30,7 @@
 	void *arg;
 	uint64_t next_serial;
 	struct peer_link *links;
+	struct la_pause pause;
 };
 
 struct peer_buffer {
@@ -41,6 +44,7 @@
 	uint64_t serial;
 	UT_hash_handle hh;
 	int64_t heard_us;
+	struct la_link alive;
 	int fd;
 	struct tevent_fd *fde;
 	struct loop_timer *hello_timer;
@@ -128,6 +132,7 @@
 static void
 peer_flush(struct peer_link *link)
 {
+	bool sent = false;
 	ssize_t n;
 
 	if (link->connecting || link->closing)
@@ -138,6 +143,7 @@
 		if (n > 0) {
 			ct_add(CT_PEER_BYTES_OUT, (uint64_t)n);
 			peer_buffer_consume(&link->out, (size_t)n);
+			sent = true;
 			continue;
 		}
 		if (n == -1 && (errno == EAGAIN || errno == EINTR))
@@ -145,6 +151,8 @@
 		peer_close(link);
 		return;
 	}
+	if (sent)
+		la_on_sent(&link->alive, clk_now_us());
 	peer_update_events(link);
 }
 
@@ -203,6 +211,8 @@
 	TALLOC_FREE(link->hello_timer);
 	snprintf(link->vm, sizeof(link->vm), "%s", hello->vm);
 	link->established = true;
+	if (hello->heartbeats)
+		la_start(&link->alive, clk_now_us());
 	peer_buffer_append(
 	    link, &link->out, link->pending.data, link->pending.len);
 	link->pending.len = 0;
@@ -210,7 +220,7 @@
 }
 
 static void
-peer_dispatch(struct peer_link *link, const Currant__Frame *frame)
+peer_dispatch(struct peer_link *link, const Currant__Frame *frame, size_t bytes)
 {
 	ct_add(CT_PEER_MSGS_IN, 1);
 	if (frame->hello != NULL && !link->established) {
@@ -221,7 +231,9 @@
 		peer_close(link);
 		return;
 	}
-	link->net->hooks.on_frame(link, frame, link->net->arg);
+	/* Without a payload it is a heartbeat. */
+	if (bytes > FR_HEADER_BYTES)
+		link->net->hooks.on_frame(link, frame, link->net->arg);
 }
 
 static void
@@ -244,7 +256,7 @@
 			return;
 		}
 		at += used;
-		peer_dispatch(link, frame);
+		peer_dispatch(link, frame, used);
 		currant__frame__free_unpacked(frame, NULL);
 	}
 	if (!link->closing && at > 0)
@@ -266,6 +278,7 @@
 	}
 	ct_add(CT_PEER_BYTES_IN, (uint64_t)n);
 	link->heard_us = clk_now_us();
+	la_on_heard(&link->alive, link->heard_us);
 	if (!peer_buffer_append(link, &link->in, buf, (size_t)n)) {
 		peer_close(link);
 		return;
@@ -350,6 +363,81 @@
 		peer_send_hello(link);
 }
 
+/* What waits in the queue shows the peer that the link is alive. */
+static void
+peer_send_heartbeat(struct peer_link *link)
+{
+	Currant__Frame frame = CURRANT__FRAME__INIT;
+
+	if (link->out.len == 0)
+		peer_send(link, &frame);
+}
+
+/* The loop runs timers before it reads sockets. */
+static bool
+peer_has_unread(const struct peer_link *link)
+{
+	struct pollfd p = {link->fd, POLLIN, 0};
+
+	return poll(&p, 1, 0) > 0;
+}
+
+static void
+peer_close_silent(struct peer_link *link, int64_t now_us)
+{
+	ct_add(CT_PEER_SILENT, 1);
+	lg_event(LG_WARN, "peer", "link_silent", "peer", link->vm, "opened",
+	    lg_i64(link->address[0] != '\0'), "unheard_ms",
+	    lg_i64((now_us - link->heard_us) / CLK_US_PER_MS), "unsent_bytes",
+	    lg_i64((int64_t)link->out.len), NULL);
+	peer_close(link);
+}
+
+static void
+peer_check_link(struct peer_link *link, bool may_be_unread, int64_t now_us)
+{
+	switch (la_check(&link->alive, may_be_unread, now_us)) {
+	case LA_NONE:
+		break;
+	case LA_SEND_HEARTBEAT:
+		peer_send_heartbeat(link);
+		break;
+	case LA_CLOSE:
+		if (peer_has_unread(link))
+			la_on_heard(&link->alive, now_us);
+		else
+			peer_close_silent(link, now_us);
+		break;
+	}
+}
+
+/* One timer serves all links. */
+static void
+peer_check_links(void *arg)
+{
+	struct peer_net *net = arg;
+	int64_t now_us = clk_now_us();
+	bool may_be_unread = la_may_be_unread(&net->pause, now_us);
+	struct peer_link **links;
+	struct peer_link *link;
+	uint32_t count = 0;
+	uint32_t i;
+
+	/* A link that is closed meanwhile is freed later, by the loop. */
+	links =
+	    talloc_array(net, struct peer_link *, HASH_COUNT(net->links) + 1);
+	if (links == NULL)
+		abort();
+	for (link = net->links; link != NULL; link = link->hh.next)
+		links[count++] = link;
+	for (i = 0; i < count; i++) {
+		if (!links[i]->closing)
+			peer_check_link(links[i], may_be_unread, now_us);
+	}
+	talloc_free(links);
+	loop_at(net, net->loop, now_us + LA_CHECK_US, peer_check_links, net);
+}
+
 struct peer_net *
 peer_create(TALLOC_CTX *ctx, struct loop *l, int listen_fd,
     const Currant__Hello *hello, const struct peer_hooks *hooks, void *arg)
@@ -365,6 +453,8 @@
 	net->hello.vm = talloc_strdup(net, hello->vm);
 	net->hello.domain = talloc_strdup(net, hello->domain);
 	net->hello.token = talloc_strdup(net, hello->token);
+	net->hello.has_heartbeats = true;
+	net->hello.heartbeats = true;
 	net->hooks = *hooks;
 	net->arg = arg;
 	if (tevent_add_fd(loop_ev(l), net, listen_fd, TEVENT_FD_READ,
@@ -372,6 +462,7 @@
 		talloc_free(net);
 		return NULL;
 	}
+	loop_at(net, l, clk_now_us() + LA_CHECK_US, peer_check_links, net);
 	return net;
 }
 
