advice: requests that came over a closed link hold up no others

A daemon that asks the advice service for an owner goes on with what the owner sent over a link that has been closed since. The answers are dropped, and the owner has asked again, here or elsewhere; the service answers one request at a time, so the new ones wait behind the void ones, for as long as these take. That is what happens to all requests of links that went silent.

They are dropped from the queue when the link is closed. Calls that are under way already are left to end.

--- a/curranttackd/cell_advice_peers.c
+++ b/curranttackd/cell_advice_peers.c
@@ -48,6 +48,21 @@
 	av_dispatch(d);
 }
 
+/* The sender asks another daemon, or this one over its next link. */
+static void
+av_drop_requests_of(struct av_dispatcher *d, uint64_t link)
+{
+	struct av_request *req;
+	struct av_request *tmp;
+
+	DL_FOREACH_SAFE(d->local_queue, req, tmp) {
+		if (req->origin_link != link)
+			continue;
+		DL_DELETE(d->local_queue, req);
+		talloc_free(req);
+	}
+}
+
 void
 av_on_closed(struct av_dispatcher *d, struct peer_link *link)
 {
@@ -55,6 +70,7 @@
 	struct av_request *tmp;
 	uint32_t i;
 
+	av_drop_requests_of(d, peer_serial(link));
 	for (i = 1; i < d->target_count; i++) {
 		struct av_target *target = &d->target[i];
 
--- a/include/curranttackd/cell_advice.h
+++ b/include/curranttackd/cell_advice.h
@@ -29,7 +29,7 @@
 /** av_on_peer_answer() - a peer has sent the service's response */
 void av_on_peer_answer(struct av_dispatcher *d, struct peer_link *link,
     const Currant__AdviceAnswer *answer);
-/** av_on_closed() - a link was closed: fail the requests sent over it */
+/** av_on_closed() - a link was closed: fail requests sent over it, drop its own */
 void av_on_closed(struct av_dispatcher *d, struct peer_link *link);
 /** av_tick() - check timeouts and send queued requests */
 void av_tick(struct av_dispatcher *d, int64_t now_us);
