advice: a full daemon no longer hides idle ones that are marked as failing

Callers saw LOST: of thirteen daemons kept for short advice requests one got all of them for 33 s, 45 a second, with up to 385 waiting, while twelve were idle. A new owner had found the links of these twelve silent, so each counted as failing, with 700 ms more to do; the mark goes with the next success there. The least loaded was chosen first and asked whether it was full after that, so with the unmarked one full nothing was sent to the others, and no mark ever went.

Full daemons are left out before the least loaded is chosen.

Failed before: AdviceTargets.FullDaemonDoesNotHideIdleOnes... and FullLong...; the two others state what stays.

--- a/state/advice_queue.c
+++ b/state/advice_queue.c
@@ -58,7 +58,26 @@
 	return !a->lends && b->lends;
 }
 
-/* The least loaded daemon of those for such requests, or of all if @any. */
+static bool
+aq_is_full(const struct aq_load *l)
+{
+	return l->in_flight >= AQ_MAX_IN_FLIGHT;
+}
+
+/* Whether any daemon can be reached that is for such requests. */
+static bool
+aq_has_kind(const struct aq_load *load, uint32_t count, bool is_short)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (load[i].usable && load[i].for_short == is_short)
+			return true;
+	}
+	return false;
+}
+
+/* The least loaded that is not full, of those for such requests or of all. */
 static uint32_t
 aq_least_loaded(
     const struct aq_load *load, uint32_t count, bool is_short, bool any)
@@ -67,7 +86,9 @@
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		if (!load[i].usable || (!any && load[i].for_short != is_short))
+		if (!load[i].usable || aq_is_full(&load[i]))
+			continue;
+		if (!any && load[i].for_short != is_short)
 			continue;
 		if (best == AQ_NONE || aq_is_less_loaded(&load[i], &load[best]))
 			best = i;
@@ -91,11 +112,10 @@
 aq_choose_target(const struct aq_load *load, uint32_t count, bool is_short,
     int64_t waited_us)
 {
-	uint32_t best = aq_least_loaded(load, count, is_short, false);
+	bool any = !aq_has_kind(load, count, is_short);
+	uint32_t best = aq_least_loaded(load, count, is_short, any);
 
-	if (best == AQ_NONE)
-		best = aq_least_loaded(load, count, is_short, true);
-	if (best != AQ_NONE && load[best].in_flight < AQ_MAX_IN_FLIGHT)
+	if (best != AQ_NONE)
 		return best;
 	if (!is_short && waited_us >= AQ_BORROW_AFTER_US)
 		return aq_idle_lender(load, count);
--- a/tests/unit/test_advice_queue.cc
+++ b/tests/unit/test_advice_queue.cc
@@ -204,4 +204,51 @@
 	EXPECT_EQ(choose(true, 0), 0u);
 }
 
+/* LOST: one daemon served all short requests while twelve were idle. */
+TEST_F(AdviceTargets, FullDaemonDoesNotHideIdleOnesWhoseLastRequestFailed)
+{
+	load[3].failing = true;
+	load[6].failing = true;
+	send(0, 20 * kMs);
+	send(0, 20 * kMs);
+	EXPECT_EQ(choose(true, 0), 3u);
+	send(3, 20 * kMs);
+	send(3, 20 * kMs);
+	EXPECT_EQ(choose(true, 0), 6u);
+}
+
+TEST_F(AdviceTargets, FullLongDaemonDoesNotHideIdleOnesWhoseLastRequestFailed)
+{
+	for (uint32_t i : {2u, 4u, 5u})
+		load[i].failing = true;
+	send(1, 70 * kMs);
+	send(1, 70 * kMs);
+	EXPECT_EQ(choose(false, 0), 2u);
+}
+
+TEST_F(AdviceTargets, ShortRequestsWaitWhileAllDaemonsKeptForThemAreFull)
+{
+	for (uint32_t i : {0u, 3u, 6u}) {
+		send(i, 20 * kMs);
+		send(i, 20 * kMs);
+	}
+	EXPECT_EQ(choose(true, 0), AQ_NONE);
+	EXPECT_EQ(choose(true, 9 * kS), AQ_NONE);
+}
+
+TEST_F(AdviceTargets, RequestsGoToTheOtherKindOnlyIfNoneOfTheirsIsReachable)
+{
+	for (uint32_t i : {0u, 3u, 6u})
+		load[i].usable = false;
+	EXPECT_EQ(choose(true, 0), 1u);
+	load[6].usable = true;
+	EXPECT_EQ(choose(true, 0), 6u);
+	load[6].usable = false;
+	for (uint32_t i : {1u, 2u, 4u, 5u}) {
+		send(i, 600 * kMs);
+		send(i, 600 * kMs);
+	}
+	EXPECT_EQ(choose(true, 0), AQ_NONE);
+}
+
 } // namespace
