advice: the mark of a daemon whose call failed has an end

The mark is a deadline now, 5 s after the failure, cleared by a success.

DaemonThatFailedIsAskedAgainByItself... fails with a mark that lasts (2 chosen instead of 1), DaemonThatFailedLastIsTheLastOfEqualOnes without the order among equals. The tests that were there set the mark through aq_on_answer() and are otherwise unchanged. test_advice_queue: 16 pass.

--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -78,7 +78,7 @@
     uint32_t count)
 {
 	if (req->target != NULL) {
-		req->target->load->failing = !ok;
+		aq_on_answer(req->target->load, ok, clk_now_us());
 		req->target->load->in_flight--;
 		req->target->load->in_flight_cost_us -= req->cost_us;
 	}
--- a/curranttackd/cell_advice_targets.c
+++ b/curranttackd/cell_advice_targets.c
@@ -85,8 +85,8 @@
 struct av_target *
 av_choose_target(struct av_dispatcher *d, bool is_short, int64_t waited_us)
 {
-	uint32_t i =
-	    aq_choose_target(d->load, d->target_count, is_short, waited_us);
+	uint32_t i = aq_choose_target(
+	    d->load, d->target_count, is_short, waited_us, clk_now_us());
 
 	return i != AQ_NONE ? &d->target[i] : NULL;
 }
--- a/curranttackd/cell_advice_tick.c
+++ b/curranttackd/cell_advice_tick.c
@@ -96,7 +96,7 @@
 		busy[target->load->for_short] +=
 		    target->load->usable && target->load->in_flight > 0;
 		failing[target->load->for_short] +=
-		    target->load->usable && target->load->failing;
+		    target->load->usable && aq_is_failing(target->load, now_us);
 	}
 	queued = av_count_list(d->queue, now_us, &queued_us);
 	forwarded = av_count_list(d->forwarded, now_us, &forwarded_us);
--- a/include/state/advice_queue.h
+++ b/include/state/advice_queue.h
@@ -55,7 +55,8 @@
  * @usable: it can be reached
  * @for_short: it is kept for short requests
  * @lends: of those, it serves long ones while these wait and it is idle
- * @failing: the last request that this owner sent there failed
+ * @failing_until_us: its last answer was a failure, and until then others are
+ *	asked before it; 0 after a success. Later it is only the last of equals
  * @in_flight: requests of this owner there
  * @in_flight_cost_us: their cost
  */
@@ -63,7 +64,7 @@
 	bool usable;
 	bool for_short;
 	bool lends;
-	bool failing;
+	int64_t failing_until_us;
 	uint32_t in_flight;
 	int64_t in_flight_cost_us;
 };
@@ -77,10 +78,17 @@
  * @count: how many
  * @is_short: whether it is a short request
  * @waited_us: how long the oldest request of its kind has waited
+ * @now_us: time
  *
  * Return: index in @load, or AQ_NONE.
  */
 uint32_t aq_choose_target(const struct aq_load *load, uint32_t count,
-    bool is_short, int64_t waited_us);
+    bool is_short, int64_t waited_us, int64_t now_us);
+
+/** aq_on_answer() - a daemon's call of the service has succeeded or failed */
+void aq_on_answer(struct aq_load *l, bool ok, int64_t now_us);
+
+/** aq_is_failing() - whether others are asked before this daemon */
+bool aq_is_failing(const struct aq_load *l, int64_t now_us);
 
 #endif
--- a/state/advice_queue.c
+++ b/state/advice_queue.c
@@ -13,6 +13,8 @@
 
 /* A daemon whose last call failed counts as having that much to do before. */
 #define AQ_FAILING_COST_US (700 * CLK_US_PER_MS)
+/* For so long. */
+#define AQ_FAILING_US (5 * CLK_US_PER_S)
 
 bool
 aq_goes_before(
@@ -40,21 +42,42 @@
 	    AQ_CALLS_BEFORE * largest_cost_us + AQ_ANSWER_SLACK_US;
 }
 
+void
+aq_on_answer(struct aq_load *l, bool ok, int64_t now_us)
+{
+	l->failing_until_us = ok ? 0 : now_us + AQ_FAILING_US;
+}
+
+bool
+aq_is_failing(const struct aq_load *l, int64_t now_us)
+{
+	return now_us < l->failing_until_us;
+}
+
 static int64_t
-aq_expected_cost_us(const struct aq_load *l)
+aq_expected_cost_us(const struct aq_load *l, int64_t now_us)
 {
-	return l->in_flight_cost_us + (l->failing ? AQ_FAILING_COST_US : 0);
+	return l->in_flight_cost_us +
+	    (aq_is_failing(l, now_us) ? AQ_FAILING_COST_US : 0);
 }
 
-/* Of two that are equally loaded, the one that serves no other requests. */
+/*
+ * Of two that are equally loaded, one whose last call didn't fail, as an idle cell
+ * has many of them; then the one that serves no other requests.
+ */
 static bool
-aq_is_less_loaded(const struct aq_load *a, const struct aq_load *b)
+aq_is_less_loaded(
+    const struct aq_load *a, const struct aq_load *b, int64_t now_us)
 {
-	int64_t a_us = aq_expected_cost_us(a);
-	int64_t b_us = aq_expected_cost_us(b);
+	int64_t a_us = aq_expected_cost_us(a, now_us);
+	int64_t b_us = aq_expected_cost_us(b, now_us);
+	bool a_failed = a->failing_until_us != 0;
+	bool b_failed = b->failing_until_us != 0;
 
 	if (a_us != b_us)
 		return a_us < b_us;
+	if (a_failed != b_failed)
+		return b_failed;
 	return !a->lends && b->lends;
 }
 
@@ -79,8 +102,8 @@
 
 /* The least loaded that is not full, of those for such requests or of all. */
 static uint32_t
-aq_least_loaded(
-    const struct aq_load *load, uint32_t count, bool is_short, bool any)
+aq_least_loaded(const struct aq_load *load, uint32_t count, bool is_short,
+    bool any, int64_t now_us)
 {
 	uint32_t best = AQ_NONE;
 	uint32_t i;
@@ -90,7 +113,8 @@
 			continue;
 		if (!any && load[i].for_short != is_short)
 			continue;
-		if (best == AQ_NONE || aq_is_less_loaded(&load[i], &load[best]))
+		if (best == AQ_NONE ||
+		    aq_is_less_loaded(&load[i], &load[best], now_us))
 			best = i;
 	}
 	return best;
@@ -110,10 +134,10 @@
 
 uint32_t
 aq_choose_target(const struct aq_load *load, uint32_t count, bool is_short,
-    int64_t waited_us)
+    int64_t waited_us, int64_t now_us)
 {
 	bool any = !aq_has_kind(load, count, is_short);
-	uint32_t best = aq_least_loaded(load, count, is_short, any);
+	uint32_t best = aq_least_loaded(load, count, is_short, any, now_us);
 
 	if (best != AQ_NONE)
 		return best;
--- a/tests/unit/test_advice_queue.cc
+++ b/tests/unit/test_advice_queue.cc
@@ -115,8 +115,14 @@
 	uint32_t
 	choose(bool is_short, int64_t waited_us)
 	{
-		return aq_choose_target(
-		    load.data(), (uint32_t)load.size(), is_short, waited_us);
+		return aq_choose_target(load.data(), (uint32_t)load.size(),
+		    is_short, waited_us, now);
+	}
+
+	void
+	fail(uint32_t target)
+	{
+		aq_on_answer(&load[target], false, now);
 	}
 
 	void
@@ -138,6 +144,7 @@
 	}
 
 	std::vector<struct aq_load> load = std::vector<struct aq_load>(7);
+	int64_t now = 1000 * kS;
 };
 
 /* A pool stood still with room free, and three of seven daemons were idle. */
@@ -174,7 +181,7 @@
 TEST_F(AdviceTargets, DaemonWhoseLastRequestFailedIsAskedOnlyIfOthersAreBusy)
 {
 	EXPECT_EQ(choose(false, 0), 1u);
-	load[1].failing = true;
+	fail(1);
 	EXPECT_EQ(choose(false, 0), 2u);
 	for (uint32_t i : {2u, 4u, 5u}) {
 		send(i, 600 * kMs);
@@ -189,7 +196,7 @@
 TEST_F(AdviceTargets, DaemonsAreAskedThoughAllOfThemFail)
 {
 	for (auto &l : load)
-		l.failing = true;
+		aq_on_answer(&l, false, now);
 	EXPECT_EQ(choose(false, 0), 1u);
 	EXPECT_EQ(choose(true, 0), 0u);
 }
@@ -197,18 +204,48 @@
 /* A short request costs less than the wait for one that fails. */
 TEST_F(AdviceTargets, ShortRequestsAvoidADaemonThatFailsAsWell)
 {
-	load[0].failing = true;
+	fail(0);
 	EXPECT_EQ(choose(true, 0), 3u);
-	load[3].failing = true;
-	load[6].failing = true;
+	fail(3);
+	fail(6);
 	EXPECT_EQ(choose(true, 0), 0u);
 }
 
+/*
+ * Nothing may be sent there that could succeed: others are idle, or have less to
+ * do than the mark counts for.
+ */
+TEST_F(AdviceTargets, DaemonThatFailedIsAskedAgainByItselfOnceOthersHaveWork)
+{
+	fail(1);
+	for (uint32_t i : {2u, 4u, 5u})
+		send(i, 70 * kMs);
+	EXPECT_EQ(choose(false, 0), 2u);
+	now += 4 * kS;
+	EXPECT_EQ(choose(false, 0), 2u);
+	now += 1 * kS;
+	EXPECT_EQ(choose(false, 0), 1u);
+	fail(1);
+	EXPECT_EQ(choose(false, 0), 2u);
+}
+
+/* In an idle cell each request would meet the first of many that fail. */
+TEST_F(AdviceTargets, DaemonThatFailedLastIsTheLastOfEqualOnes)
+{
+	for (uint32_t i : {0u, 1u, 2u, 3u})
+		fail(i);
+	now += 60 * kS;
+	EXPECT_EQ(choose(false, 0), 4u);
+	EXPECT_EQ(choose(true, 0), 6u);
+	aq_on_answer(&load[1], true, now);
+	EXPECT_EQ(choose(false, 0), 1u);
+}
+
 /* LOST: one daemon served all short requests while twelve were idle. */
 TEST_F(AdviceTargets, FullDaemonDoesNotHideIdleOnesWhoseLastRequestFailed)
 {
-	load[3].failing = true;
-	load[6].failing = true;
+	fail(3);
+	fail(6);
 	send(0, 20 * kMs);
 	send(0, 20 * kMs);
 	EXPECT_EQ(choose(true, 0), 3u);
@@ -220,7 +257,7 @@
 TEST_F(AdviceTargets, FullLongDaemonDoesNotHideIdleOnesWhoseLastRequestFailed)
 {
 	for (uint32_t i : {2u, 4u, 5u})
-		load[i].failing = true;
+		fail(i);
 	send(1, 70 * kMs);
 	send(1, 70 * kMs);
 	EXPECT_EQ(choose(false, 0), 2u);
