advice: a request whose link failed marks no daemon as failing

Callers saw LOST: a new owner found the links of 12 of 13 daemons kept for short requests silent within 0.3 s, each was marked as failing, and was asked last from then on, though its next link was sound. The mark means that the daemon's calls of the service fail; a link that was closed or reset tells nothing of these.

The mark is set by what tells of the calls: an answer, and a request overdue on a link on which something arrived in the last second (the link is sound, the daemon doesn't answer). Requests of links that close set none; the daemon isn't used until it has a new link, which it must answer itself, and for a second where the link was reset. This daemon's own mark follows all of its calls, those for peers too.

--- a/curranttackd/cell_advice.c
+++ b/curranttackd/cell_advice.c
@@ -78,7 +78,6 @@
     uint32_t count)
 {
 	if (req->target != NULL) {
-		aq_on_answer(req->target->load, ok, clk_now_us());
 		req->target->load->in_flight--;
 		req->target->load->in_flight_cost_us -= req->cost_us;
 	}
@@ -99,6 +98,7 @@
 	struct av_dispatcher *d = req->d;
 
 	d->local_in_flight--;
+	aq_on_answer(&d->load[0], ok, clk_now_us());
 	av_finish(req, ok, approved, count);
 	av_start_local(d);
 	av_dispatch(d);
--- a/curranttackd/cell_advice_peers.c
+++ b/curranttackd/cell_advice_peers.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <utlist.h>
 
+#include "common/clock.h"
 #include "curranttackd/cell_advice_internal.h"
 
 void
@@ -44,6 +45,7 @@
 		approved[n].ticket = answer->good[n]->ticket;
 	}
 	DL_DELETE(d->forwarded, req);
+	aq_on_answer(req->target->load, answer->ok, clk_now_us());
 	av_finish(req, answer->ok, approved, n);
 	av_dispatch(d);
 }
--- a/curranttackd/cell_advice_tick.c
+++ b/curranttackd/cell_advice_tick.c
@@ -9,6 +9,8 @@
 
 #define AV_AVOID_US (CLK_US_PER_S)
 #define AV_LOG_EVERY_US (CLK_US_PER_S)
+/* A link that has brought something since is not silent. */
+#define AV_LINK_HEARD_US (CLK_US_PER_S)
 
 static void
 av_log_silent(const struct av_request *req, int64_t now_us)
@@ -24,7 +26,17 @@
 	    lg_i64(unheard_us / CLK_US_PER_MS), NULL);
 }
 
-/* A peer may not respond because its connection has silently failed. */
+static bool
+av_is_heard(const struct av_target *target, int64_t now_us)
+{
+	return target->link != NULL &&
+	    now_us - peer_heard_us(target->link) < AV_LINK_HEARD_US;
+}
+
+/*
+ * A peer may not respond because its connection has silently failed. That is not
+ * held against the peer; that it doesn't answer over a sound link is.
+ */
 static void
 av_check_timeouts(struct av_dispatcher *d, int64_t now_us)
 {
@@ -34,6 +46,8 @@
 		if (now_us < req->deadline_us)
 			continue;
 		av_log_silent(req, now_us);
+		if (av_is_heard(req->target, now_us))
+			aq_on_answer(req->target->load, false, now_us);
 		req->target->avoid_until_us = now_us + AV_AVOID_US;
 		/* Closing the link fails all of its requests and changes the list. */
 		pn_reset_link(d->c->links, req->target->vm);
--- a/include/state/advice_queue.h
+++ b/include/state/advice_queue.h
@@ -85,7 +85,11 @@
 uint32_t aq_choose_target(const struct aq_load *load, uint32_t count,
     bool is_short, int64_t waited_us, int64_t now_us);
 
-/** aq_on_answer() - a daemon's call of the service has succeeded or failed */
+/**
+ * aq_on_answer() - a daemon's call of the service has succeeded or failed
+ *
+ * Not for requests whose link failed: its next one may be sound.
+ */
 void aq_on_answer(struct aq_load *l, bool ok, int64_t now_us);
 
 /** aq_is_failing() - whether others are asked before this daemon */
