advice: after a pause, answers are read before peers are taken for silent

A daemon that was paused for longer than the deadlines of its requests reset the link of each peer at its next ticks, one a tick, though the answers lay unread in its sockets, which are read after timers. Requests failed that had been answered, and so did what else goes over these links.

As for relayed calls (re_may_be_unread()), no peer is taken for silent in the few ticks after a late one.

Advice.AnswersThatArrivedWhileThisDaemonWasPausedAreAwaited failed before (2 of 2 requests failed, 2 links reset); LinksThatAreSilentAfterAPauseAreReset states that silence is still found.

--- a/curranttackd/cell_advice_tick.c
+++ b/curranttackd/cell_advice_tick.c
@@ -42,6 +42,8 @@
 {
 	struct av_request *req;
 
+	if (re_may_be_unread(&d->pause, now_us))
+		return;
 	DL_FOREACH(d->forwarded, req) {
 		if (now_us < req->deadline_us)
 			continue;
--- a/include/curranttackd/cell_advice_internal.h
+++ b/include/curranttackd/cell_advice_internal.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTTACKD_CELL_ADVICE_INTERNAL_H
 #define CURRANTTACKD_CELL_ADVICE_INTERNAL_H
 
+#include "coordination/relays.h"
 #include "curranttackd/cell_advice.h"
 #include "state/advice_queue.h"
 
@@ -82,6 +83,7 @@
  * @refresh_at_us: when the targets are next brought up to date
  * @largest_cost_us: the largest cost of a request so far
  * @log_at_us: when the state is next logged
+ * @pause: no peer is taken for silent while answers may be unread
  * @stats: counts since the last line of the log
  */
 struct av_dispatcher {
@@ -97,6 +99,7 @@
 	int64_t refresh_at_us;
 	int64_t largest_cost_us;
 	int64_t log_at_us;
+	struct re_pause pause;
 	struct av_stats stats;
 };
 
--- a/tests/unit/test_advice.cc
+++ b/tests/unit/test_advice.cc
@@ -219,6 +219,7 @@
 
 		a.id = s.id;
 		a.ok = ok;
+		ASSERT_NE(pn_link(c->links, s.vm.c_str()), nullptr) << s.vm;
 		world.links[s.vm]->heard_us = world.now;
 		av_on_peer_answer(c->advice, world.links[s.vm], &a);
 	}
@@ -350,4 +351,30 @@
 	EXPECT_EQ(world.local.size(), 1u);
 }
 
+/* What arrived meanwhile is read between ticks. */
+TEST_F(Advice, AnswersThatArrivedWhileThisDaemonWasPausedAreAwaited)
+{
+	submit(20 * kMs);
+	submit(600 * kMs);
+	submit(600 * kMs);
+	ASSERT_EQ(receivers(), Names({"vm-0", "vm-2"}));
+	world.now += 5 * kS;
+	tick(0);
+	tick(25 * kMs);
+	for (size_t i = 0; i < 2; i++)
+		answer(world.sent[i], true);
+	EXPECT_EQ(answered, 2);
+	EXPECT_EQ(failed, 0);
+	EXPECT_TRUE(world.closed.empty());
+}
+
+TEST_F(Advice, LinksThatAreSilentAfterAPauseAreReset)
+{
+	submit(20 * kMs);
+	world.now += 5 * kS;
+	tick(200 * kMs);
+	EXPECT_EQ(failed, 1);
+	EXPECT_EQ(world.closed.size(), 1u);
+}
+
 } // namespace
