advice: all overdue links are reset in one tick

Callers saw LOST: after connections of 70% of the daemons went silent, peer_silent came for one peer after another, one a tick. The requests that the first reset failed were sent again in the same tick, also over links whose own requests were overdue, and waited there for the next reset.

All peers with an overdue request are found first, and get nothing more for a second; then their links are reset. One peer_silent line for each.

--- a/curranttackd/cell_advice_tick.c
+++ b/curranttackd/cell_advice_tick.c
@@ -33,27 +33,44 @@
 	    now_us - peer_heard_us(target->link) < AV_LINK_HEARD_US;
 }
 
-/*
- * A peer may not respond because its connection has silently failed. That is not
- * held against the peer; that it doesn't answer over a sound link is.
- */
+/* It gets nothing that the failing of other requests makes room for. */
+static void
+av_set_overdue(const struct av_request *req, int64_t now_us)
+{
+	struct av_target *target = req->target;
+
+	if (target->overdue)
+		return;
+	av_log_silent(req, now_us);
+	/* That a link is silent is not held against its daemon. */
+	if (av_is_heard(target, now_us))
+		aq_on_answer(target->load, false, now_us);
+	target->overdue = true;
+	target->avoid_until_us = now_us + AV_AVOID_US;
+	target->load->usable = false;
+}
+
+/* A peer may not respond because its connection has silently failed. */
 static void
 av_check_timeouts(struct av_dispatcher *d, int64_t now_us)
 {
 	struct av_request *req;
+	uint32_t i;
 
 	if (re_may_be_unread(&d->pause, now_us))
 		return;
 	DL_FOREACH(d->forwarded, req) {
-		if (now_us < req->deadline_us)
+		if (now_us >= req->deadline_us)
+			av_set_overdue(req, now_us);
+	}
+	for (i = 1; i < d->target_count; i++) {
+		struct av_target *target = &d->target[i];
+
+		if (!target->overdue)
 			continue;
-		av_log_silent(req, now_us);
-		if (av_is_heard(req->target, now_us))
-			aq_on_answer(req->target->load, false, now_us);
-		req->target->avoid_until_us = now_us + AV_AVOID_US;
-		/* Closing the link fails all of its requests and changes the list. */
-		pn_reset_link(d->c->links, req->target->vm);
-		return;
+		target->overdue = false;
+		/* Closing the link fails all of its requests. */
+		pn_reset_link(d->c->links, target->vm);
 	}
 }
 
--- a/include/curranttackd/cell_advice_internal.h
+++ b/include/curranttackd/cell_advice_internal.h
@@ -21,12 +21,14 @@
  * @link: connection to it, or NULL; unused for this daemon
  * @load: what it can take, and what it has
  * @avoid_until_us: gets none before, as it has been silent
+ * @overdue: only while links are checked: a request there has no answer in time
  */
 struct av_target {
 	char vm[WP_NAME_BYTES];
 	struct peer_link *link;
 	struct aq_load *load;
 	int64_t avoid_until_us;
+	bool overdue;
 };
 
 /**
--- a/tests/unit/test_advice.cc
+++ b/tests/unit/test_advice.cc
@@ -377,4 +377,20 @@
 	EXPECT_EQ(world.closed.size(), 1u);
 }
 
+/* Otherwise what one link fails is sent over the next that is silent. */
+TEST_F(Advice, AllSilentLinksThatAreOverdueAreResetAtOnce)
+{
+	for (int i = 0; i < 6; i++)
+		submit(20 * kMs);
+	ASSERT_EQ(std::set<std::string>({"vm-0", "vm-3", "vm-6"}),
+	    std::set<std::string>(
+		{world.sent[0].vm, world.sent[1].vm, world.sent[2].vm}));
+	tick(1500 * kMs);
+	EXPECT_EQ(failed, 0);
+	world.now += 100 * kMs;
+	tick(0);
+	EXPECT_EQ(failed, 6);
+	EXPECT_EQ(world.closed.size(), 3u);
+}
+
 } // namespace
