shard: a worker gets one task in a pass after its quarantine

After a quarantine a worker is given one task at a time until one succeeds, but whether it is usable is computed between passes, so one pass filled it: all of its tasks could fail at once again. It is out of use as soon as it has its task.

ShardTest.WorkerGetsOneTaskAfterItsQuarantineInOnePass failed before (three tasks). test_shard: 24 pass.

--- a/state/shard_task.c
+++ b/state/shard_task.c
@@ -73,6 +73,9 @@
 	task->record_number = sh_append_task_record(sh, RC_TASK_STARTING, task);
 	task->start_logged = true;
 	sh->worker[w].send_needed = true;
+	/* It gets no other one in this pass. */
+	if (sh->worker[w].probing)
+		sh->table->worker[w].usable = false;
 	sh->starts++;
 	sh_queue_update(task->job);
 	return true;
--- a/tests/unit/test_shard.cc
+++ b/tests/unit/test_shard.cc
@@ -540,6 +540,23 @@
 	EXPECT_FALSE(sh->worker[0].probing);
 }
 
+TEST_F(ShardTest, WorkerGetsOneTaskAfterItsQuarantineInOnePass)
+{
+	make(1, {4000, 16 * kGb, 0});
+	for (int i = 0; i < 3; i++)
+		submit(ST_BATCH, ST_NORMAL, 1, {1000, kGb, 0}, CLK_US_PER_S);
+	tick();
+	exchange_all();
+	while (sh->worker[0].tasks != nullptr)
+		end(sh->worker[0].tasks, ST_RESULT_FAILED);
+	commit();
+	ASSERT_TRUE(sh->worker[0].probing);
+	for (int i = 0; i < 80 && sh->worker[0].tasks == nullptr; i++)
+		pass(500 * CLK_US_PER_MS);
+	ASSERT_NE(sh->worker[0].tasks, nullptr);
+	EXPECT_EQ(sh->worker[0].tasks->next, nullptr);
+}
+
 TEST_F(ShardTest, FailingJobDoesNotQuarantineAllWorkers)
 {
 	make(12, {4000, 16 * kGb, 0});
