shard: a task that lasts keeps no others from a worker after its quarantine

After a quarantine, a worker gets no task beside one that it has until one succeeds. A service doesn't end: as the first task after the quarantine, or from before it, it kept the rest of the worker idle for good.

Only tasks that the worker got after its quarantine count, and one that has run for 30 s there ends the probing as a success does.

Seen failing before: ShardTest.WorkerWhoseTaskAfterAQuarantineLasts... (0 placed, 1 expected) and TaskFromBeforeAQuarantine...

--- a/include/state/shard_types.h
+++ b/include/state/shard_types.h
@@ -202,7 +202,8 @@
  * @consecutive_failures: failures that count against it since a success
  * @quarantines: quarantines since a success; each doubles the next
  * @quarantined_until_us: receives no tasks until then
- * @probing: after a quarantine, one task at a time until one succeeds
+ * @probing: after a quarantine, one new task at a time until one succeeds or has
+ *	run for long
  * @want_inventory: must list its tasks before it receives new ones
  * @avoid_until_us: after an error, receives no new tasks until then
  */
--- a/state/shard_worker.c
+++ b/state/shard_worker.c
@@ -7,8 +7,42 @@
 #define SH_QUARANTINE_AFTER 3
 #define SH_QUARANTINE_US (30 * CLK_US_PER_S)
 #define SH_MAX_QUARANTINE_SHIFT 4
+/* A task that has run for so long after a quarantine ends the probing as well. */
+#define SH_PROBE_US (30 * CLK_US_PER_S)
 #define SH_DRIFT_DIVISOR 64
 
+/* The oldest task that it got after its quarantine, or NULL. */
+static const struct sh_task *
+sh_find_probe(const struct sh_worker *wk)
+{
+	const struct sh_task *oldest = NULL;
+	const struct sh_task *task;
+
+	DL_FOREACH(wk->tasks, task) {
+		if (task->started_us < wk->quarantined_until_us)
+			continue;
+		if (oldest == NULL || task->started_us < oldest->started_us)
+			oldest = task;
+	}
+	return oldest;
+}
+
+/* After a quarantine, one task at a time until one succeeds, or lasts. */
+static bool
+sh_awaits_probe(struct sh_worker *wk, int64_t now_us)
+{
+	const struct sh_task *probe;
+
+	if (!wk->probing)
+		return false;
+	probe = sh_find_probe(wk);
+	if (probe == NULL)
+		return false;
+	wk->probing = probe->state != SH_RUNNING ||
+	    now_us - probe->started_us < SH_PROBE_US;
+	return wk->probing;
+}
+
 void
 sh_worker_update_usable(struct sh_shard *sh, uint32_t w, int64_t now_us)
 {
@@ -18,8 +52,7 @@
 	usable = wk->state == SH_W_USABLE && !wk->leaving &&
 	    !wk->want_inventory && now_us >= wk->quarantined_until_us &&
 	    now_us >= wk->avoid_until_us;
-	/* After a quarantine, one task at a time until one succeeds. */
-	if (wk->probing && wk->tasks != NULL)
+	if (sh_awaits_probe(wk, now_us))
 		usable = false;
 	if (usable && !sh->table->worker[w].usable)
 		sh->pass_needed = true;
--- a/tests/unit/test_shard.cc
+++ b/tests/unit/test_shard.cc
@@ -557,6 +557,63 @@
 	EXPECT_EQ(sh->worker[0].tasks->next, nullptr);
 }
 
+/* A service doesn't end, so its worker took nothing else. */
+TEST_F(ShardTest, WorkerWhoseTaskAfterAQuarantineLastsTakesOthersAsWell)
+{
+	make(1, {4000, 16 * kGb, 0});
+	for (int i = 0; i < 4; i++)
+		submit(ST_BATCH, ST_NORMAL, 1, {500, kGb, 0}, CLK_US_PER_S);
+	tick();
+	exchange_all();
+	while (!sh->worker[0].probing && sh->worker[0].tasks != nullptr)
+		end(sh->worker[0].tasks, ST_RESULT_FAILED);
+	ASSERT_TRUE(sh->worker[0].probing);
+	while (sh->worker[0].tasks != nullptr)
+		end(sh->worker[0].tasks, ST_RESULT_CANCELLED);
+	commit();
+	struct sh_job *service =
+	    submit(ST_SERVICE, ST_URGENT, 1, {1000, kGb, 0}, 0);
+
+	pass(31 * CLK_US_PER_S);
+	ASSERT_EQ(service->task[0].state, SH_RUNNING);
+	struct sh_job *other =
+	    submit(ST_BATCH, ST_NORMAL, 1, {500, kGb, 0}, CLK_US_PER_S);
+
+	pass(5 * CLK_US_PER_S);
+	EXPECT_EQ(placed(other), 0U);
+	pass(30 * CLK_US_PER_S);
+	EXPECT_EQ(placed(other), 1U);
+}
+
+TEST_F(ShardTest, TaskFromBeforeAQuarantineKeepsNoOthersFromTheWorker)
+{
+	make(1, {4000, 16 * kGb, 0});
+	submit(ST_SERVICE, ST_URGENT, 1, {1000, kGb, 0}, 0);
+	tick();
+	for (int i = 0; i < 3; i++)
+		submit(ST_BATCH, ST_NORMAL, 1, {500, kGb, 0}, CLK_US_PER_S);
+	tick();
+	exchange_all();
+	while (!sh->worker[0].probing) {
+		struct sh_task *task = sh->worker[0].tasks;
+
+		while (task->job->spec->kind == ST_SERVICE)
+			task = task->next;
+		end(task, ST_RESULT_FAILED);
+	}
+	commit();
+	pass(31 * CLK_US_PER_S);
+
+	const struct sh_task *task;
+	int tasks = 0;
+
+	/* One of the tasks that failed. */
+	DL_FOREACH(sh->worker[0].tasks, task)
+		tasks++;
+	EXPECT_EQ(tasks, 2);
+	EXPECT_TRUE(sh->worker[0].probing);
+}
+
 TEST_F(ShardTest, FailingJobDoesNotQuarantineAllWorkers)
 {
 	make(12, {4000, 16 * kGb, 0});
