relay: all relays that are overdue are avoided at once

While links to many daemons are silent, one relay a tick was found to have failed, and orders that the owner sent again meanwhile went over those whose turn hadn't come, for another 450 ms each.

All relays with a call without an answer in time are found first and then failed, in the same tick.

--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -25,6 +25,7 @@
 	char vm[WP_NAME_BYTES];
 	uint64_t link;
 	int64_t avoid_until_us;
+	bool failed; /* only while calls are checked */
 	Currant__RelayedOrder order[RL_MAX_BATCH];
 	Currant__RelayedOrder *orders[RL_MAX_BATCH];
 	uint32_t order_count;
@@ -372,6 +373,8 @@
 {
 	struct rl_call *call;
 	struct rl_call *tmp;
+	struct rl_relay *r;
+	struct rl_relay *tmp_relay;
 
 	/* After this process was paused, sockets are read before calls time out. */
 	if (re_may_be_unread(&d->pause, now_us))
@@ -379,12 +382,15 @@
 	HASH_ITER(hh, d->calls, call, tmp) {
 		if (now_us < call->deadline_us)
 			continue;
-		if (call->overdue) {
+		if (call->overdue)
 			rl_call_failed(d, call);
+		else
+			call->relay->failed = true;
+	}
+	HASH_ITER(hh, d->relays, r, tmp_relay) {
+		if (!r->failed)
 			continue;
-		}
-		/* Failing a relay removes all of its calls. */
-		rl_relay_failed(d, call->relay, "no answer");
-		return;
+		r->failed = false;
+		rl_relay_failed(d, r, "no answer");
 	}
 }
