--- a/curranttackd/cell_advice_tick.c
+++ b/curranttackd/cell_advice_tick.c
@@ -9,8 +9,8 @@
 
 #define AV_AVOID_US (CLK_US_PER_S)
 #define AV_LOG_EVERY_US (CLK_US_PER_S)
-/* A link that has brought something since is not silent. */
-#define AV_LINK_HEARD_US (CLK_US_PER_S)
+/* Longer than between heartbeats, shorter than the wait for any answer. */
+#define AV_LINK_HEARD_US (1500 * CLK_US_PER_MS)
 
 static void
 av_log_silent(const struct av_request *req, int64_t now_us)
