routing: full endpoints don't hide idle ones from a random choice

With power_of_two_choices, two of all endpoints were drawn, and if neither could take the request it waited until the next try, or was refused, though others were idle; with nearly all endpoints full or ejected most tries failed. A retry could go to the endpoint that had just refused it.

Two are drawn of those that can take the request.

The other choice (least outstanding) asks before it chooses.

--- a/include/state/routing.h
+++ b/include/state/routing.h
@@ -245,7 +245,7 @@
 /** rt_choose_least_outstanding() - endpoint with the fewest open attempts */
 uint32_t rt_choose_least_outstanding(
     struct rt_service *s, const struct rt_request *req, int64_t now_us);
-/** rt_choose_two_random() - baseline: better of two random endpoints */
+/** rt_choose_two_random() - baseline: better of two random ones that are free */
 uint32_t rt_choose_two_random(
     struct rt_service *s, const struct rt_request *req, int64_t now_us);
 
--- a/state/routing_endpoints.c
+++ b/state/routing_endpoints.c
@@ -101,23 +101,34 @@
 	return best;
 }
 
+/* Of those that can take the request, each as likely as the others. */
+static uint32_t
+rt_random_available(
+    struct rt_service *s, const struct rt_request *req, int64_t now_us)
+{
+	uint32_t chosen = RT_NONE;
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < s->endpoint_count; i++) {
+		if (i != req->avoid_endpoint &&
+		    rt_is_available(&s->endpoint[i], now_us) &&
+		    rng_below(&s->rng, ++n) == 0)
+			chosen = i;
+	}
+	return chosen;
+}
+
 uint32_t
 rt_choose_two_random(
     struct rt_service *s, const struct rt_request *req, int64_t now_us)
 {
-	uint32_t a;
-	uint32_t b;
+	uint32_t a = rt_random_available(s, req, now_us);
+	uint32_t b = rt_random_available(s, req, now_us);
 
-	(void)req;
-	if (s->endpoint_count == 0)
+	if (a == RT_NONE)
 		return RT_NONE;
-	a = (uint32_t)rng_below(&s->rng, s->endpoint_count);
-	b = (uint32_t)rng_below(&s->rng, s->endpoint_count);
-	if (!rt_is_available(&s->endpoint[a], now_us) ||
-	    (rt_is_available(&s->endpoint[b], now_us) &&
-		s->endpoint[b].outstanding < s->endpoint[a].outstanding))
-		a = b;
-	return rt_is_available(&s->endpoint[a], now_us) ? a : RT_NONE;
+	return s->endpoint[b].outstanding < s->endpoint[a].outstanding ? b : a;
 }
 
 uint32_t
--- a/tests/unit/test_routing.cc
+++ b/tests/unit/test_routing.cc
@@ -199,6 +199,38 @@
 	EXPECT_FALSE(s->endpoint[0].probing);
 }
 
+/* Two were drawn of all, and only then asked whether they take anything. */
+TEST_F(RoutingTest, FullEndpointsDoNotHideAnIdleOneFromARandomChoice)
+{
+	s->choose = rt_choose_two_random;
+	endpoints(20, 1);
+	for (int i = 0; i < 20; i++) {
+		arrive();
+		EXPECT_EQ(next(), RT_SEND) << "request " << i;
+	}
+	arrive();
+	EXPECT_EQ(next(), -1);
+}
+
+TEST_F(RoutingTest, RandomChoiceRetriesElsewhere)
+{
+	s->choose = rt_choose_two_random;
+	s->retry_tokens = 20000;
+	endpoints(2, 8);
+	for (int i = 0; i < 10; i++) {
+		struct rt_request *r = arrive();
+		struct rt_action a;
+
+		ASSERT_EQ(next(&a), RT_SEND);
+		uint32_t first = r->endpoint;
+
+		rt_attempt_ended(s, r, RT_REFUSED, now_us);
+		ASSERT_EQ(next(&a), RT_SEND);
+		EXPECT_NE(r->endpoint, first);
+		rt_attempt_ended(s, r, RT_ANSWERED, now_us);
+	}
+}
+
 TEST_F(RoutingTest, RequestThatCannotFinishInTimeIsRefused)
 {
 	struct rt_action a;
