advice: a daemon that failed is lent to long requests after others

Long requests that have waited for 1.5 s go to idle daemons kept for short ones: to the first that is idle, whether its last call had failed or not.

Idle lenders are compared as other daemons are.

AdviceTargets.IdleDaemonThatFailedIsLentAfterOthers failed before (3 chosen instead of 6). test_advice_queue: 17 pass, test_advice: 9 pass.

--- a/state/advice_queue.c
+++ b/state/advice_queue.c
@@ -121,15 +121,19 @@
 }
 
 static uint32_t
-aq_idle_lender(const struct aq_load *load, uint32_t count)
+aq_idle_lender(const struct aq_load *load, uint32_t count, int64_t now_us)
 {
+	uint32_t best = AQ_NONE;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		if (load[i].usable && load[i].lends && load[i].in_flight == 0)
-			return i;
+		if (!load[i].usable || !load[i].lends || load[i].in_flight > 0)
+			continue;
+		if (best == AQ_NONE ||
+		    aq_is_less_loaded(&load[i], &load[best], now_us))
+			best = i;
 	}
-	return AQ_NONE;
+	return best;
 }
 
 uint32_t
@@ -142,6 +146,6 @@
 	if (best != AQ_NONE)
 		return best;
 	if (!is_short && waited_us >= AQ_BORROW_AFTER_US)
-		return aq_idle_lender(load, count);
+		return aq_idle_lender(load, count, now_us);
 	return AQ_NONE;
 }
--- a/tests/unit/test_advice_queue.cc
+++ b/tests/unit/test_advice_queue.cc
@@ -174,6 +174,16 @@
 	EXPECT_EQ(choose(false, 2 * kS), 6u);
 }
 
+/* It would get each long request again, as it is idle again soonest. */
+TEST_F(AdviceTargets, IdleDaemonThatFailedIsLentAfterOthers)
+{
+	fill_with_long_requests();
+	fail(3);
+	EXPECT_EQ(choose(false, 2 * kS), 6u);
+	send(6, 600 * kMs);
+	EXPECT_EQ(choose(false, 2 * kS), 3u);
+}
+
 /*
  * LOST: the last task of a step asks for advice again and again, and an idle
  * cell passes each request to the first daemon, whose calls fail.
