--- a/include/curranttackd/cell_advice_internal.h
+++ b/include/curranttackd/cell_advice_internal.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTTACKD_CELL_ADVICE_INTERNAL_H
 #define CURRANTTACKD_CELL_ADVICE_INTERNAL_H
 
+#include "coordination/relays.h"
 #include "curranttackd/cell_advice.h"
 #include "state/advice_queue.h"
 
@@ -20,12 +21,14 @@
  * @link: connection to it, or NULL; unused for this daemon
  * @load: what it can take, and what it has
  * @avoid_until_us: gets none before, as it has been silent
+ * @overdue: only while links are checked: a request there has no answer in time
  */
 struct av_target {
 	char vm[WP_NAME_BYTES];
 	struct peer_link *link;
 	struct aq_load *load;
 	int64_t avoid_until_us;
+	bool overdue;
 };
 
 /**
@@ -82,6 +85,7 @@
  * @refresh_at_us: when the targets are next brought up to date
  * @largest_cost_us: the largest cost of a request so far
  * @log_at_us: when the state is next logged
+ * @pause: no peer is taken for silent while answers may be unread
  * @stats: counts since the last line of the log
  */
 struct av_dispatcher {
@@ -97,6 +101,7 @@
 	int64_t refresh_at_us;
 	int64_t largest_cost_us;
 	int64_t log_at_us;
+	struct re_pause pause;
 	struct av_stats stats;
 };
 
