http client: unanswered calls tell the age of their connection

The logs did not tell whether a call that had no answer used a connection of the pool or one of its own, so a silent connection looked like a slow host. The client has the library make and close sockets through it and so knows each connection: its host, when it was made, when the last answer on it arrived. The line http unanswered has these, and how many calls to the host in a row had no answer on a reused connection; two counters count both kinds. No decision changes.

test_http_client UnansweredCallsAreCountedByConnection, on connections that go silent beside new ones that work (loopback.h: SilenceableServer).

--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -34,6 +34,9 @@
 	CT_PEER_MSGS_IN,
 	CT_PEER_BYTES_IN,
 	CT_HTTP_SENT_AGAIN, /* by the client library, to any side */
+	/* The deadline passed and nothing had arrived, by connection. */
+	CT_HTTP_UNANSWERED_NEW,
+	CT_HTTP_UNANSWERED_REUSED,
 	CT_STORE_SENT_AGAIN,
 	CT_STORE_REJECTED,
 	CT_STORE_UNANSWERED,
--- a/tests/unit/loopback.h
+++ b/tests/unit/loopback.h
@@ -4,8 +4,14 @@
 /* Servers that tests write byte by byte listen here. */
 
 #include <arpa/inet.h>
+#include <atomic>
+#include <mutex>
+#include <poll.h>
 #include <string>
 #include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
 
 /* A blocking listener on a free port of the loopback; sets its IP:PORT. */
 inline int
@@ -24,4 +30,129 @@
 	return fd;
 }
 
+/*
+ * Answers each request with 200 and "{}" on any number of connections, which can go
+ * silent for good: no bytes, no reset. Those made after that work.
+ */
+class SilenceableServer
+{
+      public:
+	SilenceableServer()
+	{
+		fd = listen_on_loopback(&address);
+		url = "http://" + address + "/";
+		thread = std::thread([this] { serve(); });
+	}
+
+	~SilenceableServer()
+	{
+		stopped = true;
+		thread.join();
+		for (const Conn &c : conns)
+			close(c.fd);
+		close(fd);
+	}
+
+	/* All connections that are open. */
+	void
+	silence()
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		for (Conn &c : conns)
+			c.silent = true;
+	}
+
+	/* Requests wait until it lets go; one each connection. */
+	std::atomic<bool> holds{false};
+	std::atomic<int> connections{0};
+	/* Those that arrived, on silent connections too. */
+	std::atomic<int> requests{0};
+	std::string address;
+	std::string url;
+
+      private:
+	struct Conn {
+		int fd;
+		bool silent;
+		bool waits;
+		std::string text;
+	};
+
+	static bool
+	is_whole(const std::string &text)
+	{
+		size_t head = text.find("\r\n\r\n");
+		size_t length = text.find("Content-Length: ");
+
+		if (head == std::string::npos)
+			return false;
+		if (length == std::string::npos)
+			return true;
+		return text.size() >=
+		    head + 4 + std::stoul(text.substr(length + 16));
+	}
+
+	void
+	read_some(Conn &c)
+	{
+		char buf[4096];
+		ssize_t n = recv(c.fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+		if (n == 0) {
+			close(c.fd);
+			c.fd = -1;
+		}
+		if (n <= 0)
+			return;
+		c.text.append(buf, (size_t)n);
+		if (!is_whole(c.text))
+			return;
+		c.text.clear();
+		c.waits = true;
+		requests++;
+	}
+
+	void
+	respond(Conn &c)
+	{
+		static const char text[] =
+		    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+		if (!c.waits || c.silent || holds)
+			return;
+		c.waits = false;
+		send(c.fd, text, sizeof(text) - 1, MSG_NOSIGNAL);
+	}
+
+	void
+	serve()
+	{
+		while (!stopped) {
+			std::vector<struct pollfd> pfd = {{fd, POLLIN, 0}};
+
+			for (const Conn &c : conns)
+				pfd.push_back({c.fd, POLLIN, 0});
+			poll(pfd.data(), pfd.size(), 2);
+			std::lock_guard<std::mutex> guard(lock);
+			for (size_t i = 0; i < conns.size(); i++) {
+				if (pfd[i + 1].revents != 0)
+					read_some(conns[i]);
+				respond(conns[i]);
+			}
+			if (pfd[0].revents == 0)
+				continue;
+			conns.push_back(
+			    {accept(fd, nullptr, nullptr), false, false, ""});
+			connections++;
+		}
+	}
+
+	int fd = -1;
+	std::atomic<bool> stopped{false};
+	std::mutex lock;
+	std::vector<Conn> conns;
+	std::thread thread;
+};
+
 #endif
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -14,6 +14,7 @@
 
 extern "C" {
 #include "common/clock.h"
+#include "common/counters.h"
 #include "transport/address.h"
 #include "transport/http_client.h"
 }
@@ -694,4 +695,92 @@
 	EXPECT_EQ(read_slowly(plain.url, 0, &took_us), HC_TIMEOUT);
 }
 
+/* Calls of one client to servers whose connections go silent. */
+class HttpClientOfSilentConnections : public testing::Test
+{
+      protected:
+	~HttpClientOfSilentConnections() override
+	{
+		talloc_free(l);
+	}
+
+	void
+	begin(const std::string &url, Call *call, int64_t wait_us)
+	{
+		struct hc_request req = {};
+
+		*call = {HC_OK, false};
+		req.method = "POST";
+		req.url = url.c_str();
+		req.body = "body";
+		req.body_bytes = 4;
+		req.deadline_us = clk_now_us() + wait_us;
+		hc_send(hc, &req, on_done, call);
+	}
+
+	void
+	wait(const Call &call)
+	{
+		while (!call.done)
+			tevent_loop_once(loop_ev(l));
+	}
+
+	void
+	run_for(int64_t us)
+	{
+		int64_t end_us = clk_now_us() + us;
+
+		loop_after(
+		    l, us, [](void *) {}, nullptr);
+		while (clk_now_us() < end_us)
+			tevent_loop_once(loop_ev(l));
+	}
+
+	enum hc_error
+	call(const std::string &url)
+	{
+		Call c;
+
+		begin(url, &c, wait_us);
+		wait(c);
+		return c.error;
+	}
+
+	/* So that as many connections are idle afterwards. */
+	void
+	call_at_once(const std::string &url, size_t count)
+	{
+		std::vector<Call> calls(count);
+
+		for (Call &c : calls)
+			begin(url, &c, CLK_US_PER_S);
+		for (const Call &c : calls) {
+			wait(c);
+			EXPECT_EQ(c.error, HC_OK);
+		}
+	}
+
+	const int64_t wait_us = 200 * CLK_US_PER_MS;
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+};
+
+/* Nothing told whether calls time out on old connections, or the host is slow. */
+TEST_F(HttpClientOfSilentConnections, UnansweredCallsAreCountedByConnection)
+{
+	SilenceableServer server;
+	uint64_t reused = ct_get(CT_HTTP_UNANSWERED_REUSED);
+	uint64_t made = ct_get(CT_HTTP_UNANSWERED_NEW);
+
+	EXPECT_EQ(call(server.url), HC_OK);
+	server.silence();
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_REUSED), reused + 1);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_NEW), made);
+	server.holds = true;
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_REUSED), reused + 1);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_NEW), made + 1);
+}
+
 } // namespace
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -9,7 +9,9 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/log.h"
 #include "transport/http_client.h"
+#include "transport/http_connections.h"
 
 #define HC_MAX_BODY_BYTES ((size_t)8 << 20)
 /* A deadline timer that fires this late means that the loop was stalled. */
@@ -20,12 +22,14 @@
 #define HC_MAX_DEFERRALS 8
 #define HC_MAX_DEFER_US (100 * CLK_US_PER_MS)
 #define HC_MAX_IDLE_HANDLES 1024
+#define HC_LOGGED_URL_BYTES 128
 /* With its default limit, curl closes connections of a large fleet constantly. */
 #define HC_MAX_CACHED_CONNECTIONS 3000L
 
 struct http_client {
 	struct loop *loop;
 	CURLM *multi;
+	struct hn_connections *connections;
 	struct loop_timer *timer;
 	struct hc_transfer *transfers;
 	struct hc_socket *sockets;
@@ -49,6 +53,9 @@
 struct hc_transfer {
 	struct http_client *hc;
 	CURL *easy;
+	/* NULL until it has one. */
+	struct hn_connection *conn;
+	int64_t begun_us;
 	struct curl_slist *headers;
 	char *response_body;
 	size_t response_bytes;
@@ -114,6 +121,54 @@
 	hc->idle[hc->idle_count++] = easy;
 }
 
+/* The URL without its query, which may be long. */
+static void
+hc_log_unanswered(const struct hc_transfer *t, bool is_new, int64_t now_us)
+{
+	char *url = NULL;
+	char text[HC_LOGGED_URL_BYTES];
+
+	curl_easy_getinfo(t->easy, CURLINFO_EFFECTIVE_URL, &url);
+	if (url == NULL)
+		return;
+	snprintf(text, sizeof(text), "%.*s", (int)strcspn(url, "?"), url);
+	lg_event(LG_INFO, "http", "unanswered", "url", text, "waited_ms",
+	    lg_i64((now_us - t->begun_us) / CLK_US_PER_MS), "new",
+	    lg_i64(is_new), "open_ms",
+	    lg_i64((now_us - t->conn->opened_us) / CLK_US_PER_MS), "unheard_ms",
+	    lg_i64((now_us - t->conn->heard_us) / CLK_US_PER_MS), "in_a_row",
+	    lg_i64(t->conn->host->unanswered), NULL);
+}
+
+/* The deadline passed, and nothing has arrived on the connection. */
+static void
+hc_on_unanswered(struct hc_transfer *t, int64_t now_us)
+{
+	long connects = 0;
+
+	if (t->conn == NULL || t->response_headers != NULL)
+		return;
+	curl_easy_getinfo(t->easy, CURLINFO_NUM_CONNECTS, &connects);
+	if (connects == 0) {
+		ct_add(CT_HTTP_UNANSWERED_REUSED, 1);
+		t->conn->host->unanswered++;
+	} else {
+		ct_add(CT_HTTP_UNANSWERED_NEW, 1);
+	}
+	hc_log_unanswered(t, connects > 0, now_us);
+}
+
+/* What the call tells of its connection. */
+static void
+hc_note_outcome(struct hc_transfer *t, CURLcode code)
+{
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		hc_on_unanswered(t, clk_now_us());
+	else if (code == CURLE_OK && t->conn != NULL)
+		hn_on_answer(t->conn, clk_now_us());
+	hn_forget_user(&t->conn);
+}
+
 static void
 hc_finish(struct http_client *hc, CURL *easy, CURLcode code)
 {
@@ -125,6 +180,7 @@
 	long connects = 0;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &t);
+	hc_note_outcome(t, code);
 	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
@@ -322,10 +378,11 @@
 {
 	struct http_client *hc = arg;
 	struct hc_socket *sock = sockp;
+	struct hc_transfer *t = NULL;
 	uint16_t flags = 0;
 
-	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
+		hn_leave(hc->connections, fd);
 		curl_multi_assign(hc->multi, fd, NULL);
 		if (sock != NULL)
 			DL_DELETE(hc->sockets, sock);
@@ -340,6 +397,8 @@
 		tevent_fd_set_flags(sock->fde, flags);
 		return 0;
 	}
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &t);
+	hn_take(hc->connections, fd, &t->conn);
 	sock = talloc_zero(hc, struct hc_socket);
 	if (sock == NULL)
 		return -1;
@@ -361,8 +420,9 @@
 	if (hc == NULL)
 		return NULL;
 	hc->loop = l;
+	hc->connections = hn_create(hc);
 	hc->multi = curl_multi_init();
-	if (hc->multi == NULL) {
+	if (hc->multi == NULL || hc->connections == NULL) {
 		talloc_free(hc);
 		return NULL;
 	}
@@ -458,6 +518,7 @@
 	curl_easy_setopt(t->easy, CURLOPT_PREREQFUNCTION, hc_on_connected);
 	curl_easy_setopt(t->easy, CURLOPT_PREREQDATA, t);
 	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
+	hn_set_options(t->hc->connections, t->easy);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, hc_on_body);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t);
 	curl_easy_setopt(t->easy, CURLOPT_HEADERFUNCTION, hc_on_header);
@@ -502,6 +563,7 @@
 		t->headers = curl_slist_append(t->headers, line);
 	}
 	hc_set_options(t, req);
+	t->begun_us = clk_now_us();
 	t->deadline_us = req->deadline_us;
 	t->arriving_until_us = req->arriving_until_us;
 	t->overdue_us = req->overdue_us;
