http client: one silent connection ends the use of those as old

When the open connections to a host go silent, each idle one of the pool cost a call of its own its whole deadline: 0.9 s at the store, 0.25 s and 1.2 s at a worker, and so on for as many as were idle. Seen on the loopback: with 4 idle connections, 4 calls in a row timed out; an overdue call was followed by another one on a silent connection.

A call that is late (at its deadline, or at the time at which it is reported overdue) on a reused connection of which nothing arrived now ends the use of the idle connections to that host, except those on which an answer arrived in the last 250 ms. It does so once a silence: calls that began before say nothing new, so connections that were made meanwhile stay. A late call on a new connection tells of a slow host and drops nothing; connections in use are left to the deadlines of their calls; no other host is touched. So a slow worker costs the connections that were idle there, one or two as a rule.

The decision is hn_shows_silence() and hn_judge(), without I/O. A host is remembered only for as long as it has connections. Dropped ones are shut down, and the library closes what is at its end before it reuses it.

Ruled out: CURLOPT_MAXLIFETIME_CONN. FRESH_CONNECT spares one call only.

Tests: HttpClientOfSilentConnections, HttpConnections.

--- a/common/counters.c
+++ b/common/counters.c
@@ -28,6 +28,7 @@
     [CT_HTTP_SENT_AGAIN] = "http_requests_sent_again",
     [CT_HTTP_UNANSWERED_NEW] = "http_requests_unanswered_new",
     [CT_HTTP_UNANSWERED_REUSED] = "http_requests_unanswered_reused",
+    [CT_HTTP_DROPPED] = "http_connections_dropped",
     [CT_STORE_SENT_AGAIN] = "store_requests_sent_again",
     [CT_STORE_REJECTED] = "store_requests_rejected",
     [CT_STORE_UNANSWERED] = "store_requests_unanswered",
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -37,6 +37,7 @@
 	/* The deadline passed and nothing had arrived, by connection. */
 	CT_HTTP_UNANSWERED_NEW,
 	CT_HTTP_UNANSWERED_REUSED,
+	CT_HTTP_DROPPED, /* idle connections that may be silent */
 	CT_STORE_SENT_AGAIN,
 	CT_STORE_REJECTED,
 	CT_STORE_UNANSWERED,
--- a/include/transport/http_connections.h
+++ b/include/transport/http_connections.h
@@ -7,13 +7,21 @@
 #include <talloc.h>
 #include <uthash.h>
 
+#include "common/clock.h"
+
 /**
  * DOC: Connections of an HTTP client, by the host that they lead to.
  *
  * The client library keeps idle connections and tells nothing of them. A host is
  * remembered for as long as it has connections.
+ *
+ * Connections may go silent without an end, all those to a host at once, while
+ * new ones work. The first call that shows it ends the use of the others.
  */
 
+/* A connection on which an answer arrived so recently isn't silent. */
+#define HN_PROOF_US (250 * CLK_US_PER_MS)
+
 struct hn_connections;
 
 /**
@@ -21,11 +29,13 @@
  * @key: IP address and port
  * @list: connections to it
  * @unanswered: calls in a row that had no answer on a reused connection
+ * @cleared_us: when a call last showed that its connections may be silent
  */
 struct hn_host {
 	uint64_t key;
 	struct hn_connection *list;
 	uint32_t unanswered;
+	int64_t cleared_us;
 	UT_hash_handle hh;
 };
 
@@ -38,6 +48,7 @@
  * @opened_us: when it was made
  * @heard_us: when the last answer on it was complete; @opened_us before that
  * @busy: a call is using it
+ * @dropped: shut down, so that the library closes it instead of reusing it
  */
 struct hn_connection {
 	struct hn_connections *all;
@@ -47,11 +58,47 @@
 	int64_t opened_us;
 	int64_t heard_us;
 	bool busy;
+	bool dropped;
 	struct hn_connection *prev;
 	struct hn_connection *next;
 	UT_hash_handle hh;
 };
 
+/**
+ * struct hn_call - a call without an answer at the time that it was due
+ * @reused: its connection was in use before
+ * @heard: a part of the answer has arrived
+ * @begun_us: when the call began
+ */
+struct hn_call {
+	bool reused;
+	bool heard;
+	int64_t begun_us;
+};
+
+enum hn_verdict {
+	HN_KEEP,
+	HN_DROP,
+};
+
+/**
+ * hn_shows_silence() - whether a call shows that connections may be silent
+ * @call: the call
+ * @cleared_us: when an earlier call showed it of the same host; calls begun
+ *	before that are of the same silence
+ *
+ * On a new connection, the host is slow or away.
+ */
+bool hn_shows_silence(const struct hn_call *call, int64_t cleared_us);
+
+/**
+ * hn_judge() - whether to keep a connection to a host of which others are silent
+ * @busy: a call is using it, and has a deadline of its own
+ * @heard_us: when the last answer on it arrived
+ * @now_us: the time
+ */
+enum hn_verdict hn_judge(bool busy, int64_t heard_us, int64_t now_us);
+
 /**
  * hn_create() - create an empty table
  * @ctx: talloc parent
@@ -96,4 +143,15 @@
  */
 void hn_on_answer(struct hn_connection *conn, int64_t now_us);
 
+/**
+ * hn_on_late() - a call has no answer at the time that it was due
+ * @conn: its connection
+ * @call: what is known of the call
+ * @now_us: the time
+ *
+ * Return: how many idle connections to the same host aren't used any more.
+ */
+uint32_t hn_on_late(
+    struct hn_connection *conn, const struct hn_call *call, int64_t now_us);
+
 #endif
--- a/tests/unit/loopback.h
+++ b/tests/unit/loopback.h
@@ -53,14 +53,14 @@
 		close(fd);
 	}
 
-	/* All connections that are open. */
+	/* All connections that are open, but for the first few. */
 	void
-	silence()
+	silence(size_t but = 0)
 	{
 		std::lock_guard<std::mutex> guard(lock);
 
-		for (Conn &c : conns)
-			c.silent = true;
+		for (size_t i = but; i < conns.size(); i++)
+			conns[i].silent = true;
 	}
 
 	/* Requests wait until it lets go; one each connection. */
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -17,6 +17,7 @@
 #include "common/counters.h"
 #include "transport/address.h"
 #include "transport/http_client.h"
+#include "transport/http_connections.h"
 }
 
 namespace
@@ -783,4 +784,167 @@
 	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_NEW), made + 1);
 }
 
+/* Each connection of the pool cost a time-out of its own: the lease, at the store. */
+TEST_F(HttpClientOfSilentConnections, OneTimeOutEndsTheUseOfAllThatAreAsOld)
+{
+	SilenceableServer server;
+
+	call_at_once(server.url, 4);
+	run_for(300 * CLK_US_PER_MS);
+	server.silence();
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(call(server.url), HC_OK) << i;
+	EXPECT_EQ(server.connections, 5);
+}
+
+/* A renewal that was overdue was followed by another one on a silent connection. */
+TEST_F(HttpClientOfSilentConnections, OverdueCallEndsTheUseOfThoseThatAreAsOld)
+{
+	SilenceableServer server;
+	struct hc_request req = {};
+	Call overdue = {HC_OK, false};
+
+	call_at_once(server.url, 3);
+	run_for(300 * CLK_US_PER_MS);
+	server.silence();
+	req.method = "POST";
+	req.url = server.url.c_str();
+	req.body = "body";
+	req.body_bytes = 4;
+	req.overdue_us = clk_now_us() + 100 * CLK_US_PER_MS;
+	req.overdue = [](void *arg) { ((Call *)arg)->overdue++; };
+	req.deadline_us = clk_now_us() + CLK_US_PER_S;
+	hc_send(hc, &req, on_done, &overdue);
+	while (overdue.overdue == 0)
+		tevent_loop_once(loop_ev(l));
+	EXPECT_EQ(call(server.url), HC_OK);
+	wait(overdue);
+	EXPECT_EQ(overdue.error, HC_TIMEOUT);
+	/* Its end tells nothing new. */
+	EXPECT_EQ(call(server.url), HC_OK);
+	EXPECT_EQ(server.connections, 4);
+}
+
+TEST_F(HttpClientOfSilentConnections, CallThatIsUnderWayIsNotBrokenOff)
+{
+	SilenceableServer server;
+	Call slow;
+
+	call_at_once(server.url, 3);
+	run_for(300 * CLK_US_PER_MS);
+	server.holds = true;
+	begin(server.url, &slow, 2 * CLK_US_PER_S);
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	server.holds = false;
+	wait(slow);
+	EXPECT_EQ(slow.error, HC_OK);
+	EXPECT_EQ(slow.sends, 1U);
+	EXPECT_EQ(slow.connects, 0U);
+}
+
+/* New connections to workers have a price. */
+TEST_F(HttpClientOfSilentConnections, ConnectionsToOtherHostsAreKept)
+{
+	SilenceableServer server;
+	SilenceableServer others[3];
+
+	call_at_once(server.url, 2);
+	for (SilenceableServer &other : others)
+		call_at_once(other.url, 2);
+	run_for(1300 * CLK_US_PER_MS);
+	server.silence();
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	EXPECT_EQ(call(server.url), HC_OK);
+	for (SilenceableServer &other : others) {
+		call_at_once(other.url, 2);
+		EXPECT_EQ(other.connections, 2);
+	}
+}
+
+TEST_F(HttpClientOfSilentConnections, SilenceOfANewConnectionTellsOfNoOther)
+{
+	SilenceableServer server;
+	Call slow;
+	Call silent;
+
+	call_at_once(server.url, 1);
+	server.holds = true;
+	begin(server.url, &slow, 2 * CLK_US_PER_S);
+	begin(server.url, &silent, 500 * CLK_US_PER_MS);
+	while (server.requests < 3)
+		run_for(CLK_US_PER_MS);
+	server.silence(1);
+	server.holds = false;
+	wait(slow);
+	wait(silent);
+	EXPECT_EQ(slow.error, HC_OK);
+	EXPECT_EQ(silent.error, HC_TIMEOUT);
+	EXPECT_EQ(call(server.url), HC_OK);
+	EXPECT_EQ(server.connections, 2);
+}
+
+/* A host that answers on another connection is slow on one at most. */
+TEST_F(HttpClientOfSilentConnections, ConnectionThatWasJustHeardIsKept)
+{
+	SilenceableServer server;
+	Call silent;
+
+	call_at_once(server.url, 1);
+	server.silence();
+	begin(server.url, &silent, 500 * CLK_US_PER_MS);
+	while (!silent.done) {
+		EXPECT_EQ(call(server.url), HC_OK);
+		run_for(20 * CLK_US_PER_MS);
+	}
+	EXPECT_EQ(silent.error, HC_TIMEOUT);
+	EXPECT_EQ(call(server.url), HC_OK);
+	EXPECT_EQ(server.connections, 2);
+}
+
+TEST(HttpConnections, CallTellsOfSilenceOnlyOnAReusedConnectionThatSaidNothing)
+{
+	static const struct {
+		bool reused;
+		bool heard;
+		int64_t begun_us;
+		int64_t cleared_us;
+		bool shows;
+	} table[] = {
+	    {true, false, 100, 0, true},
+	    {true, false, 100, 100, true},
+	    {false, false, 100, 0, false},
+	    {true, true, 100, 0, false},
+	    {true, false, 99, 100, false},
+	};
+
+	for (const auto &row : table) {
+		struct hn_call call = {row.reused, row.heard, row.begun_us};
+
+		EXPECT_EQ(hn_shows_silence(&call, row.cleared_us), row.shows)
+		    << &row - table;
+	}
+}
+
+TEST(HttpConnections, ConnectionIsDroppedOnceItWasNotHeardForAWhile)
+{
+	static const struct {
+		bool busy;
+		int64_t unheard_us;
+		enum hn_verdict verdict;
+	} table[] = {
+	    {false, 0, HN_KEEP},
+	    {false, HN_PROOF_US - 1, HN_KEEP},
+	    {false, HN_PROOF_US, HN_DROP},
+	    {false, 60 * CLK_US_PER_S, HN_DROP},
+	    {true, 60 * CLK_US_PER_S, HN_KEEP},
+	};
+	const int64_t now_us = 100 * CLK_US_PER_S;
+
+	for (const auto &row : table)
+		EXPECT_EQ(hn_judge(row.busy, now_us - row.unheard_us, now_us),
+		    row.verdict)
+		    << &row - table;
+}
+
 } // namespace
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -121,18 +121,26 @@
 	hc->idle[hc->idle_count++] = easy;
 }
 
-/* The URL without its query, which may be long. */
-static void
-hc_log_unanswered(const struct hc_transfer *t, bool is_new, int64_t now_us)
+/* Without the query, which may be long. */
+static const char *
+hc_logged_url(const struct hc_transfer *t, char *text, size_t bytes)
 {
 	char *url = NULL;
-	char text[HC_LOGGED_URL_BYTES];
 
 	curl_easy_getinfo(t->easy, CURLINFO_EFFECTIVE_URL, &url);
 	if (url == NULL)
-		return;
-	snprintf(text, sizeof(text), "%.*s", (int)strcspn(url, "?"), url);
-	lg_event(LG_INFO, "http", "unanswered", "url", text, "waited_ms",
+		return "";
+	snprintf(text, bytes, "%.*s", (int)strcspn(url, "?"), url);
+	return text;
+}
+
+static void
+hc_log_unanswered(const struct hc_transfer *t, bool is_new, int64_t now_us)
+{
+	char text[HC_LOGGED_URL_BYTES];
+
+	lg_event(LG_INFO, "http", "unanswered", "url",
+	    hc_logged_url(t, text, sizeof(text)), "waited_ms",
 	    lg_i64((now_us - t->begun_us) / CLK_US_PER_MS), "new",
 	    lg_i64(is_new), "open_ms",
 	    lg_i64((now_us - t->conn->opened_us) / CLK_US_PER_MS), "unheard_ms",
@@ -140,22 +148,49 @@
 	    lg_i64(t->conn->host->unanswered), NULL);
 }
 
+static bool
+hc_is_on_new_connection(const struct hc_transfer *t)
+{
+	long connects = 0;
+
+	curl_easy_getinfo(t->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return connects > 0;
+}
+
+/* No answer at the time that it was due: others may be silent, too. */
+static void
+hc_on_late(const struct hc_transfer *t, int64_t now_us)
+{
+	struct hn_call call = {
+	    .reused = !hc_is_on_new_connection(t),
+	    .heard = t->response_headers != NULL,
+	    .begun_us = t->begun_us,
+	};
+	char text[HC_LOGGED_URL_BYTES];
+	uint32_t dropped;
+
+	if (t->conn == NULL)
+		return;
+	dropped = hn_on_late(t->conn, &call, now_us);
+	if (dropped > 0)
+		lg_event(LG_INFO, "http", "dropped", "url",
+		    hc_logged_url(t, text, sizeof(text)), "connections",
+		    lg_i64(dropped), NULL);
+}
+
 /* The deadline passed, and nothing has arrived on the connection. */
 static void
-hc_on_unanswered(struct hc_transfer *t, int64_t now_us)
+hc_on_unanswered(const struct hc_transfer *t, int64_t now_us)
 {
-	long connects = 0;
+	bool is_new = hc_is_on_new_connection(t);
 
 	if (t->conn == NULL || t->response_headers != NULL)
 		return;
-	curl_easy_getinfo(t->easy, CURLINFO_NUM_CONNECTS, &connects);
-	if (connects == 0) {
-		ct_add(CT_HTTP_UNANSWERED_REUSED, 1);
+	if (!is_new)
 		t->conn->host->unanswered++;
-	} else {
-		ct_add(CT_HTTP_UNANSWERED_NEW, 1);
-	}
-	hc_log_unanswered(t, connects > 0, now_us);
+	ct_add(is_new ? CT_HTTP_UNANSWERED_NEW : CT_HTTP_UNANSWERED_REUSED, 1);
+	hc_log_unanswered(t, is_new, now_us);
+	hc_on_late(t, now_us);
 }
 
 /* What the call tells of its connection. */
@@ -313,6 +348,7 @@
 	if (t->overdue_us == 0 || t->overdue_us > now_us)
 		return;
 	t->overdue_us = 0;
+	hc_on_late(t, now_us);
 	t->overdue(t->arg);
 }
 
--- a/transport/http_connections.c
+++ b/transport/http_connections.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 #include <utlist.h>
 
-#include "common/clock.h"
+#include "common/counters.h"
 #include "transport/http_connections.h"
 
 #define HN_PORT_BITS 16
@@ -168,3 +168,39 @@
 	conn->heard_us = now_us;
 	conn->host->unanswered = 0;
 }
+
+bool
+hn_shows_silence(const struct hn_call *call, int64_t cleared_us)
+{
+	return call->reused && !call->heard && call->begun_us >= cleared_us;
+}
+
+enum hn_verdict
+hn_judge(bool busy, int64_t heard_us, int64_t now_us)
+{
+	return busy || now_us - heard_us < HN_PROOF_US ? HN_KEEP : HN_DROP;
+}
+
+uint32_t
+hn_on_late(
+    struct hn_connection *conn, const struct hn_call *call, int64_t now_us)
+{
+	struct hn_host *host = conn->host;
+	struct hn_connection *other;
+	uint32_t dropped = 0;
+
+	if (!hn_shows_silence(call, host->cleared_us))
+		return 0;
+	host->cleared_us = now_us;
+	DL_FOREACH(host->list, other) {
+		if (other->dropped ||
+		    hn_judge(other->busy, other->heard_us, now_us) == HN_KEEP)
+			continue;
+		/* The library closes it when it looks for one to reuse. */
+		shutdown(other->fd, SHUT_RDWR);
+		other->dropped = true;
+		dropped++;
+	}
+	ct_add(CT_HTTP_DROPPED, dropped);
+	return dropped;
+}
