--- a/tests/unit/loopback.h
+++ b/tests/unit/loopback.h
@@ -31,13 +31,13 @@
 }
 
 /*
- * Answers each request with 200 and "{}" on any number of connections, which can go
+ * Answers each request with 200 and a body on any number of connections, which can go
  * silent for good: no bytes, no reset. Those made after that work.
  */
 class SilenceableServer
 {
       public:
-	SilenceableServer()
+	explicit SilenceableServer(const char *body = "{}") : body(body)
 	{
 		fd = listen_on_loopback(&address);
 		url = "http://" + address + "/";
@@ -116,13 +116,13 @@
 	void
 	respond(Conn &c)
 	{
-		static const char text[] =
-		    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+		const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " +
+		    std::to_string(body.size()) + "\r\n\r\n" + body;
 
 		if (!c.waits || c.silent || holds)
 			return;
 		c.waits = false;
-		send(c.fd, text, sizeof(text) - 1, MSG_NOSIGNAL);
+		send(c.fd, text.data(), text.size(), MSG_NOSIGNAL);
 	}
 
 	void
@@ -148,6 +148,7 @@
 		}
 	}
 
+	const std::string body;
 	int fd = -1;
 	std::atomic<bool> stopped{false};
 	std::mutex lock;
--- a/tests/unit/test_platform_calls.cc
+++ b/tests/unit/test_platform_calls.cc
@@ -9,6 +9,7 @@
 #include "loopback.h"
 
 extern "C" {
+#include "common/clock.h"
 #include "common/counters.h"
 #include "platform/platform.h"
 }
@@ -284,4 +285,199 @@
 	EXPECT_EQ(ct_get(CT_STORE_UNANSWERED), unanswered + 1);
 }
 
+/* What arrived of calls that are made at once, and by when. */
+struct Answers {
+	size_t count = 0;
+	size_t good = 0;
+};
+
+/* Idle connections to one service, as many as calls that were made at once. */
+class CallsOnSilentConnections : public Calls
+{
+      public:
+	static constexpr size_t IDLE = 4;
+
+	static void
+	on_key_space(const struct ks_response *a, void *arg)
+	{
+		((Answers *)arg)->count++;
+		((Answers *)arg)->good += a->result == KS_OK;
+	}
+
+	static void
+	on_advice(
+	    bool answered, const struct wp_approval *, uint32_t, void *arg)
+	{
+		((Answers *)arg)->count++;
+		((Answers *)arg)->good += answered;
+	}
+
+	static void
+	on_order(enum wp_order_result result, int64_t, void *arg)
+	{
+		((Answers *)arg)->count++;
+		((Answers *)arg)->good += result == WP_ACCEPTED;
+	}
+
+	static void
+	on_renewal(enum wp_order_result result, const struct wp_renewal_reply *,
+	    void *arg)
+	{
+		if (result == WP_OVERDUE) {
+			((Answers *)arg)->count++;
+			return;
+		}
+		((Answers *)arg)->good += result == WP_ACCEPTED;
+	}
+
+	void
+	wait_for(const Answers &answers, size_t count)
+	{
+		while (answers.count < count)
+			tevent_loop_once(loop_ev(l));
+	}
+
+	void
+	run_for(int64_t us)
+	{
+		int64_t end_us = clk_now_us() + us;
+
+		loop_after(
+		    l, us, [](void *) {}, nullptr);
+		while (clk_now_us() < end_us)
+			tevent_loop_once(loop_ev(l));
+	}
+
+	void
+	renew_store_lease(Answers *answers)
+	{
+		fleet->keys->lease_renew(
+		    fleet->handle, 7, on_key_space, answers);
+	}
+
+	void
+	watch(Answers *answers)
+	{
+		fleet->keys->watch(
+		    fleet->handle, "", 1, 300, on_key_space, answers);
+	}
+
+	void
+	request_advice(Answers *answers)
+	{
+		struct wp_advice_request req = {};
+
+		snprintf(req.job, sizeof(req.job), "00000000000000a1");
+		fleet->advice->request(fleet->handle, &req,
+		    clk_now_us() + 500 * CLK_US_PER_MS, on_advice, answers);
+	}
+
+	void
+	start_run(Answers *answers)
+	{
+		struct wp_order o = {};
+
+		o.kind = WP_ORDER_START;
+		o.sends = 1;
+		o.payload = "text";
+		snprintf(o.worker, sizeof(o.worker), "i-1");
+		snprintf(
+		    o.address, sizeof(o.address), "%s", server.address.c_str());
+		snprintf(o.ref.job, sizeof(o.ref.job), "00000000000000a1");
+		o.run = 7;
+		fleet->workers->order(fleet->handle, &o, 3, on_order, answers);
+	}
+
+	void
+	renew_worker_lease(Answers *answers)
+	{
+		struct wp_worker w = {};
+		struct wp_renewal renewal = {};
+
+		snprintf(w.id, sizeof(w.id), "i-1");
+		snprintf(
+		    w.address, sizeof(w.address), "%s", server.address.c_str());
+		fleet->workers->renew(
+		    fleet->handle, &w, &renewal, 3, on_renewal, answers);
+	}
+
+      protected:
+	using Send = void (CallsOnSilentConnections::*)(Answers *);
+
+	/* Has idle connections for a kind of call, all of them silent. */
+	void
+	silence_idle(Send send)
+	{
+		Answers answers;
+
+		connect(server.address);
+		server.holds = true;
+		for (size_t i = 0; i < IDLE; i++)
+			(this->*send)(&answers);
+		while (server.requests < (int)IDLE)
+			run_for(CLK_US_PER_MS);
+		server.holds = false;
+		wait_for(answers, IDLE);
+		run_for(300 * CLK_US_PER_MS);
+		server.silence();
+	}
+
+	/* The first call has no answer in time, those after it have one. */
+	void
+	expect_one_unanswered(Send first, Send next)
+	{
+		Answers lost;
+		Answers good;
+
+		(this->*first)(&lost);
+		wait_for(lost, 1);
+		EXPECT_EQ(lost.good, 0U);
+		for (size_t i = 1; i < IDLE; i++) {
+			(this->*next)(&good);
+			wait_for(good, i);
+		}
+		EXPECT_EQ(good.good, IDLE - 1);
+	}
+
+	SilenceableServer server{"{\"good\":[],\"running\":[],"
+				 "\"finished\":[],\"born\":1,\"clock_ms\":1}"};
+};
+
+/* One silent connection after the other took 0.9 s: together the lease's time. */
+TEST_F(CallsOnSilentConnections, LeaseInTheStoreIsRenewedAfterOneTimeOut)
+{
+	silence_idle(&CallsOnSilentConnections::renew_store_lease);
+	expect_one_unanswered(&CallsOnSilentConnections::renew_store_lease,
+	    &CallsOnSilentConnections::renew_store_lease);
+}
+
+TEST_F(CallsOnSilentConnections, WatchThatHeardNothingIsFollowedByOneThatHears)
+{
+	silence_idle(&CallsOnSilentConnections::renew_store_lease);
+	expect_one_unanswered(&CallsOnSilentConnections::watch,
+	    &CallsOnSilentConnections::renew_store_lease);
+}
+
+TEST_F(CallsOnSilentConnections, StartAfterOneWithoutAnAnswerIsCarriedOut)
+{
+	silence_idle(&CallsOnSilentConnections::start_run);
+	expect_one_unanswered(&CallsOnSilentConnections::start_run,
+	    &CallsOnSilentConnections::start_run);
+}
+
+TEST_F(CallsOnSilentConnections, AdviceComesAfterOneRequestWithoutAnAnswer)
+{
+	silence_idle(&CallsOnSilentConnections::request_advice);
+	expect_one_unanswered(&CallsOnSilentConnections::request_advice,
+	    &CallsOnSilentConnections::request_advice);
+}
+
+/* The worker counted as away until the last connection had been tried. */
+TEST_F(CallsOnSilentConnections, StartAfterAnOverdueRenewalIsCarriedOut)
+{
+	silence_idle(&CallsOnSilentConnections::start_run);
+	expect_one_unanswered(&CallsOnSilentConnections::renew_worker_lease,
+	    &CallsOnSilentConnections::start_run);
+}
+
 } // namespace
