http server: a full server listens again when all its connections have ended

Callers whose connections went silent keep their places until the idle time is over. That path holds: in each phase (nothing sent, idle, half a request, an answer that is not taken) a connection is closed after the idle time, and a request that is being handled is answered all the same. But a server that had as many connections as it may have, all of which then ended in one run of the library, never accepted another one: the library stops listening at the limit and listens again only in the run after the one in which connections ended. Without a connection there is no time-out and no event that leads to it. With other connections it came with their next event.

Now such a run is followed by another one.

--- a/include/transport/http_server_internal.h
+++ b/include/transport/http_server_internal.h
@@ -49,6 +49,7 @@
  * @arg: its argument
  * @max_body_bytes: longest body
  * @max_connections: connections that it has at most
+ * @full: it has had as many since it last listened
  * @callers: connections
  * @unanswered: requests without a response
  * @draining: callers are asked to close their connections
@@ -67,6 +68,7 @@
 	void *arg;
 	size_t max_body_bytes;
 	unsigned int max_connections;
+	bool full;
 	LIST_HEAD(, hs_caller) callers;
 	LIST_HEAD(, hs_exchange) unanswered;
 	bool draining;
--- a/transport/http_server.c
+++ b/transport/http_server.c
@@ -208,7 +208,9 @@
 		caller->fresh = true;
 		LIST_INSERT_HEAD(&hs->callers, caller, link);
 		*state = caller;
-		atomic_fetch_add(&hs->connections, 1);
+		if (atomic_fetch_add(&hs->connections, 1) + 1 >=
+		    hs->max_connections)
+			hs->full = true;
 		atomic_fetch_add(&hs->fresh, 1);
 		return;
 	}
@@ -239,6 +241,21 @@
 		talloc_free(ex);
 }
 
+/*
+ * The library listens again only in the run after the one in which connections
+ * ended, and nothing may happen that leads to one.
+ */
+static void
+hs_step(struct http_server *hs)
+{
+	MHD_run(hs->mhd);
+	if (hs->mhd == NULL || !hs->full ||
+	    atomic_load(&hs->connections) >= hs->max_connections)
+		return;
+	hs->full = false;
+	MHD_run(hs->mhd);
+}
+
 static void
 hs_on_readable(
     struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
@@ -248,7 +265,7 @@
 	(void)ev;
 	(void)fde;
 	(void)flags;
-	MHD_run(hs->mhd);
+	hs_step(hs);
 	hs_schedule(hs);
 }
 
@@ -258,7 +275,7 @@
 	struct http_server *hs = arg;
 
 	hs->timer = NULL;
-	MHD_run(hs->mhd);
+	hs_step(hs);
 	hs_schedule(hs);
 }
 
@@ -334,6 +351,6 @@
 {
 	if (hs->mhd == NULL)
 		return;
-	MHD_run(hs->mhd);
+	hs_step(hs);
 	hs_schedule(hs);
 }
