http client: watches end once another call shows that connections are silent

A watch of the store is told from a quiet one only by its deadline: 2 s of waiting and 0.8 s for the answer. When all connections to the store go silent, the copy of the store stood still for that long, though a write or a renewal of the lease has shown it after 0.9 s.

A call may now say that it waits for news (hc_request.waits; the watches do). When a later call to the host is late on a reused connection of which nothing arrived, such waits end with HC_TIMEOUT, if they began before that call and nothing of their answers has arrived, and their connection carried no answer in the last 250 ms. Other calls under way, those to workers above all, keep their deadlines. The decision is hn_judge_wait().

Cost: where the store is slow on a reused connection and not away, a watch is opened once more. Renewals of workers' leases are left out: a worker would count as unreachable for a slow start order.

--- a/include/transport/http_client.h
+++ b/include/transport/http_client.h
@@ -44,6 +44,9 @@
  *	nothing of the others. Set it for reads, and for writes of which
  *	neither a second copy nor its refusal matters. Without it, the request
  *	is handed to at most one connection and then ends with HC_CUT_OFF
+ * @waits: the server answers once there is news, and another request for them
+ *	does no harm. It ends with HC_TIMEOUT before its deadline when a later
+ *	request to the host shows that open connections may be silent
  */
 struct hc_request {
 	const char *method;
@@ -57,6 +60,7 @@
 	int64_t overdue_us;
 	hc_overdue_fn overdue;
 	bool repeatable;
+	bool waits;
 };
 
 /**
--- a/tests/unit/loopback.h
+++ b/tests/unit/loopback.h
@@ -63,6 +63,8 @@
 			conns[i].silent = true;
 	}
 
+	/* Requests for /news wait for them. */
+	std::atomic<bool> news{false};
 	/* Requests wait until it lets go; one each connection. */
 	std::atomic<bool> holds{false};
 	std::atomic<int> connections{0};
@@ -76,6 +78,7 @@
 		int fd;
 		bool silent;
 		bool waits;
+		bool for_news;
 		std::string text;
 	};
 
@@ -108,6 +111,7 @@
 		c.text.append(buf, (size_t)n);
 		if (!is_whole(c.text))
 			return;
+		c.for_news = c.text.find("/news") != std::string::npos;
 		c.text.clear();
 		c.waits = true;
 		requests++;
@@ -119,7 +123,7 @@
 		const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " +
 		    std::to_string(body.size()) + "\r\n\r\n" + body;
 
-		if (!c.waits || c.silent || holds)
+		if (!c.waits || c.silent || holds || (c.for_news && !news))
 			return;
 		c.waits = false;
 		send(c.fd, text.data(), text.size(), MSG_NOSIGNAL);
@@ -142,8 +146,8 @@
 			}
 			if (pfd[0].revents == 0)
 				continue;
-			conns.push_back(
-			    {accept(fd, nullptr, nullptr), false, false, ""});
+			conns.push_back({accept(fd, nullptr, nullptr), false,
+			    false, false, ""});
 			connections++;
 		}
 	}
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -902,6 +902,70 @@
 	EXPECT_EQ(server.connections, 2);
 }
 
+class HttpClientThatWaitsForNews : public HttpClientOfSilentConnections
+{
+      protected:
+	/* On a connection that was used before. */
+	void
+	begin_waiting()
+	{
+		struct hc_request req = {};
+		std::string url = server.url + "news";
+		int requests;
+
+		call_at_once(server.url, 2);
+		run_for(300 * CLK_US_PER_MS);
+		requests = server.requests;
+		req.method = "GET";
+		req.url = url.c_str();
+		req.deadline_us = clk_now_us() + 2 * CLK_US_PER_S;
+		req.repeatable = true;
+		req.waits = true;
+		hc_send(hc, &req, on_done, &waiting);
+		while (server.requests == requests)
+			run_for(CLK_US_PER_MS);
+	}
+
+	SilenceableServer server;
+	Call waiting = {HC_OK, false};
+};
+
+/* The copy of the store stood still for the watch's whole time, 2.8 s. */
+TEST_F(HttpClientThatWaitsForNews, WaitEndsOnceAnotherCallShowsSilence)
+{
+	int64_t begun_us = clk_now_us();
+
+	begin_waiting();
+	server.silence();
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	wait(waiting);
+	EXPECT_EQ(waiting.error, HC_TIMEOUT);
+	EXPECT_LT(clk_now_us() - begun_us, 1500 * CLK_US_PER_MS);
+	EXPECT_EQ(call(server.url), HC_OK);
+}
+
+TEST_F(HttpClientThatWaitsForNews, WaitGoesOnWhileTheHostIsSlowOnNewConnections)
+{
+	Call on_old;
+	Call on_new;
+
+	begin_waiting();
+	server.holds = true;
+	begin(server.url, &on_old, 2 * CLK_US_PER_S);
+	begin(server.url, &on_new, wait_us);
+	wait(on_new);
+	EXPECT_EQ(on_new.error, HC_TIMEOUT);
+	EXPECT_EQ(on_new.connects, 1U);
+	run_for(50 * CLK_US_PER_MS);
+	EXPECT_FALSE(waiting.done);
+	server.holds = false;
+	server.news = true;
+	wait(on_old);
+	wait(waiting);
+	EXPECT_EQ(on_old.error, HC_OK);
+	EXPECT_EQ(waiting.error, HC_OK);
+}
+
 TEST(HttpConnections, CallTellsOfSilenceOnlyOnAReusedConnectionThatSaidNothing)
 {
 	static const struct {
@@ -947,4 +1011,29 @@
 		    << &row - table;
 }
 
+TEST(HttpConnections, WaitEndsOnlyIfItIsOlderThanTheLateCallAndHeardNothing)
+{
+	static const struct {
+		bool heard;
+		int64_t begun_us;
+		int64_t unheard_us;
+		enum hn_verdict verdict;
+	} table[] = {
+	    {false, 99, CLK_US_PER_S, HN_DROP},
+	    {false, 100, CLK_US_PER_S, HN_KEEP},
+	    {true, 99, CLK_US_PER_S, HN_KEEP},
+	    {false, 99, HN_PROOF_US - 1, HN_KEEP},
+	};
+	const int64_t now_us = 100 * CLK_US_PER_S;
+
+	for (const auto &row : table) {
+		struct hn_call call = {true, row.heard, row.begun_us};
+
+		EXPECT_EQ(
+		    hn_judge_wait(&call, now_us - row.unheard_us, 100, now_us),
+		    row.verdict)
+		    << &row - table;
+	}
+}
+
 } // namespace
--- a/tests/unit/test_platform_calls.cc
+++ b/tests/unit/test_platform_calls.cc
@@ -458,6 +458,25 @@
 	    &CallsOnSilentConnections::renew_store_lease);
 }
 
+/* The copy of the store stood still for the watch's whole time. */
+TEST_F(CallsOnSilentConnections, WatchEndsOnceARenewalShowsSilence)
+{
+	Answers watched;
+	Answers renewed;
+
+	silence_idle(&CallsOnSilentConnections::renew_store_lease);
+	fleet->keys->watch(fleet->handle, "", 1, 2000, on_key_space, &watched);
+	run_for(10 * CLK_US_PER_MS);
+	renew_store_lease(&renewed);
+	wait_for(renewed, 1);
+	run_for(20 * CLK_US_PER_MS);
+	EXPECT_EQ(renewed.good, 0U);
+	EXPECT_EQ(watched.count, 1U);
+	watch(&watched);
+	wait_for(watched, 2);
+	EXPECT_EQ(watched.good, 1U);
+}
+
 TEST_F(CallsOnSilentConnections, StartAfterOneWithoutAnAnswerIsCarriedOut)
 {
 	silence_idle(&CallsOnSilentConnections::start_run);
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -72,9 +72,12 @@
 	/* Copies of the request that curl may have sent. */
 	uint32_t sends;
 	bool repeatable;
+	bool waits;
 	char error[CURL_ERROR_SIZE];
 };
 
+static void hc_arm_deadline(struct hc_transfer *t);
+
 /* Whether a part of the request was written to any connection so far. */
 static bool
 hc_was_sent(const struct hc_transfer *t)
@@ -157,25 +160,58 @@
 	return connects > 0;
 }
 
-/* No answer at the time that it was due: others may be silent, too. */
-static void
-hc_on_late(const struct hc_transfer *t, int64_t now_us)
+static struct hn_call
+hc_describe(const struct hc_transfer *t)
 {
-	struct hn_call call = {
+	return (struct hn_call){
 	    .reused = !hc_is_on_new_connection(t),
 	    .heard = t->response_headers != NULL,
 	    .begun_us = t->begun_us,
 	};
+}
+
+/* Calls that wait for news of a host of which a late call showed silence. */
+static uint32_t
+hc_end_waits(const struct hc_transfer *late, int64_t now_us)
+{
+	struct hc_transfer *t;
+	struct hn_call call;
+	uint32_t ended = 0;
+
+	DL_FOREACH(late->hc->transfers, t) {
+		if (!t->waits || t->conn == NULL ||
+		    t->conn->host != late->conn->host)
+			continue;
+		call = hc_describe(t);
+		if (hn_judge_wait(&call, t->conn->heard_us, late->begun_us,
+			now_us) == HN_KEEP)
+			continue;
+		t->deadline_us = now_us;
+		hc_arm_deadline(t);
+		ended++;
+	}
+	return ended;
+}
+
+/* No answer at the time that it was due: others may be silent, too. */
+static void
+hc_on_late(const struct hc_transfer *t, int64_t now_us)
+{
 	char text[HC_LOGGED_URL_BYTES];
+	struct hn_call call;
 	uint32_t dropped;
+	uint32_t ended;
 
 	if (t->conn == NULL)
 		return;
-	dropped = hn_on_late(t->conn, &call, now_us);
-	if (dropped > 0)
+	call = hc_describe(t);
+	if (!hn_on_late(t->conn, &call, now_us, &dropped))
+		return;
+	ended = hc_end_waits(t, now_us);
+	if (dropped + ended > 0)
 		lg_event(LG_INFO, "http", "dropped", "url",
 		    hc_logged_url(t, text, sizeof(text)), "connections",
-		    lg_i64(dropped), NULL);
+		    lg_i64(dropped), "waits", lg_i64(ended), NULL);
 }
 
 /* The deadline passed, and nothing has arrived on the connection. */
@@ -281,8 +317,6 @@
 	hc_finish_completed(hc);
 }
 
-static void hc_arm_deadline(struct hc_transfer *t);
-
 /*
  * The loop runs timers before it reads sockets. After a stall, responses may
  * already be waiting in the sockets, so the deadline is deferred a few times to
@@ -605,6 +639,7 @@
 	t->overdue_us = req->overdue_us;
 	t->overdue = req->overdue;
 	t->repeatable = req->repeatable;
+	t->waits = req->waits;
 	DL_APPEND(hc->transfers, t);
 	hc_arm_deadline(t);
 	curl_multi_add_handle(hc->multi, t->easy);
--- a/transport/kv_http.c
+++ b/transport/kv_http.c
@@ -79,6 +79,7 @@
 	req.deadline_us = clk_now_us() + kv->timeout_us + wait_us;
 	/* The refusal of a second copy of a write would hide the first one. */
 	req.repeatable = strcmp(method, "GET") == 0;
+	req.waits = wait_us > 0;
 	hc_send(kv->hc, &req, kv_on_response, call);
 }
 
