--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -14,8 +14,10 @@
 
 extern "C" {
 #include "common/clock.h"
+#include "common/counters.h"
 #include "transport/address.h"
 #include "transport/http_client.h"
+#include "transport/http_connections.h"
 }
 
 namespace
@@ -694,4 +696,344 @@
 	EXPECT_EQ(read_slowly(plain.url, 0, &took_us), HC_TIMEOUT);
 }
 
+/* Calls of one client to servers whose connections go silent. */
+class HttpClientOfSilentConnections : public testing::Test
+{
+      protected:
+	~HttpClientOfSilentConnections() override
+	{
+		talloc_free(l);
+	}
+
+	void
+	begin(const std::string &url, Call *call, int64_t wait_us)
+	{
+		struct hc_request req = {};
+
+		*call = {HC_OK, false};
+		req.method = "POST";
+		req.url = url.c_str();
+		req.body = "body";
+		req.body_bytes = 4;
+		req.deadline_us = clk_now_us() + wait_us;
+		hc_send(hc, &req, on_done, call);
+	}
+
+	void
+	wait(const Call &call)
+	{
+		while (!call.done)
+			tevent_loop_once(loop_ev(l));
+	}
+
+	void
+	run_for(int64_t us)
+	{
+		int64_t end_us = clk_now_us() + us;
+
+		loop_after(
+		    l, us, [](void *) {}, nullptr);
+		while (clk_now_us() < end_us)
+			tevent_loop_once(loop_ev(l));
+	}
+
+	enum hc_error
+	call(const std::string &url)
+	{
+		Call c;
+
+		begin(url, &c, wait_us);
+		wait(c);
+		return c.error;
+	}
+
+	/* So that as many connections are idle afterwards. */
+	void
+	call_at_once(const std::string &url, size_t count)
+	{
+		std::vector<Call> calls(count);
+
+		for (Call &c : calls)
+			begin(url, &c, CLK_US_PER_S);
+		for (const Call &c : calls) {
+			wait(c);
+			EXPECT_EQ(c.error, HC_OK);
+		}
+	}
+
+	const int64_t wait_us = 200 * CLK_US_PER_MS;
+	struct loop *l = loop_create(nullptr);
+	struct http_client *hc = hc_create(l, l, 0);
+};
+
+/* Nothing told whether calls time out on old connections, or the host is slow. */
+TEST_F(HttpClientOfSilentConnections, UnansweredCallsAreCountedByConnection)
+{
+	SilenceableServer server;
+	uint64_t reused = ct_get(CT_HTTP_UNANSWERED_REUSED);
+	uint64_t made = ct_get(CT_HTTP_UNANSWERED_NEW);
+
+	EXPECT_EQ(call(server.url), HC_OK);
+	server.silence();
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_REUSED), reused + 1);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_NEW), made);
+	server.holds = true;
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_REUSED), reused + 1);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_NEW), made + 1);
+}
+
+/* Each connection of the pool cost a time-out of its own: the lease, at the store. */
+TEST_F(HttpClientOfSilentConnections, OneTimeOutEndsTheUseOfAllThatAreAsOld)
+{
+	SilenceableServer server;
+
+	call_at_once(server.url, 4);
+	run_for(300 * CLK_US_PER_MS);
+	server.silence();
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(call(server.url), HC_OK) << i;
+	EXPECT_EQ(server.connections, 5);
+}
+
+/* A renewal that was overdue was followed by another one on a silent connection. */
+TEST_F(HttpClientOfSilentConnections, OverdueCallEndsTheUseOfThoseThatAreAsOld)
+{
+	SilenceableServer server;
+	struct hc_request req = {};
+	Call overdue = {HC_OK, false};
+
+	call_at_once(server.url, 3);
+	run_for(300 * CLK_US_PER_MS);
+	server.silence();
+	req.method = "POST";
+	req.url = server.url.c_str();
+	req.body = "body";
+	req.body_bytes = 4;
+	req.overdue_us = clk_now_us() + 100 * CLK_US_PER_MS;
+	req.overdue = [](void *arg) { ((Call *)arg)->overdue++; };
+	req.deadline_us = clk_now_us() + CLK_US_PER_S;
+	hc_send(hc, &req, on_done, &overdue);
+	while (overdue.overdue == 0)
+		tevent_loop_once(loop_ev(l));
+	EXPECT_EQ(call(server.url), HC_OK);
+	wait(overdue);
+	EXPECT_EQ(overdue.error, HC_TIMEOUT);
+	/* Its end tells nothing new. */
+	EXPECT_EQ(call(server.url), HC_OK);
+	EXPECT_EQ(server.connections, 4);
+}
+
+TEST_F(HttpClientOfSilentConnections, CallThatIsUnderWayIsNotBrokenOff)
+{
+	SilenceableServer server;
+	Call slow;
+
+	call_at_once(server.url, 3);
+	run_for(300 * CLK_US_PER_MS);
+	server.holds = true;
+	begin(server.url, &slow, 2 * CLK_US_PER_S);
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	server.holds = false;
+	wait(slow);
+	EXPECT_EQ(slow.error, HC_OK);
+	EXPECT_EQ(slow.sends, 1U);
+	EXPECT_EQ(slow.connects, 0U);
+}
+
+/* New connections to workers have a price. */
+TEST_F(HttpClientOfSilentConnections, ConnectionsToOtherHostsAreKept)
+{
+	SilenceableServer server;
+	SilenceableServer others[3];
+
+	call_at_once(server.url, 2);
+	for (SilenceableServer &other : others)
+		call_at_once(other.url, 2);
+	run_for(1300 * CLK_US_PER_MS);
+	server.silence();
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	EXPECT_EQ(call(server.url), HC_OK);
+	for (SilenceableServer &other : others) {
+		call_at_once(other.url, 2);
+		EXPECT_EQ(other.connections, 2);
+	}
+}
+
+TEST_F(HttpClientOfSilentConnections, SilenceOfANewConnectionTellsOfNoOther)
+{
+	SilenceableServer server;
+	Call slow;
+	Call silent;
+
+	call_at_once(server.url, 1);
+	server.holds = true;
+	begin(server.url, &slow, 2 * CLK_US_PER_S);
+	begin(server.url, &silent, 500 * CLK_US_PER_MS);
+	while (server.requests < 3)
+		run_for(CLK_US_PER_MS);
+	server.silence(1);
+	server.holds = false;
+	wait(slow);
+	wait(silent);
+	EXPECT_EQ(slow.error, HC_OK);
+	EXPECT_EQ(silent.error, HC_TIMEOUT);
+	EXPECT_EQ(call(server.url), HC_OK);
+	EXPECT_EQ(server.connections, 2);
+}
+
+/* A host that answers on another connection is slow on one at most. */
+TEST_F(HttpClientOfSilentConnections, ConnectionThatWasJustHeardIsKept)
+{
+	SilenceableServer server;
+	Call silent;
+
+	call_at_once(server.url, 1);
+	server.silence();
+	begin(server.url, &silent, 500 * CLK_US_PER_MS);
+	while (!silent.done) {
+		EXPECT_EQ(call(server.url), HC_OK);
+		run_for(20 * CLK_US_PER_MS);
+	}
+	EXPECT_EQ(silent.error, HC_TIMEOUT);
+	EXPECT_EQ(call(server.url), HC_OK);
+	EXPECT_EQ(server.connections, 2);
+}
+
+class HttpClientThatWaitsForNews : public HttpClientOfSilentConnections
+{
+      protected:
+	/* On a connection that was used before. */
+	void
+	begin_waiting()
+	{
+		struct hc_request req = {};
+		std::string url = server.url + "news";
+		int requests;
+
+		call_at_once(server.url, 2);
+		run_for(300 * CLK_US_PER_MS);
+		requests = server.requests;
+		req.method = "GET";
+		req.url = url.c_str();
+		req.deadline_us = clk_now_us() + 2 * CLK_US_PER_S;
+		req.repeatable = true;
+		req.waits = true;
+		hc_send(hc, &req, on_done, &waiting);
+		while (server.requests == requests)
+			run_for(CLK_US_PER_MS);
+	}
+
+	SilenceableServer server;
+	Call waiting = {HC_OK, false};
+};
+
+/* The copy of the store stood still for the watch's whole time, 2.8 s. */
+TEST_F(HttpClientThatWaitsForNews, WaitEndsOnceAnotherCallShowsSilence)
+{
+	int64_t begun_us = clk_now_us();
+
+	begin_waiting();
+	server.silence();
+	EXPECT_EQ(call(server.url), HC_TIMEOUT);
+	wait(waiting);
+	EXPECT_EQ(waiting.error, HC_TIMEOUT);
+	EXPECT_LT(clk_now_us() - begun_us, 1500 * CLK_US_PER_MS);
+	EXPECT_EQ(call(server.url), HC_OK);
+}
+
+TEST_F(HttpClientThatWaitsForNews, WaitGoesOnWhileTheHostIsSlowOnNewConnections)
+{
+	Call on_old;
+	Call on_new;
+
+	begin_waiting();
+	server.holds = true;
+	begin(server.url, &on_old, 2 * CLK_US_PER_S);
+	begin(server.url, &on_new, wait_us);
+	wait(on_new);
+	EXPECT_EQ(on_new.error, HC_TIMEOUT);
+	EXPECT_EQ(on_new.connects, 1U);
+	run_for(50 * CLK_US_PER_MS);
+	EXPECT_FALSE(waiting.done);
+	server.holds = false;
+	server.news = true;
+	wait(on_old);
+	wait(waiting);
+	EXPECT_EQ(on_old.error, HC_OK);
+	EXPECT_EQ(waiting.error, HC_OK);
+}
+
+TEST(HttpConnections, CallTellsOfSilenceOnlyOnAReusedConnectionThatSaidNothing)
+{
+	static const struct {
+		bool reused;
+		bool heard;
+		int64_t begun_us;
+		int64_t cleared_us;
+		bool shows;
+	} table[] = {
+	    {true, false, 100, 0, true},
+	    {true, false, 100, 100, true},
+	    {false, false, 100, 0, false},
+	    {true, true, 100, 0, false},
+	    {true, false, 99, 100, false},
+	};
+
+	for (const auto &row : table) {
+		struct hn_call call = {row.reused, row.heard, row.begun_us};
+
+		EXPECT_EQ(hn_shows_silence(&call, row.cleared_us), row.shows)
+		    << &row - table;
+	}
+}
+
+TEST(HttpConnections, ConnectionIsDroppedOnceItWasNotHeardForAWhile)
+{
+	static const struct {
+		bool busy;
+		int64_t unheard_us;
+		enum hn_verdict verdict;
+	} table[] = {
+	    {false, 0, HN_KEEP},
+	    {false, HN_PROOF_US - 1, HN_KEEP},
+	    {false, HN_PROOF_US, HN_DROP},
+	    {false, 60 * CLK_US_PER_S, HN_DROP},
+	    {true, 60 * CLK_US_PER_S, HN_KEEP},
+	};
+	const int64_t now_us = 100 * CLK_US_PER_S;
+
+	for (const auto &row : table)
+		EXPECT_EQ(hn_judge(row.busy, now_us - row.unheard_us, now_us),
+		    row.verdict)
+		    << &row - table;
+}
+
+TEST(HttpConnections, WaitEndsOnlyIfItIsOlderThanTheLateCallAndHeardNothing)
+{
+	static const struct {
+		bool heard;
+		int64_t begun_us;
+		int64_t unheard_us;
+		enum hn_verdict verdict;
+	} table[] = {
+	    {false, 99, CLK_US_PER_S, HN_DROP},
+	    {false, 100, CLK_US_PER_S, HN_KEEP},
+	    {true, 99, CLK_US_PER_S, HN_KEEP},
+	    {false, 99, HN_PROOF_US - 1, HN_KEEP},
+	};
+	const int64_t now_us = 100 * CLK_US_PER_S;
+
+	for (const auto &row : table) {
+		struct hn_call call = {true, row.heard, row.begun_us};
+
+		EXPECT_EQ(
+		    hn_judge_wait(&call, now_us - row.unheard_us, 100, now_us),
+		    row.verdict)
+		    << &row - table;
+	}
+}
+
 } // namespace
