--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -8,8 +8,9 @@
  * DOC: Shared by the pool's files. Lowest first: pool_ready (the order in which
  * steps start), pool_task (state changes of tasks, steps and jobs), pool_store (what to store and acknowledge),
  * pool_stray (starts that may be carried out late), pool_stop (stops without an
- * effect), pool_worker (workers'
- * reports and leases), pool_reconcile (what may still run
+ * effect), pool_straggler (workers that fail tasks or make no progress), pool_lists
+ * (what workers list: ends and running tasks), pool_order (answers to orders),
+ * pool_worker (workers and leases), pool_reconcile (what may still run
  * for an earlier owner), pool_gone (workers that have ended, as a later one runs on
  * their VM), pool_restart (workers that restart under their names), pool_unleased (workers that have no lease from this owner), pool_defer (jobs that no later owner has to wait for),
  * pool_gang, pool_approval (what the advice service approves, and how fast),
@@ -238,6 +239,20 @@
 
 /** wp_record_run_end() - a run end was read; to be acknowledged once stored */
 void wp_record_run_end(struct wp_pool *p, struct wp_worker *w, uint64_t number);
+/** wp_record_worker_failure() - count a failed or stalled task against a worker */
+void wp_record_worker_failure(
+    struct wp_worker *w, const struct jb_ref *ref, int64_t now_us);
+/** wp_move_stragglers() - stop tasks that make no or slow progress on a worker */
+void wp_move_stragglers(struct wp_pool *p, struct wp_worker *w, int64_t now_us);
+/** wp_process_run_ends() - act on the ends of runs that a worker lists */
+void wp_process_run_ends(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_renewal_reply *reply, int64_t now_us);
+/** wp_process_running() - act on the runs that a worker lists */
+void wp_process_running(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_renewal_reply *reply, int64_t now_us);
+/** wp_requeue_missing() - requeue tasks whose runs a worker no longer lists */
+void wp_requeue_missing(struct wp_pool *p, struct wp_worker *w,
+    const struct wp_renewal_reply *reply, int64_t now_us);
 /** wp_workers_tick() - expire leases, move tasks, send orders again */
 void wp_workers_tick(struct wp_pool *p, int64_t now_us);
 /** wp_reconcile_tick() - requeue unreconciled tasks that can't be running */
