--- a/tests/unit/test_advice.cc
+++ b/tests/unit/test_advice.cc
@@ -1,30 +1,21 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
-#include <map>
 #include <set>
-#include <string>
-#include <vector>
+
+#include "owner_net.h"
 
 extern "C" {
-#include "common/clock.h"
 #include "curranttackd/cell_advice_internal.h"
-#include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
-#include "protocol/curranttack.pb-c.h"
 }
 
 /*
  * Where an owner's advice requests go while links to daemons fail. The dispatcher
- * is the real one; links, the clock and the service are simulated here.
+ * is the real one.
  */
 
-struct peer_link {
-	std::string vm;
-	uint64_t serial;
-	int64_t heard_us;
-};
-
 namespace
 {
 
@@ -36,18 +27,14 @@
 	uint64_t id;
 };
 
-struct Net {
-	int64_t now = 1000 * kS;
-	struct cell *cell = nullptr;
-	std::map<std::string, struct peer_link *> links;
-	std::vector<struct peer_link *> closed;
+/* What the dispatcher did. */
+struct Calls {
 	std::vector<Sent> sent;
 	std::vector<std::pair<fl_advice_fn, void *>> local;
 	std::function<void(const std::string &)> on_reset;
-	uint64_t last_serial = 0;
 };
 
-Net *net;
+Calls *calls;
 
 void
 request_advice(void *handle, const struct wp_advice_request *request,
@@ -56,88 +43,37 @@
 	(void)handle;
 	(void)request;
 	(void)deadline_us;
-	net->local.emplace_back(done, arg);
+	calls->local.emplace_back(done, arg);
 }
 
 const struct fl_advice_ops advice_ops = {request_advice};
 
 } // namespace
 
-extern "C" {
-
-int64_t
-clk_now_us(void)
-{
-	return net->now;
-}
-
-int64_t
-clk_wall_us(void)
-{
-	return net->now;
-}
-
-uint32_t
+extern "C" uint32_t
 cp_owned_count(const struct cell *c)
 {
 	(void)c;
 	return 1;
 }
 
-struct peer_link *
-pn_link(struct pn_links *n, const char *vm)
-{
-	auto it = net->links.find(vm);
-
-	(void)n;
-	return it != net->links.end() ? it->second : nullptr;
-}
-
-void
+extern "C" void
 pn_reset_link(struct pn_links *n, const char *vm)
 {
-	struct peer_link *link = pn_link(n, vm);
-
-	if (link == nullptr)
+	if (pn_link(n, vm) == nullptr)
 		return;
-	net->links.erase(vm);
-	net->closed.push_back(link);
-	av_on_closed(net->cell->advice, link);
-	if (net->on_reset)
-		net->on_reset(vm);
+	av_on_closed(owner_net->cell->advice, owner_net->disconnect(vm));
+	if (calls->on_reset)
+		calls->on_reset(vm);
 }
 
-bool
+extern "C" bool
 peer_send(struct peer_link *link, const Currant__Frame *frame)
 {
-	net->sent.push_back({link->vm, frame->advice_ask->id});
+	calls->sent.push_back({link->vm, frame->advice_ask->id});
 	return true;
 }
 
-struct peer_link *
-peer_find(struct peer_net *n, uint64_t serial)
-{
-	(void)n;
-	for (auto &l : net->links) {
-		if (l.second->serial == serial)
-			return l.second;
-	}
-	return nullptr;
-}
-
-uint64_t
-peer_serial(const struct peer_link *link)
-{
-	return link->serial;
-}
-
-int64_t
-peer_heard_us(const struct peer_link *link)
-{
-	return link->heard_us;
-}
-}
-
 namespace
 {
 
@@ -147,48 +83,17 @@
       protected:
 	Advice()
 	{
-		net = &world;
-		c = talloc_zero(nullptr, struct cell);
-		c->settings = talloc_zero(c, struct cell_settings);
-		c->settings->vm = talloc_strdup(c, "vm-1");
-		c->replica = talloc_zero(c, struct replica);
-		fleet.advice = &advice_ops;
-		c->fleet = &fleet;
-		world.cell = c;
+		calls = &made;
+		world.fleet.advice = &advice_ops;
 		for (int i = 0; i < 7; i++)
-			add_daemon("vm-" + std::to_string(i));
+			world.add_daemon("vm-" + std::to_string(i));
 		c->advice = av_create(c);
 		tick(0);
 	}
 
 	~Advice()
 	{
-		HASH_CLEAR(hh, c->replica->members);
-		talloc_free(c);
-		for (auto &l : world.links)
-			delete l.second;
-		for (auto *l : world.closed)
-			delete l;
-		net = nullptr;
-	}
-
-	void
-	add_daemon(const std::string &vm)
-	{
-		struct rp_member *m = talloc_zero(c->replica, struct rp_member);
-
-		snprintf(m->vm, sizeof(m->vm), "%s", vm.c_str());
-		m->present = true;
-		HASH_ADD_STR(c->replica->members, vm, m);
-		if (vm != c->settings->vm)
-			connect(vm);
-	}
-
-	void
-	connect(const std::string &vm)
-	{
-		world.links[vm] =
-		    new peer_link{vm, ++world.last_serial, world.now};
+		calls = nullptr;
 	}
 
 	void
@@ -227,9 +132,9 @@
 	void
 	answer_local(bool ok)
 	{
-		auto call = world.local.front();
+		auto call = made.local.front();
 
-		world.local.erase(world.local.begin());
+		made.local.erase(made.local.begin());
 		call.first(ok, nullptr, 0, call.second);
 	}
 
@@ -249,14 +154,14 @@
 	{
 		std::vector<std::string> list;
 
-		for (const auto &s : world.sent)
+		for (const auto &s : made.sent)
 			list.push_back(s.vm);
 		return list;
 	}
 
-	Net world;
-	struct fl_fleet fleet = {};
-	struct cell *c = nullptr;
+	OwnerNet world{"vm-1"};
+	struct cell *c = world.cell;
+	Calls made;
 	int answered = 0;
 	int failed = 0;
 };
@@ -273,7 +178,7 @@
 	ASSERT_EQ(receivers(), Names({"vm-0"}));
 	pn_reset_link(c->links, "vm-0");
 	EXPECT_EQ(failed, 1);
-	connect("vm-0");
+	world.connect("vm-0");
 	tick(100 * kMs);
 	submit(20 * kMs);
 	EXPECT_EQ(receivers(), Names({"vm-0", "vm-0"}));
@@ -281,7 +186,7 @@
 
 TEST_F(Advice, DaemonWhoseSilentLinkWasResetIsAskedAgainOverItsNextLink)
 {
-	world.on_reset = [this](const std::string &vm) { connect(vm); };
+	made.on_reset = [this](const std::string &vm) { world.connect(vm); };
 	submit(20 * kMs);
 	ASSERT_EQ(receivers(), Names({"vm-0"}));
 	tick(1600 * kMs);
@@ -294,7 +199,7 @@
 /* Its link is sound: a new one changes nothing. */
 TEST_F(Advice, DaemonThatDoesNotAnswerOverASoundLinkIsAskedAfterOthers)
 {
-	world.on_reset = [this](const std::string &vm) { connect(vm); };
+	made.on_reset = [this](const std::string &vm) { world.connect(vm); };
 	submit(20 * kMs);
 	tick(1 * kS);
 	world.links["vm-0"]->heard_us = world.now;
@@ -308,7 +213,7 @@
 TEST_F(Advice, DaemonWhoseCallFailedIsAskedAfterOthers)
 {
 	submit(20 * kMs);
-	answer(world.sent[0], false);
+	answer(made.sent[0], false);
 	submit(20 * kMs);
 	EXPECT_EQ(receivers(), Names({"vm-0", "vm-3"}));
 }
@@ -316,21 +221,21 @@
 TEST_F(Advice, MarkOfThisDaemonEnds)
 {
 	submit(600 * kMs);
-	ASSERT_EQ(world.local.size(), 1u);
+	ASSERT_EQ(made.local.size(), 1u);
 	answer_local(false);
 	submit(600 * kMs);
 	EXPECT_EQ(receivers(), Names({"vm-2"}));
 	submit(600 * kMs);
 	submit(600 * kMs);
-	EXPECT_TRUE(world.local.empty());
-	answer(world.sent[0], true);
+	EXPECT_TRUE(made.local.empty());
+	answer(made.sent[0], true);
 	tick(1 * kS);
 	for (size_t i = 1; i < 3; i++)
-		answer(world.sent[i], true);
+		answer(made.sent[i], true);
 	tick(4 * kS);
 	for (int i = 0; i < 4; i++)
 		submit(600 * kMs);
-	EXPECT_EQ(world.local.size(), 1u);
+	EXPECT_EQ(made.local.size(), 1u);
 }
 
 TEST_F(Advice, CallForAPeerThatSucceedsClearsTheMarkOfThisDaemon)
@@ -344,11 +249,10 @@
 	ask.job = job;
 	av_on_peer_request(c->advice, world.links["vm-2"], &ask);
 	/* Without its link, the answer isn't sent. */
-	world.closed.push_back(world.links["vm-2"]);
-	world.links.erase("vm-2");
+	world.disconnect("vm-2");
 	answer_local(true);
 	submit(600 * kMs);
-	EXPECT_EQ(world.local.size(), 1u);
+	EXPECT_EQ(made.local.size(), 1u);
 }
 
 /* What arrived meanwhile is read between ticks. */
@@ -362,7 +266,7 @@
 	tick(0);
 	tick(25 * kMs);
 	for (size_t i = 0; i < 2; i++)
-		answer(world.sent[i], true);
+		answer(made.sent[i], true);
 	EXPECT_EQ(answered, 2);
 	EXPECT_EQ(failed, 0);
 	EXPECT_TRUE(world.closed.empty());
@@ -384,7 +288,7 @@
 		submit(20 * kMs);
 	ASSERT_EQ(std::set<std::string>({"vm-0", "vm-3", "vm-6"}),
 	    std::set<std::string>(
-		{world.sent[0].vm, world.sent[1].vm, world.sent[2].vm}));
+		{made.sent[0].vm, made.sent[1].vm, made.sent[2].vm}));
 	tick(1500 * kMs);
 	EXPECT_EQ(failed, 0);
 	world.now += 100 * kMs;
