http client: an overdue call drops idle connections and ends no waits

An overdue answer may still come, over a link that is full or from a slow store. Ending watches for it would have their answers made and sent again, each time. So watches end only for a call whose deadline has passed. Both are told apart, as a call that was overdue first is not counted again at its deadline.

A call may have a time at which it is overdue and nobody to tell: it only ends the use of idle connections.

--- a/include/transport/http_client.h
+++ b/include/transport/http_client.h
@@ -38,7 +38,8 @@
  *	off, to this time at most; 0 for never
  * @overdue_us: when to report that the response is overdue; 0 for never. The
  *	request goes on until @deadline_us
- * @overdue: called then; NULL unless @overdue_us is set
+ * @overdue: called then; NULL if nobody has to know. Idle connections to the
+ *	host that may be silent are not used any more in any case
  * @repeatable: the request may be sent again when its connection ends before
  *	the response begins; the response is then to the last copy, and tells
  *	nothing of the others. Set it for reads, and for writes of which
--- a/include/transport/http_connections.h
+++ b/include/transport/http_connections.h
@@ -101,13 +101,13 @@
 
 /**
  * hn_judge_wait() - whether to go on with a call that waits for news
- * @waiting: the call, on a connection to a host of which others are silent
+ * @waiting: the call
  * @heard_us: when the last answer on its connection arrived
- * @late_begun_us: when the call began that showed it
+ * @late: another call to that host, whose deadline has passed
  * @now_us: the time
  */
 enum hn_verdict hn_judge_wait(const struct hn_call *waiting, int64_t heard_us,
-    int64_t late_begun_us, int64_t now_us);
+    const struct hn_call *late, int64_t now_us);
 
 /**
  * hn_create() - create an empty table
@@ -158,12 +158,10 @@
  * @conn: its connection
  * @call: what is known of the call
  * @now_us: the time
- * @dropped: set to how many idle connections to the same host aren't used any
- *	more
  *
- * Return: whether connections to the host may be silent.
+ * Return: how many idle connections to the same host aren't used any more.
  */
-bool hn_on_late(struct hn_connection *conn, const struct hn_call *call,
-    int64_t now_us, uint32_t *dropped);
+uint32_t hn_on_late(
+    struct hn_connection *conn, const struct hn_call *call, int64_t now_us);
 
 #endif
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -966,6 +966,29 @@
 	EXPECT_EQ(waiting.error, HC_OK);
 }
 
+/* The host is slow, or the link to it is full: the answer would be asked for anew. */
+TEST_F(HttpClientThatWaitsForNews, WaitGoesOnWhileACallIsOnlyOverdue)
+{
+	struct hc_request req = {};
+	Call overdue = {HC_OK, false};
+
+	begin_waiting();
+	server.holds = true;
+	req.method = "GET";
+	req.url = server.url.c_str();
+	req.overdue_us = clk_now_us() + 100 * CLK_US_PER_MS;
+	req.deadline_us = clk_now_us() + CLK_US_PER_S;
+	hc_send(hc, &req, on_done, &overdue);
+	run_for(200 * CLK_US_PER_MS);
+	server.holds = false;
+	wait(overdue);
+	EXPECT_EQ(overdue.error, HC_OK);
+	EXPECT_FALSE(waiting.done);
+	server.news = true;
+	wait(waiting);
+	EXPECT_EQ(waiting.error, HC_OK);
+}
+
 TEST(HttpConnections, CallTellsOfSilenceOnlyOnAReusedConnectionThatSaidNothing)
 {
 	static const struct {
@@ -1014,23 +1037,26 @@
 TEST(HttpConnections, WaitEndsOnlyIfItIsOlderThanTheLateCallAndHeardNothing)
 {
 	static const struct {
+		struct hn_call late;
 		bool heard;
 		int64_t begun_us;
 		int64_t unheard_us;
 		enum hn_verdict verdict;
 	} table[] = {
-	    {false, 99, CLK_US_PER_S, HN_DROP},
-	    {false, 100, CLK_US_PER_S, HN_KEEP},
-	    {true, 99, CLK_US_PER_S, HN_KEEP},
-	    {false, 99, HN_PROOF_US - 1, HN_KEEP},
+	    {{true, false, 100}, false, 99, CLK_US_PER_S, HN_DROP},
+	    {{true, false, 100}, false, 100, CLK_US_PER_S, HN_KEEP},
+	    {{true, false, 100}, true, 99, CLK_US_PER_S, HN_KEEP},
+	    {{true, false, 100}, false, 99, HN_PROOF_US - 1, HN_KEEP},
+	    {{false, false, 100}, false, 99, CLK_US_PER_S, HN_KEEP},
+	    {{true, true, 100}, false, 99, CLK_US_PER_S, HN_KEEP},
 	};
 	const int64_t now_us = 100 * CLK_US_PER_S;
 
 	for (const auto &row : table) {
 		struct hn_call call = {true, row.heard, row.begun_us};
 
-		EXPECT_EQ(
-		    hn_judge_wait(&call, now_us - row.unheard_us, 100, now_us),
+		EXPECT_EQ(hn_judge_wait(&call, now_us - row.unheard_us,
+			      &row.late, now_us),
 		    row.verdict)
 		    << &row - table;
 	}
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -170,24 +170,25 @@
 	};
 }
 
-/* Calls that wait for news of a host of which a late call showed silence. */
+/* Calls that wait for news of a host of which a late call shows silence. */
 static uint32_t
-hc_end_waits(const struct hc_transfer *late, int64_t now_us)
+hc_end_waits(
+    const struct hc_transfer *t, const struct hn_call *late, int64_t now_us)
 {
-	struct hc_transfer *t;
-	struct hn_call call;
+	struct hc_transfer *other;
+	struct hn_call waiting;
 	uint32_t ended = 0;
 
-	DL_FOREACH(late->hc->transfers, t) {
-		if (!t->waits || t->conn == NULL ||
-		    t->conn->host != late->conn->host)
+	DL_FOREACH(t->hc->transfers, other) {
+		if (!other->waits || other->conn == NULL ||
+		    other->conn->host != t->conn->host)
 			continue;
-		call = hc_describe(t);
-		if (hn_judge_wait(&call, t->conn->heard_us, late->begun_us,
+		waiting = hc_describe(other);
+		if (hn_judge_wait(&waiting, other->conn->heard_us, late,
 			now_us) == HN_KEEP)
 			continue;
-		t->deadline_us = now_us;
-		hc_arm_deadline(t);
+		other->deadline_us = now_us;
+		hc_arm_deadline(other);
 		ended++;
 	}
 	return ended;
@@ -195,19 +196,19 @@
 
 /* No answer at the time that it was due: others may be silent, too. */
 static void
-hc_on_late(const struct hc_transfer *t, int64_t now_us)
+hc_on_late(const struct hc_transfer *t, bool at_deadline, int64_t now_us)
 {
 	char text[HC_LOGGED_URL_BYTES];
-	struct hn_call call;
+	struct hn_call call = hc_describe(t);
 	uint32_t dropped;
-	uint32_t ended;
+	uint32_t ended = 0;
 
 	if (t->conn == NULL)
 		return;
-	call = hc_describe(t);
-	if (!hn_on_late(t->conn, &call, now_us, &dropped))
-		return;
-	ended = hc_end_waits(t, now_us);
+	dropped = hn_on_late(t->conn, &call, now_us);
+	/* An overdue answer may still come: that is no reason to ask anew. */
+	if (at_deadline)
+		ended = hc_end_waits(t, &call, now_us);
 	if (dropped + ended > 0)
 		lg_event(LG_INFO, "http", "dropped", "url",
 		    hc_logged_url(t, text, sizeof(text)), "connections",
@@ -226,7 +227,7 @@
 		t->conn->host->unanswered++;
 	ct_add(is_new ? CT_HTTP_UNANSWERED_NEW : CT_HTTP_UNANSWERED_REUSED, 1);
 	hc_log_unanswered(t, is_new, now_us);
-	hc_on_late(t, now_us);
+	hc_on_late(t, true, now_us);
 }
 
 /* What the call tells of its connection. */
@@ -382,8 +383,9 @@
 	if (t->overdue_us == 0 || t->overdue_us > now_us)
 		return;
 	t->overdue_us = 0;
-	hc_on_late(t, now_us);
-	t->overdue(t->arg);
+	hc_on_late(t, false, now_us);
+	if (t->overdue != NULL)
+		t->overdue(t->arg);
 }
 
 static void
--- a/transport/http_connections.c
+++ b/transport/http_connections.c
@@ -183,23 +183,23 @@
 
 enum hn_verdict
 hn_judge_wait(const struct hn_call *waiting, int64_t heard_us,
-    int64_t late_begun_us, int64_t now_us)
+    const struct hn_call *late, int64_t now_us)
 {
-	if (waiting->heard || waiting->begun_us >= late_begun_us)
+	if (waiting->heard || !hn_shows_silence(late, waiting->begun_us + 1))
 		return HN_KEEP;
 	return hn_judge(false, heard_us, now_us);
 }
 
-bool
-hn_on_late(struct hn_connection *conn, const struct hn_call *call,
-    int64_t now_us, uint32_t *dropped)
+uint32_t
+hn_on_late(
+    struct hn_connection *conn, const struct hn_call *call, int64_t now_us)
 {
 	struct hn_host *host = conn->host;
 	struct hn_connection *other;
+	uint32_t dropped = 0;
 
-	*dropped = 0;
 	if (!hn_shows_silence(call, host->cleared_us))
-		return false;
+		return 0;
 	host->cleared_us = now_us;
 	DL_FOREACH(host->list, other) {
 		if (other->dropped ||
@@ -208,8 +208,8 @@
 		/* The library closes it when it looks for one to reuse. */
 		shutdown(other->fd, SHUT_RDWR);
 		other->dropped = true;
-		(*dropped)++;
+		dropped++;
 	}
-	ct_add(CT_HTTP_DROPPED, *dropped);
-	return true;
+	ct_add(CT_HTTP_DROPPED, dropped);
+	return dropped;
 }
