pool, platform: the lease of a pool outlives a silent connection

A pool's lease lasts 1.2 s. It was renewed every 350 ms, but not while a renewal was unanswered, and that takes 0.9 s: a renewal on a connection that had gone silent left no time for another one. So each silence of the connections to the store cost the owner its pool ("lease has ended"), however few of the connections it used, and all its tasks waited for a takeover.

Renewals now go on every 350 ms whether the last one is answered or not, at most three at a time, as each ends after 0.9 s. The lease is confirmed by the latest one that succeeded. A store that takes longer than 350 ms gets up to three times the renewals; those of one that answers in time are as before.

Ruled out: a shorter deadline. Renewals that a slow store carries out would count as not confirmed, and the pool would start nothing.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -301,7 +301,6 @@
 	h->reconciled_logged = false;
 	h->revision = o->revision;
 	h->commit_seq = 0;
-	h->renew_in_flight = false;
 	h->commit_at_us = now_us;
 	h->renew_at_us = now_us + CP_RENEW_US;
 	h->yield_check_at_us = now_us + CP_YIELD_CHECK_US;
@@ -369,6 +368,13 @@
 	}
 }
 
+static void
+cp_renew_soon(struct cp_host *h, int64_t now_us)
+{
+	if (h->renew_at_us > now_us + CP_RENEW_US / 2)
+		h->renew_at_us = now_us + CP_RENEW_US / 2;
+}
+
 static void
 cp_on_lease_renewed(const struct ks_response *a, void *arg)
 {
@@ -376,25 +382,27 @@
 	struct cp_host *h = req->h;
 
 	if (cp_request_is_current(req)) {
-		h->renew_in_flight = false;
-		if (a->result == KS_OK)
+		if (a->result != KS_OK)
+			cp_renew_soon(h, clk_now_us());
+		else if (req->sent_us > h->lease_confirmed_us)
 			h->lease_confirmed_us = req->sent_us;
-		else
-			h->renew_at_us = clk_now_us() + CP_RENEW_US / 2;
 		if (a->result == KS_NO_LEASE)
 			cp_step_down(h, "lease has ended");
 	}
 	talloc_free(req);
 }
 
+/*
+ * Also while an earlier renewal is unanswered: the lease ends before its
+ * deadline, and it may be on a connection that is silent.
+ */
 void
 cp_renew_lease(struct cp_host *h, int64_t now_us)
 {
 	const struct fl_fleet *f = h->cell->fleet;
 
-	if (h->renew_in_flight || now_us < h->renew_at_us)
+	if (now_us < h->renew_at_us)
 		return;
-	h->renew_in_flight = true;
 	h->renew_at_us = now_us + CP_RENEW_US;
 	f->keys->lease_renew(
 	    f->handle, h->lease, cp_on_lease_renewed, cp_request_create(h));
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -41,7 +41,6 @@
  * @lease_confirmed_us: latest time at which the lease is known to have been in
  *	force
  * @renew_at_us: when the lease is next renewed
- * @renew_in_flight: a renewal of the lease is unanswered
  * @commit: commit in flight, or NULL
  * @commit_at_us: earliest time of the next commit
  * @release_deadline_us: while releasing, no commit is made from then on
@@ -90,7 +89,6 @@
 	uint64_t commit_seq;
 	int64_t lease_confirmed_us;
 	int64_t renew_at_us;
-	bool renew_in_flight;
 	struct cp_commit *commit;
 	int64_t commit_at_us;
 	int64_t release_deadline_us;
--- a/tests/unit/test_platform_calls.cc
+++ b/tests/unit/test_platform_calls.cc
@@ -451,6 +451,22 @@
 	    &CallsOnSilentConnections::renew_store_lease);
 }
 
+/* A lease of 1.2 s ends while its renewal waits 0.9 s for an answer. */
+TEST_F(CallsOnSilentConnections, SecondRenewalIsAnsweredBeforeTheFirstTimesOut)
+{
+	Answers first;
+	Answers second;
+
+	silence_idle(&CallsOnSilentConnections::renew_store_lease);
+	renew_store_lease(&first);
+	run_for(350 * CLK_US_PER_MS);
+	renew_store_lease(&second);
+	wait_for(second, 1);
+	EXPECT_EQ(second.good, 1U);
+	EXPECT_EQ(first.count, 0U);
+	wait_for(first, 1);
+}
+
 TEST_F(CallsOnSilentConnections, WatchThatHeardNothingIsFollowedByOneThatHears)
 {
 	silence_idle(&CallsOnSilentConnections::renew_store_lease);
