http client, platform: a worker that answers late keeps its connections

New connections to workers have a price. A renewal of a worker's lease that is overdue ends the use of the idle connections there, as it may be on a silent one. A worker whose answers are late each time, on a slow host or a full link, lost an idle connection for every other renewal: on the loopback, 5 overdue calls over 3 connections needed 7 connections instead of the 5 that the first one explains.

Once an overdue answer has come, the host counts as slow for 5 s, and what is overdue there in that time tells nothing; a deadline that passes still does.

--- a/include/transport/http_client.h
+++ b/include/transport/http_client.h
@@ -106,6 +106,14 @@
 struct http_client *hc_create(
     TALLOC_CTX *ctx, struct loop *l, long max_connections_per_host);
 
+/**
+ * hc_set_slow_time() - spare connections to slow hosts
+ * @hc: client
+ * @slow_us: after an overdue answer has come, further overdue ones are no reason
+ *	to use other connections for so long; 0, as at first, for not at all
+ */
+void hc_set_slow_time(struct http_client *hc, int64_t slow_us);
+
 /**
  * hc_send() - start a request
  * @hc: client
--- a/include/transport/http_connections.h
+++ b/include/transport/http_connections.h
@@ -24,18 +24,43 @@
 
 struct hn_connections;
 
+/**
+ * struct hn_call - a call without an answer at the time that it was due
+ * @reused: its connection was in use before
+ * @heard: a part of the answer has arrived
+ * @overdue: its deadline is later, and an answer may still come
+ * @begun_us: when the call began
+ */
+struct hn_call {
+	bool reused;
+	bool heard;
+	bool overdue;
+	int64_t begun_us;
+};
+
+/**
+ * struct hn_history - what late calls to a host have shown
+ * @cleared_us: when a call last showed that connections may be silent
+ * @slow_until_us: until then, overdue calls are taken to be answered late, as one
+ *	was
+ */
+struct hn_history {
+	int64_t cleared_us;
+	int64_t slow_until_us;
+};
+
 /**
  * struct hn_host - a server
  * @key: IP address and port
  * @list: connections to it
  * @unanswered: calls in a row that had no answer on a reused connection
- * @cleared_us: when a call last showed that its connections may be silent
+ * @history: what earlier calls showed
  */
 struct hn_host {
 	uint64_t key;
 	struct hn_connection *list;
 	uint32_t unanswered;
-	int64_t cleared_us;
+	struct hn_history history;
 	UT_hash_handle hh;
 };
 
@@ -64,18 +89,6 @@
 	UT_hash_handle hh;
 };
 
-/**
- * struct hn_call - a call without an answer at the time that it was due
- * @reused: its connection was in use before
- * @heard: a part of the answer has arrived
- * @begun_us: when the call began
- */
-struct hn_call {
-	bool reused;
-	bool heard;
-	int64_t begun_us;
-};
-
 enum hn_verdict {
 	HN_KEEP,
 	HN_DROP,
@@ -84,12 +97,14 @@
 /**
  * hn_shows_silence() - whether a call shows that connections may be silent
  * @call: the call
- * @cleared_us: when an earlier call showed it of the same host; calls begun
- *	before that are of the same silence
+ * @history: of its host. Calls that began before an earlier one showed silence
+ *	are of the same silence
+ * @now_us: the time
  *
  * On a new connection, the host is slow or away.
  */
-bool hn_shows_silence(const struct hn_call *call, int64_t cleared_us);
+bool hn_shows_silence(const struct hn_call *call,
+    const struct hn_history *history, int64_t now_us);
 
 /**
  * hn_judge() - whether to keep a connection to a host of which others are silent
@@ -164,4 +179,20 @@
 uint32_t hn_on_late(
     struct hn_connection *conn, const struct hn_call *call, int64_t now_us);
 
+/**
+ * hn_on_late_answer() - a call that was overdue has been answered
+ * @conn: its connection
+ * @now_us: the time
+ *
+ * For the time that hn_set_slow_time() has set, the host counts as slow.
+ */
+void hn_on_late_answer(struct hn_connection *conn, int64_t now_us);
+
+/**
+ * hn_set_slow_time() - how long hosts count as slow after a late answer
+ * @all: table
+ * @slow_us: 0, as at first, for not at all
+ */
+void hn_set_slow_time(struct hn_connections *all, int64_t slow_us);
+
 #endif
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -989,28 +989,58 @@
 	EXPECT_EQ(waiting.error, HC_OK);
 }
 
+/* A worker that answers late each time cost a connection for every other one. */
+TEST_F(HttpClientOfSilentConnections, HostThatAnswersLateKeepsItsConnections)
+{
+	SilenceableServer server;
+	struct hc_request req = {};
+
+	hc_set_slow_time(hc, 5 * CLK_US_PER_S);
+	call_at_once(server.url, 3);
+	run_for(300 * CLK_US_PER_MS);
+	for (int i = 0; i < 5; i++) {
+		Call late = {HC_TIMEOUT, false};
+
+		server.holds = true;
+		req.method = "GET";
+		req.url = server.url.c_str();
+		req.overdue_us = clk_now_us() + 50 * CLK_US_PER_MS;
+		req.deadline_us = clk_now_us() + 2 * CLK_US_PER_S;
+		hc_send(hc, &req, on_done, &late);
+		run_for(100 * CLK_US_PER_MS);
+		server.holds = false;
+		wait(late);
+		EXPECT_EQ(late.error, HC_OK);
+		/* The first late answer costs the two idle ones. */
+		if (i == 0)
+			call_at_once(server.url, 3);
+		run_for(300 * CLK_US_PER_MS);
+	}
+	call_at_once(server.url, 3);
+	EXPECT_EQ(server.connections, 5);
+}
+
 TEST(HttpConnections, CallTellsOfSilenceOnlyOnAReusedConnectionThatSaidNothing)
 {
 	static const struct {
-		bool reused;
-		bool heard;
-		int64_t begun_us;
-		int64_t cleared_us;
+		struct hn_call call;
+		struct hn_history history;
 		bool shows;
 	} table[] = {
-	    {true, false, 100, 0, true},
-	    {true, false, 100, 100, true},
-	    {false, false, 100, 0, false},
-	    {true, true, 100, 0, false},
-	    {true, false, 99, 100, false},
+	    {{true, false, false, 100}, {0, 0}, true},
+	    {{true, false, false, 100}, {100, 0}, true},
+	    {{false, false, false, 100}, {0, 0}, false},
+	    {{true, true, false, 100}, {0, 0}, false},
+	    {{true, false, false, 99}, {100, 0}, false},
+	    {{true, false, true, 100}, {0, 200}, true},
+	    {{true, false, true, 100}, {0, 201}, false},
+	    {{true, false, false, 100}, {0, 201}, true},
 	};
 
-	for (const auto &row : table) {
-		struct hn_call call = {row.reused, row.heard, row.begun_us};
-
-		EXPECT_EQ(hn_shows_silence(&call, row.cleared_us), row.shows)
+	for (const auto &row : table)
+		EXPECT_EQ(
+		    hn_shows_silence(&row.call, &row.history, 200), row.shows)
 		    << &row - table;
-	}
 }
 
 TEST(HttpConnections, ConnectionIsDroppedOnceItWasNotHeardForAWhile)
@@ -1043,17 +1073,18 @@
 		int64_t unheard_us;
 		enum hn_verdict verdict;
 	} table[] = {
-	    {{true, false, 100}, false, 99, CLK_US_PER_S, HN_DROP},
-	    {{true, false, 100}, false, 100, CLK_US_PER_S, HN_KEEP},
-	    {{true, false, 100}, true, 99, CLK_US_PER_S, HN_KEEP},
-	    {{true, false, 100}, false, 99, HN_PROOF_US - 1, HN_KEEP},
-	    {{false, false, 100}, false, 99, CLK_US_PER_S, HN_KEEP},
-	    {{true, true, 100}, false, 99, CLK_US_PER_S, HN_KEEP},
+	    {{true, false, false, 100}, false, 99, CLK_US_PER_S, HN_DROP},
+	    {{true, false, false, 100}, false, 100, CLK_US_PER_S, HN_KEEP},
+	    {{true, false, false, 100}, true, 99, CLK_US_PER_S, HN_KEEP},
+	    {{true, false, false, 100}, false, 99, HN_PROOF_US - 1, HN_KEEP},
+	    {{false, false, false, 100}, false, 99, CLK_US_PER_S, HN_KEEP},
+	    {{true, true, false, 100}, false, 99, CLK_US_PER_S, HN_KEEP},
+	    {{true, false, true, 100}, false, 99, CLK_US_PER_S, HN_KEEP},
 	};
 	const int64_t now_us = 100 * CLK_US_PER_S;
 
 	for (const auto &row : table) {
-		struct hn_call call = {true, row.heard, row.begun_us};
+		struct hn_call call = {true, row.heard, true, row.begun_us};
 
 		EXPECT_EQ(hn_judge_wait(&call, now_us - row.unheard_us,
 			      &row.late, now_us),
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -73,6 +73,7 @@
 	uint32_t sends;
 	bool repeatable;
 	bool waits;
+	bool was_overdue;
 	char error[CURL_ERROR_SIZE];
 };
 
@@ -161,11 +162,12 @@
 }
 
 static struct hn_call
-hc_describe(const struct hc_transfer *t)
+hc_describe(const struct hc_transfer *t, int64_t now_us)
 {
 	return (struct hn_call){
 	    .reused = !hc_is_on_new_connection(t),
 	    .heard = t->response_headers != NULL,
+	    .overdue = now_us < t->deadline_us,
 	    .begun_us = t->begun_us,
 	};
 }
@@ -183,7 +185,7 @@
 		if (!other->waits || other->conn == NULL ||
 		    other->conn->host != t->conn->host)
 			continue;
-		waiting = hc_describe(other);
+		waiting = hc_describe(other, now_us);
 		if (hn_judge_wait(&waiting, other->conn->heard_us, late,
 			now_us) == HN_KEEP)
 			continue;
@@ -196,19 +198,17 @@
 
 /* No answer at the time that it was due: others may be silent, too. */
 static void
-hc_on_late(const struct hc_transfer *t, bool at_deadline, int64_t now_us)
+hc_on_late(const struct hc_transfer *t, int64_t now_us)
 {
 	char text[HC_LOGGED_URL_BYTES];
-	struct hn_call call = hc_describe(t);
+	struct hn_call call = hc_describe(t, now_us);
 	uint32_t dropped;
-	uint32_t ended = 0;
+	uint32_t ended;
 
 	if (t->conn == NULL)
 		return;
 	dropped = hn_on_late(t->conn, &call, now_us);
-	/* An overdue answer may still come: that is no reason to ask anew. */
-	if (at_deadline)
-		ended = hc_end_waits(t, &call, now_us);
+	ended = hc_end_waits(t, &call, now_us);
 	if (dropped + ended > 0)
 		lg_event(LG_INFO, "http", "dropped", "url",
 		    hc_logged_url(t, text, sizeof(text)), "connections",
@@ -227,7 +227,15 @@
 		t->conn->host->unanswered++;
 	ct_add(is_new ? CT_HTTP_UNANSWERED_NEW : CT_HTTP_UNANSWERED_REUSED, 1);
 	hc_log_unanswered(t, is_new, now_us);
-	hc_on_late(t, true, now_us);
+	hc_on_late(t, now_us);
+}
+
+static void
+hc_on_answered(struct hc_transfer *t, int64_t now_us)
+{
+	hn_on_answer(t->conn, now_us);
+	if (t->was_overdue)
+		hn_on_late_answer(t->conn, now_us);
 }
 
 /* What the call tells of its connection. */
@@ -237,7 +245,7 @@
 	if (code == CURLE_OPERATION_TIMEDOUT)
 		hc_on_unanswered(t, clk_now_us());
 	else if (code == CURLE_OK && t->conn != NULL)
-		hn_on_answer(t->conn, clk_now_us());
+		hc_on_answered(t, clk_now_us());
 	hn_forget_user(&t->conn);
 }
 
@@ -383,7 +391,8 @@
 	if (t->overdue_us == 0 || t->overdue_us > now_us)
 		return;
 	t->overdue_us = 0;
-	hc_on_late(t, false, now_us);
+	t->was_overdue = true;
+	hc_on_late(t, now_us);
 	if (t->overdue != NULL)
 		t->overdue(t->arg);
 }
@@ -510,6 +519,12 @@
 	return hc;
 }
 
+void
+hc_set_slow_time(struct http_client *hc, int64_t slow_us)
+{
+	hn_set_slow_time(hc->connections, slow_us);
+}
+
 static size_t
 hc_append(char **buf, size_t have, const char *data, size_t n, void *ctx)
 {
--- a/transport/http_connections.c
+++ b/transport/http_connections.c
@@ -13,6 +13,7 @@
 struct hn_connections {
 	struct hn_connection *by_fd;
 	struct hn_host *hosts;
+	int64_t slow_us;
 };
 
 static struct hn_host *
@@ -170,9 +171,13 @@
 }
 
 bool
-hn_shows_silence(const struct hn_call *call, int64_t cleared_us)
+hn_shows_silence(const struct hn_call *call, const struct hn_history *history,
+    int64_t now_us)
 {
-	return call->reused && !call->heard && call->begun_us >= cleared_us;
+	if (call->overdue && now_us < history->slow_until_us)
+		return false;
+	return call->reused && !call->heard &&
+	    call->begun_us >= history->cleared_us;
 }
 
 enum hn_verdict
@@ -185,7 +190,11 @@
 hn_judge_wait(const struct hn_call *waiting, int64_t heard_us,
     const struct hn_call *late, int64_t now_us)
 {
-	if (waiting->heard || !hn_shows_silence(late, waiting->begun_us + 1))
+	struct hn_history history = {.cleared_us = waiting->begun_us + 1};
+
+	/* An overdue answer may still come: no reason to ask anew. */
+	if (waiting->heard || late->overdue ||
+	    !hn_shows_silence(late, &history, now_us))
 		return HN_KEEP;
 	return hn_judge(false, heard_us, now_us);
 }
@@ -198,9 +207,9 @@
 	struct hn_connection *other;
 	uint32_t dropped = 0;
 
-	if (!hn_shows_silence(call, host->cleared_us))
+	if (!hn_shows_silence(call, &host->history, now_us))
 		return 0;
-	host->cleared_us = now_us;
+	host->history.cleared_us = now_us;
 	DL_FOREACH(host->list, other) {
 		if (other->dropped ||
 		    hn_judge(other->busy, other->heard_us, now_us) == HN_KEEP)
@@ -213,3 +222,15 @@
 	ct_add(CT_HTTP_DROPPED, dropped);
 	return dropped;
 }
+
+void
+hn_on_late_answer(struct hn_connection *conn, int64_t now_us)
+{
+	conn->host->history.slow_until_us = now_us + conn->all->slow_us;
+}
+
+void
+hn_set_slow_time(struct hn_connections *all, int64_t slow_us)
+{
+	all->slow_us = slow_us;
+}
