store lease: it outlives a silent connection

With the defaults (3 s, renewed after 1 s, 2 s for an answer, 0.3 s until the next) one renewal on a silent connection used up the lease, and the daemon lost its shards.

Calls of the store are overdue after a quarter of their time, so that idle connections that are as old are not used for the next one.

--- a/include/curranttackd/daemon.h
+++ b/include/curranttackd/daemon.h
@@ -68,7 +68,7 @@
  * @shard_host: one per shard that has ever been configured
  * @store_lease_id: this daemon's lease in the store; 0 for none
  * @store_lease_renew_at_us: when to grant or renew it next
- * @store_lease_in_flight: a grant or renewal is in flight
+ * @store_lease_in_flight: a grant is in flight
  * @watch_revision: store revision up to which changes have been read
  * @watch_in_flight: a watch on the configuration is in flight
  * @watch_retry_at_us: no watch before this time
--- a/tests/fault/test_member_faults.cc
+++ b/tests/fault/test_member_faults.cc
@@ -371,10 +371,46 @@
 		    200);
 	}
 
+	/* Connections that are open; new ones work. */
+	void
+	silence()
+	{
+		for (const char *ways : {"3", "0"})
+			EXPECT_EQ(http("POST",
+				      "http://" + proxy.addresses[1] +
+					  "/_silence?ways=" + ways)
+				      .status,
+			    200);
+	}
+
       private:
 	Process proxy;
 };
 
+/* The lease ended while its renewal waited for an answer. */
+TEST(MemberFaults, LeaseInTheStoreOutlivesSilentConnections)
+{
+	Cluster c({});
+	PartitionableLink store(c);
+
+	store.set_target(c.store_address());
+	c.daemons[0].store_proxy = store.address();
+	c.start_daemon(c.daemons[0]);
+	EXPECT_TRUE(eventually(
+	    [&] { return c.get(c.daemons[0], "/v1/status").status == 200; }));
+	for (int i = 0; i < 3; i++) {
+		usleep(1500000);
+		store.silence();
+	}
+	usleep(1500000);
+	std::ifstream log(c.log_path().replace(c.log_path().rfind('/') + 1,
+	    std::string::npos, c.daemons[0].vm + ".log"));
+	std::string text((std::istreambuf_iterator<char>(log)),
+	    std::istreambuf_iterator<char>());
+	EXPECT_NE(text.find("event=unanswered"), std::string::npos);
+	EXPECT_EQ(text.find("event=lease_lapsed"), std::string::npos);
+}
+
 TEST(MemberFaults, PartitionedDomainKeepsServing)
 {
 	Layout layout;
--- a/transport/kv_http.c
+++ b/transport/kv_http.c
@@ -8,6 +8,8 @@
 #include "transport/kv.h"
 
 #define KV_URL_BYTES 512
+/* Part of its time after which a call is overdue. */
+#define KV_OVERDUE_PART 4
 
 struct kv_http {
 	struct http_client *hc;
@@ -80,6 +82,9 @@
 	/* The refusal of a second copy of a write would hide the first one. */
 	req.repeatable = strcmp(method, "GET") == 0;
 	req.waits = wait_us > 0;
+	if (!req.waits)
+		req.overdue_us =
+		    clk_now_us() + kv->timeout_us / KV_OVERDUE_PART;
 	hc_send(kv->hc, &req, kv_on_response, call);
 }
 
