--- a/include/transport/http_client.h
+++ b/include/transport/http_client.h
@@ -38,7 +38,8 @@
  *	off, to this time at most; 0 for never
  * @overdue_us: when to report that the response is overdue; 0 for never. The
  *	request goes on until @deadline_us
- * @overdue: called then; NULL unless @overdue_us is set
+ * @overdue: called then; NULL if nobody has to know. Idle connections to the
+ *	host that may be silent are not used any more in any case
  * @repeatable: the request may be sent again when its connection ends before
  *	the response begins; the response is then to the last copy, and tells
  *	nothing of the others. Set it for reads, and for writes of which
@@ -105,6 +106,14 @@
 struct http_client *hc_create(
     TALLOC_CTX *ctx, struct loop *l, long max_connections_per_host);
 
+/**
+ * hc_set_slow_time() - spare connections to slow hosts
+ * @hc: client
+ * @slow_us: after an overdue answer has come, further overdue ones are no reason
+ *	to use other connections for so long; 0, as at first, for not at all
+ */
+void hc_set_slow_time(struct http_client *hc, int64_t slow_us);
+
 /**
  * hc_send() - start a request
  * @hc: client
--- a/include/transport/http_connections.h
+++ b/include/transport/http_connections.h
@@ -24,18 +24,43 @@
 
 struct hn_connections;
 
+/**
+ * struct hn_call - a call without an answer at the time that it was due
+ * @reused: its connection was in use before
+ * @heard: a part of the answer has arrived
+ * @overdue: its deadline is later, and an answer may still come
+ * @begun_us: when the call began
+ */
+struct hn_call {
+	bool reused;
+	bool heard;
+	bool overdue;
+	int64_t begun_us;
+};
+
+/**
+ * struct hn_history - what late calls to a host have shown
+ * @cleared_us: when a call last showed that connections may be silent
+ * @slow_until_us: until then, overdue calls are taken to be answered late, as one
+ *	was
+ */
+struct hn_history {
+	int64_t cleared_us;
+	int64_t slow_until_us;
+};
+
 /**
  * struct hn_host - a server
  * @key: IP address and port
  * @list: connections to it
  * @unanswered: calls in a row that had no answer on a reused connection
- * @cleared_us: when a call last showed that its connections may be silent
+ * @history: what earlier calls showed
  */
 struct hn_host {
 	uint64_t key;
 	struct hn_connection *list;
 	uint32_t unanswered;
-	int64_t cleared_us;
+	struct hn_history history;
 	UT_hash_handle hh;
 };
 
@@ -64,18 +89,6 @@
 	UT_hash_handle hh;
 };
 
-/**
- * struct hn_call - a call without an answer at the time that it was due
- * @reused: its connection was in use before
- * @heard: a part of the answer has arrived
- * @begun_us: when the call began
- */
-struct hn_call {
-	bool reused;
-	bool heard;
-	int64_t begun_us;
-};
-
 enum hn_verdict {
 	HN_KEEP,
 	HN_DROP,
@@ -84,12 +97,14 @@
 /**
  * hn_shows_silence() - whether a call shows that connections may be silent
  * @call: the call
- * @cleared_us: when an earlier call showed it of the same host; calls begun
- *	before that are of the same silence
+ * @history: of its host. Calls that began before an earlier one showed silence
+ *	are of the same silence
+ * @now_us: the time
  *
  * On a new connection, the host is slow or away.
  */
-bool hn_shows_silence(const struct hn_call *call, int64_t cleared_us);
+bool hn_shows_silence(const struct hn_call *call,
+    const struct hn_history *history, int64_t now_us);
 
 /**
  * hn_judge() - whether to keep a connection to a host of which others are silent
@@ -101,13 +116,13 @@
 
 /**
  * hn_judge_wait() - whether to go on with a call that waits for news
- * @waiting: the call, on a connection to a host of which others are silent
+ * @waiting: the call
  * @heard_us: when the last answer on its connection arrived
- * @late_begun_us: when the call began that showed it
+ * @late: another call to that host, whose deadline has passed
  * @now_us: the time
  */
 enum hn_verdict hn_judge_wait(const struct hn_call *waiting, int64_t heard_us,
-    int64_t late_begun_us, int64_t now_us);
+    const struct hn_call *late, int64_t now_us);
 
 /**
  * hn_create() - create an empty table
@@ -158,12 +173,26 @@
  * @conn: its connection
  * @call: what is known of the call
  * @now_us: the time
- * @dropped: set to how many idle connections to the same host aren't used any
- *	more
  *
- * Return: whether connections to the host may be silent.
+ * Return: how many idle connections to the same host aren't used any more.
+ */
+uint32_t hn_on_late(
+    struct hn_connection *conn, const struct hn_call *call, int64_t now_us);
+
+/**
+ * hn_on_late_answer() - a call that was overdue has been answered
+ * @conn: its connection
+ * @now_us: the time
+ *
+ * For the time that hn_set_slow_time() has set, the host counts as slow.
+ */
+void hn_on_late_answer(struct hn_connection *conn, int64_t now_us);
+
+/**
+ * hn_set_slow_time() - how long hosts count as slow after a late answer
+ * @all: table
+ * @slow_us: 0, as at first, for not at all
  */
-bool hn_on_late(struct hn_connection *conn, const struct hn_call *call,
-    int64_t now_us, uint32_t *dropped);
+void hn_set_slow_time(struct hn_connections *all, int64_t slow_us);
 
 #endif
