--- a/tests/unit/test_pool.cc
+++ b/tests/unit/test_pool.cc
@@ -816,6 +816,48 @@
 	EXPECT_EQ(task(kJob, 0, 0)->state, WP_TASK_RUNNING);
 }
 
+/* What clears these marks is sent while they last. */
+TEST_F(Pool, WorkerThatAnsweredNoOrdersIsUsedAgainAfterItsNextRenewal)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{2}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 2U);
+	for (struct wp_order *o : orders)
+		answer(o, WP_NO_ANSWER);
+	add(kOther, {{1}});
+	for (int i = 0; i < 5; i++) {
+		for (const struct wp_order *o : tick(20 * kMs))
+			EXPECT_STREQ(o->ref.job, kJob.c_str());
+	}
+	struct wp_renewal renewal;
+	ASSERT_TRUE(
+	    wp_renewal_due(p, wp_find_worker(p, "w"), now + kS, &renewal));
+	renew_lease("w");
+	run_all();
+	EXPECT_EQ(task(kOther, 0, 0)->state, WP_TASK_RUNNING);
+}
+
+TEST_F(Pool, WorkerWhoseReplyWasLateIsUsedAgainAfterItsNextRenewal)
+{
+	create_pool();
+	add_worker("w");
+	int64_t made_us = now;
+
+	renewal_overdue("w");
+	now += 3 * kS;
+	overdue_reply("w", made_us, {});
+	add(kOther, {{1}});
+	EXPECT_TRUE(tick(20 * kMs).empty());
+	struct wp_renewal renewal;
+	ASSERT_TRUE(
+	    wp_renewal_due(p, wp_find_worker(p, "w"), now + kS, &renewal));
+	renew_lease("w");
+	run_all();
+	EXPECT_EQ(task(kOther, 0, 0)->state, WP_TASK_RUNNING);
+}
+
 TEST_F(Pool, StartInDoubtKeepsItsResourcesUntilTheWorkerReports)
 {
 	create_pool();
