--- a/tests/fault/test_peer_links.cc
+++ b/tests/fault/test_peer_links.cc
@@ -4,13 +4,10 @@
 #include <unistd.h>
 
 #include "cluster.h"
+#include "tests/unit/other_side.h"
 
 extern "C" {
-#include "common/clock.h"
 #include "coordination/link_alive.h"
-#include "protocol/frame.h"
-#include "transport/http_server.h"
-#include "transport/peer.h"
 }
 
 namespace
@@ -24,14 +21,7 @@
       public:
 	Net()
 	{
-		Currant__Hello hello = CURRANT__HELLO__INIT;
-		char bound[64];
-		int fd = hs_listen("127.0.0.1:0", bound, sizeof(bound));
-
-		address = bound;
-		hello.version = FR_VERSION;
-		hello.vm = hello.domain = hello.token = (char *)"net";
-		net = peer_create(l, l, fd, &hello, &hooks, this);
+		net = create_net(l, &hooks, this, &address);
 		loop_start(l);
 	}
 
--- a/tests/unit/other_side.h
+++ b/tests/unit/other_side.h
@@ -12,6 +12,8 @@
 #include "common/clock.h"
 #include "protocol/frame.h"
 #include "transport/address.h"
+#include "transport/http_server.h"
+#include "transport/peer.h"
 }
 
 inline std::string
@@ -118,6 +120,27 @@
 	std::string in;
 };
 
+/* A net that listens on a free port of the loopback; sets its IP:PORT. */
+inline struct peer_net *
+create_net(struct loop *l, const struct peer_hooks *hooks, void *arg,
+    std::string *address)
+{
+	Currant__Hello hello = CURRANT__HELLO__INIT;
+	char bound[64];
+	int fd = hs_listen("127.0.0.1:0", bound, sizeof(bound));
+
+	*address = bound;
+	hello.version = FR_VERSION;
+	hello.vm = hello.domain = hello.token = (char *)"this";
+	return peer_create(l, l, fd, &hello, hooks, arg);
+}
+
+inline bool
+accept_any(const Currant__Hello *, void *)
+{
+	return true;
+}
+
 /* A blocking connection to a net that listens there. */
 inline int
 connect_to(const std::string &address)
--- a/tests/unit/test_advice_links.cc
+++ b/tests/unit/test_advice_links.cc
@@ -8,7 +8,6 @@
 extern "C" {
 #include "curranttackd/cell_advice_internal.h"
 #include "curranttackd/cell_peers.h"
-#include "transport/http_server.h"
 }
 
 /* This daemon only serves requests, and sends none. */
@@ -33,20 +32,13 @@
       protected:
 	AdviceLinks()
 	{
-		Currant__Hello hello = CURRANT__HELLO__INIT;
-		char bound[64];
-		int fd = hs_listen("127.0.0.1:0", bound, sizeof(bound));
-
-		address = bound;
-		hello.version = FR_VERSION;
-		hello.vm = hello.domain = hello.token = (char *)"this";
 		fleet.advice = &ops;
 		fleet.handle = this;
 		settings.vm = (char *)"this";
 		c->settings = &settings;
 		c->loop = loop_create(c);
 		c->fleet = &fleet;
-		c->peers = peer_create(c, c->loop, fd, &hello, &hooks, this);
+		c->peers = create_net(c->loop, &hooks, this, &address);
 		c->advice = av_create(c);
 	}
 
@@ -103,12 +95,6 @@
 		((AdviceLinks *)handle)->asked.push_back({req->job, done, arg});
 	}
 
-	static bool
-	accept_any(const Currant__Hello *, void *)
-	{
-		return true;
-	}
-
 	static void
 	on_frame(struct peer_link *link, const Currant__Frame *frame, void *arg)
 	{
--- a/tests/unit/test_peer.cc
+++ b/tests/unit/test_peer.cc
@@ -9,11 +9,8 @@
 #include "other_side.h"
 
 extern "C" {
-#include "common/clock.h"
 #include "common/counters.h"
 #include "coordination/link_alive.h"
-#include "transport/http_server.h"
-#include "transport/peer.h"
 }
 
 namespace
@@ -33,14 +30,7 @@
       protected:
 	Peer()
 	{
-		Currant__Hello hello = CURRANT__HELLO__INIT;
-		char bound[64];
-		int fd = hs_listen("127.0.0.1:0", bound, sizeof(bound));
-
-		address = bound;
-		hello.version = FR_VERSION;
-		hello.vm = hello.domain = hello.token = (char *)"this";
-		net = peer_create(l, l, fd, &hello, &hooks, this);
+		net = create_net(l, &hooks, this, &address);
 		loop_start(l);
 	}
 
@@ -119,12 +109,6 @@
 			peer_send(peer_find(t->net, 1), &frame);
 	}
 
-	static bool
-	accept_any(const Currant__Hello *, void *)
-	{
-		return true;
-	}
-
 	static void
 	on_frame(struct peer_link *, const Currant__Frame *, void *arg)
 	{
