http client: a connection that isn't made in time is new

A call whose connect got no answer by its deadline was logged as new=0 and counted in http_requests_unanswered_reused: the library counts a connection (CURLINFO_NUM_CONNECTS) only once it is made. The same answer decides whether a late call shows silence, so, by reading, a host that drops connects (dark, or with a full backlog) ended the use of idle connections to it and the watches there; a call on a new connection must tell nothing of others.

The connection's own age decides first now. One that was made for another call after this one began counts as new as well: it is younger than the call, and the verdict is the careful one.

--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -902,6 +902,32 @@
 	EXPECT_EQ(server.connections, 2);
 }
 
+/* It counted as reused, so that connections to the host were taken for silent. */
+TEST_F(HttpClientOfSilentConnections, ConnectionThatIsNotMadeInTimeIsNew)
+{
+	uint64_t reused = ct_get(CT_HTTP_UNANSWERED_REUSED);
+	uint64_t made = ct_get(CT_HTTP_UNANSWERED_NEW);
+	std::string address;
+	int fd = listen_on_loopback(&address);
+	struct sockaddr_in sin = {};
+	std::vector<int> waiting;
+
+	/* One more than this fills the queue, and connects are left alone. */
+	listen(fd, 0);
+	ad_parse(address.c_str(), &sin);
+	for (int i = 0; i < 2; i++) {
+		waiting.push_back(
+		    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+		connect(waiting.back(), (struct sockaddr *)&sin, sizeof(sin));
+	}
+	EXPECT_EQ(call("http://" + address + "/"), HC_NOT_CONNECTED);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_REUSED), reused);
+	EXPECT_EQ(ct_get(CT_HTTP_UNANSWERED_NEW), made + 1);
+	for (int conn : waiting)
+		close(conn);
+	close(fd);
+}
+
 class HttpClientThatWaitsForNews : public HttpClientOfSilentConnections
 {
       protected:
--- a/transport/http_client.c
+++ b/transport/http_client.c
@@ -151,11 +151,14 @@
 	    lg_i64(t->conn->host->unanswered), NULL);
 }
 
+/* The library counts a connection only once it is made. */
 static bool
 hc_is_on_new_connection(const struct hc_transfer *t)
 {
 	long connects = 0;
 
+	if (t->conn != NULL && t->conn->opened_us >= t->begun_us)
+		return true;
 	curl_easy_getinfo(t->easy, CURLINFO_NUM_CONNECTS, &connects);
 	return connects > 0;
 }
