calls: a call whose send finds the link broken ends at once

A caller whose request went to another daemon over a link that the peer had just reset waited for its whole deadline. Sending finds the reset, closes the link, and that ends the calls listed for it; peer_send() says true, as the frame was queued, and the call was listed only then, with a pointer to a link about to be freed. Links that are closed for silence on the other side make such resets more frequent.

The call is listed before it is sent, as requests for advice, relayed calls and lookups are; it ends with ST_UNKNOWN, as with any link that breaks. What can't be queued is taken off the list and wasn't run, as before. Ruled out: returning false from peer_send(), for which av_forward() would write to a request that the close has freed.

--- a/curranttackd/calls.c
+++ b/curranttackd/calls.c
@@ -100,18 +100,20 @@
 	call->id = ++c->next_id;
 	frame.call = call;
 	p = talloc_zero(c, struct pending_call);
-	if (p == NULL || !peer_send(link, &frame)) {
-		talloc_free(p);
-		ca_reply_not_run(
-		    done, arg, "the daemon in charge takes no calls");
-		return;
-	}
+	if (p == NULL)
+		abort();
 	p->id = call->id;
 	p->link = link;
 	p->deadline_us = deadline_us;
 	p->done = done;
 	p->arg = arg;
+	/* Sending may find that the link is broken, which ends its calls. */
 	HASH_ADD(hh, c->pending, id, sizeof(p->id), p);
+	if (peer_send(link, &frame))
+		return;
+	HASH_DEL(c->pending, p);
+	talloc_free(p);
+	ca_reply_not_run(done, arg, "the daemon in charge takes no calls");
 }
 
 void
