tests: open connections of the simulated cell fall silent for good

No test could show it: a simulated link on which a frame is lost closes by itself after 5 s, calls have no connections, and there was no advice service, so nothing ever waited for an answer over a link.

SimWorld::sever() silences all open connections of a daemon, one way or both: links to other daemons stay open and lose what is sent, a call that is in flight gets no answer, and the next call to the same host first uses an idle connection of that age. sever_links() silences a share of the links alone.

fail_a_run() used the name of the task after it had erased it.

--- a/tests/unit/sim_calls.cc
+++ b/tests/unit/sim_calls.cc
@@ -80,6 +80,7 @@
 	int64_t timeout_us;
 	ks_done_fn done;
 	void *arg;
+	SimConnection connection = {};
 };
 
 static void
@@ -95,7 +96,7 @@
 	SimWorld *w = sim_world;
 	SimResponse unknown = without_answer(KS_UNKNOWN);
 
-	if (is_cut_from_store(*d)) {
+	if (is_cut_from_store(*d) || sim_loses_call(*d, c.connection)) {
 		answer_call(life, c, unknown, c.timeout_us);
 		return;
 	}
@@ -116,7 +117,7 @@
 		answer_call(life, c, unknown, c.timeout_us);
 		return;
 	}
-	if (is_too_large(*d, a))
+	if (is_too_large(*d, a) || sim_loses_answer(*d, c.connection))
 		answer_call(life, c, unknown, c.timeout_us);
 	else
 		answer_call(life, c, a, latency_us);
@@ -131,6 +132,7 @@
 	    ? kSlowLatency
 	    : kStoreLatency;
 
+	c.connection = sim_connect(*d, "store");
 	if (is_cut_from_store(*d)) {
 		answer_call(life, c, without_answer(KS_UNKNOWN), c.timeout_us);
 		return;
@@ -201,14 +203,16 @@
 
 /* Looks for changes from time to time until the deadline. */
 static void
-poll_watch(SimDaemon *d, uint64_t life, const std::string &prefix,
-    uint64_t after, int64_t deadline_us, ks_done_fn done, void *arg)
+poll_watch(SimDaemon *d, uint64_t life, const SimConnection &connection,
+    const std::string &prefix, uint64_t after, int64_t deadline_us,
+    ks_done_fn done, void *arg)
 {
 	SimWorld *w = sim_world;
 	SimResponse a;
 	SimCall c = {nullptr, false, 0, done, arg};
 
-	if (is_cut_from_store(*d) ||
+	if (is_cut_from_store(*d) || connection.silent_there ||
+	    sim_loses_answer(*d, connection) ||
 	    w->store_has(d->index, StoreTrouble::kBusy) ||
 	    w->store_has(d->index, StoreTrouble::kHung)) {
 		answer_call(life, c, without_answer(KS_UNKNOWN),
@@ -237,7 +241,8 @@
 		return;
 	}
 	w->after(kTick, [=] {
-		poll_watch(d, life, prefix, after, deadline_us, done, arg);
+		poll_watch(
+		    d, life, connection, prefix, after, deadline_us, done, arg);
 	});
 }
 
@@ -250,8 +255,10 @@
 	uint64_t life = d->life;
 	int64_t deadline_us = sim_world->now + wait_ms * kSimMs;
 
+	SimConnection c = sim_connect(*d, "store");
+
 	sim_world->after(kLatency,
-	    [=] { poll_watch(d, life, p, after, deadline_us, done, arg); });
+	    [=] { poll_watch(d, life, c, p, after, deadline_us, done, arg); });
 }
 
 const struct ks_ops sim_key_ops = {
--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -42,6 +42,13 @@
 	kNarrow, /* watches' answers with many changes don't arrive in time */
 };
 
+/* On which way a connection that falls silent loses what is sent. */
+enum class SimWay {
+	kThere, /* from the side that opened it */
+	kBack,
+	kBoth,
+};
+
 struct SimItem {
 	std::string key;
 	std::string value;
@@ -155,6 +162,14 @@
 	std::vector<SimRetry> retries;
 };
 
+/* A connection to a host, in use for one call. */
+struct SimConnection {
+	bool silent_there = false;
+	bool silent_back = false;
+	uint32_t there = 0; /* how often such fell silent before */
+	uint32_t back = 0;
+};
+
 struct SimDaemon {
 	size_t index = 0;
 	std::string vm;
@@ -175,6 +190,14 @@
 	struct fl_fleet fleet = {};
 	std::map<StoreTrouble, int64_t> store; /* trouble of its own calls */
 	int64_t narrow_until_us = 0; /* its link, for pages of the store */
+	/* How often its open connections fell silent, by way. */
+	uint32_t silences_there = 0;
+	uint32_t silences_back = 0;
+	/* Hosts that it keeps idle connections to; those that are silent. */
+	std::set<std::string> called;
+	std::map<std::string, std::vector<SimWay>> silent;
+	/* Until when the advice service is busy with its requests. */
+	int64_t advice_until_us = 0;
 };
 
 /* What a caller gets: a status, or 0 without an answer. */
@@ -200,6 +223,8 @@
 	/* In a larger cell, only owners follow the workers' entries. */
 	uint32_t small_cell_daemons = 16;
 	int64_t keep_ended_us = 120 * kSimS;
+	/* Starts need tickets, and the service takes its time. */
+	bool slow_advice = false;
 };
 
 /* Shares of the calls to workers that meet this, until a time. */
@@ -244,6 +269,13 @@
 	/* Another one begins on its VM, last in @workers. */
 	void begin_on_vm_of(size_t worker);
 	void cut_domain(const std::string &domain, int64_t us);
+	/*
+	 * All open connections of a daemon fall silent for good: nothing closes
+	 * them, and what is opened later works.
+	 */
+	void sever(size_t daemon, SimWay way);
+	/* The same of a share of the links between daemons. */
+	void sever_links(uint32_t percent, SimWay way);
 	/* What one sends to the other is lost. */
 	void cut_path(
 	    const std::string &from, const std::string &to, int64_t us);
--- a/tests/unit/sim_formats.cc
+++ b/tests/unit/sim_formats.cc
@@ -39,6 +39,26 @@
 	return true;
 }
 
+static void
+set_queue(struct qs_config *c, const char *name, int64_t advice_us,
+    int64_t advice_each_us)
+{
+	struct qs_queue *q = &c->queue[c->queue_count++];
+
+	q->name = talloc_strdup(c, name);
+	q->host = talloc_strdup(c, "host");
+	q->prefix = talloc_asprintf(c, "/%s/", name);
+	q->pool = talloc_strdup(c, "pool");
+	q->policy.max_attempts = 4;
+	q->policy.stretch_milli = 4000;
+	q->policy.target_latency_ms = 1000;
+	if (!sim_world->options.slow_advice)
+		return;
+	q->policy.advice_decide_us = (uint32_t)advice_us;
+	q->policy.advice_period_us = (uint32_t)advice_each_us;
+	q->policy.advice_valid_ms = (uint32_t)(kTicket / kSimMs);
+}
+
 static struct qs_config *
 sim_read_config(TALLOC_CTX *ctx, const uint8_t *value, size_t bytes,
     char *error, size_t error_bytes)
@@ -50,15 +70,10 @@
 	(void)error;
 	(void)error_bytes;
 	c->version = 1;
-	c->queue = talloc_zero_array(c, struct qs_queue, 1);
-	c->queue_count = 1;
-	c->queue[0].name = talloc_strdup(c, "q");
-	c->queue[0].host = talloc_strdup(c, "host");
-	c->queue[0].prefix = talloc_strdup(c, "/q/");
-	c->queue[0].pool = talloc_strdup(c, "pool");
-	c->queue[0].policy.max_attempts = 4;
-	c->queue[0].policy.stretch_milli = 4000;
-	c->queue[0].policy.target_latency_ms = 1000;
+	c->queue = talloc_zero_array(c, struct qs_queue, 2);
+	set_queue(c, "q", kAdviceTime, kAdviceTimeEach);
+	if (sim_world->options.slow_advice)
+		set_queue(c, "s", kShortAdviceTime, kShortAdviceTimeEach);
 	c->pool = talloc_zero_array(c, struct qs_pool, 1);
 	c->pool_count = 1;
 	c->pool[0].name = talloc_strdup(c, "pool");
@@ -141,6 +156,8 @@
 	d->fleet = {};
 	d->fleet.keys = &sim_key_ops;
 	d->fleet.workers = &sim_worker_ops;
+	if (sim_world->options.slow_advice)
+		d->fleet.advice = &sim_advice_ops;
 	d->fleet.entries = &sim_entries;
 	d->fleet.callers = &sim_callers;
 	d->fleet.handle = d;
--- a/tests/unit/sim_links.cc
+++ b/tests/unit/sim_links.cc
@@ -1,5 +1,6 @@
 #include "sim_internal.h"
 
+#include <algorithm>
 #include <set>
 
 extern "C" {
@@ -30,8 +31,10 @@
 	char vm[64];
 	char address[64];
 	bool established;
+	bool opened; /* by this side */
 	bool refused;
 	bool closing;
+	bool silent; /* what it sends is lost, its end as well */
 	int64_t heard_us;
 };
 
@@ -71,6 +74,14 @@
 	});
 }
 
+/* Whether the other side gets to know that it is closed. */
+static bool
+shows_its_end(struct peer_link *link)
+{
+	return link->established && !link->silent &&
+	    is_open(link->other, link->other_life);
+}
+
 extern "C" struct peer_net *
 peer_create(TALLOC_CTX *ctx, struct loop *l, int, const Currant__Hello *hello,
     const struct peer_hooks *hooks, void *arg)
@@ -86,9 +97,11 @@
 }
 
 static void
-establish(struct peer_link *link, struct peer_link *other, const SimDaemon &d)
+establish(struct peer_link *link, struct peer_link *other, const SimDaemon &d,
+    bool opened)
 {
 	link->other = other;
+	link->opened = opened;
 	link->other_life = other->life;
 	snprintf(link->vm, sizeof(link->vm), "%s", d.vm.c_str());
 	link->established = true;
@@ -119,8 +132,8 @@
 			return;
 		struct peer_link *other = link_create(to->net);
 
-		establish(link, other, *to);
-		establish(other, link, *from);
+		establish(link, other, *to, true);
+		establish(other, link, *from, false);
 	});
 	return link;
 }
@@ -137,6 +150,8 @@
 
 	if (link->closing || !link->established)
 		return false;
+	if (link->silent)
+		return true;
 	/* Bytes that a cut holds up are lost with the connection. */
 	if (to == nullptr || !sim_world->reaches(from->domain, to->domain)) {
 		close_later(link, kLinkTimeout, false);
@@ -215,7 +230,7 @@
 		return;
 	link->closing = true;
 	sim_links.erase(link);
-	if (link->established && is_open(link->other, link->other_life))
+	if (shows_its_end(link))
 		close_later(link->other, kLatency, false);
 	link->net->hooks.on_closed(link, link->net->arg);
 	sim_world->after_in(life, 0, [link] { talloc_free(link); });
@@ -231,13 +246,41 @@
 			gone.push_back(link);
 	}
 	for (struct peer_link *link : gone) {
-		if (link->established && is_open(link->other, link->other_life))
+		if (shows_its_end(link))
 			close_later(link->other,
 			    power ? kLinkTimeout : kLatency, false);
 		sim_links.erase(link);
 	}
 }
 
+static bool
+is_earlier(const struct peer_link *a, const struct peer_link *b)
+{
+	return std::make_pair(a->life, a->serial) <
+	    std::make_pair(b->life, b->serial);
+}
+
+void
+sim_sever_links(uint64_t life, uint32_t percent, SimWay way)
+{
+	std::vector<struct peer_link *> list;
+
+	for (struct peer_link *link : sim_links) {
+		if (link->opened && is_open(link->other, link->other_life) &&
+		    (life == 0 || life == link->life ||
+			life == link->other_life))
+			list.push_back(link);
+	}
+	/* Not in the order of their addresses. */
+	std::sort(list.begin(), list.end(), is_earlier);
+	for (struct peer_link *link : list) {
+		if (percent < 100 && !sim_world->chance(percent))
+			continue;
+		link->silent |= way != SimWay::kBack;
+		link->other->silent |= way != SimWay::kThere;
+	}
+}
+
 void
 sim_clear_links()
 {
--- a/tests/unit/sim_workers.cc
+++ b/tests/unit/sim_workers.cc
@@ -164,8 +164,10 @@
 {
 	SimWorker &w = *workers[index];
 
-	if (w.alive && !w.running.empty())
-		end_run(w, w.running.begin()->first, WP_END_FAILED);
+	if (!w.alive || w.running.empty())
+		return;
+	std::string task = w.running.begin()->first;
+	end_run(w, task, WP_END_FAILED);
 }
 
 void
@@ -233,7 +235,8 @@
 
 static enum wp_order_result
 start_run(SimDaemon &d, SimWorker &w, const struct jb_ref &ref, uint32_t run,
-    int64_t deadline_clock_ms, int64_t work_us, uint64_t token, bool late)
+    int64_t deadline_clock_ms, int64_t work_us, const std::string &ticket,
+    uint64_t token, bool late)
 {
 	std::string task = sim_task_name(ref);
 
@@ -248,6 +251,8 @@
 		return WP_REFUSED_STALE_RUN;
 	if (used_cpu(w) + 1000 > kCores)
 		return WP_REFUSED_NO_RESOURCES;
+	if (sim_world->options.slow_advice && !sim_is_valid_ticket(ticket, w))
+		return WP_REFUSED_TICKET;
 	if (work_us == 0)
 		work_us = kNoEnd;
 	w.running[task] = {
@@ -295,6 +300,8 @@
 	int64_t sent_us = sim_world->now;
 	int64_t late_us = sim_world->lateness_us(sim_world->late_per_mille);
 	int64_t work_us = o->payload != nullptr ? atoll(o->payload) : 0;
+	std::string ticket = o->ticket != nullptr ? o->ticket : "";
+	SimConnection c = sim_connect(*d, o->worker);
 
 	auto no_answer = [=] {
 		sim_world->after_in(
@@ -307,8 +314,8 @@
 	/* Any life under the worker's id carries it out. */
 	auto carry_out = [=](bool late) {
 		return kind == WP_ORDER_START
-		    ? start_run(
-			  *d, *w, ref, run, deadline_ms, work_us, token, late)
+		    ? start_run(*d, *w, ref, run, deadline_ms, work_us, ticket,
+			  token, late)
 		    : stop_run(*w, ref, run, token);
 	};
 	auto arrive_late = [=] {
@@ -317,7 +324,7 @@
 				carry_out(true);
 		});
 	};
-	if (sim_world->loses_call()) {
+	if (sim_world->loses_call() || sim_loses_call(*d, c)) {
 		no_answer();
 		return;
 	}
@@ -334,7 +341,7 @@
 		}
 		enum wp_order_result result = carry_out(false);
 		if (!sim_world->reaches(w->domain, d->domain) ||
-		    sim_world->loses_answer()) {
+		    sim_world->loses_answer() || sim_loses_answer(*d, c)) {
 			no_answer();
 			return;
 		}
@@ -413,6 +420,7 @@
 	    sim_world->late_per_mille, sim_world->late_renewals_per_mille));
 	auto answered = std::make_shared<bool>(false);
 	int64_t timeout_us = r.wait_ms * kSimMs + kRenewalSlack;
+	SimConnection c = sim_connect(*d, target->id);
 
 	sim_world->after_in(life, timeout_us, [=] {
 		if (*answered)
@@ -422,7 +430,7 @@
 	});
 	auto reply = [=](enum wp_order_result result) {
 		if (!sim_world->reaches(w->domain, d->domain) ||
-		    sim_world->loses_answer())
+		    sim_world->loses_answer() || sim_loses_answer(*d, c))
 			return;
 		auto lists = make_lists(*w);
 
@@ -436,7 +444,7 @@
 		});
 	};
 	if (w == nullptr || !sim_world->reaches(d->domain, w->domain) ||
-	    sim_world->loses_call())
+	    sim_world->loses_call() || sim_loses_call(*d, c))
 		return;
 	/* Whether it has; to any life under the worker's id. */
 	auto carry_out = [=] {
--- a/tests/unit/sim_world.cc
+++ b/tests/unit/sim_world.cc
@@ -115,6 +115,8 @@
 	d.powered = true;
 	d.life = next_life++;
 	d.frozen_until_us = 0;
+	d.called.clear();
+	d.silent.clear();
 	d.trouble_us = std::max(d.trouble_us, now);
 	cancelled.on_disruption(0);
 	d.settings = {};
