tests: links of the simulated cell close as the transport closes them

The simulation replaces transport/peer.c, so what that does about silent links was missing. sim_links uses the same pure code, coordination/link_alive: links are checked every 250 ms, heartbeats keep them open, and a silent one is closed on the side that hears nothing. SimOptions::older names daemons of builds without heartbeats, whose links are never taken for silent. A heartbeat that meets a cut is dropped without closing the link: it would be sent again by the kernel.

Log lines of the simulation name the daemon.

--- a/tests/unit/sim_cell.h
+++ b/tests/unit/sim_cell.h
@@ -223,6 +223,7 @@
 	/* In a larger cell, only owners follow the workers' entries. */
 	uint32_t small_cell_daemons = 16;
 	int64_t keep_ended_us = 120 * kSimS;
+	std::set<size_t> older; /* daemons of a build without heartbeats */
 	/* Starts need tickets, and the service takes its time. */
 	bool slow_advice = false;
 };
@@ -306,6 +307,9 @@
 	std::vector<std::unique_ptr<SimWorker>> workers;
 	SimObserver *seen;
 	bool verbose = false;
+	const SimDaemon *acting = nullptr; /* for the log */
+	/* Links that a daemon took for silent. */
+	uint64_t silent_links_closed = 0;
 	/* Calls to workers that are carried out late, and not answered. */
 	uint32_t late_per_mille = 0;
 	uint32_t late_renewals_per_mille = 0;
--- a/tests/unit/sim_links.cc
+++ b/tests/unit/sim_links.cc
@@ -4,6 +4,8 @@
 #include <set>
 
 extern "C" {
+#include "common/log.h"
+#include "coordination/link_alive.h"
 #include "protocol/frame.h"
 }
 
@@ -20,6 +22,7 @@
 	void *arg;
 	Currant__Hello hello;
 	uint64_t next_serial;
+	struct la_pause pause;
 };
 
 struct peer_link {
@@ -36,6 +39,7 @@
 	bool closing;
 	bool silent; /* what it sends is lost, its end as well */
 	int64_t heard_us;
+	struct la_link alive;
 };
 
 /* Open links; others point to memory that is freed. */
@@ -82,17 +86,112 @@
 	    is_open(link->other, link->other_life);
 }
 
+static void
+deliver_later(struct peer_link *link, const std::string &text)
+{
+	struct peer_link *other = link->other;
+	uint64_t life = link->other_life;
+
+	sim_world->after_in(life, kLatency, [=] {
+		Currant__Frame *copy;
+		size_t used;
+
+		if (!is_open(other, life))
+			return;
+		other->heard_us = sim_world->now;
+		la_on_heard(&other->alive, sim_world->now);
+		/* A heartbeat. */
+		if (text.empty())
+			return;
+		if (fr_unpack((const uint8_t *)text.data(), text.size(), &used,
+			&copy) != FR_OK)
+			abort();
+		other->net->hooks.on_frame(other, copy, other->net->arg);
+		currant__frame__free_unpacked(copy, NULL);
+	});
+}
+
+static bool
+reaches_other(const struct peer_link *link)
+{
+	const SimDaemon *from = sim_world->daemon_of(link->life);
+	const SimDaemon *to = sim_world->daemon_of(link->other_life);
+
+	return to != nullptr && sim_world->reaches(from->domain, to->domain);
+}
+
+static void
+check_link(struct peer_link *link, bool may_be_unread)
+{
+	int64_t now_us = sim_world->now;
+
+	switch (la_check(&link->alive, may_be_unread, now_us)) {
+	case LA_NONE:
+		break;
+	case LA_SEND_HEARTBEAT:
+		la_on_sent(&link->alive, now_us);
+		if (!link->silent && reaches_other(link))
+			deliver_later(link, "");
+		break;
+	case LA_CLOSE:
+		sim_world->silent_links_closed++;
+		lg_event(LG_WARN, "peer", "link_silent", "peer", link->vm,
+		    "unheard_ms", lg_i64((now_us - link->heard_us) / kSimMs),
+		    NULL);
+		peer_close(link);
+		break;
+	}
+}
+
+static bool
+is_earlier(const struct peer_link *a, const struct peer_link *b)
+{
+	return std::make_pair(a->life, a->serial) <
+	    std::make_pair(b->life, b->serial);
+}
+
+/* Not in the order of their addresses. */
+static std::vector<struct peer_link *>
+sorted(std::vector<struct peer_link *> list)
+{
+	std::sort(list.begin(), list.end(), is_earlier);
+	return list;
+}
+
+static void
+check_links_later(struct peer_net *net)
+{
+	sim_world->after_in(net->life, LA_CHECK_US, [=] {
+		bool may_be_unread =
+		    la_may_be_unread(&net->pause, sim_world->now);
+		std::vector<struct peer_link *> list;
+
+		for (struct peer_link *link : sim_links) {
+			if (link->net == net)
+				list.push_back(link);
+		}
+		for (struct peer_link *link : sorted(list)) {
+			if (!link->closing)
+				check_link(link, may_be_unread);
+		}
+		check_links_later(net);
+	});
+}
+
 extern "C" struct peer_net *
 peer_create(TALLOC_CTX *ctx, struct loop *l, int, const Currant__Hello *hello,
     const struct peer_hooks *hooks, void *arg)
 {
 	struct peer_net *net = talloc_zero(ctx, struct peer_net);
+	SimDaemon *d = sim_world->daemon_of(l->life);
 
 	net->life = l->life;
 	net->hooks = *hooks;
 	net->arg = arg;
 	net->hello = *hello;
-	sim_world->daemon_of(l->life)->net = net;
+	net->hello.heartbeats = sim_world->options.older.count(d->index) == 0;
+	d->net = net;
+	check_links_later(net);
 	return net;
 }
 
@@ -105,6 +204,8 @@
 	link->other_life = other->life;
 	snprintf(link->vm, sizeof(link->vm), "%s", d.vm.c_str());
 	link->established = true;
+	if (link->net->hello.heartbeats && other->net->hello.heartbeats)
+		la_start(&link->alive, sim_world->now);
 }
 
 extern "C" struct peer_link *
@@ -141,37 +242,23 @@
 extern "C" bool
 peer_send(struct peer_link *link, const Currant__Frame *frame)
 {
-	struct peer_link *other = link->other;
-	uint64_t life = link->other_life;
 	size_t bytes;
 	uint8_t *data;
-	SimDaemon *from = sim_world->daemon_of(link->life);
-	SimDaemon *to = sim_world->daemon_of(life);
 
 	if (link->closing || !link->established)
 		return false;
+	la_on_sent(&link->alive, sim_world->now);
 	if (link->silent)
 		return true;
 	/* Bytes that a cut holds up are lost with the connection. */
-	if (to == nullptr || !sim_world->reaches(from->domain, to->domain)) {
+	if (!reaches_other(link)) {
 		close_later(link, kLinkTimeout, false);
 		return true;
 	}
 	data = fr_pack(frame, &bytes);
 	std::string text((const char *)data, bytes);
 	free(data);
-	sim_world->after_in(life, kLatency, [=] {
-		Currant__Frame *copy;
-		size_t used;
-
-		if (!is_open(other, life) ||
-		    fr_unpack((const uint8_t *)text.data(), text.size(), &used,
-			&copy) != FR_OK)
-			return;
-		other->heard_us = sim_world->now;
-		other->net->hooks.on_frame(other, copy, other->net->arg);
-		currant__frame__free_unpacked(copy, NULL);
-	});
+	deliver_later(link, text);
 	return true;
 }
 
@@ -253,13 +340,6 @@
 	}
 }
 
-static bool
-is_earlier(const struct peer_link *a, const struct peer_link *b)
-{
-	return std::make_pair(a->life, a->serial) <
-	    std::make_pair(b->life, b->serial);
-}
-
 void
 sim_sever_links(uint64_t life, uint32_t percent, SimWay way)
 {
@@ -271,9 +351,7 @@
 			life == link->other_life))
 			list.push_back(link);
 	}
-	/* Not in the order of their addresses. */
-	std::sort(list.begin(), list.end(), is_earlier);
-	for (struct peer_link *link : list) {
+	for (struct peer_link *link : sorted(list)) {
 		if (percent < 100 && !sim_world->chance(percent))
 			continue;
 		link->silent |= way != SimWay::kBack;
--- a/tests/unit/sim_world.cc
+++ b/tests/unit/sim_world.cc
@@ -87,7 +87,9 @@
 			events.push(e);
 			continue;
 		}
+		acting = d;
 		e.action();
+		acting = nullptr;
 	}
 	now = us;
 }
@@ -427,9 +429,10 @@
 
 	if (sim_world == nullptr || !sim_world->verbose || level == LG_DEBUG)
 		return;
-	fprintf(stderr, "%9.3f %s %s",
-	    (double)(sim_world->now - 1000 * kSimS) / (double)kSimS, module,
-	    event);
+	fprintf(stderr, "%9.3f %s %s %s",
+	    (double)(sim_world->now - 1000 * kSimS) / (double)kSimS,
+	    sim_world->acting != nullptr ? sim_world->acting->vm.c_str() : "-",
+	    module, event);
 	va_start(args, event);
 	while ((key = va_arg(args, const char *)) != nullptr) {
 		const char *value = va_arg(args, const char *);
--- a/tests/unit/test_promises_severed.cc
+++ b/tests/unit/test_promises_severed.cc
@@ -424,6 +424,35 @@
 		EXPECT_EQ(play(seed, scene), "") << "seed " << seed;
 }
 
+TEST(SeveredLinks, AreClosedWhereDaemonsSendHeartbeats)
+{
+	for (bool older : {false, true}) {
+		SimOptions options;
+
+		if (older)
+			options.older = {0, 1, 2};
+		LongRunning t(1, kDaemons, kWorkers, options);
+		t.begin_jobs();
+		t.w.sever(t.owner(), SimWay::kBoth);
+		EXPECT_EQ(t.w.silent_links_closed, 0U);
+		t.run_for(3 * kSimS);
+		EXPECT_EQ(t.w.silent_links_closed > 0, !older);
+	}
+}
+
+TEST(SeveredLinks, LinkToADaemonWithoutHeartbeatsIsNotTakenForSilent)
+{
+	for (size_t older = 0; older < kDaemons; older++) {
+		SimOptions options;
+
+		options.older = {older};
+		LongRunning t(1, kDaemons, kWorkers, options);
+		t.begin_jobs();
+		t.run_to_end();
+		EXPECT_EQ(t.w.silent_links_closed, 0U) << older;
+	}
+}
+
 TEST(Severed, AllHoldsWhereNoConnectionFallsSilent)
 {
 	play_seeds({false, true, false});
