--- a/curranttackd/cell_advice_tick.c
+++ b/curranttackd/cell_advice_tick.c
@@ -9,6 +9,8 @@
 
 #define AV_AVOID_US (CLK_US_PER_S)
 #define AV_LOG_EVERY_US (CLK_US_PER_S)
+/* Longer than between heartbeats, shorter than the wait for any answer. */
+#define AV_LINK_HEARD_US (1500 * CLK_US_PER_MS)
 
 static void
 av_log_silent(const struct av_request *req, int64_t now_us)
@@ -24,20 +26,51 @@
 	    lg_i64(unheard_us / CLK_US_PER_MS), NULL);
 }
 
+static bool
+av_is_heard(const struct av_target *target, int64_t now_us)
+{
+	return target->link != NULL &&
+	    now_us - peer_heard_us(target->link) < AV_LINK_HEARD_US;
+}
+
+/* It gets nothing that the failing of other requests makes room for. */
+static void
+av_set_overdue(const struct av_request *req, int64_t now_us)
+{
+	struct av_target *target = req->target;
+
+	if (target->overdue)
+		return;
+	av_log_silent(req, now_us);
+	/* That a link is silent is not held against its daemon. */
+	if (av_is_heard(target, now_us))
+		aq_on_answer(target->load, false, now_us);
+	target->overdue = true;
+	target->avoid_until_us = now_us + AV_AVOID_US;
+	target->load->usable = false;
+}
+
 /* A peer may not respond because its connection has silently failed. */
 static void
 av_check_timeouts(struct av_dispatcher *d, int64_t now_us)
 {
 	struct av_request *req;
+	uint32_t i;
 
+	if (re_may_be_unread(&d->pause, now_us))
+		return;
 	DL_FOREACH(d->forwarded, req) {
-		if (now_us < req->deadline_us)
+		if (now_us >= req->deadline_us)
+			av_set_overdue(req, now_us);
+	}
+	for (i = 1; i < d->target_count; i++) {
+		struct av_target *target = &d->target[i];
+
+		if (!target->overdue)
 			continue;
-		av_log_silent(req, now_us);
-		req->target->avoid_until_us = now_us + AV_AVOID_US;
-		/* Closing the link fails all of its requests and changes the list. */
-		pn_reset_link(d->c->links, req->target->vm);
-		return;
+		target->overdue = false;
+		/* Closing the link fails all of its requests. */
+		pn_reset_link(d->c->links, target->vm);
 	}
 }
 
@@ -96,7 +129,7 @@
 		busy[target->load->for_short] +=
 		    target->load->usable && target->load->in_flight > 0;
 		failing[target->load->for_short] +=
-		    target->load->usable && target->load->failing;
+		    target->load->usable && aq_is_failing(target->load, now_us);
 	}
 	queued = av_count_list(d->queue, now_us, &queued_us);
 	forwarded = av_count_list(d->forwarded, now_us, &forwarded_us);
