pool: an owner whose first claim had no answer waits for one lease

Callers saw LOST beside connections to the store that fall silent: a long-running task whose worker had left with its owner ran again after 16.5 s. The next owner's claim was carried out and not answered, and its watch was silent too. It claimed again, found its own first term stored, took itself for an earlier owner that may act for 10 s, and so held the tasks of silent workers for 13.4 s. Each further attempt also counted anew from its own time.

What is noted of earlier owners before a claim is kept for the next one if the stored term is still the same, or is that of a claim of this process in which it has never acted. Ruled out: asking the witnesses of that first term, as the term before it is what matters, and its witnesses are no longer stored.

Severed.OwnerWhoseFirstClaimHadNoAnswerWaitsForOneLease: 16,520 ms before (bound 9 s), passes now.

--- a/curranttackd/cell_earlier.c
+++ b/curranttackd/cell_earlier.c
@@ -62,11 +62,30 @@
 						  : last_us;
 }
 
+/*
+ * What was noted before an earlier claim still holds: that one changed nothing,
+ * or it had no answer, and this process has not acted in its term.
+ */
+static bool
+cp_is_noted(const struct cp_host *h, const struct rp_owner *o)
+{
+	const struct cell *c = h->cell;
+
+	if (h->noted_revision == 0)
+		return false;
+	return o->term_revision == h->noted_revision ||
+	    (o->term != h->term && o->term_incarnation == c->incarnation &&
+		strcmp(o->term_vm, c->settings->vm) == 0);
+}
+
 void
 cp_note_earlier_owners(struct cp_host *h, const struct rp_owner *o)
 {
 	int64_t now_us = clk_now_us();
 
+	if (cp_is_noted(h, o))
+		return;
+	h->noted_revision = o->term_revision;
 	h->older_owners_until_us = cp_older_owners_until_us(o, now_us);
 	snprintf(
 	    h->earlier_owner_vm, sizeof(h->earlier_owner_vm), "%s", o->term_vm);
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -49,6 +49,8 @@
  * @generation: counts ownerships; lets callbacks of ended ones be ignored
  * @pass_scheduled: a timer for a scheduling pass is set
  * @claim_visible: the watch has shown the claim, but not the new term yet
+ * @noted_revision: of the stored term that the next members were noted of; 0
+ *	before the first claim
  * @earlier_owner_until_us: until then any earlier owner may act on workers
  * @older_owners_until_us: until then owners before the last one may
  * @earlier_owner_vm: VM of the last owner
@@ -98,6 +100,7 @@
 	uint32_t generation;
 	bool pass_scheduled;
 	bool claim_visible;
+	uint64_t noted_revision;
 	int64_t earlier_owner_until_us;
 	int64_t older_owners_until_us;
 	char earlier_owner_vm[WP_NAME_BYTES];
--- a/tests/unit/test_promises_severed.cc
+++ b/tests/unit/test_promises_severed.cc
@@ -453,6 +453,38 @@
 	}
 }
 
+/* The pool of a daemon that has sent a claim, or NULL. */
+const struct cp_host *
+claimant(const SimDaemon &d)
+{
+	const struct cp_host *h = d.up ? d.cell->pools : nullptr;
+
+	return h != nullptr && h->state == CP_CLAIMING && h->lease != 0
+	    ? h
+	    : nullptr;
+}
+
+/* It took itself for an owner that may act for 13.4 s. */
+TEST(Severed, OwnerWhoseFirstClaimHadNoAnswerWaitsForOneLease)
+{
+	LongRunning t;
+
+	t.begin_jobs();
+	size_t first = t.owner();
+	size_t next = (first + 1) % kDaemons;
+	t.w.kill(first, false);
+	t.lose_worker();
+	/* Of two that could, it is the one that claims. */
+	t.w.freeze((first + 2) % kDaemons, 4 * kSimS);
+	while (claimant(*t.w.daemons[next]) == nullptr)
+		t.w.run_until(t.w.now + 100);
+	/* It has arrived. */
+	t.w.run_until(t.w.now + 2 * kSimMs);
+	t.w.sever(next, SimWay::kBack);
+	t.run_to_end();
+	EXPECT_LE(t.longest_without_run_us, kMaxWithoutRun);
+}
+
 TEST(Severed, AllHoldsWhereNoConnectionFallsSilent)
 {
 	play_seeds({false, true, false});
