--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -10,6 +10,11 @@
  * request's; "but" is what a request that is spared has in its body. Earlier
  * faults go first. Kinds: see fault_kinds.
  *
+ * A door to the store has one to the advice service beside it, which answers one
+ * call at a time; POST /_advice?ms=N sets for how long each takes. POST
+ * /_via?from=A&to=B puts a link's address in place of one that others store
+ * ("worker" instead of "from": a worker's, which the response tells).
+ *
  * Usage: standin-platform WORKERS CPU [DOORS]
  */
 #include <inttypes.h>
@@ -27,6 +32,7 @@
 #define TICK_US (5 * CLK_US_PER_MS)
 #define MAX_WORKERS 64
 #define MAX_DOORS 16
+#define MAX_VIAS 128
 #define MAX_HISTORY 20000
 #define NAME_BYTES 96
 #define STOP_US (50 * CLK_US_PER_MS)
@@ -230,6 +236,12 @@
 	uint32_t maintained;
 };
 
+/* The address of a link to another address, as long as that. */
+struct via {
+	char from[64];
+	char to[64];
+};
+
 /* How often each task has run, over all workers. */
 struct tally {
 	char task[NAME_BYTES];
@@ -274,6 +286,11 @@
 static char control_address[64];
 static char duty_address[64];
 static char doors[MAX_DOORS][16];
+/* When each door's advice service, or the common one, is idle again. */
+static int64_t advice_idle_us[MAX_DOORS + 1];
+static int64_t advice_us;
+static struct via vias[MAX_VIAS];
+static uint32_t via_count;
 static uint32_t most_down;
 
 static bool
@@ -496,6 +513,34 @@
 	return it;
 }
 
+/* A value with the addresses of links in place of what they lead to. */
+static char *
+value_via_links(const char *value)
+{
+	size_t bytes = 0;
+	uint8_t *data = b64_decode(NULL, value, &bytes);
+	char *text;
+	char *copy;
+	uint32_t i;
+
+	if (data == NULL || via_count == 0) {
+		talloc_free(data);
+		return strdup(value);
+	}
+	for (i = 0; i < via_count; i++) {
+		size_t n = strlen(vias[i].from);
+		uint8_t *at = memmem(data, bytes, vias[i].from, n);
+
+		if (at != NULL)
+			memcpy(at, vias[i].to, n);
+	}
+	text = b64_encode(NULL, data, bytes);
+	copy = strdup(text);
+	talloc_free(text);
+	talloc_free(data);
+	return copy;
+}
+
 static void
 put_item(const char *key, const char *value, uint64_t lease)
 {
@@ -508,7 +553,7 @@
 		HASH_ADD_KEYPTR(hh, items, it->key, strlen(it->key), it);
 	}
 	free(it->value);
-	it->value = strdup(value);
+	it->value = value_via_links(value);
 	it->revision = revision;
 	it->lease = lease;
 	note_change(key, item_row(it));
@@ -1572,15 +1617,31 @@
 
 /* --- advice --- */
 
+/* An answer that the service works on. */
+struct advice_call {
+	struct hs_request *req;
+	json_t *answer;
+};
+
+static void
+answer_advice(void *arg)
+{
+	struct advice_call *call = arg;
+
+	standin_reply_json(call->req, 200, call->answer);
+	free(call);
+}
+
 static void
 on_advice(struct hs_request *req, void *arg)
 {
+	int64_t *idle_us = arg;
+	struct advice_call *call;
 	json_t *body = standin_body(req);
 	json_t *good = json_array();
 	json_t *id;
 	size_t i;
 
-	(void)arg;
 	if (rejects(fault_of("advice", req), req)) {
 		json_decref(body);
 		json_decref(good);
@@ -1590,7 +1651,17 @@
 		json_array_append_new(
 		    good, json_pack("[s, s]", json_string_value(id), "ticket"));
 	json_decref(body);
-	standin_reply_json(req, 200, json_pack("{s:o}", "good", good));
+	call = calloc(1, sizeof(*call));
+	call->req = req;
+	call->answer = json_pack("{s:o}", "good", good);
+	if (advice_us == 0) {
+		answer_advice(call);
+		return;
+	}
+	if (*idle_us < clk_now_us())
+		*idle_us = clk_now_us();
+	*idle_us += advice_us;
+	loop_after(loop, *idle_us - clk_now_us(), answer_advice, call);
 }
 
 /* --- control --- */
@@ -1834,13 +1905,43 @@
 	standin_reply(req, 200, "ok");
 }
 
+/* Before any daemon knows the workers. */
+static void
+add_via(struct hs_request *req)
+{
+	int64_t worker = standin_query_i64(req, "worker", -1);
+	const char *from = worker >= 0 && worker < worker_count
+	    ? workers[worker].address
+	    : hs_query(req, "from");
+	const char *to = hs_query(req, "to");
+	struct via *v = &vias[via_count];
+	uint32_t i;
+
+	if (via_count == MAX_VIAS || from == NULL || to == NULL ||
+	    strlen(from) != strlen(to) || strlen(to) >= sizeof(v->to)) {
+		standin_reply(req, 400, "addresses of the same length");
+		return;
+	}
+	snprintf(v->from, sizeof(v->from), "%s", from);
+	snprintf(v->to, sizeof(v->to), "%s", to);
+	via_count++;
+	for (i = 0; i < worker_count; i++)
+		list_worker(&workers[i]);
+	standin_reply(req, 200, v->from);
+}
+
 static void
 on_control(struct hs_request *req, void *arg)
 {
 	(void)arg;
 	if (strcmp(req->path, "/_fault") == 0)
 		add_fault(req);
-	else if (strcmp(req->path, "/_config") == 0)
+	else if (strcmp(req->path, "/_via") == 0)
+		add_via(req);
+	else if (strcmp(req->path, "/_advice") == 0) {
+		advice_us = standin_query_i64(req, "ms", 0) * CLK_US_PER_MS;
+		standin_reply(req, 200, "ok");
+	} else if (strcmp(req->path, "/_config") == 0)
 		put_operator_item(req, "op/config");
 	else if (strcmp(req->path, "/_wave") == 0)
 		put_operator_item(req, "op/wave/1");
@@ -1912,23 +2013,34 @@
 	answer_watchers();
 }
 
-/* An address of the store for one daemon, so that faults can be its own. */
 static void
-add_door(uint32_t i, char *addresses, size_t bytes)
+append_address(char *addresses, size_t bytes, hs_handler_fn handler, void *arg)
 {
-	char *name = doors[i];
 	size_t n = strlen(addresses);
 	char address[64];
 
-	snprintf(name, sizeof(doors[i]), "store-%u", i);
-	standin_serve(loop, address, on_store, name);
+	standin_serve(loop, address, handler, arg);
 	snprintf(addresses + n, bytes - n, " %s", address);
 }
 
+/* Addresses for single daemons, so that faults can be their own. */
+static void
+add_doors(uint32_t count, char *addresses, size_t bytes)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(doors[i], sizeof(doors[i]), "store-%u", i);
+		append_address(addresses, bytes, on_store, doors[i]);
+	}
+	for (i = 0; i < count; i++)
+		append_address(addresses, bytes, on_advice, &advice_idle_us[i]);
+}
+
 int
 main(int argc, char **argv)
 {
-	char addresses[1024];
+	char addresses[4096];
 	uint32_t door_count;
 	uint32_t i;
 
@@ -1943,7 +2055,8 @@
 	if (worker_count > MAX_WORKERS || door_count > MAX_DOORS)
 		return 64;
 	standin_serve(loop, store_address, on_store, "store");
-	standin_serve(loop, advice_address, on_advice, NULL);
+	standin_serve(
+	    loop, advice_address, on_advice, &advice_idle_us[MAX_DOORS]);
 	standin_serve(loop, control_address, on_control, NULL);
 	standin_serve(loop, duty_address, on_duty, NULL);
 	for (i = 0; i < worker_count; i++) {
@@ -1960,8 +2073,7 @@
 	loop_every(loop, TICK_US, tick, NULL);
 	snprintf(addresses, sizeof(addresses), "%s %s %s %s", store_address,
 	    advice_address, control_address, duty_address);
-	for (i = 0; i < door_count; i++)
-		add_door(i, addresses, sizeof(addresses));
+	add_doors(door_count, addresses, sizeof(addresses));
 	standin_run(loop, addresses);
 	return 0;
 }
