tests: links and connections of a real cell that fall silent work again soon

Daemons of a test's cell can reach each other, the store, workers and the advice service through links that make open connections silent for good, one way or both, while new ones work.

--- a/tests/fault/cell_daemon.h
+++ b/tests/fault/cell_daemon.h
@@ -60,16 +60,16 @@
 	    const std::string &more = "")
 	    : vm(vm), callers(loopback(free_port())),
 	      ready(loopback(free_port())), metrics(loopback(free_port())),
-	      path(dir + "/" + vm + ".toml"), log(dir + "/" + vm + ".log")
+	      peers(loopback(free_port())), path(dir + "/" + vm + ".toml"),
+	      log(dir + "/" + vm + ".log")
 	{
 		std::ofstream(path)
 		    << "[vm]\nid = \"" << vm << "\"\ndomain = \"a\"\n"
 		    << "[listen]\ncallers = \"" << callers << "\"\nready = \""
 		    << ready << "\"\nmetrics = \"" << metrics
-		    << "\"\npeers = \"" << loopback(free_port())
-		    << "\"\n[cell]\nstore = \"" << store << "\"\nadvice = \""
-		    << advice << "\"\nduties = \"" << duties
-		    << "\"\nmaintenance = \"800ms\""
+		    << "\"\npeers = \"" << peers << "\"\n[cell]\nstore = \""
+		    << store << "\"\nadvice = \"" << advice << "\"\nduties = \""
+		    << duties << "\"\nmaintenance = \"800ms\""
 		    << "\ngrace = \"6s\"\nkeep_ended = \"" << keep_ended
 		    << "\"\n"
 		    << more;
@@ -155,6 +155,7 @@
 	std::string callers;
 	std::string ready;
 	std::string metrics;
+	std::string peers;
 	std::string path;
 	std::string log;
 	pid_t pid = -1;
--- a/tests/fault/cell_fixture.h
+++ b/tests/fault/cell_fixture.h
@@ -8,7 +8,7 @@
 #include <chrono>
 #include <thread>
 
-#include "cell_daemon.h"
+#include "cell_links.h"
 
 constexpr uint32_t kWorkers = 4;
 constexpr const char *kHost = "cell.example";
@@ -31,6 +31,9 @@
 		advice = platform->addresses[1];
 		control = "http://" + platform->addresses[2];
 		duties = platform->addresses[3];
+		if (has_links)
+			links = std::make_unique<CellLinks>(
+			    control, dir, worker_count);
 	}
 
 	void
@@ -45,11 +48,22 @@
 	{
 		for (; n > 0; n--) {
 			size_t i = daemons.size();
-
+			std::string to_store =
+			    doors > 0 ? platform->addresses[4 + i] : store;
+			std::string to_advice = doors > 0
+			    ? platform->addresses[4 + doors + i]
+			    : advice;
+
+			if (links) {
+				links->add_daemon(to_store, to_advice);
+				to_store = links->store(i);
+				to_advice = links->advice(i);
+			}
 			daemons.push_back(std::make_unique<CellDaemon>(dir,
-			    "vm-" + std::to_string(i),
-			    doors > 0 ? platform->addresses[4 + i] : store,
-			    advice, keep_ended, duties, settings));
+			    "vm-" + std::to_string(i), to_store, to_advice,
+			    keep_ended, duties, settings));
+			if (links)
+				links->lead_peers_to(*daemons.back(), i);
 		}
 	}
 
@@ -315,11 +329,14 @@
 	}
 
 	uint32_t worker_count = kWorkers;
-	uint32_t doors = 0; /* to the store, one for each daemon if any */
+	/* To the store and the advice service, one for each daemon if any. */
+	uint32_t doors = 0;
+	bool has_links = false;
 	std::string settings;
 	std::string keep_ended = "120s";
 	std::string dir;
 	std::unique_ptr<Process> platform;
+	std::unique_ptr<CellLinks> links;
 	std::string store;
 	std::string advice;
 	std::string control;
