--- a/tests/soak/lasting_soak.h
+++ b/tests/soak/lasting_soak.h
@@ -69,7 +69,8 @@
 		    std::to_string(work_ms) +
 		    (lasts ? ",\"long_running\":true}" : "}");
 
-		return call("POST", first_running(), "/q/" + job_id(n),
+		return call("POST", first_running(),
+		    (lasts ? lasting_prefix : "/q/") + job_id(n),
 		    "{\"spec\":\"" + std::to_string(work_ms) + " " +
 			std::to_string(cpu) + " \",\"steps\":[" + step + "]}");
 	}
@@ -361,6 +362,7 @@
 	/* A new owner waits longer for workers that may have restarted. */
 	int age_ms = 60000;
 	int daemon_count = kDaemons;
+	std::string lasting_prefix = "/q/";
 	std::vector<FaultSpan> faults;
 	int lasting_jobs = 0;
 	size_t lasting_tasks = 0;
