pool: an owner whose claim took long renews its lease in time

A lease of 1.2 s is granted before the claim is written and shows in the watch. Its first renewal was due 350 ms after that, however old the lease was by then: a claim that took over 850 ms left no time for it, so the next owner's claim began on the same terms. It is due now 350 ms after the lease was asked for.

Claims.OwnerWhoseClaimTookLongRenewsItsLeaseInTime failed before (a daemon that is paused for 900 ms during its claim: a second takeover) and passes.

--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -302,7 +302,7 @@
 	h->revision = o->revision;
 	h->commit_seq = 0;
 	h->commit_at_us = now_us;
-	h->renew_at_us = now_us + CP_RENEW_US;
+	h->renew_at_us = h->lease_confirmed_us + CP_RENEW_US;
 	h->yield_check_at_us = now_us + CP_YIELD_CHECK_US;
 	h->pool = wp_create(h, h->name, &settings);
 	cp_load_pool(h, now_us);
--- a/tests/unit/test_promises_severed.cc
+++ b/tests/unit/test_promises_severed.cc
@@ -2,6 +2,10 @@
 
 #include "long_running.h"
 
+extern "C" {
+#include "common/counters.h"
+}
+
 /*
  * Open connections fall silent for good, beside takeovers, frozen daemons and
  * workers that leave, while the advice service takes its time. Checked from
@@ -485,6 +489,31 @@
 	EXPECT_LE(t.longest_without_run_us, kMaxWithoutRun);
 }
 
+/* A pool had ten owners in 3 s: each lost its lease before it renewed it. */
+TEST(Claims, OwnerWhoseClaimTookLongRenewsItsLeaseInTime)
+{
+	for (int64_t pause : {500, 700, 900}) {
+		LongRunning t;
+		size_t next = t.w.daemons.size();
+		uint64_t takeovers;
+
+		t.begin_jobs();
+		t.w.kill(t.owner(), true);
+		while (next == t.w.daemons.size()) {
+			ASSERT_LT(t.w.now, t.begin + kEnd);
+			t.w.run_until(t.w.now + 100);
+			for (size_t d = 0; d < t.w.daemons.size(); d++)
+				if (claimant(*t.w.daemons[d]) != nullptr)
+					next = d;
+		}
+		t.w.freeze(next, pause * kSimMs);
+		takeovers = ct_get(CT_TAKEOVERS);
+		t.run_for(6 * kSimS);
+		EXPECT_EQ(t.owner(), next) << pause;
+		EXPECT_EQ(ct_get(CT_TAKEOVERS), takeovers + 1) << pause;
+	}
+}
+
 TEST(Severed, AllHoldsWhereNoConnectionFallsSilent)
 {
 	play_seeds({false, true, false});
