--- a/review/common-2/cell.py
+++ b/review/common-2/cell.py
@@ -2,8 +2,9 @@
 
 It starts the project's daemons with the command of deploy/system.toml and
 settings rendered from the deploy file's template, beside stand-ins of the
-platform's store, of workers and of the platform's machines. The stand-ins do
-what the users' pages say and nothing else; all of them run in this process.
+platform's store and of minions. The stand-ins do what the users' pages say and
+nothing else; all of them run in this process. KEEP_LOGS names a folder into
+which the daemons' logs are copied.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -29,7 +31,6 @@
 }
 HEARTBEAT_MS = 1500
 STOP_S = 0.1
-GANG_TIMEOUT_S = 3.0
 
 
 # Below the range from which Linux takes the ports of outgoing connections.
@@ -745,10 +746,9 @@
             await w.server.stop()
         for d in self.daemons:
             await d.door.server.stop()
-        keep = os.environ.get("KEEP_LOGS")
-        if keep:
+        if os.environ.get("KEEP_LOGS"):
             for d in self.daemons:
-                os.system(f"cp {d.log} {keep}/")
+                shutil.copy(d.log, os.environ["KEEP_LOGS"])
         self.folder_object.cleanup()
 
 
