--- /dev/null
+++ b/review/common-3/cell.py
@@ -0,0 +1,250 @@
+"""A small cell of real daemons beside the platform's stand-in, for review cases.
+
+Starts the program of the deploy file with settings that its template renders,
+on loopback addresses, and writes what is sent, answered and run to record.txt.
+"""
+
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import tomllib
+import urllib.error
+import urllib.request
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+ROOT = os.path.dirname(os.path.dirname(HERE))
+STANDIN = os.path.join(ROOT, "build-review-3/tests/standins/standin-platform")
+HOST = "cell.example"
+
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+
+
+class NotRun(Exception):
+    """The case could not be played."""
+
+
+def free_address():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{s.getsockname()[1]}"
+
+
+def http(method, url, body=None, timeout_s=3, headers=None):
+    """Status and JSON body of an answer; status 0 for none."""
+    data = json.dumps(body).encode() if body is not None else b""
+    head = {"Host": HOST, "Content-Type": "application/json"}
+    head.update(headers or {})
+    request = urllib.request.Request(url, data, head, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
+            text, status = answer.read(), answer.status
+    except urllib.error.HTTPError as error:
+        text, status = error.read(), error.code
+    except OSError:
+        return 0, {}
+    try:
+        return status, json.loads(text or b"{}")
+    except ValueError:
+        return status, {}
+
+
+def lookup(fields, name):
+    value = fields
+    for part in name.split("."):
+        value = value[int(part)] if isinstance(value, list) else value.get(part)
+        if value is None:
+            return None
+    return value
+
+
+def render(template, fields):
+    """The part of the template language that this project's file uses."""
+    def section(m):
+        value = lookup(fields, m.group(1))
+        if value is None or value is False:
+            return ""
+        return m.group(2).replace("{{.}}", str(value))
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template,
+                  flags=re.S)
+    return re.sub(r"\{\{([\w.]+)\}\}",
+                  lambda m: str(lookup(fields, m.group(1)) or ""), text)
+
+
+class Daemon:
+    def __init__(self, cell, number):
+        self.cell, self.number, self.process = cell, number, None
+        self.callers, self.ready = free_address(), free_address()
+        self.peers, self.control = free_address(), free_address()
+        self.log = os.path.join(cell.folder, f"vm-{number}.log")
+        self.settings = os.path.join(cell.folder, f"vm-{number}.toml")
+
+    def start(self, bounds=None):
+        fields = {
+            "node_name": f"edge-{self.number}", "zone": "a",
+            "ip": "127.0.0.1", "heartbeat_ms": 1500,
+            "advice": self.cell.advice,
+            "limits": {"cpu_share": 0.25, "link_mbps": 1000.0},
+            "listen": {"front": self.callers, "ready": self.ready,
+                       "control": self.control},
+            "port_range": [int(self.peers.split(":")[1])],
+            "platform": {"address": self.cell.store},
+            "cloud": {"address": self.cell.duties},
+            "bounds": {"lease_ms": 3000, "maintenance_s": 2,
+                       "max_hold_ms": 10000, "contact_ms": 3000,
+                       "grace_s": 6, "status_s": 120},
+        }
+        fields["bounds"].update(bounds or {})
+        with open(self.settings, "w", encoding="utf-8") as f:
+            f.write(render(self.cell.template, fields))
+        with open(self.log, "a", encoding="utf-8") as log:
+            self.process = subprocess.Popen(
+                self.cell.run, cwd=ROOT, stdout=log, stderr=log,
+                env={"CURRANTTACK_SETTINGS": self.settings,
+                     "PATH": os.environ.get("PATH", "")})
+        self.cell.note(f"{self.name()} started")
+
+    def name(self):
+        return f"edge-{self.number}"
+
+    def send(self, sig):
+        self.cell.note(f"{self.name()} gets {signal.Signals(sig).name}")
+        self.process.send_signal(sig)
+
+    def is_ready(self):
+        return http("GET", f"http://{self.ready}/curranttack/readiness")[0] == 200
+
+    def log_text(self):
+        with open(self.log, encoding="utf-8", errors="replace") as f:
+            return f.read()
+
+    def rss_mb(self):
+        with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as f:
+            for line in f:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) / 1024
+        return 0
+
+
+class Cell:
+    """Daemons and the stand-in; ends all of them on exit."""
+
+    def __init__(self, folder_of_case, daemons=3, workers=3, cpu=4000):
+        self.tmp = tempfile.TemporaryDirectory()
+        self.folder = self.tmp.name
+        self.record = open(os.path.join(folder_of_case, "record.txt"), "w",
+                           encoding="utf-8")
+        self.begun = time.monotonic()
+        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.count, self.workers, self.cpu = daemons, workers, cpu
+        self.daemons, self.platform = [], None
+        with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as f:
+            role = next(iter(tomllib.load(f)["roles"].values()))
+        self.run = role["run"].split()
+        self.run[0] = os.path.join(ROOT, self.run[0])
+        with open(os.path.join(ROOT, role["template"]), encoding="utf-8") as f:
+            self.template = f.read()
+
+    def __enter__(self):
+        for program in (self.run[0], STANDIN):
+            if not os.access(program, os.X_OK):
+                raise NotRun(f"{os.path.relpath(program, ROOT)} is not built")
+        self.platform = subprocess.Popen(
+            [STANDIN, str(self.workers), str(self.cpu)], text=True,
+            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        words = [w for w in self.platform.stdout.readline().split() if ":" in w]
+        if len(words) < 4:
+            raise NotRun("the stand-in did not start")
+        self.store, self.advice, control, self.duties = words[:4]
+        self.control = f"http://{control}"
+        self.daemons = [Daemon(self, n) for n in range(self.count)]
+        for d in self.daemons:
+            d.start()
+        return self
+
+    def __exit__(self, *_):
+        for d in self.daemons:
+            if d.process is not None and d.process.poll() is None:
+                d.process.kill()
+                d.process.wait()
+        if self.platform is not None:
+            self.platform.kill()
+            self.platform.wait()
+        self.record.close()
+        self.tmp.cleanup()
+
+    def note(self, text):
+        line = f"{time.monotonic() - self.begun:8.3f} {text}"
+        self.record.write(line + "\n")
+        self.record.flush()
+        print(line, flush=True)
+
+    def operator(self, path, body, text=None):
+        status, answer = http("POST", f"{self.control}{path}", body)
+        self.note(f"platform {text or path + ' ' + json.dumps(body)}")
+        if status != 200:
+            raise NotRun(f"{path}: {status}")
+        return answer
+
+    def wait(self, condition, what, limit_s=20):
+        until = time.monotonic() + limit_s
+        while time.monotonic() < until:
+            if condition():
+                return
+            time.sleep(0.1)
+        raise NotRun(f"{what}: not within {limit_s} s")
+
+    def configure(self, routes, services=("batch",)):
+        self.operator("/_config", {
+            "version": 1, "limits": {},
+            "services": [{"name": name} for name in services],
+            "routes": routes})
+        for d in self.daemons:
+            self.wait(d.is_ready, f"{d.name()} is ready")
+
+    def call(self, method, daemon, path, body=None, timeout_s=3):
+        status, answer = http(method, f"http://{daemon.callers}{path}", body,
+                              timeout_s,
+                              {"X-Curranttack-Deadline-Remaining": "3000"})
+        shown = json.dumps(answer)
+        self.note(f"{method} {path} at {daemon.name()}: {status or 'no answer'}"
+                  f" {shown if len(shown) < 300 else ''}")
+        return status, answer
+
+    def runs(self, job, noted=True):
+        """Rows of a job's runs, with times in ms since the record began."""
+        answer = http("GET", f"{self.control}/_runs?job={job}")[1]
+        rows = answer.get("runs", [])
+        if noted:
+            now_ms = answer.get("now_ms", 0)
+            at_ms = (time.monotonic() - self.begun) * 1000
+            for task, run, worker, began, ended, how, *_ in rows:
+                self.note(
+                    f"ran {task} run {run} on {worker}: began "
+                    f"{(began - now_ms + at_ms) / 1000:.3f}, " +
+                    (f"ended {(ended - now_ms + at_ms) / 1000:.3f} {how}"
+                     if how else "runs on"))
+        return rows
+
+    def report(self):
+        return http("GET", f"{self.control}/_report")[1]
+
+
+def play(folder_of_case, function, **sizes):
+    """Exit code: 1 if the rule was broken, 0 if it held, 2 if it was not run."""
+    try:
+        with Cell(folder_of_case, **sizes) as cell:
+            try:
+                broken = function(cell)
+            except NotRun as error:
+                cell.note(f"not run: {error}")
+                return NOT_RUN
+            cell.note("the rule was broken" if broken else "the rule held")
+            return BROKEN if broken else HELD
+    except NotRun as error:
+        print(f"not run: {error}")
+        return NOT_RUN
