--- a/review/common-3/cell.py
+++ b/review/common-3/cell.py
@@ -4,6 +4,7 @@
 on loopback addresses, and writes what is sent, answered and run to record.txt.
 """
 
+import base64
 import json
 import os
 import re
@@ -16,6 +17,8 @@
 import urllib.error
 import urllib.request
 
+from platform_standin import Platform
+
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
 STANDIN = os.path.join(ROOT, "build-review-3/tests/standins/standin-platform")
@@ -28,10 +31,14 @@
     """The case could not be played."""
 
 
+# Cases that run beside each other don't meet: each has its own loopback address.
+HOST_IP = "127.{}.{}.1".format(1 + os.getpid() % 250, os.getpid() // 250 % 250)
+
+
 def free_address():
     with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{s.getsockname()[1]}"
+        s.bind((HOST_IP, 0))
+        return f"{HOST_IP}:{s.getsockname()[1]}"
 
 
 def http(method, url, body=None, timeout_s=3, headers=None):
@@ -86,7 +93,7 @@
     def start(self, bounds=None):
         fields = {
             "node_name": f"edge-{self.number}", "zone": "a",
-            "ip": "127.0.0.1", "heartbeat_ms": 1500,
+            "ip": HOST_IP, "heartbeat_ms": 1500,
             "advice": self.cell.advice,
             "limits": {"cpu_share": 0.25, "link_mbps": 1000.0},
             "listen": {"front": self.callers, "ready": self.ready,
@@ -133,7 +140,10 @@
 class Cell:
     """Daemons and the stand-in; ends all of them on exit."""
 
-    def __init__(self, folder_of_case, daemons=3, workers=3, cpu=4000):
+    def __init__(self, folder_of_case, daemons=3, workers=3, cpu=4000,
+                 minions=None, bounds=None, **options):
+        """With @minions, the platform runs in this process (platform.py)."""
+        self.minions, self.bounds, self.options = minions, bounds, options
         self.tmp = tempfile.TemporaryDirectory()
         self.folder = self.tmp.name
         self.record = open(os.path.join(folder_of_case, "record.txt"), "w",
@@ -150,9 +160,25 @@
             self.template = f.read()
 
     def __enter__(self):
-        for program in (self.run[0], STANDIN):
+        programs = [self.run[0]] + ([STANDIN] if self.minions is None else [])
+        for program in programs:
             if not os.access(program, os.X_OK):
                 raise NotRun(f"{os.path.relpath(program, ROOT)} is not built")
+        if self.minions is None:
+            self.start_standin()
+        else:
+            self.p = Platform(self.minions, free_address, **self.options)
+            self.store, self.advice = self.p.store_address, self.p.advice_address
+            self.duties = self.p.cloud_address
+        self.add_daemons(self.count)
+        return self
+
+    def add_daemons(self, count):
+        for n in range(count):
+            self.daemons.append(Daemon(self, n))
+            self.daemons[-1].start(self.bounds)
+
+    def start_standin(self):
         self.platform = subprocess.Popen(
             [STANDIN, str(self.workers), str(self.cpu)], text=True,
             stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
@@ -161,10 +187,6 @@
             raise NotRun("the stand-in did not start")
         self.store, self.advice, control, self.duties = words[:4]
         self.control = f"http://{control}"
-        self.daemons = [Daemon(self, n) for n in range(self.count)]
-        for d in self.daemons:
-            d.start()
-        return self
 
     def __exit__(self, *_):
         for d in self.daemons:
@@ -174,6 +196,8 @@
         if self.platform is not None:
             self.platform.kill()
             self.platform.wait()
+        if self.minions is not None and hasattr(self, "p"):
+            self.note_events()
         self.record.close()
         self.tmp.cleanup()
 
@@ -183,6 +207,42 @@
         self.record.flush()
         print(line, flush=True)
 
+    def note_events(self):
+        shift = self.p.begun - self.begun
+        for at, kind, fields in sorted(self.p.events, key=lambda e: e[0]):
+            text = " ".join(f"{k}={v}" for k, v in fields.items())
+            self.record.write(f"{at + shift:8.3f} seen: {kind} {text}\n")
+
+    def operate(self, key, value):
+        self.note(f"operator writes {key} {json.dumps(value)}")
+        self.p.call(self.p.operate, key, value)
+
+    def submit(self, daemon, job, body):
+        """Steps may have _work_ms and _fails, which only the minions know."""
+        self.p.jobs[job] = body
+        sent = dict(body, steps=[
+            {k: v for k, v in s.items() if not k.startswith("_")}
+            for s in body["steps"]])
+        sent = {k: v for k, v in sent.items() if not k.startswith("_")}
+        return self.call("POST", daemon, f"/q/{job}", sent)[0]
+
+    def cancel(self, daemon, job):
+        status = self.call("DELETE", daemon, f"/q/{job}")[0]
+        if status in (200, 410):
+            self.p.cancelled[job] = time.monotonic()
+        return status
+
+    def owner(self, pool="batch"):
+        """The daemon that the store names as the owner of a pool."""
+        def read():
+            item = self.p.store.items.get(f"ct/owner/{pool}")
+            return base64.b64decode(item["value"]) if item else b""
+        value = self.p.call(read)
+        for d in self.daemons:
+            if d.name().encode() in value:
+                return d
+        return None
+
     def operator(self, path, body, text=None):
         status, answer = http("POST", f"{self.control}{path}", body)
         self.note(f"platform {text or path + ' ' + json.dumps(body)}")
@@ -199,10 +259,12 @@
         raise NotRun(f"{what}: not within {limit_s} s")
 
     def configure(self, routes, services=("batch",)):
-        self.operator("/_config", {
-            "version": 1, "limits": {},
-            "services": [{"name": name} for name in services],
-            "routes": routes})
+        config = {"version": 1, "limits": {}, "routes": routes,
+                  "services": [{"name": name} for name in services]}
+        if self.minions is None:
+            self.operator("/_config", config)
+        else:
+            self.operate("op/config", config)
         for d in self.daemons:
             self.wait(d.is_ready, f"{d.name()} is ready")
 
