--- a/review/common-3/platform_standin.py
+++ b/review/common-3/platform_standin.py
@@ -709,10 +709,9 @@
     def is_away(self, task, now):
         """Ended by an order, or not at work for notice_ms."""
         live = self.live.get(task)
-        if live is not None and live[0].at_work(task):
+        if live is not None and live[0].up and \
+                live[0].percent(live[1], now) >= 100:
             return False
-        if live is not None and live[1].ordered:
-            return True
         since, ordered = self.away.get(task, (None, False))
         return ordered or (since is not None and now - since >= self.notice_s)
 
