--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/11 and later start.
+# The stand-ins of review/11 and later are Python (common-3): nothing to build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-[ -f build-review-3/build.ninja ] || meson setup build-review-3 --buildtype=release -Dwerror=false
-ninja -C build-review-3 tests/standins/standin-platform
+python3 -c 'import tomllib' # 3.11 or later
+test -x target/curranttackd/curranttackd
--- a/review/common-3/cell.py
+++ b/review/common-3/cell.py
@@ -1,7 +1,7 @@
-"""A small cell of real daemons beside the platform's stand-in, for review cases.
+"""A small cell of real daemons beside a stand-in of the platform, for review cases.
 
 Starts the program of the deploy file with settings that its template renders,
-on loopback addresses, and writes what is sent, answered and run to record.txt.
+on loopback addresses. record.txt gets what is sent, answered and run.
 """
 
 import base64
@@ -21,7 +21,6 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
-STANDIN = os.path.join(ROOT, "build-review-3/tests/standins/standin-platform")
 HOST = "cell.example"
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -138,11 +137,11 @@
 
 
 class Cell:
-    """Daemons and the stand-in; ends all of them on exit."""
+    """Daemons beside the platform; ends all of them on exit."""
 
-    def __init__(self, folder_of_case, daemons=3, workers=3, cpu=4000,
-                 minions=None, bounds=None, **options):
-        """With @minions, the platform runs in this process (platform.py)."""
+    def __init__(self, folder_of_case, minions, daemons=3, bounds=None,
+                 **options):
+        """@bounds replace those of the settings, @options those of Platform."""
         self.minions, self.bounds, self.options = minions, bounds, options
         self.tmp = tempfile.TemporaryDirectory()
         self.folder = self.tmp.name
@@ -150,8 +149,7 @@
                            encoding="utf-8")
         self.begun = time.monotonic()
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.count, self.workers, self.cpu = daemons, workers, cpu
-        self.daemons, self.platform = [], None
+        self.count, self.daemons, self.p = daemons, [], None
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as f:
             role = next(iter(tomllib.load(f)["roles"].values()))
         self.run = role["run"].split()
@@ -160,16 +158,11 @@
             self.template = f.read()
 
     def __enter__(self):
-        programs = [self.run[0]] + ([STANDIN] if self.minions is None else [])
-        for program in programs:
-            if not os.access(program, os.X_OK):
-                raise NotRun(f"{os.path.relpath(program, ROOT)} is not built")
-        if self.minions is None:
-            self.start_standin()
-        else:
-            self.p = Platform(self.minions, free_address, **self.options)
-            self.store, self.advice = self.p.store_address, self.p.advice_address
-            self.duties = self.p.cloud_address
+        if not os.access(self.run[0], os.X_OK):
+            raise NotRun(f"{os.path.relpath(self.run[0], ROOT)} is not built")
+        self.p = Platform(self.minions, free_address, **self.options)
+        self.store, self.advice = self.p.store_address, self.p.advice_address
+        self.duties = self.p.cloud_address
         self.add_daemons(self.count)
         return self
 
@@ -178,25 +171,12 @@
             self.daemons.append(Daemon(self, n))
             self.daemons[-1].start(self.bounds)
 
-    def start_standin(self):
-        self.platform = subprocess.Popen(
-            [STANDIN, str(self.workers), str(self.cpu)], text=True,
-            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
-        words = [w for w in self.platform.stdout.readline().split() if ":" in w]
-        if len(words) < 4:
-            raise NotRun("the stand-in did not start")
-        self.store, self.advice, control, self.duties = words[:4]
-        self.control = f"http://{control}"
-
     def __exit__(self, *_):
         for d in self.daemons:
             if d.process is not None and d.process.poll() is None:
                 d.process.kill()
                 d.process.wait()
-        if self.platform is not None:
-            self.platform.kill()
-            self.platform.wait()
-        if self.minions is not None and hasattr(self, "p"):
+        if self.p is not None:
             self.note_events()
         self.record.close()
         self.tmp.cleanup()
@@ -243,13 +223,6 @@
                 return d
         return None
 
-    def operator(self, path, body, text=None):
-        status, answer = http("POST", f"{self.control}{path}", body)
-        self.note(f"platform {text or path + ' ' + json.dumps(body)}")
-        if status != 200:
-            raise NotRun(f"{path}: {status}")
-        return answer
-
     def wait(self, condition, what, limit_s=20):
         until = time.monotonic() + limit_s
         while time.monotonic() < until:
@@ -261,10 +234,7 @@
     def configure(self, routes, services=("batch",)):
         config = {"version": 1, "limits": {}, "routes": routes,
                   "services": [{"name": name} for name in services]}
-        if self.minions is None:
-            self.operator("/_config", config)
-        else:
-            self.operate("op/config", config)
+        self.operate("op/config", config)
         for d in self.daemons:
             self.wait(d.is_ready, f"{d.name()} is ready")
 
@@ -277,24 +247,6 @@
                   f" {shown if len(shown) < 300 else ''}")
         return status, answer
 
-    def runs(self, job, noted=True):
-        """Rows of a job's runs, with times in ms since the record began."""
-        answer = http("GET", f"{self.control}/_runs?job={job}")[1]
-        rows = answer.get("runs", [])
-        if noted:
-            now_ms = answer.get("now_ms", 0)
-            at_ms = (time.monotonic() - self.begun) * 1000
-            for task, run, worker, began, ended, how, *_ in rows:
-                self.note(
-                    f"ran {task} run {run} on {worker}: began "
-                    f"{(began - now_ms + at_ms) / 1000:.3f}, " +
-                    (f"ended {(ended - now_ms + at_ms) / 1000:.3f} {how}"
-                     if how else "runs on"))
-        return rows
-
-    def report(self):
-        return http("GET", f"{self.control}/_report")[1]
-
 
 def play(folder_of_case, function, **sizes):
     """Exit code: 1 if the rule was broken, 0 if it held, 2 if it was not run."""
