--- a/review/common-3/cell.py
+++ b/review/common-3/cell.py
@@ -34,10 +34,17 @@
 HOST_IP = "127.{}.{}.1".format(1 + os.getpid() % 250, os.getpid() // 250 % 250)
 
 
+given_ports = set()
+
+
 def free_address():
-    with socket.socket() as s:
-        s.bind((HOST_IP, 0))
-        return f"{HOST_IP}:{s.getsockname()[1]}"
+    while True:
+        with socket.socket() as s:
+            s.bind((HOST_IP, 0))
+            port = s.getsockname()[1]
+        if port not in given_ports:
+            given_ports.add(port)
+            return f"{HOST_IP}:{port}"
 
 
 def http(method, url, body=None, timeout_s=3, headers=None):
