--- a/review/common-3/platform_standin.py
+++ b/review/common-3/platform_standin.py
@@ -45,7 +45,7 @@
         self.labels = spec.get("labels", ["a", "r1"])
         self.address, self.server, self.conns = None, None, set()
         self.up, self.draining, self.life = False, False, 0
-        self.seq, self.waves, self.upkeep = 0, set(), None
+        self.seq, self.waves, self.upkeep, self.duty_fence = 0, set(), None, 0
         self.reset()
 
     def reset(self):
@@ -501,9 +501,17 @@
         wave = body["wave"]
         if m is None:
             return 400, {}
-        self.note("order", machine=m.machine, wave=wave,
-                  holder=headers.get("x-curranttack-duty-holder"),
-                  fence=headers.get("x-curranttack-fencing-token"))
+        holder = headers.get("x-curranttack-duty-holder")
+        token = int(headers.get("x-curranttack-fencing-token", 0))
+        status, answer = self.upkeep(m, wave, token)
+        self.note("order", machine=m.machine, wave=wave, holder=holder,
+                  fence=token, status=status, reason=answer.get("reason", ""))
+        return status, answer
+
+    def upkeep(self, m, wave, token):
+        if token < m.duty_fence:
+            return 409, {"reason": "fence"}
+        m.duty_fence = token
         if wave in m.waves:
             return 200, {}
         if m.machine not in self.waves.get(wave, {}).get("machines", []):
@@ -546,11 +554,25 @@
         m.end_life("crash")
         self.loop.create_task(self.come_back(m, for_s, new_id))
 
-    def drain(self, number):
+    async def leave(self, number, drain_s, away_s):
+        """A minion drains and leaves; later another one comes on its machine."""
         m = self.minions[number]
         m.draining = True
         self.note("draining", minion=m.id)
         self.store.write(f"servers/{m.id}", m.entry())
+        await asyncio.sleep(drain_s)
+        m.end_life("left")
+        m.draining = False
+        self.unlist(m.id)
+        self.note("left", minion=m.id)
+        await asyncio.sleep(away_s)
+        m.id = f"{m.id.split('+')[0]}+{m.life}"
+        await m.begin_life()
+        self.store.write(f"servers/{m.id}", m.entry())
+        self.note("up", minion=m.id, machine=m.machine)
+
+    def begin_leave(self, number, drain_s, away_s):
+        self.loop.create_task(self.leave(number, drain_s, away_s))
 
     def operate(self, key, value):
         if key.startswith("op/wave/"):
