--- a/review/common-3/cell.py
+++ b/review/common-3/cell.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -165,6 +166,8 @@
             self.template = f.read()
 
     def __enter__(self):
+        # Whoever ends the script ends the daemons, too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
         if not os.access(self.run[0], os.X_OK):
             raise NotRun(f"{os.path.relpath(self.run[0], ROOT)} is not built")
         self.p = Platform(self.minions, free_address, **self.options)
