--- a/review/common-3/cell.py
+++ b/review/common-3/cell.py
@@ -167,7 +167,7 @@
 
     def __enter__(self):
         # Whoever ends the script ends the daemons, too.
-        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+        signal.signal(signal.SIGTERM, self.on_terminated)
         if not os.access(self.run[0], os.X_OK):
             raise NotRun(f"{os.path.relpath(self.run[0], ROOT)} is not built")
         self.p = Platform(self.minions, free_address, **self.options)
@@ -176,6 +176,10 @@
         self.add_daemons(self.count)
         return self
 
+    def on_terminated(self, *_):
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        sys.exit(NOT_RUN)
+
     def add_daemons(self, count):
         for n in range(count):
             self.daemons.append(Daemon(self, n))
