state: a start carries its whole ticket, however long

Cause: wp_approve() copied a ticket into an array of 128 bytes, which cut it without a word.

Change: a ticket's text is allocated beside the step's tickets. It is freed when the worker is disapproved, replaced by the next answer, and all tickets of a step go once the step is done. The order_refused line of the owner tells ticket_bytes, so that a ticket that is not as it was issued shows in the log; it told only result=5 before.

--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -24,7 +24,9 @@
 	    lg_i64(o->ref.step), "index", lg_i64(o->ref.index), "run",
 	    lg_i64(o->run), "kind", lg_i64(o->kind), "worker", o->worker,
 	    "result", lg_i64(result), "sends", lg_i64(o->sends), "kept",
-	    lg_i64(kept), "fence", lg_i64((int64_t)h->fence), NULL);
+	    lg_i64(kept), "fence", lg_i64((int64_t)h->fence), "ticket_bytes",
+	    o->ticket != NULL ? lg_i64((int64_t)strlen(o->ticket)) : NULL,
+	    NULL);
 }
 
 static void
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -19,8 +19,6 @@
  */
 
 #define WP_NAME_BYTES 64
-#define WP_CHECKPOINT_BYTES 128
-#define WP_TICKET_BYTES 128
 
 /**
  * struct wp_resources - what a task takes or a worker has
@@ -162,7 +160,7 @@
  * @approved: its last answer was that the step may run there
  * @reserved: members of the step for which resources are reserved there
  * @expires_us: end of the ticket's validity
- * @text: ticket that a start order carries
+ * @text: ticket that a start order carries; NULL without one
  */
 struct wp_ticket {
 	uint32_t worker_index;
@@ -172,7 +170,7 @@
 	bool approved;
 	uint32_t reserved;
 	int64_t expires_us;
-	char text[WP_TICKET_BYTES];
+	char *text;
 };
 
 /**
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -370,6 +370,8 @@
     const struct wp_pool *p, struct wp_step *s, const struct wp_worker *w);
 /** wp_expected_end_us() - when a running task will end, by its progress */
 int64_t wp_expected_end_us(const struct wp_task *t);
+/** wp_tickets_forget() - a step is done and needs no advice any more */
+void wp_tickets_forget(struct wp_step *s);
 /** wp_prefetch_advice() - request advice for a step that is not ready yet */
 void wp_prefetch_advice(struct wp_pool *p, struct wp_step *s, int64_t now_us);
 /** wp_needs_advice() - whether starts of a step must carry tickets */
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -68,13 +68,24 @@
 		memset(&s->ticket[s->ticket_count - 1], 0, sizeof(*ticket));
 	}
 	ticket = &s->ticket[s->ticket_index[w->index] - 1];
-	if (ticket->incarnation_ms != w->incarnation_ms)
+	if (ticket->incarnation_ms != w->incarnation_ms) {
+		talloc_free(ticket->text);
 		memset(ticket, 0, sizeof(*ticket));
+	}
 	ticket->worker_index = w->index;
 	ticket->incarnation_ms = w->incarnation_ms;
 	return ticket;
 }
 
+void
+wp_tickets_forget(struct wp_step *s)
+{
+	TALLOC_FREE(s->ticket);
+	TALLOC_FREE(s->ticket_index);
+	s->ticket_count = 0;
+	s->ticket_index_count = 0;
+}
+
 /* When a running task will end, extrapolated from its progress. */
 int64_t
 wp_expected_end_us(const struct wp_task *t)
@@ -172,7 +183,10 @@
 	ticket->approved = true;
 	ticket->expires_us =
 	    valid_from_us + (int64_t)request->valid_ms * CLK_US_PER_MS;
-	snprintf(ticket->text, sizeof(ticket->text), "%s", a->ticket);
+	talloc_free(ticket->text);
+	ticket->text = talloc_strdup(s->ticket, a->ticket);
+	if (ticket->text == NULL)
+		abort();
 }
 
 void
@@ -197,6 +211,8 @@
 		ticket->requested = false;
 		ticket->answered |= ok;
 		ticket->approved &= !ok;
+		if (!ticket->approved)
+			TALLOC_FREE(ticket->text);
 	}
 	if (!ok) {
 		s->next_request_us = now_us + WP_ADVICE_RETRY_US;
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -417,6 +417,7 @@
 		wp_job_finish_stop(job);
 		return;
 	}
+	wp_tickets_forget(s);
 	s->occ->unfinished_steps--;
 	if (s->occ->unfinished_steps == 0)
 		wp_job_occurrence_ended(job);
