--- a/bench/bench_replay.c
+++ b/bench/bench_replay.c
@@ -15,6 +15,7 @@
 #include "common/rng.h"
 #include "state/pool.h"
 
+#define NAME_BYTES 32
 #define STEP_US (2 * CLK_US_PER_MS)
 #define TICK_US (25 * CLK_US_PER_MS)
 #define ORDER_US (3 * CLK_US_PER_MS)
@@ -62,7 +63,7 @@
 };
 
 struct sim_worker {
-	char id[WP_NAME_BYTES];
+	char id[NAME_BYTES];
 	struct sim_run run[MAX_RUNS];
 	uint32_t runs;
 	struct wp_run_end end[MAX_RUNS];
@@ -458,7 +459,7 @@
 	s->worker = calloc(workers, sizeof(*s->worker));
 	s->job = calloc(MAX_JOBS, sizeof(*s->job));
 	for (i = 0; i < workers; i++) {
-		char rack[WP_NAME_BYTES];
+		char rack[NAME_BYTES];
 		struct wp_worker_info info = {.id = s->worker[i].id,
 		    .address = "127.0.0.1:1",
 		    .domain = "a",
@@ -466,7 +467,7 @@
 		    .rack = rack,
 		    .vm = ""};
 
-		snprintf(s->worker[i].id, WP_NAME_BYTES, "w-%u", i);
+		snprintf(s->worker[i].id, NAME_BYTES, "w-%u", i);
 		snprintf(rack, sizeof(rack), "r%u", i / 12);
 		info.capacity.cpu_mcpu = i % 4 == 0 ? 16000
 		    : i % 4 == 1		    ? 64000
--- a/curranttackd/cell_advice_forward.c
+++ b/curranttackd/cell_advice_forward.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "curranttackd/cell_advice_internal.h"
+#include "protocol/pack.h"
 #include "state/advice_queue.h"
 
 void
@@ -45,8 +46,8 @@
 		return;
 	for (i = 0; i < count; i++) {
 		currant__advice_ticket__init(&row[i]);
-		row[i].worker = (char *)(uintptr_t)approved[i].worker;
-		row[i].ticket = (char *)(uintptr_t)approved[i].ticket;
+		row[i].worker = pk_text(approved[i].worker);
+		row[i].ticket = pk_text(approved[i].ticket);
 		rows[i] = &row[i];
 	}
 	answer.id = req->id;
--- a/curranttackd/cell_calls_submit.c
+++ b/curranttackd/cell_calls_submit.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,8 +16,8 @@
 	struct cc_write w;
 	uint8_t *value;
 	size_t value_bytes;
-	char pool[WP_NAME_BYTES];
-	char term_key[RP_KEY_BYTES];
+	const char *pool;
+	const char *term_key;
 	uint64_t term_revision;
 	uint64_t term_fence;
 };
@@ -155,9 +154,8 @@
 	spec->pool = talloc_strdup(spec, queue->pool);
 	spec->policy = queue->policy;
 	spec->accepted_wall_ms = clk_wall_us() / CLK_US_PER_MS;
-	snprintf(s->pool, sizeof(s->pool), "%s", spec->pool);
-	snprintf(s->term_key, sizeof(s->term_key), "%s%s", RP_TERM_PREFIX,
-	    spec->pool);
+	s->pool = tx_dup(s, spec->pool);
+	s->term_key = rp_make_pool_key(s, RP_TERM_PREFIX, spec->pool);
 	s->value = jc_pack_job(s, spec, &s->value_bytes);
 	return s;
 }
--- a/curranttackd/cell_claim.c
+++ b/curranttackd/cell_claim.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -143,7 +142,7 @@
 		abort();
 	for (i = 0; i < list->count; i++) {
 		currant__pool_witness__init(&w[i]);
-		w[i].vm = (char *)(uintptr_t)list->witness[i].vm;
+		w[i].vm = pk_text(list->witness[i].vm);
 		w[i].incarnation = list->witness[i].incarnation;
 		row->witnesses[row->n_witnesses++] = &w[i];
 	}
@@ -216,8 +215,8 @@
 	TALLOC_CTX *ctx = talloc_new(NULL);
 	struct wt_list witnesses;
 	struct ks_expect expect[2] = {
-	    {cp_make_key(ctx, RP_OWNER_PREFIX, h->name), 0},
-	    {cp_make_key(ctx, RP_TERM_PREFIX, h->name), o->term_revision},
+	    {rp_make_pool_key(ctx, RP_OWNER_PREFIX, h->name), 0},
+	    {rp_make_pool_key(ctx, RP_TERM_PREFIX, h->name), o->term_revision},
 	};
 	struct ks_put put[2] = {
 	    {.key = expect[0].key, .lease = h->lease},
@@ -334,14 +333,34 @@
 		cp_begin_ownership(h, o);
 }
 
+/* NULL for a pool whose name is not known yet. */
+static struct cp_host *
+cp_host_of_row(struct cell *c, const char *row)
+{
+	char other[RP_POOL_ROW_BYTES];
+	struct cp_host *h;
+	struct cp_host *tmp;
+
+	if (!rp_is_hashed_row(row))
+		return cp_get_host(c, row);
+	HASH_ITER(hh, c->pools, h, tmp) {
+		rp_pool_row(h->name, other);
+		if (strcmp(row, other) == 0)
+			return h;
+	}
+	return NULL;
+}
+
 void
 cp_on_owner(struct cell *c, const struct rp_owner *o)
 {
-	struct cp_host *h = cp_get_host(c, o->pool);
+	struct cp_host *h = cp_host_of_row(c, o->row);
 	bool ours = o->present && o->incarnation == c->incarnation &&
 	    strcmp(o->vm, c->settings->vm) == 0;
 	int64_t now_us = clk_now_us();
 
+	if (h == NULL)
+		return;
 	h->owner_check_at_us = now_us + CP_OWNER_CHECK_US;
 	if (!o->present) {
 		if (h->state == CP_OWNER)
@@ -415,28 +434,30 @@
 	struct cp_host *h = arg;
 	struct replica *r = h->cell->replica;
 	const struct rp_owner *o = rp_get_owner(r, h->name);
-	char key[RP_KEY_BYTES];
 	struct ks_item removed = {
-	    .key = key,
 	    .deleted = true,
 	    .revision = a->revision,
 	};
+	char *key;
 	size_t i;
 
 	if (a->result != KS_OK)
 		return;
-	snprintf(key, sizeof(key), "%s%s", RP_OWNER_PREFIX, h->name);
+	key = rp_make_pool_key(NULL, RP_OWNER_PREFIX, h->name);
+	removed.key = key;
 	for (i = 0; i < a->item_count; i++) {
 		if (strcmp(a->item[i].key, key) != 0)
 			continue;
 		rp_apply_out_of_order(r, &a->item[i]);
-		return;
+		goto out;
 	}
 	if (o->present && a->revision > o->revision)
 		lg_event(LG_WARN, "pool", "owner_vanished", "pool", h->name,
 		    "owner", o->vm, "revision", lg_i64((int64_t)a->revision),
 		    NULL);
 	rp_apply_out_of_order(r, &removed);
+out:
+	talloc_free(key);
 }
 
 /* Reads the key of an owner that no link shows to be at work. */
@@ -444,15 +465,16 @@
 cp_check_owner(struct cp_host *h, const struct rp_owner *o, int64_t now_us)
 {
 	const struct fl_fleet *f = h->cell->fleet;
-	char key[RP_KEY_BYTES];
+	char *key;
 
 	if (now_us < h->owner_check_at_us)
 		return;
 	h->owner_check_at_us = now_us + CP_OWNER_CHECK_US;
 	if (pn_link(h->cell->links, o->vm) != NULL)
 		return;
-	snprintf(key, sizeof(key), "%s%s", RP_OWNER_PREFIX, h->name);
+	key = rp_make_pool_key(NULL, RP_OWNER_PREFIX, h->name);
 	f->keys->range(f->handle, key, NULL, cp_on_owner_read, h);
+	talloc_free(key);
 }
 
 /* Claims a pool without an owner once the delay for this daemon is over. */
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -232,9 +232,9 @@
 cp_fill_worker(TALLOC_CTX *ctx, Currant__KnownWorker *row, struct wp_worker *w)
 {
 	currant__known_worker__init(row);
-	row->id = w->id;
-	row->address = w->address;
-	row->vm = w->vm;
+	row->id = pk_text(w->id);
+	row->address = pk_text(w->address);
+	row->vm = pk_text(w->vm);
 	row->has_born_ms = true;
 	row->born_ms = wp_newest_incarnation_ms(w);
 	row->has_late_lease_ms = true;
@@ -292,8 +292,8 @@
 	}
 	cp_fill_not_started(h, cm, &list);
 	value = pk_pack(cm, &list.base, &bytes);
-	cp_commit_add(
-	    cm, cp_make_key(cm, RP_WORKERS_PREFIX, h->name), value, bytes, 0);
+	cp_commit_add(cm, rp_make_pool_key(cm, RP_WORKERS_PREFIX, h->name),
+	    value, bytes, 0);
 }
 
 /*
@@ -316,7 +316,7 @@
 	cm->witnesses = true;
 	value = cp_term_value(cm, h, o->term, h->fence, false, &list, &bytes);
 	cp_commit_add(
-	    cm, cp_make_key(cm, RP_TERM_PREFIX, h->name), value, bytes, 0);
+	    cm, rp_make_pool_key(cm, RP_TERM_PREFIX, h->name), value, bytes, 0);
 }
 
 static void
@@ -359,9 +359,10 @@
 	const struct fl_fleet *f = h->cell->fleet;
 	struct rp_owner *o = rp_get_owner(h->cell->replica, h->name);
 	TALLOC_CTX *ctx = talloc_new(NULL);
-	const char *key = cp_make_key(ctx, RP_OWNER_PREFIX, h->name);
+	const char *key = rp_make_pool_key(ctx, RP_OWNER_PREFIX, h->name);
 	struct ks_expect expect = {key, h->revision};
-	struct ks_put put = {.key = cp_make_key(ctx, RP_TERM_PREFIX, h->name)};
+	struct ks_put put = {
+	    .key = rp_make_pool_key(ctx, RP_TERM_PREFIX, h->name)};
 	struct ks_txn txn = {
 	    .expect = &expect,
 	    .expect_count = 1,
@@ -436,7 +437,7 @@
 	h->commit = cm;
 	cm->created_us = clk_now_us();
 	h->commit_seq++;
-	cm->expect.key = cp_make_key(cm, RP_OWNER_PREFIX, h->name);
+	cm->expect.key = rp_make_pool_key(cm, RP_OWNER_PREFIX, h->name);
 	cm->expect.revision = h->revision;
 	value = cp_owner_value(cm, h, h->commit_seq, &bytes);
 	cp_commit_add(cm, cm->expect.key, value, bytes, h->lease);
--- a/curranttackd/cell_earlier.c
+++ b/curranttackd/cell_earlier.c
@@ -87,8 +87,7 @@
 		return;
 	h->noted_revision = o->term_revision;
 	h->older_owners_until_us = cp_older_owners_until_us(o, now_us);
-	snprintf(
-	    h->earlier_owner_vm, sizeof(h->earlier_owner_vm), "%s", o->term_vm);
+	tx_set(h, &h->earlier_owner_vm, o->term_vm);
 	h->earlier_owner_incarnation = o->term_incarnation;
 	h->earlier_owner_until_us = cp_earlier_owner_until_us(h, o, now_us);
 	h->term_dirty = false;
@@ -194,7 +193,7 @@
 cp_log_unanswered(struct cp_host *h, int64_t now_us)
 {
 	const struct wt_votes *v = &h->inquiry.votes;
-	char names[WT_MAX_WITNESSES * WP_NAME_BYTES] = "";
+	char names[WT_MAX_WITNESSES * WT_VM_BYTES] = "";
 	size_t used = 0;
 	uint32_t i;
 
--- a/curranttackd/cell_maintenance.c
+++ b/curranttackd/cell_maintenance.c
@@ -16,9 +16,9 @@
 /* A write of a wave's progress, or a request for a VM, that is in flight. */
 struct cm_call {
 	struct cell *c;
-	char wave[WP_NAME_BYTES];
-	char vm[WP_NAME_BYTES];
-	char pool[WP_NAME_BYTES];
+	const char *wave;
+	const char *vm;
+	const char *pool;
 	uint64_t fence;
 };
 
@@ -139,12 +139,12 @@
 cm_fill_row(Currant__MaintenanceVm *row, struct mw_vm *vm)
 {
 	currant__maintenance_vm__init(row);
-	row->vm = vm->name;
+	row->vm = pk_text(vm->name);
 	row->state = (uint32_t)vm->state;
-	row->pool = vm->pool;
+	row->pool = pk_text(vm->pool);
 	row->has_fence = true;
 	row->fence = vm->fence;
-	row->worker = vm->worker;
+	row->worker = pk_text(vm->worker);
 	row->has_born_ms = true;
 	row->born_ms = vm->incarnation_ms;
 }
@@ -267,9 +267,9 @@
 		abort();
 	call->c = c;
 	call->fence = h->fence;
-	memcpy(call->wave, w->id, sizeof(call->wave));
-	memcpy(call->vm, vm->name, sizeof(call->vm));
-	memcpy(call->pool, h->name, sizeof(call->pool));
+	call->wave = tx_dup(call, w->id);
+	call->vm = tx_dup(call, vm->name);
+	call->pool = tx_dup(call, h->name);
 	vm->order_in_flight = true;
 	c->fleet->maintenance->take_down(c->fleet->handle, vm->name,
 	    w->wave->number, c->settings->vm, h->fence, cm_on_response, call);
--- a/curranttackd/cell_peers.c
+++ b/curranttackd/cell_peers.c
@@ -7,6 +7,7 @@
 #include "coordination/links.h"
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool.h"
+#include "protocol/pack.h"
 
 #define PN_MAX_PEERS 256
 /* Ended jobs in one message. */
@@ -15,8 +16,8 @@
 #define PN_TICK_US (100 * CLK_US_PER_MS)
 
 struct pn_peer {
-	char vm[WP_NAME_BYTES];
-	char address[WP_NAME_BYTES];
+	char vm[WT_VM_BYTES];
+	char *address;
 	struct peer_link *link;
 	int64_t connect_at_us;
 };
@@ -76,9 +77,9 @@
 
 	if (p == NULL)
 		return;
-	if (strcmp(p->address, m->address) != 0 && p->link != NULL)
+	if (p->link != NULL && strcmp(p->address, m->address) != 0)
 		peer_close(p->link);
-	snprintf(p->address, sizeof(p->address), "%s", m->address);
+	tx_set(n, &p->address, m->address);
 	if (p->link != NULL || now_us < p->connect_at_us)
 		return;
 	p->connect_at_us = now_us + PN_RECONNECT_US;
@@ -173,7 +174,7 @@
 
 	if (link == NULL)
 		return;
-	row.id = (char *)(uintptr_t)id;
+	row.id = pk_text(id);
 	row.spec.data = (uint8_t *)(uintptr_t)spec;
 	row.spec.len = spec_bytes;
 	row.revision = revision;
@@ -193,7 +194,7 @@
 
 	if (link == NULL)
 		return;
-	row.id = (char *)(uintptr_t)id;
+	row.id = pk_text(id);
 	row.revision = revision;
 	frame.cancelled_jobs = rows;
 	frame.n_cancelled_jobs = 1;
--- a/curranttackd/cell_pool.c
+++ b/curranttackd/cell_pool.c
@@ -32,9 +32,9 @@
 #define CP_RELEASE_TIMEOUT_US (150 * CLK_US_PER_MS)
 
 const char *
-cp_make_key(TALLOC_CTX *ctx, const char *prefix, const char *name)
+cp_make_key(TALLOC_CTX *ctx, const char *prefix, const char *id)
 {
-	return talloc_asprintf(ctx, "%s%s", prefix, name);
+	return talloc_asprintf(ctx, "%s%s", prefix, id);
 }
 
 struct cp_host *
@@ -49,7 +49,8 @@
 	if (h == NULL)
 		abort();
 	h->cell = c;
-	snprintf(h->name, sizeof(h->name), "%s", pool);
+	h->name = tx_dup(h, pool);
+	tx_set(h, &h->earlier_owner_vm, "");
 	HASH_ADD_STR(c->pools, name, h);
 	return h;
 }
--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,7 +21,7 @@
 
 /* A relay, with the batch of calls that is sent to it next. */
 struct rl_relay {
-	char vm[WP_NAME_BYTES];
+	const char *vm;
 	uint64_t link;
 	int64_t avoid_until_us;
 	bool failed; /* only while calls are checked */
@@ -43,8 +42,8 @@
 	fl_order_fn order_done;
 	fl_renewal_fn renewal_done;
 	void *arg;
-	char worker[WP_NAME_BYTES];
-	char address[WP_NAME_BYTES];
+	const char *worker;
+	const char *address;
 	struct wp_renewal renewal;
 	uint64_t fence;
 	bool overdue;
@@ -83,7 +82,7 @@
 	r = talloc_zero(d, struct rl_relay);
 	if (r == NULL)
 		abort();
-	snprintf(r->vm, sizeof(r->vm), "%s", vm);
+	r->vm = tx_dup(r, vm);
 	HASH_ADD_STR(d->relays, vm, r);
 	return r;
 }
@@ -219,6 +218,16 @@
 	r->order_count++;
 }
 
+/* What a renewal needs of the worker, which the call outlives. */
+static struct wp_worker
+rl_called_worker(const struct rl_call *call)
+{
+	return (struct wp_worker){
+	    .id = call->worker,
+	    .address = call->address,
+	};
+}
+
 void
 rl_renew(struct rl_dispatcher *d, const struct wp_worker *w,
     const struct wp_renewal *renewal, uint64_t fence, bool relayed,
@@ -226,6 +235,7 @@
 {
 	const struct fl_fleet *f = d->c->fleet;
 	struct rl_relay *r = relayed ? rl_choose_relay(d, w) : NULL;
+	struct wp_worker called;
 	struct rl_call *call;
 
 	if (r == NULL) {
@@ -240,10 +250,11 @@
 	call->arg = arg;
 	call->renewal = *renewal;
 	call->fence = fence;
-	memcpy(call->worker, w->id, sizeof(call->worker));
-	memcpy(call->address, w->address, sizeof(call->address));
+	call->worker = tx_dup(call, w->id);
+	call->address = tx_dup(call, w->address);
+	called = rl_called_worker(call);
 	rc_pack_renewal(
-	    &r->renewal[r->renewal_count], call->id, w, renewal, fence);
+	    &r->renewal[r->renewal_count], call->id, &called, renewal, fence);
 	r->renewals[r->renewal_count] = &r->renewal[r->renewal_count];
 	r->renewal_count++;
 }
@@ -254,10 +265,8 @@
 {
 	const struct fl_fleet *f = d->c->fleet;
 	struct wp_renewal renewal = call->renewal;
-	struct wp_worker w = {0};
+	const struct wp_worker w = rl_called_worker(call);
 
-	memcpy(w.id, call->worker, sizeof(w.id));
-	memcpy(w.address, call->address, sizeof(w.address));
 	renewal.wait_ms = 0;
 	/* The worker may have been restarted since the first attempt. */
 	renewal.acked_end = 0;
--- a/curranttackd/cell_relay_serve.c
+++ b/curranttackd/cell_relay_serve.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "common/clock.h"
@@ -28,8 +27,8 @@
 	struct jb_ref ref;
 	uint32_t run;
 	enum wp_order_kind kind;
-	char worker[WP_NAME_BYTES];
-	char owner[WP_NAME_BYTES];
+	const char *worker;
+	const char *owner;
 };
 
 static struct rl_sender *
@@ -73,7 +72,7 @@
 	call->link = peer_serial(link);
 	call->id = id;
 	call->fence = fence;
-	snprintf(call->owner, sizeof(call->owner), "%s", peer_vm(link));
+	call->owner = tx_dup(call, peer_vm(link));
 	return call;
 }
 
@@ -165,7 +164,7 @@
 	call->ref = o.ref;
 	call->run = o.run;
 	call->kind = o.kind;
-	snprintf(call->worker, sizeof(call->worker), "%s", o.worker);
+	call->worker = tx_dup(call, o.worker);
 	if (rl_is_overdue_start(&o, delay_us)) {
 		lg_event(LG_WARN, "relay", "overdue_start", "peer",
 		    peer_vm(link), "worker", o.worker, "delay_ms",
--- a/curranttackd/cell_traffic.c
+++ b/curranttackd/cell_traffic.c
@@ -148,7 +148,7 @@
 		if (!wp_renewal_due(h->pool, w, now_us, &renewal))
 			continue;
 		req = cp_request_create(h);
-		memcpy(req->worker, w->id, sizeof(req->worker));
+		req->worker = tx_dup(req, w->id);
 		req->fence = renewal.fence;
 		rl_renew(h->cell->relay, w, &renewal,
 		    cp_token(h, renewal.fence), relayed, cp_on_renewal, req);
--- a/curranttackd/cell_witness.c
+++ b/curranttackd/cell_witness.c
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool_internal.h"
+#include "protocol/pack.h"
 #include "curranttackd/cell_witness.h"
 #include "protocol/curranttack.pb-c.h"
 
@@ -129,7 +130,7 @@
 
 	if (link == NULL)
 		return;
-	ask.pool = h->name;
+	ask.pool = pk_text(h->name);
 	ask.term = term;
 	ask.fence = fence;
 	ask.asked_us = clk_now_us();
--- a/curranttackd/replica_entries.c
+++ b/curranttackd/replica_entries.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -20,7 +19,7 @@
 	w = talloc_zero(r, struct rp_worker);
 	if (w == NULL)
 		abort();
-	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->id = tx_dup(w, id);
 	HASH_ADD_STR(r->workers, id, w);
 	return w;
 }
@@ -55,11 +54,6 @@
 	HASH_FIND_STR(r->workers, id, w);
 	if (w == NULL && item->deleted)
 		return;
-	if (strlen(id) >= WP_NAME_BYTES) {
-		rp_leave_out(
-		    r, item, "replica", "unusable_worker", "id: is too long");
-		return;
-	}
 	w = rp_get_worker(r, id);
 	if (item->revision <= w->revision)
 		return;
@@ -121,16 +115,33 @@
 	struct rp_wave *w;
 
 	HASH_FIND_STR(r->waves, id, w);
-	if (w != NULL || strlen(id) >= WP_NAME_BYTES)
+	if (w != NULL)
 		return w;
 	w = talloc_zero(r, struct rp_wave);
 	if (w == NULL)
 		abort();
-	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->id = tx_dup(w, id);
 	HASH_ADD_STR(r->waves, id, w);
 	return w;
 }
 
+/* Texts of progress that is about to be replaced go, but for those in use. */
+static void
+rp_renew_texts(struct mw_wave *m)
+{
+	TALLOC_CTX *earlier = m->texts;
+	uint32_t i;
+
+	m->texts = talloc_new(m);
+	if (m->texts == NULL)
+		abort();
+	for (i = 0; i < m->vm_count; i++) {
+		m->vm[i].pool = tx_dup(m->texts, m->vm[i].pool);
+		m->vm[i].worker = tx_dup(m->texts, m->vm[i].worker);
+	}
+	talloc_free(earlier);
+}
+
 static void
 rp_merge_vm_progress(struct mw_wave *m, const Currant__MaintenanceVm *row)
 {
@@ -141,10 +152,8 @@
 	vm->state = (enum mw_state)row->state;
 	vm->fence = row->fence;
 	vm->incarnation_ms = row->born_ms;
-	snprintf(vm->pool, sizeof(vm->pool), "%s",
-	    row->pool != NULL ? row->pool : "");
-	snprintf(vm->worker, sizeof(vm->worker), "%s",
-	    row->worker != NULL ? row->worker : "");
+	vm->pool = tx_dup(m->texts, row->pool);
+	vm->worker = tx_dup(m->texts, row->worker);
 }
 
 /* The request for a wave and its progress may arrive in either order. */
@@ -164,6 +173,7 @@
 		return;
 	}
 	w->deadline_wall_ms = row->ends_wall_ms;
+	rp_renew_texts(w->wave);
 	for (i = 0; i < row->n_vms; i++)
 		rp_merge_vm_progress(w->wave, row->vms[i]);
 	currant__maintenance_wave__free_unpacked(row, NULL);
@@ -175,8 +185,7 @@
 {
 	struct rp_wave *w = rp_get_wave(r, id);
 
-	if (w == NULL || item->deleted ||
-	    item->revision <= w->progress_revision)
+	if (item->deleted || item->revision <= w->progress_revision)
 		return;
 	talloc_free(w->progress);
 	w->progress = talloc_memdup(w, item->value, item->value_bytes);
@@ -192,11 +201,6 @@
 	struct rp_wave *w = rp_get_wave(r, id);
 	struct mw_wave *m = NULL;
 
-	if (w == NULL) {
-		rp_leave_out(
-		    r, item, "maintenance", "wave_refused", "id: is too long");
-		return;
-	}
 	if (item->revision <= w->revision)
 		return;
 	w->revision = item->revision;
--- a/curranttackd/replica_jobs.c
+++ b/curranttackd/replica_jobs.c
@@ -53,8 +53,6 @@
 	struct jb_spec *spec;
 
 	spec = jc_unpack_job(NULL, item->value, item->value_bytes);
-	if (spec != NULL && strlen(spec->pool) >= WP_NAME_BYTES)
-		TALLOC_FREE(spec);
 	if (spec == NULL) {
 		lg_event(LG_ERROR, "replica", "unreadable_job", "job", job->id,
 		    NULL);
--- a/curranttackd/replica_rows.c
+++ b/curranttackd/replica_rows.c
@@ -30,11 +30,7 @@
 
 		if (strncmp(item->key, rp_prefixes[i].prefix, n) != 0)
 			continue;
-		if (strlen(item->key + n) < WP_NAME_BYTES)
-			rp_prefixes[i].apply(r, item->key + n, item);
-		else
-			rp_leave_out(r, item, "replica", "unusable_row",
-			    "its name is too long");
+		rp_prefixes[i].apply(r, item->key + n, item);
 		return;
 	}
 	switch (r->fleet->entries->kind(item->key, &id)) {
--- a/include/coordination/witness.h
+++ b/include/coordination/witness.h
@@ -34,13 +34,16 @@
 /* When nothing is known of the grants of a witness. */
 #define WT_UNKNOWN INT64_MAX
 
+/* Name of a daemon's VM and its end; settings with a longer one are refused. */
+#define WT_VM_BYTES 64
+
 /**
  * struct wt_witness - a daemon that is asked whether an owner may go on
  * @vm: its VM
  * @incarnation: its incarnation; grants of others don't count
  */
 struct wt_witness {
-	char vm[WP_NAME_BYTES];
+	char vm[WT_VM_BYTES];
 	uint64_t incarnation;
 };
 
--- a/include/curranttackd/cell_advice_internal.h
+++ b/include/curranttackd/cell_advice_internal.h
@@ -24,7 +24,7 @@
  * @overdue: only while links are checked: a request there has no answer in time
  */
 struct av_target {
-	char vm[WP_NAME_BYTES];
+	char vm[WT_VM_BYTES];
 	struct peer_link *link;
 	struct aq_load *load;
 	int64_t avoid_until_us;
--- a/include/curranttackd/cell_pool.h
+++ b/include/curranttackd/cell_pool.h
@@ -78,7 +78,7 @@
  */
 struct cp_host {
 	struct cell *cell;
-	char name[WP_NAME_BYTES];
+	const char *name;
 	enum cp_state state;
 	int64_t claim_at_us;
 	uint32_t claim_active_count;
@@ -101,7 +101,7 @@
 	uint64_t noted_revision;
 	int64_t earlier_owner_until_us;
 	int64_t older_owners_until_us;
-	char earlier_owner_vm[WP_NAME_BYTES];
+	char *earlier_owner_vm;
 	uint64_t earlier_owner_incarnation;
 	bool term_dirty;
 	uint32_t term;
--- a/include/curranttackd/cell_pool_internal.h
+++ b/include/curranttackd/cell_pool_internal.h
@@ -33,13 +33,13 @@
 	int64_t sent_us;
 	struct wp_order *order;
 	struct wp_advice_request advice_request;
-	char worker[WP_NAME_BYTES];
+	const char *worker;
 	uint64_t fence;
 	bool overdue;
 };
 
-/** cp_make_key() - key of a pool or job under a prefix; allocated from @ctx */
-const char *cp_make_key(TALLOC_CTX *ctx, const char *prefix, const char *name);
+/** cp_make_key() - key of a job under a prefix; allocated from @ctx */
+const char *cp_make_key(TALLOC_CTX *ctx, const char *prefix, const char *id);
 /** cp_request_create() - context for a call under the current ownership */
 struct cp_request *cp_request_create(struct cp_host *h);
 /** cp_request_is_current() - whether that ownership is still in force */
--- a/include/curranttackd/replica.h
+++ b/include/curranttackd/replica.h
@@ -22,7 +22,9 @@
 #define RP_WORKERS_PREFIX "ct/workers/"
 #define RP_MEMBER_PREFIX "ct/member/"
 #define RP_WAVE_PREFIX "ct/wave/"
-#define RP_KEY_BYTES 200
+/* Longest key of the key space. */
+#define RP_MAX_KEY_BYTES 200
+#define RP_KEY_BYTES (RP_MAX_KEY_BYTES + 1)
 
 /**
  * struct rp_job - a job in the key space
@@ -80,7 +82,7 @@
  * @found_in_load: number of the last load that has read its entry
  */
 struct rp_worker {
-	char id[WP_NAME_BYTES];
+	const char *id;
 	uint64_t revision;
 	struct wp_worker_info info;
 	const char *pool;
@@ -92,6 +94,7 @@
 
 /**
  * struct rp_owner - ownership of a pool
+ * @row: what stands for the pool in keys, see rp_pool_row()
  * @present: the pool has an owner
  * @revision: last change of the owner's key
  * @fence: the owner's fencing token: the revision that created its key
@@ -118,11 +121,11 @@
  * @found_in_load: number of the last load that has read the owner's key
  */
 struct rp_owner {
-	char pool[WP_NAME_BYTES];
+	const char *row;
 	bool present;
 	uint64_t revision;
 	uint64_t fence;
-	char vm[WP_NAME_BYTES];
+	char *vm;
 	uint64_t incarnation;
 	uint64_t lease;
 	uint64_t commit_seq;
@@ -130,7 +133,7 @@
 	bool released;
 	uint64_t term_revision;
 	uint64_t term_fence;
-	char term_vm[WP_NAME_BYTES];
+	char *term_vm;
 	uint64_t term_incarnation;
 	int64_t earlier_owner_until_wall_ms;
 	int64_t earlier_left_ms;
@@ -157,9 +160,9 @@
  * @found_in_load: number of the last load that has read its entry
  */
 struct rp_member {
-	char vm[WP_NAME_BYTES];
-	char domain[WP_NAME_BYTES];
-	char address[WP_NAME_BYTES];
+	char vm[WT_VM_BYTES];
+	char *domain;
+	char *address;
 	uint64_t incarnation;
 	uint32_t cpu_mcpu;
 	bool witness;
@@ -179,7 +182,7 @@
  * @progress: encoded progress as stored, @progress_bytes long, or NULL
  */
 struct rp_wave {
-	char id[WP_NAME_BYTES];
+	const char *id;
 	uint64_t revision;
 	struct mw_wave *wave;
 	uint64_t progress_revision;
@@ -374,6 +377,22 @@
 /** rp_find_job() - find a job whose description is known; NULL otherwise */
 struct rp_job *rp_find_job(struct replica *r, const char *id);
 
+/* What stands for a pool in keys, with its end. */
+#define RP_POOL_ROW_BYTES (RP_KEY_BYTES + 1 - sizeof(RP_WORKERS_PREFIX))
+
+/**
+ * rp_pool_row() - what stands for a pool in keys
+ * @pool: name of the pool, of any length
+ * @row: receives it: the name, or a hash if the keys would be too long with it
+ */
+void rp_pool_row(const char *pool, char row[RP_POOL_ROW_BYTES]);
+
+/** rp_make_pool_key() - key of a pool under a prefix; allocated from @ctx */
+char *rp_make_pool_key(TALLOC_CTX *ctx, const char *prefix, const char *pool);
+
+/** rp_is_hashed_row() - whether it doesn't tell the pool's name */
+bool rp_is_hashed_row(const char *row);
+
 /** rp_get_owner() - ownership of a pool; created if it is not known yet */
 struct rp_owner *rp_get_owner(struct replica *r, const char *pool);
 
--- a/include/protocol/pack.h
+++ b/include/protocol/pack.h
@@ -15,4 +15,12 @@
  */
 uint8_t *pk_pack(TALLOC_CTX *ctx, const ProtobufCMessage *msg, size_t *bytes);
 
+/**
+ * pk_text() - lend a text to a message that is only packed
+ * @text: the text, or NULL
+ *
+ * The generated structs have char * fields, but packing writes to none.
+ */
+char *pk_text(const char *text);
+
 #endif
--- a/include/state/job.h
+++ b/include/state/job.h
@@ -134,13 +134,10 @@
 	JB_CANCELLED,
 };
 
-/* Longest name of a worker, with its end. */
-#define JB_WORKER_BYTES 64
-
 /**
  * struct jb_crash - a run that has crashed its worker, or may have done so
  * @run: the run
- * @worker: name of the worker
+ * @worker: name of the worker; lives as long as what holds the crash
  * @incarnation_ms: incarnation of the worker
  * @ended: that incarnation has ended; before, the worker may only be silent
  * @weight: evidence against the task, one of the WP_CRASH_* weights; 0 when it is
@@ -149,7 +146,7 @@
  */
 struct jb_crash {
 	uint32_t run;
-	char worker[JB_WORKER_BYTES];
+	const char *worker;
 	int64_t incarnation_ms;
 	bool ended;
 	uint32_t weight;
--- a/include/state/maintenance.h
+++ b/include/state/maintenance.h
@@ -37,7 +37,9 @@
 
 /**
  * struct mw_vm - a VM of a wave
- * @pool: pool whose owner took it
+ * @name: its name; all texts live as long as the wave or, after mw_take(), the
+ *	owner's pool
+ * @pool: pool whose owner took it; empty before
  * @fence: that owner's fencing token
  * @worker: worker that ran on it when it was taken; may be empty
  * @incarnation_ms: incarnation of that worker
@@ -51,11 +53,11 @@
  *	is not in the wave
  */
 struct mw_vm {
-	char name[WP_NAME_BYTES];
+	const char *name;
 	enum mw_state state;
-	char pool[WP_NAME_BYTES];
+	const char *pool;
 	uint64_t fence;
-	char worker[WP_NAME_BYTES];
+	const char *worker;
 	int64_t incarnation_ms;
 	bool evacuating;
 	int64_t force_after_us;
@@ -73,6 +75,7 @@
  * @duration_ms: time for the whole wave, from its announcement
  * @deadline_us: when the wave should be done; 0 until known
  * @vm: VMs, @vm_count of them
+ * @texts: talloc parent of the texts of stored progress
  */
 struct mw_wave {
 	uint64_t number;
@@ -81,6 +84,7 @@
 	int64_t deadline_us;
 	struct mw_vm *vm;
 	uint32_t vm_count;
+	TALLOC_CTX *texts;
 };
 
 /**
@@ -125,7 +129,7 @@
 bool mw_may_take(const struct mw_wave *m, const struct mw_vm *vm,
     const struct mw_owner *o, int64_t now_us);
 
-/** mw_take() - mark a VM as taken by an owner */
+/** mw_take() - mark a VM as taken by an owner, with texts of the owner's pool */
 void mw_take(struct mw_vm *vm, const struct mw_owner *o);
 
 /** mw_order_due() - whether to order now that a taken VM goes down */
--- a/include/state/pool.h
+++ b/include/state/pool.h
@@ -4,6 +4,7 @@
 #include <talloc.h>
 #include <uthash.h>
 
+#include "common/text.h"
 #include "state/job.h"
 #include "state/start_window.h"
 
@@ -18,8 +19,6 @@
  * monotonic clock.
  */
 
-#define WP_NAME_BYTES 64
-
 /**
  * struct wp_resources - what a task takes or a worker has
  * @cpu_mcpu: cores, in thousandths
@@ -415,11 +414,12 @@
  * @index: small number, unique in the pool
  * @freed: resources were freed since the last scheduling pass
  * @was_usable: wp_usable() in the last scheduling pass
- * @address: "IP:PORT"
+ * @texts: holds the texts below; replaced as a whole
+ * @address: "IP:PORT"; empty when unknown, as the others
  * @domain: failure domain
  * @kind: first label
  * @rack: rack label
- * @vm: VM that it runs on; empty when unknown
+ * @vm: VM that it runs on
  * @capacity: resources in all
  * @capacity_until_ms: time on its clock after which its capacity may have shrunk
  *	unnoticed; 0 for no limit
@@ -512,15 +512,16 @@
  * @over_step_limit: its last reply listed more runs of a step than may be there
  */
 struct wp_worker {
-	char id[WP_NAME_BYTES];
+	const char *id;
 	uint32_t index;
 	bool freed;
 	bool was_usable;
-	char address[WP_NAME_BYTES];
-	char domain[WP_NAME_BYTES];
-	char kind[WP_NAME_BYTES];
-	char rack[WP_NAME_BYTES];
-	char vm[WP_NAME_BYTES];
+	char *texts;
+	const char *address;
+	const char *domain;
+	const char *kind;
+	const char *rack;
+	const char *vm;
 	struct wp_resources capacity;
 	int64_t capacity_until_ms;
 	int64_t incarnation_ms;
@@ -649,8 +650,8 @@
  */
 struct wp_order {
 	enum wp_order_kind kind;
-	char worker[WP_NAME_BYTES];
-	char address[WP_NAME_BYTES];
+	const char *worker;
+	const char *address;
 	int64_t incarnation_ms;
 	uint64_t fence;
 	struct jb_ref ref;
@@ -931,7 +932,8 @@
  * @why: what its next run waits for
  * @tasks: how many there are
  * @for_us: for how long at most
- * @worker: worker whose lease is waited for, the longest; empty for none
+ * @worker: worker whose lease is waited for, the longest; empty for none; belongs
+ *	to the pool
  * @listed: discovery lists this worker
  * @left_us: until that lease has certainly expired; negative if it has, and the
  *	ownership isn't confirmed
@@ -943,7 +945,7 @@
 	enum wp_without_run_why why;
 	uint32_t tasks;
 	int64_t for_us;
-	char worker[WP_NAME_BYTES];
+	const char *worker;
 	bool listed;
 	int64_t left_us;
 };
@@ -1007,7 +1009,7 @@
  * @why: what keeps it from running
  * @waited_us: how long it has been seen so
  * @not_before_us: earliest next start
- * @worker: worker that it is on; empty for none
+ * @worker: worker that it is on; empty for none; belongs to the pool
  * @waiting: the step's count of waiting tasks
  * @listed: the step is among those that may start
  * @ahead: steps among these that go before it, whose turn comes first
@@ -1027,7 +1029,7 @@
 	enum wp_stuck_why why;
 	int64_t waited_us;
 	int64_t not_before_us;
-	char worker[WP_NAME_BYTES];
+	const char *worker;
 	uint32_t waiting;
 	bool listed;
 	uint32_t ahead;
@@ -1079,7 +1081,7 @@
  */
 struct wp_over_event {
 	enum wp_over_kind kind;
-	char worker[WP_NAME_BYTES];
+	const char *worker;
 	int64_t incarnation_ms;
 	int64_t clock_ms;
 	struct wp_resources capacity;
@@ -1126,7 +1128,7 @@
  */
 struct wp_lease_event {
 	enum wp_lease_kind kind;
-	char worker[WP_NAME_BYTES];
+	const char *worker;
 	int64_t incarnation_ms;
 	int64_t known_incarnation_ms;
 	int64_t earlier_incarnation_ms;
@@ -1204,7 +1206,7 @@
  * @stats: counts for metrics
  */
 struct wp_pool {
-	char name[WP_NAME_BYTES];
+	const char *name;
 	uint32_t term;
 	bool superseded;
 	bool draining;
--- a/include/state/pool_internal.h
+++ b/include/state/pool_internal.h
@@ -148,6 +148,9 @@
 /** wp_step_update_lists() - list a step, or unlist it, as its state requires */
 void wp_step_update_lists(struct wp_pool *p, struct wp_step *s);
 
+/** wp_worker_set_texts() - what a worker's entry says of it, besides its id */
+void wp_worker_set_texts(
+    struct wp_worker *w, const struct wp_worker_info *info);
 /** wp_know_incarnation() - an entry or the registry tells of an incarnation */
 void wp_know_incarnation(struct wp_pool *p, struct wp_worker *w,
     int64_t incarnation_ms, int64_t now_us);
--- a/protocol/job_codec.c
+++ b/protocol/job_codec.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/text.h"
 #include "protocol/curranttack.pb-c.h"
 #include "protocol/job_codec.h"
 #include "protocol/pack.h"
@@ -9,7 +10,7 @@
 static char *
 jc_text(const char *text)
 {
-	return (char *)(uintptr_t)(text != NULL ? text : "");
+	return pk_text(text != NULL ? text : "");
 }
 
 static void
@@ -284,8 +285,7 @@
 		const Currant__TaskCrash *c = from->crashes[i];
 
 		crash[i].run = c->run;
-		snprintf(
-		    crash[i].worker, sizeof(crash[i].worker), "%s", c->worker);
+		crash[i].worker = tx_dup(crash, c->worker);
 		crash[i].incarnation_ms = c->incarnation_ms;
 		crash[i].ended = c->ended;
 		crash[i].weight = c->weight;
--- a/protocol/pack.c
+++ b/protocol/pack.c
@@ -14,3 +14,9 @@
 	protobuf_c_message_pack(msg, value);
 	return value;
 }
+
+char *
+pk_text(const char *text)
+{
+	return (char *)(uintptr_t)text;
+}
--- a/protocol/relay_codec.c
+++ b/protocol/relay_codec.c
@@ -1,19 +1,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "protocol/pack.h"
 #include "protocol/relay_codec.h"
 
-/* The generated structs have char * fields, but nothing writes to them. */
-static char *
-rc_text(const char *text)
-{
-	return (char *)(uintptr_t)text;
-}
-
 static bool
-rc_fits_buffer(const char *text, size_t bytes)
+rc_is_present(const char *text)
 {
-	return text != NULL && text[0] != '\0' && strlen(text) < bytes;
+	return text != NULL && text[0] != '\0';
 }
 
 static bool
@@ -50,9 +44,9 @@
 	currant__relayed_order__init(m);
 	m->id = id;
 	m->kind = (uint32_t)o->kind;
-	m->worker = rc_text(o->worker);
-	m->address = rc_text(o->address);
-	m->job = rc_text(o->ref.job);
+	m->worker = pk_text(o->worker);
+	m->address = pk_text(o->address);
+	m->job = pk_text(o->ref.job);
 	m->has_occurrence = o->ref.occurrence != 0;
 	m->occurrence = o->ref.occurrence;
 	m->has_step = o->ref.step != 0;
@@ -61,7 +55,7 @@
 	m->index = o->ref.index;
 	m->run = o->run;
 	m->fence = fence;
-	m->payload = rc_text(o->payload);
+	m->payload = pk_text(o->payload);
 	m->checkpoint = o->checkpoint;
 	m->ticket = o->ticket;
 	m->has_deadline_clock_ms = o->kind == WP_ORDER_START;
@@ -74,17 +68,16 @@
 rc_unpack_order(const Currant__RelayedOrder *m, struct wp_order *o)
 {
 	memset(o, 0, sizeof(*o));
-	if (m->kind > WP_ORDER_PACE ||
-	    !rc_fits_buffer(m->worker, sizeof(o->worker)) ||
-	    !rc_fits_buffer(m->address, sizeof(o->address)) ||
+	if (m->kind > WP_ORDER_PACE || !rc_is_present(m->worker) ||
+	    !rc_is_present(m->address) ||
 	    !rc_read_ref(&o->ref, m->job, m->occurrence, m->step, m->index))
 		return false;
 	o->kind = (enum wp_order_kind)m->kind;
 	if (o->kind == WP_ORDER_START &&
 	    (m->payload == NULL || !m->has_deadline_clock_ms))
 		return false;
-	memcpy(o->worker, m->worker, strlen(m->worker));
-	memcpy(o->address, m->address, strlen(m->address));
+	o->worker = m->worker;
+	o->address = m->address;
 	o->run = m->run;
 	o->payload = m->payload;
 	o->checkpoint = m->checkpoint;
@@ -100,8 +93,8 @@
 {
 	currant__relayed_hold__init(m);
 	m->id = id;
-	m->worker = rc_text(w->id);
-	m->address = rc_text(w->address);
+	m->worker = pk_text(w->id);
+	m->address = pk_text(w->address);
 	m->fence = fence;
 	m->acked_end = renewal->acked_end;
 	m->has_deadline_clock_ms = renewal->deadline_clock_ms != 0;
@@ -115,11 +108,10 @@
     struct wp_renewal *renewal)
 {
 	memset(w, 0, sizeof(*w));
-	if (!rc_fits_buffer(m->worker, sizeof(w->id)) ||
-	    !rc_fits_buffer(m->address, sizeof(w->address)))
+	if (!rc_is_present(m->worker) || !rc_is_present(m->address))
 		return false;
-	memcpy(w->id, m->worker, strlen(m->worker));
-	memcpy(w->address, m->address, strlen(m->address));
+	w->id = m->worker;
+	w->address = m->address;
 	renewal->acked_end = m->acked_end;
 	renewal->deadline_clock_ms = m->deadline_clock_ms;
 	renewal->wait_ms = m->wait_ms;
@@ -137,7 +129,7 @@
 rc_pack_running(Currant__RunningTask *m, const struct wp_running_task *r)
 {
 	currant__running_task__init(m);
-	m->job = rc_text(r->ref.job);
+	m->job = pk_text(r->ref.job);
 	m->has_occurrence = r->ref.occurrence != 0;
 	m->occurrence = r->ref.occurrence;
 	m->has_step = r->ref.step != 0;
@@ -145,7 +137,7 @@
 	m->has_index = r->ref.index != 0;
 	m->index = r->ref.index;
 	m->run = r->run;
-	m->checkpoint = rc_text(r->checkpoint);
+	m->checkpoint = pk_text(r->checkpoint);
 	m->has_percent = r->percent != 0;
 	m->percent = r->percent;
 	m->has_figure = r->load != 0;
@@ -157,7 +149,7 @@
 {
 	currant__ended_run__init(m);
 	m->number = e->number;
-	m->job = rc_text(e->ref.job);
+	m->job = pk_text(e->ref.job);
 	m->has_occurrence = e->ref.occurrence != 0;
 	m->occurrence = e->ref.occurrence;
 	m->has_step = e->ref.step != 0;
@@ -166,7 +158,7 @@
 	m->index = e->ref.index;
 	m->run = e->run;
 	m->how = (uint32_t)e->outcome;
-	m->checkpoint = rc_text(e->checkpoint);
+	m->checkpoint = pk_text(e->checkpoint);
 }
 
 void
--- a/state/maintenance.c
+++ b/state/maintenance.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <string.h>
 
 #include "common/clock.h"
@@ -188,9 +187,9 @@
 	const struct wp_worker *w = wp_find_worker_on_vm(o->pool, vm->name);
 
 	vm->state = MW_TAKEN;
-	snprintf(vm->pool, sizeof(vm->pool), "%s", o->pool->name);
+	vm->pool = o->pool->name;
 	vm->fence = o->fence;
-	snprintf(vm->worker, sizeof(vm->worker), "%s", w != NULL ? w->id : "");
+	vm->worker = w != NULL ? w->id : "";
 	vm->incarnation_ms = w != NULL ? w->incarnation_ms : 0;
 }
 
--- a/state/pool.c
+++ b/state/pool.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -12,7 +11,7 @@
 
 	if (p == NULL)
 		abort();
-	snprintf(p->name, sizeof(p->name), "%s", name);
+	p->name = tx_dup(p, name);
 	p->term = settings->term;
 	p->earlier_owner_until_us = settings->earlier_owner_until_us;
 	sw_init(&p->starts);
--- a/state/pool_crash.c
+++ b/state/pool_crash.c
@@ -128,6 +128,7 @@
 		abort();
 	e->kind = kind;
 	e->crash = *crash;
+	e->crash.worker = tx_dup(e, crash->worker);
 	e->crashes = wp_certain_crashes(t);
 	wp_task_ref(t, &e->ref);
 	DL_APPEND(p->crash_events, e);
@@ -184,6 +185,7 @@
 {
 	struct jb_crash crash = *stored;
 
+	crash.worker = tx_dup(t->step->occ, stored->worker);
 	crash.made_us = now_us;
 	wp_remember_crash(p, t, &crash);
 }
@@ -205,12 +207,12 @@
 	struct jb_crash *known = wp_find_crash(t, t->run);
 	struct jb_crash crash = {
 	    .run = t->run,
+	    .worker = w->id,
 	    .incarnation_ms = w->incarnation_ms,
 	    .weight = weight,
 	    .made_us = now_us,
 	};
 
-	memcpy(crash.worker, w->id, sizeof(crash.worker));
 	if (known != NULL && known->weight < weight)
 		*known = crash;
 	else if (!wp_remember_crash(p, t, &crash))
@@ -282,7 +284,7 @@
 wp_check_crashes(struct wp_pool *p, struct wp_task *t, int64_t now_us)
 {
 	struct wp_job *job = t->step->occ->job;
-	struct jb_crash last = {.run = t->run};
+	struct jb_crash last = {.run = t->run, .worker = ""};
 
 	if (job->final_state != JB_PENDING || jb_has_ended(job->state) ||
 	    !wp_is_cause(t))
--- a/state/pool_gone.c
+++ b/state/pool_gone.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <string.h>
 #include <utlist.h>
 
@@ -51,10 +50,18 @@
     int64_t incarnation_ms, int64_t now_us)
 {
 	struct wp_worker *w = wp_find_worker(p, id);
+	struct wp_worker_info known;
 
 	if (w == NULL)
 		return;
-	snprintf(w->vm, sizeof(w->vm), "%s", vm);
+	known = (struct wp_worker_info){
+	    .address = w->address,
+	    .domain = w->domain,
+	    .kind = w->kind,
+	    .rack = w->rack,
+	    .vm = vm,
+	};
+	wp_worker_set_texts(w, &known);
 	wp_know_incarnation(p, w, incarnation_ms, now_us);
 	w->registered_incarnation_ms = incarnation_ms;
 }
--- a/state/pool_lease_events.c
+++ b/state/pool_lease_events.c
@@ -90,7 +90,7 @@
 	if (e == NULL)
 		abort();
 	e->kind = kind;
-	memcpy(e->worker, w->id, sizeof(e->worker));
+	e->worker = tx_dup(e, w->id);
 	e->incarnation_ms = w->incarnation_ms;
 	e->known_incarnation_ms = w->known_incarnation_ms;
 	e->clock_ms =
--- a/state/pool_over.c
+++ b/state/pool_over.c
@@ -165,7 +165,7 @@
 	if (e == NULL)
 		abort();
 	e->kind = kind;
-	memcpy(e->worker, w->id, sizeof(e->worker));
+	e->worker = tx_dup(e, w->id);
 	e->incarnation_ms = reply->incarnation_ms;
 	e->clock_ms = reply->clock_ms;
 	e->capacity = w->capacity;
--- a/state/pool_stuck.c
+++ b/state/pool_stuck.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <string.h>
 
 #include "state/pool_internal.h"
@@ -190,8 +189,7 @@
 	row->state = t->state;
 	row->waited_us = now_us - t->seen_since_us;
 	row->not_before_us = t->not_before_us;
-	if (t->worker != NULL)
-		snprintf(row->worker, sizeof(row->worker), "%s", t->worker->id);
+	row->worker = t->worker != NULL ? t->worker->id : "";
 	row->waiting = s->waiting;
 	row->listed = s->prev != NULL;
 	row->ahead = wp_steps_ahead(p, s);
--- a/state/pool_task.c
+++ b/state/pool_task.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -133,8 +132,8 @@
 	if (o == NULL)
 		abort();
 	o->kind = kind;
-	memcpy(o->worker, w->id, sizeof(o->worker));
-	memcpy(o->address, w->address, sizeof(o->address));
+	o->worker = tx_dup(o, w->id);
+	o->address = tx_dup(o, w->address);
 	o->incarnation_ms = w->incarnation_ms;
 	o->fence = w->fence;
 	o->ref = *ref;
--- a/state/pool_without_run.c
+++ b/state/pool_without_run.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 
 #include "state/pool_internal.h"
 
@@ -107,6 +106,7 @@
 	wp_task_ref(t, &row->ref);
 	row->state = t->state;
 	row->run = t->run;
+	row->worker = "";
 	row->why = WP_WITHOUT_RUN_SILENT;
 	if (t->state == WP_TASK_WAITING)
 		row->why = wp_lacks_tickets(p, t->step, now_us)
@@ -119,7 +119,7 @@
 	}
 	if (w == NULL)
 		return;
-	snprintf(row->worker, sizeof(row->worker), "%s", w->id);
+	row->worker = w->id;
 	row->listed = w->listed;
 	row->left_us = wp_lease_expiry_us(w) - now_us;
 }
--- a/state/pool_worker.c
+++ b/state/pool_worker.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -58,14 +57,50 @@
 	p->worker_by_index[w->index] = w;
 }
 
+/* One block holds all of them, as each allocation has a header. */
+void
+wp_worker_set_texts(struct wp_worker *w, const struct wp_worker_info *info)
+{
+	const char **field[] = {
+	    &w->address, &w->domain, &w->kind, &w->rack, &w->vm};
+	const char *text[] = {
+	    info->address, info->domain, info->kind, info->rack, info->vm};
+	size_t count = sizeof(field) / sizeof(field[0]);
+	char *earlier = w->texts;
+	bool changed = earlier == NULL;
+	size_t bytes = 0;
+	char *at;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (text[i] == NULL)
+			text[i] = "";
+		changed = changed || strcmp(*field[i], text[i]) != 0;
+		bytes += strlen(text[i]) + 1;
+	}
+	if (!changed)
+		return;
+	at = talloc_array(w, char, bytes);
+	if (at == NULL)
+		abort();
+	w->texts = at;
+	for (i = 0; i < count; i++) {
+		*field[i] = at;
+		at = stpcpy(at, text[i]) + 1;
+	}
+	talloc_free(earlier);
+}
+
 static struct wp_worker *
 wp_worker_create(struct wp_pool *p, const char *id, int64_t now_us)
 {
+	const struct wp_worker_info no_texts = {0};
 	struct wp_worker *w = talloc_zero(p, struct wp_worker);
 
 	if (w == NULL)
 		abort();
-	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->id = tx_dup(w, id);
+	wp_worker_set_texts(w, &no_texts);
 	wp_worker_assign_index(p, w);
 	w->renew_at_us = now_us;
 	/* After that, no run of an earlier owner can be left on it. */
@@ -84,11 +119,7 @@
 
 	if (w == NULL)
 		w = wp_worker_create(p, info->id, now_us);
-	snprintf(w->address, sizeof(w->address), "%s", info->address);
-	snprintf(w->domain, sizeof(w->domain), "%s", info->domain);
-	snprintf(w->kind, sizeof(w->kind), "%s", info->kind);
-	snprintf(w->rack, sizeof(w->rack), "%s", info->rack);
-	snprintf(w->vm, sizeof(w->vm), "%s", info->vm != NULL ? info->vm : "");
+	wp_worker_set_texts(w, info);
 	if (!wp_resources_fit(&w->capacity, &info->capacity))
 		w->freed = true;
 	w->capacity = info->capacity;
@@ -119,12 +150,13 @@
 wp_add_registered_worker(
     struct wp_pool *p, const char *id, const char *address, int64_t now_us)
 {
+	const struct wp_worker_info known = {.address = address};
 	struct wp_worker *w = wp_find_worker(p, id);
 
 	if (w != NULL)
 		return;
 	w = wp_worker_create(p, id, now_us);
-	snprintf(w->address, sizeof(w->address), "%s", address);
+	wp_worker_set_texts(w, &known);
 	w->registered = true;
 	w->inherited = true;
 	w->close_at_us = now_us + WP_ENTRIES_DELAY_US;
--- a/tests/unit/takeover_calls.cc
+++ b/tests/unit/takeover_calls.cc
@@ -41,6 +41,9 @@
 		    !sent.insert({task, copy.run}).second;
 		auto answered = std::make_shared<bool>(false);
 
+		copy.worker = texts.insert(order->worker).first->c_str();
+		copy.address = texts.insert(order->address).first->c_str();
+		sending.order = copy;
 		talloc_free(order);
 		auto answer = [=](enum wp_order_result result, int64_t clock) {
 			to_owner(number, token, [=](ModelOwner &me) {
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -273,6 +273,8 @@
 	/* What no owner could have prevented; see check_start(). */
 	std::vector<std::string> unavoidable;
 	std::map<std::string, ModelWorker> workers;
+	/* Of orders. */
+	std::set<std::string> texts;
 	std::map<std::string, ModelJob> jobs;
 	ModelFaults faults;
 	uint32_t speculative = 100; /* steps that allow copies, per mille */
--- a/tests/unit/test_pool_schedule.cc
+++ b/tests/unit/test_pool_schedule.cc
@@ -433,11 +433,22 @@
 		return WP_ACCEPTED;
 	}
 
+	/* A copy that outlives the order. */
+	struct wp_order
+	keep_texts(const struct wp_order *from)
+	{
+		struct wp_order o = *from;
+
+		o.worker = texts.insert(from->worker).first->c_str();
+		o.address = texts.insert(from->address).first->c_str();
+		return o;
+	}
+
 	/* Orders and responses take time, and some are lost or late. */
 	void
 	send(const struct wp_order *from)
 	{
-		struct wp_order o = *from;
+		struct wp_order o = keep_texts(from);
 		std::string ticket = from->ticket != NULL ? from->ticket : "";
 		SimWorker &w = workers[o.worker];
 		int64_t sent = now;
@@ -1120,6 +1131,8 @@
 	std::mt19937_64 late_random;
 	std::mt19937_64 hit_random;
 	std::map<std::string, SimWorker> workers;
+	/* Of orders. */
+	std::set<std::string> texts;
 	std::map<std::string, SimJob> jobs;
 	std::multimap<int64_t, std::function<void()>> events;
 	bool storm = false;
--- a/tests/unit/test_text_lengths.cc
+++ b/tests/unit/test_text_lengths.cc
@@ -1,7 +1,11 @@
-#include <algorithm>
+#include <set>
 
 #include "pool_fixture.h"
 
+extern "C" {
+#include "protocol/job_codec.h"
+}
+
 /*
  * Text of others, which no page limits, is carried as it is, however long. Each
  * test is played with lengths on both sides of every limit that a buffer has had.
@@ -68,4 +72,134 @@
 	EXPECT_EQ(orders[0]->ticket, ticket);
 }
 
+/*
+ * Names were kept in arrays of 64 bytes. Where entries with longer ones were left
+ * out, their workers received no tasks; a name that is cut is another one.
+ */
+TEST_P(TextLengths, WorkersThatDifferInTheirLastCharacterAreDistinct)
+{
+	create_pool();
+	add_worker(text('a'));
+	add_worker(text('b'));
+	add(kJob, {{2, 4000}});
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 2U);
+	EXPECT_EQ(std::set<std::string>({orders[0]->worker, orders[1]->worker}),
+	    std::set<std::string>({text('a'), text('b')}));
+	for (uint32_t i = 0; i < 2; i++)
+		EXPECT_EQ(task(kJob, 0, i)->state, WP_TASK_RUNNING);
+}
+
+TEST_P(TextLengths, TaskRunsOnTheRackOfItsData)
+{
+	create_pool();
+	for (char last : {'a', 'b', 'c'}) {
+		const std::string id = {last};
+		const std::string rack = text(last);
+		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
+		    "kind", rack.c_str(), {4000, 1000, 0}, false, 0};
+
+		wp_set_worker(p, &info, now);
+		renew_lease(id);
+		commit();
+	}
+	struct jb_spec *s = spec(kJob, {{1}});
+	s->step[0].rack = talloc_strdup(s, text('b').c_str());
+	wp_add_job(p, s, nullptr, true, 0, now);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->worker, "b");
+}
+
+TEST_P(TextLengths, TaskRunsOnAWorkerWithItsLabel)
+{
+	create_pool();
+	for (char last : {'a', 'b', 'c'}) {
+		const std::string id = {last};
+		const std::string kind = text(last);
+		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
+		    kind.c_str(), "rack", {4000, 1000, 0}, false, 0};
+
+		wp_set_worker(p, &info, now);
+		renew_lease(id);
+		commit();
+	}
+	struct jb_spec *s = spec(kJob, {{1}});
+	s->step[0].label = talloc_strdup(s, text('b').c_str());
+	wp_add_job(p, s, nullptr, true, 0, now);
+	auto orders = run_all();
+	ASSERT_EQ(orders.size(), 1U);
+	EXPECT_STREQ(orders[0]->worker, "b");
+}
+
+TEST_P(TextLengths, WorkerIsFoundByItsVm)
+{
+	create_pool();
+	for (char last : {'a', 'b'}) {
+		const std::string id = {last};
+		const std::string vm = text(last);
+		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
+		    "kind", "rack", {4000, 1000, 0}, false, 0, vm.c_str()};
+
+		wp_set_worker(p, &info, now);
+		renew_lease(id);
+	}
+	for (char last : {'a', 'b'}) {
+		const std::string id = {last};
+		struct wp_worker *w =
+		    wp_find_worker_on_vm(p, text(last).c_str());
+
+		ASSERT_NE(w, nullptr);
+		EXPECT_EQ(w->id, id);
+		EXPECT_EQ(w->vm, text(last));
+	}
+}
+
+/* An entry may change while the earlier texts are in use by orders. */
+TEST_P(TextLengths, OrderKeepsTheAddressThatItWasMadeFor)
+{
+	create_pool();
+	add_worker("w");
+	add(kJob, {{1}});
+	auto orders = tick();
+	ASSERT_EQ(orders.size(), 1U);
+	const std::string rack = text();
+	struct wp_worker_info info = {"w", "127.0.0.1:2", "b", "kind",
+	    rack.c_str(), {4000, 1000, 0}, false, 0};
+	wp_set_worker(p, &info, now);
+	EXPECT_STREQ(orders[0]->address, "127.0.0.1:1");
+	const struct wp_worker *w = wp_find_worker(p, "w");
+	EXPECT_STREQ(w->address, "127.0.0.1:2");
+	EXPECT_STREQ(w->domain, "b");
+	EXPECT_EQ(w->rack, rack);
+	EXPECT_STREQ(w->vm, "");
+}
+
+/* The next owner reads from the stored progress which worker has crashed. */
+TEST_P(TextLengths, StoredCrashNamesItsWorkerWhole)
+{
+	const std::string id = text();
+	struct jb_crash crash = {1, id.c_str(), 7, true, 4, 0};
+	struct jb_task_progress row = {};
+	struct jb_progress progress = {JB_RUNNING, true, &row, 1};
+	size_t bytes;
+
+	row.run = 1;
+	row.crash = &crash;
+	row.crash_count = 1;
+	uint8_t *value = jc_pack_progress(nullptr, &progress, &bytes);
+	struct jb_progress *got = jc_unpack_progress(nullptr, value, bytes);
+	ASSERT_NE(got, nullptr);
+	ASSERT_EQ(got->task[0].crash_count, 1U);
+	EXPECT_EQ(got->task[0].crash[0].worker, id);
+
+	create_pool();
+	struct wp_job *job = add(kJob, {{1}}, got, false);
+	talloc_free(got);
+	talloc_free(value);
+	ASSERT_NE(job, nullptr);
+	ASSERT_EQ(task(kJob, 0, 0)->crash_count, 1U);
+	EXPECT_EQ(task(kJob, 0, 0)->crash[0].worker, id);
+}
+
 } // namespace
--- a/transport/address.c
+++ b/transport/address.c
@@ -7,6 +7,7 @@
 
 #include "transport/address.h"
 
+#define AD_PORT_DIGITS 5
 #define AD_MAX_PORT 65535
 
 static bool
@@ -15,7 +16,7 @@
 	unsigned long value;
 	char *end;
 
-	if (!isdigit((unsigned char)text[0]))
+	if (!isdigit((unsigned char)text[0]) || strlen(text) > AD_PORT_DIGITS)
 		return false;
 	errno = 0;
 	value = strtoul(text, &end, 10);
