relay, advice: what exceeds a frame reaches its worker all the same

Where an owner relays calls, an order with a ticket of 2 MB, a batch of orders with 30 KB each, a reply of a worker that lists 500 ends with checkpoints of 8 KB, and an answer of 100 approvals with tickets of 30 KB made a frame of over FR_MAX_PAYLOAD_BYTES. peer_send() refuses it, nobody was told, and the call was made again after its deadline, without end: jobs stay pending (LOST), and the worker counts as unreachable.

Change: an owner's batch of orders takes half a frame at most, and an order that is larger goes to its worker directly. An answer of advice leaves out approvals that don't fit: the step asks for others later.

--- a/curranttackd/cell_advice_forward.c
+++ b/curranttackd/cell_advice_forward.c
@@ -1,7 +1,9 @@
 #include <utlist.h>
 
 #include "common/clock.h"
+#include "common/log.h"
 #include "curranttackd/cell_advice_internal.h"
+#include "protocol/frame.h"
 #include "protocol/pack.h"
 #include "state/advice_queue.h"
 
@@ -31,6 +33,22 @@
 		req->deadline_us = now_us;
 }
 
+/* Approvals that a frame has no room for are left out: others will do. */
+static void
+av_shorten_to_fit(const Currant__Frame *frame, Currant__AdviceAnswer *answer)
+{
+	size_t approved = answer->n_good;
+
+	while (answer->n_good > 0 && !fr_fits(frame))
+		answer->n_good /= 2;
+	if (answer->n_good == approved)
+		return;
+	answer->ok = answer->n_good > 0;
+	lg_event(LG_WARN, "advice", "answer_too_large", "approved",
+	    lg_i64((int64_t)approved), "passed_on",
+	    lg_i64((int64_t)answer->n_good), NULL);
+}
+
 void
 av_respond_to_peer(struct av_request *req, bool ok,
     const struct wp_approval *approved, uint32_t count)
@@ -55,5 +73,6 @@
 	answer.good = rows;
 	answer.n_good = count;
 	frame.advice_answer = &answer;
+	av_shorten_to_fit(&frame, &answer);
 	peer_send(link, &frame);
 }
--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -6,10 +6,16 @@
 #include "coordination/relays.h"
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_relay.h"
+#include "protocol/frame.h"
 #include "protocol/relay_codec.h"
 
 /* Calls of each kind in one frame. */
 #define RL_MAX_BATCH 64
+/*
+ * Orders in one frame, and the largest that is relayed at all: the rest of a frame
+ * is room for renewals.
+ */
+#define RL_MAX_ORDERS_BYTES (FR_MAX_PAYLOAD_BYTES / 2)
 /* Timeouts of relayed calls; a relay itself gives the worker less time. */
 #define RL_ORDER_TIMEOUT_US (450 * CLK_US_PER_MS)
 #define RL_RENEWAL_SLACK_US (600 * CLK_US_PER_MS)
@@ -28,6 +34,7 @@
 	Currant__RelayedOrder order[RL_MAX_BATCH];
 	Currant__RelayedOrder *orders[RL_MAX_BATCH];
 	uint32_t order_count;
+	size_t orders_bytes;
 	Currant__RelayedHold renewal[RL_MAX_BATCH];
 	Currant__RelayedHold *renewals[RL_MAX_BATCH];
 	uint32_t renewal_count;
@@ -168,6 +175,7 @@
 	if (link != NULL)
 		peer_send(link, &frame);
 	r->order_count = 0;
+	r->orders_bytes = 0;
 	r->renewal_count = 0;
 }
 
@@ -202,19 +210,25 @@
 {
 	const struct fl_fleet *f = d->c->fleet;
 	struct rl_relay *r = relayed ? rl_choose_relay(d, w) : NULL;
+	Currant__RelayedOrder row;
 	struct rl_call *call;
+	size_t bytes;
 
-	if (r == NULL) {
+	rc_pack_order(&row, d->next_id + 1, o, fence);
+	bytes = currant__relayed_order__get_packed_size(&row);
+	if (r == NULL || bytes > RL_MAX_ORDERS_BYTES) {
 		f->workers->order(f->handle, o, fence, done, arg);
 		return;
 	}
-	if (r->order_count == RL_MAX_BATCH)
+	if (r->order_count == RL_MAX_BATCH ||
+	    r->orders_bytes + bytes > RL_MAX_ORDERS_BYTES)
 		rl_send_batch(d, r);
 	call = rl_call_create(d, r, RL_ORDER_TIMEOUT_US);
 	call->order_done = done;
 	call->arg = arg;
-	rc_pack_order(&r->order[r->order_count], call->id, o, fence);
+	r->order[r->order_count] = row;
 	r->orders[r->order_count] = &r->order[r->order_count];
+	r->orders_bytes += bytes;
 	r->order_count++;
 }
 
@@ -296,6 +310,7 @@
 
 	r->avoid_until_us = clk_now_us() + RL_AVOID_US;
 	r->order_count = 0;
+	r->orders_bytes = 0;
 	r->renewal_count = 0;
 	d->table_refresh_at_us = 0;
 	HASH_ITER(hh, d->calls, call, tmp) {
@@ -340,6 +355,10 @@
 		call->renewal_done(result, NULL, call->arg);
 		return;
 	}
+	if (row->result == RC_REPLY_TOO_LARGE) {
+		rl_call_failed(d, call);
+		return;
+	}
 	HASH_DEL(d->calls, call);
 	if (result == WP_ACCEPTED &&
 	    !rc_unpack_renewal_reply(call, row, &reply)) {
--- a/curranttackd/cell_relay_serve.c
+++ b/curranttackd/cell_relay_serve.c
@@ -5,6 +5,7 @@
 #include "common/log.h"
 #include "coordination/relays.h"
 #include "curranttackd/cell_relay.h"
+#include "protocol/frame.h"
 #include "protocol/relay_codec.h"
 
 /* The sender of a call that was under way for so long has given it up. */
@@ -131,6 +132,14 @@
 		rc_pack_renewal_reply(call, &row, reply);
 	frame.hold_results = &rows;
 	frame.n_hold_results = 1;
+	if (!fr_fits(&frame)) {
+		lg_event(LG_WARN, "relay", "reply_too_large", "owner",
+		    call->owner, "running", lg_i64(reply->running_count),
+		    "ends", lg_i64(reply->end_count), NULL);
+		currant__relayed_hold_result__init(&row);
+		row.id = call->id;
+		row.result = RC_REPLY_TOO_LARGE;
+	}
 	rl_respond(call, &frame);
 	if (result != WP_OVERDUE)
 		talloc_free(call);
--- a/include/protocol/frame.h
+++ b/include/protocol/frame.h
@@ -38,6 +38,9 @@
  */
 uint8_t *fr_pack(const Currant__Frame *frame, size_t *bytes);
 
+/** fr_fits() - whether a frame is small enough to be sent */
+bool fr_fits(const Currant__Frame *frame);
+
 /**
  * fr_unpack() - decode the first frame of a buffer
  * @buf: received bytes
--- a/include/protocol/relay_codec.h
+++ b/include/protocol/relay_codec.h
@@ -11,6 +11,12 @@
  * checks names and numbers, since the other daemon may run another version.
  */
 
+/*
+ * Result of a renewal whose reply exceeds a frame. Its sender calls the worker
+ * directly; one that doesn't know it takes the renewal as unanswered.
+ */
+#define RC_REPLY_TOO_LARGE 100
+
 /** rc_pack_order() - fill in an order's message; its result has the same @id */
 void rc_pack_order(Currant__RelayedOrder *m, uint64_t id,
     const struct wp_order *o, uint64_t fence);
--- a/protocol/frame.c
+++ b/protocol/frame.c
@@ -7,6 +7,12 @@
 #define FR_MAGIC_0 'C'
 #define FR_MAGIC_1 'T'
 
+bool
+fr_fits(const Currant__Frame *frame)
+{
+	return currant__frame__get_packed_size(frame) <= FR_MAX_PAYLOAD_BYTES;
+}
+
 uint8_t *
 fr_pack(const Currant__Frame *frame, size_t *bytes)
 {
