log: a long value leaves room for the pairs after it

A line has 2 KB. A name of thousands of characters took all of it, so that the pairs after it, often the reason, were lost; nothing told that it was cut.

Change: a value of over 640 bytes is cut between two characters and marked with its length. Log.PairsAfterLongValuesAreWritten and LongValuesAreCutBetween- Characters fail without it and pass with it.

--- a/common/log.c
+++ b/common/log.c
@@ -12,6 +12,9 @@
 #include "common/log.h"
 
 #define LG_LINE_BYTES 2048
+/* Longer values are cut, so that a line has room for those after them. */
+#define LG_VALUE_BYTES 640
+#define LG_CUT_MARK_BYTES 32
 #define LG_NAME_BYTES 64
 #define LG_CATEGORY "curranttack"
 /* Rate limit of info and debug lines on standard output (token bucket). */
@@ -147,15 +150,30 @@
 	return 0;
 }
 
+/* How much of a value is written: no more than that, and whole characters. */
+static size_t
+lg_written_bytes(const char *value, size_t bytes)
+{
+	size_t n = LG_VALUE_BYTES;
+
+	if (bytes <= n)
+		return bytes;
+	while (n > 0 && ((unsigned char)value[n] & 0xc0) == 0x80)
+		n--;
+	return n;
+}
+
 static size_t
 lg_append_escaped(char *line, size_t at, const char *value)
 {
 	const char *p;
+	size_t bytes = strlen(value);
+	const char *end = value + lg_written_bytes(value, bytes);
 	bool quote = *value == '\0' || strpbrk(value, " \"=\\\n\r\t") != NULL;
 
 	if (quote && at < LG_LINE_BYTES - 1)
 		line[at++] = '"';
-	for (p = value; *p != '\0' && at < LG_LINE_BYTES - 4; p++) {
+	for (p = value; p < end && at < LG_LINE_BYTES - 4; p++) {
 		if (*p == '"' || *p == '\\') {
 			line[at++] = '\\';
 			line[at++] = *p;
@@ -168,6 +186,9 @@
 			line[at++] = *p;
 		}
 	}
+	if (end < value + bytes && at < LG_LINE_BYTES - LG_CUT_MARK_BYTES)
+		at += (size_t)snprintf(
+		    line + at, LG_CUT_MARK_BYTES, "...(%zu_bytes)", bytes);
 	if (quote && at < LG_LINE_BYTES - 1)
 		line[at++] = '"';
 	line[at] = '\0';
--- a/tests/unit/test_log.cc
+++ b/tests/unit/test_log.cc
@@ -50,7 +50,7 @@
 	for (int i = 0; i < 2000; i++)
 		lg_event(LG_ERROR, "test", "line", "text", text.c_str(), NULL);
 	EXPECT_LT(clk_now_us() - start_us, 2 * CLK_US_PER_S);
-	/* A pipe holds 64 kB, far less than the 2 MB that were logged. */
+	/* A pipe holds 64 kB, far less than was logged. */
 	EXPECT_GT(lg_dropped() - before, 1000U);
 }
 
@@ -76,4 +76,36 @@
 	    << line;
 }
 
+/* Texts of others have any length; the pairs after them were lost. */
+TEST_F(Log, PairsAfterLongValuesAreWritten)
+{
+	for (size_t bytes : {1, 63, 64, 200, 640, 641, 4000, 70000}) {
+		const std::string text(bytes, 'x');
+		char line[4096] = "";
+
+		lg_event(LG_WARN, "test", "seen", "worker", text.c_str(),
+		    "rack", text.c_str(), "n", lg_i64(7), NULL);
+		ASSERT_GT(read(pipe_fds[0], line, sizeof(line) - 1), 0);
+		EXPECT_NE(std::string(line).find(" n=7\n"), std::string::npos)
+		    << line;
+		EXPECT_EQ(std::string(line).find("(" + std::to_string(bytes) +
+			      "_bytes)") != std::string::npos,
+		    bytes > 640)
+		    << line;
+	}
+}
+
+TEST_F(Log, LongValuesAreCutBetweenCharacters)
+{
+	std::string text(639, 'x');
+	char line[4096] = "";
+
+	text += "\xc3\xa9\xc3\xa9";
+	lg_event(LG_WARN, "test", "seen", "worker", text.c_str(), NULL);
+	ASSERT_GT(read(pipe_fds[0], line, sizeof(line) - 1), 0);
+	EXPECT_NE(
+	    std::string(line).find("x...(643_bytes)\n"), std::string::npos)
+	    << line;
+}
+
 } // namespace
