settings: names of the VM and its domain are of any length

A daemon of the cell whose settings had one of over 63 characters, or other characters than letters, digits, '.', '_' and '-', didn't start; the error named the field.

Change: a domain is any text that isn't empty, as the domain of a worker, which it is compared with. A VM's name stays as it is if it was valid before; else a hash stands for it, as it is part of keys and other daemons keep it in arrays.

--- a/curranttackd/cell_settings.c
+++ b/curranttackd/cell_settings.c
@@ -1,4 +1,6 @@
+#include <inttypes.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "common/clock.h"
 #include "common/toml.h"
@@ -31,11 +33,36 @@
 	return text != NULL ? talloc_strdup(s, text) : NULL;
 }
 
+static const char *
+cs_read_text(struct jf_reader *r, const char *field)
+{
+	const char *text = jf_string(r, field, true);
+
+	if (text != NULL && text[0] == '\0')
+		jf_fail(r, field, "must not be empty");
+	return text;
+}
+
+/*
+ * The name is part of keys, and daemons keep names of others in arrays: a hash
+ * stands for one that doesn't fit there.
+ */
+static char *
+cs_read_vm_name(struct jf_reader *r, struct cell_settings *s)
+{
+	const char *name = cs_read_text(r, "id");
+
+	if (name == NULL || jf_is_name(name))
+		return cs_text(s, name);
+	return talloc_asprintf(
+	    s, "vm-%016" PRIx64, XXH3_64bits(name, strlen(name)));
+}
+
 static void
 cs_read_vm(struct jf_reader *r, struct cell_settings *s)
 {
-	s->vm = cs_text(s, jf_name(r, "id", true));
-	s->domain = cs_text(s, jf_name(r, "domain", true));
+	s->vm = cs_read_vm_name(r, s);
+	s->domain = cs_text(s, cs_read_text(r, "domain"));
 	s->cpu_mcpu = CS_DEFAULT_CPU_MCPU;
 	if (json_object_get(r->object, "cores") != NULL)
 		s->cpu_mcpu = (uint32_t)jf_cpu_mcpu(r, "cores");
--- a/include/protocol/json_fields.h
+++ b/include/protocol/json_fields.h
@@ -65,6 +65,8 @@
 
 /** jf_string() - read a string; NULL when absent or invalid */
 const char *jf_string(struct jf_reader *r, const char *field, bool required);
+/** jf_is_name() - whether a text has 1 to 63 letters, digits, '.', '_' or '-' */
+bool jf_is_name(const char *text);
 /** jf_name() - like jf_string(); 1 to 63 letters, digits, '.', '_' or '-' */
 const char *jf_name(struct jf_reader *r, const char *field, bool required);
 /**
--- a/tests/unit/test_cell_settings.cc
+++ b/tests/unit/test_cell_settings.cc
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <cstring>
 #include <fstream>
+#include <set>
 #include <string>
 #include <unistd.h>
 
@@ -74,4 +76,62 @@
 	}
 }
 
+std::string
+with_vm(const std::string &id, const std::string &domain)
+{
+	std::string text = with("");
+
+	text.replace(text.find("\"v\""), 3, "\"" + id + "\"");
+	return text.replace(text.find("\"d\""), 3, "\"" + domain + "\"");
+}
+
+/*
+ * The platform names machines and zones, and no page limits the names: a daemon
+ * whose settings had longer ones than 63 characters didn't start.
+ */
+TEST(CellSettings, VmAndDomainHaveNamesOfAnyLength)
+{
+	std::set<std::string> vms;
+	std::string why;
+
+	for (size_t length : {1, 63, 64, 127, 128, 200, 4000, 70000}) {
+		for (char last : {'a', 'b'}) {
+			const std::string name =
+			    std::string(length - 1, 'x') + last;
+			struct cell_settings *s =
+			    load(with_vm(name, name), &why);
+
+			ASSERT_NE(s, nullptr) << why;
+			EXPECT_EQ(s->domain, name);
+			EXPECT_EQ(s->vm == name, length <= 63) << s->vm;
+			EXPECT_LE(strlen(s->vm), 63U);
+			vms.insert(s->vm);
+			talloc_free(s);
+		}
+	}
+	EXPECT_EQ(vms.size(), 16U);
+}
+
+TEST(CellSettings, VmAndDomainMayHaveAnyCharacters)
+{
+	std::string why;
+	struct cell_settings *s =
+	    load(with_vm("edge a/1", "z\u00f6ne \\\"a\\\""), &why);
+
+	ASSERT_NE(s, nullptr) << why;
+	EXPECT_STREQ(s->domain, "z\u00f6ne \"a\"");
+	EXPECT_EQ(std::string(s->vm).find_first_of(" /"), std::string::npos);
+	talloc_free(s);
+}
+
+TEST(CellSettings, EmptyNamesAreRefusedByField)
+{
+	std::string why;
+
+	EXPECT_EQ(load(with_vm("", "d"), &why), nullptr);
+	EXPECT_NE(why.find("vm.id"), std::string::npos) << why;
+	EXPECT_EQ(load(with_vm("v", ""), &why), nullptr);
+	EXPECT_NE(why.find("vm.domain"), std::string::npos) << why;
+}
+
 } // namespace
