soak: texts of others are as long as the seed says

All seeds played ids, labels and services of a few characters, so no soak could find a text that is cut. Seeds draw 0, 63, 64, 200 or 4,000 characters as the least length (by seed, so that what else they draw stays). The stand-in's faults name a worker without what lengthens its id.

--- a/tests/soak/seeded_cell.h
+++ b/tests/soak/seeded_cell.h
@@ -14,6 +14,7 @@
 	void
 	SetUp() override
 	{
+		text_bytes = text_bytes_of(GetParam());
 		Cell::SetUp();
 		random.seed((unsigned)GetParam());
 		http("POST",
--- a/tests/soak/seeds.h
+++ b/tests/soak/seeds.h
@@ -13,6 +13,15 @@
 	return text != nullptr ? atoi(text) : fallback;
 }
 
+/* Least length of ids, labels and tickets: no page limits them. */
+inline size_t
+text_bytes_of(int seed)
+{
+	const size_t lengths[] = {0, 63, 64, 200, 4000};
+
+	return lengths[seed % 5];
+}
+
 /* SOAK_SEEDS="FIRST-LAST", or the list. */
 inline std::vector<int>
 seeds_or(std::vector<int> list)
--- a/tests/soak/test_soak.cc
+++ b/tests/soak/test_soak.cc
@@ -238,7 +238,8 @@
 		    std::make_unique<Process>("tests/standins/standin-platform",
 			std::vector<std::string>{std::to_string(kWorkers),
 			    std::to_string(1000 * kCores),
-			    std::to_string(has_doors ? daemon_count() : 0)},
+			    std::to_string(has_doors ? daemon_count() : 0),
+			    std::to_string(text_bytes_of(GetParam()))},
 			dir + "/platform.log");
 		control = "http://" + platform->addresses[2];
 		for (int i = 0; i < daemon_count(); i++)
@@ -297,13 +298,18 @@
 	void
 	configure()
 	{
+		std::string service = "batch";
+
+		service.resize(
+		    std::max(service.size(), text_bytes_of(GetParam())), 'x');
 		http("POST", control + "/_config",
 		    "{\"version\":" + std::to_string(++version) +
 			",\"routes\":[{\"name\":\"q\",\"host\":\"" + kHost +
-			"\",\"prefix\":\"/q/\",\"service\":\"batch\","
-			"\"max_attempts\":3,\"stretch_factor\":4.0,"
+			"\",\"prefix\":\"/q/\",\"service\":\"" + service +
+			"\",\"max_attempts\":3,\"stretch_factor\":4.0,"
 			"\"target_latency_ms\":1000}],"
-			"\"services\":[{\"name\":\"batch\"}],\"limits\":{}}");
+			"\"services\":[{\"name\":\"" +
+			service + "\"}],\"limits\":{}}");
 	}
 
 	void
--- a/tests/soak/test_soak_severed.cc
+++ b/tests/soak/test_soak_severed.cc
@@ -79,7 +79,8 @@
 		configure(++version,
 		    std::string(",{\"name\":\"a\",\"host\":\"") + kHost +
 			"\",\"prefix\":\"" + kAdvisedPrefix +
-			"\",\"service\":\"batch\",\"max_attempts\":2,"
+			"\",\"service\":\"" + service() +
+			"\",\"max_attempts\":2,"
 			"\"stretch_factor\":4.0,\"target_latency_ms\":"
 			"1000,\"advice\":{\"decide_ms\":" +
 			std::to_string(kAdviceMs) +
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -210,6 +210,7 @@
 };
 
 struct worker {
+	char name[NAME_BYTES]; /* its id, but for what lengthens it */
 	char id[ID_BYTES];
 	char *vm;
 	char address[64];
@@ -1273,7 +1274,7 @@
 static void
 send_lists(struct worker *w, struct hs_request *req, uint64_t acked)
 {
-	const struct fault *f = find_fault(w->id, "hold", "", true);
+	const struct fault *f = find_fault(w->name, "hold", "", true);
 	json_t *lists = lists_of(w, acked);
 	struct slow_lists *slow;
 
@@ -1419,7 +1420,7 @@
 {
 	struct worker *w = arg;
 	const char *expected = hs_header(req, "X-Curranttack-Expect-Instance");
-	struct fault *f = fault_of(w->id, req);
+	struct fault *f = fault_of(w->name, req);
 	json_t *body;
 
 	if (w->off && w->retry_us != 0 && req->body_bytes > 0)
@@ -1828,10 +1829,11 @@
 }
 
 static void
-name_worker(struct worker *w, const char *id)
+name_worker(struct worker *w, const char *name)
 {
-	char *longer = lengthen(id);
+	char *longer = lengthen(name);
 
+	snprintf(w->name, sizeof(w->name), "%s", name);
 	snprintf(w->id, sizeof(w->id), "%s", longer);
 	free(longer);
 }
