--- a/curranttackd/cell_relay.c
+++ b/curranttackd/cell_relay.c
@@ -212,10 +212,12 @@
 	struct rl_relay *r = relayed ? rl_choose_relay(d, w) : NULL;
 	Currant__RelayedOrder row;
 	struct rl_call *call;
-	size_t bytes;
+	size_t bytes = 0;
 
-	rc_pack_order(&row, d->next_id + 1, o, fence);
-	bytes = currant__relayed_order__get_packed_size(&row);
+	if (r != NULL) {
+		rc_pack_order(&row, d->next_id + 1, o, fence);
+		bytes = currant__relayed_order__get_packed_size(&row);
+	}
 	if (r == NULL || bytes > RL_MAX_ORDERS_BYTES) {
 		f->workers->order(f->handle, o, fence, done, arg);
 		return;
