--- a/tests/unit/takeover_model.cc
+++ b/tests/unit/takeover_model.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-TakeoverModel::TakeoverModel(uint64_t seed) : rng(seed), clocks(seed)
+TakeoverModel::TakeoverModel(uint64_t seed)
+    : rng(seed), clocks(seed), id_length(seed % 5)
 {
 }
 
--- a/tests/unit/takeover_model.h
+++ b/tests/unit/takeover_model.h
@@ -236,6 +236,7 @@
 	~TakeoverModel();
 
 	void add_worker();
+	std::string next_worker_id();
 	/* Owners have witnesses from now on. */
 	void use_witnesses(uint64_t seed);
 	void break_witnesses();
@@ -457,6 +458,7 @@
 	int64_t registry_stored_us = 0;
 	int64_t claim_at_us = 0;
 	int next_worker = 0;
+	size_t id_length;
 	int next_job = 1;
 };
 
--- a/tests/unit/takeover_workers.cc
+++ b/tests/unit/takeover_workers.cc
@@ -11,12 +11,22 @@
 
 } // namespace
 
+/* No page limits ids; the sign keeps them in the order of their numbers. */
+std::string
+TakeoverModel::next_worker_id()
+{
+	const size_t lengths[] = {0, 60, 61, 62, 200};
+
+	return "w" + std::to_string(next_worker++) + "-" +
+	    std::string(lengths[id_length], 'x');
+}
+
 void
 TakeoverModel::add_worker()
 {
 	ModelWorker w;
 
-	w.id = "w" + std::to_string(next_worker++);
+	w.id = next_worker_id();
 	w.vm = "vm-" + w.id;
 	w.born_us = now - (int64_t)random(1000) * kS;
 	w.clock_began_ms = clocks.first_ms();
@@ -202,7 +212,7 @@
 {
 	ModelWorker w;
 
-	w.id = "w" + std::to_string(next_worker++);
+	w.id = next_worker_id();
 	w.vm = last.vm;
 	w.born_us = now;
 	w.clock_began_ms = clocks.first_ms();
--- a/tests/unit/test_pool_schedule.cc
+++ b/tests/unit/test_pool_schedule.cc
@@ -120,7 +120,7 @@
 		for (int i = 0; i < kWorkers; i++) {
 			SimWorker w;
 
-			w.id = "w-" + std::to_string(i);
+			w.id = worker_id(i);
 			w.born = now - kS * (i + 1);
 			w.clock_began_ms = clocks.first_ms();
 			w.beat_at = now + kBeat * i / kWorkers;
@@ -129,6 +129,21 @@
 		}
 	}
 
+	/* No page limits ids, nor tickets. */
+	static std::string
+	lengthened(const std::string &text)
+	{
+		const size_t lengths[] = {0, 62, 63, 126, 127, 400};
+
+		return std::string(lengths[GetParam() % 6], 'x') + text;
+	}
+
+	static std::string
+	worker_id(int i)
+	{
+		return lengthened("w-" + std::to_string(i));
+	}
+
 	int64_t
 	below(int64_t n)
 	{
@@ -394,7 +409,7 @@
 			return WP_REFUSED_STALE_RUN;
 		}
 		if (jobs[o.ref.job].job->spec->policy.advice_valid_ms > 0 &&
-		    ticket != std::to_string(w.born))
+		    ticket != lengthened(std::to_string(w.born)))
 			return WP_REFUSED_TICKET;
 		begin_run(w, task, o, sent);
 		return WP_ACCEPTED;
@@ -708,7 +723,8 @@
 
 		for (size_t i = 0; i < names.size(); i++) {
 			request.worker[i] = names[i].c_str();
-			tickets[i] = std::to_string(workers[names[i]].born);
+			tickets[i] =
+			    lengthened(std::to_string(workers[names[i]].born));
 			if (is_approved(request.job, names[i]))
 				rows.push_back(
 				    {names[i].c_str(), tickets[i].c_str()});
@@ -804,7 +820,7 @@
 	void
 	play_faults()
 	{
-		SimWorker &w = workers["w-" + std::to_string(below(kWorkers))];
+		SimWorker &w = workers[worker_id((int)below(kWorkers))];
 
 		if (!storm || below(6) > 0)
 			return;
