pool: a job's progress fits into a value of the store

The store answered the commit with 400, and the owner repeated it unchanged.

Cause: jc_pack_progress() writes the checkpoints of all tasks into one value, those of done tasks included; nothing bounded its size.

Change: a task that is done has no checkpoint any more. Progress that would exceed the store's values loses checkpoints until it fits, first of tasks whose reachable workers list them as well: a next owner learns those from the workers. Without the numbers of its tasks, 4,096 at most, no progress is near the limit. A commit is closed once it has a megabyte. A job that is larger than a value is refused, with 400.

Price: tasks whose checkpoint was left out begin anew if owner and worker end together.

--- a/curranttackd/cell_calls_submit.c
+++ b/curranttackd/cell_calls_submit.c
@@ -197,6 +197,13 @@
 	}
 	s = cc_submission_create(f, req, queue, id, spec);
 	talloc_free(spec);
+	if (s->value_bytes > f->c->settings->max_value_bytes) {
+		cc_log_unwritten("submit", id, 400, "larger than a value");
+		cc_respond_error(f, req, 400,
+		    "body: the job is larger than a value of the store");
+		talloc_free(s);
+		return;
+	}
 	at_begin(f->attempts, id);
 	cc_send_submission(&s->w);
 }
--- a/curranttackd/cell_commit.c
+++ b/curranttackd/cell_commit.c
@@ -11,12 +11,15 @@
 
 #define CP_COMMIT_PAUSE_US (60 * CLK_US_PER_MS)
 #define CP_COMMIT_RETRY_US (150 * CLK_US_PER_MS)
+/* More jobs are left to the next commit once this one is so large. */
+#define CP_COMMIT_BYTES ((size_t)1 << 20)
 
 /* A commit in flight; repeated unchanged until its outcome is known. */
 struct cp_commit {
 	struct ks_expect expect;
 	struct ks_put put[KS_MAX_PUTS];
 	size_t put_count;
+	size_t put_bytes;
 	int64_t created_us;
 	char ended[KS_MAX_PUTS][JB_ID_BYTES];
 	size_t ended_count;
@@ -199,6 +202,7 @@
 	    .value_bytes = bytes,
 	    .lease = lease,
 	};
+	cm->put_bytes += bytes;
 }
 
 static void
@@ -319,6 +323,20 @@
 	    cm, rp_make_pool_key(cm, RP_TERM_PREFIX, h->name), value, bytes, 0);
 }
 
+/* The store refuses a larger value, and with it the whole commit. */
+static void
+cp_fit_checkpoints(const struct cp_host *h, const struct wp_job *job,
+    struct jb_progress *progress)
+{
+	uint32_t left_out =
+	    jb_fit_checkpoints(progress, h->cell->settings->max_value_bytes);
+
+	if (left_out > 0)
+		lg_event(LG_INFO, "pool", "checkpoints_left_out", "pool",
+		    h->name, "job", job->spec->id, "left_out", lg_i64(left_out),
+		    "tasks", lg_i64(progress->task_count), NULL);
+}
+
 static void
 cp_commit_fill(struct cp_host *h, struct cp_commit *cm)
 {
@@ -329,13 +347,14 @@
 
 	cp_commit_term(h, cm);
 	cp_commit_registry(h, cm);
-	while (cm->put_count < KS_MAX_PUTS) {
+	while (cm->put_count < KS_MAX_PUTS && cm->put_bytes < CP_COMMIT_BYTES) {
 		job = wp_next_dirty(h->pool, cm, cm->created_us, &progress);
 		if (job == NULL)
 			break;
 		if (jb_has_ended(progress.state))
 			memcpy(cm->ended[cm->ended_count++], job->spec->id,
 			    JB_ID_BYTES);
+		cp_fit_checkpoints(h, job, &progress);
 		value = jc_pack_progress(cm, &progress, &bytes);
 		cp_commit_add(cm,
 		    cp_make_key(cm, RP_PROGRESS_PREFIX, job->spec->id), value,
--- a/curranttackd/cell_settings.c
+++ b/curranttackd/cell_settings.c
@@ -22,6 +22,9 @@
 /* Daemons that can all be told of each job's end without overload. */
 #define CS_DEFAULT_SMALL_CELL 16
 #define CS_MAX_DAEMONS 10000
+#define CS_DEFAULT_VALUE_BYTES (1 << 20)
+/* A job's record has to fit, without its checkpoints. */
+#define CS_MIN_VALUE_BYTES (64 << 10)
 #define CS_HOUR_US (3600 * CLK_US_PER_S)
 
 /* typedef cs_section_fn - reads one table of the file */
@@ -115,6 +118,8 @@
 	    r, "relay_above", cs_default_relay_above(s), 0, CS_MAX_WORKERS);
 	s->small_cell_daemons = (uint32_t)jf_integer(
 	    r, "small_cell", CS_DEFAULT_SMALL_CELL, 0, CS_MAX_DAEMONS);
+	s->max_value_bytes = (uint32_t)jf_integer(r, "max_value_bytes",
+	    CS_DEFAULT_VALUE_BYTES, CS_MIN_VALUE_BYTES, INT32_MAX);
 	s->max_connections =
 	    (uint32_t)jf_integer(r, "connections", 1000, 1, CS_MAX_CONNECTIONS);
 }
--- a/include/curranttackd/cell_settings.h
+++ b/include/curranttackd/cell_settings.h
@@ -34,6 +34,7 @@
  *	each job's end; in larger ones they ask the pool's owner when a caller
  *	queries the job
  * @max_connections: limit of open connections from callers
+ * @max_value_bytes: largest value that the store takes
  * @log_level: least severe level that is logged
  */
 struct cell_settings {
@@ -58,6 +59,7 @@
 	uint32_t relay_above_workers;
 	uint32_t small_cell_daemons;
 	uint32_t max_connections;
+	uint32_t max_value_bytes;
 	char *log_level;
 };
 
--- a/include/state/job.h
+++ b/include/state/job.h
@@ -161,6 +161,7 @@
  * @failed_earlier: runs that failed before these
  * @done: the task has succeeded
  * @checkpoint: where the next run resumes, or NULL
+ * @listed: the task's worker lists that checkpoint as well; not stored
  * @crash: runs under which a worker has or may have crashed, @crash_count of
  *	them
  * @crashed_workers: workers that crashed while they ran it, since a run of it
@@ -176,6 +177,7 @@
 	uint32_t failed_earlier;
 	bool done;
 	const char *checkpoint;
+	bool listed;
 	const struct jb_crash *crash;
 	uint32_t crash_count;
 	uint32_t crashed_workers;
@@ -194,6 +196,18 @@
 	uint32_t task_count;
 };
 
+/**
+ * jb_fit_checkpoints() - leave out checkpoints, so that progress can be stored
+ * @progress: progress; loses checkpoints for which there is no room
+ * @max_bytes: what the encoded progress may take
+ *
+ * Those that a worker lists go first: the next owner learns them from it, unless
+ * the worker ends before that.
+ *
+ * Return: how many were left out.
+ */
+uint32_t jb_fit_checkpoints(struct jb_progress *progress, size_t max_bytes);
+
 /** jb_state_name() - "pending", "running", "completed" and so on */
 const char *jb_state_name(enum jb_state state);
 
--- a/state/job.c
+++ b/state/job.c
@@ -151,3 +151,59 @@
 	return a->occurrence == b->occurrence && a->step == b->step &&
 	    a->index == b->index && strcmp(a->job, b->job) == 0;
 }
+
+/* Most that the numbers of an entry take, and what else a text takes. */
+#define JB_ENTRY_BYTES 128
+#define JB_TEXT_BYTES 8
+/* The same of a crash, without its worker. */
+#define JB_CRASH_BYTES 40
+
+static size_t
+jb_entry_bytes(const struct jb_task_progress *t)
+{
+	size_t bytes = JB_ENTRY_BYTES;
+	uint32_t i;
+
+	for (i = 0; i < t->crash_count; i++)
+		bytes += JB_CRASH_BYTES + strlen(t->crash[i].worker);
+	return bytes;
+}
+
+/* Returns how many of one kind had no room; the room left is in @left_bytes. */
+static uint32_t
+jb_fit_kind(struct jb_progress *progress, bool listed, size_t *left_bytes)
+{
+	uint32_t left_out = 0;
+	uint32_t i;
+
+	for (i = 0; i < progress->task_count; i++) {
+		struct jb_task_progress *t = &progress->task[i];
+		size_t bytes;
+
+		if (t->checkpoint == NULL || t->listed != listed)
+			continue;
+		bytes = strlen(t->checkpoint) + JB_TEXT_BYTES;
+		if (bytes <= *left_bytes) {
+			*left_bytes -= bytes;
+			continue;
+		}
+		t->checkpoint = NULL;
+		left_out++;
+	}
+	return left_out;
+}
+
+uint32_t
+jb_fit_checkpoints(struct jb_progress *progress, size_t max_bytes)
+{
+	size_t used_bytes = JB_ENTRY_BYTES;
+	size_t left_bytes;
+	uint32_t left_out;
+	uint32_t i;
+
+	for (i = 0; i < progress->task_count; i++)
+		used_bytes += jb_entry_bytes(&progress->task[i]);
+	left_bytes = used_bytes < max_bytes ? max_bytes - used_bytes : 0;
+	left_out = jb_fit_kind(progress, false, &left_bytes);
+	return left_out + jb_fit_kind(progress, true, &left_bytes);
+}
--- a/state/pool_store.c
+++ b/state/pool_store.c
@@ -41,7 +41,9 @@
 			.failed = t->failed_count,
 			.failed_earlier = t->failed_earlier,
 			.done = t->state == WP_TASK_DONE,
-			.checkpoint = t->checkpoint,
+			.checkpoint =
+			    t->state == WP_TASK_DONE ? NULL : t->checkpoint,
+			.listed = t->worker != NULL && t->worker->reachable,
 			.crash = t->crash,
 			.crash_count = t->crash_count,
 			.crashed_workers = t->crashed_workers,
--- a/tests/unit/sim_world.cc
+++ b/tests/unit/sim_world.cc
@@ -138,6 +138,7 @@
 	d.settings.relay_above_workers = options.relay_above_workers;
 	d.settings.small_cell_daemons = options.small_cell_daemons;
 	d.settings.max_connections = 100;
+	d.settings.max_value_bytes = 1 << 20;
 	booting = d.life;
 	if (cell_run(&d.settings) != 0)
 		abort();
--- a/tests/unit/test_text_lengths.cc
+++ b/tests/unit/test_text_lengths.cc
@@ -202,4 +202,74 @@
 	EXPECT_EQ(task(kJob, 0, 0)->crash[0].worker, id);
 }
 
+/*
+ * The store refused a job's progress with checkpoints of over a megabyte together,
+ * with it all commits of the pool, and without end.
+ */
+TEST_P(TextLengths, ProgressFitsIntoAValueOfTheStore)
+{
+	constexpr size_t kValueBytes = 1 << 20;
+	constexpr uint32_t kTasks = 4096;
+	const std::string checkpoint = text();
+	const std::string worker = text('w');
+	const uint32_t failed[WP_MAX_FAILED_RUNS] = {};
+	struct jb_crash crash = {1, worker.c_str(), INT64_MAX, true, 4, 0};
+	std::vector<struct jb_task_progress> rows(kTasks);
+	struct jb_progress progress = {JB_RUNNING, true, rows.data(), kTasks};
+	uint32_t left_out;
+	uint32_t kept_listed = 0;
+	uint32_t kept_others = 0;
+	size_t bytes;
+
+	for (uint32_t i = 0; i < kTasks; i++) {
+		rows[i].occurrence = rows[i].step = rows[i].index = UINT32_MAX;
+		rows[i].run = UINT32_MAX;
+		rows[i].failed_run = failed;
+		rows[i].failed = WP_MAX_FAILED_RUNS;
+		rows[i].failed_earlier = UINT32_MAX;
+		rows[i].checkpoint = checkpoint.c_str();
+		rows[i].listed = i % 4 != 0;
+	}
+	rows[0].crash = &crash;
+	rows[0].crash_count = 1;
+	left_out = jb_fit_checkpoints(&progress, kValueBytes);
+	for (const struct jb_task_progress &t : rows) {
+		kept_listed += t.checkpoint != nullptr && t.listed;
+		kept_others += t.checkpoint != nullptr && !t.listed;
+	}
+	EXPECT_EQ(left_out, kTasks - kept_listed - kept_others);
+	EXPECT_EQ(left_out == 0, GetParam() <= 64) << left_out;
+	/* Those that nobody else knows go first. */
+	EXPECT_TRUE(kept_listed == 0 || kept_others == kTasks / 4);
+	if (GetParam() <= 200) {
+		EXPECT_GT(kept_listed, 0U);
+	}
+	if (GetParam() < kValueBytes / 4) {
+		EXPECT_GT(kept_others, 0U);
+	}
+	uint8_t *value = jc_pack_progress(nullptr, &progress, &bytes);
+	EXPECT_LE(bytes, kValueBytes);
+	talloc_free(value);
+}
+
+TEST_F(Pool, ProgressOfATaskThatIsDoneHasNoCheckpoint)
+{
+	struct jb_progress progress;
+
+	create_pool();
+	add_worker("w");
+	add(kJob, {{2, 1000, JB_CHECKPOINTS}});
+	run_all();
+	for (uint32_t i = 0; i < 2; i++)
+		wp_task_set_checkpoint(task(kJob, 0, i), "saved");
+	renew_lease("w", {{kJob, 0, 1, 1}}, {{1, kJob, 0, 0, 1, WP_END_DONE}});
+	now += kS;
+	ASSERT_NE(wp_next_dirty(p, p, now, &progress), nullptr);
+	ASSERT_EQ(progress.task_count, 2U);
+	EXPECT_TRUE(progress.task[0].done);
+	EXPECT_EQ(progress.task[0].checkpoint, nullptr);
+	EXPECT_STREQ(progress.task[1].checkpoint, "saved");
+	EXPECT_TRUE(progress.task[1].listed);
+}
+
 } // namespace
