--- a/curranttackd/cell_relay_serve.c
+++ b/curranttackd/cell_relay_serve.c
@@ -132,7 +132,7 @@
 		rc_pack_renewal_reply(call, &row, reply);
 	frame.hold_results = &rows;
 	frame.n_hold_results = 1;
-	if (!fr_fits(&frame)) {
+	if (reply != NULL && !fr_fits(&frame)) {
 		lg_event(LG_WARN, "relay", "reply_too_large", "owner",
 		    call->owner, "running", lg_i64(reply->running_count),
 		    "ends", lg_i64(reply->end_count), NULL);
