pool: a ticket is replaced by tx_set(), and what the re-reading found

Two comments still said that settings with a long name of a VM are refused; since a hash stands for it. An include was out of order and a file began with an empty line. Three tests of test_text_lengths set a worker up in the same way; add_named_worker() serves them, and their assertions are as they were.

--- a/curranttackd/cell_witness.c
+++ b/curranttackd/cell_witness.c
@@ -6,9 +6,9 @@
 #include "common/log.h"
 #include "curranttackd/cell_peers.h"
 #include "curranttackd/cell_pool_internal.h"
-#include "protocol/pack.h"
 #include "curranttackd/cell_witness.h"
 #include "protocol/curranttack.pb-c.h"
+#include "protocol/pack.h"
 
 /* How often an owner looks whether its witnesses are there. */
 #define CP_WITNESS_CHECK_US (500 * CLK_US_PER_MS)
--- a/include/coordination/witness.h
+++ b/include/coordination/witness.h
@@ -34,7 +34,7 @@
 /* When nothing is known of the grants of a witness. */
 #define WT_UNKNOWN INT64_MAX
 
-/* Name of a daemon's VM and its end; settings with a longer one are refused. */
+/* Name of a daemon's VM and its end; a hash stands for one that is longer. */
 #define WT_VM_BYTES 64
 
 /**
--- a/state/pool_advice.c
+++ b/state/pool_advice.c
@@ -183,10 +183,7 @@
 	ticket->approved = true;
 	ticket->expires_us =
 	    valid_from_us + (int64_t)request->valid_ms * CLK_US_PER_MS;
-	talloc_free(ticket->text);
-	ticket->text = talloc_strdup(s->ticket, a->ticket);
-	if (ticket->text == NULL)
-		abort();
+	tx_set(s->ticket, &ticket->text, a->ticket);
 }
 
 void
--- a/state/pool_without_run.c
+++ b/state/pool_without_run.c
@@ -1,4 +1,3 @@
-
 #include "state/pool_internal.h"
 
 /*
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -1081,7 +1081,7 @@
 	EXPECT_TRUE(is_listed("a"));
 }
 
-/* Settings with a longer name of a VM are refused, so no daemon has one. */
+/* A hash stands for a longer name of a VM, so no daemon has one. */
 TEST_F(Replica, MemberWithATooLongNameIsLeftOut)
 {
 	const std::string key = RP_MEMBER_PREFIX + std::string(64, 'x');
--- a/tests/unit/test_text_lengths.cc
+++ b/tests/unit/test_text_lengths.cc
@@ -23,6 +23,20 @@
 	{
 		return std::string(GetParam() - 1, 'x') + last;
 	}
+
+	/* As add_worker(), with labels and a VM. */
+	void
+	add_named_worker(const std::string &id, const std::string &kind,
+	    const std::string &rack, const std::string &vm = "")
+	{
+		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
+		    kind.c_str(), rack.c_str(), {4000, 1000, 0}, false, 0,
+		    vm.c_str()};
+
+		wp_set_worker(p, &info, now);
+		renew_lease(id);
+		commit();
+	}
 };
 
 INSTANTIATE_TEST_SUITE_P(Bytes, TextLengths,
@@ -94,14 +108,7 @@
 {
 	create_pool();
 	for (char last : {'a', 'b', 'c'}) {
-		const std::string id = {last};
-		const std::string rack = text(last);
-		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
-		    "kind", rack.c_str(), {4000, 1000, 0}, false, 0};
-
-		wp_set_worker(p, &info, now);
-		renew_lease(id);
-		commit();
+		add_named_worker({last}, "kind", text(last));
 	}
 	struct jb_spec *s = spec(kJob, {{1}});
 	s->step[0].rack = talloc_strdup(s, text('b').c_str());
@@ -115,14 +122,7 @@
 {
 	create_pool();
 	for (char last : {'a', 'b', 'c'}) {
-		const std::string id = {last};
-		const std::string kind = text(last);
-		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
-		    kind.c_str(), "rack", {4000, 1000, 0}, false, 0};
-
-		wp_set_worker(p, &info, now);
-		renew_lease(id);
-		commit();
+		add_named_worker({last}, text(last), "rack");
 	}
 	struct jb_spec *s = spec(kJob, {{1}});
 	s->step[0].label = talloc_strdup(s, text('b').c_str());
@@ -136,13 +136,7 @@
 {
 	create_pool();
 	for (char last : {'a', 'b'}) {
-		const std::string id = {last};
-		const std::string vm = text(last);
-		struct wp_worker_info info = {id.c_str(), "127.0.0.1:1", "a",
-		    "kind", "rack", {4000, 1000, 0}, false, 0, vm.c_str()};
-
-		wp_set_worker(p, &info, now);
-		renew_lease(id);
+		add_named_worker({last}, "kind", "rack", text(last));
 	}
 	for (char last : {'a', 'b'}) {
 		const std::string id = {last};
